--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: install lint format test demo
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+format: install
+	$(BIN)/ruff format src emulator tests
+
+lint: install
+	$(BIN)/ruff format --check src emulator tests
+	$(BIN)/flake8 src emulator tests
+	$(BIN)/mypy
+
+test: install
+	$(BIN)/python -m pytest -q tests
+
+demo: install
+	$(BIN)/python -m emulator.demo
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,7 @@
+"""The installed package tells its version."""
+
+import wasabicross
+
+
+def test_version_is_told():
+    assert wasabicross.__version__.count('.') == 2
