--- /dev/null
+++ b/src/wasabicross/load_table.py
@@ -0,0 +1,189 @@
+"""The loads that an entry's requests may use, and how many run on each."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterable
+
+from wasabicross.load_names import LoadName, parse_load_name
+from wasabicross.messages import Running
+
+
+class LoadTable:
+    """Open loads with their running requests, shared by an entry's threads.
+
+    A request counts as running before the load is checked to be open, under
+    one lock, so a consent to close and a start can't cross.
+
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
+        self._opened: dict[str, LoadName] = {}
+        self._by_version: dict[tuple[str, str], dict[str, LoadName]] = {}
+        self._closed: set[str] = set()
+        self._running: Counter[str] = Counter()
+        self._uses: Counter[str] = Counter()
+        self._foreign: set[str] = set()
+        self._granted: dict[str, float] = {}
+        self._version = 0
+
+    def open_loads(self, load_names: Iterable[str]) -> None:
+        """Let requests use loads, but for those closed before.
+
+        :param load_names: names of loads that their owner announced.
+        """
+        with self._changed:
+            for load_name in load_names:
+                if load_name not in self._closed:
+                    self._add(load_name)
+            self._notify()
+
+    def drop_loads(self, load_names: Iterable[str]) -> None:
+        """Forget loads that their server holds no longer.
+
+        :param load_names: names under which the engine knew them.
+        """
+        with self._changed:
+            for load_name in load_names:
+                self._remove(load_name)
+                self._closed.discard(load_name)
+            self._notify()
+
+    def consent_to_close(self, load_name: str) -> bool:
+        """Close a load for ever; return whether no request runs on it.
+
+        :param load_name: name under which the engine knows it.
+        """
+        with self._changed:
+            self._closed.add(load_name)
+            self._remove(load_name)
+            self._notify()
+            return not self._running[load_name]
+
+    def begin_request(self, load_name: str, now_s: float) -> bool:
+        """Count a request as running on a load if the load may be used.
+
+        :param load_name: name under which the engine knows it.
+        :param now_s: monotonic clock of the instance, in seconds.
+        """
+        with self._lock:
+            load = self._opened.get(load_name)
+            if load is None or not self._may_use(load.server_id, now_s):
+                return False
+            self._running[load_name] += 1
+            self._uses[load_name] += 1
+            return True
+
+    def finish_request(self, load_name: str) -> bool:
+        """Take back a count; return whether a closed load has drained.
+
+        :param load_name: the name that `begin_request` was called with.
+        """
+        with self._lock:
+            self._running[load_name] -= 1
+            if self._running[load_name]:
+                return False
+            self._running.pop(load_name)
+            return load_name in self._closed
+
+    def holders(self, adapter: str, version: str, now_s: float) -> list[str]:
+        """Return the names of the open loads of an adapter version that may be used.
+
+        :param adapter: name of the adapter.
+        :param version: its version as the bundle names it.
+        :param now_s: monotonic clock of the instance, in seconds.
+        """
+        with self._lock:
+            found = self._by_version.get((adapter, version), {})
+            return [
+                load_name
+                for load_name, load in found.items()
+                if self._may_use(load.server_id, now_s)
+            ]
+
+    def set_foreign(self, server_ids: Iterable[str]) -> None:
+        """Tell the servers whose use needs a grant that is renewed.
+
+        :param server_ids: backend servers of other data centres.
+        """
+        with self._lock:
+            self._foreign = set(server_ids)
+
+    def grant_use(self, server_ids: Iterable[str], until_s: float) -> None:
+        """Prolong the use of servers of other data centres.
+
+        :param server_ids: servers whose owner granted it.
+        :param until_s: end of the grant on the instance's monotonic clock.
+        """
+        with self._lock:
+            for server_id in server_ids:
+                self._granted[server_id] = until_s
+
+    @property
+    def version(self) -> int:
+        """Number that rises with each change of the open loads."""
+        return self._version
+
+    def wait_for_change(self, version: int, timeout_s: float) -> None:
+        """Wait until the open loads have changed.
+
+        :param version: what the `version` property was before.
+        :param timeout_s: seconds to wait at most.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        with self._changed:
+            while self._version == version:
+                left_s = deadline_s - time.monotonic()
+                if left_s <= 0:
+                    return
+                self._changed.wait(left_s)
+
+    def running(self) -> list[Running]:
+        """Return how many requests run on each load in use."""
+        with self._lock:
+            return [Running(*pair) for pair in self._running.items()]
+
+    def closed(self) -> list[str]:
+        """Return the loads closed for ever that their server may hold."""
+        with self._lock:
+            return sorted(self._closed)
+
+    def opened(self) -> list[str]:
+        """Return the loads that requests may use."""
+        with self._lock:
+            return list(self._opened)
+
+    def take_uses(self) -> list[Running]:
+        """Return the requests started on each load since the last call."""
+        with self._lock:
+            uses = [Running(*pair) for pair in self._uses.items()]
+            self._uses.clear()
+            return uses
+
+    def _may_use(self, server_id: str, now_s: float) -> bool:
+        if server_id not in self._foreign:
+            return True
+        return now_s < self._granted.get(server_id, 0)
+
+    def _add(self, load_name: str) -> None:
+        load = parse_load_name(load_name)
+        if load is None:
+            return
+        self._opened[load_name] = load
+        group = self._by_version.setdefault((load.adapter, load.version), {})
+        group[load_name] = load
+
+    def _remove(self, load_name: str) -> None:
+        load = self._opened.pop(load_name, None)
+        if load is None:
+            return
+        group = self._by_version[load.adapter, load.version]
+        group.pop(load_name)
+        if not group:
+            self._by_version.pop((load.adapter, load.version))
+
+    def _notify(self) -> None:
+        self._version += 1
+        self._changed.notify_all()
--- /dev/null
+++ b/src/wasabicross/messages.py
@@ -0,0 +1,417 @@
+"""The messages between the system's own processes and their CBOR codec."""
+
+from functools import lru_cache
+from typing import Any, NamedTuple
+
+import cbor2
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter, ValidationError
+
+from wasabicross.exceptions import MessageMalformed
+
+
+class ServerTerm(NamedTuple):
+    """The highest ownership term known of a backend server."""
+
+    server_id: str
+    term: int
+
+
+class Running(NamedTuple):
+    """How many requests run on a load."""
+
+    load_name: str
+    requests: int
+
+
+class ServerInfo(NamedTuple):
+    """What an entry needs to know of a backend server."""
+
+    server_id: str
+    kind: str
+    group: str
+    data_centre: str
+    host: str
+    port: int
+    state: str
+    base_model: str
+
+
+class Hello(NamedTuple):
+    """Opens a link: who dials, and what its requests use just now.
+
+    :param kind: `entry`, `controller` or `admin`.
+    :param running: requests in progress on each load, told by entries.
+    :param closed: loads that the sender has closed for ever.
+    """
+
+    kind: str
+    name: str
+    instance_id: str
+    data_centre: str
+    token: str
+    running: list[Running]
+    closed: list[str]
+    opened: list[str]
+
+
+class Welcome(NamedTuple):
+    """Answers a hello that was accepted."""
+
+    instance_id: str
+
+
+class Refusal(NamedTuple):
+    """Answers a request that is refused, with a stable code."""
+
+    code: str
+    message: str
+
+
+class Done(NamedTuple):
+    """Answers a request that needs no more than its completion."""
+
+
+class Goodbye(NamedTuple):
+    """Announces an orderly stop: nothing of the sender runs any more."""
+
+
+class FleetUpdate(NamedTuple):
+    """Tells an entry all backend servers that the instance list shows.
+
+    :param need_grant: servers whose loads may be used only while granted.
+    """
+
+    servers: list[ServerInfo]
+    need_grant: list[str]
+
+
+class OwnedServers(NamedTuple):
+    """Tells which backend servers the sender owns, each with its term."""
+
+    servers: list[ServerTerm]
+
+
+class LoadsOpened(NamedTuple):
+    """Tells loads that requests may use from now on.
+
+    :param server: the server that holds them, with its owner's term.
+    """
+
+    server: ServerTerm
+    load_names: list[str]
+
+
+class LoadsGone(NamedTuple):
+    """Tells loads that their server holds no longer."""
+
+    load_names: list[str]
+
+
+class ServerReport(NamedTuple):
+    """Tells a new owner what the sender knows of the server's loads.
+
+    :param server: the server and the owner's term that this answers.
+    :param opened: loads that requests of the sender may use.
+    :param closed: loads that the sender has closed for ever.
+    """
+
+    server: ServerTerm
+    opened: list[str]
+    closed: list[str]
+
+
+class CloseLoad(NamedTuple):
+    """Asks for consent to evict a load."""
+
+    server_id: str
+    load_name: str
+    term: int
+
+
+class CloseRefused(NamedTuple):
+    """Refuses consent since a later owner of the server is known."""
+
+    load_name: str
+    server: ServerTerm
+
+
+class LoadDrained(NamedTuple):
+    """Consents: the load is closed for ever and no request runs on it."""
+
+    load_name: str
+
+
+class Renew(NamedTuple):
+    """Asks to go on using the receiver's servers; a heartbeat as well.
+
+    :param number: the bundle in force at every entry of the sender.
+    :param digest: hex digest of that bundle's manifest.
+    :param since: ISO time at which it came into force there.
+    """
+
+    number: int
+    digest: str
+    since: str
+
+
+class Renewed(NamedTuple):
+    """Grants the use, counted from the sending of the renewal."""
+
+    servers: list[ServerTerm]
+
+
+class UseGranted(NamedTuple):
+    """Tells entries how long loads of foreign servers may be used.
+
+    :param until_s: monotonic clock of the instance, in seconds.
+    """
+
+    server_ids: list[str]
+    until_s: float
+
+
+class WantLoad(NamedTuple):
+    """Asks for an adapter version to be loaded on some server."""
+
+    adapter: str
+    version: str
+    base_model: str
+    group: str
+    request_class: str
+    waiting: int
+    tried: list[str]
+
+
+class LoadWanted(NamedTuple):
+    """Passes a want on to the owner of the server chosen for it."""
+
+    server_id: str
+    want: WantLoad
+
+
+class LoadDeclined(NamedTuple):
+    """Tells that a server can't take the load, for the time given."""
+
+    server_id: str
+    adapter: str
+    version: str
+    retry_after_s: float
+
+
+class LoadUses(NamedTuple):
+    """Counts the requests started on loads since the last such message."""
+
+    uses: list[Running]
+
+
+class LoadMissing(NamedTuple):
+    """Tells the owner that its server denied holding a load."""
+
+    server_id: str
+    load_name: str
+
+
+class BundleOffered(NamedTuple):
+    """Tells the pointer of the bundle that the sender has in force."""
+
+    number: int
+    digest: str
+    rolled_at: str
+    rolled_by: str
+
+
+class BundleInForce(NamedTuple):
+    """Tells the bundle that a process has put in force, and since when."""
+
+    number: int
+    digest: str
+    since: str
+
+
+class GetManifest(NamedTuple):
+    """Asks for the signed manifest of a bundle."""
+
+    digest: str
+
+
+class GetChunk(NamedTuple):
+    """Asks for a part of a bundle's adapters table."""
+
+    digest: str
+
+
+class Blob(NamedTuple):
+    """Answers with content-addressed bytes."""
+
+    content: bytes
+
+
+class GetStatus(NamedTuple):
+    """Asks what is in force at every instance that the receiver knows."""
+
+
+class InstanceReport(NamedTuple):
+    """What one instance has in force, as last heard."""
+
+    instance_id: str
+    data_centre: str
+    bundle_number: int
+    bundle_digest: str
+    in_force_since: str
+    last_heard_s: float
+
+
+class Status(NamedTuple):
+    """Answers a status question."""
+
+    instances: list[InstanceReport]
+
+
+class ClaimKey(NamedTuple):
+    """Claims an idempotency key before a request is dispatched."""
+
+    tenant: str
+    key: str
+    request_digest: str
+    holder: str
+
+
+class ClaimAnswer(NamedTuple):
+    """Answers a claim.
+
+    :param state: the state of the key as a stable word.
+    :param answer: the completed answer where it is kept, else empty.
+    :param retry_after_s: seconds until a repeat makes sense.
+    """
+
+    state: str
+    status: int
+    content_type: str
+    answer: bytes
+    retry_after_s: float
+
+
+class SettleKey(NamedTuple):
+    """Tells the outcome of a claimed request."""
+
+    tenant: str
+    key: str
+    holder: str
+    outcome: str
+    status: int
+    content_type: str
+    answer: bytes
+
+
+class SuspectRecords(NamedTuple):
+    """Passes on what is known of requests that crash servers."""
+
+    records: list[list[Any]]
+
+
+class PermitLoad(NamedTuple):
+    """Asks for a permit to load from the weight store."""
+
+    request_id: str
+    adapter: str
+    stalled: int
+    waited_s: float
+
+
+class PermitReturned(NamedTuple):
+    """Gives a permit back when the load ended."""
+
+    request_id: str
+
+
+#: Position is the code on the wire: append only.
+MESSAGES: tuple[type, ...] = (
+    Hello,
+    Welcome,
+    Refusal,
+    Done,
+    Goodbye,
+    FleetUpdate,
+    OwnedServers,
+    LoadsOpened,
+    LoadsGone,
+    ServerReport,
+    CloseLoad,
+    CloseRefused,
+    LoadDrained,
+    Renew,
+    Renewed,
+    UseGranted,
+    WantLoad,
+    LoadWanted,
+    LoadDeclined,
+    LoadUses,
+    LoadMissing,
+    BundleOffered,
+    BundleInForce,
+    GetManifest,
+    GetChunk,
+    Blob,
+    GetStatus,
+    Status,
+    ClaimKey,
+    ClaimAnswer,
+    SettleKey,
+    SuspectRecords,
+    PermitLoad,
+    PermitReturned,
+)
+
+_CODES = {kind: code for code, kind in enumerate(MESSAGES)}
+
+#: Marks of an envelope: sent one way, asking for a reply, the reply.
+ONE_WAY = 0
+REQUEST = 1
+REPLY = 2
+
+
+class Envelope(NamedTuple):
+    """A message with the mark and number that pair requests and replies."""
+
+    mark: int
+    call_id: int
+    message: Any
+
+
+@lru_cache(maxsize=None)
+def _adapter(kind: type) -> TypeAdapter[Any]:
+    return TypeAdapter(kind)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the CBOR bytes of an envelope.
+
+    :param envelope: a mark, a call number and a message of the protocol.
+    """
+    code = _CODES[type(envelope.message)]
+    return cbor2.dumps(
+        [envelope.mark, envelope.call_id, code, list(envelope.message)],
+    )
+
+
+def decode(frame: bytes | str) -> Result[Envelope, MessageMalformed]:
+    """Return the envelope in received bytes, checked field by field.
+
+    :param frame: one whole websocket message.
+    """
+    if isinstance(frame, str):
+        return Error(MessageMalformed('text frame'))
+    try:
+        mark, call_id, code, fields = cbor2.loads(frame)
+    except (cbor2.CBORError, TypeError, ValueError) as exc:
+        return Error(MessageMalformed(f'not an envelope: {exc}'))
+    try:
+        message = _adapter(MESSAGES[code]).validate_python(tuple(fields))
+    except ValidationError as invalid:
+        return Error(MessageMalformed(f'{invalid.error_count()} bad fields'))
+    except (LookupError, TypeError) as unknown:
+        return Error(MessageMalformed(f'unknown message: {unknown}'))
+    if mark not in {ONE_WAY, REQUEST, REPLY} or not isinstance(call_id, int):
+        return Error(MessageMalformed('envelope'))
+    return Ok(Envelope(mark, call_id, message))
