--- /dev/null
+++ b/src/wasabicross/events.py
@@ -0,0 +1,48 @@
+"""Catalogue of the numbered events that the programs log.
+
+Numbers are stable and grouped: 1000 programs, 2000 platform, 3000 bundles,
+4000 operators, 5000 owners and links, 6000 requests, 7000 claims.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class EventKind(NamedTuple):
+    """Number and level of an event.
+
+    :param number: stable, unique number.
+    :param level: name of the log level.
+    """
+
+    number: int
+    level: str
+
+
+class Event(Enum):
+    """All events; the name is logged in lower case."""
+
+    PROGRAM_STARTED = EventKind(1001, 'INFO')
+    PROGRAM_STOPPING = EventKind(1002, 'INFO')
+    PROGRAM_STOPPED = EventKind(1003, 'INFO')
+    LIBRARY_MESSAGE = EventKind(1005, 'WARNING')
+
+    BUNDLE_IN_FORCE = EventKind(3001, 'INFO')
+    BUNDLE_REFUSED = EventKind(3002, 'ERROR')
+
+    BUNDLE_PREPARED = EventKind(4001, 'INFO')
+    BUNDLE_SIGNED = EventKind(4002, 'INFO')
+    BUNDLE_ROLLED = EventKind(4003, 'INFO')
+    ROLL_REFUSED = EventKind(4004, 'WARNING')
+    OPERATOR_REFUSED = EventKind(4005, 'WARNING')
+    ADMIN_REQUEST_FAILED = EventKind(4006, 'ERROR')
+
+    @property
+    def number(self) -> int:
+        """The stable number."""
+        return self.value.number
+
+    @property
+    def level(self) -> str:
+        """Name of the log level."""
+        return self.value.level
--- /dev/null
+++ b/src/wasabicross/logs.py
@@ -0,0 +1,102 @@
+"""Numbered events on standard error, as JSON lines or for human readers."""
+
+import json
+import logging
+import sys
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, TextIO
+
+from loguru import logger
+
+from wasabicross.events import Event
+from wasabicross.settings import LogSettings
+
+if TYPE_CHECKING:
+    from loguru import Message, Record
+
+_HUMAN_TIME = '%Y-%m-%d %H:%M:%S.%f'
+
+
+def configure_logs(
+    cfg: LogSettings,
+    program: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Send the events of this process to a stream, replacing other sinks.
+
+    :param cfg: format and lowest level.
+    :param program: name of the program, part of each line.
+    :param stream: standard error if not given.
+    """
+    target = stream or sys.stderr
+    render = _FORMATS[cfg.format]
+
+    def sink(message: 'Message') -> None:  # noqa: WPS430
+        target.write(f'{render(message.record)}\n')
+        target.flush()
+
+    logger.remove()
+    logger.configure(extra={'program': program})
+    logger.add(sink, level=cfg.level, format='{message}', catch=True)
+    logging.basicConfig(
+        handlers=[_LibraryHandler(logging.WARNING)],
+        level=logging.WARNING,
+        force=True,
+    )
+
+
+def log_event(event: Event, /, **fields: Any) -> None:
+    """Log one event of the catalogue.
+
+    :param event: which one; gives number, name and level.
+    :param fields: what happened to whom, such as ``request`` or ``bundle``.
+    """
+    bound = logger.bind(event=event.number, fields=fields)
+    bound.log(event.level, event.name.lower())
+
+
+class _LibraryHandler(logging.Handler):
+    """Turns warnings of libraries into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one message of a library.
+
+        :param record: the message.
+        """
+        log_event(
+            Event.LIBRARY_MESSAGE,
+            library=record.name,
+            severity=record.levelname,
+            text=record.getMessage(),
+        )
+
+
+def _render_json(record: 'Record') -> str:
+    extra = record['extra']
+    line = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name,
+        'program': extra.get('program'),
+        'event': extra.get('event'),
+        'name': record['message'],
+    }
+    # The fixed keys win over fields of the same name.
+    return json.dumps({**extra.get('fields', {}), **line}, default=str)
+
+
+def _render_human(record: 'Record') -> str:
+    extra = record['extra']
+    when = record['time'].strftime(_HUMAN_TIME)
+    pairs = ' '.join(
+        f'{name}={json.dumps(value, default=str)}'
+        for name, value in extra.get('fields', {}).items()
+    )
+    level = record['level'].name
+    head = f'{when} {level:<7} {extra.get("program")}'
+    return f'{head} {extra.get("event")} {record["message"]} {pairs}'.rstrip()
+
+
+_FORMATS: dict[str, Callable[['Record'], str]] = {
+    'json': _render_json,
+    'human': _render_human,
+}
--- /dev/null
+++ b/src/wasabicross/settings.py
@@ -0,0 +1,274 @@
+"""Settings of one instance, read from YAML and validated as a whole."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import pydantic
+from expression import Error, Ok, Result
+
+from wasabicross.documents import (
+    Section,
+    read_document,
+    schema_faults,
+    walk,
+)
+from wasabicross.exceptions import Fault, SettingsError
+
+_KEY_BYTES = 32
+_MAX_PORT = 65535
+_MIN_TOKEN_CHARS = 8
+
+
+def _ip_number(text: str) -> str:
+    ip_address(text)
+    return text
+
+
+def _public_key(text: str) -> str:
+    if len(bytes.fromhex(text)) != _KEY_BYTES:
+        raise ValueError('must be 32 bytes in hexadecimal')
+    return text.lower()
+
+
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r'^[A-Za-z0-9][\w.\-]{0,63}$'),
+]
+Port = Annotated[int, pydantic.Field(strict=True, ge=1, le=_MAX_PORT)]
+Seconds = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+Count = Annotated[int, pydantic.Field(strict=True, ge=1)]
+Weight = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+Url = Annotated[str, pydantic.StringConstraints(pattern=r'^https?://[^/\s]+')]
+Token = Annotated[
+    str,
+    pydantic.StringConstraints(
+        min_length=_MIN_TOKEN_CHARS,
+        pattern=r'^[!-~]+$',
+    ),
+]
+PublicKey = Annotated[str, pydantic.AfterValidator(_public_key)]
+IpNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
+
+
+class InstanceSettings(Section):
+    """Which instance this is, and the IP number that its programs bind."""
+
+    instance_id: Name
+    data_centre: Name
+    host: IpNumber
+
+
+class ControllerSettings(Section):
+    """Ports of the controller: link to peers and entries, and metrics."""
+
+    port: Port
+    metrics_port: Port
+
+
+class EntrySettings(Section):
+    """One entry process: its ports, request limit and worker threads."""
+
+    name: Name
+    port: Port
+    metrics_port: Port
+    max_requests: Count = 256
+    threads: Count = 128
+
+
+class AdminSettings(Section):
+    """Ports of the administration API."""
+
+    port: Port
+    metrics_port: Port
+
+
+class KeyValueSettings(Section):
+    """Where the key-value service is, and how long one call may take."""
+
+    url: Url
+    timeout_s: Seconds = 2.0
+
+
+class InstanceListSettings(Section):
+    """Where the list of instances is, and how often it is read."""
+
+    url: Url
+    timeout_s: Seconds = 2.0
+    poll_s: Seconds = 2.0
+
+
+class PlatformSettings(Section):
+    """The services of the platform."""
+
+    kv: KeyValueSettings
+    instance_list: InstanceListSettings
+
+
+class TenantSettings(Section):
+    """One tenant: its bearer token and its share under load."""
+
+    name: Name
+    token: Token
+    weight: Weight = 1.0
+
+
+class OperatorSettings(Section):
+    """One operator and the bearer token for the administration API."""
+
+    name: Name
+    token: Token
+
+
+class ServersSettings(Section):
+    """What is known of the backend servers.
+
+    `fencing` names the servers that refuse orders with an old term.
+    """
+
+    fencing: tuple[Name, ...] = ()
+    max_request_s: Seconds = 300.0
+
+
+class ClaimsSettings(Section):
+    """Key ranges of the claims, and how long a claim is remembered."""
+
+    ranges: Count = 16
+    horizon_s: Seconds = 86400.0
+
+
+class WeightStoreSettings(Section):
+    """Limits of the weight store, for all data centres together."""
+
+    loads_per_s: Weight = 3.0
+    in_flight: Count = 8
+
+
+class LogSettings(Section):
+    """Format and lowest level of the logs."""
+
+    format: Literal['json', 'human'] = 'json'
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class Settings(Section):
+    """All settings of one instance, shared by its programs."""
+
+    instance: InstanceSettings
+    controller: ControllerSettings
+    entries: Annotated[
+        tuple[EntrySettings, ...],
+        pydantic.Field(min_length=1),
+    ]
+    admin: AdminSettings
+    platform: PlatformSettings
+    trusted_keys: Annotated[
+        dict[Name, PublicKey],
+        pydantic.Field(min_length=1),
+    ]
+    tenants: tuple[TenantSettings, ...] = ()
+    operators: tuple[OperatorSettings, ...] = ()
+    peer_token: Token
+    servers: ServersSettings = ServersSettings()
+    claims: ClaimsSettings = ClaimsSettings()
+    weight_store: WeightStoreSettings = WeightStoreSettings()
+    data_centres: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)]
+    logs: LogSettings = LogSettings()
+
+    def entry(self, name: str | None) -> EntrySettings | None:
+        """Return the entry of this name, or the only one for no name.
+
+        :param name: as in the section ``entries``.
+        """
+        if name is None:
+            return self.entries[0] if len(self.entries) == 1 else None
+        named = (entry for entry in self.entries if entry.name == name)
+        return next(named, None)
+
+
+# Values that may stand only once among all places of a row.
+_UNIQUE: Mapping[str, tuple[str, ...]] = {
+    'port': (
+        'controller.port',
+        'controller.metrics_port',
+        'entries.*.port',
+        'entries.*.metrics_port',
+        'admin.port',
+        'admin.metrics_port',
+    ),
+    'entry name': ('entries.*.name',),
+    'tenant name': ('tenants.*.name',),
+    'operator name': ('operators.*.name',),
+    'token': ('tenants.*.token', 'operators.*.token', 'peer_token'),
+    'data centre': ('data_centres.*',),
+    'public key': ('trusted_keys.*',),
+}
+
+
+def load_settings(
+    paths: Sequence[str | Path],
+) -> Result[Settings, SettingsError]:
+    """Read and merge YAML files; a later one replaces whole sections.
+
+    :param paths: the files, at least one.
+    """
+    merged: dict[str, Any] = {}
+    faults: list[Fault] = []
+    for path in paths:
+        sections, file_faults = _read_file(Path(path))
+        merged.update(sections)
+        faults.extend(file_faults)
+    if not paths:
+        faults.append(Fault('', 'no settings file was given'))
+    if not merged and faults:
+        return Error(SettingsError(tuple(faults)))
+    return _validate(merged, faults)
+
+
+def _read_file(path: Path) -> tuple[dict[str, Any], list[Fault]]:
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        return {}, [Fault(str(path), f'not readable: {exc}')]
+    document = read_document(text)
+    faults = [
+        Fault(f'{path}: {fault.path}'.rstrip(': '), fault.message)
+        for fault in document.faults
+    ]
+    if isinstance(document.root, dict):
+        return document.root, faults
+    return {}, [*faults, Fault(str(path), 'must be a mapping of sections')]
+
+
+def _validate(
+    merged: dict[str, Any],
+    faults: list[Fault],
+) -> Result[Settings, SettingsError]:
+    cfg = None
+    try:
+        cfg = Settings.model_validate(merged)
+    except pydantic.ValidationError as exc:
+        faults.extend(schema_faults(exc))
+    faults.extend(_repeated_values(merged))
+    faults.extend(_unknown_data_centre(merged))
+    if faults or cfg is None:
+        return Error(SettingsError(tuple(faults)))
+    return Ok(cfg)
+
+
+def _repeated_values(merged: dict[str, Any]) -> Iterator[Fault]:
+    for kind, patterns in _UNIQUE.items():
+        first_at: dict[str, str] = {}
+        for pattern in patterns:
+            for path, value in walk(merged, pattern):
+                first = first_at.setdefault(str(value), path)
+                if first != path:
+                    yield Fault(path, f'{kind} is already used by {first}')
+
+
+def _unknown_data_centre(merged: dict[str, Any]) -> Iterator[Fault]:
+    known = {value for _, value in walk(merged, 'data_centres.*')}
+    for path, value in walk(merged, 'instance.data_centre'):
+        if known and value not in known:
+            yield Fault(path, 'is not one of data_centres')
