--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -177,9 +177,7 @@
     def announcement(self) -> LoadsOpened:
         """Return the open loads, for an instance that has just linked."""
         with self._lock:
-            opened = [
-                name for name, held in self._held.items() if held.is_open
-            ]
+            opened = [name for name, held in self._held.items() if held.is_open]
         return LoadsOpened(self.server, opened)
 
     def wait(self, timeout_s: float) -> None:
@@ -286,9 +284,7 @@
             return
         held.asked[instance_id] = now_s
         link.send(
-            CloseLoad(
-                self.server.server_id, str(held.name), self.server.term
-            ),
+            CloseLoad(self.server.server_id, str(held.name), self.server.term),
         )
 
     def _order_evict(self, name: str) -> None:
@@ -380,9 +376,7 @@
             self._forget(wanted.want)
             log_event(Event.LOAD_DONE, load=str(name))
             return
-        log_event(
-            Event.LOAD_FAILED, load=str(name), code=outcome.error.code
-        )
+        log_event(Event.LOAD_FAILED, load=str(name), code=outcome.error.code)
         if isinstance(outcome.error, OrderRefused):
             self.deposed.set()
         if isinstance(outcome.error, LoadFailed):
