Keep the ownership of servers in the key-value service

Cause: each server's orders need one owner. Change: two candidate instances a server watch its key; a lease is shared by all keys of an instance and its time grows with the fleet, so that renewals stay bounded.

--- /dev/null
+++ b/src/wasabicross/ownership.py
@@ -0,0 +1,256 @@
+"""Who owns each backend server, kept in the key-value service."""
+
+import threading
+import time
+from collections.abc import Iterable
+from typing import Protocol
+
+import cbor2
+from expression import Result
+
+from wasabicross.events import Event
+from wasabicross.exceptions import (
+    KeyValueError,
+    LeaseLapsed,
+    SwapOutcomeUnknown,
+)
+from wasabicross.kv import KeyValueStore, Versioned
+from wasabicross.logs import log_event
+from wasabicross.messages import ServerTerm
+from wasabicross.rendezvous import rank
+
+MIN_LEASE_S = 6.0
+RENEWALS_PER_LEASE = 3
+RENEWALS_PER_S = 30.0
+WATCH_S = 10.0
+STANDBY_GRACE_S = 2.0
+RETRY_S = 0.5
+CANDIDATES = 2
+
+
+def lease_ttl_s(instances: int) -> float:
+    """Return how long a lease lasts, so that all renewals stay bounded.
+
+    The time grows with the fleet: all instances together renew at most
+    `RENEWALS_PER_S` times a second, whatever their number.
+
+    :param instances: how many instances the list shows.
+    """
+    interval_s = instances / RENEWALS_PER_S
+    return max(MIN_LEASE_S, interval_s * RENEWALS_PER_LEASE)
+
+
+class InstanceLease:
+    """One lease of an instance, renewed by a thread of its own.
+
+    :param kv: the key-value service.
+    :param stop: set when the process stops.
+    """
+
+    def __init__(self, kv: KeyValueStore, stop: threading.Event) -> None:
+        self.instances = 1
+        self._kv = kv
+        self._stop = stop
+        self._lease_id: str | None = None
+
+    @property
+    def lease_id(self) -> str | None:
+        """Id of the lease, None while there is none."""
+        return self._lease_id
+
+    def run(self) -> None:
+        """Grant and renew until the process stops, then revoke."""
+        while not self._stop.is_set():
+            ttl_s = lease_ttl_s(self.instances)
+            if self._lease_id is None:
+                self._lease_id = self._kv.grant_lease(ttl_s).default_value('')
+                self._lease_id = self._lease_id or None
+            else:
+                self._renew(self._lease_id)
+            self._stop.wait(ttl_s / RENEWALS_PER_LEASE)
+        if self._lease_id is not None:
+            self._kv.revoke_lease(self._lease_id)
+
+    def _renew(self, lease_id: str) -> None:
+        renewed = self._kv.renew_lease(lease_id)
+        if renewed.is_error() and isinstance(renewed.error, LeaseLapsed):
+            self._lease_id = None
+            log_event(Event.LEASE_LAPSED, lease=lease_id)
+
+
+class OwnerHooks(Protocol):
+    """What a keeper tells the controller, and asks of it."""
+
+    def owner_started(self, server: ServerTerm) -> None:
+        """Begin to own a server under a new term."""
+
+    def owner_ended(self, server_id: str) -> None:
+        """Stop to own a server."""
+
+    def known_term(self, server_id: str) -> int:
+        """Return the highest term known of a server, 0 if none is."""
+
+
+class OwnerKeeper:
+    """Takes the ownership of servers, a thread for each candidate server.
+
+    The two instances that rank first for a server watch its key; the second
+    takes it only after a grace period. An owner that can't reach the service
+    goes on: evictions need the consent of all instances anyhow, and so its
+    term need not be proved again for each order.
+
+    :param instance_id: this instance.
+    :param kv: the key-value service.
+    :param lease: the instance's lease, to which the keys are tied.
+    :param hooks: told of each change.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        kv: KeyValueStore,
+        lease: InstanceLease,
+        hooks: OwnerHooks,
+    ) -> None:
+        self._instance_id = instance_id
+        self._kv = kv
+        self._lease = lease
+        self._hooks = hooks
+        self._stopping = threading.Event()
+        self._ranks: dict[str, int] = {}
+        self._threads: dict[str, threading.Thread] = {}
+        self._owned: dict[str, Versioned] = {}
+
+    def assign(
+        self, server_ids: Iterable[str], instance_ids: Iterable[str]
+    ) -> None:
+        """Start and end the watching of servers after a change of the list.
+
+        :param server_ids: engines of this data centre.
+        :param instance_ids: live instances of this data centre.
+        """
+        instances = sorted(instance_ids)
+        ranks: dict[str, int] = {}
+        for server_id in server_ids:
+            order = rank(server_id, instances)
+            if self._instance_id in order[:CANDIDATES]:
+                ranks[server_id] = order.index(self._instance_id)
+        self._ranks = ranks
+        for candidate in ranks:
+            self._ensure_thread(candidate)
+
+    def stop(self) -> None:
+        """Hand every owned server back, so that another may take it."""
+        self._stopping.set()
+        for server_id, present in list(self._owned.items()):
+            self._kv.compare_and_swap(
+                f'owner/{server_id}', None, present.version
+            )
+
+    def owned(self) -> list[str]:
+        """Return the servers owned here."""
+        return list(self._owned)
+
+    def resign(self, server_id: str) -> None:
+        """Note that a later owner of a server was heard of."""
+        if self._owned.pop(server_id, None) is not None:
+            self._hooks.owner_ended(server_id)
+
+    def _ensure_thread(self, server_id: str) -> None:
+        known = self._threads.get(server_id)
+        if known is None or not known.is_alive():
+            thread = threading.Thread(
+                target=self._keep,
+                args=(server_id,),
+                name=f'keep-{server_id}',
+                daemon=True,
+            )
+            self._threads[server_id] = thread
+            thread.start()
+
+    def _is_candidate(self, server_id: str) -> bool:
+        if self._stopping.is_set():
+            return False
+        return server_id in self._ranks or server_id in self._owned
+
+    def _keep(self, server_id: str) -> None:
+        key = f'owner/{server_id}'
+        seen = self._kv.get(key)
+        absent_since_s: float | None = None
+        while self._is_candidate(server_id):
+            if seen.is_error():
+                self._stopping.wait(RETRY_S)
+                seen = self._kv.get(key)
+                continue
+            now_s = time.monotonic()
+            absent_since_s = self._react(
+                server_id, seen.ok, absent_since_s, now_s
+            )
+            wait_s = WATCH_S if absent_since_s is None else RETRY_S
+            seen = self._watch(key, seen.ok, wait_s)
+
+    def _watch(
+        self, key: str, present: Versioned, wait_s: float
+    ) -> Result[Versioned, KeyValueError]:
+        owned = self._owned.get(key.removeprefix('owner/'), present)
+        return self._kv.watch(key, owned.version, wait_s)
+
+    def _react(
+        self,
+        server_id: str,
+        present: Versioned,
+        absent_since_s: float | None,
+        now_s: float,
+    ) -> float | None:
+        """Act on a key's state; return since when it has had no owner."""
+        mine = self._owned.get(server_id)
+        if mine is not None and mine.version == present.version:
+            return None
+        if _owner_in(present) not in {None, self._instance_id}:
+            self.resign(server_id)
+            return None
+        since_s = now_s if absent_since_s is None else absent_since_s
+        grace_s = STANDBY_GRACE_S * self._ranks.get(server_id, 1)
+        if mine is None and now_s - since_s < grace_s:
+            return since_s
+        self._take_over(server_id, present)
+        return None if server_id in self._owned else since_s
+
+    def _take_over(self, server_id: str, present: Versioned) -> None:
+        lease_id = self._lease.lease_id
+        if lease_id is None:
+            return
+        known = max(present.version, self._hooks.known_term(server_id))
+        server = ServerTerm(server_id, known + 1)
+        record = cbor2.dumps([self._instance_id, server.term])
+        taken = self._swap(f'owner/{server_id}', record, present, lease_id)
+        if taken is None:
+            return
+        if server_id in self._owned:
+            self._hooks.owner_ended(server_id)
+        self._owned[server_id] = taken
+        log_event(Event.OWNER_STARTED, server=server_id, term=server.term)
+        self._hooks.owner_started(server)
+
+    def _swap(
+        self, key: str, record: bytes, present: Versioned, lease_id: str
+    ) -> Versioned | None:
+        swapped = self._kv.compare_and_swap(
+            key, record, present.version, lease_id
+        )
+        if swapped.is_ok():
+            return swapped.ok
+        if isinstance(swapped.error, SwapOutcomeUnknown):
+            # The record names this instance and a term that nobody else
+            # writes, so reading it back tells whose write it is.
+            now = self._kv.get(key).default_value(Versioned(key, None, 0))
+            return now if now.value == record else None
+        return None
+
+
+def _owner_in(present: Versioned) -> str | None:
+    if present.value is None:
+        return None
+    owner, _term = cbor2.loads(present.value)
+    return str(owner)
+
