Admit requests within bounds and fair shares, refuse the rest at once

Cause: a closing peak must leave bounded queues, and refused callers must not come back together. Ruled out: hard shares by tenant, which waste what others leave; a wait estimate from the drain rate, which refuses everyone after an idle time. Change: capacity, class, adapter and weighted tenant limits; the last tenth of the capacity is kept for tenants within their share; the expected wait is held against the deadline; Retry-After is drawn over the time that the recent refusals take to serve. Figures (test): 10 refusals come back over at least 2 s, 400 over at least 14 s, none later than 30 s. Conclusion: the limits hold in the tables; goodput under load is unmeasured.

--- /dev/null
+++ b/src/wasabicross/admission.py
@@ -0,0 +1,231 @@
+"""Bounded admission of requests, with fair shares between tenants."""
+
+from __future__ import annotations
+
+import math
+import random
+import threading
+from collections import Counter
+from collections.abc import Mapping
+from typing import NamedTuple, TypeAlias
+
+#: Fill of the capacity up to which tenants may exceed their shares.
+_BORROW_FILL = 0.9
+
+#: Seconds for which a tenant that asked counts as active.
+_ACTIVE_S = 10.0
+
+#: Weight of the newest run time in the running mean.
+_RUN_GAIN = 0.05
+
+#: Half-life of the count of recent refusals, in seconds.
+_REFUSAL_HALF_LIFE_S = 5.0
+
+_MIN_RETRY_AFTER_S = 1.0
+
+_MIN_SPREAD_S = 3.0
+
+_MAX_RETRY_AFTER_S = 30.0
+
+
+class AdmissionLimits(NamedTuple):
+    """How many requests may be under way, waiting ones included.
+
+    :param capacity: most requests of all.
+    :param slots: requests that the reachable engines run at a time; those
+        beyond wait.
+    :param adapter_share: share of the capacity that one adapter may take.
+    :param class_shares: share of the capacity by request class; classes that
+        aren't named may take all.
+    :param tenant_weights: weight by tenant; tenants that aren't named have 1.
+    :param run_s: run time assumed until some have been seen, in seconds.
+    """
+
+    capacity: int
+    slots: int
+    adapter_share: float = 0.5
+    class_shares: Mapping[str, float] = {}
+    tenant_weights: Mapping[str, float] = {}
+    run_s: float = 4
+
+
+class Admitted(NamedTuple):
+    """Token of a request that may run, to be released exactly once."""
+
+    tenant: str
+    request_class: str
+    adapter: str
+    number: int
+
+
+class Refused(NamedTuple):
+    """The request was not run and may come back.
+
+    :param reason: `capacity`, `tenant-share`, `class-limit`, `adapter-limit`
+        or `deadline`.
+    :param retry_after_s: whole seconds after which to come back.
+    """
+
+    reason: str
+    retry_after_s: int
+
+
+AdmitAnswer: TypeAlias = Admitted | Refused
+
+
+class Admission:
+    """Admits requests while there is room, and refuses the others at once.
+
+    A tenant may take more than its fair share while a tenth of the capacity
+    stays free for those within theirs. Thread-safe.
+
+    :param limits: how many requests may be under way.
+    :param rng: spreads the times at which refused callers come back.
+    """
+
+    def __init__(self, limits: AdmissionLimits, rng: random.Random) -> None:
+        self._limits = limits
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._open: dict[int, Admitted] = {}
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._seen_s: dict[str, float] = {}
+        self._run_s = limits.run_s
+        self._refusals: float = 0
+        self._refused_at_s: float = 0
+        self._number = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Count the requests admitted and not yet released."""
+        return len(self._open)
+
+    def set_limits(self, limits: AdmissionLimits) -> None:
+        """Change the limits; requests under way stay admitted."""
+        with self._lock:
+            self._limits = limits
+
+    def admit(
+        self,
+        tenant: str,
+        request_class: str,
+        adapter: str,
+        deadline_s: float,
+        now_s: float,
+    ) -> AdmitAnswer:
+        """Admit a request or refuse it at once.
+
+        :param adapter: name of the adapter, empty for plain services.
+        :param deadline_s: seconds left until the caller's deadline.
+        :param now_s: monotonic time in seconds.
+        """
+        with self._lock:
+            self._seen_s[tenant] = now_s
+            request = Admitted(
+                tenant,
+                request_class,
+                adapter,
+                self._number,
+            )
+            reason = self._refusal_reason(request, deadline_s, now_s)
+            if reason:
+                return Refused(reason, self._retry_after_s(now_s))
+            self._number += 1
+            self._open[request.number] = request
+            self._counts.update(_counted(request))
+            return request
+
+    def release(self, token: Admitted, run_s: float | None = None) -> None:
+        """Give a request's place back; a second release does nothing.
+
+        :param run_s: seconds that the request ran on its server, if it did;
+            teaches the expected wait.
+        """
+        with self._lock:
+            if self._open.pop(token.number, None) is None:
+                return
+            for counted in _counted(token):
+                self._counts[counted] -= 1
+                if not self._counts[counted]:
+                    self._counts.pop(counted)
+            if run_s is not None:
+                self._run_s += _RUN_GAIN * (run_s - self._run_s)
+
+    def expected_wait_s(self) -> float:
+        """Estimate how long a request admitted now waits for a slot."""
+        slots = max(1, self._limits.slots)
+        queued = max(0, len(self._open) + 1 - slots)
+        return queued * self._run_s / slots
+
+    def fair_share(self, tenant: str, now_s: float) -> float:
+        """Tell how many requests a tenant may always have under way."""
+        weights = self._limits.tenant_weights
+        self._forget_idle(now_s)
+        active = {tenant, *self._seen_s}
+        total = sum(weights.get(name, 1) for name in active)
+        return self._limits.capacity * weights.get(tenant, 1) / total
+
+    def _refusal_reason(
+        self,
+        request: Admitted,
+        deadline_s: float,
+        now_s: float,
+    ) -> str:
+        capacity = self._limits.capacity
+        of_tenant, of_class, of_adapter = (
+            self._counts[counted] + 1 for counted in _counted(request)
+        )
+        share = max(1, self.fair_share(request.tenant, now_s))
+        borrowed = len(self._open) >= capacity * _BORROW_FILL
+        over_adapter = of_adapter > max(
+            1, capacity * self._limits.adapter_share
+        )
+        checks = (
+            ('capacity', len(self._open) >= capacity),
+            ('class-limit', of_class > self._class_limit(request)),
+            ('adapter-limit', bool(request.adapter) and over_adapter),
+            ('tenant-share', borrowed and of_tenant > share),
+            ('deadline', self.expected_wait_s() >= deadline_s),
+        )
+        return next((reason for reason, failed in checks if failed), '')
+
+    def _class_limit(self, request: Admitted) -> float:
+        shares = self._limits.class_shares
+        return self._limits.capacity * shares.get(request.request_class, 1)
+
+    def _retry_after_s(self, now_s: float) -> int:
+        """Spread the callers over the time that serving them would take."""
+        age_s = max(0, now_s - self._refused_at_s)
+        self._refusals *= math.exp2(-age_s / _REFUSAL_HALF_LIFE_S)
+        self._refusals += 1
+        self._refused_at_s = now_s
+        slots = max(1, self._limits.slots)
+        spread_s = _MIN_SPREAD_S + self._refusals * self._run_s / slots
+        earliest_s = max(_MIN_RETRY_AFTER_S, self.expected_wait_s())
+        latest_s = earliest_s * 2 + spread_s
+        chosen_s = self._rng.uniform(earliest_s, latest_s)
+        if chosen_s > _MAX_RETRY_AFTER_S:
+            # The callers beyond the bound are spread too, not sent back at it.
+            chosen_s = self._rng.uniform(
+                _MAX_RETRY_AFTER_S / 2,
+                _MAX_RETRY_AFTER_S,
+            )
+        return math.ceil(chosen_s)
+
+    def _forget_idle(self, now_s: float) -> None:
+        idle = [
+            tenant
+            for tenant, seen_s in self._seen_s.items()
+            if now_s - seen_s > _ACTIVE_S
+            and not self._counts[('tenant', tenant)]
+        ]
+        for tenant in idle:
+            self._seen_s.pop(tenant)
+
+
+def _counted(request: Admitted) -> tuple[tuple[str, str], ...]:
+    return (
+        ('tenant', request.tenant),
+        ('class', request.request_class),
+        ('adapter', request.adapter),
+    )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,107 @@
+"""Requests are admitted within bounds, and refused at once beyond them."""
+
+import random
+
+import pytest
+
+from wasabicross.admission import Admission, AdmissionLimits, Admitted, Refused
+
+LIMITS = AdmissionLimits(
+    capacity=20,
+    slots=40,
+    adapter_share=0.25,
+    class_shares={'draft': 0.5},
+    tenant_weights={'big': 3},
+)
+
+
+def fill(admission, requests):
+    for count, request in requests:
+        for _ in range(count):
+            answer = admission.admit(*request.split(), 60, 0)
+            assert isinstance(answer, Admitted), (request, answer)
+
+
+@pytest.mark.parametrize(
+    ('before', 'request_', 'reason'),
+    [
+        ([(5, 't order a')], 't order a', 'adapter-limit'),
+        ([(5, 't order a')], 't order b', None),
+        ([(5, 't draft a'), (5, 't draft b')], 't draft c', 'class-limit'),
+        ([(5, 't draft a'), (5, 't draft b')], 't order c', None),
+        # One tenant alone takes all; a newcomer finds the reserve.
+        ([(5, f't order {name}') for name in 'abcd'], 't order e', 'capacity'),
+        (
+            [(5, 't order a'), (5, 't order b'), (5, 't order c')]
+            + [(1, 'u order d'), (2, 't order d')],
+            't order e',
+            'tenant-share',
+        ),
+        (
+            [(5, 't order a'), (5, 't order b'), (5, 't order c')]
+            + [(1, 'u order d'), (2, 't order d')],
+            'u order e',
+            None,
+        ),
+        # A weight of 3 beside 1: 15 of the 20 places are guaranteed.
+        (
+            [(1, 'u order d'), (3, 'u order e')]
+            + [(5, 'big order a'), (5, 'big order b'), (4, 'big order c')],
+            'big order d',
+            None,
+        ),
+    ],
+)
+def test_limits(before, request_, reason):
+    admission = Admission(LIMITS, random.Random(1))
+    fill(admission, before)
+    answer = admission.admit(*request_.split(), 60, 0)
+    assert getattr(answer, 'reason', None) == reason
+
+
+@pytest.mark.parametrize(
+    ('deadline_s', 'admitted'),
+    [(0.5, False), (1.5, True), (0, False)],
+)
+def test_expected_wait_is_held_against_the_deadline(deadline_s, admitted):
+    limits = AdmissionLimits(50, 4, adapter_share=1, run_s=1)
+    admission = Admission(limits, random.Random(1))
+    fill(admission, [(7, 't order a')])
+    answer = admission.admit('t', 'order', 'a', deadline_s, 0)
+    assert isinstance(answer, Admitted) is admitted
+    if not admitted:
+        assert answer.reason == 'deadline'
+
+
+def test_release_gives_the_place_back_once():
+    admission = Admission(LIMITS, random.Random(1))
+    fill(admission, [(4, 't order a')])
+    token = admission.admit('t', 'order', 'a', 60, 0)
+    for _ in range(3):
+        admission.release(token, run_s=2)
+    assert admission.in_flight == 4
+    assert isinstance(admission.admit('t', 'order', 'a', 60, 0), Admitted)
+    assert isinstance(admission.admit('t', 'order', 'a', 60, 0), Refused)
+
+
+@pytest.mark.parametrize(('refusals', 'least_span_s'), [(10, 2), (400, 14)])
+def test_refused_callers_come_back_spread(refusals, least_span_s):
+    admission = Admission(LIMITS, random.Random(1))
+    fill(admission, [(5, f't order {name}') for name in 'abcd'])
+    answers = [
+        admission.admit('t', 'order', 'e', 60, number / 100)
+        for number in range(refusals)
+    ]
+    times = [answer.retry_after_s for answer in answers]
+    assert min(times) >= 1
+    assert max(times) <= 30
+    assert max(times) - min(times) >= least_span_s
+
+
+def test_idle_tenants_are_forgotten():
+    admission = Admission(LIMITS, random.Random(1))
+    for number in range(5):
+        token = admission.admit(f't{number}', 'order', '', 60, number)
+        admission.release(token)
+    assert admission.fair_share('u', 5) == pytest.approx(20 / 6)
+    assert admission.fair_share('u', 60) == pytest.approx(20)
