--- /dev/null
+++ b/src/wasabicross/controller_links.py
@@ -0,0 +1,212 @@
+"""What a controller does with the messages of its links."""
+
+import time
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+from wasabicross import messages as msg
+from wasabicross.bundles import BundlePointer
+from wasabicross.instances import Instance
+from wasabicross.links import Link
+from wasabicross.load_names import server_of
+from wasabicross.spread import LinkSource
+
+if TYPE_CHECKING:
+    from wasabicross.controller import Controller
+
+
+class DialledLinks:
+    """Handles what owners and other peers tell this instance.
+
+    :param controller: the controller that dialled.
+    """
+
+    def __init__(self, controller: 'Controller') -> None:
+        self._ctl = controller
+
+    def on_message(self, link: Link, message: Any, call_id: int) -> None:
+        """Handle a message from a peer that was dialled."""
+        self._handle(message, link)
+
+    def peer_linked(self, link: Link, peer: Instance) -> None:
+        """Offer the bundle in force, in case the peer has none as late."""
+        offered = self._ctl.follower.offered()
+        if offered is not None:
+            link.send(offered)
+
+    def peer_renewed(
+        self, peer: Instance, granted: msg.Renewed, asked_s: float
+    ) -> None:
+        """Tell the entries how long the peer's servers may be used."""
+        server_ids = [server.server_id for server in granted.servers]
+        until_s = asked_s + self._ctl.window.use_lease_s
+        self._ctl.loads.tell_entries(msg.UseGranted(server_ids, until_s))
+
+    @singledispatchmethod
+    def _handle(self, message: Any, link: Link) -> None:
+        """Ignore what a peer has no business to send."""
+
+    @_handle.register
+    def _(self, message: msg.OwnedServers, link: Link) -> None:
+        for server in message.servers:
+            self._ctl.owner_announced(server, link)
+
+    @_handle.register
+    def _(self, message: msg.LoadsOpened, link: Link) -> None:
+        self._ctl.loads.open_loads(message)
+
+    @_handle.register
+    def _(self, message: msg.LoadsGone, link: Link) -> None:
+        self._ctl.loads.drop_loads(message.load_names)
+
+    @_handle.register
+    def _(self, message: msg.CloseLoad, link: Link) -> None:
+        self._ctl.loads.consent_to_close(message, link)
+
+    @_handle.register
+    def _(self, message: msg.BundleOffered, link: Link) -> None:
+        self._ctl.follower.offer(BundlePointer(*message), LinkSource(link))
+
+    @_handle.register
+    def _(self, message: msg.LoadDeclined, link: Link) -> None:
+        now_s = time.monotonic()
+        want = self._ctl.placing.declined(message, now_s)
+        if want is not None:
+            self._ctl.place(want, now_s)
+
+    @_handle.register
+    def _(self, message: msg.PermitGranted, link: Link) -> None:
+        self._ctl.owners.permitted(message)
+
+
+class AcceptedLinks:
+    """Handles what entries, other controllers and the admin send.
+
+    :param controller: the controller that was dialled.
+    """
+
+    def __init__(self, controller: 'Controller') -> None:
+        self._ctl = controller
+
+    def on_message(self, link: Link, message: Any, call_id: int) -> None:
+        """Handle a message from a process that dialled."""
+        self._handle(message, link, call_id)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, link: Link, call_id: int) -> None:
+        """Refuse a request that this program does not answer."""
+        if call_id:
+            link.reply(call_id, msg.Refusal('unexpected', type(message).__name__))
+
+    @_handle.register
+    def _(self, message: msg.Renew, link: Link, call_id: int) -> None:
+        now_s = time.monotonic()
+        peer = link.peer
+        self._ctl.table.heard(
+            peer.instance_id, peer.data_centre, message, now_s
+        )
+        self._ctl.subscribers.granted(peer.instance_id, now_s)
+        owned = self._ctl.owners.announcement()
+        link.reply(call_id, msg.Renewed(owned.servers))
+
+    @_handle.register
+    def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
+        owner = self._ctl.owners.get(message.server.server_id)
+        if owner is not None:
+            owner.reported(
+                link.peer.instance_id, message, time.monotonic()
+            )
+
+    @_handle.register
+    def _(self, message: msg.CloseRefused, link: Link, call_id: int) -> None:
+        owner = self._ctl.owners.get(message.server.server_id)
+        if owner is not None:
+            owner.refused(message.server)
+
+    @_handle.register
+    def _(self, message: msg.LoadDrained, link: Link, call_id: int) -> None:
+        peer = link.peer
+        if peer.kind == 'entry':
+            self._ctl.loads.entry_drained(peer.name, message.load_name)
+            return
+        owner = self._ctl.owners.of_load(message.load_name)
+        if owner is not None:
+            owner.drained(peer.instance_id, message.load_name)
+
+    @_handle.register
+    def _(self, message: msg.WantLoad, link: Link, call_id: int) -> None:
+        now_s = time.monotonic()
+        self._ctl.placing.note(message, now_s)
+        self._ctl.place(message, now_s)
+
+    @_handle.register
+    def _(self, message: msg.LoadWanted, link: Link, call_id: int) -> None:
+        self._ctl.owners.want(
+            message.server_id, message.want, link, time.monotonic()
+        )
+
+    @_handle.register
+    def _(self, message: msg.LoadUses, link: Link, call_id: int) -> None:
+        if link.peer.kind == 'entry':
+            self._ctl.forward_uses(message)
+        else:
+            self._ctl.owners.used(message, time.monotonic())
+
+    @_handle.register
+    def _(self, message: msg.LoadMissing, link: Link, call_id: int) -> None:
+        if link.peer.kind == 'entry':
+            self._ctl.send_to_owner(message.server_id, message)
+            return
+        owner = self._ctl.owners.get(message.server_id)
+        if owner is not None:
+            owner.missing(message.load_name)
+
+    @_handle.register
+    def _(self, message: msg.BundleOffered, link: Link, call_id: int) -> None:
+        self._ctl.follower.offer(BundlePointer(*message), LinkSource(link))
+
+    @_handle.register
+    def _(self, message: msg.BundleInForce, link: Link, call_id: int) -> None:
+        self._ctl.in_force.told(link.peer.name, message)
+
+    @_handle.register
+    def _(self, message: msg.GetManifest, link: Link, call_id: int) -> None:
+        holder = self._ctl.follower.holder
+        pointer = holder.pointer
+        held = pointer is not None and pointer.digest == message.digest
+        content = holder.manifest_bytes if held else None
+        _reply_blob(link, call_id, content)
+
+    @_handle.register
+    def _(self, message: msg.GetChunk, link: Link, call_id: int) -> None:
+        content = self._ctl.follower.holder.chunk_bytes(message.digest)
+        _reply_blob(link, call_id, content)
+
+    @_handle.register
+    def _(self, message: msg.GetStatus, link: Link, call_id: int) -> None:
+        reports = self._ctl.table.reports(time.monotonic())
+        link.reply(call_id, msg.Status(reports))
+
+    @_handle.register
+    def _(self, message: msg.PermitLoad, link: Link, call_id: int) -> None:
+        self._ctl.desk.ask(message, link, time.monotonic())
+
+    @_handle.register
+    def _(self, message: msg.PermitReturned, link: Link, call_id: int) -> None:
+        self._ctl.desk.give_back(message, time.monotonic())
+
+    @_handle.register
+    def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
+        if link.peer.kind == 'entry':
+            self._ctl.loads.entry_left(link)
+            self._ctl.entry_ended(link.peer.name)
+        else:
+            self._ctl.subscribers.stopped(link.peer.instance_id)
+            self._ctl.table.forget(link.peer.instance_id)
+
+
+def _reply_blob(link: Link, call_id: int, content: bytes | None) -> None:
+    if content is None:
+        link.reply(call_id, msg.Refusal('not_held', 'not held here'))
+    else:
+        link.reply(call_id, msg.Blob(content))
--- /dev/null
+++ b/src/wasabicross/entry_link.py
@@ -0,0 +1,160 @@
+"""The link of an entry to the controller beside it."""
+
+import threading
+from functools import singledispatchmethod
+from typing import Any
+
+from expression import Error, Result
+
+from wasabicross import messages as msg
+from wasabicross.bundles import Bundle, BundlePointer
+from wasabicross.events import Event
+from wasabicross.exceptions import LinkClosed, LinkError
+from wasabicross.holder import BundleHolder
+from wasabicross.links import Link, dial
+from wasabicross.load_table import LoadTable
+from wasabicross.logs import log_event
+from wasabicross.settings import EntrySettings, Settings
+from wasabicross.spread import BundleFollower, LinkSource
+
+USE_INTERVAL_S = 1.0
+RETRY_S = 0.2
+
+
+class EntryLink:
+    """Keeps an entry's bundle, servers and loads as its controller tells.
+
+    :param cfg: settings of the instance.
+    :param entry: settings of the entry.
+    """
+
+    def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
+        self.loads = LoadTable()
+        self.servers: tuple[msg.ServerInfo, ...] = ()
+        self.listed = threading.Event()
+        self.follower = BundleFollower(
+            BundleHolder.from_config(cfg), self._bundle_in_force
+        )
+        self._cfg = cfg
+        self._entry = entry
+        self._stop = threading.Event()
+        self._link: Link | None = None
+
+    @property
+    def bundle(self) -> Bundle | None:
+        """The bundle in force at this entry, None before the first."""
+        return self.follower.holder.current
+
+    def start(self) -> None:
+        """Start the threads."""
+        self.follower.start()
+        for run in (self._run, self._tell_uses):
+            threading.Thread(target=run, name='controller', daemon=True).start()
+
+    def stop(self) -> None:
+        """Say that nothing runs here any more and close the link."""
+        self.send(msg.Goodbye())
+        self._stop.set()
+        link = self._link
+        if link is not None:
+            link.close()
+
+    def send(self, message: Any) -> bool:
+        """Send a message one way; return whether the link took it."""
+        link = self._link
+        return link is not None and link.send(message)
+
+    def call(self, message: Any, timeout_s: float) -> Result[Any, LinkError]:
+        """Send a request to the controller and wait for its answer.
+
+        :param message: the request.
+        :param timeout_s: seconds to wait at most.
+        """
+        link = self._link
+        if link is None:
+            return Error(LinkClosed('no link to the controller'))
+        return link.call(message, timeout_s)
+
+    def finish_request(self, load_name: str) -> None:
+        """Take back a running request; consent if a closed load drained."""
+        if self.loads.finish_request(load_name):
+            self.send(msg.LoadDrained(load_name))
+
+    def on_message(self, link: Link, message: Any, call_id: int) -> None:
+        """Handle a message of the controller."""
+        self._handle(message, link)
+
+    def _run(self) -> None:
+        host = self._cfg.instance.host
+        port = self._cfg.controller.port
+        while not self._stop.is_set():
+            dialled = dial(host, port, self._hello())
+            if dialled.is_error():
+                self._stop.wait(RETRY_S)
+                continue
+            self._link = dialled.ok
+            log_event(Event.CONTROLLER_LINKED)
+            self._tell_bundle()
+            dialled.ok.run(self)
+            log_event(Event.CONTROLLER_LOST)
+
+    def _hello(self) -> msg.Hello:
+        instance = self._cfg.instance
+        return msg.Hello(
+            'entry',
+            self._entry.name,
+            instance.instance_id,
+            instance.data_centre,
+            self._cfg.peer_token,
+            self.loads.running(),
+            self.loads.closed(),
+            self.loads.opened(),
+        )
+
+    def _tell_uses(self) -> None:
+        while not self._stop.wait(USE_INTERVAL_S):
+            uses = self.loads.take_uses()
+            if uses:
+                self.send(msg.LoadUses(self._entry.name, uses))
+
+    def _bundle_in_force(self, bundle: Bundle) -> None:
+        self._tell_bundle()
+
+    def _tell_bundle(self) -> None:
+        bundle = self.bundle
+        since = self.follower.holder.in_force_since
+        if bundle is not None:
+            told = msg.BundleInForce(bundle.number, bundle.digest, since or '')
+            self.send(told)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, link: Link) -> None:
+        """Ignore what a controller has no business to send."""
+
+    @_handle.register
+    def _(self, message: msg.FleetUpdate, link: Link) -> None:
+        self.loads.set_foreign(message.need_grant)
+        self.servers = tuple(message.servers)
+        self.listed.set()
+
+    @_handle.register
+    def _(self, message: msg.UseGranted, link: Link) -> None:
+        self.loads.grant_use(message.server_ids, message.until_s)
+
+    @_handle.register
+    def _(self, message: msg.LoadsOpened, link: Link) -> None:
+        self.loads.open_loads(message.load_names)
+
+    @_handle.register
+    def _(self, message: msg.LoadsGone, link: Link) -> None:
+        self.loads.drop_loads(message.load_names)
+
+    @_handle.register
+    def _(self, message: msg.CloseLoad, link: Link) -> None:
+        if self.loads.consent_to_close(message.load_name):
+            link.send(msg.LoadDrained(message.load_name))
+
+    @_handle.register
+    def _(self, message: msg.BundleOffered, link: Link) -> None:
+        self.follower.offer(BundlePointer(*message), LinkSource(link))
+
--- a/src/wasabicross/load_table.py
+++ b/src/wasabicross/load_table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from wasabicross.load_names import LoadName, parse_load_name
-from wasabicross.messages import Running
+from wasabicross.messages import LoadUse, Running
 
 
 class LoadTable:
@@ -155,10 +155,14 @@
         with self._lock:
             return list(self._opened)
 
-    def take_uses(self) -> list[Running]:
-        """Return the requests started on each load since the last call."""
+    def take_uses(self) -> list[LoadUse]:
+        """Return how loads were used since the last call, and are now."""
         with self._lock:
-            uses = [Running(*pair) for pair in self._uses.items()]
+            names = self._uses.keys() | self._running.keys()
+            uses = [
+                LoadUse(name, self._uses[name], self._running[name])
+                for name in names
+            ]
             self._uses.clear()
             return uses
 
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -199,10 +199,26 @@
     retry_after_s: float
 
 
+class LoadUse(NamedTuple):
+    """How one entry uses a load.
+
+    :param started: requests started since the last message.
+    :param running: requests running now.
+    """
+
+    load_name: str
+    started: int
+    running: int
+
+
 class LoadUses(NamedTuple):
-    """Counts the requests started on loads since the last such message."""
+    """Tells the owner of loads how an entry uses them.
 
-    uses: list[Running]
+    :param source: instance and name of the entry.
+    """
+
+    source: str
+    uses: list[LoadUse]
 
 
 class LoadMissing(NamedTuple):
@@ -311,18 +327,36 @@
 
 
 class PermitLoad(NamedTuple):
-    """Asks for a permit to load from the weight store."""
+    """Asks the holder of the budget for a permit to load.
+
+    :param waiting: requests that wait for the load.
+    :param waited_s: seconds that the first of them has waited.
+    """
 
-    request_id: str
+    server_id: str
+    data_centre: str
     adapter: str
-    stalled: int
+    version: str
+    waiting: int
     waited_s: float
 
 
+class PermitGranted(NamedTuple):
+    """Permits one load from the weight store."""
+
+    server_id: str
+    adapter: str
+    version: str
+
+
 class PermitReturned(NamedTuple):
-    """Gives a permit back when the load ended."""
+    """Gives a permit back when the load has ended."""
 
-    request_id: str
+    server_id: str
+    data_centre: str
+    adapter: str
+    version: str
+    loaded: bool
 
 
 #: Position is the code on the wire: append only.
@@ -360,6 +394,7 @@
     SettleKey,
     SuspectRecords,
     PermitLoad,
+    PermitGranted,
     PermitReturned,
 )
 
--- /dev/null
+++ b/src/wasabicross/owners.py
@@ -0,0 +1,189 @@
+"""The engines that this instance owns, each with a thread of its own."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from wasabicross.dispatch import Dispatcher
+from wasabicross.engines import Engine
+from wasabicross.instances import BackendServer
+from wasabicross.links import Link
+from wasabicross.load_names import server_of
+from wasabicross.messages import (
+    LoadsOpened,
+    LoadUses,
+    OwnedServers,
+    PermitGranted,
+    PermitLoad,
+    PermitReturned,
+    ServerTerm,
+    WantLoad,
+)
+from wasabicross.policy import Weights
+from wasabicross.server_owner import ServerOwner
+from wasabicross.subscribers import Subscribers
+
+STEP_S = 0.05
+
+
+class DeskLink:
+    """Asks for load permits wherever the desk is at present.
+
+    :param data_centre: where the servers owned here stand.
+    :param send: sends a message to the instance that keeps the desk.
+    """
+
+    def __init__(
+        self, data_centre: str, send: Callable[[object], None]
+    ) -> None:
+        self._data_centre = data_centre
+        self._send = send
+
+    def request(self, server_id: str, want: WantLoad, since_s: float) -> None:
+        """Ask for a permit.
+
+        :param server_id: the server that is to load.
+        :param want: the adapter version, and how many requests wait.
+        :param since_s: monotonic time since which they wait.
+        """
+        waited_s = max(0, time.monotonic() - since_s)
+        self._send(
+            PermitLoad(
+                server_id,
+                self._data_centre,
+                want.adapter,
+                want.version,
+                want.waiting,
+                waited_s,
+            ),
+        )
+
+    def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
+        """Give the permit back once the load has ended."""
+        self._send(
+            PermitReturned(
+                server_id,
+                self._data_centre,
+                want.adapter,
+                want.version,
+                loaded,
+            ),
+        )
+
+
+class Owners:
+    """The owners of the servers that this instance owns.
+
+    :param subscribers: the instances that may use the loads.
+    :param permits: where permits to load are asked for.
+    :param known_term: tells the highest term known of a server.
+    :param on_deposed: told of a server that has a later owner.
+    """
+
+    def __init__(
+        self,
+        subscribers: Subscribers,
+        permits: DeskLink,
+        known_term: Callable[[str], int],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self.known_term = known_term
+        self._subscribers = subscribers
+        self._permits = permits
+        self._on_deposed = on_deposed
+        self._lock = threading.Lock()
+        self._servers: dict[str, BackendServer] = {}
+        self._owners: dict[str, ServerOwner] = {}
+        self._weights = Weights()
+
+    def follow(self, servers: Iterable[BackendServer]) -> None:
+        """Note the addresses of the engines of this data centre."""
+        with self._lock:
+            for server in servers:
+                self._servers[server.server_id] = server
+
+    def set_weights(self, weights: Weights) -> None:
+        """Use the weights of the bundle in force."""
+        with self._lock:
+            self._weights = weights
+            for owner in self._owners.values():
+                owner.weights = weights
+
+    def owner_started(self, server: ServerTerm) -> None:
+        """Begin to own a server under a new term."""
+        with self._lock:
+            address = self._servers[server.server_id]
+            engine = Engine(Dispatcher(address.host, address.port))
+            owner = ServerOwner(
+                server, engine, self._subscribers, self._permits
+            )
+            owner.weights = self._weights
+            self._owners[server.server_id] = owner
+        threading.Thread(
+            target=self._run,
+            args=(owner,),
+            name=f'own-{server.server_id}',
+            daemon=True,
+        ).start()
+        self._subscribers.broadcast(self.announcement())
+
+    def owner_ended(self, server_id: str) -> None:
+        """Stop to own a server."""
+        with self._lock:
+            owner = self._owners.pop(server_id, None)
+        if owner is not None:
+            owner.deposed.set()
+
+    def stop(self) -> None:
+        """Stop all owners."""
+        for server_id in list(self._owners):
+            self.owner_ended(server_id)
+
+    def get(self, server_id: str | None) -> ServerOwner | None:
+        """Return the owner of a server if that is this instance."""
+        return self._owners.get(server_id or '')
+
+    def of_load(self, load_name: str) -> ServerOwner | None:
+        """Return the owner of a load's server if that is this instance."""
+        return self.get(server_of(load_name))
+
+    def announcement(self) -> OwnedServers:
+        """Return the servers owned here with their terms."""
+        with self._lock:
+            return OwnedServers(
+                [owner.server for owner in self._owners.values()],
+            )
+
+    def opened(self) -> list[LoadsOpened]:
+        """Return the open loads of each server owned here."""
+        with self._lock:
+            owners = list(self._owners.values())
+        return [owner.announcement() for owner in owners]
+
+    def want(
+        self, server_id: str, want: WantLoad, asker: Link, now_s: float
+    ) -> None:
+        """Pass a want on to the owner of its server, if that is here."""
+        owner = self.get(server_id)
+        if owner is not None:
+            owner.want(want, asker, now_s)
+
+    def used(self, told: LoadUses, now_s: float) -> None:
+        """Pass on how an entry uses loads."""
+        for use in told.uses:
+            owner = self.of_load(use.load_name)
+            if owner is not None:
+                owner.used(told.source, use, now_s)
+
+    def permitted(self, granted: PermitGranted) -> None:
+        """Pass a permit on to the owner that asked for it."""
+        owner = self.get(granted.server_id)
+        if owner is not None:
+            owner.permitted(granted.adapter, granted.version)
+
+    def _run(self, owner: ServerOwner) -> None:
+        while not owner.deposed.is_set():
+            owner.step(time.monotonic())
+            owner.wait(STEP_S)
+        if self.get(owner.server.server_id) is owner:
+            self._on_deposed(owner.server.server_id)
--- /dev/null
+++ b/src/wasabicross/peers.py
@@ -0,0 +1,177 @@
+"""The links that an instance dials to all instances, itself included."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from wasabicross.events import Event
+from wasabicross.instances import Instance
+from wasabicross.links import Link, LinkHandler, dial
+from wasabicross.logs import log_event
+from wasabicross.messages import Hello, Renew, Renewed
+
+RENEW_INTERVAL_S = 1.0
+RENEW_TIMEOUT_S = 2.0
+FIRST_RETRY_S = 0.1
+LAST_RETRY_S = 2.0
+
+
+class PeerEvents(LinkHandler, Protocol):
+    """What a controller does on the links that it has dialled."""
+
+    def peer_linked(self, link: Link, peer: Instance) -> None:
+        """Take note of a new link."""
+
+    def peer_renewed(
+        self, peer: Instance, granted: Renewed, asked_s: float
+    ) -> None:
+        """Take note of a grant, counted from the time it was asked for."""
+
+
+class PeerLink:
+    """The link to one instance, with a thread that keeps it open.
+
+    :param peer: the instance, as the list shows it.
+    :param hello: makes the hello to send.
+    :param heartbeat: makes the renewal to send each second.
+    :param events: takes messages and changes.
+    """
+
+    def __init__(
+        self,
+        peer: Instance,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[], Renew],
+        events: PeerEvents,
+    ) -> None:
+        self.peer = peer
+        self._hello = hello
+        self._heartbeat = heartbeat
+        self._events = events
+        self._stop = threading.Event()
+        self._link: Link | None = None
+
+    @property
+    def link(self) -> Link | None:
+        """The open link, None while there is none."""
+        link = self._link
+        return None if link is None or link.closed.is_set() else link
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(
+            target=self._run,
+            name=f'peer-{self.peer.instance_id}',
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Close the link and let the thread end."""
+        self._stop.set()
+        if self._link is not None:
+            self._link.close()
+
+    def send(self, message: Any) -> bool:
+        """Send a message one way; return whether the link took it."""
+        link = self.link
+        return link is not None and link.send(message)
+
+    def _run(self) -> None:
+        retry_s = FIRST_RETRY_S
+        while not self._stop.is_set():
+            dialled = dial(self.peer.host, self.peer.port, self._hello())
+            if dialled.is_error():
+                self._stop.wait(retry_s)
+                retry_s = min(LAST_RETRY_S, retry_s * 2)
+                continue
+            retry_s = FIRST_RETRY_S
+            self._hold(dialled.ok)
+
+    def _hold(self, link: Link) -> None:
+        peer_id = self.peer.instance_id
+        receiver = threading.Thread(
+            target=link.run,
+            args=(self._events,),
+            name=f'receive-{peer_id}',
+            daemon=True,
+        )
+        self._link = link
+        receiver.start()
+        log_event(Event.PEER_LINKED, peer=peer_id)
+        self._events.peer_linked(link, self.peer)
+        while not link.closed.is_set() and not self._stop.is_set():
+            self._renew(link)
+            link.closed.wait(RENEW_INTERVAL_S)
+        link.close()
+        log_event(Event.PEER_LOST, peer=peer_id)
+
+    def _renew(self, link: Link) -> None:
+        asked_s = time.monotonic()
+        answer = link.call(self._heartbeat(), RENEW_TIMEOUT_S)
+        if answer.is_ok() and isinstance(answer.ok, Renewed):
+            self._events.peer_renewed(self.peer, answer.ok, asked_s)
+
+
+class PeerLinks:
+    """The links to all instances that the list shows.
+
+    :param hello: makes the hello to send.
+    :param heartbeat: makes the renewal to send.
+    :param events: takes messages and changes.
+    """
+
+    def __init__(
+        self,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[], Renew],
+        events: PeerEvents,
+    ) -> None:
+        self._hello = hello
+        self._heartbeat = heartbeat
+        self._events = events
+        self._lock = threading.Lock()
+        self._peers: dict[str, PeerLink] = {}
+
+    def follow(self, instances: tuple[Instance, ...]) -> None:
+        """Dial new instances and those that moved; drop absent dead ones.
+
+        An instance that the list shows no longer is kept while its link
+        stands, since the list lags.
+
+        :param instances: what the list shows.
+        """
+        listed = {peer.instance_id: peer for peer in instances}
+        with self._lock:
+            for instance_id, known in list(self._peers.items()):
+                if self._is_obsolete(known, listed.get(instance_id)):
+                    known.stop()
+                    self._peers.pop(instance_id)
+            for new_id in listed.keys() - self._peers.keys():
+                peer = PeerLink(
+                    listed[new_id], self._hello, self._heartbeat, self._events
+                )
+                self._peers[new_id] = peer
+                peer.start()
+
+    def get(self, instance_id: str) -> PeerLink | None:
+        """Return the link to an instance, None if it is not known."""
+        with self._lock:
+            return self._peers.get(instance_id)
+
+    def linked(self) -> list[PeerLink]:
+        """Return the links that are open."""
+        with self._lock:
+            return [peer for peer in self._peers.values() if peer.link]
+
+    def stop(self) -> None:
+        """Close all links."""
+        with self._lock:
+            for peer in self._peers.values():
+                peer.stop()
+
+    def _is_obsolete(self, known: PeerLink, listed: Instance | None) -> bool:
+        if listed is None:
+            return known.link is None
+        here = (known.peer.host, known.peer.port)
+        return here != (listed.host, listed.port)
--- /dev/null
+++ b/src/wasabicross/permits.py
@@ -0,0 +1,107 @@
+"""The weight store's budget, shared by all controllers that see each other."""
+
+import threading
+import time
+from typing import NamedTuple
+
+from wasabicross.links import Link
+from wasabicross.load_budget import LoadBudget, LoadKey, LoadPermit
+from wasabicross.messages import PermitGranted, PermitLoad, PermitReturned
+from wasabicross.settings import WeightStoreSettings
+
+GRANT_INTERVAL_S = 0.02
+
+
+class _Asker(NamedTuple):
+    link: Link
+    server_id: str
+
+
+class PermitDesk:
+    """Grants permits for all owners that ask this instance.
+
+    Owners ask the instance with the lowest id that they are linked to. Where
+    two instances grant at a time, the store is loaded more for a moment and
+    slows down; no promise depends on it.
+
+    :param budget: decides which load is permitted next.
+    :param data_centres: how many data centres share the store.
+    """
+
+    def __init__(self, budget: LoadBudget, data_centres: int) -> None:
+        self._budget = budget
+        self._data_centres = data_centres
+        self._lock = threading.Lock()
+        self._askers: dict[LoadKey, _Asker] = {}
+        self._permits: dict[LoadKey, LoadPermit] = {}
+
+    @classmethod
+    def from_config(
+        cls, cfg: WeightStoreSettings, data_centres: int
+    ) -> 'PermitDesk':
+        """Make the desk from the limits in the settings."""
+        return cls(LoadBudget(cfg.loads_per_s, cfg.in_flight), data_centres)
+
+    def set_visible(self, data_centres: int) -> None:
+        """Scale the budget to the data centres that are linked."""
+        self._budget.set_visible(data_centres, self._data_centres)
+
+    def ask(self, asked: PermitLoad, link: Link, now_s: float) -> None:
+        """Note that an owner wants to load.
+
+        :param asked: the load, and how long requests have waited for it.
+        :param link: where `PermitGranted` is sent.
+        :param now_s: monotonic seconds.
+        """
+        key = LoadKey(asked.adapter, asked.version, asked.data_centre)
+        with self._lock:
+            self._askers[key] = _Asker(link, asked.server_id)
+            granted = key in self._permits
+        if granted:
+            # The owner has not loaded yet, so the first grant was lost.
+            link.send(PermitGranted(asked.server_id, *key[:2]))
+            return
+        self._budget.set_demand(
+            key, asked.server_id, asked.waiting, now_s - asked.waited_s
+        )
+
+    def give_back(self, returned: PermitReturned, now_s: float) -> None:
+        """Take a permit back when its load has ended.
+
+        :param returned: the load, and whether it succeeded.
+        :param now_s: monotonic seconds.
+        """
+        key = LoadKey(returned.adapter, returned.version, returned.data_centre)
+        with self._lock:
+            permit = self._permits.pop(key, None)
+            self._askers.pop(key, None)
+        if permit is not None:
+            self._budget.finish(
+                permit, returned.server_id, returned.loaded, now_s
+            )
+
+    def run(self, stop: threading.Event) -> None:
+        """Grant permits until the process stops."""
+        while not stop.wait(GRANT_INTERVAL_S):
+            self.grant_due(time.monotonic())
+
+    def grant_due(self, now_s: float) -> None:
+        """Grant every permit that the budget allows now."""
+        while True:
+            permit = self._budget.grant(now_s)
+            if permit is None:
+                return
+            self._hand_out(permit, now_s)
+
+    def _hand_out(self, permit: LoadPermit, now_s: float) -> None:
+        key = permit.key
+        with self._lock:
+            asker = self._askers.get(key)
+            self._permits[key] = permit
+        sent = asker is not None and asker.link.send(
+            PermitGranted(asker.server_id, key.adapter, key.version),
+        )
+        self._budget.set_demand(key, asker.server_id if asker else '', 0, 0)
+        if not sent:
+            server_id = asker.server_id if asker else ''
+            self._budget.finish(permit, server_id, False, now_s)
--- a/src/wasabicross/rendezvous.py
+++ b/src/wasabicross/rendezvous.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 _HASH_BYTES = 8
 
@@ -14,6 +14,17 @@
     return hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
 
 
+def rank(key: str, candidates: Iterable[str]) -> tuple[str, ...]:
+    """Order candidates by rendezvous hash, the first choice first.
+
+    :param key: what is placed.
+    :param candidates: ids of what may take it.
+    """
+    return tuple(
+        sorted(candidates, key=lambda each: rendezvous_hash(key, each)),
+    )
+
+
 def rank_servers(
     adapter: str,
     version: str,
--- /dev/null
+++ b/src/wasabicross/replies.py
@@ -0,0 +1,134 @@
+"""Answers to callers, and the errors among them."""
+
+import json
+from collections.abc import Iterable
+from typing import NamedTuple
+
+Headers = tuple[tuple[str, str], ...]
+
+#: How a request ended, told in a header of each answer.
+COMPLETED = 'completed'
+NOT_RUN = 'not-run'
+OUTCOME_UNKNOWN = 'unknown'
+
+OUTCOME_HEADER = 'X-Wasabicross-Outcome'
+JSON_TYPE = ('Content-Type', 'application/json')
+
+
+class Reply(NamedTuple):
+    """An answer to a caller.
+
+    :param status: HTTP status code.
+    :param headers: header fields, in order.
+    :param content: pieces of the body; raises if the answer is cut.
+    """
+
+    status: int
+    headers: Headers
+    content: Iterable[bytes]
+
+
+class Fault(NamedTuple):
+    """An error as callers see it.
+
+    :param status: HTTP status code.
+    :param kind: `invalid_request_error`, `authentication_error`,
+        `overloaded_error` or `server_error`.
+    :param code: stable word for machines.
+    :param message: a sentence for readers.
+    """
+
+    status: int
+    kind: str
+    code: str
+    message: str
+
+
+UNAUTHORISED = Fault(
+    401, 'authentication_error', 'unauthorised', 'A valid token is needed.'
+)
+NO_ROUTE = Fault(
+    404, 'invalid_request_error', 'no_route', 'No route has this path.'
+)
+NO_BUNDLE = Fault(
+    503, 'overloaded_error', 'no_bundle', 'No bundle is in force here yet.'
+)
+BAD_JSON = Fault(
+    400, 'invalid_request_error', 'bad_json', 'The body is not a JSON object.'
+)
+BAD_METHOD = Fault(
+    405, 'invalid_request_error', 'bad_method', 'The method is not allowed.'
+)
+TOO_LARGE = Fault(
+    413, 'invalid_request_error', 'too_large', 'The body is too large.'
+)
+UNKNOWN_ADAPTER = Fault(
+    404,
+    'invalid_request_error',
+    'unknown_adapter',
+    'The bundle in force names no such adapter.',
+)
+NO_SERVER = Fault(
+    503, 'overloaded_error', 'no_server', 'No backend server can take it.'
+)
+LOAD_TIMEOUT = Fault(
+    503, 'overloaded_error', 'load_timeout', 'The adapter was not loaded.'
+)
+STOPPING = Fault(
+    503, 'overloaded_error', 'stopping', 'This entry is being stopped.'
+)
+CRASHES_SERVERS = Fault(
+    422,
+    'invalid_request_error',
+    'crashes_servers',
+    'Requests like this one have crashed backend servers.',
+)
+MAYBE_RUN = Fault(
+    502,
+    'server_error',
+    'outcome_unknown',
+    'The request may have run; its answer was lost.',
+)
+
+
+def refuse(fault: Fault, retry_after_s: float | None = None) -> Reply:
+    """Return the reply to a request that was not run.
+
+    :param fault: why it was not run.
+    :param retry_after_s: seconds after which the caller may come back.
+    """
+    return fault_reply(fault, NOT_RUN, retry_after_s)
+
+
+def unknown_outcome() -> Reply:
+    """Return the reply to a request that may have run."""
+    return fault_reply(MAYBE_RUN, OUTCOME_UNKNOWN, None)
+
+
+def fault_reply(
+    fault: Fault, outcome: str, retry_after_s: float | None
+) -> Reply:
+    """Return an error as a reply.
+
+    :param fault: the error.
+    :param outcome: what is known of the request.
+    :param retry_after_s: seconds after which the caller may come back, told
+        as a whole number of at least 1.
+    """
+    body = json.dumps(
+        {
+            'error': {
+                'type': fault.kind,
+                'code': fault.code,
+                'message': fault.message,
+            },
+        },
+    ).encode()
+    headers = [
+        JSON_TYPE,
+        ('Content-Length', str(len(body))),
+        (OUTCOME_HEADER, outcome),
+    ]
+    if retry_after_s is not None:
+        headers.append(('Retry-After', str(max(1, round(retry_after_s)))))
+    return Reply(fault.status, tuple(headers), (body,))
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -21,15 +21,19 @@
     LoadDeclined,
     LoadsGone,
     LoadsOpened,
+    LoadUse,
     ServerReport,
     ServerTerm,
     WantLoad,
 )
-from wasabicross.routing import Popularity
+from wasabicross.placement import Load, choose_victim
+from wasabicross.policy import Weights
+from wasabicross.popularity import Popularity
 from wasabicross.subscribers import Subscribers
 
 INVENTORY_INTERVAL_S = 1.0
-MIN_RESIDENCE_S = 2.0
+PERMIT_REPEAT_S = 1.0
+USE_MEMORY_S = 3.0
 DECLINE_RETRY_S = 1.0
 WANT_EXPIRY_S = 5.0
 REPEAT_CLOSE_S = 1.0
@@ -51,11 +55,11 @@
 class LoadPermits(Protocol):
     """Where permits to load from the weight store are had."""
 
-    def acquire(self, want: WantLoad, waited_s: float) -> bool:
-        """Wait for a permit; return whether it was given."""
+    def request(self, server_id: str, want: WantLoad, since_s: float) -> None:
+        """Ask for a permit; `ServerOwner.permitted` is called with it."""
 
-    def release(self, want: WantLoad) -> None:
-        """Give the permit back."""
+    def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
+        """Give the permit back once the load has ended."""
 
 
 class _Want(NamedTuple):
@@ -65,6 +69,11 @@
     asked_s: float
 
 
+class _Use(NamedTuple):
+    running: int
+    told_s: float
+
+
 class _Held:
     """A load that the engine holds, as its owner sees it."""
 
@@ -75,6 +84,15 @@
         self.is_inherited = False
         self.drained: set[str] | None = None
         self.asked: dict[str, float] = {}
+        self.uses: dict[str, _Use] = {}
+
+    def running(self, now_s: float) -> int:
+        """Return the requests running, as far as entries told lately."""
+        return sum(
+            use.running
+            for use in self.uses.values()
+            if now_s - use.told_s < USE_MEMORY_S
+        )
 
 
 class ServerOwner:
@@ -95,6 +113,7 @@
     ) -> None:
         self.server = server
         self.deposed = threading.Event()
+        self.weights = Weights()
         self._engine = engine
         self._subscribers = subscribers
         self._permits = permits
@@ -102,6 +121,8 @@
         self._wake = threading.Event()
         self._held: dict[str, _Held] = {}
         self._wants: dict[tuple[str, str], _Want] = {}
+        self._permitted: set[tuple[str, str]] = set()
+        self._permits_asked: dict[tuple[str, str], float] = {}
         self._closed: set[str] = set()
         self._reported: set[str] = set()
         self._settled_s: float | None = None
@@ -127,15 +148,26 @@
             self._wants[wanted] = _Want(want, asker, since_s, now_s)
         self._wake.set()
 
-    def used(self, load_name: str, requests: int, now_s: float) -> None:
-        """Note requests that were started on a load.
+    def permitted(self, adapter: str, version: str) -> None:
+        """Take a permit to load an adapter version."""
+        with self._lock:
+            self._permitted.add((adapter, version))
+        self._wake.set()
+
+    def used(self, source: str, use: LoadUse, now_s: float) -> None:
+        """Note how an entry uses a load.
 
-        :param load_name: the load.
-        :param requests: how many were started.
+        :param source: the entry.
+        :param use: requests started lately and running now.
         :param now_s: monotonic seconds.
         """
         with self._lock:
-            self._popularity.record(load_name, now_s, requests)
+            held = self._held.get(use.load_name)
+            if held is None:
+                return
+            held.uses[source] = _Use(use.running, now_s)
+            if use.started:
+                self._popularity.add(held.name.adapter, now_s, use.started)
 
     def missing(self, load_name: str) -> None:
         """Note that the engine denied holding a load; looks at once."""
@@ -302,16 +334,34 @@
             log_event(Event.EVICT_REFUSED_IN_USE, load=name)
 
     def _serve_wants(self, now_s: float) -> None:
+        free = self._slots - len(self._held)
         for wanted in self._due_wants(now_s):
             if self.deposed.is_set():
                 return
+            key = (wanted.want.adapter, wanted.want.version)
             if self._holds(wanted.want):
                 self._forget(wanted.want)
-            elif len(self._held) < self._slots:
-                self._order_load(wanted, now_s)
+            elif free > 0:
+                free -= 1
+                self._load_if_permitted(key, wanted, now_s)
             else:
                 self._make_room(wanted, now_s)
 
+    def _load_if_permitted(
+        self, key: tuple[str, str], wanted: _Want, now_s: float
+    ) -> None:
+        if key in self._permitted:
+            self._permitted.discard(key)
+            self._permits_asked.pop(key, None)
+            self._order_load(wanted, now_s)
+            return
+        asked_s = self._permits_asked.get(key, float('-inf'))
+        if now_s - asked_s >= PERMIT_REPEAT_S:
+            self._permits_asked[key] = now_s
+            self._permits.request(
+                self.server.server_id, wanted.want, wanted.since_s
+            )
+
     def _due_wants(self, now_s: float) -> list[_Want]:
         with self._lock:
             for wanted in list(self._wants.values()):
@@ -341,8 +391,6 @@
 
     def _order_load(self, wanted: _Want, now_s: float) -> None:
         want = wanted.want
-        if not self._permits.acquire(want, now_s - wanted.since_s):
-            return
         self._sequence += 1
         name = LoadName(
             want.adapter,
@@ -351,14 +399,13 @@
             self.server.term,
             self._sequence,
         )
-        try:
-            outcome = self._engine.load(
-                LoadOrder(
-                    str(name), want.adapter, want.version, self.server.term
-                ),
-            )
-        finally:
-            self._permits.release(want)
+        order = LoadOrder(
+            str(name), want.adapter, want.version, self.server.term
+        )
+        outcome = self._engine.load(order)
+        self._permits.give_back(
+            self.server.server_id, want, outcome.is_ok()
+        )
         self._take_load_outcome(outcome, name, wanted, now_s)
 
     def _take_load_outcome(
@@ -399,13 +446,18 @@
         self._close(str(victim.name), now_s)
 
     def _victim(self, now_s: float) -> _Held | None:
-        """Return the least popular load that has had its time."""
-        candidates = [
-            (self._popularity.rate(name, now_s), held.opened_s, name)
+        loads = [
+            Load(
+                name,
+                held.name.adapter,
+                held.running(now_s),
+                held.opened_s,
+            )
             for name, held in self._held.items()
-            if held.is_open and now_s - held.opened_s >= MIN_RESIDENCE_S
+            if held.is_open
         ]
-        return self._held[min(candidates)[2]] if candidates else None
+        victim = choose_victim(loads, now_s, self._popularity, self.weights)
+        return self._held[victim.load_name] if victim else None
 
     def _decline(self, wanted: _Want) -> None:
         want = wanted.want
--- /dev/null
+++ b/src/wasabicross/spread.py
@@ -0,0 +1,176 @@
+"""Brings offered bundles into force in the order of their numbers."""
+
+import queue
+import threading
+from collections.abc import Callable
+from datetime import datetime, timezone
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from wasabicross.bundles import (
+    Bundle,
+    BundlePointer,
+    BundleSource,
+    decode_pointer,
+)
+from wasabicross.exceptions import BundleError, BundleUnavailable
+from wasabicross.holder import BundleHolder
+from wasabicross.kv import KeyValueStore
+from wasabicross.links import Link
+from wasabicross.messages import Blob, BundleOffered, GetChunk, GetManifest
+
+POINTER_KEY = 'bundle/current'
+FETCH_TIMEOUT_S = 2.0
+WATCH_S = 10.0
+RETRY_S = 0.5
+
+
+class LinkSource:
+    """Fetches the parts of a bundle over a link.
+
+    :param link: leads to a process that has the bundle in force.
+    """
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    def manifest(self, digest: str) -> Result[bytes, BundleError]:
+        """Return the signed manifest, or `BundleUnavailable`."""
+        return self._fetch(GetManifest(digest))
+
+    def chunk(self, digest: str) -> Result[bytes, BundleError]:
+        """Return a part of the adapters table, or `BundleUnavailable`."""
+        return self._fetch(GetChunk(digest))
+
+    def _fetch(self, question: Any) -> Result[bytes, BundleError]:
+        answer = self._link.call(question, FETCH_TIMEOUT_S)
+        if answer.is_error():
+            return Error(BundleUnavailable(str(answer.error)))
+        if not isinstance(answer.ok, Blob):
+            return Error(BundleUnavailable('unexpected answer'))
+        return Ok(answer.ok.content)
+
+
+class KeyValueSource:
+    """Fetches the parts of a bundle from the key-value service.
+
+    :param kv: the service.
+    """
+
+    def __init__(self, kv: KeyValueStore) -> None:
+        self._kv = kv
+
+    def manifest(self, digest: str) -> Result[bytes, BundleError]:
+        """Return the signed manifest, or `BundleUnavailable`."""
+        return self._fetch(f'bundle/manifest/{digest}')
+
+    def chunk(self, digest: str) -> Result[bytes, BundleError]:
+        """Return a part of the adapters table, or `BundleUnavailable`."""
+        return self._fetch(f'bundle/chunk/{digest}')
+
+    def _fetch(self, key: str) -> Result[bytes, BundleError]:
+        found = self._kv.get(key)
+        if found.is_error():
+            return Error(BundleUnavailable(str(found.error)))
+        if found.ok.value is None:
+            return Error(BundleUnavailable(f'no {key}'))
+        return Ok(found.ok.value)
+
+
+class _Offer(NamedTuple):
+    pointer: BundlePointer
+    source: BundleSource
+
+
+class BundleFollower:
+    """Takes offers of bundles one after the other in a thread of its own.
+
+    :param holder: verifies them and keeps the one in force.
+    :param on_force: called after a bundle has come into force.
+    """
+
+    def __init__(
+        self,
+        holder: BundleHolder,
+        on_force: Callable[[Bundle], None],
+    ) -> None:
+        self.holder = holder
+        self._on_force = on_force
+        self._offers: queue.Queue[_Offer] = queue.Queue()
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(
+            target=self._run, name='bundle-follower', daemon=True
+        ).start()
+
+    def offer(self, pointer: BundlePointer, source: BundleSource) -> None:
+        """Queue a bundle unless one as late is in force.
+
+        :param pointer: number and digest of the bundle.
+        :param source: where its parts can be fetched.
+        """
+        present = self.holder.current
+        if present is None or pointer.number > present.number:
+            self._offers.put(_Offer(pointer, source))
+
+    def offered(self) -> BundleOffered | None:
+        """Return the offer that this process makes to others, if any."""
+        pointer = self.holder.pointer
+        return BundleOffered(*pointer) if pointer else None
+
+    def _run(self) -> None:
+        while True:
+            offer = self._offers.get()
+            self._take(offer, datetime.now(timezone.utc))
+
+    def _take(self, offer: _Offer, now: datetime) -> None:
+        before = self.holder.current
+        outcome = self.holder.offer(offer.pointer, offer.source, now)
+        if outcome.is_ok() and outcome.ok is not before:
+            self._on_force(outcome.ok)
+
+
+class PointerWatch:
+    """Watches the key that names the bundle in force.
+
+    The instances that rank first in their data centre watch; the others
+    hear of a new bundle from their peers and only look now and then, so
+    that the calls grow with the data centres rather than the instances.
+
+    :param kv: the key-value service.
+    :param follower: is offered each bundle.
+    :param stop: set when the process stops.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValueStore,
+        follower: BundleFollower,
+        stop: threading.Event,
+    ) -> None:
+        self.is_watcher = True
+        self._kv = kv
+        self._follower = follower
+        self._stop = stop
+
+    def run(self) -> None:
+        """Watch until the process stops."""
+        version = 0
+        while not self._stop.is_set():
+            if self.is_watcher:
+                found = self._kv.watch(POINTER_KEY, version, WATCH_S)
+            else:
+                self._stop.wait(WATCH_S)
+                found = self._kv.get(POINTER_KEY)
+            if found.is_error():
+                self._stop.wait(RETRY_S)
+                continue
+            version = found.ok.version
+            self._offer(found.ok.value)
+
+    def _offer(self, encoded: bytes | None) -> None:
+        pointer = decode_pointer(encoded or b'')
+        if pointer.is_ok():
+            self._follower.offer(pointer.ok, KeyValueSource(self._kv))
