Add the platform's seams, their stand-ins and the process runner

Cause: nothing spoke to the key-value service or the instance list yet, and tests and the demo had nothing to start processes with. Ruled out: retries in the seam (a second write needs its caller's judgement); taking a 200 whose head breaks off as an answer: http.client hands it on as whole, so an answer without a length counts as lost (seen failing first in test_lost_answer_is_unknown for the lease calls). Change: kv.py, instances.py and single_call.py; emulator kv, instances, waiting and the runner in fleet.py; tests with real processes.

--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,240 @@
+"""Starts the processes of a demo, a test or a benchmark, and ends them all."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+from functools import partial
+from types import TracebackType
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+import urllib3
+
+from emulator.waiting import wait_until
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+READY_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 20
+PROBE_TIMEOUT_S = 1
+LOG_TAIL_BYTES = 2000
+STATUS_OK = 200
+
+
+class Program(NamedTuple):
+    """A process to run.
+
+    :param name: a name for it, unique in its runner.
+    :param module: the Python module that it runs.
+    :param args: its arguments.
+    :param ready: when it is ready: ``http://..`` answers 200, or
+        ``tcp://HOST:PORT`` takes connections; empty: at once.
+    """
+
+    name: str
+    module: str
+    args: tuple[str, ...] = ()
+    ready: str = ''
+
+
+class ProgramFailed(Exception):  # noqa: N818
+    """A program ended before it was ready, with the end of its log."""
+
+
+class Runner:
+    """Processes that belong together; ends them when it is left.
+
+    :param log_dir: where each program's output goes, as ``NAME.log``.
+    :param python: the interpreter.
+    """
+
+    def __init__(
+        self,
+        log_dir: pathlib.Path,
+        python: str = sys.executable,
+    ) -> None:
+        self._log_dir = log_dir
+        self._python = python
+        self._programs: dict[str, Program] = {}
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._http = urllib3.PoolManager(retries=False)
+
+    def __enter__(self) -> 'Runner':
+        """Make the directory of the logs."""
+        self._log_dir.mkdir(parents=True, exist_ok=True)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        self.close()
+
+    def start(self, *programs: Program) -> None:
+        """Start programs, without waiting until they are ready.
+
+        :raises ValueError: one of that name is running.
+        """
+        for program in programs:
+            if program.name in self.running():
+                raise ValueError(f'{program.name} is running')
+            self._programs[program.name] = program
+            self._running[program.name] = self._spawn(program)
+
+    def wait_ready(
+        self,
+        *names: str,
+        timeout_s: float = READY_TIMEOUT_S,
+    ) -> None:
+        """Wait until programs are ready; all of them when none is named.
+
+        :raises ProgramFailed: one of them ended instead.
+        :raises TimeoutError: one of them isn't ready in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        for name in names or tuple(self._programs):
+            wait_until(
+                partial(self.is_ready, name),
+                deadline_s - time.monotonic(),
+                f'{name} ready',
+            )
+
+    def run(self, *programs: Program) -> None:
+        """Start programs and wait until they are ready."""
+        self.start(*programs)
+        self.wait_ready(*(program.name for program in programs))
+
+    def restart(self, name: str) -> None:
+        """Start a program that has ended again, and wait until it is ready."""
+        self.run(self._programs[name])
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a program is ready.
+
+        :raises ProgramFailed: it has ended.
+        """
+        exit_code = self.exit_code(name)
+        if exit_code is not None:
+            raise ProgramFailed(f'{name}: {exit_code}\n{self.log_tail(name)}')
+        ready = self._programs[name].ready
+        if ready.startswith('tcp://'):
+            return _takes_connections(ready)
+        return not ready or self._answers(ready)
+
+    def running(self) -> list[str]:
+        """Name the programs that have not ended."""
+        return [
+            name
+            for name, process in self._running.items()
+            if process.poll() is None
+        ]
+
+    def pid(self, name: str) -> int:
+        """Tell a program's process id."""
+        return self._running[name].pid
+
+    def exit_code(self, name: str) -> int | None:
+        """Tell a program's exit code, negative for a signal; or ``None``."""
+        return self._running[name].poll()
+
+    def exit_codes(self) -> dict[str, int | None]:
+        """Tell the exit code of each program, ``None`` while it runs."""
+        return {name: self.exit_code(name) for name in self._running}
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Tell where a program's output goes."""
+        return self._log_dir / f'{name}.log'
+
+    def log_tail(self, name: str) -> str:
+        """Read the end of a program's output."""
+        output = self.log_path(name).read_bytes()
+        return output[-LOG_TAIL_BYTES:].decode('utf-8', 'replace')
+
+    def terminate(self, *names: str) -> None:
+        """Send SIGTERM, without waiting."""
+        for name in names:
+            self._running[name].send_signal(signal.SIGTERM)
+
+    def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait until a program has ended.
+
+        :raises subprocess.TimeoutExpired: it hasn't in time.
+        """
+        return self._running[name].wait(timeout_s)
+
+    def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Send SIGTERM and wait for the exit code."""
+        self.terminate(name)
+        return self.wait(name, timeout_s)
+
+    def kill(self, name: str) -> None:
+        """End a program at once, by SIGKILL."""
+        self._running[name].kill()
+        self._running[name].wait()
+
+    def pause(self, name: str) -> None:
+        """Freeze a program, by SIGSTOP."""
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen program go on, by SIGCONT."""
+        self._running[name].send_signal(signal.SIGCONT)
+
+    def close(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """End every program: SIGTERM, then SIGKILL after a time.
+
+        :param timeout_s: seconds for all of them together.
+        """
+        for name in self.running():
+            self.resume(name)
+            self.terminate(name)
+        deadline_s = time.monotonic() + timeout_s
+        for process in self._running.values():
+            try:
+                process.wait(max(deadline_s - time.monotonic(), 0))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._http.clear()
+
+    def _spawn(self, program: Program) -> subprocess.Popen[bytes]:
+        env = {
+            **os.environ,
+            'PYTHONPATH': f'{ROOT / "src"}{os.pathsep}{ROOT}',
+            'PYTHONUNBUFFERED': '1',
+        }
+        with self.log_path(program.name).open('ab') as log:
+            return subprocess.Popen(  # noqa: S603
+                (self._python, '-m', program.module, *program.args),
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def _answers(self, url: str) -> bool:
+        try:
+            resp = self._http.request('GET', url, timeout=PROBE_TIMEOUT_S)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return resp.status == STATUS_OK
+
+
+def _takes_connections(address: str) -> bool:
+    parts = urlsplit(address)
+    try:
+        probe = socket.create_connection(
+            (parts.hostname, parts.port),
+            PROBE_TIMEOUT_S,
+        )
+    except OSError:
+        return False
+    probe.close()
+    return True
--- /dev/null
+++ b/emulator/instances.py
@@ -0,0 +1,274 @@
+"""Stand-in for the platform's list of live and leaving instances.
+
+``python -m emulator.instances --port P [--lag-s S] [--fleet FILE]``
+
+=====================  =====================================================
+GET /v1/fleet          the list as it shows now, lagging
+GET /truth             the list without its lag
+POST /add              ``{"instance": {..}}`` or ``{"server": {..}}``
+POST /remove           ``{"id": ..}``
+POST /state            ``{"id": .., "state": "live" or "leaving"}``
+POST /flap             ``{"id": .., "times": N, "period_s": S}``: gone and
+                       back so many times, then as it was
+GET, POST /fault       see and set ``lag_s``, ``slow_ms``, ``refuse``
+GET /stats             count of reads
+=====================  =====================================================
+"""
+
+import argparse
+import heapq
+import itertools
+import json
+import pathlib
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from typing import TypeAlias
+
+from emulator.http_server import Reply
+from emulator.http_server import Request
+from emulator.http_server import json_reply
+from emulator.http_server import serve_until_stopped
+
+MS_PER_S = 1000
+SECTIONS = {'instance': 'instances', 'server': 'servers'}
+
+Fields: TypeAlias = dict[str, Any]
+
+
+class Entry(NamedTuple):
+    """One line of the list.
+
+    :param kind: ``instance`` or ``server``.
+    :param fields: what the list tells of it.
+    """
+
+    kind: str
+    fields: Fields
+
+    @property
+    def entry_id(self) -> str:
+        """The name of the instance or server."""
+        return str(self.fields[f'{self.kind}_id'])
+
+
+class Change(NamedTuple):
+    """A change that the list shows from a certain time on.
+
+    :param shown_s: that time, seconds.
+    :param number: order among changes of the same time.
+    :param entry_id: what it changes.
+    :param entry: the new line, ``None`` when it is gone.
+    """
+
+    shown_s: float
+    number: int
+    entry_id: str
+    entry: Entry | None
+
+
+class Faults(NamedTuple):
+    """How the list behaves.
+
+    :param lag_s: seconds until a change shows.
+    :param slow_ms: milliseconds that each read waits.
+    :param refuse: refuse each read.
+    """
+
+    lag_s: float = 0
+    slow_ms: float = 0
+    refuse: bool = False
+
+
+class LaggingList:
+    """The list: what is so, and what shows of it.
+
+    Changes of one entry show in the order in which they were made.
+
+    :param entries: what it shows from the start.
+    """
+
+    def __init__(self, entries: list[Entry]) -> None:
+        self.faults = Faults()
+        self._truth = {entry.entry_id: entry for entry in entries}
+        self._shown = dict(self._truth)
+        self._changes: list[Change] = []
+        self._last_shown_s: dict[str, float] = {}
+        self._numbers = itertools.count()
+
+    def put(self, entry: Entry, now_s: float) -> None:
+        """Add or replace an entry."""
+        self._truth[entry.entry_id] = entry
+        self._schedule(entry.entry_id, entry, now_s)
+
+    def remove(self, entry_id: str, now_s: float) -> None:
+        """Take an entry away."""
+        self._truth.pop(entry_id)
+        self._schedule(entry_id, None, now_s)
+
+    def set_state(self, entry_id: str, state: str, now_s: float) -> None:
+        """Say that an entry is live or leaving."""
+        entry = self._truth[entry_id]
+        fields = {**entry.fields, 'state': state}
+        self.put(entry._replace(fields=fields), now_s)
+
+    def flap(
+        self,
+        entry_id: str,
+        times: int,
+        period_s: float,
+        now_s: float,
+    ) -> None:
+        """Show an entry as gone and back, though nothing happens to it."""
+        entry = self._truth[entry_id]
+        for turn in range(times):
+            start_s = now_s + turn * period_s
+            self._schedule(entry_id, None, start_s)
+            self._schedule(entry_id, entry, start_s + period_s / 2)
+
+    def shown(self, now_s: float) -> dict[str, list[Fields]]:
+        """Tell the list as it shows at a time."""
+        while self._changes and self._changes[0].shown_s <= now_s:
+            change = heapq.heappop(self._changes)
+            if change.entry is None:
+                self._shown.pop(change.entry_id, None)
+            else:
+                self._shown[change.entry_id] = change.entry
+        return _sections(self._shown)
+
+    def truth(self) -> dict[str, list[Fields]]:
+        """Tell the list without its lag."""
+        return _sections(self._truth)
+
+    def _schedule(
+        self,
+        entry_id: str,
+        entry: Entry | None,
+        now_s: float,
+    ) -> None:
+        shown_s = max(
+            now_s + self.faults.lag_s,
+            self._last_shown_s.get(entry_id, 0),
+        )
+        self._last_shown_s[entry_id] = shown_s
+        change = Change(shown_s, next(self._numbers), entry_id, entry)
+        heapq.heappush(self._changes, change)
+
+
+class InstanceListService:
+    """Answers the calls to the list.
+
+    :param fleet: the list to begin with.
+    :param clock: tells the time in seconds.
+    """
+
+    def __init__(
+        self,
+        fleet: LaggingList,
+        clock: Callable[[], float],
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._reads = 0
+
+    def answer(self, req: Request) -> Reply:
+        """Answer a call."""
+        if req.path == '/v1/fleet':
+            return self._read()
+        with self._lock:
+            if req.method == 'GET':
+                return self._tell(req.path)
+            change = getattr(self, f'_post_{req.path.strip("/")}', None)
+            if change is None:
+                return json_reply({'error': 'no such path'}, 404)
+            change(req.document(), self._clock())
+            return json_reply(self._fleet.faults._asdict())
+
+    def _read(self) -> Reply:
+        faults = self._fleet.faults
+        if faults.slow_ms:
+            time.sleep(faults.slow_ms / MS_PER_S)
+        with self._lock:
+            self._reads += 1
+            if self._fleet.faults.refuse:
+                return json_reply({'error': 'refused'}, 503)
+            return json_reply(self._fleet.shown(self._clock()))
+
+    def _tell(self, path: str) -> Reply:
+        if path == '/truth':
+            return json_reply(self._fleet.truth())
+        if path == '/fault':
+            return json_reply(self._fleet.faults._asdict())
+        if path == '/stats':
+            return json_reply({'reads': self._reads})
+        return json_reply({'error': 'no such path'}, 404)
+
+    def _post_add(self, document: Fields, now_s: float) -> None:
+        for kind, fields in document.items():
+            self._fleet.put(_entry(kind, fields), now_s)
+
+    def _post_remove(self, document: Fields, now_s: float) -> None:
+        self._fleet.remove(document['id'], now_s)
+
+    def _post_state(self, document: Fields, now_s: float) -> None:
+        self._fleet.set_state(document['id'], document['state'], now_s)
+
+    def _post_flap(self, document: Fields, now_s: float) -> None:
+        self._fleet.flap(
+            document['id'],
+            document['times'],
+            document['period_s'],
+            now_s,
+        )
+
+    def _post_fault(self, document: Fields, _now_s: float) -> None:
+        unknown = document.keys() - set(Faults._fields)
+        if unknown:
+            raise ValueError(f'unknown faults: {sorted(unknown)}')
+        self._fleet.faults = self._fleet.faults._replace(**document)
+
+
+def read_entries(path: pathlib.Path) -> list[Entry]:
+    """Read the entries of a file in the form of ``GET /v1/fleet``."""
+    document = json.loads(path.read_text())
+    return [
+        _entry(kind, fields)
+        for kind, section in SECTIONS.items()
+        for fields in document.get(section, [])
+    ]
+
+
+def _entry(kind: str, fields: Fields) -> Entry:
+    if kind not in SECTIONS:
+        raise ValueError(f'neither instance nor server: {kind}')
+    return Entry(kind, {'state': 'live', **fields})
+
+
+def _sections(entries: dict[str, Entry]) -> dict[str, list[Fields]]:
+    return {
+        section: [
+            entry.fields for entry in entries.values() if entry.kind == kind
+        ]
+        for kind, section in SECTIONS.items()
+    }
+
+
+def main() -> None:
+    """Serve until stopped."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--lag-s', type=float, default=0)
+    parser.add_argument('--fleet', type=pathlib.Path)
+    args = parser.parse_args()
+    entries = read_entries(args.fleet) if args.fleet else []
+    fleet = LaggingList(entries)
+    fleet.faults = Faults(lag_s=args.lag_s)
+    service = InstanceListService(fleet, time.monotonic)
+    serve_until_stopped(args.port, service.answer)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/emulator/kv.py
@@ -0,0 +1,216 @@
+"""Stand-in for the platform's key-value service.
+
+``python -m emulator.kv --port P``
+
+==========================================  ================================
+GET /v1/key?key=                            read
+PUT /v1/key?key=&expected=[&lease=]         compare-and-swap, body: value
+DELETE /v1/key?key=&expected=               delete by compare-and-swap
+GET /v1/watch?key=&after=&wait_ms=          long poll
+POST /v1/lease?ttl_ms=                      grant a lease
+PUT, DELETE /v1/lease?lease=                renew, revoke a lease
+GET /stats                                  calls by operation, sizes
+GET, POST /fault                            see and set the faults
+==========================================  ================================
+"""
+
+import argparse
+import threading
+import time
+from collections import Counter
+from typing import Any
+from typing import NamedTuple
+
+from emulator.http_server import Reply
+from emulator.http_server import Request
+from emulator.http_server import json_reply
+from emulator.http_server import serve_until_stopped
+from emulator.kv_data import MAX_VALUE_BYTES
+from emulator.kv_data import Clock
+from emulator.kv_data import Conflict
+from emulator.kv_data import Data
+from emulator.kv_data import Entry
+from emulator.kv_data import Interrupted
+from emulator.kv_data import NoLease
+
+MS_PER_S = 1000
+OPERATIONS = {
+    ('GET', '/v1/key'): 'get',
+    ('PUT', '/v1/key'): 'swap',
+    ('DELETE', '/v1/key'): 'swap',
+    ('GET', '/v1/watch'): 'watch',
+    ('POST', '/v1/lease'): 'grant',
+    ('PUT', '/v1/lease'): 'renew',
+    ('DELETE', '/v1/lease'): 'revoke',
+}
+LEASE_OPERATIONS = frozenset(('grant', 'renew', 'revoke'))
+
+
+class Faults(NamedTuple):
+    """The faults that last until they are set otherwise.
+
+    :param slow_ms: milliseconds that each call waits before it is done.
+    :param refuse: refuse every call, as in an outage.
+    :param drop_swaps: withhold the answers of so many swaps that took
+        effect, -1 for all.
+    :param drop_leases: the same for grants, renewals and revocations.
+    :param drop_prefix: drop only answers to swaps of keys that begin so.
+    """
+
+    slow_ms: float = 0
+    refuse: bool = False
+    drop_swaps: int = 0
+    drop_leases: int = 0
+    drop_prefix: str = ''
+
+
+class KeyValueService:
+    """Answers the calls to the service.
+
+    :param clock: tells the service's own time in seconds.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._data = Data()
+        self._lock = threading.Lock()
+        self._faults = Faults()
+        self._calls: Counter[str] = Counter()
+        self._dropped: Counter[str] = Counter()
+        threading.Thread(
+            target=self._data.expire_forever,
+            args=(clock,),
+            daemon=True,
+        ).start()
+
+    def answer(self, req: Request) -> Reply | None:
+        """Answer a call."""
+        operation = OPERATIONS.get((req.method, req.path))
+        if operation is None:
+            return self._control(req)
+        with self._lock:
+            self._calls[operation] += 1
+        if self._faults.slow_ms:
+            time.sleep(self._faults.slow_ms / MS_PER_S)
+        if self._faults.refuse:
+            return json_reply({'error': 'refused'}, 503)
+        return self._perform(operation, req)
+
+    def _perform(self, operation: str, req: Request) -> Reply | None:
+        method = getattr(self, f'_{operation}')
+        try:
+            reply: Reply = method(req)
+        except Conflict as exc:
+            return _entry_reply(exc.present, 409)
+        except NoLease:
+            return json_reply({'error': 'lease lapsed'}, 404)
+        except Interrupted:
+            return None
+        return None if self._drops(operation, req, reply) else reply
+
+    def _get(self, req: Request) -> Reply:
+        return _entry_reply(self._data.get(req.query['key'], self._clock()))
+
+    def _swap(self, req: Request) -> Reply:
+        if len(req.body) > MAX_VALUE_BYTES:
+            return json_reply({'error': 'value too large'}, 413)
+        entry = Entry(
+            None if req.method == 'DELETE' else req.body,
+            int(req.query['expected']),
+            req.query.get('lease'),
+        )
+        key = req.query['key']
+        written = self._data.swap(key, entry, self._clock())
+        return _entry_reply(written._replace(value=b''))
+
+    def _watch(self, req: Request) -> Reply:
+        wait_s = int(req.query['wait_ms']) / MS_PER_S
+        entry = self._data.watch(
+            req.query['key'],
+            int(req.query['after']),
+            self._clock() + wait_s,
+            self._clock,
+        )
+        return _entry_reply(entry)
+
+    def _grant(self, req: Request) -> Reply:
+        ttl_s = int(req.query['ttl_ms']) / MS_PER_S
+        lease_id = self._data.grant(ttl_s, self._clock())
+        return Reply(body=lease_id.encode())
+
+    def _renew(self, req: Request) -> Reply:
+        self._data.renew(req.query['lease'], self._clock())
+        return Reply()
+
+    def _revoke(self, req: Request) -> Reply:
+        self._data.revoke(req.query['lease'], self._clock())
+        return Reply()
+
+    def _drops(self, operation: str, req: Request, reply: Reply) -> bool:
+        if reply.status != 200:
+            return False
+        if operation in LEASE_OPERATIONS:
+            return self._use_drop('drop_leases')
+        if operation != 'swap':
+            return False
+        if not req.query['key'].startswith(self._faults.drop_prefix):
+            return False
+        return self._use_drop('drop_swaps')
+
+    def _use_drop(self, name: str) -> bool:
+        with self._lock:
+            left = getattr(self._faults, name)
+            if left > 0:
+                self._faults = self._faults._replace(**{name: left - 1})
+            if left:
+                self._dropped[name] += 1
+            return bool(left)
+
+    def _control(self, req: Request) -> Reply:
+        if req.path == '/stats':
+            return json_reply(self._stats())
+        if req.path == '/fault' and req.method == 'POST':
+            return self._set_faults(req.document())
+        if req.path == '/fault':
+            return json_reply(self._faults._asdict())
+        return json_reply({'error': 'no such path'}, 404)
+
+    def _stats(self) -> dict[str, Any]:
+        with self._lock:
+            calls = dict(self._calls)
+            dropped = dict(self._dropped)
+        return {'calls': calls, 'dropped': dropped, **self._data.sizes()}
+
+    def _set_faults(self, wanted: dict[str, Any]) -> Reply:
+        restart = wanted.pop('restart_empty', False)
+        keep_versions = wanted.pop('keep_versions', False)
+        lapse = wanted.pop('lapse_leases', False)
+        unknown = wanted.keys() - set(Faults._fields)
+        if unknown:
+            raise ValueError(f'unknown faults: {sorted(unknown)}')
+        with self._lock:
+            self._faults = self._faults._replace(**wanted)
+        if restart:
+            self._data.empty(keep_versions=keep_versions)
+        if wanted.get('refuse'):
+            self._data.interrupt()
+        if lapse:
+            self._data.lapse_all()
+        return json_reply(self._faults._asdict())
+
+
+def _entry_reply(entry: Entry, status: int = 200) -> Reply:
+    headers = (('X-Version', str(entry.version)),)
+    return Reply(status, entry.value or b'', headers)
+
+
+def main() -> None:
+    """Serve until stopped."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--port', type=int, required=True)
+    args = parser.parse_args()
+    serve_until_stopped(args.port, KeyValueService(time.monotonic).answer)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/wasabicross/instances.py
@@ -0,0 +1,190 @@
+"""The seam to the platform's list of live and leaving instances."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from wasabicross.exceptions import InstanceListError
+from wasabicross.exceptions import InstanceListMalformed
+from wasabicross.exceptions import InstanceListUnavailable
+from wasabicross.single_call import AnswerLost
+from wasabicross.single_call import NotSent
+from wasabicross.single_call import SingleCalls
+
+LIVE = 'live'
+LEAVING = 'leaving'
+STATES = frozenset((LIVE, LEAVING))
+KINDS = frozenset(('engine', 'service'))
+MAX_PORT = 65535
+STATUS_OK = 200
+
+
+class InstanceListSettings(Protocol):
+    """What the seam needs to know of the list."""
+
+    @property
+    def url(self) -> str:
+        """Base URL of the list."""
+
+    @property
+    def timeout_s(self) -> float:
+        """Seconds for connecting and for each wait for bytes."""
+
+
+class Instance(NamedTuple):
+    """An instance that runs wasabicross.
+
+    :param instance_id: its name, unique in all data centres.
+    :param data_centre: the data centre it stands in.
+    :param host: its IP number.
+    :param port: the port of its controller's links.
+    :param state: ``live`` or ``leaving``.
+    """
+
+    instance_id: str
+    data_centre: str
+    host: str
+    port: int
+    state: str
+
+
+class BackendServer(NamedTuple):
+    """A backend server.
+
+    :param server_id: its name, unique in all data centres.
+    :param kind: ``engine`` or ``service``.
+    :param group: the servers of a group are interchangeable.
+    :param data_centre: the data centre it stands in.
+    :param host: its IP number.
+    :param port: its HTTP port.
+    :param state: ``live`` or ``leaving``.
+    :param base_model: an engine's base model, empty for a service.
+    """
+
+    server_id: str
+    kind: str
+    group: str
+    data_centre: str
+    host: str
+    port: int
+    state: str
+    base_model: str
+
+
+class Fleet(NamedTuple):
+    """The list as it was read; it lags behind reality."""
+
+    instances: tuple[Instance, ...]
+    servers: tuple[BackendServer, ...]
+
+
+class InstanceList:
+    """The platform's list of instances and backend servers.
+
+    :param url: base URL of the list.
+    :param timeout_s: seconds for connecting and for each wait for bytes.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._calls = SingleCalls(url, timeout_s)
+
+    @classmethod
+    def from_config(cls, cfg: InstanceListSettings) -> 'InstanceList':
+        """Make a list from its settings."""
+        return cls(cfg.url, cfg.timeout_s)
+
+    def fetch(self) -> Result[Fleet, InstanceListError]:
+        """Read the list.
+
+        :return: the fleet, or :class:`InstanceListUnavailable` or
+            :class:`InstanceListMalformed`.
+        """
+        try:
+            resp = self._calls.send('GET', '/v1/fleet')
+        except (NotSent, AnswerLost) as exc:
+            return Error(InstanceListUnavailable(str(exc)))
+        if resp.status != STATUS_OK:
+            return Error(InstanceListUnavailable(f'status {resp.status}'))
+        try:
+            return Ok(parse_fleet(resp.data))
+        except (KeyError, TypeError, ValueError) as exc:
+            return Error(InstanceListMalformed(repr(exc)))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._calls.close()
+
+
+def parse_fleet(data: bytes) -> Fleet:
+    """Read a fleet from JSON.
+
+    One entry that isn't understood spoils the whole list, since leaving it
+    out would say that the instance is gone.
+
+    :param data: JSON object with ``instances`` and ``servers``.
+    :raises KeyError: a field is missing.
+    :raises TypeError: an entry is no object.
+    :raises ValueError: a field has a wrong value, or two entries one name.
+    """
+    document = json.loads(data)
+    fleet = Fleet(
+        tuple(_instance(entry) for entry in document['instances']),
+        tuple(_server(entry) for entry in document['servers']),
+    )
+    _check_unique([instance.instance_id for instance in fleet.instances])
+    _check_unique([server.server_id for server in fleet.servers])
+    return fleet
+
+
+def _instance(entry: dict[str, Any]) -> Instance:
+    return Instance(
+        _text(entry, 'instance_id'),
+        _text(entry, 'data_centre'),
+        _text(entry, 'host'),
+        _port(entry),
+        _choice(entry, 'state', STATES),
+    )
+
+
+def _server(entry: dict[str, Any]) -> BackendServer:
+    return BackendServer(
+        _text(entry, 'server_id'),
+        _choice(entry, 'kind', KINDS),
+        _text(entry, 'group'),
+        _text(entry, 'data_centre'),
+        _text(entry, 'host'),
+        _port(entry),
+        _choice(entry, 'state', STATES),
+        entry.get('base_model', ''),
+    )
+
+
+def _text(entry: dict[str, Any], name: str) -> str:
+    value = entry[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f'{name}: {value!r}')
+    return value
+
+
+def _choice(entry: dict[str, Any], name: str, choices: frozenset[str]) -> str:
+    value = _text(entry, name)
+    if value not in choices:
+        raise ValueError(f'{name}: {value!r}')
+    return value
+
+
+def _port(entry: dict[str, Any]) -> int:
+    value = entry['port']
+    if not isinstance(value, int) or not 0 < value <= MAX_PORT:
+        raise ValueError(f'port: {value!r}')
+    return value
+
+
+def _check_unique(names: list[str]) -> None:
+    if len(set(names)) != len(names):
+        raise ValueError('two entries have one name')
--- /dev/null
+++ b/src/wasabicross/kv.py
@@ -0,0 +1,287 @@
+"""The seam to the platform's key-value service.
+
+Another protocol fits by writing another module with the same names. Every
+call is sent once: whether a lost answer may be asked for again is decided by
+the caller, who alone knows what a second write would mean.
+"""
+
+from typing import NamedTuple
+from typing import Protocol
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from prometheus_client import Counter
+from urllib3 import BaseHTTPResponse
+
+from wasabicross.exceptions import KeyValueError
+from wasabicross.exceptions import KeyValueUnavailable
+from wasabicross.exceptions import LeaseLapsed
+from wasabicross.exceptions import LeaseOutcomeUnknown
+from wasabicross.exceptions import SwapConflict
+from wasabicross.exceptions import SwapOutcomeUnknown
+from wasabicross.exceptions import ValueTooLarge
+from wasabicross.single_call import AnswerLost
+from wasabicross.single_call import NotSent
+from wasabicross.single_call import SingleCalls
+
+MS_PER_S = 1000
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_TOO_LARGE = 413
+REFUSALS = frozenset((429, 503))
+
+VERSION_HEADER = 'X-Version'
+
+KEY_VALUE_CALLS = Counter(
+    'wasabicross_key_value_calls',
+    'Calls sent to the key-value service, by operation.',
+    ['operation'],
+)
+
+
+class KeyValueSettings(Protocol):
+    """What the seam needs to know of the service."""
+
+    @property
+    def url(self) -> str:
+        """Base URL of the service."""
+
+    @property
+    def timeout_s(self) -> float:
+        """Seconds for connecting and for each wait for bytes."""
+
+
+class Versioned(NamedTuple):
+    """A key's state.
+
+    :param key: the key.
+    :param value: its bytes, ``None`` when the key is absent.
+    :param version: rises with each change, also across a deletion; 0 when
+        the key is absent.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+class KeyValueStore:
+    """The platform's key-value service, as one process sees it.
+
+    It may be used by many threads at once; each waiting watch holds a
+    connection of its own.
+
+    :param url: base URL of the service.
+    :param timeout_s: seconds for connecting and for each wait for bytes.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._calls = SingleCalls(url, timeout_s)
+
+    @classmethod
+    def from_config(cls, cfg: KeyValueSettings) -> 'KeyValueStore':
+        """Make a store from the settings of the service."""
+        return cls(cfg.url, cfg.timeout_s)
+
+    def get(self, key: str) -> Result[Versioned, KeyValueError]:
+        """Read a key.
+
+        :param key: the key.
+        :return: its state, or :class:`KeyValueUnavailable`.
+        """
+        return self._read('get', '/v1/key', {'key': key}, self._timeout_s)
+
+    def watch(
+        self,
+        key: str,
+        after_version: int,
+        wait_s: float,
+    ) -> Result[Versioned, KeyValueError]:
+        """Wait until a key has another version, or for `wait_s`.
+
+        :param key: the key.
+        :param after_version: the version already known, 0 for absent.
+        :param wait_s: seconds to wait at most.
+        :return: the key's state then, or :class:`KeyValueUnavailable`.
+        """
+        fields = {
+            'key': key,
+            'after': str(after_version),
+            'wait_ms': _milliseconds(wait_s),
+        }
+        return self._read(
+            'watch',
+            '/v1/watch',
+            fields,
+            wait_s + self._timeout_s,
+        )
+
+    def compare_and_swap(
+        self,
+        key: str,
+        value: bytes | None,
+        expected_version: int,
+        lease_id: str | None = None,
+    ) -> Result[Versioned, KeyValueError]:
+        """Write a key if it still has the expected version.
+
+        :param key: the key.
+        :param value: the new bytes, ``None`` to delete the key.
+        :param expected_version: the version it must have, 0 for absent.
+        :param lease_id: a lease with which the key is to vanish.
+        :return: the new state; :class:`SwapConflict`, :class:`LeaseLapsed`,
+            :class:`ValueTooLarge` or :class:`KeyValueUnavailable` when
+            nothing was applied; :class:`SwapOutcomeUnknown` when the write
+            may be applied, now or later.
+        """
+        fields = {'key': key, 'expected': str(expected_version)}
+        if lease_id is not None:
+            fields['lease'] = lease_id
+        method = 'DELETE' if value is None else 'PUT'
+        KEY_VALUE_CALLS.labels('swap').inc()
+        try:
+            resp = self._calls.send(method, '/v1/key', fields, value)
+        except NotSent as exc:
+            return Error(KeyValueUnavailable(str(exc)))
+        except AnswerLost as exc:
+            return Error(SwapOutcomeUnknown(str(exc)))
+        return _swap_result(resp, key, value, lease_id)
+
+    def grant_lease(self, ttl_s: float) -> Result[str, KeyValueError]:
+        """Ask for a new lease.
+
+        A lease whose grant was lost lapses by itself, unused.
+
+        :param ttl_s: seconds until it lapses unless renewed.
+        :return: its id, or :class:`KeyValueUnavailable` or
+            :class:`LeaseOutcomeUnknown`.
+        """
+        fields = {'ttl_ms': _milliseconds(ttl_s)}
+        return self._lease_call('grant', 'POST', fields)
+
+    def renew_lease(self, lease_id: str) -> Result[None, KeyValueError]:
+        """Start a lease's time to live again.
+
+        :param lease_id: id of the lease.
+        :return: ``None``, or :class:`LeaseLapsed`,
+            :class:`KeyValueUnavailable` or :class:`LeaseOutcomeUnknown`.
+        """
+        renewed = self._lease_call('renew', 'PUT', {'lease': lease_id})
+        return renewed.map(_nothing)
+
+    def revoke_lease(self, lease_id: str) -> Result[None, KeyValueError]:
+        """End a lease and delete the keys written with it.
+
+        :param lease_id: id of the lease.
+        :return: as :meth:`renew_lease`.
+        """
+        revoked = self._lease_call('revoke', 'DELETE', {'lease': lease_id})
+        return revoked.map(_nothing)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._calls.close()
+
+    def _read(
+        self,
+        operation: str,
+        path: str,
+        fields: dict[str, str],
+        timeout_s: float,
+    ) -> Result[Versioned, KeyValueError]:
+        KEY_VALUE_CALLS.labels(operation).inc()
+        try:
+            resp = self._calls.send('GET', path, fields, timeout_s=timeout_s)
+        except (NotSent, AnswerLost) as exc:
+            return Error(KeyValueUnavailable(str(exc)))
+        if resp.status != STATUS_OK:
+            return Error(KeyValueUnavailable(f'status {resp.status}'))
+        present = _versioned(resp, fields['key'])
+        if present is None:
+            return Error(KeyValueUnavailable('answer not understood'))
+        return Ok(present)
+
+    def _lease_call(
+        self,
+        operation: str,
+        method: str,
+        fields: dict[str, str],
+    ) -> Result[str, KeyValueError]:
+        KEY_VALUE_CALLS.labels(operation).inc()
+        try:
+            resp = self._calls.send(method, '/v1/lease', fields)
+        except NotSent as exc:
+            return Error(KeyValueUnavailable(str(exc)))
+        except AnswerLost as exc:
+            return Error(LeaseOutcomeUnknown(str(exc)))
+        if resp.status == STATUS_OK:
+            return Ok(resp.data.decode('ascii', 'replace'))
+        if resp.status == STATUS_NOT_FOUND:
+            return Error(LeaseLapsed(fields.get('lease', '')))
+        if resp.status in REFUSALS:
+            return Error(KeyValueUnavailable(f'status {resp.status}'))
+        return Error(LeaseOutcomeUnknown(f'status {resp.status}'))
+
+
+def _swap_result(
+    resp: BaseHTTPResponse,
+    key: str,
+    value: bytes | None,
+    lease_id: str | None,
+) -> Result[Versioned, KeyValueError]:
+    if resp.status == STATUS_OK:
+        return _swapped(resp, key, value)
+    if resp.status == STATUS_CONFLICT:
+        return _conflict(resp, key)
+    if resp.status == STATUS_NOT_FOUND:
+        return Error(LeaseLapsed(lease_id or ''))
+    if resp.status == STATUS_TOO_LARGE:
+        return Error(ValueTooLarge(f'{key}: {len(value or b"")} bytes'))
+    if resp.status in REFUSALS:
+        return Error(KeyValueUnavailable(f'status {resp.status}'))
+    return Error(SwapOutcomeUnknown(f'status {resp.status}'))
+
+
+def _swapped(
+    resp: BaseHTTPResponse,
+    key: str,
+    value: bytes | None,
+) -> Result[Versioned, KeyValueError]:
+    version = _version(resp)
+    if version is None:
+        return Error(SwapOutcomeUnknown('answer not understood'))
+    return Ok(Versioned(key, value, version))
+
+
+def _conflict(
+    resp: BaseHTTPResponse,
+    key: str,
+) -> Result[Versioned, KeyValueError]:
+    present = _versioned(resp, key)
+    if present is None:
+        return Error(KeyValueUnavailable('conflict not understood'))
+    return Error(SwapConflict(present))
+
+
+def _versioned(resp: BaseHTTPResponse, key: str) -> Versioned | None:
+    version = _version(resp)
+    if version is None:
+        return None
+    return Versioned(key, resp.data if version else None, version)
+
+
+def _version(resp: BaseHTTPResponse) -> int | None:
+    text = resp.headers.get(VERSION_HEADER, '')
+    return int(text) if text.isascii() and text.isdecimal() else None
+
+
+def _milliseconds(duration_s: float) -> str:
+    return str(round(duration_s * MS_PER_S))
+
+
+def _nothing(_answer: str) -> None:
+    """Drop an answer that carries nothing."""
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,171 @@
+"""The seam to the instance list, and its stand-in's lag and faults."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+import urllib3
+
+from emulator.fleet import Program
+from emulator.http_server import Reply
+from emulator.http_server import StandInServer
+from emulator.instances import Entry
+from emulator.instances import Faults
+from emulator.instances import LaggingList
+from emulator.waiting import free_ports
+from emulator.waiting import wait_until
+from wasabicross import exceptions
+from wasabicross.instances import BackendServer
+from wasabicross.instances import Fleet
+from wasabicross.instances import Instance
+from wasabicross.instances import InstanceList
+
+HERE = Instance('node-1', 'ltn', '127.0.0.1', 7000, 'live')
+ENGINE = BackendServer(
+    'engine-1',
+    'engine',
+    'letters',
+    'ltn',
+    '127.0.0.1',
+    8000,
+    'live',
+    'base',
+)
+UNAVAILABLE = exceptions.InstanceListUnavailable
+MALFORMED = exceptions.InstanceListMalformed
+
+
+def make_list(port, timeout_s=5.0):
+    cfg = SimpleNamespace(
+        url=f'http://127.0.0.1:{port}',
+        timeout_s=timeout_s,
+    )
+    return InstanceList.from_config(cfg)
+
+
+@pytest.fixture(scope='module')
+def port(runner, tmp_path_factory):
+    path = tmp_path_factory.mktemp('fleet') / 'fleet.json'
+    path.write_text(json.dumps({'instances': [HERE._asdict()]}))
+    (free,) = free_ports(1)
+    args = ('--port', str(free), '--fleet', str(path))
+    url = f'http://127.0.0.1:{free}/stats'
+    runner.run(Program('instances', 'emulator.instances', args, url))
+    return free
+
+
+def post(port, path, **document):
+    url = f'http://127.0.0.1:{port}/{path}'
+    return urllib3.request('POST', url, json=document).status
+
+
+def test_list_follows_changes(port):
+    fleet = make_list(port)
+    assert fleet.fetch().ok == Fleet((HERE,), ())
+    assert post(port, 'add', server=ENGINE._asdict()) == 200
+    assert fleet.fetch().ok.servers == (ENGINE,)
+    assert post(port, 'state', id='engine-1', state='leaving') == 200
+    assert fleet.fetch().ok.servers == (ENGINE._replace(state='leaving'),)
+    assert post(port, 'remove', id='engine-1') == 200
+    assert fleet.fetch().ok.servers == ()
+
+
+def test_list_lags(port):
+    fleet = make_list(port)
+    post(port, 'fault', lag_s=0.2)
+    post(port, 'add', server=ENGINE._asdict())
+    assert fleet.fetch().ok.servers == ()
+    wait_until(lambda: fleet.fetch().ok.servers, 5, 'lagging entry')
+    post(port, 'fault', lag_s=0)
+    post(port, 'remove', id='engine-1')
+
+
+@pytest.mark.parametrize(
+    ('path', 'document'),
+    [
+        ('remove', {'id': 'nobody'}),
+        ('state', {'id': 'nobody', 'state': 'live'}),
+        ('add', {'planet': {}}),
+        ('fault', {'unheard': 1}),
+    ],
+)
+def test_wrong_change_is_refused(port, path, document):
+    assert post(port, path, **document) == 400
+
+
+def test_outage_is_unavailable(port):
+    post(port, 'fault', refuse=True)
+    assert type(make_list(port).fetch().error) is UNAVAILABLE
+    post(port, 'fault', refuse=False)
+    assert make_list(port).fetch().is_ok()
+
+
+def test_slow_list_is_unavailable(port):
+    post(port, 'fault', slow_ms=200)
+    assert type(make_list(port, 0.05).fetch().error) is UNAVAILABLE
+    post(port, 'fault', slow_ms=0)
+
+
+def test_refused_connection_is_unavailable():
+    (free,) = free_ports(1)
+    assert type(make_list(free).fetch().error) is UNAVAILABLE
+
+
+def document(**changes):
+    server = {**ENGINE._asdict(), **changes}
+    return json.dumps({'instances': [], 'servers': [server]}).encode()
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'',
+        b'[]',
+        b'{"instances": []}',
+        b'{"instances": 3, "servers": []}',
+        b'{"instances": ["node"], "servers": []}',
+        b'\xff\xfe{}',
+        document(state='gone'),
+        document(kind='teapot'),
+        document(port=0),
+        document(port='80'),
+        document(port=65536),
+        document(server_id=''),
+        document(group=None),
+        json.dumps(
+            {'instances': [HERE._asdict()] * 2, 'servers': []},
+        ).encode(),
+    ],
+)
+def test_malformed_list_is_not_used(answer):
+    server = StandInServer(0, lambda _req: Reply(body=answer))
+    server.start()
+    error = make_list(server.server_address[1]).fetch().error
+    server.shutdown()
+    server.server_close()
+    assert type(error) is MALFORMED
+
+
+def names(fleet, now_s):
+    return [entry['server_id'] for entry in fleet.shown(now_s)['servers']]
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'shown'),
+    [(1.9, True), (2, False), (2.5, True), (3, False), (3.5, True)],
+)
+def test_flap_shows_gone_and_back(now_s, shown):
+    fleet = LaggingList([Entry('server', ENGINE._asdict())])
+    fleet.faults = Faults(lag_s=1)
+    fleet.flap('engine-1', 2, 1, now_s=1)
+    assert names(fleet, now_s) == (['engine-1'] if shown else [])
+
+
+def test_changes_of_one_entry_show_in_order():
+    fleet = LaggingList([])
+    fleet.faults = Faults(lag_s=5)
+    fleet.put(Entry('server', ENGINE._asdict()), now_s=0)
+    fleet.faults = Faults(lag_s=0)
+    fleet.remove('engine-1', now_s=1)
+    assert names(fleet, 1) == []
+    assert names(fleet, 5) == []
