Add signed bundles in chunks, and the holder that only rises

Cause: every process needs the adapter versions of the signed bundle, at 43,000 adapters. Ruled out: a dict of named tuples of all adapters, and searching the encoded bytes for a name (a name can stand inside another); chunks stay encoded, and lookups decode one and are remembered.

--- /dev/null
+++ b/src/wasabicross/holder.py
@@ -0,0 +1,238 @@
+"""The bundle in force in one process."""
+
+import threading
+from collections.abc import Mapping
+from datetime import datetime
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+from nacl.signing import VerifyKey
+
+from wasabicross.bundles import (
+    Bundle,
+    BundlePointer,
+    BundleSource,
+    Manifest,
+    decode_chunk,
+    digest_of,
+)
+from wasabicross.events import Event
+from wasabicross.exceptions import (
+    BundleError,
+    BundleMalformed,
+    BundleSuperseded,
+    BundleUntrusted,
+)
+from wasabicross.logs import log_event
+from wasabicross.manifests import verify_signed
+from wasabicross.settings import Settings
+from wasabicross.telemetry import BUNDLE_SPREAD_SECONDS
+
+
+class _Held(NamedTuple):
+    bundle: Bundle
+    pointer: BundlePointer
+    manifest: bytes
+    chunks: Mapping[str, bytes]
+    since: datetime
+
+
+class BundleHolder:
+    """Holds the bundle in force; its number only rises.
+
+    :param trusted_keys: public keys by name.
+    :param data_centre: label of the spread histogram.
+    """
+
+    def __init__(
+        self,
+        trusted_keys: Mapping[str, VerifyKey],
+        data_centre: str = '',
+    ) -> None:
+        self._trusted_keys = trusted_keys
+        self._data_centre = data_centre
+        self._lock = threading.Lock()
+        self._held: _Held | None = None
+
+    @classmethod
+    def from_config(cls, cfg: Settings) -> 'BundleHolder':
+        """Make a holder that trusts the keys of the settings.
+
+        :param cfg: the settings.
+        """
+        return cls(trusted_keys(cfg.trusted_keys), cfg.instance.data_centre)
+
+    @property
+    def current(self) -> Bundle | None:
+        """The bundle in force, if any is yet."""
+        held = self._held
+        return held.bundle if held else None
+
+    @property
+    def pointer(self) -> BundlePointer | None:
+        """The pointer of the bundle in force."""
+        held = self._held
+        return held.pointer if held else None
+
+    @property
+    def in_force_since(self) -> str | None:
+        """When the bundle came into force in this process, ISO 8601."""
+        held = self._held
+        return held.since.isoformat() if held else None
+
+    @property
+    def manifest_bytes(self) -> bytes | None:
+        """The encoded signed manifest of the bundle in force."""
+        held = self._held
+        return held.manifest if held else None
+
+    def chunk_bytes(self, digest: str) -> bytes | None:
+        """Return an encoded chunk of the bundle in force.
+
+        :param digest: digest of the chunk.
+        """
+        held = self._held
+        return held.chunks.get(digest) if held else None
+
+    def offer(
+        self,
+        pointer: BundlePointer,
+        source: BundleSource,
+        now: datetime,
+    ) -> Result[Bundle, BundleError]:
+        """Bring a bundle into force if it is newer and verifies.
+
+        Fetches the chunks that are not held yet. May be called from several
+        threads; the highest number wins whatever the order. Errors:
+        BundleSuperseded, BundleMalformed, BundleUntrusted and those of the
+        source.
+
+        :param pointer: which bundle.
+        :param source: where its parts can be had.
+        :param now: present time, with time zone.
+        """
+        held = self._held
+        if held and pointer.number <= held.pointer.number:
+            return _not_newer(pointer, held)
+        fetched = self._fetch(pointer, source, now)
+        if fetched.is_error():
+            _log_refusal(pointer, fetched.error)
+            return Error(fetched.error)
+        return self._swap(fetched.ok)
+
+    def _swap(self, fetched: _Held) -> Result[Bundle, BundleError]:
+        with self._lock:
+            before = self._held
+            if before and fetched.pointer.number <= before.pointer.number:
+                return _not_newer(fetched.pointer, before)
+            self._held = fetched
+        log_event(
+            Event.BUNDLE_IN_FORCE,
+            bundle=fetched.pointer.number,
+            digest=fetched.pointer.digest,
+        )
+        # A first bundle after a start tells nothing about the spread.
+        if before:
+            spread_s = _age_s(fetched.pointer, fetched.since)
+            BUNDLE_SPREAD_SECONDS.labels(self._data_centre).observe(spread_s)
+        return Ok(fetched.bundle)
+
+    def _fetch(
+        self,
+        pointer: BundlePointer,
+        source: BundleSource,
+        now: datetime,
+    ) -> Result[_Held, BundleError]:
+        signed = source.manifest(pointer.digest)
+        if signed.is_error():
+            return Error(signed.error)
+        verified = verify_signed(
+            signed.ok,
+            pointer.digest,
+            self._trusted_keys,
+        )
+        if verified.is_error():
+            return Error(verified.error)
+        manifest = verified.ok
+        if manifest.number != pointer.number:
+            return Error(BundleMalformed('the manifest has another number'))
+        chunks = self._fetch_chunks(manifest, source)
+        if chunks.is_error():
+            return Error(chunks.error)
+        ordered = tuple(chunks.ok[at] for at in manifest.chunk_digests())
+        bundle = Bundle(manifest, pointer.digest, ordered)
+        return Ok(_Held(bundle, pointer, signed.ok, chunks.ok, now))
+
+    def _fetch_chunks(
+        self,
+        manifest: Manifest,
+        source: BundleSource,
+    ) -> Result[dict[str, bytes], BundleError]:
+        chunks: dict[str, bytes] = {}
+        for digest in dict.fromkeys(manifest.chunk_digests()):
+            encoded = self.chunk_bytes(digest)
+            if encoded is None:
+                fetched = _fetch_chunk(digest, source)
+                if fetched.is_error():
+                    return Error(fetched.error)
+                encoded = fetched.ok
+            chunks[digest] = encoded
+        return Ok(chunks)
+
+
+def trusted_keys(public_keys: Mapping[str, str]) -> dict[str, VerifyKey]:
+    """Return the keys that verify signatures.
+
+    :param public_keys: hexadecimal public keys by name.
+    """
+    return {
+        name: VerifyKey(bytes.fromhex(public_key))
+        for name, public_key in public_keys.items()
+    }
+
+
+def _fetch_chunk(
+    digest: str,
+    source: BundleSource,
+) -> Result[bytes, BundleError]:
+    fetched = source.chunk(digest)
+    if fetched.is_error():
+        return Error(fetched.error)
+    if digest_of(fetched.ok) != digest:
+        return Error(BundleMalformed('a chunk has another digest'))
+    try:
+        decode_chunk(fetched.ok)
+    except Exception as exc:  # signed, yet not a chunk
+        return Error(BundleMalformed(f'a chunk is not readable: {exc}'))
+    return fetched
+
+
+def _not_newer(
+    pointer: BundlePointer,
+    held: _Held,
+) -> Result[Bundle, BundleError]:
+    if pointer.digest == held.pointer.digest:
+        return Ok(held.bundle)
+    return Error(
+        BundleSuperseded(f'bundle {held.pointer.number} is in force'),
+    )
+
+
+def _log_refusal(pointer: BundlePointer, exc: BundleError) -> None:
+    if isinstance(exc, (BundleMalformed, BundleUntrusted)):
+        log_event(
+            Event.BUNDLE_REFUSED,
+            bundle=pointer.number,
+            digest=pointer.digest,
+            reason=exc,
+        )
+
+
+def _age_s(pointer: BundlePointer, now: datetime) -> float:
+    try:
+        rolled_at = datetime.fromisoformat(pointer.rolled_at)
+    except ValueError:
+        return 0
+    if rolled_at.tzinfo is None:
+        return 0
+    return max((now - rolled_at).total_seconds(), 0)
--- /dev/null
+++ b/src/wasabicross/manifests.py
@@ -0,0 +1,142 @@
+"""Encoding of manifests and pointers, and the operators' signatures."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import cbor2
+import pydantic
+from expression import Error, Ok, Result
+from nacl.exceptions import BadSignatureError
+from nacl.signing import SigningKey, VerifyKey
+
+from wasabicross.bundles import (
+    MAX_VALUE_BYTES,
+    BundlePointer,
+    Manifest,
+    SignedManifest,
+    digest_of,
+)
+from wasabicross.exceptions import (
+    BundleError,
+    BundleMalformed,
+    BundleUntrusted,
+)
+
+_SIGNING_CONTEXT = b'wasabicross bundle manifest 1\x00'
+_Value = TypeVar('_Value')
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Encode a manifest; equal manifests give equal bytes.
+
+    :param manifest: the manifest.
+    """
+    return cbor2.dumps(manifest._asdict(), canonical=True)
+
+
+def decode_manifest(encoded: bytes) -> Result[Manifest, BundleError]:
+    """Decode a manifest; BundleMalformed for anything else.
+
+    :param encoded: the bytes.
+    """
+    return _decode(encoded, Manifest)
+
+
+def encode_pointer(pointer: BundlePointer) -> bytes:
+    """Encode a pointer.
+
+    :param pointer: the pointer.
+    """
+    return cbor2.dumps(pointer._asdict(), canonical=True)
+
+
+def decode_pointer(encoded: bytes) -> Result[BundlePointer, BundleError]:
+    """Decode a pointer; BundleMalformed for anything else.
+
+    :param encoded: the bytes.
+    """
+    return _decode(encoded, BundlePointer)
+
+
+def encode_signed(signed: SignedManifest) -> bytes:
+    """Encode a signed manifest.
+
+    :param signed: the signed manifest.
+    """
+    return cbor2.dumps(signed._asdict(), canonical=True)
+
+
+def decode_signed(encoded: bytes) -> Result[SignedManifest, BundleError]:
+    """Decode a signed manifest without verifying it.
+
+    :param encoded: the bytes.
+    """
+    return _decode(encoded, SignedManifest)
+
+
+def sign_manifest(encoded: bytes, key_name: str, key: SigningKey) -> bytes:
+    """Sign a manifest; returns the encoded :class:`SignedManifest`.
+
+    :param encoded: the encoded manifest.
+    :param key_name: name of the key in the trusted keys.
+    :param key: the operator's private key.
+    """
+    signature = key.sign(_SIGNING_CONTEXT + encoded).signature
+    return encode_signed(SignedManifest(encoded, key_name, signature))
+
+
+def verify_signed(
+    encoded: bytes,
+    digest: str,
+    trusted_keys: Mapping[str, VerifyKey],
+) -> Result[Manifest, BundleError]:
+    """Return the manifest if it is the named one and a trusted key signed it.
+
+    Errors: BundleMalformed, BundleUntrusted.
+
+    :param encoded: the encoded signed manifest.
+    :param digest: digest that the manifest must have.
+    :param trusted_keys: public keys by name.
+    """
+    decoded = decode_signed(encoded)
+    if decoded.is_error():
+        return Error(decoded.error)
+    signed = decoded.ok
+    if digest_of(signed.manifest) != digest:
+        return Error(BundleMalformed('the manifest has another digest'))
+    key = trusted_keys.get(signed.key_name)
+    if key is None:
+        return Error(BundleUntrusted(f'no key {signed.key_name!r} is trusted'))
+    try:
+        key.verify(_SIGNING_CONTEXT + signed.manifest, signed.signature)
+    except (BadSignatureError, ValueError, TypeError):
+        return Error(BundleUntrusted('the signature does not match'))
+    return decode_manifest(signed.manifest)
+
+
+def _decode(encoded: bytes, kind: type[_Value]) -> Result[_Value, BundleError]:
+    if len(encoded) > MAX_VALUE_BYTES:
+        return Error(BundleMalformed(f'{kind.__name__} is too large'))
+    try:
+        return Ok(
+            _VALIDATORS[kind.__name__].validate_python(_plain_value(encoded))
+        )
+    except pydantic.ValidationError as exc:
+        fields = {'.'.join(map(str, item['loc'])) for item in exc.errors()}
+        at = ', '.join(sorted(fields))
+        return Error(BundleMalformed(f'not a {kind.__name__}: {at}'))
+    except ValueError as exc:
+        return Error(BundleMalformed(f'not a {kind.__name__}: {exc}'))
+
+
+def _plain_value(encoded: bytes) -> Any:
+    try:
+        return cbor2.loads(encoded)
+    except Exception as exc:  # hostile bytes make the decoder raise anything
+        raise ValueError(f'not CBOR: {exc}') from exc
+
+
+_VALIDATORS: Mapping[str, pydantic.TypeAdapter[Any]] = {
+    kind.__name__: pydantic.TypeAdapter(kind)
+    for kind in (BundlePointer, Manifest, SignedManifest)
+}
--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -34,7 +34,7 @@
 
 Name = Annotated[
     str,
-    pydantic.StringConstraints(pattern=r'^[A-Za-z0-9][\w.\-]{0,63}$'),
+    pydantic.StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9_.\-]{0,63}$'),
 ]
 Port = Annotated[int, pydantic.Field(strict=True, ge=1, le=_MAX_PORT)]
 Seconds = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
--- /dev/null
+++ b/tests/bundle_parts.py
@@ -0,0 +1,84 @@
+"""Bundles and their parts as the tests need them."""
+
+from datetime import datetime, timezone
+
+import yaml
+from expression import Error, Ok
+from nacl.signing import SigningKey
+
+from wasabicross.bundle_file import build_bundle, parse_bundle_file
+from wasabicross.bundles import BundlePointer
+from wasabicross.exceptions import BundleUnavailable
+from wasabicross.manifests import sign_manifest
+
+NOW = datetime(2026, 12, 3, 21, tzinfo=timezone.utc)
+ALICE = SigningKey(b'a' * 32)
+MALLORY = SigningKey(b'm' * 32)
+TRUSTED = {'alice': ALICE.verify_key}
+ROUTES = [
+    {
+        'path': '/v1/chat/completions',
+        'kind': 'engine',
+        'group': 'drafting',
+        'request_class': 'letter',
+    },
+    {
+        'path': '/fees',
+        'kind': 'service',
+        'group': 'fees',
+        'request_class': 'fee',
+        'idempotent_methods': ['GET'],
+    },
+    {
+        'path': '/fees/quotes/',
+        'kind': 'service',
+        'group': 'quotes',
+        'request_class': 'fee',
+    },
+]
+
+
+def bundle_text(versions, **changes):
+    document = {
+        'name': 'closing',
+        'routes': ROUTES,
+        'adapters': [{'base_model': 'base-a', 'versions': versions}],
+        'policy': {'stall_weight': 2},
+        **changes,
+    }
+    return yaml.dump(document)
+
+
+def built(versions, number=1, parent=''):
+    parsed = parse_bundle_file(bundle_text(versions)).ok
+    return build_bundle(parsed, number, parent).ok
+
+
+def pointer_to(bundle, number=1):
+    return BundlePointer(number, bundle.digest, NOW.isoformat(), 'alice')
+
+
+class MemorySource:
+    """Holds signed bundles, and counts what is fetched."""
+
+    def __init__(self, *bundles, key_name='alice', key=ALICE):
+        self.manifests = {
+            bundle.digest: sign_manifest(bundle.manifest, key_name, key)
+            for bundle in bundles
+        }
+        self.chunks = {}
+        for bundle in bundles:
+            self.chunks.update(bundle.chunks)
+        self.fetched = []
+
+    def manifest(self, digest):
+        return self._fetch(self.manifests, digest)
+
+    def chunk(self, digest):
+        return self._fetch(self.chunks, digest)
+
+    def _fetch(self, parts, digest):
+        if digest not in parts:
+            return Error(BundleUnavailable(f'{digest} is not here'))
+        self.fetched.append(parts[digest])
+        return Ok(parts[digest])
