--- /dev/null
+++ b/src/wasabicross/callers.py
@@ -0,0 +1,246 @@
+"""The HTTP interface of callers: who they are, what they want, the answer."""
+
+import hmac
+import random
+import time
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from prometheus_client import Counter
+
+from wasabicross.admission import Admission, Admitted, Refused
+from wasabicross.caller_request import CallerRequest
+from wasabicross.entry_link import EntryLink
+from wasabicross.model_calls import ModelCalls
+from wasabicross.replies import (
+    BAD_METHOD,
+    NO_BUNDLE,
+    NO_ROUTE,
+    OUTCOME_HEADER,
+    STOPPING,
+    TOO_LARGE,
+    UNAUTHORISED,
+    Fault,
+    Reply,
+    refuse,
+)
+from wasabicross.service_calls import ServiceCalls
+from wasabicross.settings import TenantSettings
+
+MAX_BODY_BYTES = 1024 * 1024
+MS_PER_S = 1000
+STOPPING_RETRY_S = 1.0
+
+REQUESTS = Counter(
+    'wasabicross_requests',
+    'Requests answered, by tenant, class, status and outcome.',
+    ('tenant', 'request_class', 'status', 'outcome'),
+)
+
+#: Fields of callers that are not passed on to backend servers.
+_KEPT_BACK = frozenset(('HTTP_AUTHORIZATION', 'HTTP_X_REQUEST_ID'))
+
+_Environ = dict[str, Any]
+_StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerLimits(NamedTuple):
+    """Bounds of a caller's request.
+
+    :param max_request_s: longest time until the answer has to be there.
+    :param max_body_bytes: largest body.
+    """
+
+    max_request_s: float
+    max_body_bytes: int = MAX_BODY_BYTES
+
+
+class CallerApi:
+    """The WSGI application that callers talk to.
+
+    :param link: tells the bundle in force.
+    :param tenants: who may call, each with a token.
+    :param admission: admits requests or refuses them at once.
+    :param model_calls: runs calls to models.
+    :param service_calls: runs calls to plain services.
+    :param limits: bounds of a request.
+    """
+
+    def __init__(
+        self,
+        link: EntryLink,
+        tenants: Iterable[TenantSettings],
+        admission: Admission,
+        model_calls: ModelCalls,
+        service_calls: ServiceCalls,
+        limits: CallerLimits,
+    ) -> None:
+        self.is_stopping = False
+        self._link = link
+        self._tenants = tuple(tenants)
+        self._admission = admission
+        self._runs = {'engine': model_calls.run, 'service': service_calls.run}
+        self._limits = limits
+
+    def __call__(
+        self, environ: _Environ, start_response: _StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, as WSGI has it."""
+        now_s = time.monotonic()
+        accepted = self._accept(environ, now_s)
+        if isinstance(accepted, Fault):
+            retry_after_s = STOPPING_RETRY_S if accepted.status == 503 else None
+            return self._send(refuse(accepted, retry_after_s), start_response)
+        reply = self._run(accepted, now_s)
+        REQUESTS.labels(
+            accepted.tenant,
+            accepted.route.request_class,
+            str(reply.status),
+            dict(reply.headers)[OUTCOME_HEADER],
+        ).inc()
+        return self._send(reply, start_response)
+
+    def _run(self, req: CallerRequest, now_s: float) -> Reply:
+        admitted = self._admission.admit(
+            req.tenant,
+            req.route.request_class,
+            '',
+            req.deadline_s - now_s,
+            now_s,
+        )
+        if isinstance(admitted, Refused):
+            overloaded = Fault(
+                429, 'overloaded_error', admitted.reason, 'Too much to do.'
+            )
+            return refuse(overloaded, admitted.retry_after_s)
+        try:
+            reply = self._runs[req.route.kind](req)
+        except BaseException:
+            self._admission.release(admitted)
+            raise
+        content = _Released(reply.content, self._admission, admitted)
+        return reply._replace(content=content)
+
+    def _accept(
+        self, environ: _Environ, now_s: float
+    ) -> CallerRequest | Fault:
+        tenant = self._tenant(environ.get('HTTP_AUTHORIZATION', ''))
+        if tenant is None:
+            return UNAUTHORISED
+        if self.is_stopping:
+            return STOPPING
+        bundle = self._link.bundle
+        if bundle is None:
+            return NO_BUNDLE
+        route = bundle.route(environ['PATH_INFO'])
+        if route is None:
+            return NO_ROUTE
+        method = environ['REQUEST_METHOD']
+        if route.kind == 'engine' and method != 'POST':
+            return BAD_METHOD
+        body = self._read_body(environ)
+        if isinstance(body, Fault):
+            return body
+        timeout_s = self._timeout_s(environ)
+        return CallerRequest(
+            environ.get('HTTP_X_REQUEST_ID') or uuid.uuid4().hex,
+            tenant,
+            method,
+            _path(environ),
+            _headers(environ),
+            body,
+            bundle,
+            route,
+            environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+            now_s,
+            now_s + timeout_s,
+        )
+
+    def _tenant(self, authorisation: str) -> str | None:
+        scheme, _, token = authorisation.partition(' ')
+        if scheme.lower() != 'bearer':
+            return None
+        for tenant in self._tenants:
+            if hmac.compare_digest(tenant.token.encode(), token.encode()):
+                return tenant.name
+        return None
+
+    def _timeout_s(self, environ: _Environ) -> float:
+        told = environ.get('HTTP_X_REQUEST_TIMEOUT_MS', '')
+        longest_s = self._limits.max_request_s
+        if not told.isdecimal():
+            return longest_s
+        return min(longest_s, int(told) / MS_PER_S)
+
+    def _read_body(self, environ: _Environ) -> bytes | Fault:
+        longest = self._limits.max_body_bytes
+        length = environ.get('CONTENT_LENGTH') or ''
+        if length.isdecimal() and int(length) > longest:
+            return TOO_LARGE
+        if not length and 'HTTP_TRANSFER_ENCODING' not in environ:
+            return b''
+        wanted = int(length) if length.isdecimal() else longest + 1
+        body: bytes = environ['wsgi.input'].read(wanted)
+        return TOO_LARGE if len(body) > longest else body
+
+    def _send(
+        self, reply: Reply, start_response: _StartResponse
+    ) -> Iterable[bytes]:
+        headers = list(reply.headers)
+        if self.is_stopping:
+            headers.append(('Connection', 'close'))
+        status = HTTPStatus(reply.status)
+        start_response(f'{reply.status} {status.phrase}', headers)
+        return reply.content
+
+
+class _Released:
+    """The content of a reply; gives the place back when it has ended."""
+
+    def __init__(
+        self,
+        content: Iterable[bytes],
+        admission: Admission,
+        admitted: Admitted,
+    ) -> None:
+        self._content = content
+        self._admission = admission
+        self._admitted = admitted
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._content)
+
+    def close(self) -> None:
+        """End the content, whether or not all of it was sent."""
+        close = getattr(self._content, 'close', None)
+        if close is not None:
+            close()
+        self._admission.release(self._admitted)
+
+
+def spreading_rng(seed: str) -> random.Random:
+    """Return the generator that spreads the times of callers' returns.
+
+    :param seed: differs between processes.
+    """
+    return random.Random(seed)  # noqa: S311
+
+
+def _path(environ: _Environ) -> str:
+    query = environ.get('QUERY_STRING', '')
+    path: str = environ['PATH_INFO']
+    return f'{path}?{query}' if query else path
+
+
+def _headers(environ: _Environ) -> tuple[tuple[str, str], ...]:
+    named = [
+        (name.removeprefix('HTTP_').replace('_', '-').title(), text)
+        for name, text in environ.items()
+        if name.startswith('HTTP_') and name not in _KEPT_BACK
+    ]
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        named.append(('Content-Type', content_type))
+    return tuple(named)
--- /dev/null
+++ b/src/wasabicross/entry.py
@@ -0,0 +1,142 @@
+"""`wasabicross-entry`: takes callers' requests and streams their answers."""
+
+import signal
+import threading
+import uuid
+
+import click
+from cheroot import wsgi
+
+from wasabicross import __version__
+from wasabicross.admission import Admission, AdmissionLimits
+from wasabicross.attempts import Outstanding
+from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
+from wasabicross.entry_link import EntryLink
+from wasabicross.events import Event
+from wasabicross.key_claims import KeyClaims
+from wasabicross.logs import configure_logs, log_event
+from wasabicross.model_calls import ModelCalls
+from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.retries import RetryBudget
+from wasabicross.service_calls import ServiceCalls
+from wasabicross.settings import EntrySettings, Settings
+from wasabicross.telemetry import MetricsServer, Readiness
+
+SPARE_THREADS = 16
+HEADER_TIMEOUT_S = 10
+LISTEN_BACKLOG = 256
+DRAIN_GRACE_S = 1.0
+READY_INTERVAL_S = 0.1
+
+
+class Entry:
+    """One entry process.
+
+    :param cfg: settings of the instance.
+    :param entry: settings of this entry.
+    """
+
+    def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
+        self.readiness = Readiness(('bundle', 'servers', 'accepting'))
+        self._stopping = threading.Event()
+        self._link = EntryLink(cfg, entry)
+        self._metrics = MetricsServer(
+            cfg.instance.host, entry.metrics_port, self.readiness
+        )
+        self._api = _caller_api(cfg, entry, self._link)
+        self._server = wsgi.Server(
+            (cfg.instance.host, entry.port),
+            self._api,
+            numthreads=entry.max_requests + SPARE_THREADS,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=HEADER_TIMEOUT_S,
+            # Workers that stream go on until their answers have ended.
+            shutdown_timeout=cfg.servers.max_request_s + HEADER_TIMEOUT_S,
+        )
+
+    def start(self) -> None:
+        """Start serving; metrics first, since they tell that it lives."""
+        self._metrics.start()
+        self._link.start()
+        self._server.prepare()
+        for name, run in (
+            ('callers', self._server.serve),
+            ('ready', self._follow_readiness),
+        ):
+            threading.Thread(target=run, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """Take nothing new, wait for all answers to end, then end."""
+        self._api.is_stopping = True
+        self._stopping.set()
+        self.readiness.declare('accepting', holds=False)
+        threading.Event().wait(DRAIN_GRACE_S)
+        self._server.stop()
+        self._link.stop()
+        self._metrics.stop()
+
+    def _follow_readiness(self) -> None:
+        self.readiness.declare('accepting', holds=True)
+        while not self._stopping.wait(READY_INTERVAL_S):
+            has_bundle = self._link.bundle is not None
+            self.readiness.declare('bundle', holds=has_bundle)
+            listed = self._link.listed.is_set()
+            self.readiness.declare('servers', holds=listed)
+        self.readiness.declare('accepting', holds=False)
+
+
+def _caller_api(
+    cfg: Settings, entry: EntrySettings, link: EntryLink
+) -> CallerApi:
+    data_centre = cfg.instance.data_centre
+    outstanding = Outstanding()
+    retry_budget = RetryBudget()
+    life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
+    weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
+    admission = Admission(
+        AdmissionLimits(
+            entry.max_requests, entry.max_requests, tenant_weights=weights
+        ),
+        spreading_rng(life),
+    )
+    return CallerApi(
+        link,
+        cfg.tenants,
+        admission,
+        ModelCalls(link, outstanding, retry_budget, data_centre),
+        ServiceCalls(
+            link,
+            outstanding,
+            retry_budget,
+            KeyClaims(link, life),
+            data_centre,
+        ),
+        CallerLimits(cfg.servers.max_request_s),
+    )
+
+
+@click.command()
+@settings_options('wasabicross-entry', named=True)
+def main(
+    config: tuple[str, ...], check_config: bool, name: str | None
+) -> None:
+    """Run an entry of an instance."""
+    cfg = settings_or_exit(config, check_config=check_config, name=name)
+    entry_cfg = cfg.entry(name)
+    if entry_cfg is None:
+        raise click.UsageError('--name must tell one of the entries')
+    configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    entry = Entry(cfg, entry_cfg)
+    entry.start()
+    log_event(Event.PROGRAM_STARTED, version=__version__)
+    stop.wait()
+    log_event(Event.PROGRAM_STOPPING)
+    entry.stop()
+    log_event(Event.PROGRAM_STOPPED)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/wasabicross/key_claims.py
@@ -0,0 +1,193 @@
+"""Claims of idempotency keys, as an entry asks for and settles them."""
+
+import json
+from collections.abc import Iterator
+
+from wasabicross.caller_request import CallerRequest
+from wasabicross.entry_link import EntryLink
+from wasabicross.exceptions import AnswerCut
+from wasabicross.messages import ClaimAnswer, ClaimKey, SettleKey
+from wasabicross.replies import (
+    COMPLETED,
+    NOT_RUN,
+    OUTCOME_HEADER,
+    OUTCOME_UNKNOWN,
+    Fault,
+    Reply,
+    fault_reply,
+    refuse,
+)
+
+CLAIM_TIMEOUT_S = 5.0
+SETTLE_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 2.0
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+GRANTED = 'granted'
+
+CLAIM_UNAVAILABLE = Fault(
+    503,
+    'overloaded_error',
+    'claim_unavailable',
+    'The idempotency key can not be claimed now; the request was not run.',
+)
+KEY_REUSED = Fault(
+    422,
+    'invalid_request_error',
+    'key_reused',
+    'The idempotency key belongs to another request.',
+)
+
+#: Answers to a repeat, by the state of its key: outcome and fault.
+_REPEATS = {
+    'running': (
+        OUTCOME_UNKNOWN,
+        Fault(
+            409,
+            'conflict_error',
+            'still_running',
+            'The request with this key is still running.',
+        ),
+    ),
+    'already_run': (
+        COMPLETED,
+        Fault(
+            409,
+            'conflict_error',
+            'already_run',
+            'The request with this key has run; its answer is not kept.',
+        ),
+    ),
+    'unknown': (
+        OUTCOME_UNKNOWN,
+        Fault(
+            409,
+            'conflict_error',
+            'outcome_unknown',
+            'The request with this key may have run and is not run again.',
+        ),
+    ),
+}
+
+
+class KeyClaims:
+    """Claims keys at the controller before a request is dispatched.
+
+    :param link: the link to the controller.
+    :param holder: name of this entry process, unique in all data centres
+        and lives.
+    """
+
+    def __init__(self, link: EntryLink, holder: str) -> None:
+        self._link = link
+        self._holder = holder
+
+    def claim(self, req: CallerRequest, digest: str) -> Reply | None:
+        """Claim a request's key; None if the request may run now.
+
+        :param req: the request, with a key.
+        :param digest: digest of all that makes the request what it is.
+        :returns: the reply that takes the place of running it, otherwise.
+        """
+        asked = ClaimKey(
+            req.tenant, req.key, digest, f'{self._holder}/{req.request_id}'
+        )
+        answered = self._link.call(asked, CLAIM_TIMEOUT_S)
+        if answered.is_error() or not isinstance(answered.ok, ClaimAnswer):
+            # The claim may have been written: it is never dispatched, and
+            # settling it as not run lets a repeat run.
+            self._settle(req, 'not_run', None)
+            return refuse(CLAIM_UNAVAILABLE, RETRY_AFTER_S)
+        answer = answered.ok
+        if answer.state == GRANTED:
+            return None
+        return _repeat_reply(answer)
+
+    def settle(self, req: CallerRequest, reply: Reply) -> Reply:
+        """Tell the outcome of a claimed request once its answer has ended.
+
+        :param req: the request.
+        :param reply: its reply, whose content is passed through.
+        """
+        outcome = dict(reply.headers)[OUTCOME_HEADER]
+        if outcome == NOT_RUN:
+            settled = self._settle(req, 'not_run', None)
+            return reply if settled else _not_released(reply)
+        if outcome == OUTCOME_UNKNOWN:
+            self._settle(req, 'unknown', None)
+            return reply
+        return reply._replace(content=self._kept(req, reply))
+
+    def _kept(self, req: CallerRequest, reply: Reply) -> Iterator[bytes]:
+        """Pass the pieces through and settle at their end.
+
+        The claim is settled before the last piece goes out, so that a caller
+        who has the whole answer finds the key completed.
+        """
+        pieces = iter(reply.content)
+        held = next(pieces, b'')
+        answer = [held]
+        size = len(held)
+        try:
+            for piece in pieces:
+                yield held
+                held = piece
+                size += len(piece)
+                if size <= MAX_KEPT_ANSWER_BYTES:
+                    answer.append(piece)
+        except AnswerCut:
+            self._settle(req, 'unknown', None)
+            raise
+        kept = b''.join(answer) if size <= MAX_KEPT_ANSWER_BYTES else b''
+        self._settle(req, 'completed', reply._replace(content=(kept,)))
+        yield held
+
+    def _settle(
+        self, req: CallerRequest, outcome: str, reply: Reply | None
+    ) -> bool:
+        kept = b''.join(reply.content) if reply else b''
+        content_type = ''
+        if reply is not None:
+            content_type = dict(reply.headers).get('Content-Type', '')
+        told = SettleKey(
+            req.tenant,
+            req.key,
+            f'{self._holder}/{req.request_id}',
+            outcome,
+            reply.status if reply else 0,
+            content_type,
+            kept,
+        )
+        return self._link.call(told, SETTLE_TIMEOUT_S).is_ok()
+
+
+def _repeat_reply(answer: ClaimAnswer) -> Reply:
+    if answer.state == 'completed':
+        headers = (
+            ('Content-Type', answer.content_type),
+            ('Content-Length', str(len(answer.answer))),
+            (OUTCOME_HEADER, COMPLETED),
+            ('X-Wasabicross-Repeated', 'true'),
+        )
+        return Reply(answer.status, headers, (answer.answer,))
+    if answer.state == 'key_reused':
+        return refuse(KEY_REUSED)
+    if answer.state in _REPEATS:
+        outcome, fault = _REPEATS[answer.state]
+        return fault_reply(fault, outcome, answer.retry_after_s or None)
+    return refuse(CLAIM_UNAVAILABLE, answer.retry_after_s or RETRY_AFTER_S)
+
+
+def _not_released(reply: Reply) -> Reply:
+    """Say unknown where a repeat would not be run either.
+
+    The request was not run, but its key could not be released durably, so a
+    repeat may be answered with an unknown outcome.
+    """
+    content = json.loads(b''.join(reply.content))
+    content['error']['code'] = 'not_run_key_held'
+    body = json.dumps(content).encode()
+    headers = tuple(
+        (name, str(len(body)) if name == 'Content-Length' else text)
+        for name, text in reply.headers
+    )
+    return Reply(reply.status, headers, (body,))
