Call engines and plain services, with stand-ins for them and the weight store

Cause: the system has no way yet to reach backend servers, and nothing to reach in tests.

Ruled out: urllib3's pool. It connects by itself within a request, so a failed connection and a lost request have to be told apart by the kind of exception, and it hands out kept-alive connections for calls that may not be repeated. Its connection class is used directly instead.

--- /dev/null
+++ b/emulator/http_server.py
@@ -0,0 +1,253 @@
+"""A small asyncio HTTP server whose connections can die at a given point."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import click
+
+from emulator.faults import Faults, Point
+
+_REASONS = {
+    200: 'OK',
+    400: 'Bad Request',
+    404: 'Not Found',
+    409: 'Conflict',
+    429: 'Too Many Requests',
+    500: 'Internal Server Error',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+
+class HttpRequest(NamedTuple):
+    """A request that was read whole.
+
+    :param path: decoded path without the query.
+    :param query: first value of each parameter.
+    :param headers: by lower-case name.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def document(self) -> dict[str, Any]:
+        """Returns the JSON object in the body, or an empty one."""
+        try:
+            document = json.loads(self.body)
+        except ValueError:
+            return {}
+        return document if isinstance(document, dict) else {}
+
+
+class ConnectionDied(Exception):
+    """The connection was reset by a fault, or the peer closed it."""
+
+
+class PeerReader(asyncio.StreamReader):
+    """A peer's bytes, with a call when the peer closes the connection."""
+
+    is_gone = False
+    on_gone: Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        """Notes that the peer sends nothing more."""
+        super().feed_eof()
+        self._leave()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Notes that the connection is lost."""
+        super().set_exception(exc)
+        self._leave()
+
+    def _leave(self) -> None:
+        self.is_gone = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+
+class Responder:
+    """The way back to one peer.
+
+    :param reader: the peer's bytes.
+    :param writer: to the peer.
+    """
+
+    def __init__(
+        self,
+        reader: PeerReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self.die_at: Point | None = None
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the peer has closed the connection."""
+        return self._reader.is_gone or self._writer.is_closing()
+
+    def call_when_gone(self, callback: Callable[[], None] | None) -> None:
+        """Has one call made when the peer closes the connection."""
+        self._reader.on_gone = callback
+
+    def reset(self) -> None:
+        """Drops the connection without an end."""
+        self._writer.transport.abort()
+
+    def send_json(
+        self,
+        status: int,
+        document: Any,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Sends a whole answer."""
+        body = json.dumps(document).encode()
+        fields = (
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+            *headers,
+        )
+        self._send_head(status, fields)
+        if self.die_at is Point.MID_BODY:
+            self._die(body[: len(body) // 2])
+        self._writer.write(body)
+
+    def start_stream(self, content_type: str) -> None:
+        """Starts a chunked answer."""
+        fields = (
+            ('Content-Type', content_type),
+            ('Transfer-Encoding', 'chunked'),
+        )
+        self._send_head(200, fields)
+
+    def send_chunk(self, data: bytes) -> None:
+        """Sends a piece of a chunked answer."""
+        if self.die_at is Point.MID_BODY:
+            self._die(b'%x\r\n%b' % (len(data), data[: len(data) // 2]))
+        self._writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+
+    def end_stream(self) -> None:
+        """Ends a chunked answer as complete."""
+        self._writer.write(b'0\r\n\r\n')
+
+    def _send_head(
+        self,
+        status: int,
+        fields: tuple[tuple[str, str], ...],
+    ) -> None:
+        lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
+        lines.extend(f'{name}: {text}' for name, text in fields)
+        self._writer.write('\r\n'.join((*lines, '', '')).encode())
+        if self.die_at is Point.AFTER_HEADERS:
+            self._die(b'')
+
+    def _die(self, last_bytes: bytes) -> None:
+        # Closing sends what was written, unlike aborting.
+        self._writer.write(last_bytes)
+        self._writer.close()
+        raise ConnectionDied
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """Serves requests one after the other on each connection.
+
+    :param handler: answers a request through the responder.
+    :param faults: which connections die, and where.
+    :param control_paths: prefixes of the paths that don't die.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        faults: Faults,
+        control_paths: tuple[str, ...] = ('/fault', '/debug'),
+    ) -> None:
+        self._handler = handler
+        self._faults = faults
+        self._control_paths = control_paths
+        self._open: set[Responder] = set()
+
+    async def serve(self, host: str, port: int) -> None:
+        """Listens until cancelled; prints the port when ready."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: asyncio.StreamReaderProtocol(PeerReader(), self._talk),
+            host,
+            port,
+            backlog=512,
+        )
+        number = server.sockets[0].getsockname()[1]
+        click.echo(f'listening {number}')
+        async with server:
+            await server.serve_forever()
+
+    def reset_others(self, responder: Responder) -> None:
+        """Drops every open connection but one."""
+        for other in self._open - {responder}:
+            other.reset()
+
+    async def _talk(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        assert isinstance(reader, PeerReader)
+        responder = Responder(reader, writer)
+        if self._faults.take(Point.ON_CONNECT):
+            responder.reset()
+            return
+        self._open.add(responder)
+        with contextlib.suppress(
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            ConnectionDied,
+        ):
+            while not responder.is_gone:
+                await self._serve_one(reader, writer, responder)
+        self._open.discard(responder)
+        writer.close()
+
+    async def _serve_one(
+        self,
+        reader: PeerReader,
+        writer: asyncio.StreamWriter,
+        responder: Responder,
+    ) -> None:
+        req = _parse_head(await reader.readuntil(b'\r\n\r\n'))
+        is_control = req.path.startswith(self._control_paths)
+        if not is_control and self._faults.take(Point.HALF_REQUEST):
+            responder.reset()
+            raise ConnectionDied
+        length = int(req.headers.get('content-length', '0'))
+        req = req._replace(body=await reader.readexactly(length))
+        responder.die_at = None if is_control else self._faults.take_later()
+        if responder.die_at is Point.AFTER_REQUEST:
+            responder.reset()
+            raise ConnectionDied
+        await self._handler(req, responder)
+        await writer.drain()
+        if req.headers.get('connection') == 'close':
+            raise ConnectionDied
+
+
+def _parse_head(head: bytes) -> HttpRequest:
+    lines = head.decode('latin-1').split('\r\n')
+    method, target, _ = lines[0].split(' ', 2)
+    headers = {}
+    for line in lines[1:]:
+        name, colon, text = line.partition(':')
+        if colon:
+            headers[name.lower()] = text.strip()
+    url = urlsplit(target)
+    query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
+    return HttpRequest(method, unquote(url.path), query, headers, b'')
--- /dev/null
+++ b/emulator/service.py
@@ -0,0 +1,117 @@
+"""Stand-in for a plain service: orders, fees, and how often each ran."""
+
+import asyncio
+import hashlib
+import time
+from collections import Counter
+from typing import Any
+
+import click
+
+from emulator.faults import Faults, Point
+from emulator.http_server import HttpRequest, HttpServer, Responder
+
+
+class Service:
+    """A service that runs each call and counts it.
+
+    :param delay_s: how long a call runs.
+    :param max_running: calls beyond this are refused with 503.
+    """
+
+    def __init__(self, delay_s: float, max_running: int) -> None:
+        self.faults = Faults()
+        self._delay_s = delay_s
+        self._max_running = max_running
+        self._running = 0
+        self._by_key: Counter[str] = Counter()
+        self._by_request: Counter[str] = Counter()
+        self._log: list[dict[str, Any]] = []
+
+    async def handle(self, req: HttpRequest, responder: Responder) -> None:
+        """Answers one request."""
+        match req.method, req.path:
+            case 'GET', '/debug/log':
+                responder.send_json(200, self._describe())
+            case 'POST', '/fault':
+                self._set_fault(req.document())
+                responder.send_json(200, {})
+            case _:
+                await self._run(req, responder)
+
+    async def _run(self, req: HttpRequest, responder: Responder) -> None:
+        if self._running >= self._max_running:
+            document = {'error': {'code': 'overloaded', 'message': 'full'}}
+            responder.send_json(503, document, (('Retry-After', '1'),))
+            return
+        self._count(req)
+        self._running += 1
+        try:
+            await asyncio.sleep(self._delay_s)
+        finally:
+            self._running -= 1
+        if responder.die_at is Point.AFTER_RUN:
+            responder.reset()
+            return
+        responder.send_json(200, reply_to(req.method, req.path, req.body))
+
+    def _count(self, req: HttpRequest) -> None:
+        key = req.headers.get('idempotency-key', '')
+        request_id = req.headers.get('x-request-id', '')
+        self._by_key[key] += 1
+        self._by_request[request_id] += 1
+        self._log.append(
+            {
+                'at': time.monotonic(),
+                'method': req.method,
+                'path': req.path,
+                'key': key,
+                'request_id': request_id,
+                'body_digest': hashlib.sha256(req.body).hexdigest(),
+            }
+        )
+
+    def _set_fault(self, document: dict[str, Any]) -> None:
+        match document.get('kind'):
+            case 'slow':
+                self._delay_s = document['delay_ms'] / 1000
+            case 'refuse':
+                self._max_running = 0
+            case 'recover':
+                self._max_running = int(document.get('max_running', 64))
+            case _:
+                self.faults.set_from(document)
+
+    def _describe(self) -> dict[str, Any]:
+        return {
+            'executions_by_key': self._by_key,
+            'executions_by_request': self._by_request,
+            'log': self._log,
+        }
+
+
+def reply_to(method: str, path: str, body: bytes) -> dict[str, str]:
+    """Returns the reply that depends on nothing but the call."""
+    digest = hashlib.sha256(body).hexdigest()
+    return {
+        'method': method,
+        'path': path,
+        'receipt': hashlib.sha256(f'{path}{digest}'.encode()).hexdigest(),
+        'body_digest': digest,
+    }
+
+
+@click.command()
+@click.option('--host', default='127.0.0.1')
+@click.option('--port', default=0)
+@click.option('--delay-ms', default=float(0))
+@click.option('--max-running', default=64)
+def main(host: str, port: int, delay_ms: float, max_running: int) -> None:
+    """Run a stand-in plain service until it is ended."""
+    service = Service(delay_ms / 1000, max_running)
+    server = HttpServer(service.handle, service.faults)
+    asyncio.run(server.serve(host, port))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/emulator/slots.py
@@ -0,0 +1,126 @@
+"""The adapter slots of the stand-in engine, and the fetching of weights."""
+
+import asyncio
+from typing import NamedTuple
+from urllib.parse import unquote, urlsplit
+
+
+class LoadRefused(Exception):
+    """A load can't be had.
+
+    :param status: HTTP status to answer with.
+    :param code: stable word for the reason.
+    """
+
+    def __init__(self, status: int, code: str) -> None:
+        super().__init__(code)
+        self.status = status
+        self.code = code
+
+
+class Load(NamedTuple):
+    """An adapter version in a slot.
+
+    :param produced_by: ``adapter@version`` as fetched.
+    :param is_ready: whether requests can use it.
+    """
+
+    produced_by: str
+    is_ready: bool
+
+
+class Slots:
+    """The loads that the engine holds or is fetching.
+
+    :param capacity: how many there can be.
+    :param weights_url: base URL of the weight store, empty for none.
+    """
+
+    def __init__(self, capacity: int, weights_url: str) -> None:
+        self.capacity = capacity
+        self._weights_url = weights_url
+        self._loads: dict[str, Load] = {}
+        self._fail_next = 0
+        self._slow_next = 0
+        self._delay_s: float = 0
+
+    @property
+    def ready(self) -> tuple[str, ...]:
+        """Names of the loads that requests can use."""
+        return tuple(
+            name for name, load in self._loads.items() if load.is_ready
+        )
+
+    def get(self, name: str) -> Load | None:
+        """Returns a load that requests can use."""
+        load = self._loads.get(name)
+        return load if load is not None and load.is_ready else None
+
+    async def load(self, name: str, path: str) -> None:
+        """Fetches an adapter version into a free slot.
+
+        :param path: ``adapter/version``, both quoted.
+        """
+        if name in self._loads:
+            raise LoadRefused(400, 'already_loaded')
+        if len(self._loads) >= self.capacity:
+            raise LoadRefused(409, 'slots_full')
+        adapter, _, version = path.partition('/')
+        load = Load(f'{unquote(adapter)}@{unquote(version)}', is_ready=False)
+        self._loads[name] = load
+        try:
+            await self._fetch(path)
+        except BaseException:
+            if self._loads.get(name) is load:
+                self._loads.pop(name)
+            raise
+        if self._loads.get(name) is not load:
+            raise LoadRefused(500, 'load_dropped')
+        self._loads[name] = load._replace(is_ready=True)
+
+    def evict(self, name: str) -> None:
+        """Frees the slot of a load."""
+        if self._loads.pop(name, None) is None:
+            raise LoadRefused(404, 'not_loaded')
+
+    def clear(self) -> None:
+        """Forgets all loads, also those being fetched."""
+        self._loads.clear()
+
+    def fail_next(self, count: int) -> None:
+        """Has the next loads fail."""
+        self._fail_next = count
+
+    def slow_next(self, count: int, delay_s: float) -> None:
+        """Has the next loads take longer."""
+        self._slow_next = count
+        self._delay_s = delay_s
+
+    async def _fetch(self, path: str) -> None:
+        failing = self._fail_next > 0
+        self._fail_next -= failing
+        if self._slow_next > 0:
+            self._slow_next -= 1
+            await asyncio.sleep(self._delay_s)
+        if failing:
+            raise LoadRefused(500, 'load_failed')
+        if self._weights_url:
+            await _fetch_weights(self._weights_url, path)
+
+
+async def _fetch_weights(weights_url: str, path: str) -> None:
+    url = urlsplit(weights_url)
+    try:
+        reader, writer = await asyncio.open_connection(url.hostname, url.port)
+    except OSError as exc:
+        raise LoadRefused(500, 'weights_unreachable') from exc
+    try:
+        head = f'GET /weights/{path} HTTP/1.1\r\nConnection: close\r\n\r\n'
+        writer.write(head.encode())
+        answer = await reader.read()
+    except OSError as exc:
+        raise LoadRefused(500, 'weights_lost') from exc
+    finally:
+        writer.close()
+    if not answer.startswith(b'HTTP/1.1 200'):
+        raise LoadRefused(500, 'load_failed')
--- /dev/null
+++ b/emulator/tokens.py
@@ -0,0 +1,98 @@
+"""What the stand-in engine answers: text that depends on nothing but input."""
+
+import hashlib
+import json
+from typing import Any
+
+#: Fields of a request that don't change the text.
+_SILENT_FIELDS = frozenset(('model', 'stream', 'stream_options'))
+
+_DIGITS_PER_TOKEN = 4
+_TOKENS_PER_DIGEST = 16
+
+
+def digest_of(document: dict[str, Any]) -> str:
+    """Returns a digest of the fields that the text depends on."""
+    telling = {
+        name: field
+        for name, field in document.items()
+        if name not in _SILENT_FIELDS
+    }
+    canonical = json.dumps(telling, sort_keys=True, separators=(',', ':'))
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+class AnswerText:
+    """The text of one answer, token by token.
+
+    :param produced_by: ``adapter@version`` of the weights that produce it.
+    :param document: the request.
+    """
+
+    def __init__(self, produced_by: str, document: dict[str, Any]) -> None:
+        seed = f'{produced_by}|{digest_of(document)}'
+        self._produced_by = produced_by
+        self._digest = hashlib.sha256(seed.encode()).hexdigest()
+
+    def token(self, index: int) -> str:
+        """Returns one token; the first names what produced it."""
+        if index == 0:
+            return f'[{self._produced_by}]'
+        start = index % _TOKENS_PER_DIGEST * _DIGITS_PER_TOKEN
+        return f' {self._digest[start : start + _DIGITS_PER_TOKEN]}.{index}'
+
+    def whole(self, count: int) -> str:
+        """Returns the text of an answer with this many tokens."""
+        return ''.join(self.token(index) for index in range(count))
+
+
+def sse_event(document: dict[str, Any]) -> bytes:
+    """Returns one server-sent event."""
+    return b'data: %b\n\n' % json.dumps(document).encode()
+
+
+def chunk_event(
+    answer_id: str,
+    model: str,
+    text: str,
+    finish_reason: str | None,
+) -> bytes:
+    """Returns the event with one token of a streamed answer."""
+    return sse_event(
+        {
+            'id': answer_id,
+            'object': 'chat.completion.chunk',
+            'created': 0,
+            'model': model,
+            'choices': [
+                {
+                    'index': 0,
+                    'delta': {'content': text},
+                    'finish_reason': finish_reason,
+                },
+            ],
+        }
+    )
+
+
+def whole_answer(
+    answer_id: str,
+    model: str,
+    text: str,
+    usage: dict[str, int],
+) -> dict[str, Any]:
+    """Returns an answer that isn't streamed."""
+    return {
+        'id': answer_id,
+        'object': 'chat.completion',
+        'created': 0,
+        'model': model,
+        'choices': [
+            {
+                'index': 0,
+                'message': {'role': 'assistant', 'content': text},
+                'finish_reason': 'length',
+            },
+        ],
+        'usage': usage,
+    }
--- /dev/null
+++ b/emulator/weights.py
@@ -0,0 +1,145 @@
+"""Stand-in for the rate-limited weight store.
+
+A load takes its full-speed time while few are in flight and proportionally
+longer beyond. Loads that come faster than the allowed rate are counted as
+breaches and wait for their turn.
+"""
+
+import asyncio
+import time
+from typing import Any
+
+import click
+
+from emulator.faults import Faults
+from emulator.http_server import HttpRequest, HttpServer, Responder
+
+#: Loads at once that don't slow each other.
+FULL_SPEED_IN_FLIGHT = 8
+
+_TICK_S = 0.01
+
+
+class WeightStore:
+    """The store and its counters.
+
+    :param loads_per_s: allowed rate, also the burst that may come at once.
+    :param load_s: time of a load at full speed.
+    """
+
+    def __init__(
+        self,
+        loads_per_s: float,
+        load_s: float,
+    ) -> None:
+        self.faults = Faults()
+        self._loads_per_s = loads_per_s
+        self._load_s = load_s
+        self._tokens = max(1.0, loads_per_s)
+        self._refilled_at = time.monotonic()
+        self._in_flight = 0
+        self._fail_next = 0
+        self._extra_s: float = 0
+        self._counts = {
+            'loads': 0,
+            'failed': 0,
+            'breaches': 0,
+            'max_in_flight': 0,
+        }
+        self._log: list[dict[str, Any]] = []
+
+    async def handle(self, req: HttpRequest, responder: Responder) -> None:
+        """Answers one request."""
+        match req.method, req.path.split('/')[1:]:
+            case 'GET', ['weights', adapter, version]:
+                await self._serve_load(adapter, version, responder)
+            case 'GET', ['debug', 'log']:
+                document = {'counts': self._counts, 'log': self._log}
+                responder.send_json(200, document)
+            case 'POST', ['fault']:
+                self._set_fault(req.document())
+                responder.send_json(200, {})
+            case _:
+                responder.send_json(404, {})
+
+    async def _serve_load(
+        self,
+        adapter: str,
+        version: str,
+        responder: Responder,
+    ) -> None:
+        started_at = time.monotonic()
+        self._in_flight += 1
+        self._counts['max_in_flight'] = max(
+            self._counts['max_in_flight'],
+            self._in_flight,
+        )
+        failing = self._fail_next > 0
+        self._fail_next -= failing
+        try:
+            await asyncio.sleep(self._wait_for_turn(started_at))
+            await self._transfer(responder)
+        finally:
+            self._in_flight -= 1
+        self._counts['failed' if failing else 'loads'] += 1
+        self._log.append(
+            {
+                'at': started_at,
+                'took_s': time.monotonic() - started_at,
+                'adapter': adapter,
+                'version': version,
+                'failed': failing,
+            }
+        )
+        status = 500 if failing else 200
+        responder.send_json(status, {'adapter': adapter, 'version': version})
+
+    def _wait_for_turn(self, now_s: float) -> float:
+        gained = (now_s - self._refilled_at) * self._loads_per_s
+        burst = max(1.0, self._loads_per_s)
+        self._tokens = min(burst, self._tokens + gained) - 1
+        self._refilled_at = now_s
+        if self._tokens >= 0:
+            return 0
+        self._counts['breaches'] += 1
+        return -self._tokens / self._loads_per_s
+
+    async def _transfer(self, responder: Responder) -> None:
+        left_s = self._load_s + self._extra_s
+        last_s = time.monotonic()
+        while left_s > 0 and not responder.is_gone:
+            await asyncio.sleep(min(_TICK_S, left_s))
+            now_s = time.monotonic()
+            share = FULL_SPEED_IN_FLIGHT / max(1, self._in_flight)
+            left_s -= (now_s - last_s) * min(1.0, share)
+            last_s = now_s
+
+    def _set_fault(self, document: dict[str, Any]) -> None:
+        match document.get('kind'):
+            case 'fail_loads':
+                self._fail_next = int(document.get('count', 1))
+            case 'slow_loads':
+                self._extra_s = document['delay_ms'] / 1000
+            case _:
+                self.faults.set_from(document)
+
+
+@click.command()
+@click.option('--host', default='127.0.0.1')
+@click.option('--port', default=0)
+@click.option('--loads-per-s', default=3.0)
+@click.option('--load-ms', default=250.0)
+def main(
+    host: str,
+    port: int,
+    loads_per_s: float,
+    load_ms: float,
+) -> None:
+    """Run a stand-in weight store until it is ended."""
+    store = WeightStore(loads_per_s, load_ms / 1000)
+    server = HttpServer(store.handle, store.faults)
+    asyncio.run(server.serve(host, port))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/wasabicross/responses.py
@@ -0,0 +1,122 @@
+"""Response bodies read as they arrive, for streams of many small chunks."""
+
+import io
+import socket
+from http.client import HTTPResponse
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+
+#: Most bytes that one read takes from the socket.
+READ_BUFFER_BYTES = 65_536
+
+
+class ArrivalReader(io.BufferedReader):
+    """A buffered reader that also tells what has arrived, without waiting.
+
+    :param sock: a connected socket; the reader keeps it open until closed.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(
+            sock.makefile('rb', buffering=0),
+            READ_BUFFER_BYTES,
+        )
+        self._sock = sock
+        self.had_unread_bytes = False
+
+    def arrived(self) -> bytes:
+        """Returns the buffered bytes without consuming them.
+
+        Only an empty buffer is filled, with what the socket has just then.
+        """
+        timeout_s = self._sock.gettimeout()
+        self._sock.settimeout(0)
+        try:
+            return self.peek()
+        finally:
+            self._sock.settimeout(timeout_s)
+
+    def close(self) -> None:
+        """Closes the reader and notes whether bytes were left unread."""
+        if not self.closed:
+            try:
+                self.had_unread_bytes = bool(self.arrived())
+            except OSError:
+                self.had_unread_bytes = True
+        super().close()
+
+
+class JoiningResponse(HTTPResponse):
+    """An HTTP response whose `read1` joins all chunks that have arrived.
+
+    `http.client` returns one chunk a call. A consumer that was busy for a
+    while gets all that came meanwhile in one piece, so it catches up instead
+    of falling further behind.
+    """
+
+    fp: ArrivalReader
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        *args: Any,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        self.reader = ArrivalReader(sock)
+        self.fp = self.reader
+
+    def read1(self, size: int = -1) -> bytes:
+        """Waits for the first bytes, then adds whole chunks already here.
+
+        :param size: most bytes to read of each chunk, negative for no limit.
+        """
+        piece = super().read1(size)
+        if not self.chunked or not piece:
+            return piece
+        pieces = [piece]
+        while self.chunk_left == 0 and _starts_chunk(self.fp.arrived()):
+            pieces.append(super().read1(size))
+        return b''.join(pieces)
+
+
+class StreamConnection(HTTPConnection):
+    """A connection of urllib3 whose response bodies are read as they arrive.
+
+    It never connects by itself, as the library's own would after a loss.
+    """
+
+    auto_open = 0
+    last_response: JoiningResponse | None = None
+
+    def response_class(  # type: ignore[override]
+        self,
+        sock: socket.socket,
+        method: str | None = None,
+    ) -> JoiningResponse:
+        """Makes the response that the base class reads the head into."""
+        self.last_response = JoiningResponse(sock, method=method)
+        return self.last_response
+
+    def is_reusable(self) -> bool:
+        """Tells if the last response left the connection open and clean."""
+        return (
+            self.sock is not None
+            and self.last_response is not None
+            and self.last_response.isclosed()
+            and not self.last_response.reader.had_unread_bytes
+        )
+
+
+def _starts_chunk(arrived: bytes) -> bool:
+    """Tells if reading one more chunk surely needs no waiting.
+
+    The bytes start with the line end of the previous chunk. The last chunk,
+    which is empty, is left for the next read.
+
+    :param arrived: bytes after the previous chunk's data.
+    """
+    size_end = arrived.find(b'\n', 2)
+    return 0 < size_end < len(arrived) - 1 and arrived[2:3] != b'0'
