--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -147,6 +147,4 @@
     :param tried: all servers that it was sent to.
     :param now_s: monotonic seconds.
     """
-    return Attempt(
-        outcome, req.is_idempotent, 0, tried, req.deadline_s - now_s
-    )
+    return Attempt(outcome, req.is_idempotent, 0, tried, req.deadline_s - now_s)
--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -123,9 +123,7 @@
         content = _Released(reply.content, self._admission, admitted)
         return reply._replace(content=content)
 
-    def _accept(
-        self, environ: _Environ, now_s: float
-    ) -> CallerRequest | Fault:
+    def _accept(self, environ: _Environ, now_s: float) -> CallerRequest | Fault:
         tenant = self._tenant(environ.get('HTTP_AUTHORIZATION', ''))
         if tenant is None:
             return UNAUTHORISED
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -8,7 +8,6 @@
 from wasabicross.bundles import BundlePointer
 from wasabicross.instances import Instance
 from wasabicross.links import Link
-from wasabicross.load_names import server_of
 from wasabicross.spread import LinkSource
 
 if TYPE_CHECKING:
@@ -96,7 +95,9 @@
     def _handle(self, message: Any, link: Link, call_id: int) -> None:
         """Refuse a request that this program does not answer."""
         if call_id:
-            link.reply(call_id, msg.Refusal('unexpected', type(message).__name__))
+            link.reply(
+                call_id, msg.Refusal('unexpected', type(message).__name__)
+            )
 
     @_handle.register
     def _(self, message: msg.Renew, link: Link, call_id: int) -> None:
@@ -113,9 +114,7 @@
     def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
         owner = self._ctl.owners.get(message.server.server_id)
         if owner is not None:
-            owner.reported(
-                link.peer.instance_id, message, time.monotonic()
-            )
+            owner.reported(link.peer.instance_id, message, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.CloseRefused, link: Link, call_id: int) -> None:
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -1,6 +1,5 @@
 """`wasabicross-entry`: takes callers' requests and streams their answers."""
 
-import signal
 import threading
 import uuid
 
@@ -16,7 +15,11 @@
 from wasabicross.key_claims import KeyClaims
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
-from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.options import (
+    settings_options,
+    settings_or_exit,
+    stop_on_signals,
+)
 from wasabicross.retries import RetryBudget
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import EntrySettings, Settings
@@ -51,7 +54,7 @@
             request_queue_size=LISTEN_BACKLOG,
             timeout=HEADER_TIMEOUT_S,
             # Workers that stream go on until their answers have ended.
-            shutdown_timeout=cfg.servers.max_request_s + HEADER_TIMEOUT_S,
+            shutdown_timeout=int(cfg.servers.max_request_s) + HEADER_TIMEOUT_S,
         )
 
     def start(self) -> None:
@@ -117,18 +120,14 @@
 
 @click.command()
 @settings_options('wasabicross-entry', named=True)
-def main(
-    config: tuple[str, ...], check_config: bool, name: str | None
-) -> None:
+def main(config: tuple[str, ...], check_config: bool, name: str | None) -> None:
     """Run an entry of an instance."""
     cfg = settings_or_exit(config, check_config=check_config, name=name)
     entry_cfg = cfg.entry(name)
     if entry_cfg is None:
         raise click.UsageError('--name must tell one of the entries')
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    stop = stop_on_signals()
     entry = Entry(cfg, entry_cfg)
     entry.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -30,6 +30,22 @@
     BUNDLE_IN_FORCE = EventKind(3001, 'INFO')
     BUNDLE_REFUSED = EventKind(3002, 'ERROR')
 
+    OWNER_STARTED = EventKind(5001, 'INFO')
+    OWNER_SETTLED = EventKind(5002, 'INFO')
+    OWNER_DEPOSED = EventKind(5003, 'WARNING')
+    LEASE_LAPSED = EventKind(5004, 'WARNING')
+    PEER_LINKED = EventKind(5011, 'INFO')
+    PEER_LOST = EventKind(5012, 'WARNING')
+    PEER_REFUSED = EventKind(5013, 'WARNING')
+    CONTROLLER_LINKED = EventKind(5014, 'INFO')
+    CONTROLLER_LOST = EventKind(5015, 'WARNING')
+    LOAD_DONE = EventKind(5021, 'INFO')
+    LOAD_FAILED = EventKind(5022, 'WARNING')
+    LOAD_EVICTED = EventKind(5023, 'INFO')
+    EVICT_REFUSED_IN_USE = EventKind(5024, 'ERROR')
+
+    ANSWER_CUT = EventKind(6001, 'WARNING')
+
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
     BUNDLE_ROLLED = EventKind(4003, 'INFO')
--- a/src/wasabicross/key_claims.py
+++ b/src/wasabicross/key_claims.py
@@ -171,10 +171,11 @@
         return Reply(answer.status, headers, (answer.answer,))
     if answer.state == 'key_reused':
         return refuse(KEY_REUSED)
-    if answer.state in _REPEATS:
-        outcome, fault = _REPEATS[answer.state]
-        return fault_reply(fault, outcome, answer.retry_after_s or None)
-    return refuse(CLAIM_UNAVAILABLE, answer.retry_after_s or RETRY_AFTER_S)
+    repeat = _REPEATS.get(answer.state)
+    if repeat is None:
+        return refuse(CLAIM_UNAVAILABLE, answer.retry_after_s or RETRY_AFTER_S)
+    outcome, fault = repeat
+    return fault_reply(fault, outcome, answer.retry_after_s or None)
 
 
 def _not_released(reply: Reply) -> Reply:
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -171,9 +171,9 @@
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
         req = run.req
-        LOAD_STALL_SECONDS.labels(
-            req.tenant, req.route.request_class
-        ).observe(stalled_s)
+        LOAD_STALL_SECONDS.labels(req.tenant, req.route.request_class).observe(
+            stalled_s
+        )
 
     def _attempt(self, run: _Run, holder: Holder) -> Reply | None:
         """Send the request once; None if it may be sent elsewhere."""
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -126,7 +126,7 @@
         self._closed: set[str] = set()
         self._reported: set[str] = set()
         self._settled_s: float | None = None
-        self._last_report_s = 0.0
+        self._last_report_s = float('-inf')
         self._slots = 0
         self._sequence = 0
         self._inventory_s = float('-inf')
@@ -364,12 +364,12 @@
 
     def _due_wants(self, now_s: float) -> list[_Want]:
         with self._lock:
-            for wanted in list(self._wants.values()):
-                if now_s - wanted.asked_s > WANT_EXPIRY_S:
-                    self._forget(wanted.want)
+            for known in list(self._wants.values()):
+                if now_s - known.asked_s > WANT_EXPIRY_S:
+                    self._forget(known.want)
             return sorted(
                 self._wants.values(),
-                key=lambda wanted: (-wanted.want.waiting, wanted.since_s),
+                key=lambda due: (-due.want.waiting, due.since_s),
             )
 
     def _holds(self, want: WantLoad) -> bool:
@@ -403,9 +403,7 @@
             str(name), want.adapter, want.version, self.server.term
         )
         outcome = self._engine.load(order)
-        self._permits.give_back(
-            self.server.server_id, want, outcome.is_ok()
-        )
+        self._permits.give_back(self.server.server_id, want, outcome.is_ok())
         self._take_load_outcome(outcome, name, wanted, now_s)
 
     def _take_load_outcome(
--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -68,13 +68,12 @@
 
 
 class EntrySettings(Section):
-    """One entry process: its ports, request limit and worker threads."""
+    """One entry process: its ports and how many requests it runs."""
 
     name: Name
     port: Port
     metrics_port: Port
-    max_requests: Count = 256
-    threads: Count = 128
+    max_requests: Count = 96
 
 
 class AdminSettings(Section):
@@ -124,11 +123,14 @@
 class ServersSettings(Section):
     """What is known of the backend servers.
 
-    `fencing` names the servers that refuse orders with an old term.
+    `fencing` names the servers that refuse orders with an old term;
+    `max_request_s` bounds each request, and `use_lease_s` how long another
+    data centre's servers may be used without a word from their owner.
     """
 
     fencing: tuple[Name, ...] = ()
-    max_request_s: Seconds = 300.0
+    max_request_s: Seconds = 60.0
+    use_lease_s: Seconds = 6.0
 
 
 class ClaimsSettings(Section):
