Store bundles in the key-value service

Cause: drafts, manifests, chunks and the pointer need a place that lasts. Ruled out: rewriting records; all but the pointer is written once, so that a write whose answer was lost is repeated. Conclusion: rollout can be built on it.

--- /dev/null
+++ b/src/wasabicross/bundle_store.py
@@ -0,0 +1,187 @@
+"""Bundles as the key-value service holds them."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from wasabicross.bundles import BundlePointer, Draft
+from wasabicross.exceptions import (
+    BundleError,
+    BundleMalformed,
+    BundleNotFound,
+    BundleUnavailable,
+    KeyValueError,
+    SwapConflict,
+    SwapOutcomeUnknown,
+)
+from wasabicross.kv import KeyValueStore, Versioned
+from wasabicross.manifests import decode_draft, decode_pointer
+
+CURRENT_KEY = 'bundle/current'
+
+_WRITE_ATTEMPTS = 3
+
+
+class StoredPointer(NamedTuple):
+    """The pointer of the bundle in force, and the version of its key.
+
+    :param pointer: ``None`` before the first roll.
+    :param version: version of the key, for the next swap.
+    """
+
+    pointer: BundlePointer | None
+    version: int
+
+
+class BundleStore:
+    """Reads and writes the parts of bundles; a ``BundleSource``.
+
+    All but the pointer is written once and never changed, so that a write
+    whose answer was lost is simply repeated.
+
+    :param store: the key-value service.
+    """
+
+    def __init__(self, store: KeyValueStore) -> None:
+        self._store = store
+
+    def current(self) -> Result[StoredPointer, BundleError]:
+        """Return the pointer in force; BundleUnavailable, BundleMalformed."""
+        found = self._store.get(CURRENT_KEY)
+        if found.is_error():
+            return Error(BundleUnavailable(str(found.error)))
+        return decode_current(found.ok)
+
+    def swap_current(
+        self,
+        encoded: bytes,
+        expected_version: int,
+    ) -> Result[Versioned, KeyValueError]:
+        """Move the pointer, once; the errors are those of the service.
+
+        :param encoded: the encoded pointer.
+        :param expected_version: version that the key must have.
+        """
+        return self._store.compare_and_swap(
+            CURRENT_KEY,
+            encoded,
+            expected_version,
+        )
+
+    def manifest(self, digest: str) -> Result[bytes, BundleError]:
+        """Return an encoded signed manifest, not verified.
+
+        :param digest: digest of the manifest.
+        """
+        return self._read(f'bundle/manifest/{digest}')
+
+    def chunk(self, digest: str) -> Result[bytes, BundleError]:
+        """Return an encoded chunk, not verified.
+
+        :param digest: digest of the chunk.
+        """
+        return self._read(f'bundle/chunk/{digest}')
+
+    def draft(self, digest: str) -> Result[Draft, BundleError]:
+        """Return a draft.
+
+        :param digest: digest of its manifest.
+        """
+        return self._read(f'bundle/draft/{digest}').bind(decode_draft)
+
+    def past_pointer(self, number: int) -> Result[BundlePointer, BundleError]:
+        """Return the pointer of a bundle that was in force before.
+
+        :param number: number of the bundle.
+        """
+        return self._read(f'bundle/history/{number}').bind(decode_pointer)
+
+    def put_manifest(
+        self,
+        digest: str,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        """Store a signed manifest; returns the one stored first.
+
+        :param digest: digest of the manifest.
+        :param encoded: the encoded signed manifest.
+        """
+        return self._write_once(f'bundle/manifest/{digest}', encoded)
+
+    def put_chunk(
+        self,
+        digest: str,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        """Store a chunk.
+
+        :param digest: digest of the chunk.
+        :param encoded: the encoded chunk.
+        """
+        return self._write_once(f'bundle/chunk/{digest}', encoded)
+
+    def put_draft(
+        self,
+        digest: str,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        """Store a draft; returns the one stored first.
+
+        :param digest: digest of its manifest.
+        :param encoded: the encoded draft.
+        """
+        return self._write_once(f'bundle/draft/{digest}', encoded)
+
+    def put_past_pointer(
+        self,
+        number: int,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        """Store the pointer of a bundle that is about to be replaced.
+
+        :param number: number of the bundle.
+        :param encoded: its encoded pointer.
+        """
+        return self._write_once(f'bundle/history/{number}', encoded)
+
+    def _read(self, key: str) -> Result[bytes, BundleError]:
+        found = self._store.get(key)
+        if found.is_error():
+            return Error(BundleUnavailable(str(found.error)))
+        if found.ok.value is None:
+            return Error(BundleNotFound(f'{key} is absent'))
+        return Ok(found.ok.value)
+
+    def _write_once(
+        self,
+        key: str,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        exc: KeyValueError | None = None
+        for _ in range(_WRITE_ATTEMPTS):
+            written = self._store.compare_and_swap(key, encoded, 0)
+            if written.is_ok():
+                return Ok(encoded)
+            exc = written.error
+            if isinstance(exc, SwapConflict):
+                return _stored_first(exc.present)
+            if not isinstance(exc, SwapOutcomeUnknown):
+                break
+        return Error(BundleUnavailable(str(exc)))
+
+
+def decode_current(found: Versioned) -> Result[StoredPointer, BundleError]:
+    """Decode what the key of the pointer holds.
+
+    :param found: the key's present state.
+    """
+    if found.value is None:
+        return Ok(StoredPointer(None, found.version))
+    decoded = decode_pointer(found.value)
+    return decoded.map(lambda pointer: StoredPointer(pointer, found.version))
+
+
+def _stored_first(present: Versioned) -> Result[bytes, BundleError]:
+    if present.value is None:
+        return Error(BundleMalformed(f'{present.key} was deleted'))
+    return Ok(present.value)
--- a/src/wasabicross/bundles.py
+++ b/src/wasabicross/bundles.py
@@ -112,6 +112,19 @@
     signature: bytes
 
 
+class Draft(NamedTuple):
+    """A bundle that was prepared and can be signed off.
+
+    :param manifest: the encoded manifest.
+    :param prepared_at: time in ISO 8601, UTC.
+    :param prepared_by: name of the operator.
+    """
+
+    manifest: bytes
+    prepared_at: str
+    prepared_by: str
+
+
 class BundleSource(Protocol):
     """Where the parts of a bundle can be had, by digest."""
 
--- a/src/wasabicross/manifests.py
+++ b/src/wasabicross/manifests.py
@@ -12,6 +12,7 @@
 from wasabicross.bundles import (
     MAX_VALUE_BYTES,
     BundlePointer,
+    Draft,
     Manifest,
     SignedManifest,
     digest_of,
@@ -74,6 +75,22 @@
     return _decode(encoded, SignedManifest)
 
 
+def encode_draft(draft: Draft) -> bytes:
+    """Encode a draft.
+
+    :param draft: the draft.
+    """
+    return cbor2.dumps(draft._asdict(), canonical=True)
+
+
+def decode_draft(encoded: bytes) -> Result[Draft, BundleError]:
+    """Decode a draft; BundleMalformed for anything else.
+
+    :param encoded: the bytes.
+    """
+    return _decode(encoded, Draft)
+
+
 def sign_manifest(encoded: bytes, key_name: str, key: SigningKey) -> bytes:
     """Sign a manifest; returns the encoded :class:`SignedManifest`.
 
@@ -138,5 +155,5 @@
 
 _VALIDATORS: Mapping[str, pydantic.TypeAdapter[Any]] = {
     kind.__name__: pydantic.TypeAdapter(kind)
-    for kind in (BundlePointer, Manifest, SignedManifest)
+    for kind in (BundlePointer, Draft, Manifest, SignedManifest)
 }
