--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,6 +1,7 @@
-"""Every error that wasabicross raises, rooted in one base."""
+"""Every error that wasabicross raises or returns, rooted in one base."""
 
 from typing import NamedTuple
+
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +12,39 @@
 class WasabicrossError(Exception):
     """Base of all errors of the package."""
 
+    #: Stable word for machines; subclasses set their own.
+    code = 'error'
+
+
+class LinkError(WasabicrossError):
+    """Base of the errors between the system's own processes."""
+
+    code = 'link_error'
+
+
+class LinkClosed(LinkError):
+    """The link ended before the message was answered."""
+
+    code = 'link_closed'
+
+
+class LinkTimeout(LinkError):
+    """No answer came within the time that the sender allowed."""
+
+    code = 'link_timeout'
+
+
+class MessageMalformed(LinkError):
+    """The bytes received are not a message of the protocol."""
+
+    code = 'message_malformed'
+
+
+class LinkRefused(LinkError):
+    """The other side does not let this process in."""
+
+    code = 'link_refused'
+
 
 class Fault(NamedTuple):
     """One thing that is wrong in a document, and where.
@@ -68,6 +102,7 @@
 class BundleNotFound(BundleUnavailable):
     """The source answered that it does not have the bytes."""
 
+    """The source does not have the bytes, or can't be reached."""
 
 class KeyValueError(WasabicrossError):
     """Base of the errors of the key-value service's seam."""
