--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -261,6 +261,8 @@
 
 class EngineAnswerMalformed(OrderError):
     """The engine's answer isn't understood."""
+
+
 class RolloutError(WasabicrossError):
     """An operator's action was refused or could not be done."""
 
--- a/src/wasabicross/spread.py
+++ b/src/wasabicross/spread.py
@@ -8,19 +8,15 @@
 
 from expression import Error, Ok, Result
 
-from wasabicross.bundles import (
-    Bundle,
-    BundlePointer,
-    BundleSource,
-    decode_pointer,
-)
+from wasabicross.bundle_store import CURRENT_KEY, BundleStore
+from wasabicross.bundles import Bundle, BundlePointer, BundleSource
 from wasabicross.exceptions import BundleError, BundleUnavailable
 from wasabicross.holder import BundleHolder
 from wasabicross.kv import KeyValueStore
 from wasabicross.links import Link
+from wasabicross.manifests import decode_pointer
 from wasabicross.messages import Blob, BundleOffered, GetChunk, GetManifest
 
-POINTER_KEY = 'bundle/current'
 FETCH_TIMEOUT_S = 2.0
 WATCH_S = 10.0
 RETRY_S = 0.5
@@ -52,32 +48,6 @@
         return Ok(answer.ok.content)
 
 
-class KeyValueSource:
-    """Fetches the parts of a bundle from the key-value service.
-
-    :param kv: the service.
-    """
-
-    def __init__(self, kv: KeyValueStore) -> None:
-        self._kv = kv
-
-    def manifest(self, digest: str) -> Result[bytes, BundleError]:
-        """Return the signed manifest, or `BundleUnavailable`."""
-        return self._fetch(f'bundle/manifest/{digest}')
-
-    def chunk(self, digest: str) -> Result[bytes, BundleError]:
-        """Return a part of the adapters table, or `BundleUnavailable`."""
-        return self._fetch(f'bundle/chunk/{digest}')
-
-    def _fetch(self, key: str) -> Result[bytes, BundleError]:
-        found = self._kv.get(key)
-        if found.is_error():
-            return Error(BundleUnavailable(str(found.error)))
-        if found.ok.value is None:
-            return Error(BundleUnavailable(f'no {key}'))
-        return Ok(found.ok.value)
-
-
 class _Offer(NamedTuple):
     pointer: BundlePointer
     source: BundleSource
@@ -160,10 +130,10 @@
         version = 0
         while not self._stop.is_set():
             if self.is_watcher:
-                found = self._kv.watch(POINTER_KEY, version, WATCH_S)
+                found = self._kv.watch(CURRENT_KEY, version, WATCH_S)
             else:
                 self._stop.wait(WATCH_S)
-                found = self._kv.get(POINTER_KEY)
+                found = self._kv.get(CURRENT_KEY)
             if found.is_error():
                 self._stop.wait(RETRY_S)
                 continue
@@ -173,4 +143,4 @@
     def _offer(self, encoded: bytes | None) -> None:
         pointer = decode_pointer(encoded or b'')
         if pointer.is_ok():
-            self._follower.offer(pointer.ok, KeyValueSource(self._kv))
+            self._follower.offer(pointer.ok, BundleStore(self._kv))
