Bound the servers that one request can crash

Cause: a request that kills each engine which runs it costs a server for each retry and repeat; blaming all that was under way refuses innocents. Ruled out: counting losses by request alone, which convicts innocents that shared two crashed servers; acting only once a server is known to be lost, since the retry is under way by then (a broken connection makes a request suspect for 15 s until its server's fate is known). Conclusion: two servers for a caller that repeats after its answer, given that the first loss reaches the other processes before; each copy that runs elsewhere before that costs one more.

--- /dev/null
+++ b/src/wasabicross/suspects.py
@@ -0,0 +1,258 @@
+"""Requests that crash the servers which run them."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import threading
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from wasabicross.suspect_records import State, SuspectRecord, SuspectRecords
+
+#: Seconds for which a request whose connection broke is held suspect while it
+#: isn't known whether the server was lost.
+_UNCONFIRMED_S = 15.0
+
+_DIGEST_BYTES = 16
+
+
+class Clearance(enum.Enum):
+    """Whether a request may be sent to a server.
+
+    `go`: it is as good as any other. `trial`: it may go, as the only suspect
+    there. `busy`: not now or not there. `convicted`: refuse it at once.
+    """
+
+    go = 'go'
+    trial = 'trial'
+    busy = 'busy'
+    convicted = 'convicted'
+
+
+class _Run(NamedTuple):
+    """A request under way on a server, or one whose connection broke."""
+
+    fingerprint: bytes
+    trial: bool
+    broken_s: float | None = None
+
+
+def fingerprint(route: str, body: bytes) -> bytes:
+    """Digest what a request asks for, alike for all copies of it."""
+    digest = hashlib.blake2b(route.encode(), digest_size=_DIGEST_BYTES)
+    digest.update(b'\0')
+    digest.update(body)
+    return digest.digest()
+
+
+class Suspects:
+    """Bounds the servers that a request can crash, however often it is sent.
+
+    All requests under way on a server that is lost become suspects. A suspect
+    runs again only as the one suspect on its server, beside requests that
+    aren't. If it completes it is cleared; if the server is lost it is convicted
+    and refused. So each such request costs two servers: the first, and the one
+    of its trial. Copies that run on several servers before the first loss is
+    known cost one each. Thread-safe.
+
+    What is under way is known of this process alone: to keep suspects of other
+    processes off the server, take a permit of the server's owner (see
+    `TrialPermits`) before a trial.
+
+    :param records: what is known of each suspect.
+    """
+
+    def __init__(self, records: SuspectRecords | None = None) -> None:
+        self._records = records or SuspectRecords()
+        self._lock = threading.Lock()
+        self._runs: dict[str, list[_Run]] = {}
+        # Lost a server alone before an earlier server's fate was known.
+        self._blamed_once: set[bytes] = set()
+
+    def clearance(
+        self,
+        request: bytes,
+        server_id: str,
+        now_s: float,
+    ) -> Clearance:
+        """Tell whether a request may be sent to a server now.
+
+        :param request: the request's fingerprint.
+        :param now_s: monotonic time in seconds.
+        """
+        with self._lock:
+            return self._clearance(request, server_id, now_s)
+
+    def start(self, request: bytes, server_id: str, now_s: float) -> Clearance:
+        """Count a request as under way on a server, if it may go there."""
+        with self._lock:
+            clearance = self._clearance(request, server_id, now_s)
+            if clearance in {Clearance.go, Clearance.trial}:
+                run = _Run(request, clearance is Clearance.trial)
+                self._runs.setdefault(server_id, []).append(run)
+            return clearance
+
+    def running_on(self, request: bytes) -> str | None:
+        """Name a server where a copy runs, the best place for a further one."""
+        with self._lock:
+            return next(iter(self._servers_of(request)), None)
+
+    def complete(self, request: bytes, server_id: str, now_s: float) -> None:
+        """End a request that was answered completely, which clears it."""
+        with self._lock:
+            self._take(request, server_id)
+            self._forget_broken(request)
+            self._records.clear(request, now_s)
+
+    def abandon(self, request: bytes, server_id: str) -> None:
+        """End a request that was not run, or that its caller cancelled."""
+        with self._lock:
+            self._take(request, server_id)
+
+    def break_off(self, request: bytes, server_id: str, now_s: float) -> None:
+        """End a request whose connection broke, for a reason not known yet."""
+        with self._lock:
+            run = self._take(request, server_id)
+            if run is None:
+                return
+            broken = run._replace(broken_s=now_s)
+            self._runs[server_id] = [*self._recent(server_id, now_s), broken]
+            self._records.suspect(
+                request,
+                now_s,
+                confirmed=False,
+                ttl_s=_UNCONFIRMED_S,
+            )
+
+    def server_lost(self, server_id: str, now_s: float) -> None:
+        """Blame the requests that were under way on a server that crashed."""
+        with self._lock:
+            runs = self._recent(server_id, now_s)
+            self._runs.pop(server_id, None)
+            self._convict_blamed(runs, now_s)
+            trials = {run.fingerprint for run in runs if run.trial}
+            innocent = {run.fingerprint for run in runs} - trials
+            if len(trials) == 1:
+                self._blame_trial(trials.pop(), now_s)
+            elif trials:
+                self._suspect(trials, now_s)
+            else:
+                self._suspect(innocent, now_s)
+                return
+            self._absolve(innocent, now_s)
+
+    def server_alive(self, server_id: str, now_s: float) -> None:
+        """Clear the requests that a mere cut link to the server broke off."""
+        with self._lock:
+            runs = self._recent(server_id, now_s)
+            self._runs[server_id] = [
+                run for run in runs if run.broken_s is None
+            ]
+            broken = {
+                run.fingerprint for run in runs if run.broken_s is not None
+            }
+            self._blamed_once -= broken
+            self._absolve(broken, now_s)
+
+    def records_since(
+        self,
+        number: int,
+        now_s: float,
+    ) -> tuple[int, tuple[SuspectRecord, ...]]:
+        """Return the records changed since a number, and the number now."""
+        with self._lock:
+            return self._records.since(number, now_s)
+
+    def merge(self, records: Iterable[SuspectRecord], now_s: float) -> None:
+        """Take in what another process knows."""
+        with self._lock:
+            self._records.merge(records, now_s)
+
+    def _clearance(
+        self,
+        request: bytes,
+        server_id: str,
+        now_s: float,
+    ) -> Clearance:
+        state = self._records.state(request, now_s)
+        if state is State.convicted:
+            self._records.renew(request, now_s)
+            return Clearance.convicted
+        if state is not State.suspect:
+            return Clearance.go
+        runs = self._runs.get(server_id, ())
+        taken = any(run.trial and run.broken_s is None for run in runs)
+        if taken or self._servers_of(request) or self._is_open(request, now_s):
+            return Clearance.busy
+        return Clearance.trial
+
+    def _is_open(self, request: bytes, now_s: float) -> bool:
+        """Tell whether an earlier server's fate may yet convict a request."""
+        if request not in self._blamed_once:
+            return False
+        is_open = any(
+            run.fingerprint == request
+            for server_id in self._runs
+            for run in self._recent(server_id, now_s)
+        )
+        if not is_open:
+            self._blamed_once.discard(request)
+        return is_open
+
+    def _forget_broken(self, request: bytes) -> None:
+        self._blamed_once.discard(request)
+        for server_id, runs in tuple(self._runs.items()):
+            self._runs[server_id] = [
+                run
+                for run in runs
+                if run.fingerprint != request or run.broken_s is None
+            ]
+            if not self._runs[server_id]:
+                self._runs.pop(server_id)
+
+    def _servers_of(self, request: bytes) -> tuple[str, ...]:
+        return tuple(
+            server_id
+            for server_id, runs in self._runs.items()
+            for run in runs
+            if run.fingerprint == request and run.broken_s is None
+        )
+
+    def _take(self, request: bytes, server_id: str) -> _Run | None:
+        runs = self._runs.get(server_id, [])
+        for run in runs:
+            if run.fingerprint == request and run.broken_s is None:
+                runs.remove(run)
+                if not runs:
+                    self._runs.pop(server_id)
+                return run
+        return None
+
+    def _recent(self, server_id: str, now_s: float) -> tuple[_Run, ...]:
+        return tuple(
+            run
+            for run in self._runs.get(server_id, ())
+            if run.broken_s is None or now_s - run.broken_s < _UNCONFIRMED_S
+        )
+
+    def _blame_trial(self, request: bytes, now_s: float) -> None:
+        if self._records.is_confirmed(request, now_s):
+            self._records.convict(request, now_s)
+        else:
+            self._records.suspect(request, now_s)
+            self._blamed_once.add(request)
+
+    def _convict_blamed(self, runs: Iterable[_Run], now_s: float) -> None:
+        for run in runs:
+            if run.fingerprint in self._blamed_once:
+                self._blamed_once.discard(run.fingerprint)
+                self._records.convict(run.fingerprint, now_s)
+
+    def _suspect(self, requests: Iterable[bytes], now_s: float) -> None:
+        for request in requests:
+            self._records.suspect(request, now_s)
+
+    def _absolve(self, requests: Iterable[bytes], now_s: float) -> None:
+        for request in requests:
+            self._records.drop_unconfirmed(request, now_s)
