--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -1,6 +1,5 @@
 """`wasabicross-controller`: owns servers, loads and bundles of an instance."""
 
-import signal
 import socket
 import threading
 import time
@@ -21,7 +20,11 @@
 from wasabicross.links import Link, listen
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
-from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.options import (
+    settings_options,
+    settings_or_exit,
+    stop_on_signals,
+)
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.peers import PeerLinks
@@ -84,6 +87,9 @@
             self._hello, self.in_force.heartbeat, DialledLinks(self)
         )
         self.readiness = Readiness(('bundle', 'instance_list'))
+        self._metrics = MetricsServer(
+            cfg.instance.host, cfg.controller.metrics_port, self.readiness
+        )
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
@@ -105,6 +111,7 @@
 
     def start(self) -> None:
         """Start all threads."""
+        self._metrics.start()
         self.follower.start()
         runs = (
             ('links', self._server.serve_forever),
@@ -136,6 +143,7 @@
         self._lease_thread.join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
         self._server.shutdown()
+        self._metrics.stop()
 
     def owner_announced(self, server: msg.ServerTerm, link: Link) -> None:
         """Answer a server's owner, or tell it that there is a later one.
@@ -346,20 +354,13 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    stop = stop_on_signals()
     controller = Controller.from_config(cfg)
-    metrics = MetricsServer(
-        cfg.instance.host, cfg.controller.metrics_port, controller.readiness
-    )
-    metrics.start()
     controller.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
     stop.wait()
     log_event(Event.PROGRAM_STOPPING)
     controller.stop()
-    metrics.stop()
     log_event(Event.PROGRAM_STOPPED)
 
 
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -157,4 +157,3 @@
     @_handle.register
     def _(self, message: msg.BundleOffered, link: Link) -> None:
         self.follower.offer(BundlePointer(*message), LinkSource(link))
-
--- a/src/wasabicross/ownership.py
+++ b/src/wasabicross/ownership.py
@@ -253,4 +253,3 @@
         return None
     owner, _term = cbor2.loads(present.value)
     return str(owner)
-
