--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -83,12 +83,12 @@
         self.services = self._places('service', shape.services)
         self.controllers = self._programs('instance', shape.instances)
         self.admins = [
-            self._program(f'{place.name}-admin', place.data_centre)
-            for place in self.controllers
+            self._program(f'{owner.name}-admin', owner.data_centre)
+            for owner in self.controllers
         ]
         self.entries = [
-            self._program(f'{place.name}-entry-{number}', place.data_centre)
-            for place in self.controllers
+            self._program(f'{owner.name}-entry-{number}', owner.data_centre)
+            for owner in self.controllers
             for number in range(shape.entries)
         ]
 
@@ -104,9 +104,8 @@
 
     def start_programs(self) -> None:
         """Start the programs of every instance."""
-        for place in self.controllers:
-            self._write_settings(place)
         for controller in self.controllers:
+            self._write_settings(controller)
             self.runner.start(*self.instance_programs(controller.name))
         started = [*self.controllers, *self.entries]
         self.runner.wait_ready(*(place.name for place in started))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,7 +19,7 @@
     'controller': {'port': 7100, 'metrics_port': 7101},
     'entries': [
         {'name': 'a', 'port': 7200, 'metrics_port': 7201},
-        {'name': 'b', 'port': 7202, 'metrics_port': 7203, 'threads': 8},
+        {'name': 'b', 'port': 7202, 'metrics_port': 7203, 'max_requests': 8},
     ],
     'admin': {'port': 7300, 'metrics_port': 7301},
     'platform': {
@@ -62,7 +62,7 @@
     cfg = load(tmp_path, VALID, {'servers': {'max_request_s': 9}}).ok
     assert cfg.servers.max_request_s == 9
     assert cfg.servers.fencing == ()
-    assert cfg.entry('b').threads == 8
+    assert cfg.entry('b').max_requests == 8
     assert cfg.entry(None) is None
 
 
