Join membership and suspects to the entry's attempts

Cause: the decisions stood beside the path. Change: one class counts, clears and ends each exchange; a broken connection is probed to tell a lost server from a cut link; records of suspects go from entry to controller to the others. Model calls and service calls share the attempts, which stood twice before.

--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -1,111 +1,151 @@
 """One request sent to one backend server after the other, where allowed."""
 
-import threading
 import time
-from collections import Counter
 from collections.abc import Callable, Iterator
 from itertools import chain
 
+from expression import Result
+
 from wasabicross.answers import Answer
 from wasabicross.caller_request import CallerRequest
 from wasabicross.events import Event
-from wasabicross.exceptions import AnswerCut
+from wasabicross.exceptions import AnswerCut, DispatchError, NotRun
 from wasabicross.logs import log_event
 from wasabicross.replies import (
     COMPLETED,
+    CRASHES_SERVERS,
+    NO_SERVER,
     OUTCOME_HEADER,
     Headers,
     Reply,
+    refuse,
+    unknown_outcome,
 )
-from wasabicross.retries import Attempt, Outcome
+from wasabicross.retries import Attempt, Outcome, RetryBudget, may_retry
+from wasabicross.server_watch import Ending, ServerWatch
+from wasabicross.suspects import Clearance
 from wasabicross.telemetry import FIRST_TOKEN_SECONDS
 
+RETRY_AFTER_S = 2.0
 
-class Outstanding:
-    """How many requests this process has under way at each server."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._counts: Counter[str] = Counter()
-
-    def add(self, server_id: str) -> None:
-        """Count a request that is sent to a server."""
-        with self._lock:
-            self._counts[server_id] += 1
-
-    def remove(self, server_id: str) -> None:
-        """Take the count back when the request has ended."""
-        with self._lock:
-            self._counts[server_id] -= 1
-
-    def at(self, server_id: str) -> int:
-        """Return how many requests are under way at a server."""
-        return self._counts[server_id]
 
+class Attempts:
+    """Sends requests to servers and judges what may be sent again.
 
-class StartedAnswer:
-    """An answer whose first piece has come, so that it goes to the caller.
-
-    :param answer: the backend server's answer.
-    :param first: its first piece, empty if it has no body.
-    :param pieces: the pieces after the first.
+    :param watch: servers and the requests under way on them.
+    :param budget: bounds the retries of this process.
     """
 
-    def __init__(
-        self, answer: Answer, first: bytes, pieces: Iterator[bytes]
-    ) -> None:
-        self.status = answer.status
-        self.headers = answer.headers
-        self.pieces = chain((first,), pieces) if first else pieces
-
-
-def start_answer(answer: Answer) -> StartedAnswer:
-    """Wait for the first piece of an answer.
-
-    :param answer: the answer, its head read.
-    :raises AnswerCut: when it ended before its first piece.
-    """
-    pieces = answer.chunks()
-    first = next(pieces, b'')
-    return StartedAnswer(answer, first, pieces)
-
-
-def pass_on(
-    req: CallerRequest,
-    started: StartedAnswer,
-    named: Headers,
-    on_end: Callable[[], None],
-) -> Reply:
-    """Return the reply that passes an answer on piece by piece.
-
-    An answer that is cut raises `AnswerCut` in the reply's content, upon
-    which the connection to the caller is closed without the mark of its end.
-
-    :param req: the request.
-    :param started: the answer, its first piece read.
-    :param named: header fields that name what produced the answer.
-    :param on_end: called once when the answer has ended, however it did.
-    """
-    now_s = time.monotonic()
+    def __init__(self, watch: ServerWatch, budget: RetryBudget) -> None:
+        self.watch = watch
+        self._budget = budget
+
+    def accepted(self) -> None:
+        """Count a request that was accepted, which pays for retries."""
+        self._budget.add_request()
+
+    def clear(
+        self, req: CallerRequest, server_id: str, now_s: float
+    ) -> Reply | bool:
+        """Count a request as under way on a server, if it may go there.
+
+        :param req: the request.
+        :param server_id: where it is to go.
+        :param now_s: monotonic seconds.
+        :returns: whether it may go there, or a refusal for good.
+        """
+        clearance = self.watch.begin(req.fingerprint, server_id, now_s)
+        if clearance is Clearance.convicted:
+            log_event(Event.CRASHER_REFUSED, request=req.request_id)
+            return refuse(CRASHES_SERVERS)
+        return clearance is not Clearance.busy
+
+    def exchange(
+        self,
+        req: CallerRequest,
+        server_id: str,
+        start: Callable[[], Result[Answer, DispatchError]],
+        named: Headers,
+    ) -> Reply | DispatchError:
+        """Send a request that `clear` let go, up to its answer's first piece.
+
+        :param req: the request.
+        :param server_id: where it goes.
+        :param start: sends it.
+        :param named: header fields that name what produced the answer.
+        """
+        answer = start()
+        if answer.is_error():
+            self.watch.fail(req.fingerprint, server_id, answer.error)
+            return answer.error
+        pieces = answer.ok.chunks()
+        try:
+            first = next(pieces, b'')
+        except AnswerCut as exc:
+            self.watch.fail(req.fingerprint, server_id, exc)
+            return exc
+        _observe_first_token(req, time.monotonic())
+        headers = (*answer.ok.headers, *named, (OUTCOME_HEADER, COMPLETED))
+        content = _Content(
+            first, pieces, lambda ending: self._end(req, server_id, ending)
+        )
+        return Reply(answer.ok.status, headers, content)
+
+    def after_failure(
+        self,
+        req: CallerRequest,
+        exc: DispatchError,
+        tried: list[str],
+        now_s: float,
+    ) -> Reply | None:
+        """Return the final reply, or None if another server may be tried.
+
+        :param req: the request.
+        :param exc: how the last attempt failed.
+        :param tried: the servers that it was sent to.
+        :param now_s: monotonic seconds.
+        """
+        not_run = isinstance(exc, NotRun)
+        attempt = Attempt(
+            Outcome.not_run if not_run else Outcome.unknown,
+            req.is_idempotent,
+            0,
+            tried,
+            req.deadline_s - now_s,
+        )
+        if may_retry(attempt) and self._budget.spend():
+            return None
+        if not_run:
+            return refuse(NO_SERVER, RETRY_AFTER_S)
+        return unknown_outcome()
+
+    def _end(self, req: CallerRequest, server_id: str, ending: Ending) -> None:
+        if ending is Ending.cut:
+            log_event(Event.ANSWER_CUT, request=req.request_id)
+        self.watch.end(req.fingerprint, server_id, ending)
+
+
+def _observe_first_token(req: CallerRequest, now_s: float) -> None:
     FIRST_TOKEN_SECONDS.labels(req.tenant, req.route.request_class).observe(
         now_s - req.accepted_s
     )
-    headers = (*started.headers, *named, (OUTCOME_HEADER, COMPLETED))
-    content = _Content(req.request_id, started.pieces, on_end)
-    return Reply(started.status, headers, content)
 
 
 class _Content:
-    """The pieces of an answer; tells once when they end."""
+    """The pieces of an answer as they come; tells once how they ended.
+
+    An answer that is cut raises `AnswerCut`, upon which the connection to
+    the caller is closed without the mark of its end.
+    """
 
     def __init__(
         self,
-        request_id: str,
+        first: bytes,
         pieces: Iterator[bytes],
-        on_end: Callable[[], None],
+        on_end: Callable[[Ending], None],
     ) -> None:
-        self._request_id = request_id
-        self._pieces = pieces
+        self._source = pieces
+        self._pieces = chain((first,), pieces) if first else pieces
         self._on_end = on_end
         self._ended = False
 
@@ -116,35 +156,21 @@
         try:
             return next(self._pieces)
         except StopIteration:
-            self.close()
+            self._end(Ending.completed)
             raise
         except AnswerCut:
-            log_event(Event.ANSWER_CUT, request=self._request_id)
-            self.close()
+            self._end(Ending.cut)
             raise
 
     def close(self) -> None:
         """End the answer; cancels it at the backend server if it runs."""
-        if self._ended:
-            return
-        self._ended = True
-        close = getattr(self._pieces, 'close', None)
-        if close is not None:
-            close()
-        self._on_end()
-
-
-def failed_attempt(
-    req: CallerRequest,
-    outcome: Outcome,
-    tried: list[str],
-    now_s: float,
-) -> Attempt:
-    """Describe a failed attempt to the rules of retries.
-
-    :param req: the request.
-    :param outcome: what is known of it at the last server.
-    :param tried: all servers that it was sent to.
-    :param now_s: monotonic seconds.
-    """
-    return Attempt(outcome, req.is_idempotent, 0, tried, req.deadline_s - now_s)
+        if not self._ended:
+            close = getattr(self._source, 'close', None)
+            if close is not None:
+                close()
+            self._end(Ending.cancelled)
+
+    def _end(self, ending: Ending) -> None:
+        if not self._ended:
+            self._ended = True
+            self._on_end(ending)
--- a/src/wasabicross/caller_request.py
+++ b/src/wasabicross/caller_request.py
@@ -18,6 +18,7 @@
     :param bundle: the bundle in force when it was accepted.
     :param route: the route of its path in that bundle.
     :param key: its idempotency key, empty for none.
+    :param fingerprint: digest that copies of the request share.
     :param accepted_s: monotonic time at which it was accepted.
     :param deadline_s: monotonic time by which it must be answered.
     """
@@ -31,6 +32,7 @@
     bundle: Bundle
     route: Route
     key: str
+    fingerprint: bytes
     accepted_s: float
     deadline_s: float
 
--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -4,13 +4,13 @@
 import random
 import time
 import uuid
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
 from prometheus_client import Counter
 
-from wasabicross.admission import Admission, Admitted, Refused
+from wasabicross.admission import Admission, Refused
 from wasabicross.caller_request import CallerRequest
 from wasabicross.entry_link import EntryLink
 from wasabicross.model_calls import ModelCalls
@@ -23,11 +23,13 @@
     TOO_LARGE,
     UNAUTHORISED,
     Fault,
+    Finished,
     Reply,
     refuse,
 )
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import TenantSettings
+from wasabicross.suspects import fingerprint
 
 MAX_BODY_BYTES = 1024 * 1024
 MS_PER_S = 1000
@@ -120,7 +122,9 @@
         except BaseException:
             self._admission.release(admitted)
             raise
-        content = _Released(reply.content, self._admission, admitted)
+        content = Finished(
+            reply.content, lambda: self._admission.release(admitted)
+        )
         return reply._replace(content=content)
 
     def _accept(self, environ: _Environ, now_s: float) -> CallerRequest | Fault:
@@ -152,6 +156,7 @@
             bundle,
             route,
             environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+            fingerprint(f'{tenant} {method} {_path(environ)}', body),
             now_s,
             now_s + timeout_s,
         )
@@ -194,30 +199,6 @@
         return reply.content
 
 
-class _Released:
-    """The content of a reply; gives the place back when it has ended."""
-
-    def __init__(
-        self,
-        content: Iterable[bytes],
-        admission: Admission,
-        admitted: Admitted,
-    ) -> None:
-        self._content = content
-        self._admission = admission
-        self._admitted = admitted
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._content)
-
-    def close(self) -> None:
-        """End the content, whether or not all of it was sent."""
-        close = getattr(self._content, 'close', None)
-        if close is not None:
-            close()
-        self._admission.release(self._admitted)
-
-
 def spreading_rng(seed: str) -> random.Random:
     """Return the generator that spreads the times of callers' returns.
 
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -36,6 +36,7 @@
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.status import InstanceBundle, InstanceTable
 from wasabicross.subscribers import Subscribers, UseWindow
+from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
 
 PROBE_INTERVAL_S = 0.5
@@ -70,6 +71,7 @@
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
         self.subscribers = Subscribers(data_centre, self.window)
         self.placing = Placing()
+        self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
             cfg.weight_store, len(cfg.data_centres)
         )
@@ -189,6 +191,18 @@
             source = f'{self.cfg.instance.instance_id}/{told.source}'
             self.send_to_owner(server_id, msg.LoadUses(source, uses))
 
+    def merge_suspects(self, told: msg.SuspectRecords, link: Link) -> None:
+        """Keep what is known of requests that crash servers; pass it on.
+
+        :param told: records of an entry or another instance.
+        :param link: where they came from.
+        """
+        self.suspects.merge(told.records, time.monotonic())
+        self.loads.tell_entries(told)
+        if link.peer.kind == 'entry':
+            for peer in self.peers.linked():
+                peer.send(told)
+
     def entry_ended(self, name: str) -> None:
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
@@ -216,6 +230,8 @@
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
+        _, records = self.suspects.records_since(0, time.monotonic())
+        link.send(msg.SuspectRecords(list(records)))
         self.loads.entry_joined(link)
         link.run(self._accepted)
         self.loads.entry_left(link)
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -194,6 +194,10 @@
     def _(self, message: msg.PermitReturned, link: Link, call_id: int) -> None:
         self._ctl.desk.give_back(message, time.monotonic())
 
+    @_handle.register
+    def _(self, message: msg.SuspectRecords, link: Link, call_id: int) -> None:
+        self._ctl.merge_suspects(message, link)
+
     @_handle.register
     def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -8,7 +8,7 @@
 
 from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
-from wasabicross.attempts import Outstanding
+from wasabicross.attempts import Attempts
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
 from wasabicross.events import Event
@@ -92,8 +92,7 @@
     cfg: Settings, entry: EntrySettings, link: EntryLink
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
-    outstanding = Outstanding()
-    retry_budget = RetryBudget()
+    attempts = Attempts(link.watch, RetryBudget())
     life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
     weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
     admission = Admission(
@@ -106,14 +105,8 @@
         link,
         cfg.tenants,
         admission,
-        ModelCalls(link, outstanding, retry_budget, data_centre),
-        ServiceCalls(
-            link,
-            outstanding,
-            retry_budget,
-            KeyClaims(link, life),
-            data_centre,
-        ),
+        ModelCalls(link, attempts, data_centre),
+        ServiceCalls(attempts, KeyClaims(link, life), data_centre),
         CallerLimits(cfg.servers.max_request_s),
     )
 
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -1,6 +1,7 @@
 """The link of an entry to the controller beside it."""
 
 import threading
+import time
 from functools import singledispatchmethod
 from typing import Any
 
@@ -14,8 +15,10 @@
 from wasabicross.links import Link, dial
 from wasabicross.load_table import LoadTable
 from wasabicross.logs import log_event
+from wasabicross.server_watch import ServerWatch
 from wasabicross.settings import EntrySettings, Settings
 from wasabicross.spread import BundleFollower, LinkSource
+from wasabicross.suspects import Suspects
 
 USE_INTERVAL_S = 1.0
 RETRY_S = 0.2
@@ -30,7 +33,7 @@
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
         self.loads = LoadTable()
-        self.servers: tuple[msg.ServerInfo, ...] = ()
+        self.watch = ServerWatch(Suspects(), self._tell_suspects)
         self.listed = threading.Event()
         self.follower = BundleFollower(
             BundleHolder.from_config(cfg), self._bundle_in_force
@@ -39,6 +42,7 @@
         self._entry = entry
         self._stop = threading.Event()
         self._link: Link | None = None
+        self._suspects_told = 0
 
     @property
     def bundle(self) -> Bundle | None:
@@ -113,10 +117,19 @@
 
     def _tell_uses(self) -> None:
         while not self._stop.wait(USE_INTERVAL_S):
+            self._tell_suspects()
             uses = self.loads.take_uses()
             if uses:
                 self.send(msg.LoadUses(self._entry.name, uses))
 
+    def _tell_suspects(self) -> None:
+        number, records = self.watch.suspects.records_since(
+            self._suspects_told, time.monotonic()
+        )
+        self._suspects_told = number
+        if records:
+            self.send(msg.SuspectRecords(list(records)))
+
     def _bundle_in_force(self, bundle: Bundle) -> None:
         self._tell_bundle()
 
@@ -134,7 +147,7 @@
     @_handle.register
     def _(self, message: msg.FleetUpdate, link: Link) -> None:
         self.loads.set_foreign(message.need_grant)
-        self.servers = tuple(message.servers)
+        self.watch.follow(message.servers, time.monotonic())
         self.listed.set()
 
     @_handle.register
@@ -154,6 +167,10 @@
         if self.loads.consent_to_close(message.load_name):
             link.send(msg.LoadDrained(message.load_name))
 
+    @_handle.register
+    def _(self, message: msg.SuspectRecords, link: Link) -> None:
+        self.watch.suspects.merge(message.records, time.monotonic())
+
     @_handle.register
     def _(self, message: msg.BundleOffered, link: Link) -> None:
         self.follower.offer(BundlePointer(*message), LinkSource(link))
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -45,6 +45,8 @@
     EVICT_REFUSED_IN_USE = EventKind(5024, 'ERROR')
 
     ANSWER_CUT = EventKind(6001, 'WARNING')
+    SERVER_LOST = EventKind(6002, 'WARNING')
+    CRASHER_REFUSED = EventKind(6003, 'WARNING')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -8,6 +8,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from wasabicross.exceptions import MessageMalformed
+from wasabicross.suspect_records import SuspectRecord
 
 
 class ServerTerm(NamedTuple):
@@ -321,9 +322,12 @@
 
 
 class SuspectRecords(NamedTuple):
-    """Passes on what is known of requests that crash servers."""
+    """Passes on what is known of requests that crash servers.
 
-    records: list[list[Any]]
+    :param records: standings that have changed.
+    """
+
+    records: list[SuspectRecord]
 
 
 class PermitLoad(NamedTuple):
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -4,36 +4,24 @@
 import time
 from typing import Any, NamedTuple
 
-from wasabicross.attempts import (
-    Outstanding,
-    failed_attempt,
-    pass_on,
-    start_answer,
-)
+from wasabicross.attempts import Attempts
 from wasabicross.bundles import AdapterVersion
 from wasabicross.caller_request import CallerRequest
 from wasabicross.dispatch import Call, Dispatcher
 from wasabicross.engines import COMPLETIONS_PATH, Engine
 from wasabicross.entry_link import EntryLink
-from wasabicross.exceptions import (
-    AdapterNotLoaded,
-    AnswerCut,
-    DispatchError,
-    NotRun,
-)
+from wasabicross.exceptions import AdapterNotLoaded, DispatchError
 from wasabicross.load_names import server_of
 from wasabicross.messages import LoadMissing, ServerInfo, WantLoad
 from wasabicross.policy import Weights
 from wasabicross.replies import (
     BAD_JSON,
     LOAD_TIMEOUT,
-    NO_SERVER,
     UNKNOWN_ADAPTER,
+    Finished,
     Reply,
     refuse,
-    unknown_outcome,
 )
-from wasabicross.retries import Outcome, RetryBudget, may_retry
 from wasabicross.routing import Dispatch, Holder, choose
 from wasabicross.telemetry import LOAD_STALL_SECONDS
 
@@ -55,22 +43,20 @@
 class ModelCalls:
     """Runs model calls on the engines that hold their adapter version.
 
-    :param link: tells the servers and open loads.
-    :param outstanding: requests under way at each server.
-    :param retry_budget: bounds the retries of this process.
+    :param link: tells the open loads.
+    :param attempts: sends requests to the engines.
     :param data_centre: where this entry runs.
     """
 
     def __init__(
         self,
         link: EntryLink,
-        outstanding: Outstanding,
-        retry_budget: RetryBudget,
+        attempts: Attempts,
         data_centre: str,
     ) -> None:
         self._link = link
-        self._outstanding = outstanding
-        self._retry_budget = retry_budget
+        self._attempts = attempts
+        self._watch = attempts.watch
         self._data_centre = data_centre
         self._engines: dict[tuple[str, int], Engine] = {}
 
@@ -85,7 +71,7 @@
         wanted = req.bundle.adapter(str(document.get('model')))
         if wanted is None:
             return refuse(UNKNOWN_ADAPTER)
-        self._retry_budget.add_request()
+        self._attempts.accepted()
         run = _Run(req, document, wanted, [])
         while True:
             now_s = time.monotonic()
@@ -130,16 +116,20 @@
 
     def _holders(self, run: _Run, now_s: float) -> list[Holder]:
         wanted = run.wanted
-        servers = {server.server_id: server for server in self._link.servers}
         load_names = self._link.loads.holders(
             wanted.adapter, wanted.version, now_s
         )
+        by_server = {server_of(name) or '': name for name in load_names}
+        group = self._watch.group('engine', run.req.route.group)
+        usable = self._watch.usable(
+            [server.server_id for server in group], now_s
+        )
         return [
-            self._holder(load_name, servers[server_id])
-            for load_name in load_names
-            if (server_id := server_of(load_name) or '') in servers
-            and server_id not in run.tried
-            and servers[server_id].state == 'live'
+            self._holder(by_server[server.server_id], server)
+            for server in group
+            if server.server_id in by_server
+            and server.server_id in usable
+            and server.server_id not in run.tried
         ]
 
     def _holder(self, load_name: str, server: ServerInfo) -> Holder:
@@ -147,7 +137,7 @@
             server.server_id,
             server.data_centre,
             load_name,
-            self._outstanding.at(server.server_id),
+            self._watch.outstanding(server.server_id),
             0,
             0,
             BATCH_SIZE,
@@ -178,30 +168,27 @@
     def _attempt(self, run: _Run, holder: Holder) -> Reply | None:
         """Send the request once; None if it may be sent elsewhere."""
         run.tried.append(holder.server_id)
-        self._outstanding.add(holder.server_id)
-        try:
-            reply = self._exchange(run, holder)
-        except BaseException:
-            self._end(holder)
-            raise
+        now_s = time.monotonic()
+        cleared = self._attempts.clear(run.req, holder.server_id, now_s)
+        if cleared is not True:
+            self._link.finish_request(holder.load_name)
+            return cleared or None
+        call = self._call(run, holder, now_s)
+        reply = self._attempts.exchange(
+            run.req,
+            holder.server_id,
+            lambda: self._engine(holder.server_id).complete(call),
+            self._named(run),
+        )
         if isinstance(reply, Reply):
-            return reply
-        self._end(holder)
+            content = Finished(
+                reply.content,
+                lambda: self._link.finish_request(holder.load_name),
+            )
+            return reply._replace(content=content)
+        self._link.finish_request(holder.load_name)
         return self._after_failure(run, holder, reply)
 
-    def _exchange(self, run: _Run, holder: Holder) -> Reply | DispatchError:
-        engine = self._engine(holder.server_id)
-        answer = engine.complete(self._call(run, holder, time.monotonic()))
-        if answer.is_error():
-            return answer.error
-        try:
-            started = start_answer(answer.ok)
-        except AnswerCut as exc:
-            return exc
-        return pass_on(
-            run.req, started, self._named(run), lambda: self._end(holder)
-        )
-
     def _after_failure(
         self, run: _Run, holder: Holder, exc: DispatchError
     ) -> Reply | None:
@@ -210,25 +197,13 @@
             self._link.send(LoadMissing(holder.server_id, holder.load_name))
             run.tried.remove(holder.server_id)
             return None
-        not_run = isinstance(exc, NotRun)
-        outcome = Outcome.not_run if not_run else Outcome.unknown
-        now_s = time.monotonic()
-        attempt = failed_attempt(run.req, outcome, run.tried, now_s)
-        if may_retry(attempt) and self._retry_budget.spend():
-            return None
-        if not_run:
-            return refuse(NO_SERVER, RETRY_AFTER_S)
-        return unknown_outcome()
-
-    def _end(self, holder: Holder) -> None:
-        self._outstanding.remove(holder.server_id)
-        self._link.finish_request(holder.load_name)
+        return self._attempts.after_failure(
+            run.req, exc, run.tried, time.monotonic()
+        )
 
     def _engine(self, server_id: str) -> Engine:
-        server = next(
-            each for each in self._link.servers if each.server_id == server_id
-        )
-        address = (server.host, server.port)
+        server = self._watch.server(server_id)
+        address = (server.host, server.port) if server else ('', 0)
         engine = self._engines.get(address)
         if engine is None:
             engine = Engine(Dispatcher(*address))
--- a/src/wasabicross/replies.py
+++ b/src/wasabicross/replies.py
@@ -1,7 +1,7 @@
 """Answers to callers, and the errors among them."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 Headers = tuple[tuple[str, str], ...]
@@ -28,6 +28,44 @@
     content: Iterable[bytes]
 
 
+class Finished:
+    """The content of a reply; calls back once when it has ended.
+
+    :param content: the pieces of the body.
+    :param on_end: called when they have ended or are given up.
+    """
+
+    def __init__(
+        self, content: Iterable[bytes], on_end: Callable[[], None]
+    ) -> None:
+        self._content = content
+        self._pieces = iter(content)
+        self._on_end = on_end
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._pieces)
+        except BaseException:
+            self._end()
+            raise
+
+    def close(self) -> None:
+        """End the content, whether or not all of it was sent."""
+        close = getattr(self._content, 'close', None)
+        if close is not None:
+            close()
+        self._end()
+
+    def _end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._on_end()
+
+
 class Fault(NamedTuple):
     """An error as callers see it.
 
--- /dev/null
+++ b/src/wasabicross/server_watch.py
@@ -0,0 +1,162 @@
+"""What an entry knows of backend servers, and its exchanges with them."""
+
+import enum
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+
+from wasabicross.events import Event
+from wasabicross.exceptions import (
+    DispatchError,
+    NotConnected,
+    NotRun,
+)
+from wasabicross.logs import log_event
+from wasabicross.membership import Loss, Membership
+from wasabicross.messages import ServerInfo
+from wasabicross.server_health import Failure
+from wasabicross.suspects import Clearance, Suspects
+
+PROBE_TIMEOUT_S = 0.5
+LEAVING = 'leaving'
+
+
+class Ending(enum.Enum):
+    """How an exchange with a backend server ended."""
+
+    completed = 'completed'
+    cut = 'cut'
+    cancelled = 'cancelled'
+
+
+class ServerWatch:
+    """Servers and the requests under way on them, for one entry process.
+
+    :param suspects: knows the requests that crash servers.
+    :param on_suspects: called when there may be news of suspects to tell.
+    """
+
+    def __init__(
+        self, suspects: Suspects, on_suspects: Callable[[], None]
+    ) -> None:
+        self.suspects = suspects
+        self._on_suspects = on_suspects
+        self._membership = Membership()
+        self._lock = threading.Lock()
+        self._outstanding: Counter[str] = Counter()
+        self._servers: dict[str, ServerInfo] = {}
+
+    def follow(self, servers: Iterable[ServerInfo], now_s: float) -> None:
+        """Take in the servers that the list shows.
+
+        :param servers: all backend servers.
+        :param now_s: monotonic seconds.
+        """
+        listed = {server.server_id: server for server in servers}
+        leaving = [
+            server_id
+            for server_id, server in listed.items()
+            if server.state == LEAVING
+        ]
+        self._servers = listed
+        live = listed.keys() - set(leaving)
+        self._membership.on_list(live, leaving, now_s)
+
+    def server(self, server_id: str) -> ServerInfo | None:
+        """Return a server that the list shows."""
+        return self._servers.get(server_id)
+
+    def group(self, kind: str, name: str) -> list[ServerInfo]:
+        """Return the servers of a group, in the order of the list."""
+        return [
+            server
+            for server in self._servers.values()
+            if server.kind == kind and server.group == name
+        ]
+
+    def usable(self, server_ids: Sequence[str], now_s: float) -> set[str]:
+        """Return those of a group that may get a new request.
+
+        :param server_ids: servers of one group.
+        :param now_s: monotonic seconds.
+        """
+        return set(self._membership.usable(server_ids, now_s))
+
+    def outstanding(self, server_id: str) -> int:
+        """Return how many requests of this process are under way there."""
+        return self._outstanding[server_id]
+
+    def begin(
+        self, fingerprint: bytes, server_id: str, now_s: float
+    ) -> Clearance:
+        """Count a request as under way on a server, if it may go there.
+
+        :param fingerprint: digest of the request.
+        :param server_id: where it is to go.
+        :param now_s: monotonic seconds.
+        """
+        clearance = self.suspects.start(fingerprint, server_id, now_s)
+        if clearance in {Clearance.go, Clearance.trial}:
+            with self._lock:
+                self._outstanding[server_id] += 1
+            self._membership.on_start(server_id, now_s)
+        return clearance
+
+    def end(self, fingerprint: bytes, server_id: str, ending: Ending) -> None:
+        """Note how an exchange whose answer had started has ended."""
+        now_s = time.monotonic()
+        self._uncount(server_id)
+        if ending is Ending.completed:
+            self._membership.on_success(server_id, now_s)
+            self.suspects.complete(fingerprint, server_id, now_s)
+        elif ending is Ending.cancelled:
+            self.suspects.abandon(fingerprint, server_id)
+        else:
+            self._broken(fingerprint, server_id, now_s)
+
+    def fail(
+        self, fingerprint: bytes, server_id: str, exc: DispatchError
+    ) -> None:
+        """Note an exchange that ended before its answer had started."""
+        now_s = time.monotonic()
+        self._uncount(server_id)
+        if not isinstance(exc, NotRun):
+            self._broken(fingerprint, server_id, now_s)
+            return
+        self.suspects.abandon(fingerprint, server_id)
+        if isinstance(exc, NotConnected):
+            self._membership.on_failure(server_id, Failure.refused, now_s)
+        elif 'leaving' in str(exc):
+            self._membership.on_leaving(server_id, now_s)
+
+    def _uncount(self, server_id: str) -> None:
+        with self._lock:
+            self._outstanding[server_id] -= 1
+
+    def _broken(self, fingerprint: bytes, server_id: str, now_s: float) -> None:
+        """Find out whether the server or only the connection was lost."""
+        self.suspects.break_off(fingerprint, server_id, now_s)
+        failure = self._probe(server_id)
+        if failure is None:
+            self.suspects.server_alive(server_id, now_s)
+            return
+        self._membership.on_failure(server_id, failure, now_s)
+        if self._membership.loss(server_id, now_s) is Loss.server:
+            log_event(Event.SERVER_LOST, server=server_id)
+            self.suspects.server_lost(server_id, now_s)
+        self._on_suspects()
+
+    def _probe(self, server_id: str) -> Failure | None:
+        server = self._servers.get(server_id)
+        if server is None:
+            return Failure.refused
+        address = (server.host, server.port)
+        try:
+            socket.create_connection(address, PROBE_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return Failure.refused
+        except OSError:
+            return Failure.timed_out
+        return None
