--- a/src/wasabicross/bundle_store.py
+++ b/src/wasabicross/bundle_store.py
@@ -108,6 +108,26 @@
         """
         return self._write_once(f'bundle/manifest/{digest}', encoded)
 
+    def replace_manifest(
+        self,
+        digest: str,
+        encoded: bytes,
+    ) -> Result[bytes, BundleError]:
+        """Store a signed manifest instead of one that no longer verifies.
+
+        :param digest: digest of the manifest.
+        :param encoded: the encoded signed manifest.
+        """
+        key = f'bundle/manifest/{digest}'
+        found = self._store.get(key)
+        if found.is_error():
+            return Error(BundleUnavailable(str(found.error)))
+        version = found.ok.version
+        written = self._store.compare_and_swap(key, encoded, version)
+        if written.is_error():
+            return Error(BundleUnavailable(str(written.error)))
+        return Ok(encoded)
+
     def put_chunk(
         self,
         digest: str,
--- /dev/null
+++ b/src/wasabicross/drafts.py
@@ -0,0 +1,208 @@
+"""Drafts of bundles: prepared by operators and signed off."""
+
+from collections.abc import Mapping
+from datetime import datetime
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+from nacl.signing import VerifyKey
+
+from wasabicross.bundle_file import BuiltBundle, BundleFile, build_bundle
+from wasabicross.bundle_store import BundleStore
+from wasabicross.bundles import (
+    NO_PARENT,
+    BundlePointer,
+    Draft,
+    Manifest,
+    SignedManifest,
+)
+from wasabicross.exceptions import (
+    BundleError,
+    BundleNotFound,
+    BundleUnavailable,
+    RolloutError,
+    SignatureRefused,
+    StoredDataMalformed,
+    StoreUnavailable,
+    UnknownBundle,
+)
+from wasabicross.manifests import (
+    decode_manifest,
+    decode_signed,
+    encode_draft,
+    encode_signed,
+    verify_signed,
+)
+
+
+class Prepared(NamedTuple):
+    """A draft that can be signed off.
+
+    :param digest: names the bundle in all further actions.
+    :param manifest: its manifest.
+    :param draft: who prepared it and when.
+    """
+
+    digest: str
+    manifest: Manifest
+    draft: Draft
+
+
+class Drafts:
+    """Prepares and signs off bundles; either may be repeated.
+
+    :param store: the bundles.
+    :param trusted_keys: public keys by name.
+    """
+
+    def __init__(
+        self,
+        store: BundleStore,
+        trusted_keys: Mapping[str, VerifyKey],
+    ) -> None:
+        self._store = store
+        self._trusted_keys = trusted_keys
+
+    def prepare(
+        self,
+        bundle_file: BundleFile,
+        operator: str,
+        now: datetime,
+    ) -> Result[Prepared, RolloutError | BundleError]:
+        """Store a draft of the bundle that would follow the one in force.
+
+        Errors: BundleFileError, StoreUnavailable, StoredDataMalformed.
+
+        :param bundle_file: what the operator wrote.
+        :param operator: who asks.
+        :param now: present time, UTC.
+        """
+        current = self._store.current()
+        if current.is_error():
+            return Error(store_error(current.error))
+        number, parent = next_after(current.ok.pointer)
+        built = build_bundle(bundle_file, number, parent)
+        if built.is_error():
+            return Error(built.error)
+        stored = self._put_chunks(built.ok, parent)
+        if stored.is_error():
+            return Error(stored.error)
+        draft = Draft(built.ok.manifest, now.isoformat(), operator)
+        written = self._store.put_draft(built.ok.digest, encode_draft(draft))
+        if written.is_error():
+            return Error(store_error(written.error))
+        return self.prepared(built.ok.digest)
+
+    def prepared(
+        self,
+        digest: str,
+    ) -> Result[Prepared, RolloutError | BundleError]:
+        """Return a draft; UnknownBundle, StoreUnavailable.
+
+        :param digest: digest of its manifest.
+        """
+        draft = self._store.draft(digest)
+        if draft.is_error():
+            return Error(draft_error(draft.error, digest))
+        manifest = decode_manifest(draft.ok.manifest)
+        if manifest.is_error():
+            return Error(store_error(manifest.error))
+        return Ok(Prepared(digest, manifest.ok, draft.ok))
+
+    def sign_off(
+        self,
+        digest: str,
+        key_name: str,
+        signature: bytes,
+    ) -> Result[SignedManifest, RolloutError]:
+        """Attach a signature to a draft, if a trusted key made it.
+
+        A signature that was attached before stays as long as its key is
+        trusted. Errors: UnknownBundle, SignatureRefused, StoreUnavailable.
+
+        :param digest: digest of the draft's manifest.
+        :param key_name: name of the key in the trusted keys.
+        :param signature: of context and manifest, 64 bytes.
+        """
+        draft = self._store.draft(digest)
+        if draft.is_error():
+            return Error(draft_error(draft.error, digest))
+        signed = SignedManifest(draft.ok.manifest, key_name, signature)
+        encoded = encode_signed(signed)
+        verified = verify_signed(encoded, digest, self._trusted_keys)
+        if verified.is_error():
+            return Error(SignatureRefused(str(verified.error)))
+        return self._put_signed(digest, encoded)
+
+    def signed_by(self, digest: str) -> Result[str | None, RolloutError]:
+        """Return the name of the key that signed a draft, if one has.
+
+        :param digest: digest of the draft's manifest.
+        """
+        stored = self._store.manifest(digest).bind(decode_signed)
+        if stored.is_ok():
+            return Ok(stored.ok.key_name)
+        if isinstance(stored.error, BundleNotFound):
+            return Ok(None)
+        return Error(store_error(stored.error))
+
+    def _put_chunks(
+        self,
+        built: BuiltBundle,
+        parent: str,
+    ) -> Result[None, RolloutError]:
+        held: frozenset[str] = frozenset()
+        if parent:
+            before = self.prepared(parent)
+            if before.is_ok():
+                held = frozenset(before.ok.manifest.chunk_digests())
+        for digest, encoded in built.chunks.items():
+            if digest in held:
+                continue
+            written = self._store.put_chunk(digest, encoded)
+            if written.is_error():
+                return Error(store_error(written.error))
+        return Ok(None)
+
+    def _put_signed(
+        self,
+        digest: str,
+        encoded: bytes,
+    ) -> Result[SignedManifest, RolloutError]:
+        stored = self._store.put_manifest(digest, encoded)
+        if stored.is_ok() and stored.ok != encoded:
+            first = verify_signed(stored.ok, digest, self._trusted_keys)
+            if first.is_error():
+                stored = self._store.replace_manifest(digest, encoded)
+        return stored.bind(decode_signed).map_error(store_error)
+
+
+def next_after(pointer: BundlePointer | None) -> tuple[int, str]:
+    """Return number and parent of the bundle that would follow.
+
+    :param pointer: the bundle in force, if any.
+    """
+    if pointer is None:
+        return 1, NO_PARENT
+    return pointer.number + 1, pointer.digest
+
+
+def store_error(exc: BundleError) -> RolloutError:
+    """Turn an error of the stored bundles into one of the actions.
+
+    :param exc: BundleUnavailable, or any other for malformed data.
+    """
+    if isinstance(exc, BundleUnavailable):
+        return StoreUnavailable(str(exc))
+    return StoredDataMalformed(str(exc))
+
+
+def draft_error(exc: BundleError, digest: str) -> RolloutError:
+    """Turn the error of reading a draft into one of the actions.
+
+    :param exc: what reading gave.
+    :param digest: digest of the draft's manifest.
+    """
+    if isinstance(exc, BundleNotFound):
+        return UnknownBundle(f'no bundle {digest} was prepared')
+    return store_error(exc)
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -104,6 +104,7 @@
 
     """The source does not have the bytes, or can't be reached."""
 
+
 class KeyValueError(WasabicrossError):
     """Base of the errors of the key-value service's seam."""
 
@@ -221,3 +222,20 @@
 
 class StoredDataMalformed(RolloutError):
     """What the key-value service holds is not what was written there."""
+
+
+class AlreadySuperseded(RolloutError):
+    """The bundle was in force, and another one has taken its place.
+
+    :param past: the pointer of the bundle.
+    :param winner: the pointer that is in force.
+    """
+
+    def __init__(self, past: 'BundlePointer', winner: 'BundlePointer') -> None:
+        super().__init__(
+            f'bundle {past.number} was rolled by {past.rolled_by} at '
+            f'{past.rolled_at} and has been superseded by bundle '
+            f'{winner.number}; prepare again to bring it back',
+        )
+        self.past = past
+        self.winner = winner
--- /dev/null
+++ b/src/wasabicross/rollout.py
@@ -0,0 +1,207 @@
+"""Operators' actions that bring bundles into force: roll and supersede.
+
+Each may be repeated: what it did before is found done. The pointer moves
+only by compare-and-swap, from the parent that the manifest names.
+"""
+
+from collections.abc import Callable, Mapping
+from datetime import datetime
+
+from expression import Error, Ok, Result
+from nacl.signing import VerifyKey
+
+from wasabicross.bundle_status import DataCentreStatus, lagging_data_centres
+from wasabicross.bundle_store import BundleStore, StoredPointer
+from wasabicross.bundles import BundlePointer, Manifest
+from wasabicross.drafts import draft_error, next_after, store_error
+from wasabicross.exceptions import (
+    AlreadySuperseded,
+    BundleError,
+    BundleNotFound,
+    BundleNotSigned,
+    BundleUntrusted,
+    RaceLost,
+    RolloutError,
+    SignatureRefused,
+    SpreadUnknown,
+    StillRolling,
+    StoredDataMalformed,
+    UnknownBundle,
+)
+from wasabicross.manifests import verify_signed
+from wasabicross.pointer_swap import PointerSwap
+
+StatusesOf = Callable[[BundlePointer], tuple[DataCentreStatus, ...]]
+
+
+class Rollout:
+    """Rolls and supersedes the bundles of the key-value service.
+
+    :param store: the bundles.
+    :param trusted_keys: public keys by name.
+    """
+
+    def __init__(
+        self,
+        store: BundleStore,
+        trusted_keys: Mapping[str, VerifyKey],
+    ) -> None:
+        self._store = store
+        self._trusted_keys = trusted_keys
+        self._swap = PointerSwap(store)
+
+    def roll(
+        self,
+        digest: str,
+        operator: str,
+        now: datetime,
+        statuses_of: StatusesOf,
+    ) -> Result[BundlePointer, RolloutError]:
+        """Bring a signed bundle into force after the one before has spread.
+
+        Errors: those of :meth:`supersede`, StillRolling, SpreadUnknown.
+
+        :param digest: digest of the bundle.
+        :param operator: who asks.
+        :param now: present time, UTC.
+        :param statuses_of: tells how far a bundle has reached.
+        """
+        current = self.current()
+        if current.is_error():
+            return Error(current.error)
+        pointer = current.ok.pointer
+        if pointer and pointer.digest == digest:
+            return Ok(pointer)
+        manifest = self._rollable(digest, current.ok)
+        if manifest.is_error():
+            return Error(manifest.error)
+        if pointer:
+            refusal = _spread_refusal(pointer, statuses_of(pointer))
+            if refusal:
+                return Error(refusal)
+        moved = BundlePointer(
+            manifest.ok.number,
+            digest,
+            now.isoformat(),
+            operator,
+        )
+        return self._swap.move(current.ok, moved)
+
+    def supersede(
+        self,
+        digest: str,
+        number: int,
+        operator: str,
+        now: datetime,
+    ) -> Result[BundlePointer, RolloutError]:
+        """Replace a bundle in force at once, however far it has spread.
+
+        Errors: UnknownBundle, BundleNotSigned, SignatureRefused, RaceLost,
+        AlreadySuperseded, RollOutcomeUnknown, StoreUnavailable.
+
+        :param digest: digest of the bundle that takes its place.
+        :param number: number of the bundle to be replaced.
+        :param operator: who asks.
+        :param now: present time, UTC.
+        """
+        current = self.current()
+        if current.is_error():
+            return Error(current.error)
+        pointer = current.ok.pointer
+        if pointer is None:
+            return Error(UnknownBundle('no bundle is in force yet; roll one'))
+        if pointer[:2] == (number + 1, digest):
+            return Ok(pointer)
+        manifest = self._rollable(digest, current.ok)
+        if manifest.is_error():
+            return Error(manifest.error)
+        if pointer.number != number:
+            return Error(RaceLost(pointer))
+        moved = BundlePointer(number + 1, digest, now.isoformat(), operator)
+        return self._swap.move(current.ok, moved)
+
+    def current(self) -> Result[StoredPointer, RolloutError]:
+        """Return the pointer in force; StoreUnavailable."""
+        return self._store.current().map_error(store_error)
+
+    def history(
+        self,
+        limit: int,
+    ) -> Result[tuple[BundlePointer, ...], RolloutError]:
+        """Return the pointers in force until now, the present one first.
+
+        :param limit: how many at most.
+        """
+        current = self.current()
+        if current.is_error():
+            return Error(current.error)
+        pointer = current.ok.pointer
+        if pointer is None:
+            return Ok(())
+        pointers = [pointer]
+        oldest = max(pointer.number - limit, 0)
+        for number in range(pointer.number - 1, oldest, -1):
+            past = self._store.past_pointer(number)
+            if past.is_error():
+                return Error(store_error(past.error))
+            pointers.append(past.ok)
+        return Ok(tuple(pointers))
+
+    def _rollable(
+        self,
+        digest: str,
+        current: StoredPointer,
+    ) -> Result[Manifest, RolloutError]:
+        signed = self._store.manifest(digest)
+        if signed.is_error():
+            return Error(self._unsigned_error(signed.error, digest))
+        verified = verify_signed(signed.ok, digest, self._trusted_keys)
+        if verified.is_error():
+            return Error(_signature_error(verified.error))
+        manifest = verified.ok
+        if (manifest.number, manifest.parent) == next_after(current.pointer):
+            return Ok(manifest)
+        return Error(self._race_error(digest, manifest, current))
+
+    def _race_error(
+        self,
+        digest: str,
+        manifest: Manifest,
+        current: StoredPointer,
+    ) -> RolloutError:
+        winner = current.pointer
+        if winner is None:
+            return StoredDataMalformed('the pointer in force has vanished')
+        past = self._store.past_pointer(manifest.number)
+        if past.is_ok() and past.ok.digest == digest:
+            return AlreadySuperseded(past.ok, winner)
+        if past.is_ok() or isinstance(past.error, BundleNotFound):
+            return RaceLost(winner)
+        return store_error(past.error)
+
+    def _unsigned_error(self, exc: BundleError, digest: str) -> RolloutError:
+        if not isinstance(exc, BundleNotFound):
+            return store_error(exc)
+        draft = self._store.draft(digest)
+        if draft.is_error():
+            return draft_error(draft.error, digest)
+        return BundleNotSigned('sign the bundle off first')
+
+
+def _spread_refusal(
+    pointer: BundlePointer,
+    statuses: tuple[DataCentreStatus, ...],
+) -> RolloutError | None:
+    if not any(status.reachable for status in statuses):
+        return SpreadUnknown(
+            f'no instance was heard of, so bundle {pointer.number} may still '
+            'be rolling; wait, or supersede it',
+        )
+    lagging = lagging_data_centres(statuses)
+    return StillRolling(pointer.number, lagging) if lagging else None
+
+
+def _signature_error(exc: BundleError) -> RolloutError:
+    if isinstance(exc, BundleUntrusted):
+        return SignatureRefused(str(exc))
+    return store_error(exc)
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,62 @@
+"""The key-value seam in memory, with faults told beforehand."""
+
+import threading
+from collections import defaultdict, deque
+
+from expression import Error, Ok
+
+from wasabicross.exceptions import (
+    KeyValueUnavailable,
+    SwapConflict,
+    SwapOutcomeUnknown,
+)
+from wasabicross.kv import Versioned
+
+
+class MemoryStore:
+    """Keys in memory.
+
+    `faults` holds, by key prefix, what happens to the next swaps: ``refused``,
+    ``lost`` (applied, answer lost), ``dropped`` (not applied, answer lost) or
+    a function that is called before the swap is done.
+    """
+
+    def __init__(self):
+        self.keys = {}
+        self.swaps = []
+        self.is_down = False
+        self.faults = defaultdict(deque)
+        self._lock = threading.RLock()
+
+    def get(self, key):
+        if self.is_down:
+            return Error(KeyValueUnavailable('down'))
+        return Ok(self.keys.get(key, Versioned(key, None, 0)))
+
+    def compare_and_swap(self, key, value, expected_version, lease_id=None):
+        fault = self._next_fault(key)
+        if callable(fault):
+            fault()
+        if self.is_down or fault == 'refused':
+            return Error(KeyValueUnavailable('down'))
+        if fault == 'dropped':
+            return Error(SwapOutcomeUnknown('answer lost'))
+        swapped = self._swap(key, value, expected_version)
+        if fault == 'lost':
+            return Error(SwapOutcomeUnknown('answer lost'))
+        return swapped
+
+    def _swap(self, key, value, expected_version):
+        with self._lock:
+            present = self.keys.get(key, Versioned(key, None, 0))
+            if present.version != expected_version:
+                return Error(SwapConflict(present))
+            self.keys[key] = Versioned(key, value, expected_version + 1)
+            self.swaps.append(key)
+            return Ok(self.keys[key])
+
+    def _next_fault(self, key):
+        for prefix, faults in self.faults.items():
+            if faults and key.startswith(prefix):
+                return faults.popleft()
+        return None
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -236,8 +236,10 @@
 )
 def test_number_only_rises(number, versions, outcome):
     holder, _ = offered(built({'a': '2'}, 2), 2)
-    result = offered(built(versions, number), number, holder)[1]
+    source = MemorySource(built(versions, number))
+    result = offered(built(versions, number), number, holder, source)[1]
     if outcome == 'superseded':
+        assert source.fetched == []
         assert isinstance(result.error, exceptions.BundleSuperseded)
         assert holder.current.number == 2
     else:
@@ -249,6 +251,20 @@
     assert isinstance(result.error, exceptions.BundleMalformed)
 
 
+def test_offer_overtaken_while_it_is_fetched_is_refused():
+    older, newer = built({'a': '2'}, 2), built({'a': '3'}, 3)
+    holder = BundleHolder(TRUSTED)
+
+    class Overtaken(MemorySource):
+        def manifest(self, digest):
+            assert offered(newer, 3, holder)[1].is_ok()
+            return super().manifest(digest)
+
+    result = offered(older, 2, holder, Overtaken(older))[1]
+    assert isinstance(result.error, exceptions.BundleSuperseded)
+    assert holder.current.number == 3
+
+
 def test_concurrent_offers_end_at_the_highest():
     bundles = [built({'a': str(n)}, n) for n in range(1, 9)]
     source = MemorySource(*bundles)
