Add a fault-injecting TCP proxy

Cause: cuts, delays, half-open connections and resets had no place to come from. Ruled out: a thread for each direction that sleeps for the delay (it slows the flow, not only shifts it); a plain reset for a cut (a caller must see a refused connection, so the listener closes).

--- /dev/null
+++ b/emulator/proxy.py
@@ -0,0 +1,305 @@
+"""A TCP proxy that injects faults, with any number of links.
+
+``python -m emulator.proxy --control C --listen P --target HOST:PORT ...``
+
+A link is known by the port on which it listens; `--listen` and `--target`
+may be repeated in pairs.
+
+=====================  =====================================================
+GET /links             each link's faults, connections and bytes
+POST /links            ``{"listen": P, "target": "HOST:PORT"}``: a new link
+POST /fault            ``{"listen": P, ...}``: the faults to change, named
+                       as in :class:`Faults`
+POST /heal             ``{"listen": P}``: end all faults of a link
+POST /reset            ``{"listen": P}``: reset the present connections
+=====================  =====================================================
+
+A caller whose target does not listen sees a connection that is taken and
+then reset, since the proxy has taken it by then; only a cut link refuses.
+"""
+
+import argparse
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import urllib3
+
+from emulator.http_server import STACK_BYTES
+from emulator.http_server import Reply
+from emulator.http_server import Request
+from emulator.http_server import json_reply
+from emulator.http_server import serve_until_stopped
+from emulator.proxy_connection import DIRECTIONS
+from emulator.proxy_connection import Faults
+from emulator.proxy_connection import LinkState
+from emulator.proxy_connection import ProxyConnection
+from emulator.proxy_connection import reset_on_close
+
+BACKLOG = 1024
+SETTLE_TIMEOUT_S = 10
+NO_FAULTS = Faults()
+BY_DIRECTION = frozenset(('swallow', 'hold', 'reset_after'))
+
+
+class Link:
+    """One listening port and the target behind it.
+
+    :param listen: port on loopback, 0 for any.
+    :param target: host and port.
+    """
+
+    def __init__(self, listen: int, target: tuple[str, int]) -> None:
+        self.target = target
+        self._changed = threading.Condition()
+        self._state = LinkState()
+        self._connections: set[ProxyConnection] = set()
+        self._accepted = 0
+        self._listener: socket.socket | None = None
+        self.listen = listen
+        self._open()
+
+    def state(self) -> LinkState:
+        """Tell the faults in force."""
+        return self._state
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put faults in force; when it returns they are.
+
+        :raises TimeoutError: a connection did not go away on a cut.
+        """
+        if faults.cut:
+            self._close()
+        with self._changed:
+            self._state = self._state._replace(
+                faults=faults,
+                number=self._state.number + 1,
+            )
+            present = self._wake_all()
+        if faults.cut:
+            self._wait_until_gone(present)
+        elif self._listener is None:
+            self._open()
+
+    def reset_connections(self) -> None:
+        """Reset the present connections; new ones are taken."""
+        with self._changed:
+            self._state = self._state._replace(
+                resets=self._state.resets + 1,
+            )
+            present = self._wake_all()
+        self._wait_until_gone(present)
+
+    def close(self) -> None:
+        """Refuse new connections and reset the present ones."""
+        self.set_faults(Faults(cut=True))
+
+    def summary(self) -> dict[str, Any]:
+        """Tell the faults and the connections."""
+        with self._changed:
+            return {
+                'listen': self.listen,
+                'target': list(self.target),
+                'faults': self._state.faults._asdict(),
+                'connections': len(self._connections),
+                'accepted': self._accepted,
+            }
+
+    def _open(self) -> None:
+        self._listener = socket.create_server(
+            ('127.0.0.1', self.listen),
+            backlog=BACKLOG,
+        )
+        self.listen = self._listener.getsockname()[1]
+        _start_thread(self._accept_all, self._listener)
+
+    def _close(self) -> None:
+        if self._listener is not None:
+            # A plain close would leave the accepting thread waiting.
+            self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+            self._listener = None
+
+    def _accept_all(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                caller, _address = listener.accept()
+            except OSError:
+                return
+            self._accept(caller)
+
+    def _accept(self, caller: socket.socket) -> None:
+        with self._changed:
+            if self._state.faults.cut:
+                reset_on_close(caller)
+                caller.close()
+                return
+            connection = ProxyConnection(
+                caller,
+                self.target,
+                self.state,
+                self._use_reset,
+            )
+            self._accepted += 1
+            self._connections.add(connection)
+        _start_thread(self._run, connection)
+
+    def _run(self, connection: ProxyConnection) -> None:
+        try:
+            connection.run()
+        finally:
+            with self._changed:
+                self._connections.remove(connection)
+                connection.close()
+                self._changed.notify_all()
+
+    def _use_reset(self) -> bool:
+        with self._changed:
+            faults = self._state.faults
+            if faults.reset_times > 0:
+                fewer = faults._replace(reset_times=faults.reset_times - 1)
+                self._state = self._state._replace(faults=fewer)
+            return faults.reset_times != 0
+
+    def _wake_all(self) -> set[ProxyConnection]:
+        for connection in self._connections:
+            connection.wake()
+        return set(self._connections)
+
+    def _wait_until_gone(self, present: set[ProxyConnection]) -> None:
+        with self._changed:
+            emptied = self._changed.wait_for(
+                lambda: not self._connections.intersection(present),
+                SETTLE_TIMEOUT_S,
+            )
+        if not emptied:
+            raise TimeoutError('connections remain')
+
+
+class Proxy:
+    """Links, and the control of their faults over HTTP."""
+
+    def __init__(self) -> None:
+        self._links: dict[int, Link] = {}
+        self._lock = threading.Lock()
+
+    def add(self, listen: int, target: str) -> Link:
+        """Open a link.
+
+        :param listen: port on loopback, 0 for any.
+        :param target: ``HOST:PORT``.
+        """
+        host, _, port = target.rpartition(':')
+        link = Link(listen, (host, int(port)))
+        self._links[link.listen] = link
+        return link
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.close()
+
+    def answer(self, req: Request) -> Reply:
+        """Answer a call to the control port."""
+        with self._lock:
+            if (req.method, req.path) == ('GET', '/links'):
+                links = self._links.values()
+                return json_reply([link.summary() for link in links])
+            return self._change(req.path, req.document())
+
+    def _change(self, path: str, document: dict[str, Any]) -> Reply:
+        listen = document.pop('listen')
+        if path == '/links':
+            return json_reply(self.add(listen, document['target']).summary())
+        link = self._links[listen]
+        if path == '/fault':
+            present = link.state().faults
+            link.set_faults(changed_faults(present, document))
+        elif path == '/heal':
+            link.set_faults(NO_FAULTS)
+        elif path == '/reset':
+            link.reset_connections()
+        else:
+            return json_reply({'error': 'no such path'}, 404)
+        return json_reply(link.summary())
+
+
+class ProxyClient:
+    """Controls a proxy in another process.
+
+    :param control_port: its control port.
+    """
+
+    def __init__(self, control_port: int) -> None:
+        self._url = f'http://127.0.0.1:{control_port}'
+        self._http = urllib3.PoolManager(retries=False)
+
+    def add(self, listen: int, target: str) -> None:
+        """Open a link."""
+        self._post('/links', listen=listen, target=target)
+
+    def fault(self, listen: int, **faults: Any) -> None:
+        """Change faults of a link, named as in :class:`Faults`."""
+        self._post('/fault', listen=listen, **faults)
+
+    def heal(self, listen: int) -> None:
+        """End all faults of a link."""
+        self._post('/heal', listen=listen)
+
+    def reset(self, listen: int) -> None:
+        """Reset a link's present connections."""
+        self._post('/reset', listen=listen)
+
+    def links(self) -> dict[int, dict[str, Any]]:
+        """Tell each link's faults and connections, by its port."""
+        resp = self._http.request('GET', f'{self._url}/links')
+        return {link['listen']: link for link in resp.json()}
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._http.clear()
+
+    def _post(self, path: str, **document: Any) -> None:
+        resp = self._http.request('POST', self._url + path, json=document)
+        if resp.status != 200:
+            raise ValueError(f'{path} {document}: {resp.data!r}')
+
+
+def changed_faults(faults: Faults, wanted: dict[str, Any]) -> Faults:
+    """Apply named changes to faults.
+
+    :param faults: the faults until now.
+    :param wanted: new values by name, directions as lists or objects.
+    :raises ValueError: an unknown name or direction.
+    """
+    unknown = wanted.keys() - set(Faults._fields)
+    if unknown:
+        raise ValueError(f'unknown faults: {sorted(unknown)}')
+    for name in BY_DIRECTION.intersection(wanted):
+        if set(wanted[name]) - set(DIRECTIONS):
+            raise ValueError(f'{name}: directions are {DIRECTIONS}')
+    limits = wanted.pop('reset_after', dict(faults.reset_after))
+    return faults._replace(reset_after=tuple(limits.items()), **wanted)
+
+
+def _start_thread(target: Callable[..., None], *args: Any) -> None:
+    threading.stack_size(STACK_BYTES)
+    threading.Thread(target=target, args=args, daemon=True).start()
+
+
+def main() -> None:
+    """Serve until stopped."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--control', type=int, required=True)
+    parser.add_argument('--listen', type=int, action='append', default=[])
+    parser.add_argument('--target', action='append', default=[])
+    args = parser.parse_args()
+    proxy = Proxy()
+    for listen, target in zip(args.listen, args.target, strict=True):
+        proxy.add(listen, target)
+    serve_until_stopped(args.control, proxy.answer)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,338 @@
+"""The fault-injecting proxy, and what its faults are to the seam."""
+
+import socket
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+import urllib3
+
+from emulator.fleet import Program
+from emulator.proxy import ProxyClient
+from emulator.waiting import free_ports
+from emulator.waiting import wait_until
+from wasabicross import exceptions
+from wasabicross.kv import KeyValueStore
+
+UNAVAILABLE = exceptions.KeyValueUnavailable
+UNKNOWN = exceptions.SwapOutcomeUnknown
+BIG = bytes(range(256)) * 40000
+
+
+class Echo:
+    """Sends back what it receives, and remembers it."""
+
+    def __init__(self):
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.received = []
+        self.ended = []
+        threading.Thread(target=self._accept_all, daemon=True).start()
+
+    @property
+    def target(self):
+        return '127.0.0.1:{}'.format(self.listener.getsockname()[1])
+
+    def _accept_all(self):
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._echo,
+                args=(conn,),
+                daemon=True,
+            ).start()
+
+    def _echo(self, conn):
+        with conn:
+            try:
+                while data := conn.recv(65536):
+                    self.received.append(data)
+                    conn.sendall(data)
+                self.ended.append('end')
+            except OSError:
+                # What came before a reset is still there to be read.
+                self.received.append(receive(conn, len(BIG)))
+                self.ended.append('reset')
+
+
+@pytest.fixture(scope='module')
+def control(runner):
+    (port,) = free_ports(1)
+    url = f'http://127.0.0.1:{port}/links'
+    args = ('--control', str(port))
+    runner.run(Program('proxy', 'emulator.proxy', args, url))
+    client = ProxyClient(port)
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def echo():
+    server = Echo()
+    yield server
+    server.listener.shutdown(socket.SHUT_RDWR)
+    server.listener.close()
+
+
+@pytest.fixture
+def link(control, echo):
+    (port,) = free_ports(1)
+    control.add(port, echo.target)
+    yield port
+    control.fault(port, cut=True)
+
+
+def connect(port):
+    conn = socket.create_connection(('127.0.0.1', port), 5)
+    conn.settimeout(5)
+    return conn
+
+
+def receive(conn, size):
+    received = b''
+    while len(received) < size:
+        data = conn.recv(65536)
+        if not data:
+            break
+        received += data
+    return received
+
+
+def exchange(conn, data):
+    sender = threading.Thread(target=conn.sendall, args=(data,))
+    sender.start()
+    received = receive(conn, len(data))
+    sender.join(5)
+    return received
+
+
+def is_silent(conn, wait_s=0.15):
+    conn.settimeout(wait_s)
+    try:
+        return conn.recv(1) is None
+    except TimeoutError:
+        return True
+    finally:
+        conn.settimeout(5)
+
+
+@pytest.mark.parametrize(
+    ('faults', 'data'),
+    [
+        ({}, b'x'),
+        ({}, BIG),
+        ({'delay_ms': 1}, BIG),
+        ({'reset_after': {'up': len(BIG) + 1}}, BIG),
+        ({'reset_after': {'up': 1}, 'reset_times': 0}, BIG),
+    ],
+)
+def test_bytes_pass_whole(control, link, echo, faults, data):
+    control.fault(link, **faults)
+    with connect(link) as conn:
+        assert exchange(conn, data) == data
+        conn.shutdown(socket.SHUT_WR)
+        assert conn.recv(1) == b''
+    wait_until(lambda: echo.ended, 5, 'end')
+    assert echo.ended == ['end']
+    wait_until(lambda: not control.links()[link]['connections'], 5, 'closed')
+
+
+def test_cut_resets_and_refuses_until_healed(control, link, echo):
+    with connect(link) as conn:
+        assert exchange(conn, b'x') == b'x'
+        control.fault(link, cut=True)
+        with pytest.raises(ConnectionResetError):
+            conn.recv(1)
+    for _ in range(3):
+        with pytest.raises(ConnectionRefusedError):
+            connect(link)
+    wait_until(lambda: echo.ended, 5, 'reset')
+    assert echo.ended == ['reset']
+    control.heal(link)
+    with connect(link) as conn:
+        assert exchange(conn, b'y') == b'y'
+
+
+def test_reset_takes_new_connections(control, link):
+    with connect(link) as conn:
+        assert exchange(conn, b'x') == b'x'
+        control.reset(link)
+        with pytest.raises(ConnectionResetError):
+            conn.recv(1)
+    with connect(link) as conn:
+        assert exchange(conn, b'y') == b'y'
+
+
+def test_delay_shifts_without_slowing_the_flow(control, link):
+    control.fault(link, delay_ms=100)
+    with connect(link) as conn:
+        start_s = time.monotonic()
+        for number in range(20):
+            conn.sendall(bytes([number]))
+            time_left = start_s + (number + 1) * 0.01 - time.monotonic()
+            threading.Event().wait(max(time_left, 0))
+        assert receive(conn, 20) == bytes(range(20))
+        assert 0.2 <= time.monotonic() - start_s < 2
+
+
+@pytest.mark.parametrize(
+    ('direction', 'reached'),
+    [('up', False), ('down', True)],
+)
+def test_swallowed_direction_stays_open(
+    control,
+    link,
+    echo,
+    direction,
+    reached,
+):
+    with connect(link) as conn:
+        exchange(conn, b'before')
+        control.fault(link, swallow=[direction])
+        conn.sendall(b'lost')
+        assert is_silent(conn)
+        assert (b'lost' in echo.received) is reached
+        assert control.links()[link]['connections'] == 1
+        control.heal(link)
+        with pytest.raises(ConnectionResetError):
+            conn.recv(1)
+
+
+@pytest.mark.parametrize('direction', ['up', 'down'])
+def test_held_bytes_arrive_late(control, link, direction):
+    with connect(link) as conn:
+        control.fault(link, hold=[direction])
+        conn.sendall(b'late')
+        assert is_silent(conn)
+        control.heal(link)
+        assert receive(conn, 4) == b'late'
+
+
+@pytest.mark.parametrize('direction', ['up', 'down'])
+@pytest.mark.parametrize('fault', ['swallow', 'hold'])
+def test_end_is_not_seen_through_a_fault(control, link, echo, direction, fault):
+    with connect(link) as conn:
+        exchange(conn, b'x')
+        control.fault(link, **{fault: [direction]})
+        conn.shutdown(socket.SHUT_WR)
+        assert is_silent(conn)
+        assert echo.ended == ([] if direction == 'up' else ['end'])
+
+
+@pytest.mark.parametrize('after', [0, 1, 5, 70000])
+@pytest.mark.parametrize('direction', ['up', 'down'])
+def test_reset_after_bytes(control, link, echo, direction, after):
+    control.fault(link, reset_after={direction: after}, reset_times=1)
+    with connect(link) as conn:
+        with pytest.raises(OSError):
+            conn.sendall(BIG)
+            receive(conn, len(BIG))
+            conn.sendall(BIG)
+    wait_until(lambda: echo.ended, 5, 'reset')
+    arrived = sum(len(data) for data in echo.received)
+    assert arrived == after or direction == 'down'
+    with connect(link) as conn:
+        assert exchange(conn, b'again') == b'again'
+
+
+def test_bytes_are_counted_from_the_setting(control, link):
+    with connect(link) as conn:
+        assert exchange(conn, b'12345678') == b'12345678'
+        control.fault(link, reset_after={'down': 4})
+        assert exchange(conn, b'abc') == b'abc'
+        conn.sendall(b'def')
+        assert conn.recv(10) == b'd'
+        with pytest.raises(ConnectionResetError):
+            conn.recv(10)
+
+
+def test_target_away_resets(control, link, echo):
+    (listen, away) = free_ports(2)
+    control.add(listen, f'127.0.0.1:{away}')
+    with pytest.raises(ConnectionResetError), connect(listen) as conn:
+        conn.recv(1)
+    assert control.links()[listen]['connections'] == 0
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [{'unheard': 1}, {'swallow': ['left']}, {'reset_after': {'left': 1}}],
+)
+def test_wrong_fault_is_refused(control, link, faults):
+    with pytest.raises(ValueError, match='/fault'):
+        control.fault(link, **faults)
+
+
+@pytest.fixture(scope='module')
+def kv_port(runner):
+    (port,) = free_ports(1)
+    url = f'http://127.0.0.1:{port}/stats'
+    runner.run(Program('kv', 'emulator.kv', ('--port', str(port)), url))
+    return port
+
+
+@pytest.fixture
+def kv_link(control, kv_port):
+    url = f'http://127.0.0.1:{kv_port}/fault'
+    urllib3.request('POST', url, json={'restart_empty': True})
+    (port,) = free_ports(1)
+    control.add(port, f'127.0.0.1:{kv_port}')
+    yield port
+    control.fault(port, cut=True)
+
+
+def make_store(port, timeout_s=0.3):
+    cfg = SimpleNamespace(
+        url=f'http://127.0.0.1:{port}',
+        timeout_s=timeout_s,
+    )
+    return KeyValueStore.from_config(cfg)
+
+
+@pytest.mark.parametrize('idle', [True, False], ids=['kept', 'new'])
+@pytest.mark.parametrize(
+    ('faults', 'error', 'applied'),
+    [
+        ({'cut': True}, UNAVAILABLE, False),
+        ({'swallow': ['up']}, UNKNOWN, False),
+        ({'swallow': ['down']}, UNKNOWN, True),
+        ({'hold': ['up']}, UNKNOWN, False),
+        ({'hold': ['down']}, UNKNOWN, True),
+        ({'delay_ms': 1000}, UNKNOWN, False),
+        ({'reset_after': {'up': 0}}, UNKNOWN, False),
+        ({'reset_after': {'up': 30}}, UNKNOWN, False),
+        ({'reset_after': {'down': 0}}, UNKNOWN, True),
+        ({'reset_after': {'down': 30}}, UNKNOWN, True),
+    ],
+    ids=str,
+)
+def test_each_fault_is_its_error(
+    control,
+    kv_port,
+    kv_link,
+    faults,
+    error,
+    applied,
+    idle,
+):
+    store = make_store(kv_link)
+    if idle:
+        assert store.get('key').is_ok()
+    control.fault(kv_link, **faults)
+    result = store.compare_and_swap('key', b'new', 0)
+    direct = make_store(kv_port)
+    assert type(result.error) is error
+    assert (direct.get('key').ok.value == b'new') is applied
+
+
+def test_held_write_lands_late(control, kv_port, kv_link):
+    store = make_store(kv_link)
+    control.fault(kv_link, hold=['up'])
+    assert type(store.compare_and_swap('key', b'late', 0).error) is UNKNOWN
+    direct = make_store(kv_port)
+    assert direct.get('key').ok.version == 0
+    control.heal(kv_link)
+    wait_until(lambda: direct.get('key').ok.value == b'late', 5, 'late write')
