--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,14 +1,109 @@
-"""Every error that wasabicross raises, rooted in one base."""
+"""Every error that wasabicross raises or returns, rooted in one base."""
+
+from typing import NamedTuple
 
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from wasabicross.bundles import BundlePointer
     from wasabicross.kv import Versioned
 
 
 class WasabicrossError(Exception):
     """Base of all errors of the package."""
 
+    #: Stable word for machines; subclasses set their own.
+    code = 'error'
+
+
+class LinkError(WasabicrossError):
+    """Base of the errors between the system's own processes."""
+
+    code = 'link_error'
+
+
+class LinkClosed(LinkError):
+    """The link ended before the message was answered."""
+
+    code = 'link_closed'
+
+
+class LinkTimeout(LinkError):
+    """No answer came within the time that the sender allowed."""
+
+    code = 'link_timeout'
+
+
+class MessageMalformed(LinkError):
+    """The bytes received are not a message of the protocol."""
+
+    code = 'message_malformed'
+
+
+class LinkRefused(LinkError):
+    """The other side does not let this process in."""
+
+    code = 'link_refused'
+
+
+class Fault(NamedTuple):
+    """One thing that is wrong in a document, and where.
+
+    :param path: dotted path of the value, such as ``entries.0.port``.
+    :param message: what is wrong there, without the value itself.
+    """
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.message}' if self.path else self.message
+
+
+class DocumentError(WasabicrossError):
+    """A document written by operators has faults.
+
+    :param faults: all of them, in the order of the document.
+    """
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        super().__init__('\n'.join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+class SettingsError(DocumentError):
+    """The settings can't be used."""
+
+
+class BundleError(WasabicrossError):
+    """A bundle can't be read, trusted or brought into force."""
+
+
+class BundleFileError(DocumentError, BundleError):
+    """The bundle file of an operator has faults."""
+
+
+class BundleMalformed(BundleError):
+    """The bytes are not a bundle, or not the one that was named."""
+
+
+class BundleUntrusted(BundleError):
+    """No trusted key has signed the manifest."""
+
+
+class BundleSuperseded(BundleError):
+    """A bundle with this or a higher number is in force already."""
+
+
+class BundleUnavailable(BundleError):
+    """The source can't be reached, or does not have the bytes."""
+
+
+class BundleNotFound(BundleUnavailable):
+    """The source answered that it does not have the bytes."""
+
+    """The source does not have the bytes, or can't be reached."""
+
 
 class KeyValueError(WasabicrossError):
     """Base of the errors of the key-value service's seam."""
@@ -65,3 +160,164 @@
 
 class InstanceListMalformed(InstanceListError):
     """The instance list's answer isn't understood; none of it is used."""
+
+
+class DispatchError(WasabicrossError):
+    """Base of the errors of one exchange with a backend server.
+
+    :param reason: what happened, in a few words.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class NotRun(DispatchError):
+    """The backend server surely didn't run the request.
+
+    :param reason: what happened, in a few words.
+    :param retry_after_s: when the server asks to be tried again, if it said so.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class NotConnected(NotRun):
+    """No connection was made, so no byte of the request was sent."""
+
+
+class RequestUnsendable(NotRun):
+    """The request can't be written as HTTP, so no byte of it was sent."""
+
+
+class ServerRefused(NotRun):
+    """The backend server answered that it won't run the request now."""
+
+
+class AdapterNotLoaded(NotRun):
+    """The engine holds no load of the name that the request gives."""
+
+
+class OutcomeUnknown(DispatchError):
+    """The request may have been sent and no answer came: it may have run."""
+
+
+class AnswerCut(DispatchError):
+    """The connection ended before the answer was complete."""
+
+
+class OrderError(WasabicrossError):
+    """Base of the errors of orders and questions to an engine.
+
+    :param reason: what happened, in a few words.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class EngineUnreachable(OrderError):
+    """The order surely had no effect: not connected, or refused at once.
+
+    :param reason: what happened, in a few words.
+    :param retry_after_s: when the engine asks to be tried again, if it said so.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class OrderOutcomeUnknown(OrderError):
+    """The order may have been sent and no answer came: it may take effect."""
+
+
+class OrderRefused(OrderError):
+    """The engine has seen a higher fencing term than that of the order.
+
+    :param highest_term: the highest term that the engine has seen.
+    """
+
+    def __init__(self, highest_term: int) -> None:
+        super().__init__(f'the engine has seen term {highest_term}')
+        self.highest_term = highest_term
+
+
+class SlotsFull(OrderError):
+    """The engine has no free slot for the load."""
+
+
+class AdapterInUse(OrderError):
+    """The engine refuses to evict a load that a request runs on."""
+
+
+class LoadFailed(OrderError):
+    """The engine could not load the adapter version."""
+
+
+class EngineAnswerMalformed(OrderError):
+    """The engine's answer isn't understood."""
+class RolloutError(WasabicrossError):
+    """An operator's action was refused or could not be done."""
+
+
+class UnknownBundle(RolloutError):
+    """No draft with this digest was prepared."""
+
+
+class BundleNotSigned(RolloutError):
+    """The draft has no signature by a trusted key yet."""
+
+
+class SignatureRefused(RolloutError):
+    """The signature does not match, or its key is not trusted."""
+
+
+class RaceLost(RolloutError):
+    """Another bundle came into force first.
+
+    :param winner: the pointer that is in force.
+    """
+
+    def __init__(self, winner: 'BundlePointer') -> None:
+        super().__init__(
+            f'bundle {winner.number} ({winner.digest[:12]}) was rolled first '
+            f'by {winner.rolled_by} at {winner.rolled_at}; prepare again',
+        )
+        self.winner = winner
+
+
+class StillRolling(RolloutError):
+    """The bundle in force has not reached every reachable data centre.
+
+    :param number: number of the bundle in force.
+    :param data_centres: those that lag.
+    """
+
+    def __init__(self, number: int, data_centres: tuple[str, ...]) -> None:
+        lagging = ', '.join(data_centres)
+        super().__init__(
+            f'bundle {number} has not reached {lagging} yet; '
+            'wait, or supersede it',
+        )
+        self.data_centres = data_centres
+
+
+class SpreadUnknown(RolloutError):
+    """No instance was heard of, so nobody knows how far a roll has got."""
+
+
+class StoreUnavailable(RolloutError):
+    """The key-value service gave no answer; the action may be repeated."""
+
+
+class RollOutcomeUnknown(RolloutError):
+    """The roll may have taken effect; repeating it is safe and tells."""
+
+
+class StoredDataMalformed(RolloutError):
+    """What the key-value service holds is not what was written there."""
