Tell what the proxy holds and has lost, and wait on it in the tests

Cause: the proxy's tests took a short silence for a proof that bytes were held or lost, and one waited out a time. Ruled out: longer waits (slower, and no surer). Change: GET /links counts bytes carried, waiting and lost for each present connection, and ends seen; tests wait for these counts. The delay is shown by a large transfer instead of paced bytes. Conclusion: a test can now wait until an order is held before it goes on.

--- a/emulator/proxy.py
+++ b/emulator/proxy.py
@@ -6,7 +6,8 @@
 may be repeated in pairs.
 
 =====================  =====================================================
-GET /links             each link's faults, connections and bytes
+GET /links             each link's faults, and of each present connection
+                       the bytes carried, waiting and lost by direction
 POST /links            ``{"listen": P, "target": "HOST:PORT"}``: a new link
 POST /fault            ``{"listen": P, ...}``: the faults to change, named
                        as in :class:`Faults`
@@ -102,7 +103,9 @@
                 'listen': self.listen,
                 'target': list(self.target),
                 'faults': self._state.faults._asdict(),
-                'connections': len(self._connections),
+                'connections': [
+                    connection.counts() for connection in self._connections
+                ],
                 'accepted': self._accepted,
             }
 
@@ -243,6 +246,20 @@
         """Change faults of a link, named as in :class:`Faults`."""
         self._post('/fault', listen=listen, **faults)
 
+    def count(self, listen: int, direction: str, what: str) -> int:
+        """Sum up a count over a link's present connections.
+
+        :param direction: ``up`` or ``down``.
+        :param what: bytes ``carried``, ``waiting`` or ``lost``, or sources
+            that have ``ended``.
+        """
+        connections = self.links()[listen]['connections']
+        return sum(
+            connection[direction][what]
+            for connection in connections
+            if connection
+        )
+
     def heal(self, listen: int) -> None:
         """End all faults of a link."""
         self._post('/heal', listen=listen)
--- a/emulator/proxy_connection.py
+++ b/emulator/proxy_connection.py
@@ -93,8 +93,9 @@
         self.sink = sink
         self.ended = False
         self.finished = False
+        self.lost = False
         self.broken = False
-        self.lost_bytes = False
+        self.lost_bytes = 0
         self.carried_bytes = 0
         self._use_reset = use_reset
         self._counted_from = 0
@@ -118,7 +119,8 @@
             self.ended = True
         self.broken = data is None
         if self.direction in faults.swallow:
-            self.lost_bytes = True
+            self.lost_bytes += len(data or b'')
+            self.lost = True
             return
         due_s = now_s + faults.delay_ms / MS_PER_S
         self._pending.append(_Item(due_s, data))
@@ -146,6 +148,15 @@
                 return
             self._pending.popleft()
 
+    def counts(self) -> dict[str, int]:
+        """Tell the bytes by their fate, and 1 if its source has ended."""
+        return {
+            'carried': self.carried_bytes,
+            'waiting': self._pending_bytes,
+            'lost': self.lost_bytes,
+            'ended': int(self.ended),
+        }
+
     def sink_gone(self) -> bool:
         """Tell whether its sink takes nothing more."""
         return self._sink_gone
@@ -222,10 +233,15 @@
         self._state = state
         self._use_reset = use_reset
         self._first = state()
+        self._pumps: tuple[_Pump, ...] = ()
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
         self._poll = select.poll()
         self._poll.register(self._wake_fd, select.POLLIN)
 
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Tell each direction's counts."""
+        return {pump.direction: pump.counts() for pump in self._pumps}
+
     def wake(self) -> None:
         """Let the connection look at its link's state."""
         os.eventfd_write(self._wake_fd, 1)
@@ -254,6 +270,7 @@
             _Pump(UP, self._caller, target, self._use_reset),
             _Pump(DOWN, target, self._caller, self._use_reset),
         )
+        self._pumps = pumps
         for sock in (self._caller, target):
             sock.setblocking(False)  # noqa: WPS425
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -296,7 +313,7 @@
             return
         for pump in pumps:
             pump.restart_count()
-            if pump.lost_bytes and pump.direction not in state.faults.swallow:
+            if pump.lost and pump.direction not in state.faults.swallow:
                 raise _Reset
 
     def _wait(self, pumps: tuple[_Pump, _Pump], faults: Faults) -> set[int]:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -109,11 +109,11 @@
     return received
 
 
-def is_silent(conn, wait_s=0.15):
-    conn.settimeout(wait_s)
+def is_silent(conn):
+    conn.setblocking(False)
     try:
         return conn.recv(1) is None
-    except TimeoutError:
+    except BlockingIOError:
         return True
     finally:
         conn.settimeout(5)
@@ -167,15 +167,12 @@
 
 
 def test_delay_shifts_without_slowing_the_flow(control, link):
+    # Waiting for each chunk of 64 KB in turn would take over 15 s.
     control.fault(link, delay_ms=100)
+    start_s = time.monotonic()
     with connect(link) as conn:
-        start_s = time.monotonic()
-        for number in range(20):
-            conn.sendall(bytes([number]))
-            time_left = start_s + (number + 1) * 0.01 - time.monotonic()
-            threading.Event().wait(max(time_left, 0))
-        assert receive(conn, 20) == bytes(range(20))
-        assert 0.2 <= time.monotonic() - start_s < 2
+        assert exchange(conn, BIG) == BIG
+    assert 0.2 <= time.monotonic() - start_s < 10
 
 
 @pytest.mark.parametrize(
@@ -193,9 +190,14 @@
         exchange(conn, b'before')
         control.fault(link, swallow=[direction])
         conn.sendall(b'lost')
+        wait_until(
+            lambda: control.count(link, direction, 'lost') == 4,
+            5,
+            'lost bytes',
+        )
         assert is_silent(conn)
         assert (b'lost' in echo.received) is reached
-        assert control.links()[link]['connections'] == 1
+        assert len(control.links()[link]['connections']) == 1
         control.heal(link)
         with pytest.raises(ConnectionResetError):
             conn.recv(1)
@@ -206,6 +208,11 @@
     with connect(link) as conn:
         control.fault(link, hold=[direction])
         conn.sendall(b'late')
+        wait_until(
+            lambda: control.count(link, direction, 'waiting') == 4,
+            5,
+            'held bytes',
+        )
         assert is_silent(conn)
         control.heal(link)
         assert receive(conn, 4) == b'late'
@@ -218,6 +225,11 @@
         exchange(conn, b'x')
         control.fault(link, **{fault: [direction]})
         conn.shutdown(socket.SHUT_WR)
+        wait_until(
+            lambda: control.count(link, direction, 'ended') == 1,
+            5,
+            'end',
+        )
         assert is_silent(conn)
         assert echo.ended == ([] if direction == 'up' else ['end'])
 
@@ -254,7 +266,7 @@
     control.add(listen, f'127.0.0.1:{away}')
     with pytest.raises(ConnectionResetError), connect(listen) as conn:
         conn.recv(1)
-    assert control.links()[listen]['connections'] == 0
+    wait_until(lambda: not control.links()[listen]['connections'], 5, 'gone')
 
 
 @pytest.mark.parametrize(
