Add a load tool that times each token

Ruled out: a thread for each call, which the interpreter's lock delays by as much as what is to be measured; urllib3, which has no asyncio.

--- /dev/null
+++ b/emulator/stream_client.py
@@ -0,0 +1,279 @@
+"""Calls that time each token of a streamed answer."""
+
+import asyncio
+import json
+import re
+import time
+from typing import Any, NamedTuple
+from urllib.parse import urlsplit
+
+_READ_BYTES = 65536
+_CONNECT_TIMEOUT_S = 5.0
+_STATUS_OK = 200
+_EVENT_END = b'\n\n'
+_PRODUCED_BY = re.compile(r'^\[(.*)\]$')
+
+
+class StreamCall(NamedTuple):
+    """A model call to make.
+
+    :param url: base URL of the entry or engine.
+    :param path: path of the request.
+    :param model: adapter for an entry, load name for an engine.
+    :param tokens: tokens to ask for.
+    :param token: bearer token, empty for none.
+    :param prompt: text of the only message.
+    :param timeout_s: seconds until the call is given up.
+    """
+
+    url: str
+    path: str
+    model: str
+    tokens: int
+    token: str = ''
+    prompt: str = 'What is due today?'
+    timeout_s: float = 60
+
+
+class CallRecord(NamedTuple):
+    """How a call went.
+
+    :param started_s: monotonic time at which it was made.
+    :param status: HTTP status; 0 if no answer came.
+    :param is_complete: whether the answer came whole.
+    :param outcome: what the entry said of it.
+    :param version: adapter version as the entry named it.
+    :param produced_by: ``adapter@version`` as the engine named it.
+    :param retry_after_s: when the caller may come back, if it was told.
+    :param first_token_s: seconds until the first token, or until the refusal.
+    :param gaps_s: seconds between tokens; 0 for those that came together.
+    :param took_s: seconds until the end.
+    """
+
+    started_s: float
+    status: int = 0
+    is_complete: bool = False
+    outcome: str = ''
+    version: str = ''
+    produced_by: str = ''
+    retry_after_s: int | None = None
+    first_token_s: float = 0
+    gaps_s: tuple[float, ...] = ()
+    took_s: float = 0
+
+
+class Dechunker:
+    """Takes the chunked transfer coding off a body, piece by piece."""
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self._buffer = b''
+        self._left = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the body bytes among the data."""
+        self._buffer += data
+        body = []
+        while self._buffer and not self.is_complete:
+            piece = self._take()
+            if piece is None:
+                break
+            body.append(piece)
+        return b''.join(body)
+
+    def _take(self) -> bytes | None:
+        if self._left > 2:
+            piece = self._buffer[: self._left - 2]
+            self._buffer = self._buffer[len(piece) :]
+            self._left -= len(piece)
+            return piece
+        if self._left:
+            if len(self._buffer) < self._left:
+                return None
+            # What is left of the chunk is its closing line break.
+            self._buffer = self._buffer[self._left :]
+            self._left = 0
+            return b''
+        line, found, rest = self._buffer.partition(b'\r\n')
+        if not found:
+            return None
+        size = int(line.split(b';')[0], 16)
+        if not size:
+            self.is_complete = rest.startswith(b'\r\n')
+            return b'' if self.is_complete else None
+        self._buffer = rest
+        self._left = size + 2
+        return b''
+
+
+class StreamClient:
+    """Makes calls, and keeps connections open for later ones."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[_Connection]] = {}
+
+    async def call(self, call: StreamCall) -> CallRecord:
+        """Make a call and record how it went."""
+        record = CallRecord(time.monotonic())
+        watch = _Watch(record)
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                await self._exchange(call, watch)
+        except (OSError, EOFError, ValueError):
+            watch.fail()
+        return watch.record()
+
+    def close(self) -> None:
+        """Close the connections that are open."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+
+    async def _exchange(self, call: StreamCall, watch: '_Watch') -> None:
+        idle = self._idle.setdefault(call.url, [])
+        connection = idle.pop() if idle else await _connect(call.url)
+        try:
+            reusable = await connection.exchange(call, watch)
+        except BaseException:
+            connection.close()
+            raise
+        if reusable:
+            idle.append(connection)
+        else:
+            connection.close()
+
+
+class _Watch:
+    """Times what comes of one answer."""
+
+    def __init__(self, record: CallRecord) -> None:
+        self._record = record
+        self._arrivals: list[float] = []
+        self._buffer = b''
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        retry_after = headers.get('retry-after')
+        self._record = self._record._replace(
+            status=status,
+            outcome=headers.get('x-wasabicross-outcome', ''),
+            version=headers.get('x-wasabicross-version', ''),
+            retry_after_s=int(retry_after) if retry_after else None,
+        )
+
+    def feed(self, body: bytes) -> None:
+        now_s = time.monotonic()
+        events = (self._buffer + body).split(_EVENT_END)
+        self._buffer = events.pop()
+        for event in events:
+            # The answer's end and its usage carry no token.
+            if b'"content"' not in event:
+                continue
+            if not self._arrivals:
+                self._read_first(event)
+            self._arrivals.append(now_s)
+
+    def complete(self) -> None:
+        self._record = self._record._replace(is_complete=True)
+
+    def fail(self) -> None:
+        self._record = self._record._replace(is_complete=False)
+
+    def record(self) -> CallRecord:
+        now_s = time.monotonic()
+        started_s = self._record.started_s
+        first_s = self._arrivals[0] if self._arrivals else now_s
+        gaps_s = tuple(
+            later - earlier
+            for earlier, later in zip(
+                self._arrivals,
+                self._arrivals[1:],
+                strict=False,
+            )
+        )
+        return self._record._replace(
+            first_token_s=first_s - started_s,
+            gaps_s=gaps_s,
+            took_s=now_s - started_s,
+        )
+
+    def _read_first(self, event: bytes) -> None:
+        document: dict[str, Any] = json.loads(event.removeprefix(b'data: '))
+        text = document['choices'][0]['delta'].get('content', '')
+        named = _PRODUCED_BY.match(text)
+        if named:
+            self._record = self._record._replace(produced_by=named[1])
+
+
+class _Connection:
+    """One connection, used by one call after the other."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    def close(self) -> None:
+        self._writer.close()
+
+    async def exchange(self, call: StreamCall, watch: _Watch) -> bool:
+        """Make a call; tell whether the connection can be used again."""
+        self._writer.write(_encode(call))
+        await self._writer.drain()
+        head = await self._reader.readuntil(b'\r\n\r\n')
+        status, headers = _parse_head(head)
+        watch.head(status, headers)
+        if headers.get('transfer-encoding') == 'chunked':
+            await self._read_chunks(watch)
+        else:
+            length = int(headers.get('content-length', '0'))
+            watch.feed(await self._reader.readexactly(length))
+        watch.complete()
+        return headers.get('connection', '').lower() != 'close'
+
+    async def _read_chunks(self, watch: _Watch) -> None:
+        dechunker = Dechunker()
+        while not dechunker.is_complete:
+            data = await self._reader.read(_READ_BYTES)
+            if not data:
+                raise EOFError
+            watch.feed(dechunker.feed(data))
+
+
+async def _connect(url: str) -> _Connection:
+    parts = urlsplit(url)
+    async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+        streams = await asyncio.open_connection(parts.hostname, parts.port)
+    return _Connection(*streams)
+
+
+def _encode(call: StreamCall) -> bytes:
+    document = {
+        'model': call.model,
+        'messages': [{'role': 'user', 'content': call.prompt}],
+        'max_tokens': call.tokens,
+        'stream': True,
+    }
+    body = json.dumps(document).encode()
+    lines = [
+        f'POST {call.path} HTTP/1.1',
+        f'Host: {urlsplit(call.url).netloc}',
+        'Content-Type: application/json',
+        f'Content-Length: {len(body)}',
+    ]
+    if call.token:
+        lines.append(f'Authorization: Bearer {call.token}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def _parse_head(head: bytes) -> tuple[int, dict[str, str]]:
+    status_line, *lines = head.decode('latin-1').split('\r\n')
+    headers = {}
+    for line in lines:
+        name, colon, text = line.partition(':')
+        if colon:
+            headers[name.lower()] = text.strip()
+    return int(status_line.split(' ')[1]), headers
