Split the owner of an engine, spread load reports, mend the closing of links

Ruled out: a lock around the send, which would hold up all senders. Change: a call on a closed link returns by itself; threads that end with an exception are logged as event 1004; held loads and wanted loads are modules of their own; load reports ride on the renewals; one message tells a want for all requests that wait.

--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -37,9 +37,9 @@
         self, peer: Instance, granted: msg.Renewed, asked_s: float
     ) -> None:
         """Tell the entries how long the peer's servers may be used."""
-        server_ids = [server.server_id for server in granted.servers]
         until_s = asked_s + self._ctl.window.use_lease_s
-        self._ctl.loads.tell_entries(msg.UseGranted(server_ids, until_s))
+        told = msg.UseGranted(granted.servers, until_s)
+        self._ctl.loads.tell_entries(told)
 
     @singledispatchmethod
     def _handle(self, message: Any, link: Link) -> None:
@@ -107,14 +107,15 @@
             peer.instance_id, peer.data_centre, message, now_s
         )
         self._ctl.subscribers.granted(peer.instance_id, now_s)
-        owned = self._ctl.owners.announcement()
-        link.reply(call_id, msg.Renewed(owned.servers))
+        link.reply(call_id, msg.Renewed(self._ctl.owners.loads(now_s)))
 
     @_handle.register
     def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
         owner = self._ctl.owners.get(message.server.server_id)
         if owner is not None:
-            owner.reported(link.peer.instance_id, message, time.monotonic())
+            owner.report_running(
+                link.peer.instance_id, message, time.monotonic()
+            )
 
     @_handle.register
     def _(self, message: msg.CloseRefused, link: Link, call_id: int) -> None:
@@ -158,7 +159,7 @@
             return
         owner = self._ctl.owners.get(message.server_id)
         if owner is not None:
-            owner.missing(message.load_name)
+            owner.missing()
 
     @_handle.register
     def _(self, message: msg.BundleOffered, link: Link, call_id: int) -> None:
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -152,7 +152,9 @@
 
     @_handle.register
     def _(self, message: msg.UseGranted, link: Link) -> None:
-        self.loads.grant_use(message.server_ids, message.until_s)
+        server_ids = [server.server_id for server in message.servers]
+        self.loads.grant_use(server_ids, message.until_s)
+        self.watch.reported(message.servers, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.LoadsOpened, link: Link) -> None:
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -25,6 +25,7 @@
     PROGRAM_STARTED = EventKind(1001, 'INFO')
     PROGRAM_STOPPING = EventKind(1002, 'INFO')
     PROGRAM_STOPPED = EventKind(1003, 'INFO')
+    THREAD_FAILED = EventKind(1004, 'ERROR')
     LIBRARY_MESSAGE = EventKind(1005, 'WARNING')
 
     BUNDLE_IN_FORCE = EventKind(3001, 'INFO')
--- /dev/null
+++ b/src/wasabicross/held_loads.py
@@ -0,0 +1,188 @@
+"""The loads that one engine holds, as its owner sees them."""
+
+import threading
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from wasabicross.load_names import LoadName, parse_load_name
+from wasabicross.messages import LoadUse
+from wasabicross.placement import Load, choose_victim
+from wasabicross.policy import Weights
+from wasabicross.popularity import Popularity
+
+USE_MEMORY_S = 3.0
+
+
+class _Use(NamedTuple):
+    running: int
+    told_s: float
+
+
+class HeldLoad:
+    """One load in a slot of an engine.
+
+    :param name: its name, unique for ever.
+    :param opened_s: monotonic time at which this owner first saw it.
+    :param is_inherited: whether an earlier owner may have announced it.
+    """
+
+    def __init__(
+        self, name: LoadName, opened_s: float, is_inherited: bool
+    ) -> None:
+        self.name = name
+        self.opened_s = opened_s
+        self.is_inherited = is_inherited
+        self.is_open = False
+        #: Instances that have consented to its eviction, once it is closing.
+        self.drained: set[str] | None = None
+        #: When each instance was last asked for its consent.
+        self.asked_s: dict[str, float] = {}
+        self._uses: dict[str, _Use] = {}
+
+    def close(self) -> None:
+        """Stop announcing the load; consents are collected from now on."""
+        self.is_open = False
+        self.drained = set()
+
+    def used(self, source: str, running: int, now_s: float) -> None:
+        """Note how many requests an entry runs on it."""
+        self._uses[source] = _Use(running, now_s)
+
+    def running(self, now_s: float) -> int:
+        """Return the requests running, as far as entries told lately."""
+        return sum(
+            use.running
+            for use in self._uses.values()
+            if now_s - use.told_s < USE_MEMORY_S
+        )
+
+
+class HeldLoads:
+    """All loads of one engine, shared by its owner's threads.
+
+    :param term: the owner's term; loads of other terms are inherited.
+    """
+
+    def __init__(self, term: int) -> None:
+        self.slots = 0
+        self._term = term
+        self._lock = threading.RLock()
+        self._loads: dict[str, HeldLoad] = {}
+        self._closed: set[str] = set()
+        self._popularity = Popularity()
+
+    def __len__(self) -> int:
+        return len(self._loads)
+
+    def get(self, load_name: str) -> HeldLoad | None:
+        """Return a load by its name, None if the engine lacks it."""
+        return self._loads.get(load_name)
+
+    def add(self, name: LoadName, now_s: float) -> HeldLoad:
+        """Add a load that this owner ordered.
+
+        :param name: its name.
+        :param now_s: monotonic seconds.
+        """
+        held = HeldLoad(name, now_s, name.term != self._term)
+        with self._lock:
+            self._loads[str(name)] = held
+        return held
+
+    def remove(self, load_name: str) -> None:
+        """Forget a load that was evicted."""
+        with self._lock:
+            self._loads.pop(load_name, None)
+            self._closed.discard(load_name)
+
+    def compare(
+        self, present: Iterable[str], now_s: float
+    ) -> tuple[list[str], list[HeldLoad]]:
+        """Take in what the engine holds; return what is gone and what is new.
+
+        :param present: names of the loads that the engine holds.
+        :param now_s: monotonic seconds.
+        """
+        names = set(present)
+        with self._lock:
+            gone = [name for name in self._loads if name not in names]
+            for lost in gone:
+                self.remove(lost)
+            parsed = [
+                parse_load_name(name)
+                for name in sorted(names - self._loads.keys())
+            ]
+            found = [self.add(name, now_s) for name in parsed if name]
+        return gone, found
+
+    def mark_closed(self, load_names: Iterable[str]) -> None:
+        """Note loads that an instance has closed for ever."""
+        with self._lock:
+            self._closed.update(load_names)
+
+    def is_closed(self, load_name: str) -> bool:
+        """Tell whether an instance has closed a load for ever."""
+        return load_name in self._closed
+
+    def all(self) -> list[HeldLoad]:
+        """Return all loads."""
+        with self._lock:
+            return list(self._loads.values())
+
+    def opened(self) -> list[str]:
+        """Return the names of the loads that requests may use."""
+        return [str(held.name) for held in self.all() if held.is_open]
+
+    def closing(self) -> list[HeldLoad]:
+        """Return the loads for whose eviction consents are collected."""
+        return [held for held in self.all() if held.drained is not None]
+
+    def opened_of(self, adapter: str, version: str) -> list[str]:
+        """Return the names of the open loads of an adapter version."""
+        return [
+            str(held.name)
+            for held in self.all()
+            if held.is_open
+            and (held.name.adapter, held.name.version) == (adapter, version)
+        ]
+
+    def used(self, source: str, use: LoadUse, now_s: float) -> None:
+        """Note how an entry uses a load.
+
+        :param source: the entry.
+        :param use: requests started lately and running now.
+        :param now_s: monotonic seconds.
+        """
+        with self._lock:
+            held = self._loads.get(use.load_name)
+            if held is None:
+                return
+            held.used(source, use.running, now_s)
+            if use.started:
+                self._popularity.add(held.name.adapter, now_s, use.started)
+
+    def drained(self, instance_id: str, load_name: str) -> None:
+        """Note an instance's consent to evict a load."""
+        with self._lock:
+            held = self._loads.get(load_name)
+            if held is not None and held.drained is not None:
+                held.drained.add(instance_id)
+
+    def victim(self, now_s: float, weights: Weights) -> HeldLoad | None:
+        """Return the load to evict, None where each is better kept.
+
+        :param now_s: monotonic seconds.
+        :param weights: of the bundle in force.
+        """
+        loads = [
+            Load(
+                str(held.name),
+                held.name.adapter,
+                held.running(now_s),
+                held.opened_s,
+            )
+            for held in self.all()
+            if held.is_open
+        ]
+        victim = choose_victim(loads, now_s, self._popularity, weights)
+        return self._loads.get(victim.load_name) if victim else None
--- a/src/wasabicross/links.py
+++ b/src/wasabicross/links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from contextlib import ExitStack
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
@@ -90,9 +91,9 @@
         fut: Future[Any] = Future()
         with self._lock:
             self._pending[call_id] = fut
-        if not self._send(Envelope(REQUEST, call_id, message)):
-            fut.set_result(Error(LinkClosed('link is closed')))
         try:
+            if not self._send(Envelope(REQUEST, call_id, message)):
+                return Error(LinkClosed('link is closed'))
             return self._unpack(fut.result(timeout_s))
         except FutureTimeout:
             return Error(LinkTimeout(type(message).__name__))
@@ -125,8 +126,7 @@
             waiting = list(self._pending.values())
             self._pending.clear()
         for fut in waiting:
-            if not fut.done():
-                fut.set_result(Error(LinkClosed('link closed')))
+            fut.set_result(Error(LinkClosed('link closed')))
 
     def _send(self, envelope: Envelope) -> bool:
         if self.closed.is_set():
@@ -171,7 +171,7 @@
     :param hello: who dials; the other side may refuse it.
     """
     try:
-        conn = connect(
+        opening = connect(
             f'ws://{host}:{port}',
             compression=None,
             proxy=None,
@@ -181,6 +181,8 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
         )
+        # The link outlives this function; `Link.close` ends the connection.
+        conn = ExitStack().enter_context(opening)
     except (WebSocketException, OSError, ValueError) as exc:
         return Error(LinkClosed(f'{host}:{port}: {exc}'))
     return _introduce(conn, hello)
--- /dev/null
+++ b/src/wasabicross/load_queue.py
@@ -0,0 +1,128 @@
+"""The adapter versions that requests want on one engine."""
+
+import threading
+from typing import NamedTuple, Protocol
+
+from wasabicross.links import Link
+from wasabicross.messages import LoadDeclined, WantLoad
+
+PERMIT_REPEAT_S = 1.0
+WANT_EXPIRY_S = 5.0
+DECLINE_RETRY_S = 1.0
+
+_Version = tuple[str, str]
+
+
+class LoadPermits(Protocol):
+    """Where permits to load from the weight store are had."""
+
+    def request(self, server_id: str, want: WantLoad, since_s: float) -> None:
+        """Ask for a permit; `ServerOwner.permitted` is called with it."""
+
+    def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
+        """Give the permit back once the load has ended."""
+
+
+class Wanted(NamedTuple):
+    """A want as its server's owner keeps it.
+
+    :param asker: link to the instance whose entries wait.
+    :param since_s: monotonic time since which requests wait.
+    :param asked_s: monotonic time at which it was last told.
+    """
+
+    want: WantLoad
+    asker: Link
+    since_s: float
+    asked_s: float
+
+    @property
+    def version(self) -> _Version:
+        """The adapter and its version."""
+        return (self.want.adapter, self.want.version)
+
+
+class LoadQueue:
+    """Wants of one engine and the permits to load them.
+
+    :param server_id: the engine.
+    :param permits: the weight store's budget.
+    """
+
+    def __init__(self, server_id: str, permits: LoadPermits) -> None:
+        self._server_id = server_id
+        self._permits = permits
+        self._lock = threading.Lock()
+        self._wants: dict[_Version, Wanted] = {}
+        self._permitted: set[_Version] = set()
+        self._asked_s: dict[_Version, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._wants)
+
+    def add(self, want: WantLoad, asker: Link, now_s: float) -> None:
+        """Note that requests wait for an adapter version.
+
+        :param want: the adapter version, and how many wait.
+        :param asker: the link to answer on if the load is declined.
+        :param now_s: monotonic seconds.
+        """
+        version = (want.adapter, want.version)
+        with self._lock:
+            earlier = self._wants.get(version)
+            since_s = earlier.since_s if earlier else now_s
+            self._wants[version] = Wanted(want, asker, since_s, now_s)
+
+    def remove(self, wanted: Wanted) -> None:
+        """Drop a want that is met or declined."""
+        with self._lock:
+            self._wants.pop(wanted.version, None)
+
+    def decline(self, wanted: Wanted) -> None:
+        """Tell the asker to have it loaded elsewhere."""
+        self.remove(wanted)
+        wanted.asker.send(
+            LoadDeclined(self._server_id, *wanted.version, DECLINE_RETRY_S),
+        )
+
+    def due(self, now_s: float) -> list[Wanted]:
+        """Return the wants, those that most requests wait for first.
+
+        :param now_s: monotonic seconds.
+        """
+        with self._lock:
+            for known in list(self._wants.values()):
+                if now_s - known.asked_s > WANT_EXPIRY_S:
+                    self._wants.pop(known.version)
+            return sorted(
+                self._wants.values(),
+                key=lambda due: (-due.want.waiting, due.since_s),
+            )
+
+    def permitted(self, adapter: str, version: str) -> None:
+        """Take a permit to load an adapter version."""
+        with self._lock:
+            self._permitted.add((adapter, version))
+
+    def take_permit(self, wanted: Wanted, now_s: float) -> bool:
+        """Return whether a load is permitted; ask for a permit otherwise.
+
+        :param wanted: what is to be loaded.
+        :param now_s: monotonic seconds.
+        """
+        version = wanted.version
+        with self._lock:
+            if version in self._permitted:
+                self._permitted.discard(version)
+                self._asked_s.pop(version, None)
+                return True
+            asked_s = self._asked_s.get(version, float('-inf'))
+            if now_s - asked_s < PERMIT_REPEAT_S:
+                return False
+            self._asked_s[version] = now_s
+        self._permits.request(self._server_id, wanted.want, wanted.since_s)
+        return False
+
+    def give_back(self, wanted: Wanted, loaded: bool) -> None:
+        """Give a permit back once its load has ended."""
+        self._permits.give_back(self._server_id, wanted.want, loaded)
--- a/src/wasabicross/logs.py
+++ b/src/wasabicross/logs.py
@@ -3,6 +3,8 @@
 import json
 import logging
 import sys
+import threading
+import traceback
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, TextIO
 
@@ -38,6 +40,7 @@
     logger.remove()
     logger.configure(extra={'program': program})
     logger.add(sink, level=cfg.level, format='{message}', catch=True)
+    threading.excepthook = _log_thread_failure
     logging.basicConfig(
         handlers=[_LibraryHandler(logging.WARNING)],
         level=logging.WARNING,
@@ -55,6 +58,17 @@
     bound.log(event.level, event.name.lower())
 
 
+def _log_thread_failure(failed: threading.ExceptHookArgs) -> None:
+    lines = traceback.format_exception(
+        failed.exc_type, failed.exc_value, failed.exc_traceback
+    )
+    log_event(
+        Event.THREAD_FAILED,
+        thread=failed.thread.name if failed.thread else '',
+        trace=''.join(lines),
+    )
+
+
 class _LibraryHandler(logging.Handler):
     """Turns warnings of libraries into events."""
 
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -156,10 +156,26 @@
     since: str
 
 
+class ServerLoad(NamedTuple):
+    """How busy an engine was at its last report.
+
+    :param running: requests in its batch.
+    :param waiting: requests that wait for a place in the batch.
+    :param batch_size: places in the batch, 0 while unknown.
+    :param age_s: seconds since the report was true.
+    """
+
+    server_id: str
+    running: int
+    waiting: int
+    batch_size: int
+    age_s: float
+
+
 class Renewed(NamedTuple):
     """Grants the use, counted from the sending of the renewal."""
 
-    servers: list[ServerTerm]
+    servers: list[ServerLoad]
 
 
 class UseGranted(NamedTuple):
@@ -168,7 +184,7 @@
     :param until_s: monotonic clock of the instance, in seconds.
     """
 
-    server_ids: list[str]
+    servers: list[ServerLoad]
     until_s: float
 
 
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -12,7 +12,8 @@
 from wasabicross.entry_link import EntryLink
 from wasabicross.exceptions import AdapterNotLoaded, DispatchError
 from wasabicross.load_names import server_of
-from wasabicross.messages import LoadMissing, ServerInfo, WantLoad
+from wasabicross.load_wants import TELL_INTERVAL_S, LoadWants
+from wasabicross.messages import LoadMissing, WantLoad
 from wasabicross.policy import Weights
 from wasabicross.replies import (
     BAD_JSON,
@@ -25,9 +26,7 @@
 from wasabicross.routing import Dispatch, Holder, choose
 from wasabicross.telemetry import LOAD_STALL_SECONDS
 
-WANT_INTERVAL_S = 0.5
 MAX_LOAD_WAIT_S = 20.0
-BATCH_SIZE = 16
 RETRY_AFTER_S = 2.0
 
 
@@ -57,6 +56,7 @@
         self._link = link
         self._attempts = attempts
         self._watch = attempts.watch
+        self._wants = LoadWants(link.send)
         self._data_centre = data_centre
         self._engines: dict[tuple[str, int], Engine] = {}
 
@@ -85,18 +85,23 @@
     def _wait_for_holder(self, run: _Run, started_s: float) -> Holder | None:
         """Return a holder on which the request already counts as running."""
         until_s = min(run.req.deadline_s, started_s + MAX_LOAD_WAIT_S)
-        now_s = started_s
-        asked_s = float('-inf')
+        holder = self._begin(run, started_s)
+        if holder is None:
+            with self._wants.waiting(self._want(run, ())) as want:
+                holder = self._wait(run, want, until_s)
+        stalled_s = time.monotonic() - started_s
+        self._observe_stall(run, stalled_s)
+        return holder
+
+    def _wait(self, run: _Run, want: WantLoad, until_s: float) -> Holder | None:
+        now_s = time.monotonic()
         while now_s < until_s:
             version = self._link.loads.version
             holder = self._begin(run, now_s)
             if holder is not None:
-                self._observe_stall(run, now_s - started_s)
                 return holder
-            if now_s - asked_s >= WANT_INTERVAL_S:
-                asked_s = now_s
-                self._want(run, ())
-            wait_s = min(WANT_INTERVAL_S, until_s - now_s)
+            self._wants.tell(want, now_s)
+            wait_s = min(TELL_INTERVAL_S, until_s - now_s)
             self._link.loads.wait_for_change(version, wait_s)
             now_s = time.monotonic()
         return None
@@ -108,7 +113,8 @@
         if not isinstance(choice, Dispatch):
             return None
         if choice.copy_wanted:
-            self._want(run, tuple(holder.server_id for holder in holders))
+            held_by = tuple(holder.server_id for holder in holders)
+            self._wants.tell(self._want(run, held_by), now_s)
         load_name = choice.holder.load_name
         if not self._link.loads.begin_request(load_name, now_s):
             return None
@@ -125,38 +131,24 @@
             [server.server_id for server in group], now_s
         )
         return [
-            self._holder(by_server[server.server_id], server)
+            self._watch.holder(server, by_server[server.server_id], now_s)
             for server in group
             if server.server_id in by_server
             and server.server_id in usable
             and server.server_id not in run.tried
         ]
 
-    def _holder(self, load_name: str, server: ServerInfo) -> Holder:
-        return Holder(
-            server.server_id,
-            server.data_centre,
-            load_name,
-            self._watch.outstanding(server.server_id),
-            0,
-            0,
-            BATCH_SIZE,
-            0,
-        )
-
-    def _want(self, run: _Run, held_by: tuple[str, ...]) -> None:
+    def _want(self, run: _Run, held_by: tuple[str, ...]) -> WantLoad:
         wanted = run.wanted
         route = run.req.route
-        self._link.send(
-            WantLoad(
-                wanted.adapter,
-                wanted.version,
-                wanted.base_model,
-                route.group,
-                route.request_class,
-                1,
-                [*run.tried, *held_by],
-            ),
+        return WantLoad(
+            wanted.adapter,
+            wanted.version,
+            wanted.base_model,
+            route.group,
+            route.request_class,
+            0,
+            [*run.tried, *held_by],
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -16,6 +16,7 @@
     PermitGranted,
     PermitLoad,
     PermitReturned,
+    ServerLoad,
     ServerTerm,
     WantLoad,
 )
@@ -154,6 +155,12 @@
                 [owner.server for owner in self._owners.values()],
             )
 
+    def loads(self, now_s: float) -> list[ServerLoad]:
+        """Return how busy each server owned here was at its last report."""
+        with self._lock:
+            owners = list(self._owners.values())
+        return [owner.load(now_s) for owner in owners]
+
     def opened(self) -> list[LoadsOpened]:
         """Return the open loads of each server owned here."""
         with self._lock:
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -1,11 +1,11 @@
 """The owner of one engine: orders its loads and, by consent, evictions."""
 
 import threading
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from expression import Result
 
-from wasabicross.engines import EvictOrder, Inventory, LoadOrder
+from wasabicross.engines import EvictOrder, Inventory, LoadOrder, LoadReport
 from wasabicross.events import Event
 from wasabicross.exceptions import (
     AdapterInUse,
@@ -13,34 +13,32 @@
     OrderError,
     OrderRefused,
 )
+from wasabicross.held_loads import HeldLoad, HeldLoads
 from wasabicross.links import Link
-from wasabicross.load_names import LoadName, parse_load_name
+from wasabicross.load_names import LoadName
+from wasabicross.load_queue import LoadPermits, LoadQueue, Wanted
 from wasabicross.logs import log_event
 from wasabicross.messages import (
     CloseLoad,
-    LoadDeclined,
     LoadsGone,
     LoadsOpened,
     LoadUse,
+    ServerLoad,
     ServerReport,
     ServerTerm,
     WantLoad,
 )
-from wasabicross.placement import Load, choose_victim
 from wasabicross.policy import Weights
-from wasabicross.popularity import Popularity
 from wasabicross.subscribers import Subscribers
 
-INVENTORY_INTERVAL_S = 1.0
-PERMIT_REPEAT_S = 1.0
-USE_MEMORY_S = 3.0
-DECLINE_RETRY_S = 1.0
-WANT_EXPIRY_S = 5.0
+INVENTORY_INTERVAL_S = 0.5
+MAX_REPORT_AGE_S = 3600.0
 REPEAT_CLOSE_S = 1.0
+NO_REPORT = LoadReport(0, 0, {}, 0)
 
 
 class EngineOrders(Protocol):
-    """The orders that an engine takes."""
+    """The orders and questions that an engine takes."""
 
     def load(self, order: LoadOrder) -> Result[None, OrderError]:
         """Load an adapter version and wait until it is loaded."""
@@ -51,48 +49,8 @@
     def inventory(self) -> Result[Inventory, OrderError]:
         """Return the loads that the engine holds, and its slots."""
 
-
-class LoadPermits(Protocol):
-    """Where permits to load from the weight store are had."""
-
-    def request(self, server_id: str, want: WantLoad, since_s: float) -> None:
-        """Ask for a permit; `ServerOwner.permitted` is called with it."""
-
-    def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
-        """Give the permit back once the load has ended."""
-
-
-class _Want(NamedTuple):
-    want: WantLoad
-    asker: Link
-    since_s: float
-    asked_s: float
-
-
-class _Use(NamedTuple):
-    running: int
-    told_s: float
-
-
-class _Held:
-    """A load that the engine holds, as its owner sees it."""
-
-    def __init__(self, name: LoadName, opened_s: float) -> None:
-        self.name = name
-        self.opened_s = opened_s
-        self.is_open = False
-        self.is_inherited = False
-        self.drained: set[str] | None = None
-        self.asked: dict[str, float] = {}
-        self.uses: dict[str, _Use] = {}
-
-    def running(self, now_s: float) -> int:
-        """Return the requests running, as far as entries told lately."""
-        return sum(
-            use.running
-            for use in self.uses.values()
-            if now_s - use.told_s < USE_MEMORY_S
-        )
+    def load_report(self) -> Result[LoadReport, OrderError]:
+        """Return how busy the engine was a while ago."""
 
 
 class ServerOwner:
@@ -114,23 +72,18 @@
         self.server = server
         self.deposed = threading.Event()
         self.weights = Weights()
+        self.held = HeldLoads(server.term)
+        self.queue = LoadQueue(server.server_id, permits)
         self._engine = engine
         self._subscribers = subscribers
-        self._permits = permits
-        self._lock = threading.RLock()
         self._wake = threading.Event()
-        self._held: dict[str, _Held] = {}
-        self._wants: dict[tuple[str, str], _Want] = {}
-        self._permitted: set[tuple[str, str]] = set()
-        self._permits_asked: dict[tuple[str, str], float] = {}
-        self._closed: set[str] = set()
-        self._reported: set[str] = set()
+        self._reported_s: dict[str, float] = {}
         self._settled_s: float | None = None
-        self._last_report_s = float('-inf')
-        self._slots = 0
         self._sequence = 0
-        self._inventory_s = float('-inf')
-        self._popularity = Popularity()
+        self._batch_size = 0
+        self._looked_s = float('-inf')
+        self._report = NO_REPORT
+        self._report_s = float('-inf')
 
     # What other threads tell it.
 
@@ -141,40 +94,24 @@
         :param asker: the link to answer on if the load is declined.
         :param now_s: monotonic seconds.
         """
-        wanted = (want.adapter, want.version)
-        with self._lock:
-            earlier = self._wants.get(wanted)
-            since_s = earlier.since_s if earlier else now_s
-            self._wants[wanted] = _Want(want, asker, since_s, now_s)
+        self.queue.add(want, asker, now_s)
         self._wake.set()
 
     def permitted(self, adapter: str, version: str) -> None:
         """Take a permit to load an adapter version."""
-        with self._lock:
-            self._permitted.add((adapter, version))
+        self.queue.permitted(adapter, version)
         self._wake.set()
 
     def used(self, source: str, use: LoadUse, now_s: float) -> None:
-        """Note how an entry uses a load.
-
-        :param source: the entry.
-        :param use: requests started lately and running now.
-        :param now_s: monotonic seconds.
-        """
-        with self._lock:
-            held = self._held.get(use.load_name)
-            if held is None:
-                return
-            held.uses[source] = _Use(use.running, now_s)
-            if use.started:
-                self._popularity.add(held.name.adapter, now_s, use.started)
+        """Note how an entry uses a load."""
+        self.held.used(source, use, now_s)
 
-    def missing(self, load_name: str) -> None:
+    def missing(self) -> None:
         """Note that the engine denied holding a load; looks at once."""
-        self._inventory_s = float('-inf')
+        self._looked_s = float('-inf')
         self._wake.set()
 
-    def reported(
+    def report_running(
         self, instance_id: str, report: ServerReport, now_s: float
     ) -> None:
         """Take an instance's report of what it knows of the loads.
@@ -183,21 +120,14 @@
         :param report: its open and closed loads on this server.
         :param now_s: monotonic seconds.
         """
-        if report.server.term != self.server.term:
-            return
-        with self._lock:
-            self._closed.update(report.closed)
-            if instance_id not in self._reported:
-                self._reported.add(instance_id)
-                self._last_report_s = now_s
-        self._wake.set()
+        if report.server.term == self.server.term:
+            self.held.mark_closed(report.closed)
+            self._reported_s.setdefault(instance_id, now_s)
+            self._wake.set()
 
     def drained(self, instance_id: str, load_name: str) -> None:
         """Take an instance's consent to evict a load."""
-        with self._lock:
-            held = self._held.get(load_name)
-            if held is not None and held.drained is not None:
-                held.drained.add(instance_id)
+        self.held.drained(instance_id, load_name)
         self._wake.set()
 
     def refused(self, known: ServerTerm) -> None:
@@ -208,9 +138,20 @@
 
     def announcement(self) -> LoadsOpened:
         """Return the open loads, for an instance that has just linked."""
-        with self._lock:
-            opened = [name for name, held in self._held.items() if held.is_open]
-        return LoadsOpened(self.server, opened)
+        return LoadsOpened(self.server, self.held.opened())
+
+    def load(self, now_s: float) -> ServerLoad:
+        """Return how busy the engine was at its last report.
+
+        :param now_s: monotonic seconds.
+        """
+        return ServerLoad(
+            self.server.server_id,
+            self._report.running,
+            self._report.waiting,
+            self._batch_size,
+            min(MAX_REPORT_AGE_S, now_s - self._report_s),
+        )
 
     def wait(self, timeout_s: float) -> None:
         """Wait until something was told, at most the time given."""
@@ -224,108 +165,88 @@
 
         :param now_s: monotonic seconds.
         """
-        if now_s - self._inventory_s >= INVENTORY_INTERVAL_S:
-            self._inventory_s = now_s
+        if now_s - self._looked_s >= INVENTORY_INTERVAL_S:
+            self._looked_s = now_s
             self._look(now_s)
         if self._settled_s is None:
             self._settle(now_s)
-        for name in self._closing():
-            self._close(name, now_s)
+        for held in self.held.closing():
+            self._close(held, now_s)
         self._serve_wants(now_s)
 
     def _look(self, now_s: float) -> None:
         inventory = self._engine.inventory().default_value(None)
         if inventory is None:
             return
-        with self._lock:
-            self._slots = inventory.slots
-            present = set(inventory.loads)
-            gone = [name for name in self._held if name not in present]
-            for lost in gone:
-                self._held.pop(lost)
-                self._closed.discard(lost)
-            for name in present - self._held.keys():
-                self._inherit(name, now_s)
+        self.held.slots = inventory.slots
+        self._batch_size = inventory.batch_size
+        gone, found = self.held.compare(inventory.loads, now_s)
         if gone:
             self._subscribers.broadcast(LoadsGone(gone))
-
-    def _inherit(self, name: str, now_s: float) -> None:
-        parsed = parse_load_name(name)
-        if parsed is None:
-            return
-        held = _Held(parsed, now_s)
-        held.is_inherited = parsed.term != self.server.term
-        self._held[name] = held
         if self._settled_s is not None:
-            self._open_or_close(held)
+            for held in found:
+                self._announce_load(held)
+        report = self._engine.load_report().default_value(None)
+        if report is not None:
+            self._report = report
+            self._report_s = now_s - report.age_s
 
     def _settle(self, now_s: float) -> None:
         """Open what was inherited once every instance has reported."""
-        if self._subscribers.must_consent(now_s) - self._reported:
+        needed = self._subscribers.must_consent(now_s)
+        if needed - self._reported_s.keys():
             return
-        with self._lock:
-            self._settled_s = max(now_s, self._last_report_s)
-            inherited = list(self._held.values())
-        for held in inherited:
-            self._open_or_close(held)
+        self._settled_s = max(now_s, *self._reported_s.values())
+        for held in self.held.all():
+            self._announce_load(held)
         log_event(
             Event.OWNER_SETTLED,
             server=self.server.server_id,
             term=self.server.term,
-            inherited=len(inherited),
+            inherited=len(self.held),
         )
 
-    def _open_or_close(self, held: _Held) -> None:
+    def _announce_load(self, held: HeldLoad) -> None:
         name = str(held.name)
-        if name in self._closed:
-            held.drained = set()
+        if self.held.is_closed(name):
+            held.close()
             return
         held.is_open = True
         self._subscribers.broadcast(LoadsOpened(self.server, [name]))
 
-    def _closing(self) -> list[str]:
-        with self._lock:
-            return [
-                name
-                for name, held in self._held.items()
-                if held.drained is not None
-            ]
-
-    def _close(self, name: str, now_s: float) -> None:
-        held = self._held[name]
+    def _close(self, held: HeldLoad, now_s: float) -> None:
+        """Ask for the consents that are missing, or evict if none is."""
         needed = self._subscribers.must_consent(now_s)
         missing = needed - (held.drained or set())
         for instance_id in missing:
             self._ask_to_close(held, instance_id, now_s)
-        if missing or self._visitors_may_run(held, now_s):
-            return
-        self._order_evict(name)
+        if not missing and not self._visitors_may_run(held, now_s):
+            self._order_evict(held)
 
-    def _visitors_may_run(self, held: _Held, now_s: float) -> bool:
+    def _visitors_may_run(self, held: HeldLoad, now_s: float) -> bool:
         """Tell whether grants of an earlier owner may still be in use."""
-        if not held.is_inherited or self._settled_s is None:
-            return held.is_inherited
+        if not held.is_inherited:
+            return False
+        if self._settled_s is None:
+            return True
         return now_s < self._settled_s + self._subscribers.window.total_s
 
     def _ask_to_close(
-        self, held: _Held, instance_id: str, now_s: float
+        self, held: HeldLoad, instance_id: str, now_s: float
     ) -> None:
-        asked_s = held.asked.get(instance_id, float('-inf'))
+        asked_s = held.asked_s.get(instance_id, float('-inf'))
         link = self._subscribers.link_of(instance_id)
         if link is None or now_s - asked_s < REPEAT_CLOSE_S:
             return
-        held.asked[instance_id] = now_s
-        link.send(
-            CloseLoad(self.server.server_id, str(held.name), self.server.term),
-        )
+        held.asked_s[instance_id] = now_s
+        server = self.server
+        link.send(CloseLoad(server.server_id, str(held.name), server.term))
 
-    def _order_evict(self, name: str) -> None:
-        order = EvictOrder(name, self.server.term)
-        outcome = self._engine.evict(order)
+    def _order_evict(self, held: HeldLoad) -> None:
+        name = str(held.name)
+        outcome = self._engine.evict(EvictOrder(name, self.server.term))
         if outcome.is_ok():
-            with self._lock:
-                self._held.pop(name)
-                self._closed.discard(name)
+            self.held.remove(name)
             self._subscribers.broadcast(LoadsGone([name]))
             log_event(Event.LOAD_EVICTED, load=name)
         elif isinstance(outcome.error, OrderRefused):
@@ -334,137 +255,45 @@
             log_event(Event.EVICT_REFUSED_IN_USE, load=name)
 
     def _serve_wants(self, now_s: float) -> None:
-        free = self._slots - len(self._held)
-        for wanted in self._due_wants(now_s):
+        for wanted in self.queue.due(now_s):
             if self.deposed.is_set():
                 return
-            key = (wanted.want.adapter, wanted.want.version)
-            if self._holds(wanted.want):
-                self._forget(wanted.want)
-            elif free > 0:
-                free -= 1
-                self._load_if_permitted(key, wanted, now_s)
-            else:
+            opened = self.held.opened_of(*wanted.version)
+            if opened:
+                self.queue.remove(wanted)
+                self._subscribers.broadcast(LoadsOpened(self.server, opened))
+            elif len(self.held) >= self.held.slots:
                 self._make_room(wanted, now_s)
+            elif self.queue.take_permit(wanted, now_s):
+                self._order_load(wanted, now_s)
 
-    def _load_if_permitted(
-        self, key: tuple[str, str], wanted: _Want, now_s: float
-    ) -> None:
-        if key in self._permitted:
-            self._permitted.discard(key)
-            self._permits_asked.pop(key, None)
-            self._order_load(wanted, now_s)
-            return
-        asked_s = self._permits_asked.get(key, float('-inf'))
-        if now_s - asked_s >= PERMIT_REPEAT_S:
-            self._permits_asked[key] = now_s
-            self._permits.request(
-                self.server.server_id, wanted.want, wanted.since_s
-            )
-
-    def _due_wants(self, now_s: float) -> list[_Want]:
-        with self._lock:
-            for known in list(self._wants.values()):
-                if now_s - known.asked_s > WANT_EXPIRY_S:
-                    self._forget(known.want)
-            return sorted(
-                self._wants.values(),
-                key=lambda due: (-due.want.waiting, due.since_s),
-            )
-
-    def _holds(self, want: WantLoad) -> bool:
-        with self._lock:
-            found = [
-                name
-                for name, held in self._held.items()
-                if held.is_open
-                and held.name.adapter == want.adapter
-                and held.name.version == want.version
-            ]
-        if found:
-            self._subscribers.broadcast(LoadsOpened(self.server, found))
-        return bool(found)
-
-    def _forget(self, want: WantLoad) -> None:
-        with self._lock:
-            self._wants.pop((want.adapter, want.version), None)
-
-    def _order_load(self, wanted: _Want, now_s: float) -> None:
-        want = wanted.want
+    def _order_load(self, wanted: Wanted, now_s: float) -> None:
         self._sequence += 1
+        server = self.server
         name = LoadName(
-            want.adapter,
-            want.version,
-            self.server.server_id,
-            self.server.term,
-            self._sequence,
-        )
-        order = LoadOrder(
-            str(name), want.adapter, want.version, self.server.term
+            *wanted.version, server.server_id, server.term, self._sequence
         )
+        order = LoadOrder(str(name), *wanted.version, server.term)
         outcome = self._engine.load(order)
-        self._permits.give_back(self.server.server_id, want, outcome.is_ok())
-        self._take_load_outcome(outcome, name, wanted, now_s)
-
-    def _take_load_outcome(
-        self,
-        outcome: Result[None, OrderError],
-        name: LoadName,
-        wanted: _Want,
-        now_s: float,
-    ) -> None:
+        self.queue.give_back(wanted, outcome.is_ok())
         if outcome.is_ok():
-            held = _Held(name, now_s)
-            with self._lock:
-                self._held[str(name)] = held
-            self._open_or_close(held)
-            self._forget(wanted.want)
+            self.queue.remove(wanted)
+            self._announce_load(self.held.add(name, now_s))
             log_event(Event.LOAD_DONE, load=str(name))
             return
         log_event(Event.LOAD_FAILED, load=str(name), code=outcome.error.code)
         if isinstance(outcome.error, OrderRefused):
             self.deposed.set()
         if isinstance(outcome.error, LoadFailed):
-            self._decline(wanted)
-        self._inventory_s = float('-inf')
-
-    def _make_room(self, wanted: _Want, now_s: float) -> None:
-        with self._lock:
-            closing = sum(
-                held.drained is not None for held in self._held.values()
-            )
-            if closing >= len(self._wants):
-                return
-            victim = self._victim(now_s)
+            self.queue.decline(wanted)
+        self._looked_s = float('-inf')
+
+    def _make_room(self, wanted: Wanted, now_s: float) -> None:
+        if len(self.held.closing()) >= len(self.queue):
+            return
+        victim = self.held.victim(now_s, self.weights)
         if victim is None:
-            self._decline(wanted)
+            self.queue.decline(wanted)
             return
-        victim.is_open = False
-        victim.drained = set()
-        self._close(str(victim.name), now_s)
-
-    def _victim(self, now_s: float) -> _Held | None:
-        loads = [
-            Load(
-                name,
-                held.name.adapter,
-                held.running(now_s),
-                held.opened_s,
-            )
-            for name, held in self._held.items()
-            if held.is_open
-        ]
-        victim = choose_victim(loads, now_s, self._popularity, self.weights)
-        return self._held[victim.load_name] if victim else None
-
-    def _decline(self, wanted: _Want) -> None:
-        want = wanted.want
-        self._forget(want)
-        wanted.asker.send(
-            LoadDeclined(
-                self.server.server_id,
-                want.adapter,
-                want.version,
-                DECLINE_RETRY_S,
-            ),
-        )
+        victim.close()
+        self._close(victim, now_s)
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from wasabicross.events import Event
 from wasabicross.exceptions import (
@@ -15,14 +16,24 @@
 )
 from wasabicross.logs import log_event
 from wasabicross.membership import Loss, Membership
-from wasabicross.messages import ServerInfo
+from wasabicross.messages import ServerInfo, ServerLoad
+from wasabicross.routing import Holder
 from wasabicross.server_health import Failure
 from wasabicross.suspects import Clearance, Suspects
 
 PROBE_TIMEOUT_S = 0.5
+DEFAULT_BATCH_SIZE = 16
 LEAVING = 'leaving'
 
 
+class _Report(NamedTuple):
+    load: ServerLoad
+    true_s: float
+
+
+NO_REPORT = _Report(ServerLoad('', 0, 0, 0, 0), float('-inf'))
+
+
 class Ending(enum.Enum):
     """How an exchange with a backend server ended."""
 
@@ -47,6 +58,7 @@
         self._lock = threading.Lock()
         self._outstanding: Counter[str] = Counter()
         self._servers: dict[str, ServerInfo] = {}
+        self._loads: dict[str, _Report] = {}
 
     def follow(self, servers: Iterable[ServerInfo], now_s: float) -> None:
         """Take in the servers that the list shows.
@@ -84,6 +96,36 @@
         """
         return set(self._membership.usable(server_ids, now_s))
 
+    def reported(self, loads: Iterable[ServerLoad], now_s: float) -> None:
+        """Take in how busy engines were at their last reports.
+
+        :param loads: one for each engine.
+        :param now_s: monotonic seconds.
+        """
+        for load in loads:
+            self._loads[load.server_id] = _Report(load, now_s - load.age_s)
+
+    def holder(
+        self, server: ServerInfo, load_name: str, now_s: float
+    ) -> Holder:
+        """Describe a server that holds a load to the routing policy.
+
+        :param server: the engine.
+        :param load_name: the load that it holds.
+        :param now_s: monotonic seconds.
+        """
+        report = self._loads.get(server.server_id, NO_REPORT)
+        return Holder(
+            server.server_id,
+            server.data_centre,
+            load_name,
+            self.outstanding(server.server_id),
+            report.load.running,
+            report.load.waiting,
+            report.load.batch_size or DEFAULT_BATCH_SIZE,
+            now_s - report.true_s,
+        )
+
     def outstanding(self, server_id: str) -> int:
         """Return how many requests of this process are under way there."""
         return self._outstanding[server_id]
