--- a/emulator/http_server.py
+++ b/emulator/http_server.py
@@ -8,10 +8,8 @@
 import signal
 import threading
 from collections.abc import Callable
-from http.server import BaseHTTPRequestHandler
-from http.server import ThreadingHTTPServer
-from typing import Any
-from typing import NamedTuple
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
 STACK_BYTES = 256 * 1024
--- a/emulator/instances.py
+++ b/emulator/instances.py
@@ -23,14 +23,9 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Any
-from typing import NamedTuple
-from typing import TypeAlias
-
-from emulator.http_server import Reply
-from emulator.http_server import Request
-from emulator.http_server import json_reply
-from emulator.http_server import serve_until_stopped
+from typing import Any, NamedTuple, TypeAlias
+
+from emulator.http_server import Reply, Request, json_reply, serve_until_stopped
 
 MS_PER_S = 1000
 SECTIONS = {'instance': 'instances', 'server': 'servers'}
--- a/emulator/kv.py
+++ b/emulator/kv.py
@@ -18,20 +18,18 @@
 import threading
 import time
 from collections import Counter
-from typing import Any
-from typing import NamedTuple
-
-from emulator.http_server import Reply
-from emulator.http_server import Request
-from emulator.http_server import json_reply
-from emulator.http_server import serve_until_stopped
-from emulator.kv_data import MAX_VALUE_BYTES
-from emulator.kv_data import Clock
-from emulator.kv_data import Conflict
-from emulator.kv_data import Data
-from emulator.kv_data import Entry
-from emulator.kv_data import Interrupted
-from emulator.kv_data import NoLease
+from typing import Any, NamedTuple
+
+from emulator.http_server import Reply, Request, json_reply, serve_until_stopped
+from emulator.kv_data import (
+    MAX_VALUE_BYTES,
+    Clock,
+    Conflict,
+    Data,
+    Entry,
+    Interrupted,
+    NoLease,
+)
 
 MS_PER_S = 1000
 OPERATIONS = {
--- a/emulator/kv_data.py
+++ b/emulator/kv_data.py
@@ -4,8 +4,7 @@
 import secrets
 import threading
 from collections.abc import Callable
-from typing import NamedTuple
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 MAX_VALUE_BYTES = 1024 * 1024
 LEASE_ID_BYTES = 12
--- a/src/wasabicross/instances.py
+++ b/src/wasabicross/instances.py
@@ -1,20 +1,16 @@
 """The seam to the platform's list of live and leaving instances."""
 
 import json
-from typing import Any
-from typing import NamedTuple
-from typing import Protocol
-
-from expression import Error
-from expression import Ok
-from expression import Result
-
-from wasabicross.exceptions import InstanceListError
-from wasabicross.exceptions import InstanceListMalformed
-from wasabicross.exceptions import InstanceListUnavailable
-from wasabicross.single_call import AnswerLost
-from wasabicross.single_call import NotSent
-from wasabicross.single_call import SingleCalls
+from typing import Any, NamedTuple, Protocol
+
+from expression import Error, Ok, Result
+
+from wasabicross.exceptions import (
+    InstanceListError,
+    InstanceListMalformed,
+    InstanceListUnavailable,
+)
+from wasabicross.single_call import AnswerLost, NotSent, SingleCalls
 
 LIVE = 'live'
 LEAVING = 'leaving'
--- a/src/wasabicross/kv.py
+++ b/src/wasabicross/kv.py
@@ -5,25 +5,22 @@
 the caller, who alone knows what a second write would mean.
 """
 
-from typing import NamedTuple
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from expression import Error
-from expression import Ok
-from expression import Result
+from expression import Error, Ok, Result
 from prometheus_client import Counter
 from urllib3 import BaseHTTPResponse
 
-from wasabicross.exceptions import KeyValueError
-from wasabicross.exceptions import KeyValueUnavailable
-from wasabicross.exceptions import LeaseLapsed
-from wasabicross.exceptions import LeaseOutcomeUnknown
-from wasabicross.exceptions import SwapConflict
-from wasabicross.exceptions import SwapOutcomeUnknown
-from wasabicross.exceptions import ValueTooLarge
-from wasabicross.single_call import AnswerLost
-from wasabicross.single_call import NotSent
-from wasabicross.single_call import SingleCalls
+from wasabicross.exceptions import (
+    KeyValueError,
+    KeyValueUnavailable,
+    LeaseLapsed,
+    LeaseOutcomeUnknown,
+    SwapConflict,
+    SwapOutcomeUnknown,
+    ValueTooLarge,
+)
+from wasabicross.single_call import AnswerLost, NotSent, SingleCalls
 
 MS_PER_S = 1000
 
--- a/src/wasabicross/single_call.py
+++ b/src/wasabicross/single_call.py
@@ -1,14 +1,10 @@
 """HTTP calls to the platform that are sent once, with an exact outcome."""
 
 from typing import Final
-from urllib.parse import urlencode
-from urllib.parse import urlsplit
-
-from urllib3 import BaseHTTPResponse
-from urllib3 import Timeout
-from urllib3 import connection_from_url
-from urllib3.exceptions import ConnectTimeoutError
-from urllib3.exceptions import HTTPError
+from urllib.parse import urlencode, urlsplit
+
+from urllib3 import BaseHTTPResponse, Timeout, connection_from_url
+from urllib3.exceptions import ConnectTimeoutError, HTTPError
 
 from wasabicross.exceptions import WasabicrossError
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -7,18 +7,11 @@
 import urllib3
 
 from emulator.fleet import Program
-from emulator.http_server import Reply
-from emulator.http_server import StandInServer
-from emulator.instances import Entry
-from emulator.instances import Faults
-from emulator.instances import LaggingList
-from emulator.waiting import free_ports
-from emulator.waiting import wait_until
+from emulator.http_server import Reply, StandInServer
+from emulator.instances import Entry, Faults, LaggingList
+from emulator.waiting import free_ports, wait_until
 from wasabicross import exceptions
-from wasabicross.instances import BackendServer
-from wasabicross.instances import Fleet
-from wasabicross.instances import Instance
-from wasabicross.instances import InstanceList
+from wasabicross.instances import BackendServer, Fleet, Instance, InstanceList
 
 HERE = Instance('node-1', 'ltn', '127.0.0.1', 7000, 'live')
 ENGINE = BackendServer(
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -1,71 +1,75 @@
 """The seam to the key-value service, and its stand-in's faults."""
 
+import contextlib
 import socket
 import threading
+from collections.abc import Callable
+from functools import partial
 from types import SimpleNamespace
+from typing import NamedTuple
 
 import pytest
 import urllib3
 
-from emulator.fleet import Program
-from emulator.waiting import free_ports
-from emulator.waiting import wait_until
+from emulator.kv import Faults
+from emulator.waiting import free_ports, wait_until
 from wasabicross import exceptions
-from wasabicross.kv import KEY_VALUE_CALLS
-from wasabicross.kv import KeyValueStore
-from wasabicross.kv import Versioned
+from wasabicross.kv import KEY_VALUE_CALLS, KeyValueStore, Versioned
 
 LARGEST = 1024 * 1024
 
 
-def make_store(url, timeout_s=5.0):
-    return KeyValueStore.from_config(
-        SimpleNamespace(url=url, timeout_s=timeout_s),
-    )
-
-
-@pytest.fixture(scope='module')
-def url(runner):
-    (port,) = free_ports(1)
-    base = f'http://127.0.0.1:{port}'
-    args = ('--port', str(port))
-    runner.run(Program('kv', 'emulator.kv', args, f'{base}/stats'))
-    return base
-
-
 @pytest.fixture
-def fault(url):
+def fault(kv_url):
     def set_faults(**faults):
-        resp = urllib3.request('POST', f'{url}/fault', json=faults)
+        resp = urllib3.request('POST', f'{kv_url}/fault', json=faults)
         assert resp.status == 200
 
-    clear = {
-        'slow_ms': 0,
-        'refuse': False,
-        'drop_swaps': 0,
-        'drop_leases': 0,
-        'drop_prefix': '',
-    }
-    set_faults(**clear, restart_empty=True)
+    set_faults(**Faults()._asdict(), restart_empty=True)
     yield set_faults
-    set_faults(**clear)
+    set_faults(**Faults()._asdict())
 
 
 @pytest.fixture
-def store(url, fault):
-    with_timeout = make_store(url)
-    yield with_timeout
-    with_timeout.close()
+def store(kv_url, fault):
+    cfg = SimpleNamespace(url=kv_url, timeout_s=5)
+    present_store = KeyValueStore.from_config(cfg)
+    yield present_store
+    present_store.close()
 
 
-def stats(url):
-    return urllib3.request('GET', f'{url}/stats').json()
+def stats(kv_url):
+    return urllib3.request('GET', f'{kv_url}/stats').json()
 
 
 def calls(operation):
     return KEY_VALUE_CALLS.labels(operation)._value.get()
 
 
+def in_thread(call):
+    """Start a call in a thread; return it and the list of its results."""
+    results = []
+    thread = threading.Thread(target=lambda: results.append(call()))
+    thread.start()
+    return thread, results
+
+
+def in_threads(calls_to_make):
+    """Make calls at once and return their results."""
+    started = [in_thread(call) for call in calls_to_make]
+    for thread, _ in started:
+        thread.join(20)
+    return [result for _, results in started for result in results]
+
+
+def await_watches(kv_url, count):
+    wait_until(
+        lambda: stats(kv_url)['waiting_watches'] == count,
+        20,
+        f'{count} watches',
+    )
+
+
 @pytest.mark.parametrize('value', [b'', b'\x00\xff', b'x' * LARGEST])
 def test_swap_writes_and_get_reads(store, value):
     written = store.compare_and_swap('a/b#c@1 &?%', value, 0).ok
@@ -112,120 +116,106 @@
 
 
 def test_racing_swaps_have_one_winner(store):
-    results = []
-    racers = [
-        threading.Thread(
-            target=lambda n=n: results.append(
-                store.compare_and_swap('key', b'%d' % n, 0),
-            ),
-        )
-        for n in range(20)
-    ]
-    for racer in racers:
-        racer.start()
-    for racer in racers:
-        racer.join()
+    results = in_threads(
+        partial(store.compare_and_swap, 'key', b'%d' % number, 0)
+        for number in range(20)
+    )
     won = [result.ok for result in results if result.is_ok()]
-    assert len(won) == 1
-    assert store.get('key').ok == won[0]
-
-
-def swap(store):
-    return store.compare_and_swap('key', b'new', 0)
+    assert len(results) == 20
+    assert won == [store.get('key').ok]
 
 
-def delete(store):
-    return store.compare_and_swap('key', None, 0)
-
-
-def get(store):
-    return store.get('key')
-
-
-def watch(store):
-    return store.watch('key', 0, 0.2)
-
-
-def grant(store):
-    return store.grant_lease(60)
-
-
-def renew(store):
-    return store.renew_lease('lease')
+UNAVAILABLE = exceptions.KeyValueUnavailable
+SWAP_UNKNOWN = exceptions.SwapOutcomeUnknown
+LEASE_UNKNOWN = exceptions.LeaseOutcomeUnknown
 
 
-def revoke(store):
-    return store.revoke_lease('lease')
+class Operation(NamedTuple):
+    """An operation, and its error when its answer is lost."""
 
+    name: str
+    call: Callable
+    lost: type
 
-OPERATIONS = (get, swap, delete, watch, grant, renew, revoke)
-READS = (get, watch)
-SWAPS = (swap, delete)
-UNAVAILABLE = exceptions.KeyValueUnavailable
+    def error(self, store):
+        return type(self.call(store).error)
 
 
-def lost_error(operation):
-    if operation in READS:
-        return UNAVAILABLE
-    if operation in SWAPS:
-        return exceptions.SwapOutcomeUnknown
-    return exceptions.LeaseOutcomeUnknown
+GET = Operation('get', lambda store: store.get('key'), UNAVAILABLE)
+WATCH = Operation(
+    'watch',
+    lambda store: store.watch('key', 0, 0.2),
+    UNAVAILABLE,
+)
+SWAP = Operation(
+    'swap',
+    lambda store: store.compare_and_swap('key', b'new', 0),
+    SWAP_UNKNOWN,
+)
+OPERATIONS = (
+    GET,
+    WATCH,
+    SWAP,
+    SWAP._replace(call=lambda store: store.compare_and_swap('key', None, 0)),
+    Operation('grant', lambda store: store.grant_lease(60), LEASE_UNKNOWN),
+    Operation('renew', lambda store: store.renew_lease('none'), LEASE_UNKNOWN),
+    Operation(
+        'revoke',
+        lambda store: store.revoke_lease('none'),
+        LEASE_UNKNOWN,
+    ),
+)
+for_each_operation = pytest.mark.parametrize(
+    'operation',
+    OPERATIONS,
+    ids=lambda operation: operation.name,
+)
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
+@for_each_operation
 def test_refused_connection_is_unavailable(operation):
     (port,) = free_ports(1)
-    store = make_store(f'http://127.0.0.1:{port}')
-    assert type(operation(store).error) is UNAVAILABLE
+    store = KeyValueStore(f'http://127.0.0.1:{port}', 5)
+    assert operation.error(store) is UNAVAILABLE
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
+@for_each_operation
 def test_refusal_is_unavailable_and_nothing_is_applied(
     store,
     fault,
     operation,
 ):
     fault(refuse=True)
-    assert type(operation(store).error) is UNAVAILABLE
+    assert operation.error(store) is UNAVAILABLE
     fault(refuse=False)
     assert store.get('key').ok.version == 0
 
 
-def read_head(conn):
-    received = b''
-    while b'\r\n\r\n' not in received:
-        received += conn.recv(65536)
-    return received
-
-
 @pytest.fixture
 def scripted():
     """A server that answers its first call with given bytes, then closes."""
-    threads = []
-    listeners = []
+    with contextlib.ExitStack() as stack:
 
-    def serve(answer):
-        listener = socket.create_server(('127.0.0.1', 0))
-        listeners.append(listener)
+        def serve(answer):
+            listener = socket.create_server(('127.0.0.1', 0))
+            stack.enter_context(listener)
 
-        def answer_once():
-            conn, _ = listener.accept()
-            with conn:
-                read_head(conn)
-                conn.sendall(answer)
+            def answer_once():
+                conn, _ = listener.accept()
+                with conn, conn.makefile('rb') as reader:
+                    while reader.readline().strip():
+                        pass
+                    conn.sendall(answer)
 
-        threads.append(threading.Thread(target=answer_once))
-        threads[-1].start()
-        return make_store(f'http://127.0.0.1:{listener.getsockname()[1]}')
+            thread, _ = in_thread(answer_once)
+            stack.callback(thread.join, 10)
+            port = listener.getsockname()[1]
+            return KeyValueStore(f'http://127.0.0.1:{port}', 5)
 
-    yield serve
-    for thread in threads:
-        thread.join(10)
-    for listener in listeners:
-        listener.close()
+        yield serve
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
+@for_each_operation
 @pytest.mark.parametrize(
     'answer',
     [
@@ -242,60 +232,54 @@
     ],
 )
 def test_lost_answer_is_unknown(scripted, operation, answer):
-    error = operation(scripted(answer)).error
-    assert type(error) is lost_error(operation)
+    assert operation.error(scripted(answer)) is operation.lost
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
+@for_each_operation
 @pytest.mark.parametrize('status', [b'429 Too Many', b'503 Unavailable'])
 def test_explicit_refusal_is_unavailable(scripted, operation, status):
     answer = b'HTTP/1.1 ' + status + b'\r\nContent-Length: 0\r\n\r\n'
-    assert type(operation(scripted(answer)).error) is UNAVAILABLE
+    assert operation.error(scripted(answer)) is UNAVAILABLE
 
 
 @pytest.mark.parametrize(
     ('operation', 'status', 'error'),
     [
-        (get, b'200', UNAVAILABLE),
-        (watch, b'200', UNAVAILABLE),
-        (swap, b'200', exceptions.SwapOutcomeUnknown),
-        (swap, b'409', UNAVAILABLE),
+        (GET, '200', UNAVAILABLE),
+        (WATCH, '200', UNAVAILABLE),
+        (SWAP, '200', SWAP_UNKNOWN),
+        (SWAP, '409', UNAVAILABLE),
     ],
 )
-@pytest.mark.parametrize('version', [b'', b'-1', b'x', '²'.encode('latin-1')])
+@pytest.mark.parametrize('version', ['', '-1', 'x', '²'])
 def test_answer_without_version(scripted, operation, status, error, version):
-    answer = (
-        b'HTTP/1.1 '
-        + status
-        + b' Some\r\nContent-Length: 0\r\nX-Version: '
-        + version
-        + b'\r\n\r\n'
-    )
-    assert type(operation(scripted(answer)).error) is error
+    head = f'HTTP/1.1 {status} Some\r\nX-Version: {version}\r\n'
+    answer = (head + 'Content-Length: 0\r\n\r\n').encode('latin-1')
+    assert operation.error(scripted(answer)) is error
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
+@for_each_operation
 def test_silent_server_is_unknown(operation):
     with socket.create_server(('127.0.0.1', 0)) as listener:
         port = listener.getsockname()[1]
-        store = make_store(f'http://127.0.0.1:{port}', timeout_s=0.1)
-        assert type(operation(store).error) is lost_error(operation)
+        store = KeyValueStore(f'http://127.0.0.1:{port}', 0.1)
+        assert operation.error(store) is operation.lost
 
 
 @pytest.mark.parametrize(
     ('drops', 'lost'),
     [(1, [True, False, False]), (2, [True, True, False]), (-1, [True] * 3)],
 )
-def test_dropped_answer_took_effect(store, fault, url, drops, lost):
-    sent_before = stats(url)['calls'].get('swap', 0)
+def test_dropped_answer_took_effect(store, fault, kv_url, drops, lost):
+    sent_before = stats(kv_url)['calls'].get('swap', 0)
     fault(drop_swaps=drops)
     for number, is_lost in enumerate(lost):
         result = store.compare_and_swap(f'key{number}', b'new', 0)
         assert result.is_error() is is_lost
         if is_lost:
-            assert type(result.error) is exceptions.SwapOutcomeUnknown
+            assert type(result.error) is SWAP_UNKNOWN
         assert store.get(f'key{number}').ok.value == b'new'
-    assert stats(url)['calls']['swap'] == sent_before + len(lost)
+    assert stats(kv_url)['calls']['swap'] == sent_before + len(lost)
 
 
 def test_drops_only_the_prefix(store, fault):
@@ -310,17 +294,17 @@
     assert isinstance(error, exceptions.SwapConflict)
 
 
-def test_lease_grant_lost(store, fault, url):
+def test_lease_grant_lost(store, fault, kv_url):
     fault(drop_leases=1)
-    assert type(grant(store).error) is exceptions.LeaseOutcomeUnknown
-    assert stats(url)['leases'] == 1
+    assert type(store.grant_lease(60).error) is LEASE_UNKNOWN
+    assert stats(kv_url)['leases'] == 1
 
 
-def test_slow_write_lands_after_its_writer_gave_up(url, store, fault):
-    hasty = make_store(url, timeout_s=0.05)
+def test_slow_write_lands_after_its_writer_gave_up(kv_url, store, fault):
+    hasty = KeyValueStore(kv_url, 0.05)
     fault(slow_ms=300)
     error = hasty.compare_and_swap('key', b'late', 0).error
-    assert type(error) is exceptions.SwapOutcomeUnknown
+    assert type(error) is SWAP_UNKNOWN
     fault(slow_ms=0)
     assert store.get('key').ok.version == 0
     wait_until(lambda: store.get('key').ok.value == b'late', 5, 'late write')
@@ -374,17 +358,13 @@
     assert store.get('key').ok.value == b'2'
 
 
-def test_watch_ends_with_a_change(store, url):
-    changed = []
-    watcher = threading.Thread(
-        target=lambda: changed.append(store.watch('key', 0, 30).ok),
-    )
-    watcher.start()
-    wait_until(lambda: stats(url)['waiting_watches'] == 1, 5, 'watch')
+def test_watch_ends_with_a_change(store, kv_url):
+    watcher, ended = in_thread(lambda: store.watch('key', 0, 30).ok)
+    await_watches(kv_url, 1)
     store.compare_and_swap('other', b'1', 0)
     written = store.compare_and_swap('key', b'1', 0).ok
     watcher.join(5)
-    assert changed == [written]
+    assert ended == [written]
 
 
 @pytest.mark.parametrize(
@@ -392,13 +372,9 @@
     [{'refuse': True}, {'restart_empty': True}],
     ids=str,
 )
-def test_outage_ends_watches(store, fault, url, end):
-    ended = []
-    watcher = threading.Thread(
-        target=lambda: ended.append(store.watch('key', 0, 30).error),
-    )
-    watcher.start()
-    wait_until(lambda: stats(url)['waiting_watches'] == 1, 5, 'watch')
+def test_outage_ends_watches(store, fault, kv_url, end):
+    watcher, ended = in_thread(lambda: store.watch('key', 0, 30).error)
+    await_watches(kv_url, 1)
     fault(**end)
     watcher.join(5)
     assert [type(error) for error in ended] == [UNAVAILABLE]
@@ -417,29 +393,22 @@
     assert (again > before) is keep_versions
 
 
-def test_hundreds_of_watches_wait(url, store):
+def test_hundreds_of_watches_wait(store, kv_url):
     count = 600
-    ended = []
-    watchers = [
-        threading.Thread(
-            target=lambda: ended.append(store.watch('hot', 0, 60).ok),
-        )
-        for _ in range(count)
+    started = [
+        in_thread(lambda: store.watch('hot', 0, 60).ok) for _ in range(count)
     ]
-    for watcher in watchers:
-        watcher.start()
-    wait_until(lambda: stats(url)['waiting_watches'] == count, 20, 'watches')
+    await_watches(kv_url, count)
     written = store.compare_and_swap('hot', b'1', 0).ok
-    for watcher in watchers:
+    for watcher, ended in started:
         watcher.join(20)
-    assert ended == [written] * count
+        assert ended == [written]
 
 
-@pytest.mark.parametrize('operation', OPERATIONS)
-def test_calls_are_counted_on_both_sides(store, url, operation):
-    name = 'swap' if operation in SWAPS else operation.__name__
-    here = calls(name)
-    there = stats(url)['calls'].get(name, 0)
-    operation(store)
-    assert calls(name) == here + 1
-    assert stats(url)['calls'][name] == there + 1
+@for_each_operation
+def test_calls_are_counted_on_both_sides(store, kv_url, operation):
+    here = calls(operation.name)
+    there = stats(kv_url)['calls'].get(operation.name, 0)
+    operation.call(store)
+    assert calls(operation.name) == here + 1
+    assert stats(kv_url)['calls'][operation.name] == there + 1
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,15 +3,13 @@
 import socket
 import threading
 import time
-from types import SimpleNamespace
 
 import pytest
 import urllib3
 
 from emulator.fleet import Program
 from emulator.proxy import ProxyClient
-from emulator.waiting import free_ports
-from emulator.waiting import wait_until
+from emulator.waiting import free_ports, wait_until
 from wasabicross import exceptions
 from wasabicross.kv import KeyValueStore
 
@@ -278,30 +276,17 @@
         control.fault(link, **faults)
 
 
-@pytest.fixture(scope='module')
-def kv_port(runner):
-    (port,) = free_ports(1)
-    url = f'http://127.0.0.1:{port}/stats'
-    runner.run(Program('kv', 'emulator.kv', ('--port', str(port)), url))
-    return port
-
-
 @pytest.fixture
-def kv_link(control, kv_port):
-    url = f'http://127.0.0.1:{kv_port}/fault'
-    urllib3.request('POST', url, json={'restart_empty': True})
+def kv_link(control, kv_url):
+    urllib3.request('POST', f'{kv_url}/fault', json={'restart_empty': True})
     (port,) = free_ports(1)
-    control.add(port, f'127.0.0.1:{kv_port}')
+    control.add(port, kv_url.removeprefix('http://'))
     yield port
     control.fault(port, cut=True)
 
 
-def make_store(port, timeout_s=0.3):
-    cfg = SimpleNamespace(
-        url=f'http://127.0.0.1:{port}',
-        timeout_s=timeout_s,
-    )
-    return KeyValueStore.from_config(cfg)
+def store_behind(port):
+    return KeyValueStore(f'http://127.0.0.1:{port}', 0.3)
 
 
 @pytest.mark.parametrize('idle', [True, False], ids=['kept', 'new'])
@@ -323,28 +308,28 @@
 )
 def test_each_fault_is_its_error(
     control,
-    kv_port,
+    kv_url,
     kv_link,
     faults,
     error,
     applied,
     idle,
 ):
-    store = make_store(kv_link)
+    store = store_behind(kv_link)
     if idle:
         assert store.get('key').is_ok()
     control.fault(kv_link, **faults)
     result = store.compare_and_swap('key', b'new', 0)
-    direct = make_store(kv_port)
+    direct = KeyValueStore(kv_url, 5)
     assert type(result.error) is error
     assert (direct.get('key').ok.value == b'new') is applied
 
 
-def test_held_write_lands_late(control, kv_port, kv_link):
-    store = make_store(kv_link)
+def test_held_write_lands_late(control, kv_url, kv_link):
+    store = store_behind(kv_link)
     control.fault(kv_link, hold=['up'])
     assert type(store.compare_and_swap('key', b'late', 0).error) is UNKNOWN
-    direct = make_store(kv_port)
+    direct = KeyValueStore(kv_url, 5)
     assert direct.get('key').ok.version == 0
     control.heal(kv_link)
     wait_until(lambda: direct.get('key').ok.value == b'late', 5, 'late write')
