--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -3,18 +3,19 @@
 import asyncio
 import os
 import time
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
-from emulator.batch import Batch, Job
+from emulator.batch import Batch
+from emulator.batch import Job
 from emulator.faults import Point
-from emulator.http_server import ConnectionDied, Responder
-from emulator.tokens import (
-    AnswerText,
-    chunk_event,
-    digest_of,
-    sse_event,
-    whole_answer,
-)
+from emulator.stream_server import ConnectionDied
+from emulator.stream_server import Responder
+from emulator.tokens import AnswerText
+from emulator.tokens import chunk_event
+from emulator.tokens import digest_of
+from emulator.tokens import sse_event
+from emulator.tokens import whole_answer
 
 #: Exit code of an engine that a request has crashed.
 CRASH_EXIT_CODE = 13
@@ -80,7 +81,7 @@
         )
 
     async def run(self) -> None:
-        """Runs to the end and answers."""
+        """Run to the end and answers."""
         job = self.job
         self._responder.call_when_gone(
             lambda: self._batch.end(job, 'cancelled'),
@@ -95,7 +96,7 @@
                 timer.cancel()
 
     def log_entry(self) -> dict[str, Any]:
-        """Returns what happened to the request."""
+        """Return what happened to the request."""
         job = self.job
         return {
             'event': 'request',
@@ -212,7 +213,7 @@
     message: str,
     **more: Any,
 ) -> dict[str, Any]:
-    """Returns an error in the shape that inference clients know."""
+    """Return an error in the shape that inference clients know."""
     return {
         'error': {
             'message': message,
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -2,22 +2,25 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 
 import click
 
 from emulator.batch import Batch
-from emulator.completions import (
-    Completion,
-    CompletionOrder,
-    error_document,
-)
-from emulator.engine_options import EngineOptions, engine_options
+from emulator.completions import Completion
+from emulator.completions import CompletionOrder
+from emulator.completions import error_document
+from emulator.engine_options import EngineOptions
+from emulator.engine_options import engine_options
 from emulator.faults import Faults
-from emulator.http_server import HttpRequest, HttpServer, Responder
 from emulator.prompt_cache import PromptCache
-from emulator.slots import LoadRefused, Slots
+from emulator.slots import LoadRefused
+from emulator.slots import Slots
+from emulator.stream_server import HttpRequest
+from emulator.stream_server import Responder
+from emulator.stream_server import StreamServer
 
 _RETRY_SOON = (('Retry-After', '1'),)
 _COMPLETIONS_PATH = '/v1/chat/completions'
@@ -33,7 +36,7 @@
 
     def __init__(self, options: EngineOptions) -> None:
         self.faults = Faults()
-        self.server = HttpServer(self.handle, self.faults)
+        self.server = StreamServer(self.handle, self.faults)
         self._options = options
         self._batch = Batch(options.batch, options.token_ms / 1000)
         self._slots = Slots(options.slots, options.weights)
@@ -51,7 +54,7 @@
         self._log: list[dict[str, Any]] = []
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
-        """Answers one request."""
+        """Answer one request."""
         match req.method, req.path:
             case 'POST', '/v1/chat/completions':
                 await self._complete(req, responder)
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -8,8 +8,11 @@
 
 import click
 
-from emulator.faults import Faults, Point
-from emulator.http_server import HttpRequest, HttpServer, Responder
+from emulator.faults import Faults
+from emulator.faults import Point
+from emulator.stream_server import HttpRequest
+from emulator.stream_server import Responder
+from emulator.stream_server import StreamServer
 
 
 class Service:
@@ -29,7 +32,7 @@
         self._log: list[dict[str, Any]] = []
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
-        """Answers one request."""
+        """Answer one request."""
         match req.method, req.path:
             case 'GET', '/debug/log':
                 responder.send_json(200, self._describe())
@@ -91,7 +94,7 @@
 
 
 def reply_to(method: str, path: str, body: bytes) -> dict[str, str]:
-    """Returns the reply that depends on nothing but the call."""
+    """Return the reply that depends on nothing but the call."""
     digest = hashlib.sha256(body).hexdigest()
     return {
         'method': method,
@@ -109,7 +112,7 @@
 def main(host: str, port: int, delay_ms: float, max_running: int) -> None:
     """Run a stand-in plain service until it is ended."""
     service = Service(delay_ms / 1000, max_running)
-    server = HttpServer(service.handle, service.faults)
+    server = StreamServer(service.handle, service.faults)
     asyncio.run(server.serve(host, port))
 
 
--- a/emulator/tokens.py
+++ b/emulator/tokens.py
@@ -12,7 +12,7 @@
 
 
 def digest_of(document: dict[str, Any]) -> str:
-    """Returns a digest of the fields that the text depends on."""
+    """Return a digest of the fields that the text depends on."""
     telling = {
         name: field
         for name, field in document.items()
@@ -35,19 +35,19 @@
         self._digest = hashlib.sha256(seed.encode()).hexdigest()
 
     def token(self, index: int) -> str:
-        """Returns one token; the first names what produced it."""
+        """Return one token; the first names what produced it."""
         if index == 0:
             return f'[{self._produced_by}]'
         start = index % _TOKENS_PER_DIGEST * _DIGITS_PER_TOKEN
         return f' {self._digest[start : start + _DIGITS_PER_TOKEN]}.{index}'
 
     def whole(self, count: int) -> str:
-        """Returns the text of an answer with this many tokens."""
+        """Return the text of an answer with this many tokens."""
         return ''.join(self.token(index) for index in range(count))
 
 
 def sse_event(document: dict[str, Any]) -> bytes:
-    """Returns one server-sent event."""
+    """Return one server-sent event."""
     return b'data: %b\n\n' % json.dumps(document).encode()
 
 
@@ -57,7 +57,7 @@
     text: str,
     finish_reason: str | None,
 ) -> bytes:
-    """Returns the event with one token of a streamed answer."""
+    """Return the event with one token of a streamed answer."""
     return sse_event(
         {
             'id': answer_id,
@@ -81,7 +81,7 @@
     text: str,
     usage: dict[str, int],
 ) -> dict[str, Any]:
-    """Returns an answer that isn't streamed."""
+    """Return an answer that isn't streamed."""
     return {
         'id': answer_id,
         'object': 'chat.completion',
--- a/emulator/weights.py
+++ b/emulator/weights.py
@@ -12,7 +12,9 @@
 import click
 
 from emulator.faults import Faults
-from emulator.http_server import HttpRequest, HttpServer, Responder
+from emulator.stream_server import HttpRequest
+from emulator.stream_server import Responder
+from emulator.stream_server import StreamServer
 
 #: Loads at once that don't slow each other.
 FULL_SPEED_IN_FLIGHT = 8
@@ -49,7 +51,7 @@
         self._log: list[dict[str, Any]] = []
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
-        """Answers one request."""
+        """Answer one request."""
         match req.method, req.path.split('/')[1:]:
             case 'GET', ['weights', adapter, version]:
                 await self._serve_load(adapter, version, responder)
@@ -137,7 +139,7 @@
 ) -> None:
     """Run a stand-in weight store until it is ended."""
     store = WeightStore(loads_per_s, load_ms / 1000)
-    server = HttpServer(store.handle, store.faults)
+    server = StreamServer(store.handle, store.faults)
     asyncio.run(server.serve(host, port))
 
 
--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -3,14 +3,17 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 from http.client import HTTPException
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
 from wasabicross.exceptions import AnswerCut
-from wasabicross.responses import READ_BUFFER_BYTES, StreamConnection
+from wasabicross.responses import READ_BUFFER_BYTES
+from wasabicross.responses import StreamConnection
 
 #: Longest gap within an answer before it counts as cut.
 IDLE_TIMEOUT_S = 30.0
@@ -49,7 +52,7 @@
         self._idle_s = idle_s
 
     def left_s(self) -> float:
-        """Returns the seconds left.
+        """Return the seconds left.
 
         :raises TimeoutError: when none are left.
         """
@@ -59,7 +62,7 @@
         return left_s
 
     def next_read_s(self) -> float:
-        """Returns how many seconds the next read of the body may wait.
+        """Return how many seconds the next read of the body may wait.
 
         :raises TimeoutError: when the deadline has passed.
         """
@@ -95,15 +98,15 @@
         self._reading = False
 
     def header(self, name: str) -> str | None:
-        """Returns the field of this name, in any case, if there is one."""
+        """Return the field of this name, in any case, if there is one."""
         return self._response.headers.get(name)
 
     def require_end_mark(self, mark: bytes) -> None:
-        """Has a body that doesn't end with the mark count as cut."""
+        """Have a body that doesn't end with the mark count as cut."""
         self._end_mark = mark
 
     def chunks(self) -> Iterator[bytes]:
-        """Yields the body as it comes, joining what has arrived meanwhile.
+        """Yield the body as it comes, joining what has arrived meanwhile.
 
         The connection is closed if the iterator is left before its end.
 
@@ -125,14 +128,14 @@
             raise AnswerCut('the answer ended before it was complete')
 
     def read(self) -> bytes:
-        """Returns the whole body.
+        """Return the whole body.
 
         :raises AnswerCut: like `chunks`.
         """
         return b''.join(self.chunks())
 
     def cancel(self) -> None:
-        """Ends the connection, from any thread; its reader sees a cut."""
+        """End the connection, from any thread; its reader sees a cut."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         # A reader in another thread closes the connection by itself.
@@ -172,7 +175,7 @@
 def end_to_end(
     fields: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
-    """Returns the fields that aren't about one connection."""
+    """Return the fields that aren't about one connection."""
     return tuple(
         (name, text)
         for name, text in fields
--- a/src/wasabicross/dispatch.py
+++ b/src/wasabicross/dispatch.py
@@ -5,24 +5,22 @@
 from http.client import InvalidURL
 from typing import NamedTuple
 
-from expression import Error, Ok, Result
+from expression import Error
+from expression import Ok
+from expression import Result
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
-from wasabicross.answers import (
-    FAILURES,
-    IDLE_TIMEOUT_S,
-    Answer,
-    TimeLimits,
-    end_to_end,
-)
-from wasabicross.exceptions import (
-    DispatchError,
-    NotConnected,
-    OutcomeUnknown,
-    RequestUnsendable,
-)
+from wasabicross.answers import FAILURES
+from wasabicross.answers import IDLE_TIMEOUT_S
+from wasabicross.answers import Answer
+from wasabicross.answers import TimeLimits
+from wasabicross.answers import end_to_end
+from wasabicross.exceptions import DispatchError
+from wasabicross.exceptions import NotConnected
+from wasabicross.exceptions import OutcomeUnknown
+from wasabicross.exceptions import RequestUnsendable
 from wasabicross.responses import StreamConnection
 
 #: Longest wait for a connection to be made.
@@ -52,7 +50,7 @@
 
 
 class Dispatcher:
-    """Sends calls to one backend server, each at most once.
+    """Send calls to one backend server, each at most once.
 
     Nothing is sent a second time here and no redirect is followed. Only a
     failure before the first byte is sent counts as not run. A kept-alive
@@ -78,7 +76,7 @@
         self._idle: deque[StreamConnection] = deque()
 
     def start(self, call: Call) -> Result[Answer, DispatchError]:
-        """Sends the call and waits for the head of the answer.
+        """Send the call and waits for the head of the answer.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
@@ -95,7 +93,7 @@
         return self._exchange(call, conn, limits)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         while self._idle:
             self._idle.pop().close()
 
@@ -178,7 +176,7 @@
 
 
 def read_retry_after(answer: Answer) -> float | None:
-    """Returns the seconds after which the server wants to be tried again.
+    """Return the seconds after which the server wants to be tried again.
 
     The form of the field that gives a date is not understood.
     """
--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -3,27 +3,29 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-from expression import Error, Ok, Result
-from pydantic import BaseModel, ValidationError
+from expression import Error
+from expression import Ok
+from expression import Result
+from pydantic import BaseModel
+from pydantic import ValidationError
 
 from wasabicross.answers import Answer
 from wasabicross.dispatch import read_retry_after
-from wasabicross.engine_documents import ErrorBody, ErrorDocument
-from wasabicross.exceptions import (
-    AdapterInUse,
-    AdapterNotLoaded,
-    AnswerCut,
-    DispatchError,
-    EngineAnswerMalformed,
-    EngineUnreachable,
-    LoadFailed,
-    NotRun,
-    OrderError,
-    OrderOutcomeUnknown,
-    OrderRefused,
-    ServerRefused,
-    SlotsFull,
-)
+from wasabicross.engine_documents import ErrorBody
+from wasabicross.engine_documents import ErrorDocument
+from wasabicross.exceptions import AdapterInUse
+from wasabicross.exceptions import AdapterNotLoaded
+from wasabicross.exceptions import AnswerCut
+from wasabicross.exceptions import DispatchError
+from wasabicross.exceptions import EngineAnswerMalformed
+from wasabicross.exceptions import EngineUnreachable
+from wasabicross.exceptions import LoadFailed
+from wasabicross.exceptions import NotRun
+from wasabicross.exceptions import OrderError
+from wasabicross.exceptions import OrderOutcomeUnknown
+from wasabicross.exceptions import OrderRefused
+from wasabicross.exceptions import ServerRefused
+from wasabicross.exceptions import SlotsFull
 
 #: How a stream of server-sent events ends when it is complete.
 STREAM_END_MARK = b'data: [DONE]\n\n'
@@ -43,7 +45,7 @@
 
 
 def judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal to run a call into `NotRun`."""
+    """Turn a refusal to run a call into `NotRun`."""
     if answer.status == HTTPStatus.NOT_FOUND:
         return Error(AdapterNotLoaded(_read_refusal(answer).message))
     if answer.status in _REFUSALS:
@@ -60,7 +62,7 @@
 
 
 def judge_order(answer: Answer) -> Result[None, OrderError]:
-    """Tells from an order's answer whether what was ordered is so."""
+    """Tell from an order's answer whether what was ordered is so."""
     try:
         body = answer.read()
     except AnswerCut as exc:
@@ -86,7 +88,7 @@
 
 
 def order_error_from(exc: DispatchError) -> OrderError:
-    """Turns the failure of an exchange into that of the order."""
+    """Turn the failure of an exchange into that of the order."""
     if isinstance(exc, NotRun):
         return EngineUnreachable(exc.reason, exc.retry_after_s)
     return OrderOutcomeUnknown(exc.reason)
@@ -110,7 +112,7 @@
     answer: Answer,
     model: type[_Document],
 ) -> Result[_Document, OrderError]:
-    """Reads an answer as a document of the given model."""
+    """Read an answer as a document of the given model."""
     try:
         return Ok(model.model_validate_json(answer.read()))
     except AnswerCut as exc:
--- a/src/wasabicross/engine_documents.py
+++ b/src/wasabicross/engine_documents.py
@@ -2,7 +2,8 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, Field
+from pydantic import BaseModel
+from pydantic import Field
 
 
 class ErrorBody(BaseModel):
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -1,26 +1,25 @@
 """Model engines: calls to their adapters, and orders to load and evict."""
 
 import json
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
+from typing import TypeVar
 from urllib.parse import quote
 
 from expression import Result
 from pydantic import BaseModel
 
 from wasabicross.answers import Answer
-from wasabicross.dispatch import Call, Dispatcher
-from wasabicross.engine_answers import (
-    judge_call,
-    judge_order,
-    read_document,
-    order_error_from,
-)
-from wasabicross.engine_documents import (
-    CacheEventsDocument,
-    LoadDocument,
-    ModelsDocument,
-)
-from wasabicross.exceptions import DispatchError, OrderError
+from wasabicross.dispatch import Call
+from wasabicross.dispatch import Dispatcher
+from wasabicross.engine_answers import judge_call
+from wasabicross.engine_answers import judge_order
+from wasabicross.engine_answers import order_error_from
+from wasabicross.engine_answers import read_document
+from wasabicross.engine_documents import CacheEventsDocument
+from wasabicross.engine_documents import LoadDocument
+from wasabicross.engine_documents import ModelsDocument
+from wasabicross.exceptions import DispatchError
+from wasabicross.exceptions import OrderError
 
 #: Path of the calls that models answer.
 COMPLETIONS_PATH = '/v1/chat/completions'
@@ -118,7 +117,7 @@
         self._dispatcher = dispatcher
 
     def complete(self, call: Call) -> Result[Answer, DispatchError]:
-        """Runs a model call; the body's ``model`` is a load name.
+        """Run a model call; the body's ``model`` is a load name.
 
         The engine is told the deadline, so that it ends the call by itself.
         A stream that ends without its end mark counts as cut.
@@ -132,7 +131,7 @@
         return started.bind(judge_call)
 
     def load(self, order: LoadOrder) -> Result[None, OrderError]:
-        """Orders a load and waits until calls can use it.
+        """Order a load and waits until calls can use it.
 
         :return: nothing, also when the engine holds the load already, or
             `OrderRefused`, `SlotsFull`, `LoadFailed`, `EngineUnreachable` or
@@ -148,7 +147,7 @@
         return self._order(path, document, order.term, LOAD_TIMEOUT_S)
 
     def evict(self, order: EvictOrder) -> Result[None, OrderError]:
-        """Orders an eviction.
+        """Order an eviction.
 
         :return: nothing, also when the engine holds no such load, or
             `OrderRefused`, `AdapterInUse`, `EngineUnreachable` or
@@ -159,18 +158,18 @@
         return self._order(path, document, order.term, QUESTION_TIMEOUT_S)
 
     def inventory(self) -> Result[Inventory, OrderError]:
-        """Asks what the engine holds."""
+        """Ask what the engine holds."""
         return self._ask('/v1/models', ModelsDocument).map(_to_inventory)
 
     def load_report(self) -> Result[LoadReport, OrderError]:
-        """Asks how busy the engine is; the report lags."""
+        """Ask how busy the engine is; the report lags."""
         return self._ask('/load', LoadDocument).map(_to_load_report)
 
     def cache_events(
         self,
         after: int,
     ) -> Result[tuple[CacheEvent, ...], OrderError]:
-        """Asks for the changes of the prompt cache after a number.
+        """Ask for the changes of the prompt cache after a number.
 
         :param after: number of the last event seen, 0 for none.
         """
@@ -178,7 +177,7 @@
         return self._ask(path, CacheEventsDocument).map(_to_cache_events)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         self._dispatcher.close()
 
     def _order(
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -2,11 +2,16 @@
 
 from http import HTTPStatus
 
-from expression import Error, Ok, Result
+from expression import Error
+from expression import Ok
+from expression import Result
 
 from wasabicross.answers import Answer
-from wasabicross.dispatch import Call, Dispatcher, read_retry_after
-from wasabicross.exceptions import DispatchError, ServerRefused
+from wasabicross.dispatch import Call
+from wasabicross.dispatch import Dispatcher
+from wasabicross.dispatch import read_retry_after
+from wasabicross.exceptions import DispatchError
+from wasabicross.exceptions import ServerRefused
 
 _REFUSALS = frozenset(
     (
@@ -26,7 +31,7 @@
         self._dispatcher = dispatcher
 
     def call(self, call: Call) -> Result[Answer, DispatchError]:
-        """Runs a call.
+        """Run a call.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
@@ -34,12 +39,12 @@
         return self._dispatcher.start(call).bind(_judge_call)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         self._dispatcher.close()
 
 
 def _judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal into `NotRun` if it gives a time to come back.
+    """Turn a refusal into `NotRun` if it gives a time to come back.
 
     Without one the status may stem from a proxy in front of a service that
     has run the call already, so it is the service's answer.
