--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 lint: install
 	$(BIN)/ruff format --check src emulator tests
+	$(BIN)/ruff check src emulator tests
 	$(BIN)/flake8 src emulator tests
 	$(BIN)/mypy
 
--- a/emulator/batch.py
+++ b/emulator/batch.py
@@ -66,12 +66,12 @@
         self._busy_time_s: float = 0
 
     def submit(self, job: Job) -> None:
-        """Starts a job, or has it wait for a place."""
+        """Start a job, or has it wait for a place."""
         heapq.heappush(self._waiting, job)
         self._fill()
 
     def end(self, job: Job, outcome: str) -> None:
-        """Ends a job before its time, wherever it is."""
+        """End a job before its time, wherever it is."""
         if job.ended.done():
             return
         if job in self._running:
@@ -83,19 +83,19 @@
         self._fill()
 
     def end_all(self, outcome: str, load_name: str | None = None) -> None:
-        """Ends all jobs, or those on one load."""
+        """End all jobs, or those on one load."""
         jobs = (*self._waiting, *self._running)
         for job in jobs:
             if load_name in {None, job.load_name}:
                 self.end(job, outcome)
 
     def by_load(self) -> Counter[str]:
-        """Returns how many jobs run or wait on each load."""
+        """Return how many jobs run or wait on each load."""
         jobs = (*self._running, *self._waiting)
         return Counter(job.load_name for job in jobs if not job.ended.done())
 
     def running_on(self, load_name: str) -> int:
-        """Returns how many jobs run on a load."""
+        """Return how many jobs run on a load."""
         return sum(job.load_name == load_name for job in self._running)
 
     @property
@@ -109,7 +109,7 @@
         return sum(not job.ended.done() for job in self._waiting)
 
     def fill(self) -> dict[str, Any]:
-        """Returns how full the batch was, integrated over time."""
+        """Return how full the batch was, integrated over time."""
         self._count_time()
         elapsed_s = self._counted_at - self._began_at
         return {
--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -43,7 +43,7 @@
 
 
 def judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal to run a call into `NotRun`."""
+    """Turn a refusal to run a call into `NotRun`."""
     if answer.status == HTTPStatus.NOT_FOUND:
         return Error(AdapterNotLoaded(_read_refusal(answer).message))
     if answer.status in _REFUSALS:
@@ -60,7 +60,7 @@
 
 
 def judge_order(answer: Answer) -> Result[None, OrderError]:
-    """Tells from an order's answer whether what was ordered is so."""
+    """Tell from an order's answer whether what was ordered is so."""
     try:
         body = answer.read()
     except AnswerCut as exc:
@@ -86,7 +86,7 @@
 
 
 def order_error_from(exc: DispatchError) -> OrderError:
-    """Turns the failure of an exchange into that of the order."""
+    """Turn the failure of an exchange into that of the order."""
     if isinstance(exc, NotRun):
         return EngineUnreachable(exc.reason, exc.retry_after_s)
     return OrderOutcomeUnknown(exc.reason)
@@ -110,7 +110,7 @@
     answer: Answer,
     model: type[_Document],
 ) -> Result[_Document, OrderError]:
-    """Reads an answer as a document of the given model."""
+    """Read an answer as a document of the given model."""
     try:
         return Ok(model.model_validate_json(answer.read()))
     except AnswerCut as exc:
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,8 +1,6 @@
 """Every error that wasabicross raises or returns, rooted in one base."""
 
-from typing import NamedTuple
-
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from wasabicross.bundles import BundlePointer
