Tell operators what each instance has in force

Cause: the administration API had no source of statuses. Change: it asks the controller beside it; instances that are gone are forgotten after a minute.

--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -8,8 +8,9 @@
 from wasabicross import __version__
 from wasabicross.admin_actions import AdminActions
 from wasabicross.admin_api import AdminApi
-from wasabicross.bundle_status import InstanceStatus, StatusSource
+from wasabicross.bundle_status import StatusSource
 from wasabicross.bundle_store import BundleStore
+from wasabicross.controller_status import ControllerStatus
 from wasabicross.events import Event
 from wasabicross.kv import KeyValueStore
 from wasabicross.logs import configure_logs, log_event
@@ -23,14 +24,6 @@
 STOP_S = 60  # longer than any action, so that none is cut off
 
 
-class UnknownStatus:
-    """A status source that has heard of no instance."""
-
-    def instances(self) -> tuple[InstanceStatus, ...]:
-        """Return nothing."""
-        return ()
-
-
 class Admin:
     """The program: API and metrics.
 
@@ -83,7 +76,7 @@
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-admin')
     stop = stop_event()
-    admin = Admin(cfg, UnknownStatus())
+    admin = Admin(cfg, ControllerStatus.from_config(cfg))
     admin.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
     stop.wait()
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -20,11 +20,7 @@
 from wasabicross.links import Link, listen
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
-from wasabicross.options import (
-    settings_options,
-    settings_or_exit,
-    stop_on_signals,
-)
+from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.peers import PeerLinks
@@ -35,6 +31,7 @@
 from wasabicross.settings import Settings
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.status import InstanceBundle, InstanceTable
+from wasabicross.stopping import stop_event
 from wasabicross.subscribers import Subscribers, UseWindow
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
@@ -308,6 +305,8 @@
         }
         self.subscribers.listed(set(residents), now_s)
         self.peers.follow(fleet.instances)
+        listed = {each.instance_id for each in fleet.instances}
+        self.table.keep(listed, now_s)
         self.desk.set_visible(self._visible_data_centres())
         live = [name for name, each in residents.items() if each.state == LIVE]
         self.lease.instances = len(fleet.instances)
@@ -370,7 +369,7 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = stop_on_signals()
+    stop = stop_event()
     controller = Controller.from_config(cfg)
     controller.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -15,14 +15,11 @@
 from wasabicross.key_claims import KeyClaims
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
-from wasabicross.options import (
-    settings_options,
-    settings_or_exit,
-    stop_on_signals,
-)
+from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.retries import RetryBudget
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import EntrySettings, Settings
+from wasabicross.stopping import stop_event
 from wasabicross.telemetry import MetricsServer, Readiness
 
 SPARE_THREADS = 16
@@ -120,7 +117,7 @@
     if entry_cfg is None:
         raise click.UsageError('--name must tell one of the entries')
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
-    stop = stop_on_signals()
+    stop = stop_event()
     entry = Entry(cfg, entry_cfg)
     entry.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
--- a/src/wasabicross/options.py
+++ b/src/wasabicross/options.py
@@ -1,8 +1,6 @@
 """Command line options that all programs of an instance share."""
 
-import signal
 import sys
-import threading
 from collections.abc import Callable, Iterable
 from typing import Any, NoReturn, TypeVar
 
@@ -89,15 +87,3 @@
     for fault in faults:
         click.echo(fault, err=True)
     sys.exit(EXIT_SETTINGS)
-
-
-def stop_on_signals() -> threading.Event:
-    """Return an event that SIGTERM and SIGINT set, for a graceful stop."""
-    stop = threading.Event()
-
-    def request_stop(_number: int, _frame: object) -> None:  # noqa: WPS430
-        stop.set()
-
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
-    return stop
--- a/src/wasabicross/status.py
+++ b/src/wasabicross/status.py
@@ -5,6 +5,7 @@
 
 from wasabicross.messages import BundleInForce, InstanceReport, Renew
 
+MEMORY_S = 60.0
 NOTHING = BundleInForce(0, '', '')
 
 
@@ -39,6 +40,18 @@
         with self._lock:
             self._heard.pop(instance_id, None)
 
+    def keep(self, listed: set[str], now_s: float) -> None:
+        """Forget instances that are neither listed nor heard of lately.
+
+        :param listed: instances that the list shows.
+        :param now_s: monotonic seconds.
+        """
+        with self._lock:
+            for instance_id, known in list(self._heard.items()):
+                is_old = now_s - known.heard_s > MEMORY_S
+                if is_old and instance_id not in listed:
+                    self._heard.pop(instance_id)
+
     def reports(self, now_s: float) -> list[InstanceReport]:
         """Return a report for each instance, with the age of what is known.
 
