--- /dev/null
+++ b/emulator/demo.py
@@ -0,0 +1,241 @@
+"""A demonstration: a whole deployment, two bundles, and requests between.
+
+`python -m emulator.demo` exits 0 when every answer came from the adapter
+version that the bundle in force at its acceptance names.
+"""
+
+import json
+import os
+import pathlib
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import threading
+from collections import Counter
+from functools import partial
+from typing import Any, NamedTuple
+
+import click
+import urllib3
+
+from emulator.deployment import (
+    HOST,
+    KEY_NAME,
+    OPERATOR_TOKEN,
+    TENANT_TOKEN,
+    Deployment,
+    Shape,
+)
+from emulator.fleet import ROOT, Runner
+from emulator.operator import bundle_text
+from emulator.waiting import wait_until
+from wasabicross.operator_key import OperatorKey
+
+SHAPE = Shape(
+    data_centres=('north', 'south'),
+    instances=1,
+    entries=2,
+    engines=1,
+    services=1,
+    engine_args=('--token-ms', '10', '--first-token-ms', '50'),
+)
+READY_TIMEOUT_S = 20
+ANSWERS_EACH = 20
+FIRST = {'bunker-quote': '1', 'fee-letter': '1'}
+SECOND = {'bunker-quote': '2', 'fee-letter': '1'}
+
+
+class Answered(NamedTuple):
+    """An answer of the traffic: by which version and bundle."""
+
+    version: str
+    bundle: str
+    is_right: bool
+
+
+class Demo:
+    """The steps of the demonstration.
+
+    :param deployment: the deployment, started.
+    :param folder: where files are written.
+    """
+
+    def __init__(self, deployment: Deployment, folder: pathlib.Path) -> None:
+        self.answers: list[Answered] = []
+        self._deployment = deployment
+        self._folder = folder
+        self._http = urllib3.PoolManager(retries=False)
+        self._key_path = folder / 'operator.key'
+
+    def run(self) -> None:
+        """Go through all steps; raises when one fails."""
+        key = OperatorKey(KEY_NAME, self._deployment.signing_key)
+        key.write(self._key_path)
+        self.roll('first', FIRST)
+        self.wait_ready()
+        self.show_requests()
+        traffic = threading.Thread(target=self.send_traffic)
+        traffic.start()
+        wait_until(lambda: len(self.answers) >= ANSWERS_EACH, READY_TIMEOUT_S)
+        self.roll('second', SECOND)
+        traffic.join()
+        self.operate('status')
+        self.operate('history')
+
+    def roll(self, name: str, versions: dict[str, str]) -> None:
+        """Prepare, sign off and roll a bundle by the command line.
+
+        :param name: its name.
+        :param versions: version by adapter.
+        """
+        path = self._folder / f'{name}.yaml'
+        path.write_text(bundle_text(versions, name))
+        prepared = self.operate('prepare', str(path), '--json', show=False)
+        digest = json.loads(prepared)['digest']
+        self.operate('sign-off', digest, '--key', str(self._key_path))
+        self.operate('roll', digest)
+
+    def operate(self, *args: str, show: bool = True) -> str:
+        """Run the operators' command line; return what it printed.
+
+        :param args: the command and its arguments.
+        :param show: whether to print it too.
+        """
+        admin = self._deployment.admins[0]
+        env = {
+            **os.environ,
+            'PYTHONPATH': str(ROOT / 'src'),
+            'WASABICROSS_ADMIN_URL': f'http://{HOST}:{admin.port}',
+            'WASABICROSS_TOKEN': OPERATOR_TOKEN,
+        }
+        shown = ' '.join(arg[:12] if len(arg) == 64 else arg for arg in args)
+        click.echo(f'$ wasabicross {shown}')
+        done = subprocess.run(  # noqa: S603
+            (sys.executable, '-m', 'wasabicross.cli', *args),
+            env=env,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if show or done.returncode:
+            click.echo((done.stdout + done.stderr).rstrip())
+        done.check_returncode()
+        return done.stdout
+
+    def wait_ready(self) -> None:
+        """Wait until every entry says that it is ready."""
+        for entry in self._deployment.entries:
+            url = f'http://{HOST}:{entry.metrics_port}/readyz'
+            is_ready = partial(self._is_ready, url)
+            wait_until(is_ready, READY_TIMEOUT_S, f'{entry.name} ready')
+
+    def _is_ready(self, url: str) -> bool:
+        return self._http.request('GET', url).status == 200
+
+    def show_requests(self) -> None:
+        """Send one request of each kind and print the answers."""
+        for stream in (False, True):
+            resp = self.ask('south', stream=stream)
+            kind = 'streamed' if stream else 'whole'
+            click.echo(f'{kind}: {resp.status} {_named(resp)}')
+            click.echo(f'  {resp.data[:100].decode()} ...')
+        url = self._deployment.entry_of('north').url
+        order = json.dumps({'berth': 'R7', 'tonnes': 120}).encode()
+        headers = {**_caller_headers(), 'Idempotency-Key': 'order-1'}
+        for attempt in ('order', 'the same order again'):
+            resp = self._http.request(
+                'POST', f'{url}/orders', headers=headers, body=order
+            )
+            again = resp.headers.get('X-Wasabicross-Repeated', 'false')
+            click.echo(f'{attempt}: {resp.status} repeated={again}')
+            click.echo(f'  {resp.data[:100].decode()}')
+
+    def ask(
+        self, data_centre: str, *, stream: bool
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a model call at an entry.
+
+        :param data_centre: which one's entry.
+        :param stream: whether the answer is to be streamed.
+        """
+        url = self._deployment.entry_of(data_centre).url
+        question = {
+            'model': 'bunker-quote',
+            'messages': [{'role': 'user', 'content': 'A quote for R7?'}],
+            'max_tokens': 8,
+            'stream': stream,
+        }
+        return self._http.request(
+            'POST',
+            f'{url}/v1/chat/completions',
+            headers=_caller_headers(),
+            body=json.dumps(question).encode(),
+        )
+
+    def send_traffic(self) -> None:
+        """Ask until the second bundle has answered often enough."""
+        second = 0
+        while second < ANSWERS_EACH:
+            for data_centre in self._deployment.shape.data_centres:
+                answered = _answered(self.ask(data_centre, stream=False))
+                self.answers.append(answered)
+                second += answered.bundle == '2'
+
+
+def _caller_headers() -> dict[str, str]:
+    return {
+        'Authorization': f'Bearer {TENANT_TOKEN}',
+        'Content-Type': 'application/json',
+    }
+
+
+def _named(resp: urllib3.BaseHTTPResponse) -> str:
+    names = ('Adapter', 'Version', 'Bundle')
+    return ' '.join(
+        f'{name.lower()}={resp.headers.get(f"X-Wasabicross-{name}")}'
+        for name in names
+    )
+
+
+def _answered(resp: urllib3.BaseHTTPResponse) -> Answered:
+    version = resp.headers.get('X-Wasabicross-Version', '')
+    bundle = resp.headers.get('X-Wasabicross-Bundle', '')
+    wanted = {'1': FIRST, '2': SECOND}.get(bundle, {}).get('bunker-quote')
+    answer: dict[str, Any] = json.loads(resp.data)
+    text = answer['choices'][0]['message']['content']
+    produced = text.startswith(f'[bunker-quote@{version}]')
+    return Answered(version, bundle, produced and version == wanted)
+
+
+@click.command()
+def main() -> None:
+    """Start a deployment, roll two bundles under traffic, and stop it."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        runner = Runner(folder / 'logs')
+        with runner:
+            deployment = Deployment(SHAPE, runner, folder / 'settings')
+            deployment.start()
+            click.echo(f'{len(runner.running())} processes run on {HOST}')
+            demo = Demo(deployment, folder)
+            demo.run()
+            names = [program.name for program in deployment.programs()]
+            codes = {runner.stop(name) for name in names}
+        left = runner.running()
+    counts = Counter(
+        f'bundle {answer.bundle} version {answer.version}'
+        for answer in demo.answers
+    )
+    wrong = [answer for answer in demo.answers if not answer.is_right]
+    click.echo('summary:')
+    for what, count in sorted(counts.items()):
+        click.echo(f'  {count} answers by {what}')
+    click.echo(f'  {len(wrong)} by a wrong version')
+    click.echo(f'  exit codes of the stopped programs: {sorted(codes)}')
+    click.echo(f'  {len(left)} processes left running')
+    if wrong or left or codes != {0}:
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    main()
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -140,6 +140,10 @@
         )
         return programs
 
+    def programs(self) -> list[Place]:
+        """Return the programs of all instances, entries first."""
+        return [*self.entries, *self.admins, *self.controllers]
+
     def entry_of(self, data_centre: str) -> Place:
         """Return the first entry of a data centre."""
         return next(
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -38,8 +38,15 @@
     ) -> None:
         """Tell the entries how long the peer's servers may be used."""
         until_s = asked_s + self._ctl.window.use_lease_s
-        told = msg.UseGranted(granted.servers, until_s)
-        self._ctl.loads.tell_entries(told)
+        grants = [
+            msg.Grant(server.server_id, until_s - server.confirmed_age_s)
+            for server in granted.servers
+        ]
+        self._ctl.loads.tell_entries(msg.UseGranted(grants, granted.servers))
+        here = self._ctl.cfg.instance
+        is_other = peer.instance_id != here.instance_id
+        if is_other and peer.data_centre == here.data_centre:
+            self._ctl.owners.confirmed(granted.confirmed, asked_s)
 
     @singledispatchmethod
     def _handle(self, message: Any, link: Link) -> None:
@@ -60,6 +67,10 @@
 
     @_handle.register
     def _(self, message: msg.CloseLoad, link: Link) -> None:
+        term = self._ctl.loads.term_of(message.server_id)
+        if message.term > term:
+            later = msg.ServerTerm(message.server_id, message.term)
+            self._ctl.owner_announced(later, link)
         self._ctl.loads.consent_to_close(message, link)
 
     @_handle.register
@@ -107,7 +118,9 @@
             peer.instance_id, peer.data_centre, message, now_s
         )
         self._ctl.subscribers.granted(peer.instance_id, now_s)
-        link.reply(call_id, msg.Renewed(self._ctl.owners.loads(now_s)))
+        loads = self._ctl.owners.loads(self._ctl.lease.renewal, now_s)
+        confirmed = self._ctl.loads.owned_by(peer.instance_id)
+        link.reply(call_id, msg.Renewed(loads, confirmed))
 
     @_handle.register
     def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -152,9 +152,8 @@
 
     @_handle.register
     def _(self, message: msg.UseGranted, link: Link) -> None:
-        server_ids = [server.server_id for server in message.servers]
-        self.loads.grant_use(server_ids, message.until_s)
-        self.watch.reported(message.servers, time.monotonic())
+        self.loads.grant_use(message.grants)
+        self.watch.reported(message.loads, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.LoadsOpened, link: Link) -> None:
--- a/src/wasabicross/held_loads.py
+++ b/src/wasabicross/held_loads.py
@@ -69,6 +69,7 @@
         self._lock = threading.RLock()
         self._loads: dict[str, HeldLoad] = {}
         self._closed: set[str] = set()
+        self._witnessed: set[str] = set()
         self._popularity = Popularity()
 
     def __len__(self) -> int:
@@ -94,6 +95,7 @@
         with self._lock:
             self._loads.pop(load_name, None)
             self._closed.discard(load_name)
+            self._witnessed.discard(load_name)
 
     def compare(
         self, present: Iterable[str], now_s: float
@@ -115,14 +117,28 @@
             found = [self.add(name, now_s) for name in parsed if name]
         return gone, found
 
-    def mark_closed(self, load_names: Iterable[str]) -> None:
-        """Note loads that an instance has closed for ever."""
+    def mark_reported(
+        self, opened: Iterable[str], closed: Iterable[str]
+    ) -> None:
+        """Note what an instance knows of the loads.
+
+        :param opened: loads that its requests may use.
+        :param closed: loads that it has closed for ever.
+        """
         with self._lock:
-            self._closed.update(load_names)
+            self._witnessed.update(opened)
+            self._closed.update(closed)
 
-    def is_closed(self, load_name: str) -> bool:
-        """Tell whether an instance has closed a load for ever."""
-        return load_name in self._closed
+    def may_open(self, held: HeldLoad) -> bool:
+        """Tell whether requests may use a load, as far as is reported.
+
+        :param held: a load; one of an earlier owner needs an instance that
+            knows it as open.
+        """
+        name = str(held.name)
+        if name in self._closed:
+            return False
+        return not held.is_inherited or name in self._witnessed
 
     def all(self) -> list[HeldLoad]:
         """Return all loads."""
--- a/src/wasabicross/instance_loads.py
+++ b/src/wasabicross/instance_loads.py
@@ -73,6 +73,15 @@
         known = self._owners.get(server_id)
         return known.term if known else 0
 
+    def owned_by(self, instance_id: str) -> list[ServerTerm]:
+        """Return the servers that an instance owns, as far as is known."""
+        with self._lock:
+            return [
+                ServerTerm(server_id, owner.term)
+                for server_id, owner in self._owners.items()
+                if owner.instance_id == instance_id
+            ]
+
     def report(self, server: ServerTerm) -> ServerReport:
         """Return what is known of a server's loads, for its new owner.
 
--- a/src/wasabicross/load_table.py
+++ b/src/wasabicross/load_table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from wasabicross.load_names import LoadName, parse_load_name
-from wasabicross.messages import LoadUse, Running
+from wasabicross.messages import Grant, LoadUse, Running
 
 
 class LoadTable:
@@ -111,15 +111,14 @@
         with self._lock:
             self._foreign = set(server_ids)
 
-    def grant_use(self, server_ids: Iterable[str], until_s: float) -> None:
+    def grant_use(self, grants: Iterable[Grant]) -> None:
         """Prolong the use of servers of other data centres.
 
-        :param server_ids: servers whose owner granted it.
-        :param until_s: end of the grant on the instance's monotonic clock.
+        :param grants: servers, and until when each may be used.
         """
         with self._lock:
-            for server_id in server_ids:
-                self._granted[server_id] = until_s
+            for grant in grants:
+                self._granted[grant.server_id] = grant.until_s
 
     @property
     def version(self) -> int:
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -163,6 +163,8 @@
     :param waiting: requests that wait for a place in the batch.
     :param batch_size: places in the batch, 0 while unknown.
     :param age_s: seconds since the report was true.
+    :param confirmed_age_s: seconds since it was certain that the server had
+        no later owner.
     """
 
     server_id: str
@@ -170,24 +172,37 @@
     waiting: int
     batch_size: int
     age_s: float
+    confirmed_age_s: float
 
 
 class Renewed(NamedTuple):
-    """Grants the use, counted from the sending of the renewal."""
+    """Grants the use of servers, counted from when it was asked for.
+
+    :param servers: servers that the sender owns.
+    :param confirmed: servers that the asker owns, as the sender knows it.
+    """
 
     servers: list[ServerLoad]
+    confirmed: list[ServerTerm]
 
 
-class UseGranted(NamedTuple):
-    """Tells entries how long loads of foreign servers may be used.
+class Grant(NamedTuple):
+    """How long an entry may use the loads of a server.
 
     :param until_s: monotonic clock of the instance, in seconds.
     """
 
-    servers: list[ServerLoad]
+    server_id: str
     until_s: float
 
 
+class UseGranted(NamedTuple):
+    """Tells entries how long loads may be used, and how busy servers are."""
+
+    grants: list[Grant]
+    loads: list[ServerLoad]
+
+
 class WantLoad(NamedTuple):
     """Asks for an adapter version to be loaded on some server."""
 
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -20,6 +20,7 @@
     ServerTerm,
     WantLoad,
 )
+from wasabicross.ownership import OwnerStart, Renewal
 from wasabicross.policy import Weights
 from wasabicross.server_owner import ServerOwner
 from wasabicross.subscribers import Subscribers
@@ -110,8 +111,9 @@
             for owner in self._owners.values():
                 owner.weights = weights
 
-    def owner_started(self, server: ServerTerm) -> None:
+    def owner_started(self, start: OwnerStart) -> None:
         """Begin to own a server under a new term."""
+        server = start.server
         with self._lock:
             address = self._servers[server.server_id]
             engine = Engine(Dispatcher(address.host, address.port))
@@ -119,6 +121,8 @@
                 server, engine, self._subscribers, self._permits
             )
             owner.weights = self._weights
+            owner.lease_id = start.lease_id
+            owner.confirmed_s = start.sent_s
             self._owners[server.server_id] = owner
         threading.Thread(
             target=self._run,
@@ -155,11 +159,26 @@
                 [owner.server for owner in self._owners.values()],
             )
 
-    def loads(self, now_s: float) -> list[ServerLoad]:
-        """Return how busy each server owned here was at its last report."""
+    def loads(self, renewal: Renewal, now_s: float) -> list[ServerLoad]:
+        """Return how busy each server owned here was at its last report.
+
+        :param renewal: the last renewal of the instance's lease.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             owners = list(self._owners.values())
-        return [owner.load(now_s) for owner in owners]
+        return [owner.load(renewal, now_s) for owner in owners]
+
+    def confirmed(self, servers: Iterable[ServerTerm], asked_s: float) -> None:
+        """Note that another resident knew of no later owner of servers.
+
+        :param servers: servers owned here, as the resident knows it.
+        :param asked_s: monotonic time at which it was asked.
+        """
+        for server in servers:
+            owner = self.get(server.server_id)
+            if owner is not None and owner.server == server:
+                owner.confirmed_s = max(owner.confirmed_s, asked_s)
 
     def opened(self) -> list[LoadsOpened]:
         """Return the open loads of each server owned here."""
--- a/src/wasabicross/ownership.py
+++ b/src/wasabicross/ownership.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import cbor2
 from expression import Result
@@ -40,6 +40,33 @@
     return max(MIN_LEASE_S, interval_s * RENEWALS_PER_LEASE)
 
 
+class Renewal(NamedTuple):
+    """The last renewal that the service answered.
+
+    :param lease_id: the lease, which keys written with it outlive never.
+    :param sent_s: monotonic time at which it was sent.
+    """
+
+    lease_id: str
+    sent_s: float
+
+
+NEVER_RENEWED = Renewal('', float('-inf'))
+
+
+class OwnerStart(NamedTuple):
+    """An ownership that has begun.
+
+    :param server: the server and the new term.
+    :param lease_id: the lease that its key is written with.
+    :param sent_s: monotonic time at which the key was written.
+    """
+
+    server: ServerTerm
+    lease_id: str
+    sent_s: float
+
+
 class InstanceLease:
     """One lease of an instance, renewed by a thread of its own.
 
@@ -49,6 +76,7 @@
 
     def __init__(self, kv: KeyValueStore, stop: threading.Event) -> None:
         self.instances = 1
+        self.renewal = NEVER_RENEWED
         self._kv = kv
         self._stop = stop
         self._lease_id: str | None = None
@@ -62,18 +90,23 @@
         """Grant and renew until the process stops, then revoke."""
         while not self._stop.is_set():
             ttl_s = lease_ttl_s(self.instances)
-            if self._lease_id is None:
-                self._lease_id = self._kv.grant_lease(ttl_s).default_value('')
-                self._lease_id = self._lease_id or None
-            else:
-                self._renew(self._lease_id)
+            self._keep(ttl_s, time.monotonic())
             self._stop.wait(ttl_s / RENEWALS_PER_LEASE)
         if self._lease_id is not None:
             self._kv.revoke_lease(self._lease_id)
 
-    def _renew(self, lease_id: str) -> None:
+    def _keep(self, ttl_s: float, now_s: float) -> None:
+        if self._lease_id is None:
+            granted = self._kv.grant_lease(ttl_s)
+            self._lease_id = granted.ok if granted.is_ok() else None
+        else:
+            self._renew(self._lease_id, now_s)
+
+    def _renew(self, lease_id: str, now_s: float) -> None:
         renewed = self._kv.renew_lease(lease_id)
-        if renewed.is_error() and isinstance(renewed.error, LeaseLapsed):
+        if renewed.is_ok():
+            self.renewal = Renewal(lease_id, now_s)
+        elif isinstance(renewed.error, LeaseLapsed):
             self._lease_id = None
             log_event(Event.LEASE_LAPSED, lease=lease_id)
 
@@ -81,7 +114,7 @@
 class OwnerHooks(Protocol):
     """What a keeper tells the controller, and asks of it."""
 
-    def owner_started(self, server: ServerTerm) -> None:
+    def owner_started(self, start: OwnerStart) -> None:
         """Begin to own a server under a new term."""
 
     def owner_ended(self, server_id: str) -> None:
@@ -213,10 +246,12 @@
         grace_s = STANDBY_GRACE_S * self._ranks.get(server_id, 1)
         if mine is None and now_s - since_s < grace_s:
             return since_s
-        self._take_over(server_id, present)
+        self._take_over(server_id, present, now_s)
         return None if server_id in self._owned else since_s
 
-    def _take_over(self, server_id: str, present: Versioned) -> None:
+    def _take_over(
+        self, server_id: str, present: Versioned, now_s: float
+    ) -> None:
         lease_id = self._lease.lease_id
         if lease_id is None:
             return
@@ -230,7 +265,7 @@
             self._hooks.owner_ended(server_id)
         self._owned[server_id] = taken
         log_event(Event.OWNER_STARTED, server=server_id, term=server.term)
-        self._hooks.owner_started(server)
+        self._hooks.owner_started(OwnerStart(server, lease_id, now_s))
 
     def _swap(
         self, key: str, record: bytes, present: Versioned, lease_id: str
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -28,6 +28,7 @@
     ServerTerm,
     WantLoad,
 )
+from wasabicross.ownership import Renewal
 from wasabicross.policy import Weights
 from wasabicross.subscribers import Subscribers
 
@@ -72,6 +73,8 @@
         self.server = server
         self.deposed = threading.Event()
         self.weights = Weights()
+        self.lease_id = ''
+        self.confirmed_s = float('-inf')
         self.held = HeldLoads(server.term)
         self.queue = LoadQueue(server.server_id, permits)
         self._engine = engine
@@ -121,7 +124,7 @@
         :param now_s: monotonic seconds.
         """
         if report.server.term == self.server.term:
-            self.held.mark_closed(report.closed)
+            self.held.mark_reported(report.opened, report.closed)
             self._reported_s.setdefault(instance_id, now_s)
             self._wake.set()
 
@@ -140,17 +143,23 @@
         """Return the open loads, for an instance that has just linked."""
         return LoadsOpened(self.server, self.held.opened())
 
-    def load(self, now_s: float) -> ServerLoad:
+    def load(self, renewal: Renewal, now_s: float) -> ServerLoad:
         """Return how busy the engine was at its last report.
 
+        :param renewal: the last renewal of the instance's lease; if that is
+            the lease of this ownership, nobody else owned the server then.
         :param now_s: monotonic seconds.
         """
+        confirmed_s = self.confirmed_s
+        if renewal.lease_id == self.lease_id:
+            confirmed_s = max(confirmed_s, renewal.sent_s)
         return ServerLoad(
             self.server.server_id,
             self._report.running,
             self._report.waiting,
             self._batch_size,
             min(MAX_REPORT_AGE_S, now_s - self._report_s),
+            min(MAX_REPORT_AGE_S, now_s - confirmed_s),
         )
 
     def wait(self, timeout_s: float) -> None:
@@ -192,7 +201,11 @@
             self._report_s = now_s - report.age_s
 
     def _settle(self, now_s: float) -> None:
-        """Open what was inherited once every instance has reported."""
+        """Open what was inherited once every instance has reported.
+
+        Only a load that an instance still knows as open is kept open: that
+        instance was not asked to close it, so no evict was ever ordered.
+        """
         needed = self._subscribers.must_consent(now_s)
         if needed - self._reported_s.keys():
             return
@@ -208,7 +221,7 @@
 
     def _announce_load(self, held: HeldLoad) -> None:
         name = str(held.name)
-        if self.held.is_closed(name):
+        if not self.held.may_open(held):
             held.close()
             return
         held.is_open = True
@@ -224,7 +237,11 @@
             self._order_evict(held)
 
     def _visitors_may_run(self, held: HeldLoad, now_s: float) -> bool:
-        """Tell whether grants of an earlier owner may still be in use."""
+        """Tell whether grants of an earlier owner may still be in use.
+
+        They are counted from the last report: a resident that has reported
+        confirms no earlier owner any more.
+        """
         if not held.is_inherited:
             return False
         if self._settled_s is None:
@@ -244,6 +261,8 @@
 
     def _order_evict(self, held: HeldLoad) -> None:
         name = str(held.name)
+        if self.deposed.is_set():
+            return
         outcome = self._engine.evict(EvictOrder(name, self.server.term))
         if outcome.is_ok():
             self.held.remove(name)
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -31,7 +31,7 @@
     true_s: float
 
 
-NO_REPORT = _Report(ServerLoad('', 0, 0, 0, 0), float('-inf'))
+NO_REPORT = _Report(ServerLoad('', 0, 0, 0, 0, 0), float('-inf'))
 
 
 class Ending(enum.Enum):
