--- /dev/null
+++ b/src/wasabicross/admin_actions.py
@@ -0,0 +1,291 @@
+"""What operators can ask the administration API for."""
+
+import base64
+from collections.abc import Sequence
+from datetime import datetime
+from typing import Any, NamedTuple
+
+import pydantic
+from expression import Error, Ok, Result
+
+from wasabicross.admin_errors import BAD_BODY, BAD_QUERY, AdminFault
+from wasabicross.bundle_changes import count_changes
+from wasabicross.bundle_file import parse_bundle_file
+from wasabicross.bundle_status import (
+    DataCentreStatus,
+    StatusSource,
+    data_centre_statuses,
+)
+from wasabicross.bundle_store import BundleStore
+from wasabicross.bundles import BundlePointer
+from wasabicross.drafts import Drafts, Prepared, store_error
+from wasabicross.events import Event
+from wasabicross.exceptions import RolloutError, WasabicrossError
+from wasabicross.holder import trusted_keys
+from wasabicross.logs import log_event
+from wasabicross.rollout import Rollout
+from wasabicross.settings import Settings
+
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 1000
+
+ActionResult = Result[dict[str, Any], AdminFault | WasabicrossError]
+
+
+class AdminRequest(NamedTuple):
+    """One request of an operator.
+
+    :param operator: name of the operator.
+    :param digest: of the bundle in the path, empty if there is none.
+    :param number: whole number in the query, if there is one.
+    :param body: the whole body.
+    :param now: when it came, UTC.
+    """
+
+    operator: str
+    digest: str
+    number: int | None
+    body: bytes
+    now: datetime
+
+
+class SignatureBody(pydantic.BaseModel):
+    """Body of a sign-off: name of the key, and signature in hexadecimal."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    key: str
+    signature: str
+
+
+class AdminActions:
+    """Carries out the requests of operators.
+
+    :param store: the bundles.
+    :param drafts: prepares and signs off.
+    :param rollout: rolls and supersedes.
+    :param source: tells what the instances have in force.
+    :param data_centres: all data centres.
+    """
+
+    def __init__(
+        self,
+        store: BundleStore,
+        drafts: Drafts,
+        rollout: Rollout,
+        source: StatusSource,
+        data_centres: Sequence[str],
+    ) -> None:
+        self._store = store
+        self._drafts = drafts
+        self._rollout = rollout
+        self._source = source
+        self._data_centres = data_centres
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: Settings,
+        store: BundleStore,
+        source: StatusSource,
+    ) -> 'AdminActions':
+        """Make the actions with the trusted keys of the settings.
+
+        :param cfg: the settings.
+        :param store: the bundles.
+        :param source: tells what the instances have in force.
+        """
+        keys = trusted_keys(cfg.trusted_keys)
+        return cls(
+            store,
+            Drafts(store, keys),
+            Rollout(store, keys),
+            source,
+            cfg.data_centres,
+        )
+
+    def prepare(self, req: AdminRequest) -> ActionResult:
+        """Prepare the bundle in the body.
+
+        :param req: the request.
+        """
+        try:
+            text = req.body.decode()
+        except UnicodeDecodeError:
+            return Error(BAD_BODY)
+        parsed = parse_bundle_file(text)
+        if parsed.is_error():
+            return Error(parsed.error)
+        prepared = self._drafts.prepare(parsed.ok, req.operator, req.now)
+        if prepared.is_error():
+            return Error(prepared.error)
+        log_event(
+            Event.BUNDLE_PREPARED,
+            bundle=prepared.ok.manifest.number,
+            digest=prepared.ok.digest,
+            operator=req.operator,
+        )
+        return self._told_draft(prepared.ok)
+
+    def show(self, req: AdminRequest) -> ActionResult:
+        """Tell a draft and what it changes.
+
+        :param req: the request.
+        """
+        prepared = self._drafts.prepared(req.digest)
+        if prepared.is_error():
+            return Error(prepared.error)
+        return self._told_draft(prepared.ok)
+
+    def sign_off(self, req: AdminRequest) -> ActionResult:
+        """Attach the signature in the body to a draft.
+
+        :param req: the request.
+        """
+        try:
+            told = SignatureBody.model_validate_json(req.body)
+            signature = bytes.fromhex(told.signature)
+        except ValueError:
+            return Error(BAD_BODY)
+        signed = self._drafts.sign_off(req.digest, told.key, signature)
+        if signed.is_error():
+            return Error(signed.error)
+        key = signed.ok.key_name
+        log_event(
+            Event.BUNDLE_SIGNED,
+            digest=req.digest,
+            operator=req.operator,
+            key=key,
+        )
+        return Ok({'digest': req.digest, 'signed_by': key})
+
+    def roll(self, req: AdminRequest) -> ActionResult:
+        """Roll a signed bundle.
+
+        :param req: the request.
+        """
+        rolled = self._rollout.roll(
+            req.digest,
+            req.operator,
+            req.now,
+            self._statuses,
+        )
+        return _told_roll(req, 'roll', rolled)
+
+    def supersede(self, req: AdminRequest) -> ActionResult:
+        """Replace the bundle of the query's number at once.
+
+        :param req: the request.
+        """
+        if req.number is None:
+            return Error(BAD_QUERY)
+        rolled = self._rollout.supersede(
+            req.digest,
+            req.number,
+            req.operator,
+            req.now,
+        )
+        return _told_roll(req, 'supersede', rolled)
+
+    def status(self, req: AdminRequest) -> ActionResult:
+        """Tell what is in force, and where.
+
+        While the key-value service is away, the highest number that an
+        instance has counts as the one in force.
+
+        :param req: the request.
+        """
+        current = self._rollout.current()
+        pointer = current.ok.pointer if current.is_ok() else self._highest()
+        in_force = None
+        if pointer:
+            prepared = self._drafts.prepared(pointer.digest)
+            name = prepared.ok.manifest.name if prepared.is_ok() else ''
+            in_force = {**pointer._asdict(), 'name': name}
+        return Ok(
+            {
+                'in_force': in_force,
+                'store_reachable': current.is_ok(),
+                'data_centres': [
+                    status._asdict() for status in self._statuses(pointer)
+                ],
+            }
+        )
+
+    def history(self, req: AdminRequest) -> ActionResult:
+        """Tell the bundles in force until now, the present one first.
+
+        :param req: the request.
+        """
+        limit = min(req.number or DEFAULT_HISTORY, MAX_HISTORY)
+        pointers = self._rollout.history(limit)
+        if pointers.is_error():
+            return Error(pointers.error)
+        return Ok({'bundles': [past._asdict() for past in pointers.ok]})
+
+    def _statuses(
+        self,
+        pointer: BundlePointer | None,
+    ) -> tuple[DataCentreStatus, ...]:
+        instances = self._source.instances()
+        return data_centre_statuses(pointer, instances, self._data_centres)
+
+    def _highest(self) -> BundlePointer | None:
+        told = [
+            BundlePointer(each.bundle_number, each.bundle_digest, '', '')
+            for each in self._source.instances()
+            if each.bundle_number
+        ]
+        return max(told, default=None)
+
+    def _told_draft(self, prepared: Prepared) -> ActionResult:
+        manifest = prepared.manifest
+        signed_by = self._drafts.signed_by(prepared.digest)
+        if signed_by.is_error():
+            return Error(signed_by.error)
+        parent = None
+        if manifest.parent:
+            before = self._drafts.prepared(manifest.parent)
+            if before.is_error():
+                return Error(before.error)
+            parent = before.ok.manifest
+        changes = count_changes(parent, manifest, self._store)
+        if changes.is_error():
+            return Error(store_error(changes.error))
+        return Ok(
+            {
+                'digest': prepared.digest,
+                'number': manifest.number,
+                'parent': manifest.parent,
+                'name': manifest.name,
+                'changes': changes.ok._asdict(),
+                'prepared_by': prepared.draft.prepared_by,
+                'prepared_at': prepared.draft.prepared_at,
+                'signed_by': signed_by.ok,
+                'manifest': base64.b64encode(prepared.draft.manifest).decode(),
+            }
+        )
+
+
+def _told_roll(
+    req: AdminRequest,
+    action: str,
+    rolled: Result[BundlePointer, RolloutError],
+) -> ActionResult:
+    if rolled.is_error():
+        log_event(
+            Event.ROLL_REFUSED,
+            digest=req.digest,
+            operator=req.operator,
+            action=action,
+            reason=rolled.error,
+        )
+        return Error(rolled.error)
+    log_event(
+        Event.BUNDLE_ROLLED,
+        bundle=rolled.ok.number,
+        digest=req.digest,
+        operator=req.operator,
+        action=action,
+    )
+    return Ok({**rolled.ok._asdict()})
--- /dev/null
+++ b/src/wasabicross/admin_client.py
@@ -0,0 +1,122 @@
+"""Calls to the administration API."""
+
+import json
+from typing import Any
+
+import urllib3
+from expression import Error, Ok, Result
+
+from wasabicross.exceptions import (
+    AdminClientError,
+    AdminRefused,
+    AdminUnreachable,
+    Fault,
+)
+
+CONNECT_S = 3.0
+ANSWER_S = 60.0
+
+_FIRST_ERROR = 400
+
+Answer = Result[dict[str, Any], AdminClientError]
+
+
+class AdminClient:
+    """The administration API of one instance, as an operator sees it.
+
+    Each call is sent once. Errors: AdminRefused, AdminUnreachable.
+
+    :param url: base URL of the API.
+    :param token: the operator's bearer token.
+    """
+
+    def __init__(self, url: str, token: str) -> None:
+        self._url = url.rstrip('/')
+        self._headers = {'Authorization': f'Bearer {token}'}
+        self._http = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_S, read=ANSWER_S),
+        )
+
+    def prepare(self, text: str) -> Answer:
+        """Prepare a bundle.
+
+        :param text: the bundle file.
+        """
+        return self._call('POST', '/v1/bundles', text.encode())
+
+    def draft(self, digest: str) -> Answer:
+        """Return a draft.
+
+        :param digest: digest of its manifest.
+        """
+        return self._call('GET', f'/v1/bundles/{digest}')
+
+    def sign_off(self, digest: str, key: str, signature: bytes) -> Answer:
+        """Attach a signature to a draft.
+
+        :param digest: digest of its manifest.
+        :param key: name of the key.
+        :param signature: of the manifest.
+        """
+        told = {'key': key, 'signature': signature.hex()}
+        path = f'/v1/bundles/{digest}/signature'
+        return self._call('POST', path, json.dumps(told).encode())
+
+    def roll(self, digest: str) -> Answer:
+        """Roll a signed bundle.
+
+        :param digest: digest of its manifest.
+        """
+        return self._call('POST', f'/v1/bundles/{digest}/roll')
+
+    def supersede(self, digest: str, number: int) -> Answer:
+        """Replace the bundle in force at once.
+
+        :param digest: digest of the new bundle's manifest.
+        :param number: number of the bundle in force.
+        """
+        path = f'/v1/bundles/{digest}/supersede?number={number}'
+        return self._call('POST', path)
+
+    def status(self) -> Answer:
+        """Return what is in force, and where."""
+        return self._call('GET', '/v1/status')
+
+    def history(self, limit: int) -> Answer:
+        """Return the bundles in force until now.
+
+        :param limit: how many at most.
+        """
+        return self._call('GET', f'/v1/history?limit={limit}')
+
+    def _call(self, method: str, path: str, body: bytes = b'') -> Answer:
+        try:
+            resp = self._http.request(
+                method,
+                f'{self._url}{path}',
+                body=body or None,
+                headers=self._headers,
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            return Error(AdminUnreachable(f'{self._url}: {exc}'))
+        try:
+            content = json.loads(resp.data)
+        except ValueError:
+            content = None
+        if not isinstance(content, dict):
+            status = resp.status
+            return Error(AdminUnreachable(f'{self._url}: status {status}'))
+        if resp.status >= _FIRST_ERROR:
+            return Error(_refusal(resp.status, content.get('error') or {}))
+        return Ok(content)
+
+
+def _refusal(status: int, error: dict[str, Any]) -> AdminRefused:
+    return AdminRefused(
+        status,
+        error.get('code', 'unknown'),
+        error.get('message', f'status {status}'),
+        tuple(Fault(**fault) for fault in error.get('faults', ())),
+    )
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -239,3 +239,50 @@
         )
         self.past = past
         self.winner = winner
+
+
+class OperatorKeyError(DocumentError):
+    """The file of an operator's private key can't be used."""
+
+
+class AdminClientError(WasabicrossError):
+    """A call to the administration API did not do what was asked.
+
+    `code` is a stable word for the error.
+    """
+
+    code = 'failed'
+
+
+class AdminUnreachable(AdminClientError):
+    """No answer came; the action may be repeated."""
+
+    code = 'unreachable'
+
+
+class DraftMismatch(AdminClientError):
+    """The draft is not what the operator means to sign."""
+
+    code = 'draft_mismatch'
+
+
+class AdminRefused(AdminClientError):
+    """The administration API answered with an error.
+
+    :param status: HTTP status code.
+    :param code: stable word for the error.
+    :param message: a sentence for the operator.
+    :param faults: what is wrong in the bundle file, if anything.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        faults: tuple[Fault, ...] = (),
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.faults = faults
--- a/src/wasabicross/manifests.py
+++ b/src/wasabicross/manifests.py
@@ -91,15 +91,13 @@
     return _decode(encoded, Draft)
 
 
-def sign_manifest(encoded: bytes, key_name: str, key: SigningKey) -> bytes:
-    """Sign a manifest; returns the encoded :class:`SignedManifest`.
+def signature_of(encoded: bytes, key: SigningKey) -> bytes:
+    """Return the signature of a manifest.
 
     :param encoded: the encoded manifest.
-    :param key_name: name of the key in the trusted keys.
     :param key: the operator's private key.
     """
-    signature = key.sign(_SIGNING_CONTEXT + encoded).signature
-    return encode_signed(SignedManifest(encoded, key_name, signature))
+    return key.sign(_SIGNING_CONTEXT + encoded).signature
 
 
 def verify_signed(
--- a/tests/bundle_parts.py
+++ b/tests/bundle_parts.py
@@ -7,9 +7,9 @@
 from nacl.signing import SigningKey
 
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
-from wasabicross.bundles import BundlePointer
+from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.exceptions import BundleUnavailable
-from wasabicross.manifests import sign_manifest
+from wasabicross.manifests import encode_signed, signature_of
 
 NOW = datetime(2026, 12, 3, 21, tzinfo=timezone.utc)
 ALICE = SigningKey(b'a' * 32)
@@ -58,6 +58,11 @@
     return BundlePointer(number, bundle.digest, NOW.isoformat(), 'alice')
 
 
+def sign_manifest(manifest, key_name, key):
+    signature = signature_of(manifest, key)
+    return encode_signed(SignedManifest(manifest, key_name, signature))
+
+
 class MemorySource:
     """Holds signed bundles, and counts what is fetched."""
 
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -5,7 +5,6 @@
 import tracemalloc
 from datetime import timedelta
 
-import cbor2
 import pytest
 from bundle_parts import (
     ALICE,
@@ -17,6 +16,7 @@
     built,
     bundle_text,
     pointer_to,
+    sign_manifest,
 )
 
 from wasabicross import exceptions
@@ -28,7 +28,7 @@
     decode_signed,
     encode_pointer,
     encode_signed,
-    sign_manifest,
+    signature_of,
 )
 
 ADAPTERS_AT_FULL_SIZE = 43_000
@@ -152,9 +152,8 @@
 
 
 def resigned(bundle, **changes):
-    signed = SignedManifest(
-        **cbor2.loads(sign_manifest(bundle.manifest, 'alice', ALICE)),
-    )
+    signature = signature_of(bundle.manifest, ALICE)
+    signed = SignedManifest(bundle.manifest, 'alice', signature)
     return encode_signed(signed._replace(**changes))
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,7 +14,7 @@
 from wasabicross.bundles import BundlePointer
 from wasabicross.drafts import Drafts
 from wasabicross.holder import BundleHolder
-from wasabicross.manifests import decode_signed, sign_manifest
+from wasabicross.manifests import signature_of
 from wasabicross.rollout import Rollout
 
 DATA_CENTRES = ('hbt-a', 'ltn')
@@ -37,8 +37,8 @@
 
     def sign_off(self, digest, key=ALICE, key_name='alice'):
         manifest = self.drafts.prepared(digest).ok.draft.manifest
-        signed = decode_signed(sign_manifest(manifest, key_name, key)).ok
-        return self.drafts.sign_off(digest, key_name, signed.signature)
+        signature = signature_of(manifest, key)
+        return self.drafts.sign_off(digest, key_name, signature)
 
     def signed(self, version):
         digest = self.prepared(version).ok.digest
