--- /dev/null
+++ b/emulator/proxy_connection.py
@@ -0,0 +1,179 @@
+"""One connection through the fault-injecting proxy."""
+
+import os
+import select
+import socket
+import struct
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from emulator.proxy_pump import (
+    DOWN,
+    MS_PER_S,
+    UP,
+    ConnectionReset,
+    Faults,
+    Pump,
+)
+
+CONNECT_TIMEOUT_S = 5
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class LinkState(NamedTuple):
+    """What a connection sees of its link.
+
+    :param faults: the faults in force.
+    :param number: rises with each change of the faults.
+    :param resets: rises when the present connections are to be reset.
+    """
+
+    faults: Faults = Faults()
+    number: int = 0
+    resets: int = 0
+
+
+class ProxyConnection:
+    """A caller's connection and the one to the target, joined.
+
+    :param caller: the accepted connection.
+    :param target: host and port to connect to.
+    :param state: tells the link's present state.
+    :param use_reset: asks the link for one of its `reset_times`.
+    """
+
+    def __init__(
+        self,
+        caller: socket.socket,
+        target: tuple[str, int],
+        state: Callable[[], LinkState],
+        use_reset: Callable[[], bool],
+    ) -> None:
+        self._caller = caller
+        self._target = target
+        self._state = state
+        self._use_reset = use_reset
+        self._first = state()
+        self._pumps: tuple[Pump, ...] = ()
+        self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
+        self._poll = select.poll()
+        self._poll.register(self._wake_fd, select.POLLIN)
+
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Tell each direction's counts."""
+        return {pump.direction: pump.counts() for pump in self._pumps}
+
+    def wake(self) -> None:
+        """Let the connection look at its link's state."""
+        os.eventfd_write(self._wake_fd, 1)
+
+    def run(self) -> None:
+        """Carry bytes until both ways have ended, or a reset."""
+        sockets = [self._caller]
+        try:
+            sockets.append(
+                socket.create_connection(self._target, CONNECT_TIMEOUT_S),
+            )
+            self._carry(sockets[1])
+        except (ConnectionReset, OSError):
+            for sock in sockets:
+                reset_on_close(sock)
+        finally:
+            for sock in sockets:
+                sock.close()
+
+    def close(self) -> None:
+        """Free what the connection holds, once nobody wakes it."""
+        os.close(self._wake_fd)
+
+    def _carry(self, target: socket.socket) -> None:
+        pumps = (
+            Pump(UP, self._caller, target, self._use_reset),
+            Pump(DOWN, target, self._caller, self._use_reset),
+        )
+        self._pumps = pumps
+        for sock in (self._caller, target):
+            sock.setblocking(False)  # noqa: WPS425
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        seen = self._first
+        while not all(pump.finished for pump in pumps):
+            readable = self._wait(pumps, seen.faults)
+            received = [
+                (pump, pump.receive())
+                for pump in pumps
+                if pump.source.fileno() in readable and pump.reads()
+            ]
+            state = self._state()
+            self._notice(pumps, seen, state)
+            seen = state
+            self._move(pumps, received, state.faults)
+
+    def _move(
+        self,
+        pumps: tuple[Pump, Pump],
+        received: list[tuple[Pump, bytes | None]],
+        faults: Faults,
+    ) -> None:
+        now_s = time.monotonic()
+        for pump, data in received:
+            pump.take(data, faults, now_s)
+        for pump, opposite in _with_opposites(pumps):
+            pump.deliver(faults, now_s)
+            if pump.sink_gone():
+                opposite.take(None, faults, now_s)
+
+    def _notice(
+        self,
+        pumps: tuple[Pump, Pump],
+        seen: LinkState,
+        state: LinkState,
+    ) -> None:
+        if state.faults.cut or state.resets != self._first.resets:
+            raise ConnectionReset
+        if state.number == seen.number:
+            return
+        for pump in pumps:
+            pump.restart_count()
+            if pump.lost and pump.direction not in state.faults.swallow:
+                raise ConnectionReset
+
+    def _wait(self, pumps: tuple[Pump, Pump], faults: Faults) -> set[int]:
+        for pump, opposite in _with_opposites(pumps):
+            mask = select.POLLIN if pump.reads() else 0
+            mask |= select.POLLOUT if opposite.writes() else 0
+            self._register(pump.source, mask)
+        events = self._poll.poll(_wait_ms(pumps, faults))
+        readable = {fd for fd, event in events if event != select.POLLOUT}
+        if self._wake_fd in readable:
+            os.eventfd_read(self._wake_fd)
+        return readable
+
+    def _register(self, sock: socket.socket, mask: int) -> None:
+        if mask:
+            self._poll.register(sock, mask)
+            return
+        try:
+            self._poll.unregister(sock)
+        except KeyError:
+            return
+
+
+def _with_opposites(
+    pumps: tuple[Pump, Pump],
+) -> tuple[tuple[Pump, Pump], tuple[Pump, Pump]]:
+    up_pump, down_pump = pumps
+    return (up_pump, down_pump), (down_pump, up_pump)
+
+
+def _wait_ms(pumps: tuple[Pump, Pump], faults: Faults) -> float | None:
+    due = [pump.next_due_s(faults) for pump in pumps]
+    times_s = [due_s for due_s in due if due_s is not None]
+    if not times_s:
+        return None
+    return max(min(times_s) - time.monotonic(), 0) * MS_PER_S
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Let closing a socket reset its connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -1,6 +1,5 @@
 """`wasabicross-controller`: owns servers, loads and bundles of an instance."""
 
-import signal
 import socket
 import threading
 import time
@@ -21,7 +20,11 @@
 from wasabicross.links import Link, listen
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
-from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.options import (
+    settings_options,
+    settings_or_exit,
+    stop_on_signals,
+)
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.peers import PeerLinks
@@ -33,6 +36,7 @@
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.status import InstanceBundle, InstanceTable
 from wasabicross.subscribers import Subscribers, UseWindow
+from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
 
 PROBE_INTERVAL_S = 0.5
@@ -67,6 +71,7 @@
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
         self.subscribers = Subscribers(data_centre, self.window)
         self.placing = Placing()
+        self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
             cfg.weight_store, len(cfg.data_centres)
         )
@@ -84,6 +89,9 @@
             self._hello, self.in_force.heartbeat, DialledLinks(self)
         )
         self.readiness = Readiness(('bundle', 'instance_list'))
+        self._metrics = MetricsServer(
+            cfg.instance.host, cfg.controller.metrics_port, self.readiness
+        )
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
@@ -105,6 +113,7 @@
 
     def start(self) -> None:
         """Start all threads."""
+        self._metrics.start()
         self.follower.start()
         runs = (
             ('links', self._server.serve_forever),
@@ -136,6 +145,7 @@
         self._lease_thread.join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
         self._server.shutdown()
+        self._metrics.stop()
 
     def owner_announced(self, server: msg.ServerTerm, link: Link) -> None:
         """Answer a server's owner, or tell it that there is a later one.
@@ -181,6 +191,18 @@
             source = f'{self.cfg.instance.instance_id}/{told.source}'
             self.send_to_owner(server_id, msg.LoadUses(source, uses))
 
+    def merge_suspects(self, told: msg.SuspectRecords, link: Link) -> None:
+        """Keep what is known of requests that crash servers; pass it on.
+
+        :param told: records of an entry or another instance.
+        :param link: where they came from.
+        """
+        self.suspects.merge(told.records, time.monotonic())
+        self.loads.tell_entries(told)
+        if link.peer.kind == 'entry':
+            for peer in self.peers.linked():
+                peer.send(told)
+
     def entry_ended(self, name: str) -> None:
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
@@ -208,6 +230,8 @@
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
+        _, records = self.suspects.records_since(0, time.monotonic())
+        link.send(msg.SuspectRecords(list(records)))
         self.loads.entry_joined(link)
         link.run(self._accepted)
         self.loads.entry_left(link)
@@ -346,20 +370,13 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    stop = stop_on_signals()
     controller = Controller.from_config(cfg)
-    metrics = MetricsServer(
-        cfg.instance.host, cfg.controller.metrics_port, controller.readiness
-    )
-    metrics.start()
     controller.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
     stop.wait()
     log_event(Event.PROGRAM_STOPPING)
     controller.stop()
-    metrics.stop()
     log_event(Event.PROGRAM_STOPPED)
 
 
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -8,6 +8,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from wasabicross.exceptions import MessageMalformed
+from wasabicross.suspect_records import SuspectRecord
 
 
 class ServerTerm(NamedTuple):
@@ -155,10 +156,26 @@
     since: str
 
 
+class ServerLoad(NamedTuple):
+    """How busy an engine was at its last report.
+
+    :param running: requests in its batch.
+    :param waiting: requests that wait for a place in the batch.
+    :param batch_size: places in the batch, 0 while unknown.
+    :param age_s: seconds since the report was true.
+    """
+
+    server_id: str
+    running: int
+    waiting: int
+    batch_size: int
+    age_s: float
+
+
 class Renewed(NamedTuple):
     """Grants the use, counted from the sending of the renewal."""
 
-    servers: list[ServerTerm]
+    servers: list[ServerLoad]
 
 
 class UseGranted(NamedTuple):
@@ -167,7 +184,7 @@
     :param until_s: monotonic clock of the instance, in seconds.
     """
 
-    server_ids: list[str]
+    servers: list[ServerLoad]
     until_s: float
 
 
@@ -321,9 +338,12 @@
 
 
 class SuspectRecords(NamedTuple):
-    """Passes on what is known of requests that crash servers."""
+    """Passes on what is known of requests that crash servers.
+
+    :param records: standings that have changed.
+    """
 
-    records: list[list[Any]]
+    records: list[SuspectRecord]
 
 
 class PermitLoad(NamedTuple):
--- a/src/wasabicross/subscribers.py
+++ b/src/wasabicross/subscribers.py
@@ -27,7 +27,7 @@
         self.data_centre = data_centre
         self.heard_s = heard_s
         self.link: Link | None = None
-        self.granted_until_s = 0.0
+        self.granted_until_s = float('-inf')
 
 
 class Subscribers:
