Hold the policy of a bundle file against the weights of the policy

Cause: a weight that the policy gains or loses would go unnoticed here. Change: a test of the names; the sizes of a bundle parts are checked in one place; a file that is not UTF-8 is a usage error.

--- a/src/wasabicross/bundle_file.py
+++ b/src/wasabicross/bundle_file.py
@@ -39,7 +39,7 @@
     str,
     pydantic.StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9_.\-]{0,63}$'),
 ]
-Path = Annotated[
+RoutePath = Annotated[
     str,
     pydantic.StringConstraints(pattern=r'^/[!-~]{0,255}$'),
 ]
@@ -50,7 +50,7 @@
 class RouteSection(Section):
     """One route, as in :class:`wasabicross.bundles.Route`."""
 
-    path: Path
+    path: RoutePath
     kind: Literal['engine', 'service']
     group: Label
     request_class: Label
@@ -147,9 +147,11 @@
             chunks=b''.join(bytes.fromhex(digest) for digest, _ in chunks),
         ),
     )
+    parts = [('routes', manifest)]
+    parts.extend(('adapters', encoded) for _, encoded in chunks)
     faults = [
         Fault(part, f'takes more than {MAX_VALUE_BYTES} bytes')
-        for part, encoded in (('routes', manifest), *_named(chunks))
+        for part, encoded in parts
         if len(encoded) > MAX_VALUE_BYTES
     ]
     if faults:
@@ -169,13 +171,6 @@
     return tuple((digest_of(chunk), chunk) for chunk in encoded)
 
 
-def _named(
-    chunks: tuple[tuple[str, bytes], ...],
-) -> Iterator[tuple[str, bytes]]:
-    for _, chunk in chunks:
-        yield 'adapters', chunk
-
-
 def _repeated_values(root: Any) -> Iterator[Fault]:
     yield from _repeated(root, 'routes.*.path')
     yield from _repeated(root, 'adapters.*.base_model')
--- a/src/wasabicross/cli.py
+++ b/src/wasabicross/cli.py
@@ -126,11 +126,7 @@
 @_admin_options
 def prepare(file: Path, url: str, token: str, as_json: bool) -> None:
     """Prepare the bundle of FILE (YAML or JSON) as a draft."""
-    try:
-        text = file.read_text(encoding='utf-8')
-    except UnicodeDecodeError as exc:
-        raise click.BadParameter(str(exc), param_hint='FILE') from exc
-    answer = AdminClient(url, token).prepare(text)
+    answer = AdminClient(url, token).prepare(_text_of(file))
     draft = content_or_exit(answer, as_json=as_json)
     show(draft, draft_text(draft), as_json=as_json)
 
@@ -243,8 +239,15 @@
     show(content, history_text(content), as_json=as_json)
 
 
+def _text_of(file: Path) -> str:
+    try:
+        return file.read_text(encoding='utf-8')
+    except UnicodeDecodeError as exc:
+        raise click.BadParameter(str(exc), param_hint=str(file)) from exc
+
+
 def _is_made_from(file: Path, manifest: Manifest, digest: str) -> bool:
-    parsed = parse_bundle_file(file.read_text(encoding='utf-8'))
+    parsed = parse_bundle_file(_text_of(file))
     if parsed.is_error():
         return False
     built = build_bundle(parsed.ok, manifest.number, manifest.parent)
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -20,7 +20,7 @@
 )
 
 from wasabicross import exceptions
-from wasabicross.bundle_file import parse_bundle_file
+from wasabicross.bundle_file import PolicySection, parse_bundle_file
 from wasabicross.bundles import AdapterVersion, SignedManifest
 from wasabicross.holder import BundleHolder
 from wasabicross.manifests import (
@@ -30,6 +30,7 @@
     encode_signed,
     signature_of,
 )
+from wasabicross.policy import Weights
 
 ADAPTERS_AT_FULL_SIZE = 43_000
 
@@ -104,6 +105,10 @@
     assert [fault.path for fault in parsed.error.faults] == faults
 
 
+def test_policy_of_the_file_names_the_weights_of_the_policy():
+    assert tuple(PolicySection.model_fields) == Weights._fields
+
+
 @pytest.mark.parametrize('text', ['', '[]', '{', '7', 'name: a\nname: b'])
 def test_text_that_is_no_bundle_file(text):
     assert parse_bundle_file(text).error.faults
