--- a/src/wasabicross/operator_key.py
+++ b/src/wasabicross/operator_key.py
@@ -11,14 +11,14 @@
 from wasabicross.documents import Section, read_document, schema_faults
 from wasabicross.exceptions import Fault, OperatorKeyError
 from wasabicross.manifests import signature_of
-from wasabicross.settings import Name, PublicKey
+from wasabicross.settings import Name, HexKey
 
 _PRIVATE_MODE = 0o600
 
 
 class _KeyFile(Section):
     name: Name
-    private_key: PublicKey  # same form: 32 bytes in hexadecimal
+    private_key: HexKey
 
 
 class OperatorKey:
--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -26,7 +26,7 @@
     return text
 
 
-def _public_key(text: str) -> str:
+def _hex_key(text: str) -> str:
     if len(bytes.fromhex(text)) != _KEY_BYTES:
         raise ValueError('must be 32 bytes in hexadecimal')
     return text.lower()
@@ -48,7 +48,7 @@
         pattern=r'^[!-~]+$',
     ),
 ]
-PublicKey = Annotated[str, pydantic.AfterValidator(_public_key)]
+HexKey = Annotated[str, pydantic.AfterValidator(_hex_key)]
 IpNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
 
 
@@ -166,7 +166,7 @@
     admin: AdminSettings
     platform: PlatformSettings
     trusted_keys: Annotated[
-        dict[Name, PublicKey],
+        dict[Name, HexKey],
         pydantic.Field(min_length=1),
     ]
     tenants: tuple[TenantSettings, ...] = ()
