--- a/src/wasabicross/operator_key.py
+++ b/src/wasabicross/operator_key.py
@@ -11,7 +11,7 @@
 from wasabicross.documents import Section, read_document, schema_faults
 from wasabicross.exceptions import Fault, OperatorKeyError
 from wasabicross.manifests import signature_of
-from wasabicross.settings import Name, HexKey
+from wasabicross.settings import HexKey, Name
 
 _PRIVATE_MODE = 0o600
 
