Test each point of death of a back end against its exact outcome

Cause: the outcomes of a call were only tried by hand.

Ruled out: taking a head that breaks off as a whole one, which http.client does; a 503 cut before its last field would have counted as "not run". Waiting for the engine's own deadline exactly as long as the engine: the caller then never hears whether the call had begun. The engine is told to end it 50 ms earlier, and a 504 from it is an unknown outcome.

Engine and PlainService are made from the instance list's entries. The stand-ins stop upon SIGTERM with exit code 0.

Conclusion: outcomes are exact at each point that was listed.

--- a/emulator/stream_server.py
+++ b/emulator/backend_http.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -96,6 +97,7 @@
         self._reader = reader
         self._writer = writer
         self.die_at: Point | None = None
+        self.is_last = False
 
     @property
     def is_gone(self) -> bool:
@@ -152,6 +154,8 @@
         fields: tuple[tuple[str, str], ...],
     ) -> None:
         lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
+        if self.is_last:
+            fields = (*fields, ('Connection', 'close'))
         lines.extend(f'{name}: {text}' for name, text in fields)
         self._writer.write('\r\n'.join((*lines, '', '')).encode())
         if self.die_at is Point.AFTER_HEADERS:
@@ -167,7 +171,7 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class StreamServer:
+class HttpServer:
     """Serves requests one after the other on each connection.
 
     :param handler: answers a request through the responder.
@@ -187,7 +191,7 @@
         self._open: set[Responder] = set()
 
     async def serve(self, host: str, port: int) -> None:
-        """Listen until cancelled; prints the port when ready."""
+        """Listen until SIGTERM; prints the port when ready."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             lambda: asyncio.StreamReaderProtocol(PeerReader(), self._talk),
@@ -197,8 +201,10 @@
         )
         number = server.sockets[0].getsockname()[1]
         click.echo(f'listening {number}')
-        async with server:
-            await server.serve_forever()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        await stopped.wait()
+        server.close()
 
     def reset_others(self, responder: Responder) -> None:
         """Drop every open connection but one."""
@@ -217,6 +223,7 @@
             return
         self._open.add(responder)
         with contextlib.suppress(
+            asyncio.CancelledError,
             asyncio.IncompleteReadError,
             ConnectionError,
             ConnectionDied,
@@ -239,13 +246,14 @@
             raise ConnectionDied
         length = int(req.headers.get('content-length', '0'))
         req = req._replace(body=await reader.readexactly(length))
+        responder.is_last = req.headers.get('connection') == 'close'
         responder.die_at = None if is_control else self._faults.take_later()
         if responder.die_at is Point.AFTER_REQUEST:
             responder.reset()
             raise ConnectionDied
         await self._handler(req, responder)
         await writer.drain()
-        if req.headers.get('connection') == 'close':
+        if responder.is_last:
             raise ConnectionDied
 
 
--- a/emulator/batch.py
+++ b/emulator/batch.py
@@ -108,6 +108,10 @@
         """How many jobs wait for a place."""
         return sum(not job.ended.done() for job in self._waiting)
 
+    def is_full(self, queue: int) -> bool:
+        """Tell if a job would wait and this many are waiting already."""
+        return self.running >= self.size and self.waiting >= queue
+
     def fill(self) -> dict[str, Any]:
         """Return how full the batch was, integrated over time."""
         self._count_time()
--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -6,11 +6,11 @@
 from typing import Any
 from typing import NamedTuple
 
+from emulator.backend_http import ConnectionDied
+from emulator.backend_http import Responder
 from emulator.batch import Batch
 from emulator.batch import Job
 from emulator.faults import Point
-from emulator.stream_server import ConnectionDied
-from emulator.stream_server import Responder
 from emulator.tokens import AnswerText
 from emulator.tokens import chunk_event
 from emulator.tokens import digest_of
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -8,6 +8,9 @@
 
 import click
 
+from emulator.backend_http import HttpRequest
+from emulator.backend_http import HttpServer
+from emulator.backend_http import Responder
 from emulator.batch import Batch
 from emulator.completions import Completion
 from emulator.completions import CompletionOrder
@@ -18,9 +21,6 @@
 from emulator.prompt_cache import PromptCache
 from emulator.slots import LoadRefused
 from emulator.slots import Slots
-from emulator.stream_server import HttpRequest
-from emulator.stream_server import Responder
-from emulator.stream_server import StreamServer
 
 _RETRY_SOON = (('Retry-After', '1'),)
 _COMPLETIONS_PATH = '/v1/chat/completions'
@@ -36,7 +36,7 @@
 
     def __init__(self, options: EngineOptions) -> None:
         self.faults = Faults()
-        self.server = StreamServer(self.handle, self.faults)
+        self.server = HttpServer(self.handle, self.faults)
         self._options = options
         self._batch = Batch(options.batch, options.token_ms / 1000)
         self._slots = Slots(options.slots, options.weights)
@@ -77,7 +77,7 @@
         if load is None:
             _send_error(responder, 404, 'model_not_found')
             return
-        if self._batch.waiting >= self._options.queue:
+        if self._batch.is_full(self._options.queue):
             _send_error(responder, 429, 'queue_full')
             return
         order = self._read_order(req, document, load.produced_by)
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -8,11 +8,11 @@
 
 import click
 
+from emulator.backend_http import HttpRequest
+from emulator.backend_http import HttpServer
+from emulator.backend_http import Responder
 from emulator.faults import Faults
 from emulator.faults import Point
-from emulator.stream_server import HttpRequest
-from emulator.stream_server import Responder
-from emulator.stream_server import StreamServer
 
 
 class Service:
@@ -112,7 +112,7 @@
 def main(host: str, port: int, delay_ms: float, max_running: int) -> None:
     """Run a stand-in plain service until it is ended."""
     service = Service(delay_ms / 1000, max_running)
-    server = StreamServer(service.handle, service.faults)
+    server = HttpServer(service.handle, service.faults)
     asyncio.run(server.serve(host, port))
 
 
--- a/emulator/weights.py
+++ b/emulator/weights.py
@@ -11,10 +11,10 @@
 
 import click
 
+from emulator.backend_http import HttpRequest
+from emulator.backend_http import HttpServer
+from emulator.backend_http import Responder
 from emulator.faults import Faults
-from emulator.stream_server import HttpRequest
-from emulator.stream_server import Responder
-from emulator.stream_server import StreamServer
 
 #: Loads at once that don't slow each other.
 FULL_SPEED_IN_FLIGHT = 8
@@ -139,7 +139,7 @@
 ) -> None:
     """Run a stand-in weight store until it is ended."""
     store = WeightStore(loads_per_s, load_ms / 1000)
-    server = StreamServer(store.handle, store.faults)
+    server = HttpServer(store.handle, store.faults)
     asyncio.run(server.serve(host, port))
 
 
--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -24,6 +24,7 @@
 from wasabicross.exceptions import OrderError
 from wasabicross.exceptions import OrderOutcomeUnknown
 from wasabicross.exceptions import OrderRefused
+from wasabicross.exceptions import OutcomeUnknown
 from wasabicross.exceptions import ServerRefused
 from wasabicross.exceptions import SlotsFull
 
@@ -45,7 +46,7 @@
 
 
 def judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turn a refusal to run a call into `NotRun`."""
+    """Turn the statuses that are no answer into what they say of the run."""
     if answer.status == HTTPStatus.NOT_FOUND:
         return Error(AdapterNotLoaded(_read_refusal(answer).message))
     if answer.status in _REFUSALS:
@@ -55,6 +56,8 @@
                 read_retry_after(answer),
             ),
         )
+    if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+        return Error(OutcomeUnknown(_read_refusal(answer).message))
     content_type = answer.header('Content-Type') or ''
     if content_type.startswith('text/event-stream'):
         answer.require_end_mark(STREAM_END_MARK)
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -20,6 +20,7 @@
 from wasabicross.engine_documents import ModelsDocument
 from wasabicross.exceptions import DispatchError
 from wasabicross.exceptions import OrderError
+from wasabicross.instances import BackendServer
 
 #: Path of the calls that models answer.
 COMPLETIONS_PATH = '/v1/chat/completions'
@@ -30,6 +31,9 @@
 #: Longest wait for an eviction or a question, in seconds.
 QUESTION_TIMEOUT_S = 5.0
 
+#: How long before the deadline an engine has to end a call, in seconds.
+DEADLINE_MARGIN_S = 0.05
+
 _TERM_FIELD = 'X-Fencing-Term'
 _DEADLINE_FIELD = 'X-Request-Deadline-Ms'
 _MS_PER_S = 1000
@@ -116,16 +120,23 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
 
+    @classmethod
+    def from_server(cls, server: BackendServer) -> 'Engine':
+        """Make an engine from its entry in the instance list."""
+        return cls(Dispatcher(server.host, server.port))
+
     def complete(self, call: Call) -> Result[Answer, DispatchError]:
         """Run a model call; the body's ``model`` is a load name.
 
-        The engine is told the deadline, so that it ends the call by itself.
+        The engine is told to end the call by itself shortly before the
+        deadline, so that its answer says whether the call has run.
         A stream that ends without its end mark counts as cut.
 
         :return: the answer, or `AdapterNotLoaded`, another `NotRun`, or
             `OutcomeUnknown`.
         """
-        deadline_ms = str(int(call.deadline_s * _MS_PER_S))
+        engine_deadline_s = max(0, call.deadline_s - DEADLINE_MARGIN_S)
+        deadline_ms = str(int(engine_deadline_s * _MS_PER_S))
         headers = (*call.headers, (_DEADLINE_FIELD, deadline_ms))
         started = self._dispatcher.start(call._replace(headers=headers))
         return started.bind(judge_call)
--- a/src/wasabicross/responses.py
+++ b/src/wasabicross/responses.py
@@ -3,6 +3,7 @@
 import io
 import socket
 from http.client import HTTPResponse
+from http.client import RemoteDisconnected
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -10,6 +11,8 @@
 #: Most bytes that one read takes from the socket.
 READ_BUFFER_BYTES = 65_536
 
+_HEAD_ENDS = frozenset((b'\r\n', b'\n'))
+
 
 class ArrivalReader(io.BufferedReader):
     """A buffered reader that also tells what has arrived, without waiting.
@@ -47,6 +50,26 @@
         super().close()
 
 
+class _HeadLines:
+    """The lines of a head, the last of them kept.
+
+    :param reader: where they come from.
+    """
+
+    def __init__(self, reader: ArrivalReader) -> None:
+        self._reader = reader
+        self.last = b''
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read one line."""
+        self.last = self._reader.readline(limit)
+        return self.last
+
+    def close(self) -> None:
+        """Close the reader, as after a status line that isn't one."""
+        self._reader.close()
+
+
 class JoiningResponse(HTTPResponse):
     """An HTTP response whose `read1` joins all chunks that have arrived.
 
@@ -55,7 +78,7 @@
     of falling further behind.
     """
 
-    fp: ArrivalReader
+    fp: Any
 
     def __init__(
         self,
@@ -68,6 +91,21 @@
         self.reader = ArrivalReader(sock)
         self.fp = self.reader
 
+    def begin(self) -> None:
+        """Read the head, which has to end with its empty line.
+
+        :raises RemoteDisconnected: when it breaks off, which the base class
+            takes for its end.
+        """
+        lines = _HeadLines(self.reader)
+        self.fp = lines
+        try:
+            super().begin()
+        finally:
+            self.fp = self.reader
+        if lines.last not in _HEAD_ENDS:
+            raise RemoteDisconnected('the head of the answer broke off')
+
     def read1(self, size: int = -1) -> bytes:
         """Wait for the first bytes, then adds whole chunks already here.
 
@@ -77,7 +115,7 @@
         if not self.chunked or not piece:
             return piece
         pieces = [piece]
-        while self.chunk_left == 0 and _starts_chunk(self.fp.arrived()):
+        while self.chunk_left == 0 and _starts_chunk(self.reader.arrived()):
             pieces.append(super().read1(size))
         return b''.join(pieces)
 
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -12,6 +12,7 @@
 from wasabicross.dispatch import read_retry_after
 from wasabicross.exceptions import DispatchError
 from wasabicross.exceptions import ServerRefused
+from wasabicross.instances import BackendServer
 
 _REFUSALS = frozenset(
     (
@@ -30,6 +31,11 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
 
+    @classmethod
+    def from_server(cls, server: BackendServer) -> 'PlainService':
+        """Make a service from its entry in the instance list."""
+        return cls(Dispatcher(server.host, server.port))
+
     def call(self, call: Call) -> Result[Answer, DispatchError]:
         """Run a call.
 
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,285 @@
+"""What becomes of one call, wherever its server dies."""
+
+import contextlib
+import queue
+import socket
+import struct
+import threading
+
+import pytest
+
+from emulator.waiting import free_ports
+from emulator.waiting import wait_until
+from wasabicross.dispatch import Call
+from wasabicross.dispatch import Dispatcher
+from wasabicross.exceptions import AnswerCut
+from wasabicross.exceptions import NotConnected
+from wasabicross.exceptions import OutcomeUnknown
+from wasabicross.exceptions import RequestUnsendable
+
+BODY = b'x' * 64
+CALL = Call('POST', '/orders', (('X-Request-Id', 'r1'),), BODY, 5)
+READ = CALL._replace(method='GET', body=b'', repeatable=True)
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+WHOLE = HEAD + b'Content-Length: 5\r\n\r\nwhole'
+
+
+class ScriptedServer:
+    """Plays one list of steps on each connection, the last one for all later.
+
+    Steps: ``head`` and ``request`` read, bytes are sent, ``fin`` and ``rst``
+    close, ``wait`` waits for the test.
+    """
+
+    def __init__(self, *scripts):
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.port = self.listener.getsockname()[1]
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+        self.sent = queue.Queue()
+        self.go = threading.Event()
+        self.closed_by_peer = threading.Event()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            script = self.scripts[min(self.connections, len(self.scripts) - 1)]
+            self.connections += 1
+            threading.Thread(
+                target=self.play, args=(conn, script), daemon=True
+            ).start()
+
+    def play(self, conn, script):
+        for step in script:
+            if isinstance(step, bytes):
+                conn.sendall(step)
+                self.sent.put(step)
+            elif step == 'rst':
+                linger = struct.pack('ii', 1, 0)
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            elif step == 'wait':
+                self.go.wait(10)
+            elif step != 'fin':
+                self.read(conn, whole=step == 'request')
+        if script[-1:] not in (['rst'], ['fin']):
+            with contextlib.suppress(ConnectionError):
+                conn.recv(1)
+            self.closed_by_peer.set()
+        conn.close()
+
+    def read(self, conn, whole):
+        data = b''
+        while b'\r\n\r\n' not in data:
+            data += conn.recv(1)
+        size = len(BODY) if data.startswith(b'POST') and whole else 0
+        while size:
+            size -= len(conn.recv(size))
+        self.requests.append(data)
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(*scripts):
+        servers.append(ScriptedServer(*scripts))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.go.set()
+        server.listener.close()
+
+
+def outcome_of(dispatcher, call=CALL, end_mark=b''):
+    """Return the body, or the class of what went wrong."""
+    started = dispatcher.start(call)
+    if started.is_error():
+        return type(started.error)
+    started.ok.require_end_mark(end_mark)
+    try:
+        return started.ok.read()
+    except AnswerCut:
+        return AnswerCut
+
+
+@pytest.mark.parametrize('ending', ['fin', 'rst'])
+@pytest.mark.parametrize(
+    ('steps', 'outcome'),
+    [
+        ([], OutcomeUnknown),
+        (['head'], OutcomeUnknown),
+        (['request'], OutcomeUnknown),
+        (['request', b'HTTP/1.'], OutcomeUnknown),
+        (['request', HEAD + b'Content-Len'], OutcomeUnknown),
+        (['request', HEAD], OutcomeUnknown),
+        (['request', b'HTTP/1.1 503 X\r\nRetry-After: 1\r\n'], OutcomeUnknown),
+        (['request', HEAD + b'\r\n'], AnswerCut),
+        (['request', HEAD + b'\r\nno framing'], AnswerCut),
+        (['request', WHOLE[:-5]], AnswerCut),
+        (['request', WHOLE[:-1]], AnswerCut),
+        (['request', CHUNKED], AnswerCut),
+        (['request', CHUNKED + b'5\r\nwh'], AnswerCut),
+        (['request', CHUNKED + b'5\r\nwhole\r\n'], AnswerCut),
+        (['request', CHUNKED + b'5\r\nwhole\r\n', b'3'], AnswerCut),
+    ],
+)
+def test_each_point_of_death_has_its_outcome(serve, steps, ending, outcome):
+    server = serve([*steps, ending])
+    assert outcome_of(Dispatcher('127.0.0.1', server.port)) is outcome
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    ('answer', 'end_mark', 'outcome'),
+    [
+        (WHOLE, b'', b'whole'),
+        (WHOLE, b'ole', b'whole'),
+        (WHOLE, b'mark', AnswerCut),
+        (CHUNKED + b'2\r\nwh\r\n3;ext\r\nole\r\n0\r\n\r\n', b'hole', b'whole'),
+        (CHUNKED + b'5\r\nwhole\r\n0\r\n\r\n', b'mark', AnswerCut),
+        (HEAD + b'Content-Length: 0\r\n\r\n', b'', b''),
+        (b'HTTP/1.1 204 No Content\r\n\r\n', b'', b''),
+        (
+            b'HTTP/1.1 302 F\r\nLocation: /\r\nContent-Length: 0\r\n\r\n',
+            b'',
+            b'',
+        ),
+    ],
+)
+def test_whole_answers(serve, answer, end_mark, outcome):
+    server = serve(['request', answer])
+    dispatcher = Dispatcher('127.0.0.1', server.port)
+    assert outcome_of(dispatcher, end_mark=end_mark) == outcome
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ('call', 'outcome'),
+    [
+        (CALL._replace(deadline_s=0), NotConnected),
+        (CALL._replace(path='/a b'), RequestUnsendable),
+        (CALL._replace(path='/ä'), RequestUnsendable),
+        (CALL._replace(headers=(('X-A', 'b\r\nC: d'),)), RequestUnsendable),
+        (CALL._replace(method='GET /\r\n'), RequestUnsendable),
+    ],
+)
+def test_nothing_is_sent_of_a_call_that_is_not_run(serve, call, outcome):
+    server = serve(['request'])
+    assert outcome_of(Dispatcher('127.0.0.1', server.port), call) is outcome
+    assert not server.requests
+
+
+def test_nobody_listening_is_not_run():
+    dispatcher = Dispatcher('127.0.0.1', *free_ports(1))
+    assert outcome_of(dispatcher) is NotConnected
+
+
+@pytest.mark.parametrize(
+    ('steps', 'idle_s', 'deadline_s', 'outcome'),
+    [
+        (['request', 'wait'], 9, 0.1, OutcomeUnknown),
+        (['request', CHUNKED + b'5\r\nwhole\r\n', 'wait'], 9, 0.8, AnswerCut),
+        (['request', CHUNKED + b'5\r\nwhole\r\n', 'wait'], 0.2, 9, AnswerCut),
+    ],
+)
+def test_silence_ends_a_call(serve, steps, idle_s, deadline_s, outcome):
+    server = serve(steps)
+    dispatcher = Dispatcher('127.0.0.1', server.port, idle_timeout_s=idle_s)
+    call = CALL._replace(deadline_s=deadline_s)
+    assert outcome_of(dispatcher, call) is outcome
+
+
+@pytest.mark.parametrize(
+    ('first', 'call', 'outcome', 'connections'),
+    [
+        (['request', WHOLE, 'request', WHOLE], READ, b'whole', 1),
+        (['request', WHOLE, 'request', WHOLE], CALL, b'whole', 2),
+        (['request', WHOLE, 'request', 'rst'], READ, OutcomeUnknown, 1),
+        (['request', WHOLE, 'request', 'rst'], CALL, b'whole', 2),
+        (['request', WHOLE + b'late bytes'], READ, b'whole', 2),
+        (['request', CHUNKED + b'0\r\n\r\nlate'], READ, b'whole', 2),
+        (['request', WHOLE, 'fin'], READ, b'whole', 2),
+    ],
+)
+def test_reuse_of_connections(serve, first, call, outcome, connections):
+    server = serve(first, ['request', WHOLE])
+    dispatcher = Dispatcher('127.0.0.1', server.port)
+    outcome_of(dispatcher, READ)
+    if first[-1] == 'fin':
+        idle = dispatcher._idle[0]
+        wait_until(lambda: not idle.is_connected, 5)
+    assert outcome_of(dispatcher, call) == outcome
+    assert server.connections == connections
+
+
+@pytest.mark.parametrize(
+    'leave',
+    [
+        lambda answer, pieces: pieces.close(),
+        lambda answer, pieces: answer.cancel(),
+    ],
+)
+@pytest.mark.parametrize('started', [False, True])
+def test_left_answer_closes_its_connection(serve, leave, started):
+    server = serve(['request', CHUNKED + b'5\r\nwhole\r\n'])
+    dispatcher = Dispatcher('127.0.0.1', server.port)
+    answer = dispatcher.start(READ).ok
+    pieces = answer.chunks()
+    if started:
+        next(pieces)
+    leave(answer, pieces)
+    if not started:
+        answer.cancel()
+    assert server.closed_by_peer.wait(5)
+    assert not dispatcher._idle
+
+
+def test_cancel_wakes_the_reader(serve):
+    server = serve(['request', CHUNKED + b'5\r\nwhole\r\n'])
+    answer = Dispatcher('127.0.0.1', server.port).start(CALL).ok
+    pieces = answer.chunks()
+    next(pieces)
+    threading.Timer(0.05, answer.cancel).start()
+    with pytest.raises(AnswerCut):
+        next(pieces)
+
+
+def test_pieces_that_came_meanwhile_are_joined(serve):
+    pieces = [b'%x\r\n%b\r\n' % (size, b'p' * size) for size in range(1, 9)]
+    server = serve(
+        ['request', CHUNKED + pieces[0], 'wait', b''.join(pieces[1:])]
+        + [b'4\r\nla', b'st\r\n0\r\n\r\n']
+    )
+    answer = Dispatcher('127.0.0.1', server.port).start(CALL).ok
+    received = answer.chunks()
+    assert next(received) == b'p'
+    server.go.set()
+    for _ in range(4):
+        server.sent.get(timeout=5)
+    assert next(received) == b'p' * sum(range(2, 9)) + b'last'
+    assert not list(received)
+
+
+def test_fields_about_the_connection_are_not_passed_on(serve):
+    server = serve(['request', WHOLE])
+    fields = (
+        ('Transfer-Encoding', 'chunked'),
+        ('Content-Length', '1'),
+        ('Connection', 'close'),
+        ('X-Kept', 'a'),
+        ('X-Kept', 'b'),
+    )
+    dispatcher = Dispatcher('127.0.0.1', server.port)
+    answer = dispatcher.start(CALL._replace(headers=fields)).ok
+    assert answer.headers == ()
+    head = server.requests[0].lower()
+    assert b'content-length: 64' in head
+    assert b'transfer-encoding' not in head
+    assert head.count(b'x-kept') == 2
