--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -3,19 +3,18 @@
 import asyncio
 import os
 import time
-from typing import Any
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from emulator.backend_http import ConnectionDied
-from emulator.backend_http import Responder
-from emulator.batch import Batch
-from emulator.batch import Job
+from emulator.batch import Batch, Job
 from emulator.faults import Point
-from emulator.tokens import AnswerText
-from emulator.tokens import chunk_event
-from emulator.tokens import digest_of
-from emulator.tokens import sse_event
-from emulator.tokens import whole_answer
+from emulator.stream_server import ConnectionDied, Responder
+from emulator.tokens import (
+    AnswerText,
+    chunk_event,
+    digest_of,
+    sse_event,
+    whole_answer,
+)
 
 #: Exit code of an engine that a request has crashed.
 CRASH_EXIT_CODE = 13
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -2,25 +2,18 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import click
 
-from emulator.backend_http import HttpRequest
-from emulator.backend_http import HttpServer
-from emulator.backend_http import Responder
 from emulator.batch import Batch
-from emulator.completions import Completion
-from emulator.completions import CompletionOrder
-from emulator.completions import error_document
-from emulator.engine_options import EngineOptions
-from emulator.engine_options import engine_options
+from emulator.completions import Completion, CompletionOrder, error_document
+from emulator.engine_options import EngineOptions, engine_options
 from emulator.faults import Faults
 from emulator.prompt_cache import PromptCache
-from emulator.slots import LoadRefused
-from emulator.slots import Slots
+from emulator.slots import LoadRefused, Slots
+from emulator.stream_server import HttpRequest, Responder, StreamServer
 
 _RETRY_SOON = (('Retry-After', '1'),)
 _COMPLETIONS_PATH = '/v1/chat/completions'
@@ -36,7 +29,7 @@
 
     def __init__(self, options: EngineOptions) -> None:
         self.faults = Faults()
-        self.server = HttpServer(self.handle, self.faults)
+        self.server = StreamServer(self.handle, self.faults)
         self._options = options
         self._batch = Batch(options.batch, options.token_ms / 1000)
         self._slots = Slots(options.slots, options.weights)
--- a/emulator/engine_options.py
+++ b/emulator/engine_options.py
@@ -1,8 +1,7 @@
 """Options of the stand-in engine."""
 
 from collections.abc import Callable
-from typing import Any
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import click
 
--- a/emulator/slots.py
+++ b/emulator/slots.py
@@ -2,8 +2,7 @@
 
 import asyncio
 from typing import NamedTuple
-from urllib.parse import unquote
-from urllib.parse import urlsplit
+from urllib.parse import unquote, urlsplit
 
 
 class LoadRefused(Exception):
--- a/emulator/backend_http.py
+++ b/emulator/stream_server.py
@@ -8,18 +8,13 @@
 import contextlib
 import json
 import signal
-from collections.abc import Awaitable
-from collections.abc import Callable
-from typing import Any
-from typing import NamedTuple
-from urllib.parse import parse_qs
-from urllib.parse import unquote
-from urllib.parse import urlsplit
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import click
 
-from emulator.faults import Faults
-from emulator.faults import Point
+from emulator.faults import Faults, Point
 
 _REASONS = {
     200: 'OK',
@@ -171,7 +166,7 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class HttpServer:
+class StreamServer:
     """Serves requests one after the other on each connection.
 
     :param handler: answers a request through the responder.
--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -3,17 +3,14 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from http.client import HTTPException
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
 from wasabicross.exceptions import AnswerCut
-from wasabicross.responses import READ_BUFFER_BYTES
-from wasabicross.responses import StreamConnection
+from wasabicross.responses import READ_BUFFER_BYTES, StreamConnection
 
 #: Longest gap within an answer before it counts as cut.
 IDLE_TIMEOUT_S = 30.0
--- a/src/wasabicross/dispatch.py
+++ b/src/wasabicross/dispatch.py
@@ -5,22 +5,24 @@
 from http.client import InvalidURL
 from typing import NamedTuple
 
-from expression import Error
-from expression import Ok
-from expression import Result
+from expression import Error, Ok, Result
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
-from wasabicross.answers import FAILURES
-from wasabicross.answers import IDLE_TIMEOUT_S
-from wasabicross.answers import Answer
-from wasabicross.answers import TimeLimits
-from wasabicross.answers import end_to_end
-from wasabicross.exceptions import DispatchError
-from wasabicross.exceptions import NotConnected
-from wasabicross.exceptions import OutcomeUnknown
-from wasabicross.exceptions import RequestUnsendable
+from wasabicross.answers import (
+    FAILURES,
+    IDLE_TIMEOUT_S,
+    Answer,
+    TimeLimits,
+    end_to_end,
+)
+from wasabicross.exceptions import (
+    DispatchError,
+    NotConnected,
+    OutcomeUnknown,
+    RequestUnsendable,
+)
 from wasabicross.responses import StreamConnection
 
 #: Longest wait for a connection to be made.
--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -3,30 +3,28 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-from expression import Error
-from expression import Ok
-from expression import Result
-from pydantic import BaseModel
-from pydantic import ValidationError
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ValidationError
 
 from wasabicross.answers import Answer
 from wasabicross.dispatch import read_retry_after
-from wasabicross.engine_documents import ErrorBody
-from wasabicross.engine_documents import ErrorDocument
-from wasabicross.exceptions import AdapterInUse
-from wasabicross.exceptions import AdapterNotLoaded
-from wasabicross.exceptions import AnswerCut
-from wasabicross.exceptions import DispatchError
-from wasabicross.exceptions import EngineAnswerMalformed
-from wasabicross.exceptions import EngineUnreachable
-from wasabicross.exceptions import LoadFailed
-from wasabicross.exceptions import NotRun
-from wasabicross.exceptions import OrderError
-from wasabicross.exceptions import OrderOutcomeUnknown
-from wasabicross.exceptions import OrderRefused
-from wasabicross.exceptions import OutcomeUnknown
-from wasabicross.exceptions import ServerRefused
-from wasabicross.exceptions import SlotsFull
+from wasabicross.engine_documents import ErrorBody, ErrorDocument
+from wasabicross.exceptions import (
+    AdapterInUse,
+    AdapterNotLoaded,
+    AnswerCut,
+    DispatchError,
+    EngineAnswerMalformed,
+    EngineUnreachable,
+    LoadFailed,
+    NotRun,
+    OrderError,
+    OrderOutcomeUnknown,
+    OrderRefused,
+    OutcomeUnknown,
+    ServerRefused,
+    SlotsFull,
+)
 
 #: How a stream of server-sent events ends when it is complete.
 STREAM_END_MARK = b'data: [DONE]\n\n'
--- a/src/wasabicross/engine_documents.py
+++ b/src/wasabicross/engine_documents.py
@@ -2,8 +2,7 @@
 
 from typing import Literal
 
-from pydantic import BaseModel
-from pydantic import Field
+from pydantic import BaseModel, Field
 
 
 class ErrorBody(BaseModel):
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -1,25 +1,26 @@
 """Model engines: calls to their adapters, and orders to load and evict."""
 
 import json
-from typing import NamedTuple
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 from urllib.parse import quote
 
 from expression import Result
 from pydantic import BaseModel
 
 from wasabicross.answers import Answer
-from wasabicross.dispatch import Call
-from wasabicross.dispatch import Dispatcher
-from wasabicross.engine_answers import judge_call
-from wasabicross.engine_answers import judge_order
-from wasabicross.engine_answers import order_error_from
-from wasabicross.engine_answers import read_document
-from wasabicross.engine_documents import CacheEventsDocument
-from wasabicross.engine_documents import LoadDocument
-from wasabicross.engine_documents import ModelsDocument
-from wasabicross.exceptions import DispatchError
-from wasabicross.exceptions import OrderError
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.engine_answers import (
+    judge_call,
+    judge_order,
+    order_error_from,
+    read_document,
+)
+from wasabicross.engine_documents import (
+    CacheEventsDocument,
+    LoadDocument,
+    ModelsDocument,
+)
+from wasabicross.exceptions import DispatchError, OrderError
 from wasabicross.instances import BackendServer
 
 #: Path of the calls that models answer.
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,10 +1,9 @@
 """Every error that wasabicross raises or returns, rooted in one base."""
 
-from typing import NamedTuple
-
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from wasabicross.bundles import BundlePointer
     from wasabicross.kv import Versioned
 
 
@@ -95,8 +94,72 @@
 
 
 class BundleUnavailable(BundleError):
+    """The source can't be reached, or does not have the bytes."""
+
+
+class BundleNotFound(BundleUnavailable):
+    """The source answered that it does not have the bytes."""
+
     """The source does not have the bytes, or can't be reached."""
 
+
+class KeyValueError(WasabicrossError):
+    """Base of the errors of the key-value service's seam."""
+
+
+class KeyValueUnavailable(KeyValueError):
+    """The service was not reached, refused or gave no answer to a read.
+
+    Nothing was applied.
+    """
+
+
+class SwapConflict(KeyValueError):
+    """The key had another version than expected: nothing was applied.
+
+    :param present: the key's present state.
+    """
+
+    def __init__(self, present: 'Versioned') -> None:
+        super().__init__(f'{present.key} has version {present.version}')
+        self.present = present
+
+
+class SwapOutcomeUnknown(KeyValueError):
+    """The answer to a swap was lost: it may or may not be applied."""
+
+
+class ValueTooLarge(KeyValueError):
+    """The value exceeds the service's limit: nothing was applied."""
+
+
+class LeaseLapsed(KeyValueError):
+    """The lease has lapsed or was never granted.
+
+    :param lease_id: id of the lease.
+    """
+
+    def __init__(self, lease_id: str) -> None:
+        super().__init__(f'lease {lease_id} has lapsed')
+        self.lease_id = lease_id
+
+
+class LeaseOutcomeUnknown(KeyValueError):
+    """The answer to a lease operation was lost: it may be applied."""
+
+
+class InstanceListError(WasabicrossError):
+    """Base of the errors of the instance list's seam."""
+
+
+class InstanceListUnavailable(InstanceListError):
+    """The instance list was not reached, refused or broke off."""
+
+
+class InstanceListMalformed(InstanceListError):
+    """The instance list's answer isn't understood; none of it is used."""
+
+
 class DispatchError(WasabicrossError):
     """Base of the errors of one exchange with a backend server.
 
@@ -198,58 +261,127 @@
     """The engine's answer isn't understood."""
 
 
-class KeyValueError(WasabicrossError):
-    """Base of the errors of the key-value service's seam."""
+class RolloutError(WasabicrossError):
+    """An operator's action was refused or could not be done."""
 
 
-class KeyValueUnavailable(KeyValueError):
-    """The service was not reached, refused or gave no answer to a read.
+class UnknownBundle(RolloutError):
+    """No draft with this digest was prepared."""
 
-    Nothing was applied.
+
+class BundleNotSigned(RolloutError):
+    """The draft has no signature by a trusted key yet."""
+
+
+class SignatureRefused(RolloutError):
+    """The signature does not match, or its key is not trusted."""
+
+
+class RaceLost(RolloutError):
+    """Another bundle came into force first.
+
+    :param winner: the pointer that is in force.
     """
 
+    def __init__(self, winner: 'BundlePointer') -> None:
+        super().__init__(
+            f'bundle {winner.number} ({winner.digest[:12]}) was rolled first '
+            f'by {winner.rolled_by} at {winner.rolled_at}; prepare again',
+        )
+        self.winner = winner
 
-class SwapConflict(KeyValueError):
-    """The key had another version than expected: nothing was applied.
 
-    :param present: the key's present state.
+class StillRolling(RolloutError):
+    """The bundle in force has not reached every reachable data centre.
+
+    :param number: number of the bundle in force.
+    :param data_centres: those that lag.
     """
 
-    def __init__(self, present: 'Versioned') -> None:
-        super().__init__(f'{present.key} has version {present.version}')
-        self.present = present
+    def __init__(self, number: int, data_centres: tuple[str, ...]) -> None:
+        lagging = ', '.join(data_centres)
+        super().__init__(
+            f'bundle {number} has not reached {lagging} yet; '
+            'wait, or supersede it',
+        )
+        self.data_centres = data_centres
 
 
-class SwapOutcomeUnknown(KeyValueError):
-    """The answer to a swap was lost: it may or may not be applied."""
+class SpreadUnknown(RolloutError):
+    """No instance was heard of, so nobody knows how far a roll has got."""
 
 
-class ValueTooLarge(KeyValueError):
-    """The value exceeds the service's limit: nothing was applied."""
+class StoreUnavailable(RolloutError):
+    """The key-value service gave no answer; the action may be repeated."""
 
 
-class LeaseLapsed(KeyValueError):
-    """The lease has lapsed or was never granted.
+class RollOutcomeUnknown(RolloutError):
+    """The roll may have taken effect; repeating it is safe and tells."""
 
-    :param lease_id: id of the lease.
+
+class StoredDataMalformed(RolloutError):
+    """What the key-value service holds is not what was written there."""
+
+
+class AlreadySuperseded(RolloutError):
+    """The bundle was in force, and another one has taken its place.
+
+    :param past: the pointer of the bundle.
+    :param winner: the pointer that is in force.
     """
 
-    def __init__(self, lease_id: str) -> None:
-        super().__init__(f'lease {lease_id} has lapsed')
-        self.lease_id = lease_id
+    def __init__(self, past: 'BundlePointer', winner: 'BundlePointer') -> None:
+        super().__init__(
+            f'bundle {past.number} was rolled by {past.rolled_by} at '
+            f'{past.rolled_at} and has been superseded by bundle '
+            f'{winner.number}; prepare again to bring it back',
+        )
+        self.past = past
+        self.winner = winner
 
 
-class LeaseOutcomeUnknown(KeyValueError):
-    """The answer to a lease operation was lost: it may be applied."""
+class OperatorKeyError(DocumentError):
+    """The file of an operator's private key can't be used."""
 
 
-class InstanceListError(WasabicrossError):
-    """Base of the errors of the instance list's seam."""
+class AdminClientError(WasabicrossError):
+    """A call to the administration API did not do what was asked.
+
+    `code` is a stable word for the error.
+    """
 
+    code = 'failed'
 
-class InstanceListUnavailable(InstanceListError):
-    """The instance list was not reached, refused or broke off."""
 
+class AdminUnreachable(AdminClientError):
+    """No answer came; the action may be repeated."""
 
-class InstanceListMalformed(InstanceListError):
-    """The instance list's answer isn't understood; none of it is used."""
+    code = 'unreachable'
+
+
+class DraftMismatch(AdminClientError):
+    """The draft is not what the operator means to sign."""
+
+    code = 'draft_mismatch'
+
+
+class AdminRefused(AdminClientError):
+    """The administration API answered with an error.
+
+    :param status: HTTP status code.
+    :param code: stable word for the error.
+    :param message: a sentence for the operator.
+    :param faults: what is wrong in the bundle file, if anything.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        faults: tuple[Fault, ...] = (),
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.faults = faults
--- a/src/wasabicross/manifests.py
+++ b/src/wasabicross/manifests.py
@@ -12,6 +12,7 @@
 from wasabicross.bundles import (
     MAX_VALUE_BYTES,
     BundlePointer,
+    Draft,
     Manifest,
     SignedManifest,
     digest_of,
@@ -74,15 +75,29 @@
     return _decode(encoded, SignedManifest)
 
 
-def sign_manifest(encoded: bytes, key_name: str, key: SigningKey) -> bytes:
-    """Sign a manifest; returns the encoded :class:`SignedManifest`.
+def encode_draft(draft: Draft) -> bytes:
+    """Encode a draft.
+
+    :param draft: the draft.
+    """
+    return cbor2.dumps(draft._asdict(), canonical=True)
+
+
+def decode_draft(encoded: bytes) -> Result[Draft, BundleError]:
+    """Decode a draft; BundleMalformed for anything else.
+
+    :param encoded: the bytes.
+    """
+    return _decode(encoded, Draft)
+
+
+def signature_of(encoded: bytes, key: SigningKey) -> bytes:
+    """Return the signature of a manifest.
 
     :param encoded: the encoded manifest.
-    :param key_name: name of the key in the trusted keys.
     :param key: the operator's private key.
     """
-    signature = key.sign(_SIGNING_CONTEXT + encoded).signature
-    return encode_signed(SignedManifest(encoded, key_name, signature))
+    return key.sign(_SIGNING_CONTEXT + encoded).signature
 
 
 def verify_signed(
@@ -138,5 +153,5 @@
 
 _VALIDATORS: Mapping[str, pydantic.TypeAdapter[Any]] = {
     kind.__name__: pydantic.TypeAdapter(kind)
-    for kind in (BundlePointer, Manifest, SignedManifest)
+    for kind in (BundlePointer, Draft, Manifest, SignedManifest)
 }
--- a/src/wasabicross/responses.py
+++ b/src/wasabicross/responses.py
@@ -2,8 +2,7 @@
 
 import io
 import socket
-from http.client import HTTPResponse
-from http.client import RemoteDisconnected
+from http.client import HTTPResponse, RemoteDisconnected
 from typing import Any
 
 from urllib3.connection import HTTPConnection
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -2,16 +2,11 @@
 
 from http import HTTPStatus
 
-from expression import Error
-from expression import Ok
-from expression import Result
+from expression import Error, Ok, Result
 
 from wasabicross.answers import Answer
-from wasabicross.dispatch import Call
-from wasabicross.dispatch import Dispatcher
-from wasabicross.dispatch import read_retry_after
-from wasabicross.exceptions import DispatchError
-from wasabicross.exceptions import ServerRefused
+from wasabicross.dispatch import Call, Dispatcher, read_retry_after
+from wasabicross.exceptions import DispatchError, ServerRefused
 from wasabicross.instances import BackendServer
 
 _REFUSALS = frozenset(
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -5,7 +5,6 @@
 import tracemalloc
 from datetime import timedelta
 
-import cbor2
 import pytest
 from bundle_parts import (
     ALICE,
@@ -17,6 +16,7 @@
     built,
     bundle_text,
     pointer_to,
+    sign_manifest,
 )
 
 from wasabicross import exceptions
@@ -28,7 +28,7 @@
     decode_signed,
     encode_pointer,
     encode_signed,
-    sign_manifest,
+    signature_of,
 )
 
 ADAPTERS_AT_FULL_SIZE = 43_000
@@ -152,9 +152,8 @@
 
 
 def resigned(bundle, **changes):
-    signed = SignedManifest(
-        **cbor2.loads(sign_manifest(bundle.manifest, 'alice', ALICE)),
-    )
+    signature = signature_of(bundle.manifest, ALICE)
+    signed = SignedManifest(bundle.manifest, 'alice', signature)
     return encode_signed(signed._replace(**changes))
 
 
@@ -236,8 +235,10 @@
 )
 def test_number_only_rises(number, versions, outcome):
     holder, _ = offered(built({'a': '2'}, 2), 2)
-    result = offered(built(versions, number), number, holder)[1]
+    source = MemorySource(built(versions, number))
+    result = offered(built(versions, number), number, holder, source)[1]
     if outcome == 'superseded':
+        assert source.fetched == []
         assert isinstance(result.error, exceptions.BundleSuperseded)
         assert holder.current.number == 2
     else:
@@ -249,6 +250,20 @@
     assert isinstance(result.error, exceptions.BundleMalformed)
 
 
+def test_offer_overtaken_while_it_is_fetched_is_refused():
+    older, newer = built({'a': '2'}, 2), built({'a': '3'}, 3)
+    holder = BundleHolder(TRUSTED)
+
+    class Overtaken(MemorySource):
+        def manifest(self, digest):
+            assert offered(newer, 3, holder)[1].is_ok()
+            return super().manifest(digest)
+
+    result = offered(older, 2, holder, Overtaken(older))[1]
+    assert isinstance(result.error, exceptions.BundleSuperseded)
+    assert holder.current.number == 3
+
+
 def test_concurrent_offers_end_at_the_highest():
     bundles = [built({'a': str(n)}, n) for n in range(1, 9)]
     source = MemorySource(*bundles)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from emulator.waiting import free_ports
-from emulator.waiting import wait_until
-from wasabicross.dispatch import Call
-from wasabicross.dispatch import Dispatcher
-from wasabicross.exceptions import AnswerCut
-from wasabicross.exceptions import NotConnected
-from wasabicross.exceptions import OutcomeUnknown
-from wasabicross.exceptions import RequestUnsendable
+from emulator.waiting import free_ports, wait_until
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.exceptions import (
+    AnswerCut,
+    NotConnected,
+    OutcomeUnknown,
+    RequestUnsendable,
+)
 
 BODY = b'x' * 64
 CALL = Call('POST', '/orders', (('X-Request-Id', 'r1'),), BODY, 5)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -10,25 +10,22 @@
 from emulator.completions import CRASH_EXIT_CODE
 from emulator.fleet import Program
 from emulator.tokens import AnswerText
-from emulator.waiting import free_ports
-from emulator.waiting import wait_until
-from wasabicross.dispatch import Call
-from wasabicross.dispatch import Dispatcher
-from wasabicross.engines import COMPLETIONS_PATH
-from wasabicross.engines import Engine
-from wasabicross.engines import EvictOrder
-from wasabicross.engines import LoadOrder
-from wasabicross.exceptions import AdapterInUse
-from wasabicross.exceptions import AdapterNotLoaded
-from wasabicross.exceptions import AnswerCut
-from wasabicross.exceptions import EngineUnreachable
-from wasabicross.exceptions import LoadFailed
-from wasabicross.exceptions import NotConnected
-from wasabicross.exceptions import OrderOutcomeUnknown
-from wasabicross.exceptions import OrderRefused
-from wasabicross.exceptions import OutcomeUnknown
-from wasabicross.exceptions import ServerRefused
-from wasabicross.exceptions import SlotsFull
+from emulator.waiting import free_ports, wait_until
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.engines import COMPLETIONS_PATH, Engine, EvictOrder, LoadOrder
+from wasabicross.exceptions import (
+    AdapterInUse,
+    AdapterNotLoaded,
+    AnswerCut,
+    EngineUnreachable,
+    LoadFailed,
+    NotConnected,
+    OrderOutcomeUnknown,
+    OrderRefused,
+    OutcomeUnknown,
+    ServerRefused,
+    SlotsFull,
+)
 
 FAST = ('--token-ms', '2', '--first-token-ms', '5', '--report-lag-ms', '100')
 CACHE = ('--cache-lag-ms', '50', '--cache-loss', '0.5')
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -8,12 +8,13 @@
 from emulator.fleet import Program
 from emulator.service import reply_to
 from emulator.waiting import free_ports
-from wasabicross.dispatch import Call
-from wasabicross.dispatch import Dispatcher
-from wasabicross.exceptions import AnswerCut
-from wasabicross.exceptions import NotConnected
-from wasabicross.exceptions import OutcomeUnknown
-from wasabicross.exceptions import ServerRefused
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.exceptions import (
+    AnswerCut,
+    NotConnected,
+    OutcomeUnknown,
+    ServerRefused,
+)
 from wasabicross.services import PlainService
 
 request_ids = itertools.count(1)
