--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -21,6 +21,7 @@
     OrderError,
     OrderOutcomeUnknown,
     OrderRefused,
+    OutcomeUnknown,
     ServerRefused,
     SlotsFull,
 )
@@ -43,7 +44,7 @@
 
 
 def judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turn a refusal to run a call into `NotRun`."""
+    """Turn the statuses that are no answer into what they say of the run."""
     if answer.status == HTTPStatus.NOT_FOUND:
         return Error(AdapterNotLoaded(_read_refusal(answer).message))
     if answer.status in _REFUSALS:
@@ -53,6 +54,8 @@
                 read_retry_after(answer),
             ),
         )
+    if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+        return Error(OutcomeUnknown(_read_refusal(answer).message))
     content_type = answer.header('Content-Type') or ''
     if content_type.startswith('text/event-stream'):
         answer.require_end_mark(STREAM_END_MARK)
