Take what the model of evictions found into the protocol

Cause: the model showed three more ways to an evicted load in use: an instance that only the old owner knows, loads that an instance remembers from before it was cut off, and an instance that was frozen. Ruled out: sending the open set with each renewal, which at full size would cost more than the control budget.

--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Iterable
 from typing import Any
 
 import click
@@ -89,6 +90,7 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
+        self._confirmed_by_owner: set[str] = set()
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
@@ -236,8 +238,8 @@
     def _serve_peer(self, link: Link) -> None:
         self.subscribers.joined(link, time.monotonic())
         link.send(self.owners.announcement())
-        for opened in self.owners.opened():
-            link.send(opened)
+        for snapshot in self.owners.snapshots():
+            link.send(snapshot)
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
@@ -332,14 +334,34 @@
         visible.add(self.cfg.instance.data_centre)
         return len(visible)
 
+    def is_listed(self, instance_id: str) -> bool:
+        """Tell whether the list shows an instance."""
+        return any(
+            each.instance_id == instance_id for each in self.fleet.instances
+        )
+
+    def listing_confirmed(self, server_ids: Iterable[str]) -> None:
+        """Note servers whose owner sees this instance in its own list.
+
+        From then on the owner asks this instance before it evicts, so that
+        a server of the same data centre needs no grant of use.
+
+        :param server_ids: servers that the owner has told of.
+        """
+        fresh = set(server_ids) - self._confirmed_by_owner
+        if fresh:
+            self._confirmed_by_owner |= fresh
+            self.loads.tell_entries(self._fleet_update())
+
     def _fleet_update(self) -> msg.FleetUpdate:
-        own_id = self.cfg.instance.instance_id
         here = self.cfg.instance.data_centre
-        listed = {each.instance_id for each in self.fleet.instances}
+        is_listed = self.is_listed(self.cfg.instance.instance_id)
         need_grant = [
             server.server_id
             for server in self.fleet.servers
-            if server.data_centre != here or own_id not in listed
+            if server.data_centre != here
+            or server.server_id not in self._confirmed_by_owner
+            or not is_listed
         ]
         servers = [msg.ServerInfo(*server) for server in self.fleet.servers]
         return msg.FleetUpdate(servers, need_grant)
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -43,6 +43,10 @@
             for server in granted.servers
         ]
         self._ctl.loads.tell_entries(msg.UseGranted(grants, granted.servers))
+        if granted.listed:
+            self._ctl.listing_confirmed(
+                server.server_id for server in granted.servers
+            )
         here = self._ctl.cfg.instance
         is_other = peer.instance_id != here.instance_id
         if is_other and peer.data_centre == here.data_centre:
@@ -61,6 +65,10 @@
     def _(self, message: msg.LoadsOpened, link: Link) -> None:
         self._ctl.loads.open_loads(message)
 
+    @_handle.register
+    def _(self, message: msg.LoadsSnapshot, link: Link) -> None:
+        self._ctl.loads.replace_loads(message)
+
     @_handle.register
     def _(self, message: msg.LoadsGone, link: Link) -> None:
         self._ctl.loads.drop_loads(message.load_names)
@@ -120,7 +128,8 @@
         self._ctl.subscribers.granted(peer.instance_id, now_s)
         loads = self._ctl.owners.loads(self._ctl.lease.renewal, now_s)
         confirmed = self._ctl.loads.owned_by(peer.instance_id)
-        link.reply(call_id, msg.Renewed(loads, confirmed))
+        listed = self._ctl.is_listed(peer.instance_id)
+        link.reply(call_id, msg.Renewed(loads, confirmed, listed))
 
     @_handle.register
     def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
-        self.loads = LoadTable()
+        self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
         self.watch = ServerWatch(Suspects(), self._tell_suspects)
         self.listed = threading.Event()
         self.follower = BundleFollower(
@@ -117,11 +117,19 @@
 
     def _tell_uses(self) -> None:
         while not self._stop.wait(USE_INTERVAL_S):
+            self._rejoin_after_pause(time.monotonic())
             self._tell_suspects()
             uses = self.loads.take_uses()
             if uses:
                 self.send(msg.LoadUses(self._entry.name, uses))
 
+    def _rejoin_after_pause(self, now_s: float) -> None:
+        """Dial anew after a pause, to be told the open loads again."""
+        link = self._link
+        if self.loads.tick(now_s) and link is not None:
+            log_event(Event.PAUSE_NOTICED)
+            link.close()
+
     def _tell_suspects(self) -> None:
         number, records = self.watch.suspects.records_since(
             self._suspects_told, time.monotonic()
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -39,6 +39,7 @@
     PEER_LOST = EventKind(5012, 'WARNING')
     PEER_REFUSED = EventKind(5013, 'WARNING')
     CONTROLLER_LINKED = EventKind(5014, 'INFO')
+    PAUSE_NOTICED = EventKind(5016, 'WARNING')
     CONTROLLER_LOST = EventKind(5015, 'WARNING')
     LOAD_DONE = EventKind(5021, 'INFO')
     LOAD_FAILED = EventKind(5022, 'WARNING')
--- a/src/wasabicross/instance_loads.py
+++ b/src/wasabicross/instance_loads.py
@@ -12,6 +12,7 @@
     LoadDrained,
     LoadsGone,
     LoadsOpened,
+    LoadsSnapshot,
     ServerReport,
     ServerTerm,
 )
@@ -107,6 +108,23 @@
             self._opened |= fresh
             self._tell_entries(LoadsOpened(server, sorted(fresh)))
 
+    def replace_loads(self, snapshot: LoadsSnapshot) -> None:
+        """Take in all open loads of a server; close all others for ever.
+
+        What is missing from a snapshot may be evicted without the consent of
+        this instance, if that was out of the owner's sight for long.
+
+        :param snapshot: the server, its owner's term and its open loads.
+        """
+        with self._lock:
+            server = snapshot.server
+            if server.term < self.term_of(server.server_id):
+                return
+            names = self._names_on(self._opened, server.server_id)
+            for load_name in set(names) - set(snapshot.load_names):
+                self._close(CloseLoad(server.server_id, load_name, server.term))
+            self.open_loads(LoadsOpened(*snapshot))
+
     def drop_loads(self, load_names: Iterable[str]) -> None:
         """Forget loads that their server holds no longer.
 
@@ -198,10 +216,13 @@
     def _start_closing(self, asked: CloseLoad) -> _Closing:
         closing = _Closing(set(self._entries))
         self._closings[asked.load_name] = closing
+        self._close(asked)
+        return closing
+
+    def _close(self, asked: CloseLoad) -> None:
         self._closed.add(asked.load_name)
         self._opened.discard(asked.load_name)
         self._tell_entries(asked)
-        return closing
 
     def _answer_if_drained(self, load_name: str) -> None:
         closing = self._closings[load_name]
--- a/src/wasabicross/load_table.py
+++ b/src/wasabicross/load_table.py
@@ -12,12 +12,20 @@
 class LoadTable:
     """Open loads with their running requests, shared by an entry's threads.
 
+    A process that was frozen may have been given up by the owners of the
+    servers meanwhile, so it uses no load until it has been told anew.
+
     A request counts as running before the load is checked to be open, under
     one lock, so a consent to close and a start can't cross.
 
+    :param max_pause_s: longest time between two ticks, in seconds.
+    :param now_s: monotonic clock of the instance, in seconds.
+
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_pause_s: float, now_s: float) -> None:
+        self._max_pause_s = max_pause_s
+        self._ticked_s = now_s
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
         self._opened: dict[str, LoadName] = {}
@@ -29,6 +37,21 @@
         self._granted: dict[str, float] = {}
         self._version = 0
 
+    def tick(self, now_s: float) -> bool:
+        """Note that the process runs; return whether it had paused too long.
+
+        After a pause no load counts as open any more.
+
+        :param now_s: monotonic clock of the instance, in seconds.
+        """
+        with self._changed:
+            has_paused = self._has_paused(now_s)
+            self._ticked_s = now_s
+            if has_paused:
+                for load_name in list(self._opened):
+                    self._remove(load_name)
+            return has_paused
+
     def open_loads(self, load_names: Iterable[str]) -> None:
         """Let requests use loads, but for those closed before.
 
@@ -70,7 +93,9 @@
         """
         with self._lock:
             load = self._opened.get(load_name)
-            if load is None or not self._may_use(load.server_id, now_s):
+            if load is None or self._has_paused(now_s):
+                return False
+            if not self._may_use(load.server_id, now_s):
                 return False
             self._running[load_name] += 1
             self._uses[load_name] += 1
@@ -165,6 +190,9 @@
             self._uses.clear()
             return uses
 
+    def _has_paused(self, now_s: float) -> bool:
+        return now_s - self._ticked_s > self._max_pause_s
+
     def _may_use(self, server_id: str, now_s: float) -> bool:
         if server_id not in self._foreign:
             return True
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -103,6 +103,16 @@
     load_names: list[str]
 
 
+class LoadsSnapshot(NamedTuple):
+    """Tells all loads of a server that requests may use, and no others.
+
+    :param server: the server that holds them, with its owner's term.
+    """
+
+    server: ServerTerm
+    load_names: list[str]
+
+
 class LoadsGone(NamedTuple):
     """Tells loads that their server holds no longer."""
 
@@ -180,10 +190,12 @@
 
     :param servers: servers that the sender owns.
     :param confirmed: servers that the asker owns, as the sender knows it.
+    :param listed: whether the sender's list shows the asker.
     """
 
     servers: list[ServerLoad]
     confirmed: list[ServerTerm]
+    listed: bool
 
 
 class Grant(NamedTuple):
@@ -404,6 +416,7 @@
     FleetUpdate,
     OwnedServers,
     LoadsOpened,
+    LoadsSnapshot,
     LoadsGone,
     ServerReport,
     CloseLoad,
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -10,7 +10,7 @@
 from wasabicross.links import Link
 from wasabicross.load_names import server_of
 from wasabicross.messages import (
-    LoadsOpened,
+    LoadsSnapshot,
     LoadUses,
     OwnedServers,
     PermitGranted,
@@ -180,11 +180,12 @@
             if owner is not None and owner.server == server:
                 owner.confirmed_s = max(owner.confirmed_s, asked_s)
 
-    def opened(self) -> list[LoadsOpened]:
-        """Return the open loads of each server owned here."""
+    def snapshots(self) -> list[LoadsSnapshot]:
+        """Return the open loads of each server whose owner is settled."""
         with self._lock:
             owners = list(self._owners.values())
-        return [owner.announcement() for owner in owners]
+        snapshots = [owner.snapshot() for owner in owners]
+        return [snapshot for snapshot in snapshots if snapshot]
 
     def want(
         self, server_id: str, want: WantLoad, asker: Link, now_s: float
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -22,6 +22,7 @@
     CloseLoad,
     LoadsGone,
     LoadsOpened,
+    LoadsSnapshot,
     LoadUse,
     ServerLoad,
     ServerReport,
@@ -120,11 +121,15 @@
         """Take an instance's report of what it knows of the loads.
 
         :param instance_id: who reports.
-        :param report: its open and closed loads on this server.
+        :param report: its open and closed loads on this server. Open loads
+            count only where told by a resident: a visitor may not have been
+            asked for its consent to evict them.
         :param now_s: monotonic seconds.
         """
         if report.server.term == self.server.term:
-            self.held.mark_reported(report.opened, report.closed)
+            is_resident = self._subscribers.is_resident(instance_id)
+            opened = report.opened if is_resident else ()
+            self.held.mark_reported(opened, report.closed)
             self._reported_s.setdefault(instance_id, now_s)
             self._wake.set()
 
@@ -139,9 +144,14 @@
             self.deposed.set()
             self._wake.set()
 
-    def announcement(self) -> LoadsOpened:
-        """Return the open loads, for an instance that has just linked."""
-        return LoadsOpened(self.server, self.held.opened())
+    def snapshot(self) -> LoadsSnapshot | None:
+        """Return the open loads, for an instance that has just linked.
+
+        Before all instances have reported, the owner does not know them.
+        """
+        if self._settled_s is None:
+            return None
+        return LoadsSnapshot(self.server, self.held.opened())
 
     def load(self, renewal: Renewal, now_s: float) -> ServerLoad:
         """Return how busy the engine was at its last report.
--- a/src/wasabicross/subscribers.py
+++ b/src/wasabicross/subscribers.py
@@ -104,6 +104,14 @@
                 if self._may_use(subscriber, now_s)
             }
 
+    def is_resident(self, instance_id: str) -> bool:
+        """Tell whether an instance stands in the servers' data centre."""
+        with self._lock:
+            known = self._known.get(instance_id)
+            if known is None:
+                return False
+            return known.data_centre == self._data_centre
+
     def link_of(self, instance_id: str) -> Link | None:
         """Return an instance's link, None while it has none."""
         with self._lock:
