--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol for exhaustive model checking."""
