--- /dev/null
+++ b/src/wasabicross/attempts.py
@@ -0,0 +1,176 @@
+"""One request sent to one backend server after the other, where allowed."""
+
+import time
+from collections.abc import Callable, Iterator
+from itertools import chain
+
+from expression import Result
+
+from wasabicross.answers import Answer
+from wasabicross.caller_request import CallerRequest
+from wasabicross.events import Event
+from wasabicross.exceptions import AnswerCut, DispatchError, NotRun
+from wasabicross.logs import log_event
+from wasabicross.replies import (
+    COMPLETED,
+    CRASHES_SERVERS,
+    NO_SERVER,
+    OUTCOME_HEADER,
+    Headers,
+    Reply,
+    refuse,
+    unknown_outcome,
+)
+from wasabicross.retries import Attempt, Outcome, RetryBudget, may_retry
+from wasabicross.server_watch import Ending, ServerWatch
+from wasabicross.suspects import Clearance
+from wasabicross.telemetry import FIRST_TOKEN_SECONDS
+
+RETRY_AFTER_S = 2.0
+
+
+class Attempts:
+    """Sends requests to servers and judges what may be sent again.
+
+    :param watch: servers and the requests under way on them.
+    :param budget: bounds the retries of this process.
+    """
+
+    def __init__(self, watch: ServerWatch, budget: RetryBudget) -> None:
+        self.watch = watch
+        self._budget = budget
+
+    def accepted(self) -> None:
+        """Count a request that was accepted, which pays for retries."""
+        self._budget.add_request()
+
+    def clear(
+        self, req: CallerRequest, server_id: str, now_s: float
+    ) -> Reply | bool:
+        """Count a request as under way on a server, if it may go there.
+
+        :param req: the request.
+        :param server_id: where it is to go.
+        :param now_s: monotonic seconds.
+        :returns: whether it may go there, or a refusal for good.
+        """
+        clearance = self.watch.begin(req.fingerprint, server_id, now_s)
+        if clearance is Clearance.convicted:
+            log_event(Event.CRASHER_REFUSED, request=req.request_id)
+            return refuse(CRASHES_SERVERS)
+        return clearance is not Clearance.busy
+
+    def exchange(
+        self,
+        req: CallerRequest,
+        server_id: str,
+        start: Callable[[], Result[Answer, DispatchError]],
+        named: Headers,
+    ) -> Reply | DispatchError:
+        """Send a request that `clear` let go, up to its answer's first piece.
+
+        :param req: the request.
+        :param server_id: where it goes.
+        :param start: sends it.
+        :param named: header fields that name what produced the answer.
+        """
+        answer = start()
+        if answer.is_error():
+            self.watch.fail(req.fingerprint, server_id, answer.error)
+            return answer.error
+        pieces = answer.ok.chunks()
+        try:
+            first = next(pieces, b'')
+        except AnswerCut as exc:
+            self.watch.fail(req.fingerprint, server_id, exc)
+            return exc
+        _observe_first_token(req, time.monotonic())
+        headers = (*answer.ok.headers, *named, (OUTCOME_HEADER, COMPLETED))
+        content = _Content(
+            first, pieces, lambda ending: self._end(req, server_id, ending)
+        )
+        return Reply(answer.ok.status, headers, content)
+
+    def after_failure(
+        self,
+        req: CallerRequest,
+        exc: DispatchError,
+        tried: list[str],
+        now_s: float,
+    ) -> Reply | None:
+        """Return the final reply, or None if another server may be tried.
+
+        :param req: the request.
+        :param exc: how the last attempt failed.
+        :param tried: the servers that it was sent to.
+        :param now_s: monotonic seconds.
+        """
+        not_run = isinstance(exc, NotRun)
+        attempt = Attempt(
+            Outcome.not_run if not_run else Outcome.unknown,
+            req.is_idempotent,
+            0,
+            tried,
+            req.deadline_s - now_s,
+        )
+        if may_retry(attempt) and self._budget.spend():
+            return None
+        if not_run:
+            return refuse(NO_SERVER, RETRY_AFTER_S)
+        return unknown_outcome()
+
+    def _end(self, req: CallerRequest, server_id: str, ending: Ending) -> None:
+        if ending is Ending.cut:
+            log_event(Event.ANSWER_CUT, request=req.request_id)
+        self.watch.end(req.fingerprint, server_id, ending)
+
+
+def _observe_first_token(req: CallerRequest, now_s: float) -> None:
+    FIRST_TOKEN_SECONDS.labels(req.tenant, req.route.request_class).observe(
+        now_s - req.accepted_s
+    )
+
+
+class _Content:
+    """The pieces of an answer as they come; tells once how they ended.
+
+    An answer that is cut raises `AnswerCut`, upon which the connection to
+    the caller is closed without the mark of its end.
+    """
+
+    def __init__(
+        self,
+        first: bytes,
+        pieces: Iterator[bytes],
+        on_end: Callable[[Ending], None],
+    ) -> None:
+        self._source = pieces
+        self._pieces = chain((first,), pieces) if first else pieces
+        self._on_end = on_end
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._pieces)
+        except StopIteration:
+            self._end(Ending.completed)
+            raise
+        except AnswerCut:
+            self._end(Ending.cut)
+            raise
+
+    def close(self) -> None:
+        """End the answer; cancels it at the backend server if it runs."""
+        if not self._ended:
+            close = getattr(self._source, 'close', None)
+            if close is not None:
+                close()
+            self._end(Ending.cancelled)
+
+    def _end(self, ending: Ending) -> None:
+        if not self._ended:
+            self._ended = True
+            self._on_end(ending)
--- /dev/null
+++ b/src/wasabicross/model_calls.py
@@ -0,0 +1,234 @@
+"""Calls to models: find or load the adapter version, run, pass on."""
+
+import json
+import time
+from typing import Any, NamedTuple
+
+from wasabicross.attempts import Attempts
+from wasabicross.bundles import AdapterVersion
+from wasabicross.caller_request import CallerRequest
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.engines import COMPLETIONS_PATH, Engine
+from wasabicross.entry_link import EntryLink
+from wasabicross.exceptions import AdapterNotLoaded, DispatchError
+from wasabicross.load_names import server_of
+from wasabicross.messages import LoadMissing, ServerInfo, WantLoad
+from wasabicross.policy import Weights
+from wasabicross.replies import (
+    BAD_JSON,
+    LOAD_TIMEOUT,
+    UNKNOWN_ADAPTER,
+    Finished,
+    Reply,
+    refuse,
+)
+from wasabicross.routing import Dispatch, Holder, choose
+from wasabicross.telemetry import LOAD_STALL_SECONDS
+
+WANT_INTERVAL_S = 0.5
+MAX_LOAD_WAIT_S = 20.0
+BATCH_SIZE = 16
+RETRY_AFTER_S = 2.0
+
+
+class _Run(NamedTuple):
+    """A model call, its adapter version, and what was tried so far."""
+
+    req: CallerRequest
+    document: dict[str, Any]
+    wanted: AdapterVersion
+    tried: list[str]
+
+
+class ModelCalls:
+    """Runs model calls on the engines that hold their adapter version.
+
+    :param link: tells the open loads.
+    :param attempts: sends requests to the engines.
+    :param data_centre: where this entry runs.
+    """
+
+    def __init__(
+        self,
+        link: EntryLink,
+        attempts: Attempts,
+        data_centre: str,
+    ) -> None:
+        self._link = link
+        self._attempts = attempts
+        self._watch = attempts.watch
+        self._data_centre = data_centre
+        self._engines: dict[tuple[str, int], Engine] = {}
+
+    def run(self, req: CallerRequest) -> Reply:
+        """Run a model call and return its answer, or why there is none.
+
+        :param req: the request; its body names the adapter as `model`.
+        """
+        document = req.document()
+        if document is None:
+            return refuse(BAD_JSON)
+        wanted = req.bundle.adapter(str(document.get('model')))
+        if wanted is None:
+            return refuse(UNKNOWN_ADAPTER)
+        self._attempts.accepted()
+        run = _Run(req, document, wanted, [])
+        while True:
+            now_s = time.monotonic()
+            holder = self._wait_for_holder(run, now_s)
+            if holder is None:
+                return refuse(LOAD_TIMEOUT, RETRY_AFTER_S)
+            reply = self._attempt(run, holder)
+            if reply is not None:
+                return reply
+
+    def _wait_for_holder(self, run: _Run, started_s: float) -> Holder | None:
+        """Return a holder on which the request already counts as running."""
+        until_s = min(run.req.deadline_s, started_s + MAX_LOAD_WAIT_S)
+        now_s = started_s
+        asked_s = float('-inf')
+        while now_s < until_s:
+            version = self._link.loads.version
+            holder = self._begin(run, now_s)
+            if holder is not None:
+                self._observe_stall(run, now_s - started_s)
+                return holder
+            if now_s - asked_s >= WANT_INTERVAL_S:
+                asked_s = now_s
+                self._want(run, ())
+            wait_s = min(WANT_INTERVAL_S, until_s - now_s)
+            self._link.loads.wait_for_change(version, wait_s)
+            now_s = time.monotonic()
+        return None
+
+    def _begin(self, run: _Run, now_s: float) -> Holder | None:
+        holders = self._holders(run, now_s)
+        weights = Weights.from_config(run.req.bundle.policy)
+        choice = choose(holders, weights, self._data_centre, now_s)
+        if not isinstance(choice, Dispatch):
+            return None
+        if choice.copy_wanted:
+            self._want(run, tuple(holder.server_id for holder in holders))
+        load_name = choice.holder.load_name
+        if not self._link.loads.begin_request(load_name, now_s):
+            return None
+        return choice.holder
+
+    def _holders(self, run: _Run, now_s: float) -> list[Holder]:
+        wanted = run.wanted
+        load_names = self._link.loads.holders(
+            wanted.adapter, wanted.version, now_s
+        )
+        by_server = {server_of(name) or '': name for name in load_names}
+        group = self._watch.group('engine', run.req.route.group)
+        usable = self._watch.usable(
+            [server.server_id for server in group], now_s
+        )
+        return [
+            self._holder(by_server[server.server_id], server)
+            for server in group
+            if server.server_id in by_server
+            and server.server_id in usable
+            and server.server_id not in run.tried
+        ]
+
+    def _holder(self, load_name: str, server: ServerInfo) -> Holder:
+        return Holder(
+            server.server_id,
+            server.data_centre,
+            load_name,
+            self._watch.outstanding(server.server_id),
+            0,
+            0,
+            BATCH_SIZE,
+            0,
+        )
+
+    def _want(self, run: _Run, held_by: tuple[str, ...]) -> None:
+        wanted = run.wanted
+        route = run.req.route
+        self._link.send(
+            WantLoad(
+                wanted.adapter,
+                wanted.version,
+                wanted.base_model,
+                route.group,
+                route.request_class,
+                1,
+                [*run.tried, *held_by],
+            ),
+        )
+
+    def _observe_stall(self, run: _Run, stalled_s: float) -> None:
+        req = run.req
+        LOAD_STALL_SECONDS.labels(req.tenant, req.route.request_class).observe(
+            stalled_s
+        )
+
+    def _attempt(self, run: _Run, holder: Holder) -> Reply | None:
+        """Send the request once; None if it may be sent elsewhere."""
+        run.tried.append(holder.server_id)
+        now_s = time.monotonic()
+        cleared = self._attempts.clear(run.req, holder.server_id, now_s)
+        if cleared is not True:
+            self._link.finish_request(holder.load_name)
+            return cleared or None
+        call = self._call(run, holder, now_s)
+        reply = self._attempts.exchange(
+            run.req,
+            holder.server_id,
+            lambda: self._engine(holder.server_id).complete(call),
+            self._named(run),
+        )
+        if isinstance(reply, Reply):
+            content = Finished(
+                reply.content,
+                lambda: self._link.finish_request(holder.load_name),
+            )
+            return reply._replace(content=content)
+        self._link.finish_request(holder.load_name)
+        return self._after_failure(run, holder, reply)
+
+    def _after_failure(
+        self, run: _Run, holder: Holder, exc: DispatchError
+    ) -> Reply | None:
+        if isinstance(exc, AdapterNotLoaded):
+            self._link.loads.drop_loads([holder.load_name])
+            self._link.send(LoadMissing(holder.server_id, holder.load_name))
+            run.tried.remove(holder.server_id)
+            return None
+        return self._attempts.after_failure(
+            run.req, exc, run.tried, time.monotonic()
+        )
+
+    def _engine(self, server_id: str) -> Engine:
+        server = self._watch.server(server_id)
+        address = (server.host, server.port) if server else ('', 0)
+        engine = self._engines.get(address)
+        if engine is None:
+            engine = Engine(Dispatcher(*address))
+            self._engines[address] = engine
+        return engine
+
+    def _call(self, run: _Run, holder: Holder, now_s: float) -> Call:
+        req = run.req
+        document = {**run.document, 'model': holder.load_name}
+        headers = (
+            ('Content-Type', 'application/json'),
+            ('X-Request-Id', req.request_id),
+        )
+        return Call(
+            'POST',
+            COMPLETIONS_PATH,
+            headers,
+            json.dumps(document).encode(),
+            req.deadline_s - now_s,
+            req.is_idempotent,
+        )
+
+    def _named(self, run: _Run) -> tuple[tuple[str, str], ...]:
+        return (
+            ('X-Wasabicross-Adapter', run.wanted.adapter),
+            ('X-Wasabicross-Version', run.wanted.version),
+            ('X-Wasabicross-Bundle', str(run.req.bundle.number)),
+        )
--- /dev/null
+++ b/src/wasabicross/service_calls.py
@@ -0,0 +1,121 @@
+"""Calls to plain services, those with an idempotency key at most once."""
+
+import hashlib
+import time
+
+from wasabicross.attempts import RETRY_AFTER_S, Attempts
+from wasabicross.caller_request import CallerRequest
+from wasabicross.dispatch import Call, Dispatcher
+from wasabicross.key_claims import KeyClaims
+from wasabicross.messages import ServerInfo
+from wasabicross.replies import NO_SERVER, Reply, refuse
+from wasabicross.services import PlainService
+
+
+class ServiceCalls:
+    """Runs calls to plain services.
+
+    :param attempts: sends requests to the services.
+    :param claims: claims idempotency keys.
+    :param data_centre: where this entry runs; its servers are preferred.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        claims: KeyClaims,
+        data_centre: str,
+    ) -> None:
+        self._attempts = attempts
+        self._watch = attempts.watch
+        self._claims = claims
+        self._data_centre = data_centre
+        self._services: dict[tuple[str, int], PlainService] = {}
+
+    def run(self, req: CallerRequest) -> Reply:
+        """Run a call and return its answer, or why there is none.
+
+        :param req: the request.
+        """
+        self._attempts.accepted()
+        if req.is_idempotent or not req.key:
+            return self._dispatch(req)
+        digest = hashlib.sha256(
+            b'\0'.join((req.method.encode(), req.path.encode(), req.body)),
+        ).hexdigest()
+        refused = self._claims.claim(req, digest)
+        if refused is not None:
+            return refused
+        return self._claims.settle(req, self._dispatch(req))
+
+    def _dispatch(self, req: CallerRequest) -> Reply:
+        tried: list[str] = []
+        while True:
+            now_s = time.monotonic()
+            server = self._choose(req, tried, now_s)
+            if server is None:
+                return refuse(NO_SERVER, RETRY_AFTER_S)
+            tried.append(server.server_id)
+            reply = self._attempt(req, server, tried, now_s)
+            if reply is not None:
+                return reply
+
+    def _choose(
+        self, req: CallerRequest, tried: list[str], now_s: float
+    ) -> ServerInfo | None:
+        group = self._watch.group('service', req.route.group)
+        usable = self._watch.usable(
+            [server.server_id for server in group], now_s
+        )
+        fitting = [
+            server
+            for server in group
+            if server.server_id in usable and server.server_id not in tried
+        ]
+        return min(fitting, key=self._cost, default=None)
+
+    def _cost(self, server: ServerInfo) -> tuple[bool, int, str]:
+        is_remote = server.data_centre != self._data_centre
+        under_way = self._watch.outstanding(server.server_id)
+        return (is_remote, under_way, server.server_id)
+
+    def _attempt(
+        self,
+        req: CallerRequest,
+        server: ServerInfo,
+        tried: list[str],
+        now_s: float,
+    ) -> Reply | None:
+        """Send the request once; None if it may be sent elsewhere."""
+        cleared = self._attempts.clear(req, server.server_id, now_s)
+        if cleared is not True:
+            return cleared or None
+        reply = self._attempts.exchange(
+            req,
+            server.server_id,
+            lambda: self._service(server).call(_call(req, now_s)),
+            (('X-Wasabicross-Bundle', str(req.bundle.number)),),
+        )
+        if isinstance(reply, Reply):
+            return reply
+        return self._attempts.after_failure(req, reply, tried, time.monotonic())
+
+    def _service(self, server: ServerInfo) -> PlainService:
+        address = (server.host, server.port)
+        service = self._services.get(address)
+        if service is None:
+            service = PlainService(Dispatcher(*address))
+            self._services[address] = service
+        return service
+
+
+def _call(req: CallerRequest, now_s: float) -> Call:
+    headers = (*req.headers, ('X-Request-Id', req.request_id))
+    return Call(
+        req.method,
+        req.path,
+        headers,
+        req.body,
+        req.deadline_s - now_s,
+        req.is_idempotent,
+    )
