Grant claims of idempotency keys from a log that one owner writes

Cause: a request that may not be repeated must run at most once, also when its caller repeats it elsewhere, the store's answer is lost or the owner of its key range is paused and acts late. Ruled out: one key for each batch and deletion in the middle of the log, since a taker would read a key for each write of the horizon and a paused owner could create a deleted key; batches are added to the last segment of 16 KiB instead, and a taker creates the next segment and rewrites the last. Conclusion: no grant without a durable claim; refusals say so at once.

--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -340,3 +340,15 @@
         )
         self.past = past
         self.winner = winner
+
+
+class ClaimError(WasabicrossError):
+    """Base of the errors of the claims of idempotency keys."""
+
+
+class ClaimLogUnavailable(ClaimError):
+    """The key-value service gave no answer: nothing is granted here."""
+
+
+class ClaimLogDeposed(ClaimError):
+    """Another owner writes the range's log."""
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,279 @@
+"""Claims of idempotency keys: at most one grant, whatever the store does."""
+
+import threading
+
+import pytest
+
+from emulator.waiting import wait_until
+from tests.memory_store import MemoryStore
+from wasabicross import claim_segments
+from wasabicross.claim_log import ClaimLog
+from wasabicross.claim_ranges import ClaimRanges, RangeOwner
+from wasabicross.claim_segments import ClaimSegments
+from wasabicross.claims import (
+    AlreadyRun,
+    AlreadyRunning,
+    ClaimRequest,
+    ClaimState,
+    ClaimTable,
+    ClaimUnavailable,
+    Completed,
+    Granted,
+    KeyReused,
+    OutcomeNotKnown,
+    SettleReply,
+    key_digest,
+    range_of,
+)
+
+HORIZON_S = 3600.0
+RUNNING_S = 60.0
+WAIT_S = 5.0
+
+COMPLETED = ClaimState.COMPLETED
+RELEASED = ClaimState.RELEASED
+UNKNOWN = ClaimState.UNKNOWN
+
+
+class Range:
+    """A log with short ways to claim and settle."""
+
+    def __init__(self, store, horizon_s=HORIZON_S, wait_s=2.0):
+        self.segments = ClaimSegments(store, 'claims/0')
+        table = ClaimTable(horizon_s, RUNNING_S)
+        self.log = ClaimLog(self.segments, table, horizon_s, wait_s)
+        assert self.log.take_over().is_ok()
+
+    def ask(self, holder, key='k', digest=b'd', now_s=0):
+        req = ClaimRequest(key_digest('t', key), digest, holder)
+        return self.log.claim(req, now_s)
+
+    def claim(self, *args, **kwargs):
+        return self.ask(*args, **kwargs).result(WAIT_S)
+
+    def settle(self, holder, state, answer=b'', key='k', now_s=1):
+        req = ClaimRequest(key_digest('t', key), b'', holder)
+        return self.log.settle(req, state, answer, now_s).result(WAIT_S)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def make(store):
+    made = []
+
+    def make_range(**kwargs):
+        made.append(Range(store, **kwargs))
+        return made[-1]
+
+    yield make_range
+    store.is_down = True
+    for each in made:
+        each.log.stop()
+
+
+REPEATS = {
+    'running': ([], {}, AlreadyRunning('a')),
+    'silent': ([], {'now_s': RUNNING_S}, OutcomeNotKnown()),
+    'completed': ([('a', COMPLETED, b'yes')], {}, Completed(b'yes')),
+    'answer too long': ([('a', COMPLETED, b'y' * 20000)], {}, AlreadyRun()),
+    'unknown': ([('a', UNKNOWN)], {}, OutcomeNotKnown()),
+    'released': ([('a', RELEASED)], {}, Granted()),
+    'other request': ([], {'digest': b'e'}, KeyReused()),
+    'first outcome counts': (
+        [('a', COMPLETED, b'yes'), ('a', RELEASED)],
+        {},
+        Completed(b'yes'),
+    ),
+    'outcome of another': ([('b', RELEASED)], {}, AlreadyRunning('a')),
+    'horizon is over': ([], {'now_s': HORIZON_S}, Granted()),
+}
+
+
+@pytest.mark.parametrize('name', REPEATS)
+def test_repeat(make, name):
+    outcomes, asked, reply = REPEATS[name]
+    here = make()
+    assert here.claim('a') == Granted()
+    for outcome in outcomes:
+        assert here.settle(*outcome) is SettleReply.durable
+    assert here.claim('c', **asked) == reply
+
+
+AFTER_TAKE_OVER = {
+    'running': ([], 1, AlreadyRunning('a')),
+    'silent': ([], RUNNING_S, OutcomeNotKnown()),
+    'completed': ([('a', COMPLETED, b'yes')], 1, AlreadyRun()),
+    'unknown': ([('a', UNKNOWN)], 1, OutcomeNotKnown()),
+    'released': ([('a', RELEASED)], 1, Granted()),
+}
+
+
+@pytest.mark.parametrize('name', AFTER_TAKE_OVER)
+def test_later_owner_knows_what_was_durable(make, name):
+    outcomes, now_s, reply = AFTER_TAKE_OVER[name]
+    first = make()
+    assert first.claim('a') == Granted()
+    for outcome in outcomes:
+        first.settle(*outcome)
+    assert make().claim('b', now_s=now_s) == reply
+    # The first owner was shut out and grants nothing any more.
+    assert isinstance(first.claim('c', key='other'), ClaimUnavailable)
+    assert first.log.deposed.is_set()
+
+
+@pytest.mark.parametrize(
+    ('faults', 'reply'),
+    [
+        (['lost'], Granted()),
+        (['dropped'], Granted()),
+        (['lost', 'refused'], Granted()),
+        (['lost', 'refused', 'refused'], Granted()),
+        (['dropped', 'refused', 'dropped', 'dropped'], Granted()),
+        (['refused'], ClaimUnavailable(2.0)),
+    ],
+)
+def test_lost_answer(make, store, faults, reply):
+    here = make()
+    store.faults['claims/0/0'].extend(faults)
+    assert here.claim('a') == reply
+    repeat = here.claim('b')
+    assert (repeat == Granted()) == (reply != Granted())
+    assert not here.log.deposed.is_set()
+
+
+def test_write_in_doubt_for_long_releases_its_claims(make, store):
+    here = make(wait_s=0)
+    store.faults['claims/0/0'].extend(['lost', 'refused'])
+    assert isinstance(here.claim('a'), ClaimUnavailable)
+    assert wait_until(lambda: here.claim('b') == Granted(), WAIT_S)
+    # The log alone says the same.
+    assert make().claim('c') == AlreadyRunning('b')
+
+
+def test_outcome_waits_for_the_store(make, store):
+    here = make()
+    assert here.claim('a') == Granted()
+    store.is_down = True
+    assert here.settle('a', RELEASED) is SettleReply.not_durable
+    assert isinstance(here.claim('b'), ClaimUnavailable)
+    store.is_down = False
+    assert wait_until(lambda: here.claim('c') == Granted(), WAIT_S)
+    assert make().claim('d') == AlreadyRunning('c')
+
+
+def test_claim_that_comes_after_its_own_release_is_not_granted(make):
+    here = make()
+    assert here.settle('a', RELEASED) is SettleReply.durable
+    assert isinstance(here.claim('a'), ClaimUnavailable)
+    assert here.claim('b') == Granted()
+    assert here.claim('b') == Granted()
+
+
+def test_dead_holders_leave_the_outcome_unknown(make):
+    here = make()
+    assert here.claim('entry-1/r1') == Granted()
+    assert here.claim('entry-10/r1', key='other') == Granted()
+    here.log.lose_holders('entry-1/', 1)
+    assert here.claim('b') == OutcomeNotKnown()
+    assert here.claim('b', key='other') == AlreadyRunning('entry-10/r1')
+
+
+@pytest.mark.parametrize('swaps_before', [0, 1, 2])
+@pytest.mark.parametrize('segment_bytes', [50, 16 * 1024])
+def test_owner_writes_while_another_takes_over(
+    make, store, monkeypatch, segment_bytes, swaps_before
+):
+    monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', segment_bytes)
+    first = make()
+    for number in range(5):
+        assert first.claim('a', key=f'k{number}') == Granted()
+    late = []
+
+    def write_late():
+        late.append(first.claim('a', key='late'))
+
+    # The first owner writes before, between or after the taker's two writes.
+    store.faults['claims/0/0'].extend([None] * swaps_before + [write_late])
+    second = make()
+    if not late:
+        store.faults.clear()
+        write_late()
+        assert isinstance(late[0], ClaimUnavailable)
+    reply = second.claim('b', key='late')
+    assert (reply == Granted()) == (late[0] != Granted())
+    for number in range(5):
+        assert second.claim('b', key=f'k{number}') == AlreadyRunning('a')
+
+
+def test_claims_that_wait_share_a_write(make, store):
+    here = make()
+    under_way = threading.Event()
+    go_on = threading.Event()
+
+    def hold():
+        under_way.set()
+        assert go_on.wait(WAIT_S)
+
+    store.faults['claims/0/0'].append(hold)
+    first = here.ask('a', key='first')
+    assert under_way.wait(WAIT_S)
+    rest = [here.ask('a', key=f'k{number}') for number in range(100)]
+    before = len(store.swaps)
+    go_on.set()
+    for fut in (first, *rest):
+        assert fut.result(WAIT_S) == Granted()
+    assert len(store.swaps) - before == 2
+
+
+def test_old_segments_are_trimmed(make, store, monkeypatch):
+    monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', 100)
+    here = make()
+    for number in range(30):
+        assert here.claim('a', key=f'k{number}', now_s=number) == Granted()
+    head = wait_until(lambda: store.keys.get('claims/0/head'), WAIT_S)
+    assert store.keys['claims/0/000000000000'].value is None
+    assert int(head.value) > 0
+    assert make().claim('b', key='k29', now_s=30) == AlreadyRunning('a')
+
+
+def test_owner_paused_beyond_the_horizon_grants_nothing(make):
+    here = make(horizon_s=1e-9)
+    assert isinstance(here.claim('a'), ClaimUnavailable)
+    assert here.log.deposed.is_set()
+
+
+def _ranges(store, name):
+    owner = RangeOwner(name, '127.0.0.1', 1)
+    return ClaimRanges(store, owner, 6, HORIZON_S, RUNNING_S, lambda: name)
+
+
+def test_ranges_are_shared_and_taken_over(store):
+    three = [_ranges(store, name) for name in ('a', 'b', 'c')]
+    for _ in range(12):
+        for each in three:
+            each.step(3, 0)
+    assert [len(each.owned()) for each in three] == [2, 2, 2]
+    number = three[0].owned()[0]
+    assert three[1].owner_of(number, 10).instance_id == 'a'
+    three[0].stop()
+    for _ in range(12):
+        for each in three[1:]:
+            each.step(2, 20)
+    assert [len(each.owned()) for each in three[1:]] == [3, 3]
+    assert three[1].owner_of(number, 30).instance_id in {'b', 'c'}
+    req = ClaimRequest(key_digest('t', 'k'), b'd', 'h')
+    assert isinstance(
+        three[0].claim(number, req, 0).result(0), ClaimUnavailable
+    )
+    for each in three[1:]:
+        each.stop()
+
+
+def test_range_follows_from_tenant_and_key_alone():
+    found = {range_of('t', f'k{number}', 16) for number in range(300)}
+    assert found == set(range(16))
+    assert key_digest('ab', 'c') != key_digest('a', 'bc')
