Run keyed requests at most once

Cause: claims were answered 'not run' for want of the log. Change: each controller brings claims and outcomes to the owner of their key range; the calls of a link can be answered later, so that many claims wait for one write. Ruled out: waiting in the link's receiving thread, which would make each claim a batch of its own. Conclusion: proofs under failure are next.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo
+.PHONY: install lint format test demo model
 
 install: $(VENV)/.installed
 
@@ -13,12 +13,12 @@
 	touch $@
 
 format: install
-	$(BIN)/ruff format src emulator tests
+	$(BIN)/ruff format src emulator model tests
 
 lint: install
-	$(BIN)/ruff format --check src emulator tests
-	$(BIN)/ruff check src emulator tests
-	$(BIN)/flake8 src emulator tests
+	$(BIN)/ruff format --check src emulator model tests
+	$(BIN)/ruff check src emulator model tests
+	$(BIN)/flake8 src emulator model tests
 	$(BIN)/mypy
 
 test: install
@@ -26,3 +26,6 @@
 
 demo: install
 	$(BIN)/python -m emulator.demo
+
+model: install
+	$(BIN)/python -m model
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -5,6 +5,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 import click
@@ -12,6 +13,8 @@
 from wasabicross import __version__
 from wasabicross import messages as msg
 from wasabicross.bundles import Bundle
+from wasabicross.claim_desk import ClaimDesk
+from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
 from wasabicross.events import Event
 from wasabicross.holder import BundleHolder
@@ -80,6 +83,9 @@
             self._deposed,
         )
         self.lease = InstanceLease(kv, self.stopping)
+        self.claims = ClaimDesk(
+            ClaimRanges.from_config(cfg, kv, self._lease_id), self._link_to
+        )
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
         )
@@ -119,15 +125,11 @@
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
             ('probe', self._probe_entries),
+            ('permits', partial(self.desk.run, self.stopping)),
+            ('claims', partial(self.claims.run, self.stopping)),
         )
         for name, run in runs:
             threading.Thread(target=run, name=name, daemon=True).start()
-        threading.Thread(
-            target=self.desk.run,
-            args=(self.stopping,),
-            name='permits',
-            daemon=True,
-        ).start()
         self._lease_thread = threading.Thread(
             target=self.lease.run, name='lease', daemon=True
         )
@@ -135,17 +137,23 @@
 
     def stop(self) -> None:
         """Hand over what is owned here and close the links."""
+        self.claims.stop()
         self.keeper.stop()
         self.owners.stop()
         self.stopping.set()
-        if not self.loads.lost_entries() and not self.loads.entries():
-            for peer in self.peers.linked():
-                peer.send(msg.Goodbye())
+        self._say_goodbye()
         self._lease_thread.join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
         self._server.shutdown()
         self._metrics.stop()
 
+    def _say_goodbye(self) -> None:
+        """Tell the peers that nothing runs here, once no entry does."""
+        if self.loads.lost_entries() or self.loads.entries():
+            return
+        for peer in self.peers.linked():
+            peer.send(msg.Goodbye())
+
     def owner_announced(self, server: msg.ServerTerm, link: Link) -> None:
         """Answer a server's owner, or tell it that there is a later one.
 
@@ -265,6 +273,13 @@
                 return peer.peer.instance_id
         return ''
 
+    def _lease_id(self) -> str | None:
+        return self.lease.lease_id
+
+    def _link_to(self, instance_id: str) -> Link | None:
+        peer = self.peers.get(instance_id)
+        return peer.link if peer else None
+
     def _send_to_desk(self, message: Any) -> None:
         linked = self.peers.linked()
         if linked:
@@ -312,6 +327,7 @@
         self.desk.set_visible(self._visible_data_centres())
         live = [name for name, each in residents.items() if each.state == LIVE]
         self.lease.instances = len(fleet.instances)
+        self.claims.instances = len(fleet.instances)
         watchers = rank('bundle', live)[:POINTER_WATCHERS]
         own_id = self.cfg.instance.instance_id
         self._pointers.is_watcher = own_id in watchers or own_id not in live
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -221,6 +221,14 @@
     def _(self, message: msg.SuspectRecords, link: Link, call_id: int) -> None:
         self._ctl.merge_suspects(message, link)
 
+    @_handle.register
+    def _(self, message: msg.ClaimKey, link: Link, call_id: int) -> None:
+        self._ctl.claims.claim(message, link, call_id)
+
+    @_handle.register
+    def _(self, message: msg.SettleKey, link: Link, call_id: int) -> None:
+        self._ctl.claims.settle(message, link, call_id)
+
     @_handle.register
     def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
--- a/src/wasabicross/links.py
+++ b/src/wasabicross/links.py
@@ -63,7 +63,7 @@
         self._conn = conn
         self._numbers = itertools.count(1)
         self._lock = threading.Lock()
-        self._pending: dict[int, Future[Any]] = {}
+        self._pending: dict[int, Future[Result[Any, LinkError]]] = {}
         self.closed = threading.Event()
 
     def send(self, message: Any) -> bool:
@@ -87,19 +87,25 @@
         :param message: the request.
         :param timeout_s: seconds to wait; a `LinkTimeout` is returned then.
         """
-        call_id = next(self._numbers)
-        fut: Future[Any] = Future()
-        with self._lock:
-            self._pending[call_id] = fut
+        fut = self.request(message)
         try:
-            if not self._send(Envelope(REQUEST, call_id, message)):
-                return Error(LinkClosed('link is closed'))
-            return self._unpack(fut.result(timeout_s))
+            return fut.result(timeout_s)
         except FutureTimeout:
             return Error(LinkTimeout(type(message).__name__))
-        finally:
-            with self._lock:
-                self._pending.pop(call_id, None)
+
+    def request(self, message: Any) -> Future[Result[Any, LinkError]]:
+        """Send a request; the future has its answer, at the latest when the
+        link ends.
+
+        :param message: the request.
+        """
+        call_id = next(self._numbers)
+        fut: Future[Result[Any, LinkError]] = Future()
+        with self._lock:
+            self._pending[call_id] = fut
+        if not self._send(Envelope(REQUEST, call_id, message)):
+            self._settle(call_id, Error(LinkClosed('link is closed')))
+        return fut
 
     def run(self, handler: LinkHandler) -> None:
         """Receive until the link ends; calls the handler for each message.
@@ -144,23 +150,22 @@
             return False
         envelope = decoded.ok
         if envelope.mark == REPLY:
-            self._settle(envelope)
+            self._settle(envelope.call_id, _unpack(envelope.message))
         else:
             handler.on_message(self, envelope.message, envelope.call_id)
         return True
 
-    def _settle(self, envelope: Envelope) -> None:
+    def _settle(self, call_id: int, answer: Result[Any, LinkError]) -> None:
         with self._lock:
-            fut = self._pending.pop(envelope.call_id, None)
+            fut = self._pending.pop(call_id, None)
         if fut is not None:
-            fut.set_result(envelope.message)
-
-    def _unpack(self, answer: Any) -> Result[Any, LinkError]:
-        if isinstance(answer, Result):
-            return answer
-        if isinstance(answer, Refusal):
-            return Error(LinkRefused(f'{answer.code}: {answer.message}'))
-        return Ok(answer)
+            fut.set_result(answer)
+
+
+def _unpack(answer: Any) -> Result[Any, LinkError]:
+    if isinstance(answer, Refusal):
+        return Error(LinkRefused(f'{answer.code}: {answer.message}'))
+    return Ok(answer)
 
 
 def dial(host: str, port: int, hello: Hello) -> Result[Link, LinkError]:
