Prove that a request is answered by its bundle's version

A deployment under traffic with bundles rolled, slow loads of an old version, engines restarted empty and loads that fail; every answer is compared byte by byte with what the engine logged for it, and its version with the bundle that was in force at acceptance.

The deployment gains proxied links and a list for each instance, so that any one link can be cut; its shapes moved to a module of their own.

--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -2,15 +2,24 @@
 
 import json
 import pathlib
-from typing import Any, NamedTuple
+from typing import Any
 
 import yaml
 from nacl.signing import SigningKey
 
 from emulator.fleet import Program, Runner
+from emulator.link_table import HOST, LinkTable
+from emulator.shape import (
+    Place,
+    Shape,
+    count_ports,
+    healthy,
+    ports_of,
+    server_entry,
+    stand_in,
+)
 from emulator.waiting import free_ports
 
-HOST = '127.0.0.1'
 TENANT_TOKEN = 'tenant-token-1'  # noqa: S105
 OPERATOR_TOKEN = 'operator-token-1'  # noqa: S105
 PEER_TOKEN = 'peer-token-1'  # noqa: S105
@@ -19,47 +28,6 @@
 BASE_MODEL = 'base-7b'
 
 
-class Shape(NamedTuple):
-    """What a deployment consists of.
-
-    :param data_centres: their names.
-    :param instances: entry instances in each data centre.
-    :param entries: entry processes on each instance.
-    :param engines: engines in each data centre.
-    :param services: plain services in each data centre.
-    :param engine_args: options of the stand-in engines.
-    :param settings: sections that replace those of the settings files.
-    """
-
-    data_centres: tuple[str, ...] = ('north', 'south')
-    instances: int = 1
-    entries: int = 1
-    engines: int = 1
-    services: int = 1
-    engine_args: tuple[str, ...] = ()
-    settings: dict[str, Any] = {}
-
-
-class Place(NamedTuple):
-    """A process of the deployment and where it listens.
-
-    :param name: its name in the runner, which is its id in the list.
-    :param data_centre: where it stands.
-    :param port: its main port.
-    :param metrics_port: port of its metrics, 0 for stand-ins.
-    """
-
-    name: str
-    data_centre: str
-    port: int
-    metrics_port: int = 0
-
-    @property
-    def url(self) -> str:
-        """Base URL of its main port."""
-        return f'http://{HOST}:{self.port}'
-
-
 class Deployment:
     """The stand-ins and programs of a shape, started by a runner.
 
@@ -75,9 +43,8 @@
         self.runner = runner
         self.signing_key = SigningKey(KEY_SEED)
         self._folder = folder
-        self._ports = iter(free_ports(_count_ports(shape)))
+        self._ports = iter(free_ports(count_ports(shape)))
         self.kv = self._place('kv', '')
-        self.instance_list = self._place('list', '')
         self.weights = self._place('weights', '')
         self.engines = self._places('engine', shape.engines)
         self.services = self._places('service', shape.services)
@@ -91,6 +58,8 @@
             for owner in self.controllers
             for number in range(shape.entries)
         ]
+        self.links = self._link_table()
+        self.lists = self._instance_lists()
 
     def start(self) -> None:
         """Start the stand-ins and the programs; the list shows them all."""
@@ -120,10 +89,15 @@
                 controller.name,
                 'wasabicross.controller',
                 config,
-                _healthy(controller),
+                healthy(controller),
             ),
-            Program(admin.name, 'wasabicross.admin', config, _healthy(admin)),
         ]
+        if self.shape.admins:
+            programs.append(
+                Program(
+                    admin.name, 'wasabicross.admin', config, healthy(admin)
+                ),
+            )
         entries = [
             place
             for place in self.entries
@@ -134,7 +108,7 @@
                 place.name,
                 'wasabicross.entry',
                 (*config, '--name', place.name),
-                _healthy(place),
+                healthy(place),
             )
             for place in entries
         )
@@ -146,6 +120,36 @@
             place for place in self.entries if place.data_centre == data_centre
         )
 
+    def instance_of(self, name: str) -> str:
+        """Return the instance on which a program runs."""
+        return next(
+            owner.name
+            for owner in self.controllers
+            if name == owner.name or name.startswith(f'{owner.name}-')
+        )
+
+    def _link_table(self) -> LinkTable:
+        kinds = {
+            'instance': self.controllers,
+            'kv': [self.kv],
+            'engine': self.engines,
+            'service': self.services,
+        }
+        targets = {
+            place.name: place.port
+            for kind in self.shape.proxied
+            for place in kinds[kind]
+        }
+        sources = [owner.name for owner in self.controllers]
+        return LinkTable(sources, targets, self._ports)
+
+    def _instance_lists(self) -> dict[str, Place]:
+        """Return each instance's list, its own where links are proxied."""
+        names = [owner.name for owner in self.controllers]
+        if self.shape.proxied:
+            return {name: self._place(f'list-{name}', '') for name in names}
+        return dict.fromkeys(names, self._place('list', ''))
+
     def _place(self, name: str, data_centre: str) -> Place:
         return Place(name, data_centre, next(self._ports))
 
@@ -170,18 +174,13 @@
         return next(place for place in places if place.name == name)
 
     def _platform_programs(self) -> list[Program]:
-        fleet_path = self._folder / 'fleet.json'
-        fleet_path.write_text(json.dumps(self._fleet()))
         programs = [
-            _stand_in(self.kv, 'emulator.kv'),
-            _stand_in(
-                self.instance_list,
-                'emulator.instances',
-                '--fleet',
-                str(fleet_path),
-            ),
-            _stand_in(self.weights, 'emulator.weights'),
+            stand_in(self.kv, 'emulator.kv'),
+            stand_in(self.weights, 'emulator.weights', *self.shape.weight_args),
+            *self._list_programs(),
         ]
+        if self.shape.proxied:
+            programs.append(self.links.program())
         engine_args = (
             '--weights',
             self.weights.url,
@@ -190,21 +189,39 @@
             *self.shape.engine_args,
         )
         programs.extend(
-            _stand_in(place, 'emulator.engine', *engine_args)
+            stand_in(place, 'emulator.engine', *engine_args)
             for place in self.engines
         )
         programs.extend(
-            _stand_in(place, 'emulator.service') for place in self.services
+            stand_in(place, 'emulator.service') for place in self.services
         )
         return programs
 
-    def _fleet(self) -> dict[str, Any]:
+    def _list_programs(self) -> list[Program]:
+        programs = {}
+        for source, place in self.lists.items():
+            path = self._folder / f'{place.name}.json'
+            path.write_text(json.dumps(self._fleet(source)))
+            programs[place.name] = stand_in(
+                place, 'emulator.instances', '--fleet', str(path)
+            )
+        return list(programs.values())
+
+    def _reached(self, source: str, place: Place) -> Place:
+        port = self.links.port(source, place.name, place.port)
+        return place._replace(port=port)
+
+    def _fleet(self, source: str) -> dict[str, Any]:
         engines = [
-            _server(place, 'engine', 'drafting', BASE_MODEL)
+            server_entry(
+                self._reached(source, place), 'engine', 'drafting', BASE_MODEL
+            )
             for place in self.engines
         ]
         services = [
-            _server(place, 'service', 'order-desk', '')
+            server_entry(
+                self._reached(source, place), 'service', 'order-desk', ''
+            )
             for place in self.services
         ]
         return {
@@ -213,7 +230,7 @@
                     'instance_id': place.name,
                     'data_centre': place.data_centre,
                     'host': HOST,
-                    'port': place.port,
+                    'port': self._reached(source, place).port,
                     'state': 'live',
                 }
                 for place in self.controllers
@@ -234,17 +251,17 @@
                 'data_centre': controller.data_centre,
                 'host': HOST,
             },
-            'controller': _ports_of(controller),
-            'admin': _ports_of(admin),
+            'controller': ports_of(controller),
+            'admin': ports_of(admin),
             'entries': [
-                {'name': place.name, **_ports_of(place)}
+                {'name': place.name, **ports_of(place)}
                 for place in self.entries
                 if place.name.startswith(f'{instance_id}-entry-')
             ],
             'platform': {
-                'kv': {'url': self.kv.url},
+                'kv': {'url': self._reached(instance_id, self.kv).url},
                 'instance_list': {
-                    'url': self.instance_list.url,
+                    'url': self.lists[instance_id].url,
                     'poll_s': 0.5,
                 },
             },
@@ -256,41 +273,3 @@
             **self.shape.settings,
         }
         self._settings_path(instance_id).write_text(yaml.safe_dump(document))
-
-
-def _count_ports(shape: Shape) -> int:
-    places = shape.engines + shape.services
-    programs = shape.instances * (2 + shape.entries)
-    return 3 + len(shape.data_centres) * (places + programs * 2)
-
-
-def _ports_of(place: Place) -> dict[str, int]:
-    return {'port': place.port, 'metrics_port': place.metrics_port}
-
-
-def _healthy(place: Place) -> str:
-    return f'http://{HOST}:{place.metrics_port}/healthz'
-
-
-def _stand_in(place: Place, module: str, *args: str) -> Program:
-    return Program(
-        place.name,
-        module,
-        ('--port', str(place.port), *args),
-        f'tcp://{HOST}:{place.port}',
-    )
-
-
-def _server(
-    place: Place, kind: str, group: str, base_model: str
-) -> dict[str, Any]:
-    return {
-        'server_id': place.name,
-        'kind': kind,
-        'group': group,
-        'data_centre': place.data_centre,
-        'host': HOST,
-        'port': place.port,
-        'state': 'live',
-        'base_model': base_model,
-    }
--- /dev/null
+++ b/tests/promise_parts.py
@@ -0,0 +1,180 @@
+"""A deployment with its bundles, and what its stand-ins logged."""
+
+import json
+import threading
+from datetime import datetime, timezone
+from functools import partial
+from typing import Any
+
+import urllib3
+
+from caller_parts import ADAPTERS, COMPLETIONS, Answer, exchange, model_document
+from emulator.deployment import HOST, KEY_NAME, Deployment
+from emulator.shape import Place, Shape
+from emulator.waiting import wait_until
+from wasabicross.bundle_file import build_bundle, parse_bundle_file
+from wasabicross.bundle_store import BundleStore
+from wasabicross.bundles import BundlePointer
+from wasabicross.kv import KeyValueStore
+from wasabicross.manifests import encode_pointer, sign_manifest
+
+FAST_ENGINE = ('--token-ms', '2', '--first-token-ms', '2')
+FAST_WEIGHTS = ('--loads-per-s', '1000', '--load-ms', '5')
+# Short leases of use and short requests keep the time rules quick.
+SHORT_TIMES = {
+    'servers': {'max_request_s': 8, 'use_lease_s': 3},
+    'weight_store': {'loads_per_s': 200, 'in_flight': 8},
+}
+ROUTES = [
+    {
+        'path': COMPLETIONS,
+        'kind': 'engine',
+        'group': 'drafting',
+        'request_class': 'drafting',
+        'idempotent_methods': ['POST'],
+    },
+    {
+        'path': '/orders',
+        'kind': 'service',
+        'group': 'order-desk',
+        'request_class': 'orders',
+        'idempotent_methods': ['GET'],
+    },
+]
+
+
+class Trial:
+    """A deployment with its bundles, called as callers do."""
+
+    def __init__(self, runner, folder, shape):
+        self.runner = runner
+        self.dep = Deployment(shape, runner, folder)
+        self.versions: dict[int, dict[str, str]] = {}
+        self.in_force = 0
+        self._digest = ''
+        self._http = urllib3.PoolManager(retries=False)
+        self._numbers = iter(range(1, 1_000_000))
+        self._lock = threading.Lock()
+
+    def start(self, versions=None):
+        self.dep.start()
+        self.roll(versions or dict.fromkeys(ADAPTERS, '1'))
+        for entry in self.dep.entries:
+            wait_until(partial(self.is_ready, entry), 15, f'{entry.name} ready')
+        return self
+
+    def is_ready(self, entry):
+        url = f'http://{HOST}:{entry.metrics_port}/readyz'
+        try:
+            return self._http.request('GET', url, timeout=1).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def store(self):
+        return BundleStore(KeyValueStore(self.dep.kv.url, 2))
+
+    def signed_bundle(self, versions, number, key=None):
+        text = json.dumps(
+            {
+                'name': 'closing',
+                'routes': ROUTES,
+                'adapters': [{'base_model': 'base-7b', 'versions': versions}],
+            },
+        )
+        bundle = build_bundle(parse_bundle_file(text).ok, number, self._digest)
+        signing_key = key or self.dep.signing_key
+        signed = sign_manifest(bundle.ok.manifest, KEY_NAME, signing_key)
+        return bundle.ok, signed
+
+    def roll(self, versions):
+        """Put a bundle in the store and point at it; return its number."""
+        number = len(self.versions) + 1
+        bundle, signed = self.signed_bundle(versions, number)
+        store = self.store()
+        store.put_manifest(bundle.digest, signed)
+        for digest, chunk in bundle.chunks.items():
+            store.put_chunk(digest, chunk)
+        with self._lock:
+            self.versions[number] = versions
+        self.point(BundlePointer(number, bundle.digest, now_iso(), 'operator'))
+        self._digest = bundle.digest
+        return number
+
+    def point(self, pointer):
+        store = self.store()
+        version = store.current().ok.version
+        swapped = store.swap_current(encode_pointer(pointer), version)
+        assert swapped.is_ok(), swapped
+
+    def wait_in_force(self, number, entries=None, timeout_s=10):
+        for entry in entries or self.dep.entries:
+            wait_until(
+                lambda entry=entry: self.bundle_at(entry) >= number,
+                timeout_s,
+                f'bundle {number} at {entry.name}',
+            )
+        if entries is None:
+            self.in_force = max(self.in_force, number)
+
+    def bundle_at(self, entry):
+        """Return the bundle that an entry's next answer names."""
+        document = model_document(ADAPTERS[0], tokens=1)
+        answer = self.call(entry, document)
+        return answer.bundle if answer.status == 200 else 0
+
+    def call(self, entry: Place, document: dict[str, Any], **more) -> Answer:
+        """Send a request and read the answer to its end."""
+        request_id = more.pop('request_id', None) or self._new_id()
+        at_least = self.in_force
+        return exchange(entry, document, request_id, at_least, **more)
+
+    def ask(self, place, path, document=None):
+        """Ask a stand-in, or tell it a fault."""
+        method = 'GET' if document is None else 'POST'
+        resp = self._http.request(method, place.url + path, json=document)
+        return resp.json()
+
+    def fault(self, place, **document):
+        return self.ask(place, '/fault', document)
+
+    def log(self, place):
+        return self.ask(place, '/debug/log')
+
+    def requests(self):
+        """Return what the engines logged of each request, by its id."""
+        found: dict[str, list[dict[str, Any]]] = {}
+        for engine in self.dep.engines:
+            if engine.name in self.runner.running():
+                for entry in self.log(engine)['log']:
+                    if entry['event'] == 'request':
+                        found.setdefault(entry['request_id'], []).append(entry)
+        return found
+
+    def evictions(self):
+        """Return the evictions that took effect at any engine."""
+        return [
+            entry
+            for engine in self.dep.engines
+            for entry in self.log(engine)['log']
+            if entry['event'] == 'evict' and entry['outcome'] == 'ok'
+        ]
+
+    def _new_id(self):
+        with self._lock:
+            return f'request-{next(self._numbers)}'
+
+
+def now_iso():
+    return datetime.now(timezone.utc).isoformat()
+
+
+def small_shape(**changes):
+    wanted = {
+        'admins': False,
+        'engine_args': FAST_ENGINE,
+        'weight_args': FAST_WEIGHTS,
+        'services': 0,
+        'settings': SHORT_TIMES,
+        **changes,
+    }
+    return Shape(**wanted)
