--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -7,7 +7,7 @@
 
 from emulator.batch import Batch, Job
 from emulator.faults import Point
-from emulator.backend_http import ConnectionDied, Responder
+from emulator.stream_server import ConnectionDied, Responder
 from emulator.tokens import (
     AnswerText,
     chunk_event,
@@ -80,7 +80,7 @@
         )
 
     async def run(self) -> None:
-        """Runs to the end and answers."""
+        """Run to the end and answers."""
         job = self.job
         self._responder.call_when_gone(
             lambda: self._batch.end(job, 'cancelled'),
@@ -95,7 +95,7 @@
                 timer.cancel()
 
     def log_entry(self) -> dict[str, Any]:
-        """Returns what happened to the request."""
+        """Return what happened to the request."""
         job = self.job
         return {
             'event': 'request',
@@ -212,7 +212,7 @@
     message: str,
     **more: Any,
 ) -> dict[str, Any]:
-    """Returns an error in the shape that inference clients know."""
+    """Return an error in the shape that inference clients know."""
     return {
         'error': {
             'message': message,
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -8,16 +8,12 @@
 import click
 
 from emulator.batch import Batch
-from emulator.completions import (
-    Completion,
-    CompletionOrder,
-    error_document,
-)
+from emulator.completions import Completion, CompletionOrder, error_document
 from emulator.engine_options import EngineOptions, engine_options
 from emulator.faults import Faults
-from emulator.backend_http import HttpRequest, HttpServer, Responder
 from emulator.prompt_cache import PromptCache
 from emulator.slots import LoadRefused, Slots
+from emulator.stream_server import HttpRequest, Responder, StreamServer
 
 _RETRY_SOON = (('Retry-After', '1'),)
 _COMPLETIONS_PATH = '/v1/chat/completions'
@@ -33,7 +29,7 @@
 
     def __init__(self, options: EngineOptions) -> None:
         self.faults = Faults()
-        self.server = HttpServer(self.handle, self.faults)
+        self.server = StreamServer(self.handle, self.faults)
         self._options = options
         self._batch = Batch(options.batch, options.token_ms / 1000)
         self._slots = Slots(options.slots, options.weights)
@@ -51,7 +47,7 @@
         self._log: list[dict[str, Any]] = []
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
-        """Answers one request."""
+        """Answer one request."""
         match req.method, req.path:
             case 'POST', '/v1/chat/completions':
                 await self._complete(req, responder)
--- a/emulator/engine_options.py
+++ b/emulator/engine_options.py
@@ -47,7 +47,7 @@
 
 
 def engine_options(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Decorates a command with one option for each field."""
+    """Decorate a command with one option for each field."""
     for name, default in reversed(EngineOptions._field_defaults.items()):
         flag = f'--{name.replace("_", "-")}'
         if isinstance(default, bool):
--- a/emulator/slots.py
+++ b/emulator/slots.py
@@ -52,12 +52,12 @@
         )
 
     def get(self, name: str) -> Load | None:
-        """Returns a load that requests can use."""
+        """Return a load that requests can use."""
         load = self._loads.get(name)
         return load if load is not None and load.is_ready else None
 
     async def load(self, name: str, path: str) -> None:
-        """Fetches an adapter version into a free slot.
+        """Fetch an adapter version into a free slot.
 
         :param path: ``adapter/version``, both quoted.
         """
@@ -79,20 +79,20 @@
         self._loads[name] = load._replace(is_ready=True)
 
     def evict(self, name: str) -> None:
-        """Frees the slot of a load."""
+        """Free the slot of a load."""
         if self._loads.pop(name, None) is None:
             raise LoadRefused(404, 'not_loaded')
 
     def clear(self) -> None:
-        """Forgets all loads, also those being fetched."""
+        """Forget all loads, also those being fetched."""
         self._loads.clear()
 
     def fail_next(self, count: int) -> None:
-        """Has the next loads fail."""
+        """Have the next loads fail."""
         self._fail_next = count
 
     def slow_next(self, count: int, delay_s: float) -> None:
-        """Has the next loads take longer."""
+        """Have the next loads take longer."""
         self._slow_next = count
         self._delay_s = delay_s
 
--- a/emulator/backend_http.py
+++ b/emulator/stream_server.py
@@ -1,4 +1,8 @@
-"""A small asyncio HTTP server whose connections can die at a given point."""
+"""A small asyncio HTTP server for stand-ins that stream or die on demand.
+
+Other than `emulator.http_server` it carries a hundred streams in one process,
+and its connections can be made to die at a given point of a request.
+"""
 
 import asyncio
 import contextlib
@@ -38,7 +42,7 @@
     body: bytes
 
     def document(self) -> dict[str, Any]:
-        """Returns the JSON object in the body, or an empty one."""
+        """Return the JSON object in the body, or an empty one."""
         try:
             document = json.loads(self.body)
         except ValueError:
@@ -57,12 +61,12 @@
     on_gone: Callable[[], None] | None = None
 
     def feed_eof(self) -> None:
-        """Notes that the peer sends nothing more."""
+        """Note that the peer sends nothing more."""
         super().feed_eof()
         self._leave()
 
     def set_exception(self, exc: Exception) -> None:
-        """Notes that the connection is lost."""
+        """Note that the connection is lost."""
         super().set_exception(exc)
         self._leave()
 
@@ -94,11 +98,11 @@
         return self._reader.is_gone or self._writer.is_closing()
 
     def call_when_gone(self, callback: Callable[[], None] | None) -> None:
-        """Has one call made when the peer closes the connection."""
+        """Have one call made when the peer closes the connection."""
         self._reader.on_gone = callback
 
     def reset(self) -> None:
-        """Drops the connection without an end."""
+        """Drop the connection without an end."""
         self._writer.transport.abort()
 
     def send_json(
@@ -107,7 +111,7 @@
         document: Any,
         headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
-        """Sends a whole answer."""
+        """Send a whole answer."""
         body = json.dumps(document).encode()
         fields = (
             ('Content-Type', 'application/json'),
@@ -120,7 +124,7 @@
         self._writer.write(body)
 
     def start_stream(self, content_type: str) -> None:
-        """Starts a chunked answer."""
+        """Start a chunked answer."""
         fields = (
             ('Content-Type', content_type),
             ('Transfer-Encoding', 'chunked'),
@@ -128,13 +132,13 @@
         self._send_head(200, fields)
 
     def send_chunk(self, data: bytes) -> None:
-        """Sends a piece of a chunked answer."""
+        """Send a piece of a chunked answer."""
         if self.die_at is Point.MID_BODY:
             self._die(b'%x\r\n%b' % (len(data), data[: len(data) // 2]))
         self._writer.write(b'%x\r\n%b\r\n' % (len(data), data))
 
     def end_stream(self) -> None:
-        """Ends a chunked answer as complete."""
+        """End a chunked answer as complete."""
         self._writer.write(b'0\r\n\r\n')
 
     def _send_head(
@@ -158,7 +162,7 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class HttpServer:
+class StreamServer:
     """Serves requests one after the other on each connection.
 
     :param handler: answers a request through the responder.
@@ -178,7 +182,7 @@
         self._open: set[Responder] = set()
 
     async def serve(self, host: str, port: int) -> None:
-        """Listens until cancelled; prints the port when ready."""
+        """Listen until cancelled; prints the port when ready."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             lambda: asyncio.StreamReaderProtocol(PeerReader(), self._talk),
@@ -192,7 +196,7 @@
             await server.serve_forever()
 
     def reset_others(self, responder: Responder) -> None:
-        """Drops every open connection but one."""
+        """Drop every open connection but one."""
         for other in self._open - {responder}:
             other.reset()
 
--- a/src/wasabicross/responses.py
+++ b/src/wasabicross/responses.py
@@ -26,7 +26,7 @@
         self.had_unread_bytes = False
 
     def arrived(self) -> bytes:
-        """Returns the buffered bytes without consuming them.
+        """Return the buffered bytes without consuming them.
 
         Only an empty buffer is filled, with what the socket has just then.
         """
@@ -38,7 +38,7 @@
             self._sock.settimeout(timeout_s)
 
     def close(self) -> None:
-        """Closes the reader and notes whether bytes were left unread."""
+        """Close the reader and notes whether bytes were left unread."""
         if not self.closed:
             try:
                 self.had_unread_bytes = bool(self.arrived())
@@ -69,7 +69,7 @@
         self.fp = self.reader
 
     def read1(self, size: int = -1) -> bytes:
-        """Waits for the first bytes, then adds whole chunks already here.
+        """Wait for the first bytes, then adds whole chunks already here.
 
         :param size: most bytes to read of each chunk, negative for no limit.
         """
@@ -96,12 +96,12 @@
         sock: socket.socket,
         method: str | None = None,
     ) -> JoiningResponse:
-        """Makes the response that the base class reads the head into."""
+        """Make the response that the base class reads the head into."""
         self.last_response = JoiningResponse(sock, method=method)
         return self.last_response
 
     def is_reusable(self) -> bool:
-        """Tells if the last response left the connection open and clean."""
+        """Tell if the last response left the connection open and clean."""
         return (
             self.sock is not None
             and self.last_response is not None
@@ -111,7 +111,7 @@
 
 
 def _starts_chunk(arrived: bytes) -> bool:
-    """Tells if reading one more chunk surely needs no waiting.
+    """Tell if reading one more chunk surely needs no waiting.
 
     The bytes start with the line end of the previous chunk. The last chunk,
     which is empty, is left for the next read.
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -26,7 +26,7 @@
         self._dispatcher = dispatcher
 
     def call(self, call: Call) -> Result[Answer, DispatchError]:
-        """Runs a call.
+        """Run a call.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
@@ -34,12 +34,12 @@
         return self._dispatcher.start(call).bind(_judge_call)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         self._dispatcher.close()
 
 
 def _judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal into `NotRun` if it gives a time to come back.
+    """Turn a refusal into `NotRun` if it gives a time to come back.
 
     Without one the status may stem from a proxy in front of a service that
     has run the call already, so it is the service's answer.
