--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -70,7 +70,7 @@
         if load is None:
             _send_error(responder, 404, 'model_not_found')
             return
-        if self._batch.waiting >= self._options.queue:
+        if self._batch.is_full(self._options.queue):
             _send_error(responder, 429, 'queue_full')
             return
         order = self._read_order(req, document, load.produced_by)
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -7,6 +7,7 @@
 from wasabicross.answers import Answer
 from wasabicross.dispatch import Call, Dispatcher, read_retry_after
 from wasabicross.exceptions import DispatchError, ServerRefused
+from wasabicross.instances import BackendServer
 
 _REFUSALS = frozenset(
     (
@@ -25,6 +26,11 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
 
+    @classmethod
+    def from_server(cls, server: BackendServer) -> 'PlainService':
+        """Make a service from its entry in the instance list."""
+        return cls(Dispatcher(server.host, server.port))
+
     def call(self, call: Call) -> Result[Answer, DispatchError]:
         """Run a call.
 
