Take the term of an ownership from the version of its key

Cause: a term was one more than the version of the key or the term known, but an absent key has version 0, and a replaced instance knows no term. So after a lapse the next owner began with term 1 again: its loads took names that had been used, inherited loads counted as its own, and where a peer knew the higher term the owner was deposed and the server had none for 10 s (the wait of a watch).

Ruled out: keeping the key without a lease (an owner's end would not be seen) and asking the residents for the term (all may be replaced at once).

Change: the term is the version that the write of the key was given, which rises across deletion; the record holds a nonce, by which a write whose answer was lost is known again.

Conclusion: a load's name is unique again.

--- a/src/wasabicross/ownership.py
+++ b/src/wasabicross/ownership.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import uuid
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -255,12 +256,15 @@
         lease_id = self._lease.lease_id
         if lease_id is None:
             return
-        known = max(present.version, self._hooks.known_term(server_id))
-        server = ServerTerm(server_id, known + 1)
-        record = cbor2.dumps([self._instance_id, server.term])
+        record = cbor2.dumps([self._instance_id, uuid.uuid4().bytes])
         taken = self._swap(f'owner/{server_id}', record, present, lease_id)
         if taken is None:
             return
+        # Versions rise across the key's deletion, which every lapse is.
+        server = ServerTerm(server_id, taken.version)
+        if server.term <= self._hooks.known_term(server_id):
+            # The service has lost its data; the next write has a higher one.
+            return
         if server_id in self._owned:
             self._hooks.owner_ended(server_id)
         self._owned[server_id] = taken
@@ -276,8 +280,8 @@
         if swapped.is_ok():
             return swapped.ok
         if isinstance(swapped.error, SwapOutcomeUnknown):
-            # The record names this instance and a term that nobody else
-            # writes, so reading it back tells whose write it is.
+            # No other write has this record, so reading it back tells
+            # whose write it is.
             now = self._kv.get(key).default_value(Versioned(key, None, 0))
             return now if now.value == record else None
         return None
@@ -286,5 +290,5 @@
 def _owner_in(present: Versioned) -> str | None:
     if present.value is None:
         return None
-    owner, _term = cbor2.loads(present.value)
+    owner, _nonce = cbor2.loads(present.value)
     return str(owner)
