Prove that no load is evicted while a request runs on it

Six adapters on two slots a server, two data centres of two instances, one with engines that ignore fencing terms: hot adapters, the owner frozen past its lease and resumed, killed, all programs of a data centre replaced, an entry killed, the neighbours and the data centres cut off from each other. The engines' logs show each eviction with the requests running on it.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -19,15 +19,15 @@
 import urllib3
 
 from emulator.deployment import (
-    HOST,
     KEY_NAME,
     OPERATOR_TOKEN,
     TENANT_TOKEN,
     Deployment,
-    Shape,
 )
 from emulator.fleet import ROOT, Runner
+from emulator.link_table import HOST
 from emulator.operator import bundle_text
+from emulator.shape import Shape
 from emulator.waiting import wait_until
 from wasabicross.operator_key import OperatorKey
 
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -193,7 +193,12 @@
             *self.shape.engine_args,
         )
         programs.extend(
-            stand_in(place, 'emulator.engine', *engine_args)
+            stand_in(
+                place,
+                'emulator.engine',
+                *engine_args,
+                *self.shape.further_args.get(place.data_centre, ()),
+            )
             for place in self.engines
         )
         programs.extend(
--- a/emulator/operator.py
+++ b/emulator/operator.py
@@ -7,11 +7,11 @@
 
 from emulator.deployment import (
     BASE_MODEL,
-    HOST,
     KEY_NAME,
     OPERATOR_TOKEN,
     Deployment,
 )
+from emulator.link_table import HOST
 from wasabicross.admin_client import AdminClient, Answer
 from wasabicross.manifests import signature_of
 
--- a/emulator/shape.py
+++ b/emulator/shape.py
@@ -1,5 +1,7 @@
 """What a deployment on loopback consists of, and where it listens."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from emulator.fleet import Program
@@ -16,6 +18,7 @@
     :param services: plain services in each data centre.
     :param admins: whether each instance runs its administration API.
     :param engine_args: options of the stand-in engines.
+    :param further_args: further such options by data centre.
     :param weight_args: options of the stand-in weight store.
     :param proxied: what is reached through the proxy: `instance` (by other
         instances), `kv`, `engine` or `service`.
@@ -29,6 +32,7 @@
     services: int = 1
     admins: bool = True
     engine_args: tuple[str, ...] = ()
+    further_args: Mapping[str, tuple[str, ...]] = MappingProxyType({})
     weight_args: tuple[str, ...] = ()
     proxied: tuple[str, ...] = ()
     settings: dict[str, Any] = {}
--- a/tests/caller_parts.py
+++ b/tests/caller_parts.py
@@ -7,11 +7,21 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from emulator.completions import error_document
 from emulator.deployment import HOST, TENANT_TOKEN
-from emulator.tokens import AnswerText, chunk_event, digest_of, whole_answer
+from emulator.tokens import (
+    AnswerText,
+    chunk_event,
+    digest_of,
+    sse_event,
+    whole_answer,
+)
 from emulator.waiting import wait_until
 
 COMPLETIONS = '/v1/chat/completions'
+DEADLINE_EVENT = sse_event(
+    error_document('deadline_exceeded', 'the deadline has passed')
+)
 ADAPTERS = tuple(f'adapter-{number}' for number in range(6))
 
 
@@ -36,7 +46,7 @@
 
     @property
     def completed(self) -> bool:
-        return self.is_whole and self.outcome == 'completed'
+        return (self.status, self.is_whole) == (200, True)
 
 
 def model_document(adapter, stream=True, tokens=8, text='hello'):
@@ -127,6 +137,14 @@
     return b''.join((*events, b'data: [DONE]\n\n'))
 
 
+def is_part(answer, logged):
+    """Tell whether an answer is what an engine produced, or a part of it."""
+    body = answer.body
+    if logged['outcome'] == 'deadline' and not answer.is_whole:
+        body = body.removesuffix(DEADLINE_EVENT)
+    return expected_body(answer, logged).startswith(body)
+
+
 def check_answers(trial, answers):
     """Check each answer against the engines' logs; return the completed."""
     requests = trial.requests()
@@ -136,7 +154,7 @@
         logged = [
             entry
             for entry in requests.get(answer.request_id, [])
-            if expected_body(answer, entry).startswith(answer.body)
+            if is_part(answer, entry)
             and entry['body_digest'] == digest_of(answer.document)
         ]
         assert logged, (
--- a/tests/promise_parts.py
+++ b/tests/promise_parts.py
@@ -2,29 +2,37 @@
 
 import json
 import threading
+from collections import Counter
 from datetime import datetime, timezone
 from functools import partial
 from typing import Any
 
+import cbor2
 import urllib3
-
 from caller_parts import ADAPTERS, COMPLETIONS, Answer, exchange, model_document
+
 from emulator.deployment import HOST, KEY_NAME, Deployment
 from emulator.shape import Place, Shape
 from emulator.waiting import wait_until
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
 from wasabicross.bundle_store import BundleStore
-from wasabicross.bundles import BundlePointer
+from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.kv import KeyValueStore
-from wasabicross.manifests import encode_pointer, sign_manifest
+from wasabicross.manifests import (
+    encode_pointer,
+    encode_signed,
+    signature_of,
+)
 
 FAST_ENGINE = ('--token-ms', '2', '--first-token-ms', '2')
 FAST_WEIGHTS = ('--loads-per-s', '1000', '--load-ms', '5')
 # Short leases of use and short requests keep the time rules quick.
 SHORT_TIMES = {
-    'servers': {'max_request_s': 8, 'use_lease_s': 3},
+    'servers': {'max_request_s': 3, 'use_lease_s': 2},
     'weight_store': {'loads_per_s': 200, 'in_flight': 8},
 }
+# Loads give way soon, so that few adapters make many evictions.
+POLICY = {'min_resident_s': 0.05}
 ROUTES = [
     {
         'path': COMPLETIONS,
@@ -79,12 +87,17 @@
                 'name': 'closing',
                 'routes': ROUTES,
                 'adapters': [{'base_model': 'base-7b', 'versions': versions}],
+                'policy': POLICY,
             },
         )
         bundle = build_bundle(parse_bundle_file(text).ok, number, self._digest)
         signing_key = key or self.dep.signing_key
-        signed = sign_manifest(bundle.ok.manifest, KEY_NAME, signing_key)
-        return bundle.ok, signed
+        signed = SignedManifest(
+            bundle.ok.manifest,
+            KEY_NAME,
+            signature_of(bundle.ok.manifest, signing_key),
+        )
+        return bundle.ok, encode_signed(signed)
 
     def roll(self, versions):
         """Put a bundle in the store and point at it; return its number."""
@@ -159,6 +172,31 @@
             if entry['event'] == 'evict' and entry['outcome'] == 'ok'
         ]
 
+    def evicted_in_progress(self):
+        """Count the requests that the engines ended by an eviction."""
+        return sum(
+            self.log(engine)['evicted_in_progress']
+            for engine in self.dep.engines
+        )
+
+    def repeated_load_names(self):
+        """Name the places of loads that were ordered more than once."""
+        places = Counter(
+            entry['load_name'].rpartition('#')[2]
+            for engine in self.dep.engines
+            for entry in self.log(engine)['log']
+            if entry['event'] == 'load'
+        )
+        return [place for place, count in places.items() if count > 1]
+
+    def lapse_leases(self):
+        """Let every lease lapse, as if none had been renewed in time."""
+        self.fault(self.dep.kv, lapse_leases=True)
+
+    def stop(self):
+        """End every program of the deployment."""
+        self.runner.close()
+
     def _new_id(self):
         with self._lock:
             return f'request-{next(self._numbers)}'
@@ -168,6 +206,21 @@
     return datetime.now(timezone.utc).isoformat()
 
 
+def owner_of(trial, engine):
+    """Return the instance that owns an engine."""
+    found = owner_key(trial, engine).value
+    return cbor2.loads(found)[0] if found else ''
+
+
+def owner_version(trial, engine):
+    """Return a number that rises with each change of an engine's owner."""
+    return owner_key(trial, engine).version
+
+
+def owner_key(trial, engine):
+    return KeyValueStore(trial.dep.kv.url, 2).get(f'owner/{engine.name}').ok
+
+
 def small_shape(**changes):
     wanted = {
         'admins': False,
--- a/tests/test_promise_version.py
+++ b/tests/test_promise_version.py
@@ -3,7 +3,6 @@
 from functools import partial
 
 import pytest
-
 from caller_parts import (
     ADAPTERS,
     Traffic,
@@ -11,9 +10,10 @@
     check_answers,
     model_document,
 )
-from emulator.waiting import wait_until
 from promise_parts import FAST_ENGINE, Trial, small_shape
 
+from emulator.waiting import wait_until
+
 SEED = 20261203
 
 
