Permit copies, and let no copy displace a load in use

Cause: a want of a further copy tells 0 waiting requests. The desk took that for a withdrawn demand and never granted it, while the owner evicted a load to make room for it as if requests waited; and each request served by another data centre's holder asked for such a copy. A second server that asked for a load in flight got that load's permit at once, past the budget. Ruled out: counting copies as waiting requests, which puts them before stalled ones. Change: wants of copies are prefetches at the desk; the owner counts them as popularity and evicts for one only where its sustained rate exceeds the victim's; another data centre's holder suffices until it is crowded; only the server that was granted a permit is told again, and a permit that nobody returned within 10 s goes to another asker. The owner's use of the rule is covered by the rule's own table alone. Conclusion: found by reading; the load on the whole path is unmeasured.

--- a/src/wasabicross/held_loads.py
+++ b/src/wasabicross/held_loads.py
@@ -184,11 +184,23 @@
             if held is not None and held.drained is not None:
                 held.drained.add(instance_id)
 
-    def victim(self, now_s: float, weights: Weights) -> HeldLoad | None:
+    def copy_wanted(self, adapter: str, now_s: float) -> None:
+        """Count a want of a further copy of an adapter.
+
+        :param adapter: name of the adapter.
+        :param now_s: monotonic seconds.
+        """
+        self._popularity.add(adapter, now_s)
+
+    def victim(
+        self, now_s: float, weights: Weights, displacing: str = ''
+    ) -> HeldLoad | None:
         """Return the load to evict, None where each is better kept.
 
         :param now_s: monotonic seconds.
         :param weights: of the bundle in force.
+        :param displacing: adapter that would take the slot without a request
+            that waits for it.
         """
         loads = [
             Load(
@@ -200,5 +212,7 @@
             for held in self.all()
             if held.is_open
         ]
-        victim = choose_victim(loads, now_s, self._popularity, weights)
+        victim = choose_victim(
+            loads, now_s, self._popularity, weights, displacing
+        )
         return self._loads.get(victim.load_name) if victim else None
--- a/src/wasabicross/permits.py
+++ b/src/wasabicross/permits.py
@@ -10,6 +10,7 @@
 from wasabicross.settings import WeightStoreSettings
 
 GRANT_INTERVAL_S = 0.02
+STALE_PERMIT_S = 10.0
 
 
 class _Asker(NamedTuple):
@@ -55,16 +56,33 @@
         """
         key = LoadKey(asked.adapter, asked.version, asked.data_centre)
         with self._lock:
-            self._askers[key] = _Asker(link, asked.server_id)
-            granted = key in self._permits
-        if granted:
+            self._drop_stale(key, now_s)
+            granted_to = self._askers.get(key) if key in self._permits else None
+            if granted_to is None:
+                self._askers[key] = _Asker(link, asked.server_id)
+        if granted_to is not None:
+            if granted_to.server_id != asked.server_id:
+                return
             # The owner has not loaded yet, so the first grant was lost.
             link.send(PermitGranted(asked.server_id, *key[:2]))
             return
+        if not asked.waiting:
+            # Of the copies, the one wanted for the longest comes first.
+            self._budget.set_prefetch(key, 1 + asked.waited_s)
         self._budget.set_demand(
             key, asked.server_id, asked.waiting, now_s - asked.waited_s
         )
 
+    def _drop_stale(self, key: LoadKey, now_s: float) -> None:
+        """Take back a permit whose load nobody ended in time."""
+        permit = self._permits.get(key)
+        if permit is None or now_s - permit.granted_s < STALE_PERMIT_S:
+            return
+        self._permits.pop(key)
+        asker = self._askers.pop(key, None)
+        server_id = asker.server_id if asker else ''
+        self._budget.finish(permit, server_id, False, now_s)
+
     def give_back(self, returned: PermitReturned, now_s: float) -> None:
         """Take a permit back when its load has ended.
 
--- a/src/wasabicross/routing.py
+++ b/src/wasabicross/routing.py
@@ -183,8 +183,11 @@
     wait_s = expected_wait_s(best, policy)
     if hints.room_elsewhere and wait_s > _load_cost_s(policy):
         return LoadElsewhere('holders-full')
+    # A copy for each data centre would spend the loads on the tail.
     local = [each for each in holders if each.data_centre == data_centre]
-    crowded = all(_fill(each, policy) >= _copy_fill(policy) for each in local)
+    crowded = all(
+        _fill(each, policy) >= _copy_fill(policy) for each in local or holders
+    )
     return Dispatch(best, copy_wanted=crowded)
 
 
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -97,6 +97,8 @@
         :param asker: the link to answer on if the load is declined.
         :param now_s: monotonic seconds.
         """
+        if not want.waiting:
+            self.held.copy_wanted(want.adapter, now_s)
         self.queue.add(want, asker, now_s)
         self._wake.set()
 
@@ -310,7 +312,9 @@
     def _make_room(self, wanted: Wanted, now_s: float) -> None:
         if len(self.held.closing()) >= len(self.queue):
             return
-        victim = self.held.victim(now_s, self.weights)
+        want = wanted.want
+        displacing = '' if want.waiting else want.adapter
+        victim = self.held.victim(now_s, self.weights, displacing)
         if victim is None:
             self.queue.decline(wanted)
             return
