--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model
+.PHONY: install lint format test demo model bench-path
 
 install: $(VENV)/.installed
 
@@ -29,3 +29,6 @@
 
 model: install
 	$(BIN)/python -m model
+
+bench-path: install
+	$(BIN)/python -m emulator.bench_path
