--- a/emulator/http_server.py
+++ b/emulator/http_server.py
@@ -129,10 +129,16 @@
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
 
-def serve_until_stopped(port: int, answer: Answerer) -> None:
-    """Serve until SIGTERM or SIGINT; to be called from the main thread."""
+def serve_until_stopped(port: int, make: Callable[[], Answerer]) -> None:
+    """Serve until SIGTERM or SIGINT; to be called from the main thread.
+
+    :param port: the port.
+    :param make: makes the answerer, and starts the threads that it needs:
+        a thread started earlier would take the signal, and the process
+        would die of it.
+    """
     stop = stop_event()
-    server = StandInServer(port, answer)
+    server = StandInServer(port, make())
     server.start()
     wait_for_stop(stop)
     server.shutdown()
