--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -1,13 +1,11 @@
 """A demonstration: a whole deployment, two bundles, and requests between.
 
-`python -m emulator.demo` exits 0 when every answer came from the adapter
+`python -m emulator.demo [--example FOLDER]` exits 0 when every answer came from the adapter
 version that the bundle in force at its acceptance names.
 """
 
 import json
-import os
 import pathlib
-import subprocess  # noqa: S404
 import sys
 import tempfile
 import threading
@@ -17,6 +15,7 @@
 
 import click
 import urllib3
+import yaml
 
 from emulator.deployment import (
     KEY_NAME,
@@ -24,12 +23,13 @@
     TENANT_TOKEN,
     Deployment,
 )
-from emulator.fleet import ROOT, Runner
+from emulator.example_demo import ADAPTERS, run_example
+from emulator.fleet import Runner
 from emulator.link_table import HOST
 from emulator.operator import bundle_text
+from emulator.operators_tool import OperatorsTool
 from emulator.shape import Shape
 from emulator.waiting import wait_until
-from wasabicross.operator_key import OperatorKey
 
 SHAPE = Shape(
     data_centres=('north', 'south'),
@@ -63,14 +63,13 @@
     def __init__(self, deployment: Deployment, folder: pathlib.Path) -> None:
         self.answers: list[Answered] = []
         self._deployment = deployment
-        self._folder = folder
         self._http = urllib3.PoolManager(retries=False)
-        self._key_path = folder / 'operator.key'
+        admin = deployment.admins[0]
+        self._tool = OperatorsTool(admin.url, OPERATOR_TOKEN, folder)
 
     def run(self) -> None:
         """Go through all steps; raises when one fails."""
-        key = OperatorKey(KEY_NAME, self._deployment.signing_key)
-        key.write(self._key_path)
+        self._tool.write_key(KEY_NAME, self._deployment.signing_key)
         self.roll('first', FIRST)
         self.wait_ready()
         self.show_requests()
@@ -79,8 +78,8 @@
         wait_until(lambda: len(self.answers) >= ANSWERS_EACH, READY_TIMEOUT_S)
         self.roll('second', SECOND)
         traffic.join()
-        self.operate('status')
-        self.operate('history')
+        self._tool.run('status')
+        self._tool.run('history')
 
     def roll(self, name: str, versions: dict[str, str]) -> None:
         """Prepare, sign off and roll a bundle by the command line.
@@ -88,39 +87,7 @@
         :param name: its name.
         :param versions: version by adapter.
         """
-        path = self._folder / f'{name}.yaml'
-        path.write_text(bundle_text(versions, name))
-        prepared = self.operate('prepare', str(path), '--json', show=False)
-        digest = json.loads(prepared)['digest']
-        self.operate('sign-off', digest, '--key', str(self._key_path))
-        self.operate('roll', digest)
-
-    def operate(self, *args: str, show: bool = True) -> str:
-        """Run the operators' command line; return what it printed.
-
-        :param args: the command and its arguments.
-        :param show: whether to print it too.
-        """
-        admin = self._deployment.admins[0]
-        env = {
-            **os.environ,
-            'PYTHONPATH': str(ROOT / 'src'),
-            'WASABICROSS_ADMIN_URL': f'http://{HOST}:{admin.port}',
-            'WASABICROSS_TOKEN': OPERATOR_TOKEN,
-        }
-        shown = ' '.join(arg[:12] if len(arg) == 64 else arg for arg in args)
-        click.echo(f'$ wasabicross {shown}')
-        done = subprocess.run(  # noqa: S603
-            (sys.executable, '-m', 'wasabicross.cli', *args),
-            env=env,
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        if show or done.returncode:
-            click.echo((done.stdout + done.stderr).rstrip())
-        done.check_returncode()
-        return done.stdout
+        self._tool.roll(yaml.safe_load(bundle_text(versions, name)))
 
     def wait_ready(self) -> None:
         """Wait until every entry says that it is ready."""
@@ -208,8 +175,22 @@
 
 
 @click.command()
-def main() -> None:
+@click.option(
+    '--example',
+    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
+    help='Run the deployment of this folder instead.',
+)
+@click.option('--adapters', default=ADAPTERS, help='With --example only.')
+def main(example: pathlib.Path | None, adapters: int) -> None:
     """Start a deployment, roll two bundles under traffic, and stop it."""
+    if example is None:
+        run_demo()
+    else:
+        run_example(example, adapters)
+
+
+def run_demo() -> None:
+    """Run the demonstration of two data centres under traffic."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         runner = Runner(folder / 'logs')
--- /dev/null
+++ b/emulator/example_demo.py
@@ -0,0 +1,194 @@
+"""A demonstration of an example's deployment: each route, and a roll."""
+
+import json
+import pathlib
+import sys
+import tempfile
+from functools import partial
+from typing import Any
+
+import click
+import urllib3
+import yaml
+
+from emulator.example import ExampleDeployment
+from emulator.fleet import Runner
+from emulator.link_table import HOST
+from emulator.operators_tool import OperatorsTool
+from emulator.waiting import wait_until
+
+READY_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 30
+ADAPTERS = 3000
+FOLLOW_TIMEOUT_S = 30
+STATUS_OK = 200
+
+
+class ExampleDemo:
+    """Rolls an example's bundle, calls each route and rolls a second one.
+
+    :param folder: of the example.
+    :param deployment: the example, started.
+    :param scratch: where files are written.
+    :param adapters: adapters in the bundle; made-up names fill it up.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        deployment: ExampleDeployment,
+        scratch: pathlib.Path,
+        adapters: int,
+    ) -> None:
+        self.faults: list[str] = []
+        self._deployment = deployment
+        self._bundle = yaml.safe_load((folder / 'bundle.yaml').read_text())
+        self._http = urllib3.PoolManager(retries=False)
+        self._tool = OperatorsTool(
+            deployment.admins[0].url, deployment.operator_token, scratch
+        )
+        self._tool.write_key(deployment.key_name, deployment.signing_key)
+        self._versions = self._bundle['adapters'][0]['versions']
+        self._named = list(self._versions)
+        for number in range(adapters - len(self._versions)):
+            self._versions[f'made-up-{number:05}'] = '1'
+
+    def run(self) -> None:
+        """Go through all steps."""
+        self._tool.roll(self._bundle)
+        self._wait_ready()
+        self._call_routes('1')
+        changed = self._named[0]
+        self._versions[changed] = '2'
+        self._tool.roll({**self._bundle, 'name': 'second'})
+        self._wait_followed(changed)
+        self._call_routes('2')
+        self._tool.run('status')
+
+    def _wait_ready(self) -> None:
+        for entry in self._deployment.entries:
+            url = f'http://{HOST}:{entry.metrics_port}/readyz'
+            is_ready = partial(self._is_ready, url)
+            wait_until(is_ready, READY_TIMEOUT_S, f'{entry.name} ready')
+
+    def _is_ready(self, url: str) -> bool:
+        return self._http.request('GET', url).status == STATUS_OK
+
+    def _wait_followed(self, adapter: str) -> None:
+        """Wait until every data centre answers by the second bundle."""
+        for data_centre in self._deployment.settings.data_centres:
+            has_followed = partial(self._has_followed, data_centre, adapter)
+            what = f'second bundle in {data_centre}'
+            wait_until(has_followed, FOLLOW_TIMEOUT_S, what)
+
+    def _has_followed(self, data_centre: str, adapter: str) -> bool:
+        resp = self._ask(data_centre, adapter)
+        return resp.headers.get('X-Wasabicross-Bundle') == '2'
+
+    def _call_routes(self, bundle: str) -> None:
+        """Make a call to each route in each data centre, and check it."""
+        for data_centre in self._deployment.settings.data_centres:
+            for route in self._bundle['routes']:
+                if route['kind'] == 'engine':
+                    for adapter in self._named[:2]:
+                        self._call_model(data_centre, adapter, bundle)
+                else:
+                    self._call_service(data_centre, route, bundle)
+
+    def _call_model(self, data_centre: str, adapter: str, bundle: str) -> None:
+        resp = self._ask(data_centre, adapter)
+        version = self._versions[adapter]
+        is_right = f'[{adapter}@{version}]'.encode() in resp.data
+        self._note(data_centre, f'{adapter}@{version}', resp, bundle, is_right)
+
+    def _call_service(
+        self, data_centre: str, route: dict[str, Any], bundle: str
+    ) -> None:
+        url = f'{self._url(data_centre)}{route["path"]}'
+        body = json.dumps({'where': data_centre, 'bundle': bundle}).encode()
+        key = {'Idempotency-Key': f'{data_centre}-{route["path"]}-{bundle}'}
+        headers = {**self._headers(), **key}
+        first = self._http.request('POST', url, headers=headers, body=body)
+        again = self._http.request('POST', url, headers=headers, body=body)
+        may_repeat = 'POST' in route['idempotent_methods']
+        repeated = again.headers.get('X-Wasabicross-Repeated') == 'true'
+        is_right = first.data == again.data and repeated is not may_repeat
+        self._note(
+            data_centre, f'POST {route["path"]}', first, bundle, is_right
+        )
+        if not may_repeat:
+            click.echo(f'  {data_centre}: the same again: repeated={repeated}')
+        read = self._http.request('GET', url, headers=self._headers())
+        self._note(
+            data_centre, f'GET {route["path"]}', read, bundle, is_right=True
+        )
+
+    def _ask(self, data_centre: str, adapter: str) -> urllib3.BaseHTTPResponse:
+        question = {
+            'model': adapter,
+            'messages': [{'role': 'user', 'content': 'Draft a short reply.'}],
+            'max_tokens': 8,
+        }
+        return self._http.request(
+            'POST',
+            f'{self._url(data_centre)}/v1/chat/completions',
+            headers=self._headers(),
+            body=json.dumps(question).encode(),
+        )
+
+    def _note(
+        self,
+        data_centre: str,
+        what: str,
+        resp: urllib3.BaseHTTPResponse,
+        bundle: str,
+        is_right: bool,
+    ) -> None:
+        told = resp.headers.get('X-Wasabicross-Bundle')
+        line = f'{data_centre}: {what}: {resp.status} bundle={told}'
+        click.echo(f'  {line}')
+        if resp.status != STATUS_OK or told != bundle or not is_right:
+            self.faults.append(f'{line} {resp.data[:200]!r}')
+
+    def _url(self, data_centre: str) -> str:
+        return self._deployment.entry_of(data_centre).url
+
+    def _headers(self) -> dict[str, str]:
+        return {
+            'Authorization': f'Bearer {self._deployment.tenant_token}',
+            'Content-Type': 'application/json',
+        }
+
+
+def run_example(folder: pathlib.Path, adapters: int = ADAPTERS) -> None:
+    """Start an example's deployment, go through the steps and stop it.
+
+    Exits with 1 if an answer was not as the bundles have it, or a program
+    did not stop in order.
+
+    :param folder: of the example.
+    :param adapters: adapters in the bundle.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        scratch = pathlib.Path(name)
+        runner = Runner(scratch / 'logs')
+        with runner:
+            deployment = ExampleDeployment(folder.resolve(), runner)
+            deployment.start()
+            click.echo(f'{len(runner.running())} processes run')
+            demo = ExampleDemo(folder, deployment, scratch, adapters)
+            demo.run()
+            programs = deployment.program_names()
+            runner.terminate(*programs)
+            codes = {
+                runner.wait(program, STOP_TIMEOUT_S) for program in programs
+            }
+        left = runner.running()
+    click.echo('summary:')
+    click.echo(f'  {len(demo.faults)} wrong answers')
+    for fault in demo.faults:
+        click.echo(f'    {fault}')
+    click.echo(f'  exit codes of the stopped programs: {sorted(codes)}')
+    click.echo(f'  {len(left)} processes left running')
+    if demo.faults or left or codes != {0}:
+        sys.exit(1)
--- /dev/null
+++ b/emulator/operators_tool.py
@@ -0,0 +1,77 @@
+"""Runs the operators' command line, as an operator would."""
+
+import json
+import os
+import pathlib
+import subprocess  # noqa: S404
+import sys
+from typing import Any
+
+import click
+import yaml
+from nacl.signing import SigningKey
+
+from emulator.fleet import ROOT
+from wasabicross.operator_key import OperatorKey
+
+DIGEST_DIGITS = 64
+
+
+class OperatorsTool:
+    """The program `wasabicross` with the address and token of one API.
+
+    :param url: base URL of the administration API.
+    :param token: of the operator.
+    :param folder: where bundle files and the private key are written.
+    """
+
+    def __init__(self, url: str, token: str, folder: pathlib.Path) -> None:
+        self._url = url
+        self._token = token
+        self._folder = folder
+        self._key_path = folder / 'operator.key'
+
+    def write_key(self, name: str, key: SigningKey) -> None:
+        """Write the private key with which bundles are signed off."""
+        OperatorKey(name, key).write(self._key_path)
+
+    def roll(self, bundle: dict[str, Any]) -> None:
+        """Prepare, sign off and roll a bundle.
+
+        :param bundle: the content of the bundle file.
+        """
+        path = self._folder / f'{bundle["name"]}.yaml'
+        path.write_text(yaml.safe_dump(bundle))
+        prepared = self.run('prepare', str(path), '--json', show=False)
+        digest = json.loads(prepared)['digest']
+        self.run('sign-off', digest, '--key', str(self._key_path))
+        self.run('roll', digest)
+
+    def run(self, *args: str, show: bool = True) -> str:
+        """Run a command; return what it printed.
+
+        :param args: the command and its arguments.
+        :param show: whether to print it too.
+        :raises subprocess.CalledProcessError: it has failed.
+        """
+        env = {
+            **os.environ,
+            'PYTHONPATH': str(ROOT / 'src'),
+            'WASABICROSS_ADMIN_URL': self._url,
+            'WASABICROSS_TOKEN': self._token,
+        }
+        shown = ' '.join(
+            arg[:12] if len(arg) == DIGEST_DIGITS else arg for arg in args
+        )
+        click.echo(f'$ wasabicross {shown}')
+        done = subprocess.run(  # noqa: S603
+            (sys.executable, '-m', 'wasabicross.cli', *args),
+            env=env,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if show or done.returncode:
+            click.echo((done.stdout + done.stderr).rstrip())
+        done.check_returncode()
+        return done.stdout
