--- a/emulator/bench_path.py
+++ b/emulator/bench_path.py
@@ -19,11 +19,12 @@
 import urllib3
 
 from emulator.arrivals import Arrival, Arrivals, Popularity
-from emulator.deployment import TENANT_TOKEN, Deployment, Shape
+from emulator.deployment import TENANT_TOKEN, Deployment
 from emulator.fleet import Runner
 from emulator.load import Load, Shot, describe, percentile
 from emulator.processes import MachineLoad, Usage, usage_of
 from emulator.rolling import CHAT_PATH, bundle_text, put_in_force
+from emulator.shape import Shape
 from emulator.stream_client import CallRecord, StreamCall, StreamClient
 from emulator.waiting import wait_until
 
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -1,6 +1,5 @@
 """`wasabicross-controller`: owns servers, loads and bundles of an instance."""
 
-import socket
 import threading
 import time
 from collections import defaultdict
@@ -16,10 +15,12 @@
 from wasabicross.claim_desk import ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
+from wasabicross.fleet_view import FleetView
 from wasabicross.holder import BundleHolder
 from wasabicross.instance_loads import InstanceLoads
-from wasabicross.instances import LIVE, BackendServer, Fleet, InstanceList
+from wasabicross.instances import Fleet, InstanceList
 from wasabicross.kv import KeyValueStore
 from wasabicross.links import Link, listen
 from wasabicross.load_names import server_of
@@ -40,10 +41,7 @@
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
 
-PROBE_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.5
 POINTER_WATCHERS = 2
-NO_FLEET = Fleet((), ())
 
 
 class Controller:
@@ -59,7 +57,9 @@
     ) -> None:
         self.cfg = cfg
         self.stopping = threading.Event()
-        self.fleet = NO_FLEET
+        self.fleet = FleetView(
+            cfg.instance.instance_id, cfg.instance.data_centre
+        )
         self.window = UseWindow(
             cfg.servers.use_lease_s, cfg.servers.max_request_s
         )
@@ -96,7 +96,13 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
-        self._confirmed_by_owner: set[str] = set()
+        self._probe = EntryProbe(
+            cfg.instance.host,
+            cfg.entries,
+            self.loads.lost_entries,
+            self.entry_ended,
+        )
+        self._threads: dict[str, threading.Thread] = {}
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
@@ -121,28 +127,26 @@
         self._metrics.start()
         self.follower.start()
         runs = (
+            ('lease', self.lease.run),
             ('links', self._server.serve_forever),
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
-            ('probe', self._probe_entries),
+            ('probe', partial(self._probe.run, self.stopping)),
             ('permits', partial(self.desk.run, self.stopping)),
             ('claims', partial(self.claims.run, self.stopping)),
         )
         for name, run in runs:
-            threading.Thread(target=run, name=name, daemon=True).start()
-        self._lease_thread = threading.Thread(
-            target=self.lease.run, name='lease', daemon=True
-        )
-        self._lease_thread.start()
+            thread = threading.Thread(target=run, name=name, daemon=True)
+            thread.start()
+            self._threads[name] = thread
 
     def stop(self) -> None:
         """Hand over what is owned here and close the links."""
-        self.claims.stop()
-        self.keeper.stop()
-        self.owners.stop()
+        for part in (self.claims, self.keeper, self.owners):
+            part.stop()
         self.stopping.set()
         self._say_goodbye()
-        self._lease_thread.join(self.cfg.platform.kv.timeout_s)
+        self._threads['lease'].join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
         self._server.shutdown()
         self._metrics.stop()
@@ -233,7 +237,7 @@
             link.run(self._accepted)
 
     def _serve_entry(self, link: Link) -> None:
-        link.send(self._fleet_update())
+        link.send(self.fleet.update())
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
@@ -311,94 +315,34 @@
             self.stopping.wait(self.cfg.platform.instance_list.poll_s)
 
     def _take_fleet(self, fleet: Fleet, now_s: float) -> None:
-        changed = fleet != self.fleet
-        self.fleet = fleet
+        view = self.fleet
+        changed = view.take(fleet)
         self.readiness.declare('instance_list', holds=True)
-        here = self.cfg.instance.data_centre
-        residents = {
-            each.instance_id: each
-            for each in fleet.instances
-            if each.data_centre == here
-        }
-        self.subscribers.listed(set(residents), now_s)
+        self.subscribers.listed(view.residents(), now_s)
         self.peers.follow(fleet.instances)
-        listed = {each.instance_id for each in fleet.instances}
-        self.table.keep(listed, now_s)
+        self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
-        live = [name for name, each in residents.items() if each.state == LIVE]
         self.lease.instances = len(fleet.instances)
         self.claims.instances = len(fleet.instances)
-        watchers = rank('bundle', live)[:POINTER_WATCHERS]
+        live = view.live_residents()
         own_id = self.cfg.instance.instance_id
+        watchers = rank('bundle', live)[:POINTER_WATCHERS]
         self._pointers.is_watcher = own_id in watchers or own_id not in live
-        engines = self._engines_here()
+        engines = view.engines_here()
         self.owners.follow(engines)
         self.keeper.assign([each.server_id for each in engines], live)
         if changed:
-            self.loads.tell_entries(self._fleet_update())
-
-    def _engines_here(self) -> list[BackendServer]:
-        here = self.cfg.instance.data_centre
-        return [
-            server
-            for server in self.fleet.servers
-            if server.kind == 'engine' and server.data_centre == here
-        ]
+            self.loads.tell_entries(view.update())
 
     def _visible_data_centres(self) -> int:
         visible = {peer.peer.data_centre for peer in self.peers.linked()}
         visible.add(self.cfg.instance.data_centre)
         return len(visible)
 
-    def is_listed(self, instance_id: str) -> bool:
-        """Tell whether the list shows an instance."""
-        return any(
-            each.instance_id == instance_id for each in self.fleet.instances
-        )
-
     def listing_confirmed(self, server_ids: Iterable[str]) -> None:
-        """Note servers whose owner sees this instance in its own list.
-
-        From then on the owner asks this instance before it evicts, so that
-        a server of the same data centre needs no grant of use.
-
-        :param server_ids: servers that the owner has told of.
-        """
-        fresh = set(server_ids) - self._confirmed_by_owner
-        if fresh:
-            self._confirmed_by_owner |= fresh
-            self.loads.tell_entries(self._fleet_update())
-
-    def _fleet_update(self) -> msg.FleetUpdate:
-        here = self.cfg.instance.data_centre
-        is_listed = self.is_listed(self.cfg.instance.instance_id)
-        need_grant = [
-            server.server_id
-            for server in self.fleet.servers
-            if server.data_centre != here
-            or server.server_id not in self._confirmed_by_owner
-            or not is_listed
-        ]
-        servers = [msg.ServerInfo(*server) for server in self.fleet.servers]
-        return msg.FleetUpdate(servers, need_grant)
-
-    def _probe_entries(self) -> None:
-        while not self.stopping.wait(PROBE_INTERVAL_S):
-            for name in self.loads.lost_entries():
-                entry = self.cfg.entry(name)
-                if entry is None or not self._listens(entry.metrics_port):
-                    self.entry_ended(name)
-
-    def _listens(self, port: int) -> bool:
-        """Tell whether a process of this instance may listen on a port."""
-        address = (self.cfg.instance.host, port)
-        try:
-            socket.create_connection(address, PROBE_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return False
-        except OSError:
-            return True
-        return True
+        """Note servers whose owner sees this instance in its own list."""
+        if self.fleet.confirm_listing(server_ids):
+            self.loads.tell_entries(self.fleet.update())
 
 
 @click.command()
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -128,7 +128,7 @@
         self._ctl.subscribers.granted(peer.instance_id, now_s)
         loads = self._ctl.owners.loads(self._ctl.lease.renewal, now_s)
         confirmed = self._ctl.loads.owned_by(peer.instance_id)
-        listed = self._ctl.is_listed(peer.instance_id)
+        listed = peer.instance_id in self._ctl.fleet.listed()
         link.reply(call_id, msg.Renewed(loads, confirmed, listed))
 
     @_handle.register
--- /dev/null
+++ b/src/wasabicross/fleet_view.py
@@ -0,0 +1,91 @@
+"""The instance list as one instance sees it, and what follows from it."""
+
+import threading
+from collections.abc import Iterable
+
+from wasabicross.instances import LIVE, BackendServer, Fleet
+from wasabicross.messages import FleetUpdate, ServerInfo
+
+NO_FLEET = Fleet((), ())
+
+
+class FleetView:
+    """The last list that was read, seen from one instance.
+
+    :param instance_id: the instance.
+    :param data_centre: where it runs.
+    """
+
+    def __init__(self, instance_id: str, data_centre: str) -> None:
+        self._instance_id = instance_id
+        self._data_centre = data_centre
+        self._fleet = NO_FLEET
+        self._lock = threading.Lock()
+        self._confirmed: set[str] = set()
+
+    @property
+    def servers(self) -> tuple[BackendServer, ...]:
+        """All backend servers."""
+        return self._fleet.servers
+
+    def take(self, fleet: Fleet) -> bool:
+        """Take a list that was read; return whether it has changed."""
+        changed = fleet != self._fleet
+        self._fleet = fleet
+        return changed
+
+    def listed(self) -> set[str]:
+        """Return all instances, live and leaving."""
+        return {each.instance_id for each in self._fleet.instances}
+
+    def residents(self) -> set[str]:
+        """Return the instances of this data centre, live and leaving."""
+        return {
+            each.instance_id
+            for each in self._fleet.instances
+            if each.data_centre == self._data_centre
+        }
+
+    def live_residents(self) -> list[str]:
+        """Return the live instances of this data centre."""
+        return [
+            each.instance_id
+            for each in self._fleet.instances
+            if each.data_centre == self._data_centre and each.state == LIVE
+        ]
+
+    def engines_here(self) -> list[BackendServer]:
+        """Return the engines of this data centre."""
+        return [
+            server
+            for server in self._fleet.servers
+            if server.kind == 'engine'
+            and server.data_centre == self._data_centre
+        ]
+
+    def confirm_listing(self, server_ids: Iterable[str]) -> bool:
+        """Note servers whose owner sees this instance in its own list.
+
+        From then on the owner asks this instance before it evicts, so that
+        a server of the same data centre needs no grant of use.
+
+        :param server_ids: servers that the owner has told of.
+        :returns: whether any of them is new.
+        """
+        with self._lock:
+            fresh = set(server_ids) - self._confirmed
+            self._confirmed |= fresh
+            return bool(fresh)
+
+    def update(self) -> FleetUpdate:
+        """Return what the entries are told."""
+        is_listed = self._instance_id in self.listed()
+        need_grant = [
+            server.server_id
+            for server in self._fleet.servers
+            if server.data_centre != self._data_centre
+            or server.server_id not in self._confirmed
+            or not is_listed
+        ]
+        servers = [ServerInfo(*server) for server in self._fleet.servers]
+        return FleetUpdate(servers, need_grant)
