Keep an example running for calls by hand, and repeat the demo's order

make demo printed a 503 for its first keyed order when the ranges of the claims had no owner yet, a few seconds after the first start, and went on as if nothing had happened. It now does what a caller has to: it comes back after Retry-After, and prints each answer. Ruled out: waiting on readiness, since model calls need no range.

--stay keeps an example running until it is interrupted.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/python -m pytest -q tests
 
 demo: install
-	$(BIN)/python -m emulator.demo
+	$(BIN)/python -m emulator.demo $(if $(EXAMPLE),--example $(EXAMPLE))
 
 model: install
 	$(BIN)/python -m model
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -41,6 +41,8 @@
 )
 READY_TIMEOUT_S = 20
 ANSWERS_EACH = 20
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
 FIRST = {'bunker-quote': '1', 'fee-letter': '1'}
 SECOND = {'bunker-quote': '2', 'fee-letter': '1'}
 
@@ -97,7 +99,7 @@
             wait_until(is_ready, READY_TIMEOUT_S, f'{entry.name} ready')
 
     def _is_ready(self, url: str) -> bool:
-        return self._http.request('GET', url).status == 200
+        return self._http.request('GET', url).status == STATUS_OK
 
     def show_requests(self) -> None:
         """Send one request of each kind and print the answers."""
@@ -109,13 +111,25 @@
         url = self._deployment.entry_of('north').url
         order = json.dumps({'berth': 'R7', 'tonnes': 120}).encode()
         headers = {**_caller_headers(), 'Idempotency-Key': 'order-1'}
-        for attempt in ('order', 'the same order again'):
+        self._order(url, headers, order)
+        self._order(url, headers, order)
+
+    def _order(self, url: str, headers: dict[str, str], order: bytes) -> None:
+        """Send an order until it is answered as completed, and print all."""
+        status = 0
+        while status != STATUS_OK:
             resp = self._http.request(
                 'POST', f'{url}/orders', headers=headers, body=order
             )
+            status = resp.status
             again = resp.headers.get('X-Wasabicross-Repeated', 'false')
-            click.echo(f'{attempt}: {resp.status} repeated={again}')
+            outcome = resp.headers.get('X-Wasabicross-Outcome')
+            click.echo(f'order: {status} {outcome} repeated={again}')
             click.echo(f'  {resp.data[:100].decode()}')
+            if status not in {STATUS_OK, STATUS_UNAVAILABLE}:
+                raise ValueError(f'order: {status}')
+            # Keys can be claimed once every range has an owner.
+            threading.Event().wait(float(resp.headers.get('Retry-After', 0)))
 
     def ask(
         self, data_centre: str, *, stream: bool
@@ -180,13 +194,22 @@
     type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
     help='Run the deployment of this folder instead.',
 )
-@click.option('--adapters', default=ADAPTERS, help='With --example only.')
-def main(example: pathlib.Path | None, adapters: int) -> None:
+@click.option(
+    '--adapters',
+    default=ADAPTERS,
+    help='Adapters in the bundle of the example.',
+)
+@click.option(
+    '--stay',
+    is_flag=True,
+    help='Keep the example running until interrupted, for calls by hand.',
+)
+def main(example: pathlib.Path | None, adapters: int, stay: bool) -> None:
     """Start a deployment, roll two bundles under traffic, and stop it."""
     if example is None:
         run_demo()
     else:
-        run_example(example, adapters)
+        run_example(example, adapters, stay)
 
 
 def run_demo() -> None:
--- a/emulator/example_demo.py
+++ b/emulator/example_demo.py
@@ -16,6 +16,7 @@
 from emulator.link_table import HOST
 from emulator.operators_tool import OperatorsTool
 from emulator.waiting import wait_until
+from wasabicross.stopping import stop_event, wait_for_stop
 
 READY_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 30
@@ -53,10 +54,13 @@
         for number in range(adapters - len(self._versions)):
             self._versions[f'made-up-{number:05}'] = '1'
 
-    def run(self) -> None:
-        """Go through all steps."""
+    def roll_first(self) -> None:
+        """Bring the example's bundle into force."""
         self._tool.roll(self._bundle)
         self._wait_ready()
+
+    def run(self) -> None:
+        """Go through all steps after the first roll."""
         self._call_routes('1')
         changed = self._named[0]
         self._versions[changed] = '2'
@@ -160,7 +164,7 @@
         }
 
 
-def run_example(folder: pathlib.Path, adapters: int = ADAPTERS) -> None:
+def run_example(folder: pathlib.Path, adapters: int, stay: bool) -> None:
     """Start an example's deployment, go through the steps and stop it.
 
     Exits with 1 if an answer was not as the bundles have it, or a program
@@ -168,6 +172,8 @@
 
     :param folder: of the example.
     :param adapters: adapters in the bundle.
+    :param stay: only bring the first bundle into force, and run until
+        interrupted.
     """
     with tempfile.TemporaryDirectory() as name:
         scratch = pathlib.Path(name)
@@ -177,7 +183,11 @@
             deployment.start()
             click.echo(f'{len(runner.running())} processes run')
             demo = ExampleDemo(folder, deployment, scratch, adapters)
-            demo.run()
+            demo.roll_first()
+            if stay:
+                _wait_interrupted(deployment, scratch)
+            else:
+                demo.run()
             programs = deployment.program_names()
             runner.terminate(*programs)
             codes = {
@@ -192,3 +202,15 @@
     click.echo(f'  {len(left)} processes left running')
     if demo.faults or left or codes != {0}:
         sys.exit(1)
+
+
+def _wait_interrupted(
+    deployment: ExampleDeployment, scratch: pathlib.Path
+) -> None:
+    for place in deployment.entries:
+        click.echo(f'entry {place.name}: {place.url}')
+    for place in deployment.admins:
+        click.echo(f'administration API of {place.name}: {place.url}')
+    click.echo(f'logs and the private key: {scratch}')
+    click.echo('interrupt with Ctrl-C')
+    wait_for_stop(stop_event())
