--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -8,14 +8,15 @@
 from wasabicross import __version__
 from wasabicross.admin_actions import AdminActions
 from wasabicross.admin_api import AdminApi
-from wasabicross.bundle_status import InstanceStatus, StatusSource
+from wasabicross.bundle_status import StatusSource
 from wasabicross.bundle_store import BundleStore
+from wasabicross.controller_status import ControllerStatus
 from wasabicross.events import Event
 from wasabicross.kv import KeyValueStore
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.settings import Settings
-from wasabicross.stopping import stop_event
+from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.telemetry import MetricsServer, Readiness
 
 THREADS = 8
@@ -23,14 +24,6 @@
 STOP_S = 60  # longer than any action, so that none is cut off
 
 
-class UnknownStatus:
-    """A status source that has heard of no instance."""
-
-    def instances(self) -> tuple[InstanceStatus, ...]:
-        """Return nothing."""
-        return ()
-
-
 class Admin:
     """The program: API and metrics.
 
@@ -83,10 +76,10 @@
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-admin')
     stop = stop_event()
-    admin = Admin(cfg, UnknownStatus())
+    admin = Admin(cfg, ControllerStatus.from_config(cfg))
     admin.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
-    stop.wait()
+    wait_for_stop(stop)
     log_event(Event.PROGRAM_STOPPING)
     admin.stop()
     log_event(Event.PROGRAM_STOPPED)
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -38,8 +38,19 @@
     ) -> None:
         """Tell the entries how long the peer's servers may be used."""
         until_s = asked_s + self._ctl.window.use_lease_s
-        told = msg.UseGranted(granted.servers, until_s)
-        self._ctl.loads.tell_entries(told)
+        grants = [
+            msg.Grant(server.server_id, until_s - server.confirmed_age_s)
+            for server in granted.servers
+        ]
+        self._ctl.loads.tell_entries(msg.UseGranted(grants, granted.servers))
+        if granted.listed:
+            self._ctl.listing_confirmed(
+                server.server_id for server in granted.servers
+            )
+        here = self._ctl.cfg.instance
+        is_other = peer.instance_id != here.instance_id
+        if is_other and peer.data_centre == here.data_centre:
+            self._ctl.owners.confirmed(granted.confirmed, asked_s)
 
     @singledispatchmethod
     def _handle(self, message: Any, link: Link) -> None:
@@ -54,12 +65,20 @@
     def _(self, message: msg.LoadsOpened, link: Link) -> None:
         self._ctl.loads.open_loads(message)
 
+    @_handle.register
+    def _(self, message: msg.LoadsSnapshot, link: Link) -> None:
+        self._ctl.loads.replace_loads(message)
+
     @_handle.register
     def _(self, message: msg.LoadsGone, link: Link) -> None:
         self._ctl.loads.drop_loads(message.load_names)
 
     @_handle.register
     def _(self, message: msg.CloseLoad, link: Link) -> None:
+        term = self._ctl.loads.term_of(message.server_id)
+        if message.term > term:
+            later = msg.ServerTerm(message.server_id, message.term)
+            self._ctl.owner_announced(later, link)
         self._ctl.loads.consent_to_close(message, link)
 
     @_handle.register
@@ -107,7 +126,10 @@
             peer.instance_id, peer.data_centre, message, now_s
         )
         self._ctl.subscribers.granted(peer.instance_id, now_s)
-        link.reply(call_id, msg.Renewed(self._ctl.owners.loads(now_s)))
+        loads = self._ctl.owners.loads(self._ctl.lease.renewal, now_s)
+        confirmed = self._ctl.loads.owned_by(peer.instance_id)
+        listed = peer.instance_id in self._ctl.fleet.listed()
+        link.reply(call_id, msg.Renewed(loads, confirmed, listed))
 
     @_handle.register
     def _(self, message: msg.ServerReport, link: Link, call_id: int) -> None:
@@ -199,6 +221,14 @@
     def _(self, message: msg.SuspectRecords, link: Link, call_id: int) -> None:
         self._ctl.merge_suspects(message, link)
 
+    @_handle.register
+    def _(self, message: msg.ClaimKey, link: Link, call_id: int) -> None:
+        self._ctl.claims.claim(message, link, call_id)
+
+    @_handle.register
+    def _(self, message: msg.SettleKey, link: Link, call_id: int) -> None:
+        self._ctl.claims.settle(message, link, call_id)
+
     @_handle.register
     def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -22,12 +22,14 @@
     CloseLoad,
     LoadsGone,
     LoadsOpened,
+    LoadsSnapshot,
     LoadUse,
     ServerLoad,
     ServerReport,
     ServerTerm,
     WantLoad,
 )
+from wasabicross.ownership import Renewal
 from wasabicross.policy import Weights
 from wasabicross.subscribers import Subscribers
 
@@ -72,6 +74,8 @@
         self.server = server
         self.deposed = threading.Event()
         self.weights = Weights()
+        self.lease_id = ''
+        self.confirmed_s = float('-inf')
         self.held = HeldLoads(server.term)
         self.queue = LoadQueue(server.server_id, permits)
         self._engine = engine
@@ -94,6 +98,8 @@
         :param asker: the link to answer on if the load is declined.
         :param now_s: monotonic seconds.
         """
+        if not want.waiting:
+            self.held.copy_wanted(want.adapter, now_s)
         self.queue.add(want, asker, now_s)
         self._wake.set()
 
@@ -117,11 +123,15 @@
         """Take an instance's report of what it knows of the loads.
 
         :param instance_id: who reports.
-        :param report: its open and closed loads on this server.
+        :param report: its open and closed loads on this server. Open loads
+            count only where told by a resident: a visitor may not have been
+            asked for its consent to evict them.
         :param now_s: monotonic seconds.
         """
         if report.server.term == self.server.term:
-            self.held.mark_closed(report.closed)
+            is_resident = self._subscribers.is_resident(instance_id)
+            opened = report.opened if is_resident else ()
+            self.held.mark_reported(opened, report.closed)
             self._reported_s.setdefault(instance_id, now_s)
             self._wake.set()
 
@@ -136,21 +146,32 @@
             self.deposed.set()
             self._wake.set()
 
-    def announcement(self) -> LoadsOpened:
-        """Return the open loads, for an instance that has just linked."""
-        return LoadsOpened(self.server, self.held.opened())
+    def snapshot(self) -> LoadsSnapshot | None:
+        """Return the open loads, for an instance that has just linked.
 
-    def load(self, now_s: float) -> ServerLoad:
+        Before all instances have reported, the owner does not know them.
+        """
+        if self._settled_s is None:
+            return None
+        return LoadsSnapshot(self.server, self.held.opened())
+
+    def load(self, renewal: Renewal, now_s: float) -> ServerLoad:
         """Return how busy the engine was at its last report.
 
+        :param renewal: the last renewal of the instance's lease; if that is
+            the lease of this ownership, nobody else owned the server then.
         :param now_s: monotonic seconds.
         """
+        confirmed_s = self.confirmed_s
+        if renewal.lease_id == self.lease_id:
+            confirmed_s = max(confirmed_s, renewal.sent_s)
         return ServerLoad(
             self.server.server_id,
             self._report.running,
             self._report.waiting,
             self._batch_size,
             min(MAX_REPORT_AGE_S, now_s - self._report_s),
+            min(MAX_REPORT_AGE_S, now_s - confirmed_s),
         )
 
     def wait(self, timeout_s: float) -> None:
@@ -192,7 +213,11 @@
             self._report_s = now_s - report.age_s
 
     def _settle(self, now_s: float) -> None:
-        """Open what was inherited once every instance has reported."""
+        """Open what was inherited once every instance has reported.
+
+        Only a load that an instance still knows as open is kept open: that
+        instance was not asked to close it, so no evict was ever ordered.
+        """
         needed = self._subscribers.must_consent(now_s)
         if needed - self._reported_s.keys():
             return
@@ -208,7 +233,7 @@
 
     def _announce_load(self, held: HeldLoad) -> None:
         name = str(held.name)
-        if self.held.is_closed(name):
+        if not self.held.may_open(held):
             held.close()
             return
         held.is_open = True
@@ -224,7 +249,11 @@
             self._order_evict(held)
 
     def _visitors_may_run(self, held: HeldLoad, now_s: float) -> bool:
-        """Tell whether grants of an earlier owner may still be in use."""
+        """Tell whether grants of an earlier owner may still be in use.
+
+        They are counted from the last report: a resident that has reported
+        confirms no earlier owner any more.
+        """
         if not held.is_inherited:
             return False
         if self._settled_s is None:
@@ -244,6 +273,8 @@
 
     def _order_evict(self, held: HeldLoad) -> None:
         name = str(held.name)
+        if self.deposed.is_set():
+            return
         outcome = self._engine.evict(EvictOrder(name, self.server.term))
         if outcome.is_ok():
             self.held.remove(name)
@@ -291,7 +322,9 @@
     def _make_room(self, wanted: Wanted, now_s: float) -> None:
         if len(self.held.closing()) >= len(self.queue):
             return
-        victim = self.held.victim(now_s, self.weights)
+        want = wanted.want
+        displacing = '' if want.waiting else want.adapter
+        victim = self.held.victim(now_s, self.weights, displacing)
         if victim is None:
             self.queue.decline(wanted)
             return
