Give back permits that nothing waits for any more

Cause: an owner that declined a want, or whose want expired, kept the permit that came for it. Each such permit counted as in flight until it lapsed after 60 s, and eight of them stopped all loads. Ruled out: telling the desk of each want that ends, a message more for each; a shorter lapse, which still stops the loads and counts slow ones as ended. Change: a permit that finds no want, or whose want ends, is given back as not used, which frees its place without a delay for the adapter; the desk takes a permit back only from the server that has it.

--- a/src/wasabicross/load_budget.py
+++ b/src/wasabicross/load_budget.py
@@ -183,6 +183,12 @@
             self._demands.pop(permit.key, None)
             self._prefetches.pop(permit.key, None)
 
+    def cancel(self, permit: LoadPermit) -> None:
+        """End a permit whose load was not tried; its demands stay."""
+        with self._lock:
+            if self._permits.get(permit.key) == permit:
+                self._permits.pop(permit.key)
+
     def _permit(
         self,
         key: LoadKey,
--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -22,6 +22,9 @@
     def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
         """Give the permit back once the load has ended."""
 
+    def return_unused(self, server_id: str, adapter: str, version: str) -> None:
+        """Give a permit back that nothing waits for any more."""
+
 
 class Wanted(NamedTuple):
     """A want as its server's owner keeps it.
@@ -75,8 +78,7 @@
 
     def remove(self, wanted: Wanted) -> None:
         """Drop a want that is met or declined."""
-        with self._lock:
-            self._wants.pop(wanted.version, None)
+        self._drop(wanted.version)
 
     def decline(self, wanted: Wanted) -> None:
         """Tell the asker to have it loaded elsewhere."""
@@ -91,18 +93,24 @@
         :param now_s: monotonic seconds.
         """
         with self._lock:
-            for known in list(self._wants.values()):
-                if now_s - known.asked_s > WANT_EXPIRY_S:
-                    self._wants.pop(known.version)
+            wants = list(self._wants.values())
+        for known in wants:
+            if now_s - known.asked_s > WANT_EXPIRY_S:
+                self._drop(known.version)
+        with self._lock:
             return sorted(
                 self._wants.values(),
                 key=lambda due: (-due.want.waiting, due.since_s),
             )
 
     def permitted(self, adapter: str, version: str) -> None:
-        """Take a permit to load an adapter version."""
+        """Take a permit, or give it back where nothing waits any more."""
         with self._lock:
-            self._permitted.add((adapter, version))
+            is_wanted = (adapter, version) in self._wants
+            if is_wanted:
+                self._permitted.add((adapter, version))
+        if not is_wanted:
+            self._permits.return_unused(self._server_id, adapter, version)
 
     def take_permit(self, wanted: Wanted, now_s: float) -> bool:
         """Return whether a load is permitted; ask for a permit otherwise.
@@ -123,6 +131,16 @@
         self._permits.request(self._server_id, wanted.want, wanted.since_s)
         return False
 
+    def _drop(self, version: _Version) -> None:
+        """Drop a want, and give back the permit that it has."""
+        with self._lock:
+            self._wants.pop(version, None)
+            self._asked_s.pop(version, None)
+            is_permitted = version in self._permitted
+            self._permitted.discard(version)
+        if is_permitted:
+            self._permits.return_unused(self._server_id, *version)
+
     def give_back(self, wanted: Wanted, loaded: bool) -> None:
         """Give a permit back once its load has ended."""
         self._permits.give_back(self._server_id, wanted.want, loaded)
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -397,13 +397,18 @@
 
 
 class PermitReturned(NamedTuple):
-    """Gives a permit back when the load has ended."""
+    """Gives a permit back when the load has ended.
+
+    :param loaded: whether the server holds it now.
+    :param used: whether the load was tried at all.
+    """
 
     server_id: str
     data_centre: str
     adapter: str
     version: str
     loaded: bool
+    used: bool = True
 
 
 #: Position is the code on the wire: append only.
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -72,6 +72,19 @@
             ),
         )
 
+    def return_unused(self, server_id: str, adapter: str, version: str) -> None:
+        """Give a permit back that nothing waits for any more."""
+        self._send(
+            PermitReturned(
+                server_id,
+                self._data_centre,
+                adapter,
+                version,
+                loaded=False,
+                used=False,
+            ),
+        )
+
 
 class Owners:
     """The owners of the servers that this instance owns.
--- a/src/wasabicross/permits.py
+++ b/src/wasabicross/permits.py
@@ -91,12 +91,19 @@
         """
         key = LoadKey(returned.adapter, returned.version, returned.data_centre)
         with self._lock:
+            asker = self._askers.get(key)
+            if asker is None or asker.server_id != returned.server_id:
+                return
+            self._askers.pop(key)
             permit = self._permits.pop(key, None)
-            self._askers.pop(key, None)
-        if permit is not None:
+        if permit is None:
+            return
+        if returned.used:
             self._budget.finish(
                 permit, returned.server_id, returned.loaded, now_s
             )
+        else:
+            self._budget.cancel(permit)
 
     def run(self, stop: threading.Event) -> None:
         """Grant permits until the process stops."""
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -3,7 +3,13 @@
 import pytest
 
 from wasabicross.load_budget import LoadBudget
-from wasabicross.messages import PermitGranted, PermitLoad, PermitReturned
+from wasabicross.load_queue import LoadQueue
+from wasabicross.messages import (
+    PermitGranted,
+    PermitLoad,
+    PermitReturned,
+    WantLoad,
+)
 from wasabicross.permits import PermitDesk
 
 
@@ -55,3 +61,52 @@
         desk.grant_due(now_s)
     desk.grant_due(13)
     assert [granted.server_id for granted in link.sent] == ['gone', 'other']
+
+
+def test_unused_permits_do_not_fill_the_budget():
+    desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
+    for number in range(20):
+        now_s = number + 1
+        name = f'a{number}'
+        desk.ask(PermitLoad('s', 'dc', name, '1', 1, 1), link, now_s)
+        desk.grant_due(now_s)
+        desk.give_back(
+            PermitReturned('s', 'dc', name, '1', False, False), now_s
+        )
+    assert len(link.sent) == 20
+
+
+class RecordingPermits:
+    """Keeps the permits that are given back unused."""
+
+    def __init__(self):
+        self.unused = []
+
+    def request(self, server_id, want, since_s):
+        """Nothing is granted by itself."""
+
+    def return_unused(self, server_id, adapter, version):
+        self.unused.append(adapter)
+
+
+@pytest.mark.parametrize(
+    ('permitted_first', 'end'),
+    [(True, 'decline'), (False, 'decline'), (True, 'expire'), (True, 'remove')],
+)
+def test_permit_that_nothing_waits_for_is_given_back(permitted_first, end):
+    permits = RecordingPermits()
+    queue = LoadQueue('s', permits)
+    want = WantLoad('a', '1', 'base', 'group', 'draft', 1, [])
+    queue.add(want, RecordingLink(), 0)
+    (wanted,) = queue.due(0)
+    assert not queue.take_permit(wanted, 0)
+    if permitted_first:
+        queue.permitted('a', '1')
+    if end == 'expire':
+        assert queue.due(60) == []
+    else:
+        getattr(queue, end)(wanted)
+    if not permitted_first:
+        queue.permitted('a', '1')
+    assert permits.unused == ['a']
+    assert not queue.take_permit(wanted, 60)
