Tell 'not run' only where no earlier attempt may have run

Cause: a model call whose first attempt may have run, and which then found no other engine, was told 'not run' by load_timeout, and so was an idempotent call to a service whose second attempt was refused, or one convicted of crashing servers after its own attempts. A body that broke off was taken as a whole one: half an order was run for a caller that was gone.

Change: Tried holds the servers that a request was sent to and whether one of them may have run it, and gives the reply when it is given up. A body shorter than its Content-Length is refused, and one with Transfer-Encoding is read to its end, whatever its Content-Length says.

--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -16,8 +16,11 @@
     CRASHES_SERVERS,
     NO_SERVER,
     OUTCOME_HEADER,
+    OUTCOME_UNKNOWN,
+    Fault,
     Headers,
     Reply,
+    fault_reply,
     refuse,
     unknown_outcome,
 )
@@ -29,6 +32,27 @@
 RETRY_AFTER_S = 2.0
 
 
+class Tried:
+    """The servers that a request was sent to, and whether one may have run it."""
+
+    def __init__(self) -> None:
+        self.servers: list[str] = []
+        self.may_have_run = False
+
+    def refuse(self, fault: Fault, retry_after_s: float | None = None) -> Reply:
+        """Return the reply to a request that is given up.
+
+        :param fault: why it is.
+        :param retry_after_s: seconds after which the caller may come back if
+            it was surely not run.
+        """
+        if not self.may_have_run:
+            return refuse(fault, retry_after_s)
+        if fault is CRASHES_SERVERS:
+            return fault_reply(fault, OUTCOME_UNKNOWN, None)
+        return unknown_outcome()
+
+
 class Attempts:
     """Sends requests to servers and judges what may be sent again.
 
@@ -45,19 +69,20 @@
         self._budget.add_request()
 
     def clear(
-        self, req: CallerRequest, server_id: str, now_s: float
+        self, req: CallerRequest, server_id: str, tried: Tried, now_s: float
     ) -> Reply | bool:
         """Count a request as under way on a server, if it may go there.
 
         :param req: the request.
         :param server_id: where it is to go.
+        :param tried: where it was sent before.
         :param now_s: monotonic seconds.
         :returns: whether it may go there, or a refusal for good.
         """
         clearance = self.watch.begin(req.fingerprint, server_id, now_s)
         if clearance is Clearance.convicted:
             log_event(Event.CRASHER_REFUSED, request=req.request_id)
-            return refuse(CRASHES_SERVERS)
+            return tried.refuse(CRASHES_SERVERS)
         return clearance is not Clearance.busy
 
     def exchange(
@@ -95,29 +120,28 @@
         self,
         req: CallerRequest,
         exc: DispatchError,
-        tried: list[str],
+        tried: Tried,
         now_s: float,
     ) -> Reply | None:
         """Return the final reply, or None if another server may be tried.
 
         :param req: the request.
         :param exc: how the last attempt failed.
-        :param tried: the servers that it was sent to.
+        :param tried: where it was sent, the last attempt included.
         :param now_s: monotonic seconds.
         """
         not_run = isinstance(exc, NotRun)
+        tried.may_have_run |= not not_run
         attempt = Attempt(
             Outcome.not_run if not_run else Outcome.unknown,
             req.is_idempotent,
             0,
-            tried,
+            tried.servers,
             req.deadline_s - now_s,
         )
         if may_retry(attempt) and self._budget.spend():
             return None
-        if not_run:
-            return refuse(NO_SERVER, RETRY_AFTER_S)
-        return unknown_outcome()
+        return tried.refuse(NO_SERVER, RETRY_AFTER_S)
 
     def _end(self, req: CallerRequest, server_id: str, ending: Ending) -> None:
         if ending is Ending.cut:
--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -16,6 +16,7 @@
 from wasabicross.model_calls import ModelCalls
 from wasabicross.replies import (
     BAD_METHOD,
+    BODY_CUT,
     NO_BUNDLE,
     NO_ROUTE,
     OUTCOME_HEADER,
@@ -179,14 +180,15 @@
 
     def _read_body(self, environ: _Environ) -> bytes | Fault:
         longest = self._limits.max_body_bytes
-        length = environ.get('CONTENT_LENGTH') or ''
-        if length.isdecimal() and int(length) > longest:
+        if 'HTTP_TRANSFER_ENCODING' in environ:
+            chunked: bytes = environ['wsgi.input'].read(longest + 1)
+            return TOO_LARGE if len(chunked) > longest else chunked
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        if length > longest:
             return TOO_LARGE
-        if not length and 'HTTP_TRANSFER_ENCODING' not in environ:
-            return b''
-        wanted = int(length) if length.isdecimal() else longest + 1
-        body: bytes = environ['wsgi.input'].read(wanted)
-        return TOO_LARGE if len(body) > longest else body
+        body: bytes = environ['wsgi.input'].read(length)
+        # A caller that is gone midway must not have half a request run.
+        return BODY_CUT if len(body) < length else body
 
     def _send(
         self, reply: Reply, start_response: _StartResponse
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -4,7 +4,7 @@
 import time
 from typing import Any, NamedTuple
 
-from wasabicross.attempts import Attempts
+from wasabicross.attempts import Attempts, Tried
 from wasabicross.bundles import AdapterVersion
 from wasabicross.caller_request import CallerRequest
 from wasabicross.dispatch import Call, Dispatcher
@@ -36,7 +36,7 @@
     req: CallerRequest
     document: dict[str, Any]
     wanted: AdapterVersion
-    tried: list[str]
+    tried: Tried
 
 
 class ModelCalls:
@@ -72,12 +72,12 @@
         if wanted is None:
             return refuse(UNKNOWN_ADAPTER)
         self._attempts.accepted()
-        run = _Run(req, document, wanted, [])
+        run = _Run(req, document, wanted, Tried())
         while True:
             now_s = time.monotonic()
             holder = self._wait_for_holder(run, now_s)
             if holder is None:
-                return refuse(LOAD_TIMEOUT, RETRY_AFTER_S)
+                return run.tried.refuse(LOAD_TIMEOUT, RETRY_AFTER_S)
             reply = self._attempt(run, holder)
             if reply is not None:
                 return reply
@@ -135,7 +135,7 @@
             for server in group
             if server.server_id in by_server
             and server.server_id in usable
-            and server.server_id not in run.tried
+            and server.server_id not in run.tried.servers
         ]
 
     def _want(self, run: _Run, held_by: tuple[str, ...]) -> WantLoad:
@@ -148,7 +148,7 @@
             route.group,
             route.request_class,
             0,
-            [*run.tried, *held_by],
+            [*run.tried.servers, *held_by],
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
@@ -159,9 +159,11 @@
 
     def _attempt(self, run: _Run, holder: Holder) -> Reply | None:
         """Send the request once; None if it may be sent elsewhere."""
-        run.tried.append(holder.server_id)
+        run.tried.servers.append(holder.server_id)
         now_s = time.monotonic()
-        cleared = self._attempts.clear(run.req, holder.server_id, now_s)
+        cleared = self._attempts.clear(
+            run.req, holder.server_id, run.tried, now_s
+        )
         if cleared is not True:
             self._link.finish_request(holder.load_name)
             return cleared or None
@@ -187,7 +189,7 @@
         if isinstance(exc, AdapterNotLoaded):
             self._link.loads.drop_loads([holder.load_name])
             self._link.send(LoadMissing(holder.server_id, holder.load_name))
-            run.tried.remove(holder.server_id)
+            run.tried.servers.remove(holder.server_id)
             return None
         return self._attempts.after_failure(
             run.req, exc, run.tried, time.monotonic()
--- a/src/wasabicross/replies.py
+++ b/src/wasabicross/replies.py
@@ -97,6 +97,9 @@
 BAD_METHOD = Fault(
     405, 'invalid_request_error', 'bad_method', 'The method is not allowed.'
 )
+BODY_CUT = Fault(
+    400, 'invalid_request_error', 'body_cut', 'The body is not whole.'
+)
 TOO_LARGE = Fault(
     413, 'invalid_request_error', 'too_large', 'The body is too large.'
 )
--- a/src/wasabicross/service_calls.py
+++ b/src/wasabicross/service_calls.py
@@ -3,12 +3,12 @@
 import hashlib
 import time
 
-from wasabicross.attempts import RETRY_AFTER_S, Attempts
+from wasabicross.attempts import RETRY_AFTER_S, Attempts, Tried
 from wasabicross.caller_request import CallerRequest
 from wasabicross.dispatch import Call, Dispatcher
 from wasabicross.key_claims import KeyClaims
 from wasabicross.messages import ServerInfo
-from wasabicross.replies import NO_SERVER, Reply, refuse
+from wasabicross.replies import NO_SERVER, Reply
 from wasabicross.services import PlainService
 
 
@@ -49,19 +49,19 @@
         return self._claims.settle(req, self._dispatch(req))
 
     def _dispatch(self, req: CallerRequest) -> Reply:
-        tried: list[str] = []
+        tried = Tried()
         while True:
             now_s = time.monotonic()
             server = self._choose(req, tried, now_s)
             if server is None:
-                return refuse(NO_SERVER, RETRY_AFTER_S)
-            tried.append(server.server_id)
+                return tried.refuse(NO_SERVER, RETRY_AFTER_S)
+            tried.servers.append(server.server_id)
             reply = self._attempt(req, server, tried, now_s)
             if reply is not None:
                 return reply
 
     def _choose(
-        self, req: CallerRequest, tried: list[str], now_s: float
+        self, req: CallerRequest, tried: Tried, now_s: float
     ) -> ServerInfo | None:
         group = self._watch.group('service', req.route.group)
         usable = self._watch.usable(
@@ -70,7 +70,8 @@
         fitting = [
             server
             for server in group
-            if server.server_id in usable and server.server_id not in tried
+            if server.server_id in usable
+            and server.server_id not in tried.servers
         ]
         return min(fitting, key=self._cost, default=None)
 
@@ -83,11 +84,11 @@
         self,
         req: CallerRequest,
         server: ServerInfo,
-        tried: list[str],
+        tried: Tried,
         now_s: float,
     ) -> Reply | None:
         """Send the request once; None if it may be sent elsewhere."""
-        cleared = self._attempts.clear(req, server.server_id, now_s)
+        cleared = self._attempts.clear(req, server.server_id, tried, now_s)
         if cleared is not True:
             return cleared or None
         reply = self._attempts.exchange(
