Prove that each caller gets its own whole answer or sees a cut

Engines that break off, links reset after 4, 20 and 40 kB, callers that go away, a slow reader, 16 callers at once; each answer is compared byte by byte with the text that the engine logged for that request.

--- /dev/null
+++ b/tests/test_promise_answers.py
@@ -0,0 +1,129 @@
+"""Each caller gets the whole answer to its own request, or sees a cut."""
+
+import threading
+
+import pytest
+from caller_parts import (
+    ADAPTERS,
+    Traffic,
+    any_adapter,
+    check_answers,
+    model_document,
+)
+from promise_parts import Trial, small_shape
+
+from emulator.waiting import wait_until
+
+SEED = 20261205
+LONG = 300
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(data_centres=('north',), engines=2, proxied=('engine',))
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+@pytest.fixture
+def entry(trial):
+    return trial.dep.entries[0]
+
+
+def in_progress(trial):
+    return sum(
+        sum(trial.log(engine)['in_progress'].values())
+        for engine in trial.dep.engines
+    )
+
+
+def long_call(trial, entry, stream, **more):
+    document = model_document(ADAPTERS[0], stream=stream, tokens=LONG)
+    return trial.call(entry, document, **more)
+
+
+def die(trial, point):
+    for engine in trial.dep.engines:
+        trial.fault(engine, kind='die', point=point, count=1)
+
+
+@pytest.mark.parametrize('stream', [True, False], ids=['stream', 'whole'])
+def test_engine_lost_midway(trial, entry, stream):
+    """An answer that the engine breaks off is never ended as if complete."""
+    die(trial, 'mid_body')
+    answer = long_call(trial, entry, stream)
+    assert (answer.status, answer.is_whole) == (200, False)
+    check_answers(trial, [answer])
+    for engine in trial.dep.engines:
+        trial.fault(engine, kind='die', point='mid_body', count=0)
+
+
+@pytest.mark.parametrize('size', [4000, 20_000, 40_000])
+def test_connection_reset_midway(trial, entry, size):
+    """The link to the engine is reset after some bytes of the answer."""
+    source = trial.dep.controllers[0].name
+    for engine in trial.dep.engines:
+        trial.dep.links.fault(
+            source, engine.name, reset_after={'down': size}, reset_times=1
+        )
+    answer = long_call(trial, entry, stream=True)
+    for engine in trial.dep.engines:
+        trial.dep.links.heal((source, engine.name))
+    assert (answer.status, answer.is_whole) == (200, False)
+    check_answers(trial, [answer])
+
+
+def test_caller_gone(trial, entry):
+    """A caller goes away; its request ends and harms no later answer."""
+    with Traffic(trial, 4, any_adapter, SEED) as traffic:
+        for _ in range(8):
+            answer = long_call(
+                trial, entry, stream=True, pause=lambda pieces: pieces >= 3
+            )
+            assert not answer.is_whole
+            traffic.wait_for(3)
+    assert check_answers(trial, traffic.answers) == [
+        answer for answer in traffic.answers if answer.status == 200
+    ]
+    wait_until(lambda: not in_progress(trial), 5, 'cancelled at the engines')
+
+
+def test_slow_reader(trial, entry):
+    """A caller that reads nothing for a while still gets it all."""
+    release = threading.Event()
+    document = model_document(ADAPTERS[0], tokens=LONG, text='x' * 1000)
+    found = []
+
+    def pause(pieces):
+        if pieces == 1:
+            release.wait(20)
+        return False
+
+    reader = threading.Thread(
+        target=lambda: found.append(trial.call(entry, document, pause=pause))
+    )
+    reader.start()
+    wait_until(lambda: in_progress(trial), 5, 'started')
+    wait_until(lambda: not in_progress(trial), 10, 'run')
+    with Traffic(trial, 4, any_adapter, SEED) as traffic:
+        traffic.wait_for(20)
+    release.set()
+    reader.join(20)
+    answers = [*found, *traffic.answers]
+    assert check_answers(trial, answers) == answers
+
+
+def test_many_at_once(trial, entry):
+    """Interleaved answers of many callers, some of which lose the engine."""
+    with Traffic(trial, 16, any_adapter, SEED) as traffic:
+        for _ in range(4):
+            die(trial, 'mid_body')
+            traffic.wait_for(30)
+    check_answers(trial, traffic.answers)
+    cut = [
+        answer
+        for answer in traffic.answers
+        if answer.status == 200 and not answer.is_whole
+    ]
+    assert cut
