--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -136,8 +136,8 @@
 class ClaimsSettings(Section):
     """Key ranges of the claims, and how long a claim is remembered."""
 
-    ranges: Count = 16
-    horizon_s: Seconds = 86400.0
+    ranges: Count = 4
+    horizon_s: Seconds = 900.0
 
 
 class WeightStoreSettings(Section):
