--- /dev/null
+++ b/tests/test_instance_loads.py
@@ -0,0 +1,133 @@
+"""An instance's consents: every entry of it has closed and drained."""
+
+import pytest
+
+from wasabicross.instance_loads import InstanceLoads
+from wasabicross.messages import (
+    CloseLoad,
+    CloseRefused,
+    Hello,
+    LoadDrained,
+    LoadsGone,
+    LoadsOpened,
+    LoadsSnapshot,
+    ServerTerm,
+)
+
+LOAD = 'quote@1#s:2:1'
+OTHER = 'quote@1#s:2:2'
+SERVER = ServerTerm('s', 2)
+CLOSE = CloseLoad('s', LOAD, 2)
+
+
+class FakeLink:
+    """Keeps what is sent on it."""
+
+    def __init__(self, name='owner', **told):
+        fields = {'running': [], 'closed': [], 'opened': [], **told}
+        self.peer = Hello('entry', name, 'i', 'north', 't', **fields)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+@pytest.fixture
+def owner():
+    return FakeLink()
+
+
+@pytest.fixture
+def loads():
+    known = InstanceLoads(['a', 'b'])
+    known.accept_owner(SERVER, 'owner')
+    known.open_loads(LoadsOpened(SERVER, [LOAD]))
+    return known
+
+
+@pytest.mark.parametrize(
+    ('ends', 'consents'),
+    [
+        ([], False),
+        (['drained a'], False),
+        (['drained a', 'drained b'], True),
+        (['drained a', 'left b'], False),
+        (['drained a', 'left b', 'gone b'], True),
+        (['drained a', 'gone b'], False),
+        (['left a', 'left b', 'gone a', 'gone b'], True),
+    ],
+)
+def test_consent_needs_every_entry(loads, owner, ends, consents):
+    links = {name: FakeLink(name) for name in ('a', 'b')}
+    for link in links.values():
+        loads.entry_joined(link)
+    loads.consent_to_close(CLOSE, owner)
+    for end in ends:
+        how, name = end.split()
+        if how == 'drained':
+            loads.entry_drained(name, LOAD)
+        elif how == 'left':
+            loads.entry_left(links[name])
+        else:
+            loads.entry_gone(name)
+    assert (LoadDrained(LOAD) in owner.sent) is consents
+    assert all(CLOSE in link.sent for link in links.values())
+
+
+def test_entry_that_never_joined_counts_until_it_is_gone(loads, owner):
+    loads.consent_to_close(CLOSE, owner)
+    loads.entry_gone('a')
+    assert owner.sent == []
+    loads.entry_gone('b')
+    assert owner.sent == [LoadDrained(LOAD)]
+
+
+@pytest.mark.parametrize(('term', 'accepted'), [(1, False), (2, True)])
+def test_owner_of_an_earlier_term_is_refused(loads, owner, term, accepted):
+    loads.entry_gone('a')
+    loads.entry_gone('b')
+    loads.consent_to_close(CLOSE._replace(term=term), owner)
+    refused = CloseRefused(LOAD, SERVER)
+    assert owner.sent == [LoadDrained(LOAD) if accepted else refused]
+    assert loads.accept_owner(SERVER._replace(term=term), 'x') is accepted
+
+
+def test_closed_load_is_not_opened_again(loads, owner):
+    entry = FakeLink('a')
+    loads.consent_to_close(CLOSE, owner)
+    loads.open_loads(LoadsOpened(SERVER, [LOAD]))
+    loads.entry_joined(entry)
+    assert loads.report(SERVER).opened == []
+    assert loads.report(SERVER).closed == [LOAD]
+    assert LoadsOpened(SERVER, []) in entry.sent
+
+
+def test_snapshot_closes_what_it_lacks(loads):
+    entry = FakeLink('a')
+    loads.entry_joined(entry)
+    loads.replace_loads(LoadsSnapshot(SERVER, [OTHER]))
+    assert loads.report(SERVER).opened == [OTHER]
+    assert CLOSE in entry.sent
+
+
+def test_snapshot_of_an_earlier_owner_changes_nothing(loads):
+    loads.replace_loads(LoadsSnapshot(SERVER._replace(term=1), []))
+    assert loads.report(SERVER).opened == [LOAD]
+
+
+def test_restarted_controller_learns_from_its_entries():
+    loads = InstanceLoads(['a', 'b'])
+    loads.entry_joined(FakeLink('a', closed=[LOAD]))
+    loads.entry_joined(FakeLink('b', opened=[LOAD, OTHER]))
+    assert loads.report(SERVER).opened == [OTHER]
+    assert loads.report(SERVER).closed == [LOAD]
+
+
+def test_gone_load_is_forgotten(loads, owner):
+    entry = FakeLink('a')
+    loads.entry_joined(entry)
+    loads.consent_to_close(CLOSE, owner)
+    loads.drop_loads([LOAD])
+    assert loads.report(SERVER).closed == []
+    assert entry.sent[-1] == LoadsGone([LOAD])
