Observe the fill of the batch at dispatch

wasabicross_batch_fill_ratio was declared but no code observed it, so that batch efficiency could not be seen. An entry now observes the estimated share of the chosen engine's batch whenever a request has begun to count there.

--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -23,8 +23,8 @@
     Reply,
     refuse,
 )
-from wasabicross.routing import Dispatch, Holder, choose
-from wasabicross.telemetry import LOAD_STALL_SECONDS
+from wasabicross.routing import Dispatch, Holder, batch_fill, choose
+from wasabicross.telemetry import BATCH_FILL_RATIO, LOAD_STALL_SECONDS
 
 MAX_LOAD_WAIT_S = 20.0
 RETRY_AFTER_S = 2.0
@@ -118,6 +118,9 @@
         load_name = choice.holder.load_name
         if not self._link.loads.begin_request(load_name, now_s):
             return None
+        BATCH_FILL_RATIO.labels(run.req.route.request_class).observe(
+            batch_fill(choice.holder, weights)
+        )
         return choice.holder
 
     def _holders(self, run: _Run, now_s: float) -> list[Holder]:
--- a/src/wasabicross/routing.py
+++ b/src/wasabicross/routing.py
@@ -117,7 +117,8 @@
     return weights.run_s * queued / holder.batch_size
 
 
-def _fill(holder: Holder, weights: Weights) -> float:
+def batch_fill(holder: Holder, weights: Weights) -> float:
+    """Estimate the share of a server's batch that is in use."""
     return min(1, estimated_load(holder, weights) / holder.batch_size)
 
 
@@ -127,7 +128,7 @@
     data_centre: str,
     hints: Hints,
 ) -> float:
-    fill = _fill(holder, weights)
+    fill = batch_fill(holder, weights)
     wait_s = expected_wait_s(holder, weights)
     crowding_s = weights.run_s * _CROWDING * fill**2
     cost = weights.stall_weight * (wait_s + crowding_s)
@@ -186,7 +187,8 @@
     # A copy for each data centre would spend the loads on the tail.
     local = [each for each in holders if each.data_centre == data_centre]
     crowded = all(
-        _fill(each, policy) >= _copy_fill(policy) for each in local or holders
+        batch_fill(each, policy) >= _copy_fill(policy)
+        for each in local or holders
     )
     return Dispatch(best, copy_wanted=crowded)
 
