--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path
+.PHONY: install lint format test demo model bench-path chaos
 
 install: $(VENV)/.installed
 
@@ -32,3 +32,9 @@
 
 bench-path: install
 	$(BIN)/python -m emulator.bench_path
+
+SEED ?= 1
+RUNS ?= 10
+
+chaos: install
+	$(BIN)/python -m emulator.chaos --seed $(SEED) --runs $(RUNS)
--- /dev/null
+++ b/emulator/single_request.py
@@ -0,0 +1,19 @@
+"""One HTTP request to a stand-in."""
+
+import json
+from typing import Any
+
+import urllib3
+
+TIMEOUT_S = 5
+
+
+def post_json(url: str, document: dict[str, Any]) -> None:
+    """Post a JSON document.
+
+    :param url: where to.
+    :param document: what is posted.
+    """
+    http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+    body = json.dumps(document).encode()
+    http.request('POST', url, body=body, headers={'Connection': 'close'})
