Tell the id of a request in its answer

The logs name requests by an id that the caller was never told unless it had sent one of its own, so that an answer could not be found in the logs. Each answer to a request that was let in now has X-Request-Id, in place of one that a backend server sent. Ruled out: refusals before the request is let in, which are not logged by an id. tests/test_callers.py: without the change the ids are missing, with it all pass.

--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -35,6 +35,7 @@
 MAX_BODY_BYTES = 1024 * 1024
 MS_PER_S = 1000
 STOPPING_RETRY_S = 1.0
+REQUEST_ID_HEADER = 'X-Request-Id'
 
 REQUESTS = Counter(
     'wasabicross_requests',
@@ -103,7 +104,10 @@
             str(reply.status),
             dict(reply.headers)[OUTCOME_HEADER],
         ).inc()
-        return self._send(reply, start_response)
+        return self._send(
+            reply.with_header(REQUEST_ID_HEADER, accepted.request_id),
+            start_response,
+        )
 
     def _run(self, req: CallerRequest, now_s: float) -> Reply:
         admitted = self._admission.admit(
--- a/src/wasabicross/replies.py
+++ b/src/wasabicross/replies.py
@@ -27,6 +27,17 @@
     headers: Headers
     content: Iterable[bytes]
 
+    def with_header(self, name: str, text: str) -> 'Reply':
+        """Return the reply with a header field in place of others of its name.
+
+        :param name: of the field.
+        :param text: its value.
+        """
+        others = tuple(
+            field for field in self.headers if field[0].lower() != name.lower()
+        )
+        return self._replace(headers=(*others, (name, text)))
+
 
 class Finished:
     """The content of a reply; calls back once when it has ended.
