--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -8,6 +8,7 @@
 from emulator.example import StandIns
 from emulator.fleet import ROOT
 from emulator.instances import read_entries
+from emulator.waiting import FIRST_PORT, LAST_PORT
 from wasabicross.bundle_file import parse_bundle_file
 from wasabicross.settings import load_settings
 
@@ -100,3 +101,5 @@
         for program in (cfg.controller, cfg.admin, *cfg.entries):
             ports.extend((program.port, program.metrics_port))
     assert [port for port, count in Counter(ports).items() if count > 1] == []
+    # Tests take theirs from there, and may run at the same time.
+    assert not set(ports) & set(range(FIRST_PORT, LAST_PORT + 1))
