--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,54 @@
+"""Fixed seeds of mixed faults break no promise; the checks see what does."""
+
+import pytest
+
+from emulator.chaos import run_seed
+from emulator.chaos_callers import Got
+from emulator.chaos_checks import Evidence, violations
+
+STREAM = (
+    b'data: {"choices": [{"delta": {"content": "[a@1]"}}]}\n\n'
+    b'data: {"choices": [{"delta": {"content": " x"}}]}\n\n'
+    b'data: [DONE]\n\n'
+)
+NAMED = {'X-Wasabicross-Bundle': '1', 'X-Wasabicross-Outcome': 'completed'}
+GOT = Got('r', '', 'a', 2, 200, NAMED, STREAM, True)
+REFUSED = GOT._replace(
+    status=503, headers={'X-Wasabicross-Outcome': 'not-run'}, body=b''
+)
+ORDER = Got('o', 'k', '', 0, 200, {}, b'receipt', True)
+RAN = {'event': 'request', 'request_id': 'r', 'tokens': 2}
+ENGINE = {'evicted_in_progress': 0, 'log': []}
+SERVICE = {'executions_by_key': {'k': 1}, 'executions_by_request': {'o': 1}}
+TWICE = {**SERVICE, 'executions_by_key': {'k': 2}}
+
+
+@pytest.mark.parametrize('seed', [10, 14, 16])
+def test_seed_breaks_nothing(seed):
+    assert run_seed(seed).broken == []
+
+
+@pytest.mark.parametrize(
+    ('got', 'engine', 'service', 'broken'),
+    [
+        ([GOT, ORDER], {}, {}, 0),
+        ([], {'evicted_in_progress': 1}, {}, 1),
+        ([], {}, TWICE, 1),
+        ([REFUSED], {'log': [RAN]}, {}, 1),
+        ([REFUSED._replace(request_id='o')], {}, {}, 1),
+        ([GOT._replace(body=STREAM.replace(b'a@1', b'a@2'))], {}, {}, 1),
+        ([GOT._replace(tokens=3)], {}, {}, 1),
+        ([GOT._replace(body=STREAM[:-14])], {}, {}, 1),
+        ([ORDER, ORDER._replace(body=b'other')], {}, {}, 1),
+        ([ORDER], {}, {'executions_by_key': {}}, 1),
+        ([ORDER._replace(is_whole=False, body=b'rec'), ORDER], {}, {}, 0),
+    ],
+)
+def test_checks_see_each_broken_promise(got, engine, service, broken):
+    evidence = Evidence(
+        got,
+        {'e': {**ENGINE, **engine}},
+        {'s': {**SERVICE, **service}},
+        {1: {'a': '1'}},
+    )
+    assert len(violations(evidence)) == broken
