Keep a late cancel off the connection's next call

Cause: an answer that had ended could still be cancelled. Its connection may by then carry another caller's call, which would have been cut.

Ruled out: forgetting the socket at the end without a lock; cancel runs in another thread than the reader.

Change: the end of an answer and its cancelling exclude each other, and a body can be read once. An engine gets one deadline field, not the caller's besides. The stand-ins' faults can be kept to the requests of one path, so that a controller's questions don't use them up; the plain service can be crashed by a marked request; the weight store takes adapter names with slashes.

Conclusion: a cancel can reach no call but its own.

--- a/emulator/backend_control.py
+++ b/emulator/backend_control.py
@@ -23,9 +23,13 @@
         body = json.dumps({'kind': kind, **details}).encode()
         self._request('POST', '/fault', body)
 
-    def die_at(self, point: str, count: int = 1) -> None:
-        """Have the next requests' connections die at a point."""
-        self.set_fault('die', point=point, count=count)
+    def die_at(self, point: str, count: int = 1, path: str = '') -> None:
+        """Have the connections of the next requests die at a point.
+
+        :param point: value of a `emulator.faults.Point`.
+        :param path: prefix of the requests' paths.
+        """
+        self.set_fault('die', point=point, count=count, path=path)
 
     def describe(self) -> dict[str, Any]:
         """Return the log and the counters."""
--- a/emulator/batch.py
+++ b/emulator/batch.py
@@ -66,7 +66,7 @@
         self._busy_time_s: float = 0
 
     def submit(self, job: Job) -> None:
-        """Start a job, or has it wait for a place."""
+        """Start a job, or have it wait for a place."""
         heapq.heappush(self._waiting, job)
         self._fill()
 
@@ -94,10 +94,6 @@
         jobs = (*self._running, *self._waiting)
         return Counter(job.load_name for job in jobs if not job.ended.done())
 
-    def running_on(self, load_name: str) -> int:
-        """Return how many jobs run on a load."""
-        return sum(job.load_name == load_name for job in self._running)
-
     @property
     def running(self) -> int:
         """How many jobs run."""
--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -80,7 +80,7 @@
         )
 
     async def run(self) -> None:
-        """Run to the end and answers."""
+        """Run to the end and answer."""
         job = self.job
         self._responder.call_when_gone(
             lambda: self._batch.end(job, 'cancelled'),
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -16,9 +16,7 @@
 from emulator.stream_server import HttpRequest, Responder, StreamServer
 
 _RETRY_SOON = (('Retry-After', '1'),)
-_COMPLETIONS_PATH = '/v1/chat/completions'
 _LOAD_PATH = '/v1/load_lora_adapter'
-_EVICT_PATH = '/v1/unload_lora_adapter'
 
 
 class Engine:
@@ -114,14 +112,13 @@
         order: Callable[[HttpRequest], Awaitable[None]],
     ) -> None:
         term = int(req.headers.get('x-fencing-term', '0'))
+        load_name = req.document().get('lora_name', '')
         entry = {
             'event': 'load' if req.path == _LOAD_PATH else 'evict',
             'at': time.monotonic(),
             'term': term,
-            'load_name': req.document().get('lora_name', ''),
-            'in_progress': self._batch.by_load()[
-                req.document().get('lora_name', '')
-            ],
+            'load_name': load_name,
+            'in_progress': self._batch.by_load()[load_name],
             'outcome': 'ok',
         }
         self._log.append(entry)
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -29,27 +29,32 @@
     """How many more requests die at each point.
 
     A test sets them by ``POST /fault`` with
-    ``{"kind": "die", "point": "mid_body", "count": 1}``.
+    ``{"kind": "die", "point": "mid_body", "count": 1, "path": "/orders"}``.
+    Without a path each request counts. A connection dies on connecting
+    whatever it was made for.
     """
 
     def __init__(self) -> None:
         self._left: Counter[Point] = Counter()
+        self._paths: dict[Point, str] = {}
 
     def set_from(self, document: dict[str, Any]) -> None:
         """Set one point's count from the fault that was asked for."""
         point = Point(document['point'])
         self._left[point] = int(document.get('count', 1))
+        self._paths[point] = document.get('path', '')
 
-    def take(self, point: Point) -> bool:
-        """Use up one death at a point, if any is left."""
-        if self._left[point] <= 0:
+    def take(self, point: Point, path: str = '') -> bool:
+        """Use up one death at a point, if any is left for the path."""
+        wanted = '' if point is Point.ON_CONNECT else self._paths.get(point, '')
+        if self._left[point] <= 0 or not path.startswith(wanted):
             return False
         self._left[point] -= 1
         return True
 
-    def take_later(self) -> Point | None:
+    def take_later(self, path: str) -> Point | None:
         """Use up one death at a point after the request was read."""
         for point in _LATER_POINTS:
-            if self.take(point):
+            if self.take(point, path):
                 return point
         return None
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import os
 import time
 from collections import Counter
 from typing import Any
@@ -11,6 +12,9 @@
 from emulator.faults import Faults, Point
 from emulator.stream_server import HttpRequest, Responder, StreamServer
 
+#: Exit code of a service that a request has crashed.
+CRASH_EXIT_CODE = 13
+
 
 class Service:
     """A service that runs each call and counts it.
@@ -24,6 +28,7 @@
         self._delay_s = delay_s
         self._max_running = max_running
         self._running = 0
+        self._crash_marker = b''
         self._by_key: Counter[str] = Counter()
         self._by_request: Counter[str] = Counter()
         self._log: list[dict[str, Any]] = []
@@ -45,6 +50,8 @@
             responder.send_json(503, document, (('Retry-After', '1'),))
             return
         self._count(req)
+        if self._crash_marker and self._crash_marker in req.body:
+            os._exit(CRASH_EXIT_CODE)
         self._running += 1
         try:
             await asyncio.sleep(self._delay_s)
@@ -77,6 +84,8 @@
                 self._delay_s = document['delay_ms'] / 1000
             case 'refuse':
                 self._max_running = 0
+            case 'crash_marker':
+                self._crash_marker = document['marker'].encode()
             case 'recover':
                 self._max_running = int(document.get('max_running', 64))
             case _:
--- a/emulator/stream_server.py
+++ b/emulator/stream_server.py
@@ -236,13 +236,15 @@
     ) -> None:
         req = _parse_head(await reader.readuntil(b'\r\n\r\n'))
         is_control = req.path.startswith(self._control_paths)
-        if not is_control and self._faults.take(Point.HALF_REQUEST):
+        if not is_control and self._faults.take(Point.HALF_REQUEST, req.path):
             responder.reset()
             raise ConnectionDied
         length = int(req.headers.get('content-length', '0'))
         req = req._replace(body=await reader.readexactly(length))
         responder.is_last = req.headers.get('connection') == 'close'
-        responder.die_at = None if is_control else self._faults.take_later()
+        responder.die_at = (
+            None if is_control else self._faults.take_later(req.path)
+        )
         if responder.die_at is Point.AFTER_REQUEST:
             responder.reset()
             raise ConnectionDied
--- a/emulator/weights.py
+++ b/emulator/weights.py
@@ -51,8 +51,9 @@
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         match req.method, req.path.split('/')[1:]:
-            case 'GET', ['weights', adapter, version]:
-                await self._serve_load(adapter, version, responder)
+            case 'GET', ['weights', *adapter, version]:
+                name = '/'.join(adapter)
+                await self._serve_load(name, version, responder)
             case 'GET', ['debug', 'log']:
                 document = {'counts': self._counts, 'log': self._log}
                 responder.send_json(200, document)
--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from http.client import HTTPException
@@ -95,6 +96,8 @@
         self._end_mark = b''
         self._tail = b''
         self._reading = False
+        self._finished = False
+        self._lock = threading.Lock()
         self._timeout_s = float('nan')
 
     def header(self, name: str) -> str | None:
@@ -108,11 +111,15 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes, joining what has arrived meanwhile.
 
-        The connection is closed if the iterator is left before its end.
+        The body can be read once. The connection is closed if the iterator
+        is left before its end.
 
         :raises AnswerCut: when the body ends before it is complete, pauses
-            for longer than the idle timeout, or passes the deadline.
+            for longer than the idle timeout, or passes the deadline, and
+            when it was read or cancelled before.
         """
+        if self._reading or self._finished:
+            raise AnswerCut('the answer was read or cancelled before')
         self._reading = True
         complete = False
         try:
@@ -134,9 +141,14 @@
         return b''.join(self.chunks())
 
     def cancel(self) -> None:
-        """End the connection, from any thread; its reader sees a cut."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+        """End the connection, from any thread; its reader sees a cut.
+
+        Nothing happens if the answer has ended: its connection may already
+        carry another call.
+        """
+        with self._lock, contextlib.suppress(OSError):
+            if not self._finished:
+                self._sock.shutdown(socket.SHUT_RDWR)
         # A reader in another thread closes the connection by itself.
         if not self._reading:
             self._finish(complete=False)
@@ -161,6 +173,10 @@
         return self._body.chunked or self._body.length == 0
 
     def _finish(self, *, complete: bool) -> None:
+        with self._lock:
+            if self._finished:
+                return
+            self._finished = True
         self._body.close()
         if complete and self._conn.is_reusable():
             self._keep(self._conn)
--- a/src/wasabicross/dispatch.py
+++ b/src/wasabicross/dispatch.py
@@ -78,7 +78,7 @@
         self._idle: deque[StreamConnection] = deque()
 
     def start(self, call: Call) -> Result[Answer, DispatchError]:
-        """Send the call and waits for the head of the answer.
+        """Send the call and wait for the head of the answer.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -138,12 +138,15 @@
         """
         engine_deadline_s = max(0, call.deadline_s - DEADLINE_MARGIN_S)
         deadline_ms = str(int(engine_deadline_s * _MS_PER_S))
-        headers = (*call.headers, (_DEADLINE_FIELD, deadline_ms))
+        headers = (
+            *(field for field in call.headers if field[0] != _DEADLINE_FIELD),
+            (_DEADLINE_FIELD, deadline_ms),
+        )
         started = self._dispatcher.start(call._replace(headers=headers))
         return started.bind(judge_call)
 
     def load(self, order: LoadOrder) -> Result[None, OrderError]:
-        """Order a load and waits until calls can use it.
+        """Order a load and wait until calls can use it.
 
         :return: nothing, also when the engine holds the load already, or
             `OrderRefused`, `SlotsFull`, `LoadFailed`, `EngineUnreachable` or
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -251,6 +251,21 @@
     assert not dispatcher._idle
 
 
+def test_ended_answer_leaves_its_connection_to_others(serve):
+    second_answer = [WHOLE[:-5], 'wait', b'whole']
+    server = serve(['request', WHOLE, 'request', *second_answer])
+    dispatcher = Dispatcher('127.0.0.1', server.port)
+    ended = dispatcher.start(READ).ok
+    assert ended.read() == b'whole'
+    second = dispatcher.start(READ).ok
+    ended.cancel()
+    server.go.set()
+    with pytest.raises(AnswerCut):
+        ended.read()
+    assert second.read() == b'whole'
+    assert (server.connections, len(dispatcher._idle)) == (1, 1)
+
+
 def test_cancel_wakes_the_reader(serve):
     server = serve(['request', CHUNKED + b'5\r\nwhole\r\n'])
     answer = Dispatcher('127.0.0.1', server.port).start(CALL).ok
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -6,7 +6,7 @@
 
 from emulator.backend_control import BackendControl
 from emulator.fleet import Program
-from emulator.service import reply_to
+from emulator.service import CRASH_EXIT_CODE, reply_to
 from emulator.waiting import free_ports
 from wasabicross.dispatch import Call, Dispatcher
 from wasabicross.exceptions import (
@@ -85,5 +85,23 @@
     assert request_id not in control.describe()['executions_by_key']
 
 
+def test_request_that_crashes_the_service(runner):
+    (port,) = free_ports(1)
+    args = ('--port', str(port))
+    ready = f'tcp://127.0.0.1:{port}'
+    runner.run(Program('crashing', 'emulator.service', args, ready))
+    BackendControl(port).set_fault('crash_marker', marker='quay')
+    assert place_order(port)[0] is OutcomeUnknown
+    assert runner.wait('crashing') == CRASH_EXIT_CODE
+    assert place_order(port)[0] is NotConnected
+
+
+def test_faults_of_one_path(port, control):
+    control.die_at('after_request', path='/fees')
+    assert place_order(port)[0] is not OutcomeUnknown
+    control.die_at('after_request', path='/orders')
+    assert place_order(port)[0] is OutcomeUnknown
+
+
 def test_absent_service_is_not_run():
     assert place_order(*free_ports(1))[0] is NotConnected
