Measure what control costs as its sizes grow

The cost of control at the planned size was not known. Bytes come from the kernel's counts of each connection; a counting proxy was left out, since it would add a hop to what is timed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path
+.PHONY: install lint format test demo model bench-path slopes
 
 install: $(VENV)/.installed
 
@@ -32,3 +32,6 @@
 
 bench-path: install
 	$(BIN)/python -m emulator.bench_path
+
+slopes: install
+	$(BIN)/python -m emulator.slopes
--- /dev/null
+++ b/emulator/idle_peers.py
@@ -0,0 +1,188 @@
+"""Peers of a controller that renew and answer, and do nothing else."""
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection, connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import ServerConnection, serve
+
+from emulator.link_table import HOST
+from wasabicross import messages as msg
+from wasabicross.links import PING_INTERVAL_S, PING_TIMEOUT_S
+
+#: Engines that a peer owns, about as many as the letter's sizes give.
+SERVERS_PER_PEER = 2
+TOKEN_AGE_S = 0.5
+BUNDLE_DIGEST = 'ab' * 32
+BUNDLE_SINCE = '2026-01-01T00:00:00.000000+00:00'
+ANSWER_TIMEOUT_S = 5.0
+
+# Where the kernel's record of a connection holds its counts.
+_TCP_INFO_BYTES = 144
+_BYTES_AT = 120
+_COUNTS = struct.Struct('=QQII')
+
+
+class LinkBytes(NamedTuple):
+    """Bytes and segments of connections, both ways together."""
+
+    payload: int
+    segments: int
+
+
+class IdlePeers:
+    """Many peers of one controller, as threads of this process.
+
+    The controller dials all of them at one port, and each of them dials
+    the controller, as controllers do with each other.
+
+    :param count: how many peers.
+    :param data_centre: where they are said to stand.
+    :param port: where the controller dials them.
+    :param token: the peer token.
+    """
+
+    def __init__(
+        self, count: int, data_centre: str, port: int, token: str
+    ) -> None:
+        self._names = [f'{data_centre}-peer-{at}' for at in range(count)]
+        self._data_centre = data_centre
+        self._token = token
+        self._lock = threading.Lock()
+        self._accepted: list[ServerConnection] = []
+        self._dialled: list[ClientConnection] = []
+        self._stop = threading.Event()
+        self._server = serve(
+            self._answer,
+            HOST,
+            port,
+            compression=None,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        )
+        self._port = port
+
+    def instances(self) -> list[dict[str, Any]]:
+        """Return the peers as the instance list shows them."""
+        return [
+            {
+                'instance_id': name,
+                'data_centre': self._data_centre,
+                'host': HOST,
+                'port': self._port,
+                'state': 'live',
+            }
+            for name in self._names
+        ]
+
+    def server_ids(self) -> list[str]:
+        """Return the names of the servers that the peers own."""
+        return [
+            server_id for name in self._names for server_id in _servers_of(name)
+        ]
+
+    def listen(self) -> None:
+        """Begin to answer the controller."""
+        self._start(self._server.serve_forever)
+
+    def dial(self, port: int, renew_interval_s: float) -> None:
+        """Dial the controller from each peer and renew from then on.
+
+        :param port: the controller's port.
+        :param renew_interval_s: seconds between a peer's renewals.
+        """
+        for name in self._names:
+            conn = connect(
+                f'ws://{HOST}:{port}',
+                compression=None,
+                proxy=None,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+            )
+            opened = conn.__enter__()  # noqa: WPS609
+            self._dialled.append(opened)
+            _call(opened, self._hello(name))
+        self._start(lambda: self._renew(renew_interval_s))
+
+    def linked(self) -> bool:
+        """Tell whether the controller has dialled every peer."""
+        return len(self._accepted) >= len(self._names)
+
+    def link_bytes(self) -> LinkBytes:
+        """Return what all links have carried so far."""
+        conns: list[Connection] = [*self._accepted, *self._dialled]
+        counts = [_counts_of(conn.socket) for conn in conns]
+        return LinkBytes(
+            sum(each.payload for each in counts),
+            sum(each.segments for each in counts),
+        )
+
+    def close(self) -> None:
+        """End all links."""
+        self._stop.set()
+        for conn in self._dialled:
+            conn.socket.close()
+        self._server.shutdown()
+
+    def _start(self, run: Callable[[], None]) -> None:
+        threading.Thread(target=run, daemon=True).start()
+
+    def _hello(self, name: str) -> msg.Hello:
+        return msg.Hello(
+            'controller', name, name, self._data_centre, self._token, [], [], []
+        )
+
+    def _renew(self, interval_s: float) -> None:
+        renew = msg.Renew(1, BUNDLE_DIGEST, BUNDLE_SINCE)
+        pause_s = interval_s / max(1, len(self._dialled))
+        while not self._stop.is_set():
+            for conn in self._dialled:
+                try:
+                    _call(conn, renew)
+                except (WebSocketException, OSError, TimeoutError):
+                    return
+                self._stop.wait(pause_s)
+
+    def _answer(self, conn: ServerConnection) -> None:
+        with self._lock:
+            name = self._names[len(self._accepted) % len(self._names)]
+            self._accepted.append(conn)
+        loads = [
+            msg.ServerLoad(server_id, 8, 0, 64, TOKEN_AGE_S, TOKEN_AGE_S)
+            for server_id in _servers_of(name)
+        ]
+        for frame in conn:
+            envelope = msg.decode(frame).ok
+            if envelope.mark != msg.REQUEST:
+                continue
+            answer: Any = msg.Renewed(loads, [], listed=True)
+            if isinstance(envelope.message, msg.Hello):
+                answer = msg.Welcome(name)
+            reply = msg.Envelope(msg.REPLY, envelope.call_id, answer)
+            conn.send(msg.encode(reply))
+
+
+def _servers_of(name: str) -> list[str]:
+    return [f'{name}-engine-{at}' for at in range(SERVERS_PER_PEER)]
+
+
+def _call(conn: Connection, message: Any) -> None:
+    conn.send(msg.encode(msg.Envelope(msg.REQUEST, 1, message)))
+    mark = msg.ONE_WAY
+    while mark != msg.REPLY:
+        mark = msg.decode(conn.recv(ANSWER_TIMEOUT_S)).ok.mark
+
+
+def _counts_of(sock: socket.socket) -> LinkBytes:
+    record = sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+    )
+    acked, received, sent_segments, received_segments = _COUNTS.unpack_from(
+        record, _BYTES_AT
+    )
+    return LinkBytes(acked + received, sent_segments + received_segments)
