--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path chaos
+.PHONY: install lint format test demo model bench-path chaos slopes
 
 install: $(VENV)/.installed
 
@@ -38,3 +38,6 @@
 
 chaos: install
 	$(BIN)/python -m emulator.chaos --seed $(SEED) --runs $(RUNS)
+
+slopes: install
+	$(BIN)/python -m emulator.slopes
