--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo
+.PHONY: install lint format test demo model bench-path
 
 install: $(VENV)/.installed
 
@@ -13,11 +13,12 @@
 	touch $@
 
 format: install
-	$(BIN)/ruff format src emulator tests
+	$(BIN)/ruff format src emulator model tests
 
 lint: install
-	$(BIN)/ruff format --check src emulator tests
-	$(BIN)/flake8 src emulator tests
+	$(BIN)/ruff format --check src emulator model tests
+	$(BIN)/ruff check src emulator model tests
+	$(BIN)/flake8 src emulator model tests
 	$(BIN)/mypy
 
 test: install
@@ -25,3 +26,9 @@
 
 demo: install
 	$(BIN)/python -m emulator.demo
+
+model: install
+	$(BIN)/python -m model
+
+bench-path: install
+	$(BIN)/python -m emulator.bench_path
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -36,19 +36,19 @@
         self._left: Counter[Point] = Counter()
 
     def set_from(self, document: dict[str, Any]) -> None:
-        """Sets one point's count from the fault that was asked for."""
+        """Set one point's count from the fault that was asked for."""
         point = Point(document['point'])
         self._left[point] = int(document.get('count', 1))
 
     def take(self, point: Point) -> bool:
-        """Uses up one death at a point, if any is left."""
+        """Use up one death at a point, if any is left."""
         if self._left[point] <= 0:
             return False
         self._left[point] -= 1
         return True
 
     def take_later(self) -> Point | None:
-        """Uses up one death at a point after the request was read."""
+        """Use up one death at a point after the request was read."""
         for point in _LATER_POINTS:
             if self.take(point):
                 return point
--- a/emulator/http_server.py
+++ b/emulator/http_server.py
@@ -5,13 +5,14 @@
 """
 
 import json
-import signal
 import threading
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
+from wasabicross.stopping import stop_event, wait_for_stop
+
 STACK_BYTES = 256 * 1024
 STATUS_NOT_FOUND = 404
 STATUS_BAD_REQUEST = 400
@@ -128,11 +129,16 @@
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
 
-def serve_until_stopped(port: int, answer: Answerer) -> None:
-    """Serve until SIGTERM or SIGINT; to be called from the main thread."""
-    stop_signals = {signal.SIGTERM, signal.SIGINT}
-    signal.pthread_sigmask(signal.SIG_BLOCK, stop_signals)
-    server = StandInServer(port, answer)
+def serve_until_stopped(port: int, make: Callable[[], Answerer]) -> None:
+    """Serve until SIGTERM or SIGINT; to be called from the main thread.
+
+    :param port: the port.
+    :param make: makes the answerer, and starts the threads that it needs:
+        a thread started earlier would take the signal, and the process
+        would die of it.
+    """
+    stop = stop_event()
+    server = StandInServer(port, make())
     server.start()
-    signal.sigwait(stop_signals)
+    wait_for_stop(stop)
     server.shutdown()
--- a/emulator/prompt_cache.py
+++ b/emulator/prompt_cache.py
@@ -34,7 +34,7 @@
         self._events: list[tuple[float, dict[str, Any]]] = []
 
     def use(self, load_name: str, document: dict[str, Any]) -> bool:
-        """Takes note of a request; tells if its prefix was held."""
+        """Take note of a request; tells if its prefix was held."""
         prefix = prefix_of(document)
         key = (load_name, prefix)
         hit = key in self._held
@@ -48,11 +48,11 @@
         return hit
 
     def clear(self) -> None:
-        """Forgets everything, telling nobody."""
+        """Forget everything, telling nobody."""
         self._held.clear()
 
     def events(self, after: int) -> list[dict[str, Any]]:
-        """Returns the visible events after a number."""
+        """Return the visible events after a number."""
         visible_s = time.monotonic() - self._event_lag_s
         return [
             event
@@ -74,7 +74,7 @@
 
 
 def prefix_of(document: dict[str, Any]) -> str:
-    """Returns the digest of a request's first message."""
+    """Return the digest of a request's first message."""
     messages = document.get('messages') or ['']
     digest = hashlib.sha256(repr(messages[0]).encode())
     return digest.hexdigest()[:_PREFIX_DIGITS]
--- a/emulator/backend_http.py
+++ b/emulator/stream_server.py
@@ -1,8 +1,13 @@
-"""A small asyncio HTTP server whose connections can die at a given point."""
+"""A small asyncio HTTP server for stand-ins that stream or die on demand.
+
+Other than `emulator.http_server` it carries a hundred streams in one process,
+and its connections can be made to die at a given point of a request.
+"""
 
 import asyncio
 import contextlib
 import json
+import signal
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -38,7 +43,7 @@
     body: bytes
 
     def document(self) -> dict[str, Any]:
-        """Returns the JSON object in the body, or an empty one."""
+        """Return the JSON object in the body, or an empty one."""
         try:
             document = json.loads(self.body)
         except ValueError:
@@ -57,12 +62,12 @@
     on_gone: Callable[[], None] | None = None
 
     def feed_eof(self) -> None:
-        """Notes that the peer sends nothing more."""
+        """Note that the peer sends nothing more."""
         super().feed_eof()
         self._leave()
 
     def set_exception(self, exc: Exception) -> None:
-        """Notes that the connection is lost."""
+        """Note that the connection is lost."""
         super().set_exception(exc)
         self._leave()
 
@@ -87,6 +92,7 @@
         self._reader = reader
         self._writer = writer
         self.die_at: Point | None = None
+        self.is_last = False
 
     @property
     def is_gone(self) -> bool:
@@ -94,11 +100,11 @@
         return self._reader.is_gone or self._writer.is_closing()
 
     def call_when_gone(self, callback: Callable[[], None] | None) -> None:
-        """Has one call made when the peer closes the connection."""
+        """Have one call made when the peer closes the connection."""
         self._reader.on_gone = callback
 
     def reset(self) -> None:
-        """Drops the connection without an end."""
+        """Drop the connection without an end."""
         self._writer.transport.abort()
 
     def send_json(
@@ -107,7 +113,7 @@
         document: Any,
         headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
-        """Sends a whole answer."""
+        """Send a whole answer."""
         body = json.dumps(document).encode()
         fields = (
             ('Content-Type', 'application/json'),
@@ -120,7 +126,7 @@
         self._writer.write(body)
 
     def start_stream(self, content_type: str) -> None:
-        """Starts a chunked answer."""
+        """Start a chunked answer."""
         fields = (
             ('Content-Type', content_type),
             ('Transfer-Encoding', 'chunked'),
@@ -128,13 +134,13 @@
         self._send_head(200, fields)
 
     def send_chunk(self, data: bytes) -> None:
-        """Sends a piece of a chunked answer."""
+        """Send a piece of a chunked answer."""
         if self.die_at is Point.MID_BODY:
             self._die(b'%x\r\n%b' % (len(data), data[: len(data) // 2]))
         self._writer.write(b'%x\r\n%b\r\n' % (len(data), data))
 
     def end_stream(self) -> None:
-        """Ends a chunked answer as complete."""
+        """End a chunked answer as complete."""
         self._writer.write(b'0\r\n\r\n')
 
     def _send_head(
@@ -143,6 +149,8 @@
         fields: tuple[tuple[str, str], ...],
     ) -> None:
         lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
+        if self.is_last:
+            fields = (*fields, ('Connection', 'close'))
         lines.extend(f'{name}: {text}' for name, text in fields)
         self._writer.write('\r\n'.join((*lines, '', '')).encode())
         if self.die_at is Point.AFTER_HEADERS:
@@ -158,7 +166,7 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class HttpServer:
+class StreamServer:
     """Serves requests one after the other on each connection.
 
     :param handler: answers a request through the responder.
@@ -178,7 +186,7 @@
         self._open: set[Responder] = set()
 
     async def serve(self, host: str, port: int) -> None:
-        """Listens until cancelled; prints the port when ready."""
+        """Listen until SIGTERM; prints the port when ready."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             lambda: asyncio.StreamReaderProtocol(PeerReader(), self._talk),
@@ -188,11 +196,13 @@
         )
         number = server.sockets[0].getsockname()[1]
         click.echo(f'listening {number}')
-        async with server:
-            await server.serve_forever()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        await stopped.wait()
+        server.close()
 
     def reset_others(self, responder: Responder) -> None:
-        """Drops every open connection but one."""
+        """Drop every open connection but one."""
         for other in self._open - {responder}:
             other.reset()
 
@@ -208,6 +218,7 @@
             return
         self._open.add(responder)
         with contextlib.suppress(
+            asyncio.CancelledError,
             asyncio.IncompleteReadError,
             ConnectionError,
             ConnectionDied,
@@ -230,13 +241,14 @@
             raise ConnectionDied
         length = int(req.headers.get('content-length', '0'))
         req = req._replace(body=await reader.readexactly(length))
+        responder.is_last = req.headers.get('connection') == 'close'
         responder.die_at = None if is_control else self._faults.take_later()
         if responder.die_at is Point.AFTER_REQUEST:
             responder.reset()
             raise ConnectionDied
         await self._handler(req, responder)
         await writer.drain()
-        if req.headers.get('connection') == 'close':
+        if responder.is_last:
             raise ConnectionDied
 
 
--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -10,7 +10,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from wasabicross.exceptions import AnswerCut
-from wasabicross.responses import READ_BUFFER_BYTES, StreamConnection
+from wasabicross.responses import StreamConnection
 
 #: Longest gap within an answer before it counts as cut.
 IDLE_TIMEOUT_S = 30.0
@@ -49,7 +49,7 @@
         self._idle_s = idle_s
 
     def left_s(self) -> float:
-        """Returns the seconds left.
+        """Return the seconds left.
 
         :raises TimeoutError: when none are left.
         """
@@ -59,7 +59,7 @@
         return left_s
 
     def next_read_s(self) -> float:
-        """Returns how many seconds the next read of the body may wait.
+        """Return how many seconds the next read of the body may wait.
 
         :raises TimeoutError: when the deadline has passed.
         """
@@ -91,19 +91,22 @@
         self._sock = sock
         self._limits = limits
         self._keep = keep
+        self._body = conn.last_response
         self._end_mark = b''
+        self._tail = b''
         self._reading = False
+        self._timeout_s = float('nan')
 
     def header(self, name: str) -> str | None:
-        """Returns the field of this name, in any case, if there is one."""
+        """Return the field of this name, in any case, if there is one."""
         return self._response.headers.get(name)
 
     def require_end_mark(self, mark: bytes) -> None:
-        """Has a body that doesn't end with the mark count as cut."""
+        """Have a body that doesn't end with the mark count as cut."""
         self._end_mark = mark
 
     def chunks(self) -> Iterator[bytes]:
-        """Yields the body as it comes, joining what has arrived meanwhile.
+        """Yield the body as it comes, joining what has arrived meanwhile.
 
         The connection is closed if the iterator is left before its end.
 
@@ -112,57 +115,53 @@
         """
         self._reading = True
         complete = False
-        tail = b''
         try:
-            for piece in self._pieces():
+            while piece := self._read_piece():
                 if self._end_mark:
-                    tail = (tail + piece)[-len(self._end_mark) :]
+                    self._note_end(piece)
                 yield piece
-            complete = self._is_complete(tail)
+            complete = self._is_complete()
         finally:
             self._finish(complete=complete)
         if not complete:
             raise AnswerCut('the answer ended before it was complete')
 
     def read(self) -> bytes:
-        """Returns the whole body.
+        """Return the whole body.
 
         :raises AnswerCut: like `chunks`.
         """
         return b''.join(self.chunks())
 
     def cancel(self) -> None:
-        """Ends the connection, from any thread; its reader sees a cut."""
+        """End the connection, from any thread; its reader sees a cut."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         # A reader in another thread closes the connection by itself.
         if not self._reading:
             self._finish(complete=False)
 
-    def _pieces(self) -> Iterator[bytes]:
-        while True:
-            try:
-                piece = self._read_piece()
-            except FAILURES as exc:
-                raise AnswerCut(f'the answer was cut: {exc!r}') from exc
-            if not piece:
-                return
-            yield piece
-
     def _read_piece(self) -> bytes:
-        self._sock.settimeout(self._limits.next_read_s())
-        return self._response.read1(READ_BUFFER_BYTES)
-
-    def _is_complete(self, tail: bytes) -> bool:
+        try:
+            timeout_s = self._limits.next_read_s()
+            if timeout_s != self._timeout_s:
+                self._timeout_s = timeout_s
+                self._sock.settimeout(timeout_s)
+            return self._body.read_arrived()
+        except FAILURES as exc:
+            raise AnswerCut(f'the answer was cut: {exc!r}') from exc
+
+    def _note_end(self, piece: bytes) -> None:
+        self._tail = (self._tail + piece)[-len(self._end_mark) :]
+
+    def _is_complete(self) -> bool:
         if self._end_mark:
-            return tail == self._end_mark
+            return self._tail == self._end_mark
         # A body without framing ends like one whose server died.
-        return self._response.chunked or (
-            self._response.length_remaining is not None
-        )
+        return self._body.chunked or self._body.length == 0
 
     def _finish(self, *, complete: bool) -> None:
-        self._response.close()
+        self._body.close()
         if complete and self._conn.is_reusable():
             self._keep(self._conn)
         else:
@@ -172,7 +171,7 @@
 def end_to_end(
     fields: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
-    """Returns the fields that aren't about one connection."""
+    """Return the fields that aren't about one connection."""
     return tuple(
         (name, text)
         for name, text in fields
--- /dev/null
+++ b/src/wasabicross/claim_desk.py
@@ -0,0 +1,226 @@
+"""Claims and outcomes of idempotency keys, brought to their range's owner."""
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from functools import singledispatch
+from typing import Any
+
+import cbor2
+
+from wasabicross.claim_ranges import ClaimRanges
+from wasabicross.claims import (
+    AlreadyRun,
+    AlreadyRunning,
+    ClaimRequest,
+    ClaimState,
+    ClaimUnavailable,
+    Completed,
+    Granted,
+    KeyReused,
+    OutcomeNotKnown,
+    SettleReply,
+    key_digest,
+    range_of,
+)
+from wasabicross.links import Link
+from wasabicross.messages import (
+    ClaimAnswer,
+    ClaimKey,
+    Done,
+    Refusal,
+    SettleKey,
+)
+
+STEP_INTERVAL_S = 0.5
+STEPS_PER_S = 20.0
+RETRY_AFTER_S = 2.0
+WORKERS = 4
+DIGEST_BYTES = 16
+
+UNAVAILABLE = ClaimAnswer('unavailable', 0, '', b'', RETRY_AFTER_S)
+
+_STATES = {
+    'not_run': ClaimState.RELEASED,
+    'unknown': ClaimState.UNKNOWN,
+    'completed': ClaimState.COMPLETED,
+}
+
+
+class ClaimDesk:
+    """Answers claims for the ranges owned here, and forwards the others.
+
+    :param ranges: the ranges of all instances.
+    :param link_to: returns the link to an instance, None without one.
+    """
+
+    def __init__(
+        self, ranges: ClaimRanges, link_to: Callable[[str], Link | None]
+    ) -> None:
+        self.instances = 1
+        self._ranges = ranges
+        self._link_to = link_to
+        # Reading a range's owner may wait for the key-value service, which
+        # must not hold up the other messages of a link.
+        self._workers = ThreadPoolExecutor(WORKERS, 'claims')
+
+    def run(self, stop: threading.Event) -> None:
+        """Take ranges that nobody owns until the process stops.
+
+        The looks of all instances together stay bounded, whatever their
+        number.
+        """
+        while not stop.is_set():
+            self._ranges.step(self.instances, time.monotonic())
+            stop.wait(max(STEP_INTERVAL_S, self.instances / STEPS_PER_S))
+
+    def stop(self) -> None:
+        """Give up the ranges owned here."""
+        self._ranges.stop()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def claim(self, asked: ClaimKey, link: Link, call_id: int) -> None:
+        """Answer a claim on the link that it came by.
+
+        :param asked: the key and who wants to hold it.
+        :param link: where to answer.
+        :param call_id: the number to reply to.
+        """
+        self._submit(self._claim, asked, link, call_id)
+
+    def settle(self, told: SettleKey, link: Link, call_id: int) -> None:
+        """Take an outcome; answered `Done` once it is kept.
+
+        :param told: the key, its holder and the outcome.
+        :param link: where to answer.
+        :param call_id: the number to reply to.
+        """
+        self._submit(self._settle, told, link, call_id)
+
+    def _submit(self, work: Callable[..., None], *args: Any) -> None:
+        try:
+            self._workers.submit(work, *args)
+        except RuntimeError:
+            _reply(args[1], args[2], UNAVAILABLE)
+
+    def _claim(self, asked: ClaimKey, link: Link, call_id: int) -> None:
+        number = self._range_of(asked)
+        if number not in self._ranges.owned():
+            self._forward(number, asked, link, call_id, UNAVAILABLE)
+            return
+        digest = bytes.fromhex(asked.request_digest)[:DIGEST_BYTES]
+        req = _request(asked, digest)
+        fut = self._ranges.claim(number, req, time.time())
+        fut.add_done_callback(
+            lambda done: _reply(link, call_id, to_answer(done.result())),
+        )
+
+    def _settle(self, told: SettleKey, link: Link, call_id: int) -> None:
+        number = self._range_of(told)
+        refusal = Refusal('not_owner', 'no owner can be reached')
+        if number not in self._ranges.owned():
+            self._forward(number, told, link, call_id, refusal)
+            return
+        answer = cbor2.dumps([told.status, told.content_type, told.answer])
+        fut = self._ranges.settle(
+            number,
+            _request(told, b''),
+            _STATES[told.outcome],
+            answer if told.status else b'',
+            time.time(),
+        )
+        fut.add_done_callback(
+            lambda done: _reply(link, call_id, _settled(done.result())),
+        )
+
+    def _range_of(self, message: ClaimKey | SettleKey) -> int:
+        return range_of(message.tenant, message.key, self._ranges.ranges)
+
+    def _forward(
+        self,
+        number: int,
+        message: ClaimKey | SettleKey,
+        link: Link,
+        call_id: int,
+        otherwise: Any,
+    ) -> None:
+        owner = self._ranges.owner_of(number, time.monotonic())
+        onward = self._link_to(owner.instance_id) if owner else None
+        # A message that was forwarded here is not forwarded again.
+        if onward is None or link.peer.kind != 'entry':
+            self._ranges.forget_owner(number)
+            _reply(link, call_id, otherwise)
+            return
+        fut = onward.request(message)
+        fut.add_done_callback(
+            lambda done: _reply(link, call_id, _forwarded(done, otherwise)),
+        )
+
+
+def _reply(link: Link, call_id: int, message: Any) -> None:
+    link.reply(call_id, message)
+
+
+def _forwarded(done: Future[Any], otherwise: Any) -> Any:
+    answered = done.result()
+    return answered.ok if answered.is_ok() else otherwise
+
+
+def _request(message: ClaimKey | SettleKey, digest: bytes) -> ClaimRequest:
+    key = key_digest(message.tenant, message.key)
+    return ClaimRequest(key, digest, message.holder)
+
+
+def _settled(reply: SettleReply) -> Done | Refusal:
+    if reply is SettleReply.durable:
+        return Done()
+    return Refusal(reply.value, 'the outcome is not durable')
+
+
+@singledispatch
+def to_answer(reply: object) -> ClaimAnswer:
+    """Return what an entry is told about a claim.
+
+    :param reply: the reply of the range's owner.
+    """
+    raise TypeError(reply)
+
+
+@to_answer.register
+def _(reply: Granted) -> ClaimAnswer:
+    return ClaimAnswer('granted', 0, '', b'', 0)
+
+
+@to_answer.register
+def _(reply: AlreadyRunning) -> ClaimAnswer:
+    return ClaimAnswer('running', 0, '', b'', RETRY_AFTER_S)
+
+
+@to_answer.register
+def _(reply: Completed) -> ClaimAnswer:
+    if not reply.answer:
+        return ClaimAnswer('already_run', 0, '', b'', 0)
+    status, content_type, content = cbor2.loads(reply.answer)
+    return ClaimAnswer('completed', status, content_type, content, 0)
+
+
+@to_answer.register
+def _(reply: AlreadyRun) -> ClaimAnswer:
+    return ClaimAnswer('already_run', 0, '', b'', 0)
+
+
+@to_answer.register
+def _(reply: OutcomeNotKnown) -> ClaimAnswer:
+    return ClaimAnswer('unknown', 0, '', b'', 0)
+
+
+@to_answer.register
+def _(reply: KeyReused) -> ClaimAnswer:
+    return ClaimAnswer('key_reused', 0, '', b'', 0)
+
+
+@to_answer.register
+def _(reply: ClaimUnavailable) -> ClaimAnswer:
+    retry_after_s = max(reply.retry_after_s, RETRY_AFTER_S)
+    return UNAVAILABLE._replace(retry_after_s=retry_after_s)
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -1,9 +1,10 @@
 """`wasabicross-controller`: owns servers, loads and bundles of an instance."""
 
-import socket
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 import click
@@ -11,20 +12,20 @@
 from wasabicross import __version__
 from wasabicross import messages as msg
 from wasabicross.bundles import Bundle
+from wasabicross.claim_desk import ClaimDesk
+from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
+from wasabicross.fleet_view import FleetView
 from wasabicross.holder import BundleHolder
 from wasabicross.instance_loads import InstanceLoads
-from wasabicross.instances import LIVE, BackendServer, Fleet, InstanceList
+from wasabicross.instances import Fleet, InstanceList
 from wasabicross.kv import KeyValueStore
 from wasabicross.links import Link, listen
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
-from wasabicross.options import (
-    settings_options,
-    settings_or_exit,
-    stop_on_signals,
-)
+from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.peers import PeerLinks
@@ -35,14 +36,12 @@
 from wasabicross.settings import Settings
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.status import InstanceBundle, InstanceTable
+from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.subscribers import Subscribers, UseWindow
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
 
-PROBE_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.5
 POINTER_WATCHERS = 2
-NO_FLEET = Fleet((), ())
 
 
 class Controller:
@@ -58,7 +57,9 @@
     ) -> None:
         self.cfg = cfg
         self.stopping = threading.Event()
-        self.fleet = NO_FLEET
+        self.fleet = FleetView(
+            cfg.instance.instance_id, cfg.instance.data_centre
+        )
         self.window = UseWindow(
             cfg.servers.use_lease_s, cfg.servers.max_request_s
         )
@@ -82,6 +83,9 @@
             self._deposed,
         )
         self.lease = InstanceLease(kv, self.stopping)
+        self.claims = ClaimDesk(
+            ClaimRanges.from_config(cfg, kv, self._lease_id), self._link_to
+        )
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
         )
@@ -92,6 +96,13 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
+        self._probe = EntryProbe(
+            cfg.instance.host,
+            cfg.entries,
+            self.loads.lost_entries,
+            self.entry_ended,
+        )
+        self._threads: dict[str, threading.Thread] = {}
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
@@ -116,37 +127,37 @@
         self._metrics.start()
         self.follower.start()
         runs = (
+            ('lease', self.lease.run),
             ('links', self._server.serve_forever),
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
-            ('probe', self._probe_entries),
+            ('probe', partial(self._probe.run, self.stopping)),
+            ('permits', partial(self.desk.run, self.stopping)),
+            ('claims', partial(self.claims.run, self.stopping)),
         )
         for name, run in runs:
-            threading.Thread(target=run, name=name, daemon=True).start()
-        threading.Thread(
-            target=self.desk.run,
-            args=(self.stopping,),
-            name='permits',
-            daemon=True,
-        ).start()
-        self._lease_thread = threading.Thread(
-            target=self.lease.run, name='lease', daemon=True
-        )
-        self._lease_thread.start()
+            thread = threading.Thread(target=run, name=name, daemon=True)
+            thread.start()
+            self._threads[name] = thread
 
     def stop(self) -> None:
         """Hand over what is owned here and close the links."""
-        self.keeper.stop()
-        self.owners.stop()
+        for part in (self.claims, self.keeper, self.owners):
+            part.stop()
         self.stopping.set()
-        if not self.loads.lost_entries() and not self.loads.entries():
-            for peer in self.peers.linked():
-                peer.send(msg.Goodbye())
-        self._lease_thread.join(self.cfg.platform.kv.timeout_s)
+        self._say_goodbye()
+        self._threads['lease'].join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
         self._server.shutdown()
         self._metrics.stop()
 
+    def _say_goodbye(self) -> None:
+        """Tell the peers that nothing runs here, once no entry does."""
+        if self.loads.lost_entries() or self.loads.entries():
+            return
+        for peer in self.peers.linked():
+            peer.send(msg.Goodbye())
+
     def owner_announced(self, server: msg.ServerTerm, link: Link) -> None:
         """Answer a server's owner, or tell it that there is a later one.
 
@@ -226,7 +237,7 @@
             link.run(self._accepted)
 
     def _serve_entry(self, link: Link) -> None:
-        link.send(self._fleet_update())
+        link.send(self.fleet.update())
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
@@ -239,8 +250,8 @@
     def _serve_peer(self, link: Link) -> None:
         self.subscribers.joined(link, time.monotonic())
         link.send(self.owners.announcement())
-        for opened in self.owners.opened():
-            link.send(opened)
+        for snapshot in self.owners.snapshots():
+            link.send(snapshot)
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
@@ -266,6 +277,13 @@
                 return peer.peer.instance_id
         return ''
 
+    def _lease_id(self) -> str | None:
+        return self.lease.lease_id
+
+    def _link_to(self, instance_id: str) -> Link | None:
+        peer = self.peers.get(instance_id)
+        return peer.link if peer else None
+
     def _send_to_desk(self, message: Any) -> None:
         linked = self.peers.linked()
         if linked:
@@ -297,71 +315,34 @@
             self.stopping.wait(self.cfg.platform.instance_list.poll_s)
 
     def _take_fleet(self, fleet: Fleet, now_s: float) -> None:
-        changed = fleet != self.fleet
-        self.fleet = fleet
+        view = self.fleet
+        changed = view.take(fleet)
         self.readiness.declare('instance_list', holds=True)
-        here = self.cfg.instance.data_centre
-        residents = {
-            each.instance_id: each
-            for each in fleet.instances
-            if each.data_centre == here
-        }
-        self.subscribers.listed(set(residents), now_s)
+        self.subscribers.listed(view.residents(), now_s)
         self.peers.follow(fleet.instances)
+        self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
-        live = [name for name, each in residents.items() if each.state == LIVE]
         self.lease.instances = len(fleet.instances)
-        watchers = rank('bundle', live)[:POINTER_WATCHERS]
+        self.claims.instances = len(fleet.instances)
+        live = view.live_residents()
         own_id = self.cfg.instance.instance_id
+        watchers = rank('bundle', live)[:POINTER_WATCHERS]
         self._pointers.is_watcher = own_id in watchers or own_id not in live
-        engines = self._engines_here()
+        engines = view.engines_here()
         self.owners.follow(engines)
         self.keeper.assign([each.server_id for each in engines], live)
         if changed:
-            self.loads.tell_entries(self._fleet_update())
-
-    def _engines_here(self) -> list[BackendServer]:
-        here = self.cfg.instance.data_centre
-        return [
-            server
-            for server in self.fleet.servers
-            if server.kind == 'engine' and server.data_centre == here
-        ]
+            self.loads.tell_entries(view.update())
 
     def _visible_data_centres(self) -> int:
         visible = {peer.peer.data_centre for peer in self.peers.linked()}
         visible.add(self.cfg.instance.data_centre)
         return len(visible)
 
-    def _fleet_update(self) -> msg.FleetUpdate:
-        own_id = self.cfg.instance.instance_id
-        here = self.cfg.instance.data_centre
-        listed = {each.instance_id for each in self.fleet.instances}
-        need_grant = [
-            server.server_id
-            for server in self.fleet.servers
-            if server.data_centre != here or own_id not in listed
-        ]
-        servers = [msg.ServerInfo(*server) for server in self.fleet.servers]
-        return msg.FleetUpdate(servers, need_grant)
-
-    def _probe_entries(self) -> None:
-        while not self.stopping.wait(PROBE_INTERVAL_S):
-            for name in self.loads.lost_entries():
-                entry = self.cfg.entry(name)
-                if entry is None or not self._listens(entry.metrics_port):
-                    self.entry_ended(name)
-
-    def _listens(self, port: int) -> bool:
-        """Tell whether a process of this instance may listen on a port."""
-        address = (self.cfg.instance.host, port)
-        try:
-            socket.create_connection(address, PROBE_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return False
-        except OSError:
-            return True
-        return True
+    def listing_confirmed(self, server_ids: Iterable[str]) -> None:
+        """Note servers whose owner sees this instance in its own list."""
+        if self.fleet.confirm_listing(server_ids):
+            self.loads.tell_entries(self.fleet.update())
 
 
 @click.command()
@@ -370,11 +351,11 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = stop_on_signals()
+    stop = stop_event()
     controller = Controller.from_config(cfg)
     controller.start()
     log_event(Event.PROGRAM_STARTED, version=__version__)
-    stop.wait()
+    wait_for_stop(stop)
     log_event(Event.PROGRAM_STOPPING)
     controller.stop()
     log_event(Event.PROGRAM_STOPPED)
--- a/src/wasabicross/dispatch.py
+++ b/src/wasabicross/dispatch.py
@@ -52,7 +52,7 @@
 
 
 class Dispatcher:
-    """Sends calls to one backend server, each at most once.
+    """Send calls to one backend server, each at most once.
 
     Nothing is sent a second time here and no redirect is followed. Only a
     failure before the first byte is sent counts as not run. A kept-alive
@@ -78,7 +78,7 @@
         self._idle: deque[StreamConnection] = deque()
 
     def start(self, call: Call) -> Result[Answer, DispatchError]:
-        """Sends the call and waits for the head of the answer.
+        """Send the call and waits for the head of the answer.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
@@ -95,7 +95,7 @@
         return self._exchange(call, conn, limits)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         while self._idle:
             self._idle.pop().close()
 
@@ -178,7 +178,7 @@
 
 
 def read_retry_after(answer: Answer) -> float | None:
-    """Returns the seconds after which the server wants to be tried again.
+    """Return the seconds after which the server wants to be tried again.
 
     The form of the field that gives a date is not understood.
     """
--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -21,6 +21,7 @@
     OrderError,
     OrderOutcomeUnknown,
     OrderRefused,
+    OutcomeUnknown,
     ServerRefused,
     SlotsFull,
 )
@@ -43,7 +44,7 @@
 
 
 def judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal to run a call into `NotRun`."""
+    """Turn the statuses that are no answer into what they say of the run."""
     if answer.status == HTTPStatus.NOT_FOUND:
         return Error(AdapterNotLoaded(_read_refusal(answer).message))
     if answer.status in _REFUSALS:
@@ -53,6 +54,8 @@
                 read_retry_after(answer),
             ),
         )
+    if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+        return Error(OutcomeUnknown(_read_refusal(answer).message))
     content_type = answer.header('Content-Type') or ''
     if content_type.startswith('text/event-stream'):
         answer.require_end_mark(STREAM_END_MARK)
@@ -60,7 +63,7 @@
 
 
 def judge_order(answer: Answer) -> Result[None, OrderError]:
-    """Tells from an order's answer whether what was ordered is so."""
+    """Tell from an order's answer whether what was ordered is so."""
     try:
         body = answer.read()
     except AnswerCut as exc:
@@ -86,7 +89,7 @@
 
 
 def order_error_from(exc: DispatchError) -> OrderError:
-    """Turns the failure of an exchange into that of the order."""
+    """Turn the failure of an exchange into that of the order."""
     if isinstance(exc, NotRun):
         return EngineUnreachable(exc.reason, exc.retry_after_s)
     return OrderOutcomeUnknown(exc.reason)
@@ -110,7 +113,7 @@
     answer: Answer,
     model: type[_Document],
 ) -> Result[_Document, OrderError]:
-    """Reads an answer as a document of the given model."""
+    """Read an answer as a document of the given model."""
     try:
         return Ok(model.model_validate_json(answer.read()))
     except AnswerCut as exc:
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -12,8 +12,8 @@
 from wasabicross.engine_answers import (
     judge_call,
     judge_order,
-    read_document,
     order_error_from,
+    read_document,
 )
 from wasabicross.engine_documents import (
     CacheEventsDocument,
@@ -21,6 +21,7 @@
     ModelsDocument,
 )
 from wasabicross.exceptions import DispatchError, OrderError
+from wasabicross.instances import BackendServer
 
 #: Path of the calls that models answer.
 COMPLETIONS_PATH = '/v1/chat/completions'
@@ -31,6 +32,9 @@
 #: Longest wait for an eviction or a question, in seconds.
 QUESTION_TIMEOUT_S = 5.0
 
+#: How long before the deadline an engine has to end a call, in seconds.
+DEADLINE_MARGIN_S = 0.05
+
 _TERM_FIELD = 'X-Fencing-Term'
 _DEADLINE_FIELD = 'X-Request-Deadline-Ms'
 _MS_PER_S = 1000
@@ -117,22 +121,29 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
 
+    @classmethod
+    def from_server(cls, server: BackendServer) -> 'Engine':
+        """Make an engine from its entry in the instance list."""
+        return cls(Dispatcher(server.host, server.port))
+
     def complete(self, call: Call) -> Result[Answer, DispatchError]:
-        """Runs a model call; the body's ``model`` is a load name.
+        """Run a model call; the body's ``model`` is a load name.
 
-        The engine is told the deadline, so that it ends the call by itself.
+        The engine is told to end the call by itself shortly before the
+        deadline, so that its answer says whether the call has run.
         A stream that ends without its end mark counts as cut.
 
         :return: the answer, or `AdapterNotLoaded`, another `NotRun`, or
             `OutcomeUnknown`.
         """
-        deadline_ms = str(int(call.deadline_s * _MS_PER_S))
+        engine_deadline_s = max(0, call.deadline_s - DEADLINE_MARGIN_S)
+        deadline_ms = str(int(engine_deadline_s * _MS_PER_S))
         headers = (*call.headers, (_DEADLINE_FIELD, deadline_ms))
         started = self._dispatcher.start(call._replace(headers=headers))
         return started.bind(judge_call)
 
     def load(self, order: LoadOrder) -> Result[None, OrderError]:
-        """Orders a load and waits until calls can use it.
+        """Order a load and waits until calls can use it.
 
         :return: nothing, also when the engine holds the load already, or
             `OrderRefused`, `SlotsFull`, `LoadFailed`, `EngineUnreachable` or
@@ -148,7 +159,7 @@
         return self._order(path, document, order.term, LOAD_TIMEOUT_S)
 
     def evict(self, order: EvictOrder) -> Result[None, OrderError]:
-        """Orders an eviction.
+        """Order an eviction.
 
         :return: nothing, also when the engine holds no such load, or
             `OrderRefused`, `AdapterInUse`, `EngineUnreachable` or
@@ -159,18 +170,18 @@
         return self._order(path, document, order.term, QUESTION_TIMEOUT_S)
 
     def inventory(self) -> Result[Inventory, OrderError]:
-        """Asks what the engine holds."""
+        """Ask what the engine holds."""
         return self._ask('/v1/models', ModelsDocument).map(_to_inventory)
 
     def load_report(self) -> Result[LoadReport, OrderError]:
-        """Asks how busy the engine is; the report lags."""
+        """Ask how busy the engine is; the report lags."""
         return self._ask('/load', LoadDocument).map(_to_load_report)
 
     def cache_events(
         self,
         after: int,
     ) -> Result[tuple[CacheEvent, ...], OrderError]:
-        """Asks for the changes of the prompt cache after a number.
+        """Ask for the changes of the prompt cache after a number.
 
         :param after: number of the last event seen, 0 for none.
         """
@@ -178,7 +189,7 @@
         return self._ask(path, CacheEventsDocument).map(_to_cache_events)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         self._dispatcher.close()
 
     def _order(
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -25,6 +25,7 @@
     PROGRAM_STARTED = EventKind(1001, 'INFO')
     PROGRAM_STOPPING = EventKind(1002, 'INFO')
     PROGRAM_STOPPED = EventKind(1003, 'INFO')
+    THREAD_FAILED = EventKind(1004, 'ERROR')
     LIBRARY_MESSAGE = EventKind(1005, 'WARNING')
 
     BUNDLE_IN_FORCE = EventKind(3001, 'INFO')
@@ -38,6 +39,7 @@
     PEER_LOST = EventKind(5012, 'WARNING')
     PEER_REFUSED = EventKind(5013, 'WARNING')
     CONTROLLER_LINKED = EventKind(5014, 'INFO')
+    PAUSE_NOTICED = EventKind(5016, 'WARNING')
     CONTROLLER_LOST = EventKind(5015, 'WARNING')
     LOAD_DONE = EventKind(5021, 'INFO')
     LOAD_FAILED = EventKind(5022, 'WARNING')
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,8 +1,6 @@
 """Every error that wasabicross raises or returns, rooted in one base."""
 
-from typing import NamedTuple
-
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from wasabicross.bundles import BundlePointer
@@ -342,6 +340,53 @@
         self.winner = winner
 
 
+class OperatorKeyError(DocumentError):
+    """The file of an operator's private key can't be used."""
+
+
+class AdminClientError(WasabicrossError):
+    """A call to the administration API did not do what was asked.
+
+    `code` is a stable word for the error.
+    """
+
+    code = 'failed'
+
+
+class AdminUnreachable(AdminClientError):
+    """No answer came; the action may be repeated."""
+
+    code = 'unreachable'
+
+
+class DraftMismatch(AdminClientError):
+    """The draft is not what the operator means to sign."""
+
+    code = 'draft_mismatch'
+
+
+class AdminRefused(AdminClientError):
+    """The administration API answered with an error.
+
+    :param status: HTTP status code.
+    :param code: stable word for the error.
+    :param message: a sentence for the operator.
+    :param faults: what is wrong in the bundle file, if anything.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        faults: tuple[Fault, ...] = (),
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.faults = faults
+
+
 class ClaimError(WasabicrossError):
     """Base of the errors of the claims of idempotency keys."""
 
--- a/src/wasabicross/links.py
+++ b/src/wasabicross/links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from contextlib import ExitStack
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
@@ -62,7 +63,7 @@
         self._conn = conn
         self._numbers = itertools.count(1)
         self._lock = threading.Lock()
-        self._pending: dict[int, Future[Any]] = {}
+        self._pending: dict[int, Future[Result[Any, LinkError]]] = {}
         self.closed = threading.Event()
 
     def send(self, message: Any) -> bool:
@@ -86,19 +87,25 @@
         :param message: the request.
         :param timeout_s: seconds to wait; a `LinkTimeout` is returned then.
         """
+        fut = self.request(message)
+        try:
+            return fut.result(timeout_s)
+        except FutureTimeout:
+            return Error(LinkTimeout(type(message).__name__))
+
+    def request(self, message: Any) -> Future[Result[Any, LinkError]]:
+        """Send a request; the future has its answer, at the latest when the
+        link ends.
+
+        :param message: the request.
+        """
         call_id = next(self._numbers)
-        fut: Future[Any] = Future()
+        fut: Future[Result[Any, LinkError]] = Future()
         with self._lock:
             self._pending[call_id] = fut
         if not self._send(Envelope(REQUEST, call_id, message)):
-            fut.set_result(Error(LinkClosed('link is closed')))
-        try:
-            return self._unpack(fut.result(timeout_s))
-        except FutureTimeout:
-            return Error(LinkTimeout(type(message).__name__))
-        finally:
-            with self._lock:
-                self._pending.pop(call_id, None)
+            self._settle(call_id, Error(LinkClosed('link is closed')))
+        return fut
 
     def run(self, handler: LinkHandler) -> None:
         """Receive until the link ends; calls the handler for each message.
@@ -125,8 +132,7 @@
             waiting = list(self._pending.values())
             self._pending.clear()
         for fut in waiting:
-            if not fut.done():
-                fut.set_result(Error(LinkClosed('link closed')))
+            fut.set_result(Error(LinkClosed('link closed')))
 
     def _send(self, envelope: Envelope) -> bool:
         if self.closed.is_set():
@@ -144,23 +150,22 @@
             return False
         envelope = decoded.ok
         if envelope.mark == REPLY:
-            self._settle(envelope)
+            self._settle(envelope.call_id, _unpack(envelope.message))
         else:
             handler.on_message(self, envelope.message, envelope.call_id)
         return True
 
-    def _settle(self, envelope: Envelope) -> None:
+    def _settle(self, call_id: int, answer: Result[Any, LinkError]) -> None:
         with self._lock:
-            fut = self._pending.pop(envelope.call_id, None)
+            fut = self._pending.pop(call_id, None)
         if fut is not None:
-            fut.set_result(envelope.message)
+            fut.set_result(answer)
+
 
-    def _unpack(self, answer: Any) -> Result[Any, LinkError]:
-        if isinstance(answer, Result):
-            return answer
-        if isinstance(answer, Refusal):
-            return Error(LinkRefused(f'{answer.code}: {answer.message}'))
-        return Ok(answer)
+def _unpack(answer: Any) -> Result[Any, LinkError]:
+    if isinstance(answer, Refusal):
+        return Error(LinkRefused(f'{answer.code}: {answer.message}'))
+    return Ok(answer)
 
 
 def dial(host: str, port: int, hello: Hello) -> Result[Link, LinkError]:
@@ -171,7 +176,7 @@
     :param hello: who dials; the other side may refuse it.
     """
     try:
-        conn = connect(
+        opening = connect(
             f'ws://{host}:{port}',
             compression=None,
             proxy=None,
@@ -181,6 +186,8 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
         )
+        # The link outlives this function; `Link.close` ends the connection.
+        conn = ExitStack().enter_context(opening)
     except (WebSocketException, OSError, ValueError) as exc:
         return Error(LinkClosed(f'{host}:{port}: {exc}'))
     return _introduce(conn, hello)
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -10,15 +10,17 @@
 from wasabicross.links import Link
 from wasabicross.load_names import server_of
 from wasabicross.messages import (
-    LoadsOpened,
+    LoadsSnapshot,
     LoadUses,
     OwnedServers,
     PermitGranted,
     PermitLoad,
     PermitReturned,
+    ServerLoad,
     ServerTerm,
     WantLoad,
 )
+from wasabicross.ownership import OwnerStart, Renewal
 from wasabicross.policy import Weights
 from wasabicross.server_owner import ServerOwner
 from wasabicross.subscribers import Subscribers
@@ -70,6 +72,19 @@
             ),
         )
 
+    def return_unused(self, server_id: str, adapter: str, version: str) -> None:
+        """Give a permit back that nothing waits for any more."""
+        self._send(
+            PermitReturned(
+                server_id,
+                self._data_centre,
+                adapter,
+                version,
+                loaded=False,
+                used=False,
+            ),
+        )
+
 
 class Owners:
     """The owners of the servers that this instance owns.
@@ -109,8 +124,9 @@
             for owner in self._owners.values():
                 owner.weights = weights
 
-    def owner_started(self, server: ServerTerm) -> None:
+    def owner_started(self, start: OwnerStart) -> None:
         """Begin to own a server under a new term."""
+        server = start.server
         with self._lock:
             address = self._servers[server.server_id]
             engine = Engine(Dispatcher(address.host, address.port))
@@ -118,6 +134,8 @@
                 server, engine, self._subscribers, self._permits
             )
             owner.weights = self._weights
+            owner.lease_id = start.lease_id
+            owner.confirmed_s = start.sent_s
             self._owners[server.server_id] = owner
         threading.Thread(
             target=self._run,
@@ -154,11 +172,33 @@
                 [owner.server for owner in self._owners.values()],
             )
 
-    def opened(self) -> list[LoadsOpened]:
-        """Return the open loads of each server owned here."""
+    def loads(self, renewal: Renewal, now_s: float) -> list[ServerLoad]:
+        """Return how busy each server owned here was at its last report.
+
+        :param renewal: the last renewal of the instance's lease.
+        :param now_s: monotonic seconds.
+        """
+        with self._lock:
+            owners = list(self._owners.values())
+        return [owner.load(renewal, now_s) for owner in owners]
+
+    def confirmed(self, servers: Iterable[ServerTerm], asked_s: float) -> None:
+        """Note that another resident knew of no later owner of servers.
+
+        :param servers: servers owned here, as the resident knows it.
+        :param asked_s: monotonic time at which it was asked.
+        """
+        for server in servers:
+            owner = self.get(server.server_id)
+            if owner is not None and owner.server == server:
+                owner.confirmed_s = max(owner.confirmed_s, asked_s)
+
+    def snapshots(self) -> list[LoadsSnapshot]:
+        """Return the open loads of each server whose owner is settled."""
         with self._lock:
             owners = list(self._owners.values())
-        return [owner.announcement() for owner in owners]
+        snapshots = [owner.snapshot() for owner in owners]
+        return [snapshot for snapshot in snapshots if snapshot]
 
     def want(
         self, server_id: str, want: WantLoad, asker: Link, now_s: float
--- a/src/wasabicross/pointer_swap.py
+++ b/src/wasabicross/pointer_swap.py
@@ -11,8 +11,8 @@
 from wasabicross.exceptions import (
     BundleNotFound,
     RaceLost,
-    RolloutError,
     RollOutcomeUnknown,
+    RolloutError,
     StoredDataMalformed,
     StoreUnavailable,
     SwapConflict,
--- a/src/wasabicross/services.py
+++ b/src/wasabicross/services.py
@@ -7,6 +7,7 @@
 from wasabicross.answers import Answer
 from wasabicross.dispatch import Call, Dispatcher, read_retry_after
 from wasabicross.exceptions import DispatchError, ServerRefused
+from wasabicross.instances import BackendServer
 
 _REFUSALS = frozenset(
     (
@@ -25,8 +26,13 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
 
+    @classmethod
+    def from_server(cls, server: BackendServer) -> 'PlainService':
+        """Make a service from its entry in the instance list."""
+        return cls(Dispatcher(server.host, server.port))
+
     def call(self, call: Call) -> Result[Answer, DispatchError]:
-        """Runs a call.
+        """Run a call.
 
         :return: the answer, whatever its status, or `NotRun` or
             `OutcomeUnknown`.
@@ -34,12 +40,12 @@
         return self._dispatcher.start(call).bind(_judge_call)
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Close the idle connections."""
         self._dispatcher.close()
 
 
 def _judge_call(answer: Answer) -> Result[Answer, DispatchError]:
-    """Turns a refusal into `NotRun` if it gives a time to come back.
+    """Turn a refusal into `NotRun` if it gives a time to come back.
 
     Without one the status may stem from a proxy in front of a service that
     has run the call already, so it is the service's answer.
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,112 @@
+"""Permits go to those that wait, and copies get theirs after them."""
+
+import pytest
+
+from wasabicross.load_budget import LoadBudget
+from wasabicross.load_queue import LoadQueue
+from wasabicross.messages import (
+    PermitGranted,
+    PermitLoad,
+    PermitReturned,
+    WantLoad,
+)
+from wasabicross.permits import PermitDesk
+
+
+class RecordingLink:
+    """Keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+@pytest.mark.parametrize(
+    ('asked', 'order'),
+    [
+        ([('a', 0), ('b', 3)], 'ba'),
+        ([('a', 0)], 'a'),
+        ([('a', 1), ('b', 3)], 'ba'),
+    ],
+)
+def test_copies_come_after_waiting_requests(asked, order):
+    desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
+    for adapter, waiting in asked:
+        desk.ask(PermitLoad('s', 'dc', adapter, '1', waiting, 1), link, 1)
+    for now_s in range(1, 4):
+        desk.grant_due(now_s)
+    assert [granted.adapter for granted in link.sent] == list(order)
+
+
+@pytest.mark.parametrize(('server', 'repeats'), [('s', 2), ('other', 1)])
+def test_only_the_server_that_has_the_permit_is_told_again(server, repeats):
+    desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
+    desk.ask(PermitLoad('s', 'dc', 'a', '1', 1, 1), link, 1)
+    desk.grant_due(1)
+    desk.ask(PermitLoad(server, 'dc', 'a', '1', 1, 1), link, 2)
+    assert link.sent == [PermitGranted('s', 'a', '1')] * repeats
+    desk.give_back(PermitReturned('s', 'dc', 'a', '1', True), 3)
+    desk.ask(PermitLoad('other', 'dc', 'a', '1', 1, 1), link, 4)
+    desk.grant_due(4)
+    assert link.sent[-1] == PermitGranted('other', 'a', '1')
+
+
+def test_permit_of_a_server_that_vanished_goes_to_another():
+    desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
+    for server, now_s in (('gone', 1), ('other', 2), ('other', 12)):
+        desk.ask(PermitLoad(server, 'dc', 'a', '1', 1, 1), link, now_s)
+        desk.grant_due(now_s)
+    desk.grant_due(13)
+    assert [granted.server_id for granted in link.sent] == ['gone', 'other']
+
+
+def test_unused_permits_do_not_fill_the_budget():
+    desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
+    for number in range(20):
+        now_s = number + 1
+        name = f'a{number}'
+        desk.ask(PermitLoad('s', 'dc', name, '1', 1, 1), link, now_s)
+        desk.grant_due(now_s)
+        desk.give_back(
+            PermitReturned('s', 'dc', name, '1', False, False), now_s
+        )
+    assert len(link.sent) == 20
+
+
+class RecordingPermits:
+    """Keeps the permits that are given back unused."""
+
+    def __init__(self):
+        self.unused = []
+
+    def request(self, server_id, want, since_s):
+        """Nothing is granted by itself."""
+
+    def return_unused(self, server_id, adapter, version):
+        self.unused.append(adapter)
+
+
+@pytest.mark.parametrize(
+    ('permitted_first', 'end'),
+    [(True, 'decline'), (False, 'decline'), (True, 'expire'), (True, 'remove')],
+)
+def test_permit_that_nothing_waits_for_is_given_back(permitted_first, end):
+    permits = RecordingPermits()
+    queue = LoadQueue('s', permits)
+    want = WantLoad('a', '1', 'base', 'group', 'draft', 1, [])
+    queue.add(want, RecordingLink(), 0)
+    (wanted,) = queue.due(0)
+    assert not queue.take_permit(wanted, 0)
+    if permitted_first:
+        queue.permitted('a', '1')
+    if end == 'expire':
+        assert queue.due(60) == []
+    else:
+        getattr(queue, end)(wanted)
+    if not permitted_first:
+        queue.permitted('a', '1')
+    assert permits.unused == ['a']
+    assert not queue.take_permit(wanted, 60)
