--- a/src/wasabicross/claim_log.py
+++ b/src/wasabicross/claim_log.py
@@ -46,6 +46,7 @@
     :param segments: the range's log in the key-value service.
     :param table: states of the range's keys.
     :param horizon_s: seconds for which a key is remembered.
+    :param interval_s: seconds between the starts of two writes at least.
     :param wait_s: seconds a claim waits for its write at most.
     """
 
@@ -54,12 +55,14 @@
         segments: ClaimSegments,
         table: ClaimTable,
         horizon_s: float,
+        interval_s: float = 0,
         wait_s: float = RETRY_AFTER_S,
     ) -> None:
         self.deposed = threading.Event()
         self._segments = segments
         self._table = table
         self._horizon_s = horizon_s
+        self._interval_s = interval_s
         self._wait_s = wait_s
         self._changed = threading.Condition()
         self._waiting: list[_Waiting] = []
@@ -173,13 +176,17 @@
         self._changed.notify_all()
 
     def _run(self) -> None:
+        next_s = time.monotonic()
         while True:
+            # A stop writes what waits without delay.
+            self.deposed.wait(max(0, next_s - time.monotonic()))
             with self._changed:
                 if not self._waiting and not self.deposed.is_set():
                     self._changed.wait(self._horizon_s / KEEPALIVES)
                 batch = self._waiting[:MAX_BATCH]
             if self.deposed.is_set() and not batch:
                 return
+            next_s = time.monotonic() + self._interval_s
             self._write(batch)
             self._trim(time.time())
 
@@ -225,10 +232,7 @@
             _answer(each, Granted(), SettleReply.durable)
 
     def _refuse(self, batch: list[_Waiting]) -> None:
-        """Answer a batch that surely was not written.
-
-        Its claims are dropped, its outcomes are written with a later batch.
-        """
+        """Answer an unwritten batch; its outcomes go with a later one."""
         with self._changed:
             rest = self._waiting[len(batch) :]
             outcomes = [each for each in batch if each.claim is None]
@@ -248,7 +252,7 @@
             late = [
                 each
                 for each in self._waiting
-                if now_s - each.since_s > self._wait_s and not _is_done(each)
+                if now_s - each.since_s > self._wait_s and _is_open(each)
             ]
             for each in late:
                 if each.claim is not None:
@@ -284,9 +288,9 @@
     return claim._replace(state=ClaimState.RELEASED)
 
 
-def _is_done(waiting: _Waiting) -> bool:
+def _is_open(waiting: _Waiting) -> bool:
     fut = waiting.claim or waiting.settled
-    return fut is None or fut.done()
+    return fut is not None and not fut.done()
 
 
 def _answer(waiting: _Waiting, reply: ClaimReply, settled: SettleReply) -> None:
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -23,6 +23,8 @@
 PREFIX = 'claims'
 RETRY_AFTER_S = 2.0
 OWNER_TTL_S = 5.0
+#: Writes of all ranges together, whatever their number and the fleet's.
+MAX_WRITES_PER_S = 320.0
 
 
 class RangeOwner(NamedTuple):
@@ -217,6 +219,7 @@
             ClaimSegments(self._kv, f'{PREFIX}/{number}'),
             ClaimTable(self._horizon_s, self._running_s),
             self._horizon_s,
+            self.ranges / MAX_WRITES_PER_S,
         )
         if log.take_over().is_ok():
             with self._lock:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Claims of idempotency keys: at most one grant, whatever the store does."""
 
 import threading
+import time
 
 import pytest
 
@@ -38,10 +39,10 @@
 class Range:
     """A log with short ways to claim and settle."""
 
-    def __init__(self, store, horizon_s=HORIZON_S, wait_s=2.0):
+    def __init__(self, store, horizon_s=HORIZON_S, interval_s=0, wait_s=2.0):
         self.segments = ClaimSegments(store, 'claims/0')
         table = ClaimTable(horizon_s, RUNNING_S)
-        self.log = ClaimLog(self.segments, table, horizon_s, wait_s)
+        self.log = ClaimLog(self.segments, table, horizon_s, interval_s, wait_s)
         assert self.log.take_over().is_ok()
 
     def ask(self, holder, key='k', digest=b'd', now_s=0):
@@ -229,6 +230,17 @@
     assert len(store.swaps) - before == 2
 
 
+def test_writes_are_paced(make, store):
+    here = make(interval_s=0.05)
+    before = len(store.swaps)
+    started_s = time.monotonic()
+    for number in range(6):
+        assert here.claim('a', key=f'k{number}') == Granted()
+    took_s = time.monotonic() - started_s
+    assert len(store.swaps) - before == 6
+    assert took_s >= 5 * 0.05
+
+
 def test_old_segments_are_trimmed(make, store, monkeypatch):
     monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', 100)
     here = make()
