Run a closing peak under the policy and each baseline

Cause: the policy has to be measured beside random, least outstanding and rendezvous in the same run. Ruled out: baselines among the holders alone, which differ in nothing but where a loaded adapter runs: each picks its server among all usable ones. Change: emulator.bench starts a deployment of its own for each contender with the same seeded calls, and prints stalls, batch fill, first tokens, refusals, dispatches, loads and evictions; the stalls of a loader that knows the future stand beside them. Faults during the peak, the services' class and the load of twice the capacity aren't in it.

--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,48 @@
+"""The figures of the closing peak are computed as they are named."""
+
+import pytest
+
+from emulator.arrivals import Arrival
+from emulator.bench import BenchOptions, Histogram, planned
+from emulator.clairvoyant import stall_bound_s
+
+PAGE = """# TYPE stall histogram
+stall_bucket{tenant="a",le="1.0"} 8
+stall_bucket{tenant="a",le="5.0"} 9
+stall_bucket{tenant="a",le="+Inf"} 10
+stall_sum{tenant="a"} 17.5
+other_sum 9
+"""
+
+
+@pytest.mark.parametrize(
+    ('share', 'bound'), [(0.5, 1), (0.85, 5), (0.95, float('inf'))]
+)
+def test_histogram_over_processes(share, bound):
+    histogram = Histogram('stall')
+    histogram.add(PAGE)
+    histogram.add(PAGE)
+    assert histogram.total == 35
+    assert histogram.percentile(share) == bound
+
+
+@pytest.mark.parametrize(
+    ('numbers', 'slots', 'stall_s'),
+    [
+        ([1], 1, 0.25),
+        ([1, 1, 1], 1, 0.25),
+        # Loads at 0 and 1/3 s, each done a quarter second later.
+        ([1, 2], 2, 0.25 + 1 / 3 + 0.25),
+        # With one slot each change is a load; with two, 1 stays.
+        ([1, 2, 1], 1, 0.75 + 1 / 3 + 2 / 3),
+        ([1, 2, 1], 2, 0.5 + 1 / 3),
+    ],
+)
+def test_stall_bound(numbers, slots, stall_s):
+    arrivals = [Arrival(0, number, 1) for number in numbers]
+    assert stall_bound_s(arrivals, slots) == pytest.approx(stall_s)
+
+
+def test_contenders_get_the_same_calls():
+    assert planned(BenchOptions()) == planned(BenchOptions())
+    assert planned(BenchOptions()) != planned(BenchOptions(seed=2))
