--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path chaos
+.PHONY: install lint format test demo model bench bench-path chaos
 
 install: $(VENV)/.installed
 
@@ -30,6 +30,9 @@
 model: install
 	$(BIN)/python -m model
 
+bench: install
+	$(BIN)/python -m emulator.bench
+
 bench-path: install
 	$(BIN)/python -m emulator.bench_path
 
--- a/emulator/baseline_entry.py
+++ b/emulator/baseline_entry.py
@@ -66,14 +66,15 @@
         """Return the server chosen for a request, once for all its waits."""
         request_id = run.req.request_id
         chosen = self._chosen.get(request_id, '')
-        if chosen and chosen not in run.tried:
+        if chosen and chosen not in run.tried.servers:
             return chosen
         group = self._watch.group('engine', run.req.route.group)
         usable = self._watch.usable([each.server_id for each in group], now_s)
         servers = [
             self._watch.holder(server, '', now_s)
             for server in group
-            if server.server_id in usable and server.server_id not in run.tried
+            if server.server_id in usable
+            and server.server_id not in run.tried.servers
         ]
         hints = Hints(adapter=run.wanted.adapter)
         choice = choose(servers, self._policy, self._data_centre, now_s, hints)
