--- a/tests/caller_parts.py
+++ b/tests/caller_parts.py
@@ -96,7 +96,8 @@
         while True:
             piece = resp.read1()
             if not piece:
-                is_whole = resp.isclosed() and resp.length in {None, 0}
+                ended = resp.chunked and resp.isclosed()
+                is_whole = resp.length == 0 or ended
                 break
             body += piece
             pieces += 1
