--- a/tests/test_promise_stop.py
+++ b/tests/test_promise_stop.py
@@ -3,7 +3,6 @@
 import threading
 
 import pytest
-
 from caller_parts import (
     ADAPTERS,
     Traffic,
@@ -11,9 +10,10 @@
     check_answers,
     model_document,
 )
-from emulator.waiting import wait_until
 from promise_parts import Trial, owner_of, small_shape
 
+from emulator.waiting import wait_until
+
 SEED = 20261206
 #: Tokens of a stream that runs for about a second and a half.
 LONG = 700
