--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path chaos
+.PHONY: install lint format test demo model bench-path chaos slopes bench
 
 install: $(VENV)/.installed
 
@@ -30,6 +30,9 @@
 model: install
 	$(BIN)/python -m model
 
+bench: install
+	$(BIN)/python -m emulator.bench
+
 bench-path: install
 	$(BIN)/python -m emulator.bench_path
 
@@ -38,3 +41,6 @@
 
 chaos: install
 	$(BIN)/python -m emulator.chaos --seed $(SEED) --runs $(RUNS)
+
+slopes: install
+	$(BIN)/python -m emulator.slopes
