Have paused controllers forget, and linked visitors consent

A controller that was frozen went on as an owner; an instance of another data centre whose grant had lapsed while its link stood could be passed over; a new owner could evict what it had inherited without having read the list since its wait. Ruled out: sending the open set with each renewal (bytes). Change: a tick notices pauses; open loads are forgotten, closed ones kept; whoever has a link must consent; the list is read once more before an inherited load goes.

--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -28,6 +28,7 @@
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
+from wasabicross.pauses import PauseWatch
 from wasabicross.peers import PeerLinks
 from wasabicross.permits import PermitDesk
 from wasabicross.placing import Placing
@@ -96,6 +97,9 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
+        self._pauses = PauseWatch(
+            cfg.servers.use_lease_s, self._forget_after_pause
+        )
         self._probe = EntryProbe(
             cfg.instance.host,
             cfg.entries,
@@ -132,6 +136,7 @@
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
             ('probe', partial(self._probe.run, self.stopping)),
+            ('pauses', partial(self._pauses.run, self.stopping)),
             ('permits', partial(self.desk.run, self.stopping)),
             ('claims', partial(self.claims.run, self.stopping)),
         )
@@ -214,6 +219,14 @@
             for peer in self.peers.linked():
                 peer.send(told)
 
+    def _forget_after_pause(self) -> None:
+        """Own nothing and know no open load until told anew."""
+        log_event(Event.PAUSE_NOTICED)
+        for server_id in self.keeper.owned():
+            self.keeper.resign(server_id)
+        self.loads.forget_opened()
+        self.peers.redial()
+
     def entry_ended(self, name: str) -> None:
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -167,6 +167,10 @@
     def _(self, message: msg.LoadsOpened, link: Link) -> None:
         self.loads.open_loads(message.load_names)
 
+    @_handle.register
+    def _(self, message: msg.LoadsForgotten, link: Link) -> None:
+        self.loads.forget_loads(message.load_names)
+
     @_handle.register
     def _(self, message: msg.LoadsGone, link: Link) -> None:
         self.loads.drop_loads(message.load_names)
--- a/src/wasabicross/instance_loads.py
+++ b/src/wasabicross/instance_loads.py
@@ -10,6 +10,7 @@
     CloseLoad,
     CloseRefused,
     LoadDrained,
+    LoadsForgotten,
     LoadsGone,
     LoadsOpened,
     LoadsSnapshot,
@@ -109,7 +110,7 @@
             self._tell_entries(LoadsOpened(server, sorted(fresh)))
 
     def replace_loads(self, snapshot: LoadsSnapshot) -> None:
-        """Take in all open loads of a server; close all others for ever.
+        """Take in all open loads of a server; forget all others.
 
         What is missing from a snapshot may be evicted without the consent of
         this instance, if that was out of the owner's sight for long.
@@ -121,8 +122,7 @@
             if server.term < self.term_of(server.server_id):
                 return
             names = self._names_on(self._opened, server.server_id)
-            for load_name in set(names) - set(snapshot.load_names):
-                self._close(CloseLoad(server.server_id, load_name, server.term))
+            self._forget(set(names) - set(snapshot.load_names))
             self.open_loads(LoadsOpened(*snapshot))
 
     def drop_loads(self, load_names: Iterable[str]) -> None:
@@ -138,6 +138,14 @@
                 self._closings.pop(load_name, None)
             self._tell_entries(LoadsGone(names))
 
+    def forget_opened(self) -> None:
+        """Forget all open loads, as those of a process that was frozen.
+
+        They may have been evicted without the consent of this instance.
+        """
+        with self._lock:
+            self._forget(set(self._opened))
+
     def consent_to_close(self, asked: CloseLoad, asker: Link) -> None:
         """Close a load; answer `LoadDrained` when no entry runs on it.
 
@@ -219,6 +227,10 @@
         self._close(asked)
         return closing
 
+    def _forget(self, load_names: set[str]) -> None:
+        self._opened -= load_names
+        self._tell_entries(LoadsForgotten(sorted(load_names)))
+
     def _close(self, asked: CloseLoad) -> None:
         self._closed.add(asked.load_name)
         self._opened.discard(asked.load_name)
--- a/src/wasabicross/load_table.py
+++ b/src/wasabicross/load_table.py
@@ -63,6 +63,16 @@
                     self._add(load_name)
             self._notify()
 
+    def forget_loads(self, load_names: Iterable[str]) -> None:
+        """Use loads no more until they are announced again.
+
+        :param load_names: loads that their server may still hold.
+        """
+        with self._changed:
+            for load_name in load_names:
+                self._remove(load_name)
+            self._notify()
+
     def drop_loads(self, load_names: Iterable[str]) -> None:
         """Forget loads that their server holds no longer.
 
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -113,6 +113,12 @@
     load_names: list[str]
 
 
+class LoadsForgotten(NamedTuple):
+    """Tells entries loads that may not be used until they are told again."""
+
+    load_names: list[str]
+
+
 class LoadsGone(NamedTuple):
     """Tells loads that their server holds no longer."""
 
@@ -422,6 +428,7 @@
     OwnedServers,
     LoadsOpened,
     LoadsSnapshot,
+    LoadsForgotten,
     LoadsGone,
     ServerReport,
     CloseLoad,
--- a/src/wasabicross/peers.py
+++ b/src/wasabicross/peers.py
@@ -72,6 +72,11 @@
         if self._link is not None:
             self._link.close()
 
+    def redial(self) -> None:
+        """Close the link; the thread dials again."""
+        if self._link is not None:
+            self._link.close()
+
     def send(self, message: Any) -> bool:
         """Send a message one way; return whether the link took it."""
         link = self.link
@@ -164,6 +169,11 @@
         with self._lock:
             return [peer for peer in self._peers.values() if peer.link]
 
+    def redial(self) -> None:
+        """Close all links; each is dialled again."""
+        for peer in self.linked():
+            peer.redial()
+
     def stop(self) -> None:
         """Close all links."""
         with self._lock:
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -252,13 +252,15 @@
         """Tell whether grants of an earlier owner may still be in use.
 
         They are counted from the last report: a resident that has reported
-        confirms no earlier owner any more.
+        confirms no earlier owner any more. An instance that only the earlier
+        owner knew is in the list by then, which is read once more.
         """
         if not held.is_inherited:
             return False
         if self._settled_s is None:
             return True
-        return now_s < self._settled_s + self._subscribers.window.total_s
+        over_s = self._settled_s + self._subscribers.window.total_s
+        return now_s < over_s or self._subscribers.listed_s < over_s
 
     def _ask_to_close(
         self, held: HeldLoad, instance_id: str, now_s: float
--- a/src/wasabicross/subscribers.py
+++ b/src/wasabicross/subscribers.py
@@ -35,8 +35,9 @@
 
     A resident is an instance of the data centre of the servers; it counts
     while the instance list shows it or its link stands, and for a window
-    after. A visitor, of another data centre, counts only while a grant of
-    use that it was given, and the requests begun under it, may last.
+    after. A visitor, of another data centre, counts while its link stands,
+    and then only while a grant of use that it was given, and the requests
+    begun under it, may last.
 
     :param data_centre: where the servers stand.
     :param window: how long instances out of sight still count.
@@ -47,6 +48,8 @@
         self._data_centre = data_centre
         self._lock = threading.Lock()
         self._known: dict[str, _Subscriber] = {}
+        #: Monotonic time at which the list was last read.
+        self.listed_s = float('-inf')
 
     def joined(self, link: Link, now_s: float) -> None:
         """Note an instance's link.
@@ -81,6 +84,7 @@
         :param now_s: monotonic seconds.
         """
         with self._lock:
+            self.listed_s = now_s
             for instance_id in residents:
                 self._ensure(instance_id, self._data_centre, now_s)
 
@@ -137,9 +141,9 @@
         return known
 
     def _may_use(self, subscriber: _Subscriber, now_s: float) -> bool:
+        if subscriber.link is not None:
+            return True
         if subscriber.data_centre != self._data_centre:
             ends_s = subscriber.granted_until_s + self.window.max_request_s
             return now_s < ends_s
-        if subscriber.link is not None:
-            return True
         return now_s < subscriber.heard_s + self.window.total_s
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -68,6 +68,15 @@
     assert table.begin_request(NEAR, now_s)
 
 
+def test_forgotten_load_is_used_again_once_told(table):
+    table.begin_request(NEAR, 1)
+    table.forget_loads([NEAR])
+    assert not table.begin_request(NEAR, 1)
+    assert not table.finish_request(NEAR)
+    table.open_loads([NEAR])
+    assert table.begin_request(NEAR, 1)
+
+
 def test_uses_are_told_once(table):
     table.begin_request(NEAR, 1)
     assert table.running() == [Running(NEAR, 1)]
