Tell entries of grants ten times a second at most

A controller passed each renewal of each peer on to each entry at once, so that the messages grew with peers times entries, and every entry paid for every peer. The grants are now joined for 0.1 s. A grant names the time at which it ends and loads age while they wait, so nothing lasts longer than before. Compressing the messages was ruled out: their number costs, not their size.

--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -89,9 +89,9 @@
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
         )
-        self.peers = PeerLinks(
-            self._hello, self.in_force.heartbeat, DialledLinks(self)
-        )
+        dialled = DialledLinks(self)
+        self._grants = dialled.grants
+        self.peers = PeerLinks(self._hello, self.in_force.heartbeat, dialled)
         self.readiness = Readiness(('bundle', 'instance_list'))
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
@@ -132,6 +132,7 @@
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
             ('probe', partial(self._probe.run, self.stopping)),
+            ('grants', partial(self._grants.run, self.stopping)),
             ('permits', partial(self.desk.run, self.stopping)),
             ('claims', partial(self.claims.run, self.stopping)),
         )
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -9,6 +9,7 @@
 from wasabicross.instances import Instance
 from wasabicross.links import Link
 from wasabicross.spread import LinkSource
+from wasabicross.use_grants import UseGrants
 
 if TYPE_CHECKING:
     from wasabicross.controller import Controller
@@ -22,6 +23,7 @@
 
     def __init__(self, controller: 'Controller') -> None:
         self._ctl = controller
+        self.grants = UseGrants(controller.loads.tell_entries)
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
         """Handle a message from a peer that was dialled."""
@@ -42,7 +44,7 @@
             msg.Grant(server.server_id, until_s - server.confirmed_age_s)
             for server in granted.servers
         ]
-        self._ctl.loads.tell_entries(msg.UseGranted(grants, granted.servers))
+        self.grants.add(grants, granted.servers, time.monotonic())
         if granted.listed:
             self._ctl.listing_confirmed(
                 server.server_id for server in granted.servers
