Renew the use of servers less often with many peers

Each instance asked each other one once a second, so that the whole spent grew with the square of the instances. The interval now grows with the peers (30 renewals a second an instance), at most to a third of the use lease, 2 s by default, so that a use still outlasts a lost renewal and its repeat. A grant counts from its asking as before, residents need none, and no consent depends on the interval. Longer intervals were ruled out: a grant would lapse at the first lost renewal.

The part list measures the reading of an instance list by its entries.

--- a/emulator/slope_parts.py
+++ b/emulator/slope_parts.py
@@ -1,6 +1,7 @@
 """What `make slopes` measures, each part over several sizes."""
 
 import asyncio
+import json
 import pathlib
 import threading
 import time
@@ -13,6 +14,7 @@
 from emulator.arrivals import Arrivals, Popularity
 from emulator.deployment import PEER_TOKEN, TENANT_TOKEN, Deployment
 from emulator.idle_peers import IdlePeers, LinkBytes
+from emulator.link_table import HOST
 from emulator.load import Load
 from emulator.rolling import CHAT_PATH, bundle_text, put_in_force
 from emulator.shape import Shape
@@ -29,12 +31,15 @@
 from emulator.waiting import free_ports, wait_until
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
 from wasabicross.bundles import decode_chunk
-from wasabicross.peers import RENEW_INTERVAL_S
+from wasabicross.instances import parse_fleet
+from wasabicross.peers import renew_interval_s
+from wasabicross.settings import ServersSettings
 
 START_TIMEOUT_S = 60
 TOKENS = 212
 TOKENS_PER_S = 26
 MAX_IN_FLIGHT = 600
+LIST_READS = 50
 
 
 def one_instance(entries: int = 1, **more: Any) -> Shape:
@@ -54,7 +59,9 @@
     try:
         with deployed(one_instance(4), peers) as deployment:
             wait_until(peers.linked, START_TIMEOUT_S, 'peers dialled')
-            peers.dial(deployment.controllers[0].port, RENEW_INTERVAL_S)
+            use_lease_s = ServersSettings().use_lease_s
+            interval_s = renew_interval_s(count, use_lease_s)
+            peers.dial(deployment.controllers[0].port, interval_s)
             _pass(seconds / 2)
             before = peers.link_bytes()
             window = Window(deployment)
@@ -137,6 +144,33 @@
     return told
 
 
+def of_list(count: int, seconds: float) -> Figures:
+    """Measure the reading of an instance list.
+
+    :param count: entries of the list.
+    :param seconds: not used, since nothing is waited for.
+    """
+    instances = [
+        {
+            'instance_id': f'{HERE}-instance-{at}',
+            'data_centre': HERE,
+            'host': HOST,
+            'port': 1024 + at,
+            'state': 'live',
+        }
+        for at in range(count)
+    ]
+    listed = json.dumps({'instances': instances, 'servers': []}).encode()
+    started_s = time.process_time()
+    for _ in range(LIST_READS):
+        parse_fleet(listed)
+    parsed_s = time.process_time() - started_s
+    return {
+        'list_bytes': len(listed),
+        'parse_ms': round(parsed_s / LIST_READS * 1000, 3),
+    }
+
+
 def of_claims(rate: int, seconds: float) -> Figures:
     """Measure keyed calls to a plain service.
 
--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -29,6 +29,7 @@
     'peers': Part(parts.of_peers, (10, 30, 60, 120)),
     'servers': Part(parts.of_servers, (0, 5, 15)),
     'instances': Part(parts.of_instances, (2, 4, 8)),
+    'list': Part(parts.of_list, (100, 400, 1_040)),
     'claims': Part(parts.of_claims, (10, 25, 50)),
     'streams': Part(parts.of_streams, (2, 4, 8)),
     'adapters': Part(parts.of_adapters, (1_000, 10_000, 43_000)),
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -91,7 +91,12 @@
         )
         dialled = DialledLinks(self)
         self._grants = dialled.grants
-        self.peers = PeerLinks(self._hello, self.in_force.heartbeat, dialled)
+        self.peers = PeerLinks(
+            self._hello,
+            self.in_force.heartbeat,
+            dialled,
+            cfg.servers.use_lease_s,
+        )
         self.readiness = Readiness(('bundle', 'instance_list'))
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
--- a/src/wasabicross/peers.py
+++ b/src/wasabicross/peers.py
@@ -11,12 +11,28 @@
 from wasabicross.logs import log_event
 from wasabicross.messages import Hello, Renew, Renewed
 
-RENEW_INTERVAL_S = 1.0
+MIN_RENEW_INTERVAL_S = 1.0
+RENEWALS_PER_S = 30.0
+RENEWALS_PER_USE_LEASE = 3
 RENEW_TIMEOUT_S = 2.0
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 2.0
 
 
+def renew_interval_s(peers: int, use_lease_s: float) -> float:
+    """Return how often each peer is asked to renew the use of its servers.
+
+    With many peers it is longer, within what lets a use outlast two lost
+    renewals.
+
+    :param peers: how many peers are asked.
+    :param use_lease_s: how long a grant lasts.
+    """
+    longest_s = use_lease_s / RENEWALS_PER_USE_LEASE
+    bounded_s = min(peers / RENEWALS_PER_S, longest_s)
+    return max(MIN_RENEW_INTERVAL_S, bounded_s)
+
+
 class PeerEvents(LinkHandler, Protocol):
     """What a controller does on the links that it has dialled."""
 
@@ -34,7 +50,7 @@
 
     :param peer: the instance, as the list shows it.
     :param hello: makes the hello to send.
-    :param heartbeat: makes the renewal to send each second.
+    :param heartbeat: makes the renewal to send.
     :param events: takes messages and changes.
     """
 
@@ -46,6 +62,7 @@
         events: PeerEvents,
     ) -> None:
         self.peer = peer
+        self.interval_s = MIN_RENEW_INTERVAL_S
         self._hello = hello
         self._heartbeat = heartbeat
         self._events = events
@@ -102,7 +119,7 @@
         self._events.peer_linked(link, self.peer)
         while not link.closed.is_set() and not self._stop.is_set():
             self._renew(link)
-            link.closed.wait(RENEW_INTERVAL_S)
+            link.closed.wait(self.interval_s)
         link.close()
         log_event(Event.PEER_LOST, peer=peer_id)
 
@@ -119,6 +136,7 @@
     :param hello: makes the hello to send.
     :param heartbeat: makes the renewal to send.
     :param events: takes messages and changes.
+    :param use_lease_s: how long a grant of use lasts.
     """
 
     def __init__(
@@ -126,7 +144,9 @@
         hello: Callable[[], Hello],
         heartbeat: Callable[[], Renew],
         events: PeerEvents,
+        use_lease_s: float,
     ) -> None:
+        self._use_lease_s = use_lease_s
         self._hello = hello
         self._heartbeat = heartbeat
         self._events = events
@@ -153,6 +173,9 @@
                 )
                 self._peers[new_id] = peer
                 peer.start()
+            interval_s = renew_interval_s(len(self._peers), self._use_lease_s)
+            for held in self._peers.values():
+                held.interval_s = interval_s
 
     def get(self, instance_id: str) -> PeerLink | None:
         """Return the link to an instance, None if it is not known."""
