--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -90,8 +90,13 @@
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
         )
+        dialled = DialledLinks(self)
+        self._grants = dialled.grants
         self.peers = PeerLinks(
-            self._hello, self.in_force.heartbeat, DialledLinks(self)
+            self._hello,
+            self.in_force.heartbeat,
+            dialled,
+            cfg.servers.use_lease_s,
         )
         self.readiness = Readiness(('bundle', 'instance_list'))
         self._metrics = MetricsServer(
@@ -137,6 +142,7 @@
             ('pointer', self._pointers.run),
             ('probe', partial(self._probe.run, self.stopping)),
             ('pauses', partial(self._pauses.run, self.stopping)),
+            ('grants', partial(self._grants.run, self.stopping)),
             ('permits', partial(self.desk.run, self.stopping)),
             ('claims', partial(self.claims.run, self.stopping)),
         )
