Answer peers that fetch a bundle on either direction of a link

Cause: a bundle was offered on the links that an instance had dialled, and the receiver fetched its parts over the same link; but the dialling side answered no questions there. Each fetch ran into its timeout of 2 s, so a data centre cut off from the key-value service did not follow its peers, and the one thread that takes offers was held up meanwhile.

Ruled out: a lost offer (the receiver's log shows it come into force from the service 2.5 s later, when the cut had healed).

Change: both sides answer GetManifest and GetChunk by bundle_part, and refuse other requests in place of letting them time out.

--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -8,7 +8,7 @@
 from wasabicross.bundles import BundlePointer
 from wasabicross.instances import Instance
 from wasabicross.links import Link
-from wasabicross.spread import LinkSource
+from wasabicross.spread import LinkSource, bundle_part
 
 if TYPE_CHECKING:
     from wasabicross.controller import Controller
@@ -25,7 +25,7 @@
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
         """Handle a message from a peer that was dialled."""
-        self._handle(message, link)
+        self._handle(message, link, call_id)
 
     def peer_linked(self, link: Link, peer: Instance) -> None:
         """Offer the bundle in force, in case the peer has none as late."""
@@ -53,28 +53,29 @@
             self._ctl.owners.confirmed(granted.confirmed, asked_s)
 
     @singledispatchmethod
-    def _handle(self, message: Any, link: Link) -> None:
-        """Ignore what a peer has no business to send."""
+    def _handle(self, message: Any, link: Link, call_id: int) -> None:
+        """Refuse a request that a peer has no business to send."""
+        _refuse(message, link, call_id)
 
     @_handle.register
-    def _(self, message: msg.OwnedServers, link: Link) -> None:
+    def _(self, message: msg.OwnedServers, link: Link, call_id: int) -> None:
         for server in message.servers:
             self._ctl.owner_announced(server, link)
 
     @_handle.register
-    def _(self, message: msg.LoadsOpened, link: Link) -> None:
+    def _(self, message: msg.LoadsOpened, link: Link, call_id: int) -> None:
         self._ctl.loads.open_loads(message)
 
     @_handle.register
-    def _(self, message: msg.LoadsSnapshot, link: Link) -> None:
+    def _(self, message: msg.LoadsSnapshot, link: Link, call_id: int) -> None:
         self._ctl.loads.replace_loads(message)
 
     @_handle.register
-    def _(self, message: msg.LoadsGone, link: Link) -> None:
+    def _(self, message: msg.LoadsGone, link: Link, call_id: int) -> None:
         self._ctl.loads.drop_loads(message.load_names)
 
     @_handle.register
-    def _(self, message: msg.CloseLoad, link: Link) -> None:
+    def _(self, message: msg.CloseLoad, link: Link, call_id: int) -> None:
         term = self._ctl.loads.term_of(message.server_id)
         if message.term > term:
             later = msg.ServerTerm(message.server_id, message.term)
@@ -82,18 +83,26 @@
         self._ctl.loads.consent_to_close(message, link)
 
     @_handle.register
-    def _(self, message: msg.BundleOffered, link: Link) -> None:
+    def _(self, message: msg.BundleOffered, link: Link, call_id: int) -> None:
         self._ctl.follower.offer(BundlePointer(*message), LinkSource(link))
 
+    @_handle.register(msg.GetManifest)
+    @_handle.register(msg.GetChunk)
+    def _(
+        self, message: msg.GetManifest | msg.GetChunk, link: Link, call_id: int
+    ) -> None:
+        holder = self._ctl.follower.holder
+        link.reply(call_id, bundle_part(message, holder))
+
     @_handle.register
-    def _(self, message: msg.LoadDeclined, link: Link) -> None:
+    def _(self, message: msg.LoadDeclined, link: Link, call_id: int) -> None:
         now_s = time.monotonic()
         want = self._ctl.placing.declined(message, now_s)
         if want is not None:
             self._ctl.place(want, now_s)
 
     @_handle.register
-    def _(self, message: msg.PermitGranted, link: Link) -> None:
+    def _(self, message: msg.PermitGranted, link: Link, call_id: int) -> None:
         self._ctl.owners.permitted(message)
 
 
@@ -113,10 +122,7 @@
     @singledispatchmethod
     def _handle(self, message: Any, link: Link, call_id: int) -> None:
         """Refuse a request that this program does not answer."""
-        if call_id:
-            link.reply(
-                call_id, msg.Refusal('unexpected', type(message).__name__)
-            )
+        _refuse(message, link, call_id)
 
     @_handle.register
     def _(self, message: msg.Renew, link: Link, call_id: int) -> None:
@@ -191,18 +197,13 @@
     def _(self, message: msg.BundleInForce, link: Link, call_id: int) -> None:
         self._ctl.in_force.told(link.peer.name, message)
 
-    @_handle.register
-    def _(self, message: msg.GetManifest, link: Link, call_id: int) -> None:
+    @_handle.register(msg.GetManifest)
+    @_handle.register(msg.GetChunk)
+    def _(
+        self, message: msg.GetManifest | msg.GetChunk, link: Link, call_id: int
+    ) -> None:
         holder = self._ctl.follower.holder
-        pointer = holder.pointer
-        held = pointer is not None and pointer.digest == message.digest
-        content = holder.manifest_bytes if held else None
-        _reply_blob(link, call_id, content)
-
-    @_handle.register
-    def _(self, message: msg.GetChunk, link: Link, call_id: int) -> None:
-        content = self._ctl.follower.holder.chunk_bytes(message.digest)
-        _reply_blob(link, call_id, content)
+        link.reply(call_id, bundle_part(message, holder))
 
     @_handle.register
     def _(self, message: msg.GetStatus, link: Link, call_id: int) -> None:
@@ -239,8 +240,6 @@
             self._ctl.table.forget(link.peer.instance_id)
 
 
-def _reply_blob(link: Link, call_id: int, content: bytes | None) -> None:
-    if content is None:
-        link.reply(call_id, msg.Refusal('not_held', 'not held here'))
-    else:
-        link.reply(call_id, msg.Blob(content))
+def _refuse(message: Any, link: Link, call_id: int) -> None:
+    if call_id:
+        link.reply(call_id, msg.Refusal('unexpected', type(message).__name__))
--- a/src/wasabicross/spread.py
+++ b/src/wasabicross/spread.py
@@ -15,7 +15,13 @@
 from wasabicross.kv import KeyValueStore
 from wasabicross.links import Link
 from wasabicross.manifests import decode_pointer
-from wasabicross.messages import Blob, BundleOffered, GetChunk, GetManifest
+from wasabicross.messages import (
+    Blob,
+    BundleOffered,
+    GetChunk,
+    GetManifest,
+    Refusal,
+)
 
 FETCH_TIMEOUT_S = 2.0
 WATCH_S = 10.0
@@ -48,6 +54,24 @@
         return Ok(answer.ok.content)
 
 
+def bundle_part(
+    asked: GetManifest | GetChunk, holder: BundleHolder
+) -> Blob | Refusal:
+    """Answer a peer that fetches the bundle in force.
+
+    :param asked: the part.
+    :param holder: keeps the bundle in force.
+    """
+    content = None
+    if isinstance(asked, GetChunk):
+        content = holder.chunk_bytes(asked.digest)
+    elif holder.pointer and holder.pointer.digest == asked.digest:
+        content = holder.manifest_bytes
+    if content is None:
+        return Refusal('not_held', 'not held here')
+    return Blob(content)
+
+
 class _Offer(NamedTuple):
     pointer: BundlePointer
     source: BundleSource
