--- a/emulator/slope_parts.py
+++ b/emulator/slope_parts.py
@@ -100,6 +100,7 @@
         window = Window(deployment)
         _pass(seconds)
         told = window.figures()
+        told['change_everywhere_s'] = _roll(deployment, {'adapter-0': '2'})
     told['calls_per_instance_s'] = told['key_value_calls_per_s'] / count
     return told
 
@@ -215,14 +216,7 @@
         for name, version in (('first', '1'), ('change', '2')):
             versions[names[0]] = version
             calls = key_value_calls(deployment)
-            pointer = put_in_force(deployment, bundle_text(versions, {}))
-            started_s = time.monotonic()
-            wait_until(
-                partial(_in_force, deployment, pointer.number),
-                START_TIMEOUT_S,
-                f'bundle {pointer.number} in force',
-            )
-            told[f'{name}_in_force_s'] = round(time.monotonic() - started_s, 2)
+            told[f'{name}_in_force_s'] = _roll(deployment, versions)
             made = key_value_calls(deployment)
             made.subtract(calls)
             told[f'{name}_gets'] = made['get']
@@ -251,6 +245,18 @@
     }
 
 
+def _roll(deployment: Deployment, versions: dict[str, str]) -> float:
+    """Return the seconds from a roll until it is in force everywhere."""
+    pointer = put_in_force(deployment, bundle_text(versions, {}))
+    started_s = time.monotonic()
+    wait_until(
+        partial(_in_force, deployment, pointer.number),
+        START_TIMEOUT_S,
+        f'bundle {pointer.number} in force',
+    )
+    return round(time.monotonic() - started_s, 2)
+
+
 def _in_force(deployment: Deployment, number: int) -> bool:
     told = f'"bundle": {number}'
     places = (*deployment.controllers, *deployment.entries)
