Answer peers that fetch a bundle over the link that was dialled to them

A controller offers a new bundle on the links that it has dialled. The peer asked back on the same link for manifest and chunks, but the dialling side ignored such questions, so that the fetch ran into its limit of 2 s and the next offer waited behind it; only instances that watch the pointer followed at once, the others at their look every 10 s. A watch by every instance was ruled out: its calls would grow with the fleet.

--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -6,6 +6,7 @@
 
 from wasabicross import messages as msg
 from wasabicross.bundles import BundlePointer
+from wasabicross.holder import BundleHolder
 from wasabicross.instances import Instance
 from wasabicross.links import Link
 from wasabicross.spread import LinkSource
@@ -27,7 +28,10 @@
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
         """Handle a message from a peer that was dialled."""
-        self._handle(message, link)
+        if call_id:
+            _answer_part(self._ctl.follower.holder, message, link, call_id)
+        else:
+            self._handle(message, link)
 
     def peer_linked(self, link: Link, peer: Instance) -> None:
         """Offer the bundle in force, in case the peer has none as late."""
@@ -194,17 +198,13 @@
         self._ctl.in_force.told(link.peer.name, message)
 
     @_handle.register
-    def _(self, message: msg.GetManifest, link: Link, call_id: int) -> None:
-        holder = self._ctl.follower.holder
-        pointer = holder.pointer
-        held = pointer is not None and pointer.digest == message.digest
-        content = holder.manifest_bytes if held else None
-        _reply_blob(link, call_id, content)
-
-    @_handle.register
-    def _(self, message: msg.GetChunk, link: Link, call_id: int) -> None:
-        content = self._ctl.follower.holder.chunk_bytes(message.digest)
-        _reply_blob(link, call_id, content)
+    def _(
+        self,
+        message: msg.GetManifest | msg.GetChunk,
+        link: Link,
+        call_id: int,
+    ) -> None:
+        _answer_part(self._ctl.follower.holder, message, link, call_id)
 
     @_handle.register
     def _(self, message: msg.GetStatus, link: Link, call_id: int) -> None:
@@ -241,8 +241,21 @@
             self._ctl.table.forget(link.peer.instance_id)
 
 
-def _reply_blob(link: Link, call_id: int, content: bytes | None) -> None:
+def _answer_part(
+    holder: BundleHolder, question: Any, link: Link, call_id: int
+) -> None:
+    """Answer whoever was offered a bundle, on links of either direction."""
+    content = _part_of(holder, question)
     if content is None:
         link.reply(call_id, msg.Refusal('not_held', 'not held here'))
     else:
         link.reply(call_id, msg.Blob(content))
+
+
+def _part_of(holder: BundleHolder, question: Any) -> bytes | None:
+    if isinstance(question, msg.GetChunk):
+        return holder.chunk_bytes(question.digest)
+    pointer = holder.pointer
+    if not isinstance(question, msg.GetManifest) or pointer is None:
+        return None
+    return holder.manifest_bytes if pointer.digest == question.digest else None
