Renew a lease as its grant asks; watch a lost key as it is

A lease granted before the list was read lasts 6 s, but was renewed in the interval of the whole fleet: 6.07 s with 182 instances, 12 s with 360. So it lapsed between renewals, and every server of the instance with it. The owner then watched the absent key after the version of its own lost write, which is answered at once, again and again. Now a lease is renewed in a third of the time that it was granted for, its first grant waits up to 2 s for the list, and a key that could not be taken again is watched in the state it was seen. Renewing with a longer time was ruled out: the service's renewal starts the granted time anew and takes no other.

The new tests fail before and pass after.

--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -329,6 +329,7 @@
         self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
         self.lease.instances = len(fleet.instances)
+        self.lease.listed.set()
         self.claims.instances = len(fleet.instances)
         live = view.live_residents()
         own_id = self.cfg.instance.instance_id
--- a/src/wasabicross/ownership.py
+++ b/src/wasabicross/ownership.py
@@ -7,11 +7,9 @@
 from typing import NamedTuple, Protocol
 
 import cbor2
-from expression import Result
 
 from wasabicross.events import Event
 from wasabicross.exceptions import (
-    KeyValueError,
     LeaseLapsed,
     SwapOutcomeUnknown,
 )
@@ -26,6 +24,7 @@
 WATCH_S = 10.0
 STANDBY_GRACE_S = 2.0
 RETRY_S = 0.5
+LIST_WAIT_S = 2.0
 CANDIDATES = 2
 
 
@@ -71,6 +70,9 @@
 class InstanceLease:
     """One lease of an instance, renewed by a thread of its own.
 
+    A renewal does not change how long a lease lasts, so it is renewed as
+    often as its grant asks for, however the fleet has grown since.
+
     :param kv: the key-value service.
     :param stop: set when the process stops.
     """
@@ -78,9 +80,11 @@
     def __init__(self, kv: KeyValueStore, stop: threading.Event) -> None:
         self.instances = 1
         self.renewal = NEVER_RENEWED
+        self.listed = threading.Event()
         self._kv = kv
         self._stop = stop
         self._lease_id: str | None = None
+        self._ttl_s = MIN_LEASE_S
 
     @property
     def lease_id(self) -> str | None:
@@ -89,16 +93,17 @@
 
     def run(self) -> None:
         """Grant and renew until the process stops, then revoke."""
+        self.listed.wait(LIST_WAIT_S)
         while not self._stop.is_set():
-            ttl_s = lease_ttl_s(self.instances)
-            self._keep(ttl_s, time.monotonic())
-            self._stop.wait(ttl_s / RENEWALS_PER_LEASE)
+            self._keep(time.monotonic())
+            self._stop.wait(self._ttl_s / RENEWALS_PER_LEASE)
         if self._lease_id is not None:
             self._kv.revoke_lease(self._lease_id)
 
-    def _keep(self, ttl_s: float, now_s: float) -> None:
+    def _keep(self, now_s: float) -> None:
         if self._lease_id is None:
-            granted = self._kv.grant_lease(ttl_s)
+            self._ttl_s = lease_ttl_s(self.instances)
+            granted = self._kv.grant_lease(self._ttl_s)
             self._lease_id = granted.ok if granted.is_ok() else None
         else:
             self._renew(self._lease_id, now_s)
@@ -216,18 +221,15 @@
                 self._stopping.wait(RETRY_S)
                 seen = self._kv.get(key)
                 continue
-            now_s = time.monotonic()
+            before = self._owned.get(server_id)
             absent_since_s = self._react(
-                server_id, seen.ok, absent_since_s, now_s
+                server_id, seen.ok, absent_since_s, time.monotonic()
             )
-            wait_s = WATCH_S if absent_since_s is None else RETRY_S
-            seen = self._watch(key, seen.ok, wait_s)
-
-    def _watch(
-        self, key: str, present: Versioned, wait_s: float
-    ) -> Result[Versioned, KeyValueError]:
-        owned = self._owned.get(key.removeprefix('owner/'), present)
-        return self._kv.watch(key, owned.version, wait_s)
+            # A take-over that failed has left the key as it was seen.
+            after = self._owned.get(server_id)
+            known = seen.ok if after is before else after or seen.ok
+            wait_s = WATCH_S if known.value is not None else RETRY_S
+            seen = self._kv.watch(key, known.version, wait_s)
 
     def _react(
         self,
@@ -248,7 +250,8 @@
         if mine is None and now_s - since_s < grace_s:
             return since_s
         self._take_over(server_id, present, now_s)
-        return None if server_id in self._owned else since_s
+        taken = self._owned.get(server_id)
+        return since_s if taken is mine else None
 
     def _take_over(
         self, server_id: str, present: Versioned, now_s: float
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,105 @@
+"""An instance's lease and the keys tied to it, as the fleet grows."""
+
+import threading
+
+import pytest
+from expression import Error, Ok
+
+from emulator.waiting import wait_until
+from wasabicross.exceptions import LeaseLapsed
+from wasabicross.kv import Versioned
+from wasabicross.ownership import (
+    RENEWALS_PER_LEASE,
+    RETRY_S,
+    InstanceLease,
+    OwnerKeeper,
+    lease_ttl_s,
+)
+
+
+class RecordingStop(threading.Event):
+    """Records the waits between renewals and grows the fleet meanwhile."""
+
+    def __init__(self, sizes):
+        super().__init__()
+        self.waits = []
+        self.sizes = list(sizes)
+        self.lease = None
+
+    def wait(self, timeout=None):
+        self.waits.append(timeout)
+        if not self.sizes:
+            self.set()
+            return True
+        self.lease.instances = self.sizes.pop(0)
+        return False
+
+
+class LeaseStore:
+    def __init__(self):
+        self.granted = []
+
+    def grant_lease(self, ttl_s):
+        self.granted.append(ttl_s)
+        return Ok('lease-1')
+
+    def renew_lease(self, lease_id):
+        return Ok(None)
+
+    revoke_lease = renew_lease
+
+
+@pytest.mark.parametrize('sizes', [(360, 360), (2, 200, 360)])
+def test_a_lease_is_renewed_as_often_as_its_grant_asks(sizes):
+    store, stop = LeaseStore(), RecordingStop(sizes)
+    lease = InstanceLease(store, stop)
+    stop.lease = lease
+    lease.listed.set()
+    lease.run()
+    assert store.granted == [lease_ttl_s(1)]
+    assert set(stop.waits) == {lease_ttl_s(1) / RENEWALS_PER_LEASE}
+
+
+class LapsingStore:
+    """Takes one write, then the key vanishes and the lease is refused."""
+
+    def __init__(self):
+        self.lapsed = threading.Event()
+        self.swaps = 0
+        self.watches = []
+
+    def get(self, key):
+        return Ok(Versioned(key, None, 0))
+
+    def compare_and_swap(self, key, value, expected_version, lease_id=None):
+        self.swaps += 1
+        if self.lapsed.is_set():
+            return Error(LeaseLapsed('lease-1'))
+        return Ok(Versioned(key, value, 5))
+
+    def watch(self, key, after_version, wait_s):
+        self.lapsed.set()
+        self.watches.append((after_version, wait_s))
+        return Ok(Versioned(key, None, 0))
+
+
+class Hooks:
+    def owner_started(self, start):
+        """Take no note."""
+
+    owner_ended = owner_started
+
+    def known_term(self, server_id):
+        return 0
+
+
+def test_a_key_that_cannot_be_taken_again_is_watched_as_it_is():
+    store = LapsingStore()
+    lease = InstanceLease(store, threading.Event())
+    lease._lease_id = 'lease-1'
+    keeper = OwnerKeeper('north-0', store, lease, Hooks())
+    keeper.assign(['engine-0'], ['north-0'])
+    wait_until(lambda: len(store.watches) > 3, 5)
+    keeper._stopping.set()
+    assert store.watches[0][0] == 5
+    assert set(store.watches[1:]) == {(0, RETRY_S)}
