--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -6,10 +6,9 @@
 
 from wasabicross import messages as msg
 from wasabicross.bundles import BundlePointer
-from wasabicross.holder import BundleHolder
 from wasabicross.instances import Instance
 from wasabicross.links import Link
-from wasabicross.spread import LinkSource
+from wasabicross.spread import LinkSource, bundle_part
 from wasabicross.use_grants import UseGrants
 
 if TYPE_CHECKING:
@@ -28,10 +27,7 @@
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
         """Handle a message from a peer that was dialled."""
-        if call_id:
-            _answer_part(self._ctl.follower.holder, message, link, call_id)
-        else:
-            self._handle(message, link)
+        self._handle(message, link, call_id)
 
     def peer_linked(self, link: Link, peer: Instance) -> None:
         """Offer the bundle in force, in case the peer has none as late."""
@@ -59,28 +55,29 @@
             self._ctl.owners.confirmed(granted.confirmed, asked_s)
 
     @singledispatchmethod
-    def _handle(self, message: Any, link: Link) -> None:
-        """Ignore what a peer has no business to send."""
+    def _handle(self, message: Any, link: Link, call_id: int) -> None:
+        """Refuse a request that a peer has no business to send."""
+        _refuse(message, link, call_id)
 
     @_handle.register
-    def _(self, message: msg.OwnedServers, link: Link) -> None:
+    def _(self, message: msg.OwnedServers, link: Link, call_id: int) -> None:
         for server in message.servers:
             self._ctl.owner_announced(server, link)
 
     @_handle.register
-    def _(self, message: msg.LoadsOpened, link: Link) -> None:
+    def _(self, message: msg.LoadsOpened, link: Link, call_id: int) -> None:
         self._ctl.loads.open_loads(message)
 
     @_handle.register
-    def _(self, message: msg.LoadsSnapshot, link: Link) -> None:
+    def _(self, message: msg.LoadsSnapshot, link: Link, call_id: int) -> None:
         self._ctl.loads.replace_loads(message)
 
     @_handle.register
-    def _(self, message: msg.LoadsGone, link: Link) -> None:
+    def _(self, message: msg.LoadsGone, link: Link, call_id: int) -> None:
         self._ctl.loads.drop_loads(message.load_names)
 
     @_handle.register
-    def _(self, message: msg.CloseLoad, link: Link) -> None:
+    def _(self, message: msg.CloseLoad, link: Link, call_id: int) -> None:
         term = self._ctl.loads.term_of(message.server_id)
         if message.term > term:
             later = msg.ServerTerm(message.server_id, message.term)
@@ -88,18 +85,26 @@
         self._ctl.loads.consent_to_close(message, link)
 
     @_handle.register
-    def _(self, message: msg.BundleOffered, link: Link) -> None:
+    def _(self, message: msg.BundleOffered, link: Link, call_id: int) -> None:
         self._ctl.follower.offer(BundlePointer(*message), LinkSource(link))
 
+    @_handle.register(msg.GetManifest)
+    @_handle.register(msg.GetChunk)
+    def _(
+        self, message: msg.GetManifest | msg.GetChunk, link: Link, call_id: int
+    ) -> None:
+        holder = self._ctl.follower.holder
+        link.reply(call_id, bundle_part(message, holder))
+
     @_handle.register
-    def _(self, message: msg.LoadDeclined, link: Link) -> None:
+    def _(self, message: msg.LoadDeclined, link: Link, call_id: int) -> None:
         now_s = time.monotonic()
         want = self._ctl.placing.declined(message, now_s)
         if want is not None:
             self._ctl.place(want, now_s)
 
     @_handle.register
-    def _(self, message: msg.PermitGranted, link: Link) -> None:
+    def _(self, message: msg.PermitGranted, link: Link, call_id: int) -> None:
         self._ctl.owners.permitted(message)
 
 
@@ -119,10 +124,7 @@
     @singledispatchmethod
     def _handle(self, message: Any, link: Link, call_id: int) -> None:
         """Refuse a request that this program does not answer."""
-        if call_id:
-            link.reply(
-                call_id, msg.Refusal('unexpected', type(message).__name__)
-            )
+        _refuse(message, link, call_id)
 
     @_handle.register
     def _(self, message: msg.Renew, link: Link, call_id: int) -> None:
@@ -197,14 +199,13 @@
     def _(self, message: msg.BundleInForce, link: Link, call_id: int) -> None:
         self._ctl.in_force.told(link.peer.name, message)
 
-    @_handle.register
+    @_handle.register(msg.GetManifest)
+    @_handle.register(msg.GetChunk)
     def _(
-        self,
-        message: msg.GetManifest | msg.GetChunk,
-        link: Link,
-        call_id: int,
+        self, message: msg.GetManifest | msg.GetChunk, link: Link, call_id: int
     ) -> None:
-        _answer_part(self._ctl.follower.holder, message, link, call_id)
+        holder = self._ctl.follower.holder
+        link.reply(call_id, bundle_part(message, holder))
 
     @_handle.register
     def _(self, message: msg.GetStatus, link: Link, call_id: int) -> None:
@@ -241,21 +242,6 @@
             self._ctl.table.forget(link.peer.instance_id)
 
 
-def _answer_part(
-    holder: BundleHolder, question: Any, link: Link, call_id: int
-) -> None:
-    """Answer whoever was offered a bundle, on links of either direction."""
-    content = _part_of(holder, question)
-    if content is None:
-        link.reply(call_id, msg.Refusal('not_held', 'not held here'))
-    else:
-        link.reply(call_id, msg.Blob(content))
-
-
-def _part_of(holder: BundleHolder, question: Any) -> bytes | None:
-    if isinstance(question, msg.GetChunk):
-        return holder.chunk_bytes(question.digest)
-    pointer = holder.pointer
-    if not isinstance(question, msg.GetManifest) or pointer is None:
-        return None
-    return holder.manifest_bytes if pointer.digest == question.digest else None
+def _refuse(message: Any, link: Link, call_id: int) -> None:
+    if call_id:
+        link.reply(call_id, msg.Refusal('unexpected', type(message).__name__))
