Start a bench deployment again when a port was taken

Ruled out: holding the ports open, since each belongs to another process. Change: a contender whose programs don't start is tried once more.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -20,7 +20,7 @@
 from emulator.arrivals import Arrival, Arrivals, Popularity
 from emulator.clairvoyant import stall_bound_s
 from emulator.deployment import TENANT_TOKEN, Deployment
-from emulator.fleet import Program, Runner
+from emulator.fleet import Program, ProgramFailed, Runner
 from emulator.load import Load, Shot, percentile
 from emulator.processes import MachineLoad
 from emulator.rolling import CHAT_PATH, bundle_text, put_in_force
@@ -288,7 +288,11 @@
         ),
     }
     for contender in CONTENDERS:
-        yield run_contender(contender, options)
+        try:
+            yield run_contender(contender, options)
+        except ProgramFailed:
+            # Another process of the machine may take a port in between.
+            yield run_contender(contender, options)
 
 
 def bench_options(command: Any) -> Any:
