Prove that a bundle is in force everywhere and never reverts

Five rolls in a row within 2 s each, a data centre cut off from the key-value service but not from its peers, one cut off from all, an instance restarted while nobody reaches the service, bundles forged, truncated, without chunks or renumbered, and a pointer that goes back; traffic watches that the bundles named by each entry's answers only rise.

--- /dev/null
+++ b/tests/test_promise_bundle.py
@@ -0,0 +1,173 @@
+"""A bundle comes into force everywhere and is never followed by an earlier."""
+
+from functools import partial
+
+import pytest
+from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
+from nacl.signing import SigningKey
+from promise_parts import Trial, now_iso, small_shape
+
+from emulator.waiting import wait_until
+from wasabicross.bundles import BundlePointer
+
+SEED = 20261207
+#: Bar for a bundle in force in every data centre that can be reached.
+SPREAD_S = 2
+HEALED_S = 5
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(
+        data_centres=('north', 'south'), proxied=('instance', 'kv')
+    )
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+@pytest.fixture
+def watched(trial):
+    """Traffic that watches the bundles that each entry's answers name."""
+    make = partial(any_adapter, tokens=(1, 3))
+    by_entry = [
+        Traffic(trial, 1, make, SEED, [entry]) for entry in trial.dep.entries
+    ]
+    for traffic in by_entry:
+        traffic.__enter__()
+    yield by_entry
+    names = instances(trial)
+    targets = (*names, 'kv')
+    trial.dep.links.heal(
+        *((name, each) for name in names for each in targets if name != each)
+    )
+    for traffic in by_entry:
+        traffic.__exit__()
+    for traffic in by_entry:
+        named = [each.bundle for each in traffic.answers if each.status == 200]
+        assert named == sorted(named)
+        check_answers(trial, traffic.answers)
+
+
+def roll_next(trial):
+    number = len(trial.versions) + 1
+    return trial.roll(dict.fromkeys(ADAPTERS, str(number)))
+
+
+def instances(trial):
+    return [each.name for each in trial.dep.controllers]
+
+
+def cut_off_pairs(trial, name, also_peers):
+    pairs = [(name, 'kv')]
+    if also_peers:
+        other = next(each for each in instances(trial) if each != name)
+        pairs.extend(((name, other), (other, name)))
+    return pairs
+
+
+def test_everywhere_in_time(trial, watched):
+    for _ in range(5):
+        number = roll_next(trial)
+        trial.wait_in_force(number, timeout_s=SPREAD_S)
+
+
+@pytest.mark.parametrize('cut_off', [0, 1])
+def test_follows_by_its_peers(trial, watched, cut_off):
+    """Cut off from the service alone: the bundle comes from the peers."""
+    pairs = cut_off_pairs(trial, instances(trial)[cut_off], also_peers=False)
+    trial.dep.links.cut(*pairs)
+    number = roll_next(trial)
+    trial.wait_in_force(number, timeout_s=SPREAD_S)
+    trial.dep.links.heal(*pairs)
+
+
+def test_cut_off_from_all(trial, watched):
+    """Cut off from all: the old bundle stays in force until it heals."""
+    name = instances(trial)[1]
+    pairs = cut_off_pairs(trial, name, also_peers=True)
+    trial.dep.links.cut(*pairs)
+    before = len(trial.versions)
+    number = roll_next(trial)
+    near, far = trial.dep.entries
+    trial.wait_in_force(number, [near], timeout_s=SPREAD_S)
+    assert trial.bundle_at(far) == before
+    trial.dep.links.heal(*pairs)
+    trial.wait_in_force(number, timeout_s=HEALED_S)
+
+
+def test_restart_without_the_service(trial, watched):
+    """A restarted instance gets the bundle from a peer, not an earlier."""
+    trial.wait_in_force(roll_next(trial))
+    for name in instances(trial):
+        trial.dep.links.cut((name, 'kv'))
+    restarted = trial.dep.controllers[1].name
+    entry = trial.dep.entries[1]
+    before = len(trial.bundles_at(entry))
+    for name in (restarted, entry.name):
+        trial.runner.kill(name)
+    for name in (restarted, entry.name):
+        trial.runner.restart(name)
+    wait_until(lambda: trial.is_ready(entry), 10, 'ready without the service')
+    assert len(trial.bundles_at(entry)) == before + 1
+    assert trial.bundle_at(entry) == trial.in_force
+    for name in instances(trial):
+        trial.dep.links.heal((name, 'kv'))
+
+
+def point_at(trial, number, digest):
+    trial.point(BundlePointer(number, digest, now_iso(), 'mallory'))
+
+
+def forged(trial, number):
+    """Signed by a key that nobody trusts."""
+    mallory = SigningKey(b'm' * 32)
+    versions = dict.fromkeys(ADAPTERS, 'forged')
+    bundle, signed = trial.signed_bundle(versions, number, mallory)
+    trial.store().put_manifest(bundle.digest, signed)
+    return bundle.digest
+
+
+def truncated(trial, number):
+    versions = dict.fromkeys(ADAPTERS, 'truncated')
+    bundle, signed = trial.signed_bundle(versions, number)
+    trial.store().put_manifest(bundle.digest, signed[:-10])
+    return bundle.digest
+
+
+def without_chunks(trial, number):
+    versions = dict.fromkeys(ADAPTERS, 'chunkless')
+    bundle, signed = trial.signed_bundle(versions, number)
+    trial.store().put_manifest(bundle.digest, signed)
+    return bundle.digest
+
+
+def renumbered(trial, number):
+    """An earlier bundle under a higher number."""
+    return trial.digests[1]
+
+
+@pytest.mark.parametrize(
+    'make',
+    [forged, truncated, without_chunks, renumbered],
+    ids=lambda each: each.__name__,
+)
+def test_bad_bundle_is_refused(trial, watched, make):
+    # The number is used up, as an operator's next roll takes a higher one.
+    number = trial.skip_number()
+    point_at(trial, number, make(trial, number))
+    for traffic in watched:
+        traffic.wait_for(5)
+    assert all(trial.bundle_at(entry) < number for entry in trial.dep.entries)
+    trial.wait_in_force(roll_next(trial), timeout_s=HEALED_S)
+
+
+def test_pointer_goes_back(trial, watched):
+    """The service shows an earlier bundle again: it is not put in force."""
+    trial.wait_in_force(roll_next(trial))
+    point_at(trial, 1, trial.digests[1])
+    for traffic in watched:
+        traffic.wait_for(5)
+    for entry in trial.dep.entries:
+        assert trial.bundle_at(entry) == trial.in_force
+    trial.wait_in_force(roll_next(trial), timeout_s=HEALED_S)
