Prove the bound on servers that one request can crash

A body that kills each engine that runs it, sent six times through two data centres among other traffic: two of four engines lost, later copies refused as not run, no innocent request refused.

--- /dev/null
+++ b/tests/test_promise_crasher.py
@@ -0,0 +1,72 @@
+"""A request that crashes servers costs few of them, and innocents nothing."""
+
+import json
+
+import pytest
+from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
+from promise_parts import FAST_ENGINE, Trial, small_shape
+
+from emulator.waiting import wait_until
+
+SEED = 20261208
+MARKER = 'crash-this-engine'
+#: Servers that a request may cost: the first, and the one of its trial.
+MAX_LOST = 2
+COPIES = 6
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(
+        data_centres=('north', 'south'),
+        engines=2,
+        engine_args=(*FAST_ENGINE, '--crash-marker', MARKER),
+    )
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+def crasher(adapter):
+    return {
+        'model': adapter,
+        'max_tokens': 4,
+        'stream': False,
+        'messages': [{'role': 'user', 'content': MARKER}],
+    }
+
+
+def test_crasher(trial):
+    """Sent again and again, through both data centres, among others."""
+    engines = [engine.name for engine in trial.dep.engines]
+    with Traffic(trial, 6, any_adapter, SEED) as traffic:
+        traffic.wait_for(20)
+        copies = []
+        for turn in range(COPIES):
+            entry = trial.dep.entries[turn % 2]
+            copies.append(trial.call(entry, crasher(ADAPTERS[0])))
+            traffic.wait_for(10)
+        lost = [name for name in engines if name not in trial.runner.running()]
+        for name in lost:
+            trial.runner.restart(name)
+        traffic.wait_for(20)
+    assert 1 <= len(lost) <= MAX_LOST
+    assert copies[-1].status == 422
+    assert json.loads(copies[-1].body)['error']['code'] == 'crashes_servers'
+    assert copies[-1].outcome == 'not-run'
+    assert not [copy for copy in copies if copy.status == 200]
+    wait_until(lambda: traffic.answers, 1, 'answers')
+    whole = [each for each in traffic.answers if each.completed]
+    cut = [
+        each
+        for each in traffic.answers
+        if each.status == 200 and not each.is_whole
+    ]
+    assert len(cut) <= MAX_LOST * 6
+    refused = [each for each in traffic.answers if each.status == 422]
+    assert not refused
+    # The logs of lost engines are gone with them.
+    known = trial.requests()
+    assert check_answers(
+        trial, [each for each in whole if each.request_id in known]
+    )
