--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: install lint format test demo model bench-path
+.PHONY: install lint format test demo model bench-path chaos slopes bench
 
 install: $(VENV)/.installed
 
@@ -25,10 +25,22 @@
 	$(BIN)/python -m pytest -q tests
 
 demo: install
-	$(BIN)/python -m emulator.demo
+	$(BIN)/python -m emulator.demo $(if $(EXAMPLE),--example $(EXAMPLE))
 
 model: install
 	$(BIN)/python -m model
 
+bench: install
+	$(BIN)/python -m emulator.bench
+
 bench-path: install
 	$(BIN)/python -m emulator.bench_path
+
+SEED ?= 1
+RUNS ?= 10
+
+chaos: install
+	$(BIN)/python -m emulator.chaos --seed $(SEED) --runs $(RUNS)
+
+slopes: install
+	$(BIN)/python -m emulator.slopes
--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from http.client import HTTPException
@@ -10,7 +11,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from wasabicross.exceptions import AnswerCut
-from wasabicross.responses import READ_BUFFER_BYTES, StreamConnection
+from wasabicross.responses import StreamConnection
 
 #: Longest gap within an answer before it counts as cut.
 IDLE_TIMEOUT_S = 30.0
@@ -91,8 +92,13 @@
         self._sock = sock
         self._limits = limits
         self._keep = keep
+        self._body = conn.last_response
         self._end_mark = b''
+        self._tail = b''
         self._reading = False
+        self._finished = False
+        self._lock = threading.Lock()
+        self._timeout_s = float('nan')
 
     def header(self, name: str) -> str | None:
         """Return the field of this name, in any case, if there is one."""
@@ -105,20 +111,23 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes, joining what has arrived meanwhile.
 
-        The connection is closed if the iterator is left before its end.
+        The body can be read once. The connection is closed if the iterator
+        is left before its end.
 
         :raises AnswerCut: when the body ends before it is complete, pauses
-            for longer than the idle timeout, or passes the deadline.
+            for longer than the idle timeout, or passes the deadline, and
+            when it was read or cancelled before.
         """
+        if self._reading or self._finished:
+            raise AnswerCut('the answer was read or cancelled before')
         self._reading = True
         complete = False
-        tail = b''
         try:
-            for piece in self._pieces():
+            while piece := self._read_piece():
                 if self._end_mark:
-                    tail = (tail + piece)[-len(self._end_mark) :]
+                    self._note_end(piece)
                 yield piece
-            complete = self._is_complete(tail)
+            complete = self._is_complete()
         finally:
             self._finish(complete=complete)
         if not complete:
@@ -132,37 +141,43 @@
         return b''.join(self.chunks())
 
     def cancel(self) -> None:
-        """End the connection, from any thread; its reader sees a cut."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+        """End the connection, from any thread; its reader sees a cut.
+
+        Nothing happens if the answer has ended: its connection may already
+        carry another call.
+        """
+        with self._lock, contextlib.suppress(OSError):
+            if not self._finished:
+                self._sock.shutdown(socket.SHUT_RDWR)
         # A reader in another thread closes the connection by itself.
         if not self._reading:
             self._finish(complete=False)
 
-    def _pieces(self) -> Iterator[bytes]:
-        while True:
-            try:
-                piece = self._read_piece()
-            except FAILURES as exc:
-                raise AnswerCut(f'the answer was cut: {exc!r}') from exc
-            if not piece:
-                return
-            yield piece
-
     def _read_piece(self) -> bytes:
-        self._sock.settimeout(self._limits.next_read_s())
-        return self._response.read1(READ_BUFFER_BYTES)
-
-    def _is_complete(self, tail: bytes) -> bool:
+        try:
+            timeout_s = self._limits.next_read_s()
+            if timeout_s != self._timeout_s:
+                self._timeout_s = timeout_s
+                self._sock.settimeout(timeout_s)
+            return self._body.read_arrived()
+        except FAILURES as exc:
+            raise AnswerCut(f'the answer was cut: {exc!r}') from exc
+
+    def _note_end(self, piece: bytes) -> None:
+        self._tail = (self._tail + piece)[-len(self._end_mark) :]
+
+    def _is_complete(self) -> bool:
         if self._end_mark:
-            return tail == self._end_mark
+            return self._tail == self._end_mark
         # A body without framing ends like one whose server died.
-        return self._response.chunked or (
-            self._response.length_remaining is not None
-        )
+        return self._body.chunked or self._body.length == 0
 
     def _finish(self, *, complete: bool) -> None:
-        self._response.close()
+        with self._lock:
+            if self._finished:
+                return
+            self._finished = True
+        self._body.close()
         if complete and self._conn.is_reusable():
             self._keep(self._conn)
         else:
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -113,6 +113,12 @@
     load_names: list[str]
 
 
+class LoadsForgotten(NamedTuple):
+    """Tells entries loads that may not be used until they are told again."""
+
+    load_names: list[str]
+
+
 class LoadsGone(NamedTuple):
     """Tells loads that their server holds no longer."""
 
@@ -397,13 +403,18 @@
 
 
 class PermitReturned(NamedTuple):
-    """Gives a permit back when the load has ended."""
+    """Gives a permit back when the load has ended.
+
+    :param loaded: whether the server holds it now.
+    :param used: whether the load was tried at all.
+    """
 
     server_id: str
     data_centre: str
     adapter: str
     version: str
     loaded: bool
+    used: bool = True
 
 
 #: Position is the code on the wire: append only.
@@ -417,6 +428,7 @@
     OwnedServers,
     LoadsOpened,
     LoadsSnapshot,
+    LoadsForgotten,
     LoadsGone,
     ServerReport,
     CloseLoad,
