Bound the digits of a caller's timeout

Cause: X-Request-Timeout-Ms of 400 digits overflowed a float, and the caller got an empty answer of status 500 without an outcome. Change: more than nine digits count as the longest time. Seen: test_promise_garbage, test_headers row 3: 500 before, 200 now.

--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -34,6 +34,7 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 MS_PER_S = 1000
+MAX_TIMEOUT_DIGITS = 9
 STOPPING_RETRY_S = 1.0
 REQUEST_ID_HEADER = 'X-Request-Id'
 
@@ -178,7 +179,7 @@
     def _timeout_s(self, environ: _Environ) -> float:
         told = environ.get('HTTP_X_REQUEST_TIMEOUT_MS', '')
         longest_s = self._limits.max_request_s
-        if not told.isdecimal():
+        if not told.isdecimal() or len(told) > MAX_TIMEOUT_DIGITS:
             return longest_s
         return min(longest_s, int(told) / MS_PER_S)
 
