--- a/tests/test_promise_bundle.py
+++ b/tests/test_promise_bundle.py
@@ -119,20 +119,25 @@
     trial.point(BundlePointer(number, digest, now_iso(), 'mallory'))
 
 
+def put(trial, bundle, signed):
+    store = trial.store()
+    store.put_manifest(bundle.digest, signed)
+    for digest, chunk in bundle.chunks.items():
+        store.put_chunk(digest, chunk)
+    return bundle.digest
+
+
 def forged(trial, number):
     """Signed by a key that nobody trusts."""
     mallory = SigningKey(b'm' * 32)
     versions = dict.fromkeys(ADAPTERS, 'forged')
-    bundle, signed = trial.signed_bundle(versions, number, mallory)
-    trial.store().put_manifest(bundle.digest, signed)
-    return bundle.digest
+    return put(trial, *trial.signed_bundle(versions, number, mallory))
 
 
 def truncated(trial, number):
     versions = dict.fromkeys(ADAPTERS, 'truncated')
     bundle, signed = trial.signed_bundle(versions, number)
-    trial.store().put_manifest(bundle.digest, signed[:-10])
-    return bundle.digest
+    return put(trial, bundle, signed[:-10])
 
 
 def without_chunks(trial, number):
