Prove that a keyed call runs at most once

Eight copies at one moment through two data centres, then four more: with no fault, with the store's answers to claims lost, with the service dying after its run, with the store down; and a repeat through the other data centre gets the same answer.

Not here: an instance killed between claim and dispatch, key ranges changing owner.

--- /dev/null
+++ b/tests/test_promise_once.py
@@ -0,0 +1,114 @@
+"""A call with an idempotency key runs at most once, wherever it is sent."""
+
+import threading
+
+import pytest
+from caller_parts import Answer
+from promise_parts import Trial, small_shape
+
+from emulator.waiting import wait_until
+
+COPIES = 8
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(services=1)
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    # Enough keys to reach every key range, each of which has an owner.
+    for number in range(100):
+        wait_until(
+            lambda: order(started, number, f'first-{number}').completed,
+            20,
+            'owners of the claims',
+        )
+    return started
+
+
+def order(trial, entry_number, key) -> Answer:
+    return trial.call(
+        trial.dep.entries[entry_number % 2],
+        {'order': key},
+        path='/orders',
+        headers={'Idempotency-Key': key},
+    )
+
+
+def runs(trial, key):
+    return sum(
+        trial.log(service)['executions_by_key'].get(key, 0)
+        for service in trial.dep.services
+    )
+
+
+def at_once(trial, key):
+    """Send copies through both data centres at the same moment."""
+    answers = []
+    gate = threading.Barrier(COPIES)
+
+    def send(number):
+        gate.wait(10)
+        answers.append(order(trial, number, key))
+
+    threads = [
+        threading.Thread(target=send, args=(number,))
+        for number in range(COPIES)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(30)
+    return answers
+
+
+def test_repeat_gets_the_answer(trial):
+    first, second = (order(trial, number, 'again') for number in range(2))
+    assert first.completed
+    assert second.completed
+    assert second.body == first.body
+    assert runs(trial, 'again') == 1
+
+
+def nothing(trial):
+    """No fault."""
+
+
+def swaps_lost(trial):
+    """Claims take effect in the store, but its answers are lost."""
+    trial.fault(trial.dep.kv, drop_swaps=2, drop_prefix='claims/')
+
+
+def service_dies(trial):
+    for service in trial.dep.services:
+        trial.fault(service, kind='die', point='after_run', count=1)
+
+
+def store_down(trial):
+    trial.fault(trial.dep.kv, refuse=True)
+
+
+@pytest.mark.parametrize(
+    'provoke',
+    [nothing, swaps_lost, service_dies, store_down],
+    ids=lambda each: each.__name__,
+)
+def test_once(trial, provoke):
+    key = provoke.__name__
+    provoke(trial)
+    answers = at_once(trial, key)
+    trial.fault(trial.dep.kv, refuse=False, drop_swaps=0, drop_prefix='')
+    # Later repeats, through both data centres.
+    answers.extend(order(trial, number, key) for number in range(4))
+    if provoke is swaps_lost:
+        assert trial.ask(trial.dep.kv, '/stats')['dropped']
+    count = runs(trial, key)
+    assert count <= 1
+    told = {answer.outcome for answer in answers if answer.is_whole}
+    if count == 0:
+        assert told == {'not-run'}
+    bodies = {each.body for each in answers if each.status == 200}
+    assert len(bodies) <= count
+    if provoke is nothing:
+        assert count == 1
+        assert bodies
