Let owners start before the outage that the test provokes

Cause: the test cut the key-value service off while an engine had no owner yet, since the other data centre's engine answered the first call; the failing run's log shows no owner_started event. Change: the test waits until each engine has an owner; its bound and its calls stay.

--- a/tests/test_promise_outage.py
+++ b/tests/test_promise_outage.py
@@ -1,8 +1,10 @@
 """Idempotent calls go on while the key-value service is away."""
 
+from functools import partial
+
 import pytest
 from caller_parts import ADAPTERS, model_document
-from promise_parts import FAST_ENGINE, Trial, small_shape
+from promise_parts import FAST_ENGINE, Trial, owner_of, small_shape
 
 from emulator.waiting import wait_until
 
@@ -19,6 +21,8 @@
     )
     started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
     started.wait_in_force(1)
+    for engine in started.dep.engines:
+        wait_until(partial(owner_of, started, engine), RECOVERY_S, engine.name)
     for place in started.dep.controllers:
         started.dep.links.cut((place.name, 'kv'))
     started.lapse_leases()
