End a connection whose request left a body unread

Cause: an answer given before a chunked body was read (401, 411, 413) left the body on a connection that stayed open. The HTTP library then read that body as the next request, so a caller, or a balancer that shares connections between callers, got an answer to something else, and a body could hold a whole further request. Ruled out: the garbage of the test itself (it has its own connection), reused descriptors, two servers on one port. The same held for an entry. Also found: a length of -5, +1 or 1_0 was taken; a long body of a refused caller was read into memory whole; 'Connection: close' in an answer didn't close.

Change: all programs use HttpServer, which ends the connection after an answer to a request with a transfer coding, or with more than 64 KiB of its body unread, reads and drops the rest for a second at most so that the sender gets the answer, and refuses lengths that aren't decimal digits.

Conclusion: chunked requests cost their caller a new connection each.

--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -3,7 +3,6 @@
 import threading
 
 import click
-from cheroot import wsgi
 
 from wasabicross import __version__
 from wasabicross.admin_actions import AdminActions
@@ -12,6 +11,7 @@
 from wasabicross.bundle_store import BundleStore
 from wasabicross.controller_status import ControllerStatus
 from wasabicross.events import Event
+from wasabicross.http_server import HttpServer
 from wasabicross.kv import KeyValueStore
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
@@ -41,7 +41,7 @@
         )
         store = BundleStore(KeyValueStore.from_config(cfg.platform.kv))
         actions = AdminActions.from_config(cfg, store, source)
-        self._server = wsgi.Server(
+        self._server = HttpServer(
             (host, cfg.admin.port),
             AdminApi(cfg.operators, actions),
             numthreads=THREADS,
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -4,7 +4,6 @@
 import uuid
 
 import click
-from cheroot import wsgi
 
 from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
@@ -12,6 +11,7 @@
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
 from wasabicross.events import Event
+from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
@@ -46,7 +46,7 @@
             cfg.instance.host, entry.metrics_port, self.readiness
         )
         self._api = _caller_api(cfg, entry, self._link)
-        self._server = wsgi.Server(
+        self._server = HttpServer(
             (cfg.instance.host, entry.port),
             self._api,
             numthreads=entry.max_requests + SPARE_THREADS,
--- a/src/wasabicross/telemetry.py
+++ b/src/wasabicross/telemetry.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cheroot import wsgi
 from prometheus_client import REGISTRY, CollectorRegistry, Histogram
 from prometheus_client.exposition import make_wsgi_app
 
+from wasabicross.http_server import HttpServer
+
 _THREADS = 2
 _STOP_S = 1
 _LATENCY_BUCKETS_S = (
@@ -101,7 +102,7 @@
     ) -> None:
         self._readiness = readiness
         self._metrics: Any = make_wsgi_app(registry)
-        self._server = wsgi.Server(
+        self._server = HttpServer(
             (host, port),
             self._answer,
             numthreads=_THREADS,
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -7,7 +7,6 @@
 import pytest
 import urllib3
 from bundle_parts import TRUSTED, bundle_text
-from cheroot import wsgi
 from memory_store import MemoryStore
 
 from wasabicross import admin_errors, exceptions
@@ -16,6 +15,7 @@
 from wasabicross.bundle_status import InstanceStatus
 from wasabicross.bundle_store import BundleStore
 from wasabicross.drafts import Drafts
+from wasabicross.http_server import HttpServer
 from wasabicross.rollout import Rollout
 from wasabicross.settings import OperatorSettings
 
@@ -56,7 +56,7 @@
             ('ltn', 'bur'),
         )
         api = AdminApi([OperatorSettings(name='alice', token=TOKEN)], actions)
-        self.server = wsgi.Server(
+        self.server = HttpServer(
             ('127.0.0.1', 0), api, numthreads=4, timeout=1, shutdown_timeout=2
         )
         self.server.prepare()
