--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,9 @@
 """The runner of processes, and waiting."""
 
+import json
+import subprocess
+import sys
+
 import pytest
 
 from emulator.fleet import Program, ProgramFailed, Runner
@@ -85,3 +89,14 @@
 
 def test_ports_are_different():
     assert len(set(free_ports(100))) == 100
+
+
+def test_ports_of_another_process_are_others():
+    script = 'from emulator.waiting import free_ports; print(free_ports(50))'
+    others = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert not set(free_ports(50)) & set(json.loads(others.stdout))
