Remove the parts of old bundles from the key-value service

Ruled out: removing each chunk that no kept bundle names. A draft prepared at that moment may bring an old chunk back, find it stored and not write it, and be rolled after its removal; the service has no list of drafts to look at, and a mark with a delay only makes the gap rarer. Change: a chunk is kept under the generation (100 bundles) of each bundle that has it. A draft is rolled only if its number follows the one in force, so nothing two generations back can be asked for again.

Conclusion: the history keeps its pointers (some 200 bytes each). What drafts leave that were never rolled is not removed.

--- a/emulator/rolling.py
+++ b/emulator/rolling.py
@@ -62,7 +62,7 @@
         raise ValueError(parsed.error)
     built = build_bundle(parsed.ok, number, before.digest if before else '').ok
     for digest, chunk in built.chunks.items():
-        store.put_chunk(digest, chunk)
+        store.put_chunk(number, digest, chunk)
     signature = signature_of(built.manifest, deployment.signing_key)
     signed = SignedManifest(built.manifest, KEY_NAME, signature)
     store.put_manifest(built.digest, encode_signed(signed))
--- a/src/wasabicross/admin_actions.py
+++ b/src/wasabicross/admin_actions.py
@@ -10,6 +10,7 @@
 
 from wasabicross.admin_errors import BAD_BODY, BAD_QUERY, AdminFault
 from wasabicross.bundle_changes import count_changes
+from wasabicross.bundle_cleaner import BundleCleaner
 from wasabicross.bundle_file import parse_bundle_file
 from wasabicross.bundle_status import (
     DataCentreStatus,
@@ -81,6 +82,7 @@
         self._rollout = rollout
         self._source = source
         self._data_centres = data_centres
+        self._cleaner = BundleCleaner(store)
 
     @classmethod
     def from_config(
@@ -170,7 +172,7 @@
             req.now,
             self._statuses,
         )
-        return _told_roll(req, 'roll', rolled)
+        return self._told_roll(req, 'roll', rolled)
 
     def supersede(self, req: AdminRequest) -> ActionResult:
         """Replace the bundle of the query's number at once.
@@ -185,7 +187,7 @@
             req.operator,
             req.now,
         )
-        return _told_roll(req, 'supersede', rolled)
+        return self._told_roll(req, 'supersede', rolled)
 
     def status(self, req: AdminRequest) -> ActionResult:
         """Tell what is in force, and where.
@@ -249,7 +251,7 @@
             if before.is_error():
                 return Error(before.error)
             parent = before.ok.manifest
-        changes = count_changes(parent, manifest, self._store)
+        changes = count_changes(parent, manifest, self._store.parts_of)
         if changes.is_error():
             return Error(store_error(changes.error))
         return Ok(
@@ -266,26 +268,27 @@
             }
         )
 
-
-def _told_roll(
-    req: AdminRequest,
-    action: str,
-    rolled: Result[BundlePointer, RolloutError],
-) -> ActionResult:
-    if rolled.is_error():
+    def _told_roll(
+        self,
+        req: AdminRequest,
+        action: str,
+        rolled: Result[BundlePointer, RolloutError],
+    ) -> ActionResult:
+        if rolled.is_error():
+            log_event(
+                Event.ROLL_REFUSED,
+                digest=req.digest,
+                operator=req.operator,
+                action=action,
+                reason=rolled.error,
+            )
+            return Error(rolled.error)
         log_event(
-            Event.ROLL_REFUSED,
+            Event.BUNDLE_ROLLED,
+            bundle=rolled.ok.number,
             digest=req.digest,
             operator=req.operator,
             action=action,
-            reason=rolled.error,
         )
-        return Error(rolled.error)
-    log_event(
-        Event.BUNDLE_ROLLED,
-        bundle=rolled.ok.number,
-        digest=req.digest,
-        operator=req.operator,
-        action=action,
-    )
-    return Ok({**rolled.ok._asdict()})
+        self._cleaner.start(rolled.ok.number)
+        return Ok({**rolled.ok._asdict()})
--- a/src/wasabicross/bundle_store.py
+++ b/src/wasabicross/bundle_store.py
@@ -19,6 +19,11 @@
 
 CURRENT_KEY = 'bundle/current'
 
+#: Bundles whose chunks share keys. A chunk is found under the generation of
+#: each bundle that has it, so that no later bundle needs the chunks of one that
+#: is a generation behind.
+GENERATION_BUNDLES = 100
+
 _WRITE_ATTEMPTS = 3
 
 
@@ -33,8 +38,16 @@
     version: int
 
 
+def generation_of(number: int) -> int:
+    """Return the generation of a bundle.
+
+    :param number: number of the bundle.
+    """
+    return number // GENERATION_BUNDLES
+
+
 class BundleStore:
-    """Reads and writes the parts of bundles; a ``BundleSource``.
+    """Reads and writes the parts of bundles.
 
     All but the pointer is written once and never changed, so that a write
     whose answer was lost is simply repeated.
@@ -75,12 +88,20 @@
         """
         return self._read(f'bundle/manifest/{digest}')
 
-    def chunk(self, digest: str) -> Result[bytes, BundleError]:
+    def chunk(self, number: int, digest: str) -> Result[bytes, BundleError]:
         """Return an encoded chunk, not verified.
 
+        :param number: number of a bundle that has it.
         :param digest: digest of the chunk.
         """
-        return self._read(f'bundle/chunk/{digest}')
+        return self._read(_chunk_key(number, digest))
+
+    def parts_of(self, number: int) -> 'StoredParts':
+        """Return where the parts of one bundle can be had.
+
+        :param number: number of the bundle.
+        """
+        return StoredParts(self, number)
 
     def draft(self, digest: str) -> Result[Draft, BundleError]:
         """Return a draft.
@@ -130,15 +151,17 @@
 
     def put_chunk(
         self,
+        number: int,
         digest: str,
         encoded: bytes,
     ) -> Result[bytes, BundleError]:
         """Store a chunk.
 
+        :param number: number of the bundle that is to have it.
         :param digest: digest of the chunk.
         :param encoded: the encoded chunk.
         """
-        return self._write_once(f'bundle/chunk/{digest}', encoded)
+        return self._write_once(_chunk_key(number, digest), encoded)
 
     def put_draft(
         self,
@@ -164,6 +187,37 @@
         """
         return self._write_once(f'bundle/history/{number}', encoded)
 
+    def remove_chunk(
+        self, number: int, digest: str
+    ) -> Result[None, BundleError]:
+        """Remove a chunk that no bundle of its generation will need.
+
+        :param number: number of the bundle that had it.
+        :param digest: digest of the chunk.
+        """
+        return self._remove(_chunk_key(number, digest))
+
+    def remove_bundle(self, digest: str) -> Result[None, BundleError]:
+        """Remove draft and manifest of a bundle that nobody will ask for.
+
+        :param digest: digest of its manifest.
+        """
+        removed = self._remove(f'bundle/draft/{digest}')
+        if removed.is_error():
+            return removed
+        return self._remove(f'bundle/manifest/{digest}')
+
+    def _remove(self, key: str) -> Result[None, BundleError]:
+        found = self._store.get(key)
+        if found.is_error():
+            return Error(BundleUnavailable(str(found.error)))
+        if found.ok.value is None:
+            return Ok(None)
+        removed = self._store.compare_and_swap(key, None, found.ok.version)
+        if removed.is_error():
+            return Error(BundleUnavailable(str(removed.error)))
+        return Ok(None)
+
     def _read(self, key: str) -> Result[bytes, BundleError]:
         found = self._store.get(key)
         if found.is_error():
@@ -190,6 +244,32 @@
         return Error(BundleUnavailable(str(exc)))
 
 
+class StoredParts:
+    """The parts of one bundle in the key-value service; a ``BundleSource``.
+
+    :param store: the bundles.
+    :param number: number of the bundle.
+    """
+
+    def __init__(self, store: BundleStore, number: int) -> None:
+        self._store = store
+        self._number = number
+
+    def manifest(self, digest: str) -> Result[bytes, BundleError]:
+        """Return an encoded signed manifest, not verified.
+
+        :param digest: digest of the manifest.
+        """
+        return self._store.manifest(digest)
+
+    def chunk(self, digest: str) -> Result[bytes, BundleError]:
+        """Return an encoded chunk of the bundle, not verified.
+
+        :param digest: digest of the chunk.
+        """
+        return self._store.chunk(self._number, digest)
+
+
 def decode_current(found: Versioned) -> Result[StoredPointer, BundleError]:
     """Decode what the key of the pointer holds.
 
@@ -201,6 +281,10 @@
     return decoded.map(lambda pointer: StoredPointer(pointer, found.version))
 
 
+def _chunk_key(number: int, digest: str) -> str:
+    return f'bundle/chunk/{generation_of(number)}/{digest}'
+
+
 def _stored_first(present: Versioned) -> Result[bytes, BundleError]:
     if present.value is None:
         return Error(BundleMalformed(f'{present.key} was deleted'))
--- a/src/wasabicross/drafts.py
+++ b/src/wasabicross/drafts.py
@@ -8,7 +8,7 @@
 from nacl.signing import VerifyKey
 
 from wasabicross.bundle_file import BuiltBundle, BundleFile, build_bundle
-from wasabicross.bundle_store import BundleStore
+from wasabicross.bundle_store import BundleStore, generation_of
 from wasabicross.bundles import (
     NO_PARENT,
     BundlePointer,
@@ -84,7 +84,7 @@
         built = build_bundle(bundle_file, number, parent)
         if built.is_error():
             return Error(built.error)
-        stored = self._put_chunks(built.ok, parent)
+        stored = self._put_chunks(built.ok, number, parent)
         if stored.is_error():
             return Error(stored.error)
         draft = Draft(built.ok.manifest, now.isoformat(), operator)
@@ -149,21 +149,27 @@
     def _put_chunks(
         self,
         built: BuiltBundle,
+        number: int,
         parent: str,
     ) -> Result[None, RolloutError]:
-        held: frozenset[str] = frozenset()
-        if parent:
-            before = self.prepared(parent)
-            if before.is_ok():
-                held = frozenset(before.ok.manifest.chunk_digests())
+        held = self._stored_with(parent, number)
         for digest, encoded in built.chunks.items():
             if digest in held:
                 continue
-            written = self._store.put_chunk(digest, encoded)
+            written = self._store.put_chunk(number, digest, encoded)
             if written.is_error():
                 return Error(store_error(written.error))
         return Ok(None)
 
+    def _stored_with(self, parent: str, number: int) -> frozenset[str]:
+        """Return the digests of chunks that the parent left for a bundle."""
+        if not parent or generation_of(number) != generation_of(number - 1):
+            return frozenset()
+        before = self.prepared(parent)
+        if before.is_error():
+            return frozenset()
+        return frozenset(before.ok.manifest.chunk_digests())
+
     def _put_signed(
         self,
         digest: str,
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -56,6 +56,8 @@
     ROLL_REFUSED = EventKind(4004, 'WARNING')
     OPERATOR_REFUSED = EventKind(4005, 'WARNING')
     ADMIN_REQUEST_FAILED = EventKind(4006, 'ERROR')
+    OLD_BUNDLE_REMOVED = EventKind(4007, 'INFO')
+    OLD_BUNDLE_KEPT = EventKind(4008, 'WARNING')
 
     @property
     def number(self) -> int:
--- a/src/wasabicross/spread.py
+++ b/src/wasabicross/spread.py
@@ -167,4 +167,5 @@
     def _offer(self, encoded: bytes | None) -> None:
         pointer = decode_pointer(encoded or b'')
         if pointer.is_ok():
-            self._follower.offer(pointer.ok, BundleStore(self._kv))
+            parts = BundleStore(self._kv).parts_of(pointer.ok.number)
+            self._follower.offer(pointer.ok, parts)
--- a/tests/promise_parts.py
+++ b/tests/promise_parts.py
@@ -107,7 +107,7 @@
         store = self.store()
         store.put_manifest(bundle.digest, signed)
         for digest, chunk in bundle.chunks.items():
-            store.put_chunk(digest, chunk)
+            store.put_chunk(number, digest, chunk)
         with self._lock:
             self.versions[number] = versions
         self.point(BundlePointer(number, bundle.digest, now_iso(), 'operator'))
--- a/tests/test_promise_bundle.py
+++ b/tests/test_promise_bundle.py
@@ -9,6 +9,7 @@
 
 from emulator.waiting import wait_until
 from wasabicross.bundles import BundlePointer
+from wasabicross.manifests import decode_manifest
 
 SEED = 20261207
 #: Bar for a bundle in force in every data centre that can be reached.
@@ -122,8 +123,9 @@
 def put(trial, bundle, signed):
     store = trial.store()
     store.put_manifest(bundle.digest, signed)
+    number = decode_manifest(bundle.manifest).ok.number
     for digest, chunk in bundle.chunks.items():
-        store.put_chunk(digest, chunk)
+        store.put_chunk(number, digest, chunk)
     return bundle.digest
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -83,7 +83,7 @@
     for number in (1, 2, 3):
         pointer = desk.roll(desk.signed(f'v{number}')).ok
         assert pointer.number == number
-        assert holder.offer(pointer, desk.store, NOW).is_ok()
+        assert holder.offer(pointer, desk.store.parts_of(number), NOW).is_ok()
         assert holder.current.adapter('a').version == f'v{number}'
     numbers = [past.number for past in desk.rollout.history(10).ok]
     assert numbers == [3, 2, 1]
@@ -246,7 +246,11 @@
     assert error_name(first) == error
     digest = desk.signed('1')
     pointer = desk.roll(digest).ok
-    assert BundleHolder(TRUSTED).offer(pointer, desk.store, NOW).is_ok()
+    assert (
+        BundleHolder(TRUSTED)
+        .offer(pointer, desk.store.parts_of(pointer.number), NOW)
+        .is_ok()
+    )
 
 
 @pytest.mark.parametrize(
@@ -315,9 +319,9 @@
         prepared = desk.drafts.prepare(parse_bundle_file(text).ok, 'x', NOW)
         manifests.append(prepared.ok.manifest)
     first, second = manifests
-    assert count_changes(None, first, desk.store).ok == (300, 0, 0)
-    assert count_changes(first, second, desk.store).ok == (1, 0, 1)
-    assert count_changes(second, first, desk.store).ok == (0, 1, 1)
+    assert count_changes(None, first, desk.store.parts_of).ok == (300, 0, 0)
+    assert count_changes(first, second, desk.store.parts_of).ok == (1, 0, 1)
+    assert count_changes(second, first, desk.store.parts_of).ok == (0, 1, 1)
 
 
 @pytest.mark.parametrize(
