Split the messages by what they are about

messages.py had grown to 512 lines and held every message between processes beside the codec. The messages now stand in seven modules: of links, servers, loads, wants, bundles, claims and suspects. messages.py keeps the codes on the wire and the codec, and still names them all, so that no import changes.

tests: test_links, test_use_grants, test_instance_loads, test_load_table, test_permits, test_server_owner.

--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -7,414 +7,119 @@
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
 
+from wasabicross.bundle_messages import (
+    Blob,
+    BundleInForce,
+    BundleOffered,
+    GetChunk,
+    GetManifest,
+    GetStatus,
+    InstanceReport,
+    Status,
+)
+from wasabicross.claim_messages import (
+    ClaimAnswer,
+    ClaimKey,
+    SettleKey,
+)
 from wasabicross.exceptions import MessageMalformed
-from wasabicross.suspect_records import SuspectRecord
-
-
-class ServerTerm(NamedTuple):
-    """The highest ownership term known of a backend server."""
-
-    server_id: str
-    term: int
-
-
-class Running(NamedTuple):
-    """How many requests run on a load."""
-
-    load_name: str
-    requests: int
-
-
-class ServerInfo(NamedTuple):
-    """What an entry needs to know of a backend server."""
-
-    server_id: str
-    kind: str
-    group: str
-    data_centre: str
-    host: str
-    port: int
-    state: str
-    base_model: str
-
-
-class Hello(NamedTuple):
-    """Opens a link: who dials, and what its requests use just now.
-
-    :param kind: `entry`, `controller` or `admin`.
-    :param running: requests in progress on each load, told by entries.
-    :param closed: loads that the sender has closed for ever.
-    """
-
-    kind: str
-    name: str
-    instance_id: str
-    data_centre: str
-    token: str
-    running: list[Running]
-    closed: list[str]
-    opened: list[str]
-
-
-class Welcome(NamedTuple):
-    """Answers a hello that was accepted."""
-
-    instance_id: str
-
-
-class Refusal(NamedTuple):
-    """Answers a request that is refused, with a stable code."""
-
-    code: str
-    message: str
-
-
-class Done(NamedTuple):
-    """Answers a request that needs no more than its completion."""
-
-
-class Goodbye(NamedTuple):
-    """Announces an orderly stop: nothing of the sender runs any more."""
-
-
-class FleetUpdate(NamedTuple):
-    """Tells an entry all backend servers that the instance list shows.
-
-    :param need_grant: servers whose loads may be used only while granted.
-    """
-
-    servers: list[ServerInfo]
-    need_grant: list[str]
-
-
-class OwnedServers(NamedTuple):
-    """Tells which backend servers the sender owns, each with its term."""
-
-    servers: list[ServerTerm]
-
-
-class LoadsOpened(NamedTuple):
-    """Tells loads that requests may use from now on.
-
-    :param server: the server that holds them, with its owner's term.
-    """
-
-    server: ServerTerm
-    load_names: list[str]
-
-
-class LoadsSnapshot(NamedTuple):
-    """Tells all loads of a server that requests may use, and no others.
-
-    :param server: the server that holds them, with its owner's term.
-    """
-
-    server: ServerTerm
-    load_names: list[str]
-
-
-class LoadsForgotten(NamedTuple):
-    """Tells entries loads that may not be used until they are told again."""
-
-    load_names: list[str]
-
-
-class LoadsGone(NamedTuple):
-    """Tells loads that their server holds no longer."""
-
-    load_names: list[str]
-
-
-class ServerReport(NamedTuple):
-    """Tells a new owner what the sender knows of the server's loads.
-
-    :param server: the server and the owner's term that this answers.
-    :param opened: loads that requests of the sender may use.
-    :param closed: loads that the sender has closed for ever.
-    """
-
-    server: ServerTerm
-    opened: list[str]
-    closed: list[str]
-
-
-class CloseLoad(NamedTuple):
-    """Asks for consent to evict a load."""
-
-    server_id: str
-    load_name: str
-    term: int
-
-
-class CloseRefused(NamedTuple):
-    """Refuses consent since a later owner of the server is known."""
-
-    load_name: str
-    server: ServerTerm
-
-
-class LoadDrained(NamedTuple):
-    """Consents: the load is closed for ever and no request runs on it."""
-
-    load_name: str
-
-
-class Renew(NamedTuple):
-    """Asks to go on using the receiver's servers; a heartbeat as well.
-
-    :param number: the bundle in force at every entry of the sender.
-    :param digest: hex digest of that bundle's manifest.
-    :param since: ISO time at which it came into force there.
-    """
-
-    number: int
-    digest: str
-    since: str
-
-
-class ServerLoad(NamedTuple):
-    """How busy an engine was at its last report.
-
-    :param running: requests in its batch.
-    :param waiting: requests that wait for a place in the batch.
-    :param batch_size: places in the batch, 0 while unknown.
-    :param age_s: seconds since the report was true.
-    :param confirmed_age_s: seconds since it was certain that the server had
-        no later owner.
-    """
-
-    server_id: str
-    running: int
-    waiting: int
-    batch_size: int
-    age_s: float
-    confirmed_age_s: float
-
-
-class Renewed(NamedTuple):
-    """Grants the use of servers, counted from when it was asked for.
-
-    :param servers: servers that the sender owns.
-    :param confirmed: servers that the asker owns, as the sender knows it.
-    :param listed: whether the sender's list shows the asker.
-    """
-
-    servers: list[ServerLoad]
-    confirmed: list[ServerTerm]
-    listed: bool
-
-
-class Grant(NamedTuple):
-    """How long an entry may use the loads of a server.
-
-    :param until_s: monotonic clock of the instance, in seconds.
-    """
-
-    server_id: str
-    until_s: float
-
-
-class UseGranted(NamedTuple):
-    """Tells entries how long loads may be used, and how busy servers are."""
-
-    grants: list[Grant]
-    loads: list[ServerLoad]
-
-
-class WantLoad(NamedTuple):
-    """Asks for an adapter version to be loaded on some server."""
-
-    adapter: str
-    version: str
-    base_model: str
-    group: str
-    request_class: str
-    waiting: int
-    tried: list[str]
-
-
-class LoadWanted(NamedTuple):
-    """Passes a want on to the owner of the server chosen for it."""
-
-    server_id: str
-    want: WantLoad
-
-
-class LoadDeclined(NamedTuple):
-    """Tells that a server can't take the load, for the time given."""
-
-    server_id: str
-    adapter: str
-    version: str
-    retry_after_s: float
-
-
-class LoadUse(NamedTuple):
-    """How one entry uses a load.
-
-    :param started: requests started since the last message.
-    :param running: requests running now.
-    """
-
-    load_name: str
-    started: int
-    running: int
-
-
-class LoadUses(NamedTuple):
-    """Tells the owner of loads how an entry uses them.
-
-    :param source: instance and name of the entry.
-    """
-
-    source: str
-    uses: list[LoadUse]
-
-
-class LoadMissing(NamedTuple):
-    """Tells the owner that its server denied holding a load."""
-
-    server_id: str
-    load_name: str
-
-
-class BundleOffered(NamedTuple):
-    """Tells the pointer of the bundle that the sender has in force."""
-
-    number: int
-    digest: str
-    rolled_at: str
-    rolled_by: str
-
-
-class BundleInForce(NamedTuple):
-    """Tells the bundle that a process has put in force, and since when."""
-
-    number: int
-    digest: str
-    since: str
-
-
-class GetManifest(NamedTuple):
-    """Asks for the signed manifest of a bundle."""
-
-    digest: str
-
-
-class GetChunk(NamedTuple):
-    """Asks for a part of a bundle's adapters table."""
-
-    digest: str
-
-
-class Blob(NamedTuple):
-    """Answers with content-addressed bytes."""
-
-    content: bytes
-
-
-class GetStatus(NamedTuple):
-    """Asks what is in force at every instance that the receiver knows."""
-
-
-class InstanceReport(NamedTuple):
-    """What one instance has in force, as last heard."""
-
-    instance_id: str
-    data_centre: str
-    bundle_number: int
-    bundle_digest: str
-    in_force_since: str
-    last_heard_s: float
-
-
-class Status(NamedTuple):
-    """Answers a status question."""
-
-    instances: list[InstanceReport]
-
-
-class ClaimKey(NamedTuple):
-    """Claims an idempotency key before a request is dispatched."""
-
-    tenant: str
-    key: str
-    request_digest: str
-    holder: str
-
-
-class ClaimAnswer(NamedTuple):
-    """Answers a claim.
-
-    :param state: the state of the key as a stable word.
-    :param answer: the completed answer where it is kept, else empty.
-    :param retry_after_s: seconds until a repeat makes sense.
-    """
-
-    state: str
-    status: int
-    content_type: str
-    answer: bytes
-    retry_after_s: float
-
-
-class SettleKey(NamedTuple):
-    """Tells the outcome of a claimed request."""
-
-    tenant: str
-    key: str
-    holder: str
-    outcome: str
-    status: int
-    content_type: str
-    answer: bytes
-
-
-class SuspectRecords(NamedTuple):
-    """Passes on what is known of requests that crash servers.
-
-    :param records: standings that have changed.
-    """
-
-    records: list[SuspectRecord]
-
-
-class PermitLoad(NamedTuple):
-    """Asks the holder of the budget for a permit to load.
-
-    :param waiting: requests that wait for the load.
-    :param waited_s: seconds that the first of them has waited.
-    """
-
-    server_id: str
-    data_centre: str
-    adapter: str
-    version: str
-    waiting: int
-    waited_s: float
-
-
-class PermitGranted(NamedTuple):
-    """Permits one load from the weight store."""
-
-    server_id: str
-    adapter: str
-    version: str
-
-
-class PermitReturned(NamedTuple):
-    """Gives a permit back when the load has ended.
-
-    :param loaded: whether the server holds it now.
-    :param used: whether the load was tried at all.
-    """
+from wasabicross.link_messages import (
+    Done,
+    Goodbye,
+    Hello,
+    Refusal,
+    Running,
+    Welcome,
+)
+from wasabicross.load_messages import (
+    CloseLoad,
+    CloseRefused,
+    LoadDrained,
+    LoadMissing,
+    LoadsForgotten,
+    LoadsGone,
+    LoadsOpened,
+    LoadsSnapshot,
+    LoadUse,
+    LoadUses,
+    ServerReport,
+)
+from wasabicross.server_messages import (
+    FleetUpdate,
+    Grant,
+    OwnedServers,
+    Renew,
+    Renewed,
+    ServerInfo,
+    ServerLoad,
+    ServerTerm,
+    UseGranted,
+)
+from wasabicross.suspect_messages import (
+    SuspectRecords,
+)
+from wasabicross.want_messages import (
+    LoadDeclined,
+    LoadWanted,
+    PermitGranted,
+    PermitLoad,
+    PermitReturned,
+    WantLoad,
+)
 
-    server_id: str
-    data_centre: str
-    adapter: str
-    version: str
-    loaded: bool
-    used: bool = True
+__all__ = (
+    'Blob',
+    'BundleInForce',
+    'BundleOffered',
+    'ClaimAnswer',
+    'ClaimKey',
+    'CloseLoad',
+    'CloseRefused',
+    'Done',
+    'Envelope',
+    'FleetUpdate',
+    'GetChunk',
+    'GetManifest',
+    'GetStatus',
+    'Goodbye',
+    'Grant',
+    'Hello',
+    'InstanceReport',
+    'LoadDeclined',
+    'LoadDrained',
+    'LoadMissing',
+    'LoadUse',
+    'LoadUses',
+    'LoadWanted',
+    'LoadsForgotten',
+    'LoadsGone',
+    'LoadsOpened',
+    'LoadsSnapshot',
+    'MESSAGES',
+    'ONE_WAY',
+    'OwnedServers',
+    'PermitGranted',
+    'PermitLoad',
+    'PermitReturned',
+    'REPLY',
+    'REQUEST',
+    'Refusal',
+    'Renew',
+    'Renewed',
+    'Running',
+    'ServerInfo',
+    'ServerLoad',
+    'ServerReport',
+    'ServerTerm',
+    'SettleKey',
+    'Status',
+    'SuspectRecords',
+    'UseGranted',
+    'WantLoad',
+    'Welcome',
+    'decode',
+    'encode',
+)
 
 
 #: Position is the code on the wire: append only.
