Send the priority of a request's class to engines

Cause: engines honour priorities and the stand-in reads X-Priority, but the entry never sent it, and nothing gave a class a priority. Ruled out: a setting of the instances, which operators could not change by a bundle, and a number in the policy, whose values weigh and do not order. Change: a bundle file may give request classes a priority; the seam of the engines sends it with each call, lower first as the queue of the stand-in has it. A bundle that gives none is encoded as before. The tests' calls to the stand-in hand the priority to the seam in place of a header of their own. Not run: test_engines, whose processes had to wait. Conclusion: a class's priority reaches the engine.

--- a/src/wasabicross/bundle_file.py
+++ b/src/wasabicross/bundle_file.py
@@ -24,6 +24,9 @@
 from wasabicross.exceptions import BundleFileError, Fault
 from wasabicross.manifests import encode_manifest
 
+#: Highest and, negative, lowest number of a priority.
+MAX_PRIORITY = 100
+
 # The characters `@` and `#` separate the parts of a load name.
 AdapterName = Annotated[
     str,
@@ -44,6 +47,10 @@
     pydantic.StringConstraints(pattern=r'^/[!-~]{0,255}$'),
 ]
 Method = Literal['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH']
+Priority = Annotated[
+    int,
+    pydantic.Field(strict=True, ge=-MAX_PRIORITY, le=MAX_PRIORITY),
+]
 _PolicyValue = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 
 
@@ -89,6 +96,7 @@
     ]
     adapters: tuple[AdaptersSection, ...] = ()
     policy: PolicySection = PolicySection()
+    class_priorities: dict[Label, Priority] = {}
 
 
 class BuiltBundle(NamedTuple):
@@ -118,6 +126,7 @@
         except pydantic.ValidationError as exc:
             faults.extend(schema_faults(exc))
     faults.extend(_repeated_values(document.root))
+    faults.extend(_unknown_classes(document.root))
     if faults or bundle_file is None:
         return Error(BundleFileError(tuple(faults)))
     return Ok(bundle_file)
@@ -145,6 +154,7 @@
             ),
             policy=bundle_file.policy.model_dump(exclude_none=True),
             chunks=b''.join(bytes.fromhex(digest) for digest, _ in chunks),
+            class_priorities=bundle_file.class_priorities,
         ),
     )
     parts = [('routes', manifest)]
@@ -182,6 +192,15 @@
                 yield Fault(f'{path}.{adapter}', f'is already in {first}')
 
 
+def _unknown_classes(root: Any) -> Iterator[Fault]:
+    known = {value for _, value in walk(root, 'routes.*.request_class')}
+    for path, priorities in walk(root, 'class_priorities'):
+        for request_class in priorities if isinstance(priorities, dict) else ():
+            if request_class not in known:
+                at = f'{path}.{request_class}'
+                yield Fault(at, 'is the request_class of no route')
+
+
 def _repeated(root: Any, pattern: str) -> Iterator[Fault]:
     first_at: dict[str, str] = {}
     for path, value in walk(root, pattern):
--- a/src/wasabicross/bundles.py
+++ b/src/wasabicross/bundles.py
@@ -76,6 +76,8 @@
     :param routes: in the order of the bundle file.
     :param policy: weights of the routing policy by name.
     :param chunks: the 256 digests, 32 bytes each.
+    :param class_priorities: priority of the model calls of request classes,
+        those with a lower number first; 0 for classes that aren't named.
     """
 
     number: Annotated[int, pydantic.Field(strict=True, ge=1)]
@@ -90,6 +92,7 @@
             max_length=CHUNKS * _DIGEST_BYTES,
         ),
     ]
+    class_priorities: dict[str, int] = {}
 
     def chunk_digests(self) -> tuple[str, ...]:
         """Return the digests of the chunks, hexadecimal, in order."""
@@ -159,6 +162,7 @@
         self.policy: Mapping[str, float] = manifest.policy
         self.adapter = lru_cache(_ADAPTER_CACHE)(self._find_adapter)
         self._chunks = chunks
+        self._class_priorities = manifest.class_priorities
         self._by_length = sorted(
             manifest.routes,
             key=lambda route: len(route.path),
@@ -176,6 +180,13 @@
                 return route
         return None
 
+    def priority_of(self, request_class: str) -> int:
+        """Return the priority of a class's model calls, lower ones first.
+
+        :param request_class: as routes name it.
+        """
+        return self._class_priorities.get(request_class, 0)
+
     def adapters(self) -> dict[str, AdapterVersion]:
         """Return all adapters by name; slow, for operators' comparisons."""
         found: dict[str, AdapterVersion] = {}
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -37,6 +37,8 @@
 
 _TERM_FIELD = 'X-Fencing-Term'
 _DEADLINE_FIELD = 'X-Request-Deadline-Ms'
+_PRIORITY_FIELD = 'X-Priority'
+_OWN_FIELDS = frozenset((_DEADLINE_FIELD, _PRIORITY_FIELD))
 _MS_PER_S = 1000
 
 
@@ -126,21 +128,28 @@
         """Make an engine from its entry in the instance list."""
         return cls(Dispatcher(server.host, server.port))
 
-    def complete(self, call: Call) -> Result[Answer, DispatchError]:
+    def complete(
+        self,
+        call: Call,
+        priority: int = 0,
+    ) -> Result[Answer, DispatchError]:
         """Run a model call; the body's ``model`` is a load name.
 
         The engine is told to end the call by itself shortly before the
         deadline, so that its answer says whether the call has run.
         A stream that ends without its end mark counts as cut.
 
+        :param call: the call.
+        :param priority: a call with a lower number leaves the queue first.
         :return: the answer, or `AdapterNotLoaded`, another `NotRun`, or
             `OutcomeUnknown`.
         """
         engine_deadline_s = max(0, call.deadline_s - DEADLINE_MARGIN_S)
         deadline_ms = str(int(engine_deadline_s * _MS_PER_S))
         headers = (
-            *(field for field in call.headers if field[0] != _DEADLINE_FIELD),
+            *(field for field in call.headers if field[0] not in _OWN_FIELDS),
             (_DEADLINE_FIELD, deadline_ms),
+            (_PRIORITY_FIELD, str(priority)),
         )
         started = self._dispatcher.start(call._replace(headers=headers))
         return started.bind(judge_call)
--- a/src/wasabicross/manifests.py
+++ b/src/wasabicross/manifests.py
@@ -32,7 +32,11 @@
 
     :param manifest: the manifest.
     """
-    return cbor2.dumps(manifest._asdict(), canonical=True)
+    fields = manifest._asdict()
+    # An older program takes a manifest only without the newer field.
+    if not manifest.class_priorities:
+        fields.pop('class_priorities')
+    return cbor2.dumps(fields, canonical=True)
 
 
 def decode_manifest(encoded: bytes) -> Result[Manifest, BundleError]:
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -175,10 +175,11 @@
             self._link.finish_request(holder.load_name)
             return cleared or None
         call = self._call(run, holder, now_s)
+        priority = run.req.bundle.priority_of(run.req.route.request_class)
         reply = self._attempts.exchange(
             run.req,
             holder.server_id,
-            lambda: self._engine(holder.server_id).complete(call),
+            lambda: self._engine(holder.server_id).complete(call, priority),
             self._named(run),
         )
         if isinstance(reply, Reply):
--- a/tests/bundle_parts.py
+++ b/tests/bundle_parts.py
@@ -49,8 +49,8 @@
     return yaml.dump(document)
 
 
-def built(versions, number=1, parent=''):
-    parsed = parse_bundle_file(bundle_text(versions)).ok
+def built(versions, number=1, parent='', **changes):
+    parsed = parse_bundle_file(bundle_text(versions, **changes)).ok
     return build_bundle(parsed, number, parent).ok
 
 
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -5,6 +5,7 @@
 import tracemalloc
 from datetime import timedelta
 
+import cbor2
 import pytest
 from bundle_parts import (
     ALICE,
@@ -77,6 +78,25 @@
     assert bundle.routes[1].idempotent_methods == ('GET',)
 
 
+@pytest.mark.parametrize(
+    ('changes', 'priority'),
+    [
+        ({}, 0),
+        ({'class_priorities': {'fee': 3}}, 0),
+        ({'class_priorities': {'letter': 7, 'fee': 3}}, 7),
+        ({'class_priorities': {'letter': -100}}, -100),
+    ],
+)
+def test_bundle_tells_the_priority_of_a_class(changes, priority):
+    bundle = offered(built({}, **changes))[1].ok
+    assert bundle.priority_of('letter') == priority
+
+
+def test_bundle_without_priorities_is_encoded_as_before_there_were_any():
+    manifest = cbor2.loads(built({}).manifest)
+    assert 'class_priorities' not in manifest
+
+
 @pytest.mark.parametrize(
     ('versions', 'changes', 'faults'),
     [
@@ -92,6 +112,13 @@
             'policy.speed',
         ]),
         ({}, {'name': '', 'extra': 1}, ['name', 'extra']),
+        ({}, {'class_priorities': {'letter': 101, 'fee': 0.5}}, [
+            'class_priorities.fee',
+            'class_priorities.letter',
+        ]),
+        ({}, {'class_priorities': {'lettre': 1, 'fee': 2}}, [
+            'class_priorities.lettre',
+        ]),
         ({}, {
             'adapters': [
                 {'base_model': 'x', 'versions': {'a': '1'}},
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -56,14 +56,11 @@
 
     def start(self, load_name, deadline_s=10, priority=0, **fields):
         request_id = f'r{next(numbers)}'
-        headers = (
-            ('X-Request-Id', request_id),
-            ('X-Priority', str(priority)),
-        )
+        headers = (('X-Request-Id', request_id),)
         document = {'model': load_name, 'messages': [], **fields}
         body = json.dumps(document).encode()
         call = Call('POST', COMPLETIONS_PATH, headers, body, deadline_s)
-        return request_id, self.engine.complete(call)
+        return request_id, self.engine.complete(call, priority)
 
     def outcome(self, load_name, **fields):
         """Return what the engine logged and the text or what went wrong."""
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -8,10 +8,11 @@
 
 from wasabicross.bundles import AdapterVersion, Route
 from wasabicross.caller_request import CallerRequest
+from wasabicross.engines import Engine
 from wasabicross.load_table import LoadTable
 from wasabicross.messages import ServerInfo
 from wasabicross.model_calls import ModelCalls
-from wasabicross.replies import CRASHES_SERVERS, refuse
+from wasabicross.replies import CRASHES_SERVERS, Reply, refuse
 from wasabicross.routing import Holder
 
 LOAD = 'quote@1#engine-1:3:1'
@@ -20,13 +21,14 @@
 )
 
 
-class Attempts:
+class RefusingAttempts:
     """Refuses each request when it is about to be sent."""
 
     def __init__(self, running, batch_size):
         holder = Holder('engine-1', 'north', LOAD, running, 0, 0, batch_size, 9)
         self.watch = SimpleNamespace(
             group=lambda kind, name: [SERVER],
+            server=lambda server_id: SERVER,
             usable=lambda server_ids, now_s: set(server_ids),
             holder=lambda server, load_name, now_s: holder,
         )
@@ -41,7 +43,10 @@
 def request(request_class):
     route = Route('/v1', 'engine', 'drafting', request_class, ())
     bundle = SimpleNamespace(
-        adapter=lambda name: AdapterVersion(name, '1', 'base'), policy={}
+        adapter=lambda name: AdapterVersion(name, '1', 'base'),
+        number=1,
+        policy={},
+        priority_of={'night': 7}.get,
     )
     now_s = time.monotonic()
     body = b'{"model": "quote"}'
@@ -51,24 +56,51 @@
     )  # fmt: skip
 
 
-@pytest.mark.parametrize(
-    ('running', 'batch_size', 'fill'),
-    [(0, 16, 0), (4, 16, 0.25), (16, 16, 1), (40, 16, 1)],
-)
-def test_batch_fill_is_observed(running, batch_size, fill):
-    now_s = time.monotonic()
-    loads = LoadTable(60, now_s)
+def link_with_load():
+    loads = LoadTable(60, time.monotonic())
     loads.open_loads([LOAD])
-    link = SimpleNamespace(
+    return SimpleNamespace(
         loads=loads,
         send=lambda message: True,
         finish_request=loads.finish_request,
     )
+
+
+@pytest.mark.parametrize(
+    ('running', 'batch_size', 'fill'),
+    [(0, 16, 0), (4, 16, 0.25), (16, 16, 1), (40, 16, 1)],
+)
+def test_batch_fill_is_observed(running, batch_size, fill):
+    link = link_with_load()
     request_class = f'fill-{running}'
-    calls = ModelCalls(link, Attempts(running, batch_size), 'north')
+    calls = ModelCalls(link, RefusingAttempts(running, batch_size), 'north')
     assert calls.run(request(request_class)).status == CRASHES_SERVERS.status
     name = 'wasabicross_batch_fill_ratio'
     labels = {'request_class': request_class}
     assert REGISTRY.get_sample_value(f'{name}_count', labels) == 1
     assert REGISTRY.get_sample_value(f'{name}_sum', labels) == fill
-    assert loads.running() == []
+    assert link.loads.running() == []
+
+
+class SendingAttempts(RefusingAttempts):
+    """Sends each request once and keeps no count."""
+
+    def __init__(self):
+        super().__init__(0, 1)
+
+    def clear(self, req, server_id, tried, now_s):
+        return True
+
+    def exchange(self, req, server_id, start, named):
+        start()
+        return Reply(200, named, iter(()))
+
+
+def test_priority_of_the_class_goes_to_the_engine(monkeypatch):
+    sent = []
+    monkeypatch.setattr(
+        Engine, 'complete', lambda engine, call, priority: sent.append(priority)
+    )
+    calls = ModelCalls(link_with_load(), SendingAttempts(), 'north')
+    assert calls.run(request('night')).status == 200
+    assert sent == [7]
