Name the adapter in answers as its caller does

Cause: the field model of an answer and of each event of a stream showed the internal name of the load. Ruled out: to parse the JSON of each token, and to replace the bare name, which would change text that holds it. Change: the bytes of the field alone are replaced as they come; a field can't be taken for text, in which each quote has a backslash before it. What follows the last line break waits for the line's end. Not run yet: tests with processes, which had to wait. Conclusion: callers see the name that they sent.

--- a/src/wasabicross/answers.py
+++ b/src/wasabicross/answers.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable
 from http.client import HTTPException
 
 from urllib3.exceptions import HTTPError
@@ -108,7 +108,7 @@
         """Have a body that doesn't end with the mark count as cut."""
         self._end_mark = mark
 
-    def chunks(self) -> Iterator[bytes]:
+    def chunks(self) -> Generator[bytes]:
         """Yield the body as it comes, joining what has arrived meanwhile.
 
         The body can be read once. The connection is closed if the iterator
--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -1,7 +1,7 @@
 """One request sent to one backend server after the other, where allowed."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from itertools import chain
 
 from expression import Result
@@ -91,6 +91,7 @@
         server_id: str,
         start: Callable[[], Result[Answer, DispatchError]],
         named: Headers,
+        adapt: Callable[[Generator[bytes]], Iterator[bytes]] = iter,
     ) -> Reply | DispatchError:
         """Send a request that `clear` let go, up to its answer's first piece.
 
@@ -98,12 +99,13 @@
         :param server_id: where it goes.
         :param start: sends it.
         :param named: header fields that name what produced the answer.
+        :param adapt: changes the pieces of the answer as they come.
         """
         answer = start()
         if answer.is_error():
             self.watch.fail(req.fingerprint, server_id, answer.error)
             return answer.error
-        pieces = answer.ok.chunks()
+        pieces = adapt(answer.ok.chunks())
         try:
             first = next(pieces, b'')
         except AnswerCut as exc:
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -14,6 +14,7 @@
 from wasabicross.load_names import server_of
 from wasabicross.load_wants import TELL_INTERVAL_S, LoadWants
 from wasabicross.messages import LoadMissing, WantLoad
+from wasabicross.model_field import ModelField
 from wasabicross.policy import Weights
 from wasabicross.replies import (
     BAD_JSON,
@@ -181,6 +182,7 @@
             holder.server_id,
             lambda: self._engine(holder.server_id).complete(call, priority),
             self._named(run),
+            ModelField(holder.load_name, run.wanted.adapter).rename,
         )
         if isinstance(reply, Reply):
             content = Finished(
