Let renewals tell that a link between controllers stands

Cause: two links stand between each pair of controllers, and both ends of both sent a ping every 2 s beside the renewal, so four of six messages said nothing. With the full mesh that is what control costs most.

Change: links between controllers carry no pings. The one that dialled ends the link if no renewal was answered for the longest interval of renewals and 4 s (6 s by default, as the pings had it), the other if none came for as long. Links of entries and admins, which may have nothing to say, keep their pings. Ruled out: one link for both ways, which would halve the rest, but changes who may ask what on a link.

--- a/emulator/idle_peers.py
+++ b/emulator/idle_peers.py
@@ -13,7 +13,6 @@
 
 from emulator.link_table import HOST
 from wasabicross import messages as msg
-from wasabicross.links import PING_INTERVAL_S, PING_TIMEOUT_S
 
 #: Engines that a peer owns, about as many as the letter's sizes give.
 SERVERS_PER_PEER = 2
@@ -62,8 +61,7 @@
             HOST,
             port,
             compression=None,
-            ping_interval=PING_INTERVAL_S,
-            ping_timeout=PING_TIMEOUT_S,
+            ping_interval=None,
         )
         self._port = port
 
@@ -101,8 +99,7 @@
                 f'ws://{HOST}:{port}',
                 compression=None,
                 proxy=None,
-                ping_interval=PING_INTERVAL_S,
-                ping_timeout=PING_TIMEOUT_S,
+                ping_interval=None,
             )
             opened = conn.__enter__()  # noqa: WPS609
             self._dialled.append(opened)
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -29,7 +29,7 @@
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.pauses import PauseWatch
-from wasabicross.peers import PeerLinks
+from wasabicross.peers import PeerLinks, longest_silence_s
 from wasabicross.permits import PermitDesk
 from wasabicross.placing import Placing
 from wasabicross.policy import Weights
@@ -274,7 +274,8 @@
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
-        link.run(self._accepted)
+        silence_s = longest_silence_s(self.window.use_lease_s)
+        link.run(self._accepted, silence_s)
         self.subscribers.left(link, time.monotonic())
 
     def _hello(self) -> msg.Hello:
--- a/src/wasabicross/links.py
+++ b/src/wasabicross/links.py
@@ -37,6 +37,7 @@
 PING_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 3.0
 HELLO_TIMEOUT_S = 3.0
+CONTROLLER = 'controller'
 
 
 class LinkHandler(Protocol):
@@ -107,16 +108,17 @@
             self._settle(call_id, Error(LinkClosed('link is closed')))
         return fut
 
-    def run(self, handler: LinkHandler) -> None:
+    def run(self, handler: LinkHandler, silence_s: float | None = None) -> None:
         """Receive until the link ends; calls the handler for each message.
 
         :param handler: takes every message that is not an answer.
+        :param silence_s: seconds without a message that end the link, None if
+            the other side has none to send at times.
         """
         try:
-            for frame in self._conn:
-                if not self._receive(frame, handler):
-                    break
-        except (WebSocketException, OSError):
+            while self._receive(self._conn.recv(silence_s), handler):
+                pass
+        except (WebSocketException, OSError, TimeoutError):
             pass
         finally:
             self.close()
@@ -171,10 +173,13 @@
 def dial(host: str, port: int, hello: Hello) -> Result[Link, LinkError]:
     """Open a link to another process.
 
+    Links between controllers carry no pings: renewals tell as much.
+
     :param host: IP number of the other process.
     :param port: its link port.
     :param hello: who dials; the other side may refuse it.
     """
+    is_renewed = hello.kind == CONTROLLER
     try:
         opening = connect(
             f'ws://{host}:{port}',
@@ -183,7 +188,7 @@
             max_size=MAX_FRAME_BYTES,
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=1.0,
-            ping_interval=PING_INTERVAL_S,
+            ping_interval=None if is_renewed else PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
         )
         # The link outlives this function; `Link.close` ends the connection.
@@ -218,7 +223,8 @@
         max_size=MAX_FRAME_BYTES,
         open_timeout=OPEN_TIMEOUT_S,
         close_timeout=1.0,
-        ping_interval=PING_INTERVAL_S,
+        # Who dials is known only later, see `_greet`.
+        ping_interval=None,
         ping_timeout=PING_TIMEOUT_S,
     )
 
@@ -239,6 +245,9 @@
     verdict = accept(link)
     link.reply(opening.ok.call_id, verdict)
     if isinstance(verdict, Welcome):
+        if link.peer.kind != CONTROLLER:
+            conn.ping_interval = PING_INTERVAL_S
+            conn.start_keepalive()
         serve_link(link)
     link.close()
 
--- a/src/wasabicross/peers.py
+++ b/src/wasabicross/peers.py
@@ -15,6 +15,7 @@
 RENEWALS_PER_S = 30.0
 RENEWALS_PER_USE_LEASE = 3
 RENEW_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 4.0
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 2.0
 
@@ -33,6 +34,15 @@
     return max(MIN_RENEW_INTERVAL_S, bounded_s)
 
 
+def longest_silence_s(use_lease_s: float) -> float:
+    """Return after what time without a renewal a link counts as lost.
+
+    :param use_lease_s: how long a grant lasts.
+    """
+    longest_s = use_lease_s / RENEWALS_PER_USE_LEASE
+    return max(MIN_RENEW_INTERVAL_S, longest_s) + ANSWER_TIMEOUT_S
+
+
 class PeerEvents(LinkHandler, Protocol):
     """What a controller does on the links that it has dialled."""
 
@@ -52,6 +62,7 @@
     :param hello: makes the hello to send.
     :param heartbeat: makes the renewal to send.
     :param events: takes messages and changes.
+    :param silence_s: seconds without a renewal after which it dials again.
     """
 
     def __init__(
@@ -60,8 +71,10 @@
         hello: Callable[[], Hello],
         heartbeat: Callable[[], Renew],
         events: PeerEvents,
+        silence_s: float,
     ) -> None:
         self.peer = peer
+        self._silence_s = silence_s
         self.interval_s = MIN_RENEW_INTERVAL_S
         self._hello = hello
         self._heartbeat = heartbeat
@@ -122,17 +135,26 @@
         receiver.start()
         log_event(Event.PEER_LINKED, peer=peer_id)
         self._events.peer_linked(link, self.peer)
-        while not link.closed.is_set() and not self._stop.is_set():
-            self._renew(link)
-            link.closed.wait(self.interval_s)
+        self._renew_until_lost(link)
         link.close()
         log_event(Event.PEER_LOST, peer=peer_id)
 
-    def _renew(self, link: Link) -> None:
-        asked_s = time.monotonic()
+    def _renew_until_lost(self, link: Link) -> None:
+        renewed_s = time.monotonic()
+        while not link.closed.is_set() and not self._stop.is_set():
+            asked_s = time.monotonic()
+            if self._renew(link, asked_s):
+                renewed_s = asked_s
+            elif asked_s - renewed_s >= self._silence_s:
+                return
+            link.closed.wait(self.interval_s)
+
+    def _renew(self, link: Link, asked_s: float) -> bool:
         answer = link.call(self._heartbeat(), RENEW_TIMEOUT_S)
         if answer.is_ok() and isinstance(answer.ok, Renewed):
             self._events.peer_renewed(self.peer, answer.ok, asked_s)
+            return True
+        return False
 
 
 class PeerLinks:
@@ -174,7 +196,11 @@
                     self._peers.pop(instance_id)
             for new_id in listed.keys() - self._peers.keys():
                 peer = PeerLink(
-                    listed[new_id], self._hello, self._heartbeat, self._events
+                    listed[new_id],
+                    self._hello,
+                    self._heartbeat,
+                    self._events,
+                    longest_silence_s(self._use_lease_s),
                 )
                 self._peers[new_id] = peer
                 peer.start()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -82,6 +82,31 @@
     assert isinstance(refused.error, LinkRefused)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'is_kept'), [('controller', False), ('entry', True)]
+)
+def test_only_controllers_must_speak(kind, is_kept):
+    silence_s = {'controller': 0.1, 'entry': None}
+    ended = threading.Event()
+
+    def serve(link):
+        link.run(Answering(), silence_s[link.peer.kind])
+        ended.set()
+
+    server = listen('127.0.0.1', 0, lambda link: Welcome('i'), serve)
+    threading.Thread(target=server.serve_forever).start()
+    hello = HELLO._replace(kind=kind)
+    opened = dial('127.0.0.1', server.socket.getsockname()[1], hello).ok
+    threading.Thread(target=opened.run, args=(Answering(),)).start()
+    try:
+        assert ended.wait(1) is not is_kept
+        if is_kept:
+            assert opened.call(Renew(1, '', ''), 5).ok == Done()
+    finally:
+        opened.close()
+        server.shutdown()
+
+
 def test_end_of_link_answers_waiting_calls(link):
     answers = []
     waiting = threading.Thread(
