Grant use in an outage by the word of a listed owner

Cause: a grant ended use_lease_s after the owner's last proof, a renewed lease or the confirmation of another resident. In an outage an owner that is alone in its data centre has neither, so its engine could be used by its own instance only. The instance of the other data centre, replaced in the outage, owns nothing and so had no engine at all. It passed where the call came within use_lease_s of the last renewal before the outage.

Ruled out: opening what the engine's inventory holds (an evict of the former owner may be on its way), taking the key over without the service (two owners), leaving the limit out (the model's counterexample: a successor that does not count the instance evicts what a visitor uses).

Change: an owner's instance is a resident itself. A later owner settles, and so evicts what it inherits, only after its report, or once the list has lost it. So an owner whose instance was in the list before its lease was last renewed, in each list since, and that was not frozen, needs no further proof. In turn the wait of a new owner before it evicts inherited loads begins only once a list asked for after the takeover was read and all residents reported. A pause counts until it was acted on.

The test asks for an answer to a call that begins after every grant backed by a lease has ended, and for all adapters then; no evict may hit a request.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -7,10 +7,16 @@
 
 import sys
 
-from model import bundles, claims, evictions, visitors
+from model import bundles, claims, evictions, outages, visitors
 from model.spec import Finding, Spec, Walk, walk
 
-SPECS = (evictions.SPEC, visitors.SPEC, claims.SPEC, bundles.SPEC)
+SPECS = (
+    evictions.SPEC,
+    visitors.SPEC,
+    outages.SPEC,
+    claims.SPEC,
+    bundles.SPEC,
+)
 
 
 def _say(text: str) -> None:
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -213,6 +213,16 @@
             source = f'{self.cfg.instance.instance_id}/{told.source}'
             self.send_to_owner(server_id, msg.LoadUses(source, uses))
 
+    def resident_since_s(self, now_s: float) -> float:
+        """Return since when later owners count this instance for sure.
+
+        :param now_s: monotonic seconds.
+        :returns: monotonic seconds, infinite while it may be dropped.
+        """
+        if self._pauses.has_paused(now_s):
+            return float('inf')
+        return self.fleet.resident_since_s
+
     def merge_suspects(self, told: msg.SuspectRecords, link: Link) -> None:
         """Keep what is known of requests that crash servers; pass it on.
 
@@ -328,16 +338,17 @@
 
     def _follow_list(self) -> None:
         while not self.stopping.is_set():
+            asked_s = time.monotonic()
             fetched = self._instance_list.fetch()
             if fetched.is_ok():
-                self._take_fleet(fetched.ok, time.monotonic())
+                self._take_fleet(fetched.ok, asked_s, time.monotonic())
             self.stopping.wait(self.cfg.platform.instance_list.poll_s)
 
-    def _take_fleet(self, fleet: Fleet, now_s: float) -> None:
+    def _take_fleet(self, fleet: Fleet, asked_s: float, now_s: float) -> None:
         view = self.fleet
-        changed = view.take(fleet)
+        changed = view.take(fleet, now_s)
         self.readiness.declare('instance_list', holds=True)
-        self.subscribers.listed(view.residents(), now_s)
+        self.subscribers.listed(view.residents(), now_s, asked_s)
         self.peers.follow(fleet.instances)
         self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -22,16 +22,26 @@
         self._fleet = NO_FLEET
         self._lock = threading.Lock()
         self._confirmed: set[str] = set()
+        #: Monotonic time since which each list has shown this instance.
+        self.resident_since_s = float('inf')
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
         """All backend servers."""
         return self._fleet.servers
 
-    def take(self, fleet: Fleet) -> bool:
-        """Take a list that was read; return whether it has changed."""
+    def take(self, fleet: Fleet, now_s: float) -> bool:
+        """Take a list that was read; return whether it has changed.
+
+        :param fleet: what the list shows.
+        :param now_s: monotonic seconds.
+        """
         changed = fleet != self._fleet
         self._fleet = fleet
+        if self._instance_id in self.residents():
+            self.resident_since_s = min(self.resident_since_s, now_s)
+        else:
+            self.resident_since_s = float('inf')
         return changed
 
     def listed(self) -> set[str]:
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -135,7 +135,8 @@
             )
             owner.weights = self._weights
             owner.lease_id = start.lease_id
-            owner.confirmed_s = start.sent_s
+            owner.leased_s = start.sent_s
+            owner.inherited_wait.taken_s = time.monotonic()
             before = self._owners.get(server.server_id)
             if before is not None:
                 before.deposed.set()
@@ -177,19 +178,25 @@
                 [owner.server for owner in self._owners.values()],
             )
 
-    def loads(self, renewal: Renewal, now_s: float) -> list[ServerLoad]:
+    def loads(
+        self, renewal: Renewal, resident_since_s: float, now_s: float
+    ) -> list[ServerLoad]:
         """Return how busy each server owned here was at its last report.
 
         A server is left out, and so its use is not granted, until all
         residents have reported to its owner.
 
         :param renewal: the last renewal of the instance's lease.
+        :param resident_since_s: monotonic time since which the list has
+            shown this instance, infinite while that does not count.
         :param now_s: monotonic seconds.
         """
         with self._lock:
             owners = list(self._owners.values())
         return [
-            owner.load(renewal, now_s) for owner in owners if owner.is_settled
+            owner.load(renewal, resident_since_s, now_s)
+            for owner in owners
+            if owner.is_settled and not owner.deposed.is_set()
         ]
 
     def confirmed(self, servers: Iterable[ServerTerm], asked_s: float) -> None:
--- a/src/wasabicross/pauses.py
+++ b/src/wasabicross/pauses.py
@@ -35,6 +35,15 @@
         :param now_s: monotonic seconds.
         """
         before_s = now_s if self._ticked_s is None else self._ticked_s
-        self._ticked_s = now_s
         if now_s - before_s > self._max_pause_s:
             self._on_pause()
+        self._ticked_s = now_s
+
+    def has_paused(self, now_s: float) -> bool:
+        """Tell whether the process was frozen and has not acted on it yet.
+
+        :param now_s: monotonic seconds.
+        """
+        if self._ticked_s is None:
+            return True
+        return now_s - self._ticked_s > self._max_pause_s
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -14,6 +14,7 @@
     OrderRefused,
 )
 from wasabicross.held_loads import HeldLoad, HeldLoads
+from wasabicross.inherited_wait import InheritedWait
 from wasabicross.links import Link
 from wasabicross.load_names import LoadName
 from wasabicross.load_queue import LoadPermits, LoadQueue, Wanted
@@ -75,7 +76,9 @@
         self.deposed = threading.Event()
         self.weights = Weights()
         self.lease_id = ''
+        self.leased_s = float('-inf')
         self.confirmed_s = float('-inf')
+        self.inherited_wait = InheritedWait(subscribers)
         self.held = HeldLoads(server.term)
         self.queue = LoadQueue(server.server_id, permits)
         self._engine = engine
@@ -83,7 +86,6 @@
         self._wake = threading.Event()
         self._reported_s: dict[str, float] = {}
         self._settled_s: float | None = None
-        self._waits_from_s: float | None = None
         self._sequence = 0
         self._batch_size = 0
         self._looked_s = float('-inf')
@@ -105,14 +107,7 @@
         :param before: the owner of the same server for an earlier term.
         """
         self.held.continue_from(before.held)
-        self._waits_from_s = before.waits_from_s
-
-    @property
-    def waits_from_s(self) -> float | None:
-        """Monotonic time since which no earlier owner has granted use."""
-        if self._waits_from_s is None:
-            return self._settled_s
-        return self._waits_from_s
+        self.inherited_wait.began_s = before.inherited_wait.began_s
 
     # What other threads tell it.
 
@@ -180,16 +175,27 @@
             return None
         return LoadsSnapshot(self.server, self.held.opened())
 
-    def load(self, renewal: Renewal, now_s: float) -> ServerLoad:
+    def load(
+        self, renewal: Renewal, resident_since_s: float, now_s: float
+    ) -> ServerLoad:
         """Return how busy the engine was at its last report.
 
+        An instance that the list showed before its lease was last renewed is
+        a resident to every later owner, which can't settle, and so evicts
+        nothing, without this instance's report. So it needs no lease to
+        know that no later owner is settled.
+
         :param renewal: the last renewal of the instance's lease; if that is
             the lease of this ownership, nobody else owned the server then.
+        :param resident_since_s: monotonic time since which the list has
+            shown this instance, infinite while that does not count.
         :param now_s: monotonic seconds.
         """
-        confirmed_s = self.confirmed_s
         if renewal.lease_id == self.lease_id:
-            confirmed_s = max(confirmed_s, renewal.sent_s)
+            self.leased_s = max(self.leased_s, renewal.sent_s)
+        confirmed_s = max(self.confirmed_s, self.leased_s)
+        if resident_since_s <= self.leased_s:
+            confirmed_s = now_s
         return ServerLoad(
             self.server.server_id,
             self._report.running,
@@ -216,6 +222,8 @@
             self._look(now_s)
         if self._settled_s is None:
             self._settle(now_s)
+        if self._settled_s is not None:
+            self.inherited_wait.begin(self._reported_s, now_s)
         for held in self.held.closing():
             self._close(held, now_s)
         self._serve_wants(now_s)
@@ -270,23 +278,11 @@
         missing = needed - (held.drained or set())
         for instance_id in missing:
             self._ask_to_close(held, instance_id, now_s)
-        if not missing and not self._visitors_may_run(held, now_s):
+        if missing:
+            return
+        if not held.is_inherited or self.inherited_wait.is_over(now_s):
             self._order_evict(held)
 
-    def _visitors_may_run(self, held: HeldLoad, now_s: float) -> bool:
-        """Tell whether grants of an earlier owner may still be in use.
-
-        They are counted from the last report: a resident that has reported
-        confirms no earlier owner any more. An instance that only the earlier
-        owner knew is in the list by then, which is read once more.
-        """
-        if not held.is_inherited:
-            return False
-        if self.waits_from_s is None:
-            return True
-        over_s = self.waits_from_s + self._subscribers.window.total_s
-        return now_s < over_s or self._subscribers.listed_s < over_s
-
     def _ask_to_close(
         self, held: HeldLoad, instance_id: str, now_s: float
     ) -> None:
--- a/src/wasabicross/subscribers.py
+++ b/src/wasabicross/subscribers.py
@@ -48,7 +48,7 @@
         self._data_centre = data_centre
         self._lock = threading.Lock()
         self._known: dict[str, _Subscriber] = {}
-        #: Monotonic time at which the list was last read.
+        #: Monotonic time at which the list last read was asked for.
         self.listed_s = float('-inf')
 
     def joined(self, link: Link, now_s: float) -> None:
@@ -76,15 +76,19 @@
         with self._lock:
             self._known.pop(instance_id, None)
 
-    def listed(self, residents: set[str], now_s: float) -> None:
+    def listed(
+        self, residents: set[str], now_s: float, asked_s: float | None = None
+    ) -> None:
         """Note the instances that the instance list shows.
 
         :param residents: instances of the servers' data centre, both live
             and leaving.
         :param now_s: monotonic seconds.
+        :param asked_s: monotonic time at which the list was asked for, if
+            that was earlier.
         """
         with self._lock:
-            self.listed_s = now_s
+            self.listed_s = now_s if asked_s is None else asked_s
             for instance_id in residents:
                 self._ensure(instance_id, self._data_centre, now_s)
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -26,6 +26,12 @@
     ('visitors', 'wait_after_takeover'): 'no_evict_while_running',
     ('visitors', 'list_after_wait'): 'no_evict_while_running',
     ('visitors', 'owner_confirms_listing'): 'no_evict_while_running',
+    ('outages', 'grant_basis'): 'no_evict_while_running',
+    ('outages', 'check_pause'): 'no_evict_while_running',
+    ('outages', 'listed_while_leased'): 'no_evict_while_running',
+    ('outages', 'list_after_takeover'): 'no_evict_while_running',
+    ('outages', 'wait_after_takeover'): 'no_evict_while_running',
+    ('outages', 'list_keeps_live'): 'no_evict_while_running',
     ('claims', 'nonce'): 'at_most_once',
     ('claims', 'takeover_segment'): 'one_effective_owner',
     ('claims', 'claim_before_dispatch'): 'at_most_once',
@@ -74,6 +80,12 @@
     assert set(violated('evictions', mechanism, 'fencing')) == set(fenced)
 
 
+def test_an_owner_without_a_lease_still_grants_use():
+    forbidden = {'no_lone_grant': lambda state: not state.lone_grant}
+    found = walk(BY_NAME['outages']._replace(properties=forbidden))
+    assert found.findings[0].trace[-1] == 'grant_use'
+
+
 def test_no_mechanism_is_missing_from_the_table():
     assert set(NEEDED_FOR) == {
         (spec.name, mechanism)
--- a/tests/test_promise_outage.py
+++ b/tests/test_promise_outage.py
@@ -1,15 +1,24 @@
 """Idempotent calls go on while the key-value service is away."""
 
+import time
 from functools import partial
 
 import pytest
 from caller_parts import ADAPTERS, model_document
-from promise_parts import FAST_ENGINE, Trial, owner_of, small_shape
+from promise_parts import (
+    FAST_ENGINE,
+    SHORT_TIMES,
+    Trial,
+    owner_of,
+    small_shape,
+)
 
 from emulator.waiting import wait_until
 
 CALLS = 24
 RECOVERY_S = 15
+#: No grant that a lease has backed lasts so long into an outage.
+LAPSED_S = 2 * SHORT_TIMES['servers']['use_lease_s']
 
 
 @pytest.fixture
@@ -34,6 +43,12 @@
     return trial.call(entry, model_document(adapter)).completed
 
 
+def is_answered_past(trial, entry, past_s):
+    """Tell whether a call that began past a time is answered."""
+    is_past = time.monotonic() > past_s
+    return is_answered(trial, entry, ADAPTERS[0]) and is_past
+
+
 def test_calls_load_and_evict_in_an_outage(trial):
     """Owners go on past their lapsed leases, by consent alone."""
     entry = trial.dep.entries[0]
@@ -49,13 +64,21 @@
 
 
 def test_calls_go_on_where_the_only_instance_was_replaced(trial):
+    lapsed_s = time.monotonic() + LAPSED_S
     entry = trial.dep.entries[0]
     for name in (trial.dep.controllers[0].name, entry.name):
         trial.runner.kill(name)
         trial.runner.restart(name)
     wait_until(lambda: trial.is_ready(entry), RECOVERY_S, 'ready')
     wait_until(
-        lambda: is_answered(trial, entry, ADAPTERS[0]),
+        lambda: is_answered_past(trial, entry, lapsed_s),
         RECOVERY_S,
-        'an answer in the outage',
+        'an answer long into the outage',
     )
+    for adapter in ADAPTERS:
+        wait_until(
+            lambda adapter=adapter: is_answered(trial, entry, adapter),
+            RECOVERY_S,
+            f'{adapter} in the outage',
+        )
+    assert trial.evicted_in_progress() == 0
--- a/tests/test_server_owner.py
+++ b/tests/test_server_owner.py
@@ -18,6 +18,7 @@
     ServerTerm,
     WantLoad,
 )
+from wasabicross.ownership import Renewal
 from wasabicross.server_owner import ServerOwner
 from wasabicross.subscribers import Subscribers, UseWindow
 
@@ -220,6 +221,73 @@
     assert len(scene.engine.evicted) == evicted
 
 
+NEVER = float('inf')
+
+
+@pytest.mark.parametrize(
+    ('resident_since_s', 'age_s'),
+    [(NEVER, 90), (10.5, 90), (10, 0), (5, 0)],
+    ids=['not listed or paused', 'listed too late', 'in time', 'long before'],
+)
+def test_owner_listed_before_its_lease_needs_none_to_grant(
+    scene, resident_since_s, age_s
+):
+    scene.owner.lease_id = 'lease-1'
+    scene.owner.leased_s = 8
+    renewal = Renewal('lease-1', 10)
+    load = scene.owner.load(renewal, resident_since_s, 100)
+    assert load.confirmed_age_s == age_s
+
+
+def test_renewal_of_another_lease_proves_nothing(scene):
+    scene.owner.lease_id = 'lease-1'
+    scene.owner.leased_s = 8
+    load = scene.owner.load(Renewal('lease-2', 90), 9, 100)
+    assert load.confirmed_age_s == 92
+
+
+@pytest.mark.parametrize(
+    ('asked_s', 'evicted'),
+    [(3, []), (5, [OLD])],
+    ids=['list asked for before the takeover', 'after it'],
+)
+def test_wait_begins_once_a_list_was_read_after_the_takeover(
+    scene, asked_s, evicted
+):
+    scene.owner.inherited_wait.taken_s = 4
+    scene.join('a', 0)
+    scene.report('a', 4)
+    scene.subscribers.listed({'a'}, 6, asked_s)
+    scene.step(6)
+    scene.want(12)
+    scene.step(12)
+    scene.owner.drained('a', OLD)
+    over_s = 6 + WINDOW.total_s
+    scene.subscribers.listed({'a'}, over_s)
+    scene.step(over_s)
+    assert scene.engine.evicted == evicted
+
+
+def test_wait_begins_with_the_report_of_a_resident_listed_late(scene):
+    scene.owner.inherited_wait.taken_s = 4
+    scene.join('a', 0)
+    scene.report('a', 4)
+    scene.step(5)
+    scene.subscribers.listed({'a', 'b'}, 6)
+    scene.step(6)
+    scene.join('b', 6)
+    scene.report('b', 20)
+    scene.step(20)
+    scene.want(21)
+    scene.step(21)
+    for instance_id in ('a', 'b'):
+        scene.owner.drained(instance_id, OLD)
+    for now_s, evicted in ((85, []), (86, [OLD])):
+        scene.subscribers.listed({'a', 'b'}, now_s)
+        scene.step(now_s)
+        assert scene.engine.evicted == evicted
+
+
 def test_unsettled_owner_is_told(scene):
     scene.join('a', 0)
     assert not scene.owner.is_settled
