Tell repeats at once that the holder of their key has died

Cause: nobody called ClaimRanges.lose_holders, so a repeat of a keyed call whose entry process had died read still_running until max_request_s after the claim.

Change: the hello of an entry names its life, with which the names of its claim holders begin. A controller tells all instances that the holders of a life are lost once its process has ended: its link is gone and its metrics port free, or another life of the same entry has linked, which holds that port. A peer that links later is told again while it is news. The owners of ranges settle what those holders have claimed as unknown. A grant that can't be sent since the entry's link is closed is released, as it is never dispatched.

Ruled out: the end of the link alone, since a cut or frozen entry may go on; names of a whole instance, which would end calls of the entry's next life.

--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -29,6 +29,7 @@
     ClaimAnswer,
     ClaimKey,
     Done,
+    HoldersLost,
     Refusal,
     SettleKey,
 )
@@ -98,6 +99,13 @@
         """
         self._submit(self._settle, told, link, call_id)
 
+    def lose_holders(self, lost: HoldersLost) -> None:
+        """Answer repeats of what died with its holder without a wait.
+
+        :param lost: the holders that have died.
+        """
+        self._ranges.lose_holders(lost.prefix, time.time(), lost.spared)
+
     def _submit(self, work: Callable[..., None], *args: Any) -> None:
         try:
             self._workers.submit(work, *args)
@@ -113,9 +121,24 @@
         req = _request(asked, digest)
         fut = self._ranges.claim(number, req, time.time())
         fut.add_done_callback(
-            lambda done: _reply(link, call_id, to_answer(done.result())),
+            lambda done: self._answer(
+                asked, link, call_id, to_answer(done.result())
+            ),
         )
 
+    def _answer(
+        self,
+        message: ClaimKey | SettleKey,
+        link: Link,
+        call_id: int,
+        answer: Any,
+    ) -> None:
+        """Answer; release a granted claim that its holder never hears of."""
+        is_lost = link.closed.is_set() and link.peer.kind == 'entry'
+        link.reply(call_id, answer)
+        if is_lost and isinstance(message, ClaimKey) and _is_granted(answer):
+            self._submit(self._settle, _release(message), link, call_id)
+
     def _settle(self, told: SettleKey, link: Link, call_id: int) -> None:
         number = self._range_of(told)
         refusal = Refusal('not_owner', 'no owner can be reached')
@@ -154,10 +177,22 @@
             return
         fut = onward.request(message)
         fut.add_done_callback(
-            lambda done: _reply(link, call_id, _forwarded(done, otherwise)),
+            lambda done: self._answer(
+                message, link, call_id, _forwarded(done, otherwise)
+            ),
         )
 
 
+def _is_granted(answer: Any) -> bool:
+    return isinstance(answer, ClaimAnswer) and answer.state == 'granted'
+
+
+def _release(asked: ClaimKey) -> SettleKey:
+    return SettleKey(
+        asked.tenant, asked.key, asked.holder, 'not_run', 0, '', b''
+    )
+
+
 def _reply(link: Link, call_id: int, message: Any) -> None:
     link.reply(call_id, message)
 
--- a/src/wasabicross/claim_log.py
+++ b/src/wasabicross/claim_log.py
@@ -135,16 +135,17 @@
         fut.set_result(SettleReply.not_durable)
         return fut
 
-    def lose_holders(self, prefix: str, now_s: float) -> None:
+    def lose_holders(self, prefix: str, now_s: float, spared: str = '') -> None:
         """Note that the holders of a name prefix have died.
 
         What they hold and have not settled is told as unknown from now on.
 
         :param prefix: common start of the names of a process's holders.
         :param now_s: seconds since the epoch.
+        :param spared: such a start of the names of a process that lives.
         """
         with self._changed:
-            lost = self._table.held_by(prefix)
+            lost = self._table.held_by(prefix, spared)
         for req in lost:
             self.settle(req, ClaimState.UNKNOWN, b'', now_s)
 
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -179,10 +179,17 @@
         fut.set_result(SettleReply.not_owner)
         return fut
 
-    def lose_holders(self, prefix: str, now_s: float) -> None:
-        """Note in each range owned here that holders have died."""
-        for number in self.owned():
-            self._logs[number].lose_holders(prefix, now_s)
+    def lose_holders(self, prefix: str, now_s: float, spared: str = '') -> None:
+        """Note in each range owned here that holders have died.
+
+        :param prefix: what their names begin with.
+        :param now_s: seconds since the epoch.
+        :param spared: what the names of others begin with, empty for none.
+        """
+        with self._lock:
+            logs = list(self._logs.values())
+        for log in logs:
+            log.lose_holders(prefix, now_s, spared)
 
     def stop(self) -> None:
         """Write what waits and give all ranges up."""
--- a/src/wasabicross/claims.py
+++ b/src/wasabicross/claims.py
@@ -190,13 +190,18 @@
         self._records.move_to_end(record.key)
         return True
 
-    def held_by(self, prefix: str) -> list[ClaimRequest]:
-        """Return the claims without outcome of a holder's name prefix."""
+    def held_by(self, prefix: str, spared: str = '') -> list[ClaimRequest]:
+        """Return the claims without outcome of a holder's name prefix.
+
+        :param prefix: what the names of the holders begin with.
+        :param spared: what the names of others begin with, empty for none.
+        """
         return [
             ClaimRequest(record.key, record.digest, record.holder)
             for record in self._records.values()
             if record.state is ClaimState.CLAIMED
             and record.holder.startswith(prefix)
+            and not (spared and record.holder.startswith(spared))
         ]
 
     def keep_answer(self, key: bytes, answer: bytes) -> None:
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -15,6 +15,7 @@
 from wasabicross.claim_desk import ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.entry_lives import EntryLives
 from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
 from wasabicross.fleet_view import FleetView
@@ -72,6 +73,9 @@
         self.table = InstanceTable()
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
         self.subscribers = Subscribers(data_centre, self.window)
+        self._lives = EntryLives(
+            cfg.instance.instance_id, cfg.servers.max_request_s
+        )
         self.placing = Placing()
         self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
@@ -247,6 +251,17 @@
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
         self.in_force.forget(name)
+        self._tell_lost(self._lives.ended(name, time.monotonic()))
+
+    def tell_recent_losses(self, link: Link) -> None:
+        """Tell a peer the dead holders of claims that it may not know."""
+        for lost in self._lives.recent(time.monotonic()):
+            link.send(lost)
+
+    def _tell_lost(self, lost: msg.HoldersLost | None) -> None:
+        if lost is not None:
+            for peer in self.peers.linked():
+                peer.send(lost)
 
     # Links.
 
@@ -266,6 +281,9 @@
             link.run(self._accepted)
 
     def _serve_entry(self, link: Link) -> None:
+        hello = link.peer
+        joined = self._lives.joined(hello.name, hello.life, time.monotonic())
+        self._tell_lost(joined)
         link.send(self.fleet.update())
         offered = self.follower.offered()
         if offered is not None:
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -34,6 +34,7 @@
         offered = self._ctl.follower.offered()
         if offered is not None:
             link.send(offered)
+        self._ctl.tell_recent_losses(link)
 
     def peer_renewed(
         self, peer: Instance, granted: msg.Renewed, asked_s: float
@@ -234,6 +235,10 @@
     def _(self, message: msg.SettleKey, link: Link, call_id: int) -> None:
         self._ctl.claims.settle(message, link, call_id)
 
+    @_handle.register
+    def _(self, message: msg.HoldersLost, link: Link, call_id: int) -> None:
+        self._ctl.claims.lose_holders(message)
+
     @_handle.register
     def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -1,7 +1,6 @@
 """`wasabicross-entry`: takes callers' requests and streams their answers."""
 
 import threading
-import uuid
 
 import click
 from cheroot import wsgi
@@ -94,20 +93,19 @@
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
     attempts = Attempts(link.watch, RetryBudget())
-    life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
     weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
     admission = Admission(
         AdmissionLimits(
             entry.max_requests, entry.max_requests, tenant_weights=weights
         ),
-        spreading_rng(life),
+        spreading_rng(link.life),
     )
     return CallerApi(
         link,
         cfg.tenants,
         admission,
         ModelCalls(link, attempts, data_centre),
-        ServiceCalls(attempts, KeyClaims(link, life), data_centre),
+        ServiceCalls(attempts, KeyClaims(link, link.life), data_centre),
         CallerLimits(cfg.servers.max_request_s),
     )
 
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -4,6 +4,7 @@
 import time
 from functools import singledispatchmethod
 from typing import Any
+from uuid import uuid4
 
 from expression import Error, Result
 
@@ -42,6 +43,8 @@
         self._entry = entry
         self._stop = threading.Event()
         self._link: Link | None = None
+        #: Names this process in all data centres and lives.
+        self.life = f'{cfg.instance.instance_id}/{entry.name}/{uuid4().hex}'
         self._suspects_told = 0
 
     @property
@@ -119,6 +122,7 @@
             self.loads.running(),
             self.loads.closed(),
             self.loads.opened(),
+            self.life,
         )
 
     def _tell_uses(self) -> None:
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -44,6 +44,8 @@
     :param kind: `entry`, `controller` or `admin`.
     :param running: requests in progress on each load, told by entries.
     :param closed: loads that the sender has closed for ever.
+    :param life: what the names of an entry's claim holders begin with, never
+        the same in two of its lives.
     """
 
     kind: str
@@ -54,6 +56,7 @@
     running: list[Running]
     closed: list[str]
     opened: list[str]
+    life: str = ''
 
 
 class Welcome(NamedTuple):
@@ -370,6 +373,17 @@
     answer: bytes
 
 
+class HoldersLost(NamedTuple):
+    """Tells that holders of claims have died without telling outcomes.
+
+    :param prefix: what their names begin with.
+    :param spared: what the names of others begin with, empty for none.
+    """
+
+    prefix: str
+    spared: str
+
+
 class SuspectRecords(NamedTuple):
     """Passes on what is known of requests that crash servers.
 
@@ -456,6 +470,7 @@
     PermitLoad,
     PermitGranted,
     PermitReturned,
+    HoldersLost,
 )
 
 _CODES = {kind: code for code, kind in enumerate(MESSAGES)}
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -185,6 +185,16 @@
     assert here.claim('b', key='other') == AlreadyRunning('entry-10/r1')
 
 
+def test_holders_of_a_later_life_are_spared(make):
+    here = make()
+    assert here.claim('north-1/entry-1/old/r1') == Granted()
+    assert here.claim('north-1/entry-1/new/r1', key='other') == Granted()
+    here.log.lose_holders('north-1/entry-1/', 1, 'north-1/entry-1/new/')
+    assert here.claim('b') == OutcomeNotKnown()
+    running = AlreadyRunning('north-1/entry-1/new/r1')
+    assert here.claim('b', key='other') == running
+
+
 @pytest.mark.parametrize('swaps_before', [0, 1, 2])
 @pytest.mark.parametrize('segment_bytes', [50, 16 * 1024])
 def test_owner_writes_while_another_takes_over(
--- /dev/null
+++ b/tests/test_entry_lives.py
@@ -0,0 +1,43 @@
+"""Which holders of claims have died with their entry process."""
+
+import pytest
+
+from wasabicross.entry_lives import EntryLives
+from wasabicross.messages import HoldersLost
+
+FIRST = HoldersLost('i/e/', 'i/e/1/')
+SECOND = HoldersLost('i/e/', 'i/e/2/')
+END = HoldersLost('i/e/1/', '')
+
+
+@pytest.fixture
+def lives():
+    return EntryLives('i', 60)
+
+
+def test_a_new_life_tells_the_end_of_all_others(lives):
+    assert lives.joined('e', 'i/e/1', 0) == FIRST
+    assert lives.joined('e', 'i/e/2', 1) == SECOND
+    assert lives.recent(1) == [SECOND]
+
+
+def test_a_link_that_was_cut_tells_nothing(lives):
+    lives.joined('e', 'i/e/1', 0)
+    assert lives.joined('e', 'i/e/1', 1) is None
+
+
+def test_an_end_is_told_once(lives):
+    lives.joined('e', 'i/e/1', 0)
+    assert lives.ended('e', 1) == END
+    assert lives.ended('e', 2) is None
+    assert lives.ended('unknown', 2) is None
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'recent'),
+    [(10, [FIRST, END]), (65, [END]), (70, [])],
+)
+def test_news_grow_old(lives, now_s, recent):
+    lives.joined('e', 'i/e/1', 0)
+    lives.ended('e', 10)
+    assert lives.recent(now_s) == recent
