Let keyed calls wait for the first owner of their range

Cause: an entry is ready before the ranges of keys have owners, and a call whose range had none was answered 503 claim_unavailable at once.

Ruled out: a condition of /readyz, since an entry that restarts in an outage must be ready for everything that needs no claim.

Change: an instance that reads a range as free answers not_owned rather than unavailable, and so does one that no longer owns what another thought. The entry asks again every 0.2 s, for 6 s and until the deadline at most. Where the service can't be read, or the owner is out of reach, the answer is at once as before. A free range is read at most twice a second, and 400 times a second by all instances together, down to once in 5 s; it was read for each call before.

--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -41,6 +41,8 @@
 DIGEST_BYTES = 16
 
 UNAVAILABLE = ClaimAnswer('unavailable', 0, '', b'', RETRY_AFTER_S)
+#: Nothing was claimed, and an owner may be found soon.
+NOT_OWNED = ClaimAnswer('not_owned', 0, '', b'', RETRY_AFTER_S)
 
 _STATES = {
     'not_run': ClaimState.RELEASED,
@@ -115,7 +117,7 @@
     def _claim(self, asked: ClaimKey, link: Link, call_id: int) -> None:
         number = self._range_of(asked)
         if number not in self._ranges.owned():
-            self._forward(number, asked, link, call_id, UNAVAILABLE)
+            self._forward(number, asked, link, call_id)
             return
         digest = bytes.fromhex(asked.request_digest)[:DIGEST_BYTES]
         req = _request(asked, digest)
@@ -141,9 +143,8 @@
 
     def _settle(self, told: SettleKey, link: Link, call_id: int) -> None:
         number = self._range_of(told)
-        refusal = Refusal('not_owner', 'no owner can be reached')
         if number not in self._ranges.owned():
-            self._forward(number, told, link, call_id, refusal)
+            self._forward(number, told, link, call_id)
             return
         answer = cbor2.dumps([told.status, told.content_type, told.answer])
         fut = self._ranges.settle(
@@ -166,10 +167,11 @@
         message: ClaimKey | SettleKey,
         link: Link,
         call_id: int,
-        otherwise: Any,
     ) -> None:
-        owner = self._ranges.owner_of(number, time.monotonic())
+        now_s = time.monotonic()
+        owner = self._ranges.owner_of(number, now_s)
         onward = self._link_to(owner.instance_id) if owner else None
+        otherwise = self._refusal(number, message, link, now_s)
         # A message that was forwarded here is not forwarded again.
         if onward is None or link.peer.kind != 'entry':
             self._ranges.forget_owner(number)
@@ -177,11 +179,39 @@
             return
         fut = onward.request(message)
         fut.add_done_callback(
-            lambda done: self._answer(
-                message, link, call_id, _forwarded(done, otherwise)
+            lambda done: self._pass_on(
+                number, message, link, call_id, _forwarded(done, otherwise)
             ),
         )
 
+    def _refusal(
+        self,
+        number: int,
+        message: ClaimKey | SettleKey,
+        link: Link,
+        now_s: float,
+    ) -> ClaimAnswer | Refusal:
+        """Return what is answered where no owner can be reached."""
+        if isinstance(message, SettleKey):
+            return Refusal('not_owner', 'no owner can be reached')
+        is_forwarded = link.peer.kind != 'entry'
+        if is_forwarded or self._ranges.is_unowned(number, now_s):
+            return NOT_OWNED
+        return UNAVAILABLE
+
+    def _pass_on(
+        self,
+        number: int,
+        message: ClaimKey | SettleKey,
+        link: Link,
+        call_id: int,
+        answer: Any,
+    ) -> None:
+        """Answer as another instance did, which may have lost the range."""
+        if answer == NOT_OWNED:
+            self._ranges.forget_owner(number)
+        self._answer(message, link, call_id, answer)
+
 
 def _is_granted(answer: Any) -> bool:
     return isinstance(answer, ClaimAnswer) and answer.state == 'granted'
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -23,6 +23,9 @@
 PREFIX = 'claims'
 RETRY_AFTER_S = 2.0
 OWNER_TTL_S = 5.0
+#: Reads of all instances that look for the owner of a range without one.
+LOOKS_PER_S = 400.0
+MIN_LOOK_S = 0.5
 #: Writes of all ranges together, whatever their number and the fleet's.
 MAX_WRITES_PER_S = 320.0
 
@@ -68,6 +71,7 @@
         lease_id: Callable[[], str | None],
     ) -> None:
         self.ranges = ranges
+        self.instances = 1
         self._kv = kv
         self._me = me
         self._horizon_s = horizon_s
@@ -113,13 +117,25 @@
         :param now_s: monotonic seconds.
         """
         known = self._known.get(number)
-        if known is None or now_s - known.read_s > OWNER_TTL_S:
+        if known is None or now_s - known.read_s > self._ttl_s(known):
             known = self._read(number, now_s) or known
         return None if known is None else _owner_in(known.present)
 
+    def is_unowned(self, number: int, now_s: float) -> bool:
+        """Tell whether the service answered lately that a range is free.
+
+        :param now_s: monotonic seconds.
+        """
+        known = self._known.get(number)
+        if known is None or known.present.value is not None:
+            return False
+        return now_s - known.read_s <= self._ttl_s(known)
+
     def forget_owner(self, number: int) -> None:
         """Read a range's owner again when it is asked for next."""
-        self._known.pop(number, None)
+        known = self._known.get(number)
+        if known is not None and known.present.value is not None:
+            self._known.pop(number, None)
 
     def step(self, instances: int, now_s: float) -> None:
         """Look at one range, and take it if it is free and due here.
@@ -129,6 +145,7 @@
         :param instances: live instances among which the ranges are shared.
         :param now_s: monotonic seconds.
         """
+        self.instances = instances
         self._drop_deposed()
         number = self._next
         self._next = (number + 1) % self.ranges
@@ -198,6 +215,13 @@
             if known is not None:
                 self._give_up(number, known.present)
 
+    def _ttl_s(self, known: _Known) -> float:
+        """Return how long a read counts; a free range is soon taken."""
+        if known.present.value is not None:
+            return OWNER_TTL_S
+        looks = self.instances * self.ranges
+        return min(OWNER_TTL_S, max(MIN_LOOK_S, looks / LOOKS_PER_S))
+
     def _read(self, number: int, now_s: float) -> _Known | None:
         present = self._kv.get(_owner_key(number))
         if present.is_error():
--- a/src/wasabicross/key_claims.py
+++ b/src/wasabicross/key_claims.py
@@ -1,11 +1,14 @@
 """Claims of idempotency keys, as an entry asks for and settles them."""
 
 import json
+import time
 from collections.abc import Iterator
+from typing import Any, Protocol
+
+from expression import Result
 
 from wasabicross.caller_request import CallerRequest
-from wasabicross.entry_link import EntryLink
-from wasabicross.exceptions import AnswerCut
+from wasabicross.exceptions import AnswerCut, LinkError
 from wasabicross.messages import ClaimAnswer, ClaimKey, SettleKey
 from wasabicross.replies import (
     COMPLETED,
@@ -21,8 +24,12 @@
 CLAIM_TIMEOUT_S = 5.0
 SETTLE_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 2.0
+#: How long a claim waits for a first owner of its range.
+OWNER_WAIT_S = 6.0
+OWNER_RETRY_S = 0.2
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
 GRANTED = 'granted'
+NOT_OWNED = 'not_owned'
 
 CLAIM_UNAVAILABLE = Fault(
     503,
@@ -69,17 +76,28 @@
 }
 
 
+class ClaimLink(Protocol):
+    """What claims need of the link to the controller."""
+
+    def call(self, message: Any, timeout_s: float) -> Result[Any, LinkError]:
+        """Send a request and wait for its answer."""
+
+
 class KeyClaims:
     """Claims keys at the controller before a request is dispatched.
 
     :param link: the link to the controller.
     :param holder: name of this entry process, unique in all data centres
         and lives.
+    :param wait_s: how long a claim waits for a first owner of its range.
     """
 
-    def __init__(self, link: EntryLink, holder: str) -> None:
+    def __init__(
+        self, link: ClaimLink, holder: str, wait_s: float = OWNER_WAIT_S
+    ) -> None:
         self._link = link
         self._holder = holder
+        self._wait_s = wait_s
 
     def claim(self, req: CallerRequest, digest: str) -> Reply | None:
         """Claim a request's key; None if the request may run now.
@@ -91,13 +109,12 @@
         asked = ClaimKey(
             req.tenant, req.key, digest, f'{self._holder}/{req.request_id}'
         )
-        answered = self._link.call(asked, CLAIM_TIMEOUT_S)
-        if answered.is_error() or not isinstance(answered.ok, ClaimAnswer):
+        answer = self._ask(asked, min(req.deadline_s, self._until_s()))
+        if answer is None:
             # The claim may have been written: it is never dispatched, and
             # settling it as not run lets a repeat run.
             self._settle(req, 'not_run', None)
             return refuse(CLAIM_UNAVAILABLE, RETRY_AFTER_S)
-        answer = answered.ok
         if answer.state == GRANTED:
             return None
         return _repeat_reply(answer)
@@ -117,6 +134,20 @@
             return reply
         return reply._replace(content=self._kept(req, reply))
 
+    def _until_s(self) -> float:
+        return time.monotonic() + self._wait_s
+
+    def _ask(self, asked: ClaimKey, until_s: float) -> ClaimAnswer | None:
+        """Ask until the range has an owner; None for no sure answer."""
+        while True:
+            answered = self._link.call(asked, CLAIM_TIMEOUT_S)
+            if answered.is_error() or not isinstance(answered.ok, ClaimAnswer):
+                return None
+            is_late = time.monotonic() + OWNER_RETRY_S > until_s
+            if answered.ok.state != NOT_OWNED or is_late:
+                return answered.ok
+            time.sleep(OWNER_RETRY_S)
+
     def _kept(self, req: CallerRequest, reply: Reply) -> Iterator[bytes]:
         """Pass the pieces through and settle at their end.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -320,6 +320,37 @@
         each.stop()
 
 
+def test_free_range_is_told_only_while_the_service_says_so(store):
+    here, other = (_ranges(store, name) for name in ('a', 'b'))
+    assert not here.is_unowned(0, 0)
+    assert here.owner_of(0, 0) is None
+    assert here.is_unowned(0, 0.5)
+    store.is_down = True
+    assert here.owner_of(0, 1) is None
+    assert not here.is_unowned(0, 1)
+    store.is_down = False
+    for _ in range(6):
+        other.step(1, 2)
+    assert here.owner_of(0, 2).instance_id == 'b'
+    assert not here.is_unowned(0, 2)
+    other.stop()
+
+
+@pytest.mark.parametrize(('instances', 'reads'), [(1, 5), (50, 4), (500, 1)])
+def test_reads_for_a_free_range_do_not_grow_with_the_fleet(
+    store, monkeypatch, instances, reads
+):
+    here = _ranges(store, 'a')
+    here.instances = instances
+    asked = []
+    get = store.get
+    monkeypatch.setattr(store, 'get', lambda key: asked.append(key) or get(key))
+    for eighth in range(24):
+        here.forget_owner(0)
+        here.owner_of(0, eighth / 8)
+    assert len(asked) == reads
+
+
 def test_range_follows_from_tenant_and_key_alone():
     found = {range_of('t', f'k{number}', 16) for number in range(300)}
     assert found == set(range(16))
