--- a/model/__main__.py
+++ b/model/__main__.py
@@ -7,10 +7,24 @@
 
 import sys
 
-from model import bundles, claims, evictions, visitors
+from model import (
+    bundles,
+    claims,
+    continuations,
+    evictions,
+    outages,
+    visitors,
+)
 from model.spec import Finding, Spec, Walk, walk
 
-SPECS = (evictions.SPEC, visitors.SPEC, claims.SPEC, bundles.SPEC)
+SPECS = (
+    evictions.SPEC,
+    visitors.SPEC,
+    outages.SPEC,
+    continuations.SPEC,
+    claims.SPEC,
+    bundles.SPEC,
+)
 
 
 def _say(text: str) -> None:
--- a/src/wasabicross/link_messages.py
+++ b/src/wasabicross/link_messages.py
@@ -16,6 +16,8 @@
     :param kind: `entry`, `controller` or `admin`.
     :param running: requests in progress on each load, told by entries.
     :param closed: loads that the sender has closed for ever.
+    :param life: what the names of an entry's claim holders begin with, never
+        the same in two of its lives.
     """
 
     kind: str
@@ -26,6 +28,7 @@
     running: list[Running]
     closed: list[str]
     opened: list[str]
+    life: str = ''
 
 
 class Welcome(NamedTuple):
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -20,6 +20,7 @@
 from wasabicross.claim_messages import (
     ClaimAnswer,
     ClaimKey,
+    HoldersLost,
     SettleKey,
 )
 from wasabicross.exceptions import MessageMalformed
@@ -84,6 +85,7 @@
     'Goodbye',
     'Grant',
     'Hello',
+    'HoldersLost',
     'InstanceReport',
     'LoadDeclined',
     'LoadDrained',
@@ -161,6 +163,7 @@
     PermitLoad,
     PermitGranted,
     PermitReturned,
+    HoldersLost,
 )
 
 _CODES = {kind: code for code, kind in enumerate(MESSAGES)}
