Share trials of suspect requests among all entries

Cause: a suspect ran as the only one of its own entry on a server. Two entries could try two suspects on one server at once; the one that crashes servers took it down, and each entry blamed its own. So an innocent request was refused for an hour.

Change: before a trial an entry asks, over its controller, for two permits: that of the server, kept by its owner (for a plain service by the linked instance that ranks first for its id), and that of the request itself, kept by the linked instance that ranks first for its fingerprint, so that copies are not tried on several servers at once. A request that becomes suspect while it runs is told to the same keepers: nothing is tried beside it, and a loss there blames nobody alone. After a lost trial the entry asks whether its suspect was the sole one, and convicts only then. The request's permit is kept after a conviction, until it lapses, so that nobody who has not heard of it yet tries a copy. A new owner that takes over from another grants nothing until the last permits have lapsed.

Where nobody can be asked (owner unknown, out of sight, no controller): no trial. The suspect waits up to 2 s for its turn on a server, goes on to the next holder, and is refused with Retry-After in the end. Requests that are not suspect go on. A permit of the local controller alone was ruled out: two sides could each try on the same server, and a verdict weaker than conviction would let a request cost a server at each trial. Where only the verdict can't be asked, the permit itself counts, for the same reason.

Copies that arrive while one is under way, not yet known to complete, go to the server that runs it, if it may take them, so that they cost one server together in each entry. A bound among all entries would take a question to one keeper, in another data centre perhaps, before each request; that was left out for its cost to the first token.

--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -31,6 +31,10 @@
 
 RETRY_AFTER_S = 2.0
 
+#: Seconds for which a suspect waits until it may be tried on a server.
+TRIAL_WAIT_S = 2.0
+TRIAL_RETRY_S = 0.05
+
 
 class Tried:
     """The servers that a request was sent to, and whether one may have run it."""
@@ -73,13 +77,20 @@
     ) -> Reply | bool:
         """Count a request as under way on a server, if it may go there.
 
+        A suspect waits a while for its turn.
+
         :param req: the request.
         :param server_id: where it is to go.
         :param tried: where it was sent before.
         :param now_s: monotonic seconds.
         :returns: whether it may go there, or a refusal for good.
         """
+        until_s = min(now_s + TRIAL_WAIT_S, req.deadline_s)
         clearance = self.watch.begin(req.fingerprint, server_id, now_s)
+        while clearance is Clearance.busy and now_s < until_s:
+            time.sleep(TRIAL_RETRY_S)
+            now_s = time.monotonic()
+            clearance = self.watch.begin(req.fingerprint, server_id, now_s)
         if clearance is Clearance.convicted:
             log_event(Event.CRASHER_REFUSED, request=req.request_id)
             return tried.refuse(CRASHES_SERVERS)
@@ -91,6 +102,7 @@
         server_id: str,
         start: Callable[[], Result[Answer, DispatchError]],
         named: Headers,
+        load_name: str = '',
     ) -> Reply | DispatchError:
         """Send a request that `clear` let go, up to its answer's first piece.
 
@@ -98,21 +110,24 @@
         :param server_id: where it goes.
         :param start: sends it.
         :param named: header fields that name what produced the answer.
+        :param load_name: the load that it runs on, if any.
         """
         answer = start()
         if answer.is_error():
-            self.watch.fail(req.fingerprint, server_id, answer.error)
+            self.watch.fail(req.fingerprint, server_id, answer.error, load_name)
             return answer.error
         pieces = answer.ok.chunks()
         try:
             first = next(pieces, b'')
         except AnswerCut as exc:
-            self.watch.fail(req.fingerprint, server_id, exc)
+            self.watch.fail(req.fingerprint, server_id, exc, load_name)
             return exc
         _observe_first_token(req, time.monotonic())
         headers = (*answer.ok.headers, *named, (OUTCOME_HEADER, COMPLETED))
         content = _Content(
-            first, pieces, lambda ending: self._end(req, server_id, ending)
+            first,
+            pieces,
+            lambda ending: self._end(req, server_id, ending, load_name),
         )
         return Reply(answer.ok.status, headers, content)
 
@@ -143,10 +158,16 @@
             return None
         return tried.refuse(NO_SERVER, RETRY_AFTER_S)
 
-    def _end(self, req: CallerRequest, server_id: str, ending: Ending) -> None:
+    def _end(
+        self,
+        req: CallerRequest,
+        server_id: str,
+        ending: Ending,
+        load_name: str,
+    ) -> None:
         if ending is Ending.cut:
             log_event(Event.ANSWER_CUT, request=req.request_id)
-        self.watch.end(req.fingerprint, server_id, ending)
+        self.watch.end(req.fingerprint, server_id, ending, load_name)
 
 
 def _observe_first_token(req: CallerRequest, now_s: float) -> None:
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -238,6 +238,24 @@
         self.loads.entry_gone(name)
         self.in_force.forget(name)
 
+    def keeps_trials(self, server_id: str) -> bool:
+        """Tell whether the permit of a server may be kept here."""
+        if self.fleet.is_engine(server_id):
+            return self.owners.get(server_id) is not None
+        return True
+
+    def link_to_keeper(self, server_id: str, request: bytes) -> Link | None:
+        """Return the link to who keeps the permit of a server or a request.
+
+        Nobody owns a plain service or a request, so the instances agree on
+        one by its id, as far as they see each other.
+        """
+        if self.fleet.is_engine(server_id):
+            return self._link_to(self.loads.owner_of(server_id) or '')
+        linked = [peer.peer.instance_id for peer in self.peers.linked()]
+        keepers = rank(server_id or request.hex(), linked)
+        return self._link_to(keepers[0]) if keepers else None
+
     # Links.
 
     def _accept(self, link: Link) -> msg.Welcome | msg.Refusal:
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -9,6 +9,7 @@
 from wasabicross.instances import Instance
 from wasabicross.links import Link
 from wasabicross.spread import LinkSource, bundle_part
+from wasabicross.trial_desk import TrialDesk
 from wasabicross.use_grants import UseGrants
 
 if TYPE_CHECKING:
@@ -116,6 +117,11 @@
 
     def __init__(self, controller: 'Controller') -> None:
         self._ctl = controller
+        self._trials = TrialDesk(
+            controller.owners.trials,
+            controller.keeps_trials,
+            controller.link_to_keeper,
+        )
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
         """Handle a message from a process that dialled."""
@@ -224,6 +230,23 @@
     def _(self, message: msg.SuspectRecords, link: Link, call_id: int) -> None:
         self._ctl.merge_suspects(message, link)
 
+    @_handle.register(msg.TakeTrial)
+    @_handle.register(msg.TrialLost)
+    def _(
+        self, message: msg.TakeTrial | msg.TrialLost, link: Link, call_id: int
+    ) -> None:
+        self._trials.ask(message, link, call_id, time.monotonic())
+
+    @_handle.register(msg.EndTrial)
+    @_handle.register(msg.SuspectRunning)
+    def _(
+        self,
+        message: msg.EndTrial | msg.SuspectRunning,
+        link: Link,
+        call_id: int,
+    ) -> None:
+        self._trials.note(message, link, time.monotonic())
+
     @_handle.register
     def _(self, message: msg.ClaimKey, link: Link, call_id: int) -> None:
         self._ctl.claims.claim(message, link, call_id)
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import uuid
 from functools import singledispatchmethod
 from typing import Any
 
@@ -19,6 +20,7 @@
 from wasabicross.settings import EntrySettings, Settings
 from wasabicross.spread import BundleFollower, LinkSource
 from wasabicross.suspects import Suspects
+from wasabicross.trials import Trials
 
 USE_INTERVAL_S = 1.0
 RETRY_S = 0.2
@@ -33,7 +35,12 @@
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
         self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
-        self.watch = ServerWatch(Suspects(), self._tell_suspects)
+        name = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
+        self.watch = ServerWatch(
+            Suspects(),
+            self._tell_suspects,
+            Trials(self.call, self.send, name),
+        )
         self.listed = threading.Event()
         self.follower = BundleFollower(
             BundleHolder.from_config(cfg), self._bundle_in_force
@@ -188,7 +195,7 @@
 
     @_handle.register
     def _(self, message: msg.SuspectRecords, link: Link) -> None:
-        self.watch.suspects.merge(message.records, time.monotonic())
+        self.watch.merge(message.records, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.BundleOffered, link: Link) -> None:
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -54,6 +54,13 @@
             if each.data_centre == self._data_centre and each.state == LIVE
         ]
 
+    def is_engine(self, server_id: str) -> bool:
+        """Tell whether the list shows an engine of this id."""
+        return any(
+            server.server_id == server_id and server.kind == 'engine'
+            for server in self._fleet.servers
+        )
+
     def engines_here(self) -> list[BackendServer]:
         """Return the engines of this data centre."""
         return [
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -417,6 +417,54 @@
     used: bool = True
 
 
+class TakeTrial(NamedTuple):
+    """Asks for a permit to try a suspect request.
+
+    :param server_id: the server; empty for the permit of the request itself.
+    :param request: the request's fingerprint.
+    :param process: names the trial.
+    """
+
+    server_id: str
+    request: bytes
+    process: str
+
+
+class TrialLost(NamedTuple):
+    """Asks whether a suspect was the only one on a server that was lost.
+
+    :param server_id: the server.
+    :param request: the request's fingerprint.
+    :param process: names the trial.
+    """
+
+    server_id: str
+    request: bytes
+    process: str
+
+
+class TrialAnswer(NamedTuple):
+    """Answers a question about a trial."""
+
+    agreed: bool
+
+
+class EndTrial(NamedTuple):
+    """Gives a permit back, or ends what `SuspectRunning` told."""
+
+    server_id: str
+    request: bytes
+    process: str
+
+
+class SuspectRunning(NamedTuple):
+    """Tells that a request became suspect while it ran on a server."""
+
+    server_id: str
+    request: bytes
+    process: str
+
+
 #: Position is the code on the wire: append only.
 MESSAGES: tuple[type, ...] = (
     Hello,
@@ -456,6 +504,11 @@
     PermitLoad,
     PermitGranted,
     PermitReturned,
+    TakeTrial,
+    TrialLost,
+    TrialAnswer,
+    EndTrial,
+    SuspectRunning,
 )
 
 _CODES = {kind: code for code, kind in enumerate(MESSAGES)}
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -115,13 +115,22 @@
         if choice.copy_wanted:
             held_by = tuple(holder.server_id for holder in holders)
             self._wants.tell(self._want(run, held_by, now_s), now_s)
-        load_name = choice.holder.load_name
-        if not self._link.loads.begin_request(load_name, now_s):
+        holder = self._beside_copy(run, holders) or choice.holder
+        if not self._link.loads.begin_request(holder.load_name, now_s):
             return None
         BATCH_FILL_RATIO.labels(run.req.route.request_class).observe(
-            batch_fill(choice.holder, weights)
+            batch_fill(holder, weights)
         )
-        return choice.holder
+        return holder
+
+    def _beside_copy(self, run: _Run, holders: list[Holder]) -> Holder | None:
+        """Return the holder that runs a copy of a request not known yet.
+
+        Copies of one that crashes servers cost one server together.
+        """
+        beside = self._watch.running_on(run.req.fingerprint)
+        found = (each for each in holders if each.server_id == beside)
+        return next(found, None)
 
     def _holders(self, run: _Run, now_s: float) -> list[Holder]:
         wanted = run.wanted
@@ -180,6 +189,7 @@
             holder.server_id,
             lambda: self._engine(holder.server_id).complete(call),
             self._named(run),
+            holder.load_name,
         )
         if isinstance(reply, Reply):
             content = Finished(
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -24,6 +24,7 @@
 from wasabicross.policy import Weights
 from wasabicross.server_owner import ServerOwner
 from wasabicross.subscribers import Subscribers
+from wasabicross.trial_permits import TrialPermits
 
 STEP_S = 0.05
 
@@ -102,6 +103,8 @@
         known_term: Callable[[str], int],
         on_deposed: Callable[[str], None],
     ) -> None:
+        #: The permits to try suspect requests on the servers.
+        self.trials = TrialPermits(subscribers.window.max_request_s)
         self.known_term = known_term
         self._subscribers = subscribers
         self._permits = permits
@@ -127,6 +130,9 @@
     def owner_started(self, start: OwnerStart) -> None:
         """Begin to own a server under a new term."""
         server = start.server
+        if not start.is_continued and self.known_term(server.server_id):
+            # An earlier owner's permits may still be of use.
+            self.trials.hold_off(server.server_id, start.sent_s)
         with self._lock:
             address = self._servers[server.server_id]
             engine = Engine(Dispatcher(address.host, address.port))
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -19,7 +19,9 @@
 from wasabicross.messages import ServerInfo, ServerLoad
 from wasabicross.routing import Holder
 from wasabicross.server_health import Failure
+from wasabicross.suspect_records import SuspectRecord
 from wasabicross.suspects import Clearance, Suspects
+from wasabicross.trials import Trials
 
 PROBE_TIMEOUT_S = 0.5
 DEFAULT_BATCH_SIZE = 16
@@ -47,13 +49,19 @@
 
     :param suspects: knows the requests that crash servers.
     :param on_suspects: called when there may be news of suspects to tell.
+    :param trials: the permits to try suspects.
     """
 
     def __init__(
-        self, suspects: Suspects, on_suspects: Callable[[], None]
+        self,
+        suspects: Suspects,
+        on_suspects: Callable[[], None],
+        trials: Trials,
     ) -> None:
         self.suspects = suspects
         self._on_suspects = on_suspects
+        self._trials = trials
+        self._verdict_lock = threading.Lock()
         self._membership = Membership()
         self._lock = threading.Lock()
         self._outstanding: Counter[str] = Counter()
@@ -139,15 +147,49 @@
         :param server_id: where it is to go.
         :param now_s: monotonic seconds.
         """
-        clearance = self.suspects.start(fingerprint, server_id, now_s)
+        wanted = self.suspects.clearance(fingerprint, server_id, now_s)
+        is_trial = wanted is Clearance.trial
+        if is_trial and not self._trials.take(fingerprint, server_id, now_s):
+            return Clearance.busy
+        started_s = time.monotonic()
+        clearance = self.suspects.start(
+            fingerprint, server_id, started_s, permitted=is_trial
+        )
+        if is_trial and clearance is not Clearance.trial:
+            self._trials.end(fingerprint, server_id)
         if clearance in {Clearance.go, Clearance.trial}:
             with self._lock:
                 self._outstanding[server_id] += 1
-            self._membership.on_start(server_id, now_s)
+            self._membership.on_start(server_id, started_s)
         return clearance
 
-    def end(self, fingerprint: bytes, server_id: str, ending: Ending) -> None:
-        """Note how an exchange whose answer had started has ended."""
+    def running_on(self, fingerprint: bytes) -> str | None:
+        """Name a server that runs a copy of a request not known as harmless."""
+        return self.suspects.running_on(fingerprint)
+
+    def merge(self, records: Iterable[SuspectRecord], now_s: float) -> None:
+        """Take in what other processes know of suspects.
+
+        :param records: standings that have changed.
+        :param now_s: monotonic seconds.
+        """
+        self.suspects.merge(records, now_s)
+        self._trials.set_late(self.suspects.late_runs(now_s))
+
+    def end(
+        self,
+        fingerprint: bytes,
+        server_id: str,
+        ending: Ending,
+        load_name: str = '',
+    ) -> None:
+        """Note how an exchange whose answer had started has ended.
+
+        :param fingerprint: digest of the request.
+        :param server_id: where it went.
+        :param ending: how it ended.
+        :param load_name: the load that it ran on, if any.
+        """
         now_s = time.monotonic()
         self._uncount(server_id)
         if ending is Ending.completed:
@@ -156,18 +198,31 @@
         elif ending is Ending.cancelled:
             self.suspects.abandon(fingerprint, server_id)
         else:
-            self._broken(fingerprint, server_id, now_s)
+            self._broken(fingerprint, server_id, load_name)
+        self._end_trial(fingerprint, server_id)
 
     def fail(
-        self, fingerprint: bytes, server_id: str, exc: DispatchError
+        self,
+        fingerprint: bytes,
+        server_id: str,
+        exc: DispatchError,
+        load_name: str = '',
     ) -> None:
-        """Note an exchange that ended before its answer had started."""
+        """Note an exchange that ended before its answer had started.
+
+        :param fingerprint: digest of the request.
+        :param server_id: where it went.
+        :param exc: why it ended.
+        :param load_name: the load that it was to run on, if any.
+        """
         now_s = time.monotonic()
         self._uncount(server_id)
         if not isinstance(exc, NotRun):
-            self._broken(fingerprint, server_id, now_s)
+            self._broken(fingerprint, server_id, load_name)
+            self._end_trial(fingerprint, server_id)
             return
         self.suspects.abandon(fingerprint, server_id)
+        self._end_trial(fingerprint, server_id)
         if isinstance(exc, NotConnected):
             self._membership.on_failure(server_id, Failure.refused, now_s)
         elif 'leaving' in str(exc):
@@ -177,20 +232,41 @@
         with self._lock:
             self._outstanding[server_id] -= 1
 
-    def _broken(self, fingerprint: bytes, server_id: str, now_s: float) -> None:
+    def _end_trial(self, fingerprint: bytes, server_id: str) -> None:
+        self._trials.end(fingerprint, server_id)
+        self._trials.set_late(self.suspects.late_runs(time.monotonic()))
+
+    def _broken(
+        self, fingerprint: bytes, server_id: str, load_name: str
+    ) -> None:
         """Find out whether the server or only the connection was lost."""
-        self.suspects.break_off(fingerprint, server_id, now_s)
-        failure = self._probe(server_id)
+        broke_s = time.monotonic()
+        self.suspects.break_off(fingerprint, server_id, broke_s)
+        failure = self._probe(server_id, load_name)
+        now_s = time.monotonic()
         if failure is None:
             self.suspects.server_alive(server_id, now_s)
             return
         self._membership.on_failure(server_id, failure, now_s)
         if self._membership.loss(server_id, now_s) is Loss.server:
             log_event(Event.SERVER_LOST, server=server_id)
-            self.suspects.server_lost(server_id, now_s)
+            self._judge(fingerprint, server_id, broke_s)
         self._on_suspects()
 
-    def _probe(self, server_id: str) -> Failure | None:
+    def _judge(
+        self, fingerprint: bytes, server_id: str, broke_s: float
+    ) -> None:
+        """Blame what ran on a lost server, once for all that broke there."""
+        with self._verdict_lock:
+            is_sole = self._trials.is_sole(server_id)
+            now_s = time.monotonic()
+            self.suspects.server_lost(
+                server_id, now_s, is_sole=is_sole, broke_s=broke_s
+            )
+        if self.suspects.is_convicted(fingerprint, now_s):
+            self._trials.convicted(fingerprint, server_id)
+
+    def _probe(self, server_id: str, load_name: str) -> Failure | None:
         server = self._servers.get(server_id)
         if server is None:
             return Failure.refused
--- a/src/wasabicross/service_calls.py
+++ b/src/wasabicross/service_calls.py
@@ -73,7 +73,10 @@
             if server.server_id in usable
             and server.server_id not in tried.servers
         ]
-        return min(fitting, key=self._cost, default=None)
+        # Copies of a request that crashes servers cost one together.
+        beside = self._watch.running_on(req.fingerprint)
+        together = [each for each in fitting if each.server_id == beside]
+        return min(together or fitting, key=self._cost, default=None)
 
     def _cost(self, server: ServerInfo) -> tuple[bool, int, str]:
         is_remote = server.data_centre != self._data_centre
--- a/src/wasabicross/suspects.py
+++ b/src/wasabicross/suspects.py
@@ -16,6 +16,9 @@
 
 _DIGEST_BYTES = 16
 
+#: Most requests remembered as harmless.
+_MAX_COMPLETED = 4096
+
 
 class Clearance(enum.Enum):
     """Whether a request may be sent to a server.
@@ -35,6 +38,7 @@
 
     fingerprint: bytes
     trial: bool
+    started_s: float
     broken_s: float | None = None
 
 
@@ -58,7 +62,7 @@
 
     What is under way is known of this process alone: to keep suspects of other
     processes off the server, take a permit of the server's owner (see
-    `TrialPermits`) before a trial.
+    `Trials`) before a trial.
 
     :param records: what is known of each suspect.
     """
@@ -69,6 +73,8 @@
         self._runs: dict[str, list[_Run]] = {}
         # Lost a server alone before an earlier server's fate was known.
         self._blamed_once: set[bytes] = set()
+        # Requests that were completed lately, the oldest first.
+        self._completed: dict[bytes, None] = {}
 
     def clearance(
         self,
@@ -84,24 +90,64 @@
         with self._lock:
             return self._clearance(request, server_id, now_s)
 
-    def start(self, request: bytes, server_id: str, now_s: float) -> Clearance:
-        """Count a request as under way on a server, if it may go there."""
+    def start(
+        self,
+        request: bytes,
+        server_id: str,
+        now_s: float,
+        *,
+        permitted: bool = True,
+    ) -> Clearance:
+        """Count a request as under way on a server, if it may go there.
+
+        :param permitted: whether a trial has its permits.
+        """
         with self._lock:
             clearance = self._clearance(request, server_id, now_s)
-            if clearance in {Clearance.go, Clearance.trial}:
-                run = _Run(request, clearance is Clearance.trial)
+            is_trial = clearance is Clearance.trial
+            if is_trial and not permitted:
+                return Clearance.busy
+            if is_trial or clearance is Clearance.go:
+                run = _Run(request, is_trial, now_s)
                 self._runs.setdefault(server_id, []).append(run)
             return clearance
 
+    def is_convicted(self, request: bytes, now_s: float) -> bool:
+        """Tell whether a request is refused from now on."""
+        with self._lock:
+            state = self._records.state(request, now_s)
+            return state is State.convicted
+
     def running_on(self, request: bytes) -> str | None:
-        """Name a server where a copy runs, the best place for a further one."""
+        """Name a server where a copy runs, the best place for a further one.
+
+        None as well for a request that is known to be harmless.
+        """
         with self._lock:
+            if request in self._completed:
+                return None
             return next(iter(self._servers_of(request)), None)
 
+    def late_runs(self, now_s: float) -> tuple[tuple[str, bytes], ...]:
+        """Return the requests that became suspect while they ran.
+
+        :returns: each with its server.
+        """
+        with self._lock:
+            if not len(self._records):
+                return ()
+            return tuple(
+                (server_id, run.fingerprint)
+                for server_id, runs in self._runs.items()
+                for run in runs
+                if run.broken_s is None and self._is_late(run, now_s)
+            )
+
     def complete(self, request: bytes, server_id: str, now_s: float) -> None:
         """End a request that was answered completely, which clears it."""
         with self._lock:
             self._take(request, server_id)
+            self._note_completed(request)
             self._forget_broken(request)
             self._records.clear(request, now_s)
 
@@ -125,15 +171,29 @@
                 ttl_s=_UNCONFIRMED_S,
             )
 
-    def server_lost(self, server_id: str, now_s: float) -> None:
-        """Blame the requests that were under way on a server that crashed."""
+    def server_lost(
+        self,
+        server_id: str,
+        now_s: float,
+        *,
+        is_sole: bool = True,
+        broke_s: float | None = None,
+    ) -> None:
+        """Blame the requests that were under way on a server that crashed.
+
+        :param is_sole: whether no other process ran a suspect there.
+        :param broke_s: when a connection was seen to break; what started
+            later runs on the server that came after.
+        """
         with self._lock:
-            runs = self._recent(server_id, now_s)
-            self._runs.pop(server_id, None)
+            runs = self._take_lost(server_id, now_s, broke_s)
             self._convict_blamed(runs, now_s)
             trials = {run.fingerprint for run in runs if run.trial}
-            innocent = {run.fingerprint for run in runs} - trials
-            if len(trials) == 1:
+            late = {
+                run.fingerprint for run in runs if self._is_late(run, now_s)
+            }
+            innocent = {run.fingerprint for run in runs} - trials - late
+            if len(trials) == 1 and is_sole and not late:
                 self._blame_trial(trials.pop(), now_s)
             elif trials:
                 self._suspect(trials, now_s)
@@ -181,12 +241,38 @@
             return Clearance.convicted
         if state is not State.suspect:
             return Clearance.go
-        runs = self._runs.get(server_id, ())
-        taken = any(run.trial and run.broken_s is None for run in runs)
+        taken = any(
+            run.broken_s is None and (run.trial or self._is_late(run, now_s))
+            for run in self._runs.get(server_id, ())
+        )
         if taken or self._servers_of(request) or self._is_open(request, now_s):
             return Clearance.busy
         return Clearance.trial
 
+    def _is_late(self, run: _Run, now_s: float) -> bool:
+        """Tell whether a request became suspect by another server's loss."""
+        if run.trial or not self._records.is_confirmed(run.fingerprint, now_s):
+            return False
+        state = self._records.state(run.fingerprint, now_s)
+        return state is State.suspect
+
+    def _take_lost(
+        self, server_id: str, now_s: float, broke_s: float | None
+    ) -> list[_Run]:
+        """Take out the runs that a server's loss has ended."""
+        runs = self._recent(server_id, now_s)
+        last_s = now_s if broke_s is None else broke_s
+        self._runs[server_id] = [run for run in runs if run.started_s > last_s]
+        if not self._runs[server_id]:
+            self._runs.pop(server_id)
+        return [run for run in runs if run.started_s <= last_s]
+
+    def _note_completed(self, request: bytes) -> None:
+        self._completed.pop(request, None)
+        self._completed[request] = None
+        if len(self._completed) > _MAX_COMPLETED:
+            self._completed.pop(next(iter(self._completed)))
+
     def _is_open(self, request: bytes, now_s: float) -> bool:
         """Tell whether an earlier server's fate may yet convict a request."""
         if request not in self._blamed_once:
--- a/src/wasabicross/trial_permits.py
+++ b/src/wasabicross/trial_permits.py
@@ -7,19 +7,24 @@
 
 
 class _Permit(NamedTuple):
-    """The permit of one server while it is taken."""
+    """The permit of one server while it is taken.
+
+    :param contested: whether another suspect ran there meanwhile.
+    """
 
     fingerprint: bytes
     process: str
     taken_s: float
+    contested: bool = False
 
 
 class TrialPermits:
     """Lets one suspect at a time run on each server, from all processes.
 
-    Kept by the server's owner. Where all processes choose the same server for a
-    suspect, as by `rank_servers` of its fingerprint, a suspect also has one
-    trial at a time. Thread-safe.
+    Kept by the server's owner. A request that became suspect while it ran
+    can't be stopped; it is told here, so that nothing is tried beside it and
+    no loss is blamed on what was. Permits of the requests themselves, so that
+    each has one trial at a time, are kept the same way. Thread-safe.
 
     :param ttl_s: seconds after which a permit that was not returned lapses, at
         least the longest run time of a request.
@@ -29,6 +34,8 @@
         self._ttl_s = ttl_s
         self._lock = threading.Lock()
         self._held: dict[str, _Permit] = {}
+        self._others: dict[str, dict[tuple[bytes, str], float]] = {}
+        self._closed_until_s: dict[str, float] = {}
 
     def acquire(
         self,
@@ -39,6 +46,10 @@
     ) -> bool:
         """Take the permit of a server for one run of a suspect."""
         with self._lock:
+            if now_s < self._closed_until_s.get(server_id, now_s):
+                return False
+            if self._others_on(server_id, now_s):
+                return False
             held = self._held.get(server_id)
             if held and now_s - held.taken_s < self._ttl_s:
                 return False
@@ -51,3 +62,41 @@
             held = self._held.get(server_id)
             if held and held[:2] == (request, process):
                 self._held.pop(server_id)
+            others = self._others.get(server_id, {})
+            others.pop((request, process), None)
+            if not others:
+                self._others.pop(server_id, None)
+
+    def occupy(
+        self,
+        server_id: str,
+        request: bytes,
+        process: str,
+        now_s: float,
+    ) -> None:
+        """Note a suspect that runs without a permit, until its release."""
+        with self._lock:
+            others = self._others.setdefault(server_id, {})
+            others[request, process] = now_s
+            held = self._held.get(server_id)
+            if held:
+                self._held[server_id] = held._replace(contested=True)
+
+    def is_sole(self, server_id: str, request: bytes, process: str) -> bool:
+        """Tell whether a suspect with a permit was the only one there."""
+        with self._lock:
+            held = self._held.get(server_id)
+            if held is None or held.contested:
+                return False
+            return held[:2] == (request, process)
+
+    def hold_off(self, server_id: str, now_s: float) -> None:
+        """Let nothing be tried while permits of an earlier owner may hold."""
+        with self._lock:
+            self._closed_until_s[server_id] = now_s + self._ttl_s
+
+    def _others_on(self, server_id: str, now_s: float) -> bool:
+        return any(
+            now_s - noted_s < self._ttl_s
+            for noted_s in self._others.get(server_id, {}).values()
+        )
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -29,6 +29,7 @@
             group=lambda kind, name: [SERVER],
             usable=lambda server_ids, now_s: set(server_ids),
             holder=lambda server, load_name, now_s: holder,
+            running_on=lambda fingerprint: None,
         )
 
     def accepted(self):
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,325 @@
+"""Trials of suspects are shared among all entries that may use a server."""
+
+import time
+from concurrent.futures import Future
+from types import SimpleNamespace
+
+import pytest
+from expression import Error, Ok
+
+from emulator.waiting import free_ports, wait_until
+from wasabicross.attempts import Attempts, Tried
+from wasabicross.exceptions import LinkClosed, OutcomeUnknown
+from wasabicross.messages import (
+    EndTrial,
+    Refusal,
+    ServerInfo,
+    SuspectRunning,
+    TakeTrial,
+    TrialAnswer,
+    TrialLost,
+)
+from wasabicross.retries import RetryBudget
+from wasabicross.server_watch import Ending, ServerWatch
+from wasabicross.suspects import Clearance, Suspects, fingerprint
+from wasabicross.trial_desk import NO_KEEPER, TrialDesk
+from wasabicross.trial_permits import TrialPermits
+from wasabicross.trials import Trials
+
+KILLER = fingerprint('/v1/chat', b'killer')
+INNOCENT = fingerprint('/v1/chat', b'innocent')
+OTHER = fingerprint('/v1/chat', b'other')
+GO, TRIAL = Clearance.go, Clearance.trial
+BUSY, CONVICTED = Clearance.busy, Clearance.convicted
+BROKEN = OutcomeUnknown('the connection broke')
+SERVERS = 'abcdef'
+
+
+class FakeLink:
+    """Takes what a desk answers; is answered by another desk."""
+
+    def __init__(self, kind, keeper=None):
+        self.peer = SimpleNamespace(kind=kind)
+        self.keeper = keeper
+        self.answer = None
+
+    def reply(self, call_id, message):
+        self.answer = message
+
+    def send(self, message):
+        self.keeper.note(message, FakeLink('controller'), time.monotonic())
+
+    def request(self, message):
+        back = FakeLink('controller')
+        self.keeper.ask(message, back, 1, time.monotonic())
+        fut = Future()
+        fut.set_result(Ok(back.answer))
+        return fut
+
+
+class Fleet:
+    """The controllers between two entries, with one keeper of permits."""
+
+    def __init__(self, ttl_s=60):
+        self.permits = TrialPermits(ttl_s)
+        self.is_cut = False
+        self.told = []
+        self.keeper = TrialDesk(self.permits, lambda _server_id: True, None)
+        onward = FakeLink('controller', self.keeper)
+        self.desk = TrialDesk(
+            TrialPermits(ttl_s),
+            lambda _server_id: False,
+            lambda _server_id, _request: None if self.is_cut else onward,
+        )
+        ports = free_ports(len(SERVERS))
+        self._servers = [
+            ServerInfo(
+                name, 'engine', 'g', 'north', '127.0.0.1', port, 'live', 'b'
+            )
+            for name, port in zip(SERVERS, ports, strict=True)
+        ]
+
+    def ask(self, message, timeout_s):
+        link = FakeLink('entry')
+        self.desk.ask(message, link, 1, time.monotonic())
+        if isinstance(link.answer, Refusal):
+            return Error(LinkClosed(link.answer.code))
+        return Ok(link.answer)
+
+    def tell(self, message):
+        self.told.append(message)
+        self.desk.note(message, FakeLink('entry'), time.monotonic())
+        return True
+
+    def entry(self, name):
+        trials = Trials(self.ask, self.tell, name)
+        watch = ServerWatch(Suspects(), list, trials)
+        # Nothing listens on the ports, so each server that breaks is lost.
+        watch.follow(self._servers, time.monotonic())
+        return watch
+
+
+def begin(watch, request, server):
+    return watch.begin(request, server, time.monotonic())
+
+
+def lose(watch, server, *requests):
+    """Let requests begin on a server, and break as it is lost."""
+    for request in requests:
+        assert begin(watch, request, server) is GO
+    for broken in requests:
+        watch.fail(broken, server, BROKEN)
+
+
+def tell(one, other):
+    _, records = one.suspects.records_since(0, time.monotonic())
+    other.merge(records, time.monotonic())
+
+
+def is_convicted(watch, request):
+    return watch.suspects.is_convicted(request, time.monotonic())
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+@pytest.fixture
+def entries(fleet):
+    """Two entries which know of two suspects, one of them a crasher."""
+    one, two = fleet.entry('one'), fleet.entry('two')
+    lose(one, 'a', KILLER, INNOCENT)
+    tell(one, two)
+    return one, two
+
+
+@pytest.mark.parametrize(
+    'first',
+    [(INNOCENT, KILLER), (KILLER, INNOCENT)],
+    ids=['innocent', 'killer'],
+)
+def test_only_the_crasher_is_convicted(entries, first):
+    """Each entry tries another suspect, on the same server at once."""
+    tries = list(zip(entries, first, strict=True))
+    lost = ['a']
+    for server in SERVERS[1:]:
+        on_trial = [
+            (watch, request)
+            for watch, request in tries
+            if begin(watch, request, server) in {GO, TRIAL}
+        ]
+        is_lost = KILLER in {request for _, request in on_trial}
+        lost.extend(server * is_lost)
+        for watch, request in on_trial:
+            if is_lost:
+                watch.fail(request, server, BROKEN)
+            else:
+                watch.end(request, server, Ending.completed)
+        for one, other in (entries, entries[::-1]):
+            tell(one, other)
+    assert len(lost) == 2
+    for watch in entries:
+        assert is_convicted(watch, KILLER)
+        assert not is_convicted(watch, INNOCENT)
+
+
+def test_copies_are_tried_on_one_server_at_a_time(entries):
+    one, two = entries
+    assert begin(one, KILLER, 'b') is TRIAL
+    assert begin(two, KILLER, 'c') is BUSY
+    one.fail(KILLER, 'b', BROKEN)
+    # Also before the other entry has heard of the conviction.
+    assert begin(two, KILLER, 'd') is BUSY
+    tell(one, two)
+    assert begin(two, KILLER, 'd') is CONVICTED
+
+
+def test_a_trial_that_completes_makes_room(entries):
+    one, two = entries
+    assert begin(one, INNOCENT, 'b') is TRIAL
+    assert begin(two, KILLER, 'b') is BUSY
+    one.end(INNOCENT, 'b', Ending.completed)
+    wait_until(lambda: begin(two, KILLER, 'b') is TRIAL, 2, 'its turn')
+
+
+@pytest.mark.parametrize('ending', [Ending.cancelled, Ending.completed])
+def test_permits_of_an_ended_trial_are_returned(fleet, entries, ending):
+    one, _ = entries
+    assert begin(one, INNOCENT, 'b') is TRIAL
+    one.end(INNOCENT, 'b', ending)
+    assert fleet.permits.acquire('b', OTHER, 'p', 0)
+    assert fleet.permits.acquire(INNOCENT.hex(), INNOCENT, 'p', 0)
+
+
+def test_nothing_is_tried_where_nobody_can_be_asked(fleet, entries):
+    one, _ = entries
+    fleet.is_cut = True
+    assert begin(one, INNOCENT, 'b') is BUSY
+    assert one.outstanding('b') == 0
+    assert begin(one, OTHER, 'b') is GO
+    req = SimpleNamespace(
+        fingerprint=INNOCENT, request_id='r', deadline_s=time.monotonic() + 0.1
+    )
+    attempts = Attempts(one, RetryBudget())
+    # It waits for its turn until its deadline, and is then sent elsewhere.
+    assert attempts.clear(req, 'b', Tried(), time.monotonic()) is False
+
+
+def test_permit_convicts_where_its_keeper_is_gone(fleet, entries):
+    """Otherwise a request could cost a server at each of its trials."""
+    one, _ = entries
+    assert begin(one, KILLER, 'b') is TRIAL
+    fleet.is_cut = True
+    one.fail(KILLER, 'b', BROKEN)
+    assert is_convicted(one, KILLER)
+
+
+@pytest.mark.parametrize('is_told_first', [True, False])
+def test_suspect_that_was_under_way_already(fleet, is_told_first):
+    """A crasher's copy runs at one entry as the other loses a server."""
+    one, two = fleet.entry('one'), fleet.entry('two')
+    assert begin(two, KILLER, 'b') is GO
+    lose(one, 'a', KILLER, INNOCENT)
+    if is_told_first:
+        tell(one, two)
+        assert begin(one, INNOCENT, 'b') is BUSY
+        assert begin(two, INNOCENT, 'b') is BUSY
+        assert begin(one, KILLER, 'c') is BUSY
+        return
+    assert begin(one, INNOCENT, 'b') is TRIAL
+    tell(one, two)
+    two.fail(KILLER, 'b', BROKEN)
+    one.fail(INNOCENT, 'b', BROKEN)
+    assert not is_convicted(one, INNOCENT)
+    assert begin(one, INNOCENT, 'c') is TRIAL
+
+
+def test_suspect_that_was_under_way_is_told_until_it_ends(fleet, entries):
+    one, two = fleet.entry('three'), entries[0]
+    assert begin(one, INNOCENT, 'b') is GO
+    tell(two, one)
+    one.end(INNOCENT, 'b', Ending.cancelled)
+    told = [message for message in fleet.told if message.request == INNOCENT]
+    assert told == [
+        SuspectRunning('', INNOCENT, 'three'),
+        SuspectRunning('b', INNOCENT, 'three'),
+        EndTrial('', INNOCENT, 'three'),
+        EndTrial('b', INNOCENT, 'three'),
+    ]
+    assert begin(two, KILLER, 'b') is TRIAL
+
+
+def test_no_trial_beside_a_request_that_became_suspect():
+    suspects = Suspects()
+    suspects.start(KILLER, 'b', 0)
+    suspects.start(KILLER, 'a', 0)
+    suspects.start(INNOCENT, 'a', 0)
+    suspects.break_off(INNOCENT, 'a', 1)
+    suspects.break_off(KILLER, 'a', 1)
+    suspects.server_lost('a', 1)
+    assert suspects.late_runs(1) == (('b', KILLER),)
+    assert suspects.clearance(INNOCENT, 'b', 1) is BUSY
+    assert suspects.clearance(INNOCENT, 'c', 1) is TRIAL
+
+
+def test_innocent_that_started_later_is_not_blamed():
+    suspects = Suspects()
+    suspects.start(KILLER, 'a', 0)
+    suspects.break_off(KILLER, 'a', 1)
+    suspects.start(INNOCENT, 'a', 2)
+    suspects.server_lost('a', 3, broke_s=1)
+    assert suspects.clearance(KILLER, 'b', 3) is TRIAL
+    assert suspects.clearance(INNOCENT, 'b', 3) is GO
+    assert suspects.running_on(INNOCENT) == 'a'
+
+
+def test_forwarded_question_is_not_forwarded_again():
+    desk = TrialDesk(TrialPermits(60), lambda server_id: server_id != 'b', None)
+    link = FakeLink('controller')
+    desk.ask(TakeTrial('b', KILLER, 'p'), link, 1, 0)
+    assert link.answer == NO_KEEPER
+    desk.ask(TakeTrial('a', KILLER, 'p'), link, 1, 0)
+    assert link.answer == TrialAnswer(agreed=True)
+
+
+@pytest.mark.parametrize(
+    ('steps', 'sole'),
+    [
+        (['take'], True),
+        ([], False),
+        (['take', 'occupy'], False),
+        (['take', 'occupy', 'leave'], False),
+        (['occupy', 'leave', 'take'], True),
+        (['occupy', 'take'], False),
+    ],
+)
+def test_loss_of_a_trial_convicts_only_the_sole_suspect(steps, sole):
+    desk = TrialDesk(TrialPermits(60), lambda _server_id: True, None)
+    link = FakeLink('controller')
+    for step in steps:
+        if step == 'take':
+            desk.ask(TakeTrial('a', KILLER, 'p'), link, 1, 0)
+        elif step == 'occupy':
+            desk.note(SuspectRunning('a', INNOCENT, 'q'), link, 0)
+        else:
+            desk.note(EndTrial('a', INNOCENT, 'q'), link, 0)
+    desk.ask(TrialLost('a', KILLER, 'p'), link, 1, 1)
+    assert link.answer == TrialAnswer(agreed=sole)
+
+
+@pytest.mark.parametrize(('now_s', 'is_granted'), [(59, False), (61, True)])
+def test_new_owner_waits_for_the_permits_of_the_last(now_s, is_granted):
+    permits = TrialPermits(60)
+    permits.hold_off('a', 0)
+    assert permits.acquire('a', KILLER, 'p', now_s) is is_granted
+    assert permits.acquire('b', KILLER, 'p', now_s)
+
+
+def test_copies_are_drawn_together_until_one_has_completed():
+    suspects = Suspects()
+    suspects.start(KILLER, 'a', 0)
+    suspects.start(KILLER, 'a', 0)
+    assert suspects.running_on(KILLER) == 'a'
+    suspects.complete(KILLER, 'a', 1)
+    assert suspects.running_on(KILLER) is None
