Tell an engine that restarted quickly from a cut link

Cause: an entry whose connection broke looked whether the server still accepts connections, and cleared the requests if so. An engine that was up again by then, empty, passed for a cut link: a request that crashes such engines was never found.

Ruled out: the lag of the owner's look at the inventory, half a second and more, and a new field of engines for their start. Load names are unique, and none is evicted while a request counts as running on it, so the name of the load is an identity of the engine's start: an engine that does not hold it any more has restarted.

Without the load the server counts as lost, whoever reaches it now; without an answer the request stays suspect here alone. Requests that started after the break run on the new process and are not blamed. Plain services hold nothing by which to tell.

--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -172,9 +172,15 @@
         path = '/v1/unload_lora_adapter'
         return self._order(path, document, order.term, QUESTION_TIMEOUT_S)
 
-    def inventory(self) -> Result[Inventory, OrderError]:
-        """Ask what the engine holds."""
-        return self._ask('/v1/models', ModelsDocument).map(_to_inventory)
+    def inventory(
+        self, timeout_s: float = QUESTION_TIMEOUT_S
+    ) -> Result[Inventory, OrderError]:
+        """Ask what the engine holds.
+
+        :param timeout_s: longest wait for the answer.
+        """
+        asked = self._ask('/v1/models', ModelsDocument, timeout_s)
+        return asked.map(_to_inventory)
 
     def load_report(self) -> Result[LoadReport, OrderError]:
         """Ask how busy the engine is; the report lags."""
@@ -216,9 +222,10 @@
         self,
         path: str,
         model: type[_Document],
+        timeout_s: float = QUESTION_TIMEOUT_S,
     ) -> Result[_Document, OrderError]:
         started = self._dispatcher.start(
-            Call('GET', path, (), b'', QUESTION_TIMEOUT_S, repeatable=True),
+            Call('GET', path, (), b'', timeout_s, repeatable=True),
         )
         return started.map_error(order_error_from).bind(
             lambda answer: read_document(answer, model),
--- a/src/wasabicross/membership.py
+++ b/src/wasabicross/membership.py
@@ -148,7 +148,8 @@
     def loss(self, server_id: str, now_s: float) -> Loss:
         """Tell whether a server was lost or only the link to it.
 
-        A server that another process has reached since is not lost. Otherwise
+        A server that has restarted is lost, whoever reaches it now. Of the
+        others, one that another process has reached since is not. Otherwise
         it is if it left the list, refuses connections, or no other process
         that spoke since reaches it either.
         """
@@ -158,6 +159,8 @@
                 return Loss.server
             if health.last_failure is None:
                 return Loss.none
+            if health.last_failure is Failure.restarted:
+                return Loss.server
             since_s = max(health.last_failure_s, now_s - _WORD_TTL_S)
             words = [
                 reachable
--- a/src/wasabicross/server_health.py
+++ b/src/wasabicross/server_health.py
@@ -28,11 +28,15 @@
 
 
 class Failure(enum.Enum):
-    """How a connection failed."""
+    """How a connection failed.
+
+    `restarted`: its server is up again, but has lost what it held.
+    """
 
     refused = 'refused'
     timed_out = 'timed out'
     reset = 'reset'
+    restarted = 'restarted'
 
 
 class ServerState(enum.Enum):
@@ -106,7 +110,7 @@
         self.last_failure_s = now_s
         self._failures += 1
         refused = failure is Failure.refused
-        if refused:
+        if failure in {Failure.refused, Failure.restarted}:
             self._own_leaving_s = -math.inf
         enough = self._failures >= _SUSPECT_FAILURES
         urgent = refused or enough or self._successes_wanted
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+from wasabicross.dispatch import Dispatcher
+from wasabicross.engines import Engine
 from wasabicross.events import Event
 from wasabicross.exceptions import (
     DispatchError,
@@ -277,4 +279,18 @@
             return Failure.refused
         except OSError:
             return Failure.timed_out
-        return None
+        return _restart(address, load_name) if load_name else None
+
+
+def _restart(address: tuple[str, int], load_name: str) -> Failure | None:
+    """Tell whether an engine has lost a load that can't have been evicted.
+
+    Load names are unique, and none is evicted that a request counts as
+    running on.
+    """
+    engine = Engine(Dispatcher(*address))
+    inventory = engine.inventory(PROBE_TIMEOUT_S)
+    engine.close()
+    if inventory.is_error():
+        return Failure.timed_out
+    return None if load_name in inventory.ok.loads else Failure.restarted
