Want loads only on servers that the entry uses

Cause: an engine that says itself that it is leaving, while the list still shows it as live, got no new requests, but was still asked to load: the wants of an entry left out only servers that it had tried or had no grant for. An adapter that ranked such an engine first waited until load_timeout.

Change: a want leaves out every server that the entry does not use now, by the server's own word, by failures or by the list. The stand-in engine can say that it is leaving.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -38,6 +38,7 @@
             options.seed,
         )
         self._highest_term = 0
+        self._is_leaving = False
         self._crash_marker = options.crash_marker.encode()
         self._report: dict[str, Any] = {}
         self._reported_at = -float('inf')
@@ -68,6 +69,9 @@
         if load is None:
             _send_error(responder, 404, 'model_not_found')
             return
+        if self._is_leaving:
+            _send_error(responder, 503, 'leaving')
+            return
         if self._batch.is_full(self._options.queue):
             _send_error(responder, 429, 'queue_full')
             return
@@ -219,6 +223,10 @@
                 self._slots.fail_next(count)
             case 'slow_loads':
                 self._slots.slow_next(count, document['delay_ms'] / 1000)
+            case 'leaving':
+                self._is_leaving = True
+            case 'recover':
+                self._is_leaving = False
             case 'crash_marker':
                 self._crash_marker = document['marker'].encode()
             case _:
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -157,6 +157,12 @@
         ungranted = self._link.loads.ungranted(now_s)
         wanted = run.wanted
         route = run.req.route
+        group = [
+            server.server_id
+            for server in self._watch.group('engine', route.group)
+        ]
+        usable = self._watch.usable(group, now_s)
+        shut_out = [each for each in group if each not in usable]
         return WantLoad(
             wanted.adapter,
             wanted.version,
@@ -164,7 +170,7 @@
             route.group,
             route.request_class,
             0,
-            [*run.tried.servers, *held_by, *ungranted],
+            [*run.tried.servers, *held_by, *ungranted, *shut_out],
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
--- /dev/null
+++ b/tests/test_promise_leaving.py
@@ -0,0 +1,41 @@
+"""A server that says itself that it is leaving, while the list lags."""
+
+import pytest
+from caller_parts import ADAPTERS, model_document
+from promise_parts import Trial, small_shape
+
+
+@pytest.fixture
+def trial(runner, tmp_path_factory):
+    shape = small_shape(data_centres=('north',), instances=2, engines=2)
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+def call_all(trial):
+    """Call each adapter through each entry."""
+    answers = [
+        trial.call(entry, model_document(adapter))
+        for entry in trial.dep.entries
+        for adapter in ADAPTERS
+    ]
+    assert all(answer.completed for answer in answers), answers
+
+
+def log_lengths(trial):
+    return [len(trial.log(each)['log']) for each in trial.dep.engines]
+
+
+def test_own_word_of_leaving(trial):
+    """It counts while the list goes on to show the server as live."""
+    call_all(trial)
+    assert all(log_lengths(trial)), 'each engine holds some adapters'
+    trial.fault(trial.dep.engines[0], kind='leaving')
+    # What is held nowhere else is loaded where it can be used.
+    call_all(trial)
+    leaving, other = log_lengths(trial)
+    call_all(trial)
+    call_all(trial)
+    assert log_lengths(trial)[0] == leaving
+    assert log_lengths(trial)[1] > other
