Keep a server that one reading of the list misses

Cause: a controller passed each reading on as it was. Requests for its adapters waited and were loaded elsewhere.

Change: a controller's view of the fleet keeps a server until two readings in a row miss it; the word 'leaving' is taken at once as before. A change of the order of the list alone is told to nobody. An engine that is missed goes on to have its known owner asked for permits of trials. Instances are still taken as they are read: the consents count them for longer by themselves.

Ruled out: counting in each entry, as is done for its health. Entries are told of changes only, so the second reading in a row that misses a server never reaches them.

The stand-in list can be told for how long an entry is gone in each flap; with equal halves two readings in a row may miss it.

--- a/emulator/instances.py
+++ b/emulator/instances.py
@@ -9,7 +9,8 @@
 POST /remove           ``{"id": ..}``
 POST /state            ``{"id": .., "state": "live" or "leaving"}``
 POST /flap             ``{"id": .., "times": N, "period_s": S}``: gone and
-                       back so many times, then as it was
+                       back so many times, then as it was; gone for ``gone_s``
+                       of each period, half of it if that is not given
 GET, POST /fault       see and set ``lag_s``, ``slow_ms``, ``refuse``
 GET /stats             count of reads
 =====================  =====================================================
@@ -115,13 +116,15 @@
         times: int,
         period_s: float,
         now_s: float,
+        gone_s: float | None = None,
     ) -> None:
         """Show an entry as gone and back, though nothing happens to it."""
         entry = self._truth[entry_id]
+        back_s = period_s / 2 if gone_s is None else gone_s
         for turn in range(times):
             start_s = now_s + turn * period_s
             self._schedule(entry_id, None, start_s)
-            self._schedule(entry_id, entry, start_s + period_s / 2)
+            self._schedule(entry_id, entry, start_s + back_s)
 
     def shown(self, now_s: float) -> dict[str, list[Fields]]:
         """Tell the list as it shows at a time."""
@@ -217,6 +220,7 @@
             document['times'],
             document['period_s'],
             now_s,
+            document.get('gone_s'),
         )
 
     def _post_fault(self, document: Fields, _now_s: float) -> None:
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -250,8 +250,9 @@
         Nobody owns a plain service or a request, so the instances agree on
         one by its id, as far as they see each other.
         """
-        if self.fleet.is_engine(server_id):
-            return self._link_to(self.loads.owner_of(server_id) or '')
+        owner = self.loads.owner_of(server_id)
+        if owner is not None or self.fleet.is_engine(server_id):
+            return self._link_to(owner or '')
         linked = [peer.peer.instance_id for peer in self.peers.linked()]
         keepers = rank(server_id or request.hex(), linked)
         return self._link_to(keepers[0]) if keepers else None
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -22,6 +22,8 @@
         self._fleet = NO_FLEET
         self._lock = threading.Lock()
         self._confirmed: set[str] = set()
+        # Servers that the last reading missed.
+        self._missed: frozenset[str] = frozenset()
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
@@ -29,9 +31,24 @@
         return self._fleet.servers
 
     def take(self, fleet: Fleet) -> bool:
-        """Take a list that was read; return whether it has changed."""
-        changed = fleet != self._fleet
-        self._fleet = fleet
+        """Take a list that was read; return whether anything has changed.
+
+        A server that one reading alone misses stays as it was.
+        """
+        read = {server.server_id for server in fleet.servers}
+        missed = [
+            server
+            for server in self._fleet.servers
+            if server.server_id not in read | self._missed
+        ]
+        self._missed = frozenset(server.server_id for server in missed)
+        kept = fleet._replace(servers=(*fleet.servers, *missed))
+        before = self._fleet
+        changed = (kept.instances, set(kept.servers)) != (
+            before.instances,
+            set(before.servers),
+        )
+        self._fleet = kept
         return changed
 
     def listed(self) -> set[str]:
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,60 @@
+"""A list that flaps, as one instance sees it."""
+
+import pytest
+
+from wasabicross.fleet_view import FleetView
+from wasabicross.instances import BackendServer, Fleet
+
+
+def fleet(listed):
+    """Return a list; a server in capitals is leaving."""
+    return Fleet(
+        (),
+        tuple(
+            BackendServer(
+                name.lower(),
+                'engine',
+                'g',
+                'north',
+                '127.0.0.1',
+                1,
+                'leaving' if name.isupper() else 'live',
+                'base',
+            )
+            for name in listed
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('lists', 'shown'),
+    [
+        (['ab'], 'ab'),
+        (['ab', 'b'], 'ab'),
+        (['ab', 'b', 'ab', 'b'], 'ab'),
+        (['ab', 'b', 'b'], 'b'),
+        (['ab', '', ''], ''),
+        (['ab', 'b', 'b', 'ab', 'b'], 'ab'),
+        # A word is taken at once, and kept while the server is missed.
+        (['ab', 'Ab'], 'Ab'),
+        (['ab', 'Ab', 'b'], 'Ab'),
+        (['ab', 'Ab', 'b', 'b'], 'b'),
+        (['ab', 'Ab', 'ab'], 'ab'),
+    ],
+)
+def test_server_that_one_reading_misses_stays(lists, shown):
+    view = FleetView('i', 'north')
+    for listed in lists:
+        view.take(fleet(listed))
+    found = sorted(
+        each.server_id.upper() if each.state == 'leaving' else each.server_id
+        for each in view.servers
+    )
+    assert sorted(found, key=str.lower) == sorted(shown, key=str.lower)
+
+
+def test_only_what_changes_is_told():
+    view = FleetView('i', 'north')
+    lists = ('ab', 'ba', 'b', 'ab', 'a', 'a')
+    told = [view.take(fleet(each)) for each in lists]
+    assert told == [True, False, False, False, False, True]
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -136,13 +136,23 @@
 
 
 @pytest.mark.parametrize(
-    ('now_s', 'shown'),
-    [(1.9, True), (2, False), (2.5, True), (3, False), (3.5, True)],
+    ('now_s', 'gone_s', 'shown'),
+    [
+        (1.9, None, True),
+        (2, None, False),
+        (2.5, None, True),
+        (3, None, False),
+        (3.5, None, True),
+        (2.1, 0.2, False),
+        (2.2, 0.2, True),
+        (3.1, 0.2, False),
+        (3.2, 0.2, True),
+    ],
 )
-def test_flap_shows_gone_and_back(now_s, shown):
+def test_flap_shows_gone_and_back(now_s, gone_s, shown):
     fleet = LaggingList([Entry('server', ENGINE._asdict())])
     fleet.faults = Faults(lag_s=1)
-    fleet.flap('engine-1', 2, 1, now_s=1)
+    fleet.flap('engine-1', 2, 1, now_s=1, gone_s=gone_s)
     assert names(fleet, now_s) == (['engine-1'] if shown else [])
 
 
