Drop permits of trials that have lapsed

The permit of a request is not returned after a conviction, and an entry that dies returns none, so the keepers' tables grew for as long as they lived. What has lapsed is dropped before each grant.

--- a/src/wasabicross/trial_permits.py
+++ b/src/wasabicross/trial_permits.py
@@ -37,6 +37,9 @@
         self._others: dict[str, dict[tuple[bytes, str], float]] = {}
         self._closed_until_s: dict[str, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._held) + len(self._others) + len(self._closed_until_s)
+
     def acquire(
         self,
         server_id: str,
@@ -46,12 +49,10 @@
     ) -> bool:
         """Take the permit of a server for one run of a suspect."""
         with self._lock:
-            if now_s < self._closed_until_s.get(server_id, now_s):
-                return False
-            if self._others_on(server_id, now_s):
+            self._drop_lapsed(now_s)
+            if server_id in self._closed_until_s:
                 return False
-            held = self._held.get(server_id)
-            if held and now_s - held.taken_s < self._ttl_s:
+            if server_id in self._held or server_id in self._others:
                 return False
             self._held[server_id] = _Permit(request, process, now_s)
             return True
@@ -95,8 +96,18 @@
         with self._lock:
             self._closed_until_s[server_id] = now_s + self._ttl_s
 
-    def _others_on(self, server_id: str, now_s: float) -> bool:
-        return any(
-            now_s - noted_s < self._ttl_s
-            for noted_s in self._others.get(server_id, {}).values()
-        )
+    def _drop_lapsed(self, now_s: float) -> None:
+        since_s = now_s - self._ttl_s
+        self._held = {
+            server_id: held
+            for server_id, held in self._held.items()
+            if held.taken_s > since_s
+        }
+        self._closed_until_s = {
+            server_id: until_s
+            for server_id, until_s in self._closed_until_s.items()
+            if until_s > now_s
+        }
+        for server_id, others in tuple(self._others.items()):
+            if max(others.values()) <= since_s:
+                self._others.pop(server_id)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -333,6 +333,16 @@
     assert permits.acquire('b', KILLER, 'p', now_s)
 
 
+def test_what_was_never_returned_lapses():
+    permits = TrialPermits(60)
+    assert permits.acquire('a', KILLER, 'p', 0)
+    permits.occupy('b', INNOCENT, 'q', 0)
+    permits.hold_off('c', 0)
+    assert not any(permits.acquire(each, OTHER, 'r', 59) for each in 'abc')
+    assert all(permits.acquire(each, OTHER, 'r', 60) for each in 'abc')
+    assert len(permits) == 3
+
+
 def test_copies_are_drawn_together_until_one_has_completed():
     suspects = Suspects()
     suspects.start(KILLER, 'a', 0)
