Test copies of a crashing request that come at one moment

Six copies, three at each of two entries: each entry sends its own to one server, and one more server is lost to the trial, at most three of four. The engine that holds the adapter alone in a data centre draws the copies together already, so this test does not show what sending them after each other's server adds; tests/test_trials.py has that.

--- a/tests/test_promise_crasher.py
+++ b/tests/test_promise_crasher.py
@@ -1,6 +1,7 @@
 """A request that crashes servers costs few of them, and innocents nothing."""
 
 import json
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
@@ -27,18 +28,26 @@
     return started
 
 
-def crasher(adapter):
+def crasher(adapter, text=MARKER):
     return {
         'model': adapter,
         'max_tokens': 4,
         'stream': False,
-        'messages': [{'role': 'user', 'content': MARKER}],
+        'messages': [{'role': 'user', 'content': text}],
     }
 
 
+def lost_engines(trial):
+    """Restart the engines that were lost; return their names."""
+    running = trial.runner.running()
+    lost = [each.name for each in trial.dep.engines if each.name not in running]
+    for name in lost:
+        trial.runner.restart(name)
+    return lost
+
+
 def test_crasher(trial):
     """Sent again and again, through both data centres, among others."""
-    engines = [engine.name for engine in trial.dep.engines]
     with Traffic(trial, 6, any_adapter, SEED) as traffic:
         traffic.wait_for(20)
         copies = []
@@ -46,9 +55,7 @@
             entry = trial.dep.entries[turn % 2]
             copies.append(trial.call(entry, crasher(ADAPTERS[0])))
             traffic.wait_for(10)
-        lost = [name for name in engines if name not in trial.runner.running()]
-        for name in lost:
-            trial.runner.restart(name)
+        lost = lost_engines(trial)
         traffic.wait_for(20)
     assert 1 <= len(lost) <= MAX_LOST
     assert copies[-1].status == 422
@@ -70,3 +77,23 @@
     assert check_answers(
         trial, [each for each in whole if each.request_id in known]
     )
+
+
+def test_copies_at_one_moment(trial):
+    """Each entry sends its copies to one server, and one more is tried."""
+    document = crasher(ADAPTERS[0], f'{MARKER} at once')
+    with Traffic(trial, 6, any_adapter, SEED) as traffic:
+        traffic.wait_for(20)
+        with ThreadPoolExecutor(COPIES) as pool:
+            copies = [
+                pool.submit(trial.call, trial.dep.entries[turn % 2], document)
+                for turn in range(COPIES)
+            ]
+        traffic.wait_for(10)
+        last = [trial.call(each, document) for each in trial.dep.entries]
+        lost = lost_engines(trial)
+        traffic.wait_for(20)
+    assert 1 <= len(lost) <= len(trial.dep.entries) + 1
+    assert not [each for each in copies if each.result().status == 200]
+    assert {answer.status for answer in last} == {422}
+    assert not [each for each in traffic.answers if each.status == 422]
