--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -57,7 +57,12 @@
     UseGranted,
 )
 from wasabicross.suspect_messages import (
+    EndTrial,
     SuspectRecords,
+    SuspectRunning,
+    TakeTrial,
+    TrialAnswer,
+    TrialLost,
 )
 from wasabicross.want_messages import (
     LoadDeclined,
@@ -77,6 +82,7 @@
     'CloseLoad',
     'CloseRefused',
     'Done',
+    'EndTrial',
     'Envelope',
     'FleetUpdate',
     'GetChunk',
@@ -116,6 +122,10 @@
     'SettleKey',
     'Status',
     'SuspectRecords',
+    'SuspectRunning',
+    'TakeTrial',
+    'TrialAnswer',
+    'TrialLost',
     'UseGranted',
     'WantLoad',
     'Welcome',
@@ -164,6 +174,11 @@
     PermitGranted,
     PermitReturned,
     HoldersLost,
+    TakeTrial,
+    TrialLost,
+    TrialAnswer,
+    EndTrial,
+    SuspectRunning,
 )
 
 _CODES = {kind: code for code, kind in enumerate(MESSAGES)}
