Hold back only what may begin an answer's model field

Ruled out: changing the test. Change: only bytes at the end of a piece that may begin the field are held back, at most the length of the longest such field.

--- a/src/wasabicross/model_field.py
+++ b/src/wasabicross/model_field.py
@@ -4,7 +4,14 @@
 from collections.abc import Generator, Iterator
 from contextlib import closing
 
-_LINE_END = b'\n'
+#: Longest white space on either side of the colon.
+_MAX_SPACES = 16
+
+#: A field at the end of some bytes that isn't complete yet.
+_OPEN_FIELD = re.compile(
+    rb'"(?:m(?:o(?:d(?:e(?:l(?:"%(spaces)b(?::%(spaces)b(?:"[^"]*)?)?'
+    rb')?)?)?)?)?)?\Z' % {b'spaces': rb'\s{0,%d}' % _MAX_SPACES},
+)
 
 
 class ModelField:
@@ -12,10 +19,8 @@
 
     Only a field named `model` with exactly the load's name as its value is
     changed. Text can't be taken for it: within a JSON string each quote has a
-    backslash before it. So no JSON has to be parsed for each token. What
-    follows the last line break is held back until the line ends, so that a
-    name in two pieces is found. Server-sent events end with a line break; an
-    answer that isn't streamed comes as a whole at its end.
+    backslash before it. So no JSON has to be parsed for each token. Bytes at
+    the end of a piece that may begin the field are held back for the next.
 
     :param load_name: what the engine calls it.
     :param adapter: what the caller calls it.
@@ -24,11 +29,13 @@
     def __init__(self, load_name: str, adapter: str) -> None:
         # Some encoders put a backslash before a slash.
         spelled = re.escape(load_name).replace('/', r'\\?/')
+        spaces = rf'\s{{0,{_MAX_SPACES}}}'
         self._field = re.compile(
             # It begins with plain characters, for which the search is fast.
-            rf'"model"(?<!\\"model")(\s*:\s*"){spelled}(?=")'.encode(),
+            rf'"model"(?<!\\"model")({spaces}:{spaces}"){spelled}"'.encode(),
         )
-        self._renamed = rf'"model"\g<1>{adapter}'.encode()
+        self._renamed = rf'"model"\g<1>{adapter}"'.encode()
+        self._longest = len('"model":') + 2 * (_MAX_SPACES + 1 + len(load_name))
 
     def rename(self, pieces: Generator[bytes]) -> Iterator[bytes]:
         """Yield the pieces of an answer with the field changed.
@@ -38,13 +45,15 @@
         held = b''
         with closing(pieces):
             for piece in pieces:
-                came = held + piece
-                lines_end = came.rfind(_LINE_END) + 1
-                held = came[lines_end:]
-                if lines_end:
-                    yield self._rename_all(came[:lines_end])
+                came = self._field.sub(self._renamed, held + piece)
+                sure = self._open_at(came)
+                held = came[sure:]
+                if sure:
+                    yield came[:sure]
         if held:
-            yield self._rename_all(held)
+            yield held
 
-    def _rename_all(self, lines: bytes) -> bytes:
-        return self._field.sub(self._renamed, lines)
+    def _open_at(self, came: bytes) -> int:
+        """Return where the field may have begun, with the byte before it."""
+        begun = _OPEN_FIELD.search(came, max(0, len(came) - self._longest))
+        return max(0, begun.start() - 1) if begun else len(came)
--- a/tests/test_model_field.py
+++ b/tests/test_model_field.py
@@ -35,8 +35,8 @@
     return json.dumps(document, indent=2)
 
 
-def renamed(*pieces):
-    return list(ModelField(LOAD, ADAPTER).rename(each for each in pieces))
+def renamed(*pieces, load=LOAD, adapter=ADAPTER):
+    return list(ModelField(load, adapter).rename(each for each in pieces))
 
 
 def event(name, text):
@@ -63,6 +63,37 @@
         assert b''.join(pieces) == expected + b'data: [DONE]\n\n'
 
 
+@pytest.mark.parametrize('adapter', [ADAPTER, 'model', 'm', 'model:'])
+def test_stream_that_comes_byte_by_byte(adapter):
+    load = f'{adapter}@1#engine-1:3:1'
+    stream = event(load, load) + event(load, '"model') + event('base', 'x')
+    expected = event(adapter, load) + event(adapter, '"model')
+    came = [stream[at : at + 1] for at in range(len(stream))]
+    pieces = renamed(*came, load=load, adapter=adapter)
+    assert b''.join(pieces) == expected + event('base', 'x')
+
+
+@pytest.mark.parametrize(
+    ('came', 'passed'),
+    [
+        (b'{"choices": [{"text": "a long', b'{"choices": [{"text": "a long'),
+        (b'{"a": 1, "mod', b'{"a": 1,'),
+        (b'{"a": 1, "model": "ten', b'{"a": 1,'),
+        (b'{"a": 1, "model": "other", ', b'{"a": 1, "model": "other", '),
+        (b'{"model": "' + b'x' * 500, b'{"model": "' + b'x' * 500),
+    ],
+)
+def test_only_what_may_begin_the_field_is_held_back(came, passed):
+    def pieces():
+        yield came
+        raise AnswerCut('gone')
+
+    answer = ModelField(LOAD, ADAPTER).rename(pieces())
+    assert next(answer) == passed
+    with pytest.raises(AnswerCut):
+        next(answer)
+
+
 def test_whole_events_are_not_held_back():
     came = [event(LOAD, str(number)) for number in range(3)]
     expected = [event(ADAPTER, str(number)) for number in range(3)]
