Tell fencing terms only to the servers that check them

Cause: servers.fencing had no effect; each order carried a term. Ruled out: shorter waits at servers that check terms: an evict of a former owner can still arrive until the later one has sent its first order, as the model found; and longer ones at the others, since consents cover a late evict there. The test deployments name the engines that check terms, as their stand-ins are started.

--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -190,14 +190,13 @@
             self.weights.url,
             '--base-model',
             BASE_MODEL,
-            *self.shape.engine_args,
         )
         programs.extend(
             stand_in(
                 place,
                 'emulator.engine',
                 *engine_args,
-                *self.shape.further_args.get(place.data_centre, ()),
+                *self._engine_args(place),
             )
             for place in self.engines
         )
@@ -206,6 +205,18 @@
         )
         return programs
 
+    def _fencing(self) -> list[str]:
+        """Name the engines that check fencing terms."""
+        return [
+            place.name
+            for place in self.engines
+            if '--no-fencing' not in self._engine_args(place)
+        ]
+
+    def _engine_args(self, place: Place) -> tuple[str, ...]:
+        further = self.shape.further_args.get(place.data_centre, ())
+        return (*self.shape.engine_args, *further)
+
     def _list_programs(self) -> list[Program]:
         programs = {}
         for source, place in self.lists.items():
@@ -280,5 +291,9 @@
             'peer_token': PEER_TOKEN,
             'data_centres': list(self.shape.data_centres),
             **self.shape.settings,
+            'servers': {
+                'fencing': self._fencing(),
+                **self.shape.settings.get('servers', {}),
+            },
         }
         self._settings_path(instance_id).write_text(yaml.safe_dump(document))
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -82,6 +82,7 @@
             DeskLink(data_centre, self._send_to_desk),
             self.loads.term_of,
             self._deposed,
+            cfg.servers.fencing,
         )
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
--- a/src/wasabicross/engines.py
+++ b/src/wasabicross/engines.py
@@ -118,10 +118,18 @@
     """A model engine.
 
     :param dispatcher: exchanges with the engine's address.
+    :param checks_terms: whether it refuses orders with an old fencing term;
+        others are told none.
     """
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        *,
+        checks_terms: bool = True,
+    ) -> None:
         self._dispatcher = dispatcher
+        self._checks_terms = checks_terms
 
     @classmethod
     def from_server(cls, server: BackendServer) -> 'Engine':
@@ -211,13 +219,12 @@
         term: int,
         timeout_s: float,
     ) -> Result[None, OrderError]:
-        headers = (
-            ('Content-Type', 'application/json'),
-            (_TERM_FIELD, str(term)),
-        )
+        headers = [('Content-Type', 'application/json')]
+        if self._checks_terms:
+            headers.append((_TERM_FIELD, str(term)))
         body = json.dumps(document).encode()
         started = self._dispatcher.start(
-            Call('POST', path, headers, body, timeout_s),
+            Call('POST', path, tuple(headers), body, timeout_s),
         )
         return started.map_error(order_error_from).bind(judge_order)
 
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -93,6 +93,7 @@
     :param permits: where permits to load are asked for.
     :param known_term: tells the highest term known of a server.
     :param on_deposed: told of a server that has a later owner.
+    :param fencing: servers that refuse orders with an old fencing term.
     """
 
     def __init__(
@@ -101,11 +102,13 @@
         permits: DeskLink,
         known_term: Callable[[str], int],
         on_deposed: Callable[[str], None],
+        fencing: Iterable[str] = (),
     ) -> None:
         self.known_term = known_term
         self._subscribers = subscribers
         self._permits = permits
         self._on_deposed = on_deposed
+        self._fencing = frozenset(fencing)
         self._lock = threading.Lock()
         self._servers: dict[str, BackendServer] = {}
         self._owners: dict[str, ServerOwner] = {}
@@ -129,7 +132,10 @@
         server = start.server
         with self._lock:
             address = self._servers[server.server_id]
-            engine = Engine(Dispatcher(address.host, address.port))
+            engine = Engine(
+                Dispatcher(address.host, address.port),
+                checks_terms=server.server_id in self._fencing,
+            )
             owner = ServerOwner(
                 server, engine, self._subscribers, self._permits
             )
--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -123,7 +123,8 @@
 class ServersSettings(Section):
     """What is known of the backend servers.
 
-    `fencing` names the servers that refuse orders with an old term;
+    `fencing` names the servers that refuse orders with an old term, which
+    alone are told terms;
     `max_request_s` bounds each request, and `use_lease_s` how long another
     data centre's servers may be used without a word from their owner.
     """
--- /dev/null
+++ b/tests/test_promise_fencing.py
@@ -0,0 +1,43 @@
+"""Orders carry a fencing term where the server checks it, and only there."""
+
+import pytest
+from caller_parts import ADAPTERS, model_document
+from promise_parts import Trial, small_shape
+
+from emulator.waiting import wait_until
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(
+        data_centres=('north', 'south'),
+        further_args={'north': ('--no-fencing',)},
+    )
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+def loads_at(trial, engine):
+    return [
+        each for each in trial.log(engine)['log'] if each['event'] == 'load'
+    ]
+
+
+def loaded_everywhere(trial):
+    for entry in trial.dep.entries:
+        for adapter in ADAPTERS:
+            trial.call(entry, model_document(adapter))
+    return all(loads_at(trial, engine) for engine in trial.dep.engines)
+
+
+@pytest.mark.parametrize(
+    ('data_centre', 'is_told'), [('north', False), ('south', True)]
+)
+def test_terms_of_orders(trial, data_centre, is_told):
+    wait_until(lambda: loaded_everywhere(trial), 20, 'loads everywhere')
+    (engine,) = (
+        each for each in trial.dep.engines if each.data_centre == data_centre
+    )
+    terms = [each['term'] for each in loads_at(trial, engine)]
+    assert {term > 0 for term in terms} == {is_told}
