Say which port is taken, and end with exit code 3

Cause: a program whose port was taken printed a traceback. Ruled out: to look for a free port first, which another program may take in between. Change: the ports of all three programs are bound before anything else starts; where one can't be had, event 1006 tells which and why, and the program ends with 3. Conclusion: a taken port is told plainly.

--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -13,6 +13,7 @@
 from wasabicross.controller_status import ControllerStatus
 from wasabicross.events import Event
 from wasabicross.kv import KeyValueStore
+from wasabicross.listening import Started, bind_http, start_or_exit
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.settings import Settings
@@ -54,12 +55,15 @@
             daemon=True,
         )
 
-    def start(self) -> None:
-        """Serve in threads; OSError if a port is taken."""
-        self._metrics.start()
-        self._server.prepare()
+    def start(self) -> Started:
+        """Serve in threads, or return `PortUnavailable`."""
+        bound = self._metrics.start().bind(lambda _: bind_http(self._server))
+        if bound.is_error():
+            self._metrics.stop()
+            return bound
         self._thread.start()
         self._readiness.declare('accepting', holds=True)
+        return bound
 
     def stop(self) -> None:
         """Take nothing new, finish what runs, then end."""
@@ -77,7 +81,7 @@
     configure_logs(cfg.logs, 'wasabicross-admin')
     stop = stop_event()
     admin = Admin(cfg, ControllerStatus.from_config(cfg))
-    admin.start()
+    start_or_exit(admin.start)
     log_event(Event.PROGRAM_STARTED, version=__version__)
     wait_for_stop(stop)
     log_event(Event.PROGRAM_STOPPING)
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -22,7 +22,8 @@
 from wasabicross.instance_loads import InstanceLoads
 from wasabicross.instances import Fleet, InstanceList
 from wasabicross.kv import KeyValueStore
-from wasabicross.links import Link, listen
+from wasabicross.links import Link, LinkListener
+from wasabicross.listening import Started, start_or_exit
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
@@ -116,7 +117,7 @@
         self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
         self._accepted = AcceptedLinks(self)
-        self._server = listen(
+        self._listener = LinkListener(
             cfg.instance.host,
             cfg.controller.port,
             self._accept,
@@ -132,13 +133,16 @@
             InstanceList.from_config(cfg.platform.instance_list),
         )
 
-    def start(self) -> None:
-        """Start all threads."""
-        self._metrics.start()
+    def start(self) -> Started:
+        """Start all threads, or return `PortUnavailable`."""
+        bound = self._metrics.start().bind(lambda _: self._listener.bind())
+        if bound.is_error():
+            self._metrics.stop()
+            return bound
         self.follower.start()
         runs = (
             ('lease', self.lease.run),
-            ('links', self._server.serve_forever),
+            ('links', self._listener.serve),
             ('list', self._follow_list),
             ('pointer', self._pointers.run),
             ('probe', partial(self._probe.run, self.stopping)),
@@ -151,6 +155,7 @@
             thread = threading.Thread(target=run, name=name, daemon=True)
             thread.start()
             self._threads[name] = thread
+        return bound
 
     def stop(self) -> None:
         """Hand over what is owned here and close the links."""
@@ -160,7 +165,7 @@
         self._say_goodbye()
         self._threads['lease'].join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
-        self._server.shutdown()
+        self._listener.stop()
         self._metrics.stop()
 
     def _say_goodbye(self) -> None:
@@ -374,7 +379,7 @@
     configure_logs(cfg.logs, 'wasabicross-controller')
     stop = stop_event()
     controller = Controller.from_config(cfg)
-    controller.start()
+    start_or_exit(controller.start)
     log_event(Event.PROGRAM_STARTED, version=__version__)
     wait_for_stop(stop)
     log_event(Event.PROGRAM_STOPPING)
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -13,6 +13,7 @@
 from wasabicross.entry_link import EntryLink
 from wasabicross.events import Event
 from wasabicross.key_claims import KeyClaims
+from wasabicross.listening import Started, bind_http, start_or_exit
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
 from wasabicross.options import settings_options, settings_or_exit
@@ -56,16 +57,19 @@
             shutdown_timeout=int(cfg.servers.max_request_s) + HEADER_TIMEOUT_S,
         )
 
-    def start(self) -> None:
+    def start(self) -> Started:
         """Start serving; metrics first, since they tell that it lives."""
-        self._metrics.start()
+        bound = self._metrics.start().bind(lambda _: bind_http(self._server))
+        if bound.is_error():
+            self._metrics.stop()
+            return bound
         self._link.start()
-        self._server.prepare()
         for name, run in (
             ('callers', self._server.serve),
             ('ready', self._follow_readiness),
         ):
             threading.Thread(target=run, name=name, daemon=True).start()
+        return bound
 
     def stop(self) -> None:
         """Take nothing new, wait for all answers to end, then end."""
@@ -123,7 +127,7 @@
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
     stop = stop_event()
     entry = Entry(cfg, entry_cfg)
-    entry.start()
+    start_or_exit(entry.start)
     log_event(Event.PROGRAM_STARTED, version=__version__)
     wait_for_stop(stop)
     log_event(Event.PROGRAM_STOPPING)
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -27,6 +27,7 @@
     PROGRAM_STOPPED = EventKind(1003, 'INFO')
     THREAD_FAILED = EventKind(1004, 'ERROR')
     LIBRARY_MESSAGE = EventKind(1005, 'WARNING')
+    PORT_UNAVAILABLE = EventKind(1006, 'ERROR')
 
     BUNDLE_IN_FORCE = EventKind(3001, 'INFO')
     BUNDLE_REFUSED = EventKind(3002, 'ERROR')
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -44,6 +44,23 @@
     code = 'link_refused'
 
 
+class PortUnavailable(WasabicrossError):
+    """A port can't be listened on, mostly since another program does.
+
+    :param host: IP number of the port.
+    :param port: its number.
+    :param reason: as the system tells it.
+    """
+
+    code = 'port_unavailable'
+
+    def __init__(self, host: str, port: int, reason: str) -> None:
+        super().__init__(f'{host}:{port}: {reason}')
+        self.host = host
+        self.port = port
+        self.reason = reason
+
+
 class Fault(NamedTuple):
     """One thing that is wrong in a document, and where.
 
--- a/src/wasabicross/links.py
+++ b/src/wasabicross/links.py
@@ -6,6 +6,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from contextlib import ExitStack
+from functools import partial
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
@@ -20,6 +21,7 @@
     LinkRefused,
     LinkTimeout,
 )
+from wasabicross.listening import Started, bind
 from wasabicross.messages import (
     ONE_WAY,
     REPLY,
@@ -223,6 +225,41 @@
     )
 
 
+class LinkListener:
+    """Lets other processes open links, on a port of its own.
+
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    :param accept: decides whether the process that said hello is let in.
+    :param serve_link: runs an accepted link until it ends.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        accept: Callable[[Link], Refusal | Welcome],
+        serve_link: Callable[[Link], None],
+    ) -> None:
+        self._address = (host, port)
+        self._listen = partial(listen, host, port, accept, serve_link)
+        self._servers: list[Server] = []
+
+    def bind(self) -> Started:
+        """Bind the port, or return `PortUnavailable`."""
+        return bind(*self._address, self._listen).map(self._servers.append)
+
+    def serve(self) -> None:
+        """Let processes in until `stop`; the port is bound."""
+        for server in self._servers:
+            server.serve_forever()
+
+    def stop(self) -> None:
+        """Let nobody in any more."""
+        for server in self._servers:
+            server.shutdown()
+
+
 def _greet(
     conn: ServerConnection,
     accept: Callable[[Link], Refusal | Welcome],
--- a/src/wasabicross/options.py
+++ b/src/wasabicross/options.py
@@ -11,6 +11,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+EXIT_PORT = 3
 
 _Command = TypeVar('_Command', bound=Callable[..., Any])
 
--- a/src/wasabicross/telemetry.py
+++ b/src/wasabicross/telemetry.py
@@ -9,6 +9,8 @@
 from prometheus_client import REGISTRY, CollectorRegistry, Histogram
 from prometheus_client.exposition import make_wsgi_app
 
+from wasabicross.listening import Started, bind_http
+
 _THREADS = 2
 _STOP_S = 1
 _LATENCY_BUCKETS_S = (
@@ -118,10 +120,12 @@
         """The port that is bound."""
         return int(self._server.bind_addr[1])
 
-    def start(self) -> None:
-        """Bind the port and serve in a thread; OSError if it is taken."""
-        self._server.prepare()
-        self._thread.start()
+    def start(self) -> Started:
+        """Bind the port and serve in a thread, or return `PortUnavailable`."""
+        bound = bind_http(self._server)
+        if bound.is_ok():
+            self._thread.start()
+        return bound
 
     def stop(self) -> None:
         """Stop serving; safe to call more than once."""
