--- a/src/wasabicross/telemetry.py
+++ b/src/wasabicross/telemetry.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cheroot import wsgi
 from prometheus_client import REGISTRY, CollectorRegistry, Histogram
 from prometheus_client.exposition import make_wsgi_app
 
+from wasabicross.http_server import HttpServer
 from wasabicross.listening import Started, bind_http
 
 _THREADS = 2
@@ -103,7 +103,7 @@
     ) -> None:
         self._readiness = readiness
         self._metrics: Any = make_wsgi_app(registry)
-        self._server = wsgi.Server(
+        self._server = HttpServer(
             (host, port),
             self._answer,
             numthreads=_THREADS,
