--- a/emulator/stream_client.py
+++ b/emulator/stream_client.py
@@ -41,6 +41,9 @@
     :param started_s: monotonic time at which it was made.
     :param status: HTTP status; 0 if no answer came.
     :param is_complete: whether the answer came whole.
+    :param failure: why it did not.
+    :param is_reused: whether its connection had carried an earlier call.
+    :param idle_s: seconds for which that connection was not in use.
     :param outcome: what the entry said of it.
     :param version: adapter version as the entry named it.
     :param produced_by: ``adapter@version`` as the engine named it.
@@ -53,6 +56,9 @@
     started_s: float
     status: int = 0
     is_complete: bool = False
+    failure: str = ''
+    is_reused: bool = False
+    idle_s: float = 0
     outcome: str = ''
     version: str = ''
     produced_by: str = ''
@@ -119,8 +125,8 @@
         try:
             async with asyncio.timeout(call.timeout_s):
                 await self._exchange(call, watch)
-        except (OSError, EOFError, ValueError):
-            watch.fail()
+        except (OSError, EOFError, ValueError) as exc:
+            watch.fail(repr(exc))
         return watch.record()
 
     def close(self) -> None:
@@ -133,12 +139,14 @@
     async def _exchange(self, call: StreamCall, watch: '_Watch') -> None:
         idle = self._idle.setdefault(call.url, [])
         connection = _take_open(idle) or await _connect(call.url)
+        watch.connected(connection.idle_since_s)
         try:
             reusable = await connection.exchange(call, watch)
         except BaseException:
             connection.close()
             raise
         if reusable:
+            connection.idle_since_s = time.monotonic()
             idle.append(connection)
         else:
             connection.close()
@@ -152,6 +160,13 @@
         self._arrivals: list[float] = []
         self._buffer = b''
 
+    def connected(self, idle_since_s: float | None) -> None:
+        if idle_since_s is not None:
+            self._record = self._record._replace(
+                is_reused=True,
+                idle_s=time.monotonic() - idle_since_s,
+            )
+
     def head(self, status: int, headers: dict[str, str]) -> None:
         retry_after = headers.get('retry-after')
         self._record = self._record._replace(
@@ -176,8 +191,8 @@
     def complete(self) -> None:
         self._record = self._record._replace(is_complete=True)
 
-    def fail(self) -> None:
-        self._record = self._record._replace(is_complete=False)
+    def fail(self, failure: str) -> None:
+        self._record = self._record._replace(is_complete=False, failure=failure)
 
     def record(self) -> CallRecord:
         now_s = time.monotonic()
@@ -215,6 +230,8 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        #: Monotonic time of the last answer's end, none before the first.
+        self.idle_since_s: float | None = None
 
     @property
     def is_open(self) -> bool:
