Let no thread wait for the head of a request

Cause: a connection took a thread of its server from the first moment, and held it for up to 10 s while its head came slowly or not at all. Ruled out: more threads. Change: one thread for each server waits for heads by epoll, and threads get requests whose head is whole, or can't become so. Idle connections stay for 75 s. Heads have at most 64 KiB. All ports have the listen backlog of an entry. Tests: test_promise_garbage tries its raw bytes at all six ports in place of two, and 130 slow callers at each. Conclusion: slow heads hold up nobody at any port. A slow body still holds a thread of its server.

--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -25,7 +25,6 @@
 
 SPARE_THREADS = 16
 HEADER_TIMEOUT_S = 10
-LISTEN_BACKLOG = 256
 DRAIN_GRACE_S = 1.0
 READY_INTERVAL_S = 0.1
 
@@ -51,7 +50,6 @@
             (cfg.instance.host, entry.port),
             self._api,
             numthreads=entry.max_requests + SPARE_THREADS,
-            request_queue_size=LISTEN_BACKLOG,
             timeout=HEADER_TIMEOUT_S,
             # Workers that stream go on until their answers have ended.
             shutdown_timeout=int(cfg.servers.max_request_s) + HEADER_TIMEOUT_S,
--- a/src/wasabicross/http_server.py
+++ b/src/wasabicross/http_server.py
@@ -3,10 +3,21 @@
 import socket
 import time
 from contextlib import suppress
+from typing import Any
 
 from cheroot import wsgi
 from cheroot.server import HTTPConnection, HTTPRequest
 
+from wasabicross.request_heads import MAX_HEAD_BYTES, RequestHeads
+
+#: Seconds for which a connection is kept open between requests.
+KEEP_ALIVE_S = 75
+
+#: Connections that may wait to be accepted.
+LISTEN_BACKLOG = 256
+
+_TIMEOUT_S = 10
+
 #: Bytes of a body that a refused request may still bring without losing its
 #: connection: less than a new connection costs.
 _SKIPPED_BYTES = 65_536
@@ -75,13 +86,52 @@
 
     RequestHandlerClass = _Request
 
+    def __init__(self, server: 'HttpServer', sock: Any, makefile: Any) -> None:
+        super().__init__(server, sock, makefile)
+        sock.settimeout(server.read_timeout_s)
+
 
 class HttpServer(wsgi.Server):
     """Serves a WSGI application in threads, each answer to its own request.
 
     After an answer that leaves some of a body unread the connection ends, so
-    that the rest isn't read as another request. Its parameters are those of the
-    library's server.
+    that the rest isn't read as another request. No thread waits for the head
+    of a request. A connection that is kept alive stays open for longer than
+    those of common balancers, so that it isn't closed just as they use it.
+
+    :param address: IP number and port.
+    :param application: answers the requests.
+    :param timeout: seconds within which a head has to be whole, and longest
+        pause within a body.
+    :param more: parameters of the library's server.
     """
 
     ConnectionClass = _Connection
+    max_request_header_size = MAX_HEAD_BYTES
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        application: Any,
+        timeout: float = _TIMEOUT_S,
+        **more: Any,
+    ) -> None:
+        more.setdefault('request_queue_size', LISTEN_BACKLOG)
+        super().__init__(address, application, timeout=KEEP_ALIVE_S, **more)
+        self.read_timeout_s = timeout
+        self._heads = RequestHeads(self.requests.put, timeout)
+
+    def prepare(self) -> None:
+        """Bind the port and start the threads."""
+        super().prepare()
+        self._heads.start()
+
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Have a connection's next request answered once its head is here."""
+        self._heads.add(conn, time.monotonic())
+
+    def stop(self) -> None:
+        """Answer what has come, then end the connections and threads."""
+        if self.ready:
+            self._heads.stop()
+        super().stop()
--- a/tests/test_promise_garbage.py
+++ b/tests/test_promise_garbage.py
@@ -3,9 +3,11 @@
 import json
 import random
 import socket
+from contextlib import ExitStack
 
 import cbor2
 import pytest
+import urllib3
 from caller_parts import (
     ADAPTERS,
     Traffic,
@@ -22,13 +24,14 @@
 from wasabicross import messages as msg
 
 SEED = 20261209
+SLOW = 130  # more than an entry has threads
 RNG = random.Random(SEED)
 AUTHORISED = f'Authorization: Bearer {TENANT_TOKEN}\r\n'
 
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(data_centres=('north',), services=1)
+    shape = small_shape(data_centres=('north',), services=1, admins=True)
     started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
     started.wait_in_force(1)
     return started
@@ -131,12 +134,33 @@
 }
 
 
-@pytest.mark.parametrize('port', ['entry', 'link'])
+PORTS = [
+    ('entries', 'port'),
+    ('controllers', 'port'),
+    ('admins', 'port'),
+    ('entries', 'metrics_port'),
+    ('controllers', 'metrics_port'),
+    ('admins', 'metrics_port'),
+]
+
+
+def dial(trial, program, port):
+    place = getattr(trial.dep, program)[0]
+    return socket.create_connection((HOST, getattr(place, port)), 5)
+
+
+def is_answered(trial, program):
+    """Tell whether a program answers on its metrics port."""
+    place = getattr(trial.dep, program)[0]
+    url = f'http://{HOST}:{place.metrics_port}/healthz'
+    return urllib3.request('GET', url, timeout=5, retries=False).status == 200
+
+
+@pytest.mark.parametrize(('program', 'port'), PORTS)
 @pytest.mark.parametrize('raw', RAW.values(), ids=RAW.keys())
-def test_raw_bytes(trial, harmless, raw, port):
-    places = {'entry': trial.dep.entries, 'link': trial.dep.controllers}
+def test_raw_bytes(trial, harmless, raw, program, port):
     before = len(trial.log(trial.dep.services[0])['log'])
-    with socket.create_connection((HOST, places[port][0].port), 5) as sock:
+    with dial(trial, program, port) as sock:
         sock.sendall(raw)
         sock.shutdown(socket.SHUT_WR)
         sock.settimeout(12)
@@ -148,6 +172,18 @@
     assert len(trial.log(trial.dep.services[0])['log']) == before
 
 
+@pytest.mark.parametrize(('program', 'port'), PORTS)
+@pytest.mark.parametrize('begun', [b'', b'GET / HTTP/1.1\r\nHost: x\r\nAu'])
+def test_slow_headers(trial, traffic, harmless, begun, program, port):
+    """Many callers that never end their headers hold up nobody else."""
+    with ExitStack() as stack:
+        for _ in range(SLOW):
+            slow = stack.enter_context(dial(trial, program, port))
+            slow.sendall(begun)
+        traffic.wait_for(3)
+        assert is_answered(trial, program)
+
+
 DOCUMENTS = {
     'no object': [],
     'number': 7,
--- /dev/null
+++ b/tests/test_request_heads.py
@@ -0,0 +1,117 @@
+"""Slow callers hold up nobody, and idle connections stay open."""
+
+import socket
+import threading
+
+import pytest
+
+from wasabicross.http_server import HttpServer
+
+GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+LAST = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+THREADS = 2
+SLOW = 20
+
+
+def application(environ, start_response):
+    start_response('200 OK', [('Content-Length', '2')])
+    return [b'ok']
+
+
+@pytest.fixture(params=[60, 0.5], ids='heads within {} s'.format)
+def address(request):
+    server = HttpServer(
+        ('127.0.0.1', 0),
+        application,
+        numthreads=THREADS,
+        timeout=request.param,
+        shutdown_timeout=2,
+    )
+    server.prepare()
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    yield server.bind_addr
+    server.stop()
+    thread.join()
+
+
+def dial(address):
+    return socket.create_connection(address, 10)
+
+
+def read_to_end(conn):
+    return b''.join(iter(lambda: conn.recv(65536), b''))
+
+
+def answer_to(conn, sent=GET):
+    conn.sendall(sent)
+    answer = b''
+    while not answer.endswith(b'\r\n\r\nok'):
+        piece = conn.recv(65536)
+        assert piece, answer
+        answer += piece
+    return answer
+
+
+@pytest.mark.parametrize('address', [60], indirect=True)
+@pytest.mark.parametrize(
+    'begun',
+    [b'', b'\r\n', b'G', GET[:-2], GET[:20], GET + GET[:20]],
+    ids=['nothing', 'line end', 'byte', 'head', 'field', 'second'],
+)
+def test_slow_heads_hold_up_nobody(address, begun):
+    slow = [dial(address) for _ in range(SLOW)]
+    for conn in slow:
+        conn.sendall(begun)
+    with dial(address) as other:
+        for _ in range(3):
+            assert answer_to(other).startswith(b'HTTP/1.1 200 OK')
+    for conn in slow:
+        conn.close()
+
+
+@pytest.mark.parametrize('address', [60], indirect=True)
+def test_head_in_many_pieces(address):
+    with dial(address) as conn:
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for at in range(len(LAST)):
+            conn.sendall(LAST[at : at + 1])
+        assert read_to_end(conn).endswith(b'\r\n\r\nok')
+
+
+@pytest.mark.parametrize('address', [60], indirect=True)
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'garbage\r\n', b'400'),
+        (b'\x00\xff\n', b'400'),
+        (b'GET / HTTP/1.1\r\nX: ' + b'y' * 200_000, b'413'),
+    ],
+)
+def test_what_is_no_head_is_refused_at_once(address, sent, status):
+    with dial(address) as conn:
+        try:
+            conn.sendall(sent)
+            answer = conn.recv(65536)
+        except ConnectionError:
+            answer = status
+    assert status in answer
+
+
+@pytest.mark.parametrize('address', [0.5], indirect=True)
+@pytest.mark.parametrize(
+    ('begun', 'answer'), [(b'', b''), (GET[:20], b'HTTP/1.1 408 ')]
+)
+def test_late_head_ends_its_connection(address, begun, answer):
+    with dial(address) as conn:
+        conn.sendall(begun)
+        assert read_to_end(conn).startswith(answer)
+
+
+@pytest.mark.parametrize('address', [0.5], indirect=True)
+def test_idle_connection_outlives_the_wait_for_a_head(address):
+    with dial(address) as idle, dial(address) as late:
+        answer_to(idle)
+        late.sendall(GET[:20])
+        assert b' 408 ' in read_to_end(late)
+        assert answer_to(idle).startswith(b'HTTP/1.1 200 OK')
