Try each code of refused input at an entry

Cause: the codes of the API's page for broken JSON, unknown adapters and routes, wrong methods, large and cut bodies were tried in parts only. Ruled out: nothing. Change: tests that ask an entry for each, and see that nothing ran.

--- a/tests/test_promise_garbage.py
+++ b/tests/test_promise_garbage.py
@@ -10,6 +10,7 @@
 import urllib3
 from caller_parts import (
     ADAPTERS,
+    COMPLETIONS,
     Traffic,
     any_adapter,
     check_answers,
@@ -202,6 +203,52 @@
     assert answer.outcome == 'not-run'
 
 
+CHUNKS = (b'x' * 65_536 for _ in range(17))
+KNOWN = json.dumps(model_document(ADAPTERS[0])).encode()
+UNKNOWN = json.dumps(model_document('nobody')).encode()
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'token', 'status', 'code'),
+    [
+        ('POST', COMPLETIONS, b'{"model": ', TENANT_TOKEN, 400, 'bad_json'),
+        ('POST', COMPLETIONS, b'\xff\xfe', TENANT_TOKEN, 400, 'bad_json'),
+        ('POST', COMPLETIONS, b'[]', TENANT_TOKEN, 400, 'bad_json'),
+        ('POST', COMPLETIONS, KNOWN, 'x' * 20, 401, 'unauthorised'),
+        ('POST', COMPLETIONS, UNKNOWN, TENANT_TOKEN, 404, 'unknown_adapter'),
+        ('POST', '/nowhere', KNOWN, TENANT_TOKEN, 404, 'no_route'),
+        ('GET', COMPLETIONS, b'', TENANT_TOKEN, 405, 'bad_method'),
+        ('DELETE', COMPLETIONS, KNOWN, TENANT_TOKEN, 405, 'bad_method'),
+        ('POST', COMPLETIONS, b'x' * 1_048_577, TENANT_TOKEN, 413, 'too_large'),
+        ('POST', '/orders', b'x' * 1_048_577, TENANT_TOKEN, 413, 'too_large'),
+        ('POST', '/orders', CHUNKS, TENANT_TOKEN, 413, 'too_large'),
+    ],
+)
+def test_codes(trial, harmless, method, path, body, token, status, code):
+    before = len(trial.log(trial.dep.services[0])['log'])
+    answer = urllib3.request(
+        method,
+        trial.dep.entries[0].url + path,
+        body=body,
+        headers={'Authorization': f'Bearer {token}'},
+        retries=False,
+    )
+    assert (answer.status, answer.json()['error']['code']) == (status, code)
+    assert answer.headers['X-Wasabicross-Outcome'] == 'not-run'
+    assert len(trial.log(trial.dep.services[0])['log']) == before
+
+
+def test_body_that_breaks_off(trial, harmless):
+    head = f'POST /orders HTTP/1.1\r\nHost: x\r\n{AUTHORISED}'
+    before = len(trial.log(trial.dep.services[0])['log'])
+    with dial(trial, 'entries', 'port') as sock:
+        sock.sendall(f'{head}Content-Length: 9\r\n\r\n{{"a'.encode())
+        sock.shutdown(socket.SHUT_WR)
+        answer = b''.join(iter(lambda: sock.recv(65536), b''))
+    assert b'"body_cut"' in answer
+    assert len(trial.log(trial.dep.services[0])['log']) == before
+
+
 @pytest.mark.parametrize(
     ('headers', 'status'),
     [
