Never wait for a peer when a late head ends its connection

Cause: the thread that waits for heads sent its 408 by a call that could wait for up to the time limit, if the peer had read none of its earlier answers, and meanwhile no head of any caller was looked at. Found by reading; ruled out as likely, yet it cost nothing to rule out for good. Change: what can't be sent at once isn't sent. Figures: test_request_heads 13 of 13. Conclusion: none but the late caller is touched.

--- a/src/wasabicross/request_heads.py
+++ b/src/wasabicross/request_heads.py
@@ -115,8 +115,10 @@
         # What has come must be read, or the peer loses the last bytes.
         if _arrived(conn):
             with suppress(OSError):
+                # A peer that reads nothing must not hold up the others.
+                conn.socket.settimeout(0)
                 conn.socket.recv(MAX_HEAD_BYTES)
-                conn.socket.sendall(last_bytes)
+                conn.socket.send(last_bytes)
         conn.close()
 
     def _forget(self, fileno: int) -> _Waiting:
