--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -42,14 +42,14 @@
         self, peer: Instance, granted: msg.Renewed, asked_s: float
     ) -> None:
         """Tell the entries how long the peer's servers may be used."""
-        until_s = asked_s + self._ctl.window.use_lease_s
+        until_s = asked_s + self._ctl.subscribers.window.use_lease_s
         grants = [
             msg.Grant(server.server_id, until_s - server.confirmed_age_s)
             for server in granted.servers
         ]
         self.grants.add(grants, granted.servers, time.monotonic())
         if granted.listed:
-            self._ctl.listing_confirmed(
+            self._ctl.list.confirmed(
                 server.server_id for server in granted.servers
             )
         here = self._ctl.cfg.instance
@@ -102,9 +102,9 @@
     @_handle.register
     def _(self, message: msg.LoadDeclined, link: Link, call_id: int) -> None:
         now_s = time.monotonic()
-        want = self._ctl.placing.declined(message, now_s)
+        want = self._ctl.to_owners.placing.declined(message, now_s)
         if want is not None:
-            self._ctl.place(want, now_s)
+            self._ctl.to_owners.place(want, now_s)
 
     @_handle.register
     def _(self, message: msg.PermitGranted, link: Link, call_id: int) -> None:
@@ -180,8 +180,8 @@
     @_handle.register
     def _(self, message: msg.WantLoad, link: Link, call_id: int) -> None:
         now_s = time.monotonic()
-        self._ctl.placing.note(message, now_s)
-        self._ctl.place(message, now_s)
+        self._ctl.to_owners.placing.note(message, now_s)
+        self._ctl.to_owners.place(message, now_s)
 
     @_handle.register
     def _(self, message: msg.LoadWanted, link: Link, call_id: int) -> None:
@@ -192,14 +192,14 @@
     @_handle.register
     def _(self, message: msg.LoadUses, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
-            self._ctl.forward_uses(message)
+            self._ctl.to_owners.forward_uses(message)
         else:
             self._ctl.owners.used(message, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.LoadMissing, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
-            self._ctl.send_to_owner(message.server_id, message)
+            self._ctl.to_owners.send(message.server_id, message)
             return
         owner = self._ctl.owners.get(message.server_id)
         if owner is not None:
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -4,26 +4,25 @@
 
 import click
 
-from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
 from wasabicross.attempts import Attempts
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
-from wasabicross.events import Event
 from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
-from wasabicross.logs import configure_logs, log_event
+from wasabicross.listening import Started, bind_http
+from wasabicross.logs import configure_logs
 from wasabicross.model_calls import ModelCalls
 from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.program import run_until_stopped
 from wasabicross.retries import RetryBudget
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import EntrySettings, Settings
-from wasabicross.stopping import stop_event, wait_for_stop
+from wasabicross.stopping import stop_event
 from wasabicross.telemetry import MetricsServer, Readiness
 
 SPARE_THREADS = 16
 HEADER_TIMEOUT_S = 10
-LISTEN_BACKLOG = 256
 DRAIN_GRACE_S = 1.0
 READY_INTERVAL_S = 0.1
 
@@ -49,22 +48,24 @@
             (cfg.instance.host, entry.port),
             self._api,
             numthreads=entry.max_requests + SPARE_THREADS,
-            request_queue_size=LISTEN_BACKLOG,
             timeout=HEADER_TIMEOUT_S,
             # Workers that stream go on until their answers have ended.
             shutdown_timeout=int(cfg.servers.max_request_s) + HEADER_TIMEOUT_S,
         )
 
-    def start(self) -> None:
+    def start(self) -> Started:
         """Start serving; metrics first, since they tell that it lives."""
-        self._metrics.start()
+        bound = self._metrics.start().bind(lambda _: bind_http(self._server))
+        if bound.is_error():
+            self._metrics.stop()
+            return bound
         self._link.start()
-        self._server.prepare()
         for name, run in (
             ('callers', self._server.serve),
             ('ready', self._follow_readiness),
         ):
             threading.Thread(target=run, name=name, daemon=True).start()
+        return bound
 
     def stop(self) -> None:
         """Take nothing new, wait for all answers to end, then end."""
@@ -120,13 +121,7 @@
         raise click.UsageError('--name must tell one of the entries')
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
     stop = stop_event()
-    entry = Entry(cfg, entry_cfg)
-    entry.start()
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    entry.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_until_stopped(Entry(cfg, entry_cfg), stop)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/src/wasabicross/link_serving.py
@@ -0,0 +1,77 @@
+"""How a controller serves the links that other processes dial."""
+
+import time
+from typing import TYPE_CHECKING
+
+from wasabicross import messages as msg
+from wasabicross.controller_links import AcceptedLinks
+from wasabicross.events import Event
+from wasabicross.links import Link
+from wasabicross.logs import log_event
+from wasabicross.peers import longest_silence_s
+
+if TYPE_CHECKING:
+    from wasabicross.controller import Controller
+
+
+class LinkServing:
+    """Lets processes in, tells them what they need and takes their messages.
+
+    :param controller: the controller that was dialled.
+    """
+
+    def __init__(self, controller: 'Controller') -> None:
+        self._ctl = controller
+        self._accepted = AcceptedLinks(controller)
+
+    def accept(self, link: Link) -> msg.Welcome | msg.Refusal:
+        """Let a process in that has the token of the peers.
+
+        :param link: the link, with the hello of who dialled.
+        """
+        cfg = self._ctl.cfg
+        if link.peer.token != cfg.peer_token:
+            log_event(Event.PEER_REFUSED, peer=link.peer.name)
+            return msg.Refusal('not_allowed', 'wrong token')
+        return msg.Welcome(cfg.instance.instance_id)
+
+    def serve(self, link: Link) -> None:
+        """Serve a link until it ends.
+
+        :param link: the link, accepted.
+        """
+        if link.peer.kind == 'entry':
+            self._serve_entry(link)
+        elif link.peer.kind == 'controller':
+            self._serve_peer(link)
+        else:
+            link.run(self._accepted)
+
+    def _serve_entry(self, link: Link) -> None:
+        ctl = self._ctl
+        ctl.entry_linked(link.peer)
+        link.send(ctl.fleet.update())
+        self._offer_bundle(link)
+        _, records = ctl.suspects.records_since(0, time.monotonic())
+        link.send(msg.SuspectRecords(list(records)))
+        ctl.loads.entry_joined(link)
+        link.run(self._accepted)
+        ctl.loads.entry_left(link)
+
+    def _serve_peer(self, link: Link) -> None:
+        ctl = self._ctl
+        ctl.subscribers.joined(link, time.monotonic())
+        link.send(ctl.owners.announcement())
+        for snapshot in ctl.owners.snapshots():
+            link.send(snapshot)
+        self._offer_bundle(link)
+        link.run(
+            self._accepted,
+            longest_silence_s(ctl.subscribers.window.use_lease_s),
+        )
+        ctl.subscribers.left(link, time.monotonic())
+
+    def _offer_bundle(self, link: Link) -> None:
+        offered = self._ctl.follower.offered()
+        if offered is not None:
+            link.send(offered)
--- /dev/null
+++ b/src/wasabicross/list_following.py
@@ -0,0 +1,87 @@
+"""What a controller does with the instance list."""
+
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from wasabicross.instances import Fleet, InstanceList
+from wasabicross.rendezvous import rank
+from wasabicross.spread import PointerWatch
+
+if TYPE_CHECKING:
+    from wasabicross.controller import Controller
+
+POINTER_WATCHERS = 2
+
+
+class ListFollowing:
+    """Reads the list again and again, and tells the parts of a controller.
+
+    :param controller: whose parts are told.
+    :param instance_list: the list.
+    :param pointers: told whether it is to watch.
+    """
+
+    def __init__(
+        self,
+        controller: 'Controller',
+        instance_list: InstanceList,
+        pointers: PointerWatch,
+    ) -> None:
+        self._ctl = controller
+        self._instance_list = instance_list
+        self._pointers = pointers
+
+    def run(self) -> None:
+        """Follow the list until the process stops."""
+        poll_s = self._ctl.cfg.platform.instance_list.poll_s
+        while not self._ctl.stopping.is_set():
+            asked_s = time.monotonic()
+            fetched = self._instance_list.fetch()
+            if fetched.is_ok():
+                self._take(fetched.ok, asked_s, time.monotonic())
+            self._ctl.stopping.wait(poll_s)
+
+    def confirmed(self, server_ids: Iterable[str]) -> None:
+        """Note servers whose owner sees this instance in its own list.
+
+        :param server_ids: the servers.
+        """
+        if self._ctl.fleet.confirm_listing(server_ids):
+            self._ctl.loads.tell_entries(self._ctl.fleet.update())
+
+    def _take(self, fleet: Fleet, asked_s: float, now_s: float) -> None:
+        ctl = self._ctl
+        view = ctl.fleet
+        changed = view.take(fleet, now_s)
+        ctl.readiness.declare('instance_list', holds=True)
+        ctl.subscribers.listed(view.residents(), now_s, asked_s)
+        ctl.peers.follow(fleet.instances)
+        ctl.table.keep(view.listed(), now_s)
+        ctl.desk.set_visible(self._visible_data_centres())
+        self._tell_size(len(fleet.instances))
+        live = view.live_residents()
+        self._choose_watchers(live)
+        self._assign(live)
+        if changed:
+            ctl.loads.tell_entries(view.update())
+
+    def _assign(self, live: list[str]) -> None:
+        engines = self._ctl.fleet.engines_here()
+        self._ctl.owners.follow(engines)
+        self._ctl.keeper.assign([each.server_id for each in engines], live)
+
+    def _tell_size(self, instances: int) -> None:
+        self._ctl.lease.instances = instances
+        self._ctl.lease.listed.set()
+        self._ctl.claims.instances = instances
+
+    def _choose_watchers(self, live: list[str]) -> None:
+        own_id = self._ctl.cfg.instance.instance_id
+        watchers = rank('bundle', live)[:POINTER_WATCHERS]
+        self._pointers.is_watcher = own_id in watchers or own_id not in live
+
+    def _visible_data_centres(self) -> int:
+        visible = {peer.peer.data_centre for peer in self._ctl.peers.linked()}
+        visible.add(self._ctl.cfg.instance.data_centre)
+        return len(visible)
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -6,7 +6,6 @@
 
 from wasabicross.dispatch import Dispatcher
 from wasabicross.engines import Engine
-from wasabicross.fleet_view import FleetView
 from wasabicross.instances import BackendServer
 from wasabicross.links import Link
 from wasabicross.load_names import server_of
@@ -22,7 +21,6 @@
     WantLoad,
 )
 from wasabicross.ownership import OwnerStart, Renewal
-from wasabicross.pauses import PauseWatch
 from wasabicross.policy import Weights
 from wasabicross.server_owner import ServerOwner
 from wasabicross.standing import Standing
@@ -97,8 +95,8 @@
     :param permits: where permits to load are asked for.
     :param known_term: tells the highest term known of a server.
     :param on_deposed: told of a server that has a later owner.
-    :param pauses: notices that this process was frozen.
-    :param fleet: the list as this instance reads it.
+    :param standing: tells whether this process was listed and not frozen.
+    :param fencing: servers that refuse orders with an old fencing term.
     """
 
     def __init__(
@@ -107,8 +105,8 @@
         permits: DeskLink,
         known_term: Callable[[str], int],
         on_deposed: Callable[[str], None],
-        pauses: PauseWatch,
-        fleet: FleetView,
+        standing: Standing,
+        fencing: Iterable[str] = (),
     ) -> None:
         #: The permits to try suspect requests on the servers.
         self.trials = TrialPermits(subscribers.window.max_request_s)
@@ -116,7 +114,8 @@
         self._subscribers = subscribers
         self._permits = permits
         self._on_deposed = on_deposed
-        self._standing = Standing(pauses, fleet)
+        self._standing = standing
+        self._fencing = frozenset(fencing)
         self._lock = threading.Lock()
         self._servers: dict[str, BackendServer] = {}
         self._owners: dict[str, ServerOwner] = {}
@@ -143,7 +142,10 @@
             self.trials.hold_off(server.server_id, start.sent_s)
         with self._lock:
             address = self._servers[server.server_id]
-            engine = Engine(Dispatcher(address.host, address.port))
+            engine = Engine(
+                Dispatcher(address.host, address.port),
+                checks_terms=server.server_id in self._fencing,
+            )
             owner = ServerOwner(
                 server, engine, self._subscribers, self._permits
             )
