--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -10,6 +10,7 @@
 from wasabicross.links import Link
 from wasabicross.spread import LinkSource, bundle_part
 from wasabicross.trial_desk import TrialDesk
+from wasabicross.trial_keepers import TrialKeepers
 from wasabicross.use_grants import UseGrants
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
         offered = self._ctl.follower.offered()
         if offered is not None:
             link.send(offered)
+        self._ctl.tell_recent_losses(link)
 
     def peer_renewed(
         self, peer: Instance, granted: msg.Renewed, asked_s: float
@@ -117,10 +119,14 @@
 
     def __init__(self, controller: 'Controller') -> None:
         self._ctl = controller
+        keepers = TrialKeepers(
+            controller.fleet,
+            controller.owners,
+            controller.loads,
+            controller.peers,
+        )
         self._trials = TrialDesk(
-            controller.owners.trials,
-            controller.keeps_trials,
-            controller.link_to_keeper,
+            controller.owners.trials, keepers.may_be_here, keepers.link_to
         )
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
@@ -255,6 +261,10 @@
     def _(self, message: msg.SettleKey, link: Link, call_id: int) -> None:
         self._ctl.claims.settle(message, link, call_id)
 
+    @_handle.register
+    def _(self, message: msg.HoldersLost, link: Link, call_id: int) -> None:
+        self._ctl.claims.lose_holders(message)
+
     @_handle.register
     def _(self, message: msg.Goodbye, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -1,10 +1,8 @@
 """`wasabicross-entry`: takes callers' requests and streams their answers."""
 
 import threading
-import uuid
 
 import click
-from cheroot import wsgi
 
 from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
@@ -12,6 +10,7 @@
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
 from wasabicross.events import Event
+from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
@@ -46,7 +45,7 @@
             cfg.instance.host, entry.metrics_port, self.readiness
         )
         self._api = _caller_api(cfg, entry, self._link)
-        self._server = wsgi.Server(
+        self._server = HttpServer(
             (cfg.instance.host, entry.port),
             self._api,
             numthreads=entry.max_requests + SPARE_THREADS,
@@ -94,20 +93,19 @@
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
     attempts = Attempts(link.watch, RetryBudget())
-    life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
     weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
     admission = Admission(
         AdmissionLimits(
             entry.max_requests, entry.max_requests, tenant_weights=weights
         ),
-        spreading_rng(life),
+        spreading_rng(link.life),
     )
     return CallerApi(
         link,
         cfg.tenants,
         admission,
         ModelCalls(link, attempts, data_centre),
-        ServiceCalls(attempts, KeyClaims(link, life), data_centre),
+        ServiceCalls(attempts, KeyClaims(link, link.life), data_centre),
         CallerLimits(cfg.servers.max_request_s),
     )
 
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -2,9 +2,9 @@
 
 import threading
 import time
-import uuid
 from functools import singledispatchmethod
 from typing import Any
+from uuid import uuid4
 
 from expression import Error, Result
 
@@ -34,12 +34,13 @@
     """
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
+        #: Names this process in all data centres and lives.
+        self.life = f'{cfg.instance.instance_id}/{entry.name}/{uuid4().hex}'
         self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
-        name = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
         self.watch = ServerWatch(
             Suspects(),
             self._tell_suspects,
-            Trials(self.call, self.send, name),
+            Trials(self.call, self.send, self.life),
         )
         self.listed = threading.Event()
         self.follower = BundleFollower(
@@ -126,6 +127,7 @@
             self.loads.running(),
             self.loads.closed(),
             self.loads.opened(),
+            self.life,
         )
 
     def _tell_uses(self) -> None:
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -24,32 +24,30 @@
         self._confirmed: set[str] = set()
         # Servers that the last reading missed.
         self._missed: frozenset[str] = frozenset()
+        #: Monotonic time since which each list has shown this instance.
+        self.resident_since_s = float('inf')
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
         """All backend servers."""
         return self._fleet.servers
 
-    def take(self, fleet: Fleet) -> bool:
+    def take(self, fleet: Fleet, now_s: float) -> bool:
         """Take a list that was read; return whether anything has changed.
 
         A server that one reading alone misses stays as it was.
+
+        :param fleet: what the list shows.
+        :param now_s: monotonic seconds.
         """
-        read = {server.server_id for server in fleet.servers}
-        missed = [
-            server
-            for server in self._fleet.servers
-            if server.server_id not in read | self._missed
-        ]
-        self._missed = frozenset(server.server_id for server in missed)
-        kept = fleet._replace(servers=(*fleet.servers, *missed))
         before = self._fleet
-        changed = (kept.instances, set(kept.servers)) != (
-            before.instances,
-            set(before.servers),
-        )
-        self._fleet = kept
-        return changed
+        self._fleet = self._with_missed(fleet)
+        if self._instance_id in self.residents():
+            self.resident_since_s = min(self.resident_since_s, now_s)
+        else:
+            self.resident_since_s = float('inf')
+        changed = set(self.servers) != set(before.servers)
+        return changed or fleet.instances != before.instances
 
     def listed(self) -> set[str]:
         """Return all instances, live and leaving."""
@@ -113,3 +111,13 @@
         ]
         servers = [ServerInfo(*server) for server in self._fleet.servers]
         return FleetUpdate(servers, need_grant)
+
+    def _with_missed(self, fleet: Fleet) -> Fleet:
+        read = {server.server_id for server in fleet.servers}
+        missed = [
+            server
+            for server in self._fleet.servers
+            if server.server_id not in read | self._missed
+        ]
+        self._missed = frozenset(server.server_id for server in missed)
+        return fleet._replace(servers=(*fleet.servers, *missed))
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -14,6 +14,7 @@
 from wasabicross.load_names import server_of
 from wasabicross.load_wants import TELL_INTERVAL_S, LoadWants
 from wasabicross.messages import LoadMissing, WantLoad
+from wasabicross.model_field import ModelField
 from wasabicross.policy import Weights
 from wasabicross.replies import (
     BAD_JSON,
@@ -190,11 +191,13 @@
             self._link.finish_request(holder.load_name)
             return cleared or None
         call = self._call(run, holder, now_s)
+        priority = run.req.bundle.priority_of(run.req.route.request_class)
         reply = self._attempts.exchange(
             run.req,
             holder.server_id,
-            lambda: self._engine(holder.server_id).complete(call),
+            lambda: self._engine(holder.server_id).complete(call, priority),
             self._named(run),
+            ModelField(holder.load_name, run.wanted.adapter).rename,
             holder.load_name,
         )
         if isinstance(reply, Reply):
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,12 +1,46 @@
-"""A list that flaps, as one instance sees it."""
+"""The instance list as one instance sees it."""
 
 import pytest
 
 from wasabicross.fleet_view import FleetView
-from wasabicross.instances import BackendServer, Fleet
+from wasabicross.instances import BackendServer, Fleet, Instance
 
+NEVER = float('inf')
 
-def fleet(listed):
+
+def fleet(*data_centres):
+    return Fleet(
+        tuple(
+            Instance('me', data_centre, '127.0.0.1', 1, 'live')
+            for data_centre in data_centres
+        ),
+        (),
+    )
+
+
+HERE = fleet('north')
+
+
+@pytest.mark.parametrize(
+    ('lists', 'since_s'),
+    [
+        ([], NEVER),
+        ([fleet()], NEVER),
+        ([fleet('south')], NEVER),
+        ([fleet(), HERE, HERE], 1),
+        ([HERE, HERE], 0),
+        ([HERE, fleet()], NEVER),
+        ([HERE, fleet(), HERE], 2),
+    ],
+)
+def test_resident_since_the_first_list_of_an_unbroken_row(lists, since_s):
+    view = FleetView('me', 'north')
+    for now_s, each in enumerate(lists):
+        view.take(each, now_s)
+    assert view.resident_since_s == since_s
+
+
+def servers(listed):
     """Return a list; a server in capitals is leaving."""
     return Fleet(
         (),
@@ -45,7 +79,7 @@
 def test_server_that_one_reading_misses_stays(lists, shown):
     view = FleetView('i', 'north')
     for listed in lists:
-        view.take(fleet(listed))
+        view.take(servers(listed), 0)
     found = sorted(
         each.server_id.upper() if each.state == 'leaving' else each.server_id
         for each in view.servers
@@ -56,5 +90,5 @@
 def test_only_what_changes_is_told():
     view = FleetView('i', 'north')
     lists = ('ab', 'ba', 'b', 'ab', 'a', 'a')
-    told = [view.take(fleet(each)) for each in lists]
+    told = [view.take(servers(each), 0) for each in lists]
     assert told == [True, False, False, False, False, True]
