Count the wait for a trial against the request's deadline

Cause: a server was told the time that was left before the request waited for its turn to be tried, up to 2 s too much.

Change: the time left is taken when the request is sent. Seen failing before (tests/test_model_calls.py); the same line in the calls to plain services has no test of its own.

--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -190,7 +190,7 @@
         if cleared is not True:
             self._link.finish_request(holder.load_name)
             return cleared or None
-        call = self._call(run, holder, now_s)
+        call = self._call(run, holder, time.monotonic())
         priority = run.req.bundle.priority_of(run.req.route.request_class)
         reply = self._attempts.exchange(
             run.req,
--- a/src/wasabicross/service_calls.py
+++ b/src/wasabicross/service_calls.py
@@ -97,7 +97,7 @@
         reply = self._attempts.exchange(
             req,
             server.server_id,
-            lambda: self._service(server).call(_call(req, now_s)),
+            lambda: self._service(server).call(_call(req, time.monotonic())),
             (('X-Wasabicross-Bundle', str(req.bundle.number)),),
         )
         if isinstance(reply, Reply):
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -91,6 +91,7 @@
         super().__init__(0, 1)
 
     def clear(self, req, server_id, tried, now_s):
+        self.cleared_s = time.monotonic()
         return True
 
     def exchange(self, req, server_id, start, named, adapt, load_name):
@@ -98,6 +99,17 @@
         return Reply(200, named, adapt(piece for piece in ANSWERED))
 
 
+def test_time_spent_waiting_for_a_trial_counts(monkeypatch):
+    sent = []
+    monkeypatch.setattr(
+        Engine, 'complete', lambda engine, call, priority: sent.append(call)
+    )
+    attempts, req = SendingAttempts(), request('night')
+    calls = ModelCalls(link_with_load(), attempts, 'north')
+    assert calls.run(req).status == 200
+    assert sent[0].deadline_s <= req.deadline_s - attempts.cleared_s
+
+
 def test_priority_of_the_class_goes_to_the_engine(monkeypatch):
     sent = []
     monkeypatch.setattr(
