--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -126,7 +126,9 @@
             controller.peers,
         )
         self._trials = TrialDesk(
-            controller.owners.trials, keepers.may_be_here, keepers.link_to
+            controller.owners.trials,
+            keepers.is_here,
+            keepers.link_to,
         )
 
     def on_message(self, link: Link, message: Any, call_id: int) -> None:
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -34,9 +34,9 @@
     """
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
+        self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
         #: Names this process in all data centres and lives.
         self.life = f'{cfg.instance.instance_id}/{entry.name}/{uuid4().hex}'
-        self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
         self.watch = ServerWatch(
             Suspects(),
             self._tell_suspects,
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -22,10 +22,10 @@
         self._fleet = NO_FLEET
         self._lock = threading.Lock()
         self._confirmed: set[str] = set()
-        # Servers that the last reading missed.
-        self._missed: frozenset[str] = frozenset()
         #: Monotonic time since which each list has shown this instance.
         self.resident_since_s = float('inf')
+        # Servers that the last reading missed.
+        self._missed: frozenset[str] = frozenset()
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
@@ -41,13 +41,17 @@
         :param now_s: monotonic seconds.
         """
         before = self._fleet
-        self._fleet = self._with_missed(fleet)
+        self._fleet = fleet._replace(
+            servers=(*fleet.servers, *self._newly_missed(fleet))
+        )
         if self._instance_id in self.residents():
             self.resident_since_s = min(self.resident_since_s, now_s)
         else:
             self.resident_since_s = float('inf')
-        changed = set(self.servers) != set(before.servers)
-        return changed or fleet.instances != before.instances
+        return (self._fleet.instances, set(self._fleet.servers)) != (
+            before.instances,
+            set(before.servers),
+        )
 
     def listed(self) -> set[str]:
         """Return all instances, live and leaving."""
@@ -112,7 +116,8 @@
         servers = [ServerInfo(*server) for server in self._fleet.servers]
         return FleetUpdate(servers, need_grant)
 
-    def _with_missed(self, fleet: Fleet) -> Fleet:
+    def _newly_missed(self, fleet: Fleet) -> list[BackendServer]:
+        """Return the servers that this reading is the first to miss."""
         read = {server.server_id for server in fleet.servers}
         missed = [
             server
@@ -120,4 +125,4 @@
             if server.server_id not in read | self._missed
         ]
         self._missed = frozenset(server.server_id for server in missed)
-        return fleet._replace(servers=(*fleet.servers, *missed))
+        return missed
--- a/src/wasabicross/trial_keepers.py
+++ b/src/wasabicross/trial_keepers.py
@@ -1,4 +1,4 @@
-"""Which instance keeps the permit of a server or of a request."""
+"""Who keeps the permits of trials."""
 
 from wasabicross.fleet_view import FleetView
 from wasabicross.instance_loads import InstanceLoads
@@ -9,16 +9,12 @@
 
 
 class TrialKeepers:
-    """Finds the keepers, as one instance sees the others.
-
-    An engine's owner keeps its permit. Nobody owns a plain service or a
-    request, so the instances agree on one by its id, as far as they see each
-    other.
+    """Finds the keeper of a permit: the owner of an engine, else a ranked one.
 
     :param fleet: the instance list.
     :param owners: the engines owned here.
-    :param loads: the owners that are known.
-    :param peers: the links to all instances.
+    :param loads: knows the owners of the other engines.
+    :param peers: links to all instances.
     """
 
     def __init__(
@@ -33,8 +29,8 @@
         self._loads = loads
         self._peers = peers
 
-    def may_be_here(self, server_id: str) -> bool:
-        """Tell whether a permit that another instance asks for is kept here.
+    def is_here(self, server_id: str) -> bool:
+        """Tell whether the permit of a server may be kept here.
 
         :param server_id: the server, empty for the permit of a request.
         """
@@ -43,15 +39,21 @@
         return True
 
     def link_to(self, server_id: str, request: bytes) -> Link | None:
-        """Return the link to a permit's keeper, None if it is out of reach.
+        """Return the link to the keeper, None if it is out of reach.
+
+        Nobody owns a plain service or a request, so the instances agree on
+        one by its id, as far as they see each other.
 
         :param server_id: the server, empty for the permit of a request.
         :param request: the request's fingerprint.
         """
-        keeper = self._loads.owner_of(server_id)
-        if keeper is None and not self._fleet.is_engine(server_id):
-            linked = [peer.peer.instance_id for peer in self._peers.linked()]
-            ranked = rank(server_id or request.hex(), linked)
-            keeper = next(iter(ranked), None)
-        peer = self._peers.get(keeper) if keeper else None
+        owner = self._loads.owner_of(server_id)
+        if owner is not None or self._fleet.is_engine(server_id):
+            return self._link(owner or '')
+        linked = [peer.peer.instance_id for peer in self._peers.linked()]
+        keepers = rank(server_id or request.hex(), linked)
+        return self._link(keepers[0]) if keepers else None
+
+    def _link(self, instance_id: str) -> Link | None:
+        peer = self._peers.get(instance_id)
         return peer.link if peer else None
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,7 +8,7 @@
 NEVER = float('inf')
 
 
-def fleet(*data_centres):
+def instances_in(*data_centres):
     return Fleet(
         tuple(
             Instance('me', data_centre, '127.0.0.1', 1, 'live')
@@ -18,19 +18,19 @@
     )
 
 
-HERE = fleet('north')
+HERE = instances_in('north')
 
 
 @pytest.mark.parametrize(
     ('lists', 'since_s'),
     [
         ([], NEVER),
-        ([fleet()], NEVER),
-        ([fleet('south')], NEVER),
-        ([fleet(), HERE, HERE], 1),
+        ([instances_in()], NEVER),
+        ([instances_in('south')], NEVER),
+        ([instances_in(), HERE, HERE], 1),
         ([HERE, HERE], 0),
-        ([HERE, fleet()], NEVER),
-        ([HERE, fleet(), HERE], 2),
+        ([HERE, instances_in()], NEVER),
+        ([HERE, instances_in(), HERE], 2),
     ],
 )
 def test_resident_since_the_first_list_of_an_unbroken_row(lists, since_s):
@@ -40,7 +40,7 @@
     assert view.resident_since_s == since_s
 
 
-def servers(listed):
+def servers_in(listed):
     """Return a list; a server in capitals is leaving."""
     return Fleet(
         (),
@@ -79,7 +79,7 @@
 def test_server_that_one_reading_misses_stays(lists, shown):
     view = FleetView('i', 'north')
     for listed in lists:
-        view.take(servers(listed), 0)
+        view.take(servers_in(listed), 0)
     found = sorted(
         each.server_id.upper() if each.state == 'leaving' else each.server_id
         for each in view.servers
@@ -90,5 +90,5 @@
 def test_only_what_changes_is_told():
     view = FleetView('i', 'north')
     lists = ('ab', 'ba', 'b', 'ab', 'a', 'a')
-    told = [view.take(servers(each), 0) for each in lists]
+    told = [view.take(servers_in(each), 0) for each in lists]
     assert told == [True, False, False, False, False, True]
