Let no link without a life end the claims of an entry

A hello of an entry that names no life would have declared all holders of that entry dead; it now ends no other life.

--- a/src/wasabicross/entry_lives.py
+++ b/src/wasabicross/entry_lives.py
@@ -36,7 +36,7 @@
         :param now_s: monotonic seconds.
         """
         with self._lock:
-            if self._lives.get(name) == life:
+            if not life or self._lives.get(name) == life:
                 return None
             self._lives[name] = life
             lost = HoldersLost(f'{self._instance_id}/{name}/', f'{life}/')
--- a/tests/test_entry_lives.py
+++ b/tests/test_entry_lives.py
@@ -26,6 +26,12 @@
     assert lives.joined('e', 'i/e/1', 1) is None
 
 
+def test_a_process_without_a_life_ends_no_other(lives):
+    lives.joined('e', 'i/e/1', 0)
+    assert lives.joined('e', '', 1) is None
+    assert lives.recent(1) == [FIRST]
+
+
 def test_an_end_is_told_once(lives):
     lives.joined('e', 'i/e/1', 0)
     assert lives.ended('e', 1) == END
