--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -4,20 +4,18 @@
 
 import click
 
-from wasabicross import __version__
 from wasabicross.admin_actions import AdminActions
 from wasabicross.admin_api import AdminApi
 from wasabicross.bundle_status import StatusSource
 from wasabicross.bundle_store import BundleStore
 from wasabicross.controller_status import ControllerStatus
-from wasabicross.events import Event
 from wasabicross.http_server import HttpServer
 from wasabicross.kv import KeyValueStore
-from wasabicross.listening import Started, bind_http, start_or_exit
-from wasabicross.logs import configure_logs, log_event
+from wasabicross.listening import bind_http
+from wasabicross.logs import configure_logs
 from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
-from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.telemetry import MetricsServer, Readiness
 
 THREADS = 8
@@ -79,14 +77,7 @@
     """Run the administration API of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-admin')
-    stop = stop_event()
-    admin = Admin(cfg, ControllerStatus.from_config(cfg))
-    start_or_exit(admin.start)
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    admin.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_program(lambda: Admin(cfg, ControllerStatus.from_config(cfg)))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/claim_messages.py
+++ b/src/wasabicross/claim_messages.py
@@ -37,3 +37,14 @@
     status: int
     content_type: str
     answer: bytes
+
+
+class HoldersLost(NamedTuple):
+    """Tells that holders of claims have died without telling outcomes.
+
+    :param prefix: what their names begin with.
+    :param spared: what the names of others begin with, empty for none.
+    """
+
+    prefix: str
+    spared: str
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -9,12 +9,12 @@
 
 import click
 
-from wasabicross import __version__
 from wasabicross import messages as msg
 from wasabicross.bundles import Bundle
 from wasabicross.claim_desk import ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.entry_lives import EntryLives
 from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
 from wasabicross.fleet_view import FleetView
@@ -22,23 +22,23 @@
 from wasabicross.instance_loads import InstanceLoads
 from wasabicross.instances import Fleet, InstanceList
 from wasabicross.kv import KeyValueStore
-from wasabicross.links import Link, LinkListener
-from wasabicross.listening import Started, start_or_exit
+from wasabicross.link_listener import LinkListener
+from wasabicross.links import Link
 from wasabicross.load_names import server_of
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.pauses import PauseWatch
-from wasabicross.peers import PeerLinks
+from wasabicross.peers import PeerLinks, longest_silence_s
 from wasabicross.permits import PermitDesk
 from wasabicross.placing import Placing
 from wasabicross.policy import Weights
 from wasabicross.rendezvous import rank
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.status import InstanceBundle, InstanceTable
-from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.subscribers import Subscribers, UseWindow
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
@@ -65,6 +65,9 @@
         self.window = UseWindow(
             cfg.servers.use_lease_s, cfg.servers.max_request_s
         )
+        self._pauses = PauseWatch(
+            cfg.servers.use_lease_s, self._forget_after_pause
+        )
         data_centre = cfg.instance.data_centre
         self.follower = BundleFollower(
             BundleHolder.from_config(cfg), self._bundle_in_force
@@ -73,6 +76,9 @@
         self.table = InstanceTable()
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
         self.subscribers = Subscribers(data_centre, self.window)
+        self._lives = EntryLives(
+            cfg.instance.instance_id, cfg.servers.max_request_s
+        )
         self.placing = Placing()
         self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
@@ -83,8 +89,10 @@
             DeskLink(data_centre, self._send_to_desk),
             self.loads.term_of,
             self._deposed,
-            cfg.servers.fencing,
+            self._pauses,
+            self.fleet,
         )
+        self.owners.fencing = frozenset(cfg.servers.fencing)
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
             ClaimRanges.from_config(cfg, kv, self._lease_id), self._link_to
@@ -104,9 +112,6 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
-        self._pauses = PauseWatch(
-            cfg.servers.use_lease_s, self._forget_after_pause
-        )
         self._probe = EntryProbe(
             cfg.instance.host,
             cfg.entries,
@@ -243,6 +248,17 @@
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
         self.in_force.forget(name)
+        self._tell_lost(self._lives.ended(name, time.monotonic()))
+
+    def tell_recent_losses(self, link: Link) -> None:
+        """Tell a peer the dead holders of claims that it may not know."""
+        for lost in self._lives.recent(time.monotonic()):
+            link.send(lost)
+
+    def _tell_lost(self, lost: msg.HoldersLost | None) -> None:
+        if lost is not None:
+            for peer in self.peers.linked():
+                peer.send(lost)
 
     # Links.
 
@@ -262,6 +278,9 @@
             link.run(self._accepted)
 
     def _serve_entry(self, link: Link) -> None:
+        hello = link.peer
+        joined = self._lives.joined(hello.name, hello.life, time.monotonic())
+        self._tell_lost(joined)
         link.send(self.fleet.update())
         offered = self.follower.offered()
         if offered is not None:
@@ -280,7 +299,8 @@
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
-        link.run(self._accepted)
+        silence_s = longest_silence_s(self.window.use_lease_s)
+        link.run(self._accepted, silence_s)
         self.subscribers.left(link, time.monotonic())
 
     def _hello(self) -> msg.Hello:
@@ -334,16 +354,17 @@
 
     def _follow_list(self) -> None:
         while not self.stopping.is_set():
+            asked_s = time.monotonic()
             fetched = self._instance_list.fetch()
             if fetched.is_ok():
-                self._take_fleet(fetched.ok, time.monotonic())
+                self._take_fleet(fetched.ok, asked_s, time.monotonic())
             self.stopping.wait(self.cfg.platform.instance_list.poll_s)
 
-    def _take_fleet(self, fleet: Fleet, now_s: float) -> None:
+    def _take_fleet(self, fleet: Fleet, asked_s: float, now_s: float) -> None:
         view = self.fleet
-        changed = view.take(fleet)
+        changed = view.take(fleet, now_s)
         self.readiness.declare('instance_list', holds=True)
-        self.subscribers.listed(view.residents(), now_s)
+        self.subscribers.listed(view.residents(), now_s, asked_s)
         self.peers.follow(fleet.instances)
         self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
@@ -377,14 +398,7 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = stop_event()
-    controller = Controller.from_config(cfg)
-    start_or_exit(controller.start)
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    controller.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_program(lambda: Controller.from_config(cfg))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -1,26 +1,23 @@
 """`wasabicross-entry`: takes callers' requests and streams their answers."""
 
 import threading
-import uuid
 
 import click
 
-from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
 from wasabicross.attempts import Attempts
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
-from wasabicross.events import Event
 from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
-from wasabicross.listening import Started, bind_http, start_or_exit
-from wasabicross.logs import configure_logs, log_event
+from wasabicross.listening import bind_http
+from wasabicross.logs import configure_logs
 from wasabicross.model_calls import ModelCalls
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.retries import RetryBudget
+from wasabicross.running import Started, run_program
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import EntrySettings, Settings
-from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.telemetry import MetricsServer, Readiness
 
 SPARE_THREADS = 16
@@ -96,20 +93,19 @@
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
     attempts = Attempts(link.watch, RetryBudget())
-    life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
     weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
     admission = Admission(
         AdmissionLimits(
             entry.max_requests, entry.max_requests, tenant_weights=weights
         ),
-        spreading_rng(life),
+        spreading_rng(link.life),
     )
     return CallerApi(
         link,
         cfg.tenants,
         admission,
         ModelCalls(link, attempts, data_centre),
-        ServiceCalls(attempts, KeyClaims(link, life), data_centre),
+        ServiceCalls(attempts, KeyClaims(link, link.life), data_centre),
         CallerLimits(cfg.servers.max_request_s),
     )
 
@@ -123,14 +119,7 @@
     if entry_cfg is None:
         raise click.UsageError('--name must tell one of the entries')
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
-    stop = stop_event()
-    entry = Entry(cfg, entry_cfg)
-    start_or_exit(entry.start)
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    entry.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_program(lambda: Entry(cfg, entry_cfg))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -22,17 +22,36 @@
         self._fleet = NO_FLEET
         self._lock = threading.Lock()
         self._confirmed: set[str] = set()
+        #: Monotonic time since which each list has shown this instance.
+        self.resident_since_s = float('inf')
+        # Servers that the last reading missed.
+        self._missed: frozenset[str] = frozenset()
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
         """All backend servers."""
         return self._fleet.servers
 
-    def take(self, fleet: Fleet) -> bool:
-        """Take a list that was read; return whether it has changed."""
-        changed = fleet != self._fleet
-        self._fleet = fleet
-        return changed
+    def take(self, fleet: Fleet, now_s: float) -> bool:
+        """Take a list that was read; return whether anything has changed.
+
+        A server that one reading alone misses stays as it was.
+
+        :param fleet: what the list shows.
+        :param now_s: monotonic seconds.
+        """
+        before = self._fleet
+        self._fleet = fleet._replace(
+            servers=(*fleet.servers, *self._newly_missed(fleet))
+        )
+        if self._instance_id in self.residents():
+            self.resident_since_s = min(self.resident_since_s, now_s)
+        else:
+            self.resident_since_s = float('inf')
+        return (self._fleet.instances, set(self._fleet.servers)) != (
+            before.instances,
+            set(before.servers),
+        )
 
     def listed(self) -> set[str]:
         """Return all instances, live and leaving."""
@@ -54,6 +73,13 @@
             if each.data_centre == self._data_centre and each.state == LIVE
         ]
 
+    def is_engine(self, server_id: str) -> bool:
+        """Tell whether the list shows an engine of this id."""
+        return any(
+            server.server_id == server_id and server.kind == 'engine'
+            for server in self._fleet.servers
+        )
+
     def engines_here(self) -> list[BackendServer]:
         """Return the engines of this data centre."""
         return [
@@ -89,3 +115,14 @@
         ]
         servers = [ServerInfo(*server) for server in self._fleet.servers]
         return FleetUpdate(servers, need_grant)
+
+    def _newly_missed(self, fleet: Fleet) -> list[BackendServer]:
+        """Return the servers that this reading is the first to miss."""
+        read = {server.server_id for server in fleet.servers}
+        missed = [
+            server
+            for server in self._fleet.servers
+            if server.server_id not in read | self._missed
+        ]
+        self._missed = frozenset(server.server_id for server in missed)
+        return missed
--- /dev/null
+++ b/src/wasabicross/link_listener.py
@@ -0,0 +1,46 @@
+"""The port on which a controller lets other processes open links."""
+
+from collections.abc import Callable
+from functools import partial
+
+from websockets.sync.server import Server
+
+from wasabicross.links import Link, listen
+from wasabicross.listening import bind
+from wasabicross.messages import Refusal, Welcome
+from wasabicross.running import Started
+
+
+class LinkListener:
+    """Lets other processes open links, on a port of its own.
+
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    :param accept: decides whether the process that said hello is let in.
+    :param serve_link: runs an accepted link until it ends.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        accept: Callable[[Link], Refusal | Welcome],
+        serve_link: Callable[[Link], None],
+    ) -> None:
+        self._address = (host, port)
+        self._listen = partial(listen, host, port, accept, serve_link)
+        self._servers: list[Server] = []
+
+    def bind(self) -> Started:
+        """Bind the port, or return `PortUnavailable`."""
+        return bind(*self._address, self._listen).map(self._servers.append)
+
+    def serve(self) -> None:
+        """Let processes in until `stop`; the port is bound."""
+        for server in self._servers:
+            server.serve_forever()
+
+    def stop(self) -> None:
+        """Let nobody in any more."""
+        for server in self._servers:
+            server.shutdown()
--- a/src/wasabicross/listening.py
+++ b/src/wasabicross/listening.py
@@ -1,22 +1,16 @@
-"""Ports that a program listens on, and what it does if one can't be had."""
+"""Ports that a program listens on."""
 
-import sys
 from collections.abc import Callable
-from typing import TypeAlias, TypeVar
+from typing import TypeVar
 
 from cheroot import wsgi
 from expression import Error, Ok, Result
 
-from wasabicross.events import Event
 from wasabicross.exceptions import PortUnavailable
-from wasabicross.logs import log_event
-from wasabicross.options import EXIT_PORT
+from wasabicross.running import Started
 
 _Server = TypeVar('_Server')
 
-#: What the start of something that listens returns.
-Started: TypeAlias = Result[None, PortUnavailable]
-
 
 def bind(
     host: str,
@@ -42,20 +36,3 @@
     """
     host, port = server.bind_addr
     return bind(host, port, server.prepare)
-
-
-def start_or_exit(start: Callable[[], Started]) -> None:
-    """Start a program; log and exit with 3 if it can't have one of its ports.
-
-    :param start: starts it, or leaves nothing running.
-    """
-    started = start()
-    if started.is_error():
-        exc = started.error
-        log_event(
-            Event.PORT_UNAVAILABLE,
-            host=exc.host,
-            port=exc.port,
-            reason=exc.reason,
-        )
-        sys.exit(EXIT_PORT)
--- a/src/wasabicross/messages.py
+++ b/src/wasabicross/messages.py
@@ -20,6 +20,7 @@
 from wasabicross.claim_messages import (
     ClaimAnswer,
     ClaimKey,
+    HoldersLost,
     SettleKey,
 )
 from wasabicross.exceptions import MessageMalformed
@@ -56,7 +57,12 @@
     UseGranted,
 )
 from wasabicross.suspect_messages import (
+    EndTrial,
     SuspectRecords,
+    SuspectRunning,
+    TakeTrial,
+    TrialAnswer,
+    TrialLost,
 )
 from wasabicross.want_messages import (
     LoadDeclined,
@@ -76,6 +82,7 @@
     'CloseLoad',
     'CloseRefused',
     'Done',
+    'EndTrial',
     'Envelope',
     'FleetUpdate',
     'GetChunk',
@@ -84,6 +91,7 @@
     'Goodbye',
     'Grant',
     'Hello',
+    'HoldersLost',
     'InstanceReport',
     'LoadDeclined',
     'LoadDrained',
@@ -114,6 +122,10 @@
     'SettleKey',
     'Status',
     'SuspectRecords',
+    'SuspectRunning',
+    'TakeTrial',
+    'TrialAnswer',
+    'TrialLost',
     'UseGranted',
     'WantLoad',
     'Welcome',
@@ -161,6 +173,12 @@
     PermitLoad,
     PermitGranted,
     PermitReturned,
+    HoldersLost,
+    TakeTrial,
+    TrialLost,
+    TrialAnswer,
+    EndTrial,
+    SuspectRunning,
 )
 
 _CODES = {kind: code for code, kind in enumerate(MESSAGES)}
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -116,13 +116,22 @@
         if choice.copy_wanted:
             held_by = tuple(holder.server_id for holder in holders)
             self._wants.tell(self._want(run, held_by, now_s), now_s)
-        load_name = choice.holder.load_name
-        if not self._link.loads.begin_request(load_name, now_s):
+        holder = self._beside_copy(run, holders) or choice.holder
+        if not self._link.loads.begin_request(holder.load_name, now_s):
             return None
         BATCH_FILL_RATIO.labels(run.req.route.request_class).observe(
-            batch_fill(choice.holder, weights)
+            batch_fill(holder, weights)
         )
-        return choice.holder
+        return holder
+
+    def _beside_copy(self, run: _Run, holders: list[Holder]) -> Holder | None:
+        """Return the holder that runs a copy of a request not known yet.
+
+        Copies of one that crashes servers cost one server together.
+        """
+        beside = self._watch.running_on(run.req.fingerprint)
+        found = (each for each in holders if each.server_id == beside)
+        return next(found, None)
 
     def _holders(self, run: _Run, now_s: float) -> list[Holder]:
         wanted = run.wanted
@@ -149,6 +158,12 @@
         ungranted = self._link.loads.ungranted(now_s)
         wanted = run.wanted
         route = run.req.route
+        group = [
+            server.server_id
+            for server in self._watch.group('engine', route.group)
+        ]
+        usable = self._watch.usable(group, now_s)
+        shut_out = [each for each in group if each not in usable]
         return WantLoad(
             wanted.adapter,
             wanted.version,
@@ -156,7 +171,7 @@
             route.group,
             route.request_class,
             0,
-            [*run.tried.servers, *held_by, *ungranted],
+            [*run.tried.servers, *held_by, *ungranted, *shut_out],
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
@@ -183,6 +198,7 @@
             lambda: self._engine(holder.server_id).complete(call, priority),
             self._named(run),
             ModelField(holder.load_name, run.wanted.adapter).rename,
+            holder.load_name,
         )
         if isinstance(reply, Reply):
             content = Finished(
--- /dev/null
+++ b/src/wasabicross/running.py
@@ -0,0 +1,57 @@
+"""The life of a program: start, serve until asked to stop, stop."""
+
+import sys
+from collections.abc import Callable
+from typing import Protocol, TypeAlias
+
+from expression import Result
+
+from wasabicross import __version__
+from wasabicross.events import Event
+from wasabicross.exceptions import PortUnavailable
+from wasabicross.logs import log_event
+from wasabicross.options import EXIT_PORT
+from wasabicross.stopping import stop_event, wait_for_stop
+
+#: What the start of something that listens returns.
+Started: TypeAlias = Result[None, PortUnavailable]
+
+
+class Program(Protocol):
+    """A program of an instance."""
+
+    def start(self) -> Started:
+        """Start serving, or leave nothing running."""
+
+    def stop(self) -> None:
+        """Take nothing new, finish what runs, then end."""
+
+
+def run_program(make: Callable[[], Program]) -> None:
+    """Run a program until a planned stop; exits if a port can't be had.
+
+    To be called in the main thread.
+
+    :param make: makes the program; signals are heeded by then.
+    """
+    stop = stop_event()
+    program = make()
+    _start_or_exit(program)
+    log_event(Event.PROGRAM_STARTED, version=__version__)
+    wait_for_stop(stop)
+    log_event(Event.PROGRAM_STOPPING)
+    program.stop()
+    log_event(Event.PROGRAM_STOPPED)
+
+
+def _start_or_exit(program: Program) -> None:
+    started = program.start()
+    if started.is_error():
+        exc = started.error
+        log_event(
+            Event.PORT_UNAVAILABLE,
+            host=exc.host,
+            port=exc.port,
+            reason=exc.reason,
+        )
+        sys.exit(EXIT_PORT)
--- a/src/wasabicross/telemetry.py
+++ b/src/wasabicross/telemetry.py
@@ -9,7 +9,8 @@
 from prometheus_client.exposition import make_wsgi_app
 
 from wasabicross.http_server import HttpServer
-from wasabicross.listening import Started, bind_http
+from wasabicross.listening import bind_http
+from wasabicross.running import Started
 
 _THREADS = 2
 _STOP_S = 1
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,94 @@
+"""The instance list as one instance sees it."""
+
+import pytest
+
+from wasabicross.fleet_view import FleetView
+from wasabicross.instances import BackendServer, Fleet, Instance
+
+NEVER = float('inf')
+
+
+def instances_in(*data_centres):
+    return Fleet(
+        tuple(
+            Instance('me', data_centre, '127.0.0.1', 1, 'live')
+            for data_centre in data_centres
+        ),
+        (),
+    )
+
+
+HERE = instances_in('north')
+
+
+@pytest.mark.parametrize(
+    ('lists', 'since_s'),
+    [
+        ([], NEVER),
+        ([instances_in()], NEVER),
+        ([instances_in('south')], NEVER),
+        ([instances_in(), HERE, HERE], 1),
+        ([HERE, HERE], 0),
+        ([HERE, instances_in()], NEVER),
+        ([HERE, instances_in(), HERE], 2),
+    ],
+)
+def test_resident_since_the_first_list_of_an_unbroken_row(lists, since_s):
+    view = FleetView('me', 'north')
+    for now_s, each in enumerate(lists):
+        view.take(each, now_s)
+    assert view.resident_since_s == since_s
+
+
+def servers_in(listed):
+    """Return a list; a server in capitals is leaving."""
+    return Fleet(
+        (),
+        tuple(
+            BackendServer(
+                name.lower(),
+                'engine',
+                'g',
+                'north',
+                '127.0.0.1',
+                1,
+                'leaving' if name.isupper() else 'live',
+                'base',
+            )
+            for name in listed
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('lists', 'shown'),
+    [
+        (['ab'], 'ab'),
+        (['ab', 'b'], 'ab'),
+        (['ab', 'b', 'ab', 'b'], 'ab'),
+        (['ab', 'b', 'b'], 'b'),
+        (['ab', '', ''], ''),
+        (['ab', 'b', 'b', 'ab', 'b'], 'ab'),
+        # A word is taken at once, and kept while the server is missed.
+        (['ab', 'Ab'], 'Ab'),
+        (['ab', 'Ab', 'b'], 'Ab'),
+        (['ab', 'Ab', 'b', 'b'], 'b'),
+        (['ab', 'Ab', 'ab'], 'ab'),
+    ],
+)
+def test_server_that_one_reading_misses_stays(lists, shown):
+    view = FleetView('i', 'north')
+    for listed in lists:
+        view.take(servers_in(listed), 0)
+    found = sorted(
+        each.server_id.upper() if each.state == 'leaving' else each.server_id
+        for each in view.servers
+    )
+    assert sorted(found, key=str.lower) == sorted(shown, key=str.lower)
+
+
+def test_only_what_changes_is_told():
+    view = FleetView('i', 'north')
+    lists = ('ab', 'ba', 'b', 'ab', 'a', 'a')
+    told = [view.take(servers_in(each), 0) for each in lists]
+    assert told == [True, False, False, False, False, True]
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -53,6 +53,8 @@
     port = cfg['entries'][0][field] if args else cfg[section][field]
     with ExitStack() as stack:
         taken = stack.enter_context(socket.socket())
+        # Closed connections of earlier tests may still linger on the port.
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         taken.bind(('127.0.0.1', port))
         taken.listen()
         ended = run(tmp_path, cfg, program, args)
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -32,6 +32,7 @@
             server=lambda server_id: SERVER,
             usable=lambda server_ids, now_s: set(server_ids),
             holder=lambda server, load_name, now_s: holder,
+            running_on=lambda fingerprint: None,
         )
 
     def accepted(self):
@@ -92,7 +93,7 @@
     def clear(self, req, server_id, tried, now_s):
         return True
 
-    def exchange(self, req, server_id, start, named, adapt):
+    def exchange(self, req, server_id, start, named, adapt, load_name):
         start()
         return Reply(200, named, adapt(piece for piece in ANSWERED))
 
