--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -11,12 +11,11 @@
 from wasabicross.controller_status import ControllerStatus
 from wasabicross.http_server import HttpServer
 from wasabicross.kv import KeyValueStore
-from wasabicross.listening import Started, bind_http
+from wasabicross.listening import bind_http
 from wasabicross.logs import configure_logs
 from wasabicross.options import settings_options, settings_or_exit
-from wasabicross.program import run_until_stopped
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
-from wasabicross.stopping import stop_event
 from wasabicross.telemetry import MetricsServer, Readiness
 
 THREADS = 8
@@ -78,8 +77,7 @@
     """Run the administration API of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-admin')
-    stop = stop_event()
-    run_until_stopped(Admin(cfg, ControllerStatus.from_config(cfg)), stop)
+    run_program(lambda: Admin(cfg, ControllerStatus.from_config(cfg)))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -20,10 +20,10 @@
 from wasabicross.instance_loads import InstanceLoads
 from wasabicross.instances import InstanceList
 from wasabicross.kv import KeyValueStore
+from wasabicross.link_listener import LinkListener
 from wasabicross.link_serving import LinkServing
-from wasabicross.links import Link, LinkListener
+from wasabicross.links import Link
 from wasabicross.list_following import ListFollowing
-from wasabicross.listening import Started
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
 from wasabicross.owner_links import OwnerLinks
@@ -33,12 +33,11 @@
 from wasabicross.peers import PeerLinks
 from wasabicross.permits import PermitDesk
 from wasabicross.policy import Weights
-from wasabicross.program import run_until_stopped
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
 from wasabicross.spread import BundleFollower, PointerWatch
 from wasabicross.standing import Standing
 from wasabicross.status import InstanceBundle, InstanceTable
-from wasabicross.stopping import stop_event
 from wasabicross.subscribers import Subscribers, UseWindow
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
@@ -293,8 +292,7 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = stop_event()
-    run_until_stopped(Controller.from_config(cfg), stop)
+    run_program(lambda: Controller.from_config(cfg))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -10,15 +10,14 @@
 from wasabicross.entry_link import EntryLink
 from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
-from wasabicross.listening import Started, bind_http
+from wasabicross.listening import bind_http
 from wasabicross.logs import configure_logs
 from wasabicross.model_calls import ModelCalls
 from wasabicross.options import settings_options, settings_or_exit
-from wasabicross.program import run_until_stopped
 from wasabicross.retries import RetryBudget
+from wasabicross.running import Started, run_program
 from wasabicross.service_calls import ServiceCalls
 from wasabicross.settings import EntrySettings, Settings
-from wasabicross.stopping import stop_event
 from wasabicross.telemetry import MetricsServer, Readiness
 
 SPARE_THREADS = 16
@@ -120,8 +119,7 @@
     if entry_cfg is None:
         raise click.UsageError('--name must tell one of the entries')
     configure_logs(cfg.logs, f'wasabicross-entry {entry_cfg.name}')
-    stop = stop_event()
-    run_until_stopped(Entry(cfg, entry_cfg), stop)
+    run_program(lambda: Entry(cfg, entry_cfg))
 
 
 if __name__ == '__main__':
