Count every call of the closing peak, and split its stalls

Started with the port of one entry taken, a deployment passed as ready, since the metrics port answered while the entry itself served nobody. Ruled out: calls that an entry had taken and not answered; every call that had an answer was answered whole. Change: the bench waits until each entry is ready, fails if a program has ended, names each call, and puts each into one count by how it ended. Stalls are reckoned for each call from its own clock and the logs of the engines, calls that are given up included, and are split by kind (first load, again, neither) and by part (until the order, load, until the engine has the call). Some faults come at the same times for all: loads of one engine fail, another restarts empty.

--- /dev/null
+++ b/emulator/bench_deployment.py
@@ -0,0 +1,87 @@
+"""The deployment of a closing peak, by the policy or by a baseline."""
+
+import pathlib
+from functools import partial
+
+import urllib3
+
+from emulator.deployment import Deployment
+from emulator.fleet import Program, ProgramFailed, Runner
+from emulator.link_table import HOST
+from emulator.shape import Place, Shape
+from emulator.waiting import wait_until
+
+POLICY = 'policy'
+READY_TIMEOUT_S = 30
+STATUS_OK = 200
+
+
+class BenchDeployment(Deployment):
+    """A deployment whose entries go by the policy or by a baseline.
+
+    :param contender: `policy` or the name of a baseline.
+    :param engines: how many engines there are in all.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        runner: Runner,
+        folder: pathlib.Path,
+        contender: str,
+        engines: int,
+    ) -> None:
+        super().__init__(shape, runner, folder)
+        self._contender = contender
+        # The data centres are served in turn, so that the last have fewer.
+        by_number = sorted(self.engines, key=lambda place: place.name[-1])
+        self.engines = by_number[:engines]
+
+    def instance_programs(self, instance_id: str) -> list[Program]:
+        """Return the programs of an instance, its controller first."""
+        programs = super().instance_programs(instance_id)
+        if self._contender == POLICY:
+            return programs
+        return [self._replaced(program) for program in programs]
+
+    def _replaced(self, program: Program) -> Program:
+        if program.module != 'wasabicross.entry':
+            return program
+        return program._replace(
+            module='emulator.baseline_entry',
+            args=(self._contender, *program.args),
+        )
+
+    def wait_for_entries(self) -> None:
+        """Wait until each entry can serve calls on its own port.
+
+        That it lives is told by its metrics port, also for a moment when its
+        own port is taken by another process of the machine and it ends.
+        """
+        for entry in self.entries:
+            wait_until(
+                partial(_is_ready, entry), READY_TIMEOUT_S, f'{entry.name}'
+            )
+
+    def check_running(self) -> None:
+        """Check that no program has ended.
+
+        :raises ProgramFailed: one has.
+        """
+        ended = [
+            name
+            for name, exit_code in self.runner.exit_codes().items()
+            if exit_code is not None
+        ]
+        if ended:
+            tails = '\n'.join(self.runner.log_tail(name) for name in ended)
+            raise ProgramFailed(f'ended: {ended}\n{tails}')
+
+
+def _is_ready(entry: Place) -> bool:
+    url = f'http://{HOST}:{entry.metrics_port}/readyz'
+    try:
+        resp = urllib3.request('GET', url, retries=False, timeout=1)
+    except (urllib3.exceptions.HTTPError, OSError):
+        return False
+    return resp.status == STATUS_OK
--- a/emulator/stream_client.py
+++ b/emulator/stream_client.py
@@ -24,6 +24,7 @@
     :param token: bearer token, empty for none.
     :param prompt: text of the only message.
     :param timeout_s: seconds until the call is given up.
+    :param request_id: id that the call names, empty for none.
     """
 
     url: str
@@ -33,6 +34,7 @@
     token: str = ''
     prompt: str = 'What is due today?'
     timeout_s: float = 60
+    request_id: str = ''
 
 
 class CallRecord(NamedTuple):
@@ -280,6 +282,8 @@
     ]
     if call.token:
         lines.append(f'Authorization: Bearer {call.token}')
+    if call.request_id:
+        lines.append(f'X-Request-Id: {call.request_id}')
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,8 +3,12 @@
 import pytest
 
 from emulator.arrivals import Arrival
-from emulator.bench import BenchOptions, Histogram, planned
+from emulator.bench import BenchOptions, planned
+from emulator.bench_faults import planned_faults
+from emulator.bench_figures import EngineLogs, Histogram, figures_of, stall_of
 from emulator.clairvoyant import stall_bound_s
+from emulator.load import Shot
+from emulator.stream_client import CallRecord, StreamCall
 
 PAGE = """# TYPE stall histogram
 stall_bucket{tenant="a",le="1.0"} 8
@@ -46,3 +50,94 @@
 def test_contenders_get_the_same_calls():
     assert planned(BenchOptions()) == planned(BenchOptions())
     assert planned(BenchOptions()) != planned(BenchOptions(seed=2))
+
+
+def shot(number, **fields):
+    call = StreamCall('http://e', '/', 'a', 1, request_id=f'call-{number}')
+    record = CallRecord(10, 200, True, 'completed')._replace(**fields)
+    return Shot(Arrival(0, number, 1), call, record)
+
+
+def load_event(adapter, at_s, sequence):
+    return {
+        'event': 'load',
+        'outcome': 'ok',
+        'load_name': f'{adapter}@1#s:1:{sequence}',
+        'at': at_s,
+        'ended_at': at_s + 0.25,
+    }
+
+
+def request_event(number, load_name, at_s):
+    return {
+        'event': 'request',
+        'request_id': f'call-{number}',
+        'load_name': load_name,
+        'accepted_at': at_s,
+        'started_at': at_s + 0.5,
+        'ended_at': at_s + 2,
+    }
+
+
+LOGS = EngineLogs(
+    [
+        {
+            'batch': {'busy_s': 2, 'running_s': 4},
+            'log': [
+                load_event('a', 9, 1),
+                load_event('b', 11, 2),
+                load_event('a', 12, 3),
+                request_event(1, 'a@1#s:1:1', 10.01),
+                request_event(2, 'b@1#s:1:2', 11.5),
+                request_event(3, 'a@1#s:1:3', 12.5),
+            ],
+        }
+    ]
+)
+
+
+@pytest.mark.parametrize(
+    ('number', 'fields', 'kind', 'parts'),
+    [
+        (1, {}, 'path', (0, 0, 0.01, 0.5)),
+        (2, {}, 'first', (1, 0.25, 0.25, 0.5)),
+        (3, {}, 'again', (2, 0.25, 0.25, 0.5)),
+        # Joined while the load was under way.
+        (2, {'started_s': 11.125}, 'first', (0, 0.125, 0.25, 0.5)),
+        (4, {'status': 429, 'took_s': 0.01}, 'refused', (0.01, 0, 0, 0)),
+        (4, {'status': 503, 'took_s': 20}, 'given_up', (20, 0, 0, 0)),
+        (4, {'is_complete': False, 'took_s': 3}, 'unanswered', (3, 0, 0, 0)),
+    ],
+)
+def test_what_a_call_waited_for(number, fields, kind, parts):
+    stall = stall_of(shot(number, **fields), LOGS)
+    assert stall.kind == kind
+    assert stall[1:] == pytest.approx(parts)
+
+
+def test_each_call_is_counted_once():
+    shots = [
+        shot(1),
+        shot(2),
+        shot(3),
+        shot(4, status=429, outcome='not-run'),
+        shot(5, is_complete=False, status=0),
+        shot(6, is_complete=False),
+        shot(7)._replace(record=None),
+    ]
+    figures = figures_of(shots, LOGS, 4)
+    assert sum(figures['ends'].values()) == figures['calls'] == 7
+    assert figures['ends']['unanswered by http://e'] == 1
+    assert figures['ends']['cut after its start by http://e'] == 1
+    assert figures['batch_fill'] == 0.5
+    assert figures['dispatches_per_accepted'] == 1
+    assert figures['loads'] == 3
+
+
+@pytest.mark.parametrize(
+    ('kind', 'engines'), [('none', []), ('some', [0, 1]), ('half', [0, 1, 2])]
+)
+def test_faults_of_the_peak(kind, engines):
+    faults = planned_faults(kind, 50, 6)
+    assert [fault.engine for fault in faults] == engines
+    assert all(0 < fault.at_s < 50 for fault in faults)
