End a program whose own port is taken

Cause: an entry bound its callers port after its metrics had started. Where that port was taken, the main thread ended by OSError, but the threads of the metrics kept the process alive: it answered /healthz, was linked to its controller and served nobody. The administration API did the same. Ruled out: daemon threads for the metrics, which are not ours to set. Change: both stop the metrics and let the error end the process; the entry links only once it has its port. The bench names the program that ended. Conclusion: a supervisor sees the end and can start it again.

--- a/emulator/bench_deployment.py
+++ b/emulator/bench_deployment.py
@@ -55,13 +55,18 @@
     def wait_for_entries(self) -> None:
         """Wait until each entry can serve calls on its own port.
 
-        That it lives is told by its metrics port, also for a moment when its
-        own port is taken by another process of the machine and it ends.
+        That it lives is told by its metrics port, also when its own port was
+        taken by another process of the machine.
+
+        :raises ProgramFailed: a program has ended, or an entry isn't ready.
         """
         for entry in self.entries:
-            wait_until(
-                partial(_is_ready, entry), READY_TIMEOUT_S, f'{entry.name}'
-            )
+            try:
+                wait_until(
+                    partial(self._is_ready, entry), READY_TIMEOUT_S, entry.name
+                )
+            except TimeoutError as exc:
+                raise ProgramFailed(self.runner.log_tail(entry.name)) from exc
 
     def check_running(self) -> None:
         """Check that no program has ended.
@@ -77,11 +82,11 @@
             tails = '\n'.join(self.runner.log_tail(name) for name in ended)
             raise ProgramFailed(f'ended: {ended}\n{tails}')
 
-
-def _is_ready(entry: Place) -> bool:
-    url = f'http://{HOST}:{entry.metrics_port}/readyz'
-    try:
-        resp = urllib3.request('GET', url, retries=False, timeout=1)
-    except (urllib3.exceptions.HTTPError, OSError):
-        return False
-    return resp.status == STATUS_OK
+    def _is_ready(self, entry: Place) -> bool:
+        self.check_running()
+        url = f'http://{HOST}:{entry.metrics_port}/readyz'
+        try:
+            resp = urllib3.request('GET', url, retries=False, timeout=1)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return resp.status == STATUS_OK
--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -57,7 +57,12 @@
     def start(self) -> None:
         """Serve in threads; OSError if a port is taken."""
         self._metrics.start()
-        self._server.prepare()
+        try:
+            self._server.prepare()
+        except OSError:
+            # The threads of the metrics would keep the process alive.
+            self._metrics.stop()
+            raise
         self._thread.start()
         self._readiness.declare('accepting', holds=True)
 
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -59,8 +59,13 @@
     def start(self) -> None:
         """Start serving; metrics first, since they tell that it lives."""
         self._metrics.start()
+        try:
+            self._server.prepare()
+        except OSError:
+            # The threads of the metrics would keep the process alive.
+            self._metrics.stop()
+            raise
         self._link.start()
-        self._server.prepare()
         for name, run in (
             ('callers', self._server.serve),
             ('ready', self._follow_readiness),
