Tell admission the adapter, the slots and the run times

Cause: admission was given an empty adapter, as many slots as requests and no run time. So no adapter had a limit, the expected wait was always 0, no call was refused for its deadline, and the time to come back knew nothing of the backlog. Ruled out: run times from the acceptance on, which count the wait twice and would refuse more and more; and those of answers that aren't streamed, whose first piece comes at their end. Change: admission gets the adapter that a model call names. The run time counts from the first piece of a stream. The slots follow the engines: of each batch the share that this entry has of the requests there. Calls to plain services neither wait for slots nor take any. Conclusion: wired.

--- a/src/wasabicross/admission.py
+++ b/src/wasabicross/admission.py
@@ -27,13 +27,16 @@
 
 _MAX_RETRY_AFTER_S = 30.0
 
+#: What calls to plain services are counted under.
+_SERVICE_CALLS = ('adapter', '')
+
 
 class AdmissionLimits(NamedTuple):
     """How many requests may be under way, waiting ones included.
 
     :param capacity: most requests of all.
-    :param slots: requests that the reachable engines run at a time; those
-        beyond wait.
+    :param slots: model calls that the reachable engines run at a time for
+        this process; those beyond wait.
     :param adapter_share: share of the capacity that one adapter may take.
     :param class_shares: share of the capacity by request class; classes that
         aren't named may take all.
@@ -105,6 +108,10 @@
         with self._lock:
             self._limits = limits
 
+    def set_slots(self, slots: int) -> None:
+        """Change how many model calls run at a time for this process."""
+        self.set_limits(self._limits._replace(slots=slots))
+
     def admit(
         self,
         tenant: str,
@@ -152,9 +159,10 @@
                 self._run_s += _RUN_GAIN * (run_s - self._run_s)
 
     def expected_wait_s(self) -> float:
-        """Estimate how long a request admitted now waits for a slot."""
+        """Estimate how long a model call admitted now waits for a slot."""
         slots = max(1, self._limits.slots)
-        queued = max(0, len(self._open) + 1 - slots)
+        services = self._counts[_SERVICE_CALLS]
+        queued = max(0, len(self._open) - services + 1 - slots)
         return queued * self._run_s / slots
 
     def fair_share(self, tenant: str, now_s: float) -> float:
@@ -185,10 +193,14 @@
             ('class-limit', of_class > self._class_limit(request)),
             ('adapter-limit', bool(request.adapter) and over_adapter),
             ('tenant-share', borrowed and of_tenant > share),
-            ('deadline', self.expected_wait_s() >= deadline_s),
+            ('deadline', self._wait_s(request) >= deadline_s),
         )
         return next((reason for reason, failed in checks if failed), '')
 
+    def _wait_s(self, request: Admitted) -> float:
+        """Estimate a request's wait; plain services have no slots."""
+        return self.expected_wait_s() if request.adapter else 0
+
     def _class_limit(self, request: Admitted) -> float:
         shares = self._limits.class_shares
         return self._limits.capacity * shares.get(request.request_class, 1)
--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -114,7 +114,7 @@
         admitted = self._admission.admit(
             req.tenant,
             req.route.request_class,
-            '',
+            _adapter(req),
             req.deadline_s - now_s,
             now_s,
         )
@@ -129,7 +129,8 @@
             self._admission.release(admitted)
             raise
         content = Finished(
-            reply.content, lambda: self._admission.release(admitted)
+            reply.content,
+            lambda: self._admission.release(admitted, _run_s(reply)),
         )
         return reply._replace(content=content)
 
@@ -214,6 +215,18 @@
     return random.Random(seed)  # noqa: S311
 
 
+def _adapter(req: CallerRequest) -> str:
+    """Return the adapter that a model call names, empty for other calls."""
+    if req.route.kind != 'engine':
+        return ''
+    return str((req.document() or {}).get('model', ''))
+
+
+def _run_s(reply: Reply) -> float | None:
+    since_s = reply.running_since_s
+    return None if since_s is None else time.monotonic() - since_s
+
+
 def _path(environ: _Environ) -> str:
     query = environ.get('QUERY_STRING', '')
     path: str = environ['PATH_INFO']
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -1,6 +1,7 @@
 """`wasabicross-entry`: takes callers' requests and streams their answers."""
 
 import threading
+import time
 import uuid
 
 import click
@@ -45,7 +46,8 @@
         self._metrics = MetricsServer(
             cfg.instance.host, entry.metrics_port, self.readiness
         )
-        self._api = _caller_api(cfg, entry, self._link)
+        self._admission = _admission(cfg, entry)
+        self._api = _caller_api(cfg, entry, self._link, self._admission)
         self._server = wsgi.Server(
             (cfg.instance.host, entry.port),
             self._api,
@@ -68,7 +70,7 @@
         self._link.start()
         for name, run in (
             ('callers', self._server.serve),
-            ('ready', self._follow_readiness),
+            ('ready', self._follow_state),
         ):
             threading.Thread(target=run, name=name, daemon=True).start()
 
@@ -82,7 +84,7 @@
         self._link.stop()
         self._metrics.stop()
 
-    def _follow_readiness(self) -> None:
+    def _follow_state(self) -> None:
         self.readiness.declare('accepting', holds=True)
         while not self._stopping.wait(READY_INTERVAL_S):
             has_bundle = self._link.bundle is not None
@@ -91,22 +93,27 @@
             self.readiness.declare('servers', holds=listed)
             linked = self._link.is_linked
             self.readiness.declare('controller', holds=linked)
+            self._admission.set_slots(self._link.watch.slots(time.monotonic()))
         self.readiness.declare('accepting', holds=False)
 
 
+def _admission(cfg: Settings, entry: EntrySettings) -> Admission:
+    weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
+    limits = AdmissionLimits(
+        entry.max_requests, entry.max_requests, tenant_weights=weights
+    )
+    return Admission(limits, spreading_rng(uuid.uuid4().hex))
+
+
 def _caller_api(
-    cfg: Settings, entry: EntrySettings, link: EntryLink
+    cfg: Settings,
+    entry: EntrySettings,
+    link: EntryLink,
+    admission: Admission,
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
     attempts = Attempts(link.watch, RetryBudget())
     life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
-    weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
-    admission = Admission(
-        AdmissionLimits(
-            entry.max_requests, entry.max_requests, tenant_weights=weights
-        ),
-        spreading_rng(life),
-    )
     return CallerApi(
         link,
         cfg.tenants,
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -186,7 +186,13 @@
                 reply.content,
                 lambda: self._link.finish_request(holder.load_name),
             )
-            return reply._replace(content=content)
+            # The first piece of a stream comes once the request runs; a whole
+            # answer comes when it has run.
+            is_streamed = run.document.get('stream') is True
+            return reply._replace(
+                content=content,
+                running_since_s=time.monotonic() if is_streamed else None,
+            )
         self._link.finish_request(holder.load_name)
         return self._after_failure(run, holder, reply)
 
--- a/src/wasabicross/replies.py
+++ b/src/wasabicross/replies.py
@@ -21,11 +21,14 @@
     :param status: HTTP status code.
     :param headers: header fields, in order.
     :param content: pieces of the body; raises if the answer is cut.
+    :param running_since_s: monotonic time since which the backend server
+        surely runs the request, None if that isn't known.
     """
 
     status: int
     headers: Headers
     content: Iterable[bytes]
+    running_since_s: float | None = None
 
     def with_header(self, name: str, text: str) -> 'Reply':
         """Return the reply with a header field in place of others of its name.
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -23,6 +23,7 @@
 
 PROBE_TIMEOUT_S = 0.5
 DEFAULT_BATCH_SIZE = 16
+MAX_REPORT_AGE_S = 5.0
 LEAVING = 'leaving'
 
 
@@ -130,6 +131,28 @@
         """Return how many requests of this process are under way there."""
         return self._outstanding[server_id]
 
+    def slots(self, now_s: float) -> int:
+        """Estimate how many requests the engines run at a time for this entry.
+
+        Of each engine's batch it is the share that this process has of the
+        requests there; one more counts, so that a share can grow.
+
+        :param now_s: monotonic seconds.
+        """
+        engines = [
+            server
+            for server in self._servers.values()
+            if server.kind == 'engine'
+        ]
+        usable = self.usable([each.server_id for each in engines], now_s)
+        return round(
+            sum(
+                _own_slots(self.holder(server, '', now_s))
+                for server in engines
+                if server.server_id in usable
+            )
+        )
+
     def begin(
         self, fingerprint: bytes, server_id: str, now_s: float
     ) -> Clearance:
@@ -202,3 +225,11 @@
         except OSError:
             return Failure.timed_out
         return None
+
+
+def _own_slots(engine: Holder) -> float:
+    reported = engine.reported_running + engine.reported_waiting
+    if engine.report_age_s > MAX_REPORT_AGE_S:
+        reported = 0
+    of_all = max(reported, engine.outstanding)
+    return engine.batch_size * (engine.outstanding + 1) / (of_all + 1)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -105,3 +105,25 @@
         admission.release(token)
     assert admission.fair_share('u', 5) == pytest.approx(20 / 6)
     assert admission.fair_share('u', 60) == pytest.approx(20)
+
+
+def test_calls_to_services_neither_wait_for_slots_nor_take_them():
+    limits = AdmissionLimits(50, 4, adapter_share=1, run_s=1)
+    admission = Admission(limits, random.Random(1))
+    for _ in range(9):
+        admission.admit('t', 'order', '', 60, 0)
+    assert admission.expected_wait_s() == 0
+    fill(admission, [(9, 't draft a')])
+    assert admission.expected_wait_s() == pytest.approx(6 / 4)
+    assert isinstance(admission.admit('t', 'order', '', 1, 0), Admitted)
+    assert isinstance(admission.admit('t', 'draft', 'a', 1, 0), Refused)
+
+
+def test_fewer_slots_refuse_what_would_miss_its_deadline():
+    admission = Admission(
+        AdmissionLimits(50, 50, adapter_share=1, run_s=1), random.Random(1)
+    )
+    fill(admission, [(9, 't draft a')])
+    assert isinstance(admission.admit('t', 'draft', 'a', 1, 0), Admitted)
+    admission.set_slots(2)
+    assert isinstance(admission.admit('t', 'draft', 'a', 1, 0), Refused)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import io
 import random
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -12,6 +13,7 @@
 from wasabicross.replies import COMPLETED, OUTCOME_HEADER, Reply
 from wasabicross.settings import TenantSettings
 
+MODEL_ROUTE = Route('/v1', 'engine', 'drafting', 'drafts', ('POST',))
 ROUTE = Route('/orders', 'service', 'desk', 'orders', ())
 SERVED = (('x-request-id', 'of-the-service'), (OUTCOME_HEADER, COMPLETED))
 
@@ -69,3 +71,55 @@
 )
 def test_refusals(capacity, fields, told):
     assert ask(capacity, **fields) == (told, [])
+
+
+class RecordingAdmission(Admission):
+    """Keeps what it was asked and told."""
+
+    def __init__(self):
+        super().__init__(AdmissionLimits(8, 8), random.Random(1))
+        self.adapters = []
+        self.runs_s = []
+
+    def admit(self, tenant, request_class, adapter, deadline_s, now_s):
+        self.adapters.append(adapter)
+        return super().admit(tenant, request_class, adapter, deadline_s, now_s)
+
+    def release(self, token, run_s=None):
+        self.runs_s.append(run_s)
+        super().release(token, run_s)
+
+
+@pytest.mark.parametrize(
+    ('route', 'body', 'adapter'),
+    [
+        (MODEL_ROUTE, b'{"model": "quote"}', 'quote'),
+        (MODEL_ROUTE, b'{"model": 7}', '7'),
+        (MODEL_ROUTE, b'no JSON', ''),
+        (ROUTE, b'{"model": "quote"}', ''),
+    ],
+)
+@pytest.mark.parametrize('ran_s', [None, 3])
+def test_admission_is_told_the_adapter_and_the_run_time(
+    route, body, adapter, ran_s
+):
+    admission = RecordingAdmission()
+    since_s = None if ran_s is None else time.monotonic() - ran_s
+    calls = SimpleNamespace(
+        run=lambda req: Reply(200, SERVED, (b'done',), since_s)
+    )
+    link = SimpleNamespace(bundle=SimpleNamespace(route=lambda path: route))
+    tenants = [TenantSettings(name='agents', token='tenant-token-1')]
+    api = CallerApi(link, tenants, admission, calls, calls, CallerLimits(5))
+    environ = {
+        'PATH_INFO': '/v1',
+        'REQUEST_METHOD': 'POST',
+        'HTTP_AUTHORIZATION': 'Bearer tenant-token-1',
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+    }
+    list(api(environ, lambda status, headers: None))
+    assert admission.adapters == [adapter]
+    assert admission.in_flight == 0
+    [run_s] = admission.runs_s
+    assert run_s == (None if ran_s is None else pytest.approx(ran_s, abs=1))
--- /dev/null
+++ b/tests/test_server_watch.py
@@ -0,0 +1,44 @@
+"""How many model calls the engines run at a time for one entry."""
+
+import pytest
+
+from wasabicross.messages import ServerInfo, ServerLoad
+from wasabicross.server_watch import ServerWatch
+from wasabicross.suspects import Suspects
+
+
+def watch(engines, own):
+    known = ServerWatch(Suspects(), lambda: None)
+    known.follow(
+        [
+            ServerInfo(f's{number}', kind, 'g', 'dc', 'h', 1, 'live', 'base')
+            for number, kind in enumerate(('engine', 'engine', 'service'))
+        ],
+        0,
+    )
+    known.reported(
+        [
+            ServerLoad(f's{number}', running, waiting, 16, age_s, 0)
+            for number, (running, waiting, age_s) in enumerate(engines)
+        ],
+        10,
+    )
+    for number in range(own):
+        known.begin(str(number).encode(), 's0', 10)
+    return known
+
+
+@pytest.mark.parametrize(
+    ('engines', 'own', 'slots'),
+    [
+        ([(0, 0, 0), (0, 0, 0)], 0, 32),
+        # What others run there leaves a share only.
+        ([(15, 0, 0), (15, 0, 0)], 0, 2),
+        ([(15, 0, 0), (15, 0, 0)], 7, 9),
+        ([(16, 15, 0), (0, 0, 0)], 15, 24),
+        # A report that is old says nothing.
+        ([(15, 0, 60), (15, 0, 60)], 0, 32),
+    ],
+)
+def test_slots(engines, own, slots):
+    assert watch(engines, own).slots(10) == slots
