Tell goodput and first tokens by window in the bench

Ruled out: goodput over the whole peak, which counts the loads of its start. Change: tokens of whole answers a second from a third of the peak on, and the p95 of the first tokens of each 5 s. What has no value is null in the JSON.

--- a/emulator/bench_figures.py
+++ b/emulator/bench_figures.py
@@ -8,6 +8,7 @@
 from emulator.load import Shot, percentile
 
 MS_PER_S = 1000
+WINDOW_S = 5
 STATUS_OK = 200
 STATUS_OVERLOADED = 429
 
@@ -182,6 +183,8 @@
         'queue_s_total': round(sum(queues_s), 1),
         'batch_fill': round(logs.running_s / max(logs.busy_s, 1e-9) / batch, 3),
         **_percentiles('first_token_ms', first_ms, 1),
+        'first_token_ms_p95_by_5s': _by_window(shots),
+        'goodput_tokens_per_s': _goodput(shots),
         **_refusals(shots),
         'dispatches_per_accepted': round(
             logs.counts['request'] / max(1, len(accepted)), 3
@@ -191,6 +194,38 @@
     }
 
 
+def _by_window(shots: Sequence[Shot]) -> list[float | None]:
+    """Return the p95 of the first tokens of the calls of each window."""
+    windows: dict[int, list[float]] = defaultdict(list)
+    for shot in shots:
+        if shot.record and shot.record.status == STATUS_OK:
+            first_ms = shot.record.first_token_s * MS_PER_S
+            windows[int(shot.arrival.at_s // WINDOW_S)].append(first_ms)
+    return [
+        _rounded(percentile(windows[number], 0.95), 1)
+        for number in range(max(windows, default=-1) + 1)
+    ]
+
+
+def _goodput(shots: Sequence[Shot]) -> float:
+    """Return the tokens a second of whole answers, once the peak is under way.
+
+    What ended in the first third doesn't count, nor what ended after the last
+    call.
+    """
+    last_s = max((shot.arrival.at_s for shot in shots), default=0)
+    from_s = last_s / 3
+    tokens = sum(
+        shot.arrival.tokens
+        for shot in shots
+        if shot.record
+        and shot.record.is_complete
+        and shot.record.status == STATUS_OK
+        and from_s <= shot.arrival.at_s + shot.record.took_s <= last_s
+    )
+    return round(tokens / max(last_s - from_s, 1e-9), 1)
+
+
 def _counts(stall: Stall) -> bool:
     """Tell whether a wait is a stall: not a refusal without one."""
     return stall.kind != 'refused'
@@ -239,21 +274,26 @@
     returns = Counter(record.retry_after_s or 0 for record in refused)
     return {
         'refused': len(refused),
-        'refused_ms_p95': round(percentile(took_ms, 0.95), 1),
+        'refused_ms_p95': _rounded(percentile(took_ms, 0.95), 1),
         'retry_after_s': {str(key): returns[key] for key in sorted(returns)},
     }
 
 
 def _percentiles(
     name: str, values: Sequence[float], digits: int
-) -> dict[str, float]:
+) -> dict[str, float | None]:
     return {
-        f'{name}_p50': round(percentile(values, 0.5), digits),
-        f'{name}_p95': round(percentile(values, 0.95), digits),
-        f'{name}_p99': round(percentile(values, 0.99), digits),
+        f'{name}_p50': _rounded(percentile(values, 0.5), digits),
+        f'{name}_p95': _rounded(percentile(values, 0.95), digits),
+        f'{name}_p99': _rounded(percentile(values, 0.99), digits),
     }
 
 
+def _rounded(value: float, digits: int) -> float | None:
+    """Round a value, None if there is none, which JSON can't tell."""
+    return round(value, digits) if value == value else None
+
+
 def _time_of(event: Mapping[str, Any]) -> float:
     """Return the monotonic time of a log's entry."""
     return float(event.get('at') or event.get('accepted_at') or 0)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -134,6 +134,22 @@
     assert figures['loads'] == 3
 
 
+def test_goodput_and_windows():
+    shots = [
+        shot(1)._replace(arrival=Arrival(at_s, 1, tokens))
+        for at_s, tokens in ((0, 5), (8, 7), (11, 60), (27, 90), (30, 9))
+    ]
+    shots[2] = shots[2]._replace(
+        record=shots[2].record._replace(took_s=3, first_token_s=2)
+    )
+    shots[3] = shots[3]._replace(record=shots[3].record._replace(took_s=9))
+    figures = figures_of(shots, LOGS, 4)
+    assert figures['goodput_tokens_per_s'] == round((60 + 9) / 20, 1)
+    by_window = figures['first_token_ms_p95_by_5s']
+    assert len(by_window) == 7
+    assert by_window[2] == 2000
+
+
 @pytest.mark.parametrize(
     ('kind', 'engines'), [('none', []), ('some', [0, 1]), ('half', [0, 1, 2])]
 )
