Give each firm of the bench a peak of its own, both in one command

Cause: with 60 tokens an answer and 6 calls a second engines are a fifth full, so that how full batches are is told by the number of engines in use alone. Change: the firm that weighs batches has long answers (180 tokens) and batches of 8, near nine tenths of what its engines run; `make bench` runs both firms.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -40,12 +40,16 @@
 
     :param engines: ids of the engines, named by their data centres.
     :param weights: of the routing policy, as its bundle has them.
+    :param batch: requests that an engine runs at a time.
+    :param tokens: mean length of an answer.
     """
 
     data_centres: tuple[str, ...]
     engines: int
     instances: int
     weights: dict[str, float]
+    batch: int
+    tokens: int
 
 
 FIRMS = {
@@ -54,12 +58,16 @@
         6,
         2,
         {'stall_weight': 4, 'batch_weight': 0.25},
+        batch=16,
+        tokens=60,
     ),
     'batches': Firm(
         ('hbt-a', 'hbt-b', 'ltn', 'bur'),
         6,
         2,
         {'stall_weight': 1, 'batch_weight': 4},
+        batch=8,
+        tokens=180,
     ),
 }
 
@@ -67,23 +75,25 @@
 class BenchOptions(NamedTuple):
     """What the command line gives.
 
-    :param firm: `stalls` weighs load stalls more, `batches` full batches.
+    :param firm: `stalls` weighs load stalls more, `batches` full batches;
+        `both` runs one after the other.
+    :param batch: requests that an engine runs at a time, 0 as its firm has it.
     :param exponent: of the Zipf law of the adapters' popularity.
     :param rate: calls a second.
-    :param tokens: mean length of an answer.
+    :param tokens: mean length of an answer, 0 as its firm has it.
     :param shift_at_s: when the popularity shifts.
     :param shift_by: places by which the ranks move then.
     :param faults: `none`, `some` or `half` of the engines restart empty.
     :param contenders: what is measured, with commas between.
     """
 
-    firm: str = 'stalls'
+    firm: str = 'both'
     adapters: int = 3000
     slots: int = 8
-    batch: int = 16
+    batch: int = 0
     exponent: float = 1.3
     rate: float = 6.0
-    tokens: int = 60
+    tokens: int = 0
     duration_s: float = 45.0
     shift_at_s: float = 22.0
     shift_by: int = 1500
@@ -194,8 +204,20 @@
     }
 
 
+def of_firm(firm: str, options: BenchOptions) -> BenchOptions:
+    """Fill in what the firm's peak has where nothing else is asked for."""
+    return options._replace(
+        firm=firm,
+        batch=options.batch or FIRMS[firm].batch,
+        tokens=options.tokens or FIRMS[firm].tokens,
+    )
+
+
 def run_all(options: BenchOptions) -> Iterator[dict[str, Any]]:
-    """Yield the figures of each contender, and the bound of the stalls."""
+    """Yield the figures of each contender, and the bounds of the stalls.
+
+    :param options: of one firm.
+    """
     arrivals = planned(options)
     engines = FIRMS[options.firm].engines
     hinted_s = stall_bound_s(arrivals, engines * options.slots)
@@ -229,8 +251,11 @@
 @bench_options
 def main(**named: Any) -> None:
     """Run the closing peak and print a JSON line for each contender."""
-    for figures in run_all(BenchOptions(**named)):
-        click.echo(json.dumps(figures))
+    options = BenchOptions(**named)
+    firms = tuple(FIRMS) if options.firm == 'both' else (options.firm,)
+    for firm in firms:
+        for figures in run_all(of_firm(firm, options)):
+            click.echo(json.dumps(figures))
 
 
 if __name__ == '__main__':
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,7 +3,7 @@
 import pytest
 
 from emulator.arrivals import Arrival
-from emulator.bench import BenchOptions, planned
+from emulator.bench import FIRMS, BenchOptions, of_firm, planned
 from emulator.bench_faults import planned_faults
 from emulator.bench_figures import EngineLogs, Histogram, figures_of, stall_of
 from emulator.clairvoyant import stall_bound_s
@@ -48,8 +48,19 @@
 
 
 def test_contenders_get_the_same_calls():
-    assert planned(BenchOptions()) == planned(BenchOptions())
-    assert planned(BenchOptions()) != planned(BenchOptions(seed=2))
+    options = of_firm('stalls', BenchOptions())
+    assert planned(options) == planned(options)
+    assert planned(options) != planned(options._replace(seed=2))
+
+
+@pytest.mark.parametrize(
+    ('firm', 'asked', 'tokens'),
+    [('stalls', 0, 60), ('batches', 0, 180), ('batches', 40, 40)],
+)
+def test_options_of_a_firm(firm, asked, tokens):
+    options = of_firm(firm, BenchOptions(tokens=asked))
+    assert (options.firm, options.tokens) == (firm, tokens)
+    assert options.batch == FIRMS[firm].batch
 
 
 def shot(number, **fields):
