Compare first tokens before and after a cold start

Cause: the bar of the cold start is told by calls before the restart and by those after the time that the rate of the store allows, which cut across the windows of 5 s. Change: with `--faults half` the bench tells the p95 of both and of the time between; calls that were refused or had no answer count as never answered.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -20,6 +20,7 @@
 from emulator.bench_faults import planned_faults, provoke
 from emulator.bench_figures import EngineLogs, Histogram, figures_of
 from emulator.clairvoyant import stall_bound_s
+from emulator.cold_start import cold_start
 from emulator.deployment import TENANT_TOKEN
 from emulator.fleet import ProgramFailed, Runner
 from emulator.load import Load, Shot
@@ -198,8 +199,15 @@
         urllib3.request('GET', f'{engine.url}/debug/log').json()
         for engine in deployment.engines
     ]
+    faults = planned_faults(options.faults, options.duration_s, len(logs))
+    lost_slots = options.slots * len(faults)
     return {
         **figures_of(shots, EngineLogs(logs), options.batch),
+        **(
+            cold_start(shots, faults[0].at_s, lost_slots)
+            if options.faults == 'half'
+            else {}
+        ),
         'told_stall_s_total': round(stall.total, 1),
     }
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -7,6 +7,7 @@
 from emulator.bench_faults import planned_faults
 from emulator.bench_figures import EngineLogs, Histogram, figures_of, stall_of
 from emulator.clairvoyant import stall_bound_s
+from emulator.cold_start import cold_start
 from emulator.load import Shot
 from emulator.stream_client import CallRecord, StreamCall
 
@@ -168,3 +169,23 @@
     faults = planned_faults(kind, 50, 6)
     assert [fault.engine for fault in faults] == engines
     assert all(0 < fault.at_s < 50 for fault in faults)
+
+
+@pytest.mark.parametrize(
+    ('last', 'after_ms'),
+    [({}, 300), ({'status': 503}, None), ({'status': 0}, None)],
+)
+def test_first_tokens_after_a_cold_start(last, after_ms):
+    # Six slots allow 2.2 s for their loads.
+    told = [(4, 0.9), (8, 0.2), (20.5, 2), (23, 0.3)]
+    shots = [
+        shot(1, first_token_s=first_s)._replace(arrival=Arrival(at_s, 1, 5))
+        for at_s, first_s in told
+    ]
+    shots[-1] = shots[-1]._replace(record=shots[-1].record._replace(**last))
+    assert cold_start(shots, 20, 6) == {
+        'cold_allowed_s': 2.2,
+        'first_token_ms_p95_before': 200,
+        'first_token_ms_p95_meanwhile': 2000,
+        'first_token_ms_p95_after': after_ms,
+    }
