Bound the queue of model calls, and spread all who are given up

Cause: an entry let in as many calls as it has threads for. With 8 slots, 96 calls and runs of 2.5 s the last of them waits 27 s, and fair shares counted for nothing before all threads were taken. Callers given up for other reasons (no load in time, no server) were all told to come back after 2 s. Ruled out: fewer threads, which streams that run need as well; a bound on calls to plain services, which have no slots. Change: a model call that would wait over 10 s for a slot is refused at once with the reason `queue`; shares are reckoned of the calls that fit into that time, a tenth of which stays free for tenants within theirs. A refusal that tells when to come back is spread by admission, never sooner than was told.

--- a/src/wasabicross/admission.py
+++ b/src/wasabicross/admission.py
@@ -27,6 +27,8 @@
 
 _MAX_RETRY_AFTER_S = 30.0
 
+_MIN_RUN_S = 0.01
+
 #: What calls to plain services are counted under.
 _SERVICE_CALLS = ('adapter', '')
 
@@ -42,6 +44,8 @@
         aren't named may take all.
     :param tenant_weights: weight by tenant; tenants that aren't named have 1.
     :param run_s: run time assumed until some have been seen, in seconds.
+    :param max_wait_s: longest wait for a slot that a model call is let in
+        for, in seconds, also where its deadline is later.
     """
 
     capacity: int
@@ -50,6 +54,7 @@
     class_shares: Mapping[str, float] = {}
     tenant_weights: Mapping[str, float] = {}
     run_s: float = 4
+    max_wait_s: float = 10
 
 
 class Admitted(NamedTuple):
@@ -64,8 +69,8 @@
 class Refused(NamedTuple):
     """The request was not run and may come back.
 
-    :param reason: `capacity`, `tenant-share`, `class-limit`, `adapter-limit`
-        or `deadline`.
+    :param reason: `capacity`, `tenant-share`, `class-limit`, `adapter-limit`,
+        `deadline` or `queue`.
     :param retry_after_s: whole seconds after which to come back.
     """
 
@@ -158,11 +163,18 @@
             if run_s is not None:
                 self._run_s += _RUN_GAIN * (run_s - self._run_s)
 
+    def retry_after_s(self, now_s: float) -> int:
+        """Tell a caller that was given up when to come back, spread as others.
+
+        :param now_s: monotonic time in seconds.
+        """
+        with self._lock:
+            return self._retry_after_s(now_s)
+
     def expected_wait_s(self) -> float:
         """Estimate how long a model call admitted now waits for a slot."""
         slots = max(1, self._limits.slots)
-        services = self._counts[_SERVICE_CALLS]
-        queued = max(0, len(self._open) - services + 1 - slots)
+        queued = max(0, self._model_calls() + 1 - slots)
         return queued * self._run_s / slots
 
     def fair_share(self, tenant: str, now_s: float) -> float:
@@ -171,7 +183,7 @@
         self._forget_idle(now_s)
         active = {tenant, *self._seen_s}
         total = sum(weights.get(name, 1) for name in active)
-        return self._limits.capacity * weights.get(tenant, 1) / total
+        return self._room() * weights.get(tenant, 1) / total
 
     def _refusal_reason(
         self,
@@ -183,16 +195,15 @@
         of_tenant, of_class, of_adapter = (
             self._counts[counted] + 1 for counted in _counted(request)
         )
-        share = max(1, self.fair_share(request.tenant, now_s))
-        borrowed = len(self._open) >= capacity * _BORROW_FILL
-        over_adapter = of_adapter > max(
-            1, capacity * self._limits.adapter_share
-        )
+        of_all = self._model_calls() if request.adapter else len(self._open)
+        room = self._room() if request.adapter else capacity
+        is_over = of_tenant > max(1, self.fair_share(request.tenant, now_s))
         checks = (
             ('capacity', len(self._open) >= capacity),
+            ('queue', of_all >= room),
             ('class-limit', of_class > self._class_limit(request)),
-            ('adapter-limit', bool(request.adapter) and over_adapter),
-            ('tenant-share', borrowed and of_tenant > share),
+            ('adapter-limit', of_adapter > self._adapter_limit(request)),
+            ('tenant-share', is_over and of_all >= room * _BORROW_FILL),
             ('deadline', self._wait_s(request) >= deadline_s),
         )
         return next((reason for reason, failed in checks if failed), '')
@@ -201,10 +212,24 @@
         """Estimate a request's wait; plain services have no slots."""
         return self.expected_wait_s() if request.adapter else 0
 
+    def _model_calls(self) -> int:
+        return len(self._open) - self._counts[_SERVICE_CALLS]
+
+    def _room(self) -> float:
+        """Tell how many model calls may be under way before waits get long."""
+        slots = max(1, self._limits.slots)
+        waits = self._limits.max_wait_s / max(self._run_s, _MIN_RUN_S)
+        return min(self._limits.capacity, slots * (1 + waits))
+
     def _class_limit(self, request: Admitted) -> float:
         shares = self._limits.class_shares
         return self._limits.capacity * shares.get(request.request_class, 1)
 
+    def _adapter_limit(self, request: Admitted) -> float:
+        if not request.adapter:
+            return math.inf
+        return max(1, self._limits.capacity * self._limits.adapter_share)
+
     def _retry_after_s(self, now_s: float) -> int:
         """Spread the callers over the time that serving them would take."""
         age_s = max(0, now_s - self._refused_at_s)
--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -37,6 +37,7 @@
 MAX_TIMEOUT_DIGITS = 9
 STOPPING_RETRY_S = 1.0
 REQUEST_ID_HEADER = 'X-Request-Id'
+RETRY_AFTER_HEADER = 'Retry-After'
 
 REQUESTS = Counter(
     'wasabicross_requests',
@@ -128,6 +129,12 @@
         except BaseException:
             self._admission.release(admitted)
             raise
+        told_s = dict(reply.headers).get(RETRY_AFTER_HEADER)
+        if told_s is not None:
+            # Callers given up together must not come back together.
+            spread_s = self._admission.retry_after_s(time.monotonic())
+            latest_s = max(int(told_s), spread_s)
+            reply = reply.with_header(RETRY_AFTER_HEADER, str(latest_s))
         content = Finished(
             reply.content,
             lambda: self._admission.release(admitted, _run_s(reply)),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -127,3 +127,27 @@
     assert isinstance(admission.admit('t', 'draft', 'a', 1, 0), Admitted)
     admission.set_slots(2)
     assert isinstance(admission.admit('t', 'draft', 'a', 1, 0), Refused)
+
+
+@pytest.mark.parametrize(
+    ('open_calls', 'adapter', 'reason'),
+    [(13, 'a', None), (44, 'a', 'queue'), (44, '', None)],
+)
+def test_queue_is_bounded_whatever_the_deadline(open_calls, adapter, reason):
+    limits = AdmissionLimits(200, 4, adapter_share=1, run_s=1)
+    admission = Admission(limits, random.Random(1))
+    fill(admission, [(open_calls, 't draft a')])
+    answer = admission.admit('t', 'draft', adapter, 600, 0)
+    assert getattr(answer, 'reason', None) == reason
+
+
+def test_full_queue_keeps_a_reserve_for_tenants_within_their_shares():
+    limits = AdmissionLimits(200, 4, adapter_share=1, run_s=1)
+    admission = Admission(limits, random.Random(1))
+    # 44 model calls wait no longer than 10 s; of these a tenth is kept free.
+    admission.release(admission.admit('small', 'draft', 'a', 60, 0))
+    fill(admission, [(40, 'big draft a')])
+    refused = admission.admit('big', 'draft', 'a', 60, 1)
+    assert refused.reason == 'tenant-share'
+    fill(admission, [(4, 'small draft a')])
+    assert admission.admit('small', 'draft', 'a', 60, 1).reason == 'queue'
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -123,3 +123,34 @@
     assert admission.in_flight == 0
     [run_s] = admission.runs_s
     assert run_s == (None if ran_s is None else pytest.approx(ran_s, abs=1))
+
+
+@pytest.mark.parametrize(
+    ('told', 'least', 'distinct'),
+    [(('Retry-After', '2'), 2, 3), (('Retry-After', '60'), 60, 1), ((), 0, 0)],
+)
+def test_callers_given_up_together_come_back_spread(told, least, distinct):
+    headers = (*SERVED, told) if told else SERVED
+    calls = SimpleNamespace(run=lambda req: Reply(503, headers, (b'',)))
+    link = SimpleNamespace(bundle=SimpleNamespace(route=lambda path: ROUTE))
+    tenants = [TenantSettings(name='agents', token='tenant-token-1')]
+    admission = Admission(AdmissionLimits(8, 8), random.Random(1))
+    api = CallerApi(link, tenants, admission, calls, calls, CallerLimits(5))
+    answers = []
+    for _ in range(30):
+        environ = {
+            'PATH_INFO': '/orders',
+            'REQUEST_METHOD': 'POST',
+            'HTTP_AUTHORIZATION': 'Bearer tenant-token-1',
+            'wsgi.input': io.BytesIO(),
+        }
+        list(api(environ, lambda status, headers: answers.append(headers)))
+    told_s = [
+        int(text)
+        for headers in answers
+        for name, text in headers
+        if name == 'Retry-After'
+    ]
+    assert len(told_s) == (30 if told else 0)
+    assert all(each >= least for each in told_s)
+    assert len(set(told_s)) >= distinct
