Let a small tenant call as well in the bench

Cause: fair shares between tenants are judged by what becomes of a small one while a large one floods the entries, and the bench had one tenant. Change: one call in eleven is of a second tenant; its ends are told.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -18,7 +18,7 @@
 from emulator.arrivals import Arrival, Arrivals, Popularity
 from emulator.bench_deployment import POLICY, BenchDeployment
 from emulator.bench_faults import planned_faults, provoke
-from emulator.bench_figures import EngineLogs, Histogram, figures_of
+from emulator.bench_figures import EngineLogs, Histogram, ends_of, figures_of
 from emulator.clairvoyant import stall_bound_s
 from emulator.cold_start import cold_start
 from emulator.deployment import TENANT_TOKEN
@@ -33,7 +33,11 @@
 CONTENDERS = (POLICY, 'random', 'least_outstanding', 'rendezvous')
 MAX_IN_FLIGHT = 2000
 STALL = 'wasabicross_load_stall_seconds'
-FAULTS = ('none', 'some', 'half')
+
+#: The second tenant, and each how many calls one is its.
+SMALL_TENANT = 'surveyors'
+SMALL_TOKEN = 'tenant-token-2'  # noqa: S105
+SMALL_EACH = 11
 
 
 class Firm(NamedTuple):
@@ -106,6 +110,7 @@
 def run_contender(contender: str, options: BenchOptions) -> dict[str, Any]:
     """Run the closing peak once and return its figures."""
     firm = FIRMS[options.firm]
+    tenants = (('agents', TENANT_TOKEN), (SMALL_TENANT, SMALL_TOKEN))
     shape = Shape(
         data_centres=firm.data_centres,
         instances=firm.instances,
@@ -116,6 +121,11 @@
             '--batch',
             str(options.batch),
         ),
+        settings={
+            'tenants': [
+                {'name': name, 'token': token} for name, token in tenants
+            ]
+        },
     )
     versions = {adapter_name(number): '1' for number in range(options.adapters)}
     with tempfile.TemporaryDirectory(prefix='bench-') as folder:
@@ -162,18 +172,20 @@
 ) -> list[Shot]:
     urls = itertools.cycle(place.url for place in deployment.entries)
     numbers = itertools.count()
-    load = Load(
-        lambda arrival: StreamCall(
+
+    def to_call(arrival: Arrival) -> StreamCall:
+        number = next(numbers)
+        return StreamCall(
             next(urls),
             CHAT_PATH,
             adapter_name(arrival.number),
             arrival.tokens,
-            TENANT_TOKEN,
+            TENANT_TOKEN if number % SMALL_EACH else SMALL_TOKEN,
             f'What is due at {arrival.at_s}?',
-            request_id=f'call-{next(numbers)}',
-        ),
-        MAX_IN_FLIGHT,
-    )
+            request_id=f'call-{number}',
+        )
+
+    load = Load(to_call, MAX_IN_FLIGHT)
     faults = planned_faults(
         options.faults, options.duration_s, len(deployment.engines)
     )
@@ -208,6 +220,9 @@
             if options.faults == 'half'
             else {}
         ),
+        'ends_of_small_tenant': ends_of(
+            [shot for shot in shots if shot.call.token == SMALL_TOKEN]
+        ),
         'told_stall_s_total': round(stall.total, 1),
     }
 
--- a/emulator/bench_figures.py
+++ b/emulator/bench_figures.py
@@ -176,7 +176,7 @@
     queues_s = [stall.queue_s for stall in stalls]
     return {
         'calls': len(shots),
-        'ends': _ends(shots),
+        'ends': ends_of(shots),
         'stall_s_total': round(sum(stalls_s), 1),
         **_percentiles('stall_s', stalls_s, 3),
         'stall_split': _split(stalls),
@@ -231,7 +231,8 @@
     return stall.kind != 'refused'
 
 
-def _ends(shots: Iterable[Shot]) -> dict[str, int]:
+def ends_of(shots: Iterable[Shot]) -> dict[str, int]:
+    """Count calls by how they ended; each is in one count."""
     ends = Counter[str]()
     for shot in shots:
         record = shot.record
