--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -107,6 +107,30 @@
     contenders: str = ','.join(CONTENDERS)
 
 
+class PeakCalls:
+    """Makes the call of each arrival; the entries get them in turn.
+
+    :param urls: base URLs of the entries.
+    """
+
+    def __init__(self, urls: list[str]) -> None:
+        self._urls = itertools.cycle(urls)
+        self._numbers = itertools.count()
+
+    def to_call(self, arrival: Arrival) -> StreamCall:
+        """Return the next call."""
+        number = next(self._numbers)
+        return StreamCall(
+            next(self._urls),
+            CHAT_PATH,
+            adapter_name(arrival.number),
+            arrival.tokens,
+            TENANT_TOKEN if number % SMALL_EACH else SMALL_TOKEN,
+            f'What is due at {arrival.at_s}?',
+            request_id=f'call-{number}',
+        )
+
+
 def run_contender(contender: str, options: BenchOptions) -> dict[str, Any]:
     """Run the closing peak once and return its figures."""
     firm = FIRMS[options.firm]
@@ -170,22 +194,8 @@
 async def _call(
     deployment: BenchDeployment, options: BenchOptions
 ) -> list[Shot]:
-    urls = itertools.cycle(place.url for place in deployment.entries)
-    numbers = itertools.count()
-
-    def to_call(arrival: Arrival) -> StreamCall:
-        number = next(numbers)
-        return StreamCall(
-            next(urls),
-            CHAT_PATH,
-            adapter_name(arrival.number),
-            arrival.tokens,
-            TENANT_TOKEN if number % SMALL_EACH else SMALL_TOKEN,
-            f'What is due at {arrival.at_s}?',
-            request_id=f'call-{number}',
-        )
-
-    load = Load(to_call, MAX_IN_FLIGHT)
+    calls = PeakCalls([place.url for place in deployment.entries])
+    load = Load(calls.to_call, MAX_IN_FLIGHT)
     faults = planned_faults(
         options.faults, options.duration_s, len(deployment.engines)
     )
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,7 +3,14 @@
 import pytest
 
 from emulator.arrivals import Arrival
-from emulator.bench import FIRMS, BenchOptions, of_firm, planned
+from emulator.bench import (
+    FIRMS,
+    SMALL_TOKEN,
+    BenchOptions,
+    PeakCalls,
+    of_firm,
+    planned,
+)
 from emulator.bench_faults import planned_faults
 from emulator.bench_figures import EngineLogs, Histogram, figures_of, stall_of
 from emulator.clairvoyant import stall_bound_s
@@ -48,6 +55,15 @@
     assert stall_bound_s(arrivals, slots) == pytest.approx(stall_s)
 
 
+def test_each_entry_has_calls_of_the_small_tenant():
+    calls = PeakCalls([f'http://e{number}' for number in range(6)])
+    made = [calls.to_call(Arrival(0, 1, 5)) for _ in range(132)]
+    small = [call.url for call in made if call.token == SMALL_TOKEN]
+    assert len(small) == 12
+    assert len(set(small)) == 6
+    assert len({call.request_id for call in made}) == 132
+
+
 def test_contenders_get_the_same_calls():
     options = of_firm('stalls', BenchOptions())
     assert planned(options) == planned(options)
