--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -200,8 +200,9 @@
         options.faults, options.duration_s, len(deployment.engines)
     )
     engine_urls = [place.url for place in deployment.engines]
+    weights_url = deployment.weights.url
     shots, _ = await asyncio.gather(
-        load.run(planned(options)), provoke(faults, engine_urls)
+        load.run(planned(options)), provoke(faults, engine_urls, weights_url)
     )
     return shots
 
--- a/emulator/bench_faults.py
+++ b/emulator/bench_faults.py
@@ -7,20 +7,20 @@
 
 import urllib3
 
-#: Failing loads of one engine, at a fifth of the peak.
+#: Loads that fail, of whatever engines, from a fifth of the peak on.
 _FAILING_LOADS = 3
 
 
 class PlannedFault(NamedTuple):
-    """A fault of one engine.
+    """A fault of one engine or of the weight store.
 
     :param at_s: seconds from the start of the peak.
-    :param engine: its place among the engines.
-    :param document: what the engine is told.
+    :param engine: its place among the engines, none for the weight store.
+    :param document: what it is told.
     """
 
     at_s: float
-    engine: int
+    engine: int | None
     document: dict[str, Any]
 
 
@@ -29,8 +29,8 @@
 ) -> list[PlannedFault]:
     """Return the faults in the order of their times.
 
-    :param kind: `none`; `some`: loads of one engine fail, later another one
-        restarts empty; `half`: half of the engines restart empty at once.
+    :param kind: `none`; `some`: some loads fail, later an engine restarts
+        empty; `half`: half of the engines restart empty at once.
     :param duration_s: of the peak.
     :param engines: how many there are.
     """
@@ -38,7 +38,7 @@
     if kind == 'some':
         failing = {'kind': 'fail_loads', 'count': _FAILING_LOADS}
         return [
-            PlannedFault(duration_s / 5, 0, failing),
+            PlannedFault(duration_s / 5, None, failing),
             PlannedFault(duration_s * 4 / 5, 1, restart),
         ]
     if kind == 'half':
@@ -49,19 +49,23 @@
     return []
 
 
-async def provoke(faults: list[PlannedFault], urls: list[str]) -> None:
+async def provoke(
+    faults: list[PlannedFault], engine_urls: list[str], weights_url: str
+) -> None:
     """Provoke faults when they are due.
 
     :param faults: in the order of their times, which count from now.
-    :param urls: base URLs of the engines.
+    :param engine_urls: base URLs of the engines.
+    :param weights_url: base URL of the weight store.
     """
     started_s = time.monotonic()
     for fault in faults:
         wait_s = started_s + fault.at_s - time.monotonic()
         await asyncio.sleep(max(0, wait_s))  # noqa: WPS476
-        await asyncio.to_thread(  # noqa: WPS476
-            _tell, urls[fault.engine], fault.document
-        )
+        url = weights_url
+        if fault.engine is not None:
+            url = engine_urls[fault.engine]
+        await asyncio.to_thread(_tell, url, fault.document)  # noqa: WPS476
 
 
 def _tell(url: str, document: dict[str, Any]) -> None:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -179,7 +179,8 @@
 
 
 @pytest.mark.parametrize(
-    ('kind', 'engines'), [('none', []), ('some', [0, 1]), ('half', [0, 1, 2])]
+    ('kind', 'engines'),
+    [('none', []), ('some', [None, 1]), ('half', [0, 1, 2])],
 )
 def test_faults_of_the_peak(kind, engines):
     faults = planned_faults(kind, 50, 6)
