Load elsewhere where holders are full and another engine has room

Cause: the choice of a holder was never told whether an engine without the adapter has room, so that calls queued at a full holder and a copy came only after all loads that calls waited for. Ruled out: to wait on for such a load, as for any: a call that has waited 2 s goes to the queue of a holder, which answers it in any case. Change: where the batches of all holders are full, an entry looks for room elsewhere; a call whose queue would outlast a load then wants one there.

--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -23,11 +23,19 @@
     Reply,
     refuse,
 )
-from wasabicross.routing import Dispatch, Holder, batch_fill, choose
+from wasabicross.routing import (
+    Dispatch,
+    Hints,
+    Holder,
+    batch_fill,
+    choose,
+    has_full_batch,
+)
 from wasabicross.telemetry import BATCH_FILL_RATIO, LOAD_STALL_SECONDS
 
 MAX_LOAD_WAIT_S = 20.0
 RETRY_AFTER_S = 2.0
+MAX_ELSEWHERE_S = 2.0
 
 
 class _Run(NamedTuple):
@@ -100,7 +108,7 @@
             holder = self._begin(run, now_s)
             if holder is not None:
                 return holder
-            self._wants.tell(self._want(run, (), now_s), now_s)
+            self._wants.tell(self._want_elsewhere(run, now_s), now_s)
             wait_s = min(TELL_INTERVAL_S, until_s - now_s)
             self._link.loads.wait_for_change(version, wait_s)
             now_s = time.monotonic()
@@ -109,12 +117,12 @@
     def _begin(self, run: _Run, now_s: float) -> Holder | None:
         holders = self._holders(run, now_s)
         weights = Weights.from_config(run.req.bundle.policy)
-        choice = choose(holders, weights, self._data_centre, now_s)
+        hints = Hints(room_elsewhere=self._has_room(run, holders, now_s))
+        choice = choose(holders, weights, self._data_centre, now_s, hints)
         if not isinstance(choice, Dispatch):
             return None
         if choice.copy_wanted:
-            held_by = tuple(holder.server_id for holder in holders)
-            self._wants.tell(self._want(run, held_by, now_s), now_s)
+            self._wants.tell(self._want_elsewhere(run, now_s), now_s)
         load_name = choice.holder.load_name
         if not self._link.loads.begin_request(load_name, now_s):
             return None
@@ -141,6 +149,29 @@
             and server.server_id not in run.tried.servers
         ]
 
+    def _has_room(self, run: _Run, holders: list[Holder], now_s: float) -> bool:
+        """Tell whether only engines without the adapter have room.
+
+        A request that has waited for it goes to a queue rather than on waiting.
+        """
+        if now_s - run.req.accepted_s > MAX_ELSEWHERE_S:
+            return False
+        if not all(has_full_batch(holder) for holder in holders):
+            return False
+        held_by = {holder.server_id for holder in holders}
+        return any(
+            not has_full_batch(engine)
+            for engine in self._watch.engines(run.req.route.group, now_s)
+            if engine.server_id not in held_by
+            and engine.server_id not in run.tried.servers
+        )
+
+    def _want_elsewhere(self, run: _Run, now_s: float) -> WantLoad:
+        """Describe a load on an engine that does not hold it yet."""
+        holders = self._holders(run, now_s)
+        held_by = tuple(holder.server_id for holder in holders)
+        return self._want(run, held_by, now_s)
+
     def _want(
         self, run: _Run, held_by: tuple[str, ...], now_s: float
     ) -> WantLoad:
--- a/src/wasabicross/routing.py
+++ b/src/wasabicross/routing.py
@@ -117,6 +117,12 @@
     return weights.run_s * queued / holder.batch_size
 
 
+def has_full_batch(holder: Holder) -> bool:
+    """Tell whether a new request would wait, by the report and our own."""
+    reported = holder.reported_running + holder.reported_waiting
+    return max(holder.outstanding, reported) >= holder.batch_size
+
+
 def batch_fill(holder: Holder, weights: Weights) -> float:
     """Estimate the share of a server's batch that is in use."""
     return min(1, estimated_load(holder, weights) / holder.batch_size)
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -139,20 +139,33 @@
 
         :param now_s: monotonic seconds.
         """
-        engines = [
-            server
+        groups = {
+            server.group
             for server in self._servers.values()
             if server.kind == 'engine'
-        ]
-        usable = self.usable([each.server_id for each in engines], now_s)
+        }
         return round(
             sum(
-                _own_slots(self.holder(server, '', now_s))
-                for server in engines
-                if server.server_id in usable
+                _own_slots(engine)
+                for group in groups
+                for engine in self.engines(group, now_s)
             )
         )
 
+    def engines(self, group: str, now_s: float) -> list[Holder]:
+        """Describe the engines of a group that may get a new request.
+
+        :param group: name of the group.
+        :param now_s: monotonic seconds.
+        """
+        servers = self.group('engine', group)
+        usable = self.usable([each.server_id for each in servers], now_s)
+        return [
+            self.holder(server, '', now_s)
+            for server in servers
+            if server.server_id in usable
+        ]
+
     def begin(
         self, fingerprint: bytes, server_id: str, now_s: float
     ) -> Clearance:
