--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -15,6 +15,7 @@
 from wasabicross.claim_desk import ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.entry_lives import EntryLives
 from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
 from wasabicross.fleet_view import FleetView
@@ -29,7 +30,7 @@
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.pauses import PauseWatch
-from wasabicross.peers import PeerLinks
+from wasabicross.peers import PeerLinks, longest_silence_s
 from wasabicross.permits import PermitDesk
 from wasabicross.placing import Placing
 from wasabicross.policy import Weights
@@ -64,6 +65,9 @@
         self.window = UseWindow(
             cfg.servers.use_lease_s, cfg.servers.max_request_s
         )
+        self._pauses = PauseWatch(
+            cfg.servers.use_lease_s, self._forget_after_pause
+        )
         data_centre = cfg.instance.data_centre
         self.follower = BundleFollower(
             BundleHolder.from_config(cfg), self._bundle_in_force
@@ -72,6 +76,9 @@
         self.table = InstanceTable()
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
         self.subscribers = Subscribers(data_centre, self.window)
+        self._lives = EntryLives(
+            cfg.instance.instance_id, cfg.servers.max_request_s
+        )
         self.placing = Placing()
         self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
@@ -82,6 +89,8 @@
             DeskLink(data_centre, self._send_to_desk),
             self.loads.term_of,
             self._deposed,
+            self._pauses,
+            self.fleet,
         )
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
@@ -102,9 +111,6 @@
         self._metrics = MetricsServer(
             cfg.instance.host, cfg.controller.metrics_port, self.readiness
         )
-        self._pauses = PauseWatch(
-            cfg.servers.use_lease_s, self._forget_after_pause
-        )
         self._probe = EntryProbe(
             cfg.instance.host,
             cfg.entries,
@@ -237,6 +243,17 @@
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
         self.in_force.forget(name)
+        self._tell_lost(self._lives.ended(name, time.monotonic()))
+
+    def tell_recent_losses(self, link: Link) -> None:
+        """Tell a peer the dead holders of claims that it may not know."""
+        for lost in self._lives.recent(time.monotonic()):
+            link.send(lost)
+
+    def _tell_lost(self, lost: msg.HoldersLost | None) -> None:
+        if lost is not None:
+            for peer in self.peers.linked():
+                peer.send(lost)
 
     # Links.
 
@@ -256,6 +273,9 @@
             link.run(self._accepted)
 
     def _serve_entry(self, link: Link) -> None:
+        hello = link.peer
+        joined = self._lives.joined(hello.name, hello.life, time.monotonic())
+        self._tell_lost(joined)
         link.send(self.fleet.update())
         offered = self.follower.offered()
         if offered is not None:
@@ -274,7 +294,8 @@
         offered = self.follower.offered()
         if offered is not None:
             link.send(offered)
-        link.run(self._accepted)
+        silence_s = longest_silence_s(self.window.use_lease_s)
+        link.run(self._accepted, silence_s)
         self.subscribers.left(link, time.monotonic())
 
     def _hello(self) -> msg.Hello:
@@ -328,16 +349,17 @@
 
     def _follow_list(self) -> None:
         while not self.stopping.is_set():
+            asked_s = time.monotonic()
             fetched = self._instance_list.fetch()
             if fetched.is_ok():
-                self._take_fleet(fetched.ok, time.monotonic())
+                self._take_fleet(fetched.ok, asked_s, time.monotonic())
             self.stopping.wait(self.cfg.platform.instance_list.poll_s)
 
-    def _take_fleet(self, fleet: Fleet, now_s: float) -> None:
+    def _take_fleet(self, fleet: Fleet, asked_s: float, now_s: float) -> None:
         view = self.fleet
-        changed = view.take(fleet)
+        changed = view.take(fleet, now_s)
         self.readiness.declare('instance_list', holds=True)
-        self.subscribers.listed(view.residents(), now_s)
+        self.subscribers.listed(view.residents(), now_s, asked_s)
         self.peers.follow(fleet.instances)
         self.table.keep(view.listed(), now_s)
         self.desk.set_visible(self._visible_data_centres())
--- a/src/wasabicross/entry.py
+++ b/src/wasabicross/entry.py
@@ -2,10 +2,8 @@
 
 import threading
 import time
-import uuid
 
 import click
-from cheroot import wsgi
 
 from wasabicross import __version__
 from wasabicross.admission import Admission, AdmissionLimits
@@ -13,6 +11,7 @@
 from wasabicross.callers import CallerApi, CallerLimits, spreading_rng
 from wasabicross.entry_link import EntryLink
 from wasabicross.events import Event
+from wasabicross.http_server import HttpServer
 from wasabicross.key_claims import KeyClaims
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.model_calls import ModelCalls
@@ -46,9 +45,9 @@
         self._metrics = MetricsServer(
             cfg.instance.host, entry.metrics_port, self.readiness
         )
-        self._admission = _admission(cfg, entry)
-        self._api = _caller_api(cfg, entry, self._link, self._admission)
-        self._server = wsgi.Server(
+        self._admission = _admission(cfg, entry, self._link)
+        self._api = _caller_api(cfg, self._link, self._admission)
+        self._server = HttpServer(
             (cfg.instance.host, entry.port),
             self._api,
             numthreads=entry.max_requests + SPARE_THREADS,
@@ -97,29 +96,27 @@
         self.readiness.declare('accepting', holds=False)
 
 
-def _admission(cfg: Settings, entry: EntrySettings) -> Admission:
+def _admission(
+    cfg: Settings, entry: EntrySettings, link: EntryLink
+) -> Admission:
     weights = {tenant.name: tenant.weight for tenant in cfg.tenants}
     limits = AdmissionLimits(
         entry.max_requests, entry.max_requests, tenant_weights=weights
     )
-    return Admission(limits, spreading_rng(uuid.uuid4().hex))
+    return Admission(limits, spreading_rng(link.life))
 
 
 def _caller_api(
-    cfg: Settings,
-    entry: EntrySettings,
-    link: EntryLink,
-    admission: Admission,
+    cfg: Settings, link: EntryLink, admission: Admission
 ) -> CallerApi:
     data_centre = cfg.instance.data_centre
     attempts = Attempts(link.watch, RetryBudget())
-    life = f'{cfg.instance.instance_id}/{entry.name}/{uuid.uuid4().hex}'
     return CallerApi(
         link,
         cfg.tenants,
         admission,
         ModelCalls(link, attempts, data_centre),
-        ServiceCalls(attempts, KeyClaims(link, life), data_centre),
+        ServiceCalls(attempts, KeyClaims(link, link.life), data_centre),
         CallerLimits(cfg.servers.max_request_s),
     )
 
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -4,6 +4,7 @@
 import time
 from functools import singledispatchmethod
 from typing import Any
+from uuid import uuid4
 
 from expression import Error, Result
 
@@ -19,6 +20,7 @@
 from wasabicross.settings import EntrySettings, Settings
 from wasabicross.spread import BundleFollower, LinkSource
 from wasabicross.suspects import Suspects
+from wasabicross.trials import Trials
 
 USE_INTERVAL_S = 1.0
 RETRY_S = 0.2
@@ -33,7 +35,13 @@
 
     def __init__(self, cfg: Settings, entry: EntrySettings) -> None:
         self.loads = LoadTable(cfg.servers.use_lease_s, time.monotonic())
-        self.watch = ServerWatch(Suspects(), self._tell_suspects)
+        #: Names this process in all data centres and lives.
+        self.life = f'{cfg.instance.instance_id}/{entry.name}/{uuid4().hex}'
+        self.watch = ServerWatch(
+            Suspects(),
+            self._tell_suspects,
+            Trials(self.call, self.send, self.life),
+        )
         self.listed = threading.Event()
         self.follower = BundleFollower(
             BundleHolder.from_config(cfg), self._bundle_in_force
@@ -119,6 +127,7 @@
             self.loads.running(),
             self.loads.closed(),
             self.loads.opened(),
+            self.life,
         )
 
     def _tell_uses(self) -> None:
@@ -188,7 +197,7 @@
 
     @_handle.register
     def _(self, message: msg.SuspectRecords, link: Link) -> None:
-        self.watch.suspects.merge(message.records, time.monotonic())
+        self.watch.merge(message.records, time.monotonic())
 
     @_handle.register
     def _(self, message: msg.BundleOffered, link: Link) -> None:
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -14,6 +14,7 @@
 from wasabicross.load_names import server_of
 from wasabicross.load_wants import TELL_INTERVAL_S, LoadWants
 from wasabicross.messages import LoadMissing, WantLoad
+from wasabicross.model_field import ModelField
 from wasabicross.policy import Weights
 from wasabicross.replies import (
     BAD_JSON,
@@ -123,13 +124,22 @@
             return None
         if choice.copy_wanted:
             self._wants.tell(self._want_elsewhere(run, now_s), now_s)
-        load_name = choice.holder.load_name
-        if not self._link.loads.begin_request(load_name, now_s):
+        holder = self._beside_copy(run, holders) or choice.holder
+        if not self._link.loads.begin_request(holder.load_name, now_s):
             return None
         BATCH_FILL_RATIO.labels(run.req.route.request_class).observe(
-            batch_fill(choice.holder, weights)
+            batch_fill(holder, weights)
         )
-        return choice.holder
+        return holder
+
+    def _beside_copy(self, run: _Run, holders: list[Holder]) -> Holder | None:
+        """Return the holder that runs a copy of a request not known yet.
+
+        Copies of one that crashes servers cost one server together.
+        """
+        beside = self._watch.running_on(run.req.fingerprint)
+        found = (each for each in holders if each.server_id == beside)
+        return next(found, None)
 
     def _holders(self, run: _Run, now_s: float) -> list[Holder]:
         wanted = run.wanted
@@ -179,6 +189,12 @@
         ungranted = self._link.loads.ungranted(now_s)
         wanted = run.wanted
         route = run.req.route
+        group = [
+            server.server_id
+            for server in self._watch.group('engine', route.group)
+        ]
+        usable = self._watch.usable(group, now_s)
+        shut_out = [each for each in group if each not in usable]
         return WantLoad(
             wanted.adapter,
             wanted.version,
@@ -186,7 +202,7 @@
             route.group,
             route.request_class,
             0,
-            [*run.tried.servers, *held_by, *ungranted],
+            [*run.tried.servers, *held_by, *ungranted, *shut_out],
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
@@ -206,11 +222,14 @@
             self._link.finish_request(holder.load_name)
             return cleared or None
         call = self._call(run, holder, now_s)
+        priority = run.req.bundle.priority_of(run.req.route.request_class)
         reply = self._attempts.exchange(
             run.req,
             holder.server_id,
-            lambda: self._engine(holder.server_id).complete(call),
+            lambda: self._engine(holder.server_id).complete(call, priority),
             self._named(run),
+            ModelField(holder.load_name, run.wanted.adapter).rename,
+            holder.load_name,
         )
         if isinstance(reply, Reply):
             content = Finished(
--- /dev/null
+++ b/src/wasabicross/trial_keepers.py
@@ -0,0 +1,59 @@
+"""Who keeps the permits of trials."""
+
+from wasabicross.fleet_view import FleetView
+from wasabicross.instance_loads import InstanceLoads
+from wasabicross.links import Link
+from wasabicross.owners import Owners
+from wasabicross.peers import PeerLinks
+from wasabicross.rendezvous import rank
+
+
+class TrialKeepers:
+    """Finds the keeper of a permit: the owner of an engine, else a ranked one.
+
+    :param fleet: the instance list.
+    :param owners: the engines owned here.
+    :param loads: knows the owners of the other engines.
+    :param peers: links to all instances.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        owners: Owners,
+        loads: InstanceLoads,
+        peers: PeerLinks,
+    ) -> None:
+        self._fleet = fleet
+        self._owners = owners
+        self._loads = loads
+        self._peers = peers
+
+    def is_here(self, server_id: str) -> bool:
+        """Tell whether the permit of a server may be kept here.
+
+        :param server_id: the server, empty for the permit of a request.
+        """
+        if self._fleet.is_engine(server_id):
+            return self._owners.get(server_id) is not None
+        return True
+
+    def link_to(self, server_id: str, request: bytes) -> Link | None:
+        """Return the link to the keeper, None if it is out of reach.
+
+        Nobody owns a plain service or a request, so the instances agree on
+        one by its id, as far as they see each other.
+
+        :param server_id: the server, empty for the permit of a request.
+        :param request: the request's fingerprint.
+        """
+        owner = self._loads.owner_of(server_id)
+        if owner is not None or self._fleet.is_engine(server_id):
+            return self._link(owner or '')
+        linked = [peer.peer.instance_id for peer in self._peers.linked()]
+        keepers = rank(server_id or request.hex(), linked)
+        return self._link(keepers[0]) if keepers else None
+
+    def _link(self, instance_id: str) -> Link | None:
+        peer = self._peers.get(instance_id)
+        return peer.link if peer else None
--- a/tests/test_engine_slots.py
+++ b/tests/test_engine_slots.py
@@ -1,14 +1,19 @@
 """How many model calls the engines run at a time for one entry."""
 
 import pytest
+from expression import Error
 
+from wasabicross.exceptions import LinkClosed
 from wasabicross.messages import ServerInfo, ServerLoad
 from wasabicross.server_watch import ServerWatch
 from wasabicross.suspects import Suspects
+from wasabicross.trials import Trials
 
 
 def watch(engines, own):
-    known = ServerWatch(Suspects(), lambda: None)
+    no_answer = Error(LinkClosed('none'))
+    trials = Trials(lambda message, timeout_s: no_answer, list, 'e')
+    known = ServerWatch(Suspects(), lambda: None, trials)
     known.follow(
         [
             ServerInfo(f's{number}', kind, 'g', 'dc', 'h', 1, 'live', 'base')
