--- a/src/wasabicross/callers.py
+++ b/src/wasabicross/callers.py
@@ -37,6 +37,7 @@
 MAX_TIMEOUT_DIGITS = 9
 STOPPING_RETRY_S = 1.0
 REQUEST_ID_HEADER = 'X-Request-Id'
+RETRY_AFTER_HEADER = 'Retry-After'
 
 REQUESTS = Counter(
     'wasabicross_requests',
@@ -114,7 +115,7 @@
         admitted = self._admission.admit(
             req.tenant,
             req.route.request_class,
-            '',
+            _adapter(req),
             req.deadline_s - now_s,
             now_s,
         )
@@ -128,8 +129,15 @@
         except BaseException:
             self._admission.release(admitted)
             raise
+        told_s = dict(reply.headers).get(RETRY_AFTER_HEADER)
+        if told_s is not None:
+            # Callers given up together must not come back together.
+            spread_s = self._admission.retry_after_s(time.monotonic())
+            latest_s = max(int(told_s), spread_s)
+            reply = reply.with_header(RETRY_AFTER_HEADER, str(latest_s))
         content = Finished(
-            reply.content, lambda: self._admission.release(admitted)
+            reply.content,
+            lambda: self._admission.release(admitted, _run_s(reply)),
         )
         return reply._replace(content=content)
 
@@ -214,6 +222,18 @@
     return random.Random(seed)  # noqa: S311
 
 
+def _adapter(req: CallerRequest) -> str:
+    """Return the adapter that a model call names, empty for other calls."""
+    if req.route.kind != 'engine':
+        return ''
+    return str((req.document() or {}).get('model', ''))
+
+
+def _run_s(reply: Reply) -> float | None:
+    since_s = reply.running_since_s
+    return None if since_s is None else time.monotonic() - since_s
+
+
 def _path(environ: _Environ) -> str:
     query = environ.get('QUERY_STRING', '')
     path: str = environ['PATH_INFO']
--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -29,6 +29,7 @@
 PROBE_RETRY_S = 0.05
 PROBE_QUIET_S = 0.2
 DEFAULT_BATCH_SIZE = 16
+MAX_REPORT_AGE_S = 5.0
 LEAVING = 'leaving'
 
 
@@ -142,6 +143,41 @@
         """Return how many requests of this process are under way there."""
         return self._outstanding[server_id]
 
+    def slots(self, now_s: float) -> int:
+        """Estimate how many requests the engines run at a time for this entry.
+
+        Of each engine's batch it is the share that this process has of the
+        requests there; one more counts, so that a share can grow.
+
+        :param now_s: monotonic seconds.
+        """
+        groups = {
+            server.group
+            for server in self._servers.values()
+            if server.kind == 'engine'
+        }
+        return round(
+            sum(
+                _own_slots(engine)
+                for group in groups
+                for engine in self.engines(group, now_s)
+            )
+        )
+
+    def engines(self, group: str, now_s: float) -> list[Holder]:
+        """Describe the engines of a group that may get a new request.
+
+        :param group: name of the group.
+        :param now_s: monotonic seconds.
+        """
+        servers = self.group('engine', group)
+        usable = self.usable([each.server_id for each in servers], now_s)
+        return [
+            self.holder(server, '', now_s)
+            for server in servers
+            if server.server_id in usable
+        ]
+
     def begin(
         self, fingerprint: bytes, server_id: str, now_s: float
     ) -> Clearance:
@@ -317,3 +353,11 @@
         return True
     except OSError:
         return False
+
+
+def _own_slots(engine: Holder) -> float:
+    reported = engine.reported_running + engine.reported_waiting
+    if engine.report_age_s > MAX_REPORT_AGE_S:
+        reported = 0
+    of_all = max(reported, engine.outstanding)
+    return engine.batch_size * (engine.outstanding + 1) / (of_all + 1)
