--- a/emulator/link_table.py
+++ b/emulator/link_table.py
@@ -64,6 +64,11 @@
         for pair in pairs:
             self._client.heal(self._listen[pair])
 
+    def count(self, source: str, target: str, direction: str, what: str) -> int:
+        """Sum up a count over a link's connections, as the proxy names it."""
+        listen = self._listen[source, target]
+        return self._client.count(listen, direction, what)
+
     def reset(self, source: str, target: str) -> None:
         """Reset the present connections of a link."""
         self._client.reset(self._listen[source, target])
--- a/emulator/proxy_pump.py
+++ b/emulator/proxy_pump.py
@@ -24,6 +24,8 @@
         stays open; a connection that lost any is reset when this ends.
     :param hold: directions whose bytes wait and are delivered when this
         ends.
+    :param hold_text: hold only connections of which bytes with this text
+        wait.
     :param reset_after: bytes after which a connection is reset, by
         direction, counted from when this was set.
     :param reset_times: how many connections are reset so, -1 for all.
@@ -33,6 +35,7 @@
     delay_ms: float = 0
     swallow: tuple[str, ...] = ()
     hold: tuple[str, ...] = ()
+    hold_text: str = ''
     reset_after: tuple[tuple[str, int], ...] = ()
     reset_times: int = -1
 
@@ -121,7 +124,7 @@
         :raises ConnectionReset: a reset is due, or enough bytes have gone by.
         """
         self._blocked = False
-        if self.direction in faults.hold:
+        if self._is_held(faults):
             return
         while self._pending and self._pending[0].due_s <= now_s:
             item = self._pending[0]
@@ -156,10 +159,16 @@
 
     def next_due_s(self, faults: Faults) -> float | None:
         """Tell when the next item is due, if it only waits for its time."""
-        if self._blocked or self.direction in faults.hold:
+        if self._blocked or self._is_held(faults):
             return None
         return self._pending[0].due_s if self._pending else None
 
+    def _is_held(self, faults: Faults) -> bool:
+        if self.direction not in faults.hold:
+            return False
+        text = faults.hold_text.encode()
+        return any(text in (item.data or b'') for item in self._pending)
+
     def _allowance(self, faults: Faults) -> int | None:
         limit = dict(faults.reset_after).get(self.direction)
         if limit is None or faults.reset_times == 0:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -202,6 +202,20 @@
         assert conn.recv(10) == b'late'
 
 
+def test_text_chooses_the_connection_that_is_held(control, link):
+    with connect(link) as held, connect(link) as other:
+        control.fault(link, hold=['up'], hold_text='late')
+        held.sendall(b'before ')
+        assert held.recv(7) == b'before '
+        held.sendall(b'too late')
+        held.sendall(b' and after')
+        await_count(control, link, 'up', 'waiting', 18)
+        assert is_silent(held)
+        assert exchange(other, b'other') == b'other'
+        control.heal(link)
+        assert held.makefile('rb').read(18) == b'too late and after'
+
+
 @pytest.mark.parametrize('direction', ['up', 'down'])
 @pytest.mark.parametrize('fault', ['swallow', 'hold'])
 def test_end_is_not_seen_through_a_fault(control, link, echo, direction, fault):
