Find an owner for each range of keys that stays free

Cause: ranges were shared among the instances that the list shows. Ruled out: the lease (it lapsed, and other ranges were taken again). Change: the share is counted over the instances that can be reached; a range free for 5 s is taken beyond the share, and nothing is given up for 60 s then, so that it does not go to and fro.

--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -53,14 +53,19 @@
 
     :param ranges: the ranges of all instances.
     :param link_to: returns the link to an instance, None without one.
+    :param count_instances: returns how many instances can be reached, this
+        one included; the list shows dead ones for a while.
     """
 
     def __init__(
-        self, ranges: ClaimRanges, link_to: Callable[[str], Link | None]
+        self,
+        ranges: ClaimRanges,
+        link_to: Callable[[str], Link | None],
+        count_instances: Callable[[], int],
     ) -> None:
-        self.instances = 1
         self._ranges = ranges
         self._link_to = link_to
+        self._count_instances = count_instances
         # Reading a range's owner may wait for the key-value service, which
         # must not hold up the other messages of a link.
         self._workers = ThreadPoolExecutor(WORKERS, 'claims')
@@ -72,8 +77,9 @@
         number.
         """
         while not stop.is_set():
-            self._ranges.step(self.instances, time.monotonic())
-            stop.wait(max(STEP_INTERVAL_S, self.instances / STEPS_PER_S))
+            instances = self._count_instances()
+            self._ranges.step(instances, time.monotonic())
+            stop.wait(max(STEP_INTERVAL_S, instances / STEPS_PER_S))
 
     def stop(self) -> None:
         """Give up the ranges owned here."""
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -25,6 +25,10 @@
 OWNER_TTL_S = 5.0
 #: Writes of all ranges together, whatever their number and the fleet's.
 MAX_WRITES_PER_S = 320.0
+#: After so long without an owner a range is taken beyond the share.
+ORPHAN_S = 5.0
+#: After a range was taken beyond the share, none is given up for so long.
+KEEP_S = 60.0
 
 
 class RangeOwner(NamedTuple):
@@ -76,6 +80,8 @@
         self._lock = threading.Lock()
         self._logs: dict[int, ClaimLog] = {}
         self._known: dict[int, _Known] = {}
+        self._free_since_s: dict[int, float] = {}
+        self._keep_until_s = float('-inf')
         self._next = hash(me.instance_id) % ranges
 
     @classmethod
@@ -125,6 +131,8 @@
         """Look at one range, and take it if it is free and due here.
 
         One read a call: the cost doesn't grow with the number of ranges.
+        A range that stays free is taken beyond this instance's share, since
+        an instance that can't reach the service leaves its share free.
 
         :param instances: live instances among which the ranges are shared.
         :param now_s: monotonic seconds.
@@ -136,15 +144,34 @@
         if known is None:
             return
         if _owner_in(known.present) not in {None, self._me}:
+            self._free_since_s.pop(number, None)
             self._stop_log(number)
             return
         share = -(-self.ranges // max(1, instances))
-        is_owned = number in self.owned()
-        if is_owned and len(self.owned()) > share:
+        if number not in self.owned():
+            self._consider(number, known.present, share, now_s)
+        elif len(self.owned()) > share and now_s >= self._keep_until_s:
             self._give_up(number, known.present)
-        elif known.present.value is None or not is_owned:
-            if is_owned or len(self.owned()) < share:
-                self._take(number, known.present, now_s)
+        elif known.present.value is None:
+            self._take(number, known.present, now_s)
+
+    def _consider(
+        self, number: int, present: Versioned, share: int, now_s: float
+    ) -> None:
+        """Take a range if it is due here, or has been free for long."""
+        is_orphan = self._is_orphan(number, present, now_s)
+        if len(self.owned()) < share:
+            self._take(number, present, now_s)
+        elif is_orphan:
+            self._keep_until_s = now_s + KEEP_S
+            self._take(number, present, now_s)
+
+    def _is_orphan(self, number: int, present: Versioned, now_s: float) -> bool:
+        if present.value is not None:
+            self._free_since_s.pop(number, None)
+            return False
+        since_s = self._free_since_s.setdefault(number, now_s)
+        return now_s - since_s >= ORPHAN_S
 
     def claim(
         self, number: int, req: ClaimRequest, now_s: float
@@ -211,6 +238,7 @@
             self.forget_owner(number)
             return
         self._known[number] = _Known(swapped.ok, now_s)
+        self._free_since_s.pop(number, None)
         if number not in self.owned():
             self._start_log(number)
 
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -85,7 +85,9 @@
         )
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
-            ClaimRanges.from_config(cfg, kv, self._lease_id), self._link_to
+            ClaimRanges.from_config(cfg, kv, self._lease_id),
+            self._link_to,
+            self._count_reachable,
         )
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
@@ -303,6 +305,10 @@
         peer = self.peers.get(instance_id)
         return peer.link if peer else None
 
+    def _count_reachable(self) -> int:
+        # Every instance dials itself as well.
+        return len(self.peers.linked())
+
     def _send_to_desk(self, message: Any) -> None:
         linked = self.peers.linked()
         if linked:
@@ -343,7 +349,6 @@
         self.desk.set_visible(self._visible_data_centres())
         self.lease.instances = len(fleet.instances)
         self.lease.listed.set()
-        self.claims.instances = len(fleet.instances)
         live = view.live_residents()
         own_id = self.cfg.instance.instance_id
         watchers = rank('bundle', live)[:POINTER_WATCHERS]
--- /dev/null
+++ b/tests/claim_parts.py
@@ -0,0 +1,117 @@
+"""Calls with idempotency keys, how often they ran, and who owns their keys."""
+
+import threading
+from itertools import count
+
+import cbor2
+from caller_parts import Answer
+
+from wasabicross.claims import key_digest, range_of
+from wasabicross.kv import KeyValueStore
+
+COPIES = 8
+RANGES = 4
+TENANT = 'agents'
+
+
+def order(trial, entry, key) -> Answer:
+    """Send one copy of a key's order."""
+    return trial.call(
+        entry,
+        {'order': key},
+        path='/orders',
+        headers={'Idempotency-Key': key},
+    )
+
+
+class Copies:
+    """Copies of one order, sent at the same moment from threads."""
+
+    def __init__(self, trial, key, entries, copies=COPIES):
+        self.answers: list[Answer] = []
+        self._gate = threading.Barrier(copies)
+        self._threads = [
+            threading.Thread(
+                target=self._send,
+                args=(trial, entries[number % len(entries)], key),
+            )
+            for number in range(copies)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def join(self):
+        for thread in self._threads:
+            thread.join(40)
+        return self.answers
+
+    def _send(self, trial, entry, key):
+        self._gate.wait(10)
+        self.answers.append(order(trial, entry, key))
+
+
+def at_once(trial, key, entries):
+    """Send copies at the same moment and wait for their answers."""
+    return Copies(trial, key, entries).join()
+
+
+def runs(trial, key):
+    """Count how often a key's order ran."""
+    return executions(trial, 'executions_by_key', key)
+
+
+def executions(trial, field, name):
+    return sum(
+        trial.log(service)[field].get(name, 0) for service in trial.dep.services
+    )
+
+
+def range_owner(trial, number):
+    """Return the instance that owns a range of keys, or nothing."""
+    present = KeyValueStore(trial.dep.kv.url, 2).get(f'claims/{number}/owner')
+    value = present.ok.value
+    return cbor2.loads(value)[0] if value else ''
+
+
+def keys_of(number, stem):
+    """Yield keys of a range."""
+    for each in count():
+        if range_of(TENANT, f'{stem}-{each}', RANGES) == number:
+            yield f'{stem}-{each}'
+
+
+def segments(trial, number):
+    """Return the segments of a range's log, as they are stored."""
+    store = KeyValueStore(trial.dep.kv.url, 2)
+    head = store.get(f'claims/{number}/head').ok.value
+    found = []
+    for seq in count(int(head or b'0')):
+        value = store.get(f'claims/{number}/{seq:012}').ok.value
+        if value is None:
+            return found
+        found.append(value)
+
+
+def is_logged(trial, number, key):
+    """Tell whether the log of a range holds a claim of a key."""
+    wanted = key_digest(TENANT, key)
+    return any(
+        record[1] == wanted
+        for segment in segments(trial, number)
+        for record in cbor2.loads(segment)[1]
+    )
+
+
+def check_once(trial, key, answers):
+    """Check that a key's order ran at most once and nobody was told a lie."""
+    ran = runs(trial, key)
+    assert ran <= 1
+    bodies = {each.body for each in answers if each.completed}
+    assert len(bodies) <= ran
+    for answer in answers:
+        if answer.outcome == 'not-run':
+            request_id = answer.request_id
+            assert not executions(trial, 'executions_by_request', request_id)
+        if answer.outcome == 'completed':
+            assert ran == 1
+    return ran
--- a/tests/promise_parts.py
+++ b/tests/promise_parts.py
@@ -213,9 +213,13 @@
         """End every program of the deployment."""
         self.runner.close()
 
-    def _new_id(self):
+    def next_number(self):
+        """Return a number that was not returned before."""
         with self._lock:
-            return f'request-{next(self._numbers)}'
+            return next(self._numbers)
+
+    def _new_id(self):
+        return f'request-{self.next_number()}'
 
 
 def now_iso():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,7 +10,12 @@
 from tests.memory_store import MemoryStore
 from wasabicross import claim_segments
 from wasabicross.claim_log import ClaimLog
-from wasabicross.claim_ranges import ClaimRanges, RangeOwner
+from wasabicross.claim_ranges import (
+    KEEP_S,
+    ORPHAN_S,
+    ClaimRanges,
+    RangeOwner,
+)
 from wasabicross.claim_segments import ClaimSegments
 from wasabicross.claims import (
     AlreadyRun,
@@ -310,6 +315,27 @@
         each.stop()
 
 
+def test_range_that_stays_free_is_taken_beyond_the_share(store):
+    """One of three does not take its share, and comes back much later."""
+    three = [_ranges(store, name) for name in ('a', 'b', 'c')]
+
+    def look(ranges, now_s):
+        for _ in range(12):
+            for each in ranges:
+                each.step(3, now_s)
+        return sum(len(each.owned()) for each in ranges)
+
+    assert look(three[:2], 0) == 4
+    assert look(three[:2], ORPHAN_S - 1) == 4
+    assert look(three[:2], ORPHAN_S) == 6
+    assert look(three, ORPHAN_S + KEEP_S - 1) == 6
+    assert not three[2].owned()
+    look(three, ORPHAN_S + KEEP_S)
+    assert [len(each.owned()) for each in three] == [2, 2, 2]
+    for each in three:
+        each.stop()
+
+
 def test_range_follows_from_tenant_and_key_alone():
     found = {range_of('t', f'k{number}', 16) for number in range(300)}
     assert found == set(range(16))
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -1,15 +1,11 @@
 """A call with an idempotency key runs at most once, wherever it is sent."""
 
-import threading
-
 import pytest
-from caller_parts import Answer
+from claim_parts import at_once, order, runs
 from promise_parts import Trial, small_shape
 
 from emulator.waiting import wait_until
 
-COPIES = 8
-
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
@@ -19,51 +15,21 @@
     # Enough keys to reach every key range, each of which has an owner.
     for number in range(100):
         wait_until(
-            lambda: order(started, number, f'first-{number}').completed,
+            lambda: (
+                order(
+                    started, started.dep.entries[number % 2], f'first-{number}'
+                ).completed
+            ),
             20,
             'owners of the claims',
         )
     return started
 
 
-def order(trial, entry_number, key) -> Answer:
-    return trial.call(
-        trial.dep.entries[entry_number % 2],
-        {'order': key},
-        path='/orders',
-        headers={'Idempotency-Key': key},
-    )
-
-
-def runs(trial, key):
-    return sum(
-        trial.log(service)['executions_by_key'].get(key, 0)
-        for service in trial.dep.services
-    )
-
-
-def at_once(trial, key):
-    """Send copies through both data centres at the same moment."""
-    answers = []
-    gate = threading.Barrier(COPIES)
-
-    def send(number):
-        gate.wait(10)
-        answers.append(order(trial, number, key))
-
-    threads = [
-        threading.Thread(target=send, args=(number,))
-        for number in range(COPIES)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join(30)
-    return answers
-
-
 def test_repeat_gets_the_answer(trial):
-    first, second = (order(trial, number, 'again') for number in range(2))
+    first, second = (
+        order(trial, entry, 'again') for entry in trial.dep.entries
+    )
     assert first.completed
     assert second.completed
     assert second.body == first.body
@@ -96,10 +62,11 @@
 def test_once(trial, provoke):
     key = provoke.__name__
     provoke(trial)
-    answers = at_once(trial, key)
+    answers = at_once(trial, key, trial.dep.entries)
     trial.fault(trial.dep.kv, refuse=False, drop_swaps=0, drop_prefix='')
     # Later repeats, through both data centres.
-    answers.extend(order(trial, number, key) for number in range(4))
+    for _ in range(2):
+        answers.extend(order(trial, entry, key) for entry in trial.dep.entries)
     if provoke is swaps_lost:
         assert trial.ask(trial.dep.kv, '/stats')['dropped']
     count = runs(trial, key)
