Prove races of operators and stops of their interfaces in a roll

Cause: both were shown by test_rollout in one process and by the model only. Change: two commands roll or supersede from the same bundle through the interfaces of two data centres, with and without a lost answer of the swap; an interface is stopped or killed before and after the swap, and the command is repeated through the other one. Conclusion: one winner, the loser told race_lost with exit code 3, bundles only rise at every process.

--- /dev/null
+++ b/tests/test_promise_operators.py
@@ -0,0 +1,214 @@
+"""Operators race, and administration APIs stop in the middle of a roll."""
+
+import json
+import signal
+from functools import partial
+
+import pytest
+from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
+from promise_parts import POLICY, Trial, small_shape
+
+from emulator.deployment import HOST, OPERATOR_TOKEN
+from emulator.fleet import Program
+from emulator.operator import Operator, bundle_text
+from emulator.waiting import wait_until
+from wasabicross.bundle_store import CURRENT_KEY
+
+SEED = 20261210
+#: Each call to the key-value service takes so long that others come between.
+SLOW_MS = 300
+SPREAD_S = 20
+DONE = 0
+REFUSED = 3
+NO_ANSWER = 4
+STILL_SPREADING = 6
+
+
+class OperatedTrial(Trial):
+    """A deployment whose first bundle an operator has rolled too."""
+
+    def roll(self, versions):
+        self.runner.wait_ready()
+        number = Operator(self.dep).roll(bundle_text(versions, policy=POLICY))
+        self.versions[number] = versions
+        return number
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(admins=True)
+    folder = tmp_path_factory.mktemp('cfg')
+    started = OperatedTrial(runner, folder, shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+@pytest.fixture
+def watched(trial):
+    """Traffic that watches the bundles that each entry's answers name."""
+    make = partial(any_adapter, tokens=(1, 3))
+    by_entry = [
+        Traffic(trial, 1, make, SEED, [entry]) for entry in trial.dep.entries
+    ]
+    for traffic in by_entry:
+        traffic.__enter__()
+    yield by_entry
+    trial.fault(trial.dep.kv, slow_ms=0, drop_swaps=0, drop_prefix='')
+    for traffic in by_entry:
+        traffic.wait_for(5)
+    for traffic in by_entry:
+        traffic.__exit__()
+    for traffic, entry in zip(by_entry, trial.dep.entries, strict=True):
+        named = [each.bundle for each in traffic.answers if each.status == 200]
+        assert named == sorted(named)
+        in_force = trial.bundles_at(entry)
+        assert in_force == sorted(set(in_force))
+        check_answers(trial, traffic.answers)
+
+
+class Command:
+    """A command of an operator in a process of its own."""
+
+    def __init__(self, trial, admin, *args, wait_s=SPREAD_S):
+        self.name = f'command-{trial.next_number()}'
+        self._runner = trial.runner
+        options = (
+            '--json',
+            '--wait-s',
+            str(wait_s),
+            '--url',
+            f'http://{HOST}:{admin.port}',
+            '--token',
+            OPERATOR_TOKEN,
+        )
+        program = Program(self.name, 'wasabicross.cli', (*args, *options))
+        self._runner.start(program)
+
+    def wait(self):
+        """Return the exit code and the JSON objects that were printed."""
+        code = self._runner.wait(self.name, 2 * SPREAD_S)
+        lines = self._runner.log_path(self.name).read_text().splitlines()
+        printed = [json.loads(line) for line in lines if line.startswith('{')]
+        return code, printed
+
+
+def sign_off(trial, admin_number, stem):
+    """Prepare and sign a bundle; return its digest and its versions."""
+    versions = dict.fromkeys(ADAPTERS, f'{stem}-{trial.next_number()}')
+    text = bundle_text(versions, policy=POLICY)
+    return Operator(trial.dep, admin_number).sign_off(text), versions
+
+
+def next_number(trial):
+    return trial.store().current().ok.pointer.number + 1
+
+
+def is_everywhere(trial, number):
+    return all(
+        Operator(trial.dep, admin_number).is_everywhere(number)
+        for admin_number in range(len(trial.dep.admins))
+    )
+
+
+def args_of(action, digest, number):
+    if action == 'roll':
+        return ('roll', digest)
+    return ('supersede', digest, '--number', str(number - 1))
+
+
+@pytest.mark.parametrize('lost', [0, 1], ids=['answered', 'answer lost'])
+@pytest.mark.parametrize('actions', [
+    ('roll', 'roll'),
+    ('supersede', 'supersede'),
+    ('roll', 'supersede'),
+], ids='-'.join)  # fmt: skip
+def test_race(trial, watched, actions, lost):
+    """One of two wins; the other is told so and changes nothing."""
+    number = next_number(trial)
+    wait_until(lambda: is_everywhere(trial, number - 1), SPREAD_S, 'spread')
+    admins = trial.dep.admins
+    signed = [sign_off(trial, at, f'racer-{at}') for at in range(len(admins))]
+    trial.fault(
+        trial.dep.kv, slow_ms=SLOW_MS, drop_swaps=lost, drop_prefix=CURRENT_KEY
+    )
+    # Both are registered before either can be in force.
+    racers = [
+        Command(trial, admin, *args_of(action, digest, number))
+        for admin, action, (digest, _) in zip(
+            admins, actions, signed, strict=True
+        )
+    ]
+    pointer = wait_until(
+        lambda: (
+            trial.store().current().ok.pointer.number == number
+            and trial.store().current().ok.pointer
+        ),
+        SPREAD_S,
+        'a winner',
+    )
+    trial.versions[number] = dict(signed)[pointer.digest]
+    ended = [racer.wait() for racer in racers]
+    won = [digest for digest, _ in signed].index(pointer.digest)
+    code, printed = ended[won]
+    assert code == DONE, printed
+    assert printed[-1]['digest'] == pointer.digest
+    code, printed = ended[1 - won]
+    assert code == REFUSED, printed
+    assert printed[-1]['error']['code'] == 'race_lost'
+    assert str(number) in printed[-1]['error']['message']
+    trial.wait_in_force(number)
+    assert trial.store().current().ok.pointer == pointer
+    if lost:
+        assert trial.ask(trial.dep.kv, '/stats')['dropped']
+
+
+def before_the_swap(trial, number):
+    """The replaced pointer is kept; the swap is under way or next."""
+    return trial.store().past_pointer(number - 1).is_ok()
+
+
+def after_the_swap(trial, number):
+    """The swap took effect; its answer was lost, and it is sent again."""
+    return trial.store().current().ok.pointer.number == number
+
+
+@pytest.mark.parametrize(
+    ('sent', 'codes'),
+    [
+        (signal.SIGTERM, {DONE, STILL_SPREADING}),
+        (signal.SIGKILL, {NO_ANSWER}),
+    ],
+    ids=['stopped', 'killed'],
+)
+@pytest.mark.parametrize(
+    'reached', [before_the_swap, after_the_swap], ids=lambda each: each.__name__
+)
+def test_admin_ends_in_a_roll(trial, watched, reached, sent, codes):
+    """The command repeated through another one finds or does it once."""
+    number = next_number(trial)
+    wait_until(lambda: is_everywhere(trial, number - 1), SPREAD_S, 'spread')
+    first, other = trial.dep.admins
+    digest, versions = sign_off(trial, 0, 'stopped')
+    trial.versions[number] = versions
+    trial.fault(
+        trial.dep.kv, slow_ms=SLOW_MS, drop_swaps=1, drop_prefix=CURRENT_KEY
+    )
+    command = Command(trial, first, 'roll', digest, wait_s=1)
+    wait_until(lambda: reached(trial, number), SPREAD_S, reached.__name__)
+    if sent is signal.SIGKILL:
+        trial.runner.kill(first.name)
+    else:
+        trial.runner.terminate(first.name)
+    repeated = Command(trial, other, 'roll', digest)
+    code, printed = command.wait()
+    assert code in codes, printed
+    code, printed = repeated.wait()
+    assert code == DONE, printed
+    assert (printed[0]['number'], printed[0]['digest']) == (number, digest)
+    if sent is signal.SIGTERM:
+        assert trial.runner.wait(first.name) == 0
+    trial.runner.restart(first.name)
+    trial.wait_in_force(number)
+    history = trial.store().past_pointer(number - 1)
+    assert history.is_ok()
+    assert next_number(trial) == number + 1
