Test kills and changes of owner on one range, and free ranges apart

Cause: with four ranges on four instances a range was handed on to share them evenly just when a test sent its order, which was then refused as not run: in two runs out of three test_killed failed with "order sent: not within 10 s" or a like wait, and the killed instance stayed away for the tests after it. Ruled out: the code; a call refused while its range changes hands is what OPERATIONS says. Change: the kills and changes of owner run with one range, which is never handed on for evenness, and so check the same. That a free range finds an owner has a file of its own with four ranges, for a dead instance on the list and for one cut off from the service alone.

--- a/tests/claim_parts.py
+++ b/tests/claim_parts.py
@@ -10,7 +10,6 @@
 from wasabicross.kv import KeyValueStore
 
 COPIES = 8
-RANGES = 4
 TENANT = 'agents'
 
 
@@ -73,10 +72,10 @@
     return cbor2.loads(value)[0] if value else ''
 
 
-def keys_of(number, stem):
-    """Yield keys of a range."""
+def keys_of(number, stem, ranges=1):
+    """Yield keys of one of some ranges."""
     for each in count():
-        if range_of(TENANT, f'{stem}-{each}', RANGES) == number:
+        if range_of(TENANT, f'{stem}-{each}', ranges) == number:
             yield f'{stem}-{each}'
 
 
--- a/tests/test_promise_claims.py
+++ b/tests/test_promise_claims.py
@@ -6,7 +6,6 @@
 
 import pytest
 from claim_parts import (
-    RANGES,
     Copies,
     at_once,
     check_once,
@@ -17,7 +16,7 @@
     runs,
     segments,
 )
-from promise_parts import Trial, small_shape
+from promise_parts import SHORT_TIMES, Trial, small_shape
 
 from emulator.waiting import wait_until
 
@@ -30,7 +29,11 @@
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
     shape = small_shape(
-        instances=2, services=1, proxied=('instance', 'kv', 'service')
+        instances=2,
+        services=1,
+        proxied=('instance', 'kv', 'service'),
+        # One range, which is never handed on only to share ranges evenly.
+        settings={**SHORT_TIMES, 'claims': {'ranges': 1}},
     )
     started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
     started.wait_in_force(1)
@@ -39,17 +42,16 @@
 
 @pytest.fixture
 def owned(trial):
-    """Wait until every range has an owner that can be reached."""
-    for number in range(RANGES):
-        for entry in trial.dep.entries:
-            keys = keys_of(number, f'owned-{entry.name}-{trial.next_number()}')
-            wait_until(
-                lambda keys=keys, entry=entry: (
-                    order(trial, entry, next(keys)).completed
-                ),
-                OWNERS_S,
-                f'owner of range {number}',
-            )
+    """Wait until every entry reaches the range's owner."""
+    for entry in trial.dep.entries:
+        keys = keys_of(0, f'owned-{entry.name}-{trial.next_number()}')
+        wait_until(
+            lambda keys=keys, entry=entry: (
+                order(trial, entry, next(keys)).completed
+            ),
+            OWNERS_S,
+            f'an owner for {entry.name}',
+        )
 
 
 class Instance:
@@ -185,21 +187,6 @@
     check_once(trial, key, answers)
 
 
-def test_range_of_a_dead_instance_on_the_list(trial, owned):
-    """The list shows a dead instance for long: its range finds an owner."""
-    instance = Instance(trial)
-    instance.kill(whole_instance(instance))
-    trial.lapse_leases()
-    wait_until(
-        lambda: range_owner(trial, instance.range) not in {'', instance.name},
-        OWNERS_S,
-        'another owner',
-    )
-    wait_for_owner(instance, 'orphan')
-    instance.restart(whole_instance(instance))
-    wait_until(lambda: trial.is_ready(instance.entry), 10, 'ready again')
-
-
 def paused(instance):
     """The owner stands still until another owns its range."""
     instance.trial.runner.pause(instance.name)
--- /dev/null
+++ b/tests/test_promise_key_ranges.py
@@ -0,0 +1,56 @@
+"""Each range of keys finds an owner, whoever keeps it from having one."""
+
+import pytest
+from claim_parts import keys_of, order, range_owner
+from promise_parts import Trial, small_shape
+
+from emulator.waiting import wait_until
+
+#: As many as there are instances, so that each has its share.
+RANGES = 4
+OWNERS_S = 40
+
+
+@pytest.fixture
+def trial(runner, tmp_path_factory):
+    shape = small_shape(instances=2, services=1, proxied=('instance', 'kv'))
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    yield started
+    started.stop()
+
+
+def owners(trial):
+    return [range_owner(trial, number) for number in range(RANGES)]
+
+
+def dead(trial, instance):
+    """It is killed, and the list goes on to show it."""
+    trial.runner.kill(instance)
+
+
+def cut_off(trial, instance):
+    """It reaches its peers but not the service."""
+    trial.dep.links.cut((instance, trial.dep.kv.name))
+
+
+@pytest.mark.parametrize(
+    'lose', [dead, cut_off], ids=lambda each: each.__name__
+)
+def test_range_finds_an_owner(trial, lose):
+    names = {each.name for each in trial.dep.controllers}
+    wait_until(lambda: set(owners(trial)) == names, OWNERS_S, 'one range each')
+    lost = trial.dep.controllers[0].name
+    lose(trial, lost)
+    trial.lapse_leases()
+    wait_until(
+        lambda: set(owners(trial)) == names - {lost}, OWNERS_S, 'other owners'
+    )
+    entry = trial.dep.entries[-1]
+    for number in range(RANGES):
+        keys = keys_of(number, f'found-{number}', RANGES)
+        wait_until(
+            lambda keys=keys: order(trial, entry, next(keys)).completed,
+            OWNERS_S,
+            f'a claim in range {number}',
+        )
