Measure how long rolls, healed cuts and claims take at today's size

Cause: the bars on bundles were checked by a timed test only, and what a claim adds was not measured for the present number of ranges.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -11,7 +11,7 @@
 import re
 import tempfile
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 import click
@@ -295,18 +295,25 @@
             yield run_contender(contender, options)
 
 
-def bench_options(command: Any) -> Any:
-    """Decorate a command with one option for each field of the options."""
-    for name, default in reversed(BenchOptions._field_defaults.items()):
-        flag = f'--{name.replace("_", "-")}'
-        command = click.option(flag, default=default, show_default=True)(
-            command
-        )
-    return command
+def named_options(kind: Any) -> Callable[[Any], Any]:
+    """Decorate a command with one option for each field of a tuple.
+
+    :param kind: a class of named tuples with defaults.
+    """
+
+    def decorate(command: Any) -> Any:  # noqa: WPS430
+        for name, default in reversed(kind._field_defaults.items()):
+            flag = f'--{name.replace("_", "-")}'
+            command = click.option(flag, default=default, show_default=True)(
+                command
+            )
+        return command
+
+    return decorate
 
 
 @click.command()
-@bench_options
+@named_options(BenchOptions)
 def main(**named: Any) -> None:
     """Run the closing peak and print a JSON line for each contender."""
     for figures in run_all(BenchOptions(**named)):
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,9 +1,14 @@
 """The figures of the closing peak are computed as they are named."""
 
+import json
+
 import pytest
+from click.testing import CliRunner
 
+from emulator import bench_control
 from emulator.arrivals import Arrival
 from emulator.bench import BenchOptions, Histogram, planned
+from emulator.claim_timing import RATES
 from emulator.clairvoyant import stall_bound_s
 
 PAGE = """# TYPE stall histogram
@@ -46,3 +51,23 @@
 def test_contenders_get_the_same_calls():
     assert planned(BenchOptions()) == planned(BenchOptions())
     assert planned(BenchOptions()) != planned(BenchOptions(seed=2))
+
+
+def test_control_is_timed():
+    """Each part of the control bench runs and tells its figures."""
+    args = '--rolls=2 --cuts=1 --seconds=1'.split()
+    printed = CliRunner().invoke(
+        bench_control.main, args, catch_exceptions=False
+    )
+    told = [json.loads(line) for line in printed.stdout.splitlines()]
+    figures = [line['figure'] for line in told if 'figure' in line]
+    assert figures == [
+        'in_force_everywhere',
+        'in_force_through_peers',
+        'in_force_after_heal',
+        *(['claim'] * len(RATES)),
+    ]
+    assert all(line['s_max'] > 0 for line in told if 's_max' in line)
+    claims = [line for line in told if 'rate' in line]
+    assert not any(line['failed'] for line in claims)
+    assert all(line['added_ms_p50'] > 0 for line in claims)
