--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -9,7 +9,7 @@
 import json
 import pathlib
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import click
@@ -271,18 +271,25 @@
             yield run_contender(contender, options)
 
 
-def bench_options(command: Any) -> Any:
-    """Decorate a command with one option for each field of the options."""
-    for name, default in reversed(BenchOptions._field_defaults.items()):
-        flag = f'--{name.replace("_", "-")}'
-        command = click.option(flag, default=default, show_default=True)(
-            command
-        )
-    return command
+def named_options(kind: Any) -> Callable[[Any], Any]:
+    """Decorate a command with one option for each field of a tuple.
+
+    :param kind: a class of named tuples with defaults.
+    """
+
+    def decorate(command: Any) -> Any:  # noqa: WPS430
+        for name, default in reversed(kind._field_defaults.items()):
+            flag = f'--{name.replace("_", "-")}'
+            command = click.option(flag, default=default, show_default=True)(
+                command
+            )
+        return command
+
+    return decorate
 
 
 @click.command()
-@bench_options
+@named_options(BenchOptions)
 def main(**named: Any) -> None:
     """Run the closing peak and print a JSON line for each contender."""
     options = BenchOptions(**named)
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -88,7 +88,9 @@
         )
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
-            ClaimRanges.from_config(cfg, kv, self._lease_id), self._link_to
+            ClaimRanges.from_config(cfg, kv, self._lease_id),
+            self._link_to,
+            self._count_reachable,
         )
         self.keeper = OwnerKeeper(
             cfg.instance.instance_id, kv, self.lease, self.owners
@@ -262,6 +264,10 @@
         peer = self.peers.get(instance_id)
         return peer.link if peer else None
 
+    def _count_reachable(self) -> int:
+        # Every instance dials itself as well.
+        return len(self.peers.linked())
+
     def _send_to_desk(self, message: Any) -> None:
         linked = self.peers.linked()
         if linked:
