--- a/src/wasabicross/claim_log.py
+++ b/src/wasabicross/claim_log.py
@@ -46,8 +46,9 @@
     :param segments: the range's log in the key-value service.
     :param table: states of the range's keys.
     :param horizon_s: seconds for which a key is remembered.
-    :param interval_s: seconds between the starts of two writes at least.
+    :param interval_s: seconds between the starts of two writes on average.
     :param wait_s: seconds a claim waits for its write at most.
+    :param burst_writes: writes that may start at once after a quiet time.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         horizon_s: float,
         interval_s: float = 0,
         wait_s: float = RETRY_AFTER_S,
+        burst_writes: int = 1,
     ) -> None:
         self.deposed = threading.Event()
         self._segments = segments
@@ -64,6 +66,7 @@
         self._horizon_s = horizon_s
         self._interval_s = interval_s
         self._wait_s = wait_s
+        self._burst_s = (burst_writes - 1) * interval_s
         self._changed = threading.Condition()
         self._waiting: list[_Waiting] = []
         self._written_s = float('-inf')
@@ -176,17 +179,19 @@
         self._changed.notify_all()
 
     def _run(self) -> None:
+        # The start of the next write if none is to be saved up for a burst.
         next_s = time.monotonic()
         while True:
             # A stop writes what waits without delay.
-            self.deposed.wait(max(0, next_s - time.monotonic()))
+            wait_s = next_s - self._burst_s - time.monotonic()
+            self.deposed.wait(max(0, wait_s))
             with self._changed:
                 if not self._waiting and not self.deposed.is_set():
                     self._changed.wait(self._horizon_s / KEEPALIVES)
                 batch = self._waiting[:MAX_BATCH]
             if self.deposed.is_set() and not batch:
                 return
-            next_s = time.monotonic() + self._interval_s
+            next_s = max(next_s, time.monotonic()) + self._interval_s
             self._write(batch)
             self._trim(time.time())
 
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -25,6 +25,8 @@
 OWNER_TTL_S = 5.0
 #: Writes of all ranges together, whatever their number and the fleet's.
 MAX_WRITES_PER_S = 320.0
+#: Writes of a range that may follow each other at once after a quiet time.
+BURST_WRITES = 8
 #: After so long without an owner a range is taken beyond the share.
 ORPHAN_S = 5.0
 #: After a range was taken beyond the share, none is given up for so long.
@@ -248,6 +250,7 @@
             ClaimTable(self._horizon_s, self._running_s),
             self._horizon_s,
             self.ranges / MAX_WRITES_PER_S,
+            burst_writes=BURST_WRITES,
         )
         if log.take_over().is_ok():
             with self._lock:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -46,10 +46,14 @@
 class Range:
     """A log with short ways to claim and settle."""
 
-    def __init__(self, store, horizon_s=HORIZON_S, interval_s=0, wait_s=2.0):
+    def __init__(
+        self, store, horizon_s=HORIZON_S, interval_s=0, wait_s=2.0, burst=1
+    ):
         self.segments = ClaimSegments(store, 'claims/0')
         table = ClaimTable(horizon_s, RUNNING_S)
-        self.log = ClaimLog(self.segments, table, horizon_s, interval_s, wait_s)
+        self.log = ClaimLog(
+            self.segments, table, horizon_s, interval_s, wait_s, burst
+        )
         assert self.log.take_over().is_ok()
 
     def ask(self, holder, key='k', digest=b'd', now_s=0):
@@ -248,6 +252,17 @@
     assert took_s >= 5 * 0.05
 
 
+def test_writes_of_a_burst_follow_at_once_and_no_more(make):
+    here = make(interval_s=HORIZON_S, burst=3)
+    for number in range(3):
+        assert here.claim('a', key=f'k{number}') == Granted()
+    late = here.ask('a', key='late')
+    # A stop writes what waits, so that only the pace held it up.
+    assert not late.done()
+    here.log.stop()
+    assert late.result(WAIT_S) == Granted()
+
+
 def test_old_segments_are_trimmed(make, store, monkeypatch):
     monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', 100)
     here = make()
