--- a/src/wasabicross/admin.py
+++ b/src/wasabicross/admin.py
@@ -4,19 +4,18 @@
 
 import click
 
-from wasabicross import __version__
 from wasabicross.admin_actions import AdminActions
 from wasabicross.admin_api import AdminApi
 from wasabicross.bundle_status import StatusSource
 from wasabicross.bundle_store import BundleStore
 from wasabicross.controller_status import ControllerStatus
-from wasabicross.events import Event
 from wasabicross.http_server import HttpServer
 from wasabicross.kv import KeyValueStore
-from wasabicross.logs import configure_logs, log_event
+from wasabicross.listening import bind_http
+from wasabicross.logs import configure_logs
 from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
-from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.telemetry import MetricsServer, Readiness
 
 THREADS = 8
@@ -54,17 +53,15 @@
             daemon=True,
         )
 
-    def start(self) -> None:
-        """Serve in threads; OSError if a port is taken."""
-        self._metrics.start()
-        try:
-            self._server.prepare()
-        except OSError:
-            # The threads of the metrics would keep the process alive.
+    def start(self) -> Started:
+        """Serve in threads, or return `PortUnavailable`."""
+        bound = self._metrics.start().bind(lambda _: bind_http(self._server))
+        if bound.is_error():
             self._metrics.stop()
-            raise
+            return bound
         self._thread.start()
         self._readiness.declare('accepting', holds=True)
+        return bound
 
     def stop(self) -> None:
         """Take nothing new, finish what runs, then end."""
@@ -80,14 +77,7 @@
     """Run the administration API of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-admin')
-    stop = stop_event()
-    admin = Admin(cfg, ControllerStatus.from_config(cfg))
-    admin.start()
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    admin.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_program(lambda: Admin(cfg, ControllerStatus.from_config(cfg)))
 
 
 if __name__ == '__main__':
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -2,49 +2,46 @@
 
 import threading
 import time
-from collections import defaultdict
-from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
 import click
 
-from wasabicross import __version__
 from wasabicross import messages as msg
 from wasabicross.bundles import Bundle
 from wasabicross.claim_desk import ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges
-from wasabicross.controller_links import AcceptedLinks, DialledLinks
+from wasabicross.controller_links import DialledLinks
 from wasabicross.entry_lives import EntryLives
 from wasabicross.entry_probe import EntryProbe
 from wasabicross.events import Event
 from wasabicross.fleet_view import FleetView
 from wasabicross.holder import BundleHolder
 from wasabicross.instance_loads import InstanceLoads
-from wasabicross.instances import Fleet, InstanceList
+from wasabicross.instances import InstanceList
 from wasabicross.kv import KeyValueStore
-from wasabicross.links import Link, listen
-from wasabicross.load_names import server_of
+from wasabicross.link_listener import LinkListener
+from wasabicross.link_serving import LinkServing
+from wasabicross.links import Link
+from wasabicross.list_following import ListFollowing
 from wasabicross.logs import configure_logs, log_event
 from wasabicross.options import settings_options, settings_or_exit
+from wasabicross.owner_links import OwnerLinks
 from wasabicross.owners import DeskLink, Owners
 from wasabicross.ownership import InstanceLease, OwnerKeeper
 from wasabicross.pauses import PauseWatch
-from wasabicross.peers import PeerLinks, longest_silence_s
+from wasabicross.peers import PeerLinks
 from wasabicross.permits import PermitDesk
-from wasabicross.placing import Placing
 from wasabicross.policy import Weights
-from wasabicross.rendezvous import rank
+from wasabicross.running import Started, run_program
 from wasabicross.settings import Settings
 from wasabicross.spread import BundleFollower, PointerWatch
+from wasabicross.standing import Standing
 from wasabicross.status import InstanceBundle, InstanceTable
-from wasabicross.stopping import stop_event, wait_for_stop
 from wasabicross.subscribers import Subscribers, UseWindow
 from wasabicross.suspects import Suspects
 from wasabicross.telemetry import MetricsServer, Readiness
 
-POINTER_WATCHERS = 2
-
 
 class Controller:
     """The controller of one instance.
@@ -62,9 +59,7 @@
         self.fleet = FleetView(
             cfg.instance.instance_id, cfg.instance.data_centre
         )
-        self.window = UseWindow(
-            cfg.servers.use_lease_s, cfg.servers.max_request_s
-        )
+        window = UseWindow(cfg.servers.use_lease_s, cfg.servers.max_request_s)
         self._pauses = PauseWatch(
             cfg.servers.use_lease_s, self._forget_after_pause
         )
@@ -75,11 +70,10 @@
         self.in_force = InstanceBundle()
         self.table = InstanceTable()
         self.loads = InstanceLoads(entry.name for entry in cfg.entries)
-        self.subscribers = Subscribers(data_centre, self.window)
+        self.subscribers = Subscribers(data_centre, window)
         self._lives = EntryLives(
             cfg.instance.instance_id, cfg.servers.max_request_s
         )
-        self.placing = Placing()
         self.suspects = Suspects()
         self.desk = PermitDesk.from_config(
             cfg.weight_store, len(cfg.data_centres)
@@ -89,8 +83,8 @@
             DeskLink(data_centre, self._send_to_desk),
             self.loads.term_of,
             self._deposed,
-            self._pauses,
-            self.fleet,
+            Standing(self._pauses, self.fleet),
+            cfg.servers.fencing,
         )
         self.lease = InstanceLease(kv, self.stopping)
         self.claims = ClaimDesk(
@@ -118,14 +112,17 @@
             self.entry_ended,
         )
         self._threads: dict[str, threading.Thread] = {}
-        self._instance_list = instance_list
         self._pointers = PointerWatch(kv, self.follower, self.stopping)
-        self._accepted = AcceptedLinks(self)
-        self._server = listen(
+        self.list = ListFollowing(self, instance_list, self._pointers)
+        self.to_owners = OwnerLinks(
+            cfg.instance.instance_id, self.fleet, self.loads, self.peers
+        )
+        serving = LinkServing(self)
+        self._listener = LinkListener(
             cfg.instance.host,
             cfg.controller.port,
-            self._accept,
-            self._serve_link,
+            serving.accept,
+            serving.serve,
         )
 
     @classmethod
@@ -137,14 +134,17 @@
             InstanceList.from_config(cfg.platform.instance_list),
         )
 
-    def start(self) -> None:
-        """Start all threads."""
-        self._metrics.start()
+    def start(self) -> Started:
+        """Start all threads, or return `PortUnavailable`."""
+        bound = self._metrics.start().bind(lambda _: self._listener.bind())
+        if bound.is_error():
+            self._metrics.stop()
+            return bound
         self.follower.start()
         runs = (
             ('lease', self.lease.run),
-            ('links', self._server.serve_forever),
-            ('list', self._follow_list),
+            ('links', self._listener.serve),
+            ('list', self.list.run),
             ('pointer', self._pointers.run),
             ('probe', partial(self._probe.run, self.stopping)),
             ('pauses', partial(self._pauses.run, self.stopping)),
@@ -156,6 +156,7 @@
             thread = threading.Thread(target=run, name=name, daemon=True)
             thread.start()
             self._threads[name] = thread
+        return bound
 
     def stop(self) -> None:
         """Hand over what is owned here and close the links."""
@@ -165,7 +166,7 @@
         self._say_goodbye()
         self._threads['lease'].join(self.cfg.platform.kv.timeout_s)
         self.peers.stop()
-        self._server.shutdown()
+        self._listener.stop()
         self._metrics.stop()
 
     def _say_goodbye(self) -> None:
@@ -192,33 +193,6 @@
             self.keeper.resign(server.server_id)
         link.send(self.loads.report(server))
 
-    def place(self, want: msg.WantLoad, now_s: float) -> None:
-        """Ask the owner of the best server to load an adapter version.
-
-        :param want: the adapter version wanted.
-        :param now_s: monotonic seconds.
-        """
-        servers = self.fleet.servers
-        for server_id in self.placing.candidates(want, servers, now_s):
-            wanted = msg.LoadWanted(server_id, want)
-            if self.send_to_owner(server_id, wanted):
-                return
-
-    def send_to_owner(self, server_id: str, message: Any) -> bool:
-        """Send a message to the owner of a server, if it can be reached."""
-        owner_id = self.loads.owner_of(server_id)
-        peer = self.peers.get(owner_id) if owner_id else None
-        return peer is not None and peer.send(message)
-
-    def forward_uses(self, told: msg.LoadUses) -> None:
-        """Tell the owners how an entry of this instance uses their loads."""
-        by_server: dict[str, list[msg.LoadUse]] = defaultdict(list)
-        for use in told.uses:
-            by_server[server_of(use.load_name) or ''].append(use)
-        for server_id, uses in by_server.items():
-            source = f'{self.cfg.instance.instance_id}/{told.source}'
-            self.send_to_owner(server_id, msg.LoadUses(source, uses))
-
     def merge_suspects(self, told: msg.SuspectRecords, link: Link) -> None:
         """Keep what is known of requests that crash servers; pass it on.
 
@@ -239,6 +213,11 @@
         self.loads.forget_opened()
         self.peers.redial()
 
+    def entry_linked(self, hello: msg.Hello) -> None:
+        """Note the life of an entry; an earlier one of its name has ended."""
+        joined = self._lives.joined(hello.name, hello.life, time.monotonic())
+        self._tell_lost(joined)
+
     def entry_ended(self, name: str) -> None:
         """Forget an entry whose process has ended."""
         self.loads.entry_gone(name)
@@ -257,47 +236,6 @@
 
     # Links.
 
-    def _accept(self, link: Link) -> msg.Welcome | msg.Refusal:
-        hello = link.peer
-        if hello.token != self.cfg.peer_token:
-            log_event(Event.PEER_REFUSED, peer=hello.name)
-            return msg.Refusal('not_allowed', 'wrong token')
-        return msg.Welcome(self.cfg.instance.instance_id)
-
-    def _serve_link(self, link: Link) -> None:
-        if link.peer.kind == 'entry':
-            self._serve_entry(link)
-        elif link.peer.kind == 'controller':
-            self._serve_peer(link)
-        else:
-            link.run(self._accepted)
-
-    def _serve_entry(self, link: Link) -> None:
-        hello = link.peer
-        joined = self._lives.joined(hello.name, hello.life, time.monotonic())
-        self._tell_lost(joined)
-        link.send(self.fleet.update())
-        offered = self.follower.offered()
-        if offered is not None:
-            link.send(offered)
-        _, records = self.suspects.records_since(0, time.monotonic())
-        link.send(msg.SuspectRecords(list(records)))
-        self.loads.entry_joined(link)
-        link.run(self._accepted)
-        self.loads.entry_left(link)
-
-    def _serve_peer(self, link: Link) -> None:
-        self.subscribers.joined(link, time.monotonic())
-        link.send(self.owners.announcement())
-        for snapshot in self.owners.snapshots():
-            link.send(snapshot)
-        offered = self.follower.offered()
-        if offered is not None:
-            link.send(offered)
-        silence_s = longest_silence_s(self.window.use_lease_s)
-        link.run(self._accepted, silence_s)
-        self.subscribers.left(link, time.monotonic())
-
     def _hello(self) -> msg.Hello:
         instance = self.cfg.instance
         return msg.Hello(
@@ -347,45 +285,6 @@
         log_event(Event.OWNER_DEPOSED, server=server_id)
         self.keeper.resign(server_id)
 
-    def _follow_list(self) -> None:
-        while not self.stopping.is_set():
-            asked_s = time.monotonic()
-            fetched = self._instance_list.fetch()
-            if fetched.is_ok():
-                self._take_fleet(fetched.ok, asked_s, time.monotonic())
-            self.stopping.wait(self.cfg.platform.instance_list.poll_s)
-
-    def _take_fleet(self, fleet: Fleet, asked_s: float, now_s: float) -> None:
-        view = self.fleet
-        changed = view.take(fleet, now_s)
-        self.readiness.declare('instance_list', holds=True)
-        self.subscribers.listed(view.residents(), now_s, asked_s)
-        self.peers.follow(fleet.instances)
-        self.table.keep(view.listed(), now_s)
-        self.desk.set_visible(self._visible_data_centres())
-        self.lease.instances = len(fleet.instances)
-        self.lease.listed.set()
-        self.claims.instances = len(fleet.instances)
-        live = view.live_residents()
-        own_id = self.cfg.instance.instance_id
-        watchers = rank('bundle', live)[:POINTER_WATCHERS]
-        self._pointers.is_watcher = own_id in watchers or own_id not in live
-        engines = view.engines_here()
-        self.owners.follow(engines)
-        self.keeper.assign([each.server_id for each in engines], live)
-        if changed:
-            self.loads.tell_entries(view.update())
-
-    def _visible_data_centres(self) -> int:
-        visible = {peer.peer.data_centre for peer in self.peers.linked()}
-        visible.add(self.cfg.instance.data_centre)
-        return len(visible)
-
-    def listing_confirmed(self, server_ids: Iterable[str]) -> None:
-        """Note servers whose owner sees this instance in its own list."""
-        if self.fleet.confirm_listing(server_ids):
-            self.loads.tell_entries(self.fleet.update())
-
 
 @click.command()
 @settings_options('wasabicross-controller')
@@ -393,14 +292,7 @@
     """Run the controller of an instance."""
     cfg = settings_or_exit(config, check_config=check_config)
     configure_logs(cfg.logs, 'wasabicross-controller')
-    stop = stop_event()
-    controller = Controller.from_config(cfg)
-    controller.start()
-    log_event(Event.PROGRAM_STARTED, version=__version__)
-    wait_for_stop(stop)
-    log_event(Event.PROGRAM_STOPPING)
-    controller.stop()
-    log_event(Event.PROGRAM_STOPPED)
+    run_program(lambda: Controller.from_config(cfg))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/src/wasabicross/owner_links.py
@@ -0,0 +1,67 @@
+"""What an instance asks of the owners of engines, wherever they are."""
+
+from collections import defaultdict
+from typing import Any
+
+from wasabicross.fleet_view import FleetView
+from wasabicross.instance_loads import InstanceLoads
+from wasabicross.load_names import server_of
+from wasabicross.messages import LoadUse, LoadUses, LoadWanted, WantLoad
+from wasabicross.peers import PeerLinks
+from wasabicross.placing import Placing
+
+
+class OwnerLinks:
+    """Reaches the owner of each engine over the links to the instances.
+
+    :param instance_id: the instance that asks.
+    :param fleet: the instance list.
+    :param loads: knows the owners.
+    :param peers: links to all instances.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        fleet: FleetView,
+        loads: InstanceLoads,
+        peers: PeerLinks,
+    ) -> None:
+        self.placing = Placing()
+        self._instance_id = instance_id
+        self._fleet = fleet
+        self._loads = loads
+        self._peers = peers
+
+    def send(self, server_id: str, message: Any) -> bool:
+        """Send a message to the owner of a server, if it can be reached.
+
+        :param server_id: the server.
+        :param message: what to send.
+        """
+        owner_id = self._loads.owner_of(server_id)
+        peer = self._peers.get(owner_id) if owner_id else None
+        return peer is not None and peer.send(message)
+
+    def place(self, want: WantLoad, now_s: float) -> None:
+        """Ask the owner of the best server to load an adapter version.
+
+        :param want: the adapter version wanted.
+        :param now_s: monotonic seconds.
+        """
+        servers = self._fleet.servers
+        for server_id in self.placing.candidates(want, servers, now_s):
+            if self.send(server_id, LoadWanted(server_id, want)):
+                return
+
+    def forward_uses(self, told: LoadUses) -> None:
+        """Tell the owners how an entry of this instance uses their loads.
+
+        :param told: the uses, and which entry's they are.
+        """
+        by_server: dict[str, list[LoadUse]] = defaultdict(list)
+        for use in told.uses:
+            by_server[server_of(use.load_name) or ''].append(use)
+        for server_id, uses in by_server.items():
+            source = f'{self._instance_id}/{told.source}'
+            self.send(server_id, LoadUses(source, uses))
