--- a/src/wasabicross/list_following.py
+++ b/src/wasabicross/list_following.py
@@ -59,7 +59,8 @@
         ctl.peers.follow(fleet.instances)
         ctl.table.keep(view.listed(), now_s)
         ctl.desk.set_visible(self._visible_data_centres())
-        self._tell_size(len(fleet.instances))
+        ctl.lease.instances = len(fleet.instances)
+        ctl.lease.listed.set()
         live = view.live_residents()
         self._choose_watchers(live)
         self._assign(live)
@@ -71,11 +72,6 @@
         self._ctl.owners.follow(engines)
         self._ctl.keeper.assign([each.server_id for each in engines], live)
 
-    def _tell_size(self, instances: int) -> None:
-        self._ctl.lease.instances = instances
-        self._ctl.lease.listed.set()
-        self._ctl.claims.instances = instances
-
     def _choose_watchers(self, live: list[str]) -> None:
         own_id = self._ctl.cfg.instance.instance_id
         watchers = rank('bundle', live)[:POINTER_WATCHERS]
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -84,5 +84,6 @@
         'capacity',
         'class-limit',
         'deadline',
+        'queue',
         'tenant-share',
     }
