--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -1,15 +1,12 @@
 """What an entry knows of backend servers, and its exchanges with them."""
 
 import enum
-import socket
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from wasabicross.dispatch import Dispatcher
-from wasabicross.engines import Engine
 from wasabicross.events import Event
 from wasabicross.exceptions import (
     DispatchError,
@@ -21,13 +18,11 @@
 from wasabicross.messages import ServerInfo, ServerLoad
 from wasabicross.routing import Holder
 from wasabicross.server_health import Failure
+from wasabicross.server_probe import probe
 from wasabicross.suspect_records import SuspectRecord
 from wasabicross.suspects import Clearance, Suspects
 from wasabicross.trials import Trials
 
-PROBE_TIMEOUT_S = 0.5
-PROBE_RETRY_S = 0.05
-PROBE_QUIET_S = 0.2
 DEFAULT_BATCH_SIZE = 16
 MAX_REPORT_AGE_S = 5.0
 LEAVING = 'leaving'
@@ -307,52 +302,10 @@
             self._trials.lost(fingerprint, server_id)
 
     def _probe(self, server_id: str, load_name: str) -> Failure | None:
-        """Look again while a server may just be dying, which takes a while."""
         server = self._servers.get(server_id)
         if server is None:
             return Failure.refused
-        address = (server.host, server.port)
-        until_s = time.monotonic() + PROBE_TIMEOUT_S
-        failure = _look(address, load_name)
-        while failure is Failure.reset and time.monotonic() < until_s:
-            time.sleep(PROBE_RETRY_S)
-            failure = _look(address, load_name)
-        return failure
-
-
-def _look(address: tuple[str, int], load_name: str) -> Failure | None:
-    """Return how a server fails to answer, None if it is as it was.
-
-    An engine that has lost a load which can't have been evicted has
-    restarted: load names are unique, and none is evicted that a request
-    counts as running on.
-    """
-    try:
-        conn = socket.create_connection(address, PROBE_TIMEOUT_S)
-    except ConnectionRefusedError:
-        return Failure.refused
-    except OSError:
-        return Failure.timed_out
-    with conn:
-        if not load_name:
-            return None if _stays_open(conn) else Failure.reset
-    engine = Engine(Dispatcher(*address))
-    inventory = engine.inventory(PROBE_TIMEOUT_S)
-    engine.close()
-    if inventory.is_error():
-        return Failure.reset
-    return None if load_name in inventory.ok.loads else Failure.restarted
-
-
-def _stays_open(conn: socket.socket) -> bool:
-    """Tell whether a server keeps a connection on which it is asked nothing."""
-    conn.settimeout(PROBE_QUIET_S)
-    try:
-        return bool(conn.recv(1))
-    except TimeoutError:
-        return True
-    except OSError:
-        return False
+        return probe((server.host, server.port), load_name)
 
 
 def _own_slots(engine: Holder) -> float:
