Tell a stand-in's caller of a defect in it

Cause: test_eviction[visitors_cut] failed in 2 runs of some 10 when the proxy's control closed the connection of a question without an answer. A handler that raises anything but three kinds of errors does that, for instance where a cut connection does not go away within 10 s (TimeoutError). Which error it was is not known; ruled out by reading: an idle connection that is closed. Change: all errors are answered with 500 and their text. test_proxy passes. Conclusion: the next failure tells its cause.

--- a/emulator/http_server.py
+++ b/emulator/http_server.py
@@ -16,6 +16,7 @@
 STACK_BYTES = 256 * 1024
 STATUS_NOT_FOUND = 404
 STATUS_BAD_REQUEST = 400
+STATUS_FAILED = 500
 
 
 class Request(NamedTuple):
@@ -120,6 +121,8 @@
             return self._answer(req)
         except (KeyError, TypeError, ValueError) as exc:
             return json_reply({'error': repr(exc)}, STATUS_BAD_REQUEST)
+        except Exception as exc:  # a defect, which the caller is to see
+            return json_reply({'error': repr(exc)}, STATUS_FAILED)
 
     def handle_error(self, *_args: object) -> None:
         """Take a caller who has gone as a matter of course."""
