Give the evictions of an engine a module of their own

Ruled out: moving the loads as well, which share the queue with the rest. Change: Evictions asks for the consents and orders; the conditions and their order are as they were.

--- /dev/null
+++ b/src/wasabicross/evictions.py
@@ -0,0 +1,108 @@
+"""The evictions that an owner orders, each by the consent of all."""
+
+import threading
+from typing import Protocol
+
+from expression import Result
+
+from wasabicross.engines import EvictOrder
+from wasabicross.events import Event
+from wasabicross.exceptions import AdapterInUse, OrderError, OrderRefused
+from wasabicross.held_loads import HeldLoad, HeldLoads
+from wasabicross.inherited_wait import InheritedWait
+from wasabicross.logs import log_event
+from wasabicross.messages import CloseLoad, LoadsGone, ServerTerm
+from wasabicross.subscribers import Subscribers
+
+REPEAT_CLOSE_S = 1.0
+
+
+class EvictingEngine(Protocol):
+    """An engine that takes orders to evict."""
+
+    def evict(self, order: EvictOrder) -> Result[None, OrderError]:
+        """Evict a load."""
+
+
+class Evictions:
+    """Closes the loads of one engine, for its owner's term.
+
+    :param server: the server and the term of the ownership.
+    :param engine: takes the orders.
+    :param held: the loads of the engine.
+    :param subscribers: the instances that may use the loads.
+    :param inherited_wait: how long inherited loads are kept.
+    :param deposed: set when a later owner is known; nothing is ordered then.
+    """
+
+    def __init__(
+        self,
+        server: ServerTerm,
+        engine: EvictingEngine,
+        held: HeldLoads,
+        subscribers: Subscribers,
+        inherited_wait: InheritedWait,
+        deposed: threading.Event,
+    ) -> None:
+        self._server = server
+        self._engine = engine
+        self._held = held
+        self._subscribers = subscribers
+        self._inherited_wait = inherited_wait
+        self._deposed = deposed
+
+    def go_on(self, now_s: float) -> None:
+        """Go on with all loads that are being closed.
+
+        :param now_s: monotonic seconds.
+        """
+        for held in self._held.closing():
+            self.close(held, now_s)
+
+    def close(self, held: HeldLoad, now_s: float) -> None:
+        """Ask for the consents that are missing, or evict if none is.
+
+        :param held: a load that is closed for new requests.
+        :param now_s: monotonic seconds.
+        """
+        needed = self._subscribers.must_consent(now_s)
+        missing = needed - (held.drained or set())
+        for instance_id in missing:
+            self._ask_to_close(held, instance_id, now_s)
+        if missing:
+            return
+        if self._may_evict(held, now_s):
+            self._order_evict(held)
+
+    def _may_evict(self, held: HeldLoad, now_s: float) -> bool:
+        """Tell whether nobody uses a load by the word of another owner."""
+        if held.name.term == self._server.term:
+            return True
+        if held.is_inherited:
+            return self._inherited_wait.is_over(now_s)
+        return self._inherited_wait.has_read_list
+
+    def _ask_to_close(
+        self, held: HeldLoad, instance_id: str, now_s: float
+    ) -> None:
+        asked_s = held.asked_s.get(instance_id, float('-inf'))
+        link = self._subscribers.link_of(instance_id)
+        if link is None or now_s - asked_s < REPEAT_CLOSE_S:
+            return
+        held.asked_s[instance_id] = now_s
+        server = self._server
+        link.send(CloseLoad(server.server_id, str(held.name), server.term))
+
+    def _order_evict(self, held: HeldLoad) -> None:
+        name = str(held.name)
+        if self._deposed.is_set():
+            return
+        outcome = self._engine.evict(EvictOrder(name, self._server.term))
+        if outcome.is_ok():
+            self._held.remove(name)
+            self._subscribers.broadcast(LoadsGone([name]))
+            log_event(Event.LOAD_EVICTED, load=name)
+        elif isinstance(outcome.error, OrderRefused):
+            self._deposed.set()
+        elif isinstance(outcome.error, AdapterInUse):
+            log_event(Event.EVICT_REFUSED_IN_USE, load=name)
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -5,10 +5,10 @@
 
 from expression import Result
 
-from wasabicross.engines import EvictOrder, Inventory, LoadOrder, LoadReport
+from wasabicross.engines import Inventory, LoadOrder, LoadReport
 from wasabicross.events import Event
+from wasabicross.evictions import EvictingEngine, Evictions
 from wasabicross.exceptions import (
-    AdapterInUse,
     LoadFailed,
     OrderError,
     OrderRefused,
@@ -20,7 +20,6 @@
 from wasabicross.load_queue import LoadPermits, LoadQueue, Wanted
 from wasabicross.logs import log_event
 from wasabicross.messages import (
-    CloseLoad,
     LoadsGone,
     LoadsOpened,
     LoadsSnapshot,
@@ -36,19 +35,15 @@
 
 INVENTORY_INTERVAL_S = 0.5
 MAX_REPORT_AGE_S = 3600.0
-REPEAT_CLOSE_S = 1.0
 NO_REPORT = LoadReport(0, 0, {}, 0)
 
 
-class EngineOrders(Protocol):
+class EngineOrders(EvictingEngine, Protocol):
     """The orders and questions that an engine takes."""
 
     def load(self, order: LoadOrder) -> Result[None, OrderError]:
         """Load an adapter version and wait until it is loaded."""
 
-    def evict(self, order: EvictOrder) -> Result[None, OrderError]:
-        """Evict a load."""
-
     def inventory(self) -> Result[Inventory, OrderError]:
         """Return the loads that the engine holds, and its slots."""
 
@@ -83,6 +78,14 @@
         self.queue = LoadQueue(server.server_id, permits)
         self._engine = engine
         self._subscribers = subscribers
+        self._evictions = Evictions(
+            server,
+            engine,
+            self.held,
+            subscribers,
+            self.inherited_wait,
+            self.deposed,
+        )
         self._wake = threading.Event()
         self._reported_s: dict[str, float] = {}
         self._settled_s: float | None = None
@@ -229,8 +232,7 @@
             self._settle(now_s)
         if self._settled_s is not None:
             self.inherited_wait.begin(self._reported_s, now_s)
-        for held in self.held.closing():
-            self._close(held, now_s)
+        self._evictions.go_on(now_s)
         self._serve_wants(now_s)
 
     def _look(self, now_s: float) -> None:
@@ -277,50 +279,6 @@
         held.is_open = True
         self._subscribers.broadcast(LoadsOpened(self.server, [name]))
 
-    def _close(self, held: HeldLoad, now_s: float) -> None:
-        """Ask for the consents that are missing, or evict if none is."""
-        needed = self._subscribers.must_consent(now_s)
-        missing = needed - (held.drained or set())
-        for instance_id in missing:
-            self._ask_to_close(held, instance_id, now_s)
-        if missing:
-            return
-        if self._may_evict(held, now_s):
-            self._order_evict(held)
-
-    def _may_evict(self, held: HeldLoad, now_s: float) -> bool:
-        """Tell whether nobody uses a load by the word of another owner."""
-        if held.name.term == self.server.term:
-            return True
-        if held.is_inherited:
-            return self.inherited_wait.is_over(now_s)
-        return self.inherited_wait.has_read_list
-
-    def _ask_to_close(
-        self, held: HeldLoad, instance_id: str, now_s: float
-    ) -> None:
-        asked_s = held.asked_s.get(instance_id, float('-inf'))
-        link = self._subscribers.link_of(instance_id)
-        if link is None or now_s - asked_s < REPEAT_CLOSE_S:
-            return
-        held.asked_s[instance_id] = now_s
-        server = self.server
-        link.send(CloseLoad(server.server_id, str(held.name), server.term))
-
-    def _order_evict(self, held: HeldLoad) -> None:
-        name = str(held.name)
-        if self.deposed.is_set():
-            return
-        outcome = self._engine.evict(EvictOrder(name, self.server.term))
-        if outcome.is_ok():
-            self.held.remove(name)
-            self._subscribers.broadcast(LoadsGone([name]))
-            log_event(Event.LOAD_EVICTED, load=name)
-        elif isinstance(outcome.error, OrderRefused):
-            self.deposed.set()
-        elif isinstance(outcome.error, AdapterInUse):
-            log_event(Event.EVICT_REFUSED_IN_USE, load=name)
-
     def _serve_wants(self, now_s: float) -> None:
         for wanted in self.queue.due(now_s):
             if self.deposed.is_set():
@@ -365,4 +323,4 @@
             self.queue.decline(wanted)
             return
         victim.close()
-        self._close(victim, now_s)
+        self._evictions.close(victim, now_s)
