Write reading, replacing and removing of a bundle's parts once

Cause: five methods of BundleStore turned the same error of the service, and a removal was a replacement by another name. Change: _found and _replace; the docstrings name their errors. A replacement by what is there already writes nothing now.

--- a/src/wasabicross/bundle_store.py
+++ b/src/wasabicross/bundle_store.py
@@ -60,10 +60,7 @@
 
     def current(self) -> Result[StoredPointer, BundleError]:
         """Return the pointer in force; BundleUnavailable, BundleMalformed."""
-        found = self._store.get(CURRENT_KEY)
-        if found.is_error():
-            return Error(BundleUnavailable(str(found.error)))
-        return decode_current(found.ok)
+        return self._found(CURRENT_KEY).bind(decode_current)
 
     def swap_current(
         self,
@@ -104,7 +101,7 @@
         return StoredParts(self, number)
 
     def draft(self, digest: str) -> Result[Draft, BundleError]:
-        """Return a draft.
+        """Return a draft; BundleNotFound, BundleUnavailable, BundleMalformed.
 
         :param digest: digest of its manifest.
         """
@@ -113,6 +110,8 @@
     def past_pointer(self, number: int) -> Result[BundlePointer, BundleError]:
         """Return the pointer of a bundle that was in force before.
 
+        Errors: BundleNotFound, BundleUnavailable, BundleMalformed.
+
         :param number: number of the bundle.
         """
         return self._read(f'bundle/history/{number}').bind(decode_pointer)
@@ -136,18 +135,14 @@
     ) -> Result[bytes, BundleError]:
         """Store a signed manifest instead of one that no longer verifies.
 
+        Error: BundleUnavailable.
+
         :param digest: digest of the manifest.
         :param encoded: the encoded signed manifest.
         """
         key = f'bundle/manifest/{digest}'
-        found = self._store.get(key)
-        if found.is_error():
-            return Error(BundleUnavailable(str(found.error)))
-        version = found.ok.version
-        written = self._store.compare_and_swap(key, encoded, version)
-        if written.is_error():
-            return Error(BundleUnavailable(str(written.error)))
-        return Ok(encoded)
+        replaced = self._replace(key, encoded)
+        return replaced.map(lambda _: encoded)
 
     def put_chunk(
         self,
@@ -190,42 +185,50 @@
     def remove_chunk(
         self, number: int, digest: str
     ) -> Result[None, BundleError]:
-        """Remove a chunk that no bundle of its generation will need.
+        """Remove a chunk that no bundle will need; BundleUnavailable.
 
         :param number: number of the bundle that had it.
         :param digest: digest of the chunk.
         """
-        return self._remove(_chunk_key(number, digest))
+        return self._replace(_chunk_key(number, digest), None)
 
     def remove_bundle(self, digest: str) -> Result[None, BundleError]:
-        """Remove draft and manifest of a bundle that nobody will ask for.
+        """Remove draft and manifest of an old bundle; BundleUnavailable.
 
         :param digest: digest of its manifest.
         """
-        removed = self._remove(f'bundle/draft/{digest}')
+        removed = self._replace(f'bundle/draft/{digest}', None)
         if removed.is_error():
             return removed
-        return self._remove(f'bundle/manifest/{digest}')
+        return self._replace(f'bundle/manifest/{digest}', None)
 
-    def _remove(self, key: str) -> Result[None, BundleError]:
-        found = self._store.get(key)
+    def _replace(
+        self, key: str, encoded: bytes | None
+    ) -> Result[None, BundleError]:
+        """Write what a key is to hold, None for nothing; once."""
+        found = self._found(key)
         if found.is_error():
-            return Error(BundleUnavailable(str(found.error)))
-        if found.ok.value is None:
+            return Error(found.error)
+        if found.ok.value == encoded:
             return Ok(None)
-        removed = self._store.compare_and_swap(key, None, found.ok.version)
-        if removed.is_error():
-            return Error(BundleUnavailable(str(removed.error)))
+        version = found.ok.version
+        written = self._store.compare_and_swap(key, encoded, version)
+        if written.is_error():
+            return Error(BundleUnavailable(str(written.error)))
         return Ok(None)
 
     def _read(self, key: str) -> Result[bytes, BundleError]:
-        found = self._store.get(key)
+        found = self._found(key)
         if found.is_error():
-            return Error(BundleUnavailable(str(found.error)))
+            return Error(found.error)
         if found.ok.value is None:
             return Error(BundleNotFound(f'{key} is absent'))
         return Ok(found.ok.value)
 
+    def _found(self, key: str) -> Result[Versioned, BundleError]:
+        found = self._store.get(key)
+        return found.map_error(lambda exc: BundleUnavailable(str(exc)))
+
     def _write_once(
         self,
         key: str,
