Let errors of requests and of orders share their base

Cause: DispatchError and OrderError, NotRun and EngineUnreachable were written twice alike. Ruled out: a second module of exceptions, since one holds them all. Change: BackendError holds the reason and the time to come back.

--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -177,27 +177,26 @@
     """The instance list's answer isn't understood; none of it is used."""
 
 
-class DispatchError(WasabicrossError):
-    """Base of the errors of one exchange with a backend server.
+class BackendError(WasabicrossError):
+    """Base of the errors of exchanges with backend servers.
 
     :param reason: what happened, in a few words.
+    :param retry_after_s: seconds after which the server asks to be tried
+        again, if it said so.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
-class NotRun(DispatchError):
-    """The backend server surely didn't run the request.
+class DispatchError(BackendError):
+    """Base of the errors of one request to a backend server."""
 
-    :param reason: what happened, in a few words.
-    :param retry_after_s: when the server asks to be tried again, if it said so.
-    """
 
-    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
-        super().__init__(reason)
-        self.retry_after_s = retry_after_s
+class NotRun(DispatchError):
+    """The backend server surely didn't run the request."""
 
 
 class NotConnected(NotRun):
@@ -224,27 +223,12 @@
     """The connection ended before the answer was complete."""
 
 
-class OrderError(WasabicrossError):
-    """Base of the errors of orders and questions to an engine.
-
-    :param reason: what happened, in a few words.
-    """
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+class OrderError(BackendError):
+    """Base of the errors of orders and questions to an engine."""
 
 
 class EngineUnreachable(OrderError):
-    """The order surely had no effect: not connected, or refused at once.
-
-    :param reason: what happened, in a few words.
-    :param retry_after_s: when the engine asks to be tried again, if it said so.
-    """
-
-    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
-        super().__init__(reason)
-        self.retry_after_s = retry_after_s
+    """The order surely had no effect: not connected, or refused at once."""
 
 
 class OrderOutcomeUnknown(OrderError):
