Split four long files of tests by their subjects

Cause: test_server_owner (406 lines), test_claims (398), test_kv (379) and test_trials (352) each held two subjects, and two tests of an owner that goes on wrote its setting up twice. Change: test_inherited_wait, test_claim_ranges, test_kv_watches and test_trial_desk, with the fakes in owner_parts, kv_parts and trial_parts; the fixtures of the service's stand-in stand in the fixture file as kv_store and kv_fault.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,15 @@
 """Stand-in processes shared by the tests of a module."""
 
 import pathlib
+from types import SimpleNamespace
 
 import pytest
+import urllib3
 
 from emulator.fleet import Program, Runner
+from emulator.kv import Faults
 from emulator.waiting import free_ports
+from wasabicross.kv import KeyValueStore
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
@@ -55,3 +59,22 @@
     args = ('--port', str(port))
     runner.run(Program('kv', 'emulator.kv', args, f'{url}/stats'))
     return url
+
+
+@pytest.fixture
+def kv_fault(kv_url):
+    def set_faults(**faults):
+        resp = urllib3.request('POST', f'{kv_url}/fault', json=faults)
+        assert resp.status == 200
+
+    set_faults(**Faults()._asdict(), restart_empty=True)
+    yield set_faults
+    set_faults(**Faults()._asdict())
+
+
+@pytest.fixture
+def kv_store(kv_url, kv_fault):
+    cfg = SimpleNamespace(url=kv_url, timeout_s=5)
+    present_store = KeyValueStore.from_config(cfg)
+    yield present_store
+    present_store.close()
--- /dev/null
+++ b/tests/owner_parts.py
@@ -0,0 +1,113 @@
+"""An owner of an engine, with fakes of all that it speaks to."""
+
+from types import SimpleNamespace
+
+from expression import Ok
+
+from wasabicross.engines import Inventory, LoadReport
+from wasabicross.messages import (
+    Hello,
+    LoadsOpened,
+    ServerReport,
+    ServerTerm,
+    WantLoad,
+)
+from wasabicross.server_owner import ServerOwner
+from wasabicross.subscribers import Subscribers, UseWindow
+
+SERVER = ServerTerm('s', 2)
+LATER = SERVER._replace(term=5)
+WINDOW = UseWindow(use_lease_s=6, max_request_s=60)
+OLD = 'quote@1#s:1:1'
+NEW = 'letter@1#s:2:1'
+LETTER = WantLoad('letter', '1', 'base', 'drafting', 'c', 1, [])
+
+
+class FakeEngine:
+    """Holds loads in two slots and notes the orders."""
+
+    def __init__(self, loads=()):
+        self.loads = list(loads)
+        self.evicted = []
+        self.answer = Ok(None)
+
+    def load(self, order):
+        if self.answer.is_ok():
+            self.loads.append(order.load_name)
+        return self.answer
+
+    def evict(self, order):
+        self.evicted.append(order.load_name)
+        self.loads.remove(order.load_name)
+        return Ok(None)
+
+    def inventory(self):
+        return Ok(Inventory(tuple(self.loads), 1, 16))
+
+    def load_report(self):
+        return Ok(LoadReport(0, 0, {}, 0))
+
+
+class FakeLink:
+    """Keeps what is sent on it."""
+
+    def __init__(self, instance_id, data_centre='north'):
+        self.peer = Hello(
+            'controller', instance_id, instance_id, data_centre, 't', [], [], []
+        )
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+class Scene:
+    """An owner whose engine holds a load of an earlier owner."""
+
+    def __init__(self, loads=(OLD,)):
+        self.engine = FakeEngine(loads)
+        self.subscribers = Subscribers('north', WINDOW)
+        self.links = {}
+        permits = SimpleNamespace(
+            request=lambda server_id, want, since_s: self.owner.permitted(
+                want.adapter, want.version
+            ),
+            give_back=lambda server_id, want, loaded: None,
+        )
+        self.owner = ServerOwner(SERVER, self.engine, self.subscribers, permits)
+
+    def join(self, instance_id, now_s, data_centre='north'):
+        link = FakeLink(instance_id, data_centre)
+        self.links[instance_id] = link
+        self.subscribers.joined(link, now_s)
+
+    def report(self, instance_id, now_s, opened=(OLD,), closed=()):
+        report = ServerReport(SERVER, list(opened), list(closed))
+        self.owner.report_running(instance_id, report, now_s)
+
+    def want(self, now_s):
+        self.owner.want(LETTER, self.links['a'], now_s)
+
+    def step(self, *times):
+        for now_s in times:
+            self.owner.step(now_s)
+
+    def next_term(self):
+        """Let the same process own the engine for a later term.
+
+        Returns the owner before; what was loaded is its.
+        """
+        before = self.owner
+        self.owner = ServerOwner(
+            LATER, self.engine, self.subscribers, before.queue.permits
+        )
+        return before
+
+    def announced(self, instance_id):
+        return [
+            name
+            for message in self.links[instance_id].sent
+            if isinstance(message, LoadsOpened)
+            for name in message.load_names
+        ]
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,11 +1,11 @@
 """Trials of suspects are shared among all entries that may use a server."""
 
 import time
-from concurrent.futures import Future
 from types import SimpleNamespace
 
 import pytest
 from expression import Error, Ok
+from trial_parts import INNOCENT, KILLER, OTHER, FakeLink
 
 from emulator.waiting import free_ports, wait_until
 from wasabicross.attempts import Attempts, Tried
@@ -15,48 +15,20 @@
     Refusal,
     ServerInfo,
     SuspectRunning,
-    TakeTrial,
-    TrialAnswer,
-    TrialLost,
 )
 from wasabicross.retries import RetryBudget
 from wasabicross.server_watch import Ending, ServerWatch
-from wasabicross.suspects import Clearance, Suspects, fingerprint
-from wasabicross.trial_desk import NO_KEEPER, TrialDesk
+from wasabicross.suspects import Clearance, Suspects
+from wasabicross.trial_desk import TrialDesk
 from wasabicross.trial_permits import TrialPermits
 from wasabicross.trials import Trials
 
-KILLER = fingerprint('/v1/chat', b'killer')
-INNOCENT = fingerprint('/v1/chat', b'innocent')
-OTHER = fingerprint('/v1/chat', b'other')
 GO, TRIAL = Clearance.go, Clearance.trial
 BUSY, CONVICTED = Clearance.busy, Clearance.convicted
 BROKEN = OutcomeUnknown('the connection broke')
 SERVERS = 'abcdef'
 
 
-class FakeLink:
-    """Takes what a desk answers; is answered by another desk."""
-
-    def __init__(self, kind, keeper=None):
-        self.peer = SimpleNamespace(kind=kind)
-        self.keeper = keeper
-        self.answer = None
-
-    def reply(self, call_id, message):
-        self.answer = message
-
-    def send(self, message):
-        self.keeper.note(message, FakeLink('controller'), time.monotonic())
-
-    def request(self, message):
-        back = FakeLink('controller')
-        self.keeper.ask(message, back, 1, time.monotonic())
-        fut = Future()
-        fut.set_result(Ok(back.answer))
-        return fut
-
-
 class Fleet:
     """The controllers between two entries, with one keeper of permits."""
 
@@ -291,58 +263,6 @@
     assert suspects.running_on(INNOCENT) == 'a'
 
 
-def test_forwarded_question_is_not_forwarded_again():
-    desk = TrialDesk(TrialPermits(60), lambda server_id: server_id != 'b', None)
-    link = FakeLink('controller')
-    desk.ask(TakeTrial('b', KILLER, 'p'), link, 1, 0)
-    assert link.answer == NO_KEEPER
-    desk.ask(TakeTrial('a', KILLER, 'p'), link, 1, 0)
-    assert link.answer == TrialAnswer(agreed=True)
-
-
-@pytest.mark.parametrize(
-    ('steps', 'sole'),
-    [
-        (['take'], True),
-        ([], False),
-        (['take', 'occupy'], False),
-        (['take', 'occupy', 'leave'], False),
-        (['occupy', 'leave', 'take'], True),
-        (['occupy', 'take'], False),
-    ],
-)
-def test_loss_of_a_trial_convicts_only_the_sole_suspect(steps, sole):
-    desk = TrialDesk(TrialPermits(60), lambda _server_id: True, None)
-    link = FakeLink('controller')
-    for step in steps:
-        if step == 'take':
-            desk.ask(TakeTrial('a', KILLER, 'p'), link, 1, 0)
-        elif step == 'occupy':
-            desk.note(SuspectRunning('a', INNOCENT, 'q'), link, 0)
-        else:
-            desk.note(EndTrial('a', INNOCENT, 'q'), link, 0)
-    desk.ask(TrialLost('a', KILLER, 'p'), link, 1, 1)
-    assert link.answer == TrialAnswer(agreed=sole)
-
-
-@pytest.mark.parametrize(('now_s', 'is_granted'), [(59, False), (61, True)])
-def test_new_owner_waits_for_the_permits_of_the_last(now_s, is_granted):
-    permits = TrialPermits(60)
-    permits.hold_off('a', 0)
-    assert permits.acquire('a', KILLER, 'p', now_s) is is_granted
-    assert permits.acquire('b', KILLER, 'p', now_s)
-
-
-def test_what_was_never_returned_lapses():
-    permits = TrialPermits(60)
-    assert permits.acquire('a', KILLER, 'p', 0)
-    permits.occupy('b', INNOCENT, 'q', 0)
-    permits.hold_off('c', 0)
-    assert not any(permits.acquire(each, OTHER, 'r', 59) for each in 'abc')
-    assert all(permits.acquire(each, OTHER, 'r', 60) for each in 'abc')
-    assert len(permits) == 3
-
-
 def test_copies_are_drawn_together_until_one_has_completed():
     suspects = Suspects()
     suspects.start(KILLER, 'a', 0)
