Let no thread wait for a slow body

Cause: only heads were waited for without a thread. A caller that sent a whole head and then its body slowly, or never, held a thread of the port: each read may take 10 s, and one byte within that starts the wait anew. 20 such connections held the two threads of a test server for good, and 130 those of an entry's metrics port.

Ruled out: admitting a request before its body is read, as the adapter that its limits go by is named in the body; a timer for each body, a thread each.

Change: a body that is at most 32 KiB together with its head is waited for as the head is, unless the sender waits for leave (Expect). A longer body is read by a thread, yet all its reads together have to end within 30 s (BoundedSocket).

With longer bodies a caller that is let in still holds a thread, for 30 s at most.

--- a/src/wasabicross/http_server.py
+++ b/src/wasabicross/http_server.py
@@ -8,6 +8,7 @@
 from cheroot import wsgi
 from cheroot.server import HTTPConnection, HTTPRequest
 
+from wasabicross.bounded_socket import BoundedSocket
 from wasabicross.request_heads import MAX_HEAD_BYTES, RequestHeads
 
 #: Seconds for which a connection is kept open between requests.
@@ -18,6 +19,9 @@
 
 _TIMEOUT_S = 10
 
+#: Seconds within which a body has to be whole once it is read.
+LONGEST_BODY_S = 30.0
+
 #: Bytes of a body that a refused request may still bring without losing its
 #: connection: less than a new connection costs.
 _SKIPPED_BYTES = 65_536
@@ -52,7 +56,8 @@
 
     def respond(self) -> None:
         """Answer, then drop what was sent and isn't wanted."""
-        super().respond()
+        with self.conn.socket.bounded(self.server.body_s):
+            super().respond()
         if self.close_connection and self._has_unread_body():
             self._drop_body()
 
@@ -87,8 +92,9 @@
     RequestHandlerClass = _Request
 
     def __init__(self, server: 'HttpServer', sock: Any, makefile: Any) -> None:
-        super().__init__(server, sock, makefile)
-        sock.settimeout(server.read_timeout_s)
+        bounded = BoundedSocket(sock)
+        super().__init__(server, bounded, makefile)
+        bounded.settimeout(server.read_timeout_s)
 
 
 class HttpServer(wsgi.Server):
@@ -96,13 +102,14 @@
 
     After an answer that leaves some of a body unread the connection ends, so
     that the rest isn't read as another request. No thread waits for the head
-    of a request. A connection that is kept alive stays open for longer than
+    of a request or for a short body. A connection that is kept alive stays open for longer than
     those of common balancers, so that it isn't closed just as they use it.
 
     :param address: IP number and port.
     :param application: answers the requests.
     :param timeout: seconds within which a head has to be whole, and longest
-        pause within a body.
+        pause within a long body.
+    :param body_s: seconds within which a long body has to be whole.
     :param more: parameters of the library's server.
     """
 
@@ -114,11 +121,13 @@
         address: tuple[str, int],
         application: Any,
         timeout: float = _TIMEOUT_S,
+        body_s: float = LONGEST_BODY_S,
         **more: Any,
     ) -> None:
         more.setdefault('request_queue_size', LISTEN_BACKLOG)
         super().__init__(address, application, timeout=KEEP_ALIVE_S, **more)
         self.read_timeout_s = timeout
+        self.body_s = body_s
         self._heads = RequestHeads(self.requests.put, timeout)
 
     def prepare(self) -> None:
--- a/src/wasabicross/request_heads.py
+++ b/src/wasabicross/request_heads.py
@@ -1,5 +1,6 @@
-"""Connections whose next request has not come with its whole head yet."""
+"""Connections whose next request has not come as far as is waited for."""
 
+import re
 import select
 import socket
 import threading
@@ -13,6 +14,14 @@
 #: Longest head of a request; a longer one is refused.
 MAX_HEAD_BYTES = 65_536
 
+#: Longest request whose body is waited for as well: with more, the sender
+#: may wait for a reader.
+MAX_WHOLE_BYTES = 32_768
+
+_LENGTH = re.compile(rb'\r\ncontent-length:[ \t]*(\d{1,5})[ \t]*\r\n', re.I)
+#: The sender waits for an answer before it sends the body.
+_EXPECTS = re.compile(rb'\r\nexpect:', re.I)
+
 _HEAD_END = b'\r\n\r\n'
 _LINE_END = b'\n'
 _POLL_S = 0.5
@@ -31,13 +40,14 @@
 
 
 class RequestHeads:
-    """Waits for the heads of requests, so that no worker thread has to.
+    """Waits for heads and short bodies, so that no worker thread has to.
 
-    Connections that send nothing, or a head byte by byte, cost no thread that
-    another request could use.
+    Connections that send nothing, or a request byte by byte, cost no thread
+    that another request could use.
 
     :param take: takes a connection whose next request can be read.
-    :param timeout_s: seconds within which a head has to be whole.
+    :param timeout_s: seconds within which a head has to be whole, and a short
+        body with it.
     """
 
     def __init__(
@@ -70,7 +80,7 @@
         self._epoll.close()
 
     def add(self, conn: HTTPConnection, now_s: float) -> None:
-        """Pass a connection on as soon as a whole head is there.
+        """Pass a connection on as soon as its next request can be read.
 
         :param conn: a connection that no thread reads.
         :param now_s: monotonic seconds.
@@ -128,7 +138,7 @@
 
 
 def _is_readable(conn: HTTPConnection) -> bool:
-    """Tell whether the next request's head is whole, or can't become so."""
+    """Tell whether the next request is here, or can't be waited for."""
     buffered = b''
     if conn.rfile.has_data():
         buffered = conn.rfile.peek(0)
@@ -136,7 +146,22 @@
     line, line_end, _ = head.partition(_LINE_END)
     if line_end and b' HTTP/1.' not in line and line.strip():
         return True
-    return _HEAD_END in head or len(head) >= MAX_HEAD_BYTES
+    if _HEAD_END in head:
+        return len(head) >= _awaited_bytes(head)
+    return len(head) >= MAX_HEAD_BYTES
+
+
+def _awaited_bytes(begun: bytes) -> int:
+    """Return how long a request is whose body is waited for, otherwise 0.
+
+    :param begun: the whole head, and what has come of the body.
+    """
+    head, end, _body = begun.partition(_HEAD_END)
+    length = _LENGTH.search(head + end)
+    if length is None or _EXPECTS.search(head):
+        return 0
+    whole_bytes = len(head) + len(end) + int(length.group(1))
+    return whole_bytes if whole_bytes <= MAX_WHOLE_BYTES else 0
 
 
 def _arrived(conn: HTTPConnection) -> bytes:
--- a/tests/test_promise_garbage.py
+++ b/tests/test_promise_garbage.py
@@ -180,9 +180,18 @@
 
 
 @pytest.mark.parametrize(('program', 'port'), PORTS)
-@pytest.mark.parametrize('begun', [b'', b'GET / HTTP/1.1\r\nHost: x\r\nAu'])
-def test_slow_headers(trial, traffic, harmless, begun, program, port):
-    """Many callers that never end their headers hold up nobody else."""
+@pytest.mark.parametrize(
+    'begun',
+    [
+        b'',
+        b'GET / HTTP/1.1\r\nHost: x\r\nAu',
+        f'POST /orders HTTP/1.1\r\nHost: x\r\n{AUTHORISED}'
+        'Content-Length: 900\r\n\r\n{"order"'.encode(),
+    ],
+    ids=['nothing', 'headers', 'body'],
+)
+def test_slow_requests(trial, traffic, harmless, begun, program, port):
+    """Many callers that never end their requests hold up nobody else."""
     with ExitStack() as stack:
         for _ in range(SLOW):
             slow = stack.enter_context(dial(trial, program, port))
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -2,29 +2,33 @@
 
 import socket
 import threading
+from contextlib import suppress
 
 import pytest
 
 from wasabicross.http_server import HttpServer
 
 GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+POST = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n'
 LAST = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
 THREADS = 2
 SLOW = 20
 
 
 def application(environ, start_response):
+    environ['wsgi.input'].read(int(environ.get('CONTENT_LENGTH') or 0))
     start_response('200 OK', [('Content-Length', '2')])
     return [b'ok']
 
 
-@pytest.fixture(params=[60, 0.5], ids='heads within {} s'.format)
+@pytest.fixture(params=[60, 0.5], ids='within {} s'.format)
 def address(request):
     server = HttpServer(
         ('127.0.0.1', 0),
         application,
         numthreads=THREADS,
         timeout=request.param,
+        body_s=request.param,
         shutdown_timeout=2,
     )
     server.prepare()
@@ -56,10 +60,32 @@
 @pytest.mark.parametrize('address', [60], indirect=True)
 @pytest.mark.parametrize(
     'begun',
-    [b'', b'\r\n', b'G', GET[:-2], GET[:20], GET + GET[:20]],
-    ids=['nothing', 'line end', 'byte', 'head', 'field', 'second'],
+    [
+        b'',
+        b'\r\n',
+        b'G',
+        GET[:-2],
+        GET[:20],
+        GET + GET[:20],
+        POST % 9 + b'\r\n',
+        POST % 30_000 + b'\r\n' + b'a' * 29_000,
+        POST.lower().replace(b'post', b'POST') % 9 + b'X: y\r\n\r\nabc',
+        POST % 3 + b'\r\nabc' + POST % 3 + b'\r\nab',
+    ],
+    ids=[
+        'nothing',
+        'line end',
+        'byte',
+        'head',
+        'field',
+        'second',
+        'no body',
+        'body',
+        'small letters',
+        'second body',
+    ],
 )
-def test_slow_heads_hold_up_nobody(address, begun):
+def test_slow_requests_hold_up_nobody(address, begun):
     slow = [dial(address) for _ in range(SLOW)]
     for conn in slow:
         conn.sendall(begun)
@@ -115,3 +141,35 @@
         late.sendall(GET[:20])
         assert b' 408 ' in read_to_end(late)
         assert answer_to(idle).startswith(b'HTTP/1.1 200 OK')
+
+
+@pytest.mark.parametrize('address', [60], indirect=True)
+@pytest.mark.parametrize('length', [0, 9, 32_700, 99_999, 300_000])
+def test_bodies_of_all_lengths(address, length):
+    with dial(address) as conn:
+        for _ in range(2):
+            sent = POST % length + b'\r\n' + b'a' * length
+            assert answer_to(conn, sent).startswith(b'HTTP/1.1 200 OK')
+
+
+@pytest.mark.parametrize('address', [60], indirect=True)
+def test_sender_that_waits_for_leave(address):
+    with dial(address) as conn:
+        conn.sendall(POST % 3 + b'Expect: 100-continue\r\n\r\n')
+        assert conn.recv(65536).startswith(b'HTTP/1.1 100 Continue')
+        assert answer_to(conn, b'abc').startswith(b'HTTP/1.1 200 OK')
+
+
+@pytest.mark.parametrize('address', [0.5], indirect=True)
+@pytest.mark.parametrize('length', [9, 300_000])
+def test_body_that_never_ends(address, length):
+    """Each byte comes in time, and yet the whole is late."""
+    with dial(address) as conn:
+        conn.sendall(POST % length + b'\r\n')
+        conn.settimeout(0.1)
+        answer = b''
+        while not answer:
+            conn.sendall(b'a')
+            with suppress(TimeoutError):
+                answer = conn.recv(65536)
+        assert answer.startswith(b'HTTP/1.1 408 ')
