Let both interfaces tell errors of one type

Cause: callers' and operators' errors had a type each with the same four fields, both wrote the body of an error out, and each error repeated the status and group of its neighbours. The groups were plain strings, which nothing checked.

Change: `replies.Fault` serves both and tells its own body; groups are a `Literal`; `invalid` and `overloaded` make the errors of the two common groups; the administration API's errors name a group, which has status and kind. The tests of the pages read the same tables as before, of the new type.

--- a/src/wasabicross/admin_actions.py
+++ b/src/wasabicross/admin_actions.py
@@ -8,7 +8,7 @@
 import pydantic
 from expression import Error, Ok, Result
 
-from wasabicross.admin_errors import BAD_BODY, BAD_QUERY, AdminFault
+from wasabicross.admin_errors import BAD_BODY, BAD_QUERY
 from wasabicross.bundle_changes import count_changes
 from wasabicross.bundle_cleaner import BundleCleaner
 from wasabicross.bundle_file import parse_bundle_file
@@ -24,13 +24,14 @@
 from wasabicross.exceptions import RolloutError, WasabicrossError
 from wasabicross.holder import trusted_keys
 from wasabicross.logs import log_event
+from wasabicross.replies import Fault
 from wasabicross.rollout import Rollout
 from wasabicross.settings import Settings
 
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
 
-ActionResult = Result[dict[str, Any], AdminFault | WasabicrossError]
+ActionResult = Result[dict[str, Any], Fault | WasabicrossError]
 
 
 class AdminRequest(NamedTuple):
--- a/src/wasabicross/admin_api.py
+++ b/src/wasabicross/admin_api.py
@@ -13,9 +13,10 @@
 
 from wasabicross import admin_errors as faults
 from wasabicross.admin_actions import ActionResult, AdminActions, AdminRequest
-from wasabicross.admin_errors import AdminFault, details_of, fault_of
+from wasabicross.admin_errors import details_of, fault_of
 from wasabicross.events import Event
 from wasabicross.logs import log_event
+from wasabicross.replies import Fault
 from wasabicross.settings import OperatorSettings
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -84,13 +85,13 @@
             log_event(Event.OPERATOR_REFUSED, path=environ['PATH_INFO'])
             return Error(faults.UNAUTHORISED)
         endpoint = self._endpoint_of(environ)
-        if isinstance(endpoint, AdminFault):
+        if isinstance(endpoint, Fault):
             return Error(endpoint)
         number = _number_of(environ.get('QUERY_STRING', ''))
         if number.is_error():
             return Error(number.error)
         body = _body_of(environ)
-        if isinstance(body, AdminFault):
+        if isinstance(body, Fault):
             return Error(body)
         match = endpoint.path.fullmatch(environ['PATH_INFO'])
         digest = match.groupdict().get('digest', '') if match else ''
@@ -107,7 +108,7 @@
                 found = operator.name
         return found if scheme.lower() == 'bearer' else None
 
-    def _endpoint_of(self, environ: _Environ) -> _Endpoint | AdminFault:
+    def _endpoint_of(self, environ: _Environ) -> _Endpoint | Fault:
         at_path = [
             endpoint
             for endpoint in self._endpoints
@@ -119,7 +120,7 @@
         return faults.BAD_METHOD if at_path else faults.NO_PATH
 
 
-def _number_of(query: str) -> Result[int | None, AdminFault]:
+def _number_of(query: str) -> Result[int | None, Fault]:
     """Return the one number that a query may hold."""
     fields = parse_qsl(query, keep_blank_values=True)
     if not fields:
@@ -132,7 +133,7 @@
     return Error(faults.BAD_QUERY)
 
 
-def _body_of(environ: _Environ) -> bytes | AdminFault:
+def _body_of(environ: _Environ) -> bytes | Fault:
     if 'HTTP_TRANSFER_ENCODING' in environ:
         return faults.LENGTH_NEEDED
     told = environ.get('CONTENT_LENGTH') or '0'
@@ -155,7 +156,7 @@
         content = outcome.ok
     else:
         fault = _fault_of(outcome)
-        status = fault.status
+        status = HTTPStatus(fault.status)
         content = _told_fault(fault, outcome.error)
     body = json.dumps(content).encode()
     headers.append(('Content-Length', str(len(body))))
@@ -167,15 +168,10 @@
     return [body]
 
 
-def _fault_of(outcome: ActionResult) -> AdminFault:
+def _fault_of(outcome: ActionResult) -> Fault:
     exc = outcome.error
-    return exc if isinstance(exc, AdminFault) else fault_of(exc)
+    return exc if isinstance(exc, Fault) else fault_of(exc)
 
 
-def _told_fault(fault: AdminFault, exc: Any) -> dict[str, Any]:
-    told = {
-        'type': fault.kind,
-        'code': fault.code,
-        'message': fault.message,
-    }
-    return {'error': {**told, **details_of(exc)}}
+def _told_fault(fault: Fault, exc: Any) -> dict[str, Any]:
+    return {'error': {**fault.told(), **details_of(exc)}}
--- a/src/wasabicross/admin_errors.py
+++ b/src/wasabicross/admin_errors.py
@@ -5,128 +5,85 @@
 from typing import Any, NamedTuple
 
 from wasabicross import exceptions as exc_types
+from wasabicross.replies import Fault, Kind, invalid
 
-INVALID = 'invalid_request_error'
-CONFLICT = 'conflict_error'
-PLATFORM = 'platform_error'
 
-
-class AdminFault(NamedTuple):
-    """An error as operators' programs see it.
-
-    :param status: HTTP status.
-    :param kind: group of errors, told as ``type``.
-    :param code: stable word for machines.
-    :param message: a sentence for readers.
-    """
+class _Group(NamedTuple):
+    """What some errors have in common."""
 
     status: HTTPStatus
-    kind: str
-    code: str
-    message: str
+    kind: Kind
 
 
-UNAUTHORISED = AdminFault(
+_INVALID = _Group(HTTPStatus.UNPROCESSABLE_ENTITY, 'invalid_request_error')
+_UNKNOWN = _Group(HTTPStatus.NOT_FOUND, 'invalid_request_error')
+_CONFLICT = _Group(HTTPStatus.CONFLICT, 'conflict_error')
+_UNAVAILABLE = _Group(HTTPStatus.SERVICE_UNAVAILABLE, 'platform_error')
+_NO_ANSWER = _Group(HTTPStatus.GATEWAY_TIMEOUT, 'platform_error')
+_MALFORMED = _Group(HTTPStatus.INTERNAL_SERVER_ERROR, 'platform_error')
+
+UNAUTHORISED = Fault(
     HTTPStatus.UNAUTHORIZED,
     'authentication_error',
     'unauthorised',
     'A valid operator token is needed.',
 )
-NO_PATH = AdminFault(
-    HTTPStatus.NOT_FOUND,
-    INVALID,
-    'no_path',
-    'There is nothing at this path.',
+NO_PATH = invalid(
+    HTTPStatus.NOT_FOUND, 'no_path', 'There is nothing at this path.'
 )
-BAD_METHOD = AdminFault(
+BAD_METHOD = invalid(
     HTTPStatus.METHOD_NOT_ALLOWED,
-    INVALID,
     'bad_method',
     'The method is not allowed here.',
 )
-LENGTH_NEEDED = AdminFault(
+LENGTH_NEEDED = invalid(
     HTTPStatus.LENGTH_REQUIRED,
-    INVALID,
     'length_required',
     'The body needs a valid Content-Length.',
 )
-TOO_LARGE = AdminFault(
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    INVALID,
-    'too_large',
-    'The body is too large.',
-)
-BODY_CUT = AdminFault(
-    HTTPStatus.BAD_REQUEST,
-    INVALID,
-    'body_cut',
-    'The body ended early.',
+TOO_LARGE = invalid(
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'too_large', 'The body is too large.'
 )
-BAD_BODY = AdminFault(
+BODY_CUT = invalid(HTTPStatus.BAD_REQUEST, 'body_cut', 'The body ended early.')
+BAD_BODY = invalid(
     HTTPStatus.BAD_REQUEST,
-    INVALID,
     'bad_body',
     'The body is not what this path takes.',
 )
-BAD_QUERY = AdminFault(
+BAD_QUERY = invalid(
     HTTPStatus.BAD_REQUEST,
-    INVALID,
     'bad_query',
     'The query needs a positive whole number.',
 )
-INTERNAL = AdminFault(
+INTERNAL = Fault(
     HTTPStatus.INTERNAL_SERVER_ERROR,
     'server_error',
     'internal_error',
     'The request failed; see event 4006 in the logs.',
 )
 
-_KINDS: dict[type[Exception], tuple[HTTPStatus, str, str]] = {
-    exc_types.BundleFileError: (
-        HTTPStatus.UNPROCESSABLE_ENTITY,
-        INVALID,
-        'bundle_invalid',
-    ),
-    exc_types.UnknownBundle: (HTTPStatus.NOT_FOUND, INVALID, 'unknown_bundle'),
-    exc_types.SignatureRefused: (
-        HTTPStatus.UNPROCESSABLE_ENTITY,
-        INVALID,
-        'signature_refused',
-    ),
-    exc_types.BundleNotSigned: (HTTPStatus.CONFLICT, CONFLICT, 'not_signed'),
-    exc_types.RaceLost: (HTTPStatus.CONFLICT, CONFLICT, 'race_lost'),
-    exc_types.AlreadySuperseded: (
-        HTTPStatus.CONFLICT,
-        CONFLICT,
-        'already_superseded',
-    ),
-    exc_types.StillRolling: (HTTPStatus.CONFLICT, CONFLICT, 'still_rolling'),
-    exc_types.SpreadUnknown: (HTTPStatus.CONFLICT, CONFLICT, 'spread_unknown'),
-    exc_types.StoreUnavailable: (
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        PLATFORM,
-        'store_unavailable',
-    ),
-    exc_types.RollOutcomeUnknown: (
-        HTTPStatus.GATEWAY_TIMEOUT,
-        PLATFORM,
-        'outcome_unknown',
-    ),
-    exc_types.StoredDataMalformed: (
-        HTTPStatus.INTERNAL_SERVER_ERROR,
-        PLATFORM,
-        'stored_data_malformed',
-    ),
+_KINDS: dict[type[Exception], tuple[_Group, str]] = {
+    exc_types.BundleFileError: (_INVALID, 'bundle_invalid'),
+    exc_types.UnknownBundle: (_UNKNOWN, 'unknown_bundle'),
+    exc_types.SignatureRefused: (_INVALID, 'signature_refused'),
+    exc_types.BundleNotSigned: (_CONFLICT, 'not_signed'),
+    exc_types.RaceLost: (_CONFLICT, 'race_lost'),
+    exc_types.AlreadySuperseded: (_CONFLICT, 'already_superseded'),
+    exc_types.StillRolling: (_CONFLICT, 'still_rolling'),
+    exc_types.SpreadUnknown: (_CONFLICT, 'spread_unknown'),
+    exc_types.StoreUnavailable: (_UNAVAILABLE, 'store_unavailable'),
+    exc_types.RollOutcomeUnknown: (_NO_ANSWER, 'outcome_unknown'),
+    exc_types.StoredDataMalformed: (_MALFORMED, 'stored_data_malformed'),
 }
 
 
-def fault_of(exc: Exception) -> AdminFault:
+def fault_of(exc: Exception) -> Fault:
     """Return how an error of an action is told.
 
     :param exc: the error.
     """
-    status, kind, code = _KINDS[type(exc)]
-    return AdminFault(status, kind, code, str(exc))
+    group, code = _KINDS[type(exc)]
+    return Fault(group.status, group.kind, code, str(exc))
 
 
 @singledispatch
--- a/src/wasabicross/replies.py
+++ b/src/wasabicross/replies.py
@@ -2,10 +2,20 @@
 
 import json
 from collections.abc import Callable, Iterable, Iterator
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 Headers = tuple[tuple[str, str], ...]
 
+#: Groups of errors, as they are told to callers and operators' programs.
+Kind = Literal[
+    'authentication_error',
+    'conflict_error',
+    'invalid_request_error',
+    'overloaded_error',
+    'platform_error',
+    'server_error',
+]
+
 #: How a request ended, told in a header of each answer.
 COMPLETED = 'completed'
 NOT_RUN = 'not-run'
@@ -81,60 +91,64 @@
 
 
 class Fault(NamedTuple):
-    """An error as callers see it.
+    """An error as callers and operators' programs see it.
 
     :param status: HTTP status code.
-    :param kind: `invalid_request_error`, `authentication_error`,
-        `overloaded_error` or `server_error`.
+    :param kind: group of errors, told as ``type``.
     :param code: stable word for machines.
     :param message: a sentence for readers.
     """
 
     status: int
-    kind: str
+    kind: Kind
     code: str
     message: str
 
+    def told(self) -> dict[str, str]:
+        """Return what the body tells of the error."""
+        return {
+            'type': self.kind,
+            'code': self.code,
+            'message': self.message,
+        }
+
+
+def invalid(status: int, code: str, message: str) -> Fault:
+    """Return the error of a request that is wrong as it is.
+
+    :param status: HTTP status code.
+    :param code: stable word for machines.
+    :param message: a sentence for readers.
+    """
+    return Fault(status, 'invalid_request_error', code, message)
+
+
+def overloaded(code: str, message: str) -> Fault:
+    """Return the error of a request that may be sent again later.
+
+    :param code: stable word for machines.
+    :param message: a sentence for readers.
+    """
+    return Fault(503, 'overloaded_error', code, message)
+
 
 UNAUTHORISED = Fault(
     401, 'authentication_error', 'unauthorised', 'A valid token is needed.'
 )
-NO_ROUTE = Fault(
-    404, 'invalid_request_error', 'no_route', 'No route has this path.'
-)
-NO_BUNDLE = Fault(
-    503, 'overloaded_error', 'no_bundle', 'No bundle is in force here yet.'
-)
-BAD_JSON = Fault(
-    400, 'invalid_request_error', 'bad_json', 'The body is not a JSON object.'
-)
-BAD_METHOD = Fault(
-    405, 'invalid_request_error', 'bad_method', 'The method is not allowed.'
-)
-BODY_CUT = Fault(
-    400, 'invalid_request_error', 'body_cut', 'The body is not whole.'
+NO_ROUTE = invalid(404, 'no_route', 'No route has this path.')
+NO_BUNDLE = overloaded('no_bundle', 'No bundle is in force here yet.')
+BAD_JSON = invalid(400, 'bad_json', 'The body is not a JSON object.')
+BAD_METHOD = invalid(405, 'bad_method', 'The method is not allowed.')
+BODY_CUT = invalid(400, 'body_cut', 'The body is not whole.')
+TOO_LARGE = invalid(413, 'too_large', 'The body is too large.')
+UNKNOWN_ADAPTER = invalid(
+    404, 'unknown_adapter', 'The bundle in force names no such adapter.'
 )
-TOO_LARGE = Fault(
-    413, 'invalid_request_error', 'too_large', 'The body is too large.'
-)
-UNKNOWN_ADAPTER = Fault(
-    404,
-    'invalid_request_error',
-    'unknown_adapter',
-    'The bundle in force names no such adapter.',
-)
-NO_SERVER = Fault(
-    503, 'overloaded_error', 'no_server', 'No backend server can take it.'
-)
-LOAD_TIMEOUT = Fault(
-    503, 'overloaded_error', 'load_timeout', 'The adapter was not loaded.'
-)
-STOPPING = Fault(
-    503, 'overloaded_error', 'stopping', 'This entry is being stopped.'
-)
-CRASHES_SERVERS = Fault(
+NO_SERVER = overloaded('no_server', 'No backend server can take it.')
+LOAD_TIMEOUT = overloaded('load_timeout', 'The adapter was not loaded.')
+STOPPING = overloaded('stopping', 'This entry is being stopped.')
+CRASHES_SERVERS = invalid(
     422,
-    'invalid_request_error',
     'crashes_servers',
     'Requests like this one have crashed backend servers.',
 )
@@ -170,15 +184,7 @@
     :param retry_after_s: seconds after which the caller may come back, told
         as a whole number of at least 1.
     """
-    body = json.dumps(
-        {
-            'error': {
-                'type': fault.kind,
-                'code': fault.code,
-                'message': fault.message,
-            },
-        },
-    ).encode()
+    body = json.dumps({'error': fault.told()}).encode()
     headers = [
         JSON_TYPE,
         ('Content-Length', str(len(body))),
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -211,6 +211,6 @@
 
 def test_every_error_of_an_action_has_a_code():
     kinds = set(exceptions.RolloutError.__subclasses__())
-    codes = {row[2] for row in admin_errors._KINDS.values()}
+    codes = {code for _group, code in admin_errors._KINDS.values()}
     assert kinds < admin_errors._KINDS.keys()
     assert len(codes) == len(admin_errors._KINDS)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -10,6 +10,7 @@
 import wasabicross
 from emulator.fleet import ROOT
 from wasabicross import admin_errors, key_claims, replies
+from wasabicross.replies import Fault
 
 DOCS = ROOT / 'docs'
 METRIC_ROW = re.compile(
@@ -34,14 +35,14 @@
     assert listed == sorted(set(metrics_of_code()))
 
 
-def faults_of(module, kind):
-    found = [fault for fault in vars(module).values() if type(fault) is kind]
+def faults_of(module):
+    found = [fault for fault in vars(module).values() if type(fault) is Fault]
     return {(int(fault.status), fault.code) for fault in found}
 
 
 CALLERS = {
-    *faults_of(replies, replies.Fault),
-    *faults_of(key_claims, replies.Fault),
+    *faults_of(replies),
+    *faults_of(key_claims),
     *(
         (fault.status, fault.code)
         for _outcome, fault in key_claims._REPEATS.values()
@@ -56,10 +57,10 @@
     ),
 }
 OPERATORS = {
-    *faults_of(admin_errors, admin_errors.AdminFault),
+    *faults_of(admin_errors),
     *(
-        (int(status), code)
-        for status, _type, code in admin_errors._KINDS.values()
+        (int(group.status), code)
+        for group, code in admin_errors._KINDS.values()
     ),
 }
 
