Encode all parts of bundles by one function

Cause: manifests, pointers, signed manifests and drafts each had a function that encodes them, three of them the same but for the name.

Change: `encode_part` takes any of the four; only a manifest leaves its newer field out while that is empty, as before. The decoding functions stay, since each names what it returns.

--- a/emulator/rolling.py
+++ b/emulator/rolling.py
@@ -10,7 +10,7 @@
 from wasabicross.bundle_store import BundleStore
 from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.kv import KeyValueStore
-from wasabicross.manifests import encode_pointer, encode_signed, signature_of
+from wasabicross.manifests import encode_part, signature_of
 from wasabicross.settings import KeyValueSettings
 
 CHAT_PATH = '/v1/chat/completions'
@@ -65,10 +65,10 @@
         store.put_chunk(number, digest, chunk)
     signature = signature_of(built.manifest, deployment.signing_key)
     signed = SignedManifest(built.manifest, KEY_NAME, signature)
-    store.put_manifest(built.digest, encode_signed(signed))
+    store.put_manifest(built.digest, encode_part(signed))
     rolled_at = datetime.now(UTC).isoformat()
     pointer = BundlePointer(number, built.digest, rolled_at, 'bench')
-    swapped = store.swap_current(encode_pointer(pointer), current.version)
+    swapped = store.swap_current(encode_part(pointer), current.version)
     # The answer of a swap that took effect may be lost.
     if swapped.is_error() and store.current().ok.pointer != pointer:
         raise ValueError(swapped.error)
--- a/src/wasabicross/bundle_file.py
+++ b/src/wasabicross/bundle_file.py
@@ -22,7 +22,7 @@
     walk,
 )
 from wasabicross.exceptions import BundleFileError, Fault
-from wasabicross.manifests import encode_manifest
+from wasabicross.manifests import encode_part
 
 #: Highest and, negative, lowest number of a priority.
 MAX_PRIORITY = 100
@@ -144,7 +144,7 @@
     :param parent: digest of the bundle that it follows.
     """
     chunks = _encode_chunks(bundle_file.adapters)
-    manifest = encode_manifest(
+    manifest = encode_part(
         Manifest(
             number=number,
             parent=parent,
--- a/src/wasabicross/drafts.py
+++ b/src/wasabicross/drafts.py
@@ -29,8 +29,7 @@
 from wasabicross.manifests import (
     decode_manifest,
     decode_signed,
-    encode_draft,
-    encode_signed,
+    encode_part,
     verify_signed,
 )
 
@@ -88,7 +87,7 @@
         if stored.is_error():
             return Error(stored.error)
         draft = Draft(built.ok.manifest, now.isoformat(), operator)
-        written = self._store.put_draft(built.ok.digest, encode_draft(draft))
+        written = self._store.put_draft(built.ok.digest, encode_part(draft))
         if written.is_error():
             return Error(store_error(written.error))
         return self.prepared(built.ok.digest)
@@ -128,7 +127,7 @@
         if draft.is_error():
             return Error(draft_error(draft.error, digest))
         signed = SignedManifest(draft.ok.manifest, key_name, signature)
-        encoded = encode_signed(signed)
+        encoded = encode_part(signed)
         verified = verify_signed(encoded, digest, self._trusted_keys)
         if verified.is_error():
             return Error(SignatureRefused(str(verified.error)))
--- a/src/wasabicross/manifests.py
+++ b/src/wasabicross/manifests.py
@@ -27,14 +27,16 @@
 _Value = TypeVar('_Value')
 
 
-def encode_manifest(manifest: Manifest) -> bytes:
-    """Encode a manifest; equal manifests give equal bytes.
+def encode_part(
+    part: BundlePointer | Draft | Manifest | SignedManifest,
+) -> bytes:
+    """Encode a part of a bundle; equal parts give equal bytes.
 
-    :param manifest: the manifest.
+    :param part: the part.
     """
-    fields = manifest._asdict()
+    fields = part._asdict()
     # An older program takes a manifest only without the newer field.
-    if not manifest.class_priorities:
+    if isinstance(part, Manifest) and not part.class_priorities:
         fields.pop('class_priorities')
     return cbor2.dumps(fields, canonical=True)
 
@@ -47,14 +49,6 @@
     return _decode(encoded, Manifest)
 
 
-def encode_pointer(pointer: BundlePointer) -> bytes:
-    """Encode a pointer.
-
-    :param pointer: the pointer.
-    """
-    return cbor2.dumps(pointer._asdict(), canonical=True)
-
-
 def decode_pointer(encoded: bytes) -> Result[BundlePointer, BundleError]:
     """Decode a pointer; BundleMalformed for anything else.
 
@@ -63,30 +57,14 @@
     return _decode(encoded, BundlePointer)
 
 
-def encode_signed(signed: SignedManifest) -> bytes:
-    """Encode a signed manifest.
-
-    :param signed: the signed manifest.
-    """
-    return cbor2.dumps(signed._asdict(), canonical=True)
-
-
 def decode_signed(encoded: bytes) -> Result[SignedManifest, BundleError]:
-    """Decode a signed manifest without verifying it.
+    """Decode a signed manifest, unverified; BundleMalformed for anything else.
 
     :param encoded: the bytes.
     """
     return _decode(encoded, SignedManifest)
 
 
-def encode_draft(draft: Draft) -> bytes:
-    """Encode a draft.
-
-    :param draft: the draft.
-    """
-    return cbor2.dumps(draft._asdict(), canonical=True)
-
-
 def decode_draft(encoded: bytes) -> Result[Draft, BundleError]:
     """Decode a draft; BundleMalformed for anything else.
 
--- a/src/wasabicross/pointer_swap.py
+++ b/src/wasabicross/pointer_swap.py
@@ -20,7 +20,7 @@
     WasabicrossError,
 )
 from wasabicross.kv import Versioned
-from wasabicross.manifests import encode_pointer
+from wasabicross.manifests import encode_part
 
 _SWAP_ATTEMPTS = 3
 
@@ -55,7 +55,7 @@
         is_unknown = False
         for _ in range(_SWAP_ATTEMPTS):
             swapped = self._store.swap_current(
-                encode_pointer(pointer),
+                encode_part(pointer),
                 current.version,
             )
             if swapped.is_ok():
@@ -74,7 +74,7 @@
     ) -> Result[None, RolloutError]:
         if past is None:
             return Ok(None)
-        kept = self._store.put_past_pointer(past.number, encode_pointer(past))
+        kept = self._store.put_past_pointer(past.number, encode_part(past))
         if kept.is_error():
             return Error(StoreUnavailable(str(kept.error)))
         return Ok(None)
--- a/tests/bundle_parts.py
+++ b/tests/bundle_parts.py
@@ -9,7 +9,7 @@
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
 from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.exceptions import BundleUnavailable
-from wasabicross.manifests import encode_signed, signature_of
+from wasabicross.manifests import encode_part, signature_of
 
 NOW = datetime(2026, 12, 3, 21, tzinfo=timezone.utc)
 ALICE = SigningKey(b'a' * 32)
@@ -60,7 +60,7 @@
 
 def sign_manifest(manifest, key_name, key):
     signature = signature_of(manifest, key)
-    return encode_signed(SignedManifest(manifest, key_name, signature))
+    return encode_part(SignedManifest(manifest, key_name, signature))
 
 
 class MemorySource:
--- a/tests/promise_parts.py
+++ b/tests/promise_parts.py
@@ -19,8 +19,7 @@
 from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.kv import KeyValueStore
 from wasabicross.manifests import (
-    encode_pointer,
-    encode_signed,
+    encode_part,
     signature_of,
 )
 
@@ -98,7 +97,7 @@
             KEY_NAME,
             signature_of(bundle.ok.manifest, signing_key),
         )
-        return bundle.ok, encode_signed(signed)
+        return bundle.ok, encode_part(signed)
 
     def roll(self, versions):
         """Put a bundle in the store and point at it; return its number."""
@@ -125,7 +124,7 @@
     def point(self, pointer):
         store = self.store()
         version = store.current().ok.version
-        swapped = store.swap_current(encode_pointer(pointer), version)
+        swapped = store.swap_current(encode_part(pointer), version)
         assert swapped.is_ok(), swapped
 
     def wait_in_force(self, number, entries=None, timeout_s=10):
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -27,8 +27,7 @@
 from wasabicross.manifests import (
     decode_pointer,
     decode_signed,
-    encode_pointer,
-    encode_signed,
+    encode_part,
     signature_of,
 )
 from wasabicross.policy import Weights
@@ -186,7 +185,7 @@
 def resigned(bundle, **changes):
     signature = signature_of(bundle.manifest, ALICE)
     signed = SignedManifest(bundle.manifest, 'alice', signature)
-    return encode_signed(signed._replace(**changes))
+    return encode_part(signed._replace(**changes))
 
 
 @pytest.mark.parametrize(
@@ -251,8 +250,8 @@
 )
 def test_pointer_fields_are_checked(change):
     pointer = pointer_to(built({}))
-    assert decode_pointer(encode_pointer(pointer)).ok == pointer
-    changed = encode_pointer(pointer._replace(**change))
+    assert decode_pointer(encode_part(pointer)).ok == pointer
+    changed = encode_part(pointer._replace(**change))
     assert decode_pointer(changed).is_error()
 
 
