--- a/src/wasabicross/bundle_store.py
+++ b/src/wasabicross/bundle_store.py
@@ -81,13 +81,17 @@
     def manifest(self, digest: str) -> Result[bytes, BundleError]:
         """Return an encoded signed manifest, not verified.
 
+        Errors: BundleNotFound, BundleUnavailable.
+
         :param digest: digest of the manifest.
         """
-        return self._read(f'bundle/manifest/{digest}')
+        return self._read(_manifest_key(digest))
 
     def chunk(self, number: int, digest: str) -> Result[bytes, BundleError]:
         """Return an encoded chunk, not verified.
 
+        Errors: BundleNotFound, BundleUnavailable.
+
         :param number: number of a bundle that has it.
         :param digest: digest of the chunk.
         """
@@ -105,7 +109,7 @@
 
         :param digest: digest of its manifest.
         """
-        return self._read(f'bundle/draft/{digest}').bind(decode_draft)
+        return self._read(_draft_key(digest)).bind(decode_draft)
 
     def past_pointer(self, number: int) -> Result[BundlePointer, BundleError]:
         """Return the pointer of a bundle that was in force before.
@@ -114,7 +118,7 @@
 
         :param number: number of the bundle.
         """
-        return self._read(f'bundle/history/{number}').bind(decode_pointer)
+        return self._read(_history_key(number)).bind(decode_pointer)
 
     def put_manifest(
         self,
@@ -123,10 +127,12 @@
     ) -> Result[bytes, BundleError]:
         """Store a signed manifest; returns the one stored first.
 
+        Errors: BundleUnavailable, BundleMalformed.
+
         :param digest: digest of the manifest.
         :param encoded: the encoded signed manifest.
         """
-        return self._write_once(f'bundle/manifest/{digest}', encoded)
+        return self._write_once(_manifest_key(digest), encoded)
 
     def replace_manifest(
         self,
@@ -140,8 +146,7 @@
         :param digest: digest of the manifest.
         :param encoded: the encoded signed manifest.
         """
-        key = f'bundle/manifest/{digest}'
-        replaced = self._replace(key, encoded)
+        replaced = self._replace(_manifest_key(digest), encoded)
         return replaced.map(lambda _: encoded)
 
     def put_chunk(
@@ -150,7 +155,9 @@
         digest: str,
         encoded: bytes,
     ) -> Result[bytes, BundleError]:
-        """Store a chunk.
+        """Store a chunk; returns the one stored first.
+
+        Errors: BundleUnavailable, BundleMalformed.
 
         :param number: number of the bundle that is to have it.
         :param digest: digest of the chunk.
@@ -165,10 +172,12 @@
     ) -> Result[bytes, BundleError]:
         """Store a draft; returns the one stored first.
 
+        Errors: BundleUnavailable, BundleMalformed.
+
         :param digest: digest of its manifest.
         :param encoded: the encoded draft.
         """
-        return self._write_once(f'bundle/draft/{digest}', encoded)
+        return self._write_once(_draft_key(digest), encoded)
 
     def put_past_pointer(
         self,
@@ -177,10 +186,13 @@
     ) -> Result[bytes, BundleError]:
         """Store the pointer of a bundle that is about to be replaced.
 
+        Returns the one stored first. Errors: BundleUnavailable,
+        BundleMalformed.
+
         :param number: number of the bundle.
         :param encoded: its encoded pointer.
         """
-        return self._write_once(f'bundle/history/{number}', encoded)
+        return self._write_once(_history_key(number), encoded)
 
     def remove_chunk(
         self, number: int, digest: str
@@ -197,10 +209,10 @@
 
         :param digest: digest of its manifest.
         """
-        removed = self._replace(f'bundle/draft/{digest}', None)
+        removed = self._replace(_draft_key(digest), None)
         if removed.is_error():
             return removed
-        return self._replace(f'bundle/manifest/{digest}', None)
+        return self._replace(_manifest_key(digest), None)
 
     def _replace(
         self, key: str, encoded: bytes | None
@@ -284,6 +296,18 @@
     return decoded.map(lambda pointer: StoredPointer(pointer, found.version))
 
 
+def _manifest_key(digest: str) -> str:
+    return f'bundle/manifest/{digest}'
+
+
+def _draft_key(digest: str) -> str:
+    return f'bundle/draft/{digest}'
+
+
+def _history_key(number: int) -> str:
+    return f'bundle/history/{number}'
+
+
 def _chunk_key(number: int, digest: str) -> str:
     return f'bundle/chunk/{generation_of(number)}/{digest}'
 
