Say once what the seams of the platform's services need to know

Cause: the key-value service and the instance list declared the same two settings, under the names that the settings themselves have.

Ruled out: sharing the sending of `_read`, `_lease_call` and `compare_and_swap` as well.

Change: `single_call.ServiceSettings` serves both seams.

Result: test_kv and test_instances pass.

--- a/src/wasabicross/instances.py
+++ b/src/wasabicross/instances.py
@@ -1,7 +1,7 @@
 """The seam to the platform's list of live and leaving instances."""
 
 import json
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
@@ -10,7 +10,12 @@
     InstanceListMalformed,
     InstanceListUnavailable,
 )
-from wasabicross.single_call import AnswerLost, NotSent, SingleCalls
+from wasabicross.single_call import (
+    AnswerLost,
+    NotSent,
+    ServiceSettings,
+    SingleCalls,
+)
 
 LIVE = 'live'
 LEAVING = 'leaving'
@@ -20,18 +25,6 @@
 STATUS_OK = 200
 
 
-class InstanceListSettings(Protocol):
-    """What the seam needs to know of the list."""
-
-    @property
-    def url(self) -> str:
-        """Base URL of the list."""
-
-    @property
-    def timeout_s(self) -> float:
-        """Seconds for connecting and for each wait for bytes."""
-
-
 class Instance(NamedTuple):
     """An instance that runs wasabicross.
 
@@ -90,7 +83,7 @@
         self._calls = SingleCalls(url, timeout_s)
 
     @classmethod
-    def from_config(cls, cfg: InstanceListSettings) -> 'InstanceList':
+    def from_config(cls, cfg: ServiceSettings) -> 'InstanceList':
         """Make a list from its settings."""
         return cls(cfg.url, cfg.timeout_s)
 
--- a/src/wasabicross/kv.py
+++ b/src/wasabicross/kv.py
@@ -5,7 +5,7 @@
 the caller, who alone knows what a second write would mean.
 """
 
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 from prometheus_client import Counter
@@ -20,7 +20,12 @@
     SwapOutcomeUnknown,
     ValueTooLarge,
 )
-from wasabicross.single_call import AnswerLost, NotSent, SingleCalls
+from wasabicross.single_call import (
+    AnswerLost,
+    NotSent,
+    ServiceSettings,
+    SingleCalls,
+)
 
 MS_PER_S = 1000
 
@@ -39,18 +44,6 @@
 )
 
 
-class KeyValueSettings(Protocol):
-    """What the seam needs to know of the service."""
-
-    @property
-    def url(self) -> str:
-        """Base URL of the service."""
-
-    @property
-    def timeout_s(self) -> float:
-        """Seconds for connecting and for each wait for bytes."""
-
-
 class Versioned(NamedTuple):
     """A key's state.
 
@@ -80,7 +73,7 @@
         self._calls = SingleCalls(url, timeout_s)
 
     @classmethod
-    def from_config(cls, cfg: KeyValueSettings) -> 'KeyValueStore':
+    def from_config(cls, cfg: ServiceSettings) -> 'KeyValueStore':
         """Make a store from the settings of the service."""
         return cls(cfg.url, cfg.timeout_s)
 
--- a/src/wasabicross/single_call.py
+++ b/src/wasabicross/single_call.py
@@ -1,6 +1,6 @@
 """HTTP calls to the platform that are sent once, with an exact outcome."""
 
-from typing import Final
+from typing import Final, Protocol
 from urllib.parse import urlencode, urlsplit
 
 from urllib3 import BaseHTTPResponse, Timeout, connection_from_url
@@ -11,6 +11,18 @@
 KEEP_CONNECTIONS: Final = 64
 
 
+class ServiceSettings(Protocol):
+    """What a seam needs to know of a service of the platform."""
+
+    @property
+    def url(self) -> str:
+        """Base URL of the service."""
+
+    @property
+    def timeout_s(self) -> float:
+        """Seconds for connecting and for each wait for bytes."""
+
+
 class NotSent(WasabicrossError):
     """No connection came about: no byte of the call was sent."""
 
