Show what a roll and a supersede did in one place

Cause: both commands read the answer, showed the pointer and took its number in the same lines.

Change: `_show_roll` does so.

--- a/src/wasabicross/cli.py
+++ b/src/wasabicross/cli.py
@@ -16,7 +16,7 @@
 import click
 
 import wasabicross
-from wasabicross.admin_client import AdminClient
+from wasabicross.admin_client import AdminClient, Answer
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
 from wasabicross.bundles import Manifest, digest_of
 from wasabicross.cli_output import (
@@ -186,10 +186,9 @@
 ) -> None:
     """Roll the signed bundle DIGEST once the one before has spread."""
     client = AdminClient(url, token)
-    rolled = content_or_exit(client.roll(digest), as_json=as_json)
-    show(rolled, pointer_text(rolled), as_json=as_json)
+    rolled = _show_roll(client.roll(digest), as_json)
     if wait:
-        _follow(client, rolled['number'], wait_s, as_json)
+        _follow(client, rolled, wait_s, as_json)
 
 
 @main.command()
@@ -213,11 +212,9 @@
 ) -> None:
     """Replace the bundle in force by DIGEST at once, even while it rolls."""
     client = AdminClient(url, token)
-    answer = client.supersede(digest, number)
-    rolled = content_or_exit(answer, as_json=as_json)
-    show(rolled, pointer_text(rolled), as_json=as_json)
+    rolled = _show_roll(client.supersede(digest, number), as_json)
     if wait:
-        _follow(client, rolled['number'], wait_s, as_json)
+        _follow(client, rolled, wait_s, as_json)
 
 
 @main.command()
@@ -254,6 +251,14 @@
     return built.is_ok() and built.ok.digest == digest
 
 
+def _show_roll(answer: Answer, as_json: bool) -> int:
+    """Show a bundle that has come into force and return its number."""
+    rolled = content_or_exit(answer, as_json=as_json)
+    show(rolled, pointer_text(rolled), as_json=as_json)
+    number: int = rolled['number']
+    return number
+
+
 def _follow(
     client: AdminClient,
     number: int,
