Serve a test's application in one place

Cause: test_http_server and test_request_heads both started a server in a thread, with the same options but the time for a head, and both read a connection to its end.

Change: `http_parts.served` and `http_parts.read_to_end`.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,11 +1,9 @@
 """One connection's requests: no body is read as a further request."""
 
 import socket
-import threading
 
 import pytest
-
-from wasabicross.http_server import HttpServer
+from http_parts import read_to_end, served
 
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\n'
 SECOND = b'GET /second HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -38,26 +36,15 @@
 
 @pytest.fixture
 def address(application):
-    server = HttpServer(
-        ('127.0.0.1', 0),
-        application,
-        numthreads=2,
-        timeout=1,
-        shutdown_timeout=2,
-    )
-    server.prepare()
-    thread = threading.Thread(target=server.serve)
-    thread.start()
-    yield server.bind_addr
-    server.stop()
-    thread.join()
+    with served(application) as bound:
+        yield bound
 
 
 def answer_to(address, sent):
     """Send bytes on one connection; return all that comes back."""
     with socket.create_connection(address, 5) as conn:
         conn.sendall(sent)
-        return b''.join(iter(lambda: conn.recv(65536), b''))
+        return read_to_end(conn)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -1,15 +1,12 @@
 """Slow callers hold up nobody, and idle connections stay open."""
 
 import socket
-import threading
 
 import pytest
-
-from wasabicross.http_server import HttpServer
+from http_parts import read_to_end, served
 
 GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 LAST = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
-THREADS = 2
 SLOW = 20
 
 
@@ -20,29 +17,14 @@
 
 @pytest.fixture(params=[60, 0.5], ids='heads within {} s'.format)
 def address(request):
-    server = HttpServer(
-        ('127.0.0.1', 0),
-        application,
-        numthreads=THREADS,
-        timeout=request.param,
-        shutdown_timeout=2,
-    )
-    server.prepare()
-    thread = threading.Thread(target=server.serve)
-    thread.start()
-    yield server.bind_addr
-    server.stop()
-    thread.join()
+    with served(application, timeout_s=request.param) as bound:
+        yield bound
 
 
 def dial(address):
     return socket.create_connection(address, 10)
 
 
-def read_to_end(conn):
-    return b''.join(iter(lambda: conn.recv(65536), b''))
-
-
 def answer_to(conn, sent=GET):
     conn.sendall(sent)
     answer = b''
