Write the steps that owner and successor share once in the models

Cause: the specifications of outages and of continuations each had the loss of a resident, the landing of an evict and the look for a pause, and one imported its names from the other; three specifications had the same property and two the same words for how long their times last.

Change: `model.succession` holds these; the bounds' words stand beside the numbers in `model.renewals`. The states stay apart, since each specification leaves out other fields.

--- a/model/continuations.py
+++ b/model/continuations.py
@@ -10,23 +10,26 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from model.outages import (
+from model.renewals import MAX_REQUEST, USE_LEASE, WAIT
+from model.spec import Spec, Step
+from model.succession import (
     BACKED,
     COUNTED,
     DONE,
+    PROPERTIES,
     SEEN,
     UNCOUNTED,
     UNREAD,
     UNSEEN,
+    Left,
+    drop_resident,
+    has_paused,
+    landed,
 )
-from model.renewals import MAX_REQUEST, USE_LEASE, WAIT
-from model.spec import Spec, Step
 
 #: Who holds the key: A, nobody, B, nobody again, A again.
 FIRST, LAPSED, OTHER, FREED, AGAIN = range(5)
 
-Left = frozenset[str]
-
 
 class State(NamedTuple):
     """The whole system.
@@ -88,7 +91,7 @@
 
 def tick(state: State, left: Left) -> Iterator[Step]:
     """A's watch for pauses runs; after a long pause A owns nothing."""
-    paused = _has_paused(state, left)
+    paused = has_paused(state, left)
     yield (
         'tick(A)',
         state._replace(
@@ -99,10 +102,6 @@
     )
 
 
-def _has_paused(state: State, left: Left) -> bool:
-    return state.idle > USE_LEASE and 'check_pause' not in left
-
-
 def renew_lease(state: State, left: Left) -> Iterator[Step]:
     """A renews its lease at the platform."""
     if state.key == FIRST and state.owns and state.saw == SEEN:
@@ -130,7 +129,7 @@
 
 def _continues(state: State, left: Left) -> bool:
     needed = SEEN if 'listed_while_leased' in left else BACKED
-    if state.saw < needed or _has_paused(state, left):
+    if state.saw < needed or has_paused(state, left):
         return False
     return state.owns or 'continue_unheard' in left
 
@@ -170,13 +169,6 @@
         )
 
 
-def drop_resident(state: State, left: Left) -> Iterator[Step]:
-    """B no longer counts A's instance, which the list has long lost."""
-    is_lost = state.idle >= WAIT or 'list_keeps_live' in left
-    if state.counted == COUNTED and is_lost:
-        yield 'drop_resident(A at B)', state._replace(counted=DONE)
-
-
 def settle(state: State, left: Left) -> Iterator[Step]:
     """B has the report of every resident that it counts."""
     if state.was_taken and state.counted != COUNTED and not state.closed:
@@ -212,7 +204,7 @@
     """A orders the evict of a load that it made before the lapse."""
     if state.key != AGAIN or not state.goes_on or state.ordered:
         return
-    if _has_paused(state, left):
+    if has_paused(state, left):
         return
     if not state.has_read and 'list_after_takeover' not in left:
         return
@@ -223,12 +215,7 @@
 
 def land_order(state: State, left: Left) -> Iterator[Step]:
     """The evict reaches the server, however late."""
-    if state.ordered and state.loaded:
-        is_running = state.running or state.other_running
-        yield (
-            'land_order',
-            state._replace(loaded=False, evicted_running=bool(is_running)),
-        )
+    yield from landed(state, state.running, state.other_running)
 
 
 SPEC = Spec(
@@ -255,9 +242,7 @@
         order_evict,
         land_order,
     ),
-    properties={
-        'no_evict_while_running': lambda state: not state.evicted_running,
-    },
+    properties=PROPERTIES,
     mechanisms={
         'continue_unheard': 'only who heard of no other owner goes on',
         'listed_candidates': 'only who is in the list takes a key over',
--- a/model/outages.py
+++ b/model/outages.py
@@ -17,22 +17,30 @@
     OWNER_LEASE,
     SETTLED,
     TAKEN,
+    TICKS,
     USE_LEASE,
     WAIT,
 )
 from model.spec import Spec, Step
+from model.succession import (
+    BACKED,
+    COUNTED,
+    DONE,
+    PROPERTIES,
+    SEEN,
+    UNCOUNTED,
+    UNREAD,
+    UNSEEN,
+    Left,
+    drop_resident,
+    has_paused,
+    landed,
+)
 
 #: More ticks than a wait lasts: it has not begun.
 NOT_BEGUN = WAIT + 1
 #: A's process: it owns the server, or nothing any more, or is dead.
 OWNS, DEPOSED, DEAD = range(3)
-#: Whether A saw itself in the list, and then renewed its lease.
-UNSEEN, SEEN, BACKED = range(3)
-#: B has not read the list since its takeover; A was not in it; A counts as a
-#: resident; A has reported, or was dropped.
-UNREAD, UNCOUNTED, COUNTED, DONE = range(4)
-
-Left = frozenset[str]
 
 
 class State(NamedTuple):
@@ -107,15 +115,11 @@
     """A's watch for pauses runs; after a long pause A owns nothing."""
     if state.process == DEAD:
         return
-    paused = _has_paused(state) and 'check_pause' not in left
+    paused = has_paused(state, left)
     process = DEPOSED if paused else state.process
     yield 'tick(A)', state._replace(idle=0, process=process)
 
 
-def _has_paused(state: State) -> bool:
-    return state.idle > USE_LEASE
-
-
 def crash(state: State, left: Left) -> Iterator[Step]:
     """A's process dies."""
     if state.process != DEAD:
@@ -159,13 +163,6 @@
         )
 
 
-def drop_resident(state: State, left: Left) -> Iterator[Step]:
-    """B no longer counts A's instance, which the list has long lost."""
-    is_lost = state.idle >= WAIT or 'list_keeps_live' in left
-    if state.counted == COUNTED and is_lost:
-        yield 'drop_resident(A at B)', state._replace(counted=DONE)
-
-
 def settle(state: State, left: Left) -> Iterator[Step]:
     """B has the report of every resident that it counts."""
     if state.taken == TAKEN and state.counted != COUNTED:
@@ -200,9 +197,8 @@
     """Tell whether A needs no lease to know that no later owner evicts."""
     if 'grant_basis' in left:
         return True
-    has_paused = _has_paused(state) and 'check_pause' not in left
     needed = SEEN if 'listed_while_leased' in left else BACKED
-    return state.saw >= needed and not has_paused
+    return state.saw >= needed and not has_paused(state, left)
 
 
 def grant_use(state: State, left: Left) -> Iterator[Step]:
@@ -236,20 +232,12 @@
 
 def land_order(state: State, left: Left) -> Iterator[Step]:
     """The evict reaches the server, however late."""
-    if state.ordered and state.loaded:
-        yield (
-            'land_order',
-            state._replace(loaded=False, evicted_running=state.running > 0),
-        )
+    yield from landed(state, state.running)
 
 
 SPEC = Spec(
     name='outages',
-    bounds=(
-        '1 visitor, 2 owners, 1 load, '
-        f'use lease {USE_LEASE}, request {MAX_REQUEST}, '
-        f'owner lease {OWNER_LEASE} ticks'
-    ),
+    bounds=f'1 visitor, 2 owners, 1 load, {TICKS}',
     initial=State(),
     actions=(
         pass_time,
@@ -271,9 +259,7 @@
         order_evict,
         land_order,
     ),
-    properties={
-        'no_evict_while_running': lambda state: not state.evicted_running,
-    },
+    properties=PROPERTIES,
     mechanisms={
         'grant_basis': 'a grant needs a lease, or the proof without one',
         'check_pause': 'after a long pause an owner grants and owns nothing',
--- a/model/renewals.py
+++ b/model/renewals.py
@@ -10,6 +10,12 @@
 WAIT = USE_LEASE + MAX_REQUEST
 OWNER_LEASE = 1
 
+#: How long these last, for the bounds of a specification.
+TICKS = (
+    f'use lease {USE_LEASE}, request {MAX_REQUEST}, '
+    f'owner lease {OWNER_LEASE} ticks'
+)
+
 OPEN, CLOSING, CONSENTED = range(3)
 ABSENT, TAKEN, SETTLED = range(3)
 
--- a/model/visitors.py
+++ b/model/visitors.py
@@ -18,6 +18,7 @@
     OWNER_LEASE,
     SETTLED,
     TAKEN,
+    TICKS,
     USE_LEASE,
     WAIT,
     Left,
@@ -30,6 +31,7 @@
     with_owner,
 )
 from model.spec import Spec, Step
+from model.succession import PROPERTIES
 
 
 def renew_lease(state: State, left: Left) -> Iterator[Step]:
@@ -241,11 +243,7 @@
 
 SPEC = Spec(
     name='visitors',
-    bounds=(
-        '1 visitor or instance not listed yet, 2 owners, 1 load, '
-        f'use lease {USE_LEASE}, request {MAX_REQUEST}, '
-        f'owner lease {OWNER_LEASE} ticks'
-    ),
+    bounds=(f'1 visitor or instance not listed yet, 2 owners, 1 load, {TICKS}'),
     initial=State(),
     actions=(
         pass_time,
@@ -266,9 +264,7 @@
         order_evict,
         land_order,
     ),
-    properties={
-        'no_evict_while_running': lambda state: not state.evicted_running,
-    },
+    properties=PROPERTIES,
     mechanisms={
         'time_rule': 'a visitor starts requests only under a live grant',
         'grant_from_asking': 'a grant counts from the asking',
