Find what a renewal asks about without walking all servers

Cause: each renewal that is answered walked all owners for those of the asking instance and made the set of all listed instances, so that the cost of a link grew with the size of the fleet and its sum with the square.

Change: owned servers are kept by instance, and the listed names as a set for as long as the list.

--- a/src/wasabicross/fleet_view.py
+++ b/src/wasabicross/fleet_view.py
@@ -22,6 +22,7 @@
         self._fleet = NO_FLEET
         # The list last read, without the servers that it missed.
         self._read = NO_FLEET
+        self._listed: frozenset[str] = frozenset()
         self._lock = threading.Lock()
         self._confirmed: set[str] = set()
         #: Monotonic time since which each list has shown this instance.
@@ -46,6 +47,7 @@
         if fleet is self._read and not self._missed:
             return False
         self._read = fleet
+        self._listed = frozenset(each.instance_id for each in fleet.instances)
         self._fleet = fleet._replace(
             servers=(*fleet.servers, *self._newly_missed(fleet))
         )
@@ -58,9 +60,9 @@
             set(before.servers),
         )
 
-    def listed(self) -> set[str]:
+    def listed(self) -> frozenset[str]:
         """Return all instances, live and leaving."""
-        return {each.instance_id for each in self._fleet.instances}
+        return self._listed
 
     def residents(self) -> set[str]:
         """Return the instances of this data centre, live and leaving."""
--- a/src/wasabicross/instance_loads.py
+++ b/src/wasabicross/instance_loads.py
@@ -1,6 +1,7 @@
 """What an instance's controller knows of loads, for the entries beside it."""
 
 import threading
+from collections import defaultdict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -49,6 +50,7 @@
         self._lock = threading.RLock()
         self._entries: dict[str, Link | None] = dict.fromkeys(entry_names)
         self._owners: dict[str, OwnerTerm] = {}
+        self._owned: dict[str, dict[str, ServerTerm]] = defaultdict(dict)
         self._opened: set[str] = set()
         self._closed: set[str] = set()
         self._closings: dict[str, _Closing] = {}
@@ -62,7 +64,9 @@
         with self._lock:
             if server.term < self.term_of(server.server_id):
                 return False
+            self._disown(server.server_id)
             self._owners[server.server_id] = OwnerTerm(instance_id, server.term)
+            self._owned[instance_id][server.server_id] = server
             return True
 
     def owner_of(self, server_id: str) -> str | None:
@@ -78,11 +82,7 @@
     def owned_by(self, instance_id: str) -> list[ServerTerm]:
         """Return the servers that an instance owns, as far as is known."""
         with self._lock:
-            return [
-                ServerTerm(server_id, owner.term)
-                for server_id, owner in self._owners.items()
-                if owner.instance_id == instance_id
-            ]
+            return list(self._owned.get(instance_id, {}).values())
 
     def report(self, server: ServerTerm) -> ServerReport:
         """Return what is known of a server's loads, for its new owner.
@@ -221,6 +221,14 @@
         with self._lock:
             self._tell_entries(message)
 
+    def _disown(self, server_id: str) -> None:
+        before = self.owner_of(server_id)
+        if before is None:
+            return
+        self._owned[before].pop(server_id)
+        if not self._owned[before]:
+            self._owned.pop(before)
+
     def _start_closing(self, asked: CloseLoad) -> _Closing:
         closing = _Closing(set(self._entries))
         self._closings[asked.load_name] = closing
--- a/src/wasabicross/status.py
+++ b/src/wasabicross/status.py
@@ -40,7 +40,7 @@
         with self._lock:
             self._heard.pop(instance_id, None)
 
-    def keep(self, listed: set[str], now_s: float) -> None:
+    def keep(self, listed: frozenset[str], now_s: float) -> None:
         """Forget instances that are neither listed nor heard of lately.
 
         :param listed: instances that the list shows.
--- a/tests/test_instance_loads.py
+++ b/tests/test_instance_loads.py
@@ -143,3 +143,27 @@
     loads.drop_loads([LOAD])
     assert loads.report(SERVER).closed == []
     assert entry.sent[-1] == LoadsGone([LOAD])
+
+
+@pytest.mark.parametrize(
+    ('told', 'owned'),
+    [
+        ([], {}),
+        ([('s', 1, 'i')], {'i': [('s', 1)]}),
+        ([('s', 1, 'i'), ('s', 1, 'i')], {'i': [('s', 1)]}),
+        ([('s', 1, 'i'), ('s', 2, 'i')], {'i': [('s', 2)]}),
+        ([('s', 1, 'i'), ('t', 3, 'i')], {'i': [('s', 1), ('t', 3)]}),
+        ([('s', 1, 'i'), ('s', 2, 'j')], {'j': [('s', 2)]}),
+        ([('s', 2, 'i'), ('s', 1, 'j')], {'i': [('s', 2)]}),
+        (
+            [('s', 1, 'i'), ('t', 1, 'i'), ('s', 2, 'j'), ('s', 3, 'i')],
+            {'i': [('t', 1), ('s', 3)]},
+        ),
+    ],
+)
+def test_a_server_is_its_last_owners(told, owned):
+    loads = InstanceLoads(['a'])
+    for server_id, term, instance_id in told:
+        loads.accept_owner(ServerTerm(server_id, term), instance_id)
+    assert loads.owned_by('i') == owned.get('i', [])
+    assert loads.owned_by('j') == owned.get('j', [])
