Let the desk of permits rest while nobody asks

Cause: the desk looked 50 times a second for permits to grant, also on the instances that nobody asks, which are all but one. A permit is only ever due to someone who has asked and was not answered, so a desk without askers has nothing to do.

Change: the desk looks on while there are askers and otherwise waits until one comes. A later look loses nothing: what an asker wants is noted before and after it wakes the desk, and the look goes on at the old pace.

--- a/src/wasabicross/permits.py
+++ b/src/wasabicross/permits.py
@@ -10,6 +10,7 @@
 from wasabicross.settings import WeightStoreSettings
 
 GRANT_INTERVAL_S = 0.02
+IDLE_INTERVAL_S = 1.0
 STALE_PERMIT_S = 10.0
 
 
@@ -35,6 +36,7 @@
         self._lock = threading.Lock()
         self._askers: dict[LoadKey, _Asker] = {}
         self._permits: dict[LoadKey, LoadPermit] = {}
+        self._asked = threading.Event()
 
     @classmethod
     def from_config(
@@ -60,6 +62,7 @@
             granted_to = self._askers.get(key) if key in self._permits else None
             if granted_to is None:
                 self._askers[key] = _Asker(link, asked.server_id)
+                self._asked.set()
         if granted_to is not None:
             if granted_to.server_id != asked.server_id:
                 return
@@ -73,6 +76,12 @@
             key, asked.server_id, asked.waiting, now_s - asked.waited_s
         )
 
+    def _is_idle(self) -> bool:
+        with self._lock:
+            if not self._askers:
+                self._asked.clear()
+            return not self._askers
+
     def _drop_stale(self, key: LoadKey, now_s: float) -> None:
         """Take back a permit whose load nobody ended in time."""
         permit = self._permits.get(key)
@@ -106,9 +115,11 @@
             self._budget.cancel(permit)
 
     def run(self, stop: threading.Event) -> None:
-        """Grant permits until the process stops."""
+        """Grant permits until the process stops; rest while nobody asks."""
         while not stop.wait(GRANT_INTERVAL_S):
             self.grant_due(time.monotonic())
+            if self._is_idle():
+                self._asked.wait(IDLE_INTERVAL_S)
 
     def grant_due(self, now_s: float) -> None:
         """Grant every permit that the budget allows now."""
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,7 +1,12 @@
 """Permits go to those that wait, and copies get theirs after them."""
 
+import time
+from threading import Event, Thread
+
 import pytest
 
+from emulator.waiting import wait_until
+from wasabicross import permits
 from wasabicross.load_budget import LoadBudget
 from wasabicross.load_queue import LoadQueue
 from wasabicross.messages import (
@@ -76,6 +81,24 @@
     assert len(link.sent) == 20
 
 
+def test_a_desk_that_rests_grants_what_is_asked_later(monkeypatch):
+    monkeypatch.setattr(permits, 'IDLE_INTERVAL_S', 600)
+    desk, link, stop = PermitDesk(LoadBudget(), 1), RecordingLink(), Event()
+    thread = Thread(target=desk.run, args=(stop,), daemon=True)
+    thread.start()
+    for number in range(3):
+        name = f'a{number}'
+        asked = PermitLoad('s', 'dc', name, '1', 1, 1)
+        desk.ask(asked, link, time.monotonic())
+        wait_until(lambda: len(link.sent) > number, 30, 'a grant')  # noqa: B023
+        returned = PermitReturned('s', 'dc', name, '1', True)
+        desk.give_back(returned, time.monotonic())
+    stop.set()
+    desk.ask(PermitLoad('s', 'dc', 'last', '1', 1, 1), link, time.monotonic())
+    thread.join(30)
+    assert not thread.is_alive()
+
+
 class RecordingPermits:
     """Keeps the permits that are given back unused."""
 
