Ask far peers whose servers rest as seldom as the lease allows

Cause: of what a controller spends beside 180 idle peers, 7.0 of 8.5% of a core are the threads of the links (a trial that read each thread's processor time), and all of it is renewals: one exchange each way every 2 s with each peer, some 300 bytes with headers. Their number is bounded by the lease of use alone: a third of its 6 s.

Ruled out here: fewer links, which would need several desks of permits, other ways to range owners and consents by relay; renewing only what is used, since a request that finds its adapter only afar would find no grant and have it loaded once more.

A longer lease, which is a setting, makes renewals fewer, but they also tell how busy engines are, which is ignored after 5 s. Change: peers of the same data centre, and those whose servers a request here used or wanted within 30 s, are asked at least every 2 s whatever the lease; the others by the lease. A link at rest is woken by its first use and by its end. With the lease of 6 s nothing changes at any size.

Price: behind a cut evictions wait for the lease of the far side, so 24 s longer with 30 s, and a far peer that falls silent is noticed after 14 s instead of 6.

--- a/emulator/slope_deployment.py
+++ b/emulator/slope_deployment.py
@@ -17,11 +17,13 @@
 from emulator.processes import MachineLoad, Usage, usage_of
 from emulator.rolling import bundle_text, put_in_force
 from emulator.shape import Place, Shape, server_entry
+from wasabicross.settings import ServersSettings
 
 HERE = 'north'
 ELSEWHERE = 'south'
 POLL_S = 2.0
 ADAPTERS = 8
+USE_LEASE_S = ServersSettings().use_lease_s
 _CALLS = re.compile(
     r'^wasabicross_key_value_calls_total\{operation="(\w+)"\} ([\d.]+)$',
     re.MULTILINE,
@@ -114,13 +116,17 @@
 
 @contextmanager
 def deployed(
-    shape: Shape, peers: IdlePeers | None = None, aliases: int = 0
+    shape: Shape,
+    peers: IdlePeers | None = None,
+    aliases: int = 0,
+    use_lease_s: float = USE_LEASE_S,
 ) -> Iterator[MeasuredDeployment]:
     """Start a deployment with a bundle in force; end it at the end.
 
     :param shape: what it consists of.
     :param peers: idle peers, which the list shows.
     :param aliases: further names of the first engine.
+    :param use_lease_s: how long a grant of use lasts.
     """
     with tempfile.TemporaryDirectory(prefix='slopes-') as folder:
         root = pathlib.Path(folder)
@@ -136,6 +142,7 @@
             settings = {
                 'data_centres': [HERE, ELSEWHERE],
                 'platform': platform,
+                'servers': {'use_lease_s': use_lease_s},
             }
             deployment.shape = shape._replace(settings=settings)
             deployment.start_platform()
--- a/emulator/slope_parts.py
+++ b/emulator/slope_parts.py
@@ -22,6 +22,7 @@
     ADAPTERS,
     ELSEWHERE,
     HERE,
+    USE_LEASE_S,
     Figures,
     Window,
     deployed,
@@ -33,13 +34,13 @@
 from wasabicross.bundles import decode_chunk
 from wasabicross.instances import parse_fleet
 from wasabicross.peers import renew_interval_s
-from wasabicross.settings import ServersSettings
 
 START_TIMEOUT_S = 60
 TOKENS = 212
 TOKENS_PER_S = 26
 MAX_IN_FLIGHT = 600
 LIST_READS = 50
+LONG_USE_LEASE_S = 30.0
 
 
 def one_instance(entries: int = 1, **more: Any) -> Shape:
@@ -47,19 +48,22 @@
     return Shape((HERE,), entries=entries, admins=False, **more)
 
 
-def of_peers(count: int, seconds: float) -> Figures:
+def of_peers(
+    count: int, seconds: float, use_lease_s: float = USE_LEASE_S
+) -> Figures:
     """Measure one controller and its four entries beside idle peers.
 
-    :param count: how many peers.
+    :param count: how many peers, all of another data centre.
     :param seconds: length of the measurement.
+    :param use_lease_s: how long a grant of use lasts.
     """
     port = free_ports(1)[0]
     peers = IdlePeers(count, ELSEWHERE, port, PEER_TOKEN)
     peers.listen()
     try:
-        with deployed(one_instance(4), peers) as deployment:
+        shape = one_instance(4)
+        with deployed(shape, peers, use_lease_s=use_lease_s) as deployment:
             wait_until(peers.linked, START_TIMEOUT_S, 'peers dialled')
-            use_lease_s = ServersSettings().use_lease_s
             interval_s = renew_interval_s(count, use_lease_s)
             peers.dial(deployment.controllers[0].port, interval_s)
             _pass(seconds / 2)
@@ -75,6 +79,15 @@
     return told
 
 
+def of_far_peers(count: int, seconds: float) -> Figures:
+    """Measure idle peers of another data centre whose grants last longer.
+
+    :param count: how many peers.
+    :param seconds: length of the measurement.
+    """
+    return of_peers(count, seconds, LONG_USE_LEASE_S)
+
+
 def of_servers(count: int, seconds: float) -> Figures:
     """Measure one controller that owns engines.
 
--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -27,6 +27,7 @@
 
 PARTS = {
     'peers': Part(parts.of_peers, (60, 120, 180)),
+    'far_peers': Part(parts.of_far_peers, (60, 120, 180)),
     'servers': Part(parts.of_servers, (0, 5, 15)),
     'instances': Part(parts.of_instances, (2, 4, 8, 16)),
     'list': Part(parts.of_list, (100, 400, 1_040)),
--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -102,6 +102,7 @@
             self.in_force.heartbeat,
             dialled,
             cfg.servers.use_lease_s,
+            data_centre,
         )
         self.readiness = Readiness(('bundle', 'instance_list'))
         self._metrics = MetricsServer(
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -191,15 +191,18 @@
 
     @_handle.register
     def _(self, message: msg.LoadUses, link: Link, call_id: int) -> None:
+        now_s = time.monotonic()
         if link.peer.kind == 'entry':
-            self._ctl.to_owners.forward_uses(message)
+            self._ctl.to_owners.forward_uses(message, now_s)
         else:
-            self._ctl.owners.used(message, time.monotonic())
+            self._ctl.owners.used(message, now_s)
 
     @_handle.register
     def _(self, message: msg.LoadMissing, link: Link, call_id: int) -> None:
         if link.peer.kind == 'entry':
-            self._ctl.to_owners.send(message.server_id, message)
+            self._ctl.to_owners.send(
+                message.server_id, message, time.monotonic()
+            )
             return
         owner = self._ctl.owners.get(message.server_id)
         if owner is not None:
--- a/src/wasabicross/link_serving.py
+++ b/src/wasabicross/link_serving.py
@@ -65,10 +65,11 @@
         for snapshot in ctl.owners.snapshots():
             link.send(snapshot)
         self._offer_bundle(link)
-        link.run(
-            self._accepted,
-            longest_silence_s(ctl.subscribers.window.use_lease_s),
+        silence_s = longest_silence_s(
+            ctl.subscribers.window.use_lease_s,
+            is_near=link.peer.data_centre == ctl.cfg.instance.data_centre,
         )
+        link.run(self._accepted, silence_s)
         ctl.subscribers.left(link, time.monotonic())
 
     def _offer_bundle(self, link: Link) -> None:
--- a/src/wasabicross/owner_links.py
+++ b/src/wasabicross/owner_links.py
@@ -33,15 +33,21 @@
         self._loads = loads
         self._peers = peers
 
-    def send(self, server_id: str, message: Any) -> bool:
+    def send(self, server_id: str, message: Any, now_s: float) -> bool:
         """Send a message to the owner of a server, if it can be reached.
 
+        From then on the owner is asked more often how busy the server is.
+
         :param server_id: the server.
         :param message: what to send.
+        :param now_s: monotonic seconds.
         """
         owner_id = self._loads.owner_of(server_id)
         peer = self._peers.get(owner_id) if owner_id else None
-        return peer is not None and peer.send(message)
+        if peer is None:
+            return False
+        peer.used(now_s)
+        return peer.send(message)
 
     def place(self, want: WantLoad, now_s: float) -> None:
         """Ask the owner of the best server to load an adapter version.
@@ -51,17 +57,18 @@
         """
         servers = self._fleet.servers
         for server_id in self.placing.candidates(want, servers, now_s):
-            if self.send(server_id, LoadWanted(server_id, want)):
+            if self.send(server_id, LoadWanted(server_id, want), now_s):
                 return
 
-    def forward_uses(self, told: LoadUses) -> None:
+    def forward_uses(self, told: LoadUses, now_s: float) -> None:
         """Tell the owners how an entry of this instance uses their loads.
 
         :param told: the uses, and which entry's they are.
+        :param now_s: monotonic seconds.
         """
         by_server: dict[str, list[LoadUse]] = defaultdict(list)
         for use in told.uses:
             by_server[server_of(use.load_name) or ''].append(use)
         for server_id, uses in by_server.items():
             source = f'{self._instance_id}/{told.source}'
-            self.send(server_id, LoadUses(source, uses))
+            self.send(server_id, LoadUses(source, uses), now_s)
--- a/src/wasabicross/peers.py
+++ b/src/wasabicross/peers.py
@@ -1,5 +1,6 @@
 """The links that an instance dials to all instances, itself included."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -12,6 +13,8 @@
 from wasabicross.messages import Hello, Renew, Renewed
 
 MIN_RENEW_INTERVAL_S = 1.0
+LONGEST_NEAR_INTERVAL_S = 2.0
+IN_USE_S = 30.0
 RENEWALS_PER_S = 30.0
 RENEWALS_PER_USE_LEASE = 3
 RENEW_TIMEOUT_S = 2.0
@@ -20,7 +23,7 @@
 LAST_RETRY_S = 2.0
 
 
-def renew_interval_s(peers: int, use_lease_s: float) -> float:
+def renew_interval_s(peers: float, use_lease_s: float) -> float:
     """Return how often each peer is asked to renew the use of its servers.
 
     With many peers it is longer, within what lets a use outlast two lost
@@ -29,18 +32,30 @@
     :param peers: how many peers are asked.
     :param use_lease_s: how long a grant lasts.
     """
-    longest_s = use_lease_s / RENEWALS_PER_USE_LEASE
-    bounded_s = min(peers / RENEWALS_PER_S, longest_s)
-    return max(MIN_RENEW_INTERVAL_S, bounded_s)
+    longest_s = max(MIN_RENEW_INTERVAL_S, use_lease_s / RENEWALS_PER_USE_LEASE)
+    return max(MIN_RENEW_INTERVAL_S, min(peers / RENEWALS_PER_S, longest_s))
 
 
-def longest_silence_s(use_lease_s: float) -> float:
+def near_interval_s(interval_s: float) -> float:
+    """Return how often a peer is asked whose engines are much used.
+
+    Its renewals also tell how busy they are, which is soon out of date.
+
+    :param interval_s: how often another peer is asked.
+    """
+    return min(interval_s, LONGEST_NEAR_INTERVAL_S)
+
+
+def longest_silence_s(use_lease_s: float, *, is_near: bool) -> float:
     """Return after what time without a renewal a link counts as lost.
 
     :param use_lease_s: how long a grant lasts.
+    :param is_near: whether both ends are in one data centre.
     """
-    longest_s = use_lease_s / RENEWALS_PER_USE_LEASE
-    return max(MIN_RENEW_INTERVAL_S, longest_s) + ANSWER_TIMEOUT_S
+    longest_s = renew_interval_s(math.inf, use_lease_s)
+    if is_near:
+        longest_s = near_interval_s(longest_s)
+    return longest_s + ANSWER_TIMEOUT_S
 
 
 class PeerEvents(LinkHandler, Protocol):
@@ -62,7 +77,8 @@
     :param hello: makes the hello to send.
     :param heartbeat: makes the renewal to send.
     :param events: takes messages and changes.
-    :param silence_s: seconds without a renewal after which it dials again.
+    :param use_lease_s: how long a grant of use lasts.
+    :param is_near: whether the instance is of the same data centre.
     """
 
     def __init__(
@@ -71,11 +87,16 @@
         hello: Callable[[], Hello],
         heartbeat: Callable[[], Renew],
         events: PeerEvents,
-        silence_s: float,
+        use_lease_s: float,
+        *,
+        is_near: bool,
     ) -> None:
         self.peer = peer
-        self._silence_s = silence_s
         self.interval_s = MIN_RENEW_INTERVAL_S
+        self._silence_s = longest_silence_s(use_lease_s, is_near=is_near)
+        self._is_near = is_near
+        self._used_s = -math.inf
+        self._wake = threading.Event()
         self._hello = hello
         self._heartbeat = heartbeat
         self._events = events
@@ -112,6 +133,28 @@
         link = self.link
         return link is not None and link.send(message)
 
+    def used(self, now_s: float) -> None:
+        """Note that a request here uses or wants a server of the peer.
+
+        :param now_s: monotonic seconds.
+        """
+        was_used = self._is_used(now_s)
+        self._used_s = now_s
+        if not was_used:
+            self._wake.set()
+
+    def pause_s(self, now_s: float) -> float:
+        """Return how long to wait before the next renewal.
+
+        :param now_s: monotonic seconds.
+        """
+        if self._is_near or self._is_used(now_s):
+            return near_interval_s(self.interval_s)
+        return self.interval_s
+
+    def _is_used(self, now_s: float) -> bool:
+        return now_s - self._used_s < IN_USE_S
+
     def _run(self) -> None:
         retry_s = FIRST_RETRY_S
         while not self._stop.is_set():
@@ -126,8 +169,8 @@
     def _hold(self, link: Link) -> None:
         peer_id = self.peer.instance_id
         receiver = threading.Thread(
-            target=link.run,
-            args=(self._events,),
+            target=self._receive,
+            args=(link,),
             name=f'receive-{peer_id}',
             daemon=True,
         )
@@ -139,6 +182,10 @@
         link.close()
         log_event(Event.PEER_LOST, peer=peer_id)
 
+    def _receive(self, link: Link) -> None:
+        link.run(self._events)
+        self._wake.set()
+
     def _renew_until_lost(self, link: Link) -> None:
         renewed_s = time.monotonic()
         while not link.closed.is_set() and not self._stop.is_set():
@@ -147,7 +194,8 @@
                 renewed_s = asked_s
             elif asked_s - renewed_s >= self._silence_s:
                 return
-            link.closed.wait(self.interval_s)
+            self._wake.wait(self.pause_s(time.monotonic()))
+            self._wake.clear()
 
     def _renew(self, link: Link, asked_s: float) -> bool:
         answer = link.call(self._heartbeat(), RENEW_TIMEOUT_S)
@@ -164,6 +212,7 @@
     :param heartbeat: makes the renewal to send.
     :param events: takes messages and changes.
     :param use_lease_s: how long a grant of use lasts.
+    :param data_centre: where this instance stands.
     """
 
     def __init__(
@@ -172,7 +221,9 @@
         heartbeat: Callable[[], Renew],
         events: PeerEvents,
         use_lease_s: float,
+        data_centre: str,
     ) -> None:
+        self._data_centre = data_centre
         self._use_lease_s = use_lease_s
         self._hello = hello
         self._heartbeat = heartbeat
@@ -195,15 +246,8 @@
                     known.stop()
                     self._peers.pop(instance_id)
             for new_id in listed.keys() - self._peers.keys():
-                peer = PeerLink(
-                    listed[new_id],
-                    self._hello,
-                    self._heartbeat,
-                    self._events,
-                    longest_silence_s(self._use_lease_s),
-                )
-                self._peers[new_id] = peer
-                peer.start()
+                self._peers[new_id] = self._to(listed[new_id])
+                self._peers[new_id].start()
             interval_s = renew_interval_s(len(self._peers), self._use_lease_s)
             for held in self._peers.values():
                 held.interval_s = interval_s
@@ -229,6 +273,16 @@
             for peer in self._peers.values():
                 peer.stop()
 
+    def _to(self, peer: Instance) -> PeerLink:
+        return PeerLink(
+            peer,
+            self._hello,
+            self._heartbeat,
+            self._events,
+            self._use_lease_s,
+            is_near=peer.data_centre == self._data_centre,
+        )
+
     def _is_obsolete(self, known: PeerLink, listed: Instance | None) -> bool:
         if listed is None:
             return known.link is None
--- a/tests/test_renew_interval.py
+++ b/tests/test_renew_interval.py
@@ -1,8 +1,17 @@
 """Renewals are spread out with many peers, within what a use outlasts."""
 
+import threading
+
 import pytest
 
-from wasabicross.peers import renew_interval_s
+from emulator.waiting import wait_until
+from wasabicross.instances import Instance
+from wasabicross.links import listen
+from wasabicross.messages import Hello, Renew, Renewed, Welcome
+from wasabicross.peers import PeerLink, longest_silence_s, renew_interval_s
+
+HELLO = Hello('controller', 'a', 'a', 'north', 'token', [], [], [])
+FOR_EVER_S = 600
 
 
 @pytest.mark.parametrize(
@@ -18,3 +27,114 @@
 )
 def test_the_interval_grows_with_peers(peers, use_lease_s, interval_s):
     assert renew_interval_s(peers, use_lease_s) == interval_s
+
+
+def link_to(port, events=None, *, is_near=False):
+    peer = Instance('b', 'south', '127.0.0.1', port, 'live')
+    renew = Renew(1, '', '')
+    return PeerLink(
+        peer, lambda: HELLO, lambda: renew, events, 6, is_near=is_near
+    )
+
+
+@pytest.mark.parametrize(
+    ('interval_s', 'is_near', 'used_s', 'pause_s'),
+    [
+        (1, True, None, 1),
+        (1, False, None, 1),
+        (2, False, 99, 2),
+        (10, True, None, 2),
+        (10, False, None, 10),
+        (10, False, 99, 2),
+        (10, False, 60, 10),
+    ],
+)
+def test_only_peers_afar_whose_servers_rest_are_asked_seldom(
+    interval_s, is_near, used_s, pause_s
+):
+    link = link_to(1, is_near=is_near)
+    link.interval_s = interval_s
+    if used_s is not None:
+        link.used(used_s)
+    assert link.pause_s(100) == pause_s
+
+
+@pytest.mark.parametrize(
+    ('use_lease_s', 'is_near', 'silence_s'),
+    [
+        (6, True, 6),
+        (6, False, 6),
+        (1, True, 5),
+        (30, True, 6),
+        (30, False, 14),
+    ],
+)
+def test_a_silence_outlasts_the_longest_pause(use_lease_s, is_near, silence_s):
+    assert longest_silence_s(use_lease_s, is_near=is_near) == silence_s
+
+
+class Peer:
+    """Counts the hellos and renewals of who dials."""
+
+    def __init__(self):
+        self.links = []
+        self.renewals = 0
+        self.server = listen('127.0.0.1', 0, self.accept, self.serve)
+        self.port = self.server.socket.getsockname()[1]
+
+    def accept(self, link):
+        self.links.append(link)
+        return Welcome('b')
+
+    def serve(self, link):
+        link.run(self)
+
+    def on_message(self, link, message, call_id):
+        self.renewals += 1
+        link.reply(call_id, Renewed([], [], listed=True))
+
+
+class Unmoved:
+    """Takes no note of anything."""
+
+    def on_message(self, link, message, call_id):
+        """Ignore a message."""
+
+    def peer_linked(self, link, peer):
+        """Ignore a link."""
+
+    def peer_renewed(self, peer, granted, asked_s):
+        """Ignore a grant."""
+
+
+@pytest.fixture
+def peer():
+    answering = Peer()
+    thread = threading.Thread(target=answering.server.serve_forever)
+    thread.start()
+    yield answering
+    answering.server.shutdown()
+    thread.join()
+
+
+@pytest.fixture
+def resting(peer):
+    link = link_to(peer.port, Unmoved())
+    link.interval_s = FOR_EVER_S
+    link.start()
+    wait_until(lambda: peer.renewals, 30, 'the first renewal')
+    yield link
+    link.stop()
+
+
+def test_a_link_that_is_used_is_renewed_at_once(peer, resting):
+    resting.used(1e12)
+    wait_until(lambda: peer.renewals > 1, 30, 'a renewal for the use')
+    resting.interval_s = 0.01
+    resting.used(2e12)
+    wait_until(lambda: peer.renewals > 3, 30, 'renewals of a used link')
+
+
+def test_a_link_that_ends_while_it_rests_is_dialled_again(peer, resting):
+    peer.links[0].close()
+    wait_until(lambda: len(peer.links) > 1, 30, 'a new link')
