Rank instances for servers only when either has changed

Cause: each reading of the list, every 2 s, ranked all live instances of the data centre for each of its engines, to find those that this one is to watch. That is a digest for each pair, 15,300 of them with 90 instances and 170 engines.

Change: the ranks stand until the sets of servers or instances change; ended watches are begun anew with each reading as before.

--- a/src/wasabicross/ownership.py
+++ b/src/wasabicross/ownership.py
@@ -160,6 +160,8 @@
         self._hooks = hooks
         self._stopping = threading.Event()
         self._ranks: dict[str, int] = {}
+        # What was ranked last; at a thousand ids that takes a while.
+        self._assigned = (frozenset[str](), frozenset[str]())
         self._threads: dict[str, threading.Thread] = {}
         self._owned: dict[str, Versioned] = {}
 
@@ -171,14 +173,11 @@
         :param server_ids: engines of this data centre.
         :param instance_ids: live instances of this data centre.
         """
-        instances = sorted(instance_ids)
-        ranks: dict[str, int] = {}
-        for server_id in server_ids:
-            order = rank(server_id, instances)
-            if self._instance_id in order[:CANDIDATES]:
-                ranks[server_id] = order.index(self._instance_id)
-        self._ranks = ranks
-        for candidate in ranks:
+        assigned = (frozenset(server_ids), frozenset(instance_ids))
+        if assigned != self._assigned:
+            self._assigned = assigned
+            self._ranks = self._ranks_of(*assigned)
+        for candidate in self._ranks:
             self._ensure_thread(candidate)
 
     def stop(self) -> None:
@@ -198,6 +197,17 @@
         if self._owned.pop(server_id, None) is not None:
             self._hooks.owner_ended(server_id)
 
+    def _ranks_of(
+        self, server_ids: frozenset[str], instance_ids: frozenset[str]
+    ) -> dict[str, int]:
+        """Return the servers to watch, with this instance's rank for each."""
+        ranks = {}
+        for server_id in server_ids:
+            first = rank(server_id, instance_ids)[:CANDIDATES]
+            if self._instance_id in first:
+                ranks[server_id] = first.index(self._instance_id)
+        return ranks
+
     def _ensure_thread(self, server_id: str) -> None:
         known = self._threads.get(server_id)
         if known is None or not known.is_alive():
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,12 +9,14 @@
 from wasabicross.exceptions import LeaseLapsed
 from wasabicross.kv import Versioned
 from wasabicross.ownership import (
+    CANDIDATES,
     RENEWALS_PER_LEASE,
     RETRY_S,
     InstanceLease,
     OwnerKeeper,
     lease_ttl_s,
 )
+from wasabicross.rendezvous import rank
 
 
 class RecordingStop(threading.Event):
@@ -103,3 +105,53 @@
     keeper._stopping.set()
     assert store.watches[0][0] == 5
     assert set(store.watches[1:]) == {(0, RETRY_S)}
+
+
+class SilentStore:
+    """Never answers, so that nothing is ever owned."""
+
+    def __init__(self):
+        self.asked = []
+
+    def get(self, key):
+        self.asked.append(key)
+        return Error(LeaseLapsed('lease-1'))
+
+
+FEW = [f'north-{at}' for at in range(2)]
+MANY = [f'north-{at}' for at in range(9)]
+ENGINES = [f'engine-{at}' for at in range(6)]
+
+
+@pytest.mark.parametrize(
+    'lists',
+    [
+        [(ENGINES, FEW)],
+        [(ENGINES, FEW), (ENGINES, FEW[::-1]), (ENGINES, MANY)],
+        [(ENGINES, MANY), (ENGINES, FEW)],
+        [(ENGINES, MANY), (ENGINES, MANY[1:]), (ENGINES, MANY)],
+        [(ENGINES[:2], FEW), (ENGINES, FEW), (ENGINES[3:], FEW)],
+        [([], FEW), ([], []), (ENGINES, FEW)],
+    ],
+)
+def test_the_servers_of_the_last_list_are_watched(lists):
+    keeper = OwnerKeeper('north-0', SilentStore(), None, Hooks())
+    for servers, instances in lists:
+        keeper.assign(servers, instances)
+        watched = {each for each in ENGINES if keeper._is_candidate(each)}
+        assert watched == {
+            each
+            for each in servers
+            if 'north-0' in rank(each, instances)[:CANDIDATES]
+        }
+    keeper._stopping.set()
+
+
+def test_a_watch_that_ended_begins_anew_with_the_same_list():
+    store = SilentStore()
+    keeper = OwnerKeeper('north-0', store, None, Hooks())
+    keeper._stopping.set()
+    for _ in range(2):
+        keeper.assign(['engine-0'], FEW)
+        keeper._threads['engine-0'].join(30)
+    assert store.asked == ['owner/engine-0'] * 2
