Count an instance as reachable for as long as it may rest

Cause: status and roll counted an instance as reachable if it was heard of within 5 s. With a lease of use of 30 s a far peer rests for up to 10 s, so about half of the far instances would have been left out, and a roll would have been told as done without them. This was so before with such a lease and more than 150 peers.

Change: the time is the longest rest and 3 s; it stays 5 s with the lease of 6 s and with shorter ones. With the 5 s as they were the row of the new test that was heard of 12.9 s ago fails.

--- a/src/wasabicross/admin_actions.py
+++ b/src/wasabicross/admin_actions.py
@@ -3,6 +3,7 @@
 import base64
 from collections.abc import Sequence
 from datetime import datetime
+from functools import partial
 from typing import Any, NamedTuple
 
 import pydantic
@@ -13,9 +14,11 @@
 from wasabicross.bundle_cleaner import BundleCleaner
 from wasabicross.bundle_file import parse_bundle_file
 from wasabicross.bundle_status import (
+    REACHABLE_S,
     DataCentreStatus,
     StatusSource,
     data_centre_statuses,
+    reachable_s,
 )
 from wasabicross.bundle_store import BundleStore
 from wasabicross.bundles import BundlePointer
@@ -67,6 +70,7 @@
     :param rollout: rolls and supersedes.
     :param source: tells what the instances have in force.
     :param data_centres: all data centres.
+    :param within_s: an instance heard of within it is reachable.
     """
 
     def __init__(
@@ -76,12 +80,17 @@
         rollout: Rollout,
         source: StatusSource,
         data_centres: Sequence[str],
+        within_s: float = REACHABLE_S,
     ) -> None:
         self._store = store
         self._drafts = drafts
         self._rollout = rollout
         self._source = source
-        self._data_centres = data_centres
+        self._sum_up = partial(
+            data_centre_statuses,
+            data_centres=data_centres,
+            within_s=within_s,
+        )
         self._cleaner = BundleCleaner(store)
 
     @classmethod
@@ -104,6 +113,7 @@
             Rollout(store, keys),
             source,
             cfg.data_centres,
+            reachable_s(cfg.servers.use_lease_s),
         )
 
     def prepare(self, req: AdminRequest) -> ActionResult:
@@ -229,8 +239,7 @@
         self,
         pointer: BundlePointer | None,
     ) -> tuple[DataCentreStatus, ...]:
-        instances = self._source.instances()
-        return data_centre_statuses(pointer, instances, self._data_centres)
+        return self._sum_up(pointer, self._source.instances())
 
     def _highest(self) -> BundlePointer | None:
         told = [
--- a/src/wasabicross/bundle_status.py
+++ b/src/wasabicross/bundle_status.py
@@ -4,8 +4,10 @@
 from typing import Literal, NamedTuple, Protocol
 
 from wasabicross.bundles import BundlePointer
+from wasabicross.peers import longest_interval_s
 
 REACHABLE_S = 5.0
+LATENESS_S = 3.0
 
 SpreadState = Literal['in_force', 'lagging', 'unreachable']
 
@@ -58,16 +60,26 @@
     last_heard_s: float | None
 
 
+def reachable_s(use_lease_s: float) -> float:
+    """Return for how long an instance counts as reachable without a word.
+
+    :param use_lease_s: how long a grant of use lasts, by which it renews.
+    """
+    return max(REACHABLE_S, longest_interval_s(use_lease_s) + LATENESS_S)
+
+
 def data_centre_statuses(
     pointer: BundlePointer | None,
     instances: Iterable[InstanceStatus],
     data_centres: Sequence[str],
+    within_s: float = REACHABLE_S,
 ) -> tuple[DataCentreStatus, ...]:
     """Sum up the instances of each data centre.
 
     :param pointer: the bundle that should be in force.
     :param instances: what is known of each instance.
     :param data_centres: those of the settings; others are added.
+    :param within_s: an instance heard of within it is reachable.
     """
     by_data_centre: dict[str, list[InstanceStatus]] = {
         data_centre: [] for data_centre in data_centres
@@ -76,7 +88,7 @@
         by_data_centre.setdefault(instance.data_centre, []).append(instance)
     number = pointer.number if pointer else 0
     return tuple(
-        _data_centre_status(data_centre, known, number)
+        _data_centre_status(data_centre, known, number, within_s)
         for data_centre, known in by_data_centre.items()
     )
 
@@ -97,8 +109,9 @@
     data_centre: str,
     known: list[InstanceStatus],
     number: int,
+    within_s: float,
 ) -> DataCentreStatus:
-    heard = [each for each in known if each.last_heard_s <= REACHABLE_S]
+    heard = [each for each in known if each.last_heard_s <= within_s]
     lagging = [each for each in heard if each.bundle_number < number]
     told = heard or known
     lowest = min((each.bundle_number for each in told), default=0)
--- a/src/wasabicross/peers.py
+++ b/src/wasabicross/peers.py
@@ -23,7 +23,15 @@
 LAST_RETRY_S = 2.0
 
 
-def renew_interval_s(peers: float, use_lease_s: float) -> float:
+def longest_interval_s(use_lease_s: float) -> float:
+    """Return how long a peer rests at most between two renewals.
+
+    :param use_lease_s: how long a grant lasts.
+    """
+    return max(MIN_RENEW_INTERVAL_S, use_lease_s / RENEWALS_PER_USE_LEASE)
+
+
+def renew_interval_s(peers: int, use_lease_s: float) -> float:
     """Return how often each peer is asked to renew the use of its servers.
 
     With many peers it is longer, within what lets a use outlast two lost
@@ -32,8 +40,8 @@
     :param peers: how many peers are asked.
     :param use_lease_s: how long a grant lasts.
     """
-    longest_s = max(MIN_RENEW_INTERVAL_S, use_lease_s / RENEWALS_PER_USE_LEASE)
-    return max(MIN_RENEW_INTERVAL_S, min(peers / RENEWALS_PER_S, longest_s))
+    bounded_s = min(peers / RENEWALS_PER_S, longest_interval_s(use_lease_s))
+    return max(MIN_RENEW_INTERVAL_S, bounded_s)
 
 
 def near_interval_s(interval_s: float) -> float:
@@ -52,7 +60,7 @@
     :param use_lease_s: how long a grant lasts.
     :param is_near: whether both ends are in one data centre.
     """
-    longest_s = renew_interval_s(math.inf, use_lease_s)
+    longest_s = longest_interval_s(use_lease_s)
     if is_near:
         longest_s = near_interval_s(longest_s)
     return longest_s + ANSWER_TIMEOUT_S
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,7 +9,11 @@
 from wasabicross import exceptions
 from wasabicross.bundle_changes import count_changes
 from wasabicross.bundle_file import parse_bundle_file
-from wasabicross.bundle_status import InstanceStatus, data_centre_statuses
+from wasabicross.bundle_status import (
+    InstanceStatus,
+    data_centre_statuses,
+    reachable_s,
+)
 from wasabicross.bundle_store import CURRENT_KEY, BundleStore
 from wasabicross.bundles import BundlePointer
 from wasabicross.drafts import Drafts
@@ -341,3 +345,22 @@
     first, other = data_centre_statuses(pointer, instances, DATA_CENTRES)
     assert tuple(first) == ('hbt-a', *expected)
     assert other.state == 'unreachable'
+
+
+@pytest.mark.parametrize(
+    ('use_lease_s', 'heard_s', 'state'),
+    [
+        (6, 4.9, 'in_force'),
+        (6, 5.1, 'unreachable'),
+        (1, 4.9, 'in_force'),
+        (30, 12.9, 'in_force'),
+        (30, 13.1, 'unreachable'),
+    ],
+)
+def test_instances_that_renew_seldom_are_reachable_for_longer(
+    use_lease_s, heard_s, state
+):
+    within_s = reachable_s(use_lease_s)
+    heard = [instance(heard_s=heard_s)]
+    first, _ = data_centre_statuses(None, heard, DATA_CENTRES, within_s)
+    assert first.state == state
