--- a/src/wasabicross/instances.py
+++ b/src/wasabicross/instances.py
@@ -72,6 +72,11 @@
     servers: tuple[BackendServer, ...]
 
 
+class _Read(NamedTuple):
+    listed: bytes
+    fleet: Fleet
+
+
 class InstanceList:
     """The platform's list of instances and backend servers.
 
@@ -81,6 +86,7 @@
 
     def __init__(self, url: str, timeout_s: float) -> None:
         self._calls = SingleCalls(url, timeout_s)
+        self._last: _Read | None = None
 
     @classmethod
     def from_config(cls, cfg: ServiceSettings) -> 'InstanceList':
@@ -90,8 +96,8 @@
     def fetch(self) -> Result[Fleet, InstanceListError]:
         """Read the list.
 
-        :return: the fleet, or :class:`InstanceListUnavailable` or
-            :class:`InstanceListMalformed`.
+        :return: the fleet, the same object while the list stays the same, or
+            :class:`InstanceListUnavailable` or :class:`InstanceListMalformed`.
         """
         try:
             resp = self._calls.send('GET', '/v1/fleet')
@@ -100,7 +106,7 @@
         if resp.status != STATUS_OK:
             return Error(InstanceListUnavailable(f'status {resp.status}'))
         try:
-            return Ok(parse_fleet(resp.data))
+            return Ok(self._parse(resp.data))
         except (KeyError, TypeError, ValueError) as exc:
             return Error(InstanceListMalformed(repr(exc)))
 
@@ -108,6 +114,13 @@
         """Close the idle connections."""
         self._calls.close()
 
+    def _parse(self, listed: bytes) -> Fleet:
+        last = self._last
+        if last is None or last.listed != listed:
+            last = _Read(listed, parse_fleet(listed))
+            self._last = last
+        return last.fleet
+
 
 def parse_fleet(data: bytes) -> Fleet:
     """Read a fleet from JSON.
