Take an owner to its next term in one place in the tests

Cause: two tests of inherited loads went through the same twelve steps, once to make a load in an earlier term and once to have it asked for.

Change: a fixture for the first part, `evicted_for_another` for the second. One test compared the number of evicts only and names the load now.

--- a/tests/test_inherited_wait.py
+++ b/tests/test_inherited_wait.py
@@ -11,6 +11,32 @@
     return Scene()
 
 
+@pytest.fixture
+def later():
+    """A scene of the next term, and the owner that made the load before."""
+    scene = Scene(loads=())
+    scene.join('a', 0)
+    scene.report('a', 0)
+    scene.want(1)
+    scene.step(1, 1.1)
+    return scene, scene.next_term()
+
+
+def evicted_for_another(scene, reported_s):
+    """Let the residents report and another adapter be wanted.
+
+    :param reported_s: when the resident reports the load.
+    """
+    scene.owner.report_running('a', ServerReport(LATER, [NEW], []), reported_s)
+    scene.step(reported_s)
+    other = LETTER._replace(adapter='quote')
+    scene.owner.want(other, scene.links['a'], 9)
+    scene.step(9)
+    scene.owner.drained('a', NEW)
+    scene.step(9.1)
+    return scene.engine.evicted
+
+
 @pytest.mark.parametrize(
     ('consents', 'listed_s', 'now_s', 'evicted'),
     [
@@ -39,24 +65,16 @@
     assert scene.announced('a') == [OLD]
 
 
-@pytest.mark.parametrize(('is_continued', 'evicted'), [(True, 1), (False, 0)])
-def test_owner_that_goes_on_for_a_new_term_need_not_wait(is_continued, evicted):
-    scene = Scene(loads=())
-    scene.join('a', 0)
-    scene.report('a', 0)
-    scene.want(1)
-    scene.step(1, 1.1)
-    first = scene.next_term()
+@pytest.mark.parametrize(
+    ('is_continued', 'evicted'), [(True, [NEW]), (False, [])]
+)
+def test_owner_that_goes_on_for_a_new_term_need_not_wait(
+    later, is_continued, evicted
+):
+    scene, first = later
     if is_continued:
         scene.owner.continue_from(first)
-    scene.owner.report_running('a', ServerReport(LATER, [NEW], []), 2)
-    scene.step(2)
-    other = LETTER._replace(adapter='quote')
-    scene.owner.want(other, scene.links['a'], 9)
-    scene.step(9)
-    scene.owner.drained('a', NEW)
-    scene.step(9.1)
-    assert len(scene.engine.evicted) == evicted
+    assert evicted_for_another(scene, 2) == evicted
 
 
 @pytest.mark.parametrize(
@@ -106,24 +124,14 @@
     [(1, []), (2, [NEW])],
     ids=['list asked for before the takeover', 'after it'],
 )
-def test_owner_that_goes_on_evicts_once_it_has_read_a_list(asked_s, evicted):
-    scene = Scene(loads=())
-    scene.join('a', 0)
-    scene.report('a', 0)
-    scene.want(1)
-    scene.step(1, 1.1)
-    first = scene.next_term()
+def test_owner_that_goes_on_evicts_once_it_has_read_a_list(
+    later, asked_s, evicted
+):
+    scene, first = later
     scene.owner.inherited_wait.taken_s = 2
     scene.owner.continue_from(first)
     scene.subscribers.listed({'a'}, 3, asked_s)
-    scene.owner.report_running('a', ServerReport(LATER, [NEW], []), 3)
-    scene.step(3)
-    other = LETTER._replace(adapter='quote')
-    scene.owner.want(other, scene.links['a'], 9)
-    scene.step(9)
-    scene.owner.drained('a', NEW)
-    scene.step(9.1)
-    assert scene.engine.evicted == evicted
+    assert evicted_for_another(scene, 3) == evicted
 
 
 @pytest.mark.parametrize(('asked_s', 'may_grant'), [(3, False), (4, True)])
