Start trials, wait for entries and describe programs in one place

Cause: nine tests of promises started their deployment in the same four lines; those of bundles and of operators watched each entry's answers alike; the trials wrote the routes of `emulator.operator` again; both demos and the trials asked entries for their readiness; both deployments built the same programs.

Bundles' tests now wait for answers at each entry after the faults, as the operators' did: without any, their check of rising numbers could not fail.

Result: test_promise_bundle, _operators, _membership, _stop and _leaving: 30 passed; then, with `readiness`, test_promise_not_run, _answers, _version, _fencing, _operators and _leaving, test_examples and test_fleet: 77 passed. `python -m emulator.demo` exits 0.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -10,7 +10,6 @@
 import tempfile
 import threading
 from collections import Counter
-from functools import partial
 from typing import Any, NamedTuple
 
 import click
@@ -28,6 +27,7 @@
 from emulator.link_table import HOST
 from emulator.operator import bundle_text
 from emulator.operators_tool import OperatorsTool
+from emulator.readiness import wait_ready
 from emulator.shape import Shape
 from emulator.waiting import wait_until
 
@@ -73,7 +73,7 @@
         """Go through all steps; raises when one fails."""
         self._tool.write_key(KEY_NAME, self._deployment.signing_key)
         self.roll('first', FIRST)
-        self.wait_ready()
+        wait_ready(self._deployment.entries, READY_TIMEOUT_S)
         self.show_requests()
         traffic = threading.Thread(target=self.send_traffic)
         traffic.start()
@@ -91,16 +91,6 @@
         """
         self._tool.roll(yaml.safe_load(bundle_text(versions, name)))
 
-    def wait_ready(self) -> None:
-        """Wait until every entry says that it is ready."""
-        for entry in self._deployment.entries:
-            url = f'http://{HOST}:{entry.metrics_port}/readyz'
-            is_ready = partial(self._is_ready, url)
-            wait_until(is_ready, READY_TIMEOUT_S, f'{entry.name} ready')
-
-    def _is_ready(self, url: str) -> bool:
-        return self._http.request('GET', url).status == STATUS_OK
-
     def show_requests(self) -> None:
         """Send one request of each kind and print the answers."""
         for stream in (False, True):
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -13,8 +13,8 @@
     Place,
     Shape,
     count_ports,
-    healthy,
     ports_of,
+    program_of,
     server_entry,
     stand_in,
 )
@@ -84,33 +84,13 @@
         config = ('--config', str(self._settings_path(instance_id)))
         controller = self._find(self.controllers, instance_id)
         admin = self._find(self.admins, f'{instance_id}-admin')
-        programs = [
-            Program(
-                controller.name,
-                'wasabicross.controller',
-                config,
-                healthy(controller),
-            ),
-        ]
+        programs = [program_of(controller, 'controller', *config)]
         if self.shape.admins:
-            programs.append(
-                Program(
-                    admin.name, 'wasabicross.admin', config, healthy(admin)
-                ),
-            )
-        entries = [
-            place
+            programs.append(program_of(admin, 'admin', *config))
+        programs.extend(
+            program_of(place, 'entry', *config, '--name', place.name)
             for place in self.entries
             if place.name.startswith(f'{instance_id}-entry-')
-        ]
-        programs.extend(
-            Program(
-                place.name,
-                'wasabicross.entry',
-                (*config, '--name', place.name),
-                healthy(place),
-            )
-            for place in entries
         )
         return programs
 
--- a/emulator/example.py
+++ b/emulator/example.py
@@ -10,7 +10,7 @@
 from emulator.deployment import KEY_NAME, KEY_SEED
 from emulator.fleet import Program, Runner
 from emulator.link_table import HOST
-from emulator.shape import Place, healthy, stand_in
+from emulator.shape import Place, program_of, stand_in
 from wasabicross.settings import Settings, load_settings
 
 READY_TIMEOUT_S = 60
@@ -165,16 +165,11 @@
             if place.name == f'{instance_id}-admin'
         )
         programs = [
-            Program(place.name, f'wasabicross.{module}', config, healthy(place))
-            for place, module in ((controller, 'controller'), (admin, 'admin'))
+            program_of(controller, 'controller', *config),
+            program_of(admin, 'admin', *config),
         ]
         programs.extend(
-            Program(
-                place.name,
-                'wasabicross.entry',
-                (*config, '--name', place.name),
-                healthy(place),
-            )
+            program_of(place, 'entry', *config, '--name', place.name)
             for place in self.entries
             if cfg.entry(place.name) is not None
         )
--- a/emulator/example_demo.py
+++ b/emulator/example_demo.py
@@ -13,8 +13,8 @@
 
 from emulator.example import ExampleDeployment
 from emulator.fleet import Runner
-from emulator.link_table import HOST
 from emulator.operators_tool import OperatorsTool
+from emulator.readiness import wait_ready
 from emulator.waiting import wait_until
 from wasabicross.stopping import stop_event, wait_for_stop
 
@@ -57,7 +57,7 @@
     def roll_first(self) -> None:
         """Bring the example's bundle into force."""
         self._tool.roll(self._bundle)
-        self._wait_ready()
+        wait_ready(self._deployment.entries, READY_TIMEOUT_S)
 
     def run(self) -> None:
         """Go through all steps after the first roll."""
@@ -69,15 +69,6 @@
         self._call_routes('2')
         self._tool.run('status')
 
-    def _wait_ready(self) -> None:
-        for entry in self._deployment.entries:
-            url = f'http://{HOST}:{entry.metrics_port}/readyz'
-            is_ready = partial(self._is_ready, url)
-            wait_until(is_ready, READY_TIMEOUT_S, f'{entry.name} ready')
-
-    def _is_ready(self, url: str) -> bool:
-        return self._http.request('GET', url).status == STATUS_OK
-
     def _wait_followed(self, adapter: str) -> None:
         """Wait until every data centre answers by the second bundle."""
         for data_centre in self._deployment.settings.data_centres:
--- /dev/null
+++ b/emulator/readiness.py
@@ -0,0 +1,39 @@
+"""Waiting until entries are ready to serve callers."""
+
+from collections.abc import Iterable
+from functools import partial
+
+import urllib3
+
+from emulator.link_table import HOST
+from emulator.shape import Place
+from emulator.waiting import wait_until
+
+STATUS_OK = 200
+PROBE_TIMEOUT_S = 1
+
+
+def is_ready(entry: Place) -> bool:
+    """Tell whether an entry says that it is ready.
+
+    :param entry: where it listens.
+    """
+    url = f'http://{HOST}:{entry.metrics_port}/readyz'
+    try:
+        resp = urllib3.request(
+            'GET', url, timeout=PROBE_TIMEOUT_S, retries=False
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return resp.status == STATUS_OK
+
+
+def wait_ready(entries: Iterable[Place], timeout_s: float) -> None:
+    """Wait until entries are ready, each in turn.
+
+    :param entries: where they listen.
+    :param timeout_s: seconds for each.
+    :raises TimeoutError: one isn't ready in time.
+    """
+    for entry in entries:
+        wait_until(partial(is_ready, entry), timeout_s, f'{entry.name} ready')
--- a/emulator/shape.py
+++ b/emulator/shape.py
@@ -77,6 +77,16 @@
     return f'http://{HOST}:{place.metrics_port}/healthz'
 
 
+def program_of(place: Place, module: str, *args: str) -> Program:
+    """Return a program of wasabicross as a program to run.
+
+    :param place: where it listens.
+    :param module: the module of `wasabicross` that it runs.
+    :param args: its arguments.
+    """
+    return Program(place.name, f'wasabicross.{module}', args, healthy(place))
+
+
 def stand_in(place: Place, module: str, *args: str) -> Program:
     """Return a stand-in as a program to run."""
     return Program(
--- a/tests/caller_parts.py
+++ b/tests/caller_parts.py
@@ -5,6 +5,8 @@
 import random
 import threading
 from collections.abc import Callable
+from contextlib import ExitStack, contextmanager
+from functools import partial
 from typing import Any, NamedTuple
 
 from emulator.completions import error_document
@@ -213,3 +215,25 @@
             self.answers.append(answer)
             if answer.status != 200:
                 self._stop.wait(0.05)
+
+
+@contextmanager
+def watched_entries(trial, seed):
+    """Run a caller of each entry; none may see a bundle after a later one.
+
+    Their answers are checked as well, of which each must have some.
+    """
+    make = partial(any_adapter, tokens=(1, 3))
+    by_entry = [
+        Traffic(trial, 1, make, seed, [entry]) for entry in trial.dep.entries
+    ]
+    with ExitStack() as running:
+        for traffic in by_entry:
+            running.enter_context(traffic)
+        yield by_entry
+        for traffic in by_entry:
+            traffic.wait_for(5)
+    for traffic in by_entry:
+        named = [each.bundle for each in traffic.answers if each.status == 200]
+        assert named == sorted(named)
+        check_answers(trial, traffic.answers)
--- a/tests/promise_parts.py
+++ b/tests/promise_parts.py
@@ -4,24 +4,22 @@
 import threading
 from collections import Counter
 from datetime import datetime, timezone
-from functools import partial
 from typing import Any
 
 import cbor2
 import urllib3
-from caller_parts import ADAPTERS, COMPLETIONS, Answer, exchange
+from caller_parts import ADAPTERS, Answer, exchange
 
-from emulator.deployment import HOST, KEY_NAME, Deployment
+from emulator.deployment import KEY_NAME, Deployment
+from emulator.operator import bundle_text
+from emulator.readiness import is_ready, wait_ready
 from emulator.shape import Place, Shape
 from emulator.waiting import wait_until
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
 from wasabicross.bundle_store import BundleStore
 from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.kv import KeyValueStore
-from wasabicross.manifests import (
-    encode_part,
-    signature_of,
-)
+from wasabicross.manifests import encode_part, signature_of
 
 FAST_ENGINE = ('--token-ms', '2', '--first-token-ms', '2')
 FAST_WEIGHTS = ('--loads-per-s', '1000', '--load-ms', '5')
@@ -32,27 +30,13 @@
 }
 # Loads give way soon, so that few adapters make many evictions.
 POLICY = {'min_resident_s': 0.05}
-ROUTES = [
-    {
-        'path': COMPLETIONS,
-        'kind': 'engine',
-        'group': 'drafting',
-        'request_class': 'drafting',
-        'idempotent_methods': ['POST'],
-    },
-    {
-        'path': '/orders',
-        'kind': 'service',
-        'group': 'order-desk',
-        'request_class': 'orders',
-        'idempotent_methods': ['GET'],
-    },
-]
 
 
 class Trial:
     """A deployment with its bundles, called as callers do."""
 
+    is_ready = staticmethod(is_ready)
+
     def __init__(self, runner, folder, shape):
         self.runner = runner
         self.dep = Deployment(shape, runner, folder)
@@ -67,29 +51,14 @@
     def start(self, versions=None):
         self.dep.start()
         self.roll(versions or dict.fromkeys(ADAPTERS, '1'))
-        for entry in self.dep.entries:
-            wait_until(partial(self.is_ready, entry), 15, f'{entry.name} ready')
+        wait_ready(self.dep.entries, 15)
         return self
 
-    def is_ready(self, entry):
-        url = f'http://{HOST}:{entry.metrics_port}/readyz'
-        try:
-            return self._http.request('GET', url, timeout=1).status == 200
-        except urllib3.exceptions.HTTPError:
-            return False
-
     def store(self):
         return BundleStore(KeyValueStore(self.dep.kv.url, 2))
 
     def signed_bundle(self, versions, number, key=None):
-        text = json.dumps(
-            {
-                'name': 'closing',
-                'routes': ROUTES,
-                'adapters': [{'base_model': 'base-7b', 'versions': versions}],
-                'policy': POLICY,
-            },
-        )
+        text = bundle_text(versions, 'closing', POLICY)
         bundle = build_bundle(parse_bundle_file(text).ok, number, self._digest)
         signing_key = key or self.dep.signing_key
         signed = SignedManifest(
@@ -221,6 +190,18 @@
         return f'request-{self.next_number()}'
 
 
+def start_trial(runner, tmp_path_factory, kind=Trial, **changes):
+    """Start a small deployment and wait until its first bundle is in force.
+
+    :param kind: the class of the trial.
+    :param changes: what differs from the shape of `small_shape`.
+    """
+    folder = tmp_path_factory.mktemp('cfg')
+    started = kind(runner, folder, small_shape(**changes)).start()
+    started.wait_in_force(1)
+    return started
+
+
 def now_iso():
     return datetime.now(timezone.utc).isoformat()
 
--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -10,7 +10,7 @@
     check_answers,
     model_document,
 )
-from promise_parts import Trial, small_shape
+from promise_parts import start_trial
 
 from emulator.waiting import wait_until
 
@@ -20,10 +20,13 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(data_centres=('north',), engines=2, proxied=('engine',))
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north',),
+        engines=2,
+        proxied=('engine',),
+    )
 
 
 @pytest.fixture
--- a/tests/test_promise_bundle.py
+++ b/tests/test_promise_bundle.py
@@ -1,11 +1,9 @@
 """A bundle comes into force everywhere and is never followed by an earlier."""
 
-from functools import partial
-
 import pytest
-from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
+from caller_parts import ADAPTERS, watched_entries
 from nacl.signing import SigningKey
-from promise_parts import Trial, now_iso, small_shape
+from promise_parts import now_iso, start_trial
 
 from emulator.waiting import wait_until
 from wasabicross.bundles import BundlePointer
@@ -18,35 +16,29 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(
-        data_centres=('north', 'south'), proxied=('instance', 'kv')
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north', 'south'),
+        proxied=('instance', 'kv'),
     )
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
 
 
 @pytest.fixture
 def watched(trial):
     """Traffic that watches the bundles that each entry's answers name."""
-    make = partial(any_adapter, tokens=(1, 3))
-    by_entry = [
-        Traffic(trial, 1, make, SEED, [entry]) for entry in trial.dep.entries
-    ]
-    for traffic in by_entry:
-        traffic.__enter__()
-    yield by_entry
-    names = instances(trial)
-    targets = (*names, 'kv')
-    trial.dep.links.heal(
-        *((name, each) for name in names for each in targets if name != each)
-    )
-    for traffic in by_entry:
-        traffic.__exit__()
-    for traffic in by_entry:
-        named = [each.bundle for each in traffic.answers if each.status == 200]
-        assert named == sorted(named)
-        check_answers(trial, traffic.answers)
+    with watched_entries(trial, SEED) as by_entry:
+        yield by_entry
+        names = instances(trial)
+        targets = (*names, 'kv')
+        trial.dep.links.heal(
+            *(
+                (name, each)
+                for name in names
+                for each in targets
+                if name != each
+            )
+        )
 
 
 def roll_next(trial):
--- a/tests/test_promise_fencing.py
+++ b/tests/test_promise_fencing.py
@@ -2,22 +2,21 @@
 
 import pytest
 from caller_parts import ADAPTERS, model_document
-from promise_parts import FAST_ENGINE, Trial, small_shape
+from promise_parts import FAST_ENGINE, start_trial
 
 from emulator.waiting import wait_until
 
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(
+    return start_trial(
+        runner,
+        tmp_path_factory,
         data_centres=('north', 'south'),
         # Fewer slots than adapters, so that both engines load some.
         engine_args=(*FAST_ENGINE, '--slots', '2'),
         further_args={'north': ('--no-fencing',)},
     )
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
 
 
 def loads_at(trial, engine):
--- a/tests/test_promise_leaving.py
+++ b/tests/test_promise_leaving.py
@@ -2,15 +2,18 @@
 
 import pytest
 from caller_parts import ADAPTERS, model_document
-from promise_parts import Trial, small_shape
+from promise_parts import start_trial
 
 
 @pytest.fixture
 def trial(runner, tmp_path_factory):
-    shape = small_shape(data_centres=('north',), instances=2, engines=2)
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north',),
+        instances=2,
+        engines=2,
+    )
 
 
 def call_all(trial):
--- a/tests/test_promise_membership.py
+++ b/tests/test_promise_membership.py
@@ -10,7 +10,7 @@
     check_answers,
     model_document,
 )
-from promise_parts import Trial, small_shape
+from promise_parts import start_trial
 
 from emulator.waiting import wait_until
 
@@ -23,12 +23,14 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(
-        data_centres=('north',), instances=2, engines=2, services=2
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north',),
+        instances=2,
+        engines=2,
+        services=2,
     )
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
 
 
 def log_of(trial, engine, event):
--- a/tests/test_promise_not_run.py
+++ b/tests/test_promise_not_run.py
@@ -6,7 +6,7 @@
 
 import pytest
 from caller_parts import ADAPTERS, model_document
-from promise_parts import Trial, small_shape
+from promise_parts import start_trial
 
 from emulator.deployment import HOST, TENANT_TOKEN
 from emulator.waiting import wait_until
@@ -25,10 +25,12 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(data_centres=('north',), services=2)
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north',),
+        services=2,
+    )
 
 
 @pytest.fixture
--- a/tests/test_promise_operators.py
+++ b/tests/test_promise_operators.py
@@ -2,11 +2,10 @@
 
 import json
 import signal
-from functools import partial
 
 import pytest
-from caller_parts import ADAPTERS, Traffic, any_adapter, check_answers
-from promise_parts import POLICY, Trial, small_shape
+from caller_parts import ADAPTERS, watched_entries
+from promise_parts import POLICY, Trial, start_trial
 
 from emulator.deployment import HOST, OPERATOR_TOKEN
 from emulator.fleet import Program
@@ -36,34 +35,18 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(admins=True)
-    folder = tmp_path_factory.mktemp('cfg')
-    started = OperatedTrial(runner, folder, shape).start()
-    started.wait_in_force(1)
-    return started
+    return start_trial(runner, tmp_path_factory, OperatedTrial, admins=True)
 
 
 @pytest.fixture
 def watched(trial):
     """Traffic that watches the bundles that each entry's answers name."""
-    make = partial(any_adapter, tokens=(1, 3))
-    by_entry = [
-        Traffic(trial, 1, make, SEED, [entry]) for entry in trial.dep.entries
-    ]
-    for traffic in by_entry:
-        traffic.__enter__()
-    yield by_entry
-    trial.fault(trial.dep.kv, slow_ms=0, drop_swaps=0, drop_prefix='')
-    for traffic in by_entry:
-        traffic.wait_for(5)
-    for traffic in by_entry:
-        traffic.__exit__()
-    for traffic, entry in zip(by_entry, trial.dep.entries, strict=True):
-        named = [each.bundle for each in traffic.answers if each.status == 200]
-        assert named == sorted(named)
+    with watched_entries(trial, SEED) as by_entry:
+        yield by_entry
+        trial.fault(trial.dep.kv, slow_ms=0, drop_swaps=0, drop_prefix='')
+    for entry in trial.dep.entries:
         in_force = trial.bundles_at(entry)
         assert in_force == sorted(set(in_force))
-        check_answers(trial, traffic.answers)
 
 
 class Command:
--- a/tests/test_promise_stop.py
+++ b/tests/test_promise_stop.py
@@ -10,7 +10,7 @@
     check_answers,
     model_document,
 )
-from promise_parts import Trial, owner_of, small_shape
+from promise_parts import owner_of, start_trial
 
 from emulator.waiting import wait_until
 
@@ -21,12 +21,14 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(
-        data_centres=('north',), instances=2, engines=2, services=2
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        data_centres=('north',),
+        instances=2,
+        engines=2,
+        services=2,
     )
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
 
 
 class Streams:
--- a/tests/test_promise_version.py
+++ b/tests/test_promise_version.py
@@ -10,7 +10,7 @@
     check_answers,
     model_document,
 )
-from promise_parts import FAST_ENGINE, Trial, small_shape
+from promise_parts import FAST_ENGINE, start_trial
 
 from emulator.waiting import wait_until
 
@@ -19,10 +19,11 @@
 
 @pytest.fixture(scope='module')
 def trial(runner, tmp_path_factory):
-    shape = small_shape(engine_args=(*FAST_ENGINE, '--slots', '8'))
-    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
-    started.wait_in_force(1)
-    return started
+    return start_trial(
+        runner,
+        tmp_path_factory,
+        engine_args=(*FAST_ENGINE, '--slots', '8'),
+    )
 
 
 def roll_next(trial):
