Tell which error a failed load ended with

Cause: event 5022 `load_failed` told the `code` of its error, but only errors of links and of the command line set one; those of orders to engines kept the base's, so the event always said `error`.

Ruled out: a code in each of the forty classes; each would repeat the name.

A second docstring that stood in `BundleNotFound` is gone.

--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -1,5 +1,6 @@
 """Every error that wasabicross raises or returns, rooted in one base."""
 
+import re
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -10,39 +11,34 @@
 class WasabicrossError(Exception):
     """Base of all errors of the package."""
 
-    #: Stable word for machines; subclasses set their own.
+    #: Stable word for machines: the name of the class in small letters, where
+    #: it sets no other.
     code = 'error'
 
+    def __init_subclass__(cls) -> None:
+        words = re.sub('(?<!^)(?=[A-Z])', '_', cls.__name__)
+        cls.code = cls.__dict__.get('code', words.lower())
+
 
 class LinkError(WasabicrossError):
     """Base of the errors between the system's own processes."""
 
-    code = 'link_error'
-
 
 class LinkClosed(LinkError):
     """The link ended before the message was answered."""
 
-    code = 'link_closed'
-
 
 class LinkTimeout(LinkError):
     """No answer came within the time that the sender allowed."""
 
-    code = 'link_timeout'
-
 
 class MessageMalformed(LinkError):
     """The bytes received are not a message of the protocol."""
 
-    code = 'message_malformed'
-
 
 class LinkRefused(LinkError):
     """The other side does not let this process in."""
 
-    code = 'link_refused'
-
 
 class PortUnavailable(WasabicrossError):
     """A port can't be listened on, mostly since another program does.
@@ -52,8 +48,6 @@
     :param reason: as the system tells it.
     """
 
-    code = 'port_unavailable'
-
     def __init__(self, host: str, port: int, reason: str) -> None:
         super().__init__(f'{host}:{port}: {reason}')
         self.host = host
@@ -117,8 +111,6 @@
 class BundleNotFound(BundleUnavailable):
     """The source answered that it does not have the bytes."""
 
-    """The source does not have the bytes, or can't be reached."""
-
 
 class KeyValueError(WasabicrossError):
     """Base of the errors of the key-value service's seam."""
@@ -363,8 +355,6 @@
 class DraftMismatch(AdminClientError):
     """The draft is not what the operator means to sign."""
 
-    code = 'draft_mismatch'
-
 
 class AdminRefused(AdminClientError):
     """The administration API answered with an error.
--- a/tests/test_server_owner.py
+++ b/tests/test_server_owner.py
@@ -2,9 +2,15 @@
 
 import pytest
 from expression import Error
+from loguru import logger
 from owner_parts import LETTER, NEW, OLD, WINDOW, Scene
 
-from wasabicross.exceptions import LoadFailed, OrderRefused
+from wasabicross.exceptions import (
+    LoadFailed,
+    OrderOutcomeUnknown,
+    OrderRefused,
+    SlotsFull,
+)
 from wasabicross.messages import (
     CloseLoad,
     LoadDeclined,
@@ -17,6 +23,20 @@
 NEVER = float('inf')
 
 
+@pytest.fixture
+def events():
+    """What each event told that was logged, the last one of a name."""
+    told = {}
+
+    def take(message):
+        record = message.record
+        told[record['message']] = record['extra'].get('fields')
+
+    sink = logger.add(take)
+    yield told
+    logger.remove(sink)
+
+
 @pytest.fixture
 def scene():
     return Scene()
@@ -146,10 +166,15 @@
 
 
 @pytest.mark.parametrize(
-    ('error', 'declined', 'deposed'),
-    [(LoadFailed('x'), True, False), (OrderRefused(3), False, True)],
+    ('error', 'code', 'declined', 'deposed'),
+    [
+        (LoadFailed('x'), 'load_failed', True, False),
+        (OrderRefused(3), 'order_refused', False, True),
+        (SlotsFull('x'), 'slots_full', False, False),
+        (OrderOutcomeUnknown('x'), 'order_outcome_unknown', False, False),
+    ],
 )
-def test_failed_load(error, declined, deposed):
+def test_failed_load(events, error, code, declined, deposed):
     scene = Scene(loads=())
     scene.engine.answer = Error(error)
     scene.join('a', 0)
@@ -161,6 +186,7 @@
     )
     assert told is declined
     assert scene.owner.deposed.is_set() is deposed
+    assert events['load_failed']['code'] == code
 
 
 @pytest.mark.parametrize(('term', 'deposed'), [(1, False), (3, True)])
