Let errors carry only what is read

Cause: `LeaseLapsed.lease_id` and `AlreadySuperseded.past` were kept for nobody.

Change: they are gone; the messages name both as before.

Result: no use of either in src, emulator or tests. mypy passes, and so do test_rollout, test_kv, test_admin and test_ownership: 238 passed.

--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -150,7 +150,6 @@
 
     def __init__(self, lease_id: str) -> None:
         super().__init__(f'lease {lease_id} has lapsed')
-        self.lease_id = lease_id
 
 
 class LeaseOutcomeUnknown(KeyValueError):
@@ -329,7 +328,6 @@
             f'{past.rolled_at} and has been superseded by bundle '
             f'{winner.number}; prepare again to bring it back',
         )
-        self.past = past
         self.winner = winner
 
 
