Let the test of damping fail without its end

Cause: a server that was up for 130 s between refusals had to be opened from 2 to 10,000 times in 300 s, which it is with any damping.

Change: the test compares how long the server is shut out each time.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -102,20 +102,24 @@
     assert 'a' in membership.usable(SERVERS, 2.6)
 
 
-@pytest.mark.parametrize(('pause_s', 'most_open'), [(0.5, 15), (130, 10_000)])
-def test_flapping_is_damped(pause_s, most_open):
+@pytest.mark.parametrize(
+    ('pause_s', 'shut_out_s'),
+    [(0.5, [1, 2, 4, 8, 16, 30, 30]), (65, [1, 1, 1]), (55, [1, 2, 4])],
+)
+def test_flapping_is_damped(pause_s, shut_out_s):
     """A server up for `pause_s` between refusals is probed less and less."""
     membership = listed()
-    now_s, opened = 0.0, 0
-    while now_s < 300:
-        membership.on_failure('a', REFUSED, now_s)
+    now_s, found_s = 0.0, []
+    for _ in shut_out_s:
+        refused_s = now_s
+        membership.on_failure('a', REFUSED, refused_s)
         while membership.state('a', now_s) is ServerState.suspect:
             now_s += 0.25
-        opened += 1
+        found_s.append(now_s - refused_s)
         membership.on_success('a', now_s)
         membership.on_success('a', now_s)
         now_s += pause_s
-    assert 2 <= opened <= most_open
+    assert found_s == shut_out_s
 
 
 @pytest.mark.parametrize(
