Say units, parameters and errors where public functions left them out

Change: the missing `:param` lines, and the errors of `read_document`.

Left: commands of `click`, whose parameters their options tell, and functions that answer a protocol which tells them.

--- a/src/wasabicross/engine_answers.py
+++ b/src/wasabicross/engine_answers.py
@@ -113,7 +113,13 @@
     answer: Answer,
     model: type[_Document],
 ) -> Result[_Document, OrderError]:
-    """Read an answer as a document of the given model."""
+    """Read an answer as a document of the given model.
+
+    Errors: OrderOutcomeUnknown, EngineAnswerMalformed.
+
+    :param answer: the answer.
+    :param model: what the document has to be.
+    """
     try:
         return Ok(model.model_validate_json(answer.read()))
     except AnswerCut as exc:
--- a/src/wasabicross/held_loads.py
+++ b/src/wasabicross/held_loads.py
@@ -45,7 +45,12 @@
         self.drained = set()
 
     def used(self, source: str, running: int, now_s: float) -> None:
-        """Note how many requests an entry runs on it."""
+        """Note how many requests an entry runs on it.
+
+        :param source: the entry.
+        :param running: how many.
+        :param now_s: monotonic seconds.
+        """
         self._uses[source] = _Use(running, now_s)
 
     def running(self, now_s: float) -> int:
@@ -171,7 +176,11 @@
         return [held for held in self.all() if held.drained is not None]
 
     def opened_of(self, adapter: str, version: str) -> list[str]:
-        """Return the names of the open loads of an adapter version."""
+        """Return the names of the open loads of an adapter version.
+
+        :param adapter: name of the adapter.
+        :param version: its version.
+        """
         return [
             str(held.name)
             for held in self.all()
@@ -195,7 +204,11 @@
                 self._popularity.add(held.name.adapter, now_s, use.started)
 
     def drained(self, instance_id: str, load_name: str) -> None:
-        """Note an instance's consent to evict a load."""
+        """Note an instance's consent to evict a load.
+
+        :param instance_id: who consents.
+        :param load_name: name of the load.
+        """
         with self._lock:
             held = self._loads.get(load_name)
             if held is not None and held.drained is not None:
--- a/src/wasabicross/load_backoff.py
+++ b/src/wasabicross/load_backoff.py
@@ -45,7 +45,12 @@
         self._failures: dict[Hashable, _Failures] = {}
 
     def add_failure(self, key: Hashable, server_id: str, now_s: float) -> None:
-        """Count a load that failed on a server."""
+        """Count a load that failed on a server.
+
+        :param key: what was to be loaded.
+        :param server_id: where it failed.
+        :param now_s: monotonic seconds.
+        """
         known = self._failures.pop(key, None)
         if known is None or now_s - known.last_s > _FORGET_S:
             known = _Failures(0, (), now_s, now_s)
@@ -62,11 +67,18 @@
         )
 
     def forget(self, key: Hashable) -> None:
-        """Forget the failures of a load that has succeeded."""
+        """Forget the failures of a load that has succeeded.
+
+        :param key: what was loaded.
+        """
         self._failures.pop(key, None)
 
     def is_ready(self, key: Hashable, now_s: float) -> bool:
-        """Tell whether the load may be tried now."""
+        """Tell whether the load may be tried now.
+
+        :param key: what is to be loaded.
+        :param now_s: monotonic seconds.
+        """
         known = self._failures.get(key)
         return known is None or now_s >= known.ready_s
 
@@ -75,7 +87,11 @@
         key: Hashable,
         servers: Sequence[str],
     ) -> tuple[str, ...]:
-        """Put the servers where the load failed last, the latest at the end."""
+        """Put the servers where the load failed last, the latest at the end.
+
+        :param key: what is to be loaded.
+        :param servers: ids of the servers.
+        """
         known = self._failures.get(key)
         failed = known.servers if known else ()
         return tuple(
--- a/src/wasabicross/load_budget.py
+++ b/src/wasabicross/load_budget.py
@@ -113,6 +113,7 @@
     ) -> None:
         """Replace what one process says of its requests that wait for a load.
 
+        :param key: what is to be loaded.
         :param source: the process.
         :param waiting: requests that wait; 0 when none does any more.
         :param since_s: monotonic time since which the first has waited.
@@ -136,6 +137,7 @@
     def set_prefetch(self, key: LoadKey, rate: float) -> None:
         """Ask for a load that no request waits for.
 
+        :param key: what is to be loaded.
         :param rate: requests a second expected for it; 0 withdraws it.
         """
         with self._lock:
@@ -171,8 +173,10 @@
     ) -> None:
         """End a load; a failed one may be tried again after a delay, elsewhere.
 
+        :param permit: the permit that was granted.
         :param server_id: the server that was to load it.
         :param loaded: whether the server has it now.
+        :param now_s: monotonic seconds.
         """
         with self._lock:
             if self._permits.get(permit.key) == permit:
--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -17,13 +17,28 @@
     """Where permits to load from the weight store are had."""
 
     def request(self, server_id: str, want: WantLoad, since_s: float) -> None:
-        """Ask for a permit; `ServerOwner.permitted` is called with it."""
+        """Ask for a permit; `ServerOwner.permitted` is called with it.
+
+        :param server_id: id of the engine.
+        :param want: what is to be loaded.
+        :param since_s: monotonic time since which requests wait.
+        """
 
     def give_back(self, server_id: str, want: WantLoad, loaded: bool) -> None:
-        """Give the permit back once the load has ended."""
+        """Give the permit back once the load has ended.
+
+        :param server_id: id of the engine.
+        :param want: what was to be loaded.
+        :param loaded: whether the engine has it now.
+        """
 
     def return_unused(self, server_id: str, adapter: str, version: str) -> None:
-        """Give a permit back that nothing waits for any more."""
+        """Give a permit back that nothing waits for any more.
+
+        :param server_id: id of the engine.
+        :param adapter: name of the adapter.
+        :param version: its version.
+        """
 
 
 class Wanted(NamedTuple):
@@ -104,7 +119,11 @@
             )
 
     def permitted(self, adapter: str, version: str) -> None:
-        """Take a permit, or give it back where nothing waits any more."""
+        """Take a permit, or give it back where nothing waits any more.
+
+        :param adapter: name of the adapter.
+        :param version: its version.
+        """
         with self._lock:
             is_wanted = (adapter, version) in self._wants
             if is_wanted:
@@ -142,5 +161,9 @@
             self.permits.return_unused(self._server_id, *version)
 
     def give_back(self, wanted: Wanted, loaded: bool) -> None:
-        """Give a permit back once its load has ended."""
+        """Give a permit back once its load has ended.
+
+        :param wanted: what was to be loaded.
+        :param loaded: whether the engine has it now.
+        """
         self.permits.give_back(self._server_id, wanted.want, loaded)
--- a/src/wasabicross/membership.py
+++ b/src/wasabicross/membership.py
@@ -54,6 +54,7 @@
 
         :param live: ids of the servers listed as live.
         :param leaving: ids of the servers listed as leaving.
+        :param now_s: monotonic seconds.
         """
         with self._lock:
             departing = frozenset(leaving)
@@ -66,21 +67,33 @@
                     self._miss(server_id, health)
 
     def on_leaving(self, server_id: str, now_s: float) -> None:
-        """Take in a server's own word that it is leaving."""
+        """Take in a server's own word that it is leaving.
+
+        :param server_id: id of the server.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             health = self._servers.get(server_id)
             if health:
                 health.on_own_leaving(now_s)
 
     def on_start(self, server_id: str, now_s: float) -> None:
-        """Note that a request was sent to a server."""
+        """Note that a request was sent to a server.
+
+        :param server_id: id of the server.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             health = self._servers.get(server_id)
             if health:
                 health.on_start(now_s)
 
     def on_success(self, server_id: str, now_s: float) -> None:
-        """Note that a server answered."""
+        """Note that a server answered.
+
+        :param server_id: id of the server.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             health = self._servers.get(server_id)
             if health:
@@ -92,7 +105,12 @@
         failure: Failure,
         now_s: float,
     ) -> None:
-        """Note that a connection to a server failed."""
+        """Note that a connection to a server failed.
+
+        :param server_id: id of the server.
+        :param failure: how it failed.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             health = self._servers.get(server_id)
             if health:
@@ -108,6 +126,11 @@
         """Take in what another process sees of a server.
 
         It never shuts a server out here, it only tells a link from a server.
+
+        :param server_id: id of the server.
+        :param process: who tells it.
+        :param reachable: whether that process has reached the server.
+        :param now_s: monotonic seconds.
         """
         with self._lock:
             if self._servers.get(server_id):
@@ -115,7 +138,11 @@
                 words[process] = (reachable, now_s)
 
     def state(self, server_id: str, now_s: float) -> ServerState:
-        """Tell what is concluded of a server."""
+        """Tell what is concluded of a server.
+
+        :param server_id: id of the server.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             health = self._servers.get(server_id)
             return health.state(now_s) if health else ServerState.gone
@@ -127,6 +154,7 @@
         the ones that failed least are used all the same.
 
         :param servers: ids of the servers of one group.
+        :param now_s: monotonic seconds.
         """
         with self._lock:
             states = {each: self._state(each, now_s) for each in servers}
@@ -152,6 +180,9 @@
         others, one that another process has reached since is not. Otherwise
         it is if it left the list, refuses connections, or no other process
         that spoke since reaches it either.
+
+        :param server_id: id of the server.
+        :param now_s: monotonic seconds.
         """
         with self._lock:
             health = self._servers.get(server_id)
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -233,13 +233,23 @@
     def want(
         self, server_id: str, want: WantLoad, asker: Link, now_s: float
     ) -> None:
-        """Pass a want on to the owner of its server, if that is here."""
+        """Pass a want on to the owner of its server, if that is here.
+
+        :param server_id: id of the engine.
+        :param want: what is wanted.
+        :param asker: link to the instance whose entries wait.
+        :param now_s: monotonic seconds.
+        """
         owner = self.get(server_id)
         if owner is not None:
             owner.want(want, asker, now_s)
 
     def used(self, told: LoadUses, now_s: float) -> None:
-        """Pass on how an entry uses loads."""
+        """Pass on how an entry uses loads.
+
+        :param told: the uses of one entry.
+        :param now_s: monotonic seconds.
+        """
         for use in told.uses:
             owner = self.of_load(use.load_name)
             if owner is not None:
--- a/src/wasabicross/placement.py
+++ b/src/wasabicross/placement.py
@@ -36,7 +36,10 @@
     Loads that run a request or are new are kept. Of the others goes the one
     with the lowest decayed rate for each copy.
 
+    :param loads: what the slots hold.
     :param now_s: monotonic time in seconds.
+    :param popularity: the rates of the adapters.
+    :param weights: of the routing policy.
     :param displacing: adapter that would take the slot without a waiting
         request, as a prefetch or further copy. Its sustained rate must exceed
         the victim's clearly, so that no burst displaces an adapter in use.
--- a/src/wasabicross/placing.py
+++ b/src/wasabicross/placing.py
@@ -28,7 +28,11 @@
         self._declined: dict[tuple[str, str, str], float] = {}
 
     def note(self, want: WantLoad, now_s: float) -> None:
-        """Remember a want, to place it again if it is declined."""
+        """Remember a want, to place it again if it is declined.
+
+        :param want: what is wanted.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             self._pending[want.adapter, want.version] = _Pending(want, now_s)
 
--- a/src/wasabicross/popularity.py
+++ b/src/wasabicross/popularity.py
@@ -55,7 +55,12 @@
         return len(self._counts)
 
     def add(self, adapter: str, now_s: float, count: float = 1) -> None:
-        """Count requests for an adapter."""
+        """Count requests for an adapter.
+
+        :param adapter: name of the adapter.
+        :param now_s: monotonic seconds.
+        :param count: how many requests.
+        """
         with self._lock:
             known = self._counts.get(adapter)
             if known is None and len(self._counts) >= self._max_adapters:
@@ -68,16 +73,28 @@
             )
 
     def rate(self, adapter: str, now_s: float) -> float:
-        """Estimate the requests a second, a weighted mean of both scales."""
+        """Estimate the requests a second, a weighted mean of both scales.
+
+        :param adapter: name of the adapter.
+        :param now_s: monotonic seconds.
+        """
         return self._rate(self._counts.get(adapter), now_s)
 
     def sustained_rate(self, adapter: str, now_s: float) -> float:
-        """Estimate the requests a second on the slow scale alone."""
+        """Estimate the requests a second on the slow scale alone.
+
+        :param adapter: name of the adapter.
+        :param now_s: monotonic seconds.
+        """
         counts = self._decayed(self._counts.get(adapter), now_s)
         return counts.slow * self._slow_decay
 
     def hottest(self, limit: int, now_s: float) -> tuple[str, ...]:
-        """Name the adapters with the highest rates, the hottest first."""
+        """Name the adapters with the highest rates, the hottest first.
+
+        :param limit: how many adapters at most.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             counts = list(self._counts.items())
         counts.sort(key=lambda pair: -self._rate(pair[1], now_s))
--- a/src/wasabicross/rendezvous.py
+++ b/src/wasabicross/rendezvous.py
@@ -34,6 +34,8 @@
 
     Each server that comes or goes leaves the order of the others as it is.
 
+    :param adapter: name of the adapter.
+    :param version: its version.
     :param servers: ids of the servers.
     """
     return tuple(
--- a/src/wasabicross/retries.py
+++ b/src/wasabicross/retries.py
@@ -83,6 +83,8 @@
 
     A request of which the caller has seen a part would be told in two
     versions. One that may have run is repeated only if it is idempotent.
+
+    :param attempt: the last attempt.
     """
     if attempt.bytes_sent or attempt.deadline_s <= 0:
         return False
@@ -101,7 +103,9 @@
     A retry is taken from the budget where the answer is not empty. No server
     that has been sent the request gets it again.
 
+    :param attempt: the last attempt.
     :param candidates: ids of the servers that could run the request.
+    :param budget: pays for the retry.
     """
     if not may_retry(attempt):
         return ()
--- a/src/wasabicross/server_health.py
+++ b/src/wasabicross/server_health.py
@@ -74,7 +74,11 @@
         self._own_leaving_s = -math.inf
 
     def on_listed(self, leaving: bool, now_s: float) -> None:
-        """Take in what the list says of the server."""
+        """Take in what the list says of the server.
+
+        :param leaving: whether the list shows it as leaving.
+        :param now_s: monotonic seconds.
+        """
         self.missing_lists = 0
         if self._listed_leaving and not leaving:
             # A server that has come back may hold nothing of what it held.
@@ -104,6 +108,9 @@
 
         A refused one shows at once that the process is gone, the others are
         counted.
+
+        :param failure: how it failed.
+        :param now_s: monotonic seconds.
         """
         calm_s = max(0, now_s - self.last_failure_s)
         self.last_failure = failure
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -132,12 +132,21 @@
         self._wake.set()
 
     def permitted(self, adapter: str, version: str) -> None:
-        """Take a permit to load an adapter version."""
+        """Take a permit to load an adapter version.
+
+        :param adapter: name of the adapter.
+        :param version: its version.
+        """
         self.queue.permitted(adapter, version)
         self._wake.set()
 
     def used(self, source: str, use: LoadUse, now_s: float) -> None:
-        """Note how an entry uses a load."""
+        """Note how an entry uses a load.
+
+        :param source: the entry.
+        :param use: requests started lately and running now.
+        :param now_s: monotonic seconds.
+        """
         self.held.used(source, use, now_s)
 
     def missing(self) -> None:
@@ -164,12 +173,19 @@
             self._wake.set()
 
     def drained(self, instance_id: str, load_name: str) -> None:
-        """Take an instance's consent to evict a load."""
+        """Take an instance's consent to evict a load.
+
+        :param instance_id: who consents.
+        :param load_name: name of the load.
+        """
         self.held.drained(instance_id, load_name)
         self._wake.set()
 
     def refused(self, known: ServerTerm) -> None:
-        """Learn from a refused consent that a later owner exists."""
+        """Learn from a refused consent that a later owner exists.
+
+        :param known: the term that the refusal names.
+        """
         if known.term > self.server.term:
             self.deposed.set()
             self._wake.set()
--- a/src/wasabicross/subscribers.py
+++ b/src/wasabicross/subscribers.py
@@ -64,7 +64,11 @@
             subscriber.link = link
 
     def left(self, link: Link, now_s: float) -> None:
-        """Note that a link has ended; the instance may still use loads."""
+        """Note that a link has ended; the instance may still use loads.
+
+        :param link: the link.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             subscriber = self._known.get(link.peer.instance_id)
             if subscriber is not None and subscriber.link is link:
@@ -93,7 +97,11 @@
                 self._ensure(instance_id, self._data_centre, now_s)
 
     def granted(self, instance_id: str, now_s: float) -> None:
-        """Note that a use was granted, before the grant is answered."""
+        """Note that a use was granted, before the grant is answered.
+
+        :param instance_id: whose use it is.
+        :param now_s: monotonic seconds.
+        """
         with self._lock:
             subscriber = self._known.get(instance_id)
             if subscriber is not None:
