--- a/src/wasabicross/server_watch.py
+++ b/src/wasabicross/server_watch.py
@@ -5,8 +5,8 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
 
+from wasabicross.engine_reports import EngineReports, own_slots
 from wasabicross.events import Event
 from wasabicross.exceptions import (
     DispatchError,
@@ -23,19 +23,9 @@
 from wasabicross.suspects import Clearance, Suspects
 from wasabicross.trials import Trials
 
-DEFAULT_BATCH_SIZE = 16
-MAX_REPORT_AGE_S = 5.0
 LEAVING = 'leaving'
 
 
-class _Report(NamedTuple):
-    load: ServerLoad
-    true_s: float
-
-
-NO_REPORT = _Report(ServerLoad('', 0, 0, 0, 0, 0), float('-inf'))
-
-
 class Ending(enum.Enum):
     """How an exchange with a backend server ended."""
 
@@ -66,7 +56,7 @@
         self._lock = threading.Lock()
         self._outstanding: Counter[str] = Counter()
         self._servers: dict[str, ServerInfo] = {}
-        self._loads: dict[str, _Report] = {}
+        self._reports = EngineReports()
 
     def follow(self, servers: Iterable[ServerInfo], now_s: float) -> None:
         """Take in the servers that the list shows.
@@ -110,8 +100,7 @@
         :param loads: one for each engine.
         :param now_s: monotonic seconds.
         """
-        for load in loads:
-            self._loads[load.server_id] = _Report(load, now_s - load.age_s)
+        self._reports.add(loads, now_s)
 
     def holder(
         self, server: ServerInfo, load_name: str, now_s: float
@@ -122,17 +111,8 @@
         :param load_name: the load that it holds.
         :param now_s: monotonic seconds.
         """
-        report = self._loads.get(server.server_id, NO_REPORT)
-        return Holder(
-            server.server_id,
-            server.data_centre,
-            load_name,
-            self.outstanding(server.server_id),
-            report.load.running,
-            report.load.waiting,
-            report.load.batch_size or DEFAULT_BATCH_SIZE,
-            now_s - report.true_s,
-        )
+        outstanding = self.outstanding(server.server_id)
+        return self._reports.holder(server, load_name, outstanding, now_s)
 
     def outstanding(self, server_id: str) -> int:
         """Return how many requests of this process are under way there."""
@@ -141,9 +121,6 @@
     def slots(self, now_s: float) -> int:
         """Estimate how many requests the engines run at a time for this entry.
 
-        Of each engine's batch it is the share that this process has of the
-        requests there; one more counts, so that a share can grow.
-
         :param now_s: monotonic seconds.
         """
         groups = {
@@ -153,7 +130,7 @@
         }
         return round(
             sum(
-                _own_slots(engine)
+                own_slots(engine)
                 for group in groups
                 for engine in self.engines(group, now_s)
             )
@@ -306,11 +283,3 @@
         if server is None:
             return Failure.refused
         return probe((server.host, server.port), load_name)
-
-
-def _own_slots(engine: Holder) -> float:
-    reported = engine.reported_running + engine.reported_waiting
-    if engine.report_age_s > MAX_REPORT_AGE_S:
-        reported = 0
-    of_all = max(reported, engine.outstanding)
-    return engine.batch_size * (engine.outstanding + 1) / (of_all + 1)
