Tell a newly linked peer which requests crash servers

Cause: records of suspects went to the peers linked at that moment alone. An instance that was cut off or down as a crasher was found, or was replaced later, knew nothing of it, and a controller that was replaced heard nothing anew from its entry. Such an instance lost two engines more to the same request. Ruled out: the trial's permits, which don't outlast the trial; the entry, which is told all by its own controller. Change: a controller tells all it knows on each link that it dials, an entry all it knows to each controller that it dials. Before: 4 of 4 cases of test_promise_crasher_known failed, those looked at with two engines lost; after: 4 of 4 pass, twice. test_promise_crasher, test_trials, test_trial_desk, test_suspects, test_server_watch and test_links pass.

--- a/src/wasabicross/controller.py
+++ b/src/wasabicross/controller.py
@@ -207,6 +207,14 @@
             for peer in self.peers.linked():
                 peer.send(told)
 
+    def known_suspects(self, now_s: float) -> msg.SuspectRecords:
+        """Return all that is known of requests that crash servers.
+
+        :param now_s: monotonic seconds.
+        """
+        _, records = self.suspects.records_since(0, now_s)
+        return msg.SuspectRecords(list(records))
+
     def _forget_after_pause(self) -> None:
         """Own nothing and know no open load until told anew."""
         log_event(Event.PAUSE_NOTICED)
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -32,10 +32,11 @@
         self._handle(message, link, call_id)
 
     def peer_linked(self, link: Link, peer: Instance) -> None:
-        """Offer the bundle in force, in case the peer has none as late."""
+        """Tell what the peer may have missed: bundle, crashers, losses."""
         offered = self._ctl.follower.offered()
         if offered is not None:
             link.send(offered)
+        link.send(self._ctl.known_suspects(time.monotonic()))
         self._ctl.tell_recent_losses(link)
 
     def peer_renewed(
--- a/src/wasabicross/entry_link.py
+++ b/src/wasabicross/entry_link.py
@@ -111,6 +111,8 @@
                 self._stop.wait(RETRY_S)
                 continue
             self._link = dialled.ok
+            # A controller that was replaced has heard of none.
+            self._suspects_told = 0
             log_event(Event.CONTROLLER_LINKED)
             self._tell_bundle()
             dialled.ok.run(self)
--- /dev/null
+++ b/tests/test_promise_crasher_known.py
@@ -0,0 +1,151 @@
+"""A crasher that was found costs nothing where it wasn't known yet."""
+
+from functools import partial
+
+import pytest
+from caller_parts import ADAPTERS
+from promise_parts import FAST_ENGINE, Trial, small_shape
+
+from emulator.waiting import wait_until
+
+MARKER = 'crash-this-engine'
+
+
+@pytest.fixture(scope='module')
+def trial(runner, tmp_path_factory):
+    shape = small_shape(
+        data_centres=('north', 'south'),
+        engines=2,
+        engine_args=(*FAST_ENGINE, '--crash-marker', MARKER),
+        proxied=('instance',),
+    )
+    started = Trial(runner, tmp_path_factory.mktemp('cfg'), shape).start()
+    started.wait_in_force(1)
+    return started
+
+
+def crasher(text):
+    return {
+        'model': ADAPTERS[0],
+        'max_tokens': 4,
+        'stream': False,
+        'messages': [{'role': 'user', 'content': f'{MARKER} {text}'}],
+    }
+
+
+def restart_engines(trial):
+    """Restart the engines that were lost; return their names."""
+    running = trial.runner.running()
+    lost = [each.name for each in trial.dep.engines if each.name not in running]
+    for name in lost:
+        trial.runner.restart(name)
+    return lost
+
+
+def convict(trial, entry, text):
+    """Send a crasher to one entry until it is refused for good."""
+
+    def refused():
+        answer = trial.call(entry, crasher(text))
+        restart_engines(trial)
+        return answer.status == 422
+
+    wait_until(refused, 40, f'{text} refused')
+
+
+def links(trial):
+    north, south = (place.name for place in trial.dep.controllers)
+    return (north, south), (south, north)
+
+
+def cut_off(trial):
+    trial.dep.links.cut(*links(trial))
+
+
+def heal(trial):
+    trial.dep.links.heal(*links(trial))
+
+
+def instance_of_south(trial):
+    controller, entry = trial.dep.controllers[1], trial.dep.entries[1]
+    return controller.name, entry.name
+
+
+def kill(trial):
+    for name in instance_of_south(trial):
+        trial.runner.kill(name)
+
+
+def restart(trial):
+    for name in instance_of_south(trial):
+        trial.runner.restart(name)
+
+
+def replace(trial):
+    kill(trial)
+    restart(trial)
+
+
+def nothing(trial):
+    """Leave all as it is."""
+
+
+def runs_requests(trial):
+    return trial.call(trial.dep.entries[1], {'model': ADAPTERS[1]}).completed
+
+
+def sees_south(trial):
+    """Tell whether the link from north to south stands."""
+    north, south = (place.name for place in trial.dep.controllers)
+    lines = trial.runner.log_path(north).read_text().splitlines()
+    told = [
+        'peer_linked' in line
+        for line in lines
+        if 'peer_' in line and south in line
+    ]
+    return bool(told) and told[-1]
+
+
+def wait_joined(trial):
+    """Wait until south has joined north, and what came first has arrived."""
+    south = trial.dep.entries[1]
+    wait_until(partial(trial.is_ready, south), 20, 'south ready')
+    wait_until(partial(runs_requests, trial), 20, 'requests at south')
+    wait_until(partial(sees_south, trial), 20, 'link to south')
+    trial.wait_in_force(trial.roll(dict.fromkeys(ADAPTERS, '1')))
+
+
+@pytest.mark.parametrize(
+    ('before', 'after'),
+    [(cut_off, heal), (kill, restart), (nothing, replace)],
+    ids=['cut-off', 'down-meanwhile', 'replaced-later'],
+)
+def test_found_elsewhere(trial, before, after, request):
+    """South wasn't in sight, or was replaced, as north found the crasher."""
+    text = request.node.callspec.id
+    north, south = trial.dep.entries
+    before(trial)
+    convict(trial, north, text)
+    after(trial)
+    wait_joined(trial)
+    answer = trial.call(south, crasher(text))
+    assert restart_engines(trial) == []
+    assert answer.status == 422
+
+
+def test_found_before_its_controller_was_replaced(trial):
+    """The controller hears from its entry what that has found."""
+    north, _ = trial.dep.entries
+    convict(trial, north, 'controller')
+    both = [place.name for place in trial.dep.controllers]
+    for name in both:
+        trial.runner.kill(name)
+    for name in both:
+        trial.runner.restart(name)
+    wait_joined(trial)
+    trial.runner.kill(trial.dep.entries[1].name)
+    trial.runner.restart(trial.dep.entries[1].name)
+    wait_joined(trial)
+    answer = trial.call(trial.dep.entries[1], crasher('controller'))
+    assert restart_engines(trial) == []
+    assert answer.status == 422
