Send a request that crashes engines in each chaos run

Cause: crashers were none of the chaos runs' faults. Change: each run sends one, up to four copies at one moment and then again and again among its faults, until every entry refuses it; engines that it ends are started again, as a platform does, and their output keeps their last log. Checked: engines lost are at most one for each life of an entry and a trial, with one more trial for each cut between instances; the crasher is found by all entries in the end, never answered and never told not run after it ran; no other request is taken for it; each request beside it is told its end, unless its entry was ended. Its choices come from a generator of their own. Two engines in each data centre, so that innocents have one to go to.

--- a/emulator/chaos.py
+++ b/emulator/chaos.py
@@ -10,15 +10,29 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from http import HTTPStatus
 from itertools import pairwise
 from typing import NamedTuple
 
 import click
 
 from emulator.backend_control import BackendControl
-from emulator.chaos_callers import Callers
-from emulator.chaos_checks import Evidence, completed, violations
+from emulator.chaos_callers import Callers, Got
+from emulator.chaos_checks import (
+    Evidence,
+    beside_crashes,
+    completed,
+    violations,
+)
+from emulator.chaos_crashers import (
+    FOUND_S,
+    MARKER,
+    Crash,
+    Crasher,
+    Restarter,
+)
 from emulator.chaos_faults import ChaosFaults
 from emulator.deployment import Deployment
 from emulator.fleet import ProgramFailed, Runner
@@ -31,6 +45,19 @@
 RECOVERY_S = 40
 
 
+class Crashes(NamedTuple):
+    """What a request that crashes engines has cost.
+
+    :param lost: engines that it crashed.
+    :param allowed: how many it may.
+    :param beside: what other requests that it hit were told, in a word each.
+    """
+
+    lost: int
+    allowed: int
+    beside: Counter[str]
+
+
 class Verdict(NamedTuple):
     """How one run ended.
 
@@ -38,6 +65,7 @@
     :param faults: the faults, in order.
     :param sent: requests sent.
     :param whole: requests answered whole.
+    :param crashes: what the crasher cost.
     :param broken: promises that were broken.
     """
 
@@ -45,6 +73,7 @@
     faults: list[str]
     sent: int
     whole: int
+    crashes: Crashes
     broken: list[str]
 
 
@@ -56,6 +85,7 @@
     fencing = rng.choice(('--fencing', '--no-fencing'))
     return Shape(
         admins=False,
+        engines=2,
         engine_args=(
             '--token-ms',
             '3',
@@ -64,6 +94,8 @@
             '--slots',
             '3',
             fencing,
+            '--crash-marker',
+            MARKER,
         ),
         proxied=('instance', 'kv'),
         weight_args=('--loads-per-s', '1000', '--load-ms', '20'),
@@ -107,15 +139,51 @@
     run = ChaosFaults(deployment, rng)
     run.roll()
     callers = Callers(deployment.entries, seed, streams=6, orders=2)
+    # Choices of its own, so that they change none of the others.
+    crash_rng = random.Random(f'{seed}/crash')  # noqa: S311
+    crasher = Crasher(deployment, crash_rng)
+    restarter = Restarter(deployment, crash_rng)
+    restarter.start()
     callers.start()
+    crash_step = crash_rng.randrange(FAULTS_A_RUN)
     faults = []
-    for _ in range(FAULTS_A_RUN):
+    for step in range(FAULTS_A_RUN):
         time.sleep(rng.uniform(0.1, 0.6))
+        if step == crash_step:
+            faults.append(crasher.start())
         faults.append(run.inject())
     run.heal()
-    recovered = _recovers(callers)
-    got = callers.stop()
-    evidence = Evidence(
+    broken = run.broken
+    if not crasher.stop():
+        broken.append(f'crasher not found {FOUND_S} s after')
+    if not _recovers(callers):
+        broken.append(f'no {ANSWERS_AFTER} answers {RECOVERY_S} s after')
+    evidence = _evidence(run, callers.stop(), crasher.got, restarter.stop())
+    broken.extend(violations(evidence))
+    return Verdict(
+        seed,
+        faults,
+        len(evidence.got),
+        len(completed(evidence.got)),
+        Crashes(
+            len(evidence.crashes),
+            evidence.max_crashes,
+            Counter(_told(got) for got in beside_crashes(evidence)),
+        ),
+        broken,
+    )
+
+
+def _evidence(
+    run: ChaosFaults,
+    got: list[Got],
+    crasher_got: list[Got],
+    crashes: list[Crash],
+) -> Evidence:
+    deployment = run.deployment
+    entries = {place.name for place in deployment.entries}
+    lives = len(entries) + sum(len(run.starts[name]) for name in entries)
+    return Evidence(
         got,
         {
             engine.name: BackendControl(engine.port).describe()
@@ -130,11 +198,19 @@
             name: _bundles_of(deployment.runner.log_path(name), starts)
             for name, starts in run.starts.items()
         },
+        crasher_got,
+        crashes,
+        # The first of each entry's life, and a trial on each side of a cut.
+        lives + 1 + run.cuts,
+        frozenset(name for name in entries if run.starts[name]),
     )
-    broken = [*run.broken, *violations(evidence)]
-    if not recovered:
-        broken.append(f'no {ANSWERS_AFTER} answers {RECOVERY_S} s after')
-    return Verdict(seed, faults, len(got), len(completed(got)), broken)
+
+
+def _told(got: Got) -> str:
+    """Return what the caller of a request was told, in a word."""
+    if got.status != HTTPStatus.OK:
+        return got.outcome or 'nothing'
+    return 'whole' if got.is_whole else 'cut'
 
 
 def _bundles_of(path: pathlib.Path, starts: list[int]) -> list[int]:
@@ -181,6 +257,8 @@
                 f'seed {verdict.seed}: {verdict.whole} of {verdict.sent} '
                 f'answered whole; {"; ".join(verdict.faults)}',
             )
+            lost, allowed, beside = verdict.crashes
+            click.echo(f'  crashed {lost} of {allowed}, beside: {dict(beside)}')
             for broken in verdict.broken:
                 click.echo(f'  BROKEN {broken}')
             if verdict.broken:
--- a/emulator/chaos_callers.py
+++ b/emulator/chaos_callers.py
@@ -29,6 +29,7 @@
     :param headers: header fields of the answer.
     :param body: what came of the body.
     :param is_whole: whether the body ended as HTTP says that it should.
+    :param entry: name of the entry that it was sent to.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     headers: dict[str, str]
     body: bytes
     is_whole: bool
+    entry: str = ''
 
     @property
     def outcome(self) -> str:
@@ -125,22 +127,33 @@
     def _send(
         self, rng: random.Random, got: Got, path: str, document: Any
     ) -> Got:
-        headers = {
-            'Authorization': f'Bearer {TENANT_TOKEN}',
-            'Content-Type': 'application/json',
-            'X-Request-Id': got.request_id,
-            **({'Idempotency-Key': got.key} if got.key else {}),
-        }
-        port = rng.choice(self._entries).port
-        conn = HTTPConnection(HOST, port, timeout=TIMEOUT_S)
-        try:
-            conn.request('POST', path, json.dumps(document), headers)
-            resp = conn.getresponse()
-            got = got._replace(status=resp.status, headers=dict(resp.headers))
-            return got._replace(body=resp.read(), is_whole=True)
-        except IncompleteRead as exc:
-            return got._replace(body=exc.partial)
-        except (OSError, HTTPException):
-            return got
-        finally:
-            conn.close()
+        return send(rng.choice(self._entries), got, path, document)
+
+
+def send(entry: Place, got: Got, path: str, document: Any) -> Got:
+    """Send a request and read its answer.
+
+    :param entry: where it is sent.
+    :param got: names the request.
+    :param path: its path.
+    :param document: its body.
+    """
+    got = got._replace(entry=entry.name)
+    headers = {
+        'Authorization': f'Bearer {TENANT_TOKEN}',
+        'Content-Type': 'application/json',
+        'X-Request-Id': got.request_id,
+        **({'Idempotency-Key': got.key} if got.key else {}),
+    }
+    conn = HTTPConnection(HOST, entry.port, timeout=TIMEOUT_S)
+    try:
+        conn.request('POST', path, json.dumps(document), headers)
+        resp = conn.getresponse()
+        got = got._replace(status=resp.status, headers=dict(resp.headers))
+        return got._replace(body=resp.read(), is_whole=True)
+    except IncompleteRead as exc:
+        return got._replace(body=exc.partial)
+    except (OSError, HTTPException):
+        return got
+    finally:
+        conn.close()
--- a/emulator/chaos_checks.py
+++ b/emulator/chaos_checks.py
@@ -2,11 +2,13 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from itertools import pairwise
 from typing import Any, NamedTuple
 
 from emulator.chaos_callers import Got
+from emulator.chaos_crashers import Crash
+from wasabicross.replies import CRASHES_SERVERS
 
 END_MARK = b'data: [DONE]\n\n'
 
@@ -20,6 +22,10 @@
     :param versions: adapter versions of each bundle, by its number.
     :param in_force: bundles that each program put in force, in order, and 0
         for each of its starts.
+    :param crasher_got: what the caller of the crashing request got.
+    :param crashes: engines that it crashed.
+    :param max_crashes: how many it may crash.
+    :param restarted: entries that were ended during the run.
     """
 
     got: list[Got]
@@ -27,6 +33,10 @@
     services: Mapping[str, dict[str, Any]]
     versions: Mapping[int, Mapping[str, str]]
     in_force: Mapping[str, list[int]]
+    crasher_got: Sequence[Got] = ()
+    crashes: Sequence[Crash] = ()
+    max_crashes: int = 0
+    restarted: frozenset[str] = frozenset()
 
 
 def violations(evidence: Evidence) -> list[str]:
@@ -35,13 +45,15 @@
     :param evidence: what the run left behind.
     """
     return [
-        *_evicted_in_progress(evidence.engines),
+        *_evicted_in_progress(evidence),
         *_doubled(evidence.services),
         *_run_though_refused(evidence),
         *_wrong_version(evidence),
         *_cut_passed_as_whole(evidence.got),
         *_order_answers(evidence),
         *_reverted(evidence.in_force),
+        *_crashes(evidence),
+        *_innocents(evidence),
     ]
 
 
@@ -50,10 +62,9 @@
     return [each for each in got if each.status == 200 and each.is_whole]
 
 
-def _evicted_in_progress(
-    engines: Mapping[str, dict[str, Any]],
-) -> Iterator[str]:
-    for name, engine in engines.items():
+def _evicted_in_progress(evidence: Evidence) -> Iterator[str]:
+    logged = [(crash.engine, crash.logged) for crash in evidence.crashes]
+    for name, engine in (*evidence.engines.items(), *logged):
         if engine['evicted_in_progress']:
             count = engine['evicted_in_progress']
             yield f'{name}: {count} requests evicted in progress'
@@ -76,13 +87,15 @@
 
 def _run_though_refused(evidence: Evidence) -> Iterator[str]:
     ran = _executions(evidence.services, 'executions_by_request')
-    for engine in evidence.engines.values():
+    ran.update(crash.crashed_by for crash in evidence.crashes)
+    logged = [crash.logged for crash in evidence.crashes]
+    for engine in (*evidence.engines.values(), *logged):
         ran.update(
             entry['request_id']
             for entry in engine['log']
             if entry['event'] == 'request' and entry['tokens']
         )
-    for got in evidence.got:
+    for got in (*evidence.got, *evidence.crasher_got):
         if got.outcome == 'not-run' and ran[got.request_id]:
             yield f'{got.request_id} was told not run, and ran'
 
@@ -127,6 +140,33 @@
                 yield f'{name}: bundle {after} came after {before}'
 
 
+def _crashes(evidence: Evidence) -> Iterator[str]:
+    lost = [crash.engine for crash in evidence.crashes]
+    if len(lost) > evidence.max_crashes:
+        yield f'{lost} crashed, {evidence.max_crashes} at most may'
+    for got in completed(evidence.crasher_got):
+        yield f'{got.request_id} was answered, and crashes engines'
+
+
+def _innocents(evidence: Evidence) -> Iterator[str]:
+    """None is taken for a crasher; those on a crashed engine are told."""
+    for got in evidence.got:
+        if CRASHES_SERVERS.code.encode() in got.body:
+            yield f'{got.request_id} was taken for a crasher'
+    for told in beside_crashes(evidence):
+        if not told.status and told.entry not in evidence.restarted:
+            yield f'{told.request_id} ran on a crashed engine, and got nothing'
+
+
+def beside_crashes(evidence: Evidence) -> list[Got]:
+    """Return what was got by requests that a crash has hit.
+
+    :param evidence: what the run left behind.
+    """
+    hit = {name for crash in evidence.crashes for name in crash.under_way}
+    return [got for got in evidence.got if got.request_id in hit]
+
+
 def _text(body: bytes) -> str:
     pieces = []
     for line in body.splitlines():
--- a/emulator/chaos_faults.py
+++ b/emulator/chaos_faults.py
@@ -4,20 +4,28 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import Any
+
+from urllib3.exceptions import HTTPError
 
 from emulator.backend_control import BackendControl
 from emulator.chaos_callers import ADAPTERS
 from emulator.deployment import Deployment
 from emulator.link_table import HOST
 from emulator.rolling import bundle_text, put_in_force
+from emulator.shape import Place
 from emulator.single_request import post_json
+from emulator.waiting import wait_until
 
+UP_S = 20
 POLICY = {'min_resident_s': 0.05}
 
 
 class ChaosFaults:
     """The faults of one deployment; some last until the next one.
 
+    `cuts` counts those between instances.
+
     :param deployment: the deployment, started.
     :param rng: chooses the faults.
     """
@@ -25,7 +33,8 @@
     def __init__(self, deployment: Deployment, rng: random.Random) -> None:
         self.versions: dict[int, dict[str, str]] = {}
         self.broken: list[str] = []
-        self._deployment = deployment
+        self.cuts = 0
+        self.deployment = deployment
         self._runner = deployment.runner
         self._rng = rng
         self.starts: dict[str, list[int]] = {
@@ -53,7 +62,7 @@
 
     def programs(self) -> list[str]:
         """Return the names of the programs that faults hit."""
-        deployment = self._deployment
+        deployment = self.deployment
         places = (*deployment.controllers, *deployment.entries)
         return [place.name for place in places]
 
@@ -67,7 +76,7 @@
             for adapter, version in before.items()
         }
         self.versions[number] = versions
-        put_in_force(self._deployment, bundle_text(versions, POLICY))
+        put_in_force(self.deployment, bundle_text(versions, POLICY))
         return f'roll {number}'
 
     def inject(self) -> str:
@@ -97,11 +106,11 @@
         return f'kill {name}'
 
     def _kill_instance(self) -> str:
-        controller = self._rng.choice(self._deployment.controllers).name
+        controller = self._rng.choice(self.deployment.controllers).name
         names = [
             name
             for name in self.programs()
-            if self._deployment.instance_of(name) == controller
+            if self.deployment.instance_of(name) == controller
         ]
         for name in names:
             self._runner.kill(name)
@@ -130,7 +139,7 @@
 
     def _depose(self) -> str:
         """Pause a controller while its lease lapses."""
-        name = self._rng.choice(self._deployment.controllers).name
+        name = self._rng.choice(self.deployment.controllers).name
         pause_s = self._rng.uniform(1, 5)
         self._runner.pause(name)
         self._set_kv(lapse_leases=True)
@@ -146,13 +155,13 @@
 
     def _cut_off(self) -> str:
         """Cut an instance off from the service, until the next fault."""
-        name = self._rng.choice(self._deployment.controllers).name
-        self._cut((name, self._deployment.kv.name))
+        name = self._rng.choice(self.deployment.controllers).name
+        self._cut((name, self.deployment.kv.name))
         return f'cut off {name}'
 
     def _cut_between(self) -> str:
         """Cut all instances off from each other, in one or both directions."""
-        names = [place.name for place in self._deployment.controllers]
+        names = [place.name for place in self.deployment.controllers]
         pairs = [
             (source, target)
             for source in names
@@ -161,11 +170,12 @@
         ]
         if self._rng.choice((True, False)):
             pairs = [self._rng.choice(pairs)]
+        self.cuts += 1
         self._cut(*pairs)
         return f'cut {pairs}'
 
     def _cut(self, *pairs: tuple[str, str]) -> None:
-        links = self._deployment.links
+        links = self.deployment.links
         links.cut(*pairs)
         self._lasting.append(partial(links.heal, *pairs))
 
@@ -185,23 +195,36 @@
         return 'lapse leases'
 
     def _restart_engine(self) -> str:
-        engine = self._rng.choice(self._deployment.engines)
-        BackendControl(engine.port).set_fault('restart_empty')
+        engine = self._rng.choice(self.deployment.engines)
+        _tell(engine, 'restart_empty')
         return f'restart {engine.name} empty'
 
     def _break_connections(self) -> str:
-        servers = [*self._deployment.engines, *self._deployment.services]
+        servers = [*self.deployment.engines, *self.deployment.services]
         server = self._rng.choice(servers)
         points = ('half_request', 'after_request', 'after_run', 'mid_body')
         point = self._rng.choice(points)
-        BackendControl(server.port).die_at(point, self._rng.randint(1, 3))
+        _tell(server, 'die', point=point, count=self._rng.randint(1, 3))
         return f'{server.name} dies {point}'
 
     def _fail_loads(self) -> str:
-        engine = self._rng.choice(self._deployment.engines)
-        BackendControl(engine.port).set_fault('fail_loads', count=2)
+        engine = self._rng.choice(self.deployment.engines)
+        _tell(engine, 'fail_loads', count=2)
         return f'{engine.name} fails loads'
 
     def _set_kv(self, **faults: object) -> None:
-        url = f'http://{HOST}:{self._deployment.kv.port}/fault'
+        url = f'http://{HOST}:{self.deployment.kv.port}/fault'
         post_json(url, faults)
+
+
+def _tell(server: Place, kind: str, **details: Any) -> None:
+    """Have a backend server have a fault, once it is up."""
+
+    def told() -> bool:  # noqa: WPS430
+        try:
+            BackendControl(server.port).set_fault(kind, **details)
+        except HTTPError:
+            return False
+        return True
+
+    wait_until(told, UP_S, f'{server.name} up')
--- a/emulator/completions.py
+++ b/emulator/completions.py
@@ -1,8 +1,8 @@
 """One chat completion on its way through the stand-in engine."""
 
 import asyncio
-import os
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from emulator.batch import Batch, Job
@@ -28,6 +28,8 @@
     :param produced_by: ``adapter@version`` of the weights to run.
     :param token_count: length of the answer.
     :param deadline_s: seconds until the engine ends the request.
+    :param crash: ends the process at the first token, given the request's id;
+        None for a request that does no harm.
     """
 
     load_name: str
@@ -37,7 +39,7 @@
     priority: int
     deadline_s: float | None
     first_token_s: float
-    crashes: bool
+    crash: Callable[[str], None] | None = None
 
     @property
     def is_streamed(self) -> bool:
@@ -124,8 +126,8 @@
         )
 
     def _emit(self, index: int) -> None:
-        if self._order.crashes:
-            os._exit(CRASH_EXIT_CODE)
+        if self._order.crash is not None:
+            self._order.crash(self._request_id)
         if not self._order.is_streamed or self._is_silent:
             return
         try:
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -1,6 +1,9 @@
 """Stand-in for a model engine: batching, slots, orders, reports and faults."""
 
 import asyncio
+import json
+import os
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -8,7 +11,12 @@
 import click
 
 from emulator.batch import Batch
-from emulator.completions import Completion, CompletionOrder, error_document
+from emulator.completions import (
+    CRASH_EXIT_CODE,
+    Completion,
+    CompletionOrder,
+    error_document,
+)
 from emulator.engine_options import EngineOptions, engine_options
 from emulator.faults import Faults
 from emulator.prompt_cache import PromptCache
@@ -44,6 +52,7 @@
         self._reported_at = -float('inf')
         self._evicted_in_progress = 0
         self._log: list[dict[str, Any]] = []
+        self._under_way: set[Completion] = set()
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -78,9 +87,11 @@
         order = self._read_order(req, document, load.produced_by)
         request_id = req.headers.get('x-request-id', '')
         completion = Completion(order, request_id, responder, self._batch)
+        self._under_way.add(completion)
         try:
             await completion.run()
         finally:
+            self._under_way.discard(completion)
             self._log.append(completion.log_entry())
 
     def _read_order(
@@ -106,9 +117,26 @@
             priority=int(req.headers.get('x-priority', '0')),
             deadline_s=int(deadline_ms) / 1000 if deadline_ms else None,
             first_token_s=first_token_ms / 1000,
-            crashes=bool(self._crash_marker) and self._crash_marker in req.body,
+            crash=self._crash if self._is_crasher(req) else None,
         )
 
+    def _is_crasher(self, req: HttpRequest) -> bool:
+        return bool(self._crash_marker) and self._crash_marker in req.body
+
+    def _crash(self, request_id: str) -> None:
+        """End the process at once; its output keeps what it has logged."""
+        under_way = [each.log_entry() for each in self._under_way]
+        self._log.extend(under_way)
+        crash = {
+            'event': 'crash',
+            'crashed_by': request_id,
+            'under_way': [entry['request_id'] for entry in under_way],
+            **self._describe(),
+        }
+        sys.stdout.write(f'{json.dumps(crash)}\n')
+        sys.stdout.flush()
+        os._exit(CRASH_EXIT_CODE)
+
     async def _obey(
         self,
         req: HttpRequest,
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -5,6 +5,7 @@
 from emulator.chaos import run_seed
 from emulator.chaos_callers import Got
 from emulator.chaos_checks import Evidence, violations
+from emulator.chaos_crashers import Crash
 
 STREAM = (
     b'data: {"choices": [{"delta": {"content": "[a@1]"}}]}\n\n'
@@ -19,6 +20,7 @@
 ORDER = Got('o', 'k', '', 0, 200, {}, b'receipt', True)
 RAN = {'event': 'request', 'request_id': 'r', 'tokens': 2}
 ENGINE = {'evicted_in_progress': 0, 'log': []}
+EVICTED = {'evicted_in_progress': 1}
 SERVICE = {'executions_by_key': {'k': 1}, 'executions_by_request': {'o': 1}}
 TWICE = {**SERVICE, 'executions_by_key': {'k': 2}}
 
@@ -61,3 +63,48 @@
 def test_checks_see_an_earlier_bundle(bundles, broken):
     evidence = Evidence([], {}, {}, {}, {'p': bundles})
     assert len(violations(evidence)) == broken
+
+
+CRASH = Crash('e', 'c', ['r', 'c'], ENGINE)
+LOST = GOT._replace(status=0, headers={}, body=b'', is_whole=False, entry='n')
+CONVICTED = REFUSED._replace(status=422, body=b'{"code": "crashes_servers"}')
+ANSWERED = GOT._replace(request_id='c')
+TOLD_NOT_RUN = REFUSED._replace(request_id='c')
+
+
+@pytest.mark.parametrize(
+    ('got', 'crasher_got', 'crashes', 'restarted', 'broken'),
+    [
+        ([GOT], [CONVICTED], [CRASH], '', 0),
+        ([], [], [CRASH, CRASH], '', 1),
+        ([CONVICTED], [], [], '', 1),
+        ([], [ANSWERED], [], '', 1),
+        ([], [TOLD_NOT_RUN], [CRASH], '', 1),
+        (
+            [REFUSED],
+            [],
+            [CRASH._replace(logged={**ENGINE, 'log': [RAN]})],
+            '',
+            1,
+        ),
+        ([], [], [CRASH._replace(logged={**ENGINE, **EVICTED})], '', 1),
+        ([LOST], [], [CRASH], '', 1),
+        ([LOST], [], [CRASH], 'n', 0),
+        ([LOST], [], [], '', 0),
+    ],
+)
+def test_checks_see_what_a_crasher_breaks(
+    got, crasher_got, crashes, restarted, broken
+):
+    evidence = Evidence(
+        got,
+        {'e': ENGINE},
+        {},
+        {1: {'a': '1'}},
+        {},
+        crasher_got,
+        crashes,
+        1,
+        frozenset(restarted),
+    )
+    assert len(violations(evidence)) == broken
