Run copies of a request not known yet on one server

Cause: an entry sent a copy to where another one runs only as far as its choice saw it: two callers at the same moment, or a server that was full or tried already, put copies on several servers, and each cost one. Ruled out: the trials, which came one at a time. Change: a copy of a request that this entry has not seen complete is let go only to the server that runs one already; elsewhere it joins that one, or waits as a suspect does.

--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -35,6 +35,8 @@
 TRIAL_WAIT_S = 2.0
 TRIAL_RETRY_S = 0.05
 
+_WAITING = frozenset((Clearance.busy, Clearance.elsewhere))
+
 
 class Tried:
     """The servers that a request was sent to, and whether one may have run it."""
@@ -77,7 +79,8 @@
     ) -> Reply | bool:
         """Count a request as under way on a server, if it may go there.
 
-        A suspect waits a while for its turn.
+        A suspect waits a while for its turn, and a request of which a copy
+        runs elsewhere until it is known to be harmless, unless it can join it.
 
         :param req: the request.
         :param server_id: where it is to go.
@@ -87,14 +90,16 @@
         """
         until_s = min(now_s + TRIAL_WAIT_S, req.deadline_s)
         clearance = self.watch.begin(req.fingerprint, server_id, now_s)
-        while clearance is Clearance.busy and now_s < until_s:
+        while clearance in _WAITING and now_s < until_s:
+            if clearance is Clearance.elsewhere and self._can_join(req, tried):
+                break
             time.sleep(TRIAL_RETRY_S)
             now_s = time.monotonic()
             clearance = self.watch.begin(req.fingerprint, server_id, now_s)
         if clearance is Clearance.convicted:
             log_event(Event.CRASHER_REFUSED, request=req.request_id)
             return tried.refuse(CRASHES_SERVERS)
-        return clearance is not Clearance.busy
+        return clearance not in _WAITING
 
     def exchange(
         self,
@@ -160,6 +165,11 @@
             return None
         return tried.refuse(NO_SERVER, RETRY_AFTER_S)
 
+    def _can_join(self, req: CallerRequest, tried: Tried) -> bool:
+        """Tell whether a request may yet go to the server of its copy."""
+        beside = self.watch.running_on(req.fingerprint)
+        return beside is not None and beside not in tried.servers
+
     def _end(
         self,
         req: CallerRequest,
--- a/src/wasabicross/suspects.py
+++ b/src/wasabicross/suspects.py
@@ -24,12 +24,14 @@
     """Whether a request may be sent to a server.
 
     `go`: it is as good as any other. `trial`: it may go, as the only suspect
-    there. `busy`: not now or not there. `convicted`: refuse it at once.
+    there. `busy`: not now or not there. `elsewhere`: only to the server that
+    runs a copy. `convicted`: refuse it at once.
     """
 
     go = 'go'
     trial = 'trial'
     busy = 'busy'
+    elsewhere = 'elsewhere'
     convicted = 'convicted'
 
 
@@ -234,7 +236,8 @@
             self._records.renew(request, now_s)
             return Clearance.convicted
         if state is not State.suspect:
-            return Clearance.go
+            is_apart = state is None and self._runs_apart(request, server_id)
+            return Clearance.elsewhere if is_apart else Clearance.go
         taken = any(
             run.broken_s is None and (run.trial or self._is_late(run, now_s))
             for run in self._runs.get(server_id, ())
@@ -243,6 +246,12 @@
             return Clearance.busy
         return Clearance.trial
 
+    def _runs_apart(self, request: bytes, server_id: str) -> bool:
+        """Tell whether a request not known as harmless runs on another server."""
+        if request in self._completed:
+            return False
+        return any(other != server_id for other in self._servers_of(request))
+
     def _is_late(self, run: _Run, now_s: float) -> bool:
         """Tell whether a request became suspect by another server's loss."""
         if run.trial or not self._records.is_confirmed(run.fingerprint, now_s):
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,85 @@
+"""Copies of a request that comes at one moment cost few servers."""
+
+import random
+import time
+from types import SimpleNamespace
+
+import pytest
+from trial_parts import (
+    BROKEN,
+    GO,
+    KILLER,
+    OTHER,
+    SERVERS,
+    TRIAL,
+    Fleet,
+    begin,
+    is_convicted,
+    tell,
+)
+
+from wasabicross.attempts import Attempts, Tried
+from wasabicross.retries import RetryBudget
+from wasabicross.suspects import Clearance, Suspects
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def crash(server, running):
+    """End a server; return the copies that run on others."""
+    for watch, place in running:
+        if place == server:
+            watch.fail(KILLER, server, BROKEN)
+    return [each for each in running if each[1] != server]
+
+
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('entry_count', [1, 2, 4])
+def test_first_wave_costs_a_server_for_each_entry(fleet, entry_count, seed):
+    """Copies come at any moment, wherever the entries would send them."""
+    rng = random.Random(seed)
+    watches = [fleet.entry(str(number)) for number in range(entry_count)]
+    lost, running = 0, []
+    for _ in range(80):
+        watch, server = rng.choice(watches), rng.choice(SERVERS)
+        if begin(watch, KILLER, server) in {GO, TRIAL}:
+            running.append((watch, server))
+        if running and rng.random() < 0.3:
+            running = crash(rng.choice(running)[1], running)
+            lost += 1
+        if rng.random() < 0.2:
+            tell(rng.choice(watches), rng.choice(watches))
+    assert 1 <= lost <= entry_count + 1
+    assert any(is_convicted(watch, KILLER) for watch in watches)
+
+
+def test_copies_are_drawn_together_until_one_has_completed():
+    suspects = Suspects()
+    suspects.start(KILLER, 'a', 0)
+    suspects.start(KILLER, 'a', 0)
+    assert suspects.running_on(KILLER) == 'a'
+    assert suspects.start(KILLER, 'b', 0) is Clearance.elsewhere
+    suspects.complete(KILLER, 'a', 1)
+    assert suspects.running_on(KILLER) is None
+    assert suspects.start(KILLER, 'b', 1) is GO
+
+
+@pytest.mark.parametrize(
+    ('tried', 'waits'), [((), False), (('a',), True)], ids=['joins', 'waits']
+)
+def test_copy_waits_unless_it_can_join_the_other(fleet, tried, waits):
+    """It goes on to look for a server at once, or waits for its deadline."""
+    watch = fleet.entry('one')
+    assert begin(watch, OTHER, 'a') is GO
+    now_s = time.monotonic()
+    req = SimpleNamespace(
+        fingerprint=OTHER, request_id='r', deadline_s=now_s + 0.2
+    )
+    so_far = Tried()
+    so_far.servers.extend((*tried, 'b'))
+    attempts = Attempts(watch, RetryBudget())
+    assert attempts.clear(req, 'b', so_far, now_s) is False
+    assert (time.monotonic() >= req.deadline_s) is waits
