--- a/src/wasabicross/suspects.py
+++ b/src/wasabicross/suspects.py
@@ -6,14 +6,10 @@
 import hashlib
 import threading
 from collections.abc import Iterable
-from typing import NamedTuple
 
+from wasabicross.server_runs import UNCONFIRMED_S, Run, ServerRuns
 from wasabicross.suspect_records import State, SuspectRecord, SuspectRecords
 
-#: Seconds for which a request whose connection broke is held suspect while it
-#: isn't known whether the server was lost.
-_UNCONFIRMED_S = 15.0
-
 _DIGEST_BYTES = 16
 
 #: Most requests remembered as harmless.
@@ -35,15 +31,6 @@
     convicted = 'convicted'
 
 
-class _Run(NamedTuple):
-    """A request under way on a server, or one whose connection broke."""
-
-    fingerprint: bytes
-    trial: bool
-    started_s: float
-    broken_s: float | None = None
-
-
 def fingerprint(route: str, body: bytes) -> bytes:
     """Digest what a request asks for, alike for all copies of it."""
     digest = hashlib.blake2b(route.encode(), digest_size=_DIGEST_BYTES)
@@ -58,9 +45,10 @@
     All requests under way on a server that is lost become suspects. A suspect
     runs again only as the one suspect on its server, beside requests that
     aren't. If it completes it is cleared; if the server is lost it is convicted
-    and refused. So each such request costs two servers: the first, and the one
-    of its trial. Copies that run on several servers before the first loss is
-    known cost one each. Thread-safe.
+    and refused. Copies of a request that was not completed yet run on one
+    server. So each such request costs two servers: the first, and the one of
+    its trial. Copies that other processes run elsewhere before they hear of the
+    first loss cost one for each process. Thread-safe.
 
     What is under way is known of this process alone: to keep suspects of other
     processes off the server, take a permit of the server's owner (see
@@ -72,7 +60,7 @@
     def __init__(self, records: SuspectRecords | None = None) -> None:
         self._records = records or SuspectRecords()
         self._lock = threading.Lock()
-        self._runs: dict[str, list[_Run]] = {}
+        self._runs = ServerRuns()
         # Lost a server alone before an earlier server's fate was known.
         self._blamed_once: set[bytes] = set()
         # Requests that were completed lately, the oldest first.
@@ -110,8 +98,7 @@
             if is_trial and not permitted:
                 return Clearance.busy
             if is_trial or clearance is Clearance.go:
-                run = _Run(request, is_trial, now_s)
-                self._runs.setdefault(server_id, []).append(run)
+                self._runs.start(Run(request, is_trial, now_s), server_id)
             return clearance
 
     def running_on(self, request: bytes) -> str | None:
@@ -122,7 +109,7 @@
         with self._lock:
             if request in self._completed:
                 return None
-            return next(iter(self._servers_of(request)), None)
+            return next(iter(self._runs.servers_of(request)), None)
 
     def late_runs(self, now_s: float) -> tuple[tuple[str, bytes], ...]:
         """Return the requests that became suspect while they ran.
@@ -134,37 +121,36 @@
                 return ()
             return tuple(
                 (server_id, run.fingerprint)
-                for server_id, runs in self._runs.items()
-                for run in runs
-                if run.broken_s is None and self._is_late(run, now_s)
+                for server_id, run in self._runs.under_way()
+                if self._is_late(run, now_s)
             )
 
     def complete(self, request: bytes, server_id: str, now_s: float) -> None:
         """End a request that was answered completely, which clears it."""
         with self._lock:
-            self._take(request, server_id)
+            self._runs.take(request, server_id)
             self._note_completed(request)
-            self._forget_broken(request)
+            self._blamed_once.discard(request)
+            self._runs.forget_broken(request)
             self._records.clear(request, now_s)
 
     def abandon(self, request: bytes, server_id: str) -> None:
         """End a request that was not run, or that its caller cancelled."""
         with self._lock:
-            self._take(request, server_id)
+            self._runs.take(request, server_id)
 
     def break_off(self, request: bytes, server_id: str, now_s: float) -> None:
         """End a request whose connection broke, for a reason not known yet."""
         with self._lock:
-            run = self._take(request, server_id)
+            run = self._runs.take(request, server_id)
             if run is None:
                 return
-            broken = run._replace(broken_s=now_s)
-            self._runs[server_id] = [*self._recent(server_id, now_s), broken]
+            self._runs.keep_broken(run, server_id, now_s)
             self._records.suspect(
                 request,
                 now_s,
                 confirmed=False,
-                ttl_s=_UNCONFIRMED_S,
+                ttl_s=UNCONFIRMED_S,
             )
 
     def server_lost(
@@ -182,7 +168,7 @@
             later runs on the server that came after.
         """
         with self._lock:
-            runs = self._take_lost(server_id, now_s, broke_s)
+            runs = self._runs.take_lost(server_id, now_s, broke_s)
             self._convict_blamed(runs, now_s)
             trials = {run.fingerprint for run in runs if run.trial}
             late = {
@@ -201,13 +187,7 @@
     def server_alive(self, server_id: str, now_s: float) -> None:
         """Clear the requests that a mere cut link to the server broke off."""
         with self._lock:
-            runs = self._recent(server_id, now_s)
-            self._runs[server_id] = [
-                run for run in runs if run.broken_s is None
-            ]
-            broken = {
-                run.fingerprint for run in runs if run.broken_s is not None
-            }
+            broken = self._runs.take_broken(server_id, now_s)
             self._blamed_once -= broken
             self._absolve(broken, now_s)
 
@@ -239,10 +219,14 @@
             is_apart = state is None and self._runs_apart(request, server_id)
             return Clearance.elsewhere if is_apart else Clearance.go
         taken = any(
-            run.broken_s is None and (run.trial or self._is_late(run, now_s))
-            for run in self._runs.get(server_id, ())
+            run.trial or self._is_late(run, now_s)
+            for run in self._runs.under_way_on(server_id)
         )
-        if taken or self._servers_of(request) or self._is_open(request, now_s):
+        if (
+            taken
+            or self._runs.servers_of(request)
+            or self._is_open(request, now_s)
+        ):
             return Clearance.busy
         return Clearance.trial
 
@@ -250,26 +234,17 @@
         """Tell whether a request not known as harmless runs on another server."""
         if request in self._completed:
             return False
-        return any(other != server_id for other in self._servers_of(request))
+        return any(
+            other != server_id for other in self._runs.servers_of(request)
+        )
 
-    def _is_late(self, run: _Run, now_s: float) -> bool:
+    def _is_late(self, run: Run, now_s: float) -> bool:
         """Tell whether a request became suspect by another server's loss."""
         if run.trial or not self._records.is_confirmed(run.fingerprint, now_s):
             return False
         state = self._records.state(run.fingerprint, now_s)
         return state is State.suspect
 
-    def _take_lost(
-        self, server_id: str, now_s: float, broke_s: float | None
-    ) -> list[_Run]:
-        """Take out the runs that a server's loss has ended."""
-        runs = self._recent(server_id, now_s)
-        last_s = now_s if broke_s is None else broke_s
-        self._runs[server_id] = [run for run in runs if run.started_s > last_s]
-        if not self._runs[server_id]:
-            self._runs.pop(server_id)
-        return [run for run in runs if run.started_s <= last_s]
-
     def _note_completed(self, request: bytes) -> None:
         self._completed.pop(request, None)
         self._completed[request] = None
@@ -280,51 +255,11 @@
         """Tell whether an earlier server's fate may yet convict a request."""
         if request not in self._blamed_once:
             return False
-        is_open = any(
-            run.fingerprint == request
-            for server_id in self._runs
-            for run in self._recent(server_id, now_s)
-        )
+        is_open = self._runs.has_recent(request, now_s)
         if not is_open:
             self._blamed_once.discard(request)
         return is_open
 
-    def _forget_broken(self, request: bytes) -> None:
-        self._blamed_once.discard(request)
-        for server_id, runs in tuple(self._runs.items()):
-            self._runs[server_id] = [
-                run
-                for run in runs
-                if run.fingerprint != request or run.broken_s is None
-            ]
-            if not self._runs[server_id]:
-                self._runs.pop(server_id)
-
-    def _servers_of(self, request: bytes) -> tuple[str, ...]:
-        return tuple(
-            server_id
-            for server_id, runs in self._runs.items()
-            for run in runs
-            if run.fingerprint == request and run.broken_s is None
-        )
-
-    def _take(self, request: bytes, server_id: str) -> _Run | None:
-        runs = self._runs.get(server_id, [])
-        for run in runs:
-            if run.fingerprint == request and run.broken_s is None:
-                runs.remove(run)
-                if not runs:
-                    self._runs.pop(server_id)
-                return run
-        return None
-
-    def _recent(self, server_id: str, now_s: float) -> tuple[_Run, ...]:
-        return tuple(
-            run
-            for run in self._runs.get(server_id, ())
-            if run.broken_s is None or now_s - run.broken_s < _UNCONFIRMED_S
-        )
-
     def _blame_trial(self, request: bytes, now_s: float) -> None:
         if self._records.is_confirmed(request, now_s):
             self._records.convict(request, now_s)
@@ -332,7 +267,7 @@
             self._records.suspect(request, now_s)
             self._blamed_once.add(request)
 
-    def _convict_blamed(self, runs: Iterable[_Run], now_s: float) -> None:
+    def _convict_blamed(self, runs: Iterable[Run], now_s: float) -> None:
         for run in runs:
             if run.fingerprint in self._blamed_once:
                 self._blamed_once.discard(run.fingerprint)
