Send a copy on to where the other runs only once

Cause: a copy whose other runs on a server that can't take it, such as one with an old version, went on from holder to holder without a wait, and then wanted loads on further engines. Change: it goes on at once the first time and then waits on each holder, as a suspect does. test_copies: the new case failed before, and passes with the other 27.

--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -44,6 +44,8 @@
     def __init__(self) -> None:
         self.servers: list[str] = []
         self.may_have_run = False
+        #: Whether it was sent on to where a copy of it runs.
+        self.has_sought_copy = False
 
     def refuse(self, fault: Fault, retry_after_s: float | None = None) -> Reply:
         """Return the reply to a request that is given up.
@@ -91,8 +93,9 @@
         until_s = min(now_s + TRIAL_WAIT_S, req.deadline_s)
         clearance = self.watch.begin(req.fingerprint, server_id, now_s)
         while clearance in _WAITING and now_s < until_s:
-            if clearance is Clearance.elsewhere and self._can_join(req, tried):
-                break
+            if clearance is Clearance.elsewhere and self._may_seek(req, tried):
+                tried.has_sought_copy = True
+                return False
             time.sleep(TRIAL_RETRY_S)
             now_s = time.monotonic()
             clearance = self.watch.begin(req.fingerprint, server_id, now_s)
@@ -165,10 +168,14 @@
             return None
         return tried.refuse(NO_SERVER, RETRY_AFTER_S)
 
-    def _can_join(self, req: CallerRequest, tried: Tried) -> bool:
-        """Tell whether a request may yet go to the server of its copy."""
+    def _may_seek(self, req: CallerRequest, tried: Tried) -> bool:
+        """Tell whether a request goes on at once to where its copy runs.
+
+        Only once, since that server may not be able to run this one.
+        """
         beside = self.watch.running_on(req.fingerprint)
-        return beside is not None and beside not in tried.servers
+        found = beside is not None and beside not in tried.servers
+        return found and not tried.has_sought_copy
 
     def _end(
         self,
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -83,3 +83,21 @@
     attempts = Attempts(watch, RetryBudget())
     assert attempts.clear(req, 'b', so_far, now_s) is False
     assert (time.monotonic() >= req.deadline_s) is waits
+
+
+def test_copy_that_found_no_way_to_the_other_waits(fleet):
+    """The other runs on a server that can't run this one, such as an old load."""
+    watch = fleet.entry('one')
+    assert begin(watch, OTHER, 'a') is GO
+    attempts = Attempts(watch, RetryBudget())
+    so_far = Tried()
+    waited = []
+    for server in 'bc':
+        now_s = time.monotonic()
+        req = SimpleNamespace(
+            fingerprint=OTHER, request_id='r', deadline_s=now_s + 0.2
+        )
+        so_far.servers.append(server)
+        assert attempts.clear(req, server, so_far, now_s) is False
+        waited.append(time.monotonic() >= req.deadline_s)
+    assert waited == [False, True]
