--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -35,6 +35,8 @@
 TRIAL_WAIT_S = 2.0
 TRIAL_RETRY_S = 0.05
 
+_WAITING = frozenset((Clearance.busy, Clearance.elsewhere))
+
 
 class Tried:
     """The servers that a request was sent to, and whether one may have run it."""
@@ -42,6 +44,8 @@
     def __init__(self) -> None:
         self.servers: list[str] = []
         self.may_have_run = False
+        #: Whether it was sent on to where a copy of it runs.
+        self.has_sought_copy = False
 
     def refuse(self, fault: Fault, retry_after_s: float | None = None) -> Reply:
         """Return the reply to a request that is given up.
@@ -77,7 +81,8 @@
     ) -> Reply | bool:
         """Count a request as under way on a server, if it may go there.
 
-        A suspect waits a while for its turn.
+        A suspect waits a while for its turn, and a request of which a copy
+        runs elsewhere until it is known to be harmless, unless it can join it.
 
         :param req: the request.
         :param server_id: where it is to go.
@@ -87,14 +92,17 @@
         """
         until_s = min(now_s + TRIAL_WAIT_S, req.deadline_s)
         clearance = self.watch.begin(req.fingerprint, server_id, now_s)
-        while clearance is Clearance.busy and now_s < until_s:
+        while clearance in _WAITING and now_s < until_s:
+            if clearance is Clearance.elsewhere and self._may_seek(req, tried):
+                tried.has_sought_copy = True
+                return False
             time.sleep(TRIAL_RETRY_S)
             now_s = time.monotonic()
             clearance = self.watch.begin(req.fingerprint, server_id, now_s)
         if clearance is Clearance.convicted:
             log_event(Event.CRASHER_REFUSED, request=req.request_id)
             return tried.refuse(CRASHES_SERVERS)
-        return clearance is not Clearance.busy
+        return clearance not in _WAITING
 
     def exchange(
         self,
@@ -160,6 +168,15 @@
             return None
         return tried.refuse(NO_SERVER, RETRY_AFTER_S)
 
+    def _may_seek(self, req: CallerRequest, tried: Tried) -> bool:
+        """Tell whether a request goes on at once to where its copy runs.
+
+        Only once, since that server may not be able to run this one.
+        """
+        beside = self.watch.running_on(req.fingerprint)
+        found = beside is not None and beside not in tried.servers
+        return found and not tried.has_sought_copy
+
     def _end(
         self,
         req: CallerRequest,
--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -32,10 +32,11 @@
         self._handle(message, link, call_id)
 
     def peer_linked(self, link: Link, peer: Instance) -> None:
-        """Offer the bundle in force, in case the peer has none as late."""
+        """Tell what the peer may have missed: bundle, crashers, losses."""
         offered = self._ctl.follower.offered()
         if offered is not None:
             link.send(offered)
+        link.send(self._ctl.known_suspects(time.monotonic()))
         self._ctl.tell_recent_losses(link)
 
     def peer_renewed(
@@ -91,6 +92,10 @@
     def _(self, message: msg.BundleOffered, link: Link, call_id: int) -> None:
         self._ctl.follower.offer(BundlePointer(*message), LinkSource(link))
 
+    @_handle.register
+    def _(self, message: msg.SuspectRecords, link: Link, call_id: int) -> None:
+        self._ctl.merge_suspects(message, link)
+
     @_handle.register(msg.GetManifest)
     @_handle.register(msg.GetChunk)
     def _(
--- a/src/wasabicross/link_serving.py
+++ b/src/wasabicross/link_serving.py
@@ -52,8 +52,7 @@
         ctl.entry_linked(link.peer)
         link.send(ctl.fleet.update())
         self._offer_bundle(link)
-        _, records = ctl.suspects.records_since(0, time.monotonic())
-        link.send(msg.SuspectRecords(list(records)))
+        link.send(ctl.known_suspects(time.monotonic()))
         ctl.loads.entry_joined(link)
         link.run(self._accepted)
         ctl.loads.entry_left(link)
@@ -65,6 +64,7 @@
         for snapshot in ctl.owners.snapshots():
             link.send(snapshot)
         self._offer_bundle(link)
+        link.send(ctl.known_suspects(time.monotonic()))
         silence_s = longest_silence_s(
             ctl.subscribers.window.use_lease_s,
             is_near=link.peer.data_centre == ctl.cfg.instance.data_centre,
