Give the lease of an ownership a class, and its load another name

`ServerOwner.load` returned how busy the engine is, while `EngineOrders.load` beside it orders a load.

Change: `owner_lease.OwnerLease` holds the times and says up to when the ownership is confirmed; the method is `server_load`, as what it returns.

Result: test_server_owner, test_owners, test_inherited_wait and test_ownership: 47 passed.

--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -150,8 +150,8 @@
                 server, engine, self._subscribers, self._permits
             )
             owner.weights = self._weights
-            owner.lease_id = start.lease_id
-            owner.leased_s = start.sent_s
+            owner.lease.lease_id = start.lease_id
+            owner.lease.leased_s = start.sent_s
             owner.inherited_wait.taken_s = time.monotonic()
             before = self._owners.get(server.server_id)
             if before is not None:
@@ -207,7 +207,7 @@
             owners = list(self._owners.values())
         since_s = self._standing.resident_since_s(now_s)
         return [
-            owner.load(renewal, since_s, now_s)
+            owner.server_load(renewal, since_s, now_s)
             for owner in owners
             if owner.may_grant and not owner.deposed.is_set()
         ]
@@ -221,7 +221,7 @@
         for server in servers:
             owner = self.get(server.server_id)
             if owner is not None and owner.server == server:
-                owner.confirmed_s = max(owner.confirmed_s, asked_s)
+                owner.lease.confirm(asked_s)
 
     def snapshots(self) -> list[LoadsSnapshot]:
         """Return the open loads of each server whose owner is settled."""
@@ -264,7 +264,7 @@
     def _may_continue(self, before: ServerOwner) -> bool:
         """Tell whether any owner in between must have been heard of."""
         since_s = self._standing.resident_since_s(time.monotonic())
-        return since_s <= before.leased_s
+        return since_s <= before.lease.leased_s
 
     def _run(self, owner: ServerOwner) -> None:
         while not owner.deposed.is_set():
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -29,6 +29,7 @@
     ServerTerm,
     WantLoad,
 )
+from wasabicross.owner_lease import OwnerLease
 from wasabicross.ownership import Renewal
 from wasabicross.policy import Weights
 from wasabicross.subscribers import Subscribers
@@ -70,9 +71,7 @@
         self.server = server
         self.deposed = threading.Event()
         self.weights = Weights()
-        self.lease_id = ''
-        self.leased_s = float('-inf')
-        self.confirmed_s = float('-inf')
+        self.lease = OwnerLease()
         self.inherited_wait = InheritedWait(subscribers)
         self.held = HeldLoads(server.term)
         self.queue = LoadQueue(server.server_id, permits)
@@ -199,27 +198,17 @@
             return None
         return LoadsSnapshot(self.server, self.held.opened())
 
-    def load(
+    def server_load(
         self, renewal: Renewal, resident_since_s: float, now_s: float
     ) -> ServerLoad:
         """Return how busy the engine was at its last report.
 
-        An instance that the list showed before its lease was last renewed is
-        a resident to every later owner, which can't settle, and so evicts
-        nothing, without this instance's report. So it needs no lease to
-        know that no later owner is settled.
-
-        :param renewal: the last renewal of the instance's lease; if that is
-            the lease of this ownership, nobody else owned the server then.
+        :param renewal: the last renewal of the instance's lease.
         :param resident_since_s: monotonic time since which the list has
             shown this instance, infinite while that does not count.
         :param now_s: monotonic seconds.
         """
-        if renewal.lease_id == self.lease_id:
-            self.leased_s = max(self.leased_s, renewal.sent_s)
-        confirmed_s = max(self.confirmed_s, self.leased_s)
-        if resident_since_s <= self.leased_s:
-            confirmed_s = now_s
+        confirmed_s = self.lease.confirmed_s(renewal, resident_since_s, now_s)
         return ServerLoad(
             self.server.server_id,
             self._report.running,
--- a/tests/test_server_owner.py
+++ b/tests/test_server_owner.py
@@ -106,17 +106,17 @@
 def test_owner_listed_before_its_lease_needs_none_to_grant(
     scene, resident_since_s, age_s
 ):
-    scene.owner.lease_id = 'lease-1'
-    scene.owner.leased_s = 8
+    scene.owner.lease.lease_id = 'lease-1'
+    scene.owner.lease.leased_s = 8
     renewal = Renewal('lease-1', 10)
-    load = scene.owner.load(renewal, resident_since_s, 100)
+    load = scene.owner.server_load(renewal, resident_since_s, 100)
     assert load.confirmed_age_s == age_s
 
 
 def test_renewal_of_another_lease_proves_nothing(scene):
-    scene.owner.lease_id = 'lease-1'
-    scene.owner.leased_s = 8
-    load = scene.owner.load(Renewal('lease-2', 90), 9, 100)
+    scene.owner.lease.lease_id = 'lease-1'
+    scene.owner.lease.leased_s = 8
+    load = scene.owner.server_load(Renewal('lease-2', 90), 9, 100)
     assert load.confirmed_age_s == 92
 
 
