Let readiness by a port fail where nobody listens

Cause: the test of readiness by a TCP port passed with a runner that takes every port for ready: it had no assertion and no port without a listener.

Change: it asks for the readiness, and a second test asks for that of a port on which nobody listens.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -80,6 +80,13 @@
     program = kv_program()
     address = program.ready.removesuffix('/stats').replace('http', 'tcp')
     own_runner.run(program._replace(ready=address))
+    assert own_runner.is_ready('kv')
+
+
+def test_no_readiness_while_nobody_listens(own_runner):
+    (silent,) = free_ports(1)
+    own_runner.start(kv_program()._replace(ready=f'tcp://127.0.0.1:{silent}'))
+    assert not own_runner.is_ready('kv')
 
 
 def test_condition_that_never_holds():
