Tell faults of documents from faults of requests by name

Cause: `exceptions.Fault` is one thing that is wrong in a document, `replies.Fault` an error as it is told; eight modules use one or the other.

Change: the former is `DocumentFault`.

--- a/src/wasabicross/admin_client.py
+++ b/src/wasabicross/admin_client.py
@@ -10,7 +10,7 @@
     AdminClientError,
     AdminRefused,
     AdminUnreachable,
-    Fault,
+    DocumentFault,
 )
 
 CONNECT_S = 3.0
@@ -118,5 +118,5 @@
         status,
         error.get('code', 'unknown'),
         error.get('message', f'status {status}'),
-        tuple(Fault(**fault) for fault in error.get('faults', ())),
+        tuple(DocumentFault(**fault) for fault in error.get('faults', ())),
     )
--- a/src/wasabicross/bundle_file.py
+++ b/src/wasabicross/bundle_file.py
@@ -21,7 +21,7 @@
     schema_faults,
     walk,
 )
-from wasabicross.exceptions import BundleFileError, Fault
+from wasabicross.exceptions import BundleFileError, DocumentFault
 from wasabicross.manifests import encode_part
 
 #: Highest and, negative, lowest number of a priority.
@@ -160,7 +160,7 @@
     parts = [('routes', manifest)]
     parts.extend(('adapters', encoded) for _, encoded in chunks)
     faults = [
-        Fault(part, f'takes more than {MAX_VALUE_BYTES} bytes')
+        DocumentFault(part, f'takes more than {MAX_VALUE_BYTES} bytes')
         for part, encoded in parts
         if len(encoded) > MAX_VALUE_BYTES
     ]
@@ -181,7 +181,7 @@
     return tuple((digest_of(chunk), chunk) for chunk in encoded)
 
 
-def _repeated_values(root: Any) -> Iterator[Fault]:
+def _repeated_values(root: Any) -> Iterator[DocumentFault]:
     yield from _repeated(root, 'routes.*.path')
     yield from _repeated(root, 'adapters.*.base_model')
     first_at: dict[str, str] = {}
@@ -189,21 +189,23 @@
         for adapter in versions if isinstance(versions, dict) else ():
             first = first_at.setdefault(str(adapter), path)
             if first != path:
-                yield Fault(f'{path}.{adapter}', f'is already in {first}')
+                yield DocumentFault(
+                    f'{path}.{adapter}', f'is already in {first}'
+                )
 
 
-def _unknown_classes(root: Any) -> Iterator[Fault]:
+def _unknown_classes(root: Any) -> Iterator[DocumentFault]:
     known = {value for _, value in walk(root, 'routes.*.request_class')}
     for path, priorities in walk(root, 'class_priorities'):
         for request_class in priorities if isinstance(priorities, dict) else ():
             if request_class not in known:
                 at = f'{path}.{request_class}'
-                yield Fault(at, 'is the request_class of no route')
+                yield DocumentFault(at, 'is the request_class of no route')
 
 
-def _repeated(root: Any, pattern: str) -> Iterator[Fault]:
+def _repeated(root: Any, pattern: str) -> Iterator[DocumentFault]:
     first_at: dict[str, str] = {}
     for path, value in walk(root, pattern):
         first = first_at.setdefault(str(value).rstrip('/'), path)
         if first != path:
-            yield Fault(path, f'is the same as {first}')
+            yield DocumentFault(path, f'is the same as {first}')
--- a/src/wasabicross/documents.py
+++ b/src/wasabicross/documents.py
@@ -6,7 +6,7 @@
 import pydantic
 import yaml
 
-from wasabicross.exceptions import Fault
+from wasabicross.exceptions import DocumentFault
 
 _BaseLoader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 _MERGE_TAG = 'tag:yaml.org,2002:merge'
@@ -26,7 +26,7 @@
     """
 
     root: Any
-    faults: tuple[Fault, ...]
+    faults: tuple[DocumentFault, ...]
 
 
 class _DocumentLoader(_BaseLoader):  # type: ignore[valid-type, misc]
@@ -34,7 +34,7 @@
 
     def __init__(self, text: str) -> None:
         super().__init__(text)
-        self.faults: list[Fault] = []
+        self.faults: list[DocumentFault] = []
 
     def construct_mapping(self, node: Any, deep: bool = False) -> Any:
         """Build one mapping and note the keys that it holds twice.
@@ -48,7 +48,9 @@
             if name in seen:
                 line = key_node.start_mark.line + 1
                 self.faults.append(
-                    Fault(f'line {line}', f'key {name!r} is given twice'),
+                    DocumentFault(
+                        f'line {line}', f'key {name!r} is given twice'
+                    ),
                 )
             if key_node.tag != _MERGE_TAG:
                 seen.add(name)
@@ -69,19 +71,19 @@
     except yaml.YAMLError as exc:
         return Document({}, (_syntax_fault(exc),))
     except (ValueError, RecursionError) as exc:
-        return Document({}, (Fault('', f'not readable: {exc}'),))
+        return Document({}, (DocumentFault('', f'not readable: {exc}'),))
     finally:
         loader.dispose()
     return Document(root, tuple(loader.faults))
 
 
-def schema_faults(exc: pydantic.ValidationError) -> tuple[Fault, ...]:
+def schema_faults(exc: pydantic.ValidationError) -> tuple[DocumentFault, ...]:
     """Turn the faults that pydantic found into ours.
 
     :param exc: what the validation raised.
     """
     return tuple(
-        Fault('.'.join(str(step) for step in item['loc']), item['msg'])
+        DocumentFault('.'.join(str(step) for step in item['loc']), item['msg'])
         for item in exc.errors(include_url=False, include_input=False)
     )
 
@@ -115,8 +117,8 @@
             yield str(name), child
 
 
-def _syntax_fault(exc: yaml.YAMLError) -> Fault:
+def _syntax_fault(exc: yaml.YAMLError) -> DocumentFault:
     mark = getattr(exc, 'problem_mark', None)
     problem = getattr(exc, 'problem', None) or str(exc)
     where = f'line {mark.line + 1}' if mark else ''
-    return Fault(where, f'not YAML: {problem}')
+    return DocumentFault(where, f'not YAML: {problem}')
--- a/src/wasabicross/exceptions.py
+++ b/src/wasabicross/exceptions.py
@@ -55,7 +55,7 @@
         self.reason = reason
 
 
-class Fault(NamedTuple):
+class DocumentFault(NamedTuple):
     """One thing that is wrong in a document, and where.
 
     :param path: dotted path of the value, such as ``entries.0.port``.
@@ -75,7 +75,7 @@
     :param faults: all of them, in the order of the document.
     """
 
-    def __init__(self, faults: tuple[Fault, ...]) -> None:
+    def __init__(self, faults: tuple[DocumentFault, ...]) -> None:
         super().__init__('\n'.join(str(fault) for fault in faults))
         self.faults = faults
 
@@ -368,7 +368,7 @@
         status: int,
         code: str,
         message: str,
-        faults: tuple[Fault, ...] = (),
+        faults: tuple[DocumentFault, ...] = (),
     ) -> None:
         super().__init__(message)
         self.status = status
--- a/src/wasabicross/operator_key.py
+++ b/src/wasabicross/operator_key.py
@@ -9,7 +9,7 @@
 from nacl.signing import SigningKey
 
 from wasabicross.documents import Section, read_document, schema_faults
-from wasabicross.exceptions import Fault, OperatorKeyError
+from wasabicross.exceptions import DocumentFault, OperatorKeyError
 from wasabicross.manifests import signature_of
 from wasabicross.settings import HexKey, Name
 
@@ -52,7 +52,9 @@
         except pydantic.ValidationError as exc:
             return Error(OperatorKeyError(schema_faults(exc)))
         except (OSError, UnicodeDecodeError) as exc:
-            return Error(OperatorKeyError((Fault(str(path), str(exc)),)))
+            return Error(
+                OperatorKeyError((DocumentFault(str(path), str(exc)),))
+            )
         return Ok(cls(told.name, SigningKey(bytes.fromhex(told.private_key))))
 
     @property
--- a/src/wasabicross/settings.py
+++ b/src/wasabicross/settings.py
@@ -14,7 +14,7 @@
     schema_faults,
     walk,
 )
-from wasabicross.exceptions import Fault, SettingsError
+from wasabicross.exceptions import DocumentFault, SettingsError
 
 _KEY_BYTES = 32
 _MAX_PORT = 65535
@@ -217,36 +217,39 @@
     :param paths: the files, at least one.
     """
     merged: dict[str, Any] = {}
-    faults: list[Fault] = []
+    faults: list[DocumentFault] = []
     for path in paths:
         sections, file_faults = _read_file(Path(path))
         merged.update(sections)
         faults.extend(file_faults)
     if not paths:
-        faults.append(Fault('', 'no settings file was given'))
+        faults.append(DocumentFault('', 'no settings file was given'))
     if not merged and faults:
         return Error(SettingsError(tuple(faults)))
     return _validate(merged, faults)
 
 
-def _read_file(path: Path) -> tuple[dict[str, Any], list[Fault]]:
+def _read_file(path: Path) -> tuple[dict[str, Any], list[DocumentFault]]:
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
-        return {}, [Fault(str(path), f'not readable: {exc}')]
+        return {}, [DocumentFault(str(path), f'not readable: {exc}')]
     document = read_document(text)
     faults = [
-        Fault(f'{path}: {fault.path}'.rstrip(': '), fault.message)
+        DocumentFault(f'{path}: {fault.path}'.rstrip(': '), fault.message)
         for fault in document.faults
     ]
     if isinstance(document.root, dict):
         return document.root, faults
-    return {}, [*faults, Fault(str(path), 'must be a mapping of sections')]
+    return {}, [
+        *faults,
+        DocumentFault(str(path), 'must be a mapping of sections'),
+    ]
 
 
 def _validate(
     merged: dict[str, Any],
-    faults: list[Fault],
+    faults: list[DocumentFault],
 ) -> Result[Settings, SettingsError]:
     cfg = None
     try:
@@ -260,18 +263,20 @@
     return Ok(cfg)
 
 
-def _repeated_values(merged: dict[str, Any]) -> Iterator[Fault]:
+def _repeated_values(merged: dict[str, Any]) -> Iterator[DocumentFault]:
     for kind, patterns in _UNIQUE.items():
         first_at: dict[str, str] = {}
         for pattern in patterns:
             for path, value in walk(merged, pattern):
                 first = first_at.setdefault(str(value), path)
                 if first != path:
-                    yield Fault(path, f'{kind} is already used by {first}')
+                    yield DocumentFault(
+                        path, f'{kind} is already used by {first}'
+                    )
 
 
-def _unknown_data_centre(merged: dict[str, Any]) -> Iterator[Fault]:
+def _unknown_data_centre(merged: dict[str, Any]) -> Iterator[DocumentFault]:
     known = {value for _, value in walk(merged, 'data_centres.*')}
     for path, value in walk(merged, 'instance.data_centre'):
         if known and value not in known:
-            yield Fault(path, 'is not one of data_centres')
+            yield DocumentFault(path, 'is not one of data_centres')
