Find a server's health to note something in one place

Cause: four methods of `Membership` took the lock, looked the server up and passed on what they were told, if it was known.

Change: `_note` does so.

Result: test_membership, test_server_watch and test_fleet_view: 69 passed.

--- a/src/wasabicross/membership.py
+++ b/src/wasabicross/membership.py
@@ -5,7 +5,7 @@
 import enum
 import math
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from wasabicross.server_health import Failure, ServerHealth, ServerState
 
@@ -72,10 +72,7 @@
         :param server_id: id of the server.
         :param now_s: monotonic seconds.
         """
-        with self._lock:
-            health = self._servers.get(server_id)
-            if health:
-                health.on_own_leaving(now_s)
+        self._note(server_id, lambda health: health.on_own_leaving(now_s))
 
     def on_start(self, server_id: str, now_s: float) -> None:
         """Note that a request was sent to a server.
@@ -83,10 +80,7 @@
         :param server_id: id of the server.
         :param now_s: monotonic seconds.
         """
-        with self._lock:
-            health = self._servers.get(server_id)
-            if health:
-                health.on_start(now_s)
+        self._note(server_id, lambda health: health.on_start(now_s))
 
     def on_success(self, server_id: str, now_s: float) -> None:
         """Note that a server answered.
@@ -94,10 +88,7 @@
         :param server_id: id of the server.
         :param now_s: monotonic seconds.
         """
-        with self._lock:
-            health = self._servers.get(server_id)
-            if health:
-                health.on_success(now_s)
+        self._note(server_id, lambda health: health.on_success(now_s))
 
     def on_failure(
         self,
@@ -111,10 +102,7 @@
         :param failure: how it failed.
         :param now_s: monotonic seconds.
         """
-        with self._lock:
-            health = self._servers.get(server_id)
-            if health:
-                health.on_failure(failure, now_s)
+        self._note(server_id, lambda health: health.on_failure(failure, now_s))
 
     def on_word(
         self,
@@ -203,6 +191,15 @@
             refused = health.last_failure is Failure.refused
             return Loss.server if refused or words else Loss.unknown
 
+    def _note(
+        self, server_id: str, note: Callable[[ServerHealth], None]
+    ) -> None:
+        """Let the health of a server take something in, if it is known."""
+        with self._lock:
+            health = self._servers.get(server_id)
+            if health:
+                note(health)
+
     def _state(self, server_id: str, now_s: float) -> ServerState:
         health = self._servers.get(server_id)
         return health.state(now_s) if health else ServerState.gone
