Keep docstrings within a line's length

Cause: four docstrings were longer than a line of 80 characters, one of them a demo's description of 92.

Change: they are shorter or broken.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -1,7 +1,7 @@
 """A demonstration: a whole deployment, two bundles, and requests between.
 
-`python -m emulator.demo [--example FOLDER]` exits 0 when every answer came from the adapter
-version that the bundle in force at its acceptance names.
+`python -m emulator.demo [--example FOLDER]` exits 0 when every answer came from
+the adapter version that the bundle in force at its acceptance names.
 """
 
 import json
--- a/src/wasabicross/attempts.py
+++ b/src/wasabicross/attempts.py
@@ -37,7 +37,7 @@
 
 
 class Tried:
-    """The servers that a request was sent to, and whether one may have run it."""
+    """Where a request was sent, and whether a server may have run it."""
 
     def __init__(self) -> None:
         self.servers: list[str] = []
--- a/src/wasabicross/load_table.py
+++ b/src/wasabicross/load_table.py
@@ -124,7 +124,7 @@
             return load_name in self._closed
 
     def holders(self, adapter: str, version: str, now_s: float) -> list[str]:
-        """Return the names of the open loads of an adapter version that may be used.
+        """Name the open loads of an adapter version that may be used.
 
         :param adapter: name of the adapter.
         :param version: its version as the bundle names it.
--- a/src/wasabicross/popularity.py
+++ b/src/wasabicross/popularity.py
@@ -1,4 +1,4 @@
-"""Exponentially decayed request counts that tell hot adapters from idle ones."""
+"""Exponentially decayed request counts: which adapters are hot, which idle."""
 
 from __future__ import annotations
 
