Fail the same adapters' loads for each contender of the peak

Cause: the planned fault failed the next three loads of whatever adapters, so each contender met another one. A copy that nobody waits for could take the fault as well.

Change: the loads that fail are named, as those of the first three adapters that are called for the first time from a fifth of the peak on. The stand-in of the weight store fails the next load of each named adapter once. Each line of the bench tells the loads that have failed.

Ruled out: failing all loads within a second, since a contender that loads more then would meet more faults.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -17,7 +17,12 @@
 
 from emulator.arrivals import Arrival, Arrivals, Popularity
 from emulator.bench_deployment import POLICY, BenchDeployment
-from emulator.bench_faults import planned_faults, provoke
+from emulator.bench_faults import (
+    adapter_name,
+    failed_loads,
+    planned_faults,
+    provoke,
+)
 from emulator.bench_figures import EngineLogs, Histogram, ends_of, figures_of
 from emulator.clairvoyant import stall_bound_s
 from emulator.cold_start import cold_start
@@ -186,23 +191,19 @@
     return list(arrivals.until(options.duration_s))
 
 
-def adapter_name(number: int) -> str:
-    """Name an adapter of the bench."""
-    return f'adapter-{number}'
-
-
 async def _call(
     deployment: BenchDeployment, options: BenchOptions
 ) -> list[Shot]:
     calls = PeakCalls([place.url for place in deployment.entries])
     load = Load(calls.to_call, MAX_IN_FLIGHT)
+    arrivals = planned(options)
     faults = planned_faults(
-        options.faults, options.duration_s, len(deployment.engines)
+        options.faults, options.duration_s, len(deployment.engines), arrivals
     )
     engine_urls = [place.url for place in deployment.engines]
     weights_url = deployment.weights.url
     shots, _ = await asyncio.gather(
-        load.run(planned(options)), provoke(faults, engine_urls, weights_url)
+        load.run(arrivals), provoke(faults, engine_urls, weights_url)
     )
     return shots
 
@@ -235,6 +236,7 @@
             [shot for shot in shots if shot.call.token == SMALL_TOKEN]
         ),
         'told_stall_s_total': round(stall.total, 1),
+        'failed_loads': failed_loads(deployment.weights.url),
     }
 
 
--- a/emulator/bench_faults.py
+++ b/emulator/bench_faults.py
@@ -3,11 +3,14 @@
 import asyncio
 import json
 import time
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import urllib3
 
-#: Loads that fail, of whatever engines, from a fifth of the peak on.
+from emulator.arrivals import Arrival
+
+#: Adapters whose first load fails, of those new from a fifth of the peak on.
 _FAILING_LOADS = 3
 
 
@@ -25,18 +28,27 @@
 
 
 def planned_faults(
-    kind: str, duration_s: float, engines: int
+    kind: str,
+    duration_s: float,
+    engines: int,
+    arrivals: Sequence[Arrival] = (),
 ) -> list[PlannedFault]:
     """Return the faults in the order of their times.
 
+    The loads that fail are named by their adapters, which nobody has called
+    before. A number of any loads would hit each contender at another time,
+    in a backlog or in a quiet second, or spare first loads for copies.
+
     :param kind: `none`; `some`: some loads fail, later an engine restarts
         empty; `half`: half of the engines restart empty at once.
     :param duration_s: of the peak.
     :param engines: how many there are.
+    :param arrivals: of the peak.
     """
     restart = {'kind': 'restart_empty'}
     if kind == 'some':
-        failing = {'kind': 'fail_loads', 'count': _FAILING_LOADS}
+        named = _new_adapters(arrivals, duration_s / 5)
+        failing = {'kind': 'fail_loads', 'adapters': named}
         return [
             PlannedFault(duration_s / 5, None, failing),
             PlannedFault(duration_s * 4 / 5, 1, restart),
@@ -49,6 +61,25 @@
     return []
 
 
+def _new_adapters(arrivals: Sequence[Arrival], from_s: float) -> list[str]:
+    """Return the first adapters that are called from a time on, not before."""
+    first_s = {each.number: each.at_s for each in reversed(arrivals)}
+    new = [number for number, at_s in first_s.items() if at_s >= from_s]
+    new.sort(key=first_s.__getitem__)
+    return [adapter_name(number) for number in new[:_FAILING_LOADS]]
+
+
+def adapter_name(number: int) -> str:
+    """Name an adapter of the bench."""
+    return f'adapter-{number}'
+
+
+def failed_loads(weights_url: str) -> list[str]:
+    """Name the adapters whose loads have failed at the weight store."""
+    log = urllib3.request('GET', f'{weights_url}/debug/log').json()['log']
+    return [entry['adapter'] for entry in log if entry['failed']]
+
+
 async def provoke(
     faults: list[PlannedFault], engine_urls: list[str], weights_url: str
 ) -> None:
--- a/emulator/weights.py
+++ b/emulator/weights.py
@@ -39,6 +39,7 @@
         self._refilled_at = time.monotonic()
         self._in_flight = 0
         self._fail_next = 0
+        self._fail_once: set[str] = set()
         self._extra_s: float = 0
         self._counts = {
             'loads': 0,
@@ -75,8 +76,7 @@
             self._counts['max_in_flight'],
             self._in_flight,
         )
-        failing = self._fail_next > 0
-        self._fail_next -= failing
+        failing = self._takes_failure(adapter)
         try:
             await asyncio.sleep(self._wait_for_turn(started_at))
             await self._transfer(responder)
@@ -95,6 +95,14 @@
         status = 500 if failing else 200
         responder.send_json(status, {'adapter': adapter, 'version': version})
 
+    def _takes_failure(self, adapter: str) -> bool:
+        if adapter in self._fail_once:
+            self._fail_once.remove(adapter)
+            return True
+        failing = self._fail_next > 0
+        self._fail_next -= failing
+        return failing
+
     def _wait_for_turn(self, now_s: float) -> float:
         gained = (now_s - self._refilled_at) * self._loads_per_s
         burst = max(1.0, self._loads_per_s)
@@ -118,7 +126,9 @@
     def _set_fault(self, document: dict[str, Any]) -> None:
         match document.get('kind'):
             case 'fail_loads':
-                self._fail_next = int(document.get('count', 1))
+                named = document.get('adapters', [])
+                self._fail_once.update(named)
+                self._fail_next = int(document.get('count', not named))
             case 'slow_loads':
                 self._extra_s = document['delay_ms'] / 1000
             case _:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -193,6 +193,25 @@
     assert all(0 < fault.at_s < 50 for fault in faults)
 
 
+@pytest.mark.parametrize(
+    ('calls', 'named'),
+    [
+        # Times and numbers: those called before a fifth of 50 s don't count.
+        ([(1, 5), (11, 5), (12, 6), (13, 7), (14, 6), (15, 8)], [6, 7, 8]),
+        ([(11, 1), (12, 2), (13, 3), (14, 4)], [1, 2, 3]),
+        ([(1, 1), (11, 1)], []),
+    ],
+)
+def test_the_same_loads_fail_for_each_contender(calls, named):
+    arrivals = [Arrival(at_s, number, 1) for at_s, number in calls]
+    fault = planned_faults('some', 50, 6, arrivals)[0]
+    assert fault.at_s == 10
+    assert fault.document == {
+        'kind': 'fail_loads',
+        'adapters': [f'adapter-{number}' for number in named],
+    }
+
+
 @pytest.mark.parametrize(
     ('last', 'after_ms'),
     [({}, 300), ({'status': 503}, None), ({'status': 0}, None)],
