Ask for a permit to load only where a slot is free for it

Cause: the owner of an engine with one free slot asked for permits for all its wants. The first load took the slot; the others held their permits until they expired, or gave them back, and their places in the weight store's rate were lost to loads that had room.

Ruled out: the store's rate (from 25 s on 4 to 12 orders in 5 s, where 15 are allowed), consents (evictions followed each other within milliseconds).

Change: each want has a free slot of its own before a permit is asked for; those that have asked keep theirs. An unused permit gives its place in the rate back while it counts there.

--- a/src/wasabicross/load_budget.py
+++ b/src/wasabicross/load_budget.py
@@ -74,6 +74,7 @@
         self._prefetches: dict[LoadKey, float] = {}
         self._permits: dict[LoadKey, LoadPermit] = {}
         self._due_s = deque[float](maxlen=max(1, math.floor(loads_per_s)))
+        self._latest = deque[int](maxlen=self._due_s.maxlen)
         self._grants = 0
         self.backoff = LoadBackoff()
 
@@ -185,10 +186,18 @@
             self._prefetches.pop(permit.key, None)
 
     def cancel(self, permit: LoadPermit) -> None:
-        """End a permit whose load was not tried; its demands stay."""
+        """End a permit whose load was not tried; its demands stay.
+
+        Its place in the rate is given back while it still counts there.
+        """
         with self._lock:
-            if self._permits.get(permit.key) == permit:
-                self._permits.pop(permit.key)
+            if self._permits.get(permit.key) != permit:
+                return
+            self._permits.pop(permit.key)
+            if permit.number in self._latest:
+                place = self._latest.index(permit.number)
+                self._latest.remove(permit.number)
+                del self._due_s[place]
 
     def _permit(
         self,
@@ -200,6 +209,7 @@
         next_s = self._next_s()
         is_late = now_s - next_s > _LATENESS_S
         self._due_s.append(now_s if is_late else next_s)
+        self._latest.append(self._grants)
         permit = LoadPermit(key, self._grants, now_s, prefetch)
         self._permits[key] = permit
         self._prefetches.pop(key, None)
--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -90,6 +90,9 @@
     def due(self, now_s: float) -> list[Wanted]:
         """Return the wants, those that most requests wait for first.
 
+        Those with a permit come before all others, and then those that have
+        asked for one, since a slot is kept for each.
+
         :param now_s: monotonic seconds.
         """
         with self._lock:
@@ -100,7 +103,12 @@
         with self._lock:
             return sorted(
                 self._wants.values(),
-                key=lambda due: (-due.want.waiting, due.since_s),
+                key=lambda due: (
+                    due.version not in self._permitted,
+                    due.version not in self._asked_s,
+                    -due.want.waiting,
+                    due.since_s,
+                ),
             )
 
     def permitted(self, adapter: str, version: str) -> None:
--- a/src/wasabicross/server_owner.py
+++ b/src/wasabicross/server_owner.py
@@ -280,6 +280,14 @@
         self._subscribers.broadcast(LoadsOpened(self.server, [name]))
 
     def _serve_wants(self, now_s: float) -> None:
+        """Load what is wanted, as far as there are slots.
+
+        Each want has a free slot of its own before a permit is asked for. A
+        permit that is not used takes its place in the weight store's rate
+        from loads that have room.
+        """
+        free = self.held.slots - len(self.held)
+        emptying = len(self.held.closing())
         for wanted in self.queue.due(now_s):
             if self.deposed.is_set():
                 return
@@ -287,10 +295,17 @@
             if opened:
                 self.queue.remove(wanted)
                 self._subscribers.broadcast(LoadsOpened(self.server, opened))
-            elif len(self.held) >= self.held.slots:
+            elif free > 0:
+                free -= 1
+                self._load_if_permitted(wanted, now_s)
+            elif emptying > 0:
+                emptying -= 1
+            else:
                 self._make_room(wanted, now_s)
-            elif self.queue.take_permit(wanted, now_s):
-                self._order_load(wanted, now_s)
+
+    def _load_if_permitted(self, wanted: Wanted, now_s: float) -> None:
+        if self.queue.take_permit(wanted, now_s):
+            self._order_load(wanted, now_s)
 
     def _order_load(self, wanted: Wanted, now_s: float) -> None:
         self._sequence += 1
@@ -314,8 +329,6 @@
         self._looked_s = float('-inf')
 
     def _make_room(self, wanted: Wanted, now_s: float) -> None:
-        if len(self.held.closing()) >= len(self.queue):
-            return
         want = wanted.want
         displacing = '' if want.waiting else want.adapter
         victim = self.held.victim(now_s, self.weights, displacing)
--- a/tests/test_load_budget.py
+++ b/tests/test_load_budget.py
@@ -95,6 +95,46 @@
     assert found_s == pytest.approx(granted_s, abs=0.03)
 
 
+@pytest.mark.parametrize(
+    ('cancelled', 'granted_s'),
+    [
+        ([], [0, 0, 0, 1, 1, 1, 2]),
+        # What was not loaded makes way for another within the second.
+        ([1], [0, 0, 0, 0, 1, 1, 1]),
+        ([0, 1, 2], [0, 0, 0, 0, 0, 0, 1]),
+        ([5], [0, 0, 0, 1, 1, 1, 1]),
+    ],
+)
+def test_unused_permits_give_their_place_back(cancelled, granted_s):
+    budget = LoadBudget()
+    for number in range(9):
+        budget.set_demand(key(str(number)), 'entry', 1, 0)
+    found_s = []
+    now_s: float = 0
+    while len(found_s) < 7:
+        permit = budget.grant(now_s)
+        if permit is None:
+            now_s += 0.01
+        elif len(found_s) in cancelled:
+            budget.cancel(permit)
+            budget.set_demand(permit.key, 'entry', 0, 0)
+            found_s.append(now_s)
+        else:
+            budget.finish(permit, 's', True, now_s)
+            found_s.append(now_s)
+    assert found_s == pytest.approx(granted_s, abs=0.03)
+
+
+def test_a_late_cancel_lets_no_more_load_within_a_second():
+    budget = LoadBudget()
+    for number in range(9):
+        budget.set_demand(key(str(number)), 'entry', 1, 0)
+    early = [budget.grant(0) for _ in range(3)]
+    assert all(budget.grant(1.05) for _ in range(3))
+    budget.cancel(early[0])
+    assert budget.grant(1.1) is None
+
+
 @pytest.mark.parametrize(('demands', 'held'), [(12, 8), (0, 4)])
 def test_in_flight_is_bounded(demands, held):
     budget = LoadBudget()
--- a/tests/test_server_owner.py
+++ b/tests/test_server_owner.py
@@ -145,6 +145,29 @@
     assert scene.owner.held.closing() == []
 
 
+def test_a_permit_is_asked_for_where_there_is_a_slot_for_it():
+    scene = Scene(loads=())
+    asked = []
+    scene.owner.queue.permits.request = lambda server_id, want, since_s: (
+        asked.append(want.adapter)
+    )
+    scene.join('a', 0)
+    scene.report('a', 0)
+    scene.step(0)
+    scene.want(1)
+    other = LETTER._replace(adapter='other', waiting=9)
+    scene.step(1)
+    scene.owner.want(other, scene.links['a'], 1.1)
+    scene.step(1.1, 1.2)
+    # The only slot is kept for the one that has asked first.
+    assert asked == ['letter']
+    declined = [each for each in scene.links['a'].sent if 'other' in each]
+    assert declined == [LoadDeclined('s', 'other', '1', 1.0)]
+    scene.owner.permitted('letter', '1')
+    scene.step(1.3)
+    assert scene.engine.loads == [NEW]
+
+
 @pytest.mark.parametrize(
     ('error', 'declined', 'deposed'),
     [(LoadFailed('x'), True, False), (OrderRefused(3), False, True)],
