Place loads where a call finds room in the batch

Cause: a load went to the engine that ranks first for its adapter, also where its calls then waited in a long queue while other engines ran two of eight.

Change: engines with a full batch are asked last. Where full batches weigh more than waiting, those with room are asked in one order for all adapters, so that one batch is filled before the next; otherwise they are ranked for each adapter as before. Either way the instances ask in the same order, so that wants meet.

--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -195,6 +195,12 @@
         ]
         usable = self._watch.usable(group, now_s)
         shut_out = [each for each in group if each not in usable]
+        full = [
+            engine.server_id
+            for engine in self._watch.engines(route.group, now_s)
+            if has_full_batch(engine)
+        ]
+        weights = Weights.from_config(run.req.bundle.policy)
         return WantLoad(
             wanted.adapter,
             wanted.version,
@@ -203,6 +209,8 @@
             route.request_class,
             0,
             [*run.tried.servers, *held_by, *ungranted, *shut_out],
+            full,
+            weights.fills_in_turn,
         )
 
     def _observe_stall(self, run: _Run, stalled_s: float) -> None:
--- a/src/wasabicross/placing.py
+++ b/src/wasabicross/placing.py
@@ -54,6 +54,8 @@
     ) -> list[str]:
         """Return the servers to ask, the best first.
 
+        Those with a full batch come last.
+
         :param want: the adapter version wanted.
         :param servers: all backend servers that the list shows.
         :param now_s: monotonic seconds.
@@ -66,7 +68,14 @@
             and server.base_model == want.base_model
             and server.server_id not in want.tried
         ]
-        ranked = rank_servers(want.adapter, want.version, fitting)
+        ranked = [
+            *_ranked(want, [each for each in fitting if each not in want.full]),
+            *rank_servers(
+                want.adapter,
+                want.version,
+                [each for each in fitting if each in want.full],
+            ),
+        ]
         with self._lock:
             return [
                 server_id
@@ -85,3 +94,10 @@
         for key, until_s in list(self._declined.items()):
             if now_s > until_s:
                 self._declined.pop(key)
+
+
+def _ranked(want: WantLoad, servers: list[str]) -> tuple[str, ...]:
+    """Rank servers with room: for each adapter, or alike for all."""
+    if want.in_turn:
+        return rank_servers('', '', servers)
+    return rank_servers(want.adapter, want.version, servers)
--- a/src/wasabicross/policy.py
+++ b/src/wasabicross/policy.py
@@ -35,6 +35,15 @@
     min_resident_s: float = 2
     displace_margin: float = 1.5
 
+    @property
+    def fills_in_turn(self) -> bool:
+        """Whether one server's batch is filled before the next one's.
+
+        That keeps batches full while there is less to run than fits. Where
+        waiting weighs more, adapters are spread over all servers.
+        """
+        return self.batch_weight > self.stall_weight
+
     @classmethod
     def from_config(cls, policy: Mapping[str, float]) -> Weights:
         """Take the weights that a bundle's policy names, defaults for others.
--- a/src/wasabicross/want_messages.py
+++ b/src/wasabicross/want_messages.py
@@ -4,7 +4,13 @@
 
 
 class WantLoad(NamedTuple):
-    """Asks for an adapter version to be loaded on some server."""
+    """Asks for an adapter version to be loaded on some server.
+
+    :param tried: servers where it would be of no use.
+    :param full: servers that are asked last, as a new request would wait for
+        a place in their batch.
+    :param in_turn: whether one server's batch is filled after the other's.
+    """
 
     adapter: str
     version: str
@@ -13,6 +19,8 @@
     request_class: str
     waiting: int
     tried: list[str]
+    full: list[str] = []
+    in_turn: bool = False
 
 
 class LoadWanted(NamedTuple):
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -119,6 +119,31 @@
     assert reply.status == (503 if wants else CRASHES_SERVERS.status)
 
 
+@pytest.mark.parametrize(
+    ('elsewhere', 'policy', 'full', 'in_turn'),
+    [
+        ((3, 16), {}, ['engine-1', 'engine-3'], False),
+        ((3, 3), {'batch_weight': 4}, ['engine-1'], True),
+        ((16, 30), {'stall_weight': 4}, ['engine-1', *'23'], False),
+    ],
+)
+def test_a_want_names_the_full_engines(elsewhere, policy, full, in_turn):
+    now_s = time.monotonic()
+    sent = []
+    link = SimpleNamespace(loads=LoadTable(60, now_s), send=sent.append)
+    others = [
+        Holder(f'engine-{number}', 'north', '', running, 0, 0, 16, 9)
+        for number, running in enumerate(elsewhere, start=2)
+    ]
+    calls = ModelCalls(link, RefusingAttempts(16, 16, others), 'north')
+    req = request('c')._replace(deadline_s=now_s + 0.1)
+    req.bundle.policy = policy
+    assert calls.run(req).status == 503
+    named = [each[-1] for each in sent[0].full]
+    assert named == [each[-1] for each in full]
+    assert sent[0].in_turn is in_turn
+
+
 class SendingAttempts(RefusingAttempts):
     """Sends each request once and keeps no count."""
 
