Drop wants and demands that are no longer told

Cause: a want that moved to another engine stayed with its former owner for 5 s and its demand at the desk for ever.

Change: a want that requests wait for is dropped after 1.2 s without word, four times what entries take to repeat it; a copy after 5 s as before. The desk drops what an owner has not asked for again within 1.5 s; owners repeat themselves each 0.5 s now.

--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -6,10 +6,14 @@
 from wasabicross.links import Link
 from wasabicross.messages import LoadDeclined, WantLoad
 
-PERMIT_REPEAT_S = 1.0
-WANT_EXPIRY_S = 5.0
+PERMIT_REPEAT_S = 0.5
 DECLINE_RETRY_S = 1.0
 
+#: Seconds after which a want that isn't told again is dropped. Entries tell
+#: several times a second what requests wait for; a copy they tell now and then.
+WAIT_EXPIRY_S = 1.2
+COPY_EXPIRY_S = 5.0
+
 _Version = tuple[str, str]
 
 
@@ -44,6 +48,11 @@
         """The adapter and its version."""
         return (self.want.adapter, self.want.version)
 
+    def is_stale(self, now_s: float) -> bool:
+        """Tell whether nobody has asked for it lately."""
+        expiry_s = WAIT_EXPIRY_S if self.want.waiting else COPY_EXPIRY_S
+        return now_s - self.asked_s > expiry_s
+
 
 class LoadQueue:
     """Wants of one engine and the permits to load them.
@@ -98,7 +107,7 @@
         with self._lock:
             wants = list(self._wants.values())
         for known in wants:
-            if now_s - known.asked_s > WANT_EXPIRY_S:
+            if known.is_stale(now_s):
                 self._drop(known.version)
         with self._lock:
             return sorted(
--- a/src/wasabicross/permits.py
+++ b/src/wasabicross/permits.py
@@ -12,6 +12,10 @@
 GRANT_INTERVAL_S = 0.02
 STALE_PERMIT_S = 10.0
 
+#: Seconds after which a load is no longer asked for by an owner that has not
+#: repeated its question, which it does while requests wait and it has room.
+DEMAND_EXPIRY_S = 1.5
+
 
 class _Asker(NamedTuple):
     link: Link
@@ -35,6 +39,7 @@
         self._lock = threading.Lock()
         self._askers: dict[LoadKey, _Asker] = {}
         self._permits: dict[LoadKey, LoadPermit] = {}
+        self._asked_s: dict[tuple[LoadKey, str], float] = {}
 
     @classmethod
     def from_config(
@@ -69,6 +74,8 @@
         if not asked.waiting:
             # Of the copies, the one wanted for the longest comes first.
             self._budget.set_prefetch(key, 1 + asked.waited_s)
+        with self._lock:
+            self._asked_s[key, asked.server_id] = now_s
         self._budget.set_demand(
             key, asked.server_id, asked.waiting, now_s - asked.waited_s
         )
@@ -112,12 +119,26 @@
 
     def grant_due(self, now_s: float) -> None:
         """Grant every permit that the budget allows now."""
+        self._forget_old(now_s)
         while True:
             permit = self._budget.grant(now_s)
             if permit is None:
                 return
             self._hand_out(permit, now_s)
 
+    def _forget_old(self, now_s: float) -> None:
+        """Drop what owners have ceased to ask for."""
+        with self._lock:
+            old = [
+                asked
+                for asked, asked_s in self._asked_s.items()
+                if now_s - asked_s > DEMAND_EXPIRY_S
+            ]
+            for asked in old:
+                self._asked_s.pop(asked)
+        for key, server_id in old:
+            self._budget.set_demand(key, server_id, 0, 0)
+
     def _hand_out(self, permit: LoadPermit, now_s: float) -> None:
         key = permit.key
         with self._lock:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -63,6 +63,33 @@
     assert [granted.server_id for granted in link.sent] == ['gone', 'other']
 
 
+@pytest.mark.parametrize(
+    ('asked_s', 'granted'), [((1,), 'b'), ((1, 2, 3), 'ab'), ((1, 3), 'ab')]
+)
+def test_what_is_no_longer_asked_for_takes_no_permit(asked_s, granted):
+    desk, link = PermitDesk(LoadBudget(loads_per_s=1), 1), RecordingLink()
+    desk.ask(PermitLoad('s', 'dc', 'first', '1', 9, 9), link, 0.9)
+    desk.grant_due(0.9)
+    for now_s in asked_s:
+        desk.ask(PermitLoad('s', 'dc', 'a', '1', 5, now_s), link, now_s)
+    desk.ask(PermitLoad('s', 'dc', 'b', '1', 1, 1), link, 3)
+    link.sent.clear()
+    for now_s in (3, 4):
+        desk.grant_due(now_s)
+    assert [each.adapter for each in link.sent] == list(granted)
+
+
+@pytest.mark.parametrize(
+    ('waiting', 'now_s', 'is_due'),
+    [(1, 1, True), (1, 1.5, False), (0, 4.5, True), (0, 6, False)],
+)
+def test_wants_that_are_not_told_again_are_dropped(waiting, now_s, is_due):
+    queue = LoadQueue('s', RecordingPermits())
+    want = WantLoad('a', '1', 'base', 'group', 'draft', waiting, [])
+    queue.add(want, RecordingLink(), 0)
+    assert bool(queue.due(now_s)) is is_due
+
+
 def test_unused_permits_do_not_fill_the_budget():
     desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
     for number in range(20):
