Let a want keep its age where it moves to another engine

Cause: a want that an engine declined started anew at the next one, so that the adapter that had waited longest was not known as such there or at the desk, by which each fourth load goes to the oldest waiter.

Change: entries tell since when requests have waited; owners count from then.

--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -86,7 +86,9 @@
         version = (want.adapter, want.version)
         with self._lock:
             earlier = self._wants.get(version)
-            since_s = earlier.since_s if earlier else now_s
+            since_s = now_s - want.waited_s
+            if earlier:
+                since_s = min(since_s, earlier.since_s)
             self._wants[version] = Wanted(want, asker, since_s, now_s)
 
     def remove(self, wanted: Wanted) -> None:
--- a/src/wasabicross/load_wants.py
+++ b/src/wasabicross/load_wants.py
@@ -25,16 +25,19 @@
         self._lock = threading.Lock()
         self._waiting: Counter[_Version] = Counter()
         self._told_s: dict[_Version, float] = {}
+        self._since_s: dict[_Version, float] = {}
 
     @contextmanager
-    def waiting(self, want: WantLoad) -> Iterator[WantLoad]:
+    def waiting(self, want: WantLoad, now_s: float) -> Iterator[WantLoad]:
         """Count a request as waiting for an adapter version meanwhile.
 
         :param want: the adapter version.
+        :param now_s: monotonic seconds.
         """
         version = (want.adapter, want.version)
         with self._lock:
             self._waiting[version] += 1
+            self._since_s.setdefault(version, now_s)
         try:
             yield want
         finally:
@@ -43,7 +46,8 @@
     def tell(self, want: WantLoad, now_s: float) -> None:
         """Tell a want, unless it was told within `TELL_INTERVAL_S`.
 
-        :param want: the adapter version; how many wait is filled in.
+        :param want: the adapter version; how many wait is filled in, and for
+            how long.
         :param now_s: monotonic seconds.
         """
         version = (want.adapter, want.version)
@@ -54,8 +58,11 @@
             if len(self._told_s) >= MAX_TOLD:
                 self._told_s.clear()
             self._told_s[version] = now_s
-            waiting = self._waiting[version]
-        self._send(want._replace(waiting=waiting))
+            told = want._replace(
+                waiting=self._waiting[version],
+                waited_s=max(0, now_s - self._since_s.get(version, now_s)),
+            )
+        self._send(told)
 
     def _finish(self, version: _Version) -> None:
         with self._lock:
@@ -63,3 +70,4 @@
             if not self._waiting[version]:
                 self._waiting.pop(version)
                 self._told_s.pop(version, None)
+                self._since_s.pop(version, None)
--- a/src/wasabicross/model_calls.py
+++ b/src/wasabicross/model_calls.py
@@ -96,7 +96,7 @@
         until_s = min(run.req.deadline_s, started_s + MAX_LOAD_WAIT_S)
         holder = self._begin(run, started_s)
         if holder is None:
-            with self._wants.waiting(self._want(run, (), started_s)):
+            with self._wants.waiting(self._want(run, (), started_s), started_s):
                 holder = self._wait(run, until_s)
         stalled_s = time.monotonic() - started_s
         self._observe_stall(run, stalled_s)
--- a/src/wasabicross/want_messages.py
+++ b/src/wasabicross/want_messages.py
@@ -6,10 +6,12 @@
 class WantLoad(NamedTuple):
     """Asks for an adapter version to be loaded on some server.
 
+    :param waiting: requests of one entry that wait for it; none for a copy.
     :param tried: servers where it would be of no use.
     :param full: servers that are asked last, as a new request would wait for
         a place in their batch.
     :param in_turn: whether one server's batch is filled after the other's.
+    :param waited_s: seconds since which requests have waited without a break.
     """
 
     adapter: str
@@ -21,6 +23,7 @@
     tried: list[str]
     full: list[str] = []
     in_turn: bool = False
+    waited_s: float = 0
 
 
 class LoadWanted(NamedTuple):
