Expect a load to take a second where full batches weigh more

Cause: on the peak of full batches loads wait for seconds at the store, but the weight `load_s` said 0.5 s, so that calls left queues of 2.5 s for loads that took as long and kept the store from first calls.

--- a/emulator/bench.py
+++ b/emulator/bench.py
@@ -75,7 +75,7 @@
         ('hbt-a', 'hbt-b', 'ltn', 'bur'),
         6,
         2,
-        {'stall_weight': 1, 'batch_weight': 4},
+        {'stall_weight': 1, 'batch_weight': 4, 'load_s': 1},
         batch=8,
         tokens=180,
     ),
