Drop wants that another server has met

Change: each instance drops what requests wait for as soon as it is told that some server holds it. Wants of copies stay.

--- a/src/wasabicross/controller_links.py
+++ b/src/wasabicross/controller_links.py
@@ -70,6 +70,7 @@
     @_handle.register
     def _(self, message: msg.LoadsOpened, link: Link, call_id: int) -> None:
         self._ctl.loads.open_loads(message)
+        self._ctl.owners.opened(message.load_names)
 
     @_handle.register
     def _(self, message: msg.LoadsSnapshot, link: Link, call_id: int) -> None:
--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -95,6 +95,16 @@
         """Drop a want that is met or declined."""
         self._drop(wanted.version)
 
+    def met(self, adapter: str, version: str) -> None:
+        """Drop a want that another server has met, unless it is of a copy.
+
+        Entries whose requests go on waiting tell it again soon.
+        """
+        with self._lock:
+            wanted = self._wants.get((adapter, version))
+        if wanted is not None and wanted.want.waiting:
+            self.remove(wanted)
+
     def decline(
         self, wanted: Wanted, retry_after_s: float = DECLINE_RETRY_S
     ) -> None:
--- a/src/wasabicross/owners.py
+++ b/src/wasabicross/owners.py
@@ -8,7 +8,7 @@
 from wasabicross.engines import Engine
 from wasabicross.instances import BackendServer
 from wasabicross.links import Link
-from wasabicross.load_names import server_of
+from wasabicross.load_names import parse_load_name, server_of
 from wasabicross.messages import (
     LoadsSnapshot,
     LoadUses,
@@ -238,6 +238,16 @@
         if owner is not None:
             owner.want(want, asker, now_s)
 
+    def opened(self, load_names: Iterable[str]) -> None:
+        """Drop what requests waited for that some server holds now."""
+        found = [parse_load_name(load_name) for load_name in load_names]
+        with self._lock:
+            owners = list(self._owners.values())
+        for owner in owners:
+            for name in found:
+                if name is not None:
+                    owner.queue.met(name.adapter, name.version)
+
     def used(self, told: LoadUses, now_s: float) -> None:
         """Pass on how an entry uses loads."""
         for use in told.uses:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -90,6 +90,23 @@
     assert bool(queue.due(now_s)) is is_due
 
 
+@pytest.mark.parametrize(
+    ('adapter', 'waiting', 'unused'),
+    [('a', 2, ['a']), ('other', 2, []), ('a', 0, [])],
+)
+def test_what_another_server_loaded_is_no_longer_wanted(
+    adapter, waiting, unused
+):
+    permits = RecordingPermits()
+    queue = LoadQueue('s', permits)
+    want = WantLoad('a', '1', 'base', 'group', 'draft', waiting, [])
+    queue.add(want, RecordingLink(), 0)
+    queue.permitted('a', '1')
+    queue.met(adapter, '1')
+    assert permits.unused == unused
+    assert len(queue) == (not unused)
+
+
 def test_unused_permits_do_not_fill_the_budget():
     desk, link = PermitDesk(LoadBudget(), 1), RecordingLink()
     for number in range(20):
