--- a/src/wasabicross/load_queue.py
+++ b/src/wasabicross/load_queue.py
@@ -6,10 +6,18 @@
 from wasabicross.links import Link
 from wasabicross.messages import LoadDeclined, WantLoad
 
-PERMIT_REPEAT_S = 1.0
-WANT_EXPIRY_S = 5.0
+PERMIT_REPEAT_S = 0.5
 DECLINE_RETRY_S = 1.0
 
+#: After which an engine without room is asked again: a slot may be free by
+#: then, for which requests wait meanwhile.
+NO_ROOM_RETRY_S = 0.25
+
+#: Seconds after which a want that isn't told again is dropped. Entries tell
+#: several times a second what requests wait for; a copy they tell now and then.
+WAIT_EXPIRY_S = 1.2
+COPY_EXPIRY_S = 5.0
+
 _Version = tuple[str, str]
 
 
@@ -59,6 +67,11 @@
         """The adapter and its version."""
         return (self.want.adapter, self.want.version)
 
+    def is_stale(self, now_s: float) -> bool:
+        """Tell whether nobody has asked for it lately."""
+        expiry_s = WAIT_EXPIRY_S if self.want.waiting else COPY_EXPIRY_S
+        return now_s - self.asked_s > expiry_s
+
 
 class LoadQueue:
     """Wants of one engine and the permits to load them.
@@ -88,34 +101,59 @@
         version = (want.adapter, want.version)
         with self._lock:
             earlier = self._wants.get(version)
-            since_s = earlier.since_s if earlier else now_s
+            since_s = now_s - want.waited_s
+            if earlier:
+                since_s = min(since_s, earlier.since_s)
             self._wants[version] = Wanted(want, asker, since_s, now_s)
 
     def remove(self, wanted: Wanted) -> None:
         """Drop a want that is met or declined."""
         self._drop(wanted.version)
 
-    def decline(self, wanted: Wanted) -> None:
-        """Tell the asker to have it loaded elsewhere."""
+    def met(self, adapter: str, version: str) -> None:
+        """Drop a want that another server has met, unless it is of a copy.
+
+        Entries whose requests go on waiting tell it again soon.
+        """
+        with self._lock:
+            wanted = self._wants.get((adapter, version))
+        if wanted is not None and wanted.want.waiting:
+            self.remove(wanted)
+
+    def decline(
+        self, wanted: Wanted, retry_after_s: float = DECLINE_RETRY_S
+    ) -> None:
+        """Tell the asker to have it loaded elsewhere.
+
+        :param retry_after_s: seconds after which it may ask here again.
+        """
         self.remove(wanted)
         wanted.asker.send(
-            LoadDeclined(self._server_id, *wanted.version, DECLINE_RETRY_S),
+            LoadDeclined(self._server_id, *wanted.version, retry_after_s),
         )
 
     def due(self, now_s: float) -> list[Wanted]:
         """Return the wants, those that most requests wait for first.
 
+        Those with a permit come before all others, and then those that have
+        asked for one, since a slot is kept for each.
+
         :param now_s: monotonic seconds.
         """
         with self._lock:
             wants = list(self._wants.values())
         for known in wants:
-            if now_s - known.asked_s > WANT_EXPIRY_S:
+            if known.is_stale(now_s):
                 self._drop(known.version)
         with self._lock:
             return sorted(
                 self._wants.values(),
-                key=lambda due: (-due.want.waiting, due.since_s),
+                key=lambda due: (
+                    due.version not in self._permitted,
+                    due.version not in self._asked_s,
+                    -due.want.waiting,
+                    due.since_s,
+                ),
             )
 
     def permitted(self, adapter: str, version: str) -> None:
