Have a claim in doubt released by its entry

Cause: where a range's owner was deposed while a claim's write was in doubt, or the link to it broke, the claim was answered as unavailable. The entry told 503 claim_unavailable, not run, and left the claim: if its write had landed, a repeat of the key was told still_running and at last outcome_unknown. The model had it otherwise, its entries release what they give up.

Ruled out: releasing after each refusal: most are surely not written, and in an outage that would hold up their answers.

Change: such a claim is answered by a refusal (InDoubt in the log, 'unanswered' on the link), upon which the entry releases it, as it does without an answer; the desk forgets the owner first, so that the release finds the next one.

--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -18,6 +18,7 @@
     ClaimUnavailable,
     Completed,
     Granted,
+    InDoubt,
     KeyReused,
     NotOwned,
     OutcomeNotKnown,
@@ -44,6 +45,8 @@
 UNAVAILABLE = ClaimAnswer('unavailable', 0, '', b'', RETRY_AFTER_S)
 #: Nothing was written, and an owner may be found soon.
 NOT_OWNED = ClaimAnswer('not_owned', 0, '', b'', RETRY_AFTER_S)
+#: What was asked may have been done; an entry releases such a claim.
+UNANSWERED = Refusal('unanswered', 'the owner gave no sure answer')
 
 _STATES = {
     'not_run': ClaimState.RELEASED,
@@ -178,16 +181,16 @@
         now_s = time.monotonic()
         owner = self._ranges.owner_of(number, now_s)
         onward = self._link_to(owner.instance_id) if owner else None
-        otherwise = self._refusal(number, message, link, now_s)
         # A message that was forwarded here is not forwarded again.
         if onward is None or link.peer.kind != 'entry':
+            refusal = self._refusal(number, message, link, now_s)
             self._ranges.forget_owner(number)
-            _reply(link, call_id, otherwise)
+            _reply(link, call_id, refusal)
             return
         fut = onward.request(message)
         fut.add_done_callback(
             lambda done: self._pass_on(
-                number, message, link, call_id, _forwarded(done, otherwise)
+                number, message, link, call_id, _forwarded(done)
             ),
         )
 
@@ -215,7 +218,7 @@
         answer: Any,
     ) -> None:
         """Answer as the range's owner did, which may have lost the range."""
-        if answer == NOT_OWNED:
+        if answer in {NOT_OWNED, UNANSWERED}:
             self._ranges.forget_owner(number)
         self._answer(message, link, call_id, answer)
 
@@ -234,9 +237,9 @@
     link.reply(call_id, message)
 
 
-def _forwarded(done: Future[Any], otherwise: Any) -> Any:
+def _forwarded(done: Future[Any]) -> Any:
     answered = done.result()
-    return answered.ok if answered.is_ok() else otherwise
+    return answered.ok if answered.is_ok() else UNANSWERED
 
 
 def _request(message: ClaimKey | SettleKey, digest: bytes) -> ClaimRequest:
@@ -251,7 +254,7 @@
 
 
 @singledispatch
-def to_answer(reply: object) -> ClaimAnswer:
+def to_answer(reply: object) -> ClaimAnswer | Refusal:
     """Return what an entry is told about a claim.
 
     :param reply: the reply of the range's owner.
@@ -301,3 +304,8 @@
 @to_answer.register
 def _(reply: NotOwned) -> ClaimAnswer:
     return NOT_OWNED
+
+
+@to_answer.register
+def _(reply: InDoubt) -> Refusal:
+    return UNANSWERED
--- a/src/wasabicross/claim_log.py
+++ b/src/wasabicross/claim_log.py
@@ -16,6 +16,7 @@
     ClaimTable,
     ClaimUnavailable,
     Granted,
+    InDoubt,
     NotOwned,
     SettleReply,
 )
@@ -297,7 +298,7 @@
             waiting = self._waiting
             self._waiting = []
         for each in waiting[:in_doubt]:
-            _answer(each, UNAVAILABLE, SettleReply.not_owner)
+            _answer(each, InDoubt(), SettleReply.not_owner)
         for each in waiting[in_doubt:]:
             _answer(each, NotOwned(), SettleReply.not_owner)
 
--- a/src/wasabicross/claims.py
+++ b/src/wasabicross/claims.py
@@ -65,6 +65,11 @@
     """Nothing was written, and another instance may own the range."""
 
 
+@dataclass(frozen=True)
+class InDoubt:
+    """Nothing was granted, yet the claim may be written: it must be released."""
+
+
 ClaimReply = (
     Granted
     | AlreadyRunning
@@ -74,6 +79,7 @@
     | KeyReused
     | ClaimUnavailable
     | NotOwned
+    | InDoubt
 )
 
 
