--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -4,25 +4,21 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from functools import singledispatch
 from typing import Any
 
 import cbor2
 
+from wasabicross.claim_answers import (
+    NOT_OWNED,
+    UNANSWERED,
+    UNAVAILABLE,
+    answer_to_claim,
+    answer_to_outcome,
+)
 from wasabicross.claim_ranges import ClaimRanges
 from wasabicross.claims import (
-    AlreadyRun,
-    AlreadyRunning,
     ClaimRequest,
     ClaimState,
-    ClaimUnavailable,
-    Completed,
-    Granted,
-    InDoubt,
-    KeyReused,
-    NotOwned,
-    OutcomeNotKnown,
-    SettleReply,
     key_digest,
     range_of,
 )
@@ -30,7 +26,6 @@
 from wasabicross.messages import (
     ClaimAnswer,
     ClaimKey,
-    Done,
     HoldersLost,
     Refusal,
     SettleKey,
@@ -38,16 +33,9 @@
 
 STEP_INTERVAL_S = 0.5
 STEPS_PER_S = 20.0
-RETRY_AFTER_S = 2.0
 WORKERS = 4
 DIGEST_BYTES = 16
 
-UNAVAILABLE = ClaimAnswer('unavailable', 0, '', b'', RETRY_AFTER_S)
-#: Nothing was written, and an owner may be found soon.
-NOT_OWNED = ClaimAnswer('not_owned', 0, '', b'', RETRY_AFTER_S)
-#: What was asked may have been done; an entry releases such a claim.
-UNANSWERED = Refusal('unanswered', 'the owner gave no sure answer')
-
 _STATES = {
     'not_run': ClaimState.RELEASED,
     'unknown': ClaimState.UNKNOWN,
@@ -134,7 +122,7 @@
         fut = self._ranges.claim(number, req, time.time())
         fut.add_done_callback(
             lambda done: self._pass_on(
-                number, asked, link, call_id, to_answer(done.result())
+                number, asked, link, call_id, answer_to_claim(done.result())
             ),
         )
 
@@ -165,7 +153,9 @@
             time.time(),
         )
         fut.add_done_callback(
-            lambda done: _reply(link, call_id, _settled(done.result())),
+            lambda done: _reply(
+                link, call_id, answer_to_outcome(done.result())
+            ),
         )
 
     def _range_of(self, message: ClaimKey | SettleKey) -> int:
@@ -245,67 +235,3 @@
 def _request(message: ClaimKey | SettleKey, digest: bytes) -> ClaimRequest:
     key = key_digest(message.tenant, message.key)
     return ClaimRequest(key, digest, message.holder)
-
-
-def _settled(reply: SettleReply) -> Done | Refusal:
-    if reply in {SettleReply.durable, SettleReply.noted}:
-        return Done()
-    return Refusal(reply.value, 'the outcome is not durable')
-
-
-@singledispatch
-def to_answer(reply: object) -> ClaimAnswer | Refusal:
-    """Return what an entry is told about a claim.
-
-    :param reply: the reply of the range's owner.
-    """
-    raise TypeError(reply)
-
-
-@to_answer.register
-def _(reply: Granted) -> ClaimAnswer:
-    return ClaimAnswer('granted', 0, '', b'', 0)
-
-
-@to_answer.register
-def _(reply: AlreadyRunning) -> ClaimAnswer:
-    return ClaimAnswer('running', 0, '', b'', RETRY_AFTER_S)
-
-
-@to_answer.register
-def _(reply: Completed) -> ClaimAnswer:
-    if not reply.answer:
-        return ClaimAnswer('already_run', 0, '', b'', 0)
-    status, content_type, content = cbor2.loads(reply.answer)
-    return ClaimAnswer('completed', status, content_type, content, 0)
-
-
-@to_answer.register
-def _(reply: AlreadyRun) -> ClaimAnswer:
-    return ClaimAnswer('already_run', 0, '', b'', 0)
-
-
-@to_answer.register
-def _(reply: OutcomeNotKnown) -> ClaimAnswer:
-    return ClaimAnswer('unknown', 0, '', b'', 0)
-
-
-@to_answer.register
-def _(reply: KeyReused) -> ClaimAnswer:
-    return ClaimAnswer('key_reused', 0, '', b'', 0)
-
-
-@to_answer.register
-def _(reply: ClaimUnavailable) -> ClaimAnswer:
-    retry_after_s = max(reply.retry_after_s, RETRY_AFTER_S)
-    return UNAVAILABLE._replace(retry_after_s=retry_after_s)
-
-
-@to_answer.register
-def _(reply: NotOwned) -> ClaimAnswer:
-    return NOT_OWNED
-
-
-@to_answer.register
-def _(reply: InDoubt) -> Refusal:
-    return UNANSWERED
