--- a/tests/bundle_parts.py
+++ b/tests/bundle_parts.py
@@ -7,11 +7,13 @@
 from nacl.signing import SigningKey
 
 from wasabicross.bundle_file import build_bundle, parse_bundle_file
+from wasabicross.bundle_status import InstanceStatus
 from wasabicross.bundles import BundlePointer, SignedManifest
 from wasabicross.exceptions import BundleUnavailable
 from wasabicross.manifests import encode_part, signature_of
 
 NOW = datetime(2026, 12, 3, 21, tzinfo=timezone.utc)
+DATA_CENTRES = ('hbt-a', 'ltn')
 ALICE = SigningKey(b'a' * 32)
 MALLORY = SigningKey(b'm' * 32)
 TRUSTED = {'alice': ALICE.verify_key}
@@ -87,3 +89,10 @@
             return Error(BundleUnavailable(f'{digest} is not here'))
         self.fetched.append(parts[digest])
         return Ok(parts[digest])
+
+
+def instance(data_centre='hbt-a', number=1, heard_s=0.1, since='2026', at=1):
+    """Return what an instance says of the bundle that it has in force."""
+    return InstanceStatus(
+        f'{data_centre}-{at}', data_centre, number, 'd', since, heard_s
+    )
