Give the tests of a claim log's writes a file of their own

Cause: test_claims had 387 lines, of what claims are told and of how the log is written.

Change: test_claim_log has the writes that are shared, paced, trimmed and over the service; the range that both use stands in range_parts.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,23 +1,25 @@
 """Claims of idempotency keys: at most one grant, whatever the store does."""
 
 import threading
-import time
-from types import SimpleNamespace
 
 import pytest
-import urllib3
+from memory_store import MemoryStore
+from range_parts import (
+    COMPLETED,
+    HORIZON_S,
+    RELEASED,
+    RUNNING_S,
+    UNKNOWN,
+    WAIT_S,
+    ranges_of,
+)
 
 from emulator.waiting import wait_until
-from tests.memory_store import MemoryStore
-from wasabicross import claim_log, claim_segments
-from wasabicross.claim_log import ClaimLog
-from wasabicross.claim_segments import ClaimSegments
+from wasabicross import claim_segments
 from wasabicross.claims import (
     AlreadyRun,
     AlreadyRunning,
     ClaimRequest,
-    ClaimState,
-    ClaimTable,
     ClaimUnavailable,
     Completed,
     Granted,
@@ -28,44 +30,6 @@
     SettleReply,
     key_digest,
 )
-from wasabicross.kv import KeyValueStore
-
-HORIZON_S = 3600.0
-RUNNING_S = 60.0
-WAIT_S = 5.0
-
-COMPLETED = ClaimState.COMPLETED
-RELEASED = ClaimState.RELEASED
-UNKNOWN = ClaimState.UNKNOWN
-
-
-class Range:
-    """A log with short ways to claim and settle."""
-
-    def __init__(
-        self, store, horizon_s=HORIZON_S, interval_s=0, wait_s=2.0, burst=1
-    ):
-        self.segments = ClaimSegments(store, 'claims/0')
-        table = ClaimTable(horizon_s, RUNNING_S)
-        self.log = ClaimLog(
-            self.segments, table, horizon_s, interval_s, wait_s, burst
-        )
-        assert self.log.take_over().is_ok()
-
-    def ask(self, holder, key='k', digest=b'd', now_s=0):
-        req = ClaimRequest(key_digest('t', key), digest, holder)
-        return self.log.claim(req, now_s)
-
-    def claim(self, *args, **kwargs):
-        return self.ask(*args, **kwargs).result(WAIT_S)
-
-    def settle(self, holder, state, answer=b'', key='k', now_s=1):
-        req = ClaimRequest(key_digest('t', key), b'', holder)
-        return self.log.settle(req, state, answer, now_s).result(WAIT_S)
-
-    def write_outcomes(self):
-        """Wait until all that was settled before is written."""
-        assert self.settle('z', RELEASED, key='last') is SettleReply.durable
 
 
 @pytest.fixture
@@ -75,16 +39,8 @@
 
 @pytest.fixture
 def make(store):
-    made = []
-
-    def make_range(**kwargs):
-        made.append(Range(store, **kwargs))
-        return made[-1]
-
-    yield make_range
-    store.is_down = True
-    for each in made:
-        each.log.stop()
+    with ranges_of(store) as make_range:
+        yield make_range
 
 
 REPEATS = {
@@ -292,96 +248,3 @@
     assert (reply == Granted()) == (late[0] != Granted())
     for number in range(5):
         assert second.claim('b', key=f'k{number}') == AlreadyRunning('a')
-
-
-def test_claims_that_wait_share_a_write(make, store):
-    here = make()
-    under_way = threading.Event()
-    go_on = threading.Event()
-
-    def hold():
-        under_way.set()
-        assert go_on.wait(WAIT_S)
-
-    store.faults['claims/0/0'].append(hold)
-    first = here.ask('a', key='first')
-    assert under_way.wait(WAIT_S)
-    rest = [here.ask('a', key=f'k{number}') for number in range(100)]
-    before = len(store.swaps)
-    go_on.set()
-    for fut in (first, *rest):
-        assert fut.result(WAIT_S) == Granted()
-    assert len(store.swaps) - before == 2
-
-
-def test_writes_are_paced(make, store):
-    here = make(interval_s=0.05)
-    before = len(store.swaps)
-    started_s = time.monotonic()
-    for number in range(6):
-        assert here.claim('a', key=f'k{number}') == Granted()
-    took_s = time.monotonic() - started_s
-    assert len(store.swaps) - before == 6
-    assert took_s >= 5 * 0.05
-
-
-def test_writes_of_a_burst_follow_at_once_and_no_more(make):
-    here = make(interval_s=HORIZON_S, burst=3)
-    for number in range(3):
-        assert here.claim('a', key=f'k{number}') == Granted()
-    late = here.ask('a', key='late')
-    # A stop writes what waits, so that only the pace held it up.
-    assert not late.done()
-    here.log.stop()
-    assert late.result(WAIT_S) == Granted()
-
-
-def test_old_segments_are_trimmed(make, store, monkeypatch):
-    monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', 100)
-    here = make()
-    for number in range(30):
-        assert here.claim('a', key=f'k{number}', now_s=number) == Granted()
-    head = wait_until(lambda: store.keys.get('claims/0/head'), WAIT_S)
-    assert store.keys['claims/0/000000000000'].value is None
-    assert int(head.value) > 0
-    assert make().claim('b', key='k29', now_s=30) == AlreadyRunning('a')
-
-
-def test_log_over_the_service(kv_url, monkeypatch):
-    monkeypatch.setattr(claim_segments, 'SEGMENT_BYTES', 100)
-    store = KeyValueStore(kv_url, 5.0)
-    first = Range(store)
-    faults = {'drop_swaps': 3, 'drop_prefix': 'claims/'}
-    urllib3.request('POST', f'{kv_url}/fault', json=faults)
-    for number in range(30):
-        # All but the last ones are old enough to be trimmed.
-        now_s = 0 if number < 25 else time.time()
-        key = f'k{number}'
-        assert first.claim('a', key=key, now_s=now_s) == Granted()
-    dropped = urllib3.request('GET', f'{kv_url}/stats').json()['dropped']
-    assert dropped['drop_swaps'] == 3
-    second = Range(store)
-    now_s = time.time()
-    assert int(store.get('claims/0/head').ok.value) > 0
-    assert second.claim('b', key='k29', now_s=now_s) == AlreadyRunning('a')
-    assert second.claim('b', now_s=now_s) == Granted()
-    assert first.claim('c') == NotOwned()
-    second.log.stop()
-    store.close()
-
-
-def test_owner_paused_beyond_the_horizon_grants_nothing(
-    make, store, monkeypatch
-):
-    here = make()
-
-    def pause():
-        later_s = time.monotonic() + HORIZON_S
-        clock = SimpleNamespace(monotonic=lambda: later_s, time=time.time)
-        monkeypatch.setattr(claim_log, 'time', clock)
-
-    store.faults['claims/0/0'].append(pause)
-    # The claim is written, so it is in doubt what the write means.
-    assert here.claim('a') == InDoubt()
-    assert here.log.deposed.is_set()
-    assert here.claim('b', key='other') == NotOwned()
