--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,11 @@
+"""Starts the gateway from a checkout, without the package installed."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'src'))
+
+from wasabicross.run_gateway import main  # noqa: E402
+
+if __name__ == '__main__':
+    main()
--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -1,7 +1,8 @@
 """Catalogue of the numbered events that the programs log.
 
 Numbers are stable and grouped: 1000 programs, 2000 platform, 3000 bundles,
-4000 operators, 5000 owners and links, 6000 requests, 7000 claims.
+4000 operators, 5000 owners and links, 6000 requests, 7000 claims,
+8000 gateways.
 """
 
 from enum import Enum
@@ -51,6 +52,25 @@
     SERVER_LOST = EventKind(6002, 'WARNING')
     CRASHER_REFUSED = EventKind(6003, 'WARNING')
 
+    STORE_LOST = EventKind(8001, 'WARNING')
+    STORE_BACK = EventKind(8002, 'INFO')
+    ENTRY_UNREADABLE = EventKind(8003, 'WARNING')
+    GROUP_OWNED = EventKind(8011, 'INFO')
+    GROUP_LOST = EventKind(8012, 'WARNING')
+    OWNER_WRITE_FAILED = EventKind(8013, 'WARNING')
+    ORDER_SENT = EventKind(8021, 'INFO')
+    ADAPTER_LOADED = EventKind(8022, 'INFO')
+    ADAPTER_NOT_LOADED = EventKind(8023, 'WARNING')
+    ENGINE_SILENT = EventKind(8024, 'WARNING')
+    LINK_OPEN = EventKind(8031, 'INFO')
+    LINK_ENDED = EventKind(8032, 'WARNING')
+    REQUEST_SENT = EventKind(8041, 'INFO')
+    REQUEST_REFUSED = EventKind(8042, 'WARNING')
+    REQUEST_FAILED = EventKind(8043, 'ERROR')
+    CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
+    SETTINGS_READ = EventKind(8052, 'INFO')
+    LINES_DROPPED = EventKind(8061, 'WARNING')
+
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
     BUNDLE_ROLLED = EventKind(4003, 'INFO')
--- /dev/null
+++ b/src/wasabicross/gateway/callers.py
@@ -0,0 +1,327 @@
+"""Callers' connections: requests are read whole, answers go as they come."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeAlias
+
+import h11
+
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.errors import CallerGone
+from wasabicross.gateway.http_heads import CallerRequest, Fields
+
+_READ_BYTES = 65536
+
+#: Bytes of a next request that are read while one is being answered.
+_READ_AHEAD_BYTES = 262144
+
+#: Limits until a configuration is known.
+DEFAULT_LIMITS = CallerLimits(16384, 4194304, 3.0, 15.0)
+
+_REASONS = {
+    200: b'OK',
+    400: b'Bad Request',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    431: b'Request Header Fields Too Large',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+class AnswerWriter:
+    """Writes the answer to one request.
+
+    :param codec: state of the connection.
+    :param writer: the connection.
+    :param is_last: tells whether the connection ends with this answer.
+    """
+
+    def __init__(
+        self,
+        codec: h11.Connection,
+        writer: asyncio.StreamWriter,
+        is_last: Callable[[], bool],
+    ) -> None:
+        self._codec = codec
+        self._writer = writer
+        self._is_last = is_last
+        self.has_started = False
+        self.has_ended = False
+        self.sent_bytes = 0
+
+    async def start(self, status: int, fields: Fields) -> None:
+        """Send the head.
+
+        :param status: the status.
+        :param fields: header fields; without a length the body is chunked.
+        """
+        self.has_started = True
+        closing = [(b'connection', b'close')] if self._is_last() else []
+        self._send(
+            h11.Response(
+                status_code=status,
+                headers=fields + closing,
+                reason=_REASONS.get(status, b''),
+            )
+        )
+        await self._drain()
+
+    async def piece(self, piece: bytes) -> None:
+        """Send a part of the body."""
+        self.sent_bytes += len(piece)
+        self._send(h11.Data(data=piece))
+        await self._drain()
+
+    async def end(self) -> None:
+        """Mark the answer as complete."""
+        self._send(h11.EndOfMessage())
+        self.has_ended = True
+        await self._drain()
+
+    async def whole(
+        self, status: int, fields: Fields, body: bytes = b''
+    ) -> None:
+        """Send a whole answer.
+
+        :param status: the status.
+        :param fields: header fields without the length.
+        :param body: the body.
+        """
+        length = (b'content-length', str(len(body)).encode())
+        await self.start(status, [*fields, length])
+        if body:
+            await self.piece(body)
+        await self.end()
+
+    def _send(self, event: h11.Event) -> None:
+        try:
+            self._writer.write(self._codec.send(event) or b'')
+        except h11.LocalProtocolError as exc:
+            raise CallerGone(str(exc)) from exc
+
+    async def _drain(self) -> None:
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise CallerGone(str(exc)) from exc
+
+
+_NextEvent: TypeAlias = (
+    h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+)
+
+Handler: TypeAlias = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
+
+
+class Host(Protocol):
+    """What a connection asks of the process that it belongs to."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits in force."""
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections end with their next answer."""
+
+
+class CallerConnection:
+    """One connection of a caller, from its start to its end.
+
+    :param reader: its reading side.
+    :param writer: its writing side.
+    :param host: limits, and whether the process stops.
+    :param handler: answers one request; cancelled when the caller leaves.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: Host,
+        handler: Handler,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._handler = handler
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=host.limits.header_bytes
+        )
+        self.is_idle = True
+
+    async def run(self) -> None:
+        """Answer request after request until the connection ends."""
+        try:
+            await self._serve()
+        except (CallerGone, OSError, TimeoutError):
+            self._writer.transport.abort()
+        finally:
+            self._writer.close()
+
+    def close(self) -> None:
+        """Close the connection, whatever it does."""
+        self._writer.transport.abort()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is being read or answered."""
+        if self.is_idle:
+            self._writer.close()
+
+    async def _serve(self) -> None:
+        while True:
+            self.is_idle = True
+            try:
+                req = await self._request()
+            except h11.RemoteProtocolError as exc:
+                await self._refuse(exc.error_status_hint)
+                return
+            except _Refused as refused:
+                await self._refuse(refused.status)
+                return
+            if req is None:
+                return
+            if not await self._answer(req):
+                return
+
+    async def _answer(self, req: CallerRequest) -> bool:
+        """Answer a request; tell whether the connection goes on."""
+        answer = AnswerWriter(
+            self._codec, self._writer, lambda: self._host.is_stopping
+        )
+        task = asyncio.ensure_future(self._handler(req, answer))
+        watch = asyncio.ensure_future(self._until_gone())
+        try:
+            await asyncio.wait(
+                (task, watch), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            watch.cancel()
+            task.cancel()
+            await asyncio.wait((task, watch))
+        if task.cancelled() or task.exception() or not answer.has_ended:
+            self.close()
+            return False
+        return self._begin_next()
+
+    def _begin_next(self) -> bool:
+        if self._codec.our_state is not h11.DONE:
+            return False
+        if self._codec.their_state is not h11.DONE:
+            return False
+        self._codec.start_next_cycle()
+        return True
+
+    async def _until_gone(self) -> None:
+        """Read ahead until the caller has closed the connection."""
+        ahead = 0
+        while ahead < _READ_AHEAD_BYTES:
+            try:
+                received = await self._reader.read(_READ_BYTES)
+            except OSError:
+                return
+            if not received:
+                return
+            ahead += len(received)
+            self._codec.receive_data(received)
+        await asyncio.Event().wait()
+
+    async def _request(self) -> CallerRequest | None:
+        """Read a request, None where the connection ends instead."""
+        limits = self._host.limits
+        event = self._codec.next_event()
+        if event is h11.NEED_DATA:
+            if not await self._first_bytes(limits.idle_timeout_s):
+                return None
+            event = self._codec.next_event()
+        self.is_idle = False
+        async with _refusing(408, limits.header_timeout_s):
+            event = await self._until(event)
+        if not isinstance(event, h11.Request):
+            return None
+        arrived_s = now_s()
+        if self._codec.they_are_waiting_for_100_continue:
+            self._writer.write(
+                self._codec.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+                or b''
+            )
+        async with _refusing(408, limits.idle_timeout_s):
+            body = await self._body(limits.body_bytes)
+        return CallerRequest(
+            event.method, event.target, list(event.headers), body, arrived_s
+        )
+
+    async def _first_bytes(self, timeout_s: float) -> bool:
+        """Wait for the first bytes of a request; tell whether they came."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                received = await self._reader.read(_READ_BYTES)
+        except TimeoutError:
+            return False
+        if received:
+            self._codec.receive_data(received)
+        return bool(received)
+
+    async def _body(self, max_bytes: int) -> bytes:
+        parts: list[bytes] = []
+        length = 0
+        event = await self._until(self._codec.next_event())
+        while isinstance(event, h11.Data):
+            length += len(event.data)
+            if length > max_bytes:
+                raise _Refused(413)
+            parts.append(bytes(event.data))
+            event = await self._until(self._codec.next_event())
+        if not isinstance(event, h11.EndOfMessage):
+            raise CallerGone('in the middle of a body')
+        return b''.join(parts)
+
+    async def _until(
+        self, event: _NextEvent
+    ) -> _NextEvent:
+        while event is h11.NEED_DATA:
+            received = await self._reader.read(_READ_BYTES)
+            if not received:
+                raise CallerGone('in the middle of a request')
+            self._codec.receive_data(received)
+            event = self._codec.next_event()
+        return event
+
+    async def _refuse(self, status: int) -> None:
+        if self._codec.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        answer = AnswerWriter(self._codec, self._writer, lambda: True)
+        await answer.whole(status, [])
+
+
+class _Refused(Exception):
+    """A request that is answered with a status before it is whole."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _refusing:  # noqa: N801
+    """Turns a timeout of the block into a refusal."""
+
+    def __init__(self, status: int, timeout_s: float) -> None:
+        self._status = status
+        self._timeout = asyncio.timeout(timeout_s)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+
+    async def __aexit__(self, kind: object, exc: object, tb: object) -> None:
+        try:
+            await self._timeout.__aexit__(kind, exc, tb)  # type: ignore
+        except TimeoutError as late:
+            raise _Refused(self._status) from late
--- /dev/null
+++ b/src/wasabicross/gateway/changes.py
@@ -0,0 +1,63 @@
+"""Changes of what the platform's store tells, as the project's types."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.configuration import Configuration
+
+
+class ConfigurationNamed(NamedTuple):
+    """The operator wrote a configuration."""
+
+    configuration: Configuration
+
+
+class VersionNamed(NamedTuple):
+    """The operator named a version of an adapter."""
+
+    key: AdapterKey
+    version: int
+
+
+class ServerListed(NamedTuple):
+    """A server registered or changed its entry."""
+
+    server: BackendServer
+
+
+class ServerRemoved(NamedTuple):
+    """The entry of a server has gone, or names no server to use."""
+
+    server_id: str
+
+
+class OwnerNamed(NamedTuple):
+    """A gateway wrote to the record of a group of servers.
+
+    :param revision: number of that write.
+    """
+
+    group: str
+    instance: str
+    host: str
+    revision: int
+
+
+class InstanceListed(NamedTuple):
+    """A gateway told where it is."""
+
+    instance: str
+    host: str
+    data_centre: str
+
+
+Change: TypeAlias = (
+    ConfigurationNamed
+    | VersionNamed
+    | ServerListed
+    | ServerRemoved
+    | OwnerNamed
+    | InstanceListed
+)
--- /dev/null
+++ b/src/wasabicross/gateway/configuration.py
@@ -0,0 +1,141 @@
+"""The configuration in force: routes, services and limits of callers."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from wasabicross.rendezvous import rendezvous_hash
+
+_MAX_HASH = 2**64
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated of the requests on a route.
+
+    `safe`: anything. `unsafe`: a request runs at most once. `streaming`: as
+    `unsafe`, unless the route is resumable.
+    """
+
+    safe = 'safe'
+    unsafe = 'unsafe'
+    streaming = 'streaming'
+
+
+class ServiceShare(NamedTuple):
+    """A service that takes a share of a route's requests.
+
+    :param weight: its share, in proportion to the other weights.
+    """
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where requests of one host and path go, and in which time.
+
+    :param prefix: start of the paths; begins and ends with a slash.
+    :param timeout_s: longest time until the final answer.
+    :param target_s: time within which an answer is on time.
+    :param gap_s: longest pause between events that is on time.
+    :param priority: rank of its requests, 0 is the most urgent.
+    :param max_servers: most servers that may run one request.
+    :param is_resumable: whether a broken stream may go on at another server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    gap_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_servers: int
+    is_resumable: bool
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.safe or self.is_resumable
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service that takes a request, by its id.
+
+        :param request_id: unique id of the request.
+        """
+        total = sum(share.weight for share in self.shares)
+        digest = rendezvous_hash(self.name, request_id)
+        point = int.from_bytes(digest) / _MAX_HASH * total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+class EngineSpec(NamedTuple):
+    """What the engines of a service can hold.
+
+    :param adapter_slots: adapters that one server holds at most.
+    """
+
+    adapter_slots: int
+
+
+class Service(NamedTuple):
+    """A group of backend servers of one kind.
+
+    :param health_path: path that answers 200 while a server is healthy.
+    :param max_connections: connections that a server takes from all callers.
+    :param engine: what its engines hold, None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineSpec | None
+
+
+class CallerLimits(NamedTuple):
+    """What callers may send, and how slowly.
+
+    :param header_timeout_s: longest time from the first byte of a request to
+        the end of its head.
+    :param idle_timeout_s: how long a connection may be idle.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class Configuration(NamedTuple):
+    """One version of the configuration.
+
+    :param version: rises with each configuration.
+    :param services: by name.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, if any.
+
+        :param host: host that the caller asked for.
+        :param path: path of the request, without its query.
+        """
+        fitting = [
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.prefix)
+        ]
+        return max(
+            fitting, key=lambda route: len(route.prefix), default=None
+        )
--- /dev/null
+++ b/src/wasabicross/gateway/loader.py
@@ -0,0 +1,301 @@
+"""Has adapters loaded on one engine, by its owner's orders."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+from wasabicross.events import Event
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.engine_slots import EngineSlots
+from wasabicross.gateway.errors import DocumentUnreadable, ServerError
+from wasabicross.gateway.messages import HeldAdapter, ServerState
+from wasabicross.gateway.orders import (
+    EngineSeam,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+from wasabicross.gateway.view import FleetView
+from wasabicross.logs import log_event
+
+#: Pause between reports while nothing is on its way.
+_IDLE_REPORT_S = 0.5
+
+#: The same while an adapter is on its way.
+_BUSY_REPORT_S = 0.07
+
+#: From an order to the first report that may show its effect.
+_FIRST_REPORT_S = 0.13
+
+_RETRY_S = 0.25
+
+#: How long a load may take before those who wait are told that it failed.
+_MAX_LOAD_S = 3.0
+
+#: Reports in a row without an answer that stop loads on the engine.
+_SILENT_REPORTS = 2
+
+
+class Tenure(NamedTuple):
+    """The right to order.
+
+    :param holder: name of this machine.
+    :param term: number that rises with each change of the holder.
+    :param until_s: when the right ends unless it is renewed.
+    """
+
+    holder: str
+    term: int
+    until_s: float
+
+
+class _Want(NamedTuple):
+    """An adapter that requests wait for."""
+
+    version: int
+    priority: int
+    since_s: float
+    waiters: list[asyncio.Future[int]]
+
+
+class ServerLoader:
+    """Orders the loads of one engine while this gateway owns it.
+
+    :param server: the engine.
+    :param slots: adapters that it holds at most.
+    :param engines: calls to engines.
+    :param view: versions in force.
+    :param tenure: returns the present right to order, None if there is none.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        slots: int,
+        engines: EngineSeam,
+        view: FleetView,
+        tenure: Callable[[], Tenure | None],
+    ) -> None:
+        self.server = server
+        self.slots = EngineSlots(slots)
+        self.changed = asyncio.Event()
+        self._engines = engines
+        self._view = view
+        self._tenure = tenure
+        self._wants: dict[AdapterKey, _Want] = {}
+        self._wake = asyncio.Event()
+        self._silent = 0
+        self._running = 0
+        self._queued = 0
+        self._report_due_s = -math.inf
+
+    async def run(self) -> None:
+        """Order what is wanted until cancelled."""
+        try:
+            while True:
+                await self._round()
+                await self._rest()
+        finally:
+            for key in tuple(self._wants):
+                self._fail(key)
+
+    async def load(self, key: AdapterKey, version: int, priority: int) -> int:
+        """Have an adapter loaded; return its version, 0 if it failed.
+
+        :param key: the adapter.
+        :param version: oldest version that will do.
+        :param priority: rank of the request that waits, 0 is the most urgent.
+        """
+        if self.slots.held.get(key, 0) >= version:
+            return self.slots.held[key]
+        if not self.takes_loads:
+            return 0
+        want = self._wants.get(key)
+        if want is None or want.version < version:
+            waiters = want.waiters if want else []
+            want = _Want(version, priority, now_s(), waiters)
+            self._wants[key] = want
+        fut: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        want.waiters.append(fut)
+        self._wake.set()
+        return await fut
+
+    @property
+    def takes_loads(self) -> bool:
+        """Tell whether loads can be ordered and the engine answers."""
+        return (
+            self._tenure() is not None
+            and self._silent < _SILENT_REPORTS
+            and self.slots.order_count is not None
+        )
+
+    def state(self) -> ServerState:
+        """Return what other gateways are told of the engine."""
+        return ServerState(
+            server_id=self.server.server_id,
+            born_ms=self.server.born_ms,
+            queued=self._queued,
+            running=self._running,
+            takes_loads=self.takes_loads,
+            held=tuple(
+                HeldAdapter(key.model, key.adapter, version)
+                for key, version in self.slots.held.items()
+            ),
+        )
+
+    async def _rest(self) -> None:
+        pause_s = max(0.0, self._report_due_s - now_s())
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _round(self) -> None:
+        if now_s() >= self._report_due_s:
+            await self._report()
+        self._settle()
+        await self._order_wanted()
+
+    async def _report(self) -> None:
+        asked_s = now_s()
+        try:
+            report = await self._engines.report(self.server)
+        except (ServerError, DocumentUnreadable) as exc:
+            self._on_silence(str(exc))
+            return
+        self._silent = 0
+        self._running = report.running
+        self._queued = report.queued
+        self.slots.on_report(report, asked_s, now_s())
+        busy = self.slots.pending or self._wants
+        pause_s = _BUSY_REPORT_S if busy else _IDLE_REPORT_S
+        self._report_due_s = now_s() + pause_s
+        self.changed.set()
+
+    def _on_silence(self, reason: str) -> None:
+        self._silent += 1
+        self._report_due_s = now_s() + _RETRY_S
+        if self._silent == _SILENT_REPORTS:
+            log_event(
+                Event.ENGINE_SILENT,
+                server=self.server.server_id,
+                reason=reason,
+            )
+            for key in tuple(self._wants):
+                self._fail(key)
+            self.changed.set()
+
+    def _settle(self) -> None:
+        """Tell those whose adapter is there, or isn't coming."""
+        for key, want in tuple(self._wants.items()):
+            version = self.slots.held.get(key, 0)
+            if version >= want.version:
+                self._end(key, version)
+            elif now_s() - want.since_s > _MAX_LOAD_S:
+                self._fail(key)
+
+    def _end(self, key: AdapterKey, version: int) -> None:
+        want = self._wants.pop(key)
+        self.slots.on_use(key, '', 0, now_s())
+        for fut in want.waiters:
+            if not fut.done():
+                fut.set_result(version)
+        log_event(
+            Event.ADAPTER_LOADED,
+            server=self.server.server_id,
+            adapter=key.adapter,
+            version=version,
+            waited_s=round(now_s() - want.since_s, 3),
+            waiting=len(want.waiters),
+        )
+        self.changed.set()
+
+    def _fail(self, key: AdapterKey) -> None:
+        want = self._wants.pop(key)
+        for fut in want.waiters:
+            if not fut.done():
+                fut.set_result(0)
+        log_event(
+            Event.ADAPTER_NOT_LOADED,
+            server=self.server.server_id,
+            adapter=key.adapter,
+            waited_s=round(now_s() - want.since_s, 3),
+            taken=self.slots.taken,
+        )
+
+    async def _order_wanted(self) -> None:
+        waiting = [
+            key for key in self._wants if key not in self.slots.accepted
+        ]
+        waiting.sort(
+            key=lambda key: (
+                self._wants[key].priority,
+                self._wants[key].since_s,
+            )
+        )
+        for key in waiting:
+            if not await self._order_load(key):
+                return
+
+    async def _order_load(self, key: AdapterKey) -> bool:
+        """Order a load; tell whether further ones may follow."""
+        if self.slots.order_count is None:
+            return False
+        replaces = key in self.slots.held
+        if not replaces and not self.slots.may_load:
+            if not await self._make_room():
+                return False
+        if not self.slots.may_load and not replaces:
+            return False
+        answer = await self._send(OrderKind.load, key)
+        return answer in {OrderAnswer.accepted, OrderAnswer.already}
+
+    async def _make_room(self) -> bool:
+        """Unload an adapter that nobody uses; tell whether one was."""
+        if self.slots.taken < self.slots.slots:
+            return False
+        victim = self.slots.victim(self._view.versions, now_s())
+        if victim is None:
+            return False
+        answer = await self._send(OrderKind.unload, victim)
+        return answer is OrderAnswer.already
+
+    async def _send(
+        self, kind: OrderKind, key: AdapterKey
+    ) -> OrderAnswer | None:
+        tenure = self._tenure()
+        if tenure is None or now_s() >= tenure.until_s:
+            return None
+        order = Order(
+            kind, key, self.slots.order_count or 0, tenure.holder, tenure.term
+        )
+        try:
+            answer = await self._engines.order(self.server, order)
+        except ServerError as exc:
+            answer = None
+            self._on_silence(str(exc))
+        self.slots.on_order(kind, key, answer, now_s())
+        self._note_order(order, answer)
+        return answer
+
+    def _note_order(self, order: Order, answer: OrderAnswer | None) -> None:
+        is_load = order.kind is OrderKind.load
+        pause_s = _FIRST_REPORT_S if is_load else _BUSY_REPORT_S
+        if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
+            pause_s = _BUSY_REPORT_S
+        self._report_due_s = min(self._report_due_s, now_s() + pause_s)
+        log_event(
+            Event.ORDER_SENT,
+            server=self.server.server_id,
+            order=order.kind.value,
+            adapter=order.key.adapter,
+            expected=order.expected_orders,
+            term=order.term,
+            answer=answer.value if answer else 'none',
+        )
--- /dev/null
+++ b/src/wasabicross/gateway/messages.py
@@ -0,0 +1,147 @@
+"""Messages between gateways and their CBOR codec."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TypeAlias
+
+import cbor2
+
+from wasabicross.exceptions import MessageMalformed
+
+
+class Hello(NamedTuple):
+    """The first message of a link; the owner repeats its own as a sign of life.
+
+    :param instance: its machine.
+    """
+
+    instance: str
+
+
+class HeldAdapter(NamedTuple):
+    """An adapter that a server holds."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+class ServerState(NamedTuple):
+    """What the owner of a server knows of it, sent when it changes.
+
+    :param born_ms: start of the server that this is about.
+    :param queued: requests that wait there.
+    :param running: requests in its batch.
+    :param takes_loads: whether the owner may order and the server answers.
+    """
+
+    server_id: str
+    born_ms: int
+    queued: int
+    running: int
+    takes_loads: bool
+    held: tuple[HeldAdapter, ...]
+
+
+class LoadWanted(NamedTuple):
+    """Asks the owner of a server to have an adapter loaded there.
+
+    :param call_id: number that the answer repeats.
+    :param version: oldest version that will do.
+    :param priority: rank of the request that waits, 0 is the most urgent.
+    """
+
+    call_id: int
+    server_id: str
+    model: str
+    adapter: str
+    version: int
+    priority: int
+
+
+class LoadEnded(NamedTuple):
+    """Answers `LoadWanted`.
+
+    :param version: the version that is loaded, 0 if none is.
+    :param reason: why none is.
+    """
+
+    call_id: int
+    version: int
+    reason: str
+
+
+class AdapterUse(NamedTuple):
+    """Use of an adapter on a server by the gateway that says so.
+
+    :param running: requests that it has under way there.
+    """
+
+    server_id: str
+    model: str
+    adapter: str
+    running: int
+
+
+class UsesTold(NamedTuple):
+    """The uses that changed since the last message of this kind."""
+
+    uses: tuple[AdapterUse, ...]
+
+
+Message: TypeAlias = Hello | ServerState | LoadWanted | LoadEnded | UsesTold
+
+#: Position is the code on the wire: append only.
+_KINDS: tuple[Any, ...] = (Hello, ServerState, LoadWanted, LoadEnded, UsesTold)
+
+_CODES = {kind: code for code, kind in enumerate(_KINDS)}
+
+#: Fields that are lists of other tuples.
+_PARTS: dict[type, tuple[str, Any]] = {
+    ServerState: ('held', HeldAdapter),
+    UsesTold: ('uses', AdapterUse),
+}
+
+
+def encode(message: Message) -> bytes:
+    """Return the CBOR bytes of a message.
+
+    :param message: one of `Message`.
+    """
+    return cbor2.dumps([_CODES[type(message)], *message])
+
+
+def decode(frame: bytes | str) -> Message:
+    """Return the message in received bytes.
+
+    :param frame: one whole websocket message.
+    :raises MessageMalformed: it is none of the protocol.
+    """
+    try:
+        return _decode(frame)
+    except (cbor2.CBORError, TypeError, ValueError, LookupError) as exc:
+        raise MessageMalformed(f'not a message: {exc!r}') from exc
+
+
+def _decode(frame: bytes | str) -> Message:
+    if isinstance(frame, str):
+        raise ValueError('text frame')
+    code, *fields = cbor2.loads(frame)
+    message = _KINDS[code](*fields)
+    part = _PARTS.get(type(message))
+    if part is not None:
+        name, kind = part
+        parts = tuple(_checked(kind(*each)) for each in getattr(message, name))
+        message = message._replace(**{name: parts})
+    checked: Message = _checked(message)
+    return checked
+
+
+def _checked(message: Any) -> Any:
+    """Return the message if the simple fields have their types."""
+    kinds = {'str': str, 'int': int, 'bool': bool}
+    for name, annotation in type(message).__annotations__.items():
+        kind = kinds.get(str(getattr(annotation, '__forward_arg__', '')))
+        if kind and not isinstance(getattr(message, name), kind):
+            raise TypeError(f'{type(message).__name__}.{name}')
+    return message
--- /dev/null
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -0,0 +1,129 @@
+"""The owner's side: loads on the engines that this gateway owns."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.loader import ServerLoader, Tenure
+from wasabicross.gateway.messages import AdapterUse, ServerState
+from wasabicross.gateway.orders import EngineSeam
+from wasabicross.gateway.ownership import group_of
+from wasabicross.gateway.tenures import Tenures
+from wasabicross.gateway.view import FleetView
+
+_FOLLOW_S = 0.2
+
+
+class OwnerDesk:
+    """The loaders of all engines that this gateway owns.
+
+    :param view: the deployment.
+    :param tenures: the groups that this gateway owns.
+    :param engines: calls to engines.
+    """
+
+    def __init__(
+        self, view: FleetView, tenures: Tenures, engines: EngineSeam
+    ) -> None:
+        self._view = view
+        self._tenures = tenures
+        self._engines = engines
+        self._loaders: dict[tuple[str, int], ServerLoader] = {}
+        self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Start and end loaders as engines and groups come and go."""
+        while True:
+            self._follow()
+            await asyncio.sleep(_FOLLOW_S)
+
+    @property
+    def loaders(self) -> tuple[ServerLoader, ...]:
+        """The loaders that run."""
+        return tuple(self._loaders.values())
+
+    def states(self) -> tuple[ServerState, ...]:
+        """Return what other gateways are told of all engines."""
+        return tuple(loader.state() for loader in self.loaders)
+
+    async def load(
+        self, server_id: str, key: AdapterKey, version: int, priority: int
+    ) -> int:
+        """Have an adapter loaded; return its version, 0 if it failed.
+
+        :param server_id: the engine.
+        :param key: the adapter.
+        :param version: oldest version that will do.
+        :param priority: rank of the request that waits, 0 is the most urgent.
+        """
+        loader = self._loader(server_id)
+        if loader is None:
+            return 0
+        return await loader.load(key, version, priority)
+
+    def on_use(self, user: str, use: AdapterUse) -> None:
+        """Take in the use of an adapter on an engine.
+
+        :param user: the gateway that uses it.
+        :param use: which one, and how many requests run.
+        """
+        loader = self._loader(use.server_id)
+        if loader is not None:
+            key = AdapterKey(use.model, use.adapter)
+            loader.slots.on_use(key, user, use.running, now_s())
+
+    def drop_user(self, user: str) -> None:
+        """Forget what a gateway that has gone had under way.
+
+        :param user: the gateway.
+        """
+        for loader in self.loaders:
+            loader.slots.drop_user(user)
+
+    def _loader(self, server_id: str) -> ServerLoader | None:
+        server = self._view.servers.get(server_id)
+        if server is None:
+            return None
+        return self._loaders.get((server_id, server.born_ms))
+
+    def _follow(self) -> None:
+        wanted = {
+            (server.server_id, server.born_ms): server
+            for server in self._view.servers.values()
+            if self._is_ours(server)
+        }
+        for life in self._loaders.keys() - wanted.keys():
+            self._tasks.pop(life).cancel()
+            self._loaders.pop(life)
+        for life in wanted.keys() - self._loaders.keys():
+            self._start(life, wanted[life])
+
+    def _is_ours(self, server: BackendServer) -> bool:
+        group = group_of(server.server_id, server.data_centre)
+        owned = self._tenures.tenure(group.name, now_s()) is not None
+        return owned and self._slots(server) is not None
+
+    def _slots(self, server: BackendServer) -> int | None:
+        cfg = self._view.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        if service is None or service.engine is None:
+            return None
+        return service.engine.adapter_slots
+
+    def _start(self, life: tuple[str, int], server: BackendServer) -> None:
+        loader = ServerLoader(
+            server,
+            self._slots(server) or 0,
+            self._engines,
+            self._view,
+            self._tenure_of(server),
+        )
+        self._loaders[life] = loader
+        self._tasks[life] = asyncio.ensure_future(loader.run())
+
+    def _tenure_of(self, server: BackendServer) -> Callable[[], Tenure | None]:
+        group = group_of(server.server_id, server.data_centre)
+        return lambda: self._tenures.tenure(group.name, now_s())
--- /dev/null
+++ b/src/wasabicross/gateway/ownership.py
@@ -0,0 +1,130 @@
+"""Which gateway orders loads on which servers.
+
+The servers of a data centre fall into groups. Whoever wrote last to the record
+of a group in the platform's store owns it and may order for a while after. A
+record has no lease in the store, since keys under a lease can be taken away
+without a word while their holder can't be told.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from wasabicross.rendezvous import rank, rendezvous_hash
+
+#: Groups in each data centre.
+GROUPS = 2
+
+#: How often an owner writes to its record.
+RENEW_S = 3.0
+
+#: How long a record must stand unchanged before another gateway takes it over.
+TAKEOVER_S = 15.0
+
+#: What orders under way and clocks of different speed may take.
+_MARGIN_S = 1.0
+
+#: Pause between the takeovers that gateways would try, by their rank.
+_RANK_PAUSE_S = 0.7
+
+#: Longer wait of gateways of other data centres.
+_REMOTE_PAUSE_S = 4.0
+
+
+class Group(NamedTuple):
+    """Servers of a data centre that have one owner."""
+
+    data_centre: str
+    number: int
+
+    @property
+    def name(self) -> str:
+        """Name of the group's record."""
+        return f'{self.data_centre}.{self.number}'
+
+
+class OwnerRecord(NamedTuple):
+    """The record of a group as last read.
+
+    :param group: name of the group.
+    :param instance: machine that owns the group.
+    :param host: IP number of that machine.
+    :param revision: number of the record's last change.
+    :param unchanged_since_s: when this process first saw that revision.
+    """
+
+    group: str
+    instance: str
+    host: str
+    revision: int
+    unchanged_since_s: float
+
+
+def group_of(server_id: str, data_centre: str) -> Group:
+    """Return the group of a server.
+
+    :param server_id: id of the server.
+    :param data_centre: where it is.
+    """
+    digest = rendezvous_hash('group', server_id)
+    return Group(data_centre, digest[0] % GROUPS)
+
+
+def all_groups(data_centres: Iterable[str]) -> tuple[Group, ...]:
+    """Return the groups of all data centres.
+
+    :param data_centres: their names.
+    """
+    return tuple(
+        Group(data_centre, number)
+        for data_centre in data_centres
+        for number in range(GROUPS)
+    )
+
+
+def may_order_until(written_s: float, holder_gap_s: float) -> float:
+    """Return until when an owner may order after a write to its record.
+
+    :param written_s: when the last write that took effect was sent.
+    :param holder_gap_s: least time between the orders of two owners.
+    """
+    return written_s + TAKEOVER_S - holder_gap_s - _MARGIN_S
+
+
+def claim_wait_s(
+    group: Group,
+    instance: str,
+    data_centre: str,
+    instances: Iterable[tuple[str, str]],
+) -> float:
+    """Return how long this gateway leaves a free record to others.
+
+    :param group: the group.
+    :param instance: name of this machine.
+    :param data_centre: where it is.
+    :param instances: names and data centres of all machines that are known.
+    """
+    local = [name for name, place in instances if place == group.data_centre]
+    if data_centre != group.data_centre:
+        return _REMOTE_PAUSE_S + _RANK_PAUSE_S
+    order = rank(group.name, {*local, instance})
+    return order.index(instance) * _RANK_PAUSE_S
+
+
+def claim_due_s(
+    record: OwnerRecord | None, instance: str, wait_s: float, started_s: float
+) -> float:
+    """Return when this gateway may try to take a record.
+
+    :param record: the record, None if there is none.
+    :param instance: name of this machine.
+    :param wait_s: what it leaves to others.
+    :param started_s: when it knew the store's content.
+    """
+    if record is None:
+        return started_s + wait_s
+    if record.instance == instance:
+        return -math.inf
+    return record.unchanged_since_s + TAKEOVER_S + wait_s
--- /dev/null
+++ b/src/wasabicross/gateway/placement.py
@@ -0,0 +1,134 @@
+"""Which server runs a request, and where its adapter is loaded.
+
+Answers skewed popularity over engines with few adapter slots: an adapter has a
+home that lasts, and a further copy only where its holders are full.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple, TypeAlias
+
+from wasabicross.rendezvous import rendezvous_hash
+
+#: Share of a server's slots from which on it counts as full.
+_FULL = 0.85
+
+#: Occupancy, as a share of the slots, that another data centre costs.
+_REMOTE_COST = 0.05
+
+
+class Candidate(NamedTuple):
+    """A server that could run a request.
+
+    :param held_version: version of the adapter that it holds, 0 for none.
+    :param takes_loads: whether its owner can have the adapter loaded there.
+    :param requests: requests that it runs or that wait there.
+    :param slots: requests that it runs at once.
+    :param is_local: whether it is in this gateway's data centre.
+    :param is_sound: whether it answered lately.
+    """
+
+    server_id: str
+    held_version: int
+    takes_loads: bool
+    requests: int
+    slots: int
+    is_local: bool
+    is_sound: bool
+
+    @property
+    def cost(self) -> float:
+        """Occupancy of the server, more where it is remote."""
+        share = self.requests / max(1, self.slots)
+        return share if self.is_local else share + _REMOTE_COST
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether another request would have to wait there."""
+        return self.requests >= _FULL * self.slots
+
+
+class SendTo(NamedTuple):
+    """The request goes to this server now."""
+
+    server_id: str
+
+
+class LoadOn(NamedTuple):
+    """The adapter is loaded on this server first."""
+
+    server_id: str
+
+
+class NoServer(NamedTuple):
+    """No server can take the request now.
+
+    :param reason: why, for the log.
+    """
+
+    reason: str
+
+
+Choice: TypeAlias = SendTo | LoadOn | NoServer
+
+
+def choose_server(
+    adapter: str, version: int, candidates: Sequence[Candidate]
+) -> Choice:
+    """Choose a server for a request.
+
+    :param adapter: name of its adapter, empty if it needs none.
+    :param version: oldest version of the adapter that may answer.
+    :param candidates: the servers of its service that may be tried.
+    """
+    usable = sound_or_all(candidates)
+    if not usable:
+        return NoServer('no server')
+    if not adapter:
+        return SendTo(_cheapest(usable).server_id)
+    holders = [each for each in usable if each.held_version >= version]
+    free = [each for each in holders if not each.is_full]
+    if free:
+        return SendTo(_cheapest(free).server_id)
+    home = _home(adapter, version, usable)
+    if home is not None:
+        return LoadOn(home.server_id)
+    if holders:
+        return SendTo(_cheapest(holders).server_id)
+    return NoServer('nothing loads the adapter')
+
+
+def sound_or_all(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the sound candidates, or all if less than half are sound.
+
+    So a fault that only this process sees can't shut out most of a service.
+
+    :param candidates: the servers that may be tried.
+    """
+    sound = [each for each in candidates if each.is_sound]
+    if sound and 2 * len(sound) >= len(candidates):
+        return sound
+    return candidates
+
+
+def _cheapest(candidates: Sequence[Candidate]) -> Candidate:
+    return min(candidates, key=lambda each: each.cost)
+
+
+def _home(
+    adapter: str, version: int, candidates: Sequence[Candidate]
+) -> Candidate | None:
+    """Return the first server with room in the adapter's lasting order."""
+    able = [
+        each
+        for each in candidates
+        if each.takes_loads
+        and not each.is_full
+        and each.held_version < version
+    ]
+    return max(
+        able,
+        key=lambda each: rendezvous_hash(adapter, each.server_id),
+        default=None,
+    )
--- /dev/null
+++ b/src/wasabicross/gateway/placing.py
@@ -0,0 +1,167 @@
+"""Finds a server for a request and has its adapter loaded where needed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.links import OwnerLinks
+from wasabicross.gateway.placement import (
+    Candidate,
+    LoadOn,
+    NoServer,
+    SendTo,
+    choose_server,
+)
+from wasabicross.gateway.uses import AdapterUses
+from wasabicross.gateway.view import FleetView
+
+#: Longest wait for a load before another server is asked.
+_LOAD_TIMEOUT_S = 1.5
+
+_MAX_CHOICES = 6
+
+
+class Wanted(NamedTuple):
+    """What a request needs of a server.
+
+    :param service: the service that runs it.
+    :param adapter: its adapter, None for none.
+    :param priority: rank of the request, 0 is the most urgent.
+    :param excluded: servers that may not be tried.
+    """
+
+    service: str
+    adapter: AdapterKey | None
+    priority: int
+    excluded: frozenset[str]
+
+
+class Placed(NamedTuple):
+    """A server that can run the request now.
+
+    :param version: version of the adapter there, 0 without an adapter.
+    :param waited_s: time that loads took.
+    """
+
+    server: BackendServer
+    version: int
+    waited_s: float
+
+
+class Placing:
+    """Finds servers.
+
+    :param view: the deployment.
+    :param uses: owners of the engines.
+    :param data_centre: where this gateway is.
+    """
+
+    def __init__(
+        self, view: FleetView, uses: AdapterUses, data_centre: str
+    ) -> None:
+        self._view = view
+        self._uses = uses
+        self._data_centre = data_centre
+        self.links: OwnerLinks | None = None
+
+    async def place(self, wanted: Wanted) -> Placed | NoServer:
+        """Return a server for a request, or why there is none.
+
+        :param wanted: what the request needs.
+        """
+        started_s = now_s()
+        unable: set[str] = set()
+        for _ in range(_MAX_CHOICES):
+            version = self._version(wanted.adapter)
+            candidates = self.candidates(wanted, unable)
+            adapter = wanted.adapter.adapter if wanted.adapter else ''
+            choice = choose_server(adapter, version, candidates)
+            if isinstance(choice, NoServer):
+                return choice
+            if isinstance(choice, SendTo):
+                return self._placed(choice.server_id, wanted, started_s)
+            loaded = await self._load(choice, wanted, version)
+            if loaded:
+                return self._placed(choice.server_id, wanted, started_s)
+            unable.add(choice.server_id)
+        return NoServer('loads failed')
+
+    def candidates(
+        self, wanted: Wanted, unable: set[str]
+    ) -> list[Candidate]:
+        """Return the servers that a request may be tried on.
+
+        :param wanted: what the request needs.
+        :param unable: servers on which a load has just failed.
+        """
+        at_s = now_s()
+        return [
+            self._candidate(server, wanted, unable, at_s)
+            for server in self._view.servers.values()
+            if self._fits(server, wanted)
+        ]
+
+    def _fits(self, server: BackendServer, wanted: Wanted) -> bool:
+        if server.service != wanted.service or server.is_leaving:
+            return False
+        if server.server_id in wanted.excluded:
+            return False
+        return wanted.adapter is None or wanted.adapter.model in server.models
+
+    def _candidate(
+        self,
+        server: BackendServer,
+        wanted: Wanted,
+        unable: set[str],
+        at_s: float,
+    ) -> Candidate:
+        key = wanted.adapter
+        named = key is not None and bool(key.adapter)
+        takes_loads = self._view.takes_loads(server, at_s)
+        return Candidate(
+            server_id=server.server_id,
+            held_version=self._view.held_version(server, key, at_s)
+            if key and named
+            else 0,
+            takes_loads=takes_loads and server.server_id not in unable,
+            requests=self._view.requests_at(server, at_s),
+            slots=server.slots,
+            is_local=server.data_centre == self._data_centre,
+            is_sound=self._view.soundness[server.server_id].is_sound(at_s),
+        )
+
+    def _version(self, key: AdapterKey | None) -> int:
+        return self._view.version_of(key) if key and key.adapter else 0
+
+    def _placed(
+        self, server_id: str, wanted: Wanted, started_s: float
+    ) -> Placed | NoServer:
+        server = self._view.servers.get(server_id)
+        if server is None:
+            return NoServer('server left')
+        key = wanted.adapter
+        version = 0
+        if key is not None and key.adapter:
+            version = self._view.held_version(server, key, now_s())
+        return Placed(server, version, now_s() - started_s)
+
+    async def _load(
+        self, choice: LoadOn, wanted: Wanted, version: int
+    ) -> bool:
+        key = wanted.adapter
+        host = self._uses.owner_host(choice.server_id)
+        if key is None or not host or self.links is None:
+            return False
+        try:
+            async with asyncio.timeout(_LOAD_TIMEOUT_S):
+                loaded = await self.links.load(
+                    host, choice.server_id, key, version, wanted.priority
+                )
+        except TimeoutError:
+            return False
+        if loaded:
+            self._view.on_loaded(choice.server_id, key, loaded)
+        return loaded > 0
--- /dev/null
+++ b/src/wasabicross/gateway/probing.py
@@ -0,0 +1,52 @@
+"""Asks servers that could not be reached whether they are healthy again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.orders import EngineSeam
+from wasabicross.gateway.view import FleetView
+
+_LOOK_S = 0.25
+
+
+class Prober:
+    """Ends the exclusion of servers that answer again.
+
+    :param view: servers and what is thought of them.
+    :param engines: calls to servers.
+    """
+
+    def __init__(self, view: FleetView, engines: EngineSeam) -> None:
+        self._view = view
+        self._engines = engines
+        self._probes: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            for server in tuple(self._view.servers.values()):
+                if self._is_due(server):
+                    self._probes[server.server_id] = asyncio.ensure_future(
+                        self._probe(server)
+                    )
+            await asyncio.sleep(_LOOK_S)
+
+    def _is_due(self, server: BackendServer) -> bool:
+        soundness = self._view.soundness[server.server_id]
+        if server.server_id in self._probes or not soundness.needs_probe:
+            return False
+        return now_s() >= soundness.shut_out_until_s
+
+    async def _probe(self, server: BackendServer) -> None:
+        cfg = self._view.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        path = service.health_path if service else '/'
+        try:
+            is_healthy = await self._engines.is_healthy(server, path)
+        finally:
+            self._probes.pop(server.server_id, None)
+        soundness = self._view.soundness[server.server_id]
+        soundness.on_probe(now_s(), is_healthy=is_healthy)
--- /dev/null
+++ b/src/wasabicross/gateway/program.py
@@ -0,0 +1,259 @@
+"""One gateway process: all of its parts, from start to graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+from wasabicross import __version__
+from wasabicross.events import Event
+from wasabicross.gateway.callers import (
+    DEFAULT_LIMITS,
+    AnswerWriter,
+    CallerConnection,
+)
+from wasabicross.gateway.calls import Call, Services
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.dialect import Dialect
+from wasabicross.gateway.errors import CallerGone, StoreUnavailable
+from wasabicross.gateway.following import StoreFollower
+from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.links import OwnerLinks, OwnerServer
+from wasabicross.gateway.log_output import LogOutput
+from wasabicross.gateway.orders import EngineSeam
+from wasabicross.gateway.owner_desk import OwnerDesk
+from wasabicross.gateway.placing import Placing
+from wasabicross.gateway.probing import Prober
+from wasabicross.gateway.repeats import RepeatBudgets
+from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.settings import Address, GatewaySettings
+from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.tenures import Tenures
+from wasabicross.gateway.uses import AdapterUses
+from wasabicross.gateway.view import FleetView
+from wasabicross.logs import log_event
+
+_BACKLOG = 1024
+_READ_LIMIT_BYTES = 131072
+
+#: From SIGTERM until no new callers come, since the platform has noticed.
+_NOTICE_S = 2.4
+
+#: Left of the time until the process is killed when it ends by itself.
+_LAST_S = 0.6
+
+_POLL_S = 0.1
+_ANNOUNCE_RETRY_S = 0.5
+_DROPPED_S = 5.0
+
+
+class Seams(NamedTuple):
+    """What the gateway meets outside, by the protocols of its platform.
+
+    :param pool: connections to servers.
+    :param ready_path: path at which the platform asks for readiness.
+    """
+
+    store: FleetStore
+    engines: EngineSeam
+    dialect: Dialect
+    pool: ConnectionPool
+    ready_path: str
+
+
+class Gateway:
+    """One gateway process.
+
+    :param cfg: its settings.
+    :param seams: what it meets outside.
+    :param output: where its log lines go.
+    """
+
+    def __init__(
+        self, cfg: GatewaySettings, seams: Seams, output: LogOutput
+    ) -> None:
+        self._cfg = cfg
+        self._seams = seams
+        self._output = output
+        self.view = FleetView()
+        self.is_stopping = False
+        self._active = 0
+        self._connections: set[CallerConnection] = set()
+        self._follower = StoreFollower(seams.store, self.view)
+        self._tenures = Tenures(cfg, seams.store, self.view)
+        self._desk = OwnerDesk(self.view, self._tenures, seams.engines)
+        self._uses = AdapterUses(self.view)
+        self._links = OwnerLinks(
+            cfg.instance,
+            cfg.host,
+            cfg.peer_port,
+            self.view,
+            self._desk,
+            self._uses.changed,
+        )
+        placing = Placing(self.view, self._uses, cfg.data_centre)
+        placing.links = self._links
+        budgets = RepeatBudgets(cfg.retry_ratio, cfg.retry_slack, self.view)
+        self._shared = Services(
+            self.view,
+            placing,
+            seams.pool,
+            self._uses,
+            seams.dialect,
+            budgets.of,
+        )
+        self._stop = asyncio.Event()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits of callers in force."""
+        cfg = self.view.configuration
+        return cfg.limits if cfg else DEFAULT_LIMITS
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return not self.is_stopping and self.view.configuration is not None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then end gracefully."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        log_event(
+            Event.PROGRAM_STARTED,
+            version=__version__,
+            instance=self._cfg.instance,
+        )
+        tasks = [self._start(part()) for part in self._parts()]
+        callers = await self._listen(self._cfg.callers, self._serve_caller)
+        ready = await self._listen(self._cfg.ready, self._serve_platform)
+        await self._stop.wait()
+        await self._drain()
+        for server in (callers, ready):
+            server.close()
+        for task in tasks:
+            task.cancel()
+        log_event(Event.PROGRAM_STOPPED)
+        self._output.flush()
+
+    def _parts(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
+        owner_server = OwnerServer(self._cfg.instance, self._desk)
+        prober = Prober(self.view, self._seams.engines)
+        return (
+            self._follower.run,
+            self._announce,
+            self._own,
+            self._desk.run,
+            self._links.run,
+            self._links.tell_uses,
+            prober.run,
+            self._tell_dropped,
+            lambda: owner_server.run(self._cfg.host, self._cfg.peer_port),
+        )
+
+    def _start(self, part: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(part)
+        task.add_done_callback(self._on_part_ended)
+        return task
+
+    def _on_part_ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        log_event(Event.THREAD_FAILED, thread='part', trace=_trace(task))
+        self._output.flush()
+        self._stop.set()
+
+    async def _listen(
+        self,
+        address: Address,
+        handler: Callable[[CallerRequest, AnswerWriter], Any],
+    ) -> asyncio.Server:
+        async def on_connection(  # noqa: WPS430
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            conn = CallerConnection(reader, writer, self, handler)
+            self._connections.add(conn)
+            try:
+                await conn.run()
+            finally:
+                self._connections.discard(conn)
+
+        return await asyncio.start_server(
+            on_connection,
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+            limit=_READ_LIMIT_BYTES,
+        )
+
+    async def _serve_caller(
+        self, req: CallerRequest, answer: AnswerWriter
+    ) -> None:
+        self._active += 1
+        try:
+            await Call(self._shared, req, answer).serve()
+        except CallerGone:
+            raise
+        except Exception as exc:
+            log_event(Event.REQUEST_FAILED, reason=repr(exc))
+            raise
+        finally:
+            self._active -= 1
+
+    async def _serve_platform(
+        self, req: CallerRequest, answer: AnswerWriter
+    ) -> None:
+        if req.path == self._seams.ready_path:
+            await answer.whole(200 if self.is_ready else 503, [])
+        else:
+            await answer.whole(404, [])
+
+    async def _announce(self) -> None:
+        await self._follower.has_read.wait()
+        cfg = self._cfg
+        while True:
+            try:
+                await self._seams.store.announce(
+                    cfg.instance, cfg.host, cfg.data_centre
+                )
+            except StoreUnavailable:
+                await asyncio.sleep(_ANNOUNCE_RETRY_S)
+            else:
+                break
+        await asyncio.Event().wait()
+
+    async def _own(self) -> None:
+        await self._follower.has_read.wait()
+        await self._tenures.run()
+
+    async def _drain(self) -> None:
+        """Take no new callers and wait for the answers under way."""
+        self.is_stopping = True
+        log_event(Event.PROGRAM_STOPPING)
+        started_s = now_s()
+        await asyncio.sleep(_NOTICE_S)
+        while now_s() - started_s < self._cfg.grace_s - _LAST_S:
+            for conn in tuple(self._connections):
+                conn.close_idle()
+            if not self._active and not self._connections:
+                return
+            await asyncio.sleep(_POLL_S)
+
+    async def _tell_dropped(self) -> None:
+        while True:
+            await asyncio.sleep(_DROPPED_S)
+            dropped = self._output.take_dropped()
+            if dropped:
+                log_event(Event.LINES_DROPPED, lines=dropped)
+            self._output.flush()
+
+    def _on_hangup(self) -> None:
+        log_event(Event.SETTINGS_READ, instance=self._cfg.instance)
+
+
+def _trace(task: asyncio.Task[None]) -> str:
+    return repr(task.exception()) if task.exception() else 'ended'
--- /dev/null
+++ b/src/wasabicross/gateway/server_connections.py
@@ -0,0 +1,249 @@
+"""Connections to backend servers, kept for further requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import h11
+
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.errors import (
+    AnswerBroken,
+    AnswerMissing,
+    ServerUnreachable,
+)
+from wasabicross.gateway.http_heads import Fields, field, passed_on
+
+_READ_BYTES = 65536
+_MAX_HEAD_BYTES = 65536
+_CONNECT_TIMEOUT_S = 0.4
+
+#: Longest idle time of a connection that is used again.
+_MAX_IDLE_S = 4.0
+
+#: The same for requests that must not run twice, where a connection that the
+#: server closes meanwhile leaves the outcome unknown.
+_MAX_IDLE_ONCE_S = 0.5
+
+_MAX_IDLE_CONNECTIONS = 32
+
+
+class ServerRequest(NamedTuple):
+    """A request as it is sent to a server."""
+
+    method: bytes
+    target: bytes
+    fields: Fields
+    body: bytes
+
+
+class AnswerHead(NamedTuple):
+    """Status and fields of a server's answer.
+
+    :param fields: those that go on to a caller, names in lower case.
+    :param content_length: length of the body, None if it isn't told.
+    """
+
+    status: int
+    fields: Fields
+    content_length: int | None
+
+
+class ServerConnection:
+    """One connection to a server; runs one request at a time.
+
+    :param reader: its reading side.
+    :param writer: its writing side.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._codec = _new_codec()
+        self.idle_since_s = 0.0
+        self.is_reused = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether nothing shows that the server has closed it."""
+        return not (
+            self._reader.at_eof()
+            or self._reader.exception()
+            or self._writer.is_closing()
+        )
+
+    async def send(self, req: ServerRequest) -> None:
+        """Send a whole request.
+
+        :param req: what is sent.
+        :raises AnswerMissing: the connection broke; the request may have run.
+        """
+        self._writer.write(self._encode(self._codec, req))
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise AnswerMissing(f'sending: {exc}') from exc
+
+    async def head(self, req: ServerRequest) -> AnswerHead:
+        """Return the head of the answer, past answers to other requests.
+
+        :param req: the request that was sent.
+        :raises AnswerMissing: there is none.
+        """
+        wanted = field(req.fields, b'request-id')
+        while True:
+            response = await self._response()
+            echoed = field(response.headers, b'request-id')
+            if not wanted or not echoed or echoed == wanted:
+                return _head_of(response)
+            await self._skip(req)
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises AnswerBroken: it ended early or is no HTTP.
+        """
+        while True:
+            try:
+                event = await self._event()
+            except (OSError, h11.ProtocolError) as exc:
+                raise AnswerBroken(str(exc)) from exc
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise AnswerBroken('connection ended')
+
+    def renew(self, now_s: float) -> bool:
+        """Make ready for another request; tell whether that is possible.
+
+        :param now_s: the present time.
+        """
+        trailing = self._codec.trailing_data[0]
+        ended = self._codec.our_state is h11.DONE
+        if not ended or self._codec.their_state is not h11.DONE or trailing:
+            return False
+        self._codec.start_next_cycle()
+        self.idle_since_s = now_s
+        self.is_reused = True
+        return self.is_usable
+
+    def close(self) -> None:
+        """Close at once, so that the server drops what it runs."""
+        self._writer.transport.abort()
+
+    async def _response(self) -> h11.Response:
+        try:
+            event = await self._event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._event()
+        except (OSError, h11.ProtocolError) as exc:
+            raise AnswerMissing(str(exc)) from exc
+        if not isinstance(event, h11.Response):
+            raise AnswerMissing('connection ended')
+        return event
+
+    async def _skip(self, req: ServerRequest) -> None:
+        """Drop an answer that belongs to another request."""
+        try:
+            async for _ in self.pieces():
+                pass
+        except AnswerBroken as exc:
+            raise AnswerMissing('after another answer') from exc
+        trailing = self._codec.trailing_data[0]
+        if self._codec.their_state is not h11.DONE:
+            raise AnswerMissing('another answer ended the connection')
+        self._codec = _new_codec()
+        self._encode(self._codec, req)
+        if trailing:
+            self._codec.receive_data(trailing)
+
+    async def _event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        event = self._codec.next_event()
+        while event is h11.NEED_DATA:
+            self._codec.receive_data(await self._reader.read(_READ_BYTES))
+            event = self._codec.next_event()
+        return event
+
+    def _encode(self, codec: h11.Connection, req: ServerRequest) -> bytes:
+        head = h11.Request(
+            method=req.method, target=req.target, headers=req.fields
+        )
+        return b''.join(
+            (
+                codec.send(head) or b'',
+                codec.send(h11.Data(data=req.body)) or b'',
+                codec.send(h11.EndOfMessage()) or b'',
+            )
+        )
+
+
+class ConnectionPool:
+    """Idle connections to all servers."""
+
+    def __init__(self) -> None:
+        self._idle: dict[tuple[str, int], list[ServerConnection]] = (
+            defaultdict(list)
+        )
+
+    async def take(
+        self, host: str, port: int, *, once: bool
+    ) -> ServerConnection:
+        """Return an idle connection or a new one.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        :param once: whether the request must not run twice.
+        :raises ServerUnreachable: none can be made.
+        """
+        idle = self._idle[host, port]
+        longest_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable and now_s() - conn.idle_since_s < longest_s:
+                return conn
+            conn.close()
+        return await _connect(host, port)
+
+    def give_back(self, host: str, port: int, conn: ServerConnection) -> None:
+        """Keep a connection whose answer has ended, or close it.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        :param conn: the connection.
+        """
+        idle = self._idle[host, port]
+        if len(idle) < _MAX_IDLE_CONNECTIONS and conn.renew(now_s()):
+            idle.append(conn)
+        else:
+            conn.close()
+
+
+async def _connect(host: str, port: int) -> ServerConnection:
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError) as exc:
+        raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
+    return ServerConnection(reader, writer)
+
+
+def _new_codec() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+
+
+def _head_of(response: h11.Response) -> AnswerHead:
+    length = field(response.headers, b'content-length')
+    return AnswerHead(
+        response.status_code,
+        passed_on(response.headers),
+        int(length) if length.isdigit() else None,
+    )
--- /dev/null
+++ b/src/wasabicross/gateway/store.py
@@ -0,0 +1,63 @@
+"""What a gateway asks of the store in which the deployment's state lasts."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from wasabicross.gateway.changes import Change
+
+
+class UnreadableEntry(NamedTuple):
+    """An entry that can't be read; it tells nothing.
+
+    :param revision: number of its last change.
+    """
+
+    key: str
+    revision: int
+    reason: str
+
+
+class Snapshot(NamedTuple):
+    """What was read, and the revision from which changes follow."""
+
+    changes: tuple[Change, ...]
+    unreadable: tuple[UnreadableEntry, ...]
+    revision: int
+
+
+class FleetStore(Protocol):
+    """The store; each call raises `StoreUnavailable` without an answer."""
+
+    async def read(self) -> Snapshot:
+        """Read everything."""
+
+    async def watch(self, revision: int, wait_s: float) -> Snapshot:
+        """Wait for changes after a revision; there may be none.
+
+        :param revision: the last one that is known.
+        :param wait_s: longest wait.
+        :raises HistoryGone: the changes are no longer kept.
+        """
+
+    async def write_owner(
+        self, group: str, instance: str, host: str, revision: int
+    ) -> int | None:
+        """Write the owner's record of a group of servers.
+
+        :param group: name of the group.
+        :param instance: machine that owns it.
+        :param host: IP number of that machine.
+        :param revision: revision that the record must have, 0 for none.
+        :return: the new revision, None if the record has another one.
+        """
+
+    async def announce(
+        self, instance: str, host: str, data_centre: str
+    ) -> None:
+        """Tell where this gateway is.
+
+        :param instance: name of its machine.
+        :param host: IP number of its machine.
+        :param data_centre: where it is.
+        """
--- /dev/null
+++ b/src/wasabicross/gateway/tenures.py
@@ -0,0 +1,151 @@
+"""Takes and renews the ownership of groups of servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from wasabicross.events import Event
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.errors import StoreUnavailable
+from wasabicross.gateway.loader import Tenure
+from wasabicross.gateway.ownership import (
+    RENEW_S,
+    Group,
+    all_groups,
+    claim_due_s,
+    claim_wait_s,
+    may_order_until,
+)
+from wasabicross.gateway.settings import GatewaySettings
+from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.view import FleetView
+from wasabicross.logs import log_event
+
+_FOLLOW_S = 0.25
+
+#: Pause before another write after one without an answer.
+_RETRY_S = 0.6
+
+#: Time for all gateways of a first start to become known to each other.
+_SETTLE_S = 1.5
+
+
+class _Owned(NamedTuple):
+    """A group that this process owns.
+
+    :param term: revision of the write that took it.
+    :param revision: revision of the last write.
+    :param written_s: when the last write that took effect was sent.
+    """
+
+    term: int
+    revision: int
+    written_s: float
+
+
+class Tenures:
+    """The groups that this gateway owns.
+
+    :param cfg: names and bounds.
+    :param store: where the records are.
+    :param view: the records as last seen.
+    """
+
+    def __init__(
+        self, cfg: GatewaySettings, store: FleetStore, view: FleetView
+    ) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._view = view
+        self._owned: dict[str, _Owned] = {}
+        self._groups = all_groups(cfg.data_centres)
+        self._not_before_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Take and renew groups until cancelled."""
+        started_s = now_s() + _SETTLE_S
+        while True:
+            for group in self._groups:
+                await self._look_after(group, started_s)
+            await asyncio.sleep(_FOLLOW_S)
+
+    def tenure(self, group: str, at_s: float) -> Tenure | None:
+        """Return the right to order on a group's servers, None for none.
+
+        :param group: name of the group.
+        :param at_s: the present time.
+        """
+        owned = self._owned.get(group)
+        if owned is None:
+            return None
+        until_s = may_order_until(owned.written_s, self._cfg.holder_gap_s)
+        if at_s >= until_s:
+            return None
+        return Tenure(self._cfg.instance, owned.term, until_s)
+
+    async def _look_after(self, group: Group, started_s: float) -> None:
+        record = self._view.owners.get(group.name)
+        owned = self._owned.get(group.name)
+        at_s = now_s()
+        if at_s < self._not_before_s.get(group.name, at_s):
+            return
+        if owned is not None:
+            if record is not None and record.revision > owned.revision:
+                if record.instance != self._cfg.instance:
+                    self._lose(group)
+                    return
+            if at_s - owned.written_s >= RENEW_S:
+                await self._write(group, owned.revision, owned)
+            return
+        wait_s = claim_wait_s(
+            group,
+            self._cfg.instance,
+            self._cfg.data_centre,
+            [
+                (each.instance, each.data_centre)
+                for each in self._view.instances.values()
+            ],
+        )
+        due_s = claim_due_s(record, self._cfg.instance, wait_s, started_s)
+        if at_s >= due_s:
+            await self._write(group, record.revision if record else 0, None)
+
+    async def _write(
+        self, group: Group, expected: int, owned: _Owned | None
+    ) -> None:
+        sent_s = now_s()
+        cfg = self._cfg
+        try:
+            revision = await self._store.write_owner(
+                group.name, cfg.instance, cfg.host, expected
+            )
+        except StoreUnavailable as exc:
+            self._not_before_s[group.name] = now_s() + _RETRY_S
+            log_event(
+                Event.OWNER_WRITE_FAILED, group=group.name, reason=str(exc)
+            )
+            return
+        if revision is None:
+            self._not_before_s[group.name] = now_s() + _RETRY_S
+            self._on_conflict(group)
+            return
+        term = owned.term if owned else revision
+        self._owned[group.name] = _Owned(term, revision, sent_s)
+        if owned is None:
+            log_event(Event.GROUP_OWNED, group=group.name, term=term)
+
+    def _on_conflict(self, group: Group) -> None:
+        """Look at who wrote: this gateway, by a write that seemed lost?"""
+        record = self._view.owners.get(group.name)
+        owned = self._owned.get(group.name)
+        if owned is None or record is None:
+            return
+        if record.instance != self._cfg.instance:
+            self._lose(group)
+        elif record.revision > owned.revision:
+            self._owned[group.name] = owned._replace(revision=record.revision)
+
+    def _lose(self, group: Group) -> None:
+        self._owned.pop(group.name, None)
+        log_event(Event.GROUP_LOST, group=group.name)
--- a/src/wasabicross/logs.py
+++ b/src/wasabicross/logs.py
@@ -1,17 +1,18 @@
 """Numbered events on standard error, as JSON lines or for human readers."""
 
+from __future__ import annotations
+
 import json
 import logging
 import sys
 import threading
 import traceback
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
 from wasabicross.events import Event
-from wasabicross.settings import LogSettings
 
 if TYPE_CHECKING:
     from loguru import Message, Record
@@ -19,10 +20,32 @@
 _HUMAN_TIME = '%Y-%m-%d %H:%M:%S.%f'
 
 
+class LogFormat(Protocol):
+    """Settings of the log."""
+
+    @property
+    def format(self) -> str:
+        """Either `json` or `human`."""
+
+    @property
+    def level(self) -> str:
+        """Lowest level that is logged."""
+
+
+class LogStream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> object:
+        """Write a line with its end."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 def configure_logs(
-    cfg: LogSettings,
+    cfg: LogFormat,
     program: str,
-    stream: TextIO | None = None,
+    stream: LogStream | None = None,
 ) -> None:
     """Send the events of this process to a stream, replacing other sinks.
 
@@ -30,10 +53,10 @@
     :param program: name of the program, part of each line.
     :param stream: standard error if not given.
     """
-    target = stream or sys.stderr
+    target: LogStream = stream or sys.stderr
     render = _FORMATS[cfg.format]
 
-    def sink(message: 'Message') -> None:  # noqa: WPS430
+    def sink(message: Message) -> None:  # noqa: WPS430
         target.write(f'{render(message.record)}\n')
         target.flush()
 
@@ -85,7 +108,7 @@
         )
 
 
-def _render_json(record: 'Record') -> str:
+def _render_json(record: Record) -> str:
     extra = record['extra']
     line = {
         'time': record['time'].isoformat(),
@@ -98,7 +121,7 @@
     return json.dumps({**extra.get('fields', {}), **line}, default=str)
 
 
-def _render_human(record: 'Record') -> str:
+def _render_human(record: Record) -> str:
     extra = record['extra']
     when = record['time'].strftime(_HUMAN_TIME)
     pairs = ' '.join(
--- /dev/null
+++ b/src/wasabicross/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/wasabicross/platform/headers.py
@@ -0,0 +1,125 @@
+"""The platform's header fields, in requests and in servers' answers."""
+
+from __future__ import annotations
+
+from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.dialect import CallHead, Passage, Verdict
+from wasabicross.gateway.http_heads import (
+    CallerRequest,
+    Fields,
+    field,
+    number,
+    passed_on,
+)
+from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+
+_REQUEST_ID = b'request-id'
+_TIME_LEFT_MS = b'time-left-ms'
+_MODEL = b'model'
+_EXPECT_INSTANCE = b'expect-instance'
+_EXPECT_VERSION = b'expect-version'
+_REQUEST_PRIORITY = b'request-priority'
+_LAST_EVENT_ID = b'last-event-id'
+_NOT_RUN = b'not-run'
+_RETRY_AFTER = b'retry-after'
+
+_MS_IN_S = 1000
+#: Path at which the platform asks whether a machine takes callers.
+READY_PATH = '/-/ready'
+
+_MISDIRECTED = 421
+_FIRST_FAILURE = 500
+
+#: Fields that only this system may send to a server.
+_RESERVED = frozenset(
+    (
+        _TIME_LEFT_MS,
+        _EXPECT_INSTANCE,
+        _EXPECT_VERSION,
+        _REQUEST_PRIORITY,
+        _LAST_EVENT_ID,
+        b'pin-ms',
+        b'hold',
+        b'kv-fetch',
+        b'kv-from',
+        b'kv-backup',
+        b'content-length',
+    )
+)
+
+
+class PlatformDialect:
+    """Reads and writes the platform's header fields."""
+
+    def read(self, req: CallerRequest) -> CallHead:
+        """Return what a caller says of its request.
+
+        :param req: the request.
+        """
+        time_left_ms = number(req.fields, _TIME_LEFT_MS)
+        return CallHead(
+            request_id=field(req.fields, _REQUEST_ID),
+            adapter=_adapter(field(req.fields, _MODEL)),
+            time_left_s=None
+            if time_left_ms is None
+            else time_left_ms / _MS_IN_S,
+            last_event_id=field(req.fields, _LAST_EVENT_ID),
+        )
+
+    def request(self, req: CallerRequest, passage: Passage) -> ServerRequest:
+        """Return the request as a server gets it.
+
+        :param req: as the caller sent it.
+        :param passage: what the gateway adds.
+        """
+        fields = passed_on(req.fields, _RESERVED)
+        fields.extend(_added(passage))
+        if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
+            fields.append((b'content-length', str(len(req.body)).encode()))
+        return ServerRequest(req.method, req.target, fields, req.body)
+
+    def verdict(self, head: AnswerHead) -> Verdict:
+        """Return what an answer says of the request.
+
+        :param head: head of a server's answer.
+        """
+        if head.status == _MISDIRECTED:
+            return Verdict.not_held
+        if field(head.fields, _NOT_RUN):
+            return Verdict.not_run
+        if head.status >= _FIRST_FAILURE:
+            return Verdict.failed
+        return Verdict.answered
+
+    def refusal(self, request_id: str, retry_after_s: float | None) -> Fields:
+        """Return the fields of an answer of the gateway's own.
+
+        :param request_id: id of the request, empty if it has none.
+        :param retry_after_s: when to come back, None if it isn't said.
+        """
+        fields: Fields = []
+        if request_id:
+            fields.append((_REQUEST_ID, request_id.encode('latin-1')))
+        if retry_after_s is not None:
+            fields.append((_RETRY_AFTER, f'{retry_after_s:.2f}'.encode()))
+        return fields
+
+
+def _adapter(model: str) -> AdapterKey | None:
+    name, _, adapter = model.partition('/')
+    return AdapterKey(name, adapter) if name else None
+
+
+def _added(passage: Passage) -> Fields:
+    time_left_ms = max(1, int(passage.time_left_s * _MS_IN_S))
+    added = [
+        (_EXPECT_INSTANCE, passage.server_id.encode()),
+        (_TIME_LEFT_MS, str(time_left_ms).encode()),
+        (_REQUEST_PRIORITY, str(min(9, passage.priority)).encode()),
+    ]
+    if passage.version:
+        added.append((_EXPECT_VERSION, str(passage.version).encode()))
+    if passage.last_event_id:
+        event_id = passage.last_event_id.encode('latin-1')
+        added.append((_LAST_EVENT_ID, event_id))
+    return added
--- /dev/null
+++ b/src/wasabicross/platform/records.py
@@ -0,0 +1,117 @@
+"""Keys of the store and what lies under them, decoded into changes."""
+
+from __future__ import annotations
+
+import json
+
+from wasabicross.gateway.changes import (
+    Change,
+    ConfigurationNamed,
+    InstanceListed,
+    OwnerNamed,
+    ServerListed,
+    ServerRemoved,
+    VersionNamed,
+)
+from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.platform.documents import (
+    decode_configuration,
+    decode_server,
+    decode_version,
+)
+from wasabicross.platform.store import (
+    CONFIGURATION_KEY,
+    SERVERS_PREFIX,
+    VERSIONS_PREFIX,
+    Item,
+)
+
+#: Start of the keys that the gateways write.
+OWN_PREFIX = 'wasabicross/'
+
+_OWNERS_PREFIX = 'wasabicross/owner/'
+_INSTANCES_PREFIX = 'wasabicross/instance/'
+
+
+def owner_key(group: str) -> str:
+    """Return the key of a group's record.
+
+    :param group: name of the group.
+    """
+    return f'{_OWNERS_PREFIX}{group}'
+
+
+def instance_key(instance: str) -> str:
+    """Return the key under which a gateway tells where it is.
+
+    :param instance: name of its machine.
+    """
+    return f'{_INSTANCES_PREFIX}{instance}'
+
+
+def encode_owner(instance: str, host: str) -> bytes:
+    """Return the record of an owner.
+
+    :param instance: name of its machine.
+    :param host: IP number of its machine.
+    """
+    return json.dumps({'instance': instance, 'host': host}).encode()
+
+
+def encode_instance(host: str, data_centre: str) -> bytes:
+    """Return what a gateway tells of itself.
+
+    :param host: IP number of its machine.
+    :param data_centre: where it is.
+    """
+    return json.dumps({'host': host, 'data_centre': data_centre}).encode()
+
+
+def decode_change(item: Item) -> Change | None:
+    """Decode an item, None if it tells nothing that matters here.
+
+    :param item: as read or watched.
+    :raises DocumentUnreadable: it should tell something and can't be read.
+    """
+    key, document = item.key, item.document
+    if key.startswith(SERVERS_PREFIX):
+        return _server_change(key.removeprefix(SERVERS_PREFIX), document)
+    if document is None:
+        return None
+    if key == CONFIGURATION_KEY:
+        return ConfigurationNamed(decode_configuration(document))
+    if key.startswith(VERSIONS_PREFIX):
+        return VersionNamed(*decode_version(document))
+    return _own_change(item, document)
+
+
+def _server_change(server_id: str, document: bytes | None) -> Change:
+    if document is None:
+        return ServerRemoved(server_id)
+    return ServerListed(decode_server(server_id, document))
+
+
+def _own_change(item: Item, document: bytes) -> Change | None:
+    if item.key.startswith(_OWNERS_PREFIX):
+        record = _own_record(document)
+        group = item.key.removeprefix(_OWNERS_PREFIX)
+        return OwnerNamed(
+            group, record['instance'], record['host'], item.revision
+        )
+    if item.key.startswith(_INSTANCES_PREFIX):
+        record = _own_record(document)
+        name = item.key.removeprefix(_INSTANCES_PREFIX)
+        return InstanceListed(name, record['host'], record['data_centre'])
+    return None
+
+
+def _own_record(document: bytes) -> dict[str, str]:
+    try:
+        record = json.loads(document)
+    except ValueError as exc:
+        raise DocumentUnreadable(f'record: {exc}') from exc
+    names = {'host'}
+    if not isinstance(record, dict) or not names <= record.keys():
+        raise DocumentUnreadable('record: fields are missing')
+    texts = {name: str(value) for name, value in record.items()}
+    return {'instance': '', 'data_centre': '', **texts}
--- /dev/null
+++ b/src/wasabicross/platform/settings.py
@@ -0,0 +1,98 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+from typing import Any, NamedTuple
+
+from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.settings import Address, GatewaySettings
+
+#: Environment variable with the path of the settings file.
+PATH_VARIABLE = 'WASABICROSS_NODE_FILE'
+
+_MS_IN_S = 1000
+
+
+def settings_path() -> pathlib.Path:
+    """Return the path of the settings file.
+
+    :raises DocumentUnreadable: the environment doesn't name it.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise DocumentUnreadable(f'{PATH_VARIABLE} is not set')
+    return pathlib.Path(path)
+
+
+def read_settings(path: pathlib.Path) -> GatewaySettings:
+    """Read and check the settings file.
+
+    :param path: where it is.
+    :raises DocumentUnreadable: it is missing or has a fault; the text names
+        the first.
+    """
+    try:
+        return decode_settings(path.read_bytes())
+    except OSError as exc:
+        raise DocumentUnreadable(f'{path}: {exc.strerror}') from exc
+
+
+def decode_settings(document: bytes) -> GatewaySettings:
+    """Decode the settings of a process.
+
+    :param document: JSON bytes.
+    :raises DocumentUnreadable: a field is missing or of another type.
+    """
+    try:
+        fields = _Fields(json.loads(document), '')
+    except ValueError as exc:
+        raise DocumentUnreadable(f'settings: {exc}') from exc
+    listen = fields.table('listen')
+    bounds = fields.table('bounds')
+    ports = fields.value('portRange', list)
+    if len(ports) != 2 or not all(isinstance(each, int) for each in ports):
+        raise DocumentUnreadable('settings: portRange: two ports expected')
+    return GatewaySettings(
+        instance=fields.value('nodeName', str),
+        host=fields.value('ip', str),
+        data_centre=fields.value('zone', str),
+        data_centres=tuple(fields.value('zones', dict)),
+        callers=listen.address('front'),
+        ready=listen.address('ready'),
+        peer_port=ports[0],
+        store=fields.table('platform').address('address'),
+        retry_ratio=float(bounds.value('retryRatio', (int, float))),
+        retry_slack=bounds.value('retrySlack', int),
+        grace_s=float(bounds.value('graceS', (int, float))),
+        holder_gap_s=bounds.value('leaseMs', int) / _MS_IN_S,
+    )
+
+
+class _Fields(NamedTuple):
+    """A table of the settings, and where it stands in them."""
+
+    content: Any
+    path: str
+
+    def value(self, name: str, kind: Any) -> Any:
+        where = f'{self.path}{name}'
+        if not isinstance(self.content, dict) or name not in self.content:
+            raise DocumentUnreadable(f'settings: {where}: missing')
+        found = self.content[name]
+        if isinstance(found, bool) or not isinstance(found, kind):
+            raise DocumentUnreadable(f'settings: {where}: wrong type')
+        return found
+
+    def table(self, name: str) -> _Fields:
+        return _Fields(self.value(name, dict), f'{self.path}{name}.')
+
+    def address(self, name: str) -> Address:
+        host, _, port = self.value(name, str).rpartition(':')
+        if not host or not port.isdigit():
+            raise DocumentUnreadable(
+                f'settings: {self.path}{name}: not HOST:PORT',
+            )
+        return Address(host, int(port))
--- /dev/null
+++ b/src/wasabicross/platform/store.py
@@ -0,0 +1,253 @@
+"""Calls to the platform's store: items, watches, conditional writes."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+from wasabicross.gateway.errors import (
+    HistoryGone,
+    ServerError,
+    StoreUnavailable,
+)
+from wasabicross.gateway.server_connections import (
+    ConnectionPool,
+    ServerRequest,
+)
+from wasabicross.gateway.settings import Address
+
+#: Where the operator keeps the configuration.
+CONFIGURATION_KEY = 'op/config'
+
+#: Start of the keys of adapters' versions.
+VERSIONS_PREFIX = 'op/version/'
+
+#: Start of the keys under which servers register.
+SERVERS_PREFIX = 'servers/'
+
+_OK = 200
+_CONFLICT = 412
+_HISTORY_GONE = 410
+_FAULTS = (KeyError, ValueError, TypeError, AttributeError)
+
+#: Longest wait for the answer of a read or write.
+_CALL_TIMEOUT_S = 1.0
+
+#: What a watch may take beyond the wait that it asks for.
+_WATCH_SLACK_S = 0.6
+
+_MS_IN_S = 1000
+
+
+class Item(NamedTuple):
+    """A key of the store and what it holds.
+
+    :param revision: number of its last change.
+    :param document: its value, None if the key was removed.
+    """
+
+    key: str
+    revision: int
+    document: bytes | None
+
+
+class ItemSnapshot(NamedTuple):
+    """Items that were read, and the revision to watch from."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Write(NamedTuple):
+    """A conditional write.
+
+    :param expected_revision: revision that the key must have, 0 for none.
+    """
+
+    key: str
+    expected_revision: int
+    document: bytes
+
+
+class Written(NamedTuple):
+    """How a conditional write ended.
+
+    :param revision: the new revision, None if the condition didn't hold.
+    :param current: the item as it is, where the condition didn't hold.
+    """
+
+    revision: int | None
+    current: Item | None
+
+
+class StoreCalls:
+    """Calls to the store; each raises `StoreUnavailable` without an answer.
+
+    :param address: where the store is.
+    :param pool: connections.
+    """
+
+    def __init__(self, address: Address, pool: ConnectionPool) -> None:
+        self._address = address
+        self._pool = pool
+
+    async def read(self, prefix: str) -> ItemSnapshot:
+        """Read all items whose keys begin alike.
+
+        :param prefix: start of the keys.
+        """
+        items: list[Item] = []
+        revision = None
+        after = ''
+        while True:
+            page = await self._page(prefix, after)
+            found = [_item(each) for each in page['items']]
+            items.extend(found)
+            revision = page['at'] if revision is None else revision
+            if not page['hasMore'] or not found:
+                return ItemSnapshot(tuple(items), revision)
+            after = found[-1].key
+
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> ItemSnapshot:
+        """Wait for changes after a revision.
+
+        :param prefix: start of the keys.
+        :param revision: the last revision that is known.
+        :param wait_s: longest wait; without changes the snapshot is empty.
+        :raises HistoryGone: the changes are no longer kept.
+        """
+        query = {
+            'pathPrefix': prefix,
+            'after': revision,
+            'waitMs': int(wait_s * _MS_IN_S),
+        }
+        status, wire = await self._call(
+            'GET', '/-/kv-watch', query, timeout_s=wait_s + _WATCH_SLACK_S
+        )
+        if status == _HISTORY_GONE:
+            raise HistoryGone(f'revision {revision}')
+        _check(status)
+        changes: ItemSnapshot = _decoded(_changes, wire)
+        return changes
+
+    async def write(self, write: Write) -> Written:
+        """Write an item if it has the expected revision.
+
+        :param write: key, condition and value.
+        """
+        condition = {'key': write.key, 'revision': write.expected_revision}
+        body = _change([condition], write.key, write.document)
+        status, wire = await self._call('POST', '/-/kv-txn', body=body)
+        if status == _CONFLICT:
+            current = _decoded(_items, wire)
+            return Written(None, current[0] if current else None)
+        _check(status)
+        return Written(_decoded(_revision, wire), None)
+
+    async def put(self, key: str, document: bytes) -> None:
+        """Write an item whatever its revision.
+
+        :param key: its key.
+        :param document: its value.
+        """
+        body = _change([], key, document)
+        status, _ = await self._call('POST', '/-/kv-txn', body=body)
+        _check(status)
+
+    async def _page(self, prefix: str, after: str) -> Any:
+        query = {'pathPrefix': prefix}
+        if after:
+            query['after'] = after
+        status, wire = await self._call('GET', '/-/kv-range', query)
+        _check(status)
+        return wire
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any] | None = None,
+        body: Any = None,
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> tuple[int, Any]:
+        req = _request(method, path, query, body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(req)
+        except (ServerError, TimeoutError, ValueError) as exc:
+            raise StoreUnavailable(f'{path}: {exc!r}') from exc
+
+    async def _exchange(self, req: ServerRequest) -> tuple[int, Any]:
+        conn = await self._pool.take(
+            self._address.host, self._address.port, once=False
+        )
+        try:
+            await conn.send(req)
+            head = await conn.head(req)
+            parts = [piece async for piece in conn.pieces()]
+        except BaseException:
+            conn.close()
+            raise
+        self._pool.give_back(self._address.host, self._address.port, conn)
+        document = b''.join(parts)
+        return head.status, json.loads(document) if document else None
+
+
+def _request(
+    method: str, path: str, query: dict[str, Any] | None, body: Any
+) -> ServerRequest:
+    target = f'{path}?{urlencode(query)}' if query else path
+    document = b'' if body is None else json.dumps(body).encode()
+    fields = [(b'host', b'store')]
+    if document:
+        fields.append((b'content-type', b'application/json'))
+        fields.append((b'content-length', str(len(document)).encode()))
+    return ServerRequest(method.encode(), target.encode(), fields, document)
+
+
+def _change(
+    conditions: list[dict[str, Any]], key: str, document: bytes
+) -> dict[str, Any]:
+    put = {'key': key, 'value': _base64(document)}
+    return {'expected': conditions, 'puts': [put], 'remove': []}
+
+
+def _check(status: int) -> None:
+    if status != _OK:
+        raise StoreUnavailable(f'status {status}')
+
+
+def _decoded(decode: Any, wire: Any) -> Any:
+    try:
+        return decode(wire)
+    except _FAULTS as exc:
+        raise StoreUnavailable(f'unreadable answer: {exc!r}') from exc
+
+
+def _items(wire: Any) -> list[Item]:
+    return [_item(each) for each in wire['items']]
+
+
+def _revision(wire: Any) -> int:
+    return int(wire['revision'])
+
+
+def _changes(wire: Any) -> ItemSnapshot:
+    return ItemSnapshot(
+        tuple(_item(each) for each in wire['events']), int(wire['at'])
+    )
+
+
+def _item(wire: Any) -> Item:
+    is_gone = wire.get('deleted') or wire.get('value') is None
+    document = None if is_gone else base64.b64decode(wire['value'])
+    return Item(wire['key'], int(wire.get('revision', 0)), document)
+
+
+def _base64(document: bytes) -> str:
+    return base64.b64encode(document).decode()
--- /dev/null
+++ b/src/wasabicross/run_gateway.py
@@ -0,0 +1,63 @@
+"""`wasabicross-gateway`: puts a gateway together with its platform.
+
+Exit codes: 0 stopped in order; 2 the settings have a fault.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import NamedTuple
+
+import click
+
+from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.log_output import LogOutput
+from wasabicross.gateway.program import Gateway, Seams
+from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.settings import GatewaySettings
+from wasabicross.logs import configure_logs
+from wasabicross.platform.engines import EngineCalls
+from wasabicross.platform.fleet_store import PlatformStore
+from wasabicross.platform.headers import READY_PATH, PlatformDialect
+from wasabicross.platform.settings import read_settings, settings_path
+from wasabicross.platform.store import StoreCalls
+
+_EXIT_SETTINGS = 2
+_STDOUT = 1
+
+
+class _LogFormat(NamedTuple):
+    """Format and lowest level of the log."""
+
+    format: str = 'json'
+    level: str = 'INFO'
+
+
+@click.command()
+def main() -> None:
+    """Serve callers on this machine until SIGTERM."""
+    try:
+        cfg = read_settings(settings_path())
+    except DocumentUnreadable as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(_EXIT_SETTINGS)
+    output = LogOutput(_STDOUT)
+    configure_logs(_LogFormat(), 'gateway', output)
+    asyncio.run(_run(cfg, output))
+
+
+async def _run(cfg: GatewaySettings, output: LogOutput) -> None:
+    pool = ConnectionPool()
+    seams = Seams(
+        store=PlatformStore(StoreCalls(cfg.store, ConnectionPool())),
+        engines=EngineCalls(pool),
+        dialect=PlatformDialect(),
+        pool=pool,
+        ready_path=READY_PATH,
+    )
+    await Gateway(cfg, seams, output).run()
+
+
+if __name__ == '__main__':
+    main()
