Ask by repeated orders when a load has ended

Cause: reports lag by 100 ms, so that a request whose adapter takes 250 ms waited 400 ms; a replaced version was ordered again and again, and a count that ran ahead brought 97 conflicts. Change: the answer to a repeated order tells at once; a load stays counted while it is confirmed; servers with an older version are chosen last. Ruled out: more reports, which are priced as probes.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -17,7 +17,7 @@
 _KEEP_S = 0.5
 
 #: How far a report may lag behind what the engine does.
-REPORT_LAG_S = 0.5
+REPORT_LAG_S = 0.35
 
 #: Adapters that are on their way to one engine at most.
 MAX_PENDING = 3
@@ -30,6 +30,20 @@
     running: dict[str, int]
 
 
+class Ordered(NamedTuple):
+    """A load that the engine has accepted.
+
+    :param sent_s: when the order was sent.
+    :param confirmed_s: when the engine last said that it is carried out.
+    :param replaced_version: version that it held before, 0 for none; a
+        replacement waits for the runs of that version.
+    """
+
+    sent_s: float
+    confirmed_s: float
+    replaced_version: int
+
+
 class EngineSlots:
     """What one engine holds, and what was ordered since its last report.
 
@@ -40,11 +54,11 @@
         self.slots = slots
         self.order_count: int | None = None
         self.held: dict[AdapterKey, int] = {}
-        self._ordered: dict[AdapterKey, float] = {}
+        self.last_accepted_s = -math.inf
+        self._ordered: dict[AdapterKey, Ordered] = {}
         self._unanswered: dict[AdapterKey, int] = {}
         self._uses: dict[AdapterKey, Use] = {}
         self._pending: frozenset[AdapterKey] = frozenset()
-        self._conflict_since_s = math.inf
         self._born_ms = 0
 
     @property
@@ -52,6 +66,11 @@
         """Adapters that are on their way to the engine for certain."""
         return self._pending | self._ordered.keys()
 
+    @property
+    def ordered(self) -> dict[AdapterKey, Ordered]:
+        """Loads that were accepted and that no report has shown yet."""
+        return self._ordered
+
     @property
     def pending(self) -> frozenset[AdapterKey]:
         """Adapters that are on their way to the engine, or may be."""
@@ -69,30 +88,25 @@
             return False
         return self.taken < self.slots
 
-    def on_report(
-        self, report: EngineReport, asked_s: float, now_s: float
-    ) -> None:
+    def on_report(self, report: EngineReport, asked_s: float) -> None:
         """Take in a report of the engine.
 
         :param report: what it says of itself.
         :param asked_s: when it was asked.
-        :param now_s: the present time.
         """
-        if self._is_restart(report):
+        if self._born_ms and report.born_ms != self._born_ms:
             self._forget()
         self._born_ms = report.born_ms
-        if self._is_behind(report, now_s):
+        if self._is_behind(report, asked_s):
             return
-        self._conflict_since_s = math.inf
         self.order_count = report.order_count
         self.held = dict(report.held)
         self._pending = report.pending
         self._ordered = {
-            key: ordered_s
-            for key, ordered_s in self._ordered.items()
-            if asked_s - ordered_s < REPORT_LAG_S
-            and key not in report.held
-            and key not in report.pending
+            key: ordered
+            for key, ordered in self._ordered.items()
+            if self._is_going_on(key, report, asked_s)
+            and report.held.get(key, 0) <= ordered.replaced_version
         }
         self._unanswered = {
             key: expected
@@ -105,12 +119,14 @@
         kind: OrderKind,
         key: AdapterKey,
         answer: OrderAnswer | None,
+        version: int,
         now_s: float,
     ) -> None:
         """Take in how an order ended.
 
         :param kind: what was ordered.
         :param key: the adapter.
+        :param version: version in force of the adapter.
         :param answer: None if there was none; it may be carried out later.
         :param now_s: the present time.
         """
@@ -119,13 +135,19 @@
                 self._unanswered[key] = self.order_count or 0
             return
         if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
-            self._conflict_since_s = min(self._conflict_since_s, now_s)
+            return
+        if kind is OrderKind.load and key in self.accepted:
+            # The engine answers a repeated order, and doesn't count it.
+            self._on_repeat(key, answer, version, now_s)
             return
         self.order_count = (self.order_count or 0) + 1
+        self.last_accepted_s = now_s
         # No order that was sent before can hold any more.
         self._unanswered.clear()
         if kind is OrderKind.load:
-            self._ordered[key] = now_s
+            self._ordered[key] = Ordered(
+                now_s, now_s, self.held.get(key, 0)
+            )
         elif answer is OrderAnswer.already:
             self.held.pop(key, None)
 
@@ -182,20 +204,28 @@
         use = self._uses.get(key)
         return use.last_s if use else -math.inf
 
-    def _is_restart(self, report: EngineReport) -> bool:
-        if self._born_ms and report.born_ms != self._born_ms:
+    def _on_repeat(
+        self, key: AdapterKey, answer: OrderAnswer, version: int, now_s: float
+    ) -> None:
+        ordered = self._ordered.pop(key, None)
+        if answer is OrderAnswer.accepted:
+            if ordered is not None:
+                self._ordered[key] = ordered._replace(confirmed_s=now_s)
+            return
+        self._pending -= {key}
+        self.held[key] = max(version, self.held.get(key, 0))
+
+    def _is_going_on(
+        self, key: AdapterKey, report: EngineReport, asked_s: float
+    ) -> bool:
+        if key in report.pending:
             return True
-        # An engine that doesn't tell its start has counted anew.
-        return not report.born_ms and report.order_count == 0
+        return asked_s - self._ordered[key].confirmed_s < REPORT_LAG_S
 
-    def _is_behind(self, report: EngineReport, now_s: float) -> bool:
-        if self.order_count is None:
+    def _is_behind(self, report: EngineReport, asked_s: float) -> bool:
+        if self.order_count is None or report.order_count >= self.order_count:
             return False
-        if report.order_count >= self.order_count:
-            return False
-        return now_s - self._conflict_since_s < REPORT_LAG_S or (
-            self._conflict_since_s == math.inf
-        )
+        return asked_s - self.last_accepted_s < REPORT_LAG_S
 
     def _forget(self) -> None:
         self.order_count = None
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -26,10 +26,20 @@
 _IDLE_REPORT_S = 0.5
 
 #: The same while an adapter is on its way.
-_BUSY_REPORT_S = 0.07
+_BUSY_REPORT_S = 0.25
 
-#: From an order to the first report that may show its effect.
-_FIRST_REPORT_S = 0.13
+#: Pause before a report that tells why an order was in conflict.
+_CONFLICT_REPORT_S = 0.07
+
+#: How long an engine takes for an adapter that it fetches, or held lately.
+_FETCH_S = 0.255
+_RELOAD_S = 0.03
+
+#: Pause between repeats of an order, which tell whether it is carried out.
+_REPEAT_S = 0.04
+
+#: The same for an adapter that replaces a version in use.
+_REPLACE_S = 0.15
 
 _RETRY_S = 0.25
 
@@ -92,6 +102,8 @@
         self._running = 0
         self._queued = 0
         self._report_due_s = -math.inf
+        self._repeat_due_s: dict[AdapterKey, float] = {}
+        self._known: set[AdapterKey] = set()
 
     async def run(self) -> None:
         """Order what is wanted until cancelled."""
@@ -148,7 +160,8 @@
         )
 
     async def _rest(self) -> None:
-        pause_s = max(0.0, self._report_due_s - now_s())
+        due_s = min((self._report_due_s, *self._repeat_due_s.values()))
+        pause_s = max(0.0, due_s - now_s())
         try:
             async with asyncio.timeout(pause_s):
                 await self._wake.wait()
@@ -159,6 +172,7 @@
     async def _round(self) -> None:
         if now_s() >= self._report_due_s:
             await self._report()
+        await self._repeat_orders()
         self._settle()
         await self._order_wanted()
 
@@ -172,12 +186,23 @@
         self._silent = 0
         self._running = report.running
         self._queued = report.queued
-        self.slots.on_report(report, asked_s, now_s())
+        self.slots.on_report(report, asked_s)
         busy = self.slots.pending or self._wants
         pause_s = _BUSY_REPORT_S if busy else _IDLE_REPORT_S
         self._report_due_s = now_s() + pause_s
         self.changed.set()
 
+    async def _repeat_orders(self) -> None:
+        """Ask by repeats of the orders which loads have ended.
+
+        An answer to an order is never behind, as a report is.
+        """
+        for key, due_s in tuple(self._repeat_due_s.items()):
+            if key not in self.slots.ordered:
+                self._repeat_due_s.pop(key)
+            elif now_s() >= due_s:
+                await self._send(OrderKind.load, key)
+
     def _on_silence(self, reason: str) -> None:
         self._silent += 1
         self._report_due_s = now_s() + _RETRY_S
@@ -202,6 +227,7 @@
 
     def _end(self, key: AdapterKey, version: int) -> None:
         want = self._wants.pop(key)
+        self._known.add(key)
         self.slots.on_use(key, '', 0, now_s())
         for fut in want.waiters:
             if not fut.done():
@@ -280,16 +306,18 @@
         except ServerError as exc:
             answer = None
             self._on_silence(str(exc))
-        self.slots.on_order(kind, key, answer, now_s())
+        version = self._view.version_of(key)
+        self.slots.on_order(kind, key, answer, version, now_s())
         self._note_order(order, answer)
         return answer
 
     def _note_order(self, order: Order, answer: OrderAnswer | None) -> None:
-        is_load = order.kind is OrderKind.load
-        pause_s = _FIRST_REPORT_S if is_load else _BUSY_REPORT_S
+        pause_s = _BUSY_REPORT_S
         if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
-            pause_s = _BUSY_REPORT_S
+            pause_s = _CONFLICT_REPORT_S
         self._report_due_s = min(self._report_due_s, now_s() + pause_s)
+        if order.kind is OrderKind.load:
+            self._plan_repeat(order.key)
         log_event(
             Event.ORDER_SENT,
             server=self.server.server_id,
@@ -299,3 +327,13 @@
             term=order.term,
             answer=answer.value if answer else 'none',
         )
+
+    def _plan_repeat(self, key: AdapterKey) -> None:
+        ordered = self.slots.ordered.get(key)
+        if ordered is None:
+            self._repeat_due_s.pop(key, None)
+            return
+        takes_s = _RELOAD_S if key in self._known else _FETCH_S
+        first_s = ordered.sent_s + takes_s
+        pause_s = _REPLACE_S if ordered.replaced_version else _REPEAT_S
+        self._repeat_due_s[key] = max(first_s, now_s() + pause_s)
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -119,7 +119,11 @@
 def _home(
     adapter: str, version: int, candidates: Sequence[Candidate]
 ) -> Candidate | None:
-    """Return the first server with room in the adapter's lasting order."""
+    """Return the first server with room in the adapter's lasting order.
+
+    Servers with an older version come last, since it is replaced only after
+    its runs.
+    """
     able = [
         each
         for each in candidates
@@ -129,6 +133,9 @@
     ]
     return max(
         able,
-        key=lambda each: rendezvous_hash(adapter, each.server_id),
+        key=lambda each: (
+            not each.held_version,
+            rendezvous_hash(adapter, each.server_id),
+        ),
         default=None,
     )
