--- a/src/wasabicross/gateway/callers.py
+++ b/src/wasabicross/gateway/callers.py
@@ -112,9 +112,7 @@
             raise CallerGone(str(exc)) from exc
 
 
-_NextEvent: TypeAlias = (
-    h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
-)
+_NextEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 Handler: TypeAlias = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
 
@@ -284,9 +282,7 @@
             raise CallerGone('in the middle of a body')
         return b''.join(parts)
 
-    async def _until(
-        self, event: _NextEvent
-    ) -> _NextEvent:
+    async def _until(self, event: _NextEvent) -> _NextEvent:
         while event is h11.NEED_DATA:
             received = await self._reader.read(_READ_BYTES)
             if not received:
--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -53,6 +53,9 @@
 #: elsewhere, as a multiple of the longest pause that is on time.
 _SILENCE_GAPS = 4
 
+#: How long a request waits for its adapter, as a multiple of the target.
+_PATIENCE_TARGETS = 2
+
 #: Pause before a server that couldn't run a request now is asked again.
 _NOT_RUN_PAUSE_S = 0.05
 
@@ -127,6 +130,13 @@
         except TimeoutError:
             await self._on_timeout()
 
+    async def refuse(self, reason: str) -> None:
+        """Refuse the request without trying any server.
+
+        :param reason: why, for the log.
+        """
+        await self._refuse(reason, _RETRY_AFTER_S)
+
     def _deadline_s(self, route: Route) -> float:
         left_s = self._head.time_left_s
         if left_s is None:
@@ -143,6 +153,7 @@
                     service,
                     self._head.adapter,
                     route.priority,
+                    self._patience_s(route),
                     frozenset(self._excluded),
                 )
             )
@@ -158,6 +169,11 @@
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
+    def _patience_s(self, route: Route) -> float:
+        """Return how long the request still waits for its adapter."""
+        waited_s = now_s() - self._req.arrived_s
+        return max(0, route.target_s * _PATIENCE_TARGETS - waited_s)
+
     def _may_repeat(
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
@@ -251,9 +267,7 @@
         if key is None or not key.adapter:
             self._excluded.add(placed.server.server_id)
         else:
-            self._shared.view.on_denial(
-                placed.server.server_id, key, now_s()
-            )
+            self._shared.view.on_denial(placed.server.server_id, key, now_s())
         return Ending.not_held
 
     async def _take_answer(
@@ -288,9 +302,7 @@
         self, conn: ServerConnection, route: Route, head: AnswerHead
     ) -> None:
         if not self._answer.has_started:
-            await self._answer.start(
-                head.status, _without_length(head.fields)
-            )
+            await self._answer.start(head.status, _without_length(head.fields))
         pieces = conn.pieces()
         while True:
             async with self._silence(route, route.gap_s * _SILENCE_GAPS):
--- a/src/wasabicross/gateway/configuration.py
+++ b/src/wasabicross/gateway/configuration.py
@@ -76,13 +76,49 @@
         return self.shares[-1].service
 
 
+class ModelSpec(NamedTuple):
+    """A base model of a service.
+
+    :param weights_mb: size of its weights.
+    :param adapter_mb: size of one of its adapters.
+    """
+
+    name: str
+    weights_mb: float
+    adapter_mb: float
+
+
 class EngineSpec(NamedTuple):
     """What the engines of a service can hold.
 
     :param adapter_slots: adapters that one server holds at most.
+    :param memory_mb: memory of one server for weights and adapters.
+    :param models: the base models of the service.
     """
 
     adapter_slots: int
+    memory_mb: float
+    models: tuple[ModelSpec, ...]
+
+    def slots_beside(self, held: frozenset[str]) -> int:
+        """Return how many adapters fit beside base models.
+
+        :param held: names of the base models that a server holds.
+        """
+        models = [model for model in self.models if model.name in held]
+        left_mb = self.memory_mb - sum(model.weights_mb for model in models)
+        largest_mb = max((model.adapter_mb for model in models), default=0)
+        if largest_mb <= 0:
+            return self.adapter_slots
+        return min(self.adapter_slots, max(0, int(left_mb // largest_mb)))
+
+    def fits(self, name: str, held: frozenset[str]) -> bool:
+        """Tell whether a base model fits beside others, with some adapters.
+
+        :param name: name of the base model.
+        :param held: names of the base models that a server holds.
+        """
+        return self.slots_beside(held | {name}) > 0
 
 
 class Service(NamedTuple):
@@ -136,6 +172,4 @@
             for route in self.routes
             if route.host == host and path.startswith(route.prefix)
         ]
-        return max(
-            fitting, key=lambda route: len(route.prefix), default=None
-        )
+        return max(fitting, key=lambda route: len(route.prefix), default=None)
--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -20,7 +20,10 @@
 REPORT_LAG_S = 0.35
 
 #: Adapters that are on their way to one engine at most.
-MAX_PENDING = 3
+MAX_PENDING = 4
+
+#: How long an unload may wait for the runs of its adapter.
+UNLOAD_S = 20.0
 
 
 class Use(NamedTuple):
@@ -54,9 +57,12 @@
         self.slots = slots
         self.order_count: int | None = None
         self.held: dict[AdapterKey, int] = {}
+        self.models: frozenset[str] = frozenset()
+        self.is_busy = False
         self.last_accepted_s = -math.inf
         self._ordered: dict[AdapterKey, Ordered] = {}
         self._unanswered: dict[AdapterKey, int] = {}
+        self._unloading: dict[AdapterKey, float] = {}
         self._uses: dict[AdapterKey, Use] = {}
         self._pending: frozenset[AdapterKey] = frozenset()
         self._born_ms = 0
@@ -101,6 +107,8 @@
             return
         self.order_count = report.order_count
         self.held = dict(report.held)
+        self.models = report.models
+        self.is_busy = report.is_busy
         self._pending = report.pending
         self._ordered = {
             key: ordered
@@ -108,6 +116,11 @@
             if self._is_going_on(key, report, asked_s)
             and report.held.get(key, 0) <= ordered.replaced_version
         }
+        self._unloading = {
+            key: sent_s
+            for key, sent_s in self._unloading.items()
+            if key in report.held and asked_s - sent_s < UNLOAD_S
+        }
         self._unanswered = {
             key: expected
             for key, expected in self._unanswered.items()
@@ -131,25 +144,30 @@
         :param now_s: the present time.
         """
         if answer is None:
-            if kind is OrderKind.load:
+            if kind is OrderKind.load and key.adapter:
                 self._unanswered[key] = self.order_count or 0
             return
         if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
             return
+        if not key.adapter:
+            self._on_model_order(now_s)
+            return
         if kind is OrderKind.load and key in self.accepted:
             # The engine answers a repeated order, and doesn't count it.
             self._on_repeat(key, answer, version, now_s)
             return
+        if kind is OrderKind.unload and key in self._unloading:
+            return
         self.order_count = (self.order_count or 0) + 1
         self.last_accepted_s = now_s
         # No order that was sent before can hold any more.
         self._unanswered.clear()
         if kind is OrderKind.load:
-            self._ordered[key] = Ordered(
-                now_s, now_s, self.held.get(key, 0)
-            )
+            self._ordered[key] = Ordered(now_s, now_s, self.held.get(key, 0))
         elif answer is OrderAnswer.already:
             self.held.pop(key, None)
+        else:
+            self._unloading[key] = now_s
 
     def on_use(
         self, key: AdapterKey, user: str, running: int, now_s: float
@@ -194,7 +212,7 @@
 
     def _is_free(self, key: AdapterKey, now_s: float) -> bool:
         use = self._uses.get(key)
-        if key in self.pending:
+        if key in self.pending or key in self._unloading:
             return False
         if use is None:
             return True
@@ -215,6 +233,12 @@
         self._pending -= {key}
         self.held[key] = max(version, self.held.get(key, 0))
 
+    def _on_model_order(self, now_s: float) -> None:
+        self.order_count = (self.order_count or 0) + 1
+        self.last_accepted_s = now_s
+        self.is_busy = True
+        self._unanswered.clear()
+
     def _is_going_on(
         self, key: AdapterKey, report: EngineReport, asked_s: float
     ) -> bool:
@@ -230,6 +254,8 @@
     def _forget(self) -> None:
         self.order_count = None
         self.held = {}
+        self.models = frozenset()
         self._pending = frozenset()
         self._ordered.clear()
+        self._unloading.clear()
         self._unanswered.clear()
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -25,6 +25,7 @@
     decode,
     encode,
 )
+from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_desk import OwnerDesk
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
@@ -45,6 +46,8 @@
 #: Without a word for so long, a link is given up and dialled again.
 _SILENCE_S = 1.6
 
+_MS_IN_S = 1000
+
 
 class OwnerServer:
     """Serves other gateways with the engines that this one owns.
@@ -103,10 +106,13 @@
 
     async def _load(self, conn: ServerConnection, want: LoadWanted) -> None:
         version = await self._desk.load(
-            want.server_id,
-            AdapterKey(want.model, want.adapter),
-            want.version,
-            want.priority,
+            LoadRequest(
+                want.server_id,
+                AdapterKey(want.model, want.adapter),
+                want.version,
+                want.priority,
+                want.patience_ms / _MS_IN_S,
+            )
         )
         reason = '' if version else 'not loaded'
         try:
@@ -160,15 +166,10 @@
                 self._on_end(str(exc))
             await asyncio.sleep(_REDIAL_S)
 
-    async def load(
-        self, server_id: str, key: AdapterKey, version: int, priority: int
-    ) -> int:
+    async def load(self, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
 
-        :param server_id: the engine.
-        :param key: the adapter.
-        :param version: oldest version that will do.
-        :param priority: rank of the request that waits, 0 is the most urgent.
+        :param wanted: which one, on which engine.
         """
         if self._conn is None:
             return 0
@@ -176,7 +177,13 @@
         fut: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self._calls[call_id] = fut
         want = LoadWanted(
-            call_id, server_id, key.model, key.adapter, version, priority
+            call_id,
+            wanted.server_id,
+            wanted.key.model,
+            wanted.key.adapter,
+            wanted.version,
+            wanted.priority,
+            int(wanted.patience_s * _MS_IN_S),
         )
         try:
             await _send(self._conn, want)
@@ -280,28 +287,16 @@
                     await self._links[host].tell(uses)
             await asyncio.sleep(_USES_S)
 
-    async def load(
-        self,
-        host: str,
-        server_id: str,
-        key: AdapterKey,
-        version: int,
-        priority: int,
-    ) -> int:
+    async def load(self, host: str, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
 
         :param host: IP number of the engine's owner.
-        :param server_id: the engine.
-        :param key: the adapter.
-        :param version: oldest version that will do.
-        :param priority: rank of the request that waits, 0 is the most urgent.
+        :param wanted: which one, on which engine.
         """
         if host == self._host:
-            return await self._desk.load(server_id, key, version, priority)
+            return await self._desk.load(wanted)
         link = self._links.get(host)
-        if link is None:
-            return 0
-        return await link.load(server_id, key, version, priority)
+        return await link.load(wanted) if link else 0
 
     def _follow(self) -> None:
         hosts = {record.host for record in self._view.owners.values()}
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -10,15 +10,18 @@
 from wasabicross.events import Event
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.engine_slots import EngineSlots
+from wasabicross.gateway.configuration import EngineSpec
+from wasabicross.gateway.engine_slots import MAX_PENDING, EngineSlots
 from wasabicross.gateway.errors import DocumentUnreadable, ServerError
 from wasabicross.gateway.messages import HeldAdapter, ServerState
 from wasabicross.gateway.orders import (
     EngineSeam,
+    LoadRequest,
     Order,
     OrderAnswer,
     OrderKind,
 )
+from wasabicross.gateway.placement import scarcest_model
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
 
@@ -43,8 +46,11 @@
 
 _RETRY_S = 0.25
 
-#: How long a load may take before those who wait are told that it failed.
-_MAX_LOAD_S = 3.0
+#: Pause before a base model is ordered once more.
+_MODEL_RETRY_S = 1.0
+
+#: Weight of the last load in the expected time of the next.
+_LOAD_WEIGHT = 0.2
 
 #: Reports in a row without an answer that stop loads on the engine.
 _SILENT_REPORTS = 2
@@ -64,11 +70,15 @@
 
 
 class _Want(NamedTuple):
-    """An adapter that requests wait for."""
+    """An adapter that requests wait for.
+
+    :param until_s: when the last of them has stopped waiting.
+    """
 
     version: int
     priority: int
     since_s: float
+    until_s: float
     waiters: list[asyncio.Future[int]]
 
 
@@ -76,7 +86,7 @@
     """Orders the loads of one engine while this gateway owns it.
 
     :param server: the engine.
-    :param slots: adapters that it holds at most.
+    :param engine: what it can hold.
     :param engines: calls to engines.
     :param view: versions in force.
     :param tenure: returns the present right to order, None if there is none.
@@ -85,13 +95,14 @@
     def __init__(
         self,
         server: BackendServer,
-        slots: int,
+        engine: EngineSpec,
         engines: EngineSeam,
         view: FleetView,
         tenure: Callable[[], Tenure | None],
     ) -> None:
         self.server = server
-        self.slots = EngineSlots(slots)
+        self.slots = EngineSlots(engine.adapter_slots)
+        self._engine = engine
         self.changed = asyncio.Event()
         self._engines = engines
         self._view = view
@@ -104,6 +115,8 @@
         self._report_due_s = -math.inf
         self._repeat_due_s: dict[AdapterKey, float] = {}
         self._known: set[AdapterKey] = set()
+        self._load_s = _FETCH_S
+        self._model_due_s = -math.inf
 
     async def run(self) -> None:
         """Order what is wanted until cancelled."""
@@ -115,27 +128,46 @@
             for key in tuple(self._wants):
                 self._fail(key)
 
-    async def load(self, key: AdapterKey, version: int, priority: int) -> int:
+    async def load(self, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
 
-        :param key: the adapter.
-        :param version: oldest version that will do.
-        :param priority: rank of the request that waits, 0 is the most urgent.
+        :param wanted: which one, on which engine.
         """
-        if self.slots.held.get(key, 0) >= version:
+        key = wanted.key
+        if self.slots.held.get(key, 0) >= wanted.version:
             return self.slots.held[key]
-        if not self.takes_loads:
+        if key not in self._wants and not self._has_time(wanted.patience_s):
             return 0
-        want = self._wants.get(key)
-        if want is None or want.version < version:
-            waiters = want.waiters if want else []
-            want = _Want(version, priority, now_s(), waiters)
-            self._wants[key] = want
+        want = self._joined(wanted)
+        self._wants[key] = want
         fut: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         want.waiters.append(fut)
         self._wake.set()
         return await fut
 
+    def _joined(self, wanted: LoadRequest) -> _Want:
+        """Return the want of a request together with those that wait."""
+        at_s = now_s()
+        until_s = at_s + wanted.patience_s
+        known = self._wants.get(wanted.key)
+        if known is None:
+            return _Want(wanted.version, wanted.priority, at_s, until_s, [])
+        return _Want(
+            max(wanted.version, known.version),
+            min(wanted.priority, known.priority),
+            known.since_s,
+            max(until_s, known.until_s),
+            known.waiters,
+        )
+
+    def _has_time(self, patience_s: float) -> bool:
+        """Tell whether one more load would probably end in time."""
+        if not self.takes_loads:
+            return False
+        ahead = 1 + len(self._wants)
+        rounds = math.ceil(ahead / MAX_PENDING)
+        return rounds * self._load_s <= patience_s
+
     @property
     def takes_loads(self) -> bool:
         """Tell whether loads can be ordered and the engine answers."""
@@ -143,6 +175,7 @@
             self._tenure() is not None
             and self._silent < _SILENT_REPORTS
             and self.slots.order_count is not None
+            and bool(self.slots.models)
         )
 
     def state(self) -> ServerState:
@@ -174,8 +207,26 @@
             await self._report()
         await self._repeat_orders()
         self._settle()
+        await self._order_model()
         await self._order_wanted()
 
+    async def _order_model(self) -> None:
+        """Have an engine that holds no base model load one."""
+        slots = self.slots
+        if slots.order_count is None or slots.models or slots.is_busy:
+            return
+        name = scarcest_model(
+            self._engine,
+            [
+                server
+                for server in self._view.servers.values()
+                if server.service == self.server.service
+            ],
+        )
+        if name and now_s() >= self._model_due_s:
+            self._model_due_s = now_s() + _MODEL_RETRY_S
+            await self._send(OrderKind.load, AdapterKey(name, ''))
+
     async def _report(self) -> None:
         asked_s = now_s()
         try:
@@ -187,6 +238,7 @@
         self._running = report.running
         self._queued = report.queued
         self.slots.on_report(report, asked_s)
+        self.slots.slots = self._engine.slots_beside(self.slots.models)
         busy = self.slots.pending or self._wants
         pause_s = _BUSY_REPORT_S if busy else _IDLE_REPORT_S
         self._report_due_s = now_s() + pause_s
@@ -222,7 +274,7 @@
             version = self.slots.held.get(key, 0)
             if version >= want.version:
                 self._end(key, version)
-            elif now_s() - want.since_s > _MAX_LOAD_S:
+            elif now_s() >= want.until_s:
                 self._fail(key)
 
     def _end(self, key: AdapterKey, version: int) -> None:
@@ -256,9 +308,7 @@
         )
 
     async def _order_wanted(self) -> None:
-        waiting = [
-            key for key in self._wants if key not in self.slots.accepted
-        ]
+        waiting = [key for key in self._wants if key not in self.slots.accepted]
         waiting.sort(
             key=lambda key: (
                 self._wants[key].priority,
@@ -301,16 +351,23 @@
         order = Order(
             kind, key, self.slots.order_count or 0, tenure.holder, tenure.term
         )
+        ordered = self.slots.ordered.get(key)
         try:
             answer = await self._engines.order(self.server, order)
-        except ServerError as exc:
+        except ServerError:
             answer = None
-            self._on_silence(str(exc))
         version = self._view.version_of(key)
         self.slots.on_order(kind, key, answer, version, now_s())
+        if ordered and key not in self.slots.ordered:
+            self._on_duration(now_s() - ordered.sent_s)
         self._note_order(order, answer)
         return answer
 
+    def _on_duration(self, took_s: float) -> None:
+        """Follow how long loads take, between sensible bounds."""
+        took_s = min(max(took_s, _FETCH_S), 1.0)
+        self._load_s += _LOAD_WEIGHT * (took_s - self._load_s)
+
     def _note_order(self, order: Order, answer: OrderAnswer | None) -> None:
         pause_s = _BUSY_REPORT_S
         if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -49,6 +49,7 @@
     :param call_id: number that the answer repeats.
     :param version: oldest version that will do.
     :param priority: rank of the request that waits, 0 is the most urgent.
+    :param patience_ms: how long it waits.
     """
 
     call_id: int
@@ -57,6 +58,7 @@
     adapter: str
     version: int
     priority: int
+    patience_ms: int
 
 
 class LoadEnded(NamedTuple):
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -22,6 +22,7 @@
 class Order(NamedTuple):
     """An order to one engine.
 
+    :param key: what it is about; a base model where it names no adapter.
     :param expected_orders: the order holds only if the engine has accepted
         that many before.
     :param holder: name of the machine that orders.
@@ -48,6 +49,22 @@
     refused = 'refused'
 
 
+class LoadRequest(NamedTuple):
+    """What a request waits for: an adapter on an engine.
+
+    :param server_id: the engine.
+    :param version: oldest version that will do.
+    :param priority: rank of the request, 0 is the most urgent.
+    :param patience_s: how long it waits.
+    """
+
+    server_id: str
+    key: AdapterKey
+    version: int
+    priority: int
+    patience_s: float
+
+
 class EngineSeam(Protocol):
     """Calls to engines that guard their runs.
 
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -7,9 +7,10 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.gateway.loader import ServerLoader, Tenure
 from wasabicross.gateway.messages import AdapterUse, ServerState
-from wasabicross.gateway.orders import EngineSeam
+from wasabicross.gateway.orders import EngineSeam, LoadRequest
 from wasabicross.gateway.ownership import group_of
 from wasabicross.gateway.tenures import Tenures
 from wasabicross.gateway.view import FleetView
@@ -49,20 +50,13 @@
         """Return what other gateways are told of all engines."""
         return tuple(loader.state() for loader in self.loaders)
 
-    async def load(
-        self, server_id: str, key: AdapterKey, version: int, priority: int
-    ) -> int:
+    async def load(self, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
 
-        :param server_id: the engine.
-        :param key: the adapter.
-        :param version: oldest version that will do.
-        :param priority: rank of the request that waits, 0 is the most urgent.
+        :param wanted: which one, on which engine.
         """
-        loader = self._loader(server_id)
-        if loader is None:
-            return 0
-        return await loader.load(key, version, priority)
+        loader = self._loader(wanted.server_id)
+        return await loader.load(wanted) if loader else 0
 
     def on_use(self, user: str, use: AdapterUse) -> None:
         """Take in the use of an adapter on an engine.
@@ -104,19 +98,20 @@
     def _is_ours(self, server: BackendServer) -> bool:
         group = group_of(server.server_id, server.data_centre)
         owned = self._tenures.tenure(group.name, now_s()) is not None
-        return owned and self._slots(server) is not None
+        return owned and self._engine(server) is not None
 
-    def _slots(self, server: BackendServer) -> int | None:
+    def _engine(self, server: BackendServer) -> EngineSpec | None:
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
-        if service is None or service.engine is None:
-            return None
-        return service.engine.adapter_slots
+        return service.engine if service else None
 
     def _start(self, life: tuple[str, int], server: BackendServer) -> None:
+        engine = self._engine(server)
+        if engine is None:
+            return
         loader = ServerLoader(
             server,
-            self._slots(server) or 0,
+            engine,
             self._engines,
             self._view,
             self._tenure_of(server),
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple, TypeAlias
 
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.rendezvous import rendezvous_hash
 
 #: Share of a server's slots from which on it counts as full.
@@ -112,6 +114,20 @@
     return candidates
 
 
+def scarcest_model(engine: EngineSpec, servers: Sequence[BackendServer]) -> str:
+    """Return the base model that an empty server should load, if any.
+
+    :param engine: what the servers can hold.
+    :param servers: the servers of the service.
+    """
+    holders = {
+        model.name: sum(model.name in server.models for server in servers)
+        for model in engine.models
+        if engine.fits(model.name, frozenset())
+    }
+    return min(holders, key=lambda name: (holders[name], name), default='')
+
+
 def _cheapest(candidates: Sequence[Candidate]) -> Candidate:
     return min(candidates, key=lambda each: each.cost)
 
@@ -127,9 +143,7 @@
     able = [
         each
         for each in candidates
-        if each.takes_loads
-        and not each.is_full
-        and each.held_version < version
+        if each.takes_loads and not each.is_full and each.held_version < version
     ]
     return max(
         able,
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.links import OwnerLinks
+from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
     Candidate,
     LoadOn,
@@ -18,8 +19,8 @@
 from wasabicross.gateway.uses import AdapterUses
 from wasabicross.gateway.view import FleetView
 
-#: Longest wait for a load before another server is asked.
-_LOAD_TIMEOUT_S = 1.5
+#: How much longer than a load may take its owner's answer is waited for.
+_ANSWER_SLACK_S = 0.1
 
 _MAX_CHOICES = 6
 
@@ -30,12 +31,14 @@
     :param service: the service that runs it.
     :param adapter: its adapter, None for none.
     :param priority: rank of the request, 0 is the most urgent.
+    :param patience_s: how long it waits for its adapter.
     :param excluded: servers that may not be tried.
     """
 
     service: str
     adapter: AdapterKey | None
     priority: int
+    patience_s: float
     excluded: frozenset[str]
 
 
@@ -83,15 +86,16 @@
                 return choice
             if isinstance(choice, SendTo):
                 return self._placed(choice.server_id, wanted, started_s)
-            loaded = await self._load(choice, wanted, version)
+            patience_s = started_s + wanted.patience_s - now_s()
+            if patience_s <= 0:
+                return NoServer('no adapter in time')
+            loaded = await self._load(choice, wanted, version, patience_s)
             if loaded:
                 return self._placed(choice.server_id, wanted, started_s)
             unable.add(choice.server_id)
         return NoServer('loads failed')
 
-    def candidates(
-        self, wanted: Wanted, unable: set[str]
-    ) -> list[Candidate]:
+    def candidates(self, wanted: Wanted, unable: set[str]) -> list[Candidate]:
         """Return the servers that a request may be tried on.
 
         :param wanted: what the request needs.
@@ -149,17 +153,18 @@
         return Placed(server, version, now_s() - started_s)
 
     async def _load(
-        self, choice: LoadOn, wanted: Wanted, version: int
+        self, choice: LoadOn, wanted: Wanted, version: int, patience_s: float
     ) -> bool:
         key = wanted.adapter
         host = self._uses.owner_host(choice.server_id)
         if key is None or not host or self.links is None:
             return False
+        load = LoadRequest(
+            choice.server_id, key, version, wanted.priority, patience_s
+        )
         try:
-            async with asyncio.timeout(_LOAD_TIMEOUT_S):
-                loaded = await self.links.load(
-                    host, choice.server_id, key, version, wanted.priority
-                )
+            async with asyncio.timeout(patience_s + _ANSWER_SLACK_S):
+                loaded = await self.links.load(host, load)
         except TimeoutError:
             return False
         if loaded:
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -81,6 +81,7 @@
         self.view = FleetView()
         self.is_stopping = False
         self._active = 0
+        self._takes_none = False
         self._connections: set[CallerConnection] = set()
         self._follower = StoreFollower(seams.store, self.view)
         self._tenures = Tenures(cfg, seams.store, self.view)
@@ -132,9 +133,8 @@
         callers = await self._listen(self._cfg.callers, self._serve_caller)
         ready = await self._listen(self._cfg.ready, self._serve_platform)
         await self._stop.wait()
-        await self._drain()
-        for server in (callers, ready):
-            server.close()
+        await self._drain(callers)
+        ready.close()
         for task in tasks:
             task.cancel()
         log_event(Event.PROGRAM_STOPPED)
@@ -193,9 +193,13 @@
     async def _serve_caller(
         self, req: CallerRequest, answer: AnswerWriter
     ) -> None:
+        call = Call(self._shared, req, answer)
+        if self._takes_none:
+            await call.refuse('stopping')
+            return
         self._active += 1
         try:
-            await Call(self._shared, req, answer).serve()
+            await call.serve()
         except CallerGone:
             raise
         except Exception as exc:
@@ -230,12 +234,14 @@
         await self._follower.has_read.wait()
         await self._tenures.run()
 
-    async def _drain(self) -> None:
+    async def _drain(self, callers: asyncio.Server) -> None:
         """Take no new callers and wait for the answers under way."""
         self.is_stopping = True
         log_event(Event.PROGRAM_STOPPING)
         started_s = now_s()
         await asyncio.sleep(_NOTICE_S)
+        callers.close()
+        self._takes_none = True
         while now_s() - started_s < self._cfg.grace_s - _LAST_S:
             for conn in tuple(self._connections):
                 conn.close_idle()
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -190,8 +190,8 @@
     """Idle connections to all servers."""
 
     def __init__(self) -> None:
-        self._idle: dict[tuple[str, int], list[ServerConnection]] = (
-            defaultdict(list)
+        self._idle: dict[tuple[str, int], list[ServerConnection]] = defaultdict(
+            list
         )
 
     async def take(
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -127,9 +127,7 @@
         """
         self._denials[server_id, key] = now_s
 
-    def on_loaded(
-        self, server_id: str, key: AdapterKey, version: int
-    ) -> None:
+    def on_loaded(self, server_id: str, key: AdapterKey, version: int) -> None:
         """Note that a server's owner has had an adapter loaded.
 
         :param server_id: the server.
@@ -178,9 +176,7 @@
             return own
         return max(own, told.state.running + told.state.queued)
 
-    def _told(
-        self, server: BackendServer, now_s: float
-    ) -> ToldState | None:
+    def _told(self, server: BackendServer, now_s: float) -> ToldState | None:
         told = self.told.get(server.server_id)
         if told is None or now_s - told.told_s > OWNER_WORD_S:
             return None
--- a/src/wasabicross/platform/documents.py
+++ b/src/wasabicross/platform/documents.py
@@ -14,6 +14,7 @@
     CallerLimits,
     Configuration,
     EngineSpec,
+    ModelSpec,
     Route,
     RouteKind,
     Service,
@@ -112,12 +113,28 @@
 
 def _service(wire: Any) -> Service:
     engine = wire.get('engine')
-    slots = engine.get('adapterSlots') if engine else None
     return Service(
         name=wire['name'],
         health_path=wire['healthPath'],
         max_connections=_whole(wire['maxConns']),
-        engine=None if slots is None else EngineSpec(_whole(slots)),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(wire: Any) -> EngineSpec:
+    return EngineSpec(
+        adapter_slots=_whole(wire['adapterSlots']),
+        memory_mb=float(wire['weightsMb']),
+        models=tuple(_model(each) for each in wire['models']),
+    )
+
+
+def _model(wire: Any) -> ModelSpec:
+    # The same name holds a model's size here and a server's memory above.
+    return ModelSpec(
+        name=_text(wire['name']),
+        weights_mb=float(wire['weightsMb']),
+        adapter_mb=float(wire.get('adapterMb', 0)),
     )
 
 
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -15,7 +15,10 @@
 )
 from wasabicross.platform.documents import decode_report
 
-_CALL_TIMEOUT_S = 0.8
+#: Longest wait for an answer. An order is repeated after it, which does no
+#: harm, since it names how many orders it expects to come after.
+_REPORT_TIMEOUT_S = 0.8
+_ORDER_TIMEOUT_S = 0.1
 
 
 _OK = 200
@@ -43,7 +46,8 @@
         :raises ServerError: no answer.
         :raises DocumentUnreadable: the answer is no report.
         """
-        _, body = await self._call(server, b'GET', b'/-/report', b'')
+        req = _request(server, b'GET', b'/-/report', b'')
+        _, body = await self._call(server, req, _REPORT_TIMEOUT_S)
         return decode_report(body)
 
     async def order(self, server: BackendServer, order: Order) -> OrderAnswer:
@@ -55,7 +59,8 @@
         """
         document = _order_document(order)
         body = json.dumps(document).encode()
-        status, _ = await self._call(server, b'POST', b'/-/order', body)
+        req = _request(server, b'POST', b'/-/order', body)
+        status, _ = await self._call(server, req, _ORDER_TIMEOUT_S)
         return _ANSWERS.get(status, OrderAnswer.refused)
 
     async def is_healthy(self, server: BackendServer, path: str) -> bool:
@@ -65,24 +70,24 @@
         :param path: path of its health check.
         """
         try:
-            status, _ = await self._call(server, b'GET', path.encode(), b'')
+            req = _request(server, b'GET', path.encode(), b'')
+            status, _ = await self._call(server, req, _REPORT_TIMEOUT_S)
         except ServerError:
             return False
         return status == _OK
 
     async def _call(
-        self, server: BackendServer, method: bytes, target: bytes, body: bytes
+        self, server: BackendServer, req: ServerRequest, timeout_s: float
     ) -> tuple[int, bytes]:
         try:
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                return await self._exchange(server, method, target, body)
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(server, req)
         except TimeoutError as exc:
-            raise AnswerMissing(f'{target!r}: timeout') from exc
+            raise AnswerMissing(f'{req.target!r}: timeout') from exc
 
     async def _exchange(
-        self, server: BackendServer, method: bytes, target: bytes, body: bytes
+        self, server: BackendServer, req: ServerRequest
     ) -> tuple[int, bytes]:
-        req = ServerRequest(method, target, _fields(server, body), body)
         conn = await self._pool.take(server.host, server.port, once=False)
         try:
             await conn.send(req)
@@ -97,7 +102,9 @@
         return head.status, b''.join(parts)
 
 
-def _fields(server: BackendServer, body: bytes) -> list[tuple[bytes, bytes]]:
+def _request(
+    server: BackendServer, method: bytes, target: bytes, body: bytes
+) -> ServerRequest:
     fields = [
         (b'host', server.host.encode()),
         (b'expect-instance', server.server_id.encode()),
@@ -105,15 +112,17 @@
     if body:
         fields.append((b'content-type', b'application/json'))
         fields.append((b'content-length', str(len(body)).encode()))
-    return fields
+    return ServerRequest(method, target, fields, body)
 
 
 def _order_document(order: Order) -> dict[str, Any]:
-    return {
+    document = {
         'op': order.kind.value,
         'model': order.key.model,
-        'adapter': order.key.adapter,
         'expected': order.expected_orders,
         'holder': order.holder,
         'fence': order.term,
     }
+    if order.key.adapter:
+        document['adapter'] = order.key.adapter
+    return document
