--- a/src/wasabicross/gateway/callers.py
+++ b/src/wasabicross/gateway/callers.py
@@ -200,9 +200,7 @@
                 (task, watch), return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            watch.cancel()
-            task.cancel()
-            await asyncio.wait((task, watch))
+            await _end_both(task, watch)
         if task.cancelled() or task.exception() or not answer.has_ended:
             self.close()
             return False
@@ -243,6 +241,8 @@
             event = await self._until(event)
         if not isinstance(event, h11.Request):
             return None
+        if _head_bytes(event) > limits.header_bytes:
+            raise _Refused(431)
         arrived_s = now_s()
         if self._codec.they_are_waiting_for_100_continue:
             self._writer.write(
@@ -298,6 +298,19 @@
         await answer.whole(status, [])
 
 
+def _head_bytes(head: h11.Request) -> int:
+    fields = sum(len(name) + len(text) for name, text in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
+async def _end_both(
+    task: asyncio.Future[None], watch: asyncio.Future[None]
+) -> None:
+    watch.cancel()
+    task.cancel()
+    await asyncio.wait((task, watch))
+
+
 class _Refused(Exception):
     """A request that is answered with a status before it is whole."""
 
--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -16,6 +16,9 @@
 #: How long an adapter that was used stays, at the least.
 _KEEP_S = 0.5
 
+#: How long the use of an adapter that is not held is remembered.
+_FORGET_USE_S = 10.0
+
 #: How far a report may lag behind what the engine does.
 REPORT_LAG_S = 0.35
 
@@ -126,6 +129,7 @@
             for key, expected in self._unanswered.items()
             if report.order_count <= expected
         }
+        self._drop_old_uses(asked_s)
 
     def on_order(
         self,
@@ -146,28 +150,15 @@
         if answer is None:
             if kind is OrderKind.load and key.adapter:
                 self._unanswered[key] = self.order_count or 0
+        elif answer in {OrderAnswer.conflict, OrderAnswer.refused}:
             return
-        if answer in {OrderAnswer.conflict, OrderAnswer.refused}:
-            return
-        if not key.adapter:
-            self._on_model_order(now_s)
-            return
-        if kind is OrderKind.load and key in self.accepted:
-            # The engine answers a repeated order, and doesn't count it.
-            self._on_repeat(key, answer, version, now_s)
-            return
-        if kind is OrderKind.unload and key in self._unloading:
-            return
-        self.order_count = (self.order_count or 0) + 1
-        self.last_accepted_s = now_s
-        # No order that was sent before can hold any more.
-        self._unanswered.clear()
-        if kind is OrderKind.load:
-            self._ordered[key] = Ordered(now_s, now_s, self.held.get(key, 0))
-        elif answer is OrderAnswer.already:
-            self.held.pop(key, None)
+        elif not key.adapter:
+            self._count(now_s)
+            self.is_busy = True
+        elif kind is OrderKind.load:
+            self._on_load(key, answer, version, now_s)
         else:
-            self._unloading[key] = now_s
+            self._on_unload(key, answer, now_s)
 
     def on_use(
         self, key: AdapterKey, user: str, running: int, now_s: float
@@ -233,12 +224,41 @@
         self._pending -= {key}
         self.held[key] = max(version, self.held.get(key, 0))
 
-    def _on_model_order(self, now_s: float) -> None:
+    def _on_load(
+        self, key: AdapterKey, answer: OrderAnswer, version: int, now_s: float
+    ) -> None:
+        # An engine answers a repeated order, and doesn't count it.
+        if key in self.accepted:
+            self._on_repeat(key, answer, version, now_s)
+            return
+        self._count(now_s)
+        self._ordered[key] = Ordered(now_s, now_s, self.held.get(key, 0))
+
+    def _on_unload(
+        self, key: AdapterKey, answer: OrderAnswer, now_s: float
+    ) -> None:
+        if answer is OrderAnswer.already:
+            self._count(now_s)
+            self.held.pop(key, None)
+        elif key not in self._unloading:
+            self._count(now_s)
+            self._unloading[key] = now_s
+
+    def _count(self, now_s: float) -> None:
+        """Count an order; none that was sent before it can hold any more."""
         self.order_count = (self.order_count or 0) + 1
         self.last_accepted_s = now_s
-        self.is_busy = True
         self._unanswered.clear()
 
+    def _drop_old_uses(self, now_s: float) -> None:
+        self._uses = {
+            key: use
+            for key, use in self._uses.items()
+            if use.running
+            or key in self.held
+            or now_s - use.last_s < _FORGET_USE_S
+        }
+
     def _is_going_on(
         self, key: AdapterKey, report: EngineReport, asked_s: float
     ) -> bool:
--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -73,8 +73,12 @@
 
     def _take(self, seen: Snapshot) -> None:
         self._note_back()
+        before = self._view.configuration
         for change in seen.changes:
             self._view.apply(change, now_s())
+        current = self._view.configuration
+        if current is not None and current is not before:
+            log_event(Event.CONFIGURATION_TAKEN, version=current.version)
         for entry in seen.unreadable:
             self._note_unreadable(entry)
 
--- a/src/wasabicross/gateway/http_heads.py
+++ b/src/wasabicross/gateway/http_heads.py
@@ -7,6 +7,8 @@
 
 Fields: TypeAlias = list[tuple[bytes, bytes]]
 
+_NOTHING: frozenset[bytes] = frozenset()
+
 #: Fields that concern one connection alone.
 _CONNECTION_FIELDS = frozenset(
     (
@@ -75,7 +77,7 @@
 
 def passed_on(
     fields: Iterable[tuple[bytes, bytes]],
-    reserved: frozenset[bytes] = frozenset(),
+    reserved: frozenset[bytes] = _NOTHING,
 ) -> Fields:
     """Return the fields that go on to the next connection.
 
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 
 from websockets.asyncio.client import ClientConnection, connect
@@ -48,6 +49,8 @@
 
 _MS_IN_S = 1000
 
+_UNTOLD: tuple[ServerState | None, float] = (None, -math.inf)
+
 
 class OwnerServer:
     """Serves other gateways with the engines that this one owns.
@@ -99,8 +102,7 @@
                     for use in message.uses:
                         self._desk.on_use(instance, use)
         finally:
-            telling.cancel()
-            for task in tuple(loads):
+            for task in (telling, *loads):
                 task.cancel()
             self._desk.drop_user(instance)
 
@@ -125,7 +127,7 @@
         alive_s = now_s()
         while True:
             for state in self._desk.states():
-                last, last_s = told.get(state.server_id, (None, 0.0))
+                last, last_s = told.get(state.server_id, _UNTOLD)
                 if state != last or now_s() - last_s > _SIGN_OF_LIFE_S:
                     told[state.server_id] = (state, now_s())
                     await _send(conn, state)
@@ -283,8 +285,10 @@
                 if host == self._host:
                     for use in uses:
                         self._desk.on_use(self._instance, use)
-                elif host in self._links:
-                    await self._links[host].tell(uses)
+                    continue
+                link = self._links.get(host)
+                if link is not None:
+                    await link.tell(uses)
             await asyncio.sleep(_USES_S)
 
     async def load(self, host: str, wanted: LoadRequest) -> int:
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -194,7 +194,7 @@
 
     async def _rest(self) -> None:
         due_s = min((self._report_due_s, *self._repeat_due_s.values()))
-        pause_s = max(0.0, due_s - now_s())
+        pause_s = max(0, due_s - now_s())
         try:
             async with asyncio.timeout(pause_s):
                 await self._wake.wait()
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -96,6 +96,8 @@
 #: Position is the code on the wire: append only.
 _KINDS: tuple[Any, ...] = (Hello, ServerState, LoadWanted, LoadEnded, UsesTold)
 
+_FAULTS = (cbor2.CBORError, TypeError, ValueError, LookupError)
+
 _CODES = {kind: code for code, kind in enumerate(_KINDS)}
 
 #: Fields that are lists of other tuples.
@@ -121,7 +123,7 @@
     """
     try:
         return _decode(frame)
-    except (cbor2.CBORError, TypeError, ValueError, LookupError) as exc:
+    except _FAULTS as exc:
         raise MessageMalformed(f'not a message: {exc!r}') from exc
 
 
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, NamedTuple
 
 from wasabicross import __version__
@@ -121,15 +121,13 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then end gracefully."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        self._follow_signals()
         log_event(
             Event.PROGRAM_STARTED,
             version=__version__,
             instance=self._cfg.instance,
         )
-        tasks = [self._start(part()) for part in self._parts()]
+        tasks = [self._start(part) for part in self._parts()]
         callers = await self._listen(self._cfg.callers, self._serve_caller)
         ready = await self._listen(self._cfg.ready, self._serve_platform)
         await self._stop.wait()
@@ -140,20 +138,28 @@
         log_event(Event.PROGRAM_STOPPED)
         self._output.flush()
 
-    def _parts(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
+    def begin_stop(self) -> None:
+        """Begin a graceful stop."""
+        self.is_stopping = True
+        self._stop.set()
+
+    def _follow_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+
+    def _parts(self) -> Iterator[Coroutine[Any, Any, None]]:
         owner_server = OwnerServer(self._cfg.instance, self._desk)
         prober = Prober(self.view, self._seams.engines)
-        return (
-            self._follower.run,
-            self._announce,
-            self._own,
-            self._desk.run,
-            self._links.run,
-            self._links.tell_uses,
-            prober.run,
-            self._tell_dropped,
-            lambda: owner_server.run(self._cfg.host, self._cfg.peer_port),
-        )
+        yield self._follower.run()
+        yield self._announce()
+        yield self._own()
+        yield self._desk.run()
+        yield self._links.run()
+        yield self._links.tell_uses()
+        yield prober.run()
+        yield self._tell_dropped()
+        yield owner_server.run(self._cfg.host, self._cfg.peer_port)
 
     def _start(self, part: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.ensure_future(part)
@@ -165,7 +171,7 @@
             return
         log_event(Event.THREAD_FAILED, thread='part', trace=_trace(task))
         self._output.flush()
-        self._stop.set()
+        self.begin_stop()
 
     async def _listen(
         self,
@@ -236,7 +242,6 @@
 
     async def _drain(self, callers: asyncio.Server) -> None:
         """Take no new callers and wait for the answers under way."""
-        self.is_stopping = True
         log_event(Event.PROGRAM_STOPPING)
         started_s = now_s()
         await asyncio.sleep(_NOTICE_S)
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from typing import NamedTuple
@@ -65,7 +66,7 @@
         self._reader = reader
         self._writer = writer
         self._codec = _new_codec()
-        self.idle_since_s = 0.0
+        self.idle_since_s = -math.inf
         self.is_reused = False
 
     @property
--- /dev/null
+++ b/tests/test_gateway_messages.py
@@ -0,0 +1,50 @@
+"""Messages between gateways survive the codec; others are refused."""
+
+import cbor2
+import pytest
+
+from wasabicross.exceptions import MessageMalformed
+from wasabicross.gateway.messages import (
+    AdapterUse,
+    HeldAdapter,
+    Hello,
+    LoadEnded,
+    LoadWanted,
+    ServerState,
+    UsesTold,
+    decode,
+    encode,
+)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        Hello('front-1'),
+        ServerState('s1', 5, 0, 1, True, (HeldAdapter('m0', 'a1', 2),)),
+        LoadWanted(1, 's1', 'm0', 'a1', 2, 0, 900),
+        LoadEnded(1, 0, 'not loaded'),
+        UsesTold((AdapterUse('s1', 'm0', 'a1', 3),)),
+    ],
+)
+def test_round_trip(message):
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        'text',
+        b'',
+        b'\xff',
+        cbor2.dumps([]),
+        cbor2.dumps([99, 'front-1']),
+        cbor2.dumps([0]),
+        cbor2.dumps([0, 7]),
+        cbor2.dumps([3, 1, '2', '']),
+        cbor2.dumps([4, [['s1', 'm0', 'a1', 'x']]]),
+    ],
+)
+def test_malformed(frame):
+    with pytest.raises(MessageMalformed):
+        decode(frame)
--- /dev/null
+++ b/tests/test_gateway_ownership.py
@@ -0,0 +1,58 @@
+"""Who may order on a group of servers, and when another may."""
+
+import math
+
+import pytest
+
+from wasabicross.gateway.ownership import (
+    TAKEOVER_S,
+    Group,
+    OwnerRecord,
+    claim_due_s,
+    claim_wait_s,
+    group_of,
+    may_order_until,
+)
+
+GROUP = Group('bilbao', 0)
+GAP_S = 3.0
+
+
+def record(instance='front-1', since_s=100.0):
+    return OwnerRecord('bilbao.0', instance, '10.0.0.1', 7, since_s)
+
+
+@pytest.mark.parametrize(
+    ('found', 'due_s'),
+    [
+        (None, 51.0),
+        # The same machine is the same holder, also after a restart.
+        (record('front-2'), -math.inf),
+        (record('front-1'), 100 + TAKEOVER_S + 1),
+    ],
+)
+def test_when_a_record_may_be_taken(found, due_s):
+    assert claim_due_s(found, 'front-2', 1.0, 50.0) == due_s
+
+
+@pytest.mark.parametrize('seen_late_s', [0.0, 0.5, 6.0])
+def test_two_owners_are_apart(seen_late_s):
+    written_s = 100.0
+    last_order_s = may_order_until(written_s, GAP_S)
+    seen = record(since_s=written_s + seen_late_s)
+    first_order_s = claim_due_s(seen, 'front-2', 0.0, 0.0)
+    assert first_order_s - last_order_s > GAP_S
+
+
+def test_gateways_of_the_data_centre_claim_one_after_the_other():
+    instances = [('f1', 'bilbao'), ('f2', 'bilbao'), ('f3', 'gijon')]
+    waits = [
+        claim_wait_s(GROUP, name, place, instances) for name, place in instances
+    ]
+    assert sorted(waits[:2]) == [0, pytest.approx(0.7)]
+    assert waits[2] > max(waits[:2])
+
+
+def test_groups_share_the_servers():
+    groups = {group_of(f'i-{number}', 'bilbao') for number in range(30)}
+    assert groups == {Group('bilbao', 0), Group('bilbao', 1)}
--- /dev/null
+++ b/tests/test_gateway_placement.py
@@ -0,0 +1,127 @@
+"""Where a request goes, and where its adapter is loaded."""
+
+from collections import Counter
+
+import pytest
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.configuration import EngineSpec, ModelSpec
+from wasabicross.gateway.placement import (
+    Candidate,
+    LoadOn,
+    NoServer,
+    SendTo,
+    choose_server,
+    scarcest_model,
+)
+
+MODELS = (ModelSpec('m0', 40, 1), ModelSpec('m1', 40, 1))
+
+
+def candidate(server_id, **fields):
+    plain = Candidate(
+        server_id=server_id,
+        held_version=0,
+        takes_loads=True,
+        requests=0,
+        slots=10,
+        is_local=True,
+        is_sound=True,
+    )
+    return plain._replace(**fields)
+
+
+def held(server_id, version=1, **fields):
+    return candidate(server_id, held_version=version, **fields)
+
+
+@pytest.mark.parametrize(
+    ('candidates', 'choice'),
+    [
+        ([], NoServer('no server')),
+        # A holder with room goes before any load.
+        ([held('s1', requests=5), candidate('s2')], SendTo('s1')),
+        ([held('s1', requests=5), held('s2', requests=2)], SendTo('s2')),
+        # A holder of an older version is none.
+        ([held('s1', version=0), held('s2', version=2)], SendTo('s2')),
+        # A further copy only where all holders are full.
+        ([held('s1', requests=9), candidate('s2')], LoadOn('s2')),
+        ([held('s1', requests=9), candidate('s2', requests=9)], SendTo('s1')),
+        (
+            [held('s1', requests=9), candidate('s2', takes_loads=False)],
+            SendTo('s1'),
+        ),
+        # Nobody holds it, and nobody can load it.
+        (
+            [candidate('s1', takes_loads=False)],
+            NoServer('nothing loads the adapter'),
+        ),
+        # A server that is not sound gets nothing while half are sound.
+        ([held('s1', is_sound=False), held('s2', requests=5)], SendTo('s2')),
+        # Other data centres cost a little.
+        ([held('s1', is_local=False), held('s2')], SendTo('s2')),
+        ([held('s1', is_local=False), held('s2', requests=3)], SendTo('s1')),
+    ],
+)
+def test_choice(candidates, choice):
+    assert choose_server('a1', 1, candidates) == choice
+
+
+def test_no_server_is_shut_out_when_most_look_unsound():
+    unsound = [held(f's{number}', is_sound=False) for number in range(3)]
+    candidates = [*unsound, held('s9', requests=8)]
+    choice = choose_server('a1', 1, candidates)
+    assert choice.server_id in {'s0', 's1', 's2'}
+
+
+def test_new_version_goes_beside_the_old_one():
+    old = held('s1', version=1)
+    choice = choose_server('a1', 2, [old, candidate('s2')])
+    assert choice == LoadOn('s2')
+    assert choose_server('a1', 2, [old]) == LoadOn('s1')
+
+
+def test_homes_last_when_a_server_goes():
+    servers = [candidate(f's{number}') for number in range(6)]
+    names = [f'a{number}' for number in range(300)]
+    before = {name: choose_server(name, 1, servers) for name in names}
+    after = {name: choose_server(name, 1, servers[1:]) for name in names}
+    moved = [name for name in names if before[name] != after[name]]
+    assert all(before[name] == LoadOn('s0') for name in moved)
+    spread = Counter(choice.server_id for choice in before.values())
+    assert min(spread.values()) > 25
+
+
+def server(models):
+    return BackendServer(
+        's1', 'llm', '127.0.0.1', 1, 'dc', 4, False, {}, frozenset(models), 0
+    )
+
+
+@pytest.mark.parametrize(
+    ('memory_mb', 'holdings', 'model'),
+    [
+        (50, [], 'm0'),
+        (50, [('m0',), ('m0',), ('m1',)], 'm1'),
+        (50, [('m1',)], 'm0'),
+        # Weights without room for an adapter are of no use.
+        (40, [], ''),
+    ],
+)
+def test_empty_server_loads_the_scarcest_model(memory_mb, holdings, model):
+    engine = EngineSpec(5, memory_mb, MODELS)
+    servers = [server(models) for models in holdings]
+    assert scarcest_model(engine, servers) == model
+
+
+@pytest.mark.parametrize(
+    ('memory_mb', 'models', 'slots'),
+    [(50, {'m0'}, 5), (43, {'m0'}, 3), (100, {'m0', 'm1'}, 5), (39, {'m0'}, 0)],
+)
+def test_slots_end_where_memory_does(memory_mb, models, slots):
+    engine = EngineSpec(5, memory_mb, MODELS)
+    assert engine.slots_beside(frozenset(models)) == slots
+
+
+def test_key_of_a_base_model_names_no_adapter():
+    assert AdapterKey('m0', '').adapter == ''
--- /dev/null
+++ b/tests/test_gateway_slots.py
@@ -0,0 +1,162 @@
+"""Slots of an engine, counted while answers and reports lag or get lost."""
+
+import pytest
+
+from wasabicross.gateway.backend import AdapterKey, EngineReport
+from wasabicross.gateway.engine_slots import MAX_PENDING, EngineSlots
+from wasabicross.gateway.orders import OrderAnswer, OrderKind
+
+A, B, C = (AdapterKey('m0', name) for name in ('a1', 'a2', 'a3'))
+LOAD, UNLOAD = OrderKind.load, OrderKind.unload
+
+
+def report(order_count=0, held=None, pending=(), born_ms=0, models=('m0',)):
+    return EngineReport(
+        order_count=order_count,
+        is_busy=False,
+        queued=0,
+        running=0,
+        held=held or {},
+        pending=frozenset(pending),
+        models=frozenset(models),
+        born_ms=born_ms,
+    )
+
+
+@pytest.fixture
+def slots():
+    counted = EngineSlots(2)
+    counted.on_report(report(), 0)
+    return counted
+
+
+def order(slots, kind, key, answer, now_s, version=1):
+    slots.on_order(kind, key, answer, version, now_s)
+
+
+def test_nothing_is_loaded_before_the_first_report():
+    assert not EngineSlots(2).may_load
+
+
+def test_accepted_loads_take_slots_before_reports_show_them(slots):
+    order(slots, LOAD, A, OrderAnswer.accepted, 1)
+    order(slots, LOAD, B, OrderAnswer.accepted, 1)
+    slots.on_report(report(order_count=0), 1.1)
+    assert slots.taken == 2
+    assert not slots.may_load
+
+
+def test_unanswered_load_takes_a_slot_until_another_order_is_accepted(slots):
+    order(slots, LOAD, A, None, 1)
+    slots.on_report(report(order_count=0), 8)
+    assert slots.pending == {A}
+    order(slots, LOAD, B, OrderAnswer.accepted, 9)
+    assert slots.pending == {B}
+
+
+def test_unanswered_load_that_was_carried_out_is_seen_in_the_report(slots):
+    order(slots, LOAD, A, None, 1)
+    slots.on_report(report(order_count=1, pending=(A,)), 2)
+    assert slots.order_count == 1
+    assert slots.accepted == {A}
+
+
+@pytest.mark.parametrize(
+    ('answer', 'held'),
+    [
+        (OrderAnswer.accepted, {}),
+        (OrderAnswer.already, {A: 3}),
+    ],
+)
+def test_repeated_load_tells_whether_it_has_ended(slots, answer, held):
+    order(slots, LOAD, A, OrderAnswer.accepted, 1)
+    order(slots, LOAD, A, answer, 1.3, version=3)
+    assert slots.held == held
+    assert slots.order_count == 1
+
+
+def test_replacement_stays_ordered_while_the_engine_confirms_it(slots):
+    slots.on_report(report(held={A: 1}), 0.5)
+    order(slots, LOAD, A, OrderAnswer.accepted, 1)
+    order(slots, LOAD, A, OrderAnswer.accepted, 5)
+    slots.on_report(report(order_count=1, held={A: 1}), 5.1)
+    assert A in slots.accepted
+    slots.on_report(report(order_count=1, held={A: 2}), 5.2)
+    assert A not in slots.accepted
+
+
+def test_unload_that_waits_for_runs_is_counted_once(slots):
+    slots.on_report(report(held={A: 1, B: 1}), 0.5)
+    order(slots, UNLOAD, A, OrderAnswer.accepted, 1)
+    order(slots, UNLOAD, A, OrderAnswer.accepted, 1.2)
+    assert slots.order_count == 1
+    assert slots.taken == 2
+    assert slots.victim({}, 2) == B
+
+
+@pytest.mark.parametrize(
+    ('told', 'asked_s', 'expected'),
+    [
+        # Reports lag, so one that shows fewer orders may be behind.
+        (report(order_count=0), 1.1, 1),
+        # One that shows fewer for longer shows that the count was wrong.
+        (report(order_count=0), 1.6, 0),
+    ],
+)
+def test_count_of_orders_follows_reports(slots, told, asked_s, expected):
+    order(slots, LOAD, A, OrderAnswer.accepted, 1)
+    slots.on_report(told, asked_s)
+    assert slots.order_count == expected
+
+
+def test_restart_under_the_same_id_forgets_what_was_held(slots):
+    slots.on_report(report(order_count=7, held={A: 1}, born_ms=10), 1)
+    slots.on_report(report(order_count=0, born_ms=20, models=()), 1.1)
+    assert slots.held == {}
+    assert slots.order_count == 0
+    assert not slots.models
+
+
+def test_conflict_changes_nothing(slots):
+    order(slots, LOAD, A, OrderAnswer.conflict, 1)
+    assert slots.order_count == 0
+    assert slots.taken == 0
+
+
+@pytest.mark.parametrize(
+    ('uses', 'versions', 'victim'),
+    [
+        ([], {}, A),
+        # What was used least recently goes first.
+        ([(A, 1, 0), (B, 2, 0)], {}, A),
+        ([(A, 2, 0), (B, 1, 0)], {}, B),
+        # What runs stays, and so does what was used a moment ago.
+        ([(A, 1, 1), (B, 1, 0)], {}, B),
+        ([(A, 9.9, 0), (B, 1, 1)], {}, None),
+        # Outdated versions go first.
+        ([(A, 1, 0), (B, 2, 0)], {B: 2}, B),
+    ],
+)
+def test_victim(slots, uses, versions, victim):
+    slots.on_report(report(held={A: 1, B: 1}), 0.5)
+    for key, at_s, running in uses:
+        slots.on_use(key, 'front-1', running, at_s)
+    assert slots.victim(versions, 10) == victim
+
+
+def test_user_that_left_holds_nothing(slots):
+    slots.on_report(report(held={A: 1}), 0.5)
+    slots.on_use(A, 'front-1', 2, 1)
+    assert slots.victim({}, 5) is None
+    slots.drop_user('front-1')
+    assert slots.victim({}, 5) == A
+
+
+def test_no_more_than_some_loads_are_on_their_way():
+    slots = EngineSlots(30)
+    slots.on_report(report(), 0)
+    for number in range(MAX_PENDING):
+        assert slots.may_load
+        key = AdapterKey('m0', f'b{number}')
+        order(slots, LOAD, key, OrderAnswer.accepted, 1)
+    assert not slots.may_load
--- /dev/null
+++ b/tests/test_gateway_soundness.py
@@ -0,0 +1,52 @@
+"""What a gateway concludes of a server from its own requests."""
+
+import pytest
+
+from wasabicross.gateway.soundness import Soundness
+
+
+def after(outcomes):
+    soundness = Soundness()
+    for outcome in outcomes:
+        if outcome == '+':
+            soundness.on_answer()
+        else:
+            soundness.on_failure(10)
+    return soundness
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'is_sound'),
+    [
+        ('', True),
+        ('+++--', True),
+        ('---', False),
+        ('+-+-+-', False),
+        # One failure in seven is what some services answer on a calm day.
+        ('++++++-++++++-++++++-', True),
+    ],
+)
+def test_failures_shut_a_server_out(outcomes, is_sound):
+    assert after(outcomes).is_sound(10.1) is is_sound
+
+
+def test_time_out_grows_and_starts_again_after_calm():
+    soundness = Soundness()
+    lengths = []
+    now_s = 100.0
+    for pause_s in (0, 0, 0, 60):
+        now_s += pause_s
+        soundness.on_unreachable(now_s)
+        lengths.append(soundness.shut_out_until_s - now_s)
+        now_s = soundness.shut_out_until_s
+    assert lengths == [1, 2, 4, 1]
+
+
+def test_unreachable_server_is_probed_before_it_is_used():
+    soundness = Soundness()
+    soundness.on_unreachable(10)
+    assert not soundness.is_sound(20)
+    soundness.on_probe(20, is_healthy=False)
+    assert not soundness.is_sound(21)
+    soundness.on_probe(30, is_healthy=True)
+    assert soundness.is_sound(30)
--- /dev/null
+++ b/tests/test_gateway_view.py
@@ -0,0 +1,116 @@
+"""What a gateway believes of the deployment."""
+
+import pytest
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.changes import (
+    ConfigurationNamed,
+    OwnerNamed,
+    ServerListed,
+    ServerRemoved,
+    VersionNamed,
+)
+from wasabicross.gateway.configuration import CallerLimits, Configuration
+from wasabicross.gateway.messages import HeldAdapter, ServerState
+from wasabicross.gateway.view import OWNER_WORD_S, FleetView
+
+A = AdapterKey('m0', 'a1')
+LIMITS = CallerLimits(1, 1, 1, 1)
+
+
+def server(held=None, born_ms=1, is_leaving=False):
+    return BackendServer(
+        server_id='s1',
+        service='llm',
+        host='10.0.0.1',
+        port=1,
+        data_centre='dc',
+        slots=4,
+        is_leaving=is_leaving,
+        held=held or {},
+        models=frozenset(('m0',)),
+        born_ms=born_ms,
+    )
+
+
+def state(version, born_ms=1):
+    held = (HeldAdapter('m0', 'a1', version),) if version else ()
+    return ServerState('s1', born_ms, 1, 2, True, held)
+
+
+@pytest.fixture
+def view():
+    known = FleetView()
+    known.apply(ServerListed(server()), 0)
+    return known
+
+
+@pytest.mark.parametrize('versions', [(1, 2), (2, 1), (1, 2, 1)])
+def test_configuration_and_versions_never_go_back(view, versions):
+    for version in versions:
+        cfg = Configuration(version, (), {}, LIMITS)
+        view.apply(ConfigurationNamed(cfg), 0)
+        view.apply(VersionNamed(A, version), 0)
+    assert view.configuration.version == 2
+    assert view.version_of(A) == 2
+
+
+def test_older_owner_record_changes_nothing(view):
+    view.apply(OwnerNamed('dc.0', 'front-2', 'h2', 9), 5)
+    view.apply(OwnerNamed('dc.0', 'front-1', 'h1', 8), 6)
+    assert view.owners['dc.0'].instance == 'front-2'
+    assert view.owners['dc.0'].unchanged_since_s == 5
+
+
+def test_owner_word_goes_before_the_list_while_it_is_fresh(view):
+    view.apply(ServerListed(server({A: 1})), 0)
+    view.on_state(state(2), 10)
+    assert view.held_version(view.servers['s1'], A, 10.1) == 2
+    assert view.held_version(view.servers['s1'], A, 10 + OWNER_WORD_S + 1) == 1
+
+
+def test_owner_word_about_an_earlier_start_counts_for_nothing(view):
+    view.on_state(state(1, born_ms=1), 10)
+    view.apply(ServerListed(server(born_ms=2)), 10.1)
+    assert view.held_version(view.servers['s1'], A, 10.2) == 0
+
+
+def test_denial_outweighs_reports_until_they_are_newer(view):
+    view.on_state(state(1), 10)
+    view.on_denial('s1', A, 10.1)
+    assert view.held_version(view.servers['s1'], A, 10.2) == 0
+    assert view.held_version(view.servers['s1'], A, 11) == 1
+
+
+def test_removed_server_is_gone_at_once_in_calm(view):
+    view.apply(ServerRemoved('s1'), 100)
+    assert not view.servers
+
+
+@pytest.mark.parametrize(
+    ('comes_back', 'left'), [(True, {'s1'}), (False, set())]
+)
+def test_entries_that_lapsed_in_an_outage_have_time_to_return(
+    view, comes_back, left
+):
+    view.on_store(10, is_lost=True)
+    view.on_store(20, is_lost=False)
+    view.apply(ServerRemoved('s1'), 20.1)
+    assert set(view.servers) == {'s1'}
+    if comes_back:
+        view.apply(ServerListed(server()), 21)
+    view.drop_lapsed(23)
+    assert set(view.servers) == left
+
+
+def test_reading_of_the_whole_list_drops_what_it_lacks(view):
+    view.replace_servers(frozenset(), 100)
+    assert not view.servers
+
+
+def test_requests_at_a_server_are_the_more_of_both_counts(view):
+    listed = view.servers['s1']
+    view.on_state(state(1), 10)
+    assert view.requests_at(listed, 10.1) == 3
+    view.under_way['s1'] = 5
+    assert view.requests_at(listed, 10.1) == 5
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,88 @@
+"""The settings file of a gateway: what is taken from it, and its faults."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.settings import Address
+from wasabicross.platform.settings import PATH_VARIABLE, decode_settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+SETTINGS = {
+    'nodeName': 'front-bilbao-hall-1',
+    'ip': '10.1.0.38',
+    'zone': 'bilbao-hall',
+    'zones': {'bilbao-hall': 'cantabria', 'gijon-hall': 'cantabria'},
+    'listen': {'front': '10.1.0.38:8149', 'ready': '10.1.0.38:8141'},
+    'portRange': [7380, 7395],
+    'platform': {'address': '10.200.1.7:8142'},
+    'bounds': {
+        'retryRatio': 0.2,
+        'retrySlack': 54,
+        'graceS': 8,
+        'leaseMs': 3000,
+    },
+    'somethingNew': {'unknown': True},
+}
+
+
+def encoded(**changes):
+    document = {**SETTINGS, **changes}
+    return json.dumps(document).encode()
+
+
+def test_settings():
+    cfg = decode_settings(encoded())
+    assert cfg.instance == 'front-bilbao-hall-1'
+    assert cfg.data_centres == ('bilbao-hall', 'gijon-hall')
+    assert cfg.callers == Address('10.1.0.38', 8149)
+    assert cfg.peer_port == 7380
+    assert cfg.holder_gap_s == 3
+
+
+@pytest.mark.parametrize(
+    ('document', 'named'),
+    [
+        (b'{', 'settings'),
+        (b'[]', 'listen: missing'),
+        (encoded(nodeName=7), 'nodeName: wrong type'),
+        (encoded(listen={'front': 'x'}), 'listen.front: not HOST:PORT'),
+        (encoded(portRange=[1]), 'portRange'),
+        (encoded(portRange='7380'), 'portRange: wrong type'),
+        (encoded(bounds={}), 'bounds.retryRatio: missing'),
+        (encoded(platform=None), 'platform: wrong type'),
+    ],
+)
+def test_fault_is_named(document, named):
+    with pytest.raises(DocumentUnreadable, match=named.replace('.', r'\.')):
+        decode_settings(document)
+
+
+@pytest.mark.parametrize(
+    ('content', 'told'),
+    [
+        (None, 'No such file'),
+        (b'{}', 'settings: listen: missing'),
+        (encoded(ip=None), 'settings: ip: wrong type'),
+    ],
+)
+def test_program_ends_with_one_line_and_exit_code_2(tmp_path, content, told):
+    path = tmp_path / 'boot.json'
+    if content is not None:
+        path.write_bytes(content)
+    ended = subprocess.run(
+        [sys.executable, str(ROOT / 'deploy' / 'gateway.py')],
+        env={**os.environ, PATH_VARIABLE: str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    (line,) = ended.stderr.splitlines()
+    assert told in line
