Keep adapters that a gateway which is cut off may still use

Cause: an owner forgot the running requests of a gateway whose link ended, and ordered the unload of an adapter that still ran. Change: uses lapse 8 s after the last word; an engine whose unload waits takes no loads meanwhile, so that requests go elsewhere.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -17,7 +17,10 @@
 _KEEP_S = 0.5
 
 #: How long the use of an adapter that is not held is remembered.
-_FORGET_USE_S = 10.0
+_FORGET_USE_S = 30.0
+
+#: How long requests count as running without a word of their gateway.
+_SILENT_USER_S = 8.0
 
 #: How far a report may lag behind what the engine does.
 REPORT_LAG_S = 0.35
@@ -30,10 +33,15 @@
 
 
 class Use(NamedTuple):
-    """When an adapter was last used, and by how many requests now."""
+    """The use of an adapter.
+
+    :param last_s: when it was last heard of.
+    :param running: for each gateway with requests under way, when it last
+        said so.
+    """
 
     last_s: float
-    running: dict[str, int]
+    running: dict[str, float]
 
 
 class Ordered(NamedTuple):
@@ -85,6 +93,11 @@
         """Adapters that are on their way to the engine, or may be."""
         return self.accepted | self._unanswered.keys()
 
+    @property
+    def is_blocked(self) -> bool:
+        """Tell whether the engine takes no orders until runs have ended."""
+        return bool(self._unloading)
+
     @property
     def taken(self) -> int:
         """Slots that are taken or may be."""
@@ -173,14 +186,9 @@
         users = dict(self._uses.get(key, Use(now_s, {})).running)
         users.pop(user, None)
         if running:
-            users[user] = running
+            users[user] = now_s
         self._uses[key] = Use(now_s, users)
 
-    def drop_user(self, user: str) -> None:
-        """Forget what a gateway that has gone had under way."""
-        for use in self._uses.values():
-            use.running.pop(user, None)
-
     def victim(
         self, versions: dict[AdapterKey, int], now_s: float
     ) -> AdapterKey | None:
@@ -207,7 +215,10 @@
             return False
         if use is None:
             return True
-        return not use.running and now_s - use.last_s >= _KEEP_S
+        last_s = max((use.last_s, *use.running.values()))
+        # A gateway that is cut off may go on for a while without a word.
+        keep_s = _SILENT_USER_S if use.running else _KEEP_S
+        return now_s - last_s >= keep_s
 
     def _last_use_s(self, key: AdapterKey) -> float:
         use = self._uses.get(key)
@@ -254,9 +265,7 @@
         self._uses = {
             key: use
             for key, use in self._uses.items()
-            if use.running
-            or key in self.held
-            or now_s - use.last_s < _FORGET_USE_S
+            if key in self.held or now_s - use.last_s < _FORGET_USE_S
         }
 
     def _is_going_on(
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -104,7 +104,6 @@
         finally:
             for task in (telling, *loads):
                 task.cancel()
-            self._desk.drop_user(instance)
 
     async def _load(self, conn: ServerConnection, want: LoadWanted) -> None:
         version = await self._desk.load(
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -176,6 +176,7 @@
             and self._silent < _SILENT_REPORTS
             and self.slots.order_count is not None
             and bool(self.slots.models)
+            and not self.slots.is_blocked
         )
 
     def state(self) -> ServerState:
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -69,14 +69,6 @@
             key = AdapterKey(use.model, use.adapter)
             loader.slots.on_use(key, user, use.running, now_s())
 
-    def drop_user(self, user: str) -> None:
-        """Forget what a gateway that has gone had under way.
-
-        :param user: the gateway.
-        """
-        for loader in self.loaders:
-            loader.slots.drop_user(user)
-
     def _loader(self, server_id: str) -> ServerLoader | None:
         server = self._view.servers.get(server_id)
         if server is None:
