Wait for word of the owners after a start

Change: for two seconds after a start a request waits for an owner's word within its patience; an owner unloads nothing until it has heard for 1.2 s which adapters are in use.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -19,6 +19,9 @@
 #: How long the use of an adapter that is not held is remembered.
 _FORGET_USE_S = 30.0
 
+#: From the first report until all gateways have told what they use.
+_HEAR_USES_S = 1.2
+
 #: How long requests count as running without a word of their gateway.
 _SILENT_USER_S = 8.0
 
@@ -77,6 +80,7 @@
         self._uses: dict[AdapterKey, Use] = {}
         self._pending: frozenset[AdapterKey] = frozenset()
         self._born_ms = 0
+        self._known_since_s = math.inf
 
     @property
     def accepted(self) -> frozenset[AdapterKey]:
@@ -93,6 +97,12 @@
         """Adapters that are on their way to the engine, or may be."""
         return self.accepted | self._unanswered.keys()
 
+    @property
+    def takes_orders(self) -> bool:
+        """Tell whether adapters can be loaded beside a base model."""
+        known = self.order_count is not None and bool(self.models)
+        return known and not self.is_blocked
+
     @property
     def is_blocked(self) -> bool:
         """Tell whether the engine takes no orders until runs have ended."""
@@ -119,6 +129,7 @@
         if self._born_ms and report.born_ms != self._born_ms:
             self._forget()
         self._born_ms = report.born_ms
+        self._known_since_s = min(self._known_since_s, asked_s)
         if self._is_behind(report, asked_s):
             return
         self.order_count = report.order_count
@@ -199,6 +210,8 @@
         :param versions: versions in force of the adapters that have any.
         :param now_s: the present time.
         """
+        if now_s - self._known_since_s < _HEAR_USES_S:
+            return None
         free = [key for key in self.held if self._is_free(key, now_s)]
         return min(
             free,
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -32,7 +32,7 @@
 from wasabicross.logs import log_event
 
 _OPEN_TIMEOUT_S = 1.0
-_REDIAL_S = 0.5
+_REDIAL_S = 0.25
 _MAX_FRAME_BYTES = 1048576
 
 #: Pause between looks at what changed on the owner's engines.
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -171,13 +171,9 @@
     @property
     def takes_loads(self) -> bool:
         """Tell whether loads can be ordered and the engine answers."""
-        return (
-            self._tenure() is not None
-            and self._silent < _SILENT_REPORTS
-            and self.slots.order_count is not None
-            and bool(self.slots.models)
-            and not self.slots.is_blocked
-        )
+        if self._tenure() is None or self._silent >= _SILENT_REPORTS:
+            return False
+        return self.slots.takes_orders
 
     def state(self) -> ServerState:
         """Return what other gateways are told of the engine."""
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -67,9 +67,11 @@
     """No server can take the request now.
 
     :param reason: why, for the log.
+    :param lacks_loader: whether only a server that loads is lacking.
     """
 
     reason: str
+    lacks_loader: bool = False
 
 
 Choice: TypeAlias = SendTo | LoadOn | NoServer
@@ -98,7 +100,7 @@
         return LoadOn(home.server_id)
     if holders:
         return SendTo(_cheapest(holders).server_id)
-    return NoServer('nothing loads the adapter')
+    return NoServer('nothing loads the adapter', lacks_loader=True)
 
 
 def sound_or_all(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -22,7 +22,12 @@
 #: How much longer than a load may take its owner's answer is waited for.
 _ANSWER_SLACK_S = 0.1
 
-_MAX_CHOICES = 6
+#: Servers on which a request tries to have its adapter loaded.
+_MAX_LOADS = 4
+
+#: For so long after its start a gateway may not have heard of all owners.
+_SETTLE_S = 2.0
+_SETTLE_PAUSE_S = 0.05
 
 
 class Wanted(NamedTuple):
@@ -77,13 +82,16 @@
         """
         started_s = now_s()
         unable: set[str] = set()
-        for _ in range(_MAX_CHOICES):
+        while len(unable) < _MAX_LOADS:
             version = self._version(wanted.adapter)
             candidates = self.candidates(wanted, unable)
             adapter = wanted.adapter.adapter if wanted.adapter else ''
             choice = choose_server(adapter, version, candidates)
             if isinstance(choice, NoServer):
-                return choice
+                if not self._may_change(choice, wanted, started_s):
+                    return choice
+                await asyncio.sleep(_SETTLE_PAUSE_S)
+                continue
             if isinstance(choice, SendTo):
                 return self._placed(choice.server_id, wanted, started_s)
             patience_s = started_s + wanted.patience_s - now_s()
@@ -95,6 +103,17 @@
             unable.add(choice.server_id)
         return NoServer('loads failed')
 
+    def _may_change(
+        self, choice: NoServer, wanted: Wanted, started_s: float
+    ) -> bool:
+        """Tell whether a request without a server waits for word of owners."""
+        at_s = now_s()
+        if not choice.lacks_loader:
+            return False
+        if at_s - self._view.known_since_s > _SETTLE_S:
+            return False
+        return at_s - started_s < wanted.patience_s
+
     def candidates(self, wanted: Wanted, unable: set[str]) -> list[Candidate]:
         """Return the servers that a request may be tried on.
 
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -56,6 +56,7 @@
         self.soundness: dict[str, Soundness] = defaultdict(Soundness)
         self.told: dict[str, ToldState] = {}
         self.under_way: dict[str, int] = defaultdict(int)
+        self.known_since_s = math.inf
         self._denials: dict[tuple[str, AdapterKey], float] = {}
         self._store_lost = False
         self._store_back_s = -math.inf
@@ -69,6 +70,8 @@
         """
         if self._store_lost and not is_lost:
             self._store_back_s = now_s
+        if not is_lost:
+            self.known_since_s = min(self.known_since_s, now_s)
         self._store_lost = is_lost
 
     def version_of(self, key: AdapterKey) -> int:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -54,7 +54,7 @@
         # Nobody holds it, and nobody can load it.
         (
             [candidate('s1', takes_loads=False)],
-            NoServer('nothing loads the adapter'),
+            NoServer('nothing loads the adapter', lacks_loader=True),
         ),
         # A server that is not sound gets nothing while half are sound.
         ([held('s1', is_sound=False), held('s2', requests=5)], SendTo('s2')),
