--- a/src/wasabicross/gateway/callers.py
+++ b/src/wasabicross/gateway/callers.py
@@ -51,17 +51,22 @@
         self._codec = codec
         self._writer = writer
         self._is_last = is_last
-        self.has_started = False
+        self.started_s: float | None = None
         self.has_ended = False
         self.sent_bytes = 0
 
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the head was sent."""
+        return self.started_s is not None
+
     async def start(self, status: int, fields: Fields) -> None:
         """Send the head.
 
         :param status: the status.
         :param fields: header fields; without a length the body is chunked.
         """
-        self.has_started = True
+        self.started_s = now_s()
         closing = [(b'connection', b'close')] if self._is_last() else []
         self._send(
             h11.Response(
--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from wasabicross.events import Event
+from wasabicross.gateway import metrics
 from wasabicross.gateway.callers import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route, RouteKind
@@ -112,13 +113,23 @@
         self._splitter = EventSplitter()
         self._splitter.last_event_id = self._head.last_event_id
         self._server_id = ''
+        self._labels = ('', '')
+        self._configuration = 0
+        self._outcome = 'cancelled'
 
     async def serve(self) -> None:
         """Answer the request."""
+        try:
+            await self._serve()
+        finally:
+            self._count_end()
+
+    async def _serve(self) -> None:
         cfg = self._shared.view.configuration
         if cfg is None:
             await self._refuse('no configuration', _NO_CONFIGURATION_RETRY_S)
             return
+        self._configuration = cfg.version
         route = cfg.route_for(self._req.host, self._req.path)
         if route is None:
             await self._end(_NOT_FOUND, 'no route', None)
@@ -145,6 +156,7 @@
 
     async def _run(self, route: Route, deadline_s: float) -> None:
         service = route.service_for(self._head.request_id)
+        self._labels = (service, metrics.request_class(route))
         budget = self._shared.budget_for(service)
         budget.add_request()
         while True:
@@ -198,6 +210,7 @@
         finally:
             self._shared.uses.end(server.server_id, self._head.adapter)
             self._note_attempt(placed, ending, began_s)
+        metrics.LOAD_WAIT_SECONDS.labels(*self._labels).observe(placed.waited_s)
         return ending
 
     async def _exchange(
@@ -296,6 +309,7 @@
             )
         if is_ok:
             soundness.on_answer()
+        self._outcome = 'answered' if is_ok else 'failed'
         return Ending.done
 
     async def _stream(
@@ -357,7 +371,17 @@
         )
         await self._answer.whole(status, fields)
 
+    def _count_end(self) -> None:
+        metrics.REQUESTS.labels(*self._labels, self._outcome).inc()
+        started_s = self._answer.started_s
+        if started_s is not None and self._labels[0]:
+            metrics.FIRST_BYTE_SECONDS.labels(*self._labels).observe(
+                started_s - self._req.arrived_s
+            )
+
     def _log(self, status: int, reason: str) -> None:
+        self._outcome = 'refused' if status == _UNAVAILABLE else 'ended'
+        metrics.REFUSALS.labels(reason).inc()
         log_event(
             Event.REQUEST_REFUSED,
             request=self._head.request_id,
@@ -372,6 +396,7 @@
     def _note_attempt(
         self, placed: Placed, ending: Ending, began_s: float
     ) -> None:
+        metrics.ATTEMPTS.labels(self._labels[0], ending.value).inc()
         log_event(
             Event.REQUEST_SENT,
             request=self._head.request_id,
@@ -379,6 +404,9 @@
             adapter=self._head.adapter.adapter if self._head.adapter else '',
             version=placed.version,
             waited_s=round(placed.waited_s, 3),
+            candidates=placed.candidates,
+            requests=placed.requests,
+            configuration=self._configuration,
             took_s=round(now_s() - began_s, 3),
             ending=ending.value,
         )
--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from wasabicross.events import Event
+from wasabicross.gateway import metrics
 from wasabicross.gateway.changes import ServerListed
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
@@ -39,16 +40,21 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            operation = 'read' if self._revision is None else 'watch'
+            outcome = 'done'
+            pause_s = _PAUSE_S
             try:
                 await self._step()
             except HistoryGone:
                 self._revision = None
+                outcome = 'history gone'
+                pause_s = 0
             except StoreUnavailable as exc:
                 self._note_lost(str(exc))
-                await asyncio.sleep(_RETRY_S)
-            else:
-                self._note_back()
-                await asyncio.sleep(_PAUSE_S)
+                outcome = 'unavailable'
+                pause_s = _RETRY_S
+            metrics.STORE_CALLS.labels(operation, outcome).inc()
+            await asyncio.sleep(pause_s)
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -78,6 +84,7 @@
             self._view.apply(change, now_s())
         current = self._view.configuration
         if current is not None and current is not before:
+            metrics.CONFIGURATION_VERSION.set(current.version)
             log_event(Event.CONFIGURATION_TAKEN, version=current.version)
         for entry in seen.unreadable:
             self._note_unreadable(entry)
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from wasabicross.events import Event
+from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
@@ -281,6 +282,7 @@
         for fut in want.waiters:
             if not fut.done():
                 fut.set_result(version)
+        metrics.LOADS.labels('loaded').inc()
         log_event(
             Event.ADAPTER_LOADED,
             server=self.server.server_id,
@@ -296,6 +298,7 @@
         for fut in want.waiters:
             if not fut.done():
                 fut.set_result(0)
+        metrics.LOADS.labels('not loaded').inc()
         log_event(
             Event.ADAPTER_NOT_LOADED,
             server=self.server.server_id,
@@ -372,6 +375,8 @@
         self._report_due_s = min(self._report_due_s, now_s() + pause_s)
         if order.kind is OrderKind.load:
             self._plan_repeat(order.key)
+        told = answer.value if answer else 'none'
+        metrics.ORDERS.labels(order.kind.value, told).inc()
         log_event(
             Event.ORDER_SENT,
             server=self.server.server_id,
@@ -379,7 +384,7 @@
             adapter=order.key.adapter,
             expected=order.expected_orders,
             term=order.term,
-            answer=answer.value if answer else 'none',
+            answer=told,
         )
 
     def _plan_repeat(self, key: AdapterKey) -> None:
--- /dev/null
+++ b/src/wasabicross/gateway/metrics.py
@@ -0,0 +1,89 @@
+"""Metrics of a gateway, served beside its readiness."""
+
+from prometheus_client import Counter, Gauge, Histogram, generate_latest
+
+from wasabicross.gateway.configuration import Route
+
+#: Path at which they are served, and the type of the text.
+PATH = '/metrics'
+CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
+
+_LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.6,
+    0.8,
+    1.0,
+    2.0,
+    5.0,
+    15.0,
+)
+_REQUEST_LABELS = ('service', 'request_class')
+
+REQUESTS = Counter(
+    'wasabicross_gateway_requests',
+    'Requests by how they ended for the caller.',
+    (*_REQUEST_LABELS, 'outcome'),
+)
+FIRST_BYTE_SECONDS = Histogram(
+    'wasabicross_gateway_first_byte_seconds',
+    'From the arrival of a request to the start of its answer.',
+    _REQUEST_LABELS,
+    buckets=_LATENCY_BUCKETS_S,
+)
+LOAD_WAIT_SECONDS = Histogram(
+    'wasabicross_gateway_load_wait_seconds',
+    'How long a request waited for its adapter before it was sent.',
+    _REQUEST_LABELS,
+    buckets=_LATENCY_BUCKETS_S,
+)
+ATTEMPTS = Counter(
+    'wasabicross_gateway_attempts',
+    'Attempts at servers by how they ended.',
+    ('service', 'ending'),
+)
+REFUSALS = Counter(
+    'wasabicross_gateway_refusals',
+    'Requests that the gateway answered itself or cut, by reason.',
+    ('reason',),
+)
+ORDERS = Counter(
+    'wasabicross_gateway_orders',
+    'Orders to engines by kind and answer.',
+    ('order', 'answer'),
+)
+LOADS = Counter(
+    'wasabicross_gateway_loads',
+    'Adapters that requests waited for, by whether they were loaded.',
+    ('outcome',),
+)
+STORE_CALLS = Counter(
+    'wasabicross_gateway_store_calls',
+    "Calls to the platform's store by operation and result.",
+    ('operation', 'outcome'),
+)
+CONFIGURATION_VERSION = Gauge(
+    'wasabicross_gateway_configuration_version',
+    'Version of the configuration in force.',
+)
+UNDER_WAY = Gauge(
+    'wasabicross_gateway_under_way',
+    'Requests that are being answered.',
+)
+
+
+def request_class(route: Route) -> str:
+    """Return the class of a route's requests, of which there are few.
+
+    :param route: the route.
+    """
+    return f'{route.kind.value}-{route.priority}'
+
+
+def rendered() -> bytes:
+    """Return all metrics as text."""
+    return generate_latest()
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -52,11 +52,15 @@
 
     :param version: version of the adapter there, 0 without an adapter.
     :param waited_s: time that loads took.
+    :param candidates: servers that it was chosen from.
+    :param requests: requests that it was thought to have.
     """
 
     server: BackendServer
     version: int
     waited_s: float
+    candidates: int
+    requests: int
 
 
 class Placing:
@@ -93,13 +97,17 @@
                 await asyncio.sleep(_SETTLE_PAUSE_S)
                 continue
             if isinstance(choice, SendTo):
-                return self._placed(choice.server_id, wanted, started_s)
+                return self._placed(
+                    choice.server_id, wanted, started_s, len(candidates)
+                )
             patience_s = started_s + wanted.patience_s - now_s()
             if patience_s <= 0:
                 return NoServer('no adapter in time')
             loaded = await self._load(choice, wanted, version, patience_s)
             if loaded:
-                return self._placed(choice.server_id, wanted, started_s)
+                return self._placed(
+                    choice.server_id, wanted, started_s, len(candidates)
+                )
             unable.add(choice.server_id)
         return NoServer('loads failed')
 
@@ -160,7 +168,11 @@
         return self._view.version_of(key) if key and key.adapter else 0
 
     def _placed(
-        self, server_id: str, wanted: Wanted, started_s: float
+        self,
+        server_id: str,
+        wanted: Wanted,
+        started_s: float,
+        tried: int,
     ) -> Placed | NoServer:
         server = self._view.servers.get(server_id)
         if server is None:
@@ -169,7 +181,13 @@
         version = 0
         if key is not None and key.adapter:
             version = self._view.held_version(server, key, now_s())
-        return Placed(server, version, now_s() - started_s)
+        return Placed(
+            server,
+            version,
+            now_s() - started_s,
+            tried,
+            self._view.requests_at(server, now_s()),
+        )
 
     async def _load(
         self, choice: LoadOn, wanted: Wanted, version: int, patience_s: float
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -9,6 +9,7 @@
 
 from wasabicross import __version__
 from wasabicross.events import Event
+from wasabicross.gateway import metrics
 from wasabicross.gateway.callers import (
     DEFAULT_LIMITS,
     AnswerWriter,
@@ -219,6 +220,10 @@
     ) -> None:
         if req.path == self._seams.ready_path:
             await answer.whole(200 if self.is_ready else 503, [])
+        elif req.path == metrics.PATH:
+            metrics.UNDER_WAY.set(self._active)
+            fields = [(b'content-type', metrics.CONTENT_TYPE)]
+            await answer.whole(200, fields, metrics.rendered())
         else:
             await answer.whole(404, [])
 
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -58,13 +58,18 @@
 
     :param reader: its reading side.
     :param writer: its writing side.
+    :param id_field: header field that an answer repeats of its request.
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        id_field: bytes,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._id_field = id_field
         self._codec = _new_codec()
         self.idle_since_s = -math.inf
         self.is_reused = False
@@ -96,10 +101,10 @@
         :param req: the request that was sent.
         :raises AnswerMissing: there is none.
         """
-        wanted = field(req.fields, b'request-id')
+        wanted = field(req.fields, self._id_field)
         while True:
             response = await self._response()
-            echoed = field(response.headers, b'request-id')
+            echoed = field(response.headers, self._id_field)
             if not wanted or not echoed or echoed == wanted:
                 return _head_of(response)
             await self._skip(req)
@@ -188,9 +193,14 @@
 
 
 class ConnectionPool:
-    """Idle connections to all servers."""
+    """Idle connections to all servers.
+
+    :param id_field: header field that an answer repeats of its request, so
+        that an answer to another request is known.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, id_field: bytes) -> None:
+        self._id_field = id_field
         self._idle: dict[tuple[str, int], list[ServerConnection]] = defaultdict(
             list
         )
@@ -212,7 +222,15 @@
             if conn.is_usable and now_s() - conn.idle_since_s < longest_s:
                 return conn
             conn.close()
-        return await _connect(host, port)
+        return await self._connect(host, port)
+
+    async def _connect(self, host: str, port: int) -> ServerConnection:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as exc:
+            raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
+        return ServerConnection(reader, writer, self._id_field)
 
     def give_back(self, host: str, port: int, conn: ServerConnection) -> None:
         """Keep a connection whose answer has ended, or close it.
@@ -228,15 +246,6 @@
             conn.close()
 
 
-async def _connect(host: str, port: int) -> ServerConnection:
-    try:
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-    except (OSError, TimeoutError) as exc:
-        raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
-    return ServerConnection(reader, writer)
-
-
 def _new_codec() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
 
--- a/src/wasabicross/gateway/tenures.py
+++ b/src/wasabicross/gateway/tenures.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from wasabicross.events import Event
+from wasabicross.gateway import metrics
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.loader import Tenure
@@ -122,10 +123,13 @@
             )
         except StoreUnavailable as exc:
             self._not_before_s[group.name] = now_s() + _RETRY_S
+            metrics.STORE_CALLS.labels('write', 'unavailable').inc()
             log_event(
                 Event.OWNER_WRITE_FAILED, group=group.name, reason=str(exc)
             )
             return
+        outcome = 'conflict' if revision is None else 'done'
+        metrics.STORE_CALLS.labels('write', outcome).inc()
         if revision is None:
             self._not_before_s[group.name] = now_s() + _RETRY_S
             self._on_conflict(group)
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -13,7 +13,9 @@
 )
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
 
-_REQUEST_ID = b'request-id'
+#: Id of a request, which each answer repeats.
+REQUEST_ID = b'request-id'
+
 _TIME_LEFT_MS = b'time-left-ms'
 _MODEL = b'model'
 _EXPECT_INSTANCE = b'expect-instance'
@@ -58,7 +60,7 @@
         """
         time_left_ms = number(req.fields, _TIME_LEFT_MS)
         return CallHead(
-            request_id=field(req.fields, _REQUEST_ID),
+            request_id=field(req.fields, REQUEST_ID),
             adapter=_adapter(field(req.fields, _MODEL)),
             time_left_s=None
             if time_left_ms is None
@@ -99,7 +101,7 @@
         """
         fields: Fields = []
         if request_id:
-            fields.append((_REQUEST_ID, request_id.encode('latin-1')))
+            fields.append((REQUEST_ID, request_id.encode('latin-1')))
         if retry_after_s is not None:
             fields.append((_RETRY_AFTER, f'{retry_after_s:.2f}'.encode()))
         return fields
--- a/src/wasabicross/run_gateway.py
+++ b/src/wasabicross/run_gateway.py
@@ -19,7 +19,11 @@
 from wasabicross.logs import configure_logs
 from wasabicross.platform.engines import EngineCalls
 from wasabicross.platform.fleet_store import PlatformStore
-from wasabicross.platform.headers import READY_PATH, PlatformDialect
+from wasabicross.platform.headers import (
+    READY_PATH,
+    REQUEST_ID,
+    PlatformDialect,
+)
 from wasabicross.platform.settings import read_settings, settings_path
 from wasabicross.platform.store import StoreCalls
 
@@ -48,9 +52,9 @@
 
 
 async def _run(cfg: GatewaySettings, output: LogOutput) -> None:
-    pool = ConnectionPool()
+    pool = ConnectionPool(REQUEST_ID)
     seams = Seams(
-        store=PlatformStore(StoreCalls(cfg.store, ConnectionPool())),
+        store=PlatformStore(StoreCalls(cfg.store, ConnectionPool(REQUEST_ID))),
         engines=EngineCalls(pool),
         dialect=PlatformDialect(),
         pool=pool,
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -31,7 +31,11 @@
 from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import Snapshot
-from wasabicross.platform.headers import READY_PATH, PlatformDialect
+from wasabicross.platform.headers import (
+    READY_PATH,
+    REQUEST_ID,
+    PlatformDialect,
+)
 
 HOST = '127.0.0.1'
 LIMITS = CallerLimits(4096, 65536, 0.5, 5.0)
@@ -320,7 +324,7 @@
         FakeStore(changes),
         engines or FakeEngines(),
         PlatformDialect(),
-        ConnectionPool(),
+        ConnectionPool(REQUEST_ID),
         READY_PATH,
     )
     with open(os.devnull, 'wb') as quiet:
--- /dev/null
+++ b/tests/test_platform_boundary.py
@@ -0,0 +1,61 @@
+"""The platform's folder is met in one place, and its names stay in it."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'wasabicross'
+PLATFORM = SOURCE / 'platform'
+
+#: The one module that puts programs and the platform together.
+ASSEMBLY = SOURCE / 'run_gateway.py'
+
+WIRE_NAMES = re.compile(
+    r'pathPrefix|trafficSplit|Not-Run|Expect-Instance|Expect-Version'
+    r'|Time-Left-Ms|adapterSlots|kvUsed|kv-(?:key|range|watch|txn|lease)'
+    r'|op/config|op/version|maxAttempts|targetLatencyMs|coldLeftMs'
+    r"|b'(?:not-run|expect-\w+|time-left-ms|request-id|model)'",
+)
+
+OUTSIDE = sorted(
+    path for path in SOURCE.rglob('*.py') if PLATFORM not in path.parents
+)
+
+
+def imported(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ''
+
+
+def breaches(paths):
+    for path in paths:
+        if WIRE_NAMES.search(path.read_text()):
+            yield f'{path.name} names what is on the wire'
+        if path != ASSEMBLY and any(
+            name.startswith('wasabicross.platform') for name in imported(path)
+        ):
+            yield f'{path.name} imports the platform'
+
+
+def test_nothing_outside_knows_the_platform():
+    assert not list(breaches(OUTSIDE))
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'from wasabicross.platform.store import StoreCalls\n',
+        'import wasabicross.platform.headers\n',
+        "FIELD = 'Not-Run'\n",
+        "FIELD = b'expect-version'\n",
+    ],
+)
+def test_a_breach_is_found(tmp_path, text):
+    planted = tmp_path / 'planted.py'
+    planted.write_text(text)
+    assert len(list(breaches([planted]))) == 1
