Release engines at a stop and try a second server behind a cut in time

Change: an owner that stops releases its records, others wait for the gap between owners only; a takeover after 12 s; connections to servers take 0.15 s at most; unreachable servers are probed each 0.8 s.

--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -37,12 +37,14 @@
     """A gateway wrote to the record of a group of servers.
 
     :param revision: number of that write.
+    :param is_released: whether the owner orders nothing any more.
     """
 
     group: str
     instance: str
     host: str
     revision: int
+    is_released: bool = False
 
 
 class InstanceListed(NamedTuple):
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -41,6 +41,15 @@
             self._follow()
             await asyncio.sleep(_FOLLOW_S)
 
+    async def stop(self) -> None:
+        """End all loaders; no order is sent after it."""
+        tasks = tuple(self._tasks.values())
+        self._loaders.clear()
+        self._tasks.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     @property
     def loaders(self) -> tuple[ServerLoader, ...]:
         """The loaders that run."""
--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -21,7 +21,7 @@
 RENEW_S = 3.0
 
 #: How long a record must stand unchanged before another gateway takes it over.
-TAKEOVER_S = 15.0
+TAKEOVER_S = 12.0
 
 #: What orders under way and clocks of different speed may take.
 _MARGIN_S = 1.0
@@ -53,6 +53,7 @@
     :param host: IP number of that machine.
     :param revision: number of the record's last change.
     :param unchanged_since_s: when this process first saw that revision.
+    :param is_released: whether the owner orders nothing any more.
     """
 
     group: str
@@ -60,6 +61,7 @@
     host: str
     revision: int
     unchanged_since_s: float
+    is_released: bool = False
 
 
 def group_of(server_id: str, data_centre: str) -> Group:
@@ -114,7 +116,11 @@
 
 
 def claim_due_s(
-    record: OwnerRecord | None, instance: str, wait_s: float, started_s: float
+    record: OwnerRecord | None,
+    instance: str,
+    wait_s: float,
+    started_s: float,
+    holder_gap_s: float,
 ) -> float:
     """Return when this gateway may try to take a record.
 
@@ -122,9 +128,13 @@
     :param instance: name of this machine.
     :param wait_s: what it leaves to others.
     :param started_s: when it knew the store's content.
+    :param holder_gap_s: least time between the orders of two owners.
     """
     if record is None:
         return started_s + wait_s
     if record.instance == instance:
         return -math.inf
-    return record.unchanged_since_s + TAKEOVER_S + wait_s
+    left_s = TAKEOVER_S
+    if record.is_released:
+        left_s = holder_gap_s + _MARGIN_S
+    return record.unchanged_since_s + left_s + wait_s
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -46,6 +46,9 @@
 #: Left of the time until the process is killed when it ends by itself.
 _LAST_S = 0.6
 
+#: Longest time that leaving the engines to others may take.
+_RELEASE_S = 0.3
+
 _POLL_S = 0.1
 _ANNOUNCE_RETRY_S = 0.5
 _DROPPED_S = 5.0
@@ -134,8 +137,14 @@
         await self._stop.wait()
         await self._drain(callers)
         ready.close()
+        await self._end(tasks)
+
+    async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
+        """End all parts and leave the engines to others."""
         for task in tasks:
             task.cancel()
+        await self._desk.stop()
+        await self._release()
         log_event(Event.PROGRAM_STOPPED)
         self._output.flush()
 
@@ -267,6 +276,13 @@
                 log_event(Event.LINES_DROPPED, lines=dropped)
             self._output.flush()
 
+    async def _release(self) -> None:
+        try:
+            async with asyncio.timeout(_RELEASE_S):
+                await self._tenures.release()
+        except TimeoutError:
+            log_event(Event.OWNER_WRITE_FAILED, group='', reason='timeout')
+
     def _on_hangup(self) -> None:
         log_event(Event.SETTINGS_READ, instance=self._cfg.instance)
 
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -20,7 +20,10 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
-_CONNECT_TIMEOUT_S = 0.4
+
+#: Longest time for a new connection to a server; a request that is short of
+#: time has to be able to try a second one behind a cut.
+CONNECT_TIMEOUT_S = 0.15
 
 #: Longest idle time of a connection that is used again.
 _MAX_IDLE_S = 4.0
@@ -197,10 +200,14 @@
 
     :param id_field: header field that an answer repeats of its request, so
         that an answer to another request is known.
+    :param connect_timeout_s: longest time for a new connection.
     """
 
-    def __init__(self, id_field: bytes) -> None:
+    def __init__(
+        self, id_field: bytes, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         self._id_field = id_field
+        self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[str, int], list[ServerConnection]] = defaultdict(
             list
         )
@@ -226,7 +233,7 @@
 
     async def _connect(self, host: str, port: int) -> ServerConnection:
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError) as exc:
             raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
--- a/src/wasabicross/gateway/soundness.py
+++ b/src/wasabicross/gateway/soundness.py
@@ -15,6 +15,9 @@
 _FIRST_SHUT_OUT_S = 1.0
 _MAX_SHUT_OUT_S = 8.0
 
+#: Pause before a server that can't be reached is asked for its health.
+_PROBE_PAUSE_S = 0.8
+
 #: Seconds without being shut out after which the first time applies again.
 _CALM_S = 15.0
 
@@ -55,8 +58,7 @@
 
         :param now_s: the present time.
         """
-        self._shut_out(now_s)
-        self.needs_probe = True
+        self._await_probe(now_s)
 
     def on_probe(self, now_s: float, *, is_healthy: bool) -> None:
         """Take in the answer to a health check of a server that is shut out.
@@ -67,7 +69,13 @@
         if is_healthy:
             self.needs_probe = False
         else:
-            self._shut_out(now_s)
+            self._await_probe(now_s)
+
+    def _await_probe(self, now_s: float) -> None:
+        self.needs_probe = True
+        self.shut_out_until_s = max(
+            self.shut_out_until_s, now_s + _PROBE_PAUSE_S
+        )
 
     def _shut_out(self, now_s: float) -> None:
         if now_s < self.shut_out_until_s:
--- a/src/wasabicross/gateway/store.py
+++ b/src/wasabicross/gateway/store.py
@@ -41,7 +41,13 @@
         """
 
     async def write_owner(
-        self, group: str, instance: str, host: str, revision: int
+        self,
+        group: str,
+        instance: str,
+        host: str,
+        revision: int,
+        *,
+        is_released: bool = False,
     ) -> int | None:
         """Write the owner's record of a group of servers.
 
@@ -49,6 +55,7 @@
         :param instance: machine that owns it.
         :param host: IP number of that machine.
         :param revision: revision that the record must have, 0 for none.
+        :param is_released: whether the owner orders nothing any more.
         :return: the new revision, None if the record has another one.
         """
 
--- a/src/wasabicross/gateway/tenures.py
+++ b/src/wasabicross/gateway/tenures.py
@@ -85,6 +85,24 @@
             return None
         return Tenure(self._cfg.instance, owned.term, until_s)
 
+    async def release(self) -> None:
+        """Leave all groups to others; nothing may be ordered any more."""
+        owned = dict(self._owned)
+        self._owned.clear()
+        for group, last in owned.items():
+            try:
+                await self._store.write_owner(
+                    group,
+                    self._cfg.instance,
+                    self._cfg.host,
+                    last.revision,
+                    is_released=True,
+                )
+            except StoreUnavailable as exc:
+                log_event(
+                    Event.OWNER_WRITE_FAILED, group=group, reason=str(exc)
+                )
+
     async def _look_after(self, group: Group, started_s: float) -> None:
         record = self._view.owners.get(group.name)
         owned = self._owned.get(group.name)
@@ -108,7 +126,13 @@
                 for each in self._view.instances.values()
             ],
         )
-        due_s = claim_due_s(record, self._cfg.instance, wait_s, started_s)
+        due_s = claim_due_s(
+            record,
+            self._cfg.instance,
+            wait_s,
+            started_s,
+            self._cfg.holder_gap_s,
+        )
         if at_s >= due_s:
             await self._write(group, record.revision if record else 0, None)
 
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -234,6 +234,7 @@
                 change.host,
                 change.revision,
                 now_s,
+                change.is_released,
             )
 
     @_apply.register
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -41,7 +41,13 @@
         return _decoded(await self._calls.watch(_ALL, revision, wait_s))
 
     async def write_owner(
-        self, group: str, instance: str, host: str, revision: int
+        self,
+        group: str,
+        instance: str,
+        host: str,
+        revision: int,
+        *,
+        is_released: bool = False,
     ) -> int | None:
         """Write the owner's record of a group of servers.
 
@@ -49,9 +55,10 @@
         :param instance: machine that owns it.
         :param host: IP number of that machine.
         :param revision: revision that the record must have, 0 for none.
+        :param is_released: whether the owner orders nothing any more.
         :return: the new revision, None if the record has another one.
         """
-        document = encode_owner(instance, host)
+        document = encode_owner(instance, host, is_released=is_released)
         written = await self._calls.write(
             Write(owner_key(group), revision, document)
         )
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -49,13 +49,19 @@
     return f'{_INSTANCES_PREFIX}{instance}'
 
 
-def encode_owner(instance: str, host: str) -> bytes:
+def encode_owner(
+    instance: str, host: str, *, is_released: bool = False
+) -> bytes:
     """Return the record of an owner.
 
     :param instance: name of its machine.
     :param host: IP number of its machine.
+    :param is_released: whether it orders nothing any more.
     """
-    return json.dumps({'instance': instance, 'host': host}).encode()
+    record = {'instance': instance, 'host': host}
+    if is_released:
+        record['released'] = 'yes'
+    return json.dumps(record).encode()
 
 
 def encode_instance(host: str, data_centre: str) -> bytes:
@@ -96,7 +102,11 @@
         record = _own_record(document)
         group = item.key.removeprefix(_OWNERS_PREFIX)
         return OwnerNamed(
-            group, record['instance'], record['host'], item.revision
+            group,
+            record['instance'],
+            record['host'],
+            item.revision,
+            'released' in record,
         )
     if item.key.startswith(_INSTANCES_PREFIX):
         record = _own_record(document)
--- a/src/wasabicross/run_gateway.py
+++ b/src/wasabicross/run_gateway.py
@@ -30,6 +30,9 @@
 _EXIT_SETTINGS = 2
 _STDOUT = 1
 
+#: Longest time for a new connection to the store, which nothing replaces.
+_STORE_CONNECT_S = 0.4
+
 
 class _LogFormat(NamedTuple):
     """Format and lowest level of the log."""
@@ -53,8 +56,9 @@
 
 async def _run(cfg: GatewaySettings, output: LogOutput) -> None:
     pool = ConnectionPool(REQUEST_ID)
+    store_pool = ConnectionPool(REQUEST_ID, _STORE_CONNECT_S)
     seams = Seams(
-        store=PlatformStore(StoreCalls(cfg.store, ConnectionPool(REQUEST_ID))),
+        store=PlatformStore(StoreCalls(cfg.store, store_pool)),
         engines=EngineCalls(pool),
         dialect=PlatformDialect(),
         pool=pool,
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -50,6 +50,7 @@
         self.owners = {}
         self._revision = 1
         self._news = []
+        self.records = {}
 
     async def read(self):
         """Return everything."""
@@ -63,13 +64,17 @@
         news, self._news = tuple(self._news), []
         return Snapshot(news, (), self._revision)
 
-    async def write_owner(self, group, instance, host, revision):
+    async def write_owner(
+        self, group, instance, host, revision, *, is_released=False
+    ):
         """Write the record of a group if it has the revision."""
         if self.owners.get(group, 0) != revision:
             return None
         self._revision += 1
         self.owners[group] = self._revision
-        self._news.append(OwnerNamed(group, instance, host, self._revision))
+        change = OwnerNamed(group, instance, host, self._revision, is_released)
+        self._news.append(change)
+        self.records[group] = change
         return self._revision
 
     async def announce(self, instance, host, data_centre):
@@ -294,6 +299,7 @@
     port: int
     ready_port: int
     task: asyncio.Task
+    store: FakeStore
 
 
 @contextlib.asynccontextmanager
@@ -320,8 +326,9 @@
         grace_s=8,
         holder_gap_s=3,
     )
+    store = FakeStore(changes)
     seams = Seams(
-        FakeStore(changes),
+        store,
         engines or FakeEngines(),
         PlatformDialect(),
         ConnectionPool(REQUEST_ID),
@@ -332,7 +339,7 @@
         task = asyncio.ensure_future(gateway.run())
         await _until_ready(gateway, callers, bool(cfg))
         try:
-            yield Bench(gateway, callers, ready, task)
+            yield Bench(gateway, callers, ready, task, store)
         finally:
             task.cancel()
             await asyncio.wait((task,))
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -304,6 +304,9 @@
                 await asyncio.open_connection('127.0.0.1', bench.port)
             async with asyncio.timeout(3):
                 await bench.task
+            records = bench.store.records.values()
+            assert records
+            assert all(record.is_released for record in records)
         return received
 
     received = asyncio.run(scenario())
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -18,8 +18,10 @@
 GAP_S = 3.0
 
 
-def record(instance='front-1', since_s=100.0):
-    return OwnerRecord('bilbao.0', instance, '10.0.0.1', 7, since_s)
+def record(instance='front-1', since_s=100.0, is_released=False):
+    return OwnerRecord(
+        'bilbao.0', instance, '10.0.0.1', 7, since_s, is_released
+    )
 
 
 @pytest.mark.parametrize(
@@ -29,10 +31,12 @@
         # The same machine is the same holder, also after a restart.
         (record('front-2'), -math.inf),
         (record('front-1'), 100 + TAKEOVER_S + 1),
+        # One that has been released is free after the gap between owners.
+        (record('front-1', is_released=True), 100 + GAP_S + 1 + 1),
     ],
 )
 def test_when_a_record_may_be_taken(found, due_s):
-    assert claim_due_s(found, 'front-2', 1.0, 50.0) == due_s
+    assert claim_due_s(found, 'front-2', 1.0, 50.0, GAP_S) == due_s
 
 
 @pytest.mark.parametrize('seen_late_s', [0.0, 0.5, 6.0])
@@ -40,7 +44,7 @@
     written_s = 100.0
     last_order_s = may_order_until(written_s, GAP_S)
     seen = record(since_s=written_s + seen_late_s)
-    first_order_s = claim_due_s(seen, 'front-2', 0.0, 0.0)
+    first_order_s = claim_due_s(seen, 'front-2', 0.0, 0.0, GAP_S)
     assert first_order_s - last_order_s > GAP_S
 
 
--- a/tests/test_gateway_soundness.py
+++ b/tests/test_gateway_soundness.py
@@ -30,18 +30,34 @@
     assert after(outcomes).is_sound(10.1) is is_sound
 
 
+def fail(soundness, now_s):
+    for _ in range(3):
+        soundness.on_failure(now_s)
+    return soundness.shut_out_until_s - now_s
+
+
 def test_time_out_grows_and_starts_again_after_calm():
     soundness = Soundness()
     lengths = []
     now_s = 100.0
     for pause_s in (0, 0, 0, 60):
         now_s += pause_s
-        soundness.on_unreachable(now_s)
-        lengths.append(soundness.shut_out_until_s - now_s)
+        lengths.append(fail(soundness, now_s))
         now_s = soundness.shut_out_until_s
     assert lengths == [1, 2, 4, 1]
 
 
+def test_unreachable_server_is_asked_again_at_the_same_pace():
+    soundness = Soundness()
+    now_s = 100.0
+    pauses = []
+    for _ in range(6):
+        soundness.on_probe(now_s, is_healthy=False)
+        pauses.append(soundness.shut_out_until_s - now_s)
+        now_s = soundness.shut_out_until_s
+    assert max(pauses) < 1
+
+
 def test_unreachable_server_is_probed_before_it_is_used():
     soundness = Soundness()
     soundness.on_unreachable(10)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -207,6 +207,14 @@
             Item(owner_key('dc.0'), 5, encode_owner('front-1', '10.0.0.1')),
             OwnerNamed('dc.0', 'front-1', '10.0.0.1', 5),
         ),
+        (
+            Item(
+                owner_key('dc.0'),
+                6,
+                encode_owner('front-1', '10.0.0.1', is_released=True),
+            ),
+            OwnerNamed('dc.0', 'front-1', '10.0.0.1', 6, is_released=True),
+        ),
         (
             Item(instance_key('front-1'), 5, encode_instance('10.0.0.1', 'dc')),
             InstanceListed('front-1', '10.0.0.1', 'dc'),
