Go on loading where answers to loads got lost

Ruled out: unloads that wait (no orders at all were sent). Change: such loads take their slots but not the places of loads under way; the next order that is accepted settles them. The test failed before.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -116,7 +116,7 @@
     @property
     def may_load(self) -> bool:
         """Tell whether there is room for one more load."""
-        if self.order_count is None or len(self.pending) >= MAX_PENDING:
+        if self.order_count is None or len(self.accepted) >= MAX_PENDING:
             return False
         return self.taken < self.slots
 
--- a/tests/test_gateway_slots.py
+++ b/tests/test_gateway_slots.py
@@ -54,6 +54,15 @@
     assert slots.pending == {B}
 
 
+def test_unanswered_loads_do_not_hold_up_others():
+    slots = EngineSlots(21)
+    slots.on_report(report(), 0)
+    for number in range(MAX_PENDING):
+        order(slots, LOAD, AdapterKey('m0', f'b{number}'), None, 1)
+    slots.on_report(report(), 9)
+    assert slots.may_load
+
+
 def test_unanswered_load_that_was_carried_out_is_seen_in_the_report(slots):
     order(slots, LOAD, A, None, 1)
     slots.on_report(report(order_count=1, pending=(A,)), 2)
