--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -28,7 +28,8 @@
     :param requests: requests that it runs or that wait there.
     :param slots: requests that it runs at once.
     :param is_local: whether it is in this gateway's data centre.
-    :param is_sound: whether it answered lately.
+    :param is_sound: whether it answered most requests lately.
+    :param is_reachable: whether connections to it could be made lately.
     """
 
     server_id: str
@@ -38,6 +39,7 @@
     slots: int
     is_local: bool
     is_sound: bool
+    is_reachable: bool
 
     @property
     def cost(self) -> float:
@@ -107,9 +109,14 @@
     """Return the sound candidates, or all if less than half are sound.
 
     So a fault that only this process sees can't shut out most of a service.
+    Servers that can't be reached are left out as long as there are others,
+    however few.
 
     :param candidates: the servers that may be tried.
     """
+    candidates = [each for each in candidates if each.is_reachable] or (
+        candidates
+    )
     sound = [each for each in candidates if each.is_sound]
     if sound and 2 * len(sound) >= len(candidates):
         return sound
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -150,6 +150,7 @@
         at_s: float,
     ) -> Candidate:
         key = wanted.adapter
+        soundness = self._view.soundness[server.server_id]
         named = key is not None and bool(key.adapter)
         takes_loads = self._view.takes_loads(server, at_s)
         return Candidate(
@@ -161,7 +162,8 @@
             requests=self._view.requests_at(server, at_s),
             slots=server.slots,
             is_local=server.data_centre == self._data_centre,
-            is_sound=self._view.soundness[server.server_id].is_sound(at_s),
+            is_sound=soundness.is_sound(at_s),
+            is_reachable=not soundness.needs_probe,
         )
 
     def _version(self, key: AdapterKey | None) -> int:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -27,6 +27,7 @@
         slots=10,
         is_local=True,
         is_sound=True,
+        is_reachable=True,
     )
     return plain._replace(**fields)
 
@@ -74,6 +75,14 @@
     assert choice.server_id in {'s0', 's1', 's2'}
 
 
+def test_what_cannot_be_reached_is_tried_last():
+    cut_off = [held(f's{number}', is_reachable=False) for number in range(3)]
+    local = held('s9', requests=8)
+    assert choose_server('a1', 1, [*cut_off, local]) == SendTo('s9')
+    assert choose_server('', 0, [*cut_off, local]) == SendTo('s9')
+    assert isinstance(choose_server('a1', 1, cut_off), SendTo)
+
+
 def test_new_version_goes_beside_the_old_one():
     old = held('s1', version=1)
     choice = choose_server('a1', 2, [old, candidate('s2')])
