Treat a malformed page of the store as no answer

Cause, found by the tests of the calls that this adds: a page of the store without its fields ended the task that follows the store, and with it the program. Change: a page is decoded like all other answers. The event for SIGHUP says what happens: settings stay those of the start.

--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -68,7 +68,7 @@
     REQUEST_REFUSED = EventKind(8042, 'WARNING')
     REQUEST_FAILED = EventKind(8043, 'ERROR')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
-    SETTINGS_READ = EventKind(8052, 'INFO')
+    SETTINGS_KEPT = EventKind(8052, 'INFO')
     LINES_DROPPED = EventKind(8061, 'WARNING')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -283,7 +283,7 @@
             log_event(Event.OWNER_WRITE_FAILED, group='', reason='timeout')
 
     def _on_hangup(self) -> None:
-        log_event(Event.SETTINGS_READ, instance=self._cfg.instance)
+        log_event(Event.SETTINGS_KEPT, instance=self._cfg.instance)
 
 
 def _trace(task: asyncio.Task[None]) -> str:
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -83,6 +83,14 @@
     current: Item | None
 
 
+class _Page(NamedTuple):
+    """A part of what was read."""
+
+    items: tuple[Item, ...]
+    revision: int
+    has_more: bool
+
+
 class StoreCalls:
     """Calls to the store; each raises `StoreUnavailable` without an answer.
 
@@ -104,12 +112,11 @@
         after = ''
         while True:
             page = await self._page(prefix, after)
-            found = [_item(each) for each in page['items']]
-            items.extend(found)
-            revision = page['at'] if revision is None else revision
-            if not page['hasMore'] or not found:
+            items.extend(page.items)
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.items:
                 return ItemSnapshot(tuple(items), revision)
-            after = found[-1].key
+            after = page.items[-1].key
 
     async def watch(
         self, prefix: str, revision: int, wait_s: float
@@ -159,13 +166,14 @@
         status, _ = await self._call('POST', '/-/kv-txn', body=body)
         _check(status)
 
-    async def _page(self, prefix: str, after: str) -> Any:
+    async def _page(self, prefix: str, after: str) -> _Page:
         query = {'pathPrefix': prefix}
         if after:
             query['after'] = after
         status, wire = await self._call('GET', '/-/kv-range', query)
         _check(status)
-        return wire
+        page: _Page = _decoded(_page_of, wire)
+        return page
 
     async def _call(
         self,
@@ -233,6 +241,11 @@
     return [_item(each) for each in wire['items']]
 
 
+def _page_of(wire: Any) -> _Page:
+    items = tuple(_item(each) for each in wire['items'])
+    return _Page(items, int(wire['at']), bool(wire['hasMore']))
+
+
 def _revision(wire: Any) -> int:
     return int(wire['revision'])
 
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,203 @@
+"""Calls to the platform's store and to engines, with all that may come back."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+from gateway_parts import HOST, ScriptedServer, answer
+
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.errors import (
+    DocumentUnreadable,
+    HistoryGone,
+    ServerError,
+    StoreUnavailable,
+)
+from wasabicross.gateway.orders import Order, OrderAnswer, OrderKind
+from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.settings import Address
+from wasabicross.platform.engines import EngineCalls
+from wasabicross.platform.fleet_store import PlatformStore
+from wasabicross.platform.headers import REQUEST_ID
+from wasabicross.platform.store import StoreCalls
+
+ORDER = Order(OrderKind.load, AdapterKey('m0', 'a1'), 4, 'front-1', 41)
+
+
+def told(document, status=b'200 OK'):
+    return [answer(json.dumps(document).encode(), status)]
+
+
+def item(key, document, revision=5):
+    value = base64.b64encode(json.dumps(document).encode()).decode()
+    return {'key': key, 'value': value, 'revision': revision}
+
+
+VERSION = {'model': 'm0', 'adapter': 'a1', 'version': 4}
+
+
+def call_store(call, *scripts):
+    async def scenario():
+        server = ScriptedServer(*scripts)
+        port = await server.start()
+        calls = StoreCalls(Address(HOST, port), ConnectionPool(REQUEST_ID))
+        return await call(PlatformStore(calls)), server.seen
+
+    return asyncio.run(scenario())
+
+
+def call_engine(call, *scripts):
+    async def scenario():
+        server = ScriptedServer(*scripts)
+        port = await server.start()
+        listed = BackendServer(
+            'i-1', 'llm', HOST, port, 'dc', 4, False, {}, frozenset(), 0
+        )
+        calls = EngineCalls(ConnectionPool(REQUEST_ID))
+        return await call(calls, listed), server.seen
+
+    return asyncio.run(scenario())
+
+
+def test_all_pages_are_read_and_the_first_tells_where_to_watch_from():
+    first = {
+        'items': [item('op/version/m0.a1', VERSION), item('other', 1)],
+        'hasMore': True,
+        'at': 90,
+    }
+    last = {'items': [item('servers/i-1', {})], 'hasMore': False, 'at': 95}
+    snapshot, seen = call_store(
+        lambda store: store.read(), told(first), told(last)
+    )
+    assert snapshot.revision == 90
+    assert [change.version for change in snapshot.changes] == [4]
+    assert [entry.key for entry in snapshot.unreadable] == ['servers/i-1']
+    assert b'after=other' in seen[1].head
+
+
+def test_watch_tells_changes_and_removals():
+    events = [
+        item('op/version/m0.a1', VERSION, 91),
+        {'key': 'servers/i-2', 'revision': 92, 'deleted': True},
+    ]
+    snapshot, (seen,) = call_store(
+        lambda store: store.watch(90, 2.0), told({'events': events, 'at': 92})
+    )
+    assert snapshot.revision == 92
+    assert [type(each).__name__ for each in snapshot.changes] == [
+        'VersionNamed',
+        'ServerRemoved',
+    ]
+    assert b'after=90' in seen.head
+    assert b'waitMs=2000' in seen.head
+
+
+def test_forgotten_history_is_told_apart():
+    with pytest.raises(HistoryGone):
+        call_store(lambda store: store.watch(1, 1.0), told({}, b'410 Gone'))
+
+
+@pytest.mark.parametrize(
+    ('script', 'revision'),
+    [
+        (told({'revision': 12}), 12),
+        (told({'items': []}, b'412 Precondition Failed'), None),
+    ],
+)
+def test_conditional_write(script, revision):
+    written, (seen,) = call_store(
+        lambda store: store.write_owner('dc.0', 'front-1', '10.0.0.1', 7),
+        script,
+    )
+    assert written == revision
+    body = json.loads(seen.body)
+    assert body['expected'] == [
+        {'key': 'wasabicross/owner/dc.0', 'revision': 7}
+    ]
+    assert 'lease' not in body['puts'][0]
+
+
+@pytest.mark.parametrize(
+    'script',
+    [
+        ['reset'],
+        ['close'],
+        [3.0],
+        [b'HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{', 'close'],
+        told({}, b'503 Service Unavailable'),
+        told({}, b'429 Too Many Requests'),
+        [answer(b'no json')],
+        told({'items': 7, 'hasMore': False, 'at': 1}),
+        told([]),
+    ],
+)
+def test_store_without_a_usable_answer(script):
+    with pytest.raises(StoreUnavailable):
+        call_store(lambda store: store.read(), script)
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (b'202 Accepted', OrderAnswer.accepted),
+        (b'200 OK', OrderAnswer.already),
+        (b'409 Conflict', OrderAnswer.conflict),
+        (b'412 Precondition Failed', OrderAnswer.refused),
+        (b'400 Bad Request', OrderAnswer.refused),
+    ],
+)
+def test_order(status, expected):
+    got, (seen,) = call_engine(
+        lambda calls, server: calls.order(server, ORDER), told({}, status)
+    )
+    assert got is expected
+    assert seen.fields['expect-instance'] == 'i-1'
+    assert json.loads(seen.body) == {
+        'op': 'load',
+        'model': 'm0',
+        'adapter': 'a1',
+        'expected': 4,
+        'holder': 'front-1',
+        'fence': 41,
+    }
+
+
+def test_order_of_a_base_model_names_no_adapter():
+    order = ORDER._replace(key=AdapterKey('m0', ''))
+    _, (seen,) = call_engine(
+        lambda calls, server: calls.order(server, order), told({})
+    )
+    assert 'adapter' not in json.loads(seen.body)
+
+
+@pytest.mark.parametrize(
+    'script',
+    [['reset'], [2.0], told({}, b'421 Misdirected Request')],
+)
+def test_order_without_an_answer(script):
+    with pytest.raises(ServerError):
+        call_engine(lambda calls, server: calls.order(server, ORDER), script)
+
+
+def test_report_that_cannot_be_read():
+    with pytest.raises(DocumentUnreadable):
+        call_engine(
+            lambda calls, server: calls.report(server), told({'seq': 'x'})
+        )
+
+
+@pytest.mark.parametrize(
+    ('script', 'healthy'),
+    [
+        (told({}), True),
+        (told({}, b'503 Service Unavailable'), False),
+        (told({}, b'421 Misdirected Request'), False),
+        (['reset'], False),
+    ],
+)
+def test_health(script, healthy):
+    got, _ = call_engine(
+        lambda calls, server: calls.is_healthy(server, '/health'), script
+    )
+    assert got is healthy
