Have one time limit that ends in a layer's own error

Cause: callers and exchanges each turned a timeout into an error of their own by the same code, and the right to order stood with the loader. Change: TimeLimit; Tenure stands with ownership.

--- a/src/wasabicross/gateway/callers.py
+++ b/src/wasabicross/gateway/callers.py
@@ -12,6 +12,7 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.errors import CallerGone
 from wasabicross.gateway.http_heads import CallerRequest, Fields
+from wasabicross.gateway.time_limits import TimeLimit
 
 _READ_BYTES = 65536
 
@@ -242,7 +243,7 @@
                 return None
             event = self._codec.next_event()
         self.is_idle = False
-        async with _refusing(408, limits.header_timeout_s):
+        async with TimeLimit(limits.header_timeout_s, _Refused(408)):
             event = await self._until(event)
         if not isinstance(event, h11.Request):
             return None
@@ -256,7 +257,7 @@
                 )
                 or b''
             )
-        async with _refusing(408, limits.idle_timeout_s):
+        async with TimeLimit(limits.idle_timeout_s, _Refused(408)):
             body = await self._body(limits.body_bytes)
         return CallerRequest(
             event.method, event.target, list(event.headers), body, arrived_s
@@ -322,20 +323,3 @@
     def __init__(self, status: int) -> None:
         super().__init__(status)
         self.status = status
-
-
-class _refusing:  # noqa: N801
-    """Turns a timeout of the block into a refusal."""
-
-    def __init__(self, status: int, timeout_s: float) -> None:
-        self._status = status
-        self._timeout = asyncio.timeout(timeout_s)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, kind: object, exc: object, tb: object) -> None:
-        try:
-            await self._timeout.__aexit__(kind, exc, tb)  # type: ignore
-        except TimeoutError as late:
-            raise _Refused(self._status) from late
--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 from typing import NamedTuple
 
@@ -23,6 +22,7 @@
     ConnectionPool,
     ServerConnection,
 )
+from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.gateway.view import FleetView
 
 _OK_STATUSES = range(200, 300)
@@ -224,25 +224,10 @@
         runs = self._progress.runs
         return self._route.is_idempotent and runs < self._route.max_servers
 
-    def _silence(self, limit_s: float) -> _Silence:
+    def _silence(self, limit_s: float) -> TimeLimit:
         """Bound the wait for a server where another one may go on."""
-        return _Silence(limit_s if self._may_go_elsewhere else None)
-
-
-class _Silence:
-    """Turns a server's silence of some length into a missing answer."""
-
-    def __init__(self, limit_s: float | None) -> None:
-        self._timeout = asyncio.timeout(limit_s)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, kind: object, exc: object, tb: object) -> None:
-        try:
-            await self._timeout.__aexit__(kind, exc, tb)  # type: ignore
-        except TimeoutError as late:
-            raise AnswerMissing('silence') from late
+        bound_s = limit_s if self._may_go_elsewhere else None
+        return TimeLimit(bound_s, AnswerMissing('silence'))
 
 
 async def _drop_body(conn: ServerConnection) -> None:
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import NamedTuple
 
 from wasabicross.events import Event
 from wasabicross.gateway import metrics
@@ -23,6 +22,7 @@
     OrderAnswer,
     OrderKind,
 )
+from wasabicross.gateway.ownership import Tenure
 from wasabicross.gateway.placement import scarcest_model
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
@@ -58,19 +58,6 @@
 _SILENT_REPORTS = 2
 
 
-class Tenure(NamedTuple):
-    """The right to order.
-
-    :param holder: name of this machine.
-    :param term: number that rises with each change of the holder.
-    :param until_s: when the right ends unless it is renewed.
-    """
-
-    holder: str
-    term: int
-    until_s: float
-
-
 class ServerLoader:
     """Orders the loads of one engine while this gateway owns it.
 
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -8,10 +8,10 @@
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
-from wasabicross.gateway.loader import ServerLoader, Tenure
+from wasabicross.gateway.loader import ServerLoader
 from wasabicross.gateway.messages import AdapterUse, ServerState
 from wasabicross.gateway.orders import EngineSeam, LoadRequest
-from wasabicross.gateway.ownership import group_of
+from wasabicross.gateway.ownership import Tenure, group_of
 from wasabicross.gateway.tenures import Tenures
 from wasabicross.gateway.view import FleetView
 
--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -64,6 +64,19 @@
     is_released: bool = False
 
 
+class Tenure(NamedTuple):
+    """The right to order.
+
+    :param holder: name of this machine.
+    :param term: number that rises with each change of the holder.
+    :param until_s: when the right ends unless it is renewed.
+    """
+
+    holder: str
+    term: int
+    until_s: float
+
+
 def group_of(server_id: str, data_centre: str) -> Group:
     """Return the group of a server.
 
--- a/src/wasabicross/gateway/tenures.py
+++ b/src/wasabicross/gateway/tenures.py
@@ -9,10 +9,10 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import StoreUnavailable
-from wasabicross.gateway.loader import Tenure
 from wasabicross.gateway.ownership import (
     RENEW_S,
     Group,
+    Tenure,
     all_groups,
     claim_due_s,
     claim_wait_s,
