--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -140,6 +140,16 @@
     assert sum(len(server.seen) for server in servers) == 2
 
 
+def test_request_that_may_have_run_is_not_said_to_be_unrun():
+    async def scenario():
+        turns = [['reset'], [NOT_RUN]]
+        servers = [_InTurn(turns), _InTurn(turns)]
+        async with running_gateway(servers) as bench:
+            return await ask(bench.port, request('/safe/x'))
+
+    assert status_of(asyncio.run(scenario())) == 502
+
+
 def test_nobody_listens():
     async def scenario():
         server = ScriptedServer([OK])
--- /dev/null
+++ b/tests/test_gateway_loader.py
@@ -0,0 +1,186 @@
+"""Loads on one engine: what is ordered, repeated, refused and given up."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from wasabicross.gateway.backend import (
+    AdapterKey,
+    BackendServer,
+    EngineReport,
+)
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import EngineSpec, ModelSpec
+from wasabicross.gateway.errors import AnswerMissing
+from wasabicross.gateway.loader import ServerLoader
+from wasabicross.gateway.orders import LoadRequest, OrderAnswer, OrderKind
+from wasabicross.gateway.ownership import Tenure
+from wasabicross.gateway.view import FleetView
+
+A = AdapterKey('m0', 'a1')
+SERVER = BackendServer(
+    's1', 'llm', '127.0.0.1', 1, 'dc', 4, False, {}, frozenset(), 0
+)
+
+
+class FakeEngine:
+    """An engine whose loads end when it is told, by the guards of orders."""
+
+    def __init__(self, held=(), models=('m0',)):
+        self.held = dict.fromkeys(held, 1)
+        self.models = set(models)
+        self.pending = set()
+        self.order_count = 0
+        self.orders = []
+        self.lost_answers = 0
+        self.ends_at_once = True
+
+    async def report(self, server):
+        """Return what it holds."""
+        return EngineReport(
+            self.order_count,
+            False,
+            0,
+            0,
+            dict(self.held),
+            frozenset(self.pending),
+            frozenset(self.models),
+            0,
+        )
+
+    async def order(self, server, order):
+        """Carry an order out, perhaps without an answer."""
+        self.orders.append(order)
+        answer = self._carry_out(order)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise AnswerMissing('lost')
+        return answer
+
+    def _carry_out(self, order):
+        key = order.key
+        if not key.adapter:
+            self.models.add(key.model)
+            self.order_count += 1
+            return OrderAnswer.accepted
+        if order.kind is OrderKind.load and key in self.held:
+            return OrderAnswer.already
+        if order.kind is OrderKind.load and key in self.pending:
+            return OrderAnswer.accepted
+        if order.expected_orders != self.order_count:
+            return OrderAnswer.conflict
+        self.order_count += 1
+        if order.kind is OrderKind.unload:
+            self.held.pop(key)
+            return OrderAnswer.already
+        assert len(self.held) + len(self.pending) < 2
+        if self.ends_at_once:
+            self.held[key] = 1
+        else:
+            self.pending.add(key)
+        return OrderAnswer.accepted
+
+
+@contextlib.asynccontextmanager
+async def loading(engine, has_tenure=True):
+    tenure = Tenure('front-1', 7, now_s() + 60) if has_tenure else None
+    loader = ServerLoader(
+        SERVER,
+        EngineSpec(2, 50, (ModelSpec('m0', 40, 1),)),
+        engine,
+        FleetView(),
+        lambda: tenure,
+    )
+    task = asyncio.ensure_future(loader.run())
+    await asyncio.sleep(0.02)
+    try:
+        yield loader
+    finally:
+        task.cancel()
+        await asyncio.wait((task,))
+
+
+def wanted(key=A, version=1, priority=1, patience_s=2.0):
+    return LoadRequest('s1', key, version, priority, patience_s)
+
+
+def play(engine, *requests, **fields):
+    async def scenario():
+        async with loading(engine, **fields) as loader:
+            return await asyncio.gather(
+                *(loader.load(request) for request in requests)
+            )
+
+    return asyncio.run(scenario())
+
+
+def test_requests_that_wait_for_one_adapter_share_its_load():
+    engine = FakeEngine()
+    assert play(engine, wanted(), wanted(), wanted()) == [1, 1, 1]
+    first, *repeats = engine.orders
+    assert first.key == A
+    assert (first.holder, first.term) == ('front-1', 7)
+    assert engine.order_count == 1
+
+
+def test_adapter_that_is_held_needs_no_order():
+    engine = FakeEngine(held=(A,))
+    assert play(engine, wanted()) == [1]
+    assert not engine.orders
+
+
+def test_slots_are_never_passed():
+    engine = FakeEngine()
+    keys = [AdapterKey('m0', f'b{number}') for number in range(5)]
+    versions = play(engine, *(wanted(key) for key in keys))
+    assert versions.count(1) >= 2
+    assert len(engine.held) <= 2
+
+
+def test_order_whose_answer_was_lost_is_sent_again():
+    engine = FakeEngine()
+    engine.lost_answers = 1
+    assert play(engine, wanted()) == [1]
+    assert engine.order_count == 1
+
+
+def test_load_that_does_not_end_is_given_up_with_its_requests():
+    engine = FakeEngine()
+    engine.ends_at_once = False
+    assert play(engine, wanted(patience_s=0.6)) == [0]
+
+
+@pytest.mark.parametrize(
+    ('engine', 'fields', 'patience_s'),
+    [
+        (FakeEngine(), {'has_tenure': False}, 2.0),
+        (FakeEngine(), {}, 0.1),
+    ],
+)
+def test_load_that_cannot_end_in_time_is_refused_at_once(
+    engine, fields, patience_s
+):
+    assert play(engine, wanted(patience_s=patience_s), **fields) == [0]
+    assert not engine.orders
+
+
+def test_empty_engine_gets_a_base_model():
+    engine = FakeEngine(models=())
+
+    async def scenario():
+        async with loading(engine):
+            async with asyncio.timeout(3):
+                while not engine.models:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+    assert [order.key for order in engine.orders] == [AdapterKey('m0', '')]
+
+
+def test_the_most_urgent_is_ordered_first():
+    engine = FakeEngine()
+    keys = [AdapterKey('m0', name) for name in ('b1', 'b2')]
+    play(engine, wanted(keys[0], priority=2), wanted(keys[1], priority=0))
+    loads = [order.key for order in engine.orders]
+    assert loads[0] == keys[1]
--- /dev/null
+++ b/tests/test_gateway_repeats.py
@@ -0,0 +1,33 @@
+"""The repeats of all gateways together stay under the shared bound."""
+
+import pytest
+
+from wasabicross.gateway.changes import InstanceListed
+from wasabicross.gateway.repeats import RepeatBudgets
+from wasabicross.gateway.view import FleetView
+
+
+@pytest.mark.parametrize('gateways', [1, 7, 91])
+@pytest.mark.parametrize('requests', [0, 70, 7000])
+def test_all_shares_together_are_within_the_bound(gateways, requests):
+    view = FleetView()
+    for number in range(gateways):
+        listed = InstanceListed(f'front-{number}', '10.0.0.1', 'dc')
+        view.instances[listed.instance] = listed
+    slack = max(54, 2 * gateways)
+    sent = 0
+    for _ in range(gateways):
+        budget = RepeatBudgets(0.2, slack, view).of('llm')
+        for _ in range(requests // gateways):
+            budget.add_request()
+            sent += budget.spend()
+        while budget.spend():
+            sent += 1
+    assert sent <= 0.2 * requests + slack
+
+
+def test_services_have_budgets_of_their_own():
+    budgets = RepeatBudgets(0.2, 54, FleetView())
+    while budgets.of('llm').spend():
+        continue
+    assert budgets.of('desk').spend()
