Ask again for a claim whose owner is only starting

Cause: KNOWN-RED's test_first_keyed_calls_are_answered failed once with 4 fast 503 of 24 calls. A claim whose range has an owner without a link was refused at once. After a start that is so until the links stand, and for an instance that has written its own name and still reads the range's log. Change: such a claim is told that the range isn't owned, so its entry asks again within its wait; later a lost link still refuses at once. The three tests of it: two fail without the change, the third guards the refusal.

--- a/src/wasabicross/claim_desk.py
+++ b/src/wasabicross/claim_desk.py
@@ -15,7 +15,7 @@
     answer_to_claim,
     answer_to_outcome,
 )
-from wasabicross.claim_ranges import ClaimRanges
+from wasabicross.claim_ranges import ClaimRanges, RangeOwner
 from wasabicross.claims import (
     ClaimRequest,
     ClaimState,
@@ -35,6 +35,8 @@
 STEPS_PER_S = 20.0
 WORKERS = 4
 DIGEST_BYTES = 16
+#: From a start until the links to the other instances should stand.
+LINKS_DUE_S = 5.0
 
 _STATES = {
     'not_run': ClaimState.RELEASED,
@@ -64,6 +66,7 @@
         # Reading a range's owner may wait for the key-value service, which
         # must not hold up the other messages of a link.
         self._workers = ThreadPoolExecutor(WORKERS, 'claims')
+        self._links_due_s = time.monotonic() + LINKS_DUE_S
 
     def run(self, stop: threading.Event) -> None:
         """Take ranges that nobody owns until the process stops.
@@ -173,7 +176,7 @@
         onward = self._link_to(owner.instance_id) if owner else None
         # A message that was forwarded here is not forwarded again.
         if onward is None or link.peer.kind != 'entry':
-            refusal = self._refusal(number, message, link, now_s)
+            refusal = self._refusal(number, owner, message, link, now_s)
             self._ranges.forget_owner(number)
             _reply(link, call_id, refusal)
             return
@@ -187,6 +190,7 @@
     def _refusal(
         self,
         number: int,
+        owner: RangeOwner | None,
         message: ClaimKey | SettleKey,
         link: Link,
         now_s: float,
@@ -197,8 +201,18 @@
         is_forwarded = link.peer.kind != 'entry'
         if is_forwarded or self._ranges.is_unowned(number, now_s):
             return NOT_OWNED
+        if owner is not None and self._answers_soon(owner, now_s):
+            return NOT_OWNED
         return UNAVAILABLE
 
+    def _answers_soon(self, owner: RangeOwner, now_s: float) -> bool:
+        """Tell whether an owner without a link is worth waiting for.
+
+        This instance may be reading the log of a range that it has just
+        taken, and after a start its links are still being opened.
+        """
+        return now_s < self._links_due_s or self._ranges.is_me(owner)
+
     def _pass_on(
         self,
         number: int,
--- a/src/wasabicross/claim_ranges.py
+++ b/src/wasabicross/claim_ranges.py
@@ -128,6 +128,10 @@
             known = self._read(number, now_s) or known
         return None if known is None else _owner_in(known.present)
 
+    def is_me(self, owner: RangeOwner) -> bool:
+        """Tell whether an owner is this instance."""
+        return owner == self._me
+
     def is_unowned(self, number: int, now_s: float) -> bool:
         """Tell whether the service answered lately that a range is free.
 
--- a/tests/test_claim_desk.py
+++ b/tests/test_claim_desk.py
@@ -9,7 +9,8 @@
 from expression import Error, Ok
 from memory_store import MemoryStore
 
-from wasabicross.claim_desk import ClaimDesk
+from wasabicross import claim_desk
+from wasabicross.claim_desk import LINKS_DUE_S, ClaimDesk
 from wasabicross.claim_ranges import ClaimRanges, RangeOwner
 from wasabicross.exceptions import LinkRefused
 from wasabicross.key_claims import KeyClaims
@@ -53,6 +54,7 @@
     def __init__(self):
         self.store = MemoryStore()
         self.desks = {}
+        self.linked_from_s = 0
         self.ranges = {name: self._add(name) for name in ('a', 'b')}
         self.ranges['a'].step(1, time.monotonic())
         assert self.ranges['a'].owned() == [0]
@@ -66,11 +68,16 @@
             RUNNING_S,
             lambda: name,
         )
-        self.desks[name] = ClaimDesk(ranges, self._link_to, lambda: 2)
+        self.desks[name] = ClaimDesk(
+            ranges, lambda other: self._link(name, other), lambda: 2
+        )
         return ranges
 
-    def _link_to(self, name):
-        return DirectLink(self.desks[name], 'controller')
+    def _link(self, name, other):
+        """Return the link of an instance to another; it has none to itself."""
+        if name == other or time.monotonic() < self.linked_from_s:
+            return None
+        return DirectLink(self.desks[other], 'controller')
 
     def lapse_lease(self):
         """The owner's key goes, which the owner does not see."""
@@ -134,3 +141,36 @@
         True,
     )
     assert instances.claim('b', 'second', key='same') is None
+
+
+@pytest.mark.parametrize('name', ['a', 'b'])
+def test_claim_waits_while_its_range_is_being_taken(instances, name):
+    """The owner's key is written and its log is not read yet."""
+    replies = []
+    claim = threading.Thread(
+        target=lambda: replies.append(instances.claim(name, 'early'))
+    )
+
+    def claim_meanwhile():
+        claim.start()
+        claim.join(0.1)
+
+    instances.lapse_lease()
+    instances.store.faults['claims/0/0'].append(claim_meanwhile)
+    instances.take()
+    claim.join(5)
+    assert replies == [None]
+
+
+def test_claim_waits_for_links_after_a_start(instances):
+    instances.linked_from_s = time.monotonic() + 0.3
+    assert instances.claim('b', 'early') is None
+
+
+def test_claim_is_refused_at_once_where_a_link_is_lost(instances, monkeypatch):
+    later_s = time.monotonic() + LINKS_DUE_S
+    monkeypatch.setattr(claim_desk.time, 'monotonic', lambda: later_s)
+    instances.linked_from_s = later_s + 1
+    link = DirectLink(instances.desks['b'], 'entry')
+    answer = link.call(ClaimKey('t', 'key', '00', 'holder'), 5)
+    assert answer.ok.state == 'unavailable'
