Let owners pass on what they watch in the store

Change: owners tell the gateways of their data centre what they watch (StoreNews) and how they stand with the store (StoreWord); who is led asks nothing, a gap or a silent relay makes it ask itself. Ruled out: full copies on a new link (a herd of restarts would send 60 KB to each gateway over links of 5 Mbit/s); who starts reads the store itself.

--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from wasabicross.events import Event
 from wasabicross.gateway import metrics
 from wasabicross.gateway.changes import ServerListed
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
+from wasabicross.gateway.messages import StoreNews, StoreWord
 from wasabicross.gateway.store import FleetStore, Snapshot, UnreadableEntry
+from wasabicross.gateway.store_news import RelayWords, StoreRelay
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
 
@@ -22,8 +25,12 @@
 _PAUSE_FOR_EACH_S = 0.01
 _MAX_PAUSE_S = 1.4
 
+#: Least pause after a call without an answer.
 _RETRY_S = 0.4
 
+#: Pause between looks while relays tell what changes.
+_LED_PAUSE_S = 0.25
+
 
 def pause_between_watches_s(instances: int) -> float:
     """Return how long a gateway rests between two watches.
@@ -33,16 +40,36 @@
     return min(_MAX_PAUSE_S, _PAUSE_S + _PAUSE_FOR_EACH_S * instances)
 
 
+def pause_after_loss_s(instances: int) -> float:
+    """Return how long a gateway rests after a call without an answer.
+
+    :param instances: gateways that ask.
+    """
+    return max(_RETRY_S, _PAUSE_FOR_EACH_S * instances)
+
+
 class StoreFollower:
     """Reads the store once and then follows its changes.
 
     :param store: the platform's store.
     :param view: what is kept in step.
+    :param relay: passes on what this gateway watches.
+    :param is_relay: tells whether other gateways may rely on this one, so
+        that it has to ask the store itself.
     """
 
-    def __init__(self, store: FleetStore, view: FleetView) -> None:
+    def __init__(
+        self,
+        store: FleetStore,
+        view: FleetView,
+        relay: StoreRelay,
+        is_relay: Callable[[], bool],
+    ) -> None:
         self._store = store
         self._view = view
+        self._relay = relay
+        self._is_relay = is_relay
+        self._words = RelayWords()
         self._revision: int | None = None
         self._is_lost = False
         self._unreadable: dict[str, int] = {}
@@ -51,33 +78,87 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            operation = 'read' if self._revision is None else 'watch'
-            outcome = 'done'
-            pause_s = pause_between_watches_s(len(self._view.instances))
-            try:
-                await self._step()
-            except HistoryGone:
-                self._revision = None
-                outcome = 'history gone'
-                pause_s = 0
-            except StoreUnavailable as exc:
-                self._note_lost(str(exc))
-                outcome = 'unavailable'
-                pause_s = _RETRY_S
-            metrics.STORE_CALLS.labels(operation, outcome).inc()
-            await asyncio.sleep(pause_s)
+            if self._is_led():
+                self._note_back()
+                self._view.drop_lapsed(now_s())
+                await asyncio.sleep(_LED_PAUSE_S)
+                continue
+            await asyncio.sleep(await self._ask())
+
+    def on_word(self, relay: str, word: StoreWord) -> None:
+        """Take in how a relay stands with the store.
+
+        :param relay: IP number of the relay.
+        :param word: what it says.
+        """
+        self._words.on_word(relay, word, now_s())
+
+    def on_news(self, news: StoreNews) -> None:
+        """Take in changes that a relay has watched.
+
+        What doesn't follow on what is known is left out; the relay's word
+        then shows that something is missing.
+
+        :param news: the changes.
+        """
+        known = self._revision
+        if known is None or news.since > known or news.revision <= known:
+            return
+        items = tuple(item for item in news.items if item.revision > known)
+        self._revision = news.revision
+        self._take(self._store.decode(items, news.revision))
+
+    def _is_led(self) -> bool:
+        if self._revision is None or self._is_relay():
+            return False
+        return self._words.is_led(self._revision, now_s())
+
+    async def _ask(self) -> float:
+        """Ask the store; return the pause until the next call."""
+        operation = 'read' if self._revision is None else 'watch'
+        outcome = 'done'
+        pause_s = pause_between_watches_s(self._watchers())
+        try:
+            await self._step()
+        except HistoryGone:
+            self._revision = None
+            outcome = 'history gone'
+            pause_s = 0
+        except StoreUnavailable as exc:
+            self._note_lost(str(exc))
+            outcome = 'unavailable'
+            pause_s = pause_after_loss_s(self._watchers())
+        metrics.STORE_CALLS.labels(operation, outcome).inc()
+        return pause_s
+
+    def _watchers(self) -> int:
+        """Return how many gateways ask the store, as far as is known."""
+        if self._is_relay():
+            return len({record.host for record in self._view.owners.values()})
+        return len(self._view.instances)
 
     async def _step(self) -> None:
         if self._revision is None:
             await self._read()
             return
-        seen = await self._store.watch(self._revision, _WATCH_S)
-        self._take(seen)
+        since = self._revision
+        seen = await self._store.watch(since, _WATCH_S)
+        self._relay.on_seen(since, seen)
+        self._take(self._without_known(seen, since))
         self._view.drop_lapsed(now_s())
-        self._revision = max(self._revision, seen.revision)
+        self._revision = max(self._revision or since, seen.revision)
+
+    def _without_known(self, seen: Snapshot, since: int) -> Snapshot:
+        """Leave out what relays told while the store was asked."""
+        known = self._revision or since
+        if known == since:
+            return seen
+        items = tuple(item for item in seen.items if item.revision > known)
+        return self._store.decode(items, seen.revision)
 
     async def _read(self) -> None:
         seen = await self._store.read()
+        self._relay.on_seen(seen.revision, seen._replace(items=()))
         self._take(seen)
         listed = frozenset(
             change.server.server_id
@@ -111,6 +192,7 @@
         if not self._is_lost:
             log_event(Event.STORE_LOST, reason=reason)
         self._is_lost = True
+        self._relay.on_lost()
         self._view.on_store(now_s(), is_lost=True)
 
     def _note_back(self) -> None:
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Protocol
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
@@ -19,14 +21,18 @@
     LoadEnded,
     LoadWanted,
     Message,
+    NewsWanted,
     ServerLoad,
     ServerState,
+    StoreNews,
+    StoreWord,
     UsesTold,
     decode,
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_desk import OwnerDesk
+from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
 
@@ -45,6 +51,16 @@
 _MS_IN_S = 1000
 
 
+class NewsSink(Protocol):
+    """Takes in what relays tell of the store."""
+
+    def on_word(self, relay: str, word: StoreWord) -> None:
+        """Take in how a relay stands with the store."""
+
+    def on_news(self, news: StoreNews) -> None:
+        """Take in changes that a relay has watched."""
+
+
 class OwnerLink:
     """A link to a gateway that owns engines.
 
@@ -52,12 +68,20 @@
     :param host: IP number of the owner.
     :param port: its port for other gateways.
     :param view: takes in what the owner tells.
+    :param news: takes in what the owner watches in the store.
     """
 
     def __init__(
-        self, instance: str, host: str, port: int, view: FleetView
+        self,
+        instance: str,
+        host: str,
+        port: int,
+        view: FleetView,
+        news: NewsSink,
     ) -> None:
         self._instance = instance
+        self._news = news
+        self.wants_news = False
         self._host = host
         self._port = port
         self._view = view
@@ -132,21 +156,43 @@
             await _send(conn, Hello(self._instance))
             self._conn = conn
             log_event(Event.LINK_OPEN, host=self._host)
+            has_asked = False
             while True:
+                if self.wants_news and not has_asked:
+                    await _send(conn, NewsWanted(self._instance))
+                    has_asked = True
                 async with asyncio.timeout(_SILENCE_S):
                     frame = await conn.recv()
                 for message in decode(frame):
                     self._on_message(message)
 
+    @singledispatchmethod
     def _on_message(self, message: Message) -> None:
-        if isinstance(message, ServerState):
-            self._view.on_state(message, now_s())
-        elif isinstance(message, ServerLoad):
-            self._view.on_load(message, now_s())
-        elif isinstance(message, LoadEnded):
-            fut = self._calls.get(message.call_id)
-            if fut is not None and not fut.done():
-                fut.set_result(message.version)
+        """Ignore what an owner has no business to send."""
+
+    @_on_message.register
+    def _(self, message: ServerState) -> None:
+        self._view.on_state(message, now_s())
+
+    @_on_message.register
+    def _(self, message: ServerLoad) -> None:
+        self._view.on_load(message, now_s())
+
+    @_on_message.register
+    def _(self, message: StoreNews) -> None:
+        self._news.on_news(message)
+
+    @_on_message.register
+    def _(self, message: StoreWord) -> None:
+        # Without its news a relay's word would hide what is missing.
+        if self.wants_news:
+            self._news.on_word(self._host, message)
+
+    @_on_message.register
+    def _(self, message: LoadEnded) -> None:
+        fut = self._calls.get(message.call_id)
+        if fut is not None and not fut.done():
+            fut.set_result(message.version)
 
     def _on_end(self, reason: str) -> None:
         if self._conn is not None:
@@ -160,26 +206,24 @@
 class OwnerLinks:
     """The links to all owners, and this gateway's own desk.
 
-    :param instance: name of this machine.
-    :param host: its IP number.
-    :param port: port for other gateways, the same on all machines.
+    :param cfg: where this gateway is and the port for others, which is the
+        same on all machines.
     :param view: the deployment.
     :param desk: the engines that this gateway owns itself.
     :param uses: returns the uses of adapters that changed.
+    :param news: takes in what owners of this data centre watch.
     """
 
     def __init__(
         self,
-        instance: str,
-        host: str,
-        port: int,
+        cfg: GatewaySettings,
         view: FleetView,
         desk: OwnerDesk,
         uses: Callable[[], dict[str, tuple[AdapterUse, ...]]],
+        news: NewsSink,
     ) -> None:
-        self._instance = instance
-        self._host = host
-        self._port = port
+        self._news = news
+        self._cfg = cfg
         self._view = view
         self._desk = desk
         self._uses = uses
@@ -198,9 +242,9 @@
         """Tell the owners which adapters are in use, until cancelled."""
         while True:
             for host, uses in self._uses().items():
-                if host == self._host:
+                if host == self._cfg.host:
                     for use in uses:
-                        self._desk.on_use(self._instance, use)
+                        self._desk.on_use(self._cfg.instance, use)
                     continue
                 link = self._links.get(host)
                 if link is not None:
@@ -213,21 +257,38 @@
         :param host: IP number of the engine's owner.
         :param wanted: which one, on which engine.
         """
-        if host == self._host:
+        if host == self._cfg.host:
             return await self._desk.load(wanted)
         link = self._links.get(host)
         return await link.load(wanted) if link else 0
 
     def _follow(self) -> None:
         hosts = {record.host for record in self._view.owners.values()}
-        hosts.discard(self._host)
+        hosts.discard(self._cfg.host)
         for host in self._links.keys() - hosts:
             self._tasks.pop(host).cancel()
             self._links.pop(host)
         for host in hosts - self._links.keys():
-            link = OwnerLink(self._instance, host, self._port, self._view)
+            link = OwnerLink(
+                self._cfg.instance,
+                host,
+                self._cfg.peer_port,
+                self._view,
+                self._news,
+            )
             self._links[host] = link
             self._tasks[host] = asyncio.ensure_future(link.run())
+        self._choose_relays()
+
+    def _choose_relays(self) -> None:
+        """Ask the owners of this data centre's groups for their news."""
+        relays = {
+            record.host
+            for record in self._view.owners.values()
+            if record.data_centre == self._cfg.data_centre
+        }
+        for host, link in self._links.items():
+            link.wants_news = host in relays
 
 
 async def _send(conn: ClientConnection, message: Message) -> None:
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from wasabicross.exceptions import MessageMalformed
+from wasabicross.gateway.store import StoredItem
 
 #: Largest frame that is read.
 MAX_FRAME_BYTES = 1048576
@@ -108,8 +109,48 @@
     uses: tuple[AdapterUse, ...]
 
 
+class NewsWanted(NamedTuple):
+    """Asks an owner to pass on what it watches in the store.
+
+    :param instance: machine that asks.
+    """
+
+    instance: str
+
+
+class StoreNews(NamedTuple):
+    """Changes that an owner has watched.
+
+    :param since: revision that they follow.
+    :param revision: revision up to which these are all.
+    """
+
+    since: int
+    revision: int
+    items: tuple[StoredItem, ...]
+
+
+class StoreWord(NamedTuple):
+    """How an owner stands with the store, told as a sign of life.
+
+    :param revision: revision up to which it knows all changes, 0 for none.
+    :param is_lost: whether its last call had no answer.
+    """
+
+    revision: int
+    is_lost: bool
+
+
 Message: TypeAlias = (
-    Hello | ServerState | LoadWanted | LoadEnded | UsesTold | ServerLoad
+    Hello
+    | ServerState
+    | LoadWanted
+    | LoadEnded
+    | UsesTold
+    | ServerLoad
+    | NewsWanted
+    | StoreNews
+    | StoreWord
 )
 
 #: Position is the code on the wire: append only.
@@ -120,6 +161,9 @@
     LoadEnded,
     UsesTold,
     ServerLoad,
+    NewsWanted,
+    StoreNews,
+    StoreWord,
 )
 
 _FAULTS = (cbor2.CBORError, TypeError, ValueError, LookupError)
@@ -130,6 +174,7 @@
 _PARTS: dict[type, tuple[str, Any]] = {
     ServerState: ('held', HeldAdapter),
     UsesTold: ('uses', AdapterUse),
+    StoreNews: ('items', StoredItem),
 }
 
 
@@ -176,11 +221,29 @@
     return checked
 
 
+def _simple_fields(kind: Any) -> tuple[tuple[int, type], ...]:
+    """Return position and type of the fields that are simple."""
+    types = {'str': str, 'int': int, 'bool': bool}
+    names = [
+        getattr(annotation, '__forward_arg__', '')
+        for annotation in kind.__annotations__.values()
+    ]
+    return tuple(
+        (position, types[name])
+        for position, name in enumerate(names)
+        if name in types
+    )
+
+
+_SIMPLE_FIELDS = {
+    kind: _simple_fields(kind)
+    for kind in (*_KINDS, *(part for _, part in _PARTS.values()))
+}
+
+
 def _checked(message: Any) -> Any:
     """Return the message if the simple fields have their types."""
-    kinds = {'str': str, 'int': int, 'bool': bool}
-    for name, annotation in type(message).__annotations__.items():
-        kind = kinds.get(str(getattr(annotation, '__forward_arg__', '')))
-        if kind and not isinstance(getattr(message, name), kind):
-            raise TypeError(f'{type(message).__name__}.{name}')
+    for position, kind in _SIMPLE_FIELDS[type(message)]:
+        if not isinstance(message[position], kind):
+            raise TypeError(f'{type(message).__name__}: field {position}')
     return message
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -17,6 +17,7 @@
     LoadEnded,
     LoadWanted,
     Message,
+    NewsWanted,
     ServerLoad,
     ServerState,
     UsesTold,
@@ -25,10 +26,14 @@
 )
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_desk import OwnerDesk
+from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.logs import log_event
 
-#: Pause between looks at what changed on the owner's engines.
+#: Pause between looks at what changed on the owner's engines; longer where
+#: more gateways are told, since each of them spends time on each frame.
 _TELL_S = 0.06
+_TELL_FOR_EACH_S = 0.002
+_MAX_TELL_S = 0.3
 
 #: How often loads of engines are told, as a sign of life.
 _SIGN_OF_LIFE_S = 0.5
@@ -36,6 +41,14 @@
 _MS_IN_S = 1000
 
 
+def pause_between_frames_s(links: int) -> float:
+    """Return how long an owner rests between frames of news.
+
+    :param links: gateways that are told.
+    """
+    return min(_MAX_TELL_S, _TELL_S + _TELL_FOR_EACH_S * links)
+
+
 class OwnerServer:
     """Serves other gateways with the engines that this one owns.
 
@@ -43,11 +56,15 @@
 
     :param instance: name of this machine.
     :param desk: loads on those engines.
+    :param relay: passes news of the store on.
     """
 
-    def __init__(self, instance: str, desk: OwnerDesk) -> None:
+    def __init__(
+        self, instance: str, desk: OwnerDesk, relay: StoreRelay
+    ) -> None:
         self._instance = instance
         self._desk = desk
+        self._relay = relay
         self._links: set[ServerConnection] = set()
 
     async def run(self, host: str, port: int) -> None:
@@ -85,9 +102,15 @@
                 for message in decode(frame):
                     self._on_message(conn, instance, message, loads)
         finally:
-            self._links.discard(conn)
-            for task in loads:
-                task.cancel()
+            self._forget(conn, loads)
+
+    def _forget(
+        self, conn: ServerConnection, loads: set[asyncio.Task[None]]
+    ) -> None:
+        self._links.discard(conn)
+        self._relay.discard(conn)
+        for task in loads:
+            task.cancel()
 
     def _on_message(
         self,
@@ -100,6 +123,8 @@
             task = asyncio.ensure_future(self._load(conn, message))
             loads.add(task)
             task.add_done_callback(loads.discard)
+        elif isinstance(message, NewsWanted):
+            self._relay.add(conn)
         elif isinstance(message, UsesTold):
             for use in message.uses:
                 self._desk.on_use(instance, use)
@@ -135,10 +160,11 @@
             if now_s() - alive_s > _SIGN_OF_LIFE_S:
                 alive_s = now_s()
                 news.append(Hello(self._instance))
+                news.append(self._relay.word)
                 news.extend(_load_of(state) for state in states)
             if news:
                 broadcast(self._links, encode(*news))
-            await asyncio.sleep(_TELL_S)
+            await asyncio.sleep(pause_between_frames_s(len(self._links)))
 
 
 def _holds_the_same(state: ServerState, told: ServerState | None) -> bool:
--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -63,6 +63,11 @@
     unchanged_since_s: float
     is_released: bool = False
 
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the group."""
+        return self.group.rpartition('.')[0]
+
 
 class Tenure(NamedTuple):
     """The right to order.
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -34,6 +34,7 @@
 from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.gateway.tenures import Tenures
 from wasabicross.gateway.uses import AdapterUses
 from wasabicross.gateway.view import FleetView
@@ -89,17 +90,22 @@
         self._active = 0
         self._takes_none = False
         self._connections: set[CallerConnection] = set()
-        self._follower = StoreFollower(seams.store, self.view)
+        self._relay = StoreRelay()
         self._tenures = Tenures(cfg, seams.store, self.view)
         self._desk = OwnerDesk(self.view, self._tenures, seams.engines)
         self._uses = AdapterUses(self.view)
+        self._follower = StoreFollower(
+            seams.store,
+            self.view,
+            self._relay,
+            lambda: self._tenures.owns_any,
+        )
         self._links = OwnerLinks(
-            cfg.instance,
-            cfg.host,
-            cfg.peer_port,
+            cfg,
             self.view,
             self._desk,
             self._uses.changed,
+            self._follower,
         )
         placing = Placing(self.view, self._uses, self._links, cfg.data_centre)
         budgets = RepeatBudgets(cfg.retry_ratio, cfg.retry_slack, self.view)
@@ -158,7 +164,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
 
     def _parts(self) -> Iterator[Coroutine[Any, Any, None]]:
-        owner_server = OwnerServer(self._cfg.instance, self._desk)
+        owner_server = OwnerServer(self._cfg.instance, self._desk, self._relay)
         prober = Prober(self.view, self._seams.engines)
         yield self._follower.run()
         yield self._announce()
--- a/src/wasabicross/gateway/store.py
+++ b/src/wasabicross/gateway/store.py
@@ -7,6 +7,18 @@
 from wasabicross.gateway.changes import Change
 
 
+class StoredItem(NamedTuple):
+    """A key of the store and what it holds, as the store keeps it.
+
+    :param revision: number of its last change.
+    :param document: its value, None if the key was removed.
+    """
+
+    key: str
+    revision: int
+    document: bytes | None
+
+
 class UnreadableEntry(NamedTuple):
     """An entry that can't be read; it tells nothing.
 
@@ -19,11 +31,15 @@
 
 
 class Snapshot(NamedTuple):
-    """What was read, and the revision from which changes follow."""
+    """What was read, and the revision from which changes follow.
+
+    :param items: what it was decoded from, to be passed on.
+    """
 
     changes: tuple[Change, ...]
     unreadable: tuple[UnreadableEntry, ...]
     revision: int
+    items: tuple[StoredItem, ...] = ()
 
 
 class FleetStore(Protocol):
@@ -40,6 +56,13 @@
         :raises HistoryGone: the changes are no longer kept.
         """
 
+    def decode(self, items: tuple[StoredItem, ...], revision: int) -> Snapshot:
+        """Decode items that another gateway has watched.
+
+        :param items: as the store keeps them.
+        :param revision: the revision from which changes follow.
+        """
+
     async def write_owner(
         self,
         group: str,
--- /dev/null
+++ b/src/wasabicross/gateway/store_news.py
@@ -0,0 +1,89 @@
+"""Owners of engines pass what they watch in the store on to other gateways.
+
+Few gateways have to ask the store: those that own engines do, and the others of
+their data centre learn from them. Answers deployments of many gateways, where
+each call to the store costs.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from websockets.asyncio.server import ServerConnection, broadcast
+
+from wasabicross.gateway.messages import StoreNews, StoreWord, encode
+from wasabicross.gateway.store import Snapshot
+
+#: How long the word of a relay counts.
+WORD_S = 1.6
+
+
+class StoreRelay:
+    """The side of an owner: tells its followers what it watches."""
+
+    def __init__(self) -> None:
+        self._followers: set[ServerConnection] = set()
+        self.word = StoreWord(0, is_lost=True)
+
+    def add(self, conn: ServerConnection) -> None:
+        """Pass news on over a link from now on.
+
+        :param conn: the link.
+        """
+        self._followers.add(conn)
+
+    def discard(self, conn: ServerConnection) -> None:
+        """Forget a link.
+
+        :param conn: the link.
+        """
+        self._followers.discard(conn)
+
+    def on_seen(self, since: int, seen: Snapshot) -> None:
+        """Pass on what the store has answered.
+
+        :param since: revision that it follows.
+        :param seen: the answer.
+        """
+        self.word = StoreWord(max(since, seen.revision), is_lost=False)
+        if seen.items and self._followers:
+            news = StoreNews(since, self.word.revision, seen.items)
+            broadcast(self._followers, encode(news))
+
+    def on_lost(self) -> None:
+        """Note that the store gave no answer."""
+        self.word = self.word._replace(is_lost=True)
+
+
+class _Told(NamedTuple):
+    word: StoreWord
+    told_s: float
+
+
+class RelayWords:
+    """The side of a follower: how its relays stand with the store."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, _Told] = {}
+
+    def on_word(self, relay: str, word: StoreWord, now_s: float) -> None:
+        """Take in the word of a relay.
+
+        :param relay: IP number of the relay.
+        :param word: how it stands with the store.
+        :param now_s: the present time.
+        """
+        self._told[relay] = _Told(word, now_s)
+
+    def is_led(self, revision: int, now_s: float) -> bool:
+        """Tell whether this gateway misses nothing if it doesn't ask.
+
+        :param revision: revision up to which it knows all changes.
+        :param now_s: the present time.
+        """
+        words = [
+            told.word
+            for told in self._told.values()
+            if now_s - told.told_s < WORD_S and not told.word.is_lost
+        ]
+        return bool(words) and all(word.revision <= revision for word in words)
--- a/src/wasabicross/gateway/tenures.py
+++ b/src/wasabicross/gateway/tenures.py
@@ -85,6 +85,11 @@
             return None
         return Tenure(self._cfg.instance, owned.term, until_s)
 
+    @property
+    def owns_any(self) -> bool:
+        """Tell whether this gateway owns a group."""
+        return bool(self._owned)
+
     async def release(self) -> None:
         """Leave all groups to others; nothing may be ordered any more."""
         owned = dict(self._owned)
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -4,7 +4,11 @@
 
 from wasabicross.gateway.changes import Change
 from wasabicross.gateway.errors import DocumentUnreadable
-from wasabicross.gateway.store import Snapshot, UnreadableEntry
+from wasabicross.gateway.store import (
+    Snapshot,
+    StoredItem,
+    UnreadableEntry,
+)
 from wasabicross.platform.records import (
     decode_change,
     encode_instance,
@@ -12,7 +16,7 @@
     instance_key,
     owner_key,
 )
-from wasabicross.platform.store import ItemSnapshot, StoreCalls, Write
+from wasabicross.platform.store import StoreCalls, Write
 
 #: Everything, since one watch costs less than one for each kind of key.
 _ALL = ''
@@ -29,7 +33,8 @@
 
     async def read(self) -> Snapshot:
         """Read everything."""
-        return _decoded(await self._calls.read(_ALL))
+        seen = await self._calls.read(_ALL)
+        return self.decode(seen.items, seen.revision)
 
     async def watch(self, revision: int, wait_s: float) -> Snapshot:
         """Wait for changes after a revision.
@@ -38,7 +43,28 @@
         :param wait_s: longest wait.
         :raises HistoryGone: the changes are no longer kept.
         """
-        return _decoded(await self._calls.watch(_ALL, revision, wait_s))
+        seen = await self._calls.watch(_ALL, revision, wait_s)
+        return self.decode(seen.items, seen.revision)
+
+    def decode(self, items: tuple[StoredItem, ...], revision: int) -> Snapshot:
+        """Decode items that this or another gateway has watched.
+
+        :param items: as the store keeps them.
+        :param revision: the revision from which changes follow.
+        """
+        changes: list[Change] = []
+        unreadable: list[UnreadableEntry] = []
+        for item in items:
+            try:
+                change = decode_change(item)
+            except DocumentUnreadable as exc:
+                unreadable.append(
+                    UnreadableEntry(item.key, item.revision, str(exc))
+                )
+                continue
+            if change is not None:
+                changes.append(change)
+        return Snapshot(tuple(changes), tuple(unreadable), revision, items)
 
     async def write_owner(
         self,
@@ -75,19 +101,3 @@
         """
         document = encode_instance(host, data_centre)
         await self._calls.put(instance_key(instance), document)
-
-
-def _decoded(items: ItemSnapshot) -> Snapshot:
-    changes: list[Change] = []
-    unreadable: list[UnreadableEntry] = []
-    for item in items.items:
-        try:
-            change = decode_change(item)
-        except DocumentUnreadable as exc:
-            unreadable.append(
-                UnreadableEntry(item.key, item.revision, str(exc))
-            )
-            continue
-        if change is not None:
-            changes.append(change)
-    return Snapshot(tuple(changes), tuple(unreadable), items.revision)
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -14,6 +14,7 @@
     VersionNamed,
 )
 from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.store import StoredItem
 from wasabicross.platform.documents import (
     decode_configuration,
     decode_server,
@@ -23,7 +24,6 @@
     CONFIGURATION_KEY,
     SERVERS_PREFIX,
     VERSIONS_PREFIX,
-    Item,
 )
 
 #: Start of the keys that the gateways write.
@@ -73,7 +73,7 @@
     return json.dumps({'host': host, 'data_centre': data_centre}).encode()
 
 
-def decode_change(item: Item) -> Change | None:
+def decode_change(item: StoredItem) -> Change | None:
     """Decode an item, None if it tells nothing that matters here.
 
     :param item: as read or watched.
@@ -97,7 +97,7 @@
     return ServerListed(decode_server(server_id, document))
 
 
-def _own_change(item: Item, document: bytes) -> Change | None:
+def _own_change(item: StoredItem, document: bytes) -> Change | None:
     if item.key.startswith(_OWNERS_PREFIX):
         record = _own_record(document)
         group = item.key.removeprefix(_OWNERS_PREFIX)
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -18,6 +18,7 @@
     ServerRequest,
 )
 from wasabicross.gateway.settings import Address
+from wasabicross.gateway.store import StoredItem
 
 #: Where the operator keeps the configuration.
 CONFIGURATION_KEY = 'op/config'
@@ -42,22 +43,10 @@
 _MS_IN_S = 1000
 
 
-class Item(NamedTuple):
-    """A key of the store and what it holds.
-
-    :param revision: number of its last change.
-    :param document: its value, None if the key was removed.
-    """
-
-    key: str
-    revision: int
-    document: bytes | None
-
-
 class ItemSnapshot(NamedTuple):
     """Items that were read, and the revision to watch from."""
 
-    items: tuple[Item, ...]
+    items: tuple[StoredItem, ...]
     revision: int
 
 
@@ -80,13 +69,13 @@
     """
 
     revision: int | None
-    current: Item | None
+    current: StoredItem | None
 
 
 class _Page(NamedTuple):
     """A part of what was read."""
 
-    items: tuple[Item, ...]
+    items: tuple[StoredItem, ...]
     revision: int
     has_more: bool
 
@@ -107,7 +96,7 @@
 
         :param prefix: start of the keys.
         """
-        items: list[Item] = []
+        items: list[StoredItem] = []
         revision = None
         after = ''
         while True:
@@ -237,7 +226,7 @@
         raise StoreUnavailable(f'unreadable answer: {exc!r}') from exc
 
 
-def _items(wire: Any) -> list[Item]:
+def _items(wire: Any) -> list[StoredItem]:
     return [_item(each) for each in wire['items']]
 
 
@@ -256,10 +245,10 @@
     )
 
 
-def _item(wire: Any) -> Item:
+def _item(wire: Any) -> StoredItem:
     is_gone = wire.get('deleted') or wire.get('value') is None
     document = None if is_gone else base64.b64decode(wire['value'])
-    return Item(wire['key'], int(wire.get('revision', 0)), document)
+    return StoredItem(wire['key'], int(wire.get('revision', 0)), document)
 
 
 def _base64(document: bytes) -> str:
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -10,9 +10,12 @@
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.following import (
     StoreFollower,
+    pause_after_loss_s,
     pause_between_watches_s,
 )
-from wasabicross.gateway.store import Snapshot, UnreadableEntry
+from wasabicross.gateway.messages import StoreNews, StoreWord
+from wasabicross.gateway.store import Snapshot, StoredItem, UnreadableEntry
+from wasabicross.gateway.store_news import WORD_S, RelayWords, StoreRelay
 from wasabicross.gateway.view import FleetView
 
 A = AdapterKey('m0', 'a1')
@@ -33,6 +36,11 @@
         """Wait for changes."""
         return await self._next(('watch', revision))
 
+    def decode(self, items, revision):
+        """Decode items whose document is the version of an adapter."""
+        changes = tuple(VersionNamed(A, int(item.document)) for item in items)
+        return Snapshot(changes, (), revision, items)
+
     async def _next(self, call):
         self.calls.append(call)
         if not self._results:
@@ -43,6 +51,10 @@
         return result
 
 
+def follower(store, view, is_relay=False):
+    return StoreFollower(store, view, StoreRelay(), lambda: is_relay)
+
+
 def version(number, revision):
     return Snapshot((VersionNamed(A, number),), (), revision)
 
@@ -76,7 +88,7 @@
 
     async def scenario():
         view = FleetView()
-        task = asyncio.ensure_future(StoreFollower(store, view).run())
+        task = asyncio.ensure_future(follower(store, view).run())
         async with asyncio.timeout(5):
             while view.version_of(A) != 3:
                 await asyncio.sleep(0.01)
@@ -93,3 +105,115 @@
 )
 def test_many_gateways_ask_less_often(instances, pause_s):
     assert pause_between_watches_s(instances) == pytest.approx(pause_s)
+
+
+@pytest.mark.parametrize(('instances', 'pause_s'), [(7, 0.4), (91, 0.91)])
+def test_many_gateways_retry_less_often(instances, pause_s):
+    assert pause_after_loss_s(instances) == pytest.approx(pause_s)
+
+
+def item(number, revision):
+    return StoredItem('op/version/m0.a1', revision, str(number).encode())
+
+
+@pytest.mark.parametrize(
+    ('words', 'revision', 'age_s', 'is_led'),
+    [
+        ([], 5, 0, False),
+        ([StoreWord(5, False)], 5, 0, True),
+        ([StoreWord(4, False)], 5, 0, True),
+        # Something was missed.
+        ([StoreWord(6, False)], 5, 0, False),
+        ([StoreWord(5, True)], 5, 0, False),
+        ([StoreWord(5, False)], 5, WORD_S, False),
+        ([StoreWord(5, True), StoreWord(5, False)], 5, 0, True),
+        ([StoreWord(6, False), StoreWord(5, False)], 5, 0, False),
+    ],
+)
+def test_who_is_led(words, revision, age_s, is_led):
+    relays = RelayWords()
+    for number, word in enumerate(words):
+        relays.on_word(f'10.0.0.{number}', word, 0)
+    assert relays.is_led(revision, age_s) is is_led
+
+
+async def led(store, view, tell, wait_s=1.2, is_relay=False):
+    """Follow for a while and let a relay tell what it does meanwhile."""
+    following = follower(store, view, is_relay)
+    task = asyncio.ensure_future(following.run())
+    await following.has_read.wait()
+    tell(following)
+    await asyncio.sleep(wait_s)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+def tell_news(following):
+    following.on_word('10.0.0.1', StoreWord(5, False))
+    following.on_news(StoreNews(5, 7, (item(3, 7),)))
+    following.on_word('10.0.0.1', StoreWord(7, False))
+
+
+def tell_news_twice(following):
+    tell_news(following)
+    following.on_news(StoreNews(5, 7, (item(3, 7),)))
+
+
+def tell_overlapping_news(following):
+    """An item that is known already is older than what is known."""
+    following.on_news(StoreNews(4, 7, (item(9, 5), item(3, 7))))
+    following.on_word('10.0.0.1', StoreWord(7, False))
+
+
+def tell_after_a_gap(following):
+    following.on_news(StoreNews(6, 7, (item(9, 7),)))
+    following.on_word('10.0.0.1', StoreWord(7, False))
+
+
+def tell_loss(following):
+    following.on_word('10.0.0.1', StoreWord(5, True))
+
+
+@pytest.mark.parametrize(
+    ('tell', 'is_relay', 'calls', 'known'),
+    [
+        (tell_news, False, [('read',)], 3),
+        (tell_news_twice, False, [('read',)], 3),
+        (tell_overlapping_news, False, [('read',)], 3),
+        (tell_after_a_gap, False, [('read',), ('watch', 5)], 4),
+        (tell_loss, False, [('read',), ('watch', 5)], 4),
+        # Others rely on a relay, so it asks whatever it is told.
+        (tell_news, True, [('read',), ('watch', 7)], 4),
+    ],
+)
+def test_relays_spare_calls_to_the_store(tell, is_relay, calls, known):
+    store = ScriptedStore(version(2, 5), version(4, 8))
+    view = FleetView()
+    asyncio.run(led(store, view, tell, is_relay=is_relay))
+    assert store.calls[: len(calls)] == calls
+    assert len(store.calls) - len(calls) <= bool(len(calls) - 1)
+    assert view.version_of(A) == known
+
+
+def test_news_that_came_during_a_watch_are_not_undone():
+    class SlowStore(ScriptedStore):
+        async def watch(self, revision, wait_s):
+            """Answer late with what was true before the news."""
+            await asyncio.sleep(0.2)
+            return self.decode((item(1, 6), item(2, 7)), 7)
+
+    class LastWins(FleetView):
+        def apply(self, change, now_s):
+            """Keep the last version that was told."""
+            self.versions[change.key] = change.version
+
+    view = LastWins()
+
+    def tell(following):
+        asyncio.get_running_loop().call_later(
+            0.7, following.on_news, StoreNews(5, 9, (item(5, 9),))
+        )
+
+    asyncio.run(led(SlowStore(version(1, 5)), view, tell, wait_s=1.1))
+    assert view.versions[A] == 5
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -11,9 +11,20 @@
 from emulator.waiting import free_ports
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.links import OwnerLink
-from wasabicross.gateway.messages import AdapterUse, HeldAdapter, ServerState
+from wasabicross.gateway.messages import (
+    AdapterUse,
+    HeldAdapter,
+    ServerState,
+    StoreNews,
+    StoreWord,
+)
 from wasabicross.gateway.orders import LoadRequest
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owner_server import (
+    OwnerServer,
+    pause_between_frames_s,
+)
+from wasabicross.gateway.store import Snapshot, StoredItem
+from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.gateway.view import FleetView
 
 HOST = '127.0.0.1'
@@ -46,16 +57,37 @@
         self.uses.append((user, use))
 
 
+class FakeNews:
+    """Keeps what relays tell."""
+
+    def __init__(self):
+        self.words = []
+        self.news = []
+
+    def on_word(self, relay, word):
+        """Keep a word."""
+        self.words.append(word)
+
+    def on_news(self, news):
+        """Keep news."""
+        self.news.append(news)
+
+
 @contextlib.asynccontextmanager
-async def linked(desk):
+async def linked(desk, wants_news=False, relayed=None):
     (port,) = free_ports(1)
     view = FleetView()
-    link = OwnerLink('front-2', HOST, port, view)
-    server = OwnerServer('front-1', desk)
+    relay = StoreRelay()
+    news = FakeNews()
+    link = OwnerLink('front-2', HOST, port, view, news)
+    link.wants_news = wants_news
+    server = OwnerServer('front-1', desk, relay)
     serving = asyncio.ensure_future(server.run(HOST, port))
     following = asyncio.ensure_future(link.run())
     try:
         await until(lambda: view.told)
+        if relayed is not None:
+            relayed.extend((relay, news))
         yield link, view, serving, port
     finally:
         for task in (serving, following):
@@ -124,7 +156,7 @@
 
     async def scenario():
         (port,) = free_ports(1)
-        link = OwnerLink('front-2', HOST, port, FleetView())
+        link = OwnerLink('front-2', HOST, port, FleetView(), FakeNews())
         async with serve(silent, HOST, port):
             following = asyncio.ensure_future(link.run())
             await until(lambda: link.is_open)
@@ -150,3 +182,42 @@
             assert await link.load(WANTED) == 3
 
     asyncio.run(scenario())
+
+
+ITEM = StoredItem('op/version/m0.a1', 8, b'{}')
+
+
+def test_news_of_the_store_are_passed_on():
+    async def scenario():
+        parts = []
+        async with linked(FakeDesk(), wants_news=True, relayed=parts):
+            relay, news = parts
+            await until(lambda: StoreWord(0, True) in news.words)
+            relay.on_seen(7, Snapshot((), (), 9, (ITEM,)))
+            await until(lambda: news.news)
+            await until(lambda: StoreWord(9, False) in news.words)
+            relay.on_lost()
+            await until(lambda: StoreWord(9, True) in news.words)
+        assert news.news == [StoreNews(7, 9, (ITEM,))]
+
+    asyncio.run(scenario())
+
+
+def test_words_count_only_where_news_are_asked_for():
+    async def scenario():
+        parts = []
+        async with linked(FakeDesk(), relayed=parts) as (_, view, _, _):
+            relay, news = parts
+            relay.on_seen(7, Snapshot((), (), 9, (ITEM,)))
+            told_s = view.told['s1'].told_s
+            await until(lambda: view.told['s1'].told_s > told_s)
+        assert (news.words, news.news) == ([], [])
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('links', 'pause_s'), [(0, 0.06), (6, 0.072), (90, 0.24), (360, 0.3)]
+)
+def test_many_gateways_are_told_less_often(links, pause_s):
+    assert pause_between_frames_s(links) == pytest.approx(pause_s)
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -10,12 +10,16 @@
     Hello,
     LoadEnded,
     LoadWanted,
+    NewsWanted,
     ServerLoad,
     ServerState,
+    StoreNews,
+    StoreWord,
     UsesTold,
     decode,
     encode,
 )
+from wasabicross.gateway.store import StoredItem
 
 
 @pytest.mark.parametrize(
@@ -27,6 +31,9 @@
         LoadEnded(1, 0, 'not loaded'),
         UsesTold((AdapterUse('s1', 'm0', 'a1', 3),)),
         ServerLoad('s1', 5, 0, 1),
+        NewsWanted('front-1'),
+        StoreNews(3, 5, (StoredItem('k', 4, b'v'), StoredItem('l', 5, None))),
+        StoreWord(5, False),
     ],
 )
 def test_round_trip(message):
@@ -48,6 +55,7 @@
         cbor2.dumps([[0, 'front-1'], [0, 7]]),
         cbor2.dumps([[3, 1, '2', '']]),
         cbor2.dumps([[4, [['s1', 'm0', 'a1', 'x']]]]),
+        cbor2.dumps([[7, 3, 5, [['k', 'x', None]]]]),
     ],
 )
 def test_malformed(frame):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -13,6 +13,7 @@
 )
 from wasabicross.gateway.configuration import RouteKind
 from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.store import StoredItem
 from wasabicross.platform.documents import (
     decode_configuration,
     decode_report,
@@ -25,7 +26,6 @@
     instance_key,
     owner_key,
 )
-from wasabicross.platform.store import Item
 
 CONFIGURATION = {
     'version': 7,
@@ -198,17 +198,19 @@
 @pytest.mark.parametrize(
     ('item', 'change'),
     [
-        (Item('servers/i-1', 5, None), ServerRemoved('i-1')),
+        (StoredItem('servers/i-1', 5, None), ServerRemoved('i-1')),
         (
-            Item('op/version/m0.a1', 5, encoded(VERSION)),
+            StoredItem('op/version/m0.a1', 5, encoded(VERSION)),
             VersionNamed(AdapterKey('m0', 'a1'), 4),
         ),
         (
-            Item(owner_key('dc.0'), 5, encode_owner('front-1', '10.0.0.1')),
+            StoredItem(
+                owner_key('dc.0'), 5, encode_owner('front-1', '10.0.0.1')
+            ),
             OwnerNamed('dc.0', 'front-1', '10.0.0.1', 5),
         ),
         (
-            Item(
+            StoredItem(
                 owner_key('dc.0'),
                 6,
                 encode_owner('front-1', '10.0.0.1', is_released=True),
@@ -216,11 +218,13 @@
             OwnerNamed('dc.0', 'front-1', '10.0.0.1', 6, is_released=True),
         ),
         (
-            Item(instance_key('front-1'), 5, encode_instance('10.0.0.1', 'dc')),
+            StoredItem(
+                instance_key('front-1'), 5, encode_instance('10.0.0.1', 'dc')
+            ),
             InstanceListed('front-1', '10.0.0.1', 'dc'),
         ),
-        (Item('op/config', 5, None), None),
-        (Item('elsewhere/key', 5, b'\xff'), None),
+        (StoredItem('op/config', 5, None), None),
+        (StoredItem('elsewhere/key', 5, b'\xff'), None),
     ],
 )
 def test_change(item, change):
@@ -230,10 +234,10 @@
 @pytest.mark.parametrize(
     'item',
     [
-        Item('op/version/m0.a1', 5, encoded({'model': 'm0'})),
-        Item(owner_key('dc.0'), 5, b'{}'),
-        Item(instance_key('front-1'), 5, b'not json'),
-        Item('servers/i-1', 5, b'[1]'),
+        StoredItem('op/version/m0.a1', 5, encoded({'model': 'm0'})),
+        StoredItem(owner_key('dc.0'), 5, b'{}'),
+        StoredItem(instance_key('front-1'), 5, b'not json'),
+        StoredItem('servers/i-1', 5, b'[1]'),
     ],
 )
 def test_item_that_cannot_be_read(item):
