Send requests to an engine as soon as its owner knows its base model

Ruled out: orders (answered), room on the engine (empty). Change: the owner's word names the base models; its report comes at the busy pace while a base model is loaded.

--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -144,6 +144,7 @@
                 HeldAdapter(key.model, key.adapter, version)
                 for key, version in self.slots.held.items()
             ),
+            models=tuple(sorted(self.slots.models)),
         )
 
     async def _rest(self) -> None:
@@ -193,7 +194,8 @@
         self._queued = report.queued
         self.slots.on_report(report, asked_s)
         self.slots.slots = self._engine.slots_beside(self.slots.models)
-        busy = self.slots.pending or len(self._awaited)
+        is_loading = self.slots.is_busy or self.slots.pending
+        busy = is_loading or len(self._awaited)
         pause_s = _BUSY_REPORT_S if busy else _IDLE_REPORT_S
         self._report_due_s = now_s() + pause_s
 
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -37,6 +37,7 @@
     :param queued: requests that wait there.
     :param running: requests in its batch.
     :param takes_loads: whether the owner may order and the server answers.
+    :param models: base models that the server holds.
     """
 
     server_id: str
@@ -45,6 +46,7 @@
     running: int
     takes_loads: bool
     held: tuple[HeldAdapter, ...]
+    models: tuple[str, ...] = ()
 
 
 class HeldChanged(NamedTuple):
@@ -230,7 +232,7 @@
 
 def _decoded(wire: Any) -> Message:
     code, *fields = wire
-    message = _KINDS[code](*fields)
+    message = _KINDS[code](*(_tupled(each) for each in fields))
     for name, kind in _PARTS.get(type(message), ()):
         parts = tuple(_checked(kind(*each)) for each in getattr(message, name))
         message = message._replace(**{name: parts})
@@ -238,6 +240,10 @@
     return checked
 
 
+def _tupled(value: Any) -> Any:
+    return tuple(value) if isinstance(value, list) else value
+
+
 def _simple_fields(kind: Any) -> tuple[tuple[int, type], ...]:
     """Return position and type of the fields that are simple."""
     types = {'str': str, 'int': int, 'bool': bool}
--- a/src/wasabicross/gateway/owner_news.py
+++ b/src/wasabicross/gateway/owner_news.py
@@ -74,6 +74,8 @@
 def _change(state: ServerState, told: ServerState | None) -> Message | None:
     if told is None or told.born_ms != state.born_ms:
         return state
+    if told.models != state.models:
+        return state
     before, after = set(told.held), set(state.held)
     if before == after and told.takes_loads == state.takes_loads:
         return None
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -137,15 +137,16 @@
         return [
             self._candidate(server, wanted, unable, at_s)
             for server in self._view.servers.values()
-            if self._fits(server, wanted)
+            if self._fits(server, wanted, at_s)
         ]
 
-    def _fits(self, server: BackendServer, wanted: Wanted) -> bool:
+    def _fits(self, server: BackendServer, wanted: Wanted, at_s: float) -> bool:
         if server.service != wanted.service or server.is_leaving:
             return False
         if server.server_id in wanted.excluded:
             return False
-        return wanted.adapter is None or wanted.adapter.model in server.models
+        key = wanted.adapter
+        return key is None or self._view.holds_model(server, key.model, at_s)
 
     def _candidate(
         self,
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -171,6 +171,21 @@
         if told is not None:
             told.held[key] = version
 
+    def holds_model(
+        self, server: BackendServer, model: str, now_s: float
+    ) -> bool:
+        """Tell whether a server holds a base model.
+
+        Its owner knows of a load before the server's entry shows it.
+
+        :param server: the server.
+        :param model: name of the model.
+        :param now_s: the present time.
+        """
+        told = self._told(server, now_s)
+        is_told = told is not None and model in told.state.models
+        return is_told or model in server.models
+
     def held_version(
         self, server: BackendServer, key: AdapterKey, now_s: float
     ) -> int:
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -28,6 +28,7 @@
     [
         Hello('front-1'),
         ServerState('s1', 5, 0, 1, True, (HeldAdapter('m0', 'a1', 2),)),
+        ServerState('s1', 5, 0, 1, True, (), ('m0', 'm1')),
         LoadWanted(1, 's1', 'm0', 'a1', 2, 0, 900),
         LoadEnded(1, 0, 'not loaded'),
         UsesTold((AdapterUse('s1', 'm0', 'a1', 3),)),
--- a/tests/test_gateway_owner_news.py
+++ b/tests/test_gateway_owner_news.py
@@ -56,6 +56,11 @@
             [state('s1', 'a', born_ms=6)],
         ),
         ([state('s1', 'a'), state('s2')], [state('s1', 'a')], []),
+        (
+            [state('s1')],
+            [state('s1')._replace(models=('m0',))],
+            [state('s1')._replace(models=('m0',))],
+        ),
     ],
 )
 def test_changes(before, after, news):
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -126,3 +126,22 @@
     assert view.requests_at(listed, 10.1) == 3
     view.under_way['s1'] = 5
     assert view.requests_at(listed, 10.1) == 5
+
+
+@pytest.mark.parametrize(
+    ('listed', 'told', 'born_ms', 'age_s', 'holds'),
+    [
+        ((), (), 1, 0, False),
+        (('m0',), (), 1, 0, True),
+        # The owner knows of a load before the entry shows it.
+        ((), ('m0',), 1, 0, True),
+        ((), ('m0',), 1, OWNER_WORD_S + 1, False),
+        # Its word on an earlier start tells nothing.
+        ((), ('m0',), 2, 0, False),
+    ],
+)
+def test_who_holds_a_base_model(listed, told, born_ms, age_s, holds):
+    view = FleetView()
+    listed_server = server()._replace(models=frozenset(listed))
+    view.on_state(state(0, born_ms)._replace(models=told), 10)
+    assert view.holds_model(listed_server, 'm0', 10 + age_s) is holds
