Spread requests over an adapter's holders and load further copies ahead

Cause: all gateways sent to the emptiest holder until its next report, an engine counted as full at 10.2 of 12, and further copies came only when all holders were full. Ruled out: loads (90 in 100 waits under 0.27 s), processor (0.11 of a core at most). Change: a holder's share goes by its room, three places at least are kept for what reports don't count yet, a copy is asked for when the holders have less than a fifth of their room left, new homes are roomy ones.

--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -13,8 +13,20 @@
 from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.rendezvous import rendezvous_hash
 
-#: Share of a server's slots from which on it counts as full.
-_FULL = 0.85
+#: Share of a server's slots that is kept free, and the least number of them:
+#: other gateways send requests that its last report doesn't count yet.
+_SPARE = 0.15
+_MIN_SPARE = 3
+
+#: Share of a server's slots up to which it is roomy.
+_ROOMY = 0.5
+
+#: Share of the usable slots of an adapter's holders that is left when a further
+#: copy is loaded ahead of need.
+_AHEAD = 0.2
+
+#: Least weight of a holder that a request may go to.
+_MIN_WEIGHT = 0.001
 
 #: Occupancy, as a share of the slots, that another data centre costs.
 _REMOTE_COST = 0.05
@@ -50,13 +62,33 @@
     @property
     def is_full(self) -> bool:
         """Tell whether another request would have to wait there."""
-        return self.requests >= _FULL * self.slots
+        return self.room <= 0
+
+    @property
+    def is_roomy(self) -> bool:
+        """Tell whether it can take an adapter that is asked for often."""
+        return self.requests <= _ROOMY * self.slots
+
+    @property
+    def room(self) -> float:
+        """Requests that it can take beyond those that it is known to have."""
+        return self.usable_slots - self.requests
+
+    @property
+    def usable_slots(self) -> float:
+        """Slots that are filled by requests that it is known to have."""
+        return max(1, self.slots - max(_MIN_SPARE, _SPARE * self.slots))
 
 
 class SendTo(NamedTuple):
-    """The request goes to this server now."""
+    """The request goes to this server now.
+
+    :param further: server on which a further copy of the adapter is loaded
+        meanwhile, for the requests that follow; empty for none.
+    """
 
     server_id: str
+    further: str = ''
 
 
 class LoadOn(NamedTuple):
@@ -80,13 +112,22 @@
 
 
 def choose_server(
-    adapter: str, version: int, candidates: Sequence[Candidate]
+    adapter: str,
+    version: int,
+    candidates: Sequence[Candidate],
+    draw: float = 0,
 ) -> Choice:
     """Choose a server for a request.
 
+    Many gateways choose by the same reports, so the emptiest holder of an
+    adapter would get the requests of all of them until its next report. Each
+    holder gets a share of them by its room instead.
+
     :param adapter: name of its adapter, empty if it needs none.
     :param version: oldest version of the adapter that may answer.
     :param candidates: the servers of its service that may be tried.
+    :param draw: random number from 0 to 1, 1 excluded; 0 stands for the
+        emptiest holder.
     """
     if not candidates:
         return NoServer('no server')
@@ -96,11 +137,12 @@
     usable = sound_or_all(reachable)
     if not adapter:
         return SendTo(_cheapest(usable).server_id)
+    home = _home(adapter, version, usable)
     holders = [each for each in usable if each.held_version >= version]
     free = [each for each in holders if not each.is_full]
     if free:
-        return SendTo(_cheapest(free).server_id)
-    home = _home(adapter, version, usable)
+        further = home.server_id if home and _fill_soon(holders) else ''
+        return SendTo(_by_room(free, draw).server_id, further)
     if home is not None:
         return LoadOn(home.server_id)
     if holders:
@@ -139,13 +181,31 @@
     return min(candidates, key=lambda each: each.cost)
 
 
+def _fill_soon(holders: Sequence[Candidate]) -> bool:
+    """Tell whether the holders of an adapter have little room left."""
+    room = sum(max(0, each.room) for each in holders)
+    return room < _AHEAD * sum(each.usable_slots for each in holders)
+
+
+def _by_room(candidates: Sequence[Candidate], draw: float) -> Candidate:
+    """Return a candidate, each with a chance that grows with its room."""
+    ordered = sorted(candidates, key=lambda each: each.cost)
+    weights = [max(_MIN_WEIGHT, 1 - each.cost) ** 2 for each in ordered]
+    left = draw * sum(weights)
+    for each, weight in zip(ordered, weights):
+        left -= weight
+        if left < 0:
+            return each
+    return ordered[0]
+
+
 def _home(
     adapter: str, version: int, candidates: Sequence[Candidate]
 ) -> Candidate | None:
     """Return the first server with room in the adapter's lasting order.
 
     Servers with an older version come last, since it is replaced only after
-    its runs.
+    its runs, and before them those that would soon be full.
     """
     able = [
         each
@@ -156,6 +216,7 @@
         able,
         key=lambda each: (
             not each.held_version,
+            each.is_roomy,
             rendezvous_hash(adapter, each.server_id),
         ),
         default=None,
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.links import OwnerLinks
+from wasabicross.gateway.loads_ahead import LoadsAhead
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
     Candidate,
@@ -25,6 +27,10 @@
 #: Servers on which a request tries to have its adapter loaded.
 _MAX_LOADS = 4
 
+#: Rank of a load that no request waits for, and how long it is waited for.
+_AHEAD_PRIORITY = 9
+_AHEAD_S = 1.5
+
 #: For so long after its start a gateway may not have heard of all owners.
 _SETTLE_S = 2.0
 _SETTLE_PAUSE_S = 0.05
@@ -83,6 +89,7 @@
         self._uses = uses
         self._links = links
         self._data_centre = data_centre
+        self._ahead = LoadsAhead(self._load_ahead)
 
     async def place(self, wanted: Wanted) -> Placed | NoServer:
         """Return a server for a request, or why there is none.
@@ -95,13 +102,16 @@
             version = self._version(wanted.adapter)
             candidates = self.candidates(wanted, unable)
             adapter = wanted.adapter.adapter if wanted.adapter else ''
-            choice = choose_server(adapter, version, candidates)
+            choice = choose_server(
+                adapter, version, candidates, random.random()
+            )
             if isinstance(choice, NoServer):
                 if not self._may_change(choice, wanted, started_s):
                     return choice
                 await asyncio.sleep(_SETTLE_PAUSE_S)
                 continue
             if isinstance(choice, SendTo):
+                self._ask_ahead(choice, wanted, version)
                 return self._placed(
                     choice.server_id, wanted, started_s, len(candidates)
                 )
@@ -198,6 +208,18 @@
             self._view.requests_at(server, now_s()),
         )
 
+    def _ask_ahead(self, choice: SendTo, wanted: Wanted, version: int) -> None:
+        """Have a further copy loaded where the holders fill up."""
+        key = wanted.adapter
+        if choice.further and key is not None:
+            self._ahead.ask(choice.further, key, version, now_s())
+
+    async def _load_ahead(
+        self, server_id: str, key: AdapterKey, version: int
+    ) -> None:
+        wanted = Wanted('', key, _AHEAD_PRIORITY, _AHEAD_S, frozenset())
+        await self._load(LoadOn(server_id), wanted, version, _AHEAD_S)
+
     async def _load(
         self, choice: LoadOn, wanted: Wanted, version: int, patience_s: float
     ) -> bool:
--- /dev/null
+++ b/tests/test_gateway_loads_ahead.py
@@ -0,0 +1,54 @@
+"""Further copies are asked for one at a time."""
+
+import asyncio
+
+from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.loads_ahead import LoadsAhead
+
+A = AdapterKey('m0', 'a1')
+B = AdapterKey('m0', 'a2')
+
+
+def test_one_copy_at_a_time():
+    loads = []
+
+    async def scenario():
+        may_end = asyncio.Event()
+
+        async def load(server_id, key, version):
+            loads.append((server_id, key, version))
+            await may_end.wait()
+
+        ahead = LoadsAhead(load)
+        asked = [
+            ahead.ask('s1', A, 1, 10.0),
+            # While the first is asked for, also long after.
+            ahead.ask('s2', A, 1, 10.1),
+            ahead.ask('s2', A, 1, 20.0),
+            # Another adapter has nothing to do with it.
+            ahead.ask('s1', B, 2, 20.0),
+        ]
+        await asyncio.sleep(0)
+        may_end.set()
+        await asyncio.sleep(0.01)
+        asked.append(ahead.ask('s3', B, 2, 20.2))
+        asked.append(ahead.ask('s3', B, 2, 20.6))
+        await asyncio.sleep(0.01)
+        return asked
+
+    asked = asyncio.run(scenario())
+    assert asked == [True, False, False, True, False, True]
+    assert loads == [('s1', A, 1), ('s1', B, 2), ('s3', B, 2)]
+
+
+def test_a_failed_load_ends_it():
+    async def scenario():
+        async def load(server_id, key, version):
+            return None
+
+        ahead = LoadsAhead(load)
+        assert ahead.ask('s1', A, 1, 10.0)
+        await asyncio.sleep(0.01)
+        assert ahead.ask('s1', A, 1, 11.0)
+
+    asyncio.run(scenario())
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -68,6 +68,38 @@
     assert choose_server('a1', 1, candidates) == choice
 
 
+@pytest.mark.parametrize(
+    ('requests', 'further'),
+    [((0, 0), ''), ((5, 5), ''), ((6, 6), 's3'), ((7, 5), 's3')],
+)
+def test_a_further_copy_is_loaded_ahead_of_need(requests, further):
+    holders = [
+        held('s1', requests=requests[0]),
+        held('s2', requests=requests[1]),
+    ]
+    choice = choose_server('a1', 1, [*holders, candidate('s3')])
+    assert choice.further == further
+
+
+def test_each_holder_gets_a_share_by_its_room():
+    holders = [held('s1', requests=0), held('s2', requests=3)]
+    chosen = Counter(
+        choose_server('a1', 1, holders, number / 100).server_id
+        for number in range(100)
+    )
+    assert chosen['s1'] > chosen['s2'] > 25
+
+
+def test_roomy_homes_go_first():
+    servers = [candidate(f's{number}') for number in range(8)]
+    first = choose_server('a1', 1, servers).server_id
+    busy = [
+        each._replace(requests=6) if each.server_id == first else each
+        for each in servers
+    ]
+    assert choose_server('a1', 1, busy).server_id != first
+
+
 def test_no_server_is_shut_out_when_most_look_unsound():
     unsound = [held(f's{number}', is_sound=False) for number in range(3)]
     candidates = [*unsound, held('s9', requests=8)]
