Ask for further copies by a share of the requests only

Copies were asked for by adapters that are asked for once, on engines that others had filled. Change: that share; an engine is full at 0.85 again; what is left to chance is told by Draws.

--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -13,6 +13,9 @@
 from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.rendezvous import rendezvous_hash
 
+#: Share of a server's slots from which on it counts as full.
+_FULL = 0.85
+
 #: Share of a server's slots that is kept free, and the least number of them:
 #: other gateways send requests that its last report doesn't count yet.
 _SPARE = 0.15
@@ -25,6 +28,10 @@
 #: copy is loaded ahead of need.
 _AHEAD = 0.2
 
+#: Share of the requests that ask for it then: adapters that are asked for often
+#: get a copy soon, those that are asked for once hardly ever.
+_ASK_SHARE = 0.25
+
 #: Least weight of a holder that a request may go to.
 _MIN_WEIGHT = 0.001
 
@@ -62,7 +69,7 @@
     @property
     def is_full(self) -> bool:
         """Tell whether another request would have to wait there."""
-        return self.room <= 0
+        return self.requests >= _FULL * self.slots
 
     @property
     def is_roomy(self) -> bool:
@@ -80,6 +87,21 @@
         return max(1, self.slots - max(_MIN_SPARE, _SPARE * self.slots))
 
 
+class Draws(NamedTuple):
+    """Random numbers from 0 to 1, 1 excluded.
+
+    :param holder: which of several holders; 0 stands for the emptiest.
+    :param further: whether this request may ask for a further copy.
+    """
+
+    holder: float
+    further: float
+
+
+#: Leaves nothing to chance.
+EMPTIEST = Draws(0, 0)
+
+
 class SendTo(NamedTuple):
     """The request goes to this server now.
 
@@ -115,7 +137,7 @@
     adapter: str,
     version: int,
     candidates: Sequence[Candidate],
-    draw: float = 0,
+    draws: Draws = EMPTIEST,
 ) -> Choice:
     """Choose a server for a request.
 
@@ -126,8 +148,7 @@
     :param adapter: name of its adapter, empty if it needs none.
     :param version: oldest version of the adapter that may answer.
     :param candidates: the servers of its service that may be tried.
-    :param draw: random number from 0 to 1, 1 excluded; 0 stands for the
-        emptiest holder.
+    :param draws: what is left to chance.
     """
     if not candidates:
         return NoServer('no server')
@@ -141,8 +162,9 @@
     holders = [each for each in usable if each.held_version >= version]
     free = [each for each in holders if not each.is_full]
     if free:
-        further = home.server_id if home and _fill_soon(holders) else ''
-        return SendTo(_by_room(free, draw).server_id, further)
+        is_asked = draws.further < _ASK_SHARE and _fill_soon(holders)
+        further = home.server_id if home and is_asked else ''
+        return SendTo(_by_room(free, draws.holder).server_id, further)
     if home is not None:
         return LoadOn(home.server_id)
     if holders:
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
     Candidate,
+    Draws,
     LoadOn,
     NoServer,
     SendTo,
@@ -103,7 +104,10 @@
             candidates = self.candidates(wanted, unable)
             adapter = wanted.adapter.adapter if wanted.adapter else ''
             choice = choose_server(
-                adapter, version, candidates, random.random()
+                adapter,
+                version,
+                candidates,
+                Draws(random.random(), random.random()),
             )
             if isinstance(choice, NoServer):
                 if not self._may_change(choice, wanted, started_s):
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
 from wasabicross.gateway.placement import (
     Candidate,
+    Draws,
     LoadOn,
     NoServer,
     SendTo,
@@ -79,12 +80,14 @@
     ]
     choice = choose_server('a1', 1, [*holders, candidate('s3')])
     assert choice.further == further
+    unasked = choose_server('a1', 1, [*holders, candidate('s3')], Draws(0, 0.9))
+    assert not unasked.further
 
 
 def test_each_holder_gets_a_share_by_its_room():
     holders = [held('s1', requests=0), held('s2', requests=3)]
     chosen = Counter(
-        choose_server('a1', 1, holders, number / 100).server_id
+        choose_server('a1', 1, holders, Draws(number / 100, 1)).server_id
         for number in range(100)
     )
     assert chosen['s1'] > chosen['s2'] > 25
--- a/tests/test_gateway_placement_load.py
+++ b/tests/test_gateway_placement_load.py
@@ -10,6 +10,7 @@
 
 from wasabicross.gateway.placement import (
     Candidate,
+    Draws,
     LoadOn,
     SendTo,
     choose_server,
@@ -111,11 +112,13 @@
 
 
 def by_room(adapter, candidates, rng):
-    return choose_server(adapter, 1, candidates, rng.random())
+    return choose_server(
+        adapter, 1, candidates, Draws(rng.random(), rng.random())
+    )
 
 
 def emptiest(adapter, candidates, rng):
-    return choose_server(adapter, 1, candidates, 0)
+    return choose_server(adapter, 1, candidates)
 
 
 def least_outstanding(adapter, candidates, rng):
@@ -131,7 +134,7 @@
     holders = [each for each in candidates if each.held_version]
     if holders:
         return SendTo(rng.choice(holders).server_id)
-    return choose_server(adapter, 1, candidates, 0)
+    return choose_server(adapter, 1, candidates)
 
 
 @pytest.fixture(scope='module')
