Start from another gateway's copy while the store is away

Change: each gateway keeps what it knows of the store's content; one whose first read has no answer asks the machines that its settings name and follows the store from there; entries, versions and the configuration go through the one decoder. Ruled out: waiting (callers are refused), a copy on the machine (none has a disk). Tests: a start without the store in four cases, a copy over a link, past an address where nobody listens; all fail without it.

--- a/src/wasabicross/events.py
+++ b/src/wasabicross/events.py
@@ -55,6 +55,7 @@
     STORE_LOST = EventKind(8001, 'WARNING')
     STORE_BACK = EventKind(8002, 'INFO')
     ENTRY_UNREADABLE = EventKind(8003, 'WARNING')
+    COPY_TAKEN = EventKind(8004, 'INFO')
     GROUP_OWNED = EventKind(8011, 'INFO')
     GROUP_LOST = EventKind(8012, 'WARNING')
     OWNER_WRITE_FAILED = EventKind(8013, 'WARNING')
--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wasabicross.events import Event
 from wasabicross.gateway import metrics
@@ -12,6 +12,7 @@
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.messages import StoreNews, StoreWord
 from wasabicross.gateway.store import FleetStore, Snapshot, UnreadableEntry
+from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_news import RelayWords, StoreRelay
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
@@ -56,6 +57,8 @@
     :param relay: passes on what this gateway watches.
     :param is_relay: tells whether other gateways may rely on this one, so
         that it has to ask the store itself.
+    :param ask_others: asks other gateways for what they know, where the store
+        didn't answer the first read.
     """
 
     def __init__(
@@ -64,7 +67,10 @@
         view: FleetView,
         relay: StoreRelay,
         is_relay: Callable[[], bool],
+        ask_others: Callable[[], Awaitable[StoreNews | None]],
     ) -> None:
+        self.copy = StoreCopy()
+        self._ask_others = ask_others
         self._store = store
         self._view = view
         self._relay = relay
@@ -126,11 +132,25 @@
             pause_s = 0
         except StoreUnavailable as exc:
             self._note_lost(str(exc))
+            await self._learn_from_others()
             outcome = 'unavailable'
             pause_s = pause_after_loss_s(self._watchers())
         metrics.STORE_CALLS.labels(operation, outcome).inc()
         return pause_s
 
+    async def _learn_from_others(self) -> None:
+        """Start from the copy of another gateway if nothing is known yet."""
+        if self._revision is not None or self.has_read.is_set():
+            return
+        news = await self._ask_others()
+        if news is None or self.has_read.is_set():
+            return
+        log_event(Event.COPY_TAKEN, revision=news.revision)
+        self._revision = news.revision
+        self.copy.replace(news.items, news.revision)
+        self._apply(self._store.decode(news.items, news.revision))
+        self.has_read.set()
+
     def _watchers(self) -> int:
         """Return how many gateways ask the store, as far as is known."""
         if self._is_relay():
@@ -159,6 +179,7 @@
     async def _read(self) -> None:
         seen = await self._store.read()
         self._relay.on_seen(seen.revision, seen._replace(items=()))
+        self.copy.replace(seen.items, seen.revision)
         self._take(seen)
         listed = frozenset(
             change.server.server_id
@@ -171,6 +192,10 @@
 
     def _take(self, seen: Snapshot) -> None:
         self._note_back()
+        self.copy.apply(seen.items, seen.revision)
+        self._apply(seen)
+
+    def _apply(self, seen: Snapshot) -> None:
         before = self._view.configuration
         for change in seen.changes:
             self._view.apply(change, now_s())
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -148,6 +148,15 @@
     items: tuple[StoredItem, ...]
 
 
+class CopyWanted(NamedTuple):
+    """Asks a gateway for all that it knows of the store's content.
+
+    :param instance: machine that asks.
+    """
+
+    instance: str
+
+
 class StoreWord(NamedTuple):
     """How an owner stands with the store, told as a sign of life.
 
@@ -170,6 +179,7 @@
     | StoreNews
     | StoreWord
     | HeldChanged
+    | CopyWanted
 )
 
 #: Position is the code on the wire: append only.
@@ -184,6 +194,7 @@
     StoreNews,
     StoreWord,
     HeldChanged,
+    CopyWanted,
 )
 
 _FAULTS = (cbor2.CBORError, TypeError, ValueError, LookupError)
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
+    CopyWanted,
     Hello,
     LoadEnded,
     LoadWanted,
@@ -25,6 +26,7 @@
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_desk import OwnerDesk
 from wasabicross.gateway.owner_news import OwnerNews
+from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.logs import log_event
 
@@ -53,11 +55,17 @@
     :param instance: name of this machine.
     :param desk: loads on those engines.
     :param relay: passes news of the store on.
+    :param copy: what this gateway knows of the store's content.
     """
 
     def __init__(
-        self, instance: str, desk: OwnerDesk, relay: StoreRelay
+        self,
+        instance: str,
+        desk: OwnerDesk,
+        relay: StoreRelay,
+        copy: StoreCopy,
     ) -> None:
+        self._copy = copy
         self._instance = instance
         self._desk = desk
         self._relay = relay
@@ -82,10 +90,12 @@
 
     async def _on_link(self, conn: ServerConnection) -> None:
         try:
-            hello = decode(await conn.recv())[0]
-            if isinstance(hello, Hello):
+            hello, *rest = decode(await conn.recv())
+            if rest and isinstance(rest[0], CopyWanted):
+                await conn.send(encode(self._copy.whole()))
+            elif isinstance(hello, Hello):
                 await self._follow(conn, hello.instance)
-        except (WebSocketException, OSError, LookupError) as exc:
+        except (WebSocketException, OSError, ValueError) as exc:
             log_event(Event.LINK_ENDED, reason=str(exc))
         except MessageMalformed as exc:
             log_event(Event.LINK_ENDED, reason=str(exc))
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -25,6 +25,7 @@
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.log_output import LogOutput
+from wasabicross.gateway.messages import StoreNews
 from wasabicross.gateway.orders import EngineSeam
 from wasabicross.gateway.owner_desk import OwnerDesk
 from wasabicross.gateway.owner_server import OwnerServer
@@ -35,6 +36,7 @@
 from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.store_copy import ask_for_copy
 from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.gateway.tenures import Tenures
 from wasabicross.gateway.uses import AdapterUses
@@ -100,6 +102,7 @@
             self.view,
             self._relay,
             lambda: self._tenures.owns_any,
+            self._ask_others,
         )
         self._links = OwnerLinks(
             cfg,
@@ -165,7 +168,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
 
     def _parts(self) -> Iterator[Coroutine[Any, Any, None]]:
-        owner_server = OwnerServer(self._cfg.instance, self._desk, self._relay)
+        owner_server = OwnerServer(
+            self._cfg.instance, self._desk, self._relay, self._follower.copy
+        )
         prober = Prober(self.view, self._seams.engines)
         yield self._follower.run()
         yield self._announce()
@@ -259,6 +264,14 @@
                 break
         await asyncio.Event().wait()
 
+    async def _ask_others(self) -> StoreNews | None:
+        others = [
+            Address(host, self._cfg.peer_port)
+            for host in self._cfg.seeds
+            if host != self._cfg.host
+        ]
+        return await ask_for_copy(self._cfg.instance, others)
+
     async def _own(self) -> None:
         await self._follower.has_read.wait()
         await self._tenures.run()
--- a/src/wasabicross/gateway/settings.py
+++ b/src/wasabicross/gateway/settings.py
@@ -28,6 +28,7 @@
     :param grace_s: time from SIGTERM until the process is killed.
     :param holder_gap_s: least time between the orders of two machines to one
         server.
+    :param seeds: IP numbers of some other machines, which may be gone.
     :param cores: processor time that the process gets, in cores.
     :param link_mbps: what the network link of the machine carries, in Mbit/s.
     """
@@ -44,5 +45,6 @@
     retry_slack: int
     grace_s: float
     holder_gap_s: float
+    seeds: tuple[str, ...]
     cores: float
     link_mbps: float
--- a/src/wasabicross/platform/settings.py
+++ b/src/wasabicross/platform/settings.py
@@ -69,6 +69,7 @@
         retry_slack=bounds.value('retrySlack', int),
         grace_s=bounds.number('graceS'),
         holder_gap_s=bounds.value('leaseMs', int) / _MS_IN_S,
+        seeds=fields.hosts('seeds'),
         cores=limits.number('cpuShare') * limits.number('cores'),
         link_mbps=limits.number('linkMbps'),
     )
@@ -89,6 +90,13 @@
             raise DocumentUnreadable(f'settings: {where}: wrong type')
         return found
 
+    def hosts(self, name: str) -> tuple[str, ...]:
+        """Return the hosts of a list of addresses, none if it is missing."""
+        if name not in self.content:
+            return ()
+        listed = self.value(name, list)
+        return tuple(str(each).rpartition(':')[0] for each in listed)
+
     def number(self, name: str) -> float:
         return float(self.value(name, (int, float)))
 
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -56,6 +56,10 @@
         """Return everything."""
         return Snapshot(tuple(self.changes), (), self._revision)
 
+    def decode(self, items, revision):
+        """Know no items."""
+        return Snapshot((), (), revision, items)
+
     async def watch(self, revision, wait_s):
         """Wait for records of owners; nothing else changes."""
         deadline_s = time.monotonic() + wait_s
@@ -325,6 +329,7 @@
         retry_slack=54,
         grace_s=8,
         holder_gap_s=3,
+        seeds=(),
         cores=1.0,
         link_mbps=1000.0,
     )
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -51,8 +51,13 @@
         return result
 
 
-def follower(store, view, is_relay=False):
-    return StoreFollower(store, view, StoreRelay(), lambda: is_relay)
+def follower(store, view, is_relay=False, others=None):
+    async def ask_others():
+        return others
+
+    return StoreFollower(
+        store, view, StoreRelay(), lambda: is_relay, ask_others
+    )
 
 
 def version(number, revision):
@@ -217,3 +222,47 @@
 
     asyncio.run(led(SlowStore(version(1, 5)), view, tell, wait_s=1.1))
     assert view.versions[A] == 5
+
+
+DOWN = StoreUnavailable('down')
+
+
+@pytest.mark.parametrize(
+    ('results', 'others', 'known', 'calls'),
+    [
+        # Nobody knows anything: the store is asked until it answers.
+        ([DOWN, version(2, 5)], None, 2, [('read',), ('read',)]),
+        # Another gateway knows, and the store is followed from there.
+        (
+            [DOWN, DOWN, version(4, 9)],
+            StoreNews(0, 7, (item(3, 7),)),
+            4,
+            [('read',), ('watch', 7), ('watch', 7)],
+        ),
+        ([DOWN], StoreNews(0, 7, (item(3, 7),)), 3, [('read',), ('watch', 7)]),
+        # What was read once isn't replaced by an older copy.
+        (
+            [version(5, 8), DOWN],
+            StoreNews(0, 7, (item(3, 7),)),
+            5,
+            [('read',), ('watch', 8)],
+        ),
+    ],
+)
+def test_a_start_without_the_store(results, others, known, calls):
+    store = ScriptedStore(*results)
+    view = FleetView()
+
+    async def scenario():
+        following = follower(store, view, others=others)
+        task = asyncio.ensure_future(following.run())
+        async with asyncio.timeout(5):
+            while view.version_of(A) != known or len(store.calls) < len(calls):
+                await asyncio.sleep(0.01)
+        assert following.has_read.is_set()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(scenario())
+    assert store.calls[: len(calls)] == calls
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -23,7 +23,9 @@
     OwnerServer,
     pause_between_frames_s,
 )
+from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import Snapshot, StoredItem
+from wasabicross.gateway.store_copy import StoreCopy, ask_for_copy
 from wasabicross.gateway.store_news import StoreRelay
 from wasabicross.gateway.view import FleetView
 
@@ -74,14 +76,14 @@
 
 
 @contextlib.asynccontextmanager
-async def linked(desk, wants_news=False, relayed=None):
+async def linked(desk, wants_news=False, relayed=None, copy=None):
     (port,) = free_ports(1)
     view = FleetView()
     relay = StoreRelay()
     news = FakeNews()
     link = OwnerLink('front-2', HOST, port, view, news)
     link.wants_news = wants_news
-    server = OwnerServer('front-1', desk, relay)
+    server = OwnerServer('front-1', desk, relay, copy or StoreCopy())
     serving = asyncio.ensure_future(server.run(HOST, port))
     following = asyncio.ensure_future(link.run())
     try:
@@ -221,3 +223,27 @@
 )
 def test_many_gateways_are_told_less_often(links, pause_s):
     assert pause_between_frames_s(links) == pytest.approx(pause_s)
+
+
+def test_a_gateway_that_starts_gets_a_copy_of_the_store():
+    copy = StoreCopy()
+    copy.replace((ITEM, StoredItem('servers/s1', 7, b'{}')), 9)
+    copy.apply((StoredItem('servers/s1', 11, None),), 11)
+    (gone,) = free_ports(1)
+
+    async def scenario():
+        async with linked(FakeDesk(), copy=copy) as (link, _, _, port):
+            addresses = [Address(HOST, gone), Address(HOST, port)]
+            news = await ask_for_copy('front-3', addresses)
+            assert await link.load(WANTED) == 3
+        return news
+
+    assert asyncio.run(scenario()) == StoreNews(0, 11, (ITEM,))
+
+
+def test_a_copy_of_nothing_is_none():
+    async def scenario():
+        async with linked(FakeDesk()) as (_, _, _, port):
+            return await ask_for_copy('front-3', [Address(HOST, port)])
+
+    assert asyncio.run(scenario()) is None
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -6,6 +6,7 @@
 from wasabicross.exceptions import MessageMalformed
 from wasabicross.gateway.messages import (
     AdapterUse,
+    CopyWanted,
     HeldAdapter,
     HeldChanged,
     Hello,
@@ -34,6 +35,7 @@
         UsesTold((AdapterUse('s1', 'm0', 'a1', 3),)),
         ServerLoad('s1', 5, 0, 1),
         NewsWanted('front-1'),
+        CopyWanted('front-1'),
         HeldChanged(
             's1',
             5,
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -28,6 +28,7 @@
         'graceS': 8,
         'leaseMs': 3000,
     },
+    'seeds': ['10.1.0.38:8144', '10.2.0.40:8144'],
     'limits': {'cpuShare': 0.5, 'cores': 2, 'linkMbps': 100.0},
     'somethingNew': {'unknown': True},
 }
@@ -45,6 +46,7 @@
     assert cfg.callers == Address('10.1.0.38', 8149)
     assert cfg.peer_port == 7380
     assert cfg.holder_gap_s == 3
+    assert cfg.seeds == ('10.1.0.38', '10.2.0.40')
     assert (cfg.cores, cfg.link_mbps) == (1.0, 100.0)
 
 
