Tell owners of the use of an adapter as soon as it begins

Uses were told each quarter of a second. Ruled out: the time for which an adapter is kept after its use (0.5 s, it was not the first use), the silence of a gateway without power (8 s). Change: uses that begin are told after 0.01 s, those that go on each 0.4 s.

--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
-from collections.abc import Callable
+import math
 from functools import singledispatchmethod
 from typing import Protocol
 
@@ -34,6 +35,7 @@
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_desk import OwnerDesk
 from wasabicross.gateway.settings import GatewaySettings
+from wasabicross.gateway.uses import AdapterUses
 from wasabicross.gateway.view import FleetView
 from wasabicross.logs import log_event
 
@@ -43,8 +45,12 @@
 #: Pause between looks at who owns engines, and at those of this gateway.
 _FOLLOW_S = 0.06
 
-#: How often uses of adapters are told.
-_USES_S = 0.25
+#: How often uses of adapters that go on are told again.
+_USES_S = 0.4
+
+#: Pause in which uses that begin are gathered. Until its owner hears of a use,
+#: it may unload the adapter, and an engine takes no orders while that waits.
+_GATHER_S = 0.01
 
 #: Without a word for so long, a link is given up and dialled again.
 _SILENCE_S = 1.6
@@ -215,7 +221,7 @@
         same on all machines.
     :param view: the deployment.
     :param desk: the engines that this gateway owns itself.
-    :param uses: returns the uses of adapters that changed.
+    :param uses: the adapters that this gateway's requests use.
     :param news: takes in what owners of this data centre watch.
     """
 
@@ -224,7 +230,7 @@
         cfg: GatewaySettings,
         view: FleetView,
         desk: OwnerDesk,
-        uses: Callable[[], dict[str, tuple[AdapterUse, ...]]],
+        uses: AdapterUses,
         news: NewsSink,
     ) -> None:
         self._news = news
@@ -245,16 +251,31 @@
 
     async def tell_uses(self) -> None:
         """Tell the owners which adapters are in use, until cancelled."""
+        told_all_s = -math.inf
         while True:
-            for host, uses in self._uses().items():
-                if host == self._cfg.host:
-                    for use in uses:
-                        self._desk.on_use(self._cfg.instance, use)
-                    continue
-                link = self._links.get(host)
-                if link is not None:
-                    await link.tell(uses)
-            await asyncio.sleep(_USES_S)
+            is_due = now_s() - told_all_s >= _USES_S
+            if is_due:
+                told_all_s = now_s()
+            uses = self._uses.changed(with_running=is_due)
+            for host, of_host in uses.items():
+                await self._tell_uses(host, of_host)
+            await self._until_a_use_begins(told_all_s + _USES_S)
+
+    async def _until_a_use_begins(self, until_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0, until_s - now_s())):
+                await self._uses.has_begun.wait()
+        self._uses.has_begun.clear()
+        await asyncio.sleep(_GATHER_S)
+
+    async def _tell_uses(self, host: str, uses: tuple[AdapterUse, ...]) -> None:
+        if host == self._cfg.host:
+            for use in uses:
+                self._desk.on_use(self._cfg.instance, use)
+            return
+        link = self._links.get(host)
+        if link is not None:
+            await link.tell(uses)
 
     async def load(self, host: str, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -108,7 +108,7 @@
             cfg,
             self.view,
             self._desk,
-            self._uses.changed,
+            self._uses,
             self._follower,
         )
         placing = Placing(self.view, self._uses, self._links, cfg.data_centre)
--- a/src/wasabicross/gateway/uses.py
+++ b/src/wasabicross/gateway/uses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import defaultdict
 
 from wasabicross.gateway.backend import AdapterKey
@@ -20,6 +21,8 @@
         self._view = view
         self._running: dict[tuple[str, AdapterKey], int] = defaultdict(int)
         self._touched: set[tuple[str, AdapterKey]] = set()
+        #: Set when a request begins to use an adapter.
+        self.has_begun = asyncio.Event()
 
     def begin(self, server_id: str, key: AdapterKey | None) -> None:
         """Count a request that is sent to a server.
@@ -31,6 +34,7 @@
         if key is not None:
             self._running[server_id, key] += 1
             self._touched.add((server_id, key))
+            self.has_begun.set()
 
     def end(self, server_id: str, key: AdapterKey | None) -> None:
         """Take back what `begin` counted.
@@ -48,10 +52,16 @@
         if not self._running[server_id, key]:
             self._running.pop((server_id, key))
 
-    def changed(self) -> dict[str, tuple[AdapterUse, ...]]:
-        """Return the uses to tell now, by the IP number of the owner."""
+    def changed(
+        self, *, with_running: bool
+    ) -> dict[str, tuple[AdapterUse, ...]]:
+        """Return the uses to tell now, by the IP number of the owner.
+
+        :param with_running: whether uses that go on are told again.
+        """
         told: dict[str, list[AdapterUse]] = defaultdict(list)
-        for server_id, key in self._touched | self._running.keys():
+        again = self._running.keys() if with_running else ()
+        for server_id, key in self._touched.union(again):
             host = self.owner_host(server_id)
             if host:
                 running = self._running.get((server_id, key), 0)
--- /dev/null
+++ b/tests/test_gateway_uses.py
@@ -0,0 +1,78 @@
+"""Owners hear of uses of adapters as soon as they begin."""
+
+import asyncio
+import contextlib
+from types import SimpleNamespace
+
+import pytest
+
+from wasabicross.gateway import links
+from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.changes import OwnerNamed, ServerListed
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.links import OwnerLinks
+from wasabicross.gateway.messages import AdapterUse
+from wasabicross.gateway.ownership import group_of
+from wasabicross.gateway.uses import AdapterUses
+from wasabicross.gateway.view import FleetView
+
+A = AdapterKey('m0', 'a1')
+B = AdapterKey('m0', 'a2')
+HOST = '10.0.0.1'
+
+
+@pytest.fixture
+def uses():
+    view = FleetView()
+    server = BackendServer(
+        's1', 'llm', HOST, 1, 'dc', 4, False, {}, frozenset(('m0',)), 0
+    )
+    view.apply(ServerListed(server), 0)
+    group = group_of('s1', 'dc').name
+    view.apply(OwnerNamed(group, 'front-1', HOST, 5), 0)
+    return AdapterUses(view)
+
+
+def use(key, running):
+    return AdapterUse('s1', *key, running)
+
+
+def test_what_goes_on_is_told_again_only_where_asked(uses):
+    uses.begin('s1', A)
+    assert uses.changed(with_running=False) == {HOST: (use(A, 1),)}
+    assert not uses.changed(with_running=False)
+    uses.begin('s1', B)
+    assert uses.changed(with_running=False) == {HOST: (use(B, 1),)}
+    assert set(uses.changed(with_running=True)[HOST]) == {use(A, 1), use(B, 1)}
+    uses.end('s1', A)
+    assert uses.changed(with_running=False) == {HOST: (use(A, 0),)}
+
+
+def test_a_use_is_told_at_once(uses, monkeypatch):
+    monkeypatch.setattr(links, '_USES_S', 10)
+    told = []
+
+    class Desk:
+        def on_use(self, user, each):
+            """Note when a use is told."""
+            told.append((now_s(), each))
+
+    cfg = SimpleNamespace(instance='front-1', host=HOST)
+    owner_links = OwnerLinks(cfg, FleetView(), Desk(), uses, None)
+
+    async def scenario():
+        task = asyncio.ensure_future(owner_links.tell_uses())
+        await asyncio.sleep(0.1)
+        began_s = now_s()
+        uses.begin('s1', A)
+        async with asyncio.timeout(4):
+            while not told:
+                await asyncio.sleep(0.001)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        return began_s
+
+    began_s = asyncio.run(scenario())
+    assert told[0][1] == use(A, 1)
+    assert told[0][0] - began_s < 2
