Say that nobody can rely on a gateway that is led itself

Cause, found by reading: a gateway that loses its groups and follows another relay stops watching, and its last word on the store would still say that it misses nothing; who relied on it alone would ask nobody. Change: its word says that the store is lost while it is led. The test failed before.

--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -86,6 +86,8 @@
         while True:
             if self._is_led():
                 self._note_back()
+                # It passes nothing on while it asks nothing.
+                self._relay.on_lost()
                 self._view.drop_lapsed(now_s())
                 await asyncio.sleep(_LED_PAUSE_S)
                 continue
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -201,6 +201,32 @@
     assert view.version_of(A) == known
 
 
+def test_who_is_led_leads_nobody():
+    store = ScriptedStore(version(2, 5))
+    relay = StoreRelay()
+
+    async def nobody():
+        return None
+
+    async def scenario():
+        following = StoreFollower(
+            store, FleetView(), relay, lambda: False, nobody
+        )
+        task = asyncio.ensure_future(following.run())
+        await following.has_read.wait()
+        assert relay.word == StoreWord(5, False)
+        following.on_word('10.0.0.1', StoreWord(5, False))
+        async with asyncio.timeout(5):
+            while not relay.word.is_lost:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(scenario())
+    assert store.calls == [('read',)]
+
+
 def test_news_that_came_during_a_watch_are_not_undone():
     class SlowStore(ScriptedStore):
         async def watch(self, revision, wait_s):
