--- a/src/wasabicross/admin_actions.py
+++ b/src/wasabicross/admin_actions.py
@@ -24,11 +24,12 @@
 from wasabicross.bundles import BundlePointer
 from wasabicross.drafts import Drafts, Prepared, store_error
 from wasabicross.events import Event
-from wasabicross.exceptions import RolloutError, WasabicrossError
+from wasabicross.exceptions import WasabicrossError
 from wasabicross.holder import trusted_keys
 from wasabicross.logs import log_event
 from wasabicross.replies import Fault
 from wasabicross.rollout import Rollout
+from wasabicross.rollout_errors import RolloutError
 from wasabicross.settings import Settings
 
 DEFAULT_HISTORY = 20
--- a/src/wasabicross/admin_client.py
+++ b/src/wasabicross/admin_client.py
@@ -6,11 +6,11 @@
 import urllib3
 from expression import Error, Ok, Result
 
-from wasabicross.exceptions import (
+from wasabicross.exceptions import DocumentFault
+from wasabicross.operator_errors import (
     AdminClientError,
     AdminRefused,
     AdminUnreachable,
-    DocumentFault,
 )
 
 CONNECT_S = 3.0
--- a/src/wasabicross/admin_errors.py
+++ b/src/wasabicross/admin_errors.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from wasabicross import exceptions as exc_types
+from wasabicross import rollout_errors
 from wasabicross.replies import Fault, Kind, invalid
 
 
@@ -64,16 +65,16 @@
 
 _KINDS: dict[type[Exception], tuple[_Group, str]] = {
     exc_types.BundleFileError: (_INVALID, 'bundle_invalid'),
-    exc_types.UnknownBundle: (_UNKNOWN, 'unknown_bundle'),
-    exc_types.SignatureRefused: (_INVALID, 'signature_refused'),
-    exc_types.BundleNotSigned: (_CONFLICT, 'not_signed'),
-    exc_types.RaceLost: (_CONFLICT, 'race_lost'),
-    exc_types.AlreadySuperseded: (_CONFLICT, 'already_superseded'),
-    exc_types.StillRolling: (_CONFLICT, 'still_rolling'),
-    exc_types.SpreadUnknown: (_CONFLICT, 'spread_unknown'),
-    exc_types.StoreUnavailable: (_UNAVAILABLE, 'store_unavailable'),
-    exc_types.RollOutcomeUnknown: (_NO_ANSWER, 'outcome_unknown'),
-    exc_types.StoredDataMalformed: (_MALFORMED, 'stored_data_malformed'),
+    rollout_errors.UnknownBundle: (_UNKNOWN, 'unknown_bundle'),
+    rollout_errors.SignatureRefused: (_INVALID, 'signature_refused'),
+    rollout_errors.BundleNotSigned: (_CONFLICT, 'not_signed'),
+    rollout_errors.RaceLost: (_CONFLICT, 'race_lost'),
+    rollout_errors.AlreadySuperseded: (_CONFLICT, 'already_superseded'),
+    rollout_errors.StillRolling: (_CONFLICT, 'still_rolling'),
+    rollout_errors.SpreadUnknown: (_CONFLICT, 'spread_unknown'),
+    rollout_errors.StoreUnavailable: (_UNAVAILABLE, 'store_unavailable'),
+    rollout_errors.RollOutcomeUnknown: (_NO_ANSWER, 'outcome_unknown'),
+    rollout_errors.StoredDataMalformed: (_MALFORMED, 'stored_data_malformed'),
 }
 
 
@@ -100,14 +101,14 @@
     return {'faults': [fault._asdict() for fault in exc.faults]}
 
 
-@details_of.register(exc_types.RaceLost)
-@details_of.register(exc_types.AlreadySuperseded)
+@details_of.register(rollout_errors.RaceLost)
+@details_of.register(rollout_errors.AlreadySuperseded)
 def _(
-    exc: exc_types.RaceLost | exc_types.AlreadySuperseded,
+    exc: rollout_errors.RaceLost | rollout_errors.AlreadySuperseded,
 ) -> dict[str, Any]:
     return {'winner': exc.winner._asdict()}
 
 
 @details_of.register
-def _(exc: exc_types.StillRolling) -> dict[str, Any]:
+def _(exc: rollout_errors.StillRolling) -> dict[str, Any]:
     return {'data_centres': list(exc.data_centres)}
--- a/src/wasabicross/cli.py
+++ b/src/wasabicross/cli.py
@@ -30,9 +30,9 @@
     show,
     status_text,
 )
-from wasabicross.exceptions import DraftMismatch
 from wasabicross.explain import explain, read_lines
 from wasabicross.manifests import decode_manifest
+from wasabicross.operator_errors import DraftMismatch
 from wasabicross.operator_key import OperatorKey
 from wasabicross.roll_progress import RollProgress
 
--- a/src/wasabicross/cli_output.py
+++ b/src/wasabicross/cli_output.py
@@ -9,7 +9,7 @@
 import click
 
 from wasabicross.admin_client import Answer
-from wasabicross.exceptions import (
+from wasabicross.operator_errors import (
     AdminClientError,
     AdminRefused,
     DraftMismatch,
--- a/src/wasabicross/drafts.py
+++ b/src/wasabicross/drafts.py
@@ -20,11 +20,6 @@
     BundleError,
     BundleNotFound,
     BundleUnavailable,
-    RolloutError,
-    SignatureRefused,
-    StoredDataMalformed,
-    StoreUnavailable,
-    UnknownBundle,
 )
 from wasabicross.manifests import (
     decode_manifest,
@@ -32,6 +27,13 @@
     encode_part,
     verify_signed,
 )
+from wasabicross.rollout_errors import (
+    RolloutError,
+    SignatureRefused,
+    StoredDataMalformed,
+    StoreUnavailable,
+    UnknownBundle,
+)
 
 
 class Prepared(NamedTuple):
--- a/src/wasabicross/operator_key.py
+++ b/src/wasabicross/operator_key.py
@@ -9,8 +9,9 @@
 from nacl.signing import SigningKey
 
 from wasabicross.documents import Section, read_document, schema_faults
-from wasabicross.exceptions import DocumentFault, OperatorKeyError
+from wasabicross.exceptions import DocumentFault
 from wasabicross.manifests import signature_of
+from wasabicross.operator_errors import OperatorKeyError
 from wasabicross.settings import HexKey, Name
 
 _PRIVATE_MODE = 0o600
--- a/src/wasabicross/pointer_swap.py
+++ b/src/wasabicross/pointer_swap.py
@@ -10,17 +10,19 @@
 from wasabicross.bundles import BundlePointer
 from wasabicross.exceptions import (
     BundleNotFound,
-    RaceLost,
-    RollOutcomeUnknown,
-    RolloutError,
-    StoredDataMalformed,
-    StoreUnavailable,
     SwapConflict,
     SwapOutcomeUnknown,
     WasabicrossError,
 )
 from wasabicross.kv import Versioned
 from wasabicross.manifests import encode_part
+from wasabicross.rollout_errors import (
+    RaceLost,
+    RollOutcomeUnknown,
+    RolloutError,
+    StoredDataMalformed,
+    StoreUnavailable,
+)
 
 _SWAP_ATTEMPTS = 3
 
--- a/src/wasabicross/roll_progress.py
+++ b/src/wasabicross/roll_progress.py
@@ -7,7 +7,10 @@
 from expression import Error, Ok, Result
 
 from wasabicross.admin_client import AdminClient
-from wasabicross.exceptions import AdminClientError, AdminRefused
+from wasabicross.operator_errors import (
+    AdminClientError,
+    AdminRefused,
+)
 
 POLL_S = 0.25
 
--- a/src/wasabicross/rollout.py
+++ b/src/wasabicross/rollout.py
@@ -15,11 +15,15 @@
 from wasabicross.bundles import BundlePointer, Manifest
 from wasabicross.drafts import draft_error, next_after, store_error
 from wasabicross.exceptions import (
-    AlreadySuperseded,
     BundleError,
     BundleNotFound,
-    BundleNotSigned,
     BundleUntrusted,
+)
+from wasabicross.manifests import verify_signed
+from wasabicross.pointer_swap import PointerSwap
+from wasabicross.rollout_errors import (
+    AlreadySuperseded,
+    BundleNotSigned,
     RaceLost,
     RolloutError,
     SignatureRefused,
@@ -28,8 +32,6 @@
     StoredDataMalformed,
     UnknownBundle,
 )
-from wasabicross.manifests import verify_signed
-from wasabicross.pointer_swap import PointerSwap
 
 StatusesOf = Callable[[BundlePointer], tuple[DataCentreStatus, ...]]
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -9,7 +9,7 @@
 from bundle_parts import TRUSTED, bundle_text
 from memory_store import MemoryStore
 
-from wasabicross import admin_errors, exceptions
+from wasabicross import admin_errors, rollout_errors
 from wasabicross.admin_actions import AdminActions
 from wasabicross.admin_api import MAX_BODY_BYTES, AdminApi
 from wasabicross.bundle_status import InstanceStatus
@@ -210,7 +210,7 @@
 
 
 def test_every_error_of_an_action_has_a_code():
-    kinds = set(exceptions.RolloutError.__subclasses__())
+    kinds = set(rollout_errors.RolloutError.__subclasses__())
     codes = {code for _group, code in admin_errors._KINDS.values()}
     assert kinds < admin_errors._KINDS.keys()
     assert len(codes) == len(admin_errors._KINDS)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,7 +14,7 @@
 )
 from memory_store import MemoryStore
 
-from wasabicross import exceptions
+from wasabicross import rollout_errors
 from wasabicross.bundle_changes import count_changes
 from wasabicross.bundle_file import parse_bundle_file
 from wasabicross.bundle_status import data_centre_statuses
@@ -306,7 +306,7 @@
         thread.join()
     (winner,) = [name for name in names if results[name].is_ok()]
     losers = [results[name].error for name in names if name != winner]
-    assert {type(exc) for exc in losers} == {exceptions.RaceLost}
+    assert {type(exc) for exc in losers} == {rollout_errors.RaceLost}
     assert {exc.winner.rolled_by for exc in losers} == {winner}
 
 
