--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -1,13 +1,13 @@
-"""A gateway in this process, with a store in memory and scripted servers."""
+"""A gateway in this process, with a store and engines in memory."""
 
 import asyncio
 import contextlib
 import os
-import socket
-import struct
 import time
 from typing import NamedTuple
 
+from scripted_server import HOST
+
 from emulator.waiting import free_ports
 from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
 from wasabicross.gateway.changes import (
@@ -37,7 +37,6 @@
     PlatformDialect,
 )
 
-HOST = '127.0.0.1'
 LIMITS = CallerLimits(4096, 65536, 0.5, 5.0)
 A1 = AdapterKey('m0', 'a1')
 
@@ -124,119 +123,6 @@
         return True
 
 
-class Seen(NamedTuple):
-    """A request as a server got it."""
-
-    head: bytes
-    body: bytes
-
-    @property
-    def fields(self):
-        """Header fields by name in lower case."""
-        lines = self.head.decode('latin-1').split('\r\n')[1:]
-        pairs = (line.split(': ', 1) for line in lines if ': ' in line)
-        return {name.lower(): value for name, value in pairs}
-
-
-class ScriptedServer:
-    """A server that answers each request by the next of its scripts.
-
-    A script is a list of steps: bytes to send, seconds to wait, `reset` or
-    `close`. The last script is repeated.
-    """
-
-    def __init__(self, *scripts):
-        self._scripts = list(scripts)
-        self.seen = []
-        self.gone = asyncio.Event()
-
-    async def start(self):
-        """Listen; return the port."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        return server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                seen = Seen(head, b'')
-                length = int(seen.fields.get('content-length', 0))
-                seen = seen._replace(body=await reader.readexactly(length))
-                self.seen.append(seen)
-                script = self._scripts[0]
-                if len(self._scripts) > 1:
-                    self._scripts.pop(0)
-                if not await self._play(script, seen, reader, writer):
-                    break
-        self.gone.set()
-        writer.close()
-
-    async def _play(self, script, seen, reader, writer):
-        for step in script:
-            if step == 'reset':
-                _reset(writer)
-                return False
-            if step == 'close':
-                return False
-            if isinstance(step, bytes):
-                request_id = seen.fields.get('request-id', '').encode()
-                writer.write(step.replace(b'{id}', request_id))
-                await writer.drain()
-            elif await self._left(reader, step):
-                return False
-        return True
-
-    async def _left(self, reader, wait_s):
-        try:
-            async with asyncio.timeout(wait_s):
-                return not await reader.read(1)
-        except TimeoutError:
-            return False
-
-
-def _reset(writer):
-    """Close a connection so that the other side sees a reset."""
-    sock = writer.get_extra_info('socket')
-    linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
-def answer(body=b'ok', status=b'200 OK', extra=b''):
-    """Return a whole answer with a length."""
-    return (
-        b'HTTP/1.1 '
-        + status
-        + b'\r\nRequest-Id: {id}\r\nServer-Stamp: s1\r\n'
-        + extra
-        + b'Content-Length: %d\r\n\r\n' % len(body)
-        + body
-    )
-
-
-NOT_RUN = answer(b'', b'503 Service Unavailable', b'Not-Run: 1\r\n')
-FAILED = answer(b'no', b'500 Internal Server Error')
-STREAM_HEAD = (
-    b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s1\r\n'
-    b'Content-Type: text/event-stream\r\n'
-    b'Transfer-Encoding: chunked\r\n\r\n'
-)
-STREAM_END = b'0\r\n\r\n'
-
-
-def chunk(content):
-    """Return content as one chunk."""
-    return b'%x\r\n%s\r\n' % (len(content), content)
-
-
-def events(first, last):
-    """Return the events with these ids."""
-    return b''.join(
-        b'id: %d\ndata: token %d\n\n' % (number, number)
-        for number in range(first, last + 1)
-    )
-
-
 def route(kind, timeout_s=0.8, **fields):
     """Return the route of a kind of request, at a path of that name."""
     return Route(
@@ -361,81 +247,3 @@
                 if gateway.is_ready or not has_cfg:
                     return
             await asyncio.sleep(0.01)
-
-
-def request(path, body=b'', **fields):
-    """Return the bytes of a request."""
-    method = b'POST' if body else b'GET'
-    given = {
-        'Host': 'a.example',
-        'Request-Id': 'r1',
-        'Time-Left-Ms': '5000',
-        **{name.replace('_', '-'): text for name, text in fields.items()},
-    }
-    lines = [f'{name}: {text}'.encode() for name, text in given.items()]
-    if body:
-        lines.append(b'Content-Length: %d' % len(body))
-    head = [method + b' ' + path.encode() + b' HTTP/1.1', *lines]
-    return b'\r\n'.join(head) + b'\r\n\r\n' + body
-
-
-async def ask(port, *requests, wait_s=6):
-    """Send requests on one connection; return all that comes until its end.
-
-    The connection is half a second without bytes at its end, or closed.
-    """
-    reader, writer = await asyncio.open_connection(HOST, port)
-    writer.write(b''.join(requests))
-    received = b''
-    with contextlib.suppress(ConnectionError):
-        async with asyncio.timeout(wait_s):
-            while not _is_whole(received, len(requests)):
-                got = await reader.read(65536)
-                if not got:
-                    break
-                received += got
-    writer.close()
-    return received
-
-
-def _is_whole(received, count):
-    """Tell whether that many answers have ended."""
-    ended = 0
-    rest = received
-    while rest:
-        head, found, body = rest.partition(b'\r\n\r\n')
-        if not found:
-            return False
-        lowered = head.lower()
-        if b'chunked' in lowered:
-            end = body.find(STREAM_END)
-            if end < 0:
-                return False
-            rest = body[end + len(STREAM_END) :]
-        else:
-            mark = lowered.index(b'content-length: ') + 16
-            length = int(lowered[mark:].split(b'\r\n')[0])
-            if len(body) < length:
-                return False
-            rest = body[length:]
-        ended += 1
-    return ended >= count
-
-
-def status_of(received):
-    """Return the status of an answer."""
-    return int(received.split(b' ', 2)[1])
-
-
-def body_of(received):
-    """Return the body of an answer, chunks joined."""
-    head, _, body = received.partition(b'\r\n\r\n')
-    if b'chunked' not in head.lower():
-        return body
-    joined = b''
-    while body:
-        size, _, rest = body.partition(b'\r\n')
-        length = int(size or b'0', 16)
-        joined += rest[:length]
-        body = rest[length + 2 :]
-    return joined
--- /dev/null
+++ b/tests/scripted_server.py
@@ -0,0 +1,122 @@
+"""Backend servers that answer by scripts, and the pieces of their answers."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import NamedTuple
+
+HOST = '127.0.0.1'
+
+
+class Seen(NamedTuple):
+    """A request as a server got it."""
+
+    head: bytes
+    body: bytes
+
+    @property
+    def fields(self):
+        """Header fields by name in lower case."""
+        lines = self.head.decode('latin-1').split('\r\n')[1:]
+        pairs = (line.split(': ', 1) for line in lines if ': ' in line)
+        return {name.lower(): value for name, value in pairs}
+
+
+class ScriptedServer:
+    """A server that answers each request by the next of its scripts.
+
+    A script is a list of steps: bytes to send, seconds to wait, `reset` or
+    `close`. The last script is repeated.
+    """
+
+    def __init__(self, *scripts):
+        self._scripts = list(scripts)
+        self.seen = []
+        self.gone = asyncio.Event()
+
+    async def start(self):
+        """Listen; return the port."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                seen = Seen(head, b'')
+                length = int(seen.fields.get('content-length', 0))
+                seen = seen._replace(body=await reader.readexactly(length))
+                self.seen.append(seen)
+                script = self._scripts[0]
+                if len(self._scripts) > 1:
+                    self._scripts.pop(0)
+                if not await self._play(script, seen, reader, writer):
+                    break
+        self.gone.set()
+        writer.close()
+
+    async def _play(self, script, seen, reader, writer):
+        for step in script:
+            if step == 'reset':
+                _reset(writer)
+                return False
+            if step == 'close':
+                return False
+            if isinstance(step, bytes):
+                request_id = seen.fields.get('request-id', '').encode()
+                writer.write(step.replace(b'{id}', request_id))
+                await writer.drain()
+            elif await self._left(reader, step):
+                return False
+        return True
+
+    async def _left(self, reader, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                return not await reader.read(1)
+        except TimeoutError:
+            return False
+
+
+def _reset(writer):
+    """Close a connection so that the other side sees a reset."""
+    sock = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def answer(body=b'ok', status=b'200 OK', extra=b''):
+    """Return a whole answer with a length."""
+    return (
+        b'HTTP/1.1 '
+        + status
+        + b'\r\nRequest-Id: {id}\r\nServer-Stamp: s1\r\n'
+        + extra
+        + b'Content-Length: %d\r\n\r\n' % len(body)
+        + body
+    )
+
+
+NOT_RUN = answer(b'', b'503 Service Unavailable', b'Not-Run: 1\r\n')
+FAILED = answer(b'no', b'500 Internal Server Error')
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s1\r\n'
+    b'Content-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+STREAM_END = b'0\r\n\r\n'
+
+
+def chunk(content):
+    """Return content as one chunk."""
+    return b'%x\r\n%s\r\n' % (len(content), content)
+
+
+def events(first, last):
+    """Return the events with these ids."""
+    return b''.join(
+        b'id: %d\ndata: token %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -7,20 +7,24 @@
 from gateway_parts import (
     A1,
     CONFIGURATION,
+    FakeEngines,
+    running_gateway,
+)
+from raw_caller import (
+    ask,
+    body_of,
+    request,
+    status_of,
+)
+from scripted_server import (
     FAILED,
     NOT_RUN,
     STREAM_END,
     STREAM_HEAD,
-    FakeEngines,
     ScriptedServer,
     answer,
-    ask,
-    body_of,
     chunk,
     events,
-    request,
-    running_gateway,
-    status_of,
 )
 
 OK = answer(b'the answer')
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -5,7 +5,11 @@
 import json
 
 import pytest
-from gateway_parts import HOST, ScriptedServer, answer
+from scripted_server import (
+    HOST,
+    ScriptedServer,
+    answer,
+)
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.errors import (
