Count bytes as waiting at the proxy only once they are held back

The test pauses the owner once the proxy says that bytes wait on their way to the engine. The proxy counted each byte as waiting from its receipt to the end of its send, which gives up the interpreter, so the reader of the counts ran in just that moment: an order seemed held where a request had passed.

Ruled out: an idle limit at the stand-in engine (it has none), a reset of the held connection (the order's client closes it in order, and what is held is sent before the end), load alone (6 runs of the file beside other work passed).

Shown: a link with 4 callers and a text to hold that never comes was polled for 30 s: 7 of 4931 counts said waiting bytes before, 0 of 4665 after. With the wait of the test left out the same failure came in 3 of 3 runs, with the same message.

Change: bytes count as waiting from the end of the delivery that kept them. tests/test_proxy_pump.py fails before (5 for 0) and passes now; the tests of the proxy (51) pass. The same count is read by test_promise_claims.

Conclusion: a fault of the stand-in proxy, not of the product.

--- a/emulator/proxy_pump.py
+++ b/emulator/proxy_pump.py
@@ -89,6 +89,7 @@
         self._counted_from = 0
         self._pending: deque[_Item] = deque()
         self._pending_bytes = 0
+        self._waiting_bytes = 0
         self._blocked = False
         self._sink_gone = False
 
@@ -123,24 +124,19 @@
 
         :raises ConnectionReset: a reset is due, or enough bytes have gone by.
         """
-        self._blocked = False
-        if self._is_held(faults):
-            return
-        while self._pending and self._pending[0].due_s <= now_s:
-            item = self._pending[0]
-            if item.data is None:
-                raise ConnectionReset
-            if not item.data:
-                self._finish()
-            elif not self._send(item, self._allowance(faults)):
-                return
-            self._pending.popleft()
+        try:
+            self._deliver(faults, now_s)
+        finally:
+            self._waiting_bytes = self._pending_bytes
 
     def counts(self) -> dict[str, int]:
-        """Tell the bytes by their fate, and 1 if its source has ended."""
+        """Tell the bytes by their fate, and 1 if its source has ended.
+
+        Bytes that pass without a fault never count as waiting.
+        """
         return {
             'carried': self.carried_bytes,
-            'waiting': self._pending_bytes,
+            'waiting': self._waiting_bytes,
             'lost': self.lost_bytes,
             'ended': int(self.ended),
         }
@@ -163,6 +159,20 @@
             return None
         return self._pending[0].due_s if self._pending else None
 
+    def _deliver(self, faults: Faults, now_s: float) -> None:
+        self._blocked = False
+        if self._is_held(faults):
+            return
+        while self._pending and self._pending[0].due_s <= now_s:
+            item = self._pending[0]
+            if item.data is None:
+                raise ConnectionReset
+            if not item.data:
+                self._finish()
+            elif not self._send(item, self._allowance(faults)):
+                return
+            self._pending.popleft()
+
     def _is_held(self, faults: Faults) -> bool:
         if self.direction not in faults.hold:
             return False
