Let nobody wait for a link to an owner that is being closed

A silent link is given up after 1.6 s and then waits 1 s for the other side to close; a send on it in that time waits as long, and uses were sent to one owner after the other. So all gateways told nobody of any use for a second, each time an owner vanished, froze or was cut off. Loads asked of such an owner waited the same second.

Ruled out: late reports of the engine (the order counts agree), uses joined too long (0.01 s), a full write buffer (some hundred bytes were under way).

Change: frames to owners are handed over without waiting, and the link is down for all from the moment it is given up; it closes within 0.1 s. A link that doesn't open is logged once, with the reason, until it does.

--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.connection import broadcast
 from websockets.exceptions import WebSocketException
 
 from wasabicross.events import Event
@@ -40,6 +41,7 @@
 from wasabicross.logs import log_event
 
 _OPEN_TIMEOUT_S = 1.0
+_CLOSE_TIMEOUT_S = 0.1
 _REDIAL_S = 0.25
 
 #: Pause between looks at who owns engines, and at those of this gateway.
@@ -57,6 +59,9 @@
 
 _MS_IN_S = 1000
 
+#: How a link ends.
+_LINK_FAULTS = (WebSocketException, OSError, TimeoutError, MessageMalformed)
+
 
 class NewsSink(Protocol):
     """Takes in what relays tell of the store."""
@@ -94,6 +99,7 @@
         self._port = port
         self._view = view
         self._conn: ClientConnection | None = None
+        self._is_end_noted = False
         self._calls: dict[int, asyncio.Future[int]] = {}
         self._call_ids = itertools.count(1)
 
@@ -106,11 +112,9 @@
         """Keep the link open until cancelled."""
         while True:
             try:
-                await self._follow()
-            except (WebSocketException, OSError, TimeoutError) as exc:
-                self._on_end(repr(exc))
-            except MessageMalformed as exc:
-                self._on_end(str(exc))
+                await self._dial()
+            except _LINK_FAULTS as exc:
+                self._note_end(repr(exc))
             await asyncio.sleep(_REDIAL_S)
 
     async def load(self, wanted: LoadRequest) -> int:
@@ -132,47 +136,49 @@
             wanted.priority,
             int(wanted.patience_s * _MS_IN_S),
         )
+        _send(self._conn, want)
         try:
-            await _send(self._conn, want)
             return await fut
-        except WebSocketException:
-            return 0
         finally:
-            self._calls.pop(call_id, None)
+            self._calls.pop(call_id)
 
-    async def tell(self, uses: tuple[AdapterUse, ...]) -> None:
-        """Tell the owner which adapters are in use.
+    def tell(self, uses: tuple[AdapterUse, ...]) -> None:
+        """Tell the owner which adapters are in use, unless the link is down.
 
         :param uses: those that changed.
         """
         if self._conn is not None:
-            try:
-                await _send(self._conn, UsesTold(uses))
-            except WebSocketException as exc:
-                log_event(Event.LINK_ENDED, reason=str(exc))
+            _send(self._conn, UsesTold(uses))
 
-    async def _follow(self) -> None:
+    async def _dial(self) -> None:
         async with connect(
             f'ws://{self._host}:{self._port}',
             compression=None,
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
             open_timeout=_OPEN_TIMEOUT_S,
-            close_timeout=_OPEN_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
             proxy=None,
         ) as conn:
-            await _send(conn, Hello(self._instance))
-            self._conn = conn
-            log_event(Event.LINK_OPEN, host=self._host)
-            has_asked = False
-            while True:
-                if self.wants_news and not has_asked:
-                    await _send(conn, NewsWanted(self._instance))
-                    has_asked = True
-                async with asyncio.timeout(_SILENCE_S):
-                    frame = await conn.recv()
-                for message in decode(frame):
-                    self._on_message(message)
+            try:
+                await self._follow(conn)
+            finally:
+                self._leave()
+
+    async def _follow(self, conn: ClientConnection) -> None:
+        _send(conn, Hello(self._instance))
+        self._conn = conn
+        self._is_end_noted = False
+        log_event(Event.LINK_OPEN, host=self._host)
+        has_asked = False
+        while True:
+            if self.wants_news and not has_asked:
+                _send(conn, NewsWanted(self._instance))
+                has_asked = True
+            async with asyncio.timeout(_SILENCE_S):
+                frame = await conn.recv()
+            for message in decode(frame):
+                self._on_message(message)
 
     @singledispatchmethod
     def _on_message(self, message: Message) -> None:
@@ -206,14 +212,19 @@
         if fut is not None and not fut.done():
             fut.set_result(message.version)
 
-    def _on_end(self, reason: str) -> None:
-        if self._conn is not None:
-            log_event(Event.LINK_ENDED, host=self._host, reason=reason)
+    def _leave(self) -> None:
+        """Let nobody wait for the link, which may take a while to close."""
         self._conn = None
         for fut in self._calls.values():
             if not fut.done():
                 fut.set_result(0)
 
+    def _note_end(self, reason: str) -> None:
+        """Log why there is no link, once until it is open again."""
+        if not self._is_end_noted:
+            log_event(Event.LINK_ENDED, host=self._host, reason=reason)
+        self._is_end_noted = True
+
 
 class OwnerLinks:
     """The links to all owners, and this gateway's own desk.
@@ -259,7 +270,7 @@
                 told_all_s = now_s()
             uses = self._uses.changed(with_running=is_due)
             for host, of_host in uses.items():
-                await self._tell_uses(host, of_host)
+                self._tell_uses(host, of_host)
             await self._until_a_use_begins(told_all_s + _USES_S)
 
     async def _until_a_use_begins(self, until_s: float) -> None:
@@ -269,14 +280,14 @@
         self._uses.has_begun.clear()
         await asyncio.sleep(_GATHER_S)
 
-    async def _tell_uses(self, host: str, uses: tuple[AdapterUse, ...]) -> None:
+    def _tell_uses(self, host: str, uses: tuple[AdapterUse, ...]) -> None:
         if host == self._cfg.host:
             for use in uses:
                 self._desk.on_use(self._cfg.instance, use)
             return
         link = self._links.get(host)
         if link is not None:
-            await link.tell(uses)
+            link.tell(uses)
 
     async def load(self, host: str, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
@@ -318,5 +329,6 @@
             link.wants_news = host in relays
 
 
-async def _send(conn: ClientConnection, message: Message) -> None:
-    await conn.send(encode(message))
+def _send(conn: ClientConnection, message: Message) -> None:
+    """Send a message without waiting; a link that is closing drops it."""
+    broadcast((conn,), encode(message))
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -130,7 +130,7 @@
     async def scenario():
         desk = FakeDesk()
         async with linked(desk) as (link, _, _, _):
-            await link.tell((use,))
+            link.tell((use,))
             await until(lambda: desk.uses)
         assert desk.uses == [('front-2', use)]
 
