Drop gateways that read nothing from an owner's link

Cause: an owner hands frames over without waiting. The link of a machine that has vanished without an end, or stands still, stays open at the owner until the kernel gives it up, many minutes later, and every frame of that time is kept for it in memory. Found by reading, after a fault of the same kind at the other end of the link.

Change: a link for which over 256 KB wait is ended, with a log line; the gateway dials again if it lives. The new test fails before (no end within 5 s after 10 MB) and passes now.

Conclusion: memory of an owner is bounded for each link.

--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -38,6 +38,9 @@
 
 _MS_IN_S = 1000
 
+#: A gateway for which more waits reads nothing any more.
+_MAX_WAITING_BYTES = 262144
+
 #: How a link ends; `ValueError` is a first frame without a message.
 _LINK_FAULTS = (WebSocketException, OSError, ValueError, MessageMalformed)
 
@@ -165,4 +168,13 @@
                 news += (*alive, self._relay.status)
             if news:
                 broadcast(self._links, encode(*news))
+            self._drop_stuck()
             await asyncio.sleep(pause_between_frames_s(len(self._links)))
+
+    def _drop_stuck(self) -> None:
+        """End the links of gateways that have vanished or stand still."""
+        for conn in self._links:
+            waiting = conn.transport.get_write_buffer_size()
+            if waiting > _MAX_WAITING_BYTES:
+                log_event(Event.LINK_ENDED, reason=f'{waiting} bytes wait')
+                conn.transport.abort()
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -7,6 +7,7 @@
 import pytest
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.backend import AdapterKey
@@ -14,9 +15,12 @@
 from wasabicross.gateway.messages import (
     AdapterUse,
     HeldAdapter,
+    Hello,
+    NewsWanted,
     ServerState,
     StoreNews,
     StoreStatus,
+    encode,
 )
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_server import (
@@ -186,6 +190,31 @@
     asyncio.run(scenario())
 
 
+def test_gateway_that_reads_nothing_is_dropped():
+    big = StoredItem('op/config', 8, bytes(500_000))
+
+    async def scenario():
+        parts = []
+        async with linked(FakeDesk(), relayed=parts) as (link, _, _, port):
+            relay, _ = parts
+            stuck = await connect(f'ws://{HOST}:{port}', max_queue=1)
+            await stuck.send(encode(Hello('front-9')))
+            await stuck.send(encode(NewsWanted('front-9')))
+            stuck.transport.pause_reading()
+            await asyncio.sleep(0.2)
+            for number in range(20):
+                relay.on_seen(number, Snapshot((), (), number + 1, (big,)))
+            await asyncio.sleep(0.3)
+            stuck.transport.resume_reading()
+            with pytest.raises(ConnectionClosed):
+                async with asyncio.timeout(5):
+                    while True:
+                        await stuck.recv()
+            assert await link.load(WANTED) == 3
+
+    asyncio.run(scenario())
+
+
 ITEM = StoredItem('op/version/m0.a1', 8, b'{}')
 
 
