Tell how busy engines are from the uses that owners hear of

All 91 gateways chose by what owners told twice a second of reports that are some tenths of a second old themselves; what they sent meanwhile to one holder showed a second later.

Change: gateways tell owners their uses at once already. The owner counts them (`EngineUses`, moved out of `EngineSlots`), tells the larger of that count and the report, and tells an engine whose load changed by two or more with the next frame. A gateway that hasn't repeated its uses for 1.2 s counts no longer.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -11,20 +11,12 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey, EngineReport
+from wasabicross.gateway.engine_uses import EngineUses
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 
-#: How long an adapter that was used stays, at the least.
-_KEEP_S = 0.5
-
-#: How long the use of an adapter that is not held is remembered.
-_FORGET_USE_S = 30.0
-
 #: From the first report until all gateways have told what they use.
 _HEAR_USES_S = 1.2
 
-#: How long requests count as running without a word of their gateway.
-_SILENT_USER_S = 8.0
-
 #: How far a report may lag behind what the engine does.
 REPORT_LAG_S = 0.35
 
@@ -35,18 +27,6 @@
 UNLOAD_S = 20.0
 
 
-class Use(NamedTuple):
-    """The use of an adapter.
-
-    :param last_s: when it was last heard of.
-    :param running: for each gateway with requests under way, when it last
-        said so.
-    """
-
-    last_s: float
-    running: dict[str, float]
-
-
 class Ordered(NamedTuple):
     """A load that the engine has accepted.
 
@@ -89,7 +69,7 @@
         self._unanswered: dict[AdapterKey, int] = {}
         self._loaded: dict[AdapterKey, Loaded] = {}
         self._unloading: dict[AdapterKey, float] = {}
-        self._uses: dict[AdapterKey, Use] = {}
+        self.uses = EngineUses()
         self._pending: frozenset[AdapterKey] = frozenset()
         self._born_ms = 0
         self._known_since_s = math.inf
@@ -166,7 +146,7 @@
             for key, expected in self._unanswered.items()
             if report.order_count <= expected
         }
-        self._drop_old_uses(asked_s)
+        self.uses.drop_old(self.held, asked_s)
 
     def on_order(
         self,
@@ -197,22 +177,6 @@
         else:
             self._on_unload(key, answer, now_s)
 
-    def on_use(
-        self, key: AdapterKey, user: str, running: int, now_s: float
-    ) -> None:
-        """Note the use of an adapter.
-
-        :param key: the adapter.
-        :param user: the gateway that uses it.
-        :param running: requests that it has under way with it.
-        :param now_s: the present time.
-        """
-        users = dict(self._uses.get(key, Use(now_s, {})).running)
-        users.pop(user, None)
-        if running:
-            users[user] = now_s
-        self._uses[key] = Use(now_s, users)
-
     def victim(
         self, versions: dict[AdapterKey, int], now_s: float
     ) -> AdapterKey | None:
@@ -230,25 +194,15 @@
             free,
             key=lambda key: (
                 self.held[key] >= versions.get(key, 0),
-                self._last_use_s(key),
+                self.uses.last_use_s(key),
             ),
             default=None,
         )
 
     def _is_free(self, key: AdapterKey, now_s: float) -> bool:
-        use = self._uses.get(key)
         if key in self.pending or key in self._unloading:
             return False
-        if use is None:
-            return True
-        last_s = max((use.last_s, *use.running.values()))
-        # A gateway that is cut off may go on for a while without a word.
-        keep_s = _SILENT_USER_S if use.running else _KEEP_S
-        return now_s - last_s >= keep_s
-
-    def _last_use_s(self, key: AdapterKey) -> float:
-        use = self._uses.get(key)
-        return use.last_s if use else -math.inf
+        return self.uses.is_free(key, now_s)
 
     def _on_repeat(
         self, key: AdapterKey, answer: OrderAnswer, version: int, now_s: float
@@ -300,13 +254,6 @@
         self.last_accepted_s = now_s
         self._unanswered.clear()
 
-    def _drop_old_uses(self, now_s: float) -> None:
-        self._uses = {
-            key: use
-            for key, use in self._uses.items()
-            if key in self.held or now_s - use.last_s < _FORGET_USE_S
-        }
-
     def _is_going_on(
         self, key: AdapterKey, report: EngineReport, asked_s: float
     ) -> bool:
--- /dev/null
+++ b/src/wasabicross/gateway/engine_uses.py
@@ -0,0 +1,111 @@
+"""The uses of adapters on one engine, as gateways tell its owner."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container
+from typing import NamedTuple
+
+from wasabicross.gateway.backend import AdapterKey
+
+#: How long an adapter that was used stays, at the least.
+_KEEP_S = 0.5
+
+#: How long the use of an adapter that is not held is remembered.
+_FORGET_USE_S = 30.0
+
+#: How long requests keep their adapter without a word of their gateway.
+_SILENT_USER_S = 8.0
+
+#: The same for counting them; gateways repeat what goes on more often.
+_COUNTED_S = 1.2
+
+
+class UserWord(NamedTuple):
+    """What a gateway last said of its use of an adapter.
+
+    :param running: requests that it has under way.
+    """
+
+    running: int
+    told_s: float
+
+
+class Use(NamedTuple):
+    """The use of an adapter.
+
+    :param last_s: when it was last heard of.
+    :param words: of each gateway that has requests under way.
+    """
+
+    last_s: float
+    words: dict[str, UserWord]
+
+
+class EngineUses:
+    """Which adapters are used on an engine, and by how many requests."""
+
+    def __init__(self) -> None:
+        self._uses: dict[AdapterKey, Use] = {}
+
+    def on_use(
+        self, key: AdapterKey, user: str, running: int, now_s: float
+    ) -> None:
+        """Note the use of an adapter.
+
+        :param key: the adapter.
+        :param user: the gateway that uses it.
+        :param running: requests that it has under way with it.
+        :param now_s: the present time.
+        """
+        words = dict(self._uses.get(key, Use(now_s, {})).words)
+        words.pop(user, None)
+        if running:
+            words[user] = UserWord(running, now_s)
+        self._uses[key] = Use(now_s, words)
+
+    def is_free(self, key: AdapterKey, now_s: float) -> bool:
+        """Tell whether nobody uses an adapter or has just used it.
+
+        :param key: the adapter.
+        :param now_s: the present time.
+        """
+        use = self._uses.get(key)
+        if use is None:
+            return True
+        told_s = (word.told_s for word in use.words.values())
+        # A gateway that is cut off may go on for a while without a word.
+        keep_s = _SILENT_USER_S if use.words else _KEEP_S
+        return now_s - max((use.last_s, *told_s)) >= keep_s
+
+    def last_use_s(self, key: AdapterKey) -> float:
+        """Return when an adapter was last heard to be used.
+
+        :param key: the adapter.
+        """
+        use = self._uses.get(key)
+        return use.last_s if use else -math.inf
+
+    def requests(self, now_s: float) -> int:
+        """Count the requests that gateways have under way on the engine.
+
+        :param now_s: the present time.
+        """
+        return sum(
+            word.running
+            for use in self._uses.values()
+            for word in use.words.values()
+            if now_s - word.told_s < _COUNTED_S
+        )
+
+    def drop_old(self, held: Container[AdapterKey], now_s: float) -> None:
+        """Forget uses of long ago.
+
+        :param held: adapters whose uses are remembered as long as they stay.
+        :param now_s: the present time.
+        """
+        self._uses = {
+            key: use
+            for key, use in self._uses.items()
+            if key in held or now_s - use.last_s < _FORGET_USE_S
+        }
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -133,12 +133,17 @@
         return self.slots.takes_orders
 
     def state(self) -> ServerState:
-        """Return what other gateways are told of the engine."""
+        """Return what other gateways are told of the engine.
+
+        What they have under way is known at once, where reports of the
+        engine come later.
+        """
+        under_way = self.slots.uses.requests(now_s())
         return ServerState(
             server_id=self.server.server_id,
             born_ms=self.server.born_ms,
             queued=self._queued,
-            running=self._running,
+            running=max(self._running, under_way - self._queued),
             takes_loads=self.takes_loads,
             held=tuple(
                 HeldAdapter(key.model, key.adapter, version)
@@ -232,7 +237,7 @@
     def _end(self, key: AdapterKey, version: int) -> None:
         load = self._awaited.take(key)
         self._known.add(key)
-        self.slots.on_use(key, '', 0, now_s())
+        self.slots.uses.on_use(key, '', 0, now_s())
         load.tell(version)
         metrics.LOADS.labels('loaded').inc()
         log_event(
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -76,7 +76,7 @@
         loader = self._loader(use.server_id)
         if loader is not None:
             key = AdapterKey(use.model, use.adapter)
-            loader.slots.on_use(key, user, use.running, now_s())
+            loader.slots.uses.on_use(key, user, use.running, now_s())
 
     def _loader(self, server_id: str) -> ServerLoader | None:
         server = self._view.servers.get(server_id)
--- a/src/wasabicross/gateway/owner_news.py
+++ b/src/wasabicross/gateway/owner_news.py
@@ -1,7 +1,8 @@
 """What an owner tells all other gateways of its engines.
 
 Answers deployments of many gateways: each frame goes to all of them over one
-network link, so a change is told by itself and not with all that is held.
+network link, so a change is told by itself and not with all that is held. All of
+them choose by what they were told, so an engine that fills up is told at once.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
 #: How often loads of engines are told, as a sign of life.
 SIGN_OF_LIFE_S = 0.5
 
+#: Requests more or less at an engine that are told before the next of these.
+_LOAD_STEP = 2
+
 
 class OwnerNews:
     """Finds what other gateways haven't been told yet.
@@ -30,6 +34,7 @@
     def __init__(self, instance: str) -> None:
         self._instance = instance
         self._told: dict[str, ServerState] = {}
+        self._told_loads: dict[str, int] = {}
         self._alive_s = -math.inf
         self._refreshed = 0
 
@@ -42,7 +47,8 @@
             _change(state, self._told.get(state.server_id)) for state in states
         ]
         self._told = {state.server_id: state for state in states}
-        return [each for each in news if each is not None]
+        loads = [self._load_change(state) for state in states]
+        return [each for each in (*news, *loads) if each is not None]
 
     def signs_of_life(
         self, states: Sequence[ServerState], now_s: float
@@ -59,17 +65,30 @@
             return []
         self._alive_s = now_s
         self._refreshed = (self._refreshed + 1) % max(1, len(states))
+        self._told_loads = {each.server_id: _requests(each) for each in states}
         return [
             Hello(self._instance),
-            *(
-                ServerLoad(
-                    each.server_id, each.born_ms, each.queued, each.running
-                )
-                for each in states
-            ),
+            *map(_load, states),
             *states[self._refreshed : self._refreshed + 1],
         ]
 
+    def _load_change(self, state: ServerState) -> Message | None:
+        told = self._told_loads.get(state.server_id, 0)
+        if abs(_requests(state) - told) < _LOAD_STEP:
+            return None
+        self._told_loads[state.server_id] = _requests(state)
+        return _load(state)
+
+
+def _requests(state: ServerState) -> int:
+    return state.queued + state.running
+
+
+def _load(state: ServerState) -> ServerLoad:
+    return ServerLoad(
+        state.server_id, state.born_ms, state.queued, state.running
+    )
+
 
 def _change(state: ServerState, told: ServerState | None) -> Message | None:
     if told is None or told.born_ms != state.born_ms:
--- a/tests/test_gateway_loader.py
+++ b/tests/test_gateway_loader.py
@@ -105,6 +105,17 @@
     return LoadRequest('s1', key, version, priority, patience_s)
 
 
+def test_requests_that_gateways_have_under_way_are_told_at_once():
+    async def scenario():
+        async with loading(FakeEngine(held=[A])) as loader:
+            before = loader.state().running
+            loader.slots.uses.on_use(A, 'front-1', 3, now_s())
+            loader.slots.uses.on_use(A, 'front-2', 1, now_s())
+            return before, loader.state().running
+
+    assert asyncio.run(scenario()) == (0, 4)
+
+
 def play(engine, *requests, **fields):
     async def scenario():
         async with loading(engine, **fields) as loader:
--- a/tests/test_gateway_owner_news.py
+++ b/tests/test_gateway_owner_news.py
@@ -77,6 +77,21 @@
     assert len(encode(*news)) < 80
 
 
+def test_an_engine_that_fills_up_is_told_before_the_next_sign_of_life():
+    owner = OwnerNews('front-1')
+    busy = state('s1', 'a')
+    owner.changes([busy])
+    owner.signs_of_life([busy], 1)
+    told = []
+    for running in (2, 3, 4, 5, 4, 3):
+        busy = busy._replace(running=running)
+        told.append(owner.changes([busy]))
+    full, fuller, emptier = (
+        [ServerLoad('s1', 5, 0, running)] for running in (3, 5, 3)
+    )
+    assert told == [[], full, [], fuller, [], emptier]
+
+
 def test_signs_of_life_tell_one_engine_in_turn_with_all_it_holds():
     states = [state('s1', 'a'), state('s2', 'b')]
     owner = OwnerNews('front-1')
--- a/tests/test_gateway_placement_load.py
+++ b/tests/test_gateway_placement_load.py
@@ -24,15 +24,21 @@
 ZIPF = 1.2
 REQUESTS_PER_S = 70.0
 RUN_S = 4.0
-#: Age of what gateways know of the requests at an engine.
+#: Of a day of high load, when some engines are lost.
+BUSY_PER_S = 140.0
+#: Age of what gateways know of the requests at an engine: by its reports, and
+#: as its owner hears of them.
 REPORT_S = 0.8
+HEARD_S = 0.25
 LENGTH_S = 60.0
 
 
 class Play:
     """Engines under load, as many gateways with the same reports see them."""
 
-    def __init__(self, choose):
+    def __init__(self, choose, per_s=REQUESTS_PER_S, known_s=REPORT_S):
+        self.per_s = per_s
+        self.known_s = known_s
         self.rng = random.Random(SEED)
         self.choose = choose
         self.running = [0] * ENGINES
@@ -49,14 +55,14 @@
     def run(self):
         at_s = next_report_s = 0.0
         while at_s < LENGTH_S:
-            at_s += self.rng.expovariate(REQUESTS_PER_S)
+            at_s += self.rng.expovariate(self.per_s)
             while self._ends and self._ends[0][0] <= at_s:
                 _, engine, adapter = heapq.heappop(self._ends)
                 self.running[engine] -= 1
                 self.in_use[engine][adapter] -= 1
             if at_s >= next_report_s:
                 self.reported = list(self.running)
-                next_report_s = at_s + REPORT_S
+                next_report_s = at_s + self.known_s
             self._arrive(at_s)
         return self
 
@@ -156,3 +162,9 @@
 def test_adapters_are_not_loaded_everywhere(played):
     other = Play(least_outstanding).run()
     assert played.loads < 0.6 * other.loads
+
+
+def test_fewer_find_it_crowded_where_owners_tell_what_they_hear():
+    by_reports = Play(by_room, BUSY_PER_S)
+    by_owners = Play(by_room, BUSY_PER_S, HEARD_S)
+    assert by_owners.run().crowded < 0.7 * by_reports.run().crowded
--- a/tests/test_gateway_slots.py
+++ b/tests/test_gateway_slots.py
@@ -160,7 +160,7 @@
 def test_victim(slots, uses, versions, victim):
     slots.on_report(report(held={A: 1, B: 1}), 0.5)
     for key, at_s, running in uses:
-        slots.on_use(key, 'front-1', running, at_s)
+        slots.uses.on_use(key, 'front-1', running, at_s)
     assert slots.victim(versions, 10) == victim
 
 
@@ -169,7 +169,7 @@
     slots, now_s, victim
 ):
     slots.on_report(report(held={A: 1}), 0.5)
-    slots.on_use(A, 'front-1', 2, 1)
+    slots.uses.on_use(A, 'front-1', 2, 1)
     assert slots.victim({}, now_s) == victim
 
 
