Leave links at a stop without waiting for a frozen gateway

Stacks of the tasks that were left show the websocket server's own connections in their closing handshake with a gateway that was frozen; the library waits 10 s for its end of it.

Ruled out: answers under way and the release of the groups (the process says that it has stopped after 2.5 s), the links to other owners (0.1 s already).

Change: the owner's side waits 0.1 s too.

--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -38,6 +38,9 @@
 
 _MS_IN_S = 1000
 
+#: How long the other end of a link may take to end it as well.
+_CLOSE_TIMEOUT_S = 0.1
+
 #: A gateway for which more waits reads nothing any more.
 _MAX_WAITING_BYTES = 262144
 
@@ -91,6 +94,7 @@
             compression=None,
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
+            close_timeout=_CLOSE_TIMEOUT_S,
         ):
             await self._tell()
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -215,6 +215,20 @@
     asyncio.run(scenario())
 
 
+def test_owner_ends_though_a_gateway_stands_still():
+    async def scenario():
+        async with linked(FakeDesk()) as (_, _, serving, port):
+            stuck = await connect(f'ws://{HOST}:{port}')
+            await stuck.send(encode(Hello('front-9')))
+            stuck.transport.pause_reading()
+            await asyncio.sleep(0.2)
+            serving.cancel()
+            await asyncio.wait((serving,), timeout=2)
+            return serving.done()
+
+    assert asyncio.run(scenario())
+
+
 ITEM = StoredItem('op/version/m0.a1', 8, b'{}')
 
 
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -3,7 +3,7 @@
 import pytest
 
 from emulator.soak.play import Size, play
-from emulator.soak.schedule import schedule_of
+from emulator.soak.schedule import Fault, schedule_of
 
 SIZE = Size(gateways=3, engines=2, callers=8)
 LENGTH_S = 12
@@ -16,3 +16,14 @@
     assert verdict.broken == []
     assert verdict.seen.orders
     assert len(verdict.seen.done) == len(faults)
+
+
+def test_gateways_stop_in_time_beside_a_frozen_one(tmp_path):
+    """Seeds 109 and 110: they waited for it to end its links as well."""
+    faults = (
+        Fault(2.0, 'gateway_pause', 3, 14, 0),
+        Fault(5.0, 'gateway_stop', 1, 0.3, 0),
+        Fault(7.0, 'gateway_stop', 0, 0.1, 0),
+    )
+    verdict = play(110, faults, Size(), tmp_path / 'soak')
+    assert verdict.broken == []
