--- a/src/wasabicross/gateway/engine_uses.py
+++ b/src/wasabicross/gateway/engine_uses.py
@@ -1,4 +1,8 @@
-"""The uses of adapters on one engine, as gateways tell its owner."""
+"""The uses of adapters on one engine, as gateways tell its owner.
+
+Reports of an engine lag, and many gateways choose by them. What gateways say of
+their own requests is known sooner, so the owner counts these as well.
+"""
 
 from __future__ import annotations
 
@@ -25,6 +29,7 @@
     """What a gateway last said of its use of an adapter.
 
     :param running: requests that it has under way.
+    :param told_s: when it said so, monotonic seconds.
     """
 
     running: int
@@ -34,8 +39,8 @@
 class Use(NamedTuple):
     """The use of an adapter.
 
-    :param last_s: when it was last heard of.
-    :param words: of each gateway that has requests under way.
+    :param last_s: when it was last heard of, monotonic seconds.
+    :param words: those of the gateways that have requests under way.
     """
 
     last_s: float
@@ -47,6 +52,25 @@
 
     def __init__(self) -> None:
         self._uses: dict[AdapterKey, Use] = {}
+        self._reported = 0
+        #: Requests that wait at the engine, by its last report.
+        self.queued = 0
+
+    def on_report(self, queued: int, running: int) -> None:
+        """Take in how busy the engine says that it is.
+
+        :param queued: requests that wait there.
+        :param running: requests in its batch.
+        """
+        self.queued = queued
+        self._reported = running
+
+    def running(self, now_s: float) -> int:
+        """Return how many requests run, by the report or by gateways' words.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        return max(self._reported, self.requests(now_s) - self.queued)
 
     def on_use(
         self, key: AdapterKey, user: str, running: int, now_s: float
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -85,8 +85,6 @@
         self._awaited = AwaitedLoads()
         self._wake = asyncio.Event()
         self._silent = 0
-        self._running = 0
-        self._queued = 0
         self._report_due_s = -math.inf
         self._repeat_due_s: dict[AdapterKey, float] = {}
         self._known: set[AdapterKey] = set()
@@ -133,17 +131,13 @@
         return self.slots.takes_orders
 
     def state(self) -> ServerState:
-        """Return what other gateways are told of the engine.
-
-        What they have under way is known at once, where reports of the
-        engine come later.
-        """
-        under_way = self.slots.uses.requests(now_s())
+        """Return what other gateways are told of the engine."""
+        uses = self.slots.uses
         return ServerState(
             server_id=self.server.server_id,
             born_ms=self.server.born_ms,
-            queued=self._queued,
-            running=max(self._running, under_way - self._queued),
+            queued=uses.queued,
+            running=uses.running(now_s()),
             takes_loads=self.takes_loads,
             held=tuple(
                 HeldAdapter(key.model, key.adapter, version)
@@ -195,8 +189,7 @@
             self._on_silence(str(exc))
             return
         self._silent = 0
-        self._running = report.running
-        self._queued = report.queued
+        self.slots.uses.on_report(report.queued, report.running)
         self.slots.on_report(report, asked_s)
         self.slots.slots = self._engine.slots_beside(self.slots.models)
         is_loading = self.slots.is_busy or self.slots.pending
