Keep what a failed soak run left when its seed is played again

Cause: found by reading.

Change: a run takes a folder that doesn't exist yet (seed-7, seed-7-2), and `play` refuses one that does.

--- a/emulator/soak/__main__.py
+++ b/emulator/soak/__main__.py
@@ -16,9 +16,15 @@
 
 import click
 
-from emulator.soak.play import Size, Verdict, play
+from emulator.soak.play import Size, Verdict, play, unused_folder
 from emulator.soak.report import lines_of
-from emulator.soak.schedule import decode, encode, schedule_of, shortened
+from emulator.soak.schedule import (
+    Fault,
+    decode,
+    encode,
+    schedule_of,
+    shortened,
+)
 
 _S_IN_MINUTE = 60
 
@@ -59,7 +65,8 @@
         faults = schedule_of(seed, self.minutes * _S_IN_MINUTE)
         if self.schedule is not None:
             faults = decode(self.schedule.read_text())
-        return play(seed, faults, self.size, self.folder / f'seed-{seed}')
+        folder = unused_folder(self.folder / f'seed-{seed}')
+        return play(seed, faults, self.size, folder)
 
 
 _PATH = click.Path(path_type=pathlib.Path)
@@ -104,12 +111,12 @@
 def _shorten(verdict: Verdict, size: Size) -> None:
     folder = verdict.folder
     faults = decode((folder / 'schedule.json').read_text())
-    few = shortened(
-        faults,
-        lambda rest: bool(
-            play(verdict.seed, rest, size, folder / 'shorter').broken
-        ),
-    )
+
+    def fails(rest: tuple[Fault, ...]) -> bool:  # noqa: WPS430
+        trial = unused_folder(folder / 'trial')
+        return bool(play(verdict.seed, rest, size, trial).broken)
+
+    few = shortened(faults, fails)
     path = folder / 'shortened.json'
     path.write_text(encode(few))
     click.echo(f'{len(few)} of {len(faults)} faults still fail: {path}')
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import pathlib
-import shutil
 import time
 from typing import NamedTuple
 
@@ -44,6 +44,19 @@
     folder: pathlib.Path
 
 
+def unused_folder(folder: pathlib.Path) -> pathlib.Path:
+    """Return a folder that doesn't exist yet, numbered where it has to be.
+
+    :param folder: the first that will do.
+    """
+    numbered = (
+        folder.with_name(f'{folder.name}-{number}')
+        for number in itertools.count(2)
+    )
+    candidates = itertools.chain((folder,), numbered)
+    return next(each for each in candidates if not each.exists())
+
+
 def play(
     seed: int, faults: tuple[Fault, ...], size: Size, folder: pathlib.Path
 ) -> Verdict:
@@ -52,9 +65,10 @@
     :param seed: of what callers send.
     :param faults: the schedule.
     :param size: of the deployment.
-    :param folder: for settings, schedule and logs; emptied before.
+    :param folder: for settings, schedule and logs.
+    :raises FileExistsError: the folder holds what another run has left.
+    :raises ProgramFailed: a process ended before it was ready.
     """
-    shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     (folder / 'schedule.json').write_text(encode(faults))
     with Runner(folder / 'logs') as runner:
