Name and describe the soak's parts by the usual terms

Cause: read as a newcomer. `mixed` and `unasked` were words of the users' rules, "mute" and "beat" metaphors, `Done` and `Named` told nothing, and the parameter of the way back had another name than in the other stand-ins. The retry bounds stood in the settings and again in the checks, half of their window as a bare 5. Public items lacked units, errors and parameters.

Change: silent links, heartbeats, owners, `InjectedFault`, `NamedVersion`, `responder`; bounds of retries once, in the deployment; docstrings with units, errors and sources. No check is changed: the same values, the same cases.

Logs of runs before this name the owner of an order otherwise and can't be judged anew.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -27,7 +27,7 @@
 
 MODEL = 'm0'
 
-_BEAT_S = 0.5
+_HEARTBEAT_S = 0.5
 _LOAD_S = 0.12
 _EVENT_S = 0.01
 _LATE_S = 2.0
@@ -46,9 +46,11 @@
 class Identity(NamedTuple):
     """What a server says of itself.
 
-    :param address: where others reach it, which may be a proxy.
+    :param service: name of its service.
+    :param address: HOST:PORT where others reach it, which may be a proxy.
     :param store_port: port of the store's stand-in.
-    :param adapter_slots: 0 for a plain service.
+    :param slots: requests that it runs at once.
+    :param adapter_slots: adapters that it holds at most, 0 for a plain service.
     """
 
     server_id: str
@@ -80,8 +82,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._http = urllib3.PoolManager(retries=False, timeout=2)
 
-    async def answer(self, req: HttpRequest, way: Responder) -> None:
-        """Answer one request."""
+    async def answer(self, req: HttpRequest, responder: Responder) -> None:
+        """Answer one request.
+
+        :param req: the request.
+        :param responder: the way back.
+        :raises ConnectionDied: a fault has ended the connection.
+        """
         answers: dict[str, Callable[[HttpRequest], dict[str, Any]]] = {
             '/fault': self._on_fault,
             '/health': self._health,
@@ -89,19 +96,19 @@
         }
         told = answers.get(req.path)
         if told is not None:
-            way.send_json(_OK, told(req))
+            responder.send_json(_OK, told(req))
         elif self._is_for_another(req):
-            way.send_json(_MISDIRECTED, {}, _echo(req))
+            responder.send_json(_MISDIRECTED, {}, _echo(req))
         elif req.path == '/-/order':
-            await self._on_order(req.document(), way)
+            await self._on_order(req.document(), responder)
         else:
-            await self._run(req, way)
+            await self._run(req, responder)
 
-    async def beat(self) -> None:
+    async def send_heartbeats(self) -> None:
         """Tell the store of this server until cancelled."""
         while True:
-            await asyncio.to_thread(self._beat)
-            await asyncio.sleep(_BEAT_S)
+            await asyncio.to_thread(self._send_heartbeat)
+            await asyncio.sleep(_HEARTBEAT_S)
 
     def _on_fault(self, req: HttpRequest) -> dict[str, Any]:
         document = req.document()
@@ -114,7 +121,7 @@
     def _health(self, _req: HttpRequest) -> dict[str, Any]:
         return {'id': self._identity.server_id}
 
-    def _beat(self) -> None:
+    def _send_heartbeat(self) -> None:
         me = self._identity
         entry = {
             'service': me.service,
@@ -131,11 +138,11 @@
         try:
             self._http.request(
                 'POST',
-                f'http://{_HOST}:{me.store_port}/debug/beat',
+                f'http://{_HOST}:{me.store_port}/debug/heartbeat',
                 json=document,
             )
         except urllib3.exceptions.HTTPError as exc:
-            log('beat_failed', reason=str(exc))
+            log('heartbeat_failed', reason=str(exc))
 
     def _models(self) -> list[dict[str, Any]]:
         if not self._identity.adapter_slots:
@@ -158,14 +165,16 @@
         wanted = req.headers.get('expect-instance', self._identity.server_id)
         return wanted != self._identity.server_id
 
-    async def _on_order(self, order: dict[str, Any], way: Responder) -> None:
+    async def _on_order(
+        self, order: dict[str, Any], responder: Responder
+    ) -> None:
         if self._late_orders > 0:
             self._late_orders -= 1
             self._start(self._carry_out_late(order))
             await asyncio.sleep(_LATE_S)
-            way.send_json(_FULL, {})
+            responder.send_json(_FULL, {})
             return
-        way.send_json(self._carry_out(order, is_late=False), {})
+        responder.send_json(self._carry_out(order, is_late=False), {})
 
     async def _carry_out_late(self, order: dict[str, Any]) -> None:
         await asyncio.sleep(_LATE_S)
@@ -175,7 +184,7 @@
         status = self._status_of(order)
         log(
             'order',
-            holder=order['holder'],
+            owner=order['holder'],
             term=order['fence'],
             op=order['op'],
             adapter=order['adapter'],
@@ -238,22 +247,22 @@
         )
         return int(answer.json()['version'])
 
-    async def _run(self, req: HttpRequest, way: Responder) -> None:
+    async def _run(self, req: HttpRequest, responder: Responder) -> None:
         log('arrival', request=req.headers.get('request-id', ''))
         if self._running >= self._identity.slots:
-            way.send_json(_FULL, {}, (*_echo(req), ('Not-Run', '1')))
+            responder.send_json(_FULL, {}, (*_echo(req), ('Not-Run', '1')))
             return
         name = req.headers.get('model', '').partition('/')[2]
         version = self._held.get(name, 0)
         wanted = int(req.headers.get('expect-version', version))
         if self._identity.adapter_slots and (not version or version != wanted):
-            way.send_json(_MISDIRECTED, {}, _echo(req))
+            responder.send_json(_MISDIRECTED, {}, _echo(req))
             return
         self._note_run(req, name, version)
         self._running += 1
         self._using[name] = self._using.get(name, 0) + 1
         try:
-            await self._reply(req, way)
+            await self._reply(req, responder)
         finally:
             self._running -= 1
             self._using[name] -= 1
@@ -267,21 +276,21 @@
             after=req.headers.get('last-event-id', ''),
         )
 
-    async def _reply(self, req: HttpRequest, way: Responder) -> None:
+    async def _reply(self, req: HttpRequest, responder: Responder) -> None:
         request_id = req.headers['request-id']
         if not self._identity.adapter_slots:
             await asyncio.sleep(_EVENT_S)
-            way.send_json(_OK, {'request': request_id}, _stamped(req))
+            responder.send_json(_OK, {'request': request_id}, _stamped(req))
             return
-        way.start_stream('text/event-stream', _stamped(req))
+        responder.start_stream('text/event-stream', _stamped(req))
         events = int(req.headers['token-count'].partition(',')[2])
         first = int(req.headers.get('last-event-id') or 0) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(_EVENT_S)  # noqa: WPS476
-            if way.is_gone:
+            if responder.is_gone:
                 return
-            way.send_chunk(event(request_id, number))
-        way.end_stream()
+            responder.send_chunk(event(request_id, number))
+        responder.end_stream()
 
     def _start(self, work: Any) -> None:
         task: asyncio.Task[None] = asyncio.ensure_future(work)
@@ -320,9 +329,9 @@
 async def _serve(identity: Identity, port: int) -> None:
     faults = Faults()
     backend = Backend(identity, faults)
-    beating = asyncio.ensure_future(backend.beat())
+    heartbeats = asyncio.ensure_future(backend.send_heartbeats())
     await StreamServer(backend.answer, faults).serve(_HOST, port)
-    beating.cancel()
+    heartbeats.cancel()
 
 
 @click.command()
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -29,10 +29,11 @@
 
     :param kind: name of its route.
     :param events: events that it asked for, 0 for a plain request.
-    :param sent_s: when it was sent, monotonic.
-    :param ended_s: when its answer ended or was given up.
+    :param sent_s: when it was sent, monotonic seconds.
+    :param ended_s: when its answer ended or was given up, monotonic seconds.
     :param status: HTTP status, 0 when no head came.
-    :param retry_after: what the answer says of coming back.
+    :param retry_after: seconds after which it may come back, as the answer
+        spells them; empty where it doesn't say.
     :param body: what came of the body.
     :param is_whole: whether the body ended as HTTP says that it should.
     :param echoed: the request that the answer says it belongs to.
@@ -156,7 +157,7 @@
 
 
 def time_limit_s(got: Got) -> float:
-    """Return how long the system has for a request.
+    """Return how many seconds the system has for a request.
 
     :param got: the request.
     """
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -8,7 +8,13 @@
 
 from emulator.soak.backend import event
 from emulator.soak.callers import Got, time_limit_s
-from emulator.soak.deployment import GRACE_S, HOLDER_GAP_S, ROUTES
+from emulator.soak.deployment import (
+    GRACE_S,
+    HOLDER_GAP_S,
+    RETRY_RATIO,
+    RETRY_SLACK,
+    ROUTES,
+)
 from emulator.soak.evidence import Evidence, OrderSeen
 
 #: From the acknowledgement of a version, or the last fault, until requests
@@ -23,7 +29,7 @@
 
 #: How long after its sender was resumed, or its link healed, an order that
 #: arrives was sent before.
-THAW_S = 0.3
+RESUMED_S = 0.3
 
 #: How much longer than its time limit a request may be held.
 HELD_S = 0.5
@@ -31,20 +37,19 @@
 #: How long a request that was sent may wait until a gateway has read it.
 READ_S = 0.2
 
-#: Repeats of all gateways together, as the deployment's settings bound them.
+#: Window over which repeats are counted.
 RETRY_WINDOW_S = 10.0
-RETRY_RATIO = 0.2
-RETRY_SLACK = 40
 
 _OK = 200
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 #: Faults that are no reason to cut an answer, or to hold it.
 _HARMLESS = frozenset(
     (
         'gateway_stop',
         'gateway_hangup',
         'store_cut',
-        'store_mute',
+        'store_silent',
         'orders_late',
     )
 )
@@ -62,12 +67,12 @@
     :param seen: what callers and back ends saw.
     """
     return [
-        *mixed(seen),
-        *ran_unasked(seen),
+        *wrong_answers(seen),
+        *ran_without_caller(seen),
         *ran_twice(seen),
         *ran_though_refused(seen),
         *old_versions(seen),
-        *two_holders(seen),
+        *two_owners(seen),
         *falling_terms(seen),
         *(f'slots passed at {server}' for server in seen.slots_passed),
         *(f'{gateway} has ended by itself' for gateway in seen.ended),
@@ -79,7 +84,7 @@
     ]
 
 
-def mixed(seen: Evidence) -> Iterator[str]:
+def wrong_answers(seen: Evidence) -> Iterator[str]:
     """Yield answers that aren't the request's own and whole."""
     for got in seen.got:
         if got.status != _OK:
@@ -92,7 +97,7 @@
             yield f'{got.request_id} got pieces of another answer'
 
 
-def ran_unasked(seen: Evidence) -> Iterator[str]:
+def ran_without_caller(seen: Evidence) -> Iterator[str]:
     """Yield requests that nobody sent."""
     sent = {got.request_id for got in seen.got}
     for run in seen.runs:
@@ -135,26 +140,26 @@
             yield f'{run.request} ran on version {run.version}, not {newest}'
 
 
-def two_holders(seen: Evidence) -> Iterator[str]:
-    """Yield orders that came too soon after those of another holder."""
+def two_owners(seen: Evidence) -> Iterator[str]:
+    """Yield orders that came too soon after those of another owner."""
     for server, orders in _orders_by_server(seen).items():
         for one, other in pairwise(orders):
             gap_s = other.at_s - one.at_s
-            if one.holder != other.holder and gap_s < HOLDER_GAP_S:
+            if one.owner != other.owner and gap_s < HOLDER_GAP_S:
                 yield (
-                    f'{server} got orders of {one.holder} and {other.holder} '
+                    f'{server} got orders of {one.owner} and {other.owner} '
                     f'within {gap_s:.2f} s'
                 )
 
 
 def falling_terms(seen: Evidence) -> Iterator[str]:
-    """Yield orders of a term that had ended, or of one term by two holders."""
+    """Yield orders of a term that had ended, or of one term by two owners."""
     for server, orders in _orders_by_server(seen).items():
         for one, other in pairwise(orders):
             if other.term < one.term:
                 yield f'{server} got term {other.term} after {one.term}'
-            elif other.term == one.term and other.holder != one.holder:
-                yield f'{server} got term {one.term} from two holders'
+            elif other.term == one.term and other.owner != one.owner:
+                yield f'{server} got term {one.term} from two owners'
 
 
 def bad_stops(seen: Evidence) -> Iterator[str]:
@@ -168,7 +173,7 @@
 
 def cut_by_stops(seen: Evidence) -> Iterator[str]:
     """Yield answers that a graceful stop cut short."""
-    stops = [done for done in seen.done if done.kind == 'gateway_stop']
+    stops = [fault for fault in seen.injected if fault.kind == 'gateway_stop']
     servers = _servers_of(seen)
     for got in seen.got:
         if got.is_whole or _ran_out_of_time(got):
@@ -211,7 +216,8 @@
         )
         for at_s in times:
             count = _count(times, at_s)
-            wanted = max(_count(asked, at_s), _count(asked, at_s - 5))
+            before_s = at_s - RETRY_WINDOW_S / 2
+            wanted = max(_count(asked, at_s), _count(asked, before_s))
             allowed = RETRY_RATIO * wanted + RETRY_SLACK
             if count > allowed:
                 yield f'{count} repeats at {service}, {allowed:.0f} allowed'
@@ -248,23 +254,23 @@
 def _was_under_way(seen: Evidence, order: OrderSeen) -> bool:
     """Tell whether a pause or a link may have held an order up."""
     return any(
-        done.target in {order.holder, order.server}
-        and done.overlaps(order.at_s - THAW_S, order.at_s)
-        for done in seen.done
-        if done.kind in {'gateway_pause', 'server_pause', 'server_delay'}
-        or done.kind.startswith('server_mute')
+        fault.target in {order.owner, order.server}
+        and fault.overlaps(order.at_s - RESUMED_S, order.at_s)
+        for fault in seen.injected
+        if fault.kind in {'gateway_pause', 'server_pause', 'server_delay'}
+        or fault.kind.startswith('server_silent')
     )
 
 
 def _was_hit(seen: Evidence, got: Got, processes: set[str]) -> bool:
     """Tell whether a fault of some processes may have hit a request."""
     return any(
-        done.overlaps(got.sent_s, got.ended_s)
+        fault.overlaps(got.sent_s, got.ended_s)
         # It waits for the next requests.
-        or (done.kind == 'server_die' and done.from_s <= got.ended_s)
-        for done in seen.done
-        if done.kind not in _HARMLESS
-        and (done.target in processes or done.kind == 'all_gateways_kill')
+        or (fault.kind == 'server_die' and fault.from_s <= got.ended_s)
+        for fault in seen.injected
+        if fault.kind not in _HARMLESS
+        and (fault.target in processes or fault.kind == 'all_gateways_kill')
     )
 
 
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -27,6 +27,11 @@
 #: From SIGTERM until a gateway is killed.
 GRACE_S = 8.0
 
+#: Repeats that all gateways together may send to a service: a share of its
+#: requests, and a number beyond that.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 40
+
 _DATA_CENTRES = ('north', 'south')
 _DESKS = 2
 
@@ -38,6 +43,9 @@
 class Gateway(NamedTuple):
     """A gateway process and where it is met.
 
+    :param host: IP number that it listens on.
+    :param callers: port for callers.
+    :param ready: port for readiness and metrics.
     :param store_link: port of the proxy that leads it to the store.
     """
 
@@ -64,7 +72,14 @@
 
 
 class RouteSpec(NamedTuple):
-    """A kind of request, whose path is its name."""
+    """A kind of request, whose path is its name.
+
+    :param kind: what may be repeated, as the platform spells it.
+    :param service: name of the service that runs it.
+    :param timeout_s: longest time until its final answer, in seconds.
+    :param max_servers: servers that one request may be sent to.
+    :param priority: its rank, 0 is the most urgent.
+    """
 
     name: str
     kind: str
@@ -136,7 +151,11 @@
         self._configuration = 0
 
     def start(self) -> None:
-        """Start everything; return once all gateways are ready."""
+        """Start everything; return once all gateways are ready.
+
+        :raises ProgramFailed: a process ended instead.
+        :raises TimeoutError: one wasn't ready in time.
+        """
         self.runner.run(self._store(), self._proxy())
         self.runner.start(*map(self._server, self.servers))
         self.configure()
@@ -148,10 +167,12 @@
         self.put('op/config', _configuration(self._configuration))
 
     def put(self, key: str, document: dict[str, Any]) -> float:
-        """Write an item as the operator; return when it was acknowledged.
+        """Write an item as the operator.
 
         :param key: its key.
         :param document: its value.
+        :return: when it was acknowledged, monotonic seconds.
+        :raises urllib3.exceptions.HTTPError: the store can't be reached.
         """
         text = encoded(json.dumps(document).encode())
         url = f'http://{HOST}:{self._store_port}/debug/put'
@@ -159,11 +180,21 @@
         return time.monotonic()
 
     def fault_store(self, kind: str, value: Any = True) -> None:
-        """Have the store fail, as its module says."""
+        """Have the store fail.
+
+        :param kind: one of those that its module lists.
+        :param value: what that kind takes.
+        :raises urllib3.exceptions.HTTPError: the store can't be reached.
+        """
         self._fault(self._store_port, {'kind': kind, 'value': value})
 
     def fault_server(self, server: Server, **fault: Any) -> None:
-        """Have a server fail, as its module says."""
+        """Have a server fail.
+
+        :param server: which one.
+        :param fault: the document that its module lists.
+        :raises urllib3.exceptions.HTTPError: the server can't be reached.
+        """
         self._fault(server.port, fault)
 
     def _fault(self, port: int, document: dict[str, Any]) -> None:
@@ -231,8 +262,8 @@
             'portRange': [self._peer_port, self._peer_port + 1],
             'platform': {'address': f'{HOST}:{gateway.store_link}'},
             'bounds': {
-                'retryRatio': 0.2,
-                'retrySlack': 40,
+                'retryRatio': RETRY_RATIO,
+                'retrySlack': RETRY_SLACK,
                 'graceS': GRACE_S,
                 'leaseMs': int(HOLDER_GAP_S * _MS_IN_S),
             },
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -7,12 +7,17 @@
 from typing import Any, NamedTuple
 
 from emulator.soak.callers import Got
-from emulator.soak.injector import Done, Named, Stop
+from emulator.soak.injector import InjectedFault, NamedVersion, Stop
 
 
 class Run(NamedTuple):
     """A request that a server began to run.
 
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the request.
+    :param adapter: its adapter, empty for none.
+    :param version: version of the adapter that the server held, 0 for none.
     :param after: last event that the caller had of it, empty for none.
     """
 
@@ -25,7 +30,12 @@
 
 
 class Arrival(NamedTuple):
-    """A request that reached a server, run or not."""
+    """A request that reached a server, run or not.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the request.
+    """
 
     at_s: float
     server: str
@@ -35,12 +45,16 @@
 class OrderSeen(NamedTuple):
     """An order as an engine got it.
 
+    :param at_s: when it was carried out, monotonic seconds.
+    :param server: the engine.
+    :param owner: the gateway that sent it.
+    :param term: number that rises with each change of the owner.
     :param is_late: whether it was carried out long after it came.
     """
 
     at_s: float
     server: str
-    holder: str
+    owner: str
     term: int
     is_late: bool
 
@@ -50,7 +64,7 @@
 
     :param ended: gateways that have ended though nobody ended them.
     :param slots_passed: engines that were ordered to hold too much.
-    :param faults_end_s: when the last fault was healed, monotonic.
+    :param faults_end_s: when the last fault was healed, monotonic seconds.
     """
 
     got: list[Got]
@@ -58,10 +72,10 @@
     arrivals: list[Arrival]
     orders: list[OrderSeen]
     slots_passed: list[str]
-    done: list[Done]
+    injected: list[InjectedFault]
     stops: list[Stop]
     ended: list[str]
-    named: list[Named]
+    named: list[NamedVersion]
     faults_end_s: float
 
 
@@ -78,6 +92,7 @@
     """Read what servers have printed.
 
     :param paths: their logs by name.
+    :raises OSError: a log can't be read.
     """
     log = ServerLog([], [], [], [])
     for server, path in paths.items():
@@ -104,7 +119,7 @@
         log.arrivals.append(Arrival(line['at_s'], server, line['request']))
     elif line['event'] == 'order':
         order = OrderSeen(
-            line['at_s'], server, line['holder'], line['term'], line['late']
+            line['at_s'], server, line['owner'], line['term'], line['late']
         )
         log.orders.append(order)
     elif line['event'] == 'slots_passed':
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -29,12 +29,13 @@
 _CHANGED_ADAPTERS = 3
 
 
-class Done(NamedTuple):
+class InjectedFault(NamedTuple):
     """A fault as it was carried out.
 
+    :param kind: one of `KINDS` of the schedule.
     :param target: process that it hit, empty for the store and the operator.
-    :param from_s: when it began, monotonic.
-    :param until_s: when it was healed.
+    :param from_s: when it began, monotonic seconds.
+    :param until_s: when it was healed, monotonic seconds.
     """
 
     kind: str
@@ -43,13 +44,19 @@
     until_s: float
 
     def overlaps(self, from_s: float, until_s: float) -> bool:
-        """Tell whether it lasted at any time between two moments."""
+        """Tell whether it lasted at any time between two moments.
+
+        :param from_s: the first, monotonic seconds.
+        :param until_s: the second.
+        """
         return self.from_s <= until_s and self.until_s >= from_s
 
 
 class Stop(NamedTuple):
     """How a gateway ended on SIGTERM.
 
+    :param exit_code: negative where a signal ended it.
+    :param took_s: seconds from SIGTERM to its end.
     :param was_up: whether it took callers by then; before that a process has
         no handler of the signal yet.
     """
@@ -60,8 +67,11 @@
     was_up: bool
 
 
-class Named(NamedTuple):
-    """A version of an adapter and when it was acknowledged."""
+class NamedVersion(NamedTuple):
+    """A version of an adapter that the operator has named.
+
+    :param at_s: when it was acknowledged, monotonic seconds.
+    """
 
     adapter: str
     version: int
@@ -75,9 +85,9 @@
     """
 
     def __init__(self, deployment: SoakDeployment) -> None:
-        self.done: list[Done] = []
+        self.injected: list[InjectedFault] = []
         self.stops: list[Stop] = []
-        self.named: list[Named] = []
+        self.named: list[NamedVersion] = []
         #: Gateways that have ended though nobody ended them.
         self.ended: list[str] = []
         self._deployment = deployment
@@ -88,17 +98,16 @@
         """Carry out a schedule; return once all faults are healed.
 
         :param faults: the schedule.
+        :raises subprocess.TimeoutExpired: a gateway didn't end on SIGTERM.
+        :raises urllib3.exceptions.HTTPError: a stand-in can't be reached.
         """
         started_s = time.monotonic()
         await asyncio.gather(*(self._at(started_s, each) for each in faults))
         for gateway in self._deployment.gateways:
-            self.revive(gateway.name)
+            self._revive(gateway.name)
 
-    def revive(self, name: str) -> None:
-        """Start a gateway again that has ended by itself, and note it.
-
-        :param name: its name.
-        """
+    def _revive(self, name: str) -> None:
+        """Start a gateway again that has ended by itself, and note it."""
         if self._deployment.runner.exit_code(name) is not None:
             self.ended.append(name)
             self._deployment.runner.start_again(name)
@@ -116,13 +125,15 @@
         }
         from_s = time.monotonic()
         target = await kinds[fault.kind.partition('_')[0]](fault)
-        self.done.append(Done(fault.kind, target, from_s, time.monotonic()))
+        self.injected.append(
+            InjectedFault(fault.kind, target, from_s, time.monotonic())
+        )
 
     async def _gateway(self, fault: Fault) -> str:
         gateway = self._pick_gateway(fault)
         name = gateway.name
         async with self._locks[name]:
-            self.revive(name)
+            self._revive(name)
             if fault.kind == 'gateway_kill':
                 await self._kill(name, fault.for_s)
             elif fault.kind == 'gateway_pause':
@@ -181,7 +192,7 @@
             gateway = self._pick_gateway(fault)
             faults: dict[str, dict[str, Any]] = {
                 'store_cut': {'cut': True},
-                'store_mute': {'swallow': ['down']},
+                'store_silent': {'swallow': ['down']},
             }
             await self._link(gateway.store_link, fault, faults[fault.kind])
             return gateway.name
@@ -192,8 +203,8 @@
         delay_ms = fault.strength * _MAX_DELAY_MS
         links: dict[str, dict[str, Any]] = {
             'server_delay': {'delay_ms': delay_ms},
-            'server_mute_up': {'swallow': ['up']},
-            'server_mute_down': {'swallow': ['down']},
+            'server_silent_up': {'swallow': ['up']},
+            'server_silent_down': {'swallow': ['down']},
             'server_break': {'reset_after': {'down': _BREAK_BYTES}},
         }
         faults = links.get(fault.kind)
@@ -228,7 +239,7 @@
             document = {'model': MODEL, 'adapter': adapter, 'version': version}
             put = self._deployment.put
             at_s = await asyncio.to_thread(put, key, document)  # noqa: WPS476
-            self.named.append(Named(adapter, version, at_s))
+            self.named.append(NamedVersion(adapter, version, at_s))
         return ''
 
     async def _configuration(self, fault: Fault) -> str:
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -23,6 +23,8 @@
 class Size(NamedTuple):
     """How large a deployment is.
 
+    :param gateways: gateway processes.
+    :param engines: engines, beside the plain servers.
     :param callers: callers that send one request after the other.
     """
 
@@ -34,6 +36,7 @@
 class Verdict(NamedTuple):
     """How a run ended.
 
+    :param seen: what callers and back ends saw.
     :param broken: promises that were broken, a line for each case.
     :param folder: where its schedule and logs are.
     """
@@ -102,7 +105,7 @@
     return Evidence(
         got,
         *log,
-        injector.done,
+        injector.injected,
         injector.stops,
         injector.ended,
         injector.named,
--- a/emulator/soak/report.py
+++ b/emulator/soak/report.py
@@ -39,7 +39,7 @@
         counts = Counter(map(outcome_of, of_kind))
         told = ', '.join(f'{name} {count}' for name, count in counts.items())
         yield f'  {kind}: {told}; {_latencies(of_kind)}'
-    faults = Counter(done.kind for done in seen.done)
+    faults = Counter(fault.kind for fault in seen.injected)
     told = ', '.join(
         f'{name} {count}' for name, count in sorted(faults.items())
     )
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -20,12 +20,12 @@
     'store_lose': (0, 0),
     'store_forget': (0, 0),
     'store_cut': (0.5, 18),
-    'store_mute': (0.5, 18),
+    'store_silent': (0.5, 18),
     'server_kill': (0.1, 3),
     'server_pause': (0.2, 8),
     'server_delay': (0.5, 4),
-    'server_mute_up': (0.3, 6),
-    'server_mute_down': (0.3, 6),
+    'server_silent_up': (0.3, 6),
+    'server_silent_down': (0.3, 6),
     'server_reset': (0, 0),
     'server_break': (1, 5),
     'server_die': (0, 0),
@@ -40,13 +40,13 @@
 
 
 class Fault(NamedTuple):
-    """One fault.
+    """One fault, as it is planned.
 
     :param at_s: seconds from the start of the run.
     :param kind: one of `KINDS`.
     :param target: which one it hits, counted round where there are fewer.
-    :param for_s: how long it lasts.
-    :param strength: from 0 to 1.
+    :param for_s: seconds that it lasts.
+    :param strength: from 0 to 1, of what its kind can be.
     """
 
     at_s: float
@@ -65,7 +65,7 @@
     """Return the faults of a run, which may overlap.
 
     :param seed: of all choices.
-    :param length_s: time in which faults begin.
+    :param length_s: seconds in which faults begin.
     """
     rng = random.Random(f'soak/{seed}')  # noqa: S311
     faults = []
@@ -97,6 +97,8 @@
     """Return a schedule that `encode` has written.
 
     :param text: JSON.
+    :raises ValueError: it isn't JSON.
+    :raises TypeError: a fault has other fields.
     """
     return tuple(Fault(**fields) for fields in json.loads(text))
 
--- a/emulator/soak/store.py
+++ b/emulator/soak/store.py
@@ -3,7 +3,7 @@
 ``python -m emulator.soak.store --port P``
 
 Beside the platform's calls it takes ``POST /debug/put`` from the operator,
-``POST /debug/beat`` and ``POST /debug/version`` from servers, and ``POST /fault``
+``POST /debug/heartbeat`` and ``POST /debug/version`` from servers, and ``POST /fault``
 with ``{"kind": KIND, "value": V}``:
 
 ==========  =================================================================
@@ -36,13 +36,14 @@
 _MS_IN_S = 1000
 
 #: An entry of a server that is silent for so long is removed.
-_BEAT_TIMEOUT_S = 1.5
+_HEARTBEAT_TIMEOUT_S = 1.5
 _SWEEP_S = 0.1
 
 
 class Item(NamedTuple):
     """An item of the store.
 
+    :param revision: number of its last change.
     :param text: its value in base64, None once it was removed.
     """
 
@@ -68,16 +69,21 @@
         self._forgotten = 0
         self._changed = asyncio.Event()
         self._faults: dict[str, Any] = {}
-        self._beats: dict[str, float] = {}
+        self._heartbeats: dict[str, float] = {}
 
-    async def answer(self, req: HttpRequest, way: Responder) -> None:
-        """Answer one call."""
+    async def answer(self, req: HttpRequest, responder: Responder) -> None:
+        """Answer one call.
+
+        :param req: the call.
+        :param responder: the way back.
+        :raises ConnectionDied: a fault has lost the answer.
+        """
         if req.path == '/fault':
-            self._on_fault(req.document(), way)
+            self._on_fault(req.document(), responder)
         elif req.path.startswith('/debug/'):
-            self._on_debug(req, way)
+            self._on_debug(req, responder)
         else:
-            await self._on_call(req, way)
+            await self._on_call(req, responder)
 
     async def sweep(self) -> None:
         """Remove entries of silent servers, but not while the store is down."""
@@ -85,32 +91,32 @@
             await asyncio.sleep(_SWEEP_S)
             now_s = time.monotonic()
             if self._faults.get('down'):
-                self._beats = dict.fromkeys(self._beats, now_s)
-            for key, beat_s in tuple(self._beats.items()):
-                if now_s - beat_s > _BEAT_TIMEOUT_S:
-                    self._beats.pop(key)
+                self._heartbeats = dict.fromkeys(self._heartbeats, now_s)
+            for key, heartbeat_s in tuple(self._heartbeats.items()):
+                if now_s - heartbeat_s > _HEARTBEAT_TIMEOUT_S:
+                    self._heartbeats.pop(key)
                     self._change(key, None)
 
-    def _on_fault(self, document: dict[str, Any], way: Responder) -> None:
+    def _on_fault(self, document: dict[str, Any], responder: Responder) -> None:
         if document['kind'] == 'forget':
             self._forgotten = self._revision
             self._history.clear()
         else:
             self._faults[document['kind']] = document['value']
-        way.send_json(200, {})
+        responder.send_json(200, {})
 
-    def _on_debug(self, req: HttpRequest, way: Responder) -> None:
+    def _on_debug(self, req: HttpRequest, responder: Responder) -> None:
         document = req.document()
         key = document['key']
         if req.path == '/debug/version':
-            way.send_json(200, {'version': self._version(key)})
+            responder.send_json(200, {'version': self._version(key)})
             return
         known = self._items.get(key)
-        if req.path == '/debug/beat':
-            self._beats[key] = time.monotonic()
+        if req.path == '/debug/heartbeat':
+            self._heartbeats[key] = time.monotonic()
         if known is None or known.text != document['text']:
             self._change(key, document['text'])
-        way.send_json(
+        responder.send_json(
             200, {'revision': self._revision, 'at_s': time.monotonic()}
         )
 
@@ -121,19 +127,19 @@
             return 1
         return int(json.loads(base64.b64decode(item.text))['version'])
 
-    async def _on_call(self, req: HttpRequest, way: Responder) -> None:
+    async def _on_call(self, req: HttpRequest, responder: Responder) -> None:
         if self._faults.get('down'):
-            way.send_json(503, {})
+            responder.send_json(503, {})
             return
         await asyncio.sleep(self._faults.get('slow_s', 0))
         if req.path == '/-/kv-range':
-            way.send_json(200, self._page(req.query))
+            responder.send_json(200, self._page(req.query))
         elif req.path == '/-/kv-watch':
-            await self._watch(req.query, way)
+            await self._watch(req.query, responder)
         elif req.path == '/-/kv-txn':
-            self._write(req.document(), way)
+            self._write(req.document(), responder)
         else:
-            way.send_json(404, {})
+            responder.send_json(404, {})
 
     def _page(self, query: dict[str, str]) -> dict[str, Any]:
         prefix = query.get('pathPrefix', '')
@@ -149,12 +155,12 @@
             'at': self._revision,
         }
 
-    async def _watch(self, query: dict[str, str], way: Responder) -> None:
+    async def _watch(self, query: dict[str, str], responder: Responder) -> None:
         after = int(query['after'])
         until_s = time.monotonic() + int(query['waitMs']) / _MS_IN_S
         while after >= self._forgotten and self._revision <= after:
             left_s = until_s - time.monotonic()
-            if left_s <= 0 or self._faults.get('down') or way.is_gone:
+            if left_s <= 0 or self._faults.get('down') or responder.is_gone:
                 break
             self._changed.clear()
             try:
@@ -162,18 +168,18 @@
             except TimeoutError:
                 break
         if after < self._forgotten:
-            way.send_json(410, {})
+            responder.send_json(410, {})
             return
         seen = [item.wire() for item in self._history if item.revision > after]
-        way.send_json(200, {'events': seen, 'at': self._revision})
+        responder.send_json(200, {'events': seen, 'at': self._revision})
 
-    def _write(self, document: dict[str, Any], way: Responder) -> None:
+    def _write(self, document: dict[str, Any], responder: Responder) -> None:
         expected = document['expected']
         current = [self._items.get(row['key']) for row in expected]
         revisions = [item.revision if item else 0 for item in current]
         if revisions != [row['revision'] for row in expected]:
             found = [item.wire() for item in current if item]
-            way.send_json(412, {'items': found})
+            responder.send_json(412, {'items': found})
             return
         for put in document['puts']:
             self._change(put['key'], put['value'])
@@ -181,9 +187,9 @@
             self._change(key, None)
         if self._faults.get('lose', 0) > 0:
             self._faults['lose'] -= 1
-            way.reset()
+            responder.reset()
             raise ConnectionDied
-        way.send_json(200, {'revision': self._revision})
+        responder.send_json(200, {'revision': self._revision})
 
     def _change(self, key: str, text: str | None) -> None:
         self._revision += 1
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,7 +6,7 @@
 from emulator.soak.backend import event
 from emulator.soak.callers import Got
 from emulator.soak.evidence import Arrival, Evidence, OrderSeen, Run
-from emulator.soak.injector import Done, Named, Stop
+from emulator.soak.injector import InjectedFault, NamedVersion, Stop
 
 #: The last fault ended 100 s into the run.
 END_S = 100.0
@@ -18,7 +18,7 @@
 RUN = Run(10, 'llm-0', 'r', 'a1', 1, '')
 ORDER = OrderSeen(20, 'llm-0', 'g', 5, False)
 STOP = Stop('g', 0, 2.5, True)
-STOPPED = Done('gateway_stop', 'g', 10.2, 13)
+STOPPED = InjectedFault('gateway_stop', 'g', 10.2, 13)
 AFTER = [
     STREAM._replace(
         request_id=f'after-{number}',
@@ -39,7 +39,7 @@
         'arrivals': [],
         'orders': [],
         'slots_passed': [],
-        'done': [],
+        'injected': [],
         'stops': [STOP],
         'ended': [],
         'named': [],
@@ -51,8 +51,8 @@
 
 
 def others(**changes):
-    """Return an order of another holder, three seconds later."""
-    later = {'at_s': 23.5, 'holder': 'h', 'term': 6}
+    """Return an order of another owner, three seconds later."""
+    later = {'at_s': 23.5, 'owner': 'h', 'term': 6}
     return [ORDER, ORDER._replace(**{**later, **changes})]
 
 
@@ -68,33 +68,42 @@
     {'got': [STREAM._replace(kind='resumable')], 'runs': [RUN, RUN]},
     {'orders': others()},
     {'orders': others(at_s=21, is_late=True)},
-    {'orders': others(at_s=21), 'done': [Done('gateway_pause', 'h', 15, 20.9)]},
-    {'orders': others(at_s=21), 'done': [Done('server_delay', 'llm-0', 0, 30)]},
+    {
+        'orders': others(at_s=21),
+        'injected': [InjectedFault('gateway_pause', 'h', 15, 20.9)],
+    },
+    {
+        'orders': others(at_s=21),
+        'injected': [InjectedFault('server_delay', 'llm-0', 0, 30)],
+    },
     {'stops': [STOP._replace(exit_code=-15, was_up=False)]},
     {
         'got': [SILENT._replace(ended_s=10.15)],
-        'done': [STOPPED],
+        'injected': [STOPPED],
         'runs': [],
     },
-    {'got': [CUT], 'done': [STOPPED, Done('gateway_kill', 'g', 10, 10.3)]},
     {
         'got': [CUT],
-        'done': [STOPPED, Done('server_kill', 'llm-0', 10, 10.3)],
+        'injected': [STOPPED, InjectedFault('gateway_kill', 'g', 10, 10.3)],
+    },
+    {
+        'got': [CUT],
+        'injected': [STOPPED, InjectedFault('server_kill', 'llm-0', 10, 10.3)],
         'arrivals': [Arrival(10, 'llm-0', 'r')],
     },
     {
         'got': [CUT],
-        'done': [STOPPED, Done('server_die', 'llm-0', 5, 5)],
+        'injected': [STOPPED, InjectedFault('server_die', 'llm-0', 5, 5)],
         'arrivals': [Arrival(10, 'llm-0', 'r')],
     },
-    {'got': [CUT._replace(ended_s=14.1)], 'done': [STOPPED]},
+    {'got': [CUT._replace(ended_s=14.1)], 'injected': [STOPPED]},
     {
         'got': [STREAM._replace(ended_s=15)],
-        'done': [Done('gateway_pause', 'g', 11, 14)],
+        'injected': [InjectedFault('gateway_pause', 'g', 11, 14)],
     },
-    {'named': [Named('a1', 2, 90)]},
+    {'named': [NamedVersion('a1', 2, 90)]},
     {
-        'named': [Named('a1', 2, END_S + 3)],
+        'named': [NamedVersion('a1', 2, END_S + 3)],
         'runs': [RUN._replace(at_s=END_S + 7)],
     },
     {'arrivals': repeated(41)},
@@ -110,45 +119,51 @@
     (
         'ran on version 1',
         {
-            'named': [Named('a1', 2, 90)],
+            'named': [NamedVersion('a1', 2, 90)],
             'runs': [RUN._replace(at_s=END_S + 6)],
         },
     ),
     ('within 1.00 s', {'orders': others(at_s=21)}),
     ('term 4 after 5', {'orders': others(term=4)}),
-    ('from two holders', {'orders': others(term=5)}),
+    ('from two owners', {'orders': others(term=5)}),
     ('slots passed', {'slots_passed': ['llm-0']}),
     ('ended by itself', {'ended': ['g']}),
     ('exit code 1', {'stops': [STOP._replace(exit_code=1)]}),
     ('took 8.5 s', {'stops': [STOP._replace(took_s=8.5)]}),
-    ('cut by the stop', {'got': [CUT], 'done': [STOPPED]}),
+    ('cut by the stop', {'got': [CUT], 'injected': [STOPPED]}),
     (
         'cut by the stop',
         {
             'got': [CUT],
-            'done': [STOPPED, Done('server_kill', 'llm-1', 10, 10.3)],
+            'injected': [
+                STOPPED,
+                InjectedFault('server_kill', 'llm-1', 10, 10.3),
+            ],
             'arrivals': [Arrival(10, 'llm-0', 'r')],
         },
     ),
-    ('cut by the stop', {'got': [SILENT], 'done': [STOPPED], 'runs': []}),
+    ('cut by the stop', {'got': [SILENT], 'injected': [STOPPED], 'runs': []}),
     (
         'cut by the stop',
         {
             'got': [SILENT._replace(ended_s=10.15)],
-            'done': [STOPPED._replace(from_s=10.1)],
+            'injected': [STOPPED._replace(from_s=10.1)],
             'arrivals': [Arrival(10, 'llm-0', 'r')],
         },
     ),
     (
         'cut by the stop',
-        {'got': [CUT], 'done': [STOPPED, Done('store_cut', 'g', 10, 11)]},
+        {
+            'got': [CUT],
+            'injected': [STOPPED, InjectedFault('store_cut', 'g', 10, 11)],
+        },
     ),
     (
         'held 4.60 s',
         {
             'got': [REFUSED._replace(ended_s=14.6)],
             'runs': [],
-            'done': [Done('server_pause', 'llm-0', 11, 14)],
+            'injected': [InjectedFault('server_pause', 'llm-0', 11, 14)],
         },
     ),
     ('no answer', {'got': [SILENT._replace(ended_s=15)]}),
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -15,7 +15,7 @@
     verdict = play(seed, faults, SIZE, tmp_path / 'soak')
     assert verdict.broken == []
     assert verdict.seen.orders
-    assert len(verdict.seen.done) == len(faults)
+    assert len(verdict.seen.injected) == len(faults)
 
 
 def test_gateways_stop_in_time_beside_a_frozen_one(tmp_path):
