--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -41,7 +41,8 @@
 RETRY_WINDOW_S = 10.0
 
 _OK = 200
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+_UNAVAILABLE = 503
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, _UNAVAILABLE))
 
 #: Faults that are no reason to cut an answer, or to hold it.
 _HARMLESS = frozenset(
@@ -71,6 +72,7 @@
         *ran_without_caller(seen),
         *ran_twice(seen),
         *ran_though_refused(seen),
+        *refused_without_return(seen),
         *old_versions(seen),
         *two_owners(seen),
         *falling_terms(seen),
@@ -122,6 +124,13 @@
             yield f'{got.request_id} was refused with {got.status}, and ran'
 
 
+def refused_without_return(seen: Evidence) -> Iterator[str]:
+    """Yield refusals that don't say when to come back."""
+    for got in seen.got:
+        if got.status == _UNAVAILABLE and not got.retry_after:
+            yield f'{got.request_id} was refused without a time to come back'
+
+
 def old_versions(seen: Evidence) -> Iterator[str]:
     """Yield runs on an old version, once faults have ended for long."""
     for run in seen.runs:
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -103,6 +103,9 @@
         """
         started_s = time.monotonic()
         await asyncio.gather(*(self._at(started_s, each) for each in faults))
+
+    def note_ended(self) -> None:
+        """Note the gateways that have ended by themselves."""
         for gateway in self._deployment.gateways:
             self._revive(gateway.name)
 
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -96,6 +96,7 @@
     faults_end_s = time.monotonic()
     await asyncio.sleep(RECOVER_S + _AFTER_S)
     got = await callers.stop()
+    injector.note_ended()
     log = read_logs(
         {
             server.name: deployment.runner.log_path(server.name)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -116,6 +116,10 @@
     ('nobody sent it', {'runs': [RUN, RUN._replace(request='x')]}),
     ('ran 2 times', {'runs': [RUN, RUN._replace(server='llm-1')]}),
     ('refused with 503', {'got': [REFUSED]}),
+    (
+        'without a time to come back',
+        {'got': [REFUSED._replace(retry_after='')], 'runs': []},
+    ),
     (
         'ran on version 1',
         {
