--- a/src/wasabicross/gateway/event_stream.py
+++ b/src/wasabicross/gateway/event_stream.py
@@ -32,8 +32,8 @@
         self._note_id(whole)
         return whole
 
-    def rest(self) -> bytes:
-        """Return what is left at the stream's end, and drop it."""
+    def drop_rest(self) -> bytes:
+        """Drop and return what has come of an event that is not whole."""
         rest = self._rest
         self._rest = b''
         return rest
--- /dev/null
+++ b/src/wasabicross/gateway/exchanges.py
@@ -0,0 +1,254 @@
+"""One attempt of a request at one server, and what the caller gets of it."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from wasabicross.gateway.callers import AnswerWriter
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import Route, RouteKind
+from wasabicross.gateway.dialect import CallHead, Dialect, Passage, Verdict
+from wasabicross.gateway.errors import (
+    AnswerBroken,
+    AnswerMissing,
+    ServerUnreachable,
+)
+from wasabicross.gateway.event_stream import EventSplitter
+from wasabicross.gateway.http_heads import CallerRequest, Fields
+from wasabicross.gateway.placing import Placed
+from wasabicross.gateway.server_connections import (
+    AnswerHead,
+    ConnectionPool,
+    ServerConnection,
+)
+from wasabicross.gateway.view import FleetView
+
+_OK_STATUSES = range(200, 300)
+_FIRST_FAILURE = 500
+
+#: Silence, as a multiple of the target, after which an idempotent request
+#: that has brought no answer yet goes on elsewhere.
+_SILENCE_TARGETS = 1.5
+
+#: Silence between the events of a resumable stream after which it goes on
+#: elsewhere, as a multiple of the longest pause that is on time.
+_SILENCE_GAPS = 4
+
+
+class Ending(enum.Enum):
+    """How an attempt at one server ended.
+
+    `done`: the caller has its answer. `not_sent`: the server has seen nothing.
+    `not_run`: it says that it hasn't run the request. `not_held`: it lacks the
+    adapter. `unknown`: the request may have run. `failed`: it ran and failed.
+    """
+
+    done = 'done'
+    not_sent = 'not sent'
+    not_run = 'not run'
+    not_held = 'not held'
+    unknown = 'unknown'
+    failed = 'failed'
+
+
+class Progress:
+    """What has become of a request at all servers that it was tried on.
+
+    :param last_event_id: last event that the caller has of its stream.
+    """
+
+    def __init__(self, last_event_id: str) -> None:
+        self.sends = 0
+        self.runs = 0
+        #: Whether a server may have run it or may still do so.
+        self.may_run = False
+        self.is_answered_well = False
+        self.excluded: set[str] = set()
+        self.splitter = EventSplitter()
+        self.splitter.last_event_id = last_event_id
+
+
+class Servers(NamedTuple):
+    """What attempts share."""
+
+    view: FleetView
+    pool: ConnectionPool
+    dialect: Dialect
+
+
+class Exchange:
+    """One attempt of a request at one server.
+
+    :param servers: what attempts share.
+    :param req: the request as the caller sent it.
+    :param head: what the caller says of it.
+    :param route: its route.
+    :param deadline_s: when the final answer is due.
+    :param progress: what became of it at other servers.
+    :param answer: writes the caller's answer.
+    """
+
+    def __init__(
+        self,
+        servers: Servers,
+        req: CallerRequest,
+        head: CallHead,
+        route: Route,
+        deadline_s: float,
+        progress: Progress,
+        answer: AnswerWriter,
+    ) -> None:
+        self._servers = servers
+        self._req = req
+        self._head = head
+        self._route = route
+        self._deadline_s = deadline_s
+        self._progress = progress
+        self._answer = answer
+
+    async def run(self, placed: Placed) -> Ending:
+        """Send the request to a server and pass its answer on.
+
+        :param placed: the server.
+        """
+        server = placed.server
+        soundness = self._servers.view.soundness[server.server_id]
+        once = not self._route.is_idempotent
+        try:
+            conn = await self._servers.pool.take(
+                server.host, server.port, once=once
+            )
+        except ServerUnreachable:
+            soundness.on_unreachable(now_s())
+            self._progress.excluded.add(server.server_id)
+            return Ending.not_sent
+        try:
+            ending = await self._talk(conn, placed)
+        except (AnswerMissing, AnswerBroken):
+            conn.close()
+            soundness.on_failure(now_s())
+            self._progress.excluded.add(server.server_id)
+            return Ending.unknown
+        except BaseException:
+            conn.close()
+            raise
+        self._servers.pool.give_back(server.host, server.port, conn)
+        return ending
+
+    async def _talk(self, conn: ServerConnection, placed: Placed) -> Ending:
+        progress = self._progress
+        passage = Passage(
+            placed.server.server_id,
+            placed.version,
+            self._deadline_s - now_s(),
+            self._route.priority,
+            progress.splitter.last_event_id,
+        )
+        req = self._servers.dialect.request(self._req, passage)
+        progress.splitter.drop_rest()
+        progress.sends += 1
+        might_run_before = progress.may_run
+        progress.may_run = True
+        await conn.send(req)
+        async with self._silence(self._route.target_s * _SILENCE_TARGETS):
+            head = await conn.head(req)
+        verdict = self._servers.dialect.verdict(head)
+        if verdict in {Verdict.not_run, Verdict.not_held}:
+            await _drop_body(conn)
+            progress.may_run = might_run_before
+            return self._on_not_run(placed, verdict)
+        progress.runs += 1
+        return await self._take_answer(conn, placed, head)
+
+    def _on_not_run(self, placed: Placed, verdict: Verdict) -> Ending:
+        server_id = placed.server.server_id
+        key = self._head.adapter
+        if verdict is Verdict.not_run:
+            self._progress.excluded.add(server_id)
+            return Ending.not_run
+        if key is None or not key.adapter:
+            self._progress.excluded.add(server_id)
+        else:
+            self._servers.view.on_denial(server_id, key, now_s())
+        return Ending.not_held
+
+    async def _take_answer(
+        self, conn: ServerConnection, placed: Placed, head: AnswerHead
+    ) -> Ending:
+        server_id = placed.server.server_id
+        soundness = self._servers.view.soundness[server_id]
+        is_ok = head.status in _OK_STATUSES
+        if head.status >= _FIRST_FAILURE:
+            soundness.on_failure(now_s())
+            if self._may_go_elsewhere:
+                await _drop_body(conn)
+                self._progress.excluded.add(server_id)
+                return Ending.failed
+        if self._answer.has_started and not is_ok:
+            raise AnswerBroken(f'status {head.status} in mid-stream')
+        if self._route.kind is RouteKind.streaming and is_ok:
+            await self._stream(conn, head)
+        else:
+            parts = [piece async for piece in conn.pieces()]
+            await self._answer.whole(
+                head.status, _without_length(head.fields), b''.join(parts)
+            )
+        if is_ok:
+            soundness.on_answer()
+        self._progress.is_answered_well = is_ok
+        return Ending.done
+
+    async def _stream(self, conn: ServerConnection, head: AnswerHead) -> None:
+        splitter = self._progress.splitter
+        if not self._answer.has_started:
+            await self._answer.start(head.status, _without_length(head.fields))
+        pieces = conn.pieces()
+        while True:
+            async with self._silence(self._route.gap_s * _SILENCE_GAPS):
+                piece = await anext(pieces, None)
+            if piece is None:
+                break
+            if self._route.is_resumable:
+                piece = splitter.feed(piece)
+            if piece:
+                await self._answer.piece(piece)
+        rest = splitter.drop_rest()
+        if rest:
+            await self._answer.piece(rest)
+        await self._answer.end()
+
+    @property
+    def _may_go_elsewhere(self) -> bool:
+        runs = self._progress.runs
+        return self._route.is_idempotent and runs < self._route.max_servers
+
+    def _silence(self, limit_s: float) -> _Silence:
+        """Bound the wait for a server where another one may go on."""
+        return _Silence(limit_s if self._may_go_elsewhere else None)
+
+
+class _Silence:
+    """Turns a server's silence of some length into a missing answer."""
+
+    def __init__(self, limit_s: float | None) -> None:
+        self._timeout = asyncio.timeout(limit_s)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+
+    async def __aexit__(self, kind: object, exc: object, tb: object) -> None:
+        try:
+            await self._timeout.__aexit__(kind, exc, tb)  # type: ignore
+        except TimeoutError as late:
+            raise AnswerMissing('silence') from late
+
+
+async def _drop_body(conn: ServerConnection) -> None:
+    async for _ in conn.pieces():
+        continue
+
+
+def _without_length(fields: Fields) -> Fields:
+    return [pair for pair in fields if pair[0] != b'content-length']
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -1,4 +1,4 @@
-"""Links between gateways: the owners of engines and those that need loads."""
+"""Links to the gateways that own engines."""
 
 from __future__ import annotations
 
@@ -7,14 +7,13 @@
 from collections.abc import Callable
 
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import ServerConnection, broadcast, serve
 from websockets.exceptions import WebSocketException
 
 from wasabicross.events import Event
 from wasabicross.exceptions import MessageMalformed
-from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.messages import (
+    MAX_FRAME_BYTES,
     AdapterUse,
     Hello,
     LoadEnded,
@@ -33,13 +32,9 @@
 
 _OPEN_TIMEOUT_S = 1.0
 _REDIAL_S = 0.25
-_MAX_FRAME_BYTES = 1048576
 
-#: Pause between looks at what changed on the owner's engines.
-_TELL_S = 0.06
-
-#: How often a state is told that has not changed, as a sign of life.
-_SIGN_OF_LIFE_S = 0.5
+#: Pause between looks at who owns engines, and at those of this gateway.
+_FOLLOW_S = 0.06
 
 #: How often uses of adapters are told.
 _USES_S = 0.25
@@ -50,111 +45,6 @@
 _MS_IN_S = 1000
 
 
-class OwnerServer:
-    """Serves other gateways with the engines that this one owns.
-
-    What changes goes to all links in one frame, encoded once.
-
-    :param instance: name of this machine.
-    :param desk: loads on those engines.
-    """
-
-    def __init__(self, instance: str, desk: OwnerDesk) -> None:
-        self._instance = instance
-        self._desk = desk
-        self._links: set[ServerConnection] = set()
-
-    async def run(self, host: str, port: int) -> None:
-        """Serve until cancelled.
-
-        :param host: IP number of this machine.
-        :param port: port to listen on.
-        """
-        async with serve(
-            self._on_link,
-            host,
-            port,
-            compression=None,
-            max_size=_MAX_FRAME_BYTES,
-            ping_interval=None,
-        ):
-            await self._tell()
-
-    async def _on_link(self, conn: ServerConnection) -> None:
-        try:
-            hello = decode(await conn.recv())[0]
-            if isinstance(hello, Hello):
-                await self._follow(conn, hello.instance)
-        except (WebSocketException, OSError, LookupError) as exc:
-            log_event(Event.LINK_ENDED, reason=str(exc))
-        except MessageMalformed as exc:
-            log_event(Event.LINK_ENDED, reason=str(exc))
-
-    async def _follow(self, conn: ServerConnection, instance: str) -> None:
-        await conn.send(encode(Hello(self._instance), *self._desk.states()))
-        self._links.add(conn)
-        loads: set[asyncio.Task[None]] = set()
-        try:
-            async for frame in conn:
-                for message in decode(frame):
-                    self._on_message(conn, instance, message, loads)
-        finally:
-            self._links.discard(conn)
-            for task in loads:
-                task.cancel()
-
-    def _on_message(
-        self,
-        conn: ServerConnection,
-        instance: str,
-        message: Message,
-        loads: set[asyncio.Task[None]],
-    ) -> None:
-        if isinstance(message, LoadWanted):
-            task = asyncio.ensure_future(self._load(conn, message))
-            loads.add(task)
-            task.add_done_callback(loads.discard)
-        elif isinstance(message, UsesTold):
-            for use in message.uses:
-                self._desk.on_use(instance, use)
-
-    async def _load(self, conn: ServerConnection, want: LoadWanted) -> None:
-        version = await self._desk.load(
-            LoadRequest(
-                want.server_id,
-                AdapterKey(want.model, want.adapter),
-                want.version,
-                want.priority,
-                want.patience_ms / _MS_IN_S,
-            )
-        )
-        reason = '' if version else 'not loaded'
-        try:
-            await conn.send(encode(LoadEnded(want.call_id, version, reason)))
-        except WebSocketException as exc:
-            log_event(Event.LINK_ENDED, reason=str(exc))
-
-    async def _tell(self) -> None:
-        """Tell all links what changed, and how busy engines are."""
-        told: dict[str, ServerState] = {}
-        alive_s = now_s()
-        while True:
-            states = self._desk.states()
-            news: list[Message] = [
-                state
-                for state in states
-                if not _holds_the_same(state, told.get(state.server_id))
-            ]
-            told = {state.server_id: state for state in states}
-            if now_s() - alive_s > _SIGN_OF_LIFE_S:
-                alive_s = now_s()
-                news.append(Hello(self._instance))
-                news.extend(_load_of(state) for state in states)
-            if news:
-                broadcast(self._links, encode(*news))
-            await asyncio.sleep(_TELL_S)
-
-
 class OwnerLink:
     """A link to a gateway that owns engines.
 
@@ -233,7 +123,7 @@
         async with connect(
             f'ws://{self._host}:{self._port}',
             compression=None,
-            max_size=_MAX_FRAME_BYTES,
+            max_size=MAX_FRAME_BYTES,
             ping_interval=None,
             open_timeout=_OPEN_TIMEOUT_S,
             close_timeout=_OPEN_TIMEOUT_S,
@@ -302,7 +192,7 @@
             self._follow()
             for state in self._desk.states():
                 self._view.on_state(state, now_s())
-            await asyncio.sleep(_TELL_S)
+            await asyncio.sleep(_FOLLOW_S)
 
     async def tell_uses(self) -> None:
         """Tell the owners which adapters are in use, until cancelled."""
@@ -340,20 +230,5 @@
             self._tasks[host] = asyncio.ensure_future(link.run())
 
 
-def _holds_the_same(state: ServerState, told: ServerState | None) -> bool:
-    """Tell whether a state differs in nothing but how busy the server is."""
-    if told is None:
-        return False
-    return told._replace(queued=state.queued, running=state.running) == state
-
-
-def _load_of(state: ServerState) -> ServerLoad:
-    return ServerLoad(
-        state.server_id, state.born_ms, state.queued, state.running
-    )
-
-
-async def _send(
-    conn: ClientConnection | ServerConnection, message: Message
-) -> None:
+async def _send(conn: ClientConnection, message: Message) -> None:
     await conn.send(encode(message))
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -8,6 +8,9 @@
 
 from wasabicross.exceptions import MessageMalformed
 
+#: Largest frame that is read.
+MAX_FRAME_BYTES = 1048576
+
 
 class Hello(NamedTuple):
     """The first message of a link; the owner repeats its own as a sign of life.
--- /dev/null
+++ b/src/wasabicross/gateway/owner_server.py
@@ -0,0 +1,154 @@
+"""Serves gateways that need loads on engines that this one owns."""
+
+from __future__ import annotations
+
+import asyncio
+
+from websockets.asyncio.server import ServerConnection, broadcast, serve
+from websockets.exceptions import WebSocketException
+
+from wasabicross.events import Event
+from wasabicross.exceptions import MessageMalformed
+from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.messages import (
+    MAX_FRAME_BYTES,
+    Hello,
+    LoadEnded,
+    LoadWanted,
+    Message,
+    ServerLoad,
+    ServerState,
+    UsesTold,
+    decode,
+    encode,
+)
+from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.owner_desk import OwnerDesk
+from wasabicross.logs import log_event
+
+#: Pause between looks at what changed on the owner's engines.
+_TELL_S = 0.06
+
+#: How often loads of engines are told, as a sign of life.
+_SIGN_OF_LIFE_S = 0.5
+
+_MS_IN_S = 1000
+
+
+class OwnerServer:
+    """Serves other gateways with the engines that this one owns.
+
+    What changes goes to all links in one frame, encoded once.
+
+    :param instance: name of this machine.
+    :param desk: loads on those engines.
+    """
+
+    def __init__(self, instance: str, desk: OwnerDesk) -> None:
+        self._instance = instance
+        self._desk = desk
+        self._links: set[ServerConnection] = set()
+
+    async def run(self, host: str, port: int) -> None:
+        """Serve until cancelled.
+
+        :param host: IP number of this machine.
+        :param port: port to listen on.
+        """
+        async with serve(
+            self._on_link,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        ):
+            await self._tell()
+
+    async def _on_link(self, conn: ServerConnection) -> None:
+        try:
+            hello = decode(await conn.recv())[0]
+            if isinstance(hello, Hello):
+                await self._follow(conn, hello.instance)
+        except (WebSocketException, OSError, LookupError) as exc:
+            log_event(Event.LINK_ENDED, reason=str(exc))
+        except MessageMalformed as exc:
+            log_event(Event.LINK_ENDED, reason=str(exc))
+
+    async def _follow(self, conn: ServerConnection, instance: str) -> None:
+        await conn.send(encode(Hello(self._instance), *self._desk.states()))
+        self._links.add(conn)
+        loads: set[asyncio.Task[None]] = set()
+        try:
+            async for frame in conn:
+                for message in decode(frame):
+                    self._on_message(conn, instance, message, loads)
+        finally:
+            self._links.discard(conn)
+            for task in loads:
+                task.cancel()
+
+    def _on_message(
+        self,
+        conn: ServerConnection,
+        instance: str,
+        message: Message,
+        loads: set[asyncio.Task[None]],
+    ) -> None:
+        if isinstance(message, LoadWanted):
+            task = asyncio.ensure_future(self._load(conn, message))
+            loads.add(task)
+            task.add_done_callback(loads.discard)
+        elif isinstance(message, UsesTold):
+            for use in message.uses:
+                self._desk.on_use(instance, use)
+
+    async def _load(self, conn: ServerConnection, want: LoadWanted) -> None:
+        version = await self._desk.load(
+            LoadRequest(
+                want.server_id,
+                AdapterKey(want.model, want.adapter),
+                want.version,
+                want.priority,
+                want.patience_ms / _MS_IN_S,
+            )
+        )
+        reason = '' if version else 'not loaded'
+        try:
+            await conn.send(encode(LoadEnded(want.call_id, version, reason)))
+        except WebSocketException as exc:
+            log_event(Event.LINK_ENDED, reason=str(exc))
+
+    async def _tell(self) -> None:
+        """Tell all links what changed, and how busy engines are."""
+        told: dict[str, ServerState] = {}
+        alive_s = now_s()
+        while True:
+            states = self._desk.states()
+            news: list[Message] = [
+                state
+                for state in states
+                if not _holds_the_same(state, told.get(state.server_id))
+            ]
+            told = {state.server_id: state for state in states}
+            if now_s() - alive_s > _SIGN_OF_LIFE_S:
+                alive_s = now_s()
+                news.append(Hello(self._instance))
+                news.extend(_load_of(state) for state in states)
+            if news:
+                broadcast(self._links, encode(*news))
+            await asyncio.sleep(_TELL_S)
+
+
+def _holds_the_same(state: ServerState, told: ServerState | None) -> bool:
+    """Tell whether a state differs in nothing but how busy the server is."""
+    if told is None:
+        return False
+    return told._replace(queued=state.queued, running=state.running) == state
+
+
+def _load_of(state: ServerState) -> ServerLoad:
+    return ServerLoad(
+        state.server_id, state.born_ms, state.queued, state.running
+    )
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -88,9 +88,12 @@
     :param version: oldest version of the adapter that may answer.
     :param candidates: the servers of its service that may be tried.
     """
-    usable = sound_or_all(candidates)
-    if not usable:
+    if not candidates:
         return NoServer('no server')
+    reachable = [each for each in candidates if each.is_reachable]
+    if not reachable:
+        return NoServer('no server in reach')
+    usable = sound_or_all(reachable)
     if not adapter:
         return SendTo(_cheapest(usable).server_id)
     holders = [each for each in usable if each.held_version >= version]
@@ -109,14 +112,9 @@
     """Return the sound candidates, or all if less than half are sound.
 
     So a fault that only this process sees can't shut out most of a service.
-    Servers that can't be reached are left out as long as there are others,
-    however few.
 
-    :param candidates: the servers that may be tried.
+    :param candidates: the servers that may be tried and can be reached.
     """
-    candidates = [each for each in candidates if each.is_reachable] or (
-        candidates
-    )
     sound = [each for each in candidates if each.is_sound]
     if sound and 2 * len(sound) >= len(candidates):
         return sound
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -68,16 +68,21 @@
 
     :param view: the deployment.
     :param uses: owners of the engines.
+    :param links: links to the owners.
     :param data_centre: where this gateway is.
     """
 
     def __init__(
-        self, view: FleetView, uses: AdapterUses, data_centre: str
+        self,
+        view: FleetView,
+        uses: AdapterUses,
+        links: OwnerLinks,
+        data_centre: str,
     ) -> None:
         self._view = view
         self._uses = uses
+        self._links = links
         self._data_centre = data_centre
-        self.links: OwnerLinks | None = None
 
     async def place(self, wanted: Wanted) -> Placed | NoServer:
         """Return a server for a request, or why there is none.
@@ -182,7 +187,8 @@
         key = wanted.adapter
         version = 0
         if key is not None and key.adapter:
-            version = self._view.held_version(server, key, now_s())
+            held = self._view.held_version(server, key, now_s())
+            version = max(held, self._view.version_of(key))
         return Placed(
             server,
             version,
@@ -196,14 +202,14 @@
     ) -> bool:
         key = wanted.adapter
         host = self._uses.owner_host(choice.server_id)
-        if key is None or not host or self.links is None:
+        if key is None or not host:
             return False
         load = LoadRequest(
             choice.server_id, key, version, wanted.priority, patience_s
         )
         try:
             async with asyncio.timeout(patience_s + _ANSWER_SLACK_S):
-                loaded = await self.links.load(host, load)
+                loaded = await self._links.load(host, load)
         except TimeoutError:
             return False
         if loaded:
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -20,12 +20,14 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.errors import CallerGone, StoreUnavailable
+from wasabicross.gateway.exchanges import Servers
 from wasabicross.gateway.following import StoreFollower
 from wasabicross.gateway.http_heads import CallerRequest
-from wasabicross.gateway.links import OwnerLinks, OwnerServer
+from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import EngineSeam
 from wasabicross.gateway.owner_desk import OwnerDesk
+from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.placing import Placing
 from wasabicross.gateway.probing import Prober
 from wasabicross.gateway.repeats import RepeatBudgets
@@ -99,15 +101,12 @@
             self._desk,
             self._uses.changed,
         )
-        placing = Placing(self.view, self._uses, cfg.data_centre)
-        placing.links = self._links
+        placing = Placing(self.view, self._uses, self._links, cfg.data_centre)
         budgets = RepeatBudgets(cfg.retry_ratio, cfg.retry_slack, self.view)
         self._shared = Services(
-            self.view,
+            Servers(self.view, seams.pool, seams.dialect),
             placing,
-            seams.pool,
             self._uses,
-            seams.dialect,
             budgets.of,
         )
         self._stop = asyncio.Event()
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -10,9 +10,10 @@
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.backend import AdapterKey
-from wasabicross.gateway.links import OwnerLink, OwnerServer
+from wasabicross.gateway.links import OwnerLink
 from wasabicross.gateway.messages import AdapterUse, HeldAdapter, ServerState
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.view import FleetView
 
 HOST = '127.0.0.1'
