--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -33,12 +33,14 @@
     :param args: its arguments.
     :param ready: when it is ready: ``http://..`` answers 200, or
         ``tcp://HOST:PORT`` takes connections; empty: at once.
+    :param env: further environment variables.
     """
 
     name: str
     module: str
     args: tuple[str, ...] = ()
     ready: str = ''
+    env: tuple[tuple[str, str], ...] = ()
 
 
 class ProgramFailed(Exception):  # noqa: N818
@@ -111,6 +113,10 @@
         self.start(*programs)
         self.wait_ready(*(program.name for program in programs))
 
+    def start_again(self, name: str) -> None:
+        """Start a program that has ended again, without waiting for it."""
+        self.start(self._programs[name])
+
     def restart(self, name: str) -> None:
         """Start a program that has ended again, and wait until it is ready."""
         self.run(self._programs[name])
@@ -215,6 +221,7 @@
             **os.environ,
             'PYTHONPATH': f'{ROOT / "src"}{os.pathsep}{ROOT}',
             'PYTHONUNBUFFERED': '1',
+            **dict(program.env),
         }
         with self.log_path(program.name).open('ab') as log:
             return subprocess.Popen(  # noqa: S603
--- /dev/null
+++ b/emulator/soak/backend.py
@@ -0,0 +1,343 @@
+"""A stand-in of a backend server on the platform, as a process of its own.
+
+``python -m emulator.soak.backend --server-id I --service S ...``
+
+With ``--adapter-slots`` it is an engine that loads adapters by orders, and
+streams; else a plain service. It prints a JSON line for each order and each
+run, with the monotonic time, which is one clock for all processes of a
+machine. ``POST /fault`` takes the kinds of `emulator.faults` and
+``{"kind": "late_orders", "count": N}``: orders that get no answer and are
+carried out seconds later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import click
+import urllib3
+
+from emulator.faults import Faults
+from emulator.soak.store import encoded
+from emulator.stream_server import HttpRequest, Responder, StreamServer
+
+MODEL = 'm0'
+
+_BEAT_S = 0.5
+_LOAD_S = 0.12
+_EVENT_S = 0.01
+_LATE_S = 2.0
+_MAX_PENDING = 4
+_MS_IN_S = 1000
+_HOST = '127.0.0.1'
+_VERSIONS = 'op/version/'
+
+_OK = 200
+_ACCEPTED = 202
+_CONFLICT = 409
+_MISDIRECTED = 421
+_FULL = 503
+
+
+class Identity(NamedTuple):
+    """What a server says of itself.
+
+    :param address: where others reach it, which may be a proxy.
+    :param store_port: port of the store's stand-in.
+    :param adapter_slots: 0 for a plain service.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    data_centre: str
+    store_port: int
+    slots: int
+    adapter_slots: int
+
+
+class Backend:
+    """A server that runs requests, and what it holds.
+
+    :param identity: what it says of itself.
+    :param faults: connections that die, and where.
+    """
+
+    def __init__(self, identity: Identity, faults: Faults) -> None:
+        self._identity = identity
+        self._faults = faults
+        self._born_ms = int(time.time() * _MS_IN_S)
+        self._held: dict[str, int] = {}
+        self._pending: dict[str, int] = {}
+        self._using: dict[str, int] = {}
+        self._running = 0
+        self._order_count = 0
+        self._late_orders = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._http = urllib3.PoolManager(retries=False, timeout=2)
+
+    async def answer(self, req: HttpRequest, way: Responder) -> None:
+        """Answer one request."""
+        answers: dict[str, Callable[[HttpRequest], dict[str, Any]]] = {
+            '/fault': self._on_fault,
+            '/health': self._health,
+            '/-/report': self._report,
+        }
+        told = answers.get(req.path)
+        if told is not None:
+            way.send_json(_OK, told(req))
+        elif self._is_for_another(req):
+            way.send_json(_MISDIRECTED, {}, _echo(req))
+        elif req.path == '/-/order':
+            await self._on_order(req.document(), way)
+        else:
+            await self._run(req, way)
+
+    async def beat(self) -> None:
+        """Tell the store of this server until cancelled."""
+        while True:
+            await asyncio.to_thread(self._beat)
+            await asyncio.sleep(_BEAT_S)
+
+    def _on_fault(self, req: HttpRequest) -> dict[str, Any]:
+        document = req.document()
+        if document['kind'] == 'late_orders':
+            self._late_orders = document['count']
+        else:
+            self._faults.set_from(document)
+        return {}
+
+    def _health(self, _req: HttpRequest) -> dict[str, Any]:
+        return {'id': self._identity.server_id}
+
+    def _beat(self) -> None:
+        me = self._identity
+        entry = {
+            'service': me.service,
+            'address': me.address,
+            'zone': me.data_centre,
+            'slots': me.slots,
+            'state': 'ready',
+            'seq': self._order_count,
+            'born': self._born_ms,
+            'models': self._models(),
+        }
+        text = encoded(json.dumps(entry).encode())
+        document = {'key': f'servers/{me.server_id}', 'text': text}
+        try:
+            self._http.request(
+                'POST',
+                f'http://{_HOST}:{me.store_port}/debug/beat',
+                json=document,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            log('beat_failed', reason=str(exc))
+
+    def _models(self) -> list[dict[str, Any]]:
+        if not self._identity.adapter_slots:
+            return []
+        held = [f'{name}@{version}' for name, version in self._held.items()]
+        return [{'name': MODEL, 'version': 1, 'adapters': held}]
+
+    def _report(self, _req: HttpRequest) -> dict[str, Any]:
+        return {
+            'models': self._models(),
+            'pending': [f'{MODEL}/{name}@1' for name in self._pending],
+            'busy': False,
+            'seq': self._order_count,
+            'queued': 0,
+            'running': self._running,
+            'born': self._born_ms,
+        }
+
+    def _is_for_another(self, req: HttpRequest) -> bool:
+        wanted = req.headers.get('expect-instance', self._identity.server_id)
+        return wanted != self._identity.server_id
+
+    async def _on_order(self, order: dict[str, Any], way: Responder) -> None:
+        if self._late_orders > 0:
+            self._late_orders -= 1
+            self._start(self._carry_out_late(order))
+            await asyncio.sleep(_LATE_S)
+            way.send_json(_FULL, {})
+            return
+        way.send_json(self._carry_out(order, is_late=False), {})
+
+    async def _carry_out_late(self, order: dict[str, Any]) -> None:
+        await asyncio.sleep(_LATE_S)
+        self._carry_out(order, is_late=True)
+
+    def _carry_out(self, order: dict[str, Any], *, is_late: bool) -> int:
+        status = self._status_of(order)
+        log(
+            'order',
+            holder=order['holder'],
+            term=order['fence'],
+            op=order['op'],
+            adapter=order['adapter'],
+            status=status,
+            late=is_late,
+        )
+        return status
+
+    def _status_of(self, order: dict[str, Any]) -> int:
+        name = order['adapter']
+        if order['op'] == 'load':
+            return self._load(name, order['expected'])
+        if name not in self._held:
+            return _OK
+        if order['expected'] != self._order_count:
+            return _CONFLICT
+        self._order_count += 1
+        if self._using.get(name):
+            self._start(self._unload_when_free(name))
+            return _ACCEPTED
+        self._held.pop(name)
+        return _OK
+
+    def _load(self, name: str, expected: int) -> int:
+        newest = self._newest(name)
+        if self._held.get(name) == newest:
+            return _OK
+        if name in self._pending:
+            return _ACCEPTED
+        if expected != self._order_count or len(self._pending) >= _MAX_PENDING:
+            return _CONFLICT
+        taken = self._held.keys() | self._pending.keys() | {name}
+        if len(taken) > self._identity.adapter_slots:
+            log('slots_passed', taken=len(taken))
+        self._order_count += 1
+        self._pending[name] = newest
+        self._start(self._fetch(name, newest))
+        return _ACCEPTED
+
+    async def _fetch(self, name: str, version: int) -> None:
+        await asyncio.sleep(_LOAD_S)
+        while self._using.get(name):
+            await asyncio.sleep(_EVENT_S)
+        self._pending.pop(name)
+        self._held[name] = version
+        self._order_count += 1
+
+    async def _unload_when_free(self, name: str) -> None:
+        while self._using.get(name):
+            await asyncio.sleep(_EVENT_S)
+        self._held.pop(name, None)
+
+    def _newest(self, name: str) -> int:
+        """Ask the store for the version in force, 1 if it names none."""
+        prefix = f'{_VERSIONS}{MODEL}.{name}'
+        answer = self._http.request(
+            'POST',
+            f'http://{_HOST}:{self._identity.store_port}/debug/version',
+            json={'key': prefix},
+        )
+        return int(answer.json()['version'])
+
+    async def _run(self, req: HttpRequest, way: Responder) -> None:
+        log('arrival', request=req.headers.get('request-id', ''))
+        if self._running >= self._identity.slots:
+            way.send_json(_FULL, {}, (*_echo(req), ('Not-Run', '1')))
+            return
+        name = req.headers.get('model', '').partition('/')[2]
+        version = self._held.get(name, 0)
+        wanted = int(req.headers.get('expect-version', version))
+        if self._identity.adapter_slots and (not version or version != wanted):
+            way.send_json(_MISDIRECTED, {}, _echo(req))
+            return
+        self._note_run(req, name, version)
+        self._running += 1
+        self._using[name] = self._using.get(name, 0) + 1
+        try:
+            await self._reply(req, way)
+        finally:
+            self._running -= 1
+            self._using[name] -= 1
+
+    def _note_run(self, req: HttpRequest, name: str, version: int) -> None:
+        log(
+            'run',
+            request=req.headers.get('request-id', ''),
+            adapter=name,
+            version=version,
+            after=req.headers.get('last-event-id', ''),
+        )
+
+    async def _reply(self, req: HttpRequest, way: Responder) -> None:
+        request_id = req.headers['request-id']
+        if not self._identity.adapter_slots:
+            await asyncio.sleep(_EVENT_S)
+            way.send_json(_OK, {'request': request_id}, _stamped(req))
+            return
+        way.start_stream('text/event-stream', _stamped(req))
+        events = int(req.headers['token-count'].partition(',')[2])
+        first = int(req.headers.get('last-event-id') or 0) + 1
+        for number in range(first, events + 1):
+            await asyncio.sleep(_EVENT_S)  # noqa: WPS476
+            if way.is_gone:
+                return
+            way.send_chunk(event(request_id, number))
+        way.end_stream()
+
+    def _start(self, work: Any) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return an event of a stream.
+
+    :param request_id: the request that it answers.
+    :param number: from 1.
+    """
+    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+
+
+def log(event_name: str, **fields: Any) -> None:
+    """Print what happened as one line.
+
+    :param event_name: what.
+    :param fields: its details.
+    """
+    line = {'at_s': time.monotonic(), 'event': event_name, **fields}
+    click.echo(json.dumps(line))
+
+
+def _echo(req: HttpRequest) -> tuple[tuple[str, str], ...]:
+    request_id = req.headers.get('request-id')
+    return (('Request-Id', request_id),) if request_id else ()
+
+
+def _stamped(req: HttpRequest) -> tuple[tuple[str, str], ...]:
+    return (*_echo(req), ('Server-Stamp', 's'))
+
+
+async def _serve(identity: Identity, port: int) -> None:
+    faults = Faults()
+    backend = Backend(identity, faults)
+    beating = asyncio.ensure_future(backend.beat())
+    await StreamServer(backend.answer, faults).serve(_HOST, port)
+    beating.cancel()
+
+
+@click.command()
+@click.option('--port', type=int, required=True)
+@click.option('--server-id', required=True)
+@click.option('--service', required=True)
+@click.option('--address', required=True)
+@click.option('--data-centre', required=True)
+@click.option('--store-port', type=int, required=True)
+@click.option('--slots', default=16)
+@click.option('--adapter-slots', default=0)
+def main(port: int, **identity: Any) -> None:  # noqa: WPS216
+    """Serve until SIGTERM."""
+    asyncio.run(_serve(Identity(**identity), port))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/emulator/soak/callers.py
@@ -0,0 +1,207 @@
+"""Callers of a soak run, which keep their connections until they break."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import NamedTuple
+
+import h11
+
+from emulator.soak.backend import MODEL
+from emulator.soak.deployment import ADAPTERS, CALLER_HOST, ROUTES, Gateway
+
+#: How long a caller waits beyond the time that it gave the system.
+SLACK_S = 1.5
+
+_READ_BYTES = 65536
+_CONNECT_TIMEOUT_S = 1.0
+_PAUSE_S = 0.03
+_MAX_EVENTS = 100
+_REQUESTS_A_CONNECTION = 20
+_MS_IN_S = 1000
+_NO_STATUS = 0
+
+
+class Got(NamedTuple):
+    """What a caller got for one request.
+
+    :param kind: name of its route.
+    :param events: events that it asked for, 0 for a plain request.
+    :param sent_s: when it was sent, monotonic.
+    :param ended_s: when its answer ended or was given up.
+    :param status: HTTP status, 0 when no head came.
+    :param retry_after: what the answer says of coming back.
+    :param body: what came of the body.
+    :param is_whole: whether the body ended as HTTP says that it should.
+    :param echoed: the request that the answer says it belongs to.
+    """
+
+    request_id: str
+    kind: str
+    adapter: str
+    events: int
+    gateway: str
+    sent_s: float
+    ended_s: float = 0
+    status: int = _NO_STATUS
+    retry_after: str = ''
+    body: bytes = b''
+    is_whole: bool = False
+    echoed: str = ''
+
+
+class Callers:
+    """Tasks that send requests to random gateways until they are stopped.
+
+    :param gateways: where requests are sent.
+    :param seed: of the random choices.
+    :param count: how many callers.
+    """
+
+    def __init__(self, gateways: list[Gateway], seed: int, count: int) -> None:
+        self.got: list[Got] = []
+        self._gateways = gateways
+        self._stops = False
+        self._seed = seed
+        self._count = count
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start all callers."""
+        self._tasks = [
+            asyncio.ensure_future(
+                self._call(random.Random(f'{self._seed}/{each}'))  # noqa: S311
+            )
+            for each in range(self._count)
+        ]
+
+    async def stop(self) -> list[Got]:
+        """Wait for the requests under way; return all that was got."""
+        self._stops = True
+        await asyncio.gather(*self._tasks)
+        return self.got
+
+    async def _call(self, rng: random.Random) -> None:
+        while not self._stops:
+            gateway = rng.choice(self._gateways)
+            try:
+                async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(
+                        gateway.host, gateway.callers
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            await self._talk(rng, gateway, reader, writer)
+            writer.close()
+
+    async def _talk(
+        self,
+        rng: random.Random,
+        gateway: Gateway,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        codec = h11.Connection(h11.CLIENT)
+        for _ in range(_REQUESTS_A_CONNECTION):
+            asked = _request(rng, gateway)
+            got = await _exchange(  # noqa: WPS476
+                codec, asked, reader, writer
+            )
+            self.got.append(got._replace(ended_s=time.monotonic()))
+            if self._stops or not got.is_whole or not _is_kept(codec):
+                return
+            codec.start_next_cycle()
+            await asyncio.sleep(2 * _PAUSE_S * rng.random())  # noqa: WPS476
+
+
+def _request(rng: random.Random, gateway: Gateway) -> Got:
+    route = rng.choice(ROUTES)
+    is_stream = route.kind == 'streaming'
+    # Some adapters are asked for far more often than others.
+    number = int(len(ADAPTERS) * rng.random() ** 2)
+    return Got(
+        f'{rng.getrandbits(64):016x}',
+        route.name,
+        ADAPTERS[number] if is_stream else '',
+        rng.randint(1, _MAX_EVENTS) if is_stream else 0,
+        gateway.name,
+        time.monotonic(),
+    )
+
+
+async def _exchange(
+    codec: h11.Connection,
+    asked: Got,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> Got:
+    """Send a request; return what came in the time that it gave."""
+    limit_s = time_limit_s(asked)
+    writer.write(codec.send(_head(asked, limit_s)) or b'')
+    writer.write(codec.send(h11.EndOfMessage()) or b'')
+    got = asked
+    try:
+        async with asyncio.timeout(limit_s + SLACK_S):
+            while not got.is_whole:
+                event = await _event(codec, reader)
+                got = _with(got, event)
+                if isinstance(event, h11.ConnectionClosed):
+                    break
+    except (OSError, TimeoutError, h11.RemoteProtocolError):
+        return got
+    return got
+
+
+def time_limit_s(got: Got) -> float:
+    """Return how long the system has for a request.
+
+    :param got: the request.
+    """
+    return next(each.timeout_s for each in ROUTES if each.name == got.kind)
+
+
+def _head(asked: Got, limit_s: float) -> h11.Request:
+    fields = {
+        'Host': CALLER_HOST,
+        'Request-Id': asked.request_id,
+        'Time-Left-Ms': str(int(limit_s * _MS_IN_S)),
+    }
+    if asked.events:
+        fields['Model'] = f'{MODEL}/{asked.adapter}'
+        fields['Token-Count'] = f'10,{asked.events}'
+    return h11.Request(
+        method='GET',
+        target=f'/{asked.kind}/x',
+        headers=list(fields.items()),
+    )
+
+
+async def _event(
+    codec: h11.Connection, reader: asyncio.StreamReader
+) -> h11.Event:
+    while True:
+        event = codec.next_event()
+        if event is not h11.NEED_DATA:
+            assert isinstance(event, h11.Event)
+            return event
+        codec.receive_data(await reader.read(_READ_BYTES))
+
+
+def _with(got: Got, event: h11.Event) -> Got:
+    if isinstance(event, h11.Response):
+        fields = {name.decode(): text.decode() for name, text in event.headers}
+        return got._replace(
+            status=event.status_code,
+            retry_after=fields.get('retry-after', ''),
+            echoed=fields.get('request-id', ''),
+        )
+    if isinstance(event, h11.Data):
+        return got._replace(body=got.body + bytes(event.data))
+    return got._replace(is_whole=isinstance(event, h11.EndOfMessage))
+
+
+def _is_kept(codec: h11.Connection) -> bool:
+    return codec.our_state is h11.DONE and codec.their_state is h11.DONE
--- /dev/null
+++ b/emulator/soak/evidence.py
@@ -0,0 +1,111 @@
+"""What callers and back ends saw of a soak run."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import Any, NamedTuple
+
+from emulator.soak.callers import Got
+from emulator.soak.injector import Done, Named, Stop
+
+
+class Run(NamedTuple):
+    """A request that a server began to run.
+
+    :param after: last event that the caller had of it, empty for none.
+    """
+
+    at_s: float
+    server: str
+    request: str
+    adapter: str
+    version: int
+    after: str
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server, run or not."""
+
+    at_s: float
+    server: str
+    request: str
+
+
+class OrderSeen(NamedTuple):
+    """An order as an engine got it.
+
+    :param is_late: whether it was carried out long after it came.
+    """
+
+    at_s: float
+    server: str
+    holder: str
+    term: int
+    is_late: bool
+
+
+class Evidence(NamedTuple):
+    """All that is judged of a run.
+
+    :param ended: gateways that have ended though nobody ended them.
+    :param slots_passed: engines that were ordered to hold too much.
+    :param faults_end_s: when the last fault was healed, monotonic.
+    """
+
+    got: list[Got]
+    runs: list[Run]
+    arrivals: list[Arrival]
+    orders: list[OrderSeen]
+    slots_passed: list[str]
+    done: list[Done]
+    stops: list[Stop]
+    ended: list[str]
+    named: list[Named]
+    faults_end_s: float
+
+
+class ServerLog(NamedTuple):
+    """What the servers of a run have printed."""
+
+    runs: list[Run]
+    arrivals: list[Arrival]
+    orders: list[OrderSeen]
+    slots_passed: list[str]
+
+
+def read_logs(paths: dict[str, pathlib.Path]) -> ServerLog:
+    """Read what servers have printed.
+
+    :param paths: their logs by name.
+    """
+    log = ServerLog([], [], [], [])
+    for server, path in paths.items():
+        for line in path.read_text().splitlines():
+            if line.startswith('{'):
+                _take(log, server, json.loads(line))
+    for told in (log.runs, log.arrivals, log.orders):
+        told.sort()
+    return log
+
+
+def _take(log: ServerLog, server: str, line: dict[str, Any]) -> None:
+    if line['event'] == 'run':
+        run = Run(
+            line['at_s'],
+            server,
+            line['request'],
+            line['adapter'],
+            line['version'],
+            line['after'],
+        )
+        log.runs.append(run)
+    elif line['event'] == 'arrival':
+        log.arrivals.append(Arrival(line['at_s'], server, line['request']))
+    elif line['event'] == 'order':
+        order = OrderSeen(
+            line['at_s'], server, line['holder'], line['term'], line['late']
+        )
+        log.orders.append(order)
+    elif line['event'] == 'slots_passed':
+        log.slots_passed.append(server)
--- /dev/null
+++ b/emulator/soak/store.py
@@ -0,0 +1,222 @@
+"""A stand-in of the platform's store, as a process of its own.
+
+``python -m emulator.soak.store --port P``
+
+Beside the platform's calls it takes ``POST /debug/put`` from the operator,
+``POST /debug/beat`` and ``POST /debug/version`` from servers, and ``POST /fault``
+with ``{"kind": KIND, "value": V}``:
+
+==========  =================================================================
+down        whether calls are refused
+slow_s      seconds that each call takes longer
+lose        how many changes are made whose answers are lost
+forget      forget the history, so that watches have to read anew
+==========  =================================================================
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+from typing import Any, NamedTuple
+
+import click
+
+from emulator.faults import Faults
+from emulator.stream_server import (
+    ConnectionDied,
+    HttpRequest,
+    Responder,
+    StreamServer,
+)
+
+_PAGE_ITEMS = 500
+_MS_IN_S = 1000
+
+#: An entry of a server that is silent for so long is removed.
+_BEAT_TIMEOUT_S = 1.5
+_SWEEP_S = 0.1
+
+
+class Item(NamedTuple):
+    """An item of the store.
+
+    :param text: its value in base64, None once it was removed.
+    """
+
+    key: str
+    text: str | None
+    revision: int
+
+    def wire(self) -> dict[str, Any]:
+        """Return the item as the platform spells it."""
+        wire: dict[str, Any] = {'key': self.key, 'revision': self.revision}
+        if self.text is None:
+            return {**wire, 'deleted': True}
+        return {**wire, 'value': self.text, 'created': 1, 'lease': 0}
+
+
+class StoreStandIn:
+    """Items, their history, and the faults of the calls."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._history: list[Item] = []
+        self._revision = 1
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+        self._faults: dict[str, Any] = {}
+        self._beats: dict[str, float] = {}
+
+    async def answer(self, req: HttpRequest, way: Responder) -> None:
+        """Answer one call."""
+        if req.path == '/fault':
+            self._on_fault(req.document(), way)
+        elif req.path.startswith('/debug/'):
+            self._on_debug(req, way)
+        else:
+            await self._on_call(req, way)
+
+    async def sweep(self) -> None:
+        """Remove entries of silent servers, but not while the store is down."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            now_s = time.monotonic()
+            if self._faults.get('down'):
+                self._beats = dict.fromkeys(self._beats, now_s)
+            for key, beat_s in tuple(self._beats.items()):
+                if now_s - beat_s > _BEAT_TIMEOUT_S:
+                    self._beats.pop(key)
+                    self._change(key, None)
+
+    def _on_fault(self, document: dict[str, Any], way: Responder) -> None:
+        if document['kind'] == 'forget':
+            self._forgotten = self._revision
+            self._history.clear()
+        else:
+            self._faults[document['kind']] = document['value']
+        way.send_json(200, {})
+
+    def _on_debug(self, req: HttpRequest, way: Responder) -> None:
+        document = req.document()
+        key = document['key']
+        if req.path == '/debug/version':
+            way.send_json(200, {'version': self._version(key)})
+            return
+        known = self._items.get(key)
+        if req.path == '/debug/beat':
+            self._beats[key] = time.monotonic()
+        if known is None or known.text != document['text']:
+            self._change(key, document['text'])
+        way.send_json(
+            200, {'revision': self._revision, 'at_s': time.monotonic()}
+        )
+
+    def _version(self, key: str) -> int:
+        """Return the version that an entry names, 1 where there is none."""
+        item = self._items.get(key)
+        if item is None or item.text is None:
+            return 1
+        return int(json.loads(base64.b64decode(item.text))['version'])
+
+    async def _on_call(self, req: HttpRequest, way: Responder) -> None:
+        if self._faults.get('down'):
+            way.send_json(503, {})
+            return
+        await asyncio.sleep(self._faults.get('slow_s', 0))
+        if req.path == '/-/kv-range':
+            way.send_json(200, self._page(req.query))
+        elif req.path == '/-/kv-watch':
+            await self._watch(req.query, way)
+        elif req.path == '/-/kv-txn':
+            self._write(req.document(), way)
+        else:
+            way.send_json(404, {})
+
+    def _page(self, query: dict[str, str]) -> dict[str, Any]:
+        prefix = query.get('pathPrefix', '')
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(prefix) and key > query.get('after', '')
+        )
+        page = [self._items[key].wire() for key in keys[:_PAGE_ITEMS]]
+        return {
+            'items': page,
+            'hasMore': len(keys) > _PAGE_ITEMS,
+            'at': self._revision,
+        }
+
+    async def _watch(self, query: dict[str, str], way: Responder) -> None:
+        after = int(query['after'])
+        until_s = time.monotonic() + int(query['waitMs']) / _MS_IN_S
+        while after >= self._forgotten and self._revision <= after:
+            left_s = until_s - time.monotonic()
+            if left_s <= 0 or self._faults.get('down') or way.is_gone:
+                break
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except TimeoutError:
+                break
+        if after < self._forgotten:
+            way.send_json(410, {})
+            return
+        seen = [item.wire() for item in self._history if item.revision > after]
+        way.send_json(200, {'events': seen, 'at': self._revision})
+
+    def _write(self, document: dict[str, Any], way: Responder) -> None:
+        expected = document['expected']
+        current = [self._items.get(row['key']) for row in expected]
+        revisions = [item.revision if item else 0 for item in current]
+        if revisions != [row['revision'] for row in expected]:
+            found = [item.wire() for item in current if item]
+            way.send_json(412, {'items': found})
+            return
+        for put in document['puts']:
+            self._change(put['key'], put['value'])
+        for key in document['remove']:
+            self._change(key, None)
+        if self._faults.get('lose', 0) > 0:
+            self._faults['lose'] -= 1
+            way.reset()
+            raise ConnectionDied
+        way.send_json(200, {'revision': self._revision})
+
+    def _change(self, key: str, text: str | None) -> None:
+        self._revision += 1
+        item = Item(key, text, self._revision)
+        if text is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = item
+        self._history.append(item)
+        self._changed.set()
+
+
+def encoded(document: bytes) -> str:
+    """Return a value as the store keeps it.
+
+    :param document: the bytes.
+    """
+    return base64.b64encode(document).decode()
+
+
+async def _serve(port: int) -> None:
+    store = StoreStandIn()
+    sweeping = asyncio.ensure_future(store.sweep())
+    await StreamServer(store.answer, Faults()).serve('127.0.0.1', port)
+    sweeping.cancel()
+
+
+@click.command()
+@click.option('--port', type=int, required=True)
+def main(port: int) -> None:
+    """Serve until SIGTERM."""
+    asyncio.run(_serve(port))
+
+
+if __name__ == '__main__':
+    main()
--- a/emulator/stream_server.py
+++ b/emulator/stream_server.py
@@ -125,11 +125,14 @@
             self._die(body[: len(body) // 2])
         self._writer.write(body)
 
-    def start_stream(self, content_type: str) -> None:
+    def start_stream(
+        self, content_type: str, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
         """Start a chunked answer."""
         fields = (
             ('Content-Type', content_type),
             ('Transfer-Encoding', 'chunked'),
+            *headers,
         )
         self._send_head(200, fields)
 
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,187 @@
+"""Each check of the soak sees the promise broken, and no other one."""
+
+import pytest
+
+from emulator.soak import checks
+from emulator.soak.backend import event
+from emulator.soak.callers import Got
+from emulator.soak.evidence import Arrival, Evidence, OrderSeen, Run
+from emulator.soak.injector import Done, Named, Stop
+
+#: The last fault ended 100 s into the run.
+END_S = 100.0
+BODY = event('r', 1) + event('r', 2)
+STREAM = Got('r', 'stream', 'a1', 2, 'g', 10, 10.5, 200, '', BODY, True, 'r')
+REFUSED = STREAM._replace(status=503, body=b'', retry_after='0.70')
+CUT = STREAM._replace(body=event('r', 1), is_whole=False)
+SILENT = CUT._replace(status=0, body=b'', echoed='')
+RUN = Run(10, 'llm-0', 'r', 'a1', 1, '')
+ORDER = OrderSeen(20, 'llm-0', 'g', 5, False)
+STOP = Stop('g', 0, 2.5, True)
+STOPPED = Done('gateway_stop', 'g', 10.2, 13)
+AFTER = [
+    STREAM._replace(
+        request_id=f'after-{number}',
+        sent_s=END_S + 13,
+        ended_s=END_S + 14,
+        body=event(f'after-{number}', 1) + event(f'after-{number}', 2),
+        echoed=f'after-{number}',
+    )
+    for number in range(60)
+]
+
+
+def evidence(**seen):
+    """Return the evidence of a sound run, and what differs."""
+    sound = {
+        'got': [STREAM],
+        'runs': [RUN],
+        'arrivals': [],
+        'orders': [],
+        'slots_passed': [],
+        'done': [],
+        'stops': [STOP],
+        'ended': [],
+        'named': [],
+        'faults_end_s': END_S,
+        **seen,
+    }
+    sound['got'] = sound['got'] + AFTER
+    return Evidence(**sound)
+
+
+def others(**changes):
+    """Return an order of another holder, three seconds later."""
+    later = {'at_s': 23.5, 'holder': 'h', 'term': 6}
+    return [ORDER, ORDER._replace(**{**later, **changes})]
+
+
+def repeated(count):
+    """Return arrivals of one request, within a second."""
+    return [Arrival(50 + each / count, 'llm-0', 'r') for each in range(count)]
+
+
+SOUND = [
+    {},
+    {'got': [CUT]},
+    {'got': [REFUSED], 'runs': []},
+    {'got': [STREAM._replace(kind='resumable')], 'runs': [RUN, RUN]},
+    {'orders': others()},
+    {'orders': others(at_s=21, is_late=True)},
+    {'orders': others(at_s=21), 'done': [Done('gateway_pause', 'h', 15, 20.9)]},
+    {'orders': others(at_s=21), 'done': [Done('server_delay', 'llm-0', 0, 30)]},
+    {'stops': [STOP._replace(exit_code=-15, was_up=False)]},
+    {
+        'got': [SILENT._replace(ended_s=10.15)],
+        'done': [STOPPED],
+        'runs': [],
+    },
+    {'got': [CUT], 'done': [STOPPED, Done('gateway_kill', 'g', 10, 10.3)]},
+    {
+        'got': [CUT],
+        'done': [STOPPED, Done('server_kill', 'llm-0', 10, 10.3)],
+        'arrivals': [Arrival(10, 'llm-0', 'r')],
+    },
+    {
+        'got': [CUT],
+        'done': [STOPPED, Done('server_die', 'llm-0', 5, 5)],
+        'arrivals': [Arrival(10, 'llm-0', 'r')],
+    },
+    {'got': [CUT._replace(ended_s=14.1)], 'done': [STOPPED]},
+    {
+        'got': [STREAM._replace(ended_s=15)],
+        'done': [Done('gateway_pause', 'g', 11, 14)],
+    },
+    {'named': [Named('a1', 2, 90)]},
+    {
+        'named': [Named('a1', 2, END_S + 3)],
+        'runs': [RUN._replace(at_s=END_S + 7)],
+    },
+    {'arrivals': repeated(41)},
+]
+
+BROKEN = [
+    ('answer of other', {'got': [STREAM._replace(echoed='other')]}),
+    ('another body', {'got': [STREAM._replace(body=event('r', 1))]}),
+    ('pieces of another', {'got': [CUT._replace(body=event('x', 1))]}),
+    ('nobody sent it', {'runs': [RUN, RUN._replace(request='x')]}),
+    ('ran 2 times', {'runs': [RUN, RUN._replace(server='llm-1')]}),
+    ('refused with 503', {'got': [REFUSED]}),
+    (
+        'ran on version 1',
+        {
+            'named': [Named('a1', 2, 90)],
+            'runs': [RUN._replace(at_s=END_S + 6)],
+        },
+    ),
+    ('within 1.00 s', {'orders': others(at_s=21)}),
+    ('term 4 after 5', {'orders': others(term=4)}),
+    ('from two holders', {'orders': others(term=5)}),
+    ('slots passed', {'slots_passed': ['llm-0']}),
+    ('ended by itself', {'ended': ['g']}),
+    ('exit code 1', {'stops': [STOP._replace(exit_code=1)]}),
+    ('took 8.5 s', {'stops': [STOP._replace(took_s=8.5)]}),
+    ('cut by the stop', {'got': [CUT], 'done': [STOPPED]}),
+    (
+        'cut by the stop',
+        {
+            'got': [CUT],
+            'done': [STOPPED, Done('server_kill', 'llm-1', 10, 10.3)],
+            'arrivals': [Arrival(10, 'llm-0', 'r')],
+        },
+    ),
+    ('cut by the stop', {'got': [SILENT], 'done': [STOPPED], 'runs': []}),
+    (
+        'cut by the stop',
+        {
+            'got': [SILENT._replace(ended_s=10.15)],
+            'done': [STOPPED._replace(from_s=10.1)],
+            'arrivals': [Arrival(10, 'llm-0', 'r')],
+        },
+    ),
+    (
+        'cut by the stop',
+        {'got': [CUT], 'done': [STOPPED, Done('store_cut', 'g', 10, 11)]},
+    ),
+    (
+        'held 4.60 s',
+        {
+            'got': [REFUSED._replace(ended_s=14.6)],
+            'runs': [],
+            'done': [Done('server_pause', 'llm-0', 11, 14)],
+        },
+    ),
+    ('no answer', {'got': [SILENT._replace(ended_s=15)]}),
+]
+
+
+@pytest.mark.parametrize('seen', SOUND)
+def test_sound_runs_break_nothing(seen):
+    assert checks.violations(evidence(**seen)) == []
+
+
+@pytest.mark.parametrize(('told', 'seen'), BROKEN)
+def test_a_broken_promise_is_seen(told, seen):
+    broken = checks.violations(evidence(**seen))
+    assert len(broken) == 1
+    assert told in broken[0]
+
+
+def test_too_many_repeats_are_seen():
+    broken = checks.violations(evidence(arrivals=repeated(60)))
+    assert broken
+    assert all('repeats at llm, 40 allowed' in each for each in broken)
+
+
+@pytest.mark.parametrize(
+    ('after', 'told'),
+    [
+        (AFTER[:40], '40 requests were sent'),
+        ([got._replace(status=502) for got in AFTER], '0 of 60 were served'),
+    ],
+)
+def test_a_deployment_that_does_not_recover_is_seen(after, told):
+    seen = evidence()._replace(got=[STREAM, *after])
+    broken = checks.violations(seen)
+    assert len(broken) == 1
+    assert told in broken[0]
