Heed servers that leave or want a pause, and bound bytes without end

Cause: Server-Leaving and a server's Retry-After were read nowhere. Bodies of answers, reports and the store were gathered whatever their length; heads of 1xx were read without a bound; the body of an answer that said Not-Run was read to its end before the request went on. A connection on which bytes had come after its answer was used again. A stream that sent a byte now and then never counted as silent; one that paused on the only server was left and so cut.

Change: ServerNotices remembers by each start of a server what its answers say (requests, reports, orders and probes); such a server gets no requests, loads, probes or reports, and refused callers come back no sooner than it does. Bodies over 256 KB pass through, 64 MB end an answer; events end at 1 MB. Bytes that come on an idle connection close it. Silence of resumable streams is measured by whole events, and bounded only where another server could go on and the budget has a repeat. Servers that may run a request count against its most servers when it is sent, not when an answer comes.

--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -16,7 +16,13 @@
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import CallHead
 from wasabicross.gateway.errors import CallerGone
-from wasabicross.gateway.exchanges import Ending, Exchange, Progress, Servers
+from wasabicross.gateway.exchanges import (
+    Ending,
+    Exchange,
+    Progress,
+    Servers,
+    Terms,
+)
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.placing import Placed, Placing, Wanted
@@ -123,7 +129,7 @@
         while True:
             placed = await self._place(route, service)
             if isinstance(placed, NoServer):
-                await self._give_up(placed.reason)
+                await self._give_up(placed.reason, placed.retry_after_s)
                 return
             ending = await self._attempt(route, placed, deadline_s)
             if ending is Ending.done:
@@ -151,6 +157,8 @@
         """Tell whether the request may go to another server."""
         if ending is Ending.not_sent:
             return True
+        if self._answer.has_started and not route.is_resumable:
+            return False
         if ending in {Ending.unknown, Ending.failed}:
             if not route.is_idempotent:
                 return False
@@ -163,14 +171,11 @@
     ) -> Ending:
         server_id = placed.server.server_id
         self._server_id = server_id
+        budget = self._shared.budget_for(self._labels[0])
+        may_leave = placed.candidates > 1 and budget.available > 0
+        terms = Terms(self._req, self._head, route, deadline_s, may_leave)
         exchange = Exchange(
-            self._shared.servers,
-            self._req,
-            self._head,
-            route,
-            deadline_s,
-            self._progress,
-            self._answer,
+            self._shared.servers, terms, self._progress, self._answer
         )
         self._shared.uses.begin(server_id, self._head.adapter)
         began_s = now_s()
@@ -202,20 +207,24 @@
         else:
             await self._refuse_for_now('timeout before a server')
 
-    async def _give_up(self, reason: str) -> None:
+    async def _give_up(self, reason: str, pause_s: float = 0) -> None:
         if self._answer.has_started:
             self._cut(reason)
         if self._progress.may_run:
             await self._end(_BAD_GATEWAY, reason, None)
         else:
-            await self._refuse_for_now(reason)
+            await self._refuse_for_now(reason, pause_s)
+
+    async def _refuse_for_now(self, reason: str, pause_s: float = 0) -> None:
+        """Refuse a request that its service has no place for at present.
 
-    async def _refuse_for_now(self, reason: str) -> None:
-        """Refuse a request that its service has no place for at present."""
+        :param pause_s: for how long the service takes nothing, seconds.
+        """
         at_s = now_s()
         returns = self._shared.returns_to(self._labels[0])
         left_s = self._req.arrived_s + self._caller_waits_s - at_s
-        await self._refuse(reason, returns.on_refused(left_s, at_s))
+        after_s = returns.on_refused(left_s, at_s, pause_s)
+        await self._refuse(reason, after_s)
 
     def _cut(self, reason: str) -> NoReturn:
         """End a caller's connection so that its answer shows as cut."""
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.server_notices import ServerNotice
 
 
 class CallHead(NamedTuple):
@@ -68,6 +69,9 @@
     def verdict(self, head: AnswerHead) -> Verdict:
         """Return what an answer says of the request."""
 
+    def notice(self, head: AnswerHead) -> ServerNotice:
+        """Return what an answer says of further requests."""
+
     def refusal(self, request_id: str, retry_after_s: float | None) -> Fields:
         """Return the fields of an answer of the gateway's own.
 
--- a/src/wasabicross/gateway/event_stream.py
+++ b/src/wasabicross/gateway/event_stream.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway.errors import AnswerBroken
+
+#: Longest event; a stream without borders isn't kept in memory.
+_MAX_EVENT_BYTES = 1048576
+
 _BORDER = b'\n\n'
 _ID_FIELD = b'id:'
 
@@ -21,10 +26,13 @@
         """Return the whole events that a piece completes.
 
         :param piece: the next bytes of the stream.
+        :raises AnswerBroken: an event doesn't end.
         """
         joined = self._rest + piece
         end = joined.rfind(_BORDER)
         if end < 0:
+            if len(joined) > _MAX_EVENT_BYTES:
+                raise AnswerBroken(f'event of over {_MAX_EVENT_BYTES} bytes')
             self._rest = joined
             return b''
         whole = joined[: end + len(_BORDER)]
--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 from wasabicross.gateway.callers import AnswerWriter
@@ -21,6 +22,7 @@
     AnswerHead,
     ConnectionPool,
     ServerConnection,
+    ServerRequest,
 )
 from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.gateway.view import FleetView
@@ -32,6 +34,10 @@
 #: that has brought no answer yet goes on elsewhere.
 _SILENCE_TARGETS = 1.5
 
+#: Longest body that goes on to the caller only when it is whole, so that
+#: another server can answer where it breaks off.
+_HELD_BYTES = 262144
+
 #: Silence between the events of a resumable stream after which it goes on
 #: elsewhere, as a multiple of the longest pause that is on time.
 _SILENCE_GAPS = 4
@@ -61,6 +67,7 @@
 
     def __init__(self, last_event_id: str) -> None:
         self.sends = 0
+        #: Servers that ran it or may do so.
         self.runs = 0
         #: Whether a server may have run it or may still do so.
         self.may_run = False
@@ -74,6 +81,23 @@
         self.splitter.last_event_id = last_event_id
 
 
+class Terms(NamedTuple):
+    """What holds for an attempt.
+
+    :param req: the request as the caller sent it.
+    :param head: what the caller says of it.
+    :param route: its route.
+    :param deadline_s: when the final answer is due.
+    :param may_leave: whether another server could go on if this one is silent.
+    """
+
+    req: CallerRequest
+    head: CallHead
+    route: Route
+    deadline_s: float
+    may_leave: bool
+
+
 class Servers(NamedTuple):
     """What attempts share."""
 
@@ -86,29 +110,21 @@
     """One attempt of a request at one server.
 
     :param servers: what attempts share.
-    :param req: the request as the caller sent it.
-    :param head: what the caller says of it.
-    :param route: its route.
-    :param deadline_s: when the final answer is due.
-    :param progress: what became of it at other servers.
+    :param terms: what holds for this one.
+    :param progress: what became of the request at other servers.
     :param answer: writes the caller's answer.
     """
 
     def __init__(
         self,
         servers: Servers,
-        req: CallerRequest,
-        head: CallHead,
-        route: Route,
-        deadline_s: float,
+        terms: Terms,
         progress: Progress,
         answer: AnswerWriter,
     ) -> None:
         self._servers = servers
-        self._req = req
-        self._head = head
-        self._route = route
-        self._deadline_s = deadline_s
+        self._terms = terms
+        self._route = terms.route
         self._progress = progress
         self._answer = answer
 
@@ -144,34 +160,52 @@
         return ending
 
     async def _talk(self, conn: ServerConnection, placed: Placed) -> Ending:
+        req = self._request(placed)
         progress = self._progress
-        passage = Passage(
-            placed.server.server_id,
-            placed.version,
-            self._deadline_s - now_s(),
-            self._route.priority,
-            progress.splitter.last_event_id,
-        )
-        req = self._servers.dialect.request(self._req, passage)
         progress.splitter.drop_rest()
         progress.sends += 1
         might_run_before = progress.may_run
         progress.may_run = True
+        progress.runs += 1
         await conn.send(req)
         async with self._silence(self._route.target_s * _SILENCE_TARGETS):
             head = await conn.head(req)
         progress.status = head.status
+        self._take_notice(placed, head)
         verdict = self._servers.dialect.verdict(head)
         if verdict in {Verdict.not_run, Verdict.not_held}:
-            await _drop_body(conn)
             progress.may_run = might_run_before
+            progress.runs -= 1
+            await self._drop_body(conn)
             return self._on_not_run(placed, verdict)
-        progress.runs += 1
         return await self._take_answer(conn, placed, head)
 
+    def _request(self, placed: Placed) -> ServerRequest:
+        passage = Passage(
+            placed.server.server_id,
+            placed.version,
+            self._terms.deadline_s - now_s(),
+            self._route.priority,
+            self._progress.splitter.last_event_id,
+        )
+        return self._servers.dialect.request(self._terms.req, passage)
+
+    def _take_notice(self, placed: Placed, head: AnswerHead) -> None:
+        """Note whether the server wants further requests."""
+        notice = self._servers.dialect.notice(head)
+        notices = self._servers.view.notices
+        notices.on_notice(placed.server, notice, now_s())
+
+    async def _drop_body(self, conn: ServerConnection) -> None:
+        """Read the rest of an answer whose head has said enough."""
+        try:
+            await conn.drop_body()
+        except AnswerBroken as exc:
+            self._progress.reason = f'after the head: {exc}'
+
     def _on_not_run(self, placed: Placed, verdict: Verdict) -> Ending:
         server_id = placed.server.server_id
-        key = self._head.adapter
+        key = self._terms.head.adapter
         if verdict is Verdict.not_run:
             self._progress.excluded.add(server_id)
             return Ending.not_run
@@ -190,7 +224,7 @@
         if head.status >= _FIRST_FAILURE:
             soundness.on_failure(now_s())
             if self._may_go_elsewhere:
-                await _drop_body(conn)
+                await self._drop_body(conn)
                 self._progress.excluded.add(server_id)
                 return Ending.failed
         if self._answer.has_started and not is_ok:
@@ -198,34 +232,58 @@
         if self._route.kind is RouteKind.streaming and is_ok:
             await self._stream(conn, head)
         else:
-            parts = [piece async for piece in conn.pieces()]
-            await self._answer.whole(
-                head.status, _without_length(head.fields), b''.join(parts)
-            )
+            await self._pass_on(conn, head)
         if is_ok:
             soundness.on_answer()
         self._progress.is_answered_well = is_ok
         return Ending.done
 
+    async def _pass_on(self, conn: ServerConnection, head: AnswerHead) -> None:
+        """Pass an answer on, a short one only when it is whole."""
+        pieces = conn.pieces()
+        held = await _first_of(pieces)
+        if len(held) <= _HELD_BYTES:
+            fields = _without_length(head.fields)
+            await self._answer.whole(head.status, fields, held)
+            return
+        await self._answer.start(head.status, head.fields)
+        await self._answer.piece(held)
+        await self._pass_rest_on(pieces)
+
+    async def _pass_rest_on(self, pieces: AsyncIterator[bytes]) -> None:
+        async for piece in pieces:
+            await self._answer.piece(piece)
+        await self._answer.end()
+
     async def _stream(self, conn: ServerConnection, head: AnswerHead) -> None:
         splitter = self._progress.splitter
         if not self._answer.has_started:
             await self._answer.start(head.status, _without_length(head.fields))
         pieces = conn.pieces()
         while True:
-            async with self._silence(self._route.gap_s * _SILENCE_GAPS):
-                piece = await anext(pieces, None)
-            if piece is None:
+            events = await self._next_events(pieces)
+            if events is None:
                 break
-            if self._route.is_resumable:
-                piece = splitter.feed(piece)
-            if piece:
-                await self._answer.piece(piece)
+            await self._answer.piece(events)
         rest = splitter.drop_rest()
         if rest:
             await self._answer.piece(rest)
         await self._answer.end()
 
+    async def _next_events(self, pieces: AsyncIterator[bytes]) -> bytes | None:
+        """Return what goes on of a stream next, None at its end.
+
+        A resumable stream goes on by whole events, so a server that sends a
+        byte now and then is silent.
+        """
+        async with self._silence(self._route.gap_s * _SILENCE_GAPS):
+            async for piece in pieces:
+                if self._route.is_resumable:
+                    piece = self._progress.splitter.feed(piece)
+                if piece:
+                    return piece
+        return None
+
     @property
     def _may_go_elsewhere(self) -> bool:
         runs = self._progress.runs
@@ -233,13 +291,21 @@
 
     def _silence(self, limit_s: float) -> TimeLimit:
         """Bound the wait for a server where another one may go on."""
-        bound_s = limit_s if self._may_go_elsewhere else None
+        may_leave = self._terms.may_leave and self._may_go_elsewhere
+        bound_s = limit_s if may_leave else None
         return TimeLimit(bound_s, AnswerMissing('silence'))
 
 
-async def _drop_body(conn: ServerConnection) -> None:
-    async for _ in conn.pieces():
-        continue
+async def _first_of(pieces: AsyncIterator[bytes]) -> bytes:
+    """Return a whole body, or its start if it is long."""
+    parts: list[bytes] = []
+    length = 0
+    async for piece in pieces:
+        parts.append(piece)
+        length += len(piece)
+        if length > _HELD_BYTES:
+            break
+    return b''.join(parts)
 
 
 def _without_length(fields: Fields) -> Fields:
--- a/src/wasabicross/gateway/http_heads.py
+++ b/src/wasabicross/gateway/http_heads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple, TypeAlias
 
@@ -64,15 +65,16 @@
 
 
 def number(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> float | None:
-    """Return a header field as a number, None if it is none.
+    """Return a header field as a finite number, None if it is none.
 
     :param fields: names in lower case, with their values.
     :param name: name in lower case.
     """
     try:
-        return float(field(fields, name))
+        found = float(field(fields, name))
     except ValueError:
         return None
+    return found if math.isfinite(found) else None
 
 
 def passed_on(
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -86,8 +86,7 @@
                 await self._round()
                 await self._rest()
         finally:
-            for key in self._awaited.keys():
-                self._fail(key)
+            self._fail_all()
 
     async def load(self, wanted: LoadRequest) -> int:
         """Have an adapter loaded; return its version, 0 if it failed.
@@ -127,6 +126,8 @@
         """Tell whether loads can be ordered and the engine answers."""
         if self._tenure() is None or self._silent >= _SILENT_REPORTS:
             return False
+        if self._view.notices.wants_none(self.server, now_s()):
+            return False
         return self.slots.takes_orders
 
     def state(self) -> ServerState:
@@ -151,7 +152,8 @@
         return max(0, self.slots.spare(at_s) - self._waiting_for_slots)
 
     async def _rest(self) -> None:
-        pause_s = max(0, self._orders.next_s - now_s())
+        due_s = max(self._orders.next_s, self._paused_until_s)
+        pause_s = max(0, due_s - now_s())
         try:
             async with asyncio.timeout(pause_s):
                 await self._wake.wait()
@@ -159,7 +161,15 @@
             return
         self._wake.clear()
 
+    @property
+    def _paused_until_s(self) -> float:
+        """When the engine wants to be asked again."""
+        return self._view.notices.paused_until_s(self.server)
+
     async def _round(self) -> None:
+        if now_s() < self._paused_until_s:
+            self._fail_all()
+            return
         if now_s() >= self._orders.report_due_s:
             await self._report()
         await self._orders.repeat_due()
@@ -209,8 +219,7 @@
                 server=self.server.server_id,
                 reason=reason,
             )
-            for key in self._awaited.keys():
-                self._fail(key)
+            self._fail_all()
 
     def _settle(self) -> None:
         """Tell those whose adapter is there, or isn't coming."""
@@ -234,6 +243,11 @@
             waiting=len(load.waiters),
         )
 
+    def _fail_all(self) -> None:
+        """Let nobody wait for an engine that loads nothing."""
+        for key in self._awaited.keys():
+            self._fail(key)
+
     def _fail(self, key: AdapterKey) -> None:
         load = self._awaited.take(key)
         load.tell(0)
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -127,10 +127,12 @@
 
     :param reason: why, for the log.
     :param lacks_loader: whether only a server that loads is lacking.
+    :param retry_after_s: for how long there is none for certain, seconds.
     """
 
     reason: str
     lacks_loader: bool = False
+    retry_after_s: float = 0
 
 
 Choice: TypeAlias = SendTo | LoadOn | NoServer
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -111,7 +111,7 @@
             )
             if isinstance(choice, NoServer):
                 if not self._may_change(choice, wanted, started_s):
-                    return _explained(choice, unable)
+                    return self._explained(choice, wanted, unable)
                 await asyncio.sleep(_SETTLE_PAUSE_S)
                 continue
             if isinstance(choice, SendTo):
@@ -119,17 +119,26 @@
                 return self._placed(
                     choice.server_id, wanted, started_s, len(candidates)
                 )
-            patience_s = started_s + wanted.patience_s - now_s()
-            if patience_s <= 0:
+            until_s = started_s + wanted.patience_s
+            if now_s() >= until_s:
                 return NoServer('no adapter in time')
-            loaded = await self._load(choice, wanted, version, patience_s)
-            if loaded:
+            if await self._load_in_time(choice, wanted, version, until_s):
                 return self._placed(
                     choice.server_id, wanted, started_s, len(candidates)
                 )
             unable.add(choice.server_id)
         return NoServer('loads failed')
 
+    async def _load_in_time(
+        self, choice: LoadOn, wanted: Wanted, version: int, until_s: float
+    ) -> bool:
+        """Have an adapter loaded; tell whether the server can be used then."""
+        patience_s = until_s - now_s()
+        if not await self._load(choice, wanted, version, patience_s):
+            return False
+        server = self._view.servers.get(choice.server_id)
+        return server is not None and not self._view.wants_none(server, now_s())
+
     def _may_change(
         self, choice: NoServer, wanted: Wanted, started_s: float
     ) -> bool:
@@ -155,10 +164,12 @@
         ]
 
     def _fits(self, server: BackendServer, wanted: Wanted, at_s: float) -> bool:
-        if server.service != wanted.service or server.is_leaving:
+        if server.service != wanted.service:
             return False
         if server.server_id in wanted.excluded:
             return False
+        if self._view.wants_none(server, at_s):
+            return False
         key = wanted.adapter
         return key is None or self._view.holds_model(server, key.model, at_s)
 
@@ -246,12 +257,23 @@
             self._view.on_loaded(choice.server_id, key, loaded)
         return loaded > 0
 
+    def _explained(
+        self, choice: NoServer, wanted: Wanted, unable: set[str]
+    ) -> NoServer:
+        """Return why there is no server, and when there may be one.
 
-def _explained(choice: NoServer, unable: set[str]) -> NoServer:
-    """Return why there is no server where owners refused loads.
-
-    :param unable: servers on which a load has just failed.
-    """
-    if unable and choice.lacks_loader:
-        return NoServer('no adapter in time')
-    return choice
+        :param unable: servers on which a load has just failed.
+        """
+        if unable and choice.lacks_loader:
+            choice = NoServer('no adapter in time')
+        pause_s = self._pause_s(wanted.service, now_s())
+        return choice._replace(retry_after_s=pause_s)
+
+    def _pause_s(self, service: str, at_s: float) -> float:
+        """Return how long all servers of a service want no requests."""
+        pauses_s = [
+            self._view.notices.paused_until_s(server) - at_s
+            for server in self._view.servers.values()
+            if server.service == service and not server.is_leaving
+        ]
+        return max(0, min(pauses_s, default=0))
--- a/src/wasabicross/gateway/probing.py
+++ b/src/wasabicross/gateway/probing.py
@@ -38,7 +38,10 @@
         soundness = self._view.soundness[server.server_id]
         if server.server_id in self._probes or not soundness.needs_probe:
             return False
-        return now_s() >= soundness.shut_out_until_s
+        at_s = now_s()
+        if at_s < self._view.notices.paused_until_s(server):
+            return False
+        return at_s >= soundness.shut_out_until_s
 
     async def _probe(self, server: BackendServer) -> None:
         cfg = self._view.configuration
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -34,6 +34,7 @@
 from wasabicross.gateway.repeats import RepeatBudgets
 from wasabicross.gateway.return_times import RefusedCallers
 from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import FleetStore
 from wasabicross.gateway.store_copy import ask_for_copy
@@ -65,6 +66,7 @@
     """What the gateway meets outside, by the protocols of its platform.
 
     :param pool: connections to servers.
+    :param notices: what servers say of further requests.
     :param ready_path: path at which the platform asks for readiness.
     """
 
@@ -72,6 +74,7 @@
     engines: EngineSeam
     dialect: Dialect
     pool: ConnectionPool
+    notices: ServerNotices
     ready_path: str
 
 
@@ -89,7 +92,7 @@
         self._cfg = cfg
         self._seams = seams
         self._output = output
-        self.view = FleetView()
+        self.view = FleetView(seams.notices)
         self.is_stopping = False
         self._active = 0
         self._takes_none = False
--- a/src/wasabicross/gateway/return_times.py
+++ b/src/wasabicross/gateway/return_times.py
@@ -42,11 +42,14 @@
         self._sent_s.append(now_s)
         _drop_old(self._sent_s, now_s)
 
-    def on_refused(self, left_s: float, now_s: float) -> float:
+    def on_refused(
+        self, left_s: float, now_s: float, at_least_s: float = 0
+    ) -> float:
         """Note a refusal; return the seconds after which to come back.
 
         :param left_s: time that the caller has left, seconds.
         :param now_s: the present time, monotonic seconds.
+        :param at_least_s: for how long the service takes nothing, seconds.
         """
         self._refused_s.append(now_s)
         _drop_old(self._refused_s, now_s)
@@ -55,7 +58,8 @@
         share = refusals / (refusals + len(self._sent_s))
         usual_s = _SOONEST_S + share * (_LATEST_S - _SOONEST_S)
         after_s = usual_s * (0.5 + self._draw())
-        return min(after_s, max(0, left_s) * _SHARE_OF_TIME_LEFT)
+        in_time_s = min(after_s, max(0, left_s) * _SHARE_OF_TIME_LEFT)
+        return max(at_least_s, in_time_s)
 
 
 class RefusedCallers:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -5,8 +5,8 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple, TypeAlias
 
 import h11
 
@@ -17,10 +17,22 @@
     ServerUnreachable,
 )
 from wasabicross.gateway.http_heads import Fields, field, passed_on
+from wasabicross.gateway.time_limits import TimeLimit
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
 
+#: Informational heads that may come before the head of an answer.
+_MAX_INFORMATIONAL = 16
+
+#: Longest body of an answer that is passed on.
+_MAX_BODY_BYTES = 67108864
+
+#: Longest rest of an answer that is read only to use its connection again,
+#: and how long that may take.
+_MAX_DROPPED_BYTES = 65536
+_DROP_S = 0.05
+
 #: Longest time for a new connection to a server; a request that is short of
 #: time has to be able to try a second one behind a cut.
 CONNECT_TIMEOUT_S = 0.15
@@ -34,6 +46,11 @@
 
 _MAX_IDLE_CONNECTIONS = 32
 
+#: Longest body of an answer to another request that is skipped.
+_MAX_SKIPPED_BYTES = 1048576
+
+_NextEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
 
 class ServerRequest(NamedTuple):
     """A request as it is sent to a server."""
@@ -56,6 +73,34 @@
     content_length: int | None
 
 
+class _ServerReader(asyncio.StreamReader):
+    """Knows of bytes that belong to no request."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=_READ_BYTES)
+        self._unread = 0
+        #: Called when bytes come, while no request waits for any.
+        self.on_unasked: Callable[[], None] | None = None
+
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes wait to be read."""
+        return self._unread > 0
+
+    def feed_data(self, data: Any) -> None:
+        """Take in bytes that the transport has received."""
+        self._unread += len(data)
+        super().feed_data(data)
+        if self.on_unasked is not None:
+            self.on_unasked()
+
+    async def read(self, n: int = -1) -> bytes:  # noqa: WPS111
+        """Return the next bytes, empty at the end."""
+        received = await super().read(n)
+        self._unread -= len(received)
+        return received
+
+
 class ServerConnection:
     """One connection to a server; runs one request at a time.
 
@@ -66,7 +111,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: _ServerReader,
         writer: asyncio.StreamWriter,
         id_field: bytes,
     ) -> None:
@@ -75,13 +120,13 @@
         self._id_field = id_field
         self._codec = _new_codec()
         self.idle_since_s = -math.inf
-        self.is_reused = False
 
     @property
     def is_usable(self) -> bool:
-        """Tell whether nothing shows that the server has closed it."""
+        """Tell whether it is open and no bytes came without a request."""
         return not (
             self._reader.at_eof()
+            or self._reader.has_unread
             or self._reader.exception()
             or self._writer.is_closing()
         )
@@ -92,6 +137,7 @@
         :param req: what is sent.
         :raises AnswerMissing: the connection broke; the request may have run.
         """
+        self._reader.on_unasked = None
         self._writer.write(self._encode(self._codec, req))
         try:
             await self._writer.drain()
@@ -115,19 +161,48 @@
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
 
-        :raises AnswerBroken: it ended early or is no HTTP.
+        :raises AnswerBroken: it ended early, is no HTTP or doesn't end.
         """
-        while True:
+        length = 0
+        while length <= _MAX_BODY_BYTES:
             try:
                 event = await self._event()
             except (OSError, h11.ProtocolError) as exc:
                 raise AnswerBroken(self._why(exc)) from exc
             if isinstance(event, h11.Data):
+                length += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
                 raise AnswerBroken('connection ended')
+        raise AnswerBroken(f'over {_MAX_BODY_BYTES} bytes')
+
+    async def body(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :param max_bytes: its greatest length.
+        :raises AnswerBroken: it ended early, is no HTTP or is longer.
+        """
+        parts: list[bytes] = []
+        length = 0
+        async for piece in self.pieces():
+            length += len(piece)
+            if length > max_bytes:
+                raise AnswerBroken(f'over {max_bytes} bytes')
+            parts.append(piece)
+        return b''.join(parts)
+
+    async def drop_body(self) -> None:
+        """Read a short body to its end; a long or slow one is left.
+
+        A connection with bytes left can't be renewed.
+
+        :raises AnswerBroken: it didn't end in time or is no HTTP.
+        """
+        limit = TimeLimit(_DROP_S, AnswerBroken('slow body'))
+        async with limit:
+            await self.body(_MAX_DROPPED_BYTES)
 
     def renew(self, now_s: float) -> bool:
         """Make ready for another request; tell whether that is possible.
@@ -140,7 +215,8 @@
             return False
         self._codec.start_next_cycle()
         self.idle_since_s = now_s
-        self.is_reused = True
+        # What comes before the next request is an answer to none.
+        self._reader.on_unasked = self.close
         return self.is_usable
 
     def close(self) -> None:
@@ -149,15 +225,21 @@
 
     async def _response(self) -> h11.Response:
         try:
-            event = await self._event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._event()
+            event = await self._final_event()
         except (OSError, h11.ProtocolError) as exc:
             raise AnswerMissing(self._why(exc)) from exc
         if not isinstance(event, h11.Response):
             raise AnswerMissing('connection ended')
         return event
 
+    async def _final_event(self) -> _NextEvent:
+        """Return what follows the informational heads."""
+        for _ in range(_MAX_INFORMATIONAL):
+            event = await self._event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise AnswerMissing('too many informational heads')
+
     def _why(self, exc: Exception) -> str:
         """Return why no whole answer came, in words for the log."""
         if self._reader.at_eof():
@@ -167,8 +249,7 @@
     async def _skip(self, req: ServerRequest) -> None:
         """Drop an answer that belongs to another request."""
         try:
-            async for _ in self.pieces():
-                pass
+            await self.body(_MAX_SKIPPED_BYTES)
         except AnswerBroken as exc:
             raise AnswerMissing('after another answer') from exc
         trailing = self._codec.trailing_data[0]
@@ -179,9 +260,7 @@
         if trailing:
             self._codec.receive_data(trailing)
 
-    async def _event(
-        self,
-    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    async def _event(self) -> _NextEvent:
         event = self._codec.next_event()
         while event is h11.NEED_DATA:
             self._codec.receive_data(await self._reader.read(_READ_BYTES))
@@ -240,9 +319,17 @@
     async def _connect(self, host: str, port: int) -> ServerConnection:
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                reader, writer = await asyncio.open_connection(host, port)
+                return await self._open(host, port)
         except (OSError, TimeoutError) as exc:
             raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
+
+    async def _open(self, host: str, port: int) -> ServerConnection:
+        loop = asyncio.get_running_loop()
+        reader = _ServerReader()
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader), host, port
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return ServerConnection(reader, writer, self._id_field)
 
     def give_back(self, host: str, port: int, conn: ServerConnection) -> None:
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -20,6 +20,7 @@
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.messages import HeldChanged, ServerLoad, ServerState
 from wasabicross.gateway.ownership import OwnerRecord
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.soundness import SoundnessByServer
 
 #: Version of an adapter that the operator has named none of.
@@ -45,9 +46,13 @@
 
 
 class FleetView:
-    """The deployment as this process knows it."""
+    """The deployment as this process knows it.
 
-    def __init__(self) -> None:
+    :param notices: what servers say of further requests, None for nothing yet.
+    """
+
+    def __init__(self, notices: ServerNotices | None = None) -> None:
+        self.notices = notices or ServerNotices()
         self.configuration: Configuration | None = None
         self.versions: dict[AdapterKey, int] = {}
         self.servers: dict[str, BackendServer] = {}
@@ -215,6 +220,14 @@
         told = self._told(server, now_s)
         return told is not None and told.state.takes_loads
 
+    def wants_none(self, server: BackendServer, now_s: float) -> bool:
+        """Tell whether a server takes no new requests at present.
+
+        :param server: the server.
+        :param now_s: the present time.
+        """
+        return server.is_leaving or self.notices.wants_none(server, now_s)
+
     def spare_slots(self, server: BackendServer, now_s: float) -> int:
         """Return the adapter slots that a load on a server could get.
 
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -7,13 +7,16 @@
 from typing import Any
 
 from wasabicross.gateway.backend import BackendServer, EngineReport
+from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import AnswerMissing, ServerError
 from wasabicross.gateway.orders import Order, OrderAnswer
 from wasabicross.gateway.server_connections import (
     ConnectionPool,
     ServerRequest,
 )
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.platform.documents import decode_report
+from wasabicross.platform.headers import notice_of
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
@@ -22,6 +25,9 @@
 _REPORT_TIMEOUT_S = 0.8
 _ORDER_TIMEOUT_S = 0.06
 
+#: Longest body of an answer that is read.
+_MAX_BODY_BYTES = 4194304
+
 _OK = 200
 _MISDIRECTED = 421
 _ANSWERS = {
@@ -35,10 +41,12 @@
     """Calls to the engines.
 
     :param pool: connections to the servers.
+    :param notices: takes in what they say of further requests.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, notices: ServerNotices) -> None:
         self._pool = pool
+        self._notices = notices
 
     async def report(self, server: BackendServer) -> EngineReport:
         """Ask an engine for its report.
@@ -99,14 +107,15 @@
         try:
             await conn.send(req)
             head = await conn.head(req)
-            parts = [piece async for piece in conn.pieces()]
+            body = await conn.body(_MAX_BODY_BYTES)
         except BaseException:
             conn.close()
             raise
         self._pool.give_back(server.host, server.port, conn)
+        self._notices.on_notice(server, notice_of(head), now_s())
         if head.status == _MISDIRECTED:
             raise AnswerMissing(f'{server.server_id} has gone')
-        return head.status, b''.join(parts)
+        return head.status, body
 
 
 def _request(
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -12,6 +12,7 @@
     passed_on,
 )
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.server_notices import ServerNotice
 
 #: Id of a request, which each answer repeats.
 REQUEST_ID = b'request-id'
@@ -24,12 +25,14 @@
 _LAST_EVENT_ID = b'last-event-id'
 _NOT_RUN = b'not-run'
 _RETRY_AFTER = b'retry-after'
+_SERVER_LEAVING = b'server-leaving'
 
 _MS_IN_S = 1000
 #: Path at which the platform asks whether a machine takes callers.
 READY_PATH = '/-/ready'
 
 _MISDIRECTED = 421
+_TURNED_AWAY = (429, 503)
 _FIRST_FAILURE = 500
 
 #: Fields that only this system may send to a server.
@@ -93,6 +96,13 @@
             return Verdict.failed
         return Verdict.answered
 
+    def notice(self, head: AnswerHead) -> ServerNotice:
+        """Return what an answer says of further requests.
+
+        :param head: head of a server's answer.
+        """
+        return notice_of(head)
+
     def refusal(self, request_id: str, retry_after_s: float | None) -> Fields:
         """Return the fields of an answer of the gateway's own.
 
@@ -107,6 +117,18 @@
         return fields
 
 
+def notice_of(head: AnswerHead) -> ServerNotice:
+    """Return what an answer says of further requests.
+
+    :param head: head of a server's answer.
+    """
+    pause_s: float = 0
+    if head.status in _TURNED_AWAY:
+        pause_s = number(head.fields, _RETRY_AFTER) or 0
+    is_leaving = field(head.fields, _SERVER_LEAVING) not in {'', '0'}
+    return ServerNotice(is_leaving, pause_s)
+
+
 def _adapter(model: str) -> AdapterKey | None:
     name, _, adapter = model.partition('/')
     return AdapterKey(name, adapter) if name else None
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -40,6 +40,9 @@
 #: What a watch may take beyond the wait that it asks for.
 WATCH_SLACK_S = 0.5
 
+#: Longest body of an answer that is read.
+_MAX_BODY_BYTES = 67108864
+
 _MS_IN_S = 1000
 
 
@@ -186,12 +189,11 @@
         try:
             await conn.send(req)
             head = await conn.head(req)
-            parts = [piece async for piece in conn.pieces()]
+            document = await conn.body(_MAX_BODY_BYTES)
         except BaseException:
             conn.close()
             raise
         self._pool.give_back(self._address.host, self._address.port, conn)
-        document = b''.join(parts)
         return head.status, json.loads(document) if document else None
 
 
--- a/src/wasabicross/programs/run_gateway.py
+++ b/src/wasabicross/programs/run_gateway.py
@@ -15,6 +15,7 @@
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.program import Gateway, Seams
 from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.platform.engines import EngineCalls
 from wasabicross.platform.fleet_store import PlatformStore
@@ -57,11 +58,13 @@
 async def _run(cfg: GatewaySettings, output: LogOutput) -> None:
     pool = ConnectionPool(REQUEST_ID)
     store_pool = ConnectionPool(REQUEST_ID, _STORE_CONNECT_S)
+    notices = ServerNotices()
     seams = Seams(
         store=PlatformStore(StoreCalls(cfg.store, store_pool)),
-        engines=EngineCalls(pool),
+        engines=EngineCalls(pool, notices),
         dialect=PlatformDialect(),
         pool=pool,
+        notices=notices,
         ready_path=READY_PATH,
     )
     await Gateway(cfg, seams, output).run()
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -67,6 +67,8 @@
     SERVER_SHUT_OUT = EventKind(8025, 'WARNING')
     SERVER_BACK = EventKind(8026, 'INFO')
     PROBE_FAILED = EventKind(8027, 'INFO')
+    SERVER_LEAVING = EventKind(8028, 'INFO')
+    SERVER_PAUSED = EventKind(8029, 'WARNING')
     LINK_OPEN = EventKind(8031, 'INFO')
     LINK_ENDED = EventKind(8032, 'WARNING')
     REQUEST_SENT = EventKind(8041, 'INFO')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -29,6 +29,7 @@
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 from wasabicross.gateway.program import Gateway, Seams
 from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import Snapshot
 from wasabicross.platform.headers import (
@@ -230,6 +231,7 @@
         engines or FakeEngines(),
         PlatformDialect(),
         ConnectionPool(REQUEST_ID),
+        ServerNotices(),
         READY_PATH,
     )
     with open(os.devnull, 'wb') as quiet:
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -134,6 +134,70 @@
         self._scripts = turns
 
 
+@pytest.mark.parametrize(
+    'late', [answer(b'the second copy'), b'no http at all', b'\r\n' * 9]
+)
+def test_bytes_after_an_answer_reach_nobody(late):
+    """Unsafe requests that follow are neither failed nor told in doubt."""
+
+    async def scenario():
+        server = ScriptedServer([OK, 0.05, late])
+        async with running_gateway([server]) as bench:
+            received = []
+            for number in range(4):
+                sent = request('/unsafe/x', b'x', Request_Id=f'r{number}')
+                received.append(await ask(bench.port, sent))
+                await asyncio.sleep(0.15)
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert [status_of(each) for each in received] == [200] * 4
+    assert {body_of(each) for each in received} == {b'the answer'}
+    assert len(server.seen) == 4
+
+
+def test_a_stream_that_drips_bytes_goes_on_elsewhere():
+    """A byte now and then is silence: no event comes of it."""
+    drips = [b'1\r\n.\r\n', 0.3] * 9
+    stalled = [STREAM_HEAD, chunk(events(1, 2) + b'id: 3\nda'), *drips]
+    goes_on = [STREAM_HEAD, chunk(events(3, 5)), STREAM_END]
+    received, servers, took_s = play_stream(stalled, goes_on)
+    assert body_of(received) == events(1, 5)
+    assert received.endswith(STREAM_END)
+    assert took_s < 2
+
+
+def test_a_slow_stream_is_not_cut_where_no_other_server_is():
+    """Pauses over those that are on time, on the only server."""
+    slow = [STREAM_HEAD]
+    for number in range(1, 4):
+        slow += [chunk(events(number, number)), 1.2]
+    received, _, _ = play(
+        [[[*slow[:-1], STREAM_END]]],
+        request('/stream-resumable/x', b'x', Model=f'm0/{A1.adapter}'),
+        service='llm',
+    )
+    assert body_of(received) == events(1, 3)
+    assert received.endswith(STREAM_END)
+
+
+def play_stream(first, then):
+    """Let a first server begin a resumable stream, and another go on."""
+
+    async def scenario():
+        turns = [first, then]
+        servers = [_InTurn(turns), _InTurn(turns)]
+        async with running_gateway(servers, service='llm') as bench:
+            sent = request(
+                '/stream-resumable/x', b'x', Model=f'm0/{A1.adapter}'
+            )
+            began_s = time.monotonic()
+            received = await ask(bench.port, sent)
+            return received, servers, time.monotonic() - began_s
+
+    return asyncio.run(scenario())
+
+
 def test_request_that_may_have_run_is_not_said_to_be_unrun():
     async def scenario():
         turns = [['reset'], [NOT_RUN]]
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -20,6 +20,7 @@
 )
 from wasabicross.gateway.orders import Order, OrderAnswer, OrderKind
 from wasabicross.gateway.server_connections import ConnectionPool
+from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address
 from wasabicross.platform import engines
 from wasabicross.platform.engines import EngineCalls
@@ -60,7 +61,7 @@
         listed = BackendServer(
             'i-1', 'llm', HOST, port, 'dc', 4, False, {}, frozenset(), 0
         )
-        calls = EngineCalls(ConnectionPool(REQUEST_ID))
+        calls = EngineCalls(ConnectionPool(REQUEST_ID), ServerNotices())
         return await call(calls, listed), server.seen
 
     return asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_promise_endless.py
@@ -0,0 +1,238 @@
+"""Servers whose bytes have no end, against a gateway's real process."""
+
+import contextlib
+import itertools
+import pathlib
+import socket
+import threading
+import time
+
+import pytest
+import urllib3
+
+from emulator.fleet import Runner
+from emulator.soak.deployment import CALLER_HOST, SoakDeployment
+from emulator.waiting import wait_until
+
+OK_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n'
+CHUNKED = OK_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+JUNK = b'x' * 16384
+TIMEOUT_S = 1.5
+LATE_S = 0.5
+MB = 1048576
+
+#: Memory that a gateway may need more for answers without end.
+MORE_MEMORY_BYTES = 24 * MB
+
+
+def chunk(content):
+    """Return content as one chunk."""
+    return b'%x\r\n%s\r\n' % (len(content), content)
+
+
+#: First bytes of an answer, and what follows without end.
+ENDLESS = {
+    'no http': (b'', JUNK),
+    'a field without end': (OK_HEAD + b'X-A: ', JUNK),
+    'fields without end': (OK_HEAD, b'X-A: %s\r\n' % JUNK[:512]),
+    'informational heads': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'a chunk size without end': (CHUNKED, b'0' * 4096),
+    'a chunk extension without end': (CHUNKED + b'5;', JUNK),
+    'chunks without end': (CHUNKED, chunk(JUNK)),
+    'a body without length': (OK_HEAD + b'\r\n', JUNK),
+    'more than its length': (OK_HEAD + b'Content-Length: 2\r\n\r\nok', JUNK),
+    'an answer to another request': (
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n',
+        JUNK,
+    ),
+    'the body of what was not run': (
+        b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\n'
+        b'Not-Run: 1\r\n\r\n',
+        JUNK,
+    ),
+    'the body of a failure': (
+        b'HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r1\r\n\r\n',
+        JUNK,
+    ),
+    'trailers without end': (CHUNKED + b'0\r\n', b'X-A: %s\r\n' % JUNK[:512]),
+    'an event without end': (
+        CHUNKED + chunk(b'id: 1\ndata: 1\n\nid: 2\ndata: '),
+        chunk(JUNK),
+    ),
+}
+
+
+class EndlessServer:
+    """Answers each request with bytes until the connection is closed."""
+
+    def __init__(self):
+        self.first, self.rest = b'', JUNK
+        self._sock = socket.create_server(('127.0.0.1', 0))
+        self.port = self._sock.getsockname()[1]
+        self.under_way = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._sock.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._sock.accept()
+                threading.Thread(
+                    target=self._serve, args=(conn,), daemon=True
+                ).start()
+
+    def _serve(self, conn):
+        self.under_way += 1
+        with contextlib.suppress(OSError), conn:
+            if conn.recv(65536):
+                conn.sendall(self.first)
+                while True:
+                    conn.sendall(self.rest)
+        self.under_way -= 1
+
+
+@pytest.fixture(scope='module')
+def scene(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('endless')
+    server = EndlessServer()
+    with Runner(folder / 'logs') as runner:
+        deployment = SoakDeployment(runner, folder, gateways=1, engines=0)
+        deployment.start()
+        deployment.put('servers/endless', server_document(server.port))
+        deployment.put('op/config', configuration())
+        gateway = deployment.gateways[0]
+        wait_until(lambda: status_of(gateway, '/calm/x') == 200, 20, 'a route')
+        yield deployment, server
+    server.close()
+
+
+def server_document(port):
+    return {
+        'service': 'endless',
+        'address': f'127.0.0.1:{port}',
+        'zone': 'north',
+        'slots': 50,
+        'state': 'ready',
+        'born': 1,
+    }
+
+
+def configuration():
+    routes = [
+        route('calm', 'safe', 'desk'),
+        route('safe', 'safe', 'endless'),
+        route('unsafe', 'unsafe', 'endless'),
+        route('stream', 'streaming', 'endless'),
+        {**route('resumable', 'streaming', 'endless'), 'resumable': True},
+    ]
+    services = [
+        {'name': name, 'healthPath': '/health', 'maxConns': 500}
+        for name in ('desk', 'endless')
+    ]
+    limits = {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 65536,
+        'headerTimeoutMs': 2000,
+        'idleTimeoutMs': 10000,
+    }
+    return {
+        'version': 100,
+        'routes': routes,
+        'services': services,
+        'limits': limits,
+    }
+
+
+def route(name, kind, service):
+    return {
+        'name': name,
+        'host': CALLER_HOST,
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': int(TIMEOUT_S * 1000),
+        'targetLatencyMs': 400,
+        'targetGapMs': 250,
+        'priority': 1,
+        'maxAttempts': 2,
+        'service': service,
+    }
+
+
+def status_of(gateway, path):
+    """Return the status of an answer of which nothing is missing, else 0."""
+    http = urllib3.PoolManager(retries=False, timeout=10)
+    url = f'http://{gateway.host}:{gateway.callers}{path}'
+    headers = {'Host': CALLER_HOST, 'Request-Id': 'r1', 'Time-Left-Ms': '5000'}
+    try:
+        found = http.request('GET', url, headers=headers, preload_content=False)
+        for _ in found.stream(MB):
+            pass
+    except urllib3.exceptions.HTTPError:
+        return 0
+    return found.status
+
+
+CASES = tuple(
+    itertools.product(ENDLESS, ('safe', 'unsafe', 'stream', 'resumable'))
+)
+
+#: What callers may be told: that the server sent no whole answer, or, where it
+#: said so, that the request hasn't run, or the answer before the extra bytes.
+MAY_HAVE_RUN = {0, 502, 504}
+TOLD = {
+    'the body of what was not run': {503},
+    'the body of a failure': {0, 500, 502, 504},
+    'more than its length': {200},
+}
+
+
+@pytest.mark.parametrize(('name', 'kind'), CASES)
+def test_bytes_without_end(scene, name, kind):
+    deployment, server = scene
+    gateway = deployment.gateways[0]
+    server.first, server.rest = ENDLESS[name]
+    # A server that failed may be shut out, which isn't what is shown here.
+    wait_until(lambda: server_is_asked(gateway, server, kind), 20, 'the server')
+    pid = deployment.runner.pid(gateway.name)
+    before = peak_memory_bytes(pid)
+    told = []
+    callers = [
+        threading.Thread(
+            target=lambda: told.append(timed(gateway, f'/{kind}/x'))
+        )
+        for _ in range(4)
+    ]
+    for caller in callers:
+        caller.start()
+    calm = [timed(gateway, '/calm/x') for _ in range(5)]
+    for caller in callers:
+        caller.join()
+    assert peak_memory_bytes(pid) - before < MORE_MEMORY_BYTES
+    statuses = {status for status, _ in told}
+    # A server that is shut out meanwhile gets nothing: nothing has run.
+    assert statuses <= TOLD.get(name, MAY_HAVE_RUN) | {503}
+    assert max(took_s for _, took_s in told) < TIMEOUT_S + LATE_S
+    assert {status for status, _ in calm} == {200}
+    assert max(took_s for _, took_s in calm) < 1
+    wait_until(lambda: not server.under_way, 5, 'connections closed')
+
+
+def peak_memory_bytes(pid):
+    """Return the most memory that a process has held."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = next(each for each in status.splitlines() if 'VmHWM' in each)
+    return int(line.split()[1]) * 1024
+
+
+def server_is_asked(gateway, server, kind):
+    """Ask once more; tell whether that reached the server."""
+    status = status_of(gateway, f'/{kind}/x')
+    return status != 503 or server.first.startswith(b'HTTP/1.1 503')
+
+
+def timed(gateway, path):
+    """Return status and time of a call."""
+    began_s = time.monotonic()
+    return status_of(gateway, path), time.monotonic() - began_s
