Place requests by the prompt tokens that engines have still to read

Cause: a request counted as one, whatever its prompt, and a silent server was left after 1.5 targets. Engines kept the slots of uses of gateways that had restarted for 8 s.

Ruled out: sharper choice by room (2nd to 10th power of the room: 0.083 to 0.087 late in the play).

Change: gateways tell owners the prompt tokens whose answer hasn't begun, also of requests that wait for their adapter; owners tell all. The pace of reading is learned from answers. A server's time for reading counts beside its slots; how long silence is borne follows it. Owners tell how many loads wait beyond the slots, so that loads join the shortest queue. A link that opens tells all uses.

--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -148,6 +148,8 @@
             route.priority,
             max(0, route.target_s * _PATIENCE_TARGETS - waited_s),
             frozenset(self._progress.excluded),
+            route.target_s,
+            self._head.prompt_tokens,
         )
         return await self._shared.placing.place(wanted)
 
@@ -173,16 +175,17 @@
         self._server_id = server_id
         budget = self._shared.budget_for(self._labels[0])
         may_leave = placed.candidates > 1 and budget.available > 0
-        terms = Terms(self._req, self._head, route, deadline_s, may_leave)
+        use = self._shared.uses.begin(
+            server_id, self._head.adapter, self._head.prompt_tokens
+        )
+        terms = Terms(self._req, self._head, route, deadline_s, may_leave, use)
         exchange = Exchange(
             self._shared.servers, terms, self._progress, self._answer
         )
-        self._shared.uses.begin(server_id, self._head.adapter)
         began_s = now_s()
         self._shared.returns_to(self._labels[0]).on_sent(began_s)
         ending = Ending.unknown
-        self._progress.status = 0
-        self._progress.reason = ''
+        self._progress.begin_attempt()
         try:
             ending = await exchange.run(placed)
         except CallerGone:
@@ -192,7 +195,7 @@
             self._progress.reason = _why_cancelled(exc, deadline_s)
             raise
         finally:
-            self._shared.uses.end(server_id, self._head.adapter)
+            use.end()
             self._note_attempt(placed, ending, began_s)
         if ending is Ending.done:
             is_ok = self._progress.is_answered_well
@@ -279,7 +282,9 @@
             waited_s=round(placed.waited_s, 3),
             candidates=placed.candidates,
             requests=placed.requests,
+            unread_tokens=self._progress.unread_tokens,
             configuration=self._configuration,
+            first_s=round(self._progress.first_s, 3),
             took_s=round(now_s() - began_s, 3),
             ending=ending.value,
             status=self._progress.status,
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -18,12 +18,14 @@
     :param adapter: the adapter that it names, None for none.
     :param time_left_s: how long the caller waits, None if it didn't say.
     :param last_event_id: last event that the caller has of a broken stream.
+    :param prompt_tokens: length of its prompt, 0 if it didn't say.
     """
 
     request_id: str
     adapter: AdapterKey | None
     time_left_s: float | None
     last_event_id: str
+    prompt_tokens: int = 0
 
 
 class Passage(NamedTuple):
--- a/src/wasabicross/gateway/engine_uses.py
+++ b/src/wasabicross/gateway/engine_uses.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Container
+from collections.abc import Container, Iterator
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.slot_turnover import SlotTurnover
 
 #: How long an adapter that was used stays, at the least.
-_KEEP_S = 0.5
+_KEEP_S = 0.25
 
 #: How long the use of an adapter that is not held is remembered.
 _FORGET_USE_S = 30.0
@@ -31,10 +31,12 @@
 
     :param running: requests that it has under way.
     :param told_s: when it said so, monotonic seconds.
+    :param unread_tokens: prompt tokens of those whose answer hasn't begun.
     """
 
     running: int
     told_s: float
+    unread_tokens: int = 0
 
 
 class Use(NamedTuple):
@@ -76,7 +78,12 @@
         return max(self._reported, self.requests(now_s) - self.queued)
 
     def on_use(
-        self, key: AdapterKey, user: str, running: int, now_s: float
+        self,
+        key: AdapterKey,
+        user: str,
+        running: int,
+        now_s: float,
+        unread_tokens: int = 0,
     ) -> None:
         """Note the use of an adapter.
 
@@ -84,15 +91,26 @@
         :param user: the gateway that uses it.
         :param running: requests that it has under way with it.
         :param now_s: the present time.
+        :param unread_tokens: prompt tokens of those whose answer hasn't begun.
         """
         words = dict(self._uses.get(key, Use(now_s, {})).words)
         was_running = words.pop(user, None) is not None
-        if running:
-            words[user] = UserWord(running, now_s)
+        if running or unread_tokens:
+            words[user] = UserWord(running, now_s, unread_tokens)
         if was_running and not words:
             self.turnover.on_freed(now_s)
         self._uses[key] = Use(now_s, words)
 
+    def forget_user(self, user: str, now_s: float) -> None:
+        """Forget what a gateway uses, since it tells all of it anew.
+
+        :param user: the gateway.
+        :param now_s: the present time.
+        """
+        for key, use in tuple(self._uses.items()):
+            if user in use.words:
+                self.on_use(key, user, 0, now_s)
+
     def is_free(self, key: AdapterKey, now_s: float) -> bool:
         """Tell whether nobody uses an adapter or has just used it.
 
@@ -120,12 +138,21 @@
 
         :param now_s: the present time.
         """
-        return sum(
-            word.running
-            for use in self._uses.values()
-            for word in use.words.values()
-            if now_s - word.told_s < _COUNTED_S
-        )
+        return sum(word.running for word in self._counted(now_s))
+
+    def unread_tokens(self, now_s: float) -> int:
+        """Count the prompt tokens that the engine has still to read.
+
+        :param now_s: the present time.
+        """
+        return sum(word.unread_tokens for word in self._counted(now_s))
+
+    def _counted(self, now_s: float) -> Iterator[UserWord]:
+        """Yield the words that are new enough."""
+        for use in self._uses.values():
+            for word in use.words.values():
+                if now_s - word.told_s < _COUNTED_S:
+                    yield word
 
     def drop_old(self, held: Container[AdapterKey], now_s: float) -> None:
         """Forget uses of long ago.
--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -18,6 +18,7 @@
 from wasabicross.gateway.event_stream import EventSplitter
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.placing import Placed
+from wasabicross.gateway.reading_pace import Reading
 from wasabicross.gateway.server_connections import (
     AnswerHead,
     ConnectionPool,
@@ -25,15 +26,12 @@
     ServerRequest,
 )
 from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.gateway.uses import RunningUse
 from wasabicross.gateway.view import FleetView
 
 _OK_STATUSES = range(200, 300)
 _FIRST_FAILURE = 500
 
-#: Silence, as a multiple of the target, after which an idempotent request
-#: that has brought no answer yet goes on elsewhere.
-_SILENCE_TARGETS = 1.5
-
 #: Longest body that goes on to the caller only when it is whole, so that
 #: another server can answer where it breaks off.
 _HELD_BYTES = 262144
@@ -76,10 +74,20 @@
         #: answer came of it.
         self.status = 0
         self.reason = ''
+        #: Until the newest server's answer began, and what it had to read.
+        self.first_s: float = 0
+        self.unread_tokens = 0
         self.excluded: set[str] = set()
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
 
+    def begin_attempt(self) -> None:
+        """Forget what the attempt before has met."""
+        self.status = 0
+        self.reason = ''
+        self.first_s = 0
+        self.unread_tokens = 0
+
 
 class Terms(NamedTuple):
     """What holds for an attempt.
@@ -89,6 +97,7 @@
     :param route: its route.
     :param deadline_s: when the final answer is due.
     :param may_leave: whether another server could go on if this one is silent.
+    :param use: counts the request at the server.
     """
 
     req: CallerRequest
@@ -96,6 +105,7 @@
     route: Route
     deadline_s: float
     may_leave: bool
+    use: RunningUse
 
 
 class Servers(NamedTuple):
@@ -167,9 +177,12 @@
         might_run_before = progress.may_run
         progress.may_run = True
         progress.runs += 1
+        reading = self._reading(placed)
+        progress.unread_tokens = reading.tokens
         await conn.send(req)
-        async with self._silence(self._route.target_s * _SILENCE_TARGETS):
+        async with self._silence(reading.patience_s(self._route.target_s)):
             head = await conn.head(req)
+        progress.first_s = now_s() - reading.sent_s
         progress.status = head.status
         self._take_notice(placed, head)
         verdict = self._servers.dialect.verdict(head)
@@ -178,6 +191,8 @@
             progress.runs -= 1
             await self._drop_body(conn)
             return self._on_not_run(placed, verdict)
+        self._terms.use.on_read()
+        reading.on_answer(now_s())
         return await self._take_answer(conn, placed, head)
 
     def _request(self, placed: Placed) -> ServerRequest:
@@ -190,6 +205,13 @@
         )
         return self._servers.dialect.request(self._terms.req, passage)
 
+    def _reading(self, placed: Placed) -> Reading:
+        """Return what the server reads before this request's first token."""
+        view = self._servers.view
+        at_s = now_s()
+        unread = view.unread_tokens(placed.server, at_s)
+        return Reading(view.reading, placed.server.service, unread, at_s)
+
     def _take_notice(self, placed: Placed, head: AnswerHead) -> None:
         """Note whether the server wants further requests."""
         notice = self._servers.dialect.notice(head)
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -124,7 +124,7 @@
         for host, link in self._links.items():
             if link.lacks_uses:
                 link.lacks_uses = False
-                link.tell(self._uses.running_at(host))
+                link.tell(self._uses.running_at(host), are_all=True)
 
     def _choose_relays(self) -> None:
         """Ask the owners of this data centre's groups for their news."""
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -145,11 +145,12 @@
             ),
             models=tuple(sorted(self.slots.models)),
             spare_slots=self._spare_slots(now_s()),
+            unread_tokens=uses.unread_tokens(now_s()),
         )
 
     def _spare_slots(self, at_s: float) -> int:
-        """Return the slots for further loads, beside those that wait."""
-        return max(0, self.slots.spare(at_s) - self._waiting_for_slots)
+        """Return the slots for further loads, below 0 where some wait."""
+        return self.slots.spare(at_s) - self._waiting_for_slots
 
     async def _rest(self) -> None:
         due_s = max(self._orders.next_s, self._paused_until_s)
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -39,6 +39,7 @@
     :param takes_loads: whether the owner may order and the server answers.
     :param models: base models that the server holds.
     :param spare_slots: adapter slots that a load could get.
+    :param unread_tokens: prompt tokens that it has still to read.
     """
 
     server_id: str
@@ -49,6 +50,7 @@
     held: tuple[HeldAdapter, ...]
     models: tuple[str, ...] = ()
     spare_slots: int = 0
+    unread_tokens: int = 0
 
 
 class HeldChanged(NamedTuple):
@@ -74,6 +76,7 @@
     :param queued: requests that wait there.
     :param running: requests in its batch.
     :param spare_slots: adapter slots that a load could get.
+    :param unread_tokens: prompt tokens that it has still to read.
     """
 
     server_id: str
@@ -81,6 +84,7 @@
     queued: int
     running: int
     spare_slots: int = 0
+    unread_tokens: int = 0
 
 
 class LoadWanted(NamedTuple):
@@ -117,18 +121,24 @@
     """Use of an adapter on a server by the gateway that says so.
 
     :param running: requests that it has under way there.
+    :param unread_tokens: prompt tokens of those whose answer hasn't begun.
     """
 
     server_id: str
     model: str
     adapter: str
     running: int
+    unread_tokens: int = 0
 
 
 class UsesTold(NamedTuple):
-    """The uses that changed since the last message of this kind."""
+    """The uses that changed since the last message of this kind.
+
+    :param are_all: whether the gateway has no other uses.
+    """
 
     uses: tuple[AdapterUse, ...]
+    are_all: bool = False
 
 
 class NewsWanted(NamedTuple):
--- a/src/wasabicross/gateway/owner_desk.py
+++ b/src/wasabicross/gateway/owner_desk.py
@@ -76,7 +76,17 @@
         loader = self._loader(use.server_id)
         if loader is not None:
             key = AdapterKey(use.model, use.adapter)
-            loader.slots.uses.on_use(key, user, use.running, now_s())
+            loader.slots.uses.on_use(
+                key, user, use.running, now_s(), use.unread_tokens
+            )
+
+    def forget_uses(self, user: str) -> None:
+        """Forget all uses of a gateway, since it tells them anew.
+
+        :param user: the gateway.
+        """
+        for loader in self.loaders:
+            loader.slots.uses.forget_user(user, now_s())
 
     def _loader(self, server_id: str) -> ServerLoader | None:
         server = self._view.servers.get(server_id)
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -133,13 +133,16 @@
         finally:
             self._calls.pop(call_id)
 
-    def tell(self, uses: tuple[AdapterUse, ...]) -> None:
+    def tell(
+        self, uses: tuple[AdapterUse, ...], *, are_all: bool = False
+    ) -> None:
         """Tell the owner which adapters are in use, unless the link is down.
 
         :param uses: those that changed.
+        :param are_all: whether there are no others.
         """
         if self._conn is not None:
-            _send(self._conn, UsesTold(uses))
+            _send(self._conn, UsesTold(uses, are_all))
 
     async def _connected(self) -> socket.socket:
         """Return a socket that is connected to the owner."""
--- a/src/wasabicross/gateway/owner_news.py
+++ b/src/wasabicross/gateway/owner_news.py
@@ -24,6 +24,9 @@
 #: Requests more or less at an engine that are told before the next of these.
 _LOAD_STEP = 2
 
+#: The same for prompt tokens that an engine has to read.
+_TOKEN_STEP = 2000
+
 _NOTHING_TOLD = ServerLoad('', 0, 0, 0)
 
 
@@ -77,15 +80,21 @@
     def _load_change(self, state: ServerState) -> Message | None:
         load = _load(state)
         told = self._told_loads.get(state.server_id, _NOTHING_TOLD)
-        step = abs(_requests(load) - _requests(told))
-        if step < _LOAD_STEP and bool(load.spare_slots) == bool(
-            told.spare_slots
-        ):
+        if not _differs(load, told):
             return None
         self._told_loads[state.server_id] = load
         return load
 
 
+def _differs(load: ServerLoad, told: ServerLoad) -> bool:
+    """Tell whether others would choose otherwise if they knew."""
+    if min(1, load.spare_slots) != min(1, told.spare_slots):
+        return True
+    if abs(load.unread_tokens - told.unread_tokens) >= _TOKEN_STEP:
+        return True
+    return abs(_requests(load) - _requests(told)) >= _LOAD_STEP
+
+
 def _requests(load: ServerLoad) -> int:
     return load.queued + load.running
 
@@ -97,6 +106,7 @@
         state.queued,
         state.running,
         state.spare_slots,
+        state.unread_tokens,
     )
 
 
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -143,6 +143,8 @@
         elif isinstance(message, NewsWanted):
             self._relay.add(conn)
         elif isinstance(message, UsesTold):
+            if message.are_all:
+                self._desk.forget_uses(instance)
             for use in message.uses:
                 self._desk.on_use(instance, use)
 
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -2,7 +2,8 @@
 
 Answers skewed popularity over engines with few adapter slots: an adapter has a
 home that lasts, requests are spread over all its holders, and a replica is loaded
-where these have little room left.
+where these have little room left. Answers prompts of very different length: an
+engine that has long ones to read counts as taken for that time.
 """
 
 from __future__ import annotations
@@ -25,6 +26,12 @@
 #: Share of a server's slots up to which it is roomy.
 _ROOMY = 0.5
 
+#: Spare adapter slots from which on long reading is worth a copy.
+_COPY_SPARE_SLOTS = 3
+
+#: Share of the time for the first token up to which it may be reading then.
+_ROOMY_READING = 0.25
+
 #: Share of the usable slots of an adapter's holders that is left when a replica
 #: is loaded ahead of need.
 _PREFETCH_ROOM = 0.2
@@ -45,9 +52,12 @@
 
     :param held_version: version of the adapter that it holds, 0 for none.
     :param takes_loads: whether its owner can have the adapter loaded there.
-    :param spare_slots: adapter slots that are empty or hold what nobody uses.
+    :param spare_slots: adapter slots that are empty or hold what nobody uses,
+        less than 0 where more loads wait than that.
     :param requests: requests that it runs or that wait there.
     :param slots: requests that it runs at once.
+    :param reading_share: time until it has read what was sent there, as a
+        share of the time in which the request wants its first token.
     :param is_local: whether it is in this gateway's data centre.
     :param is_sound: whether it answered most requests lately.
     :param is_reachable: whether connections to it could be made lately.
@@ -62,11 +72,17 @@
     is_local: bool
     is_sound: bool
     is_reachable: bool
+    reading_share: float = 0
+
+    @property
+    def occupancy(self) -> float:
+        """Share of its slots that are taken, and of the time for reading."""
+        return self.requests / max(1, self.slots) + self.reading_share
 
     @property
     def cost(self) -> float:
         """Occupancy of the server, more where it is remote."""
-        share = self.requests / max(1, self.slots)
+        share = self.occupancy
         return share if self.is_local else share + _REMOTE_COST
 
     @property
@@ -74,10 +90,16 @@
         """Tell whether another request would have to wait there."""
         return self.requests >= _FULL * self.slots
 
+    @property
+    def reads_long(self) -> bool:
+        """Tell whether the first token would come late there."""
+        return self.reading_share >= _FULL
+
     @property
     def is_roomy(self) -> bool:
         """Tell whether it can take an adapter that is asked for often."""
-        return self.requests <= _ROOMY * self.slots
+        is_read_soon = self.reading_share <= _ROOMY_READING
+        return is_read_soon and self.occupancy <= _ROOMY
 
     @property
     def room(self) -> float:
@@ -165,7 +187,7 @@
         return SendTo(_cheapest(usable).server_id)
     home = _home(adapter, version, usable)
     holders = [each for each in usable if each.held_version >= version]
-    free = [each for each in holders if not each.is_full]
+    free = _free_of(holders, home)
     if free:
         is_due = draws.prefetch < _PREFETCH_SHARE and _fill_soon(holders)
         replica_on = home.server_id if home and is_due else ''
@@ -177,6 +199,20 @@
     return NoServer('nothing loads the adapter', lacks_loader=True)
 
 
+def _free_of(
+    holders: Sequence[Candidate], home: Candidate | None
+) -> Sequence[Candidate]:
+    """Return the holders that another request may go to.
+
+    A copy for the sake of reading alone would take a slot that other adapters
+    need, unless there are several to spare where it would be loaded.
+    """
+    free = [each for each in holders if not each.is_full]
+    if home is None or home.reads_long or home.spare_slots < _COPY_SPARE_SLOTS:
+        return free
+    return [each for each in free if not each.reads_long]
+
+
 def sound_or_all(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
     """Return the sound candidates, or all if less than half are sound.
 
@@ -233,7 +269,8 @@
 
     Servers with an older version come last, since it is replaced only after
     its runs. Before them come those where each slot has an adapter in use, so
-    that the load would wait for a run to end, and those that would soon be full.
+    that the load would wait for a run to end, the more loads wait there the later,
+    and those that would soon be full.
     """
     able = [
         each
@@ -244,7 +281,7 @@
         able,
         key=lambda each: (
             not each.held_version,
-            each.spare_slots > 0,
+            min(1, each.spare_slots),
             each.is_roomy,
             rendezvous_hash(adapter, each.server_id),
         ),
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -45,6 +45,8 @@
     :param priority: rank of the request, 0 is the most urgent.
     :param patience_s: how long it waits for its adapter.
     :param excluded: servers that may not be tried.
+    :param target_s: time in which its answer should begin, 0 if none is known.
+    :param prompt_tokens: length of its prompt, 0 if it isn't known.
     """
 
     service: str
@@ -52,6 +54,8 @@
     priority: int
     patience_s: float
     excluded: frozenset[str]
+    target_s: float = 0
+    prompt_tokens: int = 0
 
 
 class Placed(NamedTuple):
@@ -133,8 +137,14 @@
         self, choice: LoadOn, wanted: Wanted, version: int, until_s: float
     ) -> bool:
         """Have an adapter loaded; tell whether the server can be used then."""
+        key = wanted.adapter
+        if key is None:
+            return False
         patience_s = until_s - now_s()
-        if not await self._load(choice, wanted, version, patience_s):
+        tokens = wanted.prompt_tokens
+        with self._uses.expected(choice.server_id, key, tokens):
+            loaded = await self._load(choice, wanted, version, patience_s)
+        if not loaded:
             return False
         server = self._view.servers.get(choice.server_id)
         return server is not None and not self._view.wants_none(server, now_s())
@@ -196,8 +206,19 @@
             is_local=server.data_centre == self._data_centre,
             is_sound=soundness.is_sound(at_s),
             is_reachable=not soundness.needs_probe,
+            reading_share=self._reading_share(server, wanted, at_s),
         )
 
+    def _reading_share(
+        self, server: BackendServer, wanted: Wanted, at_s: float
+    ) -> float:
+        """Return what reading takes first, as a share of the target."""
+        if not wanted.target_s:
+            return 0
+        unread = self._view.unread_tokens(server, at_s)
+        takes_s = self._view.reading.expected_s(server.service, unread)
+        return takes_s / wanted.target_s
+
     def _version(self, key: AdapterKey | None) -> int:
         return self._view.version_of(key) if key and key.adapter else 0
 
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -20,6 +20,7 @@
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.messages import HeldChanged, ServerLoad, ServerState
 from wasabicross.gateway.ownership import OwnerRecord
+from wasabicross.gateway.reading_pace import ReadingPace
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.soundness import SoundnessByServer
 
@@ -61,6 +62,9 @@
         self.soundness = SoundnessByServer()
         self.told: dict[str, ToldState] = {}
         self.under_way: dict[str, int] = defaultdict(int)
+        #: Prompt tokens of this gateway's requests that wait for a first token.
+        self.unread: dict[str, int] = defaultdict(int)
+        self.reading = ReadingPace()
         self.known_since_s = math.inf
         self._denials: dict[tuple[str, AdapterKey], float] = {}
         self._store_lost = False
@@ -156,6 +160,7 @@
             queued=load.queued,
             running=load.running,
             spare_slots=load.spare_slots,
+            unread_tokens=load.unread_tokens,
         )
         self.told[load.server_id] = ToldState(state, told.held, now_s)
 
@@ -249,6 +254,16 @@
             return own
         return max(own, told.state.running + told.state.queued)
 
+    def unread_tokens(self, server: BackendServer, now_s: float) -> int:
+        """Estimate the prompt tokens that a server has still to read.
+
+        :param server: the server.
+        :param now_s: the present time.
+        """
+        own = self.unread.get(server.server_id, 0)
+        told = self._told(server, now_s)
+        return max(own, told.state.unread_tokens) if told else own
+
     def _told(self, server: BackendServer, now_s: float) -> ToldState | None:
         told = self.told.get(server.server_id)
         if told is None or now_s - told.told_s > OWNER_WORD_S:
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -19,6 +19,7 @@
 
 _TIME_LEFT_MS = b'time-left-ms'
 _MODEL = b'model'
+_TOKEN_COUNT = b'token-count'
 _EXPECT_INSTANCE = b'expect-instance'
 _EXPECT_VERSION = b'expect-version'
 _REQUEST_PRIORITY = b'request-priority'
@@ -69,6 +70,7 @@
             if time_left_ms is None
             else time_left_ms / _MS_IN_S,
             last_event_id=field(req.fields, _LAST_EVENT_ID),
+            prompt_tokens=_prompt_tokens(field(req.fields, _TOKEN_COUNT)),
         )
 
     def request(self, req: CallerRequest, passage: Passage) -> ServerRequest:
@@ -134,6 +136,12 @@
     return AdapterKey(name, adapter) if name else None
 
 
+def _prompt_tokens(counts: str) -> int:
+    """Return the first of two counts: tokens read and tokens made at most."""
+    first = counts.partition(',')[0].strip()
+    return int(first) if first.isascii() and first.isdigit() else 0
+
+
 def _added(passage: Passage) -> Fields:
     time_left_ms = max(1, int(passage.time_left_s * _MS_IN_S))
     added = [
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -59,6 +59,9 @@
             await asyncio.sleep(0.01)
         return self.version
 
+    def forget_uses(self, user):
+        """Take no notice."""
+
     def on_use(self, user, use):
         """Take a use in."""
         self.uses.append((user, use))
--- /dev/null
+++ b/tests/test_gateway_reading.py
@@ -0,0 +1,197 @@
+"""Prompts of very different length: where they go, and what is waited for."""
+
+import random
+
+import pytest
+from test_gateway_placement import candidate, held
+
+from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.engine_uses import EngineUses
+from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.placement import Draws, LoadOn, SendTo, choose_server
+from wasabicross.gateway.reading_pace import Reading, ReadingPace
+from wasabicross.gateway.uses import AdapterUses
+from wasabicross.gateway.view import FleetView
+from wasabicross.platform.headers import PlatformDialect
+
+A = AdapterKey('m0', 'a1')
+B = AdapterKey('m0', 'a2')
+
+
+@pytest.mark.parametrize(
+    ('counts', 'tokens'),
+    [
+        (b'1460,80', 1460),
+        (b' 9190 , 52', 9190),
+        (b'77', 77),
+        (b'', 0),
+        (b'many,80', 0),
+        (b'-5,80', 0),
+    ],
+)
+def test_length_of_a_prompt(counts, tokens):
+    fields = [(b'host', b'a'), (b'token-count', counts)]
+    req = CallerRequest(b'POST', b'/x', fields, b'', 0)
+    assert PlatformDialect().read(req).prompt_tokens == tokens
+
+
+def test_pace_is_learned_from_answers():
+    pace = ReadingPace()
+    assert pace.expected_s('llm', 10_000) == 0
+    for _ in range(20):
+        pace.on_answer('llm', 9000, 0.3)
+        pace.on_answer('llm', 0, 9)
+    assert pace.expected_s('llm', 18_000) == pytest.approx(0.6)
+    assert pace.expected_s('other', 18_000) == 0
+    # A change of pace is followed within a few dozen answers.
+    for _ in range(60):
+        pace.on_answer('llm', 9000, 0.9)
+    assert pace.expected_s('llm', 9000) > 0.75
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'patience_s'), [(0, 1.2), (9000, 1.2), (30_000, 3), (60_000, 6)]
+)
+def test_a_server_with_much_to_read_is_not_left(tokens, patience_s):
+    pace = ReadingPace()
+    pace.on_answer('llm', 30_000, 1)
+    reading = Reading(pace, 'llm', tokens, 10)
+    assert reading.patience_s(0.8) == pytest.approx(patience_s)
+
+
+@pytest.mark.parametrize(
+    ('candidates', 'choice'),
+    [
+        # The holder that is read out first.
+        ([held('s1', reading_share=0.6), held('s2')], SendTo('s2')),
+        # A copy where slots are plenty; none where others need them.
+        (
+            [held('s1', reading_share=1), candidate('s2', spare_slots=5)],
+            LoadOn('s2'),
+        ),
+        (
+            [held('s1', reading_share=1), candidate('s2', spare_slots=2)],
+            SendTo('s1'),
+        ),
+        (
+            [
+                held('s1', reading_share=1),
+                candidate('s2', spare_slots=5, reading_share=1),
+            ],
+            SendTo('s1'),
+        ),
+    ],
+)
+def test_choice_by_reading(candidates, choice):
+    assert choose_server('a1', 1, candidates) == choice
+
+
+def test_a_load_goes_where_reading_ends_soon():
+    servers = [candidate(f's{number}') for number in range(8)]
+    first = choose_server('a1', 1, servers).server_id
+    reading = [
+        each._replace(reading_share=0.4) if each.server_id == first else each
+        for each in servers
+    ]
+    assert choose_server('a1', 1, reading).server_id != first
+
+
+def test_where_all_slots_are_taken_the_shortest_queue_is_joined():
+    servers = [
+        candidate(f's{number}', spare_slots=-number % 5 - 5)
+        for number in range(8)
+    ]
+    longest = max(each.spare_slots for each in servers)
+    chosen = choose_server('a1', 1, servers).server_id
+    assert servers[int(chosen[1:])].spare_slots == longest
+
+
+def test_prompts_are_unread_until_their_answers_begin():
+    view = FleetView()
+    uses = AdapterUses(view)
+    first = uses.begin('s1', A, 500)
+    second = uses.begin('s1', A, 9000)
+    with uses.expected('s1', B, 700):
+        assert view.unread['s1'] == 10_200
+    first.on_read()
+    assert view.unread['s1'] == 9000
+    first.end()
+    second.end()
+    second.on_read()
+    assert not view.unread
+    assert not view.under_way
+
+
+def test_an_owner_counts_the_prompts_of_all_gateways():
+    uses = EngineUses()
+    uses.on_use(A, 'g1', 1, 9.9, 500)
+    uses.on_use(A, 'g2', 2, 9.9, 9000)
+    uses.on_use(B, 'g1', 0, 9.9, 700)
+    assert uses.unread_tokens(10) == 10_200
+    assert not uses.is_free(B, 10)
+    uses.on_use(B, 'g1', 0, 10, 0)
+    assert uses.unread_tokens(10) == 9500
+    # What isn't told again counts no longer.
+    assert uses.unread_tokens(12) == 0
+
+
+def test_a_gateway_that_restarted_uses_nothing():
+    uses = EngineUses()
+    uses.on_use(A, 'g1', 3, 9.5)
+    uses.on_use(B, 'g1', 1, 9.5)
+    uses.on_use(B, 'g2', 1, 9.5)
+    uses.forget_user('g1', 10)
+    assert uses.requests(10) == 1
+    assert uses.is_free(A, 11)
+    assert not uses.is_free(B, 11)
+
+
+ENGINES = 6
+TOKENS_PER_S = 38_400
+TARGET_S = 0.6
+#: Until a gateway knows what another one has sent.
+TOLD_AFTER_S = 0.1
+
+
+def late_share(*, knows_reading, load=0.55, count=6000):
+    """Return the share of prompts whose first token is late.
+
+    Engines read what they are sent in turn; all of them hold all adapters, so
+    that the choice among holders alone makes the difference.
+    """
+    rng = random.Random(20261204)
+    mean_tokens = 0.5 * 9190 + 0.5 * 826
+    per_s = load * ENGINES * TOKENS_PER_S / mean_tokens
+    free_s = [0.0] * ENGINES
+    sent = []
+    at_s = 0.0
+    late = 0
+    for _ in range(count):
+        at_s += rng.expovariate(per_s)
+        sent = [each for each in sent if each[2] > at_s]
+        known = [each for each in sent if each[0] <= at_s - TOLD_AFTER_S]
+        candidates = []
+        for engine in range(ENGINES):
+            here = [each for each in known if each[1] == engine]
+            reading_s = max([each[2] - at_s for each in here], default=0)
+            candidates.append(
+                held(
+                    str(engine),
+                    requests=len(here),
+                    slots=64,
+                    reading_share=knows_reading * reading_s / TARGET_S,
+                )
+            )
+        draws = Draws(rng.random(), 1)
+        engine = int(choose_server('a1', 1, candidates, draws).server_id)
+        tokens = rng.expovariate(1 / (9190 if rng.random() < 0.5 else 826))
+        free_s[engine] = max(at_s, free_s[engine]) + tokens / TOKENS_PER_S
+        sent.append((at_s, engine, free_s[engine]))
+        late += free_s[engine] - at_s > TARGET_S
+    return late / count
+
+
+def test_knowing_what_engines_read_makes_fewer_prompts_late():
+    without = late_share(knows_reading=False)
+    with_it = late_share(knows_reading=True)
+    assert with_it < 0.6 * without
--- a/tests/test_gateway_uses.py
+++ b/tests/test_gateway_uses.py
@@ -104,6 +104,9 @@
         """Return no engine."""
         return ()
 
+    def forget_uses(self, user):
+        """Take no notice."""
+
     def on_use(self, user, each):
         """Note a use."""
         self.told.append((user, each))
