Read changed settings on SIGHUP, and share the slack of repeats with who joins

Cause: SIGHUP was only noted.

Change: SIGHUP reads and checks the settings file. Seeds, repeats and the time to stop take effect at once, other changes are named in the log and wait for a restart; a file with a fault changes nothing and is told in one line (8052). Budgets follow the number of gateways and the settings.

Tests: requests under way around ten reloads are answered once and sent once, with a good file and a faulty one; 25 gateways that join lower the slack (failed before: 50 repeats instead of 2). Not done: a change of the file without a signal is not noticed.

--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -18,7 +18,11 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.errors import CallerGone, StoreUnavailable
+from wasabicross.gateway.errors import (
+    CallerGone,
+    DocumentUnreadable,
+    StoreUnavailable,
+)
 from wasabicross.gateway.exchanges import Servers
 from wasabicross.gateway.following import StoreFollower
 from wasabicross.gateway.http_heads import CallerRequest
@@ -31,6 +35,7 @@
 from wasabicross.gateway.ownership import fitness_of
 from wasabicross.gateway.placing import Placing
 from wasabicross.gateway.probing import Prober
+from wasabicross.gateway.reloading import renewed
 from wasabicross.gateway.repeats import RepeatBudgets
 from wasabicross.gateway.return_times import RefusedCallers
 from wasabicross.gateway.server_connections import ConnectionPool
@@ -67,6 +72,8 @@
 
     :param pool: connections to servers.
     :param notices: what servers say of further requests.
+    :param read_settings: reads the settings again; raises
+        `DocumentUnreadable` where they have a fault.
     :param ready_path: path at which the platform asks for readiness.
     """
 
@@ -76,6 +83,7 @@
     pool: ConnectionPool
     notices: ServerNotices
     ready_path: str
+    read_settings: Callable[[], GatewaySettings]
 
 
 class Gateway:
@@ -116,12 +124,14 @@
             self._follower,
         )
         placing = Placing(self.view, self._uses, self._links, cfg.data_centre)
-        budgets = RepeatBudgets(cfg.retry_ratio, cfg.retry_slack, self.view)
+        self._budgets = RepeatBudgets(
+            cfg.retry_ratio, cfg.retry_slack, self.view
+        )
         self._shared = Services(
             Servers(self.view, seams.pool, seams.dialect),
             placing,
             self._uses,
-            budgets.of,
+            self._budgets.of,
             RefusedCallers().of,
         )
         self._stop = asyncio.Event()
@@ -170,7 +180,7 @@
     def _follow_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
 
     def _parts(self) -> Iterator[Coroutine[Any, Any, None]]:
         owner_server = OwnerServer(
@@ -310,8 +320,21 @@
         except TimeoutError:
             log_event(Event.OWNER_WRITE_FAILED, group='', reason='timeout')
 
-    def _on_hangup(self) -> None:
-        log_event(Event.SETTINGS_KEPT, instance=self._cfg.instance)
+    def reload(self) -> None:
+        """Read the settings again; requests under way go on as they are."""
+        try:
+            read = self._seams.read_settings()
+        except DocumentUnreadable as exc:
+            log_event(Event.SETTINGS_KEPT, reason=str(exc))
+            return
+        renewal = renewed(self._cfg, read)
+        self._cfg = renewal.cfg
+        self._budgets.renew(renewal.cfg.retry_ratio, renewal.cfg.retry_slack)
+        log_event(
+            Event.SETTINGS_TAKEN,
+            taken=renewal.taken,
+            waiting=renewal.waiting,
+        )
 
 
 def _trace(task: asyncio.Task[None]) -> str:
--- a/src/wasabicross/gateway/repeats.py
+++ b/src/wasabicross/gateway/repeats.py
@@ -14,6 +14,9 @@
 #: The same for the slack, which each restart of a gateway fills anew.
 _USED_SLACK = 0.5
 
+#: Requests for one repeat where requests pay for none.
+_NEVER_PAID = 10**9
+
 
 class RepeatBudgets:
     """A budget for each service.
@@ -36,12 +39,28 @@
         """
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._new_budget()
+            budget = RetryBudget(self._price, self._reserve)
             self._budgets[service] = budget
+        # More gateways may share the slack than were known before.
+        budget.resize(self._price, self._reserve)
         return budget
 
-    def _new_budget(self) -> RetryBudget:
+    def renew(self, ratio: float, slack: int) -> None:
+        """Use other bounds from now on.
+
+        :param ratio: repeats for each request of a service.
+        :param slack: repeats of all gateways beyond that.
+        """
+        self._ratio = ratio
+        self._slack = slack
+
+    @property
+    def _price(self) -> int:
+        if self._ratio <= 0:
+            return _NEVER_PAID
+        return math.ceil(1 / (self._ratio * _USED_RATIO))
+
+    @property
+    def _reserve(self) -> int:
         instances = max(1, len(self._view.instances))
-        price = math.ceil(1 / (self._ratio * _USED_RATIO))
-        reserve = math.floor(self._slack * _USED_SLACK / instances)
-        return RetryBudget(price, max(1, reserve))
+        return max(1, math.floor(self._slack * _USED_SLACK / instances))
--- a/src/wasabicross/programs/run_gateway.py
+++ b/src/wasabicross/programs/run_gateway.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import click
@@ -46,16 +48,21 @@
 def main() -> None:
     """Serve callers on this machine until SIGTERM."""
     try:
-        cfg = read_settings(settings_path())
+        path = settings_path()
+        cfg = read_settings(path)
     except DocumentUnreadable as exc:
         click.echo(str(exc), err=True)
         sys.exit(_EXIT_SETTINGS)
     output = LogOutput(_STDOUT)
     configure_logs(_LogFormat(), 'gateway', output)
-    asyncio.run(_run(cfg, output))
+    asyncio.run(_run(cfg, partial(read_settings, path), output))
 
 
-async def _run(cfg: GatewaySettings, output: LogOutput) -> None:
+async def _run(
+    cfg: GatewaySettings,
+    read_again: Callable[[], GatewaySettings],
+    output: LogOutput,
+) -> None:
     pool = ConnectionPool(REQUEST_ID)
     store_pool = ConnectionPool(REQUEST_ID, _STORE_CONNECT_S)
     notices = ServerNotices()
@@ -66,6 +73,7 @@
         pool=pool,
         notices=notices,
         ready_path=READY_PATH,
+        read_settings=read_again,
     )
     await Gateway(cfg, seams, output).run()
 
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -75,7 +75,8 @@
     REQUEST_REFUSED = EventKind(8042, 'WARNING')
     REQUEST_FAILED = EventKind(8043, 'ERROR')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
-    SETTINGS_KEPT = EventKind(8052, 'INFO')
+    SETTINGS_KEPT = EventKind(8052, 'ERROR')
+    SETTINGS_TAKEN = EventKind(8053, 'INFO')
     LINES_DROPPED = EventKind(8061, 'WARNING')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
--- a/src/wasabicross/servers/retries.py
+++ b/src/wasabicross/servers/retries.py
@@ -59,6 +59,18 @@
         self._credit = self._max_credit
         self._lock = threading.Lock()
 
+    def resize(self, requests_per_retry: int, reserve: int) -> None:
+        """Use other bounds; what was saved up is kept as far as they allow.
+
+        :param requests_per_retry: requests that pay for one retry.
+        :param reserve: most retries saved up.
+        """
+        with self._lock:
+            saved = self._credit * requests_per_retry // self._price
+            self._price = requests_per_retry
+            self._max_credit = reserve * requests_per_retry
+            self._credit = min(self._max_credit, saved)
+
     @property
     def available(self) -> int:
         """Tell how many retries could be spent now."""
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -216,7 +216,12 @@
 
 @contextlib.asynccontextmanager
 async def running_gateway(
-    servers, cfg=CONFIGURATION, service='desk', engines=None, held=None
+    servers,
+    cfg=CONFIGURATION,
+    service='desk',
+    engines=None,
+    held=None,
+    read_settings=None,
 ):
     """Run a gateway before scripted servers."""
     changes = [ConfigurationNamed(cfg)] if cfg else []
@@ -233,6 +238,7 @@
         ConnectionPool(REQUEST_ID),
         ServerNotices(),
         READY_PATH,
+        read_settings or (lambda: settings),
     )
     with open(os.devnull, 'wb') as quiet:
         gateway = Gateway(settings, seams, LogOutput(quiet.fileno()))
--- /dev/null
+++ b/tests/test_gateway_reloading.py
@@ -0,0 +1,121 @@
+"""Settings that are read again while requests are under way."""
+
+import asyncio
+
+import pytest
+from gateway_parts import running_gateway, settings_at
+from raw_caller import ask, body_of, request, status_of
+from scripted_server import ScriptedServer, answer
+
+from wasabicross.gateway import program
+from wasabicross.gateway.changes import InstanceListed
+from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.gateway.reloading import renewed
+from wasabicross.gateway.repeats import RepeatBudgets
+from wasabicross.gateway.settings import Address
+from wasabicross.gateway.view import FleetView
+
+CFG = settings_at(1, 2, 3)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'taken', 'waiting'),
+    [
+        ({}, (), ()),
+        ({'seeds': ('10.0.0.1',)}, ('seeds',), ()),
+        (
+            {'retry_ratio': 0.1, 'retry_slack': 5},
+            ('retry_ratio', 'retry_slack'),
+            (),
+        ),
+        ({'grace_s': 20}, ('grace_s',), ()),
+        # Another gateway may hold on to these.
+        ({'holder_gap_s': 1}, (), ('holder_gap_s',)),
+        ({'callers': Address('10.0.0.9', 1)}, (), ('callers',)),
+        ({'instance': 'other', 'grace_s': 20}, ('grace_s',), ('instance',)),
+    ],
+)
+def test_what_takes_effect(changes, taken, waiting):
+    renewal = renewed(CFG, CFG._replace(**changes))
+    assert renewal.taken == taken
+    assert renewal.waiting == waiting
+    in_force = {name: changes[name] for name in taken}
+    assert renewal.cfg == CFG._replace(**in_force)
+
+
+@pytest.fixture
+def told(monkeypatch):
+    """Events of the gateway, with what they tell."""
+    lines = []
+    monkeypatch.setattr(
+        program,
+        'log_event',
+        lambda event, **fields: lines.append((event.name, fields)),
+    )
+    return lines
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
+@pytest.mark.parametrize('has_fault', [False, True])
+def test_nothing_is_cut_or_sent_twice_around_a_reload(told, path, has_fault):
+    def read():
+        if has_fault:
+            raise DocumentUnreadable('settings: zone: missing')
+        return CFG._replace(retry_slack=7)
+
+    async def scenario():
+        server = ScriptedServer([0.3, answer(b'the answer')])
+        async with running_gateway([server], read_settings=read) as bench:
+            asked = [
+                asyncio.ensure_future(ask(bench.port, request(path, b'x')))
+                for _ in range(3)
+            ]
+            for _ in range(10):
+                bench.gateway.reload()
+                await asyncio.sleep(0.02)
+            received = [await each for each in asked]
+            received.append(await ask(bench.port, request(path, b'x')))
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert [status_of(each) for each in received] == [200] * 4
+    assert {body_of(each) for each in received} == {b'the answer'}
+    assert len(server.seen) == 4
+    reloads = [line for line in told if line[0].startswith('SETTINGS')]
+    if has_fault:
+        kept = ('SETTINGS_KEPT', {'reason': 'settings: zone: missing'})
+        assert reloads == [kept] * 10
+    else:
+        assert reloads[0][1]['taken'] == ('retry_slack',)
+        assert all(not line[1]['taken'] for line in reloads[1:])
+
+
+def repeats_left(budgets):
+    count = 0
+    while budgets.of('llm').spend():
+        count += 1
+    return count
+
+
+def test_the_slack_is_shared_with_gateways_that_join():
+    view = FleetView()
+    budgets = RepeatBudgets(0.2, 100, view)
+    budgets.of('llm')
+    for number in range(25):
+        listed = InstanceListed(f'front-{number}', '10.0.0.1', 'dc')
+        view.instances[listed.instance] = listed
+    assert repeats_left(budgets) == 2
+
+
+def test_a_renewed_slack_holds_at_once():
+    budgets = RepeatBudgets(0.2, 100, FleetView())
+    budgets.of('llm')
+    budgets.renew(0.2, 8)
+    assert repeats_left(budgets) == 4
+
+
+def test_without_a_ratio_only_the_slack_is_spent():
+    budgets = RepeatBudgets(0, 8, FleetView())
+    for _ in range(1000):
+        budgets.of('llm').add_request()
+    assert repeats_left(budgets) == 4
