Load adapters first for requests that can still be on time

Loads were ordered as they came, so nearly all waited until they were late.

Change: a load tells for how long it lets its request be on time (target, less what it waited and what the engine has to read first). By urgency first, then those that can be on time, then the others, each as they came. A request is refused at once by the loads that would go before its own.

--- a/src/wasabicross/gateway/awaited_loads.py
+++ b/src/wasabicross/gateway/awaited_loads.py
@@ -1,4 +1,9 @@
-"""Adapters that requests wait for on one engine."""
+"""Adapters that requests wait for on one engine.
+
+Answers days on which more adapters are asked for than engines have slots: in the
+order of arrival all requests would wait until they are late. Those that can still
+be on time go first, and the others have what is left.
+"""
 
 from __future__ import annotations
 
@@ -17,12 +22,14 @@
     :param priority: rank of the most urgent of them, 0 is the first.
     :param since_s: when the first of them came.
     :param until_s: when the last of them has stopped waiting.
+    :param in_time_until_s: when a load has to end for one of them to be on time.
     """
 
     version: int
     priority: int
     since_s: float
     until_s: float
+    in_time_until_s: float
     waiters: list[asyncio.Future[int]]
 
     def tell(self, version: int) -> None:
@@ -35,6 +42,14 @@
                 fut.set_result(version)
 
 
+class _Urgency(NamedTuple):
+    """What loads are ordered by, the lowest first."""
+
+    priority: int
+    is_late: bool
+    since_s: float
+
+
 class AwaitedLoads:
     """All adapters that requests wait for on one engine."""
 
@@ -89,29 +104,68 @@
             key for key, load in self._loads.items() if now_s >= load.until_s
         )
 
-    def by_urgency(self, under_way: frozenset[AdapterKey]) -> list[AdapterKey]:
+    def by_urgency(
+        self, under_way: frozenset[AdapterKey], ends_s: float
+    ) -> list[AdapterKey]:
         """Return the adapters to order next, the most urgent first.
 
         :param under_way: those that are ordered already.
+        :param ends_s: when a load that is ordered now ends.
         """
         waiting = [key for key in self._loads if key not in under_way]
-        return sorted(waiting, key=self._urgency)
+        return sorted(waiting, key=lambda key: self._urgency(key, ends_s))
+
+    def before(
+        self,
+        wanted: LoadRequest,
+        under_way: frozenset[AdapterKey],
+        ends_s: float,
+        now_s: float,
+    ) -> int:
+        """Count the loads that would be ordered before another one.
+
+        :param wanted: the other one.
+        :param under_way: those that are ordered already.
+        :param ends_s: when a load that is ordered now ends.
+        :param now_s: the present time.
+        """
+        is_late = ends_s > now_s + wanted.in_time_s
+        urgency = _Urgency(wanted.priority, is_late, now_s)
+        return sum(
+            key not in under_way and self._urgency(key, ends_s) <= urgency
+            for key in self._loads
+        )
+
+    def count_waiting(self, under_way: frozenset[AdapterKey]) -> int:
+        """Count the adapters that are not ordered yet.
+
+        :param under_way: those that are ordered already.
+        """
+        return len(self._loads.keys() - under_way)
 
-    def _urgency(self, key: AdapterKey) -> tuple[int, float]:
+    def _urgency(self, key: AdapterKey, ends_s: float) -> _Urgency:
         load = self._loads[key]
-        return load.priority, load.since_s
+        is_late = ends_s > load.in_time_until_s
+        return _Urgency(load.priority, is_late, load.since_s)
 
     def _joined(self, wanted: LoadRequest, now_s: float) -> AwaitedLoad:
         until_s = now_s + wanted.patience_s
+        in_time_until_s = now_s + wanted.in_time_s
         known = self._loads.get(wanted.key)
         if known is None:
             return AwaitedLoad(
-                wanted.version, wanted.priority, now_s, until_s, []
+                wanted.version,
+                wanted.priority,
+                now_s,
+                until_s,
+                in_time_until_s,
+                [],
             )
         return AwaitedLoad(
             max(wanted.version, known.version),
             min(wanted.priority, known.priority),
             known.since_s,
             max(until_s, known.until_s),
+            max(in_time_until_s, known.in_time_until_s),
             known.waiters,
         )
--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -150,6 +150,7 @@
             frozenset(self._progress.excluded),
             route.target_s,
             self._head.prompt_tokens,
+            route.target_s - waited_s,
         )
         return await self._shared.placing.place(wanted)
 
--- a/src/wasabicross/gateway/loader.py
+++ b/src/wasabicross/gateway/loader.py
@@ -96,30 +96,33 @@
         key = wanted.key
         if self.slots.held.get(key, 0) >= wanted.version:
             return self.slots.held[key]
-        if key not in self._awaited and not self._has_time(wanted.patience_s):
+        if key not in self._awaited and not self._has_time(wanted):
             return 0
         fut = self._awaited.join(wanted, now_s())
         self._wake.set()
         return await fut
 
-    def _has_time(self, patience_s: float) -> bool:
+    def _has_time(self, wanted: LoadRequest) -> bool:
         """Tell whether one more load would probably end in time."""
         if not self.takes_loads:
             return False
         ahead = 1 + len(self._awaited)
         rounds = math.ceil(ahead / MAX_PENDING)
-        takes_s = self._slot_wait_s(now_s()) + rounds * self._orders.load_s
-        return takes_s <= patience_s
+        takes_s = self._slot_wait_s(wanted) + rounds * self._orders.load_s
+        return takes_s <= wanted.patience_s
 
-    def _slot_wait_s(self, at_s: float) -> float:
+    def _slot_wait_s(self, wanted: LoadRequest) -> float:
         """Return how long one more load would wait for a slot."""
-        lacking = 1 + self._waiting_for_slots - self.slots.spare(at_s)
+        at_s = now_s()
+        ends_s = at_s + self._orders.load_s
+        before = self._awaited.before(wanted, self.slots.accepted, ends_s, at_s)
+        lacking = 1 + before - self.slots.spare(at_s)
         return self.slots.uses.turnover.wait_s(lacking, self.slots.slots, at_s)
 
     @property
     def _waiting_for_slots(self) -> int:
         """Count the loads that are wanted and aren't ordered yet."""
-        return len(self._awaited.by_urgency(self.slots.accepted))
+        return self._awaited.count_waiting(self.slots.accepted)
 
     @property
     def takes_loads(self) -> bool:
@@ -262,7 +265,8 @@
         )
 
     async def _order_wanted(self) -> None:
-        for key in self._awaited.by_urgency(self.slots.accepted):
+        ends_s = now_s() + self._orders.load_s
+        for key in self._awaited.by_urgency(self.slots.accepted, ends_s):
             if not await self._order_load(key):
                 return
 
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -94,6 +94,7 @@
     :param version: oldest version that will do.
     :param priority: rank of the request that waits, 0 is the most urgent.
     :param patience_ms: how long it waits.
+    :param in_time_ms: for how long a load that ends lets it be on time.
     """
 
     call_id: int
@@ -103,6 +104,7 @@
     version: int
     priority: int
     patience_ms: int
+    in_time_ms: int = 0
 
 
 class LoadEnded(NamedTuple):
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -56,6 +56,8 @@
     :param version: oldest version that will do.
     :param priority: rank of the request, 0 is the most urgent.
     :param patience_s: how long it waits.
+    :param in_time_s: for how long a load that ends lets it be on time, 0 or
+        less if it will be late.
     """
 
     server_id: str
@@ -63,6 +65,7 @@
     version: int
     priority: int
     patience_s: float
+    in_time_s: float = 0
 
 
 class EngineSeam(Protocol):
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -126,6 +126,7 @@
             wanted.version,
             wanted.priority,
             int(wanted.patience_s * _MS_IN_S),
+            int(wanted.in_time_s * _MS_IN_S),
         )
         _send(self._conn, want)
         try:
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -156,6 +156,7 @@
                 want.version,
                 want.priority,
                 want.patience_ms / _MS_IN_S,
+                want.in_time_ms / _MS_IN_S,
             )
         )
         reason = '' if version else 'not loaded'
--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -47,6 +47,7 @@
     :param excluded: servers that may not be tried.
     :param target_s: time in which its answer should begin, 0 if none is known.
     :param prompt_tokens: length of its prompt, 0 if it isn't known.
+    :param in_time_s: time left until its answer should begin.
     """
 
     service: str
@@ -56,6 +57,7 @@
     excluded: frozenset[str]
     target_s: float = 0
     prompt_tokens: int = 0
+    in_time_s: float = 0
 
 
 class Placed(NamedTuple):
@@ -267,7 +269,12 @@
         if key is None or not host:
             return False
         load = LoadRequest(
-            choice.server_id, key, version, wanted.priority, patience_s
+            choice.server_id,
+            key,
+            version,
+            wanted.priority,
+            patience_s,
+            self._in_time_s(choice.server_id, wanted, patience_s),
         )
         try:
             async with asyncio.timeout(patience_s + _ANSWER_SLACK_S):
@@ -290,6 +297,18 @@
         pause_s = self._pause_s(wanted.service, now_s())
         return choice._replace(retry_after_s=pause_s)
 
+    def _in_time_s(
+        self, server_id: str, wanted: Wanted, patience_s: float
+    ) -> float:
+        """Return for how long a load that ends lets a request be on time."""
+        waited_s = wanted.patience_s - patience_s
+        server = self._view.servers.get(server_id)
+        if server is None:
+            return 0
+        unread = self._view.unread_tokens(server, now_s())
+        reading_s = self._view.reading.expected_s(server.service, unread)
+        return wanted.in_time_s - waited_s - reading_s
+
     def _pause_s(self, service: str, at_s: float) -> float:
         """Return how long all servers of a service want no requests."""
         pauses_s = [
