Close no idle connection on which a request has just come

Cause: while it stops, the gateway closes connections that are idle. One whose request lay in the reader's buffer, not seen by its task yet, counted as idle: the request was read, passed on to a server, and its answer had nowhere to go. That is the operators' 'requests that had just been accepted were cut off'.

Change: the reader of a connection knows of bytes that nobody has read (WatchedReader, used for callers and servers); such a connection isn't idle.

--- a/src/wasabicross/gateway/callers.py
+++ b/src/wasabicross/gateway/callers.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.errors import CallerGone
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
 
@@ -150,7 +151,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: WatchedReader,
         writer: asyncio.StreamWriter,
         host: Host,
         handler: Handler,
@@ -178,8 +179,8 @@
         self._writer.transport.abort()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        if self.is_idle:
+        """Close the connection if no request has come that isn't answered."""
+        if self.is_idle and not self._reader.has_unread:
             self._writer.close()
 
     async def _serve(self) -> None:
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -13,6 +13,7 @@
     DEFAULT_LIMITS,
     AnswerWriter,
     CallerConnection,
+    Handler,
 )
 from wasabicross.gateway.calls import Call, Services
 from wasabicross.gateway.clock import now_s
@@ -47,6 +48,7 @@
 from wasabicross.gateway.tenures import Tenures
 from wasabicross.gateway.uses import AdapterUses
 from wasabicross.gateway.view import FleetView
+from wasabicross.gateway.watched_reader import WatchedReader
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
@@ -212,26 +214,36 @@
     async def _listen(
         self,
         address: Address,
-        handler: Callable[[CallerRequest, AnswerWriter], Any],
+        handler: Handler,
     ) -> asyncio.Server:
-        async def on_connection(  # noqa: WPS430
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            conn = CallerConnection(reader, writer, self, handler)
-            self._connections.add(conn)
-            try:
-                await conn.run()
-            finally:
-                self._connections.discard(conn)
-
-        return await asyncio.start_server(
-            on_connection,
-            address.host,
-            address.port,
-            backlog=_BACKLOG,
-            limit=_READ_LIMIT_BYTES,
+        def new_protocol() -> asyncio.StreamReaderProtocol:  # noqa: WPS430
+            reader = WatchedReader(_READ_LIMIT_BYTES)
+
+            async def on_connection(  # noqa: WPS430
+                _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                await self._serve_connection(reader, writer, handler)
+
+            return asyncio.StreamReaderProtocol(reader, on_connection)
+
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            new_protocol, address.host, address.port, backlog=_BACKLOG
         )
 
+    async def _serve_connection(
+        self,
+        reader: WatchedReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+    ) -> None:
+        conn = CallerConnection(reader, writer, self, handler)
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._connections.discard(conn)
+
     async def _serve_caller(
         self, req: CallerRequest, answer: AnswerWriter
     ) -> None:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -5,8 +5,8 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable
-from typing import Any, NamedTuple, TypeAlias
+from collections.abc import AsyncIterator
+from typing import NamedTuple, TypeAlias
 
 import h11
 
@@ -18,6 +18,7 @@
 )
 from wasabicross.gateway.http_heads import Fields, field, passed_on
 from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
@@ -73,34 +74,6 @@
     content_length: int | None
 
 
-class _ServerReader(asyncio.StreamReader):
-    """Knows of bytes that belong to no request."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=_READ_BYTES)
-        self._unread = 0
-        #: Called when bytes come, while no request waits for any.
-        self.on_unasked: Callable[[], None] | None = None
-
-    @property
-    def has_unread(self) -> bool:
-        """Tell whether bytes wait to be read."""
-        return self._unread > 0
-
-    def feed_data(self, data: Any) -> None:
-        """Take in bytes that the transport has received."""
-        self._unread += len(data)
-        super().feed_data(data)
-        if self.on_unasked is not None:
-            self.on_unasked()
-
-    async def read(self, n: int = -1) -> bytes:  # noqa: WPS111
-        """Return the next bytes, empty at the end."""
-        received = await super().read(n)
-        self._unread -= len(received)
-        return received
-
-
 class ServerConnection:
     """One connection to a server; runs one request at a time.
 
@@ -111,7 +84,7 @@
 
     def __init__(
         self,
-        reader: _ServerReader,
+        reader: WatchedReader,
         writer: asyncio.StreamWriter,
         id_field: bytes,
     ) -> None:
@@ -325,7 +298,7 @@
 
     async def _open(self, host: str, port: int) -> ServerConnection:
         loop = asyncio.get_running_loop()
-        reader = _ServerReader()
+        reader = WatchedReader(_READ_BYTES)
         transport, protocol = await loop.create_connection(
             lambda: asyncio.StreamReaderProtocol(reader), host, port
         )
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -353,6 +353,31 @@
     return any(told.state.takes_loads for told in view.told.values())
 
 
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
+def test_a_request_that_has_just_come_is_not_cut_by_a_stop(monkeypatch, path):
+    """Idle connections are closed in the moment in which bytes come."""
+
+    async def scenario():
+        server = ScriptedServer([OK])
+        async with running_gateway([server]) as bench:
+            feed = asyncio.StreamReader.feed_data
+
+            def feed_and_stop(reader, data):
+                feed(reader, data)
+                for conn in tuple(bench.gateway._connections):
+                    conn.close_idle()
+
+            monkeypatch.setattr(
+                asyncio.StreamReader, 'feed_data', feed_and_stop
+            )
+            return await ask(bench.port, request(path, b'x')), server
+
+    received, server = asyncio.run(scenario())
+    assert received
+    assert status_of(received) == 200
+    assert len(server.seen) == 1
+
+
 def test_stop_ends_what_is_under_way_and_takes_nothing_new():
     script = [STREAM_HEAD, chunk(events(1, 1)), 1.0, chunk(events(2, 2))]
 
