Have servers of the soak want pauses and leave, and judge what they get

The two new kinds of faults are drawn apart from the others, so that a seed's other faults stay as they were. Judged by what servers saw: at most two requests from a gateway between half a second after its 503 with Retry-After and the end of that time; none that a caller sent over 2 s after the gateway had an answer that said that the server leaves. Restarts and freezes of the gateway, restarts of the server and links that hold requests up are excused.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -7,7 +7,8 @@
 run, with the monotonic time, which is one clock for all processes of a
 machine. ``POST /fault`` takes the kinds of `emulator.faults` and
 ``{"kind": "late_orders", "count": N}``: orders that get no answer and are
-carried out seconds later.
+carried out seconds later; ``{"kind": "want_pause", "for_s": S}``: all requests are
+turned away for that time; ``{"kind": "leave"}``: all answers say that it leaves.
 """
 
 from __future__ import annotations
@@ -72,6 +73,8 @@
         self._adapters = EngineAdapters(identity.adapter_slots, self._newest)
         self._running = 0
         self._late_orders = 0
+        self._pause_until_s: float = 0
+        self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._http = urllib3.PoolManager(retries=False, timeout=2)
 
@@ -107,6 +110,10 @@
         document = req.document()
         if document['kind'] == 'late_orders':
             self._late_orders = document['count']
+        elif document['kind'] == 'want_pause':
+            self._pause_until_s = time.monotonic() + document['for_s']
+        elif document['kind'] == 'leave':
+            self._is_leaving = True
         else:
             self._faults.set_from(document)
         return {}
@@ -178,7 +185,16 @@
         return int(answer.json()['version'])
 
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
-        log('arrival', request=req.headers.get('request-id', ''))
+        request_id = req.headers.get('request-id', '')
+        log('arrival', request=request_id)
+        pause_s = self._pause_until_s - time.monotonic()
+        if pause_s > 0:
+            log('pause_wanted', request=request_id, for_s=pause_s)
+            after = ('Retry-After', f'{pause_s:.3f}')
+            responder.send_json(
+                _FULL, {}, (*_echo(req), ('Not-Run', '1'), after)
+            )
+            return
         if self._running >= self._identity.slots:
             responder.send_json(_FULL, {}, (*_echo(req), ('Not-Run', '1')))
             return
@@ -210,9 +226,10 @@
         request_id = req.headers['request-id']
         if not self._identity.adapter_slots:
             await asyncio.sleep(_EVENT_S)
-            responder.send_json(_OK, {'request': request_id}, _stamped(req))
+            fields = self._stamped(req)
+            responder.send_json(_OK, {'request': request_id}, fields)
             return
-        responder.start_stream('text/event-stream', _stamped(req))
+        responder.start_stream('text/event-stream', self._stamped(req))
         events = int(req.headers['token-count'].partition(',')[2])
         first = int(req.headers.get('last-event-id') or 0) + 1
         for number in range(first, events + 1):
@@ -222,6 +239,14 @@
             responder.send_chunk(event(request_id, number))
         responder.end_stream()
 
+    def _stamped(self, req: HttpRequest) -> tuple[tuple[str, str], ...]:
+        """Return the header fields of an answer of its own."""
+        fields = (*_echo(req), ('Server-Stamp', 's'))
+        if not self._is_leaving:
+            return fields
+        log('leaving_said', request=req.headers['request-id'])
+        return (*fields, ('Server-Leaving', '1'))
+
     def _start_late(self, order: dict[str, Any]) -> None:
         task = asyncio.ensure_future(self._carry_out_late(order))
         self._tasks.add(task)
@@ -242,12 +267,9 @@
     return (('Request-Id', request_id),) if request_id else ()
 
 
-def _stamped(req: HttpRequest) -> tuple[tuple[str, str], ...]:
-    return (*_echo(req), ('Server-Stamp', 's'))
-
-
 async def _serve(identity: Identity, port: int) -> None:
     faults = Faults()
+    log('started')
     backend = Backend(identity, faults)
     heartbeats = asyncio.ensure_future(backend.send_heartbeats())
     await StreamServer(backend.answer, faults).serve(_HOST, port)
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -20,6 +20,7 @@
     ROUTES,
 )
 from emulator.soak.evidence import Evidence, OrderSeen
+from emulator.soak.notice_checks import asked_in_pauses, asked_though_leaving
 
 #: From the acknowledgement of a version, or the last fault, until requests
 #: run on that version.
@@ -88,6 +89,8 @@
         *cut_by_stops(seen),
         *held_too_long(seen),
         *repeated_too_often(seen),
+        *asked_in_pauses(seen),
+        *asked_though_leaving(seen),
         *not_recovered(seen),
     ]
 
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from emulator.soak.callers import Got
@@ -42,6 +43,32 @@
     request: str
 
 
+class Notice(NamedTuple):
+    """What a server said of further requests in an answer.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the request that it answered.
+    :param for_s: seconds for which it wants none, 0 where it leaves.
+    """
+
+    at_s: float
+    server: str
+    request: str
+    for_s: float
+
+
+class Started(NamedTuple):
+    """The start of a server, which makes what it said before void.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    """
+
+    at_s: float
+    server: str
+
+
 class OrderSeen(NamedTuple):
     """An order as an engine got it.
 
@@ -77,6 +104,8 @@
     ended: list[str]
     named: list[NamedVersion]
     faults_end_s: float
+    notices: Sequence[Notice] = ()
+    started: Sequence[Started] = ()
 
 
 class ServerLog(NamedTuple):
@@ -86,6 +115,8 @@
     arrivals: list[Arrival]
     orders: list[OrderSeen]
     slots_passed: list[str]
+    notices: list[Notice]
+    started: list[Started]
 
 
 def read_logs(paths: dict[str, pathlib.Path]) -> ServerLog:
@@ -94,12 +125,12 @@
     :param paths: their logs by name.
     :raises OSError: a log can't be read.
     """
-    log = ServerLog([], [], [], [])
+    log = ServerLog([], [], [], [], [], [])
     for server, path in paths.items():
         for line in path.read_text().splitlines():
             if line.startswith('{'):
                 _take(log, server, json.loads(line))
-    for told in (log.runs, log.arrivals, log.orders):
+    for told in (log.runs, log.arrivals, log.orders, log.notices):
         told.sort()
     return log
 
@@ -124,3 +155,14 @@
         log.orders.append(order)
     elif line['event'] == 'slots_passed':
         log.slots_passed.append(server)
+    else:
+        _take_notice(log, server, line)
+
+
+def _take_notice(log: ServerLog, server: str, line: dict[str, Any]) -> None:
+    if line['event'] == 'started':
+        log.started.append(Started(line['at_s'], server))
+    elif line['event'] in {'pause_wanted', 'leaving_said'}:
+        for_s = line.get('for_s', 0)
+        notice = Notice(line['at_s'], server, line['request'], for_s)
+        log.notices.append(notice)
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -17,7 +17,7 @@
     SoakDeployment,
 )
 from emulator.soak.engine_adapters import MODEL
-from emulator.soak.schedule import Fault
+from emulator.soak.schedule import NOTICE_KINDS, Fault
 
 _MAX_SLOW_S = 0.4
 _MAX_DELAY_MS = 300
@@ -220,11 +220,26 @@
             async with self._locks[server.name]:
                 way = self._kill if fault.kind == 'server_kill' else self._pause
                 await way(server.name, fault.for_s)
+        elif fault.kind in NOTICE_KINDS:
+            async with self._locks[server.name]:
+                await self._give_notice(server, fault)
         else:
             async with self._locks[server.name]:
                 await asyncio.to_thread(self._fail_server, server, fault)
         return server.name
 
+    async def _give_notice(self, server: Server, fault: Fault) -> None:
+        """Have a server want a pause, or leave and be started again."""
+        fail = self._deployment.fault_server
+        if fault.kind == 'server_want_pause':
+            document = {'kind': 'want_pause', 'for_s': fault.for_s}
+        else:
+            document = {'kind': 'leave'}
+        await asyncio.to_thread(lambda: fail(server, **document))
+        await asyncio.sleep(fault.for_s)
+        if fault.kind == 'server_leave':
+            await self._kill(server.name, 0)
+
     def _fail_server(self, server: Server, fault: Fault) -> None:
         fail = self._deployment.fault_server
         if fault.kind == 'orders_late':
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -105,10 +105,15 @@
     )
     return Evidence(
         got,
-        *log,
+        log.runs,
+        log.arrivals,
+        log.orders,
+        log.slots_passed,
         injector.injected,
         injector.stops,
         injector.ended,
         injector.named,
         faults_end_s,
+        log.notices,
+        log.started,
     )
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 #: Kinds of faults, and the shortest and longest time in seconds for which
@@ -34,8 +34,16 @@
     'configuration': (0, 0),
 }
 
+#: The same for what servers say of further requests, drawn apart from the others
+#: so that these stay as each seed has them.
+NOTICE_KINDS = {
+    'server_want_pause': (0.6, 4),
+    'server_leave': (2.5, 6),
+}
+
 _FIRST_S = 1.0
 _MAX_GAP_S = 1.6
+_MAX_NOTICE_GAP_S = 12.0
 _TARGETS = 64
 
 
@@ -43,7 +51,7 @@
     """One fault, as it is planned.
 
     :param at_s: seconds from the start of the run.
-    :param kind: one of `KINDS`.
+    :param kind: one of `KINDS` or `NOTICE_KINDS`.
     :param target: which one it hits, counted round where there are fewer.
     :param for_s: seconds that it lasts.
     :param strength: from 0 to 1, of what its kind can be.
@@ -67,21 +75,31 @@
     :param seed: of all choices.
     :param length_s: seconds in which faults begin.
     """
-    rng = random.Random(f'soak/{seed}')  # noqa: S311
-    faults = []
+    faults = [
+        *_drawn(f'soak/{seed}', KINDS, _MAX_GAP_S, length_s),
+        *_drawn(f'notice/{seed}', NOTICE_KINDS, _MAX_NOTICE_GAP_S, length_s),
+    ]
+    return tuple(sorted(faults))
+
+
+def _drawn(
+    seed: str,
+    kinds: Mapping[str, tuple[float, float]],
+    max_gap_s: float,
+    length_s: float,
+) -> Iterator[Fault]:
+    rng = random.Random(seed)  # noqa: S311
     at_s = _FIRST_S
     while at_s < length_s:
-        kind = rng.choice(tuple(KINDS))
-        fault = Fault(
+        kind = rng.choice(tuple(kinds))
+        yield Fault(
             round(at_s, 3),
             kind,
             rng.randrange(_TARGETS),
-            round(rng.uniform(*KINDS[kind]), 3),
+            round(rng.uniform(*kinds[kind]), 3),
             round(rng.random(), 3),
         )
-        faults.append(fault)
-        at_s += rng.uniform(0, _MAX_GAP_S)
-    return tuple(faults)
+        at_s += rng.uniform(0, max_gap_s)
 
 
 def encode(faults: Sequence[Fault]) -> str:
--- a/src/wasabicross/gateway/uses.py
+++ b/src/wasabicross/gateway/uses.py
@@ -13,7 +13,6 @@
 from wasabicross.gateway.ownership import group_of
 from wasabicross.gateway.view import FleetView
 
-
 _Key = TypeVar('_Key')
 
 #: Prompt tokens whose reading is told at once, since others wait behind it.
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,7 +5,14 @@
 from emulator.soak import checks
 from emulator.soak.backend import event
 from emulator.soak.callers import Got
-from emulator.soak.evidence import Arrival, Evidence, OrderSeen, Run
+from emulator.soak.evidence import (
+    Arrival,
+    Evidence,
+    Notice,
+    OrderSeen,
+    Run,
+    Started,
+)
 from emulator.soak.injector import InjectedFault, NamedVersion, Stop
 
 #: The last fault ended 100 s into the run.
@@ -64,6 +71,30 @@
     return Evidence(**sound)
 
 
+#: What a server said to a request of gateway g.
+PAUSE = Notice(20, 'llm-0', 'r', 3)
+LEAVING = Notice(20, 'llm-0', 'r', 0)
+
+
+def asked(at_s, count, server='llm-0', gateway='g'):
+    """Return requests that gateways sent to a server."""
+    got = [
+        STREAM._replace(
+            request_id=f'late-{number}',
+            gateway=gateway,
+            sent_s=at_s,
+            ended_s=at_s + 0.1,
+            status=503,
+            body=b'',
+            retry_after='1',
+            echoed=f'late-{number}',
+        )
+        for number in range(count)
+    ]
+    arrivals = [Arrival(at_s, server, each.request_id) for each in got]
+    return {'got': [STREAM, *got], 'arrivals': arrivals}
+
+
 def others(**changes):
     """Return an order of another owner, three seconds later."""
     later = {'at_s': 23.5, 'owner': 'h', 'term': 6}
@@ -136,6 +167,20 @@
         injected=[InjectedFault('all_gateways_kill', '', 16, 18)],
     ),
     asked_newest(NEWEST._replace(sent_s=END_S + 4.9, ended_s=END_S + 5)),
+    # What a server wants holds for whom it told, for that time and that start.
+    {'notices': [PAUSE], **asked(20.4, 9)},
+    {'notices': [PAUSE], **asked(21, 2)},
+    {'notices': [PAUSE], **asked(23.1, 9)},
+    {'notices': [PAUSE], **asked(21, 9, gateway='h')},
+    {'notices': [PAUSE], **asked(21, 9, server='llm-1')},
+    {'notices': [LEAVING], **asked(21.9, 9)},
+    {'notices': [LEAVING], **asked(23, 9, gateway='h')},
+    {'notices': [LEAVING], 'started': [Started(22, 'llm-0')], **asked(23, 9)},
+    {
+        'notices': [PAUSE, LEAVING],
+        'injected': [InjectedFault('gateway_kill', 'g', 20.2, 20.6)],
+        **asked(22.5, 9),
+    },
 ]
 
 BROKEN = [
@@ -213,6 +258,16 @@
             injected=[InjectedFault('gateway_hangup', 'g', 16, 16)],
         ),
     ),
+    ('llm-0 got 3 in a pause from g', {'notices': [PAUSE], **asked(21, 3)}),
+    ('reached llm-0, which leaves', {'notices': [LEAVING], **asked(23, 1)}),
+    (
+        'reached llm-0, which leaves',
+        {
+            'notices': [LEAVING],
+            'started': [Started(19, 'llm-0'), Started(22, 'llm-1')],
+            **asked(23, 1),
+        },
+    ),
     (
         'g lacks configuration 3',
         asked_newest(NEWEST._replace(sent_s=END_S + 5.1, ended_s=END_S + 5.2)),
--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -4,6 +4,7 @@
 
 from emulator.soak.schedule import (
     KINDS,
+    NOTICE_KINDS,
     decode,
     encode,
     schedule_of,
@@ -27,9 +28,10 @@
 
 def test_all_kinds_come_and_last_as_long_as_they_may():
     faults = [fault for seed in range(20) for fault in schedule_of(seed, 60)]
-    assert {fault.kind for fault in faults} == KINDS.keys()
+    all_kinds = {**KINDS, **NOTICE_KINDS}
+    assert {fault.kind for fault in faults} == all_kinds.keys()
     for fault in faults:
-        shortest_s, longest_s = KINDS[fault.kind]
+        shortest_s, longest_s = all_kinds[fault.kind]
         assert shortest_s <= fault.for_s <= longest_s
     assert any(
         one.until_s > other.at_s for one, other in zip(faults, faults[1:])
