Keep what a request is though its caller says that it concerns the connection

Cause: fields that a caller names in Connection are dropped, so 'Connection: Model' sent a server a request without its model, id or tokens, which isn't the caller's.

Change: the fields that tell what a request is go on whatever Connection names. Tests: the four fields reach the server (failed before: no Request-Id); the fields that are ours don't, spelled in three ways, repeated and folded (held before too).

--- a/src/wasabicross/gateway/http_heads.py
+++ b/src/wasabicross/gateway/http_heads.py
@@ -80,11 +80,14 @@
 def passed_on(
     fields: Iterable[tuple[bytes, bytes]],
     reserved: frozenset[bytes] = _NOTHING,
+    kept: frozenset[bytes] = _NOTHING,
 ) -> Fields:
     """Return the fields that go on to the next connection.
 
     :param fields: names in lower case, with their values.
     :param reserved: further names that don't go on.
+    :param kept: names that go on though the sender says that they concern its
+        connection alone.
     """
     listed = list(fields)
     named = {
@@ -93,5 +96,5 @@
         if name == b'connection'
         for token in content.split(b',')
     }
-    dropped = _CONNECTION_FIELDS | reserved | named
+    dropped = _CONNECTION_FIELDS | reserved | (named - kept)
     return [(name, content) for name, content in listed if name not in dropped]
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -54,6 +54,19 @@
 )
 
 
+#: Fields that tell what a request is, whatever else a caller says of them.
+_OF_CALLERS = frozenset(
+    (
+        REQUEST_ID,
+        _MODEL,
+        _TOKEN_COUNT,
+        b'host',
+        b'prompt-prefix',
+        b'length-hint',
+    )
+)
+
+
 class PlatformDialect:
     """Reads and writes the platform's header fields."""
 
@@ -79,7 +92,7 @@
         :param req: as the caller sent it.
         :param passage: what the gateway adds.
         """
-        fields = passed_on(req.fields, _RESERVED)
+        fields = passed_on(req.fields, _RESERVED, _OF_CALLERS)
         fields.extend(_added(passage))
         if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
             fields.append((b'content-length', str(len(req.body)).encode()))
