Use no kept connection to a server that was silent on one

Cause: behind a machine that lost power each kept connection is silent, and the last one used is tried first, so a gateway sent it one request after the other, each waiting 1.5 targets, until three of ten had failed.

Change: a request without a whole answer closes the idle connections to its server; the next one connects, which fails within 0.15 s where nobody answers.

--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -159,6 +159,8 @@
             ending = await self._talk(conn, placed)
         except (AnswerMissing, AnswerBroken) as exc:
             conn.close()
+            # Others to a machine that has vanished would be as silent.
+            self._servers.pool.drop_idle(server.host, server.port)
             self._progress.reason = str(exc)
             soundness.on_failure(now_s())
             self._progress.excluded.add(server.server_id)
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -305,6 +305,15 @@
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return ServerConnection(reader, writer, self._id_field)
 
+    def drop_idle(self, host: str, port: int) -> None:
+        """Close the idle connections to a server.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        """
+        for conn in self._idle.pop((host, port), ()):
+            conn.close()
+
     def give_back(self, host: str, port: int, conn: ServerConnection) -> None:
         """Keep a connection whose answer has ended, or close it.
 
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -269,6 +269,43 @@
     assert b'retry-after: ' in received.lower()
 
 
+class _Vanishing(ScriptedServer):
+    """A server whose machine loses power: no byte comes from it any more."""
+
+    def __init__(self, *scripts):
+        super().__init__(*scripts)
+        self.has_power = True
+
+    async def _serve(self, reader, writer):
+        if self.has_power:
+            await super()._serve(reader, writer)
+
+    async def _play(self, script, seen, reader, writer):
+        if not self.has_power:
+            await self.gone.wait()
+        return await super()._play(script, seen, reader, writer)
+
+
+def test_connections_to_a_vanished_machine_are_not_used_one_by_one():
+    """Each of them would be silent until its request is late."""
+
+    async def scenario():
+        lost, sound = _Vanishing([0.1, OK]), ScriptedServer([0.1, OK])
+        async with running_gateway([lost, sound]) as bench:
+            sent = request('/safe/x')
+            await asyncio.gather(*(ask(bench.port, sent) for _ in range(12)))
+            lost.has_power = False
+            kept = len(lost.seen)
+            for _ in range(12):
+                assert status_of(await ask(bench.port, sent)) == 200
+            lost.gone.set()
+        return kept, len(lost.seen)
+
+    kept, seen = asyncio.run(scenario())
+    assert kept > 3
+    assert seen == kept + 1
+
+
 def test_silent_server_is_given_up_at_the_timeout():
     received, (server,), took_s = play([[[9.0]]], request('/unsafe/x', b'x'))
     assert status_of(received) == 504
