Notice changed settings that no signal tells of

The platform may change a settings file without a signal. Test: a file with a fault, then the old one, then a changed one are each told once (before: nothing was).

--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -19,11 +19,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.errors import (
-    CallerGone,
-    DocumentUnreadable,
-    StoreUnavailable,
-)
+from wasabicross.gateway.errors import CallerGone, StoreUnavailable
 from wasabicross.gateway.exchanges import Servers
 from wasabicross.gateway.following import StoreFollower
 from wasabicross.gateway.http_heads import CallerRequest
@@ -36,7 +32,7 @@
 from wasabicross.gateway.ownership import fitness_of
 from wasabicross.gateway.placing import Placing
 from wasabicross.gateway.probing import Prober
-from wasabicross.gateway.reloading import renewed
+from wasabicross.gateway.reloading import LiveSettings
 from wasabicross.gateway.repeats import RepeatBudgets
 from wasabicross.gateway.return_times import RefusedCallers
 from wasabicross.gateway.server_connections import ConnectionPool
@@ -99,7 +95,9 @@
     def __init__(
         self, cfg: GatewaySettings, seams: Seams, output: LogOutput
     ) -> None:
-        self._cfg = cfg
+        self.settings = LiveSettings(
+            cfg, seams.read_settings, self._on_settings
+        )
         self._seams = seams
         self._output = output
         self.view = FleetView(seams.notices)
@@ -138,6 +136,11 @@
         )
         self._stop = asyncio.Event()
 
+    @property
+    def _cfg(self) -> GatewaySettings:
+        """The settings in force."""
+        return self.settings.cfg
+
     @property
     def limits(self) -> CallerLimits:
         """Limits of callers in force."""
@@ -182,22 +185,25 @@
     def _follow_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self.settings.reload)
 
     def _parts(self) -> Iterator[Coroutine[Any, Any, None]]:
         owner_server = OwnerServer(
             self._cfg.instance, self._desk, self._relay, self._follower.copy
         )
         prober = Prober(self.view, self._seams.engines)
-        yield self._follower.run()
-        yield self._announce()
-        yield self._own()
-        yield self._desk.run()
-        yield self._links.run()
-        yield self._links.tell_uses()
-        yield prober.run()
-        yield self._tell_dropped()
-        yield owner_server.run(self._cfg.host, self._cfg.peer_port)
+        yield from (
+            self._follower.run(),
+            self._announce(),
+            self._own(),
+            self._desk.run(),
+            self._links.run(),
+            self._links.tell_uses(),
+            prober.run(),
+            self._tell_dropped(),
+            self.settings.follow(),
+            owner_server.run(self._cfg.host, self._cfg.peer_port),
+        )
 
     def _start(self, part: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.ensure_future(part)
@@ -332,21 +338,8 @@
         except TimeoutError:
             log_event(Event.OWNER_WRITE_FAILED, group='', reason='timeout')
 
-    def reload(self) -> None:
-        """Read the settings again; requests under way go on as they are."""
-        try:
-            read = self._seams.read_settings()
-        except DocumentUnreadable as exc:
-            log_event(Event.SETTINGS_KEPT, reason=str(exc))
-            return
-        renewal = renewed(self._cfg, read)
-        self._cfg = renewal.cfg
-        self._budgets.renew(renewal.cfg.retry_ratio, renewal.cfg.retry_slack)
-        log_event(
-            Event.SETTINGS_TAKEN,
-            taken=renewal.taken,
-            waiting=renewal.waiting,
-        )
+    def _on_settings(self, cfg: GatewaySettings) -> None:
+        self._budgets.renew(cfg.retry_ratio, cfg.retry_slack)
 
 
 def _trace(task: asyncio.Task[None]) -> str:
--- a/tests/test_gateway_reloading.py
+++ b/tests/test_gateway_reloading.py
@@ -7,7 +7,7 @@
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import ScriptedServer, answer
 
-from wasabicross.gateway import program
+from wasabicross.gateway import reloading
 from wasabicross.gateway.changes import InstanceListed
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.reloading import renewed
@@ -48,7 +48,7 @@
     """Events of the gateway, with what they tell."""
     lines = []
     monkeypatch.setattr(
-        program,
+        reloading,
         'log_event',
         lambda event, **fields: lines.append((event.name, fields)),
     )
@@ -71,7 +71,7 @@
                 for _ in range(3)
             ]
             for _ in range(10):
-                bench.gateway.reload()
+                bench.gateway.settings.reload()
                 await asyncio.sleep(0.02)
             received = [await each for each in asked]
             received.append(await ask(bench.port, request(path, b'x')))
@@ -90,6 +90,33 @@
         assert all(not line[1]['taken'] for line in reloads[1:])
 
 
+def test_a_change_without_a_signal_is_noticed_once(told, monkeypatch):
+    monkeypatch.setattr(reloading, '_LOOK_S', 0.05)
+    read = {'cfg': None}
+
+    def read_settings():
+        if read['cfg'] is None:
+            raise DocumentUnreadable('settings: no JSON')
+        return read['cfg']
+
+    async def scenario():
+        async with running_gateway([], read_settings=read_settings) as bench:
+            await asyncio.sleep(0.3)
+            read['cfg'] = bench.gateway.settings.cfg
+            await asyncio.sleep(0.3)
+            read['cfg'] = read['cfg']._replace(grace_s=20, host='10.0.0.9')
+            await asyncio.sleep(0.3)
+            return bench.gateway.settings.cfg.grace_s
+
+    assert asyncio.run(scenario()) == 20
+    taken = {'taken': ('grace_s',), 'waiting': ('host',)}
+    assert [line for line in told if line[0].startswith('SETTINGS')] == [
+        ('SETTINGS_KEPT', {'reason': 'settings: no JSON'}),
+        ('SETTINGS_TAKEN', {'taken': (), 'waiting': ()}),
+        ('SETTINGS_TAKEN', taken),
+    ]
+
+
 def repeats_left(budgets):
     count = 0
     while budgets.of('llm').spend():
