--- a/src/wasabicross/gateway/calls.py
+++ b/src/wasabicross/gateway/calls.py
@@ -16,16 +16,11 @@
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import CallHead
 from wasabicross.gateway.errors import CallerGone
-from wasabicross.gateway.exchanges import (
-    Ending,
-    Exchange,
-    Progress,
-    Servers,
-    Terms,
-)
+from wasabicross.gateway.exchanges import Exchange, Servers, Terms
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.placing import Placed, Placing, Wanted
+from wasabicross.gateway.progress import Ending, Progress
 from wasabicross.gateway.return_times import ReturnTimes
 from wasabicross.gateway.uses import AdapterUses
 from wasabicross.runtime.events import Event
--- /dev/null
+++ b/src/wasabicross/gateway/connection_pool.py
@@ -0,0 +1,101 @@
+"""Idle connections to backend servers, kept for further requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.errors import ServerUnreachable
+from wasabicross.gateway.server_connections import ServerConnection
+from wasabicross.gateway.watched_reader import WatchedReader
+
+_READ_BYTES = 65536
+
+#: Longest time for a new connection to a server; a request that is short of
+#: time has to be able to try a second one behind a cut.
+CONNECT_TIMEOUT_S = 0.15
+
+#: Longest idle time of a connection that is used again.
+_MAX_IDLE_S = 4.0
+
+#: The same for requests that must not run twice, where a connection that the
+#: server closes meanwhile leaves the outcome unknown.
+_MAX_IDLE_ONCE_S = 0.5
+
+_MAX_IDLE_CONNECTIONS = 32
+
+
+class ConnectionPool:
+    """Idle connections to all servers.
+
+    :param id_field: header field that an answer repeats of its request, so
+        that an answer to another request is known.
+    :param connect_timeout_s: longest time for a new connection.
+    """
+
+    def __init__(
+        self, id_field: bytes, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
+        self._id_field = id_field
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: dict[tuple[str, int], list[ServerConnection]] = defaultdict(
+            list
+        )
+
+    async def take(
+        self, host: str, port: int, *, once: bool
+    ) -> ServerConnection:
+        """Return an idle connection or a new one.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        :param once: whether the request must not run twice.
+        :raises ServerUnreachable: none can be made.
+        """
+        idle = self._idle[host, port]
+        longest_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable and now_s() - conn.idle_since_s < longest_s:
+                return conn
+            conn.close()
+        return await self._connect(host, port)
+
+    async def _connect(self, host: str, port: int) -> ServerConnection:
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                return await self._open(host, port)
+        except (OSError, TimeoutError) as exc:
+            raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
+
+    async def _open(self, host: str, port: int) -> ServerConnection:
+        loop = asyncio.get_running_loop()
+        reader = WatchedReader(_READ_BYTES)
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader), host, port
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return ServerConnection(reader, writer, self._id_field)
+
+    def drop_idle(self, host: str, port: int) -> None:
+        """Close the idle connections to a server.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        """
+        for conn in self._idle.pop((host, port), ()):
+            conn.close()
+
+    def give_back(self, host: str, port: int, conn: ServerConnection) -> None:
+        """Keep a connection whose answer has ended, or close it.
+
+        :param host: IP number of the server.
+        :param port: its port.
+        :param conn: the connection.
+        """
+        idle = self._idle[host, port]
+        if len(idle) < _MAX_IDLE_CONNECTIONS and conn.renew(now_s()):
+            idle.append(conn)
+        else:
+            conn.close()
--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -2,26 +2,25 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 from wasabicross.gateway.callers import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route, RouteKind
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import CallHead, Dialect, Passage, Verdict
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
     ServerUnreachable,
 )
-from wasabicross.gateway.event_stream import EventSplitter
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.placing import Placed
+from wasabicross.gateway.progress import Ending, Progress
 from wasabicross.gateway.reading_pace import Reading
 from wasabicross.gateway.server_connections import (
     AnswerHead,
-    ConnectionPool,
     ServerConnection,
     ServerRequest,
 )
@@ -41,54 +40,6 @@
 _SILENCE_GAPS = 4
 
 
-class Ending(enum.Enum):
-    """How an attempt at one server ended.
-
-    `done`: the caller has its answer. `not_sent`: the server has seen nothing.
-    `not_run`: it says that it hasn't run the request. `not_held`: it lacks the
-    adapter. `unknown`: the request may have run. `failed`: it ran and failed.
-    """
-
-    done = 'done'
-    not_sent = 'not sent'
-    not_run = 'not run'
-    not_held = 'not held'
-    unknown = 'unknown'
-    failed = 'failed'
-
-
-class Progress:
-    """What has become of a request at all servers that it was tried on.
-
-    :param last_event_id: last event that the caller has of its stream.
-    """
-
-    def __init__(self, last_event_id: str) -> None:
-        self.sends = 0
-        #: Servers that ran it or may do so.
-        self.runs = 0
-        #: Whether a server may have run it or may still do so.
-        self.may_run = False
-        self.is_answered_well = False
-        #: Status of the newest server's answer, 0 for none, and why no whole
-        #: answer came of it.
-        self.status = 0
-        self.reason = ''
-        #: Until the newest server's answer began, and what it had to read.
-        self.first_s: float = 0
-        self.unread_tokens = 0
-        self.excluded: set[str] = set()
-        self.splitter = EventSplitter()
-        self.splitter.last_event_id = last_event_id
-
-    def begin_attempt(self) -> None:
-        """Forget what the attempt before has met."""
-        self.status = 0
-        self.reason = ''
-        self.first_s = 0
-        self.unread_tokens = 0
-
-
 class Terms(NamedTuple):
     """What holds for an attempt.
 
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -18,6 +18,7 @@
 from wasabicross.gateway.calls import Call, Services
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.errors import CallerGone, StoreUnavailable
 from wasabicross.gateway.exchanges import Servers
@@ -35,7 +36,6 @@
 from wasabicross.gateway.reloading import LiveSettings
 from wasabicross.gateway.repeats import RepeatBudgets
 from wasabicross.gateway.return_times import RefusedCallers
-from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import FleetStore
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -8,15 +8,13 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
     HistoryGone,
     ServerError,
     StoreUnavailable,
 )
-from wasabicross.gateway.server_connections import (
-    ConnectionPool,
-    ServerRequest,
-)
+from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem
 
--- a/src/wasabicross/programs/run_gateway.py
+++ b/src/wasabicross/programs/run_gateway.py
@@ -13,10 +13,10 @@
 
 import click
 
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.program import Gateway, Seams
-from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.platform.engines import EngineCalls
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -25,10 +25,10 @@
     Service,
     ServiceShare,
 )
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 from wasabicross.gateway.program import Gateway, Seams
-from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import Snapshot
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -12,6 +12,7 @@
 )
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
     HistoryGone,
@@ -19,7 +20,6 @@
     StoreUnavailable,
 )
 from wasabicross.gateway.orders import Order, OrderAnswer, OrderKind
-from wasabicross.gateway.server_connections import ConnectionPool
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address
 from wasabicross.platform import engines
