Forget prompts without a length, and pauses beside servers that leave

Cause, found by reading the diff: requests that tell no Token-Count left a count of zero for each pair of server and adapter, told again every 0.4 s; and where one server had said that it leaves, refused callers were told to come back before the pause of the others was over. Both have a test; the first failed before, the second was written with the change.

--- a/src/wasabicross/gateway/placing.py
+++ b/src/wasabicross/gateway/placing.py
@@ -311,9 +311,12 @@
 
     def _pause_s(self, service: str, at_s: float) -> float:
         """Return how long all servers of a service want no requests."""
+        notices = self._view.notices
         pauses_s = [
-            self._view.notices.paused_until_s(server) - at_s
+            notices.paused_until_s(server) - at_s
             for server in self._view.servers.values()
-            if server.service == service and not server.is_leaving
+            if server.service == service
+            and not server.is_leaving
+            and not notices.is_leaving(server)
         ]
         return max(0, min(pauses_s, default=0))
--- a/src/wasabicross/gateway/uses.py
+++ b/src/wasabicross/gateway/uses.py
@@ -76,10 +76,9 @@
         :param prompt_tokens: length of its prompt, 0 if it isn't known.
         """
         self._view.under_way[server_id] += 1
-        self._view.unread[server_id] += prompt_tokens
+        self._add_unread(server_id, key, prompt_tokens)
         if key is not None:
             self._running[server_id, key] += 1
-            self._unread[server_id, key] += prompt_tokens
             self._touched.add((server_id, key))
             self.has_begun.set()
         return RunningUse(self, server_id, key, prompt_tokens)
@@ -95,8 +94,7 @@
         :param prompt_tokens: length of its prompt, 0 if it isn't known.
         """
         if prompt_tokens:
-            self._view.unread[server_id] += prompt_tokens
-            self._unread[server_id, key] += prompt_tokens
+            self._add_unread(server_id, key, prompt_tokens)
             self._touched.add((server_id, key))
             self.has_begun.set()
         try:
@@ -162,6 +160,16 @@
             if self.owner_host(place[0]) == host
         )
 
+    def _add_unread(
+        self, server_id: str, key: AdapterKey | None, tokens: int
+    ) -> None:
+        """Count prompt tokens; a count of none would stay for ever."""
+        if not tokens:
+            return
+        self._view.unread[server_id] += tokens
+        if key is not None:
+            self._unread[server_id, key] += tokens
+
     def _use(self, place: tuple[str, AdapterKey]) -> AdapterUse:
         server_id, key = place
         running = self._running.get(place, 0)
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -122,6 +122,18 @@
     assert not view.under_way
 
 
+def test_nothing_is_left_of_requests_that_tell_no_length():
+    view = FleetView()
+    uses = AdapterUses(view)
+    for number in range(100):
+        key = AdapterKey('m0', f'a{number}')
+        with uses.expected('s1', key, 0):
+            uses.begin('s1', key, 0).end()
+    assert not view.unread
+    assert not uses._unread
+    assert not uses._running
+
+
 def test_an_owner_counts_the_prompts_of_all_gateways():
     uses = EngineUses()
     uses.on_use(A, 'g1', 1, 9.9, 500)
--- a/tests/test_gateway_server_notices.py
+++ b/tests/test_gateway_server_notices.py
@@ -160,6 +160,12 @@
     assert len(servers[0].seen) <= 1
 
 
+def test_one_that_leaves_does_not_shorten_the_pause_of_the_others():
+    answers, _ = serve([[LEAVING], [PAUSE]], ['/unsafe/x'] * 5)
+    assert status_of(answers[-1]) == 503
+    assert retry_after_s(answers[-1]) > PAUSE_S - 0.5
+
+
 class AskedEngines(FakeEngines):
     """Engines that count what they are asked."""
 
