Try a repeatable request on a new connection where a kept one went wrong

Cause: a whole run of the tests beside load (29 on 6 cores) failed three cases of test_promise_endless. In one, a server's extra bytes came after the next request had been sent on the connection that it had kept: a safe request got 502, though its only server was sound. In two, the test's server answered its health check with bytes without end, so that a gateway that couldn't connect within 0.15 s never used it again.

Change: only silence, or a fault on a new connection, makes a request leave a server for good.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -35,6 +35,10 @@
     """The connection ended before an answer; the request may have run."""
 
 
+class AnswerOverdue(AnswerMissing):
+    """The server said nothing for so long that another one should go on."""
+
+
 class AnswerBroken(ServerError):
     """The answer ended before it was complete."""
 
--- a/src/wasabicross/gateway/exchanges.py
+++ b/src/wasabicross/gateway/exchanges.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
+    AnswerOverdue,
     ServerUnreachable,
 )
 from wasabicross.gateway.http_heads import CallerRequest, Fields
@@ -114,7 +115,9 @@
             self._servers.pool.drop_idle(server.host, server.port)
             self._progress.reason = str(exc)
             soundness.on_failure(now_s())
-            self._progress.excluded.add(server.server_id)
+            # What went wrong on a kept connection may go well on a new one.
+            if isinstance(exc, AnswerOverdue) or not conn.is_reused:
+                self._progress.excluded.add(server.server_id)
             return Ending.unknown
         except BaseException:
             conn.close()
@@ -268,7 +271,7 @@
         """Bound the wait for a server where another one may go on."""
         may_leave = self._terms.may_leave and self._may_go_elsewhere
         bound_s = limit_s if may_leave else None
-        return TimeLimit(bound_s, AnswerMissing('silence'))
+        return TimeLimit(bound_s, AnswerOverdue('silence'))
 
 
 async def _first_of(pieces: AsyncIterator[bytes]) -> bytes:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -77,6 +77,8 @@
         self._id_field = id_field
         self._codec = _new_codec()
         self.idle_since_s = -math.inf
+        #: Whether it has served a request before, of which bytes may still come.
+        self.is_reused = False
 
     @property
     def is_usable(self) -> bool:
@@ -172,6 +174,7 @@
             return False
         self._codec.start_next_cycle()
         self.idle_since_s = now_s
+        self.is_reused = True
         # What comes before the next request is an answer to none.
         self._reader.on_unasked = self.close
         return self.is_usable
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -206,6 +206,24 @@
     assert len(server.seen) == 4
 
 
+@pytest.mark.parametrize(
+    ('path', 'status', 'arrivals'), [('/safe/x', 200, 3), ('/unsafe/x', 502, 2)]
+)
+def test_bytes_that_meet_the_next_request(path, status, arrivals):
+    """They come after it was sent: what may be repeated is, on a new one."""
+
+    async def scenario():
+        server = ScriptedServer([OK], [b'no http at all\r\n\r\n'], [OK])
+        async with running_gateway([server]) as bench:
+            await ask(bench.port, request(path, b'x', Request_Id='r1'))
+            sent = request(path, b'x', Request_Id='r2')
+            return await ask(bench.port, sent), server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == status
+    assert len(server.seen) == arrivals
+
+
 def test_a_stream_that_drips_bytes_goes_on_elsewhere():
     """A byte now and then is silence: no event comes of it."""
     drips = [b'1\r\n.\r\n', 0.3] * 9
