Read anew where a watch would bring more than a reading holds

A watch answers with each version: some 16 MB, 6.5 s on its link of 20 Mbit/s, where 0.9 s were allowed. So it asked in vain, again and again, until the store's history of 20 s had passed, and served by the old configuration and list of servers (404 at 17.8 s, a leaving server at 22.2 s). Ruled out by reading: relays' news, which name a gap and make a follower ask the store itself.

Change: a watch reads a megabyte at most; what is longer ends in a reading, which has the newest values alone. The time of a call bounds the wait for its head; a body may take 6 s while no half second passes without a byte. A relay that reads anew tells its followers what has changed and what has gone, so that they need not.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -15,8 +15,12 @@
     """No answer, or one that says that nothing was done."""
 
 
+class StoreAnswerTooLong(StoreUnavailable):
+    """The answer is longer than a gateway reads."""
+
+
 class HistoryGone(StoreError):
-    """The changes that a watch asked for are no longer kept."""
+    """The changes that a watch asked for can't be had; all has to be read."""
 
 
 class DocumentUnreadable(GatewayError):
@@ -43,5 +47,9 @@
     """The answer ended before it was complete."""
 
 
+class BodyTooLong(AnswerBroken):
+    """The body of an answer is longer than its reader takes."""
+
+
 class CallerGone(GatewayError):
     """The caller has closed its connection."""
--- a/src/wasabicross/gateway/following.py
+++ b/src/wasabicross/gateway/following.py
@@ -182,7 +182,7 @@
 
     async def _read(self) -> None:
         seen = await self._store.read()
-        self._relay.on_seen(seen.revision, seen._replace(items=()))
+        self._pass_on_reading(seen)
         self.copy.replace(seen.items, seen.revision)
         self._take(seen)
         listed = frozenset(
@@ -194,6 +194,13 @@
         self._revision = seen.revision
         self.has_read.set()
 
+    def _pass_on_reading(self, seen: Snapshot) -> None:
+        """Tell followers what a reading shows that was not known before."""
+        since = self.copy.revision
+        items = self.copy.changes_to(seen.items, seen.revision) if since else ()
+        news = seen._replace(items=items)
+        self._relay.on_seen(since or seen.revision, news)
+
     def _take(self, seen: Snapshot) -> None:
         self._note_back()
         self.copy.apply(seen.items, seen.revision)
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -12,6 +12,7 @@
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
+    BodyTooLong,
 )
 from wasabicross.gateway.http_heads import Fields, field, passed_on
 from wasabicross.gateway.time_limits import TimeLimit
@@ -137,20 +138,28 @@
                 raise AnswerBroken('connection ended')
         raise AnswerBroken(f'over {_MAX_BODY_BYTES} bytes')
 
-    async def body(self, max_bytes: int) -> bytes:
+    async def body(
+        self, max_bytes: int, silence_s: float | None = None
+    ) -> bytes:
         """Return the whole body.
 
         :param max_bytes: its greatest length.
-        :raises AnswerBroken: it ended early, is no HTTP or is longer.
+        :param silence_s: longest time without a byte, None for no bound.
+        :raises BodyTooLong: it is longer.
+        :raises AnswerBroken: it ended early, is no HTTP or came to a halt.
         """
         parts: list[bytes] = []
         length = 0
-        async for piece in self.pieces():
+        pieces = self.pieces()
+        while True:
+            async with TimeLimit(silence_s, AnswerBroken('silence in a body')):
+                piece = await anext(pieces, None)
+            if piece is None:
+                return b''.join(parts)
             length += len(piece)
             if length > max_bytes:
-                raise AnswerBroken(f'over {max_bytes} bytes')
+                raise BodyTooLong(f'over {max_bytes} bytes')
             parts.append(piece)
-        return b''.join(parts)
 
     async def drop_body(self) -> None:
         """Read a short body to its end; a long or slow one is left.
--- a/src/wasabicross/gateway/store_copy.py
+++ b/src/wasabicross/gateway/store_copy.py
@@ -66,6 +66,24 @@
                 self._items[item.key] = item
         self.revision = max(self.revision, revision)
 
+    def changes_to(
+        self, items: Iterable[StoredItem], revision: int
+    ) -> tuple[StoredItem, ...]:
+        """Return what changed since this copy was made.
+
+        :param items: all that the store holds now.
+        :param revision: revision of that.
+        """
+        now = {item.key: item for item in items}
+        gone = [
+            StoredItem(key, revision, None)
+            for key in self._items.keys() - now.keys()
+        ]
+        changed = [
+            item for item in now.values() if item.revision > self.revision
+        ]
+        return (*changed, *gone)
+
     def whole(self) -> StoreNews:
         """Return the copy as news for a gateway that knows nothing."""
         return StoreNews(0, self.revision, self.items)
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -10,8 +10,10 @@
 
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
+    BodyTooLong,
     HistoryGone,
     ServerError,
+    StoreAnswerTooLong,
     StoreUnavailable,
 )
 from wasabicross.gateway.server_connections import ServerRequest
@@ -38,8 +40,14 @@
 #: What a watch may take beyond the wait that it asks for.
 WATCH_SLACK_S = 0.5
 
-#: Longest body of an answer that is read.
+#: Longest body of an answer that is read, silence in it, and how long it may take:
+#: a page of a megabyte takes most of a second on a slow link.
 _MAX_BODY_BYTES = 67108864
+_SILENCE_S = 0.5
+_TRANSFER_S = 6.0
+
+#: Longest answer of a watch. It has each version of a key, a reading the newest.
+_MAX_WATCH_BYTES = 1048576
 
 _MS_IN_S = 1000
 
@@ -116,16 +124,23 @@
         :param prefix: start of the keys.
         :param revision: the last revision that is known.
         :param wait_s: longest wait; without changes the snapshot is empty.
-        :raises HistoryGone: the changes are no longer kept.
+        :raises HistoryGone: the changes are no longer kept, or are too many.
         """
         query = {
             'pathPrefix': prefix,
             'after': revision,
             'waitMs': int(wait_s * _MS_IN_S),
         }
-        status, wire = await self._call(
-            'GET', '/-/kv-watch', query, timeout_s=wait_s + WATCH_SLACK_S
-        )
+        try:
+            status, wire = await self._call(
+                'GET',
+                '/-/kv-watch',
+                query,
+                timeout_s=wait_s + WATCH_SLACK_S,
+                max_bytes=_MAX_WATCH_BYTES,
+            )
+        except StoreAnswerTooLong as exc:
+            raise HistoryGone(f'revision {revision}: {exc}') from exc
         if status == _HISTORY_GONE:
             raise HistoryGone(f'revision {revision}')
         _check(status)
@@ -172,22 +187,28 @@
         query: dict[str, Any] | None = None,
         body: Any = None,
         timeout_s: float = _CALL_TIMEOUT_S,
+        max_bytes: int = _MAX_BODY_BYTES,
     ) -> tuple[int, Any]:
         req = _request(method, path, query, body)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(req)
+            return await self._exchange(req, timeout_s, max_bytes)
+        except BodyTooLong as exc:
+            raise StoreAnswerTooLong(f'{path}: {exc}') from exc
         except (ServerError, TimeoutError, ValueError) as exc:
             raise StoreUnavailable(f'{path}: {exc!r}') from exc
 
-    async def _exchange(self, req: ServerRequest) -> tuple[int, Any]:
+    async def _exchange(
+        self, req: ServerRequest, timeout_s: float, max_bytes: int
+    ) -> tuple[int, Any]:
         conn = await self._pool.take(
             self._address.host, self._address.port, once=False
         )
         try:
-            await conn.send(req)
-            head = await conn.head(req)
-            document = await conn.body(_MAX_BODY_BYTES)
+            async with asyncio.timeout(timeout_s):
+                await conn.send(req)
+                head = await conn.head(req)
+            async with asyncio.timeout(_TRANSFER_S):
+                document = await conn.body(max_bytes, _SILENCE_S)
         except BaseException:
             conn.close()
             raise
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -347,3 +347,32 @@
 
     asyncio.run(scenario())
     assert store.calls[: len(calls)] == calls
+
+
+def test_followers_hear_what_a_relay_has_read_anew():
+    """After lost history a reading shows what changed, and what has gone."""
+
+    def snapshot(revision, *items):
+        return Snapshot((), (), revision, items)
+
+    old = StoredItem('servers/s1', 3, b'1')
+    kept = StoredItem('servers/s2', 4, b'1')
+    new = StoredItem('servers/s3', 19, b'1')
+    results = (snapshot(5, old, kept), HistoryGone(''), snapshot(20, kept, new))
+    store = ScriptedStore(*results)
+    told = []
+
+    class Relay(StoreRelay):
+        def on_seen(self, since, seen):
+            told.append((since, seen.revision, seen.items))
+
+    async def scenario():
+        follows = follower(store, FleetView(), is_relay=True, relay=Relay())
+        task = asyncio.ensure_future(follows.run())
+        while len(store.calls) < 4:
+            await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(scenario())
+    assert told[0] == (5, 5, ())
+    assert told[1] == (5, 20, (new, StoredItem('servers/s1', 20, None)))
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import time
 
 import pytest
 from scripted_server import (
@@ -105,6 +106,43 @@
         call_store(lambda store: store.watch(1, 1.0), told({}, b'410 Gone'))
 
 
+def test_more_changes_than_a_reading_holds_are_not_fetched():
+    """On a slow link they would never come in the time of a watch."""
+    configuration = {'routes': 'x' * 500_000}
+    document = {
+        'events': [item('op/config', configuration, n) for n in range(6, 26)],
+        'at': 25,
+    }
+    began_s = time.monotonic()
+    with pytest.raises(HistoryGone):
+        call_store(lambda store: store.watch(5, 0.1), told(document))
+    assert time.monotonic() - began_s < 2
+
+
+def test_a_page_may_take_longer_than_a_call_while_bytes_come():
+    document = {'items': [item('op/version/x', VERSION)], 'hasMore': False}
+    (whole,) = told({**document, 'at': 9})
+    head, _, body = whole.partition(b'\r\n\r\n')
+    parts = [body[n : n + 12] for n in range(0, len(body), 12)]
+    assert len(parts) * 0.15 > 1.5
+    slow = [step for part in parts for step in (0.15, part)]
+    slow.insert(0, head + b'\r\n\r\n')
+    seen, _ = call_store(lambda store: store.read(), slow)
+    assert seen.revision == 9
+
+
+@pytest.mark.parametrize('halt_s', [2.0])
+def test_a_page_that_comes_to_a_halt_is_given_up(halt_s):
+    document = {'items': [item('op/version/x', VERSION)], 'hasMore': False}
+    (whole,) = told({**document, 'at': 9})
+    began_s = time.monotonic()
+    with pytest.raises(StoreUnavailable):
+        call_store(
+            lambda store: store.read(), [whole[:150], halt_s, whole[150:]]
+        )
+    assert time.monotonic() - began_s < halt_s
+
+
 @pytest.mark.parametrize(
     ('script', 'revision'),
     [
