--- a/src/wasabicross/gateway/configuration.py
+++ b/src/wasabicross/gateway/configuration.py
@@ -172,7 +172,13 @@
         services: dict[str, Service],
         limits: CallerLimits,
     ) -> Configuration:
-        """Make a configuration in which routes are found by host and prefix."""
+        """Make a configuration in which routes are found by host and prefix.
+
+        :param version: its number.
+        :param routes: all routes; of two alike the last one counts.
+        :param services: by name.
+        :param limits: what callers may send.
+        """
         by_prefix = {(route.host, route.prefix): route for route in routes}
         return cls(version, routes, services, limits, by_prefix)
 
