Let requests wait for adapters for a part of their target only

Cause: a request waited for its adapter for up to twice its target.

Ruled out by trials: to hold on and to choose anew each 60 ms (worse), and to wait for several engines at once (below).

Change: 0.6 of the target, in a module of its own; the rest is left for the prefill.

--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
+from wasabicross.gateway.adapter_wait import longest_wait_s
 from wasabicross.gateway.caller_connections import (
     CALLER_LEFT,
     PROCESS_ENDS,
@@ -48,9 +49,6 @@
 #: Most sends of one request, whether a server ran it or not.
 _MAX_SENDS = 5
 
-#: Longest wait of a request for its adapter, as a multiple of the target.
-_MAX_WAIT_TARGETS = 2
-
 #: Pause before a retry where a server couldn't run the request now.
 _NOT_RUN_PAUSE_S = 0.05
 
@@ -160,7 +158,7 @@
             service,
             self._info.adapter,
             route.priority,
-            max(0, route.target_s * _MAX_WAIT_TARGETS - waited_s),
+            longest_wait_s(route.target_s, waited_s),
             frozenset(self._progress.excluded),
             route.target_s,
             self._info.prompt_tokens,
