Free adapter slots as soon as their last request has ended

Change: the end of the last use of an adapter is told at once, the owner of the engine acts when an adapter that loads wait for becomes free, and that is 0.05 s after its last use: in that time a use that began at another gateway is reported (0.01 s of batching and the link). An engine unloads only after its runs, so none in use is evicted by it.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -221,6 +221,16 @@
             default=None,
         )
 
+    def next_free_s(self, now_s: float) -> float:
+        """Return when the next adapter becomes free, infinity if unknown.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        times_s = (self.usage.free_at_s(key) for key in self.held)
+        return min(
+            (each for each in times_s if each > now_s), default=math.inf
+        )
+
     def _unused(self, now_s: float) -> list[AdapterKey]:
         """Return the adapters that may be unloaded.
 
--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/engine_usage.py
@@ -13,8 +13,9 @@
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.slot_turnover import SlotTurnover
 
-#: Time after its last use during which an adapter isn't free for eviction.
-_MIN_IDLE_S = 0.25
+#: Time after its last use during which an adapter isn't free for eviction. In
+#: this time a gateway reports a use that began meanwhile.
+_MIN_IDLE_S = 0.05
 
 #: How long the last use of an adapter that isn't held is kept.
 _FORGET_AFTER_S = 30.0
@@ -135,6 +136,19 @@
         keep_s = _SILENT_GATEWAY_S if activity.by_gateway else _MIN_IDLE_S
         return now_s - max((activity.last_s, *reported_s)) >= keep_s
 
+    def free_at_s(self, key: AdapterKey) -> float:
+        """Return from when on an adapter without running requests is free.
+
+        :param key: the adapter.
+        :return: monotonic seconds, infinity while requests use it.
+        """
+        activity = self._activities.get(key)
+        if activity is None:
+            return -math.inf
+        if activity.by_gateway:
+            return math.inf
+        return activity.last_s + _MIN_IDLE_S
+
     def last_use_s(self, key: AdapterKey) -> float:
         """Return when usage of an adapter was last reported.
 
--- a/src/wasabicross/gateway/loader_service.py
+++ b/src/wasabicross/gateway/loader_service.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.gateway.messages import AdapterUsage, ServerState
@@ -75,10 +75,7 @@
         """
         loader = self._loader(usage.server_id)
         if loader is not None:
-            key = AdapterKey(usage.model, usage.adapter)
-            loader.slots.usage.on_use(
-                key, gateway, usage.running, now_s(), usage.unread_tokens
-            )
+            loader.on_use(gateway, usage)
 
     def forget_usage(self, gateway: str) -> None:
         """Discard the usage of a gateway before it reports all of it again.
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -22,7 +22,11 @@
     EngineSlots,
 )
 from wasabicross.gateway.errors import DocumentUnreadable, ServerError
-from wasabicross.gateway.messages import HeldAdapter, ServerState
+from wasabicross.gateway.messages import (
+    AdapterUsage,
+    HeldAdapter,
+    ServerState,
+)
 from wasabicross.gateway.orders import (
     EngineClient,
     LoadRequest,
@@ -78,7 +82,7 @@
         self._view = view
         self._current_term = current_term
         self._awaited = AwaitedLoads()
-        self._has_new_request = asyncio.Event()
+        self._has_change = asyncio.Event()
         self._failed_reports = 0
         self._orders = EngineOrders(
             server, self.slots, engines, view, current_term
@@ -105,7 +109,7 @@
         if key not in self._awaited and not self._has_time(request):
             return 0
         fut = self._awaited.join(request, now_s())
-        self._has_new_request.set()
+        self._has_change.set()
         return await fut
 
     def _has_time(self, request: LoadRequest) -> bool:
@@ -170,15 +174,31 @@
         """Return the slots for further loads, negative if loads are waiting."""
         return self.slots.available_slots(at_s) - self._waiting_for_slots
 
+    def on_use(self, gateway: str, usage: AdapterUsage) -> None:
+        """Record a gateway's usage of an adapter.
+
+        :param gateway: name of the gateway's machine.
+        :param usage: the adapter and the number of requests.
+        """
+        key = AdapterKey(usage.model, usage.adapter)
+        self.slots.usage.on_use(
+            key, gateway, usage.running, now_s(), usage.unread_tokens
+        )
+        if self._waiting_for_slots and not usage.running:
+            self._has_change.set()
+
     async def _wait(self) -> None:
-        due_s = max(self._orders.next_due_s, self._paused_until_s)
+        due_s = self._orders.next_due_s
+        if self._waiting_for_slots:
+            due_s = min(due_s, self.slots.next_free_s(now_s()))
+        due_s = max(due_s, self._paused_until_s)
         timeout_s = max(0, due_s - now_s())
         try:
             async with asyncio.timeout(timeout_s):
-                await self._has_new_request.wait()
+                await self._has_change.wait()
         except TimeoutError:
             return
-        self._has_new_request.clear()
+        self._has_change.clear()
 
     @property
     def _paused_until_s(self) -> float:
--- a/src/wasabicross/gateway/usage_tracker.py
+++ b/src/wasabicross/gateway/usage_tracker.py
@@ -134,6 +134,9 @@
             return
         self._changed.add((server_id, key))
         _decrease(self._running, (server_id, key), 1)
+        if (server_id, key) not in self._running:
+            # The owner may unload the adapter for others that wait.
+            self.has_urgent_change.set()
 
     def changed_usage(
         self, *, include_ongoing: bool
--- a/tests/test_gateway_loader.py
+++ b/tests/test_gateway_loader.py
@@ -12,7 +12,9 @@
 )
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
+from wasabicross.gateway.engine_slots import USAGE_WAIT_S
 from wasabicross.gateway.errors import AnswerMissing
+from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest, OrderAnswer, OrderKind
 from wasabicross.gateway.ownership import OwnershipTerm
 from wasabicross.gateway.server_loader import ServerLoader
@@ -180,6 +182,27 @@
     assert not engine.orders
 
 
+def test_an_adapter_gives_way_as_soon_as_its_last_request_has_ended():
+    """The owner doesn't wait for its next report of the engine."""
+
+    async def scenario():
+        engine = FakeEngine(held=[A, AdapterKey('m0', 'b2')])
+        async with running_loader(engine) as loader:
+            for key in engine.held:
+                loader.on_use('front-2', AdapterUsage('s1', *key, 1))
+            await asyncio.sleep(USAGE_WAIT_S)
+            request = load_request(AdapterKey('m0', 'b1'), max_wait_s=10)
+            load = asyncio.ensure_future(loader.load(request))
+            await asyncio.sleep(0.02)
+            loader.on_use('front-2', AdapterUsage('s1', *A, 0))
+            await asyncio.sleep(0.12)
+            kinds = [order.kind for order in engine.orders]
+            load.cancel()
+            return kinds
+
+    assert asyncio.run(scenario()) == [OrderKind.unload, OrderKind.load]
+
+
 def test_empty_engine_gets_a_base_model():
     engine = FakeEngine(models=())
 
--- a/tests/test_gateway_uses.py
+++ b/tests/test_gateway_uses.py
@@ -117,6 +117,16 @@
         self.received.append((user, adapter_usage))
 
 
+@pytest.mark.parametrize(
+    ('requests', 'is_urgent'), [((A,), True), ((A, A), False)]
+)
+def test_the_end_of_the_last_use_is_told_at_once(usage, requests, is_urgent):
+    uses = [usage.begin('s1', key) for key in requests]
+    usage.has_urgent_change.clear()
+    uses[0].end()
+    assert usage.has_urgent_change.is_set() is is_urgent
+
+
 def test_an_owner_that_restarted_is_told_all_uses_at_once():
     (port,) = free_ports(1)
     view = FleetView()
