Load adapters where a warm copy lies, keep those with many requests

The adapter to unload was the one used least recently, so in a shortage popular ones went whenever they were unused for a moment.

Change: gateways remember which adapters each engine has unloaded (from the reports that they have already) and load there first if it has a spare slot and no long prefill; the adapter to unload is the one with the lowest request rate on that engine.

--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/engine_slots.py
@@ -207,7 +207,8 @@
     ) -> AdapterKey | None:
         """Return the adapter to unload to free a slot, None if all are in use.
 
-        Outdated versions are unloaded first, then the least recently used.
+        Outdated versions are unloaded first, then the adapter with the fewest
+        requests lately: one that many use would soon be loaded again.
 
         :param versions: versions in force, for the adapters that have one.
         :param now_s: the present time, monotonic seconds.
@@ -216,6 +217,7 @@
             self._unused(now_s),
             key=lambda key: (
                 self.held[key] >= versions.get(key, 0),
+                self.usage.rate(key, now_s),
                 self.usage.last_use_s(key),
             ),
             default=None,
@@ -227,9 +229,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         times_s = (self.usage.free_at_s(key) for key in self.held)
-        return min(
-            (each for each in times_s if each > now_s), default=math.inf
-        )
+        return min((each for each in times_s if each > now_s), default=math.inf)
 
     def _unused(self, now_s: float) -> list[AdapterKey]:
         """Return the adapters that may be unloaded.
--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/engine_usage.py
@@ -12,6 +12,7 @@
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.slot_turnover import SlotTurnover
+from wasabicross.loads.popularity import Popularity
 
 #: Time after its last use during which an adapter isn't free for eviction. In
 #: this time a gateway reports a use that began meanwhile.
@@ -60,6 +61,7 @@
     def __init__(self) -> None:
         self._activities: dict[AdapterKey, AdapterActivity] = {}
         self._reported_running = 0
+        self._popularity = Popularity()
         #: How often adapters become free.
         self.turnover = SlotTurnover()
         #: Requests that wait at the engine, from its last report.
@@ -103,10 +105,14 @@
         by_gateway = dict(
             self._activities.get(key, AdapterActivity(now_s, {})).by_gateway
         )
-        had_requests = by_gateway.pop(gateway, None) is not None
+        before = by_gateway.pop(gateway, None)
+        running_before = before.running if before else 0
+        new_requests = running - running_before
+        if new_requests > 0:
+            self._popularity.add(_name(key), now_s, new_requests)
         if running or unread_tokens:
             by_gateway[gateway] = GatewayUsage(running, now_s, unread_tokens)
-        if had_requests and not by_gateway:
+        if before and not by_gateway:
             self.turnover.on_freed(now_s)
         self._activities[key] = AdapterActivity(now_s, by_gateway)
 
@@ -149,6 +155,14 @@
             return math.inf
         return activity.last_s + _MIN_IDLE_S
 
+    def rate(self, key: AdapterKey, now_s: float) -> float:
+        """Estimate the requests for an adapter on this engine, per second.
+
+        :param key: the adapter.
+        :param now_s: the present time, monotonic seconds.
+        """
+        return self._popularity.rate(_name(key), now_s)
+
     def last_use_s(self, key: AdapterKey) -> float:
         """Return when usage of an adapter was last reported.
 
@@ -189,3 +203,7 @@
             for key, activity in self._activities.items()
             if key in held or now_s - activity.last_s < _FORGET_AFTER_S
         }
+
+
+def _name(key: AdapterKey) -> str:
+    return f'{key.model}/{key.adapter}'
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -62,6 +62,8 @@
     :param is_reachable: whether the latest connection could be made.
     :param prefill_share: time until it has prefilled the prompts sent to it, as
         a share of the time in which the request expects its first token.
+    :param is_warm: whether it held the adapter recently, so that it loads it
+        faster than others and without the weight store.
     """
 
     server_id: str
@@ -74,6 +76,7 @@
     is_healthy: bool
     is_reachable: bool
     prefill_share: float = 0
+    is_warm: bool = False
 
     @property
     def occupancy(self) -> float:
@@ -289,8 +292,9 @@
     replaced only after the requests that use it have ended. Next to last are
     servers without a spare slot, where a load waits for running requests to
     end; of these, one with fewer waiting loads is preferred. Before them come
-    servers without headroom, which would soon be full. Among equal servers the
-    rendezvous hash decides, so the order is stable for each adapter.
+    servers without headroom, which would soon be full. First of all are servers
+    that held the adapter recently. Among equal servers the rendezvous hash
+    decides, so the order is stable for each adapter.
     """
     loaders = [
         each
@@ -302,6 +306,7 @@
         key=lambda each: (
             not each.held_version,
             min(1, each.spare_slots),
+            each.is_warm and not each.has_long_prefill,
             each.has_headroom,
             rendezvous_hash(adapter, each.server_id),
         ),
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -223,8 +223,16 @@
             is_healthy=health.is_healthy(at_s),
             is_reachable=not health.needs_probe,
             prefill_share=self._prefill_share(server, request, at_s),
+            is_warm=self._is_warm(server, key),
         )
 
+    def _is_warm(self, server: BackendServer, key: AdapterKey | None) -> bool:
+        """Return whether a server held the version in force recently."""
+        if key is None:
+            return False
+        version = self._view.warm_copies.version(server.server_id, key)
+        return version >= self._view.version_of(key)
+
     def _prefill_share(
         self, server: BackendServer, request: PlacementRequest, at_s: float
     ) -> float:
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -27,6 +27,7 @@
 from wasabicross.gateway.prefill_rate import PrefillRate
 from wasabicross.gateway.server_health import HealthByServer
 from wasabicross.gateway.server_notices import ServerNotices
+from wasabicross.gateway.warm_copies import WarmCopies
 
 #: Version of an adapter for which the operator hasn't set any.
 DEFAULT_VERSION = 1
@@ -76,6 +77,8 @@
         #: Prompt tokens of this gateway's requests whose answer hasn't begun.
         self.own_unread_tokens: dict[str, int] = defaultdict(int)
         self.prefill_rate = PrefillRate()
+        #: Adapters that engines held recently.
+        self.warm_copies = WarmCopies()
         self.content_known_since_s = math.inf
         self._missing_since_s: dict[tuple[str, AdapterKey], float] = {}
         self._store_lost = False
@@ -140,6 +143,11 @@
             AdapterKey(each.model, each.adapter): each.version
             for each in state.held
         }
+        before = self._reported_for(state.server_id, state.start_ms)
+        if before is None:
+            self.warm_copies.forget(state.server_id)
+        else:
+            self._record_unloaded(before.held, held, state.server_id)
         self.reported[state.server_id] = ReportedState(state, held, now_s)
 
     def on_held_change(self, change: HeldAdaptersUpdate, now_s: float) -> None:
@@ -152,7 +160,9 @@
         if report is None:
             return
         for lost in change.lost:
-            report.held.pop(AdapterKey(lost.model, lost.adapter), None)
+            key = AdapterKey(lost.model, lost.adapter)
+            report.held.pop(key, None)
+            self.warm_copies.on_unloaded(change.server_id, key, lost.version)
         for gained in change.gained:
             key = AdapterKey(gained.model, gained.adapter)
             report.held[key] = gained.version
@@ -303,11 +313,22 @@
         report = self.reported.get(server_id)
         return report if report and report.state.start_ms == start_ms else None
 
+    def _record_unloaded(
+        self,
+        before: dict[AdapterKey, int],
+        held: dict[AdapterKey, int],
+        server_id: str,
+    ) -> None:
+        """Record the adapters that an engine no longer holds."""
+        for key in before.keys() - held.keys():
+            self.warm_copies.on_unloaded(server_id, key, before[key])
+
     def _remove(self, server_id: str) -> None:
         self._expired.pop(server_id, None)
         self.servers.pop(server_id, None)
         self.health.pop(server_id, None)
         self.reported.pop(server_id, None)
+        self.warm_copies.forget(server_id)
 
     @singledispatchmethod
     def _apply(self, change: StoreChange, now_s: float) -> None:
--- a/tests/test_gateway_slots.py
+++ b/tests/test_gateway_slots.py
@@ -155,6 +155,12 @@
         # The least recently used adapter is evicted first.
         ([(A, 1, 0), (B, 2, 0)], {}, A),
         ([(A, 2, 0), (B, 1, 0)], {}, B),
+        # Of two, the one that is requested less often is evicted.
+        (
+            [(A, 1, 3), (A, 1.2, 0), (A, 1.4, 3), (A, 2, 0), (B, 3, 0)],
+            {},
+            B,
+        ),
         # Adapters that are in use, or were just now, stay.
         ([(A, 8, 1), (B, 1, 0)], {}, B),
         ([(A, 9.96, 0), (B, 8, 1)], {}, None),
