Let requests wait anew for an adapter after a server has failed them

Change: a request that a server ran or may have run waits up to 1.5 s, first in the owner's order; a wait is at least one and a half times the usual duration of loads, which is learned from loads that found a free slot, and at most twice the target.

--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -146,9 +146,13 @@
 
 
 class LoadOn(NamedTuple):
-    """The adapter has to be loaded on this server first."""
+    """The adapter has to be loaded on this server first.
+
+    :param has_spare_slot: whether it has a slot for it now.
+    """
 
     server_id: str
+    has_spare_slot: bool = True
 
 
 class NoServer(NamedTuple):
@@ -206,7 +210,7 @@
             _pick_by_capacity(available, draws.holder).server_id, replica_on
         )
     if load_target is not None:
-        return LoadOn(load_target.server_id)
+        return LoadOn(load_target.server_id, load_target.spare_slots > 0)
     if holders:
         return SendTo(_cheapest(holders).server_id)
     return NoServer('nothing loads the adapter', lacks_loader=True)
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.adapter_wait import longest_wait_s
 from wasabicross.gateway.caller_connections import (
     CALLER_LEFT,
     PROCESS_ENDS,
@@ -49,6 +48,9 @@
 #: Most sends of one request, whether a server ran it or not.
 _MAX_SENDS = 5
 
+#: Priority of the load that a request waits for after a server has failed it.
+_HIGHEST_PRIORITY = 0
+
 #: Pause before a retry where a server couldn't run the request now.
 _NOT_RUN_PAUSE_S = 0.05
 
@@ -154,11 +156,14 @@
 
     async def _place(self, route: Route, service: str) -> Placement | NoServer:
         waited_s = now_s() - self._req.arrived_s
+        has_run = self._progress.runs > 0
         request = PlacementRequest(
             service,
             self._info.adapter,
-            route.priority,
-            longest_wait_s(route.target_s, waited_s),
+            _HIGHEST_PRIORITY if has_run else route.priority,
+            self._deps.placer.adapter_wait.longest_s(
+                route.target_s, waited_s, has_run=has_run
+            ),
             frozenset(self._progress.excluded),
             route.target_s,
             self._info.prompt_tokens,
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -6,6 +6,7 @@
 import random
 from typing import NamedTuple
 
+from wasabicross.gateway.adapter_wait import AdapterWait
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.links import OwnerLinks
@@ -99,6 +100,8 @@
         self._links = links
         self._data_centre = data_centre
         self._prefetch = ReplicaPrefetch(self._load_replica)
+        #: Limits how long requests wait for their adapters.
+        self.adapter_wait = AdapterWait()
 
     async def place(self, request: PlacementRequest) -> Placement | NoServer:
         """Return a server for a request, or why there is none.
@@ -148,7 +151,8 @@
         key = request.adapter
         if key is None:
             return False
-        remaining_s = until_s - now_s()
+        asked_s = now_s()
+        remaining_s = until_s - asked_s
         tokens = request.prompt_tokens
         with self._usage.count_waiting(choice.server_id, key, tokens):
             loaded_version = await self._load(
@@ -156,6 +160,8 @@
             )
         if not loaded_version:
             return False
+        if choice.has_spare_slot:
+            self.adapter_wait.on_loaded(now_s() - asked_s)
         server = self._view.servers.get(choice.server_id)
         return server is not None and not self._view.refuses_requests(
             server, now_s()
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,6 +6,7 @@
 import pytest
 from gateway_parts import (
     A1,
+    FakeEngines,
     SharedScriptsServer,
     run_request,
     running_gateway,
@@ -30,6 +31,49 @@
     assert took_s < 2
 
 
+class SeparateEngines(FakeEngines):
+    """Simulate engines that each hold only what was loaded on them."""
+
+    def __init__(self):
+        super().__init__()
+        self._engines = {}
+
+    async def report(self, server):
+        """Return the adapters that one engine holds."""
+        return await self._engine(server).report(server)
+
+    async def order(self, server, order):
+        """Execute an order on one engine."""
+        return await self._engine(server).order(server, order)
+
+    def _engine(self, server):
+        return self._engines.setdefault(server.server_id, FakeEngines())
+
+
+def test_a_stream_that_broke_late_waits_for_its_adapter_elsewhere():
+    """The target of its first event has long passed when it breaks."""
+    turns = [
+        [STREAM_HEAD, chunk(events(1, 2)), 0.8, 'close'],
+        [STREAM_HEAD, chunk(events(3, 5)), STREAM_END],
+    ]
+
+    async def scenario():
+        servers = [SharedScriptsServer(turns), SharedScriptsServer(turns)]
+        async with running_gateway(
+            servers, service='llm', engines=SeparateEngines(), held={}
+        ) as bench:
+            while not bench.gateway.view.reported:
+                await asyncio.sleep(0.02)
+            sent = request(
+                '/stream-resumable/x', b'x', Model=f'm0/{A1.adapter}'
+            )
+            return await ask(bench.port, sent)
+
+    received = asyncio.run(scenario())
+    assert body_of(received) == events(1, 5)
+    assert received.endswith(STREAM_END)
+
+
 def test_a_slow_stream_is_not_cut_where_no_other_server_is():
     """Pauses exceed the target gap, but there is only one server."""
     slow = [STREAM_HEAD]
