Fetch shared starts of prompts from the engine that keeps them

Change: a request names the server from which its own may fetch the start of its prompt: another holder of the adapter version, or the one that held it last, if its owner's reports are recent. Nothing new is sent between gateways. Starts under 1,000 tokens are left, they are prefilled as fast.

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -5,7 +5,7 @@
 import enum
 from typing import NamedTuple, Protocol
 
-from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
 from wasabicross.gateway.server_notices import ServerNotice
@@ -20,6 +20,8 @@
     :param last_event_id: id of the last event that the caller received of an
         interrupted stream.
     :param prompt_tokens: length of its prompt, 0 if not stated.
+    :param shared_tokens: length of the start of its prompt that other requests
+        may share, 0 if not stated.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     time_left_s: float | None
     last_event_id: str
     prompt_tokens: int = 0
+    shared_tokens: int = 0
 
 
 class ForwardingOptions(NamedTuple):
@@ -37,6 +40,8 @@
     :param time_left_s: how long the server may work, seconds.
     :param priority: rank, 0 is the most urgent.
     :param last_event_id: id of the event after which a stream resumes.
+    :param prompt_source: server from which it may fetch the start of the
+        prompt, None for none.
     """
 
     server_id: str
@@ -44,6 +49,7 @@
     time_left_s: float
     priority: int
     last_event_id: str
+    prompt_source: BackendServer | None = None
 
 
 class AnswerKind(enum.Enum):
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -168,6 +168,7 @@
             route.target_s,
             self._info.prompt_tokens,
             route.target_s - waited_s,
+            self._info.shared_tokens,
         )
         return await self._deps.placer.place(request)
 
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -19,6 +19,7 @@
     SendTo,
     choose_server,
 )
+from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
@@ -51,6 +52,8 @@
         is no target.
     :param prompt_tokens: length of its prompt, 0 if it isn't known.
     :param target_wait_s: seconds left until its answer should begin.
+    :param shared_tokens: length of the start of its prompt that other requests
+        may share.
     """
 
     service: str
@@ -61,6 +64,7 @@
     target_s: float = 0
     prompt_tokens: int = 0
     target_wait_s: float = 0
+    shared_tokens: int = 0
 
 
 class Placement(NamedTuple):
@@ -70,6 +74,7 @@
     :param waited_s: time spent waiting for loads, seconds.
     :param candidates: number of servers that it was chosen from.
     :param requests: estimate of the requests that the server has.
+    :param prompt_source: server that probably keeps the start of its prompt.
     """
 
     server: BackendServer
@@ -77,6 +82,7 @@
     waited_s: float
     candidates: int
     requests: int
+    prompt_source: BackendServer | None = None
 
 
 class RetryingPlacer:
@@ -267,12 +273,14 @@
         if key is not None and key.adapter:
             held = self._view.held_version(server, key, now_s())
             version = max(held, self._view.version_of(key))
+        prompt = SharedPrompt(key, version, request.shared_tokens)
         return Placement(
             server,
             version,
             now_s() - started_s,
             candidates,
             self._view.requests_at(server, now_s()),
+            prompt_source(self._view, server, prompt, now_s()),
         )
 
     def _prefetch_replica(
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -168,6 +168,7 @@
             self._context.deadline_s - now_s(),
             self._route.priority,
             self._progress.splitter.last_event_id,
+            placement.prompt_source,
         )
         return self._servers.dialect.request(self._context.req, options)
 
--- a/src/wasabicross/gateway/warm_copies.py
+++ b/src/wasabicross/gateway/warm_copies.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
+from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey
 
@@ -16,11 +18,22 @@
 _MAX_COPIES = 48
 
 
+class _Copy(NamedTuple):
+    """A copy of an adapter in the memory of an engine.
+
+    :param number: position among all unloads, in order of time.
+    """
+
+    version: int
+    number: int
+
+
 class WarmCopies:
     """The adapters that each engine has unloaded, with their versions."""
 
     def __init__(self) -> None:
-        self._by_server: dict[str, OrderedDict[AdapterKey, int]] = {}
+        self._by_server: dict[str, OrderedDict[AdapterKey, _Copy]] = {}
+        self._numbers = itertools.count()
 
     def on_unloaded(
         self, server_id: str, key: AdapterKey, version: int
@@ -32,7 +45,7 @@
         :param version: the version that it held.
         """
         copies = self._by_server.setdefault(server_id, OrderedDict())
-        copies[key] = version
+        copies[key] = _Copy(version, next(self._numbers))
         copies.move_to_end(key)
         if len(copies) > _MAX_COPIES:
             copies.popitem(last=False)
@@ -44,6 +57,21 @@
         """
         self._by_server.pop(server_id, None)
 
+    def last_holder(self, key: AdapterKey, version: int, excluded: str) -> str:
+        """Return the engine that last unloaded an adapter version, '' for none.
+
+        :param key: the adapter.
+        :param version: the version.
+        :param excluded: id of an engine that isn't returned.
+        """
+        numbers = {
+            server_id: copies[key].number
+            for server_id, copies in self._by_server.items()
+            if key in copies and copies[key].version == version
+        }
+        numbers.pop(excluded, None)
+        return max(numbers, key=lambda each: numbers[each], default='')
+
     def version(self, server_id: str, key: AdapterKey) -> int:
         """Return the version that an engine has a copy of, 0 for none.
 
@@ -51,4 +79,5 @@
         :param key: the adapter.
         """
         copies = self._by_server.get(server_id)
-        return copies.get(key, 0) if copies else 0
+        copy = copies.get(key) if copies else None
+        return copy.version if copy else 0
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -24,6 +24,8 @@
 _TIME_LEFT_MS = b'time-left-ms'
 _MODEL = b'model'
 _TOKEN_COUNT = b'token-count'
+_PROMPT_PREFIX = b'prompt-prefix'
+_KV_FETCH = b'kv-fetch'
 _EXPECT_INSTANCE = b'expect-instance'
 _EXPECT_VERSION = b'expect-version'
 _REQUEST_PRIORITY = b'request-priority'
@@ -51,7 +53,7 @@
         _LAST_EVENT_ID,
         b'pin-ms',
         b'hold',
-        b'kv-fetch',
+        _KV_FETCH,
         b'kv-from',
         b'kv-backup',
         b'content-length',
@@ -67,7 +69,7 @@
         _MODEL,
         _TOKEN_COUNT,
         b'host',
-        b'prompt-prefix',
+        _PROMPT_PREFIX,
         b'length-hint',
     )
 )
@@ -90,6 +92,7 @@
             else time_left_ms / _MS_IN_S,
             last_event_id=field(req.fields, _LAST_EVENT_ID),
             prompt_tokens=_prompt_tokens(field(req.fields, _TOKEN_COUNT)),
+            shared_tokens=_shared_tokens(field(req.fields, _PROMPT_PREFIX)),
         )
 
     def request(
@@ -166,6 +169,18 @@
     return int(first) if first.isascii() and first.isdigit() else 0
 
 
+def _shared_tokens(parts: str) -> int:
+    """Return the length of all parts of a prompt but the last.
+
+    Parts are pairs `ID:TOKENS`, separated by commas. The last one belongs to
+    the request itself.
+    """
+    lengths = [part.partition(':')[2].strip() for part in parts.split(',')]
+    return sum(
+        int(each) for each in lengths[:-1] if each.isascii() and each.isdigit()
+    )
+
+
 def _gateway_fields(options: ForwardingOptions) -> Fields:
     time_left_ms = max(1, int(options.time_left_s * _MS_IN_S))
     fields = [
@@ -178,4 +193,8 @@
     if options.last_event_id:
         event_id = options.last_event_id.encode('latin-1')
         fields.append((_LAST_EVENT_ID, event_id))
+    source = options.prompt_source
+    if source is not None:
+        address = f'{source.host}:{source.port}'
+        fields.append((_KV_FETCH, address.encode()))
     return fields
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -116,7 +116,7 @@
     assert choose_server('a1', 1, in_use).server_id != first
     # If no engine has a slot, the load waits at its first choice for a run to end.
     all_in_use = [each._replace(spare_slots=0) for each in servers]
-    assert choose_server('a1', 1, all_in_use) == LoadOn(first)
+    assert choose_server('a1', 1, all_in_use) == LoadOn(first, False)
 
 
 def test_no_server_is_shut_out_when_most_look_unsound():
