Count only prompts at the engine as unread, load where delays are short

Cause: the prompts that an engine still had to prefill included those of requests that waited for their adapter there, most of which never came.

Change: only prompts that were sent count, so the method that counted the waiting ones goes; a load goes to the engine where the request meets and causes the shortest delay (prompts before it, and a tenth of its own prefill for each stream that runs there), in steps of 0.15 s.

--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -41,6 +41,14 @@
 #: requests soon gets one; an adapter that is requested once hardly ever does.
 _PREFETCH_PROBABILITY = 0.25
 
+#: Weight of the delay that a prompt causes to each running request, whose
+#: tokens come slower during its prefill.
+_CAUSED_DELAY_WEIGHT = 0.1
+
+#: Difference between the delays of servers that matters to a choice, seconds.
+#: Many gateways see each delay at different times.
+_DELAY_STEP_S = 0.15
+
 #: Least weight of a holder that may be picked.
 _MIN_WEIGHT = 0.001
 
@@ -64,6 +72,9 @@
         a share of the time in which the request expects its first token.
     :param is_warm: whether it held the adapter recently, so that it loads it
         faster than others and without the weight store.
+    :param pending_prefill_s: time until it has prefilled the prompts sent to
+        it, seconds.
+    :param own_prefill_s: time in which it prefills the request's prompt.
     """
 
     server_id: str
@@ -77,6 +88,19 @@
     is_reachable: bool
     prefill_share: float = 0
     is_warm: bool = False
+    pending_prefill_s: float = 0
+    own_prefill_s: float = 0
+
+    @property
+    def delay_s(self) -> float:
+        """Return the delay that one more request meets there and causes."""
+        caused_s = _CAUSED_DELAY_WEIGHT * self.own_prefill_s * self.requests
+        return self.pending_prefill_s + caused_s
+
+    @property
+    def delay_steps(self) -> int:
+        """Return the delay in steps that matter to a choice."""
+        return int(self.delay_s / _DELAY_STEP_S)
 
     @property
     def occupancy(self) -> float:
@@ -296,8 +320,9 @@
     replaced only after the requests that use it have ended. Next to last are
     servers without a spare slot, where a load waits for running requests to
     end; of these, one with fewer waiting loads is preferred. Before them come
-    servers without headroom, which would soon be full. First of all are servers
-    that held the adapter recently. Among equal servers the rendezvous hash
+    servers without headroom, which would soon be full, and servers where the
+    request would meet or cause longer delays. First of all are servers that
+    held the adapter recently. Among equal servers the rendezvous hash
     decides, so the order is stable for each adapter.
     """
     loaders = [
@@ -311,6 +336,7 @@
             not each.held_version,
             min(1, each.spare_slots),
             each.is_warm and not each.has_long_prefill,
+            -each.delay_steps,
             each.has_headroom,
             rendezvous_hash(adapter, each.server_id),
         ),
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -159,11 +159,7 @@
             return False
         asked_s = now_s()
         remaining_s = until_s - asked_s
-        tokens = request.prompt_tokens
-        with self._usage.count_waiting(choice.server_id, key, tokens):
-            loaded_version = await self._load(
-                choice, request, version, remaining_s
-            )
+        loaded_version = await self._load(choice, request, version, remaining_s)
         if not loaded_version:
             return False
         if choice.has_spare_slot:
@@ -236,8 +232,16 @@
             is_reachable=not health.needs_probe,
             prefill_share=self._prefill_share(server, request, at_s),
             is_warm=self._is_warm(server, key),
+            pending_prefill_s=self._prefill_s(
+                server, self._view.unread_tokens(server, at_s)
+            ),
+            own_prefill_s=self._prefill_s(server, request.prompt_tokens),
         )
 
+    def _prefill_s(self, server: BackendServer, tokens: int) -> float:
+        """Return the expected time in which a server prefills tokens."""
+        return self._view.prefill_rate.expected_s(server.service, tokens)
+
     def _is_warm(self, server: BackendServer, key: AdapterKey | None) -> bool:
         """Return whether a server held the version in force recently."""
         if key is None:
--- a/src/wasabicross/gateway/usage_tracker.py
+++ b/src/wasabicross/gateway/usage_tracker.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections import defaultdict
-from collections.abc import Iterator
 from typing import TypeVar
 
 from wasabicross.gateway.backend import AdapterKey
@@ -86,26 +84,6 @@
             self.has_urgent_change.set()
         return RequestUsage(self, server_id, key, prompt_tokens)
 
-    @contextlib.contextmanager
-    def count_waiting(
-        self, server_id: str, key: AdapterKey, prompt_tokens: int
-    ) -> Iterator[None]:
-        """Count the prompt of a request that waits for its adapter to load.
-
-        :param server_id: the server on which the adapter is being loaded.
-        :param key: the adapter.
-        :param prompt_tokens: length of its prompt, 0 if it isn't known.
-        """
-        if prompt_tokens:
-            self._add_unread(server_id, key, prompt_tokens)
-            self._changed.add((server_id, key))
-            self.has_urgent_change.set()
-        try:
-            yield
-        finally:
-            if prompt_tokens:
-                self.on_prefilled(server_id, key, prompt_tokens)
-
     def on_prefilled(
         self, server_id: str, key: AdapterKey | None, tokens: int
     ) -> None:
