Begin loads that outlast their request, and log prompts and their sources

Change: a load that can begin at once is ordered if it is expected to take at most twice the wait, and a wait that ends without it counts as its duration.

--- a/src/wasabicross/gateway/adapter_wait.py
+++ b/src/wasabicross/gateway/adapter_wait.py
@@ -33,10 +33,11 @@
     def __init__(self) -> None:
         self._load_s = _FIRST_LOAD_S
 
-    def on_loaded(self, took_s: float) -> None:
+    def on_load(self, took_s: float) -> None:
         """Record a load that didn't have to wait for a slot.
 
-        :param took_s: its duration, seconds.
+        :param took_s: its duration, or the longest wait if that was shorter,
+            seconds.
         """
         self._load_s += _LAST_LOAD_WEIGHT * (took_s - self._load_s)
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -309,6 +309,10 @@
             waited_s=round(placement.waited_s, 3),
             candidates=placement.candidates,
             requests=placement.requests,
+            prompt_tokens=self._info.prompt_tokens,
+            prompt_source=placement.prompt_source.server_id
+            if placement.prompt_source
+            else '',
             unread_tokens=self._progress.unread_tokens,
             configuration=self._configuration_version,
             first_s=round(self._progress.first_s, 3),
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -160,10 +160,11 @@
         asked_s = now_s()
         remaining_s = until_s - asked_s
         loaded_version = await self._load(choice, request, version, remaining_s)
+        took_s = now_s() - asked_s
+        if choice.has_spare_slot and (loaded_version or took_s >= remaining_s):
+            self.adapter_wait.on_load(took_s)
         if not loaded_version:
             return False
-        if choice.has_spare_slot:
-            self.adapter_wait.on_loaded(now_s() - asked_s)
         server = self._view.servers.get(choice.server_id)
         return server is not None and not self._view.refuses_requests(
             server, now_s()
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -47,6 +47,10 @@
 #: Delay before a base model is ordered again.
 _MODEL_RETRY_S = 1.0
 
+#: Longest duration of a load that can begin at once, as a multiple of the wait
+#: of its request.
+_MAX_WAITS_OF_READY_LOAD = 2
+
 #: Consecutive failed reports after which the engine takes no loads.
 _MAX_FAILED_REPORTS = 2
 
@@ -113,15 +117,20 @@
         return await fut
 
     def _has_time(self, request: LoadRequest) -> bool:
-        """Return whether one more load is expected to finish in time."""
+        """Return whether one more load is expected to finish in time.
+
+        One that can begin at once may take longer than its caller waits: the
+        adapter is there when the caller retries.
+        """
         if not self.takes_loads:
             return False
         loads = 1 + len(self._awaited)
         batches = math.ceil(loads / MAX_PENDING)
-        expected_s = (
-            self._slot_wait_s(request) + batches * self._orders.expected_load_s
-        )
-        return expected_s <= request.max_wait_s
+        slot_wait_s = self._slot_wait_s(request)
+        expected_s = slot_wait_s + batches * self._orders.expected_load_s
+        begins_at_once = batches == 1 and not slot_wait_s
+        waits = _MAX_WAITS_OF_READY_LOAD if begins_at_once else 1
+        return expected_s <= waits * request.max_wait_s
 
     def _slot_wait_s(self, request: LoadRequest) -> float:
         """Return how long one more load is expected to wait for a slot."""
--- a/tests/test_gateway_adapter_wait.py
+++ b/tests/test_gateway_adapter_wait.py
@@ -50,7 +50,7 @@
     """Return the limits after many loads of this duration."""
     wait = AdapterWait()
     for _ in range(100):
-        wait.on_loaded(load_s)
+        wait.on_load(load_s)
     return wait
 
 
--- a/tests/test_gateway_loader.py
+++ b/tests/test_gateway_loader.py
@@ -182,6 +182,13 @@
     assert not engine.orders
 
 
+def test_load_that_ends_soon_after_its_request_is_begun():
+    """Where all loads take longer than requests wait, none would be made."""
+    engine = FakeEngine()
+    run_loads(engine, load_request(max_wait_s=0.2))
+    assert engine.held
+
+
 def test_an_adapter_gives_way_as_soon_as_its_last_request_has_ended():
     """The owner doesn't wait for its next report of the engine."""
 
