Release the adapters of a gateway that is gone for good

Its last report protects an adapter for 8 s, but each use by another gateway began these 8 s anew, so a popular adapter was never free again.

Change: the 8 s run from the lost gateway's own last report. A test of the uses fails before.

--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/engine_usage.py
@@ -132,28 +132,26 @@
         :param key: the adapter.
         :param now_s: the present time, monotonic seconds.
         """
-        activity = self._activities.get(key)
-        if activity is None:
-            return True
-        reported_s = (
-            usage.reported_s for usage in activity.by_gateway.values()
-        )
-        # A disconnected gateway may still run requests that it can't report.
-        keep_s = _SILENT_GATEWAY_S if activity.by_gateway else _MIN_IDLE_S
-        return now_s - max((activity.last_s, *reported_s)) >= keep_s
+        return now_s >= self.free_at_s(key)
 
     def free_at_s(self, key: AdapterKey) -> float:
-        """Return from when on an adapter without running requests is free.
+        """Return from when on an adapter is free unless it is used again.
+
+        A disconnected gateway may still run requests that it can't report, so
+        its last report protects the adapter for a while. Uses by others don't
+        prolong that, since the gateway may be gone for good.
 
         :param key: the adapter.
-        :return: monotonic seconds, infinity while requests use it.
+        :return: monotonic seconds.
         """
         activity = self._activities.get(key)
         if activity is None:
             return -math.inf
-        if activity.by_gateway:
-            return math.inf
-        return activity.last_s + _MIN_IDLE_S
+        reported_s = (
+            usage.reported_s for usage in activity.by_gateway.values()
+        )
+        silent_s = max(reported_s, default=-math.inf) + _SILENT_GATEWAY_S
+        return max(silent_s, activity.last_s + _MIN_IDLE_S)
 
     def rate(self, key: AdapterKey, now_s: float) -> float:
         """Estimate the requests for an adapter on this engine, per second.
--- a/tests/test_gateway_engine_uses.py
+++ b/tests/test_gateway_engine_uses.py
@@ -42,6 +42,9 @@
         ([(A, 'g1', 1, 9.0), (A, 'g1', 0, 9.96)], False),
         ([(A, 'g1', 1, 9.0), (A, 'g1', 0, 9.94)], True),
         ([(A, 'g1', 1, 3.0), (A, 'g2', 1, 9.0), (A, 'g2', 0, 9.4)], False),
+        # Uses by others don't prolong the protection for a lost gateway.
+        ([(A, 'g1', 1, 1.5), (A, 'g2', 1, 9.0), (A, 'g2', 0, 9.4)], True),
+        ([(A, 'g1', 1, 1.5), (A, 'g2', 1, 9.0)], False),
     ],
 )
 def test_adapters_in_use_are_not_free(words, is_free):
