Refuse frames between instances whose numbers aren't numbers

Cause: messaging.decode looked the kind of an envelope up in a set, so a frame whose kind is a list or a table raised TypeError and ended the thread of its link; a negative message type named the last message.

Change: kind, call number and message type are checked before they are used, in a function of its own.

--- a/src/wasabicross/messaging/messages.py
+++ b/src/wasabicross/messaging/messages.py
@@ -228,17 +228,34 @@
         kind, call_id, code, fields = cbor2.loads(frame)
     except (cbor2.CBORError, TypeError, ValueError) as exc:
         return Error(MessageMalformed(f'not an envelope: {exc}'))
+    fault = _envelope_fault(kind, call_id, code)
+    if fault:
+        return Error(MessageMalformed(f'invalid envelope: {fault}'))
+    return _message(code, fields).map(
+        lambda message: Envelope(kind, call_id, message)
+    )
+
+
+def _envelope_fault(kind: Any, call_id: Any, code: Any) -> str:
+    """Return what is wrong with the numbers of an envelope, '' for nothing."""
+    for number in (kind, call_id, code):
+        if isinstance(number, bool) or not isinstance(number, int):
+            return 'kind, call number or message type is not a number'
+    if kind not in {ONE_WAY, REQUEST, REPLY}:
+        return f'unknown kind {kind}'
+    if not 0 <= code < len(MESSAGES):
+        return f'unknown message type {code}'
+    return ''
+
+
+def _message(code: int, fields: Any) -> Result[Any, MessageMalformed]:
+    """Return the message of a type after validating its fields."""
+    name = MESSAGES[code].__name__
+    if not isinstance(fields, list):
+        return Error(MessageMalformed(f'{name}: fields are not a list'))
     try:
         message = _validator(MESSAGES[code]).validate_python(tuple(fields))
-    except ValidationError as invalid:
-        return Error(
-            MessageMalformed(
-                f'{MESSAGES[code].__name__}: '
-                f'{invalid.error_count()} invalid fields'
-            )
-        )
-    except (LookupError, TypeError) as unknown:
-        return Error(MessageMalformed(f'unknown message type: {unknown}'))
-    if kind not in {ONE_WAY, REQUEST, REPLY} or not isinstance(call_id, int):
-        return Error(MessageMalformed('invalid envelope: kind or call number'))
-    return Ok(Envelope(kind, call_id, message))
+    except ValidationError as exc:
+        count = exc.error_count()
+        return Error(MessageMalformed(f'{name}: {count} invalid fields'))
+    return Ok(message)
