Let waits outlast usual loads by a quarter only

Change: 1.25 usual loads in place of 1.5. Short targets still allow a cold load (test_gateway_streams).

--- a/src/wasabicross/gateway/adapter_wait.py
+++ b/src/wasabicross/gateway/adapter_wait.py
@@ -13,7 +13,7 @@
 
 #: Longest wait for an adapter where loads take long beside the target, as a
 #: multiple of their usual duration and of the target.
-_MAX_LOADS = 1.5
+_MAX_LOADS = 1.25
 _MAX_TARGETS = 2
 
 #: Longest wait for an adapter after a server has failed the request, seconds.
--- a/tests/test_gateway_adapter_wait.py
+++ b/tests/test_gateway_adapter_wait.py
@@ -32,7 +32,7 @@
         (0.25, 0.5, False, 0),
         (0.25, 3, False, 0),
         # Where loads take long, none would be made in time otherwise.
-        (0.6, 0, False, 0.9),
+        (0.6, 0, False, 0.75),
         (2, 0, False, 1.6),
         # A server has failed it, so its caller has waited or has a part.
         (0.25, 0.3, True, 1.5),
