--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -12,6 +12,7 @@
     PROCESS_ENDS,
     AnswerWriter,
 )
+from wasabicross.gateway.candidates import PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
@@ -22,7 +23,6 @@
 from wasabicross.gateway.retry_delays import RetryDelays
 from wasabicross.gateway.retrying_placer import (
     Placement,
-    PlacementRequest,
     RetryingPlacer,
 )
 from wasabicross.gateway.server_attempts import (
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -8,11 +8,11 @@
 
 from wasabicross.gateway.adapter_wait import AdapterWait
 from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.candidates import Candidates, PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
-    Candidate,
     LoadOn,
     NoServer,
     RandomDraws,
@@ -40,33 +40,6 @@
 _RETRY_PAUSE_S = 0.05
 
 
-class PlacementRequest(NamedTuple):
-    """What a request needs from a server.
-
-    :param service: the service that runs it.
-    :param adapter: its adapter, None for none.
-    :param priority: rank of the request, 0 is the most urgent.
-    :param max_wait_s: longest wait for its adapter, seconds.
-    :param excluded: ids of servers that may not be tried.
-    :param target_s: time in which its answer should begin, seconds, 0 if there
-        is no target.
-    :param prompt_tokens: length of its prompt, 0 if it isn't known.
-    :param target_wait_s: seconds left until its answer should begin.
-    :param shared_tokens: length of the start of its prompt that other requests
-        may share.
-    """
-
-    service: str
-    adapter: AdapterKey | None
-    priority: int
-    max_wait_s: float
-    excluded: frozenset[str]
-    target_s: float = 0
-    prompt_tokens: int = 0
-    target_wait_s: float = 0
-    shared_tokens: int = 0
-
-
 class Placement(NamedTuple):
     """A server that can run the request now.
 
@@ -104,7 +77,7 @@
         self._view = view
         self._usage = usage
         self._links = links
-        self._data_centre = data_centre
+        self._candidates = Candidates(view, data_centre)
         self._prefetch = ReplicaPrefetch(self._load_replica)
         #: Limits how long requests wait for their adapters.
         self.adapter_wait = AdapterWait()
@@ -118,7 +91,7 @@
         failed_loads: set[str] = set()
         while len(failed_loads) < _MAX_LOADS:
             version = self._version(request.adapter)
-            candidates = self.candidates(request, failed_loads)
+            candidates = self._candidates.find(request, failed_loads, now_s())
             adapter = request.adapter.adapter if request.adapter else ''
             choice = choose_server(
                 adapter,
@@ -181,85 +154,6 @@
             return False
         return at_s - started_s < request.max_wait_s
 
-    def candidates(
-        self, request: PlacementRequest, failed_loads: set[str]
-    ) -> list[Candidate]:
-        """Return the servers that a request may be tried on.
-
-        :param request: what the request needs.
-        :param failed_loads: ids of servers on which a load has just failed.
-        """
-        at_s = now_s()
-        return [
-            self._candidate(server, request, failed_loads, at_s)
-            for server in self._view.servers.values()
-            if self._is_usable(server, request, at_s)
-        ]
-
-    def _is_usable(
-        self, server: BackendServer, request: PlacementRequest, at_s: float
-    ) -> bool:
-        if server.service != request.service:
-            return False
-        if server.server_id in request.excluded:
-            return False
-        if self._view.refuses_requests(server, at_s):
-            return False
-        key = request.adapter
-        return key is None or self._view.holds_model(server, key.model, at_s)
-
-    def _candidate(
-        self,
-        server: BackendServer,
-        request: PlacementRequest,
-        failed_loads: set[str],
-        at_s: float,
-    ) -> Candidate:
-        key = request.adapter
-        health = self._view.health[server.server_id]
-        names_adapter = key is not None and bool(key.adapter)
-        takes_loads = self._view.takes_loads(server, at_s)
-        return Candidate(
-            server_id=server.server_id,
-            held_version=self._view.held_version(server, key, at_s)
-            if key and names_adapter
-            else 0,
-            takes_loads=takes_loads and server.server_id not in failed_loads,
-            spare_slots=self._view.spare_slots(server, at_s),
-            requests=self._view.requests_at(server, at_s),
-            slots=server.slots,
-            is_local=server.data_centre == self._data_centre,
-            is_healthy=health.is_healthy(at_s),
-            is_reachable=not health.needs_probe,
-            prefill_share=self._prefill_share(server, request, at_s),
-            is_warm=self._is_warm(server, key),
-            pending_prefill_s=self._prefill_s(
-                server, self._view.unread_tokens(server, at_s)
-            ),
-            own_prefill_s=self._prefill_s(server, request.prompt_tokens),
-        )
-
-    def _prefill_s(self, server: BackendServer, tokens: int) -> float:
-        """Return the expected time in which a server prefills tokens."""
-        return self._view.prefill_rate.expected_s(server.service, tokens)
-
-    def _is_warm(self, server: BackendServer, key: AdapterKey | None) -> bool:
-        """Return whether a server held the version in force recently."""
-        if key is None:
-            return False
-        version = self._view.warm_copies.version(server.server_id, key)
-        return version >= self._view.version_of(key)
-
-    def _prefill_share(
-        self, server: BackendServer, request: PlacementRequest, at_s: float
-    ) -> float:
-        """Return the time of pending prefill, as a share of the target."""
-        if not request.target_s:
-            return 0
-        unread = self._view.unread_tokens(server, at_s)
-        prefill_s = self._view.prefill_rate.expected_s(server.service, unread)
-        return prefill_s / request.target_s
-
     def _version(self, key: AdapterKey | None) -> int:
         return self._view.version_of(key) if key and key.adapter else 0
 
