--- a/tests/test_gateway_engine_uses.py
+++ b/tests/test_gateway_engine_uses.py
@@ -17,7 +17,7 @@
 
 
 @pytest.mark.parametrize(
-    ('words', 'requests'),
+    ('reports', 'requests'),
     [
         ([], 0),
         ([(A, 'g1', 2, 9.9)], 2),
@@ -28,12 +28,12 @@
         ([(A, 'g1', 2, 8.7), (A, 'g2', 1, 9.9)], 1),
     ],
 )
-def test_requests_under_way_are_counted(words, requests):
-    assert usage_after(*words).requests(10.0) == requests
+def test_running_requests_are_counted(reports, requests):
+    assert usage_after(*reports).requests(10.0) == requests
 
 
 @pytest.mark.parametrize(
-    ('words', 'is_free'),
+    ('reports', 'is_free'),
     [
         ([], True),
         ([(A, 'g1', 1, 9.9)], False),
@@ -47,13 +47,13 @@
         ([(A, 'g1', 1, 1.5), (A, 'g2', 1, 9.0)], False),
     ],
 )
-def test_adapters_in_use_are_not_free(words, is_free):
-    usage = usage_after(*words)
+def test_adapters_in_use_are_not_free(reports, is_free):
+    usage = usage_after(*reports)
     assert usage.is_free(A, 10.0) is is_free
     assert usage.is_free(B, 10.0)
 
 
-def test_uses_of_long_ago_are_forgotten_unless_they_are_held():
+def test_old_usage_is_dropped_unless_the_adapter_is_held():
     usage = usage_after((A, 'g1', 0, 10.0), (B, 'g1', 0, 10.0))
     usage.drop_old({A}, 41.0)
     assert usage.last_use_s(A) == 10.0
--- a/tests/test_gateway_slots.py
+++ b/tests/test_gateway_slots.py
@@ -149,7 +149,7 @@
 
 
 @pytest.mark.parametrize(
-    ('uses', 'versions', 'victim'),
+    ('uses', 'versions', 'evicted'),
     [
         ([], {}, A),
         # The least recently used adapter is evicted first.
@@ -168,15 +168,15 @@
         ([(A, 1, 0), (B, 2, 0)], {B: 2}, B),
     ],
 )
-def test_victim(slots, uses, versions, victim):
+def test_adapter_to_evict(slots, uses, versions, evicted):
     slots.on_report(report(held={A: 1, B: 1}), 0.5)
     for key, at_s, running in uses:
         slots.usage.on_use(key, 'front-1', running, at_s)
-    assert slots.eviction_candidate(versions, 10) == victim
+    assert slots.eviction_candidate(versions, 10) == evicted
 
 
 @pytest.mark.parametrize(
-    ('usage_wait_s', 'now_s', 'victim'),
+    ('usage_wait_s', 'now_s', 'evicted'),
     [
         # Other gateways may use it and may not have reported that yet.
         (USAGE_WAIT_S, 1.4, None),
@@ -185,20 +185,20 @@
         (RESUMED_USAGE_WAIT_S, 1.4, A),
     ],
 )
-def test_an_owner_hears_of_uses_before_it_unloads(usage_wait_s, now_s, victim):
+def test_an_owner_hears_of_uses_before_it_unloads(usage_wait_s, now_s, evicted):
     slots = EngineSlots(2, usage_wait_s)
     assert slots.eviction_candidate({}, now_s) is None
     slots.on_report(report(held={A: 1}), 0.5)
-    assert slots.eviction_candidate({}, now_s) == victim
+    assert slots.eviction_candidate({}, now_s) == evicted
 
 
-@pytest.mark.parametrize(('now_s', 'victim'), [(5, None), (10, A)])
+@pytest.mark.parametrize(('now_s', 'evicted'), [(5, None), (10, A)])
 def test_gateway_that_is_cut_off_goes_on_using_for_a_while(
-    slots, now_s, victim
+    slots, now_s, evicted
 ):
     slots.on_report(report(held={A: 1}), 0.5)
     slots.usage.on_use(A, 'front-1', 2, 1)
-    assert slots.eviction_candidate({}, now_s) == victim
+    assert slots.eviction_candidate({}, now_s) == evicted
 
 
 def test_engine_whose_unload_waits_for_runs_is_blocked(slots):
