Free adapter slots of gateways that are cut off once the engine has lost their requests

Ruled out: unloads that the engine guards (they block all its other orders meanwhile). Change: an owner compares what the engine reports with what connected gateways have there (orphan_check). Once that is no more, none of the lost gateways' requests is left and their usage is dropped. A link that ends marks its gateway as lost at once.

--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/engine_usage.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.orphan_check import OrphanCheck
 from wasabicross.gateway.slot_turnover import SlotTurnover
 from wasabicross.loads.popularity import Popularity
 
@@ -66,15 +67,63 @@
         self.turnover = SlotTurnover()
         #: Requests that wait at the engine, from its last report.
         self.queued = 0
+        self._orphan_check = OrphanCheck()
+        self._disconnected: set[str] = set()
+        self._lost: set[str] = set()
 
-    def on_report(self, queued: int, running: int) -> None:
+    def on_report(
+        self, queued: int, running: int, asked_s: float, now_s: float
+    ) -> None:
         """Record the counts of requests that the engine reports.
 
         :param queued: requests that wait there.
         :param running: requests in its batch.
+        :param asked_s: when the report was requested, monotonic seconds.
+        :param now_s: the present time, monotonic seconds.
         """
         self.queued = queued
         self._reported_running = running
+        self._update_lost(now_s)
+        if not self._lost:
+            return
+        self._orphan_check.on_known(self.requests(now_s), now_s)
+        if not self._orphan_check.has_orphans(queued + running, asked_s):
+            self._drop_lost_usage(now_s)
+
+    def on_disconnected(self, gateway: str) -> None:
+        """Record that a gateway can't report its usage at present.
+
+        :param gateway: name of the gateway.
+        """
+        self._disconnected.add(gateway)
+
+    def _update_lost(self, now_s: float) -> None:
+        """Find the gateways whose usage is known from before they were lost.
+
+        Counts from before a gateway was lost include its requests, so they
+        can't be compared with a report any more.
+        """
+        lost = {
+            gateway
+            for activity in self._activities.values()
+            for gateway, usage in activity.by_gateway.items()
+            if not self._is_connected(gateway, usage, now_s)
+        }
+        if lost != self._lost:
+            self._orphan_check = OrphanCheck()
+        self._lost = lost
+
+    def _drop_lost_usage(self, now_s: float) -> None:
+        """Drop the usage of lost gateways, none of whose requests is left."""
+        for gateway in self._lost:
+            self.forget_usage(gateway, now_s)
+
+    def _is_connected(
+        self, gateway: str, usage: GatewayUsage, now_s: float
+    ) -> bool:
+        if gateway in self._disconnected:
+            return False
+        return now_s - usage.reported_s < _USAGE_LIFETIME_S
 
     def running(self, now_s: float) -> int:
         """Return the number of running requests, the larger of two counts.
@@ -102,6 +151,7 @@
         :param now_s: the present time, monotonic seconds.
         :param unread_tokens: prompt tokens of those whose answer hasn't begun.
         """
+        self._disconnected.discard(gateway)
         by_gateway = dict(
             self._activities.get(key, AdapterActivity(now_s, {})).by_gateway
         )
@@ -115,6 +165,7 @@
         if before and not by_gateway:
             self.turnover.on_freed(now_s)
         self._activities[key] = AdapterActivity(now_s, by_gateway)
+        self._orphan_check.on_known(self.requests(now_s), now_s)
 
     def forget_usage(self, gateway: str, now_s: float) -> None:
         """Drop the usage of a gateway, which reports all of it again.
@@ -186,8 +237,8 @@
     def _current(self, now_s: float) -> Iterator[GatewayUsage]:
         """Yield the usage that was reported recently enough to count."""
         for activity in self._activities.values():
-            for usage in activity.by_gateway.values():
-                if now_s - usage.reported_s < _USAGE_LIFETIME_S:
+            for gateway, usage in activity.by_gateway.items():
+                if self._is_connected(gateway, usage, now_s):
                     yield usage
 
     def drop_old(self, held: Container[AdapterKey], now_s: float) -> None:
--- a/src/wasabicross/gateway/loader_service.py
+++ b/src/wasabicross/gateway/loader_service.py
@@ -77,6 +77,14 @@
         if loader is not None:
             loader.on_use(gateway, usage)
 
+    def on_disconnected(self, gateway: str) -> None:
+        """Record that a gateway's link has ended.
+
+        :param gateway: name of the gateway's machine.
+        """
+        for loader in self.loaders:
+            loader.on_disconnected(gateway)
+
     def forget_usage(self, gateway: str) -> None:
         """Discard the usage of a gateway before it reports all of it again.
 
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -124,12 +124,16 @@
                 for message in decode(frame):
                     self._on_message(conn, instance, message, loads)
         finally:
-            self._remove_link(conn, loads)
+            self._remove_link(conn, instance, loads)
 
     def _remove_link(
-        self, conn: ServerConnection, loads: set[asyncio.Task[None]]
+        self,
+        conn: ServerConnection,
+        instance: str,
+        loads: set[asyncio.Task[None]],
     ) -> None:
         self._links.discard(conn)
+        self._loader_service.on_disconnected(instance)
         self._relay.discard(conn)
         for task in loads:
             task.cancel()
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -196,6 +196,15 @@
         if self._waiting_for_slots and not usage.running:
             self._has_change.set()
 
+    def on_disconnected(self, gateway: str) -> None:
+        """Record that a gateway can't report its usage at present.
+
+        :param gateway: name of the gateway's machine.
+        """
+        self.slots.usage.on_disconnected(gateway)
+        self._orders.report_due_s = min(self._orders.report_due_s, now_s())
+        self._has_change.set()
+
     async def _wait(self) -> None:
         due_s = self._orders.next_due_s
         if self._waiting_for_slots:
@@ -250,7 +259,9 @@
             self._on_failed_report(str(exc))
             return
         self._failed_reports = 0
-        self.slots.usage.on_report(report.queued, report.running)
+        self.slots.usage.on_report(
+            report.queued, report.running, asked_s, now_s()
+        )
         self.slots.on_report(report, asked_s)
         self.slots.slot_count = self._engine.adapter_capacity(self.slots.models)
         is_loading = self.slots.is_busy or self.slots.pending
--- a/tests/test_gateway_owner_word_load.py
+++ b/tests/test_gateway_owner_word_load.py
@@ -57,7 +57,7 @@
         while self._reports and self._reports[0][0] <= at_s:
             _, running = self._reports.pop(0)
             for usage, count in zip(self.usage, running):
-                usage.on_report(0, count)
+                usage.on_report(0, count, at_s, at_s)
         if self._is_due('frame', at_s, frame_interval_s(GATEWAYS)):
             self._send_frame(at_s)
         self.reported = [
