Count the prompts that wait for adapters where adapters are loaded

Prompts that wait for a load counted nowhere. Change: gateways state the prompt with the load they ask for, owners report the sum of the prompts that wait, and choices count it beside the unread ones. The rate of prefill and the bounds of silence still go by prompts at the engine.

--- a/src/wasabicross/gateway/awaited_loads.py
+++ b/src/wasabicross/gateway/awaited_loads.py
@@ -27,6 +27,7 @@
     :param target_until_s: when the load must end for one of them to meet its
         target.
     :param waiters: receive the loaded version, 0 for none.
+    :param prompt_tokens: length of their prompts together.
     """
 
     version: int
@@ -35,6 +36,7 @@
     until_s: float
     target_until_s: float
     waiters: list[asyncio.Future[int]]
+    prompt_tokens: int = 0
 
     def resolve(self, version: int) -> None:
         """Pass the result of the load to all waiting requests.
@@ -82,6 +84,11 @@
         """Remove and return the awaited load of an adapter."""
         return self._loads.pop(key)
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the prompt tokens of all waiting requests."""
+        return sum(load.prompt_tokens for load in self._loads.values())
+
     def keys(self) -> tuple[AdapterKey, ...]:
         """Return the adapters that requests wait for."""
         return tuple(self._loads)
@@ -164,6 +171,7 @@
                 until_s,
                 target_until_s,
                 [],
+                request.prompt_tokens,
             )
         return AwaitedLoad(
             max(request.version, awaited.version),
@@ -172,4 +180,5 @@
             max(until_s, awaited.until_s),
             max(target_until_s, awaited.target_until_s),
             awaited.waiters,
+            awaited.prompt_tokens + request.prompt_tokens,
         )
--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -90,7 +90,8 @@
         names_adapter = key is not None and bool(key.adapter)
         takes_loads = self._view.takes_loads(server, now_s)
         unread_tokens = self._view.unread_tokens(server, now_s)
-        pending_s = self._prefill_s(server, unread_tokens)
+        awaited_tokens = self._view.awaited_tokens(server, now_s)
+        pending_s = self._prefill_s(server, unread_tokens + awaited_tokens)
         target_s = request.target_s
         return Candidate(
             server_id=server.server_id,
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -56,6 +56,8 @@
     :param spare_slots: adapter slots available to further loads, negative if
         loads are waiting for slots.
     :param unread_tokens: prompt tokens that the server still has to prefill.
+    :param awaited_tokens: prompt tokens of requests that wait for an adapter
+        there.
     """
 
     server_id: str
@@ -67,6 +69,7 @@
     models: tuple[str, ...] = ()
     spare_slots: int = 0
     unread_tokens: int = 0
+    awaited_tokens: int = 0
 
 
 class HeldAdaptersUpdate(NamedTuple):
@@ -97,6 +100,8 @@
     :param spare_slots: adapter slots available to further loads, negative if
         loads are waiting for slots.
     :param unread_tokens: prompt tokens that the server still has to prefill.
+    :param awaited_tokens: prompt tokens of requests that wait for an adapter
+        there.
     """
 
     server_id: str
@@ -105,6 +110,7 @@
     running: int
     spare_slots: int = 0
     unread_tokens: int = 0
+    awaited_tokens: int = 0
 
 
 class LoadWanted(NamedTuple):
@@ -116,6 +122,7 @@
     :param max_wait_ms: longest time that the request waits.
     :param target_wait_ms: longest wait after which the request can still meet
         its latency target.
+    :param prompt_tokens: length of its prompt, 0 if it isn't known.
     """
 
     call_id: int
@@ -126,6 +133,7 @@
     priority: int
     max_wait_ms: int
     target_wait_ms: int = 0
+    prompt_tokens: int = 0
 
 
 class LoadEnded(NamedTuple):
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -59,6 +59,7 @@
     :param max_wait_s: longest time that the request waits.
     :param target_wait_s: longest wait after which the request can still meet
         its latency target, 0 or less if it can't.
+    :param prompt_tokens: length of its prompt, 0 if it isn't known.
     """
 
     server_id: str
@@ -67,6 +68,7 @@
     priority: int
     max_wait_s: float
     target_wait_s: float = 0
+    prompt_tokens: int = 0
 
 
 class EngineClient(Protocol):
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -129,6 +129,7 @@
             request.priority,
             int(request.max_wait_s * _MS_PER_S),
             int(request.target_wait_s * _MS_PER_S),
+            request.prompt_tokens,
         )
         _send(self._conn, message)
         try:
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -166,6 +166,7 @@
                 request.priority,
                 request.max_wait_ms / _MS_PER_S,
                 request.target_wait_ms / _MS_PER_S,
+                request.prompt_tokens,
             )
         )
         reason = '' if version else 'not loaded'
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -46,6 +46,8 @@
         #: that it had to prefill before.
         self.first_s: float = 0
         self.unread_tokens = 0
+        #: Longest pause between two parts of the latest server's stream, seconds.
+        self.longest_pause_s: float = 0
         self.excluded: set[str] = set()
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
@@ -56,3 +58,4 @@
         self.reason = ''
         self.first_s = 0
         self.unread_tokens = 0
+        self.longest_pause_s = 0
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -317,6 +317,7 @@
             configuration=self._configuration_version,
             first_s=round(self._progress.first_s, 3),
             took_s=round(now_s() - started_s, 3),
+            pause_s=round(self._progress.longest_pause_s, 3),
             ending=ending.value,
             status=self._progress.status,
             reason=self._progress.reason,
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -132,7 +132,10 @@
             return False
         asked_s = now_s()
         remaining_s = until_s - asked_s
-        loaded_version = await self._load(choice, request, version, remaining_s)
+        with self._usage.waiting(choice.server_id, request.prompt_tokens):
+            loaded_version = await self._load(
+                choice, request, version, remaining_s
+            )
         took_s = now_s() - asked_s
         if choice.has_spare_slot and (loaded_version or took_s >= remaining_s):
             self.adapter_wait.on_load(took_s)
@@ -220,6 +223,7 @@
             request.priority,
             remaining_s,
             self._target_wait_s(choice.server_id, request, remaining_s),
+            request.prompt_tokens,
         )
         try:
             async with asyncio.timeout(remaining_s + _ANSWER_MARGIN_S):
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -255,10 +255,15 @@
         if not self._answer.has_started:
             await self._answer.start(head.status, _without_length(head.fields))
         chunks = conn.read_chunks()
+        last_s = now_s()
         while True:
             events = await self._next_chunk(chunks)
             if events is None:
                 break
+            self._progress.longest_pause_s = max(
+                self._progress.longest_pause_s, now_s() - last_s
+            )
+            last_s = now_s()
             await self._answer.send_chunk(events)
         partial = splitter.discard_partial()
         if partial:
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -177,6 +177,7 @@
             models=tuple(sorted(self.slots.models)),
             spare_slots=self._spare_slots(now_s()),
             unread_tokens=usage.unread_tokens(now_s()),
+            awaited_tokens=self._awaited.prompt_tokens,
         )
 
     def _spare_slots(self, at_s: float) -> int:
--- a/src/wasabicross/gateway/state_updates.py
+++ b/src/wasabicross/gateway/state_updates.py
@@ -92,7 +92,7 @@
     """Return whether a change could affect which engine others choose."""
     if min(1, current.spare_slots) != min(1, sent.spare_slots):
         return True
-    if abs(current.unread_tokens - sent.unread_tokens) >= _TOKENS_STEP:
+    if abs(_tokens(current) - _tokens(sent)) >= _TOKENS_STEP:
         return True
     return abs(_requests(current) - _requests(sent)) >= _REQUESTS_STEP
 
@@ -101,6 +101,10 @@
     return occupancy.queued + occupancy.running
 
 
+def _tokens(occupancy: ServerOccupancy) -> int:
+    return occupancy.unread_tokens + occupancy.awaited_tokens
+
+
 def _occupancy(state: ServerState) -> ServerOccupancy:
     return ServerOccupancy(
         state.server_id,
@@ -109,6 +113,7 @@
         state.running,
         state.spare_slots,
         state.unread_tokens,
+        state.awaited_tokens,
     )
 
 
--- a/src/wasabicross/gateway/usage_tracker.py
+++ b/src/wasabicross/gateway/usage_tracker.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import defaultdict
+from collections.abc import Iterator
 from typing import TypeVar
 
 from wasabicross.gateway.backend import AdapterKey
@@ -84,6 +86,19 @@
             self.has_urgent_change.set()
         return RequestUsage(self, server_id, key, prompt_tokens)
 
+    @contextlib.contextmanager
+    def waiting(self, server_id: str, prompt_tokens: int) -> Iterator[None]:
+        """Count a prompt while its adapter is being loaded on a server.
+
+        :param server_id: the server.
+        :param prompt_tokens: length of the prompt, 0 if it isn't known.
+        """
+        self._view.own_awaited_tokens[server_id] += prompt_tokens
+        try:
+            yield
+        finally:
+            _decrease(self._view.own_awaited_tokens, server_id, prompt_tokens)
+
     def on_prefilled(
         self, server_id: str, key: AdapterKey | None, tokens: int
     ) -> None:
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -76,6 +76,8 @@
         self.own_requests: dict[str, int] = defaultdict(int)
         #: Prompt tokens of this gateway's requests whose answer hasn't begun.
         self.own_unread_tokens: dict[str, int] = defaultdict(int)
+        #: Prompt tokens of this gateway's requests that wait for an adapter.
+        self.own_awaited_tokens: dict[str, int] = defaultdict(int)
         self.prefill_rate = PrefillRate()
         #: Adapters that engines held recently.
         self.warm_copies = WarmCopies()
@@ -185,6 +187,7 @@
             running=occupancy.running,
             spare_slots=occupancy.spare_slots,
             unread_tokens=occupancy.unread_tokens,
+            awaited_tokens=occupancy.awaited_tokens,
         )
         self.reported[occupancy.server_id] = ReportedState(
             state, report.held, now_s
@@ -294,6 +297,16 @@
         report = self._valid_report(server, now_s)
         return max(own, report.state.unread_tokens) if report else own
 
+    def awaited_tokens(self, server: BackendServer, now_s: float) -> int:
+        """Estimate the prompt tokens of requests that wait for an adapter.
+
+        :param server: the server on which the adapters are being loaded.
+        :param now_s: the present time, monotonic seconds.
+        """
+        own = self.own_awaited_tokens.get(server.server_id, 0)
+        report = self._valid_report(server, now_s)
+        return max(own, report.state.awaited_tokens) if report else own
+
     def _valid_report(
         self, server: BackendServer, now_s: float
     ) -> ReportedState | None:
