Leave the last free adapter slot to callers that can still be on time

A caller that returns is late already; its request looked like any other. Change: a caller that returns states less time than the time limits that callers of its route state again and again (usual_time_limits). Its request for a load needs one free slot more, and its load is ordered after those that can be on time. Not so if it has a part of its answer. Whether a load may wait is a module of its own, load_admission.

--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -24,6 +24,7 @@
     :param target_wait_s: seconds left until its answer should begin.
     :param shared_tokens: length of the start of its prompt that other requests
         may share.
+    :param is_returning: whether its caller was refused before.
     """
 
     service: str
@@ -35,6 +36,7 @@
     prompt_tokens: int = 0
     target_wait_s: float = 0
     shared_tokens: int = 0
+    is_returning: bool = False
 
 
 class Candidates:
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -123,6 +123,7 @@
     :param target_wait_ms: longest wait after which the request can still meet
         its latency target.
     :param prompt_tokens: length of its prompt, 0 if it isn't known.
+    :param is_returning: whether its caller was refused before.
     """
 
     call_id: int
@@ -134,6 +135,7 @@
     max_wait_ms: int
     target_wait_ms: int = 0
     prompt_tokens: int = 0
+    is_returning: bool = False
 
 
 class LoadEnded(NamedTuple):
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -60,6 +60,7 @@
     :param target_wait_s: longest wait after which the request can still meet
         its latency target, 0 or less if it can't.
     :param prompt_tokens: length of its prompt, 0 if it isn't known.
+    :param is_returning: whether its caller was refused before.
     """
 
     server_id: str
@@ -69,6 +70,7 @@
     max_wait_s: float
     target_wait_s: float = 0
     prompt_tokens: int = 0
+    is_returning: bool = False
 
 
 class EngineClient(Protocol):
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -130,6 +130,7 @@
             int(request.max_wait_s * _MS_PER_S),
             int(request.target_wait_s * _MS_PER_S),
             request.prompt_tokens,
+            request.is_returning,
         )
         _send(self._conn, message)
         try:
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -167,6 +167,7 @@
                 request.max_wait_ms / _MS_PER_S,
                 request.target_wait_ms / _MS_PER_S,
                 request.prompt_tokens,
+                request.is_returning,
             )
         )
         reason = '' if version else 'not loaded'
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -92,6 +92,7 @@
         self._progress = RequestProgress(self._info.last_event_id)
         self._server_id = ''
         self._labels = ('', '')
+        self._waited_before_s: float = 0
         self._configuration_version = 0
         self._outcome = 'cancelled'
         self._caller_max_wait_s: float = self._info.time_left_s or 0
@@ -135,6 +136,7 @@
 
     async def _run(self, route: Route, deadline_s: float) -> None:
         service = route.service_for(self._info.request_id)
+        self._waited_before_s = self._time_waited_before_s(route)
         self._labels = (service, metrics.request_class(route))
         budget = self._deps.budget_for(service)
         budget.add_request()
@@ -154,6 +156,15 @@
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
+    def _time_waited_before_s(self, route: Route) -> float:
+        """Return how long the caller has probably waited before."""
+        if self._info.time_left_s is None:
+            return 0
+        time_limits = self._deps.placer.time_limits
+        return time_limits.waited_before_s(
+            f'{route.host}{route.prefix}', self._info.time_left_s
+        )
+
     async def _place(self, route: Route, service: str) -> Placement | NoServer:
         waited_s = now_s() - self._req.arrived_s
         has_run = self._progress.runs > 0
@@ -167,11 +178,21 @@
             frozenset(self._progress.excluded),
             route.target_s,
             self._info.prompt_tokens,
-            route.target_s - waited_s,
+            route.target_s - waited_s - self._waited_before_s,
             self._info.shared_tokens,
+            self._is_returning,
         )
         return await self._deps.placer.place(request)
 
+    @property
+    def _is_returning(self) -> bool:
+        """Return whether the caller was refused before.
+
+        Not so if it has a part of the answer already or waits for its end.
+        """
+        has_part = self._progress.runs > 0 or bool(self._info.last_event_id)
+        return self._waited_before_s > 0 and not has_part
+
     def _may_retry(
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
@@ -291,6 +312,7 @@
             runs=self._progress.runs,
             server=self._server_id,
             held_s=round(now_s() - self._req.arrived_s, 3),
+            before_s=round(self._waited_before_s, 3),
         )
 
     def _log_attempt(
@@ -307,6 +329,7 @@
             adapter=self._info.adapter.adapter if self._info.adapter else '',
             version=placement.version,
             waited_s=round(placement.waited_s, 3),
+            before_s=round(self._waited_before_s, 3),
             candidates=placement.candidates,
             requests=placement.requests,
             prompt_tokens=self._info.prompt_tokens,
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -22,6 +22,7 @@
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
 from wasabicross.gateway.usage_tracker import UsageTracker
+from wasabicross.gateway.usual_time_limits import UsualTimeLimits
 from wasabicross.gateway.view import FleetView
 
 #: Added to the longest wait for a load, so that the owner's answer can arrive.
@@ -81,6 +82,8 @@
         self._prefetch = ReplicaPrefetch(self._load_replica)
         #: Limits how long requests wait for their adapters.
         self.adapter_wait = AdapterWait()
+        #: Tells which callers return after a refusal.
+        self.time_limits = UsualTimeLimits()
 
     async def place(self, request: PlacementRequest) -> Placement | NoServer:
         """Return a server for a request, or why there is none.
@@ -224,6 +227,7 @@
             remaining_s,
             self._target_wait_s(choice.server_id, request, remaining_s),
             request.prompt_tokens,
+            request.is_returning,
         )
         try:
             async with asyncio.timeout(remaining_s + _ANSWER_MARGIN_S):
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -16,12 +16,12 @@
     EngineOrders,
 )
 from wasabicross.gateway.engine_slots import (
-    MAX_PENDING,
     RESUMED_USAGE_WAIT_S,
     USAGE_WAIT_S,
     EngineSlots,
 )
 from wasabicross.gateway.errors import DocumentUnreadable, ServerError
+from wasabicross.gateway.load_admission import LoadAdmission
 from wasabicross.gateway.messages import (
     AdapterUsage,
     HeldAdapter,
@@ -47,10 +47,6 @@
 #: Delay before a base model is ordered again.
 _MODEL_RETRY_S = 1.0
 
-#: Longest duration of a load that can begin at once, as a multiple of the wait
-#: of its request.
-_MAX_WAITS_OF_READY_LOAD = 2
-
 #: Consecutive failed reports after which the engine takes no loads.
 _MAX_FAILED_REPORTS = 2
 
@@ -86,6 +82,7 @@
         self._view = view
         self._current_term = current_term
         self._awaited = AwaitedLoads()
+        self._admission = LoadAdmission(self.slots, self._awaited)
         self._has_change = asyncio.Event()
         self._failed_reports = 0
         self._orders = EngineOrders(
@@ -110,38 +107,15 @@
         key = request.key
         if self.slots.held.get(key, 0) >= request.version:
             return self.slots.held[key]
-        if key not in self._awaited and not self._has_time(request):
+        if key not in self._awaited and not self._may_wait(request):
             return 0
         fut = self._awaited.join(request, now_s())
         self._has_change.set()
         return await fut
 
-    def _has_time(self, request: LoadRequest) -> bool:
-        """Return whether one more load is expected to finish in time.
-
-        One that can begin at once may take longer than its caller waits: the
-        adapter is there when the caller retries.
-        """
-        if not self.takes_loads:
-            return False
-        loads = 1 + len(self._awaited)
-        batches = math.ceil(loads / MAX_PENDING)
-        slot_wait_s = self._slot_wait_s(request)
-        expected_s = slot_wait_s + batches * self._orders.expected_load_s
-        begins_at_once = batches == 1 and not slot_wait_s
-        waits = _MAX_WAITS_OF_READY_LOAD if begins_at_once else 1
-        return expected_s <= waits * request.max_wait_s
-
-    def _slot_wait_s(self, request: LoadRequest) -> float:
-        """Return how long one more load is expected to wait for a slot."""
-        at_s = now_s()
-        ends_s = at_s + self._orders.expected_load_s
-        ahead = self._awaited.count_ahead(
-            request, self.slots.accepted, ends_s, at_s
-        )
-        missing = 1 + ahead - self.slots.available_slots(at_s)
-        return self.slots.usage.turnover.expected_wait_s(
-            missing, self.slots.slot_count, at_s
+    def _may_wait(self, request: LoadRequest) -> bool:
+        return self.takes_loads and self._admission.has_time(
+            request, self._orders.expected_load_s, now_s()
         )
 
     @property
