--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -37,8 +37,9 @@
 #: Network link that gives a machine the ownership weight 1.
 _REFERENCE_LINK_MBPS = 100.0
 
-#: Additional delay of gateways in other data centres.
-_REMOTE_DELAY_S = 4.0
+#: Additional delay of gateways in other data centres. No other gateway may be
+#: left in the data centre of the group.
+_REMOTE_DELAY_S = 2.0
 
 
 class Group(NamedTuple):
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -6,6 +6,7 @@
 
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.ownership import (
+    RENEWAL_INTERVAL_S,
     TAKEOVER_S,
     Group,
     OwnerRecord,
@@ -61,6 +62,15 @@
     assert waits[2] > max(waits[:2])
 
 
+def test_a_data_centre_without_gateways_soon_has_an_owner_again():
+    """Its engines take no loads until then."""
+    lost = InstanceEntry('f1', '10.0.0.1', 'bilbao')
+    remote = InstanceEntry('f3', '10.0.0.3', 'gijon')
+    wait_s = claim_wait_s(GROUP, remote, [lost, remote], 0)
+    assert wait_s <= RENEWAL_INTERVAL_S
+    assert wait_s > claim_wait_s(GROUP, lost, [lost, remote], 1)
+
+
 @pytest.mark.parametrize('fittest', ['f1', 'f2', 'f3', 'f4'])
 def test_fit_machines_claim_first(fittest):
     instances = [
