--- a/src/wasabicross/gateway/usual_time_limits.py
+++ b/src/wasabicross/gateway/usual_time_limits.py
@@ -14,10 +14,10 @@
 _MIN_REQUESTS = 3
 
 #: Most time limits that are counted for one route; the oldest are forgotten.
-_MAX_LIMITS = 32
+_MAX_LIMITS = 16
 
 #: Most routes for which limits are counted; the oldest are forgotten.
-_MAX_ROUTES = 4096
+_MAX_ROUTES = 1024
 
 #: Least difference from a usual limit that shows an earlier wait, seconds.
 _MIN_WAIT_S = 0.2
--- a/tests/test_gateway_usual_time_limits.py
+++ b/tests/test_gateway_usual_time_limits.py
@@ -47,5 +47,5 @@
     for number in range(9000):
         limits.waited_before_s(f'r{number}', rng.uniform(0, 60))
         limits.waited_before_s('r', rng.uniform(0, 60))
-    assert len(limits._counts) <= 4096
-    assert len(limits._counts['r']) <= 32
+    assert len(limits._counts) <= 1024
+    assert len(limits._counts['r']) <= 16
