Count known requests of an engine only while a gateway is lost

Cause: each report of usage counted all requests of its engine, though counts from before a gateway was lost are dropped anyway; at the full size that is some hundred entries for each of hundreds of reports a second (worked out, not measured). Change: they are counted only while a lost gateway has usage there. No decision changes, as the counts before that are never compared. 31 tests of the two files pass.

--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/engine_usage.py
@@ -69,6 +69,7 @@
         self.queued = 0
         self._orphan_check = OrphanCheck()
         self._disconnected: set[str] = set()
+        #: Gateways whose requests may still run though they can't report.
         self._lost: set[str] = set()
 
     def on_report(
@@ -165,7 +166,8 @@
         if before and not by_gateway:
             self.turnover.on_freed(now_s)
         self._activities[key] = AdapterActivity(now_s, by_gateway)
-        self._orphan_check.on_known(self.requests(now_s), now_s)
+        if self._lost:
+            self._orphan_check.on_known(self.requests(now_s), now_s)
 
     def forget_usage(self, gateway: str, now_s: float) -> None:
         """Drop the usage of a gateway, which reports all of it again.
