Let an odd entry of the store name no server, and nothing else suffer

RecursionError (nesting) and OverflowError (1e999) were not among the errors that mean "can't be decoded"; they ended the task that follows the store, and with it the process, again after each start. A port out of range was taken and makes create_connection raise OverflowError, which is no OSError: each request placed there ended without an answer. A host that is no IP address was looked up by name. An id with a line break made h11 refuse the request's head, a name with a lone surrogate ended the relaying. `a1@1_0` and `a1@-1` counted as versions; 'adapters': 'a1' was read letter by letter.

Change: platform/values.py checks type and range of each value in one place; all decoders of documents use it. A server whose entry can't be read is removed at once by a watch too; a complete read did that already, so gateways disagreed until their next read. An owner record that can't be read names no owner but keeps its revision: without it the group could never be claimed again, since each write would expect the wrong revision.

--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -34,11 +34,12 @@
 
 
 class OwnerRecordUpdate(NamedTuple):
-    """A gateway wrote to the owner record of a server group.
+    """The owner record of a server group was written.
 
     :param group: name of the group.
-    :param instance: name of the machine that owns the group.
-    :param host: IP address of that machine.
+    :param instance: name of the machine that owns the group, empty if the
+        record names none.
+    :param host: IP address of that machine, empty if the record names none.
     :param revision: store revision of the write.
     :param is_released: whether the owner has stopped ordering loads.
     """
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -105,7 +105,8 @@
 
     def _update_links(self) -> None:
         hosts = {record.host for record in self._view.owners.values()}
-        hosts.discard(self._cfg.host)
+        # A record that names no owner has no host.
+        hosts -= {self._cfg.host, ''}
         for host in self._links.keys() - hosts:
             self._tasks.pop(host).cancel()
             self._links.pop(host)
--- a/src/wasabicross/platform/documents.py
+++ b/src/wasabicross/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from wasabicross.gateway.backend import (
@@ -21,10 +20,27 @@
     ServiceShare,
 )
 from wasabicross.gateway.errors import DocumentUnreadable
+from wasabicross.platform.values import (
+    digits,
+    host_and_port,
+    identifier,
+    integer,
+    number,
+    parse_json,
+    rows,
+    text,
+)
 
 _MS_IN_S = 1000
 _STATES = ('ready', 'draining')
-_DECODE_ERRORS = (KeyError, ValueError, TypeError, AttributeError, IndexError)
+_DECODE_ERRORS = (
+    DocumentUnreadable,
+    KeyError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    IndexError,
+)
 
 
 def decode_configuration(document: bytes) -> Configuration:
@@ -34,7 +50,7 @@
     :raises DocumentUnreadable: the document isn't a valid configuration.
     """
     try:
-        return _configuration(json.loads(document))
+        return _configuration(parse_json(document))
     except _DECODE_ERRORS as exc:
         raise DocumentUnreadable(f'configuration: {exc!r}') from exc
 
@@ -47,7 +63,7 @@
     :raises DocumentUnreadable: the document isn't a valid registration.
     """
     try:
-        return _server(server_id, json.loads(document))
+        return _server(server_id, parse_json(document))
     except _DECODE_ERRORS as exc:
         raise DocumentUnreadable(f'server {server_id}: {exc!r}') from exc
 
@@ -59,7 +75,7 @@
     :raises DocumentUnreadable: adapter or version is missing or invalid.
     """
     try:
-        return _version(json.loads(document))
+        return _version(parse_json(document))
     except _DECODE_ERRORS as exc:
         raise DocumentUnreadable(f'version: {exc!r}') from exc
 
@@ -71,16 +87,16 @@
     :raises DocumentUnreadable: the document isn't a valid report.
     """
     try:
-        return _report(json.loads(document))
+        return _report(parse_json(document))
     except _DECODE_ERRORS as exc:
         raise DocumentUnreadable(f'report: {exc!r}') from exc
 
 
 def _configuration(wire: Any) -> Configuration:
-    services = [_service(each) for each in wire['services']]
+    services = [_service(each) for each in rows(wire['services'])]
     return Configuration.from_parts(
-        version=_integer(wire['version']),
-        routes=tuple(_route(each) for each in wire['routes']),
+        version=integer(wire['version']),
+        routes=tuple(_route(each) for each in rows(wire['routes'])),
         services={service.name: service for service in services},
         limits=_limits(wire['limits']),
     )
@@ -88,16 +104,16 @@
 
 def _route(wire: Any) -> Route:
     return Route(
-        name=wire['name'],
-        host=wire['host'],
-        prefix=wire['pathPrefix'],
+        name=text(wire['name']),
+        host=text(wire['host']),
+        prefix=text(wire['pathPrefix']),
         kind=RouteKind(wire['kind']),
         timeout_s=_seconds(wire['timeoutMs']),
         target_s=_seconds(wire['targetLatencyMs']),
         gap_s=_seconds(wire.get('targetGapMs', 0)),
-        priority=_integer(wire['priority']),
+        priority=integer(wire['priority']),
         shares=_shares(wire),
-        max_servers=_integer(wire['maxAttempts']),
+        max_servers=integer(wire['maxAttempts']),
         is_resumable=bool(wire.get('resumable', False)),
     )
 
@@ -105,27 +121,31 @@
 def _shares(wire: Any) -> tuple[ServiceShare, ...]:
     split = wire.get('trafficSplit')
     if split is None:
-        return (ServiceShare(wire['service'], 1),)
-    return tuple(
-        ServiceShare(each['service'], float(each['weight'])) for each in split
+        return (ServiceShare(text(wire['service']), 1),)
+    shares = tuple(
+        ServiceShare(text(each['service']), number(each['weight']))
+        for each in rows(split)
     )
+    if not sum(share.weight for share in shares):
+        raise ValueError('a split without any weight')
+    return shares
 
 
 def _service(wire: Any) -> Service:
     engine = wire.get('engine')
     return Service(
-        name=wire['name'],
-        health_path=wire['healthPath'],
-        max_connections=_integer(wire['maxConns']),
+        name=text(wire['name']),
+        health_path=identifier(wire['healthPath']),
+        max_connections=integer(wire['maxConns']),
         engine=_engine(engine) if engine else None,
     )
 
 
 def _engine(wire: Any) -> EngineSpec:
     return EngineSpec(
-        adapter_slots=_integer(wire['adapterSlots']),
-        memory_mb=float(wire['weightsMb']),
-        models=tuple(_model(each) for each in wire['models']),
+        adapter_slots=integer(wire['adapterSlots']),
+        memory_mb=number(wire['weightsMb']),
+        models=tuple(_model(each) for each in rows(wire['models'])),
     )
 
 
@@ -133,69 +153,69 @@
     # In the document, `weightsMb` of a model is the size of its weights, but
     # `weightsMb` of an engine is the memory of a server.
     return ModelSpec(
-        name=_text(wire['name']),
-        weights_mb=float(wire['weightsMb']),
-        adapter_mb=float(wire.get('adapterMb', 0)),
+        name=text(wire['name']),
+        weights_mb=number(wire['weightsMb']),
+        adapter_mb=number(wire.get('adapterMb', 0)),
     )
 
 
 def _limits(wire: Any) -> CallerLimits:
     return CallerLimits(
-        header_bytes=_integer(wire['maxHeaderBytes']),
-        body_bytes=_integer(wire['maxBodyBytes']),
+        header_bytes=integer(wire['maxHeaderBytes']),
+        body_bytes=integer(wire['maxBodyBytes']),
         header_timeout_s=_seconds(wire['headerTimeoutMs']),
         idle_timeout_s=_seconds(wire['idleTimeoutMs']),
     )
 
 
 def _server(server_id: str, wire: Any) -> BackendServer:
-    host, port = _address(wire['address'])
+    host, port = host_and_port(wire['address'])
     held, models = _held_and_models(wire.get('models', []))
     return BackendServer(
-        server_id=server_id,
-        service=_text(wire['service']),
+        server_id=identifier(server_id),
+        service=text(wire['service']),
         host=host,
         port=port,
-        data_centre=_text(wire['zone']),
-        slots=_integer(wire['slots']),
+        data_centre=text(wire['zone']),
+        slots=integer(wire['slots']),
         is_leaving=_STATES.index(wire['state']) > 0,
         held=held,
         models=models,
-        start_ms=_integer(wire.get('born', 0)),
+        start_ms=integer(wire.get('born', 0)),
     )
 
 
 def _version(wire: Any) -> tuple[AdapterKey, int]:
-    key = AdapterKey(_text(wire['model']), _text(wire['adapter']))
-    return key, _integer(wire['version'])
+    key = AdapterKey(text(wire['model']), text(wire['adapter']))
+    return key, integer(wire['version'])
 
 
 def _report(wire: Any) -> EngineReport:
     held, models = _held_and_models(wire['models'])
     pending = frozenset(
-        _pending_key(_text(each)) for each in wire.get('pending', [])
+        _pending_key(text(each)) for each in rows(wire.get('pending', []))
     )
     return EngineReport(
-        order_count=_integer(wire['seq']),
+        order_count=integer(wire['seq']),
         is_busy=bool(wire['busy']),
-        queued=_integer(wire['queued']),
-        running=_integer(wire['running']),
+        queued=integer(wire['queued']),
+        running=integer(wire['running']),
         held=held,
         pending=pending,
         models=models,
-        start_ms=_integer(wire.get('born', 0)),
+        start_ms=integer(wire.get('born', 0)),
     )
 
 
 def _held_and_models(wire: Any) -> tuple[dict[AdapterKey, int], frozenset[str]]:
     held = {}
     models = set()
-    for model in wire:
-        name = _text(model['name'])
+    for model in rows(wire):
+        name = text(model['name'])
         models.add(name)
-        for listed in model['adapters']:
-            adapter, _, version = listed.partition('@')
-            held[AdapterKey(name, adapter)] = int(version or 1)
+        for listed in rows(model['adapters']):
+            adapter, _, version = text(listed).partition('@')
+            held[AdapterKey(name, text(adapter))] = digits(version or '1')
     return held, frozenset(models)
 
 
@@ -204,22 +224,5 @@
     return AdapterKey(model, adapter.partition('@')[0])
 
 
-def _address(wire: str) -> tuple[str, int]:
-    host, _, port = wire.rpartition(':')
-    return host, int(port)
-
-
-def _text(wire: Any) -> str:
-    if not isinstance(wire, str) or not wire:
-        raise ValueError(f'expected a non-empty string, got {wire!r}')
-    return wire
-
-
-def _integer(wire: Any) -> int:
-    if isinstance(wire, bool) or not isinstance(wire, (int, float)):
-        raise ValueError(f'expected a number, got {wire!r}')
-    return int(wire)
-
-
 def _seconds(wire: Any) -> float:
-    return _integer(wire) / _MS_IN_S
+    return integer(wire) / _MS_IN_S
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -16,6 +16,7 @@
     encode_owner,
     instance_key,
     owner_key,
+    unreadable_change,
 )
 from wasabicross.platform.store import StoreClient, Write
 
@@ -65,7 +66,7 @@
                 unreadable.append(
                     UnreadableEntry(item.key, item.revision, str(exc))
                 )
-                continue
+                change = unreadable_change(item)
             if change is not None:
                 changes.append(change)
         return StoreResult(tuple(changes), tuple(unreadable), revision, items)
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 from wasabicross.gateway.changes import (
     AdapterVersionUpdate,
@@ -25,10 +26,13 @@
     SERVERS_PREFIX,
     VERSIONS_PREFIX,
 )
+from wasabicross.platform.values import ip_address, number, parse_json, text
 
 #: Prefix of the keys that the gateways write.
 OWN_PREFIX = 'wasabicross/'
 
+_RECORD_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+
 _OWNERS_PREFIX = 'wasabicross/owner/'
 _INSTANCES_PREFIX = 'wasabicross/instance/'
 
@@ -93,6 +97,22 @@
     return _gateway_change(item, document)
 
 
+def unreadable_change(item: StoredItem) -> StoreChange | None:
+    """Return what an item that can't be decoded says about its key, if any.
+
+    It names no server and no owner. The revision of an owner record is kept,
+    since it is needed to claim the group.
+
+    :param item: an item that `decode_change` can't decode.
+    """
+    if item.key.startswith(SERVERS_PREFIX):
+        return ServerRemoval(item.key.removeprefix(SERVERS_PREFIX))
+    if item.key.startswith(_OWNERS_PREFIX):
+        group = item.key.removeprefix(_OWNERS_PREFIX)
+        return OwnerRecordUpdate(group, '', '', item.revision)
+    return None
+
+
 def _server_change(server_id: str, document: bytes | None) -> StoreChange:
     if document is None:
         return ServerRemoval(server_id)
@@ -100,44 +120,30 @@
 
 
 def _gateway_change(item: StoredItem, document: bytes) -> StoreChange | None:
-    if item.key.startswith(_OWNERS_PREFIX):
-        record = _gateway_record(document)
-        group = item.key.removeprefix(_OWNERS_PREFIX)
-        return OwnerRecordUpdate(
-            group,
-            record['instance'],
-            record['host'],
-            item.revision,
-            'released' in record,
-        )
-    if item.key.startswith(_INSTANCES_PREFIX):
-        record = _gateway_record(document)
-        name = item.key.removeprefix(_INSTANCES_PREFIX)
-        return InstanceEntry(
-            name,
-            record['host'],
-            record['data_centre'],
-            _fitness(record['fitness']),
-        )
+    try:
+        if item.key.startswith(_OWNERS_PREFIX):
+            return _owner_record(item, parse_json(document))
+        if item.key.startswith(_INSTANCES_PREFIX):
+            return _instance_entry(item, parse_json(document))
+    except _RECORD_ERRORS as exc:
+        raise DocumentUnreadable(f'record: {exc!r}') from exc
     return None
 
 
-def _fitness(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError as exc:
-        raise DocumentUnreadable(
-            f'fitness: expected a number, got {text!r}'
-        ) from exc
+def _owner_record(item: StoredItem, wire: Any) -> OwnerRecordUpdate:
+    return OwnerRecordUpdate(
+        text(item.key.removeprefix(_OWNERS_PREFIX)),
+        text(wire['instance']),
+        ip_address(wire['host']),
+        item.revision,
+        'released' in wire,
+    )
 
 
-def _gateway_record(document: bytes) -> dict[str, str]:
-    try:
-        record = json.loads(document)
-    except ValueError as exc:
-        raise DocumentUnreadable(f'record: not JSON: {exc}') from exc
-    required = {'host'}
-    if not isinstance(record, dict) or not required <= record.keys():
-        raise DocumentUnreadable('record: expected an object with a host')
-    texts = {name: str(value) for name, value in record.items()}
-    return {'instance': '', 'data_centre': '', 'fitness': '1', **texts}
+def _instance_entry(item: StoredItem, wire: Any) -> InstanceEntry:
+    return InstanceEntry(
+        text(item.key.removeprefix(_INSTANCES_PREFIX)),
+        ip_address(wire['host']),
+        text(wire['data_centre']),
+        number(wire.get('fitness', 1)),
+    )
--- a/tests/test_gateway_tenures.py
+++ b/tests/test_gateway_tenures.py
@@ -37,6 +37,8 @@
         ('front-1', False, True),
         ('front-1', True, True),
         ('front-2', True, False),
+        # A record that names no owner can be claimed at its revision.
+        ('', False, False),
     ],
 )
 def test_a_restarted_owner_knows_that_it_was_the_last(
@@ -45,7 +47,7 @@
     monkeypatch.setattr(owned_groups_module, '_STARTUP_DELAY_S', 0)
     view = FleetView()
     store = FakeStore([])
-    if last_owner:
+    if last_owner is not None:
         store.owners[GROUP] = 5
         record = OwnerRecordUpdate(GROUP, last_owner, HOST, 5, is_released)
         view.apply(record, now_s() - 60)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -13,6 +13,7 @@
 )
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.changes import AdapterVersionUpdate, ServerRemoval
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
@@ -81,7 +82,10 @@
         lambda store: store.read(), json_answer(first), json_answer(last)
     )
     assert snapshot.revision == 90
-    assert [change.version for change in snapshot.changes] == [4]
+    assert snapshot.changes == (
+        AdapterVersionUpdate(AdapterKey('m0', 'a1'), 4),
+        ServerRemoval('i-1'),
+    )
     assert [entry.key for entry in snapshot.unreadable] == ['servers/i-1']
     assert b'after=other' in seen[1].head
 
