Read the store though one of its items is odd

One item without a key, with a revision that is no number or a value that isn't base64 made the whole answer unreadable: the read failed as 'unavailable' for as long as the item was there, so a gateway that started then never became ready, and the others stopped following. `at` or `revision` of 1e999, and a body nested too deeply, ended the task that follows the store and with it the process. A key with a lone surrogate was taken and ended the process when it was relayed.

Change: an item whose key or revision can't be used is left out with a log line; a value that isn't base64 counts as an empty, unreadable document. A page without any key before others ends the read as unavailable; before it ended it as complete, with a part of the content missing.

--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -11,6 +11,7 @@
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
     BodyTooLong,
+    DocumentUnreadable,
     HistoryGone,
     ServerError,
     StoreAnswerTooLong,
@@ -19,6 +20,9 @@
 from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem
+from wasabicross.platform.values import integer, parse_json, rows, text
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
 
 #: Key of the configuration that the operator writes.
 CONFIGURATION_KEY = 'op/config'
@@ -33,6 +37,10 @@
 _CONFLICT = 412
 _HISTORY_GONE = 410
 _DECODE_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+_CALL_ERRORS = (DocumentUnreadable, ServerError, TimeoutError, ValueError)
+
+#: Longest key of an item.
+_MAX_KEY_BYTES = 200
 
 #: Longest wait for the answer to a read or write.
 _CALL_TIMEOUT_S = 1.0
@@ -120,8 +128,10 @@
             page = await self._read_page(prefix, after)
             items.extend(page.items)
             revision = page.revision if revision is None else revision
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return ItemSnapshot(tuple(items), revision)
+            if not page.items:
+                raise StoreUnavailable('a page without any key before others')
             after = page.items[-1].key
 
     async def watch(
@@ -168,7 +178,7 @@
         body = _transaction([condition], write.key, write.document)
         status, wire = await self._call('POST', '/-/kv-txn', body=body)
         if status == _CONFLICT:
-            current = _decode_answer(_decode_items, wire)
+            current = _decode_answer(_decode_current, wire)
             return WriteResult(None, current[0] if current else None)
         _check_status(status)
         return WriteResult(_decode_answer(_decode_revision, wire), None)
@@ -206,7 +216,7 @@
             return await self._exchange(req, timeout_s, max_bytes)
         except BodyTooLong as exc:
             raise StoreAnswerTooLong(f'{path}: {exc}') from exc
-        except (ServerError, TimeoutError, ValueError) as exc:
+        except _CALL_ERRORS as exc:
             raise StoreUnavailable(f'{path}: {exc!r}') from exc
 
     async def _exchange(
@@ -225,7 +235,7 @@
             conn.close()
             raise
         self._pool.release(self._address.host, self._address.port, conn)
-        return head.status, json.loads(document) if document else None
+        return head.status, parse_json(document) if document else None
 
 
 def _request(
@@ -259,29 +269,51 @@
         raise StoreUnavailable(f'unreadable answer: {exc!r}') from exc
 
 
-def _decode_items(wire: Any) -> list[StoredItem]:
-    return [_decode_item(each) for each in wire['items']]
-
-
 def _decode_page(wire: Any) -> _Page:
-    items = tuple(_decode_item(each) for each in wire['items'])
-    return _Page(items, int(wire['at']), bool(wire['hasMore']))
+    items = _decode_items(wire['items'])
+    return _Page(items, integer(wire['at']), bool(wire['hasMore']))
 
 
 def _decode_revision(wire: Any) -> int:
-    return int(wire['revision'])
+    return integer(wire['revision'])
 
 
 def _decode_changes(wire: Any) -> ItemSnapshot:
-    return ItemSnapshot(
-        tuple(_decode_item(each) for each in wire['events']), int(wire['at'])
-    )
+    return ItemSnapshot(_decode_items(wire['events']), integer(wire['at']))
+
+
+def _decode_current(wire: Any) -> tuple[StoredItem, ...]:
+    return _decode_items(wire['items'])
+
+
+def _decode_items(wire: Any) -> tuple[StoredItem, ...]:
+    """Decode a list of items, without those whose key can't be used."""
+    items = []
+    for each in rows(wire):
+        try:
+            items.append(_decode_item(each))
+        except _DECODE_ERRORS as exc:
+            log_event(
+                Event.ENTRY_UNREADABLE, key='', reason=f'no item: {exc!r}'
+            )
+    return tuple(items)
 
 
 def _decode_item(wire: Any) -> StoredItem:
+    key = text(wire['key'])
+    if len(key.encode()) > _MAX_KEY_BYTES:
+        raise ValueError(f'key is longer than {_MAX_KEY_BYTES} bytes')
     is_deleted = wire.get('deleted') or wire.get('value') is None
-    document = None if is_deleted else base64.b64decode(wire['value'])
-    return StoredItem(wire['key'], int(wire.get('revision', 0)), document)
+    document = None if is_deleted else _decode_base64(wire['value'])
+    return StoredItem(key, integer(wire.get('revision', 0)), document)
+
+
+def _decode_base64(value: Any) -> bytes:
+    """Decode a value, as an empty and so unreadable one if it isn't base64."""
+    try:
+        return base64.b64decode(value)
+    except (ValueError, TypeError):
+        return b''
 
 
 def _encode_base64(document: bytes) -> str:
