Refuse numbers and documents out of range from other gateways

An odd value that one gateway took would be passed on to all: a number of 5000 digits in an occupancy was decoded and overflowed where it is divided, a value of an item that isn't bytes and names of models that aren't texts were taken. Deep nesting and false lengths were refused already; rows keep that.

Evidence: of 10 new rows of test_gateway_messages.py::test_malformed 7 failed before (DID NOT RAISE).

--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -7,6 +7,11 @@
 
 import cbor2
 
+from wasabicross.gateway.message_values import (
+    MAX_NUMBER,
+    are_texts,
+    simple_fields,
+)
 from wasabicross.gateway.store import StoredItem
 from wasabicross.messaging.errors import MessageMalformed
 
@@ -323,32 +328,21 @@
     return tuple(value) if isinstance(value, list) else value
 
 
-def _simple_fields(kind: Any) -> tuple[tuple[int, type], ...]:
-    """Return the positions and types of the `str`, `int` and `bool` fields."""
-    types = {'str': str, 'int': int, 'bool': bool}
-    names = [
-        getattr(annotation, '__forward_arg__', '')
-        for annotation in kind.__annotations__.values()
-    ]
-    return tuple(
-        (position, types[name])
-        for position, name in enumerate(names)
-        if name in types
-    )
-
-
 _SIMPLE_FIELDS = {
-    kind: _simple_fields(kind)
+    kind: simple_fields(kind)
     for kind in (*_KINDS, HeldAdapter, AdapterUsage, StoredItem)
 }
 
 
 def _checked(message: Any) -> Any:
-    """Return the message after checking the types of its simple fields."""
+    """Return the message after checking the values of its simple fields."""
     for position, kind in _SIMPLE_FIELDS[type(message)]:
-        if not isinstance(message[position], kind):
-            raise TypeError(
-                f'{type(message).__name__}: field {position} is not '
-                f'{kind.__name__}'
-            )
+        found = message[position]
+        is_valid = isinstance(found, kind)
+        if is_valid and kind is int:
+            is_valid = -MAX_NUMBER <= found <= MAX_NUMBER
+        elif is_valid and kind is tuple:
+            is_valid = are_texts(found)
+        if not is_valid:
+            raise TypeError(f'{type(message).__name__}: field {position}')
     return message
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -68,6 +68,17 @@
         cbor2.dumps([[4, [['s1', 'm0', 'a1', 'x']]]]),
         cbor2.dumps([[9, 's1', 5, True, [], [['m0', 'a2', 'x']]]]),
         cbor2.dumps([[7, 3, 5, [['k', 'x', None]]]]),
+        # A value that isn't bytes, and numbers that overflow a fraction.
+        cbor2.dumps([[7, 3, 5, [['k', 4, 7]]]]),
+        cbor2.dumps([[7, 3, 5, [['k', 4, 'x']]]]),
+        cbor2.dumps([[7, 3, 1 << 5000, []]]),
+        cbor2.dumps([[5, 's1', 0, 1 << 5000, 0]]),
+        cbor2.dumps([[5, 's1', 0, -1 << 5000, 0]]),
+        cbor2.dumps([[1, 's1', 0, 0, 0, True, [], [{}]]]),
+        cbor2.dumps([[1, 's1', 0, 0, 0, True, [], 7]]),
+        b'\x81' * 100_000,
+        b'\x81\x5b\xff\xff\xff\xff\xff\xff\xff\xff',
+        b'\x9b\xff\xff\xff\xff\xff\xff\xff\xff',
     ],
 )
 def test_malformed(frame):
