Contain an unforeseen error in one item of a background task

Reported by other operators: machines ended again and again for one odd entry. An error that nobody foresaw ended the task in which it came up; if that follows the store, claims groups, keeps links or starts loaders the whole gateway stopped, and a loader or a link that ended so was never started again.

Change: each of these tasks handles one item at a time within ErrorContainment, which logs `item_failed` (8033, at most one line a second and task) and goes on. Errors that are foreseen are handled where they were.

--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -7,6 +7,7 @@
 import math
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest
@@ -55,13 +56,15 @@
         self._usage = usage
         self._links: dict[str, OwnerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._errors = ErrorContainment('links')
 
     async def run(self) -> None:
         """Keep a link to each owner until cancelled."""
         while True:
-            self._update_links()
-            for state in self._loader_service.states():
-                self._view.on_state(state, now_s())
+            with self._errors.contain('update'):
+                self._update_links()
+                for state in self._loader_service.states():
+                    self._view.on_state(state, now_s())
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def report_usage(self) -> None:
@@ -71,11 +74,15 @@
             is_due = now_s() - all_reported_s >= _USAGE_INTERVAL_S
             if is_due:
                 all_reported_s = now_s()
-            usage = self._usage.changed_usage(include_ongoing=is_due)
-            for host, host_usage in usage.items():
-                self._report_to(host, host_usage)
+            with self._errors.contain('usage'):
+                self._report_all(include_ongoing=is_due)
             await self._wait_for_usage(all_reported_s + _USAGE_INTERVAL_S)
 
+    def _report_all(self, *, include_ongoing: bool) -> None:
+        usage = self._usage.changed_usage(include_ongoing=include_ongoing)
+        for host, host_usage in usage.items():
+            self._report_to(host, host_usage)
+
     async def _wait_for_usage(self, until_s: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0, until_s - now_s())):
--- a/src/wasabicross/gateway/loader_service.py
+++ b/src/wasabicross/gateway/loader_service.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.messages import AdapterUsage, ServerState
 from wasabicross.gateway.orders import EngineClient, LoadRequest
 from wasabicross.gateway.owned_groups import OwnedGroups
@@ -34,11 +35,13 @@
         self._engines = engines
         self._loaders: dict[tuple[str, int], ServerLoader] = {}
         self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._errors = ErrorContainment('loaders')
 
     async def run(self) -> None:
         """Start and stop loaders as engines and owned groups change."""
         while True:
-            self._update_loaders()
+            with self._errors.contain('update'):
+                self._update_loaders()
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def stop(self) -> None:
--- a/src/wasabicross/gateway/owned_groups.py
+++ b/src/wasabicross/gateway/owned_groups.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.ownership import (
     RENEWAL_INTERVAL_S,
@@ -73,13 +74,15 @@
         self._owned: dict[str, _Owned] = {}
         self._groups = all_groups(cfg.data_centres)
         self._retry_at_s: dict[str, float] = {}
+        self._errors = ErrorContainment('groups')
 
     async def run(self) -> None:
         """Claim and renew groups until cancelled."""
         started_s = now_s() + _STARTUP_DELAY_S
         while True:
             for group in self._groups:
-                await self._claim_or_renew(group, started_s)
+                with self._errors.contain(group.name):
+                    await self._claim_or_renew(group, started_s)
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     def current_term(self, group: str, at_s: float) -> OwnershipTerm | None:
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -13,6 +13,7 @@
 from websockets.exceptions import WebSocketException
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
     AdapterUsage,
@@ -93,6 +94,7 @@
         self._view = view
         self._conn: ClientConnection | None = None
         self._is_end_logged = False
+        self._errors = ErrorContainment('link')
         self._calls: dict[int, asyncio.Future[int]] = {}
         self._call_ids = itertools.count(1)
 
@@ -104,12 +106,16 @@
     async def run(self) -> None:
         """Keep the link open until cancelled."""
         while True:
-            try:
-                await self._open()
-            except _LINK_ERRORS as exc:
-                self._log_end(repr(exc))
+            with self._errors.contain(self._host):
+                await self._open_or_log()
             await asyncio.sleep(_RECONNECT_DELAY_S)
 
+    async def _open_or_log(self) -> None:
+        try:
+            await self._open()
+        except _LINK_ERRORS as exc:
+            self._log_end(repr(exc))
+
     async def load(self, request: LoadRequest) -> int:
         """Load an adapter and return its version, 0 if the load failed.
 
@@ -192,7 +198,8 @@
             async with asyncio.timeout(_RECEIVE_TIMEOUT_S):
                 frame = await conn.recv()
             for message in decode(frame):
-                self._on_message(message)
+                with self._errors.contain(type(message).__name__):
+                    self._on_message(message)
 
     @singledispatchmethod
     def _on_message(self, message: Message) -> None:
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -9,6 +9,7 @@
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
@@ -84,6 +85,7 @@
         self._copy = copy
         self._updates = StateUpdates(instance)
         self._links: set[ServerConnection] = set()
+        self._errors = ErrorContainment('owner')
 
     async def run(self, host: str, port: int) -> None:
         """Serve until cancelled.
@@ -179,16 +181,20 @@
     async def _send_updates(self) -> None:
         """Send changes of the engines and heartbeats to all links."""
         while True:
-            states = self._loader_service.states()
-            messages = self._updates.changes(states)
-            heartbeats = self._updates.heartbeats(states, now_s())
-            if heartbeats:
-                messages += (*heartbeats, self._relay.status)
-            if messages:
-                broadcast(self._links, encode(*messages))
-            self._abort_stalled_links()
+            with self._errors.contain('updates'):
+                self._broadcast_updates()
+                self._abort_stalled_links()
             await asyncio.sleep(frame_interval_s(len(self._links)))
 
+    def _broadcast_updates(self) -> None:
+        states = self._loader_service.states()
+        messages = self._updates.changes(states)
+        heartbeats = self._updates.heartbeats(states, now_s())
+        if heartbeats:
+            messages += (*heartbeats, self._relay.status)
+        if messages:
+            broadcast(self._links, encode(*messages))
+
     def _abort_stalled_links(self) -> None:
         """Abort the links of gateways that are gone or no longer read."""
         for conn in self._links:
--- a/src/wasabicross/gateway/probing.py
+++ b/src/wasabicross/gateway/probing.py
@@ -6,6 +6,7 @@
 
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.view import FleetView
 
@@ -23,17 +24,22 @@
         self._view = view
         self._engines = engines
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._errors = ErrorContainment('probes')
 
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
             for server in tuple(self._view.servers.values()):
-                if self._is_due(server):
-                    self._probes[server.server_id] = asyncio.ensure_future(
-                        self._probe(server)
-                    )
+                with self._errors.contain(server.server_id):
+                    self._start_if_due(server)
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
+    def _start_if_due(self, server: BackendServer) -> None:
+        if self._is_due(server):
+            self._probes[server.server_id] = asyncio.ensure_future(
+                self._probe_contained(server)
+            )
+
     def _is_due(self, server: BackendServer) -> bool:
         health = self._view.health[server.server_id]
         if server.server_id in self._probes or not health.needs_probe:
@@ -43,6 +49,10 @@
             return False
         return at_s >= health.excluded_until_s
 
+    async def _probe_contained(self, server: BackendServer) -> None:
+        with self._errors.contain(server.server_id):
+            await self._probe(server)
+
     async def _probe(self, server: BackendServer) -> None:
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/server_loader.py
@@ -20,6 +20,7 @@
     USAGE_WAIT_S,
     EngineSlots,
 )
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import DocumentUnreadable, ServerError
 from wasabicross.gateway.load_admission import LoadAdmission
 from wasabicross.gateway.messages import (
@@ -89,12 +90,19 @@
             server, self.slots, engines, view, current_term
         )
         self._model_retry_at_s = -math.inf
+        self._errors = ErrorContainment('loader')
 
     async def run(self) -> None:
         """Order the requested loads until cancelled."""
         try:
             while True:
-                await self._run_once()
+                has_failed = True
+                with self._errors.contain(self.server.server_id):
+                    await self._run_once()
+                    has_failed = False
+                if has_failed:
+                    self._fail_all()
+                    await asyncio.sleep(_REPORT_RETRY_S)
                 await self._wait()
         finally:
             self._fail_all()
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.changes import ServerEntryUpdate
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.messages import StoreStatus, StoreUpdate
 from wasabicross.gateway.store import FleetStore, StoreResult, UnreadableEntry
@@ -85,6 +86,7 @@
         self._revision: int | None = None
         self._is_lost = False
         self._unreadable: dict[str, int] = {}
+        self._errors = ErrorContainment('store')
         self.is_initialised = asyncio.Event()
 
     async def run(self) -> None:
@@ -98,7 +100,10 @@
                 self._view.remove_expired(now_s())
                 await asyncio.sleep(_RELAYED_CHECK_INTERVAL_S)
                 continue
-            await asyncio.sleep(await self._call_store())
+            delay_s = retry_interval_s(self._watchers())
+            with self._errors.contain('call'):
+                delay_s = await self._call_store()
+            await asyncio.sleep(delay_s)
 
     def on_status(self, relay: str, status: StoreStatus) -> None:
         """Record the status of a relay.
@@ -222,7 +227,8 @@
     def _apply(self, result: StoreResult) -> None:
         before = self._view.configuration
         for change in result.changes:
-            self._view.apply(change, now_s())
+            with self._errors.contain(type(change).__name__):
+                self._view.apply(change, now_s())
         current = self._view.configuration
         if current is not None and current is not before:
             metrics.CONFIGURATION_VERSION.set(current.version)
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -71,6 +71,7 @@
     SERVER_PAUSED = EventKind(8029, 'WARNING')
     LINK_OPEN = EventKind(8031, 'INFO')
     LINK_ENDED = EventKind(8032, 'WARNING')
+    ITEM_FAILED = EventKind(8033, 'ERROR')
     REQUEST_SENT = EventKind(8041, 'INFO')
     REQUEST_REFUSED = EventKind(8042, 'WARNING')
     REQUEST_FAILED = EventKind(8043, 'ERROR')
