Answer callers that state a huge number of tokens

A request with a `Token-Count` of 400 or 3000 digits was read whole and ended with a closed connection and no answer: the number overflowed where the time of its prefill is estimated (OverflowError); over 4300 digits int() itself refuses.

A number of over nine digits now counts as none.

--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -17,6 +17,7 @@
 )
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
 from wasabicross.gateway.server_notices import ServerNotice
+from wasabicross.platform.values import digits
 
 #: Id of a request; each answer repeats it.
 REQUEST_ID = b'request-id'
@@ -42,6 +43,9 @@
 _REFUSED = (429, 503)
 _FIRST_SERVER_ERROR = 500
 
+#: Longest number of tokens that is believed.
+_MAX_TOKEN_DIGITS = 9
+
 #: Fields that only the gateway may send to a server; those of callers are
 #: removed.
 _RESERVED = frozenset(
@@ -165,8 +169,7 @@
 
 def _prompt_tokens(counts: str) -> int:
     """Return the prompt length, the first of two comma-separated counts."""
-    first = counts.partition(',')[0].strip()
-    return int(first) if first.isascii() and first.isdigit() else 0
+    return _tokens(counts.partition(',')[0])
 
 
 def _shared_tokens(parts: str) -> int:
@@ -175,10 +178,16 @@
     Parts are pairs `ID:TOKENS`, separated by commas. The last one belongs to
     the request itself.
     """
-    lengths = [part.partition(':')[2].strip() for part in parts.split(',')]
-    return sum(
-        int(each) for each in lengths[:-1] if each.isascii() and each.isdigit()
-    )
+    lengths = [part.partition(':')[2] for part in parts.split(',')]
+    return sum(_tokens(each) for each in lengths[:-1])
+
+
+def _tokens(count: str) -> int:
+    """Return a number of tokens, 0 if it is missing or improper."""
+    try:
+        return digits(count.strip(), _MAX_TOKEN_DIGITS)
+    except ValueError:
+        return 0
 
 
 def _gateway_fields(options: ForwardingOptions) -> Fields:
