Log servers that crash under requests, and the parts these have in common

What callers saw: one part of a prompt crashes each server that begins to write an answer on it, one after the other. Nothing in the log says what the requests have in common, so the cause could not be read from it.

A gateway now tells a server that ended without notice (a new connection is refused, and it was listed and not leaving) from one that broke an answer off, counts the crash against the parts of the requests that it had begun to answer at most 0.25 s before, except those that ran soundly within 3 s, and clears the parts of answers that went on for 0.5 s or ended whole. Crashes and cleared parts are sent over the links between gateways, at once and as a bounded table when a link opens. Events 8071 to 8075, two metrics. Nothing is refused yet.

Ruled out: parts of requests without an answer's head. Most of these only waited or were being prefilled.

--- /dev/null
+++ b/src/wasabicross/gateway/crash_sharing.py
@@ -0,0 +1,120 @@
+"""Shares what gateways know of crashed servers over their links."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import (
+    MAX_PARTS,
+    Crash,
+    CrashEvidence,
+    CrashKey,
+)
+from wasabicross.gateway.crash_log import logged_changes
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+
+_MS_PER_S = 1000
+
+#: Longest part that is accepted from another gateway.
+_MAX_PART_LENGTH = 64
+
+CrashMessage: TypeAlias = ServerCrash | PartsCleared
+Sender: TypeAlias = Callable[[CrashMessage], None]
+
+
+class CrashSharing:
+    """Shares crashes and cleared parts with all gateways.
+
+    A gateway sends what it finds to owners of servers, and owners send what is
+    new to them to all gateways that are linked to them. The two sides of a new
+    link send each other all crashes that they know.
+
+    :param evidence: what this gateway knows.
+    """
+
+    def __init__(self, evidence: CrashEvidence) -> None:
+        self._evidence = evidence
+        #: Sends to some owners, and to all gateways linked to this one.
+        self.to_owners: Sender = _ignore
+        self.to_linked: Sender = _ignore
+
+    def table(self) -> tuple[ServerCrash, ...]:
+        """Return all crashes, for the other side of a new link."""
+        at_s = now_s()
+        return tuple(
+            _crash_message(crash, at_s) for crash in self._evidence.crashes
+        )
+
+    def report_crash(self, crash: Crash) -> None:
+        """Record a crash that this gateway found, and send it.
+
+        :param crash: the crash.
+        """
+        at_s = now_s()
+        with logged_changes(self._evidence):
+            new = self._evidence.add(crash, at_s)
+        if new:
+            self._send(_crash_message(crash._replace(parts=new), at_s))
+
+    def report_sound(self, parts: tuple[str, ...]) -> None:
+        """Record that an answer has gone on for a while or was complete.
+
+        :param parts: the parts of its request's prompt.
+        """
+        at_s = now_s()
+        if not self._evidence.is_suspect(parts):
+            self._evidence.clear(parts, at_s)
+            return
+        with logged_changes(self._evidence):
+            cleared = self._evidence.clear(parts, at_s)
+        if cleared:
+            self._send(PartsCleared(0, cleared))
+
+    def on_message(self, message: CrashMessage, *, is_relayed: bool) -> None:
+        """Handle a message of another gateway.
+
+        :param message: the message.
+        :param is_relayed: whether it came from an owner, which sends it to all
+            others too.
+        """
+        at_s = now_s() - message.age_ms / _MS_PER_S
+        parts = tuple(
+            part
+            for part in message.parts[:MAX_PARTS]
+            if isinstance(part, str) and len(part) <= _MAX_PART_LENGTH
+        )
+        with logged_changes(self._evidence):
+            if isinstance(message, PartsCleared):
+                changed = bool(self._evidence.clear(parts, at_s))
+            else:
+                changed = self._add(message, parts, at_s)
+        if changed and not is_relayed:
+            self.to_linked(message)
+
+    def _add(
+        self, message: ServerCrash, parts: tuple[str, ...], at_s: float
+    ) -> bool:
+        """Record a crash; tell others which parts this gateway knows sound."""
+        key = CrashKey(message.server_id, message.start_ms)
+        crash = Crash(key, at_s, frozenset(parts))
+        new = self._evidence.add(crash, now_s())
+        sound = self._evidence.sound_at(parts, at_s)
+        for part, sound_s in sound.items():
+            age_ms = int((now_s() - sound_s) * _MS_PER_S)
+            self._send(PartsCleared(max(0, age_ms), (part,)))
+        return bool(new)
+
+    def _send(self, message: CrashMessage) -> None:
+        self.to_owners(message)
+        self.to_linked(message)
+
+
+def _crash_message(crash: Crash, at_s: float) -> ServerCrash:
+    age_ms = int((at_s - crash.at_s) * _MS_PER_S)
+    return ServerCrash(*crash.key, max(0, age_ms), tuple(sorted(crash.parts)))
+
+
+def _ignore(_message: CrashMessage) -> None:
+    """Send nothing, as no link is set up yet."""
--- /dev/null
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -0,0 +1,272 @@
+"""Finds out which servers crashed under requests that they began to answer."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import NamedTuple
+
+from wasabicross.gateway import metrics
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import (
+    Crash,
+    CrashEvidence,
+    CrashKey,
+    Verdict,
+)
+from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.view import FleetView
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
+
+#: A server that ends later than this after the start of an answer didn't crash
+#: because of its request.
+_BEGUN_S = 0.25
+
+#: Time after the start of an answer from which on its request counts as sound.
+_SOUND_AFTER_S = 0.5
+
+#: Timeout of a connection that tells whether a server has ended, number of
+#: tries, and the pause between them.
+_CONNECT_TIMEOUT_S = 0.15
+_TRIES = 2
+_RETRY_PAUSE_S = 0.08
+
+#: Pause after which a server that broke an answer off and still accepts
+#: connections is tried again.
+_RECHECK_S = 1.0
+
+#: Most servers whose last check is remembered.
+_MAX_CHECKS = 1024
+
+#: Most requests that one log line names.
+_MAX_NAMED = 8
+
+
+class _Suspect(NamedTuple):
+    """A request whose answer ended with its server."""
+
+    request_id: str
+    since_start_s: float
+    parts: tuple[str, ...]
+
+
+class _Check:
+    """Whether one incarnation of a server has ended.
+
+    :param at_s: when an answer was broken off, monotonic seconds.
+    """
+
+    def __init__(self, at_s: float) -> None:
+        self.at_s = at_s
+        self.suspects: list[_Suspect] = []
+        self.has_crashed = False
+        self.is_done = asyncio.Event()
+
+
+class CrashWatch:
+    """Tells crashed servers from others that broke off answers.
+
+    :param view: the servers.
+    :param evidence: the parts of prompts that may crash servers.
+    :param sharing: shares the evidence.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        evidence: CrashEvidence,
+        sharing: CrashSharing,
+    ) -> None:
+        self._view = view
+        self._evidence = evidence
+        #: Shares the evidence with other gateways.
+        self.sharing = sharing
+        self._checks: dict[CrashKey, _Check] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def begin(self, server: BackendServer, info: RequestInfo) -> WatchedAttempt:
+        """Return an object that follows one attempt of a request.
+
+        :param server: the server that it is sent to.
+        :param info: what the header fields of the request state.
+        """
+        return WatchedAttempt(self, server, info)
+
+    def guard(self, parts: tuple[str, ...]) -> RequestGuard:
+        """Return an object that keeps one request from crashing servers.
+
+        :param parts: the parts of its prompt.
+        """
+        return RequestGuard(self._evidence, parts)
+
+    def on_sound(self, parts: tuple[str, ...]) -> None:
+        """Record that the answer to a request went on.
+
+        :param parts: the parts of its prompt.
+        """
+        self.sharing.report_sound(parts)
+
+    async def on_broken(
+        self, server: BackendServer, info: RequestInfo, since_start_s: float
+    ) -> bool:
+        """Record an answer that broke off; return whether its server crashed.
+
+        :param server: the server.
+        :param info: what the header fields of the request state.
+        :param since_start_s: time since the answer began, seconds.
+        """
+        if since_start_s > _BEGUN_S or not info.parts:
+            return False
+        if not self._is_expected(server):
+            return False
+        check = self._check_of(server)
+        suspect = _Suspect(info.request_id, since_start_s, info.parts)
+        check.suspects.append(suspect)
+        if check.is_done.is_set():
+            self._report(server, check)
+        await check.is_done.wait()
+        return check.has_crashed
+
+    def _is_expected(self, server: BackendServer) -> bool:
+        """Return whether a server is listed and not known to leave."""
+        listed = self._view.servers.get(server.server_id)
+        if listed is None or listed.start_ms != server.start_ms:
+            return False
+        return not listed.is_leaving and not self._view.notices.is_leaving(
+            listed
+        )
+
+    def _check_of(self, server: BackendServer) -> _Check:
+        """Return the check of a server that broke an answer off."""
+        key = CrashKey(server.server_id, server.start_ms)
+        check = self._checks.get(key)
+        at_s = now_s()
+        if check is not None and (
+            check.has_crashed
+            or not check.is_done.is_set()
+            or at_s < check.at_s + _RECHECK_S
+        ):
+            return check
+        check = self._checks[key] = _Check(at_s)
+        if len(self._checks) > _MAX_CHECKS:
+            self._checks.pop(next(iter(self._checks)))
+        task = asyncio.ensure_future(self._run_check(server, check))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return check
+
+    async def _run_check(self, server: BackendServer, check: _Check) -> None:
+        try:
+            for attempt in range(_TRIES):
+                if attempt:
+                    await asyncio.sleep(_RETRY_PAUSE_S)
+                if await _is_refused(server.host, server.port):
+                    check.has_crashed = self._is_expected(server)
+                    break
+        finally:
+            check.is_done.set()
+        self._report(server, check)
+
+    def _report(self, server: BackendServer, check: _Check) -> None:
+        """Report the suspects of a crash that aren't reported yet."""
+        suspects = check.suspects
+        check.suspects = []
+        if not check.has_crashed:
+            return
+        suspects.sort(key=lambda each: each.since_start_s)
+        log_event(
+            Event.SERVER_CRASHED,
+            server=server.server_id,
+            start_ms=server.start_ms,
+            confirmed='connection refused',
+            requests=[
+                f'{each.request_id} {each.since_start_s:.3f}'
+                for each in suspects[:_MAX_NAMED]
+            ],
+            count=len(suspects),
+        )
+        metrics.CRASHES.inc()
+        parts = frozenset(part for each in suspects for part in each.parts)
+        key = CrashKey(server.server_id, server.start_ms)
+        self.sharing.report_crash(Crash(key, check.at_s, parts))
+
+
+class RequestGuard:
+    """Keeps a request from servers if it would crash them.
+
+    :param evidence: the parts of prompts that may crash servers.
+    :param parts: the parts of its prompt.
+    """
+
+    def __init__(self, evidence: CrashEvidence, parts: tuple[str, ...]) -> None:
+        self._evidence = evidence
+        self._parts = parts
+        self._is_trial = False
+
+    def refuses(self) -> bool:
+        """Return whether the request may not be sent to a server now."""
+        if self._is_trial or not self._parts:
+            return False
+        verdict = self._evidence.verdict(self._parts, now_s())
+        if verdict is Verdict.trial:
+            self._is_trial = True
+            log_event(Event.PART_TRIED, parts=list(self._parts)[:_MAX_NAMED])
+        return verdict is Verdict.refused
+
+
+class WatchedAttempt:
+    """One attempt of a request at a server.
+
+    :param watch: is told how the attempt goes.
+    :param server: the server.
+    :param info: what the header fields of the request state.
+    """
+
+    def __init__(
+        self, watch: CrashWatch, server: BackendServer, info: RequestInfo
+    ) -> None:
+        self._watch = watch
+        self._server = server
+        self._info = info
+        self._started_s = math.inf
+        self._is_sound = False
+
+    def on_start(self) -> None:
+        """Record that the server has begun to answer."""
+        self._started_s = now_s()
+
+    def on_progress(self) -> None:
+        """Record that the answer goes on."""
+        if not self._is_sound and now_s() >= self._started_s + _SOUND_AFTER_S:
+            self.on_success()
+
+    def on_success(self) -> None:
+        """Record that the answer is complete or has gone on for a while."""
+        if self._info.parts and not self._is_sound:
+            self._watch.on_sound(self._info.parts)
+        self._is_sound = True
+
+    async def on_broken(self) -> bool:
+        """Return whether the server crashed as it began to answer."""
+        since_start_s = now_s() - self._started_s
+        if since_start_s < 0:
+            return False
+        return await self._watch.on_broken(
+            self._server, self._info, since_start_s
+        )
+
+
+async def _is_refused(host: str, port: int) -> bool:
+    """Return whether no process accepts connections at an address."""
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return False
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -22,6 +22,7 @@
     :param prompt_tokens: length of its prompt, 0 if not stated.
     :param shared_tokens: length of the start of its prompt that other requests
         may share, 0 if not stated.
+    :param parts: the parts of its prompt that other requests may share.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     last_event_id: str
     prompt_tokens: int = 0
     shared_tokens: int = 0
+    parts: tuple[str, ...] = ()
 
 
 class ForwardingOptions(NamedTuple):
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -5,8 +5,11 @@
 import asyncio
 import contextlib
 import math
+import random
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest
@@ -27,6 +30,9 @@
 #: takes no orders while such an unload waits.
 _BATCH_DELAY_S = 0.01
 
+#: Most owners that are sent a crash, so that one of them surely gets it.
+_MAX_REPORTED_TO = 4
+
 
 class OwnerLinks:
     """The links to all other owners, and the loads on this gateway's engines.
@@ -38,6 +44,7 @@
     :param usage: usage of adapters by this gateway's requests.
     :param store_updates: handles the store changes that owners of this data
         centre relay.
+    :param crashes: shares what gateways know of crashed servers.
     """
 
     def __init__(
@@ -47,7 +54,10 @@
         loader_service: LoaderService,
         usage: UsageTracker,
         store_updates: StoreUpdateHandler,
+        crashes: CrashSharing | None = None,
     ) -> None:
+        self._crashes = crashes or CrashSharing(CrashEvidence(cfg.instance))
+        self._crashes.to_owners = self._send_to_owners
         self._store_updates = store_updates
         self._cfg = cfg
         self._view = view
@@ -103,6 +113,14 @@
         link = self._links.get(host)
         return await link.load(request) if link else 0
 
+    def _send_to_owners(self, message: CrashMessage) -> None:
+        """Send a message to some owners, which send it to all gateways."""
+        links = [link for link in self._links.values() if link.is_open]
+        if len(links) > _MAX_REPORTED_TO:
+            links = random.sample(links, _MAX_REPORTED_TO)
+        for link in links:
+            link.report_crash(message)
+
     def _update_links(self) -> None:
         hosts = {record.host for record in self._view.owners.values()}
         hosts.discard(self._cfg.host)
@@ -116,6 +134,7 @@
                 self._cfg.peer_port,
                 self._view,
                 self._store_updates,
+                self._crashes,
             )
             self._links[host] = link
             self._tasks[host] = asyncio.ensure_future(link.run())
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -7,6 +7,7 @@
 
 import cbor2
 
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 from wasabicross.gateway.store import StoredItem
 from wasabicross.messaging.errors import MessageMalformed
 
@@ -228,6 +229,8 @@
     | StoreStatus
     | HeldAdaptersUpdate
     | StoreCopyRequest
+    | ServerCrash
+    | PartsCleared
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -243,6 +246,8 @@
     StoreStatus,
     HeldAdaptersUpdate,
     StoreCopyRequest,
+    ServerCrash,
+    PartsCleared,
 )
 
 _DECODING_ERRORS = (
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -70,6 +70,15 @@
     'wasabicross_gateway_configuration_version',
     'Version of the configuration in force.',
 )
+CRASHES = Counter(
+    'wasabicross_gateway_server_crashes',
+    'Servers found crashed under requests that they had begun to answer.',
+)
+PARTS = Counter(
+    'wasabicross_gateway_prompt_parts',
+    'Parts of prompts by how the evidence of crashes against them changed.',
+    ('change',),
+)
 UNDER_WAY = Gauge(
     'wasabicross_gateway_under_way',
     'Requests that are being answered.',
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -13,6 +13,9 @@
 from websockets.exceptions import WebSocketException
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
     AdapterUsage,
@@ -71,6 +74,7 @@
     :param port: its port for other gateways.
     :param view: updated with the states that the owner reports.
     :param store_updates: handles the store changes that the owner relays.
+    :param crashes: shares what gateways know of crashed servers.
     """
 
     def __init__(
@@ -80,7 +84,9 @@
         port: int,
         view: FleetView,
         store_updates: StoreUpdateHandler,
+        crashes: CrashSharing | None = None,
     ) -> None:
+        self._crashes = crashes or CrashSharing(CrashEvidence())
         self._instance = instance
         self._store_updates = store_updates
         #: Whether the owner relays store changes to this gateway.
@@ -149,6 +155,14 @@
         if self._conn is not None:
             _send(self._conn, UsageUpdate(usage, is_complete))
 
+    def report_crash(self, message: CrashMessage) -> None:
+        """Send what this gateway knows of a crash, unless the link is closed.
+
+        :param message: the crash, or the parts that are cleared.
+        """
+        if self._conn is not None:
+            _send(self._conn, message)
+
     async def _connected_socket(self) -> socket.socket:
         """Return a socket that is connected to the owner."""
         sock = socket.socket()
@@ -179,7 +193,9 @@
                 self._on_end()
 
     async def _serve(self, conn: ClientConnection) -> None:
-        _send(conn, Hello(self._instance))
+        broadcast(
+            (conn,), encode(Hello(self._instance), *self._crashes.table())
+        )
         self._conn = conn
         self.needs_usage = True
         self._is_end_logged = False
@@ -210,6 +226,11 @@
     def _(self, message: ServerOccupancy) -> None:
         self._view.on_occupancy(message, now_s())
 
+    @_on_message.register(ServerCrash)
+    @_on_message.register(PartsCleared)
+    def _(self, message: CrashMessage) -> None:
+        self._crashes.on_message(message, is_relayed=True)
+
     @_on_message.register
     def _(self, message: StoreUpdate) -> None:
         self._store_updates.on_update(message)
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -9,6 +9,9 @@
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
@@ -69,6 +72,7 @@
     :param loader_service: loads on the owned engines.
     :param relay: relays store changes over the links.
     :param copy: this gateway's copy of the store's content.
+    :param crashes: shares what gateways know of crashed servers.
     """
 
     def __init__(
@@ -77,7 +81,10 @@
         loader_service: LoaderService,
         relay: StoreRelay,
         copy: StoreCopy,
+        crashes: CrashSharing | None = None,
     ) -> None:
+        self._crashes = crashes or CrashSharing(CrashEvidence())
+        self._crashes.to_linked = self._send_to_all
         self._instance = instance
         self._loader_service = loader_service
         self._relay = relay
@@ -117,7 +124,8 @@
         # that no change is missed.
         self._links.add(conn)
         states = self._loader_service.states()
-        broadcast((conn,), encode(Hello(self._instance), *states))
+        crashes = self._crashes.table()
+        broadcast((conn,), encode(Hello(self._instance), *states, *crashes))
         loads: set[asyncio.Task[None]] = set()
         try:
             async for frame in conn:
@@ -151,11 +159,20 @@
             task.add_done_callback(loads.discard)
         elif isinstance(message, StoreUpdatesRequest):
             self._relay.add(conn)
+        elif isinstance(message, ServerCrash | PartsCleared):
+            self._crashes.on_message(message, is_relayed=False)
         elif isinstance(message, UsageUpdate):
-            if message.is_complete:
-                self._loader_service.forget_usage(instance)
-            for each in message.usage:
-                self._loader_service.on_use(instance, each)
+            self._on_usage(instance, message)
+
+    def _on_usage(self, instance: str, update: UsageUpdate) -> None:
+        if update.is_complete:
+            self._loader_service.forget_usage(instance)
+        for each in update.usage:
+            self._loader_service.on_use(instance, each)
+
+    def _send_to_all(self, message: CrashMessage) -> None:
+        """Send a message to all linked gateways without waiting."""
+        broadcast(self._links, encode(message))
 
     async def _load(self, conn: ServerConnection, request: LoadWanted) -> None:
         version = await self._loader_service.load(
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -128,12 +128,16 @@
             lambda: self._owned_groups.owns_any,
             self._request_copy,
         )
+        servers = ServerAccess.from_parts(
+            cfg.instance, self.view, platform.pool, platform.dialect
+        )
         self._links = OwnerLinks(
             cfg,
             self.view,
             self._loader_service,
             self._usage,
             self._follower,
+            servers.crashes.sharing,
         )
         placer = RetryingPlacer(
             self.view, self._usage, self._links, cfg.data_centre
@@ -142,7 +146,7 @@
             cfg.retry_ratio, cfg.retry_slack, self.view
         )
         self._shared = HandlerDependencies(
-            ServerAccess(self.view, platform.pool, platform.dialect),
+            servers,
             placer,
             self._usage,
             self._budgets.for_service,
@@ -207,6 +211,7 @@
             self._loader_service,
             self._relay,
             self._follower.copy,
+            self._shared.servers.crashes.sharing,
         )
         prober = Prober(self.view, self._platform.engines)
         yield from (
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -38,6 +38,8 @@
         #: Whether a server may have run the request or may still run it.
         self.may_run = False
         self.has_succeeded = False
+        #: Whether a server crashed as it began to answer.
+        self.has_crashed = False
         #: Status of the latest server's answer, 0 for none, and why the answer
         #: is missing or incomplete.
         self.status = 0
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from wasabicross.gateway.caller_connections import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route, RouteKind
 from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import (
     AnswerKind,
     Dialect,
@@ -72,6 +75,26 @@
     view: FleetView
     pool: ConnectionPool
     dialect: Dialect
+    crashes: CrashWatch
+
+    @classmethod
+    def from_parts(
+        cls,
+        instance: str,
+        view: FleetView,
+        pool: ConnectionPool,
+        dialect: Dialect,
+    ) -> Self:
+        """Return what all attempts of a gateway share.
+
+        :param instance: name of this machine.
+        :param view: the servers.
+        :param pool: connections to them.
+        :param dialect: conventions for requests and answers.
+        """
+        evidence = CrashEvidence(instance)
+        watch = CrashWatch(view, evidence, CrashSharing(evidence))
+        return cls(view, pool, dialect, watch)
 
 
 class ServerAttempt:
@@ -102,6 +125,7 @@
         :param placement: the server.
         """
         server = placement.server
+        self._watched = self._servers.crashes.begin(server, self._context.info)
         health = self._servers.view.health[server.server_id]
         runs_once = not self._route.is_idempotent
         try:
@@ -124,6 +148,8 @@
             # The fault may be the reused connection's; a new one may work.
             if isinstance(exc, AnswerOverdue) or not conn.is_reused:
                 self._progress.excluded.add(server.server_id)
+            if not isinstance(exc, AnswerOverdue):
+                self._progress.has_crashed |= await self._watched.on_broken()
             return Ending.unknown
         except BaseException:
             conn.close()
@@ -158,6 +184,7 @@
             await self._discard_body(conn)
             return self._handle_not_run(placement, kind)
         self._context.usage.on_prefilled()
+        self._watched.on_start()
         prefill.on_answer(now_s())
         return await self._forward_answer(conn, placement, head)
 
@@ -226,6 +253,7 @@
             await self._forward_body(conn, head)
         if succeeded:
             health.on_answer()
+            self._watched.on_success()
         self._progress.has_succeeded = succeeded
         return Ending.done
 
@@ -264,6 +292,7 @@
                 self._progress.longest_pause_s, now_s() - last_s
             )
             last_s = now_s()
+            self._watched.on_progress()
             await self._answer.send_chunk(events)
         partial = splitter.discard_partial()
         if partial:
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.dialect import (
     AnswerKind,
@@ -38,6 +40,9 @@
 #: Path at which the platform asks whether a machine accepts requests.
 READY_PATH = '/-/ready'
 
+#: Longest id of a part of a prompt that is kept as it is, in characters.
+_MAX_PART_ID = 16
+
 _MISDIRECTED = 421
 _REFUSED = (429, 503)
 _FIRST_SERVER_ERROR = 500
@@ -84,6 +89,7 @@
         :param req: the request as the caller sent it.
         """
         time_left_ms = number_field(req.fields, _TIME_LEFT_MS)
+        prefix = field(req.fields, _PROMPT_PREFIX)
         return RequestInfo(
             request_id=field(req.fields, REQUEST_ID),
             adapter=_adapter(field(req.fields, _MODEL)),
@@ -92,7 +98,8 @@
             else time_left_ms / _MS_IN_S,
             last_event_id=field(req.fields, _LAST_EVENT_ID),
             prompt_tokens=_prompt_tokens(field(req.fields, _TOKEN_COUNT)),
-            shared_tokens=_shared_tokens(field(req.fields, _PROMPT_PREFIX)),
+            shared_tokens=_shared_tokens(prefix),
+            parts=_shared_parts(prefix),
         )
 
     def request(
@@ -181,6 +188,29 @@
     )
 
 
+def _shared_parts(parts: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last.
+
+    A long id is replaced by a digest.
+    """
+    shared = parts.rpartition(',')[0]
+    if not shared:
+        return ()
+    part_ids = (part.partition(':')[0].strip() for part in shared.split(','))
+    return tuple(
+        part_id if len(part_id) <= _MAX_PART_ID else _digest(part_id)
+        for part_id in part_ids
+        if part_id
+    )
+
+
+def _digest(text: str) -> str:
+    digest = hashlib.blake2b(
+        text.encode('latin-1', 'replace'), digest_size=_MAX_PART_ID // 2
+    )
+    return digest.hexdigest()
+
+
 def _gateway_fields(options: ForwardingOptions) -> Fields:
     time_left_ms = max(1, int(options.time_left_s * _MS_IN_S))
     fields = [
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -78,6 +78,11 @@
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
     LINES_DROPPED = EventKind(8061, 'WARNING')
+    SERVER_CRASHED = EventKind(8071, 'WARNING')
+    PART_SUSPECTED = EventKind(8072, 'INFO')
+    PART_CONVICTED = EventKind(8073, 'WARNING')
+    PART_CLEARED = EventKind(8074, 'INFO')
+    PART_TRIED = EventKind(8075, 'INFO')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
