Refuse requests with a part of a prompt that crashes servers

What callers saw: one part of a prompt crashes each server that begins to write an answer on it.

Cause: a gateway forgot a request once its server had failed it; the next one with the part found a server that was up again, and a resumable one was sent to a second server at once.

Now a part that was in two separate crashes (0.3 s apart or more) and hasn't run soundly since is convicted; a request with it is refused with 503 before it is sent, or 502 if it was. If other parts were in all of these crashes too, only requests with all of them are refused, until a further crash or a sound run tells them apart, so sound requests of the same caller or first part are served. A request whose server crashed as it began isn't sent to another one.

The tests failed before ('assert 4 == 2', '3 == 2': servers that were crashed).

--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -15,6 +15,7 @@
 from wasabicross.gateway.candidates import PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.crash_watch import RequestGuard
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
@@ -51,6 +52,10 @@
 #: Priority of the load that a request waits for after a server has failed it.
 _HIGHEST_PRIORITY = 0
 
+#: Why a request that would crash the server that runs it is refused. Nothing
+#: that its caller does soon will change that.
+_CRASHES = NoServer('crashes servers', retry_after_s=60.0)
+
 #: Pause before a retry where a server couldn't run the request now.
 _NOT_RUN_PAUSE_S = 0.05
 
@@ -140,8 +145,9 @@
         self._labels = (service, metrics.request_class(route))
         budget = self._deps.budget_for(service)
         budget.add_request()
+        guard = self._deps.servers.crashes.guard(self._info.parts)
         while True:
-            placement = await self._place(route, service)
+            placement = await self._place_unless_refused(route, service, guard)
             if isinstance(placement, NoServer):
                 await self._end_without_answer(
                     placement.reason, placement.retry_after_s
@@ -165,6 +171,15 @@
             f'{route.host}{route.prefix}', self._info.time_left_s
         )
 
+    async def _place_unless_refused(
+        self, route: Route, service: str, guard: RequestGuard
+    ) -> Placement | NoServer:
+        if not guard.refuses():
+            placement = await self._place(route, service)
+            if not guard.refuses():
+                return placement
+        return _CRASHES
+
     async def _place(self, route: Route, service: str) -> Placement | NoServer:
         waited_s = now_s() - self._req.arrived_s
         has_run = self._progress.runs > 0
@@ -202,7 +217,7 @@
         if self._answer.has_started and not route.is_resumable:
             return False
         if ending in {Ending.unknown, Ending.failed}:
-            if not route.is_idempotent:
+            if self._progress.has_crashed or not route.is_idempotent:
                 return False
             if self._progress.runs >= route.max_servers:
                 return False
@@ -259,6 +274,8 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
+        elif reason == _CRASHES.reason:
+            await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
 
--- /dev/null
+++ b/tests/test_gateway_crashing_part.py
@@ -0,0 +1,150 @@
+"""Requests with a part of a prompt that crashes the servers that run it."""
+
+import asyncio
+
+import pytest
+from gateway_parts import running_gateway
+from raw_caller import ask, body_of, request, status_of
+from scripted_server import (
+    HOST,
+    STREAM_END,
+    STREAM_HEAD,
+    ScriptedServer,
+    chunk,
+    events,
+)
+
+from wasabicross.gateway import crash_evidence
+
+
+@pytest.fixture(autouse=True)
+def _no_pause(monkeypatch):
+    """Count crashes separately that the tests cause one right after another."""
+    monkeypatch.setattr(crash_evidence, '_SEPARATE_S', 0)
+
+
+FIRST, DEADLY = 'f0', 'd4'
+#: The whole answer to a request without the deadly part.
+SOUND = [STREAM_HEAD, chunk(events(1, 3)), STREAM_END]
+
+
+class MortalServer(ScriptedServer):
+    """A server whose process ends as it answers a request with a deadly part.
+
+    :param how: what happens on such a request: `crash`, `break` (it breaks all
+        answers off and goes on), or `leave` (it says that it leaves before).
+    """
+
+    def __init__(self, how='crash'):
+        super().__init__(SOUND)
+        self._how = how
+        self._listener = None
+        self._writers = set()
+        self.deadly = 0
+
+    async def start(self):
+        """Listen; return the port."""
+        self._listener = await asyncio.start_server(self._serve, HOST, 0)
+        return self._listener.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _play(self, script, request, reader, writer):
+        if DEADLY not in request.fields.get('prompt-prefix', ''):
+            return await super()._play(script, request, reader, writer)
+        self.deadly += 1
+        head = STREAM_HEAD
+        if self._how == 'leave':
+            head = head.replace(b'Server-S', b'Server-Leaving: 1\r\nServer-S')
+        begun = [head, chunk(events(1, 1)), 0.02]
+        if not await super()._play(begun, request, reader, writer):
+            return False
+        if self._how != 'break':
+            self._listener.close()
+        for each in tuple(self._writers):
+            each.transport.abort()
+        return False
+
+
+def prompt(number, *parts, kind='streaming'):
+    """Return a request with a prompt of these parts and one of its own."""
+    listed = ','.join(f'{part}:100' for part in (*parts, f'own{number}'))
+    return request(
+        f'/{kind}/x', b'x', Request_Id=f'r{number}', Prompt_Prefix=listed
+    )
+
+
+def play(*sent, how='crash', servers=4):
+    """Send requests one after the other; return the answers and servers."""
+
+    async def scenario():
+        mortals = [MortalServer(how) for _ in range(servers)]
+        answers = []
+        async with running_gateway(mortals, service='llm') as bench:
+            for each in sent:
+                answers.append(await ask(bench.port, each))
+        return answers, sum(server.deadly for server in mortals)
+
+    return asyncio.run(scenario())
+
+
+def callers_of_deadly(count, **fields):
+    """Return requests of different callers with the deadly part."""
+    return [
+        prompt(number, FIRST, f'caller{number}', DEADLY, **fields)
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize('kind', ['streaming', 'stream-resumable'])
+def test_a_part_that_crashes_each_server_reaches_no_more_than_two(kind):
+    """Each request with the part crashed one more server."""
+    answers, deadly = play(*callers_of_deadly(5, kind=kind))
+    assert deadly == 2
+    for answer in answers[2:]:
+        assert status_of(answer) == 503
+        assert b'\r\nretry-after: ' in answer.lower()
+
+
+def test_sound_requests_with_the_other_parts_are_served():
+    """A conviction of all parts of a prompt would refuse their callers."""
+    sound = [
+        prompt(9, FIRST, 'caller0'),
+        prompt(10, FIRST, 'caller1'),
+        prompt(11, FIRST, 'caller9'),
+    ]
+    answers, deadly = play(*callers_of_deadly(3), *sound)
+    assert deadly == 2
+    assert [body_of(each) for each in answers[3:]] == [events(1, 3)] * 3
+
+
+@pytest.mark.parametrize('how', ['break', 'leave'])
+def test_servers_that_break_off_or_leave_convict_nothing(how):
+    answers, deadly = play(*callers_of_deadly(4), how=how, servers=5)
+    assert deadly == 4
+    assert all(status_of(each) == 200 for each in answers)
+
+
+def test_callers_that_close_their_connections_convict_nothing():
+    """A caller could have the requests of others refused."""
+
+    async def scenario():
+        server = ScriptedServer([STREAM_HEAD, chunk(events(1, 1)), 5])
+        async with running_gateway([server], service='llm') as bench:
+            for number in range(4):
+                server.gone.clear()
+                sent = prompt(number, FIRST, DEADLY)
+                reader, writer = await asyncio.open_connection(HOST, bench.port)
+                writer.write(sent)
+                await reader.readuntil(b'token 1')
+                writer.transport.abort()
+                async with asyncio.timeout(5):
+                    await server.gone.wait()
+            return bench.gateway._shared.servers.crashes.sharing.table()
+
+    assert not asyncio.run(scenario())
