Send known crashes over a new link in a frame of their own

A gateway's first frame held its name and all crashes that it knew, but an owner reads only the name from the first frame, so an owner that restarted learned nothing ('an owner that restarts learns of all crashes' timed out). The crashes follow in a frame of their own now.

--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -193,9 +193,10 @@
                 self._on_end()
 
     async def _serve(self, conn: ClientConnection) -> None:
-        broadcast(
-            (conn,), encode(Hello(self._instance), *self._crashes.table())
-        )
+        _send(conn, Hello(self._instance))
+        crashes = self._crashes.table()
+        if crashes:
+            _send(conn, *crashes)
         self._conn = conn
         self.needs_usage = True
         self._is_end_logged = False
@@ -262,6 +263,6 @@
         self._is_end_logged = True
 
 
-def _send(conn: ClientConnection, message: Message) -> None:
-    """Send a message without waiting; it is lost if the link is closing."""
-    broadcast((conn,), encode(message))
+def _send(conn: ClientConnection, *messages: Message) -> None:
+    """Send a frame without waiting; it is lost if the link is closing."""
+    broadcast((conn,), encode(*messages))
