--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -7,6 +7,7 @@
 
 import cbor2
 
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 from wasabicross.gateway.message_values import (
     MAX_NUMBER,
     are_texts,
@@ -233,6 +234,8 @@
     | StoreStatus
     | HeldAdaptersUpdate
     | StoreCopyRequest
+    | ServerCrash
+    | PartsCleared
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -248,6 +251,8 @@
     StoreStatus,
     HeldAdaptersUpdate,
     StoreCopyRequest,
+    ServerCrash,
+    PartsCleared,
 )
 
 _DECODING_ERRORS = (
