Call off requests that wait at a server when a part of theirs is convicted

An attempt whose answer hasn't gone on for 0.5 s yet is now ended when a part of its prompt is newly convicted; its caller gets 502, as it was sent. That says nothing about its server's health.

--- a/src/wasabicross/gateway/crash_log.py
+++ b/src/wasabicross/gateway/crash_log.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Iterator
+from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.crash_evidence import CrashEvidence
@@ -14,22 +13,41 @@
 _MAX_NAMED = 16
 
 
-@contextlib.contextmanager
-def logged_changes(evidence: CrashEvidence) -> Iterator[None]:
-    """Log what changes in the evidence meanwhile.
+class Findings(NamedTuple):
+    """What the evidence says at one moment.
 
+    :param suspects: parts against which crashes count.
+    :param convicted: those that are convicted.
+    """
+
+    suspects: frozenset[str]
+    convicted: frozenset[str]
+
+    @classmethod
+    def of(cls, evidence: CrashEvidence) -> Self:
+        """Return what the evidence says now.
+
+        :param evidence: the evidence.
+        """
+        return cls(evidence.suspects(), evidence.convicted())
+
+
+def log_changes(before: Findings, evidence: CrashEvidence) -> frozenset[str]:
+    """Log what has changed; return the parts that are newly convicted.
+
+    :param before: what the evidence said before.
     :param evidence: the evidence.
     """
-    suspects, convicted = evidence.suspects(), evidence.convicted()
-    yield
-    suspects_now, convicted_now = evidence.suspects(), evidence.convicted()
+    after = Findings.of(evidence)
+    convicted = after.convicted - before.convicted
     for event, parts in (
-        (Event.PART_SUSPECTED, suspects_now - suspects),
-        (Event.PART_CONVICTED, convicted_now - convicted),
-        (Event.PART_CLEARED, suspects - suspects_now),
+        (Event.PART_SUSPECTED, after.suspects - before.suspects),
+        (Event.PART_CONVICTED, convicted),
+        (Event.PART_CLEARED, before.suspects - after.suspects),
     ):
         if parts:
             named = sorted(parts)[:_MAX_NAMED]
             crashes = max(evidence.crashes_of(part) for part in named)
             log_event(event, parts=named, count=len(parts), crashes=crashes)
             metrics.PARTS.labels(event.name.lower()).inc(len(parts))
+    return convicted
--- a/src/wasabicross/gateway/crash_sharing.py
+++ b/src/wasabicross/gateway/crash_sharing.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import TypeAlias
 
 from wasabicross.gateway.clock import now_s
@@ -12,7 +13,7 @@
     CrashEvidence,
     CrashKey,
 )
-from wasabicross.gateway.crash_log import logged_changes
+from wasabicross.gateway.crash_log import Findings, log_changes
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 
 _MS_PER_S = 1000
@@ -39,6 +40,8 @@
         #: Sends to some owners, and to all gateways linked to this one.
         self.to_owners: Sender = _ignore
         self.to_linked: Sender = _ignore
+        #: Is told the parts that are newly convicted.
+        self.on_convicted: Callable[[frozenset[str]], None] = _ignore
 
     def table(self) -> tuple[ServerCrash, ...]:
         """Return all crashes, for the other side of a new link."""
@@ -53,7 +56,7 @@
         :param crash: the crash.
         """
         at_s = now_s()
-        with logged_changes(self._evidence):
+        with self._following():
             new = self._evidence.add(crash, at_s)
         if new:
             self._send(_crash_message(crash._replace(parts=new), at_s))
@@ -67,7 +70,7 @@
         if not self._evidence.is_suspect(parts):
             self._evidence.clear(parts, at_s)
             return
-        with logged_changes(self._evidence):
+        with self._following():
             cleared = self._evidence.clear(parts, at_s)
         if cleared:
             self._send(PartsCleared(0, cleared))
@@ -85,7 +88,7 @@
             for part in message.parts[:MAX_PARTS]
             if isinstance(part, str) and len(part) <= _MAX_PART_LENGTH
         )
-        with logged_changes(self._evidence):
+        with self._following():
             if isinstance(message, PartsCleared):
                 changed = bool(self._evidence.clear(parts, at_s))
             else:
@@ -106,6 +109,15 @@
             self._send(PartsCleared(max(0, age_ms), (part,)))
         return bool(new)
 
+    @contextlib.contextmanager
+    def _following(self) -> Iterator[None]:
+        """Log what changes meanwhile, and tell what is newly convicted."""
+        before = Findings.of(self._evidence)
+        yield
+        convicted = log_changes(before, self._evidence)
+        if convicted:
+            self.on_convicted(convicted)
+
     def _send(self, message: CrashMessage) -> None:
         self.to_owners(message)
         self.to_linked(message)
@@ -116,5 +128,5 @@
     return ServerCrash(*crash.key, max(0, age_ms), tuple(sorted(crash.parts)))
 
 
-def _ignore(_message: CrashMessage) -> None:
-    """Send nothing, as no link is set up yet."""
+def _ignore(_message: object) -> None:
+    """Do nothing, as nobody listens yet."""
--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from wasabicross.gateway import metrics
@@ -86,6 +88,8 @@
         self.sharing = sharing
         self._checks: dict[CrashKey, _Check] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._under_way: set[WatchedAttempt] = set()
+        sharing.on_convicted = self._call_off
 
     def begin(self, server: BackendServer, info: RequestInfo) -> WatchedAttempt:
         """Return an object that follows one attempt of a request.
@@ -102,6 +106,18 @@
         """
         return RequestGuard(self._evidence, parts)
 
+    @contextlib.contextmanager
+    def following(self, attempt: WatchedAttempt) -> Iterator[None]:
+        """Call an attempt off if a part of its prompt is convicted meanwhile.
+
+        :param attempt: the attempt.
+        """
+        self._under_way.add(attempt)
+        try:
+            yield
+        finally:
+            self._under_way.discard(attempt)
+
     def on_sound(self, parts: tuple[str, ...]) -> None:
         """Record that the answer to a request went on.
 
@@ -130,6 +146,16 @@
         await check.is_done.wait()
         return check.has_crashed
 
+    def _call_off(self, convicted: frozenset[str]) -> None:
+        """Call off the attempts that would crash their servers next."""
+        at_s = now_s()
+        for attempt in tuple(self._under_way):
+            parts = attempt.unproved_parts
+            if convicted.isdisjoint(parts):
+                continue
+            if self._evidence.verdict(parts, at_s) is Verdict.refused:
+                attempt.call_off()
+
     def _is_expected(self, server: BackendServer) -> bool:
         """Return whether a server is listed and not known to leave."""
         listed = self._view.servers.get(server.server_id)
@@ -233,6 +259,33 @@
         self._info = info
         self._started_s = math.inf
         self._is_sound = False
+        self._close: Callable[[], None] | None = None
+        #: Whether it was called off, so its end says nothing about the server.
+        self.is_called_off = False
+
+    @property
+    def unproved_parts(self) -> tuple[str, ...]:
+        """Return the parts of its prompt, none once the answer goes on."""
+        return () if self._is_sound else self._info.parts
+
+    @contextlib.contextmanager
+    def under_way(self, close: Callable[[], None]) -> Iterator[None]:
+        """Follow the attempt meanwhile.
+
+        :param close: closes its connection to the server.
+        """
+        if not self._info.parts:
+            yield
+            return
+        self._close = close
+        with self._watch.following(self):
+            yield
+
+    def call_off(self) -> None:
+        """End the attempt, as its request would crash the server."""
+        if self._close is not None:
+            self.is_called_off = True
+            self._close()
 
     def on_start(self) -> None:
         """Record that the server has begun to answer."""
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple, Self
 
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.caller_connections import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route, RouteKind
@@ -22,6 +23,7 @@
     AnswerBroken,
     AnswerMissing,
     AnswerOverdue,
+    ServerError,
     ServerUnreachable,
 )
 from wasabicross.gateway.http_heads import CallerRequest, Fields
@@ -37,6 +39,9 @@
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
 
+#: Why an attempt ended early whose request would have crashed the server.
+_CALLED_OFF = 'called off'
+
 _SUCCESS_STATUSES = range(200, 300)
 _FIRST_FAILURE_STATUS = 500
 
@@ -138,18 +143,11 @@
             self._progress.excluded.add(server.server_id)
             return Ending.not_sent
         try:
-            ending = await self._exchange(conn, placement)
+            with self._watched.under_way(conn.close):
+                ending = await self._exchange(conn, placement)
         except (AnswerMissing, AnswerBroken) as exc:
             conn.close()
-            # If the machine is down, its idle connections don't answer either.
-            self._servers.pool.drop_idle(server.host, server.port)
-            self._progress.reason = str(exc)
-            health.on_failure(now_s())
-            # The fault may be the reused connection's; a new one may work.
-            if isinstance(exc, AnswerOverdue) or not conn.is_reused:
-                self._progress.excluded.add(server.server_id)
-            if not isinstance(exc, AnswerOverdue):
-                self._progress.has_crashed |= await self._watched.on_broken()
+            await self._on_broken(conn, server, exc)
             return Ending.unknown
         except BaseException:
             conn.close()
@@ -157,6 +155,24 @@
         self._servers.pool.release(server.host, server.port, conn)
         return ending
 
+    async def _on_broken(
+        self, conn: ServerConnection, server: BackendServer, exc: ServerError
+    ) -> None:
+        """Record that no whole answer came."""
+        if self._watched.is_called_off:
+            self._progress.reason = _CALLED_OFF
+            return
+        # If the machine is down, its idle connections don't answer either.
+        self._servers.pool.drop_idle(server.host, server.port)
+        self._progress.reason = str(exc)
+        self._servers.view.health[server.server_id].on_failure(now_s())
+        # The fault may be the reused connection's; a new one may work.
+        is_overdue = isinstance(exc, AnswerOverdue)
+        if is_overdue or not conn.is_reused:
+            self._progress.excluded.add(server.server_id)
+        if not is_overdue:
+            self._progress.has_crashed |= await self._watched.on_broken()
+
     async def _exchange(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -15,6 +15,7 @@
 )
 
 from wasabicross.gateway import crash_evidence
+from wasabicross.gateway.crash_messages import ServerCrash
 
 
 @pytest.fixture(autouse=True)
@@ -148,3 +149,27 @@
             return bench.gateway._shared.servers.crashes.sharing.table()
 
     assert not asyncio.run(scenario())
+
+
+def test_requests_that_wait_at_a_server_are_called_off():
+    """A request that was sent before the conviction crashed one more server."""
+    silent = [5]
+
+    async def scenario():
+        waiting = ScriptedServer(silent)
+        async with running_gateway([waiting], service='llm') as bench:
+            asking = asyncio.ensure_future(
+                ask(bench.port, prompt(1, FIRST, DEADLY))
+            )
+            async with asyncio.timeout(5):
+                while not waiting.seen:
+                    await asyncio.sleep(0.01)
+            sharing = bench.gateway._shared.servers.crashes.sharing
+            for number in range(2):
+                crash = ServerCrash(f's{number}', 0, number * 400, (DEADLY,))
+                sharing.on_message(crash, is_relayed=True)
+            async with asyncio.timeout(5):
+                await waiting.gone.wait()
+            return await asking
+
+    assert status_of(asyncio.run(scenario())) == 502
