Count a crash against a request whose answer had only its head

A server may send the head of an answer long before it writes the first piece. The time in which a crash counts against a request, and the one after which its parts count as sound, began with the head; a crash at the first piece 0.25 s or more after the head was missed, and a head alone made the parts sound after 0.5 s. Both begin with the first piece of the body now.

Evidence: the rows 'late' of test_a_part_that_crashes_each_server_reaches_no_more_than_two failed before ('assert 4 == 2': servers that were crashed).

--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -257,7 +257,9 @@
         self._watch = watch
         self._server = server
         self._info = info
-        self._started_s = math.inf
+        self._has_begun = False
+        #: When the first piece of the body came.
+        self._first_piece_s = math.inf
         self._is_sound = False
         self._close: Callable[[], None] | None = None
         #: Whether it was called off, so its end says nothing about the server.
@@ -289,11 +291,15 @@
 
     def on_start(self) -> None:
         """Record that the server has begun to answer."""
-        self._started_s = now_s()
+        self._has_begun = True
 
     def on_progress(self) -> None:
-        """Record that the answer goes on."""
-        if not self._is_sound and now_s() >= self._started_s + _SOUND_AFTER_S:
+        """Record that a piece of the body came."""
+        if self._is_sound:
+            return
+        at_s = now_s()
+        self._first_piece_s = min(self._first_piece_s, at_s)
+        if at_s >= self._first_piece_s + _SOUND_AFTER_S:
             self.on_success()
 
     def on_success(self) -> None:
@@ -304,9 +310,10 @@
 
     async def on_broken(self) -> bool:
         """Return whether the server crashed as it began to answer."""
-        since_start_s = now_s() - self._started_s
-        if since_start_s < 0:
+        if not self._has_begun:
             return False
+        # A head may come long before the server writes the first piece.
+        since_start_s = max(0, now_s() - self._first_piece_s)
         return await self._watch.on_broken(
             self._server, self._info, since_start_s
         )
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -32,8 +32,9 @@
 class MortalServer(ScriptedServer):
     """A server whose process ends as it answers a request with a deadly part.
 
-    :param how: what happens on such a request: `crash`, `break` (it breaks all
-        answers off and goes on), or `leave` (it says that it leaves before).
+    :param how: what happens on such a request: `crash`, `late` (the same, long
+        after the head), `break` (it breaks all answers off and goes on), or
+        `leave` (it says that it leaves before).
     """
 
     def __init__(self, how='crash'):
@@ -63,6 +64,8 @@
         if self._how == 'leave':
             head = head.replace(b'Server-S', b'Server-Leaving: 1\r\nServer-S')
         begun = [head, chunk(events(1, 1)), 0.02]
+        if self._how == 'late':
+            begun = [head, 0.4]
         if not await super()._play(begun, request, reader, writer):
             return False
         if self._how != 'break':
@@ -102,10 +105,11 @@
     ]
 
 
+@pytest.mark.parametrize('how', ['crash', 'late'])
 @pytest.mark.parametrize('kind', ['streaming', 'stream-resumable'])
-def test_a_part_that_crashes_each_server_reaches_no_more_than_two(kind):
+def test_a_part_that_crashes_each_server_reaches_no_more_than_two(kind, how):
     """Each request with the part crashed one more server."""
-    answers, deadly = play(*callers_of_deadly(5, kind=kind))
+    answers, deadly = play(*callers_of_deadly(5, kind=kind), how=how)
     assert deadly == 2
     for answer in answers[2:]:
         assert status_of(answer) == 503
