Leave a silent server only once another one takes its request over

What callers saw: a resumable stream was cut, without its end and with no more to come, though its server was sound: it had been silent for a second.

Cause: after four target gaps of silence the connection to the server was closed, on the mere chance that another one could go on: there had been a second candidate and budget when the request was placed. If then no server was found, its adapter couldn't be loaded, it refused, or its connection failed, the stream had nobody left and the caller's connection was closed. The class of fault: something that works is given up before its replacement is secured. The same held for silence before the first token.

Now another server is looked for while the silent one is still awaited; the connection is closed when one is found and the retry budget is taken. If it doesn't take the request after all, the silent server is tried again, since it may be sound. Closing comes before the second send, so a request isn't at work at two servers. A connection that the gateway itself closes no longer looks like the end of an answer without a length.

Ruled out: a longer bound alone (sound servers may be silent for longer still); sending to the second server while the first one works (runs twice).

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -42,10 +42,6 @@
     """The connection ended before an answer; the request may have run."""
 
 
-class AnswerOverdue(AnswerMissing):
-    """The server was silent for so long that another one should take over."""
-
-
 class AnswerBroken(ServerError):
     """The answer ended before it was complete."""
 
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -5,6 +5,7 @@
 import enum
 
 from wasabicross.gateway.event_stream import EventSplitter
+from wasabicross.gateway.retrying_placer import Placement
 
 
 class Ending(enum.Enum):
@@ -13,7 +14,8 @@
     `done`: the caller has its answer. `not_sent`: nothing reached the server.
     `not_run`: the server stated that it hasn't run the request. `not_held`: the
     server lacks the adapter. `unknown`: the request may have run. `failed`: it
-    ran and failed.
+    ran and failed. `replaced`: the server was silent and another one takes the
+    request over.
     """
 
     done = 'done'
@@ -22,6 +24,7 @@
     not_held = 'not held'
     unknown = 'unknown'
     failed = 'failed'
+    replaced = 'replaced'
 
 
 class RequestProgress:
@@ -51,6 +54,10 @@
         #: Longest pause between two parts of the latest server's stream, seconds.
         self.longest_pause_s: float = 0
         self.excluded: set[str] = set()
+        #: Servers that were left for their silence, and the server that takes
+        #: over from the latest one.
+        self.silent: set[str] = set()
+        self.replacement: Placement | None = None
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
 
@@ -61,3 +68,9 @@
         self.first_s = 0
         self.unread_tokens = 0
         self.longest_pause_s = 0
+
+    def take_replacement(self) -> Placement | None:
+        """Return the server that takes over from a silent one, once."""
+        replacement = self.replacement
+        self.replacement = None
+        return replacement
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import NamedTuple, NoReturn
 
@@ -15,7 +16,6 @@
 from wasabicross.gateway.candidates import PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
-from wasabicross.gateway.crash_watch import RequestGuard
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
@@ -95,6 +95,7 @@
             req
         )
         self._progress = RequestProgress(self._info.last_event_id)
+        self._guard = dependencies.servers.crashes.guard(self._info.parts)
         self._server_id = ''
         self._labels = ('', '')
         self._waited_before_s: float = 0
@@ -145,9 +146,8 @@
         self._labels = (service, metrics.request_class(route))
         budget = self._deps.budget_for(service)
         budget.add_request()
-        guard = self._deps.servers.crashes.guard(self._info.parts)
         while True:
-            placement = await self._place_unless_refused(route, service, guard)
+            placement = await self._next_placement(route)
             if isinstance(placement, NoServer):
                 await self._end_without_answer(
                     placement.reason, placement.retry_after_s
@@ -171,26 +171,58 @@
             f'{route.host}{route.prefix}', self._info.time_left_s
         )
 
+    async def _next_placement(self, route: Route) -> Placement | NoServer:
+        replacement = self._progress.take_replacement()
+        if replacement is not None:
+            return replacement
+        placement = await self._place_unless_refused(
+            route, self._progress.excluded | self._progress.silent
+        )
+        if isinstance(placement, NoServer) and self._progress.silent:
+            # A server that was silent may be sound.
+            self._progress.silent.clear()
+            placement = await self._place_unless_refused(
+                route, self._progress.excluded
+            )
+        return placement
+
+    async def _find_replacement(
+        self, route: Route, server_id: str
+    ) -> Placement | None:
+        """Return a server that takes over from a silent one now, if any."""
+        if self._progress.sends >= _MAX_SENDS:
+            return None
+        placement = await self._place_unless_refused(
+            route,
+            self._progress.excluded | self._progress.silent | {server_id},
+        )
+        if isinstance(placement, NoServer):
+            return None
+        budget = self._deps.budget_for(self._labels[0])
+        return placement if budget.spend() else None
+
     async def _place_unless_refused(
-        self, route: Route, service: str, guard: RequestGuard
+        self, route: Route, excluded: set[str]
     ) -> Placement | NoServer:
-        if not guard.refuses():
-            placement = await self._place(route, service)
-            if not guard.refuses():
+        if not self._guard.refuses():
+            placement = await self._place(route, frozenset(excluded))
+            if not self._guard.refuses():
                 return placement
         return _CRASHES
 
-    async def _place(self, route: Route, service: str) -> Placement | NoServer:
+    async def _place(
+        self, route: Route, excluded: frozenset[str]
+    ) -> Placement | NoServer:
         waited_s = now_s() - self._req.arrived_s
         has_run = self._progress.runs > 0
         request = PlacementRequest(
-            service,
+            self._labels[0],
             self._info.adapter,
             _HIGHEST_PRIORITY if has_run else route.priority,
             self._deps.placer.adapter_wait.longest_s(
                 route.target_s, waited_s, has_run=has_run
             ),
-            frozenset(self._progress.excluded),
+            excluded,
             route.target_s,
             self._info.prompt_tokens,
             route.target_s - waited_s - self._waited_before_s,
@@ -212,7 +244,7 @@
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
         """Return whether the request may be sent once more."""
-        if ending is Ending.not_sent:
+        if ending in {Ending.not_sent, Ending.replaced}:
             return True
         if self._answer.has_started and not route.is_resumable:
             return False
@@ -234,7 +266,13 @@
             server_id, self._info.adapter, self._info.prompt_tokens
         )
         context = AttemptContext(
-            self._req, self._info, route, deadline_s, can_fail_over, usage
+            self._req,
+            self._info,
+            route,
+            deadline_s,
+            can_fail_over,
+            usage,
+            functools.partial(self._find_replacement, route, server_id),
         )
         attempt = ServerAttempt(
             self._deps.servers, context, self._progress, self._answer
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import AsyncIterator
 from typing import NamedTuple, Self
 
@@ -22,7 +23,6 @@
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
-    AnswerOverdue,
     ServerError,
     ServerUnreachable,
 )
@@ -35,13 +35,16 @@
     ServerConnection,
     ServerRequest,
 )
-from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.gateway.silence_watch import ReplacementFinder, SilenceWatch
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
 
+#: Why an attempt ended early whose server was silent.
+_SILENCE = 'silence'
+
 _SUCCESS_STATUSES = range(200, 300)
 _FIRST_FAILURE_STATUS = 500
 
@@ -64,6 +67,7 @@
     :param can_fail_over: whether another server could run the request if this
         one is silent.
     :param usage: counts the request at the server.
+    :param find_replacement: finds another server that takes the request over.
     """
 
     req: CallerRequest
@@ -72,6 +76,7 @@
     deadline_s: float
     can_fail_over: bool
     usage: RequestUsage
+    find_replacement: ReplacementFinder
 
 
 class ServerAccess(NamedTuple):
@@ -143,12 +148,14 @@
             self._progress.excluded.add(server.server_id)
             return Ending.not_sent
         try:
+            self._silence = SilenceWatch(
+                self._context.find_replacement, conn.close
+            )
             with self._watched.under_way(conn.close):
                 ending = await self._exchange(conn, placement)
         except (AnswerMissing, AnswerBroken) as exc:
             conn.close()
-            await self._on_broken(conn, server, exc)
-            return Ending.unknown
+            return await self._on_broken(conn, server, exc)
         except BaseException:
             conn.close()
             raise
@@ -157,21 +164,25 @@
 
     async def _on_broken(
         self, conn: ServerConnection, server: BackendServer, exc: ServerError
-    ) -> None:
+    ) -> Ending:
         """Record that no whole answer came."""
         if self._watched.is_called_off:
             self._progress.reason = _CALLED_OFF
-            return
+            return Ending.unknown
         # If the machine is down, its idle connections don't answer either.
         self._servers.pool.drop_idle(server.host, server.port)
-        self._progress.reason = str(exc)
         self._servers.view.health[server.server_id].on_failure(now_s())
+        if self._silence.replacement is not None:
+            self._progress.reason = _SILENCE
+            self._progress.replacement = self._silence.replacement
+            self._progress.silent.add(server.server_id)
+            return Ending.replaced
+        self._progress.reason = str(exc)
         # The fault may be the reused connection's; a new one may work.
-        is_overdue = isinstance(exc, AnswerOverdue)
-        if is_overdue or not conn.is_reused:
+        if not conn.is_reused:
             self._progress.excluded.add(server.server_id)
-        if not is_overdue:
-            self._progress.has_crashed |= await self._watched.on_broken()
+        self._progress.has_crashed |= await self._watched.on_broken()
+        return Ending.unknown
 
     async def _exchange(
         self, conn: ServerConnection, placement: Placement
@@ -186,9 +197,7 @@
         prefill = self._pending_prefill(placement)
         progress.unread_tokens = prefill.tokens
         await conn.send(req)
-        async with self._silence_limit(
-            prefill.max_silence_s(self._route.target_s)
-        ):
+        with self._silence_limit(prefill.max_silence_s(self._route.target_s)):
             head = await conn.read_head(req)
         progress.first_s = now_s() - prefill.sent_s
         progress.status = head.status
@@ -321,7 +330,7 @@
         A resumable stream is forwarded in complete events, so a server that
         sends a byte now and then counts as silent.
         """
-        async with self._silence_limit(self._route.gap_s * _MAX_SILENCE_GAPS):
+        with self._silence_limit(self._route.gap_s * _MAX_SILENCE_GAPS):
             async for chunk in chunks:
                 if self._route.is_resumable:
                     chunk = self._progress.splitter.feed(chunk)
@@ -334,11 +343,12 @@
         runs = self._progress.runs
         return self._route.is_idempotent and runs < self._route.max_servers
 
-    def _silence_limit(self, max_silence_s: float) -> TimeLimit:
+    def _silence_limit(
+        self, max_silence_s: float
+    ) -> contextlib.AbstractContextManager[None]:
         """Limit the wait for a server where another one may take over."""
         can_fail_over = self._context.can_fail_over and self._may_retry
-        limit_s = max_silence_s if can_fail_over else None
-        return TimeLimit(limit_s, AnswerOverdue('silence'))
+        return self._silence.limit(max_silence_s if can_fail_over else None)
 
 
 async def _read_start(chunks: AsyncIterator[bytes]) -> bytes:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -81,6 +81,7 @@
         self.idle_since_s = -math.inf
         #: Whether it has served a request before, so late bytes may still come.
         self.is_reused = False
+        self._is_closed = False
 
     @property
     def is_usable(self) -> bool:
@@ -198,6 +199,7 @@
 
     def close(self) -> None:
         """Close at once, so that the server cancels the running request."""
+        self._is_closed = True
         self._writer.transport.abort()
 
     async def _read_response(self) -> h11.Response:
@@ -244,7 +246,11 @@
     async def _next_event(self) -> _NextEvent:
         event = self._codec.next_event()
         while event is h11.NEED_DATA:
-            self._codec.receive_data(await self._reader.read(_READ_BYTES))
+            received = await self._reader.read(_READ_BYTES)
+            if self._is_closed:
+                # Else an answer without a length would count as complete.
+                raise ConnectionAbortedError('closed by this gateway')
+            self._codec.receive_data(received)
             event = self._codec.next_event()
         return event
 
