Close the connections of scripted servers and pools in tests

Connections that were open when a test's event loop ended were closed by the garbage collector later. Its warning may come while another test parses source, and ends that with 'SystemError: AST constructor recursion depth mismatch' (seen once in test_platform_boundary, and as INTERNALERROR of pytest where a failing test was printed). No check was changed.

--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -228,6 +228,7 @@
 ):
     """Run a gateway that forwards requests to scripted servers."""
     changes = [ConfigurationUpdate(cfg)] if cfg else []
+    pool = ConnectionPool(REQUEST_ID)
     for number, server in enumerate(servers):
         port = await server.start()
         changes.append(server_entry(f'i-{number}', service, port, held))
@@ -238,7 +239,7 @@
         store,
         engines or FakeEngines(),
         PlatformDialect(),
-        ConnectionPool(REQUEST_ID),
+        pool,
         ServerNotices(),
         READY_PATH,
         read_settings or (lambda: settings),
@@ -252,6 +253,9 @@
         finally:
             task.cancel()
             await asyncio.wait((task,))
+            for change in changes:
+                if isinstance(change, ServerEntryUpdate):
+                    pool.drop_idle(HOST, change.server.port)
 
 
 async def _until_ready(gateway, port, has_cfg):
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -42,6 +42,13 @@
         return server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
+        try:
+            await self._answer_all(reader, writer)
+        finally:
+            self.gone.set()
+            writer.close()
+
+    async def _answer_all(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -56,8 +63,6 @@
                     self._scripts.pop(0)
                 if not await self._play(script, request, reader, writer):
                     break
-        self.gone.set()
-        writer.close()
 
     async def _play(self, script, request, reader, writer):
         for step in script:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -50,8 +50,12 @@
     async def scenario():
         server = ScriptedServer(*scripts)
         port = await server.start()
-        client = StoreClient(Address(HOST, port), ConnectionPool(REQUEST_ID))
-        return await run(PlatformStore(client)), server.seen
+        pool = ConnectionPool(REQUEST_ID)
+        client = StoreClient(Address(HOST, port), pool)
+        try:
+            return await run(PlatformStore(client)), server.seen
+        finally:
+            pool.drop_idle(HOST, port)
 
     return asyncio.run(scenario())
 
@@ -63,10 +67,12 @@
         server_entry = BackendServer(
             'i-1', 'llm', HOST, port, 'dc', 4, False, {}, frozenset(), 0
         )
-        client = PlatformEngineClient(
-            ConnectionPool(REQUEST_ID), ServerNotices()
-        )
-        return await run(client, server_entry), server.seen
+        pool = ConnectionPool(REQUEST_ID)
+        client = PlatformEngineClient(pool, ServerNotices())
+        try:
+            return await run(client, server_entry), server.seen
+        finally:
+            pool.drop_idle(HOST, port)
 
     return asyncio.run(scenario())
 
--- a/tests/test_platform_odd_items.py
+++ b/tests/test_platform_odd_items.py
@@ -54,8 +54,12 @@
     async def scenario():
         server = ScriptedServer(*([answer(each)] for each in answers))
         port = await server.start()
-        client = StoreClient(Address(HOST, port), ConnectionPool(REQUEST_ID))
-        return await run(PlatformStore(client)), server.seen
+        pool = ConnectionPool(REQUEST_ID)
+        client = StoreClient(Address(HOST, port), pool)
+        try:
+            return await run(PlatformStore(client)), server.seen
+        finally:
+            pool.drop_idle(HOST, port)
 
     return asyncio.run(scenario())
 
