Believe no answer without an id on a kept connection

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran.

Could it happen here: a refusal that bears the earlier request's id was skipped already (rows that passed before). One without an id was taken for the answer to the present request: 503 to a caller whose request ran, or, with 421, a second send of a request that must not run twice. The same for a late 200: it became the answer of another request. A request without an id of its own, such as an order, took any answer with an id.

Change: servers repeat the id of a request in its answer, so an answer without one counts on a new connection only, and that connection isn't used again. On a kept one the outcome is unknown and the connection is closed. An answer with an id is skipped by a request without one.

--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -81,6 +81,8 @@
         self.idle_since_s = -math.inf
         #: Whether it has served a request before, so late bytes may still come.
         self.is_reused = False
+        #: Whether its answers so far have repeated the ids of their requests.
+        self._echoes_ids = True
 
     @property
     def is_usable(self) -> bool:
@@ -108,14 +110,20 @@
     async def read_head(self, req: ServerRequest) -> AnswerHead:
         """Return the head of the answer; skip answers to other requests.
 
+        An answer without an id may be a late one to any earlier request, so it
+        counts on a new connection only.
+
         :param req: the request that was sent.
-        :raises AnswerMissing: no answer came.
+        :raises AnswerMissing: no answer came, or one without an id.
         """
         request_id = field(req.fields, self._id_field)
         while True:
             response = await self._read_response()
             answer_id = field(response.headers, self._id_field)
-            if not request_id or not answer_id or answer_id == request_id:
+            if answer_id == request_id:
+                return _head_of(response)
+            if not answer_id:
+                self._check_is_new()
                 return _head_of(response)
             await self._skip_answer(req)
 
@@ -185,6 +193,8 @@
 
         :param now_s: the present time, monotonic seconds.
         """
+        if not self._echoes_ids:
+            return False
         trailing = self._codec.trailing_data[0]
         ended = self._codec.our_state is h11.DONE
         if not ended or self._codec.their_state is not h11.DONE or trailing:
@@ -200,6 +210,12 @@
         """Close at once, so that the server cancels the running request."""
         self._writer.transport.abort()
 
+    def _check_is_new(self) -> None:
+        """Check that an answer without an id can only be the present one."""
+        if self.is_reused:
+            raise AnswerMissing('answer without an id on a reused connection')
+        self._echoes_ids = False
+
     async def _read_response(self) -> h11.Response:
         try:
             event = await self._read_final_event()
