Send a request again to the same server on a new connection

A server that lacked an adapter answered 421 twice; the request was sent there again after the load, on the same connection and with the same id. The second 421 counted as the answer to that, though the server ran the request, and it was sent a third time.

Evidence: test_a_second_refusal_of_a_request_that_is_sent_again_is_not_believed failed before: the server saw 3 requests instead of 2.

Change: a server that has refused a request gets it again on a new connection only, where no copy of the earlier answer can come.

--- a/src/wasabicross/gateway/connection_pool.py
+++ b/src/wasabicross/gateway/connection_pool.py
@@ -47,15 +47,19 @@
         )
 
     async def acquire(
-        self, host: str, port: int, *, once: bool
+        self, host: str, port: int, *, once: bool, is_repeat: bool = False
     ) -> ServerConnection:
         """Return an idle connection or a new one.
 
         :param host: IP address of the server.
         :param port: its port.
         :param once: whether the request must not run twice.
+        :param is_repeat: whether the server has answered the request before; a
+            late copy of that answer can't come on a new connection.
         :raises ServerUnreachable: no connection could be made.
         """
+        if is_repeat:
+            return await self._connect(host, port)
         idle = self._idle[host, port]
         max_idle_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
         while idle:
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -49,6 +49,8 @@
         #: Longest pause between two parts of the latest server's stream, seconds.
         self.longest_pause_s: float = 0
         self.excluded: set[str] = set()
+        #: Servers that stated that they haven't run the request.
+        self.refused_by: set[str] = set()
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -106,7 +106,10 @@
         runs_once = not self._route.is_idempotent
         try:
             conn = await self._servers.pool.acquire(
-                server.host, server.port, once=runs_once
+                server.host,
+                server.port,
+                once=runs_once,
+                is_repeat=server.server_id in self._progress.refused_by,
             )
         except ServerUnreachable as exc:
             self._progress.reason = str(exc)
@@ -197,6 +200,7 @@
     def _handle_not_run(self, placement: Placement, kind: AnswerKind) -> Ending:
         server_id = placement.server.server_id
         key = self._context.info.adapter
+        self._progress.refused_by.add(server_id)
         if kind is AnswerKind.not_run:
             self._progress.excluded.add(server_id)
             return Ending.not_run
--- a/tests/test_gateway_late_refusals.py
+++ b/tests/test_gateway_late_refusals.py
@@ -97,6 +97,26 @@
     assert body_of(asyncio.run(scenario())) == b'the answer'
 
 
+def test_a_second_refusal_of_a_request_that_is_sent_again_is_not_believed():
+    """The server lacks the adapter, gets it, and is asked once more."""
+    twice = [MISDIRECTED, 0.3, MISDIRECTED]
+    run = [0.3, OK]
+
+    async def scenario():
+        server = ScriptedServer(twice, run)
+        async with running_gateway(
+            [server], service='llm', engines=FakeEngines()
+        ) as bench:
+            while not bench.gateway.view.reported:
+                await asyncio.sleep(0.02)
+            sent = request('/streaming/x', b'x', Model=f'm0/{A1.adapter}')
+            return await ask(bench.port, sent), server
+
+    received, server = asyncio.run(scenario())
+    assert len(server.seen) == 2
+    assert status_of(received) == 200
+
+
 @pytest.mark.parametrize(
     'informational',
     [
