Treat a stream that ends inside an event as broken

Here the rest of such an event was sent to the caller and the stream ended as if it were complete, whatever its framing; nothing was resumed.

An end by reset, within a chunk or short of a stated length was seen as broken before; these rows are kept.

Change: the end of each stream is checked, at the cost of keeping its last four bytes. A stream that ends inside an event, or an unframed one without any, is resumed at another server where the route allows it and cut visibly elsewhere.

--- a/src/wasabicross/gateway/event_stream.py
+++ b/src/wasabicross/gateway/event_stream.py
@@ -1,4 +1,4 @@
-"""Splits a stream of server-sent events into complete events."""
+"""Complete events of a stream of server-sent events, and its end."""
 
 from __future__ import annotations
 
@@ -10,6 +10,10 @@
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 
+#: Ends of events that complete a stream which is forwarded as it is.
+_EVENT_ENDS = (_EVENT_END, b'\r\n\r\n')
+_TAIL_BYTES = 4
+
 
 class EventSplitter:
     """Returns complete events only and keeps the id of the last one.
@@ -54,3 +58,27 @@
                 event_id = line[len(_ID_FIELD) :].strip()
                 self.last_event_id = event_id.decode('latin-1')
                 return
+
+
+class StreamTail:
+    """Keeps the end of a stream, which must be the end of an event."""
+
+    def __init__(self) -> None:
+        self._tail = b''
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the stream has had no byte."""
+        return not self._tail
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the last event isn't complete."""
+        return bool(self._tail) and not self._tail.endswith(_EVENT_ENDS)
+
+    def feed(self, chunk: bytes) -> None:
+        """Add the next bytes of the stream.
+
+        :param chunk: the bytes.
+        """
+        self._tail = (self._tail + chunk[-_TAIL_BYTES:])[-_TAIL_BYTES:]
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -21,6 +21,7 @@
     AnswerOverdue,
     ServerUnreachable,
 )
+from wasabicross.gateway.event_stream import StreamTail
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.prefill_rate import PendingPrefill
 from wasabicross.gateway.progress import Ending, RequestProgress
@@ -259,6 +260,7 @@
         if not self._answer.has_started:
             await self._answer.start(head.status, _without_length(head.fields))
         chunks = conn.read_chunks()
+        tail = StreamTail()
         last_s = now_s()
         while True:
             events = await self._next_chunk(chunks)
@@ -268,10 +270,12 @@
                 self._progress.longest_pause_s, now_s() - last_s
             )
             last_s = now_s()
+            tail.feed(events)
             await self._answer.send_chunk(events)
-        partial = splitter.discard_partial()
-        if partial:
-            await self._answer.send_chunk(partial)
+        if splitter.discard_partial() or tail.is_inside_event:
+            raise AnswerBroken('stream ended inside an event')
+        if tail.is_empty and not head.is_framed:
+            raise AnswerBroken('connection ended before any event')
         await self._answer.end()
 
     async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -52,11 +52,13 @@
 
     :param fields: fields that are forwarded to a caller, names in lower case.
     :param content_length: length of the body, None if it isn't stated.
+    :param is_framed: whether the body ends before its connection does.
     """
 
     status: int
     fields: Fields
     content_length: int | None
+    is_framed: bool = True
 
 
 class ServerConnection:
@@ -287,4 +289,5 @@
         response.status_code,
         forwarded_fields(response.headers),
         int(length) if length.isdigit() else None,
+        bool(length or field(response.headers, b'transfer-encoding')),
     )
