Keep what doesn't resume a stream out of it

Reported by other operators: a stream had begun and broke off, the next server answered with an error, and clients found its text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Could it happen here: an error status was kept out already (rows that passed before). A 200 with another type of body, a 204, an error text in an event stream, events from the beginning instead of after Last-Event-Id and an event without an id were joined to the stream, which then ended as complete; a stream that its caller resumed got earlier events again. A late answer written into a stream without a length, or within one, was forwarded with its head.

Change: only an event stream whose first event has a higher id resumes a stream; other ids than numbers must differ. A line that begins an HTTP head ends a stream as broken, before the id of any event beside it is recorded. An answer of another type on a streaming route is forwarded as a body if it is the first; a long one isn't begun where the route is resumable, as nobody could resume it.

--- a/src/wasabicross/gateway/event_stream.py
+++ b/src/wasabicross/gateway/event_stream.py
@@ -9,11 +9,16 @@
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+_HEAD_START = b'HTTP/1.'
+_HEAD_LINE_START = b'\nHTTP/1.'
 
 #: Ends of events that complete a stream which is forwarded as it is.
 _EVENT_ENDS = (_EVENT_END, b'\r\n\r\n')
 _TAIL_BYTES = 4
 
+#: Type of the body of an event stream.
+EVENT_STREAM_TYPE = 'text/event-stream'
+
 
 class EventSplitter:
     """Returns complete events only and keeps the id of the last one.
@@ -24,13 +29,21 @@
 
     def __init__(self) -> None:
         self._partial = b''
+        self._is_first = True
         self.last_event_id = ''
 
+    def begin_stream(self) -> None:
+        """Begin with the stream of another server, which resumes the last."""
+        self._partial = b''
+        self._is_first = True
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that the next bytes complete.
 
         :param chunk: the next bytes of the stream.
-        :raises AnswerBroken: an event is too long.
+        :raises AnswerBroken: an event is too long or is the head of another
+            answer, or the first one doesn't follow on the last event of the
+            stream that is resumed.
         """
         buffered = self._partial + chunk
         end = buffered.rfind(_EVENT_END)
@@ -43,6 +56,10 @@
             return b''
         complete = buffered[: end + len(_EVENT_END)]
         self._partial = buffered[end + len(_EVENT_END) :]
+        check_no_head(complete)
+        if self._is_first:
+            self._check_follows(_first_event_id(complete))
+            self._is_first = False
         self._record_id(complete)
         return complete
 
@@ -52,14 +69,35 @@
         self._partial = b''
         return partial
 
+    def _check_follows(self, event_id: str) -> None:
+        """Check that the first event of a server comes after the last one."""
+        last = self.last_event_id
+        if not last:
+            return
+        are_numbers = event_id.isdecimal() and last.isdecimal()
+        if are_numbers and int(event_id) > int(last):
+            return
+        if not are_numbers and event_id not in {'', last}:
+            return
+        raise AnswerBroken(f'event {event_id!r} does not follow on {last!r}')
+
     def _record_id(self, complete: bytes) -> None:
         for line in reversed(complete.split(b'\n')):
             if line.startswith(_ID_FIELD):
-                event_id = line[len(_ID_FIELD) :].strip()
-                self.last_event_id = event_id.decode('latin-1')
+                self.last_event_id = _id_of(line)
                 return
 
 
+def check_no_head(part: bytes) -> None:
+    """Check that no line of a part of a stream begins the head of an answer.
+
+    :param part: the next bytes of the stream.
+    :raises AnswerBroken: a line does.
+    """
+    if part.startswith(_HEAD_START) or _HEAD_LINE_START in part:
+        raise AnswerBroken('head of another answer within a stream')
+
+
 class StreamTail:
     """Keeps the end of a stream, which must be the end of an event."""
 
@@ -80,5 +118,20 @@
         """Add the next bytes of the stream.
 
         :param chunk: the bytes.
+        :raises AnswerBroken: they are the head of another answer.
         """
+        check_no_head(chunk)
         self._tail = (self._tail + chunk[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+
+
+def _first_event_id(complete: bytes) -> str:
+    """Return the id of the first of some events, empty if it has none."""
+    first = complete.partition(_EVENT_END)[0]
+    for line in first.split(b'\n'):
+        if line.startswith(_ID_FIELD):
+            return _id_of(line)
+    return ''
+
+
+def _id_of(line: bytes) -> str:
+    return line[len(_ID_FIELD) :].strip().decode('latin-1')
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -21,8 +21,8 @@
     AnswerOverdue,
     ServerUnreachable,
 )
-from wasabicross.gateway.event_stream import StreamTail
-from wasabicross.gateway.http_heads import CallerRequest, Fields
+from wasabicross.gateway.event_stream import EVENT_STREAM_TYPE, StreamTail
+from wasabicross.gateway.http_heads import CallerRequest, Fields, field
 from wasabicross.gateway.prefill_rate import PendingPrefill
 from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.retrying_placer import Placement
@@ -140,7 +140,7 @@
     ) -> Ending:
         req = self._request(placement)
         progress = self._progress
-        progress.splitter.discard_partial()
+        progress.splitter.begin_stream()
         progress.sends += 1
         may_have_run = progress.may_run
         progress.may_run = True
@@ -225,7 +225,7 @@
                 return Ending.failed
         if self._answer.has_started and not succeeded:
             raise AnswerBroken(f'status {head.status} for a resumed stream')
-        if self._route.kind is RouteKind.streaming and succeeded:
+        if succeeded and self._is_stream(head):
             await self._forward_stream(conn, head)
         else:
             await self._forward_body(conn, head)
@@ -234,6 +234,17 @@
         self._progress.has_succeeded = succeeded
         return Ending.done
 
+    def _is_stream(self, head: AnswerHead) -> bool:
+        """Return whether an answer is the expected stream of events."""
+        if self._route.kind is not RouteKind.streaming:
+            return False
+        content_type = field(head.fields, b'content-type')
+        if content_type.startswith(EVENT_STREAM_TYPE):
+            return True
+        if self._answer.has_started:
+            raise AnswerBroken(f'{content_type!r} for a resumed stream')
+        return not content_type
+
     async def _forward_body(
         self, conn: ServerConnection, head: AnswerHead
     ) -> None:
@@ -244,6 +255,8 @@
             fields = _without_length(head.fields)
             await self._answer.send_complete(head.status, fields, body_start)
             return
+        if self._route.is_resumable:
+            raise AnswerBroken('long answer that another server cannot resume')
         await self._answer.start(head.status, head.fields)
         await self._answer.send_chunk(body_start)
         await self._forward_rest(chunks)
