--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -58,6 +58,8 @@
         #: over from the latest one.
         self.silent: set[str] = set()
         self.replacement: Placement | None = None
+        #: Servers that stated that they haven't run the request.
+        self.refused_by: set[str] = set()
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -26,7 +26,8 @@
     ServerError,
     ServerUnreachable,
 )
-from wasabicross.gateway.http_heads import CallerRequest, Fields
+from wasabicross.gateway.event_stream import EVENT_STREAM_TYPE, StreamTail
+from wasabicross.gateway.http_heads import CallerRequest, Fields, field
 from wasabicross.gateway.prefill_rate import PendingPrefill
 from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.retrying_placer import Placement
@@ -140,7 +141,10 @@
         runs_once = not self._route.is_idempotent
         try:
             conn = await self._servers.pool.acquire(
-                server.host, server.port, once=runs_once
+                server.host,
+                server.port,
+                once=runs_once,
+                is_repeat=server.server_id in self._progress.refused_by,
             )
         except ServerUnreachable as exc:
             self._progress.reason = str(exc)
@@ -189,7 +193,7 @@
     ) -> Ending:
         req = self._request(placement)
         progress = self._progress
-        progress.splitter.discard_partial()
+        progress.splitter.begin_stream()
         progress.sends += 1
         may_have_run = progress.may_run
         progress.may_run = True
@@ -249,6 +253,7 @@
     def _handle_not_run(self, placement: Placement, kind: AnswerKind) -> Ending:
         server_id = placement.server.server_id
         key = self._context.info.adapter
+        self._progress.refused_by.add(server_id)
         if kind is AnswerKind.not_run:
             self._progress.excluded.add(server_id)
             return Ending.not_run
@@ -272,7 +277,7 @@
                 return Ending.failed
         if self._answer.has_started and not succeeded:
             raise AnswerBroken(f'status {head.status} for a resumed stream')
-        if self._route.kind is RouteKind.streaming and succeeded:
+        if succeeded and self._is_stream(head):
             await self._forward_stream(conn, head)
         else:
             await self._forward_body(conn, head)
@@ -282,6 +287,17 @@
         self._progress.has_succeeded = succeeded
         return Ending.done
 
+    def _is_stream(self, head: AnswerHead) -> bool:
+        """Return whether an answer is the expected stream of events."""
+        if self._route.kind is not RouteKind.streaming:
+            return False
+        content_type = field(head.fields, b'content-type')
+        if content_type.startswith(EVENT_STREAM_TYPE):
+            return True
+        if self._answer.has_started:
+            raise AnswerBroken(f'{content_type!r} for a resumed stream')
+        return not content_type
+
     async def _forward_body(
         self, conn: ServerConnection, head: AnswerHead
     ) -> None:
@@ -292,6 +308,8 @@
             fields = _without_length(head.fields)
             await self._answer.send_complete(head.status, fields, body_start)
             return
+        if self._route.is_resumable:
+            raise AnswerBroken('long answer that another server cannot resume')
         await self._answer.start(head.status, head.fields)
         await self._answer.send_chunk(body_start)
         await self._forward_rest(chunks)
@@ -308,6 +326,7 @@
         if not self._answer.has_started:
             await self._answer.start(head.status, _without_length(head.fields))
         chunks = conn.read_chunks()
+        tail = StreamTail()
         last_s = now_s()
         while True:
             events = await self._next_chunk(chunks)
@@ -318,10 +337,12 @@
             )
             last_s = now_s()
             self._watched.on_progress()
+            tail.feed(events)
             await self._answer.send_chunk(events)
-        partial = splitter.discard_partial()
-        if partial:
-            await self._answer.send_chunk(partial)
+        if splitter.discard_partial() or tail.is_inside_event:
+            raise AnswerBroken('stream ended inside an event')
+        if tail.is_empty and not head.is_framed:
+            raise AnswerBroken('connection ended before any event')
         await self._answer.end()
 
     async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -52,11 +52,13 @@
 
     :param fields: fields that are forwarded to a caller, names in lower case.
     :param content_length: length of the body, None if it isn't stated.
+    :param is_framed: whether the body ends before its connection does.
     """
 
     status: int
     fields: Fields
     content_length: int | None
+    is_framed: bool = True
 
 
 class ServerConnection:
@@ -82,6 +84,8 @@
         #: Whether it has served a request before, so late bytes may still come.
         self.is_reused = False
         self._is_closed = False
+        #: Whether its answers so far have repeated the ids of their requests.
+        self._echoes_ids = True
 
     @property
     def is_usable(self) -> bool:
@@ -109,14 +113,20 @@
     async def read_head(self, req: ServerRequest) -> AnswerHead:
         """Return the head of the answer; skip answers to other requests.
 
+        An answer without an id may be a late one to any earlier request, so it
+        counts on a new connection only.
+
         :param req: the request that was sent.
-        :raises AnswerMissing: no answer came.
+        :raises AnswerMissing: no answer came, or one without an id.
         """
         request_id = field(req.fields, self._id_field)
         while True:
             response = await self._read_response()
             answer_id = field(response.headers, self._id_field)
-            if not request_id or not answer_id or answer_id == request_id:
+            if answer_id == request_id:
+                return _head_of(response)
+            if not answer_id:
+                self._check_is_new()
                 return _head_of(response)
             await self._skip_answer(req)
 
@@ -186,6 +196,8 @@
 
         :param now_s: the present time, monotonic seconds.
         """
+        if not self._echoes_ids:
+            return False
         trailing = self._codec.trailing_data[0]
         ended = self._codec.our_state is h11.DONE
         if not ended or self._codec.their_state is not h11.DONE or trailing:
@@ -202,6 +214,12 @@
         self._is_closed = True
         self._writer.transport.abort()
 
+    def _check_is_new(self) -> None:
+        """Check that an answer without an id can only be the present one."""
+        if self.is_reused:
+            raise AnswerMissing('answer without an id on a reused connection')
+        self._echoes_ids = False
+
     async def _read_response(self) -> h11.Response:
         try:
             event = await self._read_final_event()
@@ -277,4 +295,5 @@
         response.status_code,
         forwarded_fields(response.headers),
         int(length) if length.isdigit() else None,
+        bool(length or field(response.headers, b'transfer-encoding')),
     )
