--- /dev/null
+++ b/tests/test_gateway_crash_watch.py
@@ -0,0 +1,168 @@
+"""Which ends of answers count as crashes of servers."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from emulator.waiting import free_ports
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.server_notices import ServerNotice
+from wasabicross.gateway.view import FleetView
+
+HOST = '127.0.0.1'
+INFO = RequestInfo('r1', None, None, '', parts=('f0', 'd4'))
+
+
+def server_at(port, **fields):
+    """Return a listed server."""
+    server = BackendServer(
+        's1', 'llm', HOST, port, 'dc', 8, False, {}, frozenset(), 5
+    )
+    return server._replace(**fields)
+
+
+@contextlib.contextmanager
+def _nothing(port):
+    """Leave a port without a listener, as after a crash."""
+    yield
+
+
+@contextlib.contextmanager
+def _listener(port):
+    """Accept connections, as a server that breaks answers off and goes on."""
+    with socket.create_server((HOST, port)) as listener:
+        yield listener
+
+
+@contextlib.contextmanager
+def _silence(port):
+    """Leave connects without an answer, as a cut link or a frozen machine."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, port))
+        listener.listen(0)
+        for _ in range(3):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex((HOST, port))
+        yield
+
+
+class Watched:
+    """A watch of one listed server, and what it finds."""
+
+    def __init__(self, port):
+        self.view = FleetView()
+        self.server = server_at(port)
+        self.view.servers['s1'] = self.server
+        self.evidence = CrashEvidence()
+        self.watch = CrashWatch(
+            self.view, self.evidence, CrashSharing(self.evidence)
+        )
+
+    async def broken(self, since_start_s=0.05, info=INFO):
+        """Break an answer off; return whether the server has crashed."""
+        return await self.watch.on_broken(self.server, info, since_start_s)
+
+
+def run(scenario, address=_nothing):
+    """Run a scenario with a server whose address answers in some way."""
+    (port,) = free_ports(1)
+    with address(port):
+        return asyncio.run(scenario(Watched(port)))
+
+
+@pytest.mark.parametrize(
+    ('address', 'has_crashed'),
+    [(_nothing, True), (_listener, False), (_silence, False)],
+)
+def test_only_a_refused_connection_shows_a_crash(address, has_crashed):
+    """Cut links, frozen servers and broken answers would convict parts."""
+
+    async def scenario(watched):
+        assert await watched.broken() is has_crashed
+        return watched.evidence.suspects()
+
+    expected = {'f0', 'd4'} if has_crashed else set()
+    assert run(scenario, address) == expected
+
+
+def leave(watched):
+    """Let the server say that it leaves."""
+    watched.view.notices.on_notice(watched.server, ServerNotice(True, 0), 0)
+
+
+def drain(watched):
+    """List the server as leaving."""
+    watched.view.servers['s1'] = watched.server._replace(is_leaving=True)
+
+
+def unlist(watched):
+    """Remove the server's entry."""
+    watched.view.servers.clear()
+
+
+def restart(watched):
+    """List a later incarnation of the server."""
+    watched.view.servers['s1'] = watched.server._replace(start_ms=6)
+
+
+@pytest.mark.parametrize('change', [leave, drain, unlist, restart])
+def test_a_server_that_leaves_as_planned_has_not_crashed(change):
+
+    async def scenario(watched):
+        change(watched)
+        assert not await watched.broken()
+        return watched.evidence.crashes
+
+    assert not run(scenario)
+
+
+@pytest.mark.parametrize('since_start_s', [0.3, 4.0])
+def test_requests_that_were_answered_for_a_while_are_no_suspects(since_start_s):
+
+    async def scenario(watched):
+        await watched.broken(since_start_s)
+        return watched.evidence.crashes
+
+    assert not run(scenario)
+
+
+def test_all_requests_that_had_just_begun_are_suspects():
+    other = INFO._replace(request_id='r2', parts=('f0', 'a1'))
+
+    async def scenario(watched):
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(watched.broken())
+            tasks.create_task(watched.broken(info=other))
+        await watched.broken(info=INFO._replace(parts=('late',)))
+        return watched.evidence
+
+    evidence = run(scenario)
+    assert evidence.suspects() == {'f0', 'd4', 'a1', 'late'}
+    assert len(evidence.crashes) == 1
+
+
+def test_a_server_that_breaks_many_answers_off_is_not_checked_each_time():
+    """Each check costs a connection to the server."""
+
+    async def scenario(watched):
+        for _ in range(20):
+            await watched.broken()
+
+    accepted = 0
+    (port,) = free_ports(1)
+    with _listener(port) as listener:
+        asyncio.run(scenario(Watched(port)))
+        listener.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                listener.accept()[0].close()
+                accepted += 1
+    assert accepted <= 2
