Watch for crashed servers at less cost, and check them again sooner

Most of it went into the table of sound parts: a dict whose oldest entries go is scanned from its start for each.

A server that broke an answer off and took a connection was not checked again for 1 s, so a crash right after was missed; now for 0.2 s. A connection that times out isn't repeated, as the request waits for it.

--- a/src/wasabicross/gateway/crash_evidence.py
+++ b/src/wasabicross/gateway/crash_evidence.py
@@ -9,6 +9,7 @@
 import enum
 import math
 import zlib
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -95,7 +96,7 @@
         self._stretch = 1 + zlib.crc32(instance.encode()) / 2**32
         self._crashes: dict[CrashKey, Crash] = {}
         self._crashes_of: dict[str, dict[CrashKey, float]] = {}
-        self._sound_s: dict[str, float] = {}
+        self._sound_s: OrderedDict[str, float] = OrderedDict()
         self._trials_s: dict[str, float] = {}
 
     @property
@@ -158,9 +159,11 @@
         """
         sound_s = self._sound_s
         for each in parts:
-            sound_s[each] = max(at_s, sound_s.pop(each, at_s))
+            known_s = sound_s.get(each, at_s)
+            sound_s[each] = at_s if at_s > known_s else known_s
+            sound_s.move_to_end(each)
         while len(sound_s) > _MAX_SOUND:
-            sound_s.pop(next(iter(sound_s)))
+            sound_s.popitem(last=False)
         if not self._crashes_of:
             return ()
         return tuple(part for part in parts if self._discard(part))
@@ -188,7 +191,8 @@
 
         :param parts: the parts of a request.
         """
-        return any(part in self._crashes_of for part in parts)
+        crashes_of = self._crashes_of
+        return bool(crashes_of) and any(part in crashes_of for part in parts)
 
     def verdict(self, parts: tuple[str, ...], now_s: float) -> Verdict:
         """Return whether a request may be sent to a server.
--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
-from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import BackendServer
@@ -30,15 +29,14 @@
 #: Time after the start of an answer from which on its request counts as sound.
 _SOUND_AFTER_S = 0.5
 
-#: Timeout of a connection that tells whether a server has ended, number of
-#: tries, and the pause between them.
+#: Timeout of a connection that tells whether a server has ended, and the pause
+#: before a second one.
 _CONNECT_TIMEOUT_S = 0.15
-_TRIES = 2
 _RETRY_PAUSE_S = 0.08
 
-#: Pause after which a server that broke an answer off and still accepts
-#: connections is tried again.
-_RECHECK_S = 1.0
+#: Pause after which a server that broke an answer off and didn't refuse a
+#: connection is tried again.
+_RECHECK_S = 0.2
 
 #: Most servers whose last check is remembered.
 _MAX_CHECKS = 1024
@@ -65,6 +63,7 @@
         self.at_s = at_s
         self.suspects: list[_Suspect] = []
         self.has_crashed = False
+        self.ended_s = math.inf
         self.is_done = asyncio.Event()
 
 
@@ -88,7 +87,8 @@
         self.sharing = sharing
         self._checks: dict[CrashKey, _Check] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._under_way: set[WatchedAttempt] = set()
+        #: Attempts that are called off if a part of theirs is convicted.
+        self.under_way: set[WatchedAttempt] = set()
         sharing.on_convicted = self._call_off
 
     def begin(self, server: BackendServer, info: RequestInfo) -> WatchedAttempt:
@@ -106,18 +106,6 @@
         """
         return RequestGuard(self._evidence, parts)
 
-    @contextlib.contextmanager
-    def following(self, attempt: WatchedAttempt) -> Iterator[None]:
-        """Call an attempt off if a part of its prompt is convicted meanwhile.
-
-        :param attempt: the attempt.
-        """
-        self._under_way.add(attempt)
-        try:
-            yield
-        finally:
-            self._under_way.discard(attempt)
-
     def on_sound(self, parts: tuple[str, ...]) -> None:
         """Record that the answer to a request went on.
 
@@ -149,7 +137,7 @@
     def _call_off(self, convicted: frozenset[str]) -> None:
         """Call off the attempts that would crash their servers next."""
         at_s = now_s()
-        for attempt in tuple(self._under_way):
+        for attempt in tuple(self.under_way):
             parts = attempt.unproved_parts
             if convicted.isdisjoint(parts):
                 continue
@@ -171,9 +159,7 @@
         check = self._checks.get(key)
         at_s = now_s()
         if check is not None and (
-            check.has_crashed
-            or not check.is_done.is_set()
-            or at_s < check.at_s + _RECHECK_S
+            check.has_crashed or at_s < check.ended_s + _RECHECK_S
         ):
             return check
         check = self._checks[key] = _Check(at_s)
@@ -186,14 +172,11 @@
 
     async def _run_check(self, server: BackendServer, check: _Check) -> None:
         try:
-            for attempt in range(_TRIES):
-                if attempt:
-                    await asyncio.sleep(_RETRY_PAUSE_S)
-                if await _is_refused(server.host, server.port):
-                    check.has_crashed = self._is_expected(server)
-                    break
+            if await _is_refused(server.host, server.port):
+                check.has_crashed = self._is_expected(server)
         finally:
             check.is_done.set()
+            check.ended_s = now_s()
         self._report(server, check)
 
     def _report(self, server: BackendServer, check: _Check) -> None:
@@ -268,18 +251,22 @@
         """Return the parts of its prompt, none once the answer goes on."""
         return () if self._is_sound else self._info.parts
 
-    @contextlib.contextmanager
-    def under_way(self, close: Callable[[], None]) -> Iterator[None]:
-        """Follow the attempt meanwhile.
+    def under_way(self, close: Callable[[], None]) -> Self:
+        """Return a context in which the attempt may be called off.
 
         :param close: closes its connection to the server.
         """
-        if not self._info.parts:
-            yield
-            return
         self._close = close
-        with self._watch.following(self):
-            yield
+        return self
+
+    def __enter__(self) -> None:
+        """Begin the attempt."""
+        if self._info.parts:
+            self._watch.under_way.add(self)
+
+    def __exit__(self, *_exc: object) -> None:
+        """End the attempt."""
+        self._watch.under_way.discard(self)
 
     def call_off(self) -> None:
         """End the attempt, as its request would crash the server."""
@@ -313,13 +300,18 @@
 
 
 async def _is_refused(host: str, port: int) -> bool:
-    """Return whether no process accepts connections at an address."""
-    try:
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.transport.abort()
+    """Return whether no process accepts connections at an address.
+
+    An accepted connection is tried again, as the process may be about to end.
+    """
+    for pause_s in (0, _RETRY_PAUSE_S):
+        await asyncio.sleep(pause_s)
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
     return False
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -7,6 +7,7 @@
 import pytest
 
 from emulator.waiting import free_ports
+from wasabicross.gateway import crash_watch
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.crash_evidence import CrashEvidence
 from wasabicross.gateway.crash_sharing import CrashSharing
@@ -166,3 +167,17 @@
                 listener.accept()[0].close()
                 accepted += 1
     assert accepted <= 2
+
+
+def test_a_server_that_broke_answers_off_before_is_checked_again(monkeypatch):
+    """Its later crash would go unseen."""
+    monkeypatch.setattr(crash_watch, '_RECHECK_S', 0)
+    (port,) = free_ports(1)
+
+    async def scenario():
+        watched = Watched(port)
+        with _listener(port):
+            before = await watched.broken()
+        return before, await watched.broken()
+
+    assert asyncio.run(scenario()) == (False, True)
