--- a/src/wasabicross/gateway/crash_evidence.py
+++ b/src/wasabicross/gateway/crash_evidence.py
@@ -26,19 +26,21 @@
 
 #: Crashes closer than this count as one, as the servers may have been lost
 #: together.
-_SEPARATE_S = 0.3
+_SEPARATE_S = 0.1
 
 #: Number of separate crashes that convict a part.
 _MIN_CRASHES = 2
 
-#: How long a conviction lasts after the last crash. It doubles with each
-#: further crash.
-_FIRST_CONVICTION_S = 600.0
-_MAX_CONVICTION_S = 21600.0
+#: How long a conviction lasts after the last crash, and how many times as long
+#: after each further one. So a part that stays deadly reaches servers twice in
+#: the day after its fifth crash.
+_FIRST_CONVICTION_S = 60.0
+_LENGTHENING = 4.0
+_MAX_CONVICTION_S = 86400.0
 
 #: How long crashes without a convicted part are kept, and all others.
 _EVIDENCE_S = 3600.0
-_MAX_EVIDENCE_S = 86400.0
+_MAX_EVIDENCE_S = 259200.0
 
 #: Time after a trial began in which no other one begins.
 _TRIAL_S = 10.0
@@ -119,9 +121,8 @@
         count = 0
         last_s = -math.inf
         for at_s in times:
-            if at_s - last_s >= _SEPARATE_S:
-                count += 1
-                last_s = at_s
+            count += at_s - last_s >= _SEPARATE_S
+            last_s = at_s
         return count
 
     def add(self, crash: Crash, now_s: float) -> frozenset[str]:
@@ -229,8 +230,8 @@
 
     def _ends_s(self, part: str) -> float:
         """Return when the conviction of a part ends, monotonic seconds."""
-        doublings = self.crashes_of(part) - _MIN_CRASHES
-        lasts_s = math.ldexp(_FIRST_CONVICTION_S, doublings)
+        further = self.crashes_of(part) - _MIN_CRASHES
+        lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
         lasts_s = min(_MAX_CONVICTION_S, lasts_s)
         return max(self._crashes_of[part].values()) + lasts_s * self._stretch
 
