--- a/src/wasabicross/gateway/crash_evidence.py
+++ b/src/wasabicross/gateway/crash_evidence.py
@@ -9,6 +9,7 @@
 import enum
 import math
 import zlib
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -25,19 +26,21 @@
 
 #: Crashes closer than this count as one, as the servers may have been lost
 #: together.
-_SEPARATE_S = 0.3
+_SEPARATE_S = 0.1
 
 #: Number of separate crashes that convict a part.
 _MIN_CRASHES = 2
 
-#: How long a conviction lasts after the last crash. It doubles with each
-#: further crash.
-_FIRST_CONVICTION_S = 600.0
-_MAX_CONVICTION_S = 21600.0
+#: How long a conviction lasts after the last crash, and how many times as long
+#: after each further one. So a part that stays deadly reaches servers twice in
+#: the day after its fifth crash.
+_FIRST_CONVICTION_S = 60.0
+_LENGTHENING = 4.0
+_MAX_CONVICTION_S = 86400.0
 
 #: How long crashes without a convicted part are kept, and all others.
 _EVIDENCE_S = 3600.0
-_MAX_EVIDENCE_S = 86400.0
+_MAX_EVIDENCE_S = 259200.0
 
 #: Time after a trial began in which no other one begins.
 _TRIAL_S = 10.0
@@ -95,7 +98,7 @@
         self._stretch = 1 + zlib.crc32(instance.encode()) / 2**32
         self._crashes: dict[CrashKey, Crash] = {}
         self._crashes_of: dict[str, dict[CrashKey, float]] = {}
-        self._sound_s: dict[str, float] = {}
+        self._sound_s: OrderedDict[str, float] = OrderedDict()
         self._trials_s: dict[str, float] = {}
 
     @property
@@ -118,9 +121,8 @@
         count = 0
         last_s = -math.inf
         for at_s in times:
-            if at_s - last_s >= _SEPARATE_S:
-                count += 1
-                last_s = at_s
+            count += at_s - last_s >= _SEPARATE_S
+            last_s = at_s
         return count
 
     def add(self, crash: Crash, now_s: float) -> frozenset[str]:
@@ -158,9 +160,11 @@
         """
         sound_s = self._sound_s
         for each in parts:
-            sound_s[each] = max(at_s, sound_s.pop(each, at_s))
+            known_s = sound_s.get(each, at_s)
+            sound_s[each] = at_s if at_s > known_s else known_s
+            sound_s.move_to_end(each)
         while len(sound_s) > _MAX_SOUND:
-            sound_s.pop(next(iter(sound_s)))
+            sound_s.popitem(last=False)
         if not self._crashes_of:
             return ()
         return tuple(part for part in parts if self._discard(part))
@@ -188,7 +192,8 @@
 
         :param parts: the parts of a request.
         """
-        return any(part in self._crashes_of for part in parts)
+        crashes_of = self._crashes_of
+        return bool(crashes_of) and any(part in crashes_of for part in parts)
 
     def verdict(self, parts: tuple[str, ...], now_s: float) -> Verdict:
         """Return whether a request may be sent to a server.
@@ -225,8 +230,8 @@
 
     def _ends_s(self, part: str) -> float:
         """Return when the conviction of a part ends, monotonic seconds."""
-        doublings = self.crashes_of(part) - _MIN_CRASHES
-        lasts_s = math.ldexp(_FIRST_CONVICTION_S, doublings)
+        further = self.crashes_of(part) - _MIN_CRASHES
+        lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
         lasts_s = min(_MAX_CONVICTION_S, lasts_s)
         return max(self._crashes_of[part].values()) + lasts_s * self._stretch
 
