Tell the eras of the store apart in its client

Cause: a watch went on after a revision that now stood for another change, and a conditional write held for a record that was never meant, so a group could have had two owners. Change: revisions leave the client as positions, the era folded above the revision, so all comparisons in the gateway and the terms of orders rise over eras. A watch of another era ends as lost history, a write of another era as StoreRestored (an unavailable store), pages of two eras aren't joined, and an answer of an earlier era is refused. Owner records state the era that their writer knew; one from before the present era is marked as restored. Without the header all stays as it was: position and revision are the same.

--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -39,8 +39,10 @@
     :param group: name of the group.
     :param instance: name of the machine that owns the group.
     :param host: IP address of that machine.
-    :param revision: store revision of the write.
+    :param revision: position of the write.
     :param is_released: whether the owner has stopped ordering loads.
+    :param is_restored: whether its writer knew only of an earlier era, so that
+        a later owner's record may be lost.
     """
 
     group: str
@@ -48,6 +50,7 @@
     host: str
     revision: int
     is_released: bool = False
+    is_restored: bool = False
 
 
 class InstanceEntry(NamedTuple):
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -19,6 +19,13 @@
     """The answer of the store is longer than the gateway's limit."""
 
 
+class StoreRestored(StoreUnavailable):
+    """The store has returned from an older copy, so the answer can't be used.
+
+    The condition of a write may have held for another value than was meant.
+    """
+
+
 class HistoryGone(StoreError):
     """The store no longer keeps the requested changes.
 
--- a/src/wasabicross/gateway/store.py
+++ b/src/wasabicross/gateway/store.py
@@ -11,7 +11,7 @@
 class StoredItem(NamedTuple):
     """A key of the store with its undecoded value.
 
-    :param revision: revision of its last change.
+    :param revision: position of its last change.
     :param document: its value, None if the key was removed.
     """
 
@@ -52,7 +52,7 @@
 
     :param changes: the decoded changes.
     :param unreadable: the entries that can't be decoded.
-    :param revision: revision after which further changes follow.
+    :param revision: position after which further changes follow.
     :param items: the undecoded items, to be relayed to other gateways.
     """
 
@@ -65,7 +65,8 @@
 class FleetStore(Protocol):
     """The store.
 
-    Each call to it raises `StoreUnavailable` if it gets no answer.
+    Its revisions are positions of `store_position`, so they rise although the
+    store may return from an older copy and give its own out again. Each call to it raises `StoreUnavailable` if it gets no answer.
     """
 
     async def read(self) -> StoreResult:
@@ -74,9 +75,10 @@
     async def watch(self, revision: int, wait_s: float) -> StoreResult:
         """Wait for changes after a revision and return them, if any.
 
-        :param revision: the last known revision.
+        :param revision: the last known position.
         :param wait_s: longest wait, in seconds.
-        :raises HistoryGone: the store no longer keeps these changes.
+        :raises HistoryGone: the store no longer keeps these changes, or has
+            returned from an older copy.
         """
 
     def decode(
@@ -102,15 +104,17 @@
         :param group: name of the group.
         :param instance: name of the machine that owns it.
         :param host: IP address of that machine.
-        :param revision: expected revision of the record, 0 if it doesn't exist.
+        :param revision: expected position of the record; one with revision 0
+            if it doesn't exist.
         :param is_released: whether the owner has stopped ordering loads.
-        :return: the new revision, None if the record has another revision.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
         """
 
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
-    ) -> None:
-        """Write the entry of this gateway.
+    ) -> int:
+        """Write the entry of this gateway and return the store's era.
 
         :param instance: name of its machine.
         :param host: IP address of its machine.
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -10,6 +10,7 @@
     UnreadableEntry,
     latest_by_key,
 )
+from wasabicross.gateway.store_position import era_of
 from wasabicross.platform.records import (
     decode_change,
     encode_instance,
@@ -40,7 +41,7 @@
     async def watch(self, revision: int, wait_s: float) -> StoreResult:
         """Wait for changes after a revision, and decode them.
 
-        :param revision: the last known revision.
+        :param revision: the last known position.
         :param wait_s: longest wait, in seconds.
         :raises HistoryGone: the store no longer keeps the changes, or they
             are too many for an answer.
@@ -54,7 +55,7 @@
         """Decode items that this or another gateway has read or watched.
 
         :param items: items as stored.
-        :param revision: revision of the store after which to watch next.
+        :param revision: position of the store after which to watch next.
         """
         changes: list[StoreChange] = []
         unreadable: list[UnreadableEntry] = []
@@ -84,12 +85,15 @@
         :param group: name of the group.
         :param instance: name of the owner's machine.
         :param host: IP address of the owner's machine.
-        :param revision: revision that the record must have, 0 if it must not
-            exist.
+        :param revision: position that the record must have; one with revision
+            0 if it must not exist.
         :param is_released: whether the owner has stopped ordering loads.
-        :return: the new revision, None if the record has another revision.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
         """
-        document = encode_owner(instance, host, is_released=is_released)
+        document = encode_owner(
+            instance, host, era_of(revision), is_released=is_released
+        )
         result = await self._client.write(
             Write(owner_key(group), revision, document)
         )
@@ -97,8 +101,8 @@
 
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
-    ) -> None:
-        """Register this gateway.
+    ) -> int:
+        """Register this gateway and return the store's era.
 
         :param instance: name of the gateway's machine.
         :param host: IP address of the machine.
@@ -106,4 +110,4 @@
         :param fitness: ownership weight of the machine.
         """
         document = encode_instance(host, data_centre, fitness)
-        await self._client.put(instance_key(instance), document)
+        return await self._client.put(instance_key(instance), document)
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -15,6 +15,7 @@
 )
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.store_position import era_of
 from wasabicross.platform.documents import (
     decode_configuration,
     decode_server,
@@ -50,15 +51,18 @@
 
 
 def encode_owner(
-    instance: str, host: str, *, is_released: bool = False
+    instance: str, host: str, era: int = 0, *, is_released: bool = False
 ) -> bytes:
     """Encode the owner record of a group.
 
     :param instance: name of the owner's machine.
     :param host: IP address of the owner's machine.
+    :param era: era of the store as its writer knows it.
     :param is_released: whether the owner has stopped ordering loads.
     """
     record = {'instance': instance, 'host': host}
+    if era:
+        record['era'] = str(era)
     if is_released:
         record['released'] = 'yes'
     return json.dumps(record).encode()
@@ -109,6 +113,7 @@
             record['host'],
             item.revision,
             'released' in record,
+            _number('era', record['era']) < era_of(item.revision),
         )
     if item.key.startswith(_INSTANCES_PREFIX):
         record = _gateway_record(document)
@@ -117,17 +122,17 @@
             name,
             record['host'],
             record['data_centre'],
-            _fitness(record['fitness']),
+            _number('fitness', record['fitness']),
         )
     return None
 
 
-def _fitness(text: str) -> float:
+def _number(name: str, text: str) -> float:
     try:
         return float(text)
     except ValueError as exc:
         raise DocumentUnreadable(
-            f'fitness: expected a number, got {text!r}'
+            f'{name}: expected a number, got {text!r}'
         ) from exc
 
 
@@ -140,4 +145,5 @@
     if not isinstance(record, dict) or not required <= record.keys():
         raise DocumentUnreadable('record: expected an object with a host')
     texts = {name: str(value) for name, value in record.items()}
-    return {'instance': '', 'data_centre': '', 'fitness': '1', **texts}
+    absent = {'instance': '', 'data_centre': '', 'fitness': '1', 'era': '0'}
+    return {**absent, **texts}
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -14,11 +14,14 @@
     HistoryGone,
     ServerError,
     StoreAnswerTooLong,
+    StoreRestored,
     StoreUnavailable,
 )
+from wasabicross.gateway.http_heads import Fields, field
 from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.store_position import era_of, position, revision_of
 
 #: Key of the configuration that the operator writes.
 CONFIGURATION_KEY = 'op/config'
@@ -29,6 +32,9 @@
 #: Prefix of the keys under which servers register.
 SERVERS_PREFIX = 'servers/'
 
+#: Number that rises whenever the store returns from an older copy.
+_ERA_FIELD = b'store-era'
+
 _OK = 200
 _CONFLICT = 412
 _HISTORY_GONE = 410
@@ -57,7 +63,7 @@
 class ItemSnapshot(NamedTuple):
     """Items from a read or watch.
 
-    :param revision: revision of the store after which to watch next.
+    :param revision: position of the store after which to watch next.
     """
 
     items: tuple[StoredItem, ...]
@@ -67,8 +73,8 @@
 class Write(NamedTuple):
     """A conditional write.
 
-    :param expected_revision: revision that the key must have, 0 if it must
-        not exist.
+    :param expected_revision: position that the key must have; one with
+        revision 0 if it must not exist.
     """
 
     key: str
@@ -79,7 +85,7 @@
 class WriteResult(NamedTuple):
     """Result of a conditional write.
 
-    :param revision: the new revision, None if the condition didn't hold.
+    :param revision: the new position, None if the condition didn't hold.
     :param current: the current item if the condition didn't hold.
     """
 
@@ -95,10 +101,23 @@
     has_more: bool
 
 
+class _Answer(NamedTuple):
+    """An answer of the store.
+
+    :param era: era of the store.
+    :param wire: its decoded JSON.
+    """
+
+    status: int
+    era: int
+    wire: Any
+
+
 class StoreClient:
     """Client of the store.
 
-    Calls raise `StoreUnavailable` if they get no valid answer.
+    Revisions leave it as positions, which rise when the store returns from an
+    older copy. Calls raise `StoreUnavailable` if they get no valid answer.
 
     :param address: address of the store.
     :param pool: connections to the store.
@@ -107,6 +126,7 @@
     def __init__(self, address: Address, pool: ConnectionPool) -> None:
         self._address = address
         self._pool = pool
+        self._era = 0
 
     async def read(self, prefix: str) -> ItemSnapshot:
         """Read all items whose keys have a prefix.
@@ -120,6 +140,8 @@
             page = await self._read_page(prefix, after)
             items.extend(page.items)
             revision = page.revision if revision is None else revision
+            if era_of(page.revision) != era_of(revision):
+                raise StoreRestored('the pages are of different eras')
             if not page.has_more or not page.items:
                 return ItemSnapshot(tuple(items), revision)
             after = page.items[-1].key
@@ -130,19 +152,19 @@
         """Wait for changes after a revision.
 
         :param prefix: prefix of the keys.
-        :param revision: the last known revision.
+        :param revision: the last known position.
         :param wait_s: longest wait, in seconds; the snapshot is empty if
             nothing has changed by then.
-        :raises HistoryGone: the store no longer keeps the changes, or they
-            are too many for an answer.
+        :raises HistoryGone: the store no longer keeps the changes, they are too
+            many for an answer, or it has returned from an older copy.
         """
         query = {
             'pathPrefix': prefix,
-            'after': revision,
+            'after': revision_of(revision),
             'waitMs': int(wait_s * _MS_IN_S),
         }
         try:
-            status, wire = await self._call(
+            answer = await self._call(
                 'GET',
                 '/-/kv-watch',
                 query,
@@ -153,43 +175,57 @@
             raise HistoryGone(
                 f'too many changes after revision {revision}: {exc}'
             ) from exc
-        if status == _HISTORY_GONE:
+        if answer.status == _HISTORY_GONE:
             raise HistoryGone(f'no changes kept after revision {revision}')
-        _check_status(status)
-        changes: ItemSnapshot = _decode_answer(_decode_changes, wire)
+        _check_status(answer.status)
+        if answer.era != era_of(revision):
+            raise HistoryGone(
+                f'era {answer.era} has other changes after {revision}'
+            )
+        changes: ItemSnapshot = _decode_answer(_decode_changes, answer)
         return changes
 
     async def write(self, write: Write) -> WriteResult:
-        """Write an item if it has the expected revision.
+        """Write an item if it has the expected position.
 
-        :param write: key, expected revision and value.
+        :param write: key, expected position and value.
+        :raises StoreRestored: the store is in another era, where the expected
+            revision may be that of another value.
         """
-        condition = {'key': write.key, 'revision': write.expected_revision}
+        expected = write.expected_revision
+        condition = {'key': write.key, 'revision': revision_of(expected)}
         body = _transaction([condition], write.key, write.document)
-        status, wire = await self._call('POST', '/-/kv-txn', body=body)
-        if status == _CONFLICT:
-            current = _decode_answer(_decode_items, wire)
+        answer = await self._call('POST', '/-/kv-txn', body=body)
+        if answer.status != _CONFLICT:
+            _check_status(answer.status)
+        if answer.era != era_of(expected):
+            raise StoreRestored(
+                f'{write.key}: written in era {answer.era}, '
+                f'expected {era_of(expected)}'
+            )
+        if answer.status == _CONFLICT:
+            current = _decode_answer(_decode_items, answer)
             return WriteResult(None, current[0] if current else None)
-        _check_status(status)
-        return WriteResult(_decode_answer(_decode_revision, wire), None)
+        return WriteResult(_decode_answer(_decode_revision, answer), None)
 
-    async def put(self, key: str, document: bytes) -> None:
-        """Write an item unconditionally.
+    async def put(self, key: str, document: bytes) -> int:
+        """Write an item unconditionally and return the store's era.
 
         :param key: key of the item.
         :param document: value of the item.
         """
         body = _transaction([], key, document)
-        status, _ = await self._call('POST', '/-/kv-txn', body=body)
-        _check_status(status)
+        answer = await self._call('POST', '/-/kv-txn', body=body)
+        _check_status(answer.status)
+        return answer.era
 
     async def _read_page(self, prefix: str, after: str) -> _Page:
         query = {'pathPrefix': prefix}
         if after:
             query['after'] = after
-        status, wire = await self._call('GET', '/-/kv-range', query)
-        _check_status(status)
-        page: _Page = _decode_answer(_decode_page, wire)
+        answer = await self._call('GET', '/-/kv-range', query)
+        _check_status(answer.status)
+        page: _Page = _decode_answer(_decode_page, answer)
         return page
 
     async def _call(
@@ -200,7 +236,7 @@
         body: Any = None,
         timeout_s: float = _CALL_TIMEOUT_S,
         max_bytes: int = _MAX_BODY_BYTES,
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         req = _request(method, path, query, body)
         try:
             return await self._exchange(req, timeout_s, max_bytes)
@@ -211,7 +247,7 @@
 
     async def _exchange(
         self, req: ServerRequest, timeout_s: float, max_bytes: int
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         conn = await self._pool.acquire(
             self._address.host, self._address.port, once=False
         )
@@ -225,7 +261,21 @@
             conn.close()
             raise
         self._pool.release(self._address.host, self._address.port, conn)
-        return head.status, json.loads(document) if document else None
+        era = self._era_after(head.fields)
+        wire = json.loads(document) if document else None
+        return _Answer(head.status, era, wire)
+
+    def _era_after(self, fields: Fields) -> int:
+        """Return the era of an answer; without one, the last known era holds.
+
+        :raises ValueError: it isn't a number, or is lower than a known one.
+        """
+        text = field(fields, _ERA_FIELD)
+        era = int(text) if text else self._era
+        if era < self._era:
+            raise ValueError(f'answer of era {era} after era {self._era}')
+        self._era = era
+        return era
 
 
 def _request(
@@ -252,36 +302,38 @@
         raise StoreUnavailable(f'unexpected status {status}')
 
 
-def _decode_answer(decode: Any, wire: Any) -> Any:
+def _decode_answer(decode: Any, answer: _Answer) -> Any:
     try:
-        return decode(wire)
+        return decode(answer.wire, answer.era)
     except _DECODE_ERRORS as exc:
         raise StoreUnavailable(f'unreadable answer: {exc!r}') from exc
 
 
-def _decode_items(wire: Any) -> list[StoredItem]:
-    return [_decode_item(each) for each in wire['items']]
+def _decode_items(wire: Any, era: int) -> tuple[StoredItem, ...]:
+    return tuple(_decode_item(each, era) for each in wire['items'])
 
 
-def _decode_page(wire: Any) -> _Page:
-    items = tuple(_decode_item(each) for each in wire['items'])
-    return _Page(items, int(wire['at']), bool(wire['hasMore']))
+def _decode_page(wire: Any, era: int) -> _Page:
+    at = position(era, int(wire['at']))
+    return _Page(_decode_items(wire, era), at, bool(wire['hasMore']))
 
 
-def _decode_revision(wire: Any) -> int:
-    return int(wire['revision'])
+def _decode_revision(wire: Any, era: int) -> int:
+    return position(era, int(wire['revision']))
 
 
-def _decode_changes(wire: Any) -> ItemSnapshot:
+def _decode_changes(wire: Any, era: int) -> ItemSnapshot:
     return ItemSnapshot(
-        tuple(_decode_item(each) for each in wire['events']), int(wire['at'])
+        tuple(_decode_item(each, era) for each in wire['events']),
+        position(era, int(wire['at'])),
     )
 
 
-def _decode_item(wire: Any) -> StoredItem:
+def _decode_item(wire: Any, era: int) -> StoredItem:
     is_deleted = wire.get('deleted') or wire.get('value') is None
     document = None if is_deleted else base64.b64decode(wire['value'])
-    return StoredItem(wire['key'], int(wire.get('revision', 0)), document)
+    revision = position(era, int(wire.get('revision', 0)))
+    return StoredItem(wire['key'], revision, document)
 
 
 def _encode_base64(document: bytes) -> str:
