Keep owners, servers and registrations when the store returns from an older copy

What callers saw: nothing yet; loads would have been ordered by two owners of a group, or servers dropped, after such a return. Cause: the gateway took a record or entry of the older copy for the latest word: the owner before the last would have resumed its group at once, the last owner dropped it, and servers that had registered since were removed without time to register again. Change: each era that follows a known one (event 8005, wasabicross_gateway_store_restores) starts from a full read or a relay's differences from the same content. Owners that are still within their right to order write their record again at once, under the position that was read; others wait the whole takeover time from when they saw the era, whatever the copy names. A server that is missing in the copy has 2.5 s to register again; one that was leaving, or had started anew, stays so for that time. Gateways register again where their entry is lost. Relays of an earlier era don't count as current. What the view knew of expired entries is a module of its own now.

--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -186,8 +186,9 @@
 class StoreUpdate(NamedTuple):
     """Store changes that an owner relays.
 
-    :param since: revision after which the changes were made.
-    :param revision: revision up to which the changes are complete.
+    :param since: position after which the changes were made.
+    :param revision: position up to which the changes are complete, of a later
+        era if the store has returned from an older copy meanwhile.
     """
 
     since: int
@@ -207,7 +208,7 @@
 class StoreStatus(NamedTuple):
     """How far an owner has followed the store, sent as a heartbeat.
 
-    :param revision: revision up to which it knows all changes, 0 if it hasn't
+    :param revision: position up to which it knows all changes, 0 if it hasn't
         read the store.
     :param is_lost: whether its last call to the store failed.
     """
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -66,6 +66,10 @@
     "Calls to the platform's store by operation and result.",
     ('operation', 'outcome'),
 )
+STORE_RESTORES = Counter(
+    'wasabicross_gateway_store_restores',
+    'Returns of the store from an older copy.',
+)
 CONFIGURATION_VERSION = Gauge(
     'wasabicross_gateway_configuration_version',
     'Version of the configuration in force.',
--- a/src/wasabicross/gateway/owned_groups.py
+++ b/src/wasabicross/gateway/owned_groups.py
@@ -11,7 +11,9 @@
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.ownership import (
     RENEWAL_INTERVAL_S,
+    TAKEOVER_S,
     Group,
+    OwnerRecord,
     OwnershipTerm,
     all_groups,
     claim_due_s,
@@ -21,6 +23,7 @@
 )
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.store_position import era_of, position
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -38,8 +41,8 @@
 class _Owned(NamedTuple):
     """A group that this process owns.
 
-    :param term: revision of the write that claimed the group.
-    :param revision: revision of the last write.
+    :param term: position of the write that claimed the group.
+    :param revision: position of the last write.
     :param written_s: time at which the last successful write was sent.
     :param is_resumed: whether this machine was also the previous owner.
     """
@@ -125,19 +128,40 @@
                 )
 
     async def _claim_or_renew(self, group: Group, started_s: float) -> None:
-        record = self._view.owners.get(group.name)
         owned = self._owned.get(group.name)
         at_s = now_s()
         if at_s < self._retry_at_s.get(group.name, at_s):
             return
         if owned is not None:
-            if record is not None and record.revision > owned.revision:
-                if record.instance != self._cfg.instance:
-                    self._drop_lost(group)
-                    return
-            if at_s - owned.written_s >= RENEWAL_INTERVAL_S:
-                await self._write(group, owned.revision, owned)
+            await self._renew(group, owned, at_s)
+            return
+        await self._claim(group, started_s, at_s)
+
+    async def _renew(self, group: Group, owned: _Owned, at_s: float) -> None:
+        record = self._view.owners.get(group.name)
+        if record is not None and record.revision > owned.revision:
+            if self._names_another(record, owned):
+                self._drop_lost(group)
+                return
+        if era_of(owned.revision) < self._era:
+            await self._write_in_new_era(group, owned, at_s)
+        elif at_s - owned.written_s >= RENEWAL_INTERVAL_S:
+            await self._write(group, owned.revision, owned)
+
+    async def _write_in_new_era(
+        self, group: Group, owned: _Owned, at_s: float
+    ) -> None:
+        """Write the record again, as the store may have lost it.
+
+        Nobody else may claim the group while the right to order lasts; after
+        its end another gateway may have done so in an era that is lost.
+        """
+        if at_s >= term_end_s(owned.written_s, self._cfg.holder_gap_s):
+            self._drop_lost(group)
             return
+        await self._write(group, self._known_position(group), owned)
+
+    async def _claim(self, group: Group, started_s: float, at_s: float) -> None:
         wait_s = claim_wait_s(
             group,
             self._own_entry,
@@ -145,14 +169,35 @@
             len(self._owned),
         )
         due_s = claim_due_s(
-            record,
+            self._view.owners.get(group.name),
             self._cfg.instance,
             wait_s,
-            started_s,
+            max(started_s, self._view.restored_s + TAKEOVER_S),
             self._cfg.holder_gap_s,
         )
         if at_s >= due_s:
-            await self._write(group, record.revision if record else 0, None)
+            await self._write(group, self._known_position(group), None)
+
+    @property
+    def _era(self) -> int:
+        """Return the era of the store as last read."""
+        return self._view.era or 0
+
+    def _known_position(self, group: Group) -> int:
+        """Return the position of a record, that of no record if it is absent."""
+        record = self._view.owners.get(group.name)
+        return record.revision if record else position(self._era, 0)
+
+    def _names_another(self, record: OwnerRecord, owned: _Owned) -> bool:
+        """Return whether another gateway has claimed a group since.
+
+        A record from an older copy doesn't say so.
+        """
+        if record.is_restored and era_of(record.revision) > era_of(
+            owned.revision
+        ):
+            return False
+        return record.instance != self._cfg.instance
 
     async def _write(
         self, group: Group, expected_revision: int, owned: _Owned | None
@@ -186,7 +231,11 @@
 
     def _is_own_record(self, group: Group) -> bool:
         record = self._view.owners.get(group.name)
-        return record is not None and record.instance == self._cfg.instance
+        return (
+            record is not None
+            and record.instance == self._cfg.instance
+            and not record.is_restored
+        )
 
     def _on_conflict(self, group: Group) -> None:
         """Handle a record that has another revision than expected.
@@ -198,9 +247,11 @@
         owned = self._owned.get(group.name)
         if owned is None or record is None:
             return
-        if record.instance != self._cfg.instance:
+        if self._names_another(record, owned):
             self._drop_lost(group)
-        elif record.revision > owned.revision:
+            return
+        is_same_era = era_of(record.revision) == era_of(owned.revision)
+        if is_same_era and record.revision > owned.revision:
             self._owned[group.name] = owned._replace(revision=record.revision)
 
     def _drop_lost(self, group: Group) -> None:
--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -60,10 +60,12 @@
     :param group: name of the group.
     :param instance: name of the machine that owns the group.
     :param host: IP address of that machine.
-    :param revision: store revision of the record's last change.
+    :param revision: position of the record's last change.
     :param unchanged_since_s: time at which this process first saw that
-        revision.
+        position.
     :param is_released: whether the owner has stopped ordering loads.
+    :param is_restored: whether it is from before the present era of the store,
+        so that the record of a later owner may be lost.
     """
 
     group: str
@@ -72,6 +74,7 @@
     revision: int
     unchanged_since_s: float
     is_released: bool = False
+    is_restored: bool = False
 
     @property
     def data_centre(self) -> str:
@@ -188,9 +191,9 @@
     """
     if record is None:
         return started_s + wait_s
-    if record.instance == instance:
+    if record.instance == instance and not record.is_restored:
         return -math.inf
     unchanged_s = TAKEOVER_S
-    if record.is_released:
+    if record.is_released and not record.is_restored:
         unchanged_s = holder_gap_s + _SAFETY_MARGIN_S
     return record.unchanged_since_s + unchanged_s + wait_s
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -19,7 +19,7 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.errors import CallerGone, StoreUnavailable
+from wasabicross.gateway.errors import CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
@@ -28,8 +28,8 @@
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owner_server import OwnerServer
-from wasabicross.gateway.ownership import ownership_weight
 from wasabicross.gateway.probing import Prober
+from wasabicross.gateway.registration import Registration
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
     RequestHandler,
@@ -65,7 +65,6 @@
 _RELEASE_TIMEOUT_S = 0.3
 
 _DRAIN_CHECK_INTERVAL_S = 0.1
-_REGISTRATION_RETRY_S = 0.5
 _DROPPED_LINES_INTERVAL_S = 5.0
 
 
@@ -299,20 +298,8 @@
 
     async def _register(self) -> None:
         await self._follower.is_initialised.wait()
-        cfg = self._cfg
-        while True:
-            try:
-                await self._platform.store.register_instance(
-                    cfg.instance,
-                    cfg.host,
-                    cfg.data_centre,
-                    ownership_weight(cfg.cores, cfg.link_mbps),
-                )
-            except StoreUnavailable:
-                await asyncio.sleep(_REGISTRATION_RETRY_S)
-            else:
-                break
-        await asyncio.Event().wait()
+        registration = Registration(self._cfg, self._platform.store, self.view)
+        await registration.run()
 
     async def _request_copy(self) -> StoreUpdate | None:
         others = [
--- a/src/wasabicross/gateway/store_copy.py
+++ b/src/wasabicross/gateway/store_copy.py
@@ -22,6 +22,7 @@
 )
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.store_position import era_of, position, revision_of
 from wasabicross.messaging.errors import MessageMalformed
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -33,7 +34,7 @@
 
 
 class StoreCopy:
-    """The items of the store as of a revision."""
+    """The items of the store as of a position."""
 
     def __init__(self) -> None:
         self.revision = 0
@@ -75,15 +76,54 @@
         :param revision: revision of the newer content.
         """
         current = {item.key: item for item in items}
+        is_changed = self._is_changed
+        if era_of(revision) > era_of(self.revision):
+            is_changed = self._is_other_write
         removed = [
             StoredItem(key, revision, None)
             for key in self._items.keys() - current.keys()
         ]
-        changed = [
-            item for item in current.values() if item.revision > self.revision
-        ]
+        changed = [item for item in current.values() if is_changed(item)]
         return (*changed, *removed)
 
+    def restored(
+        self, changes: Iterable[StoredItem], revision: int
+    ) -> tuple[StoredItem, ...]:
+        """Return the complete content of a later era.
+
+        :param changes: what differs there from this copy.
+        :param revision: position of that content.
+        """
+        era = era_of(revision)
+        content = {
+            item.key: item._replace(
+                revision=position(era, revision_of(item.revision))
+            )
+            for item in self._items.values()
+        }
+        content.update((item.key, item) for item in changes)
+        return tuple(
+            item for item in content.values() if item.document is not None
+        )
+
+    def lost_items(self, items: Iterable[StoredItem]) -> int:
+        """Return how many items of this copy a complete content lacks.
+
+        :param items: all items of that content.
+        """
+        kept = [item for item in items if not self._is_other_write(item)]
+        return len(self._items) - len(kept)
+
+    def _is_changed(self, item: StoredItem) -> bool:
+        return item.revision > self.revision
+
+    def _is_other_write(self, item: StoredItem) -> bool:
+        """Return whether an item of a later era isn't the one of this copy."""
+        known = self._items.get(item.key)
+        if known is None or known.document != item.document:
+            return True
+        return revision_of(known.revision) != revision_of(item.revision)
+
     def as_update(self) -> StoreUpdate:
         """Return the copy as an update for a gateway without any content."""
         return StoreUpdate(0, self.revision, self.items)
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -12,6 +12,7 @@
 from wasabicross.gateway.messages import StoreStatus, StoreUpdate
 from wasabicross.gateway.store import FleetStore, StoreResult, UnreadableEntry
 from wasabicross.gateway.store_copy import StoreCopy
+from wasabicross.gateway.store_position import era_of, revision_of
 from wasabicross.gateway.store_relay import RelayStatuses, StoreRelay
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
@@ -111,7 +112,7 @@
     def on_update(self, store_update: StoreUpdate) -> None:
         """Apply changes that a relay has forwarded.
 
-        An update that doesn't follow on the known revision is ignored; the
+        An update that doesn't follow on the known position is ignored; the
         relay's status then shows that changes are missing.
 
         :param store_update: the changes.
@@ -123,12 +124,27 @@
             or store_update.revision <= known
         ):
             return
+        if era_of(store_update.revision) > era_of(known):
+            self._on_new_era(known, store_update)
+            return
         items = tuple(
             item for item in store_update.items if item.revision > known
         )
         self._revision = store_update.revision
         self._apply_answer(self._store.decode(items, store_update.revision))
 
+    def _on_new_era(self, known: int, store_update: StoreUpdate) -> None:
+        """Apply changes that lead to a later era of the store.
+
+        They apply only to the content that the relay had before.
+        """
+        if store_update.since != known:
+            return
+        revision = store_update.revision
+        items = self.copy.restored(store_update.items, revision)
+        self._revision = revision
+        self._apply_content(self._store.decode(items, revision))
+
     def _follows_relay(self) -> bool:
         if self._revision is None or self._is_relay():
             return False
@@ -162,6 +178,7 @@
             return
         log_event(Event.COPY_TAKEN, revision=received.revision)
         self._revision = received.revision
+        self._view.on_era(era_of(received.revision), now_s())
         self.copy.replace(received.items, received.revision)
         self._apply(self._store.decode(received.items, received.revision))
         self.is_initialised.set()
@@ -194,6 +211,16 @@
     async def _read(self) -> None:
         result = await self._store.read()
         self._relay_read(result)
+        self._apply_content(result)
+        self._revision = result.revision
+        self.is_initialised.set()
+
+    def _apply_content(self, result: StoreResult) -> None:
+        """Apply the complete content of the store."""
+        era = era_of(result.revision)
+        if self._view.era is not None and era > self._view.era:
+            self._record_restore(self._view.era, result)
+        self._view.on_era(era, now_s())
         self.copy.replace(result.items, result.revision)
         self._apply_answer(result)
         listed = frozenset(
@@ -202,8 +229,17 @@
             if isinstance(change, ServerEntryUpdate)
         )
         self._view.remove_unlisted(listed, now_s())
-        self._revision = result.revision
-        self.is_initialised.set()
+
+    def _record_restore(self, era_before: int, result: StoreResult) -> None:
+        metrics.STORE_RESTORES.inc()
+        log_event(
+            Event.STORE_RESTORED,
+            era_before=era_before,
+            era=era_of(result.revision),
+            known=revision_of(self.copy.revision),
+            returned=revision_of(result.revision),
+            lost=self.copy.lost_items(result.items),
+        )
 
     def _relay_read(self, result: StoreResult) -> None:
         """Relay the changes from the previous content to a complete read."""
--- a/src/wasabicross/gateway/store_relay.py
+++ b/src/wasabicross/gateway/store_relay.py
@@ -13,6 +13,7 @@
 
 from wasabicross.gateway.messages import StoreStatus, StoreUpdate, encode
 from wasabicross.gateway.store import StoreResult
+from wasabicross.gateway.store_position import era_of
 
 #: How long a relay's status is valid after it was received.
 STATUS_LIFETIME_S = 1.6
@@ -43,7 +44,7 @@
     def forward(self, since: int, result: StoreResult) -> None:
         """Relay the changes of a store result and update the status.
 
-        :param since: revision after which the changes were made.
+        :param since: position after which the changes were made.
         :param result: what the store returned.
         """
         self.status = StoreStatus(max(since, result.revision), is_lost=False)
@@ -86,9 +87,9 @@
         """Return whether no relay knows changes that this gateway lacks.
 
         It is false if no relay has a valid status, so that this gateway has to
-        watch the store itself.
+        watch the store itself. A relay in an earlier era doesn't count.
 
-        :param revision: revision up to which this gateway knows all changes.
+        :param revision: position up to which this gateway knows all changes.
         :param now_s: the present time, monotonic seconds.
         """
         statuses = [
@@ -96,6 +97,7 @@
             for received in self._received.values()
             if now_s - received.received_s < STATUS_LIFETIME_S
             and not received.status.is_lost
+            and era_of(received.status.revision) >= era_of(revision)
         ]
         return bool(statuses) and all(
             status.revision <= revision for status in statuses
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -18,11 +18,13 @@
     StoreChange,
 )
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.expired_entries import ExpiredEntries
 from wasabicross.gateway.messages import (
     HeldAdaptersUpdate,
     ServerOccupancy,
     ServerState,
 )
+from wasabicross.gateway.owner_records import unconfirmed, updated_record
 from wasabicross.gateway.ownership import OwnerRecord
 from wasabicross.gateway.prefill_rate import PrefillRate
 from wasabicross.gateway.server_health import HealthByServer
@@ -39,10 +41,6 @@
 #: holds the adapter, since reports lag behind.
 _MISSING_ADAPTER_S = 0.4
 
-#: Time after the store is reachable again in which servers may restore entries
-#: that expired during the outage.
-_ENTRY_RESTORE_S = 2.5
-
 
 class ReportedState(NamedTuple):
     """The last state that a server's owner reported.
@@ -83,9 +81,11 @@
         self.warm_copies = WarmCopies()
         self.content_known_since_s = math.inf
         self._missing_since_s: dict[tuple[str, AdapterKey], float] = {}
-        self._store_lost = False
-        self._store_back_s = -math.inf
-        self._expired: dict[str, float] = {}
+        self._expired = ExpiredEntries()
+        #: Era of the store, None before its content is known.
+        self.era: int | None = None
+        #: When the store returned from an older copy, as this process saw it.
+        self.restored_s = -math.inf
 
     def set_store_status(self, now_s: float, *, is_lost: bool) -> None:
         """Record whether the store answered.
@@ -93,11 +93,23 @@
         :param now_s: the present time, monotonic seconds.
         :param is_lost: whether the store gave no answer.
         """
-        if self._store_lost and not is_lost:
-            self._store_back_s = now_s
+        self._expired.on_store_status(now_s, is_lost=is_lost)
         if not is_lost:
             self.content_known_since_s = min(self.content_known_since_s, now_s)
-        self._store_lost = is_lost
+
+    def on_era(self, era: int, now_s: float) -> None:
+        """Record the era of the complete content that is applied next.
+
+        :param era: era of the store.
+        :param now_s: the present time, monotonic seconds.
+        """
+        if self.era is not None and era > self.era:
+            self.restored_s = now_s
+            self._expired.on_store_restored(now_s)
+            self.instances.clear()
+            for group, known in self.owners.items():
+                self.owners[group] = unconfirmed(known, era, now_s)
+        self.era = era
 
     def version_of(self, key: AdapterKey) -> int:
         """Return the version of an adapter that is in force."""
@@ -126,14 +138,10 @@
         :param now_s: the present time, monotonic seconds.
         :return: ids of the removed servers.
         """
-        due = [
-            server_id
-            for server_id, due_s in self._expired.items()
-            if now_s >= due_s and not self._store_lost
-        ]
+        due = self._expired.due(now_s)
         for server_id in due:
             self._remove(server_id)
-        return tuple(due)
+        return due
 
     def on_state(self, state: ServerState, now_s: float) -> None:
         """Replace the state of a server with a report of its owner.
@@ -149,7 +157,10 @@
         if before is None:
             self.warm_copies.forget(state.server_id)
         else:
-            self._record_unloaded(before.held, held, state.server_id)
+            for key in before.held.keys() - held.keys():
+                self.warm_copies.on_unloaded(
+                    state.server_id, key, before.held[key]
+                )
         self.reported[state.server_id] = ReportedState(state, held, now_s)
 
     def on_held_change(self, change: HeldAdaptersUpdate, now_s: float) -> None:
@@ -326,18 +337,8 @@
         report = self.reported.get(server_id)
         return report if report and report.state.start_ms == start_ms else None
 
-    def _record_unloaded(
-        self,
-        before: dict[AdapterKey, int],
-        held: dict[AdapterKey, int],
-        server_id: str,
-    ) -> None:
-        """Record the adapters that an engine no longer holds."""
-        for key in before.keys() - held.keys():
-            self.warm_copies.on_unloaded(server_id, key, before[key])
-
     def _remove(self, server_id: str) -> None:
-        self._expired.pop(server_id, None)
+        self._expired.discard(server_id)
         self.servers.pop(server_id, None)
         self.health.pop(server_id, None)
         self.reported.pop(server_id, None)
@@ -360,34 +361,27 @@
 
     @_apply.register
     def _(self, change: ServerEntryUpdate, now_s: float) -> None:
-        server = change.server
-        self._expired.pop(server.server_id, None)
-        known = self.servers.get(server.server_id)
+        known = self.servers.get(change.server.server_id)
+        server = self._expired.newer_entry(known, change.server, now_s)
+        if server is None:
+            self._apply(ServerRemoval(change.server.server_id), now_s)
+            return
+        self._expired.discard(server.server_id)
         if known is not None and known.start_ms != server.start_ms:
             self._remove(server.server_id)
         self.servers[server.server_id] = server
 
     @_apply.register
     def _(self, change: ServerRemoval, now_s: float) -> None:
-        back_s = now_s if self._store_lost else self._store_back_s
-        due_s = back_s + _ENTRY_RESTORE_S
-        if now_s >= due_s:
+        if change.server_id not in self.servers:
+            return
+        if self._expired.on_removal(change.server_id, now_s):
             self._remove(change.server_id)
-        elif change.server_id in self.servers:
-            self._expired.setdefault(change.server_id, due_s)
 
     @_apply.register
     def _(self, change: OwnerRecordUpdate, now_s: float) -> None:
         known = self.owners.get(change.group)
-        if known is None or change.revision > known.revision:
-            self.owners[change.group] = OwnerRecord(
-                change.group,
-                change.instance,
-                change.host,
-                change.revision,
-                now_s,
-                change.is_released,
-            )
+        self.owners[change.group] = updated_record(known, change, now_s)
 
     @_apply.register
     def _(self, change: InstanceEntry, now_s: float) -> None:
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -57,6 +57,7 @@
     STORE_BACK = EventKind(8002, 'INFO')
     ENTRY_UNREADABLE = EventKind(8003, 'WARNING')
     COPY_TAKEN = EventKind(8004, 'INFO')
+    STORE_RESTORED = EventKind(8005, 'WARNING')
     GROUP_OWNED = EventKind(8011, 'INFO')
     GROUP_LOST = EventKind(8012, 'WARNING')
     OWNER_WRITE_FAILED = EventKind(8013, 'WARNING')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -85,7 +85,8 @@
         return self._revision
 
     async def register_instance(self, instance, host, data_centre, fitness):
-        """Ignore the registration."""
+        """Ignore the registration; the store has no eras."""
+        return 0
 
 
 class FakeEngines:
