--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -40,8 +40,10 @@
     :param instance: name of the machine that owns the group, empty if the
         record names none.
     :param host: IP address of that machine, empty if the record names none.
-    :param revision: store revision of the write.
+    :param revision: position of the write.
     :param is_released: whether the owner has stopped ordering loads.
+    :param is_restored: whether its writer knew only of an earlier era, so that
+        a later owner's record may be lost.
     """
 
     group: str
@@ -49,6 +51,7 @@
     host: str
     revision: int
     is_released: bool = False
+    is_restored: bool = False
 
 
 class InstanceEntry(NamedTuple):
--- a/src/wasabicross/gateway/message_values.py
+++ b/src/wasabicross/gateway/message_values.py
@@ -5,9 +5,9 @@
 from types import NoneType
 from typing import Any, TypeAlias
 
-#: Largest number in either direction; larger ones would overflow where they are
-#: converted to fractions.
-MAX_NUMBER = 9007199254740991
+#: Largest number in either direction, of 64 bits: positions in the store take up
+#: to that, and far larger ones would overflow where they become fractions.
+MAX_NUMBER = 9223372036854775807
 
 _ValueKind: TypeAlias = type | tuple[type, ...]
 
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -16,6 +16,7 @@
 )
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.store_position import era_of
 from wasabicross.platform.documents import (
     decode_configuration,
     decode_server,
@@ -26,7 +27,13 @@
     SERVERS_PREFIX,
     VERSIONS_PREFIX,
 )
-from wasabicross.platform.values import ip_address, number, parse_json, text
+from wasabicross.platform.values import (
+    digits,
+    ip_address,
+    number,
+    parse_json,
+    text,
+)
 
 #: Prefix of the keys that the gateways write.
 OWN_PREFIX = 'wasabicross/'
@@ -54,15 +61,18 @@
 
 
 def encode_owner(
-    instance: str, host: str, *, is_released: bool = False
+    instance: str, host: str, era: int = 0, *, is_released: bool = False
 ) -> bytes:
     """Encode the owner record of a group.
 
     :param instance: name of the owner's machine.
     :param host: IP address of the owner's machine.
+    :param era: era of the store as its writer knows it.
     :param is_released: whether the owner has stopped ordering loads.
     """
     record = {'instance': instance, 'host': host}
+    if era:
+        record['era'] = str(era)
     if is_released:
         record['released'] = 'yes'
     return json.dumps(record).encode()
@@ -137,6 +147,7 @@
         ip_address(wire['host']),
         item.revision,
         'released' in wire,
+        digits(wire.get('era', '0')) < era_of(item.revision),
     )
 
 
