Resume streams whose parts are all sound after a crash of their server

A resumable stream whose answer had begun at most 0.25 s before its server crashed was not sent to another one, also if all parts of its prompt had just run soundly, so it can't be what crashed the server. It may be sent now. Read in the code; the test failed before ('assert True is False'). The counter of crashes counts each server once.

--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -116,8 +116,9 @@
     async def on_broken(
         self, server: BackendServer, info: RequestInfo, since_start_s: float
     ) -> bool:
-        """Record an answer that broke off; return whether its server crashed.
+        """Record an answer that broke off.
 
+        :return: whether its server crashed, perhaps because of the request.
         :param server: the server.
         :param info: what the header fields of the request state.
         :param since_start_s: time since the answer began, seconds.
@@ -132,7 +133,7 @@
         if check.is_done.is_set():
             self._report(server, check)
         await check.is_done.wait()
-        return check.has_crashed
+        return check.has_crashed and self._evidence.is_suspect(info.parts)
 
     def _call_off(self, convicted: frozenset[str]) -> None:
         """Call off the attempts that would crash their servers next."""
@@ -177,6 +178,8 @@
         finally:
             check.is_done.set()
             check.ended_s = now_s()
+        if check.has_crashed:
+            metrics.CRASHES.inc()
         self._report(server, check)
 
     def _report(self, server: BackendServer, check: _Check) -> None:
@@ -197,7 +200,6 @@
             ],
             count=len(suspects),
         )
-        metrics.CRASHES.inc()
         parts = frozenset(part for each in suspects for part in each.parts)
         key = CrashKey(server.server_id, server.start_ms)
         self.sharing.report_crash(Crash(key, check.at_s, parts))
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -135,6 +135,16 @@
     assert not run(scenario)
 
 
+def test_a_request_whose_parts_are_all_sound_did_not_crash_its_server():
+    """A resumable stream that had just begun wasn't resumed elsewhere."""
+
+    async def scenario(watched):
+        watched.watch.on_sound(INFO.parts)
+        return await watched.broken()
+
+    assert run(scenario) is False
+
+
 def test_all_requests_that_had_just_begun_are_suspects():
     other = INFO._replace(request_id='r2', parts=('f0', 'a1'))
 
