Log why a request that was read got no complete answer

A gateway closed the connections of requests silently, so the hypotheses in docs/incidents/requests-without-an-answer.md couldn't be told apart.

Change: event 8044 names the request, the cause (failed, cut, process ends, unread bytes), its sends, and the versions of the configuration at its start and end; at most 20 a second, the rest counted by 8045; wasabicross_gateway_unanswered_total by cause. AnswerCut and AnswerUnwritable are errors of their own; both were CallerGone, as if the caller had left. Serving callers moves from program.py to caller_service.py; no logic of requests changes.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -10,9 +10,20 @@
 
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
-from wasabicross.gateway.errors import CallerGone
+from wasabicross.gateway.errors import (
+    AnswerCut,
+    AnswerUnwritable,
+    CallerGone,
+    GatewayError,
+)
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.gateway.unanswered import (
+    Cause,
+    RequestTrace,
+    UnansweredEnd,
+    UnansweredRequests,
+)
 from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
@@ -60,6 +71,8 @@
         self.started_s: float | None = None
         self.has_ended = False
         self.sent_bytes = 0
+        #: What the log tells about the request if it gets no answer.
+        self.trace = RequestTrace()
 
     @property
     def has_started(self) -> bool:
@@ -116,7 +129,7 @@
         try:
             self._writer.write(self._codec.send(event) or b'')
         except h11.LocalProtocolError as exc:
-            raise CallerGone(str(exc)) from exc
+            raise AnswerUnwritable(str(exc)) from exc
 
     async def _drain(self) -> None:
         try:
@@ -141,6 +154,10 @@
     def is_stopping(self) -> bool:
         """Return whether connections end with their next answer."""
 
+    @property
+    def unanswered(self) -> UnansweredRequests:
+        """Return the record of requests that end without an answer."""
+
 
 class CallerConnection:
     """One connection of a caller, from its start to its end.
@@ -172,7 +189,7 @@
         """Answer request after request until the connection ends."""
         try:
             await self._serve()
-        except (CallerGone, OSError, TimeoutError):
+        except (GatewayError, OSError, TimeoutError):
             self._writer.transport.abort()
         finally:
             self._writer.close()
@@ -198,6 +215,7 @@
                 await self._refuse(refused.status)
                 return
             if req is None:
+                self._record_unread()
                 return
             if not await self._answer(req):
                 return
@@ -209,18 +227,42 @@
         )
         task = asyncio.ensure_future(self._handler(req, answer))
         close_watch = asyncio.ensure_future(self._wait_for_close())
-        reason = PROCESS_ENDS
         try:
             await asyncio.wait(
                 (task, close_watch), return_when=asyncio.FIRST_COMPLETED
             )
-            reason = CALLER_LEFT
-        finally:
-            await _cancel_both(task, close_watch, reason)
-        if task.cancelled() or task.exception() or not answer.has_ended:
-            self.close()
-            return False
-        return self._prepare_next()
+        except asyncio.CancelledError:
+            await _cancel_both(task, close_watch, PROCESS_ENDS)
+            if not answer.has_ended:
+                self._record(Cause.process_ends, '', answer)
+            raise
+        has_left = close_watch.done()
+        await _cancel_both(task, close_watch, CALLER_LEFT)
+        if answer.has_ended and _error_of(task) is None:
+            return self._prepare_next()
+        if not has_left:
+            self._record_failure(_error_of(task), answer)
+        self.close()
+        return False
+
+    def _record_failure(
+        self, exc: BaseException | None, answer: AnswerWriter
+    ) -> None:
+        """Record that a handler has ended before its answer had."""
+        if isinstance(exc, AnswerCut):
+            self._record(Cause.cut, str(exc), answer)
+        elif not isinstance(exc, CallerGone):
+            self._record(Cause.failed, repr(exc), answer)
+
+    def _record_unread(self) -> None:
+        """Record the close of an idle connection on which bytes arrived."""
+        if self._reader.has_unread:
+            end = UnansweredEnd(Cause.unread)
+            self._host.unanswered.record(end, now_s())
+
+    def _record(self, cause: Cause, detail: str, answer: AnswerWriter) -> None:
+        end = UnansweredEnd(cause, detail, answer.trace, answer.sent_bytes)
+        self._host.unanswered.record(end, now_s())
 
     def _prepare_next(self) -> bool:
         if self._codec.our_state is not h11.DONE:
@@ -321,6 +363,13 @@
     return len(head.method) + len(head.target) + fields
 
 
+def _error_of(task: asyncio.Future[None]) -> BaseException | None:
+    """Return the error that ended a task; a cancellation is one."""
+    if task.cancelled():
+        return asyncio.CancelledError()
+    return task.exception()
+
+
 async def _cancel_both(
     task: asyncio.Future[None], close_watch: asyncio.Future[None], reason: str
 ) -> None:
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -56,3 +56,11 @@
 
 class CallerGone(GatewayError):
     """The caller has closed its connection."""
+
+
+class AnswerCut(GatewayError):
+    """The answer has begun and can't be completed."""
+
+
+class AnswerUnwritable(GatewayError):
+    """The answer isn't valid HTTP, so it can't be sent."""
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -51,6 +51,11 @@
     'Requests that the gateway answered itself or cut, by reason.',
     ('reason',),
 )
+UNANSWERED = Counter(
+    'wasabicross_gateway_unanswered',
+    'Connections closed before the answer to a request was complete, by cause.',
+    ('cause',),
+)
 ORDERS = Counter(
     'wasabicross_gateway_orders',
     'Orders to engines by kind and answer.',
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -15,11 +15,12 @@
     CallerConnection,
     Handler,
 )
+from wasabicross.gateway.caller_service import CallerService
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.errors import CallerGone, StoreUnavailable
+from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
@@ -30,12 +31,7 @@
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.ownership import ownership_weight
 from wasabicross.gateway.probing import Prober
-from wasabicross.gateway.request_handler import (
-    HandlerDependencies,
-    RequestHandler,
-)
 from wasabicross.gateway.retry_budgets import RetryBudgets
-from wasabicross.gateway.retry_delays import RetryDelaysByService
 from wasabicross.gateway.retrying_placer import RetryingPlacer
 from wasabicross.gateway.server_attempts import ServerAccess
 from wasabicross.gateway.server_notices import ServerNotices
@@ -45,6 +41,7 @@
 from wasabicross.gateway.store_copy import request_copy
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.unanswered import UnansweredRequests
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
 from wasabicross.gateway.watched_reader import WatchedReader
@@ -112,14 +109,13 @@
         self._output = output
         self.view = FleetView(platform.notices)
         self.is_stopping = False
-        self._active = 0
-        self._refuses_callers = False
         self._connections: set[CallerConnection] = set()
         self._relay = StoreRelay()
         self._owned_groups = OwnedGroups(cfg, platform.store, self.view)
         self._loader_service = LoaderService(
             self.view, self._owned_groups, platform.engines
         )
+        self.unanswered = UnansweredRequests(self._configuration_version)
         self._usage = UsageTracker(self.view)
         self._follower = StoreFollower(
             platform.store,
@@ -141,12 +137,11 @@
         self._budgets = RetryBudgets(
             cfg.retry_ratio, cfg.retry_slack, self.view
         )
-        self._shared = HandlerDependencies(
+        self._caller_service = CallerService.from_parts(
             ServerAccess(self.view, platform.pool, platform.dialect),
             placer,
             self._usage,
             self._budgets.for_service,
-            RetryDelaysByService().for_service,
         )
         self._stop = asyncio.Event()
 
@@ -161,6 +156,10 @@
         cfg = self.view.configuration
         return cfg.limits if cfg else DEFAULT_LIMITS
 
+    def _configuration_version(self) -> int:
+        cfg = self.view.configuration
+        return cfg.version if cfg else 0
+
     @property
     def is_ready(self) -> bool:
         """Return whether the platform should send callers here."""
@@ -175,7 +174,9 @@
             instance=self._cfg.instance,
         )
         tasks = [self._start(part) for part in self._parts()]
-        callers = await self._listen(self._cfg.callers, self._serve_caller)
+        callers = await self._listen(
+            self._cfg.callers, self._caller_service.serve
+        )
         ready = await self._listen(self._cfg.ready, self._serve_platform)
         await self._stop.wait()
         await self._drain(callers)
@@ -267,31 +268,13 @@
         finally:
             self._connections.discard(conn)
 
-    async def _serve_caller(
-        self, req: CallerRequest, answer: AnswerWriter
-    ) -> None:
-        handler = RequestHandler(self._shared, req, answer)
-        if self._refuses_callers:
-            await handler.refuse_at_stop()
-            return
-        self._active += 1
-        try:
-            await handler.serve()
-        except CallerGone:
-            raise
-        except Exception as exc:
-            log_event(Event.REQUEST_FAILED, reason=repr(exc))
-            raise
-        finally:
-            self._active -= 1
-
     async def _serve_platform(
         self, req: CallerRequest, answer: AnswerWriter
     ) -> None:
         if req.path == self._platform.ready_path:
             await answer.send_complete(200 if self.is_ready else 503, [])
         elif req.path == metrics.PATH:
-            metrics.UNDER_WAY.set(self._active)
+            metrics.UNDER_WAY.set(self._caller_service.active)
             fields = [(b'content-type', metrics.CONTENT_TYPE)]
             await answer.send_complete(200, fields, metrics.render_metrics())
         else:
@@ -332,11 +315,11 @@
         started_s = now_s()
         await asyncio.sleep(_NOTICE_S)
         callers.close()
-        self._refuses_callers = True
+        self._caller_service.refuses_all = True
         while now_s() - started_s < self._cfg.grace_s - _KILL_MARGIN_S:
             for conn in tuple(self._connections):
                 conn.close_idle()
-            if not self._active and not self._connections:
+            if not self._caller_service.active and not self._connections:
                 return
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -16,7 +16,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
-from wasabicross.gateway.errors import CallerGone
+from wasabicross.gateway.errors import AnswerCut, CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
@@ -30,6 +30,7 @@
     ServerAccess,
     ServerAttempt,
 )
+from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -278,7 +279,7 @@
     def _abort_answer(self, reason: str) -> NoReturn:
         """End the caller's connection, which marks its answer as incomplete."""
         self._log_refusal(_CUT_STATUS, f'cut: {reason}')
-        raise CallerGone(reason)
+        raise AnswerCut(f'{reason}: {self._progress.reason}')
 
     async def _refuse(self, reason: str, retry_after_s: float) -> None:
         await self._send_own_answer(_UNAVAILABLE, reason, retry_after_s)
@@ -293,6 +294,11 @@
         await self._answer.send_complete(status, fields)
 
     def _record_end(self) -> None:
+        self._answer.trace = RequestTrace(
+            self._info.request_id,
+            self._configuration_version,
+            self._progress.sends,
+        )
         metrics.REQUESTS.labels(*self._labels, self._outcome).inc()
         started_s = self._answer.started_s
         if started_s is not None and self._labels[0]:
