--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -150,7 +150,7 @@
                 writer.transport.abort()
                 async with asyncio.timeout(5):
                     await server.gone.wait()
-            return bench.gateway._shared.servers.crashes.sharing.table()
+            return bench.gateway.crashes.table()
 
     assert not asyncio.run(scenario())
 
@@ -168,7 +168,7 @@
             async with asyncio.timeout(5):
                 while not waiting.seen:
                     await asyncio.sleep(0.01)
-            sharing = bench.gateway._shared.servers.crashes.sharing
+            sharing = bench.gateway.crashes
             for number in range(2):
                 crash = ServerCrash(f's{number}', 0, number * 400, (DEADLY,))
                 sharing.on_message(crash, is_relayed=True)
