Keep the settings in force when a file with odd values is read

A port out of range and a negative share were taken.

Evidence: 5 new rows of test_platform_settings.py::test_fault_is_named failed before. The checks are those of documents in the store (platform/values.py).

--- a/src/wasabicross/platform/settings.py
+++ b/src/wasabicross/platform/settings.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 import os
 import pathlib
 from typing import Any, NamedTuple
 
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.settings import Address, GatewaySettings
+from wasabicross.platform.values import number, parse_json, port_number
 
 #: Environment variable with the path of the settings file.
 PATH_VARIABLE = 'WASABICROSS_NODE_FILE'
@@ -47,8 +47,8 @@
     :raises DocumentUnreadable: a field is missing or invalid.
     """
     try:
-        fields = _Table(json.loads(document), '')
-    except ValueError as exc:
+        fields = _Table(parse_json(document), '')
+    except DocumentUnreadable as exc:
         raise DocumentUnreadable(f'settings: {exc}') from exc
     listen = fields.table('listen')
     bounds = fields.table('bounds')
@@ -102,15 +102,23 @@
         return tuple(str(each).rpartition(':')[0] for each in addresses)
 
     def number(self, name: str) -> float:
-        return float(self.value(name, (int, float)))
+        found = self.value(name, (int, float))
+        try:
+            return float(number(found))
+        except ValueError as exc:
+            raise DocumentUnreadable(
+                f'settings: {self.path}{name}: {exc}'
+            ) from exc
 
     def table(self, name: str) -> _Table:
         return _Table(self.value(name, dict), f'{self.path}{name}.')
 
     def address(self, name: str) -> Address:
-        host, _, port = self.value(name, str).rpartition(':')
-        if not host or not port.isdigit():
+        host, _, port_text = self.value(name, str).rpartition(':')
+        try:
+            port = port_number(port_text if host else '')
+        except ValueError as exc:
             raise DocumentUnreadable(
                 f'settings: {self.path}{name}: not HOST:PORT',
-            )
-        return Address(host, int(port))
+            ) from exc
+        return Address(host, port)
--- a/src/wasabicross/platform/values.py
+++ b/src/wasabicross/platform/values.py
@@ -127,7 +127,16 @@
     :raises ValueError: it isn't such an address.
     """
     host, _, port_text = text(wire).rpartition(':')
-    port = digits(port_text, _MAX_PORT_DIGITS)
+    return ip_address(host), port_number(port_text)
+
+
+def port_number(wire: str) -> int:
+    """Return the port that a string denotes.
+
+    :param wire: the string.
+    :raises ValueError: it denotes no port.
+    """
+    port = digits(wire, _MAX_PORT_DIGITS)
     if not 0 < port <= _MAX_PORT:
         raise ValueError(f'port {port} is out of range')
-    return ip_address(host), port
+    return port
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -62,6 +62,11 @@
         (encoded(limits={'cores': 1}), 'limits.cpuShare: missing'),
         (encoded(bounds={}), 'bounds.retryRatio: missing'),
         (encoded(platform=None), 'platform: wrong type'),
+        (b'[' * 100_000, 'settings'),
+        (encoded(platform={'address': '10.0.0.1:\xb2'}), 'not HOST:PORT'),
+        (encoded(platform={'address': '10.0.0.1:99999'}), 'not HOST:PORT'),
+        (encoded(limits={'cpuShare': 10**400, 'cores': 1}), 'limits.cpuShare'),
+        (encoded(limits={'cpuShare': -1, 'cores': 1}), 'limits.cpuShare'),
     ],
 )
 def test_fault_is_named(document, fault):
