Test that a late answer to a request is not that of an order

Requests, reports and orders share connections, and only requests have ids. A late 200 or 202 with the id of an earlier request counted as the answer to an order on that connection; a load that the engine had refused seemed accepted.

Tried and dropped: orders and reports with an id of their own, so that a late answer to an earlier order could be told too. That case stays open.

--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -224,6 +224,24 @@
     }
 
 
+@pytest.mark.parametrize(
+    'late', [b'200 OK', b'202 Accepted', b'421 Misdirected Request']
+)
+def test_a_late_answer_to_a_request_is_not_that_of_an_order(monkeypatch, late):
+    """Requests and orders share connections; only requests have ids."""
+    monkeypatch.setattr(engines, '_ORDER_TIMEOUT_S', 5)
+    refused = answer(b'{}', late).replace(b'{id}', b'r1')
+    conflict = answer(b'{}', b'409 Conflict')
+
+    async def order_twice(client, server):
+        await client.order(server, ORDER)
+        return await client.order(server, ORDER)
+
+    got, seen = call_engine(order_twice, [answer(b'{}')], [refused, conflict])
+    assert got is OrderAnswer.conflict
+    assert len(seen) == 2
+
+
 def test_order_of_a_base_model_names_no_adapter():
     order = ORDER._replace(key=AdapterKey('m0', ''))
     _, (seen,) = call_engine(
