--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -54,6 +54,7 @@
             await super()._serve(reader, writer)
         finally:
             self._writers.discard(writer)
+            writer.close()
 
     async def _play(self, script, request, reader, writer):
         if DEADLY not in request.fields.get('prompt-prefix', ''):
