Answer a request whose handling fails instead of closing its connection

Cause: RequestHandler.serve let the error pass, CallerConnection closed the connection. One such error needs no fault elsewhere: a Token-Count or Prompt-Prefix of over 4300 digits, which int() rejects (where the limit of heads lets it in).

Change: an error ends in 503 with Retry-After if no server has the request, else 502; an answer that has begun is cut. request_failed tells the request. Counts of over 9 digits are no counts. A head that isn't valid HTTP counts as not begun.

Restarting a part of the process that failed, in place of a graceful stop of the whole gateway, isn't done.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -85,17 +85,16 @@
         :param status: the status code.
         :param fields: header fields; without a length the body is chunked.
         """
-        self.started_s = now_s()
         connection_fields = (
             [(b'connection', b'close')] if self._is_last() else []
         )
-        self._send(
-            h11.Response(
-                status_code=status,
-                headers=fields + connection_fields,
-                reason=_REASON_PHRASES.get(status, b''),
-            )
+        head = h11.Response(
+            status_code=status,
+            headers=fields + connection_fields,
+            reason=_REASON_PHRASES.get(status, b''),
         )
+        self.started_s = now_s()
+        self._send(head)
         await self._drain()
 
     async def send_chunk(self, chunk: bytes) -> None:
--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from wasabicross.gateway.caller_connections import AnswerWriter
-from wasabicross.gateway.errors import AnswerCut, CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
@@ -15,8 +14,6 @@
 from wasabicross.gateway.retrying_placer import RetryingPlacer
 from wasabicross.gateway.server_attempts import ServerAccess
 from wasabicross.gateway.usage_tracker import UsageTracker
-from wasabicross.runtime.events import Event
-from wasabicross.runtime.logs import log_event
 from wasabicross.servers.retries import RetryBudget
 
 
@@ -67,10 +64,5 @@
         self.active += 1
         try:
             await handler.serve()
-        except (AnswerCut, CallerGone):
-            raise
-        except Exception as exc:
-            log_event(Event.REQUEST_FAILED, reason=repr(exc))
-            raise
         finally:
             self.active -= 1
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -102,6 +102,10 @@
         """Answer the request."""
         try:
             await self._serve()
+        except (AnswerCut, CallerGone):
+            raise
+        except Exception as exc:
+            await self._end_on_error(exc)
         finally:
             self._record_end()
 
@@ -253,6 +257,17 @@
         else:
             await self._refuse_with_retry_time('timeout before a server')
 
+    async def _end_on_error(self, exc: Exception) -> None:
+        """End a request after an error that nothing below has handled."""
+        log_event(
+            Event.REQUEST_FAILED,
+            request=self._info.request_id,
+            reason=repr(exc),
+        )
+        if self._answer.has_started:
+            raise exc
+        await self._end_without_answer('error')
+
     async def _end_without_answer(
         self, reason: str, pause_s: float = 0
     ) -> None:
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -42,6 +42,9 @@
 _REFUSED = (429, 503)
 _FIRST_SERVER_ERROR = 500
 
+#: Most digits of a count of tokens.
+_MAX_DIGITS = 9
+
 #: Fields that only the gateway may send to a server; those of callers are
 #: removed.
 _RESERVED = frozenset(
@@ -166,7 +169,7 @@
 def _prompt_tokens(counts: str) -> int:
     """Return the prompt length, the first of two comma-separated counts."""
     first = counts.partition(',')[0].strip()
-    return int(first) if first.isascii() and first.isdigit() else 0
+    return _count(first)
 
 
 def _shared_tokens(parts: str) -> int:
@@ -176,9 +179,13 @@
     the request itself.
     """
     lengths = [part.partition(':')[2].strip() for part in parts.split(',')]
-    return sum(
-        int(each) for each in lengths[:-1] if each.isascii() and each.isdigit()
-    )
+    return sum(_count(each) for each in lengths[:-1])
+
+
+def _count(digits: str) -> int:
+    """Return a number of tokens, 0 if it isn't one."""
+    is_number = digits.isascii() and digits.isdigit()
+    return int(digits) if is_number and len(digits) <= _MAX_DIGITS else 0
 
 
 def _gateway_fields(options: ForwardingOptions) -> Fields:
