--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -20,6 +20,7 @@
 from emulator.soak.schedule import NOTICE_KINDS, Fault
 
 _MAX_STORE_DELAY_S = 0.4
+_MAX_COPY_AGE_S = 8
 _MAX_DELAY_MS = 300
 _MAX_EXTRA_COUNT = 6
 
@@ -32,7 +33,8 @@
 class InjectedFault(NamedTuple):
     """A fault that was injected.
 
-    :param kind: one of `KINDS` or `NOTICE_KINDS` of the schedule.
+    :param kind: one of those of the schedule, or `store_restore`, which only a
+        schedule from a file holds.
     :param target: name of its process, empty for all gateways, the store and
         changes by the operator.
     :param from_s: when it began, monotonic seconds.
@@ -196,8 +198,10 @@
             )
         elif fault.kind == 'store_lose':
             await asyncio.to_thread(set_fault, 'lose', _request_count(fault))
-        elif fault.kind == 'store_forget':
-            await asyncio.to_thread(set_fault, 'forget')
+        elif fault.kind in {'store_forget', 'store_restore'}:
+            age_s = fault.strength * _MAX_COPY_AGE_S
+            kind = fault.kind.removeprefix('store_')
+            await asyncio.to_thread(set_fault, kind, age_s)
         else:
             gateway = self._pick_gateway(fault)
             faults: dict[str, dict[str, Any]] = {
--- a/emulator/soak/store.py
+++ b/emulator/soak/store.py
@@ -11,6 +11,8 @@
 slow_s      delay of each call in seconds
 lose        number of next writes that are made but whose answers are lost
 forget      drops the history, so that watchers have to read all items again
+restore     returns from a copy of this age in seconds, in the next era; the
+            operator writes its items again, servers with their heartbeats
 ==========  =================================================================
 """
 
@@ -73,6 +75,9 @@
         self._changed = asyncio.Event()
         self._faults: dict[str, Any] = {}
         self._heartbeats: dict[str, float] = {}
+        self._era = 1
+        #: All changes with the time of each, for copies of the content.
+        self._log: list[tuple[float, Item]] = []
 
     async def answer(self, req: HttpRequest, responder: Responder) -> None:
         """Answer one call.
@@ -104,10 +109,31 @@
         if document['kind'] == 'forget':
             self._oldest_watchable = self._revision
             self._history.clear()
+        elif document['kind'] == 'restore':
+            self._restore(time.monotonic() - document['value'])
         else:
             self._faults[document['kind']] = document['value']
         responder.send_json(200, {})
 
+    def _restore(self, at_s: float) -> None:
+        """Return from the copy of a time, monotonic seconds."""
+        written = [
+            each for each in self._items.values() if each.key.startswith('op/')
+        ]
+        self._log = [entry for entry in self._log if entry[0] <= at_s]
+        self._era += 1
+        self._revision = self._log[-1][1].revision if self._log else 1
+        self._oldest_watchable = min(self._oldest_watchable, self._revision)
+        self._items = {}
+        kept = [item for _, item in self._log]
+        for kept_item in kept:
+            self._set(kept_item)
+        self._history = [
+            item for item in kept if item.revision > self._oldest_watchable
+        ]
+        for lost_item in written:
+            self._change(lost_item.key, lost_item.text)
+
     def _on_debug(self, req: HttpRequest, responder: Responder) -> None:
         document = req.document()
         key = document['key']
@@ -132,17 +158,17 @@
 
     async def _on_call(self, req: HttpRequest, responder: Responder) -> None:
         if self._faults.get('down'):
-            responder.send_json(503, {})
+            self._send(responder, 503, {})
             return
         await asyncio.sleep(self._faults.get('slow_s', 0))
         if req.path == '/-/kv-range':
-            responder.send_json(200, self._page(req.query))
+            self._send(responder, 200, self._page(req.query))
         elif req.path == '/-/kv-watch':
             await self._watch(req.query, responder)
         elif req.path == '/-/kv-txn':
             self._write(req.document(), responder)
         else:
-            responder.send_json(404, {})
+            self._send(responder, 404, {})
 
     def _page(self, query: dict[str, str]) -> dict[str, Any]:
         prefix = query.get('pathPrefix', '')
@@ -174,15 +200,15 @@
                 await asyncio.wait_for(self._changed.wait(), remaining_s)
             except TimeoutError:
                 break
-        if after < self._oldest_watchable:
-            responder.send_json(410, {})
+        if not self._oldest_watchable <= after <= self._revision:
+            self._send(responder, 410, {})
             return
         changes = [
             item.as_document()
             for item in self._history
             if item.revision > after
         ]
-        responder.send_json(200, {'events': changes, 'at': self._revision})
+        self._send(responder, 200, {'events': changes, 'at': self._revision})
 
     def _write(self, document: dict[str, Any], responder: Responder) -> None:
         expected = document['expected']
@@ -190,7 +216,7 @@
         revisions = [item.revision if item else 0 for item in current]
         if revisions != [row['revision'] for row in expected]:
             found = [item.as_document() for item in current if item]
-            responder.send_json(412, {'items': found})
+            self._send(responder, 412, {'items': found})
             return
         for put in document['puts']:
             self._change(put['key'], put['value'])
@@ -200,18 +226,28 @@
             self._faults['lose'] -= 1
             responder.reset()
             raise ConnectionDied
-        responder.send_json(200, {'revision': self._revision})
+        self._send(responder, 200, {'revision': self._revision})
 
     def _change(self, key: str, text: str | None) -> None:
         self._revision += 1
         item = Item(key, text, self._revision)
-        if text is None:
-            self._items.pop(key, None)
-        else:
-            self._items[key] = item
+        self._set(item)
         self._history.append(item)
+        self._log.append((time.monotonic(), item))
         self._changed.set()
 
+    def _set(self, item: Item) -> None:
+        if item.text is None:
+            self._items.pop(item.key, None)
+        else:
+            self._items[item.key] = item
+
+    def _send(
+        self, responder: Responder, status: int, document: dict[str, Any]
+    ) -> None:
+        era = (('Store-Era', str(self._era)),)
+        responder.send_json(status, document, era)
+
 
 def encode_value(document: bytes) -> str:
     """Return a value in the encoding of the store, base64.
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -176,7 +176,7 @@
         received = await self._request_copy()
         if received is None or self.is_initialised.is_set():
             return
-        log_event(Event.COPY_TAKEN, revision=received.revision)
+        log_event(Event.COPY_TAKEN, revision=revision_of(received.revision))
         self._revision = received.revision
         self._view.on_era(era_of(received.revision), now_s())
         self.copy.replace(received.items, received.revision)
