--- a/tests/test_gateway_eras.py
+++ b/tests/test_gateway_eras.py
@@ -28,6 +28,7 @@
 from wasabicross.gateway.view import FleetView
 
 GROUP = 'dc.0'
+HOSTS = {'a': '10.0.0.1', 'b': '10.0.0.2'}
 GAP_S = 3.0
 
 
@@ -54,7 +55,7 @@
 
     def __init__(self, store, name):
         cfg = settings_at(1, 2, 3)._replace(
-            instance=name, host=name, holder_gap_s=GAP_S
+            instance=name, host=HOSTS[name], holder_gap_s=GAP_S
         )
         self.view = FleetView()
         self.client = store.client()
@@ -113,7 +114,7 @@
 
 
 def put_owner(store, name, **fields):
-    record = {'instance': name, 'host': name, **fields}
+    record = {'instance': name, 'host': HOSTS[name], **fields}
     document = base64.b64encode(json.dumps(record).encode()).decode()
     store.put(f'wasabicross/owner/{GROUP}', document)
 
@@ -159,7 +160,11 @@
         a.cut(is_cut=False)
         restored_s = loop_s()
         await asyncio.sleep(TAKEOVER_S + 5)
-        assert record_of(store) == {'instance': 'a', 'host': 'a', 'era': '2'}
+        assert record_of(store) == {
+            'instance': 'a',
+            'host': HOSTS['a'],
+            'era': '2',
+        }
         assert a.orders[-1].at_s > restored_s + TAKEOVER_S
         assert not b.orders
         await a.stop()
@@ -246,7 +251,7 @@
         store.restore(copy)
         with pytest.raises(StoreUnavailable):
             await b.client.write_owner(
-                GROUP, 'b', 'b', position(1, copy.revision)
+                GROUP, 'b', HOSTS['b'], position(1, copy.revision)
             )
         found = await b.client.read()
         assert found.changes[0].is_restored
