Read a request that arrives as its connection's idle limit expires

Cause: the wait ended with the limit that was read at its beginning, and bytes that lay in the buffer by then were dropped with the connection.

Change: when the time is over, the limit in force decides, and bytes that have come are read.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -290,7 +290,7 @@
         limits = self._host.limits
         event = self._codec.next_event()
         if event is h11.NEED_DATA:
-            if not await self._read_first_bytes(limits.idle_timeout_s):
+            if not await self._read_first_bytes():
                 return None
             event = self._codec.next_event()
         self.is_idle = False
@@ -314,16 +314,26 @@
             event.method, event.target, list(event.headers), body, arrived_s
         )
 
-    async def _read_first_bytes(self, timeout_s: float) -> bool:
-        """Wait for the first bytes of a request; return whether they came."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                received = await self._reader.read(_READ_BYTES)
-        except TimeoutError:
-            return False
-        if received:
-            self._codec.receive_data(received)
-        return bool(received)
+    async def _read_first_bytes(self) -> bool:
+        """Wait for the first bytes of a request; return whether they came.
+
+        The limit in force when the time is over decides, and bytes that have
+        arrived by then are read.
+        """
+        idle_since_s = now_s()
+        while True:
+            limit_s = self._host.limits.idle_timeout_s
+            left_s = max(0, idle_since_s + limit_s - now_s())
+            if not left_s and not self._reader.has_unread:
+                return False
+            try:
+                async with asyncio.timeout(left_s):
+                    received = await self._reader.read(_READ_BYTES)
+            except TimeoutError:
+                continue
+            if received:
+                self._codec.receive_data(received)
+            return bool(received)
 
     async def _read_body(self, max_bytes: int) -> bytes:
         parts: list[bytes] = []
