Let owners pass on crashes that they hear from other owners

A gateway that reaches only some owners didn't learn of a crash that these had heard from another owner, until a link opened anew: an owner passed on only what came from a gateway that isn't one. It passes on all that is new to it now; what is known isn't sent again, so nothing circulates.

test_an_owner_relays_only_what_did_not_come_from_an_owner stated the fault as a rule; test_a_gateway_that_reaches_another_owner_only_learns_of_a_crash replaces it over real links, and failed before (TimeoutError after 5 s).

--- a/src/wasabicross/gateway/crash_sharing.py
+++ b/src/wasabicross/gateway/crash_sharing.py
@@ -75,12 +75,10 @@
         if cleared:
             self._send(PartsCleared(0, cleared))
 
-    def on_message(self, message: CrashMessage, *, is_relayed: bool) -> None:
-        """Handle a message of another gateway.
+    def on_message(self, message: CrashMessage) -> None:
+        """Handle a message of another gateway, and send on what is new.
 
         :param message: the message.
-        :param is_relayed: whether it came from an owner, which sends it to all
-            others too.
         """
         at_s = now_s() - message.age_ms / _MS_PER_S
         parts = tuple(
@@ -93,7 +91,7 @@
                 changed = bool(self._evidence.clear(parts, at_s))
             else:
                 changed = self._add(message, parts, at_s)
-        if changed and not is_relayed:
+        if changed:
             self.to_linked(message)
 
     def _add(
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -237,7 +237,7 @@
     @_on_message.register(ServerCrash)
     @_on_message.register(PartsCleared)
     def _(self, message: CrashMessage) -> None:
-        self._crashes.on_message(message, is_relayed=True)
+        self._crashes.on_message(message)
 
     @_on_message.register
     def _(self, message: StoreUpdate) -> None:
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -162,7 +162,7 @@
         elif isinstance(message, StoreUpdatesRequest):
             self._relay.add(conn)
         elif isinstance(message, ServerCrash | PartsCleared):
-            self._crashes.on_message(message, is_relayed=False)
+            self._crashes.on_message(message)
         elif isinstance(message, UsageUpdate):
             self._on_usage(instance, message)
 
--- a/tests/test_gateway_crash_sharing.py
+++ b/tests/test_gateway_crash_sharing.py
@@ -187,14 +187,23 @@
     sharing, sent = recorded
     message = ServerCrash('s1', 5, 0, (DEADLY,))
     for _ in range(3):
-        sharing.on_message(message, is_relayed=False)
+        sharing.on_message(message)
     assert sent == [message]
 
 
-def test_an_owner_relays_only_what_did_not_come_from_an_owner(recorded):
-    sharing, sent = recorded
-    sharing.on_message(ServerCrash('s1', 5, 0, (DEADLY,)), is_relayed=True)
-    assert not sent
+def test_a_gateway_that_reaches_another_owner_only_learns_of_a_crash():
+    """The owner that heard of it from an owner told nobody."""
+
+    async def scenario(owner, second, third):
+        (port,) = free_ports(1)
+        third.port = port
+        last = Peer(port)
+        async with owner.owning(), second.linked():
+            async with third.linked(), third.owning(), last.linked():
+                second.report(1, DEADLY)
+                await until(last.evidence.suspects)
+
+    run(scenario)
 
 
 def test_sound_runs_of_unsuspected_parts_are_not_sent(recorded):
@@ -208,7 +217,7 @@
 )
 def test_what_another_gateway_sends_is_bounded(recorded, parts):
     sharing, _ = recorded
-    sharing.on_message(ServerCrash('s1', 5, 0, parts), is_relayed=True)
+    sharing.on_message(ServerCrash('s1', 5, 0, parts))
     for crash in sharing.table():
         assert len(crash.parts) <= crash_evidence.MAX_PARTS
         assert all(len(part) <= 64 for part in crash.parts)
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -172,7 +172,7 @@
             sharing = bench.gateway.crashes
             for number in range(2):
                 crash = ServerCrash(f's{number}', 0, number * 400, (DEADLY,))
-                sharing.on_message(crash, is_relayed=True)
+                sharing.on_message(crash)
             async with asyncio.timeout(5):
                 await waiting.gone.wait()
             return await asking
