--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -13,7 +13,6 @@
     PROCESS_ENDS,
     AnswerWriter,
 )
-from wasabicross.gateway.candidates import PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
@@ -21,6 +20,12 @@
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
+from wasabicross.gateway.request_placement import (
+    CRASHES,
+    MAX_SENDS,
+    RequestPlacement,
+    RoutedRequest,
+)
 from wasabicross.gateway.retry_delays import RetryDelays
 from wasabicross.gateway.retrying_placer import (
     Placement,
@@ -47,16 +52,6 @@
 _STOPPING_RETRY_AFTER_S = 0.1
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
-#: Most sends of one request, whether a server ran it or not.
-_MAX_SENDS = 5
-
-#: Priority of the load that a request waits for after a server has failed it.
-_HIGHEST_PRIORITY = 0
-
-#: Why a request that would crash the server that runs it is refused. Nothing
-#: that its caller does soon will change that.
-_CRASHES = NoServer('crashes servers', retry_after_s=60.0)
-
 #: Pause before a retry where a server couldn't run the request now.
 _NOT_RUN_PAUSE_S = 0.05
 
@@ -96,7 +91,6 @@
             req
         )
         self._progress = RequestProgress(self._info.last_event_id)
-        self._guard = dependencies.servers.crashes.guard(self._info.parts)
         self._server_id = ''
         self._labels = ('', '')
         self._waited_before_s: float = 0
@@ -147,18 +141,27 @@
 
     async def _run(self, route: Route, deadline_s: float) -> None:
         service = route.service_for(self._info.request_id)
-        self._waited_before_s = self._time_waited_before_s(route)
-        self._labels = (service, metrics.request_class(route))
         budget = self._deps.budget_for(service)
+        placements = RequestPlacement(
+            RoutedRequest(
+                self._req.arrived_s, self._info, route, service, budget
+            ),
+            self._progress,
+            self._deps.placer,
+            self._deps.servers.crashes.guard(self._info.parts),
+        )
+        self._waited_before_s = placements.waited_before_s
+        self._labels = (service, metrics.request_class(route))
         budget.add_request()
         while True:
-            placement = await self._next_placement(route)
+            placement = await placements.next()
             if isinstance(placement, NoServer):
                 await self._end_without_answer(
                     placement.reason, placement.retry_after_s
                 )
                 return
-            ending = await self._attempt(route, placement, deadline_s)
+            context = self._context(route, placement, deadline_s, placements)
+            ending = await self._attempt(placement, context)
             if ending is Ending.done:
                 return
             if not self._may_retry(route, ending, budget):
@@ -167,84 +170,6 @@
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
-    def _time_waited_before_s(self, route: Route) -> float:
-        """Return how long the caller has probably waited before."""
-        if self._info.time_left_s is None:
-            return 0
-        time_limits = self._deps.placer.time_limits
-        return time_limits.waited_before_s(
-            f'{route.host}{route.prefix}', self._info.time_left_s
-        )
-
-    async def _next_placement(self, route: Route) -> Placement | NoServer:
-        replacement = self._progress.take_replacement()
-        if replacement is not None:
-            return replacement
-        placement = await self._place_unless_refused(
-            route, self._progress.excluded | self._progress.silent
-        )
-        if isinstance(placement, NoServer) and self._progress.silent:
-            # A server that was silent may be sound.
-            self._progress.silent.clear()
-            placement = await self._place_unless_refused(
-                route, self._progress.excluded
-            )
-        return placement
-
-    async def _find_replacement(
-        self, route: Route, server_id: str
-    ) -> Placement | None:
-        """Return a server that takes over from a silent one now, if any."""
-        if self._progress.sends >= _MAX_SENDS:
-            return None
-        placement = await self._place_unless_refused(
-            route,
-            self._progress.excluded | self._progress.silent | {server_id},
-        )
-        if isinstance(placement, NoServer):
-            return None
-        budget = self._deps.budget_for(self._labels[0])
-        return placement if budget.spend() else None
-
-    async def _place_unless_refused(
-        self, route: Route, excluded: set[str]
-    ) -> Placement | NoServer:
-        if not self._guard.refuses():
-            placement = await self._place(route, frozenset(excluded))
-            if not self._guard.refuses():
-                return placement
-        return _CRASHES
-
-    async def _place(
-        self, route: Route, excluded: frozenset[str]
-    ) -> Placement | NoServer:
-        waited_s = now_s() - self._req.arrived_s
-        has_run = self._progress.runs > 0
-        request = PlacementRequest(
-            self._labels[0],
-            self._info.adapter,
-            _HIGHEST_PRIORITY if has_run else route.priority,
-            self._deps.placer.adapter_wait.longest_s(
-                route.target_s, waited_s, has_run=has_run
-            ),
-            excluded,
-            route.target_s,
-            self._info.prompt_tokens,
-            route.target_s - waited_s - self._waited_before_s,
-            self._info.shared_tokens,
-            self._is_returning,
-        )
-        return await self._deps.placer.place(request)
-
-    @property
-    def _is_returning(self) -> bool:
-        """Return whether the caller was refused before.
-
-        Not so if it has a part of the answer already or waits for its end.
-        """
-        has_part = self._progress.runs > 0 or bool(self._info.last_event_id)
-        return self._waited_before_s > 0 and not has_part
-
     def _may_retry(
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
@@ -258,27 +183,34 @@
                 return False
             if self._progress.runs >= route.max_servers:
                 return False
-        return self._progress.sends < _MAX_SENDS and budget.spend()
+        return self._progress.sends < MAX_SENDS and budget.spend()
 
-    async def _attempt(
-        self, route: Route, placement: Placement, deadline_s: float
-    ) -> Ending:
+    def _context(
+        self,
+        route: Route,
+        placement: Placement,
+        deadline_s: float,
+        placements: RequestPlacement,
+    ) -> AttemptContext:
+        """Return the request and the limits of its attempt at a server."""
         server_id = placement.server.server_id
-        self._server_id = server_id
         budget = self._deps.budget_for(self._labels[0])
-        can_fail_over = placement.candidates > 1 and budget.available > 0
-        usage = self._deps.usage.begin(
-            server_id, self._info.adapter, self._info.prompt_tokens
-        )
-        context = AttemptContext(
+        return AttemptContext(
             self._req,
             self._info,
             route,
             deadline_s,
-            can_fail_over,
-            usage,
-            functools.partial(self._find_replacement, route, server_id),
+            placement.candidates > 1 and budget.available > 0,
+            self._deps.usage.begin(
+                server_id, self._info.adapter, self._info.prompt_tokens
+            ),
+            functools.partial(placements.find_replacement, server_id),
         )
+
+    async def _attempt(
+        self, placement: Placement, context: AttemptContext
+    ) -> Ending:
+        self._server_id = placement.server.server_id
         attempt = ServerAttempt(
             self._deps.servers, context, self._progress, self._answer
         )
@@ -292,10 +224,12 @@
             self._progress.reason = CALLER_LEFT
             raise
         except asyncio.CancelledError as exc:
-            self._progress.reason = _cancellation_reason(exc, deadline_s)
+            self._progress.reason = _cancellation_reason(
+                exc, context.deadline_s
+            )
             raise
         finally:
-            usage.end()
+            context.usage.end()
             self._log_attempt(placement, ending, started_s)
         if ending is Ending.done:
             is_ok = self._progress.has_succeeded
@@ -328,7 +262,7 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason == _CRASHES.reason:
+        elif reason == CRASHES.reason:
             await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
--- /dev/null
+++ b/src/wasabicross/gateway/request_placement.py
@@ -0,0 +1,142 @@
+"""Chooses the servers that one request is sent to, one after the other."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wasabicross.gateway.candidates import PlacementRequest
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.crash_watch import RequestGuard
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.placement import NoServer
+from wasabicross.gateway.progress import RequestProgress
+from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
+from wasabicross.servers.retries import RetryBudget
+
+#: Most sends of one request, whether a server ran it or not.
+MAX_SENDS = 5
+
+#: Priority of the load that a request waits for after a server has failed it.
+_HIGHEST_PRIORITY = 0
+
+#: Why a request that would crash the server that runs it is refused. Nothing
+#: that its caller does soon will change that.
+CRASHES = NoServer('crashes servers', retry_after_s=60.0)
+
+
+class RoutedRequest(NamedTuple):
+    """A request, its route and the service that was chosen for it.
+
+    :param arrived_s: when its head was read, monotonic seconds.
+    :param info: what its header fields state.
+    :param budget: the retry budget of the service.
+    """
+
+    arrived_s: float
+    info: RequestInfo
+    route: Route
+    service: str
+    budget: RetryBudget
+
+
+class RequestPlacement:
+    """Chooses the servers of one request.
+
+    :param routed: the request.
+    :param progress: outcomes at all servers so far.
+    :param placer: finds servers for requests.
+    :param guard: keeps the request from servers that it would crash.
+    """
+
+    def __init__(
+        self,
+        routed: RoutedRequest,
+        progress: RequestProgress,
+        placer: RetryingPlacer,
+        guard: RequestGuard,
+    ) -> None:
+        self._routed = routed
+        self._progress = progress
+        self._placer = placer
+        self._guard = guard
+        #: How long the caller has probably waited before, seconds.
+        self.waited_before_s = self._time_waited_before_s()
+
+    async def next(self) -> Placement | NoServer:
+        """Return the next server, or why there is none."""
+        replacement = self._progress.take_replacement()
+        if replacement is not None:
+            return replacement
+        placement = await self._place_unless_refused(
+            self._progress.excluded | self._progress.silent
+        )
+        if isinstance(placement, NoServer) and self._progress.silent:
+            # A server that was silent may be sound.
+            self._progress.silent.clear()
+            placement = await self._place_unless_refused(
+                self._progress.excluded
+            )
+        return placement
+
+    async def find_replacement(self, server_id: str) -> Placement | None:
+        """Return a server that takes over from a silent one now, if any.
+
+        :param server_id: id of the silent server.
+        """
+        if self._progress.sends >= MAX_SENDS:
+            return None
+        placement = await self._place_unless_refused(
+            self._progress.excluded | self._progress.silent | {server_id}
+        )
+        if isinstance(placement, NoServer):
+            return None
+        return placement if self._routed.budget.spend() else None
+
+    def _time_waited_before_s(self) -> float:
+        time_left_s = self._routed.info.time_left_s
+        if time_left_s is None:
+            return 0
+        route = self._routed.route
+        return self._placer.time_limits.waited_before_s(
+            f'{route.host}{route.prefix}', time_left_s
+        )
+
+    async def _place_unless_refused(
+        self, excluded: set[str]
+    ) -> Placement | NoServer:
+        if not self._guard.refuses():
+            placement = await self._place(frozenset(excluded))
+            if not self._guard.refuses():
+                return placement
+        return CRASHES
+
+    async def _place(self, excluded: frozenset[str]) -> Placement | NoServer:
+        info, route = self._routed.info, self._routed.route
+        waited_s = now_s() - self._routed.arrived_s
+        has_run = self._progress.runs > 0
+        request = PlacementRequest(
+            self._routed.service,
+            info.adapter,
+            _HIGHEST_PRIORITY if has_run else route.priority,
+            self._placer.adapter_wait.longest_s(
+                route.target_s, waited_s, has_run=has_run
+            ),
+            excluded,
+            route.target_s,
+            info.prompt_tokens,
+            route.target_s - waited_s - self.waited_before_s,
+            info.shared_tokens,
+            self._is_returning,
+        )
+        return await self._placer.place(request)
+
+    @property
+    def _is_returning(self) -> bool:
+        """Return whether the caller was refused before.
+
+        Not so if it has a part of the answer already or waits for its end.
+        """
+        info = self._routed.info
+        has_part = self._progress.runs > 0 or bool(info.last_event_id)
+        return self.waited_before_s > 0 and not has_part
