Take no stream for complete whose server has ended with it

What callers saw: a complete stream after its first event, though its server had crashed. An answer with neither a length nor chunks ends with its connection, and a process that ends closes it in order; after a whole event nothing tells the two apart. Such an end also counted as a sound run, so a prompt part that crashes servers was cleared by each crash.

Evidence: four tests failed before ('assert 4 == 2' servers crashed; the end of the caller's stream after one event of a crashed server).

Change: at the end of a stream without framing one connection tells whether its server still accepts any; if it is listed, hasn't said that it leaves and refuses, the stream is broken: resumed elsewhere or cut visibly. Framed streams, nearly all, cost nothing more. Bodies of other answers aren't checked: a second connection would cost each of them its delay.

--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -135,6 +135,17 @@
         await check.is_done.wait()
         return check.has_crashed and self._evidence.is_suspect(info.parts)
 
+    async def has_ended(self, server: BackendServer) -> bool:
+        """Return whether a server has ended without notice.
+
+        :param server: the server.
+        """
+        if not self._is_expected(server):
+            return False
+        check = self._check_of(server)
+        await check.is_done.wait()
+        return check.has_crashed
+
     def _call_off(self, convicted: frozenset[str]) -> None:
         """Call off the attempts that would crash their servers next."""
         at_s = now_s()
@@ -297,6 +308,10 @@
             self._watch.on_sound(self._info.parts)
         self._is_sound = True
 
+    async def has_server_ended(self) -> bool:
+        """Return whether the server has ended without notice."""
+        return await self._watch.has_ended(self._server)
+
     async def on_broken(self) -> bool:
         """Return whether the server crashed as it began to answer."""
         if not self._has_begun:
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -343,6 +343,8 @@
             raise AnswerBroken('stream ended inside an event')
         if tail.is_empty and not head.is_framed:
             raise AnswerBroken('connection ended before any event')
+        if not head.is_framed and await self._watched.has_server_ended():
+            raise AnswerBroken('server ended with its stream')
         await self._answer.end()
 
     async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -25,6 +25,7 @@
 
 
 FIRST, DEADLY = 'f0', 'd4'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
 #: The whole answer to a request without the deadly part.
 SOUND = [STREAM_HEAD, chunk(events(1, 3)), STREAM_END]
 
@@ -33,7 +34,8 @@
     """A server whose process ends as it answers a request with a deadly part.
 
     :param how: what happens on such a request: `crash`, `late` (the same, long
-        after the head), `break` (it breaks all answers off and goes on), or
+        after the head), `unframed` (the same after an event of an answer that
+        has no length, whose connection is closed in order), `break` (it breaks all answers off and goes on), or
         `leave` (it says that it leaves before).
     """
 
@@ -67,12 +69,17 @@
         begun = [head, chunk(events(1, 1)), 0.02]
         if self._how == 'late':
             begun = [head, 0.4]
+        if self._how == 'unframed':
+            begun = [head.replace(CHUNKED, b''), events(1, 1), 0.02]
         if not await super()._play(begun, request, reader, writer):
             return False
         if self._how != 'break':
             self._listener.close()
         for each in tuple(self._writers):
-            each.transport.abort()
+            if self._how == 'unframed':
+                each.close()
+            else:
+                each.transport.abort()
         return False
 
 
@@ -106,7 +113,7 @@
     ]
 
 
-@pytest.mark.parametrize('how', ['crash', 'late'])
+@pytest.mark.parametrize('how', ['crash', 'late', 'unframed'])
 @pytest.mark.parametrize('kind', ['streaming', 'stream-resumable'])
 def test_a_part_that_crashes_each_server_reaches_no_more_than_two(kind, how):
     """Each request with the part crashed one more server."""
@@ -178,3 +185,11 @@
             return await asking
 
     assert status_of(asyncio.run(scenario())) == 502
+
+
+@pytest.mark.parametrize('kind', ['streaming', 'stream-resumable'])
+def test_a_stream_without_a_length_that_ends_with_its_server_is_broken(kind):
+    """Its connection ends like that of a complete one."""
+    sent = prompt(1, FIRST, DEADLY, kind=kind)
+    (received,), _ = play(sent, how='unframed')
+    assert STREAM_END not in received
