Call waiting requests off once their part is told apart from others

A request that waits at a server was called off only when a part of its prompt was newly convicted. Where two parts are convicted together, a request with one of them may be sent; when a further crash or a sound run then tells which of them it is, nothing was newly convicted and the request crashed its server. Both rows of test_a_waiting_request_is_called_off_once_its_part_is_told_apart failed before ('assert False'). Requests under way are looked at after each change of the evidence now; it changes only beside crashes.

--- a/src/wasabicross/gateway/crash_log.py
+++ b/src/wasabicross/gateway/crash_log.py
@@ -32,17 +32,16 @@
         return cls(evidence.suspects(), evidence.convicted())
 
 
-def log_changes(before: Findings, evidence: CrashEvidence) -> frozenset[str]:
-    """Log what has changed; return the parts that are newly convicted.
+def log_changes(before: Findings, evidence: CrashEvidence) -> None:
+    """Log what has changed.
 
     :param before: what the evidence said before.
     :param evidence: the evidence.
     """
     after = Findings.of(evidence)
-    convicted = after.convicted - before.convicted
     for event, parts in (
         (Event.PART_SUSPECTED, after.suspects - before.suspects),
-        (Event.PART_CONVICTED, convicted),
+        (Event.PART_CONVICTED, after.convicted - before.convicted),
         (Event.PART_CLEARED, before.suspects - after.suspects),
     ):
         if parts:
@@ -50,4 +49,3 @@
             crashes = max(evidence.crashes_of(part) for part in named)
             log_event(event, parts=named, count=len(parts), crashes=crashes)
             metrics.PARTS.labels(event.name.lower()).inc(len(parts))
-    return convicted
--- a/src/wasabicross/gateway/crash_sharing.py
+++ b/src/wasabicross/gateway/crash_sharing.py
@@ -40,7 +40,8 @@
         #: Sends to some owners, and to all gateways linked to this one.
         self.to_owners: Sender = _ignore
         self.to_linked: Sender = _ignore
-        #: Is told the parts that are newly convicted.
+        #: Is told the convicted parts after each change of the evidence, which
+        #: may also tell a convicted part from others.
         self.on_convicted: Callable[[frozenset[str]], None] = _ignore
 
     def table(self) -> tuple[ServerCrash, ...]:
@@ -109,10 +110,11 @@
 
     @contextlib.contextmanager
     def _following(self) -> Iterator[None]:
-        """Log what changes meanwhile, and tell what is newly convicted."""
+        """Log what changes meanwhile, and tell what is convicted then."""
         before = Findings.of(self._evidence)
         yield
-        convicted = log_changes(before, self._evidence)
+        log_changes(before, self._evidence)
+        convicted = self._evidence.convicted()
         if convicted:
             self.on_convicted(convicted)
 
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -9,7 +9,8 @@
 from emulator.waiting import free_ports
 from wasabicross.gateway import crash_watch
 from wasabicross.gateway.backend import BackendServer
-from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.crash_evidence import Crash, CrashEvidence, CrashKey
 from wasabicross.gateway.crash_sharing import CrashSharing
 from wasabicross.gateway.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import RequestInfo
@@ -191,3 +192,41 @@
         return before, await watched.broken()
 
     assert asyncio.run(scenario()) == (False, True)
+
+
+def crash(number, age_s, *parts):
+    """Return the crash of a server some seconds ago."""
+    return Crash(CrashKey(f'c{number}', 1), now_s() - age_s, frozenset(parts))
+
+
+def attempt_beside_crashes(*crashes, sound=(), info=INFO, begun_s=None):
+    """Return an attempt that is under way as crashes are reported."""
+    evidence = CrashEvidence()
+    sharing = CrashSharing(evidence)
+    watch = CrashWatch(FleetView(), evidence, sharing)
+    attempt = watch.begin(server_at(1), info)
+    with attempt.under_way(lambda: None):
+        if begun_s is not None:
+            attempt.on_start()
+            attempt.on_progress()
+            attempt._first_piece_s -= begun_s
+        for each in crashes:
+            sharing.report_crash(each)
+        if sound:
+            sharing.report_sound(sound)
+    return attempt
+
+
+@pytest.mark.parametrize(
+    ('last', 'sound'),
+    [((crash(3, 0, 'f1', 'd4'),), ()), ((), ('f0', 'a9'))],
+    ids=['another crash', 'a sound run'],
+)
+def test_a_waiting_request_is_called_off_once_its_part_is_told_apart(
+    last, sound
+):
+    """Two parts were convicted together, and the request has one of them."""
+    info = INFO._replace(parts=('f2', 'd4'))
+    tied = (crash(1, 5, 'f0', 'd4'), crash(2, 4, 'f0', 'd4'))
+    attempt = attempt_beside_crashes(*tied, *last, sound=sound, info=info)
+    assert attempt.is_called_off
