Call off no answer that has gone on for longer than a crash takes

The row of 0.3 s of test_an_answer_that_has_gone_on_is_not_called_off failed before ('assert True is False').

--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -150,7 +150,7 @@
         """Call off the attempts that would crash their servers next."""
         at_s = now_s()
         for attempt in tuple(self.under_way):
-            parts = attempt.unproved_parts
+            parts = attempt.unproved_parts(at_s)
             if convicted.isdisjoint(parts):
                 continue
             if self._evidence.verdict(parts, at_s) is Verdict.refused:
@@ -261,10 +261,13 @@
         #: Whether it was called off, so its end says nothing about the server.
         self.is_called_off = False
 
-    @property
-    def unproved_parts(self) -> tuple[str, ...]:
-        """Return the parts of its prompt, none once the answer goes on."""
-        return () if self._is_sound else self._info.parts
+    def unproved_parts(self, now_s: float) -> tuple[str, ...]:
+        """Return the parts of its prompt, none once the answer has gone on.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        has_gone_on = now_s > self._first_piece_s + _BEGUN_S
+        return () if has_gone_on or self._is_sound else self._info.parts
 
     def under_way(self, close: Callable[[], None]) -> Self:
         """Return a context in which the attempt may be called off.
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -230,3 +230,14 @@
     tied = (crash(1, 5, 'f0', 'd4'), crash(2, 4, 'f0', 'd4'))
     attempt = attempt_beside_crashes(*tied, *last, sound=sound, info=info)
     assert attempt.is_called_off
+
+
+@pytest.mark.parametrize(
+    ('begun_s', 'is_called_off'), [(None, True), (0.1, True), (0.3, False)]
+)
+def test_an_answer_that_has_gone_on_is_not_called_off(begun_s, is_called_off):
+    """Its server would have crashed before."""
+    attempt = attempt_beside_crashes(
+        crash(1, 5, 'd4'), crash(2, 4, 'd4'), begun_s=begun_s
+    )
+    assert attempt.is_called_off is is_called_off
