--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -296,7 +296,8 @@
             return True
         if self._answer.has_started:
             raise AnswerBroken(f'{content_type!r} for a resumed stream')
-        return not content_type
+        # The length of a stream isn't known when it begins.
+        return not content_type and head.content_length is None
 
     async def _forward_body(
         self, conn: ServerConnection, head: AnswerHead
