Send no request whose part is convicted while it connects

A request was looked at before it connected to a server, which may take 0.15 s and more, and could be called off only once the connection stood; a part that was convicted in between reached the server. It can be called off from before it connects now, and its caller gets 503, as nothing was sent.

--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -129,6 +129,7 @@
         self._route = context.route
         self._progress = progress
         self._answer = answer
+        self._conn: ServerConnection | None = None
 
     async def run(self, placement: Placement) -> Ending:
         """Send the request to a server and forward its answer.
@@ -139,24 +140,35 @@
         self._watched = self._servers.crashes.begin(server, self._context.info)
         health = self._servers.view.health[server.server_id]
         runs_once = not self._route.is_idempotent
-        try:
-            conn = await self._servers.pool.acquire(
-                server.host,
-                server.port,
-                once=runs_once,
-                is_repeat=server.server_id in self._progress.refused_by,
-            )
-        except ServerUnreachable as exc:
-            self._progress.reason = str(exc)
-            health.on_unreachable(now_s())
-            self._progress.excluded.add(server.server_id)
-            return Ending.not_sent
+        with self._watched.under_way(self._close):
+            try:
+                conn = self._conn = await self._servers.pool.acquire(
+                    server.host,
+                    server.port,
+                    once=runs_once,
+                    is_repeat=server.server_id in self._progress.refused_by,
+                )
+            except ServerUnreachable as exc:
+                self._progress.reason = str(exc)
+                health.on_unreachable(now_s())
+                self._progress.excluded.add(server.server_id)
+                return Ending.not_sent
+            if self._watched.is_called_off:
+                self._servers.pool.release(server.host, server.port, conn)
+                self._progress.reason = _CALLED_OFF
+                return Ending.not_sent
+            return await self._use(conn, placement)
+
+    async def _use(
+        self, conn: ServerConnection, placement: Placement
+    ) -> Ending:
+        """Run the request on a connection, and return or close that."""
+        server = placement.server
         try:
             self._silence = SilenceWatch(
                 self._context.find_replacement, conn.close
             )
-            with self._watched.under_way(conn.close):
-                ending = await self._exchange(conn, placement)
+            ending = await self._exchange(conn, placement)
         except (AnswerMissing, AnswerBroken) as exc:
             conn.close()
             return await self._on_broken(conn, server, exc)
@@ -166,6 +178,11 @@
         self._servers.pool.release(server.host, server.port, conn)
         return ending
 
+    def _close(self) -> None:
+        """Close the connection to the server, if there is one yet."""
+        if self._conn is not None:
+            self._conn.close()
+
     async def _on_broken(
         self, conn: ServerConnection, server: BackendServer, exc: ServerError
     ) -> Ending:
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -15,6 +15,7 @@
 )
 
 from wasabicross.gateway import crash_evidence
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.crash_messages import ServerCrash
 
 
@@ -193,3 +194,30 @@
     sent = prompt(1, FIRST, DEADLY, kind=kind)
     (received,), _ = play(sent, how='unframed')
     assert STREAM_END not in received
+
+
+def test_a_request_whose_part_is_convicted_as_it_connects_is_not_sent(
+    monkeypatch,
+):
+    """It was called off only once it had been sent."""
+    sharings = []
+    acquire = ConnectionPool.acquire
+
+    async def acquire_slowly(pool, *args, **fields):
+        conn = await acquire(pool, *args, **fields)
+        for number in range(2):
+            crash = ServerCrash(f's{number}', 0, number * 400, (DEADLY,))
+            sharings[0].on_message(crash)
+        return conn
+
+    async def scenario():
+        server = ScriptedServer(SOUND)
+        async with running_gateway([server], service='llm') as bench:
+            sharings.append(bench.gateway.crashes)
+            monkeypatch.setattr(ConnectionPool, 'acquire', acquire_slowly)
+            received = await ask(bench.port, prompt(1, FIRST, DEADLY))
+            return received, server.seen
+
+    received, seen = asyncio.run(scenario())
+    assert not seen
+    assert status_of(received) == 503
