Break a stream off whose event id has thousands of digits

A resumed stream with such an id raised ValueError, an error that nothing below the request turns into its own, so no other server was tried.

--- a/src/wasabicross/gateway/event_stream.py
+++ b/src/wasabicross/gateway/event_stream.py
@@ -16,6 +16,9 @@
 _EVENT_ENDS = (_EVENT_END, b'\r\n\r\n')
 _TAIL_BYTES = 4
 
+#: Longest event id that a stream may go on after.
+_MAX_ID_CHARS = 256
+
 #: Type of the body of an event stream.
 EVENT_STREAM_TYPE = 'text/event-stream'
 
@@ -75,6 +78,8 @@
         if not last:
             return
         are_numbers = event_id.isdecimal() and last.isdecimal()
+        if max(len(event_id), len(last)) > _MAX_ID_CHARS:
+            raise AnswerBroken(f'event id of over {_MAX_ID_CHARS} characters')
         if are_numbers and int(event_id) > int(last):
             return
         if not are_numbers and event_id not in {'', last}:
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -7,6 +7,9 @@
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import STREAM_END, STREAM_HEAD, answer, chunk, events
 
+from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.event_stream import EventSplitter
+
 UNFRAMED_HEAD = STREAM_HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
 MODEL = f'm0/{A1.adapter}'
 
@@ -220,3 +223,11 @@
     sent = request(path, b'x', Model=MODEL)
     received, _, _ = run_request([[script]], sent, service='llm')
     assert body_of(received) == b'{"text": "done"}'
+
+
+def test_an_event_id_of_thousands_of_digits_breaks_the_stream():
+    """An error outside the gateway's own ended its request."""
+    splitter = EventSplitter()
+    splitter.last_event_id = '3'
+    with pytest.raises(AnswerBroken):
+        splitter.feed(b'id: %s\n\n' % (b'9' * 5000))
