Contain an unforeseen error while a gateway registers

The task lives as long as the process since registrations are written again after the store returns from an older copy; an error other than an unavailable store would have stopped the gateway. Found by the review; the new row failed before (no second call within 10 s).

--- a/src/wasabicross/gateway/registration.py
+++ b/src/wasabicross/gateway/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.ownership import ownership_weight
 from wasabicross.gateway.settings import GatewaySettings
@@ -29,12 +30,14 @@
         self._store = store
         self._view = view
         self._era: int | None = None
+        self._errors = ErrorContainment('registration')
 
     async def run(self) -> None:
         """Keep this gateway registered until cancelled."""
         while True:
-            if self._is_due():
-                await self._register()
+            with self._errors.contain('entry'):
+                if self._is_due():
+                    await self._register()
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     def _is_due(self) -> bool:
--- a/tests/test_gateway_error_containment.py
+++ b/tests/test_gateway_error_containment.py
@@ -19,6 +19,7 @@
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.probing import Prober
+from wasabicross.gateway.registration import Registration
 from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store import StoreResult
@@ -45,6 +46,7 @@
         (OwnedGroups, '_claim_or_renew'),
         (StateUpdates, 'changes'),
         (Prober, '_is_due'),
+        (Registration, '_is_due'),
     ],
 )
 def test_an_error_in_one_item_does_not_end_the_gateway(
