--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -47,6 +47,7 @@
     """Leave connects without an answer, as a cut link or a frozen machine."""
     with contextlib.ExitStack() as stack:
         listener = stack.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((HOST, port))
         listener.listen(0)
         for _ in range(3):
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -31,6 +31,18 @@
 SOUND = [STREAM_HEAD, chunk(events(1, 3)), STREAM_END]
 
 
+#: What comes of an answer before its server ends, where that isn't an event.
+BEGUN = {
+    'late': [STREAM_HEAD, 0.4],
+    'unframed': [STREAM_HEAD.replace(CHUNKED, b''), events(1, 1), 0.02],
+    'leave': [
+        STREAM_HEAD.replace(b'Server-S', b'Server-Leaving: 1\r\nServer-S'),
+        chunk(events(1, 1)),
+        0.02,
+    ],
+}
+
+
 class MortalServer(ScriptedServer):
     """A server whose process ends as it answers a request with a deadly part.
 
@@ -64,14 +76,7 @@
         if DEADLY not in request.fields.get('prompt-prefix', ''):
             return await super()._play(script, request, reader, writer)
         self.deadly += 1
-        head = STREAM_HEAD
-        if self._how == 'leave':
-            head = head.replace(b'Server-S', b'Server-Leaving: 1\r\nServer-S')
-        begun = [head, chunk(events(1, 1)), 0.02]
-        if self._how == 'late':
-            begun = [head, 0.4]
-        if self._how == 'unframed':
-            begun = [head.replace(CHUNKED, b''), events(1, 1), 0.02]
+        begun = BEGUN.get(self._how, [STREAM_HEAD, chunk(events(1, 1)), 0.02])
         if not await super()._play(begun, request, reader, writer):
             return False
         if self._how != 'break':
