--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from wasabicross.gateway.caller_connections import AnswerWriter
+from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -9,9 +9,9 @@
 
 from wasabicross import __version__
 from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.caller_connections import (
     DEFAULT_LIMITS,
-    AnswerWriter,
     CallerConnection,
     Handler,
 )
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.caller_connections import (
     CALLER_LEFT,
     PROCESS_ENDS,
-    AnswerWriter,
 )
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -6,8 +6,8 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple, Self
 
+from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.backend import BackendServer
-from wasabicross.gateway.caller_connections import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route, RouteKind
 from wasabicross.gateway.connection_pool import ConnectionPool
