--- a/src/wasabicross/gateway/backend.py
+++ b/src/wasabicross/gateway/backend.py
@@ -25,6 +25,8 @@
     :param held: versions of the adapters that it listed as resident.
     :param models: base models that it listed as resident.
     :param start_ms: start time in Unix milliseconds, 0 if unknown.
+    :param software_version: version of its software, empty if not stated.
+        Versions are equal or not; they have no order.
     """
 
     server_id: str
@@ -37,6 +39,7 @@
     held: dict[AdapterKey, int]
     models: frozenset[str]
     start_ms: int
+    software_version: str = ''
 
 
 class EngineReport(NamedTuple):
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -23,6 +23,8 @@
     :param shared_tokens: length of the start of its prompt that other requests
         may share, 0 if not stated.
     :param parts: the parts of its prompt that other requests may share.
+    :param resumes: id of the caller's attempt that brought the first event of
+        the interrupted stream, empty if not stated or not clear.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     prompt_tokens: int = 0
     shared_tokens: int = 0
     parts: tuple[str, ...] = ()
+    resumes: str = ''
 
 
 class ForwardingOptions(NamedTuple):
--- a/src/wasabicross/platform/documents.py
+++ b/src/wasabicross/platform/documents.py
@@ -182,6 +182,7 @@
         held=held,
         models=models,
         start_ms=integer(wire.get('born', 0)),
+        software_version=text(wire['version']) if 'version' in wire else '',
     )
 
 
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -33,6 +33,7 @@
 _EXPECT_VERSION = b'expect-version'
 _REQUEST_PRIORITY = b'request-priority'
 _LAST_EVENT_ID = b'last-event-id'
+_RESUMES = b'resumes'
 _NOT_RUN = b'not-run'
 _RETRY_AFTER = b'retry-after'
 _SERVER_LEAVING = b'server-leaving'
@@ -104,6 +105,7 @@
             prompt_tokens=_prompt_tokens(field(req.fields, _TOKEN_COUNT)),
             shared_tokens=_shared_tokens(prefix),
             parts=_shared_parts(prefix),
+            resumes=_only_value(req.fields, _RESUMES),
         )
 
     def request(
@@ -169,6 +171,12 @@
     return ServerNotice(is_leaving, pause_s)
 
 
+def _only_value(fields: Fields, name: bytes) -> str:
+    """Return the value of a field, empty if it is stated with several."""
+    stated = {content for each, content in fields if each == name}
+    return stated.pop().decode('latin-1') if len(stated) == 1 else ''
+
+
 def _adapter(model: str) -> AdapterKey | None:
     name, _, adapter = model.partition('/')
     return AdapterKey(name, adapter) if name else None
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -184,6 +184,22 @@
         decode_server('i-1', encoded({**SERVER, **fields}))
 
 
+@pytest.mark.parametrize(
+    ('fields', 'version'),
+    [({}, ''), ({'version': 'v1'}, 'v1'), ({'version': 'v10'}, 'v10')],
+)
+def test_software_version_of_a_server(fields, version):
+    document = json.dumps({**SERVER, **fields}).encode()
+    assert decode_server('i-1', document).software_version == version
+
+
+@pytest.mark.parametrize('version', [7, None, '', ['v1'], 'v' * 1025])
+def test_entry_with_an_odd_software_version_names_no_server(version):
+    document = json.dumps({**SERVER, 'version': version}).encode()
+    with pytest.raises(DocumentUnreadable):
+        decode_server('i-1', document)
+
+
 def test_report():
     report = decode_report(encoded(REPORT))
     assert report.order_count == 2
