--- /dev/null
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -0,0 +1,69 @@
+"""A request that is attempted at a server, and what all attempts share."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Self
+
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.dialect import Dialect, RequestInfo
+from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.silence_watch import OnAccepted, Replacements
+from wasabicross.gateway.usage_tracker import RequestUsage
+from wasabicross.gateway.view import FleetView
+
+
+class AttemptContext(NamedTuple):
+    """The request that is attempted, and the limits of the attempt.
+
+    :param req: the request as the caller sent it.
+    :param info: what its header fields state.
+    :param route: its route.
+    :param deadline_s: when the final answer is due, monotonic seconds.
+    :param can_fail_over: whether another server could run the request if this
+        one is silent.
+    :param usage: counts the request at the server.
+    :param replacements: the servers that may take the request over.
+    :param on_accepted: called when the answer begins, None unless the server
+        takes the request over from a silent one.
+    """
+
+    req: CallerRequest
+    info: RequestInfo
+    route: Route
+    deadline_s: float
+    can_fail_over: bool
+    usage: RequestUsage
+    replacements: Replacements
+    on_accepted: OnAccepted | None = None
+
+
+class ServerAccess(NamedTuple):
+    """What all attempts share."""
+
+    view: FleetView
+    pool: ConnectionPool
+    dialect: Dialect
+    crashes: CrashWatch
+
+    @classmethod
+    def from_parts(
+        cls,
+        instance: str,
+        view: FleetView,
+        pool: ConnectionPool,
+        dialect: Dialect,
+    ) -> Self:
+        """Return what all attempts of a gateway share.
+
+        :param instance: name of this machine.
+        :param view: the servers.
+        :param pool: connections to them.
+        :param dialect: conventions for requests and answers.
+        """
+        evidence = CrashEvidence(instance)
+        watch = CrashWatch(view, evidence, CrashSharing(evidence))
+        return cls(view, pool, dialect, watch)
--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from wasabicross.gateway.answer_writer import AnswerWriter
+from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
@@ -12,7 +13,6 @@
 )
 from wasabicross.gateway.retry_delays import RetryDelaysByService
 from wasabicross.gateway.retrying_placer import RetryingPlacer
-from wasabicross.gateway.server_attempts import ServerAccess
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.servers.retries import RetryBudget
 
--- a/src/wasabicross/gateway/error_containment.py
+++ b/src/wasabicross/gateway/error_containment.py
@@ -39,9 +39,14 @@
         try:
             yield
         except Exception as exc:
-            self._log(item, exc)
+            self.log(item, exc)
 
-    def _log(self, item: str, exc: Exception) -> None:
+    def log(self, item: str, exc: Exception) -> None:
+        """Log an error of one item, at most one in an interval.
+
+        :param item: name of the item for the log.
+        :param exc: the error.
+        """
         at_s = now_s()
         if at_s - self._logged_s < _LOG_INTERVAL_S:
             return
--- /dev/null
+++ b/src/wasabicross/gateway/forwarded_stream.py
@@ -0,0 +1,68 @@
+"""The events of a server's stream, checked before they are forwarded."""
+
+from __future__ import annotations
+
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.event_stream import EventSplitter, StreamTail
+from wasabicross.gateway.server_connections import ServerConnection
+
+
+class ForwardedStream:
+    """The events of a server's stream.
+
+    A resumable stream is forwarded in complete events, so a server that sends a
+    byte now and then counts as silent.
+
+    :param conn: the connection, whose next bytes are the stream.
+    :param last_event_id: id of the event that the stream resumes after.
+    :param is_resumable: whether another server may resume it.
+    """
+
+    def __init__(
+        self, conn: ServerConnection, last_event_id: str, *, is_resumable: bool
+    ) -> None:
+        self._chunks = conn.read_chunks()
+        self._is_resumable = is_resumable
+        self._splitter = EventSplitter()
+        self._splitter.last_event_id = last_event_id
+        self._tail = StreamTail()
+        self._last_s = now_s()
+        #: Longest pause between two parts, seconds.
+        self.longest_pause_s: float = 0
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event."""
+        return self._splitter.last_event_id
+
+    async def next_events(self) -> bytes | None:
+        """Return the next bytes to forward, None at the end.
+
+        :raises AnswerBroken: the stream broke off, isn't HTTP or doesn't follow
+            on the last event.
+        """
+        async for chunk in self._chunks:
+            if self._is_resumable:
+                chunk = self._splitter.feed(chunk)
+            if chunk:
+                self._tail.feed(chunk)
+                self._record_pause()
+                return chunk
+        return None
+
+    def check_end(self, *, is_framed: bool) -> None:
+        """Check that the stream isn't cut at its end.
+
+        :param is_framed: whether it ends before its connection does.
+        :raises AnswerBroken: it ends inside an event or has none.
+        """
+        if self._splitter.discard_partial() or self._tail.is_inside_event:
+            raise AnswerBroken('stream ended inside an event')
+        if self._tail.is_empty and not is_framed:
+            raise AnswerBroken('connection ended before any event')
+
+    def _record_pause(self) -> None:
+        at_s = now_s()
+        self.longest_pause_s = max(self.longest_pause_s, at_s - self._last_s)
+        self._last_s = at_s
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -10,6 +10,7 @@
 from wasabicross import __version__
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_writer import AnswerWriter
+from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.caller_connections import (
     DEFAULT_LIMITS,
     CallerConnection,
@@ -32,7 +33,6 @@
 from wasabicross.gateway.registration import Registration
 from wasabicross.gateway.retry_budgets import RetryBudgets
 from wasabicross.gateway.retrying_placer import RetryingPlacer
-from wasabicross.gateway.server_attempts import ServerAccess
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.settings_reload import ReloadableSettings
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -4,9 +4,6 @@
 
 import enum
 
-from wasabicross.gateway.event_stream import EventSplitter
-from wasabicross.gateway.retrying_placer import Placement
-
 
 class Ending(enum.Enum):
     """How an attempt at one server ended.
@@ -27,6 +24,21 @@
     replaced = 'replaced'
 
 
+class AttemptRecord:
+    """What is logged of one attempt at a server."""
+
+    def __init__(self) -> None:
+        #: Status of the answer, 0 for none, and why it is missing or incomplete.
+        self.status = 0
+        self.reason = ''
+        #: Seconds until the answer began, and the prompt tokens that the server
+        #: had to prefill before.
+        self.first_s: float = 0
+        self.unread_tokens = 0
+        #: Longest pause between two parts of a stream, seconds.
+        self.longest_pause_s: float = 0
+
+
 class RequestProgress:
     """Progress of a request over all servers that it was sent to.
 
@@ -43,36 +55,11 @@
         self.has_succeeded = False
         #: Whether a server crashed as it began to answer.
         self.has_crashed = False
-        #: Status of the latest server's answer, 0 for none, and why the answer
-        #: is missing or incomplete.
-        self.status = 0
+        #: Why the latest answer is missing or incomplete.
         self.reason = ''
-        #: Seconds until the latest server's answer began, and the prompt tokens
-        #: that it had to prefill before.
-        self.first_s: float = 0
-        self.unread_tokens = 0
-        #: Longest pause between two parts of the latest server's stream, seconds.
-        self.longest_pause_s: float = 0
         self.excluded: set[str] = set()
-        #: Servers that were left for their silence, and the server that takes
-        #: over from the latest one.
+        #: Servers that were silent, so others were asked.
         self.silent: set[str] = set()
-        self.replacement: Placement | None = None
         #: Servers that stated that they haven't run the request.
         self.refused_by: set[str] = set()
-        self.splitter = EventSplitter()
-        self.splitter.last_event_id = last_event_id
-
-    def begin_attempt(self) -> None:
-        """Reset the result of the previous attempt."""
-        self.status = 0
-        self.reason = ''
-        self.first_s = 0
-        self.unread_tokens = 0
-        self.longest_pause_s = 0
-
-    def take_replacement(self) -> Placement | None:
-        """Return the server that takes over from a silent one, once."""
-        replacement = self.replacement
-        self.replacement = None
-        return replacement
+        self.last_event_id = last_event_id
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_writer import AnswerWriter
+from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.caller_connections import (
     CALLER_LEFT,
     PROCESS_ENDS,
@@ -19,7 +20,11 @@
 from wasabicross.gateway.errors import AnswerCut, CallerGone
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
-from wasabicross.gateway.progress import Ending, RequestProgress
+from wasabicross.gateway.progress import (
+    AttemptRecord,
+    Ending,
+    RequestProgress,
+)
 from wasabicross.gateway.request_placement import (
     CRASHES,
     MAX_SENDS,
@@ -31,11 +36,8 @@
     Placement,
     RetryingPlacer,
 )
-from wasabicross.gateway.server_attempts import (
-    AttemptContext,
-    ServerAccess,
-    ServerAttempt,
-)
+from wasabicross.gateway.server_attempts import ServerAttempt
+from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
@@ -174,7 +176,7 @@
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
         """Return whether the request may be sent once more."""
-        if ending in {Ending.not_sent, Ending.replaced}:
+        if ending is Ending.not_sent:
             return True
         if self._answer.has_started and not route.is_resumable:
             return False
@@ -191,8 +193,20 @@
         placement: Placement,
         deadline_s: float,
         placements: RequestPlacement,
+        on_accepted: OnAccepted | None = None,
     ) -> AttemptContext:
         """Return the request and the limits of its attempt at a server."""
+
+        def send(  # noqa: WPS430
+            other: Placement, on_other_accepted: OnAccepted
+        ) -> Awaitable[Ending]:
+            return self._attempt(
+                other,
+                self._context(
+                    route, other, deadline_s, placements, on_other_accepted
+                ),
+            )
+
         server_id = placement.server.server_id
         budget = self._deps.budget_for(self._labels[0])
         return AttemptContext(
@@ -204,7 +218,10 @@
             self._deps.usage.begin(
                 server_id, self._info.adapter, self._info.prompt_tokens
             ),
-            functools.partial(placements.find_replacement, server_id),
+            Replacements(
+                functools.partial(placements.find_replacement, server_id), send
+            ),
+            on_accepted,
         )
 
     async def _attempt(
@@ -217,20 +234,21 @@
         started_s = now_s()
         self._deps.retry_delays_for(self._labels[0]).on_sent(started_s)
         ending = Ending.unknown
-        self._progress.begin_attempt()
         try:
             ending = await attempt.run(placement)
         except CallerGone:
-            self._progress.reason = CALLER_LEFT
+            attempt.record.reason = CALLER_LEFT
             raise
         except asyncio.CancelledError as exc:
-            self._progress.reason = _cancellation_reason(
+            attempt.record.reason = _cancellation_reason(
                 exc, context.deadline_s
             )
             raise
         finally:
             context.usage.end()
-            self._log_attempt(placement, ending, started_s)
+            self._log_attempt(placement, attempt.record, ending, started_s)
+        if attempt.successor is not None:
+            return await attempt.successor
         if ending is Ending.done:
             is_ok = self._progress.has_succeeded
             self._outcome = 'answered' if is_ok else 'failed'
@@ -326,8 +344,13 @@
         )
 
     def _log_attempt(
-        self, placement: Placement, ending: Ending, started_s: float
+        self,
+        placement: Placement,
+        record: AttemptRecord,
+        ending: Ending,
+        started_s: float,
     ) -> None:
+        self._progress.reason = record.reason
         metrics.ATTEMPTS.labels(self._labels[0], ending.value).inc()
         metrics.LOAD_WAIT_SECONDS.labels(*self._labels).observe(
             placement.waited_s
@@ -349,14 +372,14 @@
             prompt_source=placement.prompt_source.server_id
             if placement.prompt_source
             else '',
-            unread_tokens=self._progress.unread_tokens,
+            unread_tokens=record.unread_tokens,
             configuration=self._configuration_version,
-            first_s=round(self._progress.first_s, 3),
+            first_s=round(record.first_s, 3),
             took_s=round(now_s() - started_s, 3),
-            pause_s=round(self._progress.longest_pause_s, 3),
+            pause_s=round(record.longest_pause_s, 3),
             ending=ending.value,
-            status=self._progress.status,
-            reason=self._progress.reason,
+            status=record.status,
+            reason=record.reason,
         )
 
 
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -65,9 +65,6 @@
 
     async def next(self) -> Placement | NoServer:
         """Return the next server, or why there is none."""
-        replacement = self._progress.take_replacement()
-        if replacement is not None:
-            return replacement
         placement = await self._place_unless_refused(
             self._progress.excluded | self._progress.silent
         )
@@ -84,10 +81,14 @@
 
         :param server_id: id of the silent server.
         """
-        if self._progress.sends >= MAX_SENDS:
+        progress = self._progress
+        progress.silent.add(server_id)
+        if progress.sends >= MAX_SENDS or progress.has_crashed:
+            return None
+        if progress.runs >= self._routed.route.max_servers:
             return None
         placement = await self._place_unless_refused(
-            self._progress.excluded | self._progress.silent | {server_id}
+            progress.excluded | progress.silent
         )
         if isinstance(placement, NoServer):
             return None
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -2,43 +2,39 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from typing import NamedTuple, Self
 
 from wasabicross.gateway.answer_writer import AnswerWriter
+from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.configuration import Route, RouteKind
-from wasabicross.gateway.connection_pool import ConnectionPool
-from wasabicross.gateway.crash_evidence import CrashEvidence
-from wasabicross.gateway.crash_sharing import CrashSharing
-from wasabicross.gateway.crash_watch import CrashWatch
-from wasabicross.gateway.dialect import (
-    AnswerKind,
-    Dialect,
-    ForwardingOptions,
-    RequestInfo,
-)
+from wasabicross.gateway.configuration import RouteKind
+from wasabicross.gateway.dialect import AnswerKind, ForwardingOptions
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
     ServerError,
     ServerUnreachable,
 )
-from wasabicross.gateway.event_stream import EVENT_STREAM_TYPE, StreamTail
-from wasabicross.gateway.http_heads import CallerRequest, Fields, field
+from wasabicross.gateway.event_stream import EVENT_STREAM_TYPE
+from wasabicross.gateway.forwarded_stream import ForwardedStream
+from wasabicross.gateway.http_heads import Fields, field
 from wasabicross.gateway.prefill_rate import PendingPrefill
-from wasabicross.gateway.progress import Ending, RequestProgress
+from wasabicross.gateway.progress import (
+    AttemptRecord,
+    Ending,
+    RequestProgress,
+)
 from wasabicross.gateway.retrying_placer import Placement
 from wasabicross.gateway.server_connections import (
     AnswerHead,
     ServerConnection,
     ServerRequest,
 )
-from wasabicross.gateway.silence_watch import ReplacementFinder, SilenceWatch
-from wasabicross.gateway.usage_tracker import RequestUsage
-from wasabicross.gateway.view import FleetView
+from wasabicross.gateway.silence_watch import SilenceWatch
+from wasabicross.gateway.takeover import Takeover
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
@@ -58,56 +54,6 @@
 _MAX_SILENCE_GAPS = 4
 
 
-class AttemptContext(NamedTuple):
-    """The request that is attempted, and the limits of the attempt.
-
-    :param req: the request as the caller sent it.
-    :param info: what its header fields state.
-    :param route: its route.
-    :param deadline_s: when the final answer is due, monotonic seconds.
-    :param can_fail_over: whether another server could run the request if this
-        one is silent.
-    :param usage: counts the request at the server.
-    :param find_replacement: finds another server that takes the request over.
-    """
-
-    req: CallerRequest
-    info: RequestInfo
-    route: Route
-    deadline_s: float
-    can_fail_over: bool
-    usage: RequestUsage
-    find_replacement: ReplacementFinder
-
-
-class ServerAccess(NamedTuple):
-    """What all attempts share."""
-
-    view: FleetView
-    pool: ConnectionPool
-    dialect: Dialect
-    crashes: CrashWatch
-
-    @classmethod
-    def from_parts(
-        cls,
-        instance: str,
-        view: FleetView,
-        pool: ConnectionPool,
-        dialect: Dialect,
-    ) -> Self:
-        """Return what all attempts of a gateway share.
-
-        :param instance: name of this machine.
-        :param view: the servers.
-        :param pool: connections to them.
-        :param dialect: conventions for requests and answers.
-        """
-        evidence = CrashEvidence(instance)
-        watch = CrashWatch(view, evidence, CrashSharing(evidence))
-        return cls(view, pool, dialect, watch)
-
-
 class ServerAttempt:
     """One attempt of a request at one server.
 
@@ -130,6 +76,10 @@
         self._progress = progress
         self._answer = answer
         self._conn: ServerConnection | None = None
+        self._takeover = Takeover(context.on_accepted)
+        self.record = AttemptRecord()
+        #: The attempt at the server that takes over, if the ending tells so.
+        self.successor: asyncio.Task[Ending] | None = None
 
     async def run(self, placement: Placement) -> Ending:
         """Send the request to a server and forward its answer.
@@ -149,13 +99,13 @@
                     is_repeat=server.server_id in self._progress.refused_by,
                 )
             except ServerUnreachable as exc:
-                self._progress.reason = str(exc)
+                self.record.reason = str(exc)
                 health.on_unreachable(now_s())
                 self._progress.excluded.add(server.server_id)
                 return Ending.not_sent
             if self._watched.is_called_off:
                 self._servers.pool.release(server.host, server.port, conn)
-                self._progress.reason = _CALLED_OFF
+                self.record.reason = _CALLED_OFF
                 return Ending.not_sent
             return await self._use(conn, placement)
 
@@ -164,17 +114,19 @@
     ) -> Ending:
         """Run the request on a connection, and return or close that."""
         server = placement.server
+        self._silence = SilenceWatch(self._context.replacements, self._leave)
         try:
-            self._silence = SilenceWatch(
-                self._context.find_replacement, conn.close
-            )
             ending = await self._exchange(conn, placement)
+            if ending is not Ending.done:
+                ending = await self._replace(ending)
         except (AnswerMissing, AnswerBroken) as exc:
             conn.close()
             return await self._on_broken(conn, server, exc)
         except BaseException:
             conn.close()
             raise
+        finally:
+            self._silence.end()
         self._servers.pool.release(server.host, server.port, conn)
         return ending
 
@@ -183,45 +135,54 @@
         if self._conn is not None:
             self._conn.close()
 
+    def _leave(self) -> None:
+        """Leave the server, as another one has taken the request over."""
+        self._close()
+        self._takeover.accept()
+
     async def _on_broken(
         self, conn: ServerConnection, server: BackendServer, exc: ServerError
     ) -> Ending:
         """Record that no whole answer came."""
         if self._watched.is_called_off:
-            self._progress.reason = _CALLED_OFF
+            self.record.reason = _CALLED_OFF
             return Ending.unknown
         # If the machine is down, its idle connections don't answer either.
         self._servers.pool.drop_idle(server.host, server.port)
         self._servers.view.health[server.server_id].on_failure(now_s())
-        if self._silence.replacement is not None:
-            self._progress.reason = _SILENCE
-            self._progress.replacement = self._silence.replacement
-            self._progress.silent.add(server.server_id)
-            return Ending.replaced
-        self._progress.reason = str(exc)
-        # The fault may be the reused connection's; a new one may work.
-        if not conn.is_reused:
-            self._progress.excluded.add(server.server_id)
-        self._progress.has_crashed |= await self._watched.on_broken()
-        return Ending.unknown
+        if self._silence.is_taken_over:
+            self.record.reason = _SILENCE
+        else:
+            self.record.reason = str(exc)
+            # The fault may be the reused connection's; a new one may work.
+            if not conn.is_reused:
+                self._progress.excluded.add(server.server_id)
+            if await self._watched.on_broken():
+                self._progress.has_crashed = True
+                return Ending.unknown
+        return await self._replace(Ending.unknown)
+
+    async def _replace(self, ending: Ending) -> Ending:
+        """Wait for the server that was asked to take over, if there is one."""
+        self.successor = await self._silence.successor()
+        return ending if self.successor is None else Ending.replaced
 
     async def _exchange(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
         req = self._request(placement)
         progress = self._progress
-        progress.splitter.begin_stream()
         progress.sends += 1
         may_have_run = progress.may_run
         progress.may_run = True
         progress.runs += 1
         prefill = self._pending_prefill(placement)
-        progress.unread_tokens = prefill.tokens
+        self.record.unread_tokens = prefill.tokens
         await conn.send(req)
         with self._silence_limit(prefill.max_silence_s(self._route.target_s)):
             head = await conn.read_head(req)
-        progress.first_s = now_s() - prefill.sent_s
-        progress.status = head.status
+        self.record.first_s = now_s() - prefill.sent_s
+        self.record.status = head.status
         self._record_notice(placement, head)
         kind = self._servers.dialect.classify(head)
         if kind in {AnswerKind.not_run, AnswerKind.not_held}:
@@ -240,7 +201,7 @@
             placement.version,
             self._context.deadline_s - now_s(),
             self._route.priority,
-            self._progress.splitter.last_event_id,
+            self._progress.last_event_id,
             placement.prompt_source,
         )
         return self._servers.dialect.request(self._context.req, options)
@@ -265,7 +226,7 @@
         try:
             await conn.discard_body()
         except AnswerBroken as exc:
-            self._progress.reason = f'body discarded: {exc}'
+            self.record.reason = f'body discarded: {exc}'
 
     def _handle_not_run(self, placement: Placement, kind: AnswerKind) -> Ending:
         server_id = placement.server.server_id
@@ -288,16 +249,19 @@
         succeeded = head.status in _SUCCESS_STATUSES
         if head.status >= _FIRST_FAILURE_STATUS:
             health.on_failure(now_s())
-            if self._may_retry:
+            if self._may_retry or self._is_another_asked:
                 await self._discard_body(conn)
                 self._progress.excluded.add(server_id)
                 return Ending.failed
         if self._answer.has_started and not succeeded:
             raise AnswerBroken(f'status {head.status} for a resumed stream')
-        if succeeded and self._is_stream(head):
-            await self._forward_stream(conn, head)
-        else:
-            await self._forward_body(conn, head)
+        is_stream = succeeded and self._is_stream(head)
+        self._silence.keep()
+        with self._takeover.limit():
+            if is_stream:
+                await self._forward_stream(conn, head)
+            else:
+                await self._forward_body(conn, head)
         if succeeded:
             health.on_answer()
             self._watched.on_success()
@@ -322,6 +286,7 @@
         """Forward an answer, a short one only when it is complete."""
         chunks = conn.read_chunks()
         body_start = await _read_start(chunks)
+        self._take_over()
         if len(body_start) <= _MAX_BUFFERED_BYTES:
             fields = _without_length(head.fields)
             await self._answer.send_complete(head.status, fields, body_start)
@@ -340,50 +305,61 @@
     async def _forward_stream(
         self, conn: ServerConnection, head: AnswerHead
     ) -> None:
-        splitter = self._progress.splitter
-        if not self._answer.has_started:
-            await self._answer.start(head.status, _without_length(head.fields))
-        chunks = conn.read_chunks()
-        tail = StreamTail()
-        last_s = now_s()
+        if not self._takeover.is_pending:
+            await self._start_stream(head)
+        stream = ForwardedStream(
+            conn,
+            self._progress.last_event_id,
+            is_resumable=self._route.is_resumable,
+        )
         while True:
-            events = await self._next_chunk(chunks)
+            events = await self._next_events(stream)
             if events is None:
                 break
-            self._progress.longest_pause_s = max(
-                self._progress.longest_pause_s, now_s() - last_s
-            )
-            last_s = now_s()
             self._watched.on_progress()
-            tail.feed(events)
+            self._take_over()
+            self._progress.last_event_id = stream.last_event_id
+            await self._start_stream(head)
             await self._answer.send_chunk(events)
-        if splitter.discard_partial() or tail.is_inside_event:
-            raise AnswerBroken('stream ended inside an event')
-        if tail.is_empty and not head.is_framed:
-            raise AnswerBroken('connection ended before any event')
+        await self._end_stream(stream, head)
+
+    async def _end_stream(
+        self, stream: ForwardedStream, head: AnswerHead
+    ) -> None:
+        """End an answer if its stream is complete."""
+        stream.check_end(is_framed=head.is_framed)
         if not head.is_framed and await self._watched.has_server_ended():
             raise AnswerBroken('server ended with its stream')
+        self._take_over()
+        await self._start_stream(head)
         await self._answer.end()
 
-    async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
-        """Return the next bytes of a stream to forward, None at its end.
-
-        A resumable stream is forwarded in complete events, so a server that
-        sends a byte now and then counts as silent.
-        """
+    async def _next_events(self, stream: ForwardedStream) -> bytes | None:
+        """Return the next events of a stream to forward, None at its end."""
         with self._silence_limit(self._route.gap_s * _MAX_SILENCE_GAPS):
-            async for chunk in chunks:
-                if self._route.is_resumable:
-                    chunk = self._progress.splitter.feed(chunk)
-                if chunk:
-                    return chunk
-        return None
+            events = await stream.next_events()
+        self.record.longest_pause_s = stream.longest_pause_s
+        return events
+
+    def _take_over(self) -> None:
+        """Answer instead of the servers before and those that were asked."""
+        self._silence.keep()
+        self._takeover.accept()
+
+    async def _start_stream(self, head: AnswerHead) -> None:
+        if not self._answer.has_started:
+            await self._answer.start(head.status, _without_length(head.fields))
 
     @property
     def _may_retry(self) -> bool:
         runs = self._progress.runs
         return self._route.is_idempotent and runs < self._route.max_servers
 
+    @property
+    def _is_another_asked(self) -> bool:
+        """Return whether another server may answer if this one doesn't."""
+        return self._takeover.is_pending or self._silence.is_asking
+
     def _silence_limit(
         self, max_silence_s: float
     ) -> contextlib.AbstractContextManager[None]:
--- a/src/wasabicross/gateway/silence_watch.py
+++ b/src/wasabicross/gateway/silence_watch.py
@@ -1,46 +1,78 @@
-"""Leaves a silent server once another one can take its request over."""
+"""Asks other servers to take a request over while its server is silent."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Iterator
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 from wasabicross.gateway.error_containment import ErrorContainment
+from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.progress import Ending
 from wasabicross.gateway.retrying_placer import Placement
 
-#: Returns another server that takes the request over now, None if there is none.
-ReplacementFinder: TypeAlias = Callable[[], Awaitable[Placement | None]]
+#: Called when another server has begun to answer.
+OnAccepted: TypeAlias = Callable[[], None]
 
 #: Pause before another server is looked for again.
 _RETRY_PAUSE_S = 0.25
 
+#: Why the request is withdrawn from a server that was asked to take over.
+_WENT_ON = 'the silent server went on'
+_ENDED = 'the request ended at the silent server'
+
+
+class Replacements(NamedTuple):
+    """The servers that may take over from a silent one.
+
+    :param find: returns a server that can run the request now, None if there
+        is none.
+    :param send: runs the request there; its last argument is called when the
+        answer has begun.
+    """
+
+    find: Callable[[], Awaitable[Placement | None]]
+    send: Callable[[Placement, OnAccepted], Awaitable[Ending]]
+
 
 class SilenceWatch:
-    """Limits the silence of a server while another one could take over.
+    """Asks other servers while one is silent, and keeps that one meanwhile.
 
-    The server may be sound and go on, so it is left only when the other one has
-    been found.
+    The silent server may be sound and go on, so its connection is closed only
+    when another one has begun to answer.
 
-    :param find_replacement: finds the other server.
-    :param close: closes the connection to the silent one.
+    :param replacements: the other servers.
+    :param leave: closes the connection to the silent one.
     """
 
     def __init__(
-        self, find_replacement: ReplacementFinder, close: Callable[[], None]
+        self, replacements: Replacements, leave: Callable[[], None]
     ) -> None:
-        self._find_replacement = find_replacement
-        self._close = close
-        self._search: asyncio.Task[None] | None = None
+        self._replacements = replacements
+        self._leave = leave
+        self._search: asyncio.Task[Ending] | None = None
         self._errors = ErrorContainment('silence watch')
-        #: The server that takes over; the connection is closed then.
-        self.replacement: Placement | None = None
+        self._is_asking = False
+        #: Done when another server has taken over.
+        self._accepted = asyncio.get_running_loop().create_future()
+
+    @property
+    def is_asking(self) -> bool:
+        """Return whether the answer of another server is awaited."""
+        return self._search is not None and self._is_asking
+
+    @property
+    def is_taken_over(self) -> bool:
+        """Return whether another server answers instead."""
+        return self._accepted.done()
 
     @contextlib.contextmanager
     def limit(self, max_silence_s: float | None) -> Iterator[None]:
         """Limit the silence while the next bytes are awaited.
 
+        A server that has been asked by then is waited for until `keep`.
+
         :param max_silence_s: the longest silence, seconds, None for no limit.
         """
         if max_silence_s is None:
@@ -52,20 +84,74 @@
             yield
         finally:
             timer.cancel()
-            self._end_search()
+
+    def keep(self) -> None:
+        """Go on with the silent server and withdraw from others.
+
+        :raises AnswerBroken: another server has taken over.
+        """
+        if self.is_taken_over:
+            raise AnswerBroken('another server has taken over')
+        self._end_search(_WENT_ON)
+
+    async def successor(self) -> asyncio.Task[Ending] | None:
+        """Return the attempt of the server that takes over, None if none does.
+
+        A server that is being asked is waited for, no other one is looked for.
+        """
+        search = self._search
+        if search is None or not (self._is_asking or self.is_taken_over):
+            return None
+        await asyncio.wait(
+            (search, self._accepted), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not self.is_taken_over:
+            return None
+        self._search = None
+        return search
+
+    def end(self) -> None:
+        """Withdraw from other servers, but for the successor."""
+        self._end_search(_ENDED)
 
     def _begin_search(self) -> None:
+        self._end_search(_WENT_ON)
         self._search = asyncio.ensure_future(self._seek())
 
-    def _end_search(self) -> None:
+    def _end_search(self, reason: str) -> None:
         if self._search is not None:
-            self._search.cancel()
+            self._search.cancel(reason)
             self._search = None
 
-    async def _seek(self) -> None:
-        while self.replacement is None:
-            with self._errors.contain('replacement'):
-                self.replacement = await self._find_replacement()
-            if self.replacement is None:
-                await asyncio.sleep(_RETRY_PAUSE_S)
-        self._close()
+    async def _seek(self) -> Ending:
+        while True:
+            ending = await self._ask_another()
+            if self.is_taken_over:
+                return ending
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
+    async def _ask_another(self) -> Ending:
+        """Return how the attempt at another server ended, if there is one."""
+        try:
+            return await self._find_and_send()
+        except Exception as exc:
+            if self.is_taken_over:
+                raise
+            self._errors.log('replacement', exc)
+            return Ending.not_sent
+
+    async def _find_and_send(self) -> Ending:
+        placement = await self._replacements.find()
+        if placement is None:
+            return Ending.not_sent
+        self._is_asking = True
+        try:
+            return await self._replacements.send(placement, self._accept)
+        finally:
+            self._is_asking = False
+
+    def _accept(self) -> None:
+        """Leave the silent server, as another one has begun to answer."""
+        if not self.is_taken_over:
+            self._accepted.set_result(None)
+            self._leave()
