Look for a replacement of a silent server more and more rarely

What was read (nobody reported it): while a server is silent, each of its requests asked for another server each 0.25 s without end, and a search may have an adapter loaded on an engine that then isn't used.

Cause: the pause between searches was constant, and a server that is silent again and again began at once each time.

Change: pauses grow from 0.25 s by half to 2 s, and they last from one silence of an attempt to the next, also where a search was broken off because the server went on.

How many adapters were loaded for nothing wasn't measured.

--- a/src/wasabicross/gateway/silence_watch.py
+++ b/src/wasabicross/gateway/silence_watch.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import NamedTuple, TypeAlias
 
+from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.progress import Ending
@@ -15,8 +16,11 @@
 #: Called when another server has begun to answer.
 OnAccepted: TypeAlias = Callable[[], None]
 
-#: Pause before another server is looked for again.
-_RETRY_PAUSE_S = 0.25
+#: Pause before another server is looked for again, which grows with each search
+#: of an attempt: a search may have an adapter loaded.
+_FIRST_PAUSE_S = 0.25
+_PAUSE_GROWTH = 1.5
+_MAX_PAUSE_S = 2.0
 
 #: Why the request is withdrawn from a server that was asked to take over.
 _WENT_ON = 'the silent server went on'
@@ -53,6 +57,8 @@
         self._leave = leave
         self._search: asyncio.Task[Ending] | None = None
         self._errors = ErrorContainment('silence watch')
+        self._pause_s = _FIRST_PAUSE_S
+        self._next_search_s: float = 0
         self._is_asking = False
         #: Done when another server has taken over.
         self._accepted = asyncio.get_running_loop().create_future()
@@ -125,10 +131,14 @@
 
     async def _seek(self) -> Ending:
         while True:
-            ending = await self._ask_another()
+            await asyncio.sleep(max(0, self._next_search_s - now_s()))
+            try:
+                ending = await self._ask_another()
+            finally:
+                self._next_search_s = now_s() + self._pause_s
+                self._pause_s = min(_MAX_PAUSE_S, self._pause_s * _PAUSE_GROWTH)
             if self.is_taken_over:
                 return ending
-            await asyncio.sleep(_RETRY_PAUSE_S)
 
     async def _ask_another(self) -> Ending:
         """Return how the attempt at another server ended, if there is one."""
--- a/tests/test_gateway_takeover.py
+++ b/tests/test_gateway_takeover.py
@@ -1,6 +1,7 @@
 """Servers that take a request over from one that is silent."""
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
 import pytest
@@ -25,8 +26,10 @@
     events,
 )
 
-from wasabicross.gateway import request_handler
+from wasabicross.gateway import request_handler, silence_watch
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.progress import Ending
+from wasabicross.gateway.silence_watch import Replacements, SilenceWatch
 from wasabicross.runtime.events import Event
 
 #: Requests with which no more are sent to a server.
@@ -291,6 +294,30 @@
     assert outcome.received.count(b'HTTP/1.1') == 1
 
 
+def test_searches_for_another_server_grow_rare(monkeypatch):
+    """Each search may have an adapter loaded for nothing."""
+    monkeypatch.setattr(silence_watch, '_FIRST_PAUSE_S', 0.02)
+    monkeypatch.setattr(silence_watch, '_PAUSE_GROWTH', 2)
+    searches = []
+
+    async def find():
+        searches.append(1)
+
+    async def send(_placement, _on_accepted):
+        return Ending.not_run
+
+    async def scenario():
+        watch = SilenceWatch(Replacements(find, send), lambda: None)
+        for _ in range(6):
+            with contextlib.suppress(TimeoutError), watch.limit(0.0):
+                async with asyncio.timeout(0.1):
+                    await asyncio.Event().wait()
+            watch.keep()
+
+    asyncio.run(scenario())
+    assert 3 <= len(searches) <= 6
+
+
 def test_an_error_of_a_search_ends_no_stream(attempts, monkeypatch):
     async def fail(_self, _server_id):
         raise KeyError('i-1')
