--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -11,6 +11,7 @@
 from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.connection_end import end_after_answer
 from wasabicross.gateway.errors import (
     AnswerCut,
     CallerGone,
@@ -87,7 +88,8 @@
     async def run(self) -> None:
         """Answer request after request until the connection ends."""
         try:
-            await self._serve()
+            if await self._serve():
+                await end_after_answer(self._reader, self._writer)
         except (GatewayError, OSError, TimeoutError):
             self._writer.transport.abort()
         finally:
@@ -102,25 +104,26 @@
         if self.is_idle and not self._reader.has_unread:
             self._writer.close()
 
-    async def _serve(self) -> None:
+    async def _serve(self) -> bool:
+        """Answer requests; return whether the connection ends with an answer."""
         while True:
             self.is_idle = True
             try:
                 req = await self._read_request()
             except h11.RemoteProtocolError as exc:
-                await self._refuse(exc.error_status_hint)
-                return
+                return await self._refuse(exc.error_status_hint)
             except _RequestRefused as refused:
-                await self._refuse(refused.status)
-                return
+                return await self._refuse(refused.status)
             if req is None:
                 self._record_unread()
-                return
+                return False
             if not await self._answer(req):
-                return
+                return False
+            if not self._prepare_next():
+                return True
 
     async def _answer(self, req: CallerRequest) -> bool:
-        """Answer a request; return whether the connection stays open."""
+        """Answer a request; close the connection and return False if it fails."""
         answer = AnswerWriter(
             self._codec, self._writer, lambda: self._host.is_stopping
         )
@@ -138,7 +141,7 @@
         has_left = close_watch.done()
         await _cancel_both(task, close_watch, CALLER_LEFT)
         if answer.has_ended and _error_of(task) is None:
-            return self._prepare_next()
+            return True
         if not has_left:
             self._record_failure(_error_of(task), answer)
         self.close()
@@ -260,11 +263,13 @@
             event = self._codec.next_event()
         return event
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, status: int) -> bool:
+        """Refuse a request that can't be read; return whether that was sent."""
         if self._codec.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-            return
+            return False
         answer = AnswerWriter(self._codec, self._writer, lambda: True)
         await answer.send_complete(status, [])
+        return True
 
 
 def _head_length(head: h11.Request) -> int:
