--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeAlias
 
@@ -94,6 +95,9 @@
             self._writer.transport.abort()
         finally:
             self._writer.close()
+        # The process ends only when its callers have what was written.
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,6 +1,7 @@
 """Requests that arrive or run while a gateway stops."""
 
 import asyncio
+import socket
 
 import pytest
 from gateway_parts import (
@@ -10,9 +11,11 @@
 )
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import (
+    HOST,
     STREAM_END,
     STREAM_HEAD,
     ScriptedServer,
+    answer,
     chunk,
     events,
 )
@@ -84,3 +87,45 @@
         CONFIGURATION.services,
         CONFIGURATION.limits,
     )
+
+
+def test_the_process_waits_for_callers_that_read_slowly():
+    """The answer is written, but a part of it isn't sent yet."""
+    body = b'a' * 60000
+
+    async def scenario():
+        server = ScriptedServer([0.2, answer(body)])
+        async with running_gateway([server]) as bench:
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                sock.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(sock, (HOST, bench.port))
+                await loop.sock_sendall(sock, request('/safe/x', b'x'))
+                await _until(lambda: server.seen)
+                _send_little_at_once(bench.gateway)
+                bench.gateway.begin_stop()
+                await asyncio.wait((bench.task,), timeout=4)
+                assert not bench.task.done()
+                received = b''
+                while not received.endswith(body):
+                    got = await loop.sock_recv(sock, 65536)
+                    assert got
+                    received += got
+            async with asyncio.timeout(3):
+                await bench.task
+
+    asyncio.run(scenario())
+
+
+async def _until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _send_little_at_once(gateway):
+    """Keep what callers haven't read in the process."""
+    for conn in gateway._connections:
+        sock = conn._writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
