Apply the limits in force to connections that are open

What callers saw: a proper request on a kept connection got 413 or 431 although the configuration in force allowed its body or head, for as long as the connection lived (head) or for the first request after the change (body).

Cause: the limits were read before the wait for the first byte of a request, and the codec took the limit of heads once for each connection.

Change: the limits are read when the first bytes of a request have come, and hold until it is complete; the length of an incomplete head is checked against them instead of the codec's own limit.

Ruled out: that limits which shrink while a request comes refuse it (test_a_request_that_is_coming_keeps_the_limits_of_its_start passed before).

Evidence: 6 of 8 tests of test_gateway_changed_limits failed before (413 and 431 where 200 is due, 200 where the lowered limit refuses); all pass now.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -36,6 +36,9 @@
 #: Most bytes of further requests that are read while one is being answered.
 _MAX_READ_AHEAD_BYTES = 262144
 
+#: More than any configuration allows; its own limit may change.
+_MAX_CODEC_BYTES = 2**30
+
 #: Limits until a configuration is in force.
 DEFAULT_LIMITS = CallerLimits(16384, 4194304, 3.0, 15.0)
 
@@ -82,7 +85,7 @@
         self._host = host
         self._handler = handler
         self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=host.limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=_MAX_CODEC_BYTES
         )
         self.is_idle = True
 
@@ -194,15 +197,15 @@
 
     async def _read_request(self) -> CallerRequest | None:
         """Read a request; return None where the connection ends instead."""
-        limits = self._host.limits
         event = self._codec.next_event()
         if event is h11.NEED_DATA:
             if not await self._read_first_bytes():
                 return None
             event = self._codec.next_event()
         self.is_idle = False
+        limits = self._host.limits
         async with TimeLimit(limits.header_timeout_s, _RequestRefused(408)):
-            event = await self._read_until_event(event)
+            event = await self._read_until_event(event, limits)
         if not isinstance(event, h11.Request):
             return None
         if _head_length(event) > limits.header_bytes:
@@ -216,7 +219,7 @@
                 or b''
             )
         async with TimeLimit(limits.idle_timeout_s, _RequestRefused(408)):
-            body = await self._read_body(limits.body_bytes)
+            body = await self._read_body(limits)
         return CallerRequest(
             event.method, event.target, list(event.headers), body, arrived_s
         )
@@ -242,22 +245,29 @@
                 self._codec.receive_data(received)
             return bool(received)
 
-    async def _read_body(self, max_bytes: int) -> bytes:
+    async def _read_body(self, limits: CallerLimits) -> bytes:
         parts: list[bytes] = []
         length = 0
-        event = await self._read_until_event(self._codec.next_event())
-        while isinstance(event, h11.Data):
+        while True:
+            event = await self._read_until_event(
+                self._codec.next_event(), limits
+            )
+            if not isinstance(event, h11.Data):
+                break
             length += len(event.data)
-            if length > max_bytes:
+            if length > limits.body_bytes:
                 raise _RequestRefused(413)
             parts.append(bytes(event.data))
-            event = await self._read_until_event(self._codec.next_event())
         if not isinstance(event, h11.EndOfMessage):
             raise CallerGone('connection closed before the end of a body')
         return b''.join(parts)
 
-    async def _read_until_event(self, event: _NextEvent) -> _NextEvent:
+    async def _read_until_event(
+        self, event: _NextEvent, limits: CallerLimits
+    ) -> _NextEvent:
         while event is h11.NEED_DATA:
+            if len(self._codec.trailing_data[0]) > limits.header_bytes:
+                raise _RequestRefused(431)
             received = await self._reader.read(_READ_BYTES)
             if not received:
                 raise CallerGone(
