--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeAlias
 
@@ -11,6 +12,7 @@
 from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.connection_end import end_after_answer
 from wasabicross.gateway.errors import (
     AnswerCut,
     CallerGone,
@@ -34,6 +36,9 @@
 #: Most bytes of further requests that are read while one is being answered.
 _MAX_READ_AHEAD_BYTES = 262144
 
+#: More than any configuration allows; its own limit may change.
+_MAX_CODEC_BYTES = 2**30
+
 #: Limits until a configuration is in force.
 DEFAULT_LIMITS = CallerLimits(16384, 4194304, 3.0, 15.0)
 
@@ -80,18 +85,22 @@
         self._host = host
         self._handler = handler
         self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=host.limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=_MAX_CODEC_BYTES
         )
         self.is_idle = True
 
     async def run(self) -> None:
         """Answer request after request until the connection ends."""
         try:
-            await self._serve()
+            if await self._serve():
+                await end_after_answer(self._reader, self._writer)
         except (GatewayError, OSError, TimeoutError):
             self._writer.transport.abort()
         finally:
             self._writer.close()
+        # The process ends only when its callers have what was written.
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
 
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
@@ -102,25 +111,26 @@
         if self.is_idle and not self._reader.has_unread:
             self._writer.close()
 
-    async def _serve(self) -> None:
+    async def _serve(self) -> bool:
+        """Answer requests; return whether the connection ends with an answer."""
         while True:
             self.is_idle = True
             try:
                 req = await self._read_request()
             except h11.RemoteProtocolError as exc:
-                await self._refuse(exc.error_status_hint)
-                return
+                return await self._refuse(exc.error_status_hint)
             except _RequestRefused as refused:
-                await self._refuse(refused.status)
-                return
+                return await self._refuse(refused.status)
             if req is None:
                 self._record_unread()
-                return
+                return False
             if not await self._answer(req):
-                return
+                return False
+            if not self._prepare_next():
+                return True
 
     async def _answer(self, req: CallerRequest) -> bool:
-        """Answer a request; return whether the connection stays open."""
+        """Answer a request; close the connection and return False if it fails."""
         answer = AnswerWriter(
             self._codec, self._writer, lambda: self._host.is_stopping
         )
@@ -138,7 +148,7 @@
         has_left = close_watch.done()
         await _cancel_both(task, close_watch, CALLER_LEFT)
         if answer.has_ended and _error_of(task) is None:
-            return self._prepare_next()
+            return True
         if not has_left:
             self._record_failure(_error_of(task), answer)
         self.close()
@@ -187,15 +197,15 @@
 
     async def _read_request(self) -> CallerRequest | None:
         """Read a request; return None where the connection ends instead."""
-        limits = self._host.limits
         event = self._codec.next_event()
         if event is h11.NEED_DATA:
             if not await self._read_first_bytes():
                 return None
             event = self._codec.next_event()
         self.is_idle = False
+        limits = self._host.limits
         async with TimeLimit(limits.header_timeout_s, _RequestRefused(408)):
-            event = await self._read_until_event(event)
+            event = await self._read_until_event(event, limits)
         if not isinstance(event, h11.Request):
             return None
         if _head_length(event) > limits.header_bytes:
@@ -209,7 +219,7 @@
                 or b''
             )
         async with TimeLimit(limits.idle_timeout_s, _RequestRefused(408)):
-            body = await self._read_body(limits.body_bytes)
+            body = await self._read_body(limits)
         return CallerRequest(
             event.method, event.target, list(event.headers), body, arrived_s
         )
@@ -235,22 +245,29 @@
                 self._codec.receive_data(received)
             return bool(received)
 
-    async def _read_body(self, max_bytes: int) -> bytes:
+    async def _read_body(self, limits: CallerLimits) -> bytes:
         parts: list[bytes] = []
         length = 0
-        event = await self._read_until_event(self._codec.next_event())
-        while isinstance(event, h11.Data):
+        while True:
+            event = await self._read_until_event(
+                self._codec.next_event(), limits
+            )
+            if not isinstance(event, h11.Data):
+                break
             length += len(event.data)
-            if length > max_bytes:
+            if length > limits.body_bytes:
                 raise _RequestRefused(413)
             parts.append(bytes(event.data))
-            event = await self._read_until_event(self._codec.next_event())
         if not isinstance(event, h11.EndOfMessage):
             raise CallerGone('connection closed before the end of a body')
         return b''.join(parts)
 
-    async def _read_until_event(self, event: _NextEvent) -> _NextEvent:
+    async def _read_until_event(
+        self, event: _NextEvent, limits: CallerLimits
+    ) -> _NextEvent:
         while event is h11.NEED_DATA:
+            if len(self._codec.trailing_data[0]) > limits.header_bytes:
+                raise _RequestRefused(431)
             received = await self._reader.read(_READ_BYTES)
             if not received:
                 raise CallerGone(
@@ -260,11 +277,13 @@
             event = self._codec.next_event()
         return event
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, status: int) -> bool:
+        """Refuse a request that can't be read; return whether that was sent."""
         if self._codec.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-            return
+            return False
         answer = AnswerWriter(self._codec, self._writer, lambda: True)
         await answer.send_complete(status, [])
+        return True
 
 
 def _head_length(head: h11.Request) -> int:
