ORDER: Fetch starts of prompts from the same software version only

Callers could get an answer that goes on from what a server of another software version had read of its prompt: a gateway names the server that probably keeps the start of the prompt, and chose any other holder of the adapter, or the one that held it last, whatever software it runs. So two versions side by side could be joined within one answer, without any interrupted stream.

Cause: the software version of a server is known (BackendServer.software_version), but the choice of the source didn't look at it. The last holder wasn't held to the service either, so servers of two services that have the same model could be mixed.

Ruled out: the version of the adapter (compared before) and the engine that restarted (its warm copies are forgotten) don't tell software versions apart.

Evidence: 9 of the new cases failed before (a source of another version or service was returned, or none was found behind such a one), all pass now, with the file's 20 older cases.

Why it works: only servers of the same service with an equal software version are looked at, both among the holders and among the last holders. Servers that state no version are equal to one another and to no other, so nothing changes where no versions are stated.

--- a/src/wasabicross/gateway/prompt_sources.py
+++ b/src/wasabicross/gateway/prompt_sources.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
@@ -35,6 +36,7 @@
     """Return the server that probably keeps the start of a prompt, if any.
 
     It is another holder of the adapter, or else the server that held it last.
+    What a server of another software version has read isn't used.
 
     :param view: the servers and what they hold.
     :param server: the server that will run the request.
@@ -44,12 +46,11 @@
     key = prompt.key
     if key is None or not key.adapter or prompt.tokens < _MIN_SHARED_TOKENS:
         return None
-    source = _other_holder(view, server, key, prompt.version, now_s)
+    alike = _alike(view, server)
+    source = _holder(view, alike, key, prompt.version, now_s)
     if source is None:
-        last_id = view.warm_copies.last_holder(
-            key, prompt.version, server.server_id
-        )
-        source = view.servers.get(last_id)
+        last_id = view.warm_copies.last_holder(key, prompt.version, alike)
+        source = alike.get(last_id)
     if source is None or not _is_reachable(view, source, now_s):
         return None
     return source
@@ -62,17 +63,26 @@
     return view.takes_loads(source, now_s)
 
 
-def _other_holder(
+def _alike(view: FleetView, server: BackendServer) -> dict[str, BackendServer]:
+    """Return the other servers of a service with the same software version."""
+    return {
+        each.server_id: each
+        for each in view.servers.values()
+        if each.server_id != server.server_id
+        and each.service == server.service
+        and each.software_version == server.software_version
+    }
+
+
+def _holder(
     view: FleetView,
-    server: BackendServer,
+    servers: Mapping[str, BackendServer],
     key: AdapterKey,
     version: int,
     now_s: float,
 ) -> BackendServer | None:
-    """Return another server that holds the adapter, if any."""
-    for each in view.servers.values():
-        is_other = each.server_id != server.server_id
-        if is_other and each.service == server.service:
-            if view.held_version(each, key, now_s) == version:
-                return each
+    """Return a server that holds the adapter, if any."""
+    for each in servers.values():
+        if view.held_version(each, key, now_s) == version:
+            return each
     return None
--- a/src/wasabicross/gateway/warm_copies.py
+++ b/src/wasabicross/gateway/warm_copies.py
@@ -9,6 +9,7 @@
 
 import itertools
 from collections import OrderedDict
+from collections.abc import Container
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey
@@ -57,19 +58,22 @@
         """
         self._by_server.pop(server_id, None)
 
-    def last_holder(self, key: AdapterKey, version: int, excluded: str) -> str:
+    def last_holder(
+        self, key: AdapterKey, version: int, among: Container[str]
+    ) -> str:
         """Return the engine that last unloaded an adapter version, '' for none.
 
         :param key: the adapter.
         :param version: the version.
-        :param excluded: id of an engine that isn't returned.
+        :param among: ids of the engines that may be returned.
         """
         numbers = {
             server_id: copies[key].number
             for server_id, copies in self._by_server.items()
-            if key in copies and copies[key].version == version
+            if server_id in among
+            and key in copies
+            and copies[key].version == version
         }
-        numbers.pop(excluded, None)
         return max(numbers, key=lambda each: numbers[each], default='')
 
     def version(self, server_id: str, key: AdapterKey) -> int:
--- a/tests/test_gateway_prompt_sources.py
+++ b/tests/test_gateway_prompt_sources.py
@@ -27,10 +27,10 @@
 SEED = 20261204
 
 
-def server(number):
+def server(number, software_version='', service='llm'):
     return BackendServer(
         f's{number}',
-        'llm',
+        service,
         f'10.0.0.{number}',
         80,
         'dc',
@@ -39,6 +39,7 @@
         {},
         frozenset((MODELS[0].name,)),
         0,
+        software_version,
     )
 
 
@@ -79,6 +80,40 @@
     assert (found.server_id if found else '') == source
 
 
+@pytest.mark.parametrize('reports', [[('a1',)], [('a1',), ()]])
+@pytest.mark.parametrize(
+    ('versions', 'source'),
+    [
+        (('v1', 'v2'), ''),
+        (('v1', ''), ''),
+        (('', 'v1'), ''),
+        (('v1', 'v1'), 's1'),
+        (('v1', 'v2', 'v1'), 's2'),
+        (('v1', 'v1', 'v2'), 's1'),
+    ],
+)
+def test_start_of_a_prompt_read_by_another_software_version(
+    versions, source, reports
+):
+    view = FleetView()
+    for number, each in enumerate(versions):
+        view.apply(ServerEntryUpdate(server(number, each)), 0)
+    for number in range(1, len(versions)):
+        for held in reports:
+            report(view, number, held)
+    found = prompt_source(view, server(0, versions[0]), PROMPT, 0.1)
+    assert (found.server_id if found else '') == source
+
+
+def test_start_of_a_prompt_read_by_another_service():
+    view = FleetView()
+    view.apply(ServerEntryUpdate(server(0, 'v1')), 0)
+    view.apply(ServerEntryUpdate(server(1, 'v1', 'other')), 0)
+    for held in [('a1',), ()]:
+        report(view, 1, held)
+    assert prompt_source(view, server(0, 'v1'), PROMPT, 0.1) is None
+
+
 def test_nothing_is_fetched_from_a_server_out_of_reach():
     view = view_of([()], [('a1',)])
     view.health['s1'].on_unreachable(0)
