ORDER: Forget what is known of a server whose software version changes

What a gateway remembers by a server's id (its health, the owner's report of the adapters it holds, the adapters that it held last) outlived a change of the software version in its entry, if the start time was the same or not stated. So a prompt that the former version had read could be named as the source for a server of the new version, and callers could get an answer joined of both.

Cause: an entry counted as one of the same process if its start time was equal.

Ruled out by the same tests: an entry with another start time (all was forgotten before); notices of servers that leave, and crashes, which are kept by id and start time. Two crashes with equal start times count as one, so one crash too few is known; no stream goes on from that, and it stays.

Why it works: an entry is one of the same process only if start time and software version are equal; else all that is kept for the id is dropped, as for a restart. Requests under way hold the entry that they were sent to and aren't touched.

--- a/src/wasabicross/gateway/backend.py
+++ b/src/wasabicross/gateway/backend.py
@@ -41,6 +41,16 @@
     start_ms: int
     software_version: str = ''
 
+    def is_same_run(self, other: BackendServer) -> bool:
+        """Return whether two entries of one server are of the same process.
+
+        :param other: another entry with the same id.
+        """
+        return (
+            self.start_ms == other.start_ms
+            and self.software_version == other.software_version
+        )
+
 
 class EngineReport(NamedTuple):
     """The report of an engine on its own state.
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -367,7 +367,7 @@
             self._apply(ServerRemoval(change.server.server_id), now_s)
             return
         self._expired.discard(server.server_id)
-        if known is not None and known.start_ms != server.start_ms:
+        if known is not None and not server.is_same_run(known):
             self._remove(server.server_id)
         self.servers[server.server_id] = server
 
