ORDER: Keep a server's software version when the store returns from an older copy

After the store has returned from an older copy, a gateway believed an entry that names another software version for a server that it knew, unless the start time was stated and earlier. Until the server writes its entry again the gateway would send the interrupted streams of the former version to it, and callers would get streams joined of two versions.

Cause: for 2.5 s after the return entries are checked against an earlier start, but not against another version with the same start, or with none stated.

Ruled out by the same test: an earlier start (refused before), a later start (no older copy, taken as before), and a changed version in calm, which is believed.

Why it works: in these 2.5 s an entry with another version and no later start is treated as one of an earlier start: the server stays as known until its own entry is back, or is removed when that time has passed.

--- a/src/wasabicross/gateway/expired_entries.py
+++ b/src/wasabicross/gateway/expired_entries.py
@@ -78,7 +78,7 @@
         """Return the entry to use, None if an older copy holds an older one.
 
         A server that is leaving stays so, and an earlier start of a server
-        doesn't return.
+        doesn't return, nor another software version without a later start.
 
         :param known: the server as known, None if it isn't.
         :param entry: its entry in the store.
@@ -88,6 +88,9 @@
             return entry
         if 0 < entry.start_ms < known.start_ms:
             return None
+        has_other_version = entry.software_version != known.software_version
+        if has_other_version and entry.start_ms <= known.start_ms:
+            return None
         if entry.start_ms == known.start_ms and known.is_leaving:
             return entry._replace(is_leaving=True)
         return entry
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -58,6 +58,27 @@
     assert view.health['s1'].is_healthy(0)
 
 
+@pytest.mark.parametrize(
+    ('known', 'older', 'version'),
+    [
+        # The copy holds the former version; the server hasn't changed back.
+        (('v2', 7), ('v1', 7), 'v2'),
+        (('v2', 0), ('v1', 0), 'v2'),
+        (('v2', 7), ('v1', 0), 'v2'),
+        (('v2', 7), ('v1', 5), 'v2'),
+        # A later start is no older copy.
+        (('v2', 7), ('v1', 9), 'v1'),
+    ],
+)
+def test_older_copy_of_the_store_holds_another_version(known, older, version):
+    view = FleetView()
+    view.on_era(1, 0)
+    view.apply(ServerEntryUpdate(entry(*known)), 0)
+    view.on_era(2, 10)
+    view.apply(ServerEntryUpdate(entry(*older)), 10.1)
+    assert view.servers['s1'].software_version == version
+
+
 def test_changed_version_is_believed_in_calm():
     view = FleetView()
     view.on_era(1, 0)
