--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -4,10 +4,14 @@
 made, as the id of the server is the same.
 """
 
+import asyncio
+
 import pytest
+from scripted_server import HOST, answer
 from test_gateway_prompt_sources import PROMPT, A, report, server
 
 from wasabicross.gateway.changes import ServerEntryUpdate
+from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.crash_evidence import (
     Crash,
     CrashEvidence,
@@ -15,6 +19,7 @@
     Verdict,
 )
 from wasabicross.gateway.prompt_sources import prompt_source
+from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.server_notices import ServerNotice, ServerNotices
 from wasabicross.gateway.view import FleetView
 
@@ -114,3 +119,60 @@
     assert evidence.crashes_of('p') == crashes
     refused = Verdict.refused if crashes > 1 else Verdict.go
     assert evidence.verdict(('p',), 11) is refused
+
+
+class Process:
+    """A process of a server, which names its version in each answer."""
+
+    def __init__(self, version):
+        self._answer = answer(version).replace(b'{id}', b'r1')
+        self._writers = []
+
+    async def start(self, port=0):
+        """Listen; return the port."""
+        self._server = await asyncio.start_server(self._serve, HOST, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        """End as a process does, with all its connections."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        while await reader.read(9999):
+            writer.write(self._answer)
+
+
+async def ask(conn):
+    fields = [(b'host', b'a'), (b'request-id', b'r1')]
+    sent = ServerRequest(b'GET', b'/x', fields, b'')
+    await conn.send(sent)
+    await conn.read_head(sent)
+    return b''.join([each async for each in conn.read_chunks()])
+
+
+def test_kept_connection_to_the_former_version_at_an_address():
+    """A connection ends with its process; the next one is new."""
+
+    async def scenario():
+        former, present = Process(b'v1'), Process(b'v2')
+        port = await former.start()
+        pool = ConnectionPool(b'request-id')
+        conn = await pool.acquire(HOST, port, once=False)
+        received = [await ask(conn)]
+        pool.release(HOST, port, conn)
+        assert conn.is_usable
+        former.stop()
+        await present.start(port)
+        async with asyncio.timeout(5):
+            while conn.is_usable:
+                await asyncio.sleep(0.01)
+        again = await pool.acquire(HOST, port, once=False)
+        received.append(await ask(again))
+        again.close()
+        present.stop()
+        return received
+
+    assert asyncio.run(scenario()) == [b'v1', b'v2']
