Keep the division of streams among software versions in the store

The division that says which version begins which streams was a type only; nobody remembered it. It is now a record of the store under wasabicross/streams/, which gateways that own groups write, each waiting by its rank; all gateways merge it into their view. Times in it are ages. The view tells as of when its content is complete (confirmed_s), from the gateway's own calls or from those of its relay.

--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -6,6 +6,7 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.stream_division_records import StoredDivision
 
 
 class ConfigurationUpdate(NamedTuple):
@@ -69,6 +70,21 @@
     fitness: float = 1
 
 
+class StreamDivisionUpdate(NamedTuple):
+    """The record of the division of a service's streams was written.
+
+    :param service: name of the service.
+    :param stored: content of the record, None if it is unreadable or removed.
+    :param revision: position of the write.
+    :param is_removed: whether the record was removed.
+    """
+
+    service: str
+    stored: StoredDivision | None
+    revision: int
+    is_removed: bool = False
+
+
 StoreChange: TypeAlias = (
     ConfigurationUpdate
     | AdapterVersionUpdate
@@ -76,4 +92,5 @@
     | ServerRemoval
     | OwnerRecordUpdate
     | InstanceEntry
+    | StreamDivisionUpdate
 )
--- /dev/null
+++ b/src/wasabicross/gateway/division_keeper.py
@@ -0,0 +1,220 @@
+"""Keeps the division of each service's resumable streams in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from wasabicross.gateway import metrics
+from wasabicross.gateway.changes import StreamDivisionUpdate
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.division_decisions import (
+    DueWrite,
+    ServiceKnowledge,
+    due_write,
+    write_delay_s,
+)
+from wasabicross.gateway.error_containment import ErrorContainment
+from wasabicross.gateway.errors import StoreUnavailable
+from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.stream_division_records import (
+    DivisionRecord,
+    stored_division,
+)
+from wasabicross.gateway.stream_divisions import (
+    MAX_KNOWLEDGE_AGE_S,
+    StreamDivision,
+)
+from wasabicross.gateway.view import FleetView
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
+
+_CHECK_INTERVAL_S = 0.25
+
+#: Delay before a division is written again after a failed or conflicting write.
+_RETRY_DELAY_S = 0.6
+
+#: How long the content of the store must be known before the first division.
+_STARTUP_DELAY_S = 2.0
+
+
+class _Slots(NamedTuple):
+    """Request slots by software version, and since when they are the same."""
+
+    by_version: dict[str, int]
+    since_s: float
+
+
+class DivisionKeeper:
+    """Writes divisions of streams where they are to change.
+
+    :param instance: name of this machine.
+    :param store: the store that holds the divisions.
+    :param view: the divisions, servers and gateways as last read.
+    """
+
+    def __init__(
+        self, instance: str, store: FleetStore, view: FleetView
+    ) -> None:
+        self._instance = instance
+        self._store = store
+        self._view = view
+        self._slots: dict[str, _Slots] = {}
+        self._due_since_s: dict[str, float] = {}
+        self._retry_at_s: dict[str, float] = {}
+        self._taken: dict[str, int] = {}
+        self._errors = ErrorContainment('divisions')
+
+    async def run(self) -> None:
+        """Keep the divisions until cancelled."""
+        while True:
+            with self._errors.contain('check'):
+                await self.check()
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+
+    async def check(self) -> None:
+        """Write the divisions that are due."""
+        cfg = self._view.configuration
+        self._log_taken()
+        if cfg is None or not self._is_current(now_s()):
+            return
+        limits_s = resumable_limits_s(cfg)
+        slots = slots_by_version(self._view)
+        for service, limit_s in limits_s.items():
+            with self._errors.contain(service):
+                await self._check_service(service, limit_s, slots[service])
+
+    def _is_current(self, at_s: float) -> bool:
+        """Return whether the view is recent and complete enough to decide."""
+        return (
+            at_s - self._view.confirmed_s <= MAX_KNOWLEDGE_AGE_S
+            and at_s - self._view.content_known_since_s >= _STARTUP_DELAY_S
+        )
+
+    async def _check_service(
+        self, service: str, limit_s: float, slots: dict[str, int]
+    ) -> None:
+        at_s = now_s()
+        known = self._slots.get(service)
+        if known is None or known.by_version != slots:
+            self._slots[service] = _Slots(slots, at_s)
+        due = self._due_write(service, limit_s, at_s)
+        if due is None:
+            self._due_since_s.pop(service, None)
+            return
+        since_s = self._due_since_s.setdefault(service, at_s)
+        delay_s = self._delay_s(service, due)
+        if delay_s is None or at_s < since_s + delay_s:
+            return
+        if at_s >= self._retry_at_s.get(service, at_s):
+            await self._write(service, due)
+
+    def _due_write(
+        self, service: str, limit_s: float, at_s: float
+    ) -> DueWrite | None:
+        slots = self._slots[service]
+        knowledge = ServiceKnowledge(
+            self._view.divisions.get(service),
+            self._record(service),
+            slots.by_version,
+            slots.since_s,
+            max(limit_s, self._view.divisions.time_limits.longest_s(service)),
+        )
+        return due_write(knowledge, at_s)
+
+    def _record(self, service: str) -> DivisionRecord:
+        era = self._view.era or 0
+        return self._view.divisions.record_for(service, era)
+
+    def _delay_s(self, service: str, due: DueWrite) -> float | None:
+        owners = [
+            record.instance
+            for record in self._view.owners.values()
+            if record.instance and not record.is_released
+        ]
+        return write_delay_s(
+            service,
+            self._instance,
+            owners,
+            self._view.instances,
+            is_own_knowledge=due.is_own_knowledge,
+        )
+
+    async def _write(self, service: str, due: DueWrite) -> None:
+        sent_s = now_s()
+        expected = self._record(service).revision
+        try:
+            revision = await self._store.write_division(
+                service, due.division, expected, sent_s
+            )
+        except StoreUnavailable as exc:
+            metrics.STORE_CALLS.labels('write', 'unavailable').inc()
+            log_event(
+                Event.DIVISION_WRITE_FAILED, service=service, reason=str(exc)
+            )
+            self._retry_at_s[service] = now_s() + _RETRY_DELAY_S
+            return
+        outcome = 'conflict' if revision is None else 'done'
+        metrics.STORE_CALLS.labels('write', outcome).inc()
+        if revision is None:
+            self._retry_at_s[service] = now_s() + _RETRY_DELAY_S
+            return
+        _log(Event.DIVISION_WRITTEN, service, due.division, due.reason)
+        stored = stored_division(due.division, sent_s)
+        self._view.apply(
+            StreamDivisionUpdate(service, stored, revision), now_s()
+        )
+
+    def _log_taken(self) -> None:
+        """Log the divisions that have changed since the last check."""
+        for service, division in self._view.divisions.items():
+            if self._taken.get(service) != division.number:
+                self._taken[service] = division.number
+                metrics.STREAM_DIVISION.labels(service).set(division.number)
+                _log(Event.DIVISION_TAKEN, service, division)
+
+
+def resumable_limits_s(cfg: Configuration) -> dict[str, float]:
+    """Return the services with resumable streams and their longest time limit.
+
+    :param cfg: the configuration.
+    """
+    limits_s: dict[str, float] = {}
+    for route in cfg.routes:
+        if route.is_resumable:
+            for share in route.shares:
+                limits_s[share.service] = max(
+                    route.timeout_s, limits_s.get(share.service, 0)
+                )
+    return limits_s
+
+
+def slots_by_version(view: FleetView) -> defaultdict[str, dict[str, int]]:
+    """Return the slots of servers that take new requests.
+
+    :param view: the servers.
+    :return: slots by service and software version.
+    """
+    slots: defaultdict[str, dict[str, int]] = defaultdict(dict)
+    for server in view.servers.values():
+        if not server.is_leaving and not view.notices.is_leaving(server):
+            of_service = slots[server.service]
+            version = server.software_version
+            of_service[version] = of_service.get(version, 0) + server.slots
+    return slots
+
+
+def _log(
+    event: Event, service: str, division: StreamDivision, reason: str = ''
+) -> None:
+    fields = {'reason': reason} if reason else {}
+    log_event(
+        event,
+        service=service,
+        number=division.number,
+        versions=dict(Counter(division.buckets)),
+        announced=dict(Counter(division.announced)),
+        **fields,
+    )
--- /dev/null
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -0,0 +1,63 @@
+"""The divisions of streams as this process knows them from the store."""
+
+from __future__ import annotations
+
+from collections import UserDict
+
+from wasabicross.gateway.changes import StreamDivisionUpdate
+from wasabicross.gateway.store_position import era_of, position
+from wasabicross.gateway.stream_division_records import (
+    DivisionRecord,
+    merged,
+    received_division,
+)
+from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.gateway.stream_time_limits import StreamTimeLimits
+
+
+class KnownDivisions(UserDict[str, StreamDivision]):
+    """The newest known divisions by service, with their records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        #: Time limits that callers stated on resumable routes.
+        self.time_limits = StreamTimeLimits()
+        self._records: dict[str, DivisionRecord] = {}
+        self._positions: dict[str, int] = {}
+
+    def record_for(self, service: str, era: int) -> DivisionRecord:
+        """Return the record of a service as last read.
+
+        :param service: name of the service.
+        :param era: era of the store.
+        """
+        missing = DivisionRecord(None, position(era, 0))
+        return self._records.get(service, missing)
+
+    def on_new_content(self) -> None:
+        """Forget the records, as the complete content is applied next."""
+        self._records.clear()
+        self._positions.clear()
+
+    def apply(
+        self, change: StreamDivisionUpdate, confirmed_s: float, now_s: float
+    ) -> None:
+        """Apply a change of a record; what is known stays if it is removed.
+
+        :param change: the change.
+        :param confirmed_s: time as of which the content of the store was known
+            completely before, monotonic seconds.
+        :param now_s: the present time, monotonic seconds.
+        """
+        service = change.service
+        if change.revision <= self._positions.get(service, -1):
+            return
+        self._positions[service] = change.revision
+        expected = change.revision
+        if change.is_removed:
+            expected = position(era_of(change.revision), 0)
+        self._records[service] = DivisionRecord(change.stored, expected)
+        if change.stored is None:
+            return
+        received = received_division(change.stored, confirmed_s, now_s)
+        self[service] = merged(self.get(service), received, now_s)
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -223,6 +223,22 @@
     is_lost: bool
 
 
+class StoreConfirmation(NamedTuple):
+    """As of when an owner knows the store's content, sent as a heartbeat.
+
+    Both times are of the sender's clock, so that the receiver can tell how long
+    the message took.
+
+    :param revision: position up to which the owner knows all changes.
+    :param confirmed_ms: time as of which it knows them, milliseconds.
+    :param sent_ms: time at which this was sent, milliseconds.
+    """
+
+    revision: int
+    confirmed_ms: int
+    sent_ms: int
+
+
 Message: TypeAlias = (
     Hello
     | ServerState
@@ -237,6 +253,7 @@
     | StoreCopyRequest
     | ServerCrash
     | PartsCleared
+    | StoreConfirmation
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -254,6 +271,7 @@
     StoreCopyRequest,
     ServerCrash,
     PartsCleared,
+    StoreConfirmation,
 )
 
 _DECODING_ERRORS = (
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -79,6 +79,11 @@
     'wasabicross_gateway_configuration_version',
     'Version of the configuration in force.',
 )
+STREAM_DIVISION = Gauge(
+    'wasabicross_gateway_stream_division',
+    "Number of the division of a service's streams in force.",
+    ('service',),
+)
 CRASHES = Counter(
     'wasabicross_gateway_server_crashes',
     'Servers found crashed under requests that they had begun to answer.',
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -27,6 +27,7 @@
     Message,
     ServerOccupancy,
     ServerState,
+    StoreConfirmation,
     StoreStatus,
     StoreUpdate,
     StoreUpdatesRequest,
@@ -63,6 +64,11 @@
     def on_status(self, relay: str, status: StoreStatus) -> None:
         """Handle the status of a relay."""
 
+    def on_confirmation(
+        self, relay: str, confirmation: StoreConfirmation
+    ) -> None:
+        """Handle as of when a relay knows the store's content."""
+
     def on_update(self, store_update: StoreUpdate) -> None:
         """Handle changes that a relay has forwarded."""
 
@@ -250,6 +256,11 @@
         if self.is_relay:
             self._store_updates.on_status(self._host, message)
 
+    @_on_message.register
+    def _(self, message: StoreConfirmation) -> None:
+        if self.is_relay:
+            self._store_updates.on_confirmation(self._host, message)
+
     @_on_message.register
     def _(self, message: LoadEnded) -> None:
         fut = self._calls.get(message.call_id)
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -208,7 +208,11 @@
         messages = self._updates.changes(states)
         heartbeats = self._updates.heartbeats(states, now_s())
         if heartbeats:
-            messages += (*heartbeats, self._relay.status)
+            messages += (
+                *heartbeats,
+                self._relay.status,
+                *self._relay.confirmations(now_s()),
+            )
         if messages:
             broadcast(self._links, encode(*messages))
 
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -20,11 +20,11 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
+from wasabicross.gateway.division_keeper import DivisionKeeper
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
-from wasabicross.gateway.messages import StoreUpdate
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owner_server import OwnerServer
@@ -37,7 +37,7 @@
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.settings_reload import ReloadableSettings
 from wasabicross.gateway.store import FleetStore
-from wasabicross.gateway.store_copy import request_copy
+from wasabicross.gateway.store_copy import request_from_seeds
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
 from wasabicross.gateway.unanswered import UnansweredRequests
@@ -120,7 +120,7 @@
             self.view,
             self._relay,
             lambda: self._owned_groups.owns_any,
-            self._request_copy,
+            lambda: request_from_seeds(self._cfg),
         )
         servers = ServerAccess.from_parts(
             cfg.instance, self.view, platform.pool, platform.dialect
@@ -219,6 +219,7 @@
             self._follower.run(),
             self._register(),
             self._own_groups(),
+            self._keep_divisions(),
             self._loader_service.run(),
             self._links.run(),
             self._links.report_usage(),
@@ -290,18 +291,17 @@
         registration = Registration(self._cfg, self._platform.store, self.view)
         await registration.run()
 
-    async def _request_copy(self) -> StoreUpdate | None:
-        others = [
-            Address(host, self._cfg.peer_port)
-            for host in self._cfg.seeds
-            if host != self._cfg.host
-        ]
-        return await request_copy(self._cfg.instance, others)
-
     async def _own_groups(self) -> None:
         await self._follower.is_initialised.wait()
         await self._owned_groups.run()
 
+    async def _keep_divisions(self) -> None:
+        await self._follower.is_initialised.wait()
+        keeper = DivisionKeeper(
+            self._cfg.instance, self._platform.store, self.view
+        )
+        await keeper.run()
+
     async def _drain(self, callers: asyncio.Server) -> None:
         """Stop taking callers and wait for the answers in progress."""
         log_event(Event.PROGRAM_STOPPING)
--- a/src/wasabicross/gateway/store.py
+++ b/src/wasabicross/gateway/store.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from wasabicross.gateway.changes import StoreChange
+from wasabicross.gateway.stream_divisions import StreamDivision
 
 
 class StoredItem(NamedTuple):
@@ -111,6 +112,24 @@
         :raises StoreRestored: the store is in another era than that position.
         """
 
+    async def write_division(
+        self,
+        service: str,
+        division: StreamDivision,
+        revision: int,
+        now_s: float,
+    ) -> int | None:
+        """Write the division of a service's streams if its revision matches.
+
+        :param service: name of the service.
+        :param division: the division.
+        :param revision: expected position of the record; one with revision 0
+            if it doesn't exist.
+        :param now_s: the present time, monotonic seconds.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
+        """
+
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
     ) -> int:
--- a/src/wasabicross/gateway/store_copy.py
+++ b/src/wasabicross/gateway/store_copy.py
@@ -20,7 +20,7 @@
     decode,
     encode,
 )
-from wasabicross.gateway.settings import Address
+from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import StoredItem
 from wasabicross.gateway.store_position import era_of, position, revision_of
 from wasabicross.messaging.errors import MessageMalformed
@@ -129,6 +129,17 @@
         return StoreUpdate(0, self.revision, self.items)
 
 
+async def request_from_seeds(cfg: GatewaySettings) -> StoreUpdate | None:
+    """Return the copy of another gateway, None if none has one.
+
+    :param cfg: settings of this gateway, which name the others.
+    """
+    others = [
+        Address(host, cfg.peer_port) for host in cfg.seeds if host != cfg.host
+    ]
+    return await request_copy(cfg.instance, others)
+
+
 async def request_copy(
     instance: str, addresses: Sequence[Address]
 ) -> StoreUpdate | None:
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -10,7 +10,12 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
-from wasabicross.gateway.messages import StoreStatus, StoreUpdate
+from wasabicross.gateway.messages import (
+    StoreConfirmation,
+    StoreStatus,
+    StoreUpdate,
+)
+from wasabicross.gateway.relay_clocks import RelayClocks
 from wasabicross.gateway.store import FleetStore, StoreResult, UnreadableEntry
 from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_position import era_of, revision_of
@@ -84,6 +89,7 @@
         #: The store's content as last known.
         self.copy = StoreCopy()
         self._statuses = RelayStatuses()
+        self._clocks = RelayClocks()
         self._revision: int | None = None
         self._is_lost = False
         self._unreadable: dict[str, int] = {}
@@ -114,6 +120,21 @@
         """
         self._statuses.on_status(relay, status, now_s())
 
+    def on_confirmation(
+        self, relay: str, confirmation: StoreConfirmation
+    ) -> None:
+        """Record as of when a relay knows the store's content.
+
+        :param relay: IP address of the relay.
+        :param confirmation: what it sent.
+        """
+        confirmed_s = self._clocks.confirmed_s(relay, confirmation, now_s())
+        known = self._revision
+        if known is None or confirmation.revision > known:
+            return
+        if era_of(confirmation.revision) == era_of(known):
+            self._on_confirmed(confirmed_s)
+
     def on_update(self, store_update: StoreUpdate) -> None:
         """Apply changes that a relay has forwarded.
 
@@ -199,11 +220,13 @@
             await self._read()
             return
         since = self._revision
+        sent_s = now_s()
         result = await self._store.watch(since, _WATCH_TIMEOUT_S)
         self._relay.forward(since, result)
         self._apply_answer(self._without_known(result, since))
         self._view.remove_expired(now_s())
         self._revision = max(self._revision or since, result.revision)
+        self._confirm(sent_s)
 
     def _without_known(self, result: StoreResult, since: int) -> StoreResult:
         """Leave out changes that relays sent while the store was watched."""
@@ -214,12 +237,22 @@
         return self._store.decode(items, result.revision)
 
     async def _read(self) -> None:
+        sent_s = now_s()
         result = await self._store.read()
         self._relay_read(result)
         self._apply_content(result)
         self._revision = result.revision
+        self._confirm(sent_s)
         self.is_initialised.set()
 
+    def _confirm(self, sent_s: float) -> None:
+        """Record that a call to the store has been answered."""
+        self._relay.confirmed_s = sent_s
+        self._on_confirmed(sent_s)
+
+    def _on_confirmed(self, at_s: float) -> None:
+        self._view.confirmed_s = max(self._view.confirmed_s, at_s)
+
     def _apply_content(self, result: StoreResult) -> None:
         """Apply the complete content of the store."""
         era = era_of(result.revision)
--- a/src/wasabicross/gateway/store_relay.py
+++ b/src/wasabicross/gateway/store_relay.py
@@ -7,17 +7,25 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from websockets.asyncio.server import ServerConnection, broadcast
 
-from wasabicross.gateway.messages import StoreStatus, StoreUpdate, encode
+from wasabicross.gateway.messages import (
+    StoreConfirmation,
+    StoreStatus,
+    StoreUpdate,
+    encode,
+)
 from wasabicross.gateway.store import StoreResult
 from wasabicross.gateway.store_position import era_of
 
 #: How long a relay's status is valid after it was received.
 STATUS_LIFETIME_S = 1.6
 
+_MS_IN_S = 1000
+
 
 class StoreRelay:
     """The relaying side: sends the changes that an owner watches."""
@@ -26,6 +34,8 @@
         self._subscribers: set[ServerConnection] = set()
         #: Status that is sent to the subscribers.
         self.status = StoreStatus(0, is_lost=True)
+        #: Time as of which the content of that status is complete.
+        self.confirmed_s = -math.inf
 
     def add(self, conn: ServerConnection) -> None:
         """Relay all further changes over a link.
@@ -54,6 +64,21 @@
             )
             broadcast(self._subscribers, encode(store_update))
 
+    def confirmations(self, now_s: float) -> tuple[StoreConfirmation, ...]:
+        """Return what to send of the time of the known content, if anything.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        if self.confirmed_s < 0:
+            return ()
+        return (
+            StoreConfirmation(
+                self.status.revision,
+                int(self.confirmed_s * _MS_IN_S),
+                math.ceil(now_s * _MS_IN_S),
+            ),
+        )
+
     def on_store_lost(self) -> None:
         """Record that the store gave no answer, and notify subscribers."""
         if self.status.is_lost:
--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
@@ -62,6 +63,8 @@
     :param announced_s: when they were announced, monotonic seconds.
     :param former: the buckets that were in force before.
     :param time_limit_s: longest time limit of the service's callers, seconds.
+    :param unannounced_s: time until which the change wasn't announced, where
+        that is known to be earlier than `announced_s`, monotonic seconds.
     """
 
     number: int
@@ -70,6 +73,7 @@
     announced_s: float = 0
     former: tuple[FormerBuckets, ...] = ()
     time_limit_s: float = DEFAULT_TIME_LIMIT_S
+    unannounced_s: float = math.inf
 
     def version_for(self, request_id: str) -> str:
         """Return the software version that begins a stream.
@@ -106,8 +110,8 @@
             for each in self.former
             if each.ended_s + SPREAD_S >= since_s
         )
-        in_force_s = self.announced_s + ANNOUNCED_S
-        if self.announced and now_s >= in_force_s - SPREAD_S:
+        earliest_s = min(self.announced_s - SPREAD_S, self.unannounced_s)
+        if self.announced and now_s >= earliest_s + ANNOUNCED_S:
             possible.append(self.announced)
         return possible
 
@@ -166,6 +170,7 @@
         number=division.number + 1,
         announced=_balanced(division.buckets, shares),
         announced_s=now_s,
+        unannounced_s=math.inf,
     )
 
 
@@ -175,13 +180,21 @@
     :param division: the division.
     :param now_s: the present time, monotonic seconds.
     """
-    keep_s = division.time_limit_s + 2 * SPREAD_S
+    lapse_s = former_lapse_s(division)
     former = tuple(
-        each for each in division.former if now_s - each.ended_s < keep_s
+        each for each in division.former if now_s - each.ended_s < lapse_s
     )
     return division._replace(former=former)
 
 
+def former_lapse_s(division: StreamDivision) -> float:
+    """Return the age from which on no caller resumes former buckets, seconds.
+
+    :param division: the division.
+    """
+    return division.time_limit_s + 2 * SPREAD_S
+
+
 def _after_announcement(
     division: StreamDivision, shares: Mapping[str, float], now_s: float
 ) -> StreamDivision:
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -16,9 +16,11 @@
     ServerEntryUpdate,
     ServerRemoval,
     StoreChange,
+    StreamDivisionUpdate,
 )
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.expired_entries import ExpiredEntries
+from wasabicross.gateway.known_divisions import KnownDivisions
 from wasabicross.gateway.messages import (
     HeldAdaptersUpdate,
     ServerOccupancy,
@@ -80,6 +82,10 @@
         #: Adapters that engines held recently.
         self.warm_copies = WarmCopies()
         self.content_known_since_s = math.inf
+        #: Time as of which the store's content is known completely.
+        self.confirmed_s = -math.inf
+        #: The newest known division of each service's streams.
+        self.divisions = KnownDivisions()
         self._missing_since_s: dict[tuple[str, AdapterKey], float] = {}
         self._expired = ExpiredEntries()
         #: Era of the store, None before its content is known.
@@ -110,18 +116,20 @@
             for group, known in self.owners.items():
                 self.owners[group] = unconfirmed(known, era, now_s)
         self.era = era
+        self.divisions.on_new_content()
 
     def version_of(self, key: AdapterKey) -> int:
         """Return the version of an adapter that is in force."""
         return self.versions.get(key, DEFAULT_VERSION)
 
+    @singledispatchmethod
     def apply(self, change: StoreChange, now_s: float) -> None:
         """Apply a change of the store's content.
 
         :param change: the change.
         :param now_s: the present time, monotonic seconds.
         """
-        self._apply(change, now_s)
+        raise NotImplementedError(change)
 
     def remove_unlisted(self, listed: frozenset[str], now_s: float) -> None:
         """Remove the servers that are absent from a complete list.
@@ -130,7 +138,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         for server_id in self.servers.keys() - listed:
-            self._apply(ServerRemoval(server_id), now_s)
+            self.apply(ServerRemoval(server_id), now_s)
 
     def remove_expired(self, now_s: float) -> tuple[str, ...]:
         """Remove servers whose expired entries weren't restored in time.
@@ -344,45 +352,45 @@
         self.reported.pop(server_id, None)
         self.warm_copies.forget(server_id)
 
-    @singledispatchmethod
-    def _apply(self, change: StoreChange, now_s: float) -> None:
-        raise NotImplementedError(change)
-
-    @_apply.register
+    @apply.register
     def _(self, change: ConfigurationUpdate, now_s: float) -> None:
         current = self.configuration
         if current is None or change.configuration.version > current.version:
             self.configuration = change.configuration
 
-    @_apply.register
+    @apply.register
     def _(self, change: AdapterVersionUpdate, now_s: float) -> None:
         known = self.version_of(change.key)
         self.versions[change.key] = max(known, change.version)
 
-    @_apply.register
+    @apply.register
     def _(self, change: ServerEntryUpdate, now_s: float) -> None:
         known = self.servers.get(change.server.server_id)
         server = self._expired.newer_entry(known, change.server, now_s)
         if server is None:
-            self._apply(ServerRemoval(change.server.server_id), now_s)
+            self.apply(ServerRemoval(change.server.server_id), now_s)
             return
         self._expired.discard(server.server_id)
         if known is not None and known.start_ms != server.start_ms:
             self._remove(server.server_id)
         self.servers[server.server_id] = server
 
-    @_apply.register
+    @apply.register
     def _(self, change: ServerRemoval, now_s: float) -> None:
         if change.server_id not in self.servers:
             return
         if self._expired.on_removal(change.server_id, now_s):
             self._remove(change.server_id)
 
-    @_apply.register
+    @apply.register
     def _(self, change: OwnerRecordUpdate, now_s: float) -> None:
         known = self.owners.get(change.group)
         self.owners[change.group] = updated_record(known, change, now_s)
 
-    @_apply.register
+    @apply.register
     def _(self, change: InstanceEntry, now_s: float) -> None:
         self.instances[change.instance] = change
+
+    @apply.register
+    def _(self, change: StreamDivisionUpdate, now_s: float) -> None:
+        self.divisions.apply(change, self.confirmed_s, now_s)
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -11,6 +11,9 @@
     latest_by_key,
 )
 from wasabicross.gateway.store_position import era_of
+from wasabicross.gateway.stream_division_records import stored_division
+from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.platform.division_records import division_key, encode_division
 from wasabicross.platform.records import (
     decode_change,
     encode_instance,
@@ -100,6 +103,29 @@
         )
         return result.revision
 
+    async def write_division(
+        self,
+        service: str,
+        division: StreamDivision,
+        revision: int,
+        now_s: float,
+    ) -> int | None:
+        """Write the division of a service's streams.
+
+        :param service: name of the service.
+        :param division: the division.
+        :param revision: position that the record must have; one with revision
+            0 if it must not exist.
+        :param now_s: the present time, monotonic seconds.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
+        """
+        document = encode_division(service, stored_division(division, now_s))
+        result = await self._client.write(
+            Write(division_key(service), revision, document)
+        )
+        return result.revision
+
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
     ) -> int:
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -13,10 +13,15 @@
     ServerEntryUpdate,
     ServerRemoval,
     StoreChange,
+    StreamDivisionUpdate,
 )
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.store import StoredItem
 from wasabicross.gateway.store_position import era_of
+from wasabicross.platform.division_records import (
+    DIVISIONS_PREFIX,
+    decode_division,
+)
 from wasabicross.platform.documents import (
     decode_configuration,
     decode_server,
@@ -99,7 +104,7 @@
     if key.startswith(SERVERS_PREFIX):
         return _server_change(key.removeprefix(SERVERS_PREFIX), document)
     if document is None:
-        return None
+        return _removal(item)
     if key == CONFIGURATION_KEY:
         return ConfigurationUpdate(decode_configuration(document))
     if key.startswith(VERSIONS_PREFIX):
@@ -110,8 +115,8 @@
 def unreadable_change(item: StoredItem) -> StoreChange | None:
     """Return what an item that can't be decoded says about its key, if any.
 
-    It names no server and no owner. The revision of an owner record is kept,
-    since it is needed to claim the group.
+    It names no server and no owner. The revision of a gateways' record is kept,
+    since it is needed to write the record.
 
     :param item: an item that `decode_change` can't decode.
     """
@@ -120,6 +125,9 @@
     if item.key.startswith(_OWNERS_PREFIX):
         group = item.key.removeprefix(_OWNERS_PREFIX)
         return OwnerRecordUpdate(group, '', '', item.revision)
+    if item.key.startswith(DIVISIONS_PREFIX):
+        service = item.key.removeprefix(DIVISIONS_PREFIX)
+        return StreamDivisionUpdate(service, None, item.revision)
     return None
 
 
@@ -129,12 +137,23 @@
     return ServerEntryUpdate(decode_server(server_id, document))
 
 
+def _removal(item: StoredItem) -> StoreChange | None:
+    if item.key.startswith(DIVISIONS_PREFIX):
+        service = item.key.removeprefix(DIVISIONS_PREFIX)
+        return StreamDivisionUpdate(
+            service, None, item.revision, is_removed=True
+        )
+    return None
+
+
 def _gateway_change(item: StoredItem, document: bytes) -> StoreChange | None:
     try:
         if item.key.startswith(_OWNERS_PREFIX):
             return _owner_record(item, parse_json(document))
         if item.key.startswith(_INSTANCES_PREFIX):
             return _instance_entry(item, parse_json(document))
+        if item.key.startswith(DIVISIONS_PREFIX):
+            return _division_update(item, parse_json(document))
     except _RECORD_ERRORS as exc:
         raise DocumentUnreadable(f'record: {exc!r}') from exc
     return None
@@ -158,3 +177,8 @@
         text(wire['data_centre']),
         number(wire.get('fitness', 1)),
     )
+
+
+def _division_update(item: StoredItem, wire: Any) -> StreamDivisionUpdate:
+    service, stored = decode_division(item.key, wire)
+    return StreamDivisionUpdate(service, stored, item.revision)
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -87,6 +87,9 @@
     PART_CONVICTED = EventKind(8073, 'WARNING')
     PART_CLEARED = EventKind(8074, 'INFO')
     PART_TRIED = EventKind(8075, 'INFO')
+    DIVISION_WRITTEN = EventKind(8081, 'INFO')
+    DIVISION_TAKEN = EventKind(8082, 'INFO')
+    DIVISION_WRITE_FAILED = EventKind(8083, 'WARNING')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -15,6 +15,7 @@
     ConfigurationUpdate,
     OwnerRecordUpdate,
     ServerEntryUpdate,
+    StreamDivisionUpdate,
 )
 from wasabicross.gateway.configuration import (
     CallerLimits,
@@ -33,6 +34,7 @@
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import StoreResult
+from wasabicross.gateway.stream_division_records import stored_division
 from wasabicross.platform.headers import (
     READY_PATH,
     REQUEST_ID,
@@ -52,6 +54,7 @@
         self._revision = 1
         self._updates = []
         self.records = {}
+        self.divisions = {}
 
     async def read(self):
         """Return all changes at the current revision."""
@@ -84,6 +87,19 @@
         self.records[group] = change
         return self._revision
 
+    async def write_division(self, service, division, revision, now_s):
+        """Write the division of a service's streams if its revision matches."""
+        if self.divisions.get(service, 0) != revision:
+            return None
+        self._revision += 1
+        self.divisions[service] = self._revision
+        self._updates.append(
+            StreamDivisionUpdate(
+                service, stored_division(division, now_s), self._revision
+            )
+        )
+        return self._revision
+
     async def register_instance(self, instance, host, data_centre, fitness):
         """Ignore the registration; the store has no eras."""
         return 0
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -74,11 +74,16 @@
     def __init__(self):
         self.statuses = []
         self.updates = []
+        self.confirmations = []
 
     def on_status(self, relay, status):
         """Record the status of a relay."""
         self.statuses.append(status)
 
+    def on_confirmation(self, relay, confirmation):
+        """Record as of when a relay knows the store."""
+        self.confirmations.append(confirmation)
+
     def on_update(self, store_update):
         """Record a store update."""
         self.updates.append(store_update)
