Test what gateways write of the divisions of streams, and in what order

Also: slots that go on changing delay an announcement for 4 s at most, a gateway whose relays confirm nothing calls the store itself after 3.5 s, limits over an hour don't count.

--- a/src/wasabicross/gateway/division_decisions.py
+++ b/src/wasabicross/gateway/division_decisions.py
@@ -24,31 +24,60 @@
 )
 from wasabicross.runtime.rendezvous import rank
 
+#: How long the content of the store must be known before the first division.
+SETTLED_S = 2.0
+
 #: How long the slots of the versions must be unchanged before a change is
 #: announced.
 STABLE_S = 1.0
 
+#: Longest time for which slots that go on changing delay an announcement.
+_MAX_UNSTABLE_S = 4.0
+
 #: Delay between the writes of gateways of successive ranks.
 RANK_DELAY_S = 0.4
 
 
+class VersionSlots(NamedTuple):
+    """Request slots of a service's servers that take new requests.
+
+    :param by_version: the slots by software version.
+    :param since_s: time since which they are unchanged, monotonic seconds.
+    :param unstable_since_s: time at which they changed after they had been
+        stable, monotonic seconds.
+    """
+
+    by_version: Mapping[str, int]
+    since_s: float
+    unstable_since_s: float
+
+    def is_stable(self, now_s: float) -> bool:
+        """Return whether a change may be announced.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        return (
+            now_s - self.since_s >= STABLE_S
+            or now_s - self.unstable_since_s >= _MAX_UNSTABLE_S
+        )
+
+
 class ServiceKnowledge(NamedTuple):
     """What a gateway knows of a service whose streams are resumable.
 
     :param division: the division as known, None if there is none.
     :param record: its record as last read.
-    :param slots: request slots of the servers that take new requests, by
-        software version.
-    :param slots_since_s: time since which the slots are unchanged, monotonic
-        seconds.
+    :param slots: request slots of the servers that take new requests.
     :param time_limit_s: longest time limit of the service's callers, seconds.
+    :param content_since_s: time since which the content of the store is known,
+        monotonic seconds.
     """
 
     division: StreamDivision | None
     record: DivisionRecord
-    slots: Mapping[str, int]
-    slots_since_s: float
+    slots: VersionSlots
     time_limit_s: float
+    content_since_s: float
 
 
 class DueWrite(NamedTuple):
@@ -65,6 +94,25 @@
     is_own_knowledge: bool = False
 
 
+def updated_slots(
+    known: VersionSlots | None, slots: Mapping[str, int], now_s: float
+) -> VersionSlots:
+    """Return the slots after a look at the servers.
+
+    :param known: the slots as known before, None at the first look.
+    :param slots: the slots by software version.
+    :param now_s: the present time, monotonic seconds.
+    """
+    if known is None:
+        return VersionSlots(slots, now_s, now_s)
+    if known.by_version == slots:
+        return known
+    was_stable = now_s - known.since_s >= STABLE_S
+    return VersionSlots(
+        slots, now_s, now_s if was_stable else known.unstable_since_s
+    )
+
+
 def due_write(knowledge: ServiceKnowledge, now_s: float) -> DueWrite | None:
     """Return the division to write, if any.
 
@@ -78,10 +126,10 @@
         time_limit_s=max(known.time_limit_s, knowledge.time_limit_s)
     )
     current = without_lapsed(known, now_s)
-    changed = next_division(current, knowledge.slots, now_s)
-    is_stable = now_s - knowledge.slots_since_s >= STABLE_S
+    slots = knowledge.slots
+    changed = next_division(current, slots.by_version, now_s)
     if changed.number > known.number:
-        if is_stable or not changed.announced:
+        if slots.is_stable(now_s) or not changed.announced:
             return DueWrite(changed, 'change')
     stored = knowledge.record.stored
     if stored is None or stored.number < known.number:
@@ -117,12 +165,12 @@
 
 
 def _first(knowledge: ServiceKnowledge, now_s: float) -> DueWrite | None:
-    slots = knowledge.slots
+    slots = knowledge.slots.by_version
     versions = sorted(
         (version for version, count in slots.items() if count > 0),
         key=lambda version: (-slots[version], version),
     )
-    if not versions:
+    if not versions or now_s - knowledge.content_since_s < SETTLED_S:
         return None
     division = first_division(versions, now_s)
     return DueWrite(
--- a/src/wasabicross/gateway/division_keeper.py
+++ b/src/wasabicross/gateway/division_keeper.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter, defaultdict
-from typing import NamedTuple
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.changes import StreamDivisionUpdate
@@ -13,7 +13,9 @@
 from wasabicross.gateway.division_decisions import (
     DueWrite,
     ServiceKnowledge,
+    VersionSlots,
     due_write,
+    updated_slots,
     write_delay_s,
 )
 from wasabicross.gateway.error_containment import ErrorContainment
@@ -27,6 +29,7 @@
     MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
 )
+from wasabicross.gateway.stream_time_limits import MAX_LIMIT_S
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -36,16 +39,6 @@
 #: Delay before a division is written again after a failed or conflicting write.
 _RETRY_DELAY_S = 0.6
 
-#: How long the content of the store must be known before the first division.
-_STARTUP_DELAY_S = 2.0
-
-
-class _Slots(NamedTuple):
-    """Request slots by software version, and since when they are the same."""
-
-    by_version: dict[str, int]
-    since_s: float
-
 
 class DivisionKeeper:
     """Writes divisions of streams where they are to change.
@@ -61,9 +54,10 @@
         self._instance = instance
         self._store = store
         self._view = view
-        self._slots: dict[str, _Slots] = {}
+        self._slots: dict[str, VersionSlots] = {}
         self._due_since_s: dict[str, float] = {}
         self._retry_at_s: dict[str, float] = {}
+        self._unavailable_until_s = -math.inf
         self._taken: dict[str, int] = {}
         self._errors = ErrorContainment('divisions')
 
@@ -78,7 +72,7 @@
         """Write the divisions that are due."""
         cfg = self._view.configuration
         self._log_taken()
-        if cfg is None or not self._is_current(now_s()):
+        if cfg is None or self._is_outdated(now_s()):
             return
         limits_s = resumable_limits_s(cfg)
         slots = slots_by_version(self._view)
@@ -86,20 +80,17 @@
             with self._errors.contain(service):
                 await self._check_service(service, limit_s, slots[service])
 
-    def _is_current(self, at_s: float) -> bool:
-        """Return whether the view is recent and complete enough to decide."""
-        return (
-            at_s - self._view.confirmed_s <= MAX_KNOWLEDGE_AGE_S
-            and at_s - self._view.content_known_since_s >= _STARTUP_DELAY_S
-        )
+    def _is_outdated(self, at_s: float) -> bool:
+        """Return whether the view is too old to decide by it."""
+        return at_s - self._view.confirmed_s > MAX_KNOWLEDGE_AGE_S
 
     async def _check_service(
         self, service: str, limit_s: float, slots: dict[str, int]
     ) -> None:
         at_s = now_s()
-        known = self._slots.get(service)
-        if known is None or known.by_version != slots:
-            self._slots[service] = _Slots(slots, at_s)
+        self._slots[service] = updated_slots(
+            self._slots.get(service), slots, at_s
+        )
         due = self._due_write(service, limit_s, at_s)
         if due is None:
             self._due_since_s.pop(service, None)
@@ -108,19 +99,19 @@
         delay_s = self._delay_s(service, due)
         if delay_s is None or at_s < since_s + delay_s:
             return
-        if at_s >= self._retry_at_s.get(service, at_s):
+        retry_at_s = self._retry_at_s.get(service, at_s)
+        if at_s >= max(retry_at_s, self._unavailable_until_s):
             await self._write(service, due)
 
     def _due_write(
         self, service: str, limit_s: float, at_s: float
     ) -> DueWrite | None:
-        slots = self._slots[service]
         knowledge = ServiceKnowledge(
             self._view.divisions.get(service),
             self._record(service),
-            slots.by_version,
-            slots.since_s,
+            self._slots[service],
             max(limit_s, self._view.divisions.time_limits.longest_s(service)),
+            self._view.content_known_since_s,
         )
         return due_write(knowledge, at_s)
 
@@ -154,7 +145,7 @@
             log_event(
                 Event.DIVISION_WRITE_FAILED, service=service, reason=str(exc)
             )
-            self._retry_at_s[service] = now_s() + _RETRY_DELAY_S
+            self._unavailable_until_s = now_s() + _RETRY_DELAY_S
             return
         outcome = 'conflict' if revision is None else 'done'
         metrics.STORE_CALLS.labels('write', outcome).inc()
@@ -186,7 +177,8 @@
         if route.is_resumable:
             for share in route.shares:
                 limits_s[share.service] = max(
-                    route.timeout_s, limits_s.get(share.service, 0)
+                    min(route.timeout_s, MAX_LIMIT_S),
+                    limits_s.get(share.service, 0),
                 )
     return limits_s
 
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -38,6 +38,11 @@
 #: Shortest delay after a call without an answer.
 _MIN_RETRY_INTERVAL_S = 0.4
 
+#: Age of the known content from which on a gateway calls the store itself though
+#: relays send the changes. Their confirmations are more recent, unless they
+#: send none or their clock has stood still.
+_MAX_RELAYED_AGE_S = 3.5
+
 #: Interval between checks while relays send the changes.
 _RELAYED_CHECK_INTERVAL_S = 0.25
 
@@ -174,7 +179,10 @@
     def _follows_relay(self) -> bool:
         if self._revision is None or self._is_relay():
             return False
-        return self._statuses.is_current(self._revision, now_s())
+        at_s = now_s()
+        if at_s - self._view.confirmed_s > _MAX_RELAYED_AGE_S:
+            return False
+        return self._statuses.is_current(self._revision, at_s)
 
     async def _call_store(self) -> float:
         """Read or watch the store; return the delay until the next call."""
--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -11,9 +11,14 @@
 
 from wasabicross.gateway import division_keeper, store_follower
 from wasabicross.gateway.division_keeper import DivisionKeeper
+from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
-from wasabicross.gateway.stream_divisions import ANNOUNCED_S, BUCKETS
+from wasabicross.gateway.stream_divisions import (
+    ANNOUNCED_S,
+    BUCKETS,
+    bucket_of,
+)
 from wasabicross.gateway.view import FleetView
 
 KEY = 'wasabicross/streams/llm'
@@ -67,8 +72,11 @@
 
 
 def put(store, key, document):
-    encoded = document and base64.b64encode(json.dumps(document).encode())
-    store.put(key, encoded and encoded.decode())
+    if document is None:
+        store.put(key, None)
+        return
+    encoded = base64.b64encode(json.dumps(document).encode())
+    store.put(key, encoded.decode())
 
 
 def put_server(store, server_id, version, state='ready', slots=64):
@@ -91,7 +99,7 @@
 
 def number_of(store):
     record = record_of(store)
-    return record['number'] if record else 0
+    return record.get('number') if isinstance(record, dict) else None
 
 
 def writes_of(store):
@@ -193,3 +201,217 @@
             assert left_s <= ended_s <= loop_s()
 
     virtual_time.run(scenario())
+
+
+def test_gateways_killed_at_once_know_former_buckets_again(store):
+    async def scenario():
+        async with running(store, 'a', 'b') as (a, _):
+            await until(lambda: a.division)
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: a.division.buckets == NEW)
+            ended_s = a.division.former[0].ended_s
+            await asyncio.sleep(9)
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            (former,) = a.division.former
+            assert former.buckets == OLD
+            assert ended_s <= former.ended_s <= ended_s + 4
+            started_s = loop_s()
+            assert a.division.possible_versions('r', started_s - 9, 0) == {
+                'v1',
+                'v2',
+            }
+
+    virtual_time.run(scenario())
+
+
+def test_ages_are_written_until_former_buckets_lapse(store):
+    async def scenario():
+        async with running(store, 'a', 'b') as (a, b):
+            await until(lambda: a.division and b.division)
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: a.division.buckets == NEW)
+            await asyncio.sleep(60)
+            written = len(writes_of(store))
+            assert record_of(store)['former'][0]['age'] >= 25
+            await asyncio.sleep(200)
+            assert len(writes_of(store)) == written <= 9
+
+    virtual_time.run(scenario())
+
+
+def test_restart_while_a_change_is_announced(store):
+    """When it was announced isn't known, so it may be in force at once."""
+
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            put_server(store, 'i-2', 'v2', slots=640)
+            await until(lambda: a.division.announced)
+            announced = a.division.announced
+            await asyncio.sleep(3)
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            started_s = loop_s()
+            moved = next(
+                f'r{number}'
+                for number in range(99)
+                if announced[bucket_of(f'r{number}')] == 'v2'
+            )
+            division = a.division
+            assert division.announced == announced
+            assert division.possible_versions(moved, started_s, started_s) == {
+                'v1',
+                'v2',
+            }
+            await until(lambda: a.division.buckets == announced)
+            assert loop_s() - started_s >= ANNOUNCED_S
+
+    virtual_time.run(scenario())
+
+
+@pytest.mark.parametrize('lost', ['all', 'newest'])
+@pytest.mark.parametrize('names', [('a',), ('a', 'b')])
+def test_division_that_the_store_has_lost_is_written_again(store, lost, names):
+    async def scenario():
+        async with running(store, *names) as machines:
+            first = machines[0]
+            copies = {'all': store.copied()}
+            await until(lambda: first.division)
+            copies['newest'] = store.copied()
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: first.division.buckets == NEW)
+            number = first.division.number
+            await asyncio.sleep(3)
+            store.restore(copies[lost])
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: (number_of(store) or 0) > number)
+            assert set(record_of(store)['versions']) == {'v1', 'v2'}
+            await asyncio.sleep(3)
+            for machine in machines:
+                assert machine.division.buckets == NEW
+                assert machine.division.number == number_of(store)
+                assert machine.division.former
+
+    virtual_time.run(scenario())
+
+
+def test_streams_begun_by_a_division_of_an_older_copy_are_known(store):
+    """A gateway that starts before the rewrite begins streams by that copy."""
+
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            copied = store.copied()
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: a.division.buckets == NEW)
+            await asyncio.sleep(30)
+            store.restore(copied)
+            number = a.division.number
+            restored_s = loop_s()
+            await until(lambda: a.division.number > number)
+            assert a.division.buckets == NEW
+            assert a.division.possible_versions('r', restored_s, 0) == {
+                'v1',
+                'v2',
+            }
+
+    virtual_time.run(scenario())
+
+
+def test_gateways_that_propose_at_once_agree(store, monkeypatch):
+    monkeypatch.setattr(division_keeper, 'write_delay_s', lambda *_, **__: 0)
+
+    async def scenario():
+        async with running(store, 'a', 'b', 'c') as machines:
+            await until(lambda: all(each.division for each in machines))
+            assert len(writes_of(store)) == 1
+            put_server(store, 'i-2', 'v2')
+            await until(lambda: machines[0].division.announced)
+            await asyncio.sleep(3)
+            assert {each.division.number for each in machines} == {2}
+            assert len(writes_of(store)) == 2
+
+    virtual_time.run(scenario())
+
+
+def test_division_is_written_once_the_store_answers(store):
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            put_server(store, 'i-2', 'v2', slots=640)
+            await until(lambda: a.division.announced)
+            store.is_down = True
+            await asyncio.sleep(30)
+            assert number_of(store) == 2
+            assert a.view.confirmed_s <= loop_s() - 29
+            store.is_down = False
+            await until(lambda: a.division.buckets[-1] == 'v2', 8)
+
+    virtual_time.run(scenario())
+
+
+@pytest.mark.parametrize('document', [None, {}, {'service': 'llm'}, [7]])
+def test_removed_or_odd_record_changes_nothing_and_is_replaced(store, document):
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            put(store, KEY, document)
+            await until(lambda: number_of(store) == 2, 5)
+            await asyncio.sleep(2)
+            assert a.division.buckets == OLD
+            assert a.division.number == 2
+
+    virtual_time.run(scenario())
+
+
+def test_odd_record_before_the_first_division_is_replaced(store):
+    put(store, KEY, {'service': 'llm', 'number': 'x'})
+
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            assert number_of(store) == 1
+
+    virtual_time.run(scenario())
+
+
+def test_longer_time_limit_of_callers_is_stored(store):
+    async def scenario():
+        async with running(store, 'a', 'b') as (a, b):
+            await until(lambda: a.division and b.division)
+            b.view.divisions.time_limits.note_time_limit('llm', 33)
+            await until(lambda: a.division.time_limit_s == 40)
+            assert a.division.number == 1
+            assert record_of(store)['time_limit'] == 40
+
+    virtual_time.run(scenario())
+
+
+def test_unanswered_write_that_was_done_is_taken(store):
+    class UnansweredClient:
+        def __init__(self, client):
+            self._client = client
+
+        def __getattr__(self, name):
+            return getattr(self._client, name)
+
+        async def write_division(self, *args):
+            """Write, and lose the answer."""
+            await self._client.write_division(*args)
+            raise StoreUnavailable('no answer')
+
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            a.keeper._store = UnansweredClient(a.client)
+            await until(lambda: a.division)
+            await asyncio.sleep(5)
+            assert a.division.number == 1
+            assert len(writes_of(store)) == 1
+
+    virtual_time.run(scenario())
