--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -7,7 +7,9 @@
 
 import pytest
 import virtual_time
+from gateway_parts import running_gateway
 from restorable_store import RestorableStore
+from scripted_server import ScriptedServer
 
 from wasabicross.gateway import division_keeper, store_follower
 from wasabicross.gateway.division_keeper import DivisionKeeper
@@ -31,7 +33,7 @@
 
 
 @pytest.fixture(autouse=True)
-def _virtual_clock(monkeypatch):
+def _clock_of_the_loop(monkeypatch):
     for module in (division_keeper, store_follower):
         monkeypatch.setattr(module, 'now_s', loop_s)
 
@@ -71,6 +73,9 @@
 }
 
 
+INSTANCE = {'host': '10.0.0.1', 'data_centre': 'dc', 'fitness': 1}
+
+
 def put(store, key, document):
     if document is None:
         store.put(key, None)
@@ -415,3 +420,46 @@
             assert len(writes_of(store)) == 1
 
     virtual_time.run(scenario())
+
+
+def test_many_gateways_do_not_write_at_once(store):
+    """Without owners each gateway may write; few do before they hear of it."""
+    calls = []
+    answer_call = store.call
+
+    def counting_call(target, body):
+        calls.extend([target] if body else [])
+        return answer_call(target, body)
+
+    store.call = counting_call
+
+    async def scenario():
+        names = [f'front-{number}' for number in range(60)]
+        for name in names:
+            put(store, f'wasabicross/instance/{name}', INSTANCE)
+        async with running(store, *names) as machines:
+            await until(lambda: all(each.division for each in machines))
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(
+                lambda: all(each.division.buckets == NEW for each in machines)
+            )
+
+    virtual_time.run(scenario())
+    assert len(calls) <= 10
+
+
+def test_running_gateway_keeps_the_division():
+    async def scenario():
+        async with running_gateway(
+            [ScriptedServer([])], service='llm'
+        ) as bench:
+            divisions = bench.gateway.view.divisions
+            async with asyncio.timeout(10):
+                while 'llm' not in divisions:
+                    await asyncio.sleep(0.05)
+            assert divisions['llm'].buckets == ('',) * BUCKETS
+            assert divisions['llm'].time_limit_s == 3
+            assert set(divisions) == {'llm'}
+
+    asyncio.run(scenario())
