--- a/src/wasabicross/gateway/division_decisions.py
+++ b/src/wasabicross/gateway/division_decisions.py
@@ -24,6 +24,9 @@
 )
 from wasabicross.runtime.rendezvous import rank
 
+#: Reason of a write because the store has an older division or none.
+LOST = 'lost'
+
 #: How long the content of the store must be known before the first division.
 SETTLED_S = 2.0
 
@@ -134,7 +137,7 @@
     stored = knowledge.record.stored
     if stored is None or stored.number < known.number:
         restored = current._replace(number=known.number + 1)
-        return DueWrite(restored, 'lost', is_own_knowledge=True)
+        return DueWrite(restored, LOST, is_own_knowledge=True)
     return _due_update(known, stored, now_s)
 
 
--- a/src/wasabicross/gateway/division_keeper.py
+++ b/src/wasabicross/gateway/division_keeper.py
@@ -11,6 +11,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.division_decisions import (
+    LOST,
     DueWrite,
     ServiceKnowledge,
     VersionSlots,
@@ -29,7 +30,6 @@
     MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
 )
-from wasabicross.gateway.stream_time_limits import MAX_LIMIT_S
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -39,6 +39,13 @@
 #: Delay before a division is written again after a failed or conflicting write.
 _RETRY_DELAY_S = 0.6
 
+#: Least interval between two writes of one gateway because the record is lost
+#: or unreadable, as another program may write it too.
+_LOST_INTERVAL_S = 5.0
+
+#: Longest time limit of a route that counts.
+_MAX_ROUTE_LIMIT_S = 3600.0
+
 
 class DivisionKeeper:
     """Writes divisions of streams where they are to change.
@@ -58,6 +65,7 @@
         self._due_since_s: dict[str, float] = {}
         self._retry_at_s: dict[str, float] = {}
         self._unavailable_until_s = -math.inf
+        self._lost_until_s: dict[str, float] = {}
         self._taken: dict[str, int] = {}
         self._errors = ErrorContainment('divisions')
 
@@ -99,8 +107,7 @@
         delay_s = self._delay_s(service, due)
         if delay_s is None or at_s < since_s + delay_s:
             return
-        retry_at_s = self._retry_at_s.get(service, at_s)
-        if at_s >= max(retry_at_s, self._unavailable_until_s):
+        if at_s >= self._retry_due_s(service, due):
             await self._write(service, due)
 
     def _due_write(
@@ -133,6 +140,15 @@
             is_own_knowledge=due.is_own_knowledge,
         )
 
+    def _retry_due_s(self, service: str, due: DueWrite) -> float:
+        """Return the time before which a write may not follow the last one."""
+        retry_at_s = max(
+            self._retry_at_s.get(service, -math.inf), self._unavailable_until_s
+        )
+        if due.reason == LOST:
+            return max(retry_at_s, self._lost_until_s.get(service, -math.inf))
+        return retry_at_s
+
     async def _write(self, service: str, due: DueWrite) -> None:
         sent_s = now_s()
         expected = self._record(service).revision
@@ -153,6 +169,8 @@
             self._retry_at_s[service] = now_s() + _RETRY_DELAY_S
             return
         _log(Event.DIVISION_WRITTEN, service, due.division, due.reason)
+        if due.reason == LOST:
+            self._lost_until_s[service] = sent_s + _LOST_INTERVAL_S
         stored = stored_division(due.division, sent_s)
         self._view.apply(
             StreamDivisionUpdate(service, stored, revision), now_s()
@@ -177,7 +195,7 @@
         if route.is_resumable:
             for share in route.shares:
                 limits_s[share.service] = max(
-                    min(route.timeout_s, MAX_LIMIT_S),
+                    min(route.timeout_s, _MAX_ROUTE_LIMIT_S),
                     limits_s.get(share.service, 0),
                 )
     return limits_s
--- a/src/wasabicross/gateway/stream_time_limits.py
+++ b/src/wasabicross/gateway/stream_time_limits.py
@@ -5,10 +5,11 @@
 import math
 
 #: Limits are rounded up to multiples of this, so that few are written.
-_STEP_S = 10
+_STEP_S = 1
 
-#: Longest limit that counts, far above those of any route.
-MAX_LIMIT_S = 3600.0
+#: Longest limit that is noted. One caller who states more must not keep former
+#: buckets for hours, as streams of those can't be resumed.
+_MAX_LIMIT_S = 600
 
 
 class StreamTimeLimits:
@@ -25,7 +26,7 @@
         """
         if time_left_s <= self.longest_s(service):
             return
-        rounded_s = math.ceil(min(time_left_s, MAX_LIMIT_S) / _STEP_S)
+        rounded_s = math.ceil(min(time_left_s, _MAX_LIMIT_S) / _STEP_S)
         self._longest_s[service] = rounded_s * _STEP_S
 
     def longest_s(self, service: str) -> float:
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -28,6 +28,7 @@
     ServiceShare,
 )
 from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 from wasabicross.gateway.program import Gateway, PlatformInterfaces
@@ -55,6 +56,8 @@
         self._updates = []
         self.records = {}
         self.divisions = {}
+        #: Whether divisions can't be written, so that a test can set them.
+        self.refuses_divisions = False
 
     async def read(self):
         """Return all changes at the current revision."""
@@ -89,6 +92,8 @@
 
     async def write_division(self, service, division, revision, now_s):
         """Write the division of a service's streams if its revision matches."""
+        if self.refuses_divisions:
+            raise StoreUnavailable('refused')
         if self.divisions.get(service, 0) != revision:
             return None
         self._revision += 1
