Keep the divisions of streams and the age of the store's content in the view

Nothing reads them yet; who writes the divisions follows. Until then any answer of the store confirms its content.

--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -29,6 +29,7 @@
 from wasabicross.gateway.prefill_rate import PrefillRate
 from wasabicross.gateway.server_health import HealthByServer
 from wasabicross.gateway.server_notices import ServerNotices
+from wasabicross.gateway.stream_divisions import StreamDivision
 from wasabicross.gateway.warm_copies import WarmCopies
 
 #: Version of an adapter for which the operator hasn't set any.
@@ -86,6 +87,10 @@
         self.era: int | None = None
         #: When the store returned from an older copy, as this process saw it.
         self.restored_s = -math.inf
+        #: Divisions of resumable streams among software versions, by service.
+        self.divisions: dict[str, StreamDivision] = {}
+        #: As of when the content of the store is known, monotonic seconds.
+        self.confirmed_s = -math.inf
 
     def set_store_status(self, now_s: float, *, is_lost: bool) -> None:
         """Record whether the store answered.
@@ -95,6 +100,7 @@
         """
         self._expired.on_store_status(now_s, is_lost=is_lost)
         if not is_lost:
+            self.confirmed_s = now_s
             self.content_known_since_s = min(self.content_known_since_s, now_s)
 
     def on_era(self, era: int, now_s: float) -> None:
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -169,7 +169,7 @@
 )
 
 
-def server_entry(server_id, service, port, held=None):
+def server_entry(server_id, service, port, held=None, software_version=''):
     """Return the update with which the store lists a server."""
     return ServerEntryUpdate(
         BackendServer(
@@ -183,6 +183,7 @@
             {A1: 1} if held is None else held,
             frozenset(('m0',)),
             0,
+            software_version,
         )
     )
 
@@ -226,13 +227,20 @@
     engines=None,
     held=None,
     read_settings=None,
+    versions=(),
 ):
-    """Run a gateway that forwards requests to scripted servers."""
+    """Run a gateway that forwards requests to scripted servers.
+
+    :param versions: software versions of the servers, empty for none.
+    """
     changes = [ConfigurationUpdate(cfg)] if cfg else []
     pool = ConnectionPool(REQUEST_ID)
     for number, server in enumerate(servers):
         port = await server.start()
-        changes.append(server_entry(f'i-{number}', service, port, held))
+        software_version = versions[number] if versions else ''
+        changes.append(
+            server_entry(f'i-{number}', service, port, held, software_version)
+        )
     callers, ready, peers = free_ports(3)
     settings = settings_at(callers, ready, peers)
     store = FakeStore(changes)
