Resume a broken stream within an answer only at its software version

Callers saw: an answer whose first events came from a server of one software version and whose rest came from one of another, after a crash or a silence of the first server. Nothing in the answer showed it.

The version of a server's entry took no part in the choice.

Now the first event that is handed to the caller pins the stream to the version of its server (RequestProgress.on_events), and placements, replacements of silent servers and waits for adapters keep to it. Before that event each placement asks which version begins the stream: the one of its bucket, without a division the only one that the service lists. So a stream that has no event yet may still begin at another version. If no server of the pinned version takes requests any more, the answer is cut at once, as it was where no server was left. A second check stands where events are forwarded: events of another version are never appended, whatever placed the request.

Ruled out: routes that aren't resumable send a stream that has begun to no second server, so they aren't affected.

--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -25,6 +25,7 @@
     :param shared_tokens: length of the start of its prompt that other requests
         may share.
     :param is_returning: whether its caller was refused before.
+    :param software_version: software version that has to run it, None for any.
     """
 
     service: str
@@ -37,6 +38,7 @@
     target_wait_s: float = 0
     shared_tokens: int = 0
     is_returning: bool = False
+    software_version: str | None = None
 
 
 class Candidates:
@@ -73,6 +75,8 @@
     ) -> bool:
         if server.service != request.service:
             return False
+        if request.software_version not in {None, server.software_version}:
+            return False
         if server.server_id in request.excluded:
             return False
         if self._view.refuses_requests(server, now_s):
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.event_stream import EventSplitter
 from wasabicross.gateway.retrying_placer import Placement
 
@@ -60,9 +61,21 @@
         self.replacement: Placement | None = None
         #: Servers that stated that they haven't run the request.
         self.refused_by: set[str] = set()
+        #: Software version at which the stream goes on, None before its start.
+        self.software_version: str | None = None
         self.splitter = EventSplitter()
         self.splitter.last_event_id = last_event_id
 
+    def on_events(self, software_version: str) -> None:
+        """Record which software version has sent events of the stream.
+
+        :param software_version: version of the server that has sent them.
+        :raises AnswerBroken: the stream has events of another version.
+        """
+        if self.software_version not in {None, software_version}:
+            raise AnswerBroken('events of another software version')
+        self.software_version = software_version
+
     def begin_attempt(self) -> None:
         """Reset the result of the previous attempt."""
         self.status = 0
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -12,6 +12,10 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
+from wasabicross.gateway.stream_request import StreamRequest
+from wasabicross.gateway.stream_versions import (
+    NO_SERVER_OF_VERSION,
+)
 from wasabicross.servers.retries import RetryBudget
 
 #: Most sends of one request, whether a server ran it or not.
@@ -62,11 +66,15 @@
         self._guard = guard
         #: How long the caller has probably waited before, seconds.
         self.waited_before_s = self._time_waited_before_s()
+        #: The software version at which its stream begins or goes on.
+        self.stream = StreamRequest(
+            placer.streams, routed.route, routed.info, progress
+        )
 
     async def next(self) -> Placement | NoServer:
         """Return the next server, or why there is none."""
         replacement = self._progress.take_replacement()
-        if replacement is not None:
+        if replacement is not None and self.stream.suits(replacement.server):
             return replacement
         placement = await self._place_unless_refused(
             self._progress.excluded | self._progress.silent
@@ -128,8 +136,20 @@
             route.target_s - waited_s - self.waited_before_s,
             info.shared_tokens,
             self._is_returning,
+            self.stream.version(now_s()),
         )
-        return await self._placer.place(request)
+        return await self._place_at_version(request)
+
+    async def _place_at_version(
+        self, request: PlacementRequest
+    ) -> Placement | NoServer:
+        """Return a server; at once if none is left for a stream to go on."""
+        if not self.stream.may_go_on():
+            return NO_SERVER_OF_VERSION
+        placement = await self._placer.place(request)
+        if isinstance(placement, NoServer) and not self.stream.may_go_on():
+            return NO_SERVER_OF_VERSION
+        return placement
 
     @property
     def _is_returning(self) -> bool:
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -21,6 +21,7 @@
 )
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
+from wasabicross.gateway.stream_versions import StreamVersions
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.usual_time_limits import UsualTimeLimits
 from wasabicross.gateway.view import FleetView
@@ -84,6 +85,8 @@
         self.adapter_wait = AdapterWait()
         #: Tells which callers return after a refusal.
         self.time_limits = UsualTimeLimits()
+        #: Tells at which software version streams begin and go on.
+        self.streams = StreamVersions(view)
 
     async def place(self, request: PlacementRequest) -> Placement | NoServer:
         """Return a server for a request, or why there is none.
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -295,7 +295,7 @@
         if self._answer.has_started and not succeeded:
             raise AnswerBroken(f'status {head.status} for a resumed stream')
         if succeeded and self._is_stream(head):
-            await self._forward_stream(conn, head)
+            await self._forward_stream(conn, placement, head)
         else:
             await self._forward_body(conn, head)
         if succeeded:
@@ -338,7 +338,7 @@
         await self._answer.end()
 
     async def _forward_stream(
-        self, conn: ServerConnection, head: AnswerHead
+        self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> None:
         splitter = self._progress.splitter
         if not self._answer.has_started:
@@ -356,6 +356,7 @@
             last_s = now_s()
             self._watched.on_progress()
             tail.feed(events)
+            self._progress.on_events(placement.server.software_version)
             await self._answer.send_chunk(events)
         if splitter.discard_partial() or tail.is_inside_event:
             raise AnswerBroken('stream ended inside an event')
