Send no stream to a server whose entry has changed its software version

Callers would see a stream at another version than the one that was chosen for it.

A server was chosen, then the request waited for a load of its adapter or for a connection, and it was sent without another look at the entry.

Now the wait for a load ends without that server if its entry has another version than the request needs, and a resumable request is sent only if the entry of its server, right before the send, still has the version and the start time with which it was chosen; otherwise the attempt ends `not sent` (reason `server changed`) and the server is chosen anew. Nothing waits between the check and the send. Other routes send as before.

What remains: a server that restarts at another version before its new entry has reached this gateway can't be told from the old one.

--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -147,10 +147,14 @@
             self.adapter_wait.on_load(took_s)
         if not loaded_version:
             return False
-        server = self._view.servers.get(choice.server_id)
-        return server is not None and not self._view.refuses_requests(
-            server, now_s()
-        )
+        return self._may_be_used(choice.server_id, request)
+
+    def _may_be_used(self, server_id: str, request: PlacementRequest) -> bool:
+        """Return whether a server is still one for a request."""
+        server = self._view.servers.get(server_id)
+        if server is None or self._view.refuses_requests(server, now_s()):
+            return False
+        return request.software_version in {None, server.software_version}
 
     def _should_retry(
         self, choice: NoServer, request: PlacementRequest, started_s: float
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -37,12 +37,16 @@
     ServerRequest,
 )
 from wasabicross.gateway.silence_watch import ReplacementFinder, SilenceWatch
+from wasabicross.gateway.stream_versions import is_same_software
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
 
+#: Why an attempt ended early whose server had changed since it was chosen.
+_CHANGED = 'server changed'
+
 #: Why an attempt ended early whose server was silent.
 _SILENCE = 'silence'
 
@@ -157,8 +161,21 @@
                 self._servers.pool.release(server.host, server.port, conn)
                 self._progress.reason = _CALLED_OFF
                 return Ending.not_sent
+            if not self._is_unchanged(server):
+                self._servers.pool.release(server.host, server.port, conn)
+                self._progress.reason = _CHANGED
+                return Ending.not_sent
             return await self._use(conn, placement)
 
+    def _is_unchanged(self, server: BackendServer) -> bool:
+        """Return whether a server may still run a request that it was for.
+
+        Another incarnation may have another software version.
+        """
+        if not self._route.is_resumable:
+            return True
+        return is_same_software(self._servers.view, server)
+
     async def _use(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.view import FleetView
 
@@ -57,3 +58,16 @@
             for server in self._view.servers.values()
             if server.service == service
         )
+
+
+def is_same_software(view: FleetView, chosen: BackendServer) -> bool:
+    """Return whether the entry of a server still is of the same incarnation.
+
+    :param view: state of the deployment.
+    :param chosen: the server as it was listed when it was chosen.
+    """
+    listed = view.servers.get(chosen.server_id)
+    return listed is not None and (
+        (listed.software_version, listed.start_ms)
+        == (chosen.software_version, chosen.start_ms)
+    )
