Take interrupted streams up only at the software version that began them

Callers saw: a stream that they took up again with its last event id was answered 200 and ran to the end, its first part from one software version, the rest from another.

The gateway that is asked read no statement of the attempt that began the stream, and had it read one, would have known only streams of its own.

Now the version follows from the id of the attempt that brought the first event and from the division of the service's streams (stream_divisions), so any gateway that knows the division can tell it, whichever began the stream and whether that still lives. Where the division leaves several versions possible, where the store has said nothing for 5 s, or where no server of the version takes requests, the take-up is refused at once with 503, before any server: 60 s to wait, 1 s where the gateway's knowledge is too old. Full or silent servers of the version are waited for as before. Without a division the only version that the service lists, leaving servers included, is the one. A take-up on a route that is split among services goes to the service of the attempt that it names; if it names none there, it is refused. Event 8046 and wasabicross_gateway_take_ups tell each take-up.

--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -88,6 +88,11 @@
     'Parts of prompts by how the evidence of crashes against them changed.',
     ('change',),
 )
+TAKE_UPS = Counter(
+    'wasabicross_gateway_take_ups',
+    'Interrupted streams that callers took up again, by how that ended.',
+    ('service', 'outcome'),
+)
 UNDER_WAY = Gauge(
     'wasabicross_gateway_under_way',
     'Requests that are being answered.',
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -21,7 +21,7 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.request_placement import (
-    CRASHES,
+    FIXED_TIME_REASONS,
     MAX_SENDS,
     RequestPlacement,
     RoutedRequest,
@@ -36,6 +36,8 @@
     ServerAccess,
     ServerAttempt,
 )
+from wasabicross.gateway.stream_request import StreamRequest
+from wasabicross.gateway.stream_versions import service_of
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
@@ -91,6 +93,7 @@
             req
         )
         self._progress = RequestProgress(self._info.last_event_id)
+        self._stream: StreamRequest | None = None
         self._server_id = ''
         self._labels = ('', '')
         self._waited_before_s: float = 0
@@ -140,7 +143,7 @@
         )
 
     async def _run(self, route: Route, deadline_s: float) -> None:
-        service = route.service_for(self._info.request_id)
+        service = service_of(route, self._info)
         budget = self._deps.budget_for(service)
         placements = RequestPlacement(
             RoutedRequest(
@@ -150,6 +153,7 @@
             self._deps.placer,
             self._deps.servers.crashes.guard(self._info.parts),
         )
+        self._stream = placements.stream
         self._waited_before_s = placements.waited_before_s
         self._labels = (service, metrics.request_class(route))
         budget.add_request()
@@ -262,7 +266,7 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason == CRASHES.reason:
+        elif reason in FIXED_TIME_REASONS:
             await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
@@ -303,6 +307,8 @@
             self._configuration_version,
             self._progress.sends,
         )
+        if self._stream is not None:
+            self._stream.record_end()
         metrics.REQUESTS.labels(*self._labels, self._outcome).inc()
         started_s = self._answer.started_s
         if started_s is not None and self._labels[0]:
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -14,6 +14,7 @@
 from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
 from wasabicross.gateway.stream_request import StreamRequest
 from wasabicross.gateway.stream_versions import (
+    LASTING_REFUSALS,
     NO_SERVER_OF_VERSION,
 )
 from wasabicross.servers.retries import RetryBudget
@@ -28,6 +29,11 @@
 #: that its caller does soon will change that.
 CRASHES = NoServer('crashes servers', retry_after_s=60.0)
 
+#: Why requests are refused for a time that doesn't depend on other requests.
+FIXED_TIME_REASONS = frozenset(
+    (CRASHES.reason, *(each.reason for each in LASTING_REFUSALS))
+)
+
 
 class RoutedRequest(NamedTuple):
     """A request, its route and the service that was chosen for it.
@@ -68,11 +74,13 @@
         self.waited_before_s = self._time_waited_before_s()
         #: The software version at which its stream begins or goes on.
         self.stream = StreamRequest(
-            placer.streams, routed.route, routed.info, progress
+            placer.streams, routed.route, routed.info, progress, now_s()
         )
 
     async def next(self) -> Placement | NoServer:
         """Return the next server, or why there is none."""
+        if self.stream.refusal is not None:
+            return self.stream.refusal
         replacement = self._progress.take_replacement()
         if replacement is not None and self.stream.suits(replacement.server):
             return replacement
--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/stream_request.py
@@ -2,11 +2,27 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
-from wasabicross.gateway.stream_versions import StreamVersions
+from wasabicross.gateway.stream_versions import (
+    NO_SERVER_OF_VERSION,
+    StreamVersions,
+    TakeUp,
+    is_take_up,
+    service_of,
+)
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
+
+#: Longest id of a caller's attempt that is logged, in characters.
+_MAX_LOGGED = 64
+
+_WENT_ON = 'went on'
+_FAILED = 'failed'
 
 
 class StreamRequest:
@@ -16,6 +32,7 @@
     :param route: the route of the request.
     :param info: what it states.
     :param progress: outcomes at all servers so far.
+    :param now_s: the present time, monotonic seconds.
     """
 
     def __init__(
@@ -24,12 +41,21 @@
         route: Route,
         info: RequestInfo,
         progress: RequestProgress,
+        now_s: float,
     ) -> None:
         self._streams = streams
         self._route = route
         self._info = info
         self._progress = progress
-        self._service = route.service_for(info.request_id)
+        self._service = service_of(route, info)
+        self._take_up: TakeUp | None = None
+        self._has_version_left = False
+        #: Why the stream can't go on at any server, None if it may.
+        self.refusal: NoServer | None = None
+        if route.is_resumable:
+            streams.note_time_limit(self._service, info.time_left_s)
+        if is_take_up(route, info):
+            self._begin_take_up(now_s)
 
     def version(self, now_s: float) -> str | None:
         """Return the software version that has to run it, None for any.
@@ -55,4 +81,40 @@
     def may_go_on(self) -> bool:
         """Return whether the stream hasn't begun or its version serves."""
         pinned = self._progress.software_version
-        return pinned is None or self._streams.serves(self._service, pinned)
+        if pinned is None or self._streams.serves(self._service, pinned):
+            return True
+        self._has_version_left = True
+        return False
+
+    def record_end(self) -> None:
+        """Count how the take-up of an interrupted stream ended, if it is one."""
+        if self._take_up is not None:
+            metrics.TAKE_UPS.labels(self._service, self._outcome()).inc()
+
+    def _begin_take_up(self, now_s: float) -> None:
+        take_up = self._streams.for_take_up(self._route, self._info, now_s)
+        self._take_up = take_up
+        self._progress.software_version = take_up.version
+        self.refusal = take_up.refusal
+        log_event(
+            Event.STREAM_TAKEN_UP,
+            request=self._info.request_id,
+            resumes=self._info.resumes[:_MAX_LOGGED],
+            last_event=self._info.last_event_id[:_MAX_LOGGED],
+            service=self._service,
+            software_version=take_up.version or '',
+            known_by=take_up.known_by.value,
+            possible=sorted(take_up.possible),
+        )
+
+    def _outcome(self) -> str:
+        """Return how the take-up ended, a label with few values."""
+        last_event_id = self._progress.splitter.last_event_id
+        has_new_events = last_event_id != self._info.last_event_id
+        if has_new_events or self._progress.has_succeeded:
+            return _WENT_ON
+        if self.refusal is not None:
+            return self.refusal.reason
+        if self._has_version_left:
+            return NO_SERVER_OF_VERSION.reason
+        return _FAILED
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -2,15 +2,72 @@
 
 from __future__ import annotations
 
+import enum
+import math
+from typing import NamedTuple
+
 from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
+from wasabicross.gateway.stream_divisions import (
+    MAX_KNOWLEDGE_AGE_S,
+    StreamDivision,
+)
 from wasabicross.gateway.view import FleetView
 
+#: Longest time limit of a caller that is noted, seconds.
+_MAX_TIME_LIMIT_S = 600.0
+
 #: Why a stream can't go on whose version has left; nothing that its caller does
 #: soon will change that.
 NO_SERVER_OF_VERSION = NoServer('no server of its version', retry_after_s=60.0)
 
 
+class Knowledge(enum.Enum):
+    """How the software version of an interrupted stream is known.
+
+    `division`: by the division of streams among versions. `only_version`: its
+    service has no other. `version_unknown`: several versions may have begun it.
+    `too_old`: others may know of a version that this gateway doesn't.
+    """
+
+    division = 'division'
+    only_version = 'only version'
+    version_unknown = 'version unknown'
+    too_old = 'knowledge too old'
+
+
+#: Why a stream isn't taken up, by what is known of its version.
+TAKE_UP_REFUSALS = {
+    Knowledge.version_unknown: NoServer(
+        Knowledge.version_unknown.value, retry_after_s=60.0
+    ),
+    Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
+}
+
+#: Why a stream isn't taken up; other requests have no influence on that.
+LASTING_REFUSALS = (NO_SERVER_OF_VERSION, *TAKE_UP_REFUSALS.values())
+
+
+class TakeUp(NamedTuple):
+    """What is known of an interrupted stream that a caller takes up again.
+
+    :param version: the software version that began it, None if not known.
+    :param known_by: how it is known, or why it isn't.
+    :param possible: all versions that may have begun it.
+    """
+
+    version: str | None
+    known_by: Knowledge
+    possible: frozenset[str] = frozenset()
+
+    @property
+    def refusal(self) -> NoServer | None:
+        """Return why the stream can't go on, None if it can."""
+        return TAKE_UP_REFUSALS.get(self.known_by)
+
+
 class StreamVersions:
     """Tells at which software version resumable streams begin and go on.
 
@@ -19,6 +76,8 @@
 
     def __init__(self, view: FleetView) -> None:
         self._view = view
+        #: The longest time limit that callers have stated, by service, seconds.
+        self.time_limits_s: dict[str, float] = {}
 
     def for_new(
         self, service: str, request_id: str, now_s: float
@@ -35,6 +94,31 @@
         versions = self._listed_versions(service)
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def for_take_up(
+        self, route: Route, info: RequestInfo, now_s: float
+    ) -> TakeUp:
+        """Return what is known of an interrupted stream.
+
+        :param route: the route of the request that takes it up.
+        :param info: what the request states.
+        :param now_s: the present time, monotonic seconds.
+        """
+        if now_s - self._view.confirmed_s > MAX_KNOWLEDGE_AGE_S:
+            return TakeUp(None, Knowledge.too_old)
+        if not info.resumes and len(route.shares) > 1:
+            return TakeUp(None, Knowledge.version_unknown)
+        service = service_of(route, info)
+        division = self._view.divisions.get(service)
+        if division is None:
+            return _known(
+                self._listed_versions(service), Knowledge.only_version
+            )
+        since_s = now_s - _longest_wait_s(division, route, info.time_left_s)
+        return _known(
+            division.possible_versions(info.resumes, since_s, now_s),
+            Knowledge.division,
+        )
+
     def serves(self, service: str, version: str) -> bool:
         """Return whether servers of a version are listed as taking requests.
 
@@ -51,6 +135,22 @@
             for server in self._view.servers.values()
         )
 
+    def note_time_limit(self, service: str, time_left_s: float | None) -> None:
+        """Record how long a caller of a resumable stream waits.
+
+        :param service: the service that runs it.
+        :param time_left_s: how long it waits, seconds, None if not stated.
+        """
+        cfg = self._view.configuration
+        if time_left_s is None or cfg is None or service not in cfg.services:
+            return
+        known_s = self.time_limits_s.get(service, 0)
+        stated_s = min(time_left_s, _MAX_TIME_LIMIT_S)
+        if stated_s > known_s:
+            self.time_limits_s[service] = stated_s
+            for gone in self.time_limits_s.keys() - cfg.services.keys():
+                self.time_limits_s.pop(gone)
+
     def _listed_versions(self, service: str) -> frozenset[str]:
         """Return the versions of all servers, also of those that leave."""
         return frozenset(
@@ -60,6 +160,26 @@
         )
 
 
+def is_take_up(route: Route, info: RequestInfo) -> bool:
+    """Return whether a request takes up an interrupted stream.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    return route.is_resumable and bool(info.last_event_id)
+
+
+def service_of(route: Route, info: RequestInfo) -> str:
+    """Return the service of a request, for a take-up the one that began it.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    if info.resumes and is_take_up(route, info):
+        return route.service_for(info.resumes)
+    return route.service_for(info.request_id)
+
+
 def is_same_software(view: FleetView, chosen: BackendServer) -> bool:
     """Return whether the entry of a server still is of the same incarnation.
 
@@ -71,3 +191,19 @@
         (listed.software_version, listed.start_ms)
         == (chosen.software_version, chosen.start_ms)
     )
+
+
+def _known(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
+    if len(possible) == 1:
+        return TakeUp(next(iter(possible)), known_by, possible)
+    return TakeUp(None, Knowledge.version_unknown, possible)
+
+
+def _longest_wait_s(
+    division: StreamDivision, route: Route, time_left_s: float | None
+) -> float:
+    """Return how long at most a caller has been waiting, seconds."""
+    if time_left_s is None:
+        return math.inf
+    longest_s = max(division.time_limit_s, route.timeout_s, time_left_s)
+    return longest_s - time_left_s
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -78,6 +78,7 @@
     REQUEST_FAILED = EventKind(8043, 'ERROR')
     REQUEST_UNANSWERED = EventKind(8044, 'WARNING')
     UNANSWERED_OMITTED = EventKind(8045, 'WARNING')
+    STREAM_TAKEN_UP = EventKind(8046, 'INFO')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
--- a/tests/test_gateway_changed_versions.py
+++ b/tests/test_gateway_changed_versions.py
@@ -14,11 +14,12 @@
     send,
     servers_of,
     stream,
+    take_up,
 )
 
 from wasabicross.gateway.connection_pool import ConnectionPool
 
-REQUESTS = [stream(ID_OF_V1)]
+REQUESTS = [stream(ID_OF_V1), take_up(ID_OF_V1)]
 
 
 class SlowEngines(FakeEngines):
@@ -46,7 +47,8 @@
         while not view.reported:
             await asyncio.sleep(0.02)
         asking = asyncio.ensure_future(send(bench, sent))
-        await engines.is_asked.wait()
+        async with asyncio.timeout(5):
+            await engines.is_asked.wait()
         server = view.servers['i-0']
         view.servers['i-0'] = server._replace(software_version='v2')
         engines.may_go_on.set()
