--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from wasabicross.gateway.errors import AnswerBroken
+
 
 class Ending(enum.Enum):
     """How an attempt at one server ended.
@@ -63,3 +65,14 @@
         #: Servers that stated that they haven't run the request.
         self.refused_by: set[str] = set()
         self.last_event_id = last_event_id
+        #: Software version at which the stream goes on, None before its start.
+        self.software_version: str | None = None
+
+    def check_version(self, software_version: str) -> None:
+        """Check that a server may go on with the stream.
+
+        :param software_version: version of the server that has sent events.
+        :raises AnswerBroken: the stream has events of another version.
+        """
+        if self.software_version not in {None, software_version}:
+            raise AnswerBroken('events of another software version')
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -34,11 +34,15 @@
     ServerRequest,
 )
 from wasabicross.gateway.silence_watch import SilenceWatch
+from wasabicross.gateway.stream_versions import is_same_software
 from wasabicross.gateway.takeover import Takeover
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
 
+#: Why an attempt ended early whose server had changed since it was chosen.
+_CHANGED = 'server changed'
+
 #: Why an attempt ended early whose server was silent.
 _SILENCE = 'silence'
 
@@ -107,8 +111,21 @@
                 self._servers.pool.release(server.host, server.port, conn)
                 self.record.reason = _CALLED_OFF
                 return Ending.not_sent
+            if not self._is_unchanged(server):
+                self._servers.pool.release(server.host, server.port, conn)
+                self.record.reason = _CHANGED
+                return Ending.not_sent
             return await self._use(conn, placement)
 
+    def _is_unchanged(self, server: BackendServer) -> bool:
+        """Return whether a server may still run a request that it was for.
+
+        Another incarnation may have another software version.
+        """
+        if not self._route.is_resumable:
+            return True
+        return is_same_software(self._servers.view, server)
+
     async def _use(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
@@ -259,7 +276,7 @@
         self._silence.keep()
         with self._takeover.limit():
             if is_stream:
-                await self._forward_stream(conn, head)
+                await self._forward_stream(conn, placement, head)
             else:
                 await self._forward_body(conn, head)
         if succeeded:
@@ -303,7 +320,7 @@
         await self._answer.end()
 
     async def _forward_stream(
-        self, conn: ServerConnection, head: AnswerHead
+        self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> None:
         if not self._takeover.is_pending:
             await self._start_stream(head)
@@ -317,7 +334,10 @@
             if events is None:
                 break
             self._watched.on_progress()
+            version = placement.server.software_version
+            self._progress.check_version(version)
             self._take_over()
+            self._progress.software_version = version
             self._progress.last_event_id = stream.last_event_id
             await self._start_stream(head)
             await self._answer.send_chunk(events)
