Check the pinned version of a stream once more right before it is sent

A server may be chosen for a stream before its first event and connected to while that event comes from another one (a replacement of a silent server). The replacement that is found for another version than the one that began meanwhile has its test, which fails without the check in RequestPlacement.next.

--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -146,14 +146,6 @@
             self._is_returning,
             self.stream.version(now_s()),
         )
-        return await self._place_at_version(request)
-
-    async def _place_at_version(
-        self, request: PlacementRequest
-    ) -> Placement | NoServer:
-        """Return a server; at once if none is left for a stream to go on."""
-        if not self.stream.may_go_on():
-            return NO_SERVER_OF_VERSION
         placement = await self._placer.place(request)
         if isinstance(placement, NoServer) and not self.stream.may_go_on():
             return NO_SERVER_OF_VERSION
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -37,16 +37,13 @@
     ServerRequest,
 )
 from wasabicross.gateway.silence_watch import ReplacementFinder, SilenceWatch
-from wasabicross.gateway.stream_versions import is_same_software
+from wasabicross.gateway.stream_versions import why_unsuitable
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
 
-#: Why an attempt ended early whose server had changed since it was chosen.
-_CHANGED = 'server changed'
-
 #: Why an attempt ended early whose server was silent.
 _SILENCE = 'silence'
 
@@ -161,20 +158,19 @@
                 self._servers.pool.release(server.host, server.port, conn)
                 self._progress.reason = _CALLED_OFF
                 return Ending.not_sent
-            if not self._is_unchanged(server):
+            self._progress.reason = self._why_unsuitable(server)
+            if self._progress.reason:
                 self._servers.pool.release(server.host, server.port, conn)
-                self._progress.reason = _CHANGED
                 return Ending.not_sent
             return await self._use(conn, placement)
 
-    def _is_unchanged(self, server: BackendServer) -> bool:
-        """Return whether a server may still run a request that it was for.
-
-        Another incarnation may have another software version.
-        """
+    def _why_unsuitable(self, server: BackendServer) -> str:
+        """Return why a server may no longer run the request, if it may not."""
         if not self._route.is_resumable:
-            return True
-        return is_same_software(self._servers.view, server)
+            return ''
+        return why_unsuitable(
+            self._servers.view, server, self._progress.software_version
+        )
 
     async def _use(
         self, conn: ServerConnection, placement: Placement
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -19,6 +19,11 @@
 #: Longest time limit of a caller that is noted, seconds.
 _MAX_TIME_LIMIT_S = 600.0
 
+#: Why a server that was chosen isn't sent a stream: its entry has changed since,
+#: or the stream has begun at another version meanwhile.
+_CHANGED = 'server changed'
+_OTHER_VERSION = 'other software version'
+
 #: Why a stream can't go on whose version has left; nothing that its caller does
 #: soon will change that.
 NO_SERVER_OF_VERSION = NoServer('no server of its version', retry_after_s=60.0)
@@ -180,17 +185,21 @@
     return route.service_for(info.request_id)
 
 
-def is_same_software(view: FleetView, chosen: BackendServer) -> bool:
-    """Return whether the entry of a server still is of the same incarnation.
+def why_unsuitable(
+    view: FleetView, chosen: BackendServer, pinned: str | None
+) -> str:
+    """Return why a stream may no longer be sent to a server, empty if it may.
 
     :param view: state of the deployment.
     :param chosen: the server as it was listed when it was chosen.
+    :param pinned: software version at which the stream goes on, None for any.
     """
     listed = view.servers.get(chosen.server_id)
-    return listed is not None and (
-        (listed.software_version, listed.start_ms)
-        == (chosen.software_version, chosen.start_ms)
-    )
+    if listed is None or listed.start_ms != chosen.start_ms:
+        return _CHANGED
+    if listed.software_version != chosen.software_version:
+        return _CHANGED
+    return '' if pinned in {None, chosen.software_version} else _OTHER_VERSION
 
 
 def _known(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
--- a/tests/test_gateway_changed_versions.py
+++ b/tests/test_gateway_changed_versions.py
@@ -59,6 +59,8 @@
     )
     assert not found
     assert status_of(received) == 503
+    is_lasting = b'retry-after: 60.00' in received.lower()
+    assert is_lasting == (sent is REQUESTS[1])
     assert not servers[0].seen
 
 
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from gateway_parts import CONFIGURATION, server_entry
 from scripted_server import STREAM_END
 from version_parts import (
     AT_ONCE_S,
@@ -18,6 +19,21 @@
     stream,
 )
 
+from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.progress import RequestProgress
+from wasabicross.gateway.request_placement import (
+    RequestPlacement,
+    RoutedRequest,
+)
+from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
+from wasabicross.gateway.usage_tracker import UsageTracker
+from wasabicross.gateway.view import FleetView
+from wasabicross.servers.retries import RetryBudget
+
 
 @pytest.mark.parametrize('buckets', [None, OLD, HALF])
 @pytest.mark.parametrize(
@@ -75,3 +91,38 @@
     assert received.endswith(STREAM_END)
     assert not servers[1].seen
     assert sum(len(each.seen) for each in servers) == len(versions) - 1
+
+
+def test_replacement_of_another_version_than_has_begun_meanwhile_is_not_used():
+    view = FleetView()
+    for server_id, version in (('i-0', 'v1'), ('i-1', 'v2')):
+        held = server_entry(server_id, 'llm', 1, None, version)
+        view.apply(held, 0)
+    evidence = CrashEvidence('front-1')
+    crashes = CrashWatch(view, evidence, CrashSharing(evidence))
+    route = CONFIGURATION.route_for('a.example', '/stream-resumable/x')
+    progress = RequestProgress('')
+    placements = RequestPlacement(
+        RoutedRequest(
+            time.monotonic(),
+            RequestInfo('r1', None, None, ''),
+            route,
+            'llm',
+            RetryBudget(0.2, 10),
+        ),
+        progress,
+        RetryingPlacer(view, UsageTracker(view), None, 'dc'),
+        crashes.guard(()),
+    )
+    progress.replacement = Placement(view.servers['i-1'], 0, 0, 1, 0)
+    progress.on_events('v1')
+    placement = asyncio.run(placements.next())
+    assert placement.server.software_version == 'v1'
+
+
+def test_events_of_another_version_are_not_appended():
+    progress = RequestProgress('')
+    progress.on_events('v1')
+    progress.on_events('v1')
+    with pytest.raises(AnswerBroken):
+        progress.on_events('v2')
--- a/tests/test_gateway_take_ups.py
+++ b/tests/test_gateway_take_ups.py
@@ -257,3 +257,13 @@
     assert unknown['software_version'] == ''
     assert unknown['known_by'] == 'version unknown'
     assert unknown['possible'] == ['v1', 'v2']
+
+
+def test_longest_time_limit_of_resumable_streams_is_known():
+    async def scenario(bench):
+        for time_left_ms in (4000, 9000, 7000):
+            await send(bench, stream(Time_Left_Ms=str(time_left_ms)))
+        return bench.gateway._caller_service._deps.placer.streams
+
+    streams = run_versions(scenario, servers_of(('v1',)), OLD)
+    assert streams.time_limits_s == {'llm': 9}
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -24,6 +24,7 @@
     Knowledge,
     StreamVersions,
     service_of,
+    why_unsuitable,
 )
 from wasabicross.gateway.view import FleetView
 
@@ -200,6 +201,25 @@
     assert streams.time_limits_s == {'llm': 600}
 
 
+@pytest.mark.parametrize(
+    ('listed', 'pinned', 'reason'),
+    [
+        ({}, None, ''),
+        ({}, 'v1', ''),
+        ({}, 'v2', 'other software version'),
+        ({'software_version': 'v2'}, None, 'server changed'),
+        ({'start_ms': 7}, 'v1', 'server changed'),
+        (None, 'v1', 'server changed'),
+    ],
+)
+def test_server_that_no_longer_suits_a_stream(listed, pinned, reason):
+    view = view_of(('v1',))
+    chosen = view.servers.pop('i-0')
+    if listed is not None:
+        view.servers['i-0'] = chosen._replace(**listed)
+    assert why_unsuitable(view, chosen, pinned) == reason
+
+
 STEP_S = 0.25
 
 #: Longest time between two answers of the store to a gateway in touch.
