Write ages of former buckets as of the decision that ends them (ORDER)

A keeper that was frozen between its decision and its write stated that the former buckets had ended for as long as it was frozen, though they were in force until the write; a gateway that restarted then would take up a stream of theirs at the new version. The new test failed before (age 10 s for 0).

--- a/src/wasabicross/gateway/division_keeper.py
+++ b/src/wasabicross/gateway/division_keeper.py
@@ -108,7 +108,7 @@
         if delay_s is None or at_s < since_s + delay_s:
             return
         if at_s >= self._retry_due_s(service, due):
-            await self._write(service, due)
+            await self._write(service, due, at_s)
 
     def _due_write(
         self, service: str, limit_s: float, at_s: float
@@ -149,12 +149,13 @@
             return max(retry_at_s, self._lost_until_s.get(service, -math.inf))
         return retry_at_s
 
-    async def _write(self, service: str, due: DueWrite) -> None:
-        sent_s = now_s()
+    async def _write(self, service: str, due: DueWrite, at_s: float) -> None:
+        # Ages as of the decision: what it ends is in force until the write,
+        # which is late if the process is frozen before it.
         expected = self._record(service).revision
         try:
             revision = await self._store.write_division(
-                service, due.division, expected, sent_s
+                service, due.division, expected, at_s
             )
         except StoreUnavailable as exc:
             metrics.STORE_CALLS.labels('write', 'unavailable').inc()
@@ -170,8 +171,8 @@
             return
         _log(Event.DIVISION_WRITTEN, service, due.division, due.reason)
         if due.reason == LOST:
-            self._lost_until_s[service] = sent_s + _LOST_INTERVAL_S
-        stored = stored_division(due.division, sent_s)
+            self._lost_until_s[service] = at_s + _LOST_INTERVAL_S
+        stored = stored_division(due.division, at_s)
         self._view.apply(
             StreamDivisionUpdate(service, stored, revision), now_s()
         )
--- a/tests/test_gateway_division_decisions.py
+++ b/tests/test_gateway_division_decisions.py
@@ -335,10 +335,12 @@
 
     def __init__(self):
         self.writes = []
+        self.stored = []
 
     async def write_division(self, service, division, revision, now_s):
         """Record a write."""
         self.writes.append((service, division, revision))
+        self.stored.append(stored_division(division, now_s))
 
 
 @pytest.mark.parametrize(
@@ -355,3 +357,19 @@
     store = CountingStore()
     asyncio.run(DivisionKeeper('a', store, view).check())
     assert len(store.writes) == writes
+
+
+def test_keeper_frozen_before_its_write_states_no_early_end(monkeypatch):
+    """Buckets stay in force until the write, however late it is sent."""
+    clock_s = itertools.count(100, 10)
+    monkeypatch.setattr(
+        'wasabicross.gateway.division_keeper.now_s', lambda: next(clock_s)
+    )
+    view = view_of(server(1, 'v2'))
+    view.configuration = configuration(route('llm', 20))
+    view.confirmed_s = math.inf
+    view.divisions['llm'] = StreamDivision(1, OLD)
+    store = CountingStore()
+    asyncio.run(DivisionKeeper('a', store, view).check())
+    (stored,) = store.stored
+    assert (stored.buckets, stored.former[0]) == (NEW, (OLD, 0))
