Tell when a stream began by the time limit of its own route

Cause, in part: the time since which a caller waits was reckoned from the longest limit of all routes of its service (15 s), so one whose limit is 5 s seemed to wait for 10 s more than it did, and its stream may have begun before the last change of the division.

Change: the limit is the route's own timeout and the longest that callers of the route state in first attempts; until eight have been seen, the service's as before. 5 new rows failed before.

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -12,7 +12,10 @@
     received_division,
 )
 from wasabicross.gateway.stream_divisions import StreamDivision
-from wasabicross.gateway.stream_time_limits import StreamTimeLimits
+from wasabicross.gateway.stream_time_limits import (
+    RouteTimeLimits,
+    StreamTimeLimits,
+)
 
 
 class KnownDivisions(UserDict[str, StreamDivision]):
@@ -22,6 +25,7 @@
         super().__init__()
         #: Time limits that callers stated on resumable routes.
         self.time_limits = StreamTimeLimits()
+        self.route_limits = RouteTimeLimits()
         self._records: dict[str, DivisionRecord] = {}
         self._positions: dict[str, int] = {}
 
--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/stream_request.py
@@ -52,7 +52,7 @@
         #: Why the stream can't go on at any server, None if it may.
         self.refusal: NoServer | None = None
         if route.is_resumable:
-            streams.note_time_limit(self._service, info.time_left_s)
+            streams.note_time_limit(route, self._service, info)
         if is_take_up(route, info):
             self._begin_take_up(now_s)
 
--- a/src/wasabicross/gateway/stream_time_limits.py
+++ b/src/wasabicross/gateway/stream_time_limits.py
@@ -1,8 +1,10 @@
-"""The longest time limits that callers of each service have stated."""
+"""The longest time limits that callers of services and routes have stated."""
 
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
+from typing import NamedTuple
 
 #: Limits are rounded up to multiples of this, so that few are written.
 _STEP_S = 1
@@ -11,6 +13,12 @@
 #: buckets for hours, as streams of those can't be resumed.
 _MAX_LIMIT_S = 600
 
+#: Requests of a route from which on its longest limit is known.
+_MIN_REQUESTS = 8
+
+#: Most routes whose limits are kept; the oldest are forgotten.
+_MAX_ROUTES = 1024
+
 
 class StreamTimeLimits:
     """How long callers may wait who resume streams of a service."""
@@ -35,3 +43,46 @@
         :param service: name of the service.
         """
         return self._longest_s.get(service, 0)
+
+
+class _RouteLimit(NamedTuple):
+    """The longest limit that callers of a route have stated.
+
+    :param longest_s: the limit, seconds.
+    :param requests: number of requests that stated one.
+    """
+
+    longest_s: float
+    requests: int
+
+
+class RouteTimeLimits:
+    """How long callers of each route may wait."""
+
+    def __init__(self) -> None:
+        self._limits: OrderedDict[str, _RouteLimit] = OrderedDict()
+
+    def note_time_limit(self, route: str, time_left_s: float) -> None:
+        """Record the time limit of a request.
+
+        :param route: name of its route.
+        :param time_left_s: the limit that its caller stated, seconds.
+        """
+        known = self._limits.get(route, _RouteLimit(0, 0))
+        self._limits[route] = _RouteLimit(
+            max(known.longest_s, min(time_left_s, _MAX_LIMIT_S)),
+            known.requests + 1,
+        )
+        self._limits.move_to_end(route)
+        if len(self._limits) > _MAX_ROUTES:
+            self._limits.popitem(last=False)
+
+    def longest_s(self, route: str) -> float | None:
+        """Return the longest limit of a route, None until it is known.
+
+        :param route: name of the route.
+        """
+        known = self._limits.get(route)
+        if known is None or known.requests < _MIN_REQUESTS:
+            return None
+        return known.longest_s
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -113,7 +113,10 @@
             return _known(
                 self._listed_versions(service), Knowledge.only_version
             )
-        since_s = now_s - _longest_wait_s(division, route, info.time_left_s)
+        longest_s = self._view.divisions.route_limits.longest_s(route.name)
+        since_s = now_s - _longest_wait_s(
+            longest_s, division, route, info.time_left_s
+        )
         return _known(
             division.possible_versions(info.resumes, since_s, now_s),
             Knowledge.division,
@@ -135,15 +138,22 @@
             for server in self._view.servers.values()
         )
 
-    def note_time_limit(self, service: str, time_left_s: float | None) -> None:
+    def note_time_limit(
+        self, route: Route, service: str, info: RequestInfo
+    ) -> None:
         """Record how long a caller of a resumable stream waits.
 
+        Callers that take a stream up state only the rest of their limit.
+
+        :param route: the route of its request.
         :param service: the service that runs it.
-        :param time_left_s: how long it waits, seconds, None if not stated.
+        :param info: what the request states.
         """
-        if time_left_s is not None:
-            time_limits = self._view.divisions.time_limits
-            time_limits.note_time_limit(service, time_left_s)
+        if info.time_left_s is None or is_take_up(route, info):
+            return
+        known = self._view.divisions
+        known.time_limits.note_time_limit(service, info.time_left_s)
+        known.route_limits.note_time_limit(route.name, info.time_left_s)
 
     def _listed_versions(self, service: str) -> frozenset[str]:
         """Return the versions of all servers, also of those that leave."""
@@ -198,10 +208,18 @@
 
 
 def _longest_wait_s(
-    division: StreamDivision, route: Route, time_left_s: float | None
+    longest_s: float | None,
+    division: StreamDivision,
+    route: Route,
+    time_left_s: float | None,
 ) -> float:
-    """Return how long at most a caller has been waiting, seconds."""
+    """Return how long at most a caller has been waiting, seconds.
+
+    :param longest_s: longest limit that callers of the route state, None if
+        it isn't known.
+    """
     if time_left_s is None:
         return math.inf
-    longest_s = max(division.time_limit_s, route.timeout_s, time_left_s)
-    return longest_s - time_left_s
+    if longest_s is None:
+        longest_s = division.time_limit_s
+    return max(longest_s, route.timeout_s, time_left_s) - time_left_s
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -119,6 +119,39 @@
         assert take_up.refusal is None
 
 
+#: Requests of a route with which its longest limit is known.
+MANY = 8
+
+
+@pytest.mark.parametrize(
+    ('stated', 'time_left_s', 'expected'),
+    [
+        ([5.0] * MANY, 4.0, 'v2'),
+        ([5.0] * (MANY - 1), 4.0, UNKNOWN),
+        ([30.0, *[5.0] * MANY], 4.0, UNKNOWN),
+        ([None] * MANY, 4.0, UNKNOWN),
+    ],
+)
+def test_caller_of_a_route_with_a_short_limit_began_after_the_move(
+    stated, time_left_s, expected
+):
+    """Callers of another route of the service wait for 60 s."""
+    streams = StreamVersions(view_of(('v2',), MOVED))
+    for each in stated:
+        info = RequestInfo('r1', None, each, '')
+        streams.note_time_limit(ROUTE, 'llm', info)
+    take_up = streams.for_take_up(ROUTE, info_of('9c', time_left_s), NOW_S)
+    assert (take_up.version or UNKNOWN) == expected
+
+
+def test_callers_that_take_streams_up_do_not_shorten_the_limit():
+    streams = StreamVersions(view_of(('v2',), MOVED))
+    for _ in range(MANY):
+        streams.note_time_limit(ROUTE, 'llm', info_of('9c', 4.0))
+    take_up = streams.for_take_up(ROUTE, info_of('9c', 4.0), NOW_S)
+    assert take_up.known_by is UNKNOWN
+
+
 @pytest.mark.parametrize('division', [None, StreamDivision(1, OLD)])
 @pytest.mark.parametrize(
     ('age_s', 'is_known'),
@@ -197,7 +230,8 @@
     view = view_of(())
     streams = StreamVersions(view)
     for time_left_s in (None, 20.0, 1e12, 30.0):
-        streams.note_time_limit('llm', time_left_s)
+        info = RequestInfo('r1', None, time_left_s, '')
+        streams.note_time_limit(ROUTE, 'llm', info)
     assert view.divisions.time_limits.longest_s('llm') == 600
 
 
