--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple, Self
 
 from wasabicross.gateway.configuration import Route
@@ -27,6 +28,8 @@
         one is silent.
     :param usage: counts the request at the server.
     :param replacements: the servers that may take the request over.
+    :param on_events: called with the software version of the server before each
+        part of a stream that the caller is sent.
     :param on_accepted: called when the answer begins, None unless the server
         takes the request over from a silent one.
     """
@@ -38,6 +41,7 @@
     can_fail_over: bool
     usage: RequestUsage
     replacements: Replacements
+    on_events: Callable[[str], None]
     on_accepted: OnAccepted | None = None
 
 
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -16,8 +16,11 @@
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_link import OwnerLink, StoreUpdateHandler
 from wasabicross.gateway.settings import GatewaySettings
+from wasabicross.gateway.stream_memory import StreamMemory
+from wasabicross.gateway.stream_messages import StreamsBegun
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
+from wasabicross.runtime.rendezvous import rank
 
 #: Interval at which owners and the states of this gateway's engines are
 #: checked.
@@ -34,6 +37,10 @@
 #: Most owners that are sent a crash, so that one of them surely gets it.
 _MAX_REPORTED_TO = 4
 
+#: Owners of other data centres that remember streams where none of this one
+#: does.
+_MAX_REMOTE_MEMORIES = 2
+
 
 class OwnerLinks:
     """The links to all other owners, and the loads on this gateway's engines.
@@ -57,6 +64,10 @@
         store_updates: StoreUpdateHandler,
         crashes: CrashSharing | None = None,
     ) -> None:
+        #: Remembers which software versions began streams.
+        self.streams = StreamMemory(view)
+        self.streams.to_owners = self._report_streams
+        self.streams.ask_owners = self._find_stream
         self._crashes = crashes or CrashSharing(CrashEvidence(cfg.instance))
         self._crashes.to_owners = self._send_to_owners
         self._store_updates = store_updates
@@ -128,6 +139,40 @@
         for link in links:
             link.report_crash(message)
 
+    def _stream_links(self) -> list[OwnerLink]:
+        """Return the links to the owners that remember streams.
+
+        All gateways of a data centre without owners choose the same others.
+        """
+        opened = {
+            host: link for host, link in self._links.items() if link.is_open
+        }
+        near = [link for link in opened.values() if link.is_relay]
+        if near:
+            return near
+        ranked = rank(self._cfg.data_centre, opened)
+        return [opened[host] for host in ranked[:_MAX_REMOTE_MEMORIES]]
+
+    def _report_streams(self, messages: tuple[StreamsBegun, ...]) -> None:
+        for link in self._stream_links():
+            link.report_streams(messages)
+
+    async def _find_stream(self, digest: bytes) -> str | None:
+        """Return the first version that an owner names, None for none."""
+        tasks = [
+            asyncio.ensure_future(link.find_stream(digest))
+            for link in self._stream_links()
+        ]
+        try:
+            for answer in asyncio.as_completed(tasks):
+                version = await answer
+                if version is not None:
+                    return version
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
     def _update_links(self) -> None:
         hosts = {record.host for record in self._view.owners.values()}
         # A record that names no owner has no host.
--- a/src/wasabicross/gateway/message_values.py
+++ b/src/wasabicross/gateway/message_values.py
@@ -16,6 +16,7 @@
     'str': str,
     'int': int,
     'bool': bool,
+    'bytes': bytes,
     'bytes | None': (bytes, NoneType),
     'tuple[str, ...]': tuple,
 }
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -14,6 +14,12 @@
     simple_fields,
 )
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.stream_messages import (
+    StreamAnswer,
+    StreamQuery,
+    StreamsBegun,
+    check_digests,
+)
 from wasabicross.messaging.errors import MessageMalformed
 
 #: Largest frame that is accepted, before and after decompression. The store
@@ -254,6 +260,9 @@
     | ServerCrash
     | PartsCleared
     | StoreConfirmation
+    | StreamsBegun
+    | StreamQuery
+    | StreamAnswer
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -272,6 +281,9 @@
     ServerCrash,
     PartsCleared,
     StoreConfirmation,
+    StreamsBegun,
+    StreamQuery,
+    StreamAnswer,
 )
 
 _DECODING_ERRORS = (
@@ -345,6 +357,7 @@
         parts = tuple(_checked(kind(*each)) for each in getattr(message, name))
         message = message._replace(**{name: parts})
     checked: Message = _checked(message)
+    check_digests(checked)
     return checked
 
 
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -36,6 +36,11 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.stream_messages import (
+    StreamAnswer,
+    StreamQuery,
+    StreamsBegun,
+)
 from wasabicross.gateway.view import FleetView
 from wasabicross.messaging.errors import MessageMalformed
 from wasabicross.runtime.events import Event
@@ -108,6 +113,7 @@
         self._is_end_logged = False
         self._errors = ErrorContainment('link')
         self._calls: dict[int, asyncio.Future[int]] = {}
+        self._queries: dict[int, asyncio.Future[str | None]] = {}
         self._call_ids = itertools.count(1)
 
     @property
@@ -175,6 +181,31 @@
         if self._conn is not None:
             _send(self._conn, message)
 
+    def report_streams(self, messages: tuple[StreamsBegun, ...]) -> None:
+        """Send what began streams, unless the link is closed.
+
+        :param messages: the streams by service and software version.
+        """
+        if self._conn is not None:
+            _send(self._conn, *messages)
+
+    async def find_stream(self, digest: bytes) -> str | None:
+        """Return the version that began a stream, None if the owner has none.
+
+        :param digest: stands for the stream.
+        """
+        if self._conn is None:
+            return None
+        call_id = next(self._call_ids)
+        fut: asyncio.Future[str | None]
+        fut = asyncio.get_running_loop().create_future()
+        self._queries[call_id] = fut
+        _send(self._conn, StreamQuery(call_id, digest))
+        try:
+            return await fut
+        finally:
+            self._queries.pop(call_id)
+
     async def _connected_socket(self) -> socket.socket:
         """Return a socket that is connected to the owner."""
         sock = socket.socket()
@@ -267,12 +298,22 @@
         if fut is not None and not fut.done():
             fut.set_result(message.version)
 
+    @_on_message.register
+    def _(self, message: StreamAnswer) -> None:
+        fut = self._queries.get(message.call_id)
+        if fut is not None and not fut.done():
+            found = message.software_version if message.is_known else None
+            fut.set_result(found)
+
     def _on_end(self) -> None:
-        """Fail the waiting loads, since closing the link may take a while."""
+        """Fail the waiting calls, since closing the link may take a while."""
         self._conn = None
         for fut in self._calls.values():
             if not fut.done():
                 fut.set_result(0)
+        for query in self._queries.values():
+            if not query.done():
+                query.set_result(None)
 
     def _log_end(self, reason: str) -> None:
         """Log why the link ended, once until it is open again."""
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -30,6 +30,9 @@
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.stream_memory import StreamMemory
+from wasabicross.gateway.stream_messages import StreamQuery, StreamsBegun
+from wasabicross.gateway.view import FleetView
 from wasabicross.messaging.errors import MessageMalformed
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -74,6 +77,7 @@
     :param relay: relays store changes over the links.
     :param copy: this gateway's copy of the store's content.
     :param crashes: shares what gateways know of crashed servers.
+    :param streams: remembers which versions began streams.
     """
 
     def __init__(
@@ -83,7 +87,9 @@
         relay: StoreRelay,
         copy: StoreCopy,
         crashes: CrashSharing | None = None,
+        streams: StreamMemory | None = None,
     ) -> None:
+        self._streams = streams or StreamMemory(FleetView())
         self._crashes = crashes or CrashSharing(CrashEvidence())
         self._crashes.to_linked = self._send_to_all
         self._instance = instance
@@ -161,10 +167,19 @@
             task.add_done_callback(loads.discard)
         elif isinstance(message, StoreUpdatesRequest):
             self._relay.add(conn)
-        elif isinstance(message, ServerCrash | PartsCleared):
-            self._crashes.on_message(message)
         elif isinstance(message, UsageUpdate):
             self._on_usage(instance, message)
+        else:
+            self._on_news(conn, message)
+
+    def _on_news(self, conn: ServerConnection, message: Message) -> None:
+        """Handle what another gateway knows, or asks for."""
+        if isinstance(message, ServerCrash | PartsCleared):
+            self._crashes.on_message(message)
+        elif isinstance(message, StreamsBegun):
+            self._streams.on_begun(message)
+        elif isinstance(message, StreamQuery):
+            broadcast((conn,), encode(self._streams.answer(message)))
 
     def _on_usage(self, instance: str, update: UsageUpdate) -> None:
         if update.is_complete:
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -136,7 +136,11 @@
             self.crashes,
         )
         placer = RetryingPlacer(
-            self.view, self._usage, self._links, cfg.data_centre
+            self.view,
+            self._usage,
+            self._links,
+            cfg.data_centre,
+            self._links.streams,
         )
         self._budgets = RetryBudgets(
             cfg.retry_ratio, cfg.retry_slack, self.view
@@ -213,6 +217,7 @@
             self._relay,
             self._follower.copy,
             self.crashes,
+            self._links.streams,
         )
         prober = Prober(self.view, self._platform.engines)
         yield from (
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -225,6 +225,7 @@
             Replacements(
                 functools.partial(placements.find_replacement, server_id), send
             ),
+            placements.stream.on_events,
             on_accepted,
         )
 
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -79,6 +79,7 @@
 
     async def next(self) -> Placement | NoServer:
         """Return the next server, or why there is none."""
+        await self.stream.resolve()
         if self.stream.refusal is not None:
             return self.stream.refusal
         placement = await self._place_unless_refused(
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -21,6 +21,7 @@
 )
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
+from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_versions import StreamVersions
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.usual_time_limits import UsualTimeLimits
@@ -67,6 +68,7 @@
     :param usage: counts waiting prompts and knows the owners of engines.
     :param links: links to the owners, which load adapters.
     :param data_centre: the data centre of this gateway.
+    :param memory: remembers which versions began streams.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         usage: UsageTracker,
         links: OwnerLinks,
         data_centre: str,
+        memory: StreamMemory | None = None,
     ) -> None:
         self._view = view
         self._usage = usage
@@ -86,7 +89,7 @@
         #: Tells which callers return after a refusal.
         self.time_limits = UsualTimeLimits()
         #: Tells at which software version streams begin and go on.
-        self.streams = StreamVersions(view)
+        self.streams = StreamVersions(view, memory)
 
     async def place(self, request: PlacementRequest) -> Placement | NoServer:
         """Return a server for a request, or why there is none.
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -333,7 +333,7 @@
             version = placement.server.software_version
             self._progress.check_version(version)
             self._take_over()
-            self._progress.software_version = version
+            self._context.on_events(version)
             self._progress.last_event_id = stream.last_event_id
             await self._start_stream(head)
             await self._answer.send_chunk(events)
--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/stream_request.py
@@ -48,13 +48,37 @@
         self._progress = progress
         self._service = service_of(route, info)
         self._take_up: TakeUp | None = None
+        self._is_resolved = False
         self._has_version_left = False
         #: Why the stream can't go on at any server, None if it may.
         self.refusal: NoServer | None = None
         if route.is_resumable:
             streams.note_time_limit(self._service, info.time_left_s)
         if is_take_up(route, info):
-            self._begin_take_up(now_s)
+            self._set_take_up(streams.for_take_up(route, info, now_s))
+
+    async def resolve(self) -> None:
+        """Find out which version began a stream that is taken up, once."""
+        if self._take_up is None or self._is_resolved:
+            return
+        self._is_resolved = True
+        found = await self._streams.recall(
+            self._take_up, self._service, self._info
+        )
+        self._set_take_up(found)
+        self._log_take_up(found)
+
+    def on_events(self, software_version: str) -> None:
+        """Keep to the version of the first events, and note what began it.
+
+        :param software_version: version of the server that has sent events.
+        """
+        is_first = self._progress.software_version is None
+        self._progress.software_version = software_version
+        if is_first and self._route.is_resumable and self._take_up is None:
+            self._streams.note_begun(
+                self._service, self._info.request_id, software_version
+            )
 
     def version(self, now_s: float) -> str | None:
         """Return the software version that has to run it, None for any.
@@ -82,11 +106,12 @@
         if self._take_up is not None:
             metrics.TAKE_UPS.labels(self._service, self._outcome()).inc()
 
-    def _begin_take_up(self, now_s: float) -> None:
-        take_up = self._streams.for_take_up(self._route, self._info, now_s)
+    def _set_take_up(self, take_up: TakeUp) -> None:
         self._take_up = take_up
         self._progress.software_version = take_up.version
         self.refusal = take_up.refusal
+
+    def _log_take_up(self, take_up: TakeUp) -> None:
         log_event(
             Event.STREAM_TAKEN_UP,
             request=self._info.request_id,
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -14,6 +14,7 @@
     MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
 )
+from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
 
 #: Why a server that was chosen isn't sent a stream: its entry has changed since,
@@ -30,12 +31,14 @@
     """How the software version of an interrupted stream is known.
 
     `division`: by the division of streams among versions. `only_version`: its
-    service has no other. `version_unknown`: several versions may have begun it.
-    `too_old`: others may know of a version that this gateway doesn't.
+    service has no other. `memory`: a gateway remembers what began it.
+    `version_unknown`: several versions may have begun it. `too_old`: others may
+    know of a version that this gateway doesn't.
     """
 
     division = 'division'
     only_version = 'only version'
+    memory = 'memory'
     version_unknown = 'version unknown'
     too_old = 'knowledge too old'
 
@@ -74,10 +77,14 @@
     """Tells at which software version resumable streams begin and go on.
 
     :param view: state of the deployment.
+    :param memory: remembers which versions began streams.
     """
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(
+        self, view: FleetView, memory: StreamMemory | None = None
+    ) -> None:
         self._view = view
+        self._memory = memory or StreamMemory(view)
 
     def for_new(
         self, service: str, request_id: str, now_s: float
@@ -119,6 +126,31 @@
             Knowledge.division,
         )
 
+    async def recall(
+        self, take_up: TakeUp, service: str, info: RequestInfo
+    ) -> TakeUp:
+        """Return what is known of a stream with what gateways remember.
+
+        :param take_up: what is known without that.
+        :param service: the service that began it.
+        :param info: what the request that takes it up states.
+        """
+        if take_up.refusal is None or not info.resumes:
+            return take_up
+        version = await self._memory.find(service, info.resumes)
+        return with_memory(take_up, version)
+
+    def note_begun(
+        self, service: str, request_id: str, software_version: str
+    ) -> None:
+        """Remember which version began a stream where that may be needed.
+
+        :param service: the service that runs it.
+        :param request_id: id of the caller's attempt.
+        :param software_version: what began it.
+        """
+        self._memory.note_begun(service, request_id, software_version)
+
     def serves(self, service: str, version: str) -> bool:
         """Return whether servers of a version are listed as taking requests.
 
@@ -174,6 +206,21 @@
     return route.service_for(info.request_id)
 
 
+def with_memory(take_up: TakeUp, remembered: str | None) -> TakeUp:
+    """Return what is known of a stream whose version the division didn't tell.
+
+    :param take_up: what is known without the memory.
+    :param remembered: the version that began it by the memory of a gateway,
+        None if none has it.
+    """
+    if remembered is None:
+        return take_up
+    is_recent = take_up.known_by is not Knowledge.too_old
+    if is_recent and remembered not in take_up.possible:
+        return take_up
+    return TakeUp(remembered, Knowledge.memory, take_up.possible)
+
+
 def why_unsuitable(
     view: FleetView, chosen: BackendServer, pinned: str | None
 ) -> str:
