Take an empty success without any framing for a cut one

What callers saw here: '200, content-length: 0' where a server's head was whole by the grammar, but had lost the field that frames the body, and the connection ended with it (safe and unsafe routes, new and kept connections; streams of events were guarded already).

Cause: a body without length and chunks ends with its connection, so nothing tells an empty one from one that its server never began. The buffered body was then sent on with a length of its own.

Ruled out: heads that end before their blank line. 14 places (in the status line, in a name, a value, after a CR, with bare LFs, before the blank line's LF), ended by close or reset, on new and kept connections, after 100 and 103, on all four kinds of routes, as the first answer, the second one, and the one that resumes a stream: none became a success before this change either.

Change: such a success is broken off (retried where the request may be repeated, else 502), unless the answer has no body by its method or status (HEAD, 204, 304), which counts as framed.

--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -322,6 +322,8 @@
         """Forward an answer, a short one only when it is complete."""
         chunks = conn.read_chunks()
         body_start = await _read_start(chunks)
+        if head.status in _SUCCESS_STATUSES and not body_start:
+            _check_is_framed(head, 'connection ended before any byte')
         if len(body_start) <= _MAX_BUFFERED_BYTES:
             fields = _without_length(head.fields)
             await self._answer.send_complete(head.status, fields, body_start)
@@ -359,8 +361,8 @@
             await self._answer.send_chunk(events)
         if splitter.discard_partial() or tail.is_inside_event:
             raise AnswerBroken('stream ended inside an event')
-        if tail.is_empty and not head.is_framed:
-            raise AnswerBroken('connection ended before any event')
+        if tail.is_empty:
+            _check_is_framed(head, 'connection ended before any event')
         if not head.is_framed and await self._watched.has_server_ended():
             raise AnswerBroken('server ended with its stream')
         await self._answer.end()
@@ -404,5 +406,11 @@
     return b''.join(parts)
 
 
+def _check_is_framed(head: AnswerHead, reason: str) -> None:
+    """Check that an empty body can't be one whose server stopped early."""
+    if not head.is_framed:
+        raise AnswerBroken(reason)
+
+
 def _without_length(fields: Fields) -> Fields:
     return [pair for pair in fields if pair[0] != b'content-length']
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/server_connections.py
@@ -35,6 +35,9 @@
 #: Longest body of an answer to another request that is skipped.
 _MAX_SKIPPED_BYTES = 1048576
 
+#: Statuses of answers that have no body.
+_WITHOUT_BODY = (204, 304)
+
 _NextEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -124,10 +127,10 @@
             response = await self._read_response()
             answer_id = field(response.headers, self._id_field)
             if answer_id == request_id:
-                return _head_of(response)
+                return _head_of(response, req.method)
             if not answer_id:
                 self._check_is_new()
-                return _head_of(response)
+                return _head_of(response, req.method)
             await self._skip_answer(req)
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
@@ -289,11 +292,13 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
 
 
-def _head_of(response: h11.Response) -> AnswerHead:
+def _head_of(response: h11.Response, method: bytes) -> AnswerHead:
     length = field(response.headers, b'content-length')
+    has_no_body = method == b'HEAD' or response.status_code in _WITHOUT_BODY
     return AnswerHead(
         response.status_code,
         forwarded_fields(response.headers),
         int(length) if length.isdigit() else None,
-        bool(length or field(response.headers, b'transfer-encoding')),
+        has_no_body
+        or bool(length or field(response.headers, b'transfer-encoding')),
     )
