Pass no success on that lacks its server's stamp

What callers saw here: a 200 without `Server-Stamp`, or events of such an answer joined to a stream that another server had begun, where a head was whole by the grammar but had lost fields (a status line and a blank line are enough).

Cause: only `Not-Run`, the id and the status of a server's head were asked for; an answer without an id counts on a new connection.

Change: the platform's dialect names a success without the stamp `unmarked`; the attempt is broken off, so a request that may be repeated goes to another server and another one ends in 502. A failure without the stamp is passed on as before: its status promises nothing more than a 502.

Test changed: the scripted heads of test_gateway_calls bear the stamp now, without which the row of a body without a length asserted the very fault (a 200 without the stamp), and the rows of truncated and foreign answers would have passed for the new reason alone.

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -62,13 +62,15 @@
 
     `answered`: it is the answer. `failed`: it ran and failed. `not_run`: the
     server can't run it now. `not_held`: the server lacks the adapter, or isn't
-    the server that the request was meant for.
+    the server that the request was meant for. `unmarked`: a success without the
+    mark that servers put on their answers.
     """
 
     answered = 'answered'
     failed = 'failed'
     not_run = 'not run'
     not_held = 'not held'
+    unmarked = 'unmarked'
 
 
 class Dialect(Protocol):
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -229,6 +229,8 @@
             progress.runs -= 1
             await self._discard_body(conn)
             return self._handle_not_run(placement, kind)
+        if kind is AnswerKind.unmarked:
+            raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
         self._watched.on_start()
         prefill.on_answer(now_s())
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -36,6 +36,7 @@
 _RESUMES = b'resumes'
 _NOT_RUN = b'not-run'
 _RETRY_AFTER = b'retry-after'
+_SERVER_STAMP = b'server-stamp'
 _SERVER_LEAVING = b'server-leaving'
 
 _MS_IN_S = 1000
@@ -45,6 +46,7 @@
 #: Longest id of a part of a prompt that is kept as it is, in characters.
 _MAX_PART_ID = 16
 
+_SUCCESSES = range(200, 300)
 _MISDIRECTED = 421
 _REFUSED = (429, 503)
 _FIRST_SERVER_ERROR = 500
@@ -133,6 +135,8 @@
             return AnswerKind.not_run
         if head.status >= _FIRST_SERVER_ERROR:
             return AnswerKind.failed
+        if head.status in _SUCCESSES and not field(head.fields, _SERVER_STAMP):
+            return AnswerKind.unmarked
         return AnswerKind.answered
 
     def notice(self, head: AnswerHead) -> ServerNotice:
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -22,13 +22,12 @@
     events,
 )
 
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s1\r\n'
 FOREIGN_ANSWER = (
-    b'HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 5\r\n\r\nother'
+    HEAD.replace(b'{id}', b'another') + b'Content-Length: 5\r\n\r\nother'
 )
-TRUNCATED = (
-    b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 50\r\n\r\nno'
-)
-WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\nthe answer'
+TRUNCATED = HEAD + b'Content-Length: 50\r\n\r\nno'
+WITHOUT_LENGTH = HEAD + b'\r\nthe answer'
 
 
 def test_answer_comes_whole_and_the_request_goes_on_unchanged():
--- a/tests/test_gateway_cut_heads.py
+++ b/tests/test_gateway_cut_heads.py
@@ -176,6 +176,43 @@
     assert_no_success(received)
 
 
+#: Answers whose head has lost its stamp, whole by the grammar.
+WITHOUT_STAMP = {
+    **{name: head(name, stamp=b'') for name in FRAMINGS},
+    'status line': b'HTTP/1.1 200 OK\r\n\r\n',
+    'bare LF': b'HTTP/1.1 200 OK\n\n',
+    'no body': answer(b'').replace(STAMP, b''),
+    'body': answer(b'the answer').replace(STAMP, b''),
+    'unframed body': head('none', stamp=b'') + b'the answer',
+    'stream': (STREAM_HEAD + chunk(events(1, 3)) + STREAM_END).replace(
+        STAMP, b''
+    ),
+    'unframed stream': head('none', b'', STREAM_TYPE) + events(1, 3),
+}
+
+
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize('name', WITHOUT_STAMP)
+@pytest.mark.parametrize('kept', [False, True])
+def test_a_success_without_its_stamp_is_not_passed_on(path, name, kept):
+    script = [WITHOUT_STAMP[name], 'close']
+    received, _ = run_cut(path, script, kept=kept)
+    assert status_of(received) == 502
+    assert not body_of(received)
+
+
+@pytest.mark.parametrize('name', WITHOUT_STAMP)
+def test_a_stream_is_not_resumed_by_an_answer_without_its_stamp(name):
+    first = [STREAM_HEAD, chunk(events(1, 3)), 'close']
+    odd = WITHOUT_STAMP[name].replace(events(1, 3), events(4, 6))
+    received, arrivals = run_cut(
+        '/stream-resumable/x', first, servers=2, second=[odd, 'close']
+    )
+    assert arrivals == 2
+    assert body_of(received) == events(1, 3)
+    assert not is_framed_as_whole(received)
+
+
 #: Whole answers that may look like cut ones.
 WHOLE = [
     (b'POST', head('none') + b'the answer', b'the answer'),
