Read on after an informational head that isn't 100

Found beside the report of cut heads, in the path of `dispatching`: a call whose server sends a 103 before its answer ended at once with that status and an empty body that counted as whole; so did one whose server stopped there.

Cause: http.client skips heads with status 100 alone and gives every other one below 200 the length 0, so the answer proper stayed unread on the connection.

Evidence: 6 rows of test_dispatch failed before (103 then close or reset, 103 then part of a head, 103 then a whole answer), four with b'' in place of OutcomeUnknown, two in place of b'whole'; the other new rows (CR, bare LF, heads cut after 100) passed before. All pass now.

Change: the head is read again until its status is final, at most 16 times as in the gateway; 101 and more heads than that leave the outcome unknown.

--- a/src/wasabicross/dispatching/responses.py
+++ b/src/wasabicross/dispatching/responses.py
@@ -1,8 +1,16 @@
 """Response bodies read as they arrive, for streams of many small chunks."""
 
+import contextlib
 import io
 import socket
-from http.client import HTTPResponse, IncompleteRead, RemoteDisconnected
+from collections.abc import Iterator
+from http.client import (
+    SWITCHING_PROTOCOLS,
+    BadStatusLine,
+    HTTPResponse,
+    IncompleteRead,
+    RemoteDisconnected,
+)
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -10,6 +18,10 @@
 #: Maximum number of bytes read from the socket at once.
 READ_BUFFER_BYTES = 65_536
 
+#: Informational heads that may come before the head of an answer.
+_MAX_INFORMATIONAL = 16
+_FIRST_FINAL_STATUS = 200
+
 _LINE_END = b'\r\n'
 _BLANK_LINES = frozenset((_LINE_END, b'\n'))
 
@@ -84,21 +96,26 @@
         self.fp = self.reader
 
     def begin(self) -> None:
-        """Read the head, which must end with an empty line.
+        """Read the final head, which must end with an empty line.
+
+        The base class takes an informational head for the answer, unless its
+        status is 100.
 
         :raises RemoteDisconnected: when the connection ends within the head,
             which the base class treats as the end of the head.
+        :raises BadStatusLine: when too many informational heads come, or one
+            that begins another protocol.
         """
-        lines = _HeadReader(self.reader)
-        self.fp = lines
-        try:
-            super().begin()
-        finally:
-            self.fp = self.reader
-        if lines.last not in _BLANK_LINES:
-            raise RemoteDisconnected(
-                'the connection ended within the head of the answer'
-            )
+        for _ in range(_MAX_INFORMATIONAL):
+            with self._reading_head():
+                super().begin()
+            if self.status >= _FIRST_FINAL_STATUS:
+                return
+            if self.status == SWITCHING_PROTOCOLS:
+                break
+            # The base class reads a head only where there is none yet.
+            self.headers = None  # type: ignore[assignment]
+        raise BadStatusLine(f'no final status after {self.status}')
 
     def read_available(self) -> bytes:
         """Wait for bytes of the body and return all that were received.
@@ -121,6 +138,20 @@
         # final empty chunk, or nothing because the connection has ended.
         return self.read1(READ_BUFFER_BYTES)
 
+    @contextlib.contextmanager
+    def _reading_head(self) -> Iterator[None]:
+        """Read lines of a head, which must end with an empty one."""
+        lines = _HeadReader(self.reader)
+        self.fp = lines
+        try:
+            yield
+        finally:
+            self.fp = self.reader
+        if lines.last not in _BLANK_LINES:
+            raise RemoteDisconnected(
+                'the connection ended within the head of the answer'
+            )
+
 
 class StreamConnection(HTTPConnection):
     """A urllib3 connection whose response bodies are read as they arrive.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,6 +26,8 @@
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 COMPLETE = HEAD + b'Content-Length: 5\r\n\r\nwhole'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
 
 
 class ScriptedServer:
@@ -122,6 +124,22 @@
         (['request', b'HTTP/1.'], OutcomeUnknown),
         (['request', HEAD + b'Content-Len'], OutcomeUnknown),
         (['request', HEAD], OutcomeUnknown),
+        (['request', HEAD[:-1]], OutcomeUnknown),
+        (['request', HEAD + b'Content-Length:'], OutcomeUnknown),
+        (['request', HEAD + b'Content-Length: 0\r'], OutcomeUnknown),
+        (['request', HEAD + b'Content-Length: 0\r\n'], OutcomeUnknown),
+        (['request', HEAD + b'Content-Length: 0\r\n\r'], OutcomeUnknown),
+        (['request', b'HTTP/1.1 200 OK\nContent-Length: 0\n'], OutcomeUnknown),
+        (['request', CONTINUE], OutcomeUnknown),
+        (['request', CONTINUE[:-2]], OutcomeUnknown),
+        (['request', CONTINUE + HEAD[:-2]], OutcomeUnknown),
+        (['request', CONTINUE + HEAD], OutcomeUnknown),
+        (['request', HINTS], OutcomeUnknown),
+        (['request', HINTS[:-2]], OutcomeUnknown),
+        (['request', HINTS + HEAD], OutcomeUnknown),
+        (['request', HINTS * 20 + COMPLETE], OutcomeUnknown),
+        (['request', b'HTTP/1.1 101 S\r\n\r\n' + COMPLETE], OutcomeUnknown),
+        (['request', HEAD + b'Content-Length: 1\r\n\r\n'], AnswerCut),
         (['request', b'HTTP/1.1 503 X\r\nRetry-After: 1\r\n'], OutcomeUnknown),
         (['request', HEAD + b'\r\n'], AnswerCut),
         (['request', HEAD + b'\r\nno framing'], AnswerCut),
@@ -152,6 +170,9 @@
         (CHUNKED + b'%x\r\n%b\r\n0\r\n\r\n' % (len(BIG), BIG), b'', BIG),
         (HEAD + b'Content-Length: %d\r\n\r\n%b' % (len(BIG), BIG), b'', BIG),
         (HEAD + b'Content-Length: 0\r\n\r\n', b'', b''),
+        (CONTINUE + COMPLETE, b'', b'whole'),
+        (HINTS + COMPLETE, b'', b'whole'),
+        (CONTINUE + HINTS + COMPLETE, b'', b'whole'),
         (b'HTTP/1.1 204 No Content\r\n\r\n', b'', b''),
         (
             b'HTTP/1.1 302 F\r\nLocation: /\r\nContent-Length: 0\r\n\r\n',
