Fit the phases of a stop into the time that the settings tell

Reported by another operator: in a planned stop of one machine, requests that came late in the time to stop were taken and passed on, and cut without an answer at its end (LOST).

What callers would see here, where the settings state less than 3 s: the gateway took requests for 2.4 s after SIGTERM whatever it was told, so with 0.5 to 2 s it was still taking them when it was killed, and with 3 s it ended at the very moment at which it began to refuse: whatever was under way had no time left, and a request on a kept connection after 1.2 s was passed on and cut 1.2 s later. With 8 s, as all known installations have it, nothing of this happens, and nothing changes.

Cause: the notice (2.4 s), the margin before the kill (0.6 s), the time for releasing engines and the interval of checks were constants beside a time that the settings state.

Change: stop_phases states each phase as a share of the time to stop, with the former figures as bounds; draining follows them. The end is later than five sixths of that time.

--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -16,10 +16,10 @@
     Handler,
 )
 from wasabicross.gateway.caller_service import CallerService
-from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
+from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
@@ -50,17 +50,6 @@
 _BACKLOG = 1024
 _READ_LIMIT_BYTES = 131072
 
-#: Time after SIGTERM in which new callers are still served, until the platform
-#: has noticed that this gateway isn't ready and sends none.
-_NOTICE_S = 2.4
-
-#: Time before the process would be killed at which it ends by itself.
-_KILL_MARGIN_S = 0.6
-
-#: Longest time for releasing the owned groups.
-_RELEASE_TIMEOUT_S = 0.3
-
-_DRAIN_CHECK_INTERVAL_S = 0.1
 _DROPPED_LINES_INTERVAL_S = 5.0
 
 
@@ -147,6 +136,9 @@
             self._usage,
             self._budgets.for_service,
         )
+        self._draining = Draining(
+            self._caller_service, self._connections, lambda: self._cfg.grace_s
+        )
         self._stop = asyncio.Event()
 
     @property
@@ -183,7 +175,8 @@
         )
         ready = await self._listen(self._cfg.ready, self._serve_platform)
         await self._stop.wait()
-        await self._drain(callers)
+        log_event(Event.PROGRAM_STOPPING)
+        await self._draining.run(callers)
         ready.close()
         await self._end(tasks)
 
@@ -302,20 +295,6 @@
         await self._follower.is_initialised.wait()
         await self._owned_groups.run()
 
-    async def _drain(self, callers: asyncio.Server) -> None:
-        """Stop taking callers and wait for the answers in progress."""
-        log_event(Event.PROGRAM_STOPPING)
-        started_s = now_s()
-        await asyncio.sleep(_NOTICE_S)
-        callers.close()
-        self._caller_service.refuses_all = True
-        while now_s() - started_s < self._cfg.grace_s - _KILL_MARGIN_S:
-            for conn in tuple(self._connections):
-                conn.close_idle()
-            if not self._caller_service.active and not self._connections:
-                return
-            await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
-
     async def _log_dropped_lines(self) -> None:
         while True:
             await asyncio.sleep(_DROPPED_LINES_INTERVAL_S)
@@ -326,7 +305,7 @@
 
     async def _release(self) -> None:
         try:
-            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+            async with asyncio.timeout(self._draining.phases.release_s):
                 await self._owned_groups.release()
         except TimeoutError:
             log_event(Event.OWNER_WRITE_FAILED, group='', reason='timeout')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -226,6 +226,7 @@
     engines=None,
     held=None,
     read_settings=None,
+    grace_s=8,
 ):
     """Run a gateway that forwards requests to scripted servers."""
     changes = [ConfigurationUpdate(cfg)] if cfg else []
@@ -234,7 +235,7 @@
         port = await server.start()
         changes.append(server_entry(f'i-{number}', service, port, held))
     callers, ready, peers = free_ports(3)
-    settings = settings_at(callers, ready, peers)
+    settings = settings_at(callers, ready, peers)._replace(grace_s=grace_s)
     store = FakeStore(changes)
     interfaces = PlatformInterfaces(
         store,
--- /dev/null
+++ b/tests/test_gateway_planned_stop.py
@@ -0,0 +1,196 @@
+"""Requests around each phase of a planned stop of a gateway."""
+
+import asyncio
+import time
+
+import pytest
+from gateway_parts import (
+    A1,
+    CONFIGURATION,
+    OK,
+    running_gateway,
+)
+from raw_caller import ask, request, status_of
+from scripted_server import HOST, STREAM_END, ScriptedServer
+
+from wasabicross.gateway.configuration import CallerLimits, Configuration
+from wasabicross.gateway.stop_phases import StopPhases
+
+MODEL = f'm0/{A1.adapter}'
+PATHS = ('/safe/x', '/unsafe/x', '/streaming/x', '/stream-resumable/x')
+
+#: Answers take longer than any time to stop, and few requests time out.
+SLOW = 9.0
+LONG = Configuration.from_parts(
+    CONFIGURATION.version,
+    tuple(
+        each._replace(timeout_s=30, target_s=20, gap_s=20)
+        for each in CONFIGURATION.routes
+    ),
+    CONFIGURATION.services,
+    CallerLimits(4096, 65536, 5.0, 5.0),
+)
+
+
+class Stop:
+    """A stop that has begun; the process is gone when the gateway ends."""
+
+    def __init__(self, bench, grace_s):
+        self._bench = bench
+        self._started_s = time.monotonic()
+        self._grace_s = grace_s
+        bench.gateway.begin_stop()
+        self._end = asyncio.ensure_future(self._run_to_end())
+
+    async def _run_to_end(self):
+        await asyncio.wait((self._bench.task,))
+        took_s = time.monotonic() - self._started_s
+        for task in asyncio.all_tasks():
+            if task.get_coro().__name__ == 'on_connection':
+                task.cancel()
+        return took_s / self._grace_s
+
+    async def reach(self, share):
+        """Wait until a share of the time to stop is over."""
+        left_s = self._started_s + share * self._grace_s - time.monotonic()
+        await asyncio.sleep(left_s)
+
+    async def end(self):
+        """Wait for the end; return the share of the time that it took."""
+        async with asyncio.timeout(self._grace_s + 3):
+            return await self._end
+
+
+def sent_to(path, **fields):
+    """Return a request on a route, on streaming ones for an adapter."""
+    if 'stream' in path:
+        fields = {'Model': MODEL, **fields}
+    return request(path, b'x', Time_Left_Ms='20000', **fields)
+
+
+def serving(server, path, grace_s, **parts):
+    """Run a gateway with one server for a route."""
+    service = 'llm' if 'stream' in path else 'desk'
+    return running_gateway(
+        [server], service=service, cfg=LONG, grace_s=grace_s, **parts
+    )
+
+
+async def until_seen(server, count=1):
+    """Wait until a server has received requests."""
+    async with asyncio.timeout(3):
+        while len(server.seen) < count:
+            await asyncio.sleep(0.005)
+
+
+def is_framed_as_whole(received):
+    """Tell whether an answer ends as a complete one does."""
+    head, _, body = received.partition(b'\r\n\r\n')
+    if b'chunked' in head.lower():
+        return body.endswith(STREAM_END)
+    length = head.lower().partition(b'content-length: ')[2]
+    return bool(length) and len(body) == int(length.split(b'\r\n')[0])
+
+
+@pytest.mark.parametrize('grace_s', [0.1, 0.5, 1.0, 2.0, 3.0, 8.0, 60.0])
+def test_the_phases_of_a_stop_fit_into_its_time(grace_s):
+    phases = StopPhases.from_grace(grace_s)
+    assert 0 < phases.check_interval_s < phases.refuse_s
+    assert phases.refuse_s < phases.end_s
+    assert phases.end_s > grace_s * 5 / 6
+    assert phases.end_s + phases.release_s < grace_s
+
+
+@pytest.mark.parametrize('grace_s', [0.5, 1.0, 2.0, 3.0])
+@pytest.mark.parametrize(
+    'sent', [b'', b'POST /unsafe/x HTT', sent_to(PATHS[1])]
+)
+def test_a_stop_ends_before_the_process_is_killed(grace_s, sent):
+    async def scenario():
+        server = ScriptedServer([SLOW])
+        async with serving(server, '/unsafe/x', grace_s) as bench:
+            _, writer = await asyncio.open_connection(HOST, bench.port)
+            writer.write(sent)
+            await asyncio.sleep(0.05)
+            took = await Stop(bench, grace_s).end()
+            writer.close()
+        return took
+
+    assert asyncio.run(scenario()) < 1
+
+
+@pytest.mark.parametrize('grace_s', [1.0, 3.0])
+@pytest.mark.parametrize('path', PATHS)
+def test_a_late_request_on_a_kept_connection_is_refused(path, grace_s):
+    """It would be cut soon, so no server gets it."""
+
+    async def scenario():
+        server = ScriptedServer([SLOW])
+        async with serving(server, path, grace_s) as bench:
+            reader, writer = await asyncio.open_connection(HOST, bench.port)
+            sent = sent_to(path)
+            writer.write(sent[:20])
+            stop = Stop(bench, grace_s)
+            await stop.reach(0.4)
+            writer.write(sent[20:])
+            received = await reader.read(65536)
+            assert await stop.end() < 1
+            writer.close()
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == 503
+    assert b'retry-after: ' in received.lower()
+    assert is_framed_as_whole(received)
+    assert not server.seen
+
+
+@pytest.mark.parametrize('split', [-1, 30])
+@pytest.mark.parametrize('share', [0.28, 0.32, 0.7])
+def test_a_request_whose_end_comes_around_the_refusals_is_answered(
+    split, share
+):
+    """Its head or its body is still on the way at that moment."""
+    grace_s = 1.0
+
+    async def scenario():
+        server = ScriptedServer([0.05, OK])
+        async with serving(server, '/unsafe/x', grace_s) as bench:
+            reader, writer = await asyncio.open_connection(HOST, bench.port)
+            sent = sent_to('/unsafe/x')
+            writer.write(sent[:split])
+            stop = Stop(bench, grace_s)
+            await stop.reach(share)
+            writer.write(sent[split:])
+            received = await reader.read(65536)
+            assert await stop.end() < 1
+            writer.close()
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert is_framed_as_whole(received)
+    assert status_of(received) == (200 if server.seen else 503)
+
+
+@pytest.mark.parametrize('has_cfg', [False, True])
+@pytest.mark.parametrize('signals', [1, 3])
+def test_a_stop_without_a_configuration_or_asked_for_again(has_cfg, signals):
+    grace_s = 1.0
+
+    async def scenario():
+        server = ScriptedServer([0.3, OK])
+        async with running_gateway(
+            [server], cfg=LONG if has_cfg else None, grace_s=grace_s
+        ) as bench:
+            asked = asyncio.ensure_future(ask(bench.port, sent_to('/unsafe/x')))
+            if has_cfg:
+                await until_seen(server)
+            stop = Stop(bench, grace_s)
+            for _ in range(signals - 1):
+                bench.gateway.begin_stop()
+                await asyncio.sleep(0.05)
+            return await asked, await stop.end()
+
+    received, took = asyncio.run(scenario())
+    assert status_of(received) == (200 if has_cfg else 503)
+    assert took < 1
