Answer what is still under way at the end of a planned stop

Reported by another operator: at the end of a planned stop's time, requests that had been passed on were cut with no answer, among them some that may not be repeated (LOST).

What callers saw: a closed connection without a byte 0.6 s before the kill, for a request whose server was still at work and for one that no server had.

Cause: the process ended while handlers ran; they were cancelled with their connections and no longer asked what is true of their request.

Evidence: 8 tests of test_gateway_planned_stop failed before (nothing received on all four kinds of routes); all pass now. Two more pass before and after: a stream that has begun ends visibly cut, and not before the last sixth of the time.

Change: at that moment each handler's time limit is ended early.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.errors import (
     AnswerCut,
+    AnswerCutAtStop,
     CallerGone,
     GatewayError,
 )
@@ -148,7 +149,9 @@
         self, exc: BaseException | None, answer: AnswerWriter
     ) -> None:
         """Record that a handler has ended before its answer had."""
-        if isinstance(exc, AnswerCut):
+        if isinstance(exc, AnswerCutAtStop):
+            self._record(Cause.process_ends, str(exc), answer)
+        elif isinstance(exc, AnswerCut):
             self._record(Cause.cut, str(exc), answer)
         elif not isinstance(exc, CallerGone):
             self._record(Cause.failed, repr(exc), answer)
--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -25,7 +25,7 @@
 
     def __init__(self, dependencies: HandlerDependencies) -> None:
         self._deps = dependencies
-        self.active = 0
+        self._handlers: set[RequestHandler] = set()
         #: Whether the process is about to end and serves nothing new.
         self.refuses_all = False
 
@@ -51,6 +51,16 @@
             )
         )
 
+    @property
+    def active(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._handlers)
+
+    def end_all(self) -> None:
+        """End the requests under way with an answer of this gateway's own."""
+        for handler in tuple(self._handlers):
+            handler.end_at_stop()
+
     async def serve(self, req: CallerRequest, answer: AnswerWriter) -> None:
         """Answer one request.
 
@@ -61,8 +71,8 @@
         if self.refuses_all:
             await handler.refuse_at_stop()
             return
-        self.active += 1
+        self._handlers.add(handler)
         try:
             await handler.serve()
         finally:
-            self.active -= 1
+            self._handlers.discard(handler)
--- a/src/wasabicross/gateway/draining.py
+++ b/src/wasabicross/gateway/draining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Collection
 
 from wasabicross.gateway.caller_connections import CallerConnection
@@ -12,7 +13,7 @@
 
 
 class Draining:
-    """Waits for the answers to callers' requests.
+    """Ends the requests of callers, each with an answer where that is possible.
 
     :param service: serves the requests.
     :param connections: all open connections.
@@ -35,7 +36,7 @@
         return StopPhases.from_grace(self._grace_s())
 
     async def run(self, callers: asyncio.Server) -> None:
-        """Stop taking requests and wait for those under way.
+        """Stop taking requests, wait for those under way, and end the rest.
 
         :param callers: accepts the connections of callers.
         """
@@ -49,3 +50,12 @@
             if not self._service.active and not self._connections:
                 return
             await asyncio.sleep(self.phases.check_interval_s)
+        await self._end_requests()
+
+    async def _end_requests(self) -> None:
+        """End the requests under way and wait for their answers."""
+        self._service.end_all()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.phases.answers_s):
+                while self._service.active:
+                    await asyncio.sleep(self.phases.check_interval_s)
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -65,5 +65,9 @@
     """The answer has begun and can't be completed."""
 
 
+class AnswerCutAtStop(AnswerCut):
+    """The answer has begun, and this gateway ends before it is complete."""
+
+
 class AnswerUnwritable(GatewayError):
     """The answer isn't valid HTTP, so it can't be sent."""
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -16,7 +16,11 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
-from wasabicross.gateway.errors import AnswerCut, CallerGone
+from wasabicross.gateway.errors import (
+    AnswerCut,
+    AnswerCutAtStop,
+    CallerGone,
+)
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
@@ -36,6 +40,7 @@
     ServerAccess,
     ServerAttempt,
 )
+from wasabicross.gateway.time_limits import EndableTimeLimit
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
@@ -48,8 +53,9 @@
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
-#: Retry-after where other gateways may serve the caller at once.
-_STOPPING_RETRY_AFTER_S = 0.1
+#: Why a request is ended where this gateway stops. Other gateways may serve its
+#: caller at once.
+_STOPS = NoServer('stopping', retry_after_s=0.1)
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 #: Pause before a retry where a server couldn't run the request now.
@@ -97,6 +103,7 @@
         self._configuration_version = 0
         self._outcome = 'cancelled'
         self._caller_max_wait_s: float = self._info.time_left_s or 0
+        self._time_limit = EndableTimeLimit()
 
     async def serve(self) -> None:
         """Answer the request."""
@@ -111,7 +118,12 @@
 
     async def refuse_at_stop(self) -> None:
         """Refuse the request without trying any server."""
-        await self._refuse('stopping', _STOPPING_RETRY_AFTER_S)
+        await self._refuse(_STOPS.reason, _STOPS.retry_after_s)
+
+    def end_at_stop(self) -> None:
+        """End the request now, unless its answer is complete."""
+        if not self._answer.has_ended:
+            self._time_limit.end()
 
     async def _serve(self) -> None:
         cfg = self._deps.servers.view.configuration
@@ -127,7 +139,7 @@
             return
         deadline_s = self._deadline_s(route)
         try:
-            async with asyncio.timeout(max(0, deadline_s - now_s())):
+            async with self._time_limit.after(max(0, deadline_s - now_s())):
                 await self._run(route, deadline_s)
         except TimeoutError:
             await self._end_on_timeout()
@@ -237,6 +249,9 @@
         return ending
 
     async def _end_on_timeout(self) -> None:
+        if self._time_limit.was_ended:
+            await self._end_without_answer(_STOPS.reason, _STOPS.retry_after_s)
+            return
         if self._answer.has_started:
             self._abort_answer('timeout')
         if self._progress.may_run:
@@ -262,7 +277,7 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason == CRASHES.reason:
+        elif reason in {CRASHES.reason, _STOPS.reason}:
             await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
@@ -283,7 +298,8 @@
     def _abort_answer(self, reason: str) -> NoReturn:
         """End the caller's connection, which marks its answer as incomplete."""
         self._log_refusal(_CUT_STATUS, f'cut: {reason}')
-        raise AnswerCut(f'{reason}: {self._progress.reason}')
+        error = AnswerCutAtStop if reason == _STOPS.reason else AnswerCut
+        raise error(f'{reason}: {self._progress.reason}')
 
     async def _refuse(self, reason: str, retry_after_s: float) -> None:
         await self._send_own_answer(_UNAVAILABLE, reason, retry_after_s)
--- a/src/wasabicross/gateway/stop_phases.py
+++ b/src/wasabicross/gateway/stop_phases.py
@@ -15,7 +15,9 @@
 _MAX_MARGIN_S = 0.6
 _MARGIN_SHARE = 1 / 8
 
-#: Longest time for releasing the owned groups, as a share of that margin.
+#: Longest time for the last answers, and for releasing the owned groups, as
+#: shares of that margin.
+_ANSWERS_SHARE = 0.2
 _RELEASE_SHARE = 0.5
 
 #: How often the phases are checked.
@@ -28,12 +30,14 @@
 
     :param refuse_s: from when on it takes no new request.
     :param end_s: when it ends what is under way.
+    :param answers_s: longest time for the answers to that, seconds.
     :param release_s: longest time for releasing the owned groups, seconds.
     :param check_interval_s: how often to check what is under way, seconds.
     """
 
     refuse_s: float
     end_s: float
+    answers_s: float
     release_s: float
     check_interval_s: float
 
@@ -47,6 +51,7 @@
         return cls(
             min(_MAX_NOTICE_S, grace_s * _NOTICE_SHARE),
             grace_s - margin_s,
+            margin_s * _ANSWERS_SHARE,
             margin_s * _RELEASE_SHARE,
             min(_MAX_CHECK_INTERVAL_S, grace_s / _CHECKS),
         )
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -10,8 +10,15 @@
     OK,
     running_gateway,
 )
-from raw_caller import ask, request, status_of
-from scripted_server import HOST, STREAM_END, ScriptedServer
+from raw_caller import ask, body_of, request, status_of
+from scripted_server import (
+    HOST,
+    STREAM_END,
+    STREAM_HEAD,
+    ScriptedServer,
+    chunk,
+    events,
+)
 
 from wasabicross.gateway.configuration import CallerLimits, Configuration
 from wasabicross.gateway.stop_phases import StopPhases
@@ -98,7 +105,8 @@
     assert 0 < phases.check_interval_s < phases.refuse_s
     assert phases.refuse_s < phases.end_s
     assert phases.end_s > grace_s * 5 / 6
-    assert phases.end_s + phases.release_s < grace_s
+    ending_s = phases.answers_s + phases.release_s
+    assert phases.end_s + ending_s < grace_s
 
 
 @pytest.mark.parametrize('grace_s', [0.5, 1.0, 2.0, 3.0])
@@ -119,6 +127,32 @@
     assert asyncio.run(scenario()) < 1
 
 
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize('grace_s', [1.0, 2.0])
+def test_a_request_without_an_answer_at_the_end_of_a_stop_is_told(
+    path, grace_s
+):
+    """A server is at work on it, so it isn't promised not to run."""
+
+    async def scenario():
+        server = ScriptedServer([SLOW])
+        async with serving(server, path, grace_s) as bench:
+            asked = asyncio.ensure_future(ask(bench.port, sent_to(path)))
+            await until_seen(server)
+            stop = Stop(bench, grace_s)
+            await stop.reach(0.8)
+            assert not asked.done()
+            received = await asked
+            assert await stop.end() < 1
+            await server.gone.wait()
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == 502
+    assert is_framed_as_whole(received)
+    assert len(server.seen) == 1
+
+
 @pytest.mark.parametrize('grace_s', [1.0, 3.0])
 @pytest.mark.parametrize('path', PATHS)
 def test_a_late_request_on_a_kept_connection_is_refused(path, grace_s):
@@ -172,6 +206,29 @@
     assert status_of(received) == (200 if server.seen else 503)
 
 
+@pytest.mark.parametrize('path', ['/streaming/x', '/stream-resumable/x'])
+def test_a_stream_that_outlasts_the_stop_is_cut_visibly_and_late(path):
+    grace_s = 2.0
+    script = [STREAM_HEAD, chunk(events(1, 2)), SLOW, STREAM_END]
+
+    async def scenario():
+        server = ScriptedServer(script)
+        async with serving(server, path, grace_s) as bench:
+            stop = Stop(bench, grace_s)
+            await stop.reach(0.25)
+            asked = asyncio.ensure_future(ask(bench.port, sent_to(path)))
+            await until_seen(server)
+            await stop.reach(5 / 6)
+            assert not asked.done()
+            received = await asked
+            assert await stop.end() < 1
+        return received
+
+    received = asyncio.run(scenario())
+    assert body_of(received) == events(1, 2)
+    assert not is_framed_as_whole(received)
+
+
 @pytest.mark.parametrize('has_cfg', [False, True])
 @pytest.mark.parametrize('signals', [1, 3])
 def test_a_stop_without_a_configuration_or_asked_for_again(has_cfg, signals):
