Send no request to its first server in the last sixth of a stop

Cause: only the moment of arrival decided whether a request was refused, not that of its first send.

Evidence: 2 tests of test_gateway_planned_stop failed before: an adapter that is loaded at seven eighths of the time (its server got the request) and a server that refuses at 0.86 of it (the next one got the request). All pass now, also 3 that passed before (a refusal early in the stop is still followed by another send; one that waits at the end gets 503).

Change: from five sixths of the time on, a request that no server may have run is refused with 503 and Retry-After 0.1, and one that comes back from a refusal isn't sent again. Checks come at most 0.1 s apart, so it may take effect that much later. A request that a server may have run is retried as before.

--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -56,6 +56,11 @@
         """Return the number of requests under way."""
         return len(self._handlers)
 
+    def refuse_unsent(self) -> None:
+        """Refuse the requests under way that no server may have run."""
+        for handler in tuple(self._handlers):
+            handler.end_unless_sent()
+
     def end_all(self) -> None:
         """End the requests under way with an answer of this gateway's own."""
         for handler in tuple(self._handlers):
--- a/src/wasabicross/gateway/draining.py
+++ b/src/wasabicross/gateway/draining.py
@@ -49,6 +49,8 @@
                 conn.close_idle()
             if not self._service.active and not self._connections:
                 return
+            if now_s() - started_s >= self.phases.last_send_s:
+                self._service.refuse_unsent()
             await asyncio.sleep(self.phases.check_interval_s)
         await self._end_requests()
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -104,6 +104,7 @@
         self._outcome = 'cancelled'
         self._caller_max_wait_s: float = self._info.time_left_s or 0
         self._time_limit = EndableTimeLimit()
+        self._may_send_first = True
 
     async def serve(self) -> None:
         """Answer the request."""
@@ -120,6 +121,12 @@
         """Refuse the request without trying any server."""
         await self._refuse(_STOPS.reason, _STOPS.retry_after_s)
 
+    def end_unless_sent(self) -> None:
+        """Refuse the request if no server may have run it, now or later."""
+        self._may_send_first = False
+        if not self._progress.may_run:
+            self.end_at_stop()
+
     def end_at_stop(self) -> None:
         """End the request now, unless its answer is complete."""
         if not self._answer.has_ended:
@@ -166,7 +173,7 @@
         self._labels = (service, metrics.request_class(route))
         budget.add_request()
         while True:
-            placement = await placements.next()
+            placement = await self._next_placement(placements)
             if isinstance(placement, NoServer):
                 await self._end_without_answer(
                     placement.reason, placement.retry_after_s
@@ -182,6 +189,13 @@
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
+    async def _next_placement(
+        self, placements: RequestPlacement
+    ) -> Placement | NoServer:
+        if self._may_send_first or self._progress.may_run:
+            return await placements.next()
+        return _STOPS
+
     def _may_retry(
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -13,6 +13,7 @@
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import (
     HOST,
+    NOT_RUN,
     STREAM_END,
     STREAM_HEAD,
     ScriptedServer,
@@ -103,7 +104,7 @@
 def test_the_phases_of_a_stop_fit_into_its_time(grace_s):
     phases = StopPhases.from_grace(grace_s)
     assert 0 < phases.check_interval_s < phases.refuse_s
-    assert phases.refuse_s < phases.end_s
+    assert phases.refuse_s < phases.last_send_s < phases.end_s
     assert phases.end_s > grace_s * 5 / 6
     ending_s = phases.answers_s + phases.release_s
     assert phases.end_s + ending_s < grace_s
@@ -206,6 +207,100 @@
     assert status_of(received) == (200 if server.seen else 503)
 
 
+@pytest.mark.parametrize(
+    'fields', [{}, {'Last_Event_Id': '3', 'Resumes': 'r0'}]
+)
+def test_a_request_that_waits_for_its_adapter_at_the_end_is_refused(
+    monkeypatch, fields
+):
+    grace_s = 2.0
+    path = '/stream-resumable/x'
+
+    async def scenario():
+        server = ScriptedServer([SLOW])
+        waits = asyncio.Event()
+
+        async def load(_host, _load_request):
+            waits.set()
+            await asyncio.sleep(SLOW)
+
+        async with serving(server, path, grace_s, held={}) as bench:
+            monkeypatch.setattr(bench.gateway._links, 'load', load)
+            asked = asyncio.ensure_future(
+                ask(bench.port, sent_to(path, **fields))
+            )
+            async with asyncio.timeout(3):
+                await waits.wait()
+            stop = Stop(bench, grace_s)
+            await stop.reach(0.75)
+            assert not asked.done()
+            received = await asked
+            assert await stop.end() < 1
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == 503
+    assert b'retry-after: ' in received.lower()
+    assert not server.seen
+
+
+def test_a_request_whose_adapter_is_loaded_at_the_end_is_not_sent(monkeypatch):
+    """It would be cut soon, and another gateway can still serve it."""
+    grace_s = 6.0
+
+    async def scenario():
+        server = ScriptedServer([SLOW])
+        waits = asyncio.Event()
+
+        async def load(_host, _load_request):
+            waits.set()
+            await asyncio.sleep(0.875 * grace_s)
+            return 1
+
+        path = '/streaming/x'
+        async with serving(server, path, grace_s, held={}) as bench:
+            monkeypatch.setattr(bench.gateway._links, 'load', load)
+            asked = asyncio.ensure_future(
+                ask(bench.port, sent_to(path), wait_s=12)
+            )
+            async with asyncio.timeout(3):
+                await waits.wait()
+            stop = Stop(bench, grace_s)
+            received = await asked
+            assert await stop.end() < 1
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == 503
+    assert not server.seen
+
+
+@pytest.mark.parametrize(('grace_s', 'share'), [(2.0, 0.2), (6.0, 0.86)])
+def test_a_request_that_its_server_refuses_late_is_not_sent_again(
+    grace_s, share
+):
+    is_late = share > 0.8
+
+    async def scenario():
+        server = ScriptedServer([share * grace_s, NOT_RUN], [OK])
+        others = [ScriptedServer([OK]), ScriptedServer([OK])]
+        servers = [server, *others]
+        async with running_gateway(servers, cfg=LONG, grace_s=grace_s) as bench:
+            view = bench.gateway.view
+            aside = {name: view.servers.pop(name) for name in ('i-1', 'i-2')}
+            asked = asyncio.ensure_future(ask(bench.port, sent_to('/unsafe/x')))
+            await until_seen(server)
+            view.servers.update(aside)
+            stop = Stop(bench, grace_s)
+            received = await asked
+            assert await stop.end() < 1
+        return received, sum(len(each.seen) for each in others)
+
+    received, others_seen = asyncio.run(scenario())
+    assert status_of(received) == (503 if is_late else 200)
+    assert others_seen == (not is_late)
+
+
 @pytest.mark.parametrize('path', ['/streaming/x', '/stream-resumable/x'])
 def test_a_stream_that_outlasts_the_stop_is_cut_visibly_and_late(path):
     grace_s = 2.0
