Keep a stopping process until slow callers have their answers

What callers would see: the end of an answer is missing if it still waited in the process for room in the socket's buffer when the last request had ended and the process with it, in a planned stop and long before the end of its time (LOST). At most some 64 KB, since a writer waits for more.

Cause: a connection that ends with its answer, as all do after SIGTERM, was no longer counted as open as soon as its close had been asked for.

Change: a connection counts until it is closed, at most for the callers' idle limit.

--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeAlias
 
@@ -93,6 +94,7 @@
             self._writer.transport.abort()
         finally:
             self._writer.close()
+        await self._wait_until_closed()
 
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
@@ -166,6 +168,12 @@
         end = UnansweredEnd(cause, detail, answer.trace, answer.sent_bytes)
         self._host.unanswered.record(end, now_s())
 
+    async def _wait_until_closed(self) -> None:
+        """Wait until the end of the last answer has been sent, or for long."""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(self._host.limits.idle_timeout_s):
+                await self._writer.wait_closed()
+
     def _prepare_next(self) -> bool:
         if self._codec.our_state is not h11.DONE:
             return False
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -1,6 +1,7 @@
 """Requests around each phase of a planned stop of a gateway."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -17,6 +18,7 @@
     STREAM_END,
     STREAM_HEAD,
     ScriptedServer,
+    answer,
     chunk,
     events,
 )
@@ -346,3 +348,37 @@
     received, took = asyncio.run(scenario())
     assert status_of(received) == (200 if has_cfg else 503)
     assert took < 1
+
+
+def test_a_stop_waits_until_a_slow_caller_has_its_answer(monkeypatch):
+    """The end of the answer still waits for room in the socket's buffer."""
+    body = b'x' * 12_000_000
+
+    async def drain(writer):
+        await asyncio.sleep(0)
+
+    async def scenario():
+        server = ScriptedServer([answer(body)])
+        async with serving(server, '/unsafe/x', 4.0) as bench:
+            reader, writer = await asyncio.open_connection(
+                HOST, bench.port, limit=1024
+            )
+            monkeypatch.setattr(asyncio.StreamWriter, 'drain', drain)
+            stop = Stop(bench, 4.0)
+            writer.write(sent_to('/unsafe/x'))
+            async with asyncio.timeout(3):
+                while not server.seen or bench.gateway._caller_service.active:
+                    await asyncio.sleep(0.01)
+            await stop.reach(0.6)
+            assert not bench.task.done()
+            received = b''
+            with contextlib.suppress(ConnectionError):
+                while got := await reader.read(1_000_000):
+                    received += got
+            assert await stop.end() < 1
+            writer.close()
+        return received
+
+    received = asyncio.run(scenario())
+    assert status_of(received) == 200
+    assert len(body_of(received)) == len(body)
