--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -9,6 +9,7 @@
     A1,
     CONFIGURATION,
     OK,
+    SharedScriptsServer,
     running_gateway,
 )
 from raw_caller import ask, body_of, request, status_of
@@ -156,6 +157,33 @@
     assert len(server.seen) == 1
 
 
+@pytest.mark.parametrize('path', ['/safe/x', '/stream-resumable/x'])
+@pytest.mark.parametrize('again', [[SLOW], [0.3, NOT_RUN]])
+def test_a_retry_without_an_answer_at_the_end_of_a_stop_is_told(path, again):
+    """The first server may have run it, whatever the second one says."""
+    grace_s = 2.0
+
+    async def scenario():
+        scripts = [[0.7 * grace_s, 'reset'], again]
+        servers = [SharedScriptsServer(scripts) for _ in range(2)]
+        service = 'llm' if 'stream' in path else 'desk'
+        async with running_gateway(
+            servers, service=service, cfg=LONG, grace_s=grace_s
+        ) as bench:
+            asked = asyncio.ensure_future(ask(bench.port, sent_to(path)))
+            while not any(each.seen for each in servers):
+                await asyncio.sleep(0.005)
+            stop = Stop(bench, grace_s)
+            received = await asked
+            assert await stop.end() < 1
+        return received, sum(len(each.seen) for each in servers)
+
+    received, arrivals = asyncio.run(scenario())
+    assert status_of(received) == 502
+    assert is_framed_as_whole(received)
+    assert arrivals == 2
+
+
 @pytest.mark.parametrize('grace_s', [1.0, 3.0])
 @pytest.mark.parametrize('path', PATHS)
 def test_a_late_request_on_a_kept_connection_is_refused(path, grace_s):
