--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/caller_connections.py
@@ -15,6 +15,7 @@
 from wasabicross.gateway.connection_end import end_after_answer
 from wasabicross.gateway.errors import (
     AnswerCut,
+    AnswerCutAtStop,
     CallerGone,
     GatewayError,
 )
@@ -98,9 +99,7 @@
             self._writer.transport.abort()
         finally:
             self._writer.close()
-        # The process ends only when its callers have what was written.
-        with contextlib.suppress(OSError):
-            await self._writer.wait_closed()
+        await self._wait_until_closed()
 
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
@@ -158,7 +157,9 @@
         self, exc: BaseException | None, answer: AnswerWriter
     ) -> None:
         """Record that a handler has ended before its answer had."""
-        if isinstance(exc, AnswerCut):
+        if isinstance(exc, AnswerCutAtStop):
+            self._record(Cause.process_ends, str(exc), answer)
+        elif isinstance(exc, AnswerCut):
             self._record(Cause.cut, str(exc), answer)
         elif not isinstance(exc, CallerGone):
             self._record(Cause.failed, repr(exc), answer)
@@ -173,6 +174,12 @@
         end = UnansweredEnd(cause, detail, answer.trace, answer.sent_bytes)
         self._host.unanswered.record(end, now_s())
 
+    async def _wait_until_closed(self) -> None:
+        """Wait until the end of the last answer has been sent, or for long."""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(self._host.limits.idle_timeout_s):
+                await self._writer.wait_closed()
+
     def _prepare_next(self) -> bool:
         if self._codec.our_state is not h11.DONE:
             return False
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -17,7 +17,11 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
-from wasabicross.gateway.errors import AnswerCut, CallerGone
+from wasabicross.gateway.errors import (
+    AnswerCut,
+    AnswerCutAtStop,
+    CallerGone,
+)
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import (
@@ -40,6 +44,7 @@
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.stream_request import StreamRequest
 from wasabicross.gateway.stream_versions import service_of
+from wasabicross.gateway.time_limits import EndableTimeLimit
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
@@ -52,8 +57,9 @@
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
-#: Retry-after where other gateways may serve the caller at once.
-_STOPPING_RETRY_AFTER_S = 0.1
+#: Why a request is ended where this gateway stops. Other gateways may serve its
+#: caller at once.
+_STOPS = NoServer('stopping', retry_after_s=0.1)
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 #: Pause before a retry where a server couldn't run the request now.
@@ -102,6 +108,8 @@
         self._configuration_version = 0
         self._outcome = 'cancelled'
         self._caller_max_wait_s: float = self._info.time_left_s or 0
+        self._time_limit = EndableTimeLimit()
+        self._may_send_first = True
 
     async def serve(self) -> None:
         """Answer the request."""
@@ -116,7 +124,18 @@
 
     async def refuse_at_stop(self) -> None:
         """Refuse the request without trying any server."""
-        await self._refuse('stopping', _STOPPING_RETRY_AFTER_S)
+        await self._refuse(_STOPS.reason, _STOPS.retry_after_s)
+
+    def end_unless_sent(self) -> None:
+        """Refuse the request if no server may have run it, now or later."""
+        self._may_send_first = False
+        if not self._progress.may_run:
+            self.end_at_stop()
+
+    def end_at_stop(self) -> None:
+        """End the request now, unless its answer is complete."""
+        if not self._answer.has_ended:
+            self._time_limit.end()
 
     async def _serve(self) -> None:
         cfg = self._deps.servers.view.configuration
@@ -132,7 +151,7 @@
             return
         deadline_s = self._deadline_s(route)
         try:
-            async with asyncio.timeout(max(0, deadline_s - now_s())):
+            async with self._time_limit.after(max(0, deadline_s - now_s())):
                 await self._run(route, deadline_s)
         except TimeoutError:
             await self._end_on_timeout()
@@ -160,7 +179,7 @@
         self._labels = (service, metrics.request_class(route))
         budget.add_request()
         while True:
-            placement = await placements.next()
+            placement = await self._next_placement(placements)
             if isinstance(placement, NoServer):
                 await self._end_without_answer(
                     placement.reason, placement.retry_after_s
@@ -176,6 +195,13 @@
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
+    async def _next_placement(
+        self, placements: RequestPlacement
+    ) -> Placement | NoServer:
+        if self._may_send_first or self._progress.may_run:
+            return await placements.next()
+        return _STOPS
+
     def _may_retry(
         self, route: Route, ending: Ending, budget: RetryBudget
     ) -> bool:
@@ -260,6 +286,9 @@
         return ending
 
     async def _end_on_timeout(self) -> None:
+        if self._time_limit.was_ended:
+            await self._end_without_answer(_STOPS.reason, _STOPS.retry_after_s)
+            return
         if self._answer.has_started:
             self._abort_answer('timeout')
         if self._progress.may_run:
@@ -285,7 +314,7 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason in FIXED_TIME_REASONS:
+        elif reason in FIXED_TIME_REASONS or reason == _STOPS.reason:
             await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
@@ -306,7 +335,8 @@
     def _abort_answer(self, reason: str) -> NoReturn:
         """End the caller's connection, which marks its answer as incomplete."""
         self._log_refusal(_CUT_STATUS, f'cut: {reason}')
-        raise AnswerCut(f'{reason}: {self._progress.reason}')
+        error = AnswerCutAtStop if reason == _STOPS.reason else AnswerCut
+        raise error(f'{reason}: {self._progress.reason}')
 
     async def _refuse(self, reason: str, retry_after_s: float) -> None:
         await self._send_own_answer(_UNAVAILABLE, reason, retry_after_s)
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -130,10 +130,19 @@
         return CRASHES
 
     async def _place(self, excluded: frozenset[str]) -> Placement | NoServer:
+        refusal = self.stream.why_not_begin(now_s())
+        if refusal is not None:
+            return refusal
+        placement = await self._placer.place(self._request(excluded))
+        if isinstance(placement, NoServer) and not self.stream.may_go_on():
+            return NO_SERVER_OF_VERSION
+        return placement
+
+    def _request(self, excluded: frozenset[str]) -> PlacementRequest:
         info, route = self._routed.info, self._routed.route
         waited_s = now_s() - self._routed.arrived_s
         has_run = self._progress.runs > 0
-        request = PlacementRequest(
+        return PlacementRequest(
             self._routed.service,
             info.adapter,
             _HIGHEST_PRIORITY if has_run else route.priority,
@@ -148,10 +157,6 @@
             self._is_returning,
             self.stream.version(now_s()),
         )
-        placement = await self._placer.place(request)
-        if isinstance(placement, NoServer) and not self.stream.may_go_on():
-            return NO_SERVER_OF_VERSION
-        return placement
 
     @property
     def _is_returning(self) -> bool:
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -203,6 +203,8 @@
             progress.runs -= 1
             await self._discard_body(conn)
             return self._handle_not_run(placement, kind)
+        if kind is AnswerKind.unmarked:
+            raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
         self._watched.on_start()
         prefill.on_answer(now_s())
@@ -299,6 +301,8 @@
         """Forward an answer, a short one only when it is complete."""
         chunks = conn.read_chunks()
         body_start = await _read_start(chunks)
+        if head.status in _SUCCESS_STATUSES and not body_start:
+            _check_is_framed(head, 'connection ended before any byte')
         self._take_over()
         if len(body_start) <= _MAX_BUFFERED_BYTES:
             fields = _without_length(head.fields)
@@ -396,5 +400,11 @@
     return b''.join(parts)
 
 
+def _check_is_framed(head: AnswerHead, reason: str) -> None:
+    """Check that an empty body can't be one whose server stopped early."""
+    if not head.is_framed:
+        raise AnswerBroken(reason)
+
+
 def _without_length(fields: Fields) -> Fields:
     return [pair for pair in fields if pair[0] != b'content-length']
--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/stream_request.py
@@ -9,6 +9,8 @@
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.stream_versions import (
     NO_SERVER_OF_VERSION,
+    TAKE_UP_REFUSALS,
+    Knowledge,
     StreamVersions,
     TakeUp,
     is_take_up,
@@ -47,6 +49,7 @@
         self._info = info
         self._progress = progress
         self._service = service_of(route, info)
+        self._asked_s = now_s
         self._take_up: TakeUp | None = None
         self._is_resolved = False
         self._has_version_left = False
@@ -65,6 +68,10 @@
         found = await self._streams.recall(
             self._take_up, self._service, self._info
         )
+        if found.refusal is not None:
+            found = await self._streams.confirmed_take_up(
+                found, self._route, self._info, self._asked_s
+            )
         self._set_take_up(found)
         self._log_take_up(found)
 
@@ -93,6 +100,19 @@
             self._service, self._info.request_id, now_s
         )
 
+    def why_not_begin(self, now_s: float) -> NoServer | None:
+        """Return why a new stream may not begin at present, if it may not.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        has_begun = self._progress.software_version is not None
+        if has_begun or not self._route.is_resumable:
+            return None
+        request_id = self._info.request_id
+        if self._streams.may_begin(self._service, request_id, now_s):
+            return None
+        return TAKE_UP_REFUSALS[Knowledge.too_old]
+
     def may_go_on(self) -> bool:
         """Return whether the stream hasn't begun or its version serves."""
         pinned = self._progress.software_version
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import math
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.clock import now_s as clock_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
@@ -17,6 +19,11 @@
 from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
 
+#: Longest wait until the division in force is confirmed, and the interval at
+#: which that is checked.
+_MAX_CONFIRMATION_S = 1.8
+_CONFIRMATION_CHECK_S = 0.05
+
 #: Why a server that was chosen isn't sent a stream: its entry has changed since,
 #: or the stream has begun at another version meanwhile.
 _CHANGED = 'server changed'
@@ -153,15 +160,25 @@
             Knowledge.division,
         )
 
-    def may_be_confirmed(self, service: str, asked_s: float) -> bool:
-        """Return whether later news of the store may tell more of a stream.
+    async def confirmed_take_up(
+        self, take_up: TakeUp, route: Route, info: RequestInfo, asked_s: float
+    ) -> TakeUp:
+        """Return what is known once the division is confirmed to be in force.
+
+        Waits for that only if a change is announced, and not for long.
 
-        :param service: the service that began it.
-        :param asked_s: when it was taken up, monotonic seconds.
+        :param take_up: what is known before.
+        :param route: the route of the request that takes the stream up.
+        :param info: what the request states.
+        :param asked_s: when it arrived, monotonic seconds.
         """
-        division = self._view.divisions.get(service)
-        is_pending = division is not None and bool(division.announced)
-        return is_pending and self._view.confirmed_s < asked_s
+        division = self._view.divisions.get(service_of(route, info))
+        if division is None or not division.announced:
+            return take_up
+        until_s = asked_s + _MAX_CONFIRMATION_S
+        while self._view.confirmed_s < asked_s and clock_s() < until_s:
+            await asyncio.sleep(_CONFIRMATION_CHECK_S)
+        return self.for_take_up(route, info, clock_s(), asked_s)
 
     async def recall(
         self, take_up: TakeUp, service: str, info: RequestInfo
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -249,6 +249,7 @@
     held=None,
     read_settings=None,
     versions=(),
+    grace_s=8,
 ):
     """Run a gateway that forwards requests to scripted servers.
 
@@ -263,7 +264,7 @@
             server_entry(f'i-{number}', service, port, held, software_version)
         )
     callers, ready, peers = free_ports(3)
-    settings = settings_at(callers, ready, peers)
+    settings = settings_at(callers, ready, peers)._replace(grace_s=grace_s)
     store = FakeStore(changes)
     interfaces = PlatformInterfaces(
         store,
