Let callers that take a stream up wait for an adapter as after a failed server

Cause: a take-up may run at the servers of its version only, and waited for its adapter there like a new request, though its caller has a part of the answer already.

Change: its load has the priority and the wait of a request that a server has failed. The tests of take-ups set divisions that the keeper doesn't rewrite now, as two of them raced with it, and one more shows that a take-up waits for the store while a change is announced.

--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -141,7 +141,7 @@
     def _request(self, excluded: frozenset[str]) -> PlacementRequest:
         info, route = self._routed.info, self._routed.route
         waited_s = now_s() - self._routed.arrived_s
-        has_run = self._progress.runs > 0
+        has_run = self._has_part
         return PlacementRequest(
             self._routed.service,
             info.adapter,
@@ -164,6 +164,9 @@
 
         Not so if it has a part of the answer already or waits for its end.
         """
-        info = self._routed.info
-        has_part = self._progress.runs > 0 or bool(info.last_event_id)
-        return self.waited_before_s > 0 and not has_part
+        return self.waited_before_s > 0 and not self._has_part
+
+    @property
+    def _has_part(self) -> bool:
+        """Return whether the caller has a part of its answer, or may have."""
+        return self._progress.runs > 0 or bool(self._routed.info.last_event_id)
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -29,7 +29,7 @@
     RequestPlacement,
     RoutedRequest,
 )
-from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
+from wasabicross.gateway.retrying_placer import RetryingPlacer
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
 from wasabicross.servers.retries import RetryBudget
@@ -93,7 +93,10 @@
     assert sum(len(each.seen) for each in servers) == len(versions) - 1
 
 
-def test_replacement_of_another_version_than_has_begun_meanwhile_is_not_used():
+@pytest.mark.parametrize(('begun', 'is_found'), [('v1', False), (None, True)])
+def test_replacement_of_another_version_than_has_begun_meanwhile_is_not_used(
+    begun, is_found
+):
     view = FleetView()
     for server_id, version in (('i-0', 'v1'), ('i-1', 'v2')):
         held = server_entry(server_id, 'llm', 1, None, version)
@@ -114,15 +117,15 @@
         RetryingPlacer(view, UsageTracker(view), None, 'dc'),
         crashes.guard(()),
     )
-    progress.replacement = Placement(view.servers['i-1'], 0, 0, 1, 0)
-    progress.on_events('v1')
-    placement = asyncio.run(placements.next())
-    assert placement.server.software_version == 'v1'
+    progress.software_version = begun
+    placement = asyncio.run(placements.find_replacement('i-0'))
+    assert (placement is not None) is is_found
 
 
 def test_events_of_another_version_are_not_appended():
     progress = RequestProgress('')
-    progress.on_events('v1')
-    progress.on_events('v1')
+    progress.check_version('v1')
+    progress.software_version = 'v1'
+    progress.check_version('v1')
     with pytest.raises(AnswerBroken):
-        progress.on_events('v2')
+        progress.check_version('v2')
--- a/tests/test_gateway_take_ups.py
+++ b/tests/test_gateway_take_ups.py
@@ -23,7 +23,11 @@
 )
 
 from wasabicross.gateway import metrics, stream_request
-from wasabicross.gateway.stream_divisions import bucket_of
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.stream_divisions import (
+    MAX_KNOWLEDGE_AGE_S,
+    bucket_of,
+)
 from wasabicross.runtime.events import Event
 
 
@@ -123,8 +127,8 @@
 
     async def scenario(bench):
         view = bench.gateway.view
-        view.set_store_status = lambda *_args, **_fields: None
-        view.confirmed_s = time.monotonic() - 5.1
+        bench.gateway._follower._on_confirmed = lambda _at_s: None
+        view.confirmed_s = now_s() - MAX_KNOWLEDGE_AGE_S - 0.1
         return await refused(bench, take_up(ID_OF_V1))
 
     received, took_s = run_versions(scenario, servers, buckets)
@@ -267,3 +271,18 @@
 
     time_limits = run_versions(scenario, servers_of(('v1',)), OLD)
     assert time_limits.longest_s('llm') == 9
+
+
+def test_take_up_while_a_change_is_announced_waits_for_the_store_and_goes_on():
+    """The announced versions may be in force elsewhere until it has answered."""
+    servers = servers_of(('v1', 'v2'))
+    moved = next(each for each in IDS if HALF[bucket_of(each)] == 'v2')
+
+    async def scenario(bench):
+        divisions = bench.gateway.view.divisions
+        divisions['llm'] = divisions['llm']._replace(announced=HALF)
+        return await send(bench, take_up(moved))
+
+    received, found = run_versions(scenario, servers, OLD)
+    assert status_of(received) == 200
+    assert found == {'v1'}
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -148,7 +148,7 @@
 async def ask(conn):
     fields = [(b'host', b'a'), (b'request-id', b'r1')]
     sent = ServerRequest(b'GET', b'/x', fields, b'')
-    await conn.send(sent)
+    conn.send(sent)
     await conn.read_head(sent)
     return b''.join([each async for each in conn.read_chunks()])
 
--- a/tests/version_parts.py
+++ b/tests/version_parts.py
@@ -98,6 +98,7 @@
     async with running_gateway(
         servers, service='llm', versions=versions, **fields
     ) as bench:
+        bench.store.refuses_divisions = True
         if buckets:
             division = StreamDivision(1, buckets, former=former)
             bench.gateway.view.divisions['llm'] = division
