--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -14,6 +14,12 @@
     simple_fields,
 )
 from wasabicross.gateway.store import StoredItem
+from wasabicross.gateway.stream_messages import (
+    StreamAnswer,
+    StreamQuery,
+    StreamsBegun,
+    check_digests,
+)
 from wasabicross.messaging.errors import MessageMalformed
 
 #: Largest frame that is accepted, before and after decompression. The store
@@ -223,6 +229,22 @@
     is_lost: bool
 
 
+class StoreConfirmation(NamedTuple):
+    """As of when an owner knows the store's content, sent as a heartbeat.
+
+    Both times are of the sender's clock, so that the receiver can tell how long
+    the message took.
+
+    :param revision: position up to which the owner knows all changes.
+    :param confirmed_ms: time as of which it knows them, milliseconds.
+    :param sent_ms: time at which this was sent, milliseconds.
+    """
+
+    revision: int
+    confirmed_ms: int
+    sent_ms: int
+
+
 Message: TypeAlias = (
     Hello
     | ServerState
@@ -237,6 +259,10 @@
     | StoreCopyRequest
     | ServerCrash
     | PartsCleared
+    | StoreConfirmation
+    | StreamsBegun
+    | StreamQuery
+    | StreamAnswer
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -254,6 +280,10 @@
     StoreCopyRequest,
     ServerCrash,
     PartsCleared,
+    StoreConfirmation,
+    StreamsBegun,
+    StreamQuery,
+    StreamAnswer,
 )
 
 _DECODING_ERRORS = (
@@ -327,6 +357,7 @@
         parts = tuple(_checked(kind(*each)) for each in getattr(message, name))
         message = message._replace(**{name: parts})
     checked: Message = _checked(message)
+    check_digests(checked)
     return checked
 
 
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -79,6 +79,11 @@
     'wasabicross_gateway_configuration_version',
     'Version of the configuration in force.',
 )
+STREAM_DIVISION = Gauge(
+    'wasabicross_gateway_stream_division',
+    "Number of the division of a service's streams in force.",
+    ('service',),
+)
 CRASHES = Counter(
     'wasabicross_gateway_server_crashes',
     'Servers found crashed under requests that they had begun to answer.',
@@ -88,6 +93,11 @@
     'Parts of prompts by how the evidence of crashes against them changed.',
     ('change',),
 )
+TAKE_UPS = Counter(
+    'wasabicross_gateway_take_ups',
+    'Interrupted streams that callers took up again, by how that ended.',
+    ('service', 'outcome'),
+)
 UNDER_WAY = Gauge(
     'wasabicross_gateway_under_way',
     'Requests that are being answered.',
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -20,12 +20,12 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
+from wasabicross.gateway.division_keeper import DivisionKeeper
 from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
-from wasabicross.gateway.messages import StoreUpdate
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owner_server import OwnerServer
@@ -37,7 +37,7 @@
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.settings_reload import ReloadableSettings
 from wasabicross.gateway.store import FleetStore
-from wasabicross.gateway.store_copy import request_copy
+from wasabicross.gateway.store_copy import request_from_seeds
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
 from wasabicross.gateway.unanswered import UnansweredRequests
@@ -109,7 +109,7 @@
             self.view,
             self._relay,
             lambda: self._owned_groups.owns_any,
-            self._request_copy,
+            lambda: request_from_seeds(self._cfg),
         )
         servers = ServerAccess.from_parts(
             cfg.instance, self.view, platform.pool, platform.dialect
@@ -125,7 +125,11 @@
             self.crashes,
         )
         placer = RetryingPlacer(
-            self.view, self._usage, self._links, cfg.data_centre
+            self.view,
+            self._usage,
+            self._links,
+            cfg.data_centre,
+            self._links.streams,
         )
         self._budgets = RetryBudgets(
             cfg.retry_ratio, cfg.retry_slack, self.view
@@ -206,12 +210,14 @@
             self._relay,
             self._follower.copy,
             self.crashes,
+            self._links.streams,
         )
         prober = Prober(self.view, self._platform.engines)
         yield from (
             self._follower.run(),
             self._register(),
             self._own_groups(),
+            self._keep_divisions(),
             self._loader_service.run(),
             self._links.run(),
             self._links.report_usage(),
@@ -283,18 +289,17 @@
         registration = Registration(self._cfg, self._platform.store, self.view)
         await registration.run()
 
-    async def _request_copy(self) -> StoreUpdate | None:
-        others = [
-            Address(host, self._cfg.peer_port)
-            for host in self._cfg.seeds
-            if host != self._cfg.host
-        ]
-        return await request_copy(self._cfg.instance, others)
-
     async def _own_groups(self) -> None:
         await self._follower.is_initialised.wait()
         await self._owned_groups.run()
 
+    async def _keep_divisions(self) -> None:
+        await self._follower.is_initialised.wait()
+        keeper = DivisionKeeper(
+            self._cfg.instance, self._platform.store, self.view
+        )
+        await keeper.run()
+
     async def _log_dropped_lines(self) -> None:
         while True:
             await asyncio.sleep(_DROPPED_LINES_INTERVAL_S)
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -30,7 +30,7 @@
     RequestProgress,
 )
 from wasabicross.gateway.request_placement import (
-    CRASHES,
+    FIXED_TIME_REASONS,
     MAX_SENDS,
     RequestPlacement,
     RoutedRequest,
@@ -42,6 +42,8 @@
 )
 from wasabicross.gateway.server_attempts import ServerAttempt
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
+from wasabicross.gateway.stream_request import StreamRequest
+from wasabicross.gateway.stream_versions import service_of
 from wasabicross.gateway.time_limits import EndableTimeLimit
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
@@ -99,6 +101,7 @@
             req
         )
         self._progress = RequestProgress(self._info.last_event_id)
+        self._stream: StreamRequest | None = None
         self._server_id = ''
         self._labels = ('', '')
         self._waited_before_s: float = 0
@@ -161,7 +164,7 @@
         )
 
     async def _run(self, route: Route, deadline_s: float) -> None:
-        service = route.service_for(self._info.request_id)
+        service = service_of(route, self._info)
         budget = self._deps.budget_for(service)
         placements = RequestPlacement(
             RoutedRequest(
@@ -171,6 +174,7 @@
             self._deps.placer,
             self._deps.servers.crashes.guard(self._info.parts),
         )
+        self._stream = placements.stream
         self._waited_before_s = placements.waited_before_s
         self._labels = (service, metrics.request_class(route))
         budget.add_request()
@@ -247,6 +251,7 @@
             Replacements(
                 functools.partial(placements.find_replacement, server_id), send
             ),
+            placements.stream.on_events,
             on_accepted,
         )
 
@@ -309,7 +314,7 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason in {CRASHES.reason, _STOPS.reason}:
+        elif reason in FIXED_TIME_REASONS or reason == _STOPS.reason:
             await self._refuse(reason, pause_s)
         else:
             await self._refuse_with_retry_time(reason, pause_s)
@@ -351,6 +356,8 @@
             self._configuration_version,
             self._progress.sends,
         )
+        if self._stream is not None:
+            self._stream.record_end()
         metrics.REQUESTS.labels(*self._labels, self._outcome).inc()
         started_s = self._answer.started_s
         if started_s is not None and self._labels[0]:
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -12,6 +12,11 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
+from wasabicross.gateway.stream_request import StreamRequest
+from wasabicross.gateway.stream_versions import (
+    LASTING_REFUSALS,
+    NO_SERVER_OF_VERSION,
+)
 from wasabicross.servers.retries import RetryBudget
 
 #: Most sends of one request, whether a server ran it or not.
@@ -24,6 +29,11 @@
 #: that its caller does soon will change that.
 CRASHES = NoServer('crashes servers', retry_after_s=60.0)
 
+#: Why requests are refused for a time that doesn't depend on other requests.
+FIXED_TIME_REASONS = frozenset(
+    (CRASHES.reason, *(each.reason for each in LASTING_REFUSALS))
+)
+
 
 class RoutedRequest(NamedTuple):
     """A request, its route and the service that was chosen for it.
@@ -62,9 +72,16 @@
         self._guard = guard
         #: How long the caller has probably waited before, seconds.
         self.waited_before_s = self._time_waited_before_s()
+        #: The software version at which its stream begins or goes on.
+        self.stream = StreamRequest(
+            placer.streams, routed.route, routed.info, progress, now_s()
+        )
 
     async def next(self) -> Placement | NoServer:
         """Return the next server, or why there is none."""
+        await self.stream.resolve()
+        if self.stream.refusal is not None:
+            return self.stream.refusal
         placement = await self._place_unless_refused(
             self._progress.excluded | self._progress.silent
         )
@@ -113,10 +130,19 @@
         return CRASHES
 
     async def _place(self, excluded: frozenset[str]) -> Placement | NoServer:
+        refusal = self.stream.why_not_begin(now_s())
+        if refusal is not None:
+            return refusal
+        placement = await self._placer.place(self._request(excluded))
+        if isinstance(placement, NoServer) and not self.stream.may_go_on():
+            return NO_SERVER_OF_VERSION
+        return placement
+
+    def _request(self, excluded: frozenset[str]) -> PlacementRequest:
         info, route = self._routed.info, self._routed.route
         waited_s = now_s() - self._routed.arrived_s
-        has_run = self._progress.runs > 0
-        request = PlacementRequest(
+        has_run = self._has_part
+        return PlacementRequest(
             self._routed.service,
             info.adapter,
             _HIGHEST_PRIORITY if has_run else route.priority,
@@ -129,8 +155,8 @@
             route.target_s - waited_s - self.waited_before_s,
             info.shared_tokens,
             self._is_returning,
+            self.stream.version(now_s()),
         )
-        return await self._placer.place(request)
 
     @property
     def _is_returning(self) -> bool:
@@ -138,6 +164,9 @@
 
         Not so if it has a part of the answer already or waits for its end.
         """
-        info = self._routed.info
-        has_part = self._progress.runs > 0 or bool(info.last_event_id)
-        return self.waited_before_s > 0 and not has_part
+        return self.waited_before_s > 0 and not self._has_part
+
+    @property
+    def _has_part(self) -> bool:
+        """Return whether the caller has a part of its answer, or may have."""
+        return self._progress.runs > 0 or bool(self._routed.info.last_event_id)
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -21,6 +21,8 @@
 )
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
+from wasabicross.gateway.stream_memory import StreamMemory
+from wasabicross.gateway.stream_versions import StreamVersions
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.usual_time_limits import UsualTimeLimits
 from wasabicross.gateway.view import FleetView
@@ -66,6 +68,7 @@
     :param usage: counts waiting prompts and knows the owners of engines.
     :param links: links to the owners, which load adapters.
     :param data_centre: the data centre of this gateway.
+    :param memory: remembers which versions began streams.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         usage: UsageTracker,
         links: OwnerLinks,
         data_centre: str,
+        memory: StreamMemory | None = None,
     ) -> None:
         self._view = view
         self._usage = usage
@@ -84,6 +88,8 @@
         self.adapter_wait = AdapterWait()
         #: Tells which callers return after a refusal.
         self.time_limits = UsualTimeLimits()
+        #: Tells at which software version streams begin and go on.
+        self.streams = StreamVersions(view, memory)
 
     async def place(self, request: PlacementRequest) -> Placement | NoServer:
         """Return a server for a request, or why there is none.
@@ -144,10 +150,14 @@
             self.adapter_wait.on_load(took_s)
         if not loaded_version:
             return False
-        server = self._view.servers.get(choice.server_id)
-        return server is not None and not self._view.refuses_requests(
-            server, now_s()
-        )
+        return self._may_be_used(choice.server_id, request)
+
+    def _may_be_used(self, server_id: str, request: PlacementRequest) -> bool:
+        """Return whether a server is still one for a request."""
+        server = self._view.servers.get(server_id)
+        if server is None or self._view.refuses_requests(server, now_s()):
+            return False
+        return request.software_version in {None, server.software_version}
 
     def _should_retry(
         self, choice: NoServer, request: PlacementRequest, started_s: float
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -34,6 +34,7 @@
     ServerRequest,
 )
 from wasabicross.gateway.silence_watch import SilenceWatch
+from wasabicross.gateway.stream_versions import why_unsuitable
 from wasabicross.gateway.takeover import Takeover
 
 #: Why an attempt ended early whose request would have crashed the server.
@@ -107,8 +108,20 @@
                 self._servers.pool.release(server.host, server.port, conn)
                 self.record.reason = _CALLED_OFF
                 return Ending.not_sent
+            self.record.reason = self._why_unsuitable(server)
+            if self.record.reason:
+                self._servers.pool.release(server.host, server.port, conn)
+                return Ending.not_sent
             return await self._use(conn, placement)
 
+    def _why_unsuitable(self, server: BackendServer) -> str:
+        """Return why a server may no longer run the request, if it may not."""
+        if not self._route.is_resumable:
+            return ''
+        return why_unsuitable(
+            self._servers.view, server, self._progress.software_version
+        )
+
     async def _use(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
@@ -261,7 +274,7 @@
         self._silence.keep()
         with self._takeover.limit():
             if is_stream:
-                await self._forward_stream(conn, head)
+                await self._forward_stream(conn, placement, head)
             else:
                 await self._forward_body(conn, head)
         if succeeded:
@@ -307,7 +320,7 @@
         await self._answer.end()
 
     async def _forward_stream(
-        self, conn: ServerConnection, head: AnswerHead
+        self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> None:
         if not self._takeover.is_pending:
             await self._start_stream(head)
@@ -321,7 +334,10 @@
             if events is None:
                 break
             self._watched.on_progress()
+            version = placement.server.software_version
+            self._progress.check_version(version)
             self._take_over()
+            self._context.on_events(version)
             self._progress.last_event_id = stream.last_event_id
             await self._start_stream(head)
             await self._answer.send_chunk(events)
--- /dev/null
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -0,0 +1,323 @@
+"""At which software version streams begin, and at which one they go on."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import math
+from typing import NamedTuple
+
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.clock import now_s as clock_s
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.placement import NoServer
+from wasabicross.gateway.stream_divisions import (
+    MAX_KNOWLEDGE_AGE_S,
+    StreamDivision,
+)
+from wasabicross.gateway.stream_memory import StreamMemory
+from wasabicross.gateway.view import FleetView
+
+#: Longest wait until the division in force is confirmed, and the interval at
+#: which that is checked.
+_MAX_CONFIRMATION_S = 1.8
+_CONFIRMATION_CHECK_S = 0.05
+
+#: Why a server that was chosen isn't sent a stream: its entry has changed since,
+#: or the stream has begun at another version meanwhile.
+_CHANGED = 'server changed'
+_OTHER_VERSION = 'other software version'
+
+#: Why a stream can't go on whose version has left; nothing that its caller does
+#: soon will change that.
+NO_SERVER_OF_VERSION = NoServer('no server of its version', retry_after_s=60.0)
+
+
+class Knowledge(enum.Enum):
+    """How the software version of an interrupted stream is known.
+
+    `division`: by the division of streams among versions. `only_version`: its
+    service has no other. `memory`: a gateway remembers what began it.
+    `version_unknown`: several versions may have begun it. `too_old`: others may
+    know of a version that this gateway doesn't.
+    """
+
+    division = 'division'
+    only_version = 'only version'
+    memory = 'memory'
+    version_unknown = 'version unknown'
+    too_old = 'knowledge too old'
+
+
+#: Why a stream isn't taken up, by what is known of its version.
+TAKE_UP_REFUSALS = {
+    Knowledge.version_unknown: NoServer(
+        Knowledge.version_unknown.value, retry_after_s=60.0
+    ),
+    Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
+}
+
+#: Why a stream isn't taken up; other requests have no influence on that.
+LASTING_REFUSALS = (NO_SERVER_OF_VERSION, *TAKE_UP_REFUSALS.values())
+
+
+class TakeUp(NamedTuple):
+    """What is known of an interrupted stream that a caller takes up again.
+
+    :param version: the software version that began it, None if not known.
+    :param known_by: how it is known, or why it isn't.
+    :param possible: all versions that may have begun it.
+    """
+
+    version: str | None
+    known_by: Knowledge
+    possible: frozenset[str] = frozenset()
+
+    @property
+    def refusal(self) -> NoServer | None:
+        """Return why the stream can't go on, None if it can."""
+        return TAKE_UP_REFUSALS.get(self.known_by)
+
+
+class StreamVersions:
+    """Tells at which software version resumable streams begin and go on.
+
+    :param view: state of the deployment.
+    :param memory: remembers which versions began streams.
+    """
+
+    def __init__(
+        self, view: FleetView, memory: StreamMemory | None = None
+    ) -> None:
+        self._view = view
+        self._memory = memory or StreamMemory(view)
+
+    def for_new(
+        self, service: str, request_id: str, now_s: float
+    ) -> str | None:
+        """Return the software version that begins a stream, None for any.
+
+        :param service: the service that runs it.
+        :param request_id: id of the caller's attempt.
+        :param now_s: the present time, monotonic seconds.
+        """
+        division = self._view.divisions.get(service)
+        if division is not None:
+            return division.version_for(request_id)
+        versions = self._listed_versions(service)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def may_begin(self, service: str, request_id: str, now_s: float) -> bool:
+        """Return whether a new stream may begin at the version in force.
+
+        :param service: the service that runs it.
+        :param request_id: id of the caller's attempt.
+        :param now_s: the present time, monotonic seconds.
+        """
+        division = self._view.divisions.get(service)
+        return division is None or division.may_begin(
+            request_id, self._view.confirmed_s, now_s
+        )
+
+    def for_take_up(
+        self,
+        route: Route,
+        info: RequestInfo,
+        now_s: float,
+        asked_s: float | None = None,
+    ) -> TakeUp:
+        """Return what is known of an interrupted stream.
+
+        :param route: the route of the request that takes it up.
+        :param info: what the request states.
+        :param now_s: the present time, monotonic seconds.
+        :param asked_s: when the request arrived, monotonic seconds; None for
+            the present time.
+        """
+        asked_s = now_s if asked_s is None else asked_s
+        if now_s - self._view.confirmed_s > MAX_KNOWLEDGE_AGE_S:
+            return TakeUp(None, Knowledge.too_old)
+        if not info.resumes and len(route.shares) > 1:
+            return TakeUp(None, Knowledge.version_unknown)
+        service = service_of(route, info)
+        division = self._view.divisions.get(service)
+        if division is None:
+            return _known(
+                self._listed_versions(service), Knowledge.only_version
+            )
+        longest_s = self._view.divisions.route_limits.longest_s(route.name)
+        since_s = asked_s - _longest_wait_s(
+            longest_s, division, route, info.time_left_s
+        )
+        return _known(
+            division.possible_versions(
+                info.resumes,
+                since_s,
+                now_s,
+                is_confirmed=self._view.confirmed_s >= asked_s,
+            ),
+            Knowledge.division,
+        )
+
+    async def confirmed_take_up(
+        self, take_up: TakeUp, route: Route, info: RequestInfo, asked_s: float
+    ) -> TakeUp:
+        """Return what is known once the division is confirmed to be in force.
+
+        Waits for that only if a change is announced, and not for long.
+
+        :param take_up: what is known before.
+        :param route: the route of the request that takes the stream up.
+        :param info: what the request states.
+        :param asked_s: when it arrived, monotonic seconds.
+        """
+        division = self._view.divisions.get(service_of(route, info))
+        if division is None or not division.announced:
+            return take_up
+        until_s = asked_s + _MAX_CONFIRMATION_S
+        while self._view.confirmed_s < asked_s and clock_s() < until_s:
+            await asyncio.sleep(_CONFIRMATION_CHECK_S)
+        return self.for_take_up(route, info, clock_s(), asked_s)
+
+    async def recall(
+        self, take_up: TakeUp, service: str, info: RequestInfo
+    ) -> TakeUp:
+        """Return what is known of a stream with what gateways remember.
+
+        :param take_up: what is known without that.
+        :param service: the service that began it.
+        :param info: what the request that takes it up states.
+        """
+        if take_up.refusal is None or not info.resumes:
+            return take_up
+        version = await self._memory.find(service, info.resumes)
+        return with_memory(take_up, version)
+
+    def note_begun(
+        self, service: str, request_id: str, software_version: str
+    ) -> None:
+        """Remember which version began a stream where that may be needed.
+
+        :param service: the service that runs it.
+        :param request_id: id of the caller's attempt.
+        :param software_version: what began it.
+        """
+        self._memory.note_begun(service, request_id, software_version)
+
+    def serves(self, service: str, version: str) -> bool:
+        """Return whether servers of a version are listed as taking requests.
+
+        Those that are full or ask for a pause are.
+
+        :param service: their service.
+        :param version: the software version.
+        """
+        return any(
+            server.service == service
+            and server.software_version == version
+            and not server.is_leaving
+            and not self._view.notices.is_leaving(server)
+            for server in self._view.servers.values()
+        )
+
+    def note_time_limit(
+        self, route: Route, service: str, info: RequestInfo
+    ) -> None:
+        """Record how long a caller of a resumable stream waits.
+
+        Callers that take a stream up state only the rest of their limit.
+
+        :param route: the route of its request.
+        :param service: the service that runs it.
+        :param info: what the request states.
+        """
+        if info.time_left_s is None or is_take_up(route, info):
+            return
+        known = self._view.divisions
+        known.time_limits.note_time_limit(service, info.time_left_s)
+        known.route_limits.note_time_limit(route.name, info.time_left_s)
+
+    def _listed_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of all servers, also of those that leave."""
+        return frozenset(
+            server.software_version
+            for server in self._view.servers.values()
+            if server.service == service
+        )
+
+
+def is_take_up(route: Route, info: RequestInfo) -> bool:
+    """Return whether a request takes up an interrupted stream.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    return route.is_resumable and bool(info.last_event_id)
+
+
+def service_of(route: Route, info: RequestInfo) -> str:
+    """Return the service of a request, for a take-up the one that began it.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    if info.resumes and is_take_up(route, info):
+        return route.service_for(info.resumes)
+    return route.service_for(info.request_id)
+
+
+def with_memory(take_up: TakeUp, remembered: str | None) -> TakeUp:
+    """Return what is known of a stream whose version the division didn't tell.
+
+    :param take_up: what is known without the memory.
+    :param remembered: the version that began it by the memory of a gateway,
+        None if none has it.
+    """
+    if remembered is None:
+        return take_up
+    is_recent = take_up.known_by is not Knowledge.too_old
+    if is_recent and remembered not in take_up.possible:
+        return take_up
+    return TakeUp(remembered, Knowledge.memory, take_up.possible)
+
+
+def why_unsuitable(
+    view: FleetView, chosen: BackendServer, pinned: str | None
+) -> str:
+    """Return why a stream may no longer be sent to a server, empty if it may.
+
+    :param view: state of the deployment.
+    :param chosen: the server as it was listed when it was chosen.
+    :param pinned: software version at which the stream goes on, None for any.
+    """
+    listed = view.servers.get(chosen.server_id)
+    if listed is None or listed.start_ms != chosen.start_ms:
+        return _CHANGED
+    if listed.software_version != chosen.software_version:
+        return _CHANGED
+    return '' if pinned in {None, chosen.software_version} else _OTHER_VERSION
+
+
+def _known(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
+    if len(possible) == 1:
+        return TakeUp(next(iter(possible)), known_by, possible)
+    return TakeUp(None, Knowledge.version_unknown, possible)
+
+
+def _longest_wait_s(
+    longest_s: float | None,
+    division: StreamDivision,
+    route: Route,
+    time_left_s: float | None,
+) -> float:
+    """Return how long at most a caller has been waiting, seconds.
+
+    :param longest_s: longest limit that callers of the route state, None if
+        it isn't known.
+    """
+    if time_left_s is None:
+        return math.inf
+    if longest_s is None:
+        longest_s = division.time_limit_s
+    return max(longest_s, route.timeout_s, time_left_s) - time_left_s
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -16,9 +16,11 @@
     ServerEntryUpdate,
     ServerRemoval,
     StoreChange,
+    StreamDivisionUpdate,
 )
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.expired_entries import ExpiredEntries
+from wasabicross.gateway.known_divisions import KnownDivisions
 from wasabicross.gateway.messages import (
     HeldAdaptersUpdate,
     ServerOccupancy,
@@ -86,6 +88,10 @@
         self.era: int | None = None
         #: When the store returned from an older copy, as this process saw it.
         self.restored_s = -math.inf
+        #: Time as of which the store's content is known completely.
+        self.confirmed_s = -math.inf
+        #: The newest known division of each service's streams.
+        self.divisions = KnownDivisions()
 
     def set_store_status(self, now_s: float, *, is_lost: bool) -> None:
         """Record whether the store answered.
@@ -110,6 +116,7 @@
             for group, known in self.owners.items():
                 self.owners[group] = unconfirmed(known, era, now_s)
         self.era = era
+        self.divisions.on_new_content()
 
     def version_of(self, key: AdapterKey) -> int:
         """Return the version of an adapter that is in force."""
@@ -153,7 +160,7 @@
             AdapterKey(each.model, each.adapter): each.version
             for each in state.held
         }
-        before = self._reported_for(state.server_id, state.start_ms)
+        before = _reported_for(self.reported, state)
         if before is None:
             self.warm_copies.forget(state.server_id)
         else:
@@ -169,7 +176,7 @@
         :param change: the change that its owner reported.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._reported_for(change.server_id, change.start_ms)
+        report = _reported_for(self.reported, change)
         if report is None:
             return
         for lost in change.lost:
@@ -190,7 +197,7 @@
         :param occupancy: the occupancy that its owner reported.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._reported_for(occupancy.server_id, occupancy.start_ms)
+        report = _reported_for(self.reported, occupancy)
         if report is None:
             return
         state = report.state._replace(
@@ -330,13 +337,6 @@
             return None
         return report if report.state.start_ms in {0, server.start_ms} else None
 
-    def _reported_for(
-        self, server_id: str, start_ms: int
-    ) -> ReportedState | None:
-        """Return the last report on one incarnation of a server."""
-        report = self.reported.get(server_id)
-        return report if report and report.state.start_ms == start_ms else None
-
     def _remove(self, server_id: str) -> None:
         self._expired.discard(server_id)
         self.servers.pop(server_id, None)
@@ -367,7 +367,7 @@
             self._apply(ServerRemoval(change.server.server_id), now_s)
             return
         self._expired.discard(server.server_id)
-        if known is not None and known.start_ms != server.start_ms:
+        if known is not None and not server.is_same_run(known):
             self._remove(server.server_id)
         self.servers[server.server_id] = server
 
@@ -386,3 +386,18 @@
     @_apply.register
     def _(self, change: InstanceEntry, now_s: float) -> None:
         self.instances[change.instance] = change
+
+    @_apply.register
+    def _(self, change: StreamDivisionUpdate, now_s: float) -> None:
+        self.divisions.apply(change, self.confirmed_s, now_s)
+
+
+def _reported_for(
+    reported: dict[str, ReportedState],
+    message: ServerState | HeldAdaptersUpdate | ServerOccupancy,
+) -> ReportedState | None:
+    """Return the last report on the incarnation of a server in a message."""
+    report = reported.get(message.server_id)
+    if report is None or report.state.start_ms != message.start_ms:
+        return None
+    return report
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -78,6 +78,7 @@
     REQUEST_FAILED = EventKind(8043, 'ERROR')
     REQUEST_UNANSWERED = EventKind(8044, 'WARNING')
     UNANSWERED_OMITTED = EventKind(8045, 'WARNING')
+    STREAM_TAKEN_UP = EventKind(8046, 'INFO')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
@@ -87,6 +88,9 @@
     PART_CONVICTED = EventKind(8073, 'WARNING')
     PART_CLEARED = EventKind(8074, 'INFO')
     PART_TRIED = EventKind(8075, 'INFO')
+    DIVISION_WRITTEN = EventKind(8081, 'INFO')
+    DIVISION_TAKEN = EventKind(8082, 'INFO')
+    DIVISION_WRITE_FAILED = EventKind(8083, 'WARNING')
 
     BUNDLE_PREPARED = EventKind(4001, 'INFO')
     BUNDLE_SIGNED = EventKind(4002, 'INFO')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -15,6 +15,7 @@
     ConfigurationUpdate,
     OwnerRecordUpdate,
     ServerEntryUpdate,
+    StreamDivisionUpdate,
 )
 from wasabicross.gateway.configuration import (
     CallerLimits,
@@ -27,12 +28,14 @@
     ServiceShare,
 )
 from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 from wasabicross.gateway.program import Gateway, PlatformInterfaces
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.store import StoreResult
+from wasabicross.gateway.stream_division_records import stored_division
 from wasabicross.platform.headers import (
     READY_PATH,
     REQUEST_ID,
@@ -52,6 +55,9 @@
         self._revision = 1
         self._updates = []
         self.records = {}
+        self.divisions = {}
+        #: Whether divisions can't be written, so that a test can set them.
+        self.refuses_divisions = False
 
     async def read(self):
         """Return all changes at the current revision."""
@@ -84,6 +90,21 @@
         self.records[group] = change
         return self._revision
 
+    async def write_division(self, service, division, revision, now_s):
+        """Write the division of a service's streams if its revision matches."""
+        if self.refuses_divisions:
+            raise StoreUnavailable('refused')
+        if self.divisions.get(service, 0) != revision:
+            return None
+        self._revision += 1
+        self.divisions[service] = self._revision
+        self._updates.append(
+            StreamDivisionUpdate(
+                service, stored_division(division, now_s), self._revision
+            )
+        )
+        return self._revision
+
     async def register_instance(self, instance, host, data_centre, fitness):
         """Ignore the registration; the store has no eras."""
         return 0
@@ -169,7 +190,7 @@
 )
 
 
-def server_entry(server_id, service, port, held=None):
+def server_entry(server_id, service, port, held=None, software_version=''):
     """Return the update with which the store lists a server."""
     return ServerEntryUpdate(
         BackendServer(
@@ -183,6 +204,7 @@
             {A1: 1} if held is None else held,
             frozenset(('m0',)),
             0,
+            software_version,
         )
     )
 
@@ -226,14 +248,21 @@
     engines=None,
     held=None,
     read_settings=None,
+    versions=(),
     grace_s=8,
 ):
-    """Run a gateway that forwards requests to scripted servers."""
+    """Run a gateway that forwards requests to scripted servers.
+
+    :param versions: software versions of the servers, empty for none.
+    """
     changes = [ConfigurationUpdate(cfg)] if cfg else []
     pool = ConnectionPool(REQUEST_ID)
     for number, server in enumerate(servers):
         port = await server.start()
-        changes.append(server_entry(f'i-{number}', service, port, held))
+        software_version = versions[number] if versions else ''
+        changes.append(
+            server_entry(f'i-{number}', service, port, held, software_version)
+        )
     callers, ready, peers = free_ports(3)
     settings = settings_at(callers, ready, peers)._replace(grace_s=grace_s)
     store = FakeStore(changes)
