Take no rest of a time limit for the limit of a route

Found by the review: after a kill of all gateways the first requests of a route are callers that return and state only the rest of their limit. Eight of them made the route's limit known, which could then be too short, so a stream that an old version began went on at the new one.

--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/stream_request.py
@@ -56,7 +56,7 @@
         #: Why the stream can't go on at any server, None if it may.
         self.refusal: NoServer | None = None
         if route.is_resumable:
-            streams.note_time_limit(route, self._service, info)
+            streams.note_time_limit(route, self._service, info, now_s)
         if is_take_up(route, info):
             self._set_take_up(streams.for_take_up(route, info, now_s))
 
--- a/src/wasabicross/gateway/stream_time_limits.py
+++ b/src/wasabicross/gateway/stream_time_limits.py
@@ -13,9 +13,6 @@
 #: buckets for hours, as streams of those can't be resumed.
 _MAX_LIMIT_S = 600
 
-#: Requests of a route from which on its longest limit is known.
-_MIN_REQUESTS = 8
-
 #: Most routes whose limits are kept; the oldest are forgotten.
 _MAX_ROUTES = 1024
 
@@ -49,11 +46,11 @@
     """The longest limit that callers of a route have stated.
 
     :param longest_s: the limit, seconds.
-    :param requests: number of requests that stated one.
+    :param since_s: when the first request stated one, monotonic seconds.
     """
 
     longest_s: float
-    requests: int
+    since_s: float
 
 
 class RouteTimeLimits:
@@ -62,27 +59,35 @@
     def __init__(self) -> None:
         self._limits: OrderedDict[str, _RouteLimit] = OrderedDict()
 
-    def note_time_limit(self, route: str, time_left_s: float) -> None:
+    def note_time_limit(
+        self, route: str, time_left_s: float, now_s: float
+    ) -> None:
         """Record the time limit of a request.
 
         :param route: name of its route.
         :param time_left_s: the limit that its caller stated, seconds.
+        :param now_s: the present time, monotonic seconds.
         """
-        known = self._limits.get(route, _RouteLimit(0, 0))
-        self._limits[route] = _RouteLimit(
-            max(known.longest_s, min(time_left_s, _MAX_LIMIT_S)),
-            known.requests + 1,
-        )
+        known = self._limits.get(route, _RouteLimit(0, now_s))
+        longest_s = max(known.longest_s, min(time_left_s, _MAX_LIMIT_S))
+        self._limits[route] = known._replace(longest_s=longest_s)
         self._limits.move_to_end(route)
         if len(self._limits) > _MAX_ROUTES:
             self._limits.popitem(last=False)
 
-    def longest_s(self, route: str) -> float | None:
+    def longest_s(
+        self, route: str, longest_wait_s: float, now_s: float
+    ) -> float | None:
         """Return the longest limit of a route, None until it is known.
 
+        Callers that return state only the rest of their limits, so it isn't
+        known before those that came first have left.
+
         :param route: name of the route.
+        :param longest_wait_s: how long callers may wait, seconds.
+        :param now_s: the present time, monotonic seconds.
         """
         known = self._limits.get(route)
-        if known is None or known.requests < _MIN_REQUESTS:
+        if known is None or now_s - known.since_s < longest_wait_s:
             return None
         return known.longest_s
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -146,7 +146,9 @@
             return _known(
                 self._listed_versions(service), Knowledge.only_version
             )
-        longest_s = self._view.divisions.route_limits.longest_s(route.name)
+        longest_s = self._view.divisions.route_limits.longest_s(
+            route.name, division.time_limit_s, now_s
+        )
         since_s = asked_s - _longest_wait_s(
             longest_s, division, route, info.time_left_s
         )
@@ -222,7 +224,7 @@
         )
 
     def note_time_limit(
-        self, route: Route, service: str, info: RequestInfo
+        self, route: Route, service: str, info: RequestInfo, now_s: float
     ) -> None:
         """Record how long a caller of a resumable stream waits.
 
@@ -231,12 +233,13 @@
         :param route: the route of its request.
         :param service: the service that runs it.
         :param info: what the request states.
+        :param now_s: the present time, monotonic seconds.
         """
         if info.time_left_s is None or is_take_up(route, info):
             return
         known = self._view.divisions
         known.time_limits.note_time_limit(service, info.time_left_s)
-        known.route_limits.note_time_limit(route.name, info.time_left_s)
+        known.route_limits.note_time_limit(route.name, info.time_left_s, now_s)
 
     def _listed_versions(self, service: str) -> frozenset[str]:
         """Return the versions of all servers, also of those that leave."""
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -119,35 +119,31 @@
         assert take_up.refusal is None
 
 
-#: Requests of a route with which its longest limit is known.
-MANY = 8
-
-
 @pytest.mark.parametrize(
-    ('stated', 'time_left_s', 'expected'),
+    ('stated', 'since_s', 'time_left_s', 'expected'),
     [
-        ([5.0] * MANY, 4.0, 'v2'),
-        ([5.0] * (MANY - 1), 4.0, UNKNOWN),
-        ([30.0, *[5.0] * MANY], 4.0, UNKNOWN),
-        ([None] * MANY, 4.0, UNKNOWN),
+        ([5.0], NOW_S - LIMIT_S, 4.0, 'v2'),
+        ([5.0], NOW_S - LIMIT_S + 1, 4.0, UNKNOWN),
+        ([30.0, 5.0], NOW_S - LIMIT_S, 4.0, UNKNOWN),
+        ([None], NOW_S - LIMIT_S, 4.0, UNKNOWN),
     ],
 )
 def test_caller_of_a_route_with_a_short_limit_began_after_the_move(
-    stated, time_left_s, expected
+    stated, since_s, time_left_s, expected
 ):
     """Callers of another route of the service wait for 60 s."""
     streams = StreamVersions(view_of(('v2',), MOVED))
     for each in stated:
         info = RequestInfo('r1', None, each, '')
-        streams.note_time_limit(ROUTE, 'llm', info)
+        streams.note_time_limit(ROUTE, 'llm', info, since_s)
     take_up = streams.for_take_up(ROUTE, info_of('9c', time_left_s), NOW_S)
     assert (take_up.version or UNKNOWN) == expected
 
 
 def test_callers_that_take_streams_up_do_not_shorten_the_limit():
     streams = StreamVersions(view_of(('v2',), MOVED))
-    for _ in range(MANY):
-        streams.note_time_limit(ROUTE, 'llm', info_of('9c', 4.0))
+    since_s = NOW_S - LIMIT_S
+    streams.note_time_limit(ROUTE, 'llm', info_of('9c', 4.0), since_s)
     take_up = streams.for_take_up(ROUTE, info_of('9c', 4.0), NOW_S)
     assert take_up.known_by is UNKNOWN
 
@@ -231,7 +227,7 @@
     streams = StreamVersions(view)
     for time_left_s in (None, 20.0, 1e12, 30.0):
         info = RequestInfo('r1', None, time_left_s, '')
-        streams.note_time_limit(ROUTE, 'llm', info)
+        streams.note_time_limit(ROUTE, 'llm', info, NOW_S)
     assert view.divisions.time_limits.longest_s('llm') == 600
 
 
