Resume no stream on knowledge that a move of buckets or an older store may have overtaken

Found by the review: a gateway whose knowledge was 6 s old resumed a stream at a version whose buckets had moved at once, unannounced (open since the allowed age was raised to 10 s, which the announcement justifies for announced changes only); and a gateway that had missed a change which the store lost by returning from an older copy took the older division for confirmed.

Change: the allowed age is 5 s again, and after such a return the division counts as confirmed only when no caller can have waited since before it. Both tests of test_gateway_versions_out_of_touch failed before.

--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -25,7 +25,7 @@
 ANNOUNCED_S = 12.0
 
 #: Most age of a gateway's knowledge with which it resumes streams.
-MAX_KNOWLEDGE_AGE_S = 10.0
+MAX_KNOWLEDGE_AGE_S = 5.0
 
 #: Longest time between the moments at which gateways in touch with the store
 #: learn of the same change.
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -15,6 +15,7 @@
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
+    former_lapse_s,
 )
 from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
@@ -157,11 +158,21 @@
                 info.resumes,
                 since_s,
                 now_s,
-                is_confirmed=self._view.confirmed_s >= asked_s,
+                is_confirmed=self._is_confirmed(division, asked_s),
             ),
             Knowledge.division,
         )
 
+    def _is_confirmed(self, division: StreamDivision, asked_s: float) -> bool:
+        """Return whether a division was in force when a request arrived.
+
+        A store that returned from an older copy may have lost a later one.
+        """
+        lapse_s = former_lapse_s(division)
+        if asked_s - self._view.restored_s < lapse_s:
+            return False
+        return self._view.confirmed_s >= asked_s
+
     async def confirmed_take_up(
         self, take_up: TakeUp, route: Route, info: RequestInfo, asked_s: float
     ) -> TakeUp:
--- a/tests/test_gateway_versions_out_of_touch.py
+++ b/tests/test_gateway_versions_out_of_touch.py
@@ -43,9 +43,7 @@
     view.on_era(era, now_s)
     view.confirmed_s = now_s if confirmed_s is None else confirmed_s
     stored = stored_division(division, now_s)
-    view.apply(
-        StreamDivisionUpdate('llm', stored, position(era, 5)), now_s
-    )
+    view.apply(StreamDivisionUpdate('llm', stored, position(era, 5)), now_s)
     return view
 
 
@@ -98,7 +96,7 @@
     streams = StreamVersions(view)
     # After a restart of all, eight callers return with the rest of 20 s.
     for _ in range(8):
-        streams.note_time_limit(ROUTE, 'llm', info(left_s=8.0))
+        streams.note_time_limit(ROUTE, 'llm', info(left_s=8.0), 101)
     view.confirmed_s = 108
     # Came at 95, began at v1, takes it up at 108 with 7 s left.
     take_up = streams.for_take_up(ROUTE, info('e3', 'r1', 7.0), 108)
