Let a stream that is taken up wait no shorter for its adapter than a new request

Cause: since take-ups wait as after a failed server (1.5 s), they are refused earlier than before where the target is long. Change: the longer of both waits. The test passes unchanged.

--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -146,9 +146,7 @@
             self._routed.service,
             info.adapter,
             _HIGHEST_PRIORITY if has_run else route.priority,
-            self._placer.adapter_wait.longest_s(
-                route.target_s, waited_s, has_run=has_run
-            ),
+            self._longest_wait_s(waited_s),
             excluded,
             route.target_s,
             info.prompt_tokens,
@@ -158,6 +156,23 @@
             self.stream.version(now_s()),
         )
 
+    def _longest_wait_s(self, waited_s: float) -> float:
+        """Return the longest wait for the adapter, seconds.
+
+        A caller that takes a stream up may wait as a new one or as after a
+        failed server, whichever is longer.
+
+        :param waited_s: how long the request has waited, seconds.
+        """
+        wait = self._placer.adapter_wait
+        target_s = self._routed.route.target_s
+        if self._progress.runs == 0 and self._has_part:
+            return max(
+                wait.longest_s(target_s, waited_s, has_run=has_run)
+                for has_run in (False, True)
+            )
+        return wait.longest_s(target_s, waited_s, has_run=self._has_part)
+
     @property
     def _is_returning(self) -> bool:
         """Return whether the caller was refused before.
