Let the server of endless answers bear its stamp

A success without the server's stamp is broken off since, and the stand-in sent none. With it the rows ask for what they did before; without it all rows of successes would now pass for the missing stamp alone.

--- a/tests/test_promise_endless.py
+++ b/tests/test_promise_endless.py
@@ -15,7 +15,7 @@
 from emulator.waiting import wait_until
 
 HEALTHY = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-OK_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n'
+OK_HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s1\r\n'
 CHUNKED = OK_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 JUNK = b'x' * 16384
 #: Pause between writes of an answer: 4 MB/s suffice to see memory grow and
@@ -46,7 +46,7 @@
     'a body without length': (OK_HEAD + b'\r\n', JUNK),
     'more than its length': (OK_HEAD + b'Content-Length: 2\r\n\r\nok', JUNK),
     'an answer to another request': (
-        b'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Stamp: s0\r\n\r\n',
         JUNK,
     ),
     'the body of what was not run': (
