--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -20,8 +20,8 @@
 #: Number of buckets, the least share of streams that a version can have.
 BUCKETS = 32
 
-#: How long a change is announced before it comes into force. A gateway that
-#: hasn't heard of the store for longer resumes no stream.
+#: How long a change is announced before it comes into force, longer than the
+#: age of the knowledge with which a gateway resumes streams.
 ANNOUNCED_S = 12.0
 
 #: Most age of a gateway's knowledge with which it resumes streams.
@@ -180,8 +180,9 @@
 ) -> StreamDivision:
     """Return the division with which to replace one, itself if it may stay.
 
-    Buckets of a version without any server move at once, since no gateway can
-    begin a stream there; other changes are announced first.
+    Buckets of a version without any server that takes new requests move at
+    once, as their streams could begin nowhere; other changes are announced
+    first.
 
     :param division: the division in force.
     :param slots: request slots of the servers that take new requests, by
