Tell which limits a server stated in the line of each attempt

What callers saw: nothing of it; operators couldn't see why a server suffered. Server-Limit and Server-Brittle are decoded in the adapter, event 8041 has them as limits. Nothing heeds them yet.

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.http_heads import CallerRequest, Fields
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.server_limits.stated import StatedLimits
 from wasabicross.gateway.server_notices import ServerNotice
 
 
@@ -90,6 +91,9 @@
     def notice(self, head: AnswerHead) -> ServerNotice:
         """Return whether the server of an answer accepts further requests."""
 
+    def limits(self, head: AnswerHead) -> StatedLimits | None:
+        """Return which load the server bears, None if that is unreadable."""
+
     def refusal_fields(
         self, request_id: str, retry_after_s: float | None
     ) -> Fields:
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -5,6 +5,7 @@
 import enum
 
 from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
 
 
 class Ending(enum.Enum):
@@ -37,6 +38,8 @@
         #: had to prefill before.
         self.first_s: float = 0
         self.unread_tokens = 0
+        #: Which load its server bears by the answer, None if unreadable.
+        self.limits: StatedLimits | None = NO_LIMITS
         #: Longest pause between two parts of a stream, seconds.
         self.longest_pause_s: float = 0
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -417,6 +417,7 @@
             ending=ending.value,
             status=record.status,
             reason=record.reason,
+            limits=record.limits,
         )
 
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -235,6 +235,7 @@
         notice = self._servers.dialect.notice(head)
         notices = self._servers.view.notices
         notices.on_notice(placement.server, notice, now_s())
+        self.record.limits = self._servers.dialect.limits(head)
 
     async def _discard_body(self, conn: ServerConnection) -> None:
         """Read and discard the body of an answer that isn't forwarded."""
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.dialect import (
@@ -18,6 +19,7 @@
     number_field,
 )
 from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.server_limits.stated import StatedLimits
 from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.platform.values import digits
 
@@ -38,6 +40,11 @@
 _RETRY_AFTER = b'retry-after'
 _SERVER_STAMP = b'server-stamp'
 _SERVER_LEAVING = b'server-leaving'
+_SERVER_LIMIT = b'server-limit'
+_SERVER_BRITTLE = b'server-brittle'
+
+#: A number of requests a second; what isn't one states nothing.
+_RATE = re.compile(rb'\d{1,12}(\.\d{0,12})?([eE]\+?\d)?')
 
 _MS_IN_S = 1000
 #: Path at which the platform asks whether a machine accepts requests.
@@ -146,6 +153,13 @@
         """
         return server_notice(head)
 
+    def limits(self, head: AnswerHead) -> StatedLimits | None:
+        """Return which load the server of an answer bears.
+
+        :param head: head of the server's answer.
+        """
+        return stated_limits(head)
+
     def refusal_fields(
         self, request_id: str, retry_after_s: float | None
     ) -> Fields:
@@ -175,6 +189,31 @@
     return ServerNotice(is_leaving, pause_s)
 
 
+def stated_limits(head: AnswerHead) -> StatedLimits | None:
+    """Return which load a server bears, None if its answer is unreadable.
+
+    :param head: head of the server's answer.
+    """
+    try:
+        return StatedLimits(
+            _lowest_rate(head.fields, _SERVER_LIMIT),
+            _lowest_rate(head.fields, _SERVER_BRITTLE),
+        )
+    except ValueError:
+        return None
+
+
+def _lowest_rate(fields: Fields, name: bytes) -> float | None:
+    """Return the lowest value of a field that may be repeated.
+
+    :raises ValueError: a value isn't a rate.
+    """
+    stated = [content.strip() for each, content in fields if each == name]
+    if not all(_RATE.fullmatch(content) for content in stated):
+        raise ValueError('not a rate')
+    return min((float(content) for content in stated), default=None)
+
+
 def _only_value(fields: Fields, name: bytes) -> str:
     """Return the value of a field, empty if it is stated with several."""
     stated = {content for each, content in fields if each == name}
