Send servers no more requests than the limit that they state

Cause: Server-Limit was decoded by nothing, and nothing bounded what all gateways together send to a server; what an answer says of further requests stayed with the gateway that read it. Class: a bound over all gateways that nobody holds. Ruled out: retries and replacements on top of a kept share, as all 90 attempts of the incident were first ones. Change: known limits by incarnation, shared by the server's owner; each send asks that owner for a grant from one token bucket; a third of the limit for four gateways that reach no owner. Withheld requests go elsewhere at once or are refused with the time until there is room. Before: both rows of the listed test failed with 40 requests where 11 are allowed.

--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -81,6 +81,8 @@
             return False
         if self._view.refuses_requests(server, now_s):
             return False
+        if now_s < self._view.notices.limiter.blocked_until_s(server):
+            return False
         key = request.adapter
         return key is None or self._view.holds_model(server, key.model, now_s)
 
@@ -115,6 +117,7 @@
             is_warm=self._is_warm(server, key),
             pending_prefill_s=pending_s,
             own_prefill_s=self._prefill_s(server, request.prompt_tokens),
+            is_limited=self._view.notices.limiter.is_limited(server),
         )
 
     def _prefill_s(self, server: BackendServer, tokens: int) -> float:
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -7,6 +7,7 @@
 import math
 import random
 
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.crash_evidence import CrashEvidence
 from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
@@ -15,6 +16,7 @@
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owner_link import OwnerLink, StoreUpdateHandler
+from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_messages import StreamsBegun
@@ -64,6 +66,13 @@
         store_updates: StoreUpdateHandler,
         crashes: CrashSharing | None = None,
     ) -> None:
+        #: Shares the limits of servers.
+        self.limits = LimitSharing(
+            view.notices.limiter,
+            lambda server, at_s: loader_service.owns(server, at_s),
+            view.servers.get,
+        )
+        view.notices.limiter.links = self
         #: Remembers which software versions began streams.
         self.streams = StreamMemory(view)
         self.streams.to_owners = self._report_streams
@@ -131,6 +140,38 @@
         link = self._links.get(host)
         return await link.load(request) if link else 0
 
+    async def request_grant(self, server: BackendServer) -> float | None:
+        """Ask the owner of a server whether a request may be sent there.
+
+        :param server: the server.
+        :return: 0 if it may, else the time until another one may, seconds; None
+            if no owner answers.
+        """
+        host = self._usage.owner_host(server.server_id)
+        if host == self._cfg.host:
+            return self.limits.wait_s(server, now_s())
+        link = self._links.get(host)
+        message = self._view.notices.limiter.known.message(server, now_s())
+        if link is None or message is None:
+            return None
+        return await link.request_grant(message)
+
+    def report_limits(self, server: BackendServer) -> None:
+        """Send what a server has stated to its owner, which tells all others.
+
+        :param server: the server.
+        """
+        host = self._usage.owner_host(server.server_id)
+        message = self._view.notices.limiter.known.message(server, now_s())
+        if message is None:
+            return
+        if host == self._cfg.host:
+            self.limits.to_linked(message)
+            return
+        link = self._links.get(host)
+        if link is not None:
+            link.report_limits(message)
+
     def _send_to_owners(self, message: CrashMessage) -> None:
         """Send a message to some owners, which send it to all gateways."""
         links = [link for link in self._links.values() if link.is_open]
@@ -188,6 +229,7 @@
                 self._view,
                 self._store_updates,
                 self._crashes,
+                self.limits,
             )
             self._links[host] = link
             self._tasks[host] = asyncio.ensure_future(link.run())
--- a/src/wasabicross/gateway/loader_service.py
+++ b/src/wasabicross/gateway/loader_service.py
@@ -58,6 +58,15 @@
         """Return the running loaders."""
         return tuple(self._loaders.values())
 
+    def owns(self, server: BackendServer, at_s: float) -> bool:
+        """Return whether this gateway has the right to order loads on a server.
+
+        :param server: the server.
+        :param at_s: the present time, monotonic seconds.
+        """
+        group = group_of(server.server_id, server.data_centre)
+        return self._owned_groups.current_term(group.name, at_s) is not None
+
     def states(self) -> tuple[ServerState, ...]:
         """Return the states of all owned engines, for other gateways."""
         return tuple(loader.state() for loader in self.loaders)
@@ -115,9 +124,7 @@
             self._start(incarnation, owned[incarnation])
 
     def _is_owned(self, server: BackendServer) -> bool:
-        group = group_of(server.server_id, server.data_centre)
-        owned = self._owned_groups.current_term(group.name, now_s()) is not None
-        return owned and self._engine(server) is not None
+        return self.owns(server, now_s()) and self._engine(server) is not None
 
     def _engine(self, server: BackendServer) -> EngineSpec | None:
         cfg = self._view.configuration
--- a/src/wasabicross/gateway/messages.py
+++ b/src/wasabicross/gateway/messages.py
@@ -13,6 +13,11 @@
     are_texts,
     simple_fields,
 )
+from wasabicross.gateway.server_limits.messages import (
+    GrantAnswer,
+    GrantWanted,
+    LimitsStated,
+)
 from wasabicross.gateway.store import StoredItem
 from wasabicross.gateway.stream_messages import (
     StreamAnswer,
@@ -263,6 +268,9 @@
     | StreamsBegun
     | StreamQuery
     | StreamAnswer
+    | LimitsStated
+    | GrantWanted
+    | GrantAnswer
 )
 
 #: The position of a type is its code on the wire, so types are only appended.
@@ -284,6 +292,9 @@
     StreamsBegun,
     StreamQuery,
     StreamAnswer,
+    LimitsStated,
+    GrantWanted,
+    GrantAnswer,
 )
 
 _DECODING_ERRORS = (
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -46,6 +46,11 @@
     'Attempts at servers by how they ended.',
     ('service', 'ending'),
 )
+WITHHELD = Counter(
+    'wasabicross_gateway_withheld',
+    'Times that a request was not sent to a server, as its limit left no room.',
+    ('service',),
+)
 REFUSALS = Counter(
     'wasabicross_gateway_refusals',
     'Requests that the gateway answered itself or cut, by reason.',
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -36,6 +36,12 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.server_limits.messages import (
+    GrantAnswer,
+    GrantWanted,
+    LimitsStated,
+)
+from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.stream_messages import (
     StreamAnswer,
     StreamQuery,
@@ -57,6 +63,9 @@
 #: A link on which nothing was received for this time is closed and reopened.
 _RECEIVE_TIMEOUT_S = 1.6
 
+#: Longest wait for the grant of a request.
+_GRANT_TIMEOUT_S = 0.15
+
 _MS_PER_S = 1000
 
 #: Errors that end a link.
@@ -87,6 +96,7 @@
     :param view: updated with the states that the owner reports.
     :param store_updates: handles the store changes that the owner relays.
     :param crashes: shares what gateways know of crashed servers.
+    :param limits: shares the limits of servers, None to share none.
     """
 
     def __init__(
@@ -97,7 +107,9 @@
         view: FleetView,
         store_updates: StoreUpdateHandler,
         crashes: CrashSharing | None = None,
+        limits: LimitSharing | None = None,
     ) -> None:
+        self._limits = limits
         self._crashes = crashes or CrashSharing(CrashEvidence())
         self._instance = instance
         self._store_updates = store_updates
@@ -114,6 +126,7 @@
         self._errors = ErrorContainment('link')
         self._calls: dict[int, asyncio.Future[int]] = {}
         self._queries: dict[int, asyncio.Future[str | None]] = {}
+        self._grants: dict[int, asyncio.Future[float | None]] = {}
         self._call_ids = itertools.count(1)
 
     @property
@@ -206,6 +219,38 @@
         finally:
             self._queries.pop(call_id)
 
+    def report_limits(self, message: LimitsStated) -> None:
+        """Send which load a server bears, unless the link is closed.
+
+        :param message: what the server stated.
+        """
+        if self._conn is not None:
+            _send(self._conn, message)
+
+    async def request_grant(self, message: LimitsStated) -> float | None:
+        """Ask whether a request may be sent to a server.
+
+        :param message: what the server stated, in case that the owner hasn't
+            heard of it.
+        :return: 0 if it may, else the time until another one may, seconds; None
+            if the owner doesn't answer.
+        """
+        if self._conn is None:
+            return None
+        call_id = next(self._call_ids)
+        fut: asyncio.Future[float | None]
+        fut = asyncio.get_running_loop().create_future()
+        self._grants[call_id] = fut
+        wanted = GrantWanted(call_id, message.server_id, message.start_ms)
+        _send(self._conn, message, wanted)
+        try:
+            async with asyncio.timeout(_GRANT_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            return None
+        finally:
+            self._grants.pop(call_id)
+
     async def _connected_socket(self) -> socket.socket:
         """Return a socket that is connected to the owner."""
         sock = socket.socket()
@@ -240,6 +285,8 @@
         crashes = self._crashes.table()
         if crashes:
             _send(conn, *crashes)
+        if self._limits is not None:
+            self._send_limits(conn, self._limits)
         self._conn = conn
         self.needs_usage = True
         self._is_end_logged = False
@@ -255,6 +302,14 @@
                 with self._errors.contain(type(message).__name__):
                     self._on_message(message)
 
+    def _send_limits(
+        self, conn: ClientConnection, limits: LimitSharing
+    ) -> None:
+        """Send the limits of all servers, as the owner may have started."""
+        stated = limits.limiter.known.table(now_s())
+        if stated:
+            _send(conn, *stated)
+
     @singledispatchmethod
     def _on_message(self, message: Message) -> None:
         """Ignore messages that an owner isn't expected to send."""
@@ -305,6 +360,18 @@
             found = message.software_version if message.is_known else None
             fut.set_result(found)
 
+    @_on_message.register
+    def _(self, message: LimitsStated) -> None:
+        if self._limits is not None:
+            self._limits.on_message(message, now_s())
+
+    @_on_message.register
+    def _(self, message: GrantAnswer) -> None:
+        fut = self._grants.get(message.call_id)
+        if fut is not None and not fut.done():
+            wait_ms = message.wait_ms
+            fut.set_result(None if wait_ms < 0 else wait_ms / _MS_PER_S)
+
     def _on_end(self) -> None:
         """Fail the waiting calls, since closing the link may take a while."""
         self._conn = None
@@ -314,6 +381,9 @@
         for query in self._queries.values():
             if not query.done():
                 query.set_result(None)
+        for grant in self._grants.values():
+            if not grant.done():
+                grant.set_result(None)
 
     def _log_end(self, reason: str) -> None:
         """Log why the link ended, once until it is open again."""
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -27,6 +27,11 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.server_limits.messages import (
+    GrantWanted,
+    LimitsStated,
+)
+from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_relay import StoreRelay
@@ -78,6 +83,7 @@
     :param copy: this gateway's copy of the store's content.
     :param crashes: shares what gateways know of crashed servers.
     :param streams: remembers which versions began streams.
+    :param limits: shares the limits of servers, None to share none.
     """
 
     def __init__(
@@ -88,7 +94,11 @@
         copy: StoreCopy,
         crashes: CrashSharing | None = None,
         streams: StreamMemory | None = None,
+        limits: LimitSharing | None = None,
     ) -> None:
+        self._limits = limits
+        if limits is not None:
+            limits.to_linked = self._send_to_all
         self._streams = streams or StreamMemory(FleetView())
         self._crashes = crashes or CrashSharing(CrashEvidence())
         self._crashes.to_linked = self._send_to_all
@@ -133,7 +143,12 @@
         self._links.add(conn)
         states = self._loader_service.states()
         crashes = self._crashes.table()
-        broadcast((conn,), encode(Hello(self._instance), *states, *crashes))
+        limits = (
+            self._limits.limiter.known.table(now_s()) if self._limits else ()
+        )
+        broadcast(
+            (conn,), encode(Hello(self._instance), *states, *crashes, *limits)
+        )
         loads: set[asyncio.Task[None]] = set()
         try:
             async for frame in conn:
@@ -180,6 +195,17 @@
             self._streams.on_begun(message)
         elif isinstance(message, StreamQuery):
             broadcast((conn,), encode(self._streams.answer(message)))
+        elif self._limits is not None:
+            self._on_limits(conn, message, self._limits)
+
+    def _on_limits(
+        self, conn: ServerConnection, message: Message, limits: LimitSharing
+    ) -> None:
+        """Handle the limits of servers, or grant a request there."""
+        if isinstance(message, LimitsStated):
+            limits.on_message(message, now_s())
+        elif isinstance(message, GrantWanted):
+            broadcast((conn,), encode(limits.answer(message, now_s())))
 
     def _on_usage(self, instance: str, update: UsageUpdate) -> None:
         if update.is_complete:
@@ -187,7 +213,7 @@
         for each in update.usage:
             self._loader_service.on_use(instance, each)
 
-    def _send_to_all(self, message: CrashMessage) -> None:
+    def _send_to_all(self, message: CrashMessage | LimitsStated) -> None:
         """Send a message to all linked gateways without waiting."""
         broadcast(self._links, encode(message))
 
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -75,6 +75,7 @@
     :param pending_prefill_s: time until it has prefilled the prompts sent to
         it, seconds.
     :param own_prefill_s: time in which it prefills the request's prompt.
+    :param is_limited: whether it takes only so many requests a second.
     """
 
     server_id: str
@@ -90,6 +91,7 @@
     is_warm: bool = False
     pending_prefill_s: float = 0
     own_prefill_s: float = 0
+    is_limited: bool = False
 
     @property
     def delay_s(self) -> float:
@@ -224,7 +226,7 @@
     holders = [each for each in usable if each.held_version >= version]
     available = _available_holders(holders, load_target)
     if available:
-        may_prefetch = (
+        may_prefetch = all(each.is_limited for each in available) or (
             draws.prefetch < _PREFETCH_PROBABILITY and _are_nearly_full(holders)
         )
         replica_on = (
@@ -323,15 +325,17 @@
     servers without headroom, which would soon be full, and servers where the
     request would meet or cause longer delays. First of all are servers that
     held the adapter recently. Among equal servers the rendezvous hash
-    decides, so the order is stable for each adapter.
+    decides, so the order is stable for each adapter. Servers that take only so
+    many requests a second load nothing while others do.
     """
     loaders = [
         each
         for each in candidates
         if each.takes_loads and not each.is_full and each.held_version < version
     ]
+    unlimited = [each for each in loaders if not each.is_limited]
     return max(
-        loaders,
+        unlimited or loaders,
         key=lambda each: (
             not each.held_version,
             min(1, each.spare_slots),
--- a/src/wasabicross/gateway/probing.py
+++ b/src/wasabicross/gateway/probing.py
@@ -54,6 +54,9 @@
             await self._probe(server)
 
     async def _probe(self, server: BackendServer) -> None:
+        if not await self._view.notices.limiter.acquire(server, now_s):
+            self._probes.pop(server.server_id, None)
+            return
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
         path = service.health_path if service else '/'
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -95,6 +95,9 @@
         self._platform = platform
         self._output = output
         self.view = FleetView(platform.notices)
+        self.view.notices.limiter.set_gateways(
+            cfg.instance, self.view.instances
+        )
         self.is_stopping = False
         self._connections: set[CallerConnection] = set()
         self._relay = StoreRelay()
@@ -211,6 +214,7 @@
             self._follower.copy,
             self.crashes,
             self._links.streams,
+            self._links.limits,
         )
         prober = Prober(self.view, self._platform.engines)
         yield from (
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -6,6 +6,7 @@
 import random
 from typing import NamedTuple
 
+from wasabicross.gateway import metrics
 from wasabicross.gateway.adapter_wait import AdapterWait
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.candidates import Candidates, PlacementRequest
@@ -13,6 +14,8 @@
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
+    Candidate,
+    Choice,
     LoadOn,
     NoServer,
     RandomDraws,
@@ -97,37 +100,56 @@
         :param request: what the request needs.
         """
         started_s = now_s()
+        until_s = started_s + request.max_wait_s
         failed_loads: set[str] = set()
         while len(failed_loads) < _MAX_LOADS:
             version = self._version(request.adapter)
             candidates = self._candidates.find(request, failed_loads, now_s())
-            adapter = request.adapter.adapter if request.adapter else ''
-            choice = choose_server(
-                adapter,
-                version,
-                candidates,
-                RandomDraws(random.random(), random.random()),
+            choice = _choose(
+                request, version, candidates, is_late=now_s() >= until_s
             )
             if isinstance(choice, NoServer):
                 if not self._should_retry(choice, request, started_s):
                     return self._with_retry_time(choice, request, failed_loads)
                 await asyncio.sleep(_RETRY_PAUSE_S)
                 continue
-            if isinstance(choice, SendTo):
-                self._prefetch_replica(choice, request, version)
-                return self._placement(
-                    choice.server_id, request, started_s, len(candidates)
-                )
-            until_s = started_s + request.max_wait_s
-            if now_s() >= until_s:
-                return NoServer('no adapter in time')
-            if await self._load_for(choice, request, version, until_s):
+            if await self._is_withheld(choice.server_id, request):
+                continue
+            if await self._is_prepared(choice, request, version, until_s):
                 return self._placement(
                     choice.server_id, request, started_s, len(candidates)
                 )
             failed_loads.add(choice.server_id)
         return NoServer('loads failed')
 
+    async def _is_prepared(
+        self,
+        choice: SendTo | LoadOn,
+        request: PlacementRequest,
+        version: int,
+        until_s: float,
+    ) -> bool:
+        """Return whether a server holds the adapter, have it loaded if not."""
+        if isinstance(choice, LoadOn):
+            return await self._load_for(choice, request, version, until_s)
+        self._prefetch_replica(choice, request, version)
+        return True
+
+    async def _is_withheld(
+        self, server_id: str, request: PlacementRequest
+    ) -> bool:
+        """Return whether the server's limit leaves no room for a request now.
+
+        Such a server isn't a candidate for a while.
+        """
+        server = self._view.servers.get(server_id)
+        if server is None:
+            return False
+        if await self._view.notices.limiter.acquire(server, now_s):
+            return False
+        metrics.WITHHELD.labels(request.service).inc()
+        return True
+
     async def _load_for(
         self,
         choice: LoadOn,
@@ -260,8 +282,12 @@
         """
         if failed_loads and choice.lacks_loader:
             choice = NoServer('no adapter in time')
-        pause_s = self._pause_s(request.service, now_s())
-        return choice._replace(retry_after_s=pause_s)
+        at_s = now_s()
+        pause_s = self._pause_s(request.service, at_s)
+        limit_s = self._limit_wait_s(request.service, at_s)
+        if limit_s > pause_s:
+            choice = NoServer('server limits')
+        return choice._replace(retry_after_s=max(pause_s, limit_s))
 
     def _target_wait_s(
         self, server_id: str, request: PlacementRequest, remaining_s: float
@@ -276,16 +302,50 @@
         return request.target_wait_s - waited_s - prefill_s
 
     def _pause_s(self, service: str, at_s: float) -> float:
-        """Return how long all servers of a service still refuse requests.
-
-        Servers that leave don't count.
-        """
+        """Return how long all servers of a service still refuse requests."""
         notices = self._view.notices
         pauses_s = [
             notices.paused_until_s(server) - at_s
+            for server in self._staying_servers(service)
+        ]
+        return max(0, min(pauses_s, default=0))
+
+    def _limit_wait_s(self, service: str, at_s: float) -> float:
+        """Return how long the limits of a service's servers leave no room."""
+        waits_s = [
+            self._view.notices.limiter.blocked_until_s(server) - at_s
+            for server in self._staying_servers(service)
+        ]
+        return max(0, min(waits_s, default=0))
+
+    def _staying_servers(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that don't leave."""
+        return [
+            server
             for server in self._view.servers.values()
             if server.service == service
             and not server.is_leaving
-            and not notices.is_leaving(server)
+            and not self._view.notices.is_leaving(server)
         ]
-        return max(0, min(pauses_s, default=0))
+
+
+def _choose(
+    request: PlacementRequest,
+    version: int,
+    candidates: list[Candidate],
+    *,
+    is_late: bool,
+) -> Choice:
+    """Choose a server at random among those that suit a request.
+
+    :param is_late: whether the request no longer waits for a load.
+    """
+    choice = choose_server(
+        request.adapter.adapter if request.adapter else '',
+        version,
+        candidates,
+        RandomDraws(random.random(), random.random()),
+    )
+    if is_late and isinstance(choice, LoadOn):
+        return NoServer('no adapter in time')
+    return choice
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -196,7 +196,7 @@
             head = await conn.read_head(req)
         self.record.first_s = now_s() - prefill.sent_s
         self.record.status = head.status
-        self._record_notice(placement, head)
+        self._record_notice(placement, head, prefill.sent_s)
         kind = self._servers.dialect.classify(head)
         if kind in {AnswerKind.not_run, AnswerKind.not_held}:
             progress.may_run = may_have_run
@@ -230,12 +230,17 @@
             view.prefill_rate, placement.server.service, unread, at_s
         )
 
-    def _record_notice(self, placement: Placement, head: AnswerHead) -> None:
-        """Record whether the server refuses further requests."""
+    def _record_notice(
+        self, placement: Placement, head: AnswerHead, sent_s: float
+    ) -> None:
+        """Record whether the server refuses or limits further requests."""
         notice = self._servers.dialect.notice(head)
         notices = self._servers.view.notices
         notices.on_notice(placement.server, notice, now_s())
-        self.record.limits = self._servers.dialect.limits(head)
+        limits = self.record.limits = self._servers.dialect.limits(head)
+        self._servers.view.notices.limiter.on_answer(
+            placement.server, limits, sent_s, now_s()
+        )
 
     async def _discard_body(self, conn: ServerConnection) -> None:
         """Read and discard the body of an answer that isn't forwarded."""
--- a/src/wasabicross/gateway/server_notices.py
+++ b/src/wasabicross/gateway/server_notices.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, TypeVar
 
 from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.server_limits.request_limiter import RequestLimiter
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
@@ -50,6 +51,8 @@
 
     def __init__(self) -> None:
         self._leaving: dict[_Incarnation, None] = {}
+        #: Keeps requests within the limits that servers state.
+        self.limiter = RequestLimiter()
         self._paused_until_s: dict[_Incarnation, float] = {}
 
     def on_notice(
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -70,6 +70,7 @@
     PROBE_FAILED = EventKind(8027, 'INFO')
     SERVER_LEAVING = EventKind(8028, 'INFO')
     SERVER_PAUSED = EventKind(8029, 'WARNING')
+    SERVER_LIMITS_CHANGED = EventKind(8030, 'WARNING')
     LINK_OPEN = EventKind(8031, 'INFO')
     LINK_ENDED = EventKind(8032, 'WARNING')
     ITEM_FAILED = EventKind(8033, 'ERROR')
