Probe servers on new connections, as requests need those

Class: a check that doesn't use the path that it vouches for. Change: a probe of an excluded server makes a connection of its own. Before: the new test, (True, True) where (True, False) is asked. After: passes. Conclusion: mends the return alone; that such a gateway serves nobody is next.

--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -75,12 +75,17 @@
     async def is_healthy(self, server: BackendServer, path: str) -> bool:
         """Return whether the health check of a server succeeds.
 
+        It is sent on a new connection, since a server may answer on kept ones
+        while it can't be connected to.
+
         :param server: any backend server.
         :param path: path of the health check.
         """
         req = _request(server, b'GET', path.encode(), b'')
         try:
-            status, _ = await self._call(server, req, _REPORT_TIMEOUT_S)
+            status, _ = await self._call(
+                server, req, _REPORT_TIMEOUT_S, is_new=True
+            )
         except ServerError as exc:
             reason = str(exc)
         else:
@@ -92,20 +97,27 @@
         return not reason
 
     async def _call(
-        self, server: BackendServer, req: ServerRequest, timeout_s: float
+        self,
+        server: BackendServer,
+        req: ServerRequest,
+        timeout_s: float,
+        *,
+        is_new: bool = False,
     ) -> tuple[int, bytes]:
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(server, req)
+                return await self._exchange(server, req, is_new=is_new)
         except TimeoutError as exc:
             raise AnswerMissing(
                 f'{req.target!r}: no answer within {timeout_s} s'
             ) from exc
 
     async def _exchange(
-        self, server: BackendServer, req: ServerRequest
+        self, server: BackendServer, req: ServerRequest, *, is_new: bool
     ) -> tuple[int, bytes]:
-        conn = await self._pool.acquire(server.host, server.port, once=False)
+        conn = await self._pool.acquire(
+            server.host, server.port, once=False, is_repeat=is_new
+        )
         try:
             conn.send(req)
             head = await conn.read_head(req)
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -35,11 +35,16 @@
         self._scripts = list(scripts)
         self.seen = []
         self.gone = asyncio.Event()
+        self._listener = None
 
     async def start(self):
         """Listen; return the port."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        return server.sockets[0].getsockname()[1]
+        self._listener = await asyncio.start_server(self._serve, HOST, 0)
+        return self._listener.sockets[0].getsockname()[1]
+
+    def refuse_connections(self):
+        """Refuse new connections; open ones go on."""
+        self._listener.close()
 
     async def _serve(self, reader, writer):
         try:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -296,3 +296,22 @@
         lambda client, server: client.is_healthy(server, '/health'), ['reset']
     )
     assert got is False
+
+
+def test_server_that_only_kept_connections_reach_is_not_back():
+    async def scenario():
+        server = ScriptedServer(json_answer({}))
+        port = await server.start()
+        entry = BackendServer(
+            'i-1', 'llm', HOST, port, 'dc', 4, False, {}, frozenset(), 0
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        client = PlatformEngineClient(pool, ServerNotices())
+        try:
+            before = await client.is_healthy(entry, '/health')
+            server.refuse_connections()
+            return before, await client.is_healthy(entry, '/health')
+        finally:
+            pool.drop_idle(HOST, port)
+
+    assert asyncio.run(scenario()) == (True, False)
