Forward requests to another gateway where this one reaches no server

Cause: a gateway had no way to a server but its own connections; placement ended with 'no server in reach' and nothing else was tried. Class: a single path where there are several. Change: package peer_forwarding; one forward, to a port of gateways' own, with the request as the caller sent it and the time that is left; the answer goes on as it comes. Before: no such test could pass, as nothing listened; after: 17 rows (outcomes, attempts counted together, streams, long bodies, a caller that leaves, peers that are cut off, stop, or are of older code).

--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -7,12 +7,14 @@
 from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.peer_forwarding.peer_forwarder import PeerForwarder
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
     RequestHandler,
 )
 from wasabicross.gateway.retry_delays import RetryDelaysByService
 from wasabicross.gateway.retrying_placer import RetryingPlacer
+from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.servers.retries import RetryBudget
 
@@ -32,6 +34,7 @@
     @classmethod
     def from_parts(
         cls,
+        cfg: GatewaySettings,
         servers: ServerAccess,
         placer: RetryingPlacer,
         usage: UsageTracker,
@@ -39,15 +42,24 @@
     ) -> CallerService:
         """Return a service of its own retry delays.
 
+        :param cfg: settings of this gateway.
         :param servers: what all attempts at servers share.
         :param placer: chooses the servers of requests.
         :param usage: counts the requests at servers.
         :param budget_for: returns the retry budget of a service.
         """
         delays = RetryDelaysByService()
+        forwarder = PeerForwarder.from_config(
+            cfg, servers.view, servers.pool, servers.dialect
+        )
         return cls(
             HandlerDependencies(
-                servers, placer, usage, budget_for, delays.for_service
+                servers,
+                placer,
+                usage,
+                budget_for,
+                delays.for_service,
+                forwarder,
             )
         )
 
@@ -72,7 +84,21 @@
         :param req: the request.
         :param answer: writes its answer.
         """
-        handler = RequestHandler(self._deps, req, answer)
+        await self._serve(RequestHandler(self._deps, req, answer))
+
+    async def serve_forwarded(
+        self, req: CallerRequest, answer: AnswerWriter
+    ) -> None:
+        """Answer one request that another gateway has forwarded.
+
+        :param req: the request.
+        :param answer: writes its answer.
+        """
+        await self._serve(
+            RequestHandler(self._deps, req, answer, is_forwarded=True)
+        )
+
+    async def _serve(self, handler: RequestHandler) -> None:
         if self.refuses_all:
             await handler.refuse_at_stop()
             return
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -85,6 +85,11 @@
     ) -> ServerRequest:
         """Return the request in the form in which a server receives it."""
 
+    def forwarded_request(
+        self, req: CallerRequest, time_left_s: float
+    ) -> ServerRequest:
+        """Return the request in the form in which another gateway gets it."""
+
     def classify(self, head: AnswerHead) -> AnswerKind:
         """Return what a server's answer means for the request."""
 
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -46,6 +46,11 @@
     'Attempts at servers by how they ended.',
     ('service', 'ending'),
 )
+FORWARDED = Counter(
+    'wasabicross_gateway_forwarded',
+    'Attempts at other gateways for requests without a server in reach.',
+    ('service', 'ending'),
+)
 WITHHELD = Counter(
     'wasabicross_gateway_withheld',
     'Times that a request was not sent to a server, as its limit left no room.',
--- /dev/null
+++ b/src/wasabicross/gateway/peer_forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests to other gateways where this one reaches no server."""
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -56,6 +56,10 @@
 _REMOTE_COST = 0.05
 
 
+#: Why a request has no server that could be connected to.
+NO_SERVER_IN_REACH = 'no server in reach'
+
+
 class Candidate(NamedTuple):
     """A server that could run a request.
 
@@ -218,7 +222,7 @@
         return NoServer('no server')
     reachable = [each for each in candidates if each.is_reachable]
     if not reachable:
-        return NoServer('no server in reach')
+        return NoServer(NO_SERVER_IN_REACH)
     usable = healthy_or_all(reachable)
     if not adapter:
         return SendTo(_cheapest(usable).server_id)
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -75,6 +75,20 @@
     read_settings: Callable[[], GatewaySettings]
 
 
+class _Listeners(NamedTuple):
+    """The servers of this process that accept connections.
+
+    :param callers: accepts those of callers.
+    :param ready: accepts those of the platform.
+    :param gateways: accepts those with forwarded requests, None without a port
+        for them.
+    """
+
+    callers: asyncio.Server
+    ready: asyncio.Server
+    gateways: asyncio.Server | None
+
+
 class Gateway:
     """One gateway process.
 
@@ -138,6 +152,7 @@
             cfg.retry_ratio, cfg.retry_slack, self.view
         )
         self._caller_service = CallerService.from_parts(
+            cfg,
             servers,
             placer,
             self._usage,
@@ -177,14 +192,13 @@
             instance=self._cfg.instance,
         )
         tasks = [self._start(part) for part in self._parts()]
-        callers = await self._listen(
-            self._cfg.callers, self._caller_service.serve
-        )
-        ready = await self._listen(self._cfg.ready, self._serve_platform)
+        listeners = await self._listen_all()
         await self._stop.wait()
         log_event(Event.PROGRAM_STOPPING)
-        await self._draining.run(callers)
-        ready.close()
+        if listeners.gateways is not None:
+            listeners.gateways.close()
+        await self._draining.run(listeners.callers)
+        listeners.ready.close()
         await self._end(tasks)
 
     async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
@@ -243,6 +257,24 @@
         self._output.flush()
         self.begin_stop()
 
+    async def _listen_all(self) -> _Listeners:
+        """Listen for callers, the platform and other gateways."""
+        return _Listeners(
+            await self._listen(self._cfg.callers, self._caller_service.serve),
+            await self._listen(self._cfg.ready, self._serve_platform),
+            await self._listen_to_gateways(),
+        )
+
+    async def _listen_to_gateways(self) -> asyncio.Server | None:
+        """Listen for requests that other gateways forward."""
+        cfg = self._cfg
+        if not cfg.forwarding_port:
+            return None
+        return await self._listen(
+            Address(cfg.host, cfg.forwarding_port),
+            self._caller_service.serve_forwarded,
+        )
+
     async def _listen(
         self,
         address: Address,
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -63,6 +63,8 @@
         #: Why the latest answer is missing or incomplete.
         self.reason = ''
         self.excluded: set[str] = set()
+        #: Whether a server could not be reached.
+        self.was_unreached = False
         #: Servers that were silent, so others were asked.
         self.silent: set[str] = set()
         #: Servers that stated that they haven't run the request.
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -23,7 +23,17 @@
     CallerGone,
 )
 from wasabicross.gateway.http_heads import CallerRequest
-from wasabicross.gateway.placement import NoServer
+from wasabicross.gateway.peer_forwarding.peer_attempt import (
+    NOT_TAKEN,
+    PeerEnding,
+)
+from wasabicross.gateway.peer_forwarding.peer_forwarder import (
+    DECLINING_REASONS,
+    ForwardableRequest,
+    PeerForwarder,
+)
+from wasabicross.gateway.peer_forwarding.reach import are_mostly_unreached
+from wasabicross.gateway.placement import NO_SERVER_IN_REACH, NoServer
 from wasabicross.gateway.progress import (
     AttemptRecord,
     Ending,
@@ -78,6 +88,7 @@
     usage: UsageTracker
     budget_for: Callable[[str], RetryBudget]
     retry_delays_for: Callable[[str], RetryDelays]
+    forwarder: PeerForwarder
 
 
 class RequestHandler:
@@ -86,6 +97,7 @@
     :param dependencies: what all request handlers share.
     :param req: the request.
     :param answer: writes its answer.
+    :param is_forwarded: whether another gateway has forwarded it.
     """
 
     def __init__(
@@ -93,9 +105,12 @@
         dependencies: HandlerDependencies,
         req: CallerRequest,
         answer: AnswerWriter,
+        *,
+        is_forwarded: bool = False,
     ) -> None:
         self._deps = dependencies
         self._req = req
+        self._is_forwarded = is_forwarded
         self._answer = answer
         self._info: RequestInfo = dependencies.servers.dialect.parse_request(
             req
@@ -109,6 +124,7 @@
         self._outcome = 'cancelled'
         self._caller_max_wait_s: float = self._info.time_left_s or 0
         self._time_limit = EndableTimeLimit()
+        self._deadline_at_s: float = 0
         self._may_send_first = True
 
     async def serve(self) -> None:
@@ -151,6 +167,7 @@
             return
         deadline_s = self._deadline_s(route)
         try:
+            self._deadline_at_s = deadline_s
             async with self._time_limit.after(max(0, deadline_s - now_s())):
                 await self._run(route, deadline_s)
         except TimeoutError:
@@ -177,24 +194,74 @@
         self._stream = placements.stream
         self._waited_before_s = placements.waited_before_s
         self._labels = (service, metrics.request_class(route))
-        budget.add_request()
+        if not self._is_forwarded:
+            budget.add_request()
         while True:
             placement = await self._next_placement(placements)
             if isinstance(placement, NoServer):
-                await self._end_without_answer(
-                    placement.reason, placement.retry_after_s
-                )
+                await self._end_without_server(placement)
                 return
             context = self._context(route, placement, deadline_s, placements)
             ending = await self._attempt(placement, context)
-            if ending is Ending.done:
-                return
-            if not self._may_retry(route, ending, budget):
-                await self._end_without_answer(ending.value)
+            if await self._is_over(route, ending, budget):
                 return
             if ending is Ending.not_run:
                 await asyncio.sleep(_NOT_RUN_PAUSE_S)
 
+    async def _is_over(
+        self, route: Route, ending: Ending, budget: RetryBudget
+    ) -> bool:
+        """Return whether the caller has its answer after an attempt."""
+        if ending is Ending.done:
+            return True
+        if ending is Ending.not_sent and are_mostly_unreached(
+            self._deps.servers.view, self._labels[0]
+        ):
+            if await self._is_served_elsewhere(NO_SERVER_IN_REACH):
+                return True
+        if self._may_retry(route, ending, budget):
+            return False
+        await self._end_without_answer(ending.value)
+        return True
+
+    async def _end_without_server(self, cause: NoServer) -> None:
+        """Have another gateway serve the request, or end it."""
+        if not await self._is_served_elsewhere(cause.reason):
+            await self._end_without_answer(cause.reason, cause.retry_after_s)
+
+    async def _is_served_elsewhere(self, reason: str) -> bool:
+        """Return whether another gateway has answered the request.
+
+        It is asked if this one reaches no server and none has the request.
+
+        :param reason: why this gateway doesn't serve it.
+        """
+        progress = self._progress
+        if self._is_forwarded or not self._is_unreached(reason):
+            return False
+        if progress.may_run or progress.runs or self._answer.has_started:
+            return False
+        progress.may_run = True
+        ending = await self._deps.forwarder.forward(
+            ForwardableRequest(
+                self._req,
+                self._info.request_id,
+                self._labels[0],
+                self._deadline_at_s,
+            ),
+            self._answer,
+        )
+        progress.may_run = ending is PeerEnding.unknown
+        if ending is PeerEnding.answered:
+            self._outcome = 'forwarded'
+        return ending is PeerEnding.answered
+
+    def _is_unreached(self, reason: str) -> bool:
+        """Return whether this gateway lacks servers that others may reach."""
+        if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
+            return True
+        return are_mostly_unreached(self._deps.servers.view, self._labels[0])
+
     async def _next_placement(
         self, placements: RequestPlacement
     ) -> Placement | NoServer:
@@ -348,6 +415,9 @@
         fields = self._deps.servers.dialect.refusal_fields(
             self._info.request_id, retry_after_s
         )
+        if self._is_forwarded and reason in DECLINING_REASONS:
+            if not self._progress.may_run:
+                fields.append((NOT_TAKEN, reason.encode()))
         await self._answer.send_complete(status, fields)
 
     def _record_end(self) -> None:
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -103,6 +103,7 @@
                 self.record.reason = str(exc)
                 health.on_unreachable(now_s())
                 self._progress.excluded.add(server.server_id)
+                self._progress.was_unreached = True
                 return Ending.not_sent
             if self._watched.is_called_off:
                 self._servers.pool.release(server.host, server.port, conn)
--- a/src/wasabicross/gateway/settings.py
+++ b/src/wasabicross/gateway/settings.py
@@ -32,6 +32,8 @@
     :param seeds: IP addresses of some other machines, which may be down.
     :param cores: processor time available to the process, in cores.
     :param link_mbps: capacity of the machine's network link, in Mbit/s.
+    :param forwarding_port: port for requests that other gateways forward, the
+        same on all machines, 0 for none.
     """
 
     instance: str
@@ -49,3 +51,4 @@
     seeds: tuple[str, ...]
     cores: float
     link_mbps: float
+    forwarding_port: int = 0
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -80,6 +80,9 @@
 )
 
 
+#: Fields that a gateway replaces where it forwards a request to another one.
+_REPLACED = frozenset((_TIME_LEFT_MS, b'content-length'))
+
 #: Fields that describe a request and are always forwarded, also when the
 #: caller lists them in `Connection`.
 _FORWARDED = frozenset(
@@ -127,9 +130,19 @@
         """
         fields = forwarded_fields(req.fields, _RESERVED, _FORWARDED)
         fields.extend(_gateway_fields(options))
-        if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
-            fields.append((b'content-length', str(len(req.body)).encode()))
-        return ServerRequest(req.method, req.target, fields, req.body)
+        return _with_length(req, fields)
+
+    def forwarded_request(
+        self, req: CallerRequest, time_left_s: float
+    ) -> ServerRequest:
+        """Return the request in the form in which another gateway gets it.
+
+        :param req: the request as the caller sent it.
+        :param time_left_s: how long the other gateway may take, seconds.
+        """
+        fields = forwarded_fields(req.fields, _REPLACED, _FORWARDED)
+        fields.append((_TIME_LEFT_MS, _milliseconds(time_left_s)))
+        return _with_length(req, fields)
 
     def classify(self, head: AnswerHead) -> AnswerKind:
         """Return how the server has treated the request.
@@ -177,6 +190,16 @@
         return fields
 
 
+def _with_length(req: CallerRequest, fields: Fields) -> ServerRequest:
+    if req.body or req.method not in {b'GET', b'HEAD', b'DELETE'}:
+        fields.append((b'content-length', str(len(req.body)).encode()))
+    return ServerRequest(req.method, req.target, fields, req.body)
+
+
+def _milliseconds(time_s: float) -> bytes:
+    return str(max(1, int(time_s * _MS_IN_S))).encode()
+
+
 def server_notice(head: AnswerHead) -> ServerNotice:
     """Return what an answer says about further requests to its server.
 
@@ -272,10 +295,9 @@
 
 
 def _gateway_fields(options: ForwardingOptions) -> Fields:
-    time_left_ms = max(1, int(options.time_left_s * _MS_IN_S))
     fields = [
         (_EXPECT_INSTANCE, options.server_id.encode()),
-        (_TIME_LEFT_MS, str(time_left_ms).encode()),
+        (_TIME_LEFT_MS, _milliseconds(options.time_left_s)),
         (_REQUEST_PRIORITY, str(min(9, options.priority)).encode()),
     ]
     if options.version:
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -80,6 +80,7 @@
     REQUEST_UNANSWERED = EventKind(8044, 'WARNING')
     UNANSWERED_OMITTED = EventKind(8045, 'WARNING')
     STREAM_TAKEN_UP = EventKind(8046, 'INFO')
+    REQUEST_FORWARDED = EventKind(8047, 'INFO')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -265,6 +265,15 @@
         )
     callers, ready, peers = free_ports(3)
     settings = settings_at(callers, ready, peers)._replace(grace_s=grace_s)
+    async with gateway_at(
+        settings, changes, pool, engines, read_settings
+    ) as bench:
+        yield bench
+
+
+@contextlib.asynccontextmanager
+async def gateway_at(settings, changes, pool, engines=None, read_settings=None):
+    """Run a gateway with settings and the content of its store."""
     store = FakeStore(changes)
     interfaces = PlatformInterfaces(
         store,
@@ -278,9 +287,16 @@
     with open(os.devnull, 'wb') as null_device:
         gateway = Gateway(settings, interfaces, LogOutput(null_device.fileno()))
         task = asyncio.ensure_future(gateway.run())
-        await _until_ready(gateway, callers, bool(cfg))
+        has_cfg = any(isinstance(each, ConfigurationUpdate) for each in changes)
+        await _until_ready(gateway, settings.callers, has_cfg)
         try:
-            yield Bench(gateway, callers, ready, task, store)
+            yield Bench(
+                gateway,
+                settings.callers.port,
+                settings.ready.port,
+                task,
+                store,
+            )
         finally:
             task.cancel()
             await asyncio.wait((task,))
@@ -289,11 +305,11 @@
                     pool.drop_idle(HOST, change.server.port)
 
 
-async def _until_ready(gateway, port, has_cfg):
+async def _until_ready(gateway, address, has_cfg):
     async with asyncio.timeout(5):
         while True:
             with contextlib.suppress(OSError):
-                _, writer = await asyncio.open_connection(HOST, port)
+                _, writer = await asyncio.open_connection(*address)
                 writer.close()
                 if gateway.is_ready or not has_cfg:
                     return
--- /dev/null
+++ b/tests/test_gateway_peer_forwarding.py
@@ -0,0 +1,257 @@
+"""A gateway that reaches no server has other gateways serve its callers."""
+
+import asyncio
+import contextlib
+import time
+from typing import NamedTuple
+
+import pytest
+from gateway_parts import (
+    CONFIGURATION,
+    FakeEngines,
+    gateway_at,
+    server_entry,
+    settings_at,
+)
+from raw_caller import ask, body_of, request, status_of
+from scripted_server import (
+    FAILED,
+    HOST,
+    NOT_RUN,
+    STREAM_END,
+    STREAM_HEAD,
+    ScriptedServer,
+    answer,
+    chunk,
+    events,
+)
+
+from emulator.waiting import free_ports
+from wasabicross.gateway.changes import ConfigurationUpdate, InstanceEntry
+from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.settings import Address
+from wasabicross.platform.headers import REQUEST_ID
+
+OK = answer(b'the answer')
+STREAM = [STREAM_HEAD, chunk(events(1, 3)), STREAM_END]
+
+#: Address of the gateway that callers ask, and of the others.
+ASKED = HOST
+PEERS = ('127.0.0.2', '127.0.0.3')
+
+#: Address at which no server listens.
+CLOSED_PORT = 1
+
+
+class UnhealthyEngines(FakeEngines):
+    """Fail every health probe."""
+
+    async def is_healthy(self, server, path):
+        """Report every server as failing."""
+        return False
+
+
+class Site(NamedTuple):
+    """A gateway to ask, its peers and the servers that peers reach."""
+
+    port: int
+    asked: object
+    peers: list
+
+
+def entries(hosts):
+    """Return the registrations of gateways."""
+    return [
+        InstanceEntry(f'front-{number}', host, 'dc')
+        for number, host in enumerate(hosts)
+    ]
+
+
+def contents(servers, hosts):
+    """Return what the store holds for a gateway that reaches these ports."""
+    return [
+        ConfigurationUpdate(CONFIGURATION),
+        *(
+            server_entry(f'{service}-{number}', service, port)
+            for service in ('desk', 'llm')
+            for number, port in enumerate(servers)
+        ),
+        *entries(hosts),
+    ]
+
+
+@contextlib.asynccontextmanager
+async def running_site(servers, reaching=(True, False), listening=None):
+    """Run a gateway that reaches no server, and peers.
+
+    :param reaching: whether each peer reaches the servers.
+    :param listening: hosts of the peers that run, all of them for None.
+    """
+    ports = [await each.start() for each in servers]
+    pools = []
+    hosts = (ASKED, *PEERS[: len(reaching)])
+    cut = [CLOSED_PORT] * len(ports)
+    callers, ready, peer_port, forwarding = free_ports(4)
+    async with contextlib.AsyncExitStack() as stack:
+        running = []
+        for number, host in enumerate(hosts):
+            if number and listening is not None and host not in listening:
+                continue
+            reaches = number > 0 and reaching[number - 1]
+            settings = settings_at(callers, ready, peer_port)._replace(
+                instance=f'front-{number}',
+                host=host,
+                callers=Address(host, callers),
+                ready=Address(host, ready),
+                forwarding_port=forwarding,
+            )
+            pools.append(ConnectionPool(REQUEST_ID))
+            bench = await stack.enter_async_context(
+                gateway_at(
+                    settings,
+                    contents(ports if reaches else cut, hosts),
+                    pools[-1],
+                    UnhealthyEngines(),
+                )
+            )
+            running.append(bench)
+        try:
+            yield Site(callers, running[0], running[1:])
+        finally:
+            for pool in pools:
+                for host in hosts:
+                    pool.drop_idle(host, forwarding)
+                for port in ports:
+                    pool.drop_idle(HOST, port)
+
+
+def run_site(scripts, *sent, **fields):
+    """Send requests to the cut gateway; return answers, servers and time."""
+
+    async def scenario():
+        servers = [ScriptedServer(each) for each in scripts]
+        async with running_site(servers, **fields) as site:
+            answers = []
+            started_s = time.monotonic()
+            for each in sent:
+                answers.append(await ask(site.port, each))
+            took_s = time.monotonic() - started_s
+        return answers, servers, took_s
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
+def test_gateway_without_servers_has_a_peer_serve(path):
+    answers, (server,), _ = run_site([[OK]], *[request(path, b'x')] * 5)
+    assert [status_of(each) for each in answers] == [200] * 5
+    assert {body_of(each) for each in answers} == {b'the answer'}
+    assert len(server.seen) == 5
+
+
+def test_stream_comes_whole_through_a_peer():
+    answers, (server,), _ = run_site(
+        [STREAM], request('/stream-resumable/x', b'x', Model='m0/a1')
+    )
+    assert status_of(answers[0]) == 200
+    assert answers[0].count(b'data: ') == 3
+    assert len(server.seen) == 1
+
+
+def test_request_is_the_same_at_the_server():
+    sent = request(
+        '/unsafe/x', b'y' * 50000, **{'Time-Left-Ms': '700', 'Resumes': 'abc'}
+    )
+    _, (server,), _ = run_site([[OK]], sent)
+    received = server.seen[0]
+    assert received.body == b'y' * 50000
+    assert received.fields['resumes'] == 'abc'
+    assert 0 < int(received.fields['time-left-ms']) <= 700
+    assert f'Request-Id: {received.fields["request-id"]}'.encode() in sent
+
+
+def test_refusal_of_a_peer_is_the_answer():
+    answers, (server,), _ = run_site([[NOT_RUN]], request('/unsafe/x', b'x'))
+    assert status_of(answers[0]) == 503
+    assert b'retry-after' in answers[0].lower()
+    assert b'not-taken' not in answers[0].lower()
+
+
+@pytest.mark.parametrize(('path', 'most'), [('/safe/x', 2), ('/unsafe/x', 1)])
+def test_attempts_at_both_gateways_count_together(path, most):
+    answers, servers, _ = run_site(
+        [[FAILED], [FAILED], [FAILED]], request(path, b'x')
+    )
+    assert status_of(answers[0]) in {500, 502}
+    assert sum(len(each.seen) for each in servers) <= most
+
+
+@pytest.mark.parametrize('script', [['reset'], ['close']])
+def test_outcome_at_a_peer_is_told_truly(script):
+    answers, (server,), _ = run_site([script], request('/unsafe/x', b'x'))
+    assert status_of(answers[0]) == 502
+    assert len(server.seen) == 1
+
+
+@pytest.mark.parametrize('reaching', [(), (False,), (False, False)])
+def test_where_nobody_reaches_servers_callers_are_refused_at_once(reaching):
+    answers, _, took_s = run_site(
+        [[OK]], *[request('/unsafe/x', b'x')] * 4, reaching=reaching
+    )
+    assert {status_of(each) for each in answers} == {503}
+    assert took_s < 2
+    assert b'retry-after' in answers[-1].lower()
+
+
+@pytest.mark.parametrize(
+    ('reaching', 'listening'),
+    [
+        ((False, True), None),
+        ((True, True), PEERS[1:]),
+        # A gateway of an older version listens on no such port.
+        ((True, True), PEERS[:1]),
+    ],
+)
+def test_next_peer_is_asked_after_one_that_takes_nothing(reaching, listening):
+    answers, (server,), _ = run_site(
+        [[OK]],
+        *[request('/unsafe/x', b'x')] * 4,
+        reaching=reaching,
+        listening=listening,
+    )
+    assert [status_of(each) for each in answers] == [200] * 4
+    assert len(server.seen) == 4
+
+
+def test_caller_that_leaves_ends_the_request_at_the_server():
+    async def scenario():
+        server = ScriptedServer([5.0, OK])
+        async with running_site([server]) as site:
+            reader, writer = await asyncio.open_connection(ASKED, site.port)
+            writer.write(request('/stream-resumable/x', b'x', Model='m0/a1'))
+            async with asyncio.timeout(3):
+                while not server.seen:
+                    await asyncio.sleep(0.01)
+            writer.transport.abort()
+            async with asyncio.timeout(0.5):
+                await server.gone.wait()
+
+    asyncio.run(scenario())
+
+
+def test_stopping_peer_leaves_requests_to_others():
+    async def scenario():
+        server = ScriptedServer([OK])
+        async with running_site([server], reaching=(True, True)) as site:
+            first = await ask(site.port, request('/unsafe/x', b'x'))
+            site.peers[0].gateway.begin_stop()
+            await asyncio.sleep(0.05)
+            later = [
+                await ask(site.port, request('/unsafe/x', b'x'))
+                for _ in range(6)
+            ]
+        return first, later
+
+    first, later = asyncio.run(scenario())
+    assert status_of(first) == 200
+    assert [status_of(each) for each in later] == [200] * 6
