Convict no prompt of crashes by a gateway that reaches no server

What callers could see: requests with sound prompts refused at all gateways as 'crashes servers' (RECOVER). Cause: a connection that is refused after a break counted as a crash of the server; in a cut with resets all servers refuse a gateway, and what it concludes is shared with all others. Class: a fault of the observer taken for one of the observed. Change: a refusal counts only if another server, of three asked at most, accepts a connection. Before: with two servers that both refuse the new row found a crash; after: it doesn't, and does where a third one accepts.

--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crash_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable
 from typing import NamedTuple, Self
 
@@ -44,6 +45,9 @@
 #: Most requests that one log line names.
 _MAX_NAMED = 8
 
+#: Most other servers that are asked whether this gateway reaches any.
+_MAX_OTHERS = 3
+
 
 class _Suspect(NamedTuple):
     """A request whose answer ended with its server."""
@@ -185,7 +189,8 @@
     async def _run_check(self, server: BackendServer, check: _Check) -> None:
         try:
             if await _is_refused(server.host, server.port):
-                check.has_crashed = self._is_expected(server)
+                is_reaching = await self._reaches_another(server)
+                check.has_crashed = is_reaching and self._is_expected(server)
         finally:
             check.is_done.set()
             check.ended_s = now_s()
@@ -193,6 +198,25 @@
             metrics.CRASHES.inc()
         self._report(server, check)
 
+    async def _reaches_another(self, server: BackendServer) -> bool:
+        """Return whether another server accepts connections.
+
+        If none does, it may be this gateway that is cut off, and a connection
+        that is refused says nothing about the server.
+        """
+        others = [
+            each
+            for each in self._view.servers.values()
+            if each.server_id != server.server_id and not each.is_leaving
+        ]
+        if not others:
+            return True
+        asked = random.sample(others, min(_MAX_OTHERS, len(others)))
+        accepted = await asyncio.gather(
+            *(_is_accepted(each.host, each.port) for each in asked)
+        )
+        return any(accepted)
+
     def _report(self, server: BackendServer, check: _Check) -> None:
         """Report the suspects of a crash that aren't reported yet."""
         suspects = check.suspects
@@ -326,6 +350,17 @@
         )
 
 
+async def _is_accepted(host: str, port: int) -> bool:
+    """Return whether a process accepts connections at an address."""
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
+
+
 async def _is_refused(host: str, port: int) -> bool:
     """Return whether no process accepts connections at an address.
 
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -96,6 +96,37 @@
     assert run(scenario, address) == expected
 
 
+@pytest.mark.parametrize(
+    ('others', 'has_crashed'), [([], True), (['refused'], False)]
+)
+@pytest.mark.parametrize('accepting', [0, 1])
+def test_refusals_of_all_servers_convict_no_sound_prompt(
+    others, has_crashed, accepting
+):
+    """A gateway that is cut off is refused by each of them."""
+
+    async def scenario(watched):
+        for number, _ in enumerate(others):
+            other = server_at(free_ports(1)[0])
+            watched.view.servers[f'r{number}'] = other._replace(
+                server_id=f'r{number}'
+            )
+        listeners = []
+        for number in range(accepting):
+            listener = await asyncio.start_server(
+                lambda _, writer: writer.close(), HOST, 0
+            )
+            listeners.append(listener)
+            port = listener.sockets[0].getsockname()[1]
+            other = server_at(port)._replace(server_id=f'a{number}')
+            watched.view.servers[other.server_id] = other
+        assert await watched.broken() is (has_crashed or accepting > 0)
+        for listener in listeners:
+            listener.close()
+
+    run(scenario)
+
+
 def leave(watched):
     """Let the server say that it leaves."""
     watched.view.notices.on_notice(watched.server, ServerNotice(True, 0), 0)
