Give groups up where this gateway reaches no server but others do

Cause: the owner renews its record in the store, which it reaches, and can order nothing. Class: a lease that proves less than the duty needs. Change: it releases its groups and claims none while none of the servers is reached and other gateways serve what it forwards; else all may be down. Before: no release, as nothing looked at the servers. After: released where a peer serves, kept where none does (2 rows).

--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.peer_forwarding.peer_forwarder import PeerForwarder
+from wasabicross.gateway.peer_forwarding.reach import Reach
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
     RequestHandler,
@@ -28,6 +29,8 @@
     def __init__(self, dependencies: HandlerDependencies) -> None:
         self._deps = dependencies
         self._handlers: set[RequestHandler] = set()
+        #: Tells whether this gateway is cut off from the servers.
+        self.reach = Reach(dependencies.servers.view, dependencies.forwarder)
         #: Whether the process is about to end and serves nothing new.
         self.refuses_all = False
 
--- a/src/wasabicross/gateway/owned_groups.py
+++ b/src/wasabicross/gateway/owned_groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from wasabicross.gateway import metrics
@@ -78,11 +79,19 @@
         self._groups = all_groups(cfg.data_centres)
         self._retry_at_s: dict[str, float] = {}
         self._errors = ErrorContainment('groups')
+        #: Tells whether this gateway is cut off from the servers, so that it
+        #: can't order loads.
+        self.is_cut_off: Callable[[float], bool] = _is_never_cut_off
 
     async def run(self) -> None:
         """Claim and renew groups until cancelled."""
         started_s = now_s() + _STARTUP_DELAY_S
         while True:
+            if self.is_cut_off(now_s()):
+                with self._errors.contain('release'):
+                    await self._leave_to_others()
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+                continue
             for group in self._groups:
                 with self._errors.contain(group.name):
                     await self._claim_or_renew(group, started_s)
@@ -130,6 +139,12 @@
                     Event.OWNER_WRITE_FAILED, group=group, reason=str(exc)
                 )
 
+    async def _leave_to_others(self) -> None:
+        """Release all groups, as this gateway reaches no server."""
+        for group in self._owned:
+            log_event(Event.GROUP_LEFT, group=group)
+        await self.release()
+
     async def _claim_or_renew(self, group: Group, started_s: float) -> None:
         owned = self._owned.get(group.name)
         at_s = now_s()
@@ -260,3 +275,7 @@
     def _drop_lost(self, group: Group) -> None:
         self._owned.pop(group.name, None)
         log_event(Event.GROUP_LOST, group=group.name)
+
+
+def _is_never_cut_off(_now_s: float) -> bool:
+    return False
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -158,6 +158,7 @@
             self._usage,
             self._budgets.for_service,
         )
+        self._owned_groups.is_cut_off = self._caller_service.reach.is_cut_off
         self._draining = Draining(
             self._caller_service, self._connections, lambda: self._cfg.grace_s
         )
--- a/tests/test_gateway_peer_forwarding.py
+++ b/tests/test_gateway_peer_forwarding.py
@@ -255,3 +255,26 @@
     first, later = asyncio.run(scenario())
     assert status_of(first) == 200
     assert [status_of(each) for each in later] == [200] * 6
+
+
+@pytest.mark.parametrize(
+    ('reaching', 'is_released'),
+    [((True, False), True), ((False, False), False)],
+)
+def test_gateway_gives_up_groups_only_where_others_reach_their_servers(
+    reaching, is_released
+):
+    async def scenario():
+        server = ScriptedServer([OK])
+        async with running_site([server], reaching=reaching) as site:
+            records = site.asked.store.records
+            async with asyncio.timeout(5):
+                while not records:
+                    await asyncio.sleep(0.01)
+            # Both services have a server that isn't reached.
+            for path in ('/unsafe/x', '/stream-resumable/x'):
+                await ask(site.port, request(path, b'x', Model='m0/a1'))
+            await asyncio.sleep(1)
+            return {each.is_released for each in records.values()}
+
+    assert asyncio.run(scenario()) == {is_released}
