Send few requests at a time to servers that fail if they turn many away

What operators could see: all servers of a service that say that they are brittle fall over, since refused requests come on, from all gateways (LIMIT). Cause: Server-Brittle was decoded by nothing; a gateway sends on the word of late reports, and each of them learns of a full server by a refusal of its own. Class: a bound over all gateways that nobody holds, as with the limits before. Change: no more gateways use such a server than the refusals that it bears, each with its share of the slots and one request whose answer hasn't begun; a refusal stops each for 1.2 s. What a server states is shared as limits are. Before: a full server that bears 3 refusals a second gets all 40 requests of a burst. After: one, in the test of that name; 27 rows of a simulation (1, 7, 360 gateways, 0 to 64 slots) stay within what is borne.

--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -64,11 +64,33 @@
         :param failed_loads: ids of servers on which a load has just failed.
         :param now_s: the present time, monotonic seconds.
         """
-        return [
-            self._candidate(server, request, failed_loads, now_s)
+        usable = [
+            server
             for server in self._view.servers.values()
             if self._is_usable(server, request, now_s)
         ]
+        return [
+            self._candidate(server, request, failed_loads, now_s)
+            for server in self._with_room(usable, now_s)
+        ]
+
+    def _with_room(
+        self, servers: list[BackendServer], now_s: float
+    ) -> list[BackendServer]:
+        """Return the servers that have room for a request of this gateway.
+
+        Only some gateways use a brittle server; one that is among the users of
+        none may use each.
+        """
+        brittle = self._view.notices.limiter.brittle
+        used = [server for server in servers if brittle.is_user(server)]
+        return [
+            server
+            for server in used or servers
+            if brittle.has_room(
+                server, self._view.own_requests[server.server_id], now_s
+            )
+        ]
 
     def _is_usable(
         self, server: BackendServer, request: PlacementRequest, now_s: float
--- a/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
@@ -18,7 +18,7 @@
     PeerEnding,
 )
 from wasabicross.gateway.peer_forwarding.peer_choice import PeerChoice
-from wasabicross.gateway.placement import NO_SERVER_IN_REACH
+from wasabicross.gateway.placement import NO_SERVER, NO_SERVER_IN_REACH
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
@@ -26,7 +26,7 @@
 
 #: Why a gateway takes no forwarded request, though another one may.
 DECLINING_REASONS = frozenset(
-    (NO_SERVER_IN_REACH, 'no server', 'no configuration', 'stopping')
+    (NO_SERVER_IN_REACH, NO_SERVER, 'no configuration', 'stopping')
 )
 
 
--- a/src/wasabicross/gateway/placement.py
+++ b/src/wasabicross/gateway/placement.py
@@ -56,7 +56,8 @@
 _REMOTE_COST = 0.05
 
 
-#: Why a request has no server that could be connected to.
+#: Why a request has no server: none may be tried, or none is reached.
+NO_SERVER = 'no server'
 NO_SERVER_IN_REACH = 'no server in reach'
 
 
@@ -219,7 +220,7 @@
     :param draws: random numbers for the choice.
     """
     if not candidates:
-        return NoServer('no server')
+        return NoServer(NO_SERVER)
     reachable = [each for each in candidates if each.is_reachable]
     if not reachable:
         return NoServer(NO_SERVER_IN_REACH)
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -14,6 +14,7 @@
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import (
+    NO_SERVER,
     Candidate,
     Choice,
     LoadOn,
@@ -179,6 +180,11 @@
         server = self._view.servers.get(server_id)
         if server is None or self._view.refuses_requests(server, now_s()):
             return False
+        own_requests = self._view.own_requests[server_id]
+        if not self._view.notices.limiter.brittle.has_room(
+            server, own_requests, now_s()
+        ):
+            return False
         return request.software_version in {None, server.software_version}
 
     def _should_retry(
@@ -285,7 +291,7 @@
         at_s = now_s()
         pause_s = self._pause_s(request.service, at_s)
         limit_s = self._limit_wait_s(request.service, at_s)
-        if limit_s > pause_s:
+        if limit_s > pause_s or self._are_brittle_full(choice, request):
             choice = NoServer('server limits')
         return choice._replace(retry_after_s=max(pause_s, limit_s))
 
@@ -318,6 +324,16 @@
         ]
         return max(0, min(waits_s, default=0))
 
+    def _are_brittle_full(
+        self, choice: NoServer, request: PlacementRequest
+    ) -> bool:
+        """Return whether brittle servers leave no room for a request."""
+        brittle = self._view.notices.limiter.brittle
+        return choice.reason == NO_SERVER and any(
+            brittle.is_brittle(server)
+            for server in self._staying_servers(request.service)
+        )
+
     def _staying_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that don't leave."""
         return [
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -254,6 +254,9 @@
         server_id = placement.server.server_id
         key = self._context.info.adapter
         self._progress.refused_by.add(server_id)
+        self._servers.view.notices.limiter.brittle.on_refused(
+            placement.server, now_s()
+        )
         if kind is AnswerKind.not_run:
             self._progress.excluded.add(server_id)
             return Ending.not_run
--- a/src/wasabicross/gateway/server_limits/request_limiter.py
+++ b/src/wasabicross/gateway/server_limits/request_limiter.py
@@ -7,7 +7,9 @@
 from typing import Protocol
 
 from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.server_limits.brittle_servers import BrittleServers
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
+from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
 from wasabicross.gateway.server_limits.known_limits import (
     Incarnation,
     KnownLimits,
@@ -40,8 +42,7 @@
 
     def __init__(self) -> None:
         self.known = KnownLimits()
-        self._fallback = FallbackShares('')
-        self._gateways: Collection[str] = ()
+        self.set_gateways('', ())
         self._blocked_until_s: dict[Incarnation, float] = {}
         #: Reaches the owners, None before there are links.
         self.links: GrantLinks | None = None
@@ -52,8 +53,10 @@
         :param instance: name of this gateway's machine.
         :param gateways: names of all their machines, as they are known later.
         """
-        self._fallback = FallbackShares(instance)
-        self._gateways = gateways
+        shares = GatewayShares(instance, gateways)
+        self._fallback = FallbackShares(shares)
+        #: Keeps brittle servers from turning away many requests.
+        self.brittle = BrittleServers(self.known, shares)
 
     def on_answer(
         self,
@@ -119,9 +122,7 @@
         limit_per_s = self.known.of(server).requests_per_s
         incarnation = Incarnation.from_server(server)
         if wait_s is None and limit_per_s is not None:
-            wait_s = self._fallback.wait_s(
-                incarnation, limit_per_s, self._gateways, at_s
-            )
+            wait_s = self._fallback.wait_s(incarnation, limit_per_s, at_s)
         if not wait_s:
             return True
         self._block(incarnation, at_s + max(_MIN_BLOCK_S, wait_s))
--- a/src/wasabicross/gateway/usage_tracker.py
+++ b/src/wasabicross/gateway/usage_tracker.py
@@ -40,9 +40,13 @@
         self.server_id = server_id
         self.key = key
         self._unread_tokens = prompt_tokens
+        self._is_answered = False
 
     def on_prefilled(self) -> None:
         """Record that its answer has begun, so its prompt was prefilled."""
+        if not self._is_answered:
+            self._is_answered = True
+            self._tracker.on_answered(self.server_id)
         if self._unread_tokens:
             self._tracker.on_prefilled(
                 self.server_id, self.key, self._unread_tokens
@@ -79,6 +83,7 @@
         :param prompt_tokens: length of its prompt, 0 if it isn't known.
         """
         self._view.own_requests[server_id] += 1
+        self._view.notices.limiter.brittle.on_sent(server_id)
         self._add_unread(server_id, key, prompt_tokens)
         if key is not None:
             self._running[server_id, key] += 1
@@ -99,6 +104,13 @@
         finally:
             _decrease(self._view.own_awaited_tokens, server_id, prompt_tokens)
 
+    def on_answered(self, server_id: str) -> None:
+        """Record that the answer to a request has begun, or that it has ended.
+
+        :param server_id: its server.
+        """
+        self._view.notices.limiter.brittle.on_answered(server_id)
+
     def on_prefilled(
         self, server_id: str, key: AdapterKey | None, tokens: int
     ) -> None:
--- a/tests/test_gateway_limit_grants.py
+++ b/tests/test_gateway_limit_grants.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.owner_link import OwnerLink
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
+from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
 from wasabicross.gateway.server_limits.known_limits import (
     Incarnation,
     KnownLimits,
@@ -89,15 +90,13 @@
     gateways, limit
 ):
     names = [f'front-{number}' for number in range(gateways)]
-    shares = [FallbackShares(name) for name in names]
+    shares = [FallbackShares(GatewayShares(name, names)) for name in names]
     grants = OwnerGrants(known_limits(limit), lambda *_: True)
     incarnation = Incarnation.from_server(SERVER)
     sent = []
     for number in range(80):
         at_s = number / 4
-        waits = [
-            each.wait_s(incarnation, limit, names, at_s) for each in shares
-        ]
+        waits = [each.wait_s(incarnation, limit, at_s) for each in shares]
         waits.append(grants.wait_s(SERVER, at_s))
         sent.extend(at_s for wait_s in waits if wait_s == 0)
     assert not sent or most_in_window(sent) <= allowed(limit)
@@ -108,9 +107,9 @@
     incarnation = Incarnation.from_server(SERVER)
     users = set()
     for name in names:
-        share = FallbackShares(name)
-        share.wait_s(incarnation, 1, names, 0)
-        if share.wait_s(incarnation, 1, names, 100) == 0:
+        share = FallbackShares(GatewayShares(name, names))
+        share.wait_s(incarnation, 1, 0)
+        if share.wait_s(incarnation, 1, 100) == 0:
             users.add(name)
     assert len(users) == 4
 
