Begin no stream out of touch at a version that may have been left

What callers could see: a stream of events of two software versions (ORDER). Cause: buckets of a version without any server move at once, and a gateway out of touch began streams by its old division, at the last server of the old version, which is leaving; another gateway then took them up at the new version. Class: a decision by knowledge of unknown age. Change: with knowledge over 2.5 s old a stream begins only at a version of which the gateway knows a server that stays. An outage of the store refuses nothing else. Ruled out: refusing all new resumable streams out of touch. Open: a server whose entry is removed without its leaving being stated counts as staying for a gateway out of touch.

--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -14,6 +14,7 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
+    SPREAD_S,
     StreamDivision,
     former_lapse_s,
 )
@@ -112,14 +113,21 @@
     def may_begin(self, service: str, request_id: str, now_s: float) -> bool:
         """Return whether a new stream may begin at the version in force.
 
+        Streams of a version without any server move to another one unannounced,
+        which a gateway that is out of touch with the store doesn't learn.
+
         :param service: the service that runs it.
         :param request_id: id of the caller's attempt.
         :param now_s: the present time, monotonic seconds.
         """
         division = self._view.divisions.get(service)
-        return division is None or division.may_begin(
-            request_id, self._view.confirmed_s, now_s
-        )
+        if division is None:
+            return True
+        confirmed_s = self._view.confirmed_s
+        if now_s - confirmed_s > SPREAD_S:
+            if not self.serves(service, division.version_for(request_id)):
+                return False
+        return division.may_begin(request_id, confirmed_s, now_s)
 
     def for_take_up(
         self,
