Trust no division from an older copy of the store that a process starts with

What callers could see: a stream of events of two software versions (ORDER), where a gateway starts after the store has returned from an older copy in which a change is announced that had come into force since. Cause: the record of a division didn't say in which era it was written, so a process that had known nothing before took it for the newest. Class: a record without the context in which it holds; owner records had it already. Change: the record states the era of its writer. One of an earlier era than the store's answer that is all a process knows confirms nothing for as long as former buckets count; take-ups then have several possible versions. A record of an older gateway has no era and counts as one of era 0, which is as careful.

--- a/src/wasabicross/gateway/division_keeper.py
+++ b/src/wasabicross/gateway/division_keeper.py
@@ -22,6 +22,7 @@
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.store import FleetStore
+from wasabicross.gateway.store_position import era_of
 from wasabicross.gateway.stream_division_records import (
     DivisionRecord,
     stored_division,
@@ -172,7 +173,7 @@
         _log(Event.DIVISION_WRITTEN, service, due.division, due.reason)
         if due.reason == LOST:
             self._lost_until_s[service] = at_s + _LOST_INTERVAL_S
-        stored = stored_division(due.division, at_s)
+        stored = stored_division(due.division, at_s, era_of(revision))
         self._view.apply(
             StreamDivisionUpdate(service, stored, revision), now_s()
         )
--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import UserDict
 
 from wasabicross.gateway.changes import StreamDivisionUpdate
@@ -26,6 +27,8 @@
         #: Time limits that callers stated on resumable routes.
         self.time_limits = StreamTimeLimits()
         self.route_limits = RouteTimeLimits()
+        #: When a record from an older copy of the store was all that was known.
+        self.restored_s = -math.inf
         self._records: dict[str, DivisionRecord] = {}
         self._positions: dict[str, int] = {}
 
@@ -63,5 +66,7 @@
         self._records[service] = DivisionRecord(change.stored, expected)
         if change.stored is None:
             return
+        if service not in self and change.stored.era < era_of(change.revision):
+            self.restored_s = now_s
         received = received_division(change.stored, confirmed_s, now_s)
         self[service] = merged(self.get(service), received, now_s)
--- a/src/wasabicross/gateway/stream_division_records.py
+++ b/src/wasabicross/gateway/stream_division_records.py
@@ -42,6 +42,7 @@
     """A division in a record; its fields are those of `StreamDivision`.
 
     :param announced_age_s: least time since the announcement, seconds.
+    :param era: era of the store as its writer knew it.
     """
 
     number: int
@@ -50,6 +51,7 @@
     announced_age_s: float
     former: tuple[StoredFormer, ...]
     time_limit_s: float
+    era: int = 0
 
 
 class DivisionRecord(NamedTuple):
@@ -64,11 +66,14 @@
     revision: int
 
 
-def stored_division(division: StreamDivision, now_s: float) -> StoredDivision:
+def stored_division(
+    division: StreamDivision, now_s: float, era: int = 0
+) -> StoredDivision:
     """Return what to store of a division.
 
     :param division: the division.
     :param now_s: the present time, monotonic seconds.
+    :param era: era of the store.
     """
     former = [
         StoredFormer(buckets, max(0, now_s - ended_s))
@@ -83,6 +88,7 @@
         age_s,
         tuple(former[:MAX_FORMER]),
         division.time_limit_s,
+        era,
     )
 
 
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/stream_versions.py
@@ -174,12 +174,15 @@
     def _is_confirmed(self, division: StreamDivision, asked_s: float) -> bool:
         """Return whether a division was in force when a request arrived.
 
-        A store that returned from an older copy may have lost a later one.
+        A store that returned from an older copy may have lost a later one, also
+        where it did so before this process knew its content.
         """
         lapse_s = former_lapse_s(division)
-        if asked_s - self._view.restored_s < lapse_s:
+        view = self._view
+        restored_s = max(view.restored_s, view.divisions.restored_s)
+        if asked_s - restored_s < lapse_s:
             return False
-        return self._view.confirmed_s >= asked_s
+        return view.confirmed_s >= asked_s
 
     async def confirmed_take_up(
         self, take_up: TakeUp, route: Route, info: RequestInfo, asked_s: float
--- a/src/wasabicross/platform/division_records.py
+++ b/src/wasabicross/platform/division_records.py
@@ -74,6 +74,8 @@
         'former': former,
         'time_limit': stored.time_limit_s,
     }
+    if stored.era:
+        record['era'] = stored.era
     return json.dumps(record).encode()
 
 
@@ -104,6 +106,7 @@
             for each in former
         ),
         _age(wire['time_limit']),
+        _era(wire.get('era', 0)),
     )
 
 
@@ -137,6 +140,10 @@
     return age_s
 
 
+def _era(wire: Any) -> int:
+    return 0 if wire == 0 else integer(wire)
+
+
 def _rounded(age_s: float) -> float:
     """Return an age that isn't higher, so that the bound still holds."""
     return int(min(age_s, _MAX_AGE_S) * _MS_IN_S) / _MS_IN_S
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -120,7 +120,8 @@
         :return: the new position, None if the record has another one.
         :raises StoreRestored: the store is in another era than that position.
         """
-        document = encode_division(service, stored_division(division, now_s))
+        stored = stored_division(division, now_s, era_of(revision))
+        document = encode_division(service, stored)
         result = await self._client.write(
             Write(division_key(service), revision, document)
         )
--- a/tests/test_gateway_division_records.py
+++ b/tests/test_gateway_division_records.py
@@ -26,7 +26,11 @@
     StreamDivision,
 )
 from wasabicross.gateway.view import FleetView
-from wasabicross.platform.division_records import division_key, encode_division
+from wasabicross.platform.division_records import (
+    decode_division,
+    division_key,
+    encode_division,
+)
 from wasabicross.platform.fleet_store import PlatformStore
 from wasabicross.platform.records import decode_change
 
@@ -342,3 +346,10 @@
     )
     stored = stored_division(division._replace(former=()), 100)
     assert lacks_former(stored, division, 100) is is_lacking
+
+
+@pytest.mark.parametrize('era', [0, 1, 7])
+def test_record_states_the_era_that_its_writer_knew(era):
+    stored = stored_division(StreamDivision(1, ('v1',) * BUCKETS), 10, era)
+    document = json.loads(encode_division('llm', stored))
+    assert decode_division(division_key('llm'), document) == ('llm', stored)
