Play and judge servers in soaks that state limits or are brittle

Two kinds of faults with a generator of their own, so other faults of a seed stay as they were: servers that state a limit of 0.5 to 1.5 requests a second, and brittle ones that bear 2 to 8 refusals a second, have half of their slots and take nothing for 2 s when they fail.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -11,7 +11,12 @@
 - ``{"kind": "late_orders", "count": N}``: the next N orders are executed 2 s
   after they arrive and answered only then, with 503;
 - ``{"kind": "want_pause", "for_s": S}``: requests are refused for S seconds;
-- ``{"kind": "leave"}``: all answers say that the server leaves.
+- ``{"kind": "leave"}``: all answers say that the server leaves;
+- ``{"kind": "limit_requests", "per_s": N, "for_s": S}``: answers state for S
+  seconds that the server takes N requests a second;
+- ``{"kind": "be_brittle", "per_s": N, "for_s": S}``: answers state for S seconds
+  that it fails if it turns more than N requests away in a second. It has half of
+  its slots then, and takes nothing for 2 s when it fails.
 """
 
 from __future__ import annotations
@@ -28,8 +33,14 @@
 from emulator.faults import Faults
 from emulator.soak.engine_adapters import MODEL, EngineAdapters
 from emulator.soak.server_log import log
+from emulator.soak.stated_limits import StatedLimits
 from emulator.soak.store import encode_value
-from emulator.stream_server import HttpRequest, Responder, StreamServer
+from emulator.stream_server import (
+    ConnectionDied,
+    HttpRequest,
+    Responder,
+    StreamServer,
+)
 
 _HEARTBEAT_S = 0.5
 _EVENT_INTERVAL_S = 0.01
@@ -80,6 +91,7 @@
         self._late_orders = 0
         self._pause_until_s: float = 0
         self._is_leaving = False
+        self._limits = StatedLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._http = urllib3.PoolManager(retries=False, timeout=2)
 
@@ -117,6 +129,8 @@
             self._late_orders = document['count']
         elif document['kind'] == 'want_pause':
             self._pause_until_s = time.monotonic() + document['for_s']
+        elif document['kind'] in {'limit_requests', 'be_brittle'}:
+            self._limits.set_from(document, time.monotonic())
         elif document['kind'] == 'leave':
             self._is_leaving = True
         else:
@@ -192,6 +206,8 @@
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
         request_id = req.headers.get('request-id', '')
         log('arrival', request=request_id)
+        if self._limits.is_down(time.monotonic()):
+            raise ConnectionDied
         pause_s = self._pause_until_s - time.monotonic()
         if pause_s > 0:
             log('pause_wanted', request=request_id, for_s=pause_s)
@@ -202,10 +218,10 @@
                 (*_request_id_field(req), ('Not-Run', '1'), after),
             )
             return
-        if self._running >= self._identity.slots:
-            responder.send_json(
-                _UNAVAILABLE, {}, (*_request_id_field(req), ('Not-Run', '1'))
-            )
+        if self._running >= self._limits.slots(
+            self._identity.slots, time.monotonic()
+        ):
+            self._refuse_full(req, responder)
             return
         name = req.headers.get('model', '').partition('/')[2]
         version = self._adapters.held.get(name, 0)
@@ -224,6 +240,16 @@
             self._running -= 1
             self._adapters.end_run(name)
 
+    def _refuse_full(self, req: HttpRequest, responder: Responder) -> None:
+        """Refuse a request for want of room."""
+        self._limits.on_refused(time.monotonic())
+        limits = self._limits.fields(req, time.monotonic())
+        responder.send_json(
+            _UNAVAILABLE,
+            {},
+            (*_request_id_field(req), ('Not-Run', '1'), *limits),
+        )
+
     def _log_run(self, req: HttpRequest, name: str, version: int) -> None:
         log(
             'run',
@@ -252,7 +278,11 @@
 
     def _answer_fields(self, req: HttpRequest) -> tuple[tuple[str, str], ...]:
         """Return the header fields of an answer to a request that ran."""
-        fields = (*_request_id_field(req), ('Server-Stamp', 's'))
+        fields = (
+            *_request_id_field(req),
+            ('Server-Stamp', 's'),
+            *self._limits.fields(req, time.monotonic()),
+        )
         if not self._is_leaving:
             return fields
         log('leaving_said', request=req.headers['request-id'])
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -23,6 +23,10 @@
     ROUTES,
 )
 from emulator.soak.evidence import Evidence, OrderReceived
+from emulator.soak.limit_checks import (
+    brittle_servers_that_fell,
+    requests_beyond_limits,
+)
 from emulator.soak.notice_checks import (
     requests_during_pauses,
     requests_to_leaving_servers,
@@ -104,6 +108,8 @@
         *retries_over_budget(evidence),
         *requests_during_pauses(evidence),
         *requests_to_leaving_servers(evidence),
+        *requests_beyond_limits(evidence),
+        *brittle_servers_that_fell(evidence),
         *not_recovered(evidence),
     ]
 
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -59,6 +59,34 @@
     for_s: float
 
 
+class StatedLimit(NamedTuple):
+    """An answer in which a server states how many requests a second it takes.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the request that it answered.
+    :param per_s: requests a second from all gateways.
+    """
+
+    at_s: float
+    server: str
+    request: str
+    per_s: float
+
+
+class BrittleEvent(NamedTuple):
+    """A server that becomes brittle, or falls over while it is.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param for_s: how long it is brittle, 0 where it falls over.
+    """
+
+    at_s: float
+    server: str
+    for_s: float
+
+
 class ServerStart(NamedTuple):
     """The start of a server, which ends the effect of its earlier notices.
 
@@ -109,6 +137,8 @@
     faults_end_s: float
     notices: Sequence[Notice] = ()
     server_starts: Sequence[ServerStart] = ()
+    limits: Sequence[StatedLimit] = ()
+    brittle: Sequence[BrittleEvent] = ()
 
 
 class ServerLog(NamedTuple):
@@ -120,6 +150,8 @@
     overfilled_engines: list[str]
     notices: list[Notice]
     server_starts: list[ServerStart]
+    limits: list[StatedLimit]
+    brittle: list[BrittleEvent]
 
 
 def read_logs(paths: dict[str, pathlib.Path]) -> ServerLog:
@@ -128,7 +160,7 @@
     :param paths: paths of their logs, by server name.
     :raises OSError: a log can't be read.
     """
-    log = ServerLog([], [], [], [], [], [])
+    log = ServerLog([], [], [], [], [], [], [], [])
     for server, path in paths.items():
         for line in path.read_text().splitlines():
             if line.startswith('{'):
@@ -165,6 +197,15 @@
 def _add_notice(log: ServerLog, server: str, line: dict[str, Any]) -> None:
     if line['event'] == 'started':
         log.server_starts.append(ServerStart(line['at_s'], server))
+    elif line['event'] == 'limit_stated':
+        stated = StatedLimit(
+            line['at_s'], server, line['request'], line['per_s']
+        )
+        log.limits.append(stated)
+    elif line['event'] in {'brittle', 'fell_over'}:
+        log.brittle.append(
+            BrittleEvent(line['at_s'], server, line.get('for_s', 0))
+        )
     elif line['event'] in {'pause_wanted', 'leaving_said'}:
         for_s = line.get('for_s', 0)
         notice = Notice(line['at_s'], server, line['request'], for_s)
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -17,7 +17,7 @@
     SoakDeployment,
 )
 from emulator.soak.engine_adapters import MODEL
-from emulator.soak.schedule import NOTICE_KINDS, Fault
+from emulator.soak.schedule import LIMIT_KINDS, NOTICE_KINDS, Fault
 
 _MAX_STORE_DELAY_S = 0.4
 _MAX_COPY_AGE_S = 8
@@ -30,6 +30,13 @@
 _ADAPTERS_PER_CHANGE = 3
 
 
+#: Least requests a second that a server states, and refusals that a brittle one
+#: bears; up to one request and so many refusals more.
+_MIN_LIMIT_PER_S = 0.5
+_MIN_REFUSALS_PER_S = 2
+_MORE_REFUSALS_PER_S = 6
+
+
 class InjectedFault(NamedTuple):
     """A fault that was injected.
 
@@ -235,7 +242,7 @@
                     self._kill if fault.kind == 'server_kill' else self._pause
                 )
                 await action(server.name, fault.for_s)
-        elif fault.kind in NOTICE_KINDS:
+        elif fault.kind in NOTICE_KINDS | LIMIT_KINDS:
             async with self._locks[server.name]:
                 await self._give_notice(server, fault)
         else:
@@ -244,12 +251,9 @@
         return server.name
 
     async def _give_notice(self, server: Server, fault: Fault) -> None:
-        """Make a server ask for a pause, or say that it leaves and restart."""
+        """Make a server state something; restart it if it says that it leaves."""
         set_fault = self._deployment.fault_server
-        if fault.kind == 'server_want_pause':
-            document = {'kind': 'want_pause', 'for_s': fault.for_s}
-        else:
-            document = {'kind': 'leave'}
+        document = _notice_document(fault)
         await asyncio.to_thread(lambda: set_fault(server, **document))
         await asyncio.sleep(fault.for_s)
         if fault.kind == 'server_leave':
@@ -322,3 +326,18 @@
 
 def _request_count(fault: Fault) -> int:
     return 1 + int(fault.strength * _MAX_EXTRA_COUNT)
+
+
+def _notice_document(fault: Fault) -> dict[str, Any]:
+    """Return what makes a server state something in its answers."""
+    limit_per_s = round(_MIN_LIMIT_PER_S + fault.strength, 3)
+    refusals = _MIN_REFUSALS_PER_S + round(
+        _MORE_REFUSALS_PER_S * fault.strength
+    )
+    documents: dict[str, dict[str, Any]] = {
+        'server_want_pause': {'kind': 'want_pause'},
+        'server_leave': {'kind': 'leave'},
+        'server_limit': {'kind': 'limit_requests', 'per_s': limit_per_s},
+        'server_brittle': {'kind': 'be_brittle', 'per_s': refusals},
+    }
+    return {**documents[fault.kind], 'for_s': fault.for_s}
--- a/emulator/soak/notice_checks.py
+++ b/emulator/soak/notice_checks.py
@@ -31,7 +31,7 @@
 
     :param evidence: what callers and back ends recorded.
     """
-    gateways = _gateway_by_request(evidence)
+    gateways = gateway_by_request(evidence)
     for notice in evidence.notices:
         gateway = gateways.get(notice.request, '')
         until_s = notice.at_s + notice.for_s
@@ -53,7 +53,7 @@
 
     :param evidence: what callers and back ends recorded.
     """
-    gateways = _gateway_by_request(evidence)
+    gateways = gateway_by_request(evidence)
     sent_s = {result.request_id: result.sent_s for result in evidence.results}
     for notice in evidence.notices:
         if notice.for_s:
@@ -70,11 +70,32 @@
                 yield f'{arrival.request} reached {notice.server}, which leaves'
 
 
-def _gateway_by_request(evidence: Evidence) -> dict[str, str]:
-    """Return the gateway that each request was sent to, by request id."""
+def gateway_by_request(evidence: Evidence) -> dict[str, str]:
+    """Return the gateway that each request was sent to, by request id.
+
+    :param evidence: what callers and back ends recorded.
+    """
     return {result.request_id: result.gateway for result in evidence.results}
 
 
+def has_fault(
+    evidence: Evidence, gateway: str, since_s: float, until_s: float
+) -> bool:
+    """Tell whether a gateway was ended or stood still in some time.
+
+    :param evidence: what callers and back ends recorded.
+    :param gateway: its name.
+    :param since_s: start of the time, monotonic seconds.
+    :param until_s: end of the time, monotonic seconds.
+    """
+    return any(
+        fault.kind in _GATEWAY_FAULTS
+        and fault.target in {gateway, ''}
+        and fault.overlaps(since_s, until_s)
+        for fault in evidence.injected
+    )
+
+
 def _is_excused(
     evidence: Evidence, notice: Notice, gateway: str, until_s: float
 ) -> bool:
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -116,4 +116,6 @@
         faults_end_s,
         log.notices,
         log.server_starts,
+        log.limits,
+        log.brittle,
     )
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -40,9 +40,16 @@
     'server_leave': (2.5, 6),
 }
 
+#: The same for the limits of load that servers state.
+LIMIT_KINDS = {
+    'server_limit': (5, 12),
+    'server_brittle': (5, 12),
+}
+
 _FIRST_FAULT_S = 1.0
 _MAX_GAP_S = 1.6
 _MAX_NOTICE_GAP_S = 12.0
+_MAX_LIMIT_GAP_S = 20.0
 _TARGETS = 64
 
 
@@ -50,7 +57,7 @@
     """A scheduled fault.
 
     :param at_s: seconds from the start of the run.
-    :param kind: one of `KINDS` or `NOTICE_KINDS`.
+    :param kind: one of `KINDS`, `NOTICE_KINDS` or `LIMIT_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -79,6 +86,9 @@
         *_random_faults(
             f'notice/{seed}', NOTICE_KINDS, _MAX_NOTICE_GAP_S, length_s
         ),
+        *_random_faults(
+            f'limit/{seed}', LIMIT_KINDS, _MAX_LIMIT_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,11 +7,13 @@
 from emulator.soak.callers import CallResult
 from emulator.soak.evidence import (
     Arrival,
+    BrittleEvent,
     Evidence,
     Notice,
     OrderReceived,
     Run,
     ServerStart,
+    StatedLimit,
 )
 from emulator.soak.injector import GatewayStop, InjectedFault, PublishedVersion
 
@@ -88,6 +90,13 @@
 PAUSE = Notice(20, 'llm-0', 'r', 3)
 LEAVING = Notice(20, 'llm-0', 'r', 0)
 
+#: A server that states a limit of one request a second for ten seconds.
+LIMITS = [StatedLimit(at_s, 'llm-0', 'r', 1) for at_s in (20, 23, 26, 29)]
+
+#: A server that is brittle for ten seconds, and falls over.
+BRITTLE = BrittleEvent(20, 'llm-0', 10)
+FALLS = [BrittleEvent(at_s, 'llm-0', 0) for at_s in (23.5, 25, 27)]
+
 
 def asked(at_s, count, server='llm-0', gateway='g'):
     """Return requests that gateways sent to a server."""
@@ -188,6 +197,18 @@
     {'notices': [PAUSE], **asked(21, 9, gateway='h')},
     {'notices': [PAUSE], **asked(21, 9, server='llm-1')},
     {'notices': [LEAVING], **asked(21.9, 9)},
+    {'limits': LIMITS, **asked(25, 11)},
+    {'limits': LIMITS, **asked(22.9, 20)},
+    {'limits': LIMITS, **asked(25, 20, gateway='h')},
+    {'limits': LIMITS, **asked(25, 20, server='llm-1')},
+    {'limits': LIMITS[:1], **asked(25, 20)},
+    {
+        'limits': LIMITS,
+        'injected': [InjectedFault('gateway_pause', 'g', 22, 24)],
+        **asked(25, 20),
+    },
+    {'brittle': [BRITTLE, *FALLS[:2]]},
+    {'brittle': [BRITTLE, *FALLS[:2], BrittleEvent(22, 'llm-0', 0)]},
     {'notices': [LEAVING], **asked(23, 9, gateway='h')},
     {
         'notices': [LEAVING],
@@ -282,6 +303,8 @@
             injected=[InjectedFault('gateway_hangup', 'g', 16, 16)],
         ),
     ),
+    ('llm-0 got 12 in 4.0 s', {'limits': LIMITS, **asked(25, 12)}),
+    ('llm-0 fell over 3 times', {'brittle': [BRITTLE, *FALLS]}),
     ('llm-0 got 3 in a pause from g', {'notices': [PAUSE], **asked(21, 3)}),
     ('reached llm-0, which leaves', {'notices': [LEAVING], **asked(23, 1)}),
     (
