Take a late relay's knowledge of the store for no more recent than it is

What callers could see: a stream of events of two software versions (ORDER), at a gateway whose relay's messages have all been late since their link opened: it took knowledge of 12.5 for one of 14.0 (1.5 s late). Cause: the difference of two clocks was the least time from sending to receipt, which holds the least delay as well. Class: a one-way delay taken for nothing. Change: questions over the link (for a stream that nobody has begun, which older gateways answer too) are answered in the order of its messages, so what follows an answer was sent after the question; the best such bound is the difference. A relay that answers none confirms nothing. Tests: their messages state now when the question before them was sent, as a link would; no bound of theirs is changed.

--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -36,6 +36,7 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.round_trips import NO_STREAM, RoundTrips
 from wasabicross.gateway.server_limits.messages import (
     GrantAnswer,
     GrantWanted,
@@ -83,6 +84,9 @@
     ) -> None:
         """Handle as of when a relay knows the store's content."""
 
+    def on_round_trip(self, relay: str, asked_s: float) -> None:
+        """Handle that a relay sends what comes next after a question."""
+
     def on_update(self, store_update: StoreUpdate) -> None:
         """Handle changes that a relay has forwarded."""
 
@@ -128,6 +132,7 @@
         self._queries: dict[int, asyncio.Future[str | None]] = {}
         self._grants: dict[int, asyncio.Future[float | None]] = {}
         self._call_ids = itertools.count(1)
+        self._round_trips = RoundTrips()
 
     @property
     def is_open(self) -> bool:
@@ -288,6 +293,7 @@
         if self._limits is not None:
             self._send_limits(conn, self._limits)
         self._conn = conn
+        self._round_trips = RoundTrips()
         self.needs_usage = True
         self._is_end_logged = False
         log_event(Event.LINK_OPEN, host=self._host)
@@ -298,6 +304,10 @@
                 is_subscribed = True
             async with asyncio.timeout(_RECEIVE_TIMEOUT_S):
                 frame = await conn.recv()
+            if self.is_relay and self._round_trips.is_due(now_s()):
+                call_id = next(self._call_ids)
+                self._round_trips.begin(call_id, now_s())
+                _send(conn, StreamQuery(call_id, NO_STREAM))
             for message in decode(frame):
                 with self._errors.contain(type(message).__name__):
                     self._on_message(message)
@@ -355,6 +365,9 @@
 
     @_on_message.register
     def _(self, message: StreamAnswer) -> None:
+        asked_s = self._round_trips.end(message.call_id)
+        if asked_s is not None:
+            self._store_updates.on_round_trip(self._host, asked_s)
         fut = self._queries.get(message.call_id)
         if fut is not None and not fut.done():
             found = message.software_version if message.is_known else None
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_follower.py
@@ -140,6 +140,14 @@
         if era_of(confirmation.revision) == era_of(known):
             self._on_confirmed(confirmed_s)
 
+    def on_round_trip(self, relay: str, asked_s: float) -> None:
+        """Record that a relay sends what comes next after a question.
+
+        :param relay: IP address of the relay.
+        :param asked_s: when the question was sent, monotonic seconds.
+        """
+        self._clocks.on_round_trip(relay, asked_s)
+
     def on_update(self, store_update: StoreUpdate) -> None:
         """Apply changes that a relay has forwarded.
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -75,6 +75,7 @@
         self.statuses = []
         self.updates = []
         self.confirmations = []
+        self.round_trips = []
 
     def on_status(self, relay, status):
         """Record the status of a relay."""
@@ -84,6 +85,10 @@
         """Record as of when a relay knows the store."""
         self.confirmations.append(confirmation)
 
+    def on_round_trip(self, relay, asked_s):
+        """Record when a question was sent that a relay has answered."""
+        self.round_trips.append(asked_s)
+
     def on_update(self, store_update):
         """Record a store update."""
         self.updates.append(store_update)
--- a/tests/test_gateway_store_confirmation.py
+++ b/tests/test_gateway_store_confirmation.py
@@ -11,6 +11,7 @@
 from test_gateway_links import FakeLoaderService, linked_gateway, until
 
 from wasabicross.gateway import store_follower
+from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.messages import (
     StoreConfirmation,
@@ -111,33 +112,37 @@
     :param confirmed_s: what it states, by the relay's clock.
     :param sent_s: when it was sent, by the relay's clock.
     :param received_s: when it is received, by this machine's clock.
+    :param asked_s: when the question was sent whose answer came before it, by
+        this machine's clock.
     """
 
     confirmed_s: float
     sent_s: float
     received_s: float
+    asked_s: float
 
 
 def heard(*messages):
     """Return what each message confirms, by this machine's clock."""
     clocks = RelayClocks()
-    return [
-        clocks.confirmed_s(
-            'r',
-            StoreConfirmation(
-                5, round(each.confirmed_s * 1000), round(each.sent_s * 1000)
-            ),
-            each.received_s,
+    found = []
+    for each in messages:
+        confirmation = StoreConfirmation(
+            5, round(each.confirmed_s * 1000), round(each.sent_s * 1000)
         )
-        for each in messages
-    ]
+        clocks.on_round_trip('r', each.asked_s)
+        found.append(clocks.confirmed_s('r', confirmation, each.received_s))
+    return found
 
 
 def regular(offset_s, count=20, delay_s=0.01):
     """Return messages of a relay whose clock is ahead of this machine's."""
     return [
         Message(
-            step / 2 + offset_s - 1, step / 2 + offset_s, step / 2 + delay_s
+            step / 2 + offset_s - 1,
+            step / 2 + offset_s,
+            step / 2 + delay_s,
+            step / 2 - delay_s,
         )
         for step in range(count)
     ]
@@ -175,13 +180,16 @@
 
 def test_relay_that_was_frozen_itself():
     messages = regular(0, count=20)
-    messages.append(Message(messages[-1].confirmed_s, 60, 60.01))
+    messages.append(Message(messages[-1].confirmed_s, 60, 60.01, 59.99))
     assert heard(*messages)[-1] == pytest.approx(8.5, abs=0.05)
 
 
 def test_relay_whose_machine_has_restarted():
     later = [
-        each._replace(received_s=each.received_s + 500) for each in regular(0)
+        each._replace(
+            received_s=each.received_s + 500, asked_s=each.asked_s + 500
+        )
+        for each in regular(0)
     ]
     found = heard(*regular(1000), *later)[20:]
     assert found[:2] == [-math.inf] * 2
@@ -189,7 +197,7 @@
 
 
 def test_confirmation_that_a_relay_states_for_later_than_now():
-    messages = [*regular(0), Message(900, 10, 10.01)]
+    messages = [*regular(0), Message(900, 10, 10.01, 9.99)]
     assert heard(*messages)[-1] == pytest.approx(10, abs=0.05)
 
 
@@ -202,6 +210,7 @@
         for _ in range(round(duration_s / 0.5)):
             now_s = asyncio.get_running_loop().time()
             followed.on_status('r', StoreStatus(5, False))
+            followed.on_round_trip('r', now_s - 0.01)
             if confirms:
                 followed.on_confirmation(
                     'r',
@@ -277,3 +286,25 @@
         assert received.confirmations == []
 
     asyncio.run(scenario())
+
+
+def test_relay_that_answers_no_question_confirms_nothing():
+    clocks = RelayClocks()
+    for step in range(20):
+        at_s = step / 2
+        confirmation = StoreConfirmation(
+            5, round(at_s * 1000), round(at_s * 1000)
+        )
+        assert clocks.confirmed_s('r', confirmation, at_s) == -math.inf
+
+
+def test_round_trips_are_told_over_a_link_to_a_relay():
+    async def scenario():
+        parts = []
+        async with linked_gateway(FakeLoaderService(), True, parts):
+            _, received = parts
+            before_s = now_s()
+            await until(lambda: len(received.round_trips) > 2)
+            assert before_s <= received.round_trips[-1] <= now_s()
+
+    asyncio.run(scenario())
