Take the last port of the range for forwarded requests

Cause: the port after the first one was taken for forwarded requests, and a soak reserves no such port: it gave that one to another run. On the platform the whole range is the gateways' own. Change: the first port of the range for links, the last one for forwarded requests, none where they are the same; a soak reserves both. Before: a soak's range was [p, p + 1] with p alone reserved; after: both are.

--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -35,8 +35,9 @@
 _DATA_CENTRES = ('north', 'south')
 _PLAIN_SERVERS = 2
 
-#: Ports of the store, the control of the proxy, callers, readiness and peers.
-_SHARED_PORTS = 5
+#: Ports of the store, the control of the proxy, callers and readiness, and two of
+#: the gateways among themselves.
+_SHARED_PORTS = 6
 _MS_PER_S = 1000
 
 
@@ -123,7 +124,7 @@
         self._control_port = next(ports)
         callers = next(ports)
         ready = next(ports)
-        self._peer_port = next(ports)
+        self._peer_ports = [next(ports), next(ports)]
         self.gateways = [
             Gateway(
                 f'gateway-{number}',
@@ -267,7 +268,7 @@
                 'front': f'{gateway.host}:{gateway.caller_port}',
                 'ready': f'{gateway.host}:{gateway.ready_port}',
             },
-            'portRange': [self._peer_port, self._peer_port + 1],
+            'portRange': self._peer_ports,
             'platform': {'address': f'{HOST}:{gateway.store_link_port}'},
             'bounds': {
                 'retryRatio': RETRY_RATIO,
--- a/src/wasabicross/platform/settings.py
+++ b/src/wasabicross/platform/settings.py
@@ -72,7 +72,7 @@
         seeds=fields.hosts('seeds'),
         cores=limits.number('cpuShare') * limits.number('cores'),
         link_mbps=limits.number('linkMbps'),
-        forwarding_port=ports[0] + 1 if ports[1] > ports[0] else 0,
+        forwarding_port=ports[1] if ports[1] != ports[0] else 0,
     )
 
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -45,6 +45,7 @@
     assert cfg.data_centres == ('bilbao-hall', 'gijon-hall')
     assert cfg.callers == Address('10.1.0.38', 8149)
     assert cfg.peer_port == 7380
+    assert cfg.forwarding_port == 7395
     assert cfg.holder_gap_s == 3
     assert cfg.seeds == ('10.1.0.38', '10.2.0.40')
     assert (cfg.cores, cfg.link_mbps) == (1.0, 100.0)
@@ -96,3 +97,8 @@
     assert process.returncode == 2
     (line,) = process.stderr.splitlines()
     assert message in line
+
+
+def test_gateways_forward_nothing_where_they_have_one_port():
+    cfg = decode_settings(encoded(portRange=[7380, 7380]))
+    assert cfg.forwarding_port == 0
