--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 import time
@@ -124,7 +125,7 @@
         self._control_port = next(ports)
         callers = next(ports)
         ready = next(ports)
-        self._peer_ports = [next(ports), next(ports)]
+        self._peer_ports = list(itertools.islice(ports, 2))
         self.gateways = [
             Gateway(
                 f'gateway-{number}',
