Have no request refused by a gateway of an earlier configuration

Cause: a forwarded request was routed by the configuration of the other gateway, which may be an earlier one. Class: two views of one state in one answer. Change: the request states the version in force where it was received; a gateway with an earlier one declines, and the next is asked. The field is taken off before the request goes to a server.

--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -7,7 +7,10 @@
 from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.http_heads import CallerRequest
-from wasabicross.gateway.peer_forwarding.peer_forwarder import PeerForwarder
+from wasabicross.gateway.peer_forwarding.peer_forwarder import (
+    PeerForwarder,
+    without_configuration,
+)
 from wasabicross.gateway.peer_forwarding.reach import Reach
 from wasabicross.gateway.request_handler import (
     HandlerDependencies,
@@ -97,8 +100,11 @@
         :param req: the request.
         :param answer: writes its answer.
         """
+        sent, version = without_configuration(req)
         await self._serve(
-            RequestHandler(self._deps, req, answer, is_forwarded=True)
+            RequestHandler(
+                self._deps, sent, answer, least_configuration=version
+            )
         )
 
     async def _serve(self, handler: RequestHandler) -> None:
--- a/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
@@ -12,7 +12,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.http_heads import CallerRequest, field
 from wasabicross.gateway.peer_forwarding.peer_attempt import (
     PeerAttempt,
     PeerEnding,
@@ -24,9 +24,23 @@
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
+#: Field of a forwarded request with the version of the configuration by which its
+#: route was found.
+CONFIGURATION = b'x-wasabicross-configuration'
+
+#: Why a forwarded request isn't served by an earlier configuration, which may
+#: lack its route.
+OLDER_CONFIGURATION = 'older configuration'
+
 #: Why a gateway takes no forwarded request, though another one may.
 DECLINING_REASONS = frozenset(
-    (NO_SERVER_IN_REACH, NO_SERVER, 'no configuration', 'stopping')
+    (
+        NO_SERVER_IN_REACH,
+        NO_SERVER,
+        OLDER_CONFIGURATION,
+        'no configuration',
+        'stopping',
+    )
 )
 
 
@@ -36,12 +50,14 @@
     :param request_id: id of this attempt of the caller.
     :param service: the service that it is for.
     :param deadline_s: when the final answer is due, monotonic seconds.
+    :param configuration: version of the configuration that is in force here.
     """
 
     req: CallerRequest
     request_id: str
     service: str
     deadline_s: float
+    configuration: int
 
 
 class PeerForwarder:
@@ -124,6 +140,8 @@
         req = self._dialect.forwarded_request(
             forwardable.req, forwardable.deadline_s - started_s
         )
+        version = str(forwardable.configuration).encode()
+        req.fields.append((CONFIGURATION, version))
         ending = PeerEnding.unknown
         try:
             ending = await attempt.run(req)
@@ -159,3 +177,16 @@
 
 def _shuffled(entries: Sequence[InstanceEntry]) -> Iterable[InstanceEntry]:
     return random.sample(entries, len(entries))
+
+
+def without_configuration(req: CallerRequest) -> tuple[CallerRequest, int]:
+    """Return a forwarded request as its caller sent it, and the configuration.
+
+    :param req: the request as another gateway has forwarded it.
+    :return: the request, and the version of the configuration there, 0 if that
+        isn't stated.
+    """
+    stated = field(req.fields, CONFIGURATION)
+    fields = [pair for pair in req.fields if pair[0] != CONFIGURATION]
+    version = int(stated) if stated.isdecimal() else 0
+    return req._replace(fields=fields), version
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -29,6 +29,7 @@
 )
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
     DECLINING_REASONS,
+    OLDER_CONFIGURATION,
     ForwardableRequest,
     PeerForwarder,
 )
@@ -97,7 +98,8 @@
     :param dependencies: what all request handlers share.
     :param req: the request.
     :param answer: writes its answer.
-    :param is_forwarded: whether another gateway has forwarded it.
+    :param least_configuration: version of the configuration in force at the
+        gateway that has forwarded it, None if it comes from its caller.
     """
 
     def __init__(
@@ -106,11 +108,12 @@
         req: CallerRequest,
         answer: AnswerWriter,
         *,
-        is_forwarded: bool = False,
+        least_configuration: int | None = None,
     ) -> None:
         self._deps = dependencies
         self._req = req
-        self._is_forwarded = is_forwarded
+        self._is_forwarded = least_configuration is not None
+        self._least_configuration = least_configuration or 0
         self._answer = answer
         self._info: RequestInfo = dependencies.servers.dialect.parse_request(
             req
@@ -161,6 +164,11 @@
             )
             return
         self._configuration_version = cfg.version
+        if cfg.version < self._least_configuration:
+            await self._refuse(
+                OLDER_CONFIGURATION, _NO_CONFIGURATION_RETRY_AFTER_S
+            )
+            return
         route = cfg.route_for(self._req.host, self._req.path)
         if route is None:
             await self._send_own_answer(_NOT_FOUND, 'no route', None)
@@ -248,6 +256,7 @@
                 self._info.request_id,
                 self._labels[0],
                 self._deadline_at_s,
+                self._configuration_version,
             ),
             self._answer,
         )
--- a/tests/test_gateway_peer_forwarding.py
+++ b/tests/test_gateway_peer_forwarding.py
@@ -8,6 +8,7 @@
 import pytest
 from gateway_parts import (
     CONFIGURATION,
+    LIMITS,
     FakeEngines,
     gateway_at,
     server_entry,
@@ -28,6 +29,7 @@
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.changes import ConfigurationUpdate, InstanceEntry
+from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.settings import Address
 from wasabicross.platform.headers import REQUEST_ID
@@ -67,10 +69,10 @@
     ]
 
 
-def contents(servers, hosts):
+def contents(servers, hosts, cfg=CONFIGURATION):
     """Return what the store holds for a gateway that reaches these ports."""
     return [
-        ConfigurationUpdate(CONFIGURATION),
+        ConfigurationUpdate(cfg),
         *(
             server_entry(f'{service}-{number}', service, port)
             for service in ('desk', 'llm')
@@ -81,11 +83,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running_site(servers, reaching=(True, False), listening=None):
+async def running_site(
+    servers, reaching=(True, False), listening=None, peer_cfgs=()
+):
     """Run a gateway that reaches no server, and peers.
 
     :param reaching: whether each peer reaches the servers.
     :param listening: hosts of the peers that run, all of them for None.
+    :param peer_cfgs: configurations of the first peers, if they differ.
     """
     ports = [await each.start() for each in servers]
     pools = []
@@ -109,7 +114,13 @@
             bench = await stack.enter_async_context(
                 gateway_at(
                     settings,
-                    contents(ports if reaches else cut, hosts),
+                    contents(
+                        ports if reaches else cut,
+                        hosts,
+                        dict(enumerate(peer_cfgs, start=1)).get(
+                            number, CONFIGURATION
+                        ),
+                    ),
                     pools[-1],
                     UnhealthyEngines(),
                 )
@@ -278,3 +289,26 @@
             return {each.is_released for each in records.values()}
 
     assert asyncio.run(scenario()) == {is_released}
+
+
+@pytest.mark.parametrize(
+    ('reaching', 'status'), [((True,), 503), ((True, True), 200)]
+)
+def test_peer_with_an_earlier_configuration_refuses_no_route_that_exists(
+    reaching, status
+):
+    earlier = Configuration.from_parts(
+        0, CONFIGURATION.routes[:1], CONFIGURATION.services, LIMITS
+    )
+    answers, _, _ = run_site(
+        [[OK]],
+        *[request('/unsafe/x', b'x')] * 3,
+        reaching=reaching,
+        peer_cfgs=(earlier,),
+    )
+    assert [status_of(each) for each in answers] == [status] * 3
+
+
+def test_servers_get_no_field_that_gateways_add_for_each_other():
+    _, (server,), _ = run_site([[OK]], request('/unsafe/x', b'x'))
+    assert b'wasabicross' not in server.seen[0].head.lower()
