--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -7,9 +7,9 @@
 
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.connection_pool import ConnectionPool
-from wasabicross.gateway.crash_evidence import CrashEvidence
-from wasabicross.gateway.crash_sharing import CrashSharing
-from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
+from wasabicross.gateway.crashes.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import Dialect, RequestInfo
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
--- /dev/null
+++ b/src/wasabicross/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways know of requests that crash servers."""
--- a/src/wasabicross/gateway/crash_log.py
+++ b/src/wasabicross/gateway/crashes/crash_log.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.crash_evidence import CrashEvidence
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
--- a/src/wasabicross/gateway/crash_sharing.py
+++ b/src/wasabicross/gateway/crashes/crash_sharing.py
@@ -7,14 +7,14 @@
 from typing import TypeAlias
 
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import (
+from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+from wasabicross.gateway.crashes.crash_evidence import (
     MAX_PARTS,
     Crash,
     CrashEvidence,
     CrashKey,
 )
-from wasabicross.gateway.crash_log import Findings, log_changes
-from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+from wasabicross.gateway.crashes.crash_log import Findings, log_changes
 
 _MS_PER_S = 1000
 
--- a/src/wasabicross/gateway/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -11,13 +11,13 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import (
+from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
     CrashKey,
     Verdict,
 )
-from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -9,8 +9,8 @@
 
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import CrashEvidence
-from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
+from wasabicross.gateway.crashes.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import AdapterUsage
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -13,9 +13,9 @@
 from websockets.exceptions import WebSocketException
 
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import CrashEvidence
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
-from wasabicross.gateway.crash_sharing import CrashMessage, CrashSharing
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
+from wasabicross.gateway.crashes.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wasabicross.gateway import crash_evidence
-from wasabicross.gateway.crash_evidence import (
+from wasabicross.gateway.crashes import crash_evidence
+from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
     CrashKey,
--- a/tests/test_gateway_crash_sharing.py
+++ b/tests/test_gateway_crash_sharing.py
@@ -6,11 +6,15 @@
 import pytest
 
 from emulator.waiting import free_ports
-from wasabicross.gateway import crash_evidence
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import Crash, CrashEvidence, CrashKey
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
-from wasabicross.gateway.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes import crash_evidence
+from wasabicross.gateway.crashes.crash_evidence import (
+    Crash,
+    CrashEvidence,
+    CrashKey,
+)
+from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.messages import decode, encode
 from wasabicross.gateway.owner_link import OwnerLink
 from wasabicross.gateway.owner_server import OwnerServer
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -7,12 +7,16 @@
 import pytest
 
 from emulator.waiting import free_ports
-from wasabicross.gateway import crash_watch
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.crash_evidence import Crash, CrashEvidence, CrashKey
-from wasabicross.gateway.crash_sharing import CrashSharing
-from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.crashes import crash_watch
+from wasabicross.gateway.crashes.crash_evidence import (
+    Crash,
+    CrashEvidence,
+    CrashKey,
+)
+from wasabicross.gateway.crashes.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.gateway.view import FleetView
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -14,9 +14,9 @@
     events,
 )
 
-from wasabicross.gateway import crash_evidence
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.crash_messages import ServerCrash
+from wasabicross.gateway.crashes import crash_evidence
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -19,9 +19,9 @@
     stream,
 )
 
-from wasabicross.gateway.crash_evidence import CrashEvidence
-from wasabicross.gateway.crash_sharing import CrashSharing
-from wasabicross.gateway.crash_watch import CrashWatch
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
+from wasabicross.gateway.crashes.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.progress import RequestProgress
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -12,7 +12,7 @@
 
 from wasabicross.gateway.changes import ServerEntryUpdate
 from wasabicross.gateway.connection_pool import ConnectionPool
-from wasabicross.gateway.crash_evidence import (
+from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
     CrashKey,
