Move the modules on the versions of streams into a package

Moves and imports alone. Divisions, their records and time limits stay where the view of the deployment imports them.

--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/links.py
@@ -18,8 +18,8 @@
 from wasabicross.gateway.owner_link import OwnerLink, StoreUpdateHandler
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.settings import GatewaySettings
-from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_messages import StreamsBegun
+from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.rendezvous import rank
--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -35,8 +35,8 @@
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_relay import StoreRelay
-from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_messages import StreamQuery, StreamsBegun
+from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
 from wasabicross.messaging.errors import MessageMalformed
 from wasabicross.runtime.events import Event
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -20,7 +20,6 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.division_keeper import DivisionKeeper
 from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.links import OwnerLinks
@@ -40,6 +39,7 @@
 from wasabicross.gateway.store_copy import request_from_seeds
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.streams.division_keeper import DivisionKeeper
 from wasabicross.gateway.unanswered import UnansweredRequests
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -53,8 +53,8 @@
 )
 from wasabicross.gateway.server_attempts import ServerAttempt
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
-from wasabicross.gateway.stream_request import StreamRequest
-from wasabicross.gateway.stream_versions import service_of
+from wasabicross.gateway.streams.stream_request import StreamRequest
+from wasabicross.gateway.streams.stream_versions import service_of
 from wasabicross.gateway.time_limits import EndableTimeLimit
 from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -12,8 +12,8 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
-from wasabicross.gateway.stream_request import StreamRequest
-from wasabicross.gateway.stream_versions import (
+from wasabicross.gateway.streams.stream_request import StreamRequest
+from wasabicross.gateway.streams.stream_versions import (
     LASTING_REFUSALS,
     NO_SERVER_OF_VERSION,
 )
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -25,8 +25,8 @@
 )
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.replica_prefetch import ReplicaPrefetch
-from wasabicross.gateway.stream_memory import StreamMemory
-from wasabicross.gateway.stream_versions import StreamVersions
+from wasabicross.gateway.streams.stream_memory import StreamMemory
+from wasabicross.gateway.streams.stream_versions import StreamVersions
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.usual_time_limits import UsualTimeLimits
 from wasabicross.gateway.view import FleetView
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -34,7 +34,7 @@
     ServerRequest,
 )
 from wasabicross.gateway.silence_watch import SilenceWatch
-from wasabicross.gateway.stream_versions import why_unsuitable
+from wasabicross.gateway.streams.stream_versions import why_unsuitable
 from wasabicross.gateway.takeover import Takeover
 
 #: Why an attempt ended early whose request would have crashed the server.
--- /dev/null
+++ b/src/wasabicross/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""At which software version resumable streams begin and go on."""
--- a/src/wasabicross/gateway/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -10,15 +10,6 @@
 from wasabicross.gateway.changes import StreamDivisionUpdate
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Configuration
-from wasabicross.gateway.division_decisions import (
-    LOST,
-    DueWrite,
-    ServiceKnowledge,
-    VersionSlots,
-    due_write,
-    updated_slots,
-    write_delay_s,
-)
 from wasabicross.gateway.error_containment import ErrorContainment
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.store import FleetStore
@@ -31,6 +22,15 @@
     MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
 )
+from wasabicross.gateway.streams.division_decisions import (
+    LOST,
+    DueWrite,
+    ServiceKnowledge,
+    VersionSlots,
+    due_write,
+    updated_slots,
+    write_delay_s,
+)
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/src/wasabicross/gateway/stream_memory.py
+++ b/src/wasabicross/gateway/streams/stream_memory.py
@@ -11,12 +11,6 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 
-from wasabicross.gateway.begun_streams import (
-    BegunStreams,
-    is_settled,
-    keep_time_s,
-    stream_digest,
-)
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.stream_messages import (
     DIGEST_BYTES,
@@ -25,6 +19,12 @@
     StreamQuery,
     StreamsBegun,
 )
+from wasabicross.gateway.streams.begun_streams import (
+    BegunStreams,
+    is_settled,
+    keep_time_s,
+    stream_digest,
+)
 from wasabicross.gateway.view import FleetView
 
 #: Time in which streams that begin are collected into one frame.
--- a/src/wasabicross/gateway/stream_request.py
+++ b/src/wasabicross/gateway/streams/stream_request.py
@@ -7,7 +7,7 @@
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
-from wasabicross.gateway.stream_versions import (
+from wasabicross.gateway.streams.stream_versions import (
     NO_SERVER_OF_VERSION,
     TAKE_UP_REFUSALS,
     Knowledge,
--- a/src/wasabicross/gateway/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -18,7 +18,7 @@
     StreamDivision,
     former_lapse_s,
 )
-from wasabicross.gateway.stream_memory import StreamMemory
+from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
 
 #: Longest wait until the division in force is confirmed, and the interval at
--- a/tests/test_gateway_begun_streams.py
+++ b/tests/test_gateway_begun_streams.py
@@ -7,14 +7,6 @@
 import pytest
 from version_parts import HALF, OLD
 
-from wasabicross.gateway.begun_streams import (
-    MAX_SETTLED_AGE_S,
-    MAX_STREAMS,
-    BegunStreams,
-    is_settled,
-    keep_time_s,
-    stream_digest,
-)
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.messages import decode, encode
 from wasabicross.gateway.stream_divisions import (
@@ -24,14 +16,22 @@
     StreamDivision,
     bucket_of,
 )
-from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_messages import (
     MAX_DIGESTS,
     StreamAnswer,
     StreamQuery,
     StreamsBegun,
 )
-from wasabicross.gateway.stream_versions import (
+from wasabicross.gateway.streams.begun_streams import (
+    MAX_SETTLED_AGE_S,
+    MAX_STREAMS,
+    BegunStreams,
+    is_settled,
+    keep_time_s,
+    stream_digest,
+)
+from wasabicross.gateway.streams.stream_memory import StreamMemory
+from wasabicross.gateway.streams.stream_versions import (
     Knowledge,
     TakeUp,
     with_memory,
--- a/tests/test_gateway_division_decisions.py
+++ b/tests/test_gateway_division_decisions.py
@@ -15,20 +15,6 @@
     RouteKind,
     ServiceShare,
 )
-from wasabicross.gateway.division_decisions import (
-    RANK_DELAY_S,
-    SETTLED_S,
-    ServiceKnowledge,
-    VersionSlots,
-    due_write,
-    updated_slots,
-    write_delay_s,
-)
-from wasabicross.gateway.division_keeper import (
-    DivisionKeeper,
-    resumable_limits_s,
-    slots_by_version,
-)
 from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.gateway.stream_division_records import (
     DivisionRecord,
@@ -42,6 +28,20 @@
     StreamDivision,
 )
 from wasabicross.gateway.stream_time_limits import StreamTimeLimits
+from wasabicross.gateway.streams.division_decisions import (
+    RANK_DELAY_S,
+    SETTLED_S,
+    ServiceKnowledge,
+    VersionSlots,
+    due_write,
+    updated_slots,
+    write_delay_s,
+)
+from wasabicross.gateway.streams.division_keeper import (
+    DivisionKeeper,
+    resumable_limits_s,
+    slots_by_version,
+)
 from wasabicross.gateway.view import FleetView
 
 OLD = ('v1',) * BUCKETS
@@ -355,7 +355,7 @@
 )
 def test_outdated_view_decides_nothing(monkeypatch, age_s, writes):
     monkeypatch.setattr(
-        'wasabicross.gateway.division_keeper.now_s', lambda: 100
+        'wasabicross.gateway.streams.division_keeper.now_s', lambda: 100
     )
     view = view_of(server(1, 'v1'))
     view.configuration = configuration(route('llm', 20))
@@ -370,7 +370,8 @@
     """Buckets stay in force until the write, however late it is sent."""
     clock_s = itertools.count(100, 10)
     monkeypatch.setattr(
-        'wasabicross.gateway.division_keeper.now_s', lambda: next(clock_s)
+        'wasabicross.gateway.streams.division_keeper.now_s',
+        lambda: next(clock_s),
     )
     view = view_of(server(1, 'v2'))
     view.configuration = configuration(route('llm', 20))
--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -12,7 +12,6 @@
 from scripted_server import ScriptedServer
 
 from wasabicross.gateway import division_keeper, store_follower
-from wasabicross.gateway.division_keeper import DivisionKeeper
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
@@ -21,6 +20,7 @@
     BUCKETS,
     bucket_of,
 )
+from wasabicross.gateway.streams.division_keeper import DivisionKeeper
 from wasabicross.gateway.view import FleetView
 
 KEY = 'wasabicross/streams/llm'
--- a/tests/test_gateway_stream_memory.py
+++ b/tests/test_gateway_stream_memory.py
@@ -20,7 +20,6 @@
 from websockets.asyncio.server import serve
 
 from emulator.waiting import free_ports
-from wasabicross.gateway.begun_streams import stream_digest
 from wasabicross.gateway.messages import (
     Hello,
     StoreUpdatesRequest,
@@ -36,8 +35,9 @@
     StreamDivision,
     bucket_of,
 )
-from wasabicross.gateway.stream_memory import StreamMemory
 from wasabicross.gateway.stream_messages import StreamAnswer, StreamsBegun
+from wasabicross.gateway.streams.begun_streams import stream_digest
+from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
 
 OWNER = '127.0.0.3'
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -20,7 +20,7 @@
     next_division,
     without_lapsed,
 )
-from wasabicross.gateway.stream_versions import (
+from wasabicross.gateway.streams.stream_versions import (
     Knowledge,
     StreamVersions,
     service_of,
--- a/tests/test_gateway_versions_out_of_touch.py
+++ b/tests/test_gateway_versions_out_of_touch.py
@@ -14,7 +14,7 @@
     StreamDivision,
     next_division,
 )
-from wasabicross.gateway.stream_versions import StreamVersions
+from wasabicross.gateway.streams.stream_versions import StreamVersions
 from wasabicross.gateway.view import FleetView
 
 OLD = ('v1',) * BUCKETS
