--- /dev/null
+++ b/src/wasabicross/gateway/owners/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of groups of engines, and the links to them."""
--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -11,7 +11,7 @@
 from restorable_store import RestorableStore
 from scripted_server import ScriptedServer
 
-from wasabicross.gateway import division_keeper, store_follower
+from wasabicross.gateway import store_follower
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
@@ -20,6 +20,7 @@
     BUCKETS,
     bucket_of,
 )
+from wasabicross.gateway.streams import division_keeper
 from wasabicross.gateway.streams.division_keeper import DivisionKeeper
 from wasabicross.gateway.view import FleetView
 
--- a/tests/test_gateway_take_ups.py
+++ b/tests/test_gateway_take_ups.py
@@ -22,12 +22,13 @@
     take_up,
 )
 
-from wasabicross.gateway import metrics, stream_request
+from wasabicross.gateway import metrics
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
     bucket_of,
 )
+from wasabicross.gateway.streams import stream_request
 from wasabicross.runtime.events import Event
 
 
