Send no request to a server that another gateway may have run

What callers could see: a request that isn't idempotent run twice (RECOVER), or 200 for one where 502 is true. Found by reading the change once more. Cause: where half of a service's servers aren't reached a request is forwarded between two attempts; if the other gateway gave no answer, the loop went on to a server of its own. Class: an outcome that isn't known, taken for 'not sent'. Change: a forwarded request without an answer is ended, 502. An answer that says that nothing was taken is believed also where its body breaks off. Before: the new test, 200 and a run at the second server; after: 502 and none.

--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -114,7 +114,10 @@
         self, conn: ServerConnection, head: AnswerHead
     ) -> PeerEnding:
         if self.reason:
-            await conn.discard_body()
+            try:
+                await conn.discard_body()
+            except AnswerBroken as exc:
+                self.reason = f'{self.reason}; body discarded: {exc}'
             return PeerEnding.not_taken
         if not head.is_framed:
             raise AnswerBroken('no length and no chunks')
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -225,7 +225,7 @@
         if ending is Ending.not_sent and are_mostly_unreached(
             self._deps.servers.view, self._labels[0]
         ):
-            if await self._is_served_elsewhere(NO_SERVER_IN_REACH):
+            if await self._is_ended_elsewhere(NO_SERVER_IN_REACH):
                 return True
         if self._may_retry(route, ending, budget):
             return False
@@ -234,13 +234,14 @@
 
     async def _end_without_server(self, cause: NoServer) -> None:
         """Have another gateway serve the request, or end it."""
-        if not await self._is_served_elsewhere(cause.reason):
+        if not await self._is_ended_elsewhere(cause.reason):
             await self._end_without_answer(cause.reason, cause.retry_after_s)
 
-    async def _is_served_elsewhere(self, reason: str) -> bool:
-        """Return whether another gateway has answered the request.
+    async def _is_ended_elsewhere(self, reason: str) -> bool:
+        """Return whether the caller has its answer by another gateway.
 
-        It is asked if this one reaches no server and none has the request.
+        It is asked if this one reaches no server and none has the request. If
+        it gives no answer, the request may have run and is ended.
 
         :param reason: why this gateway doesn't serve it.
         """
@@ -260,10 +261,14 @@
             ),
             self._answer,
         )
-        progress.may_run = ending is PeerEnding.unknown
+        if ending is PeerEnding.not_taken:
+            progress.may_run = False
+            return False
         if ending is PeerEnding.answered:
             self._outcome = 'forwarded'
-        return ending is PeerEnding.answered
+        else:
+            await self._end_without_answer('no answer of a gateway')
+        return True
 
     def _is_unreached(self, reason: str) -> bool:
         """Return whether this gateway lacks servers that others may reach."""
--- a/tests/test_gateway_peer_forwarding.py
+++ b/tests/test_gateway_peer_forwarding.py
@@ -312,3 +312,39 @@
 def test_servers_get_no_field_that_gateways_add_for_each_other():
     _, (server,), _ = run_site([[OK]], request('/unsafe/x', b'x'))
     assert b'wasabicross' not in server.seen[0].head.lower()
+
+
+def test_request_that_may_have_run_at_a_peer_is_not_sent_to_a_server():
+    """Half of the servers are reached, so some requests are forwarded."""
+
+    async def scenario():
+        server = ScriptedServer([OK])
+        port = await server.start()
+        callers, ready, peer_port, forwarding = free_ports(4)
+        peer = await asyncio.start_server(
+            _reset_after_reading, PEERS[0], forwarding
+        )
+        settings = settings_at(callers, ready, peer_port)._replace(
+            instance='front-0', forwarding_port=forwarding
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        async with gateway_at(
+            settings,
+            contents([CLOSED_PORT, port], (ASKED, PEERS[0])),
+            pool,
+            UnhealthyEngines(),
+        ):
+            received = await ask(callers, request('/unsafe/x', b'x'))
+        pool.drop_idle(HOST, port)
+        peer.close()
+        return received, server
+
+    received, server = asyncio.run(scenario())
+    assert status_of(received) == 502
+    assert not server.seen
+
+
+async def _reset_after_reading(reader, writer):
+    """Read a request and reset its connection."""
+    await reader.readuntil(b'\r\n\r\n')
+    writer.transport.abort()
