Log by which digest a request is known when it is sent again

Nothing in the log told which of the requests that were under way at the ends of several servers are one request that came again, so a request that crashes servers couldn't be told from servers that fall by themselves.

Lines 8041 of attempts without a whole answer and lines 8042 name a digest over caller, method, host, path, query and body; the id and the time limit of a try don't count. Neither caller nor body can be read from it. No decision depends on it yet.

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -26,6 +26,7 @@
     :param parts: the parts of its prompt that other requests may share.
     :param resumes: id of the caller's attempt that brought the first event of
         the interrupted stream, empty if not stated or not clear.
+    :param digest: the same for all copies of the request, empty if not known.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     shared_tokens: int = 0
     parts: tuple[str, ...] = ()
     resumes: str = ''
+    digest: str = ''
 
 
 class ForwardingOptions(NamedTuple):
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -16,6 +16,7 @@
 )
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import (
     AnswerCut,
@@ -117,7 +118,7 @@
         self._answer = answer
         self._info: RequestInfo = dependencies.servers.dialect.parse_request(
             req
-        )
+        )._replace(digest=request_digest(req))
         self._progress = RequestProgress(self._info.last_event_id)
         self._stream: StreamRequest | None = None
         self._server_id = ''
@@ -460,6 +461,7 @@
             sends=self._progress.sends,
             runs=self._progress.runs,
             server=self._server_id,
+            digest=self._info.digest,
             held_s=round(now_s() - self._req.arrived_s, 3),
             before_s=round(self._waited_before_s, 3),
         )
@@ -502,6 +504,7 @@
             status=record.status,
             reason=record.reason,
             limits=record.limits,
+            digest='' if ending is Ending.done else self._info.digest,
         )
 
 
