--- a/src/wasabicross/gateway/crashes/crash_evidence.py
+++ b/src/wasabicross/gateway/crashes/crash_evidence.py
@@ -26,7 +26,7 @@
 
 #: Crashes closer than this count as one, as the servers may have been lost
 #: together.
-_SEPARATE_S = 0.1
+SEPARATE_S = 0.1
 
 #: Number of separate crashes that convict a part.
 _MIN_CRASHES = 2
@@ -121,7 +121,7 @@
         count = 0
         last_s = -math.inf
         for at_s in times:
-            count += at_s - last_s >= _SEPARATE_S
+            count += at_s - last_s >= SEPARATE_S
             last_s = at_s
         return count
 
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -4,6 +4,7 @@
 
 import pytest
 from gateway_parts import running_gateway
+from mortal_server import MortalServer
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import (
     HOST,
@@ -22,7 +23,7 @@
 @pytest.fixture(autouse=True)
 def _no_pause(monkeypatch):
     """Count crashes separately that the tests cause one right after another."""
-    monkeypatch.setattr(crash_evidence, '_SEPARATE_S', 0)
+    monkeypatch.setattr(crash_evidence, 'SEPARATE_S', 0)
 
 
 FIRST, DEADLY = 'f0', 'd4'
@@ -43,50 +44,26 @@
 }
 
 
-class MortalServer(ScriptedServer):
-    """A server whose process ends as it answers a request with a deadly part.
+def is_deadly(received):
+    """Tell whether a received request has the deadly part."""
+    return DEADLY in received.fields.get('prompt-prefix', '')
+
+
+def mortal_server(how):
+    """Return a server whose process ends under the deadly part.
 
     :param how: what happens on such a request: `crash`, `late` (the same, long
         after the head), `unframed` (the same after an event of an answer that
-        has no length, whose connection is closed in order), `break` (it breaks all answers off and goes on), or
-        `leave` (it says that it leaves before).
+        has no length, whose connection is closed in order), `break` (it breaks
+        all answers off and goes on), or `leave` (it says that it leaves before).
     """
-
-    def __init__(self, how='crash'):
-        super().__init__(SOUND)
-        self._how = how
-        self._listener = None
-        self._writers = set()
-        self.deadly = 0
-
-    async def start(self):
-        """Listen; return the port."""
-        self._listener = await asyncio.start_server(self._serve, HOST, 0)
-        return self._listener.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer):
-        self._writers.add(writer)
-        try:
-            await super()._serve(reader, writer)
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _play(self, script, request, reader, writer):
-        if DEADLY not in request.fields.get('prompt-prefix', ''):
-            return await super()._play(script, request, reader, writer)
-        self.deadly += 1
-        begun = BEGUN.get(self._how, [STREAM_HEAD, chunk(events(1, 1)), 0.02])
-        if not await super()._play(begun, request, reader, writer):
-            return False
-        if self._how != 'break':
-            self._listener.close()
-        for each in tuple(self._writers):
-            if self._how == 'unframed':
-                each.close()
-            else:
-                each.transport.abort()
-        return False
+    return MortalServer(
+        SOUND,
+        is_deadly,
+        BEGUN.get(how, [STREAM_HEAD, chunk(events(1, 1)), 0.02]),
+        ends=how != 'break',
+        closes=how == 'unframed',
+    )
 
 
 def prompt(number, *parts, kind='streaming'):
@@ -101,7 +78,7 @@
     """Send requests one after the other; return the answers and servers."""
 
     async def scenario():
-        mortals = [MortalServer(how) for _ in range(servers)]
+        mortals = [mortal_server(how) for _ in range(servers)]
         answers = []
         async with running_gateway(mortals, service='llm') as bench:
             for each in sent:
