Learn from crashes which whole requests crash servers

Cause: a crash counted only against parts of prompts, and only where the head of an answer had come. A request without parts, on a route whose answer comes as a whole, or one that crashes its server before the head left no evidence. The class: a decision on what harms servers that is made for one form of work; the form beside it goes undecided.

Change: each request has its digest as one more possible cause of crashes. One module weighs parts and requests alike: a crash counts against the causes of all requests that the server may just have begun, with or without a head, a sound run clears them, two separate crashes convict. Causes that were in the same crashes excuse each other, so a part isn't convicted for one request that came again, nor a request for the one beside it; a third crash convicts requests all the same. Complete answers below status 500 count as sound runs. Digests travel in the messages that gateways have, and an older gateway takes them for parts that no request has.

--- a/src/wasabicross/gateway/crashes/crash_evidence.py
+++ b/src/wasabicross/gateway/crashes/crash_evidence.py
@@ -1,7 +1,10 @@
-"""Finds the part of prompts that crashes servers, from the servers it crashed.
+"""Finds out what crashes servers, from the servers that it has crashed.
 
-A crash counts against the parts of the requests that the server had just begun
-to answer. An answer that went on clears the parts of its request.
+What may crash a server is a part of a prompt or a request as a whole, which is
+known by its digest. Each of these is a possible cause; a request has one for each
+of its parts and one for itself. A crash counts against the causes of all
+requests that the server may just have begun. An answer that went on clears the
+causes of its request.
 """
 
 from __future__ import annotations
@@ -13,14 +16,16 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-#: Most crashes that are kept, and most parts of each.
+from wasabicross.gateway.crashes.request_digest import is_request_digest
+
+#: Most crashes that are kept, and most causes of each.
 MAX_CRASHES = 128
-MAX_PARTS = 64
+MAX_CAUSES = 64
 
-#: Most parts that are remembered as sound.
+#: Most causes that are remembered as sound.
 _MAX_SOUND = 4096
 
-#: Crashes this soon after a sound run of a part don't count against it. Parts
+#: Crashes this soon after a sound run of a cause don't count against it. Causes
 #: that many requests share run soundly again and again.
 _SOUND_S = 3.0
 
@@ -28,17 +33,21 @@
 #: together.
 SEPARATE_S = 0.1
 
-#: Number of separate crashes that convict a part.
+#: Number of separate crashes that convict a cause.
 _MIN_CRASHES = 2
 
+#: Number of separate crashes that convict a whole request although others that
+#: haven't run soundly since were involved in all of them.
+_MIN_TIED_CRASHES = 3
+
 #: How long a conviction lasts after the last crash, and how many times as long
-#: after each further one. So a part that stays deadly reaches servers twice in
+#: after each further one. So a cause that stays deadly reaches servers twice in
 #: the day after its fifth crash.
 _FIRST_CONVICTION_S = 60.0
 _LENGTHENING = 4.0
 _MAX_CONVICTION_S = 86400.0
 
-#: How long crashes without a convicted part are kept, and all others.
+#: How long crashes without a convicted cause are kept, and all others.
 _EVIDENCE_S = 3600.0
 _MAX_EVIDENCE_S = 259200.0
 
@@ -57,22 +66,22 @@
 
 
 class Crash(NamedTuple):
-    """A crash of a server, and the parts that may have caused it.
+    """A crash of a server, and its possible causes.
 
     :param at_s: time of the crash, monotonic seconds.
-    :param parts: parts of the requests that it had just begun to answer.
+    :param causes: those of the requests that it may just have begun.
     """
 
     key: CrashKey
     at_s: float
-    parts: frozenset[str]
+    causes: frozenset[str]
 
 
 class Verdict(enum.Enum):
     """Whether a request may be sent to a server.
 
-    `go`: it may be sent. `trial`: it may be sent, and tells whether a part
-    still crashes servers. `refused`: it has a convicted part.
+    `go`: it may be sent. `trial`: it may be sent, and tells whether a cause
+    still crashes servers. `refused`: it has a convicted cause.
     """
 
     go = 'go'
@@ -80,12 +89,22 @@
     refused = 'refused'
 
 
+def by_weight(causes: Iterable[str]) -> list[str]:
+    """Return causes with whole requests first, which are kept before parts.
+
+    :param causes: possible causes of one crash.
+    """
+    return sorted(causes, key=lambda each: (not is_request_digest(each), each))
+
+
 class CrashEvidence:
-    """The crashes of servers and the parts of prompts that may cause them.
+    """The crashes of servers and what may cause them.
 
-    A part is convicted after several separate crashes. If other parts were
-    involved in all of these crashes too, only requests with all of these parts
-    are refused, until one of them is cleared or missing in a further crash.
+    A cause is convicted after several separate crashes. If other causes were
+    involved in all of these crashes too, only requests with all of these causes
+    are refused, until one of them is cleared or missing in a further crash. So
+    a part of a prompt isn't convicted for one request that came again, nor a
+    request for another one that was beside it.
 
     The order in which crashes and sound runs are recorded doesn't matter, nor
     whether one is recorded twice.
@@ -107,17 +126,17 @@
         return tuple(self._crashes.values())
 
     def convicted(self) -> frozenset[str]:
-        """Return the parts that are convicted, alone or with others."""
+        """Return the causes that are convicted, alone or with others."""
         return frozenset(
-            part for part in self._crashes_of if self._is_convicted(part)
+            cause for cause in self._crashes_of if self._is_convicted(cause)
         )
 
-    def crashes_of(self, part: str) -> int:
-        """Return the number of separate crashes that count against a part.
+    def crashes_of(self, cause: str) -> int:
+        """Return the number of separate crashes that count against a cause.
 
-        :param part: the part.
+        :param cause: the cause.
         """
-        times = sorted(self._crashes_of.get(part, {}).values())
+        times = sorted(self._crashes_of.get(cause, {}).values())
         count = 0
         last_s = -math.inf
         for at_s in times:
@@ -126,40 +145,40 @@
         return count
 
     def add(self, crash: Crash, now_s: float) -> frozenset[str]:
-        """Record a crash; return the parts against which it counts newly.
+        """Record a crash; return the causes against which it counts newly.
 
-        :param crash: the crash, with all or some of the parts involved.
+        :param crash: the crash, with all or some of the causes involved.
         :param now_s: the present time, monotonic seconds.
         """
         self._remove_old(now_s)
         known = self._crashes.get(crash.key)
         at_s = min(known.at_s, crash.at_s) if known else crash.at_s
-        before = known.parts if known else frozenset()
-        room = MAX_PARTS - len(before)
+        before = known.causes if known else frozenset()
+        room = MAX_CAUSES - len(before)
         new = frozenset(
-            sorted(
-                part
-                for part in crash.parts - before
-                if at_s > self._sound_s.get(part, -math.inf) + _SOUND_S
+            by_weight(
+                cause
+                for cause in crash.causes - before
+                if at_s > self._sound_s.get(cause, -math.inf) + _SOUND_S
             )[:room]
         )
         if not new:
             return new
         self._crashes[crash.key] = Crash(crash.key, at_s, before | new)
-        for part in before | new:
-            self._crashes_of.setdefault(part, {})[crash.key] = at_s
+        for cause in before | new:
+            self._crashes_of.setdefault(cause, {})[crash.key] = at_s
         self._evict()
         return new
 
-    def clear(self, parts: Iterable[str], at_s: float) -> tuple[str, ...]:
-        """Record a sound run; return the parts that it clears.
+    def clear(self, causes: Iterable[str], at_s: float) -> tuple[str, ...]:
+        """Record a sound run; return the causes that it clears.
 
-        :param parts: the parts of the request that ran.
+        :param causes: the causes of the request that ran.
         :param at_s: time at which its answer had gone on for a while or was
             complete, monotonic seconds.
         """
         sound_s = self._sound_s
-        for each in parts:
+        for each in causes:
             known_s = sound_s.get(each, at_s)
             sound_s[each] = at_s if at_s > known_s else known_s
             sound_s.move_to_end(each)
@@ -167,102 +186,110 @@
             sound_s.popitem(last=False)
         if not self._crashes_of:
             return ()
-        return tuple(part for part in parts if self._discard(part))
+        return tuple(cause for cause in causes if self._discard(cause))
 
-    def sound_at(self, parts: Iterable[str], at_s: float) -> dict[str, float]:
-        """Return the parts against which a crash doesn't count, as they ran.
+    def sound_at(self, causes: Iterable[str], at_s: float) -> dict[str, float]:
+        """Return the causes against which a crash doesn't count, as they ran.
 
-        :param parts: parts that were involved in a crash.
+        :param causes: causes that were involved in a crash.
         :param at_s: time of the crash, monotonic seconds.
         :return: when each of them last ran soundly, monotonic seconds.
         """
-        known = {part: self._sound_s.get(part, -math.inf) for part in parts}
+        known = {cause: self._sound_s.get(cause, -math.inf) for cause in causes}
         return {
-            part: sound_s
-            for part, sound_s in known.items()
+            cause: sound_s
+            for cause, sound_s in known.items()
             if at_s <= sound_s + _SOUND_S
         }
 
     def suspects(self) -> frozenset[str]:
-        """Return the parts against which crashes count."""
+        """Return the causes against which crashes count."""
         return frozenset(self._crashes_of)
 
-    def is_suspect(self, parts: Iterable[str]) -> bool:
-        """Return whether a crash counts against one of some parts.
+    def is_suspect(self, causes: Iterable[str]) -> bool:
+        """Return whether a crash counts against one of some causes.
 
-        :param parts: the parts of a request.
+        :param causes: the causes of a request.
         """
         crashes_of = self._crashes_of
-        return bool(crashes_of) and any(part in crashes_of for part in parts)
+        return bool(crashes_of) and any(cause in crashes_of for cause in causes)
 
-    def verdict(self, parts: tuple[str, ...], now_s: float) -> Verdict:
+    def verdict(self, causes: tuple[str, ...], now_s: float) -> Verdict:
         """Return whether a request may be sent to a server.
 
-        :param parts: the parts of its prompt.
+        :param causes: its possible causes of crashes.
         :param now_s: the present time, monotonic seconds.
         """
         if not self._crashes_of:
             return Verdict.go
         verdict = Verdict.go
-        for part in parts:
-            if not self._is_convicted(part):
+        for cause in causes:
+            if not self._is_convicted(cause):
                 continue
-            if not self._tied(part).issubset(parts):
+            if not self._is_told_apart(cause, causes):
                 continue
-            if now_s < self._ends_s(part):
+            if now_s < self._ends_s(cause):
                 return Verdict.refused
-            if now_s < self._trials_s.get(part, -math.inf) + _TRIAL_S:
+            if now_s < self._trials_s.get(cause, -math.inf) + _TRIAL_S:
                 return Verdict.refused
-            self._trials_s[part] = now_s
+            self._trials_s[cause] = now_s
             verdict = Verdict.trial
         return verdict
 
-    def _is_convicted(self, part: str) -> bool:
-        if len(self._crashes_of.get(part, ())) < _MIN_CRASHES:
+    def _is_convicted(self, cause: str) -> bool:
+        if len(self._crashes_of.get(cause, ())) < _MIN_CRASHES:
+            return False
+        return self.crashes_of(cause) >= _MIN_CRASHES
+
+    def _is_told_apart(self, cause: str, causes: tuple[str, ...]) -> bool:
+        """Return whether no cause beside those of a request is to blame."""
+        if self._tied(cause).issubset(causes):
+            return True
+        if not is_request_digest(cause):
             return False
-        return self.crashes_of(part) >= _MIN_CRASHES
+        return self.crashes_of(cause) >= _MIN_TIED_CRASHES
 
-    def _tied(self, part: str) -> frozenset[str]:
-        """Return all parts that were involved in all crashes of a part."""
+    def _tied(self, cause: str) -> frozenset[str]:
+        """Return all causes that were involved in all crashes of a cause."""
         return frozenset.intersection(
-            *(self._crashes[key].parts for key in self._crashes_of[part])
+            *(self._crashes[key].causes for key in self._crashes_of[cause])
         )
 
-    def _ends_s(self, part: str) -> float:
-        """Return when the conviction of a part ends, monotonic seconds."""
-        further = self.crashes_of(part) - _MIN_CRASHES
+    def _ends_s(self, cause: str) -> float:
+        """Return when the conviction of a cause ends, monotonic seconds."""
+        further = self.crashes_of(cause) - _MIN_CRASHES
         lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
         lasts_s = min(_MAX_CONVICTION_S, lasts_s)
-        return max(self._crashes_of[part].values()) + lasts_s * self._stretch
+        return max(self._crashes_of[cause].values()) + lasts_s * self._stretch
 
-    def _discard(self, part: str) -> bool:
+    def _discard(self, cause: str) -> bool:
         """Discard the crashes before a sound run; return whether there were."""
-        crashes = self._crashes_of.get(part)
+        crashes = self._crashes_of.get(cause)
         if not crashes:
             return False
-        until_s = self._sound_s[part] + _SOUND_S
+        until_s = self._sound_s[cause] + _SOUND_S
         gone = [key for key, at_s in crashes.items() if at_s <= until_s]
         for key in gone:
-            self._forget(part, key)
+            self._forget(cause, key)
         return bool(gone)
 
-    def _forget(self, part: str, key: CrashKey) -> None:
-        crashes = self._crashes_of[part]
+    def _forget(self, cause: str, key: CrashKey) -> None:
+        crashes = self._crashes_of[cause]
         crashes.pop(key)
         if not crashes:
-            self._crashes_of.pop(part)
-            self._trials_s.pop(part, None)
+            self._crashes_of.pop(cause)
+            self._trials_s.pop(cause, None)
         crash = self._crashes[key]
-        self._crashes[key] = crash._replace(parts=crash.parts - {part})
-        if not self._crashes[key].parts:
+        self._crashes[key] = crash._replace(causes=crash.causes - {cause})
+        if not self._crashes[key].causes:
             self._crashes.pop(key)
 
     def _remove(self, crash: Crash) -> None:
-        for part in crash.parts:
-            self._forget(part, crash.key)
+        for cause in crash.causes:
+            self._forget(cause, crash.key)
 
     def _has_convicted(self, crash: Crash) -> bool:
-        return any(self._is_convicted(part) for part in crash.parts)
+        return any(self._is_convicted(cause) for cause in crash.causes)
 
     def _remove_old(self, now_s: float) -> None:
         for crash in self.crashes:
--- a/src/wasabicross/gateway/crashes/crash_sharing.py
+++ b/src/wasabicross/gateway/crashes/crash_sharing.py
@@ -9,24 +9,25 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 from wasabicross.gateway.crashes.crash_evidence import (
-    MAX_PARTS,
+    MAX_CAUSES,
     Crash,
     CrashEvidence,
     CrashKey,
+    by_weight,
 )
 from wasabicross.gateway.crashes.crash_log import Findings, log_changes
 
 _MS_PER_S = 1000
 
-#: Longest part that is accepted from another gateway.
-_MAX_PART_LENGTH = 64
+#: Longest cause that is accepted from another gateway.
+_MAX_CAUSE_LENGTH = 64
 
 CrashMessage: TypeAlias = ServerCrash | PartsCleared
 Sender: TypeAlias = Callable[[CrashMessage], None]
 
 
 class CrashSharing:
-    """Shares crashes and cleared parts with all gateways.
+    """Shares crashes and cleared causes with all gateways.
 
     A gateway sends what it finds to owners of servers, and owners send what is
     new to them to all gateways that are linked to them. The two sides of a new
@@ -40,8 +41,8 @@
         #: Sends to some owners, and to all gateways linked to this one.
         self.to_owners: Sender = _ignore
         self.to_linked: Sender = _ignore
-        #: Is told the convicted parts after each change of the evidence, which
-        #: may also tell a convicted part from others.
+        #: Is told the convicted causes after each change of the evidence, which
+        #: may also tell a convicted cause from others.
         self.on_convicted: Callable[[frozenset[str]], None] = _ignore
 
     def table(self) -> tuple[ServerCrash, ...]:
@@ -60,19 +61,19 @@
         with self._following():
             new = self._evidence.add(crash, at_s)
         if new:
-            self._send(_crash_message(crash._replace(parts=new), at_s))
+            self._send(_crash_message(crash._replace(causes=new), at_s))
 
-    def report_sound(self, parts: tuple[str, ...]) -> None:
+    def report_sound(self, causes: tuple[str, ...]) -> None:
         """Record that an answer has gone on for a while or was complete.
 
-        :param parts: the parts of its request's prompt.
+        :param causes: possible causes of crashes that its request has.
         """
         at_s = now_s()
-        if not self._evidence.is_suspect(parts):
-            self._evidence.clear(parts, at_s)
+        if not self._evidence.is_suspect(causes):
+            self._evidence.clear(causes, at_s)
             return
         with self._following():
-            cleared = self._evidence.clear(parts, at_s)
+            cleared = self._evidence.clear(causes, at_s)
         if cleared:
             self._send(PartsCleared(0, cleared))
 
@@ -82,30 +83,30 @@
         :param message: the message.
         """
         at_s = now_s() - message.age_ms / _MS_PER_S
-        parts = tuple(
-            part
-            for part in message.parts[:MAX_PARTS]
-            if isinstance(part, str) and len(part) <= _MAX_PART_LENGTH
+        causes = tuple(
+            cause
+            for cause in message.parts[:MAX_CAUSES]
+            if isinstance(cause, str) and len(cause) <= _MAX_CAUSE_LENGTH
         )
         with self._following():
             if isinstance(message, PartsCleared):
-                changed = bool(self._evidence.clear(parts, at_s))
+                changed = bool(self._evidence.clear(causes, at_s))
             else:
-                changed = self._add(message, parts, at_s)
+                changed = self._add(message, causes, at_s)
         if changed:
             self.to_linked(message)
 
     def _add(
-        self, message: ServerCrash, parts: tuple[str, ...], at_s: float
+        self, message: ServerCrash, causes: tuple[str, ...], at_s: float
     ) -> bool:
-        """Record a crash; tell others which parts this gateway knows sound."""
+        """Record a crash; tell others which causes this gateway knows sound."""
         key = CrashKey(message.server_id, message.start_ms)
-        crash = Crash(key, at_s, frozenset(parts))
+        crash = Crash(key, at_s, frozenset(causes))
         new = self._evidence.add(crash, now_s())
-        sound = self._evidence.sound_at(parts, at_s)
-        for part, sound_s in sound.items():
+        sound = self._evidence.sound_at(causes, at_s)
+        for cause, sound_s in sound.items():
             age_ms = int((now_s() - sound_s) * _MS_PER_S)
-            self._send(PartsCleared(max(0, age_ms), (part,)))
+            self._send(PartsCleared(max(0, age_ms), (cause,)))
         return bool(new)
 
     @contextlib.contextmanager
@@ -125,7 +126,9 @@
 
 def _crash_message(crash: Crash, at_s: float) -> ServerCrash:
     age_ms = int((at_s - crash.at_s) * _MS_PER_S)
-    return ServerCrash(*crash.key, max(0, age_ms), tuple(sorted(crash.parts)))
+    return ServerCrash(
+        *crash.key, max(0, age_ms), tuple(by_weight(crash.causes))
+    )
 
 
 def _ignore(_message: object) -> None:
--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -1,4 +1,4 @@
-"""Finds out which servers crashed under requests that they began to answer."""
+"""Finds out which servers crashed under requests that they may have begun."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
     CrashKey,
     Verdict,
 )
+from wasabicross.gateway.crashes.crash_log import log_trial
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.view import FleetView
@@ -50,11 +51,11 @@
 
 
 class _Suspect(NamedTuple):
-    """A request whose answer ended with its server."""
+    """A request whose answer ended with its server, or never began."""
 
     request_id: str
     since_start_s: float
-    parts: tuple[str, ...]
+    causes: tuple[str, ...]
 
 
 class _Check:
@@ -75,7 +76,7 @@
     """Tells crashed servers from others that broke off answers.
 
     :param view: the servers.
-    :param evidence: the parts of prompts that may crash servers.
+    :param evidence: what may crash servers.
     :param sharing: shares the evidence.
     """
 
@@ -91,7 +92,7 @@
         self.sharing = sharing
         self._checks: dict[CrashKey, _Check] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        #: Attempts that are called off if a part of theirs is convicted.
+        #: Attempts that are called off if a cause of theirs is convicted.
         self.under_way: set[WatchedAttempt] = set()
         sharing.on_convicted = self._call_off
 
@@ -103,41 +104,41 @@
         """
         return WatchedAttempt(self, server, info)
 
-    def guard(self, parts: tuple[str, ...]) -> RequestGuard:
+    def guard(self, causes: tuple[str, ...]) -> RequestGuard:
         """Return an object that keeps one request from crashing servers.
 
-        :param parts: the parts of its prompt.
+        :param causes: its possible causes of crashes.
         """
-        return RequestGuard(self._evidence, parts)
+        return RequestGuard(self._evidence, causes)
 
-    def on_sound(self, parts: tuple[str, ...]) -> None:
+    def on_sound(self, causes: tuple[str, ...]) -> None:
         """Record that the answer to a request went on.
 
-        :param parts: the parts of its prompt.
+        :param causes: its possible causes of crashes.
         """
-        self.sharing.report_sound(parts)
+        self.sharing.report_sound(causes)
 
     async def on_broken(
         self, server: BackendServer, info: RequestInfo, since_start_s: float
     ) -> bool:
-        """Record an answer that broke off.
+        """Record an answer that broke off or is missing.
 
         :return: whether its server crashed, perhaps because of the request.
         :param server: the server.
         :param info: what the header fields of the request state.
-        :param since_start_s: time since the answer began, seconds.
+        :param since_start_s: time since the answer began, seconds, 0 if it hasn't.
         """
-        if since_start_s > _BEGUN_S or not info.parts:
+        if since_start_s > _BEGUN_S:
             return False
         if not self._is_expected(server):
             return False
         check = self._check_of(server)
-        suspect = _Suspect(info.request_id, since_start_s, info.parts)
+        suspect = _Suspect(info.request_id, since_start_s, info.causes)
         check.suspects.append(suspect)
         if check.is_done.is_set():
             self._report(server, check)
         await check.is_done.wait()
-        return check.has_crashed and self._evidence.is_suspect(info.parts)
+        return check.has_crashed and self._evidence.is_suspect(info.causes)
 
     async def has_ended(self, server: BackendServer) -> bool:
         """Return whether a server has ended without notice.
@@ -154,10 +155,10 @@
         """Call off the attempts that would crash their servers next."""
         at_s = now_s()
         for attempt in tuple(self.under_way):
-            parts = attempt.unproved_parts(at_s)
-            if convicted.isdisjoint(parts):
+            causes = attempt.unproved_causes(at_s)
+            if convicted.isdisjoint(causes):
                 continue
-            if self._evidence.verdict(parts, at_s) is Verdict.refused:
+            if self._evidence.verdict(causes, at_s) is Verdict.refused:
                 attempt.call_off()
 
     def _is_expected(self, server: BackendServer) -> bool:
@@ -230,36 +231,38 @@
             start_ms=server.start_ms,
             confirmed='connection refused',
             requests=[
-                f'{each.request_id} {each.since_start_s:.3f}'
+                f'{each.request_id} {each.since_start_s:.3f} {each.causes[-1]}'
                 for each in suspects[:_MAX_NAMED]
             ],
             count=len(suspects),
         )
-        parts = frozenset(part for each in suspects for part in each.parts)
+        causes = frozenset(cause for each in suspects for cause in each.causes)
         key = CrashKey(server.server_id, server.start_ms)
-        self.sharing.report_crash(Crash(key, check.at_s, parts))
+        self.sharing.report_crash(Crash(key, check.at_s, causes))
 
 
 class RequestGuard:
     """Keeps a request from servers if it would crash them.
 
-    :param evidence: the parts of prompts that may crash servers.
-    :param parts: the parts of its prompt.
+    :param evidence: what may crash servers.
+    :param causes: the request's possible causes of crashes.
     """
 
-    def __init__(self, evidence: CrashEvidence, parts: tuple[str, ...]) -> None:
+    def __init__(
+        self, evidence: CrashEvidence, causes: tuple[str, ...]
+    ) -> None:
         self._evidence = evidence
-        self._parts = parts
+        self._causes = causes
         self._is_trial = False
 
     def refuses(self) -> bool:
         """Return whether the request may not be sent to a server now."""
-        if self._is_trial or not self._parts:
+        if self._is_trial:
             return False
-        verdict = self._evidence.verdict(self._parts, now_s())
+        verdict = self._evidence.verdict(self._causes, now_s())
         if verdict is Verdict.trial:
             self._is_trial = True
-            log_event(Event.PART_TRIED, parts=list(self._parts)[:_MAX_NAMED])
+            log_trial(self._causes)
         return verdict is Verdict.refused
 
 
@@ -277,7 +280,6 @@
         self._watch = watch
         self._server = server
         self._info = info
-        self._has_begun = False
         #: When the first piece of the body came.
         self._first_piece_s = math.inf
         self._is_sound = False
@@ -285,13 +287,13 @@
         #: Whether it was called off, so its end says nothing about the server.
         self.is_called_off = False
 
-    def unproved_parts(self, now_s: float) -> tuple[str, ...]:
-        """Return the parts of its prompt, none once the answer has gone on.
+    def unproved_causes(self, now_s: float) -> tuple[str, ...]:
+        """Return its possible causes, none once the answer has gone on.
 
         :param now_s: the present time, monotonic seconds.
         """
         has_gone_on = now_s > self._first_piece_s + _BEGUN_S
-        return () if has_gone_on or self._is_sound else self._info.parts
+        return () if has_gone_on or self._is_sound else self._info.causes
 
     def under_way(self, close: Callable[[], None]) -> Self:
         """Return a context in which the attempt may be called off.
@@ -303,8 +305,7 @@
 
     def __enter__(self) -> None:
         """Begin the attempt."""
-        if self._info.parts:
-            self._watch.under_way.add(self)
+        self._watch.under_way.add(self)
 
     def __exit__(self, *_exc: object) -> None:
         """End the attempt."""
@@ -316,10 +317,6 @@
             self.is_called_off = True
             self._close()
 
-    def on_start(self) -> None:
-        """Record that the server has begun to answer."""
-        self._has_begun = True
-
     def on_progress(self) -> None:
         """Record that a piece of the body came."""
         if self._is_sound:
@@ -327,12 +324,12 @@
         at_s = now_s()
         self._first_piece_s = min(self._first_piece_s, at_s)
         if at_s >= self._first_piece_s + _SOUND_AFTER_S:
-            self.on_success()
+            self.on_sound()
 
-    def on_success(self) -> None:
+    def on_sound(self) -> None:
         """Record that the answer is complete or has gone on for a while."""
-        if self._info.parts and not self._is_sound:
-            self._watch.on_sound(self._info.parts)
+        if not self._is_sound:
+            self._watch.on_sound(self._info.causes)
         self._is_sound = True
 
     async def has_server_ended(self) -> bool:
@@ -340,9 +337,7 @@
         return await self._watch.has_ended(self._server)
 
     async def on_broken(self) -> bool:
-        """Return whether the server crashed as it began to answer."""
-        if not self._has_begun:
-            return False
+        """Return whether the server crashed, perhaps because of the request."""
         # A head may come long before the server writes the first piece.
         since_start_s = max(0, now_s() - self._first_piece_s)
         return await self._watch.on_broken(
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -39,6 +39,11 @@
     resumes: str = ''
     digest: str = ''
 
+    @property
+    def causes(self) -> tuple[str, ...]:
+        """Return what of the request may crash servers, itself last."""
+        return (*self.parts, self.digest) if self.digest else self.parts
+
 
 class ForwardingOptions(NamedTuple):
     """What a gateway adds to a request that it forwards to a server.
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -96,13 +96,18 @@
 )
 CRASHES = Counter(
     'wasabicross_gateway_server_crashes',
-    'Servers found crashed under requests that they had begun to answer.',
+    'Servers found crashed under requests that they may have begun.',
 )
 PARTS = Counter(
     'wasabicross_gateway_prompt_parts',
     'Parts of prompts by how the evidence of crashes against them changed.',
     ('change',),
 )
+CRASHING_REQUESTS = Counter(
+    'wasabicross_gateway_crashing_requests',
+    'Whole requests by how the evidence of crashes against them changed.',
+    ('change',),
+)
 TAKE_UPS = Counter(
     'wasabicross_gateway_take_ups',
     'Interrupted streams that callers took up again, by how that ended.',
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -198,7 +198,7 @@
             ),
             self._progress,
             self._deps.placer,
-            self._deps.servers.crashes.guard(self._info.parts),
+            self._deps.servers.crashes.guard(self._info.causes),
         )
         self._stream = placements.stream
         self._waited_before_s = placements.waited_before_s
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -207,7 +207,6 @@
         if kind is AnswerKind.unmarked:
             raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
-        self._watched.on_start()
         prefill.on_answer(now_s())
         return await self._forward_answer(conn, placement, head)
 
@@ -289,7 +288,8 @@
                 await self._forward_body(conn, head)
         if succeeded:
             health.on_answer()
-            self._watched.on_success()
+        if head.status < _FIRST_FAILURE_STATUS:
+            self._watched.on_sound()
         self._progress.has_succeeded = succeeded
         return Ending.done
 
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -124,6 +124,50 @@
     assert not is_refused(evidence, FIRST, ANNE, PAPER)
 
 
+#: Digests of whole requests.
+ONE, TWO, THREE = (f'request/{number:032x}' for number in (1, 2, 3))
+
+
+def test_a_part_is_not_convicted_for_one_request_that_came_again():
+    """Other requests of the same caller were refused."""
+    evidence = evidence_of(crash(1, 5, ANNE, ONE), crash(2, 6, ANNE, ONE))
+    assert is_refused(evidence, ANNE, ONE)
+    assert not is_refused(evidence, ANNE, TWO)
+    record(evidence, (6.5, (ANNE, TWO)))
+    assert is_refused(evidence, ANNE, ONE)
+
+
+def test_a_deadly_part_of_several_requests_is_convicted():
+    evidence = evidence_of(crash(1, 5, DEADLY, ONE), crash(2, 6, DEADLY, TWO))
+    assert is_refused(evidence, DEADLY, THREE)
+
+
+@pytest.mark.parametrize(
+    ('steps', 'refused'),
+    [
+        ((), ()),
+        (((6.4, (TWO,)),), (ONE,)),
+        ((crash(3, 7, ONE, THREE),), (ONE,)),
+        ((crash(3, 7, ONE, TWO),), (ONE, TWO)),
+    ],
+    ids=['two crashes', 'one is sound', 'one crashes', 'both crash again'],
+)
+def test_of_two_requests_at_the_same_crashes_the_third_one_tells(
+    steps, refused
+):
+    """A request that was twice beside a deadly one was refused with it."""
+    evidence = evidence_of(crash(1, 5, ONE, TWO), crash(2, 6, ONE, TWO), *steps)
+    found = [each for each in (ONE, TWO) if is_refused(evidence, each)]
+    assert found == list(refused)
+
+
+def test_requests_are_kept_before_parts_in_a_crash_with_too_many():
+    parts = [f'{number:03x}' for number in range(200)]
+    evidence = evidence_of(crash(1, 5, *parts, ONE, TWO))
+    assert evidence.is_suspect((ONE,))
+    assert evidence.is_suspect((TWO,))
+
+
 def test_a_conviction_ends_in_one_trial():
     evidence = evidence_of(*TWO_CRASHES)
     later_s = 6 + 2 * crash_evidence._FIRST_CONVICTION_S + 1
@@ -189,7 +233,7 @@
         record(evidence, crash(number + 10, 200 + number, *parts))
     assert len(evidence.crashes) <= crash_evidence.MAX_CRASHES
     assert len(evidence.suspects()) <= (
-        crash_evidence.MAX_CRASHES * crash_evidence.MAX_PARTS
+        crash_evidence.MAX_CRASHES * crash_evidence.MAX_CAUSES
     )
     assert len(evidence._sound_s) <= crash_evidence._MAX_SOUND
     assert evidence.convicted() == {DEADLY}
--- a/tests/test_gateway_crash_sharing.py
+++ b/tests/test_gateway_crash_sharing.py
@@ -223,7 +223,7 @@
     sharing, _ = recorded
     sharing.on_message(ServerCrash('s1', 5, 0, parts))
     for crash in sharing.table():
-        assert len(crash.parts) <= crash_evidence.MAX_PARTS
+        assert len(crash.parts) <= crash_evidence.MAX_CAUSES
         assert all(len(part) <= 64 for part in crash.parts)
 
 
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -243,7 +243,6 @@
     attempt = watch.begin(server_at(1), info)
     with attempt.under_way(lambda: None):
         if begun_s is not None:
-            attempt.on_start()
             attempt.on_progress()
             attempt._first_piece_s -= begun_s
         for each in crashes:
--- a/tests/test_gateway_crashing_request.py
+++ b/tests/test_gateway_crashing_request.py
@@ -40,7 +40,7 @@
     is_stream = 'stream' in kind
 
     async def scenario():
-        script = SOUND_STREAM if is_stream else OK
+        script = SOUND_STREAM if is_stream else [OK]
         mortals = [
             MortalServer(script, is_deadly, **how) for _ in range(servers)
         ]
@@ -71,3 +71,56 @@
     answers, crashed = play(kind, copies, begun=BEGUN[moment])
     assert crashed == 2
     assert status_of(answers[-1]) == 503
+
+
+@pytest.mark.parametrize('kind', ['safe', 'stream-resumable'])
+def test_other_requests_of_the_route_are_served_beside_it(kind):
+    """A conviction of all that was under way would refuse them too."""
+    requests = [
+        each
+        for number in range(4)
+        for each in (
+            sent(kind, number=number),
+            sent(kind, 'sound', number),
+            sent(kind, f'sound{number}'),
+        )
+    ]
+    answers, crashed = play(kind, requests, begun=[WORK_S])
+    assert crashed == 2
+    sound = [each for number, each in enumerate(answers) if number % 3]
+    assert {status_of(each) for each in sound} == {200}
+
+
+@pytest.mark.parametrize('kind', ['safe', 'unsafe', 'stream-resumable'])
+def test_servers_that_break_off_answers_convict_no_request(kind):
+    copies = [sent(kind, number=number) for number in range(4)]
+    answers, crashed = play(kind, copies, begun=[WORK_S], ends=False)
+    assert crashed >= len(copies)
+    assert 503 not in {status_of(each) for each in answers}
+
+
+def test_a_read_that_is_under_way_at_each_crash_is_served():
+    """Many callers ask the same, so it is under way whenever a server ends."""
+
+    async def scenario():
+        mortals = [
+            MortalServer([0.1, OK], is_deadly, begun=[WORK_S]) for _ in range(3)
+        ]
+        async with running_gateway(mortals) as bench:
+            for mortal in mortals[:2]:
+                reads = [
+                    asyncio.create_task(
+                        ask(bench.port, sent('safe', 'hot', number))
+                    )
+                    for number in range(6)
+                ]
+                await asyncio.sleep(0.05)
+                mortal.end()
+                await asyncio.wait(reads)
+                await asyncio.sleep(crash_evidence.SEPARATE_S)
+            return [
+                await ask(bench.port, sent('safe', 'hot')) for _ in range(4)
+            ]
+
+    answers = asyncio.run(scenario())
+    assert {status_of(each) for each in answers} == {200}
