Send a request once more, after a pause, where a server ended under it

Callers lost two servers to one try of a safe read, 0.03 to 0.07 s apart: it was sent to a second server at once, and as servers that are lost within 0.1 s count as one, its two crashes counted as one.

Not sending such a request again would cost callers more: each crash cuts sound requests off beside the deadly one, and those without a head all are suspects. So it is sent once more, 0.12 s later, and ended after a second crash. A request with a suspect part isn't sent again, as before: its copy would tell nothing more of that part, another request does.

A broken answer waits only for the first connection of the check (0.05 s at most) before it is sent on; before this, a server that breaks answers off would have held each read for 0.08 s and more. A crash that is found later still counts.

--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -36,6 +37,11 @@
 _CONNECT_TIMEOUT_S = 0.15
 _RETRY_PAUSE_S = 0.08
 
+#: Longest wait until a server that broke an answer off has refused a connection
+#: or not. A request is sent to another server then; its crash, if it is found
+#: later, still counts.
+_MAX_CHECK_WAIT_S = 0.05
+
 #: Pause after which a server that broke an answer off and didn't refuse a
 #: connection is tried again.
 _RECHECK_S = 0.2
@@ -69,8 +75,29 @@
         self.suspects: list[_Suspect] = []
         self.has_crashed = False
         self.ended_s = math.inf
+        #: Set once the server has refused the first connection or not, and once
+        #: nothing more will be found.
+        self.is_answered = asyncio.Event()
         self.is_done = asyncio.Event()
 
+    def finish(self, now_s: float) -> None:
+        """Record that nothing more will be found.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        self.ended_s = now_s
+        self.is_answered.set()
+        self.is_done.set()
+
+    async def wait(self) -> None:
+        """Wait for what the next connection tells, but not for long."""
+        expected, wait_s = self.is_answered, _MAX_CHECK_WAIT_S
+        if expected.is_set():
+            expected, wait_s = self.is_done, wait_s + _RETRY_PAUSE_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await expected.wait()
+
 
 class CrashWatch:
     """Tells crashed servers from others that broke off answers.
@@ -137,9 +164,16 @@
         check.suspects.append(suspect)
         if check.is_done.is_set():
             self._report(server, check)
-        await check.is_done.wait()
+        await check.wait()
         return check.has_crashed and self._evidence.is_suspect(info.causes)
 
+    def suspects_part(self, info: RequestInfo) -> bool:
+        """Return whether a part of a request's prompt may crash servers.
+
+        :param info: what the header fields of the request state.
+        """
+        return self._evidence.is_suspect(info.parts)
+
     async def has_ended(self, server: BackendServer) -> bool:
         """Return whether a server has ended without notice.
 
@@ -189,15 +223,22 @@
 
     async def _run_check(self, server: BackendServer, check: _Check) -> None:
         try:
-            if await _is_refused(server.host, server.port):
-                is_reaching = await self._reaches_another(server)
-                check.has_crashed = is_reaching and self._is_expected(server)
+            check.has_crashed = await self._has_crashed(server, check)
+            self._report(server, check)
         finally:
-            check.is_done.set()
-            check.ended_s = now_s()
+            check.finish(now_s())
         if check.has_crashed:
             metrics.CRASHES.inc()
-        self._report(server, check)
+
+    async def _has_crashed(self, server: BackendServer, check: _Check) -> bool:
+        if not await _is_refused(server.host, server.port):
+            check.is_answered.set()
+            # It may be about to end.
+            await asyncio.sleep(_RETRY_PAUSE_S)
+            if not await _is_refused(server.host, server.port):
+                return False
+        is_reaching = await self._reaches_another(server)
+        return is_reaching and self._is_expected(server)
 
     async def _reaches_another(self, server: BackendServer) -> bool:
         """Return whether another server accepts connections.
@@ -332,6 +373,11 @@
             self._watch.on_sound(self._info.causes)
         self._is_sound = True
 
+    @property
+    def has_suspect_part(self) -> bool:
+        """Return whether a part of its prompt may crash servers."""
+        return self._watch.suspects_part(self._info)
+
     async def has_server_ended(self) -> bool:
         """Return whether the server has ended without notice."""
         return await self._watch.has_ended(self._server)
@@ -357,18 +403,13 @@
 
 
 async def _is_refused(host: str, port: int) -> bool:
-    """Return whether no process accepts connections at an address.
-
-    An accepted connection is tried again, as the process may be about to end.
-    """
-    for pause_s in (0, _RETRY_PAUSE_S):
-        await asyncio.sleep(pause_s)
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, port)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.transport.abort()
+    """Return whether no process accepts connections at an address."""
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
     return False
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -14,7 +14,8 @@
     `done`: the caller has its answer. `not_sent`: nothing reached the server.
     `not_run`: the server stated that it hasn't run the request. `not_held`: the
     server lacks the adapter. `unknown`: the request may have run. `failed`: it
-    ran and failed. `replaced`: the server was silent and another one takes the
+    ran and failed. `crashed`: its server has ended, perhaps because of it.
+    `replaced`: the server was silent and another one takes the
     request over.
     """
 
@@ -24,6 +25,7 @@
     not_held = 'not held'
     unknown = 'unknown'
     failed = 'failed'
+    crashed = 'crashed'
     replaced = 'replaced'
 
 
@@ -58,8 +60,10 @@
         #: Whether a server may have run the request or may still run it.
         self.may_run = False
         self.has_succeeded = False
-        #: Whether a server crashed as it began to answer.
-        self.has_crashed = False
+        #: Number of servers that have ended, perhaps because of the request.
+        self.crashes = 0
+        #: Whether a part of its prompt may have ended the last one.
+        self.has_suspect_part = False
         #: Why the latest answer is missing or incomplete.
         self.reason = ''
         self.excluded: set[str] = set()
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 from collections.abc import Awaitable, Callable
+from types import MappingProxyType
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
@@ -16,6 +17,7 @@
 )
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.crashes.crash_evidence import SEPARATE_S
 from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import (
@@ -74,8 +76,15 @@
 _STOPS = NoServer('stopping', retry_after_s=0.1)
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
-#: Pause before a retry where a server couldn't run the request now.
-_NOT_RUN_PAUSE_S = 0.05
+#: Pause before a retry, where there is one. A server couldn't run the request now,
+#: or ended under it: a second one that ends after such a pause hasn't been lost
+#: together with the first one.
+_PAUSES_S = MappingProxyType(
+    {Ending.not_run: 0.05, Ending.crashed: SEPARATE_S * 1.2}
+)
+
+#: Number of servers that may end under one request before it is ended.
+_MAX_CRASHES = 2
 
 
 class HandlerDependencies(NamedTuple):
@@ -214,8 +223,7 @@
             ending = await self._attempt(placement, context)
             if await self._is_over(route, ending, budget):
                 return
-            if ending is Ending.not_run:
-                await asyncio.sleep(_NOT_RUN_PAUSE_S)
+            await asyncio.sleep(_PAUSES_S.get(ending, 0))
 
     async def _is_over(
         self, route: Route, ending: Ending, budget: RetryBudget
@@ -292,13 +300,24 @@
             return True
         if self._answer.has_started and not route.is_resumable:
             return False
-        if ending in {Ending.unknown, Ending.failed}:
-            if self._progress.has_crashed or not route.is_idempotent:
+        if ending in {Ending.unknown, Ending.failed, Ending.crashed}:
+            if not route.is_idempotent:
+                return False
+            if not self._may_crash_another:
                 return False
             if self._progress.runs >= route.max_servers:
                 return False
         return self._progress.sends < MAX_SENDS and budget.spend()
 
+    @property
+    def _may_crash_another(self) -> bool:
+        """Return whether a server may be risked if the request has crashed some.
+
+        Other requests tell more of a part of its prompt than its copy would.
+        """
+        progress = self._progress
+        return progress.crashes < _MAX_CRASHES and not progress.has_suspect_part
+
     def _context(
         self,
         route: Route,
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -100,7 +100,7 @@
         """
         progress = self._progress
         progress.silent.add(server_id)
-        if progress.sends >= MAX_SENDS or progress.has_crashed:
+        if progress.sends >= MAX_SENDS or progress.crashes:
             return None
         if progress.runs >= self._routed.route.max_servers:
             return None
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -172,8 +172,9 @@
             if not conn.is_reused:
                 self._progress.excluded.add(server.server_id)
             if await self._watched.on_broken():
-                self._progress.has_crashed = True
-                return Ending.unknown
+                self._progress.crashes += 1
+                self._progress.has_suspect_part = self._watched.has_suspect_part
+                return Ending.crashed
         return await self._replace(Ending.unknown)
 
     async def _replace(self, ending: Ending) -> Ending:
--- a/tests/mortal_server.py
+++ b/tests/mortal_server.py
@@ -10,13 +10,14 @@
 
     :param script: its answer to all others.
     :param is_deadly: tells whether a received request is deadly.
-    :param begun: what comes of an answer before the process ends.
+    :param begun: returns what comes of an answer to a request before the process
+        ends.
     :param ends: whether the process ends; if not, it breaks all answers off
         and goes on.
     :param closes: whether connections are closed in order as it ends.
     """
 
-    def __init__(self, script, is_deadly, begun=(), *, ends=True, closes=False):
+    def __init__(self, script, is_deadly, begun, *, ends=True, closes=False):
         super().__init__(script)
         self._is_deadly = is_deadly
         self._begun = begun
@@ -53,7 +54,9 @@
         if not self._is_deadly(request):
             return await super()._play(script, request, reader, writer)
         self.deadly += 1
-        if not await super()._play(self._begun, request, reader, writer):
+        if not await super()._play(
+            self._begun(request), request, reader, writer
+        ):
             return False
         self.end()
         return False
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -49,6 +49,12 @@
     return DEADLY in received.fields.get('prompt-prefix', '')
 
 
+def begun_stream(received):
+    """Return the head and the next event of a stream."""
+    number = int(received.fields.get('last-event-id', 0)) + 1
+    return [STREAM_HEAD, chunk(events(number, number)), 0.02]
+
+
 def mortal_server(how):
     """Return a server whose process ends under the deadly part.
 
@@ -60,7 +66,7 @@
     return MortalServer(
         SOUND,
         is_deadly,
-        BEGUN.get(how, [STREAM_HEAD, chunk(events(1, 1)), 0.02]),
+        lambda received: BEGUN.get(how) or begun_stream(received),
         ends=how != 'break',
         closes=how == 'unframed',
     )
--- a/tests/test_gateway_crashing_request.py
+++ b/tests/test_gateway_crashing_request.py
@@ -14,11 +14,28 @@
 #: Time that a server works before its process ends.
 WORK_S = 0.02
 
+
+def no_head(_received):
+    """Return nothing to send before the process ends."""
+    return [WORK_S]
+
+
+def only_head(_received):
+    """Return the head of an answer."""
+    return [STREAM_HEAD, WORK_S]
+
+
+def next_event(received):
+    """Return the head and the next event of a stream."""
+    number = int(received.fields.get('last-event-id', 0)) + 1
+    return [STREAM_HEAD, chunk(events(number, number)), WORK_S]
+
+
 #: What a server sends before its process ends, by the moment at which it does.
 BEGUN = {
-    'before the head': [WORK_S],
-    'after the head': [STREAM_HEAD, WORK_S],
-    'after an event': [STREAM_HEAD, chunk(events(1, 1)), WORK_S],
+    'before the head': no_head,
+    'after the head': only_head,
+    'after an event': next_event,
 }
 SOUND_STREAM = [STREAM_HEAD, chunk(events(1, 3)), STREAM_END]
 
@@ -85,7 +102,7 @@
             sent(kind, f'sound{number}'),
         )
     ]
-    answers, crashed = play(kind, requests, begun=[WORK_S])
+    answers, crashed = play(kind, requests, begun=no_head)
     assert crashed == 2
     sound = [each for number, each in enumerate(answers) if number % 3]
     assert {status_of(each) for each in sound} == {200}
@@ -94,7 +111,7 @@
 @pytest.mark.parametrize('kind', ['safe', 'unsafe', 'stream-resumable'])
 def test_servers_that_break_off_answers_convict_no_request(kind):
     copies = [sent(kind, number=number) for number in range(4)]
-    answers, crashed = play(kind, copies, begun=[WORK_S], ends=False)
+    answers, crashed = play(kind, copies, begun=no_head, ends=False)
     assert crashed >= len(copies)
     assert 503 not in {status_of(each) for each in answers}
 
@@ -104,7 +121,7 @@
 
     async def scenario():
         mortals = [
-            MortalServer([0.1, OK], is_deadly, begun=[WORK_S]) for _ in range(3)
+            MortalServer([0.1, OK], is_deadly, begun=no_head) for _ in range(3)
         ]
         async with running_gateway(mortals) as bench:
             for mortal in mortals[:2]:
@@ -124,3 +141,34 @@
 
     answers = asyncio.run(scenario())
     assert {status_of(each) for each in answers} == {200}
+
+
+def test_a_read_that_a_crash_has_cut_off_is_served_by_another_server():
+    """It was beside the request that crashed its server."""
+
+    async def scenario():
+        mortals = [
+            MortalServer([0.1, OK], is_deadly, no_head) for _ in range(2)
+        ]
+        async with running_gateway(mortals) as bench:
+            asking = asyncio.create_task(ask(bench.port, sent('safe', 'sound')))
+            async with asyncio.timeout(5):
+                while not any(mortal.seen for mortal in mortals):
+                    await asyncio.sleep(0.01)
+            for mortal in mortals:
+                if mortal.seen:
+                    mortal.end()
+            return await asking, sum(len(mortal.seen) for mortal in mortals)
+
+    received, sends = asyncio.run(scenario())
+    assert status_of(received) == 200
+    assert sends == 2
+
+
+def test_one_try_of_a_read_that_crashes_two_servers_convicts_it():
+    """The second crash came so soon that both counted as one."""
+    (_, last), crashed = play(
+        'safe', [sent('safe'), sent('safe', number=1)], begun=no_head
+    )
+    assert crashed == 2
+    assert status_of(last) == 503
