Answer 422 to a request that crashes servers, without an invitation to repeat it

Callers were answered 503 with a Retry-After of 60 s, which tells them to send it again as it is. 422 and no Retry-After is what the older path answers ('crashes_servers'); a request that was sent is answered 502 as before, as it has run.

--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -44,6 +44,7 @@
     RequestProgress,
 )
 from wasabicross.gateway.request_placement import (
+    CRASHES,
     FIXED_TIME_REASONS,
     MAX_SENDS,
     RequestPlacement,
@@ -67,6 +68,8 @@
 
 _CUT_STATUS = 0
 _NOT_FOUND = 404
+#: Tells the caller not to repeat the request as it is.
+_UNPROCESSABLE = 422
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -415,6 +418,8 @@
             self._abort_answer(reason)
         if self._progress.may_run:
             await self._send_own_answer(_BAD_GATEWAY, reason, None)
+        elif reason == CRASHES.reason:
+            await self._send_own_answer(_UNPROCESSABLE, reason, None)
         elif reason in FIXED_TIME_REASONS or reason == _STOPS.reason:
             await self._refuse(reason, pause_s)
         else:
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -25,14 +25,11 @@
 #: Priority of the load that a request waits for after a server has failed it.
 _HIGHEST_PRIORITY = 0
 
-#: Why a request that would crash the server that runs it is refused. Nothing
-#: that its caller does soon will change that.
-CRASHES = NoServer('crashes servers', retry_after_s=60.0)
+#: Why a request that would crash the server that runs it isn't sent.
+CRASHES = NoServer('crashes servers')
 
 #: Why requests are refused for a time that doesn't depend on other requests.
-FIXED_TIME_REASONS = frozenset(
-    (CRASHES.reason, *(each.reason for each in LASTING_REFUSALS))
-)
+FIXED_TIME_REASONS = frozenset(each.reason for each in LASTING_REFUSALS)
 
 
 class RoutedRequest(NamedTuple):
