Keep in the store what is convicted of crashing servers

Callers lost two more servers to a request after all gateways had been restarted, and a gateway that started alone could send it before a link to another one was open: convictions were kept in memory and passed on over links only.

The crashes that convict, with their convicted causes, stand in one record of the store now. It is written when a conviction comes or ends, by the first gateway in an order that all agree on, the next one half a second later. A gateway takes it with the store's content, before it serves. Ages are stored, not times. Causes that run soundly after all are kept as acquitted, so a gateway that missed this doesn't write them back. While the store is away gateways go on by their links.

Weighed: a record a cause (as many writes as causes, and no order between them), a lease on each (one write a minute to keep it). A calm deployment writes nothing; a conviction costs one write and some 130 bytes a crash.

--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -69,5 +69,7 @@
         :param dialect: conventions for requests and answers.
         """
         evidence = CrashEvidence(instance)
-        watch = CrashWatch(view, evidence, CrashSharing(evidence))
+        sharing = CrashSharing(evidence)
+        view.convictions.on_stored = sharing.take_stored
+        watch = CrashWatch(view, evidence, sharing)
         return cls(view, pool, dialect, watch)
--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -88,7 +88,7 @@
             server
             for server in used or servers
             if brittle.has_room(
-                server, self._view.own_requests[server.server_id], now_s
+                server, self._view.own.requests[server.server_id], now_s
             )
         ]
 
--- a/src/wasabicross/gateway/changes.py
+++ b/src/wasabicross/gateway/changes.py
@@ -6,6 +6,7 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.conviction_records import StoredConvictions
 from wasabicross.gateway.stream_division_records import StoredDivision
 
 
@@ -85,6 +86,19 @@
     is_removed: bool = False
 
 
+class ConvictionUpdate(NamedTuple):
+    """The record of what is convicted of crashing servers was written.
+
+    :param stored: its content, None if it is unreadable or removed.
+    :param revision: position of the write.
+    :param is_removed: whether the record was removed.
+    """
+
+    stored: StoredConvictions | None
+    revision: int
+    is_removed: bool = False
+
+
 StoreChange: TypeAlias = (
     ConfigurationUpdate
     | AdapterVersionUpdate
@@ -93,4 +107,5 @@
     | OwnerRecordUpdate
     | InstanceEntry
     | StreamDivisionUpdate
+    | ConvictionUpdate
 )
--- a/src/wasabicross/gateway/crashes/crash_evidence.py
+++ b/src/wasabicross/gateway/crashes/crash_evidence.py
@@ -16,12 +16,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from wasabicross.gateway.conviction_records import (
+    MAX_ACQUITTED,
+    MAX_CAUSES,
+    MAX_CRASHES,
+    CrashKey,
+)
 from wasabicross.gateway.crashes.request_digest import is_request_digest
 
-#: Most crashes that are kept, and most causes of each.
-MAX_CRASHES = 128
-MAX_CAUSES = 64
-
 #: Most causes that are remembered as sound.
 _MAX_SOUND = 4096
 
@@ -55,16 +57,6 @@
 _TRIAL_S = 10.0
 
 
-class CrashKey(NamedTuple):
-    """One incarnation of a server that crashed.
-
-    :param start_ms: start time of the server, Unix milliseconds.
-    """
-
-    server_id: str
-    start_ms: int
-
-
 class Crash(NamedTuple):
     """A crash of a server, and its possible causes.
 
@@ -119,6 +111,8 @@
         self._crashes_of: dict[str, dict[CrashKey, float]] = {}
         self._sound_s: OrderedDict[str, float] = OrderedDict()
         self._trials_s: dict[str, float] = {}
+        #: Causes that were convicted until they ran soundly, and when they did.
+        self.acquitted: OrderedDict[str, float] = OrderedDict()
 
     @property
     def crashes(self) -> tuple[Crash, ...]:
@@ -131,6 +125,17 @@
             cause for cause in self._crashes_of if self._is_convicted(cause)
         )
 
+    def convicting_crashes(self) -> tuple[Crash, ...]:
+        """Return the crashes with those of their causes that are convicted."""
+        convicted = self.convicted()
+        if not convicted:
+            return ()
+        found = (
+            crash._replace(causes=crash.causes & convicted)
+            for crash in self.crashes
+        )
+        return tuple(crash for crash in found if crash.causes)
+
     def crashes_of(self, cause: str) -> int:
         """Return the number of separate crashes that count against a cause.
 
@@ -164,6 +169,8 @@
         )
         if not new:
             return new
+        for cause in new:
+            self.acquitted.pop(cause, None)
         self._crashes[crash.key] = Crash(crash.key, at_s, before | new)
         for cause in before | new:
             self._crashes_of.setdefault(cause, {})[crash.key] = at_s
@@ -228,7 +235,7 @@
                 continue
             if not self._is_told_apart(cause, causes):
                 continue
-            if now_s < self._ends_s(cause):
+            if now_s < self.ends_s(cause):
                 return Verdict.refused
             if now_s < self._trials_s.get(cause, -math.inf) + _TRIAL_S:
                 return Verdict.refused
@@ -236,6 +243,16 @@
             verdict = Verdict.trial
         return verdict
 
+    def ends_s(self, cause: str) -> float:
+        """Return when the conviction of a cause ends, monotonic seconds.
+
+        :param cause: a convicted cause.
+        """
+        further = self.crashes_of(cause) - _MIN_CRASHES
+        lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
+        lasts_s = min(_MAX_CONVICTION_S, lasts_s)
+        return max(self._crashes_of[cause].values()) + lasts_s * self._stretch
+
     def _is_convicted(self, cause: str) -> bool:
         if len(self._crashes_of.get(cause, ())) < _MIN_CRASHES:
             return False
@@ -255,24 +272,25 @@
             *(self._crashes[key].causes for key in self._crashes_of[cause])
         )
 
-    def _ends_s(self, cause: str) -> float:
-        """Return when the conviction of a cause ends, monotonic seconds."""
-        further = self.crashes_of(cause) - _MIN_CRASHES
-        lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
-        lasts_s = min(_MAX_CONVICTION_S, lasts_s)
-        return max(self._crashes_of[cause].values()) + lasts_s * self._stretch
-
     def _discard(self, cause: str) -> bool:
         """Discard the crashes before a sound run; return whether there were."""
         crashes = self._crashes_of.get(cause)
         if not crashes:
             return False
+        if self._is_convicted(cause):
+            self._acquit(cause)
         until_s = self._sound_s[cause] + _SOUND_S
         gone = [key for key, at_s in crashes.items() if at_s <= until_s]
         for key in gone:
             self._forget(cause, key)
         return bool(gone)
 
+    def _acquit(self, cause: str) -> None:
+        self.acquitted[cause] = self._sound_s[cause]
+        self.acquitted.move_to_end(cause)
+        if len(self.acquitted) > MAX_ACQUITTED:
+            self.acquitted.popitem(last=False)
+
     def _forget(self, cause: str, key: CrashKey) -> None:
         crashes = self._crashes_of[cause]
         crashes.pop(key)
--- a/src/wasabicross/gateway/crashes/crash_sharing.py
+++ b/src/wasabicross/gateway/crashes/crash_sharing.py
@@ -7,12 +7,16 @@
 from typing import TypeAlias
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.conviction_records import (
+    MAX_CAUSES,
+    CrashKey,
+    StoredConvictions,
+)
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
+from wasabicross.gateway.crashes.conviction_records import take_convictions
 from wasabicross.gateway.crashes.crash_evidence import (
-    MAX_CAUSES,
     Crash,
     CrashEvidence,
-    CrashKey,
     by_weight,
 )
 from wasabicross.gateway.crashes.crash_log import Findings, log_changes
@@ -37,7 +41,8 @@
     """
 
     def __init__(self, evidence: CrashEvidence) -> None:
-        self._evidence = evidence
+        #: What this gateway knows.
+        self.evidence = evidence
         #: Sends to some owners, and to all gateways linked to this one.
         self.to_owners: Sender = _ignore
         self.to_linked: Sender = _ignore
@@ -49,7 +54,7 @@
         """Return all crashes, for the other side of a new link."""
         at_s = now_s()
         return tuple(
-            _crash_message(crash, at_s) for crash in self._evidence.crashes
+            _crash_message(crash, at_s) for crash in self.evidence.crashes
         )
 
     def report_crash(self, crash: Crash) -> None:
@@ -59,7 +64,7 @@
         """
         at_s = now_s()
         with self._following():
-            new = self._evidence.add(crash, at_s)
+            new = self.evidence.add(crash, at_s)
         if new:
             self._send(_crash_message(crash._replace(causes=new), at_s))
 
@@ -69,14 +74,22 @@
         :param causes: possible causes of crashes that its request has.
         """
         at_s = now_s()
-        if not self._evidence.is_suspect(causes):
-            self._evidence.clear(causes, at_s)
+        if not self.evidence.is_suspect(causes):
+            self.evidence.clear(causes, at_s)
             return
         with self._following():
-            cleared = self._evidence.clear(causes, at_s)
+            cleared = self.evidence.clear(causes, at_s)
         if cleared:
             self._send(PartsCleared(0, cleared))
 
+    def take_stored(self, stored: StoredConvictions) -> None:
+        """Add what all gateways read in the store.
+
+        :param stored: the content of the record.
+        """
+        with self._following():
+            take_convictions(self.evidence, stored, now_s())
+
     def on_message(self, message: CrashMessage) -> None:
         """Handle a message of another gateway, and send on what is new.
 
@@ -90,7 +103,7 @@
         )
         with self._following():
             if isinstance(message, PartsCleared):
-                changed = bool(self._evidence.clear(causes, at_s))
+                changed = bool(self.evidence.clear(causes, at_s))
             else:
                 changed = self._add(message, causes, at_s)
         if changed:
@@ -102,8 +115,8 @@
         """Record a crash; tell others which causes this gateway knows sound."""
         key = CrashKey(message.server_id, message.start_ms)
         crash = Crash(key, at_s, frozenset(causes))
-        new = self._evidence.add(crash, now_s())
-        sound = self._evidence.sound_at(causes, at_s)
+        new = self.evidence.add(crash, now_s())
+        sound = self.evidence.sound_at(causes, at_s)
         for cause, sound_s in sound.items():
             age_ms = int((now_s() - sound_s) * _MS_PER_S)
             self._send(PartsCleared(max(0, age_ms), (cause,)))
@@ -112,10 +125,10 @@
     @contextlib.contextmanager
     def _following(self) -> Iterator[None]:
         """Log what changes meanwhile, and tell what is convicted then."""
-        before = Findings.of(self._evidence)
+        before = Findings.of(self.evidence)
         yield
-        log_changes(before, self._evidence)
-        convicted = self._evidence.convicted()
+        log_changes(before, self.evidence)
+        convicted = self.evidence.convicted()
         if convicted:
             self.on_convicted(convicted)
 
--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -12,10 +12,10 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.conviction_records import CrashKey
 from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
-    CrashKey,
     Verdict,
 )
 from wasabicross.gateway.crashes.crash_log import log_trial
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -8,8 +8,6 @@
 from typing import Any, NamedTuple
 
 from wasabicross import __version__
-from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.caller_connections import (
     DEFAULT_LIMITS,
@@ -21,7 +19,7 @@
 from wasabicross.gateway.connection_pool import ConnectionPool
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.draining import Draining
-from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.instance_service import InstanceService
 from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
@@ -29,6 +27,7 @@
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.probing import Prober
+from wasabicross.gateway.record_keepers import keep_records
 from wasabicross.gateway.registration import Registration
 from wasabicross.gateway.retry_budgets import RetryBudgets
 from wasabicross.gateway.retrying_placer import RetryingPlacer
@@ -39,7 +38,6 @@
 from wasabicross.gateway.store_copy import request_from_seeds
 from wasabicross.gateway.store_follower import StoreFollower
 from wasabicross.gateway.store_relay import StoreRelay
-from wasabicross.gateway.streams.division_keeper import DivisionKeeper
 from wasabicross.gateway.unanswered import UnansweredRequests
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
@@ -158,6 +156,11 @@
             self._usage,
             self._budgets.for_service,
         )
+        self._instance_service = InstanceService(
+            platform.ready_path,
+            lambda: self.is_ready,
+            self._caller_service,
+        )
         self._owned_groups.is_cut_off = self._caller_service.reach.is_cut_off
         self._draining = Draining(
             self._caller_service, self._connections, lambda: self._cfg.grace_s
@@ -236,7 +239,7 @@
             self._follower.run(),
             self._register(),
             self._own_groups(),
-            self._keep_divisions(),
+            self._keep_records(),
             self._loader_service.run(),
             self._links.run(),
             self._links.report_usage(),
@@ -262,7 +265,7 @@
         """Listen for callers, the platform and other gateways."""
         return _Listeners(
             await self._listen(self._cfg.callers, self._caller_service.serve),
-            await self._listen(self._cfg.ready, self._serve_platform),
+            await self._listen(self._cfg.ready, self._instance_service.serve),
             await self._listen_to_gateways(),
         )
 
@@ -309,18 +312,6 @@
         finally:
             self._connections.discard(conn)
 
-    async def _serve_platform(
-        self, req: CallerRequest, answer: AnswerWriter
-    ) -> None:
-        if req.path == self._platform.ready_path:
-            await answer.send_complete(200 if self.is_ready else 503, [])
-        elif req.path == metrics.PATH:
-            metrics.UNDER_WAY.set(self._caller_service.active)
-            fields = [(b'content-type', metrics.CONTENT_TYPE)]
-            await answer.send_complete(200, fields, metrics.render_metrics())
-        else:
-            await answer.send_complete(404, [])
-
     async def _register(self) -> None:
         await self._follower.is_initialised.wait()
         registration = Registration(self._cfg, self._platform.store, self.view)
@@ -330,12 +321,11 @@
         await self._follower.is_initialised.wait()
         await self._owned_groups.run()
 
-    async def _keep_divisions(self) -> None:
+    async def _keep_records(self) -> None:
         await self._follower.is_initialised.wait()
-        keeper = DivisionKeeper(
-            self._cfg.instance, self._platform.store, self.view
+        await keep_records(
+            self._cfg.instance, self._platform.store, self.view, self.crashes
         )
-        await keeper.run()
 
     async def _log_dropped_lines(self) -> None:
         while True:
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -180,7 +180,7 @@
         server = self._view.servers.get(server_id)
         if server is None or self._view.refuses_requests(server, now_s()):
             return False
-        own_requests = self._view.own_requests[server_id]
+        own_requests = self._view.own.requests[server_id]
         if not self._view.notices.limiter.brittle.has_room(
             server, own_requests, now_s()
         ):
--- a/src/wasabicross/gateway/store.py
+++ b/src/wasabicross/gateway/store.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from wasabicross.gateway.changes import StoreChange
+from wasabicross.gateway.conviction_records import StoredConvictions
 from wasabicross.gateway.stream_divisions import StreamDivision
 
 
@@ -130,6 +131,18 @@
         :raises StoreRestored: the store is in another era than that position.
         """
 
+    async def write_convictions(
+        self, stored: StoredConvictions, revision: int
+    ) -> int | None:
+        """Write the record of convictions if its revision matches.
+
+        :param stored: its content.
+        :param revision: expected position of the record; one with revision 0
+            if it doesn't exist.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
+        """
+
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
     ) -> int:
--- a/src/wasabicross/gateway/usage_tracker.py
+++ b/src/wasabicross/gateway/usage_tracker.py
@@ -82,7 +82,7 @@
         :param key: its adapter, None for none.
         :param prompt_tokens: length of its prompt, 0 if it isn't known.
         """
-        self._view.own_requests[server_id] += 1
+        self._view.own.requests[server_id] += 1
         self._view.notices.limiter.brittle.on_sent(server_id)
         self._add_unread(server_id, key, prompt_tokens)
         if key is not None:
@@ -98,11 +98,11 @@
         :param server_id: the server.
         :param prompt_tokens: length of the prompt, 0 if it isn't known.
         """
-        self._view.own_awaited_tokens[server_id] += prompt_tokens
+        self._view.own.awaited_tokens[server_id] += prompt_tokens
         try:
             yield
         finally:
-            _decrease(self._view.own_awaited_tokens, server_id, prompt_tokens)
+            _decrease(self._view.own.awaited_tokens, server_id, prompt_tokens)
 
     def on_answered(self, server_id: str) -> None:
         """Record that the answer to a request has begun, or that it has ended.
@@ -120,7 +120,7 @@
         :param key: the adapter, None for none.
         :param tokens: number of tokens.
         """
-        _decrease(self._view.own_unread_tokens, server_id, tokens)
+        _decrease(self._view.own.unread_tokens, server_id, tokens)
         if key is None:
             return
         _decrease(self._unread, (server_id, key), tokens)
@@ -134,7 +134,7 @@
         :param server_id: the server.
         :param key: its adapter, None for none.
         """
-        _decrease(self._view.own_requests, server_id, 1)
+        _decrease(self._view.own.requests, server_id, 1)
         if key is None:
             return
         self._changed.add((server_id, key))
@@ -177,7 +177,7 @@
         """Add prompt tokens unless 0; a count of 0 would never be removed."""
         if not tokens:
             return
-        self._view.own_unread_tokens[server_id] += tokens
+        self._view.own.unread_tokens[server_id] += tokens
         if key is not None:
             self._unread[server_id, key] += tokens
 
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -5,12 +5,13 @@
 import math
 from collections import defaultdict
 from functools import singledispatchmethod
-from typing import NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.changes import (
     AdapterVersionUpdate,
     ConfigurationUpdate,
+    ConvictionUpdate,
     InstanceEntry,
     OwnerRecordUpdate,
     ServerEntryUpdate,
@@ -20,6 +21,7 @@
 )
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.expired_entries import ExpiredEntries
+from wasabicross.gateway.known_convictions import KnownConvictions
 from wasabicross.gateway.known_divisions import KnownDivisions
 from wasabicross.gateway.messages import (
     HeldAdaptersUpdate,
@@ -57,6 +59,30 @@
     received_s: float
 
 
+class KnownRecord(Protocol):
+    """What is known of a record that gateways write."""
+
+    def apply(self, change: Any, confirmed_s: float, now_s: float, /) -> None:
+        """Apply a change of the record.
+
+        :param change: the change.
+        :param confirmed_s: time as of which the content of the store was known
+            completely before, monotonic seconds.
+        :param now_s: the present time, monotonic seconds.
+        """
+
+
+class OwnRequests:
+    """The requests of this gateway at each server."""
+
+    def __init__(self) -> None:
+        self.requests: dict[str, int] = defaultdict(int)
+        #: Prompt tokens of those whose answer hasn't begun.
+        self.unread_tokens: dict[str, int] = defaultdict(int)
+        #: Prompt tokens of those that wait for an adapter.
+        self.awaited_tokens: dict[str, int] = defaultdict(int)
+
+
 class FleetView:
     """The deployment as this process knows it.
 
@@ -73,11 +99,7 @@
         self.instances: dict[str, InstanceEntry] = {}
         self.health = HealthByServer()
         self.reported: dict[str, ReportedState] = {}
-        self.own_requests: dict[str, int] = defaultdict(int)
-        #: Prompt tokens of this gateway's requests whose answer hasn't begun.
-        self.own_unread_tokens: dict[str, int] = defaultdict(int)
-        #: Prompt tokens of this gateway's requests that wait for an adapter.
-        self.own_awaited_tokens: dict[str, int] = defaultdict(int)
+        self.own = OwnRequests()
         self.prefill_rate = PrefillRate()
         #: Adapters that engines held recently.
         self.warm_copies = WarmCopies()
@@ -92,6 +114,12 @@
         self.confirmed_s = -math.inf
         #: The newest known division of each service's streams.
         self.divisions = KnownDivisions()
+        #: The record of what is convicted of crashing servers.
+        self.convictions = KnownConvictions()
+        self._records: dict[type, KnownRecord] = {
+            StreamDivisionUpdate: self.divisions,
+            ConvictionUpdate: self.convictions,
+        }
 
     def set_store_status(self, now_s: float, *, is_lost: bool) -> None:
         """Record whether the store answered.
@@ -117,6 +145,7 @@
                 self.owners[group] = unconfirmed(known, era, now_s)
         self.era = era
         self.divisions.on_new_content()
+        self.convictions.on_new_content(era)
 
     def version_of(self, key: AdapterKey) -> int:
         """Return the version of an adapter that is in force."""
@@ -299,7 +328,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        own = self.own_requests[server.server_id]
+        own = self.own.requests[server.server_id]
         report = self._valid_report(server, now_s)
         if report is None:
             return own
@@ -311,7 +340,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        own = self.own_unread_tokens.get(server.server_id, 0)
+        own = self.own.unread_tokens.get(server.server_id, 0)
         report = self._valid_report(server, now_s)
         return max(own, report.state.unread_tokens) if report else own
 
@@ -321,7 +350,7 @@
         :param server: the server on which the adapters are being loaded.
         :param now_s: the present time, monotonic seconds.
         """
-        own = self.own_awaited_tokens.get(server.server_id, 0)
+        own = self.own.awaited_tokens.get(server.server_id, 0)
         report = self._valid_report(server, now_s)
         return max(own, report.state.awaited_tokens) if report else own
 
@@ -387,9 +416,13 @@
     def _(self, change: InstanceEntry, now_s: float) -> None:
         self.instances[change.instance] = change
 
-    @_apply.register
-    def _(self, change: StreamDivisionUpdate, now_s: float) -> None:
-        self.divisions.apply(change, self.confirmed_s, now_s)
+    @_apply.register(StreamDivisionUpdate)
+    @_apply.register(ConvictionUpdate)
+    def _(
+        self, change: StreamDivisionUpdate | ConvictionUpdate, now_s: float
+    ) -> None:
+        known = self._records[type(change)]
+        known.apply(change, self.confirmed_s, now_s)
 
 
 def _reported_for(
--- a/src/wasabicross/platform/fleet_store.py
+++ b/src/wasabicross/platform/fleet_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wasabicross.gateway.changes import StoreChange
+from wasabicross.gateway.conviction_records import StoredConvictions
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.store import (
     StoredItem,
@@ -13,6 +14,10 @@
 from wasabicross.gateway.store_position import era_of
 from wasabicross.gateway.stream_division_records import stored_division
 from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.platform.conviction_records import (
+    CONVICTIONS_KEY,
+    encode_convictions,
+)
 from wasabicross.platform.division_records import division_key, encode_division
 from wasabicross.platform.records import (
     decode_change,
@@ -127,6 +132,23 @@
         )
         return result.revision
 
+    async def write_convictions(
+        self, stored: StoredConvictions, revision: int
+    ) -> int | None:
+        """Write the record of convictions.
+
+        :param stored: its content.
+        :param revision: position that the record must have; one with revision
+            0 if it must not exist.
+        :return: the new position, None if the record has another one.
+        :raises StoreRestored: the store is in another era than that position.
+        """
+        document = encode_convictions(stored)
+        result = await self._client.write(
+            Write(CONVICTIONS_KEY, revision, document)
+        )
+        return result.revision
+
     async def register_instance(
         self, instance: str, host: str, data_centre: str, fitness: float
     ) -> int:
--- a/src/wasabicross/platform/records.py
+++ b/src/wasabicross/platform/records.py
@@ -8,6 +8,7 @@
 from wasabicross.gateway.changes import (
     AdapterVersionUpdate,
     ConfigurationUpdate,
+    ConvictionUpdate,
     InstanceEntry,
     OwnerRecordUpdate,
     ServerEntryUpdate,
@@ -18,6 +19,10 @@
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.store import StoredItem
 from wasabicross.gateway.store_position import era_of
+from wasabicross.platform.conviction_records import (
+    CONVICTIONS_KEY,
+    decode_convictions,
+)
 from wasabicross.platform.division_records import (
     DIVISIONS_PREFIX,
     decode_division,
@@ -128,6 +133,8 @@
     if item.key.startswith(DIVISIONS_PREFIX):
         service = item.key.removeprefix(DIVISIONS_PREFIX)
         return StreamDivisionUpdate(service, None, item.revision)
+    if item.key == CONVICTIONS_KEY:
+        return ConvictionUpdate(None, item.revision)
     return None
 
 
@@ -138,6 +145,8 @@
 
 
 def _removal(item: StoredItem) -> StoreChange | None:
+    if item.key == CONVICTIONS_KEY:
+        return ConvictionUpdate(None, item.revision, is_removed=True)
     if item.key.startswith(DIVISIONS_PREFIX):
         service = item.key.removeprefix(DIVISIONS_PREFIX)
         return StreamDivisionUpdate(
@@ -154,6 +163,9 @@
             return _instance_entry(item, parse_json(document))
         if item.key.startswith(DIVISIONS_PREFIX):
             return _division_update(item, parse_json(document))
+        if item.key == CONVICTIONS_KEY:
+            stored = decode_convictions(parse_json(document))
+            return ConvictionUpdate(stored, item.revision)
     except _RECORD_ERRORS as exc:
         raise DocumentUnreadable(f'record: {exc!r}') from exc
     return None
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
 from wasabicross.gateway.changes import (
     ConfigurationUpdate,
+    ConvictionUpdate,
     OwnerRecordUpdate,
     ServerEntryUpdate,
     StreamDivisionUpdate,
@@ -58,6 +59,7 @@
         self.divisions = {}
         #: Whether divisions can't be written, so that a test can set them.
         self.refuses_divisions = False
+        self.convictions = ConvictionUpdate(None, 0)
 
     async def read(self):
         """Return all changes at the current revision."""
@@ -105,6 +107,15 @@
         )
         return self._revision
 
+    async def write_convictions(self, stored, revision):
+        """Write the record of convictions if its revision matches."""
+        if self.convictions.revision != revision:
+            return None
+        self._revision += 1
+        self.convictions = ConvictionUpdate(stored, self._revision)
+        self._updates.append(self.convictions)
+        return self._revision
+
     async def register_instance(self, instance, host, data_centre, fitness):
         """Ignore the registration; the store has no eras."""
         return 0
--- a/tests/test_gateway_awaited_prompts.py
+++ b/tests/test_gateway_awaited_prompts.py
@@ -158,4 +158,4 @@
         assert view.awaited_tokens(server, 0.1) == 900
         # An old report no longer counts.
         assert view.awaited_tokens(server, 9) == 700
-    assert not view.own_awaited_tokens
+    assert not view.own.awaited_tokens
--- a/tests/test_gateway_changes_under_way.py
+++ b/tests/test_gateway_changes_under_way.py
@@ -171,12 +171,12 @@
         servers = [ScriptedServer([*ANSWER, end]), ScriptedServer(RESUMED)]
         async with running_gateway(servers, service='llm') as bench:
             view = bench.gateway.view
-            view.own_requests['i-1'] = 8
+            view.own.requests['i-1'] = 8
             asking = asyncio.ensure_future(
                 ask_around(bench, lambda: servers[0].seen, CHANGES[name])
             )
             await until(lambda: servers[0].seen)
-            view.own_requests['i-1'] = 0
+            view.own.requests['i-1'] = 0
             return await asking
 
     received = asyncio.run(scenario())
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -138,14 +138,14 @@
     usage = UsageTracker(view)
     first = usage.begin('s1', A, 500)
     second = usage.begin('s1', A, 9000)
-    assert view.own_unread_tokens['s1'] == 9500
+    assert view.own.unread_tokens['s1'] == 9500
     first.on_prefilled()
-    assert view.own_unread_tokens['s1'] == 9000
+    assert view.own.unread_tokens['s1'] == 9000
     first.end()
     second.end()
     second.on_prefilled()
-    assert not view.own_unread_tokens
-    assert not view.own_requests
+    assert not view.own.unread_tokens
+    assert not view.own.requests
 
 
 def test_nothing_is_left_of_requests_that_tell_no_length():
@@ -154,7 +154,7 @@
     for number in range(100):
         key = AdapterKey('m0', f'a{number}')
         usage.begin('s1', key, 0).end()
-    assert not view.own_unread_tokens
+    assert not view.own.unread_tokens
     assert not usage._unread
     assert not usage._running
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -57,12 +57,12 @@
         silent = ScriptedServer(SILENT, REST)
         async with running_gateway([silent, other], service='llm') as bench:
             view = bench.gateway.view
-            view.own_requests['i-1'] = FULL
+            view.own.requests['i-1'] = FULL
             asking = asyncio.ensure_future(ask(bench.port, SENT))
             async with asyncio.timeout(5):
                 while not silent.seen:
                     await asyncio.sleep(0.01)
-            view.own_requests['i-1'] = 0
+            view.own.requests['i-1'] = 0
             if is_leaving:
                 server = view.servers['i-1']
                 view.servers['i-1'] = server._replace(is_leaving=True)
@@ -100,7 +100,7 @@
         other = OtherServer(REST)
         async with running_gateway([silent, other], service='llm') as bench:
             view = bench.gateway.view
-            view.own_requests['i-1'] = FULL
+            view.own.requests['i-1'] = FULL
             return await ask(bench.port, SENT)
 
     received = asyncio.run(scenario())
--- a/tests/test_gateway_take_ups.py
+++ b/tests/test_gateway_take_ups.py
@@ -143,7 +143,7 @@
     servers = servers_of(('v1', 'v2'))
 
     async def scenario(bench):
-        bench.gateway.view.own_requests['i-0'] = 8
+        bench.gateway.view.own.requests['i-0'] = 8
         return await send(bench, take_up(ID_OF_V1))
 
     _, found = run_versions(scenario, servers, HALF)
--- a/tests/test_gateway_takeover.py
+++ b/tests/test_gateway_takeover.py
@@ -119,15 +119,15 @@
             available = budget.available
             others = [f'i-{each}' for each in range(1, len(servers))]
             for other in others:
-                view.own_requests[other] = FULL
+                view.own.requests[other] = FULL
             acting = asyncio.ensure_future(
                 ask_until_left(left, servers, bench.port, sent)
             )
             for silent, other in zip(servers, others, strict=False):
                 await until(lambda: silent.seen or acting.done())
-                view.own_requests[other] = 0
+                view.own.requests[other] = 0
             received = await acting
-            await until(lambda: not any(view.own_requests.values()))
+            await until(lambda: not any(view.own.requests.values()))
             spent = available - budget.available
             return Outcome(received, servers, list(attempts), spent)
 
@@ -231,16 +231,16 @@
         servers = [ScriptedServer(HANGS), ScriptedServer([9.0])]
         async with running_gateway(servers, service='llm') as bench:
             view = bench.gateway.view
-            view.own_requests['i-1'] = FULL
+            view.own.requests['i-1'] = FULL
             leaving = asyncio.ensure_future(
                 ask_and_leave(servers[1], bench.port, SENT)
             )
             await until(lambda: servers[0].seen)
-            view.own_requests['i-1'] = 0
+            view.own.requests['i-1'] = 0
             await leaving
             async with asyncio.timeout(0.4):
                 await asyncio.gather(*(each.gone.wait() for each in servers))
-            await until(lambda: not any(view.own_requests.values()))
+            await until(lambda: not any(view.own.requests.values()))
 
     asyncio.run(scenario())
     assert len(attempts) == 2
--- a/tests/test_gateway_takeover_mixes.py
+++ b/tests/test_gateway_takeover_mixes.py
@@ -122,7 +122,7 @@
             ]
             received = await asyncio.gather(*asking)
             async with asyncio.timeout(2):
-                while any(bench.gateway.view.own_requests.values()):
+                while any(bench.gateway.view.own.requests.values()):
                     await asyncio.sleep(0.01)
                 while any(server.at_work for server in servers):
                     await asyncio.sleep(0.01)
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -133,7 +133,7 @@
     listed = view.servers['s1']
     view.on_state(state(1), 10)
     assert view.requests_at(listed, 10.1) == 3
-    view.own_requests['s1'] = 5
+    view.own.requests['s1'] = 5
     assert view.requests_at(listed, 10.1) == 5
 
 
