List and lift convictions by a gateway's address and the command line

An operator could see in the log what is refused as it crashes servers, but neither all of it at one moment nor lift it. 'wasabicross convictions URL [--lift CAUSE]' does both.

--- a/src/wasabicross/commands/cli_output.py
+++ b/src/wasabicross/commands/cli_output.py
@@ -174,3 +174,17 @@
         if report_age_s is None
         else f'heard {report_age_s:.0f} s ago'
     )
+
+
+def convictions_text(listed: dict[str, Any]) -> str:
+    """Return what is convicted of crashing servers, as lines of text.
+
+    :param listed: the answer of a gateway.
+    """
+    lines = [
+        f'{each["cause"]}  {each["crashes"]} crashes, the last one '
+        f'{each["last_crash_age_s"]:.0f} s ago; tried again in '
+        f'{each["remaining_s"]:.0f} s; {", ".join(each["servers"])}'
+        for each in listed['convictions']
+    ]
+    return '\n'.join(lines) or 'nothing is convicted'
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -160,6 +160,7 @@
             platform.ready_path,
             lambda: self.is_ready,
             self._caller_service,
+            self.crashes,
         )
         self._owned_groups.is_cut_off = self._caller_service.reach.is_cut_off
         self._draining = Draining(
--- a/src/wasabicross/programs/cli.py
+++ b/src/wasabicross/programs/cli.py
@@ -25,6 +25,7 @@
 from wasabicross.commands.cli_output import (
     EXIT_STILL_PROPAGATING,
     content_or_exit,
+    convictions_text,
     draft_text,
     fail,
     history_text,
@@ -33,6 +34,7 @@
     status_text,
 )
 from wasabicross.commands.explain import explain, find_outages, read_lines
+from wasabicross.commands.gateway_client import GatewayClient
 from wasabicross.commands.operator_errors import DraftMismatch
 from wasabicross.commands.operator_key import OperatorKey
 from wasabicross.commands.roll_progress import RollProgress
@@ -134,6 +136,24 @@
     )
 
 
+@main.command()
+@click.argument('gateway')
+@click.option('--lift', metavar='CAUSE', help='Lift this conviction.')
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def convictions(gateway: str, lift: str | None, as_json: bool) -> None:
+    """Show what is refused since it crashes servers, or lift one.
+
+    GATEWAY is the base URL at which a gateway serves its metrics.
+    """
+    client = GatewayClient(gateway)
+    if lift:
+        lifted = content_or_exit(client.lift(lift), as_json=as_json)
+        show(lifted, f'lifted: {lift}', as_json=as_json)
+        return
+    listed = content_or_exit(client.convictions(), as_json=as_json)
+    show(listed, convictions_text(listed), as_json=as_json)
+
+
 @main.command()
 @click.argument('name')
 @click.option('--out', type=_NEW_FILE, required=True, help='New key file.')
