Play and judge requests that crash servers in soaks

No stand-in of the gateways' soak ended under a request, so neither what is learned from crashes nor what it may refuse wrongly was played beside other faults. For some seconds callers now send copies of a request under which each server's process ends; the link of a server that has ended is cut until it is started again, so that it refuses connections as a real one does.

Judged by the rule: at most three arrivals later than 3 s after a request has ended its third server, but for gateways that were ended or stood still. And no other request may be answered 422. Callers' requests had one path a route; now three in ten have, the others one each, so that there are copies of sound requests too.

Both checks were seen to fail by planted evidence.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -17,12 +17,16 @@
 - ``{"kind": "be_brittle", "per_s": N, "for_s": S}``: answers state for S seconds
   that it fails if it turns more than N requests away in a second. It has half of
   its slots then, and takes nothing for 2 s when it fails.
+
+Its process ends as soon as it runs a request whose path has a part that begins
+with `deadly`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -49,6 +53,12 @@
 _HOST = '127.0.0.1'
 _VERSION_PREFIX = 'op/version/'
 
+#: How a part of a path begins that crashes servers.
+DEADLY = 'deadly'
+
+#: Exit code of a server that has crashed.
+_CRASHED = 70
+
 _OK = 200
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -232,6 +242,10 @@
             responder.send_json(_MISDIRECTED, {}, _request_id_field(req))
             return
         self._log_run(req, name, version)
+        deadly = deadly_part(req.path)
+        if deadly:
+            log('crashed', request=request_id, deadly=deadly)
+            os._exit(_CRASHED)
         self._running += 1
         self._adapters.begin_run(name)
         try:
@@ -303,6 +317,15 @@
     return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
 
 
+def deadly_part(path: str) -> str:
+    """Return the part of a path that crashes servers, empty if there is none.
+
+    :param path: path of a request.
+    """
+    found = (each for each in path.split('/') if each.startswith(DEADLY))
+    return next(found, '')
+
+
 def _request_id_field(req: HttpRequest) -> tuple[tuple[str, str], ...]:
     request_id = req.headers.get('request-id')
     return (('Request-Id', request_id),) if request_id else ()
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -34,6 +34,12 @@
 #: Share of the safe requests that use the route of the newest configuration.
 _NEWEST_ROUTE_SHARE = 0.5
 
+#: Share of requests that are copies of one that others send too, and of copies of
+#: those that crash servers, while there are any.
+_COPY_SHARE = 0.3
+_DEADLY_SHARE = 0.08
+_DEADLY_EVENTS = 5
+
 
 class CallResult(NamedTuple):
     """A request of a caller and the answer that it got.
@@ -50,6 +56,7 @@
     :param echoed_id: request id in the answer.
     :param configuration: version of the configuration that added the route, 0
         for a route of all versions. A gateway with an older one answers 404.
+    :param path: last part of its path.
     """
 
     request_id: str
@@ -65,6 +72,7 @@
     is_complete: bool = False
     echoed_id: str = ''
     configuration: int = 0
+    path: str = 'x'
 
 
 class Callers:
@@ -123,9 +131,7 @@
     ) -> None:
         codec = h11.Connection(h11.CLIENT)
         for _ in range(_REQUESTS_PER_CONNECTION):
-            request = _random_request(
-                rng, gateway, self._deployment.acknowledged_configuration
-            )
+            request = _random_request(rng, gateway, self._deployment)
             result = await _send_request(  # noqa: WPS476
                 codec, request, reader, writer
             )
@@ -141,8 +147,11 @@
 
 
 def _random_request(
-    rng: random.Random, gateway: Gateway, configuration: int
+    rng: random.Random, gateway: Gateway, deployment: SoakDeployment
 ) -> CallResult:
+    if deployment.deadly and rng.random() < _DEADLY_SHARE:
+        return _deadly_request(rng, gateway, rng.choice(deployment.deadly))
+    configuration = deployment.acknowledged_configuration
     route = rng.choice(ROUTES)
     is_stream = route.kind == 'streaming'
     # The adapters at the front of the list are requested most often.
@@ -150,17 +159,41 @@
     uses_newest_route = (
         route.kind == 'safe' and rng.random() < _NEWEST_ROUTE_SHARE
     )
+    request_id = _random_id(rng)
     return CallResult(
-        f'{rng.getrandbits(64):016x}',
+        request_id,
         route.name,
         ADAPTERS[number] if is_stream else '',
         rng.randint(1, _MAX_EVENTS) if is_stream else 0,
         gateway.name,
         time.monotonic(),
         configuration=configuration if uses_newest_route else 0,
+        path='x' if rng.random() < _COPY_SHARE else request_id,
     )
 
 
+def _deadly_request(
+    rng: random.Random, gateway: Gateway, path: str
+) -> CallResult:
+    """Return a copy of a request that crashes servers."""
+    same = random.Random(path)  # noqa: S311
+    route = same.choice(ROUTES)
+    is_stream = route.kind == 'streaming'
+    return CallResult(
+        _random_id(rng),
+        route.name,
+        same.choice(ADAPTERS) if is_stream else '',
+        _DEADLY_EVENTS if is_stream else 0,
+        gateway.name,
+        time.monotonic(),
+        path=path,
+    )
+
+
+def _random_id(rng: random.Random) -> str:
+    return f'{rng.getrandbits(64):016x}'
+
+
 async def _send_request(
     codec: h11.Connection,
     request: CallResult,
@@ -205,7 +238,7 @@
         fields['Token-Count'] = f'10,{request.events}'
     return h11.Request(
         method='GET',
-        target=f'/{_path_name(request)}/x',
+        target=f'/{_path_name(request)}/{request.path}',
         headers=list(fields.items()),
     )
 
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -15,6 +15,10 @@
     lost_configurations,
     missing_configurations,
 )
+from emulator.soak.crash_checks import (
+    requests_that_went_on_crashing,
+    sound_requests_refused_for_crashes,
+)
 from emulator.soak.deployment import (
     GRACE_PERIOD_S,
     MIN_OWNER_GAP_S,
@@ -110,6 +114,8 @@
         *requests_to_leaving_servers(evidence),
         *requests_beyond_limits(evidence),
         *brittle_servers_that_fell(evidence),
+        *requests_that_went_on_crashing(evidence),
+        *sound_requests_refused_for_crashes(evidence),
         *not_recovered(evidence),
     ]
 
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -153,6 +153,8 @@
         self._http = urllib3.PoolManager(retries=retries, timeout=5)
         #: Version of the newest configuration that the store has acknowledged.
         self.acknowledged_configuration = 0
+        #: Parts of paths of requests that crash servers, which callers send now.
+        self.deadly: list[str] = []
         self._configuration = 0
 
     def start(self) -> None:
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -87,6 +87,21 @@
     for_s: float
 
 
+class ServerEnd(NamedTuple):
+    """A server whose process has ended under a request.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the request.
+    :param deadly: the part of its path that is the same for all its copies.
+    """
+
+    at_s: float
+    server: str
+    request: str
+    deadly: str
+
+
 class ServerStart(NamedTuple):
     """The start of a server, which ends the effect of its earlier notices.
 
@@ -139,6 +154,7 @@
     server_starts: Sequence[ServerStart] = ()
     limits: Sequence[StatedLimit] = ()
     brittle: Sequence[BrittleEvent] = ()
+    ends: Sequence[ServerEnd] = ()
 
 
 class ServerLog(NamedTuple):
@@ -152,6 +168,7 @@
     server_starts: list[ServerStart]
     limits: list[StatedLimit]
     brittle: list[BrittleEvent]
+    ends: list[ServerEnd]
 
 
 def read_logs(paths: dict[str, pathlib.Path]) -> ServerLog:
@@ -160,12 +177,18 @@
     :param paths: paths of their logs, by server name.
     :raises OSError: a log can't be read.
     """
-    log = ServerLog([], [], [], [], [], [], [], [])
+    log = ServerLog([], [], [], [], [], [], [], [], [])
     for server, path in paths.items():
         for line in path.read_text().splitlines():
             if line.startswith('{'):
                 _add_line(log, server, json.loads(line))
-    for entries in (log.runs, log.arrivals, log.orders, log.notices):
+    for entries in (
+        log.runs,
+        log.arrivals,
+        log.orders,
+        log.notices,
+        log.ends,
+    ):
         entries.sort()
     return log
 
@@ -188,8 +211,17 @@
             line['at_s'], server, line['owner'], line['term'], line['late']
         )
         log.orders.append(order)
-    elif line['event'] == 'slots_passed':
+    else:
+        _add_state(log, server, line)
+
+
+def _add_state(log: ServerLog, server: str, line: dict[str, Any]) -> None:
+    if line['event'] == 'slots_passed':
         log.overfilled_engines.append(server)
+    elif line['event'] == 'crashed':
+        log.ends.append(
+            ServerEnd(line['at_s'], server, line['request'], line['deadly'])
+        )
     else:
         _add_notice(log, server, line)
 
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -10,6 +10,9 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
+import urllib3
+
+from emulator.soak.backend import DEADLY
 from emulator.soak.deployment import (
     ADAPTERS,
     Gateway,
@@ -37,6 +40,11 @@
 _MORE_REFUSALS_PER_S = 6
 
 
+#: Interval at which crashed servers are looked for, and how long they are down.
+_CRASH_CHECK_S = 0.02
+_RESTART_S = 1.0
+
+
 class InjectedFault(NamedTuple):
     """A fault that was injected.
 
@@ -112,9 +120,11 @@
         :raises urllib3.exceptions.HTTPError: a stand-in can't be reached.
         """
         started_s = time.monotonic()
+        restarts = asyncio.ensure_future(self._restart_crashed_servers())
         await asyncio.gather(
             *(self._inject_at(started_s, each) for each in faults)
         )
+        restarts.cancel()
 
     def record_exits(self) -> None:
         """Record and restart the gateways that exited by themselves."""
@@ -137,6 +147,7 @@
             'orders': self._fault_server,
             'version': self._publish_versions,
             'configuration': self._write_configuration,
+            'deadly': self._send_deadly,
         }
         from_s = time.monotonic()
         target = await kinds[fault.kind.partition('_')[0]](fault)
@@ -252,20 +263,26 @@
 
     async def _give_notice(self, server: Server, fault: Fault) -> None:
         """Make a server state something; restart it if it says that it leaves."""
-        set_fault = self._deployment.fault_server
         document = _notice_document(fault)
-        await asyncio.to_thread(lambda: set_fault(server, **document))
+        await asyncio.to_thread(lambda: self._tell(server, **document))
         await asyncio.sleep(fault.for_s)
         if fault.kind == 'server_leave':
             await self._kill(server.name, 0)
 
     def _set_server_fault(self, server: Server, fault: Fault) -> None:
-        set_fault = self._deployment.fault_server
         if fault.kind == 'orders_late':
-            set_fault(server, kind='late_orders', count=_request_count(fault))
+            self._tell(server, kind='late_orders', count=_request_count(fault))
             return
         point = _DEATH_POINTS[fault.target % len(_DEATH_POINTS)]
-        set_fault(server, kind='die', point=point, count=_request_count(fault))
+        self._tell(server, kind='die', point=point, count=_request_count(fault))
+
+    def _tell(self, server: Server, **document: Any) -> None:
+        """Put a fault in force at a server, unless it has crashed."""
+        try:
+            self._deployment.fault_server(server, **document)
+        except urllib3.exceptions.HTTPError:
+            if self._deployment.runner.exit_code(server.name) is None:
+                raise
 
     async def _publish_versions(self, fault: Fault) -> str:
         for step in range(_ADAPTERS_PER_CHANGE):
@@ -285,6 +302,39 @@
         await asyncio.to_thread(self._deployment.configure)
         return ''
 
+    async def _send_deadly(self, fault: Fault) -> str:
+        """Have callers send a request that crashes servers."""
+        deadly = f'{DEADLY}{fault.target}'
+        self._deployment.deadly.append(deadly)
+        await asyncio.sleep(fault.for_s)
+        self._deployment.deadly.remove(deadly)
+        await asyncio.sleep(2 * _RESTART_S)
+        return deadly
+
+    async def _restart_crashed_servers(self) -> None:
+        """Restart servers that have ended by themselves, until cancelled."""
+        while True:
+            await asyncio.gather(
+                *(
+                    self._restart_crashed(each)
+                    for each in self._deployment.servers
+                )
+            )
+            await asyncio.sleep(_CRASH_CHECK_S)
+
+    async def _restart_crashed(self, server: Server) -> None:
+        runner, proxy = self._deployment.runner, self._deployment.proxy
+        lock = self._locks[server.name]
+        if lock.locked() or runner.exit_code(server.name) is None:
+            return
+        async with lock:
+            await asyncio.to_thread(
+                lambda: proxy.fault(server.link_port, cut=True)
+            )
+            await asyncio.sleep(_RESTART_S)
+            runner.start_again(server.name)
+            await asyncio.to_thread(proxy.heal, server.link_port)
+
     async def _for_duration(
         self, fault: Fault, switch: Callable[[bool], None]
     ) -> None:
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -118,4 +118,5 @@
         log.server_starts,
         log.limits,
         log.brittle,
+        log.ends,
     )
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -46,10 +46,16 @@
     'server_brittle': (5, 12),
 }
 
+#: The same for times in which requests come that crash each server.
+CRASH_KINDS = {
+    'deadly_request': (4, 10),
+}
+
 _FIRST_FAULT_S = 1.0
 _MAX_GAP_S = 1.6
 _MAX_NOTICE_GAP_S = 12.0
 _MAX_LIMIT_GAP_S = 20.0
+_MAX_CRASH_GAP_S = 40.0
 _TARGETS = 64
 
 
@@ -57,7 +63,7 @@
     """A scheduled fault.
 
     :param at_s: seconds from the start of the run.
-    :param kind: one of `KINDS`, `NOTICE_KINDS` or `LIMIT_KINDS`.
+    :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS` or `CRASH_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -89,6 +95,9 @@
         *_random_faults(
             f'limit/{seed}', LIMIT_KINDS, _MAX_LIMIT_GAP_S, length_s
         ),
+        *_random_faults(
+            f'crash/{seed}', CRASH_KINDS, _MAX_CRASH_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,6 +12,7 @@
     Notice,
     OrderReceived,
     Run,
+    ServerEnd,
     ServerStart,
     StatedLimit,
 )
@@ -93,6 +94,15 @@
 #: A server that states a limit of one request a second for ten seconds.
 LIMITS = [StatedLimit(at_s, 'llm-0', 'r', 1) for at_s in (20, 23, 26, 29)]
 
+#: Ends of servers under a request that crashes them, and a copy of it.
+DEADLY = [
+    ServerEnd(at_s, 'llm-0', f'd{number}', 'deadly3')
+    for number, at_s in enumerate((20, 21, 22, 23, 24.5, 26, 27, 28, 29))
+]
+DEADLY_REFUSED = REFUSED._replace(
+    status=422, path='deadly3', retry_after='', body=b''
+)
+
 #: A server that is brittle for ten seconds, and falls over.
 BRITTLE = BrittleEvent(20, 'llm-0', 10)
 FALLS = [BrittleEvent(at_s, 'llm-0', 0) for at_s in (23.5, 25, 27)]
@@ -207,6 +217,12 @@
         'injected': [InjectedFault('gateway_pause', 'g', 22, 24)],
         **asked(25, 20),
     },
+    {'ends': DEADLY[:3], 'results': [DEADLY_REFUSED], 'runs': []},
+    {'ends': DEADLY[:8]},
+    {
+        'ends': DEADLY,
+        'injected': [InjectedFault('all_gateways_kill', '', 24, 25)],
+    },
     {'brittle': [BRITTLE, *FALLS[:2]]},
     {'brittle': [BRITTLE, *FALLS[:2], BrittleEvent(22, 'llm-0', 0)]},
     {'notices': [LEAVING], **asked(23, 9, gateway='h')},
@@ -304,6 +320,11 @@
         ),
     ),
     ('llm-0 got 12 in 4.0 s', {'limits': LIMITS, **asked(25, 12)}),
+    ('deadly3 was sent 4 times more, 9 ended', {'ends': DEADLY}),
+    (
+        'r was refused as if it crashed servers',
+        {'results': [DEADLY_REFUSED._replace(path='x')], 'runs': []},
+    ),
     ('llm-0 fell over 3 times', {'brittle': [BRITTLE, *FALLS]}),
     ('llm-0 got 3 in a pause from g', {'notices': [PAUSE], **asked(21, 3)}),
     ('reached llm-0, which leaves', {'notices': [LEAVING], **asked(23, 1)}),
