Convict no request for the crashes of a service that fails by itself

A service that crashes again and again for its own reasons, whose callers ask the same few things, has all of these under way at each crash. The third one convicted them all, and as nothing convicted is sent, they stayed refused for a minute and more after the service was well. Requests that were at the same crashes are convicted by a third one only if they are three at most; if they are more, their servers fail by themselves, until a crash tells one apart.

--- a/src/wasabicross/gateway/crashes/crash_evidence.py
+++ b/src/wasabicross/gateway/crashes/crash_evidence.py
@@ -39,8 +39,10 @@
 _MIN_CRASHES = 2
 
 #: Number of separate crashes that convict a whole request although others that
-#: haven't run soundly since were involved in all of them.
+#: haven't run soundly since were involved in all of them, and the most requests
+#: that are convicted so. If there are more, their servers fail by themselves.
 _MIN_TIED_CRASHES = 3
+_MAX_TIED_REQUESTS = 3
 
 #: How long a conviction lasts after the last crash, and how many times as long
 #: after each further one. So a cause that stays deadly reaches servers twice in
@@ -260,10 +262,13 @@
 
     def _is_told_apart(self, cause: str, causes: tuple[str, ...]) -> bool:
         """Return whether no cause beside those of a request is to blame."""
-        if self._tied(cause).issubset(causes):
+        tied = self._tied(cause)
+        if tied.issubset(causes):
             return True
         if not is_request_digest(cause):
             return False
+        if sum(map(is_request_digest, tied)) > _MAX_TIED_REQUESTS:
+            return False
         return self.crashes_of(cause) >= _MIN_TIED_CRASHES
 
     def _tied(self, cause: str) -> frozenset[str]:
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -161,6 +161,16 @@
     assert found == list(refused)
 
 
+def test_a_service_that_crashes_by_itself_has_no_read_refused():
+    """Its callers ask the same again and again, so all are at each crash."""
+    reads = [f'request/{number:032x}' for number in range(10, 16)]
+    evidence = evidence_of(*(crash(each, each, *reads) for each in range(5, 9)))
+    assert not any(is_refused(evidence, read) for read in reads)
+    record(evidence, crash(9, 9, reads[0], ONE))
+    assert is_refused(evidence, reads[0])
+    assert not is_refused(evidence, reads[1])
+
+
 def test_requests_are_kept_before_parts_in_a_crash_with_too_many():
     parts = [f'{number:03x}' for number in range(200)]
     evidence = evidence_of(crash(1, 5, *parts, ONE, TWO))
