--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -37,7 +37,7 @@
 #: Share of requests that are copies of one that others send too, and of copies of
 #: those that crash servers, while there are any.
 _COPY_SHARE = 0.3
-_DEADLY_SHARE = 0.08
+_DEADLY_SHARE = 0.25
 _DEADLY_EVENTS = 5
 
 
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -48,7 +48,7 @@
 
 #: The same for times in which requests come that crash each server.
 CRASH_KINDS = {
-    'deadly_request': (4, 10),
+    'deadly_request': (8, 16),
 }
 
 _FIRST_FAULT_S = 1.0
