--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -6,12 +6,12 @@
 from typing import NamedTuple, Self
 
 from wasabicross.gateway.configuration import Route
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import Dialect, RequestInfo
-from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import ServerAccess
-from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
     PeerForwarder,
     without_configuration,
--- /dev/null
+++ b/src/wasabicross/gateway/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections with callers and servers, and what is read from them."""
--- a/src/wasabicross/gateway/answer_writer.py
+++ b/src/wasabicross/gateway/connections/answer_writer.py
@@ -8,8 +8,8 @@
 import h11
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.http_heads import Fields
 from wasabicross.gateway.errors import AnswerUnwritable, CallerGone
-from wasabicross.gateway.http_heads import Fields
 from wasabicross.gateway.unanswered import RequestTrace
 
 _REASON_PHRASES = {
--- a/src/wasabicross/gateway/caller_connections.py
+++ b/src/wasabicross/gateway/connections/caller_connections.py
@@ -9,24 +9,24 @@
 
 import h11
 
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import CallerLimits
-from wasabicross.gateway.connection_end import end_after_answer
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.connection_end import end_after_answer
+from wasabicross.gateway.connections.http_heads import CallerRequest
+from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import (
     AnswerCut,
     AnswerCutAtStop,
     CallerGone,
     GatewayError,
 )
-from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.gateway.unanswered import (
     Cause,
     UnansweredEnd,
     UnansweredRequests,
 )
-from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
 
--- a/src/wasabicross/gateway/connection_pool.py
+++ b/src/wasabicross/gateway/connections/connection_pool.py
@@ -6,9 +6,9 @@
 from collections import defaultdict
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import ServerUnreachable
-from wasabicross.gateway.server_connections import ServerConnection
-from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
 
--- a/src/wasabicross/gateway/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -9,14 +9,18 @@
 
 import h11
 
+from wasabicross.gateway.connections.http_heads import (
+    Fields,
+    field,
+    forwarded_fields,
+)
+from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
     BodyTooLong,
 )
-from wasabicross.gateway.http_heads import Fields, field, forwarded_fields
 from wasabicross.gateway.time_limits import TimeLimit
-from wasabicross.gateway.watched_reader import WatchedReader
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
--- a/src/wasabicross/gateway/crashes/request_digest.py
+++ b/src/wasabicross/gateway/crashes/request_digest.py
@@ -4,7 +4,7 @@
 
 import hashlib
 
-from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.connections.http_heads import CallerRequest
 
 _DIGEST_BYTES = 16
 
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -6,8 +6,11 @@
 from typing import NamedTuple, Protocol
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
-from wasabicross.gateway.http_heads import CallerRequest, Fields
-from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.connections.http_heads import CallerRequest, Fields
+from wasabicross.gateway.connections.server_connections import (
+    AnswerHead,
+    ServerRequest,
+)
 from wasabicross.gateway.server_limits.stated import StatedLimits
 from wasabicross.gateway.server_notices import ServerNotice
 
--- a/src/wasabicross/gateway/draining.py
+++ b/src/wasabicross/gateway/draining.py
@@ -6,9 +6,9 @@
 import contextlib
 from collections.abc import Callable, Collection
 
-from wasabicross.gateway.caller_connections import CallerConnection
 from wasabicross.gateway.caller_service import CallerService
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.caller_connections import CallerConnection
 from wasabicross.gateway.stop_phases import StopPhases
 
 
--- a/src/wasabicross/gateway/forwarded_stream.py
+++ b/src/wasabicross/gateway/forwarded_stream.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.event_stream import (
+    EventSplitter,
+    StreamTail,
+)
+from wasabicross.gateway.connections.server_connections import ServerConnection
 from wasabicross.gateway.errors import AnswerBroken
-from wasabicross.gateway.event_stream import EventSplitter, StreamTail
-from wasabicross.gateway.server_connections import ServerConnection
 
 
 class ForwardedStream:
--- a/src/wasabicross/gateway/instance_service.py
+++ b/src/wasabicross/gateway/instance_service.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.caller_service import CallerService
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.crashes import conviction_listing
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
-from wasabicross.gateway.http_heads import CallerRequest
 
 
 class InstanceService:
--- a/src/wasabicross/gateway/owner_link.py
+++ b/src/wasabicross/gateway/owner_link.py
@@ -13,6 +13,7 @@
 from websockets.exceptions import WebSocketException
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.round_trips import NO_STREAM, RoundTrips
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.gateway.crashes.crash_sharing import CrashMessage, CrashSharing
@@ -36,7 +37,6 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
-from wasabicross.gateway.round_trips import NO_STREAM, RoundTrips
 from wasabicross.gateway.server_limits.messages import (
     GrantAnswer,
     GrantWanted,
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -4,22 +4,22 @@
 
 import enum
 
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.http_heads import field
+from wasabicross.gateway.connections.server_connections import (
+    AnswerHead,
+    ServerConnection,
+    ServerRequest,
+)
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerCut,
     AnswerMissing,
     ServerUnreachable,
 )
-from wasabicross.gateway.http_heads import field
-from wasabicross.gateway.server_connections import (
-    AnswerHead,
-    ServerConnection,
-    ServerRequest,
-)
 
 #: Field of an answer that tells why a gateway hasn't taken a request.
 NOT_TAKEN = b'x-wasabicross-not-taken'
--- a/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
@@ -7,12 +7,12 @@
 from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.http_heads import CallerRequest, field
 from wasabicross.gateway.dialect import Dialect
-from wasabicross.gateway.http_heads import CallerRequest, field
 from wasabicross.gateway.peer_forwarding.peer_attempt import (
     PeerAttempt,
     PeerEnding,
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -9,14 +9,15 @@
 
 from wasabicross import __version__
 from wasabicross.gateway.attempt_context import ServerAccess
-from wasabicross.gateway.caller_connections import (
+from wasabicross.gateway.caller_service import CallerService
+from wasabicross.gateway.configuration import CallerLimits
+from wasabicross.gateway.connections.caller_connections import (
     DEFAULT_LIMITS,
     CallerConnection,
     Handler,
 )
-from wasabicross.gateway.caller_service import CallerService
-from wasabicross.gateway.configuration import CallerLimits
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.instance_service import InstanceService
@@ -41,7 +42,6 @@
 from wasabicross.gateway.unanswered import UnansweredRequests
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
-from wasabicross.gateway.watched_reader import WatchedReader
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -9,14 +9,15 @@
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
-from wasabicross.gateway.caller_connections import (
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.caller_connections import (
     CALLER_LEFT,
     PROCESS_ENDS,
 )
-from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.crashes.crash_evidence import SEPARATE_S
 from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
@@ -25,7 +26,6 @@
     AnswerCutAtStop,
     CallerGone,
 )
-from wasabicross.gateway.http_heads import CallerRequest
 from wasabicross.gateway.peer_forwarding.peer_attempt import (
     NOT_TAKEN,
     PeerEnding,
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -6,11 +6,18 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import RouteKind
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
+from wasabicross.gateway.connections.event_stream import EVENT_STREAM_TYPE
+from wasabicross.gateway.connections.http_heads import Fields, field
+from wasabicross.gateway.connections.server_connections import (
+    AnswerHead,
+    ServerConnection,
+    ServerRequest,
+)
 from wasabicross.gateway.dialect import AnswerKind, ForwardingOptions
 from wasabicross.gateway.errors import (
     AnswerBroken,
@@ -18,9 +25,7 @@
     ServerError,
     ServerUnreachable,
 )
-from wasabicross.gateway.event_stream import EVENT_STREAM_TYPE
 from wasabicross.gateway.forwarded_stream import ForwardedStream
-from wasabicross.gateway.http_heads import Fields, field
 from wasabicross.gateway.prefill_rate import PendingPrefill
 from wasabicross.gateway.progress import (
     AttemptRecord,
@@ -28,11 +33,6 @@
     RequestProgress,
 )
 from wasabicross.gateway.retrying_placer import Placement
-from wasabicross.gateway.server_connections import (
-    AnswerHead,
-    ServerConnection,
-    ServerRequest,
-)
 from wasabicross.gateway.silence_watch import SilenceWatch
 from wasabicross.gateway.streams.stream_versions import why_unsuitable
 from wasabicross.gateway.takeover import Takeover
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -8,10 +8,10 @@
 
 from wasabicross.gateway.backend import BackendServer, EngineReport
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.server_connections import ServerRequest
 from wasabicross.gateway.errors import AnswerMissing, ServerError
 from wasabicross.gateway.orders import Order, OrderAnswer
-from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.platform.documents import decode_report
 from wasabicross.platform.headers import server_notice
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -6,19 +6,22 @@
 import re
 
 from wasabicross.gateway.backend import AdapterKey
-from wasabicross.gateway.dialect import (
-    AnswerKind,
-    ForwardingOptions,
-    RequestInfo,
-)
-from wasabicross.gateway.http_heads import (
+from wasabicross.gateway.connections.http_heads import (
     CallerRequest,
     Fields,
     field,
     forwarded_fields,
     number_field,
 )
-from wasabicross.gateway.server_connections import AnswerHead, ServerRequest
+from wasabicross.gateway.connections.server_connections import (
+    AnswerHead,
+    ServerRequest,
+)
+from wasabicross.gateway.dialect import (
+    AnswerKind,
+    ForwardingOptions,
+    RequestInfo,
+)
 from wasabicross.gateway.server_limits.stated import StatedLimits
 from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.platform.values import digits
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -8,7 +8,9 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.http_heads import Fields, field
+from wasabicross.gateway.connections.server_connections import ServerRequest
 from wasabicross.gateway.errors import (
     BodyTooLong,
     DocumentUnreadable,
@@ -18,8 +20,6 @@
     StoreRestored,
     StoreUnavailable,
 )
-from wasabicross.gateway.http_heads import Fields, field
-from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem
 from wasabicross.gateway.store_position import era_of, position, revision_of
--- a/src/wasabicross/programs/run_gateway.py
+++ b/src/wasabicross/programs/run_gateway.py
@@ -13,7 +13,7 @@
 
 import click
 
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import DocumentUnreadable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.program import Gateway, PlatformInterfaces
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -28,7 +28,7 @@
     Service,
     ServiceShare,
 )
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -7,8 +7,8 @@
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import STREAM_END, STREAM_HEAD, answer, chunk, events
 
+from wasabicross.gateway.connections.event_stream import EventSplitter
 from wasabicross.gateway.errors import AnswerBroken
-from wasabicross.gateway.event_stream import EventSplitter
 
 UNFRAMED_HEAD = STREAM_HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
 MODEL = f'm0/{A1.adapter}'
--- a/tests/test_gateway_changed_versions.py
+++ b/tests/test_gateway_changed_versions.py
@@ -17,7 +17,7 @@
     take_up,
 )
 
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 
 REQUESTS = [stream(ID_OF_V1), take_up(ID_OF_V1)]
 
--- a/tests/test_gateway_closing.py
+++ b/tests/test_gateway_closing.py
@@ -8,7 +8,7 @@
 from raw_caller import body_of, request, status_of
 from scripted_server import HOST, ScriptedServer, answer
 
-from wasabicross.gateway import connection_end
+from wasabicross.gateway.connections import connection_end
 
 #: More than the gateway reads ahead, and than the buffers of sockets hold.
 LONG = b'z' * 8000000
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -15,7 +15,7 @@
     events,
 )
 
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.crash_messages import ServerCrash
 from wasabicross.gateway.crashes import crash_evidence
 
--- a/tests/test_gateway_handler_errors.py
+++ b/tests/test_gateway_handler_errors.py
@@ -5,8 +5,8 @@
 from raw_caller import request, status_of
 from scripted_server import STREAM_END, STREAM_HEAD, chunk, events
 
-from wasabicross.gateway.answer_writer import AnswerWriter
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.retrying_placer import RetryingPlacer
 from wasabicross.gateway.server_attempts import ServerAttempt
 
--- a/tests/test_gateway_idle_close.py
+++ b/tests/test_gateway_idle_close.py
@@ -7,11 +7,11 @@
 from raw_caller import request, status_of
 from scripted_server import HOST, ScriptedServer
 
-from wasabicross.gateway import caller_connections
 from wasabicross.gateway.changes import ConfigurationUpdate
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Configuration
-from wasabicross.gateway.watched_reader import WatchedReader
+from wasabicross.gateway.connections import caller_connections
+from wasabicross.gateway.connections.watched_reader import WatchedReader
 
 
 def with_idle_timeout(idle_timeout_s, version=1):
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -18,8 +18,8 @@
     chunk,
 )
 
-from wasabicross.gateway import server_connections
-from wasabicross.gateway.connection_pool import (
+from wasabicross.gateway.connections import server_connections
+from wasabicross.gateway.connections.connection_pool import (
     CONNECT_TIMEOUT_S,
     ConnectionPool,
 )
--- a/tests/test_gateway_peer_forwarding.py
+++ b/tests/test_gateway_peer_forwarding.py
@@ -30,7 +30,7 @@
 from emulator.waiting import free_ports
 from wasabicross.gateway.changes import ConfigurationUpdate, InstanceEntry
 from wasabicross.gateway.configuration import Configuration
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.settings import Address
 from wasabicross.platform.headers import REQUEST_ID
 
--- a/tests/test_gateway_prompt_sources.py
+++ b/tests/test_gateway_prompt_sources.py
@@ -11,8 +11,8 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.changes import ServerEntryUpdate
+from wasabicross.gateway.connections.http_heads import CallerRequest, field
 from wasabicross.gateway.dialect import ForwardingOptions
-from wasabicross.gateway.http_heads import CallerRequest, field
 from wasabicross.gateway.messages import HeldAdapter, ServerState
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.view import FleetView
--- a/tests/test_gateway_request_digest.py
+++ b/tests/test_gateway_request_digest.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.crashes.request_digest import (
     is_request_digest,
     request_digest,
 )
-from wasabicross.gateway.http_heads import CallerRequest
 
 HOST = (b'host', b'a.example')
 WORKSPACE = (b'authorization', b'Bearer one')
--- a/tests/test_gateway_resumed_attempts.py
+++ b/tests/test_gateway_resumed_attempts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wasabicross.gateway.http_heads import CallerRequest
+from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.platform.headers import PlatformDialect
 
 LONG = b'9' * 5000
--- a/tests/test_gateway_stream_memory.py
+++ b/tests/test_gateway_stream_memory.py
@@ -20,6 +20,7 @@
 from websockets.asyncio.server import serve
 
 from emulator.waiting import free_ports
+from wasabicross.gateway.connections.round_trips import NO_STREAM
 from wasabicross.gateway.messages import (
     Hello,
     StoreUpdatesRequest,
@@ -28,7 +29,6 @@
 )
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.ownership import OwnerRecord
-from wasabicross.gateway.round_trips import NO_STREAM
 from wasabicross.gateway.store_copy import StoreCopy
 from wasabicross.gateway.store_relay import StoreRelay
 from wasabicross.gateway.stream_divisions import (
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -11,7 +11,8 @@
 from test_gateway_prompt_sources import PROMPT, A, report, server
 
 from wasabicross.gateway.changes import ServerEntryUpdate
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.server_connections import ServerRequest
 from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
@@ -19,7 +20,6 @@
     Verdict,
 )
 from wasabicross.gateway.prompt_sources import prompt_source
-from wasabicross.gateway.server_connections import ServerRequest
 from wasabicross.gateway.server_notices import ServerNotice, ServerNotices
 from wasabicross.gateway.view import FleetView
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -14,7 +14,7 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.changes import AdapterVersionUpdate, ServerRemoval
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
     HistoryGone,
--- a/tests/test_platform_odd_items.py
+++ b/tests/test_platform_odd_items.py
@@ -8,7 +8,7 @@
 from scripted_server import HOST, ScriptedServer, answer
 
 from wasabicross.gateway.changes import ServerEntryUpdate
-from wasabicross.gateway.connection_pool import ConnectionPool
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.messages import StoreUpdate, encode
 from wasabicross.gateway.settings import Address
