--- a/src/wasabicross/gateway/owner_server.py
+++ b/src/wasabicross/gateway/owner_server.py
@@ -33,8 +33,8 @@
 )
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.state_updates import StateUpdates
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.stream_messages import StreamQuery, StreamsBegun
 from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.view import FleetView
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -36,9 +36,9 @@
 from wasabicross.gateway.settings import Address, GatewaySettings
 from wasabicross.gateway.settings_reload import ReloadableSettings
 from wasabicross.gateway.store import FleetStore
-from wasabicross.gateway.store_copy import request_from_seeds
-from wasabicross.gateway.store_follower import StoreFollower
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import request_from_seeds
+from wasabicross.gateway.store_following.store_follower import StoreFollower
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.unanswered import UnansweredRequests
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
--- a/src/wasabicross/gateway/store_follower.py
+++ b/src/wasabicross/gateway/store_following/store_follower.py
@@ -15,11 +15,14 @@
     StoreStatus,
     StoreUpdate,
 )
-from wasabicross.gateway.relay_clocks import RelayClocks
 from wasabicross.gateway.store import FleetStore, StoreResult, UnreadableEntry
-from wasabicross.gateway.store_copy import StoreCopy
+from wasabicross.gateway.store_following.relay_clocks import RelayClocks
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import (
+    RelayStatuses,
+    StoreRelay,
+)
 from wasabicross.gateway.store_position import era_of, revision_of
-from wasabicross.gateway.store_relay import RelayStatuses, StoreRelay
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -11,10 +11,10 @@
 from restorable_store import RestorableStore
 from scripted_server import ScriptedServer
 
-from wasabicross.gateway import store_follower
 from wasabicross.gateway.errors import StoreUnavailable
-from wasabicross.gateway.store_follower import StoreFollower
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following import store_follower
+from wasabicross.gateway.store_following.store_follower import StoreFollower
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.stream_divisions import (
     ANNOUNCED_S,
     BUCKETS,
--- a/tests/test_gateway_eras.py
+++ b/tests/test_gateway_eras.py
@@ -13,7 +13,7 @@
 from restorable_store import RestorableStore
 from test_gateway_view import server
 
-from wasabicross.gateway import owned_groups, store_follower
+from wasabicross.gateway import owned_groups
 from wasabicross.gateway.changes import OwnerRecordUpdate, ServerEntryUpdate
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.messages import StoreStatus, StoreUpdate
@@ -21,10 +21,14 @@
 from wasabicross.gateway.ownership import TAKEOVER_S
 from wasabicross.gateway.registration import Registration
 from wasabicross.gateway.store import StoredItem
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_follower import StoreFollower
+from wasabicross.gateway.store_following import store_follower
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_follower import StoreFollower
+from wasabicross.gateway.store_following.store_relay import (
+    RelayStatuses,
+    StoreRelay,
+)
 from wasabicross.gateway.store_position import position
-from wasabicross.gateway.store_relay import RelayStatuses, StoreRelay
 from wasabicross.gateway.view import FleetView
 
 GROUP = 'dc.0'
--- a/tests/test_gateway_error_containment.py
+++ b/tests/test_gateway_error_containment.py
@@ -23,7 +23,7 @@
 from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store import StoreResult
-from wasabicross.gateway.store_follower import StoreFollower
+from wasabicross.gateway.store_following.store_follower import StoreFollower
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -6,18 +6,18 @@
 import pytest
 import virtual_time
 
-from wasabicross.gateway import store_relay
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.changes import AdapterVersionUpdate
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.messages import StoreStatus, StoreUpdate, decode
 from wasabicross.gateway.store import StoredItem, StoreResult, UnreadableEntry
-from wasabicross.gateway.store_follower import (
+from wasabicross.gateway.store_following import store_relay
+from wasabicross.gateway.store_following.store_follower import (
     StoreFollower,
     retry_interval_s,
     watch_interval_s,
 )
-from wasabicross.gateway.store_relay import (
+from wasabicross.gateway.store_following.store_relay import (
     STATUS_LIFETIME_S,
     RelayStatuses,
     StoreRelay,
--- a/tests/test_gateway_limit_grants.py
+++ b/tests/test_gateway_limit_grants.py
@@ -23,8 +23,8 @@
 from wasabicross.gateway.server_limits.request_limiter import RequestLimiter
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.view import FleetView
 
 SERVER = server_entry('s1', 'desk', 1).server
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -29,8 +29,8 @@
     frame_interval_s,
 )
 from wasabicross.gateway.store import StoredItem, StoreResult
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.view import FleetView
 
 HOST = '127.0.0.1'
--- a/tests/test_gateway_store_confirmation.py
+++ b/tests/test_gateway_store_confirmation.py
@@ -10,7 +10,6 @@
 from test_gateway_following import ScriptedStore, follower, item, version
 from test_gateway_links import FakeLoaderService, linked_gateway, until
 
-from wasabicross.gateway import store_follower
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.errors import HistoryGone, StoreUnavailable
 from wasabicross.gateway.messages import (
@@ -20,9 +19,10 @@
     decode,
     encode,
 )
-from wasabicross.gateway.relay_clocks import RelayClocks
+from wasabicross.gateway.store_following import store_follower
+from wasabicross.gateway.store_following.relay_clocks import RelayClocks
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.store_position import position
-from wasabicross.gateway.store_relay import StoreRelay
 from wasabicross.gateway.view import FleetView
 
 #: Time of a call to the store in these tests.
--- a/tests/test_gateway_store_relay.py
+++ b/tests/test_gateway_store_relay.py
@@ -17,7 +17,10 @@
 )
 from wasabicross.gateway.settings import Address
 from wasabicross.gateway.store import StoredItem, StoreResult
-from wasabicross.gateway.store_copy import StoreCopy, request_copy
+from wasabicross.gateway.store_following.store_copy import (
+    StoreCopy,
+    request_copy,
+)
 
 ITEM = StoredItem('op/version/m0.a1', 8, b'{}')
 
--- a/tests/test_gateway_stream_memory.py
+++ b/tests/test_gateway_stream_memory.py
@@ -29,8 +29,8 @@
 )
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.ownership import OwnerRecord
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.stream_divisions import (
     FormerBuckets,
     StreamDivision,
--- a/tests/test_gateway_uses.py
+++ b/tests/test_gateway_uses.py
@@ -15,8 +15,8 @@
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.owner_server import OwnerServer
 from wasabicross.gateway.ownership import group_of
-from wasabicross.gateway.store_copy import StoreCopy
-from wasabicross.gateway.store_relay import StoreRelay
+from wasabicross.gateway.store_following.store_copy import StoreCopy
+from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
 
--- a/tests/test_gateway_versions_out_of_touch.py
+++ b/tests/test_gateway_versions_out_of_touch.py
@@ -5,7 +5,7 @@
 from wasabicross.gateway.changes import StreamDivisionUpdate
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.messages import StoreConfirmation
-from wasabicross.gateway.relay_clocks import RelayClocks
+from wasabicross.gateway.store_following.relay_clocks import RelayClocks
 from wasabicross.gateway.store_position import position
 from wasabicross.gateway.stream_division_records import stored_division
 from wasabicross.gateway.stream_divisions import (
