--- a/src/wasabicross/gateway/links.py
+++ b/src/wasabicross/gateway/owners/links.py
@@ -15,7 +15,7 @@
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest
-from wasabicross.gateway.owner_link import OwnerLink, StoreUpdateHandler
+from wasabicross.gateway.owners.owner_link import OwnerLink, StoreUpdateHandler
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.stream_messages import StreamsBegun
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -21,12 +21,12 @@
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.instance_service import InstanceService
-from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owners.links import OwnerLinks
+from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.probing import Prober
 from wasabicross.gateway.record_keepers import keep_records
 from wasabicross.gateway.registration import Registration
--- a/tests/test_gateway_begun_streams.py
+++ b/tests/test_gateway_begun_streams.py
@@ -7,8 +7,8 @@
 import pytest
 from version_parts import HALF, OLD
 
-from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.messages import decode, encode
+from wasabicross.gateway.owners.links import OwnerLinks
 from wasabicross.gateway.stream_divisions import (
     DEFAULT_TIME_LIMIT_S,
     SPREAD_S,
--- a/tests/test_gateway_crash_sharing.py
+++ b/tests/test_gateway_crash_sharing.py
@@ -16,8 +16,8 @@
 )
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.messages import decode, encode
-from wasabicross.gateway.owner_link import OwnerLink
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owners.owner_link import OwnerLink
+from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.store_following.store_copy import StoreCopy
 from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.view import FleetView
--- a/tests/test_gateway_frozen_owner.py
+++ b/tests/test_gateway_frozen_owner.py
@@ -11,9 +11,9 @@
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.changes import OwnerRecordUpdate
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.messages import Hello, UsageUpdate, decode, encode
 from wasabicross.gateway.orders import LoadRequest
+from wasabicross.gateway.owners.links import OwnerLinks
 from wasabicross.gateway.ownership import group_of
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
--- a/tests/test_gateway_limit_grants.py
+++ b/tests/test_gateway_limit_grants.py
@@ -10,8 +10,8 @@
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.owner_link import OwnerLink
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owners.owner_link import OwnerLink
+from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
 from wasabicross.gateway.server_limits.known_limits import (
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -12,7 +12,6 @@
 from websockets.exceptions import ConnectionClosed
 
 from emulator.waiting import free_ports
-from wasabicross.gateway import owner_link
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.messages import (
     AdapterUsage,
@@ -23,8 +22,9 @@
     encode,
 )
 from wasabicross.gateway.orders import LoadRequest
-from wasabicross.gateway.owner_link import OwnerLink
-from wasabicross.gateway.owner_server import (
+from wasabicross.gateway.owners import owner_link
+from wasabicross.gateway.owners.owner_link import OwnerLink
+from wasabicross.gateway.owners.owner_server import (
     OwnerServer,
     frame_interval_s,
 )
--- a/tests/test_gateway_odd_owners.py
+++ b/tests/test_gateway_odd_owners.py
@@ -4,9 +4,9 @@
 
 from gateway_parts import HOST, running_gateway
 
-from wasabicross.gateway import links as links_module
 from wasabicross.gateway.changes import OwnerRecordUpdate
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.owners import links as links_module
 
 
 def test_a_record_that_names_no_owner_opens_no_link(monkeypatch):
--- a/tests/test_gateway_stream_memory.py
+++ b/tests/test_gateway_stream_memory.py
@@ -27,7 +27,7 @@
     decode,
     encode,
 )
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.ownership import OwnerRecord
 from wasabicross.gateway.store_following.store_copy import StoreCopy
 from wasabicross.gateway.store_following.store_relay import StoreRelay
--- a/tests/test_gateway_uses.py
+++ b/tests/test_gateway_uses.py
@@ -7,13 +7,13 @@
 import pytest
 
 from emulator.waiting import free_ports
-from wasabicross.gateway import links
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.changes import OwnerRecordUpdate, ServerEntryUpdate
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.links import OwnerLinks
 from wasabicross.gateway.messages import AdapterUsage
-from wasabicross.gateway.owner_server import OwnerServer
+from wasabicross.gateway.owners import links
+from wasabicross.gateway.owners.links import OwnerLinks
+from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.ownership import group_of
 from wasabicross.gateway.store_following.store_copy import StoreCopy
 from wasabicross.gateway.store_following.store_relay import StoreRelay
