--- /dev/null
+++ b/src/wasabicross/gateway/loading/__init__.py
@@ -0,0 +1,1 @@
+"""How owners have adapters loaded on their engines."""
--- a/src/wasabicross/gateway/engine_orders.py
+++ b/src/wasabicross/gateway/loading/engine_orders.py
@@ -8,8 +8,8 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.engine_slots import EngineSlots
 from wasabicross.gateway.errors import ServerError
+from wasabicross.gateway.loading.engine_slots import EngineSlots
 from wasabicross.gateway.orders import (
     EngineClient,
     Order,
--- a/src/wasabicross/gateway/engine_slots.py
+++ b/src/wasabicross/gateway/loading/engine_slots.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey, EngineReport
-from wasabicross.gateway.engine_usage import EngineUsage
+from wasabicross.gateway.loading.engine_usage import EngineUsage
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 
 #: Time after the first report in which all gateways report their usage. No
--- a/src/wasabicross/gateway/engine_usage.py
+++ b/src/wasabicross/gateway/loading/engine_usage.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey
-from wasabicross.gateway.orphan_check import OrphanCheck
-from wasabicross.gateway.slot_turnover import SlotTurnover
+from wasabicross.gateway.loading.orphan_check import OrphanCheck
+from wasabicross.gateway.loading.slot_turnover import SlotTurnover
 from wasabicross.loads.popularity import Popularity
 
 #: Time after its last use during which an adapter isn't free for eviction. In
--- a/src/wasabicross/gateway/load_admission.py
+++ b/src/wasabicross/gateway/loading/load_admission.py
@@ -10,8 +10,8 @@
 
 import math
 
-from wasabicross.gateway.awaited_loads import AwaitedLoads
-from wasabicross.gateway.engine_slots import MAX_PENDING, EngineSlots
+from wasabicross.gateway.loading.awaited_loads import AwaitedLoads
+from wasabicross.gateway.loading.engine_slots import MAX_PENDING, EngineSlots
 from wasabicross.gateway.orders import LoadRequest
 
 #: Longest duration of a load that can begin at once, as a multiple of the wait
--- a/src/wasabicross/gateway/loader_service.py
+++ b/src/wasabicross/gateway/loading/loader_service.py
@@ -9,11 +9,11 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
 from wasabicross.gateway.error_containment import ErrorContainment
+from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.messages import AdapterUsage, ServerState
 from wasabicross.gateway.orders import EngineClient, LoadRequest
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.ownership import OwnershipTerm, group_of
-from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.view import FleetView
 
 _CHECK_INTERVAL_S = 0.2
--- a/src/wasabicross/gateway/server_loader.py
+++ b/src/wasabicross/gateway/loading/server_loader.py
@@ -7,22 +7,22 @@
 from collections.abc import Callable
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.awaited_loads import AwaitedLoads
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec
-from wasabicross.gateway.engine_orders import (
+from wasabicross.gateway.error_containment import ErrorContainment
+from wasabicross.gateway.errors import DocumentUnreadable, ServerError
+from wasabicross.gateway.loading.awaited_loads import AwaitedLoads
+from wasabicross.gateway.loading.engine_orders import (
     BUSY_REPORT_INTERVAL_S,
     EngineOrders,
 )
-from wasabicross.gateway.engine_slots import (
+from wasabicross.gateway.loading.engine_slots import (
     RESUMED_USAGE_WAIT_S,
     USAGE_WAIT_S,
     EngineSlots,
 )
-from wasabicross.gateway.error_containment import ErrorContainment
-from wasabicross.gateway.errors import DocumentUnreadable, ServerError
-from wasabicross.gateway.load_admission import LoadAdmission
+from wasabicross.gateway.loading.load_admission import LoadAdmission
 from wasabicross.gateway.messages import (
     AdapterUsage,
     HeldAdapter,
--- a/src/wasabicross/gateway/owners/links.py
+++ b/src/wasabicross/gateway/owners/links.py
@@ -12,7 +12,7 @@
 from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.gateway.crashes.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.error_containment import ErrorContainment
-from wasabicross.gateway.loader_service import LoaderService
+from wasabicross.gateway.loading.loader_service import LoaderService
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owners.owner_link import OwnerLink, StoreUpdateHandler
--- a/src/wasabicross/gateway/owners/owner_server.py
+++ b/src/wasabicross/gateway/owners/owner_server.py
@@ -13,7 +13,7 @@
 from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.gateway.crashes.crash_sharing import CrashMessage, CrashSharing
 from wasabicross.gateway.error_containment import ErrorContainment
-from wasabicross.gateway.loader_service import LoaderService
+from wasabicross.gateway.loading.loader_service import LoaderService
 from wasabicross.gateway.messages import (
     MAX_FRAME_BYTES,
     Hello,
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -21,7 +21,7 @@
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.draining import Draining
 from wasabicross.gateway.instance_service import InstanceService
-from wasabicross.gateway.loader_service import LoaderService
+from wasabicross.gateway.loading.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
--- a/tests/test_gateway_awaited_loads.py
+++ b/tests/test_gateway_awaited_loads.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from wasabicross.gateway.awaited_loads import AwaitedLoads
 from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.loading.awaited_loads import AwaitedLoads
 from wasabicross.gateway.orders import LoadRequest
 
 
--- a/tests/test_gateway_awaited_prompts.py
+++ b/tests/test_gateway_awaited_prompts.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from wasabicross.gateway.awaited_loads import AwaitedLoads
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.candidates import Candidates, PlacementRequest
+from wasabicross.gateway.loading.awaited_loads import AwaitedLoads
 from wasabicross.gateway.messages import ServerOccupancy, ServerState
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.placement import choose_server
--- a/tests/test_gateway_engine_uses.py
+++ b/tests/test_gateway_engine_uses.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wasabicross.gateway.backend import AdapterKey
-from wasabicross.gateway.engine_usage import EngineUsage
+from wasabicross.gateway.loading.engine_usage import EngineUsage
 
 A = AdapterKey('m0', 'a1')
 B = AdapterKey('m0', 'a2')
--- a/tests/test_gateway_error_containment.py
+++ b/tests/test_gateway_error_containment.py
@@ -15,12 +15,12 @@
 
 from wasabicross.gateway import error_containment
 from wasabicross.gateway.error_containment import ErrorContainment
-from wasabicross.gateway.loader_service import LoaderService
+from wasabicross.gateway.loading.loader_service import LoaderService
+from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owners.links import OwnerLinks
 from wasabicross.gateway.probing import Prober
 from wasabicross.gateway.registration import Registration
-from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.state_updates import StateUpdates
 from wasabicross.gateway.store import StoreResult
 from wasabicross.gateway.store_following.store_follower import StoreFollower
--- a/tests/test_gateway_load_admission.py
+++ b/tests/test_gateway_load_admission.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from wasabicross.gateway.awaited_loads import AwaitedLoads
 from wasabicross.gateway.backend import AdapterKey, EngineReport
-from wasabicross.gateway.engine_slots import EngineSlots
-from wasabicross.gateway.load_admission import LoadAdmission
+from wasabicross.gateway.loading.awaited_loads import AwaitedLoads
+from wasabicross.gateway.loading.engine_slots import EngineSlots
+from wasabicross.gateway.loading.load_admission import LoadAdmission
 from wasabicross.gateway.orders import LoadRequest
 
 SLOTS = 9
--- a/tests/test_gateway_loader.py
+++ b/tests/test_gateway_loader.py
@@ -12,12 +12,12 @@
 )
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
-from wasabicross.gateway.engine_slots import USAGE_WAIT_S
 from wasabicross.gateway.errors import AnswerMissing
+from wasabicross.gateway.loading.engine_slots import USAGE_WAIT_S
+from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.messages import AdapterUsage
 from wasabicross.gateway.orders import LoadRequest, OrderAnswer, OrderKind
 from wasabicross.gateway.ownership import OwnershipTerm
-from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.view import FleetView
 
 A = AdapterKey('m0', 'a1')
--- a/tests/test_gateway_orphan_check.py
+++ b/tests/test_gateway_orphan_check.py
@@ -10,9 +10,9 @@
 import pytest
 
 from wasabicross.gateway.backend import AdapterKey, EngineReport
-from wasabicross.gateway.engine_slots import EngineSlots
-from wasabicross.gateway.engine_usage import EngineUsage
-from wasabicross.gateway.orphan_check import OrphanCheck
+from wasabicross.gateway.loading.engine_slots import EngineSlots
+from wasabicross.gateway.loading.engine_usage import EngineUsage
+from wasabicross.gateway.loading.orphan_check import OrphanCheck
 
 A = AdapterKey('m0', 'a1')
 B = AdapterKey('m0', 'a2')
--- a/tests/test_gateway_owner_word_load.py
+++ b/tests/test_gateway_owner_word_load.py
@@ -12,7 +12,7 @@
 )
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
-from wasabicross.gateway.engine_usage import EngineUsage
+from wasabicross.gateway.loading.engine_usage import EngineUsage
 from wasabicross.gateway.messages import ServerOccupancy, ServerState
 from wasabicross.gateway.owners.owner_server import frame_interval_s
 from wasabicross.gateway.state_updates import StateUpdates
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -7,7 +7,7 @@
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.connections.http_heads import CallerRequest
-from wasabicross.gateway.engine_usage import EngineUsage
+from wasabicross.gateway.loading.engine_usage import EngineUsage
 from wasabicross.gateway.placement import (
     LoadOn,
     RandomDraws,
--- a/tests/test_gateway_server_notices.py
+++ b/tests/test_gateway_server_notices.py
@@ -18,10 +18,10 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
 from wasabicross.gateway.connections.server_connections import AnswerHead
+from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.ownership import OwnershipTerm
 from wasabicross.gateway.probing import Prober
-from wasabicross.gateway.server_loader import ServerLoader
 from wasabicross.gateway.server_notices import (
     NO_NOTICE,
     ServerNotice,
--- a/tests/test_gateway_slot_turnover.py
+++ b/tests/test_gateway_slot_turnover.py
@@ -7,8 +7,8 @@
 
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.engine_usage import EngineUsage
-from wasabicross.gateway.slot_turnover import SlotTurnover
+from wasabicross.gateway.loading.engine_usage import EngineUsage
+from wasabicross.gateway.loading.slot_turnover import SlotTurnover
 
 B = AdapterKey('m0', 'a2')
 
--- a/tests/test_gateway_slots.py
+++ b/tests/test_gateway_slots.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wasabicross.gateway.backend import AdapterKey, EngineReport
-from wasabicross.gateway.engine_slots import (
+from wasabicross.gateway.loading.engine_slots import (
     MAX_PENDING,
     RESUMED_USAGE_WAIT_S,
     USAGE_WAIT_S,
