--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -18,8 +18,9 @@
     CrashEvidence,
     Verdict,
 )
-from wasabicross.gateway.crashes.crash_log import log_trial
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
+from wasabicross.gateway.crashes.request_guard import RequestGuard
+from wasabicross.gateway.crashes.server_probes import is_accepted, is_refused
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
@@ -32,9 +33,7 @@
 #: Time after the start of an answer from which on its request counts as sound.
 _SOUND_AFTER_S = 0.5
 
-#: Timeout of a connection that tells whether a server has ended, and the pause
-#: before a second one.
-_CONNECT_TIMEOUT_S = 0.15
+#: Pause before a second connection that tells whether a server has ended.
 _RETRY_PAUSE_S = 0.08
 
 #: Longest wait until a server that broke an answer off has refused a connection
@@ -231,11 +230,11 @@
             metrics.CRASHES.inc()
 
     async def _has_crashed(self, server: BackendServer, check: _Check) -> bool:
-        if not await _is_refused(server.host, server.port):
+        if not await is_refused(server.host, server.port):
             check.is_answered.set()
             # It may be about to end.
             await asyncio.sleep(_RETRY_PAUSE_S)
-            if not await _is_refused(server.host, server.port):
+            if not await is_refused(server.host, server.port):
                 return False
         is_reaching = await self._reaches_another(server)
         return is_reaching and self._is_expected(server)
@@ -255,7 +254,7 @@
             return True
         asked = random.sample(others, min(_MAX_OTHERS, len(others)))
         accepted = await asyncio.gather(
-            *(_is_accepted(each.host, each.port) for each in asked)
+            *(is_accepted(each.host, each.port) for each in asked)
         )
         return any(accepted)
 
@@ -282,31 +281,6 @@
         self.sharing.report_crash(Crash(key, check.at_s, causes))
 
 
-class RequestGuard:
-    """Keeps a request from servers if it would crash them.
-
-    :param evidence: what may crash servers.
-    :param causes: the request's possible causes of crashes.
-    """
-
-    def __init__(
-        self, evidence: CrashEvidence, causes: tuple[str, ...]
-    ) -> None:
-        self._evidence = evidence
-        self._causes = causes
-        self._is_trial = False
-
-    def refuses(self) -> bool:
-        """Return whether the request may not be sent to a server now."""
-        if self._is_trial:
-            return False
-        verdict = self._evidence.verdict(self._causes, now_s())
-        if verdict is Verdict.trial:
-            self._is_trial = True
-            log_trial(self._causes)
-        return verdict is Verdict.refused
-
-
 class WatchedAttempt:
     """One attempt of a request at a server.
 
@@ -389,27 +363,3 @@
         return await self._watch.on_broken(
             self._server, self._info, since_start_s
         )
-
-
-async def _is_accepted(host: str, port: int) -> bool:
-    """Return whether a process accepts connections at an address."""
-    try:
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except (OSError, TimeoutError):
-        return False
-    writer.transport.abort()
-    return True
-
-
-async def _is_refused(host: str, port: int) -> bool:
-    """Return whether no process accepts connections at an address."""
-    try:
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.transport.abort()
-    return False
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -7,7 +7,7 @@
 from wasabicross.gateway.candidates import PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
-from wasabicross.gateway.crashes.crash_watch import RequestGuard
+from wasabicross.gateway.crashes.request_guard import RequestGuard
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
