--- a/src/wasabicross/gateway/crashes/request_guard.py
+++ b/src/wasabicross/gateway/crashes/request_guard.py
@@ -5,6 +5,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.crashes.crash_evidence import CrashEvidence, Verdict
 from wasabicross.gateway.crashes.crash_log import log_trial
+from wasabicross.gateway.crashes.request_digest import is_request_digest
 
 
 class RequestGuard:
@@ -30,3 +31,12 @@
             self._is_trial = True
             log_trial(self._causes)
         return verdict is Verdict.refused
+
+    @property
+    def has_crashed_servers(self) -> bool:
+        """Return whether the request itself is convicted, not only a part."""
+        convicted = self._evidence.convicted()
+        return any(
+            is_request_digest(cause) and cause in convicted
+            for cause in self._causes
+        )
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -28,8 +28,14 @@
 #: Why a request that would crash the server that runs it isn't sent.
 CRASHES = NoServer('crashes servers')
 
+#: Why a request isn't sent that has a part of other requests that crashed servers.
+#: It has crashed none itself, and the part may turn out to be sound.
+HAS_CRASHING_PART = NoServer('a part crashes servers', retry_after_s=60.0)
+
 #: Why requests are refused for a time that doesn't depend on other requests.
-FIXED_TIME_REASONS = frozenset(each.reason for each in LASTING_REFUSALS)
+FIXED_TIME_REASONS = frozenset(
+    each.reason for each in (HAS_CRASHING_PART, *LASTING_REFUSALS)
+)
 
 
 class RoutedRequest(NamedTuple):
@@ -124,7 +130,9 @@
             placement = await self._place(frozenset(excluded))
             if not self._guard.refuses():
                 return placement
-        return CRASHES
+        if self._guard.has_crashed_servers:
+            return CRASHES
+        return HAS_CRASHING_PART
 
     async def _place(self, excluded: frozenset[str]) -> Placement | NoServer:
         refusal = self.stream.why_not_begin(now_s())
