Review case 5: a server that is gone gets orders after a cut watch of the store

Cause: a watch of the store that is cut counts as an outage of the store, after which servers whose entries go are kept for 2.5 s, longer than they serve.

Done: a script in which the store cuts watches that wait and one of eight servers leaves without a report. Nothing is fixed. The shared stand-in of the store can cut watches, and that of a server tells whether its process runs.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/play.py"
--- a/review/standins.py
+++ b/review/standins.py
@@ -231,6 +231,7 @@
         self._history: list[tuple[str, str | None, int]] = []
         self.revision = 1
         self._changed = asyncio.Event()
+        self._watching: set[asyncio.StreamWriter] = set()
         #: Called before each call; answers it itself if it returns True.
         self.trouble: Callable[
             [Request, asyncio.StreamWriter], Awaitable[bool]
@@ -289,12 +290,18 @@
             'at': self.revision,
         }
 
+    def cut_watches(self) -> None:
+        """Close the connections on which a watch waits."""
+        for writer in tuple(self._watching):
+            writer.close()
+
     async def _watch(
         self, query: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         after = int(query['after'])
         prefix = query.get('pathPrefix', '')
         until_s = time.monotonic() + int(query['waitMs']) / 1000
+        self._watching.add(writer)
         while True:
             events = [
                 self._row(*each)
@@ -308,6 +315,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
+        self._watching.discard(writer)
         self._send(writer, 200, {'events': events, 'at': self.revision})
 
     def _write(self, txn: dict[str, Any], writer: asyncio.StreamWriter) -> None:
@@ -486,6 +494,7 @@
         self.ran: list[str] = []
         self._born = 0
         self._proc: asyncio.subprocess.Process | None = None
+        self._is_killed = False
         self._reading: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -529,19 +538,27 @@
 
     def kill(self) -> None:
         """Kill the process; its entry goes after three silent heartbeats."""
-        if self._proc is None or self._proc.returncode is not None:
+        if self._proc is None or not self.is_alive:
             return
         self._record.write(f'{self.server_id} is killed')
+        self._is_killed = True
         self._proc.kill()
         loop = asyncio.get_running_loop()
         key = f'servers/{self.server_id}'
         loop.call_later(3 * HEARTBEAT_S, self._store.put, key, None)
 
+    @property
+    def is_alive(self) -> bool:
+        """Return whether the process runs."""
+        return self._proc is not None and self._proc.returncode is None
+
     async def end(self) -> None:
-        """End the process at the end of the case."""
-        if self._proc is not None and self._proc.returncode is None:
+        """Wait for the end of a killed process, or kill it."""
+        if self._proc is None or not self.is_alive:
+            return
+        if not self._is_killed:
             self._proc.kill()
-            await self._proc.wait()
+        await self._proc.wait()
 
     async def _read(self, lines: asyncio.StreamReader) -> None:
         while found := await lines.readline():
