--- a/review/server.py
+++ b/review/server.py
@@ -108,6 +108,8 @@
     ) -> bool:
         self._write_head(req, writer, 'Content-Type: text/plain')
         for number in range(1, standins.LINES + 1):
+            if writer.is_closing():
+                return False
             writer.write(standins.line(req.request_id, number))
             await asyncio.sleep(LINE_S)
         return False
@@ -117,6 +119,8 @@
     ) -> bool:
         self._write_head(req, writer, 'Content-Type: text/event-stream')
         for number in range(1, standins.EVENTS + 1):
+            if writer.is_closing():
+                return False
             writer.write(standins.event(req.request_id, number))
             await asyncio.sleep(LINE_S)
         return False
