--- a/review/server.py
+++ b/review/server.py
@@ -1,6 +1,6 @@
 """A stand-in for a server, as a process of its own that a script can kill.
 
-``python3 review/server.py PORT ID KIND`` serves on loopback until it is killed,
+``python3 review/server.py PORT ID BORN KIND`` serves on loopback until it is killed,
 and prints a line for each run. The script registers it in the store. KIND is how
 it answers:
 
@@ -10,6 +10,8 @@
 - ``slow``: a short body with a length, after a second;
 - ``endless``: a body in chunks of one byte, until the caller closes, at
   1 Mbyte a second (8 Mbit/s) at most; a sound answer if the path ends in ``ok``.
+
+From SIGUSR1 on it leaves, and says so in all its answers.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 import asyncio
 import itertools
 import json
+import signal
 import sys
 
 import standins
@@ -30,9 +33,10 @@
 class Server(standins.HttpServer):
     """A server that answers in one way."""
 
-    def __init__(self, server_id: str, kind: str) -> None:
+    def __init__(self, server_id: str, born: int, kind: str) -> None:
         super().__init__()
         self._id = server_id
+        self._born = born
         self._run = {
             'unframed': self._unframed,
             'stream': self._stream,
@@ -40,6 +44,11 @@
             'endless': self._endless,
         }[kind]
         self._running = 0
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Say in all further answers that the server leaves."""
+        self._is_leaving = True
 
     async def handle(
         self, req: standins.Request, writer: asyncio.StreamWriter
@@ -73,6 +82,7 @@
             'kvUsed': 0,
             'kvTotal': 100000,
             'servedModels': 0,
+            'born': self._born,
         }
         body = json.dumps(report).encode()
         return self._send(req, writer, 200, {}, body)
@@ -87,6 +97,8 @@
     ) -> bool:
         if req.request_id:
             fields = {'Request-Id': req.request_id, **fields}
+        if self._is_leaving:
+            fields = {**fields, 'Server-Leaving': '1'}
         writer.write(standins.answer_bytes(status, fields, body))
         return True
 
@@ -98,6 +110,7 @@
             f'Request-Id: {req.request_id}',
             'Server-Stamp: s.1',
             *fields,
+            *(('Server-Leaving: 1',) if self._is_leaving else ()),
             '',
             '',
         ]
@@ -151,8 +164,10 @@
 
 async def main() -> None:
     """Serve until killed."""
-    port, server_id, kind = sys.argv[1:]
-    server = Server(server_id, kind)
+    port, server_id, born, kind = sys.argv[1:]
+    server = Server(server_id, int(born), kind)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, server.leave)
     await server.listen(int(port))
     print(f'{server_id} listens', flush=True)
     await asyncio.Event().wait()
