--- a/review/server.py
+++ b/review/server.py
@@ -130,7 +130,9 @@
     async def _stream(
         self, req: standins.Request, writer: asyncio.StreamWriter
     ) -> bool:
-        self._write_head(req, writer, 'Content-Type: text/event-stream')
+        self._write_head(
+            req, writer, 'Content-Type: text/event-stream', 'Weight-Versions: 1'
+        )
         for number in range(1, standins.EVENTS + 1):
             if writer.is_closing():
                 return False
--- a/review/standins.py
+++ b/review/standins.py
@@ -874,13 +874,16 @@
 
 async def _main(play: Play, folder: pathlib.Path, limit_s: float) -> int:
     record = Record(folder / 'record.txt')
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
         deployment = Deployment(pathlib.Path(temporary), record)
         record.write(f'trouble: {deployment.is_troubled}')
         try:
             async with asyncio.timeout(limit_s):
                 has_held = await play(deployment)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             # Whatever goes wrong here shows nothing of the rule.
             record.write(f'could not run: {exc!r}')
             return 2
