Let the next owner wait where a record may have been lost

Cause: a gateway that starts has no era of the store to compare with. It took the missing record of a group for one that was never written and claimed the group 1.5 s after its start, though the store had just come back from a copy without it and the record's owner, which was cut off, might order for 8 s after its last write. Class: a right that outlives its record.

Change: a group without a record is claimed once the takeover time has passed since this process first knew the present era. It is claimed at once, as before, where nothing can be lost: the store has never returned, or the deployment itself starts (`bootstrap`), this process has read the store within 1 s, and no server tells of an order. Why it works: a lost write was acknowledged before the return, so its right ends 8 s after this process's first read at the latest, and the next owner orders 12 s after it.

--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -156,6 +156,7 @@
         #: Parts of paths of requests that crash servers, which callers send now.
         self.deadly: list[str] = []
         self._configuration = 0
+        self._is_first_start = True
 
     def start(self) -> None:
         """Start all processes; return when all gateways are ready.
@@ -167,6 +168,9 @@
         self.runner.start(*map(self._server, self.servers))
         self.configure()
         self.runner.run(*map(self._gateway, self.gateways))
+        self._is_first_start = False
+        for gateway in self.gateways:
+            self._write_settings(gateway)
 
     def configure(self) -> None:
         """Write the next version of the configuration."""
@@ -251,8 +255,7 @@
         return Program(server.name, 'emulator.soak.backend', args)
 
     def _gateway(self, gateway: Gateway) -> Program:
-        path = self._folder / f'{gateway.name}.json'
-        path.write_text(json.dumps(self._settings(gateway)))
+        path = self._write_settings(gateway)
         return Program(
             gateway.name,
             'wasabicross.programs.run_gateway',
@@ -260,6 +263,11 @@
             env=(('WASABICROSS_NODE_FILE', str(path)),),
         )
 
+    def _write_settings(self, gateway: Gateway) -> pathlib.Path:
+        path = self._folder / f'{gateway.name}.json'
+        path.write_text(json.dumps(self._settings(gateway)))
+        return path
+
     def _settings(self, gateway: Gateway) -> dict[str, Any]:
         seeds = [f'{each.host}:1' for each in self.gateways[:3]]
         return {
@@ -267,6 +275,7 @@
             'ip': gateway.host,
             'zone': gateway.data_centre,
             'zones': dict.fromkeys(_DATA_CENTRES, 'region'),
+            'bootstrap': self._is_first_start,
             'listen': {
                 'front': f'{gateway.host}:{gateway.caller_port}',
                 'ready': f'{gateway.host}:{gateway.ready_port}',
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -13,6 +13,7 @@
     continuations,
     evictions,
     outages,
+    owner_records,
     visitors,
 )
 from model.spec import PropertyResult, Spec, WalkResult, walk
@@ -24,6 +25,7 @@
     continuations.SPEC,
     claims.SPEC,
     bundles.SPEC,
+    owner_records.SPEC,
 )
 
 
--- a/src/wasabicross/gateway/owned_groups.py
+++ b/src/wasabicross/gateway/owned_groups.py
@@ -13,16 +13,17 @@
 from wasabicross.gateway.errors import StoreUnavailable
 from wasabicross.gateway.ownership import (
     RENEWAL_INTERVAL_S,
-    TAKEOVER_S,
     Group,
     OwnerRecord,
     OwnershipTerm,
+    absent_claim_s,
     all_groups,
     claim_due_s,
     claim_wait_s,
     ownership_weight,
     term_end_s,
 )
+from wasabicross.gateway.record_loss import ProcessStart, last_loss_s
 from wasabicross.gateway.settings import GatewaySettings
 from wasabicross.gateway.store import FleetStore
 from wasabicross.gateway.store_position import era_of, position
@@ -78,6 +79,7 @@
         self._owned: dict[str, _Owned] = {}
         self._groups = all_groups(cfg.data_centres)
         self._retry_at_s: dict[str, float] = {}
+        self._start = ProcessStart(now_s(), cfg.is_first_start)
         self._errors = ErrorContainment('groups')
         #: Tells whether this gateway is cut off from the servers, so that it
         #: can't order loads.
@@ -86,6 +88,7 @@
     async def run(self) -> None:
         """Claim and renew groups until cancelled."""
         started_s = now_s() + _STARTUP_DELAY_S
+        self._log_delay(started_s)
         while True:
             if self.is_cut_off(now_s()):
                 with self._errors.contain('release'):
@@ -97,6 +100,22 @@
                     await self._claim_or_renew(group, started_s)
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
+    def _log_delay(self, started_s: float) -> None:
+        """Log that groups without a record can't be claimed soon."""
+        known = self._view.owners
+        missing = sum(group.name not in known for group in self._groups)
+        due_s = self._absent_claim_s(started_s)
+        if missing and due_s > started_s:
+            log_event(
+                Event.FIRST_CLAIMS_DELAYED,
+                groups=missing,
+                for_s=round(due_s - now_s(), 1),
+            )
+
+    def _absent_claim_s(self, started_s: float) -> float:
+        """Return when a group without a record may be claimed."""
+        return absent_claim_s(started_s, last_loss_s(self._view, self._start))
+
     def current_term(self, group: str, at_s: float) -> OwnershipTerm | None:
         """Return the right to order loads on a group's servers, if any.
 
@@ -190,7 +209,7 @@
             self._view.owners.get(group.name),
             self._cfg.instance,
             wait_s,
-            max(started_s, self._view.restored_s + TAKEOVER_S),
+            self._absent_claim_s(started_s),
             self._cfg.holder_gap_s,
         )
         if at_s >= due_s:
--- a/src/wasabicross/gateway/ownership.py
+++ b/src/wasabicross/gateway/ownership.py
@@ -173,6 +173,18 @@
     return position * _RANK_DELAY_S + owned * _OWNED_GROUP_DELAY_S
 
 
+def absent_claim_s(started_s: float, lost_s: float) -> float:
+    """Return the time from which a group without a record may be claimed.
+
+    The right to order outlives a record that the store has lost: its owner may
+    have written it just before, and may not know of the loss.
+
+    :param started_s: time at which this gateway began to look for free records.
+    :param lost_s: latest time at which the store may have lost the record.
+    """
+    return max(started_s, lost_s + TAKEOVER_S)
+
+
 def claim_due_s(
     record: OwnerRecord | None,
     instance: str,
@@ -185,7 +197,8 @@
     :param record: the record, None if it doesn't exist.
     :param instance: name of this machine.
     :param wait_s: delay of this gateway's claim, from `claim_wait_s`.
-    :param started_s: time at which this gateway began to look for free records.
+    :param started_s: time from which a group without a record may be claimed,
+        from `absent_claim_s`.
     :param holder_gap_s: minimum time between the orders of two owners, in
         seconds.
     """
--- a/src/wasabicross/gateway/settings.py
+++ b/src/wasabicross/gateway/settings.py
@@ -34,6 +34,8 @@
     :param link_mbps: capacity of the machine's network link, in Mbit/s.
     :param forwarding_port: port for requests that other gateways forward, the
         same on all machines, 0 for none.
+    :param is_first_start: whether the whole deployment starts for the first
+        time, so that no gateway has run before.
     """
 
     instance: str
@@ -52,3 +54,4 @@
     cores: float
     link_mbps: float
     forwarding_port: int = 0
+    is_first_start: bool = False
--- a/src/wasabicross/gateway/settings_reload.py
+++ b/src/wasabicross/gateway/settings_reload.py
@@ -21,6 +21,10 @@
 )
 
 
+#: Fields that only tell about the start of the process.
+_START_FIELDS = frozenset(('is_first_start',))
+
+
 class SettingsChange(NamedTuple):
     """The effect of changed settings.
 
@@ -45,7 +49,8 @@
     changed = [
         name
         for name in GatewaySettings._fields
-        if getattr(cfg, name) != getattr(read, name)
+        if name not in _START_FIELDS
+        and getattr(cfg, name) != getattr(read, name)
     ]
     taken = tuple(name for name in changed if name in RELOADABLE_FIELDS)
     waiting = tuple(name for name in changed if name not in RELOADABLE_FIELDS)
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -108,6 +108,8 @@
         self._expired = ExpiredEntries()
         #: Era of the store, None before its content is known.
         self.era: int | None = None
+        #: When this process first knew the content in the present era.
+        self.era_known_s = -math.inf
         #: When the store returned from an older copy, as this process saw it.
         self.restored_s = -math.inf
         #: Time as of which the store's content is known completely.
@@ -137,6 +139,8 @@
         :param era: era of the store.
         :param now_s: the present time, monotonic seconds.
         """
+        if self.era is None or era > self.era:
+            self.era_known_s = now_s
         if self.era is not None and era > self.era:
             self.restored_s = now_s
             self._expired.on_store_restored(now_s)
--- a/src/wasabicross/platform/settings.py
+++ b/src/wasabicross/platform/settings.py
@@ -73,6 +73,7 @@
         cores=limits.number('cpuShare') * limits.number('cores'),
         link_mbps=limits.number('linkMbps'),
         forwarding_port=ports[1] if ports[1] != ports[0] else 0,
+        is_first_start=fields.flag('bootstrap'),
     )
 
 
@@ -95,6 +96,13 @@
             raise DocumentUnreadable(f'settings: {field_path}: wrong type')
         return found
 
+    def flag(self, name: str) -> bool:
+        """Return a boolean value, false if it is missing."""
+        found = self.content.get(name, False)
+        if not isinstance(found, bool):
+            raise DocumentUnreadable(f'settings: {self.path}{name}: wrong type')
+        return found
+
     def hosts(self, name: str) -> tuple[str, ...]:
         """Return the hosts of a list of addresses, empty if it is missing."""
         if name not in self.content:
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -62,6 +62,7 @@
     GROUP_LOST = EventKind(8012, 'WARNING')
     OWNER_WRITE_FAILED = EventKind(8013, 'WARNING')
     GROUP_LEFT = EventKind(8014, 'WARNING')
+    FIRST_CLAIMS_DELAYED = EventKind(8015, 'WARNING')
     ORDER_SENT = EventKind(8021, 'INFO')
     ADAPTER_LOADED = EventKind(8022, 'INFO')
     ADAPTER_NOT_LOADED = EventKind(8023, 'WARNING')
--- a/tests/test_gateway_eras.py
+++ b/tests/test_gateway_eras.py
@@ -57,9 +57,12 @@
 class Machine:
     """A gateway's follower, groups and registration at a store."""
 
-    def __init__(self, store, name):
+    def __init__(self, store, name, is_first=True):
         cfg = settings_at(1, 2, 3)._replace(
-            instance=name, host=HOSTS[name], holder_gap_s=GAP_S
+            instance=name,
+            host=HOSTS[name],
+            holder_gap_s=GAP_S,
+            is_first_start=is_first,
         )
         self.view = FleetView()
         self.client = store.client()
@@ -220,6 +223,95 @@
     virtual_time.run(scenario())
 
 
+def put_server(store, orders):
+    entry = {
+        'service': 'llm',
+        'address': '10.0.0.9:80',
+        'zone': 'dc',
+        'slots': 8,
+        'state': 'ready',
+        'seq': orders,
+    }
+    document = base64.b64encode(json.dumps(entry).encode()).decode()
+    store.put('servers/i-1', document)
+
+
+@pytest.mark.parametrize(
+    ('is_first', 'orders'), [(False, 0), (True, 1), (True, 40)]
+)
+def test_a_gateway_that_starts_after_a_loss_waits_for_the_lost_owner(
+    is_first, orders
+):
+    """Guards against two owners: the first claim is lost with the copy, its
+    owner can't reach the store and goes on, and a gateway starts.
+    """
+
+    async def scenario():
+        store = RestorableStore()
+        old = store.copied()
+        a = Machine(store, 'a')
+        await a.start()
+        await until(owned_by(a))
+        await asyncio.sleep(3)
+        a.cut()
+        store.restore(old)
+        put_server(store, orders)
+        b = Machine(store, 'b', is_first)
+        await b.start()
+        await until(owned_by(b))
+        await asyncio.sleep(1)
+        assert a.orders
+        assert b.orders
+        check_orders(a, b)
+        await a.stop()
+        await b.stop()
+
+    virtual_time.run(scenario())
+
+
+def test_a_gateway_that_first_reads_after_a_loss_waits_for_the_lost_owner():
+    """Guards against two owners: all start, and one is late to read."""
+
+    async def scenario():
+        store = RestorableStore()
+        old = store.copied()
+        a, b = Machine(store, 'a'), Machine(store, 'b')
+        b.cut()
+        starting = asyncio.ensure_future(b.start())
+        await a.start()
+        await until(owned_by(a))
+        a.cut()
+        store.restore(old)
+        b.cut(is_cut=False)
+        await starting
+        await until(owned_by(b))
+        await asyncio.sleep(1)
+        check_orders(a, b)
+        await a.stop()
+        await b.stop()
+
+    virtual_time.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('era', 'is_first', 'claims_early'),
+    [(0, False, True), (0, True, True), (1, True, True), (1, False, False)],
+)
+def test_first_claims_wait_only_where_a_record_may_be_lost(
+    era, is_first, claims_early
+):
+    async def scenario():
+        store = RestorableStore(era)
+        a = Machine(store, 'a', is_first)
+        began_s = loop_s()
+        await a.start()
+        await until(owned_by(a))
+        assert (loop_s() - began_s < 3) is claims_early
+        await a.stop()
+
+    virtual_time.run(scenario())
+
+
 def test_owner_keeps_a_claim_that_it_has_not_read_yet():
     async def scenario():
         store = RestorableStore()
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -10,6 +10,7 @@
     TAKEOVER_S,
     Group,
     OwnerRecord,
+    absent_claim_s,
     claim_due_s,
     claim_wait_s,
     group_of,
@@ -51,6 +52,14 @@
     assert first_order_s - last_order_s > OWNER_GAP_S
 
 
+@pytest.mark.parametrize('before_loss_s', [0.0, 0.5, 8.0])
+def test_an_owner_whose_record_was_lost_is_apart_from_the_next(before_loss_s):
+    lost_s = 100.0
+    last_order_s = term_end_s(lost_s - before_loss_s, OWNER_GAP_S)
+    first_order_s = absent_claim_s(lost_s + 0.1, lost_s)
+    assert first_order_s - last_order_s > OWNER_GAP_S
+
+
 def test_gateways_of_the_data_centre_claim_one_after_the_other():
     instances = [
         InstanceEntry('f1', '10.0.0.1', 'bilbao'),
--- a/tests/test_gateway_reloading.py
+++ b/tests/test_gateway_reloading.py
@@ -33,6 +33,8 @@
         ({'holder_gap_s': 1}, (), ('holder_gap_s',)),
         ({'callers': Address('10.0.0.9', 1)}, (), ('callers',)),
         ({'instance': 'other', 'grace_s': 20}, ('grace_s',), ('instance',)),
+        # Only the start of a process is told by this field.
+        ({'is_first_start': True}, (), ()),
     ],
 )
 def test_what_takes_effect(changes, taken, waiting):
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -51,6 +51,11 @@
     ('bundles', 'parent_check'): 'one_winner',
     ('bundles', 'settle_by_swap'): 'reported_outcome_is_true',
     ('bundles', 'past_pointers'): 'reported_outcome_is_true',
+    ('owner_records', 'right_ends'): 'owners_are_apart',
+    ('owner_records', 'wait_unchanged'): 'owners_are_apart',
+    ('owner_records', 'wait_after_return'): 'owners_are_apart',
+    ('owner_records', 'wait_after_start'): 'owners_are_apart',
+    ('owner_records', 'first_read_is_early'): 'owners_are_apart',
 }
 
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -51,6 +51,14 @@
     assert (cfg.cores, cfg.link_mbps) == (1.0, 100.0)
 
 
+@pytest.mark.parametrize(
+    ('fields', 'is_first_start'),
+    [({}, False), ({'bootstrap': False}, False), ({'bootstrap': True}, True)],
+)
+def test_first_start(fields, is_first_start):
+    assert decode_settings(encoded(**fields)).is_first_start is is_first_start
+
+
 @pytest.mark.parametrize(
     ('document', 'fault'),
     [
@@ -63,6 +71,7 @@
         (encoded(limits={'cores': 1}), 'limits.cpuShare: missing'),
         (encoded(bounds={}), 'bounds.retryRatio: missing'),
         (encoded(platform=None), 'platform: wrong type'),
+        (encoded(bootstrap=1), 'bootstrap: wrong type'),
         (b'[' * 100_000, 'settings'),
         (encoded(platform={'address': '10.0.0.1:\xb2'}), 'not HOST:PORT'),
         (encoded(platform={'address': '10.0.0.1:99999'}), 'not HOST:PORT'),
