Answer 502 where a server's refusal doesn't say that nothing ran

Cause: from a server only Not-Run, or 421, states that a request hasn't run. A 503, 429 or 408 without it was known as an answer that may have run, but was passed on with its status, which is a promise towards callers. Class: a word that means less at its source than at its receiver, passed on unchanged.

Change: classify gives a kind of its own to these answers, and one function decides that they don't reach callers of requests that run once (unsafe routes, streams that can't be resumed); these get 502 of our own, without the server's mark. Why it works: 502 promises nothing, so the caller doesn't repeat the run. Callers of requests that may be repeated get the server's answer as before.

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -71,14 +71,16 @@
 class AnswerKind(enum.Enum):
     """What a server's answer means for the request.
 
-    `answered`: it is the answer. `failed`: it ran and failed. `not_run`: the
-    server can't run it now. `not_held`: the server lacks the adapter, or isn't
+    `answered`: it is the answer. `failed`: it ran and failed. `unconfirmed`: it
+    may have run and failed, though its status says that it hasn't run.
+    `not_run`: the server can't run it now. `not_held`: the server lacks the adapter, or isn't
     the server that the request was meant for. `unmarked`: a success without the
     mark that servers put on their answers.
     """
 
     answered = 'answered'
     failed = 'failed'
+    unconfirmed = 'unconfirmed'
     not_run = 'not run'
     not_held = 'not held'
     unmarked = 'unmarked'
@@ -103,6 +105,9 @@
     def classify(self, head: AnswerHead) -> AnswerKind:
         """Return what a server's answer means for the request."""
 
+    def is_marked(self, head: AnswerHead) -> bool:
+        """Return whether an answer has the mark of a server."""
+
     def notice(self, head: AnswerHead) -> ServerNotice:
         """Return whether the server of an answer accepts further requests."""
 
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -46,6 +46,11 @@
     'Attempts at servers by how they ended.',
     ('service', 'ending'),
 )
+UNCONFIRMED_REFUSALS = Counter(
+    'wasabicross_gateway_unconfirmed_refusals',
+    'Answers withheld from callers, as they might have repeated a run.',
+    ('service', 'status'),
+)
 FORWARDED = Counter(
     'wasabicross_gateway_forwarded',
     'Attempts at other gateways for requests without a server in reach.',
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
@@ -44,6 +45,8 @@
     :param peer: the gateway.
     :param port: its port for forwarded requests.
     :param answer: writes the caller's answer.
+    :param is_misleading: returns whether an answer might make the caller repeat
+        a request that has run.
     """
 
     def __init__(
@@ -52,11 +55,13 @@
         peer: InstanceEntry,
         port: int,
         answer: AnswerWriter,
+        is_misleading: Callable[[AnswerHead], bool],
     ) -> None:
         self._pool = pool
         self._host = peer.host
         self._port = port
         self._answer = answer
+        self._is_misleading = is_misleading
         #: Status of the other gateway's answer, 0 for none.
         self.status = 0
         #: Why there is no complete answer.
@@ -121,6 +126,8 @@
             return PeerEnding.not_taken
         if not head.is_framed:
             raise AnswerBroken('no length and no chunks')
+        if self._is_misleading(head):
+            raise AnswerBroken(f'status {head.status} of a server, unconfirmed')
         await self._answer.start(head.status, head.fields)
         async for chunk in conn.read_chunks():
             await self._answer.send_chunk(chunk)
--- a/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_decisions import misleads_through_gateway
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
@@ -51,6 +53,7 @@
     :param service: the service that it is for.
     :param deadline_s: when the final answer is due, monotonic seconds.
     :param configuration: version of the configuration that is in force here.
+    :param is_idempotent: whether it may be repeated.
     """
 
     req: CallerRequest
@@ -58,6 +61,7 @@
     service: str
     deadline_s: float
     configuration: int
+    is_idempotent: bool
 
 
 class PeerForwarder:
@@ -135,7 +139,14 @@
         peer: InstanceEntry,
         answer: AnswerWriter,
     ) -> PeerEnding:
-        attempt = PeerAttempt(self._pool, peer, self._port, answer)
+        is_misleading = functools.partial(
+            misleads_through_gateway,
+            self._dialect,
+            is_idempotent=forwardable.is_idempotent,
+        )
+        attempt = PeerAttempt(
+            self._pool, peer, self._port, answer, is_misleading
+        )
         started_s = now_s()
         req = self._dialect.forwarded_request(
             forwardable.req, forwardable.deadline_s - started_s
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -220,7 +220,7 @@
         while True:
             placement = await self._next_placement(placements)
             if isinstance(placement, NoServer):
-                await self._end_without_server(placement)
+                await self._end_without_server(route, placement)
                 return
             context = self._context(route, placement, deadline_s, placements)
             ending = await self._attempt(placement, context)
@@ -237,24 +237,25 @@
         if ending is Ending.not_sent and are_mostly_unreached(
             self._deps.servers.view, self._labels[0]
         ):
-            if await self._is_ended_elsewhere(NO_SERVER_IN_REACH):
+            if await self._is_ended_elsewhere(route, NO_SERVER_IN_REACH):
                 return True
         if self._may_retry(route, ending, budget):
             return False
         await self._end_without_answer(ending.value)
         return True
 
-    async def _end_without_server(self, cause: NoServer) -> None:
+    async def _end_without_server(self, route: Route, cause: NoServer) -> None:
         """Have another gateway serve the request, or end it."""
-        if not await self._is_ended_elsewhere(cause.reason):
+        if not await self._is_ended_elsewhere(route, cause.reason):
             await self._end_without_answer(cause.reason, cause.retry_after_s)
 
-    async def _is_ended_elsewhere(self, reason: str) -> bool:
+    async def _is_ended_elsewhere(self, route: Route, reason: str) -> bool:
         """Return whether the caller has its answer by another gateway.
 
         It is asked if this one reaches no server and none has the request. If
         it gives no answer, the request may have run and is ended.
 
+        :param route: its route.
         :param reason: why this gateway doesn't serve it.
         """
         progress = self._progress
@@ -270,6 +271,7 @@
                 self._labels[0],
                 self._deadline_at_s,
                 self._configuration_version,
+                route.is_idempotent,
             ),
             self._answer,
         )
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -6,6 +6,8 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_decisions import misleads_caller
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
@@ -36,6 +38,8 @@
 from wasabicross.gateway.silence_watch import SilenceWatch
 from wasabicross.gateway.streams.stream_versions import why_unsuitable
 from wasabicross.gateway.takeover import Takeover
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
@@ -209,6 +213,8 @@
             raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
         prefill.on_answer(now_s())
+        if misleads_caller(kind, is_idempotent=self._route.is_idempotent):
+            return await self._withhold(conn, placement, head.status)
         return await self._forward_answer(conn, placement, head)
 
     def _request(self, placement: Placement) -> ServerRequest:
@@ -266,6 +272,23 @@
             self._servers.view.on_adapter_missing(server_id, key, now_s())
         return Ending.not_held
 
+    async def _withhold(
+        self, conn: ServerConnection, placement: Placement, status: int
+    ) -> Ending:
+        """Keep an answer from the caller that would make it repeat a run."""
+        server = placement.server
+        if status >= _FIRST_FAILURE_STATUS:
+            self._servers.view.health[server.server_id].on_failure(now_s())
+        await self._discard_body(conn)
+        metrics.UNCONFIRMED_REFUSALS.labels(server.service, str(status)).inc()
+        log_event(
+            Event.REFUSAL_UNCONFIRMED,
+            request=self._context.info.request_id,
+            server=server.server_id,
+            status=status,
+        )
+        return Ending.failed
+
     async def _forward_answer(
         self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> Ending:
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -59,6 +59,9 @@
 _SUCCESSES = range(200, 300)
 _MISDIRECTED = 421
 _REFUSED = (429, 503)
+
+#: Statuses by which callers take a request for not run.
+_PROMISES = frozenset((408, _MISDIRECTED, *_REFUSED))
 _FIRST_SERVER_ERROR = 500
 
 #: Longest number of tokens that is believed.
@@ -156,12 +159,21 @@
             return AnswerKind.not_held
         if field(head.fields, _NOT_RUN):
             return AnswerKind.not_run
+        if head.status in _PROMISES:
+            return AnswerKind.unconfirmed
         if head.status >= _FIRST_SERVER_ERROR:
             return AnswerKind.failed
-        if head.status in _SUCCESSES and not field(head.fields, _SERVER_STAMP):
+        if head.status in _SUCCESSES and not self.is_marked(head):
             return AnswerKind.unmarked
         return AnswerKind.answered
 
+    def is_marked(self, head: AnswerHead) -> bool:
+        """Return whether an answer has the mark of a server.
+
+        :param head: head of the answer.
+        """
+        return bool(field(head.fields, _SERVER_STAMP))
+
     def notice(self, head: AnswerHead) -> ServerNotice:
         """Return what an answer says about further requests to its server.
 
