Read the bytes of servers and callers in turns

Cause: a reader gives way only while it waits for bytes; it took all events that had arrived in one turn of the event loop, and chunks of one byte at 8 Mbit/s are more work than the process has. Limits counted content, and time limits are tasks of the loop that was held. Class: work that a peer decides, done in one turn of the event loop.

Chunks that have arrived together are one, so that the work behind the codec is done once. Framing without content, and answers to other requests without end, end the answer. The splitter of events looks at new bytes only. Why it works: no turn is longer than about a millisecond, so time limits and other requests come first, and the pauses bound the share of the processor that such a peer gets.

Same class elsewhere: bodies of callers, discarded and skipped bodies (the same fix); heads, trailers and informational heads were bounded.

New: a histogram of the loop's delays and event 8062.

--- a/src/wasabicross/gateway/connections/caller_connections.py
+++ b/src/wasabicross/gateway/connections/caller_connections.py
@@ -13,6 +13,7 @@
 from wasabicross.gateway.configuration import CallerLimits
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.connections.connection_end import end_after_answer
+from wasabicross.gateway.connections.fair_turns import FairTurns
 from wasabicross.gateway.connections.http_heads import CallerRequest
 from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import (
@@ -88,6 +89,7 @@
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=_MAX_CODEC_BYTES
         )
+        self._turns = FairTurns()
         self.is_idle = True
 
     async def run(self) -> None:
@@ -253,21 +255,22 @@
             return bool(received)
 
     async def _read_body(self, limits: CallerLimits) -> bytes:
-        parts: list[bytes] = []
-        length = 0
+        body = bytearray()
         while True:
+            if not self._turns.has_room:
+                await self._turns.give_way()
+            self._turns.count()
             event = await self._read_until_event(
                 self._codec.next_event(), limits
             )
             if not isinstance(event, h11.Data):
                 break
-            length += len(event.data)
-            if length > limits.body_bytes:
+            body += event.data
+            if len(body) > limits.body_bytes:
                 raise _RequestRefused(413)
-            parts.append(bytes(event.data))
         if not isinstance(event, h11.EndOfMessage):
             raise CallerGone('connection closed before the end of a body')
-        return b''.join(parts)
+        return bytes(body)
 
     async def _read_until_event(
         self, event: _NextEvent, limits: CallerLimits
@@ -275,11 +278,14 @@
         while event is h11.NEED_DATA:
             if len(self._codec.trailing_data[0]) > limits.header_bytes:
                 raise _RequestRefused(431)
+            has_arrived = self._reader.has_unread
             received = await self._reader.read(_READ_BYTES)
             if not received:
                 raise CallerGone(
                     'connection closed before the end of a request'
                 )
+            if not has_arrived:
+                self._turns.on_waited()
             self._codec.receive_data(received)
             event = self._codec.next_event()
         return event
--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -31,13 +31,13 @@
     """
 
     def __init__(self) -> None:
-        self._partial = b''
+        self._partial = bytearray()
         self._is_first = True
         self.last_event_id = ''
 
     def begin_stream(self) -> None:
         """Begin with the stream of another server, which resumes the last."""
-        self._partial = b''
+        self._partial.clear()
         self._is_first = True
 
     def feed(self, chunk: bytes) -> bytes:
@@ -48,17 +48,18 @@
             answer, or the first one doesn't follow on the last event of the
             stream that is resumed.
         """
-        buffered = self._partial + chunk
-        end = buffered.rfind(_EVENT_END)
+        # What was there before holds no end, but maybe the first byte of one.
+        searched = max(0, len(self._partial) - 1)
+        self._partial += chunk
+        end = self._partial.rfind(_EVENT_END, searched)
         if end < 0:
-            if len(buffered) > _MAX_EVENT_BYTES:
+            if len(self._partial) > _MAX_EVENT_BYTES:
                 raise AnswerBroken(
                     f'event is longer than {_MAX_EVENT_BYTES} bytes'
                 )
-            self._partial = buffered
             return b''
-        complete = buffered[: end + len(_EVENT_END)]
-        self._partial = buffered[end + len(_EVENT_END) :]
+        complete = bytes(self._partial[: end + len(_EVENT_END)])
+        del self._partial[: end + len(_EVENT_END)]
         check_no_head(complete)
         if self._is_first:
             self._check_follows(_first_event_id(complete))
@@ -68,8 +69,8 @@
 
     def discard_partial(self) -> bytes:
         """Discard and return the received bytes of an incomplete event."""
-        partial = self._partial
-        self._partial = b''
+        partial = bytes(self._partial)
+        self._partial.clear()
         return partial
 
     def _check_follows(self, event_id: str) -> None:
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from wasabicross.gateway.connections.fair_turns import FairTurns
 from wasabicross.gateway.connections.http_heads import (
     Fields,
     field,
@@ -36,8 +37,15 @@
 _MAX_DISCARDED_BYTES = 65536
 _DISCARD_TIMEOUT_S = 0.05
 
-#: Longest body of an answer to another request that is skipped.
+#: Longest body of an answer to another request that is skipped, and how many of
+#: these are.
 _MAX_SKIPPED_BYTES = 1048576
+_MAX_SKIPPED_ANSWERS = 16
+
+#: Bytes of heads, chunk heads and their extensions that may come with a body: a
+#: number of them, and more for each byte of content.
+_MAX_FRAMING_BYTES = 1048576
+_MAX_FRAMING_PER_BYTE = 8
 
 #: Statuses of answers that have no body.
 _WITHOUT_BODY = (204, 304)
@@ -87,6 +95,12 @@
         self._writer = writer
         self._id_field = id_field
         self._codec = _new_codec()
+        self._turns = FairTurns()
+        #: What followed the last chunk, an event or an error, if it was read with
+        #: that.
+        self._ahead: _NextEvent | h11.ProtocolError | None = None
+        #: Bytes received of the present answer.
+        self._received_bytes = 0
         self.idle_since_s = -math.inf
         #: Whether it has served a request before, so late bytes may still come.
         self.is_reused = False
@@ -119,6 +133,7 @@
         :param req: the request.
         """
         self._reader.on_unsolicited = None
+        self._received_bytes = 0
         self._writer.write(self._encode(self._codec, req))
 
     async def read_head(self, req: ServerRequest) -> AnswerHead:
@@ -128,10 +143,11 @@
         counts on a new connection only.
 
         :param req: the request that was sent.
-        :raises AnswerMissing: no answer came, or one without an id.
+        :raises AnswerMissing: no answer came, one without an id, or many answers
+            to other requests.
         """
         request_id = field(req.fields, self._id_field)
-        while True:
+        for _ in range(_MAX_SKIPPED_ANSWERS):
             response = await self._read_response()
             answer_id = field(response.headers, self._id_field)
             if answer_id == request_id:
@@ -140,11 +156,15 @@
                 self._check_is_new()
                 return _head_of(response, req.method)
             await self._skip_answer(req)
+        raise AnswerMissing(
+            f'over {_MAX_SKIPPED_ANSWERS} answers to other requests'
+        )
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks as they arrive.
+        """Yield the body as it arrives; chunks that come together are one.
 
-        :raises AnswerBroken: the body ended early, isn't HTTP or is too long.
+        :raises AnswerBroken: the body ended early, isn't HTTP, is too long or
+            has far more framing than content.
         """
         length = 0
         while length <= _MAX_BODY_BYTES:
@@ -153,8 +173,10 @@
             except (OSError, h11.ProtocolError) as exc:
                 raise AnswerBroken(self._failure_reason(exc)) from exc
             if isinstance(event, h11.Data):
-                length += len(event.data)
-                yield bytes(event.data)
+                chunk = self._with_following(bytes(event.data))
+                length += len(chunk)
+                self._check_framing(length)
+                yield chunk
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
@@ -214,6 +236,7 @@
         if not ended or self._codec.their_state is not h11.DONE or trailing:
             return False
         self._codec.start_next_cycle()
+        self._ahead = None
         self.idle_since_s = now_s
         self.is_reused = True
         # Bytes that come before the next request belong to no request.
@@ -268,21 +291,65 @@
                 'connection ended by an answer to another request'
             )
         self._codec = _new_codec()
+        self._received_bytes = len(trailing)
         self._encode(self._codec, req)
         if trailing:
             self._codec.receive_data(trailing)
 
+    def _with_following(self, chunk: bytes) -> bytes:
+        """Return a chunk with those that have arrived after it."""
+        self._ahead = self._parse_next()
+        if not isinstance(self._ahead, h11.Data):
+            return chunk
+        parts = [chunk]
+        length = len(chunk)
+        while isinstance(self._ahead, h11.Data) and length < _READ_BYTES:
+            length += len(self._ahead.data)
+            parts.append(bytes(self._ahead.data))
+            if not self._turns.has_room:
+                self._ahead = None
+                break
+            self._ahead = self._parse_next()
+        return b''.join(parts)
+
+    def _parse_next(self) -> _NextEvent | h11.ProtocolError:
+        """Return the next event, or the error that there is instead."""
+        self._turns.count()
+        try:
+            return self._codec.next_event()
+        except h11.ProtocolError as exc:
+            return exc
+
+    def _check_framing(self, length: int) -> None:
+        framing = self._received_bytes - length
+        if framing > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BYTE * length:
+            raise AnswerBroken(f'{framing} bytes around {length} of a body')
+
     async def _next_event(self) -> _NextEvent:
-        event = self._codec.next_event()
-        while event is h11.NEED_DATA:
-            received = await self._reader.read(_READ_BYTES)
-            if self._is_closed:
-                # Else an answer without a length would count as complete.
-                raise ConnectionAbortedError('closed by this gateway')
-            self._codec.receive_data(received)
+        event = self._ahead
+        self._ahead = None
+        if isinstance(event, h11.ProtocolError):
+            raise event
+        while event is None or event is h11.NEED_DATA:
+            if event is not None:
+                self._codec.receive_data(await self._receive())
+            if not self._turns.has_room:
+                await self._turns.give_way()
+            self._turns.count()
             event = self._codec.next_event()
         return event
 
+    async def _receive(self) -> bytes:
+        has_arrived = self._reader.has_unread
+        received = await self._reader.read(_READ_BYTES)
+        if self._is_closed:
+            # Else an answer without a length would count as complete.
+            raise ConnectionAbortedError('closed by this gateway')
+        if not has_arrived:
+            self._turns.on_waited()
+        self._received_bytes += len(received)
+        return received
+
     def _encode(self, codec: h11.Connection, req: ServerRequest) -> bytes:
         head = h11.Request(
             method=req.method, target=req.target, headers=req.fields
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -46,6 +46,11 @@
     'Attempts at servers by how they ended.',
     ('service', 'ending'),
 )
+LOOP_DELAY_SECONDS = Histogram(
+    'wasabicross_gateway_loop_delay_seconds',
+    'How late the event loop ran what was due, four times a second.',
+    buckets=(0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2),
+)
 UNCONFIRMED_REFUSALS = Counter(
     'wasabicross_gateway_unconfirmed_refusals',
     'Answers withheld from callers, as they might have repeated a run.',
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -23,6 +23,7 @@
 from wasabicross.gateway.instance_service import InstanceService
 from wasabicross.gateway.loading.loader_service import LoaderService
 from wasabicross.gateway.log_output import LogOutput
+from wasabicross.gateway.loop_watch import watch_loop
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.owned_groups import OwnedGroups
 from wasabicross.gateway.owners.links import OwnerLinks
@@ -246,6 +247,7 @@
             self._links.report_usage(),
             prober.run(),
             self._log_dropped_lines(),
+            watch_loop(),
             self.settings.follow(),
             owner_server.run(self._cfg.host, self._cfg.peer_port),
         )
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -88,6 +88,7 @@
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
     LINES_DROPPED = EventKind(8061, 'WARNING')
+    LOOP_DELAYED = EventKind(8062, 'WARNING')
     SERVER_CRASHED = EventKind(8071, 'WARNING')
     PART_SUSPECTED = EventKind(8072, 'INFO')
     PART_CONVICTED = EventKind(8073, 'WARNING')
