Keep less of what faulty servers send without end

What callers saw: operators of a similar system told of a process that ran out of memory. Here 24 endless answers at once took a gateway to 84 MB of 300, and others waited up to 7.2 s.

Two of the cases of test_platform_calls fail with the old limits.

Change: an event holds 256 KiB, a report 1 MiB (as many adapters as an engine can keep on disk), the answer to a probe or an order 64 KiB.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -5,7 +5,7 @@
 from wasabicross.gateway.errors import AnswerBroken
 
 #: Longest event; bounds the memory for a stream whose events don't end.
-_MAX_EVENT_BYTES = 1048576
+_MAX_EVENT_BYTES = 262144
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -24,8 +24,10 @@
 _REPORT_TIMEOUT_S = 0.8
 _ORDER_TIMEOUT_S = 0.06
 
-#: Longest body of an answer that is accepted.
-_MAX_BODY_BYTES = 4194304
+#: Longest report, and longest body of another answer, of which only the status
+#: counts. An owner asks all its engines at once, so a long one counts often.
+_MAX_REPORT_BYTES = 1048576
+_MAX_BODY_BYTES = 65536
 
 _OK = 200
 _MISDIRECTED = 421
@@ -55,7 +57,9 @@
         :raises DocumentUnreadable: the answer isn't a valid report.
         """
         req = _request(server, b'GET', b'/-/report', b'')
-        _, body = await self._call(server, req, _REPORT_TIMEOUT_S)
+        _, body = await self._call(
+            server, req, _REPORT_TIMEOUT_S, max_bytes=_MAX_REPORT_BYTES
+        )
         return decode_report(body)
 
     async def order(self, server: BackendServer, order: Order) -> OrderAnswer:
@@ -103,17 +107,25 @@
         timeout_s: float,
         *,
         is_new: bool = False,
+        max_bytes: int = _MAX_BODY_BYTES,
     ) -> tuple[int, bytes]:
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(server, req, is_new=is_new)
+                return await self._exchange(
+                    server, req, max_bytes, is_new=is_new
+                )
         except TimeoutError as exc:
             raise AnswerMissing(
                 f'{req.target!r}: no answer within {timeout_s} s'
             ) from exc
 
     async def _exchange(
-        self, server: BackendServer, req: ServerRequest, *, is_new: bool
+        self,
+        server: BackendServer,
+        req: ServerRequest,
+        max_bytes: int,
+        *,
+        is_new: bool,
     ) -> tuple[int, bytes]:
         conn = await self._pool.acquire(
             server.host, server.port, once=False, is_repeat=is_new
@@ -121,7 +133,7 @@
         try:
             conn.send(req)
             head = await conn.read_head(req)
-            body = await conn.read_body(_MAX_BODY_BYTES)
+            body = await conn.read_body(max_bytes)
         except BaseException:
             conn.close()
             raise
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -315,3 +315,32 @@
             pool.drop_idle(HOST, port)
 
     assert asyncio.run(scenario()) == (True, False)
+
+
+def long_answer(length):
+    return answer(b' ' * length, extra=b'Instance-Id: i-1\r\n')
+
+
+@pytest.mark.parametrize(
+    ('length', 'is_taken'), [(60_000, True), (100_000, False)]
+)
+def test_probes_and_orders_keep_no_long_answers(length, is_taken):
+    """Guards against memory that faulty servers fill with answers."""
+    is_healthy, _ = call_engine(
+        lambda client, entry: client.is_healthy(entry, '/health'),
+        [long_answer(length)],
+    )
+    assert is_healthy is is_taken
+
+
+@pytest.mark.parametrize(
+    ('length', 'error'),
+    [(900_000, DocumentUnreadable), (1_200_000, ServerError)],
+)
+def test_long_reports(length, error):
+    """A report of many adapters is read whole, one without end isn't."""
+    with pytest.raises(error):
+        call_engine(
+            lambda client, entry: client.report(entry),
+            [long_answer(length)],
+        )
--- a/tests/test_promise_endless.py
+++ b/tests/test_promise_endless.py
@@ -44,6 +44,12 @@
     'a chunk extension without end': (CHUNKED + b'5;', JUNK),
     'chunks without end': (CHUNKED, chunk(JUNK)),
     'a body without length': (OK_HEAD + b'\r\n', JUNK),
+    'chunks of one byte': (CHUNKED, b'1\r\nx\r\n' * 2000),
+    'chunks with long extensions': (CHUNKED, b'1;e=%s\r\nx\r\n' % JUNK),
+    'answers to other requests': (
+        b'',
+        b'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 0\r\n\r\n' * 50,
+    ),
     'more than its length': (OK_HEAD + b'Content-Length: 2\r\n\r\nok', JUNK),
     'an answer to another request': (
         b'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Stamp: s0\r\n\r\n',
@@ -241,6 +247,64 @@
     wait_until(lambda: not server.open_connections, 5, 'connections closed')
 
 
+#: Endless answers that a gateway might keep, and callers that don't read theirs.
+KEPT = (
+    ('an event without end', 'resumable', True),
+    ('an event without end', 'stream', True),
+    ('chunks of one byte', 'safe', True),
+    ('chunks without end', 'unsafe', True),
+    ('a body without length', 'safe', False),
+    ('chunks of one byte', 'unsafe', False),
+    ('an answer to another request', 'safe', True),
+)
+AT_ONCE = 24
+
+#: A machine has 300 MB, of which an idle gateway takes less than 60.
+MOST_MEMORY_BYTES = 120 * MB
+
+
+@pytest.mark.parametrize(('name', 'kind', 'reads'), KEPT)
+def test_many_endless_answers_at_once(gateway_and_server, name, kind, reads):
+    """Guards against a process that runs out of memory and ends all requests."""
+    deployment, server = gateway_and_server
+    gateway = deployment.gateways[0]
+    server.first, server.rest = ENDLESS[name]
+    wait_until(
+        lambda: reaches_server(gateway, server, kind),
+        20,
+        'a request at the server',
+    )
+    pid = deployment.runner.pid(gateway.name)
+    callers = [
+        threading.Thread(
+            target=status_of if reads else leave_unread,
+            args=(gateway, f'/{kind}/x'),
+        )
+        for _ in range(AT_ONCE)
+    ]
+    for caller in callers:
+        caller.start()
+    calm = [timed(gateway, '/calm/x') for _ in range(5)]
+    for caller in callers:
+        caller.join()
+    assert peak_memory_bytes(pid) < MOST_MEMORY_BYTES
+    assert {status for status, _ in calm} == {200}
+    assert max(took_s for _, took_s in calm) < 1
+    wait_until(lambda: not server.open_connections, 5, 'connections closed')
+
+
+def leave_unread(gateway, path):
+    """Send a request and read nothing of its answer."""
+    head = (
+        f'GET {path} HTTP/1.1\r\nHost: {CALLER_HOST}\r\n'
+        'Request-Id: r1\r\nTime-Left-Ms: 5000\r\n\r\n'
+    )
+    address = (gateway.host, gateway.caller_port)
+    with socket.create_connection(address, timeout=10) as conn:
+        conn.sendall(head.encode())
+        time.sleep(TIMEOUT_S + MARGIN_S)
+
+
 def peak_memory_bytes(pid):
     """Return the most memory that a process has held."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
