--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -38,11 +38,7 @@
 )
 from wasabicross.gateway.peer_forwarding.reach import are_mostly_unreached
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH, NoServer
-from wasabicross.gateway.progress import (
-    AttemptRecord,
-    Ending,
-    RequestProgress,
-)
+from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.request_placement import (
     CRASHES,
     FIXED_TIME_REASONS,
@@ -50,6 +46,7 @@
     RequestPlacement,
     RoutedRequest,
 )
+from wasabicross.gateway.request_record import RequestRecord
 from wasabicross.gateway.retry_delays import RetryDelays
 from wasabicross.gateway.retrying_placer import (
     Placement,
@@ -60,7 +57,6 @@
 from wasabicross.gateway.streams.stream_request import StreamRequest
 from wasabicross.gateway.streams.stream_versions import service_of
 from wasabicross.gateway.time_limits import EndableTimeLimit
-from wasabicross.gateway.unanswered import RequestTrace
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -133,11 +129,7 @@
         )._replace(digest=request_digest(req))
         self._progress = RequestProgress(self._info.last_event_id)
         self._stream: StreamRequest | None = None
-        self._server_id = ''
-        self._labels = ('', '')
-        self._waited_before_s: float = 0
-        self._configuration_version = 0
-        self._outcome = 'cancelled'
+        self._record = RequestRecord(self._info, self._progress, req.arrived_s)
         self._caller_max_wait_s: float = self._info.time_left_s or 0
         self._time_limit = EndableTimeLimit()
         self._deadline_at_s: float = 0
@@ -176,7 +168,7 @@
                 'no configuration', _NO_CONFIGURATION_RETRY_AFTER_S
             )
             return
-        self._configuration_version = cfg.version
+        self._record.configuration_version = cfg.version
         if cfg.version < self._least_configuration:
             await self._refuse(
                 OLDER_CONFIGURATION, _NO_CONFIGURATION_RETRY_AFTER_S
@@ -213,8 +205,8 @@
             self._deps.servers.crashes.guard(self._info.causes),
         )
         self._stream = placements.stream
-        self._waited_before_s = placements.waited_before_s
-        self._labels = (service, metrics.request_class(route))
+        self._record.waited_before_s = placements.waited_before_s
+        self._record.labels = (service, metrics.request_class(route))
         if not self._is_forwarded:
             budget.add_request()
         while True:
@@ -235,7 +227,7 @@
         if ending is Ending.done:
             return True
         if ending is Ending.not_sent and are_mostly_unreached(
-            self._deps.servers.view, self._labels[0]
+            self._deps.servers.view, self._record.labels[0]
         ):
             if await self._is_ended_elsewhere(route, NO_SERVER_IN_REACH):
                 return True
@@ -268,9 +260,9 @@
             ForwardableRequest(
                 self._req,
                 self._info.request_id,
-                self._labels[0],
+                self._record.labels[0],
                 self._deadline_at_s,
-                self._configuration_version,
+                self._record.configuration_version,
                 route.is_idempotent,
             ),
             self._answer,
@@ -279,7 +271,7 @@
             progress.may_run = False
             return False
         if ending is PeerEnding.answered:
-            self._outcome = 'forwarded'
+            self._record.outcome = 'forwarded'
         else:
             await self._end_without_answer('no answer of a gateway')
         return True
@@ -288,7 +280,9 @@
         """Return whether this gateway lacks servers that others may reach."""
         if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
             return True
-        return are_mostly_unreached(self._deps.servers.view, self._labels[0])
+        return are_mostly_unreached(
+            self._deps.servers.view, self._record.labels[0]
+        )
 
     async def _next_placement(
         self, placements: RequestPlacement
@@ -344,7 +338,7 @@
             )
 
         server_id = placement.server.server_id
-        budget = self._deps.budget_for(self._labels[0])
+        budget = self._deps.budget_for(self._record.labels[0])
         return AttemptContext(
             self._req,
             self._info,
@@ -364,12 +358,12 @@
     async def _attempt(
         self, placement: Placement, context: AttemptContext
     ) -> Ending:
-        self._server_id = placement.server.server_id
+        self._record.server_id = placement.server.server_id
         attempt = ServerAttempt(
             self._deps.servers, context, self._progress, self._answer
         )
         started_s = now_s()
-        self._deps.retry_delays_for(self._labels[0]).on_sent(started_s)
+        self._deps.retry_delays_for(self._record.labels[0]).on_sent(started_s)
         ending = Ending.unknown
         try:
             ending = await attempt.run(placement)
@@ -383,12 +377,14 @@
             raise
         finally:
             context.usage.end()
-            self._log_attempt(placement, attempt.record, ending, started_s)
+            self._record.on_attempt(
+                placement, attempt.record, ending, started_s, now_s()
+            )
         if attempt.successor is not None:
             return await attempt.successor
         if ending is Ending.done:
             is_ok = self._progress.has_succeeded
-            self._outcome = 'answered' if is_ok else 'failed'
+            self._record.outcome = 'answered' if is_ok else 'failed'
         return ending
 
     async def _end_on_timeout(self) -> None:
@@ -435,14 +431,14 @@
         :param pause_s: how long the service will take no request, seconds.
         """
         at_s = now_s()
-        retry_delays = self._deps.retry_delays_for(self._labels[0])
+        retry_delays = self._deps.retry_delays_for(self._record.labels[0])
         remaining_s = self._req.arrived_s + self._caller_max_wait_s - at_s
         retry_after_s = retry_delays.on_refused(remaining_s, at_s, pause_s)
         await self._refuse(reason, retry_after_s)
 
     def _abort_answer(self, reason: str) -> NoReturn:
         """End the caller's connection, which marks its answer as incomplete."""
-        self._log_refusal(_CUT_STATUS, f'cut: {reason}')
+        self._record.on_own_answer(_CUT_STATUS, f'cut: {reason}', now_s())
         error = AnswerCutAtStop if reason == _STOPS.reason else AnswerCut
         raise error(f'{reason}: {self._progress.reason}')
 
@@ -452,7 +448,7 @@
     async def _send_own_answer(
         self, status: int, reason: str, retry_after_s: float | None
     ) -> None:
-        self._log_refusal(status, reason)
+        self._record.on_own_answer(status, reason, now_s())
         fields = self._deps.servers.dialect.refusal_fields(
             self._info.request_id, retry_after_s
         )
@@ -462,76 +458,10 @@
         await self._answer.send_complete(status, fields)
 
     def _record_end(self) -> None:
-        self._answer.trace = RequestTrace(
-            self._info.request_id,
-            self._configuration_version,
-            self._progress.sends,
-        )
+        self._answer.trace = self._record.trace()
         if self._stream is not None:
             self._stream.record_end()
-        metrics.REQUESTS.labels(*self._labels, self._outcome).inc()
-        started_s = self._answer.started_s
-        if started_s is not None and self._labels[0]:
-            metrics.FIRST_BYTE_SECONDS.labels(*self._labels).observe(
-                started_s - self._req.arrived_s
-            )
-
-    def _log_refusal(self, status: int, reason: str) -> None:
-        self._outcome = 'refused' if status == _UNAVAILABLE else 'ended'
-        metrics.REFUSALS.labels(reason).inc()
-        log_event(
-            Event.REQUEST_REFUSED,
-            request=self._info.request_id,
-            status=status,
-            reason=reason,
-            sends=self._progress.sends,
-            runs=self._progress.runs,
-            server=self._server_id,
-            digest=self._info.digest,
-            held_s=round(now_s() - self._req.arrived_s, 3),
-            before_s=round(self._waited_before_s, 3),
-        )
-
-    def _log_attempt(
-        self,
-        placement: Placement,
-        record: AttemptRecord,
-        ending: Ending,
-        started_s: float,
-    ) -> None:
-        self._progress.reason = record.reason
-        metrics.ATTEMPTS.labels(self._labels[0], ending.value).inc()
-        metrics.LOAD_WAIT_SECONDS.labels(*self._labels).observe(
-            placement.waited_s
-        )
-        log_event(
-            Event.REQUEST_SENT,
-            request=self._info.request_id,
-            server=placement.server.server_id,
-            adapter=self._info.adapter.adapter if self._info.adapter else '',
-            version=placement.version,
-            software_version=placement.server.software_version,
-            resumes=self._info.resumes,
-            last_event=self._info.last_event_id,
-            waited_s=round(placement.waited_s, 3),
-            before_s=round(self._waited_before_s, 3),
-            candidates=placement.candidates,
-            requests=placement.requests,
-            prompt_tokens=self._info.prompt_tokens,
-            prompt_source=placement.prompt_source.server_id
-            if placement.prompt_source
-            else '',
-            unread_tokens=record.unread_tokens,
-            configuration=self._configuration_version,
-            first_s=round(record.first_s, 3),
-            took_s=round(now_s() - started_s, 3),
-            pause_s=round(record.longest_pause_s, 3),
-            ending=ending.value,
-            status=record.status,
-            reason=record.reason,
-            limits=record.limits,
-            digest='' if ending is Ending.done else self._info.digest,
-        )
+        self._record.on_end(self._answer.started_s)
 
 
 def _cancellation_reason(exc: asyncio.CancelledError, deadline_s: float) -> str:
--- a/tests/test_gateway_attempt_log.py
+++ b/tests/test_gateway_attempt_log.py
@@ -15,7 +15,7 @@
     events,
 )
 
-from wasabicross.gateway import request_handler
+from wasabicross.gateway import request_record
 from wasabicross.runtime.events import Event
 
 OK = answer(b'the answer')
@@ -31,7 +31,7 @@
         if event is Event.REQUEST_SENT:
             lines.append(fields)
 
-    monkeypatch.setattr(request_handler, 'log_event', log_event)
+    monkeypatch.setattr(request_record, 'log_event', log_event)
     return lines
 
 
--- a/tests/test_gateway_takeover.py
+++ b/tests/test_gateway_takeover.py
@@ -26,7 +26,11 @@
     events,
 )
 
-from wasabicross.gateway import request_handler, silence_watch
+from wasabicross.gateway import (
+    request_handler,
+    request_record,
+    silence_watch,
+)
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.progress import Ending
 from wasabicross.gateway.silence_watch import Replacements, SilenceWatch
@@ -83,7 +87,7 @@
         if event is Event.REQUEST_SENT:
             logged.append(fields)
 
-    monkeypatch.setattr(request_handler, 'log_event', collect)
+    monkeypatch.setattr(request_record, 'log_event', collect)
     return logged
 
 
