Tell a first start by the adapters that servers hold

What operators would see: on the users' platform a first start with a store that states eras would wait 12 s for its first owners, though nothing can be lost.

Cause: the fix of the two owners took a server's count of orders for a sign that other gateways ran before.

Change: an adapter that a server's entry lists is the sign, as only an owner can have ordered it.

--- a/src/wasabicross/gateway/backend.py
+++ b/src/wasabicross/gateway/backend.py
@@ -27,8 +27,6 @@
     :param start_ms: start time in Unix milliseconds, 0 if unknown.
     :param software_version: version of its software, empty if not stated.
         Versions are equal or not; they have no order.
-    :param has_taken_orders: whether it has accepted an order since its start,
-        as far as its entry tells.
     """
 
     server_id: str
@@ -42,7 +40,6 @@
     models: frozenset[str]
     start_ms: int
     software_version: str = ''
-    has_taken_orders: bool = False
 
     def is_same_run(self, other: BackendServer) -> bool:
         """Return whether two entries of one server are of the same process.
--- a/src/wasabicross/gateway/record_loss.py
+++ b/src/wasabicross/gateway/record_loss.py
@@ -48,10 +48,11 @@
     """Return whether this process read the store before any gateway wrote.
 
     The settings of a machine that is added may still speak of a first start;
-    orders that servers have taken show that other gateways ran before.
+    adapters that servers hold show that other gateways ran before, as servers
+    start without any.
     """
     if view.restored_s > -math.inf or not start.is_first:
         return False
     if view.era_known_s - start.at_s > MAX_FIRST_READ_S:
         return False
-    return not any(each.has_taken_orders for each in view.servers.values())
+    return not any(each.held for each in view.servers.values())
--- a/src/wasabicross/platform/documents.py
+++ b/src/wasabicross/platform/documents.py
@@ -183,7 +183,6 @@
         models=models,
         start_ms=integer(wire.get('born', 0)),
         software_version=text(wire['version']) if 'version' in wire else '',
-        has_taken_orders=wire.get('seq', 0) != 0,
     )
 
 
--- a/tests/test_gateway_eras.py
+++ b/tests/test_gateway_eras.py
@@ -223,24 +223,31 @@
     virtual_time.run(scenario())
 
 
-def put_server(store, orders):
+def put_server(store, adapters):
     entry = {
         'service': 'llm',
         'address': '10.0.0.9:80',
         'zone': 'dc',
         'slots': 8,
         'state': 'ready',
-        'seq': orders,
+        'seq': 1,
+        'models': [
+            {
+                'name': 'm0',
+                'version': 1,
+                'adapters': [f'a{each}@1' for each in range(adapters)],
+            }
+        ],
     }
     document = base64.b64encode(json.dumps(entry).encode()).decode()
     store.put('servers/i-1', document)
 
 
 @pytest.mark.parametrize(
-    ('is_first', 'orders'), [(False, 0), (True, 1), (True, 40)]
+    ('is_first', 'adapters'), [(False, 0), (False, 3), (True, 1), (True, 20)]
 )
 def test_a_gateway_that_starts_after_a_loss_waits_for_the_lost_owner(
-    is_first, orders
+    is_first, adapters
 ):
     """Guards against two owners: the first claim is lost with the copy, its
     owner can't reach the store and goes on, and a gateway starts.
@@ -255,7 +262,7 @@
         await asyncio.sleep(3)
         a.cut()
         store.restore(old)
-        put_server(store, orders)
+        put_server(store, adapters)
         b = Machine(store, 'b', is_first)
         await b.start()
         await until(owned_by(b))
@@ -302,6 +309,7 @@
 ):
     async def scenario():
         store = RestorableStore(era)
+        put_server(store, 0)
         a = Machine(store, 'a', is_first)
         began_s = loop_s()
         await a.start()
