Log what shows that an answer is complete

It names the proof of the end now, and a counter does so by service: 'stated', 'server not found ended' (a stream that ended with its connection), 'connection ended' (any other body). No decision is changed.

--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -81,6 +81,11 @@
     'Orders to engines by kind and answer.',
     ('order', 'answer'),
 )
+ANSWER_ENDS = Counter(
+    'wasabicross_gateway_answer_ends',
+    'Attempts at servers by what shows that their answer is complete.',
+    ('service', 'proof'),
+)
 LOADS = Counter(
     'wasabicross_gateway_loads',
     'Adapters that requests waited for, by whether they were loaded.',
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
 
@@ -44,6 +45,8 @@
         self.limits: StatedLimits | None = NO_LIMITS
         #: Longest pause between two parts of a stream, seconds.
         self.longest_pause_s: float = 0
+        #: What shows that the answer is complete.
+        self.end_proof = EndProof.none
 
 
 class RequestProgress:
--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -100,6 +100,7 @@
         """
         self._progress.reason = record.reason
         metrics.ATTEMPTS.labels(self.labels[0], ending.value).inc()
+        metrics.ANSWER_ENDS.labels(self.labels[0], record.end_proof.value).inc()
         metrics.LOAD_WAIT_SECONDS.labels(*self.labels).observe(
             placement.waited_s
         )
@@ -128,6 +129,7 @@
             ending=ending.value,
             status=record.status,
             reason=record.reason,
+            end_proof=record.end_proof.value,
             limits=record.limits,
             digest='' if ending is Ending.done else self._info.digest,
         )
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -8,6 +8,7 @@
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_decisions import misleads_caller
+from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
@@ -340,6 +341,7 @@
         self._take_over()
         if len(body_start) <= _MAX_BUFFERED_BYTES:
             fields = _without_length(head.fields)
+            self._record_end(head, EndProof.connection_end)
             await self._answer.send_complete(head.status, fields, body_start)
             return
         if self._route.is_resumable:
@@ -347,6 +349,12 @@
         await self._answer.start(head.status, head.fields)
         await self._answer.send_chunk(body_start)
         await self._forward_rest(chunks)
+        self._record_end(head, EndProof.connection_end)
+
+    def _record_end(self, head: AnswerHead, unstated: EndProof) -> None:
+        """Record what shows that the answer is complete."""
+        is_stated = head.is_framed
+        self.record.end_proof = EndProof.stated if is_stated else unstated
 
     async def _forward_rest(self, chunks: AsyncIterator[bytes]) -> None:
         async for chunk in chunks:
@@ -384,6 +392,7 @@
         stream.check_end(is_framed=head.is_framed)
         if not head.is_framed and await self._watched.has_server_ended():
             raise AnswerBroken('server ended with its stream')
+        self._record_end(head, EndProof.not_found_ended)
         self._take_over()
         await self._start_stream(head)
         await self._answer.end()
