Take an answer that ends with its connection as complete only with proof

Cause: the end of a connection was believed unless a check found that the server had ended, and that check found nothing for a server that leaves, whose entry is gone, that started again at its address, that was checked 0.2 s before, or where no other server accepts connections; bodies weren't checked at all. Class: the absence of evidence taken as evidence.

Change: turned round. Such an end counts only with proof that the process which sent the answer lived after it: an engine's report that names the start under which it was listed, or an answer on a connection that was accepted before the request was sent (asked with the id of no server, so that it needs no slot). One question tells of all ends before it. Else the answer is broken off: a resumable stream goes on elsewhere, an idempotent request is tried again, any other gets 502 or a visible cut. The decision is one function without a network (answer_ends/end_decisions). Plain servers get one connection more from each gateway until their service has answered with a stated end, and as long as it doesn't.

Event 8049 and a histogram tell of the questions.

--- /dev/null
+++ b/src/wasabicross/gateway/answer_ends/end_decisions.py
@@ -0,0 +1,99 @@
+"""Whether an answer is complete where it ends.
+
+A process that is killed has its connections closed in order, unless bytes are
+unread. So the end of a connection ends an answer only if the process that sent it
+is known to have lived on.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from wasabicross.gateway.answer_ends.end_proof import EndProof
+from wasabicross.gateway.backend import BackendServer
+
+
+class AnswerOrigin(NamedTuple):
+    """Where an answer is from.
+
+    :param server: the server, as it was listed when it was chosen.
+    :param sent_s: when the request was sent to it, monotonic seconds.
+    """
+
+    server: BackendServer
+    sent_s: float
+
+
+class LifeSign(NamedTuple):
+    """What was learned of a server's process by asking it.
+
+    :param start_ms: start that the process reported, Unix milliseconds, 0 for
+        none.
+    :param connected_s: when the connection was made on which it answered,
+        monotonic seconds, infinite if it didn't or that doesn't matter.
+    :param reason: why it gave no sign of life, empty if it did.
+    :param is_final: whether asking again can't tell more.
+    """
+
+    start_ms: int = 0
+    connected_s: float = math.inf
+    reason: str = ''
+    is_final: bool = False
+
+
+class AnswerEnd(NamedTuple):
+    """The last bytes of an answer whose connection hasn't been reset.
+
+    :param is_stated: whether the answer states where it ends.
+    :param is_empty: whether it has no content.
+    :param is_inside_event: whether it is a stream that ends inside an event.
+    """
+
+    is_stated: bool
+    is_empty: bool
+    is_inside_event: bool = False
+
+
+def why_broken(end: AnswerEnd, proof: EndProof) -> str:
+    """Return why an answer isn't complete, empty if it is.
+
+    :param end: its last bytes.
+    :param proof: what shows that its server ended it.
+    """
+    if end.is_inside_event:
+        return 'stream ended inside an event'
+    if end.is_stated:
+        return ''
+    if end.is_empty:
+        return 'connection ended before any content'
+    if proof is EndProof.none:
+        return 'nothing shows that the server outlived its answer'
+    return ''
+
+
+def needs_proof(end: AnswerEnd) -> bool:
+    """Return whether it depends on the server if an answer is complete.
+
+    :param end: its last bytes.
+    """
+    return bool(why_broken(end, EndProof.none)) and not why_broken(
+        end, EndProof.same_start
+    )
+
+
+def proof_by(sign: LifeSign, origin: AnswerOrigin) -> EndProof:
+    """Return what a sign of life proves of an answer that ended before it.
+
+    An address belongs to one process at a time. So a process that has answered
+    on a connection which it accepted before the request was sent is the one that
+    has answered the request.
+
+    :param sign: the sign of life.
+    :param origin: where the answer is from.
+    """
+    if sign.start_ms and sign.start_ms == origin.server.start_ms:
+        return EndProof.same_start
+    if sign.connected_s <= origin.sent_s:
+        return EndProof.older_connection
+    return EndProof.none
--- a/src/wasabicross/gateway/answer_ends/end_proof.py
+++ b/src/wasabicross/gateway/answer_ends/end_proof.py
@@ -8,13 +8,14 @@
 class EndProof(enum.Enum):
     """What shows that an answer is complete.
 
-    `none`: it isn't complete, or there is no answer. `stated`: the answer states
-    its length or comes in chunks. `not_found_ended`: its connection ended, and a
-    check of its server didn't find that the process has ended. `connection_end`:
-    its connection ended, and nothing was checked.
+    `none`: nothing does, or there is no answer. `stated`: the answer states its
+    length or comes in chunks. `same_start`: its connection ended, and the process
+    that sent it reported after that. `older_connection`: its connection ended,
+    and the process answered after that on a connection that it had accepted
+    before the request was sent.
     """
 
     none = 'none'
     stated = 'stated'
-    not_found_ended = 'server not found ended'
-    connection_end = 'connection ended'
+    same_start = 'same start'
+    older_connection = 'older connection'
--- /dev/null
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -0,0 +1,192 @@
+"""Finds out whether a server's process has outlived the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_ends.end_decisions import (
+    AnswerOrigin,
+    LifeSign,
+    proof_by,
+)
+from wasabicross.gateway.answer_ends.end_proof import EndProof
+from wasabicross.gateway.answer_ends.probe_connections import ProbeConnections
+from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.errors import (
+    DocumentUnreadable,
+    ServerError,
+    ServerUnreachable,
+)
+from wasabicross.gateway.orders import EngineClient
+from wasabicross.gateway.server_limits.known_limits import Incarnation
+from wasabicross.gateway.view import FleetView
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
+
+#: Longest time from the end of an answer in which its server is asked. A sound
+#: server may be silent for a second.
+_MAX_WAIT_S = 2.0
+
+#: Pause before a server is asked again.
+_PAUSE_S = 0.1
+
+
+class _Question(NamedTuple):
+    """A question to a server that others may wait for.
+
+    :param asked_s: a time at which it wasn't sent yet, monotonic seconds.
+    """
+
+    asked_s: float
+    task: asyncio.Task[LifeSign]
+
+
+class LifeChecks:
+    """Asks servers whose answers ended with their connection.
+
+    One question tells of all answers that ended before it. An engine names its
+    start in its report. Another server is asked on a connection that was there
+    before the request; one is made before each request to a service whose
+    answers may end with their connection, or of which none has come yet.
+
+    :param view: the servers.
+    :param pool: connections to them.
+    :param engines: sends the questions.
+    """
+
+    def __init__(
+        self, view: FleetView, pool: ConnectionPool, engines: EngineClient
+    ) -> None:
+        self._view = view
+        self._engines = engines
+        self._connections = ProbeConnections(pool)
+        #: Whether all answers of a service so far stated where they end.
+        self._are_stated: dict[str, bool] = {}
+        self._questions: dict[Incarnation, _Question] = {}
+
+    async def prepare(self, server: BackendServer) -> None:
+        """Prepare for a question about the answer to the next request.
+
+        :param server: the server that will get it.
+        :raises ServerUnreachable: the server can't be connected to.
+        """
+        if self._are_stated.get(server.service, False):
+            return
+        if not self._reports_start(server):
+            await self._connections.ensure(server)
+
+    def on_head(self, origin: AnswerOrigin, *, is_stated: bool) -> None:
+        """Record whether an answer states where it ends.
+
+        :param origin: where the answer is from.
+        :param is_stated: whether it states that.
+        """
+        server = origin.server
+        were_stated = self._are_stated.get(server.service, True)
+        self._are_stated[server.service] = were_stated and is_stated
+        if not is_stated and not self._reports_start(server):
+            self._connections.adopt(server, origin.sent_s)
+
+    async def prove_end(self, origin: AnswerOrigin, ended_s: float) -> EndProof:
+        """Return what shows that a server has outlived its answer.
+
+        :param origin: where the answer is from.
+        :param ended_s: when its connection ended, monotonic seconds.
+        """
+        while True:
+            sign = await self._sign_after(origin.server, ended_s)
+            proof = proof_by(sign, origin)
+            is_over = sign.is_final or now_s() > ended_s + _MAX_WAIT_S
+            if proof is not EndProof.none or is_over:
+                break
+            await asyncio.sleep(_PAUSE_S)
+        metrics.END_CHECK_SECONDS.observe(now_s() - ended_s)
+        if proof is EndProof.none:
+            log_event(
+                Event.ANSWER_END_UNPROVED,
+                server=origin.server.server_id,
+                start_ms=origin.server.start_ms,
+                found_start_ms=sign.start_ms,
+                reason=sign.reason,
+                took_s=round(now_s() - ended_s, 3),
+            )
+        return proof
+
+    def close(self) -> None:
+        """Ask nothing more and close the connections for it."""
+        for each in self._questions.values():
+            each.task.cancel()
+        self._connections.close()
+
+    def _reports_start(self, server: BackendServer) -> bool:
+        """Return whether a server's report names the start that is listed."""
+        cfg = self._view.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        has_report = service is not None and service.engine is not None
+        return has_report and server.start_ms > 0
+
+    async def _sign_after(
+        self, server: BackendServer, after_s: float
+    ) -> LifeSign:
+        """Return the answer to a question that was sent after a moment."""
+        while True:
+            question = self._question(server, now_s())
+            sign = await asyncio.shield(question.task)
+            if question.asked_s >= after_s:
+                return sign
+
+    def _question(self, server: BackendServer, now_s: float) -> _Question:
+        """Return the question to a server that is under way, or a new one."""
+        key = Incarnation.from_server(server)
+        question = self._questions.get(key)
+        if question is None or question.task.done():
+            task = asyncio.ensure_future(self._ask(server))
+            question = self._questions[key] = _Question(now_s, task)
+            task.add_done_callback(lambda _: self._forget(key, question))
+        return question
+
+    def _forget(self, key: Incarnation, question: _Question) -> None:
+        if self._questions.get(key) is question:
+            self._questions.pop(key)
+
+    async def _ask(self, server: BackendServer) -> LifeSign:
+        if now_s() < self._view.notices.paused_until_s(server):
+            return LifeSign(reason='the server wants a pause')
+        if self._reports_start(server):
+            return await self._ask_for_report(server)
+        if not await self._view.notices.limiter.acquire(server, now_s):
+            return LifeSign(reason='the limit of the server')
+        return await self._ask_on_connection(server)
+
+    async def _ask_for_report(self, server: BackendServer) -> LifeSign:
+        try:
+            report = await self._engines.report(server)
+        except ServerUnreachable as exc:
+            return LifeSign(reason=str(exc), is_final=exc.is_refused)
+        except (ServerError, DocumentUnreadable) as exc:
+            return LifeSign(reason=str(exc))
+        return LifeSign(start_ms=report.start_ms, is_final=True)
+
+    async def _ask_on_connection(self, server: BackendServer) -> LifeSign:
+        conn = self._connections.take(server)
+        if conn is None:
+            reason = 'no connection from before the request'
+            return LifeSign(reason=reason, is_final=True)
+        try:
+            await self._engines.check_process(
+                server, conn, self._health_path(server), _MAX_WAIT_S
+            )
+        except ServerError as exc:
+            return LifeSign(reason=str(exc), is_final=True)
+        finally:
+            self._connections.put_back(server, conn, now_s())
+        return LifeSign(connected_s=conn.connected_s, is_final=True)
+
+    def _health_path(self, server: BackendServer) -> str:
+        cfg = self._view.configuration
+        service = cfg.services.get(server.service) if cfg else None
+        return service.health_path if service else '/'
--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Self
 
+from wasabicross.gateway.answer_ends.life_checks import LifeChecks
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.http_heads import CallerRequest
@@ -12,6 +13,7 @@
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import Dialect, RequestInfo
+from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
@@ -52,6 +54,7 @@
     pool: ConnectionPool
     dialect: Dialect
     crashes: CrashWatch
+    life: LifeChecks
 
     @classmethod
     def from_parts(
@@ -60,6 +63,7 @@
         view: FleetView,
         pool: ConnectionPool,
         dialect: Dialect,
+        engines: EngineClient,
     ) -> Self:
         """Return what all attempts of a gateway share.
 
@@ -67,9 +71,11 @@
         :param view: the servers.
         :param pool: connections to them.
         :param dialect: conventions for requests and answers.
+        :param engines: client for calls to servers.
         """
         evidence = CrashEvidence(instance)
         sharing = CrashSharing(evidence)
         view.convictions.on_stored = sharing.take_stored
         watch = CrashWatch(view, evidence, sharing)
-        return cls(view, pool, dialect, watch)
+        life = LifeChecks(view, pool, engines)
+        return cls(view, pool, dialect, watch, life)
--- a/src/wasabicross/gateway/connections/connection_pool.py
+++ b/src/wasabicross/gateway/connections/connection_pool.py
@@ -59,7 +59,7 @@
         :raises ServerUnreachable: no connection could be made.
         """
         if is_repeat:
-            return await self._connect(host, port)
+            return await self.connect(host, port)
         idle = self._idle[host, port]
         max_idle_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
         while idle:
@@ -67,12 +67,32 @@
             if conn.is_usable and now_s() - conn.idle_since_s < max_idle_s:
                 return conn
             conn.close()
-        return await self._connect(host, port)
+        return await self.connect(host, port)
 
-    async def _connect(self, host: str, port: int) -> ServerConnection:
+    def take_idle(
+        self, host: str, port: int, connected_by_s: float
+    ) -> ServerConnection | None:
+        """Return an idle connection that was there at a time, None without one.
+
+        :param host: IP address of the server.
+        :param port: its port.
+        :param connected_by_s: the time, monotonic seconds.
+        """
+        idle = self._idle[host, port]
+        for conn in idle:
+            if conn.is_usable and conn.connected_s <= connected_by_s:
+                idle.remove(conn)
+                return conn
+        return None
+
+    async def connect(self, host: str, port: int) -> ServerConnection:
         """Return a new connection; try again if this process stood still.
 
         The server may have accepted the first one meanwhile.
+
+        :param host: IP address of the server.
+        :param port: its port.
+        :raises ServerUnreachable: no connection could be made.
         """
         started_s = now_s()
         try:
@@ -88,7 +108,10 @@
             async with asyncio.timeout(self._connect_timeout_s):
                 return await self._open(host, port)
         except (OSError, TimeoutError) as exc:
-            raise ServerUnreachable(f'{host}:{port}: {exc!r}') from exc
+            raise ServerUnreachable(
+                f'{host}:{port}: {exc!r}',
+                is_refused=isinstance(exc, ConnectionRefusedError),
+            ) from exc
 
     async def _open(self, host: str, port: int) -> ServerConnection:
         loop = asyncio.get_running_loop()
@@ -97,7 +120,7 @@
             lambda: asyncio.StreamReaderProtocol(reader), host, port
         )
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-        return ServerConnection(reader, writer, self._id_field)
+        return ServerConnection(reader, writer, self._id_field, now_s())
 
     def drop_idle(self, host: str, port: int) -> None:
         """Close the idle connections to a server.
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -83,6 +83,7 @@
     :param writer: its writing side.
     :param id_field: name of the header field with the request's id, which its
         answer repeats.
+    :param connected_s: when it was made, monotonic seconds.
     """
 
     def __init__(
@@ -90,10 +91,12 @@
         reader: WatchedReader,
         writer: asyncio.StreamWriter,
         id_field: bytes,
+        connected_s: float = math.inf,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._id_field = id_field
+        self.connected_s = connected_s
         self._codec = _new_codec()
         self._turns = FairTurns()
         #: What followed the last chunk, an event or an error, if it was read with
--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -173,17 +173,6 @@
         """
         return self._evidence.is_suspect(info.parts)
 
-    async def has_ended(self, server: BackendServer) -> bool:
-        """Return whether a server has ended without notice.
-
-        :param server: the server.
-        """
-        if not self._is_expected(server):
-            return False
-        check = self._check_of(server)
-        await check.is_done.wait()
-        return check.has_crashed
-
     def _call_off(self, convicted: frozenset[str]) -> None:
         """Call off the attempts that would crash their servers next."""
         at_s = now_s()
@@ -352,10 +341,6 @@
         """Return whether a part of its prompt may crash servers."""
         return self._watch.suspects_part(self._info)
 
-    async def has_server_ended(self) -> bool:
-        """Return whether the server has ended without notice."""
-        return await self._watch.has_ended(self._server)
-
     async def on_broken(self) -> bool:
         """Return whether the server crashed, perhaps because of the request."""
         # A head may come long before the server writes the first piece.
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -42,7 +42,15 @@
 
 
 class ServerUnreachable(ServerError):
-    """No connection to the server could be made; nothing was sent."""
+    """No connection to the server could be made; nothing was sent.
+
+    :param reason: why.
+    :param is_refused: whether no process accepts connections at its address.
+    """
+
+    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 class AnswerMissing(ServerError):
--- a/src/wasabicross/gateway/forwarded_stream.py
+++ b/src/wasabicross/gateway/forwarded_stream.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway.answer_ends.end_decisions import AnswerEnd
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.event_stream import (
     EventSplitter,
     StreamTail,
 )
 from wasabicross.gateway.connections.server_connections import ServerConnection
-from wasabicross.gateway.errors import AnswerBroken
 
 
 class ForwardedStream:
@@ -54,16 +54,14 @@
                 return chunk
         return None
 
-    def check_end(self, *, is_framed: bool) -> None:
-        """Check that the stream isn't cut at its end.
+    def end(self, *, is_stated: bool) -> AnswerEnd:
+        """Return how the stream ends.
 
-        :param is_framed: whether it ends before its connection does.
-        :raises AnswerBroken: it ends inside an event or has none.
+        :param is_stated: whether the answer states where it ends.
         """
-        if self._splitter.discard_partial() or self._tail.is_inside_event:
-            raise AnswerBroken('stream ended inside an event')
-        if self._tail.is_empty and not is_framed:
-            raise AnswerBroken('connection ended before any event')
+        partial = self._splitter.discard_partial()
+        is_inside_event = bool(partial) or self._tail.is_inside_event
+        return AnswerEnd(is_stated, self._tail.is_empty, is_inside_event)
 
     def _record_pause(self) -> None:
         at_s = now_s()
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -86,6 +86,12 @@
     'Attempts at servers by what shows that their answer is complete.',
     ('service', 'proof'),
 )
+END_CHECK_SECONDS = Histogram(
+    'wasabicross_gateway_end_check_seconds',
+    'Time from the end of a connection until it was known whether that was the '
+    'end of its answer.',
+    buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 2, 3),
+)
 LOADS = Counter(
     'wasabicross_gateway_loads',
     'Adapters that requests waited for, by whether they were loaded.',
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -10,6 +10,7 @@
     BackendServer,
     EngineReport,
 )
+from wasabicross.gateway.connections.server_connections import ServerConnection
 
 
 class OrderKind(enum.Enum):
@@ -98,6 +99,22 @@
             out, now or later.
         """
 
+    async def check_process(
+        self,
+        server: BackendServer,
+        conn: ServerConnection,
+        path: str,
+        max_wait_s: float,
+    ) -> None:
+        """Have the process at the other end of a connection answer.
+
+        :param server: its server.
+        :param conn: the connection, which has no request under way.
+        :param path: path of the server's health check.
+        :param max_wait_s: longest wait for the answer, seconds.
+        :raises ServerError: no answer began.
+        """
+
     async def is_healthy(self, server: BackendServer, path: str) -> bool:
         """Return whether a server passes its health check.
 
--- a/src/wasabicross/gateway/program.py
+++ b/src/wasabicross/gateway/program.py
@@ -128,8 +128,13 @@
             lambda: request_from_seeds(self._cfg),
         )
         servers = ServerAccess.from_parts(
-            cfg.instance, self.view, platform.pool, platform.dialect
+            cfg.instance,
+            self.view,
+            platform.pool,
+            platform.dialect,
+            platform.engines,
         )
+        self._life = servers.life
         #: Shares what gateways know of crashed servers.
         self.crashes = servers.crashes.sharing
         self._links = OwnerLinks(
@@ -211,6 +216,7 @@
         """Stop all parts and release the owned groups."""
         for task in tasks:
             task.cancel()
+        self._life.close()
         await self._loader_service.stop()
         await self._release()
         log_event(Event.PROGRAM_STOPPED)
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -8,6 +8,12 @@
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_decisions import misleads_caller
+from wasabicross.gateway.answer_ends.end_decisions import (
+    AnswerEnd,
+    AnswerOrigin,
+    needs_proof,
+    why_broken,
+)
 from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
@@ -98,6 +104,7 @@
         runs_once = not self._route.is_idempotent
         with self._watched.under_way(self._close):
             try:
+                await self._servers.life.prepare(server)
                 conn = self._conn = await self._servers.pool.acquire(
                     server.host,
                     server.port,
@@ -198,11 +205,13 @@
         progress.runs += 1
         prefill = self._pending_prefill(placement)
         self.record.unread_tokens = prefill.tokens
+        self._origin = AnswerOrigin(placement.server, now_s())
         conn.send(req)
         with self._silence_limit(prefill.max_silence_s(self._route.target_s)):
             head = await conn.read_head(req)
         self.record.first_s = now_s() - prefill.sent_s
         self.record.status = head.status
+        self._servers.life.on_head(self._origin, is_stated=head.is_framed)
         self._record_notice(placement, head, prefill.sent_s)
         kind = self._servers.dialect.classify(head)
         if kind in {AnswerKind.not_run, AnswerKind.not_held}:
@@ -336,31 +345,47 @@
         """Forward an answer, a short one only when it is complete."""
         chunks = conn.read_chunks()
         body_start = await _read_start(chunks)
-        if head.status in _SUCCESS_STATUSES and not body_start:
-            _check_is_framed(head, 'connection ended before any byte')
-        self._take_over()
         if len(body_start) <= _MAX_BUFFERED_BYTES:
-            fields = _without_length(head.fields)
-            self._record_end(head, EndProof.connection_end)
-            await self._answer.send_complete(head.status, fields, body_start)
+            await self._forward_short(head, body_start)
             return
         if self._route.is_resumable:
             raise AnswerBroken('long answer that another server cannot resume')
+        self._take_over()
         await self._answer.start(head.status, head.fields)
         await self._answer.send_chunk(body_start)
-        await self._forward_rest(chunks)
-        self._record_end(head, EndProof.connection_end)
+        await self._forward_rest(chunks, head)
 
-    def _record_end(self, head: AnswerHead, unstated: EndProof) -> None:
-        """Record what shows that the answer is complete."""
-        is_stated = head.is_framed
-        self.record.end_proof = EndProof.stated if is_stated else unstated
+    async def _forward_short(self, head: AnswerHead, body: bytes) -> None:
+        """Forward a short body once it is known to be complete."""
+        is_empty = head.status in _SUCCESS_STATUSES and not body
+        await self._check_end(AnswerEnd(head.is_framed, is_empty))
+        self._take_over()
+        fields = _without_length(head.fields)
+        await self._answer.send_complete(head.status, fields, body)
 
-    async def _forward_rest(self, chunks: AsyncIterator[bytes]) -> None:
+    async def _forward_rest(
+        self, chunks: AsyncIterator[bytes], head: AnswerHead
+    ) -> None:
+        """Forward the rest of a long body."""
         async for chunk in chunks:
             await self._answer.send_chunk(chunk)
+        await self._check_end(AnswerEnd(head.is_framed, is_empty=False))
         await self._answer.end()
 
+    async def _check_end(self, end: AnswerEnd) -> None:
+        """Check that an answer is complete where it ends.
+
+        :raises AnswerBroken: it isn't, or nothing shows that it is.
+        """
+        proof = EndProof.stated if end.is_stated else EndProof.none
+        if needs_proof(end):
+            life = self._servers.life
+            proof = await life.prove_end(self._origin, now_s())
+        reason = why_broken(end, proof)
+        if reason:
+            raise AnswerBroken(reason)
+        self.record.end_proof = proof
+
     async def _forward_stream(
         self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> None:
@@ -389,10 +414,7 @@
         self, stream: ForwardedStream, head: AnswerHead
     ) -> None:
         """End an answer if its stream is complete."""
-        stream.check_end(is_framed=head.is_framed)
-        if not head.is_framed and await self._watched.has_server_ended():
-            raise AnswerBroken('server ended with its stream')
-        self._record_end(head, EndProof.not_found_ended)
+        await self._check_end(stream.end(is_stated=head.is_framed))
         self._take_over()
         await self._start_stream(head)
         await self._answer.end()
@@ -443,11 +465,5 @@
     return b''.join(parts)
 
 
-def _check_is_framed(head: AnswerHead, reason: str) -> None:
-    """Check that an empty body can't be one whose server stopped early."""
-    if not head.is_framed:
-        raise AnswerBroken(reason)
-
-
 def _without_length(fields: Fields) -> Fields:
     return [pair for pair in fields if pair[0] != b'content-length']
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -9,10 +9,18 @@
 from wasabicross.gateway.backend import BackendServer, EngineReport
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import ServerRequest
-from wasabicross.gateway.errors import AnswerMissing, ServerError
+from wasabicross.gateway.connections.server_connections import (
+    ServerConnection,
+    ServerRequest,
+)
+from wasabicross.gateway.errors import (
+    AnswerBroken,
+    AnswerMissing,
+    ServerError,
+)
 from wasabicross.gateway.orders import Order, OrderAnswer
 from wasabicross.gateway.server_notices import ServerNotices
+from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.platform.documents import decode_report
 from wasabicross.platform.headers import server_notice
 from wasabicross.runtime.events import Event
@@ -29,6 +37,9 @@
 _MAX_REPORT_BYTES = 1048576
 _MAX_BODY_BYTES = 65536
 
+#: Id that no server has.
+_NO_SERVER = 'none'
+
 _OK = 200
 _MISDIRECTED = 421
 _ANSWERS = {
@@ -76,6 +87,42 @@
         status, _ = await self._call(server, req, _ORDER_TIMEOUT_S)
         return _ANSWERS.get(status, OrderAnswer.refused)
 
+    async def check_process(
+        self,
+        server: BackendServer,
+        conn: ServerConnection,
+        path: str,
+        max_wait_s: float,
+    ) -> None:
+        """Have the process at the other end of a connection answer.
+
+        The question names a server that doesn't exist, so it is turned away at
+        once, without a wait for a slot.
+
+        :param server: its server.
+        :param conn: the connection, which has no request under way.
+        :param path: path of the server's health check.
+        :param max_wait_s: longest wait for the answer, seconds.
+        :raises ServerError: no answer began.
+        """
+        req = _request(
+            server._replace(server_id=_NO_SERVER), b'GET', path.encode(), b''
+        )
+        limit = TimeLimit(
+            max_wait_s, AnswerMissing(f'no answer within {max_wait_s} s')
+        )
+        async with limit:
+            conn.send(req)
+            head = await conn.read_head(req)
+        self._notices.on_notice(server, server_notice(head), now_s())
+        try:
+            await conn.discard_body()
+        except AnswerBroken as exc:
+            reason = f'body discarded: {exc}'
+            log_event(
+                Event.PROBE_FAILED, server=server.server_id, reason=reason
+            )
+
     async def is_healthy(self, server: BackendServer, path: str) -> bool:
         """Return whether the health check of a server succeeds.
 
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -84,6 +84,7 @@
     STREAM_TAKEN_UP = EventKind(8046, 'INFO')
     REQUEST_FORWARDED = EventKind(8047, 'INFO')
     REFUSAL_UNCONFIRMED = EventKind(8048, 'WARNING')
+    ANSWER_END_UNPROVED = EventKind(8049, 'WARNING')
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -29,7 +29,7 @@
     ServiceShare,
 )
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.errors import StoreUnavailable
+from wasabicross.gateway.errors import AnswerMissing, StoreUnavailable
 from wasabicross.gateway.log_output import LogOutput
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 from wasabicross.gateway.program import Gateway, PlatformInterfaces
@@ -155,6 +155,11 @@
         self.order_count += 1
         return OrderAnswer.accepted
 
+    async def check_process(self, server, conn, path, max_wait_s):
+        """Answer as long as the connection is open."""
+        if not conn.is_usable:
+            raise AnswerMissing('connection ended')
+
     async def is_healthy(self, server, path):
         """Report every server as healthy."""
         return True
