Judge by the servers that have a request whether it may have run

What callers saw: 503, the promise that a request hasn't run, though a server may have run it. Only requests that may be repeated were concerned, since two servers have a request at once only where one was silent; so this isn't the case that users saw.

Cause: `may_run` was one flag for all attempts, and each attempt that was told `Not-Run` set it back to what it was before that attempt. With two under way the first one's `Not-Run` cleared the flag that the other had set; in the other order it set it again although both had refused.

Class: one flag for several owners that each restore it.

Change: `may_run` follows from `runs`, the number of servers that have the request and haven't stated that they haven't run it, and from whether another gateway has it. What attempts still write to it is ignored.

--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -55,10 +55,11 @@
 
     def __init__(self, last_event_id: str) -> None:
         self.sends = 0
-        #: Number of servers that ran the request or may have.
+        #: Number of servers that ran the request or may have. One that states
+        #: that it hasn't run the request speaks for itself only.
         self.runs = 0
-        #: Whether a server may have run the request or may still run it.
-        self.may_run = False
+        #: Whether another gateway has the request.
+        self.is_at_peer = False
         self.has_succeeded = False
         #: Number of servers that have ended, perhaps because of the request.
         self.crashes = 0
@@ -77,6 +78,19 @@
         #: Software version at which the stream goes on, None before its start.
         self.software_version: str | None = None
 
+    @property
+    def may_run(self) -> bool:
+        """Return whether a server may have run the request or may still run it.
+
+        Attempts at servers set it as well, which changes nothing: several may
+        be under way at once, so only their number tells.
+        """
+        return self.runs > 0 or self.is_at_peer
+
+    @may_run.setter
+    def may_run(self, _may_run: bool) -> None:
+        """Ignore what one attempt knows."""
+
     def check_version(self, software_version: str) -> None:
         """Check that a server may go on with the stream.
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -253,9 +253,9 @@
         progress = self._progress
         if self._is_forwarded or not self._is_unreached(reason):
             return False
-        if progress.may_run or progress.runs or self._answer.has_started:
+        if progress.may_run or self._answer.has_started:
             return False
-        progress.may_run = True
+        progress.is_at_peer = True
         ending = await self._deps.forwarder.forward(
             ForwardableRequest(
                 self._req,
@@ -268,7 +268,7 @@
             self._answer,
         )
         if ending is PeerEnding.not_taken:
-            progress.may_run = False
+            progress.is_at_peer = False
             return False
         if ending is PeerEnding.answered:
             self._record.outcome = 'forwarded'
