Know the ends of events in all line ends of the format

A sound resumable stream whose lines end with CR LF or CR never reached its caller: no event ended for the gateway, so the stream was given up as broken at its end or after 256 KB. A stream that isn't resumable was cut as 'ended inside an event' where its lines end with CR; empty lines after the last event had the same effect where they came alone. Class: a parser that knows one spelling of a format with several. Evidence: 62 of 96 rows of test_gateway_event_formats.py failed before, among them three of the six through a whole gateway. Change: an empty line ends an event, and a line ends with CR LF, LF or CR, cut at any byte; empty lines after an event pass with it. Bytes aren't changed. Where no CR came, the search is as before. Checked: these tests, test_gateway_broken_streams.py and test_gateway_fair_reading.py passed.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import re
+
 from wasabicross.gateway.errors import AnswerBroken
 
 #: Longest event; bounds the memory for a stream whose events don't end.
 _MAX_EVENT_BYTES = 262144
 
 _EVENT_END = b'\n\n'
+_CR = b'\r'
+
+#: An empty line ends an event. A line ends with CR LF, LF or CR.
+_UNTIL_LAST_EVENT_END = re.compile(rb'(?s:.*)(?>\r\n|\n|\r){2}')
+_EMPTY_LINES = re.compile(rb'[\r\n]*')
+
 _ID_FIELD = b'id:'
 _HEAD_START = b'HTTP/1.'
 _HEAD_LINE_START = b'\nHTTP/1.'
 
-#: Ends of events that complete a stream which is forwarded as it is.
-_EVENT_ENDS = (_EVENT_END, b'\r\n\r\n')
-_TAIL_BYTES = 4
+_AT_EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2}\Z')
+_MAX_EVENT_END_BYTES = 4
 
 #: Longest event id that a stream may go on after.
 _MAX_ID_CHARS = 256
@@ -33,13 +40,9 @@
     def __init__(self) -> None:
         self._partial = bytearray()
         self._is_first = True
+        self._has_cr = False
         self.last_event_id = ''
 
-    def begin_stream(self) -> None:
-        """Begin with the stream of another server, which resumes the last."""
-        self._partial.clear()
-        self._is_first = True
-
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that the next bytes complete.
 
@@ -48,18 +51,21 @@
             answer, or the first one doesn't follow on the last event of the
             stream that is resumed.
         """
-        # What was there before holds no end, but maybe the first byte of one.
-        searched = max(0, len(self._partial) - 1)
+        # What was there before holds no end, but maybe the start of one.
+        searched = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
         self._partial += chunk
-        end = self._partial.rfind(_EVENT_END, searched)
-        if end < 0:
+        self._has_cr = self._has_cr or _CR in chunk
+        end = self._end_of_last_event(searched)
+        if end or not self._is_first:
+            end = self._end_of_empty_lines(end)
+        if not end:
             if len(self._partial) > _MAX_EVENT_BYTES:
                 raise AnswerBroken(
                     f'event is longer than {_MAX_EVENT_BYTES} bytes'
                 )
             return b''
-        complete = bytes(self._partial[: end + len(_EVENT_END)])
-        del self._partial[: end + len(_EVENT_END)]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         check_no_head(complete)
         if self._is_first:
             self._check_follows(_first_event_id(complete))
@@ -73,6 +79,19 @@
         self._partial.clear()
         return partial
 
+    def _end_of_last_event(self, searched: int) -> int:
+        """Return where the last complete event ends, 0 if there is none."""
+        if self._has_cr:
+            found = _UNTIL_LAST_EVENT_END.match(self._partial, searched)
+            return 0 if found is None else found.end()
+        end = self._partial.rfind(_EVENT_END, searched)
+        return 0 if end < 0 else end + len(_EVENT_END)
+
+    def _end_of_empty_lines(self, start: int) -> int:
+        """Return where the empty lines after an event end."""
+        found = _EMPTY_LINES.match(self._partial, start)
+        return start if found is None else found.end()
+
     def _check_follows(self, event_id: str) -> None:
         """Check that the first event of a server comes after the last one."""
         last = self.last_event_id
@@ -88,7 +107,7 @@
         raise AnswerBroken(f'event {event_id!r} does not follow on {last!r}')
 
     def _record_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b'\n')):
+        for line in reversed(complete.splitlines()):
             if line.startswith(_ID_FIELD):
                 self.last_event_id = _id_of(line)
                 return
@@ -118,7 +137,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Return whether the last event isn't complete."""
-        return bool(self._tail) and not self._tail.endswith(_EVENT_ENDS)
+        return bool(self._tail) and _AT_EVENT_END.search(self._tail) is None
 
     def feed(self, chunk: bytes) -> None:
         """Add the next bytes of the stream.
@@ -127,13 +146,15 @@
         :raises AnswerBroken: they are the head of another answer.
         """
         check_no_head(chunk)
-        self._tail = (self._tail + chunk[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+        kept = chunk[-_MAX_EVENT_END_BYTES:]
+        self._tail = (self._tail + kept)[-_MAX_EVENT_END_BYTES:]
 
 
 def _first_event_id(complete: bytes) -> str:
     """Return the id of the first of some events, empty if it has none."""
-    first = complete.partition(_EVENT_END)[0]
-    for line in first.split(b'\n'):
+    for line in complete.lstrip(b'\r\n').splitlines():
+        if not line:
+            break
         if line.startswith(_ID_FIELD):
             return _id_of(line)
     return ''
--- /dev/null
+++ b/tests/test_gateway_event_formats.py
@@ -0,0 +1,118 @@
+"""Event streams in each format that servers may write, cut at any byte."""
+
+import asyncio
+
+import pytest
+from gateway_parts import A1, running_gateway
+from raw_caller import ask, body_of, request
+from scripted_server import (
+    STREAM_END,
+    STREAM_HEAD,
+    ScriptedServer,
+    chunk,
+    events,
+)
+
+from wasabicross.gateway.connections.event_stream import (
+    EventSplitter,
+    StreamTail,
+)
+
+MODEL = f'm0/{A1.adapter}'
+UNFRAMED_HEAD = STREAM_HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
+LINE_ENDS = (b'\n', b'\r\n', b'\r')
+
+#: A stream that ends with its event 3, by its format.
+FORMATS = {
+    'plain': events(1, 3),
+    'a comment first': b': hello\n\n' + events(1, 3),
+    'comments between': events(1, 2) + b': ping\n\n:\n\n' + events(3, 3),
+    'a comment last': events(1, 3) + b': bye\n\n',
+    'a retry time first': b'retry: 300\n\n' + events(1, 3),
+    'several data lines': b'id: 1\ndata: a\ndata: b\n\n' + events(2, 3),
+    'data first': b'data: a\nid: 1\n\n' + events(2, 3),
+    'no space after the colon': b'id:2\ndata:a\n\nid:3\ndata:b\n\n',
+    'an id in data': b'id: 3\ndata: x\ndata: id: 9\n\n',
+    'an id in a comment': b'id: 3\n:id: 9\ndata: x\n\n',
+    'two ids': b'id: 9\nid: 3\ndata: x\n\n',
+    'a version first': b'weight-versions: 4\nid: 3\ndata: x\n\n',
+    'blank lines between': b'\n\n\n' + events(1, 2) + b'\n' + events(3, 3),
+    'ids that jump': b'id: 1\ndata: a\n\nid: 3\ndata: b\n\n',
+}
+
+
+def cut_at(stream, position):
+    """Return both parts of a stream."""
+    return stream[:position], stream[position:]
+
+
+def fed(splitter, parts):
+    """Return the events that a splitter makes of the parts of a stream."""
+    return b''.join(splitter.feed(part) for part in parts if part)
+
+
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+@pytest.mark.parametrize('stream', FORMATS.values(), ids=FORMATS)
+def test_a_whole_stream_is_not_lost_by_its_format(stream, line_end):
+    stream = stream.replace(b'\n', line_end)
+    for position in range(len(stream)):
+        splitter = EventSplitter()
+        assert fed(splitter, cut_at(stream, position)) == stream
+        assert not splitter.discard_partial()
+        assert splitter.last_event_id == '3'
+
+
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+@pytest.mark.parametrize('stream', FORMATS.values(), ids=FORMATS)
+def test_a_whole_stream_that_comes_byte_by_byte_is_not_lost(stream, line_end):
+    stream = stream.replace(b'\n', line_end)
+    splitter = EventSplitter()
+    single = [stream[at : at + 1] for at in range(len(stream))]
+    assert fed(splitter, single) == stream
+    assert splitter.last_event_id == '3'
+
+
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+def test_a_part_of_an_event_is_not_forwarded(line_end):
+    one, two, three = (
+        events(each, each).replace(b'\n', line_end) for each in (1, 2, 3)
+    )
+    for position in range(1, len(three) - len(line_end)):
+        splitter = EventSplitter()
+        parts = (one + two, three[:position])
+        assert fed(splitter, parts) == one + two
+        assert splitter.last_event_id == '2'
+        assert splitter.discard_partial()
+
+
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+def test_the_end_of_an_event_is_known_in_each_format(line_end):
+    stream = events(1, 2).replace(b'\n', line_end)
+    for position in range(1, len(stream)):
+        tail = StreamTail()
+        for part in cut_at(stream, position):
+            tail.feed(part)
+        assert not tail.is_inside_event
+        tail.feed(b'id: 3' + line_end)
+        assert tail.is_inside_event
+
+
+def run_stream(parts, path):
+    """Return the answer to a request for a stream that comes in parts."""
+
+    async def scenario():
+        script = [STREAM_HEAD, *map(chunk, parts), STREAM_END]
+        server = ScriptedServer(script)
+        async with running_gateway([server], service='llm') as bench:
+            return await ask(bench.port, request(path, b'x', Model=MODEL))
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+@pytest.mark.parametrize('path', ['/streaming/x', '/stream-resumable/x'])
+def test_callers_get_a_whole_stream_in_each_format(path, line_end):
+    stream = events(1, 3).replace(b'\n', line_end)
+    received = run_stream(cut_at(stream, 9), path)
+    assert body_of(received) == stream
+    assert received.endswith(STREAM_END)
