Find the head of another answer that comes in two parts within a stream

A server may write a late answer into a stream that isn't resumable and has no length and no chunks. If its first seven bytes came in two parts ('HT', 'TP/1.1 200 OK'), the caller got that answer's head and events behind its own: pieces of two runs, joined. The opposite too: a sound stream was cut where a part began with 'HTTP/1.' in the middle of a line of data. Class: a check of each part of a stream by itself for what may lie across two of them. Would give: one case a late answer that is cut just there; not several on one run. Change: the last seven bytes are looked at with the next ones, so that a head is found at the start of a line alone, also after CR.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -11,18 +11,23 @@
 
 _EVENT_END = b'\n\n'
 _CR = b'\r'
+_LINE_END = b'\n'
+_LINE_ENDS = b'\r\n'
 
 #: An empty line ends an event. A line ends with CR LF, LF or CR.
 _UNTIL_LAST_EVENT_END = re.compile(rb'(?s:.*)(?>\r\n|\n|\r){2}')
 _EMPTY_LINES = re.compile(rb'[\r\n]*')
 
 _ID_FIELD = b'id:'
-_HEAD_START = b'HTTP/1.'
-_HEAD_LINE_START = b'\nHTTP/1.'
+#: The start of a line that begins the head of an answer.
+_HEAD_LINE_STARTS = (b'\nHTTP/1.', b'\rHTTP/1.')
 
 _AT_EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2}\Z')
 _MAX_EVENT_END_BYTES = 4
 
+#: Bytes of a stream with which the next ones may make up the start of a head.
+_TAIL_BYTES = 7
+
 #: Longest event id that a stream may go on after.
 _MAX_ID_CHARS = 256
 
@@ -66,7 +71,7 @@
             return b''
         complete = bytes(self._partial[:end])
         del self._partial[:end]
-        check_no_head(complete)
+        _check_no_head(_LINE_END + complete)
         if self._is_first:
             self._check_follows(_first_event_id(complete))
             self._is_first = False
@@ -113,46 +118,45 @@
                 return
 
 
-def check_no_head(part: bytes) -> None:
-    """Check that no line of a part of a stream begins the head of an answer.
-
-    :param part: the next bytes of the stream.
-    :raises AnswerBroken: a line does.
-    """
-    if part.startswith(_HEAD_START) or _HEAD_LINE_START in part:
-        raise AnswerBroken('head of another answer within a stream')
-
-
 class StreamTail:
     """Keeps the end of a stream, which must be the end of an event."""
 
     def __init__(self) -> None:
-        self._tail = b''
-
-    @property
-    def is_empty(self) -> bool:
-        """Return whether the stream has had no byte."""
-        return not self._tail
+        # A stream begins with a line, as if one had ended before.
+        self._tail = _LINE_END
+        #: Whether the stream has had no byte but ends of lines.
+        self.is_empty = True
 
     @property
     def is_inside_event(self) -> bool:
         """Return whether the last event isn't complete."""
-        return bool(self._tail) and _AT_EVENT_END.search(self._tail) is None
+        return not self.is_empty and _AT_EVENT_END.search(self._tail) is None
 
     def feed(self, chunk: bytes) -> None:
         """Add the next bytes of the stream.
 
         :param chunk: the bytes.
-        :raises AnswerBroken: they are the head of another answer.
+        :raises AnswerBroken: a line of the stream begins the head of another
+            answer.
         """
-        check_no_head(chunk)
-        kept = chunk[-_MAX_EVENT_END_BYTES:]
-        self._tail = (self._tail + kept)[-_MAX_EVENT_END_BYTES:]
+        _check_no_head(self._tail + chunk)
+        self._tail = (self._tail + chunk[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+        self.is_empty = self.is_empty and not chunk.strip(_LINE_ENDS)
+
+
+def _check_no_head(lines: bytes) -> None:
+    """Check that no line begins the head of an answer.
+
+    :param lines: a part of a stream after the end of another line.
+    :raises AnswerBroken: a line does.
+    """
+    if any(start in lines for start in _HEAD_LINE_STARTS):
+        raise AnswerBroken('head of another answer within a stream')
 
 
 def _first_event_id(complete: bytes) -> str:
     """Return the id of the first of some events, empty if it has none."""
-    for line in complete.lstrip(b'\r\n').splitlines():
+    for line in complete.lstrip(_LINE_ENDS).splitlines():
         if not line:
             break
         if line.startswith(_ID_FIELD):
--- a/tests/test_gateway_event_formats.py
+++ b/tests/test_gateway_event_formats.py
@@ -17,6 +17,7 @@
     EventSplitter,
     StreamTail,
 )
+from wasabicross.gateway.errors import AnswerBroken
 
 MODEL = f'm0/{A1.adapter}'
 UNFRAMED_HEAD = STREAM_HEAD.replace(b'Transfer-Encoding: chunked\r\n', b'')
@@ -97,11 +98,48 @@
         assert tail.is_inside_event
 
 
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+@pytest.mark.parametrize('position', range(1, 10))
+@pytest.mark.parametrize('count', [0, 2])
+def test_a_head_in_two_parts_does_not_pass_as_events(line_end, position, count):
+    before = events(1, count).replace(b'\n', line_end)
+    parts = cut_at(before + STREAM_HEAD + events(1, 3), len(before) + position)
+    tail = StreamTail()
+    with pytest.raises(AnswerBroken):
+        for part in parts:
+            tail.feed(part)
+
+
+def test_data_that_looks_like_a_head_after_a_cut_breaks_no_stream():
+    stream = b'id: 1\ndata: GET /x HTTP/1.1\n\n'
+    for position in range(1, len(stream)):
+        tail = StreamTail()
+        for part in cut_at(stream, position):
+            tail.feed(part)
+        assert not tail.is_inside_event
+
+
+def test_no_event_after_a_head_in_two_parts_reaches_the_caller():
+    script = [
+        UNFRAMED_HEAD + events(1, 3) + b'HT',
+        0.05,
+        b'TP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n' + events(1, 2),
+        'close',
+    ]
+    received = run_script(script, '/streaming/x')
+    assert body_of(received).count(b'id: 1\n') == 1
+    assert not received.endswith(STREAM_END)
+
+
 def run_stream(parts, path):
     """Return the answer to a request for a stream that comes in parts."""
+    return run_script([STREAM_HEAD, *map(chunk, parts), STREAM_END], path)
+
+
+def run_script(script, path):
+    """Return the answer to a request whose server plays a script."""
 
     async def scenario():
-        script = [STREAM_HEAD, *map(chunk, parts), STREAM_END]
         server = ScriptedServer(script)
         async with running_gateway([server], service='llm') as bench:
             return await ask(bench.port, request(path, b'x', Model=MODEL))
