Look for a stream's first event behind a byte order mark and comments

After a byte order mark the id of the first event wasn't found. If the stream broke off then, it began anew within the same answer: event 1 came twice, and the answer ended as complete (ORDER). A stream whose second server began with a mark, a comment or a retry time was given up although it went on at the right event (a lost stream, cut visibly). Of two ids in one event the first counted; readers of the format take the last one. Class: the first lines of a stream taken for its first event. Evidence: 13 of 174 rows of test_gateway_event_formats.py failed before, three of them through a whole gateway. Change: the mark is passed over, and left out where a stream goes on; comments and retry times are held until the first event shows whether it follows on the last one. What else comes without an id doesn't follow, as before. Checked: tests of broken, silent and taken-up streams, versions, takeovers and fair reading passed (356).

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 
 from wasabicross.gateway.errors import AnswerBroken
@@ -19,6 +20,9 @@
 _EMPTY_LINES = re.compile(rb'[\r\n]*')
 
 _ID_FIELD = b'id:'
+#: Starts of lines that make no event by themselves.
+_NO_EVENT_LINES = (b':', b'retry:')
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 #: The start of a line that begins the head of an answer.
 _HEAD_LINE_STARTS = (b'\nHTTP/1.', b'\rHTTP/1.')
 
@@ -46,6 +50,8 @@
         self._partial = bytearray()
         self._is_first = True
         self._has_cr = False
+        #: What a stream that is resumed has had before its first event.
+        self._held = b''
         self.last_event_id = ''
 
     def feed(self, chunk: bytes) -> bytes:
@@ -73,8 +79,7 @@
         del self._partial[:end]
         _check_no_head(_LINE_END + complete)
         if self._is_first:
-            self._check_follows(_first_event_id(complete))
-            self._is_first = False
+            return self._begin(complete)
         self._record_id(complete)
         return complete
 
@@ -97,11 +102,34 @@
         found = _EMPTY_LINES.match(self._partial, start)
         return start if found is None else found.end()
 
+    def _begin(self, complete: bytes) -> bytes:
+        """Return the start of a stream, one that is resumed from an event on.
+
+        Comments before that event tell nothing of whether it follows.
+
+        :param complete: complete events, comments or both.
+        :raises AnswerBroken: the first event doesn't follow on the last one.
+        """
+        unmarked = (self._held + complete).removeprefix(_BYTE_ORDER_MARK)
+        if self.last_event_id:
+            event_id = _first_event_id(unmarked)
+            if event_id is None:
+                self._hold(unmarked)
+                return b''
+            self._check_follows(event_id)
+            complete = unmarked
+        self._is_first = False
+        self._record_id(unmarked)
+        return complete
+
+    def _hold(self, comments: bytes) -> None:
+        if len(comments) > _MAX_EVENT_BYTES:
+            raise AnswerBroken(f'no event in {_MAX_EVENT_BYTES} bytes')
+        self._held = comments
+
     def _check_follows(self, event_id: str) -> None:
         """Check that the first event of a server comes after the last one."""
         last = self.last_event_id
-        if not last:
-            return
         are_numbers = event_id.isdecimal() and last.isdecimal()
         if max(len(event_id), len(last)) > _MAX_ID_CHARS:
             raise AnswerBroken(f'event id of over {_MAX_ID_CHARS} characters')
@@ -154,14 +182,26 @@
         raise AnswerBroken('head of another answer within a stream')
 
 
-def _first_event_id(complete: bytes) -> str:
-    """Return the id of the first of some events, empty if it has none."""
-    for line in complete.lstrip(_LINE_ENDS).splitlines():
-        if not line:
-            break
-        if line.startswith(_ID_FIELD):
-            return _id_of(line)
-    return ''
+def _first_event_id(complete: bytes) -> str | None:
+    """Return the id of the first event, empty if it has none.
+
+    :return: None if there are comments and retry times only.
+    """
+    lines = [
+        line
+        for line in complete.splitlines()
+        if not line.startswith(_NO_EVENT_LINES)
+    ]
+    from_event = itertools.dropwhile(_is_empty, lines)
+    event = list(itertools.takewhile(bool, from_event))
+    if not event:
+        return None
+    ids = [_id_of(line) for line in event if line.startswith(_ID_FIELD)]
+    return ids[-1] if ids else ''
+
+
+def _is_empty(line: bytes) -> bool:
+    return not line
 
 
 def _id_of(line: bytes) -> str:
--- a/tests/test_gateway_event_formats.py
+++ b/tests/test_gateway_event_formats.py
@@ -1,6 +1,7 @@
 """Event streams in each format that servers may write, cut at any byte."""
 
 import asyncio
+import re
 
 import pytest
 from gateway_parts import A1, running_gateway
@@ -38,6 +39,7 @@
     'two ids': b'id: 9\nid: 3\ndata: x\n\n',
     'a version first': b'weight-versions: 4\nid: 3\ndata: x\n\n',
     'blank lines between': b'\n\n\n' + events(1, 2) + b'\n' + events(3, 3),
+    'a byte order mark': b'\xef\xbb\xbf' + events(3, 3),
     'ids that jump': b'id: 1\ndata: a\n\nid: 3\ndata: b\n\n',
 }
 
@@ -131,6 +133,31 @@
     assert not received.endswith(STREAM_END)
 
 
+#: What a server may write before its first event that goes on after event 3.
+BEFORE_EVENTS = (b': hello\n\n', b'retry: 300\n\n', b'\xef\xbb\xbf', b'\n')
+
+
+@pytest.mark.parametrize('before', BEFORE_EVENTS)
+def test_a_stream_that_goes_on_after_a_comment_is_not_lost(before):
+    splitter = EventSplitter()
+    splitter.last_event_id = '3'
+    received = fed(splitter, (before, events(4, 6)))
+    assert received.endswith(events(4, 6))
+    assert splitter.last_event_id == '6'
+    assert b'\xef' not in received
+
+
+@pytest.mark.parametrize('before', BEFORE_EVENTS)
+@pytest.mark.parametrize('first', [b'id: 9\nid: 3\ndata: x\n\n', events(1, 6)])
+def test_an_event_before_the_asked_one_does_not_pass_after_a_comment(
+    before, first
+):
+    splitter = EventSplitter()
+    splitter.last_event_id = '3'
+    with pytest.raises(AnswerBroken):
+        fed(splitter, (before, first))
+
+
 def run_stream(parts, path):
     """Return the answer to a request for a stream that comes in parts."""
     return run_script([STREAM_HEAD, *map(chunk, parts), STREAM_END], path)
@@ -154,3 +181,37 @@
     received = run_stream(cut_at(stream, 9), path)
     assert body_of(received) == stream
     assert received.endswith(STREAM_END)
+
+
+@pytest.mark.parametrize('before', BEFORE_EVENTS)
+def test_a_stream_that_breaks_goes_on_once_where_its_servers_write_more(before):
+    """Its second server begins as the first one did."""
+
+    async def scenario():
+        servers = [MarkingServer(before) for _ in range(2)]
+        async with running_gateway(servers, service='llm') as bench:
+            sent = request('/stream-resumable/x', b'x', Model=MODEL)
+            return await ask(bench.port, sent)
+
+    received = asyncio.run(scenario())
+    assert received.endswith(STREAM_END)
+    assert re.findall(rb'id: (\d)', body_of(received)) == [b'1', b'2', b'3']
+    assert body_of(received).startswith(before)
+
+
+class MarkingServer(ScriptedServer):
+    """Write the same before the first event of each stream.
+
+    A stream from its start breaks off after event 1.
+    """
+
+    def __init__(self, before):
+        super().__init__([])
+        self._before = before
+
+    async def _play(self, script, seen, reader, writer):
+        first = int(seen.fields.get('last-event-id', 0)) + 1
+        last = 1 if first == 1 else 3
+        steps = [STREAM_HEAD, chunk(self._before + events(first, last))]
+        steps.append('close' if first == 1 else STREAM_END)
+        return await super()._play(steps, seen, reader, writer)
