Let no stream begin anew after events without an id

A resumable stream whose events have no id (or whose id an event takes back, `id:`) broke off or fell silent: another server, asked for no event, began it anew, and the caller got its pieces twice, in an answer that could end as complete. Class: an absent id taken for 'nothing sent yet'. Change: once events were sent and there is no id to go on after, no other server is asked: a silent server is waited for, a broken stream is cut visibly. An id with NUL counts as none. A stream that has sent nothing yet begins at another server as before.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -20,6 +20,9 @@
 _EMPTY_LINES = re.compile(rb'[\r\n]*')
 
 _ID_FIELD = b'id:'
+_EMPTY_ID_LINE = b'id'
+#: No id may hold it.
+_NUL = '\0'
 #: Starts of lines that make no event by themselves.
 _NO_EVENT_LINES = (b':', b'retry:')
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
@@ -141,7 +144,7 @@
 
     def _record_id(self, complete: bytes) -> None:
         for line in reversed(complete.splitlines()):
-            if line.startswith(_ID_FIELD):
+            if line.startswith(_ID_FIELD) or line == _EMPTY_ID_LINE:
                 self.last_event_id = _id_of(line)
                 return
 
@@ -205,4 +208,6 @@
 
 
 def _id_of(line: bytes) -> str:
-    return line[len(_ID_FIELD) :].strip().decode('latin-1')
+    """Return the id on a line, empty if no stream can go on after it."""
+    event_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
+    return '' if _NUL in event_id else event_id
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -299,6 +299,8 @@
             return True
         if self._answer.has_started and not route.is_resumable:
             return False
+        if self._lacks_event_id:
+            return False
         if ending in {Ending.unknown, Ending.failed, Ending.crashed}:
             if not route.is_idempotent:
                 return False
@@ -308,6 +310,24 @@
                 return False
         return self._progress.sends < MAX_SENDS and budget.spend()
 
+    @property
+    def _lacks_event_id(self) -> bool:
+        """Return whether events were sent after which no stream can go on.
+
+        Another server would send them again.
+        """
+        return bool(self._answer.sent_bytes) and (
+            not self._progress.last_event_id
+        )
+
+    async def _find_replacement(
+        self, placements: RequestPlacement, server_id: str
+    ) -> Placement | None:
+        """Return a server that can take over from a silent one, if any."""
+        if self._lacks_event_id:
+            return None
+        return await placements.find_replacement(server_id)
+
     @property
     def _may_crash_another(self) -> bool:
         """Return whether a server may be risked if the request has crashed some.
@@ -349,7 +369,10 @@
                 server_id, self._info.adapter, self._info.prompt_tokens
             ),
             Replacements(
-                functools.partial(placements.find_replacement, server_id), send
+                functools.partial(
+                    self._find_replacement, placements, server_id
+                ),
+                send,
             ),
             placements.stream.on_events,
             on_accepted,
--- a/tests/test_gateway_event_formats.py
+++ b/tests/test_gateway_event_formats.py
@@ -4,7 +4,7 @@
 import re
 
 import pytest
-from gateway_parts import A1, running_gateway
+from gateway_parts import A1, SharedScriptsServer, running_gateway
 from raw_caller import ask, body_of, request
 from scripted_server import (
     STREAM_END,
@@ -44,6 +44,15 @@
 }
 
 
+#: A stream after whose end no event is known to be the last one.
+WITHOUT_ID = {
+    'no id at all': b'data: a\n\ndata: b\n\n',
+    'an empty id': events(1, 2) + b'id:\ndata: b\n\n',
+    'an id without a colon': events(1, 2) + b'id\ndata: b\n\n',
+    'an id with NUL': events(1, 2) + b'id: 3\0\ndata: b\n\n',
+}
+
+
 def cut_at(stream, position):
     """Return both parts of a stream."""
     return stream[:position], stream[position:]
@@ -88,6 +97,13 @@
         assert splitter.discard_partial()
 
 
+@pytest.mark.parametrize('stream', WITHOUT_ID.values(), ids=WITHOUT_ID)
+def test_a_stream_does_not_go_on_after_an_event_without_id(stream):
+    splitter = EventSplitter()
+    assert splitter.feed(stream) == stream
+    assert not splitter.last_event_id
+
+
 @pytest.mark.parametrize('line_end', LINE_ENDS)
 def test_the_end_of_an_event_is_known_in_each_format(line_end):
     stream = events(1, 2).replace(b'\n', line_end)
@@ -215,3 +231,40 @@
         steps = [STREAM_HEAD, chunk(self._before + events(first, last))]
         steps.append('close' if first == 1 else STREAM_END)
         return await super()._play(steps, seen, reader, writer)
+
+
+@pytest.mark.parametrize('stream', WITHOUT_ID.values(), ids=WITHOUT_ID)
+@pytest.mark.parametrize('end', ['close', 1.6])
+def test_a_stream_without_ids_does_not_begin_anew_in_its_answer(stream, end):
+    """Its server breaks off or falls silent; another one begins it."""
+
+    async def scenario():
+        servers = [
+            ScriptedServer([STREAM_HEAD, chunk(stream), end, STREAM_END])
+            for _ in range(2)
+        ]
+        async with running_gateway(servers, service='llm') as bench:
+            sent = request('/stream-resumable/x', b'x', Model=MODEL)
+            received = await ask(bench.port, sent)
+        return received, sum(len(each.seen) for each in servers)
+
+    received, arrivals = asyncio.run(scenario())
+    assert body_of(received) == stream
+    assert received.endswith(STREAM_END) is (end != 'close')
+    assert arrivals == 1
+
+
+def test_a_stream_that_has_no_event_yet_begins_at_another_server():
+    async def scenario():
+        scripts = [
+            [STREAM_HEAD, 'close'],
+            [STREAM_HEAD, chunk(events(1, 3)), STREAM_END],
+        ]
+        servers = [SharedScriptsServer(scripts) for _ in range(2)]
+        async with running_gateway(servers, service='llm') as bench:
+            sent = request('/stream-resumable/x', b'x', Model=MODEL)
+            return await ask(bench.port, sent)
+
+    received = asyncio.run(scenario())
+    assert body_of(received) == events(1, 3)
+    assert received.endswith(STREAM_END)
