Reset a caller that knows no chunks unless its answer has ended

A caller with HTTP/1.0 gets a stream that ends with its connection. When the gateway stopped or was killed, or the server broke off, the connection ended in order, so the events until then looked like the whole stream. Callers with HTTP/1.1 get chunks: the last one was never written before the end, whether the server's answer has chunks, a length or neither. Would give: every stream under way at a gateway that is killed, for such callers only. Change: while such an answer is under way its connection is to be reset when it closes, also by the kernel at the end of a process; it ends in order once the answer has ended.

--- a/src/wasabicross/gateway/connections/answer_writer.py
+++ b/src/wasabicross/gateway/connections/answer_writer.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Callable
 
 import h11
 
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.connections.http_heads import Fields
+from wasabicross.gateway.connections.http_heads import Fields, field
 from wasabicross.gateway.errors import AnswerUnwritable, CallerGone
 from wasabicross.gateway.unanswered import RequestTrace
 
@@ -24,6 +27,13 @@
     504: b'Gateway Timeout',
 }
 
+#: Version of HTTP in which bodies can't be chunked.
+_WITHOUT_CHUNKS = b'1.0'
+
+#: Values of SO_LINGER: a connection that ends is reset, or ends in order.
+_RESETS_AT_END = struct.pack('ii', 1, 0)
+_ENDS_IN_ORDER = struct.pack('ii', 0, 0)
+
 
 class AnswerWriter:
     """Writes the answer to one request.
@@ -44,6 +54,7 @@
         self._is_last = is_last
         self.started_s: float | None = None
         self.has_ended = False
+        self._is_reset_unless_ended = False
         self.sent_bytes = 0
         #: What the log tells about the request if it gets no answer.
         self.trace = RequestTrace()
@@ -57,7 +68,8 @@
         """Send the head.
 
         :param status: the status code.
-        :param fields: header fields; without a length the body is chunked.
+        :param fields: header fields; without a length the body is chunked, and
+            for a caller that knows no chunks it ends with its connection.
         """
         connection_fields = (
             [(b'connection', b'close')] if self._is_last() else []
@@ -68,6 +80,10 @@
             reason=_REASON_PHRASES.get(status, b''),
         )
         self.started_s = now_s()
+        if self._ends_with_connection(fields):
+            # Also if this process is killed, the body doesn't look complete.
+            self._is_reset_unless_ended = True
+            self._set_linger(_RESETS_AT_END)
         self._send(head)
         await self._drain()
 
@@ -81,6 +97,8 @@
         """Mark the answer as complete."""
         self._send(h11.EndOfMessage())
         self.has_ended = True
+        if self._is_reset_unless_ended:
+            self._set_linger(_ENDS_IN_ORDER)
         await self._drain()
 
     async def send_complete(
@@ -98,6 +116,17 @@
             await self.send_chunk(body)
         await self.end()
 
+    def _ends_with_connection(self, fields: Fields) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        if self._codec.their_http_version != _WITHOUT_CHUNKS:
+            return False
+        return not field(fields, b'content-length')
+
+    def _set_linger(self, linger: bytes) -> None:
+        sock = self._writer.get_extra_info('socket')
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _send(self, event: h11.Event) -> None:
         try:
             self._writer.write(self._codec.send(event) or b'')
