Keep one class for a run of a server's process

Incarnation stood in server_notices and in server_limits.known_limits, each with its own way to make it from a server, and the new answer_ends needed it too. It stands in backend now. No behaviour is changed; 204 tests pass.

--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -13,7 +13,7 @@
 )
 from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.answer_ends.probe_connections import ProbeConnections
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
@@ -22,7 +22,6 @@
     ServerUnreachable,
 )
 from wasabicross.gateway.orders import EngineClient
-from wasabicross.gateway.server_limits.known_limits import Incarnation
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/src/wasabicross/gateway/answer_ends/probe_connections.py
+++ b/src/wasabicross/gateway/answer_ends/probe_connections.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import ServerConnection
-from wasabicross.gateway.server_limits.known_limits import Incarnation
 
 #: Most connections that are kept.
 _MAX_CONNECTIONS = 4096
--- a/src/wasabicross/gateway/backend.py
+++ b/src/wasabicross/gateway/backend.py
@@ -73,3 +73,21 @@
     pending: frozenset[AdapterKey]
     models: frozenset[str]
     start_ms: int
+
+
+class Incarnation(NamedTuple):
+    """One run of a server process; a restart under the same id is another.
+
+    :param start_ms: start time in Unix milliseconds, 0 if unknown.
+    """
+
+    server_id: str
+    start_ms: int
+
+    @classmethod
+    def from_server(cls, server: BackendServer) -> Incarnation:
+        """Return the run of a server that is listed.
+
+        :param server: the server.
+        """
+        return cls(server.server_id, server.start_ms)
--- a/src/wasabicross/gateway/server_limits/brittle_servers.py
+++ b/src/wasabicross/gateway/server_limits/brittle_servers.py
@@ -11,12 +11,9 @@
 import math
 from collections import defaultdict
 
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
-from wasabicross.gateway.server_limits.known_limits import (
-    Incarnation,
-    KnownLimits,
-)
+from wasabicross.gateway.server_limits.known_limits import KnownLimits
 
 #: How long nothing new is sent after a refusal; refusals are counted in a
 #: second, and answers of others may be late.
--- a/src/wasabicross/gateway/server_limits/fallback_shares.py
+++ b/src/wasabicross/gateway/server_limits/fallback_shares.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway.backend import Incarnation
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
-from wasabicross.gateway.server_limits.known_limits import Incarnation
 from wasabicross.gateway.server_limits.token_bucket import TokenBuckets
 
 #: Most gateways that use a server without its owner.
--- a/src/wasabicross/gateway/server_limits/known_limits.py
+++ b/src/wasabicross/gateway/server_limits/known_limits.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.server_limits.messages import (
     MICROS,
     NOT_STATED,
@@ -23,21 +23,6 @@
 _MS_PER_S = 1000
 
 
-class Incarnation(NamedTuple):
-    """One run of a server process; a restart under the same id is another."""
-
-    server_id: str
-    start_ms: int
-
-    @classmethod
-    def from_server(cls, server: BackendServer) -> Incarnation:
-        """Return the present run of a server.
-
-        :param server: the server.
-        """
-        return cls(server.server_id, server.start_ms)
-
-
 class _Known(NamedTuple):
     """What was stated last.
 
--- a/src/wasabicross/gateway/server_limits/owner_grants.py
+++ b/src/wasabicross/gateway/server_limits/owner_grants.py
@@ -8,11 +8,8 @@
 
 from collections.abc import Callable
 
-from wasabicross.gateway.backend import BackendServer
-from wasabicross.gateway.server_limits.known_limits import (
-    Incarnation,
-    KnownLimits,
-)
+from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.server_limits.known_limits import KnownLimits
 from wasabicross.gateway.server_limits.token_bucket import TokenBuckets
 
 
--- a/src/wasabicross/gateway/server_limits/request_limiter.py
+++ b/src/wasabicross/gateway/server_limits/request_limiter.py
@@ -6,14 +6,11 @@
 from collections.abc import Callable, Collection
 from typing import Protocol
 
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.server_limits.brittle_servers import BrittleServers
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
-from wasabicross.gateway.server_limits.known_limits import (
-    Incarnation,
-    KnownLimits,
-)
+from wasabicross.gateway.server_limits.known_limits import KnownLimits
 from wasabicross.gateway.server_limits.messages import LimitsStated
 from wasabicross.gateway.server_limits.stated import StatedLimits
 
--- a/src/wasabicross/gateway/server_limits/token_bucket.py
+++ b/src/wasabicross/gateway/server_limits/token_bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wasabicross.gateway.server_limits.known_limits import Incarnation
+from wasabicross.gateway.backend import Incarnation
 
 #: Most tokens that are kept beyond one, as the time in which they accrue; more
 #: would let a pause be followed by a burst.
--- a/src/wasabicross/gateway/server_notices.py
+++ b/src/wasabicross/gateway/server_notices.py
@@ -10,7 +10,7 @@
 import math
 from typing import NamedTuple, TypeVar
 
-from wasabicross.gateway.backend import BackendServer
+from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.server_limits.request_limiter import RequestLimiter
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -39,21 +39,14 @@
 NO_NOTICE = ServerNotice(is_leaving=False, pause_s=0)
 
 
-class _Incarnation(NamedTuple):
-    """One run of a server process; a restart under the same id is another."""
-
-    server_id: str
-    start_ms: int
-
-
 class ServerNotices:
     """Stores which servers are leaving or have asked for a pause."""
 
     def __init__(self) -> None:
-        self._leaving: dict[_Incarnation, None] = {}
+        self._leaving: dict[Incarnation, None] = {}
         #: Keeps requests within the limits that servers state.
         self.limiter = RequestLimiter()
-        self._paused_until_s: dict[_Incarnation, float] = {}
+        self._paused_until_s: dict[Incarnation, float] = {}
 
     def on_notice(
         self, server: BackendServer, notice: ServerNotice, now_s: float
@@ -64,7 +57,7 @@
         :param notice: what its answer states.
         :param now_s: the present time, monotonic seconds.
         """
-        incarnation = _incarnation_of(server)
+        incarnation = Incarnation.from_server(server)
         if notice.is_leaving and incarnation not in self._leaving:
             _store(self._leaving, incarnation, None)
             log_event(Event.SERVER_LEAVING, server=server.server_id)
@@ -76,14 +69,16 @@
 
         :param server: the server.
         """
-        return _incarnation_of(server) in self._leaving
+        return Incarnation.from_server(server) in self._leaving
 
     def paused_until_s(self, server: BackendServer) -> float:
         """Return when the pause of a server ends, monotonic seconds.
 
         :param server: the server.
         """
-        return self._paused_until_s.get(_incarnation_of(server), -math.inf)
+        return self._paused_until_s.get(
+            Incarnation.from_server(server), -math.inf
+        )
 
     def refuses_requests(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server takes no requests at present.
@@ -94,7 +89,7 @@
         return self.is_leaving(server) or now_s < self.paused_until_s(server)
 
     def _extend_pause(
-        self, incarnation: _Incarnation, pause_s: float, now_s: float
+        self, incarnation: Incarnation, pause_s: float, now_s: float
     ) -> None:
         until_s = now_s + min(pause_s, _MAX_PAUSE_S)
         current_s = self._paused_until_s.pop(incarnation, -math.inf)
@@ -107,13 +102,9 @@
             )
 
 
-def _incarnation_of(server: BackendServer) -> _Incarnation:
-    return _Incarnation(server.server_id, server.start_ms)
-
-
 def _store(
-    entries: dict[_Incarnation, _Value],
-    incarnation: _Incarnation,
+    entries: dict[Incarnation, _Value],
+    incarnation: Incarnation,
     value: _Value,
 ) -> None:
     """Store a value for an incarnation; evict the oldest if there are many."""
--- a/tests/test_gateway_limit_grants.py
+++ b/tests/test_gateway_limit_grants.py
@@ -14,10 +14,8 @@
 from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
-from wasabicross.gateway.server_limits.known_limits import (
-    Incarnation,
-    KnownLimits,
-)
+from wasabicross.gateway.backend import Incarnation
+from wasabicross.gateway.server_limits.known_limits import KnownLimits
 from wasabicross.gateway.server_limits.messages import LimitsStated
 from wasabicross.gateway.server_limits.owner_grants import OwnerGrants
 from wasabicross.gateway.server_limits.request_limiter import RequestLimiter
