Prove the ends of a server that has started again and isn't listed so yet

Change: a start that has reported at an address before the request was sent and again after its answer's end is that of the answer, whatever is listed, as an address belongs to one process at a time. Kept connections and reports prove by the same rule now (same_process).

--- a/src/wasabicross/gateway/answer_ends/end_decisions.py
+++ b/src/wasabicross/gateway/answer_ends/end_decisions.py
@@ -30,14 +30,14 @@
 
     :param start_ms: start that the process reported, Unix milliseconds, 0 for
         none.
-    :param connected_s: when the connection was made on which it answered,
-        monotonic seconds, infinite if it didn't or that doesn't matter.
+    :param since_s: time since which that process is known to have been at its
+        address, monotonic seconds, infinite if it isn't known.
     :param reason: why it gave no sign of life, empty if it did.
     :param is_final: whether asking again can't tell more.
     """
 
     start_ms: int = 0
-    connected_s: float = math.inf
+    since_s: float = math.inf
     reason: str = ''
     is_final: bool = False
 
@@ -85,15 +85,14 @@
 def proof_by(sign: LifeSign, origin: AnswerOrigin) -> EndProof:
     """Return what a sign of life proves of an answer that ended before it.
 
-    An address belongs to one process at a time. So a process that has answered
-    on a connection which it accepted before the request was sent is the one that
-    has answered the request.
+    An address belongs to one process at a time. So a process that was there
+    before the request was sent and after its answer ended has given that answer.
 
     :param sign: the sign of life.
     :param origin: where the answer is from.
     """
     if sign.start_ms and sign.start_ms == origin.server.start_ms:
         return EndProof.same_start
-    if sign.connected_s <= origin.sent_s:
-        return EndProof.older_connection
+    if sign.since_s <= origin.sent_s:
+        return EndProof.same_process
     return EndProof.none
--- a/src/wasabicross/gateway/answer_ends/end_proof.py
+++ b/src/wasabicross/gateway/answer_ends/end_proof.py
@@ -10,12 +10,11 @@
 
     `none`: nothing does, or there is no answer. `stated`: the answer states its
     length or comes in chunks. `same_start`: its connection ended, and the process
-    that sent it reported after that. `older_connection`: its connection ended,
-    and the process answered after that on a connection that it had accepted
-    before the request was sent.
+    that sent it reported after that. `same_process`: its connection ended, and
+    one process was at the address from before the request until after that.
     """
 
     none = 'none'
     stated = 'stated'
     same_start = 'same start'
-    older_connection = 'older connection'
+    same_process = 'same process'
--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -13,6 +13,7 @@
 )
 from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.answer_ends.probe_connections import ProbeConnections
+from wasabicross.gateway.answer_ends.seen_starts import SeenStarts
 from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
@@ -48,9 +49,11 @@
     """Asks servers whose answers ended with their connection.
 
     One question tells of all answers that ended before it. An engine names its
-    start in its report. Another server is asked on a connection that was there
-    before the request; one is made before each request to a service whose
-    answers may end with their connection, or of which none has come yet.
+    start in its report: the listed one, or one that had reported before the
+    request, since the list lags behind restarts. Another server is asked on a
+    connection that was there before the request; one is made before each request
+    to a service whose answers may end with their connection, or of which none has
+    come yet.
 
     :param view: the servers.
     :param pool: connections to them.
@@ -65,6 +68,7 @@
         self._connections = ProbeConnections(pool)
         #: Whether all answers of a service so far stated where they end.
         self._are_stated: dict[str, bool] = {}
+        self._starts = SeenStarts()
         self._questions: dict[Incarnation, _Question] = {}
 
     async def prepare(self, server: BackendServer) -> None:
@@ -168,7 +172,8 @@
             return LifeSign(reason=str(exc), is_final=exc.is_refused)
         except (ServerError, DocumentUnreadable) as exc:
             return LifeSign(reason=str(exc))
-        return LifeSign(start_ms=report.start_ms, is_final=True)
+        since_s = self._starts.seen_since_s(server, report.start_ms, now_s())
+        return LifeSign(report.start_ms, since_s, is_final=True)
 
     async def _ask_on_connection(self, server: BackendServer) -> LifeSign:
         conn = self._connections.take(server)
@@ -183,7 +188,7 @@
             return LifeSign(reason=str(exc), is_final=True)
         finally:
             self._connections.put_back(server, conn, now_s())
-        return LifeSign(connected_s=conn.connected_s, is_final=True)
+        return LifeSign(since_s=conn.connected_s, is_final=True)
 
     def _health_path(self, server: BackendServer) -> str:
         cfg = self._view.configuration
--- a/tests/test_gateway_answer_ends.py
+++ b/tests/test_gateway_answer_ends.py
@@ -35,7 +35,7 @@
     's1', 'llm', HOST, 1, 'dc', 8, False, {}, frozenset(), start_ms=7
 )
 ORIGIN = AnswerOrigin(SERVER, sent_s=100)
-PROOFS = (EndProof.same_start, EndProof.older_connection)
+PROOFS = (EndProof.same_start, EndProof.same_process)
 
 STATED = AnswerEnd(is_stated=True, is_empty=False)
 UNSTATED = AnswerEnd(is_stated=False, is_empty=False)
@@ -72,9 +72,12 @@
         (LifeSign(start_ms=7), 0, EndProof.none),
         # Neither states its start, so nothing is known of it.
         (LifeSign(start_ms=0), 0, EndProof.none),
-        (LifeSign(connected_s=99), 7, EndProof.older_connection),
-        (LifeSign(connected_s=100), 0, EndProof.older_connection),
-        (LifeSign(connected_s=100.001), 7, EndProof.none),
+        (LifeSign(since_s=99), 7, EndProof.same_process),
+        (LifeSign(since_s=100), 0, EndProof.same_process),
+        (LifeSign(since_s=100.001), 7, EndProof.none),
+        # The list lags behind its restart.
+        (LifeSign(start_ms=8, since_s=99), 7, EndProof.same_process),
+        (LifeSign(start_ms=8, since_s=101), 7, EndProof.none),
         (LifeSign(reason='no answer'), 7, EndProof.none),
     ],
 )
@@ -156,6 +159,36 @@
     assert asyncio.run(scenario()) == (proof, asked)
 
 
+def test_a_start_that_is_not_listed_yet_proves_its_later_answers():
+    """All answers of a server that has started again would be broken off."""
+
+    async def scenario():
+        checks, _ = checks_with(Engines(8))
+        proofs = []
+        for _ in range(3):
+            origin = AnswerOrigin(SERVER, now_s())
+            proofs.append(await checks.prove_end(origin, now_s()))
+        return proofs
+
+    assert asyncio.run(scenario()) == [
+        EndProof.none,
+        EndProof.same_process,
+        EndProof.same_process,
+    ]
+
+
+def test_a_start_that_reports_again_after_another_one_proves_nothing_before():
+    async def scenario():
+        checks, _ = checks_with(Engines(8, 9, 8))
+        sent_s = now_s()
+        for _ in range(2):
+            await checks.prove_end(AnswerOrigin(SERVER, sent_s), now_s())
+        origin = AnswerOrigin(SERVER, now_s())
+        return await checks.prove_end(origin, now_s())
+
+    assert asyncio.run(scenario()) is EndProof.none
+
+
 def test_a_silent_engine_is_not_asked_for_ever():
     async def scenario():
         checks, _ = checks_with(Engines(SILENT))
@@ -268,7 +301,7 @@
 @pytest.mark.parametrize('sign', SIGNS)
 def test_any_answer_on_an_older_connection_proves_an_end(sign):
     proof, (seen,) = ask_plain([SIGNS[sign]])
-    assert proof is EndProof.older_connection
+    assert proof is EndProof.same_process
     # A question that names another server waits for no slot and runs nothing.
     assert seen.head.startswith(b'GET /h ')
     assert seen.fields['expect-instance'] != PLAIN.server_id
