Play streams whose second gateway is killed, stopped or broken off

Played with a scripted second gateway (chunks, a length, neither; cut between and inside chunks, in the last chunk, in the head; closed and reset) and with one that runs as a process and gets SIGKILL or SIGTERM, for callers with HTTP/1.1 and 1.0.

--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -1,6 +1,7 @@
 """Run a gateway as a process, so that a test can end it by a signal.
 
-Its argument is the port of its server; it prints the port of its callers.
+Its arguments are the port of its server, its host and its port for requests that
+other gateways forward; it prints the port of its callers.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from wasabicross.gateway.changes import ConfigurationUpdate
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.gateway.settings import Address
 from wasabicross.platform.headers import REQUEST_ID
 
 GRACE_S = 1.0
@@ -33,10 +35,16 @@
 )
 
 
-async def run(server_port):
+async def run(server_port, host, forwarding_port):
     """Run the gateway until it stops."""
     callers, ready, peers = free_ports(3)
-    settings = settings_at(callers, ready, peers)._replace(grace_s=GRACE_S)
+    settings = settings_at(callers, ready, peers)._replace(
+        host=host,
+        callers=Address(host, callers),
+        ready=Address(host, ready),
+        forwarding_port=forwarding_port,
+        grace_s=GRACE_S,
+    )
     changes = [
         ConfigurationUpdate(LONG),
         server_entry('i-0', 'llm', server_port),
@@ -50,4 +58,4 @@
 
 
 if __name__ == '__main__':
-    asyncio.run(run(int(sys.argv[1])))
+    asyncio.run(run(int(sys.argv[1]), sys.argv[2], int(sys.argv[3])))
