Find events that came before by the number at the end of their ids

A server that takes a stream up from an event before the one it was asked for is found out if its ids are numbers. With ids like run-8 the events came twice, and the answer ended as complete. Class: a check that holds for one form of what it checks, and passes all others. Evidence: 4 rows of test_events_that_came_before_do_not_come_again failed before ('run-8', '1700-8'). Change: ids that differ in the whole number at their end alone are in its order.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -4,6 +4,7 @@
 
 import itertools
 import re
+import string
 
 from wasabicross.gateway.errors import AnswerBroken
 
@@ -38,6 +39,10 @@
 #: Longest event id that a stream may go on after.
 _MAX_ID_CHARS = 256
 
+#: What comes before the last part of a number, or of one below zero.
+_POINTS = ('.', ',')
+_MINUS = '-'
+
 #: Type of the body of an event stream.
 EVENT_STREAM_TYPE = 'text/event-stream'
 
@@ -133,14 +138,12 @@
     def _check_follows(self, event_id: str) -> None:
         """Check that the first event of a server comes after the last one."""
         last = self.last_event_id
-        are_numbers = event_id.isdecimal() and last.isdecimal()
         if max(len(event_id), len(last)) > _MAX_ID_CHARS:
             raise AnswerBroken(f'event id of over {_MAX_ID_CHARS} characters')
-        if are_numbers and int(event_id) > int(last):
-            return
-        if not are_numbers and event_id not in {'', last}:
-            return
-        raise AnswerBroken(f'event {event_id!r} does not follow on {last!r}')
+        if not _is_after(event_id, last):
+            raise AnswerBroken(
+                f'event {event_id!r} does not follow on {last!r}'
+            )
 
     def _record_id(self, complete: bytes) -> None:
         for line in reversed(complete.splitlines()):
@@ -203,6 +206,26 @@
     return ids[-1] if ids else ''
 
 
+def _is_after(event_id: str, last: str) -> bool:
+    """Return whether an event may follow on the last one by their ids.
+
+    Ids that differ in a number at their end alone are in its order. Of others only
+    equality is known.
+    """
+    prefix, number = _split_number(event_id)
+    last_prefix, last_number = _split_number(last)
+    is_whole = prefix != _MINUS and not prefix.endswith(_POINTS)
+    if is_whole and prefix == last_prefix and number and last_number:
+        return int(number) > int(last_number)
+    return event_id not in {'', last}
+
+
+def _split_number(event_id: str) -> tuple[str, str]:
+    """Return an id without the number at its end, and that number."""
+    prefix = event_id.rstrip(string.digits)
+    return prefix, event_id[len(prefix) :]
+
+
 def _is_empty(line: bytes) -> bool:
     return not line
 
--- a/tests/test_gateway_event_formats.py
+++ b/tests/test_gateway_event_formats.py
@@ -268,3 +268,71 @@
     received = asyncio.run(scenario())
     assert body_of(received) == events(1, 3)
     assert received.endswith(STREAM_END)
+
+
+#: Ids of the events of a stream, in order.
+ID_SERIES = {
+    'numbers from 0': '0 1 2 3',
+    'numbers from 100': '100 101 102 103',
+    'numbers that jump': '5 17 18 4000',
+    'numbers with zeros': '007 008 009 010',
+    'numbers with a prefix': 'run-8 run-9 run-10 run-11',
+    'of two numbers': '1700-8 1700-9 1700-10 1701-0',
+    'in base 16': '9 a f 10',
+    'in base 16 after a letter': '1a8 1a9 1aa 1b0',
+    'fractions': '1.25 1.3 1.31 1.4',
+    'below zero': '-3 -2 -1 0',
+    'of words': 'first second third fourth',
+}
+
+
+def numbered(ids):
+    """Return events with these ids."""
+    return b''.join(f'id: {each}\ndata: {each}\n\n'.encode() for each in ids)
+
+
+class SeriesServer(SharedScriptsServer):
+    """Write a stream whose events have the ids of a series.
+
+    :param breaks: number of events after which its first run breaks off.
+    :param begins: number of events that its second run leaves out.
+    """
+
+    def __init__(self, ids, breaks, begins):
+        first = [STREAM_HEAD, chunk(numbered(ids[:breaks])), 'close']
+        second = [STREAM_HEAD, chunk(numbered(ids[begins:])), STREAM_END]
+        super().__init__([first, second, second])
+
+
+def run_series(ids, breaks, begins):
+    """Return the answer of two servers, one of which breaks off."""
+
+    async def scenario():
+        server = SeriesServer(ids, breaks, begins)
+        other = SharedScriptsServer(server._scripts)
+        async with running_gateway([server, other], service='llm') as bench:
+            sent = request('/stream-resumable/x', b'x', Model=MODEL)
+            return await ask(bench.port, sent)
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('breaks', [1, 2, 3])
+@pytest.mark.parametrize('series', ID_SERIES.values(), ids=ID_SERIES)
+def test_a_stream_goes_on_whatever_its_ids_are(series, breaks):
+    received = run_series(series.split(), breaks, breaks)
+    assert body_of(received) == numbered(series.split())
+    assert received.endswith(STREAM_END)
+
+
+@pytest.mark.parametrize('breaks', [2, 3])
+@pytest.mark.parametrize(
+    'series',
+    [each for name, each in ID_SERIES.items() if 'number' in name],
+)
+def test_events_that_came_before_do_not_come_again(series, breaks):
+    """The second server begins at the event before the last one."""
+    ids = series.split()
+    received = run_series(ids, breaks, breaks - 2)
+    assert body_of(received) == numbered(ids[:breaks])
+    assert not received.endswith(STREAM_END)
