--- /dev/null
+++ b/src/wasabicross/gateway/answer_ends/end_proof.py
@@ -0,0 +1,21 @@
+"""What shows that an answer has ended where its server wanted it to."""
+
+from __future__ import annotations
+
+import enum
+
+
+class EndProof(enum.Enum):
+    """What shows that an answer is complete.
+
+    `none`: nothing does, or there is no answer. `stated`: the answer states its
+    length or comes in chunks. `same_start`: its connection ended, and the process
+    that sent it reported after that. `older_connection`: its connection ended,
+    and the process answered after that on a connection that it had accepted
+    before the request was sent.
+    """
+
+    none = 'none'
+    stated = 'stated'
+    same_start = 'same start'
+    older_connection = 'older connection'
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
 
@@ -44,6 +45,8 @@
         self.limits: StatedLimits | None = NO_LIMITS
         #: Longest pause between two parts of a stream, seconds.
         self.longest_pause_s: float = 0
+        #: What shows that the answer is complete.
+        self.end_proof = EndProof.none
 
 
 class RequestProgress:
@@ -55,10 +58,11 @@
 
     def __init__(self, last_event_id: str) -> None:
         self.sends = 0
-        #: Number of servers that ran the request or may have.
+        #: Number of servers that ran the request or may have. One that states
+        #: that it hasn't run the request speaks for itself only.
         self.runs = 0
-        #: Whether a server may have run the request or may still run it.
-        self.may_run = False
+        #: Whether another gateway has the request.
+        self.is_at_peer = False
         self.has_succeeded = False
         #: Number of servers that have ended, perhaps because of the request.
         self.crashes = 0
@@ -77,6 +81,11 @@
         #: Software version at which the stream goes on, None before its start.
         self.software_version: str | None = None
 
+    @property
+    def may_run(self) -> bool:
+        """Return whether a server may have run the request or may still run it."""
+        return self.runs > 0 or self.is_at_peer
+
     def check_version(self, software_version: str) -> None:
         """Check that a server may go on with the stream.
 
