--- a/tests/test_gateway_limit_grants.py
+++ b/tests/test_gateway_limit_grants.py
@@ -9,12 +9,12 @@
 from scripted_server import HOST
 
 from emulator.waiting import free_ports
+from wasabicross.gateway.backend import Incarnation
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.owners.owner_link import OwnerLink
 from wasabicross.gateway.owners.owner_server import OwnerServer
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
-from wasabicross.gateway.backend import Incarnation
 from wasabicross.gateway.server_limits.known_limits import KnownLimits
 from wasabicross.gateway.server_limits.messages import LimitsStated
 from wasabicross.gateway.server_limits.owner_grants import OwnerGrants
