Pass a gateway's refusal on only if it says that the request hasn't run

What callers saw: 408, 421, 429 or 503 for a request that runs once and that a server had run, where a gateway that reaches no server had it served by one of an earlier version.

Cause: an earlier gateway passes a server's status on as it is, and this one told it from that gateway's own refusal by the server's mark only.

Class: a word that means less at its source than at its receiver, passed on unchanged.

No run of a real earlier gateway was made.

Change: a gateway's refusal of a forwarded request carries `x-wasabicross-not-run`, and one of the four statuses without it is 502 for a request that runs once. So a refusal by a gateway of an earlier version becomes 502 too while machines are replaced, for requests that run once at machines that reach no server.

--- a/src/wasabicross/gateway/answer_decisions.py
+++ b/src/wasabicross/gateway/answer_decisions.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from wasabicross.gateway.connections.http_heads import field
 from wasabicross.gateway.connections.server_connections import AnswerHead
 from wasabicross.gateway.dialect import AnswerKind, Dialect
 
+#: Field of a gateway's answer to a forwarded request which states that the request
+#: hasn't run and never will; it tells why.
+NOT_RUN = b'x-wasabicross-not-run'
+
 #: Kinds of answers whose status tells the caller that its request hasn't run,
 #: though the server hasn't said so.
 _MISLEADING = frozenset((AnswerKind.unconfirmed,))
@@ -26,15 +31,15 @@
 def misleads_through_gateway(
     dialect: Dialect, head: AnswerHead, *, is_idempotent: bool
 ) -> bool:
-    """Return the same for an answer that another gateway has passed on.
+    """Return the same for an answer that another gateway has given.
 
-    A gateway's own refusal is true; an earlier version of the gateway passes
-    refusals of servers on, which have the mark of their server.
+    An earlier version of the gateway passes refusals of servers on as they are,
+    so only one that says so is known to be that gateway's own.
 
     :param dialect: conventions for answers.
     :param head: head of the answer.
     :param is_idempotent: whether the request may be repeated.
     """
-    if not dialect.is_marked(head):
+    if is_idempotent or field(head.fields, NOT_RUN):
         return False
-    return misleads_caller(dialect.classify(head), is_idempotent=is_idempotent)
+    return dialect.is_promise(head)
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -105,8 +105,8 @@
     def classify(self, head: AnswerHead) -> AnswerKind:
         """Return what a server's answer means for the request."""
 
-    def is_marked(self, head: AnswerHead) -> bool:
-        """Return whether an answer has the mark of a server."""
+    def is_promise(self, head: AnswerHead) -> bool:
+        """Return whether an answer tells its caller that nothing has run."""
 
     def notice(self, head: AnswerHead) -> ServerNotice:
         """Return whether the server of an answer accepts further requests."""
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -5,6 +5,7 @@
 import enum
 from collections.abc import Callable
 
+from wasabicross.gateway.answer_decisions import NOT_RUN
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
@@ -127,8 +128,9 @@
         if not head.is_framed:
             raise AnswerBroken('no length and no chunks')
         if self._is_misleading(head):
-            raise AnswerBroken(f'status {head.status} of a server, unconfirmed')
-        await self._answer.start(head.status, head.fields)
+            raise AnswerBroken(f'status {head.status}, unconfirmed')
+        fields = [pair for pair in head.fields if pair[0] != NOT_RUN]
+        await self._answer.start(head.status, fields)
         async for chunk in conn.read_chunks():
             await self._answer.send_chunk(chunk)
         await self._answer.end()
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway import metrics
+from wasabicross.gateway.answer_decisions import NOT_RUN
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
@@ -452,8 +453,9 @@
         fields = self._deps.servers.dialect.refusal_fields(
             self._info.request_id, retry_after_s
         )
-        if self._is_forwarded and reason in DECLINING_REASONS:
-            if not self._progress.may_run:
+        if self._is_forwarded and status == _UNAVAILABLE:
+            fields.append((NOT_RUN, reason.encode()))
+            if reason in DECLINING_REASONS:
                 fields.append((NOT_TAKEN, reason.encode()))
         await self._answer.send_complete(status, fields)
 
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -163,16 +163,16 @@
             return AnswerKind.unconfirmed
         if head.status >= _FIRST_SERVER_ERROR:
             return AnswerKind.failed
-        if head.status in _SUCCESSES and not self.is_marked(head):
+        if head.status in _SUCCESSES and not field(head.fields, _SERVER_STAMP):
             return AnswerKind.unmarked
         return AnswerKind.answered
 
-    def is_marked(self, head: AnswerHead) -> bool:
-        """Return whether an answer has the mark of a server.
+    def is_promise(self, head: AnswerHead) -> bool:
+        """Return whether an answer tells its caller that nothing has run.
 
         :param head: head of the answer.
         """
-        return bool(field(head.fields, _SERVER_STAMP))
+        return head.status in _PROMISES
 
     def notice(self, head: AnswerHead) -> ServerNotice:
         """Return what an answer says about further requests to its server.
--- a/tests/test_gateway_refusal_proofs.py
+++ b/tests/test_gateway_refusal_proofs.py
@@ -11,8 +11,10 @@
     CONFIGURATION,
     OK,
     SharedScriptsServer,
+    gateway_at,
     run_request,
     running_gateway,
+    settings_at,
 )
 from raw_caller import ask, request, status_of
 from scripted_server import (
@@ -24,11 +26,19 @@
     ScriptedServer,
     answer,
 )
-from test_gateway_peer_forwarding import run_site
+from test_gateway_peer_forwarding import (
+    CLOSED_PORT,
+    PEERS,
+    UnhealthyEngines,
+    contents,
+    run_site,
+)
 from test_gateway_takeover import SAFE, attempts, first_server_is_silent
 
+from emulator.waiting import free_ports
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.platform.headers import REQUEST_ID
 
 #: Statuses that callers take for such a promise.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -257,6 +267,61 @@
     assert status_of(received) == 504
 
 
+@pytest.mark.parametrize('mark', [b'', b'Server-Stamp: s1\r\n'])
+@pytest.mark.parametrize('status', sorted(PROMISES))
+def test_an_earlier_gateway_has_no_proof_of_what_it_passes_on(status, mark):
+    """It may have it from a server that has run the request."""
+    passed_on = gateway_answer(status, mark)
+    assert status_of(ask_through(passed_on, UNSAFE)) == 502
+
+
+@pytest.mark.parametrize('status', sorted(PROMISES))
+def test_callers_that_may_repeat_get_what_an_earlier_gateway_passes_on(status):
+    assert status_of(ask_through(gateway_answer(status), SAFE)) == status
+
+
+def test_a_gateways_own_refusal_is_passed_on_without_its_proof():
+    proved = gateway_answer(
+        503, b'Retry-After: 0.25\r\nX-Wasabicross-Not-Run: no server\r\n'
+    )
+    received = ask_through(proved, UNSAFE)
+    assert status_of(received) == 503
+    assert b'retry-after: 0.25' in received.lower()
+    assert b'not-run' not in received.lower()
+
+
+def gateway_answer(status, fields=b''):
+    """Return an answer of a gateway to a forwarded request."""
+    return (
+        b'HTTP/1.1 %d No\r\nRequest-Id: {id}\r\n' % status
+        + fields
+        + b'Content-Length: 0\r\n\r\n'
+    )
+
+
+def ask_through(passed_on, sent):
+    """Ask a gateway that reaches no server, beside one that answers so."""
+
+    async def scenario():
+        peer = ScriptedServer([passed_on])
+        callers, ready, peer_port, forwarding = free_ports(4)
+        listener = await asyncio.start_server(peer._serve, PEERS[0], forwarding)
+        settings = settings_at(callers, ready, peer_port)._replace(
+            instance='front-0', forwarding_port=forwarding
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        store = contents([CLOSED_PORT], (HOST, PEERS[0]))
+        async with gateway_at(settings, store, pool, UnhealthyEngines()):
+            received = await ask(callers, sent)
+        pool.drop_idle(PEERS[0], forwarding)
+        listener.close()
+        return received, peer
+
+    received, peer = asyncio.run(scenario())
+    assert len(peer.seen) == 1
+    return received
+
+
 @pytest.mark.parametrize(
     ('first', 'other', 'is_proved'),
     [
