Move the gateway's own answers out of request_handler

`own_answers` holds the answers that the gateway gives where no server's answer reaches the caller: 404, 422, 502, 503, 504 and the cut.

--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -6,10 +6,9 @@
 import functools
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
-from typing import NamedTuple, NoReturn
+from typing import NamedTuple
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_decisions import NOT_RUN
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
@@ -22,17 +21,10 @@
 from wasabicross.gateway.crashes.crash_evidence import SEPARATE_S
 from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
-from wasabicross.gateway.errors import (
-    AnswerCut,
-    AnswerCutAtStop,
-    CallerGone,
-)
-from wasabicross.gateway.peer_forwarding.peer_attempt import (
-    NOT_TAKEN,
-    PeerEnding,
-)
+from wasabicross.gateway.errors import AnswerCut, CallerGone
+from wasabicross.gateway.own_answers import STOPS, OwnAnswers
+from wasabicross.gateway.peer_forwarding.peer_attempt import PeerEnding
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
-    DECLINING_REASONS,
     OLDER_CONFIGURATION,
     ForwardableRequest,
     PeerForwarder,
@@ -41,8 +33,6 @@
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH, NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.request_placement import (
-    CRASHES,
-    FIXED_TIME_REASONS,
     MAX_SENDS,
     RequestPlacement,
     RoutedRequest,
@@ -63,17 +53,6 @@
 from wasabicross.runtime.logs import log_event
 from wasabicross.servers.retries import RetryBudget
 
-_CUT_STATUS = 0
-_NOT_FOUND = 404
-#: Tells the caller not to repeat the request as it is.
-_UNPROCESSABLE = 422
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
-
-#: Why a request is ended where this gateway stops. Other gateways may serve its
-#: caller at once.
-_STOPS = NoServer('stopping', retry_after_s=0.1)
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 #: Pause before a retry, where there is one. A server couldn't run the request now,
@@ -131,7 +110,18 @@
         self._progress = RequestProgress(self._info.last_event_id)
         self._stream: StreamRequest | None = None
         self._record = RequestRecord(self._info, self._progress, req.arrived_s)
-        self._caller_max_wait_s: float = self._info.time_left_s or 0
+        self._own_answers = OwnAnswers(
+            dependencies.servers.dialect,
+            dependencies.retry_delays_for,
+            answer,
+            self._progress,
+            self._record,
+            self._info.request_id,
+            is_forwarded=self._is_forwarded,
+        )
+        self._own_answers.awaited_until_s = req.arrived_s + (
+            self._info.time_left_s or 0
+        )
         self._time_limit = EndableTimeLimit()
         self._deadline_at_s: float = 0
         self._may_send_first = True
@@ -149,7 +139,7 @@
 
     async def refuse_at_stop(self) -> None:
         """Refuse the request without trying any server."""
-        await self._refuse(_STOPS.reason, _STOPS.retry_after_s)
+        await self._own_answers.refuse(STOPS.reason, STOPS.retry_after_s)
 
     def end_unless_sent(self) -> None:
         """Refuse the request if no server may have run it, now or later."""
@@ -165,19 +155,19 @@
     async def _serve(self) -> None:
         cfg = self._deps.servers.view.configuration
         if cfg is None:
-            await self._refuse(
+            await self._own_answers.refuse(
                 'no configuration', _NO_CONFIGURATION_RETRY_AFTER_S
             )
             return
         self._record.configuration_version = cfg.version
         if cfg.version < self._least_configuration:
-            await self._refuse(
+            await self._own_answers.refuse(
                 OLDER_CONFIGURATION, _NO_CONFIGURATION_RETRY_AFTER_S
             )
             return
         route = cfg.route_for(self._req.host, self._req.path)
         if route is None:
-            await self._send_own_answer(_NOT_FOUND, 'no route', None)
+            await self._own_answers.tell_no_route()
             return
         deadline_s = self._deadline_s(route)
         try:
@@ -188,11 +178,12 @@
             await self._end_on_timeout()
 
     def _deadline_s(self, route: Route) -> float:
-        if self._info.time_left_s is None:
-            self._caller_max_wait_s = route.timeout_s
-        return self._req.arrived_s + min(
-            route.timeout_s, self._caller_max_wait_s
-        )
+        max_wait_s = self._info.time_left_s
+        if max_wait_s is None:
+            max_wait_s = route.timeout_s
+        arrived_s = self._req.arrived_s
+        self._own_answers.awaited_until_s = arrived_s + max_wait_s
+        return arrived_s + min(route.timeout_s, max_wait_s)
 
     async def _run(self, route: Route, deadline_s: float) -> None:
         service = service_of(route, self._info)
@@ -234,13 +225,13 @@
                 return True
         if self._may_retry(route, ending, budget):
             return False
-        await self._end_without_answer(ending.value)
+        await self._own_answers.end(ending.value)
         return True
 
     async def _end_without_server(self, route: Route, cause: NoServer) -> None:
         """Have another gateway serve the request, or end it."""
         if not await self._is_ended_elsewhere(route, cause.reason):
-            await self._end_without_answer(cause.reason, cause.retry_after_s)
+            await self._own_answers.end(cause.reason, cause.retry_after_s)
 
     async def _is_ended_elsewhere(self, route: Route, reason: str) -> bool:
         """Return whether the caller has its answer by another gateway.
@@ -274,7 +265,7 @@
         if ending is PeerEnding.answered:
             self._record.outcome = 'forwarded'
         else:
-            await self._end_without_answer('no answer of a gateway')
+            await self._own_answers.end('no answer of a gateway')
         return True
 
     def _is_unreached(self, reason: str) -> bool:
@@ -290,7 +281,7 @@
     ) -> Placement | NoServer:
         if self._may_send_first or self._progress.may_run:
             return await placements.next()
-        return _STOPS
+        return STOPS
 
     def _may_retry(
         self, route: Route, ending: Ending, budget: RetryBudget
@@ -390,14 +381,9 @@
 
     async def _end_on_timeout(self) -> None:
         if self._time_limit.was_ended:
-            await self._end_without_answer(_STOPS.reason, _STOPS.retry_after_s)
-            return
-        if self._answer.has_started:
-            self._abort_answer('timeout')
-        if self._progress.may_run:
-            await self._send_own_answer(_GATEWAY_TIMEOUT, 'timeout', None)
+            await self._own_answers.end(STOPS.reason, STOPS.retry_after_s)
         else:
-            await self._refuse_with_retry_time('timeout before a server')
+            await self._own_answers.end_on_timeout()
 
     async def _end_on_error(self, exc: Exception) -> None:
         """End a request after an error that nothing below has handled."""
@@ -408,56 +394,7 @@
         )
         if self._answer.has_started:
             raise exc
-        await self._end_without_answer('error')
-
-    async def _end_without_answer(
-        self, reason: str, pause_s: float = 0
-    ) -> None:
-        if self._answer.has_started:
-            self._abort_answer(reason)
-        if self._progress.may_run:
-            await self._send_own_answer(_BAD_GATEWAY, reason, None)
-        elif reason == CRASHES.reason:
-            await self._send_own_answer(_UNPROCESSABLE, reason, None)
-        elif reason in FIXED_TIME_REASONS or reason == _STOPS.reason:
-            await self._refuse(reason, pause_s)
-        else:
-            await self._refuse_with_retry_time(reason, pause_s)
-
-    async def _refuse_with_retry_time(
-        self, reason: str, pause_s: float = 0
-    ) -> None:
-        """Refuse a request that its service can't take at present.
-
-        :param pause_s: how long the service will take no request, seconds.
-        """
-        at_s = now_s()
-        retry_delays = self._deps.retry_delays_for(self._record.labels[0])
-        remaining_s = self._req.arrived_s + self._caller_max_wait_s - at_s
-        retry_after_s = retry_delays.on_refused(remaining_s, at_s, pause_s)
-        await self._refuse(reason, retry_after_s)
-
-    def _abort_answer(self, reason: str) -> NoReturn:
-        """End the caller's connection, which marks its answer as incomplete."""
-        self._record.on_own_answer(_CUT_STATUS, f'cut: {reason}', now_s())
-        error = AnswerCutAtStop if reason == _STOPS.reason else AnswerCut
-        raise error(f'{reason}: {self._progress.reason}')
-
-    async def _refuse(self, reason: str, retry_after_s: float) -> None:
-        await self._send_own_answer(_UNAVAILABLE, reason, retry_after_s)
-
-    async def _send_own_answer(
-        self, status: int, reason: str, retry_after_s: float | None
-    ) -> None:
-        self._record.on_own_answer(status, reason, now_s())
-        fields = self._deps.servers.dialect.refusal_fields(
-            self._info.request_id, retry_after_s
-        )
-        if self._is_forwarded and status == _UNAVAILABLE:
-            fields.append((NOT_RUN, reason.encode()))
-            if reason in DECLINING_REASONS:
-                fields.append((NOT_TAKEN, reason.encode()))
-        await self._answer.send_complete(status, fields)
+        await self._own_answers.end('error')
 
     def _record_end(self) -> None:
         self._answer.trace = self._record.trace()
