Refuse a request only with a proof that it hasn't run

A 503 of the gateway's own was right as long as each place that sent one had looked at `may_run` before. Now it can't be sent without a `NotRunProof`, which can't be made while a server or another gateway has the request; mypy refuses a call without one. The event `request_refused` tells the proof's ground in `proof`, so a log shows for each refusal on what it was founded.

Callers see nothing else.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -71,3 +71,7 @@
 
 class AnswerUnwritable(GatewayError):
     """The answer isn't valid HTTP, so it can't be sent."""
+
+
+class MayHaveRun(GatewayError):
+    """The request may have run, so its caller can't be told that it hasn't."""
--- a/src/wasabicross/gateway/own_answers.py
+++ b/src/wasabicross/gateway/own_answers.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NoReturn
+from typing import NamedTuple, NoReturn
 
 from wasabicross.gateway.answer_decisions import NOT_RUN
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.dialect import Dialect
 from wasabicross.gateway.errors import AnswerCut, AnswerCutAtStop
+from wasabicross.gateway.not_run_proof import NotRunProof, prove_not_run
 from wasabicross.gateway.peer_forwarding.peer_attempt import NOT_TAKEN
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
     DECLINING_REASONS,
@@ -33,6 +34,16 @@
 STOPS = NoServer('stopping', retry_after_s=0.1)
 
 
+class _Refusal(NamedTuple):
+    """What a refusal says beside its status.
+
+    :param retry_after_s: seconds after which the caller may retry.
+    """
+
+    proof: NotRunProof
+    retry_after_s: float
+
+
 class OwnAnswers:
     """Ends one request with an answer of the gateway's own.
 
@@ -68,15 +79,19 @@
 
     async def tell_no_route(self) -> None:
         """Tell that no route matches the request."""
-        await self._send(_NOT_FOUND, 'no route', None)
+        await self._send(_NOT_FOUND, 'no route')
 
-    async def refuse(self, reason: str, retry_after_s: float) -> None:
-        """Refuse the request.
+    async def refuse(
+        self, proof: NotRunProof, reason: str, retry_after_s: float
+    ) -> None:
+        """Refuse the request, which promises that it hasn't run and never will.
 
-        :param reason: why.
+        :param proof: shows that.
+        :param reason: why it is refused.
         :param retry_after_s: seconds after which the caller may retry.
         """
-        await self._send(_UNAVAILABLE, reason, retry_after_s)
+        refusal = _Refusal(proof, retry_after_s)
+        await self._send(_UNAVAILABLE, reason, refusal)
 
     async def end(self, reason: str, pause_s: float = 0) -> None:
         """End the request as far as its caller may know what became of it.
@@ -87,14 +102,15 @@
         """
         if self._answer.has_started:
             self._abort(reason)
-        if self._progress.may_run:
-            await self._send(_BAD_GATEWAY, reason, None)
+        proof = prove_not_run(self._progress)
+        if proof is None:
+            await self._send(_BAD_GATEWAY, reason)
         elif reason == CRASHES.reason:
-            await self._send(_UNPROCESSABLE, reason, None)
+            await self._send(_UNPROCESSABLE, reason)
         elif reason in FIXED_TIME_REASONS or reason == STOPS.reason:
-            await self.refuse(reason, pause_s)
+            await self.refuse(proof, reason, pause_s)
         else:
-            await self._refuse_with_retry_time(reason, pause_s)
+            await self._refuse_with_retry_time(proof, reason, pause_s)
 
     async def end_on_timeout(self) -> None:
         """End the request, as its time is over.
@@ -103,13 +119,14 @@
         """
         if self._answer.has_started:
             self._abort('timeout')
-        if self._progress.may_run:
-            await self._send(_GATEWAY_TIMEOUT, 'timeout', None)
+        proof = prove_not_run(self._progress)
+        if proof is None:
+            await self._send(_GATEWAY_TIMEOUT, 'timeout')
         else:
-            await self._refuse_with_retry_time('timeout before a server')
+            await self._refuse_with_retry_time(proof, 'timeout before a server')
 
     async def _refuse_with_retry_time(
-        self, reason: str, pause_s: float = 0
+        self, proof: NotRunProof, reason: str, pause_s: float = 0
     ) -> None:
         """Refuse a request that its service can't take at present."""
         at_s = now_s()
@@ -117,7 +134,7 @@
         retry_after_s = retry_delays.on_refused(
             self.awaited_until_s - at_s, at_s, pause_s
         )
-        await self.refuse(reason, retry_after_s)
+        await self.refuse(proof, reason, retry_after_s)
 
     def _abort(self, reason: str) -> NoReturn:
         """End the caller's connection, which marks its answer as incomplete."""
@@ -126,11 +143,14 @@
         raise error(f'{reason}: {self._progress.reason}')
 
     async def _send(
-        self, status: int, reason: str, retry_after_s: float | None
+        self, status: int, reason: str, refusal: _Refusal | None = None
     ) -> None:
-        self._record.on_own_answer(status, reason, now_s())
-        fields = self._dialect.refusal_fields(self._request_id, retry_after_s)
-        if self._is_forwarded and status == _UNAVAILABLE:
+        fields = self._dialect.refusal_fields(
+            self._request_id, refusal and refusal.retry_after_s
+        )
+        ground = refusal.proof.ground.value if refusal else ''
+        self._record.on_own_answer(status, reason, now_s(), ground)
+        if self._is_forwarded and refusal:
             fields.append((NOT_RUN, reason.encode()))
             if reason in DECLINING_REASONS:
                 fields.append((NOT_TAKEN, reason.encode()))
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -58,8 +58,9 @@
         #: Number of servers that ran the request or may have. One that states
         #: that it hasn't run the request speaks for itself only.
         self.runs = 0
-        #: Whether another gateway has the request.
+        #: Whether another gateway has the request, and whether one had it.
         self.is_at_peer = False
+        self.was_at_peer = False
         self.has_succeeded = False
         #: Number of servers that have ended, perhaps because of the request.
         self.crashes = 0
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -22,6 +22,7 @@
 from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import AnswerCut, CallerGone
+from wasabicross.gateway.not_run_proof import NotRunProof
 from wasabicross.gateway.own_answers import STOPS, OwnAnswers
 from wasabicross.gateway.peer_forwarding.peer_attempt import PeerEnding
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
@@ -139,7 +140,7 @@
 
     async def refuse_at_stop(self) -> None:
         """Refuse the request without trying any server."""
-        await self._own_answers.refuse(STOPS.reason, STOPS.retry_after_s)
+        await self._refuse_unsent(STOPS.reason, STOPS.retry_after_s)
 
     def end_unless_sent(self) -> None:
         """Refuse the request if no server may have run it, now or later."""
@@ -155,13 +156,13 @@
     async def _serve(self) -> None:
         cfg = self._deps.servers.view.configuration
         if cfg is None:
-            await self._own_answers.refuse(
+            await self._refuse_unsent(
                 'no configuration', _NO_CONFIGURATION_RETRY_AFTER_S
             )
             return
         self._record.configuration_version = cfg.version
         if cfg.version < self._least_configuration:
-            await self._own_answers.refuse(
+            await self._refuse_unsent(
                 OLDER_CONFIGURATION, _NO_CONFIGURATION_RETRY_AFTER_S
             )
             return
@@ -177,6 +178,10 @@
         except TimeoutError:
             await self._end_on_timeout()
 
+    async def _refuse_unsent(self, reason: str, retry_after_s: float) -> None:
+        proof = NotRunProof(self._progress)
+        await self._own_answers.refuse(proof, reason, retry_after_s)
+
     def _deadline_s(self, route: Route) -> float:
         max_wait_s = self._info.time_left_s
         if max_wait_s is None:
@@ -247,7 +252,7 @@
             return False
         if progress.may_run or self._answer.has_started:
             return False
-        progress.is_at_peer = True
+        progress.is_at_peer = progress.was_at_peer = True
         ending = await self._deps.forwarder.forward(
             ForwardableRequest(
                 self._req,
--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -60,12 +60,16 @@
                 started_s - self._arrived_s
             )
 
-    def on_own_answer(self, status: int, reason: str, now_s: float) -> None:
+    def on_own_answer(
+        self, status: int, reason: str, now_s: float, ground: str = ''
+    ) -> None:
         """Record that the gateway itself ends the request.
 
         :param status: status of its answer, 0 if the answer is cut off.
         :param reason: why it ends the request.
         :param now_s: the present time, monotonic seconds.
+        :param ground: how it is known that the request hasn't run, empty where
+            its answer doesn't promise that.
         """
         self.outcome = 'refused' if status == _UNAVAILABLE else 'ended'
         metrics.REFUSALS.labels(reason).inc()
@@ -76,6 +80,7 @@
             reason=reason,
             sends=self._progress.sends,
             runs=self._progress.runs,
+            proof=ground,
             server=self.server_id,
             digest=self._info.digest,
             held_s=round(now_s - self._arrived_s, 3),
