Split request_handler: retries, handover to other gateways, dependencies

`retry_decisions` decides whether a request is sent once more, `peer_forwarding.handover` whether another gateway is asked and who has the request meanwhile, and `handler_dependencies` holds what handlers share. The deadline is kept in one place instead of being passed on beside its copy. The ground `stated` is described more exactly: a gateway that couldn't be reached has stated nothing.

--- a/src/wasabicross/gateway/caller_service.py
+++ b/src/wasabicross/gateway/caller_service.py
@@ -7,15 +7,13 @@
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.connections.http_heads import CallerRequest
+from wasabicross.gateway.handler_dependencies import HandlerDependencies
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
     PeerForwarder,
     without_configuration,
 )
 from wasabicross.gateway.peer_forwarding.reach import Reach
-from wasabicross.gateway.request_handler import (
-    HandlerDependencies,
-    RequestHandler,
-)
+from wasabicross.gateway.request_handler import RequestHandler
 from wasabicross.gateway.retry_delays import RetryDelaysByService
 from wasabicross.gateway.retrying_placer import RetryingPlacer
 from wasabicross.gateway.settings import GatewaySettings
--- a/src/wasabicross/gateway/not_run_proof.py
+++ b/src/wasabicross/gateway/not_run_proof.py
@@ -12,7 +12,7 @@
     """How it is known that a request hasn't run.
 
     `never_sent`: no byte of it has left. `stated`: each server and gateway that
-    had it has stated that it hasn't run there.
+    was asked, if it could be reached, has stated that it hasn't run there.
     """
 
     never_sent = 'never sent'
--- a/src/wasabicross/gateway/own_answers.py
+++ b/src/wasabicross/gateway/own_answers.py
@@ -112,11 +112,15 @@
         else:
             await self._refuse_with_retry_time(proof, reason, pause_s)
 
-    async def end_on_timeout(self) -> None:
+    async def end_on_time_limit(self, *, is_stop: bool) -> None:
         """End the request, as its time is over.
 
+        :param is_stop: whether that is since this gateway stops.
         :raises AnswerCut: the answer has begun.
         """
+        if is_stop:
+            await self.end(STOPS.reason, STOPS.retry_after_s)
+            return
         if self._answer.has_started:
             self._abort('timeout')
         proof = prove_not_run(self._progress)
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable
-from types import MappingProxyType
-from typing import NamedTuple
+from collections.abc import Awaitable
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
+from wasabicross.gateway.attempt_context import AttemptContext
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
@@ -18,69 +16,39 @@
     PROCESS_ENDS,
 )
 from wasabicross.gateway.connections.http_heads import CallerRequest
-from wasabicross.gateway.crashes.crash_evidence import SEPARATE_S
 from wasabicross.gateway.crashes.request_digest import request_digest
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.errors import AnswerCut, CallerGone
+from wasabicross.gateway.handler_dependencies import HandlerDependencies
 from wasabicross.gateway.not_run_proof import NotRunProof
 from wasabicross.gateway.own_answers import STOPS, OwnAnswers
+from wasabicross.gateway.peer_forwarding.handover import Handover
 from wasabicross.gateway.peer_forwarding.peer_attempt import PeerEnding
 from wasabicross.gateway.peer_forwarding.peer_forwarder import (
     OLDER_CONFIGURATION,
     ForwardableRequest,
-    PeerForwarder,
 )
 from wasabicross.gateway.peer_forwarding.reach import are_mostly_unreached
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH, NoServer
 from wasabicross.gateway.progress import Ending, RequestProgress
 from wasabicross.gateway.request_placement import (
-    MAX_SENDS,
     RequestPlacement,
     RoutedRequest,
 )
 from wasabicross.gateway.request_record import RequestRecord
-from wasabicross.gateway.retry_delays import RetryDelays
-from wasabicross.gateway.retrying_placer import (
-    Placement,
-    RetryingPlacer,
-)
+from wasabicross.gateway.retry_decisions import may_retry, pause_before_retry_s
+from wasabicross.gateway.retrying_placer import Placement
 from wasabicross.gateway.server_attempts import ServerAttempt
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.streams.stream_request import StreamRequest
 from wasabicross.gateway.streams.stream_versions import service_of
 from wasabicross.gateway.time_limits import EndableTimeLimit
-from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 from wasabicross.servers.retries import RetryBudget
 
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
-#: Pause before a retry, where there is one. A server couldn't run the request now,
-#: or ended under it: a second one that ends after such a pause hasn't been lost
-#: together with the first one.
-_PAUSES_S = MappingProxyType(
-    {Ending.not_run: 0.05, Ending.crashed: SEPARATE_S * 1.2}
-)
-
-#: Number of servers that may end under one request before it is ended.
-_MAX_CRASHES = 2
-
-
-class HandlerDependencies(NamedTuple):
-    """What all request handlers share.
-
-    :param budget_for: returns the retry budget of a service.
-    :param retry_delays_for: returns the retry delays of a service.
-    """
-
-    servers: ServerAccess
-    placer: RetryingPlacer
-    usage: UsageTracker
-    budget_for: Callable[[str], RetryBudget]
-    retry_delays_for: Callable[[str], RetryDelays]
-    forwarder: PeerForwarder
-
 
 class RequestHandler:
     """Handles one request of a caller.
@@ -123,8 +91,11 @@
         self._own_answers.awaited_until_s = req.arrived_s + (
             self._info.time_left_s or 0
         )
+        self._handover = Handover(
+            dependencies.forwarder, dependencies.servers.view, self._progress
+        )
         self._time_limit = EndableTimeLimit()
-        self._deadline_at_s: float = 0
+        self._deadline_s: float = 0
         self._may_send_first = True
 
     async def serve(self) -> None:
@@ -170,27 +141,30 @@
         if route is None:
             await self._own_answers.tell_no_route()
             return
-        deadline_s = self._deadline_s(route)
+        self._set_deadline(route)
         try:
-            self._deadline_at_s = deadline_s
-            async with self._time_limit.after(max(0, deadline_s - now_s())):
-                await self._run(route, deadline_s)
+            async with self._time_limit.after(
+                max(0, self._deadline_s - now_s())
+            ):
+                await self._run(route)
         except TimeoutError:
-            await self._end_on_timeout()
+            await self._own_answers.end_on_time_limit(
+                is_stop=self._time_limit.was_ended
+            )
 
     async def _refuse_unsent(self, reason: str, retry_after_s: float) -> None:
         proof = NotRunProof(self._progress)
         await self._own_answers.refuse(proof, reason, retry_after_s)
 
-    def _deadline_s(self, route: Route) -> float:
+    def _set_deadline(self, route: Route) -> None:
         max_wait_s = self._info.time_left_s
         if max_wait_s is None:
             max_wait_s = route.timeout_s
         arrived_s = self._req.arrived_s
         self._own_answers.awaited_until_s = arrived_s + max_wait_s
-        return arrived_s + min(route.timeout_s, max_wait_s)
+        self._deadline_s = arrived_s + min(route.timeout_s, max_wait_s)
 
-    async def _run(self, route: Route, deadline_s: float) -> None:
+    async def _run(self, route: Route) -> None:
         service = service_of(route, self._info)
         budget = self._deps.budget_for(service)
         placements = RequestPlacement(
@@ -211,11 +185,11 @@
             if isinstance(placement, NoServer):
                 await self._end_without_server(route, placement)
                 return
-            context = self._context(route, placement, deadline_s, placements)
+            context = self._context(route, placement, placements)
             ending = await self._attempt(placement, context)
             if await self._is_over(route, ending, budget):
                 return
-            await asyncio.sleep(_PAUSES_S.get(ending, 0))
+            await asyncio.sleep(pause_before_retry_s(ending))
 
     async def _is_over(
         self, route: Route, ending: Ending, budget: RetryBudget
@@ -228,7 +202,13 @@
         ):
             if await self._is_ended_elsewhere(route, NO_SERVER_IN_REACH):
                 return True
-        if self._may_retry(route, ending, budget):
+        if may_retry(
+            ending,
+            route,
+            self._progress,
+            budget,
+            has_answer_started=self._answer.has_started,
+        ):
             return False
         await self._own_answers.end(ending.value)
         return True
@@ -241,31 +221,26 @@
     async def _is_ended_elsewhere(self, route: Route, reason: str) -> bool:
         """Return whether the caller has its answer by another gateway.
 
-        It is asked if this one reaches no server and none has the request. If
-        it gives no answer, the request may have run and is ended.
-
         :param route: its route.
         :param reason: why this gateway doesn't serve it.
         """
-        progress = self._progress
-        if self._is_forwarded or not self._is_unreached(reason):
+        if self._is_forwarded or self._answer.has_started:
             return False
-        if progress.may_run or self._answer.has_started:
+        service = self._record.labels[0]
+        if not self._handover.is_due(service, reason):
             return False
-        progress.is_at_peer = progress.was_at_peer = True
-        ending = await self._deps.forwarder.forward(
+        ending = await self._handover.run(
             ForwardableRequest(
                 self._req,
                 self._info.request_id,
-                self._record.labels[0],
-                self._deadline_at_s,
+                service,
+                self._deadline_s,
                 self._record.configuration_version,
                 route.is_idempotent,
             ),
             self._answer,
         )
         if ending is PeerEnding.not_taken:
-            progress.is_at_peer = False
             return False
         if ending is PeerEnding.answered:
             self._record.outcome = 'forwarded'
@@ -273,14 +248,6 @@
             await self._own_answers.end('no answer of a gateway')
         return True
 
-    def _is_unreached(self, reason: str) -> bool:
-        """Return whether this gateway lacks servers that others may reach."""
-        if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
-            return True
-        return are_mostly_unreached(
-            self._deps.servers.view, self._record.labels[0]
-        )
-
     async def _next_placement(
         self, placements: RequestPlacement
     ) -> Placement | NoServer:
@@ -288,37 +255,10 @@
             return await placements.next()
         return STOPS
 
-    def _may_retry(
-        self, route: Route, ending: Ending, budget: RetryBudget
-    ) -> bool:
-        """Return whether the request may be sent once more."""
-        if ending is Ending.not_sent:
-            return True
-        if self._answer.has_started and not route.is_resumable:
-            return False
-        if ending in {Ending.unknown, Ending.failed, Ending.crashed}:
-            if not route.is_idempotent:
-                return False
-            if not self._may_crash_another:
-                return False
-            if self._progress.runs >= route.max_servers:
-                return False
-        return self._progress.sends < MAX_SENDS and budget.spend()
-
-    @property
-    def _may_crash_another(self) -> bool:
-        """Return whether a server may be risked if the request has crashed some.
-
-        Other requests tell more of a part of its prompt than its copy would.
-        """
-        progress = self._progress
-        return progress.crashes < _MAX_CRASHES and not progress.has_suspect_part
-
     def _context(
         self,
         route: Route,
         placement: Placement,
-        deadline_s: float,
         placements: RequestPlacement,
         on_accepted: OnAccepted | None = None,
     ) -> AttemptContext:
@@ -329,9 +269,7 @@
         ) -> Awaitable[Ending]:
             return self._attempt(
                 other,
-                self._context(
-                    route, other, deadline_s, placements, on_other_accepted
-                ),
+                self._context(route, other, placements, on_other_accepted),
             )
 
         server_id = placement.server.server_id
@@ -340,7 +278,7 @@
             self._req,
             self._info,
             route,
-            deadline_s,
+            self._deadline_s,
             placement.candidates > 1 and budget.available > 0,
             self._deps.usage.begin(
                 server_id, self._info.adapter, self._info.prompt_tokens
@@ -384,12 +322,6 @@
             self._record.outcome = 'answered' if is_ok else 'failed'
         return ending
 
-    async def _end_on_timeout(self) -> None:
-        if self._time_limit.was_ended:
-            await self._own_answers.end(STOPS.reason, STOPS.retry_after_s)
-        else:
-            await self._own_answers.end_on_timeout()
-
     async def _end_on_error(self, exc: Exception) -> None:
         """End a request after an error that nothing below has handled."""
         log_event(
--- a/tests/test_gateway_own_answers.py
+++ b/tests/test_gateway_own_answers.py
@@ -69,7 +69,16 @@
         503,
         502,
     ),
-    'time limit': (lambda own: own.end_on_timeout(), 503, 504),
+    'time limit': (
+        lambda own: own.end_on_time_limit(is_stop=False),
+        503,
+        504,
+    ),
+    'time limit, at a stop': (
+        lambda own: own.end_on_time_limit(is_stop=True),
+        503,
+        502,
+    ),
 }
 
 
