Test that bytes held by a link and delivered late were refused by nobody

A link to a server, or to the gateway that was asked, holds a request that runs once and delivers it after the gateway has given up, or was stopped. The links are in the test's process, not real ones.

--- a/tests/test_gateway_refusal_proofs.py
+++ b/tests/test_gateway_refusal_proofs.py
@@ -359,3 +359,92 @@
     )
     assert [len(each.seen) for each in outcome.servers] == [1, 1]
     assert (status_of(outcome.received) in PROMISES) == is_proved
+
+
+class HoldingLink:
+    """A link that holds all bytes to a server until they are released."""
+
+    def __init__(self, server):
+        self._server = server
+        self._released = asyncio.Event()
+        self._held = []
+        self._listener = None
+        self.gone = asyncio.Event()
+
+    @property
+    def seen(self):
+        """Return the requests that the server has read."""
+        return self._server.seen
+
+    @property
+    def has_bytes(self):
+        """Return whether bytes are held, or were."""
+        return bool(self._held)
+
+    async def start(self):
+        """Listen; return the port."""
+        self._port = await self._server.start()
+        self._listener = await asyncio.start_server(self._carry, HOST, 0)
+        return self._listener.sockets[0].getsockname()[1]
+
+    def release(self):
+        """Deliver the held bytes, also those of connections closed since."""
+        self._released.set()
+
+    async def _carry(self, reader, writer):
+        self._held.append(await reader.read(65536))
+        await self._released.wait()
+        there, to_server = await asyncio.open_connection(HOST, self._port)
+        to_server.write(self._held[-1])
+        with contextlib.suppress(OSError):
+            writer.write(await there.read(65536))
+        to_server.close()
+        writer.close()
+
+
+@pytest.mark.parametrize('stop', [False, True])
+def test_bytes_that_a_link_delivers_late_were_promised_not_to_run_by_nobody(
+    stop,
+):
+    """The server runs the request after its caller's time is over."""
+    sent = request('/unsafe/x', b'x', Time_Left_Ms='400')
+
+    async def scenario():
+        link = HoldingLink(ScriptedServer([OK]))
+        async with running_gateway([link]) as bench:
+            asking = asyncio.ensure_future(ask(bench.port, sent))
+            await until(lambda: link.has_bytes)
+            if stop:
+                bench.gateway._caller_service.refuse_unsent()
+                bench.gateway._caller_service.end_all()
+            received = await asking
+            link.release()
+            await until(lambda: link.seen)
+        return received
+
+    assert status_of(asyncio.run(scenario())) == (502 if stop else 504)
+
+
+def test_a_gateway_that_closes_a_held_forwarded_request_promises_nothing():
+    """The other gateway reads it after the first one has given up."""
+
+    async def scenario():
+        server = ScriptedServer([OK])
+        link = HoldingLink(server)
+        callers, ready, peer_port, forwarding = free_ports(4)
+        await link.start()
+        listener = await asyncio.start_server(link._carry, PEERS[0], forwarding)
+        settings = settings_at(callers, ready, peer_port)._replace(
+            instance='front-0', forwarding_port=forwarding
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        store = contents([CLOSED_PORT], (HOST, PEERS[0]))
+        sent = request('/unsafe/x', b'x', Time_Left_Ms='400')
+        async with gateway_at(settings, store, pool, UnhealthyEngines()):
+            received = await ask(callers, sent)
+            link.release()
+            await until(lambda: link.seen)
+        listener.close()
+        return received
+
+    assert status_of(asyncio.run(scenario())) == 504
