--- a/tests/test_gateway_refusal_proofs.py
+++ b/tests/test_gateway_refusal_proofs.py
@@ -11,8 +11,10 @@
     CONFIGURATION,
     OK,
     SharedScriptsServer,
+    gateway_at,
     run_request,
     running_gateway,
+    settings_at,
 )
 from raw_caller import ask, request, status_of
 from scripted_server import (
@@ -24,11 +26,19 @@
     ScriptedServer,
     answer,
 )
-from test_gateway_peer_forwarding import run_site
+from test_gateway_peer_forwarding import (
+    CLOSED_PORT,
+    PEERS,
+    UnhealthyEngines,
+    contents,
+    run_site,
+)
 from test_gateway_takeover import SAFE, attempts, first_server_is_silent
 
+from emulator.waiting import free_ports
 from wasabicross.gateway.configuration import Configuration
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
+from wasabicross.platform.headers import REQUEST_ID
 
 #: Statuses that callers take for such a promise.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -257,6 +267,61 @@
     assert status_of(received) == 504
 
 
+@pytest.mark.parametrize('mark', [b'', b'Server-Stamp: s1\r\n'])
+@pytest.mark.parametrize('status', sorted(PROMISES))
+def test_an_earlier_gateway_has_no_proof_of_what_it_passes_on(status, mark):
+    """It may have it from a server that has run the request."""
+    passed_on = gateway_answer(status, mark)
+    assert status_of(ask_through(passed_on, UNSAFE)) == 502
+
+
+@pytest.mark.parametrize('status', sorted(PROMISES))
+def test_callers_that_may_repeat_get_what_an_earlier_gateway_passes_on(status):
+    assert status_of(ask_through(gateway_answer(status), SAFE)) == status
+
+
+def test_a_gateways_own_refusal_is_passed_on_without_its_proof():
+    proved = gateway_answer(
+        503, b'Retry-After: 0.25\r\nX-Wasabicross-Not-Run: no server\r\n'
+    )
+    received = ask_through(proved, UNSAFE)
+    assert status_of(received) == 503
+    assert b'retry-after: 0.25' in received.lower()
+    assert b'not-run' not in received.lower()
+
+
+def gateway_answer(status, fields=b''):
+    """Return an answer of a gateway to a forwarded request."""
+    return (
+        b'HTTP/1.1 %d No\r\nRequest-Id: {id}\r\n' % status
+        + fields
+        + b'Content-Length: 0\r\n\r\n'
+    )
+
+
+def ask_through(passed_on, sent):
+    """Ask a gateway that reaches no server, beside one that answers so."""
+
+    async def scenario():
+        peer = ScriptedServer([passed_on])
+        callers, ready, peer_port, forwarding = free_ports(4)
+        listener = await asyncio.start_server(peer._serve, PEERS[0], forwarding)
+        settings = settings_at(callers, ready, peer_port)._replace(
+            instance='front-0', forwarding_port=forwarding
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        store = contents([CLOSED_PORT], (HOST, PEERS[0]))
+        async with gateway_at(settings, store, pool, UnhealthyEngines()):
+            received = await ask(callers, sent)
+        pool.drop_idle(PEERS[0], forwarding)
+        listener.close()
+        return received, peer
+
+    received, peer = asyncio.run(scenario())
+    assert len(peer.seen) == 1
+    return received
+
+
 @pytest.mark.parametrize(
     ('first', 'other', 'is_proved'),
     [
@@ -294,3 +359,92 @@
     )
     assert [len(each.seen) for each in outcome.servers] == [1, 1]
     assert (status_of(outcome.received) in PROMISES) == is_proved
+
+
+class HoldingLink:
+    """A link that holds all bytes to a server until they are released."""
+
+    def __init__(self, server):
+        self._server = server
+        self._released = asyncio.Event()
+        self._held = []
+        self._listener = None
+        self.gone = asyncio.Event()
+
+    @property
+    def seen(self):
+        """Return the requests that the server has read."""
+        return self._server.seen
+
+    @property
+    def has_bytes(self):
+        """Return whether bytes are held, or were."""
+        return bool(self._held)
+
+    async def start(self):
+        """Listen; return the port."""
+        self._port = await self._server.start()
+        self._listener = await asyncio.start_server(self._carry, HOST, 0)
+        return self._listener.sockets[0].getsockname()[1]
+
+    def release(self):
+        """Deliver the held bytes, also those of connections closed since."""
+        self._released.set()
+
+    async def _carry(self, reader, writer):
+        self._held.append(await reader.read(65536))
+        await self._released.wait()
+        there, to_server = await asyncio.open_connection(HOST, self._port)
+        to_server.write(self._held[-1])
+        with contextlib.suppress(OSError):
+            writer.write(await there.read(65536))
+        to_server.close()
+        writer.close()
+
+
+@pytest.mark.parametrize('stop', [False, True])
+def test_bytes_that_a_link_delivers_late_were_promised_not_to_run_by_nobody(
+    stop,
+):
+    """The server runs the request after its caller's time is over."""
+    sent = request('/unsafe/x', b'x', Time_Left_Ms='400')
+
+    async def scenario():
+        link = HoldingLink(ScriptedServer([OK]))
+        async with running_gateway([link]) as bench:
+            asking = asyncio.ensure_future(ask(bench.port, sent))
+            await until(lambda: link.has_bytes)
+            if stop:
+                bench.gateway._caller_service.refuse_unsent()
+                bench.gateway._caller_service.end_all()
+            received = await asking
+            link.release()
+            await until(lambda: link.seen)
+        return received
+
+    assert status_of(asyncio.run(scenario())) == (502 if stop else 504)
+
+
+def test_a_gateway_that_closes_a_held_forwarded_request_promises_nothing():
+    """The other gateway reads it after the first one has given up."""
+
+    async def scenario():
+        server = ScriptedServer([OK])
+        link = HoldingLink(server)
+        callers, ready, peer_port, forwarding = free_ports(4)
+        await link.start()
+        listener = await asyncio.start_server(link._carry, PEERS[0], forwarding)
+        settings = settings_at(callers, ready, peer_port)._replace(
+            instance='front-0', forwarding_port=forwarding
+        )
+        pool = ConnectionPool(REQUEST_ID)
+        store = contents([CLOSED_PORT], (HOST, PEERS[0]))
+        sent = request('/unsafe/x', b'x', Time_Left_Ms='400')
+        async with gateway_at(settings, store, pool, UnhealthyEngines()):
+            received = await ask(callers, sent)
+            link.release()
+            await until(lambda: link.seen)
+        listener.close()
+        return received
+
+    assert status_of(asyncio.run(scenario())) == 504
