Lose no sound answer because a connection for questions closes

What callers would have seen, by the review of the fix: 502 or a cut for whole answers without a stated end.

Cause: one connection to a server was the only thing known of its process, and all that was known closed with it. Class: a single witness.

Change: up to three connections to a server; when the process behind one answers, since when it lives is handed on to the others, as an address belongs to one process. A spare one is made before a question, a fresh one before a request if the last was idle for half a second. An unproved end counts as no failure of its server, keeps idle connections, and a connection for questions that can't be made keeps no request. A 421 to the report ends the questions. What a service is, is remembered beyond a configuration that lacks it. A service counts as ending answers with connections for a minute. A question blocks no limited server for requests. An HTTP/1.0 answer may end in order only once all its bytes have left.

--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import NamedTuple
 
 from wasabicross.gateway import metrics
@@ -12,7 +13,10 @@
     proof_by,
 )
 from wasabicross.gateway.answer_ends.end_proof import EndProof
-from wasabicross.gateway.answer_ends.probe_connections import ProbeConnections
+from wasabicross.gateway.answer_ends.probe_connections import (
+    ProbeConnection,
+    ProbeConnections,
+)
 from wasabicross.gateway.answer_ends.seen_starts import SeenStarts
 from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.clock import now_s
@@ -20,6 +24,7 @@
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
     ServerError,
+    ServerGone,
     ServerUnreachable,
 )
 from wasabicross.gateway.orders import EngineClient
@@ -31,6 +36,13 @@
 #: server may be silent for a second.
 _MAX_WAIT_S = 2.0
 
+#: Time for which a service is expected to send more answers that end with their
+#: connection once it has sent one.
+_UNSTATED_FOR_S = 60.0
+
+#: Why a process that answers may not have sent the answer before.
+_TOO_YOUNG = 'not known to have been there before the request'
+
 #: Pause before a server is asked again.
 _PAUSE_S = 0.1
 
@@ -66,8 +78,11 @@
         self._view = view
         self._engines = engines
         self._connections = ProbeConnections(pool)
-        #: Whether all answers of a service so far stated where they end.
-        self._are_stated: dict[str, bool] = {}
+        #: Until when an answer of a service may end with its connection, by what
+        #: its answers so far stated.
+        self._unstated_until_s: dict[str, float] = {}
+        #: Whether the servers of a service have reports.
+        self._have_reports: dict[str, bool] = {}
         self._starts = SeenStarts()
         self._questions: dict[Incarnation, _Question] = {}
 
@@ -75,12 +90,10 @@
         """Prepare for a question about the answer to the next request.
 
         :param server: the server that will get it.
-        :raises ServerUnreachable: the server can't be connected to.
         """
-        if self._are_stated.get(server.service, False):
-            return
-        if not self._reports_start(server):
-            await self._connections.ensure(server)
+        until_s = self._unstated_until_s.get(server.service, math.inf)
+        if not self._reports_start(server) and now_s() < until_s:
+            await self._connections.ensure(server, now_s())
 
     def on_head(self, origin: AnswerOrigin, *, is_stated: bool) -> None:
         """Record whether an answer states where it ends.
@@ -89,9 +102,11 @@
         :param is_stated: whether it states that.
         """
         server = origin.server
-        were_stated = self._are_stated.get(server.service, True)
-        self._are_stated[server.service] = were_stated and is_stated
-        if not is_stated and not self._reports_start(server):
+        if is_stated:
+            self._unstated_until_s.setdefault(server.service, -math.inf)
+            return
+        self._unstated_until_s[server.service] = now_s() + _UNSTATED_FOR_S
+        if not self._reports_start(server):
             self._connections.adopt(server, origin.sent_s)
 
     async def prove_end(self, origin: AnswerOrigin, ended_s: float) -> EndProof:
@@ -129,7 +144,10 @@
         """Return whether a server's report names the start that is listed."""
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
-        has_report = service is not None and service.engine is not None
+        if service is not None:
+            # A later configuration may lack the service.
+            self._have_reports[service.name] = service.engine is not None
+        has_report = self._have_reports.get(server.service, False)
         return has_report and server.start_ms > 0
 
     async def _sign_after(
@@ -161,7 +179,8 @@
             return LifeSign(reason='the server wants a pause')
         if self._reports_start(server):
             return await self._ask_for_report(server)
-        if not await self._view.notices.limiter.acquire(server, now_s):
+        limiter = self._view.notices.limiter
+        if not await limiter.acquire(server, now_s, blocks=False):
             return LifeSign(reason='the limit of the server')
         return await self._ask_on_connection(server)
 
@@ -170,25 +189,44 @@
             report = await self._engines.report(server)
         except ServerUnreachable as exc:
             return LifeSign(reason=str(exc), is_final=exc.is_refused)
+        except ServerGone as exc:
+            return LifeSign(reason=str(exc), is_final=True)
         except (ServerError, DocumentUnreadable) as exc:
             return LifeSign(reason=str(exc))
         since_s = self._starts.seen_since_s(server, report.start_ms, now_s())
-        return LifeSign(report.start_ms, since_s, is_final=True)
+        return LifeSign(report.start_ms, since_s, _TOO_YOUNG, is_final=True)
 
     async def _ask_on_connection(self, server: BackendServer) -> LifeSign:
-        conn = self._connections.take(server)
-        if conn is None:
-            reason = 'no connection from before the request'
-            return LifeSign(reason=reason, is_final=True)
+        """Ask on the oldest connection on which the server answers."""
+        until_s = now_s() + _MAX_WAIT_S
+        await self._connections.ensure_spare(server)
+        reason = 'no connection from before the request'
+        for probe in tuple(self._connections.usable(server)):
+            asked_s = now_s()
+            reason = await self._why_silent(server, probe, until_s - asked_s)
+            if not reason:
+                self._connections.on_answer(server, probe, asked_s, now_s())
+                return LifeSign(0, probe.since_s, _TOO_YOUNG, is_final=True)
+        return LifeSign(reason=reason, is_final=True)
+
+    async def _why_silent(
+        self, server: BackendServer, probe: ProbeConnection, max_wait_s: float
+    ) -> str:
+        """Ask on a connection; return why there was no answer, if there was none."""
+        conn = probe.conn
+        probe.is_asked = True
         try:
             await self._engines.check_process(
-                server, conn, self._health_path(server), _MAX_WAIT_S
+                server, conn, self._health_path(server), max(0, max_wait_s)
             )
         except ServerError as exc:
-            return LifeSign(reason=str(exc), is_final=True)
+            conn.close()
+            return str(exc)
         finally:
-            self._connections.put_back(server, conn, now_s())
-        return LifeSign(since_s=conn.connected_s, is_final=True)
+            probe.is_asked = False
+        if not conn.prepare_reuse(now_s()):
+            conn.close()
+        return ''
 
     def _health_path(self, server: BackendServer) -> str:
         cfg = self._view.configuration
--- a/src/wasabicross/gateway/answer_ends/probe_connections.py
+++ b/src/wasabicross/gateway/answer_ends/probe_connections.py
@@ -2,97 +2,168 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import defaultdict
+
 from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.errors import ServerUnreachable
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
+
+#: Most servers to which connections are kept.
+_MAX_SERVERS = 4096
+
+#: Most connections that are kept to one server.
+_MAX_PER_SERVER = 3
+
+#: Idle time from which on a server may close a connection before it is needed.
+_MAX_IDLE_S = 0.5
+
+
+class ProbeConnection:
+    """A connection to a server, kept for questions.
 
-#: Most connections that are kept.
-_MAX_CONNECTIONS = 4096
+    :param conn: the connection.
+    :param used_s: when it was made or last used, monotonic seconds.
+    """
+
+    def __init__(self, conn: ServerConnection, used_s: float) -> None:
+        self.conn = conn
+        self.used_s = used_s
+        #: Time since which the process at its other end is known to have been
+        #: at its address.
+        self.since_s = conn.connected_s
+        self.is_asked = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether it is open."""
+        return self.is_asked or self.conn.is_usable
 
 
 class ProbeConnections:
-    """One connection to each server whose answers may end with their own.
+    """A few connections to each server whose answers may end with their own.
+
+    A server may close one at any time. So what is known of the process behind
+    one is handed on to the others when it answers.
 
     :param pool: makes them.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._idle: dict[Incarnation, ServerConnection] = {}
-        #: Servers that are being asked on their connection.
-        self._asked: set[Incarnation] = set()
+        self._kept: dict[Incarnation, list[ProbeConnection]] = defaultdict(list)
+        self._connecting: dict[Incarnation, asyncio.Task[None]] = {}
 
-    async def ensure(self, server: BackendServer) -> None:
-        """Connect to a server, unless there is a connection to it.
+    async def ensure(self, server: BackendServer, now_s: float) -> None:
+        """Connect to a server, unless there is a connection that will last.
 
         :param server: the server.
-        :raises ServerUnreachable: no connection could be made.
+        :param now_s: the present time, monotonic seconds.
         """
-        key = Incarnation.from_server(server)
-        if key in self._asked or self._usable(key) is not None:
-            return
-        self._keep(key, await self._pool.connect(server.host, server.port))
+        kept = self.usable(server)
+        if not kept or now_s > kept[-1].used_s + _MAX_IDLE_S:
+            await self._connect_shared(server)
+
+    async def ensure_spare(self, server: BackendServer) -> None:
+        """Connect to a server, unless there are two connections.
+
+        :param server: the server.
+        """
+        if len(self.usable(server)) == 1:
+            await self._connect_shared(server)
 
     def adopt(self, server: BackendServer, connected_by_s: float) -> None:
-        """Keep an idle connection of the pool, unless there is one already.
+        """Keep an idle connection of the pool, unless there is an older one.
 
         :param server: the server.
         :param connected_by_s: when it must have been made at the latest,
             monotonic seconds.
         """
-        key = Incarnation.from_server(server)
-        if key in self._asked or self._usable(key) is not None:
+        kept = self.usable(server)
+        if kept and kept[0].since_s <= connected_by_s:
             return
         conn = self._pool.take_idle(server.host, server.port, connected_by_s)
         if conn is not None:
-            self._keep(key, conn)
+            adopted = ProbeConnection(conn, conn.idle_since_s)
+            self._kept[Incarnation.from_server(server)].insert(0, adopted)
 
-    def take(self, server: BackendServer) -> ServerConnection | None:
-        """Return the connection to a server to ask on, None without one.
+    def usable(self, server: BackendServer) -> list[ProbeConnection]:
+        """Return the open connections to a server, the oldest one first.
 
         :param server: the server.
         """
-        key = Incarnation.from_server(server)
-        conn = self._usable(key)
-        if conn is not None:
-            self._idle.pop(key)
-            self._asked.add(key)
-        return conn
-
-    def put_back(
-        self, server: BackendServer, conn: ServerConnection, now_s: float
+        return self._usable(Incarnation.from_server(server))
+
+    def on_answer(
+        self,
+        server: BackendServer,
+        answered: ProbeConnection,
+        asked_s: float,
+        now_s: float,
     ) -> None:
-        """Keep a connection after an answer, or close it.
+        """Record that a process has answered, and hand on since when it lives.
 
-        :param server: the server.
-        :param conn: the connection that was taken.
+        :param server: its server.
+        :param answered: the connection on which it has answered.
+        :param asked_s: when it was asked, monotonic seconds.
         :param now_s: the present time, monotonic seconds.
         """
-        key = Incarnation.from_server(server)
-        self._asked.discard(key)
-        if conn.prepare_reuse(now_s):
-            self._keep(key, conn)
-        else:
-            conn.close()
+        answered.used_s = now_s
+        for each in self.usable(server):
+            if each.conn.connected_s <= asked_s:
+                each.since_s = min(each.since_s, answered.since_s)
 
     def close(self) -> None:
         """Close all connections."""
-        for conn in self._idle.values():
-            conn.close()
-        self._idle.clear()
-
-    def _usable(self, key: Incarnation) -> ServerConnection | None:
-        conn = self._idle.get(key)
-        if conn is None or conn.is_usable:
-            return conn
-        self._idle.pop(key).close()
-        return None
-
-    def _keep(self, key: Incarnation, conn: ServerConnection) -> None:
-        """Keep a connection; the older one, if there are two."""
-        if self._usable(key) is not None:
-            conn.close()
+        for task in self._connecting.values():
+            task.cancel()
+        for kept in self._kept.values():
+            for each in kept:
+                each.conn.close()
+        self._kept.clear()
+
+    def _usable(self, key: Incarnation) -> list[ProbeConnection]:
+        kept = self._kept.get(key, [])
+        for each in tuple(kept):
+            if not each.is_usable:
+                each.conn.close()
+                kept.remove(each)
+        return kept
+
+    async def _connect_shared(self, server: BackendServer) -> None:
+        """Connect once for all that wait for a connection to a server."""
+        key = Incarnation.from_server(server)
+        task = self._connecting.get(key)
+        if task is None or task.done():
+            task = asyncio.ensure_future(self._connect(server, key))
+            self._connecting[key] = task
+        await asyncio.shield(task)
+        self._connecting.pop(key, None)
+
+    async def _connect(self, server: BackendServer, key: Incarnation) -> None:
+        try:
+            conn = await self._pool.connect(server.host, server.port)
+        except ServerUnreachable as exc:
+            log_event(
+                Event.PROBE_FAILED, server=server.server_id, reason=str(exc)
+            )
             return
-        self._idle[key] = conn
-        if len(self._idle) > _MAX_CONNECTIONS:
-            self._idle.pop(next(iter(self._idle))).close()
+        self._drop_closed()
+        kept = self._kept[key]
+        kept.append(ProbeConnection(conn, now_s()))
+        if len(kept) > _MAX_PER_SERVER and not kept[1].is_asked:
+            # The oldest one proves most, the newest one lasts longest.
+            kept.pop(1).conn.close()
+
+    def _drop_closed(self) -> None:
+        """Forget servers without an open connection, and the oldest if many."""
+        for key in tuple(self._kept):
+            if not self._usable(key):
+                self._kept.pop(key)
+        if len(self._kept) >= _MAX_SERVERS:
+            for each in self._kept.pop(next(iter(self._kept))):
+                each.conn.close()
--- a/src/wasabicross/gateway/answer_forwarding.py
+++ b/src/wasabicross/gateway/answer_forwarding.py
@@ -25,7 +25,7 @@
     ServerConnection,
 )
 from wasabicross.gateway.crashes.crash_watch import WatchedAttempt
-from wasabicross.gateway.errors import AnswerBroken
+from wasabicross.gateway.errors import AnswerBroken, EndUnproved
 from wasabicross.gateway.forwarded_stream import ForwardedStream
 from wasabicross.gateway.progress import AttemptRecord, RequestProgress
 from wasabicross.gateway.silence_watch import SilenceWatch
@@ -169,6 +169,8 @@
         proof = EndProof.stated if end.is_stated else EndProof.none
         if needs_proof(end):
             proof = await self._life.prove_end(self._attempt.origin, now_s())
+            if proof is EndProof.none:
+                raise EndUnproved(why_broken(end, proof))
         reason = why_broken(end, proof)
         if reason:
             raise AnswerBroken(reason)
--- a/src/wasabicross/gateway/connections/answer_writer.py
+++ b/src/wasabicross/gateway/connections/answer_writer.py
@@ -98,8 +98,10 @@
         self._send(h11.EndOfMessage())
         self.has_ended = True
         if self._is_reset_unless_ended:
-            self._set_linger(_ENDS_IN_ORDER)
+            self._writer.transport.set_write_buffer_limits(high=0)
         await self._drain()
+        if self._is_reset_unless_ended:
+            self._set_linger(_ENDS_IN_ORDER)
 
     async def send_complete(
         self, status: int, fields: Fields, body: bytes = b''
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -57,10 +57,18 @@
     """The connection ended before an answer; the request may have run."""
 
 
+class ServerGone(AnswerMissing):
+    """Another server answers at the server's address."""
+
+
 class AnswerBroken(ServerError):
     """The answer ended before it was complete."""
 
 
+class EndUnproved(AnswerBroken):
+    """The answer ended with its connection, and its server may have ended."""
+
+
 class BodyTooLong(AnswerBroken):
     """The body of an answer is longer than its reader's limit."""
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -29,6 +29,7 @@
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
+    EndUnproved,
     ServerError,
     ServerUnreachable,
 )
@@ -161,9 +162,10 @@
         if self._watched.is_called_off:
             self.record.reason = _CALLED_OFF
             return Ending.unknown
-        # If the machine is down, its idle connections don't answer either.
-        self._servers.pool.drop_idle(server.host, server.port)
-        self._servers.view.health[server.server_id].on_failure(now_s())
+        if not isinstance(exc, EndUnproved):
+            # If the machine is down, its idle connections don't answer either.
+            self._servers.pool.drop_idle(server.host, server.port)
+            self._servers.view.health[server.server_id].on_failure(now_s())
         if self._silence.is_taken_over:
             self.record.reason = _SILENCE
         else:
--- a/src/wasabicross/gateway/server_limits/request_limiter.py
+++ b/src/wasabicross/gateway/server_limits/request_limiter.py
@@ -105,12 +105,18 @@
         )
 
     async def acquire(
-        self, server: BackendServer, clock: Callable[[], float]
+        self,
+        server: BackendServer,
+        clock: Callable[[], float],
+        *,
+        blocks: bool = True,
     ) -> bool:
         """Return whether a request may be sent to a server now.
 
         :param server: the server.
         :param clock: returns the present time, monotonic seconds.
+        :param blocks: whether a refusal keeps requests from the server until the
+            next one may be sent.
         """
         if not self.is_limited(server):
             return True
@@ -122,7 +128,8 @@
             wait_s = self._fallback.wait_s(incarnation, limit_per_s, at_s)
         if not wait_s:
             return True
-        self._block(incarnation, at_s + max(_MIN_BLOCK_S, wait_s))
+        if blocks:
+            self._block(incarnation, at_s + max(_MIN_BLOCK_S, wait_s))
         return False
 
     async def _ask_owner(self, server: BackendServer) -> float | None:
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -17,6 +17,7 @@
     AnswerBroken,
     AnswerMissing,
     ServerError,
+    ServerGone,
 )
 from wasabicross.gateway.orders import Order, OrderAnswer
 from wasabicross.gateway.server_notices import ServerNotices
@@ -187,7 +188,7 @@
         self._pool.release(server.host, server.port, conn)
         self._notices.on_notice(server, server_notice(head), now_s())
         if head.status == _MISDIRECTED:
-            raise AnswerMissing(f'{server.server_id} has gone')
+            raise ServerGone(f'{server.server_id} has gone')
         return head.status, body
 
 
--- a/tests/test_gateway_answer_ends.py
+++ b/tests/test_gateway_answer_ends.py
@@ -290,7 +290,7 @@
         origin = AnswerOrigin(plain, now_s() + before_s)
         if closes:
             server.refuse_connections()
-            checks._connections._idle.clear()
+            checks._connections.close()
         proof = await checks.prove_end(origin, now_s())
         checks.close()
         return proof, server.seen
