Send unframed answers in the soak and kill servers that start again at once

Callers got parts of answers as whole ones, and the soak never saw it: its servers sent all answers with a length or chunks. One answer in four has neither now (chosen by the request's id); plain servers send such an answer in two halves, 0.15 s apart. A health check that names another server is misdirected with 421.

The proxy passes an orderly end on as one: shown by test_soak_backend (a killed server's unframed answer ends without a reset, straight and through the proxy, plain and streamed; the next process has a higher `born`). A server that lives on and cuts an answer off by a planned fault still frames it, as nothing could tell.

The check on answers saw a complete answer without its end before too; it names it by a line of its own now and calls every other body another one. Rows of a half, an empty and a last byte missing were added.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -19,7 +19,8 @@
   its slots then, and takes nothing for 2 s when it fails.
 
 Its process ends as soon as it runs a request whose path has a part that begins
-with `deadly`.
+with `deadly`. Some requests, chosen by their ids, get an answer with neither a
+length nor chunks, which the end of its connection ends.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 import json
 import os
 import time
+import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -48,6 +50,12 @@
 
 _HEARTBEAT_S = 0.5
 _EVENT_INTERVAL_S = 0.01
+
+#: One request of so many gets an unframed answer, and the pause between the two
+#: halves of such an answer of a plain server.
+_UNFRAMED_ONE_IN = 4
+_UNFRAMED_PAUSE_S = 0.15
+
 _LATE_ORDER_DELAY_S = 2.0
 _MS_PER_S = 1000
 _HOST = '127.0.0.1'
@@ -118,10 +126,10 @@
             '/-/report': self._report,
         }
         handler = handlers.get(req.path)
-        if handler is not None:
-            responder.send_json(_OK, handler(req))
-        elif self._names_another_server(req):
+        if self._names_another_server(req):
             responder.send_json(_MISDIRECTED, {}, _request_id_field(req))
+        elif handler is not None:
+            responder.send_json(_OK, handler(req))
         elif req.path == '/-/order':
             await self._on_order(req.document(), responder)
         else:
@@ -275,12 +283,19 @@
 
     async def _reply(self, req: HttpRequest, responder: Responder) -> None:
         request_id = req.headers['request-id']
+        is_framed = not gets_unframed_answer(request_id)
         if not self._identity.adapter_slots:
             await asyncio.sleep(_EVENT_INTERVAL_S)
+            document = {'request': request_id}
             fields = self._answer_fields(req)
-            responder.send_json(_OK, {'request': request_id}, fields)
+            if is_framed:
+                responder.send_json(_OK, document, fields)
+            else:
+                await _send_in_halves(document, fields, responder)
             return
-        responder.start_stream('text/event-stream', self._answer_fields(req))
+        responder.start_stream(
+            'text/event-stream', self._answer_fields(req), is_framed=is_framed
+        )
         events = int(req.headers['token-count'].partition(',')[2])
         first = int(req.headers.get('last-event-id') or 0) + 1
         for number in range(first, events + 1):
@@ -317,6 +332,14 @@
     return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
 
 
+def gets_unframed_answer(request_id: str) -> bool:
+    """Tell whether the answer to a request has neither a length nor chunks.
+
+    :param request_id: id of the request.
+    """
+    return zlib.crc32(request_id.encode()) % _UNFRAMED_ONE_IN == 0
+
+
 def deadly_part(path: str) -> str:
     """Return the part of a path that crashes servers, empty if there is none.
 
@@ -331,6 +354,21 @@
     return (('Request-Id', request_id),) if request_id else ()
 
 
+async def _send_in_halves(
+    document: dict[str, Any],
+    fields: tuple[tuple[str, str], ...],
+    responder: Responder,
+) -> None:
+    """Send an unframed answer in two pieces with a pause between them."""
+    body = json.dumps(document).encode()
+    middle = len(body) // 2
+    responder.start_stream('application/json', fields, is_framed=False)
+    responder.send_chunk(body[:middle])
+    await asyncio.sleep(_UNFRAMED_PAUSE_S)
+    responder.send_chunk(body[middle:])
+    responder.end_stream()
+
+
 async def _serve(identity: Identity, port: int) -> None:
     faults = Faults()
     log('started')
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -127,10 +127,13 @@
             continue
         if result.echoed_id != result.request_id:
             yield f'{result.request_id} got the answer of {result.echoed_id}'
-        elif result.is_complete and result.body != _expected(result):
-            yield f'{result.request_id} got a complete answer with another body'
         elif not _expected(result).startswith(result.body):
-            yield f'{result.request_id} got pieces of another answer'
+            whole = (
+                'another body' if result.is_complete else 'pieces of another'
+            )
+            yield f'{result.request_id} got an answer with {whole}'
+        elif result.is_complete and result.body != _expected(result):
+            yield f'{result.request_id} got part of its answer as the whole one'
 
 
 def ran_without_caller(evidence: Evidence) -> Iterator[str]:
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -32,6 +32,8 @@
 _DEATH_POINTS = ('half_request', 'after_request', 'after_headers', 'mid_body')
 _ADAPTERS_PER_CHANGE = 3
 
+_LEAVING_KINDS = frozenset(('server_leave', 'server_leave_soon'))
+_NOTICES = _LEAVING_KINDS | NOTICE_KINDS.keys() | LIMIT_KINDS.keys()
 
 #: Least requests a second that a server states, and refusals that a brittle one
 #: bears; up to one request and so many refusals more.
@@ -247,13 +249,13 @@
         elif fault.kind == 'server_reset':
             reset = self._deployment.proxy.reset
             await asyncio.to_thread(reset, server.link_port)
-        elif fault.kind in {'server_kill', 'server_pause'}:
+        elif fault.kind in {'server_kill', 'server_restart', 'server_pause'}:
             async with self._locks[server.name]:
                 action = (
-                    self._kill if fault.kind == 'server_kill' else self._pause
+                    self._pause if fault.kind == 'server_pause' else self._kill
                 )
                 await action(server.name, fault.for_s)
-        elif fault.kind in NOTICE_KINDS | LIMIT_KINDS:
+        elif fault.kind in _NOTICES:
             async with self._locks[server.name]:
                 await self._give_notice(server, fault)
         else:
@@ -266,7 +268,7 @@
         document = _notice_document(fault)
         await asyncio.to_thread(lambda: self._tell(server, **document))
         await asyncio.sleep(fault.for_s)
-        if fault.kind == 'server_leave':
+        if fault.kind in _LEAVING_KINDS:
             await self._kill(server.name, 0)
 
     def _set_server_fault(self, server: Server, fault: Fault) -> None:
@@ -387,6 +389,7 @@
     documents: dict[str, dict[str, Any]] = {
         'server_want_pause': {'kind': 'want_pause'},
         'server_leave': {'kind': 'leave'},
+        'server_leave_soon': {'kind': 'leave'},
         'server_limit': {'kind': 'limit_requests', 'per_s': limit_per_s},
         'server_brittle': {'kind': 'be_brittle', 'per_s': refusals},
     }
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -51,11 +51,19 @@
     'deadly_request': (8, 16),
 }
 
+#: The same for servers that are killed and start again at once, the second kind
+#: shortly after a notice that they leave, while answers are under way.
+RESTART_KINDS = {
+    'server_restart': (0, 0),
+    'server_leave_soon': (0.1, 0.6),
+}
+
 _FIRST_FAULT_S = 1.0
 _MAX_GAP_S = 1.6
 _MAX_NOTICE_GAP_S = 12.0
 _MAX_LIMIT_GAP_S = 20.0
 _MAX_CRASH_GAP_S = 40.0
+_MAX_RESTART_GAP_S = 4.0
 _TARGETS = 64
 
 
@@ -63,7 +71,8 @@
     """A scheduled fault.
 
     :param at_s: seconds from the start of the run.
-    :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS` or `CRASH_KINDS`.
+    :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS`, `CRASH_KINDS` or
+        `RESTART_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -98,6 +107,9 @@
         *_random_faults(
             f'crash/{seed}', CRASH_KINDS, _MAX_CRASH_GAP_S, length_s
         ),
+        *_random_faults(
+            f'restart/{seed}', RESTART_KINDS, _MAX_RESTART_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/emulator/stream_server.py
+++ b/emulator/stream_server.py
@@ -93,6 +93,7 @@
         self._writer = writer
         self.die_at: FaultPoint | None = None
         self.is_last = False
+        self._is_framed = True
 
     @property
     def is_gone(self) -> bool:
@@ -126,25 +127,38 @@
         self._writer.write(body)
 
     def start_stream(
-        self, content_type: str, headers: tuple[tuple[str, str], ...] = ()
+        self,
+        content_type: str,
+        headers: tuple[tuple[str, str], ...] = (),
+        *,
+        is_framed: bool = True,
     ) -> None:
-        """Start a chunked answer."""
-        fields = (
-            ('Content-Type', content_type),
-            ('Transfer-Encoding', 'chunked'),
-            *headers,
-        )
-        self._send_head(200, fields)
+        """Start an answer that is sent in pieces.
+
+        :param is_framed: whether it has chunks; the end of its connection ends it
+            otherwise. One that a fault cuts off always has them, as nothing
+            would tell that it was cut off by a server that lives on.
+        """
+        self._is_framed = is_framed or self.die_at is not None
+        fields = [('Content-Type', content_type), *headers]
+        if self._is_framed:
+            fields.append(('Transfer-Encoding', 'chunked'))
+        else:
+            self.is_last = True
+        self._send_head(200, tuple(fields))
 
     def send_chunk(self, data: bytes) -> None:
-        """Send one chunk of a chunked answer."""
+        """Send one piece of an answer."""
         if self.die_at is FaultPoint.MID_BODY:
             self._die(b'%x\r\n%b' % (len(data), data[: len(data) // 2]))
-        self._writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+        if self._is_framed:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        self._writer.write(data)
 
     def end_stream(self) -> None:
-        """Complete a chunked answer."""
-        self._writer.write(b'0\r\n\r\n')
+        """Complete a chunked answer; the server ends the other ones."""
+        if self._is_framed:
+            self._writer.write(b'0\r\n\r\n')
 
     def _send_head(
         self,
--- /dev/null
+++ b/tests/test_soak_backend.py
@@ -0,0 +1,160 @@
+"""Servers of the soak send unframed answers, and end them when they are killed."""
+
+import json
+import socket
+from contextlib import closing
+from typing import NamedTuple
+
+import pytest
+
+from emulator.fleet import Program, Runner
+from emulator.proxy_link import Link
+from emulator.soak.backend import event, gets_unframed_answer
+from emulator.soak.engine_adapters import MODEL
+from emulator.waiting import free_ports, wait_until
+
+UNFRAMED, FRAMED = (
+    next(
+        request_id
+        for request_id in map(str, range(100))
+        if gets_unframed_answer(request_id) is is_unframed
+    )
+    for is_unframed in (True, False)
+)
+ADAPTER = f'{MODEL}/a1'
+EVENTS = 30
+
+
+class Server(NamedTuple):
+    """A server of the soak.
+
+    :param slots: adapters that it may hold, 0 for a plain server.
+    """
+
+    runner: Runner
+    port: int
+    slots: int
+
+
+@pytest.fixture(params=[0, 4], ids=['plain', 'engine'])
+def server(request, tmp_path):
+    port, store_port = free_ports(2)
+    options = {
+        'port': port,
+        'server-id': 's',
+        'service': 'x',
+        'address': f'127.0.0.1:{port}',
+        'data-centre': 'north',
+        'store-port': store_port,
+        'adapter-slots': request.param,
+    }
+    args = [text for name in options for text in (f'--{name}', options[name])]
+    with Runner(tmp_path) as runner:
+        runner.run(
+            program('store', ('--port', store_port), store_port),
+            program('backend', args, port),
+        )
+        load_adapter(port, request.param)
+        yield Server(runner, port, request.param)
+
+
+@pytest.fixture
+def link(server):
+    """The port of a proxy in front of the server."""
+    proxy = Link(0, ('127.0.0.1', server.port))
+    yield proxy.listen
+    proxy.close()
+
+
+def program(name, args, port):
+    ready = f'tcp://127.0.0.1:{port}'
+    return Program(name, f'emulator.soak.{name}', tuple(map(str, args)), ready)
+
+
+def load_adapter(port, slots):
+    order = {'op': 'load', 'adapter': 'a1', 'expected': 0}
+    if slots:
+        fetch(
+            port, '/-/order', json.dumps({**order, 'holder': 'g', 'fence': 1})
+        )
+        wait_until(lambda: ask_report(port)['seq'] == 2, 5, 'adapter loaded')
+
+
+def ask_report(port):
+    return json.loads(fetch(port, '/-/report')[1])
+
+
+def send(port, path, body='', **fields):
+    """Send a request and return its connection."""
+    conn = socket.create_connection(('127.0.0.1', port), 5)
+    lines = [f'POST {path} HTTP/1.1', f'Content-Length: {len(body)}']
+    lines += [f'{name.replace("_", "-")}: {fields[name]}' for name in fields]
+    conn.sendall('\r\n'.join((*lines, '', body)).encode())
+    return conn
+
+
+def send_run(port, request_id):
+    """Send a request that runs and return its connection."""
+    fields = {'model': ADAPTER, 'token_count': f'1,{EVENTS}'}
+    return send(port, '/x', request_id=request_id, **fields)
+
+
+def read_until(conn, mark=b'no such text'):
+    """Return what came up to a text, or to the orderly end of a connection."""
+    data = b''
+    while mark not in data and (piece := conn.recv(65536)):
+        data += piece
+    return data
+
+
+def fetch(port, path, body='', **fields):
+    """Return the head and the body of an answer that ends its connection."""
+    with closing(send(port, path, body, connection='close', **fields)) as conn:
+        head, _, content = read_until(conn).partition(b'\r\n\r\n')
+    return head.lower(), content
+
+
+def whole_answer(server, request_id):
+    if not server.slots:
+        return json.dumps({'request': request_id}).encode()
+    return b''.join(event(request_id, each + 1) for each in range(EVENTS))
+
+
+def is_framed(head):
+    return b'content-length' in head or b'transfer-encoding' in head
+
+
+def test_some_answers_have_neither_a_length_nor_chunks(server):
+    with closing(send_run(server.port, UNFRAMED)) as conn:
+        head, _, body = read_until(conn).partition(b'\r\n\r\n')
+    assert not is_framed(head.lower())
+    assert body == whole_answer(server, UNFRAMED)
+    with closing(send_run(server.port, FRAMED)) as conn:
+        assert is_framed(read_until(conn, b'\r\n\r\n').lower())
+
+
+@pytest.mark.parametrize('is_proxied', [False, True])
+def test_an_answer_of_a_killed_server_ends_in_order_before_its_last_byte(
+    server, link, is_proxied
+):
+    born = ask_report(server.port)['born']
+    port = link if is_proxied else server.port
+    with closing(send_run(port, UNFRAMED)) as conn:
+        start = read_until(conn, b'data: ' if server.slots else b'{')
+        server.runner.kill('backend')
+        body = (start + read_until(conn)).partition(b'\r\n\r\n')[2]
+    whole = whole_answer(server, UNFRAMED)
+    assert whole.startswith(body)
+    assert len(body) < len(whole)
+    server.runner.restart('backend')
+    assert ask_report(server.port)['born'] > born
+
+
+@pytest.mark.parametrize(
+    ('expected', 'status'), [('s', b' 200 '), ('another', b' 421 ')]
+)
+def test_a_health_check_for_another_server_is_misdirected(
+    server, expected, status
+):
+    head, _ = fetch(server.port, '/health', expect_instance=expected)
+    assert status in head.partition(b'\r\n')[0]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -243,8 +243,18 @@
         'answer of other',
         {'results': [STREAM._replace(echoed_id='other')]},
     ),
-    ('another body', {'results': [STREAM._replace(body=event('r', 1))]}),
+    ('another body', {'results': [STREAM._replace(body=event('x', 1))]}),
+    ('another body', {'results': [STREAM._replace(body=BODY + b'x')]}),
     ('pieces of another', {'results': [CUT._replace(body=event('x', 1))]}),
+    # A gateway that takes the end of a killed server's answer for its end.
+    *(
+        ('as the whole one', {'results': [STREAM._replace(body=part)]})
+        for part in (event('r', 1), BODY[:-1], b'')
+    ),
+    *(
+        ('as the whole one', asked_newest(HAD_NEWEST._replace(body=part)))
+        for part in (HAD_NEWEST.body[:8], b'')
+    ),
     ('nobody sent it', {'runs': [RUN, RUN._replace(request='x')]}),
     ('ran 2 times', {'runs': [RUN, RUN._replace(server='llm-1')]}),
     ('refused with 503', {'results': [REFUSED]}),
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from emulator.soak.backend import gets_unframed_answer
 from emulator.soak.play import Size, play
 from emulator.soak.schedule import Fault, schedule_of
 
@@ -27,3 +28,20 @@
     )
     verdict = play(110, faults, Size(), tmp_path / 'soak')
     assert verdict.broken == []
+
+
+def test_no_part_of_an_unframed_answer_of_a_killed_server_passes_as_whole(
+    tmp_path,
+):
+    faults = tuple(
+        Fault(1 + each * 0.6, kind, each, 0.3, 0)
+        for each, kind in enumerate(('server_restart', 'server_leave_soon') * 7)
+    )
+    verdict = play(1, faults, SIZE, tmp_path / 'soak')
+    assert verdict.broken == []
+    unframed = [
+        each
+        for each in verdict.evidence.results
+        if each.status == 200 and gets_unframed_answer(each.request_id)
+    ]
+    assert sum(each.is_complete for each in unframed) > len(unframed) / 2
--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -7,6 +7,7 @@
     KINDS,
     LIMIT_KINDS,
     NOTICE_KINDS,
+    RESTART_KINDS,
     decode,
     encode,
     schedule_of,
@@ -30,7 +31,13 @@
 
 def test_all_kinds_come_and_last_as_long_as_they_may():
     faults = [fault for seed in range(20) for fault in schedule_of(seed, 60)]
-    all_kinds = {**KINDS, **NOTICE_KINDS, **LIMIT_KINDS, **CRASH_KINDS}
+    all_kinds = {
+        **KINDS,
+        **NOTICE_KINDS,
+        **LIMIT_KINDS,
+        **CRASH_KINDS,
+        **RESTART_KINDS,
+    }
     assert {fault.kind for fault in faults} == all_kinds.keys()
     for fault in faults:
         shortest_s, longest_s = all_kinds[fault.kind]
