Take a chunk size that was cut off for no last chunk

Callers of an entry saw half an answer as a whole one where a server pads its chunk sizes with zeros and its connection ended in order within one: http.client takes the line that it could read, '0' or '00' of '0011', for a size of 0, the last chunk. A line that the connection cuts off is an error now (IncompleteRead, as for a chunk that is cut off), in the head, the chunk sizes and the trailer.

--- a/src/wasabicross/dispatching/responses.py
+++ b/src/wasabicross/dispatching/responses.py
@@ -49,6 +49,20 @@
                 self.had_unread_bytes = True
         super().close()
 
+    def readline(self, size: int | None = -1) -> bytes:
+        """Read one line, which may not be cut off.
+
+        `http.client` takes the start of a line for the whole one, and so the
+        first zeros of a padded chunk size for the last chunk.
+
+        :param size: maximum length in bytes.
+        :raises IncompleteRead: when the connection ends within the line.
+        """
+        line = super().readline(size)
+        if line and len(line) != size and not line.endswith(b'\n'):
+            raise IncompleteRead(line)
+        return line
+
     def _has_unread_bytes(self) -> bool:
         self._sock.settimeout(0)
         return bool(self.peek())
