Reset a connection whose answer was cut where its end would complete it

A caller of an entry that speaks HTTP/1.0 gets an answer with neither a length nor chunks, which the end of the connection ends. Where the server's answer was cut, the entry ended this connection in order, as after a whole answer, so any part looked whole, whatever the framing of the server and the path. The connection is reset then; answers in chunks end without their last chunk as before.

--- a/src/wasabicross/runtime/http_server.py
+++ b/src/wasabicross/runtime/http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server that the programs run on their ports."""
 
 import socket
+import struct
 import time
 from contextlib import suppress
 from typing import Any
@@ -31,6 +32,9 @@
 _DISCARD_S = 1.0
 _DISCARD_CHUNK_BYTES = 65_536
 
+#: Makes a socket reset its connection when it is closed.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 
 class _Request(HTTPRequest):
     """A request whose unread body is never parsed as the next request."""
@@ -56,8 +60,14 @@
 
     def respond(self) -> None:
         """Answer the request, then discard a body that was not read."""
-        with self.conn.socket.read_deadline(self.server.body_timeout_s):
-            super().respond()
+        try:
+            with self.conn.socket.read_deadline(self.server.body_timeout_s):
+                super().respond()
+        except Exception:
+            # An HTTP/1.0 client takes an orderly end for that of the answer.
+            is_framed = self.chunked_write or not self.sent_headers
+            self.conn.is_answer_cut = not is_framed
+            raise
         if self.close_connection and self._has_unread_body():
             self._discard_body()
 
@@ -93,12 +103,25 @@
     """A client connection with its successive requests."""
 
     RequestHandlerClass = _Request
+    is_answer_cut = False
 
     def __init__(self, server: 'HttpServer', sock: Any, makefile: Any) -> None:
         deadline_sock = DeadlineSocket(sock)
         super().__init__(server, deadline_sock, makefile)
         deadline_sock.settimeout(server.read_timeout_s)
 
+    def _close_kernel_socket(self) -> None:
+        """End the connection, with a reset if that would complete an answer."""
+        if not self.is_answer_cut:
+            super()._close_kernel_socket()  # type: ignore[misc]
+            return
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+        # The reset is sent once no file of the socket is open.
+        with suppress(OSError):
+            self.wfile.close()
+
 
 class HttpServer(wsgi.Server):
     """Serves a WSGI application with worker threads.
--- a/tests/test_dispatch_cut_answers.py
+++ b/tests/test_dispatch_cut_answers.py
@@ -206,9 +206,9 @@
         each.listener.close()
 
 
-def call_entry(entry, target):
+def call_entry(entry, target, version):
     """Return the status and body that seem whole to a caller, or None."""
-    head = f'POST /{target} HTTP/1.1\r\nHost: x\r\n'
+    head = f'POST /{target} HTTP/{version}\r\nHost: x\r\n'
     head += f'Content-Length: {len(BODY)}\r\nConnection: close\r\n\r\n'
     data = b''
     with closing(socket.create_connection(('127.0.0.1', entry), 5)) as conn:
@@ -240,29 +240,35 @@
     return OK, kind.body.replace(b'"model": "l"', b'"model": "adapter"')
 
 
+@pytest.mark.parametrize('version', ['1.1', '1.0'])
 @pytest.mark.parametrize('cut', CUTS.values(), ids=list(CUTS))
 @pytest.mark.parametrize('framing', FRAMINGS, ids=lambda each: each.__name__)
 @pytest.mark.parametrize('kind', KINDS.values(), ids=list(KINDS))
-def test_no_answer_that_was_cut_looks_whole(entry, server, kind, framing, cut):
+def test_no_answer_that_was_cut_looks_whole(
+    entry, server, kind, framing, cut, version
+):
     head, body = framing(kind.fields + cut.fields, kind.body)
     parts = [body[:end] for end in range(0, len(body), cut.step)]
     port = server([['request', head + part, cut.end] for part in parts])
     whole = whole_answer(kind)
     for part in parts:
         target = f'{kind.path}/{port}/{next(keys)}'
-        seen = call_entry(entry, target)
+        seen = call_entry(entry, target, version)
         assert seen is None or seen[0] != OK or seen == whole, part
         if kind.path == 'keyed':
-            again = call_entry(entry, target)
+            again = call_entry(entry, target, version)
             assert again[0] == CONFLICT or again == seen == whole, part
 
 
+@pytest.mark.parametrize('version', ['1.1', '1.0'])
 @pytest.mark.parametrize('framing', FRAMINGS, ids=lambda each: each.__name__)
 @pytest.mark.parametrize('kind', KINDS.values(), ids=list(KINDS))
-def test_an_answer_is_whole_if_its_bytes_show_it(entry, server, kind, framing):
+def test_an_answer_is_whole_if_its_bytes_show_it(
+    entry, server, kind, framing, version
+):
     head, body = framing(kind.fields, kind.body)
     port = server([['request', head + body, 'fin']])
     is_shown = framing is not unframed or STREAM_END_MARK in body
-    seen = call_entry(entry, f'{kind.path}/{port}/{next(keys)}')
+    seen = call_entry(entry, f'{kind.path}/{port}/{next(keys)}', version)
     assert (seen == whole_answer(kind)) is is_shown
     assert is_shown or seen is None or seen[0] != OK
