Repeat no empty answer for one that was too long to keep

A repeated request with an idempotency key whose answer had over 16 KiB got 200 with an empty body and Content-Length: 0. The key was settled with the status of the answer and no bytes, so the owner kept them as the answer.

--- a/src/wasabicross/callers/key_claims.py
+++ b/src/wasabicross/callers/key_claims.py
@@ -179,8 +179,9 @@
         except AnswerCut:
             self._settle(req, 'unknown', None)
             raise
-        kept_answer = b''.join(answer) if size <= MAX_KEPT_ANSWER_BYTES else b''
-        self._settle(req, 'completed', reply._replace(content=(kept_answer,)))
+        is_kept = size <= MAX_KEPT_ANSWER_BYTES
+        kept_reply = reply._replace(content=answer) if is_kept else None
+        self._settle(req, 'completed', kept_reply)
         yield pending
 
     def _settle(
--- a/tests/test_dispatch_cut_answers.py
+++ b/tests/test_dispatch_cut_answers.py
@@ -24,7 +24,7 @@
 from wasabicross.bundles.bundles import Route
 from wasabicross.callers.attempts import AttemptHistory, Attempts
 from wasabicross.callers.caller_request import CallerRequest
-from wasabicross.callers.key_claims import KeyClaims
+from wasabicross.callers.key_claims import MAX_KEPT_ANSWER_BYTES, KeyClaims
 from wasabicross.callers.model_field import ModelField
 from wasabicross.callers.replies import Reply
 from wasabicross.callers.service_calls import ServiceCalls
@@ -272,3 +272,26 @@
     seen = call_entry(entry, f'{kind.path}/{port}/{next(keys)}', version)
     assert (seen == whole_answer(kind)) is is_shown
     assert is_shown or seen is None or seen[0] != OK
+
+
+@pytest.mark.parametrize(
+    ('length', 'is_kept'),
+    [
+        (0, True),
+        (MAX_KEPT_ANSWER_BYTES, True),
+        (MAX_KEPT_ANSWER_BYTES + 1, False),
+    ],
+)
+@pytest.mark.parametrize('framing', FRAMINGS[:-1])
+def test_a_repeat_gets_no_empty_answer_for_one_too_long_to_keep(
+    entry, server, framing, length, is_kept
+):
+    body = b'x' * length
+    port = server([['request', b''.join(framing(b'', body)), 'fin']])
+    target = f'keyed/{port}/{next(keys)}'
+    assert call_entry(entry, target, '1.1') == (OK, body)
+    status, repeated = call_entry(entry, target, '1.1')
+    assert (status, repeated == body) == (
+        (OK, True) if is_kept else (CONFLICT, False)
+    )
+    assert is_kept or b'already_run' in repeated
