--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -1,11 +1,13 @@
 """Run the gateway from a checkout, without installing the package."""
 
-import pathlib
+import os
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'src'))
+# `pathlib` would take some of the time in which a signal isn't handled yet.
+_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(_ROOT, 'src'))
 
-from wasabicross.programs.run_gateway import main  # noqa: E402
+from wasabicross.programs.start_gateway import main  # noqa: E402
 
 if __name__ == '__main__':
     main()
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -258,7 +258,7 @@
         path = self._write_settings(gateway)
         return Program(
             gateway.name,
-            'wasabicross.programs.run_gateway',
+            'wasabicross.programs.start_gateway',
             ready=f'http://{gateway.host}:{gateway.ready_port}/-/ready',
             env=(('WASABICROSS_NODE_FILE', str(path)),),
         )
