Repeat no encoded answer without its encoding

A repeated request with an idempotency key got the bytes of a compressed answer without the Content-Encoding that says how to read them: only status, Content-Type and body of an answer are kept. An answer with that field isn't kept now; its repeats get 409 already_run. Two tests (the field in both spellings) failed before (200 where 409 is asked) and pass after, as does the rest of both files (210 passed).

--- a/src/wasabicross/callers/key_claims.py
+++ b/src/wasabicross/callers/key_claims.py
@@ -32,6 +32,8 @@
 GRANTED = 'granted'
 NOT_OWNED = 'not_owned'
 
+_ENCODING_FIELD = 'content-encoding'
+
 CLAIM_UNAVAILABLE = Fault(
     503,
     'overloaded_error',
@@ -179,7 +181,7 @@
         except AnswerCut:
             self._settle(req, 'unknown', None)
             raise
-        is_kept = size <= MAX_KEPT_ANSWER_BYTES
+        is_kept = size <= MAX_KEPT_ANSWER_BYTES and not _is_encoded(reply)
         kept_reply = reply._replace(content=answer) if is_kept else None
         self._settle(req, 'completed', kept_reply)
         yield pending
@@ -203,6 +205,11 @@
         return self._link.call(settlement, SETTLE_TIMEOUT_S).is_ok()
 
 
+def _is_encoded(reply: Reply) -> bool:
+    """Return whether a field that isn't kept tells how to read an answer."""
+    return any(name.lower() == _ENCODING_FIELD for name, _ in reply.headers)
+
+
 def _repeat_reply(answer: ClaimAnswer) -> Reply:
     if answer.state == 'completed':
         headers = (
--- a/tests/test_dispatch_cut_answers.py
+++ b/tests/test_dispatch_cut_answers.py
@@ -295,3 +295,15 @@
         (OK, True) if is_kept else (CONFLICT, False)
     )
     assert is_kept or b'already_run' in repeated
+
+
+@pytest.mark.parametrize('field', [b'Content-Encoding', b'content-encoding'])
+def test_a_repeat_gets_no_encoded_answer_without_its_encoding(
+    entry, server, field
+):
+    head, body = with_length(field + b': gzip\r\n', PLAIN)
+    target = f'keyed/{server([["request", head + body]])}/{next(keys)}'
+    assert call_entry(entry, target, '1.1') == (OK, PLAIN)
+    status, repeated = call_entry(entry, target, '1.1')
+    assert status == CONFLICT
+    assert b'already_run' in repeated
