Find ends of events without a search that goes back byte by byte

What callers saw: nothing. Once a stream had a CR, a part of it without an end of an event was searched by an expression that goes back byte by byte; a server that sends much of that keeps the gateway's loop from others. Change: the three pairs of bytes that end an event are searched for; an LF after a CR passes as an empty line, as before.

--- a/src/wasabicross/gateway/connections/event_stream.py
+++ b/src/wasabicross/gateway/connections/event_stream.py
@@ -11,13 +11,14 @@
 #: Longest event; bounds the memory for a stream whose events don't end.
 _MAX_EVENT_BYTES = 262144
 
-_EVENT_END = b'\n\n'
-_CR = b'\r'
 _LINE_END = b'\n'
 _LINE_ENDS = b'\r\n'
 
 #: An empty line ends an event. A line ends with CR LF, LF or CR.
-_UNTIL_LAST_EVENT_END = re.compile(rb'(?s:.*)(?>\r\n|\n|\r){2}')
+_EVENT_ENDS = (b'\n\n', b'\n\r', b'\r\r')
+_EVENT_END_BYTES = 2
+#: The same with the LF that may come after a CR.
+_STREAM_ENDS = (*_EVENT_ENDS, b'\n\r\n', b'\r\r\n')
 _EMPTY_LINES = re.compile(rb'[\r\n]*')
 
 _ID_FIELD = b'id:'
@@ -30,9 +31,6 @@
 #: The start of a line that begins the head of an answer.
 _HEAD_LINE_STARTS = (b'\nHTTP/1.', b'\rHTTP/1.')
 
-_AT_EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2}\Z')
-_MAX_EVENT_END_BYTES = 4
-
 #: Bytes of a stream with which the next ones may make up the start of a head.
 _TAIL_BYTES = 7
 
@@ -57,7 +55,6 @@
     def __init__(self) -> None:
         self._partial = bytearray()
         self._is_first = True
-        self._has_cr = False
         #: What a stream that is resumed has had before its first event.
         self._held = b''
         self.last_event_id = ''
@@ -70,10 +67,9 @@
             answer, or the first one doesn't follow on the last event of the
             stream that is resumed.
         """
-        # What was there before holds no end, but maybe the start of one.
-        searched = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
+        # What was there before holds no end, but maybe the first byte of one.
+        searched = max(0, len(self._partial) - 1)
         self._partial += chunk
-        self._has_cr = self._has_cr or _CR in chunk
         end = self._end_of_last_event(searched)
         if end or not self._is_first:
             end = self._end_of_empty_lines(end)
@@ -99,11 +95,8 @@
 
     def _end_of_last_event(self, searched: int) -> int:
         """Return where the last complete event ends, 0 if there is none."""
-        if self._has_cr:
-            found = _UNTIL_LAST_EVENT_END.match(self._partial, searched)
-            return 0 if found is None else found.end()
-        end = self._partial.rfind(_EVENT_END, searched)
-        return 0 if end < 0 else end + len(_EVENT_END)
+        start = max(self._partial.rfind(each, searched) for each in _EVENT_ENDS)
+        return 0 if start < 0 else start + _EVENT_END_BYTES
 
     def _end_of_empty_lines(self, start: int) -> int:
         """Return where the empty lines after an event end."""
@@ -164,7 +157,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Return whether the last event isn't complete."""
-        return not self.is_empty and _AT_EVENT_END.search(self._tail) is None
+        return not self.is_empty and not self._tail.endswith(_STREAM_ENDS)
 
     def feed(self, chunk: bytes) -> None:
         """Add the next bytes of the stream.
