Ask a server for its start before a stream goes on there

Cause: the version of a running process was taken from the store's entry of its former start. Class: an older word about a process taken for the present one. Change: before a stream that has begun goes on at an engine, in its answer or by a caller's take-up, the engine is asked for its report, and is passed over if that names another start than the entry. One that gives no report within 0.15 s is used as before, so that no sound stream is lost. What remains: servers without a report; a restart between the report and a new connection; a new stream that begins at such a server is noted under the listed version.

--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -1,8 +1,9 @@
-"""Finds out whether a server's process has outlived the end of its answer."""
+"""Finds out which process of a server lives, also after the end of its answer."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
 from wasabicross.gateway import metrics
@@ -34,6 +35,10 @@
 _PAUSE_S = 0.1
 
 
+#: Longest wait for the start of a server at which a stream is to go on.
+_MAX_START_WAIT_S = 0.15
+
+
 class _Question(NamedTuple):
     """A question to a server that others may wait for.
 
@@ -115,6 +120,20 @@
             )
         return proof
 
+    async def has_restarted(self, server: BackendServer) -> bool:
+        """Return whether a server reports another start than the listed one.
+
+        :param server: the server as it is listed.
+        :return: False also if it gives no report at once.
+        """
+        if not self._reports_start(server):
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_START_WAIT_S):
+                sign = await self._sign_after(server, now_s())
+                return sign.start_ms not in {0, server.start_ms}
+        return False
+
     def close(self) -> None:
         """Ask nothing more and close the connections for it."""
         for each in self._questions.values():
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -62,6 +62,9 @@
 from wasabicross.runtime.logs import log_event
 from wasabicross.servers.retries import RetryBudget
 
+#: Why a stream doesn't go on at a server.
+_RESTARTED = 'started again, not listed yet'
+
 _CUT_STATUS = 0
 _NOT_FOUND = 404
 #: Tells the caller not to repeat the request as it is.
@@ -389,7 +392,11 @@
         self._deps.retry_delays_for(self._record.labels[0]).on_sent(started_s)
         ending = Ending.unknown
         try:
-            ending = await attempt.run(placement)
+            if await self._has_restarted(context.route, placement):
+                attempt.record.reason = _RESTARTED
+                ending = Ending.not_sent
+            else:
+                ending = await attempt.run(placement)
         except CallerGone:
             attempt.record.reason = CALLER_LEFT
             raise
@@ -410,6 +417,19 @@
             self._record.outcome = 'answered' if is_ok else 'failed'
         return ending
 
+    async def _has_restarted(self, route: Route, placement: Placement) -> bool:
+        """Return whether a stream would go on at a start that isn't listed.
+
+        Its software version isn't known then.
+        """
+        if not (route.is_resumable and self._progress.last_event_id):
+            return False
+        server = placement.server
+        if not await self._deps.servers.life.has_restarted(server):
+            return False
+        self._progress.excluded.add(server.server_id)
+        return True
+
     async def _end_on_timeout(self) -> None:
         if self._time_limit.was_ended:
             await self._end_without_answer(_STOPS.reason, _STOPS.retry_after_s)
--- a/tests/test_gateway_restarted_versions.py
+++ b/tests/test_gateway_restarted_versions.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
 from gateway_parts import FakeEngines
+from raw_caller import status_of
+from scripted_server import STREAM_END
 from version_parts import (
     OLD,
     VersionServer,
@@ -54,11 +57,29 @@
     return sum(len(found) > 1 for found in answers)
 
 
-def run_restarted(scenario):
+class SilentEngines(FakeEngines):
+    """Give no report."""
+
+    async def report(self, server):
+        """Wait for longer than a caller does."""
+        await asyncio.sleep(30)
+
+
+class SteadyEngines(FakeEngines):
+    """Report the listed starts."""
+
+    async def report(self, server):
+        """Return the report of the start that is listed."""
+        report = await super().report(server)
+        return report._replace(start_ms=LISTED_MS)
+
+
+def run_restarted(scenario, engines=None):
     """Run a scenario before a server of v1 and one that has restarted as v2.
 
     The gateway has been told of no new entry.
     """
+    engines = engines or ReportingEngines()
 
     async def run():
         breaks = []
@@ -66,7 +87,6 @@
             VersionServer('v1', breaks, pause_s=0.1),
             RestartedServer('v1', 'v2'),
         ]
-        engines = ReportingEngines()
         async with versions_serving(servers, OLD, engines=engines) as bench:
             listed = bench.gateway.view.servers
             for server_id, server in tuple(listed.items()):
@@ -103,3 +123,14 @@
         ]
 
     assert joined(run_restarted(scenario)) <= MOST_JOINED
+
+
+@pytest.mark.parametrize('engines_type', [SilentEngines, SteadyEngines])
+def test_a_take_up_is_not_lost_without_news_of_a_restart(engines_type):
+    async def scenario(bench, breaks):
+        return [await send(bench, take_up(each, f'r{each}')) for each in 'ab']
+
+    for received, found in run_restarted(scenario, engines_type()):
+        assert status_of(received) == 200
+        assert found
+        assert received.endswith(STREAM_END)
