Ask a server that wants a pause once a second where its answers end

Change: such a server is asked once a second at most, and the answers that have ended meanwhile share the question, which needs no slot there.

--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import math
-from typing import NamedTuple
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_ends.end_decisions import (
@@ -47,19 +46,27 @@
 #: Pause before a server is asked again.
 _PAUSE_S = 0.1
 
+#: Least time between two questions to a server that wants a pause. Its answers
+#: that have ended meanwhile share one.
+_PAUSED_INTERVAL_S = 1.0
+
+#: Most servers whose last question is remembered.
+_MAX_QUESTIONS = 4096
+
 #: Longest wait for the start of a server at which a stream is to go on.
 _MAX_START_WAIT_S = 0.15
 
 
-class _Question(NamedTuple):
-    """A question to a server that others may wait for.
+class _Question:
+    """A question to a server that others may wait for."""
 
-    :param asked_s: a time at which it wasn't sent yet, monotonic seconds.
-    """
-
-    asked_s: float
+    #: Asks it; done once there is an answer or none will come.
     task: asyncio.Task[LifeSign]
 
+    def __init__(self) -> None:
+        #: A time at which it wasn't sent yet, monotonic seconds.
+        self.asked_s = -math.inf
+
 
 class LifeChecks:
     """Asks servers whose answers ended with their connection.
@@ -173,28 +180,44 @@
     ) -> LifeSign:
         """Return the answer to a question that was sent after a moment."""
         while True:
-            question = self._question(server, now_s())
+            question = self._question(server)
             sign = await asyncio.shield(question.task)
             if question.asked_s >= after_s:
                 return sign
 
-    def _question(self, server: BackendServer, now_s: float) -> _Question:
+    def _question(self, server: BackendServer) -> _Question:
         """Return the question to a server that is under way, or a new one."""
         key = Incarnation.from_server(server)
         question = self._questions.get(key)
         if question is None or question.task.done():
-            task = asyncio.ensure_future(self._ask(server))
-            question = self._questions[key] = _Question(now_s, task)
-            task.add_done_callback(lambda _: self._forget(key, question))
+            before_s = -math.inf if question is None else question.asked_s
+            question = _Question()
+            question.task = asyncio.ensure_future(
+                self._ask(server, question, before_s)
+            )
+            self._keep(key, question)
         return question
 
-    def _forget(self, key: Incarnation, question: _Question) -> None:
-        if self._questions.get(key) is question:
-            self._questions.pop(key)
+    def _keep(self, key: Incarnation, question: _Question) -> None:
+        self._questions.pop(key, None)
+        self._questions[key] = question
+        if len(self._questions) > _MAX_QUESTIONS:
+            oldest = next(iter(self._questions))
+            if self._questions[oldest].task.done():
+                self._questions.pop(oldest)
+
+    async def _ask(
+        self, server: BackendServer, question: _Question, before_s: float
+    ) -> LifeSign:
+        """Ask a server.
 
-    async def _ask(self, server: BackendServer) -> LifeSign:
+        :param question: the question, which is told when it is sent.
+        :param before_s: when the server was asked before, monotonic seconds.
+        """
         if now_s() < self._view.notices.paused_until_s(server):
-            return LifeSign(reason='the server wants a pause')
+            due_s = before_s + _PAUSED_INTERVAL_S
+            await asyncio.sleep(max(0, due_s - now_s()))
+        question.asked_s = now_s()
         if self._reports_start(server):
             return await self._ask_for_report(server)
         limiter = self._view.notices.limiter
