--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -148,8 +148,10 @@
             for number, service in enumerate(services)
         ]
         self.proxy = ProxyClient(self._control_port)
-        # A restarted server may not listen yet when a fault is sent to it.
-        retries = urllib3.Retry(total=6, backoff_factor=0.1)
+        # A server may end or not listen yet when a fault is sent to it.
+        retries = urllib3.Retry(
+            total=6, backoff_factor=0.1, allowed_methods=None
+        )
         self._http = urllib3.PoolManager(retries=retries, timeout=5)
         #: Version of the newest configuration that the store has acknowledged.
         self.acknowledged_configuration = 0
