--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -1,9 +1,10 @@
-"""Finds out whether a server's process has outlived the end of its answer."""
+"""Finds out which process of a server lives, also after the end of its answer."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+import contextlib
+import math
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_ends.end_decisions import (
@@ -12,7 +13,10 @@
     proof_by,
 )
 from wasabicross.gateway.answer_ends.end_proof import EndProof
-from wasabicross.gateway.answer_ends.probe_connections import ProbeConnections
+from wasabicross.gateway.answer_ends.probe_connections import (
+    ProbeConnection,
+    ProbeConnections,
+)
 from wasabicross.gateway.answer_ends.seen_starts import SeenStarts
 from wasabicross.gateway.backend import BackendServer, Incarnation
 from wasabicross.gateway.clock import now_s
@@ -20,6 +24,7 @@
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
     ServerError,
+    ServerGone,
     ServerUnreachable,
 )
 from wasabicross.gateway.orders import EngineClient
@@ -31,19 +36,37 @@
 #: server may be silent for a second.
 _MAX_WAIT_S = 2.0
 
+#: Time for which a service is expected to send more answers that end with their
+#: connection once it has sent one.
+_UNSTATED_FOR_S = 60.0
+
+#: Why a process that answers may not have sent the answer before.
+_TOO_YOUNG = 'not known to have been there before the request'
+
 #: Pause before a server is asked again.
 _PAUSE_S = 0.1
 
+#: Least time between two questions to a server that wants a pause. Its answers
+#: that have ended meanwhile share one.
+_PAUSED_INTERVAL_S = 1.0
 
-class _Question(NamedTuple):
-    """A question to a server that others may wait for.
+#: Most servers whose last question is remembered.
+_MAX_QUESTIONS = 4096
 
-    :param asked_s: a time at which it wasn't sent yet, monotonic seconds.
-    """
+#: Longest wait for the start of a server at which a stream is to go on.
+_MAX_START_WAIT_S = 0.15
+
+
+class _Question:
+    """A question to a server that others may wait for."""
 
-    asked_s: float
+    #: Asks it; done once there is an answer or none will come.
     task: asyncio.Task[LifeSign]
 
+    def __init__(self) -> None:
+        #: A time at which it wasn't sent yet, monotonic seconds.
+        self.asked_s = -math.inf
+
 
 class LifeChecks:
     """Asks servers whose answers ended with their connection.
@@ -66,8 +89,11 @@
         self._view = view
         self._engines = engines
         self._connections = ProbeConnections(pool)
-        #: Whether all answers of a service so far stated where they end.
-        self._are_stated: dict[str, bool] = {}
+        #: Until when an answer of a service may end with its connection, by what
+        #: its answers so far stated.
+        self._unstated_until_s: dict[str, float] = {}
+        #: Whether the servers of a service have reports.
+        self._have_reports: dict[str, bool] = {}
         self._starts = SeenStarts()
         self._questions: dict[Incarnation, _Question] = {}
 
@@ -75,12 +101,10 @@
         """Prepare for a question about the answer to the next request.
 
         :param server: the server that will get it.
-        :raises ServerUnreachable: the server can't be connected to.
         """
-        if self._are_stated.get(server.service, False):
-            return
-        if not self._reports_start(server):
-            await self._connections.ensure(server)
+        until_s = self._unstated_until_s.get(server.service, math.inf)
+        if not self._reports_start(server) and now_s() < until_s:
+            await self._connections.ensure(server, now_s())
 
     def on_head(self, origin: AnswerOrigin, *, is_stated: bool) -> None:
         """Record whether an answer states where it ends.
@@ -89,9 +113,11 @@
         :param is_stated: whether it states that.
         """
         server = origin.server
-        were_stated = self._are_stated.get(server.service, True)
-        self._are_stated[server.service] = were_stated and is_stated
-        if not is_stated and not self._reports_start(server):
+        if is_stated:
+            self._unstated_until_s.setdefault(server.service, -math.inf)
+            return
+        self._unstated_until_s[server.service] = now_s() + _UNSTATED_FOR_S
+        if not self._reports_start(server):
             self._connections.adopt(server, origin.sent_s)
 
     async def prove_end(self, origin: AnswerOrigin, ended_s: float) -> EndProof:
@@ -119,6 +145,20 @@
             )
         return proof
 
+    async def has_restarted(self, server: BackendServer) -> bool:
+        """Return whether a server reports another start than the listed one.
+
+        :param server: the server as it is listed.
+        :return: False also if it gives no report at once.
+        """
+        if not self._reports_start(server):
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_START_WAIT_S):
+                sign = await self._sign_after(server, now_s())
+                return sign.start_ms not in {0, server.start_ms}
+        return False
+
     def close(self) -> None:
         """Ask nothing more and close the connections for it."""
         for each in self._questions.values():
@@ -129,7 +169,10 @@
         """Return whether a server's report names the start that is listed."""
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
-        has_report = service is not None and service.engine is not None
+        if service is not None:
+            # A later configuration may lack the service.
+            self._have_reports[service.name] = service.engine is not None
+        has_report = self._have_reports.get(server.service, False)
         return has_report and server.start_ms > 0
 
     async def _sign_after(
@@ -137,31 +180,48 @@
     ) -> LifeSign:
         """Return the answer to a question that was sent after a moment."""
         while True:
-            question = self._question(server, now_s())
+            question = self._question(server)
             sign = await asyncio.shield(question.task)
             if question.asked_s >= after_s:
                 return sign
 
-    def _question(self, server: BackendServer, now_s: float) -> _Question:
+    def _question(self, server: BackendServer) -> _Question:
         """Return the question to a server that is under way, or a new one."""
         key = Incarnation.from_server(server)
         question = self._questions.get(key)
         if question is None or question.task.done():
-            task = asyncio.ensure_future(self._ask(server))
-            question = self._questions[key] = _Question(now_s, task)
-            task.add_done_callback(lambda _: self._forget(key, question))
+            before_s = -math.inf if question is None else question.asked_s
+            question = _Question()
+            question.task = asyncio.ensure_future(
+                self._ask(server, question, before_s)
+            )
+            self._keep(key, question)
         return question
 
-    def _forget(self, key: Incarnation, question: _Question) -> None:
-        if self._questions.get(key) is question:
-            self._questions.pop(key)
+    def _keep(self, key: Incarnation, question: _Question) -> None:
+        self._questions.pop(key, None)
+        self._questions[key] = question
+        if len(self._questions) > _MAX_QUESTIONS:
+            oldest = next(iter(self._questions))
+            if self._questions[oldest].task.done():
+                self._questions.pop(oldest)
 
-    async def _ask(self, server: BackendServer) -> LifeSign:
+    async def _ask(
+        self, server: BackendServer, question: _Question, before_s: float
+    ) -> LifeSign:
+        """Ask a server.
+
+        :param question: the question, which is told when it is sent.
+        :param before_s: when the server was asked before, monotonic seconds.
+        """
         if now_s() < self._view.notices.paused_until_s(server):
-            return LifeSign(reason='the server wants a pause')
+            due_s = before_s + _PAUSED_INTERVAL_S
+            await asyncio.sleep(max(0, due_s - now_s()))
+        question.asked_s = now_s()
         if self._reports_start(server):
             return await self._ask_for_report(server)
-        if not await self._view.notices.limiter.acquire(server, now_s):
+        limiter = self._view.notices.limiter
+        if not await limiter.acquire(server, now_s, blocks=False):
             return LifeSign(reason='the limit of the server')
         return await self._ask_on_connection(server)
 
@@ -170,25 +230,44 @@
             report = await self._engines.report(server)
         except ServerUnreachable as exc:
             return LifeSign(reason=str(exc), is_final=exc.is_refused)
+        except ServerGone as exc:
+            return LifeSign(reason=str(exc), is_final=True)
         except (ServerError, DocumentUnreadable) as exc:
             return LifeSign(reason=str(exc))
         since_s = self._starts.seen_since_s(server, report.start_ms, now_s())
-        return LifeSign(report.start_ms, since_s, is_final=True)
+        return LifeSign(report.start_ms, since_s, _TOO_YOUNG, is_final=True)
 
     async def _ask_on_connection(self, server: BackendServer) -> LifeSign:
-        conn = self._connections.take(server)
-        if conn is None:
-            reason = 'no connection from before the request'
-            return LifeSign(reason=reason, is_final=True)
+        """Ask on the oldest connection on which the server answers."""
+        until_s = now_s() + _MAX_WAIT_S
+        await self._connections.ensure_spare(server)
+        reason = 'no connection from before the request'
+        for probe in tuple(self._connections.usable(server)):
+            asked_s = now_s()
+            reason = await self._why_silent(server, probe, until_s - asked_s)
+            if not reason:
+                self._connections.on_answer(server, probe, asked_s, now_s())
+                return LifeSign(0, probe.since_s, _TOO_YOUNG, is_final=True)
+        return LifeSign(reason=reason, is_final=True)
+
+    async def _why_silent(
+        self, server: BackendServer, probe: ProbeConnection, max_wait_s: float
+    ) -> str:
+        """Ask on a connection; return why there was no answer, if there was none."""
+        conn = probe.conn
+        probe.is_asked = True
         try:
             await self._engines.check_process(
-                server, conn, self._health_path(server), _MAX_WAIT_S
+                server, conn, self._health_path(server), max(0, max_wait_s)
             )
         except ServerError as exc:
-            return LifeSign(reason=str(exc), is_final=True)
+            conn.close()
+            return str(exc)
         finally:
-            self._connections.put_back(server, conn, now_s())
-        return LifeSign(since_s=conn.connected_s, is_final=True)
+            probe.is_asked = False
+        if not conn.prepare_reuse(now_s()):
+            conn.close()
+        return ''
 
     def _health_path(self, server: BackendServer) -> str:
         cfg = self._view.configuration
