--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -18,7 +18,8 @@
     ProbeConnections,
 )
 from wasabicross.gateway.answer_ends.seen_starts import SeenStarts
-from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.answer_ends.server_questions import ServerQuestions
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.errors import (
@@ -46,28 +47,10 @@
 #: Pause before a server is asked again.
 _PAUSE_S = 0.1
 
-#: Least time between two questions to a server that wants a pause. Its answers
-#: that have ended meanwhile share one.
-_PAUSED_INTERVAL_S = 1.0
-
-#: Most servers whose last question is remembered.
-_MAX_QUESTIONS = 4096
-
 #: Longest wait for the start of a server at which a stream is to go on.
 _MAX_START_WAIT_S = 0.15
 
 
-class _Question:
-    """A question to a server that others may wait for."""
-
-    #: Asks it; done once there is an answer or none will come.
-    task: asyncio.Task[LifeSign]
-
-    def __init__(self) -> None:
-        #: A time at which it wasn't sent yet, monotonic seconds.
-        self.asked_s = -math.inf
-
-
 class LifeChecks:
     """Asks servers whose answers ended with their connection.
 
@@ -95,7 +78,7 @@
         #: Whether the servers of a service have reports.
         self._have_reports: dict[str, bool] = {}
         self._starts = SeenStarts()
-        self._questions: dict[Incarnation, _Question] = {}
+        self._questions = ServerQuestions(self._ask, view.notices)
 
     async def prepare(self, server: BackendServer) -> None:
         """Prepare for a question about the answer to the next request.
@@ -127,7 +110,7 @@
         :param ended_s: when its connection ended, monotonic seconds.
         """
         while True:
-            sign = await self._sign_after(origin.server, ended_s)
+            sign = await self._questions.answer_after(origin.server, ended_s)
             proof = proof_by(sign, origin)
             is_over = sign.is_final or now_s() > ended_s + _MAX_WAIT_S
             if proof is not EndProof.none or is_over:
@@ -155,14 +138,13 @@
             return False
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_MAX_START_WAIT_S):
-                sign = await self._sign_after(server, now_s())
+                sign = await self._questions.answer_after(server, now_s())
                 return sign.start_ms not in {0, server.start_ms}
         return False
 
     def close(self) -> None:
         """Ask nothing more and close the connections for it."""
-        for each in self._questions.values():
-            each.task.cancel()
+        self._questions.close()
         self._connections.close()
 
     def _reports_start(self, server: BackendServer) -> bool:
@@ -175,49 +157,7 @@
         has_report = self._have_reports.get(server.service, False)
         return has_report and server.start_ms > 0
 
-    async def _sign_after(
-        self, server: BackendServer, after_s: float
-    ) -> LifeSign:
-        """Return the answer to a question that was sent after a moment."""
-        while True:
-            question = self._question(server)
-            sign = await asyncio.shield(question.task)
-            if question.asked_s >= after_s:
-                return sign
-
-    def _question(self, server: BackendServer) -> _Question:
-        """Return the question to a server that is under way, or a new one."""
-        key = Incarnation.from_server(server)
-        question = self._questions.get(key)
-        if question is None or question.task.done():
-            before_s = -math.inf if question is None else question.asked_s
-            question = _Question()
-            question.task = asyncio.ensure_future(
-                self._ask(server, question, before_s)
-            )
-            self._keep(key, question)
-        return question
-
-    def _keep(self, key: Incarnation, question: _Question) -> None:
-        self._questions.pop(key, None)
-        self._questions[key] = question
-        if len(self._questions) > _MAX_QUESTIONS:
-            oldest = next(iter(self._questions))
-            if self._questions[oldest].task.done():
-                self._questions.pop(oldest)
-
-    async def _ask(
-        self, server: BackendServer, question: _Question, before_s: float
-    ) -> LifeSign:
-        """Ask a server.
-
-        :param question: the question, which is told when it is sent.
-        :param before_s: when the server was asked before, monotonic seconds.
-        """
-        if now_s() < self._view.notices.paused_until_s(server):
-            due_s = before_s + _PAUSED_INTERVAL_S
-            await asyncio.sleep(max(0, due_s - now_s()))
-        question.asked_s = now_s()
+    async def _ask(self, server: BackendServer) -> LifeSign:
         if self._reports_start(server):
             return await self._ask_for_report(server)
         limiter = self._view.notices.limiter
