--- a/src/wasabicross/gateway/answer_ends/end_decisions.py
+++ b/src/wasabicross/gateway/answer_ends/end_decisions.py
@@ -32,7 +32,7 @@
         none.
     :param since_s: time since which that process is known to have been at its
         address, monotonic seconds, infinite if it isn't known.
-    :param reason: why it gave no sign of life, empty if it did.
+    :param reason: why that may prove nothing, for the log.
     :param is_final: whether asking again can't tell more.
     """
 
