Close connections for questions that nothing needs

Cause: a connection for questions was kept until its server closed it. Change: those to a server are closed four seconds after the last request or question that needed one.

--- a/src/wasabicross/gateway/answer_ends/probe_connections.py
+++ b/src/wasabicross/gateway/answer_ends/probe_connections.py
@@ -19,6 +19,10 @@
 #: Most connections that are kept to one server.
 _MAX_PER_SERVER = 3
 
+#: Time after which connections to a server are closed that no request or question
+#: needs.
+_MAX_UNUSED_S = 4.0
+
 #: Idle time from which on a server may close a connection before it is needed.
 _MAX_IDLE_S = 0.5
 
@@ -57,6 +61,8 @@
         self._pool = pool
         self._kept: dict[Incarnation, list[ProbeConnection]] = defaultdict(list)
         self._connecting: dict[Incarnation, asyncio.Task[None]] = {}
+        #: When a connection to a server was needed last, monotonic seconds.
+        self._needed_s: dict[Incarnation, float] = {}
 
     async def ensure(self, server: BackendServer, now_s: float) -> None:
         """Connect to a server, unless there is a connection that will last.
@@ -64,6 +70,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
+        self._needed_s[Incarnation.from_server(server)] = now_s
         kept = self.usable(server)
         if not kept or now_s > kept[-1].used_s + _MAX_IDLE_S:
             await self._connect_shared(server)
@@ -89,7 +96,9 @@
         conn = self._pool.take_idle(server.host, server.port, connected_by_s)
         if conn is not None:
             adopted = ProbeConnection(conn, conn.idle_since_s)
-            self._kept[Incarnation.from_server(server)].insert(0, adopted)
+            key = Incarnation.from_server(server)
+            self._kept[key].insert(0, adopted)
+            self._close_unused(key)
 
     def usable(self, server: BackendServer) -> list[ProbeConnection]:
         """Return the open connections to a server, the oldest one first.
@@ -113,6 +122,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         answered.used_s = now_s
+        self._needed_s[Incarnation.from_server(server)] = now_s
         for each in self.usable(server):
             if each.conn.connected_s <= asked_s:
                 each.since_s = min(each.since_s, answered.since_s)
@@ -151,6 +161,8 @@
             log_event(
                 Event.PROBE_FAILED, server=server.server_id, reason=str(exc)
             )
+            if key not in self._kept:
+                self._needed_s.pop(key, None)
             return
         self._drop_closed()
         kept = self._kept[key]
@@ -158,6 +170,21 @@
         if len(kept) > _MAX_PER_SERVER and not kept[1].is_asked:
             # The oldest one proves most, the newest one lasts longest.
             kept.pop(1).conn.close()
+        if len(kept) == 1:
+            self._close_unused(key)
+
+    def _close_unused(self, key: Incarnation) -> None:
+        """Close the connections to a server once nothing needs them."""
+        kept = self._usable(key)
+        needed_s = self._needed_s.setdefault(key, now_s())
+        left_s = needed_s + _MAX_UNUSED_S - now_s()
+        if not kept or left_s <= 0:
+            self._needed_s.pop(key, None)
+            for each in self._kept.pop(key, ()):
+                each.conn.close()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(left_s, self._close_unused, key)
 
     def _drop_closed(self) -> None:
         """Forget servers without an open connection, and the oldest if many."""
--- a/tests/test_gateway_sound_ends.py
+++ b/tests/test_gateway_sound_ends.py
@@ -192,6 +192,25 @@
     assert asyncio.run(scenario()) == (3, True)
 
 
+def test_a_server_that_gets_no_more_requests_keeps_no_connection(monkeypatch):
+    monkeypatch.setattr(probe_connections, '_MAX_UNUSED_S', 0.1)
+
+    async def scenario():
+        server = ScriptedServer(LAST_WORDS['kept'])
+        port = await server.start()
+        pool = ConnectionPool(REQUEST_ID)
+        checks, _ = checks_with(Engines(0), pool)
+        plain = PLAIN._replace(port=port)
+        await checks.prepare(plain)
+        async with asyncio.timeout(5):
+            await server.gone.wait()
+        kept = checks._connections.usable(plain)
+        server.refuse_connections()
+        return kept
+
+    assert asyncio.run(scenario()) == []
+
+
 def test_requests_at_once_make_one_connection_for_questions():
     class Pool(ConnectionPool):
         made = 0
