--- a/src/wasabicross/gateway/answer_forwarding.py
+++ b/src/wasabicross/gateway/answer_forwarding.py
@@ -58,7 +58,7 @@
     watched: WatchedAttempt
 
 
-class Handover(NamedTuple):
+class Failover(NamedTuple):
     """The changes between servers while an answer is awaited.
 
     :param silence: asks other servers while this one is silent.
@@ -85,7 +85,7 @@
     :param attempt: the attempt at its server.
     :param answer: writes the caller's answer.
     :param life: tells whether servers outlive their answers.
-    :param handover: the changes between servers.
+    :param failover: the changes between servers.
     """
 
     def __init__(
@@ -93,13 +93,13 @@
         attempt: ForwardedAttempt,
         answer: AnswerWriter,
         life: LifeChecks,
-        handover: Handover,
+        failover: Failover,
     ) -> None:
         self._attempt = attempt
         self._route = attempt.context.route
         self._answer = answer
         self._life = life
-        self._handover = handover
+        self._failover = failover
 
     async def run(self, conn: ServerConnection, head: AnswerHead) -> None:
         """Forward the answer.
@@ -109,8 +109,8 @@
         :raises AnswerBroken: it isn't complete, or nothing shows that it is.
         """
         is_stream = head.status in SUCCESS_STATUSES and self._is_stream(head)
-        self._handover.silence.keep()
-        with self._handover.takeover.limit():
+        self._failover.silence.keep()
+        with self._failover.takeover.limit():
             if is_stream:
                 await self._forward_stream(conn, head)
             else:
@@ -139,7 +139,7 @@
             return
         if self._route.is_resumable:
             raise AnswerBroken('long answer that another server cannot resume')
-        self._handover.accept()
+        self._failover.accept()
         await self._answer.start(head.status, head.fields)
         await self._answer.send_chunk(body_start)
         await self._forward_rest(chunks, head)
@@ -148,7 +148,7 @@
         """Forward a short body once it is known to be complete."""
         is_empty = head.status in SUCCESS_STATUSES and not body
         await self._check_end(AnswerEnd(head.is_framed, is_empty))
-        self._handover.accept()
+        self._failover.accept()
         fields = _without_length(head.fields)
         await self._answer.send_complete(head.status, fields, body)
 
@@ -180,7 +180,7 @@
         self, conn: ServerConnection, head: AnswerHead
     ) -> None:
         attempt = self._attempt
-        if not self._handover.takeover.is_pending:
+        if not self._failover.takeover.is_pending:
             await self._start_stream(head)
         stream = ForwardedStream(
             conn,
@@ -194,7 +194,7 @@
                 break
             attempt.watched.on_progress()
             attempt.progress.check_version(version)
-            self._handover.accept()
+            self._failover.accept()
             attempt.context.on_events(version)
             attempt.progress.last_event_id = stream.last_event_id
             await self._start_stream(head)
@@ -206,13 +206,13 @@
     ) -> None:
         """End an answer if its stream is complete."""
         await self._check_end(stream.end(is_stated=head.is_framed))
-        self._handover.accept()
+        self._failover.accept()
         await self._start_stream(head)
         await self._answer.end()
 
     async def _next_events(self, stream: ForwardedStream) -> bytes | None:
         """Return the next events of a stream to forward, None at its end."""
-        with self._handover.limit(self._route.gap_s * _MAX_SILENCE_GAPS):
+        with self._failover.limit(self._route.gap_s * _MAX_SILENCE_GAPS):
             events = await stream.next_events()
         self._attempt.record.longest_pause_s = stream.longest_pause_s
         return events
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -13,8 +13,8 @@
 from wasabicross.gateway.answer_forwarding import (
     SUCCESS_STATUSES,
     AnswerForwarding,
+    Failover,
     ForwardedAttempt,
-    Handover,
 )
 from wasabicross.gateway.attempt_context import AttemptContext, ServerAccess
 from wasabicross.gateway.backend import BackendServer
@@ -320,7 +320,7 @@
             ),
             self._answer,
             self._servers.life,
-            Handover(self._silence, self._takeover, self._silence_limit),
+            Failover(self._silence, self._takeover, self._silence_limit),
         )
 
     @property
