Tell the start of a server's entry in the line of each attempt

What callers saw: ORDER. Why: two attempts of a stream name the same software version, so the log doesn't tell a process that runs what its entry says from one that has started again. Event 8041 has start_ms now, which the servers' own logs can be compared with; the start of the process itself isn't known to the gateway yet. No logic changed.

--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -116,6 +116,7 @@
             adapter=self._info.adapter.adapter if self._info.adapter else '',
             version=placement.version,
             software_version=placement.server.software_version,
+            start_ms=placement.server.start_ms,
             resumes=self._info.resumes,
             last_event=self._info.last_event_id,
             waited_s=round(placement.waited_s, 3),
