Begin and go on with a resumable stream only at a software version that is proved

Cause: the version of a running process was taken from the store's entry of the server. After a restart under the same id that entry is about a former process until a gateway has heard of the new one. A stream that began there was noted under the former version in its answer, by the division of the service and in the memory of gateways, and went on there. Class: an older word about a process taken for the present one. Change: the process at the other end of a connection is asked for its start once, on that connection, before its first resumable stream. A version is known only by VersionProof, which is made where the entry names that start. Without it another server is tried; then, where this gateway hasn't heard the store for 1.5 s, another gateway; else 503 with 1 s. The question before a stream goes on, on another connection and believed if there was no answer in 0.15 s, has gone. An answer's end is proved by the connection's start too.

--- a/src/wasabicross/gateway/answer_ends/end_decisions.py
+++ b/src/wasabicross/gateway/answer_ends/end_decisions.py
@@ -19,10 +19,18 @@
 
     :param server: the server, as it was listed when it was chosen.
     :param sent_s: when the request was sent to it, monotonic seconds.
+    :param start_ms: start that the process behind its connection has reported,
+        Unix milliseconds, 0 if it hasn't.
     """
 
     server: BackendServer
     sent_s: float
+    start_ms: int = 0
+
+    @property
+    def known_start_ms(self) -> int:
+        """Return the start of its process, by its entry if it told none."""
+        return self.start_ms or self.server.start_ms
 
 
 class LifeSign(NamedTuple):
@@ -91,7 +99,7 @@
     :param sign: the sign of life.
     :param origin: where the answer is from.
     """
-    if sign.start_ms and sign.start_ms == origin.server.start_ms:
+    if sign.start_ms and sign.start_ms == origin.known_start_ms:
         return EndProof.same_start
     if sign.since_s <= origin.sent_s:
         return EndProof.same_process
--- a/src/wasabicross/gateway/answer_ends/life_checks.py
+++ b/src/wasabicross/gateway/answer_ends/life_checks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 
 from wasabicross.gateway import metrics
@@ -47,9 +46,6 @@
 #: Pause before a server is asked again.
 _PAUSE_S = 0.1
 
-#: Longest wait for the start of a server at which a stream is to go on.
-_MAX_START_WAIT_S = 0.15
-
 
 class LifeChecks:
     """Asks servers whose answers ended with their connection.
@@ -86,7 +82,7 @@
         :param server: the server that will get it.
         """
         until_s = self._unstated_until_s.get(server.service, math.inf)
-        if not self._reports_start(server) and now_s() < until_s:
+        if not self.reports_start(server) and now_s() < until_s:
             await self._connections.ensure(server, now_s())
 
     def on_head(self, origin: AnswerOrigin, *, is_stated: bool) -> None:
@@ -100,7 +96,7 @@
             self._unstated_until_s.setdefault(server.service, -math.inf)
             return
         self._unstated_until_s[server.service] = now_s() + _UNSTATED_FOR_S
-        if not self._reports_start(server):
+        if not self.reports_start(server):
             self._connections.adopt(server, origin.sent_s)
 
     async def prove_end(self, origin: AnswerOrigin, ended_s: float) -> EndProof:
@@ -121,34 +117,28 @@
             log_event(
                 Event.ANSWER_END_UNPROVED,
                 server=origin.server.server_id,
-                start_ms=origin.server.start_ms,
+                start_ms=origin.known_start_ms,
                 found_start_ms=sign.start_ms,
                 reason=sign.reason,
                 took_s=round(now_s() - ended_s, 3),
             )
         return proof
 
-    async def has_restarted(self, server: BackendServer) -> bool:
-        """Return whether a server reports another start than the listed one.
+    async def start_after(self, server: BackendServer, after_s: float) -> int:
+        """Return the start that a server reports after a moment.
 
-        :param server: the server as it is listed.
-        :return: False also if it gives no report at once.
+        :param server: the server, an engine.
+        :param after_s: the moment, monotonic seconds.
+        :return: Unix milliseconds, 0 if it gave no report.
         """
-        if not self._reports_start(server):
-            return False
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_MAX_START_WAIT_S):
-                sign = await self._questions.answer_after(server, now_s())
-                return sign.start_ms not in {0, server.start_ms}
-        return False
+        sign = await self._questions.answer_after(server, after_s)
+        return sign.start_ms
 
-    def close(self) -> None:
-        """Ask nothing more and close the connections for it."""
-        self._questions.close()
-        self._connections.close()
+    def reports_start(self, server: BackendServer) -> bool:
+        """Return whether a server's report names the start that is listed.
 
-    def _reports_start(self, server: BackendServer) -> bool:
-        """Return whether a server's report names the start that is listed."""
+        :param server: the server, as it is listed.
+        """
         cfg = self._view.configuration
         service = cfg.services.get(server.service) if cfg else None
         if service is not None:
@@ -157,8 +147,13 @@
         has_report = self._have_reports.get(server.service, False)
         return has_report and server.start_ms > 0
 
+    def close(self) -> None:
+        """Ask nothing more and close the connections for it."""
+        self._questions.close()
+        self._connections.close()
+
     async def _ask(self, server: BackendServer) -> LifeSign:
-        if self._reports_start(server):
+        if self.reports_start(server):
             return await self._ask_for_report(server)
         limiter = self._view.notices.limiter
         if not await limiter.acquire(server, now_s, blocks=False):
--- a/src/wasabicross/gateway/answer_forwarding.py
+++ b/src/wasabicross/gateway/answer_forwarding.py
@@ -29,6 +29,7 @@
 from wasabicross.gateway.forwarded_stream import ForwardedStream
 from wasabicross.gateway.progress import AttemptRecord, RequestProgress
 from wasabicross.gateway.silence_watch import SilenceWatch
+from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.takeover import Takeover
 
 SUCCESS_STATUSES = range(200, 300)
@@ -49,6 +50,8 @@
     :param progress: outcomes of the request at all servers so far.
     :param record: what is logged of the attempt.
     :param watched: is told how the answer goes.
+    :param proof: shows the software version of the server, None for a request
+        that isn't resumable.
     """
 
     context: AttemptContext
@@ -56,6 +59,7 @@
     progress: RequestProgress
     record: AttemptRecord
     watched: WatchedAttempt
+    proof: VersionProof | None
 
 
 class Failover(NamedTuple):
@@ -187,15 +191,16 @@
             attempt.progress.last_event_id,
             is_resumable=self._route.is_resumable,
         )
-        version = attempt.origin.server.software_version
         while True:
             events = await self._next_events(stream)
             if events is None:
                 break
             attempt.watched.on_progress()
-            attempt.progress.check_version(version)
+            if attempt.proof is not None:
+                attempt.progress.check_version(attempt.proof)
             self._failover.accept()
-            attempt.context.on_events(version)
+            if attempt.proof is not None:
+                attempt.context.on_events(attempt.proof)
             attempt.progress.last_event_id = stream.last_event_id
             await self._start_stream(head)
             await self._answer.send_chunk(events)
--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -15,6 +15,8 @@
 from wasabicross.gateway.dialect import Dialect, RequestInfo
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
+from wasabicross.gateway.streams.version_checks import VersionChecks
+from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.usage_tracker import RequestUsage
 from wasabicross.gateway.view import FleetView
 
@@ -30,8 +32,8 @@
         one is silent.
     :param usage: counts the request at the server.
     :param replacements: the servers that may take the request over.
-    :param on_events: called with the software version of the server before each
-        part of a stream that the caller is sent.
+    :param on_events: called with the proof of the server's software version
+        before each part of a resumable stream that the caller is sent.
     :param on_accepted: called when the answer begins, None unless the server
         takes the request over from a silent one.
     """
@@ -43,7 +45,7 @@
     can_fail_over: bool
     usage: RequestUsage
     replacements: Replacements
-    on_events: Callable[[str], None]
+    on_events: Callable[[VersionProof], None]
     on_accepted: OnAccepted | None = None
 
 
@@ -55,6 +57,7 @@
     dialect: Dialect
     crashes: CrashWatch
     life: LifeChecks
+    versions: VersionChecks
 
     @classmethod
     def from_parts(
@@ -78,4 +81,5 @@
         view.convictions.on_stored = sharing.take_stored
         watch = CrashWatch(view, evidence, sharing)
         life = LifeChecks(view, pool, engines)
-        return cls(view, pool, dialect, watch, life)
+        versions = VersionChecks(view, pool, engines, life)
+        return cls(view, pool, dialect, watch, life, versions)
--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -26,6 +26,7 @@
         may share.
     :param is_returning: whether its caller was refused before.
     :param software_version: software version that has to run it, None for any.
+    :param needs_listed_start: whether a server must run the start that is listed.
     """
 
     service: str
@@ -39,6 +40,7 @@
     shared_tokens: int = 0
     is_returning: bool = False
     software_version: str | None = None
+    needs_listed_start: bool = False
 
 
 class Candidates:
@@ -101,6 +103,9 @@
             return False
         if server.server_id in request.excluded:
             return False
+        health = self._view.health[server.server_id]
+        if request.needs_listed_start and health.runs_unlisted_start(now_s):
+            return False
         if self._view.refuses_requests(server, now_s):
             return False
         if now_s < self._view.notices.limiter.blocked_until_s(server):
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -97,6 +97,9 @@
         self._writer = writer
         self._id_field = id_field
         self.connected_s = connected_s
+        #: Start that the process at its other end has reported, Unix
+        #: milliseconds, 0 if it hasn't.
+        self.start_ms = 0
         self._codec = _new_codec()
         self._turns = FairTurns()
         #: What followed the last chunk, an event or an error, if it was read with
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -69,6 +69,10 @@
     """The answer ended with its connection, and its server may have ended."""
 
 
+class VersionUnproved(ServerError):
+    """Nothing shows which software version the process at a server runs."""
+
+
 class BodyTooLong(AnswerBroken):
     """The body of an answer is longer than its reader's limit."""
 
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -92,6 +92,12 @@
     'end of its answer.',
     buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 2, 3),
 )
+START_QUESTION_SECONDS = Histogram(
+    'wasabicross_gateway_start_question_seconds',
+    'Time until the process behind a connection had told its start, before the '
+    'first resumable stream on it.',
+    buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 2, 3),
+)
 LOADS = Counter(
     'wasabicross_gateway_loads',
     'Adapters that requests waited for, by whether they were loaded.',
--- a/src/wasabicross/gateway/orders.py
+++ b/src/wasabicross/gateway/orders.py
@@ -99,6 +99,19 @@
             out, now or later.
         """
 
+    async def learn_start(
+        self, server: BackendServer, conn: ServerConnection, max_wait_s: float
+    ) -> bool:
+        """Have the process behind a connection report its start, and keep it there.
+
+        :param server: its server, an engine.
+        :param conn: the connection, which has no request under way.
+        :param max_wait_s: longest wait for the report, seconds.
+        :return: whether the connection can be used for a request.
+        :raises ServerError: there was no answer.
+        :raises DocumentUnreadable: the answer is not a report.
+        """
+
     async def check_process(
         self,
         server: BackendServer,
--- a/src/wasabicross/gateway/peer_forwarding/handover.py
+++ b/src/wasabicross/gateway/peer_forwarding/handover.py
@@ -11,8 +11,12 @@
 from wasabicross.gateway.peer_forwarding.reach import are_mostly_unreached
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH
 from wasabicross.gateway.progress import RequestProgress
+from wasabicross.gateway.streams.stream_versions import VERSION_UNPROVED
 from wasabicross.gateway.view import FleetView
 
+#: Age of the knowledge of the store from which on others may know more.
+_MIN_OUT_OF_TOUCH_S = 1.5
+
 
 class Handover:
     """Hands one request over if this gateway reaches no server for it.
@@ -32,14 +36,19 @@
         self._view = view
         self._progress = progress
 
-    def is_due(self, service: str, reason: str) -> bool:
-        """Return whether others may reach servers, and none has the request.
+    def is_due(self, service: str, reason: str, now_s: float) -> bool:
+        """Return whether others may serve the request, and none has it.
+
+        They may reach servers, or know entries that this gateway doesn't.
 
         :param service: the service that the request is for.
         :param reason: why this gateway doesn't serve it.
+        :param now_s: the present time, monotonic seconds.
         """
         if self._progress.may_run:
             return False
+        if reason == VERSION_UNPROVED.reason:
+            return now_s - self._view.confirmed_s > _MIN_OUT_OF_TOUCH_S
         if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
             return True
         return are_mostly_unreached(self._view, service)
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -7,6 +7,10 @@
 from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
+from wasabicross.gateway.streams.version_proof import (
+    VersionGround,
+    VersionProof,
+)
 
 
 class Ending(enum.Enum):
@@ -47,6 +51,10 @@
         self.longest_pause_s: float = 0
         #: What shows that the answer is complete.
         self.end_proof = EndProof.none
+        #: Start that the process has reported, Unix milliseconds, 0 if it hasn't.
+        self.found_start_ms = 0
+        #: What shows that it runs the version of its entry.
+        self.version_ground = VersionGround.none
 
 
 class RequestProgress:
@@ -87,11 +95,11 @@
         """Return whether a server may have run the request or may still run it."""
         return self.runs > 0 or self.is_at_peer
 
-    def check_version(self, software_version: str) -> None:
+    def check_version(self, proof: VersionProof) -> None:
         """Check that a server may go on with the stream.
 
-        :param software_version: version of the server that has sent events.
+        :param proof: shows the version of the server that has sent events.
         :raises AnswerBroken: the stream has events of another version.
         """
-        if self.software_version not in {None, software_version}:
+        if self.software_version not in {None, proof.software_version}:
             raise AnswerBroken('events of another software version')
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -51,9 +51,6 @@
 from wasabicross.runtime.logs import log_event
 from wasabicross.servers.retries import RetryBudget
 
-#: Why a stream doesn't go on at a server.
-_RESTARTED = 'started again, not listed yet'
-
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 
@@ -228,7 +225,7 @@
         if self._is_forwarded or self._answer.has_started:
             return False
         service = self._record.labels[0]
-        if not self._handover.is_due(service, reason):
+        if not self._handover.is_due(service, reason, now_s()):
             return False
         ending = await self._handover.run(
             ForwardableRequest(
@@ -313,11 +310,7 @@
         self._deps.retry_delays_for(self._record.labels[0]).on_sent(started_s)
         ending = Ending.unknown
         try:
-            if await self._has_restarted(context.route, placement):
-                attempt.record.reason = _RESTARTED
-                ending = Ending.not_sent
-            else:
-                ending = await attempt.run(placement)
+            ending = await attempt.run(placement)
         except CallerGone:
             attempt.record.reason = CALLER_LEFT
             raise
@@ -338,19 +331,6 @@
             self._record.outcome = 'answered' if is_ok else 'failed'
         return ending
 
-    async def _has_restarted(self, route: Route, placement: Placement) -> bool:
-        """Return whether a stream would go on at a start that isn't listed.
-
-        Its software version isn't known then.
-        """
-        if not (route.is_resumable and self._progress.last_event_id):
-            return False
-        server = placement.server
-        if not await self._deps.servers.life.has_restarted(server):
-            return False
-        self._progress.excluded.add(server.server_id)
-        return True
-
     async def _end_on_error(self, exc: Exception) -> None:
         """End a request after an error that nothing below has handled."""
         log_event(
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -16,6 +16,7 @@
 from wasabicross.gateway.streams.stream_versions import (
     LASTING_REFUSALS,
     NO_SERVER_OF_VERSION,
+    VERSION_UNPROVED,
 )
 from wasabicross.servers.retries import RetryBudget
 
@@ -139,8 +140,11 @@
         if refusal is not None:
             return refusal
         placement = await self._placer.place(self._request(excluded))
-        if isinstance(placement, NoServer) and not self.stream.may_go_on():
-            return NO_SERVER_OF_VERSION
+        if isinstance(placement, NoServer):
+            if self.stream.lacks_proof(now_s()):
+                return VERSION_UNPROVED
+            if not self.stream.may_go_on():
+                return NO_SERVER_OF_VERSION
         return placement
 
     def _request(self, excluded: frozenset[str]) -> PlacementRequest:
@@ -159,6 +163,7 @@
             info.shared_tokens,
             self._is_returning,
             self.stream.version(now_s()),
+            needs_listed_start=route.is_resumable,
         )
 
     def _longest_wait_s(self, waited_s: float) -> float:
--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -117,6 +117,8 @@
             version=placement.version,
             software_version=placement.server.software_version,
             start_ms=placement.server.start_ms,
+            found_start_ms=record.found_start_ms,
+            version_proof=record.version_ground.value,
             resumes=self._info.resumes,
             last_event=self._info.last_event_id,
             waited_s=round(placement.waited_s, 3),
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -32,6 +32,7 @@
     EndUnproved,
     ServerError,
     ServerUnreachable,
+    VersionUnproved,
 )
 from wasabicross.gateway.prefill_rate import PendingPrefill
 from wasabicross.gateway.progress import (
@@ -42,6 +43,7 @@
 from wasabicross.gateway.retrying_placer import Placement
 from wasabicross.gateway.silence_watch import SilenceWatch
 from wasabicross.gateway.streams.stream_versions import why_unsuitable
+from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.takeover import Takeover
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -52,6 +54,10 @@
 #: Why an attempt ended early whose server was silent.
 _SILENCE = 'silence'
 
+#: Silence of a process that is asked for its start after which another server is
+#: asked to run the request.
+_MAX_START_SILENCE_S = 0.25
+
 _FIRST_FAILURE_STATUS = 500
 
 
@@ -77,6 +83,9 @@
         self._progress = progress
         self._answer = answer
         self._conn: ServerConnection | None = None
+        #: Whether the connection was idle before, so that it may be broken.
+        self._has_idled = False
+        self._proof: VersionProof | None = None
         self._takeover = Takeover(context.on_accepted)
         self.record = AttemptRecord()
         #: The attempt at the server that takes over, if the ending tells so.
@@ -110,16 +119,10 @@
                 self._servers.pool.release(server.host, server.port, conn)
                 self.record.reason = _CALLED_OFF
                 return Ending.not_sent
-            self.record.reason = self._why_unsuitable(server)
-            if self.record.reason:
-                self._servers.pool.release(server.host, server.port, conn)
-                return Ending.not_sent
             return await self._use(conn, placement)
 
     def _why_unsuitable(self, server: BackendServer) -> str:
-        """Return why a server may no longer run the request, if it may not."""
-        if not self._route.is_resumable:
-            return ''
+        """Return why a server may no longer run the stream, if it may not."""
         return why_unsuitable(
             self._servers.view, server, self._progress.software_version
         )
@@ -130,21 +133,59 @@
         """Run the request on a connection, and return or close that."""
         server = placement.server
         self._silence = SilenceWatch(self._context.replacements, self._leave)
+        self._has_idled = conn.is_reused
         try:
-            ending = await self._exchange(conn, placement)
+            ending = await self._exchange_if_proved(conn, placement)
             if ending is not Ending.done:
                 ending = await self._replace(ending)
         except (AnswerMissing, AnswerBroken) as exc:
-            conn.close()
-            return await self._on_broken(conn, server, exc)
+            self._close()
+            return await self._on_broken(server, exc)
         except BaseException:
-            conn.close()
+            self._close()
             raise
         finally:
             self._silence.end()
-        self._servers.pool.release(server.host, server.port, conn)
+        self._release(server)
         return ending
 
+    async def _exchange_if_proved(
+        self, conn: ServerConnection, placement: Placement
+    ) -> Ending:
+        """Send the request, a resumable stream only to a version that is proved."""
+        if self._route.is_resumable:
+            try:
+                conn = await self._prove_version(conn, placement.server)
+            except VersionUnproved as exc:
+                self.record.reason = str(exc)
+                self._progress.excluded.add(placement.server.server_id)
+                return Ending.not_sent
+            # The entry may have changed meanwhile, or another server been asked.
+            self.record.reason = self._why_unsuitable(placement.server)
+            if self.record.reason or self._silence.is_asking:
+                return Ending.not_sent
+        return await self._exchange(conn, placement)
+
+    async def _prove_version(
+        self, conn: ServerConnection, server: BackendServer
+    ) -> ServerConnection:
+        """Return a connection at whose other end the server's version runs.
+
+        :raises VersionUnproved: nothing shows that.
+        """
+        versions = self._servers.versions
+        with self._silence_limit(_MAX_START_SILENCE_S):
+            conn = self._conn = await versions.connect(server, conn)
+        self.record.found_start_ms = conn.start_ms
+        self._proof = versions.prove(server, conn, now_s())
+        self.record.version_ground = self._proof.ground
+        return conn
+
+    def _release(self, server: BackendServer) -> None:
+        """Give the connection back."""
+        if self._conn is not None:
+            self._servers.pool.release(server.host, server.port, self._conn)
+
     def _close(self) -> None:
         """Close the connection to the server, if there is one yet."""
         if self._conn is not None:
@@ -156,7 +197,7 @@
         self._takeover.accept()
 
     async def _on_broken(
-        self, conn: ServerConnection, server: BackendServer, exc: ServerError
+        self, server: BackendServer, exc: ServerError
     ) -> Ending:
         """Record that no whole answer came."""
         if self._watched.is_called_off:
@@ -171,7 +212,7 @@
         else:
             self.record.reason = str(exc)
             # The fault may be the reused connection's; a new one may work.
-            if not conn.is_reused:
+            if not self._has_idled:
                 self._progress.excluded.add(server.server_id)
             if await self._watched.on_broken():
                 self._progress.crashes += 1
@@ -193,7 +234,7 @@
         progress.runs += 1
         prefill = self._pending_prefill(placement)
         self.record.unread_tokens = prefill.tokens
-        self._origin = AnswerOrigin(placement.server, now_s())
+        self._origin = AnswerOrigin(placement.server, now_s(), conn.start_ms)
         conn.send(req)
         with self._silence_limit(prefill.max_silence_s(self._route.target_s)):
             head = await conn.read_head(req)
@@ -317,6 +358,7 @@
                 self._progress,
                 self.record,
                 self._watched,
+                self._proof,
             ),
             self._answer,
             self._servers.life,
--- a/src/wasabicross/gateway/server_health.py
+++ b/src/wasabicross/gateway/server_health.py
@@ -21,6 +21,10 @@
 #: Pause before each health probe of an unreachable server.
 _PROBE_INTERVAL_S = 0.8
 
+#: How long a server that has reported a later start than the listed one isn't
+#: asked again.
+_UNLISTED_START_S = 1.0
+
 #: Time without an exclusion after which the next one is short again.
 _RESET_AFTER_S = 15.0
 
@@ -37,6 +41,7 @@
         self._exclusion_s = _FIRST_EXCLUSION_S
         self.excluded_until_s = -math.inf
         self.needs_probe = False
+        self._unlisted_start_until_s = -math.inf
 
     def is_healthy(self, now_s: float) -> bool:
         """Return whether requests should be sent to the server.
@@ -82,6 +87,20 @@
         else:
             self._require_probe(now_s)
 
+    def on_unlisted_start(self, now_s: float) -> None:
+        """Record that the server runs a later start than the listed one.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        self._unlisted_start_until_s = now_s + _UNLISTED_START_S
+
+    def runs_unlisted_start(self, now_s: float) -> bool:
+        """Return whether the server's entry is probably of a former start.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        return now_s < self._unlisted_start_until_s
+
     def _require_probe(self, now_s: float) -> None:
         self.needs_probe = True
         self.excluded_until_s = max(
--- a/src/wasabicross/gateway/streams/stream_request.py
+++ b/src/wasabicross/gateway/streams/stream_request.py
@@ -16,6 +16,7 @@
     is_take_up,
     service_of,
 )
+from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
@@ -75,16 +76,16 @@
         self._set_take_up(found)
         self._log_take_up(found)
 
-    def on_events(self, software_version: str) -> None:
+    def on_events(self, proof: VersionProof) -> None:
         """Keep to the version of the first events, and note what began it.
 
-        :param software_version: version of the server that has sent events.
+        :param proof: shows the version of the server that has sent events.
         """
         is_first = self._progress.software_version is None
-        self._progress.software_version = software_version
-        if is_first and self._route.is_resumable and self._take_up is None:
+        self._progress.software_version = proof.software_version
+        if is_first and self._take_up is None:
             self._streams.note_begun(
-                self._service, self._info.request_id, software_version
+                self._service, self._info.request_id, proof
             )
 
     def version(self, now_s: float) -> str | None:
@@ -113,6 +114,15 @@
             return None
         return TAKE_UP_REFUSALS[Knowledge.too_old]
 
+    def lacks_proof(self, now_s: float) -> bool:
+        """Return whether no server that could run it runs its listed start.
+
+        :param now_s: the present time, monotonic seconds.
+        """
+        return self._route.is_resumable and self._streams.are_outdated(
+            self._service, self.version(now_s), now_s
+        )
+
     def may_go_on(self) -> bool:
         """Return whether the stream hasn't begun or its version serves."""
         pinned = self._progress.software_version
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import math
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import BackendServer
@@ -19,6 +20,7 @@
     former_lapse_s,
 )
 from wasabicross.gateway.streams.stream_memory import StreamMemory
+from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 
 #: Longest wait until the division in force is confirmed, and the interval at
@@ -52,6 +54,10 @@
     too_old = 'knowledge too old'
 
 
+#: Why a stream isn't sent to any server: the entries of those that could run it
+#: are of former starts.
+VERSION_UNPROVED = NoServer('version unproved', retry_after_s=1.0)
+
 #: Why a stream isn't taken up, by what is known of its version.
 TAKE_UP_REFUSALS = {
     Knowledge.version_unknown: NoServer(
@@ -60,8 +66,12 @@
     Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
 }
 
-#: Why a stream isn't taken up; other requests have no influence on that.
-LASTING_REFUSALS = (NO_SERVER_OF_VERSION, *TAKE_UP_REFUSALS.values())
+#: Why a stream isn't sent; other requests have no influence on that.
+LASTING_REFUSALS = (
+    NO_SERVER_OF_VERSION,
+    VERSION_UNPROVED,
+    *TAKE_UP_REFUSALS.values(),
+)
 
 
 class TakeUp(NamedTuple):
@@ -219,15 +229,31 @@
         return with_memory(take_up, version)
 
     def note_begun(
-        self, service: str, request_id: str, software_version: str
+        self, service: str, request_id: str, proof: VersionProof
     ) -> None:
         """Remember which version began a stream where that may be needed.
 
         :param service: the service that runs it.
         :param request_id: id of the caller's attempt.
-        :param software_version: what began it.
+        :param proof: shows what began it.
+        """
+        self._memory.note_begun(service, request_id, proof.software_version)
+
+    def are_outdated(
+        self, service: str, version: str | None, now_s: float
+    ) -> bool:
+        """Return whether all servers of a version run another start than listed.
+
+        :param service: their service.
+        :param version: the software version, None for any.
+        :param now_s: the present time, monotonic seconds.
         """
-        self._memory.note_begun(service, request_id, software_version)
+        outdated = [
+            self._view.health[server.server_id].runs_unlisted_start(now_s)
+            for server in self._staying(service)
+            if version in {None, server.software_version}
+        ]
+        return bool(outdated) and all(outdated)
 
     def serves(self, service: str, version: str) -> bool:
         """Return whether servers of a version are listed as taking requests.
@@ -238,11 +264,8 @@
         :param version: the software version.
         """
         return any(
-            server.service == service
-            and server.software_version == version
-            and not server.is_leaving
-            and not self._view.notices.is_leaving(server)
-            for server in self._view.servers.values()
+            server.software_version == version
+            for server in self._staying(service)
         )
 
     def note_time_limit(
@@ -263,6 +286,16 @@
         known.time_limits.note_time_limit(service, info.time_left_s)
         known.route_limits.note_time_limit(route.name, info.time_left_s, now_s)
 
+    def _staying(self, service: str) -> Iterator[BackendServer]:
+        """Return the servers of a service that don't leave."""
+        return (
+            server
+            for server in self._view.servers.values()
+            if server.service == service
+            and not server.is_leaving
+            and not self._view.notices.is_leaving(server)
+        )
+
     def _listed_versions(self, service: str) -> frozenset[str]:
         """Return the versions of all servers, also of those that leave."""
         return frozenset(
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -68,7 +68,7 @@
         :raises ServerError: there was no answer.
         :raises DocumentUnreadable: the answer isn't a valid report.
         """
-        req = _request(server, b'GET', b'/-/report', b'')
+        req = _report_request(server)
         _, body = await self._call(
             server, req, _REPORT_TIMEOUT_S, max_bytes=_MAX_REPORT_BYTES
         )
@@ -88,6 +88,32 @@
         status, _ = await self._call(server, req, _ORDER_TIMEOUT_S)
         return _ANSWERS.get(status, OrderAnswer.refused)
 
+    async def learn_start(
+        self, server: BackendServer, conn: ServerConnection, max_wait_s: float
+    ) -> bool:
+        """Have the process behind a connection report its start, and keep it there.
+
+        :param server: its server, an engine.
+        :param conn: the connection, which has no request under way.
+        :param max_wait_s: longest wait for the report, seconds.
+        :return: whether the connection can be used for a request.
+        :raises ServerError: there was no answer.
+        :raises DocumentUnreadable: the answer isn't a valid report.
+        """
+        req = _report_request(server)
+        limit = TimeLimit(
+            max_wait_s, AnswerMissing(f'no report within {max_wait_s} s')
+        )
+        async with limit:
+            conn.send(req)
+            head = await conn.read_head(req)
+            body = await conn.read_body(_MAX_REPORT_BYTES)
+        self._notices.on_notice(server, server_notice(head), now_s())
+        if head.status == _MISDIRECTED:
+            raise ServerGone(f'{server.server_id} has gone')
+        conn.start_ms = decode_report(body).start_ms
+        return conn.prepare_reuse(now_s())
+
     async def check_process(
         self,
         server: BackendServer,
@@ -192,6 +218,10 @@
         return head.status, body
 
 
+def _report_request(server: BackendServer) -> ServerRequest:
+    return _request(server, b'GET', b'/-/report', b'')
+
+
 def _request(
     server: BackendServer, method: bytes, target: bytes, body: bytes
 ) -> ServerRequest:
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -155,6 +155,16 @@
         self.order_count += 1
         return OrderAnswer.accepted
 
+    async def learn_start(self, server, conn, max_wait_s):
+        """Tell the start of its report, or the listed one if that names none."""
+        try:
+            async with asyncio.timeout(max_wait_s):
+                report = await self.report(server)
+        except TimeoutError as exc:
+            raise AnswerMissing('no report') from exc
+        conn.start_ms = report.start_ms or server.start_ms
+        return True
+
     async def check_process(self, server, conn, path, max_wait_s):
         """Answer as long as the connection is open."""
         if not conn.is_usable:
