Ask a server again on a new connection if the old one leads to a former process

What callers saw: nothing yet; found on the way. An idle connection may lead to a process that serves on while the next start of its server is listed. A stream was then refused, though the listed process accepts connections; before it began there and was noted under the version of the new entry. A process that gave no report counts as a failure of its server; one that was left for another, or called off, doesn't.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -73,6 +73,14 @@
     """Nothing shows which software version the process at a server runs."""
 
 
+class ProcessSilent(VersionUnproved):
+    """The process behind a connection gave no report."""
+
+
+class ProcessFormer(VersionUnproved):
+    """The process behind a connection is a former one of its server."""
+
+
 class BodyTooLong(AnswerBroken):
     """The body of an answer is longer than its reader's limit."""
 
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -86,6 +86,8 @@
         self.silent: set[str] = set()
         #: Servers that stated that they haven't run the request.
         self.refused_by: set[str] = set()
+        #: Servers that were asked on a connection of a former process.
+        self._asked_before: set[str] = set()
         self.last_event_id = last_event_id
         #: Software version at which the stream goes on, None before its start.
         self.software_version: str | None = None
@@ -95,6 +97,15 @@
         """Return whether a server may have run the request or may still run it."""
         return self.runs > 0 or self.is_at_peer
 
+    def may_ask_again(self, server_id: str) -> bool:
+        """Return whether a server may be asked on another connection, once.
+
+        :param server_id: id of the server.
+        """
+        is_first = server_id not in self._asked_before
+        self._asked_before.add(server_id)
+        return is_first
+
     def check_version(self, proof: VersionProof) -> None:
         """Check that a server may go on with the stream.
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 
-from wasabicross.gateway import metrics
 from wasabicross.gateway.answer_decisions import misleads_caller
 from wasabicross.gateway.answer_ends.end_decisions import (
     AnswerOrigin,
@@ -30,6 +29,8 @@
     AnswerBroken,
     AnswerMissing,
     EndUnproved,
+    ProcessFormer,
+    ProcessSilent,
     ServerError,
     ServerUnreachable,
     VersionUnproved,
@@ -45,8 +46,7 @@
 from wasabicross.gateway.streams.stream_versions import why_unsuitable
 from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.takeover import Takeover
-from wasabicross.runtime.events import Event
-from wasabicross.runtime.logs import log_event
+from wasabicross.gateway.withheld_answers import WithheldAnswers
 
 #: Why an attempt ended early whose request would have crashed the server.
 _CALLED_OFF = 'called off'
@@ -88,6 +88,9 @@
         self._proof: VersionProof | None = None
         self._takeover = Takeover(context.on_accepted)
         self.record = AttemptRecord()
+        self._withheld = WithheldAnswers(
+            servers, context.info, progress, self.record
+        )
         #: The attempt at the server that takes over, if the ending tells so.
         self.successor: asyncio.Task[Ending] | None = None
 
@@ -157,8 +160,10 @@
             try:
                 conn = await self._prove_version(conn, placement.server)
             except VersionUnproved as exc:
-                self.record.reason = str(exc)
-                self._progress.excluded.add(placement.server.server_id)
+                self._on_unproved(placement.server, exc)
+                return Ending.not_sent
+            if self._watched.is_called_off:
+                self.record.reason = _CALLED_OFF
                 return Ending.not_sent
             # The entry may have changed meanwhile, or another server been asked.
             self.record.reason = self._why_unsuitable(placement.server)
@@ -181,6 +186,28 @@
         self.record.version_ground = self._proof.ground
         return conn
 
+    def _on_unproved(self, server: BackendServer, exc: VersionUnproved) -> None:
+        """Record that nothing shows which version runs, unless it was left."""
+        self._close()
+        if self._watched.is_called_off:
+            self.record.reason = _CALLED_OFF
+            return
+        if self._silence.is_taken_over:
+            self.record.reason = _SILENCE
+            return
+        self.record.reason = str(exc)
+        server_id = server.server_id
+        if isinstance(exc, ProcessFormer) and self._progress.may_ask_again(
+            server_id
+        ):
+            # The process that is listed may accept a new connection.
+            self._servers.pool.drop_idle(server.host, server.port)
+            return
+        self._progress.excluded.add(server_id)
+        if isinstance(exc, ProcessSilent):
+            self._servers.pool.drop_idle(server.host, server.port)
+            self._servers.view.health[server_id].on_failure(now_s())
+
     def _release(self, server: BackendServer) -> None:
         """Give the connection back."""
         if self._conn is not None:
@@ -241,18 +268,17 @@
         self.record.first_s = now_s() - prefill.sent_s
         self.record.status = head.status
         self._servers.life.on_head(self._origin, is_stated=head.is_framed)
-        self._record_notice(placement, head, prefill.sent_s)
+        self._withheld.record_notice(placement, head, prefill.sent_s)
         kind = self._servers.dialect.classify(head)
         if kind in {AnswerKind.not_run, AnswerKind.not_held}:
             progress.runs -= 1
-            await self._discard_body(conn)
-            return self._handle_not_run(placement, kind)
+            return await self._withheld.on_not_run(conn, placement, kind)
         if kind is AnswerKind.unmarked:
             raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
         prefill.on_answer(now_s())
         if misleads_caller(kind, is_idempotent=self._route.is_idempotent):
-            return await self._withhold(conn, placement, head.status)
+            return await self._withheld.withhold(conn, placement, head.status)
         return await self._forward_answer(conn, placement, head)
 
     def _request(self, placement: Placement) -> ServerRequest:
@@ -275,58 +301,6 @@
             view.prefill_rate, placement.server.service, unread, at_s
         )
 
-    def _record_notice(
-        self, placement: Placement, head: AnswerHead, sent_s: float
-    ) -> None:
-        """Record whether the server refuses or limits further requests."""
-        notice = self._servers.dialect.notice(head)
-        notices = self._servers.view.notices
-        notices.on_notice(placement.server, notice, now_s())
-        limits = self.record.limits = self._servers.dialect.limits(head)
-        self._servers.view.notices.limiter.on_answer(
-            placement.server, limits, sent_s, now_s()
-        )
-
-    async def _discard_body(self, conn: ServerConnection) -> None:
-        """Read and discard the body of an answer that isn't forwarded."""
-        try:
-            await conn.discard_body()
-        except AnswerBroken as exc:
-            self.record.reason = f'body discarded: {exc}'
-
-    def _handle_not_run(self, placement: Placement, kind: AnswerKind) -> Ending:
-        server_id = placement.server.server_id
-        key = self._context.info.adapter
-        self._progress.refused_by.add(server_id)
-        self._servers.view.notices.limiter.brittle.on_refused(
-            placement.server, now_s()
-        )
-        if kind is AnswerKind.not_run:
-            self._progress.excluded.add(server_id)
-            return Ending.not_run
-        if key is None or not key.adapter:
-            self._progress.excluded.add(server_id)
-        else:
-            self._servers.view.on_adapter_missing(server_id, key, now_s())
-        return Ending.not_held
-
-    async def _withhold(
-        self, conn: ServerConnection, placement: Placement, status: int
-    ) -> Ending:
-        """Keep an answer from the caller that would make it repeat a run."""
-        server = placement.server
-        if status >= _FIRST_FAILURE_STATUS:
-            self._servers.view.health[server.server_id].on_failure(now_s())
-        await self._discard_body(conn)
-        metrics.UNCONFIRMED_REFUSALS.labels(server.service, str(status)).inc()
-        log_event(
-            Event.REFUSAL_UNCONFIRMED,
-            request=self._context.info.request_id,
-            server=server.server_id,
-            status=status,
-        )
-        return Ending.failed
-
     async def _forward_answer(
         self, conn: ServerConnection, placement: Placement, head: AnswerHead
     ) -> Ending:
@@ -336,7 +310,7 @@
         if head.status >= _FIRST_FAILURE_STATUS:
             health.on_failure(now_s())
             if self._may_retry or self._is_another_asked:
-                await self._discard_body(conn)
+                await self._withheld.discard_body(conn)
                 self._progress.excluded.add(server_id)
                 return Ending.failed
         if self._answer.has_started and not succeeded:
--- a/src/wasabicross/gateway/streams/version_checks.py
+++ b/src/wasabicross/gateway/streams/version_checks.py
@@ -10,6 +10,7 @@
 from wasabicross.gateway.connections.server_connections import ServerConnection
 from wasabicross.gateway.errors import (
     DocumentUnreadable,
+    ProcessSilent,
     ServerError,
     VersionUnproved,
 )
@@ -58,7 +59,7 @@
 
         :param server: the server, as it was listed when it was chosen.
         :param conn: a connection to it, without a request under way.
-        :raises VersionUnproved: the process gave no report.
+        :raises ProcessSilent: the process gave no report.
         """
         if conn.start_ms or not self._life.reports_start(server):
             return conn
@@ -69,9 +70,7 @@
                 conn = await self._connect_before_question(server)
         except (ServerError, DocumentUnreadable) as exc:
             conn.close()
-            self._pool.drop_idle(server.host, server.port)
-            self._view.health[server.server_id].on_failure(now_s())
-            raise VersionUnproved(f'no start: {exc}') from exc
+            raise ProcessSilent(f'no start: {exc}') from exc
         finally:
             metrics.START_QUESTION_SECONDS.observe(now_s() - asked_s)
         return conn
--- a/src/wasabicross/gateway/streams/version_proof.py
+++ b/src/wasabicross/gateway/streams/version_proof.py
@@ -6,7 +6,7 @@
 
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.connections.server_connections import ServerConnection
-from wasabicross.gateway.errors import VersionUnproved
+from wasabicross.gateway.errors import ProcessFormer, VersionUnproved
 
 
 class VersionGround(enum.Enum):
@@ -47,7 +47,9 @@
         if not names_start or not server.start_ms:
             return
         if conn.start_ms != server.start_ms:
-            raise VersionUnproved(
+            is_former = 0 < conn.start_ms < server.start_ms
+            error = ProcessFormer if is_former else VersionUnproved
+            raise error(
                 f'listed start {server.start_ms}, found {conn.start_ms}'
             )
         self.ground = VersionGround.same_start
