--- a/src/wasabicross/gateway/answer_forwarding.py
+++ b/src/wasabicross/gateway/answer_forwarding.py
@@ -29,8 +29,8 @@
 from wasabicross.gateway.forwarded_stream import ForwardedStream
 from wasabicross.gateway.progress import AttemptRecord, RequestProgress
 from wasabicross.gateway.silence_watch import SilenceWatch
-from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.takeover import Takeover
+from wasabicross.gateway.version_proof import VersionProof
 
 SUCCESS_STATUSES = range(200, 300)
 
--- a/src/wasabicross/gateway/attempt_context.py
+++ b/src/wasabicross/gateway/attempt_context.py
@@ -16,8 +16,8 @@
 from wasabicross.gateway.orders import EngineClient
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.streams.version_checks import VersionChecks
-from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.usage_tracker import RequestUsage
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 
 
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -7,7 +7,7 @@
 from wasabicross.gateway.answer_ends.end_proof import EndProof
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
-from wasabicross.gateway.streams.version_proof import (
+from wasabicross.gateway.version_proof import (
     VersionGround,
     VersionProof,
 )
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -44,8 +44,8 @@
 from wasabicross.gateway.retrying_placer import Placement
 from wasabicross.gateway.silence_watch import SilenceWatch
 from wasabicross.gateway.streams.stream_versions import why_unsuitable
-from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.takeover import Takeover
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.withheld_answers import WithheldAnswers
 
 #: Why an attempt ended early whose request would have crashed the server.
--- a/src/wasabicross/gateway/streams/stream_request.py
+++ b/src/wasabicross/gateway/streams/stream_request.py
@@ -16,7 +16,7 @@
     is_take_up,
     service_of,
 )
-from wasabicross.gateway.streams.version_proof import VersionProof
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -20,7 +20,7 @@
     former_lapse_s,
 )
 from wasabicross.gateway.streams.stream_memory import StreamMemory
-from wasabicross.gateway.streams.version_proof import VersionProof
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 
 #: Longest wait until the division in force is confirmed, and the interval at
--- a/src/wasabicross/gateway/streams/version_checks.py
+++ b/src/wasabicross/gateway/streams/version_checks.py
@@ -15,7 +15,7 @@
     VersionUnproved,
 )
 from wasabicross.gateway.orders import EngineClient
-from wasabicross.gateway.streams.version_proof import VersionProof
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -30,8 +30,8 @@
     RoutedRequest,
 )
 from wasabicross.gateway.retrying_placer import RetryingPlacer
-from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.usage_tracker import UsageTracker
+from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 from wasabicross.servers.retries import RetryBudget
 
--- a/tests/test_gateway_version_proof.py
+++ b/tests/test_gateway_version_proof.py
@@ -7,7 +7,7 @@
 
 from wasabicross.gateway.errors import VersionUnproved
 from wasabicross.gateway.server_health import ServerHealth
-from wasabicross.gateway.streams.version_proof import (
+from wasabicross.gateway.version_proof import (
     VersionGround,
     VersionProof,
 )
