Let no finalizer run while a test parses the sources

While ast.parse converts a tree, the collector may run a finalizer; if that converts another tree, the count of the first one is wrong. Writers that gateway tests leave behind do just this: their finalizers raise 'Event loop is closed', pytest formats the traceback, and traceback.py parses the failing line to place its carets.

What is checked in the sources is unchanged.

--- a/tests/test_gateway_own_answers.py
+++ b/tests/test_gateway_own_answers.py
@@ -8,6 +8,7 @@
 import re
 
 import pytest
+from source_trees import parse_source
 
 from emulator.fleet import ROOT
 from wasabicross.gateway.dialect import RequestInfo
@@ -204,6 +205,6 @@
     naming = {
         path.relative_to(source).as_posix()
         for path in source.rglob('*.py')
-        if any(map(names_promise, ast.walk(ast.parse(path.read_text()))))
+        if any(map(names_promise, ast.walk(parse_source(path.read_text()))))
     }
     assert naming == NAMING
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -5,6 +5,7 @@
 import re
 
 import pytest
+from source_trees import parse_source
 
 SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'wasabicross'
 PLATFORM = SOURCE / 'platform'
@@ -25,7 +26,7 @@
 
 
 def imported_modules(path):
-    for node in ast.walk(ast.parse(path.read_text())):
+    for node in ast.walk(parse_source(path.read_text())):
         if isinstance(node, ast.Import):
             yield from (alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
