Look for no further server once both the silent and the asked one have ended

What callers saw: a request whose first server was silent, was asked of a second one and then ended at both was held to its time limit. With 4 s left, two servers that had refused the request by 0.9 s gave 503 after 4.0 s; two that broke it off gave 504 instead of 502 after 4.0 s (tests).

Cause: once the silent server has ended, `successor` waits for the search, which is to end with the server that is being asked. But the search only ended when a server had taken over; otherwise it went on to look for others, with pauses of 0.25 s to 2 s, while the servers that were silent before were not tried again.

It isn't shown to be the cause of that failure.

Change: the search ends with the present server once `successor` waits for it, and the request goes on as after any other attempt.

--- a/src/wasabicross/gateway/silence_watch.py
+++ b/src/wasabicross/gateway/silence_watch.py
@@ -60,6 +60,8 @@
         self._pause_s = _FIRST_PAUSE_S
         self._next_search_s: float = 0
         self._is_asking = False
+        #: Whether no further server is looked for.
+        self._is_last = False
         #: Done when another server has taken over.
         self._accepted = asyncio.get_running_loop().create_future()
 
@@ -108,6 +110,7 @@
         search = self._search
         if search is None or not (self._is_asking or self.is_taken_over):
             return None
+        self._is_last = True
         await asyncio.wait(
             (search, self._accepted), return_when=asyncio.FIRST_COMPLETED
         )
@@ -137,7 +140,7 @@
             finally:
                 self._next_search_s = now_s() + self._pause_s
                 self._pause_s = min(_MAX_PAUSE_S, self._pause_s * _PAUSE_GROWTH)
-            if self.is_taken_over:
+            if self.is_taken_over or self._is_last:
                 return ending
 
     async def _ask_another(self) -> Ending:
