Fetch no prompt memory from a process that isn't the listed one

What callers saw: nothing by itself; their prompts could be read, in part, by another software version (Kv-Fetch), after a server had started again under its id as that version and before its entry had come (1 to 4 s, minutes while the store is away).

Cause: an owner told the state of an engine under the start that it had listed, though its report named another one. So gateways took what the new process holds for what the listed one holds, and named it as a source of its listed version. A restart was taken for unloads as well: the empty engine became the 'last holder'.

Change: an owner tells the start that its last report names. Gateways believe a state of a later start than the listed one (loads go on while the store is away), one of a former start as before not at all. A start of a prompt is fetched only if the owners of both servers report the starts that are listed. A restart is reported before the new process can hold a model, since its owner orders that.

Messages have the same form (messages.py is unchanged).

A row of test_gateway_view.test_who_holds_a_base_model said that a state of a later start counts for nothing; it is replaced by one of a former start (counts for nothing) and one of a later start (counts).

--- a/src/wasabicross/gateway/loading/engine_slots.py
+++ b/src/wasabicross/gateway/loading/engine_slots.py
@@ -82,7 +82,8 @@
         self._unloading: dict[AdapterKey, float] = {}
         self.usage = EngineUsage()
         self._pending: frozenset[AdapterKey] = frozenset()
-        self._start_ms = 0
+        #: Start that the engine reported last, Unix milliseconds, 0 for none.
+        self.start_ms = 0
         self._first_report_s = math.inf
 
     @property
@@ -142,9 +143,9 @@
         :param report: the report.
         :param asked_s: time at which the report was requested.
         """
-        if self._start_ms and report.start_ms != self._start_ms:
+        if self.start_ms and report.start_ms != self.start_ms:
             self._reset()
-        self._start_ms = report.start_ms
+        self.start_ms = report.start_ms
         self._first_report_s = min(self._first_report_s, asked_s)
         if self._is_outdated(report, asked_s):
             return
--- a/src/wasabicross/gateway/loading/server_loader.py
+++ b/src/wasabicross/gateway/loading/server_loader.py
@@ -148,7 +148,7 @@
         usage = self.slots.usage
         return ServerState(
             server_id=self.server.server_id,
-            start_ms=self.server.start_ms,
+            start_ms=self._start_ms,
             queued=usage.queued,
             running=usage.running(now_s()),
             takes_loads=self.takes_loads,
@@ -162,6 +162,19 @@
             awaited_tokens=self._awaited.prompt_tokens,
         )
 
+    @property
+    def _start_ms(self) -> int:
+        """Return the start that has reported, the listed one if none has.
+
+        The entry of a restart may come minutes later.
+        """
+        listed_ms = self.server.start_ms
+        return self.slots.start_ms if self._tells_start else listed_ms
+
+    @property
+    def _tells_start(self) -> bool:
+        return self.server.start_ms > 0 and self.slots.start_ms > 0
+
     def _spare_slots(self, at_s: float) -> int:
         """Return the slots for further loads, negative if loads are waiting."""
         return self.slots.available_slots(at_s) - self._waiting_for_slots
--- a/src/wasabicross/gateway/prompt_sources.py
+++ b/src/wasabicross/gateway/prompt_sources.py
@@ -36,7 +36,8 @@
     """Return the server that probably keeps the start of a prompt, if any.
 
     It is another holder of the adapter, or else the server that held it last.
-    What a server of another software version has read isn't used.
+    What a server of another software version has read isn't used, nor anything
+    while either server runs another start than its entry tells the version of.
 
     :param view: the servers and what they hold.
     :param server: the server that will run the request.
@@ -53,7 +54,9 @@
         source = alike.get(last_id)
     if source is None or not _is_reachable(view, source, now_s):
         return None
-    return source
+    if not _is_listed_run(view, server, now_s):
+        return None
+    return source if _is_listed_run(view, source, now_s) else None
 
 
 def _is_reachable(view: FleetView, source: BackendServer, now_s: float) -> bool:
@@ -63,6 +66,20 @@
     return view.takes_loads(source, now_s)
 
 
+def _is_listed_run(
+    view: FleetView, server: BackendServer, now_s: float
+) -> bool:
+    """Return whether a server's owner reports the start that is listed.
+
+    Its software version is then that of the process that runs. Where entries
+    name no start, the id stands for one.
+    """
+    if not server.start_ms:
+        return True
+    report = view.valid_report(server, now_s)
+    return report is not None and report.state.start_ms == server.start_ms
+
+
 def _alike(view: FleetView, server: BackendServer) -> dict[str, BackendServer]:
     """Return the other servers of a service with the same software version."""
     return {
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -278,7 +278,7 @@
         :param model: name of the model.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         is_reported = report is not None and model in report.state.models
         return is_reported or model in server.models
 
@@ -296,7 +296,7 @@
         )
         if now_s - missing_s < _MISSING_ADAPTER_S:
             return 0
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         held = server.held if report is None else report.held
         return held.get(key, 0)
 
@@ -306,7 +306,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return report is not None and report.state.takes_loads
 
     def refuses_requests(self, server: BackendServer, now_s: float) -> bool:
@@ -323,7 +323,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return report.state.spare_slots if report else 0
 
     def requests_at(self, server: BackendServer, now_s: float) -> int:
@@ -333,7 +333,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.requests[server.server_id]
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         if report is None:
             return own
         return max(own, report.state.running + report.state.queued)
@@ -345,7 +345,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.unread_tokens.get(server.server_id, 0)
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return max(own, report.state.unread_tokens) if report else own
 
     def awaited_tokens(self, server: BackendServer, now_s: float) -> int:
@@ -355,20 +355,25 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.awaited_tokens.get(server.server_id, 0)
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return max(own, report.state.awaited_tokens) if report else own
 
-    def _valid_report(
+    def valid_report(
         self, server: BackendServer, now_s: float
     ) -> ReportedState | None:
         """Return the last report on a server.
 
-        None if the report is too old or belongs to another incarnation.
+        None if the report is too old or belongs to a former incarnation. Owners
+        see a restart before it is listed.
+
+        :param server: the server.
+        :param now_s: the present time, monotonic seconds.
         """
         report = self.reported.get(server.server_id)
         if report is None or now_s - report.received_s > OWNER_STATE_LIFETIME_S:
             return None
-        return report if report.state.start_ms in {0, server.start_ms} else None
+        start_ms = report.state.start_ms
+        return report if not start_ms or start_ms >= server.start_ms else None
 
     def _remove(self, server_id: str) -> None:
         self._expired.discard(server_id)
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -140,17 +140,19 @@
 @pytest.mark.parametrize(
     ('listed', 'told', 'start_ms', 'age_s', 'holds'),
     [
-        ((), (), 1, 0, False),
-        (('m0',), (), 1, 0, True),
+        ((), (), 2, 0, False),
+        (('m0',), (), 2, 0, True),
         # The state from the owner shows a load before the store entry does.
-        ((), ('m0',), 1, 0, True),
-        ((), ('m0',), 1, OWNER_STATE_LIFETIME_S + 1, False),
-        # A state from another start of the server is ignored.
-        ((), ('m0',), 2, 0, False),
+        ((), ('m0',), 2, 0, True),
+        ((), ('m0',), 2, OWNER_STATE_LIFETIME_S + 1, False),
+        # A state from a former start of the server is ignored, but owners see a
+        # restart before it is listed.
+        ((), ('m0',), 1, 0, False),
+        ((), ('m0',), 3, 0, True),
     ],
 )
 def test_who_holds_a_base_model(listed, told, start_ms, age_s, holds):
     view = FleetView()
-    listed_server = server()._replace(models=frozenset(listed))
+    listed_server = server(start_ms=2)._replace(models=frozenset(listed))
     view.on_state(state(0, start_ms)._replace(models=told), 10)
     assert view.holds_model(listed_server, 'm0', 10 + age_s) is holds
