Keep an owner's word on a restart that comes before its entry

What callers saw: loads refused at an engine that had just started again, until its owner sent its complete state once more (one engine each 0.5 s, so 0.5 s times the engines it owns at worst).

Cause: with a new entry the gateway forgot the state of that very start, which owners may know first, and then ignored all changes 'without a prior state'.

test_a_state_that_came_before_the_entry_of_its_start_is_kept failed before.

--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -406,7 +406,10 @@
             return
         self._expired.discard(server.server_id)
         if known is not None and not server.is_same_run(known):
+            report = self.reported.get(server.server_id)
             self._remove(server.server_id)
+            if report and 0 < server.start_ms == report.state.start_ms:
+                self.reported[server.server_id] = report
         self.servers[server.server_id] = server
 
     @_apply.register
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -159,3 +159,13 @@
     listed = view.servers['s1']
     assert view.takes_loads(listed, USED_S) is is_known
     assert view.held_version(listed, A, USED_S) == is_known
+
+
+def test_a_state_that_came_before_the_entry_of_its_start_is_kept():
+    """Its owner doesn't tell it again, and ends of loads would go unseen."""
+    view = view_of(server())
+    view.on_state(state(start_ms=LATER_MS), LISTED_S)
+    view.apply(ServerEntryUpdate(server(start_ms=LATER_MS, held={})), LISTED_S)
+    listed = view.servers['s1']
+    assert view.takes_loads(listed, USED_S)
+    assert view.held_version(listed, A, USED_S) == 1
