Send no requests for models that only the former start of an engine held

What callers saw: attempts that a process which had started again empty turned away (421), until its entry came, though its owner had seen that it holds nothing.

Cause: a model counts as held if the entry or the owner's state names it; the entry is of the former start then.

--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -279,6 +279,8 @@
         :param now_s: the present time, monotonic seconds.
         """
         report = self.valid_report(server, now_s)
+        if report is not None and report.state.start_ms > server.start_ms:
+            return model in report.state.models
         is_reported = report is not None and model in report.state.models
         return is_reported or model in server.models
 
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -169,3 +169,13 @@
     listed = view.servers['s1']
     assert view.takes_loads(listed, USED_S)
     assert view.held_version(listed, A, USED_S) == 1
+
+
+@pytest.mark.parametrize(
+    ('told_ms', 'holds'), [(LISTED_MS, True), (LATER_MS, False)]
+)
+def test_models_of_the_former_start_attract_no_requests(told_ms, holds):
+    """A process that started again empty answers each of them with 421."""
+    view = view_of(server())
+    view.on_state(state(start_ms=told_ms)._replace(models=()), LISTED_S)
+    assert view.holds_model(view.servers['s1'], 'm0', USED_S) is holds
