Keep what a server says of further requests by the start that runs

What callers saw: a server that had asked for a pause, or said that it leaves, and then started again got nothing until its new entry came, for minutes while the store was away. The other way round, what the new process said in that time was noted under its former start and forgotten as soon as the entry came: a pause (BUDGET), a limit at all gateways at once (LIMIT), 'leaving' (DRAIN).

Cause: notices, limits and what follows from them are kept by the start of the entry, which is an older word.

Change: KnownStarts tells the latest start that is known, by the entry or by the state of an owner, whose engine has reported it. When a later start becomes known, what was said since it began is kept for it, what was said before isn't: a pause also if it was said up to 2 s before, 'leaving' only if more than 2 s after that, as the start is told by the clock of the server's machine. A limit of the former start would end with the first answer that states none. Servers without an owner are known by their entries alone, as before.

Messages keep their form: LimitsStated and GrantWanted name the later start.

--- a/src/wasabicross/gateway/server_limits/brittle_servers.py
+++ b/src/wasabicross/gateway/server_limits/brittle_servers.py
@@ -67,7 +67,7 @@
         if refusals_per_s is None:
             return True
         paused_until_s = self._paused_until_s.get(
-            Incarnation.from_server(server), -math.inf
+            self._limits.starts.incarnation(server), -math.inf
         )
         if now_s < paused_until_s or self._unanswered.get(server.server_id):
             return False
@@ -96,7 +96,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        incarnation = Incarnation.from_server(server)
+        incarnation = self._limits.starts.incarnation(server)
         self._paused_until_s.pop(incarnation, None)
         self._paused_until_s[incarnation] = now_s + _PAUSE_S
         if len(self._paused_until_s) > _MAX_ENTRIES:
--- a/src/wasabicross/gateway/server_limits/known_limits.py
+++ b/src/wasabicross/gateway/server_limits/known_limits.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.known_starts import FoundRestart, KnownStarts
 from wasabicross.gateway.server_limits.messages import (
     MICROS,
     NOT_STATED,
@@ -39,9 +40,15 @@
 
     Answers overtake each other, so one without a limit ends it only if its
     request was sent after the last answer with the limit.
+
+    :param starts: tells which starts of servers run, None where nobody else
+        learns of any.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, starts: KnownStarts | None = None) -> None:
+        #: Which starts of servers run.
+        self.starts = starts or KnownStarts()
+        self.starts.follow(self._on_restart)
         self._known: dict[Incarnation, _Known] = {}
 
     def of(self, server: BackendServer) -> StatedLimits:
@@ -49,7 +56,7 @@
 
         :param server: the server.
         """
-        known = self._known.get(Incarnation.from_server(server))
+        known = self._known.get(self.starts.incarnation(server))
         return NO_LIMITS if known is None else known.stated
 
     def on_answer(
@@ -66,7 +73,7 @@
         :param sent_s: when the request was sent, monotonic seconds.
         :param now_s: the present time, monotonic seconds.
         """
-        incarnation = Incarnation.from_server(server)
+        incarnation = self.starts.incarnation(server)
         if stated.are_none and incarnation not in self._known:
             return False
         at_s = sent_s if stated.are_none else now_s
@@ -91,7 +98,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        incarnation = Incarnation.from_server(server)
+        incarnation = self.starts.incarnation(server)
         known = self._known.get(incarnation)
         return None if known is None else _message(incarnation, known, now_s)
 
@@ -106,6 +113,12 @@
             if not known.stated.are_none
         )
 
+    def _on_restart(self, found: FoundRestart) -> None:
+        """Keep what the later start of a server has stated itself."""
+        known = self._known.get(found.former)
+        if known is not None and known.at_s > found.started_s:
+            self._update(found.latest, known)
+
     def _update(self, incarnation: Incarnation, latest: _Known) -> bool:
         known = self._known.get(incarnation)
         if known is not None and latest.at_s <= known.at_s:
--- a/src/wasabicross/gateway/server_limits/owner_grants.py
+++ b/src/wasabicross/gateway/server_limits/owner_grants.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.server_limits.known_limits import KnownLimits
 from wasabicross.gateway.server_limits.token_bucket import TokenBuckets
 
@@ -37,7 +37,7 @@
         :return: 0 if the request may be sent, else seconds; None if this
             gateway has no right to grant it.
         """
-        incarnation = Incarnation.from_server(server)
+        incarnation = self._limits.starts.incarnation(server)
         if not self._is_owned(server, now_s):
             self._buckets.discard(incarnation)
             return None
--- a/src/wasabicross/gateway/server_limits/request_limiter.py
+++ b/src/wasabicross/gateway/server_limits/request_limiter.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from wasabicross.gateway.backend import BackendServer, Incarnation
+from wasabicross.gateway.known_starts import KnownStarts
 from wasabicross.gateway.server_limits.brittle_servers import BrittleServers
 from wasabicross.gateway.server_limits.fallback_shares import FallbackShares
 from wasabicross.gateway.server_limits.gateway_shares import GatewayShares
@@ -35,10 +36,15 @@
 
 
 class RequestLimiter:
-    """Decides whether requests may be sent to servers with a limit."""
+    """Decides whether requests may be sent to servers with a limit.
 
-    def __init__(self) -> None:
-        self.known = KnownLimits()
+    :param starts: tells which starts of servers run, None where nobody else
+        learns of any.
+    """
+
+    def __init__(self, starts: KnownStarts | None = None) -> None:
+        self._starts = starts or KnownStarts()
+        self.known = KnownLimits(self._starts)
         self.set_gateways('', ())
         self._blocked_until_s: dict[Incarnation, float] = {}
         #: Reaches the owners, None before there are links.
@@ -72,7 +78,7 @@
         if stated is None:
             return
         if self.known.on_answer(server, stated, sent_s, now_s):
-            self._blocked_until_s.pop(Incarnation.from_server(server), None)
+            self._blocked_until_s.pop(self._starts.incarnation(server), None)
             if self.links is not None:
                 self.links.report_limits(server)
 
@@ -101,7 +107,7 @@
         :param server: the server.
         """
         return self._blocked_until_s.get(
-            Incarnation.from_server(server), -math.inf
+            self._starts.incarnation(server), -math.inf
         )
 
     async def acquire(
@@ -123,7 +129,7 @@
         wait_s = await self._ask_owner(server)
         at_s = clock()
         limit_per_s = self.known.of(server).requests_per_s
-        incarnation = Incarnation.from_server(server)
+        incarnation = self._starts.incarnation(server)
         if wait_s is None and limit_per_s is not None:
             wait_s = self._fallback.wait_s(incarnation, limit_per_s, at_s)
         if not wait_s:
--- a/src/wasabicross/gateway/server_limits/sharing.py
+++ b/src/wasabicross/gateway/server_limits/sharing.py
@@ -71,13 +71,16 @@
         :param now_s: the present time, monotonic seconds.
         """
         server = self._find_server(message.server_id)
-        if server is None or server.start_ms != message.start_ms:
+        if server is None or self._start_ms(server) != message.start_ms:
             return GrantAnswer(message.call_id, NOT_OWNER)
         wait_s = self._grants.wait_s(server, now_s)
         if wait_s is None:
             return GrantAnswer(message.call_id, NOT_OWNER)
         return GrantAnswer(message.call_id, math.ceil(wait_s * _MS_PER_S))
 
+    def _start_ms(self, server: BackendServer) -> int:
+        return self.limiter.known.starts.incarnation(server).start_ms
+
 
 def _ignore(_message: LimitsStated) -> None:
     """Do nothing, as nobody listens yet."""
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -202,6 +202,9 @@
                     state.server_id, key, before.held[key]
                 )
         self.reported[state.server_id] = ReportedState(state, held, now_s)
+        listed = self.servers.get(state.server_id)
+        if listed is not None:
+            self.notices.starts.on_found(listed, state.start_ms, now_s)
 
     def on_held_change(self, change: HeldAdaptersUpdate, now_s: float) -> None:
         """Update a server's resident adapters; ignored without a prior state.
@@ -383,6 +386,7 @@
         self.health.pop(server_id, None)
         self.reported.pop(server_id, None)
         self.warm_copies.forget(server_id)
+        self.notices.starts.forget(server_id)
 
     @singledispatchmethod
     def _apply(self, change: StoreChange, now_s: float) -> None:
@@ -408,6 +412,7 @@
             return
         self._expired.discard(server.server_id)
         if known is not None and not server.is_same_run(known):
+            self.notices.starts.on_listed(known, server, now_s)
             report = self.reported.get(server.server_id)
             self._remove(server.server_id)
             if report and 0 < server.start_ms == report.state.start_ms:
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -6,17 +6,20 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
-from wasabicross.gateway.changes import ServerEntryUpdate
+from wasabicross.gateway.changes import ServerEntryUpdate, ServerRemoval
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
 from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.messages import HeldAdapter, ServerState
 from wasabicross.gateway.ownership import OwnershipTerm
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
+from wasabicross.gateway.server_limits.stated import StatedLimits
+from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.gateway.view import FleetView
 
 A = AdapterKey('m0', 'a1')
@@ -179,3 +182,102 @@
     view = view_of(server())
     view.on_state(state(start_ms=told_ms)._replace(models=()), LISTED_S)
     assert view.holds_model(view.servers['s1'], 'm0', USED_S) is holds
+
+
+class Restart:
+    """A server that starts again, and what it says before and after that.
+
+    :param ago_s: how long ago it has started, seconds.
+    """
+
+    def __init__(self, ago_s):
+        self.now_s = now_s()
+        self.start_ms = int((time.time() - ago_s) * 1000)
+        self.listed = server(start_ms=self.start_ms - 60_000, held={})
+        self.view = view_of(self.listed)
+        self.notices = self.view.notices
+
+    def says(self, notice, ago_s):
+        """Let it answer with a notice; the gateway knows the former entry."""
+        self.notices.on_notice(self.listed, notice, self.now_s - ago_s)
+
+    def limits(self, ago_s):
+        """Let it answer with a limit; the gateway knows the former entry."""
+        at_s = self.now_s - ago_s
+        limits = StatedLimits(5.0, None)
+        self.notices.limiter.on_answer(self.listed, limits, at_s, at_s)
+
+    def becomes_known(self, how):
+        """Let the gateway learn of the restart."""
+        if 'owner' in how:
+            self.view.on_state(state(start_ms=self.start_ms), self.now_s)
+        if 'entry' in how:
+            listed = self.listed._replace(start_ms=self.start_ms)
+            self.view.apply(ServerEntryUpdate(listed), self.now_s)
+
+    @property
+    def is_refused(self):
+        """Return whether the server is sent nothing new."""
+        listed = self.view.servers['s1']
+        return self.view.refuses_requests(listed, self.now_s)
+
+
+LEARNT = [('owner',), ('entry',), ('owner', 'entry'), ('entry', 'owner')]
+LEAVING = ServerNotice(is_leaving=True, pause_s=0)
+PAUSE = ServerNotice(is_leaving=False, pause_s=60)
+
+
+@pytest.mark.parametrize('how', LEARNT)
+@pytest.mark.parametrize(
+    ('notice', 'said_ago_s', 'is_kept'),
+    [
+        (PAUSE, 30, False),
+        (PAUSE, 10, True),
+        # Clocks of machines may differ a little.
+        (PAUSE, 21, True),
+        (LEAVING, 30, False),
+        (LEAVING, 21, False),
+        (LEAVING, 10, True),
+    ],
+)
+def test_notices_are_those_of_the_process_that_gave_them(
+    how, notice, said_ago_s, is_kept
+):
+    """It started 20 s ago; until now only the former start was known."""
+    restart = Restart(ago_s=20)
+    restart.says(notice, said_ago_s)
+    assert restart.is_refused
+    restart.becomes_known(how)
+    assert restart.is_refused is is_kept
+
+
+@pytest.mark.parametrize('how', LEARNT)
+@pytest.mark.parametrize(('said_ago_s', 'is_kept'), [(30, False), (10, True)])
+def test_limits_are_those_of_the_process_that_stated_them(
+    how, said_ago_s, is_kept
+):
+    restart = Restart(ago_s=20)
+    restart.limits(said_ago_s)
+    restart.becomes_known(how)
+    listed = restart.view.servers['s1']
+    assert restart.notices.limiter.is_limited(listed) is is_kept
+
+
+def test_what_a_restarted_server_says_holds_when_it_is_listed():
+    restart = Restart(ago_s=20)
+    restart.becomes_known(['owner'])
+    restart.says(LEAVING, 0)
+    restart.limits(0)
+    restart.becomes_known(['entry'])
+    assert restart.is_refused
+    assert restart.notices.limiter.is_limited(restart.view.servers['s1'])
+
+
+def test_a_server_that_is_gone_leaves_no_start_behind():
+    restart = Restart(ago_s=20)
+    restart.becomes_known(['owner'])
+    restart.view.apply(ServerRemoval('s1'), restart.now_s)
+    restart.view.apply(ServerEntryUpdate(restart.listed), restart.now_s)
+    starts = restart.notices.starts
+    listed = restart.view.servers['s1']
+    assert starts.incarnation(listed).start_ms == listed.start_ms
