Tell the crashes of a restarted server from those of its listed start

What callers saw: a sound request whose answer broke off at a server that had crashed before and was back, but not listed yet, became a suspect of that crash without any check, so one crash beside it more would have it refused.

Cause: crashes are kept by the start of the entry, and one that was found once counted for all that broke off under this entry later.

Change: a crash that was found tells of attempts that began before its check ended, as these may be told late; for later ones the server is asked again. Crashes are kept by the latest start that is known (KnownStarts), so the next one of an engine counts once its owner has reported the later start, 0.5 s after it is back. Of a server without an owner the next crash counts when its entry has come, as before. The checks are in a module of their own (crash_checks).

Messages keep their form: ServerCrash names the later start, which takes as it is. Two gateways of which one knows the later start and one doesn't report the same crash under two starts; less than 0.1 s apart they count as one.

--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 import random
 from collections.abc import Callable
-from typing import NamedTuple, Self
+from typing import Self
 
 from wasabicross.gateway import metrics
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.conviction_records import CrashKey
+from wasabicross.gateway.crashes.crash_checks import (
+    RETRY_PAUSE_S,
+    CrashCheck,
+    CrashChecks,
+    Suspect,
+)
 from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
@@ -33,21 +38,10 @@
 #: Time after the start of an answer from which on its request counts as sound.
 _SOUND_AFTER_S = 0.5
 
-#: Pause before a second connection that tells whether a server has ended.
-_RETRY_PAUSE_S = 0.08
-
-#: Longest wait until a server that broke an answer off has refused a connection
-#: or not. A request is sent to another server then; its crash, if it is found
-#: later, still counts.
-_MAX_CHECK_WAIT_S = 0.05
-
 #: Pause after which a server that broke an answer off and didn't refuse a
 #: connection is tried again.
 _RECHECK_S = 0.2
 
-#: Most servers whose last check is remembered.
-_MAX_CHECKS = 1024
-
 #: Most requests that one log line names.
 _MAX_NAMED = 8
 
@@ -55,49 +49,6 @@
 _MAX_OTHERS = 3
 
 
-class _Suspect(NamedTuple):
-    """A request whose answer ended with its server, or never began."""
-
-    request_id: str
-    since_start_s: float
-    causes: tuple[str, ...]
-
-
-class _Check:
-    """Whether one incarnation of a server has ended.
-
-    :param at_s: when an answer was broken off, monotonic seconds.
-    """
-
-    def __init__(self, at_s: float) -> None:
-        self.at_s = at_s
-        self.suspects: list[_Suspect] = []
-        self.has_crashed = False
-        self.ended_s = math.inf
-        #: Set once the server has refused the first connection or not, and once
-        #: nothing more will be found.
-        self.is_answered = asyncio.Event()
-        self.is_done = asyncio.Event()
-
-    def finish(self, now_s: float) -> None:
-        """Record that nothing more will be found.
-
-        :param now_s: the present time, monotonic seconds.
-        """
-        self.ended_s = now_s
-        self.is_answered.set()
-        self.is_done.set()
-
-    async def wait(self) -> None:
-        """Wait for what the next connection tells, but not for long."""
-        expected, wait_s = self.is_answered, _MAX_CHECK_WAIT_S
-        if expected.is_set():
-            expected, wait_s = self.is_done, wait_s + _RETRY_PAUSE_S
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
-                await expected.wait()
-
-
 class CrashWatch:
     """Tells crashed servers from others that broke off answers.
 
@@ -116,7 +67,7 @@
         self._evidence = evidence
         #: Shares the evidence with other gateways.
         self.sharing = sharing
-        self._checks: dict[CrashKey, _Check] = {}
+        self._checks = CrashChecks()
         self._tasks: set[asyncio.Task[None]] = set()
         #: Attempts that are called off if a cause of theirs is convicted.
         self.under_way: set[WatchedAttempt] = set()
@@ -145,7 +96,11 @@
         self.sharing.report_sound(causes)
 
     async def on_broken(
-        self, server: BackendServer, info: RequestInfo, since_start_s: float
+        self,
+        server: BackendServer,
+        info: RequestInfo,
+        since_start_s: float,
+        begun_s: float = -math.inf,
     ) -> bool:
         """Record an answer that broke off or is missing.
 
@@ -153,16 +108,17 @@
         :param server: the server.
         :param info: what the header fields of the request state.
         :param since_start_s: time since the answer began, seconds, 0 if it hasn't.
+        :param begun_s: when the attempt began, monotonic seconds.
         """
         if since_start_s > _BEGUN_S:
             return False
         if not self._is_expected(server):
             return False
-        check = self._check_of(server)
-        suspect = _Suspect(info.request_id, since_start_s, info.causes)
+        check = self._check_of(server, begun_s)
+        suspect = Suspect(info.request_id, since_start_s, info.causes)
         check.suspects.append(suspect)
         if check.is_done.is_set():
-            self._report(server, check)
+            self._report(check)
         await check.wait()
         return check.has_crashed and self._evidence.is_suspect(info.causes)
 
@@ -192,37 +148,39 @@
             listed
         )
 
-    def _check_of(self, server: BackendServer) -> _Check:
+    def _check_of(self, server: BackendServer, begun_s: float) -> CrashCheck:
         """Return the check of a server that broke an answer off."""
-        key = CrashKey(server.server_id, server.start_ms)
-        check = self._checks.get(key)
+        key = CrashKey(*self._view.notices.starts.incarnation(server))
         at_s = now_s()
-        if check is not None and (
-            check.has_crashed or at_s < check.ended_s + _RECHECK_S
-        ):
-            return check
-        check = self._checks[key] = _Check(at_s)
-        if len(self._checks) > _MAX_CHECKS:
-            self._checks.pop(next(iter(self._checks)))
+        known = self._checks.find(key, begun_s, at_s - _RECHECK_S)
+        if known is not None:
+            return known
+        check = CrashCheck(key, at_s)
+        self._checks.add(check)
         task = asyncio.ensure_future(self._run_check(server, check))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return check
 
-    async def _run_check(self, server: BackendServer, check: _Check) -> None:
+    async def _run_check(
+        self, server: BackendServer, check: CrashCheck
+    ) -> None:
         try:
-            check.has_crashed = await self._has_crashed(server, check)
-            self._report(server, check)
+            if await self._has_crashed(server, check):
+                self._checks.on_crashed(check)
+            self._report(check)
         finally:
             check.finish(now_s())
         if check.has_crashed:
             metrics.CRASHES.inc()
 
-    async def _has_crashed(self, server: BackendServer, check: _Check) -> bool:
+    async def _has_crashed(
+        self, server: BackendServer, check: CrashCheck
+    ) -> bool:
         if not await is_refused(server.host, server.port):
             check.is_answered.set()
             # It may be about to end.
-            await asyncio.sleep(_RETRY_PAUSE_S)
+            await asyncio.sleep(RETRY_PAUSE_S)
             if not await is_refused(server.host, server.port):
                 return False
         is_reaching = await self._reaches_another(server)
@@ -247,7 +205,7 @@
         )
         return any(accepted)
 
-    def _report(self, server: BackendServer, check: _Check) -> None:
+    def _report(self, check: CrashCheck) -> None:
         """Report the suspects of a crash that aren't reported yet."""
         suspects = check.suspects
         check.suspects = []
@@ -256,8 +214,8 @@
         suspects.sort(key=lambda each: each.since_start_s)
         log_event(
             Event.SERVER_CRASHED,
-            server=server.server_id,
-            start_ms=server.start_ms,
+            server=check.key.server_id,
+            start_ms=check.key.start_ms,
             confirmed='connection refused',
             requests=[
                 f'{each.request_id} {each.since_start_s:.3f} {each.causes[-1]}'
@@ -266,8 +224,7 @@
             count=len(suspects),
         )
         causes = frozenset(cause for each in suspects for cause in each.causes)
-        key = CrashKey(server.server_id, server.start_ms)
-        self.sharing.report_crash(Crash(key, check.at_s, causes))
+        self.sharing.report_crash(Crash(check.key, check.at_s, causes))
 
 
 class WatchedAttempt:
@@ -284,6 +241,7 @@
         self._watch = watch
         self._server = server
         self._info = info
+        self._begun_s = now_s()
         #: When the first piece of the body came.
         self._first_piece_s = math.inf
         self._is_sound = False
@@ -346,5 +304,5 @@
         # A head may come long before the server writes the first piece.
         since_start_s = max(0, now_s() - self._first_piece_s)
         return await self._watch.on_broken(
-            self._server, self._info, since_start_s
+            self._server, self._info, since_start_s, self._begun_s
         )
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -11,6 +11,7 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.crashes import crash_watch
 from wasabicross.gateway.crashes.crash_evidence import (
+    SEPARATE_S,
     Crash,
     CrashEvidence,
     CrashKey,
@@ -18,6 +19,7 @@
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.crashes.crash_watch import CrashWatch
 from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.messages import ServerState
 from wasabicross.gateway.server_notices import ServerNotice
 from wasabicross.gateway.view import FleetView
 
@@ -276,3 +278,60 @@
         crash(1, 5, 'd4'), crash(2, 4, 'd4'), begun_s=begun_s
     )
     assert attempt.is_called_off is is_called_off
+
+
+def restart_unlisted(watched):
+    """Let the server's owner see a later start than the listed one."""
+    state = ServerState('s1', 6, 0, 0, True, ())
+    watched.view.on_state(state, now_s())
+
+
+def test_a_broken_answer_of_a_restarted_server_is_no_part_of_its_last_crash():
+    """Its sound request would be refused after one more crash beside it."""
+    (port,) = free_ports(1)
+    other = INFO._replace(request_id='r2', parts=('sound',))
+
+    async def scenario():
+        watched = Watched(port)
+        assert await watched.broken()
+        attempt = watched.watch.begin(watched.server, other)
+        with _listener(port):
+            has_crashed = await attempt.on_broken()
+        return has_crashed, watched.evidence.suspects()
+
+    assert asyncio.run(scenario()) == (False, {'f0', 'd4'})
+
+
+def test_late_ends_of_answers_still_belong_to_the_crash_before_them():
+    (port,) = free_ports(1)
+    other = INFO._replace(request_id='r2', parts=('late',))
+
+    async def scenario():
+        watched = Watched(port)
+        attempt = watched.watch.begin(watched.server, other)
+        assert await watched.broken()
+        later = watched.watch.begin(watched.server, INFO)
+        with _listener(port):
+            assert not await later.on_broken()
+            await attempt.on_broken()
+        return watched.evidence.suspects()
+
+    assert asyncio.run(scenario()) == {'f0', 'd4', 'late'}
+
+
+@pytest.mark.parametrize(
+    ('restarts', 'crashes'), [([], 1), ([restart_unlisted], 2)]
+)
+def test_a_crash_of_a_start_that_is_not_listed_counts(restarts, crashes):
+    """Its request would go on to crash servers while the store is away."""
+
+    async def scenario(watched):
+        await watched.broken()
+        await asyncio.sleep(2 * SEPARATE_S)
+        for each in restarts:
+            each(watched)
+        attempt = watched.watch.begin(watched.server, INFO)
+        assert await attempt.on_broken()
+        return watched.evidence.crashes_of('f0')
+
+    assert run(scenario) == crashes
