Go on with the loads of a restarted engine when its entry comes

What callers saw: refused as 'no adapter in time' at the moment at which the entry of an engine came that had started again before, for all such engines at once when the store returned. Loads for up to 0.2 s after it were refused as well, and no adapter was unloaded for others for 1.2 s.

Cause: the owner's loader belongs to one listed start and was ended with it, though it had worked with the new process since that had reported.

Change: a loader whose engine has reported the start of the new entry, at the same address and in the same service, goes on under that entry.

--- a/src/wasabicross/gateway/backend.py
+++ b/src/wasabicross/gateway/backend.py
@@ -51,6 +51,18 @@
             and self.software_version == other.software_version
         )
 
+    def is_at_same_place(self, other: BackendServer) -> bool:
+        """Return whether two entries name one address and service.
+
+        :param other: another entry.
+        """
+        return (self.service, self.host, self.port, self.data_centre) == (
+            other.service,
+            other.host,
+            other.port,
+            other.data_centre,
+        )
+
 
 class EngineReport(NamedTuple):
     """The report of an engine on its own state.
--- a/src/wasabicross/gateway/loading/engine_orders.py
+++ b/src/wasabicross/gateway/loading/engine_orders.py
@@ -62,7 +62,8 @@
         view: FleetView,
         current_term: Callable[[], OwnershipTerm | None],
     ) -> None:
-        self._server = server
+        #: The engine, as it is listed.
+        self.server = server
         self._slots = slots
         self._engines = engines
         self._view = view
@@ -116,7 +117,7 @@
         )
         ordered = self._slots.ordered.get(key)
         try:
-            answer = await self._engines.order(self._server, order)
+            answer = await self._engines.order(self.server, order)
         except ServerError:
             answer = None
         version = self._view.version_of(key)
@@ -144,7 +145,7 @@
         metrics.ORDERS.labels(order.kind.value, answer_name).inc()
         log_event(
             Event.ORDER_SENT,
-            server=self._server.server_id,
+            server=self.server.server_id,
             order=order.kind.value,
             adapter=order.key.adapter,
             expected=order.expected_orders,
--- a/src/wasabicross/gateway/loading/engine_slots.py
+++ b/src/wasabicross/gateway/loading/engine_slots.py
@@ -11,7 +11,7 @@
 import math
 from typing import NamedTuple
 
-from wasabicross.gateway.backend import AdapterKey, EngineReport
+from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
 from wasabicross.gateway.loading.engine_usage import EngineUsage
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 
@@ -127,6 +127,17 @@
             return False
         return self.taken < self.slot_count
 
+    def start_of(self, server: BackendServer) -> int:
+        """Return the start that has reported, the listed one if none has.
+
+        The entry of a restart may come minutes later.
+
+        :param server: the engine, as it is listed; 0 if it names no start.
+        """
+        if self.start_ms and server.start_ms:
+            return self.start_ms
+        return server.start_ms
+
     def available_slots(self, now_s: float) -> int:
         """Return the number of slots available to further loads.
 
--- a/src/wasabicross/gateway/loading/loader_service.py
+++ b/src/wasabicross/gateway/loading/loader_service.py
@@ -109,7 +109,12 @@
         server = self._view.servers.get(server_id)
         if server is None:
             return None
-        return self._loaders.get((server_id, server.start_ms))
+        listed = (server_id, server.start_ms)
+        if listed not in self._loaders:
+            for former in tuple(self._loaders):
+                if former[0] == server_id:
+                    self._relist(former)
+        return self._loaders.get(listed)
 
     def _update_loaders(self) -> None:
         owned = {
@@ -117,12 +122,24 @@
             for server in self._view.servers.values()
             if self._is_owned(server)
         }
+        for former in self._loaders.keys() - owned.keys():
+            self._relist(former)
         for incarnation in self._loaders.keys() - owned.keys():
             self._tasks.pop(incarnation).cancel()
             self._loaders.pop(incarnation)
         for incarnation in owned.keys() - self._loaders.keys():
             self._start(incarnation, owned[incarnation])
 
+    def _relist(self, former: tuple[str, int]) -> None:
+        """Keep the loader of a process whose own entry has come."""
+        server = self._view.servers.get(former[0])
+        if server is None or not self._is_owned(server):
+            return
+        listed = (server.server_id, server.start_ms)
+        if listed not in self._loaders and self._loaders[former].adopts(server):
+            self._loaders[listed] = self._loaders.pop(former)
+            self._tasks[listed] = self._tasks.pop(former)
+
     def _is_owned(self, server: BackendServer) -> bool:
         return self.owns(server, now_s()) and self._engine(server) is not None
 
--- a/src/wasabicross/gateway/loading/server_loader.py
+++ b/src/wasabicross/gateway/loading/server_loader.py
@@ -107,6 +107,18 @@
         finally:
             self._fail_all()
 
+    def adopts(self, server: BackendServer) -> bool:
+        """Go on under a later entry; return whether it is of the same process.
+
+        :param server: the engine, as it is listed now.
+        """
+        is_later = 0 < self.server.start_ms < server.start_ms
+        is_found = is_later and server.start_ms == self.slots.start_ms
+        if is_found and self.server.is_at_same_place(server):
+            self.server = self._orders.server = server
+            return True
+        return False
+
     async def load(self, request: LoadRequest) -> int:
         """Load an adapter and return its version, 0 if the load failed.
 
@@ -148,7 +160,7 @@
         usage = self.slots.usage
         return ServerState(
             server_id=self.server.server_id,
-            start_ms=self._start_ms,
+            start_ms=self.slots.start_of(self.server),
             queued=usage.queued,
             running=usage.running(now_s()),
             takes_loads=self.takes_loads,
@@ -162,19 +174,6 @@
             awaited_tokens=self._awaited.prompt_tokens,
         )
 
-    @property
-    def _start_ms(self) -> int:
-        """Return the start that has reported, the listed one if none has.
-
-        The entry of a restart may come minutes later.
-        """
-        listed_ms = self.server.start_ms
-        return self.slots.start_ms if self._tells_start else listed_ms
-
-    @property
-    def _tells_start(self) -> bool:
-        return self.server.start_ms > 0 and self.slots.start_ms > 0
-
     def _spare_slots(self, at_s: float) -> int:
         """Return the slots for further loads, negative if loads are waiting."""
         return self.slots.available_slots(at_s) - self._waiting_for_slots
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -9,13 +9,20 @@
 import time
 
 import pytest
+from gateway_parts import CONFIGURATION
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
 from wasabicross.gateway.changes import ServerEntryUpdate, ServerRemoval
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.configuration import EngineSpec, ModelSpec
+from wasabicross.gateway.configuration import (
+    EngineSpec,
+    ModelSpec,
+    Service,
+)
+from wasabicross.gateway.loading.loader_service import LoaderService
 from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.messages import HeldAdapter, ServerState
+from wasabicross.gateway.orders import LoadRequest, OrderAnswer
 from wasabicross.gateway.ownership import OwnershipTerm
 from wasabicross.gateway.prompt_sources import SharedPrompt, prompt_source
 from wasabicross.gateway.server_limits.stated import StatedLimits
@@ -281,3 +288,107 @@
     starts = restart.notices.starts
     listed = restart.view.servers['s1']
     assert starts.incarnation(listed).start_ms == listed.start_ms
+
+
+class OwnedGroups:
+    """Own all groups."""
+
+    def current_term(self, _group, _at_s):
+        """Return a right that lasts."""
+        return OwnershipTerm('front-1', 7, now_s() + 60)
+
+
+class LoadingEngine(RestartedEngine):
+    """An engine that accepts loads and finishes none before it is told to."""
+
+    def __init__(self, start_ms):
+        super().__init__(start_ms)
+        self.pending = set()
+        self.held = {}
+        self.asked = []
+
+    async def report(self, server):
+        """Return its report; remember by which entry it was asked."""
+        self.asked.append(server)
+        report = await super().report(server)
+        return report._replace(held=dict(self.held), pending=self.pending)
+
+    async def order(self, server, order):
+        """Accept a load."""
+        if order.key in self.held:
+            return OrderAnswer.already
+        self.pending.add(order.key)
+        return OrderAnswer.accepted
+
+    def finish(self):
+        """Finish the loads."""
+        self.held.update(dict.fromkeys(self.pending, 1))
+        self.pending.clear()
+
+
+async def until(condition):
+    """Wait for a condition, 5 s at most."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ('entry', 'version'),
+    [
+        ({'start_ms': LATER_MS, 'software_version': 'v2'}, 1),
+        # Another process, perhaps elsewhere, which has accepted no load.
+        ({'start_ms': LATER_MS + 1}, 0),
+        ({'start_ms': LATER_MS, 'port': 2}, 0),
+        ({'start_ms': LATER_MS, 'service': 'code'}, 0),
+    ],
+)
+def test_loads_at_a_restarted_engine_outlast_the_arrival_of_its_entry(
+    entry, version
+):
+    """The store may return after minutes, with the entries of all engines."""
+
+    async def scenario():
+        view = view_of(server(held={}))
+        spec = EngineSpec(2, 50, (ModelSpec('m0', 40, 1),))
+        services = {
+            name: Service(name, '/health', 100, spec)
+            for name in ('llm', 'code')
+        }
+        view.configuration = CONFIGURATION._replace(services=services)
+        engine = LoadingEngine(LATER_MS)
+        loads = LoaderService(view, OwnedGroups(), engine)
+        task = asyncio.ensure_future(loads.run())
+        await until(lambda: any(each.takes_loads for each in loads.loaders))
+        wanted = LoadRequest('s1', A, 1, 1, 4.0)
+        load = asyncio.ensure_future(loads.load(wanted))
+        await until(lambda: engine.pending)
+        listed = server(held={}, **entry)
+        view.apply(ServerEntryUpdate(listed), now_s())
+        await until(lambda: load.done() or listed in engine.asked)
+        engine.finish()
+        found = await load
+        await loads.stop()
+        task.cancel()
+        return found
+
+    assert asyncio.run(scenario()) == version
+
+
+def test_a_load_that_is_wanted_as_the_entry_comes_is_not_refused():
+    """The loaders are looked over a few times a second."""
+
+    async def scenario():
+        view = view_of(server(held={}))
+        view.configuration = CONFIGURATION
+        loads = LoaderService(view, OwnedGroups(), RestartedEngine(LATER_MS))
+        task = asyncio.ensure_future(loads.run())
+        await until(lambda: any(each.takes_loads for each in loads.loaders))
+        listed = server(start_ms=LATER_MS, held={})
+        view.apply(ServerEntryUpdate(listed), now_s())
+        found = await loads.load(LoadRequest('s1', A, 1, 1, 4.0))
+        await loads.stop()
+        task.cancel()
+        return found
+
+    assert asyncio.run(scenario()) == 1
