Don't take a restarted server for one that drains by its former entry

What callers saw: no requests at a server that had started again after a planned stop, until its new entry came, though its owner had seen the new start.

Change: while a later start than the listed one is known, the entry's 'draining' counts for nothing.

--- a/src/wasabicross/gateway/known_starts.py
+++ b/src/wasabicross/gateway/known_starts.py
@@ -60,6 +60,15 @@
         start_ms = max(server.start_ms, later_ms)
         return Incarnation(server.server_id, start_ms)
 
+    def running(self, server: BackendServer) -> BackendServer:
+        """Return a server without the state of a start that has ended.
+
+        :param server: the server, as it is listed.
+        """
+        if self.incarnation(server).start_ms > server.start_ms:
+            return server._replace(is_leaving=False)
+        return server
+
     def on_found(
         self, server: BackendServer, start_ms: int, now_s: float
     ) -> None:
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -205,6 +205,7 @@
         listed = self.servers.get(state.server_id)
         if listed is not None:
             self.notices.starts.on_found(listed, state.start_ms, now_s)
+            self.servers[state.server_id] = self.notices.starts.running(listed)
 
     def on_held_change(self, change: HeldAdaptersUpdate, now_s: float) -> None:
         """Update a server's resident adapters; ignored without a prior state.
@@ -417,7 +418,7 @@
             self._remove(server.server_id)
             if report and 0 < server.start_ms == report.state.start_ms:
                 self.reported[server.server_id] = report
-        self.servers[server.server_id] = server
+        self.servers[server.server_id] = self.notices.starts.running(server)
 
     @_apply.register
     def _(self, change: ServerRemoval, now_s: float) -> None:
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -392,3 +392,25 @@
         return found
 
     assert asyncio.run(scenario()) == 1
+
+
+@pytest.mark.parametrize(
+    ('told_ms', 'entries', 'is_refused'),
+    [
+        (LISTED_MS, [], True),
+        (LATER_MS, [], False),
+        # Gateways hear of an older entry again, as its other fields change.
+        (LATER_MS, [LISTED_MS], False),
+        (LATER_MS, [LATER_MS], True),
+    ],
+)
+def test_a_server_that_restarted_does_not_drain_as_its_former_start_did(
+    told_ms, entries, is_refused
+):
+    leaving = server(is_leaving=True)
+    view = view_of(leaving)
+    view.on_state(state(start_ms=told_ms), LISTED_S)
+    for start_ms in entries:
+        later = leaving._replace(start_ms=start_ms, slots=5)
+        view.apply(ServerEntryUpdate(later), LISTED_S)
+    assert view.refuses_requests(view.servers['s1'], USED_S) is is_refused
