--- a/src/wasabicross/gateway/loading/engine_slots.py
+++ b/src/wasabicross/gateway/loading/engine_slots.py
@@ -11,7 +11,7 @@
 import math
 from typing import NamedTuple
 
-from wasabicross.gateway.backend import AdapterKey, EngineReport
+from wasabicross.gateway.backend import AdapterKey, BackendServer, EngineReport
 from wasabicross.gateway.loading.engine_usage import EngineUsage
 from wasabicross.gateway.orders import OrderAnswer, OrderKind
 
@@ -82,7 +82,8 @@
         self._unloading: dict[AdapterKey, float] = {}
         self.usage = EngineUsage()
         self._pending: frozenset[AdapterKey] = frozenset()
-        self._start_ms = 0
+        #: Start that the engine reported last, Unix milliseconds, 0 for none.
+        self.start_ms = 0
         self._first_report_s = math.inf
 
     @property
@@ -126,6 +127,17 @@
             return False
         return self.taken < self.slot_count
 
+    def start_of(self, server: BackendServer) -> int:
+        """Return the start that has reported, the listed one if none has.
+
+        The entry of a restart may come minutes later.
+
+        :param server: the engine, as it is listed; 0 if it names no start.
+        """
+        if self.start_ms and server.start_ms:
+            return self.start_ms
+        return server.start_ms
+
     def available_slots(self, now_s: float) -> int:
         """Return the number of slots available to further loads.
 
@@ -142,9 +154,9 @@
         :param report: the report.
         :param asked_s: time at which the report was requested.
         """
-        if self._start_ms and report.start_ms != self._start_ms:
+        if self.start_ms and report.start_ms != self.start_ms:
             self._reset()
-        self._start_ms = report.start_ms
+        self.start_ms = report.start_ms
         self._first_report_s = min(self._first_report_s, asked_s)
         if self._is_outdated(report, asked_s):
             return
--- a/src/wasabicross/gateway/view.py
+++ b/src/wasabicross/gateway/view.py
@@ -202,6 +202,10 @@
                     state.server_id, key, before.held[key]
                 )
         self.reported[state.server_id] = ReportedState(state, held, now_s)
+        listed = self.servers.get(state.server_id)
+        if listed is not None:
+            self.notices.starts.on_found(listed, state.start_ms, now_s)
+            self.servers[state.server_id] = self.notices.starts.running(listed)
 
     def on_held_change(self, change: HeldAdaptersUpdate, now_s: float) -> None:
         """Update a server's resident adapters; ignored without a prior state.
@@ -278,7 +282,9 @@
         :param model: name of the model.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
+        if report is not None and report.state.start_ms > server.start_ms:
+            return model in report.state.models
         is_reported = report is not None and model in report.state.models
         return is_reported or model in server.models
 
@@ -296,7 +302,7 @@
         )
         if now_s - missing_s < _MISSING_ADAPTER_S:
             return 0
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         held = server.held if report is None else report.held
         return held.get(key, 0)
 
@@ -306,7 +312,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return report is not None and report.state.takes_loads
 
     def refuses_requests(self, server: BackendServer, now_s: float) -> bool:
@@ -323,7 +329,7 @@
         :param server: the server.
         :param now_s: the present time, monotonic seconds.
         """
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return report.state.spare_slots if report else 0
 
     def requests_at(self, server: BackendServer, now_s: float) -> int:
@@ -333,7 +339,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.requests[server.server_id]
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         if report is None:
             return own
         return max(own, report.state.running + report.state.queued)
@@ -345,7 +351,7 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.unread_tokens.get(server.server_id, 0)
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return max(own, report.state.unread_tokens) if report else own
 
     def awaited_tokens(self, server: BackendServer, now_s: float) -> int:
@@ -355,20 +361,25 @@
         :param now_s: the present time, monotonic seconds.
         """
         own = self.own.awaited_tokens.get(server.server_id, 0)
-        report = self._valid_report(server, now_s)
+        report = self.valid_report(server, now_s)
         return max(own, report.state.awaited_tokens) if report else own
 
-    def _valid_report(
+    def valid_report(
         self, server: BackendServer, now_s: float
     ) -> ReportedState | None:
         """Return the last report on a server.
 
-        None if the report is too old or belongs to another incarnation.
+        None if the report is too old or belongs to a former incarnation. Owners
+        see a restart before it is listed.
+
+        :param server: the server.
+        :param now_s: the present time, monotonic seconds.
         """
         report = self.reported.get(server.server_id)
         if report is None or now_s - report.received_s > OWNER_STATE_LIFETIME_S:
             return None
-        return report if report.state.start_ms in {0, server.start_ms} else None
+        start_ms = report.state.start_ms
+        return report if not start_ms or start_ms >= server.start_ms else None
 
     def _remove(self, server_id: str) -> None:
         self._expired.discard(server_id)
@@ -376,6 +387,7 @@
         self.health.pop(server_id, None)
         self.reported.pop(server_id, None)
         self.warm_copies.forget(server_id)
+        self.notices.starts.forget(server_id)
 
     @singledispatchmethod
     def _apply(self, change: StoreChange, now_s: float) -> None:
@@ -401,8 +413,12 @@
             return
         self._expired.discard(server.server_id)
         if known is not None and not server.is_same_run(known):
+            self.notices.starts.on_listed(known, server, now_s)
+            report = self.reported.get(server.server_id)
             self._remove(server.server_id)
-        self.servers[server.server_id] = server
+            if report and 0 < server.start_ms == report.state.start_ms:
+                self.reported[server.server_id] = report
+        self.servers[server.server_id] = self.notices.starts.running(server)
 
     @_apply.register
     def _(self, change: ServerRemoval, now_s: float) -> None:
