Let the soak's engines start again as another software version, and callers take streams up

Change: engines state a software version and write it into each event; three kinds with a generator of their own: an engine starts again as the other version with a late heartbeat; the same while no gateway hears the store, with streams broken off; the store back from a copy. Callers take broken streams up at any gateway. More than two streams of two versions in a run, and take-ups with a gap, a double or an early end, are violations.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -16,7 +16,10 @@
   seconds that the server takes N requests a second;
 - ``{"kind": "be_brittle", "per_s": N, "for_s": S}``: answers state for S seconds
   that it fails if it turns more than N requests away in a second. It has half of
-  its slots then, and takes nothing for 2 s when it fails.
+  its slots then, and takes nothing for 2 s when it fails;
+- ``{"kind": "renew", "quiet_s": S}``: the server is as after a restart under its
+  id and address as the other software version, with the adapters that it had; its
+  first heartbeat comes S seconds later.
 
 Its process ends as soon as it runs a request whose path has a part that begins
 with `deadly`. Some requests, chosen by their ids, get an answer with neither a
@@ -29,17 +32,23 @@
 import json
 import os
 import time
-import zlib
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import click
 import urllib3
 
 from emulator.faults import Faults
+from emulator.soak.answer_parts import (
+    deadly_part,
+    event,
+    gets_unframed_answer,
+    request_id_field,
+    send_in_halves,
+)
 from emulator.soak.engine_adapters import MODEL, EngineAdapters
+from emulator.soak.server_life import Identity, ServerLife
 from emulator.soak.server_log import log
-from emulator.soak.stated_limits import StatedLimits
 from emulator.soak.store import encode_value
 from emulator.stream_server import (
     ConnectionDied,
@@ -51,19 +60,11 @@
 _HEARTBEAT_S = 0.5
 _EVENT_INTERVAL_S = 0.01
 
-#: One request of so many gets an unframed answer, and the pause between the two
-#: halves of such an answer of a plain server.
-_UNFRAMED_ONE_IN = 4
-_UNFRAMED_PAUSE_S = 0.15
-
 _LATE_ORDER_DELAY_S = 2.0
 _MS_PER_S = 1000
 _HOST = '127.0.0.1'
 _VERSION_PREFIX = 'op/version/'
 
-#: How a part of a path begins that crashes servers.
-DEADLY = 'deadly'
-
 #: Exit code of a server that has crashed.
 _CRASHED = 70
 
@@ -72,25 +73,6 @@
 _UNAVAILABLE = 503
 
 
-class Identity(NamedTuple):
-    """What a server reports about itself.
-
-    :param service: name of its service.
-    :param address: HOST:PORT at which gateways reach it; may be a proxy.
-    :param store_port: port of the stand-in for the store.
-    :param slots: maximum number of requests that run at the same time.
-    :param adapter_slots: maximum number of adapters, 0 for a plain service.
-    """
-
-    server_id: str
-    service: str
-    address: str
-    data_centre: str
-    store_port: int
-    slots: int
-    adapter_slots: int
-
-
 class Backend:
     """A server that runs requests on the adapters that it holds.
 
@@ -101,15 +83,12 @@
     def __init__(self, identity: Identity, faults: Faults) -> None:
         self._identity = identity
         self._faults = faults
-        self._start_ms = int(time.time() * _MS_PER_S)
-        self._adapters = EngineAdapters(
+        self.server = StreamServer(self.answer, faults)
+        adapters = EngineAdapters(
             identity.adapter_slots, self._version_in_force
         )
-        self._running = 0
-        self._late_orders = 0
-        self._pause_until_s: float = 0
-        self._is_leaving = False
-        self._limits = StatedLimits()
+        start_ms = int(time.time() * _MS_PER_S)
+        self._life = ServerLife(identity.software, adapters, start_ms)
         self._tasks: set[asyncio.Task[None]] = set()
         self._http = urllib3.PoolManager(retries=False, timeout=2)
 
@@ -121,13 +100,15 @@
         :raises ConnectionDied: a fault ended the connection.
         """
         handlers: dict[str, Callable[[HttpRequest], dict[str, Any]]] = {
-            '/fault': self._on_fault,
             '/health': self._health,
             '/-/report': self._report,
         }
         handler = handlers.get(req.path)
-        if self._names_another_server(req):
-            responder.send_json(_MISDIRECTED, {}, _request_id_field(req))
+        if req.path == '/fault':
+            self._on_fault(req.document(), responder)
+            responder.send_json(_OK, {})
+        elif self._names_another_server(req):
+            responder.send_json(_MISDIRECTED, {}, request_id_field(req))
         elif handler is not None:
             responder.send_json(_OK, handler(req))
         elif req.path == '/-/order':
@@ -138,22 +119,16 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the store until cancelled."""
         while True:
-            await asyncio.to_thread(self._send_heartbeat)
+            if time.monotonic() >= self._life.quiet_until_s:
+                await asyncio.to_thread(self._send_heartbeat)
             await asyncio.sleep(_HEARTBEAT_S)
 
-    def _on_fault(self, req: HttpRequest) -> dict[str, Any]:
-        document = req.document()
-        if document['kind'] == 'late_orders':
-            self._late_orders = document['count']
-        elif document['kind'] == 'want_pause':
-            self._pause_until_s = time.monotonic() + document['for_s']
-        elif document['kind'] in {'limit_requests', 'be_brittle'}:
-            self._limits.set_from(document, time.monotonic())
-        elif document['kind'] == 'leave':
-            self._is_leaving = True
+    def _on_fault(self, document: dict[str, Any], responder: Responder) -> None:
+        if document['kind'] == 'renew':
+            self._life = self._life.after_restart(document['quiet_s'])
+            self.server.reset_others(responder)
         else:
-            self._faults.set_from(document)
-        return {}
+            self._life.set_from(document, self._faults)
 
     def _health(self, _req: HttpRequest) -> dict[str, Any]:
         return {'id': self._identity.server_id}
@@ -166,10 +141,12 @@
             'zone': identity.data_centre,
             'slots': identity.slots,
             'state': 'ready',
-            'seq': self._adapters.order_count,
-            'born': self._start_ms,
-            'models': self._adapters.models(),
+            'seq': self._life.adapters.order_count,
+            'born': self._life.start_ms,
+            'models': self._life.adapters.models(),
         }
+        if self._life.software:
+            entry['version'] = self._life.software
         text = encode_value(json.dumps(entry).encode())
         document = {'key': f'servers/{identity.server_id}', 'text': text}
         try:
@@ -183,13 +160,15 @@
 
     def _report(self, _req: HttpRequest) -> dict[str, Any]:
         return {
-            'models': self._adapters.models(),
-            'pending': [f'{MODEL}/{name}@1' for name in self._adapters.pending],
+            'models': self._life.adapters.models(),
+            'pending': [
+                f'{MODEL}/{name}@1' for name in self._life.adapters.pending
+            ],
             'busy': False,
-            'seq': self._adapters.order_count,
+            'seq': self._life.adapters.order_count,
             'queued': 0,
-            'running': self._running,
-            'born': self._start_ms,
+            'running': self._life.running,
+            'born': self._life.start_ms,
         }
 
     def _names_another_server(self, req: HttpRequest) -> bool:
@@ -199,17 +178,19 @@
     async def _on_order(
         self, order: dict[str, Any], responder: Responder
     ) -> None:
-        if self._late_orders > 0:
-            self._late_orders -= 1
+        if self._life.late_orders > 0:
+            self._life.late_orders -= 1
             self._schedule_late(order)
             await asyncio.sleep(_LATE_ORDER_DELAY_S)
             responder.send_json(_UNAVAILABLE, {})
             return
-        responder.send_json(self._adapters.execute(order, is_late=False), {})
+        responder.send_json(
+            self._life.adapters.execute(order, is_late=False), {}
+        )
 
     async def _execute_late(self, order: dict[str, Any]) -> None:
         await asyncio.sleep(_LATE_ORDER_DELAY_S)
-        self._adapters.execute(order, is_late=True)
+        self._life.adapters.execute(order, is_late=True)
 
     def _version_in_force(self, name: str) -> int:
         """Return the version of an adapter in force, 1 without one."""
@@ -222,54 +203,55 @@
         return int(answer.json()['version'])
 
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
+        life = self._life
         request_id = req.headers.get('request-id', '')
         log('arrival', request=request_id)
-        if self._limits.is_down(time.monotonic()):
+        if self._life.limits.is_down(time.monotonic()):
             raise ConnectionDied
-        pause_s = self._pause_until_s - time.monotonic()
+        pause_s = life.pause_until_s - time.monotonic()
         if pause_s > 0:
             log('pause_wanted', request=request_id, for_s=pause_s)
             after = ('Retry-After', f'{pause_s:.3f}')
             responder.send_json(
                 _UNAVAILABLE,
                 {},
-                (*_request_id_field(req), ('Not-Run', '1'), after),
+                (*request_id_field(req), ('Not-Run', '1'), after),
             )
             return
-        if self._running >= self._limits.slots(
+        if life.running >= self._life.limits.slots(
             self._identity.slots, time.monotonic()
         ):
             self._refuse_full(req, responder)
             return
         name = req.headers.get('model', '').partition('/')[2]
-        version = self._adapters.held.get(name, 0)
+        version = life.adapters.held.get(name, 0)
         expected = int(req.headers.get('expect-version', version))
         if self._identity.adapter_slots and (
             not version or version != expected
         ):
-            responder.send_json(_MISDIRECTED, {}, _request_id_field(req))
+            responder.send_json(_MISDIRECTED, {}, request_id_field(req))
             return
         self._log_run(req, name, version)
         deadly = deadly_part(req.path)
         if deadly:
             log('crashed', request=request_id, deadly=deadly)
             os._exit(_CRASHED)
-        self._running += 1
-        self._adapters.begin_run(name)
+        life.running += 1
+        life.adapters.begin_run(name)
         try:
             await self._reply(req, responder)
         finally:
-            self._running -= 1
-            self._adapters.end_run(name)
+            life.running -= 1
+            life.adapters.end_run(name)
 
     def _refuse_full(self, req: HttpRequest, responder: Responder) -> None:
         """Refuse a request for want of room."""
-        self._limits.on_refused(time.monotonic())
-        limits = self._limits.fields(req, time.monotonic())
+        self._life.limits.on_refused(time.monotonic())
+        limits = self._life.limits.fields(req, time.monotonic())
         responder.send_json(
             _UNAVAILABLE,
             {},
-            (*_request_id_field(req), ('Not-Run', '1'), *limits),
+            (*request_id_field(req), ('Not-Run', '1'), *limits),
         )
 
     def _log_run(self, req: HttpRequest, name: str, version: int) -> None:
@@ -291,28 +273,29 @@
             if is_framed:
                 responder.send_json(_OK, document, fields)
             else:
-                await _send_in_halves(document, fields, responder)
+                await send_in_halves(document, fields, responder)
             return
         responder.start_stream(
             'text/event-stream', self._answer_fields(req), is_framed=is_framed
         )
         events = int(req.headers['token-count'].partition(',')[2])
         first = int(req.headers.get('last-event-id') or 0) + 1
+        software = self._life.software
         for number in range(first, events + 1):
             await asyncio.sleep(_EVENT_INTERVAL_S)  # noqa: WPS476
             if responder.is_gone:
                 return
-            responder.send_chunk(event(request_id, number))
+            responder.send_chunk(event(request_id, number, software))
         responder.end_stream()
 
     def _answer_fields(self, req: HttpRequest) -> tuple[tuple[str, str], ...]:
         """Return the header fields of an answer to a request that ran."""
         fields = (
-            *_request_id_field(req),
+            *request_id_field(req),
             ('Server-Stamp', 's'),
-            *self._limits.fields(req, time.monotonic()),
+            *self._life.limits.fields(req, time.monotonic()),
         )
-        if not self._is_leaving:
+        if not self._life.is_leaving:
             return fields
         log('leaving_said', request=req.headers['request-id'])
         return (*fields, ('Server-Leaving', '1'))
@@ -323,58 +306,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def event(request_id: str, number: int) -> bytes:
-    """Return an event of a streamed answer.
-
-    :param request_id: id of the request.
-    :param number: number of the event, from 1.
-    """
-    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
-
-
-def gets_unframed_answer(request_id: str) -> bool:
-    """Tell whether the answer to a request has neither a length nor chunks.
-
-    :param request_id: id of the request.
-    """
-    return zlib.crc32(request_id.encode()) % _UNFRAMED_ONE_IN == 0
-
-
-def deadly_part(path: str) -> str:
-    """Return the part of a path that crashes servers, empty if there is none.
-
-    :param path: path of a request.
-    """
-    found = (each for each in path.split('/') if each.startswith(DEADLY))
-    return next(found, '')
-
-
-def _request_id_field(req: HttpRequest) -> tuple[tuple[str, str], ...]:
-    request_id = req.headers.get('request-id')
-    return (('Request-Id', request_id),) if request_id else ()
-
-
-async def _send_in_halves(
-    document: dict[str, Any],
-    fields: tuple[tuple[str, str], ...],
-    responder: Responder,
-) -> None:
-    """Send an unframed answer in two pieces with a pause between them."""
-    body = json.dumps(document).encode()
-    middle = len(body) // 2
-    responder.start_stream('application/json', fields, is_framed=False)
-    responder.send_chunk(body[:middle])
-    await asyncio.sleep(_UNFRAMED_PAUSE_S)
-    responder.send_chunk(body[middle:])
-    responder.end_stream()
-
-
 async def _serve(identity: Identity, port: int) -> None:
     faults = Faults()
-    log('started')
     backend = Backend(identity, faults)
     heartbeats = asyncio.ensure_future(backend.send_heartbeats())
-    await StreamServer(backend.answer, faults).serve(_HOST, port)
+    await backend.server.serve(_HOST, port)
     heartbeats.cancel()
 
 
@@ -387,6 +323,7 @@
 @click.option('--store-port', type=int, required=True)
 @click.option('--slots', default=16)
 @click.option('--adapter-slots', default=0)
+@click.option('--software', default='')
 def main(port: int, **identity: Any) -> None:  # noqa: WPS216
     """Serve until SIGTERM."""
     asyncio.run(_serve(Identity(**identity), port))
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -9,15 +9,14 @@
 
 import h11
 
+from emulator.soak.answer_parts import last_event_in
 from emulator.soak.deployment import (
     ADAPTERS,
-    CALLER_HOST,
-    ROUTES,
     Gateway,
     SoakDeployment,
-    route_added_by,
 )
 from emulator.soak.engine_adapters import MODEL
+from emulator.soak.routes import CALLER_HOST, ROUTES, route_added_by
 
 #: Time for which a caller waits for an answer beyond the time limit of its
 #: request.
@@ -40,6 +39,13 @@
 _DEADLY_SHARE = 0.25
 _DEADLY_EVENTS = 5
 
+_UNAVAILABLE = 503
+
+#: Requests in which a caller takes up one stream that breaks off, and its longest
+#: pause between them, however long it is told to wait.
+_MAX_TAKE_UPS = 8
+_MAX_PAUSE_S = 1.0
+
 
 class CallResult(NamedTuple):
     """A request of a caller and the answer that it got.
@@ -57,6 +63,11 @@
     :param configuration: version of the configuration that added the route, 0
         for a route of all versions. A gateway with an older one answers 404.
     :param path: last part of its path.
+    :param after: number of the event after which it takes a stream up, 0 for
+        none.
+    :param began: id of the attempt that brought the first event of the stream that
+        it takes up, empty for none.
+    :param take_ups: how often the stream has been taken up.
     """
 
     request_id: str
@@ -73,6 +84,9 @@
     echoed_id: str = ''
     configuration: int = 0
     path: str = 'x'
+    after: int = 0
+    began: str = ''
+    take_ups: int = 0
 
 
 class Callers:
@@ -109,6 +123,7 @@
         return self.results
 
     async def _run_caller(self, rng: random.Random) -> None:
+        broken_off: CallResult | None = None
         while not self._is_stopping:
             gateway = rng.choice(self._deployment.gateways)
             try:
@@ -119,8 +134,15 @@
             except (OSError, TimeoutError):
                 await asyncio.sleep(_PAUSE_S)
                 continue
-            await self._use_connection(rng, gateway, reader, writer)
+            last = await self._use_connection(
+                rng, gateway, reader, writer, broken_off
+            )
             writer.close()
+            broken_off = last if _can_be_taken_up(last) else None
+            if last.status == _UNAVAILABLE and broken_off:
+                await asyncio.sleep(
+                    min(float(last.retry_after or 0), _MAX_PAUSE_S)
+                )
 
     async def _use_connection(
         self,
@@ -128,20 +150,26 @@
         gateway: Gateway,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
+        broken_off: CallResult | None,
+    ) -> CallResult:
+        """Send requests, the first of which takes up what has broken off."""
         codec = h11.Connection(h11.CLIENT)
-        for _ in range(_REQUESTS_PER_CONNECTION):
-            request = _random_request(rng, gateway, self._deployment)
+        count = 0
+        while True:
+            request = (
+                _take_up(rng, gateway, broken_off)
+                if broken_off
+                else _random_request(rng, gateway, self._deployment)
+            )
             result = await _send_request(  # noqa: WPS476
                 codec, request, reader, writer
             )
             self.results.append(result._replace(ended_s=time.monotonic()))
-            if (
-                self._is_stopping
-                or not result.is_complete
-                or not _is_reusable(codec)
-            ):
-                return
+            count += 1
+            is_last = self._is_stopping or count == _REQUESTS_PER_CONNECTION
+            if is_last or _can_be_taken_up(result) or not _is_reusable(codec):
+                return result
+            broken_off = None
             codec.start_next_cycle()
             await asyncio.sleep(2 * _PAUSE_S * rng.random())  # noqa: WPS476
 
@@ -190,6 +218,37 @@
     )
 
 
+def _can_be_taken_up(result: CallResult) -> bool:
+    """Tell whether a caller takes a stream up that an answer hasn't ended."""
+    is_resumable = any(
+        each.name == result.route_name and each.is_resumable for each in ROUTES
+    )
+    if not is_resumable or result.take_ups >= _MAX_TAKE_UPS:
+        return False
+    if result.is_complete and result.status != _UNAVAILABLE:
+        return False
+    return bool(result.began or last_event_in(result.body))
+
+
+def _take_up(
+    rng: random.Random, gateway: Gateway, broken_off: CallResult
+) -> CallResult:
+    """Return the request that goes on with a stream at some gateway."""
+    number = last_event_in(broken_off.body)
+    return CallResult(
+        _random_id(rng),
+        broken_off.route_name,
+        broken_off.adapter,
+        broken_off.events,
+        gateway.name,
+        time.monotonic(),
+        path=broken_off.path,
+        after=number or broken_off.after,
+        began=broken_off.began or broken_off.request_id,
+        take_ups=broken_off.take_ups + 1,
+    )
+
+
 def _random_id(rng: random.Random) -> str:
     return f'{rng.getrandbits(64):016x}'
 
@@ -236,6 +295,9 @@
     if request.events:
         fields['Model'] = f'{MODEL}/{request.adapter}'
         fields['Token-Count'] = f'10,{request.events}'
+    if request.began:
+        fields['Last-Event-Id'] = str(request.after)
+        fields['Resumes'] = request.began
     return h11.Request(
         method='GET',
         target=f'/{_path_name(request)}/{request.path}',
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
-from emulator.soak.backend import event
 from emulator.soak.callers import CallResult, time_limit_s
 from emulator.soak.configuration_checks import (
     lost_configurations,
@@ -24,7 +23,6 @@
     MIN_OWNER_GAP_S,
     RETRY_ALLOWANCE,
     RETRY_RATIO,
-    ROUTES,
 )
 from emulator.soak.evidence import Evidence, OrderReceived
 from emulator.soak.limit_checks import (
@@ -35,6 +33,8 @@
     requests_during_pauses,
     requests_to_leaving_servers,
 )
+from emulator.soak.routes import ROUTES
+from emulator.soak.stream_checks import streams_of_two_versions, wrong_answers
 
 #: Maximum time from the acknowledgement of a version, or from the end of the
 #: last fault, until all requests run on that version.
@@ -89,6 +89,7 @@
     """
     return [
         *wrong_answers(evidence),
+        *streams_of_two_versions(evidence),
         *ran_without_caller(evidence),
         *ran_twice(evidence),
         *ran_though_refused(evidence),
@@ -120,22 +121,6 @@
     ]
 
 
-def wrong_answers(evidence: Evidence) -> Iterator[str]:
-    """Yield answers whose id or body is not that of the request."""
-    for result in evidence.results:
-        if result.status != _OK:
-            continue
-        if result.echoed_id != result.request_id:
-            yield f'{result.request_id} got the answer of {result.echoed_id}'
-        elif not _expected(result).startswith(result.body):
-            whole = (
-                'another body' if result.is_complete else 'pieces of another'
-            )
-            yield f'{result.request_id} got an answer with {whole}'
-        elif result.is_complete and result.body != _expected(result):
-            yield f'{result.request_id} got part of its answer as the whole one'
-
-
 def ran_without_caller(evidence: Evidence) -> Iterator[str]:
     """Yield requests that ran though no caller sent them."""
     sent = {result.request_id for result in evidence.results}
@@ -298,15 +283,6 @@
         yield f'{served} of {len(after)} were served after all faults'
 
 
-def _expected(result: CallResult) -> bytes:
-    if not result.events:
-        return f'{{"request": "{result.request_id}"}}'.encode()
-    return b''.join(
-        event(result.request_id, number)
-        for number in range(1, result.events + 1)
-    )
-
-
 def _orders_by_server(evidence: Evidence) -> dict[str, list[OrderReceived]]:
     """Return the orders of each engine, but for those that may be delayed."""
     found: dict[str, list[OrderReceived]] = defaultdict(list)
--- a/emulator/soak/crash_checks.py
+++ b/emulator/soak/crash_checks.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from emulator.soak.backend import DEADLY
+from emulator.soak.answer_parts import DEADLY
 from emulator.soak.evidence import Evidence, ServerEnd
 from emulator.soak.notice_checks import gateway_by_request, has_fault
 
--- a/emulator/soak/engine_adapters.py
+++ b/emulator/soak/engine_adapters.py
@@ -37,6 +37,12 @@
         self._version_in_force = version_in_force
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def after_restart(self) -> EngineAdapters:
+        """Return what the next process of the engine holds: the same adapters."""
+        adapters = EngineAdapters(self.slots, self._version_in_force)
+        adapters.held.update(self.held)
+        return adapters
+
     def models(self) -> list[dict[str, Any]]:
         """Return the base model and its adapters in the format of reports."""
         if not self.slots:
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from emulator.soak.callers import CallResult
-from emulator.soak.injector import GatewayStop, InjectedFault, PublishedVersion
+from emulator.soak.injected import GatewayStop, InjectedFault, PublishedVersion
 
 
 class Run(NamedTuple):
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -8,11 +8,11 @@
 import time
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 import urllib3
 
-from emulator.soak.backend import DEADLY
+from emulator.soak.answer_parts import DEADLY
 from emulator.soak.deployment import (
     ADAPTERS,
     Gateway,
@@ -20,7 +20,10 @@
     SoakDeployment,
 )
 from emulator.soak.engine_adapters import MODEL
-from emulator.soak.schedule import LIMIT_KINDS, NOTICE_KINDS, Fault
+from emulator.soak.injected import GatewayStop, InjectedFault, PublishedVersion
+from emulator.soak.notices import LEAVING_KINDS, NOTICES, notice_document
+from emulator.soak.renewals import RENEWALS, Renewals
+from emulator.soak.schedule import Fault
 
 _MAX_STORE_DELAY_S = 0.4
 _MAX_COPY_AGE_S = 8
@@ -32,72 +35,11 @@
 _DEATH_POINTS = ('half_request', 'after_request', 'after_headers', 'mid_body')
 _ADAPTERS_PER_CHANGE = 3
 
-_LEAVING_KINDS = frozenset(('server_leave', 'server_leave_soon'))
-_NOTICES = _LEAVING_KINDS | NOTICE_KINDS.keys() | LIMIT_KINDS.keys()
-
-#: Least requests a second that a server states, and refusals that a brittle one
-#: bears; up to one request and so many refusals more.
-_MIN_LIMIT_PER_S = 0.5
-_MIN_REFUSALS_PER_S = 2
-_MORE_REFUSALS_PER_S = 6
-
-
 #: Interval at which crashed servers are looked for, and how long they are down.
 _CRASH_CHECK_S = 0.02
 _RESTART_S = 1.0
 
 
-class InjectedFault(NamedTuple):
-    """A fault that was injected.
-
-    :param kind: one of those of the schedule, or `store_restore`, which only a
-        schedule from a file holds.
-    :param target: name of its process, empty for all gateways, the store and
-        changes by the operator.
-    :param from_s: when it began, monotonic seconds.
-    :param until_s: when it ended, monotonic seconds.
-    """
-
-    kind: str
-    target: str
-    from_s: float
-    until_s: float
-
-    def overlaps(self, from_s: float, until_s: float) -> bool:
-        """Tell whether it was active at any time of an interval.
-
-        :param from_s: start of the interval, monotonic seconds.
-        :param until_s: end of the interval, monotonic seconds.
-        """
-        return self.from_s <= until_s and self.until_s >= from_s
-
-
-class GatewayStop(NamedTuple):
-    """How a gateway ended on SIGTERM.
-
-    :param exit_code: exit code, negative if a signal ended it.
-    :param took_s: seconds from SIGTERM to its end.
-    :param accepted_callers: whether it accepted callers at SIGTERM; before that
-        a process may not have installed its signal handler.
-    """
-
-    gateway: str
-    exit_code: int
-    took_s: float
-    accepted_callers: bool
-
-
-class PublishedVersion(NamedTuple):
-    """A version of an adapter that the operator has put in force.
-
-    :param at_s: when the store acknowledged it, monotonic seconds.
-    """
-
-    adapter: str
-    version: int
-    at_s: float
-
-
 class Injector:
     """Injects the faults of one run and records them.
 
@@ -112,6 +54,7 @@
         self.unexpected_exits: list[str] = []
         self._deployment = deployment
         self._locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._renewals = Renewals(deployment, self._locks, self._tell)
         self._versions = dict.fromkeys(ADAPTERS, 1)
 
     async def play(self, faults: Sequence[Fault]) -> None:
@@ -150,6 +93,7 @@
             'version': self._publish_versions,
             'configuration': self._write_configuration,
             'deadly': self._send_deadly,
+            'engines': self._renewals.renew_all,
         }
         from_s = time.monotonic()
         target = await kinds[fault.kind.partition('_')[0]](fault)
@@ -249,26 +193,30 @@
         elif fault.kind == 'server_reset':
             reset = self._deployment.proxy.reset
             await asyncio.to_thread(reset, server.link_port)
-        elif fault.kind in {'server_kill', 'server_restart', 'server_pause'}:
-            async with self._locks[server.name]:
-                action = (
-                    self._pause if fault.kind == 'server_pause' else self._kill
-                )
-                await action(server.name, fault.for_s)
-        elif fault.kind in _NOTICES:
-            async with self._locks[server.name]:
-                await self._give_notice(server, fault)
         else:
             async with self._locks[server.name]:
-                await asyncio.to_thread(self._set_server_fault, server, fault)
+                await self._fault_process(server, fault)
         return server.name
 
+    async def _fault_process(self, server: Server, fault: Fault) -> None:
+        """Put a fault in force that a server itself has."""
+        if fault.kind in RENEWALS:
+            await self._renewals.renew(server, fault)
+        elif fault.kind in NOTICES:
+            await self._give_notice(server, fault)
+        elif fault.kind == 'server_pause':
+            await self._pause(server.name, fault.for_s)
+        elif fault.kind in {'server_kill', 'server_restart'}:
+            await self._kill(server.name, fault.for_s)
+        else:
+            await asyncio.to_thread(self._set_server_fault, server, fault)
+
     async def _give_notice(self, server: Server, fault: Fault) -> None:
         """Make a server state something; restart it if it says that it leaves."""
-        document = _notice_document(fault)
+        document = notice_document(fault)
         await asyncio.to_thread(lambda: self._tell(server, **document))
         await asyncio.sleep(fault.for_s)
-        if fault.kind in _LEAVING_KINDS:
+        if fault.kind in LEAVING_KINDS:
             await self._kill(server.name, 0)
 
     def _set_server_fault(self, server: Server, fault: Fault) -> None:
@@ -359,7 +307,7 @@
 
     def _pick_server(self, fault: Fault) -> Server:
         servers = self._deployment.servers
-        if fault.kind == 'orders_late':
+        if fault.kind == 'orders_late' or fault.kind in RENEWALS:
             servers = [each for each in servers if each.service == 'llm']
         return servers[fault.target % len(servers)]
 
@@ -378,19 +326,3 @@
 
 def _request_count(fault: Fault) -> int:
     return 1 + int(fault.strength * _MAX_EXTRA_COUNT)
-
-
-def _notice_document(fault: Fault) -> dict[str, Any]:
-    """Return what makes a server state something in its answers."""
-    limit_per_s = round(_MIN_LIMIT_PER_S + fault.strength, 3)
-    refusals = _MIN_REFUSALS_PER_S + round(
-        _MORE_REFUSALS_PER_S * fault.strength
-    )
-    documents: dict[str, dict[str, Any]] = {
-        'server_want_pause': {'kind': 'want_pause'},
-        'server_leave': {'kind': 'leave'},
-        'server_leave_soon': {'kind': 'leave'},
-        'server_limit': {'kind': 'limit_requests', 'per_s': limit_per_s},
-        'server_brittle': {'kind': 'be_brittle', 'per_s': refusals},
-    }
-    return {**documents[fault.kind], 'for_s': fault.for_s}
--- /dev/null
+++ b/emulator/soak/notices.py
@@ -0,0 +1,35 @@
+"""What makes a server state something in its answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from emulator.soak.schedule import LIMIT_KINDS, NOTICE_KINDS, Fault
+
+LEAVING_KINDS = frozenset(('server_leave', 'server_leave_soon'))
+NOTICES = LEAVING_KINDS | NOTICE_KINDS.keys() | LIMIT_KINDS.keys()
+
+#: Least requests a second that a server states, and refusals that a brittle one
+#: bears; up to one request and so many refusals more.
+_MIN_LIMIT_PER_S = 0.5
+_MIN_REFUSALS_PER_S = 2
+_MORE_REFUSALS_PER_S = 6
+
+
+def notice_document(fault: Fault) -> dict[str, Any]:
+    """Return what makes a server state something in its answers.
+
+    :param fault: one of `NOTICES`.
+    """
+    limit_per_s = round(_MIN_LIMIT_PER_S + fault.strength, 3)
+    refusals = _MIN_REFUSALS_PER_S + round(
+        _MORE_REFUSALS_PER_S * fault.strength
+    )
+    documents: dict[str, dict[str, Any]] = {
+        'server_want_pause': {'kind': 'want_pause'},
+        'server_leave': {'kind': 'leave'},
+        'server_leave_soon': {'kind': 'leave'},
+        'server_limit': {'kind': 'limit_requests', 'per_s': limit_per_s},
+        'server_brittle': {'kind': 'be_brittle', 'per_s': refusals},
+    }
+    return {**documents[fault.kind], 'for_s': fault.for_s}
--- a/emulator/soak/picture.py
+++ b/emulator/soak/picture.py
@@ -11,7 +11,7 @@
 
 from emulator.soak.callers import CallResult
 from emulator.soak.evidence import Evidence
-from emulator.soak.injector import InjectedFault
+from emulator.soak.injected import InjectedFault
 from emulator.soak.report import outcome_of
 
 _SIZE_INCHES = (14, 10)
--- a/emulator/soak/report.py
+++ b/emulator/soak/report.py
@@ -8,6 +8,7 @@
 
 from emulator.soak.callers import CallResult
 from emulator.soak.evidence import Evidence
+from emulator.soak.stream_checks import joined_streams
 
 _QUANTILE_COUNT = 100
 _MS_PER_S = 1000
@@ -39,6 +40,7 @@
         counts = Counter(map(outcome_of, of_kind))
         counted = ', '.join(f'{name} {count}' for name, count in counts.items())
         yield f'  {kind}: {counted}; {_latencies(of_kind)}'
+    yield _streams(by_kind['resumable'], len(joined_streams(evidence)))
     faults = Counter(fault.kind for fault in evidence.injected)
     counted = ', '.join(
         f'{name} {count}' for name, count in sorted(faults.items())
@@ -53,6 +55,16 @@
     )
 
 
+def _streams(resumable: list[CallResult], joined: int) -> str:
+    take_ups = [each for each in resumable if each.began]
+    counts = Counter(map(outcome_of, take_ups))
+    counted = ', '.join(f'{name} {count}' for name, count in counts.items())
+    return (
+        f'  streams: {len(resumable) - len(take_ups)} resumable, '
+        f'{joined} of two software versions; taken up: {counted or "none"}'
+    )
+
+
 def _latencies(of_kind: list[CallResult]) -> str:
     took_s = [
         result.ended_s - result.sent_s
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -58,12 +58,21 @@
     'server_leave_soon': (0.1, 0.6),
 }
 
+#: The same for engines that start again as another software version, also while all
+#: gateways hear nothing from the store, and for the store back from a copy.
+RENEW_KINDS = {
+    'server_renew': (0.3, 1.3),
+    'server_renew_unheard': (1, 4),
+    'store_restore': (0, 0),
+}
+
 _FIRST_FAULT_S = 1.0
 _MAX_GAP_S = 1.6
 _MAX_NOTICE_GAP_S = 12.0
 _MAX_LIMIT_GAP_S = 20.0
 _MAX_CRASH_GAP_S = 40.0
 _MAX_RESTART_GAP_S = 4.0
+_MAX_RENEW_GAP_S = 8.0
 _TARGETS = 64
 
 
@@ -71,8 +80,8 @@
     """A scheduled fault.
 
     :param at_s: seconds from the start of the run.
-    :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS`, `CRASH_KINDS` or
-        `RESTART_KINDS`.
+    :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS`, `CRASH_KINDS`,
+        `RESTART_KINDS` or `RENEW_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -110,6 +119,9 @@
         *_random_faults(
             f'restart/{seed}', RESTART_KINDS, _MAX_RESTART_GAP_S, length_s
         ),
+        *_random_faults(
+            f'renew/{seed}', RENEW_KINDS, _MAX_RENEW_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/tests/test_promise_endless.py
+++ b/tests/test_promise_endless.py
@@ -11,7 +11,8 @@
 import urllib3
 
 from emulator.fleet import Runner
-from emulator.soak.deployment import CALLER_HOST, SoakDeployment
+from emulator.soak.deployment import SoakDeployment
+from emulator.soak.routes import CALLER_HOST
 from emulator.waiting import wait_until
 
 HEALTHY = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
--- a/tests/test_soak_backend.py
+++ b/tests/test_soak_backend.py
@@ -9,7 +9,11 @@
 
 from emulator.fleet import Program, Runner
 from emulator.proxy_link import Link
-from emulator.soak.backend import event, gets_unframed_answer
+from emulator.soak.answer_parts import (
+    event,
+    gets_unframed_answer,
+    software_in,
+)
 from emulator.soak.engine_adapters import MODEL
 from emulator.waiting import free_ports, wait_until
 
@@ -23,6 +27,7 @@
 )
 ADAPTER = f'{MODEL}/a1'
 EVENTS = 30
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 class Server(NamedTuple):
@@ -158,3 +163,22 @@
 ):
     head, _ = fetch(server.port, '/health', expect_instance=expected)
     assert status in head.partition(b'\r\n')[0]
+
+
+@pytest.mark.parametrize('server', [4], indirect=True)
+def test_an_engine_that_is_renewed_is_the_next_process_of_another_version(
+    server,
+):
+    """Streams were joined where a server's entry told of its former process."""
+    before = ask_report(server.port)
+    with closing(send_run(server.port, FRAMED)) as conn:
+        read_until(conn, b'\r\n\r\n')
+        fetch(
+            server.port, '/fault', json.dumps({'kind': 'renew', 'quiet_s': 0})
+        )
+        assert not read_until(conn).endswith(LAST_CHUNK)
+    after = ask_report(server.port)
+    assert after['born'] > before['born']
+    assert after['models'] == before['models']
+    with closing(send_run(server.port, UNFRAMED)) as conn:
+        assert software_in(read_until(conn)) == {'s1'}
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,7 +3,7 @@
 import pytest
 
 from emulator.soak import checks
-from emulator.soak.backend import event
+from emulator.soak.answer_parts import event
 from emulator.soak.callers import CallResult
 from emulator.soak.evidence import (
     Arrival,
@@ -16,7 +16,7 @@
     ServerStart,
     StatedLimit,
 )
-from emulator.soak.injector import GatewayStop, InjectedFault, PublishedVersion
+from emulator.soak.injected import GatewayStop, InjectedFault, PublishedVersion
 
 #: The last fault ended 100 s into the run.
 END_S = 100.0
@@ -24,6 +24,48 @@
 STREAM = CallResult(
     'r', 'stream', 'a1', 2, 'g', 10, 10.5, 200, '', BODY, True, 'r'
 )
+
+
+def written(request, software, first=1, last=2):
+    """Return events of a stream that a software version wrote."""
+    return b''.join(
+        event(request, number, software) for number in range(first, last + 1)
+    )
+
+
+#: A stream of four events that breaks off after two, and its take-up.
+BEGUN = STREAM._replace(
+    route_name='resumable',
+    events=4,
+    body=written('r', 's1'),
+    is_complete=False,
+)
+TAKEN_UP = BEGUN._replace(
+    request_id='t',
+    echoed_id='t',
+    body=written('t', 's1', 3, 4),
+    is_complete=True,
+    after=2,
+    began='r',
+)
+
+
+def joined(count):
+    """Return streams that two software versions wrote, in two answers or one."""
+    begun = BEGUN._replace(body=written('r', 's1', 1, 1))
+    streams = [
+        begun._replace(
+            request_id=f'j{number}',
+            echoed_id=f'j{number}',
+            body=written(f'j{number}', 's1', 1, 1)
+            + written(f'j{number}', 's2', 2, 2),
+        )
+        for number in range(count - 1)
+    ]
+    late = TAKEN_UP._replace(body=written('t', 's2', 3, 4))
+    return [*streams, BEGUN, late]
+
+
 REFUSED = STREAM._replace(status=503, body=b'', retry_after='0.70')
 CUT = STREAM._replace(body=event('r', 1), is_complete=False)
 SILENT = CUT._replace(status=0, body=b'', echoed_id='')
@@ -141,6 +183,13 @@
 SOUND = [
     {},
     {'results': [CUT]},
+    {'results': [BEGUN, TAKEN_UP]},
+    {'results': [BEGUN, TAKEN_UP._replace(events=2, body=b'')]},
+    *(
+        {'results': [CUT._replace(body=written('r', 's1')[:length])]}
+        for length in range(len(written('r', 's1')))
+    ),
+    {'results': joined(2)},
     {'results': [REFUSED], 'runs': []},
     {'results': [STREAM._replace(route_name='resumable')], 'runs': [RUN, RUN]},
     {'orders': others()},
@@ -255,6 +304,19 @@
         ('as the whole one', asked_newest(HAD_NEWEST._replace(body=part)))
         for part in (HAD_NEWEST.body[:8], b'')
     ),
+    # A take-up that leaves an event out, brings one twice, or ends too early.
+    *(
+        (
+            message,
+            {'results': [BEGUN, TAKEN_UP._replace(body=body)]},
+        )
+        for message, body in (
+            ('another body', written('t', 's1', 4, 4)),
+            ('another body', written('t', 's1', 2, 4)),
+            ('as the whole one', written('t', 's1', 3, 3)),
+        )
+    ),
+    ('3 streams of two software versions', {'results': joined(3)}),
     ('nobody sent it', {'runs': [RUN, RUN._replace(request='x')]}),
     ('ran 2 times', {'runs': [RUN, RUN._replace(server='llm-1')]}),
     ('refused with 503', {'results': [REFUSED]}),
--- a/tests/test_soak_picture.py
+++ b/tests/test_soak_picture.py
@@ -6,7 +6,7 @@
 
 from emulator.soak.callers import CallResult
 from emulator.soak.evidence import Evidence
-from emulator.soak.injector import InjectedFault
+from emulator.soak.injected import InjectedFault
 from emulator.soak.picture import draw, outcomes_by_second
 
 WHOLE = CallResult('r', 'safe', '', 0, 'g', 100.0, 100.2, 200, is_complete=True)
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from emulator.soak.backend import gets_unframed_answer
+from emulator.soak.answer_parts import gets_unframed_answer
 from emulator.soak.play import Size, play
 from emulator.soak.schedule import Fault, schedule_of
 
--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -7,6 +7,7 @@
     KINDS,
     LIMIT_KINDS,
     NOTICE_KINDS,
+    RENEW_KINDS,
     RESTART_KINDS,
     decode,
     encode,
@@ -37,6 +38,7 @@
         **LIMIT_KINDS,
         **CRASH_KINDS,
         **RESTART_KINDS,
+        **RENEW_KINDS,
     }
     assert {fault.kind for fault in faults} == all_kinds.keys()
     for fault in faults:
