--- a/emulator/soak/__main__.py
+++ b/emulator/soak/__main__.py
@@ -39,6 +39,7 @@
     :param folder: folder in which schedules and logs of failed runs are kept.
     :param schedule: file of a schedule to play instead of those of the seeds.
     :param pictures: folder for a picture of each run, None for no pictures.
+    :param direct: whether servers are reached without a proxy.
     """
 
     seeds: str
@@ -51,11 +52,12 @@
     schedule: pathlib.Path | None
     shorten: bool
     pictures: pathlib.Path | None
+    direct: bool
 
     @property
     def size(self) -> Size:
         """Size of each deployment."""
-        return Size(self.gateways, self.engines, self.callers)
+        return Size(self.gateways, self.engines, self.callers, not self.direct)
 
     def verdicts(self) -> Iterator[Verdict]:
         """Play all seeds and yield the result of each."""
@@ -86,6 +88,7 @@
 @click.option('--schedule', type=_PATH)
 @click.option('--shorten', is_flag=True)
 @click.option('--pictures', type=_PATH)
+@click.option('--direct', is_flag=True)
 def main(**arguments: Any) -> None:  # noqa: WPS216
     """Play seeds and print which of them broke a promise."""
     options = Options(**arguments)
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -79,13 +79,22 @@
     :param folder: folder for the settings files.
     :param gateways: number of gateways.
     :param engines: number of engines.
+    :param has_links: whether the proxy is on the way to servers; without it they
+        are spared its work in large deployments, and their links take no faults.
     """
 
     def __init__(
-        self, runner: Runner, folder: pathlib.Path, gateways: int, engines: int
+        self,
+        runner: Runner,
+        folder: pathlib.Path,
+        gateways: int,
+        engines: int,
+        *,
+        has_links: bool = True,
     ) -> None:
         self.runner = runner
         self._folder = folder
+        self._has_links = has_links
         services = [
             'llm' if number < engines else 'desk'
             for number in range(engines + _PLAIN_SERVERS)
@@ -200,7 +209,7 @@
                 (each.store_link_port, self._store_port)
                 for each in self.gateways
             ),
-            *((each.link_port, each.port) for each in self.servers),
+            *((each.link_port, each.port) for each in self._linked_servers()),
         ]
         for listen, target in links:
             args.extend(('--listen', str(listen)))
@@ -208,13 +217,19 @@
         ready = f'tcp://{HOST}:{self._control_port}'
         return Program('proxy', 'emulator.proxy', tuple(args), ready)
 
+    def _linked_servers(self) -> list[Server]:
+        return self.servers if self._has_links else []
+
+    def _address_port(self, server: Server) -> int:
+        return server.link_port if self._has_links else server.port
+
     def _server(self, server: Server) -> Program:
         is_engine = server.service == 'llm'
         options = {
             'port': server.port,
             'server-id': server.name,
             'service': server.service,
-            'address': f'{HOST}:{server.link_port}',
+            'address': f'{HOST}:{self._address_port(server)}',
             'data-centre': server.data_centre,
             'store-port': self._store_port,
             'slots': ENGINE_SLOTS,
--- a/emulator/soak/injected.py
+++ b/emulator/soak/injected.py
@@ -8,8 +8,8 @@
 class InjectedFault(NamedTuple):
     """A fault that was injected.
 
-    :param kind: one of those of the schedule, or `store_restore`, which only a
-        schedule from a file holds.
+    :param kind: one of those of the schedule, or `gateway_busy` or
+        `engines_renew_unheard`, which only a schedule from a file holds.
     :param target: name of its process, empty for all gateways, the store and
         changes by the operator.
     :param from_s: when it began, monotonic seconds.
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -29,6 +29,7 @@
 _MAX_COPY_AGE_S = 8
 _MAX_DELAY_MS = 300
 _MAX_EXTRA_COUNT = 6
+_BUSY_TURN_S = 0.1
 
 #: Bytes after which a connection is reset; a few events of a stream.
 _RESET_AFTER_BYTES = 700
@@ -108,8 +109,8 @@
             self._restart_exited(name)
             if fault.kind == 'gateway_kill':
                 await self._kill(name, fault.for_s)
-            elif fault.kind == 'gateway_pause':
-                await self._pause(name, fault.for_s)
+            elif fault.kind in {'gateway_pause', 'gateway_busy'}:
+                await self._pause_gateway(name, fault)
             elif fault.kind == 'gateway_stop':
                 await self._stop(gateway, fault.for_s)
             elif await _accepts_callers(gateway):
@@ -151,6 +152,16 @@
         await asyncio.sleep(for_s)
         runner.resume(name)
 
+    async def _pause_gateway(self, name: str, fault: Fault) -> None:
+        """Pause a gateway once, or leave it a share of its processor's time."""
+        if fault.kind == 'gateway_pause':
+            await self._pause(name, fault.for_s)
+            return
+        until_s = time.monotonic() + fault.for_s
+        while time.monotonic() < until_s:
+            await self._pause(name, fault.strength * _BUSY_TURN_S)
+            await asyncio.sleep((1 - fault.strength) * _BUSY_TURN_S)
+
     async def _fault_store(self, fault: Fault) -> str:
         set_fault = self._deployment.fault_store
         if fault.kind == 'store_down':
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -26,11 +26,13 @@
     :param gateways: number of gateway processes.
     :param engines: number of engines, in addition to the plain servers.
     :param callers: number of callers; each sends one request at a time.
+    :param has_links: whether a proxy is on the way to servers.
     """
 
     gateways: int = 4
     engines: int = 3
     callers: int = 12
+    has_links: bool = True
 
 
 class Verdict(NamedTuple):
@@ -75,7 +77,13 @@
     folder.mkdir(parents=True)
     (folder / 'schedule.json').write_text(encode(faults))
     with Runner(folder / 'logs') as runner:
-        deployment = SoakDeployment(runner, folder, size.gateways, size.engines)
+        deployment = SoakDeployment(
+            runner,
+            folder,
+            size.gateways,
+            size.engines,
+            has_links=size.has_links,
+        )
         deployment.start()
         evidence = asyncio.run(_play(seed, faults, deployment, size.callers))
     broken = violations(evidence)
--- a/emulator/soak/renewals.py
+++ b/emulator/soak/renewals.py
@@ -72,7 +72,7 @@
             await asyncio.sleep(for_s / 2)  # noqa: WPS476
             for engine in engines:
                 await asyncio.to_thread(  # noqa: WPS476
-                    self._deployment.proxy.reset, engine.link_port
+                    self._tell, engine, kind='break_off'
                 )
 
     async def _lose_store(self, fault: Fault) -> None:
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -45,3 +45,18 @@
         if each.status == 200 and gets_unframed_answer(each.request_id)
     ]
     assert sum(each.is_complete for each in unframed) > len(unframed) / 2
+
+
+def test_engines_renewed_unheard_join_no_streams_of_two_versions(tmp_path):
+    """Gateways held streams of the next process for those of the former one."""
+    faults = tuple(
+        Fault(1 + each * 1.3, kind, each, 1.6, 0)
+        for each, kind in enumerate(
+            ('server_renew_unheard', 'gateway_kill') * 5
+        )
+    )
+    size = Size(gateways=3, engines=4, callers=12)
+    verdict = play(1, faults, size, tmp_path / 'soak')
+    assert verdict.broken == []
+    taken_up = [each for each in verdict.evidence.results if each.began]
+    assert any(each.status == 200 and each.is_complete for each in taken_up)
