Take a stream up by its division only once the store has confirmed it

Callers saw a stream go on at another software version: all servers of v1 begin to leave, their buckets move to v2 at once, the stream begins at v2 and breaks off, and its caller comes back to a gateway whose knowledge of the store is 1 to 4 s old. That one sends it to a server of v1 that leaves and still runs; its start is proved. Cause: knowledge up to 5 s old counted for a take-up, though only announced changes are slower than that. Class: a decision by a record that may have changed since the question. Change: a take-up of a service with several versions waits until the store has answered a call that was sent after the take-up, 1.8 s at most, and prompts such a call; gateways are asked for what they remember after that, not before. At most 400 calls a second of all gateways.

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections import UserDict
 
@@ -29,6 +30,8 @@
         self.route_limits = RouteTimeLimits()
         #: When a record from an older copy of the store was all that was known.
         self.restored_s = -math.inf
+        #: Set while a take-up waits for an answer of the store.
+        self.is_confirmation_wanted = asyncio.Event()
         self._records: dict[str, DivisionRecord] = {}
         self._positions: dict[str, int] = {}
 
--- a/src/wasabicross/gateway/store_following/store_follower.py
+++ b/src/wasabicross/gateway/store_following/store_follower.py
@@ -16,6 +16,9 @@
     StoreUpdate,
 )
 from wasabicross.gateway.store import FleetStore, StoreResult, UnreadableEntry
+from wasabicross.gateway.store_following.prompted_calls import (
+    PromptedCalls,
+)
 from wasabicross.gateway.store_following.relay_clocks import RelayClocks
 from wasabicross.gateway.store_following.store_copy import StoreCopy
 from wasabicross.gateway.store_following.store_relay import (
@@ -46,6 +49,9 @@
 #: send none or their clock has stood still.
 _MAX_RELAYED_AGE_S = 3.5
 
+#: Longest wait of a watch that a take-up waits for.
+_PROMPT_WATCH_TIMEOUT_S = 0.005
+
 #: Interval between checks while relays send the changes.
 _RELAYED_CHECK_INTERVAL_S = 0.25
 
@@ -100,6 +106,7 @@
         self._clocks = RelayClocks()
         self._revision: int | None = None
         self._is_lost = False
+        self._prompted = PromptedCalls(view.divisions.is_confirmation_wanted)
         self._unreadable: dict[str, int] = {}
         self._errors = ErrorContainment('store')
         self.is_initialised = asyncio.Event()
@@ -113,12 +120,14 @@
                 # store.
                 self._relay.on_store_lost()
                 self._view.remove_expired(now_s())
-                await asyncio.sleep(_RELAYED_CHECK_INTERVAL_S)
+                if await self._prompted.wait(_RELAYED_CHECK_INTERVAL_S):
+                    with self._errors.contain('prompted call'):
+                        await self._confirm_relayed()
                 continue
             delay_s = retry_interval_s(self._watchers())
             with self._errors.contain('call'):
                 delay_s = await self._call_store()
-            await asyncio.sleep(delay_s)
+            await self._pause(delay_s)
 
     def on_status(self, relay: str, status: StoreStatus) -> None:
         """Record the status of a relay.
@@ -195,6 +204,29 @@
             return False
         return self._statuses.is_current(self._revision, at_s)
 
+    async def _pause(self, delay_s: float) -> None:
+        """Wait, not for long if a take-up waits for an answer of the store."""
+        if self._is_lost:
+            await asyncio.sleep(delay_s)
+        else:
+            await self._prompted.wait(delay_s)
+
+    async def _confirm_relayed(self) -> None:
+        """Call the store once though relays send the changes.
+
+        Without an answer nothing follows: relays may still have one.
+        """
+        outcome = 'done'
+        try:
+            await self._read_or_watch()
+        except HistoryGone:
+            self._revision = None
+            outcome = 'history gone'
+        except StoreUnavailable:
+            outcome = 'unavailable'
+            self._prompted.block(retry_interval_s(self._watchers()))
+        metrics.STORE_CALLS.labels('watch', outcome).inc()
+
     async def _call_store(self) -> float:
         """Read or watch the store; return the delay until the next call."""
         operation = 'read' if self._revision is None else 'watch'
@@ -240,7 +272,9 @@
             return
         since = self._revision
         sent_s = now_s()
-        result = await self._store.watch(since, _WATCH_TIMEOUT_S)
+        is_prompted = self._prompted.take(len(self._view.instances))
+        wait_s = _PROMPT_WATCH_TIMEOUT_S if is_prompted else _WATCH_TIMEOUT_S
+        result = await self._store.watch(since, wait_s)
         self._relay.forward(since, result)
         self._apply_answer(self._without_known(result, since))
         self._view.remove_expired(now_s())
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -23,10 +23,11 @@
 from wasabicross.gateway.streams.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 
-#: Longest wait until the division in force is confirmed, and the interval at
-#: which that is checked.
+#: Longest wait until the division in force is confirmed, the interval at which
+#: that is checked, and the one at which it is asked for again.
 _MAX_CONFIRMATION_S = 1.8
-_CONFIRMATION_CHECK_S = 0.05
+_CONFIRMATION_CHECK_S = 0.01
+_CONFIRMATION_RETRY_S = 0.5
 
 #: Why a server that was chosen isn't sent a stream: its entry has changed since,
 #: or the stream has begun at another version meanwhile.
@@ -44,7 +45,8 @@
     `division`: by the division of streams among versions. `only_version`: its
     service has no other. `memory`: a gateway remembers what began it.
     `version_unknown`: several versions may have begun it. `too_old`: others may
-    know of a version that this gateway doesn't.
+    know of a version that this gateway doesn't, as the store hasn't confirmed
+    the division since the take-up was asked for.
     """
 
     division = 'division'
@@ -91,6 +93,11 @@
         """Return why the stream can't go on, None if it can."""
         return TAKE_UP_REFUSALS.get(self.known_by)
 
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Return whether the store's next answer tells the version."""
+        return self.known_by is Knowledge.too_old and bool(self.possible)
+
 
 class StreamVersions:
     """Tells at which software version resumable streams begin and go on.
@@ -171,7 +178,7 @@
         since_s = asked_s - _longest_wait_s(
             longest_s, division, route, info.time_left_s
         )
-        return _known(
+        found = _known(
             division.possible_versions(
                 info.resumes,
                 since_s,
@@ -180,6 +187,22 @@
             ),
             Knowledge.division,
         )
+        if self._may_have_moved(service, division, asked_s):
+            return TakeUp(None, Knowledge.too_old, found.possible)
+        return found
+
+    def _may_have_moved(
+        self, service: str, division: StreamDivision, asked_s: float
+    ) -> bool:
+        """Return whether buckets may have moved at once, unknown to this gateway.
+
+        A stream may have begun since at another version. A service that is known
+        with one version only isn't taken to have got another one meanwhile.
+        """
+        if self._view.confirmed_s >= asked_s:
+            return False
+        versions = {*division.buckets, *division.announced}
+        return len(versions | self._listed_versions(service)) > 1
 
     def _is_confirmed(self, division: StreamDivision, asked_s: float) -> bool:
         """Return whether a division was in force when a request arrived.
@@ -199,30 +222,54 @@
     ) -> TakeUp:
         """Return what is known once the division is confirmed to be in force.
 
-        Waits for that only if a change is announced, and not for long.
+        Waits for that only if it can tell the version, and not for long.
 
         :param take_up: what is known before.
         :param route: the route of the request that takes the stream up.
         :param info: what the request states.
         :param asked_s: when it arrived, monotonic seconds.
         """
-        division = self._view.divisions.get(service_of(route, info))
-        if division is None or not division.announced:
+        service = service_of(route, info)
+        division = self._view.divisions.get(service)
+        if division is None:
             return take_up
+        may_be_told = take_up.is_unconfirmed
+        if not division.announced and not may_be_told:
+            return take_up
+        await self._wait_for_confirmation(asked_s)
+        found = self.for_take_up(route, info, clock_s(), asked_s)
+        if not may_be_told:
+            return found
+        return await self._remembered(found, service, info)
+
+    async def _wait_for_confirmation(self, asked_s: float) -> None:
+        """Wait, not for long, until the store has answered a later call."""
         until_s = asked_s + _MAX_CONFIRMATION_S
+        wanted_s = -math.inf
         while self._view.confirmed_s < asked_s and clock_s() < until_s:
+            if clock_s() - wanted_s > _CONFIRMATION_RETRY_S:
+                wanted_s = clock_s()
+                self._view.divisions.is_confirmation_wanted.set()
             await asyncio.sleep(_CONFIRMATION_CHECK_S)
-        return self.for_take_up(route, info, clock_s(), asked_s)
 
     async def recall(
         self, take_up: TakeUp, service: str, info: RequestInfo
     ) -> TakeUp:
         """Return what is known of a stream with what gateways remember.
 
+        They are asked only after the store if its next answer may tell.
+
         :param take_up: what is known without that.
         :param service: the service that began it.
         :param info: what the request that takes it up states.
         """
+        if take_up.is_unconfirmed:
+            return take_up
+        return await self._remembered(take_up, service, info)
+
+    async def _remembered(
+        self, take_up: TakeUp, service: str, info: RequestInfo
+    ) -> TakeUp:
         if take_up.refusal is None or not info.resumes:
             return take_up
         version = await self._memory.find(service, info.resumes)
@@ -335,7 +382,9 @@
     if remembered is None:
         return take_up
     is_recent = take_up.known_by is not Knowledge.too_old
-    if is_recent and remembered not in take_up.possible:
+    if (
+        is_recent or take_up.is_unconfirmed
+    ) and remembered not in take_up.possible:
         return take_up
     return TakeUp(remembered, Knowledge.memory, take_up.possible)
 
--- a/tests/test_gateway_store_confirmation.py
+++ b/tests/test_gateway_store_confirmation.py
@@ -19,7 +19,10 @@
     decode,
     encode,
 )
-from wasabicross.gateway.store_following import store_follower
+from wasabicross.gateway.store_following import (
+    prompted_calls,
+    store_follower,
+)
 from wasabicross.gateway.store_following.relay_clocks import RelayClocks
 from wasabicross.gateway.store_following.store_relay import StoreRelay
 from wasabicross.gateway.store_position import position
@@ -39,9 +42,11 @@
 
 @pytest.fixture(autouse=True)
 def _virtual_clock(monkeypatch):
-    monkeypatch.setattr(
-        store_follower, 'now_s', lambda: asyncio.get_running_loop().time()
-    )
+    def loop_s():
+        return asyncio.get_running_loop().time()
+
+    monkeypatch.setattr(store_follower, 'now_s', loop_s)
+    monkeypatch.setattr(prompted_calls, 'clock_s', loop_s)
 
 
 @contextlib.asynccontextmanager
@@ -308,3 +313,96 @@
             assert before_s <= received.round_trips[-1] <= now_s()
 
     asyncio.run(scenario())
+
+
+def prompted(store, asked_s, duration_s=4, **fields):
+    """Return when a wanted confirmation came, and the times of all calls."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        async with following(store, **fields) as (followed, view):
+            if fields:
+                relay_says_it_is_current(followed)
+            await asyncio.sleep(asked_s)
+            if fields:
+                relay_says_it_is_current(followed)
+            view.divisions.is_confirmation_wanted.set()
+            while view.confirmed_s < asked_s and loop.time() < duration_s:
+                await asyncio.sleep(0.01)
+            return loop.time() - asked_s
+
+    return virtual_time.run(play())
+
+
+def relay_says_it_is_current(followed):
+    followed.on_status('127.0.0.1', StoreStatus(5, is_lost=False))
+
+
+class PromptStore(ScriptedStore):
+    """Answer a watch when its wait is over, and note when it was called."""
+
+    def __init__(self, failure=None):
+        super().__init__()
+        self.sent_s = []
+        self.failure = failure
+
+    async def read(self):
+        """Return the first content."""
+        return version(2, 5)
+
+    async def watch(self, _revision, wait_s):
+        """Return nothing new."""
+        self.sent_s.append(asyncio.get_running_loop().time())
+        if self.failure is not None:
+            raise self.failure
+        await asyncio.sleep(wait_s)
+        return version(2, 5)
+
+
+@pytest.mark.parametrize('asked_s', [0.1, 0.7, 0.95, 1.2, 2.3])
+def test_wanted_confirmation_does_not_wait_for_the_next_watch(asked_s):
+    """The watch under way may take another 0.4 s; the next one is due after 1 s."""
+    assert prompted(PromptStore(), asked_s) < 0.5
+
+
+@pytest.mark.parametrize('asked_s', [0.3, 0.9, 1.4])
+def test_gateway_with_relays_calls_the_store_for_a_wanted_confirmation(asked_s):
+    store = PromptStore()
+    assert prompted(store, asked_s, is_relay=False) < 0.1
+    assert len(store.sent_s) == 1
+
+
+def test_relayed_gateway_that_the_store_refuses_does_not_take_it_for_lost():
+    async def play():
+        store = PromptStore(StoreUnavailable('refused'))
+        async with following(store, is_relay=False) as (followed, view):
+            relay_says_it_is_current(followed)
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                view.divisions.is_confirmation_wanted.set()
+                assert not followed._is_lost
+        return store.sent_s
+
+    sent_s = virtual_time.run(play())
+    assert 1 <= len(sent_s) <= 3
+
+
+@pytest.mark.parametrize(
+    ('instances', 'most'), [(1, 11), (75, 6), (360, 2), (1000, 1)]
+)
+def test_calls_that_take_ups_want_are_few(instances, most):
+    """All gateways together call 400 times a second or less."""
+
+    async def play():
+        store = PromptStore()
+        async with following(store, is_relay=False) as (followed, view):
+            view.instances.update(dict.fromkeys(range(instances)))
+            relay_says_it_is_current(followed)
+            await asyncio.sleep(0.1)
+            since = len(store.sent_s)
+            for _ in range(100):
+                view.divisions.is_confirmation_wanted.set()
+                await asyncio.sleep(0.01)
+        return len(store.sent_s) - since
+
+    assert virtual_time.run(play()) <= most
