Count versions whose servers all leave among those before a first division

Callers of a stream that a version began whose servers all leave had it go on at another one, once the first division of the service was written (or written anew after the store had lost it). Cause: the former buckets of a first division came from servers that take new requests. Evidence: test_first_division_leaves_out_no_version_whose_servers_all_leave, 1 of 3 rows failed before: no former buckets. Change: each listed version may have begun streams before.

--- a/src/wasabicross/gateway/streams/division_decisions.py
+++ b/src/wasabicross/gateway/streams/division_decisions.py
@@ -74,6 +74,7 @@
     :param time_limit_s: longest time limit of the service's callers, seconds.
     :param content_since_s: time since which the content of the store is known,
         monotonic seconds.
+    :param listed: versions of all its servers, also of those that leave.
     """
 
     division: StreamDivision | None
@@ -81,6 +82,7 @@
     slots: VersionSlots
     time_limit_s: float
     content_since_s: float
+    listed: frozenset[str] = frozenset()
 
 
 class DueWrite(NamedTuple):
@@ -175,7 +177,8 @@
     )
     if not versions or now_s - knowledge.content_since_s < SETTLED_S:
         return None
-    division = first_division(versions, now_s)
+    leaving = sorted(knowledge.listed.difference(versions))
+    division = first_division((*versions, *leaving), now_s)
     return DueWrite(
         division._replace(time_limit_s=knowledge.time_limit_s), 'first'
     )
--- a/src/wasabicross/gateway/streams/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -31,6 +31,7 @@
     updated_slots,
     write_delay_s,
 )
+from wasabicross.gateway.streams.stream_versions import listed_versions
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
@@ -120,6 +121,7 @@
             self._slots[service],
             max(limit_s, self._view.divisions.time_limits.longest_s(service)),
             self._view.content_known_since_s,
+            listed_versions(self._view, service),
         )
         return due_write(knowledge, at_s)
 
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -124,7 +124,7 @@
         division = self._view.divisions.get(service)
         if division is not None:
             return division.version_for(request_id)
-        versions = self._listed_versions(service)
+        versions = listed_versions(self._view, service)
         return next(iter(versions)) if len(versions) == 1 else None
 
     def may_begin(self, service: str, request_id: str, now_s: float) -> bool:
@@ -170,7 +170,7 @@
         division = self._view.divisions.get(service)
         if division is None:
             return _known(
-                self._listed_versions(service), Knowledge.only_version
+                listed_versions(self._view, service), Knowledge.only_version
             )
         longest_s = self._view.divisions.route_limits.longest_s(
             route.name, division.time_limit_s, now_s
@@ -202,7 +202,7 @@
         if self._view.confirmed_s >= asked_s:
             return False
         versions = {*division.buckets, *division.announced}
-        return len(versions | self._listed_versions(service)) > 1
+        return len(versions | listed_versions(self._view, service)) > 1
 
     def _is_confirmed(self, division: StreamDivision, asked_s: float) -> bool:
         """Return whether a division was in force when a request arrived.
@@ -343,13 +343,18 @@
             and not self._view.notices.is_leaving(server)
         )
 
-    def _listed_versions(self, service: str) -> frozenset[str]:
-        """Return the versions of all servers, also of those that leave."""
-        return frozenset(
-            server.software_version
-            for server in self._view.servers.values()
-            if server.service == service
-        )
+
+def listed_versions(view: FleetView, service: str) -> frozenset[str]:
+    """Return the software versions of all servers, also of those that leave.
+
+    :param view: the servers.
+    :param service: their service.
+    """
+    return frozenset(
+        server.software_version
+        for server in view.servers.values()
+        if server.service == service
+    )
 
 
 def is_take_up(route: Route, info: RequestInfo) -> bool:
--- a/tests/test_gateway_division_decisions.py
+++ b/tests/test_gateway_division_decisions.py
@@ -331,6 +331,35 @@
     assert slots['none'] == {}
 
 
+@pytest.mark.parametrize(
+    ('servers', 'former'),
+    [
+        ([server(1, 'v2'), server(2, 'v1', is_leaving=True)], [NEW, OLD]),
+        ([server(1, 'v2'), server(2, 'v2', is_leaving=True)], []),
+        (
+            [server(1, 'v2'), server(2, 'v1', 'other', is_leaving=True)],
+            [],
+        ),
+    ],
+)
+def test_first_division_leaves_out_no_version_whose_servers_all_leave(
+    monkeypatch, servers, former
+):
+    """They may have begun streams, and still run."""
+    monkeypatch.setattr(
+        'wasabicross.gateway.streams.division_keeper.now_s', lambda: 100
+    )
+    view = view_of(*servers)
+    view.configuration = configuration(route('llm', 20))
+    view.content_known_since_s = 0
+    view.confirmed_s = 100
+    store = CountingStore()
+    asyncio.run(DivisionKeeper('a', store, view).check())
+    (stored,) = store.stored
+    assert stored.buckets == NEW
+    assert [each.buckets for each in stored.former] == former
+
+
 class CountingStore:
     """Record writes, and refuse each."""
 
