Take no stream up by the division of an older copy that others may know better

Callers saw a stream go on at another software version after the store had returned from an older copy: its buckets had moved at once just before, the move was lost with the store, and a gateway that had started since, or hadn't learnt of the move yet, took the stream up by the older division (servers of the former version leave and still run). Cause: the division of a copy counted like any other, but for announced changes. Class: a record older than what gateways have said to callers. Change, for services with several versions: a gateway that ran before takes streams up by memory only for 3 s after the return; one that knows only the copy does so for streams that may have begun before, until its callers' time is over, and remembers what it begins. The record is written again in the new era once no later one can have been lost, so that later starts trust it (one write for each service and return).

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -13,7 +13,10 @@
     merged,
     received_division,
 )
-from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.gateway.stream_divisions import (
+    StreamDivision,
+    former_lapse_s,
+)
 from wasabicross.gateway.stream_time_limits import (
     RouteTimeLimits,
     StreamTimeLimits,
@@ -44,6 +47,16 @@
         missing = DivisionRecord(None, position(era, 0))
         return self._records.get(service, missing)
 
+    def is_restored(self, service: str, now_s: float) -> bool:
+        """Return whether a later division may have been lost with the store.
+
+        Streams that it began may still be taken up.
+
+        :param service: name of the service, whose division is known.
+        :param now_s: the present time, monotonic seconds.
+        """
+        return now_s - self.restored_s < former_lapse_s(self[service])
+
     def on_new_content(self) -> None:
         """Forget the records, as the complete content is applied next."""
         self._records.clear()
--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -31,6 +31,10 @@
 #: learn of the same change.
 SPREAD_S = 2.5
 
+#: Time after the store has returned from an older copy in which gateways that
+#: know a later division write it again.
+REWRITE_S = 3.0
+
 #: Least difference between a version's share of the slots and its share of the
 #: buckets at which buckets move.
 _MIN_IMBALANCE = 0.2
--- a/src/wasabicross/gateway/streams/division_decisions.py
+++ b/src/wasabicross/gateway/streams/division_decisions.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from wasabicross.gateway.store_position import era_of
 from wasabicross.gateway.stream_division_records import (
     DivisionRecord,
     StoredDivision,
@@ -75,6 +76,7 @@
     :param content_since_s: time since which the content of the store is known,
         monotonic seconds.
     :param listed: versions of all its servers, also of those that leave.
+    :param is_sure: whether no later division can have been lost with the store.
     """
 
     division: StreamDivision | None
@@ -83,6 +85,7 @@
     time_limit_s: float
     content_since_s: float
     listed: frozenset[str] = frozenset()
+    is_sure: bool = False
 
 
 class DueWrite(NamedTuple):
@@ -140,6 +143,8 @@
     if stored is None or stored.number < known.number:
         restored = current._replace(number=known.number + 1)
         return DueWrite(restored, LOST, is_own_knowledge=True)
+    if knowledge.is_sure and stored.era < era_of(knowledge.record.revision):
+        return DueWrite(known, 'era')
     return _due_update(known, stored, now_s)
 
 
--- a/src/wasabicross/gateway/streams/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -20,6 +20,7 @@
 )
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
+    REWRITE_S,
     StreamDivision,
 )
 from wasabicross.gateway.streams.division_decisions import (
@@ -122,9 +123,17 @@
             max(limit_s, self._view.divisions.time_limits.longest_s(service)),
             self._view.content_known_since_s,
             listed_versions(self._view, service),
+            is_sure=self._is_sure(service, at_s),
         )
         return due_write(knowledge, at_s)
 
+    def _is_sure(self, service: str, at_s: float) -> bool:
+        """Return whether no later division can have been lost with the store."""
+        divisions = self._view.divisions
+        if service not in divisions or divisions.is_restored(service, at_s):
+            return False
+        return at_s - self._view.restored_s >= REWRITE_S
+
     def _record(self, service: str) -> DivisionRecord:
         era = self._view.era or 0
         return self._view.divisions.record_for(service, era)
--- a/src/wasabicross/gateway/streams/stream_memory.py
+++ b/src/wasabicross/gateway/streams/stream_memory.py
@@ -63,7 +63,10 @@
         at_s = now_s()
         division = self._view.divisions.get(service)
         age_s = at_s - self._view.confirmed_s
-        if is_settled(division, request_id, software_version, age_s, at_s):
+        is_told = is_settled(
+            division, request_id, software_version, age_s, at_s
+        )
+        if is_told and not self._view.divisions.is_restored(service, at_s):
             return
         digest = stream_digest(service, request_id)
         self._note(service, software_version, digest)
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -15,6 +15,7 @@
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
+    REWRITE_S,
     SPREAD_S,
     StreamDivision,
     former_lapse_s,
@@ -178,31 +179,52 @@
         since_s = asked_s - _longest_wait_s(
             longest_s, division, route, info.time_left_s
         )
-        found = _known(
-            division.possible_versions(
-                info.resumes,
-                since_s,
-                now_s,
-                is_confirmed=self._is_confirmed(division, asked_s),
-            ),
-            Knowledge.division,
+        possible = division.possible_versions(
+            info.resumes,
+            since_s,
+            now_s,
+            is_confirmed=self._is_confirmed(division, asked_s),
         )
-        if self._may_have_moved(service, division, asked_s):
-            return TakeUp(None, Knowledge.too_old, found.possible)
-        return found
+        return self._by_division(service, possible, since_s, asked_s)
 
-    def _may_have_moved(
-        self, service: str, division: StreamDivision, asked_s: float
-    ) -> bool:
-        """Return whether buckets may have moved at once, unknown to this gateway.
+    def _by_division(
+        self,
+        service: str,
+        possible: frozenset[str],
+        since_s: float,
+        asked_s: float,
+    ) -> TakeUp:
+        """Return what is known of a stream by the division of its service.
+
+        A service that is known with one version isn't taken to have got another
+        one unnoticed.
 
-        A stream may have begun since at another version. A service that is known
-        with one version only isn't taken to have got another one meanwhile.
+        :param possible: versions that may have begun it by the division.
+        :param since_s: time before which it can't have begun.
         """
-        if self._view.confirmed_s >= asked_s:
+        view = self._view
+        division = view.divisions[service]
+        versions = listed_versions(view, service).union(
+            division.buckets, division.announced
+        )
+        if len(versions) > 1:
+            if self._may_be_lost(service, since_s, asked_s):
+                return TakeUp(None, Knowledge.version_unknown, versions)
+            if asked_s < view.restored_s + REWRITE_S:
+                return TakeUp(None, Knowledge.too_old)
+            if view.confirmed_s < asked_s:
+                # Buckets may have moved at once, and the stream begun since.
+                return TakeUp(None, Knowledge.too_old, possible)
+        return _known(possible, Knowledge.division)
+
+    def _may_be_lost(
+        self, service: str, since_s: float, asked_s: float
+    ) -> bool:
+        """Return whether a division that this process never knew began a stream."""
+        known = self._view.divisions
+        if not known.is_restored(service, asked_s):
             return False
-        versions = {*division.buckets, *division.announced}
-        return len(versions | listed_versions(self._view, service)) > 1
+        return since_s < known.restored_s + REWRITE_S
 
     def _is_confirmed(self, division: StreamDivision, asked_s: float) -> bool:
         """Return whether a division was in force when a request arrived.
--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import math
 
 import pytest
 import virtual_time
@@ -18,7 +19,9 @@
 from wasabicross.gateway.stream_divisions import (
     ANNOUNCED_S,
     BUCKETS,
+    REWRITE_S,
     bucket_of,
+    former_lapse_s,
 )
 from wasabicross.gateway.streams import division_keeper
 from wasabicross.gateway.streams.division_keeper import DivisionKeeper
@@ -479,3 +482,42 @@
             assert set(divisions) == {'llm'}
 
     asyncio.run(scenario())
+
+
+def era_of_record(store):
+    return record_of(store).get('era', 0)
+
+
+def test_gateway_that_lived_through_a_return_vouches_for_its_division(store):
+    """Otherwise each later start takes it for one that others have lost."""
+
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+            store.restore(store.copied())
+            put_server(store, 'i-1', 'v1')
+            await until(lambda: era_of_record(store) == 2, 10)
+            assert loop_s() - a.view.restored_s >= REWRITE_S
+            async with running(store, 'b') as (b,):
+                await until(lambda: b.division)
+                assert b.view.divisions.restored_s == -math.inf
+            await asyncio.sleep(60)
+        assert len(writes_of(store)) == 2
+
+    virtual_time.run(scenario())
+
+
+def test_gateway_that_knows_only_the_copy_does_not_vouch_for_it_soon(store):
+    async def scenario():
+        async with running(store, 'a') as (a,):
+            await until(lambda: a.division)
+        store.restore(store.copied())
+        put_server(store, 'i-1', 'v1')
+        async with running(store, 'b') as (b,):
+            await until(lambda: b.division)
+            await asyncio.sleep(former_lapse_s(b.division) - 1)
+            assert era_of_record(store) == 1
+            await until(lambda: era_of_record(store) == 2, 10)
+        assert len(writes_of(store)) == 2
+
+    virtual_time.run(scenario())
