--- a/src/wasabicross/gateway/streams/division_decisions.py
+++ b/src/wasabicross/gateway/streams/division_decisions.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from wasabicross.gateway.store_position import era_of
 from wasabicross.gateway.stream_division_records import (
     DivisionRecord,
     StoredDivision,
@@ -74,6 +75,8 @@
     :param time_limit_s: longest time limit of the service's callers, seconds.
     :param content_since_s: time since which the content of the store is known,
         monotonic seconds.
+    :param listed: versions of all its servers, also of those that leave.
+    :param is_sure: whether no later division can have been lost with the store.
     """
 
     division: StreamDivision | None
@@ -81,6 +84,8 @@
     slots: VersionSlots
     time_limit_s: float
     content_since_s: float
+    listed: frozenset[str] = frozenset()
+    is_sure: bool = False
 
 
 class DueWrite(NamedTuple):
@@ -138,6 +143,8 @@
     if stored is None or stored.number < known.number:
         restored = current._replace(number=known.number + 1)
         return DueWrite(restored, LOST, is_own_knowledge=True)
+    if knowledge.is_sure and stored.era < era_of(knowledge.record.revision):
+        return DueWrite(known, 'era')
     return _due_update(known, stored, now_s)
 
 
@@ -175,7 +182,8 @@
     )
     if not versions or now_s - knowledge.content_since_s < SETTLED_S:
         return None
-    division = first_division(versions, now_s)
+    leaving = sorted(knowledge.listed.difference(versions))
+    division = first_division((*versions, *leaving), now_s)
     return DueWrite(
         division._replace(time_limit_s=knowledge.time_limit_s), 'first'
     )
