Ask a server on a new connection if an idle one ends as its process is asked

What callers saw: 503 for a resumable stream whose only server was sound, and after three such ends the server shut out. Cause: the end of an idle connection counted as a silent process; found by the review.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -72,6 +72,9 @@
 class VersionUnproved(ServerError):
     """Nothing shows which software version the process at a server runs."""
 
+    #: Whether another connection to the server may show it.
+    may_be_connection = False
+
 
 class ProcessSilent(VersionUnproved):
     """The process behind a connection gave no report."""
@@ -80,6 +83,8 @@
 class ProcessFormer(VersionUnproved):
     """The process behind a connection is a former one of its server."""
 
+    may_be_connection = True
+
 
 class BodyTooLong(AnswerBroken):
     """The body of an answer is longer than its reader's limit."""
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -197,15 +197,15 @@
             return
         self.record.reason = str(exc)
         server_id = server.server_id
-        if isinstance(exc, ProcessFormer) and self._progress.may_ask_again(
-            server_id
-        ):
-            # The process that is listed may accept a new connection.
+        is_silent = isinstance(exc, ProcessSilent)
+        if is_silent or isinstance(exc, ProcessFormer):
             self._servers.pool.drop_idle(server.host, server.port)
+        # The fault may be the connection's; the listed process may accept another.
+        may_be_conn = exc.may_be_connection or (is_silent and self._has_idled)
+        if may_be_conn and self._progress.may_ask_again(server_id):
             return
         self._progress.excluded.add(server_id)
-        if isinstance(exc, ProcessSilent):
-            self._servers.pool.drop_idle(server.host, server.port)
+        if is_silent:
             self._servers.view.health[server_id].on_failure(now_s())
 
     def _release(self, server: BackendServer) -> None:
