Compare the start of a process with the entry that is listed when it has told it

What callers saw: 503 for a second at a server whose new entry came while its process was asked. Cause: the start was compared with the entry as the server had been chosen, and the new entry counted as outdated; found by the review.

--- a/src/wasabicross/gateway/streams/version_checks.py
+++ b/src/wasabicross/gateway/streams/version_checks.py
@@ -80,11 +80,13 @@
     ) -> VersionProof:
         """Return the proof of the software version behind a connection.
 
-        :param server: the server, as it is listed.
+        :param server: the server, as it was listed when it was chosen.
         :param conn: the connection.
         :param now_s: the present time, monotonic seconds.
-        :raises VersionUnproved: the entry is of another start.
+        :raises VersionUnproved: its entry is of another start.
         """
+        # The entry may have come while the process was asked.
+        server = self._view.servers.get(server.server_id, server)
         try:
             return VersionProof(
                 server, conn, names_start=self._life.reports_start(server)
