Send no stream that another server has answered while the first one told its start

What callers saw: a stream sent again after its whole answer, and their next request on the connection waiting for it. Cause: after the question for the start only a server that was still being asked was looked at, not one that had taken over; found by the review. test_a_stream_that_another_server_has_ended_is_not_sent_once_more failed in 7 of 7 runs before, passes now.

--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -124,12 +124,6 @@
                 return Ending.not_sent
             return await self._use(conn, placement)
 
-    def _why_unsuitable(self, server: BackendServer) -> str:
-        """Return why a server may no longer run the stream, if it may not."""
-        return why_unsuitable(
-            self._servers.view, server, self._progress.software_version
-        )
-
     async def _use(
         self, conn: ServerConnection, placement: Placement
     ) -> Ending:
@@ -162,15 +156,21 @@
             except VersionUnproved as exc:
                 self._on_unproved(placement.server, exc)
                 return Ending.not_sent
-            if self._watched.is_called_off:
-                self.record.reason = _CALLED_OFF
-                return Ending.not_sent
-            # The entry may have changed meanwhile, or another server been asked.
-            self.record.reason = self._why_unsuitable(placement.server)
-            if self.record.reason or self._silence.is_asking:
+            self.record.reason = self._why_not_sent(placement.server)
+            if self.record.reason:
                 return Ending.not_sent
         return await self._exchange(conn, placement)
 
+    def _why_not_sent(self, server: BackendServer) -> str:
+        """Return what happened meanwhile so that a stream isn't sent, if it did."""
+        if self._watched.is_called_off:
+            return _CALLED_OFF
+        if self._silence.is_taken_over or self._silence.is_asking:
+            return _SILENCE
+        return why_unsuitable(
+            self._servers.view, server, self._progress.software_version
+        )
+
     async def _prove_version(
         self, conn: ServerConnection, server: BackendServer
     ) -> ServerConnection:
