Look for no other server once a process has told its start

What callers saw: nothing; a stream ran at two servers and a retry was spent, where a report took over 0.25 s or the loop stood still as long.

--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -159,6 +159,7 @@
             self.record.reason = self._why_not_sent(placement.server)
             if self.record.reason:
                 return Ending.not_sent
+            self._silence.keep()
         return await self._exchange(conn, placement)
 
     def _why_not_sent(self, server: BackendServer) -> str:
