Send no request to a server that is proved after another one has answered

What callers and servers saw: a resumable stream's first server closes the connection after it was asked for its start; the gateway makes a new one and waits for a report. Meanwhile another server is asked, takes the stream over and ends it.

Cause: the attempt goes on unless another server `is_asking`, which is only so until that server's answer has ended.

Change: `is_asking` holds also once another server has taken over, as `successor` had it.

--- a/src/wasabicross/gateway/silence_watch.py
+++ b/src/wasabicross/gateway/silence_watch.py
@@ -67,8 +67,10 @@
 
     @property
     def is_asking(self) -> bool:
-        """Return whether the answer of another server is awaited."""
-        return self._search is not None and self._is_asking
+        """Return whether the answer of another server is awaited or has come."""
+        return self._search is not None and (
+            self._is_asking or self.is_taken_over
+        )
 
     @property
     def is_taken_over(self) -> bool:
@@ -108,7 +110,7 @@
         A server that is being asked is waited for, no other one is looked for.
         """
         search = self._search
-        if search is None or not (self._is_asking or self.is_taken_over):
+        if search is None or not self.is_asking:
             return None
         self._is_last = True
         await asyncio.wait(
