Keep the server that was asked before the silent one's version was proved

What servers saw: a server is asked to take a resumable stream over while the first one is still asked for its start. If the first one then proves its version before that server is asked, both have the request; after a further silence of the first one the other was withdrawn from, and one more was looked for, though each counts against the route's most servers and the retry budget.

Cause: `_begin_search` ended a search that was under way, with the reason 'the silent server went on', which it hadn't. `limit` promises that a server that has been asked is waited for until `keep`.

--- a/src/wasabicross/gateway/silence_watch.py
+++ b/src/wasabicross/gateway/silence_watch.py
@@ -126,8 +126,8 @@
         self._end_search(_ENDED)
 
     def _begin_search(self) -> None:
-        self._end_search(_WENT_ON)
-        self._search = asyncio.ensure_future(self._seek())
+        if self._search is None:
+            self._search = asyncio.ensure_future(self._seek())
 
     def _end_search(self, reason: str) -> None:
         if self._search is not None:
--- a/tests/test_gateway_takeover_before_proof.py
+++ b/tests/test_gateway_takeover_before_proof.py
@@ -7,6 +7,8 @@
 from test_gateway_takeover import FULL
 from version_parts import OLD, VersionServer, stream, versions_serving
 
+from wasabicross.gateway.silence_watch import Replacements, SilenceWatch
+
 LISTED_MS = 1_000
 
 
@@ -62,3 +64,35 @@
     servers, received = asyncio.run(scenario())
     assert received.count(b'data: v1') == 9
     assert [len(each.seen) for each in servers] == [0, 1]
+
+
+def test_a_server_that_was_asked_before_the_proof_is_asked_once():
+    """The silence after the request was sent withdrew from it."""
+    endings = []
+
+    async def scenario():
+        asked = asyncio.Event()
+
+        async def find():
+            return 'other'
+
+        async def send(_placement, _on_accepted):
+            asked.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError as exc:
+                endings.append(str(exc))
+                raise
+
+        watch = SilenceWatch(Replacements(find, send), lambda: None)
+        with watch.limit(0.0):
+            await asked.wait()
+        with watch.limit(0.0):
+            await asyncio.sleep(0.05)
+        assert watch.is_asking
+        assert not endings
+        watch.end()
+        await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert endings == ['the request ended at the silent server']
