Tell which server is left at work by a mix of silent servers

It tells the servers, requests and attempts now, whether the gateway still counts them, and the turns of the loop meanwhile. The time in which all must end is 2 s as before; requests and servers are now checked together, not one after the other.

--- a/tests/test_gateway_takeover_mixes.py
+++ b/tests/test_gateway_takeover_mixes.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import re
+import time
 
 import pytest
 from gateway_parts import (
@@ -23,9 +24,17 @@
     events,
 )
 
+from wasabicross.gateway import request_record
 from wasabicross.gateway.configuration import Configuration
+from wasabicross.runtime.events import Event
 
 SEEDS = range(1, 5)
+
+#: Longest time after the last answer in which anything may be under way.
+LONGEST_REST_S = 2
+
+#: What is told of each attempt if something is under way later.
+TOLD = ('request', 'server', 'ending', 'reason', 'took_s')
 STREAMS = 6
 EVENTS = 9
 
@@ -64,17 +73,33 @@
     def __init__(self, draws):
         super().__init__([])
         self._draws = draws
-        self.at_work = 0
+        #: The requests that it runs: id, event that it goes on after, start,
+        #: and whether the connection has ended for it.
+        self.at_work = {}
 
     async def _play(self, _script, received, reader, writer):
         after = int(received.fields.get('last-event-id') or 0)
-        self.at_work += 1
+        key = object()
+        self.at_work[key] = (
+            received.fields.get('request-id'),
+            after,
+            time.monotonic(),
+            reader.at_eof,
+        )
         try:
             return await super()._play(
                 self._steps(after + 1), received, reader, writer
             )
         finally:
-            self.at_work -= 1
+            del self.at_work[key]
+
+    def left(self):
+        """Return what is known of the requests that it runs."""
+        return [
+            f'{request_id} after event {after}, run for'
+            f' {time.monotonic() - since_s:.2f} s, at end: {at_eof()}'
+            for request_id, after, since_s, at_eof in self.at_work.values()
+        ]
 
     def _steps(self, first):
         """Return the steps of an answer that begins with an event."""
@@ -101,8 +126,36 @@
         return [chunk(event)]
 
 
+async def left_after(view, servers):
+    """Wait until nothing is under way; return what is after 2 s."""
+    turns = 0
+    until_s = time.monotonic() + LONGEST_REST_S
+    while True:
+        counted = {key: no for key, no in view.own.requests.items() if no}
+        at_servers = {no: each.left() for no, each in enumerate(servers)}
+        if not counted and not any(at_servers.values()):
+            return ()
+        if time.monotonic() >= until_s:
+            return counted, at_servers, f'{turns} turns'
+        await asyncio.sleep(0.01)
+        turns += 1
+
+
+@pytest.fixture
+def attempts(monkeypatch):
+    """Collect the logged attempts, in order."""
+    logged = []
+
+    def collect(event, **fields):
+        if event is Event.REQUEST_SENT:
+            logged.append([fields[name] for name in TOLD])
+
+    monkeypatch.setattr(request_record, 'log_event', collect)
+    return logged
+
+
 @pytest.mark.parametrize('seed', SEEDS)
-def test_streams_keep_their_order_and_leave_nothing_behind(seed):
+def test_streams_keep_their_order_and_leave_nothing_behind(seed, attempts):
     async def scenario():
         draws = random.Random(seed)
         servers = [MixedServer(draws) for _ in range(3)]
@@ -121,14 +174,12 @@
                 for number in range(STREAMS)
             ]
             received = await asyncio.gather(*asking)
-            async with asyncio.timeout(2):
-                while any(bench.gateway.view.own.requests.values()):
-                    await asyncio.sleep(0.01)
-                while any(server.at_work for server in servers):
-                    await asyncio.sleep(0.01)
-        return received
-
-    for each in asyncio.run(scenario()):
+            left = await left_after(bench.gateway.view, servers)
+        return received, left
+
+    answers, left = asyncio.run(scenario())
+    assert not left, (left, attempts)
+    for each in answers:
         assert each.count(b'HTTP/1.1') == 1
         ids = [int(number) for number in re.findall(rb'id: (\d+)\n', each)]
         assert ids == list(range(1, len(ids) + 1))
