--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,6 +17,7 @@
     OutcomeUnknown,
     RequestUnsendable,
 )
+from wasabicross.dispatching.responses import StreamConnection
 
 SILENCE_S = 10
 BIG = b'0123456789' * 20_000
@@ -33,8 +34,9 @@
 class ScriptedServer:
     """Runs one list of steps per connection, the last one for all later ones.
 
-    Steps: ``head`` and ``request`` read, bytes are sent, ``fin`` and ``rst``
-    close, ``wait`` waits until the test sets ``resume``.
+    Steps: ``head`` and ``request`` read, ``begun`` waits for the first byte of a
+    request, bytes are sent, ``fin`` and ``rst`` close, ``wait`` waits until the
+    test sets ``resume``.
     """
 
     def __init__(self, *scripts):
@@ -70,6 +72,8 @@
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             elif step == 'wait':
                 self.resume.wait(SILENCE_S)
+            elif step == 'begun':
+                conn.recv(1, socket.MSG_PEEK)
             elif step != 'fin':
                 self.read(conn, with_body=step == 'request')
         if script[-1:] not in (['rst'], ['fin']):
@@ -118,7 +122,7 @@
 @pytest.mark.parametrize(
     ('steps', 'outcome'),
     [
-        ([], OutcomeUnknown),
+        (['begun'], OutcomeUnknown),
         (['head'], OutcomeUnknown),
         (['request'], OutcomeUnknown),
         (['request', b'HTTP/1.'], OutcomeUnknown),
@@ -157,6 +161,34 @@
     assert server.connections == 1
 
 
+@pytest.mark.parametrize('ending', ['fin', 'rst'])
+def test_a_connection_that_ends_as_it_is_made(serve, monkeypatch, ending):
+    """A reset may come before connecting is done, and nothing is sent then."""
+    connected = []
+    connect = StreamConnection.connect
+
+    def spy(conn):
+        connect(conn)
+        connected.append(conn)
+
+    monkeypatch.setattr(StreamConnection, 'connect', spy)
+    server = serve([ending])
+    outcome = outcome_of(Dispatcher('127.0.0.1', server.port))
+    assert outcome is (OutcomeUnknown if connected else NotConnected)
+    assert connected or ending == 'rst'
+
+
+@pytest.mark.parametrize('error', [ConnectionResetError, TimeoutError])
+def test_nothing_is_sent_without_a_connection(serve, monkeypatch, error):
+    def fail(conn):
+        raise error('as it was made')
+
+    monkeypatch.setattr(StreamConnection, 'connect', fail)
+    server = serve(['request', COMPLETE])
+    assert outcome_of(Dispatcher('127.0.0.1', server.port)) is NotConnected
+    assert not server.requests
+
+
 @pytest.mark.parametrize(
     ('answer', 'end_mark', 'outcome'),
     [
