Convict a request that has run soundly after three crashes, not two

Cause: a request is sent once more after its server has crashed, so two kills in a row look like a request that crashes servers.

Change: a deadly request never runs soundly, so a whole request of which a sound run is known needs three crashes. Parts of prompts need two as before. Gateways tell each other the age of such a run when the request is in a crash (PartsCleared, whose form is as it was; notes it and convicts after two as before). Crash and by_weight have a module of their own.

One that turns deadly ends three (test).

The order of reports still doesn't matter.

--- a/model/crash_blame.py
+++ b/model/crash_blame.py
@@ -18,9 +18,9 @@
 from unittest import mock
 
 from wasabicross.gateway.conviction_records import CrashKey
+from wasabicross.gateway.crashes.crash import Crash
 from wasabicross.gateway.crashes.crash_evidence import (
     SEPARATE_S,
-    Crash,
     CrashEvidence,
     Verdict,
 )
@@ -43,6 +43,10 @@
 _DEADLY_PER_S = 0.7
 _DEADLY = f'request/{13:032x}'
 
+#: Mean time between two kills of servers that run the same copied request, the
+#: second as soon as the request is sent once more.
+_KILLS_EACH_S = 6.0
+
 
 class Scenario(NamedTuple):
     """What happens to a service.
@@ -51,12 +55,15 @@
     :param has_deadly: whether callers send copies of a deadly request.
     :param own_crash_s: mean time between crashes of one server by itself,
         seconds, 0 for none.
+    :param has_kills: whether servers are killed one after the other under copies
+        of sound requests.
     """
 
     name: str
     servers: int
     has_deadly: bool
     own_crash_s: float
+    has_kills: bool = False
 
 
 class Rule(NamedTuple):
@@ -67,6 +74,8 @@
     :param tied_requests: most requests that are convicted so.
     :param retry_s: pause before a request is sent once more after a crash,
         seconds, None if it isn't.
+    :param sound_crashes: number of separate crashes that convict a request which
+        has run soundly before.
     """
 
     name: str
@@ -74,6 +83,7 @@
     tied_crashes: int
     tied_requests: int
     retry_s: float | None
+    sound_crashes: int = 2
 
 
 class Outcome(NamedTuple):
@@ -132,6 +142,10 @@
                 server = self._rng.randrange(scenario.servers)
                 self._at(self._rng.uniform(0, _LENGTH_S), 'crash', server)
 
+        if scenario.has_kills:
+            for _ in range(int(_LENGTH_S / _KILLS_EACH_S)):
+                self._at(self._rng.uniform(0, _LENGTH_S), 'kill', '')
+
     def _at(self, at_s: float, kind: str, *values: object) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), kind, values))
 
@@ -167,6 +181,22 @@
         self._running[server].remove(run)
         self._evidence.clear((run[1],), at_s)
 
+    def _on_kill(self, at_s: float, digest: str) -> None:
+        """Kill a server that runs a request, any copied one if none is named."""
+        found = [
+            (server, each)
+            for server, runs in self._running.items()
+            for _, each, is_first in sorted(runs)
+            if each == digest or (not digest and is_first and _is_copied(each))
+        ]
+        if found and self._up_from_s[found[0][0]] <= at_s:
+            self._on_crash(at_s, found[0][0])
+            if not digest and self._rule.retry_s is not None:
+                again_s = at_s + self._rule.retry_s + 0.001
+                self._at(again_s, 'kill', found[0][1])
+        elif not digest:
+            self._at(at_s + 0.01, 'kill', '')
+
     def _on_crash(self, at_s: float, server: int) -> None:
         if self._up_from_s[server] > at_s:
             return
@@ -183,6 +213,11 @@
                 self._at(at_s + pause_s, 'send', digest, 1)
 
 
+def _is_copied(digest: str) -> bool:
+    """Return whether callers send copies of a sound request."""
+    return digest != _DEADLY and int(digest.partition('/')[2]) >= _NEVER
+
+
 SCENARIOS = tuple(
     Scenario(f'{servers} servers, {name}', servers, has_deadly, own_s)
     for servers in (3, 30)
@@ -193,15 +228,23 @@
         ('own crashes, often', False, 5),
     )
     if servers == 3 or own_s != 5
+) + tuple(
+    Scenario(f'{servers} servers, {name}', servers, has_deadly, 0, True)
+    for servers in (3, 30)
+    for name, has_deadly in (
+        ('killed under reads', False),
+        ('deadly, killed under reads', True),
+    )
 )
 RULES = (
-    Rule('one crash', 1, 1, _NEVER, None),
+    Rule('one crash', 1, 1, _NEVER, None, 1),
     Rule('two crashes', 2, 2, _NEVER, None),
     Rule('two, retry at once', 2, 2, _NEVER, 0.005),
     Rule('two, retry later', 2, 2, _NEVER, 1.2 * SEPARATE_S),
     Rule('two, three if tied', 2, 3, _NEVER, 1.2 * SEPARATE_S),
     Rule('the same, three requests', 2, 3, 3, 1.2 * SEPARATE_S),
-    Rule('three crashes', 3, 3, _NEVER, 1.2 * SEPARATE_S),
+    Rule('the same, three if sound before', 2, 3, 3, 1.2 * SEPARATE_S, 3),
+    Rule('three crashes', 3, 3, _NEVER, 1.2 * SEPARATE_S, 3),
 )
 
 
@@ -211,6 +254,7 @@
     with contextlib.ExitStack() as patches:
         for name, number in (
             ('_MIN_CRASHES', rule.crashes),
+            ('_MIN_SOUND_CRASHES', max(rule.crashes, rule.sound_crashes)),
             ('_MIN_TIED_CRASHES', rule.tied_crashes),
             ('_MAX_TIED_REQUESTS', rule.tied_requests),
         ):
--- a/src/wasabicross/gateway/crashes/conviction_records.py
+++ b/src/wasabicross/gateway/crashes/conviction_records.py
@@ -7,7 +7,8 @@
     StoredConvictions,
     StoredCrash,
 )
-from wasabicross.gateway.crashes.crash_evidence import Crash, CrashEvidence
+from wasabicross.gateway.crashes.crash import Crash
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 
 
 def stored_convictions(
--- a/src/wasabicross/gateway/crashes/crash_evidence.py
+++ b/src/wasabicross/gateway/crashes/crash_evidence.py
@@ -14,7 +14,6 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from wasabicross.gateway.conviction_records import (
     MAX_ACQUITTED,
@@ -22,6 +21,7 @@
     MAX_CRASHES,
     CrashKey,
 )
+from wasabicross.gateway.crashes.crash import Crash, by_weight
 from wasabicross.gateway.crashes.request_digest import is_request_digest
 
 #: Most causes that are remembered as sound.
@@ -38,6 +38,10 @@
 #: Number of separate crashes that convict a cause.
 _MIN_CRASHES = 2
 
+#: The same for a whole request that has run soundly before: one that is deadly
+#: hasn't, and servers may be killed one after the other under a look-up.
+_MIN_SOUND_CRASHES = 3
+
 #: Number of separate crashes that convict a whole request although others that
 #: haven't run soundly since were involved in all of them, and the most requests
 #: that are convicted so. If there are more, their servers fail by themselves.
@@ -59,18 +63,6 @@
 _TRIAL_S = 10.0
 
 
-class Crash(NamedTuple):
-    """A crash of a server, and its possible causes.
-
-    :param at_s: time of the crash, monotonic seconds.
-    :param causes: those of the requests that it may just have begun.
-    """
-
-    key: CrashKey
-    at_s: float
-    causes: frozenset[str]
-
-
 class Verdict(enum.Enum):
     """Whether a request may be sent to a server.
 
@@ -83,14 +75,6 @@
     refused = 'refused'
 
 
-def by_weight(causes: Iterable[str]) -> list[str]:
-    """Return causes with whole requests first, which are kept before parts.
-
-    :param causes: possible causes of one crash.
-    """
-    return sorted(causes, key=lambda each: (not is_request_digest(each), each))
-
-
 class CrashEvidence:
     """The crashes of servers and what may cause them.
 
@@ -180,22 +164,31 @@
         return new
 
     def clear(self, causes: Iterable[str], at_s: float) -> tuple[str, ...]:
-        """Record a sound run; return the causes that it clears.
+        """Record a sound run; return the causes for which that is news.
+
+        These are the ones that have crashes against them, if the run clears some
+        or is the first sound one that is known.
 
         :param causes: the causes of the request that ran.
         :param at_s: time at which its answer had gone on for a while or was
             complete, monotonic seconds.
         """
         sound_s = self._sound_s
+        suspects = [each for each in causes if each in self._crashes_of]
+        convicted = set(filter(self._is_convicted, suspects))
+        first = {each for each in suspects if each not in sound_s}
         for each in causes:
             known_s = sound_s.get(each, at_s)
             sound_s[each] = at_s if at_s > known_s else known_s
             sound_s.move_to_end(each)
         while len(sound_s) > _MAX_SOUND:
             sound_s.popitem(last=False)
-        if not self._crashes_of:
-            return ()
-        return tuple(cause for cause in causes if self._discard(cause))
+        return tuple(
+            cause
+            for cause in suspects
+            if self._discard(cause, was_convicted=cause in convicted)
+            or (cause in first and is_request_digest(cause))
+        )
 
     def sound_at(self, causes: Iterable[str], at_s: float) -> dict[str, float]:
         """Return the causes against which a crash doesn't count, as they ran.
@@ -211,6 +204,18 @@
             if at_s <= sound_s + _SOUND_S
         }
 
+    def ran_before(self, causes: Iterable[str]) -> dict[str, float]:
+        """Return the whole requests that have run soundly, however long ago.
+
+        :param causes: possible causes of a crash.
+        :return: when each of them last ran soundly, monotonic seconds.
+        """
+        return {
+            cause: self._sound_s[cause]
+            for cause in causes
+            if cause in self._sound_s and is_request_digest(cause)
+        }
+
     def suspects(self) -> frozenset[str]:
         """Return the causes against which crashes count."""
         return frozenset(self._crashes_of)
@@ -250,7 +255,7 @@
 
         :param cause: a convicted cause.
         """
-        further = self.crashes_of(cause) - _MIN_CRASHES
+        further = self.crashes_of(cause) - self._min_crashes(cause)
         lasts_s = _FIRST_CONVICTION_S * math.pow(_LENGTHENING, further)
         lasts_s = min(_MAX_CONVICTION_S, lasts_s)
         return max(self._crashes_of[cause].values()) + lasts_s * self._stretch
@@ -258,7 +263,13 @@
     def _is_convicted(self, cause: str) -> bool:
         if len(self._crashes_of.get(cause, ())) < _MIN_CRASHES:
             return False
-        return self.crashes_of(cause) >= _MIN_CRASHES
+        return self.crashes_of(cause) >= self._min_crashes(cause)
+
+    def _min_crashes(self, cause: str) -> int:
+        """Return the number of separate crashes that convict a cause."""
+        if cause in self._sound_s and is_request_digest(cause):
+            return _MIN_SOUND_CRASHES
+        return _MIN_CRASHES
 
     def _is_told_apart(self, cause: str, causes: tuple[str, ...]) -> bool:
         """Return whether no cause beside those of a request is to blame."""
@@ -277,12 +288,12 @@
             *(self._crashes[key].causes for key in self._crashes_of[cause])
         )
 
-    def _discard(self, cause: str) -> bool:
+    def _discard(self, cause: str, *, was_convicted: bool) -> bool:
         """Discard the crashes before a sound run; return whether there were."""
         crashes = self._crashes_of.get(cause)
         if not crashes:
             return False
-        if self._is_convicted(cause):
+        if was_convicted:
             self._acquit(cause)
         until_s = self._sound_s[cause] + _SOUND_S
         gone = [key for key, at_s in crashes.items() if at_s <= until_s]
--- a/src/wasabicross/gateway/crashes/crash_sharing.py
+++ b/src/wasabicross/gateway/crashes/crash_sharing.py
@@ -14,11 +14,8 @@
 )
 from wasabicross.gateway.crash_messages import PartsCleared, ServerCrash
 from wasabicross.gateway.crashes.conviction_records import take_convictions
-from wasabicross.gateway.crashes.crash_evidence import (
-    Crash,
-    CrashEvidence,
-    by_weight,
-)
+from wasabicross.gateway.crashes.crash import Crash, by_weight
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence
 from wasabicross.gateway.crashes.crash_log import Findings, log_changes
 
 _MS_PER_S = 1000
@@ -67,6 +64,7 @@
             new = self.evidence.add(crash, at_s)
         if new:
             self._send(_crash_message(crash._replace(causes=new), at_s))
+            self._tell_ran_before(new, at_s)
 
     def report_sound(self, causes: tuple[str, ...]) -> None:
         """Record that an answer has gone on for a while or was complete.
@@ -120,8 +118,16 @@
         for cause, sound_s in sound.items():
             age_ms = int((now_s() - sound_s) * _MS_PER_S)
             self._send(PartsCleared(max(0, age_ms), (cause,)))
+        self._tell_ran_before(new, now_s())
         return bool(new)
 
+    def _tell_ran_before(self, causes: frozenset[str], at_s: float) -> None:
+        """Tell others which requests in a crash have run soundly before it."""
+        ran = self.evidence.ran_before(causes)
+        if ran:
+            age_ms = int((at_s - min(ran.values())) * _MS_PER_S)
+            self._send(PartsCleared(max(0, age_ms), tuple(ran)))
+
     @contextlib.contextmanager
     def _following(self) -> Iterator[None]:
         """Log what changes meanwhile, and tell what is convicted then."""
--- a/src/wasabicross/gateway/crashes/crash_watch.py
+++ b/src/wasabicross/gateway/crashes/crash_watch.py
@@ -12,17 +12,14 @@
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.conviction_records import CrashKey
+from wasabicross.gateway.crashes.crash import Crash
 from wasabicross.gateway.crashes.crash_checks import (
     RETRY_PAUSE_S,
     CrashCheck,
     CrashChecks,
     Suspect,
 )
-from wasabicross.gateway.crashes.crash_evidence import (
-    Crash,
-    CrashEvidence,
-    Verdict,
-)
+from wasabicross.gateway.crashes.crash_evidence import CrashEvidence, Verdict
 from wasabicross.gateway.crashes.crash_sharing import CrashSharing
 from wasabicross.gateway.crashes.request_guard import RequestGuard
 from wasabicross.gateway.crashes.server_probes import is_accepted, is_refused
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -247,3 +247,30 @@
     )
     assert len(evidence._sound_s) <= crash_evidence._MAX_SOUND
     assert evidence.convicted() == {DEADLY}
+
+
+#: A look-up, which ran soundly a while before two servers were killed under it.
+LOOK_UP = f'request/{7:032x}'
+KILLED = (crash(1, 5.0, LOOK_UP), crash(2, 5.5, LOOK_UP))
+RAN = (0.9, (LOOK_UP,))
+
+
+@pytest.mark.parametrize('steps', itertools.permutations((RAN, *KILLED)))
+def test_a_look_up_that_ran_soundly_survives_two_servers_killed_under_it(steps):
+    """All its copies would be refused for over a minute."""
+    assert not is_refused(evidence_of(*steps), LOOK_UP)
+
+
+def test_a_request_that_turned_deadly_ends_three_servers_at_most():
+    evidence = evidence_of(RAN, *KILLED, crash(3, 6.2, LOOK_UP))
+    assert is_refused(evidence, LOOK_UP)
+    assert is_refused(evidence, LOOK_UP, now_s=6.2 + 59)
+
+
+def test_a_request_that_never_ran_soundly_ends_two_servers():
+    assert is_refused(evidence_of(*KILLED), LOOK_UP)
+
+
+def test_a_conviction_after_three_crashes_lasts_no_longer_than_one_after_two():
+    evidence = evidence_of(RAN, *KILLED, crash(3, 6.2, LOOK_UP))
+    assert not is_refused(evidence, LOOK_UP, now_s=6.2 + 121)
--- a/tests/test_gateway_crash_sharing.py
+++ b/tests/test_gateway_crash_sharing.py
@@ -24,6 +24,7 @@
 
 HOST = '127.0.0.1'
 DEADLY, ANNE = 'd4', 'a1'
+LOOK_UP = f'request/{7:032x}'
 
 
 class NoEngines:
@@ -176,6 +177,44 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('found_by', [1, 2])
+def test_a_look_up_that_ran_at_one_gateway_is_convicted_later_at_all(found_by):
+    """Its copies were refused at those that hadn't run it."""
+
+    async def scenario(*peers):
+        owner, second, third = peers
+
+        async def counted(crashes):
+            for each in peers:
+                await until(
+                    lambda: each.evidence.crashes_of(LOOK_UP) == crashes  # noqa: B023
+                )
+
+        async with owner.owning(), second.linked(), third.linked():
+            second.evidence.clear((LOOK_UP,), now_s() - 30)
+            peers[found_by].report(1, LOOK_UP, age_s=2)
+            peers[found_by].report(2, LOOK_UP, age_s=1)
+            await counted(2)
+            for each in peers:
+                await until(lambda: not each.evidence.convicted())  # noqa: B023
+            peers[found_by].report(3, LOOK_UP)
+            for each in peers:
+                await until(each.evidence.convicted)
+
+    run(scenario)
+
+
+def test_a_run_long_before_a_crash_is_told_once(recorded):
+    """Gateways would tell it round and round."""
+    sharing, sent = recorded
+    crash = ServerCrash('s1', 5, 1000, (LOOK_UP,))
+    told = PartsCleared(30_000, (LOOK_UP,))
+    for _ in range(3):
+        sharing.on_message(crash)
+        sharing.on_message(told)
+    assert sent == [crash, told]
+
+
 @pytest.fixture
 def recorded():
     """Return a gateway's sharing and the messages that it sends."""
