--- a/tests/test_take_ups.py
+++ b/tests/test_take_ups.py
@@ -8,14 +8,8 @@
 import time
 
 import pytest
-from take_up_parts import (
-    AT_ONCE_S,
-    LAST,
-    MAX_ALONE_S,
-    MAX_BESIDE_S,
-    Deployment,
-    Engines,
-)
+from take_up_engines import LAST, Engines
+from take_up_parts import AT_ONCE_S, MAX_ALONE_S, MAX_BESIDE_S, Deployment
 
 from emulator.waiting import wait_until
 
@@ -284,11 +278,10 @@
         deployment.engines.call(restarted.start_again('v2'))
         if knowing != 'neither':
             deployment.put(f'servers/{restarted.name}', restarted.entry())
-            gateway = {'first': 'first', 'second': 'second'}[knowing]
             wait_until(
-                lambda: deployment.reaches(gateway, service, 'v2', restarted),
+                lambda: deployment.reaches(knowing, service, 'v2', restarted),
                 5,
-                f'{gateway} hears of the restart',
+                f'{knowing} hears of the restart',
             )
         yield
     finally:
