--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -20,7 +20,7 @@
 - ``{"kind": "renew", "quiet_s": S}``: the server is as after a restart under its
   id and address as the other software version, with the adapters that it had; its
   first heartbeat comes S seconds later;
-- ``{"kind": "break_off"}``: all connections end.
+- ``{"kind": "break_off"}``: all connections are reset.
 
 Its process ends as soon as it runs a request whose path has a part that begins
 with `deadly`. Some requests, chosen by their ids, get an answer with neither a
@@ -129,7 +129,7 @@
             self._life = self._life.after_restart(document['quiet_s'])
             self.server.reset_others(responder)
         elif document['kind'] == 'break_off':
-            self.server.reset_others(responder)
+            self.server.send_resets(responder)
         else:
             self._life.set_from(document, self._faults)
 
--- a/emulator/stream_server.py
+++ b/emulator/stream_server.py
@@ -8,6 +8,8 @@
 import contextlib
 import json
 import signal
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -108,6 +110,14 @@
         """Close the connection at once, discarding unsent data."""
         self._writer.transport.abort()
 
+    def send_reset(self) -> None:
+        """Close the connection so that the peer doesn't see an orderly end."""
+        sock = self._writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.reset()
+
     def send_json(
         self,
         status: int,
@@ -225,6 +235,11 @@
         for other in self._open_responders - {responder}:
             other.reset()
 
+    def send_resets(self, responder: Responder) -> None:
+        """Reset every open connection but that of one responder."""
+        for other in self._open_responders - {responder}:
+            other.send_reset()
+
     async def _serve_connection(
         self,
         reader: asyncio.StreamReader,
--- a/tests/test_soak_backend.py
+++ b/tests/test_soak_backend.py
@@ -182,3 +182,12 @@
     assert after['models'] == before['models']
     with closing(send_run(server.port, UNFRAMED)) as conn:
         assert software_in(read_until(conn)) == {'s1'}
+
+
+def test_connections_that_break_off_do_not_end_in_order(server):
+    """An orderly end would end an unframed answer, so it'd count as whole."""
+    with closing(send_run(server.port, UNFRAMED)) as conn:
+        read_until(conn, b'\r\n\r\n')
+        fetch(server.port, '/fault', json.dumps({'kind': 'break_off'}))
+        with pytest.raises(ConnectionResetError):
+            read_until(conn)
