Let a version have begun streams until its last server is gone

Callers saw a stream go on at another software version: a gateway out of touch for 2.5 to 5 s begins it at a server of v1 that leaves, by buckets that have moved at once; it breaks off and is taken up at a gateway in touch, which reckons that streams so late began at v2. Cause: buckets that moved at once were taken to be out of use everywhere after 2.5 s, but servers that leave take what a late gateway sends. Class: the end of a record taken for the end of what was done by it. Change: each gateway notes when servers of a version were last listed; a version without buckets may have begun streams of its former ones until 2.5 s after that. Such streams are remembered, so callers get a refusal only where the memory is lost.

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -35,6 +35,7 @@
         self.restored_s = -math.inf
         #: Set while a take-up waits for an answer of the store.
         self.is_confirmation_wanted = asyncio.Event()
+        self._last_listed_s: dict[tuple[str, str], float] = {}
         self._records: dict[str, DivisionRecord] = {}
         self._positions: dict[str, int] = {}
 
@@ -47,6 +48,23 @@
         missing = DivisionRecord(None, position(era, 0))
         return self._records.get(service, missing)
 
+    def note_listed(self, service: str, version: str, now_s: float) -> None:
+        """Record that a server is listed, which may be leaving.
+
+        :param service: its service.
+        :param version: its software version.
+        :param now_s: the present time, monotonic seconds.
+        """
+        self._last_listed_s[service, version] = now_s
+
+    def last_listed_s(self, service: str, version: str) -> float:
+        """Return when a server was last listed, monotonic seconds.
+
+        :param service: its service.
+        :param version: its software version.
+        """
+        return self._last_listed_s.get((service, version), -math.inf)
+
     def is_restored(self, service: str, now_s: float) -> bool:
         """Return whether a later division may have been lost with the store.
 
--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -56,6 +56,14 @@
     buckets: Buckets
     ended_s: float
 
+    def versions_for(self, resumes: str) -> frozenset[str]:
+        """Return the software versions that may have begun a stream.
+
+        :param resumes: id of the caller's attempt that began it, empty if it
+            isn't known.
+        """
+        return _versions_for(self.buckets, resumes)
+
 
 class StreamDivision(NamedTuple):
     """The division of a service's streams among its software versions.
@@ -122,15 +130,11 @@
         :param is_confirmed: whether this division was in force after the
             stream had broken off.
         """
-        wanted = range(BUCKETS)
-        if resumes:
-            wanted = range(bucket_of(resumes), bucket_of(resumes) + 1)
-        return frozenset(
-            buckets[number]
-            for buckets in self._possible_buckets(
-                since_s, now_s, is_confirmed=is_confirmed
-            )
-            for number in wanted
+        possible = self._possible_buckets(
+            since_s, now_s, is_confirmed=is_confirmed
+        )
+        return frozenset().union(
+            *(_versions_for(buckets, resumes) for buckets in possible)
         )
 
     def _possible_buckets(
@@ -161,6 +165,12 @@
     return rendezvous_hash('stream', request_id)[0] % BUCKETS
 
 
+def _versions_for(buckets: Buckets, resumes: str) -> frozenset[str]:
+    if not resumes:
+        return frozenset(buckets)
+    return frozenset((buckets[bucket_of(resumes)],))
+
+
 def first_division(versions: Iterable[str], now_s: float) -> StreamDivision:
     """Return the division of a service that has none yet.
 
--- a/src/wasabicross/gateway/streams/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -83,6 +83,7 @@
         """Write the divisions that are due."""
         cfg = self._view.configuration
         self._log_taken()
+        self._note_listed()
         if cfg is None or self._is_outdated(now_s()):
             return
         limits_s = resumable_limits_s(cfg)
@@ -189,6 +190,14 @@
             StreamDivisionUpdate(service, stored, revision), now_s()
         )
 
+    def _note_listed(self) -> None:
+        """Record which versions servers have at present."""
+        at_s = now_s()
+        for server in self._view.servers.values():
+            self._view.divisions.note_listed(
+                server.service, server.software_version, at_s
+            )
+
     def _log_taken(self) -> None:
         """Log the divisions that have changed since the last check."""
         for service, division in self._view.divisions.items():
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -185,7 +185,26 @@
             now_s,
             is_confirmed=self._is_confirmed(division, asked_s),
         )
-        return self._by_division(service, possible, since_s, asked_s)
+        former = self._versions_that_left(service, info.resumes, since_s)
+        return self._by_division(service, possible | former, since_s, asked_s)
+
+    def _versions_that_left(
+        self, service: str, resumes: str, since_s: float
+    ) -> frozenset[str]:
+        """Return the versions whose last servers may have begun a stream.
+
+        Their buckets have moved at once, but gateways that don't know it send
+        new streams to servers that leave.
+        """
+        divisions = self._view.divisions
+        division = divisions[service]
+        return frozenset(
+            version
+            for each in division.former
+            for version in each.versions_for(resumes)
+            if version not in division.buckets
+            and divisions.last_listed_s(service, version) + SPREAD_S >= since_s
+        )
 
     def _by_division(
         self,
