Keep the record of a division as gateways of the landing before write it

A test alone: the bytes that writes (checked with its code) are those of this code, and are read as the same division.

--- a/tests/test_gateway_division_records.py
+++ b/tests/test_gateway_division_records.py
@@ -353,3 +353,20 @@
     stored = stored_division(StreamDivision(1, ('v1',) * BUCKETS), 10, era)
     document = json.loads(encode_division('llm', stored))
     assert decode_division(division_key('llm'), document) == ('llm', stored)
+
+
+#: What a gateway of 510d58a writes of FULL at 100 s, in era 3.
+WRITTEN_BY_510D58A = (
+    b'{"service": "llm", "number": 5, "versions": ["v1", "v2", "v3"], '
+    b'"buckets": "%b%b", "announced": "%b", "age": 2.0, '
+    b'"former": [{"buckets": "%b", "age": 30.0}, '
+    b'{"buckets": "%b", "age": 60.0}], "time_limit": 30.5, "era": 3}'
+) % (b'00' * 16, b'01' * 16, b'01' * 32, b'00' * 32, b'02' * 32)
+
+
+def test_record_stays_that_of_gateways_of_the_landing_before():
+    """They run beside this version during an upgrade."""
+    stored = stored_division(FULL, 100, era=3)
+    assert encode_division('llm', stored) == WRITTEN_BY_510D58A
+    read = decode_division(division_key('llm'), json.loads(WRITTEN_BY_510D58A))
+    assert read == ('llm', stored)
