Ask gateways at once for a stream that the store can't tell the version of

Cause: a take-up waited for the store also where several versions are possible whatever it answers. Evidence: a row of test_gateway_take_up_confirmation failed before. Change: it waits only if the division leaves one version.

--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -231,7 +231,7 @@
                 return TakeUp(None, Knowledge.version_unknown, versions)
             if asked_s < view.restored_s + REWRITE_S:
                 return TakeUp(None, Knowledge.too_old)
-            if view.confirmed_s < asked_s:
+            if view.confirmed_s < asked_s and len(possible) == 1:
                 # Buckets may have moved at once, and the stream begun since.
                 return TakeUp(None, Knowledge.too_old, possible)
         return _known(possible, Knowledge.division)
--- a/tests/test_gateway_take_up_confirmation.py
+++ b/tests/test_gateway_take_up_confirmation.py
@@ -8,7 +8,11 @@
 from version_parts import take_up as take_up_request
 
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.stream_divisions import StreamDivision, next_division
+from wasabicross.gateway.stream_divisions import (
+    FormerBuckets,
+    StreamDivision,
+    next_division,
+)
 from wasabicross.gateway.streams import stream_versions
 from wasabicross.gateway.streams.stream_versions import (
     Knowledge,
@@ -21,6 +25,11 @@
 #: The stream begins at v2, breaks off, and its caller comes back.
 ASKED_S = 100.4
 
+NEW = ('v2',) * 32
+
+#: The stream may have begun before its bucket moved.
+RECENT = StreamDivision(3, HALF, former=(FormerBuckets(NEW, 99.0),))
+
 
 def behind(age_s, division, versions=('v1', 'v2')):
     """Return a view that knows the store as of some seconds ago."""
@@ -54,9 +63,10 @@
         (StreamDivision(1, OLD, HALF), ('v1',), 0.1, Knowledge.too_old),
         (StreamDivision(1, OLD), ('v1', 'v1'), 4.9, Knowledge.division),
         (None, ('v1', 'v1'), 4.9, Knowledge.only_version),
+        (RECENT, ('v1', 'v2'), 0.1, Knowledge.version_unknown),
     ],
 )
-def test_services_with_one_version_wait_for_no_confirmation(
+def test_take_ups_wait_only_where_the_store_may_tell_the_version(
     division, versions, age_s, known_by
 ):
     streams = StreamVersions(behind(age_s, division, versions))
