Test that a lost division stays known when its number is given to other buckets

A test alone, passing on the code before it: a gateway that alone knows a lost division is cut off while another one writes the same number with other buckets; both keep the lost ones in mind as former once it is back.

--- a/tests/test_gateway_division_keeper.py
+++ b/tests/test_gateway_division_keeper.py
@@ -521,3 +521,36 @@
         assert len(writes_of(store)) == 2
 
     virtual_time.run(scenario())
+
+
+def test_lost_division_whose_number_is_given_to_other_buckets_is_kept(store):
+    """The gateway that knows it is cut off while another writes the number."""
+
+    async def scenario():
+        async with running(store, 'a', 'b') as (a, b):
+            await until(lambda: a.division and b.division)
+            copied = store.copied()
+            b.client._client.is_cut = True
+            put_server(store, 'i-2', 'v2')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: a.division.buckets == NEW)
+            lost = a.division.number
+            a.client._client.is_cut = True
+            store.restore(copied)
+            b.client._client.is_cut = False
+            put_server(store, 'i-3', 'v3')
+            put_server(store, 'i-1', 'v1', state='draining')
+            await until(lambda: b.division.buckets == ('v3',) * BUCKETS)
+            assert b.division.number == lost
+            a.client._client.is_cut = False
+            await until(lambda: a.division.buckets == b.division.buckets, 6)
+            for each in (a, b):
+                await until(
+                    lambda each=each: (
+                        NEW
+                        in [former.buckets for former in each.division.former]
+                    ),
+                    6,
+                )
+
+    virtual_time.run(scenario())
