Give orders whose answers are tested time for a stall of the process

test_order[409 Conflict-OrderAnswer.conflict] is on the list of flaky tests: an order waits 0.06 s for its answer, and the machine was busy.

These tests are about what is sent and what a status means, so an order waits 5 s in them, as in the test of late answers beside them. That an order without an answer ends is still tested with 0.06 s.

--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -207,7 +207,8 @@
         (b'400 Bad Request', OrderAnswer.refused),
     ],
 )
-def test_order(status, expected):
+def test_order(monkeypatch, status, expected):
+    monkeypatch.setattr(engines, '_ORDER_TIMEOUT_S', 5)
     got, (seen,) = call_engine(
         lambda client, server: client.order(server, ORDER),
         json_answer({}, status),
@@ -242,7 +243,8 @@
     assert len(seen) == 2
 
 
-def test_order_of_a_base_model_names_no_adapter():
+def test_order_of_a_base_model_names_no_adapter(monkeypatch):
+    monkeypatch.setattr(engines, '_ORDER_TIMEOUT_S', 5)
     order = ORDER._replace(key=AdapterKey('m0', ''))
     _, (seen,) = call_engine(
         lambda client, server: client.order(server, order), json_answer({})
