Take no late answer of a former process for the word of the next one that it leaves

What callers saw: nothing went to a server for its whole life, since an answer of its former process said Server-Leaving and came after the next start was known. Cause: notices are filed under the latest known start, whenever their request was sent; found by the review. A server that leaves says so in all its answers, so only answers count whose request was sent after the start was known.

--- a/src/wasabicross/gateway/known_starts.py
+++ b/src/wasabicross/gateway/known_starts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
@@ -15,6 +16,9 @@
 
 _MS_PER_S = 1000
 
+#: Most servers of which it is remembered when their start became known.
+_MAX_SERVERS = 4096
+
 
 class FoundRestart(NamedTuple):
     """A later start of a server that this gateway has just learned of.
@@ -42,6 +46,8 @@
     def __init__(self, unix_s: Callable[[], float] = time.time) -> None:
         self._unix_s = unix_s
         self._later_ms: dict[str, int] = {}
+        #: When later starts became known, monotonic seconds.
+        self._found_s: dict[str, float] = {}
         self._followers: list[Follower] = []
 
     def follow(self, follower: Follower) -> None:
@@ -69,6 +75,13 @@
             return server._replace(is_leaving=False)
         return server
 
+    def known_since_s(self, server: BackendServer) -> float:
+        """Return since when the start that runs is known, monotonic seconds.
+
+        :param server: the server.
+        """
+        return self._found_s.get(server.server_id, -math.inf)
+
     def on_found(
         self, server: BackendServer, start_ms: int, now_s: float
     ) -> None:
@@ -109,6 +122,10 @@
     def _tell(
         self, former: Incarnation, latest: Incarnation, now_s: float
     ) -> None:
+        self._found_s.pop(latest.server_id, None)
+        self._found_s[latest.server_id] = now_s
+        if len(self._found_s) > _MAX_SERVERS:
+            self._found_s.pop(next(iter(self._found_s)))
         age_s = self._unix_s() - latest.start_ms / _MS_PER_S
         found = FoundRestart(former, latest, now_s - age_s)
         for follower in self._followers:
--- a/src/wasabicross/gateway/server_notices.py
+++ b/src/wasabicross/gateway/server_notices.py
@@ -72,17 +72,29 @@
         self.starts.follow(self._on_restart)
 
     def on_notice(
-        self, server: BackendServer, notice: ServerNotice, now_s: float
+        self,
+        server: BackendServer,
+        notice: ServerNotice,
+        now_s: float,
+        sent_s: float = math.inf,
     ) -> None:
         """Record the notice in a server's answer.
 
+        One that leaves says so in all its answers, so an answer that may be a
+        former process's doesn't count for that.
+
         :param server: the server that answered.
         :param notice: what its answer states.
         :param now_s: the present time, monotonic seconds.
+        :param sent_s: when its request was sent, monotonic seconds, infinite if
+            it was answered at once.
         """
         incarnation = self.starts.incarnation(server)
-        is_first = notice.is_leaving and incarnation not in self._leaving
-        if notice.is_leaving:
+        is_leaving = notice.is_leaving and sent_s >= self.starts.known_since_s(
+            server
+        )
+        is_first = is_leaving and incarnation not in self._leaving
+        if is_leaving:
             _store(self._leaving, incarnation, now_s)
         if is_first:
             log_event(Event.SERVER_LEAVING, server=server.server_id)
--- a/src/wasabicross/gateway/withheld_answers.py
+++ b/src/wasabicross/gateway/withheld_answers.py
@@ -55,7 +55,7 @@
         """
         notice = self._servers.dialect.notice(head)
         notices = self._servers.view.notices
-        notices.on_notice(placement.server, notice, now_s())
+        notices.on_notice(placement.server, notice, now_s(), sent_s)
         limits = self._record.limits = self._servers.dialect.limits(head)
         notices.limiter.on_answer(placement.server, limits, sent_s, now_s())
 
--- a/tests/test_review_version_checks.py
+++ b/tests/test_review_version_checks.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import pytest
 from gateway_parts import ServerEntryUpdate, running_gateway
 from raw_caller import ask, request, status_of
 from scripted_server import answer
@@ -167,7 +168,10 @@
     assert sent.count('a') == 1
 
 
-def test_a_late_answer_of_a_former_process_does_not_have_the_next_one_leave():
+@pytest.mark.parametrize('known_by', ['owner', 'entry'])
+def test_a_late_answer_of_a_former_process_does_not_have_the_next_one_leave(
+    known_by,
+):
     """It would get nothing for its whole life."""
     leaving = answer(b'ok', extra=b'Server-Leaving: 1\r\n')
     benches = []
@@ -177,6 +181,8 @@
             if is_report(request):
                 return await super()._play(script, request, reader, writer)
             # The owner's word is read before the answer that was sent earlier.
+            if known_by == 'entry':
+                list_start(benches[0], LATER_MS)
             state = ServerState('i-0', LATER_MS, 0, 0, True, (), ('m0',))
             benches[0].gateway.view.on_state(state, now_s())
             writer.write(leaving.replace(b'{id}', b'plain'))
