Take a stall, a refused connection and a missing report for what they are when a start is asked

What callers saw: nothing shown by a test; read in the review. A gateway that stood still for two seconds counted sound servers as failed; a refused second connection counted as a silent process, so the request wasn't offered to other gateways; a new connection without a report as a server of another start.

--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -80,6 +80,12 @@
     """The process behind a connection gave no report."""
 
 
+class GatewayStalled(VersionUnproved):
+    """This process stood still while it asked for a start."""
+
+    may_be_connection = True
+
+
 class ProcessFormer(VersionUnproved):
     """The process behind a connection is a former one of its server."""
 
--- a/src/wasabicross/gateway/peer_forwarding/handover.py
+++ b/src/wasabicross/gateway/peer_forwarding/handover.py
@@ -11,12 +11,10 @@
 from wasabicross.gateway.peer_forwarding.reach import are_mostly_unreached
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH
 from wasabicross.gateway.progress import RequestProgress
+from wasabicross.gateway.stream_divisions import SPREAD_S
 from wasabicross.gateway.streams.stream_versions import VERSION_UNPROVED
 from wasabicross.gateway.view import FleetView
 
-#: Age of the knowledge of the store from which on others may know more.
-_MIN_OUT_OF_TOUCH_S = 1.5
-
 
 class Handover:
     """Hands one request over if this gateway reaches no server for it.
@@ -48,7 +46,7 @@
         if self._progress.may_run:
             return False
         if reason == VERSION_UNPROVED.reason:
-            return now_s - self._view.confirmed_s > _MIN_OUT_OF_TOUCH_S
+            return now_s - self._view.confirmed_s > SPREAD_S
         if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
             return True
         return are_mostly_unreached(self._view, service)
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -29,7 +29,6 @@
     AnswerBroken,
     AnswerMissing,
     EndUnproved,
-    ProcessFormer,
     ProcessSilent,
     ServerError,
     ServerUnreachable,
@@ -101,7 +100,6 @@
         """
         server = placement.server
         self._watched = self._servers.crashes.begin(server, self._context.info)
-        health = self._servers.view.health[server.server_id]
         runs_once = not self._route.is_idempotent
         with self._watched.under_way(self._close):
             try:
@@ -113,10 +111,7 @@
                     is_repeat=server.server_id in self._progress.refused_by,
                 )
             except ServerUnreachable as exc:
-                self.record.reason = str(exc)
-                health.on_unreachable(now_s())
-                self._progress.excluded.add(server.server_id)
-                self._progress.was_unreached = True
+                self._on_unreachable(server, exc)
                 return Ending.not_sent
             if self._watched.is_called_off:
                 self._servers.pool.release(server.host, server.port, conn)
@@ -156,6 +151,9 @@
             except VersionUnproved as exc:
                 self._on_unproved(placement.server, exc)
                 return Ending.not_sent
+            except ServerUnreachable as exc:
+                self._on_unreachable(placement.server, exc)
+                return Ending.not_sent
             self.record.reason = self._why_not_sent(placement.server)
             if self.record.reason:
                 return Ending.not_sent
@@ -187,6 +185,15 @@
         self.record.version_ground = self._proof.ground
         return conn
 
+    def _on_unreachable(
+        self, server: BackendServer, exc: ServerUnreachable
+    ) -> None:
+        """Record that no connection to the server could be made."""
+        self.record.reason = str(exc)
+        self._servers.view.health[server.server_id].on_unreachable(now_s())
+        self._progress.excluded.add(server.server_id)
+        self._progress.was_unreached = True
+
     def _on_unproved(self, server: BackendServer, exc: VersionUnproved) -> None:
         """Record that nothing shows which version runs, unless it was left."""
         self._close()
@@ -199,7 +206,7 @@
         self.record.reason = str(exc)
         server_id = server.server_id
         is_silent = isinstance(exc, ProcessSilent)
-        if is_silent or isinstance(exc, ProcessFormer):
+        if is_silent or exc.may_be_connection:
             self._servers.pool.drop_idle(server.host, server.port)
         # The fault may be the connection's; the listed process may accept another.
         may_be_conn = exc.may_be_connection or (is_silent and self._has_idled)
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -26,7 +26,7 @@
 
 #: Longest wait until the division in force is confirmed, the interval at which
 #: that is checked, and the one at which it is asked for again.
-_MAX_CONFIRMATION_S = 1.8
+_MAX_CONFIRMATION_S = 0.8
 _CONFIRMATION_CHECK_S = 0.01
 _CONFIRMATION_RETRY_S = 0.5
 
--- a/src/wasabicross/gateway/streams/version_checks.py
+++ b/src/wasabicross/gateway/streams/version_checks.py
@@ -9,9 +9,12 @@
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import ServerConnection
 from wasabicross.gateway.errors import (
+    AnswerMissing,
     DocumentUnreadable,
+    GatewayStalled,
     ProcessSilent,
     ServerError,
+    ServerUnreachable,
     VersionUnproved,
 )
 from wasabicross.gateway.orders import EngineClient
@@ -24,6 +27,9 @@
 #: may be silent for a second.
 _MAX_WAIT_S = 2.0
 
+#: Least delay of that wait's end that shows that this process stood still.
+_MIN_STALL_S = 0.1
+
 
 class VersionChecks:
     """Proves the software versions of the processes that streams are sent to.
@@ -60,6 +66,8 @@
         :param server: the server, as it was listed when it was chosen.
         :param conn: a connection to it, without a request under way.
         :raises ProcessSilent: the process gave no report.
+        :raises GatewayStalled: this process stood still while it asked.
+        :raises ServerUnreachable: no other connection could be made.
         """
         if conn.start_ms or not self._life.reports_start(server):
             return conn
@@ -68,8 +76,12 @@
             if not await self._engines.learn_start(server, conn, _MAX_WAIT_S):
                 conn.close()
                 conn = await self._connect_before_question(server)
+        except ServerUnreachable:
+            raise
         except (ServerError, DocumentUnreadable) as exc:
             conn.close()
+            if now_s() - asked_s > _MAX_WAIT_S + _MIN_STALL_S:
+                raise GatewayStalled(f'no start: {exc}') from exc
             raise ProcessSilent(f'no start: {exc}') from exc
         finally:
             metrics.START_QUESTION_SECONDS.observe(now_s() - asked_s)
@@ -114,6 +126,8 @@
         conn = await self._pool.connect(server.host, server.port)
         try:
             conn.start_ms = await self._life.start_after(server, now_s())
+            if not conn.start_ms:
+                raise AnswerMissing('no report after a new connection')
         except BaseException:
             conn.close()
             raise
