Keep in mind that a version began streams before it left and returned

Change: what is noted is when a server was listed though its version had no bucket, whatever the division says later.

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -49,16 +49,20 @@
         return self._records.get(service, missing)
 
     def note_listed(self, service: str, version: str, now_s: float) -> None:
-        """Record that a server is listed, which may be leaving.
+        """Record that a server is listed though its version has no bucket.
+
+        Mostly it leaves, and takes what late gateways send it.
 
         :param service: its service.
         :param version: its software version.
         :param now_s: the present time, monotonic seconds.
         """
-        self._last_listed_s[service, version] = now_s
+        division = self.get(service)
+        if division is not None and version not in division.buckets:
+            self._last_listed_s[service, version] = now_s
 
     def last_listed_s(self, service: str, version: str) -> float:
-        """Return when a server was last listed, monotonic seconds.
+        """Return when a server without buckets was last listed, monotonic seconds.
 
         :param service: its service.
         :param version: its software version.
--- a/src/wasabicross/gateway/streams/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -191,7 +191,7 @@
         )
 
     def _note_listed(self) -> None:
-        """Record which versions servers have at present."""
+        """Record which versions without buckets have servers at present."""
         at_s = now_s()
         for server in self._view.servers.values():
             self._view.divisions.note_listed(
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -202,8 +202,7 @@
             version
             for each in division.former
             for version in each.versions_for(resumes)
-            if version not in division.buckets
-            and divisions.last_listed_s(service, version) + SPREAD_S >= since_s
+            if divisions.last_listed_s(service, version) + SPREAD_S >= since_s
         )
 
     def _by_division(
--- a/tests/test_gateway_moves_at_once.py
+++ b/tests/test_gateway_moves_at_once.py
@@ -9,6 +9,7 @@
     NOW_S,
     ROUTE,
     History,
+    id_of,
     info_of,
     view_of,
 )
@@ -88,6 +89,18 @@
     assert found.known_by is known_by
 
 
+def test_version_that_returns_may_have_begun_streams_before_it_had_left():
+    """It has buckets again, also by the division that is known now."""
+    view = view_after_move(('v1', 'v2'), MOVED_S + 4)
+    half = (*OLD[:16], *('v2',) * 16)
+    returned = view.divisions['llm']._replace(number=5, buckets=half)
+    view.divisions['llm'] = returned
+    resumes = id_of(half, 'v2')
+    info = info_of(resumes, LIMIT_S - (NOW_S - MOVED_S - 4))
+    found = StreamVersions(view).for_take_up(ROUTE, info, NOW_S)
+    assert found.known_by is Knowledge.version_unknown
+
+
 def test_version_that_still_has_buckets_began_no_streams_of_others():
     """Its servers are listed all the time; the change was announced."""
     before = StreamDivision(1, OLD)
@@ -184,7 +197,7 @@
                 self.joined.append((self.now_s, request_id))
 
 
-@pytest.mark.parametrize('seed', [*range(20), 83])
+@pytest.mark.parametrize('seed', [*range(20), 83, 199, 286, 371])
 def test_no_history_with_servers_that_drain_joins_two_versions(seed):
     history = DrainingHistory(seed)
     history.play(150)
