--- a/tests/test_gateway_take_ups_after_kills.py
+++ b/tests/test_gateway_take_ups_after_kills.py
@@ -5,13 +5,15 @@
 
 import pytest
 import virtual_time
+from restorable_store import RestorableStore
 from test_gateway_division_keeper import (
+    CONFIGURATION_DOCUMENT,
     loop_s,
+    put,
     put_server,
     running,
     until,
 )
-from test_gateway_division_keeper import store as store
 from test_gateway_version_knowledge import ROUTE, info_of
 
 from wasabicross.gateway.store_following import prompted_calls, store_follower
@@ -34,6 +36,15 @@
         monkeypatch.setattr(module, 'clock_s', loop_s)
 
 
+@pytest.fixture
+def store():
+    """Return a store that has a configuration and a server of one version."""
+    fresh = RestorableStore()
+    put(fresh, 'op/config', CONFIGURATION_DOCUMENT)
+    put_server(fresh, 'i-1', 'v1')
+    return fresh
+
+
 async def take_up(machine, began_s, resumes):
     """Return whether a stream goes on, and how long its caller waits."""
     asked_s = loop_s()
