Give requests whose answers' heads are cut time for a stall of the process

test_a_cut_head_is_no_success[True-close-colon-/streaming/x], on the list of flaky tests, failed beside a pause of 2.1 s in its log where its route has 2 s.

The test is about what a cut head becomes, not about time limits, so its routes have 4 s, by PATIENT of gateway_parts.py (moved from test_gateway_takeover.py).

--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -215,6 +215,14 @@
     limits=LIMITS,
 )
 
+#: The same routes with time to spare, for tests that don't guard time limits.
+PATIENT = Configuration.from_parts(
+    version=2,
+    routes=tuple(each._replace(timeout_s=4) for each in CONFIGURATION.routes),
+    services=CONFIGURATION.services,
+    limits=LIMITS,
+)
+
 
 def server_entry(server_id, service, port, held=None, software_version=''):
     """Return the update with which the store lists a server."""
--- a/tests/test_gateway_cut_heads.py
+++ b/tests/test_gateway_cut_heads.py
@@ -4,7 +4,7 @@
 import itertools
 
 import pytest
-from gateway_parts import A1, SharedScriptsServer, running_gateway
+from gateway_parts import A1, PATIENT, SharedScriptsServer, running_gateway
 from raw_caller import ask, body_of, request, status_of
 from scripted_server import (
     STREAM_END,
@@ -74,7 +74,9 @@
             turns.insert(0, [whole_answer(path)])
         scripted = [SharedScriptsServer(turns) for _ in range(servers)]
         service = 'llm' if 'stream' in path else 'desk'
-        async with running_gateway(scripted, service=service) as bench:
+        async with running_gateway(
+            scripted, cfg=PATIENT, service=service
+        ) as bench:
             if kept:
                 before = await ask(bench.port, sent_to(path, 'r0'))
                 assert status_of(before) == 200
--- a/tests/test_gateway_takeover.py
+++ b/tests/test_gateway_takeover.py
@@ -10,6 +10,7 @@
     CONFIGURATION,
     LIMITS,
     OK,
+    PATIENT,
     route,
     running_gateway,
 )
@@ -71,14 +72,6 @@
 #: Longest time of an attempt; the scripts take up to 0.8 s.
 LONGEST_S = 1.5
 
-#: The usual routes with much time left after two servers have ended.
-PATIENT = Configuration.from_parts(
-    version=2,
-    routes=tuple(each._replace(timeout_s=4) for each in CONFIGURATION.routes),
-    services=CONFIGURATION.services,
-    limits=LIMITS,
-)
-
 
 class Outcome(NamedTuple):
     """What a caller and the gateway saw of a request."""
--- a/tests/test_gateway_takeover_refused.py
+++ b/tests/test_gateway_takeover_refused.py
@@ -3,13 +3,13 @@
 import asyncio
 
 import pytest
+from gateway_parts import PATIENT
 from raw_caller import status_of
 from scripted_server import FAILED, NOT_RUN
 from test_gateway_takeover import (
     BEGUN,
     CFG3,
     MISSING,
-    PATIENT,
     REST,
     SAFE,
     assert_is_whole,
