Take a process's own word on its start wherever starts are known

What callers saw: a pause, leaving or a limit of a former process kept requests from the next one, though that had told this gateway its start when a stream was to begin there.

--- a/src/wasabicross/gateway/streams/version_checks.py
+++ b/src/wasabicross/gateway/streams/version_checks.py
@@ -99,6 +99,7 @@
         """
         # The entry may have come while the process was asked.
         server = self._view.servers.get(server.server_id, server)
+        self._view.notices.starts.on_found(server, conn.start_ms, now_s)
         try:
             return VersionProof(
                 server, conn, names_start=self._life.reports_start(server)
