--- a/src/wasabicross/gateway/peer_forwarding/handover.py
+++ b/src/wasabicross/gateway/peer_forwarding/handover.py
@@ -12,7 +12,7 @@
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.stream_divisions import SPREAD_S
-from wasabicross.gateway.streams.stream_versions import VERSION_UNPROVED
+from wasabicross.gateway.streams.take_ups import VERSION_UNPROVED
 from wasabicross.gateway.view import FleetView
 
 
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -45,7 +45,7 @@
 from wasabicross.gateway.server_attempts import ServerAttempt
 from wasabicross.gateway.silence_watch import OnAccepted, Replacements
 from wasabicross.gateway.streams.stream_request import StreamRequest
-from wasabicross.gateway.streams.stream_versions import service_of
+from wasabicross.gateway.streams.take_ups import service_of
 from wasabicross.gateway.time_limits import EndableTimeLimit
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/src/wasabicross/gateway/request_placement.py
+++ b/src/wasabicross/gateway/request_placement.py
@@ -13,7 +13,7 @@
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.retrying_placer import Placement, RetryingPlacer
 from wasabicross.gateway.streams.stream_request import StreamRequest
-from wasabicross.gateway.streams.stream_versions import (
+from wasabicross.gateway.streams.take_ups import (
     LASTING_REFUSALS,
     NO_SERVER_OF_VERSION,
     VERSION_UNPROVED,
--- a/src/wasabicross/gateway/streams/stream_request.py
+++ b/src/wasabicross/gateway/streams/stream_request.py
@@ -7,11 +7,11 @@
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.progress import RequestProgress
-from wasabicross.gateway.streams.stream_versions import (
+from wasabicross.gateway.streams.stream_versions import StreamVersions
+from wasabicross.gateway.streams.take_ups import (
     NO_SERVER_OF_VERSION,
     TAKE_UP_REFUSALS,
     Knowledge,
-    StreamVersions,
     TakeUp,
     is_take_up,
     service_of,
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import math
 from collections.abc import Iterator
-from typing import NamedTuple
 
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s as clock_s
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
-from wasabicross.gateway.placement import NoServer
 from wasabicross.gateway.stream_divisions import (
     MAX_KNOWLEDGE_AGE_S,
     REWRITE_S,
@@ -21,6 +18,15 @@
     former_lapse_s,
 )
 from wasabicross.gateway.streams.stream_memory import StreamMemory
+from wasabicross.gateway.streams.take_ups import (
+    Knowledge,
+    TakeUp,
+    is_take_up,
+    longest_wait_s,
+    service_of,
+    take_up_of,
+    with_memory,
+)
 from wasabicross.gateway.version_proof import VersionProof
 from wasabicross.gateway.view import FleetView
 
@@ -35,70 +41,6 @@
 _CHANGED = 'server changed'
 _OTHER_VERSION = 'other software version'
 
-#: Why a stream can't go on whose version has left; nothing that its caller does
-#: soon will change that.
-NO_SERVER_OF_VERSION = NoServer('no server of its version', retry_after_s=60.0)
-
-
-class Knowledge(enum.Enum):
-    """How the software version of an interrupted stream is known.
-
-    `division`: by the division of streams among versions. `only_version`: its
-    service has no other. `memory`: a gateway remembers what began it.
-    `version_unknown`: several versions may have begun it. `too_old`: others may
-    know of a version that this gateway doesn't, as the store hasn't confirmed
-    the division since the take-up was asked for.
-    """
-
-    division = 'division'
-    only_version = 'only version'
-    memory = 'memory'
-    version_unknown = 'version unknown'
-    too_old = 'knowledge too old'
-
-
-#: Why a stream isn't sent to any server: the entries of those that could run it
-#: are of former starts.
-VERSION_UNPROVED = NoServer('version unproved', retry_after_s=1.0)
-
-#: Why a stream isn't taken up, by what is known of its version.
-TAKE_UP_REFUSALS = {
-    Knowledge.version_unknown: NoServer(
-        Knowledge.version_unknown.value, retry_after_s=60.0
-    ),
-    Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
-}
-
-#: Why a stream isn't sent; other requests have no influence on that.
-LASTING_REFUSALS = (
-    NO_SERVER_OF_VERSION,
-    VERSION_UNPROVED,
-    *TAKE_UP_REFUSALS.values(),
-)
-
-
-class TakeUp(NamedTuple):
-    """What is known of an interrupted stream that a caller takes up again.
-
-    :param version: the software version that began it, None if not known.
-    :param known_by: how it is known, or why it isn't.
-    :param possible: all versions that may have begun it.
-    """
-
-    version: str | None
-    known_by: Knowledge
-    possible: frozenset[str] = frozenset()
-
-    @property
-    def refusal(self) -> NoServer | None:
-        """Return why the stream can't go on, None if it can."""
-        return TAKE_UP_REFUSALS.get(self.known_by)
-
-    @property
-    def is_unconfirmed(self) -> bool:
-        """Return whether the store's next answer tells the version."""
-        return self.known_by is Knowledge.too_old and bool(self.possible)
-
 
 class StreamVersions:
     """Tells at which software version resumable streams begin and go on.
@@ -170,13 +112,13 @@
         service = service_of(route, info)
         division = self._view.divisions.get(service)
         if division is None:
-            return _known(
+            return take_up_of(
                 listed_versions(self._view, service), Knowledge.only_version
             )
         longest_s = self._view.divisions.route_limits.longest_s(
             route.name, division.time_limit_s, now_s
         )
-        since_s = asked_s - _longest_wait_s(
+        since_s = asked_s - longest_wait_s(
             longest_s, division, route, info.time_left_s
         )
         possible = division.possible_versions(
@@ -233,7 +175,7 @@
             if view.confirmed_s < asked_s and len(possible) == 1:
                 # Buckets may have moved at once, and the stream begun since.
                 return TakeUp(None, Knowledge.too_old, possible)
-        return _known(possible, Knowledge.division)
+        return take_up_of(possible, Knowledge.division)
 
     def _may_be_lost(
         self, service: str, since_s: float, asked_s: float
@@ -397,43 +339,6 @@
     )
 
 
-def is_take_up(route: Route, info: RequestInfo) -> bool:
-    """Return whether a request takes up an interrupted stream.
-
-    :param route: its route.
-    :param info: what it states.
-    """
-    return route.is_resumable and bool(info.last_event_id)
-
-
-def service_of(route: Route, info: RequestInfo) -> str:
-    """Return the service of a request, for a take-up the one that began it.
-
-    :param route: its route.
-    :param info: what it states.
-    """
-    if info.resumes and is_take_up(route, info):
-        return route.service_for(info.resumes)
-    return route.service_for(info.request_id)
-
-
-def with_memory(take_up: TakeUp, remembered: str | None) -> TakeUp:
-    """Return what is known of a stream whose version the division didn't tell.
-
-    :param take_up: what is known without the memory.
-    :param remembered: the version that began it by the memory of a gateway,
-        None if none has it.
-    """
-    if remembered is None:
-        return take_up
-    is_recent = take_up.known_by is not Knowledge.too_old
-    if (
-        is_recent or take_up.is_unconfirmed
-    ) and remembered not in take_up.possible:
-        return take_up
-    return TakeUp(remembered, Knowledge.memory, take_up.possible)
-
-
 def why_unsuitable(
     view: FleetView, chosen: BackendServer, pinned: str | None
 ) -> str:
@@ -449,27 +354,3 @@
     if listed.software_version != chosen.software_version:
         return _CHANGED
     return '' if pinned in {None, chosen.software_version} else _OTHER_VERSION
-
-
-def _known(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
-    if len(possible) == 1:
-        return TakeUp(next(iter(possible)), known_by, possible)
-    return TakeUp(None, Knowledge.version_unknown, possible)
-
-
-def _longest_wait_s(
-    longest_s: float | None,
-    division: StreamDivision,
-    route: Route,
-    time_left_s: float | None,
-) -> float:
-    """Return how long at most a caller has been waiting, seconds.
-
-    :param longest_s: longest limit that callers of the route state, None if
-        it isn't known.
-    """
-    if time_left_s is None:
-        return math.inf
-    if longest_s is None:
-        longest_s = division.time_limit_s
-    return max(longest_s, route.timeout_s, time_left_s) - time_left_s
--- /dev/null
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -0,0 +1,146 @@
+"""What is known of interrupted streams that callers take up again."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import NamedTuple
+
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.dialect import RequestInfo
+from wasabicross.gateway.placement import NoServer
+from wasabicross.gateway.stream_divisions import StreamDivision
+
+#: Why a stream can't go on whose version has left; nothing that its caller does
+#: soon will change that.
+NO_SERVER_OF_VERSION = NoServer('no server of its version', retry_after_s=60.0)
+
+
+class Knowledge(enum.Enum):
+    """How the software version of an interrupted stream is known.
+
+    `division`: by the division of streams among versions. `only_version`: its
+    service has no other. `memory`: a gateway remembers what began it.
+    `version_unknown`: several versions may have begun it. `too_old`: others may
+    know of a version that this gateway doesn't, as the store hasn't confirmed
+    the division since the take-up was asked for.
+    """
+
+    division = 'division'
+    only_version = 'only version'
+    memory = 'memory'
+    version_unknown = 'version unknown'
+    too_old = 'knowledge too old'
+
+
+#: Why a stream isn't sent to any server: the entries of those that could run it
+#: are of former starts.
+VERSION_UNPROVED = NoServer('version unproved', retry_after_s=1.0)
+
+#: Why a stream isn't taken up, by what is known of its version.
+TAKE_UP_REFUSALS = {
+    Knowledge.version_unknown: NoServer(
+        Knowledge.version_unknown.value, retry_after_s=60.0
+    ),
+    Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
+}
+
+#: Why a stream isn't sent; other requests have no influence on that.
+LASTING_REFUSALS = (
+    NO_SERVER_OF_VERSION,
+    VERSION_UNPROVED,
+    *TAKE_UP_REFUSALS.values(),
+)
+
+
+class TakeUp(NamedTuple):
+    """What is known of an interrupted stream that a caller takes up again.
+
+    :param version: the software version that began it, None if not known.
+    :param known_by: how it is known, or why it isn't.
+    :param possible: all versions that may have begun it.
+    """
+
+    version: str | None
+    known_by: Knowledge
+    possible: frozenset[str] = frozenset()
+
+    @property
+    def refusal(self) -> NoServer | None:
+        """Return why the stream can't go on, None if it can."""
+        return TAKE_UP_REFUSALS.get(self.known_by)
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Return whether the store's next answer tells the version."""
+        return self.known_by is Knowledge.too_old and bool(self.possible)
+
+
+def is_take_up(route: Route, info: RequestInfo) -> bool:
+    """Return whether a request takes up an interrupted stream.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    return route.is_resumable and bool(info.last_event_id)
+
+
+def service_of(route: Route, info: RequestInfo) -> str:
+    """Return the service of a request, for a take-up the one that began it.
+
+    :param route: its route.
+    :param info: what it states.
+    """
+    if info.resumes and is_take_up(route, info):
+        return route.service_for(info.resumes)
+    return route.service_for(info.request_id)
+
+
+def with_memory(take_up: TakeUp, remembered: str | None) -> TakeUp:
+    """Return what is known of a stream whose version the division didn't tell.
+
+    :param take_up: what is known without the memory.
+    :param remembered: the version that began it by the memory of a gateway,
+        None if none has it.
+    """
+    if remembered is None:
+        return take_up
+    is_recent = take_up.known_by is not Knowledge.too_old
+    if (
+        is_recent or take_up.is_unconfirmed
+    ) and remembered not in take_up.possible:
+        return take_up
+    return TakeUp(remembered, Knowledge.memory, take_up.possible)
+
+
+def take_up_of(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
+    """Return what is known of a stream by the versions that may have begun it.
+
+    :param possible: these versions.
+    :param known_by: how they are known.
+    """
+    if len(possible) == 1:
+        return TakeUp(next(iter(possible)), known_by, possible)
+    return TakeUp(None, Knowledge.version_unknown, possible)
+
+
+def longest_wait_s(
+    longest_s: float | None,
+    division: StreamDivision,
+    route: Route,
+    time_left_s: float | None,
+) -> float:
+    """Return how long at most a caller has been waiting, seconds.
+
+    :param longest_s: longest limit that callers of the route state, None if
+        it isn't known.
+    :param division: the division of its service.
+    :param route: the route of its request.
+    :param time_left_s: how long the caller still waits, None if it doesn't state
+        that.
+    """
+    if time_left_s is None:
+        return math.inf
+    if longest_s is None:
+        longest_s = division.time_limit_s
+    return max(longest_s, route.timeout_s, time_left_s) - time_left_s
--- a/tests/test_gateway_begun_streams.py
+++ b/tests/test_gateway_begun_streams.py
@@ -31,11 +31,7 @@
     stream_digest,
 )
 from wasabicross.gateway.streams.stream_memory import StreamMemory
-from wasabicross.gateway.streams.stream_versions import (
-    Knowledge,
-    TakeUp,
-    with_memory,
-)
+from wasabicross.gateway.streams.take_ups import Knowledge, TakeUp, with_memory
 from wasabicross.gateway.view import FleetView
 from wasabicross.messaging.errors import MessageMalformed
 
--- a/tests/test_gateway_moves_at_once.py
+++ b/tests/test_gateway_moves_at_once.py
@@ -25,10 +25,8 @@
     next_division,
 )
 from wasabicross.gateway.streams.division_keeper import DivisionKeeper
-from wasabicross.gateway.streams.stream_versions import (
-    Knowledge,
-    StreamVersions,
-)
+from wasabicross.gateway.streams.stream_versions import StreamVersions
+from wasabicross.gateway.streams.take_ups import Knowledge
 
 MOVED_S = NOW_S - 10
 
--- a/tests/test_gateway_restored_divisions.py
+++ b/tests/test_gateway_restored_divisions.py
@@ -15,10 +15,8 @@
 )
 from wasabicross.gateway.streams.begun_streams import stream_digest
 from wasabicross.gateway.streams.stream_memory import StreamMemory
-from wasabicross.gateway.streams.stream_versions import (
-    Knowledge,
-    StreamVersions,
-)
+from wasabicross.gateway.streams.stream_versions import StreamVersions
+from wasabicross.gateway.streams.take_ups import Knowledge
 from wasabicross.gateway.view import FleetView
 
 NEW = ('v2',) * BUCKETS
--- a/tests/test_gateway_take_up_confirmation.py
+++ b/tests/test_gateway_take_up_confirmation.py
@@ -14,10 +14,8 @@
     next_division,
 )
 from wasabicross.gateway.streams import stream_versions
-from wasabicross.gateway.streams.stream_versions import (
-    Knowledge,
-    StreamVersions,
-)
+from wasabicross.gateway.streams.stream_versions import StreamVersions
+from wasabicross.gateway.streams.take_ups import Knowledge
 
 #: All servers of v1 begin to leave, so their buckets move at once.
 MOVED_S = 100.0
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -21,11 +21,10 @@
     without_lapsed,
 )
 from wasabicross.gateway.streams.stream_versions import (
-    Knowledge,
     StreamVersions,
-    service_of,
     why_unsuitable,
 )
+from wasabicross.gateway.streams.take_ups import Knowledge, service_of
 from wasabicross.gateway.view import FleetView
 
 ROUTE = CONFIGURATION.route_for('a.example', '/stream-resumable/x')
