Let the stand-in of a deployment in the soak's command test take options

Cause: passes has_links, which the stand-in didn't take; its rows with a broken promise passed only since the error's exit code is 1 too.

--- a/tests/test_soak_command.py
+++ b/tests/test_soak_command.py
@@ -16,7 +16,7 @@
     """The folder of a failed run of seed 7; later runs start no deployment."""
 
     class Deployment:
-        def __init__(self, *args):
+        def __init__(self, *args, **options):
             """Start nothing."""
 
         def start(self):
