Tell in the log which connection an attempt used, and which answers were skipped

Cause: by its log a refusal that a server gave couldn't be told from the copy of an earlier one: lines 8041 of one request didn't tell whether both attempts used one connection, and an answer that was skipped left no trace.

Change: 8041 has the number of the connection in the process and that of the request on it; event 8054 and a counter tell of answers to other requests where one was due.

Evidence: two tests in test_gateway_attempt_log; no decision has changed.

--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from collections.abc import AsyncIterator
 from typing import NamedTuple, TypeAlias
 
 import h11
 
+from wasabicross.gateway import metrics
 from wasabicross.gateway.connections.fair_turns import FairTurns
 from wasabicross.gateway.connections.http_heads import (
     Fields,
@@ -22,6 +24,8 @@
     BodyTooLong,
 )
 from wasabicross.gateway.time_limits import TimeLimit
+from wasabicross.runtime.events import Event
+from wasabicross.runtime.logs import log_event
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
@@ -47,9 +51,15 @@
 _MAX_FRAMING_BYTES = 1048576
 _MAX_FRAMING_PER_BYTE = 8
 
+#: Longest id of another request that is logged, in characters.
+_MAX_LOGGED_ID = 64
+
 #: Statuses of answers that have no body.
 _WITHOUT_BODY = (204, 304)
 
+#: Numbers the connections of this process, for its log.
+_serials = itertools.count(1)
+
 _NextEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -97,6 +107,9 @@
         self._writer = writer
         self._id_field = id_field
         self.connected_s = connected_s
+        #: Number of the connection in this process, and of requests sent on it.
+        self.serial = next(_serials)
+        self.sends = 0
         #: Start that the process at its other end has reported, Unix
         #: milliseconds, 0 if it hasn't.
         self.start_ms = 0
@@ -140,6 +153,7 @@
         """
         self._reader.on_unsolicited = None
         self._received_bytes = 0
+        self.sends += 1
         self._writer.write(self._encode(self._codec, req))
 
     async def read_head(self, req: ServerRequest) -> AnswerHead:
@@ -161,6 +175,7 @@
             if not answer_id:
                 self._check_is_new()
                 return _head_of(response, req.method)
+            self._record_skipped(request_id, answer_id, response)
             await self._skip_answer(req)
         raise AnswerMissing(
             f'over {_MAX_SKIPPED_ANSWERS} answers to other requests'
@@ -283,6 +298,19 @@
             return 'connection ended'
         return str(exc)
 
+    def _record_skipped(
+        self, request_id: str, answer_id: str, response: h11.Response
+    ) -> None:
+        metrics.SKIPPED_ANSWERS.inc()
+        log_event(
+            Event.ANSWER_SKIPPED,
+            request=request_id,
+            answers=answer_id[:_MAX_LOGGED_ID],
+            status=response.status_code,
+            connection=self.serial,
+            connection_sends=self.sends,
+        )
+
     async def _skip_answer(self, req: ServerRequest) -> None:
         """Skip an answer that belongs to another request."""
         try:
--- a/src/wasabicross/gateway/metrics.py
+++ b/src/wasabicross/gateway/metrics.py
@@ -56,6 +56,10 @@
     'Answers withheld from callers, as they might have repeated a run.',
     ('service', 'status'),
 )
+SKIPPED_ANSWERS = Counter(
+    'wasabicross_gateway_skipped_answers',
+    'Answers to other requests than the one whose answer was due.',
+)
 FORWARDED = Counter(
     'wasabicross_gateway_forwarded',
     'Attempts at other gateways for requests without a server in reach.',
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -41,6 +41,9 @@
         #: Status of the answer, 0 for none, and why it is missing or incomplete.
         self.status = 0
         self.reason = ''
+        #: Number of its connection in this process, and of the request on it.
+        self.connection = 0
+        self.connection_sends = 0
         #: Seconds until the answer began, and the prompt tokens that the server
         #: had to prefill before.
         self.first_s: float = 0
--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -131,6 +131,8 @@
             else '',
             unread_tokens=record.unread_tokens,
             configuration=self.configuration_version,
+            connection=record.connection,
+            connection_sends=record.connection_sends,
             first_s=round(record.first_s, 3),
             took_s=round(now_s - started_s, 3),
             pause_s=round(record.longest_pause_s, 3),
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -271,6 +271,8 @@
         self.record.unread_tokens = prefill.tokens
         self._origin = AnswerOrigin(placement.server, now_s(), conn.start_ms)
         conn.send(req)
+        self.record.connection = conn.serial
+        self.record.connection_sends = conn.sends
         with self._silence_limit(prefill.max_silence_s(self._route.target_s)):
             head = await conn.read_head(req)
         self.record.first_s = now_s() - prefill.sent_s
--- a/src/wasabicross/runtime/events.py
+++ b/src/wasabicross/runtime/events.py
@@ -89,6 +89,7 @@
     CONFIGURATION_TAKEN = EventKind(8051, 'INFO')
     SETTINGS_KEPT = EventKind(8052, 'ERROR')
     SETTINGS_TAKEN = EventKind(8053, 'INFO')
+    ANSWER_SKIPPED = EventKind(8054, 'WARNING')
     LINES_DROPPED = EventKind(8061, 'WARNING')
     LOOP_DELAYED = EventKind(8062, 'WARNING')
     SERVER_CRASHED = EventKind(8071, 'WARNING')
--- a/tests/test_gateway_attempt_log.py
+++ b/tests/test_gateway_attempt_log.py
@@ -16,6 +16,7 @@
 )
 
 from wasabicross.gateway import request_record
+from wasabicross.gateway.connections import server_connections
 from wasabicross.runtime.events import Event
 
 OK = answer(b'the answer')
@@ -106,3 +107,41 @@
 
     asyncio.run(scenario())
     assert [each['reason'] for each in attempts] == ['this gateway ends']
+
+
+def test_requests_on_one_connection_are_told_from_those_on_others(attempts):
+    async def scenario():
+        server = ScriptedServer([OK], [OK], ['close'], [OK])
+        async with running_gateway([server]) as bench:
+            for number in range(4):
+                sent = request('/unsafe/x', b'x', Request_Id=f'r{number}')
+                await ask(bench.port, sent)
+                await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+    serials = [each['connection'] for each in attempts]
+    assert serials[0] == serials[1] == serials[2] != serials[3]
+    assert [each['connection_sends'] for each in attempts] == [1, 2, 3, 1]
+
+
+def test_an_answer_to_another_request_is_logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        server_connections,
+        'log_event',
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    late = OK.replace(b'{id}', b'r1')
+
+    async def scenario():
+        server = ScriptedServer([OK], [late, OK])
+        async with running_gateway([server]) as bench:
+            for number in (1, 2):
+                sent = request('/unsafe/x', b'x', Request_Id=f'r{number}')
+                await ask(bench.port, sent)
+
+    asyncio.run(scenario())
+    ((event, fields),) = lines
+    assert event is Event.ANSWER_SKIPPED
+    assert (fields['request'], fields['answers']) == ('r2', 'r1')
+    assert (fields['status'], fields['connection_sends']) == (200, 2)
