Send each request id at most once on a connection to a server

What callers saw: an order, or a stream that can't be resumed, was refused with 503 and ran; or it ran at two servers (REFUSED, TWICE on real processes).

Cause: whose answer a refusal is was judged by names: the request's id, and the id of the server that had refused it before. A connection leads to an address, and carried an id as often as it was sent there. A process that starts at the address of another one refuses what names the former server; the request comes to the new entry on the same connection, runs, and a copy of the refusal, which bears its id, was read as its answer. The same with two handlers of one gateway. Class: the identity of an exchange taken from names that several exchanges share.

Change: ServerConnection remembers hashes of the ids that it has carried and sends none of them again, whoever asks (RequestIdCarried); the pool gives out a connection that may carry the request. A connection that remembers 512 ids isn't used again, so that its memory is bounded. Requests without an id go on new connections only. Calls of the gateway itself have no id and are marked as such (is_own).

Three tests sent one id twice, which callers don't, and meant a kept connection: they send ids of their own now and check what they did.

--- a/src/wasabicross/gateway/connections/connection_pool.py
+++ b/src/wasabicross/gateway/connections/connection_pool.py
@@ -4,8 +4,10 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Iterator
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.http_heads import Fields, field
 from wasabicross.gateway.connections.server_connections import ServerConnection
 from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import ServerUnreachable
@@ -47,27 +49,37 @@
         )
 
     async def acquire(
-        self, host: str, port: int, *, once: bool, is_repeat: bool = False
+        self, host: str, port: int, fields: Fields, *, once: bool
     ) -> ServerConnection:
-        """Return an idle connection or a new one.
+        """Return a connection that may carry a request, an idle or a new one.
 
         :param host: IP address of the server.
         :param port: its port.
+        :param fields: header fields of the request.
         :param once: whether the request must not run twice.
-        :param is_repeat: whether the server has answered the request before; a
-            late copy of that answer can't come on a new connection.
         :raises ServerUnreachable: no connection could be made.
         """
-        if is_repeat:
-            return await self.connect(host, port)
-        idle = self._idle[host, port]
+        request_id = field(fields, self._id_field)
         max_idle_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
-        while idle:
-            conn = idle.pop()
-            if conn.is_usable and now_s() - conn.idle_since_s < max_idle_s:
-                return conn
-            conn.close()
-        return await self.connect(host, port)
+        carriers = []
+        found = None
+        for conn in self._pop_usable(host, port, max_idle_s):
+            if conn.may_carry(request_id):
+                found = conn
+                break
+            carriers.append(conn)
+        self._idle[host, port].extend(reversed(carriers))
+        return found or await self.connect(host, port)
+
+    async def acquire_for_call(self, host: str, port: int) -> ServerConnection:
+        """Return a connection for a call of this gateway, an idle or a new one.
+
+        :param host: IP address of the server.
+        :param port: its port.
+        :raises ServerUnreachable: no connection could be made.
+        """
+        idle = next(self._pop_usable(host, port, _MAX_IDLE_S), None)
+        return idle or await self.connect(host, port)
 
     def take_idle(
         self, host: str, port: int, connected_by_s: float
@@ -122,6 +134,18 @@
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return ServerConnection(reader, writer, self._id_field, now_s())
 
+    def _pop_usable(
+        self, host: str, port: int, max_idle_s: float
+    ) -> Iterator[ServerConnection]:
+        """Yield idle connections, the last used one first; close useless ones."""
+        idle = self._idle[host, port]
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable and now_s() - conn.idle_since_s < max_idle_s:
+                yield conn
+            else:
+                conn.close()
+
     def drop_idle(self, host: str, port: int) -> None:
         """Close the idle connections to a server.
 
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -22,6 +22,7 @@
     AnswerBroken,
     AnswerMissing,
     BodyTooLong,
+    RequestIdCarried,
 )
 from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.runtime.events import Event
@@ -57,6 +58,9 @@
 #: Statuses of answers that have no body.
 _WITHOUT_BODY = (204, 304)
 
+#: Most ids of requests that a connection remembers; it isn't reused after that.
+_MAX_CARRIED_IDS = 512
+
 #: Numbers the connections of this process, for its log.
 _serials = itertools.count(1)
 
@@ -64,12 +68,16 @@
 
 
 class ServerRequest(NamedTuple):
-    """A request in the form in which it is sent to a server."""
+    """A request in the form in which it is sent to a server.
+
+    :param is_own: whether it is a call of this gateway, which has no id.
+    """
 
     method: bytes
     target: bytes
     fields: Fields
     body: bytes
+    is_own: bool = False
 
 
 class AnswerHead(NamedTuple):
@@ -89,6 +97,10 @@
 class ServerConnection:
     """One connection to a server; runs one request at a time.
 
+    It carries each id once: a server may send an answer twice, also late, and a
+    copy of the answer to a former request with the same id would count as the
+    answer to the present one.
+
     :param reader: its reading side.
     :param writer: its writing side.
     :param id_field: name of the header field with the request's id, which its
@@ -110,6 +122,8 @@
         #: Number of the connection in this process, and of requests sent on it.
         self.serial = next(_serials)
         self.sends = 0
+        #: Hashes of the ids that it has carried, the empty one for none.
+        self._carried: set[int] = set()
         #: Start that the process at its other end has reported, Unix
         #: milliseconds, 0 if it hasn't.
         self.start_ms = 0
@@ -150,12 +164,23 @@
         close the connection then. If sending fails, so does reading.
 
         :param req: the request.
+        :raises RequestIdCarried: the connection has carried its id before.
         """
+        self._carry(req)
         self._reader.on_unsolicited = None
         self._received_bytes = 0
         self.sends += 1
         self._writer.write(self._encode(self._codec, req))
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether no request with an id was sent on the connection.
+
+        :param request_id: the id, empty for a request without one.
+        """
+        if not request_id:
+            return not self.sends
+        return hash(request_id) not in self._carried
+
     async def read_head(self, req: ServerRequest) -> AnswerHead:
         """Return the head of the answer; skip answers to other requests.
 
@@ -250,7 +275,7 @@
 
         :param now_s: the present time, monotonic seconds.
         """
-        if not self._echoes_ids:
+        if not self._echoes_ids or len(self._carried) >= _MAX_CARRIED_IDS:
             return False
         trailing = self._codec.trailing_data[0]
         ended = self._codec.our_state is h11.DONE
@@ -269,6 +294,17 @@
         self._is_closed = True
         self._writer.transport.abort()
 
+    def _carry(self, req: ServerRequest) -> None:
+        """Remember the id of a request."""
+        if req.is_own:
+            return
+        request_id = field(req.fields, self._id_field)
+        if not self.may_carry(request_id):
+            raise RequestIdCarried(
+                f'connection {self.serial} has carried {request_id!r}'
+            )
+        self._carried.add(hash(request_id))
+
     def _check_is_new(self) -> None:
         """Check that an answer without an id can only be the present one."""
         if self.is_reused:
--- a/src/wasabicross/gateway/errors.py
+++ b/src/wasabicross/gateway/errors.py
@@ -57,6 +57,13 @@
     """The connection ended before an answer; the request may have run."""
 
 
+class RequestIdCarried(GatewayError):
+    """A connection has carried a request with the same id before.
+
+    This is a defect of whoever has chosen the connection. Nothing was sent.
+    """
+
+
 class ServerGone(AnswerMissing):
     """Another server answers at the server's address."""
 
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -79,7 +79,9 @@
         try:
             # A reused connection may end just now, which would leave unknown
             # whether the request was taken.
-            conn = await self._pool.acquire(self._host, self._port, once=True)
+            conn = await self._pool.acquire(
+                self._host, self._port, req.fields, once=True
+            )
         except ServerUnreachable as exc:
             self.reason = str(exc)
             return PeerEnding.not_taken
--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -87,8 +87,6 @@
         self.was_unreached = False
         #: Servers that were silent, so others were asked.
         self.silent: set[str] = set()
-        #: Servers that stated that they haven't run the request.
-        self.refused_by: set[str] = set()
         #: Servers that were asked on a connection of a former process.
         self._asked_before: set[str] = set()
         self.last_event_id = last_event_id
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -107,8 +107,8 @@
                 conn = self._conn = await self._servers.pool.acquire(
                     server.host,
                     server.port,
+                    self._context.req.fields,
                     once=runs_once,
-                    is_repeat=server.server_id in self._progress.refused_by,
                 )
             except ServerUnreachable as exc:
                 self._on_unreachable(server, exc)
--- a/src/wasabicross/gateway/withheld_answers.py
+++ b/src/wasabicross/gateway/withheld_answers.py
@@ -71,7 +71,6 @@
         await self.discard_body(conn)
         server_id = placement.server.server_id
         key = self._info.adapter
-        self._progress.refused_by.add(server_id)
         self._servers.view.notices.limiter.brittle.on_refused(
             placement.server, now_s()
         )
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -201,9 +201,10 @@
         *,
         is_new: bool,
     ) -> tuple[int, bytes]:
-        conn = await self._pool.acquire(
-            server.host, server.port, once=False, is_repeat=is_new
-        )
+        if is_new:
+            conn = await self._pool.connect(server.host, server.port)
+        else:
+            conn = await self._pool.acquire_for_call(server.host, server.port)
         try:
             conn.send(req)
             head = await conn.read_head(req)
@@ -232,7 +233,7 @@
     if body:
         fields.append((b'content-type', b'application/json'))
         fields.append((b'content-length', str(len(body)).encode()))
-    return ServerRequest(method, target, fields, body)
+    return ServerRequest(method, target, fields, body, is_own=True)
 
 
 def _order_document(order: Order) -> dict[str, Any]:
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -264,8 +264,8 @@
     async def _exchange(
         self, req: ServerRequest, timeout_s: float, max_bytes: int
     ) -> _Answer:
-        conn = await self._pool.acquire(
-            self._address.host, self._address.port, once=False
+        conn = await self._pool.acquire_for_call(
+            self._address.host, self._address.port
         )
         try:
             async with asyncio.timeout(timeout_s):
@@ -303,7 +303,9 @@
     if document:
         fields.append((b'content-type', b'application/json'))
         fields.append((b'content-length', str(len(document)).encode()))
-    return ServerRequest(method.encode(), target.encode(), fields, document)
+    return ServerRequest(
+        method.encode(), target.encode(), fields, document, is_own=True
+    )
 
 
 def _transaction(
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -91,12 +91,15 @@
             ScriptedServer([0.1, OK]),
         )
         async with running_gateway([powerless, healthy]) as bench:
-            safe = request('/safe/x')
-            await asyncio.gather(*(ask(bench.port, safe) for _ in range(12)))
+            safe = [
+                request('/safe/x', Request_Id=f'r{number}')
+                for number in range(24)
+            ]
+            await asyncio.gather(*(ask(bench.port, each) for each in safe[:12]))
             powerless.has_power = False
             sent_count = len(powerless.seen)
-            for _ in range(12):
-                assert status_of(await ask(bench.port, safe)) == 200
+            for each in safe[12:]:
+                assert status_of(await ask(bench.port, each)) == 200
             powerless.gone.set()
         return sent_count, len(powerless.seen)
 
@@ -137,7 +140,11 @@
     async def scenario():
         server = ScriptedServer([answer(b'one')], [answer(b'two')])
         async with running_gateway([server]) as bench:
-            return await ask(bench.port, request('/safe/1'), request('/safe/2'))
+            return await ask(
+                bench.port,
+                request('/safe/1'),
+                request('/safe/2', Request_Id='r2'),
+            )
 
     received = asyncio.run(scenario())
     assert received.index(b'one') < received.index(b'two')
--- a/tests/test_gateway_sound_ends.py
+++ b/tests/test_gateway_sound_ends.py
@@ -106,7 +106,8 @@
             life._unstated_until_s['desk'] = math.inf
             life._connections.close()
             server.refuse_connections()
-            second = await ask(bench.port, request('/unsafe/y', b'x'))
+            sent = request('/unsafe/y', b'x', Request_Id='r2')
+            second = await ask(bench.port, sent)
         return first, second
 
     first, second = asyncio.run(scenario())
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -145,9 +145,11 @@
             writer.write(self._answer)
 
 
+FIELDS = [(b'host', b'a'), (b'request-id', b'r1')]
+
+
 async def ask(conn):
-    fields = [(b'host', b'a'), (b'request-id', b'r1')]
-    sent = ServerRequest(b'GET', b'/x', fields, b'')
+    sent = ServerRequest(b'GET', b'/x', FIELDS, b'')
     conn.send(sent)
     await conn.read_head(sent)
     return b''.join([each async for each in conn.read_chunks()])
@@ -160,7 +162,7 @@
         former, present = Process(b'v1'), Process(b'v2')
         port = await former.start()
         pool = ConnectionPool(b'request-id')
-        conn = await pool.acquire(HOST, port, once=False)
+        conn = await pool.acquire(HOST, port, FIELDS, once=False)
         received = [await ask(conn)]
         pool.release(HOST, port, conn)
         assert conn.is_usable
@@ -169,7 +171,7 @@
         async with asyncio.timeout(5):
             while conn.is_usable:
                 await asyncio.sleep(0.01)
-        again = await pool.acquire(HOST, port, once=False)
+        again = await pool.acquire(HOST, port, FIELDS, once=False)
         received.append(await ask(again))
         again.close()
         present.stop()
