--- a/src/wasabicross/gateway/candidates.py
+++ b/src/wasabicross/gateway/candidates.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
-from wasabicross.gateway.placement import Candidate
+from wasabicross.gateway.candidate import Candidate
 from wasabicross.gateway.view import FleetView
 
 
--- a/src/wasabicross/gateway/retrying_placer.py
+++ b/src/wasabicross/gateway/retrying_placer.py
@@ -9,13 +9,13 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.adapter_wait import AdapterWait
 from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.candidate import Candidate
 from wasabicross.gateway.candidates import Candidates, PlacementRequest
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.owners.links import OwnerLinks
 from wasabicross.gateway.placement import (
     NO_SERVER,
-    Candidate,
     Choice,
     LoadOn,
     NoServer,
--- a/tests/placement_simulation.py
+++ b/tests/placement_simulation.py
@@ -6,8 +6,8 @@
 import random
 from collections import defaultdict
 
+from wasabicross.gateway.candidate import Candidate
 from wasabicross.gateway.placement import (
-    Candidate,
     LoadOn,
     RandomDraws,
     choose_server,
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -5,9 +5,9 @@
 import pytest
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
+from wasabicross.gateway.candidate import Candidate
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
 from wasabicross.gateway.placement import (
-    Candidate,
     LoadOn,
     NoServer,
     RandomDraws,
