Keep fields by which gateways talk to one another out of servers' answers

What callers would see: an order that runs at two servers, each reached by another gateway (TWICE).

Cause: the answer to a forwarded request has a field that tells whether the other gateway has taken it. That gateway passed a server's field of this name on, whatever its status. Same class: whose word it is was told by a name that others may use.

Change: a gateway drops fields whose names begin with x-wasabicross- from the answers of servers.

--- a/src/wasabicross/gateway/answer_decisions.py
+++ b/src/wasabicross/gateway/answer_decisions.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from wasabicross.gateway.connections.http_heads import field
+from wasabicross.gateway.connections.http_heads import Fields, field
 from wasabicross.gateway.connections.server_connections import AnswerHead
 from wasabicross.gateway.dialect import AnswerKind, Dialect
 
+#: Start of the names of fields that gateways send to one another only.
+_GATEWAY_FIELDS = b'x-wasabicross-'
+
 #: Field of a gateway's answer to a forwarded request which states that the request
 #: hasn't run and never will; it tells why.
 NOT_RUN = b'x-wasabicross-not-run'
@@ -15,6 +18,16 @@
 _MISLEADING = frozenset((AnswerKind.unconfirmed,))
 
 
+def without_gateway_fields(fields: Fields) -> Fields:
+    """Return the fields that servers and callers may send.
+
+    Another gateway would take the others for this one's word.
+
+    :param fields: names in lower case, with their values.
+    """
+    return [pair for pair in fields if not pair[0].startswith(_GATEWAY_FIELDS)]
+
+
 def misleads_caller(kind: AnswerKind, *, is_idempotent: bool) -> bool:
     """Return whether a caller might run its request twice after an answer.
 
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -5,7 +5,10 @@
 import asyncio
 import contextlib
 
-from wasabicross.gateway.answer_decisions import misleads_caller
+from wasabicross.gateway.answer_decisions import (
+    misleads_caller,
+    without_gateway_fields,
+)
 from wasabicross.gateway.answer_ends.end_decisions import (
     AnswerOrigin,
 )
@@ -325,7 +328,8 @@
                 return Ending.failed
         if self._answer.has_started and not succeeded:
             raise AnswerBroken(f'status {head.status} for a resumed stream')
-        await self._forwarding().run(conn, head)
+        fields = without_gateway_fields(head.fields)
+        await self._forwarding().run(conn, head._replace(fields=fields))
         if succeeded:
             health.on_answer()
         if head.status < _FIRST_FAILURE_STATUS:
