Keep a caller's fields for gateways out of the requests that are forwarded

What callers would see: 503 where another gateway could serve them, or a route by an older configuration.

Cause: a caller's own field with the version of the configuration went before the one that the gateway adds, and the other gateway reads the first one.

Evidence: test_caller_cannot_say_by_which_configuration_it_was_forwarded[999999] failed before, passes now; [0] and [x] passed before too, as both gateways have the same configuration there.

Change: a gateway drops fields whose names begin with x-wasabicross- from what it forwards, then adds its own.

--- a/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_forwarder.py
@@ -8,7 +8,10 @@
 from typing import NamedTuple, Self
 
 from wasabicross.gateway import metrics
-from wasabicross.gateway.answer_decisions import misleads_through_gateway
+from wasabicross.gateway.answer_decisions import (
+    misleads_through_gateway,
+    without_gateway_fields,
+)
 from wasabicross.gateway.changes import InstanceEntry
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
@@ -152,10 +155,10 @@
             forwardable.req, forwardable.deadline_s - started_s
         )
         version = str(forwardable.configuration).encode()
-        req.fields.append((CONFIGURATION, version))
+        fields = [*without_gateway_fields(req.fields), (CONFIGURATION, version)]
         ending = PeerEnding.unknown
         try:
-            ending = await attempt.run(req)
+            ending = await attempt.run(req._replace(fields=fields))
         finally:
             self._record(forwardable, peer, attempt, ending, started_s)
         return ending
