Give requests of tests on kept connections ids of their own

Tests that send the default id `r1` several times through one gateway and mean kept connections got new ones and checked less than they said; callers never send one id in two requests.

The former version's process echoes the id that it got, so that its connection, if it stayed usable, would be given out again. What is checked is the same.

Left as they are: tests whose point is the id that comes again (carried ids, copied refusals, a second refusal of a request that is sent again, a request without an id, a takeover after 421), and tests without any word on connections to servers (brittle servers, limits and idle time of a caller's connection, crashes, time limits).

--- a/tests/test_gateway_peer_forwarding.py
+++ b/tests/test_gateway_peer_forwarding.py
@@ -136,6 +136,14 @@
                     pool.drop_idle(HOST, port)
 
 
+def requests_of(path, count):
+    """Return requests with ids of their own, as callers send them."""
+    return [
+        request(path, b'x', Request_Id=f'r{number}', Model='m0/a1')
+        for number in range(count)
+    ]
+
+
 def run_site(scripts, *sent, **fields):
     """Send requests to the cut gateway; return answers, servers and time."""
 
@@ -154,7 +162,7 @@
 
 @pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
 def test_gateway_without_servers_has_a_peer_serve(path):
-    answers, (server,), _ = run_site([[OK]], *[request(path, b'x')] * 5)
+    answers, (server,), _ = run_site([[OK]], *requests_of(path, 5))
     assert [status_of(each) for each in answers] == [200] * 5
     assert {body_of(each) for each in answers} == {b'the answer'}
     assert len(server.seen) == 5
@@ -207,7 +215,7 @@
 @pytest.mark.parametrize('reaching', [(), (False,), (False, False)])
 def test_where_nobody_reaches_servers_callers_are_refused_at_once(reaching):
     answers, _, took_s = run_site(
-        [[OK]], *[request('/unsafe/x', b'x')] * 4, reaching=reaching
+        [[OK]], *requests_of('/unsafe/x', 4), reaching=reaching
     )
     assert {status_of(each) for each in answers} == {503}
     assert took_s < 2
@@ -226,7 +234,7 @@
 def test_next_peer_is_asked_after_one_that_takes_nothing(reaching, listening):
     answers, (server,), _ = run_site(
         [[OK]],
-        *[request('/unsafe/x', b'x')] * 4,
+        *requests_of('/unsafe/x', 4),
         reaching=reaching,
         listening=listening,
     )
@@ -254,13 +262,11 @@
     async def scenario():
         server = ScriptedServer([OK])
         async with running_site([server], reaching=(True, True)) as site:
-            first = await ask(site.port, request('/unsafe/x', b'x'))
+            sent = requests_of('/unsafe/x', 7)
+            first = await ask(site.port, sent[0])
             site.peers[0].gateway.begin_stop()
             await asyncio.sleep(0.05)
-            later = [
-                await ask(site.port, request('/unsafe/x', b'x'))
-                for _ in range(6)
-            ]
+            later = [await ask(site.port, each) for each in sent[1:]]
         return first, later
 
     first, later = asyncio.run(scenario())
@@ -283,8 +289,8 @@
                 while not records:
                     await asyncio.sleep(0.01)
             # Both services have a server that isn't reached.
-            for path in ('/unsafe/x', '/stream-resumable/x'):
-                await ask(site.port, request(path, b'x', Model='m0/a1'))
+            for number, path in enumerate(('/unsafe/x', '/stream-resumable/x')):
+                await ask(site.port, requests_of(path, 2)[number])
             await asyncio.sleep(1)
             return {each.is_released for each in records.values()}
 
@@ -302,7 +308,7 @@
     )
     answers, _, _ = run_site(
         [[OK]],
-        *[request('/unsafe/x', b'x')] * 3,
+        *requests_of('/unsafe/x', 3),
         reaching=reaching,
         peer_cfgs=(earlier,),
     )
--- a/tests/test_gateway_refusal_proofs.py
+++ b/tests/test_gateway_refusal_proofs.py
@@ -143,7 +143,8 @@
         async with running_gateway([server]) as bench:
             if is_kept:
                 await ask(bench.port, request('/unsafe/x', b'x'))
-            received = await ask(bench.port, request('/unsafe/x', body))
+            sent = request('/unsafe/x', body, Request_Id='r2')
+            received = await ask(bench.port, sent)
         return received, server
 
     received, server = asyncio.run(scenario())
--- a/tests/test_gateway_reloading.py
+++ b/tests/test_gateway_reloading.py
@@ -65,18 +65,20 @@
             raise DocumentUnreadable('settings: zone: missing')
         return CFG._replace(retry_slack=7)
 
+    sent = [request(path, b'x', Request_Id=f'r{number}') for number in range(4)]
+
     async def scenario():
         server = ScriptedServer([0.3, answer(b'the answer')])
         async with running_gateway([server], read_settings=read) as bench:
             pending = [
-                asyncio.ensure_future(ask(bench.port, request(path, b'x')))
-                for _ in range(3)
+                asyncio.ensure_future(ask(bench.port, each))
+                for each in sent[:3]
             ]
             for _ in range(10):
                 bench.gateway.settings.reload()
                 await asyncio.sleep(0.02)
             received = [await each for each in pending]
-            received.append(await ask(bench.port, request(path, b'x')))
+            received.append(await ask(bench.port, sent[3]))
         return received, server
 
     received, server = asyncio.run(scenario())
--- a/tests/test_gateway_server_notices.py
+++ b/tests/test_gateway_server_notices.py
@@ -106,7 +106,10 @@
         servers = [ScriptedServer(each) for each in scripts]
         async with running_gateway(servers) as bench:
             answers = [
-                await ask(bench.port, request(path, b'x')) for path in paths
+                await ask(
+                    bench.port, request(path, b'x', Request_Id=f'r{number}')
+                )
+                for number, path in enumerate(paths)
             ]
         return answers, servers
 
@@ -131,12 +134,14 @@
         server = ScriptedServer([PAUSE], [OK])
         async with running_gateway([server]) as bench:
             began_s = now_s()
-            refused = [
-                await ask(bench.port, request(path, b'x')) for _ in range(5)
+            *early, late = [
+                request(path, b'x', Request_Id=f'r{number}')
+                for number in range(6)
             ]
+            refused = [await ask(bench.port, each) for each in early]
             seen_in_pause = len(server.seen)
             await asyncio.sleep(began_s + PAUSE_S + 0.1 - now_s())
-            served = await ask(bench.port, request(path, b'x'))
+            served = await ask(bench.port, late)
         return refused, seen_in_pause, served
 
     refused, seen_in_pause, served = asyncio.run(scenario())
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -7,7 +7,7 @@
 import asyncio
 
 import pytest
-from scripted_server import HOST, answer
+from scripted_server import HOST, ReceivedRequest, answer
 from test_gateway_prompt_sources import PROMPT, A, report, server
 
 from wasabicross.gateway.changes import ServerEntryUpdate
@@ -125,7 +125,7 @@
     """A process of a server, which names its version in each answer."""
 
     def __init__(self, version):
-        self._answer = answer(version).replace(b'{id}', b'r1')
+        self._answer = answer(version)
         self._writers = []
 
     async def start(self, port=0):
@@ -141,15 +141,17 @@
 
     async def _serve(self, reader, writer):
         self._writers.append(writer)
-        while await reader.read(9999):
-            writer.write(self._answer)
+        while head := await reader.read(9999):
+            received = ReceivedRequest(head, b'').fields['request-id']
+            writer.write(self._answer.replace(b'{id}', received.encode()))
 
 
-FIELDS = [(b'host', b'a'), (b'request-id', b'r1')]
+def fields_of(request_id):
+    return [(b'host', b'a'), (b'request-id', request_id)]
 
 
-async def ask(conn):
-    sent = ServerRequest(b'GET', b'/x', FIELDS, b'')
+async def ask(conn, request_id):
+    sent = ServerRequest(b'GET', b'/x', fields_of(request_id), b'')
     conn.send(sent)
     await conn.read_head(sent)
     return b''.join([each async for each in conn.read_chunks()])
@@ -162,8 +164,8 @@
         former, present = Process(b'v1'), Process(b'v2')
         port = await former.start()
         pool = ConnectionPool(b'request-id')
-        conn = await pool.acquire(HOST, port, FIELDS, once=False)
-        received = [await ask(conn)]
+        conn = await pool.acquire(HOST, port, fields_of(b'r1'), once=False)
+        received = [await ask(conn, b'r1')]
         pool.release(HOST, port, conn)
         assert conn.is_usable
         former.stop()
@@ -171,8 +173,8 @@
         async with asyncio.timeout(5):
             while conn.is_usable:
                 await asyncio.sleep(0.01)
-        again = await pool.acquire(HOST, port, FIELDS, once=False)
-        received.append(await ask(again))
+        again = await pool.acquire(HOST, port, fields_of(b'r2'), once=False)
+        received.append(await ask(again, b'r2'))
         again.close()
         present.stop()
         return received
