--- a/tests/raw_caller.py
+++ b/tests/raw_caller.py
@@ -22,14 +22,15 @@
     return b'\r\n'.join(head) + b'\r\n\r\n' + body
 
 
-async def ask(port, *requests, wait_s=6):
+async def ask(port, *requests, wait_s=6, host=HOST):
     """Send requests on one connection; return the received bytes.
 
     Reading ends when all answers are complete or the connection is closed.
 
     :param wait_s: seconds until TimeoutError is raised.
+    :param host: IP address of the gateway.
     """
-    reader, writer = await asyncio.open_connection(HOST, port)
+    reader, writer = await asyncio.open_connection(host, port)
     writer.write(b''.join(requests))
     received = b''
     with contextlib.suppress(ConnectionError):
--- a/tests/test_gateway_copied_refusals.py
+++ b/tests/test_gateway_copied_refusals.py
@@ -54,16 +54,16 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway_before(ports_by_id, service):
+async def gateway_before(ports_by_id, service, cfg=CONFIGURATION, grace_s=8):
     """Run a gateway that lists servers with these ports."""
     changes = [
-        ConfigurationUpdate(CONFIGURATION),
+        ConfigurationUpdate(cfg),
         *(
             server_entry(server_id, service, port)
             for server_id, port in ports_by_id.items()
         ),
     ]
-    settings = settings_at(*free_ports(3))
+    settings = settings_at(*free_ports(3))._replace(grace_s=grace_s)
     async with gateway_at(
         settings, changes, ConnectionPool(REQUEST_ID)
     ) as bench:
