Ask the other owners before a stream is taken up at the one known version

Callers saw streams that began at one software version and went on at another one: a gateway whose news from the store is held back for up to 5 s knows v1 alone, all servers of v1 leave but still serve, v2 comes and begins streams, and these are taken up at the old gateway.

So the gateway asks all other owners which versions of the service they know; if all know this one alone, the stream goes on at once, with no call to the store. Else the store is asked as for several versions; if it is silent, the stream goes on where an owner answers, none names or remembers another version, and is refused for 1 s else. Take-ups of a service share a round of questions; without take-ups nothing is sent.

--- a/src/wasabicross/gateway/owners/links.py
+++ b/src/wasabicross/gateway/owners/links.py
@@ -18,7 +18,8 @@
 from wasabicross.gateway.owners.owner_link import OwnerLink, StoreUpdateHandler
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.settings import GatewaySettings
-from wasabicross.gateway.stream_messages import StreamsBegun
+from wasabicross.gateway.stream_messages import StreamAnswer, StreamsBegun
+from wasabicross.gateway.streams.owner_words import QUERY_TIMEOUT_S
 from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.usage_tracker import UsageTracker
 from wasabicross.gateway.view import FleetView
@@ -77,6 +78,7 @@
         self.streams = StreamMemory(view)
         self.streams.to_owners = self._report_streams
         self.streams.ask_owners = self._find_stream
+        self.streams.words.ask_owners = self._ask_owners
         self._crashes = crashes or CrashSharing(CrashEvidence(cfg.instance))
         self._crashes.to_owners = self._send_to_owners
         self._store_updates = store_updates
@@ -214,10 +216,28 @@
                 task.cancel()
         return None
 
+    async def _ask_owners(self, digest: bytes) -> list[StreamAnswer | None]:
+        """Return the answer of each other owner, None where none came.
+
+        Without an owner any other gateway may write, and none can be asked.
+        """
+        if not self._owner_hosts() and self._view.instances.keys() - {
+            self._cfg.instance
+        }:
+            return [None]
+        return await asyncio.gather(
+            *(_answer_of(link, digest) for link in self._links.values())
+        )
+
+    def _owner_hosts(self) -> set[str]:
+        """Return the addresses of all owners.
+
+        A record that names no owner has no host.
+        """
+        return {record.host for record in self._view.owners.values()} - {''}
+
     def _update_links(self) -> None:
-        hosts = {record.host for record in self._view.owners.values()}
-        # A record that names no owner has no host.
-        hosts -= {self._cfg.host, ''}
+        hosts = self._owner_hosts() - {self._cfg.host}
         for host in self._links.keys() - hosts:
             self._tasks.pop(host).cancel()
             self._links.pop(host)
@@ -252,3 +272,12 @@
         }
         for host, link in self._links.items():
             link.is_relay = host in relays
+
+
+async def _answer_of(link: OwnerLink, digest: bytes) -> StreamAnswer | None:
+    """Return the answer over a link, None if none comes in time."""
+    try:
+        async with asyncio.timeout(QUERY_TIMEOUT_S):
+            return await link.query(digest)
+    except TimeoutError:
+        return None
--- a/src/wasabicross/gateway/owners/owner_link.py
+++ b/src/wasabicross/gateway/owners/owner_link.py
@@ -129,7 +129,7 @@
         self._is_end_logged = False
         self._errors = ErrorContainment('link')
         self._calls: dict[int, asyncio.Future[int]] = {}
-        self._queries: dict[int, asyncio.Future[str | None]] = {}
+        self._queries: dict[int, asyncio.Future[StreamAnswer | None]] = {}
         self._grants: dict[int, asyncio.Future[float | None]] = {}
         self._call_ids = itertools.count(1)
         self._round_trips = RoundTrips()
@@ -212,10 +212,20 @@
 
         :param digest: stands for the stream.
         """
+        answer = await self.query(digest)
+        if answer is None or not answer.is_known:
+            return None
+        return answer.software_version
+
+    async def query(self, digest: bytes) -> StreamAnswer | None:
+        """Return the owner's answer, None if the link is closed.
+
+        :param digest: stands for what is asked.
+        """
         if self._conn is None:
             return None
         call_id = next(self._call_ids)
-        fut: asyncio.Future[str | None]
+        fut: asyncio.Future[StreamAnswer | None]
         fut = asyncio.get_running_loop().create_future()
         self._queries[call_id] = fut
         _send(self._conn, StreamQuery(call_id, digest))
@@ -370,8 +380,7 @@
             self._store_updates.on_round_trip(self._host, asked_s)
         fut = self._queries.get(message.call_id)
         if fut is not None and not fut.done():
-            found = message.software_version if message.is_known else None
-            fut.set_result(found)
+            fut.set_result(message)
 
     @_on_message.register
     def _(self, message: LimitsStated) -> None:
--- a/src/wasabicross/gateway/streams/division_keeper.py
+++ b/src/wasabicross/gateway/streams/division_keeper.py
@@ -32,7 +32,7 @@
     updated_slots,
     write_delay_s,
 )
-from wasabicross.gateway.streams.stream_versions import listed_versions
+from wasabicross.gateway.streams.service_versions import listed_versions
 from wasabicross.gateway.view import FleetView
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
--- a/src/wasabicross/gateway/streams/stream_memory.py
+++ b/src/wasabicross/gateway/streams/stream_memory.py
@@ -25,14 +25,20 @@
     keep_time_s,
     stream_digest,
 )
+from wasabicross.gateway.streams.owner_words import (
+    QUERY_TIMEOUT_S,
+    OwnerWords,
+)
+from wasabicross.gateway.streams.service_versions import (
+    asked_service,
+    current_versions,
+    versions_text,
+)
 from wasabicross.gateway.view import FleetView
 
 #: Time in which streams that begin are collected into one frame.
 _BATCH_DELAY_S = 0.1
 
-#: Longest wait for the answers of owners.
-_QUERY_TIMEOUT_S = 0.15
-
 Tell: TypeAlias = Callable[[tuple[StreamsBegun, ...]], None]
 Ask: TypeAlias = Callable[[bytes], Awaitable[str | None]]
 
@@ -50,6 +56,8 @@
         #: Sends to the owners, and asks them for the version of a stream.
         self.to_owners: Tell = _tell_nobody
         self.ask_owners: Ask | None = None
+        #: Asks owners for the versions of services.
+        self.words = OwnerWords(lambda: len(view.instances))
 
     def note_begun(
         self, service: str, request_id: str, software_version: str
@@ -93,6 +101,10 @@
 
         :param query: the query.
         """
+        service = asked_service(self._view, query.digest)
+        if service is not None:
+            known = current_versions(self._view, service, now_s())
+            return StreamAnswer(query.call_id, True, versions_text(known))
         version = self._begun.version(query.digest, now_s())
         return StreamAnswer(query.call_id, version is not None, version or '')
 
@@ -107,7 +119,7 @@
         if version is not None or self.ask_owners is None:
             return version
         try:
-            async with asyncio.timeout(_QUERY_TIMEOUT_S):
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
                 version = await self.ask_owners(digest)
         except TimeoutError:
             # The take-up is refused, and logged with that reason.
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -17,6 +17,8 @@
     StreamDivision,
     former_lapse_s,
 )
+from wasabicross.gateway.streams.owner_words import Word
+from wasabicross.gateway.streams.service_versions import listed_versions
 from wasabicross.gateway.streams.stream_memory import StreamMemory
 from wasabicross.gateway.streams.take_ups import (
     Knowledge,
@@ -107,14 +109,21 @@
         asked_s = now_s if asked_s is None else asked_s
         if now_s - self._view.confirmed_s > MAX_KNOWLEDGE_AGE_S:
             return TakeUp(None, Knowledge.too_old)
+        return self._known(route, info, now_s, asked_s)
+
+    def _known(
+        self, route: Route, info: RequestInfo, now_s: float, asked_s: float
+    ) -> TakeUp:
+        """Return what is known of an interrupted stream, however long ago."""
         if not info.resumes and len(route.shares) > 1:
             return TakeUp(None, Knowledge.version_unknown)
         service = service_of(route, info)
         division = self._view.divisions.get(service)
         if division is None:
-            return take_up_of(
+            found = take_up_of(
                 listed_versions(self._view, service), Knowledge.only_version
             )
+            return self._unless_unconfirmed(found, asked_s)
         longest_s = self._view.divisions.route_limits.longest_s(
             route.name, division.time_limit_s, now_s
         )
@@ -156,9 +165,6 @@
     ) -> TakeUp:
         """Return what is known of a stream by the division of its service.
 
-        A service that is known with one version isn't taken to have got another
-        one unnoticed.
-
         :param possible: versions that may have begun it by the division.
         :param since_s: time before which it can't have begun.
         """
@@ -175,7 +181,14 @@
             if view.confirmed_s < asked_s and len(possible) == 1:
                 # Buckets may have moved at once, and the stream begun since.
                 return TakeUp(None, Knowledge.too_old, possible)
-        return take_up_of(possible, Knowledge.division)
+        found = take_up_of(possible, Knowledge.division)
+        return self._unless_unconfirmed(found, asked_s)
+
+    def _unless_unconfirmed(self, found: TakeUp, asked_s: float) -> TakeUp:
+        """Return what is known unless others may know another version."""
+        if found.version is None or self._view.confirmed_s >= asked_s:
+            return found
+        return TakeUp(None, Knowledge.unconfirmed, found.possible)
 
     def _may_be_lost(
         self, service: str, since_s: float, asked_s: float
@@ -211,6 +224,8 @@
         :param info: what the request states.
         :param asked_s: when it arrived, monotonic seconds.
         """
+        if take_up.known_by is Knowledge.unconfirmed:
+            return await self._sole_version(take_up, route, info, asked_s)
         service = service_of(route, info)
         division = self._view.divisions.get(service)
         if division is None:
@@ -224,6 +239,31 @@
             return found
         return await self._remembered(found, service, info)
 
+    async def _sole_version(
+        self, take_up: TakeUp, route: Route, info: RequestInfo, asked_s: float
+    ) -> TakeUp:
+        """Return what is known where this gateway knows one version only.
+
+        Owners are asked first, then the store. Where it doesn't answer, the
+        word of those owners counts that can be reached.
+        """
+        service = service_of(route, info)
+        version = next(iter(take_up.possible))
+        told = TakeUp(version, Knowledge.owners, take_up.possible)
+        word = await self._memory.words.word(service, version, asked_s)
+        if word is Word.same and service in self._view.divisions:
+            return told
+        await self._wait_for_confirmation(asked_s)
+        found = self._known(route, info, clock_s(), asked_s)
+        if found.refusal is None:
+            return found
+        remembered = None
+        if info.resumes:
+            remembered = await self._memory.find(service, info.resumes)
+        if remembered is None and found.known_by is Knowledge.unconfirmed:
+            return told if word in {Word.same, Word.partial} else found
+        return with_memory(found, remembered)
+
     async def _wait_for_confirmation(self, asked_s: float) -> None:
         """Wait, not for long, until the store has answered a later call."""
         until_s = asked_s + _MAX_CONFIRMATION_S
@@ -326,19 +366,6 @@
         )
 
 
-def listed_versions(view: FleetView, service: str) -> frozenset[str]:
-    """Return the software versions of all servers, also of those that leave.
-
-    :param view: the servers.
-    :param service: their service.
-    """
-    return frozenset(
-        server.software_version
-        for server in view.servers.values()
-        if server.service == service
-    )
-
-
 def why_unsuitable(
     view: FleetView, chosen: BackendServer, pinned: str | None
 ) -> str:
--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -23,7 +23,9 @@
     service has no other. `memory`: a gateway remembers what began it.
     `version_unknown`: several versions may have begun it. `too_old`: others may
     know of a version that this gateway doesn't, as the store hasn't confirmed
-    the division since the take-up was asked for.
+    the division since the take-up was asked for. `unconfirmed`: the same where
+    this gateway knows one version only. `owners`: the other owners of engines
+    know no other version either.
     """
 
     division = 'division'
@@ -31,8 +33,13 @@
     memory = 'memory'
     version_unknown = 'version unknown'
     too_old = 'knowledge too old'
+    unconfirmed = 'version unconfirmed'
+    owners = 'owners'
 
 
+#: Ends as soon as the store confirms the division.
+_UNTIL_CONFIRMED = frozenset((Knowledge.too_old, Knowledge.unconfirmed))
+
 #: Why a stream isn't sent to any server: the entries of those that could run it
 #: are of former starts.
 VERSION_UNPROVED = NoServer('version unproved', retry_after_s=1.0)
@@ -43,6 +50,9 @@
         Knowledge.version_unknown.value, retry_after_s=60.0
     ),
     Knowledge.too_old: NoServer(Knowledge.too_old.value, retry_after_s=1.0),
+    Knowledge.unconfirmed: NoServer(
+        Knowledge.unconfirmed.value, retry_after_s=1.0
+    ),
 }
 
 #: Why a stream isn't sent; other requests have no influence on that.
@@ -73,7 +83,7 @@
     @property
     def is_unconfirmed(self) -> bool:
         """Return whether the store's next answer tells the version."""
-        return self.known_by is Knowledge.too_old and bool(self.possible)
+        return self.known_by in _UNTIL_CONFIRMED and bool(self.possible)
 
 
 def is_take_up(route: Route, info: RequestInfo) -> bool:
--- a/tests/take_up_engines.py
+++ b/tests/take_up_engines.py
@@ -35,6 +35,8 @@
     'mute-left': ('v1', 'v1', 'v2'),
     'alone-second': ('v1', 'v2'),
     'alone-neither': ('v1', 'v2'),
+    'sole-renewed': ('v1', 'v1'),
+    'sole-outage': ('v1', 'v1'),
     **dict.fromkeys(
         (
             f'{moment}-{knowing}'
--- a/tests/take_up_parts.py
+++ b/tests/take_up_parts.py
@@ -45,6 +45,9 @@
 #: Software version of each bucket of streams, in all services.
 BUCKET_VERSIONS = ('v1', 'v2') * (BUCKETS // 2)
 
+#: Services whose engines are all of one software version begin with this.
+SOLE = 'sole-'
+
 #: Services of one route that they share.
 SPLIT = ('calm', 'other')
 
@@ -239,7 +242,9 @@
 
 def _division(service):
     """Return the division of a service, as if it had been in force for long."""
-    division = StreamDivision(1, BUCKET_VERSIONS)
+    is_sole = service.startswith(SOLE)
+    buckets = ('v1',) * BUCKETS if is_sole else BUCKET_VERSIONS
+    division = StreamDivision(1, buckets)
     stored = stored_division(division, 0, era=1)
     return json.loads(encode_division(service, stored))
 
--- a/tests/test_gateway_moves_at_once.py
+++ b/tests/test_gateway_moves_at_once.py
@@ -204,7 +204,7 @@
 
 
 def test_service_that_got_its_second_version_just_now_joins_no_stream():
-    """KNOWN-RED: a gateway 4 s behind has heard of neither version's change."""
+    """A gateway 4 s behind has heard of neither version's change."""
     late = view_of(('v1',), StreamDivision(1, OLD), MOVED_S - 1)
     moved = next_division(StreamDivision(1, OLD), {'v2': 64}, MOVED_S)
     assert moved.version_for('r1') == 'v2'
--- a/tests/test_gateway_take_up_confirmation.py
+++ b/tests/test_gateway_take_up_confirmation.py
@@ -59,8 +59,10 @@
         (StreamDivision(1, OLD), ('v1', 'v2'), 0.1, Knowledge.too_old),
         (StreamDivision(1, HALF), ('v1',), 0.1, Knowledge.too_old),
         (StreamDivision(1, OLD, HALF), ('v1',), 0.1, Knowledge.too_old),
-        (StreamDivision(1, OLD), ('v1', 'v1'), 4.9, Knowledge.division),
-        (None, ('v1', 'v1'), 4.9, Knowledge.only_version),
+        (StreamDivision(1, OLD), ('v1', 'v1'), 0, Knowledge.division),
+        (StreamDivision(1, OLD), ('v1', 'v1'), 0.1, Knowledge.unconfirmed),
+        (None, ('v1', 'v1'), 0, Knowledge.only_version),
+        (None, ('v1', 'v1'), 0.1, Knowledge.unconfirmed),
         (RECENT, ('v1', 'v2'), 0.1, Knowledge.version_unknown),
     ],
 )
