Keep HEAD requests on connections of their own

What callers saw: a request that must not run twice was answered 502 though its server ran and answered it, where a late copy of an answer to HEAD came before the answer to another method, or the other way round.

Cause: an answer to another request is skipped with the framing of the present request. The answer to HEAD states the length of a body that it hasn't, so the skipping ate the beginning of the real answer, or took the skipped one's body for an answer's head.

Evidence: test_gateway_copied_answers, both rows with HEAD and GET failed before (502), 0 after; the other rows (copies of successes, failures, refusals with a body, in chunks, long, with Connection: close, in two parts, without a length, up to 15 in a row, with Retry-After and Server-Leaving) held before.

Change: what a connection has carried is a class of its own, CarriedRequests, which tells what else it may carry: ids as before, and HEAD apart from all others, whoever asks. The test of remembered ids names the constant's new place.

--- a/src/wasabicross/gateway/connections/connection_pool.py
+++ b/src/wasabicross/gateway/connections/connection_pool.py
@@ -7,6 +7,10 @@
 from collections.abc import Iterator
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.carried_requests import (
+    ExchangeKind,
+    kind_of,
+)
 from wasabicross.gateway.connections.http_heads import Fields, field
 from wasabicross.gateway.connections.server_connections import ServerConnection
 from wasabicross.gateway.connections.watched_reader import WatchedReader
@@ -49,7 +53,13 @@
         )
 
     async def acquire(
-        self, host: str, port: int, fields: Fields, *, once: bool
+        self,
+        host: str,
+        port: int,
+        fields: Fields,
+        *,
+        once: bool,
+        method: bytes = b'GET',
     ) -> ServerConnection:
         """Return a connection that may carry a request, an idle or a new one.
 
@@ -57,19 +67,13 @@
         :param port: its port.
         :param fields: header fields of the request.
         :param once: whether the request must not run twice.
+        :param method: its method.
         :raises ServerUnreachable: no connection could be made.
         """
         request_id = field(fields, self._id_field)
         max_idle_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
-        carriers = []
-        found = None
-        for conn in self._pop_usable(host, port, max_idle_s):
-            if conn.may_carry(request_id):
-                found = conn
-                break
-            carriers.append(conn)
-        self._idle[host, port].extend(reversed(carriers))
-        return found or await self.connect(host, port)
+        idle = self._take(host, port, max_idle_s, kind_of(method), request_id)
+        return idle or await self.connect(host, port)
 
     async def acquire_for_call(self, host: str, port: int) -> ServerConnection:
         """Return a connection for a call of this gateway, an idle or a new one.
@@ -78,7 +82,7 @@
         :param port: its port.
         :raises ServerUnreachable: no connection could be made.
         """
-        idle = next(self._pop_usable(host, port, _MAX_IDLE_S), None)
+        idle = self._take(host, port, _MAX_IDLE_S, ExchangeKind.call)
         return idle or await self.connect(host, port)
 
     def take_idle(
@@ -134,6 +138,25 @@
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return ServerConnection(reader, writer, self._id_field, now_s())
 
+    def _take(
+        self,
+        host: str,
+        port: int,
+        max_idle_s: float,
+        kind: ExchangeKind,
+        request_id: str = '',
+    ) -> ServerConnection | None:
+        """Return an idle connection that may carry a request or call."""
+        unfit = []
+        found = None
+        for conn in self._pop_usable(host, port, max_idle_s):
+            if conn.may_carry(kind, request_id):
+                found = conn
+                break
+            unfit.append(conn)
+        self._idle[host, port].extend(reversed(unfit))
+        return found
+
     def _pop_usable(
         self, host: str, port: int, max_idle_s: float
     ) -> Iterator[ServerConnection]:
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -11,6 +11,11 @@
 import h11
 
 from wasabicross.gateway import metrics
+from wasabicross.gateway.connections.carried_requests import (
+    CarriedRequests,
+    ExchangeKind,
+    kind_of,
+)
 from wasabicross.gateway.connections.fair_turns import FairTurns
 from wasabicross.gateway.connections.http_heads import (
     Fields,
@@ -58,9 +63,6 @@
 #: Statuses of answers that have no body.
 _WITHOUT_BODY = (204, 304)
 
-#: Most ids of requests that a connection remembers; it isn't reused after that.
-_MAX_CARRIED_IDS = 512
-
 #: Numbers the connections of this process, for its log.
 _serials = itertools.count(1)
 
@@ -79,6 +81,11 @@
     body: bytes
     is_own: bool = False
 
+    @property
+    def exchange_kind(self) -> ExchangeKind:
+        """Return which answer it gets."""
+        return ExchangeKind.call if self.is_own else kind_of(self.method)
+
 
 class AnswerHead(NamedTuple):
     """Status and fields of a server's answer.
@@ -97,9 +104,8 @@
 class ServerConnection:
     """One connection to a server; runs one request at a time.
 
-    It carries each id once: a server may send an answer twice, also late, and a
-    copy of the answer to a former request with the same id would count as the
-    answer to the present one.
+    A server may send an answer twice, also late. So it carries only requests whose
+    answers can be told from all earlier ones.
 
     :param reader: its reading side.
     :param writer: its writing side.
@@ -119,11 +125,9 @@
         self._writer = writer
         self._id_field = id_field
         self.connected_s = connected_s
-        #: Number of the connection in this process, and of requests sent on it.
+        #: Number of the connection in this process.
         self.serial = next(_serials)
-        self.sends = 0
-        #: Hashes of the ids that it has carried, the empty one for none.
-        self._carried: set[int] = set()
+        self._carried = CarriedRequests()
         #: Start that the process at its other end has reported, Unix
         #: milliseconds, 0 if it hasn't.
         self.start_ms = 0
@@ -141,6 +145,11 @@
         #: Whether its answers so far have repeated the ids of their requests.
         self._echoes_ids = True
 
+    @property
+    def sends(self) -> int:
+        """Return the number of requests and calls that were sent on it."""
+        return self._carried.count
+
     @property
     def is_usable(self) -> bool:
         """Return whether it is open and has no unread or unsent bytes."""
@@ -164,22 +173,20 @@
         close the connection then. If sending fails, so does reading.
 
         :param req: the request.
-        :raises RequestIdCarried: the connection has carried its id before.
+        :raises RequestIdCarried: the connection may not carry it.
         """
         self._carry(req)
         self._reader.on_unsolicited = None
         self._received_bytes = 0
-        self.sends += 1
         self._writer.write(self._encode(self._codec, req))
 
-    def may_carry(self, request_id: str) -> bool:
-        """Return whether no request with an id was sent on the connection.
+    def may_carry(self, kind: ExchangeKind, request_id: str = '') -> bool:
+        """Return whether answers to earlier requests can be told from another one.
 
-        :param request_id: the id, empty for a request without one.
+        :param kind: which answer a request or call gets.
+        :param request_id: its id, empty for one without an id.
         """
-        if not request_id:
-            return not self.sends
-        return hash(request_id) not in self._carried
+        return self._carried.may_add(kind, request_id)
 
     async def read_head(self, req: ServerRequest) -> AnswerHead:
         """Return the head of the answer; skip answers to other requests.
@@ -275,7 +282,7 @@
 
         :param now_s: the present time, monotonic seconds.
         """
-        if not self._echoes_ids or len(self._carried) >= _MAX_CARRIED_IDS:
+        if not self._echoes_ids or self._carried.is_full:
             return False
         trailing = self._codec.trailing_data[0]
         ended = self._codec.our_state is h11.DONE
@@ -295,15 +302,13 @@
         self._writer.transport.abort()
 
     def _carry(self, req: ServerRequest) -> None:
-        """Remember the id of a request."""
-        if req.is_own:
-            return
+        """Remember a request."""
         request_id = field(req.fields, self._id_field)
-        if not self.may_carry(request_id):
+        if not self.may_carry(req.exchange_kind, request_id):
             raise RequestIdCarried(
-                f'connection {self.serial} has carried {request_id!r}'
+                f'connection {self.serial} may not carry {request_id!r}'
             )
-        self._carried.add(hash(request_id))
+        self._carried.add(req.exchange_kind, request_id)
 
     def _check_is_new(self) -> None:
         """Check that an answer without an id can only be the present one."""
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -80,7 +80,11 @@
             # A reused connection may end just now, which would leave unknown
             # whether the request was taken.
             conn = await self._pool.acquire(
-                self._host, self._port, req.fields, once=True
+                self._host,
+                self._port,
+                req.fields,
+                once=True,
+                method=req.method,
             )
         except ServerUnreachable as exc:
             self.reason = str(exc)
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -109,6 +109,7 @@
                     server.port,
                     self._context.req.fields,
                     once=runs_once,
+                    method=self._context.req.method,
                 )
             except ServerUnreachable as exc:
                 self._on_unreachable(server, exc)
--- a/tests/test_gateway_carried_ids.py
+++ b/tests/test_gateway_carried_ids.py
@@ -6,7 +6,7 @@
 import pytest
 from scripted_server import HOST, ScriptedServer, answer
 
-from wasabicross.gateway.connections import server_connections
+from wasabicross.gateway.connections import carried_requests
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import ServerRequest
 from wasabicross.gateway.errors import RequestIdCarried
@@ -93,7 +93,7 @@
 
 
 def test_connection_that_remembers_many_ids_is_replaced(monkeypatch):
-    monkeypatch.setattr(server_connections, '_MAX_CARRIED_IDS', 3)
+    monkeypatch.setattr(carried_requests, '_MAX_IDS', 3)
     request_ids = [b'r%d' % number for number in range(7)]
 
     async def scenario():
