Play refusals that come twice, and servers back under a new id, in the soak

What callers saw: requests that ran and were refused, or ran twice, where a server sent a refusal again and another id had come at its address; no play of ours had it.

Cause: the soak's servers sent each refusal once, and kept their ids for ever. So a request never came to an address twice, and nothing came where its answer was due.

Change: three kinds of faults. All refusals of the soak's servers now say Not-Run, as the platform's do.

Orders were judged by the process's name, though an engine under a new id is another server that has had no orders. They are judged by the id that the engine has.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -20,7 +20,15 @@
 - ``{"kind": "renew", "quiet_s": S}``: the server is as after a restart under its
   id and address as the other software version, with the adapters that it had; its
   first heartbeat comes S seconds later;
-- ``{"kind": "break_off"}``: all connections are reset.
+- ``{"kind": "break_off"}``: all connections are reset;
+- ``{"kind": "refuse", "share": P, "for_s": S}``: a share of the requests is refused
+  for S seconds, with 503, 421 or 429;
+- ``{"kind": "refuse_twice", "share": P, "for_s": S}``: the same, and most refusals,
+  also others, are sent again: right when the next request comes on that connection,
+  or some ms later while it is idle;
+- ``{"kind": "new_id", "for_s": S}``: the server is as after a restart at its address
+  under a new id, with the adapters that it had; the entry of its former id is
+  renewed for S seconds more.
 
 Its process ends as soon as it runs a request whose path has a part that begins
 with `deadly`. Some requests, chosen by their ids, get an answer with neither a
@@ -33,8 +41,9 @@
 import json
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
+from weakref import WeakSet
 
 import click
 import urllib3
@@ -48,6 +57,7 @@
     send_in_halves,
 )
 from emulator.soak.engine_adapters import MODEL, EngineAdapters
+from emulator.soak.refusals import Refusals
 from emulator.soak.server_life import Identity, ServerLife
 from emulator.soak.server_log import log
 from emulator.soak.store import encode_value
@@ -89,7 +99,15 @@
             identity.adapter_slots, self._version_in_force
         )
         start_ms = int(time.time() * _MS_PER_S)
-        self._life = ServerLife(identity.software, adapters, start_ms)
+        self._life = ServerLife(
+            identity.server_id, identity.software, adapters, start_ms
+        )
+        self._refusals = Refusals(identity.server_id)
+        #: Connections on which a request has come.
+        self._connections: WeakSet[Responder] = WeakSet()
+        #: Entries of former ids, with the time until which they are renewed,
+        #: monotonic seconds.
+        self._former: dict[str, tuple[float, bytes]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._http = urllib3.PoolManager(retries=False, timeout=2)
 
@@ -100,16 +118,24 @@
         :param responder: sends the answer.
         :raises ConnectionDied: a fault ended the connection.
         """
+        if req.path == '/fault':
+            self._on_fault(req.document(), responder)
+            responder.send_json(_OK, {})
+            return
+        if responder not in self._connections:
+            self._connections.add(responder)
+            log('connection', request=req.headers.get('request-id', ''))
+        self._refusals.send_due(req, responder)
+        await self._answer(req, responder)
+
+    async def _answer(self, req: HttpRequest, responder: Responder) -> None:
         handlers: dict[str, Callable[[HttpRequest], dict[str, Any]]] = {
             '/health': self._health,
             '/-/report': self._report,
         }
         handler = handlers.get(req.path)
-        if req.path == '/fault':
-            self._on_fault(req.document(), responder)
-            responder.send_json(_OK, {})
-        elif self._names_another_server(req):
-            responder.send_json(_MISDIRECTED, {}, request_id_field(req))
+        if self._names_another_server(req):
+            self._refuse(req, responder, _MISDIRECTED)
         elif handler is not None:
             responder.send_json(_OK, handler(req))
         elif req.path == '/-/order':
@@ -120,8 +146,10 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the store until cancelled."""
         while True:
-            if time.monotonic() >= self._life.quiet_until_s:
+            now_s = time.monotonic()
+            if now_s >= self._life.quiet_until_s:
                 await asyncio.to_thread(self._send_heartbeat)
+            await asyncio.to_thread(self._renew_former, now_s)
             await asyncio.sleep(_HEARTBEAT_S)
 
     def _on_fault(self, document: dict[str, Any], responder: Responder) -> None:
@@ -130,13 +158,35 @@
             self.server.reset_others(responder)
         elif document['kind'] == 'break_off':
             self.server.send_resets(responder)
+        elif document['kind'] == 'new_id':
+            self._take_new_id(document['for_s'])
+            self.server.reset_others(responder)
+        elif document['kind'] in {'refuse', 'refuse_twice'}:
+            self._refusals.set_from(document, time.monotonic())
         else:
             self._life.set_from(document, self._faults)
 
+    def _take_new_id(self, for_s: float) -> None:
+        until_s = time.monotonic() + for_s
+        self._former[self._life.server_id] = (until_s, self._entry())
+        self._life = self._life.under_new_id()
+        self._start(asyncio.to_thread(self._send_heartbeat))
+
     def _health(self, _req: HttpRequest) -> dict[str, Any]:
-        return {'id': self._identity.server_id}
+        return {'id': self._life.server_id}
 
     def _send_heartbeat(self) -> None:
+        self._renew_entry(self._life.server_id, self._entry())
+
+    def _renew_former(self, now_s: float) -> None:
+        for server_id, (until_s, entry) in tuple(self._former.items()):
+            if now_s < until_s:
+                self._renew_entry(server_id, entry)
+            else:
+                self._former.pop(server_id)
+
+    def _entry(self) -> bytes:
+        """Return the entry of the server in the store."""
         identity = self._identity
         entry = {
             'service': identity.service,
@@ -150,12 +200,15 @@
         }
         if self._life.software:
             entry['version'] = self._life.software
-        text = encode_value(json.dumps(entry).encode())
-        document = {'key': f'servers/{identity.server_id}', 'text': text}
+        return json.dumps(entry).encode()
+
+    def _renew_entry(self, server_id: str, entry: bytes) -> None:
+        port = self._identity.store_port
+        document = {'key': f'servers/{server_id}', 'text': encode_value(entry)}
         try:
             self._http.request(
                 'POST',
-                f'http://{_HOST}:{identity.store_port}/debug/heartbeat',
+                f'http://{_HOST}:{port}/debug/heartbeat',
                 json=document,
             )
         except urllib3.exceptions.HTTPError as exc:
@@ -175,8 +228,8 @@
         }
 
     def _names_another_server(self, req: HttpRequest) -> bool:
-        expected = req.headers.get('expect-instance', self._identity.server_id)
-        return expected != self._identity.server_id
+        expected = req.headers.get('expect-instance', self._life.server_id)
+        return expected != self._life.server_id
 
     async def _on_order(
         self, order: dict[str, Any], responder: Responder
@@ -215,11 +268,11 @@
         if pause_s > 0:
             log('pause_wanted', request=request_id, for_s=pause_s)
             after = ('Retry-After', f'{pause_s:.3f}')
-            responder.send_json(
-                _UNAVAILABLE,
-                {},
-                (*request_id_field(req), ('Not-Run', '1'), after),
-            )
+            self._refuse(req, responder, _UNAVAILABLE, after)
+            return
+        status = self._refusals.status(time.monotonic())
+        if status:
+            self._refuse(req, responder, status)
             return
         if life.running >= self._life.limits.slots(
             self._identity.slots, time.monotonic()
@@ -232,7 +285,7 @@
         if self._identity.adapter_slots and (
             not version or version != expected
         ):
-            responder.send_json(_MISDIRECTED, {}, request_id_field(req))
+            self._refuse(req, responder, _MISDIRECTED)
             return
         self._log_run(req, name, version)
         deadly = deadly_part(req.path)
@@ -251,11 +304,17 @@
         """Refuse a request for want of room."""
         self._life.limits.on_refused(time.monotonic())
         limits = self._life.limits.fields(req, time.monotonic())
-        responder.send_json(
-            _UNAVAILABLE,
-            {},
-            (*request_id_field(req), ('Not-Run', '1'), *limits),
-        )
+        self._refuse(req, responder, _UNAVAILABLE, *limits)
+
+    def _refuse(
+        self,
+        req: HttpRequest,
+        responder: Responder,
+        status: int,
+        *fields: tuple[str, str],
+    ) -> None:
+        now_s = time.monotonic()
+        self._refusals.refuse(req, responder, status, fields, now_s)
 
     def _log_run(self, req: HttpRequest, name: str, version: int) -> None:
         log(
@@ -304,7 +363,10 @@
         return (*fields, ('Server-Leaving', '1'))
 
     def _schedule_late(self, order: dict[str, Any]) -> None:
-        task = asyncio.ensure_future(self._execute_late(order))
+        self._start(self._execute_late(order))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -284,11 +284,15 @@
 
 
 def _orders_by_server(evidence: Evidence) -> dict[str, list[OrderReceived]]:
-    """Return the orders of each engine, but for those that may be delayed."""
+    """Return the orders to each id, but for those that may be delayed.
+
+    An engine that has started under a new id is another one, which has had no
+    orders and no owner.
+    """
     found: dict[str, list[OrderReceived]] = defaultdict(list)
     for order in evidence.orders:
         if not order.is_late and not _may_be_delayed(evidence, order):
-            found[order.server].append(order)
+            found[order.server_id or order.server].append(order)
     return found
 
 
--- a/emulator/soak/evidence.py
+++ b/emulator/soak/evidence.py
@@ -102,15 +102,32 @@
     deadly: str
 
 
+class Copy(NamedTuple):
+    """A second copy of a refusal, or one that met its own request.
+
+    :param at_s: when, monotonic seconds.
+    :param server: its name.
+    :param request: id of the refused request.
+    :param has_met: whether this request was the next one on the connection.
+    """
+
+    at_s: float
+    server: str
+    request: str
+    has_met: bool
+
+
 class ServerStart(NamedTuple):
     """The start of a server, which ends the effect of its earlier notices.
 
     :param at_s: when, monotonic seconds.
     :param server: its name.
+    :param server_id: the id under which it starts.
     """
 
     at_s: float
     server: str
+    server_id: str = ''
 
 
 class OrderReceived(NamedTuple):
@@ -121,6 +138,7 @@
     :param owner: the gateway that sent it.
     :param term: ownership term, which rises with each change of the owner.
     :param is_late: whether it was executed seconds after it was received.
+    :param server_id: the id that the engine has then.
     """
 
     at_s: float
@@ -128,6 +146,7 @@
     owner: str
     term: int
     is_late: bool
+    server_id: str = ''
 
 
 class Evidence(NamedTuple):
@@ -155,6 +174,7 @@
     limits: Sequence[StatedLimit] = ()
     brittle: Sequence[BrittleEvent] = ()
     ends: Sequence[ServerEnd] = ()
+    copies: Sequence[Copy] = ()
 
 
 class ServerLog(NamedTuple):
@@ -169,6 +189,7 @@
     limits: list[StatedLimit]
     brittle: list[BrittleEvent]
     ends: list[ServerEnd]
+    copies: list[Copy]
 
 
 def read_logs(paths: dict[str, pathlib.Path]) -> ServerLog:
@@ -177,7 +198,7 @@
     :param paths: paths of their logs, by server name.
     :raises OSError: a log can't be read.
     """
-    log = ServerLog([], [], [], [], [], [], [], [], [])
+    log = ServerLog([], [], [], [], [], [], [], [], [], [])
     for server, path in paths.items():
         for line in path.read_text().splitlines():
             if line.startswith('{'):
@@ -208,7 +229,13 @@
         log.arrivals.append(Arrival(line['at_s'], server, line['request']))
     elif line['event'] == 'order':
         order = OrderReceived(
-            line['at_s'], server, line['owner'], line['term'], line['late']
+            line['at_s'],
+            server,
+            line['owner'],
+            line['term'],
+            line['late'],
+            # The logs are read one after the other, each from its first line.
+            log.server_starts[-1].server_id,
         )
         log.orders.append(order)
     else:
@@ -228,7 +255,7 @@
 
 def _add_notice(log: ServerLog, server: str, line: dict[str, Any]) -> None:
     if line['event'] == 'started':
-        log.server_starts.append(ServerStart(line['at_s'], server))
+        log.server_starts.append(ServerStart(line['at_s'], server, line['id']))
     elif line['event'] == 'limit_stated':
         stated = StatedLimit(
             line['at_s'], server, line['request'], line['per_s']
@@ -242,3 +269,11 @@
         for_s = line.get('for_s', 0)
         notice = Notice(line['at_s'], server, line['request'], for_s)
         log.notices.append(notice)
+    else:
+        _add_copy(log, server, line)
+
+
+def _add_copy(log: ServerLog, server: str, line: dict[str, Any]) -> None:
+    if line['event'] == 'copy':
+        has_met = line['met']
+        log.copies.append(Copy(line['at_s'], server, line['request'], has_met))
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -21,7 +21,13 @@
 )
 from emulator.soak.engine_adapters import MODEL
 from emulator.soak.injected import GatewayStop, InjectedFault, PublishedVersion
-from emulator.soak.notices import LEAVING_KINDS, NOTICES, notice_document
+from emulator.soak.notices import (
+    LEAVING_KINDS,
+    NOTICES,
+    REFUSALS,
+    notice_document,
+    refusal_document,
+)
 from emulator.soak.renewals import RENEWALS, Renewals
 from emulator.soak.schedule import Fault
 
@@ -205,10 +211,15 @@
             reset = self._deployment.proxy.reset
             await asyncio.to_thread(reset, server.link_port)
         else:
-            async with self._locks[server.name]:
-                await self._fault_process(server, fault)
+            await self._fault_locked(server, fault)
         return server.name
 
+    async def _fault_locked(self, server: Server, fault: Fault) -> None:
+        async with self._locks[server.name]:
+            await self._fault_process(server, fault)
+        if fault.kind in REFUSALS:
+            await asyncio.sleep(fault.for_s)
+
     async def _fault_process(self, server: Server, fault: Fault) -> None:
         """Put a fault in force that a server itself has."""
         if fault.kind in RENEWALS:
@@ -231,6 +242,9 @@
             await self._kill(server.name, 0)
 
     def _set_server_fault(self, server: Server, fault: Fault) -> None:
+        if fault.kind in REFUSALS:
+            self._tell(server, **refusal_document(fault))
+            return
         if fault.kind == 'orders_late':
             self._tell(server, kind='late_orders', count=_request_count(fault))
             return
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -127,4 +127,5 @@
         log.limits,
         log.brittle,
         log.ends,
+        log.copies,
     )
--- a/emulator/soak/report.py
+++ b/emulator/soak/report.py
@@ -53,6 +53,11 @@
         f'{len(evidence.published_versions)} versions, '
         f'{len(evidence.stops)} stops'
     )
+    met = sum(each.has_met for each in evidence.copies)
+    yield (
+        f'  copies of refusals: {len(evidence.copies) - met}, '
+        f'{met} met their own request'
+    )
 
 
 def _streams(resumable: list[CallResult], joined: int) -> str:
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -66,6 +66,15 @@
     'store_restore': (0, 0),
 }
 
+#: The same for servers that refuse a share of their requests, the second kind with
+#: copies of the refusals, and for servers that start again at once at their address
+#: under a new id; the entry of the former id stands up to 2 s longer than the fault.
+REFUSAL_KINDS = {
+    'server_refuse': (3, 8),
+    'server_refuse_twice': (3, 8),
+    'server_new_id': (0.5, 2.5),
+}
+
 _FIRST_FAULT_S = 1.0
 _MAX_GAP_S = 1.6
 _MAX_NOTICE_GAP_S = 12.0
@@ -73,6 +82,7 @@
 _MAX_CRASH_GAP_S = 40.0
 _MAX_RESTART_GAP_S = 4.0
 _MAX_RENEW_GAP_S = 8.0
+_MAX_REFUSAL_GAP_S = 6.0
 _TARGETS = 64
 
 
@@ -81,7 +91,7 @@
 
     :param at_s: seconds from the start of the run.
     :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS`, `CRASH_KINDS`,
-        `RESTART_KINDS` or `RENEW_KINDS`.
+        `RESTART_KINDS`, `RENEW_KINDS` or `REFUSAL_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -122,6 +132,9 @@
         *_random_faults(
             f'renew/{seed}', RENEW_KINDS, _MAX_RENEW_GAP_S, length_s
         ),
+        *_random_faults(
+            f'refusal/{seed}', REFUSAL_KINDS, _MAX_REFUSAL_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/emulator/soak/server_life.py
+++ b/emulator/soak/server_life.py
@@ -38,6 +38,7 @@
 class ServerLife:
     """What a server is and has stated since its last start.
 
+    :param server_id: its id.
     :param software: software version that runs, empty for none.
     :param adapters: the adapters that it holds.
     :param start_ms: when it started, milliseconds of the time of day.
@@ -46,11 +47,13 @@
 
     def __init__(
         self,
+        server_id: str,
         software: str,
         adapters: EngineAdapters,
         start_ms: int,
         quiet_until_s: float = 0,
     ) -> None:
+        self.server_id = server_id
         self.software = software
         self.adapters = adapters
         self.start_ms = start_ms
@@ -60,21 +63,31 @@
         self.pause_until_s: float = 0
         self.is_leaving = False
         self.limits = StatedLimits()
-        log('started', software=software)
+        log('started', software=software, id=server_id)
 
     def after_restart(self, quiet_s: float) -> ServerLife:
         """Return the next life, which runs the other software version.
 
         :param quiet_s: seconds until its first heartbeat.
         """
-        now_ms = int(time.time() * _MS_PER_S)
         return ServerLife(
+            self.server_id,
             other_software(self.software),
             self.adapters.after_restart(),
-            max(now_ms, self.start_ms + 1),
+            self._next_start_ms(),
             time.monotonic() + quiet_s,
         )
 
+    def under_new_id(self) -> ServerLife:
+        """Return the next life, which has an id of its own."""
+        start_ms = self._next_start_ms()
+        return ServerLife(
+            f'{self.server_id.partition(".")[0]}.{start_ms}',
+            self.software,
+            self.adapters.after_restart(),
+            start_ms,
+        )
+
     def set_from(self, document: dict[str, Any], faults: Faults) -> None:
         """Put a fault in force that a restart ends, or one that it doesn't.
 
@@ -91,3 +104,7 @@
             self.is_leaving = True
         else:
             faults.set_from(document)
+
+    def _next_start_ms(self) -> int:
+        now_ms = int(time.time() * _MS_PER_S)
+        return max(now_ms, self.start_ms + 1)
--- a/tests/test_soak_backend.py
+++ b/tests/test_soak_backend.py
@@ -39,6 +39,7 @@
     runner: Runner
     port: int
     slots: int
+    store_port: int
 
 
 @pytest.fixture(params=[0, 4], ids=['plain', 'engine'])
@@ -60,7 +61,7 @@
             program('backend', args, port),
         )
         load_adapter(port, request.param)
-        yield Server(runner, port, request.param)
+        yield Server(runner, port, request.param, store_port)
 
 
 @pytest.fixture
@@ -191,3 +192,76 @@
         fetch(server.port, '/fault', json.dumps({'kind': 'break_off'}))
         with pytest.raises(ConnectionResetError):
             read_until(conn)
+
+
+def fault(server, **document):
+    fetch(server.port, '/fault', json.dumps({**document, 'for_s': 30}))
+
+
+def heads_on_one_connection(server, *request_ids):
+    """Return status and request id of the answers to one request each."""
+    with closing(send_run(server.port, request_ids[0])) as conn:
+        received = read_until(conn, b'{}')
+        for request_id in request_ids[1:]:
+            conn.sendall(
+                f'POST /x HTTP/1.1\r\nRequest-Id: {request_id}\r\n\r\n'.encode()
+            )
+        while received.count(b'{}') < len(request_ids):
+            received += read_until(conn, b'{}')
+    heads = received.decode().split('HTTP/1.1 ')[1:]
+    return [
+        (head[:3], head.partition('Request-Id: ')[2].split('\r\n')[0])
+        for head in heads
+    ]
+
+
+def test_most_refusals_come_twice_when_they_are_made_to(server):
+    fault(server, kind='refuse_twice', share=1)
+    ids = [f'r{number}' for number in range(40)]
+    heads = heads_on_one_connection(server, *ids)
+    assert {status for status, _ in heads} <= {'503', '421', '429'}
+    counts = [heads.count(head) for head in dict.fromkeys(heads)]
+    assert max(counts) == 2
+    assert counts.count(2) > len(counts) / 2
+
+
+def test_refusals_come_once_without_copies(server):
+    fault(server, kind='refuse', share=1)
+    ids = [f'r{number}' for number in range(40)]
+    heads = heads_on_one_connection(server, *ids)
+    assert [request_id for _, request_id in heads] == ids
+
+
+def test_a_server_under_a_new_id_refuses_what_names_the_former_one(server):
+    fault(server, kind='new_id')
+    new_id = json.loads(fetch(server.port, '/health')[1])['id']
+    assert new_id != 's'
+    head, _ = fetch(server.port, '/x', request_id='r', expect_instance='s')
+    assert b' 421 ' in head
+    assert b'request-id: r' in head
+    fields = {'model': ADAPTER, 'token_count': f'1,{EVENTS}'}
+    head, body = fetch(
+        server.port,
+        '/x',
+        request_id=FRAMED,
+        expect_instance=new_id,
+        **fields,
+    )
+    assert b' 200 ' in head
+    assert body
+
+
+def test_entry_of_a_former_id_stands_beside_the_new_one(server):
+    store_port = server.store_port
+
+    def listed():
+        found = json.loads(
+            fetch(store_port, '/-/kv-range?pathPrefix=servers/')[1]
+        )
+        return [each['key'] for each in found['items']]
+
+    wait_until(lambda: listed() == ['servers/s'], 5, 'entry listed')
+    fetch(server.port, '/fault', json.dumps({'kind': 'new_id', 'for_s': 0.5}))
+    wait_until(lambda: len(listed()) == 2, 1, 'both entries listed')
+    wait_until(lambda: len(listed()) == 1, 5, 'former entry removed')
+    assert listed() != ['servers/s']
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -194,6 +194,7 @@
     {'results': [STREAM._replace(route_name='resumable')], 'runs': [RUN, RUN]},
     {'orders': others()},
     {'orders': others(at_s=21, is_late=True)},
+    {'orders': others(at_s=21, term=4, server_id='llm-0.7')},
     {
         'orders': others(at_s=21),
         'injected': [InjectedFault('gateway_pause', 'h', 15, 20.9)],
@@ -334,6 +335,14 @@
     ('within 1.00 s', {'orders': others(at_s=21)}),
     ('term 4 after 5', {'orders': others(term=4)}),
     ('from two owners', {'orders': others(term=5)}),
+    (
+        'llm-0.7 got orders',
+        {
+            'orders': [
+                each._replace(server_id='llm-0.7') for each in others(at_s=21)
+            ]
+        },
+    ),
     ('slots passed', {'overfilled_engines': ['llm-0']}),
     ('ended by itself', {'unexpected_exits': ['g']}),
     ('exit code 1', {'stops': [STOP._replace(exit_code=1)]}),
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -60,3 +60,23 @@
     assert verdict.broken == []
     taken_up = [each for each in verdict.evidence.results if each.began]
     assert any(each.status == 200 and each.is_complete for each in taken_up)
+
+
+def test_copies_of_refusals_refuse_nothing_that_runs_at_new_ids(tmp_path):
+    """A copy counted as the answer to its request, which ran at the next id."""
+    size = Size(gateways=3, engines=3, callers=12)
+    servers, restarts = 5, 20
+    faults = (
+        *(
+            Fault(1, 'server_refuse_twice', each, 8, 0.5)
+            for each in range(servers)
+        ),
+        *(
+            Fault(1.2 + each * 0.4, 'server_new_id', each, 2, 0)
+            for each in range(restarts)
+        ),
+    )
+    verdict = play(1, faults, size, tmp_path / 'soak')
+    assert verdict.broken == []
+    assert len(verdict.evidence.copies) > servers
+    assert len(verdict.evidence.server_starts) == servers + restarts
--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -7,6 +7,7 @@
     KINDS,
     LIMIT_KINDS,
     NOTICE_KINDS,
+    REFUSAL_KINDS,
     RENEW_KINDS,
     RESTART_KINDS,
     decode,
@@ -39,6 +40,7 @@
         **CRASH_KINDS,
         **RESTART_KINDS,
         **RENEW_KINDS,
+        **REFUSAL_KINDS,
     }
     assert {fault.kind for fault in faults} == all_kinds.keys()
     for fault in faults:
