Tell answers to the gateway's own calls from copies of earlier ones

What callers saw: an order or another request that must not run twice was answered 502 though its server ran it, where a copy of a report's answer came before its own; longer waits and refusals, where a live server was taken for gone, an order that was turned down for accepted, an accepted one for refused, or an unload under way for done (the next load may then be one more than the slots hold).

Cause: reports, orders and health checks had no id and shared the connections of requests, so any answer without an id counted as theirs, a copy of an earlier one too. Same class as: the identity of an exchange taken from what several share.

Change: calls have fresh ids, so a copy is skipped where servers repeat these. Where they don't, a connection carries exchanges of one kind only (CarriedRequests: requests, HEAD, reports, loads, unloads, store), so a copy can't count as an answer of another kind or cut a request; and a call's answer without an id that is no success ends its connection, so no copy of a refusal meets a later call. Health checks without an id in their answer end theirs as well, so a copy is no sign of life. A process's start is still asked on the connection of its stream. The store's calls are as they were.

--- a/src/wasabicross/gateway/connections/carried_requests.py
+++ b/src/wasabicross/gateway/connections/carried_requests.py
@@ -7,33 +7,55 @@
 #: Most ids of requests that are remembered.
 _MAX_IDS = 512
 
+_SUCCESSES = range(200, 300)
+
 
 class ExchangeKind(enum.Enum):
-    """Which answers a connection gets.
+    """What is asked for, by which answers to it are told from others.
 
-    `request`: answers to callers' requests. `head`: the same without bodies.
-    `call`: answers to calls of this gateway.
+    `request`: a caller's request. `head`: one whose answer has no body. The
+    others are calls of this gateway. `start`: a report of the process behind a
+    connection before a request goes there. `check`: a health check. `store`: a
+    call to the platform's store.
     """
 
     request = 'request'
     head = 'head'
-    call = 'call'
+    start = 'start'
+    check = 'check'
+    report = 'report'
+    load = 'load'
+    unload = 'unload'
+    store = 'store'
 
+    @property
+    def is_call(self) -> bool:
+        """Return whether it is a call of this gateway."""
+        return self not in {ExchangeKind.request, ExchangeKind.head}
 
-def kind_of(method: bytes) -> ExchangeKind:
-    """Return which answer a caller's request gets.
 
-    :param method: its method.
-    """
-    return ExchangeKind.head if method == b'HEAD' else ExchangeKind.request
+#: Calls that go where requests go.
+_AMONG_REQUESTS = frozenset((ExchangeKind.start, ExchangeKind.check))
+
+#: Calls whose successes may have no id and are followed by others of their kind:
+#: a late one tells what held shortly before.
+_REPEATED = frozenset(
+    (
+        ExchangeKind.start,
+        ExchangeKind.report,
+        ExchangeKind.load,
+        ExchangeKind.unload,
+    )
+)
 
 
 class CarriedRequests:
-    """The requests that a connection has carried.
+    """The requests and calls that a connection has carried.
 
     A server may send an answer twice, also late. So a connection carries each id
-    once, a request without one if it is the first one, and answers that are
-    framed alike: one to HEAD has the length of a body that it hasn't.
+    once, a request without one if it is the first one, and only exchanges of one
+    kind: servers needn't repeat the ids of calls, and an answer to HEAD has the
+    length of a body that it hasn't.
     """
 
     def __init__(self) -> None:
@@ -51,13 +73,12 @@
     def may_add(self, kind: ExchangeKind, request_id: str) -> bool:
         """Return whether a request or call may be sent.
 
-        :param kind: which answer it gets.
+        :param kind: what it asks for.
         :param request_id: its id, empty for a request without one.
         """
-        is_headless = ExchangeKind.head not in {kind, self._kind}
-        if not is_headless and self._kind not in {None, kind}:
+        if self._kind not in {None, _shared(kind)}:
             return False
-        if kind is ExchangeKind.call:
+        if kind.is_call:
             return True
         if not request_id:
             return not self.count
@@ -66,10 +87,36 @@
     def add(self, kind: ExchangeKind, request_id: str) -> None:
         """Record a request or call that is sent.
 
-        :param kind: which answer it gets.
+        :param kind: what it asks for.
         :param request_id: its id, empty for a request without one.
         """
-        self._kind = kind
+        self._kind = _shared(kind)
         self.count += 1
-        if kind is not ExchangeKind.call:
+        if not kind.is_call:
             self._ids.add(hash(request_id))
+
+
+def kind_of(method: bytes) -> ExchangeKind:
+    """Return what a caller's request asks for.
+
+    :param method: its method.
+    """
+    return ExchangeKind.head if method == b'HEAD' else ExchangeKind.request
+
+
+def may_be_followed(kind: ExchangeKind, status: int) -> bool:
+    """Return whether a connection may be used after an answer without an id.
+
+    A copy of the answer would count as the one to a later call.
+
+    :param kind: what was asked for.
+    :param status: status of the answer.
+    """
+    if kind is ExchangeKind.store:
+        return True
+    return kind in _REPEATED and status in _SUCCESSES
+
+
+def _shared(kind: ExchangeKind) -> ExchangeKind:
+    """Return the kind of the connections on which a request or call goes."""
+    return ExchangeKind.request if kind in _AMONG_REQUESTS else kind
--- a/src/wasabicross/gateway/connections/connection_pool.py
+++ b/src/wasabicross/gateway/connections/connection_pool.py
@@ -75,14 +75,17 @@
         idle = self._take(host, port, max_idle_s, kind_of(method), request_id)
         return idle or await self.connect(host, port)
 
-    async def acquire_for_call(self, host: str, port: int) -> ServerConnection:
+    async def acquire_for_call(
+        self, host: str, port: int, call: ExchangeKind
+    ) -> ServerConnection:
         """Return a connection for a call of this gateway, an idle or a new one.
 
         :param host: IP address of the server.
         :param port: its port.
+        :param call: which call it is.
         :raises ServerUnreachable: no connection could be made.
         """
-        idle = self._take(host, port, _MAX_IDLE_S, ExchangeKind.call)
+        idle = self._take(host, port, _MAX_IDLE_S, call)
         return idle or await self.connect(host, port)
 
     def take_idle(
@@ -90,13 +93,16 @@
     ) -> ServerConnection | None:
         """Return an idle connection that was there at a time, None without one.
 
+        A health check may be sent on it.
+
         :param host: IP address of the server.
         :param port: its port.
         :param connected_by_s: the time, monotonic seconds.
         """
         idle = self._idle[host, port]
         for conn in idle:
-            if conn.is_usable and conn.connected_s <= connected_by_s:
+            is_fit = conn.is_usable and conn.may_carry(ExchangeKind.check)
+            if is_fit and conn.connected_s <= connected_by_s:
                 idle.remove(conn)
                 return conn
         return None
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -15,6 +15,7 @@
     CarriedRequests,
     ExchangeKind,
     kind_of,
+    may_be_followed,
 )
 from wasabicross.gateway.connections.fair_turns import FairTurns
 from wasabicross.gateway.connections.http_heads import (
@@ -72,19 +73,19 @@
 class ServerRequest(NamedTuple):
     """A request in the form in which it is sent to a server.
 
-    :param is_own: whether it is a call of this gateway, which has no id.
+    :param call: which call of this gateway it is, None for a caller's request.
     """
 
     method: bytes
     target: bytes
     fields: Fields
     body: bytes
-    is_own: bool = False
+    call: ExchangeKind | None = None
 
     @property
     def exchange_kind(self) -> ExchangeKind:
-        """Return which answer it gets."""
-        return ExchangeKind.call if self.is_own else kind_of(self.method)
+        """Return what it asks for."""
+        return self.call or kind_of(self.method)
 
 
 class AnswerHead(NamedTuple):
@@ -142,8 +143,8 @@
         #: Whether it has served a request before, so late bytes may still come.
         self.is_reused = False
         self._is_closed = False
-        #: Whether its answers so far have repeated the ids of their requests.
-        self._echoes_ids = True
+        #: Whether nothing tells a copy of its present answer from later answers.
+        self._is_last = False
 
     @property
     def sends(self) -> int:
@@ -183,7 +184,7 @@
     def may_carry(self, kind: ExchangeKind, request_id: str = '') -> bool:
         """Return whether answers to earlier requests can be told from another one.
 
-        :param kind: which answer a request or call gets.
+        :param kind: what a request or call asks for.
         :param request_id: its id, empty for one without an id.
         """
         return self._carried.may_add(kind, request_id)
@@ -192,7 +193,7 @@
         """Return the head of the answer; skip answers to other requests.
 
         An answer without an id may be a late one to any earlier request, so it
-        counts on a new connection only.
+        counts on a new connection only. Servers needn't repeat the ids of calls.
 
         :param req: the request that was sent.
         :raises AnswerMissing: no answer came, one without an id, or many answers
@@ -205,7 +206,7 @@
             if answer_id == request_id:
                 return _head_of(response, req.method)
             if not answer_id:
-                self._check_is_new()
+                self._check_unnamed(req, response.status_code)
                 return _head_of(response, req.method)
             self._record_skipped(request_id, answer_id, response)
             await self._skip_answer(req)
@@ -282,7 +283,7 @@
 
         :param now_s: the present time, monotonic seconds.
         """
-        if not self._echoes_ids or self._carried.is_full:
+        if self._is_last or self._carried.is_full:
             return False
         trailing = self._codec.trailing_data[0]
         ended = self._codec.our_state is h11.DONE
@@ -310,11 +311,12 @@
             )
         self._carried.add(req.exchange_kind, request_id)
 
-    def _check_is_new(self) -> None:
+    def _check_unnamed(self, req: ServerRequest, status: int) -> None:
         """Check that an answer without an id can only be the present one."""
-        if self.is_reused:
+        if req.call is None and self.is_reused:
             raise AnswerMissing('answer without an id on a reused connection')
-        self._echoes_ids = False
+        if not may_be_followed(req.exchange_kind, status):
+            self._is_last = True
 
     async def _read_response(self) -> h11.Response:
         try:
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import secrets
 from typing import Any
 
 from wasabicross.gateway.backend import BackendServer, EngineReport
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.connections.carried_requests import ExchangeKind
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import (
     ServerConnection,
@@ -19,11 +22,11 @@
     ServerError,
     ServerGone,
 )
-from wasabicross.gateway.orders import Order, OrderAnswer
+from wasabicross.gateway.orders import Order, OrderAnswer, OrderKind
 from wasabicross.gateway.server_notices import ServerNotices
 from wasabicross.gateway.time_limits import TimeLimit
 from wasabicross.platform.documents import decode_report
-from wasabicross.platform.headers import server_notice
+from wasabicross.platform.headers import REQUEST_ID, server_notice
 from wasabicross.runtime.events import Event
 from wasabicross.runtime.logs import log_event
 
@@ -43,16 +46,26 @@
 
 _OK = 200
 _MISDIRECTED = 421
+_ORDER_CALLS = {
+    OrderKind.load: ExchangeKind.load,
+    OrderKind.unload: ExchangeKind.unload,
+}
 _ANSWERS = {
     200: OrderAnswer.already,
     202: OrderAnswer.accepted,
     409: OrderAnswer.conflict,
 }
 
+#: Ids of calls: of this process, and of each call.
+_PROCESS_ID = secrets.token_hex(4)
+_numbers = itertools.count(1)
+
 
 class PlatformEngineClient:
     """HTTP client of the engines.
 
+    Each call has an id. Many servers don't repeat it in their answers.
+
     :param pool: connections to the servers.
     :param notices: receives what answers say about further requests.
     """
@@ -68,7 +81,7 @@
         :raises ServerError: there was no answer.
         :raises DocumentUnreadable: the answer isn't a valid report.
         """
-        req = _report_request(server)
+        req = _report_request(server, ExchangeKind.report)
         _, body = await self._call(
             server, req, _REPORT_TIMEOUT_S, max_bytes=_MAX_REPORT_BYTES
         )
@@ -84,7 +97,8 @@
         """
         document = _order_document(order)
         body = json.dumps(document).encode()
-        req = _request(server, b'POST', b'/-/order', body)
+        call = _ORDER_CALLS[order.kind]
+        req = _request(server, call, b'/-/order', body)
         status, _ = await self._call(server, req, _ORDER_TIMEOUT_S)
         return _ANSWERS.get(status, OrderAnswer.refused)
 
@@ -100,7 +114,7 @@
         :raises ServerError: there was no answer.
         :raises DocumentUnreadable: the answer isn't a valid report.
         """
-        req = _report_request(server)
+        req = _report_request(server, ExchangeKind.start)
         limit = TimeLimit(
             max_wait_s, AnswerMissing(f'no report within {max_wait_s} s')
         )
@@ -132,9 +146,8 @@
         :param max_wait_s: longest wait for the answer, seconds.
         :raises ServerError: no answer began.
         """
-        req = _request(
-            server._replace(server_id=_NO_SERVER), b'GET', path.encode(), b''
-        )
+        nobody = server._replace(server_id=_NO_SERVER)
+        req = _request(nobody, ExchangeKind.check, path.encode())
         limit = TimeLimit(
             max_wait_s, AnswerMissing(f'no answer within {max_wait_s} s')
         )
@@ -159,7 +172,7 @@
         :param server: any backend server.
         :param path: path of the health check.
         """
-        req = _request(server, b'GET', path.encode(), b'')
+        req = _request(server, ExchangeKind.check, path.encode())
         try:
             status, _ = await self._call(
                 server, req, _REPORT_TIMEOUT_S, is_new=True
@@ -201,10 +214,12 @@
         *,
         is_new: bool,
     ) -> tuple[int, bytes]:
+        host, port = server.host, server.port
+        call = req.exchange_kind
         if is_new:
-            conn = await self._pool.connect(server.host, server.port)
+            conn = await self._pool.connect(host, port)
         else:
-            conn = await self._pool.acquire_for_call(server.host, server.port)
+            conn = await self._pool.acquire_for_call(host, port, call)
         try:
             conn.send(req)
             head = await conn.read_head(req)
@@ -212,28 +227,30 @@
         except BaseException:
             conn.close()
             raise
-        self._pool.release(server.host, server.port, conn)
+        self._pool.release(host, port, conn)
         self._notices.on_notice(server, server_notice(head), now_s())
         if head.status == _MISDIRECTED:
             raise ServerGone(f'{server.server_id} has gone')
         return head.status, body
 
 
-def _report_request(server: BackendServer) -> ServerRequest:
-    return _request(server, b'GET', b'/-/report', b'')
+def _report_request(server: BackendServer, call: ExchangeKind) -> ServerRequest:
+    return _request(server, call, b'/-/report')
 
 
 def _request(
-    server: BackendServer, method: bytes, target: bytes, body: bytes
+    server: BackendServer, call: ExchangeKind, target: bytes, body: bytes = b''
 ) -> ServerRequest:
     fields = [
         (b'host', server.host.encode()),
         (b'expect-instance', server.server_id.encode()),
+        (REQUEST_ID, f'{_PROCESS_ID}-{next(_numbers):x}'.encode()),
     ]
     if body:
         fields.append((b'content-type', b'application/json'))
         fields.append((b'content-length', str(len(body)).encode()))
-    return ServerRequest(method, target, fields, body, is_own=True)
+    method = b'POST' if body else b'GET'
+    return ServerRequest(method, target, fields, body, call)
 
 
 def _order_document(order: Order) -> dict[str, Any]:
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
+from wasabicross.gateway.connections.carried_requests import ExchangeKind
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.http_heads import Fields, field
 from wasabicross.gateway.connections.server_connections import ServerRequest
@@ -265,7 +266,7 @@
         self, req: ServerRequest, timeout_s: float, max_bytes: int
     ) -> _Answer:
         conn = await self._pool.acquire_for_call(
-            self._address.host, self._address.port
+            self._address.host, self._address.port, ExchangeKind.store
         )
         try:
             async with asyncio.timeout(timeout_s):
@@ -304,7 +305,7 @@
         fields.append((b'content-type', b'application/json'))
         fields.append((b'content-length', str(len(document)).encode()))
     return ServerRequest(
-        method.encode(), target.encode(), fields, document, is_own=True
+        method.encode(), target.encode(), fields, document, ExchangeKind.store
     )
 
 
