Take no copy of the store's answer to a write for the answer to another one

Cause: calls to the store have no id, and what a write's answer states wasn't compared with earlier ones.

Change: each change has a revision of its own, so a write whose answer names the position of an earlier write of this client counts as unanswered; so does a conflict that tells of another key.

--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from collections import deque
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
@@ -72,6 +73,9 @@
 #: only the newest version of each key.
 _MAX_WATCH_BYTES = 1048576
 
+#: Most positions of this client's writes that are remembered.
+_MAX_WRITTEN = 512
+
 _MS_IN_S = 1000
 
 
@@ -142,6 +146,8 @@
         self._address = address
         self._pool = pool
         self._era = 0
+        #: Positions that its last writes got, the oldest one first.
+        self._written: deque[int] = deque(maxlen=_MAX_WRITTEN)
 
     async def read(self, prefix: str) -> ItemSnapshot:
         """Read all items whose keys have a prefix.
@@ -221,9 +227,8 @@
                 f'expected {era_of(expected)}'
             )
         if answer.status == _CONFLICT:
-            current = _decode_answer(_decode_current, answer)
-            return WriteResult(None, current[0] if current else None)
-        return WriteResult(_decode_answer(_decode_revision, answer), None)
+            return WriteResult(None, _decode_conflict(answer, write.key))
+        return WriteResult(self._written_at(answer), None)
 
     async def put(self, key: str, document: bytes) -> int:
         """Write an item unconditionally and return the store's era.
@@ -234,8 +239,21 @@
         body = _transaction([], key, document)
         answer = await self._call('POST', '/-/kv-txn', body=body)
         _check_status(answer.status)
+        self._written_at(answer)
         return answer.era
 
+    def _written_at(self, answer: _Answer) -> int:
+        """Return the position of a write.
+
+        :raises StoreUnavailable: it is that of an earlier one, whose answer has
+            come once more.
+        """
+        written: int = _decode_answer(_decode_revision, answer)
+        if written in self._written:
+            raise StoreUnavailable(f'position {written} of an earlier write')
+        self._written.append(written)
+        return written
+
     async def _read_page(self, prefix: str, after: str) -> _Page:
         query = {'pathPrefix': prefix}
         if after:
@@ -349,6 +367,17 @@
     return _decode_items(wire['items'], era)
 
 
+def _decode_conflict(answer: _Answer, key: str) -> StoredItem | None:
+    """Return the current item of a write whose condition didn't hold.
+
+    :raises StoreUnavailable: the answer is about another key.
+    """
+    current = _decode_answer(_decode_current, answer)
+    if any(item.key != key for item in current):
+        raise StoreUnavailable(f'no answer to a write of {key}')
+    return current[0] if current else None
+
+
 def _decode_items(wire: Any, era: int) -> tuple[StoredItem, ...]:
     """Decode a list of items, without those whose key can't be used."""
     items = []
