Give each request of a burst an id of its own in the test of brittle servers

One in one run of all test_gateway files failed (16:48, load near 29): the burst's request found no server, 0.146 s after the burst began, as no new connection was made within its time limit. Cause: the test sends one id 41 times, which callers don't do; since such a request needs a new connection, where the test means a kept one.

What is checked is the same.

--- a/tests/test_gateway_brittle_servers.py
+++ b/tests/test_gateway_brittle_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import itertools
 import random
 
 import pytest
@@ -113,10 +114,18 @@
     assert sender.has_room(SERVER, 100, 1.2)
 
 
+#: Numbers of requests, as each one has an id of its own.
+NUMBERS = itertools.count(1)
+
+
 async def ask_at_once(port, count):
     """Send requests at the same time; return the statuses."""
-    sent = request('/unsafe/x', b'x')
-    answers = await asyncio.gather(*(ask(port, sent) for _ in range(count)))
+    answers = await asyncio.gather(
+        *(
+            ask(port, request('/unsafe/x', b'x', Request_Id=f'r{number}'))
+            for number in itertools.islice(NUMBERS, count)
+        )
+    )
     return [status_of(each) for each in answers]
 
 
