Take no refusal without an id for that of a request that runs once

What callers would see: 503 for an order that runs, or an order that runs twice.

Cause: on a new connection any answer without an id counted as that of the request. A server may write a refusal as a connection begins, before a request came there, and run that. Class, as before: an answer that bears no proof of which request it answers.

Change: a refusal without the id of a request that has one counts as unconfirmed: 502 for requests that run once; others are repeated as before.

--- a/src/wasabicross/gateway/answer_decisions.py
+++ b/src/wasabicross/gateway/answer_decisions.py
@@ -17,6 +17,9 @@
 #: though the server hasn't said so.
 _MISLEADING = frozenset((AnswerKind.unconfirmed,))
 
+#: Kinds of answers by which a server states that it hasn't run a request.
+REFUSALS = frozenset((AnswerKind.not_run, AnswerKind.not_held))
+
 
 def without_gateway_fields(fields: Fields) -> Fields:
     """Return the fields that servers and callers may send.
@@ -28,6 +31,23 @@
     return [pair for pair in fields if not pair[0].startswith(_GATEWAY_FIELDS)]
 
 
+def answer_kind(
+    dialect: Dialect, head: AnswerHead, *, is_idempotent: bool
+) -> AnswerKind:
+    """Return what an answer means for a request.
+
+    A server may refuse without an id before a request comes, and run that then.
+
+    :param dialect: conventions for answers.
+    :param head: head of the answer.
+    :param is_idempotent: whether the request may be repeated.
+    """
+    kind = dialect.classify(head)
+    if kind in REFUSALS and not (head.bears_id or is_idempotent):
+        return AnswerKind.unconfirmed
+    return kind
+
+
 def misleads_caller(kind: AnswerKind, *, is_idempotent: bool) -> bool:
     """Return whether a caller might run its request twice after an answer.
 
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -94,12 +94,14 @@
     :param fields: fields that are forwarded to a caller, names in lower case.
     :param content_length: length of the body, None if it isn't stated.
     :param is_framed: whether the body ends before its connection does.
+    :param bears_id: whether it repeats the id of its request, if that has one.
     """
 
     status: int
     fields: Fields
     content_length: int | None
     is_framed: bool = True
+    bears_id: bool = True
 
 
 class ServerConnection:
@@ -193,7 +195,8 @@
         """Return the head of the answer; skip answers to other requests.
 
         An answer without an id may be a late one to any earlier request, so it
-        counts on a new connection only. Servers needn't repeat the ids of calls.
+        counts on a new connection only. It may have been sent there before the
+        request came. Servers needn't repeat the ids of calls.
 
         :param req: the request that was sent.
         :raises AnswerMissing: no answer came, one without an id, or many answers
@@ -207,7 +210,8 @@
                 return _head_of(response, req.method)
             if not answer_id:
                 self._check_unnamed(req, response.status_code)
-                return _head_of(response, req.method)
+                head = _head_of(response, req.method)
+                return head._replace(bears_id=False)
             self._record_skipped(request_id, answer_id, response)
             await self._skip_answer(req)
         raise AnswerMissing(
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -6,6 +6,8 @@
 import contextlib
 
 from wasabicross.gateway.answer_decisions import (
+    REFUSALS,
+    answer_kind,
     misleads_caller,
     without_gateway_fields,
 )
@@ -283,15 +285,18 @@
         self.record.status = head.status
         self._servers.life.on_head(self._origin, is_stated=head.is_framed)
         self._withheld.record_notice(placement, head, prefill.sent_s)
-        kind = self._servers.dialect.classify(head)
-        if kind in {AnswerKind.not_run, AnswerKind.not_held}:
+        may_repeat = self._route.is_idempotent
+        kind = answer_kind(
+            self._servers.dialect, head, is_idempotent=may_repeat
+        )
+        if kind in REFUSALS:
             progress.runs -= 1
             return await self._withheld.on_not_run(conn, placement, kind)
         if kind is AnswerKind.unmarked:
             raise AnswerBroken('success without the mark of its server')
         self._context.usage.on_prefilled()
         prefill.on_answer(now_s())
-        if misleads_caller(kind, is_idempotent=self._route.is_idempotent):
+        if misleads_caller(kind, is_idempotent=may_repeat):
             return await self._withheld.withhold(conn, placement, head.status)
         return await self._forward_answer(conn, placement, head)
 
