--- a/src/wasabicross/gateway/connections/carried_requests.py
+++ b/src/wasabicross/gateway/connections/carried_requests.py
@@ -5,7 +5,7 @@
 import enum
 
 #: Most ids of requests that are remembered.
-_MAX_IDS = 512
+_MAX_IDS = 256
 
 _SUCCESSES = range(200, 300)
 
