Begin no streams out of touch for long without the word of owners

Cause: a gateway that hears nothing took each cut for an outage of the store, in which streams have to begin.

Change: from 2.5 s without news on it asks the other owners once a second as of when they know the store, and which divisions. After 5 s it begins streams only while an owner of each data centre answers (or its machine refuses connections: it has ended), none has heard the store within 2.5 s and none knows a later division of the service. A take-up at one known version asks for an owner of each data centre likewise, where before any answering owner was enough.

test_stream_begun_while_the_store_was_away_goes_on sets its gateway's knowledge 6 s back in one step, so it waits now until the gateway has looked for owners, which takes 0.06 s; what it asks is unchanged.

--- a/src/wasabicross/gateway/known_divisions.py
+++ b/src/wasabicross/gateway/known_divisions.py
@@ -7,6 +7,7 @@
 from collections import UserDict
 
 from wasabicross.gateway.changes import StreamDivisionUpdate
+from wasabicross.gateway.shared_outage import SharedOutage
 from wasabicross.gateway.store_position import era_of, position
 from wasabicross.gateway.stream_division_records import (
     DivisionRecord,
@@ -33,6 +34,8 @@
         self.route_limits = RouteTimeLimits()
         #: When a record from an older copy of the store was all that was known.
         self.restored_s = -math.inf
+        #: What owners tell of an outage of the store.
+        self.outage = SharedOutage()
         #: Set while a take-up waits for an answer of the store.
         self.is_confirmation_wanted = asyncio.Event()
         self._last_listed_s: dict[tuple[str, str], float] = {}
--- a/src/wasabicross/gateway/owners/links.py
+++ b/src/wasabicross/gateway/owners/links.py
@@ -18,6 +18,8 @@
 from wasabicross.gateway.owners.owner_link import OwnerLink, StoreUpdateHandler
 from wasabicross.gateway.server_limits.sharing import LimitSharing
 from wasabicross.gateway.settings import GatewaySettings
+from wasabicross.gateway.shared_outage import OwnerAnswers, news_digest
+from wasabicross.gateway.stream_divisions import SPREAD_S
 from wasabicross.gateway.stream_messages import StreamAnswer, StreamsBegun
 from wasabicross.gateway.streams.owner_words import QUERY_TIMEOUT_S
 from wasabicross.gateway.streams.stream_memory import StreamMemory
@@ -37,6 +39,9 @@
 #: takes no orders while such an unload waits.
 _BATCH_DELAY_S = 0.01
 
+#: Interval between questions for news of the store.
+_NEWS_INTERVAL_S = 1.0
+
 #: Most owners that are sent a crash, so that one of them surely gets it.
 _MAX_REPORTED_TO = 4
 
@@ -89,12 +94,15 @@
         self._links: dict[str, OwnerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._errors = ErrorContainment('links')
+        self._news_asked_s = -math.inf
+        self._news_task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Keep a link to each owner until cancelled."""
         while True:
             with self._errors.contain('update'):
                 self._update_links()
+                self._watch_outage()
                 for state in self._loader_service.states():
                     self._view.on_state(state, now_s())
             await asyncio.sleep(_CHECK_INTERVAL_S)
@@ -216,19 +224,50 @@
                 task.cancel()
         return None
 
-    async def _ask_owners(self, digest: bytes) -> list[StreamAnswer | None]:
-        """Return the answer of each other owner, None where none came.
+    async def _ask_owners(self, digest: bytes) -> OwnerAnswers:
+        """Return what all other owners answer.
 
         Without an owner any other gateway may write, and none can be asked.
         """
-        if not self._owner_hosts() and self._view.instances.keys() - {
-            self._cfg.instance
-        }:
-            return [None]
-        return await asyncio.gather(
-            *(_answer_of(link, digest) for link in self._links.values())
+        links = dict(self._links)
+        found = await asyncio.gather(
+            *(_answer_of(link, digest) for link in links.values())
+        )
+        came = {
+            host
+            for host, answer in zip(links, found, strict=True)
+            if answer is not None or links[host].is_refused
+        }
+        reached = self._data_centres_of(came | {self._cfg.host})
+        owning = self._data_centres_of(self._owner_hosts())
+        is_alone = not self._view.instances.keys() - {self._cfg.instance}
+        return OwnerAnswers(
+            tuple(found), is_alone or bool(owning) and owning <= reached
         )
 
+    def _data_centres_of(self, hosts: set[str]) -> set[str]:
+        """Return the data centres whose groups some gateways own."""
+        return {
+            record.data_centre
+            for record in self._view.owners.values()
+            if record.host in hosts
+        }
+
+    def _watch_outage(self) -> None:
+        """Ask owners for news while this gateway hears nothing of the store."""
+        at_s = now_s()
+        if at_s - self._view.confirmed_s <= SPREAD_S:
+            return
+        if at_s - self._news_asked_s >= _NEWS_INTERVAL_S:
+            self._news_asked_s = at_s
+            self._news_task = asyncio.ensure_future(self._ask_news(at_s))
+
+    async def _ask_news(self, asked_s: float) -> None:
+        divisions = self._view.divisions
+        with self._errors.contain('news'):
+            answers = await self._ask_owners(news_digest(divisions))
+            self._view.divisions.outage.on_answers(answers, divisions, asked_s)
+
     def _owner_hosts(self) -> set[str]:
         """Return the addresses of all owners.
 
--- a/src/wasabicross/gateway/owners/owner_link.py
+++ b/src/wasabicross/gateway/owners/owner_link.py
@@ -122,6 +122,8 @@
         #: Whether the link has opened since all usage was last reported over
         #: it.
         self.needs_usage = False
+        #: Whether no process accepted the last connection to the owner.
+        self.is_refused = False
         self._host = host
         self._port = port
         self._view = view
@@ -147,10 +149,13 @@
             await asyncio.sleep(_RECONNECT_DELAY_S)
 
     async def _open_or_log(self) -> None:
+        is_refused = False
         try:
             await self._open()
         except _LINK_ERRORS as exc:
+            is_refused = isinstance(exc, ConnectionRefusedError)
             self._log_end(repr(exc))
+        self.is_refused = is_refused
 
     async def load(self, request: LoadRequest) -> int:
         """Load an adapter and return its version, 0 if the load failed.
@@ -303,6 +308,7 @@
         if self._limits is not None:
             self._send_limits(conn, self._limits)
         self._conn = conn
+        self.is_refused = False
         self._round_trips = RoundTrips()
         self.needs_usage = True
         self._is_end_logged = False
--- a/src/wasabicross/gateway/streams/owner_words.py
+++ b/src/wasabicross/gateway/streams/owner_words.py
@@ -10,11 +10,11 @@
 
 import asyncio
 import enum
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, TypeAlias
 
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.stream_messages import StreamAnswer
+from wasabicross.gateway.shared_outage import OwnerAnswers
 from wasabicross.gateway.streams.service_versions import versions_digest
 
 #: Longest wait for the answers of owners.
@@ -24,9 +24,7 @@
 _MIN_INTERVAL_S = 0.01
 _INTERVAL_PER_GATEWAY_S = 0.00025
 
-#: The answer of each other owner, None where none came.
-Answers: TypeAlias = Sequence[StreamAnswer | None]
-AskOwners: TypeAlias = Callable[[bytes], Awaitable[Answers]]
+AskOwners: TypeAlias = Callable[[bytes], Awaitable[OwnerAnswers]]
 
 
 class Word(enum.Enum):
@@ -34,7 +32,7 @@
 
     `same`: all know the given version alone. `other`: one knows others.
     `partial`: no owner that answers knows others, but not all have told.
-    `none`: no owner answers.
+    `none`: no owner of some data centre answers.
     """
 
     same = 'same'
@@ -51,7 +49,7 @@
     """
 
     begun_s: float
-    answers: asyncio.Task[Answers]
+    answers: asyncio.Task[OwnerAnswers]
 
 
 class OwnerWords:
@@ -77,7 +75,7 @@
             return Word.none
         return word_of(await self._answers(service, asked_s), version)
 
-    async def _answers(self, service: str, asked_s: float) -> Answers:
+    async def _answers(self, service: str, asked_s: float) -> OwnerAnswers:
         while True:
             known = self._rounds.get(service)
             if known is None:
@@ -103,20 +101,21 @@
         task = asyncio.ensure_future(self._ask(versions_digest(service)))
         self._rounds[service] = _Round(begun_s, task)
 
-    async def _ask(self, digest: bytes) -> Answers:
-        return await self.ask_owners(digest) if self.ask_owners else ()
+    async def _ask(self, digest: bytes) -> OwnerAnswers:
+        if self.ask_owners is None:
+            return OwnerAnswers()
+        return await self.ask_owners(digest)
 
 
-def word_of(answers: Answers, version: str) -> Word:
+def word_of(answers: OwnerAnswers, version: str) -> Word:
     """Return what the answers of owners tell together.
 
-    :param answers: the answer of each other owner, None where none came.
+    :param answers: what all other owners answer.
     :param version: the one version that this gateway knows.
     """
-    came = [each for each in answers if each is not None]
-    told = [each.software_version for each in came if each.is_known]
-    if any(each != version for each in told):
+    if any(each != version for each in answers.told):
         return Word.other
-    if len(told) == len(answers):
-        return Word.same
-    return Word.partial if came else Word.none
+    if not answers.are_all_reached:
+        return Word.none
+    is_told = len(answers.told) == len(answers.answers)
+    return Word.same if is_told else Word.partial
--- a/src/wasabicross/gateway/streams/stream_memory.py
+++ b/src/wasabicross/gateway/streams/stream_memory.py
@@ -12,6 +12,7 @@
 from typing import TypeAlias
 
 from wasabicross.gateway.clock import now_s
+from wasabicross.gateway.shared_outage import is_news_digest, news_text
 from wasabicross.gateway.stream_messages import (
     DIGEST_BYTES,
     MAX_DIGESTS,
@@ -101,11 +102,16 @@
 
         :param query: the query.
         """
+        at_s = now_s()
+        if is_news_digest(query.digest):
+            age_s = at_s - self._view.confirmed_s
+            text = news_text(query.digest, self._view.divisions, age_s)
+            return StreamAnswer(query.call_id, True, text)
         service = asked_service(self._view, query.digest)
         if service is not None:
-            known = current_versions(self._view, service, now_s())
+            known = current_versions(self._view, service, at_s)
             return StreamAnswer(query.call_id, True, versions_text(known))
-        version = self._begun.version(query.digest, now_s())
+        version = self._begun.version(query.digest, at_s)
         return StreamAnswer(query.call_id, version is not None, version or '')
 
     async def find(self, service: str, request_id: str) -> str | None:
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -76,7 +76,8 @@
         """Return whether a new stream may begin at the version in force.
 
         Streams of a version without any server move to another one unannounced,
-        which a gateway that is out of touch with the store doesn't learn.
+        which a gateway that is out of touch with the store doesn't learn. One
+        that is so for longer needs the word of owners that they are too.
 
         :param service: the service that runs it.
         :param request_id: id of the caller's attempt.
@@ -89,6 +90,9 @@
         if now_s - confirmed_s > SPREAD_S:
             if not self.serves(service, division.version_for(request_id)):
                 return False
+        if now_s - confirmed_s > MAX_KNOWLEDGE_AGE_S:
+            if not self._view.divisions.outage.covers(service, now_s):
+                return False
         return division.may_begin(request_id, confirmed_s, now_s)
 
     def for_take_up(
--- a/tests/test_gateway_moves_at_once.py
+++ b/tests/test_gateway_moves_at_once.py
@@ -214,7 +214,7 @@
 
 
 def test_gateway_out_of_touch_for_long_begins_no_stream_that_is_joined():
-    """KNOWN-RED: others have announced a change and put it in force meanwhile."""
+    """Others have announced a change and put it in force meanwhile."""
     moved_s = NOW_S - 10
     out_of_touch = view_of(
         ('v1', 'v2'), StreamDivision(1, OLD), moved_s - ANNOUNCED_S - 1
--- a/tests/test_gateway_owner_words.py
+++ b/tests/test_gateway_owner_words.py
@@ -21,6 +21,7 @@
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.messages import encode
+from wasabicross.gateway.shared_outage import OwnerAnswers
 from wasabicross.gateway.stream_divisions import FormerBuckets, StreamDivision
 from wasabicross.gateway.stream_messages import StreamAnswer, StreamQuery
 from wasabicross.gateway.streams import stream_versions
@@ -55,7 +56,8 @@
     ],
 )
 def test_word_of_all_owners(answers, word):
-    assert word_of(answers, 'v1') is word
+    reached = any(answers) or not answers
+    assert word_of(OwnerAnswers(answers, reached), 'v1') is word
 
 
 RECENTLY = (FormerBuckets(('v0',) * 32, math.inf),)
@@ -98,7 +100,7 @@
     async def owners(digest):
         asked.append(digest)
         await asyncio.sleep(0.02)
-        return (SAME,)
+        return OwnerAnswers((SAME,))
 
     async def play():
         words = OwnerWords(lambda: 3)
@@ -119,7 +121,7 @@
 
 def test_question_counts_only_if_it_was_sent_after_the_take_up():
     async def owners(_digest):
-        return (OTHER if is_known else SAME,)
+        return OwnerAnswers((OTHER if is_known else SAME,))
 
     async def play():
         nonlocal is_known
@@ -144,7 +146,7 @@
         if confirmed is not None:
             view.divisions['llm'] = confirmed
             view.confirmed_s = NOW_S + 0.1
-        return answers
+        return OwnerAnswers(answers, any(answers) or not answers)
 
     async def play():
         streams = StreamVersions(view)
--- a/tests/test_gateway_stream_memory.py
+++ b/tests/test_gateway_stream_memory.py
@@ -217,6 +217,8 @@
             view = bench.gateway.view
             bench.gateway._follower._on_confirmed = lambda _at_s: None
             view.confirmed_s = time.monotonic() - 6
+            outage = view.divisions.outage
+            await until(lambda: outage.covers('llm', time.monotonic()))
             await send(bench, stream(MOVED_ID))
             return (await send(bench, take_up(MOVED_ID)))[1]
 
--- a/tests/test_take_ups_sole_version.py
+++ b/tests/test_take_ups_sole_version.py
@@ -13,6 +13,9 @@
 #: for the take-ups.
 CUT_OFF_S = 4.0
 
+#: Longer than the knowledge of a gateway at which it begins streams unasked.
+LONG_OUTAGE_S = 8.0
+
 #: Longest call to the store, which a cut may leave under way.
 CALL_S = 0.5
 
@@ -89,3 +92,21 @@
         deployment.runner.resume('store')
     assert new == [f'{service} v1'] * 3
     assert all(goes_on(each, service, 'v1', 3) for each in answers)
+
+
+@pytest.fixture(scope='module')
+def long_outage(deployment):
+    """All gateways hear nothing of the store for longer than they trust it."""
+    deployment.runner.pause('store')
+    time.sleep(LONG_OUTAGE_S)
+    yield
+    deployment.runner.resume('store')
+
+
+@pytest.mark.parametrize('gateway', ['first', 'second', 'apart'])
+@pytest.mark.parametrize('version', ['v1', 'v2'])
+def test_streams_begin_in_a_long_outage_that_all_share(
+    deployment, long_outage, gateway, version
+):
+    begun = deployment.begun(gateway, 'calm', version, leaves=True)
+    assert begun.version == f'calm {version}'
