Leave changes of the store out that a watch didn't ask for

What callers would see: a configuration, a server's entry or an owner that goes back to an older one until its next change, after a copy of an earlier watch's answer.

Cause: the changes of a watch were applied whether or not they come after the position that was asked for.

Evidence: test_copy_of_earlier_changes_undoes_no_later_ones failed before, passes now.

Change: a watch returns only changes after the position that it names.

--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -206,7 +206,9 @@
                 f'era {answer.era} has other changes after {revision}'
             )
         changes: ItemSnapshot = _decode_answer(_decode_changes, answer)
-        return changes
+        # Other ones are in a copy of an earlier answer.
+        items = (item for item in changes.items if item.revision > revision)
+        return changes._replace(items=tuple(items))
 
     async def write(self, write: Write) -> WriteResult:
         """Write an item if it has the expected position.
--- a/tests/test_store_copied_answers.py
+++ b/tests/test_store_copied_answers.py
@@ -108,3 +108,23 @@
 
     expected = [position(1, revision) for revision in (5, 6, 4)]
     assert asyncio.run(scenario()) == expected
+
+
+def test_copy_of_earlier_changes_undoes_no_later_ones():
+    earlier = reply({'events': [item('x/a', 4)], 'at': 4})
+    later = reply({'events': [item('x/a', 6)], 'at': 6})
+
+    async def scenario():
+        server = ScriptedServer([earlier], [later], [earlier, 0.02, later])
+        address = Address(HOST, await server.start())
+        pool = ConnectionPool(REQUEST_ID)
+        client = StoreClient(address, pool)
+        found = []
+        for after in (3, 4, 6):
+            changes = await client.watch('x/', position(1, after), 0.1)
+            found.append(len(changes.items))
+        pool.drop_idle(HOST, address.port)
+        server.refuse_connections()
+        return found
+
+    assert asyncio.run(scenario()) == [1, 1, 0]
