Count notices in a 421 to the gateway's own call for no listed server

What callers would see: a server that gets no more requests, where another process at its address says that it leaves.

Cause: the process that answers 421 to a call isn't the server that was asked, but its `Server-Leaving` counted for that server.

Change: the identity is checked before the notice is read.

--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -122,9 +122,9 @@
             conn.send(req)
             head = await conn.read_head(req)
             body = await conn.read_body(_MAX_REPORT_BYTES)
-        self._notices.on_notice(server, server_notice(head), now_s())
         if head.status == _MISDIRECTED:
             raise ServerGone(f'{server.server_id} has gone')
+        self._notices.on_notice(server, server_notice(head), now_s())
         conn.start_ms = decode_report(body).start_ms
         return conn.prepare_reuse(now_s())
 
@@ -228,9 +228,9 @@
             conn.close()
             raise
         self._pool.release(host, port, conn)
-        self._notices.on_notice(server, server_notice(head), now_s())
         if head.status == _MISDIRECTED:
             raise ServerGone(f'{server.server_id} has gone')
+        self._notices.on_notice(server, server_notice(head), now_s())
         return head.status, body
 
 
--- a/tests/test_gateway_copied_calls.py
+++ b/tests/test_gateway_copied_calls.py
@@ -11,6 +11,7 @@
 from scripted_server import HOST, ScriptedServer, answer
 
 from wasabicross.gateway.backend import AdapterKey
+from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.server_connections import ServerRequest
 from wasabicross.gateway.errors import ServerError, ServerGone
@@ -197,3 +198,17 @@
         return may_ask_again
 
     assert asyncio.run(scenario()) is False
+
+
+@pytest.mark.parametrize('name', ['report', 'load', 'health'])
+def test_another_process_that_leaves_is_not_the_listed_server(name):
+    other = answer(b'', b'421 Misdirected Request', b'Server-Leaving: 1\r\n')
+
+    async def scenario():
+        server = ScriptedServer([other])
+        calls = Calls(await server.start())
+        await calls.outcome(name)
+        server.refuse_connections()
+        return calls.notices.refuses_requests(calls.server, now_s())
+
+    assert asyncio.run(scenario()) is False
