Have another gateway serve streams that a cut one must not begin or take up

Callers of a gateway that hears nothing from the store for over 2.5 s, where others do, were refused with 503 ('knowledge too old'): take-ups before, and new streams since.

Cause: only 'version unproved' was handed over to other gateways, which know more.

Change: 'knowledge too old' and 'version unconfirmed' are handed over likewise, once, where nothing was sent and the store was last heard 2.5 s ago or longer. In an outage that all share, the other gateway refuses as well.

--- a/src/wasabicross/gateway/peer_forwarding/handover.py
+++ b/src/wasabicross/gateway/peer_forwarding/handover.py
@@ -12,9 +12,23 @@
 from wasabicross.gateway.placement import NO_SERVER_IN_REACH
 from wasabicross.gateway.progress import RequestProgress
 from wasabicross.gateway.stream_divisions import SPREAD_S
-from wasabicross.gateway.streams.take_ups import VERSION_UNPROVED
+from wasabicross.gateway.streams.take_ups import (
+    TAKE_UP_REFUSALS,
+    VERSION_UNPROVED,
+    Knowledge,
+)
 from wasabicross.gateway.view import FleetView
 
+#: Why a gateway that hears nothing of the store doesn't serve a stream that
+#: others, who know more, may serve.
+_KNOWN_ELSEWHERE = frozenset(
+    (
+        VERSION_UNPROVED.reason,
+        TAKE_UP_REFUSALS[Knowledge.too_old].reason,
+        TAKE_UP_REFUSALS[Knowledge.unconfirmed].reason,
+    )
+)
+
 
 class Handover:
     """Hands one request over if this gateway reaches no server for it.
@@ -45,7 +59,7 @@
         """
         if self._progress.may_run:
             return False
-        if reason == VERSION_UNPROVED.reason:
+        if reason in _KNOWN_ELSEWHERE:
             return now_s - self._view.confirmed_s > SPREAD_S
         if reason == NO_SERVER_IN_REACH or self._progress.was_unreached:
             return True
--- a/tests/test_take_ups_sole_version.py
+++ b/tests/test_take_ups_sole_version.py
@@ -94,6 +94,22 @@
     assert all(goes_on(each, service, 'v1', 3) for each in answers)
 
 
+@pytest.mark.parametrize('service', ['calm', 'sole-outage'])
+def test_gateway_cut_off_for_long_has_streams_served_by_another_one(
+    deployment, service
+):
+    deployment.cut_off()
+    time.sleep(LONG_OUTAGE_S)
+    try:
+        new = begins(deployment, 'apart', service)
+        begun = deployment.begun('first', service, 'v1', leaves=True)
+        answer = deployment.take_up('apart', begun, 3)
+        assert goes_on(answer, service, 'v1', 3)
+    finally:
+        deployment.heal()
+    assert new == f'{service} v1'
+
+
 @pytest.fixture(scope='module')
 def long_outage(deployment):
     """All gateways hear nothing of the store for longer than they trust it."""
