Take streams of the one known version up in an outage that owners share

Callers were refused with 503 ('knowledge too old') for each stream that had begun before an outage of the store, from its sixth second on, though its service had one version only.

Cause: knowledge older than 5 s was taken for useless, though owners can tell that they hear nothing either.

Change: after 5 s such a take-up asks the owners as before, while their last word is that they hear nothing either and know no later division of the service. Services of several versions still rely on the memory of gateways there.

--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -111,9 +111,15 @@
             the present time.
         """
         asked_s = now_s if asked_s is None else asked_s
-        if now_s - self._view.confirmed_s > MAX_KNOWLEDGE_AGE_S:
-            return TakeUp(None, Knowledge.too_old)
-        return self._known(route, info, now_s, asked_s)
+        found = self._known(route, info, now_s, asked_s)
+        if now_s - self._view.confirmed_s <= MAX_KNOWLEDGE_AGE_S:
+            return found
+        service = service_of(route, info)
+        is_shared = self._view.divisions.outage.covers(service, now_s)
+        if is_shared and found.known_by is Knowledge.unconfirmed:
+            # Owners tell whether there is another version.
+            return found
+        return TakeUp(None, Knowledge.too_old)
 
     def _known(
         self, route: Route, info: RequestInfo, now_s: float, asked_s: float
--- a/tests/take_up_engines.py
+++ b/tests/take_up_engines.py
@@ -37,6 +37,7 @@
     'alone-neither': ('v1', 'v2'),
     'sole-renewed': ('v1', 'v1'),
     'sole-outage': ('v1', 'v1'),
+    'sole-long': ('v1', 'v1'),
     **dict.fromkeys(
         (
             f'{moment}-{knowing}'
--- a/tests/test_gateway_owner_words.py
+++ b/tests/test_gateway_owner_words.py
@@ -211,6 +211,26 @@
     assert went_on == 12
 
 
+@pytest.mark.parametrize('age_s', [6, 13, 20])
+@pytest.mark.parametrize(
+    ('answers', 'version'),
+    [((SAME,), 'v1'), ((TELLS_NOTHING,), 'v1'), ((OTHER,), None)],
+)
+@pytest.mark.parametrize('is_shared', [True, False])
+def test_take_ups_go_on_in_a_long_outage_that_owners_share(
+    answers, version, age_s, is_shared, monkeypatch
+):
+    """They began before it, so no gateway remembers them."""
+    division = StreamDivision(1, OLD)
+    view = view_of(('v1', 'v1'), division, NOW_S - age_s)
+    if is_shared:
+        news = OwnerAnswers((StreamAnswer(1, True, '6000'),))
+        view.divisions.outage.on_answers(news, view.divisions, NOW_S)
+    found = resolved(view, answers, monkeypatch)
+    assert found.version == (version if is_shared else None)
+    assert found.version or found.refusal.retry_after_s == 1
+
+
 def is_cut_off(bench):
     """Let a gateway hear nothing more from the store."""
     follower = bench.gateway._follower
