Move requests to servers and heads of answers out of server_connections

Cause: server_connections.py had 460 lines and two concepts: a connection, and what is sent and read on it. What callers see hasn't changed.

Evidence: the tests of carried ids, copied calls and fair reading pass as before.

--- a/src/wasabicross/gateway/answer_decisions.py
+++ b/src/wasabicross/gateway/answer_decisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wasabicross.gateway.connections.http_heads import Fields, field
-from wasabicross.gateway.connections.server_connections import AnswerHead
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.dialect import AnswerKind, Dialect
 
 #: Start of the names of fields that gateways send to one another only.
--- a/src/wasabicross/gateway/answer_forwarding.py
+++ b/src/wasabicross/gateway/answer_forwarding.py
@@ -20,10 +20,8 @@
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.connections.event_stream import EVENT_STREAM_TYPE
 from wasabicross.gateway.connections.http_heads import Fields, field
-from wasabicross.gateway.connections.server_connections import (
-    AnswerHead,
-    ServerConnection,
-)
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.crashes.crash_watch import WatchedAttempt
 from wasabicross.gateway.errors import AnswerBroken, EndUnproved
 from wasabicross.gateway.forwarded_stream import ForwardedStream
--- a/src/wasabicross/gateway/connections/server_connections.py
+++ b/src/wasabicross/gateway/connections/server_connections.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from collections.abc import AsyncIterator
-from typing import NamedTuple, TypeAlias
+from typing import TypeAlias
 
 import h11
 
@@ -14,14 +14,14 @@
 from wasabicross.gateway.connections.carried_requests import (
     CarriedRequests,
     ExchangeKind,
-    kind_of,
     may_be_followed,
 )
 from wasabicross.gateway.connections.fair_turns import FairTurns
-from wasabicross.gateway.connections.http_heads import (
-    Fields,
-    field,
-    forwarded_fields,
+from wasabicross.gateway.connections.http_heads import field
+from wasabicross.gateway.connections.server_messages import (
+    AnswerHead,
+    ServerRequest,
+    head_of,
 )
 from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import (
@@ -61,49 +61,12 @@
 #: Longest id of another request that is logged, in characters.
 _MAX_LOGGED_ID = 64
 
-#: Statuses of answers that have no body.
-_WITHOUT_BODY = (204, 304)
-
 #: Numbers the connections of this process, for its log.
 _serials = itertools.count(1)
 
 _NextEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
-class ServerRequest(NamedTuple):
-    """A request in the form in which it is sent to a server.
-
-    :param call: which call of this gateway it is, None for a caller's request.
-    """
-
-    method: bytes
-    target: bytes
-    fields: Fields
-    body: bytes
-    call: ExchangeKind | None = None
-
-    @property
-    def exchange_kind(self) -> ExchangeKind:
-        """Return what it asks for."""
-        return self.call or kind_of(self.method)
-
-
-class AnswerHead(NamedTuple):
-    """Status and fields of a server's answer.
-
-    :param fields: fields that are forwarded to a caller, names in lower case.
-    :param content_length: length of the body, None if it isn't stated.
-    :param is_framed: whether the body ends before its connection does.
-    :param bears_id: whether it repeats the id of its request, if that has one.
-    """
-
-    status: int
-    fields: Fields
-    content_length: int | None
-    is_framed: bool = True
-    bears_id: bool = True
-
-
 class ServerConnection:
     """One connection to a server; runs one request at a time.
 
@@ -207,10 +170,10 @@
             response = await self._read_response()
             answer_id = field(response.headers, self._id_field)
             if answer_id == request_id:
-                return _head_of(response, req.method)
+                return head_of(response, req.method)
             if not answer_id:
                 self._check_unnamed(req, response.status_code)
-                head = _head_of(response, req.method)
+                head = head_of(response, req.method)
                 return head._replace(bears_id=False)
             self._record_skipped(request_id, answer_id, response)
             await self._skip_answer(req)
@@ -446,15 +409,3 @@
 
 def _new_codec() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
-
-
-def _head_of(response: h11.Response, method: bytes) -> AnswerHead:
-    length = field(response.headers, b'content-length')
-    has_no_body = method == b'HEAD' or response.status_code in _WITHOUT_BODY
-    return AnswerHead(
-        response.status_code,
-        forwarded_fields(response.headers),
-        int(length) if length.isdigit() else None,
-        has_no_body
-        or bool(length or field(response.headers, b'transfer-encoding')),
-    )
--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -7,7 +7,7 @@
 
 from wasabicross.gateway.backend import AdapterKey, BackendServer
 from wasabicross.gateway.connections.http_heads import CallerRequest, Fields
-from wasabicross.gateway.connections.server_connections import (
+from wasabicross.gateway.connections.server_messages import (
     AnswerHead,
     ServerRequest,
 )
--- a/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
+++ b/src/wasabicross/gateway/peer_forwarding/peer_attempt.py
@@ -11,9 +11,9 @@
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.http_heads import field
-from wasabicross.gateway.connections.server_connections import (
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import (
     AnswerHead,
-    ServerConnection,
     ServerRequest,
 )
 from wasabicross.gateway.errors import (
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -24,9 +24,9 @@
 from wasabicross.gateway.backend import BackendServer
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.answer_writer import AnswerWriter
-from wasabicross.gateway.connections.server_connections import (
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import (
     AnswerHead,
-    ServerConnection,
     ServerRequest,
 )
 from wasabicross.gateway.dialect import AnswerKind, ForwardingOptions
--- a/src/wasabicross/gateway/withheld_answers.py
+++ b/src/wasabicross/gateway/withheld_answers.py
@@ -5,10 +5,8 @@
 from wasabicross.gateway import metrics
 from wasabicross.gateway.attempt_context import ServerAccess
 from wasabicross.gateway.clock import now_s
-from wasabicross.gateway.connections.server_connections import (
-    AnswerHead,
-    ServerConnection,
-)
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.dialect import AnswerKind, RequestInfo
 from wasabicross.gateway.errors import AnswerBroken
 from wasabicross.gateway.progress import (
--- a/src/wasabicross/platform/engines.py
+++ b/src/wasabicross/platform/engines.py
@@ -12,10 +12,8 @@
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.carried_requests import ExchangeKind
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import (
-    ServerConnection,
-    ServerRequest,
-)
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.errors import (
     AnswerBroken,
     AnswerMissing,
--- a/src/wasabicross/platform/headers.py
+++ b/src/wasabicross/platform/headers.py
@@ -13,7 +13,7 @@
     forwarded_fields,
     number_field,
 )
-from wasabicross.gateway.connections.server_connections import (
+from wasabicross.gateway.connections.server_messages import (
     AnswerHead,
     ServerRequest,
 )
--- a/src/wasabicross/platform/store.py
+++ b/src/wasabicross/platform/store.py
@@ -12,7 +12,7 @@
 from wasabicross.gateway.connections.carried_requests import ExchangeKind
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
 from wasabicross.gateway.connections.http_heads import Fields, field
-from wasabicross.gateway.connections.server_connections import ServerRequest
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.errors import (
     BodyTooLong,
     DocumentUnreadable,
--- a/tests/test_gateway_carried_ids.py
+++ b/tests/test_gateway_carried_ids.py
@@ -8,7 +8,7 @@
 
 from wasabicross.gateway.connections import carried_requests
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import ServerRequest
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.errors import RequestIdCarried
 from wasabicross.platform.headers import REQUEST_ID
 
--- a/tests/test_gateway_copied_calls.py
+++ b/tests/test_gateway_copied_calls.py
@@ -13,7 +13,7 @@
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import ServerRequest
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.errors import ServerError, ServerGone
 from wasabicross.gateway.orders import Order, OrderKind
 from wasabicross.gateway.server_notices import ServerNotices
--- a/tests/test_gateway_fair_reading.py
+++ b/tests/test_gateway_fair_reading.py
@@ -16,10 +16,8 @@
 from wasabicross.gateway.connections import fair_turns
 from wasabicross.gateway.connections.event_stream import EventSplitter
 from wasabicross.gateway.connections.fair_turns import MAX_TURN_EVENTS, pause_s
-from wasabicross.gateway.connections.server_connections import (
-    ServerConnection,
-    ServerRequest,
-)
+from wasabicross.gateway.connections.server_connections import ServerConnection
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.connections.watched_reader import WatchedReader
 from wasabicross.gateway.errors import AnswerBroken, AnswerMissing, ServerError
 from wasabicross.platform.headers import REQUEST_ID
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -7,7 +7,7 @@
 from raw_caller import ask, request, status_of
 from scripted_server import ScriptedServer, answer
 
-from wasabicross.gateway.connections.server_connections import AnswerHead
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.server_limits.stated import NO_LIMITS, StatedLimits
 from wasabicross.platform.headers import stated_limits
 
--- a/tests/test_gateway_server_notices.py
+++ b/tests/test_gateway_server_notices.py
@@ -17,7 +17,7 @@
 from wasabicross.gateway.backend import AdapterKey
 from wasabicross.gateway.clock import now_s
 from wasabicross.gateway.configuration import EngineSpec, ModelSpec
-from wasabicross.gateway.connections.server_connections import AnswerHead
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.loading.server_loader import ServerLoader
 from wasabicross.gateway.orders import LoadRequest
 from wasabicross.gateway.ownership import OwnershipTerm
--- a/tests/test_gateway_unconfirmed_refusals.py
+++ b/tests/test_gateway_unconfirmed_refusals.py
@@ -21,7 +21,7 @@
 
 from emulator.waiting import free_ports
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import AnswerHead
+from wasabicross.gateway.connections.server_messages import AnswerHead
 from wasabicross.gateway.dialect import AnswerKind
 from wasabicross.platform.headers import REQUEST_ID, PlatformDialect
 
--- a/tests/test_gateway_version_changes.py
+++ b/tests/test_gateway_version_changes.py
@@ -12,7 +12,7 @@
 
 from wasabicross.gateway.changes import ServerEntryUpdate
 from wasabicross.gateway.connections.connection_pool import ConnectionPool
-from wasabicross.gateway.connections.server_connections import ServerRequest
+from wasabicross.gateway.connections.server_messages import ServerRequest
 from wasabicross.gateway.crashes.crash_evidence import (
     Crash,
     CrashEvidence,
