Drop late orders of the soak that name an id which their engine has no longer

Cause: the stand-in carried out an order 2 s late by whichever id it had then. The log of llm-3: four loads for its id at 2546.4 to 2547.0, a new id at 2547.3, and at 2547.99 a late load with 'expected' 0 that names the former id, a fifth adapter. A server answers 421 to what names another id, also then.

Change: the id is checked when the order is carried out. An order of an engine that starts again under its id is still carried out late, as before.

Evidence: test_a_late_order_for_a_former_id_changes_nothing fails before, passes after.

--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -139,7 +139,7 @@
         elif handler is not None:
             responder.send_json(_OK, handler(req))
         elif req.path == '/-/order':
-            await self._on_order(req.document(), responder)
+            await self._on_order(req, responder)
         else:
             await self._run(req, responder)
 
@@ -231,22 +231,21 @@
         expected = req.headers.get('expect-instance', self._life.server_id)
         return expected != self._life.server_id
 
-    async def _on_order(
-        self, order: dict[str, Any], responder: Responder
-    ) -> None:
+    async def _on_order(self, req: HttpRequest, responder: Responder) -> None:
         if self._life.late_orders > 0:
             self._life.late_orders -= 1
-            self._schedule_late(order)
+            self._start(self._execute_late(req))
             await asyncio.sleep(_LATE_ORDER_DELAY_S)
             responder.send_json(_UNAVAILABLE, {})
             return
         responder.send_json(
-            self._life.adapters.execute(order, is_late=False), {}
+            self._life.adapters.execute(req.document(), is_late=False), {}
         )
 
-    async def _execute_late(self, order: dict[str, Any]) -> None:
+    async def _execute_late(self, req: HttpRequest) -> None:
         await asyncio.sleep(_LATE_ORDER_DELAY_S)
-        self._life.adapters.execute(order, is_late=True)
+        if not self._names_another_server(req):
+            self._life.adapters.execute(req.document(), is_late=True)
 
     def _version_in_force(self, name: str) -> int:
         """Return the version of an adapter in force, 1 without one."""
@@ -362,9 +361,6 @@
         log('leaving_said', request=req.headers['request-id'])
         return (*fields, ('Server-Leaving', '1'))
 
-    def _schedule_late(self, order: dict[str, Any]) -> None:
-        self._start(self._execute_late(order))
-
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/tests/test_soak_backend.py
+++ b/tests/test_soak_backend.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 from contextlib import closing
 from typing import NamedTuple
 
@@ -27,6 +28,10 @@
 )
 ADAPTER = f'{MODEL}/a1'
 EVENTS = 30
+
+#: Longest time until a late order is executed.
+LATE_ORDER_S = 2.5
+
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -265,3 +270,24 @@
     wait_until(lambda: len(listed()) == 2, 1, 'both entries listed')
     wait_until(lambda: len(listed()) == 1, 5, 'former entry removed')
     assert listed() != ['servers/s']
+
+
+@pytest.mark.parametrize('server', [4], indirect=True)
+@pytest.mark.parametrize('is_renamed', [True, False])
+def test_a_late_order_for_a_former_id_changes_nothing(server, is_renamed):
+    """One took slots of the next id beside the orders for that id."""
+    expected = 0 if is_renamed else ask_report(server.port)['seq']
+    fetch(
+        server.port, '/fault', json.dumps({'kind': 'late_orders', 'count': 1})
+    )
+    order = {'op': 'unload', 'adapter': 'a1', 'expected': expected}
+    body = json.dumps({**order, 'holder': 'g', 'fence': 1})
+    with closing(
+        send(server.port, '/-/order', body, expect_instance='s')
+    ) as conn:
+        if is_renamed:
+            fault(server, kind='new_id')
+        read_until(conn, b'{}')
+    time.sleep(LATE_ORDER_S)
+    held = ask_report(server.port)['models'][0]['adapters']
+    assert held == (['a1@1'] if is_renamed else [])
