--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -25,6 +25,7 @@
     LEAVING_KINDS,
     NOTICES,
     REFUSALS,
+    REFUSING_KINDS,
     notice_document,
     refusal_document,
 )
@@ -46,6 +47,9 @@
 _CRASH_CHECK_S = 0.02
 _RESTART_S = 1.0
 
+#: Interval at which servers are told again that they refuse requests.
+_REFUSAL_CHECK_S = 0.3
+
 
 class Injector:
     """Injects the faults of one run and records them.
@@ -215,11 +219,25 @@
         return server.name
 
     async def _fault_locked(self, server: Server, fault: Fault) -> None:
+        if fault.kind in REFUSING_KINDS:
+            await self._refuse_requests(server, fault)
+            return
         async with self._locks[server.name]:
             await self._fault_process(server, fault)
         if fault.kind in REFUSALS:
             await asyncio.sleep(fault.for_s)
 
+    async def _refuse_requests(self, server: Server, fault: Fault) -> None:
+        """Make a server refuse requests, also after it has started again."""
+        until_s = time.monotonic() + fault.for_s
+        left_s = fault.for_s
+        while left_s > 0:
+            async with self._locks[server.name]:
+                rest = fault._replace(for_s=left_s)
+                await asyncio.to_thread(self._set_server_fault, server, rest)
+            await asyncio.sleep(min(left_s, _REFUSAL_CHECK_S))
+            left_s = until_s - time.monotonic()
+
     async def _fault_process(self, server: Server, fault: Fault) -> None:
         """Put a fault in force that a server itself has."""
         if fault.kind in RENEWALS:
--- a/emulator/soak/notices.py
+++ b/emulator/soak/notices.py
@@ -14,6 +14,7 @@
 LEAVING_KINDS = frozenset(('server_leave', 'server_leave_soon'))
 NOTICES = LEAVING_KINDS | NOTICE_KINDS.keys() | LIMIT_KINDS.keys()
 REFUSALS = frozenset(REFUSAL_KINDS)
+REFUSING_KINDS = REFUSALS - {'server_new_id'}
 
 #: Least requests a second that a server states, and refusals that a brittle one
 #: bears; up to one request and so many refusals more.
