--- a/src/wasabicross/gateway/shared_outage.py
+++ b/src/wasabicross/gateway/shared_outage.py
@@ -15,8 +15,8 @@
 from wasabicross.gateway.stream_divisions import SPREAD_S, StreamDivision
 from wasabicross.gateway.stream_messages import DIGEST_BYTES, StreamAnswer
 
-#: Digests of questions for news begin with this.
-_PREFIX = b'\xff\xfe'
+#: Digests of questions for news begin with this, as one of 4 billion streams does.
+_PREFIX = b'\xfe\xff\xff\xff'
 
 _MS_PER_S = 1000
 _MAX_AGE_MS = 86_400_000
