--- a/emulator/soak/answer_parts.py
+++ b/emulator/soak/answer_parts.py
@@ -21,6 +21,11 @@
 _UNFRAMED_ONE_IN = 4
 _UNFRAMED_PAUSE_S = 0.15
 
+#: Time between two events, of streams on slow routes and of others.
+SLOW = 'slow'
+_SLOW_EVENT_S = 0.03
+_EVENT_S = 0.01
+
 _OK = 200
 
 _EVENT_ID = re.compile(rb'(?m)^id: (\d+)$')
@@ -91,6 +96,14 @@
     return next(found, '')
 
 
+def event_interval_s(path: str) -> float:
+    """Return the time between two events of an answer, seconds.
+
+    :param path: path of its request.
+    """
+    return _SLOW_EVENT_S if path.startswith(f'/{SLOW}/') else _EVENT_S
+
+
 def request_id_field(req: HttpRequest) -> tuple[tuple[str, str], ...]:
     request_id = req.headers.get('request-id')
     return (('Request-Id', request_id),) if request_id else ()
--- a/emulator/soak/backend.py
+++ b/emulator/soak/backend.py
@@ -28,7 +28,11 @@
   or some ms later while it is idle;
 - ``{"kind": "new_id", "for_s": S}``: the server is as after a restart at its address
   under a new id, with the adapters that it had; the entry of its former id is
-  renewed for S seconds more.
+  renewed for S seconds more;
+- ``{"kind": "release", "software": V, "is_told": B, "drain_s": S}``: a server that
+  runs this software version leaves: its entry says so, or is removed. It serves
+  for S seconds more, and is then as after a restart at its address under a new id
+  as the other version.
 
 Its process ends as soon as it runs a request whose path has a part that begins
 with `deadly`. Some requests, chosen by their ids, get an answer with neither a
@@ -52,7 +56,9 @@
 from emulator.soak.answer_parts import (
     deadly_part,
     event,
+    event_interval_s,
     gets_unframed_answer,
+    other_software,
     request_id_field,
     send_in_halves,
 )
@@ -158,25 +164,52 @@
             self.server.reset_others(responder)
         elif document['kind'] == 'break_off':
             self.server.send_resets(responder)
-        elif document['kind'] == 'new_id':
-            self._take_new_id(document['for_s'])
-            self.server.reset_others(responder)
+        elif document['kind'] in {'new_id', 'release'}:
+            self._on_replacement(document, responder)
         elif document['kind'] in {'refuse', 'refuse_twice'}:
             self._refusals.set_from(document, time.monotonic())
         else:
             self._life.set_from(document, self._faults)
 
+    def _on_replacement(
+        self, document: dict[str, Any], responder: Responder
+    ) -> None:
+        """Come back under a new id, at once or some time after leaving."""
+        if document['kind'] == 'new_id':
+            self._take_new_id(document['for_s'])
+            self.server.reset_others(responder)
+        elif document['software'] == self._life.software:
+            self._start(self._release(document))
+
     def _take_new_id(self, for_s: float) -> None:
         until_s = time.monotonic() + for_s
         self._former[self._life.server_id] = (until_s, self._entry())
-        self._life = self._life.under_new_id()
+        self._life = self._life.under_new_id(self._life.software)
         self._start(asyncio.to_thread(self._send_heartbeat))
 
+    async def _release(self, document: dict[str, Any]) -> None:
+        """Leave, and come back some time later as the other version."""
+        life = self._life
+        life.state = 'draining'
+        life.is_listed = document['is_told']
+        await asyncio.to_thread(self._send_heartbeat)
+        await asyncio.sleep(document['drain_s'])
+        if self._life is not life:
+            return
+        life.is_listed = False
+        await asyncio.to_thread(self._send_heartbeat)
+        self._life = life.under_new_id(other_software(life.software))
+        self.server.send_resets()
+        await asyncio.to_thread(self._send_heartbeat)
+
     def _health(self, _req: HttpRequest) -> dict[str, Any]:
         return {'id': self._life.server_id}
 
     def _send_heartbeat(self) -> None:
-        self._renew_entry(self._life.server_id, self._entry())
+        if self._life.is_listed:
+            self._renew_entry(self._life.server_id, self._entry())
+        else:
+            self._post('put', self._life.server_id, None)
 
     def _renew_former(self, now_s: float) -> None:
         for server_id, (until_s, entry) in tuple(self._former.items()):
@@ -193,7 +226,7 @@
             'address': identity.address,
             'zone': identity.data_centre,
             'slots': identity.slots,
-            'state': 'ready',
+            'state': self._life.state,
             'seq': self._life.adapters.order_count,
             'born': self._life.start_ms,
             'models': self._life.adapters.models(),
@@ -203,13 +236,16 @@
         return json.dumps(entry).encode()
 
     def _renew_entry(self, server_id: str, entry: bytes) -> None:
+        self._post('heartbeat', server_id, encode_value(entry))
+
+    def _post(self, action: str, server_id: str, text: str | None) -> None:
+        """Write the entry of an id to the store, or remove it."""
         port = self._identity.store_port
-        document = {'key': f'servers/{server_id}', 'text': encode_value(entry)}
         try:
             self._http.request(
                 'POST',
-                f'http://{_HOST}:{port}/debug/heartbeat',
-                json=document,
+                f'http://{_HOST}:{port}/debug/{action}',
+                json={'key': f'servers/{server_id}', 'text': text},
             )
         except urllib3.exceptions.HTTPError as exc:
             log('heartbeat_failed', reason=str(exc))
@@ -342,8 +378,9 @@
         events = int(req.headers['token-count'].partition(',')[2])
         first = int(req.headers.get('last-event-id') or 0) + 1
         software = self._life.software
+        interval_s = event_interval_s(req.path)
         for number in range(first, events + 1):
-            await asyncio.sleep(_EVENT_INTERVAL_S)  # noqa: WPS476
+            await asyncio.sleep(interval_s)  # noqa: WPS476
             if responder.is_gone:
                 return
             responder.send_chunk(event(request_id, number, software))
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -16,7 +16,13 @@
     SoakDeployment,
 )
 from emulator.soak.engine_adapters import MODEL
-from emulator.soak.routes import CALLER_HOST, ROUTES, route_added_by
+from emulator.soak.routes import (
+    ALL_ROUTES,
+    CALLER_HOST,
+    ROUTES,
+    RouteSpec,
+    route_added_by,
+)
 
 #: Time for which a caller waits for an answer beyond the time limit of its
 #: request.
@@ -41,6 +47,9 @@
 
 _UNAVAILABLE = 503
 
+#: Least rest of its time limit with which a caller takes a stream up.
+_MIN_REST_S = 0.3
+
 #: Requests in which a caller takes up one stream that breaks off, and its longest
 #: pause between them, however long it is told to wait.
 _MAX_TAKE_UPS = 8
@@ -68,6 +77,9 @@
     :param began: id of the attempt that brought the first event of the stream that
         it takes up, empty for none.
     :param take_ups: how often the stream has been taken up.
+    :param first_sent_s: when its first attempt was sent, monotonic seconds, if its
+        caller states what is left of its time limit; 0 if it states the whole
+        limit at each attempt.
     """
 
     request_id: str
@@ -87,6 +99,19 @@
     after: int = 0
     began: str = ''
     take_ups: int = 0
+    first_sent_s: float = 0
+
+
+class Traffic(NamedTuple):
+    """What callers send.
+
+    :param routes: the routes that they use alike.
+    :param whole_limits: share of the callers that state their whole time limit at
+        each attempt; others state what is left of it.
+    """
+
+    routes: tuple[RouteSpec, ...] = ROUTES
+    whole_limits: float = 0.5
 
 
 class Callers:
@@ -95,13 +120,19 @@
     :param deployment: the deployment whose gateways get the requests.
     :param seed: seed of the random choices.
     :param count: number of callers.
+    :param traffic: what they send.
     """
 
     def __init__(
-        self, deployment: SoakDeployment, seed: int, count: int
+        self,
+        deployment: SoakDeployment,
+        seed: int,
+        count: int,
+        traffic: Traffic,
     ) -> None:
         self.results: list[CallResult] = []
         self._deployment = deployment
+        self._traffic = traffic
         self._is_stopping = False
         self._seed = seed
         self._count = count
@@ -111,7 +142,11 @@
         """Start all callers."""
         self._tasks = [
             asyncio.ensure_future(
-                self._run_caller(random.Random(f'{self._seed}/{each}'))  # noqa: S311
+                self._run_caller(
+                    random.Random(f'{self._seed}/{each}'),  # noqa: S311
+                    states_rest=each
+                    >= self._count * self._traffic.whole_limits,
+                )
             )
             for each in range(self._count)
         ]
@@ -122,7 +157,9 @@
         await asyncio.gather(*self._tasks)
         return self.results
 
-    async def _run_caller(self, rng: random.Random) -> None:
+    async def _run_caller(
+        self, rng: random.Random, *, states_rest: bool
+    ) -> None:
         broken_off: CallResult | None = None
         while not self._is_stopping:
             gateway = rng.choice(self._deployment.gateways)
@@ -134,8 +171,13 @@
             except (OSError, TimeoutError):
                 await asyncio.sleep(_PAUSE_S)
                 continue
+            if (
+                broken_off
+                and _left_s(broken_off, time.monotonic()) < _MIN_REST_S
+            ):
+                broken_off = None
             last = await self._use_connection(
-                rng, gateway, reader, writer, broken_off
+                rng, gateway, reader, writer, broken_off, states_rest
             )
             writer.close()
             broken_off = last if _can_be_taken_up(last) else None
@@ -151,6 +193,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         broken_off: CallResult | None,
+        states_rest: bool,
     ) -> CallResult:
         """Send requests, the first of which takes up what has broken off."""
         codec = h11.Connection(h11.CLIENT)
@@ -159,8 +202,10 @@
             request = (
                 _take_up(rng, gateway, broken_off)
                 if broken_off
-                else _random_request(rng, gateway, self._deployment)
+                else self._random_request(rng, gateway)
             )
+            if states_rest and not request.first_sent_s:
+                request = request._replace(first_sent_s=request.sent_s)
             result = await _send_request(  # noqa: WPS476
                 codec, request, reader, writer
             )
@@ -173,14 +218,23 @@
             codec.start_next_cycle()
             await asyncio.sleep(2 * _PAUSE_S * rng.random())  # noqa: WPS476
 
+    def _random_request(
+        self, rng: random.Random, gateway: Gateway
+    ) -> CallResult:
+        deadly = self._deployment.deadly
+        if deadly and rng.random() < _DEADLY_SHARE:
+            return _deadly_request(rng, gateway, rng.choice(deadly))
+        return _request_on(
+            rng.choice(self._traffic.routes),
+            rng,
+            gateway,
+            self._deployment.acknowledged_configuration,
+        )
 
-def _random_request(
-    rng: random.Random, gateway: Gateway, deployment: SoakDeployment
+
+def _request_on(
+    route: RouteSpec, rng: random.Random, gateway: Gateway, configuration: int
 ) -> CallResult:
-    if deployment.deadly and rng.random() < _DEADLY_SHARE:
-        return _deadly_request(rng, gateway, rng.choice(deployment.deadly))
-    configuration = deployment.acknowledged_configuration
-    route = rng.choice(ROUTES)
     is_stream = route.kind == 'streaming'
     # The adapters at the front of the list are requested most often.
     number = int(len(ADAPTERS) * rng.random() ** 2)
@@ -221,7 +275,8 @@
 def _can_be_taken_up(result: CallResult) -> bool:
     """Tell whether a caller takes a stream up that an answer hasn't ended."""
     is_resumable = any(
-        each.name == result.route_name and each.is_resumable for each in ROUTES
+        each.name == result.route_name and each.is_resumable
+        for each in ALL_ROUTES
     )
     if not is_resumable or result.take_ups >= _MAX_TAKE_UPS:
         return False
@@ -246,6 +301,7 @@
         after=number or broken_off.after,
         began=broken_off.began or broken_off.request_id,
         take_ups=broken_off.take_ups + 1,
+        first_sent_s=broken_off.first_sent_s,
     )
 
 
@@ -281,9 +337,15 @@
 
     :param result: the request.
     """
-    return next(
-        each.timeout_s for each in ROUTES if each.name == result.route_name
+    return _left_s(result, result.sent_s)
+
+
+def _left_s(result: CallResult, now_s: float) -> float:
+    """Return the limit that the caller of a request would state now, seconds."""
+    whole_s = next(
+        each.timeout_s for each in ALL_ROUTES if each.name == result.route_name
     )
+    return whole_s - (now_s - result.first_sent_s) * bool(result.first_sent_s)
 
 
 def _request_head(request: CallResult, limit_s: float) -> h11.Request:
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -33,7 +33,7 @@
     requests_during_pauses,
     requests_to_leaving_servers,
 )
-from emulator.soak.routes import ROUTES
+from emulator.soak.routes import ALL_ROUTES
 from emulator.soak.stream_checks import streams_of_two_versions, wrong_answers
 
 #: Maximum time from the acknowledgement of a version, or from the end of the
@@ -77,7 +77,7 @@
 
 _RUN_AT_MOST_ONCE = frozenset(
     each.name
-    for each in ROUTES
+    for each in ALL_ROUTES
     if each.kind in {'streaming', 'unsafe'} and not each.is_resumable
 )
 
@@ -341,7 +341,7 @@
 
 def _service_of(result: CallResult) -> str:
     return next(
-        each.service for each in ROUTES if each.name == result.route_name
+        each.service for each in ALL_ROUTES if each.name == result.route_name
     )
 
 
--- a/emulator/soak/injector.py
+++ b/emulator/soak/injector.py
@@ -40,6 +40,9 @@
 
 #: Bytes after which a connection is reset; a few events of a stream.
 _RESET_AFTER_BYTES = 700
+#: Kinds that only engines have.
+ENGINE_KINDS = RENEWALS | {'orders_late'}
+
 _DEATH_POINTS = ('half_request', 'after_request', 'after_headers', 'mid_body')
 _ADAPTERS_PER_CHANGE = 3
 
@@ -104,7 +107,7 @@
             'version': self._publish_versions,
             'configuration': self._write_configuration,
             'deadly': self._send_deadly,
-            'engines': self._renewals.renew_all,
+            'engines': self._fault_engines,
         }
         from_s = time.monotonic()
         target = await kinds[fault.kind.partition('_')[0]](fault)
@@ -238,6 +241,11 @@
             await asyncio.sleep(min(left_s, _REFUSAL_CHECK_S))
             left_s = until_s - time.monotonic()
 
+    async def _fault_engines(self, fault: Fault) -> str:
+        if fault.kind == 'engines_release':
+            return await self._renewals.release_all(fault)
+        return await self._renewals.renew_all(fault)
+
     async def _fault_process(self, server: Server, fault: Fault) -> None:
         """Put a fault in force that a server itself has."""
         if fault.kind in RENEWALS:
@@ -350,7 +358,7 @@
 
     def _pick_server(self, fault: Fault) -> Server:
         servers = self._deployment.servers
-        if fault.kind == 'orders_late' or fault.kind in RENEWALS:
+        if fault.kind in ENGINE_KINDS:
             servers = [each for each in servers if each.service == 'llm']
         return servers[fault.target % len(servers)]
 
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from emulator.fleet import Runner
-from emulator.soak.callers import Callers
+from emulator.soak.callers import Callers, Traffic
 from emulator.soak.checks import RECOVER_S, violations
 from emulator.soak.deployment import SoakDeployment
 from emulator.soak.evidence import Evidence, read_logs
@@ -27,12 +27,14 @@
     :param engines: number of engines, in addition to the plain servers.
     :param callers: number of callers; each sends one request at a time.
     :param has_links: whether a proxy is on the way to servers.
+    :param traffic: what callers send.
     """
 
     gateways: int = 4
     engines: int = 3
     callers: int = 12
     has_links: bool = True
+    traffic: Traffic = Traffic()
 
 
 class Verdict(NamedTuple):
@@ -85,7 +87,7 @@
             has_links=size.has_links,
         )
         deployment.start()
-        evidence = asyncio.run(_play(seed, faults, deployment, size.callers))
+        evidence = asyncio.run(_play(seed, faults, deployment, size))
     broken = violations(evidence)
     (folder / 'broken.txt').write_text('\n'.join(broken))
     return Verdict(seed, evidence, broken, folder)
@@ -95,10 +97,10 @@
     seed: int,
     faults: tuple[Fault, ...],
     deployment: SoakDeployment,
-    count: int,
+    size: Size,
 ) -> Evidence:
     injector = Injector(deployment)
-    callers = Callers(deployment, seed, count)
+    callers = Callers(deployment, seed, size.callers, size.traffic)
     callers.start()
     await injector.play(faults)
     faults_end_s = time.monotonic()
--- a/emulator/soak/renewals.py
+++ b/emulator/soak/renewals.py
@@ -1,4 +1,4 @@
-"""Restarts of engines as another software version, of which gateways hear late."""
+"""Engines that become another software version, of which gateways hear late."""
 
 from __future__ import annotations
 
@@ -6,10 +6,14 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from emulator.soak.answer_parts import SOFTWARE
 from emulator.soak.deployment import Server, SoakDeployment
-from emulator.soak.schedule import Fault
+from emulator.soak.schedule import RELEASE_KINDS, Fault
 
-RENEWALS = frozenset(('server_renew', 'server_renew_unheard'))
+RENEWALS = frozenset(('server_renew', 'server_renew_unheard', 'server_release'))
+
+#: Share of the engines that say that they leave; others just leave the list.
+_TOLD_SHARE = 0.5
 
 #: Time in which gateways lose the store before an engine starts again.
 _BEFORE_S = 0.1
@@ -34,11 +38,14 @@
         self._tell = tell
 
     async def renew(self, server: Server, fault: Fault) -> None:
-        """Restart an engine as another version; return when streams broke off.
+        """Make an engine another version; return when its streams broke off.
 
         :param server: the engine.
         :param fault: one of `RENEWALS`; its target tells how links fail.
         """
+        if fault.kind in RELEASE_KINDS:
+            await self.release([server], fault)
+            return
         if fault.kind == 'server_renew':
             await self._renew([server], fault.for_s, quiet_s=fault.for_s)
             return
@@ -60,6 +67,35 @@
         await cuts
         return ''
 
+    async def release(self, engines: list[Server], fault: Fault) -> None:
+        """Replace engines of one version by the other; return when they left.
+
+        :param engines: the engines; those that run the other version stay.
+        :param fault: one of `RELEASE_KINDS`; its duration is the time for which they
+            serve after they have left the store's list, or said that they leave.
+        """
+        is_told = fault.strength < _TOLD_SHARE
+        for engine in engines:
+            await asyncio.to_thread(  # noqa: WPS476
+                self._tell,
+                engine,
+                kind='release',
+                software=SOFTWARE[fault.target % len(SOFTWARE)],
+                is_told=is_told,
+                drain_s=fault.for_s,
+            )
+        await asyncio.sleep(fault.for_s)
+
+    async def release_all(self, fault: Fault) -> str:
+        """Replace all engines of one version by the other.
+
+        :param fault: its kind is `engines_release`.
+        """
+        servers = self._deployment.servers
+        engines = [each for each in servers if each.service == 'llm']
+        await self.release(engines, fault)
+        return SOFTWARE[fault.target % len(SOFTWARE)]
+
     async def _renew(
         self, engines: list[Server], for_s: float, *, quiet_s: float
     ) -> None:
--- a/emulator/soak/routes.py
+++ b/emulator/soak/routes.py
@@ -4,6 +4,7 @@
 
 from typing import Any, NamedTuple
 
+from emulator.soak.answer_parts import SLOW
 from emulator.soak.engine_adapters import MODEL
 
 CALLER_HOST = 'a.example'
@@ -39,6 +40,10 @@
     RouteSpec('unsafe', 'unsafe', 'desk', 1.5, 1, False, 3),
 )
 
+#: Streams whose events come slowly, so that more of them are interrupted.
+SLOW_ROUTE = RouteSpec(SLOW, 'streaming', 'llm', 8, 2, True, 2)
+ALL_ROUTES = (*ROUTES, SLOW_ROUTE)
+
 
 def configuration(version: int) -> dict[str, Any]:
     """Return the configuration of a version.
@@ -48,7 +53,8 @@
     return {
         'version': version,
         'routes': [
-            _route(each) for each in (*ROUTES, *_routes_of_versions(version))
+            _route(each)
+            for each in (*ALL_ROUTES, *_routes_of_versions(version))
         ],
         'services': [
             {
--- a/emulator/soak/schedule.py
+++ b/emulator/soak/schedule.py
@@ -66,6 +66,13 @@
     'store_restore': (0, 0),
 }
 
+#: The same for engines that leave for good, serve for some time more, and are
+#: replaced by another software version under a new id.
+RELEASE_KINDS = {
+    'server_release': (0.5, 4),
+    'engines_release': (0.5, 4),
+}
+
 #: The same for servers that refuse a share of their requests, the second kind with
 #: copies of the refusals, and for servers that start again at once at their address
 #: under a new id; the entry of the former id stands up to 2 s longer than the fault.
@@ -83,6 +90,7 @@
 _MAX_RESTART_GAP_S = 4.0
 _MAX_RENEW_GAP_S = 8.0
 _MAX_REFUSAL_GAP_S = 6.0
+_MAX_RELEASE_GAP_S = 14.0
 _TARGETS = 64
 
 
@@ -91,7 +99,7 @@
 
     :param at_s: seconds from the start of the run.
     :param kind: one of `KINDS`, `NOTICE_KINDS`, `LIMIT_KINDS`, `CRASH_KINDS`,
-        `RESTART_KINDS`, `RENEW_KINDS` or `REFUSAL_KINDS`.
+        `RESTART_KINDS`, `RENEW_KINDS`, `REFUSAL_KINDS` or `RELEASE_KINDS`.
     :param target: index of its target, modulo the number of possible targets.
     :param for_s: duration in seconds.
     :param strength: share of the maximum strength of its kind, from 0 to 1.
@@ -135,6 +143,9 @@
         *_random_faults(
             f'refusal/{seed}', REFUSAL_KINDS, _MAX_REFUSAL_GAP_S, length_s
         ),
+        *_random_faults(
+            f'release/{seed}', RELEASE_KINDS, _MAX_RELEASE_GAP_S, length_s
+        ),
     ]
     return tuple(sorted(faults))
 
--- a/emulator/soak/server_life.py
+++ b/emulator/soak/server_life.py
@@ -62,6 +62,9 @@
         self.late_orders = 0
         self.pause_until_s: float = 0
         self.is_leaving = False
+        #: What its entry says, and whether it has one.
+        self.state = 'ready'
+        self.is_listed = True
         self.limits = StatedLimits()
         log('started', software=software, id=server_id)
 
@@ -78,12 +81,15 @@
             time.monotonic() + quiet_s,
         )
 
-    def under_new_id(self) -> ServerLife:
-        """Return the next life, which has an id of its own."""
+    def under_new_id(self, software: str) -> ServerLife:
+        """Return the next life, which has an id of its own.
+
+        :param software: software version that runs then, empty for none.
+        """
         start_ms = self._next_start_ms()
         return ServerLife(
             f'{self.server_id.partition(".")[0]}.{start_ms}',
-            self.software,
+            software,
             self.adapters.after_restart(),
             start_ms,
         )
--- a/emulator/stream_server.py
+++ b/emulator/stream_server.py
@@ -235,7 +235,7 @@
         for other in self._open_responders - {responder}:
             other.reset()
 
-    def send_resets(self, responder: Responder) -> None:
+    def send_resets(self, responder: Responder | None = None) -> None:
         """Reset every open connection but that of one responder."""
         for other in self._open_responders - {responder}:
             other.send_reset()
