--- a/src/wasabicross/gateway/progress.py
+++ b/src/wasabicross/gateway/progress.py
@@ -56,6 +56,8 @@
         self.end_proof = EndProof.none
         #: Start that the process has reported, Unix milliseconds, 0 if it hasn't.
         self.found_start_ms = 0
+        #: Age of the knowledge of the store when it was sent, seconds.
+        self.knowledge_s: float = 0
         #: What shows that it runs the version of its entry.
         self.version_ground = VersionGround.none
 
--- a/src/wasabicross/gateway/request_record.py
+++ b/src/wasabicross/gateway/request_record.py
@@ -16,6 +16,9 @@
 
 _UNAVAILABLE = 503
 
+#: Longest age that is logged, seconds; it is unlimited where nothing is known yet.
+_MAX_LOGGED_S = 86400.0
+
 
 class RequestRecord:
     """Records what becomes of one request.
@@ -119,6 +122,7 @@
             start_ms=placement.server.start_ms,
             found_start_ms=record.found_start_ms,
             version_proof=record.version_ground.value,
+            knowledge_s=round(min(record.knowledge_s, _MAX_LOGGED_S), 3),
             resumes=self._info.resumes,
             last_event=self._info.last_event_id,
             waited_s=round(placement.waited_s, 3),
--- a/src/wasabicross/gateway/server_attempts.py
+++ b/src/wasabicross/gateway/server_attempts.py
@@ -275,6 +275,7 @@
         progress.runs += 1
         prefill = self._pending_prefill(placement)
         self.record.unread_tokens = prefill.tokens
+        self.record.knowledge_s = now_s() - self._servers.view.confirmed_s
         self._origin = AnswerOrigin(placement.server, now_s(), conn.start_ms)
         conn.send(req)
         self.record.connection = conn.serial
--- a/src/wasabicross/gateway/streams/stream_request.py
+++ b/src/wasabicross/gateway/streams/stream_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from wasabicross.gateway import metrics
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
@@ -151,6 +153,8 @@
             software_version=take_up.version or '',
             known_by=take_up.known_by.value,
             possible=sorted(take_up.possible),
+            time_left_s=self._info.time_left_s,
+            within_s=_logged_s(take_up.within_s),
         )
 
     def _outcome(self) -> str:
@@ -164,3 +168,8 @@
         if self._has_version_left:
             return NO_SERVER_OF_VERSION.reason
         return _FAILED
+
+
+def _logged_s(time_s: float) -> float | None:
+    """Return a time as it is logged, seconds, None for an unlimited one."""
+    return round(time_s, 3) if math.isfinite(time_s) else None
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -147,7 +147,8 @@
             is_confirmed=self._is_confirmed(division, asked_s),
         )
         former = self._versions_that_left(service, info.resumes, since_s)
-        return self._by_division(service, possible | former, since_s, asked_s)
+        found = self._by_division(service, possible | former, since_s, asked_s)
+        return found._replace(within_s=asked_s - since_s)
 
     def _versions_that_left(
         self, service: str, resumes: str, since_s: float
@@ -198,7 +199,7 @@
         """Return what is known unless others may know another version."""
         if found.version is None or self._view.confirmed_s >= asked_s:
             return found
-        return TakeUp(None, Knowledge.unconfirmed, found.possible)
+        return found._replace(version=None, known_by=Knowledge.unconfirmed)
 
     def _may_be_lost(
         self, service: str, since_s: float, asked_s: float
@@ -259,7 +260,7 @@
         """
         service = service_of(route, info)
         version = next(iter(take_up.possible))
-        told = TakeUp(version, Knowledge.owners, take_up.possible)
+        told = take_up._replace(version=version, known_by=Knowledge.owners)
         word = await self._memory.words.word(service, version, asked_s)
         if word is Word.same and service in self._view.divisions:
             return told
--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -69,11 +69,14 @@
     :param version: the software version that began it, None if not known.
     :param known_by: how it is known, or why it isn't.
     :param possible: all versions that may have begun it.
+    :param within_s: longest time since it began, seconds; infinite if it isn't
+        known.
     """
 
     version: str | None
     known_by: Knowledge
     possible: frozenset[str] = frozenset()
+    within_s: float = math.inf
 
     @property
     def refusal(self) -> NoServer | None:
@@ -120,7 +123,7 @@
         is_recent or take_up.is_unconfirmed
     ) and remembered not in take_up.possible:
         return take_up
-    return TakeUp(remembered, Knowledge.memory, take_up.possible)
+    return take_up._replace(version=remembered, known_by=Knowledge.memory)
 
 
 def take_up_of(possible: frozenset[str], known_by: Knowledge) -> TakeUp:
