--- a/tests/test_gateway_take_ups.py
+++ b/tests/test_gateway_take_ups.py
@@ -258,6 +258,8 @@
         'software_version': 'v1',
         'known_by': 'division',
         'possible': ['v1'],
+        'time_left_s': 5.0,
+        'within_s': 55.0,
     }
     assert unknown['software_version'] == ''
     assert unknown['known_by'] == 'version unknown'
