Take no whole time limit at a take-up for a sign that the stream began just now

Cause: the division tells a stream's version if it is known when the stream began, and that was reckoned from the take-up's stated time: the longest limit of the route less what is left. A caller that states its whole limit at each attempt seemed to have begun just now, so former divisions were left out. Class: a fact of the past inferred from a statement that doesn't tell it. The users' page doesn't say that a take-up states the rest only; its example of one states the route's whole timeout.

Change: a take-up that states about a limit that callers of its route have (the longest, the route's timeout, one stated again and again; up to a second less, as callers may wait so long for a connection) may have begun at any time in which former divisions count. Then the memory of gateways decides, which holds all streams that began near a change, or it is refused. Statements well below all limits tell the wait as before. So the decision no longer rests on how callers reckon, and the rest of the design (kills of all gateways, where no memory is left) stays.

Tests that held the assumption are replaced, as strict: a row 'began after the move' stated the whole limit, now 4 s less, and a row for the whole limit asks for a refusal; 'longer limit than known' asks for a refusal; a row with 4.0 of 5 s left has 3.9, since one second less may be a whole limit.

--- a/src/wasabicross/gateway/stream_time_limits.py
+++ b/src/wasabicross/gateway/stream_time_limits.py
@@ -6,6 +6,9 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from wasabicross.gateway.configuration import Route
+from wasabicross.gateway.usual_time_limits import UsualTimeLimits
+
 #: Limits are rounded up to multiples of this, so that few are written.
 _STEP_S = 1
 
@@ -58,11 +61,12 @@
 
     def __init__(self) -> None:
         self._limits: OrderedDict[str, _RouteLimit] = OrderedDict()
+        self._usual = UsualTimeLimits()
 
     def note_time_limit(
         self, route: str, time_left_s: float, now_s: float
     ) -> None:
-        """Record the time limit of a request.
+        """Record the time limit of a request that begins a stream.
 
         :param route: name of its route.
         :param time_left_s: the limit that its caller stated, seconds.
@@ -72,6 +76,7 @@
         longest_s = max(known.longest_s, min(time_left_s, _MAX_LIMIT_S))
         self._limits[route] = known._replace(longest_s=longest_s)
         self._limits.move_to_end(route)
+        self._usual.note(route, time_left_s)
         if len(self._limits) > _MAX_ROUTES:
             self._limits.popitem(last=False)
 
@@ -91,3 +96,19 @@
         if known is None or now_s - known.since_s < longest_wait_s:
             return None
         return known.longest_s
+
+    def whole_limits_s(
+        self, route: Route, longest_wait_s: float, now_s: float
+    ) -> tuple[float, ...]:
+        """Return the limits that callers of a route have, seconds, longest first.
+
+        :param route: the route.
+        :param longest_wait_s: how long callers may wait, seconds.
+        :param now_s: the present time, monotonic seconds.
+        """
+        longest_s = self.longest_s(route.name, longest_wait_s, now_s)
+        if longest_s is None:
+            longest_s = longest_wait_s
+        usual_s = self._usual.usual_s(route.name)
+        found = {longest_s, route.timeout_s, *usual_s}
+        return tuple(sorted(found, reverse=True))
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -134,11 +134,11 @@
                 listed_versions(self._view, service), Knowledge.only_version
             )
             return self._unless_unconfirmed(found, asked_s)
-        longest_s = self._view.divisions.route_limits.longest_s(
-            route.name, division.time_limit_s, now_s
+        whole_limits_s = self._view.divisions.route_limits.whole_limits_s(
+            route, division.time_limit_s, now_s
         )
         since_s = asked_s - longest_wait_s(
-            longest_s, division, route, info.time_left_s
+            whole_limits_s, division, info.time_left_s
         )
         possible = division.possible_versions(
             info.resumes,
--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -4,12 +4,20 @@
 
 import enum
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
-from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.gateway.stream_divisions import (
+    StreamDivision,
+    former_lapse_s,
+)
+
+#: Longest time from the begin of a caller's attempt until its request is sent, as
+#: callers wait so long for a connection, seconds.
+_MAX_SENDING_S = 1.0
 
 #: Why a stream can't go on whose version has left; nothing that its caller does
 #: soon will change that.
@@ -138,22 +146,27 @@
 
 
 def longest_wait_s(
-    longest_s: float | None,
+    whole_limits_s: Sequence[float],
     division: StreamDivision,
-    route: Route,
     time_left_s: float | None,
 ) -> float:
     """Return how long at most a caller has been waiting, seconds.
 
-    :param longest_s: longest limit that callers of the route state, None if
-        it isn't known.
+    Callers may state their whole limit at each attempt, so one that states
+    about a whole limit may have been waiting for as long as any.
+
+    :param whole_limits_s: the limits that callers of the route have, seconds,
+        longest first.
     :param division: the division of its service.
-    :param route: the route of its request.
-    :param time_left_s: how long the caller still waits, None if it doesn't state
-        that.
+    :param time_left_s: the limit that the caller states, seconds, None if it
+        states none.
     """
     if time_left_s is None:
         return math.inf
-    if longest_s is None:
-        longest_s = division.time_limit_s
-    return max(longest_s, route.timeout_s, time_left_s) - time_left_s
+    longest_s = whole_limits_s[0]
+    if time_left_s > longest_s or any(
+        0 <= limit_s - time_left_s <= _MAX_SENDING_S
+        for limit_s in whole_limits_s
+    ):
+        return former_lapse_s(division)
+    return longest_s - time_left_s
--- a/src/wasabicross/gateway/usual_time_limits.py
+++ b/src/wasabicross/gateway/usual_time_limits.py
@@ -37,6 +37,21 @@
         That is the time by which its limit is below the next usual one, 0 if
         the limit is usual itself or no longer one is known.
 
+        :param route: identifies the route.
+        :param time_left_s: the time limit that the caller states, seconds.
+        """
+        self.note(route, time_left_s)
+        longer_s = [
+            limit_s
+            for limit_s in self.usual_s(route)
+            if limit_s >= round(time_left_s * _MS_PER_S) / _MS_PER_S
+        ]
+        waited_s = min(longer_s, default=time_left_s) - time_left_s
+        return waited_s if waited_s >= _MIN_WAIT_S else 0
+
+    def note(self, route: str, time_left_s: float) -> None:
+        """Count a request.
+
         :param route: identifies the route.
         :param time_left_s: the time limit that the caller states, seconds.
         """
@@ -49,10 +64,15 @@
         counts.move_to_end(time_left_ms)
         if len(counts) > _MAX_LIMITS:
             counts.popitem(last=False)
-        usual_s = [
+
+    def usual_s(self, route: str) -> tuple[float, ...]:
+        """Return the time limits that callers state again and again, seconds.
+
+        :param route: identifies the route.
+        """
+        counts = self._counts.get(route) or OrderedDict[int, int]()
+        return tuple(
             limit_ms / _MS_PER_S
             for limit_ms, count in counts.items()
-            if count >= _MIN_REQUESTS and limit_ms >= time_left_ms
-        ]
-        waited_s = min(usual_s, default=time_left_s) - time_left_s
-        return waited_s if waited_s >= _MIN_WAIT_S else 0
+            if count >= _MIN_REQUESTS
+        )
--- a/tests/test_gateway_version_knowledge.py
+++ b/tests/test_gateway_version_knowledge.py
@@ -62,7 +62,8 @@
     'none and one': (('', 'v1'), None, '9c', LIMIT_S, UNKNOWN),
     'several versions': (('v1', 'v2'), None, '9c', LIMIT_S, UNKNOWN),
     'no server': ((), None, '9c', LIMIT_S, UNKNOWN),
-    'began after the move': (('v2',), MOVED, '9c', LIMIT_S, 'v2'),
+    'began after the move': (('v2',), MOVED, '9c', LIMIT_S - 4, 'v2'),
+    'whole limit stated': (('v2',), MOVED, '9c', LIMIT_S, UNKNOWN),
     'began before the move': (('v2',), MOVED, '9c', LIMIT_S - 20, UNKNOWN),
     'just before the move was known': (
         ('v2',),
@@ -72,7 +73,7 @@
         UNKNOWN,
     ),
     'no time limit': (('v2',), MOVED, '9c', None, UNKNOWN),
-    'longer limit than known': (('v2',), MOVED, '9c', 300.0, 'v2'),
+    'longer limit than known': (('v2',), MOVED, '9c', 300.0, UNKNOWN),
     'no limit, one version': (('v1',), StreamDivision(1, OLD), '', None, 'v1'),
     'no attempt named': (
         ('v1', 'v2'),
@@ -121,10 +122,10 @@
 @pytest.mark.parametrize(
     ('stated', 'since_s', 'time_left_s', 'expected'),
     [
-        ([5.0], NOW_S - LIMIT_S, 4.0, 'v2'),
-        ([5.0], NOW_S - LIMIT_S + 1, 4.0, UNKNOWN),
-        ([30.0, 5.0], NOW_S - LIMIT_S, 4.0, UNKNOWN),
-        ([None], NOW_S - LIMIT_S, 4.0, UNKNOWN),
+        ([5.0], NOW_S - LIMIT_S, 3.9, 'v2'),
+        ([5.0], NOW_S - LIMIT_S + 1, 3.9, UNKNOWN),
+        ([30.0, 5.0], NOW_S - LIMIT_S, 3.9, UNKNOWN),
+        ([None], NOW_S - LIMIT_S, 3.9, UNKNOWN),
     ],
 )
 def test_caller_of_a_route_with_a_short_limit_began_after_the_move(
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -3,7 +3,9 @@
 import pytest
 
 from emulator.soak.answer_parts import gets_unframed_answer
+from emulator.soak.callers import Traffic
 from emulator.soak.play import Size, play
+from emulator.soak.routes import ROUTES, SLOW_ROUTE
 from emulator.soak.schedule import Fault, schedule_of
 
 SIZE = Size(gateways=3, engines=2, callers=8)
@@ -80,3 +82,25 @@
     assert verdict.broken == []
     assert len(verdict.evidence.copies) > servers
     assert len(verdict.evidence.server_starts) == servers + restarts
+
+
+def test_released_engines_join_no_streams_of_callers_that_state_whole_limits(
+    tmp_path,
+):
+    """A former division was left out where a caller seemed to begin just now."""
+    faults = (
+        *(
+            Fault(1 + each * 0.4, 'server_reset', each, 0, 0)
+            for each in range(36)
+        ),
+        *(
+            Fault(3 + each * 6, 'engines_release', each, 1.5, 0)
+            for each in range(2)
+        ),
+    )
+    traffic = Traffic((ROUTES[1], SLOW_ROUTE), whole_limits=1)
+    size = Size(gateways=3, engines=4, callers=16, traffic=traffic)
+    verdict = play(1, faults, size, tmp_path / 'soak')
+    assert verdict.broken == []
+    taken_up = [each for each in verdict.evidence.results if each.began]
+    assert any(each.status == 200 and each.is_complete for each in taken_up)
