Reckon with streams that a late gateway begins at servers no longer listed

Cause: a gateway begins streams by knowledge up to 5 s old, and others reckoned with 2.5 s for it. Servers that stay listed as leaving were covered, others not. Class: two bounds for one fact, the longest delay with which a change takes effect.

Change: readers use the bound of those who begin (MAX_KNOWLEDGE_AGE_S), for former buckets and for versions that left. Streams begun within 5 s of a move (2.5 s before) are now told by memory, which holds them.

--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -24,7 +24,7 @@
 #: age of the knowledge with which a gateway resumes streams.
 ANNOUNCED_S = 12.0
 
-#: Most age of a gateway's knowledge with which it resumes streams.
+#: Most age of a gateway's knowledge with which it begins and resumes streams.
 MAX_KNOWLEDGE_AGE_S = 5.0
 
 #: Longest time between the moments at which gateways in touch with the store
@@ -145,7 +145,7 @@
         possible.extend(
             each.buckets
             for each in self.former
-            if each.ended_s + SPREAD_S >= since_s
+            if each.ended_s + MAX_KNOWLEDGE_AGE_S >= since_s
         )
         if self._is_announced_due(now_s) and not is_confirmed:
             possible.append(self.announced)
--- a/src/wasabicross/gateway/streams/stream_versions.py
+++ b/src/wasabicross/gateway/streams/stream_versions.py
@@ -164,7 +164,8 @@
             version
             for each in division.former
             for version in each.versions_for(resumes)
-            if divisions.last_listed_s(service, version) + SPREAD_S >= since_s
+            if divisions.last_listed_s(service, version) + MAX_KNOWLEDGE_AGE_S
+            >= since_s
         )
 
     def _by_division(
--- a/tests/test_gateway_moves_at_once.py
+++ b/tests/test_gateway_moves_at_once.py
@@ -18,7 +18,6 @@
 from wasabicross.gateway.stream_divisions import (
     ANNOUNCED_S,
     MAX_KNOWLEDGE_AGE_S,
-    SPREAD_S,
     FormerBuckets,
     StreamDivision,
     bucket_of,
@@ -30,6 +29,9 @@
 
 MOVED_S = NOW_S - 10
 
+#: Longest time for which a late gateway still sends to a version that has left.
+LATEST_S = MAX_KNOWLEDGE_AGE_S
+
 #: Longest wait of a take-up until the store has confirmed the division.
 CONFIRMATION_S = 1.8
 
@@ -71,14 +73,14 @@
 @pytest.mark.parametrize(
     ('began_s', 'last_listed_s', 'known_by'),
     [
-        (MOVED_S + 4, None, Knowledge.division),
-        (MOVED_S + 4, MOVED_S + 4 - SPREAD_S, Knowledge.version_unknown),
-        (MOVED_S + 4, MOVED_S + 3.9 - SPREAD_S, Knowledge.division),
-        (MOVED_S + 8, MOVED_S + 5, Knowledge.division),
+        (MOVED_S + 5.1, None, Knowledge.division),
+        (MOVED_S + 8, MOVED_S + 8 - LATEST_S, Knowledge.version_unknown),
+        (MOVED_S + 8, MOVED_S + 7.9 - LATEST_S, Knowledge.division),
+        (MOVED_S + 4, None, Knowledge.version_unknown),
         (MOVED_S + 1, None, Knowledge.version_unknown),
     ],
 )
-def test_version_may_have_begun_streams_until_its_last_server_is_gone(
+def test_version_may_have_begun_streams_until_no_gateway_lists_its_servers(
     began_s, last_listed_s, known_by
 ):
     view = view_after_move(('v2',), last_listed_s)
--- a/tests/test_gateway_stream_divisions.py
+++ b/tests/test_gateway_stream_divisions.py
@@ -7,6 +7,7 @@
 from wasabicross.gateway.stream_divisions import (
     ANNOUNCED_S,
     BUCKETS,
+    MAX_KNOWLEDGE_AGE_S,
     SPREAD_S,
     FormerBuckets,
     StreamDivision,
@@ -90,8 +91,8 @@
     ('since_s', 'versions'),
     [
         (0, {'v1', 'v2'}),
-        (20 + SPREAD_S, {'v1', 'v2'}),
-        (20.1 + SPREAD_S, {'v2'}),
+        (20 + MAX_KNOWLEDGE_AGE_S, {'v1', 'v2'}),
+        (20.1 + MAX_KNOWLEDGE_AGE_S, {'v2'}),
     ],
 )
 def test_stream_of_a_moved_bucket(since_s, versions):
@@ -134,7 +135,8 @@
     division = first_division(['v1', 'v2'], 5)
     assert division.buckets == OLD
     assert division.possible_versions('9c41', 0, 5) == {'v1', 'v2'}
-    assert division.possible_versions('9c41', 5.1 + SPREAD_S, 9) == {'v1'}
+    since_s = 5.1 + MAX_KNOWLEDGE_AGE_S
+    assert division.possible_versions('9c41', since_s, 11) == {'v1'}
     assert first_division(['v1'], 5).former == ()
 
 
