Guard take-ups that a gateway reads late with a test

A gateway that stood still reads a take-up whose caller stated what was left seconds before, so it reckons the begin of the stream too late by that.

--- a/tests/test_gateway_unannounced_leaving.py
+++ b/tests/test_gateway_unannounced_leaving.py
@@ -50,3 +50,15 @@
     history.play(150)
     assert not history.joined
     assert history.went_on > 100
+
+
+@pytest.mark.parametrize('late_s', [0.0, 2.0, 4.0])
+def test_a_take_up_that_is_read_late_joins_no_stream_of_before_a_move(late_s):
+    """A gateway that stood still reads what its caller has stated before."""
+    began_s = MOVED_S - 0.1
+    sent_s = MOVED_S + 0.9
+    moved = next_division(StreamDivision(1, OLD), {'v2': 64}, MOVED_S)
+    read_s = sent_s + late_s
+    streams = StreamVersions(view_of(('v2',), moved, read_s))
+    info = info_of('r1', LIMIT_S - (sent_s - began_s))
+    assert streams.for_take_up(ROUTE, info, read_s).version != 'v2'
