Reckon with former divisions for no longer than streams are remembered

What callers would see: for five seconds, a time limit and five seconds after a move, a caller that states its whole limit is refused (version unknown) though its stream began at the version in force.

Cause: such a take-up was taken for up to a limit and five seconds old, and former buckets count for five seconds more, while gateways remember streams only until a limit and five seconds after the move.

Change: no caller waits for longer than the longest limit, so that is the age. test_a_stream_that_seems_of_before_a_move_is_remembered: rows 2.6 and 4.9 failed before.

--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -10,10 +10,7 @@
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
-from wasabicross.gateway.stream_divisions import (
-    StreamDivision,
-    former_lapse_s,
-)
+from wasabicross.gateway.stream_divisions import StreamDivision
 
 #: Longest time from the begin of a caller's attempt until its request is sent, as
 #: callers wait so long for a connection, seconds.
@@ -168,5 +165,5 @@
         0 <= limit_s - time_left_s <= _MAX_SENDING_S
         for limit_s in whole_limits_s
     ):
-        return former_lapse_s(division)
+        return max(longest_s, division.time_limit_s)
     return longest_s - time_left_s
--- a/tests/test_gateway_stated_limits.py
+++ b/tests/test_gateway_stated_limits.py
@@ -20,7 +20,9 @@
     BUCKETS,
     FormerBuckets,
     StreamDivision,
+    former_lapse_s,
 )
+from wasabicross.gateway.streams.begun_streams import is_settled
 from wasabicross.gateway.streams.stream_versions import StreamVersions
 from wasabicross.gateway.streams.take_ups import Knowledge
 
@@ -115,3 +117,15 @@
     found = asyncio.run(recalled())
     assert found.known_by is Knowledge.memory
     assert found.version == 'v2'
+
+
+@pytest.mark.parametrize('late_s', [0.0, 2.6, 4.9])
+def test_a_stream_that_seems_of_before_a_move_is_remembered(late_s):
+    """Gateways remember streams for as long as former buckets count."""
+    division = MOVED._replace(time_limit_s=15)
+    began_s = NOW_S - 10 + former_lapse_s(division) - 0.1 + late_s
+    found = StreamVersions(view_of(('v2',), division, began_s)).for_take_up(
+        ROUTE, info_of('9c', LIMIT_S), began_s
+    )
+    is_told = is_settled(division, '9c', 'v2', 0, began_s)
+    assert is_told == (found.version == 'v2')
