Take what another gateway states at a take-up for no wait of its caller

Found by looking for the cause elsewhere.

Change: a forwarded request is known as such where the begin of its stream is reckoned, and may have begun at any time in which former divisions count. No field between gateways is changed. test_a_forwarded_take_up_tells_no_wait_of_its_caller failed before (200, v2).

--- a/src/wasabicross/gateway/dialect.py
+++ b/src/wasabicross/gateway/dialect.py
@@ -30,6 +30,8 @@
     :param resumes: id of the caller's attempt that brought the first event of
         the interrupted stream, empty if not stated or not clear.
     :param digest: the same for all copies of the request, empty if not known.
+    :param is_forwarded: whether another gateway has sent it, which states a time
+        limit of its own.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     parts: tuple[str, ...] = ()
     resumes: str = ''
     digest: str = ''
+    is_forwarded: bool = False
 
     @property
     def causes(self) -> tuple[str, ...]:
--- a/src/wasabicross/gateway/request_handler.py
+++ b/src/wasabicross/gateway/request_handler.py
@@ -79,7 +79,7 @@
         self._answer = answer
         self._info: RequestInfo = dependencies.servers.dialect.parse_request(
             req
-        )._replace(digest=request_digest(req))
+        )._replace(digest=request_digest(req), is_forwarded=self._is_forwarded)
         self._progress = RequestProgress(self._info.last_event_id)
         self._stream: StreamRequest | None = None
         self._record = RequestRecord(self._info, self._progress, req.arrived_s)
--- a/src/wasabicross/gateway/streams/stream_beginnings.py
+++ b/src/wasabicross/gateway/streams/stream_beginnings.py
@@ -52,9 +52,7 @@
         whole_limits_s = self._view.divisions.route_limits.whole_limits_s(
             route, division.time_limit_s, now_s
         )
-        since_s = asked_s - longest_wait_s(
-            whole_limits_s, division, info.time_left_s
-        )
+        since_s = asked_s - longest_wait_s(whole_limits_s, division, info)
         possible = division.possible_versions(
             info.resumes,
             since_s,
--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -145,7 +145,7 @@
 def longest_wait_s(
     whole_limits_s: Sequence[float],
     division: StreamDivision,
-    time_left_s: float | None,
+    info: RequestInfo,
 ) -> float:
     """Return how long at most a caller has been waiting, seconds.
 
@@ -155,15 +155,19 @@
     :param whole_limits_s: the limits that callers of the route have, seconds,
         longest first.
     :param division: the division of its service.
-    :param time_left_s: the limit that the caller states, seconds, None if it
-        states none.
+    :param info: what the request states.
     """
-    if time_left_s is None:
+    if info.time_left_s is None:
         return math.inf
     longest_s = whole_limits_s[0]
-    if time_left_s > longest_s or any(
+    if info.is_forwarded or _may_be_whole(info.time_left_s, whole_limits_s):
+        return max(longest_s, division.time_limit_s)
+    return longest_s - info.time_left_s
+
+
+def _may_be_whole(time_left_s: float, whole_limits_s: Sequence[float]) -> bool:
+    """Return whether a stated limit may be a whole one."""
+    return time_left_s > whole_limits_s[0] or any(
         0 <= limit_s - time_left_s <= _MAX_SENDING_S
         for limit_s in whole_limits_s
-    ):
-        return max(longest_s, division.time_limit_s)
-    return longest_s - time_left_s
+    )
--- a/tests/test_gateway_stated_limits.py
+++ b/tests/test_gateway_stated_limits.py
@@ -15,6 +15,7 @@
 )
 from version_parts import OLD, run_versions, send, servers_of, take_up
 
+from wasabicross.gateway.caller_service import CallerService
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.stream_divisions import (
     BUCKETS,
@@ -84,12 +85,12 @@
     assert possible_versions(stated_s, left_s) == {'v2'}
 
 
-@pytest.mark.parametrize('left_ms', ['60000', '59500', '5000', None])
-def test_a_take_up_that_states_a_whole_limit_joins_no_two_versions(left_ms):
-    """The buckets of the version that began the stream moved long ago."""
-    versions = ('v2', 'v2')
+def take_up_after_a_move(**stated):
+    """Return the answer to a take-up of a stream of v1, and its versions.
+
+    :param stated: fields of the take-up.
+    """
     resumes = id_of(OLD, 'v1')
-    stated = {'Time_Left_Ms': left_ms} if left_ms else {}
 
     async def scenario(bench):
         view = bench.gateway.view
@@ -99,7 +100,14 @@
         )
         return await send(bench, take_up(resumes, **stated))
 
-    received, found = run_versions(scenario, servers_of(versions), OLD)
+    return run_versions(scenario, servers_of(('v2', 'v2')), OLD)
+
+
+@pytest.mark.parametrize('left_ms', ['60000', '59500', '5000', None])
+def test_a_take_up_that_states_a_whole_limit_joins_no_two_versions(left_ms):
+    """The buckets of the version that began the stream moved long ago."""
+    stated = {'Time_Left_Ms': left_ms} if left_ms else {}
+    received, found = take_up_after_a_move(**stated)
     assert received.startswith(b'HTTP/1.1 503')
     assert not found
 
@@ -129,3 +137,11 @@
     )
     is_told = is_settled(division, '9c', 'v2', 0, began_s)
     assert is_told == (found.version == 'v2')
+
+
+def test_a_forwarded_take_up_tells_no_wait_of_its_caller(monkeypatch):
+    """The gateway before states what is left of a whole limit after 1.2 s."""
+    monkeypatch.setattr(CallerService, 'serve', CallerService.serve_forwarded)
+    received, found = take_up_after_a_move(Time_Left_Ms='58800')
+    assert received.startswith(b'HTTP/1.1 503')
+    assert not found
