--- a/tests/test_soak_backend.py
+++ b/tests/test_soak_backend.py
@@ -1,5 +1,6 @@
 """Servers of the soak send unframed answers, and end them when they are killed."""
 
+import base64
 import json
 import socket
 import time
@@ -256,20 +257,47 @@
     assert body
 
 
-def test_entry_of_a_former_id_stands_beside_the_new_one(server):
-    store_port = server.store_port
+def states(server):
+    """Return what the entries of servers in the store say, by their ids."""
+    path = '/-/kv-range?pathPrefix=servers/'
+    found = json.loads(fetch(server.store_port, path)[1])
+    return {
+        each['key'].partition('/')[2]: json.loads(
+            base64.b64decode(each['value'])
+        )['state']
+        for each in found['items']
+    }
 
-    def listed():
-        found = json.loads(
-            fetch(store_port, '/-/kv-range?pathPrefix=servers/')[1]
-        )
-        return [each['key'] for each in found['items']]
 
-    wait_until(lambda: listed() == ['servers/s'], 5, 'entry listed')
+def test_entry_of_a_former_id_stands_beside_the_new_one(server):
+    wait_until(lambda: list(states(server)) == ['s'], 5, 'entry listed')
     fetch(server.port, '/fault', json.dumps({'kind': 'new_id', 'for_s': 0.5}))
-    wait_until(lambda: len(listed()) == 2, 1, 'both entries listed')
-    wait_until(lambda: len(listed()) == 1, 5, 'former entry removed')
-    assert listed() != ['servers/s']
+    wait_until(lambda: len(states(server)) == 2, 1, 'both entries listed')
+    wait_until(lambda: len(states(server)) == 1, 5, 'former entry removed')
+    assert list(states(server)) != ['s']
+
+
+@pytest.mark.parametrize('server', [4], indirect=True)
+@pytest.mark.parametrize(
+    ('is_told', 'meanwhile'), [(True, {'s': 'draining'}), (False, {})]
+)
+def test_a_server_that_is_released_serves_on_and_is_replaced(
+    server, is_told, meanwhile
+):
+    wait_until(lambda: states(server) == {'s': 'ready'}, 5, 'entry listed')
+    release = {'kind': 'release', 'software': '', 'is_told': is_told}
+    body = json.dumps({**release, 'drain_s': 1.0})
+    fetch(server.port, '/fault', body)
+    wait_until(lambda: states(server) == meanwhile, 0.8, 'entry of one leaving')
+    fields = {'model': ADAPTER, 'token_count': '1,2', 'expect_instance': 's'}
+    head, _ = fetch(server.port, '/x', request_id=FRAMED, **fields)
+    assert b' 200 ' in head
+    wait_until(
+        lambda: list(states(server).values()) == ['ready'], 3, 'the next entry'
+    )
+    assert list(states(server)) != ['s']
+    with closing(send_run(server.port, UNFRAMED)) as conn:
+        assert software_in(read_until(conn)) == {'s1'}
 
 
 @pytest.mark.parametrize('server', [4], indirect=True)
--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -8,6 +8,7 @@
     LIMIT_KINDS,
     NOTICE_KINDS,
     REFUSAL_KINDS,
+    RELEASE_KINDS,
     RENEW_KINDS,
     RESTART_KINDS,
     decode,
@@ -41,6 +42,7 @@
         **RESTART_KINDS,
         **RENEW_KINDS,
         **REFUSAL_KINDS,
+        **RELEASE_KINDS,
     }
     assert {fault.kind for fault in faults} == all_kinds.keys()
     for fault in faults:
