--- a/emulator/soak/__main__.py
+++ b/emulator/soak/__main__.py
@@ -16,9 +16,11 @@
 
 import click
 
+from emulator.soak.callers import Traffic
 from emulator.soak.picture import draw
 from emulator.soak.play import Size, Verdict, play, unused_folder
 from emulator.soak.report import report_lines
+from emulator.soak.routes import RESUMABLE_ROUTES, ROUTES
 from emulator.soak.schedule import (
     Fault,
     decode,
@@ -40,6 +42,10 @@
     :param schedule: file of a schedule to play instead of those of the seeds.
     :param pictures: folder for a picture of each run, None for no pictures.
     :param direct: whether servers are reached without a proxy.
+    :param whole_limits: share of the callers that state their whole time limit at
+        each attempt.
+    :param only_resumable: whether callers send requests for resumable streams
+        alone, half of them for slow ones.
     """
 
     seeds: str
@@ -53,11 +59,20 @@
     shorten: bool
     pictures: pathlib.Path | None
     direct: bool
+    whole_limits: float
+    only_resumable: bool
 
     @property
     def size(self) -> Size:
         """Size of each deployment."""
-        return Size(self.gateways, self.engines, self.callers, not self.direct)
+        routes = RESUMABLE_ROUTES if self.only_resumable else ROUTES
+        return Size(
+            self.gateways,
+            self.engines,
+            self.callers,
+            not self.direct,
+            Traffic(routes, self.whole_limits),
+        )
 
     def verdicts(self) -> Iterator[Verdict]:
         """Play all seeds and yield the result of each."""
@@ -89,6 +104,8 @@
 @click.option('--shorten', is_flag=True)
 @click.option('--pictures', type=_PATH)
 @click.option('--direct', is_flag=True)
+@click.option('--whole-limits', default=0.5, show_default=True)
+@click.option('--only-resumable', is_flag=True)
 def main(**arguments: Any) -> None:  # noqa: WPS216
     """Play seeds and print which of them broke a promise."""
     options = Options(**arguments)
--- a/emulator/soak/routes.py
+++ b/emulator/soak/routes.py
@@ -43,6 +43,7 @@
 #: Streams whose events come slowly, so that more of them are interrupted.
 SLOW_ROUTE = RouteSpec(SLOW, 'streaming', 'llm', 8, 2, True, 2)
 ALL_ROUTES = (*ROUTES, SLOW_ROUTE)
+RESUMABLE_ROUTES = tuple(each for each in ALL_ROUTES if each.is_resumable)
 
 
 def configuration(version: int) -> dict[str, Any]:
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -5,7 +5,7 @@
 from emulator.soak.answer_parts import gets_unframed_answer
 from emulator.soak.callers import Traffic
 from emulator.soak.play import Size, play
-from emulator.soak.routes import ROUTES, SLOW_ROUTE
+from emulator.soak.routes import RESUMABLE_ROUTES
 from emulator.soak.schedule import Fault, schedule_of
 
 SIZE = Size(gateways=3, engines=2, callers=8)
@@ -98,7 +98,7 @@
             for each in range(2)
         ),
     )
-    traffic = Traffic((ROUTES[1], SLOW_ROUTE), whole_limits=1)
+    traffic = Traffic(RESUMABLE_ROUTES, whole_limits=1)
     size = Size(gateways=3, engines=4, callers=16, traffic=traffic)
     verdict = play(1, faults, size, tmp_path / 'soak')
     assert verdict.broken == []
