Reckon with two attempts of a whole time limit where callers may state one

Cause: former divisions counted for the longest limit and five seconds, by which callers that state whole limits at each attempt aren't bound.

Change: two limits and five seconds, for former divisions and for what gateways remember alike. Take-ups of callers that state what is left are told as before; near a move streams are noted for a limit longer. test_a_caller_may_come_back_after_attempts_of_whole_limits: rows 21 and 34 failed before. Rows of tests that held the former sum hold the new one.

--- a/src/wasabicross/gateway/stream_divisions.py
+++ b/src/wasabicross/gateway/stream_divisions.py
@@ -39,6 +39,10 @@
 #: buckets at which buckets move.
 _MIN_IMBALANCE = 0.2
 
+#: Attempts of one caller after which a stream may still be taken up, each of which
+#: may have lasted for a whole time limit.
+_MAX_ATTEMPTS = 2
+
 #: Assumed longest time limit of callers while none is known.
 DEFAULT_TIME_LIMIT_S = 60.0
 
@@ -235,12 +239,20 @@
     return division._replace(former=former)
 
 
+def longest_age_s(time_limit_s: float) -> float:
+    """Return how long ago at most a stream began that is taken up, seconds.
+
+    :param time_limit_s: longest time limit of the service's callers, seconds.
+    """
+    return _MAX_ATTEMPTS * time_limit_s
+
+
 def former_lapse_s(division: StreamDivision) -> float:
     """Return the age from which on no caller resumes former buckets, seconds.
 
     :param division: the division.
     """
-    return division.time_limit_s + 2 * SPREAD_S
+    return longest_age_s(division.time_limit_s) + MAX_KNOWLEDGE_AGE_S
 
 
 def _after_announcement(
--- a/src/wasabicross/gateway/streams/begun_streams.py
+++ b/src/wasabicross/gateway/streams/begun_streams.py
@@ -7,10 +7,11 @@
 
 from wasabicross.gateway.stream_divisions import (
     DEFAULT_TIME_LIMIT_S,
-    SPREAD_S,
+    MAX_KNOWLEDGE_AGE_S,
     StreamDivision,
     bucket_of,
     former_lapse_s,
+    longest_age_s,
 )
 from wasabicross.runtime.rendezvous import rendezvous_hash
 
@@ -132,5 +133,5 @@
     :param division: the division of its service, None if there is none.
     """
     if division is None:
-        return DEFAULT_TIME_LIMIT_S + 2 * SPREAD_S
+        return longest_age_s(DEFAULT_TIME_LIMIT_S) + MAX_KNOWLEDGE_AGE_S
     return former_lapse_s(division)
--- a/src/wasabicross/gateway/streams/take_ups.py
+++ b/src/wasabicross/gateway/streams/take_ups.py
@@ -10,7 +10,10 @@
 from wasabicross.gateway.configuration import Route
 from wasabicross.gateway.dialect import RequestInfo
 from wasabicross.gateway.placement import NoServer
-from wasabicross.gateway.stream_divisions import StreamDivision
+from wasabicross.gateway.stream_divisions import (
+    StreamDivision,
+    longest_age_s,
+)
 
 #: Longest time from the begin of a caller's attempt until its request is sent, as
 #: callers wait so long for a connection, seconds.
@@ -161,7 +164,7 @@
         return math.inf
     longest_s = whole_limits_s[0]
     if info.is_forwarded or _may_be_whole(info.time_left_s, whole_limits_s):
-        return max(longest_s, division.time_limit_s)
+        return longest_age_s(max(longest_s, division.time_limit_s))
     return longest_s - info.time_left_s
 
 
--- a/tests/test_gateway_stated_limits.py
+++ b/tests/test_gateway_stated_limits.py
@@ -145,3 +145,13 @@
     received, found = take_up_after_a_move(Time_Left_Ms='58800')
     assert received.startswith(b'HTTP/1.1 503')
     assert not found
+
+
+@pytest.mark.parametrize('after_move_s', [15.0, 21.0, 34.0])
+def test_a_caller_may_come_back_after_attempts_of_whole_limits(after_move_s):
+    """Frozen gateways kept two attempts for a whole limit of 15 s each."""
+    division = MOVED._replace(time_limit_s=15)
+    asked_s = NOW_S - 10 + after_move_s
+    streams = StreamVersions(view_of(('v2',), division, asked_s))
+    found = streams.for_take_up(ROUTE, info_of('9c', 15.0), asked_s)
+    assert found.possible == BOTH
